Add the workspace, the core's skeleton and the protocols

Cause: every later part needs fixed interfaces: events, actions, sections of the blackboard, and the Thrift messages. Before: an empty repository.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,49 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+STAMP = $(VENV)/.installed
+PACKAGES = packages/core packages/daemon packages/client packages/standin
+SOURCES = $(foreach p,$(PACKAGES),$(p)/src)
+export PYTHONPATH = $(subst $(eval ) ,:,$(SOURCES))
+TOOLS = setuptools wheel ruff mypy pytest pytest-bdd pytest-benchmark hypothesis trustme \
+	types-PyYAML types-requests types-jsonschema
+
+.PHONY: setup demo test lint format bench soak stats thrift
+
+setup: $(STAMP)
+
+$(STAMP): constraints.txt $(foreach p,$(PACKAGES),$(p)/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -c constraints.txt $(TOOLS)
+	$(BIN)/pip install --quiet -c constraints.txt --no-build-isolation $(foreach p,$(PACKAGES),-e $(p))
+	touch $(STAMP)
+
+demo: setup
+	$(BIN)/python -m bronzemoor_daemon.demo
+
+test: setup
+	$(BIN)/python -m pytest $(ARGS)
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy $(SOURCES)
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+bench: setup
+	$(BIN)/python -m bench
+
+soak: setup
+	BRONZEMOOR_SOAK=1 $(BIN)/python -m pytest $(ARGS)
+
+stats: setup
+	$(BIN)/python tools/stats.py
+
+# Needs the Thrift compiler 0.17.0; its output is committed, so builds do not need it.
+thrift:
+	thrift --gen py:package_prefix=bronzemoor_daemon.gen. -out packages/daemon/src/bronzemoor_daemon/gen idl/peer.thrift
+	thrift --gen py:package_prefix=bronzemoor_daemon.gen. -out packages/daemon/src/bronzemoor_daemon/gen idl/endpoint.thrift
+	thrift --gen py:package_prefix=bronzemoor_standin.gen. -out packages/standin/src/bronzemoor_standin/gen idl/endpoint.thrift
--- /dev/null
+++ b/idl/peer.thrift
@@ -0,0 +1,71 @@
+/**
+ * Protocol between daemons: one call that carries one typed message.
+ * Framed transport, binary protocol. Fields match bronzemoor_core.messages by name.
+ */
+namespace py peer
+
+struct LogEntry { 1: i64 index, 2: i64 term, 3: binary command }
+struct PreVote { 1: i64 term, 2: i64 last_index, 3: i64 last_term }
+struct PreVoteReply { 1: i64 term, 2: bool granted }
+struct Vote { 1: i64 term, 2: i64 last_index, 3: i64 last_term }
+struct VoteReply { 1: i64 term, 2: bool granted }
+struct AppendEntries {
+  1: i64 term, 2: i64 previous_index, 3: i64 previous_term,
+  4: list<LogEntry> entries, 5: i64 commit_index, 6: i64 round_id
+}
+struct AppendEntriesReply { 1: i64 term, 2: bool success, 3: i64 match_index, 4: i64 round_id }
+struct InstallSnapshot {
+  1: i64 term, 2: i64 last_index, 3: i64 last_term, 4: i64 offset, 5: i64 total,
+  6: binary chunk, 7: i64 checksum
+}
+struct InstallSnapshotReply { 1: i64 term, 2: i64 last_index, 3: i64 received }
+struct Propose { 1: string proposal_id, 2: binary command }
+struct ProposeReply { 1: string proposal_id, 2: string code, 3: string message, 4: binary result }
+struct Suspicion { 1: string database, 2: string member, 3: string detector, 4: i64 term, 5: i32 age_ms }
+struct Demand { 1: string database, 2: string organisation, 3: i32 held, 4: i32 wanted, 5: i32 share }
+struct MemberSummary {
+  1: string database, 2: string member, 3: string address, 4: string data_centre,
+  5: string role, 6: i64 term, 7: i64 offset, 8: i64 incarnation, 9: list<string> members,
+  10: bool leaving, 11: i32 slots, 12: i32 connections, 13: map<i64, i64> history,
+  14: list<string> unreachable, 15: i32 age_ms
+}
+struct Heartbeat {
+  1: i64 incarnation, 2: string data_centre, 3: i64 sequence, 4: map<string, i64> versions,
+  5: list<Demand> demands, 6: list<Suspicion> suspicions, 7: list<MemberSummary> members,
+  8: list<string> subscriptions, 9: bool draining
+}
+struct Share { 1: string database, 2: i32 connections, 3: i32 lease_ms }
+struct HeartbeatReply {
+  1: i64 sequence, 2: string leader, 3: list<Share> shares, 4: map<string, i64> versions,
+  5: i64 topology_digest
+}
+struct DatabaseState {
+  1: string database, 2: i64 term, 3: string primary, 4: bool fenced,
+  5: map<i64, i64> history, 6: i64 version
+}
+struct TopologyUpdate { 1: bool full, 2: list<DatabaseState> databases, 3: list<MemberSummary> members }
+struct TemplateVersion { 1: string organisation, 2: i64 version, 3: binary body }
+struct ConfigurationUpdate { 1: list<TemplateVersion> templates, 2: i64 digest, 3: list<string> keys }
+struct ConfigurationAcknowledged { 1: map<string, i64> versions }
+
+union Message {
+  1: PreVote pre_vote, 2: PreVoteReply pre_vote_reply, 3: Vote vote, 4: VoteReply vote_reply,
+  5: AppendEntries append_entries, 6: AppendEntriesReply append_entries_reply,
+  7: InstallSnapshot install_snapshot, 8: InstallSnapshotReply install_snapshot_reply,
+  9: Propose propose, 10: ProposeReply propose_reply, 11: Heartbeat heartbeat,
+  12: HeartbeatReply heartbeat_reply, 13: TopologyUpdate topology_update,
+  14: ConfigurationUpdate configuration_update,
+  15: ConfigurationAcknowledged configuration_acknowledged
+}
+
+struct Envelope {
+  1: string sender, 2: string recipient, 3: i32 version, 4: string trace_context,
+  5: Message message
+}
+
+exception Rejected { 1: string code, 2: string message }
+
+service Peer {
+  /** Takes messages for the recipient; the answer only says that they were decoded. */
+  void deliver(1: list<Envelope> envelopes) throws (1: Rejected rejected),
+}
--- /dev/null
+++ b/packages/client/src/bronzemoor_client/__init__.py
@@ -0,0 +1,1 @@
+"""Command line for operators of Bronzemoor."""
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the Bronzemoor database proxy."""
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/messages.py
@@ -0,0 +1,254 @@
+"""Messages between daemons; fields follow idl/peer.thrift by name."""
+
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+# Raised when a field changes its meaning; a daemon accepts its own version and the
+# previous one.
+MESSAGE_VERSION = 1
+
+MESSAGE_TYPES: dict[str, type] = {}
+
+M = TypeVar("M", bound=type)
+
+
+def message(cls: M) -> M:
+    """Registers a class as a message that may be sent between daemons."""
+    MESSAGE_TYPES[cls.__name__] = cls
+    return cls
+
+
+@message
+@dataclass(slots=True)
+class LogEntry:
+    """One entry of the replicated log; ``command`` is encoded JSON."""
+
+    index: int
+    term: int
+    command: bytes
+
+
+@message
+@dataclass(slots=True)
+class PreVote:
+    term: int
+    last_index: int
+    last_term: int
+
+
+@message
+@dataclass(slots=True)
+class PreVoteReply:
+    term: int
+    granted: bool
+
+
+@message
+@dataclass(slots=True)
+class Vote:
+    term: int
+    last_index: int
+    last_term: int
+
+
+@message
+@dataclass(slots=True)
+class VoteReply:
+    term: int
+    granted: bool
+
+
+@message
+@dataclass(slots=True)
+class AppendEntries:
+    """``round_id`` identifies the heartbeat round that a quorum read waits for."""
+
+    term: int
+    previous_index: int
+    previous_term: int
+    entries: list[LogEntry]
+    commit_index: int
+    round_id: int
+
+
+@message
+@dataclass(slots=True)
+class AppendEntriesReply:
+    """``match_index`` is the last synced index, or a hint for the next try."""
+
+    term: int
+    success: bool
+    match_index: int
+    round_id: int
+
+
+@message
+@dataclass(slots=True)
+class InstallSnapshot:
+    """One chunk of a snapshot; ``offset`` and ``total`` are in bytes."""
+
+    term: int
+    last_index: int
+    last_term: int
+    offset: int
+    total: int
+    chunk: bytes
+    checksum: int
+
+
+@message
+@dataclass(slots=True)
+class InstallSnapshotReply:
+    term: int
+    last_index: int
+    received: int
+
+
+@message
+@dataclass(slots=True)
+class Propose:
+    """A command forwarded to the leader; ``command`` is encoded JSON."""
+
+    proposal_id: str
+    command: bytes
+
+
+@message
+@dataclass(slots=True)
+class ProposeReply:
+    """``code`` is ``ok`` or an error code; ``result`` is encoded JSON."""
+
+    proposal_id: str
+    code: str
+    message: str
+    result: bytes
+
+
+@message
+@dataclass(slots=True)
+class Suspicion:
+    """Evidence of one vantage point against one member."""
+
+    database: str
+    member: str
+    detector: str
+    term: int
+    age_ms: int
+
+
+@message
+@dataclass(slots=True)
+class Demand:
+    """Connections of one database that a proxy holds and wants."""
+
+    database: str
+    organisation: str
+    held: int
+    wanted: int
+    share: int
+
+
+@message
+@dataclass(slots=True)
+class MemberSummary:
+    """State of one endpoint as last announced to a relay."""
+
+    database: str
+    member: str
+    address: str
+    data_centre: str
+    role: str
+    term: int
+    offset: int
+    incarnation: int
+    members: list[str]
+    leaving: bool
+    slots: int
+    connections: int
+    history: dict[int, int]
+    unreachable: list[str]
+    age_ms: int
+
+
+@message
+@dataclass(slots=True)
+class Heartbeat:
+    """From a daemon to the control members: demand, versions, suspicions, members."""
+
+    incarnation: int
+    data_centre: str
+    sequence: int
+    versions: dict[str, int]
+    demands: list[Demand]
+    suspicions: list[Suspicion]
+    members: list[MemberSummary]
+    subscriptions: list[str]
+    draining: bool = False
+
+
+@message
+@dataclass(slots=True)
+class Share:
+    """A leased share of a database's connections; ``lease_ms`` counts from the
+    sending of the heartbeat that ``sequence`` names."""
+
+    database: str
+    connections: int
+    lease_ms: int
+
+
+@message
+@dataclass(slots=True)
+class HeartbeatReply:
+    sequence: int
+    leader: str
+    shares: list[Share]
+    versions: dict[str, int]
+    topology_digest: int
+
+
+@message
+@dataclass(slots=True)
+class DatabaseState:
+    """Committed state of one database: its term, primary and term history."""
+
+    database: str
+    term: int
+    primary: str
+    fenced: bool
+    history: dict[int, int]
+    version: int
+
+
+@message
+@dataclass(slots=True)
+class TopologyUpdate:
+    """Changed databases and members; ``full`` replaces what is known."""
+
+    full: bool
+    databases: list[DatabaseState]
+    members: list[MemberSummary]
+
+
+@message
+@dataclass(slots=True)
+class TemplateVersion:
+    """One organisation's template; ``body`` is encoded JSON."""
+
+    organisation: str
+    version: int
+    body: bytes
+
+
+@message
+@dataclass(slots=True)
+class ConfigurationUpdate:
+    templates: list[TemplateVersion]
+    digest: int
+    keys: list[str] = field(default_factory=list)
+
+
+@message
+@dataclass(slots=True)
+class ConfigurationAcknowledged:
+    versions: dict[str, int]
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/outcomes.py
@@ -0,0 +1,49 @@
+"""The three outcomes of a request."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+
+@dataclass(slots=True, frozen=True)
+class Done:
+    """The request ran; ``payload`` is the endpoint's whole JSON answer.
+
+    ``code`` is ``ok`` or ``statement_failed``; a failed statement list was rolled
+    back as a whole and ``message`` holds the endpoint's error.
+    """
+
+    tag: ClassVar[str] = "done"
+    payload: bytes
+    step: str = "answer"
+    peer: str = ""
+    code: str = "ok"
+    message: str = ""
+    role: str = ""
+    repeated: bool = False
+    transaction: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class NotRun:
+    """Nothing ran: it was never sent, or the endpoint refused before execution."""
+
+    tag: ClassVar[str] = "not_run"
+    code: str
+    message: str
+    step: str
+    peer: str = ""
+    retry_after_ms: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Unknown:
+    """The request may or may not have run; ask again with the same request id."""
+
+    tag: ClassVar[str] = "unknown"
+    code: str
+    message: str
+    step: str
+    peer: str = ""
+
+
+Outcome = Done | NotRun | Unknown
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/positions.py
@@ -0,0 +1,49 @@
+"""Positions in the log of a database group and their order across terms."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class Position:
+    """A place in a database's log: ``term`` and ``offset`` in log entries."""
+
+    term: int = 0
+    offset: int = 0
+
+
+ZERO = Position(0, 0)
+
+
+@dataclass(slots=True)
+class TermHistory:
+    """Start offset of each term of one database."""
+
+    starts: dict[int, int] = field(default_factory=dict)
+
+    def record(self, term: int, start_offset: int) -> None:
+        """Adds the start of a term; a known term keeps its first start offset."""
+        self.starts.setdefault(term, start_offset)
+
+    def end_of(self, term: int) -> int | None:
+        """Last offset of ``term`` that survived, or None while it is the newest."""
+        later = [start for other, start in self.starts.items() if other > term]
+        return min(later) if later else None
+
+    def survives(self, position: Position) -> bool:
+        """Tells whether the entry at ``position`` is part of the surviving log."""
+        end = self.end_of(position.term)
+        return end is None or position.offset <= end
+
+    def covers(self, held: Position, wanted: Position) -> bool:
+        """Tells whether a member at ``held`` contains everything up to ``wanted``.
+
+        A bare offset is not enough: the tail of an older term may have been
+        discarded by a promotion, and a member may still hold that tail.
+        """
+        if wanted.offset == 0:
+            return True
+        if held.term == wanted.term:
+            return held.offset >= wanted.offset
+        if held.term < wanted.term:
+            return False
+        return self.survives(wanted) and held.offset >= wanted.offset
--- /dev/null
+++ b/packages/daemon/src/bronzemoor_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The Bronzemoor daemon."""
--- /dev/null
+++ b/packages/standin/src/bronzemoor_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in database endpoint and load tool for Bronzemoor."""
--- /dev/null
+++ b/packages/standin/src/bronzemoor_standin/gen/endpoint/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Endpoint']
