Define completion, query and position events

Cause: a command proposed on any daemon needs exactly one answer there, and positions must reach the topology through its owner only. Before: rejection and read-index events without a defined answer. Conclusion: the interfaces between data path and control plane are fixed.

--- a/packages/core/src/bronzemoor_core/events.py
+++ b/packages/core/src/bronzemoor_core/events.py
@@ -277,6 +277,22 @@
     transaction: str
 
 
+@dataclass(slots=True)
+class PositionObserved:
+    """A checked answer of a member; membership updates the topology from it.
+
+    ``proved_at`` (seconds) is set for a primary: when its position was proved current,
+    that is, the send time of the call less the age of the majority's confirmation.
+    """
+
+    database: str
+    member: str
+    role: str
+    position: Position
+    proved_at: float | None = None
+    leaving: bool = False
+
+
 @dataclass(slots=True)
 class PrimaryChanged:
     """A new primary is in force for ``database``; empty ``member`` means none."""
@@ -323,20 +339,35 @@
 
 @dataclass(slots=True)
 class CommandProposed:
-    """Asks consensus to replicate ``command``; ``origin`` is echoed on completion."""
+    """Asks consensus to replicate ``command``, at the leader if that is elsewhere.
+
+    A command with ``"query": True`` is not replicated: the leader confirms itself by a
+    quorum and evaluates it. ``origin`` is echoed on completion.
+    """
 
     command: dict[str, Any]
     origin: Any = None
 
 
 @dataclass(slots=True)
-class CommandRejected:
-    """The command was not accepted; it may be proposed again."""
+class CommandCompleted:
+    """The one answer to a ``CommandProposed``, raised on the daemon that proposed.
+
+    ``code`` is ``ok`` or an error code; ``unknown`` means that it may yet be applied.
+    """
 
     origin: Any
     code: str
     message: str
-    leader: str = ""
+    result: dict[str, Any]
+
+
+@dataclass(slots=True)
+class QueryReady:
+    """A quorum confirmed this leader; ``state`` answers with ``CommandApplied``."""
+
+    command: dict[str, Any]
+    origin: Any
 
 
 @dataclass(slots=True)
@@ -385,16 +416,3 @@
     leader: str
     term: int
     is_leader: bool
-
-
-@dataclass(slots=True)
-class ReadIndexRequested:
-    """Asks consensus to confirm by a quorum that this daemon still leads."""
-
-    origin: Any
-
-
-@dataclass(slots=True)
-class ReadIndexConfirmed:
-    origin: Any
-    index: int
--- a/packages/core/src/bronzemoor_core/membership.py
+++ b/packages/core/src/bronzemoor_core/membership.py
@@ -24,10 +24,6 @@
     slots: int = 3
     connections: int = 20
     last_heard: float = 0.0
-    # Smoothed round-trip time of calls, seconds; 0 until measured.
-    delay: float = 0.0
-    # Unanswered calls of this daemon.
-    outstanding: int = 0
 
 
 @dataclass(slots=True)
