--- a/packages/core/src/bronzemoor_core/admission.py
+++ b/packages/core/src/bronzemoor_core/admission.py
@@ -1,14 +1,207 @@
 """Bounded priority queues with deadlines."""
 
+from bisect import bisect_left, insort
+from dataclasses import dataclass, field
+
+from bronzemoor_core.actions import EmitMetric
 from bronzemoor_core.blackboard import section
-from bronzemoor_core.controllers import Controller, controller
+from bronzemoor_core.controllers import Controller, controller, handles
+from bronzemoor_core.events import (
+    ConnectionGranted,
+    ConnectionRefused,
+    ConnectionReleased,
+    ConnectionWanted,
+    ConnectionWithdrawn,
+    QueueChanged,
+    Tick,
+    TransactionOpened,
+)
+
+# Weight of the newest sample in the average time that a request holds a connection.
+SERVICE_WEIGHT = 0.1
+
+
+@dataclass(slots=True, order=True)
+class Waiting:
+    """A request that waits; ordered by priority, then deadline, then arrival."""
+
+    priority: int
+    deadline: float
+    sequence: int
+    since: float = field(compare=False)
+    wanted: ConnectionWanted = field(compare=False)
+
+
+@dataclass(slots=True)
+class Queue:
+    """Waiting requests of one database, best first.
+
+    ``service_time`` is the average time in seconds that a request holds a connection.
+    """
+
+    entries: list[Waiting] = field(default_factory=list)
+    by_ticket: dict[int, Waiting] = field(default_factory=dict)
+    by_class: dict[tuple[str, str], int] = field(default_factory=dict)
+    service_time: float = 0.0
+
+    def add(self, entry: Waiting) -> None:
+        insort(self.entries, entry)
+        wanted = entry.wanted
+        self.by_ticket[wanted.ticket] = entry
+        self._count(wanted, 1)
+
+    def remove(self, ticket: int) -> Waiting | None:
+        entry = self.by_ticket.pop(ticket, None)
+        if entry is not None:
+            del self.entries[bisect_left(self.entries, entry)]
+            self._count(entry.wanted, -1)
+        return entry
+
+    def waiting_of(self, wanted: ConnectionWanted) -> int:
+        """Number of waiting requests of the same organisation and class."""
+        return self.by_class.get((wanted.organisation, wanted.request_class), 0)
+
+    def observe(self, held: float) -> None:
+        weight = SERVICE_WEIGHT if self.service_time else 1.0
+        self.service_time += weight * (held - self.service_time)
+
+    def _count(self, wanted: ConnectionWanted, change: int) -> None:
+        key = (wanted.organisation, wanted.request_class)
+        self.by_class[key] = self.by_class.get(key, 0) + change
+        if not self.by_class[key]:
+            del self.by_class[key]
 
 
 @section("queues")
 class Queues:
-    __slots__ = ()
+    """Queues by database; ``granted_at`` is when each ticket got its connection."""
+
+    __slots__ = ("databases", "granted_at", "location")
+
+    def __init__(self) -> None:
+        self.databases: dict[str, Queue] = {}
+        self.granted_at: dict[int, float] = {}
+        self.location: dict[int, str] = {}
+
+    def depth(self, database: str) -> int:
+        """Number of requests that wait for a connection to ``database``."""
+        queue = self.databases.get(database)
+        return len(queue.entries) if queue else 0
 
 
 @controller("queues")
 class AdmissionController(Controller):
     """Owns the queues section."""
+
+    _own: Queues
+    _sequence = 0
+
+    @handles(ConnectionWanted)
+    def on_wanted(self, now: float, event: ConnectionWanted) -> list[object]:
+        if event.ticket in self._blackboard.pools.by_ticket:
+            # Granted meanwhile, or not given back yet; then it is asked for again.
+            return []
+        queue = self._own.databases.setdefault(event.database, Queue())
+        earlier = self._remove(event.ticket)
+        if earlier is not None:
+            # A request that moves to other members keeps its place.
+            earlier.wanted = event
+            queue.add(earlier)
+            self._own.location[event.ticket] = event.database
+            return [QueueChanged(event.database)]
+        self._sequence += 1
+        entry = Waiting(event.priority, event.deadline, self._sequence, now, event)
+        refused = self._check(now, queue, entry)
+        if refused is not None:
+            return [EmitMetric("counter", f"queue.refused.{refused.code}"), refused]
+        items: list[object] = self._displace(queue, entry)
+        queue.add(entry)
+        self._own.location[event.ticket] = event.database
+        items.append(QueueChanged(event.database))
+        return items
+
+    @handles(ConnectionGranted)
+    def on_granted(self, now: float, event: ConnectionGranted) -> list[object]:
+        entry = self._remove(event.ticket)
+        if entry is None:
+            return []
+        self._own.granted_at[event.ticket] = now
+        return [EmitMetric("timer", "queue.wait", (now - entry.since) * 1_000)]
+
+    @handles(ConnectionReleased)
+    def on_released(self, now: float, event: ConnectionReleased) -> None:
+        since = self._own.granted_at.pop(event.ticket, None)
+        database = self._blackboard.pools.database_of(event.connection)
+        queue = self._own.databases.get(database)
+        # A lost answer measures the timeout, not the service.
+        if since is not None and queue is not None and event.clean:
+            queue.observe(now - since)
+
+    @handles(TransactionOpened)
+    def on_transaction(self, now: float, event: TransactionOpened) -> None:
+        # The time that callers think is no service time.
+        self._own.granted_at.pop(event.ticket, None)
+
+    @handles(ConnectionWithdrawn)
+    def on_withdrawn(self, now: float, event: ConnectionWithdrawn) -> None:
+        self._remove(event.ticket)
+
+    @handles(Tick)
+    def on_tick(self, now: float, event: Tick) -> list[object]:
+        expired = [
+            entry.wanted.ticket
+            for queue in self._own.databases.values()
+            for entry in queue.entries
+            if entry.deadline <= now
+        ]
+        items: list[object] = []
+        for ticket in expired:
+            self._remove(ticket)
+            items.append(ConnectionRefused(ticket, "deadline", "no connection in time"))
+        return items
+
+    def _check(
+        self, now: float, queue: Queue, entry: Waiting
+    ) -> ConnectionRefused | None:
+        wanted = entry.wanted
+        if queue.waiting_of(wanted) >= wanted.queue_limit:
+            return _queue_full(wanted.ticket, "the queue of the request class is full")
+        full = len(queue.entries) >= self._settings.data_path.queue_limit
+        if full and queue.entries[-1].priority <= entry.priority:
+            return _queue_full(wanted.ticket, "the queue of the database is full")
+        expected = self._expected_wait(queue, entry)
+        if now + expected >= entry.deadline:
+            return ConnectionRefused(
+                wanted.ticket,
+                "deadline_unreachable",
+                f"the expected wait of {expected * 1_000:.0f} ms exceeds the deadline",
+            )
+        return None
+
+    def _displace(self, queue: Queue, entry: Waiting) -> list[object]:
+        if len(queue.entries) < self._settings.data_path.queue_limit:
+            return []
+        last = queue.entries[-1].wanted.ticket
+        self._remove(last)
+        return [
+            EmitMetric("counter", "queue.displaced"),
+            _queue_full(last, "a request of higher priority took the place"),
+        ]
+
+    def _expected_wait(self, queue: Queue, entry: Waiting) -> float:
+        """Seconds until a connection is expected for ``entry``."""
+        ahead = bisect_left(queue.entries, entry)
+        usable, idle = self._blackboard.pools.capacity(
+            entry.wanted.database, entry.wanted.members
+        )
+        if ahead < idle or not usable:
+            return 0.0
+        return (ahead - idle + 1) * queue.service_time / usable
+
+    def _remove(self, ticket: int) -> Waiting | None:
+        database = self._own.location.pop(ticket, None)
+        return self._own.databases[database].remove(ticket) if database else None
+
+
+def _queue_full(ticket: int, message: str) -> ConnectionRefused:
+    return ConnectionRefused(ticket, "queue_full", message)
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/answers.py
@@ -0,0 +1,21 @@
+"""Matching of endpoint answers by request id, length and checksum."""
+
+from zlib import crc32
+
+from bronzemoor_core.actions import Answer, Call
+
+
+def check_answer(call: Call, answer: Answer) -> str:
+    """Returns why ``answer`` is not the whole answer to ``call``, or an empty string.
+
+    The reasons are ``correlation``, ``request_id``, ``length`` and ``checksum``.
+    """
+    if answer.correlation_id != call.correlation_id:
+        return "correlation"
+    if answer.request_id != call.request_id:
+        return "request_id"
+    if answer.length != len(answer.payload):
+        return "length"
+    if answer.checksum != crc32(answer.payload):
+        return "checksum"
+    return ""
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/calls.py
@@ -0,0 +1,65 @@
+"""Calls to endpoints for each step of a request."""
+
+from typing import Any
+
+from bronzemoor_core.actions import Call
+from bronzemoor_core.positions import ZERO, Position
+from bronzemoor_core.work import Step, Work
+
+KINDS = {
+    Step.RESERVE: "reserve",
+    Step.CONFIRM_RESERVATION: "confirm",
+    Step.EXECUTE: "execute",
+    Step.CONFIRM: "confirm",
+    Step.LOOKUP: "lookup",
+    Step.CONFIRM_LOOKUP: "confirm",
+    Step.BEGIN: "begin",
+    Step.STATEMENT: "execute",
+    Step.COMMIT: "commit",
+    Step.ROLLBACK: "rollback",
+}
+# Part of a confirmation's timeout that the endpoint may wait; the rest is for the way.
+CONFIRM_WAIT = 0.8
+
+
+def make_call(
+    now: float, work: Work, step: Step, correlation: int, settings: Any
+) -> Call:
+    """Returns the call of ``step``; its timeout never passes the deadline."""
+    kind = KINDS[step]
+    path = settings.data_path
+    limit = path.confirm_timeout if kind == "confirm" else path.call_timeout
+    timeout = max(0.001, min(limit, work.deadline - now))
+    request = work.request
+    call = Call(
+        kind,
+        correlation,
+        work.ticket,
+        timeout,
+        request.request_id,
+        request.digest,
+        min_position=_min_position(work, kind),
+    )
+    if kind == "confirm":
+        call.wait_ms = max(1, int(timeout * CONFIRM_WAIT * 1_000))
+    elif kind in ("execute", "begin"):
+        call.wait_ms = work.route.wait_ms
+    if kind == "execute":
+        call.statements = request.statements
+        call.read_only = work.is_read
+        call.recorded = not work.is_read and step is Step.EXECUTE
+    if kind in ("execute", "reserve"):
+        call.reservation = work.reservation
+    if kind == "commit":
+        call.recorded = True
+    if work.transaction is not None:
+        call.transaction_id = work.transaction.endpoint_name
+    return call
+
+
+def _min_position(work: Work, kind: str) -> Position:
+    if kind == "confirm":
+        return work.position
+    if kind == "begin" or (kind == "execute" and work.is_read):
+        return work.route.min_position
+    return ZERO
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/connections.py
@@ -0,0 +1,167 @@
+"""Connections of one daemon to the members of a database, and what they measured."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+from bronzemoor_core.actions import Call
+from bronzemoor_core.blackboard import section
+
+# Weight of the newest sample in the averages of delay and lag.
+SAMPLE_WEIGHT = 0.2
+
+
+class State(Enum):
+    """State of a connection. A connection counts until it is known to be closed."""
+
+    OPENING = "opening"
+    WARM = "warm"
+    BUSY = "busy"
+    SUSPECT = "suspect"
+    CLOSING = "closing"
+
+
+@dataclass(slots=True)
+class Connection:
+    """One connection. ``started_at`` is when it began to open, in seconds.
+
+    ``executing`` tells whether its request occupies a slot of the member, and
+    ``replace`` that it is older than a fresh connection that had to be compared.
+    """
+
+    number: int
+    database: str
+    member: str
+    started_at: float
+    state: State = State.OPENING
+    ticket: int = 0
+    executing: bool = False
+    pinned: bool = False
+    replace: bool = False
+    probe: Call | None = None
+    probe_at: float = 0.0
+    answered_at: float = 0.0
+    closing_since: float = 0.0
+
+    @property
+    def idle(self) -> bool:
+        """Warm and owing no answer."""
+        return self.state is State.WARM and self.probe is None
+
+
+@dataclass(slots=True)
+class MemberLink:
+    """What this daemon measured of one member; durations are in seconds.
+
+    ``delay`` is the one-way delay, None before the first probe; ``lag`` is how far the
+    member was behind the primary when it last answered.
+    """
+
+    delay: float | None = None
+    lag: float = 0.0
+    behind_until: float = 0.0
+    running: int = 0
+    failures: int = 0
+    retry_at: float = 0.0
+    # When a silent connection called for a comparison with a fresh one.
+    compare_since: float | None = None
+    # Closed connections that are to be opened again.
+    replacements: int = 0
+
+    def observe_delay(self, delay: float) -> None:
+        if self.delay is None:
+            self.delay = delay
+        self.delay += SAMPLE_WEIGHT * (delay - self.delay)
+
+    def observe_lag(self, lag: float) -> None:
+        self.lag += SAMPLE_WEIGHT * (lag - self.lag)
+
+
+@dataclass(slots=True)
+class DatabasePool:
+    """All connections of this daemon to one database.
+
+    ``share`` bounds them over all members; after ``valid_until`` (seconds) none is
+    opened any more.
+    """
+
+    name: str
+    share: int = 0
+    valid_until: float = 0.0
+    connections: dict[int, Connection] = field(default_factory=dict)
+    links: dict[str, MemberLink] = field(default_factory=dict)
+    next_open_at: float = 0.0
+    next_probe_at: float = 0.0
+    next_replace_at: float = 0.0
+    sampled_at: float = 0.0
+
+    @property
+    def total(self) -> int:
+        """Connections that count against the share, closing ones included."""
+        return len(self.connections)
+
+    @property
+    def opening(self) -> int:
+        return sum(1 for _ in self.of_state(State.OPENING))
+
+    def has_place(self, now: float) -> bool:
+        return self.total < self.share and now < self.valid_until
+
+    def link(self, member: str) -> MemberLink:
+        if member not in self.links:
+            self.links[member] = MemberLink()
+        return self.links[member]
+
+    def of_member(self, member: str) -> Iterator[Connection]:
+        return (c for c in self.connections.values() if c.member == member)
+
+    def of_state(self, state: State) -> Iterator[Connection]:
+        return (c for c in self.connections.values() if c.state is state)
+
+    def idle_by_member(self) -> dict[str, list[Connection]]:
+        """Idle connections by member; the most recently used one is last."""
+        idle: dict[str, list[Connection]] = {}
+        for connection in self.connections.values():
+            if connection.idle:
+                idle.setdefault(connection.member, []).append(connection)
+        for connections in idle.values():
+            connections.sort(key=lambda c: (not c.replace, c.answered_at))
+        return idle
+
+    def count_closing(self) -> int:
+        return sum(1 for _ in self.of_state(State.CLOSING))
+
+    def count(self, member: str, *states: State) -> int:
+        return sum(1 for c in self.of_member(member) if c.state in states)
+
+
+@section("pools")
+class Pools:
+    """Pools by database, connections by number, and the connection of each ticket."""
+
+    __slots__ = ("by_ticket", "connections", "databases")
+
+    def __init__(self) -> None:
+        self.databases: dict[str, DatabasePool] = {}
+        self.connections: dict[int, Connection] = {}
+        self.by_ticket: dict[int, int] = {}
+
+    def total(self, database: str) -> int:
+        """Connections of this daemon that count against its share of ``database``."""
+        pool = self.databases.get(database)
+        return pool.total if pool else 0
+
+    def database_of(self, connection: int) -> str:
+        """Name of the connection's database, or an empty string once it is closed."""
+        known = self.connections.get(connection)
+        return known.database if known else ""
+
+    def capacity(self, database: str, members: tuple[str, ...]) -> tuple[int, int]:
+        """Usable and idle connections to ``members``."""
+        usable = idle = 0
+        pool = self.databases.get(database)
+        for connection in pool.connections.values() if pool else ():
+            if connection.member in members and connection.state is not State.CLOSING:
+                usable += 1
+                idle += connection.idle
+        return usable, idle
--- a/packages/core/src/bronzemoor_core/events.py
+++ b/packages/core/src/bronzemoor_core/events.py
@@ -202,6 +202,8 @@
 class ConnectionWanted:
     """Asks pools for a connection to one of ``members`` (in order of preference).
 
+    Without members the request only waits in the queue, for example for a primary; a
+    second event for the same ticket replaces the first and keeps its place.
     Pools answers with ``ConnectionGranted`` at once or later, or ``ConnectionRefused``.
     """
 
@@ -211,6 +213,16 @@
     priority: int
     deadline: float
     organisation: str = ""
+    # Class of the request and how many of its class may wait.
+    request_class: str = ""
+    queue_limit: int = 512
+
+
+@dataclass(slots=True)
+class QueueChanged:
+    """Requests wait for connections to ``database``."""
+
+    database: str
 
 
 @dataclass(slots=True)
@@ -246,6 +258,42 @@
     reason: str = ""
 
 
+@dataclass(slots=True)
+class SlotReleased:
+    """The statement on ``connection`` is over, but the request keeps the connection."""
+
+    connection: int
+
+
+@dataclass(slots=True)
+class RetryWanted:
+    """Asks retries whether the request may be sent again, and when.
+
+    A ``free`` retry follows a refusal before execution and costs no budget.
+    """
+
+    ticket: int
+    organisation: str
+    attempt: int
+    free: bool = False
+
+
+@dataclass(slots=True)
+class RetryDecided:
+    """Answers ``RetryWanted``; ``resume_at`` is in seconds."""
+
+    ticket: int
+    allowed: bool
+    resume_at: float
+
+
+@dataclass(slots=True)
+class TokenKeysChanged:
+    """Replaces the keys for session tokens; the first (id, key) pair signs."""
+
+    keys: list[tuple[str, bytes]]
+
+
 @dataclass(slots=True)
 class RequestFinished:
     ticket: int
@@ -262,6 +310,19 @@
     organisation: str
     database: str
     session_position: Position
+    session: str = ""
+    ticket: int = 0
+    # The endpoint's own id of the transaction.
+    endpoint_transaction: str = ""
+
+
+@dataclass(slots=True)
+class TransactionUsed:
+    """A request uses an open transaction; ``ticket`` 0 means that it is idle again."""
+
+    transaction: str
+    ticket: int
+    commits: bool = False
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/losses.py
@@ -0,0 +1,57 @@
+"""What a request does when the answer to one of its steps is lost."""
+
+from typing import TYPE_CHECKING
+
+from bronzemoor_core.events import TransactionEnded
+from bronzemoor_core.steps import LOOKUPS_AFTER_LOSS, rolled_back
+from bronzemoor_core.work import Step, Work
+
+if TYPE_CHECKING:
+    from bronzemoor_core.requests import RequestController
+
+Items = list[object]
+
+# Steps that may be repeated without any effect on the data of other requests.
+HARMLESS = (Step.RESERVE, Step.CONFIRM_RESERVATION, Step.BEGIN)
+
+
+def on_lost(
+    flow: "RequestController", now: float, work: Work, reason: str, sent: bool
+) -> Items:
+    """Decides on a retry, a lookup or an outcome; ``sent`` tells whether the call
+    may have reached the endpoint."""
+    step = work.step
+    work.code = reason
+    if work.transaction is not None and step in (
+        Step.STATEMENT,
+        Step.COMMIT,
+        Step.ROLLBACK,
+    ):
+        return _lost_in_transaction(flow, now, work, sent)
+    if step in (Step.LOOKUP, Step.CONFIRM_LOOKUP):
+        return flow.retry(now, work, Step.LOOKUP, free=True, clean=False)
+    if step in HARMLESS:
+        goal = Step.BEGIN if step is Step.BEGIN else Step.RESERVE
+        return flow.retry(now, work, goal, free=not sent, clean=False)
+    if work.is_read:
+        work.excluded = (*work.excluded, work.member)
+    if sent or step is Step.CONFIRM:
+        work.maybe_ran = True
+    if work.is_read or (work.repeatable and work.request.kind == "statements"):
+        return flow.retry(now, work, Step.EXECUTE, free=not sent, clean=False)
+    work.lookups_left = LOOKUPS_AFTER_LOSS
+    return flow.look_up(now, work, clean=False)
+
+
+def _lost_in_transaction(
+    flow: "RequestController", now: float, work: Work, sent: bool
+) -> Items:
+    ended = TransactionEnded(work.request.transaction, False)
+    if work.step is Step.ROLLBACK:
+        return [ended, *flow.finish(now, work, rolled_back(work), clean=False)]
+    work.maybe_ran = sent
+    if work.step is Step.COMMIT and sent:
+        work.lookups_left = LOOKUPS_AFTER_LOSS
+        return [ended, *flow.look_up(now, work, clean=False)]
+    message = "the transaction was rolled back with its connection"
+    return [ended, *flow.fail(now, work, "transaction_lost", message, clean=False)]
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/openings.py
@@ -0,0 +1,148 @@
+"""Decisions to open connections: demand, warm connections and limits on storms."""
+
+from collections import Counter
+from itertools import count
+from random import Random
+from typing import Any
+
+from bronzemoor_core.actions import OpenConnection
+from bronzemoor_core.connections import Connection, DatabasePool, Pools, State
+from bronzemoor_core.membership import Database
+from bronzemoor_core.retries import backoff
+from bronzemoor_core.routing import expected_delay, is_serving
+
+# Spreads openings of many daemons after a change of primary, seconds.
+FAILOVER_JITTER = 0.020
+# Average distance between two openings of one pool, seconds.
+OPEN_SPACING = 0.002
+# Bounds of the backoff after a failed opening, seconds.
+RETRY_MIN = 0.025
+RETRY_MAX = 1.0
+LIVE = (State.OPENING, State.WARM, State.BUSY, State.SUSPECT)
+
+
+class Opener:
+    """Opens connections within the share of each database."""
+
+    __slots__ = ("_blackboard", "_numbers", "_pools", "_random", "_settings")
+
+    def __init__(
+        self, pools: Pools, blackboard: Any, settings: Any, random: Random
+    ) -> None:
+        self._pools = pools
+        self._blackboard = blackboard
+        self._settings = settings
+        self._random = random
+        self._numbers = count(1)
+
+    def open_wanted(
+        self, now: float, pool: DatabasePool, starved: Counter[str]
+    ) -> list[object]:
+        """Opens what is missing, the most urgent first, as far as allowed."""
+        database = self._blackboard.topology.databases.get(pool.name)
+        if database is None or not pool.has_place(now) or now < pool.next_open_at:
+            return []
+        items: list[object] = []
+        opening = pool.opening
+        for member in self._missing(now, pool, database, starved):
+            if opening >= self._settings.data_path.max_opening:
+                break
+            if not pool.has_place(now):
+                break
+            if not self._may_open(now, pool, database, member):
+                continue
+            items.append(self._open(now, pool, database, member))
+            opening += 1
+        if items:
+            pool.next_open_at = now + OPEN_SPACING * 2 * self._random.random()
+        return items
+
+    def victims(
+        self, now: float, pool: DatabasePool, starved: Counter[str]
+    ) -> list[Connection]:
+        """Idle connections to close because waiting requests need their places."""
+        if not starved or pool.has_place(now) or now >= pool.valid_until:
+            return []
+        needed = sum(starved.values()) - pool.opening - pool.count_closing()
+        idle = pool.idle_by_member()
+        spare = [c for m, group in idle.items() if m not in starved for c in group]
+        spare.sort(key=lambda c: (not c.replace, c.answered_at))
+        return spare[: max(0, min(needed, self._settings.data_path.max_opening))]
+
+    def delay_openings(self, now: float, pool: DatabasePool) -> None:
+        """Spreads the openings of many daemons after a change of primary."""
+        pool.next_open_at = now + FAILOVER_JITTER * self._random.random()
+
+    def note_failure(
+        self, now: float, pool: DatabasePool, connection: Connection
+    ) -> None:
+        link = pool.link(connection.member)
+        link.failures += 1
+        wait = backoff(link.failures, RETRY_MIN, RETRY_MAX, self._random)
+        link.retry_at = now + wait
+
+    def _missing(
+        self, now: float, pool: DatabasePool, database: Database, starved: Counter[str]
+    ) -> list[str]:
+        missing = []
+        for name, link in pool.links.items():
+            opening = pool.count(name, State.OPENING)
+            if link.compare_since is not None and not opening:
+                missing.append(name)
+        for name, waiting in starved.items():
+            missing += [name] * (waiting - pool.count(name, State.OPENING))
+        for name in self._kept_warm(now, pool, database):
+            live = pool.count(name, *LIVE)
+            missing += [name] * (self._settings.data_path.min_warm - live)
+        for name, link in pool.links.items():
+            missing += [name] * link.replacements
+        missing += [name for name in pool.links if self._is_used_up(pool, name)]
+        return missing
+
+    def _kept_warm(
+        self, now: float, pool: DatabasePool, database: Database
+    ) -> list[str]:
+        """The primary and the nearest replica."""
+        lease = self._settings.timers.announcement_lease
+        replicas = [
+            member
+            for member in database.members.values()
+            if member.name != database.primary and is_serving(member, now, lease)
+        ]
+        kept = [database.primary] if database.primary else []
+        if replicas:
+            nearest = min(
+                replicas,
+                key=lambda m: expected_delay(m, pool.link(m.name), self._settings),
+            )
+            kept.append(nearest.name)
+        return kept
+
+    def _is_used_up(self, pool: DatabasePool, member: str) -> bool:
+        """Tells whether the next request to ``member`` would have to wait."""
+        busy = pool.count(member, State.BUSY)
+        return busy > 0 and busy == pool.count(member, *LIVE)
+
+    def _may_open(
+        self, now: float, pool: DatabasePool, database: Database, member: str
+    ) -> bool:
+        known = database.members.get(member)
+        if known is None or now < pool.link(member).retry_at:
+            return False
+        return is_serving(known, now, self._settings.timers.announcement_lease)
+
+    def _open(
+        self, now: float, pool: DatabasePool, database: Database, member: str
+    ) -> OpenConnection:
+        connection = Connection(next(self._numbers), pool.name, member, now)
+        pool.connections[connection.number] = connection
+        self._pools.connections[connection.number] = connection
+        link = pool.link(member)
+        link.replacements = max(0, link.replacements - 1)
+        return OpenConnection(
+            connection.number,
+            pool.name,
+            member,
+            database.members[member].address,
+            self._settings.data_path.open_timeout,
+        )
--- a/packages/core/src/bronzemoor_core/pools.py
+++ b/packages/core/src/bronzemoor_core/pools.py
@@ -1,14 +1,293 @@
-"""Connections to endpoints: opening, reuse and probing."""
+"""Connections to endpoints: granting, reuse, opening and closing."""
 
-from bronzemoor_core.blackboard import section
-from bronzemoor_core.controllers import Controller, controller
+from random import Random
+from typing import Any
 
+from bronzemoor_core.actions import CloseConnection, EmitLog
+from bronzemoor_core.blackboard import Blackboard
+from bronzemoor_core.connections import Connection, DatabasePool, Pools, State
+from bronzemoor_core.controllers import Controller, controller, handles
+from bronzemoor_core.events import (
+    AnswerReceived,
+    AnswerTimedOut,
+    ConnectionClosed,
+    ConnectionFailed,
+    ConnectionOpened,
+    ConnectionReleased,
+    ConnectionWithdrawn,
+    MemberLost,
+    MemberSuspected,
+    PositionObserved,
+    PrimaryChanged,
+    QueueChanged,
+    SharesChanged,
+    SlotReleased,
+    Tick,
+    TransactionOpened,
+)
+from bronzemoor_core.grants import grant_waiting
+from bronzemoor_core.openings import Opener
+from bronzemoor_core.positions import Position
+from bronzemoor_core.probes import Prober
 
-@section("pools")
-class Pools:
-    __slots__ = ()
+# How long a connection counts after its closing was ordered, unless the driver reports
+# it closed before.
+CLOSE_TIMEOUT = 1.0
 
 
 @controller("pools")
 class PoolController(Controller):
     """Owns the pools section."""
+
+    _own: Pools
+
+    def __init__(self, blackboard: Blackboard, settings: Any, random: Random) -> None:
+        super().__init__(blackboard, settings, random)
+        self._opener = Opener(self._own, blackboard, settings, random)
+        self._prober = Prober(blackboard, settings, random)
+
+    @handles(SharesChanged)
+    def on_shares_changed(self, now: float, event: SharesChanged) -> list[object]:
+        pool = self._pool(event.database)
+        pool.share = event.connections
+        pool.valid_until = event.valid_until
+        return [*self._shrink(now, pool), *self._settle(now, pool)]
+
+    @handles(QueueChanged)
+    def on_queue_changed(self, now: float, event: QueueChanged) -> list[object]:
+        return self._settle(now, self._pool(event.database))
+
+    @handles(ConnectionOpened)
+    def on_opened(self, now: float, event: ConnectionOpened) -> list[object]:
+        connection = self._own.connections.get(event.connection)
+        if connection is None or connection.state is not State.OPENING:
+            return [CloseConnection(event.connection, "not_wanted")]
+        answer = event.answer
+        if answer.status != "ok" or answer.member not in ("", connection.member):
+            reason = answer.code or f"answered as {answer.member}"
+            return self._opening_failed(now, connection, reason)
+        connection.state = State.WARM
+        connection.answered_at = connection.probe_at = now
+        pool = self._pool(connection.database)
+        items = self._prober.on_fresh(now, pool, connection)
+        position = Position(answer.term, answer.offset)
+        items.append(
+            PositionObserved(
+                pool.name,
+                connection.member,
+                answer.role,
+                position,
+                leaving=answer.leaving,
+            )
+        )
+        return [*items, *self._shrink(now, pool), *self._settle(now, pool)]
+
+    @handles(ConnectionFailed)
+    def on_failed(self, now: float, event: ConnectionFailed) -> list[object]:
+        connection = self._own.connections.get(event.connection)
+        if connection is None:
+            return []
+        if connection.state is State.CLOSING:
+            return self._forget(now, connection)
+        return self._opening_failed(now, connection, event.error)
+
+    @handles(ConnectionClosed)
+    def on_closed(self, now: float, event: ConnectionClosed) -> list[object]:
+        connection = self._own.connections.get(event.connection)
+        if connection is None:
+            return []
+        pool = self._pool(connection.database)
+        if connection.state is not State.CLOSING:
+            pool.link(connection.member).replacements += 1
+        return self._forget(now, connection)
+
+    @handles(ConnectionReleased)
+    def on_released(self, now: float, event: ConnectionReleased) -> list[object]:
+        connection = self._own.connections.get(event.connection)
+        if connection is None or connection.ticket != event.ticket:
+            return []
+        pool = self._pool(connection.database)
+        if event.reason == "behind":
+            self._prober.note_behind(now, pool, connection.member)
+        self._detach(pool, connection)
+        if event.clean:
+            connection.state = State.WARM
+            connection.answered_at = connection.probe_at = now
+            items = self._shrink(now, pool)
+        else:
+            items = [self._close(now, connection, event.reason or "not_clean")]
+        return [*items, *self._settle(now, pool)]
+
+    @handles(ConnectionWithdrawn)
+    def on_withdrawn(self, now: float, event: ConnectionWithdrawn) -> list[object]:
+        number = self._own.by_ticket.get(event.ticket)
+        if number is None:
+            return []
+        return self.on_released(now, ConnectionReleased(event.ticket, number, True))
+
+    @handles(SlotReleased)
+    def on_slot_released(self, now: float, event: SlotReleased) -> list[object]:
+        connection = self._own.connections.get(event.connection)
+        if connection is None or not connection.executing:
+            return []
+        pool = self._pool(connection.database)
+        self._free_slot(pool, connection)
+        return grant_waiting(now, self._own, self._blackboard, pool)[0]
+
+    @handles(TransactionOpened)
+    def on_transaction(self, now: float, event: TransactionOpened) -> list[object]:
+        connection = self._own.connections[event.connection]
+        connection.pinned = True
+        return self.on_slot_released(now, SlotReleased(event.connection))
+
+    @handles(AnswerReceived)
+    def on_answer(self, now: float, event: AnswerReceived) -> list[object]:
+        connection = self._own.connections.get(event.connection)
+        if connection is None or connection.state in (State.CLOSING, State.OPENING):
+            return []
+        connection.answered_at = now
+        if connection.ticket:
+            return []
+        pool = self._pool(connection.database)
+        items, valid = self._prober.on_answer(now, pool, connection, event)
+        if not valid:
+            items.append(self._close(now, connection, "discarded_answer"))
+        return [*items, *self._settle(now, pool)]
+
+    @handles(AnswerTimedOut)
+    def on_timeout(self, now: float, event: AnswerTimedOut) -> list[object]:
+        connection = self._own.connections.get(event.connection)
+        if connection is None or connection.state is State.CLOSING:
+            return []
+        pool = self._pool(connection.database)
+        self._detach(pool, connection)
+        self._prober.compare(now, pool, connection, event.sent_at)
+        return [
+            self._close(now, connection, "answer_timed_out"),
+            *self._settle(now, pool),
+        ]
+
+    @handles(PrimaryChanged)
+    def on_primary_changed(self, now: float, event: PrimaryChanged) -> list[object]:
+        pool = self._pool(event.database)
+        self._opener.delay_openings(now, pool)
+        return self._settle(now, pool)
+
+    @handles(MemberLost)
+    def on_member_lost(self, now: float, event: MemberLost) -> list[object]:
+        pool = self._pool(event.database)
+        items: list[object] = []
+        for connection in list(pool.of_member(event.member)):
+            if connection.ticket:
+                connection.replace = True
+            elif connection.state is not State.CLOSING:
+                items.append(self._close(now, connection, "member_lost"))
+        pool.link(event.member).replacements = 0
+        pool.link(event.member).compare_since = None
+        return items
+
+    @handles(PositionObserved)
+    def on_position(self, now: float, event: PositionObserved) -> None:
+        pool = self._own.databases.get(event.database)
+        if pool is not None:
+            self._prober.observe(now, pool, event)
+
+    @handles(Tick)
+    def on_tick(self, now: float, event: Tick) -> list[object]:
+        items: list[object] = []
+        for pool in self._own.databases.values():
+            for connection in list(pool.of_state(State.CLOSING)):
+                if now - connection.closing_since > CLOSE_TIMEOUT:
+                    self._remove(connection)
+            items += self._retire(now, pool)
+            items += self._prober.probe_due(now, pool)
+            items += self._settle(now, pool)
+        return items
+
+    def _settle(self, now: float, pool: DatabasePool) -> list[object]:
+        """Grants idle connections to waiting requests and opens what is missing."""
+        items, starved = grant_waiting(now, self._own, self._blackboard, pool)
+        for victim in self._opener.victims(now, pool, starved):
+            items.append(self._close(now, victim, "place_wanted"))
+        items += self._opener.open_wanted(now, pool, starved)
+        return items
+
+    def _shrink(self, now: float, pool: DatabasePool) -> list[object]:
+        """Closes idle connections above the share, those to be replaced first."""
+        closing = pool.count_closing()
+        excess = pool.total - closing - pool.share
+        idle = [c for group in pool.idle_by_member().values() for c in group]
+        idle += pool.of_state(State.SUSPECT)
+        idle.sort(key=lambda c: (not c.replace, c.answered_at))
+        opening = list(pool.of_state(State.OPENING))
+        victims = (opening + idle)[: max(0, excess)]
+        return [self._close(now, victim, "share_shrunk") for victim in victims]
+
+    def _retire(self, now: float, pool: DatabasePool) -> list[object]:
+        """Closes idle connections to leaving members and replaces outdated ones."""
+        database = self._blackboard.topology.databases.get(pool.name)
+        items: list[object] = []
+        for member, connections in pool.idle_by_member().items():
+            known = database.members.get(member) if database else None
+            if known is None or known.leaving:
+                items += [self._close(now, c, "member_left") for c in connections]
+            elif connections[0].replace and self._prober.may_replace(now, pool):
+                pool.link(member).replacements += 1
+                items.append(self._close(now, connections[0], "replaced"))
+        return items
+
+    def _opening_failed(
+        self, now: float, connection: Connection, error: str
+    ) -> list[object]:
+        pool = self._pool(connection.database)
+        self._opener.note_failure(now, pool, connection)
+        fields = {
+            "database": pool.name,
+            "peer": connection.member,
+            "error": error,
+        }
+        items: list[object] = [EmitLog("warning", "connection_failed", fields)]
+        if not self._prober.answered_since(pool, connection):
+            items.append(
+                MemberSuspected(pool.name, connection.member, "fresh_connection_failed")
+            )
+        if connection.state is State.OPENING:
+            items.append(self._close(now, connection, "opening_failed"))
+        return [*items, *self._settle(now, pool)]
+
+    def _pool(self, database: str) -> DatabasePool:
+        pools = self._own.databases
+        if database not in pools:
+            pools[database] = DatabasePool(database)
+        return pools[database]
+
+    def _close(self, now: float, connection: Connection, reason: str) -> object:
+        pool = self._pool(connection.database)
+        self._detach(pool, connection)
+        connection.state = State.CLOSING
+        connection.probe = None
+        connection.closing_since = now
+        return CloseConnection(connection.number, reason)
+
+    def _forget(self, now: float, connection: Connection) -> list[object]:
+        """Handles a connection that is known to be closed."""
+        pool = self._pool(connection.database)
+        self._detach(pool, connection)
+        self._remove(connection)
+        return self._settle(now, pool)
+
+    def _remove(self, connection: Connection) -> None:
+        del self._own.connections[connection.number]
+        del self._own.databases[connection.database].connections[connection.number]
+
+    def _detach(self, pool: DatabasePool, connection: Connection) -> None:
+        if connection.ticket:
+            self._own.by_ticket.pop(connection.ticket, None)
+        connection.ticket = 0
+        connection.pinned = False
+        self._free_slot(pool, connection)
+
+    def _free_slot(self, pool: DatabasePool, connection: Connection) -> None:
+        if connection.executing:
+            connection.executing = False
+            pool.link(connection.member).running -= 1
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/routing.py
@@ -0,0 +1,231 @@
+"""Selection of the members that may serve a request."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from bronzemoor_core.connections import DatabasePool, MemberLink
+from bronzemoor_core.membership import Database, Member
+from bronzemoor_core.positions import ZERO, Position, TermHistory
+
+# One-way delay to another data centre before it is measured or configured, seconds.
+DEFAULT_REMOTE_DELAY = 0.0035
+# Traffic between data centres costs money besides time; expressed in seconds.
+CROSSING_COST = 0.001
+# Assumed time that one outstanding request adds at a member, seconds.
+OUTSTANDING_COST = 0.001
+
+NEW_LINK = MemberLink()
+
+
+@dataclass(slots=True, frozen=True)
+class Candidate:
+    """A member that may serve a read, with what the balancers weigh."""
+
+    member: str
+    outstanding: int
+    delay: float
+    crosses: bool
+    # Seconds until the member is expected to hold the minimum position.
+    catch_up: float = 0.0
+
+
+Balancer = Callable[[Sequence[Candidate], Random], list[Candidate]]
+BALANCERS: dict[str, Balancer] = {}
+
+
+def balancer(name: str) -> Callable[[Balancer], Balancer]:
+    """Registers a function that orders candidates, best first."""
+
+    def register(function: Balancer) -> Balancer:
+        BALANCERS[name] = function
+        return function
+
+    return register
+
+
+@balancer("least_outstanding")
+def order_by_outstanding(
+    candidates: Sequence[Candidate], random: Random
+) -> list[Candidate]:
+    return sorted(candidates, key=lambda c: (c.outstanding, c.catch_up, c.delay))
+
+
+@balancer("measured_delay")
+def order_by_delay(candidates: Sequence[Candidate], random: Random) -> list[Candidate]:
+    return sorted(candidates, key=_cost)
+
+
+@balancer("two_random_choices")
+def order_by_two_choices(
+    candidates: Sequence[Candidate], random: Random
+) -> list[Candidate]:
+    """The better of two random candidates first, the others in random order."""
+    shuffled = random.sample(candidates, len(candidates))
+    return sorted(shuffled[:2], key=_cost) + shuffled[2:]
+
+
+def _cost(candidate: Candidate) -> float:
+    return (
+        candidate.delay
+        + candidate.catch_up
+        + CROSSING_COST * candidate.crosses
+        + OUTSTANDING_COST * candidate.outstanding
+    )
+
+
+@dataclass(slots=True, frozen=True)
+class Route:
+    """Members in order of preference and the position that they must have reached.
+
+    ``fallback`` tells that the primary serves a read because no replica qualifies.
+    ``proved`` tells that the position proves the wanted age; otherwise the primary's
+    answer has to.
+    """
+
+    members: tuple[str, ...]
+    min_position: Position = ZERO
+    wait_ms: int = 0
+    fallback: bool = False
+    proved: bool = True
+
+
+NOWHERE = Route(())
+
+
+def surviving(history: TermHistory, position: Position) -> Position:
+    """Returns ``position``, or where its term's log was cut off by a promotion.
+
+    No member will ever hold a discarded position, so a read must not wait for it.
+    """
+    if history.survives(position):
+        return position
+    start, term = min(
+        (start, term) for term, start in history.starts.items() if term > position.term
+    )
+    return Position(term, start)
+
+
+def is_serving(member: Member, now: float, lease: float) -> bool:
+    """Tells whether ``member`` may get new work."""
+    return not member.leaving and now - member.last_heard <= lease
+
+
+def expected_delay(member: Member, link: MemberLink, settings: Any) -> float:
+    """One-way delay to ``member`` in seconds: measured, else configured."""
+    if link.delay is not None:
+        return link.delay
+    if member.data_centre == settings.data_centre:
+        return 0.0
+    return settings.delays.get(member.data_centre, DEFAULT_REMOTE_DELAY)
+
+
+def age_position(database: Database, now: float, max_age: float) -> Position | None:
+    """Returns a position that proves an age of at most ``max_age``, or None.
+
+    The oldest sample that is young enough asks the least of a replica.
+    """
+    for sample in database.samples:
+        if now - sample.proved_at <= max_age:
+            return surviving(database.history, sample.position)
+    return None
+
+
+class Router:
+    """Selects members for one request; holds no state of its own."""
+
+    __slots__ = ("_balance", "_random", "_settings")
+
+    def __init__(self, settings: Any, random: Random) -> None:
+        self._settings = settings
+        self._random = random
+        self._balance = BALANCERS[settings.data_path.balancer]
+
+    def primary_route(
+        self, now: float, database: Database, position: Position = ZERO
+    ) -> Route:
+        """Route of a write; ``NOWHERE`` while there is no primary to send it to."""
+        member = database.members.get(database.primary)
+        lease = self._settings.timers.announcement_lease
+        if member is None or not is_serving(member, now, lease):
+            return NOWHERE
+        wait_ms = max(1, round(self._settings.data_path.catch_up_wait * 1_000))
+        return Route((member.name,), surviving(database.history, position), wait_ms)
+
+    def read_route(
+        self,
+        now: float,
+        database: Database,
+        pool: DatabasePool | None,
+        position: Position,
+        max_age: float | None,
+        data_centre: str = "",
+        excluded: tuple[str, ...] = (),
+    ) -> Route:
+        """Route of a read whose session has seen ``position``.
+
+        ``max_age`` is in seconds or None; ``excluded`` members were tried before.
+        """
+        path = self._settings.data_path
+        minimum = surviving(database.history, position)
+        proved = True
+        if max_age is not None:
+            # The member may wait before it reads, and the data ages meanwhile.
+            young = max_age - path.catch_up_wait - DEFAULT_REMOTE_DELAY
+            sample = age_position(database, now, young)
+            proved = sample is not None
+            minimum = max(minimum, sample or ZERO)
+        wait_ms = max(1, round(path.catch_up_wait * 1_000))
+        if proved:
+            candidates = self._replicas(
+                now, database, pool, minimum, data_centre, excluded
+            )
+            if candidates:
+                if len(candidates) > 1:
+                    candidates = self._balance(candidates, self._random)
+                names = tuple([candidate.member for candidate in candidates])
+                return Route(names, minimum, wait_ms)
+        primary = self.primary_route(now, database)
+        if not primary.members:
+            return NOWHERE
+        fallback = len(database.members) > 1
+        return Route(primary.members, minimum, wait_ms, fallback, proved)
+
+    def _replicas(
+        self,
+        now: float,
+        database: Database,
+        pool: DatabasePool | None,
+        minimum: Position,
+        data_centre: str,
+        excluded: tuple[str, ...],
+    ) -> list[Candidate]:
+        settings = self._settings
+        lease = settings.timers.announcement_lease
+        wait = settings.data_path.catch_up_wait
+        links = pool.links if pool else {}
+        near = data_centre or settings.data_centre
+        candidates = []
+        for member in database.members.values():
+            name = member.name
+            if name == database.primary or name in excluded:
+                continue
+            if member.leaving or now - member.last_heard > lease:
+                continue
+            link = links.get(name, NEW_LINK)
+            catch_up = 0.0
+            if not database.history.covers(member.position, minimum):
+                if link.lag > wait or now < link.behind_until:
+                    continue
+                catch_up = link.lag
+            candidates.append(
+                Candidate(
+                    name,
+                    link.running,
+                    expected_delay(member, link, settings),
+                    member.data_centre != near,
+                    catch_up,
+                )
+            )
+        return candidates
--- a/packages/core/src/bronzemoor_core/sessions.py
+++ b/packages/core/src/bronzemoor_core/sessions.py
@@ -1,14 +1,163 @@
 """Session tokens with a position for each database."""
 
-from bronzemoor_core.blackboard import section
-from bronzemoor_core.controllers import Controller, controller
+import hmac
+import json
+from base64 import urlsafe_b64decode, urlsafe_b64encode
+from dataclasses import dataclass, field
+from hashlib import sha256
+from random import Random
+from typing import Any
+
+from bronzemoor_core.actions import EmitLog
+from bronzemoor_core.blackboard import Blackboard, section
+from bronzemoor_core.controllers import Controller, controller, handles
+from bronzemoor_core.events import Tick, TokenKeysChanged
+from bronzemoor_core.exceptions import InvalidSettings, InvalidToken
+from bronzemoor_core.positions import ZERO, Position
+
+DEVELOPMENT_KEY_ID = "insecure-development"
+# Public by design: it only lets a loopback demo run without settings.
+DEVELOPMENT_KEY = sha256(b"bronzemoor insecure development key").digest()
+# Bounds the work spent on a token before it is authenticated.
+MAX_TOKEN_LENGTH = 65_536
+
+
+@dataclass(slots=True)
+class SessionToken:
+    """What a session has seen: the latest position of each database.
+
+    ``session`` is a random id that binds transactions to their session.
+    """
+
+    organisation: str
+    session: str
+    positions: dict[str, Position] = field(default_factory=dict)
+
+    def position(self, database: str) -> Position:
+        return self.positions.get(database, ZERO)
+
+    def advance(self, database: str, position: Position) -> None:
+        """Takes the later of the known position and ``position``.
+
+        The order by (term, offset) is enough here: a promotion keeps every confirmed
+        position, so a later term's position contains all that survived.
+        """
+        if position.offset and position > self.position(database):
+            self.positions[database] = position
+
+    def merge(self, other: "SessionToken") -> None:
+        """Takes the later position per database."""
+        for database, position in other.positions.items():
+            self.advance(database, position)
+
+
+class KeyRing:
+    """Keys by id; the first signs, all verify."""
+
+    __slots__ = ("_keys", "_signer")
+
+    def __init__(self, keys: list[tuple[str, bytes]]) -> None:
+        if not keys or not all(name and key for name, key in keys):
+            raise InvalidSettings(["token_keys: needs ids with non-empty keys"])
+        self._keys = dict(keys)
+        self._signer = keys[0][0]
+
+    @property
+    def insecure(self) -> bool:
+        return self._signer == DEVELOPMENT_KEY_ID
+
+    def sign(self, token: SessionToken) -> str:
+        """Returns the token's text: body and signature in base64url."""
+        body = {
+            "k": self._signer,
+            "o": token.organisation,
+            "s": token.session,
+            "p": {name: [p.term, p.offset] for name, p in token.positions.items()},
+        }
+        data = json.dumps(body, separators=(",", ":")).encode()
+        signature = hmac.digest(self._keys[self._signer], data, "sha256")
+        return f"{_encode(data)}.{_encode(signature)}"
+
+    def verify(self, text: str, organisation: str) -> SessionToken:
+        """Returns the token of ``text``, or raises ``InvalidToken``."""
+        data, signature = _split(text)
+        body = _parse(data)
+        key = self._keys.get(body["k"])
+        if key is None:
+            raise InvalidToken("the token's key is not known", step="session")
+        if not hmac.compare_digest(hmac.digest(key, data, "sha256"), signature):
+            raise InvalidToken("the token's signature does not match", step="session")
+        if body["o"] != organisation:
+            raise InvalidToken("the token is another organisation's", step="session")
+        positions = {name: Position(*pair) for name, pair in body["p"].items()}
+        return SessionToken(organisation, body["s"], positions)
 
 
 @section("sessions")
 class Sessions:
-    __slots__ = ()
+    """``ring`` holds the keys in force."""
+
+    __slots__ = ("ring",)
+
+    def __init__(self) -> None:
+        self.ring = KeyRing([(DEVELOPMENT_KEY_ID, DEVELOPMENT_KEY)])
 
 
 @controller("sessions")
 class SessionKeys(Controller):
     """Owns the sessions section."""
+
+    _own: Sessions
+
+    def __init__(self, blackboard: Blackboard, settings: Any, random: Random) -> None:
+        super().__init__(blackboard, settings, random)
+        if settings.token_keys:
+            self._own.ring = KeyRing(list(settings.token_keys.items()))
+        self._warned = not self._own.ring.insecure
+
+    @handles(TokenKeysChanged)
+    def on_keys_changed(self, now: float, event: TokenKeysChanged) -> list[EmitLog]:
+        self._own.ring = KeyRing(event.keys)
+        return [EmitLog("info", "token_keys_changed", {"signer": event.keys[0][0]})]
+
+    @handles(Tick)
+    def on_tick(self, now: float, event: Tick) -> list[EmitLog]:
+        if self._warned:
+            return []
+        self._warned = True
+        return [
+            EmitLog(
+                "warning",
+                "insecure_token_key",
+                {"hint": "set token_keys; anyone can forge sessions signed this way"},
+            )
+        ]
+
+
+def _encode(data: bytes) -> str:
+    return urlsafe_b64encode(data).rstrip(b"=").decode()
+
+
+def _decode(text: str) -> bytes:
+    return urlsafe_b64decode(text + "=" * (-len(text) % 4))
+
+
+def _split(text: str) -> tuple[bytes, bytes]:
+    body, separator, signature = text.partition(".")
+    try:
+        if not separator or len(text) > MAX_TOKEN_LENGTH:
+            raise ValueError("no signature, or too long")
+        return _decode(body), _decode(signature)
+    except ValueError as error:
+        raise InvalidToken(f"the token is malformed: {error}", step="session") from None
+
+
+def _parse(data: bytes) -> dict[str, Any]:
+    try:
+        body = json.loads(data)
+        ids_are_text = all(isinstance(body[name], str) for name in "kos")
+    except (ValueError, KeyError, TypeError):
+        raise InvalidToken("the token's body is malformed", step="session") from None
+    if not ids_are_text:
+        raise InvalidToken("the token's body is malformed", step="session")
+    return body
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/statements.py
@@ -0,0 +1,76 @@
+"""Classification of SQL into reads and writes."""
+
+from collections.abc import Iterable
+from functools import lru_cache
+
+from sqlglot import exp, parse
+from sqlglot.errors import SqlglotError
+
+from bronzemoor_core.events import Statement
+
+CACHED_STATEMENTS = 4_096
+
+READ_ROOTS = (exp.Select, exp.SetOperation, exp.Values, exp.Subquery)
+# Any of these below a read's root makes the whole statement a write.
+WRITE_NODES = (
+    exp.DML,
+    exp.DDL,
+    exp.Command,
+    exp.Pragma,
+    exp.Into,
+    exp.Lock,
+    exp.Merge,
+    exp.Set,
+    exp.Transaction,
+    exp.Commit,
+    exp.Rollback,
+)
+
+# Built-in functions of SQLite without side effects that sqlglot has no class for.
+PURE_FUNCTIONS = frozenset(
+    {
+        "CHANGES",
+        "GLOB",
+        "HEX",
+        "IFNULL",
+        "INSTR",
+        "JULIANDAY",
+        "LAST_INSERT_ROWID",
+        "NULLIF",
+        "PRINTF",
+        "QUOTE",
+        "TOTAL",
+        "TOTAL_CHANGES",
+        "TYPEOF",
+        "UNHEX",
+        "UNIXEPOCH",
+    }
+)
+
+
+@lru_cache(maxsize=CACHED_STATEMENTS)
+def is_read(sql: str) -> bool:
+    """Tells whether ``sql`` is provably one reading statement.
+
+    Whatever cannot be proved a read counts as a write: text that does not parse,
+    several statements in one string, and functions that sqlglot does not know, since
+    such a function may have side effects.
+    """
+    try:
+        trees = parse(sql, dialect="sqlite")
+    except (SqlglotError, RecursionError):
+        return False
+    if len(trees) != 1 or not isinstance(trees[0], READ_ROOTS):
+        return False
+    return not any(_may_write(node) for node in trees[0].walk())
+
+
+def all_reads(statements: Iterable[Statement]) -> bool:
+    """Tells whether every statement is provably a read."""
+    return all(is_read(statement.sql) for statement in statements)
+
+
+def _may_write(node: exp.Expr) -> bool:
+    if isinstance(node, exp.Anonymous):
+        return node.name.upper() not in PURE_FUNCTIONS
+    return isinstance(node, WRITE_NODES)
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/steps.py
@@ -0,0 +1,317 @@
+"""What a request does with the checked answer to each of its steps."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from bronzemoor_core.actions import Answer
+from bronzemoor_core.events import (
+    AnswerReceived,
+    SlotReleased,
+    TransactionEnded,
+    TransactionOpened,
+)
+from bronzemoor_core.outcomes import Done, NotRun, Unknown
+from bronzemoor_core.positions import Position
+from bronzemoor_core.validation import transaction_name
+from bronzemoor_core.work import Step, Work
+
+if TYPE_CHECKING:
+    from bronzemoor_core.requests import RequestController
+
+Items = list[object]
+Handler = Callable[["RequestController", float, Work, AnswerReceived], Items]
+ANSWERED: dict[Step, Handler] = {}
+
+# Refusals that another member, or the same one later, may not repeat.
+TEMPORARY = frozenset(
+    ("not_primary", "stale_term", "behind", "fenced", "busy", "leaving")
+)
+# Refusals that show a member to be no primary of the newest term.
+DEPOSED = frozenset(("not_primary", "stale_term", "fenced"))
+# Refusals after which a transaction cannot go on.
+BROKEN = DEPOSED | {"unknown_transaction"}
+PUBLIC_CODES = {"write_in_read": "write_in_read_class"}
+# Lookups after an own attempt was lost; it may still be running at the endpoint.
+LOOKUPS_AFTER_LOSS = 4
+# Bounds the rounds of a confirmation in case an endpoint does not wait.
+MAX_CONFIRMATIONS = 8
+
+
+def answered(*steps: Step) -> Callable[[Handler], Handler]:
+    """Registers the function that handles the answers to ``steps``."""
+
+    def register(function: Handler) -> Handler:
+        for step in steps:
+            ANSWERED[step] = function
+        return function
+
+    return register
+
+
+@answered(Step.EXECUTE)
+def on_execute(
+    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+) -> Items:
+    answer = event.answer
+    if answer.status == "refused":
+        return _execute_refused(flow, now, work, answer)
+    if work.is_read:
+        return _finish_read(flow, now, work, event)
+    return _settle(flow, now, work, answer, Step.CONFIRM)
+
+
+@answered(Step.CONFIRM, Step.CONFIRM_LOOKUP)
+def on_confirm(
+    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+) -> Items:
+    if _is_confirmed(flow, work, event.answer):
+        return _acknowledge(flow, now, work)
+    if _is_replaced(flow, work, event.answer):
+        return _resolve(flow, now, work, "deposed_primary", 1)
+    return _confirm_again(flow, now, work)
+
+
+@answered(Step.RESERVE)
+def on_reserve(
+    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+) -> Items:
+    answer = event.answer
+    if answer.status != "ok":
+        if answer.code == "reserved":
+            return _resolve(flow, now, work, "reserved_elsewhere", 1)
+        return _refused(flow, now, work, answer)
+    if answer.repeated:
+        return _settle(flow, now, work, answer, Step.CONFIRM_LOOKUP)
+    if flow.is_deposed(work, answer):
+        work.code = "deposed_primary"
+        return flow.retry(now, work, Step.RESERVE, free=True)
+    work.position = Position(answer.term, answer.offset)
+    if answer.majority_offset >= answer.offset:
+        return _execute_reserved(flow, now, work)
+    return [
+        SlotReleased(work.connection),
+        *flow.send(now, work, Step.CONFIRM_RESERVATION),
+    ]
+
+
+@answered(Step.CONFIRM_RESERVATION)
+def on_confirm_reservation(
+    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+) -> Items:
+    if _is_confirmed(flow, work, event.answer):
+        return _execute_reserved(flow, now, work)
+    if _is_replaced(flow, work, event.answer):
+        work.code = "deposed_primary"
+        return flow.retry(now, work, Step.RESERVE, free=True)
+    return _confirm_again(flow, now, work)
+
+
+@answered(Step.LOOKUP)
+def on_lookup(
+    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+) -> Items:
+    answer = event.answer
+    if answer.status == "refused" and answer.code in TEMPORARY:
+        return flow.retry(now, work, Step.LOOKUP, free=True)
+    if answer.status == "refused" and answer.code == "request_id_reused":
+        return flow.fail(now, work, answer.code, answer.message)
+    if flow.is_deposed(work, answer):
+        return flow.retry(now, work, Step.LOOKUP, free=True)
+    if answer.status == "ok" and answer.repeated:
+        return _settle(flow, now, work, answer, Step.CONFIRM_LOOKUP)
+    work.lookups_left -= 1
+    if work.lookups_left > 0:
+        return flow.retry(now, work, Step.LOOKUP, free=True)
+    message = "no result is recorded for the request id"
+    return flow.finish(
+        now, work, Unknown(work.code, message, Step.LOOKUP.value, work.member)
+    )
+
+
+@answered(Step.BEGIN)
+def on_begin(
+    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+) -> Items:
+    answer = event.answer
+    if answer.status != "ok":
+        return _refused(flow, now, work, answer)
+    if flow.is_deposed(work, answer):
+        work.code = "deposed_primary"
+        return flow.retry(now, work, Step.BEGIN, free=True, clean=False)
+    name = transaction_name(flow.settings, flow.random)
+    request = work.request
+    opened = TransactionOpened(
+        name,
+        work.connection,
+        work.member,
+        request.organisation,
+        request.database,
+        Position(answer.term, answer.offset),
+        work.token.session,
+        work.ticket,
+        answer.transaction_id,
+    )
+    flow.keep_connection(work)
+    return [opened, *flow.finish(now, work, _done(work, answer, transaction=name))]
+
+
+@answered(Step.STATEMENT)
+def on_statement(
+    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+) -> Items:
+    answer = event.answer
+    if answer.status == "refused":
+        refused = _not_run(work, answer)
+        if answer.code in BROKEN:
+            ended = TransactionEnded(work.request.transaction, False)
+            return [ended, *flow.finish(now, work, refused, clean=False)]
+        flow.keep_connection(work)
+        return flow.finish(now, work, refused)
+    flow.keep_connection(work)
+    return flow.finish(now, work, _done(work, answer))
+
+
+@answered(Step.COMMIT)
+def on_commit(
+    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+) -> Items:
+    answer = event.answer
+    ended = TransactionEnded(work.request.transaction, answer.status == "ok")
+    if answer.status == "ok":
+        return [ended, *_settle(flow, now, work, answer, Step.CONFIRM)]
+    if answer.status == "failed":
+        return [ended, *flow.finish(now, work, _done(work, answer), clean=False)]
+    return [ended, *flow.finish(now, work, _not_run(work, answer), clean=False)]
+
+
+@answered(Step.ROLLBACK)
+def on_rollback(
+    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+) -> Items:
+    clean = event.answer.status == "ok"
+    ended = TransactionEnded(work.request.transaction, clean)
+    return [ended, *flow.finish(now, work, rolled_back(work), clean=clean)]
+
+
+def rolled_back(work: Work) -> Done:
+    """Outcome of a rollback; closing the connection has the same effect."""
+    return Done(b"[]", Step.ROLLBACK.value, work.member)
+
+
+def _execute_refused(
+    flow: "RequestController", now: float, work: Work, answer: Answer
+) -> Items:
+    if answer.code == "reserved":
+        return _resolve(flow, now, work, "reserved_elsewhere", 1)
+    if not work.is_read and not work.repeatable:
+        # The reservation is used up: the statements are never sent a second time.
+        return flow.finish(now, work, _not_run(work, answer))
+    if work.is_read:
+        work.excluded = (*work.excluded, work.member)
+    return _refused(flow, now, work, answer)
+
+
+def _refused(
+    flow: "RequestController", now: float, work: Work, answer: Answer
+) -> Items:
+    """A refusal before execution: sent again if it may pass, else reported."""
+    work.code = answer.code
+    if answer.code not in TEMPORARY:
+        return flow.finish(now, work, _not_run(work, answer))
+    return flow.retry(now, work, work.step, free=True, reason=answer.code)
+
+
+def _finish_read(
+    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+) -> Items:
+    answer = event.answer
+    max_age = work.request_class.max_age
+    if max_age is not None and not work.route.proved:
+        # No sample proved the age beforehand, so the primary itself has to.
+        age = now - event.sent_at + answer.confirmed_ago_ms / 1_000
+        if answer.confirmed_ago_ms < 0 or age > max_age:
+            work.code = "age_not_proved"
+            return flow.retry(now, work, Step.EXECUTE, free=True)
+    if answer.role == "primary":
+        position = Position(answer.term, answer.offset)
+        work.token.advance(work.request.database, position)
+    return flow.finish(now, work, _done(work, answer))
+
+
+def _settle(
+    flow: "RequestController", now: float, work: Work, answer: Answer, confirm: Step
+) -> Items:
+    """Acknowledges an executed write once a majority holds it."""
+    work.maybe_ran = True
+    if flow.is_deposed(work, answer):
+        return _resolve(flow, now, work, "deposed_primary", 1)
+    if answer.status == "failed":
+        return flow.finish(now, work, _done(work, answer))
+    work.answer = answer
+    work.position = Position(answer.term, answer.offset)
+    if answer.majority_offset >= answer.offset:
+        return _acknowledge(flow, now, work)
+    return [SlotReleased(work.connection), *flow.send(now, work, confirm)]
+
+
+def _acknowledge(flow: "RequestController", now: float, work: Work) -> Items:
+    assert work.answer is not None
+    work.token.advance(work.request.database, work.position)
+    return flow.finish(now, work, _done(work, work.answer))
+
+
+def _execute_reserved(flow: "RequestController", now: float, work: Work) -> Items:
+    database = flow.database(work)
+    if database.primary != work.member or database.term > work.position.term:
+        work.code = "deposed_primary"
+        return flow.retry(now, work, Step.RESERVE, free=True)
+    return flow.send(now, work, Step.EXECUTE)
+
+
+def _resolve(
+    flow: "RequestController", now: float, work: Work, code: str, lookups: int
+) -> Items:
+    """Asks the current primary what became of the request id."""
+    work.maybe_ran = True
+    work.code = code
+    work.lookups_left = lookups
+    return flow.look_up(now, work)
+
+
+def _is_confirmed(flow: "RequestController", work: Work, answer: Answer) -> bool:
+    return (
+        answer.status == "ok"
+        and answer.term == work.position.term
+        and answer.majority_offset >= work.position.offset
+        and not flow.is_deposed(work, answer)
+    )
+
+
+def _is_replaced(flow: "RequestController", work: Work, answer: Answer) -> bool:
+    refused = answer.status == "refused" and answer.code in DEPOSED
+    return refused or answer.term != work.position.term or flow.is_deposed(work, answer)
+
+
+def _confirm_again(flow: "RequestController", now: float, work: Work) -> Items:
+    work.confirmations += 1
+    if work.confirmations < MAX_CONFIRMATIONS and now < work.deadline:
+        return flow.send(now, work, work.step)
+    return flow.fail(now, work, "not_confirmed", "no majority confirmed the write")
+
+
+def _done(work: Work, answer: Answer, transaction: str = "") -> Done:
+    return Done(
+        answer.payload,
+        work.step.value,
+        work.member,
+        "statement_failed" if answer.status == "failed" else "ok",
+        answer.message,
+        answer.role,
+        answer.repeated,
+        transaction,
+    )
+
+
+def _not_run(work: Work, answer: Answer) -> NotRun:
+    code = PUBLIC_CODES.get(answer.code, answer.code)
+    return NotRun(code, answer.message, work.step.value, work.member)
--- a/packages/core/src/bronzemoor_core/transactions.py
+++ b/packages/core/src/bronzemoor_core/transactions.py
@@ -1,14 +1,129 @@
 """Open transactions and their pinned connections."""
 
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from bronzemoor_core.actions import EmitLog, EmitMetric
 from bronzemoor_core.blackboard import section
-from bronzemoor_core.controllers import Controller, controller
+from bronzemoor_core.controllers import Controller, controller, handles
+from bronzemoor_core.events import (
+    ConnectionClosed,
+    Tick,
+    TransactionEnded,
+    TransactionExpired,
+    TransactionOpened,
+    TransactionUsed,
+)
+from bronzemoor_core.positions import Position
+
+# Ended transactions that are remembered, to answer a late commit truthfully.
+REMEMBERED = 4_096
+
+
+@dataclass(slots=True)
+class Transaction:
+    """An open transaction; it belongs to one organisation and one session.
+
+    ``lease`` is the ticket under which its connection was granted, ``ticket`` the
+    request that uses it, or 0; times are in seconds.
+    """
+
+    name: str
+    lease: int
+    endpoint_name: str
+    connection: int
+    member: str
+    organisation: str
+    database: str
+    session: str
+    position: Position
+    opened_at: float
+    used_at: float
+    ticket: int = 0
+    committing: bool = False
 
 
 @section("transactions")
 class Transactions:
-    __slots__ = ()
+    """Open transactions by id; ``ended`` tells whether a commit had been sent."""
+
+    __slots__ = ("ended", "open")
+
+    def __init__(self) -> None:
+        self.open: dict[str, Transaction] = {}
+        self.ended: OrderedDict[str, bool] = OrderedDict()
 
 
 @controller("transactions")
 class TransactionController(Controller):
     """Owns the transactions section."""
+
+    _own: Transactions
+
+    @handles(TransactionOpened)
+    def on_opened(self, now: float, event: TransactionOpened) -> list[object]:
+        self._own.open[event.transaction] = Transaction(
+            event.transaction,
+            event.ticket,
+            event.endpoint_transaction,
+            event.connection,
+            event.member,
+            event.organisation,
+            event.database,
+            event.session,
+            event.session_position,
+            now,
+            now,
+        )
+        return [self._gauge()]
+
+    @handles(TransactionUsed)
+    def on_used(self, now: float, event: TransactionUsed) -> None:
+        transaction = self._own.open.get(event.transaction)
+        if transaction is not None:
+            transaction.ticket = event.ticket
+            transaction.used_at = now
+            transaction.committing = transaction.committing or event.commits
+
+    @handles(TransactionEnded)
+    def on_ended(self, now: float, event: TransactionEnded) -> list[object]:
+        transaction = self._own.open.pop(event.transaction, None)
+        if transaction is None:
+            return []
+        self._own.ended[event.transaction] = transaction.committing
+        if len(self._own.ended) > REMEMBERED:
+            self._own.ended.popitem(last=False)
+        return [self._gauge()]
+
+    @handles(ConnectionClosed)
+    def on_closed(self, now: float, event: ConnectionClosed) -> list[object]:
+        """Ends the idle transaction of a broken connection; the endpoint rolls back."""
+        return [
+            TransactionEnded(transaction.name, False)
+            for transaction in self._own.open.values()
+            if transaction.connection == event.connection and not transaction.ticket
+        ]
+
+    @handles(Tick)
+    def on_tick(self, now: float, event: Tick) -> list[object]:
+        items: list[object] = []
+        for transaction in self._own.open.values():
+            reason = self._exceeded(now, transaction)
+            if reason:
+                fields = {"transaction": transaction.name, "limit": reason}
+                items.append(EmitLog("warning", "transaction_expired", fields))
+                items.append(TransactionExpired(transaction.name))
+        return items
+
+    def _exceeded(self, now: float, transaction: Transaction) -> str:
+        path = self._settings.data_path
+        if transaction.committing:
+            return ""
+        if now - transaction.opened_at > path.transaction_limit:
+            return "total"
+        if not transaction.ticket and now - transaction.used_at > path.transaction_idle:
+            return "idle"
+        return ""
+
+    def _gauge(self) -> EmitMetric:
+        return EmitMetric("gauge", "transactions.open", float(len(self._own.open)))
