--- a/packages/core/src/bronzemoor_core/connections.py
+++ b/packages/core/src/bronzemoor_core/connections.py
@@ -1,8 +1,9 @@
 """Connections of one daemon to the members of a database, and what they measured."""
 
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from enum import Enum
+from enum import StrEnum
 
 from bronzemoor_core.actions import Call
 from bronzemoor_core.blackboard import section
@@ -11,7 +12,7 @@
 SAMPLE_WEIGHT = 0.2
 
 
-class State(Enum):
+class State(StrEnum):
     """State of a connection. A connection counts until it is known to be closed."""
 
     OPENING = "opening"
@@ -61,6 +62,8 @@
     lag: float = 0.0
     behind_until: float = 0.0
     running: int = 0
+    # Number of connections by state.
+    counts: Counter[State] = field(default_factory=Counter)
     failures: int = 0
     retry_at: float = 0.0
     # When a silent connection called for a comparison with a fresh one.
@@ -90,6 +93,8 @@
     valid_until: float = 0.0
     connections: dict[int, Connection] = field(default_factory=dict)
     links: dict[str, MemberLink] = field(default_factory=dict)
+    counts: Counter[State] = field(default_factory=Counter)
+    check_at: float = 0.0
     next_open_at: float = 0.0
     next_probe_at: float = 0.0
     next_replace_at: float = 0.0
@@ -100,10 +105,6 @@
         """Connections that count against the share, closing ones included."""
         return len(self.connections)
 
-    @property
-    def opening(self) -> int:
-        return sum(1 for _ in self.of_state(State.OPENING))
-
     def has_place(self, now: float) -> bool:
         return self.total < self.share and now < self.valid_until
 
@@ -128,11 +129,23 @@
             connections.sort(key=lambda c: (not c.replace, c.answered_at))
         return idle
 
-    def count_closing(self) -> int:
-        return sum(1 for _ in self.of_state(State.CLOSING))
+    def add(self, connection: Connection) -> None:
+        self.connections[connection.number] = connection
+        self._count(connection, 1)
+
+    def remove(self, connection: Connection) -> None:
+        del self.connections[connection.number]
+        self._count(connection, -1)
+
+    def move(self, connection: Connection, state: State) -> None:
+        """Changes the connection's state."""
+        self._count(connection, -1)
+        connection.state = state
+        self._count(connection, 1)
 
-    def count(self, member: str, *states: State) -> int:
-        return sum(1 for c in self.of_member(member) if c.state in states)
+    def _count(self, connection: Connection, change: int) -> None:
+        self.counts[connection.state] += change
+        self.link(connection.member).counts[connection.state] += change
 
 
 @section("pools")
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/flow.py
@@ -0,0 +1,233 @@
+"""Routing, sending, retrying and ending of requests."""
+
+from collections import Counter
+from itertools import count
+from random import Random
+from typing import Any
+
+from bronzemoor_core.actions import Answer, EmitMetric, Reply, SendCall
+from bronzemoor_core.blackboard import Blackboard, section
+from bronzemoor_core.calls import make_call
+from bronzemoor_core.controllers import Controller
+from bronzemoor_core.events import (
+    ConnectionReleased,
+    ConnectionWanted,
+    ConnectionWithdrawn,
+    RequestFinished,
+    RetryWanted,
+    TransactionUsed,
+)
+from bronzemoor_core.membership import Database
+from bronzemoor_core.outcomes import Done, NotRun, Outcome, Unknown
+from bronzemoor_core.routing import NOWHERE, Route, Router
+from bronzemoor_core.work import WAITING, Step, Work
+
+
+@section("requests")
+class Requests:
+    """Requests in progress by ticket, the ticket served on each connection, waiting
+    requests by database, and reads that a primary serves in place of replicas."""
+
+    __slots__ = ("active", "by_connection", "fallbacks", "waiting")
+
+    def __init__(self) -> None:
+        self.active: dict[int, Work] = {}
+        self.by_connection: dict[int, int] = {}
+        self.fallbacks: Counter[str] = Counter()
+        self.waiting: dict[str, dict[int, Work]] = {}
+
+
+class RequestFlow(Controller):
+    """What the steps of a request and the handlers of events have in common."""
+
+    _own: Requests
+
+    def __init__(self, blackboard: Blackboard, settings: Any, random: Random) -> None:
+        super().__init__(blackboard, settings, random)
+        self._router = Router(settings, random)
+        self._correlations = count(2, 2)
+
+    @property
+    def settings(self) -> Any:
+        return self._settings
+
+    @property
+    def random(self) -> Random:
+        return self._random
+
+    def database(self, work: Work) -> Database:
+        name = work.request.database
+        database: Database | None = self._blackboard.topology.databases.get(name)
+        return database or Database(name)
+
+    def is_deposed(self, work: Work, answer: Answer) -> bool:
+        """Tells whether ``answer`` comes from a term that was replaced."""
+        return answer.term < self.database(work).term
+
+    def route(self, now: float, work: Work) -> list[object]:
+        """Queues the request for a connection that suits its next step."""
+        if now >= work.deadline:
+            return self.fail(now, work, "deadline", "the deadline has passed")
+        work.step = Step.QUEUED
+        self._own.waiting.setdefault(work.request.database, {})[work.ticket] = work
+        self._set_route(now, work, self._select(now, work))
+        return self._want(work)
+
+    def send(self, now: float, work: Work, step: Step) -> list[object]:
+        """Sends the call of ``step`` on the connection that the request holds."""
+        work.step = step
+        correlation = next(self._correlations)
+        work.call = make_call(now, work, step, correlation, self._settings)
+        return [SendCall(work.connection, work.call)]
+
+    def retry(
+        self,
+        now: float,
+        work: Work,
+        goal: Step,
+        free: bool = False,
+        clean: bool = True,
+        reason: str = "",
+    ) -> list[object]:
+        """Gives the connection back and takes ``goal`` later, if retries allow it."""
+        items = self._release(work, clean, reason)
+        work.lost_at = work.step
+        work.goal = goal
+        work.attempts += 1
+        if reason == "behind" and work.attempts <= len(self.database(work).members):
+            return [*items, *self.route(now, work)]
+        work.step = Step.BACKOFF
+        work.resume_at = work.deadline
+        self._own.waiting.setdefault(work.request.database, {})[work.ticket] = work
+        organisation = work.request.organisation
+        items.append(RetryWanted(work.ticket, organisation, work.attempts, free))
+        return items
+
+    def look_up(self, now: float, work: Work, clean: bool = True) -> list[object]:
+        """Asks the current primary for the recorded result of the request id."""
+        items = self._release(work, clean, work.code)
+        work.lost_at = work.step
+        work.goal = Step.LOOKUP
+        return [*items, *self.route(now, work)]
+
+    def keep_connection(self, work: Work) -> None:
+        """Leaves the connection to the transaction when the request ends."""
+        self._own.by_connection.pop(work.connection, None)
+        work.connection = 0
+
+    def fail(
+        self, now: float, work: Work, code: str, message: str, clean: bool = True
+    ) -> list[object]:
+        """Ends a request without a result: not run if that is certain."""
+        step = work.lost_at if work.step in WAITING and work.lost_at else work.step
+        outcome = NotRun(code, message, step.value, work.member)
+        return self.finish(now, work, outcome, clean)
+
+    def finish(
+        self, now: float, work: Work, outcome: Outcome, clean: bool = True
+    ) -> list[object]:
+        """Ends the request, replies once and gives the connection back."""
+        if isinstance(outcome, NotRun) and work.maybe_ran:
+            outcome = Unknown(outcome.code, outcome.message, outcome.step, outcome.peer)
+        ticket = work.ticket
+        items: list[object] = []
+        if work.step is Step.QUEUED and not work.connection:
+            items.append(ConnectionWithdrawn(ticket))
+        items += self._release(work, clean, "" if clean else outcome.step)
+        if work.transaction is not None:
+            items.append(TransactionUsed(work.request.transaction, 0))
+        self._set_route(now, work, NOWHERE)
+        self._own.waiting.get(work.request.database, {}).pop(ticket, None)
+        del self._own.active[ticket]
+        items += self._metrics(now, work, outcome)
+        if not work.gone:
+            token = self._blackboard.sessions.ring.sign(work.token)
+            items.append(Reply(ticket, outcome, token, work.member))
+        items.append(RequestFinished(ticket, outcome))
+        return items
+
+    def _metrics(self, now: float, work: Work, outcome: Outcome) -> list[object]:
+        milliseconds = (now - work.started_at) * 1_000
+        items: list[object] = [
+            EmitMetric("counter", f"outcomes.{outcome.tag}"),
+            EmitMetric("timer", "requests.time", milliseconds),
+        ]
+        if isinstance(outcome, Done) and work.is_read:
+            role = "primary" if outcome.role == "primary" else "replica"
+            items.append(EmitMetric("counter", f"reads.{role}"))
+        return items
+
+    def _select(self, now: float, work: Work) -> Route:
+        request = work.request
+        database = self._blackboard.topology.databases.get(request.database)
+        if database is None:
+            return NOWHERE
+        if not work.is_read:
+            position = work.token.position(request.database)
+            return self._router.primary_route(now, database, position)
+        route = self._router.read_route(
+            now,
+            database,
+            self._blackboard.pools.databases.get(request.database),
+            work.token.position(request.database),
+            work.request_class.max_age,
+            request.data_centre,
+            work.excluded,
+        )
+        if route.fallback and not work.route.fallback:
+            running = self._own.fallbacks[request.database]
+            if running >= self._settings.data_path.fallback_reads:
+                return NOWHERE
+        return route
+
+    def _set_route(self, now: float, work: Work, route: Route) -> None:
+        database = work.request.database
+        self._own.fallbacks[database] += route.fallback - work.route.fallback
+        work.route = route
+        work.routed_at = now
+
+    def _want(self, work: Work) -> list[object]:
+        request_class = work.request_class
+        return [
+            ConnectionWanted(
+                work.ticket,
+                work.request.database,
+                work.route.members,
+                request_class.priority,
+                work.deadline,
+                work.request.organisation,
+                request_class.name,
+                request_class.queue_limit,
+            )
+        ]
+
+    def _reroute(self, now: float, database: str, resume: bool = False) -> list[object]:
+        """Routes waiting requests again after a change of members or positions."""
+        items: list[object] = []
+        for work in list(self._own.waiting.get(database, {}).values()):
+            if work.step is Step.BACKOFF:
+                if resume:
+                    items += self.route(now, work)
+                continue
+            members = work.route.members
+            # Members that were behind may have caught up meanwhile.
+            work.excluded = ()
+            self._set_route(now, work, self._select(now, work))
+            if work.route.members != members:
+                items += self._want(work)
+        return items
+
+    def _take(self, work: Work, connection: int, member: str) -> None:
+        work.connection = connection
+        work.member = member
+        self._own.by_connection[connection] = work.ticket
+        self._own.waiting.get(work.request.database, {}).pop(work.ticket, None)
+
+    def _release(self, work: Work, clean: bool, reason: str) -> list[object]:
+        connection = work.connection
+        if not connection:
+            return []
+        self._own.by_connection.pop(connection, None)
+        work.connection = 0
+        work.call = None
+        return [ConnectionReleased(work.lease, connection, clean, reason)]
--- a/packages/core/src/bronzemoor_core/grants.py
+++ b/packages/core/src/bronzemoor_core/grants.py
@@ -50,7 +50,7 @@
 def _assign(
     pools: Pools, pool: DatabasePool, connection: Connection, ticket: int
 ) -> None:
-    connection.state = State.BUSY
+    pool.move(connection, State.BUSY)
     connection.ticket = ticket
     connection.executing = True
     pools.by_ticket[ticket] = connection.number
--- a/packages/core/src/bronzemoor_core/losses.py
+++ b/packages/core/src/bronzemoor_core/losses.py
@@ -7,7 +7,7 @@
 from bronzemoor_core.work import Step, Work
 
 if TYPE_CHECKING:
-    from bronzemoor_core.requests import RequestController
+    from bronzemoor_core.flow import RequestFlow
 
 Items = list[object]
 
@@ -16,7 +16,7 @@
 
 
 def on_lost(
-    flow: "RequestController", now: float, work: Work, reason: str, sent: bool
+    flow: "RequestFlow", now: float, work: Work, reason: str, sent: bool
 ) -> Items:
     """Decides on a retry, a lookup or an outcome; ``sent`` tells whether the call
     may have reached the endpoint."""
@@ -44,7 +44,7 @@
 
 
 def _lost_in_transaction(
-    flow: "RequestController", now: float, work: Work, sent: bool
+    flow: "RequestFlow", now: float, work: Work, sent: bool
 ) -> Items:
     ended = TransactionEnded(work.request.transaction, False)
     if work.step is Step.ROLLBACK:
--- a/packages/core/src/bronzemoor_core/openings.py
+++ b/packages/core/src/bronzemoor_core/openings.py
@@ -6,7 +6,13 @@
 from typing import Any
 
 from bronzemoor_core.actions import OpenConnection
-from bronzemoor_core.connections import Connection, DatabasePool, Pools, State
+from bronzemoor_core.connections import (
+    Connection,
+    DatabasePool,
+    MemberLink,
+    Pools,
+    State,
+)
 from bronzemoor_core.membership import Database
 from bronzemoor_core.retries import backoff
 from bronzemoor_core.routing import expected_delay, is_serving
@@ -18,7 +24,6 @@
 # Bounds of the backoff after a failed opening, seconds.
 RETRY_MIN = 0.025
 RETRY_MAX = 1.0
-LIVE = (State.OPENING, State.WARM, State.BUSY, State.SUSPECT)
 
 
 class Opener:
@@ -43,7 +48,7 @@
         if database is None or not pool.has_place(now) or now < pool.next_open_at:
             return []
         items: list[object] = []
-        opening = pool.opening
+        opening = pool.counts[State.OPENING]
         for member in self._missing(now, pool, database, starved):
             if opening >= self._settings.data_path.max_opening:
                 break
@@ -63,7 +68,9 @@
         """Idle connections to close because waiting requests need their places."""
         if not starved or pool.has_place(now) or now >= pool.valid_until:
             return []
-        needed = sum(starved.values()) - pool.opening - pool.count_closing()
+        needed = sum(starved.values()) - (
+            pool.counts[State.OPENING] + pool.counts[State.CLOSING]
+        )
         idle = pool.idle_by_member()
         spare = [c for m, group in idle.items() if m not in starved for c in group]
         spare.sort(key=lambda c: (not c.replace, c.answered_at))
@@ -85,19 +92,20 @@
         self, now: float, pool: DatabasePool, database: Database, starved: Counter[str]
     ) -> list[str]:
         missing = []
+        later = []
         for name, link in pool.links.items():
-            opening = pool.count(name, State.OPENING)
-            if link.compare_since is not None and not opening:
+            if link.compare_since is not None and not link.counts[State.OPENING]:
                 missing.append(name)
+            later += [name] * link.replacements
+            if _is_used_up(link):
+                later.append(name)
         for name, waiting in starved.items():
-            missing += [name] * (waiting - pool.count(name, State.OPENING))
+            opening = pool.link(name).counts[State.OPENING]
+            missing += [name] * (waiting - opening)
         for name in self._kept_warm(now, pool, database):
-            live = pool.count(name, *LIVE)
+            live = _live(pool.link(name))
             missing += [name] * (self._settings.data_path.min_warm - live)
-        for name, link in pool.links.items():
-            missing += [name] * link.replacements
-        missing += [name for name in pool.links if self._is_used_up(pool, name)]
-        return missing
+        return missing + later
 
     def _kept_warm(
         self, now: float, pool: DatabasePool, database: Database
@@ -118,11 +126,6 @@
             kept.append(nearest.name)
         return kept
 
-    def _is_used_up(self, pool: DatabasePool, member: str) -> bool:
-        """Tells whether the next request to ``member`` would have to wait."""
-        busy = pool.count(member, State.BUSY)
-        return busy > 0 and busy == pool.count(member, *LIVE)
-
     def _may_open(
         self, now: float, pool: DatabasePool, database: Database, member: str
     ) -> bool:
@@ -135,7 +138,7 @@
         self, now: float, pool: DatabasePool, database: Database, member: str
     ) -> OpenConnection:
         connection = Connection(next(self._numbers), pool.name, member, now)
-        pool.connections[connection.number] = connection
+        pool.add(connection)
         self._pools.connections[connection.number] = connection
         link = pool.link(member)
         link.replacements = max(0, link.replacements - 1)
@@ -146,3 +149,13 @@
             database.members[member].address,
             self._settings.data_path.open_timeout,
         )
+
+
+def _live(link: MemberLink) -> int:
+    return sum(link.counts.values()) - link.counts[State.CLOSING]
+
+
+def _is_used_up(link: MemberLink) -> bool:
+    """Tells whether the next request to the member would have to wait."""
+    busy = link.counts[State.BUSY]
+    return busy > 0 and busy == _live(link)
--- a/packages/core/src/bronzemoor_core/pools.py
+++ b/packages/core/src/bronzemoor_core/pools.py
@@ -3,7 +3,7 @@
 from random import Random
 from typing import Any
 
-from bronzemoor_core.actions import CloseConnection, EmitLog
+from bronzemoor_core.actions import CloseConnection, EmitLog, EmitMetric
 from bronzemoor_core.blackboard import Blackboard
 from bronzemoor_core.connections import Connection, DatabasePool, Pools, State
 from bronzemoor_core.controllers import Controller, controller, handles
@@ -33,6 +33,9 @@
 # How long a connection counts after its closing was ordered, unless the driver reports
 # it closed before.
 CLOSE_TIMEOUT = 1.0
+# How often the connections of each pool are checked, seconds.
+CHECK_INTERVAL = 0.020
+GAUGE_INTERVAL = 1.0
 
 
 @controller("pools")
@@ -45,6 +48,7 @@
         super().__init__(blackboard, settings, random)
         self._opener = Opener(self._own, blackboard, settings, random)
         self._prober = Prober(blackboard, settings, random)
+        self._gauges_at = 0.0
 
     @handles(SharesChanged)
     def on_shares_changed(self, now: float, event: SharesChanged) -> list[object]:
@@ -66,9 +70,9 @@
         if answer.status != "ok" or answer.member not in ("", connection.member):
             reason = answer.code or f"answered as {answer.member}"
             return self._opening_failed(now, connection, reason)
-        connection.state = State.WARM
-        connection.answered_at = connection.probe_at = now
         pool = self._pool(connection.database)
+        pool.move(connection, State.WARM)
+        connection.answered_at = connection.probe_at = now
         items = self._prober.on_fresh(now, pool, connection)
         position = Position(answer.term, answer.offset)
         items.append(
@@ -111,7 +115,7 @@
             self._prober.note_behind(now, pool, connection.member)
         self._detach(pool, connection)
         if event.clean:
-            connection.state = State.WARM
+            pool.move(connection, State.WARM)
             connection.answered_at = connection.probe_at = now
             items = self._shrink(now, pool)
         else:
@@ -196,13 +200,30 @@
     def on_tick(self, now: float, event: Tick) -> list[object]:
         items: list[object] = []
         for pool in self._own.databases.values():
+            if now < pool.check_at:
+                continue
+            pool.check_at = now + CHECK_INTERVAL
             for connection in list(pool.of_state(State.CLOSING)):
                 if now - connection.closing_since > CLOSE_TIMEOUT:
                     self._remove(connection)
             items += self._retire(now, pool)
             items += self._prober.probe_due(now, pool)
             items += self._settle(now, pool)
-        return items
+        return [*items, *self._gauges(now)]
+
+    def _gauges(self, now: float) -> list[object]:
+        if now < self._gauges_at:
+            return []
+        self._gauges_at = now + GAUGE_INTERVAL
+        pools = self._own.databases.values()
+        return [
+            EmitMetric(
+                "gauge",
+                f"pools.{state.value}",
+                float(sum(pool.counts[state] for pool in pools)),
+            )
+            for state in State
+        ]
 
     def _settle(self, now: float, pool: DatabasePool) -> list[object]:
         """Grants idle connections to waiting requests and opens what is missing."""
@@ -214,13 +235,14 @@
 
     def _shrink(self, now: float, pool: DatabasePool) -> list[object]:
         """Closes idle connections above the share, those to be replaced first."""
-        closing = pool.count_closing()
-        excess = pool.total - closing - pool.share
+        excess = pool.total - pool.counts[State.CLOSING] - pool.share
+        if excess <= 0:
+            return []
         idle = [c for group in pool.idle_by_member().values() for c in group]
         idle += pool.of_state(State.SUSPECT)
         idle.sort(key=lambda c: (not c.replace, c.answered_at))
         opening = list(pool.of_state(State.OPENING))
-        victims = (opening + idle)[: max(0, excess)]
+        victims = (opening + idle)[:excess]
         return [self._close(now, victim, "share_shrunk") for victim in victims]
 
     def _retire(self, now: float, pool: DatabasePool) -> list[object]:
@@ -264,7 +286,7 @@
     def _close(self, now: float, connection: Connection, reason: str) -> object:
         pool = self._pool(connection.database)
         self._detach(pool, connection)
-        connection.state = State.CLOSING
+        pool.move(connection, State.CLOSING)
         connection.probe = None
         connection.closing_since = now
         return CloseConnection(connection.number, reason)
@@ -278,7 +300,7 @@
 
     def _remove(self, connection: Connection) -> None:
         del self._own.connections[connection.number]
-        del self._own.databases[connection.database].connections[connection.number]
+        self._own.databases[connection.database].remove(connection)
 
     def _detach(self, pool: DatabasePool, connection: Connection) -> None:
         if connection.ticket:
--- a/packages/core/src/bronzemoor_core/probes.py
+++ b/packages/core/src/bronzemoor_core/probes.py
@@ -43,7 +43,7 @@
                 if now - connection.probe_at >= interval * jitter:
                     items.append(self._probe(now, connection))
         items += self._sample_primary(now, pool)
-        if now >= pool.next_probe_at:
+        if now >= pool.next_probe_at and pool.counts[State.SUSPECT]:
             suspects = (c for c in pool.of_state(State.SUSPECT) if c.probe is None)
             suspect = next(suspects, None)
             if suspect is not None:
@@ -67,7 +67,7 @@
         if reason:
             return [EmitMetric("counter", f"answers.discarded.{reason}")], False
         connection.probe = None
-        connection.state = State.WARM
+        pool.move(connection, State.WARM)
         pool.link(connection.member).observe_delay((now - event.sent_at) / 2)
         observed = observed_position(connection, event)
         return [observed], answer.status == "ok"
@@ -111,7 +111,7 @@
         for connection in older:
             connection.replace = True
             if connection.state is State.WARM:
-                connection.state = State.SUSPECT
+                pool.move(connection, State.SUSPECT)
         fields = {"database": pool.name, "peer": fresh.member, "older": len(older)}
         return [EmitLog("warning", "connection_unresponsive", fields)]
 
--- a/packages/core/src/bronzemoor_core/sessions.py
+++ b/packages/core/src/bronzemoor_core/sessions.py
@@ -2,7 +2,7 @@
 
 import hmac
 import json
-from base64 import urlsafe_b64decode, urlsafe_b64encode
+from base64 import b64decode, urlsafe_b64encode
 from dataclasses import dataclass, field
 from hashlib import sha256
 from random import Random
@@ -57,9 +57,11 @@
     __slots__ = ("_keys", "_signer")
 
     def __init__(self, keys: list[tuple[str, bytes]]) -> None:
+        self._keys = dict(keys)
         if not keys or not all(name and key for name, key in keys):
             raise InvalidSettings(["token_keys: needs ids with non-empty keys"])
-        self._keys = dict(keys)
+        if len(self._keys) < len(keys):
+            raise InvalidSettings(["token_keys: an id is used twice"])
         self._signer = keys[0][0]
 
     @property
@@ -139,7 +141,7 @@
 
 
 def _decode(text: str) -> bytes:
-    return urlsafe_b64decode(text + "=" * (-len(text) % 4))
+    return b64decode(text + "=" * (-len(text) % 4), b"-_", validate=True)
 
 
 def _split(text: str) -> tuple[bytes, bytes]:
@@ -156,7 +158,7 @@
     try:
         body = json.loads(data)
         ids_are_text = all(isinstance(body[name], str) for name in "kos")
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
         raise InvalidToken("the token's body is malformed", step="session") from None
     if not ids_are_text:
         raise InvalidToken("the token's body is malformed", step="session")
--- a/packages/core/src/bronzemoor_core/statements.py
+++ b/packages/core/src/bronzemoor_core/statements.py
@@ -3,12 +3,18 @@
 from collections.abc import Iterable
 from functools import lru_cache
 
-from sqlglot import exp, parse
+from sqlglot import exp, parse, tokenize
 from sqlglot.errors import SqlglotError
+from sqlglot.tokens import TokenType
 
 from bronzemoor_core.events import Statement
 
-CACHED_STATEMENTS = 4_096
+CACHED_STATEMENTS = 2_048
+# Parsing takes about 0.4 ms per 100 characters, and every request waits for it.
+MAX_READ_LENGTH = 4_096
+
+# Texts that begin otherwise need not be parsed.
+READ_TOKENS = (TokenType.SELECT, TokenType.WITH, TokenType.VALUES, TokenType.L_PAREN)
 
 READ_ROOTS = (exp.Select, exp.SetOperation, exp.Values, exp.Subquery)
 # Any of these below a read's root makes the whole statement a write.
@@ -53,10 +59,15 @@
     """Tells whether ``sql`` is provably one reading statement.
 
     Whatever cannot be proved a read counts as a write: text that does not parse,
-    several statements in one string, and functions that sqlglot does not know, since
-    such a function may have side effects.
+    several statements in one string, functions that sqlglot does not know, since
+    such a function may have side effects, and texts over ``MAX_READ_LENGTH``.
     """
+    if len(sql) > MAX_READ_LENGTH:
+        return False
     try:
+        tokens = tokenize(sql, dialect="sqlite")
+        if not tokens or tokens[0].token_type not in READ_TOKENS:
+            return False
         trees = parse(sql, dialect="sqlite")
     except (SqlglotError, RecursionError):
         return False
--- a/packages/core/src/bronzemoor_core/steps.py
+++ b/packages/core/src/bronzemoor_core/steps.py
@@ -16,10 +16,10 @@
 from bronzemoor_core.work import Step, Work
 
 if TYPE_CHECKING:
-    from bronzemoor_core.requests import RequestController
+    from bronzemoor_core.flow import RequestFlow
 
 Items = list[object]
-Handler = Callable[["RequestController", float, Work, AnswerReceived], Items]
+Handler = Callable[["RequestFlow", float, Work, AnswerReceived], Items]
 ANSWERED: dict[Step, Handler] = {}
 
 # Refusals that another member, or the same one later, may not repeat.
@@ -50,7 +50,7 @@
 
 @answered(Step.EXECUTE)
 def on_execute(
-    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+    flow: "RequestFlow", now: float, work: Work, event: AnswerReceived
 ) -> Items:
     answer = event.answer
     if answer.status == "refused":
@@ -62,7 +62,7 @@
 
 @answered(Step.CONFIRM, Step.CONFIRM_LOOKUP)
 def on_confirm(
-    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+    flow: "RequestFlow", now: float, work: Work, event: AnswerReceived
 ) -> Items:
     if _is_confirmed(flow, work, event.answer):
         return _acknowledge(flow, now, work)
@@ -73,7 +73,7 @@
 
 @answered(Step.RESERVE)
 def on_reserve(
-    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+    flow: "RequestFlow", now: float, work: Work, event: AnswerReceived
 ) -> Items:
     answer = event.answer
     if answer.status != "ok":
@@ -96,7 +96,7 @@
 
 @answered(Step.CONFIRM_RESERVATION)
 def on_confirm_reservation(
-    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+    flow: "RequestFlow", now: float, work: Work, event: AnswerReceived
 ) -> Items:
     if _is_confirmed(flow, work, event.answer):
         return _execute_reserved(flow, now, work)
@@ -108,7 +108,7 @@
 
 @answered(Step.LOOKUP)
 def on_lookup(
-    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+    flow: "RequestFlow", now: float, work: Work, event: AnswerReceived
 ) -> Items:
     answer = event.answer
     if answer.status == "refused" and answer.code in TEMPORARY:
@@ -130,7 +130,7 @@
 
 @answered(Step.BEGIN)
 def on_begin(
-    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+    flow: "RequestFlow", now: float, work: Work, event: AnswerReceived
 ) -> Items:
     answer = event.answer
     if answer.status != "ok":
@@ -157,7 +157,7 @@
 
 @answered(Step.STATEMENT)
 def on_statement(
-    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+    flow: "RequestFlow", now: float, work: Work, event: AnswerReceived
 ) -> Items:
     answer = event.answer
     if answer.status == "refused":
@@ -173,7 +173,7 @@
 
 @answered(Step.COMMIT)
 def on_commit(
-    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+    flow: "RequestFlow", now: float, work: Work, event: AnswerReceived
 ) -> Items:
     answer = event.answer
     ended = TransactionEnded(work.request.transaction, answer.status == "ok")
@@ -186,7 +186,7 @@
 
 @answered(Step.ROLLBACK)
 def on_rollback(
-    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+    flow: "RequestFlow", now: float, work: Work, event: AnswerReceived
 ) -> Items:
     clean = event.answer.status == "ok"
     ended = TransactionEnded(work.request.transaction, clean)
@@ -199,7 +199,7 @@
 
 
 def _execute_refused(
-    flow: "RequestController", now: float, work: Work, answer: Answer
+    flow: "RequestFlow", now: float, work: Work, answer: Answer
 ) -> Items:
     if answer.code == "reserved":
         return _resolve(flow, now, work, "reserved_elsewhere", 1)
@@ -211,9 +211,7 @@
     return _refused(flow, now, work, answer)
 
 
-def _refused(
-    flow: "RequestController", now: float, work: Work, answer: Answer
-) -> Items:
+def _refused(flow: "RequestFlow", now: float, work: Work, answer: Answer) -> Items:
     """A refusal before execution: sent again if it may pass, else reported."""
     work.code = answer.code
     if answer.code not in TEMPORARY:
@@ -222,7 +220,7 @@
 
 
 def _finish_read(
-    flow: "RequestController", now: float, work: Work, event: AnswerReceived
+    flow: "RequestFlow", now: float, work: Work, event: AnswerReceived
 ) -> Items:
     answer = event.answer
     max_age = work.request_class.max_age
@@ -239,7 +237,7 @@
 
 
 def _settle(
-    flow: "RequestController", now: float, work: Work, answer: Answer, confirm: Step
+    flow: "RequestFlow", now: float, work: Work, answer: Answer, confirm: Step
 ) -> Items:
     """Acknowledges an executed write once a majority holds it."""
     work.maybe_ran = True
@@ -254,13 +252,13 @@
     return [SlotReleased(work.connection), *flow.send(now, work, confirm)]
 
 
-def _acknowledge(flow: "RequestController", now: float, work: Work) -> Items:
+def _acknowledge(flow: "RequestFlow", now: float, work: Work) -> Items:
     assert work.answer is not None
     work.token.advance(work.request.database, work.position)
     return flow.finish(now, work, _done(work, work.answer))
 
 
-def _execute_reserved(flow: "RequestController", now: float, work: Work) -> Items:
+def _execute_reserved(flow: "RequestFlow", now: float, work: Work) -> Items:
     database = flow.database(work)
     if database.primary != work.member or database.term > work.position.term:
         work.code = "deposed_primary"
@@ -269,7 +267,7 @@
 
 
 def _resolve(
-    flow: "RequestController", now: float, work: Work, code: str, lookups: int
+    flow: "RequestFlow", now: float, work: Work, code: str, lookups: int
 ) -> Items:
     """Asks the current primary what became of the request id."""
     work.maybe_ran = True
@@ -278,7 +276,7 @@
     return flow.look_up(now, work)
 
 
-def _is_confirmed(flow: "RequestController", work: Work, answer: Answer) -> bool:
+def _is_confirmed(flow: "RequestFlow", work: Work, answer: Answer) -> bool:
     return (
         answer.status == "ok"
         and answer.term == work.position.term
@@ -287,12 +285,12 @@
     )
 
 
-def _is_replaced(flow: "RequestController", work: Work, answer: Answer) -> bool:
+def _is_replaced(flow: "RequestFlow", work: Work, answer: Answer) -> bool:
     refused = answer.status == "refused" and answer.code in DEPOSED
     return refused or answer.term != work.position.term or flow.is_deposed(work, answer)
 
 
-def _confirm_again(flow: "RequestController", now: float, work: Work) -> Items:
+def _confirm_again(flow: "RequestFlow", now: float, work: Work) -> Items:
     work.confirmations += 1
     if work.confirmations < MAX_CONFIRMATIONS and now < work.deadline:
         return flow.send(now, work, work.step)
--- a/packages/core/src/bronzemoor_core/work.py
+++ b/packages/core/src/bronzemoor_core/work.py
@@ -1,6 +1,6 @@
 """State of one request in progress."""
 
-from enum import Enum
+from enum import StrEnum
 
 from bronzemoor_core.actions import Answer, Call
 from bronzemoor_core.events import Request
@@ -11,7 +11,7 @@
 from bronzemoor_core.transactions import Transaction
 
 
-class Step(Enum):
+class Step(StrEnum):
     """What a request does; the value is the ``step`` of its outcome."""
 
     QUEUED = "queue"
