Check the guarantees of the data path under interleavings of faults

The term check and the closing after a timeout are doubled by other checks and need their own tests.

--- a/packages/core/tests/datapath_world.py
+++ b/packages/core/tests/datapath_world.py
@@ -9,12 +9,9 @@
 
 from bronzemoor_core.actions import (
     Answer,
-    CloseConnection,
+    Call,
     EmitLog,
     EmitMetric,
-    OpenConnection,
-    Reply,
-    SendCall,
 )
 from bronzemoor_core.events import (
     AnswerReceived,
@@ -190,26 +187,46 @@
             return ("ok", "", json.dumps([text]).encode())
         return ("ok", "", json.dumps([entry.text]).encode(), True)
 
+    def primary(self):
+        """The primary of the newest term."""
+        members = self.members.values()
+        return max((m for m in members if m.role == "primary"), key=lambda m: m.term)
+
+    def heal(self):
+        """Every member follows the newest primary and drops extra entries."""
+        best = self.primary()
+        for member in self.members.values():
+            if member is not best:
+                member.role, member.open = "replica", {}
+                best.replicate_to(member)
+        self.followers = set(self.members)
+
     def promote(self, isolated=()):
         """Fences a majority and promotes its most advanced member."""
         term = max(member.term for member in self.members.values()) + 1
         voters = [m for m in self.members.values() if m.name not in isolated]
+        assert len(voters) > len(self.members) // 2
         best = max(voters, key=lambda m: (m.log[-1].term if m.log else 0, len(m.log)))
         for member in voters:
             member.term, member.role, member.open = term, "replica", {}
         best.role, best.acks = "primary", {}
         self.history[term] = len(best.log)
-        self.replicate(best)
-        return best
+        # Marks the term in the log, so that a longer old log cannot win later.
+        best.log.append(Entry(term, "", ""))
+        for member in voters:
+            if member is not best:
+                best.replicate_to(member)
 
 
 class World:
     """Drives one node against a fake group. ``fault(member, call)`` may return a
     function of (world, connection, call, deliver) that replaces the delivery."""
 
-    def __init__(self, share=6, seed=1, classes=CLASSES, **settings):
-        self.now = 100.0
-        self.group = Group()
+    def __init__(
+        self, share=6, seed=1, classes=CLASSES, group=None, now=100.0, **settings
+    ):
+        self.now = now
+        self.group = group or Group()
         self.fault = lambda member, call: None
         self.down = set()
         self.opened = {}
@@ -297,11 +314,18 @@
         return self.replies.get(ticket)
 
     def fail_over(self, *isolated):
-        """Promotes among the other members and tells the node."""
-        best = self.group.promote(isolated)
+        """Promotes among the members that are not isolated and tells the node."""
+        self.group.promote(isolated)
+        self.learn()
+
+    def learn(self):
+        """Tells the node of the group's newest primary."""
+        best = self.group.primary()
+        if best.term <= self.database.term:
+            return
         self.database.term, self.database.primary = best.term, best.name
-        self.database.history.record(best.term, self.group.history[best.term])
-        self.announce(*(n for n in self.group.members if n not in isolated))
+        for term, start in self.group.history.items():
+            self.database.history.record(term, start)
         start = self.group.history[best.term]
         self.handle(PrimaryChanged("stock", best.term, best.name, start))
 
@@ -335,14 +359,16 @@
             return
         self.opened[action.connection] = action.member
         member = self.group.members[action.member]
-        hello = self.answer(member, SendCallStub, ("ok", "", b"", False, ""))
+        hello = self.answer(member, Call("hello", 0), ("ok", "", b"", False, ""))
         self.schedule(0.012, ConnectionOpened(action.connection, hello))
 
     def _on_CloseConnection(self, action):  # noqa: N802
         name = self.opened.pop(action.connection, None)
         if name is not None:
             held = self.group.members[name].open
-            for key in [k for k, v in held.items() if v[0] == action.connection]:
+            for key in [
+                k for k, v in held.items() if v[0] == (id(self), action.connection)
+            ]:
                 del held[key]
         self.schedule(0.001, ConnectionClosed(action.connection, "closed"))
 
@@ -352,8 +378,15 @@
         member = self.group.members[self.opened[connection]]
         fault = self.fault(member, call)
 
-        def deliver():
-            result = self.group.serve(member, call, connection)
+        key = (id(self), connection)
+
+        def deliver(until=self.now + call.wait_ms / 1_000):
+            size = len(self.group.members)
+            waits = member.majority(size) < call.min_position.offset
+            if call.kind == "confirm" and waits and self.now < until:
+                self.schedule(0.01, lambda: deliver(until))
+                return
+            result = self.group.serve(member, call, key)
             answer = self.answer(member, call, result)
             self.schedule(0.001, AnswerReceived(connection, call, answer, sent_at))
 
@@ -378,23 +411,73 @@
         self.metrics[action.name] = self.metrics.get(action.name, 0) + action.value
 
 
-class SendCallStub:
-    """Stands for the call of ``hello``, which the driver makes by itself."""
+# Faults of one call, for ``World.fault``.
 
-    correlation_id = 0
-    request_id = ""
+
+def lose_call(world, connection, call, deliver):
+    """The call never arrives."""
+    world.time_out(connection, call)
 
 
 def lose_answer(world, connection, call, deliver):
     """The call runs, its answer never arrives."""
-    result_lost = world.group.members[world.opened[connection]]
-    world.schedule(0.001, lambda: world.group.serve(result_lost, call, connection))
+    member = world.group.members[world.opened[connection]]
+    key = (id(world), connection)
+    world.schedule(0.001, lambda: world.group.serve(member, call, key))
     world.time_out(connection, call)
 
 
-def lose_call(world, connection, call, deliver):
-    """The call never arrives."""
+def arrive_late(world, connection, call, deliver):
+    """The call runs and is answered only after its timeout."""
     world.time_out(connection, call)
+    world.schedule(call.timeout + 0.05, deliver)
 
 
-__all__ = ["CloseConnection", "OpenConnection", "Reply", "SendCall", "World"]
+def delay(world, connection, call, deliver):
+    """Slow, but within the timeout; overtaken by calls on other connections."""
+    world.schedule(min(0.2, call.timeout * 0.9), deliver)
+
+
+def duplicate(world, connection, call, deliver):
+    """The call runs once and its answer arrives twice."""
+    deliver()
+    again = [e for e in world._events if getattr(e[2], "call", None) is call]
+    for _, _, event in again:
+        world.schedule(0.003, event)
+
+
+def corrupt(world, connection, call, deliver):
+    """The answer's payload is damaged on the way."""
+    deliver()
+    for _, _, event in world._events:
+        if getattr(event, "call", None) is call:
+            event.answer.payload += b"?"
+
+
+def swap(world, connection, call, deliver):
+    """The answer that arrives is the one to another request."""
+    deliver()
+    for _, _, event in world._events:
+        if getattr(event, "call", None) is call:
+            event.answer.correlation_id += 1_000
+            event.answer.request_id = "other"
+
+
+def break_connection(world, connection, call, deliver):
+    """The connection breaks after the call ran."""
+    member = world.group.members[world.opened[connection]]
+    key = (id(world), connection)
+    world.schedule(0.001, lambda: world.group.serve(member, call, key))
+    world.schedule(0.002, ConnectionClosed(connection, "reset"))
+
+
+FAULTS = (
+    lose_call,
+    lose_answer,
+    arrive_late,
+    delay,
+    duplicate,
+    corrupt,
+    swap,
+    break_connection,
+)
