--- a/packages/core/src/bronzemoor_core/steps.py
+++ b/packages/core/src/bronzemoor_core/steps.py
@@ -228,6 +228,7 @@
         # No sample proved the age beforehand, so the primary itself has to.
         age = now - event.sent_at + answer.confirmed_ago_ms / 1_000
         if answer.confirmed_ago_ms < 0 or age > max_age:
+            work.maybe_ran = True
             work.code = "age_not_proved"
             return flow.retry(now, work, Step.EXECUTE, free=True)
     if answer.role == "primary":
--- a/packages/core/tests/datapath_world.py
+++ b/packages/core/tests/datapath_world.py
@@ -19,6 +19,7 @@
     ConnectionClosed,
     ConnectionFailed,
     ConnectionOpened,
+    PositionObserved,
     PrimaryChanged,
     Request,
     RequestReceived,
@@ -26,7 +27,7 @@
     Statement,
     Tick,
 )
-from bronzemoor_core.membership import Database, Member
+from bronzemoor_core.membership import Database, Member, PrimarySample
 from bronzemoor_core.node import make_node
 from bronzemoor_core.positions import Position
 from bronzemoor_core.settings import DataPathSettings, NodeSettings
@@ -96,6 +97,7 @@
         self.followers = {"b", "c"}
         self.executions = []  # (request id, text) of every write that ran
         self.serial = count(1)
+        self.confirmed_ago_ms = 0
         self.history = {1: 0}
 
     def replicate(self, primary):
@@ -247,11 +249,19 @@
         own["topology"].databases["stock"] = self.database
         for name, place in (("a", "lisbon"), ("b", "porto"), ("c", "faro")):
             self.database.members[name] = Member(name, "stock", name, place)
+        self.node._handlers[PositionObserved].append(self._sample)
         self.announce()
         self.schedule(0, Tick())
         self.handle(SharesChanged("stock", share, 1e9))
         self.run(0.2)
 
+    def _sample(self, now, event):
+        """Records a sample of the primary, as membership does."""
+        sample = PrimarySample(event.proved_at, event.position)
+        samples = self.database.samples
+        if event.proved_at is not None and sample not in samples:
+            samples.append(sample)
+
     def announce(self, *names):
         """Updates the topology from the members that are up."""
         for name in names or self.group.members:
@@ -340,7 +350,7 @@
             member.term,
             len(member.log),
             member.majority(len(self.group.members)),
-            0 if member.role == "primary" else -1,
+            self.group.confirmed_ago_ms if member.role == "primary" else -1,
             payload,
             len(payload),
             crc32(payload),
--- a/packages/core/tests/test_requests.py
+++ b/packages/core/tests/test_requests.py
@@ -2,7 +2,39 @@
 
 import json
 
-from datapath_world import World
+import pytest
+from datapath_world import (
+    CLASSES,
+    World,
+    arrive_late,
+    break_connection,
+    corrupt,
+    delay,
+    lose_answer,
+    lose_call,
+)
+
+from bronzemoor_core.events import CallerGone, ConnectionClosed, Statement
+
+
+def once(kind, fault, member=None):
+    """A fault for the first matching call only."""
+    left = [fault]
+
+    def choose(target, call):
+        if call.kind == kind and member in (None, target.name) and left:
+            return left.pop()
+        return None
+
+    return choose
+
+
+def calls(world, kind):
+    return [(member, call) for member, call in world.calls if call.kind == kind]
+
+
+def ran(world, request_id):
+    return [r for r, _ in world.group.executions].count(request_id)
 
 
 def test_a_write_is_confirmed_and_then_read_by_its_session():
@@ -14,3 +46,270 @@
     assert read.outcome.tag == "done"
     assert json.loads(read.outcome.payload) == ["order-1"]
     assert read.outcome.role == "replica"
+    assert world.metrics["reads.replica"] == 1
+
+
+def test_a_write_waits_for_its_majority():
+    """Guards against a write acknowledged by the primary alone."""
+    world = World()
+    world.group.followers = set()
+    ticket = world.send("post", "x")
+    world.run(0.1)
+    assert ticket not in world.replies
+    world.group.followers = {"b"}
+    world.group.replicate(world.group.members["a"])
+    world.run(0.1)
+    assert world.replies[ticket].outcome.tag == "done"
+
+
+def test_an_unconfirmed_write_is_unknown():
+    """Guards against *not run* for a write that a promotion may keep."""
+    world = World()
+    world.group.followers = set()
+    reply = world.ask("post", "x", seconds=3)
+    assert (reply.outcome.tag, reply.outcome.code) == ("unknown", "not_confirmed")
+
+
+def test_a_covered_answer_needs_no_confirmation():
+    """Guards against a round trip that the answer already made unnecessary."""
+    world = World()
+    assert world.ask("post", "x").outcome.tag == "done"
+    assert not calls(world, "confirm")
+
+
+@pytest.mark.parametrize(
+    ("fields", "code"),
+    [
+        ({"organisation": "other"}, "unknown_organisation"),
+        ({"database": "other"}, "unknown_database"),
+        ({"request_class": "other"}, "unknown_class"),
+        ({"kind": "other"}, "unknown_kind"),
+        ({"deadline": 1.0}, "deadline"),
+        ({"request_id": ""}, "missing_request_id"),
+        ({"statements": ()}, "no_statements"),
+        ({"session": "forged.token"}, "invalid_session_token"),
+        ({"transaction": "vm-1.1.x"}, "unknown_transaction"),
+        (
+            {"request_class": "own", "statements": (Statement("delete from t"),)},
+            "write_in_read_class",
+        ),
+    ],
+)
+def test_an_invalid_request_is_not_run(fields, code):
+    """Guards against unstable codes and against sending an invalid request."""
+    world = World()
+    reply = world.ask(**{"request_class": "post", "text": "x", **fields})
+    assert (reply.outcome.tag, reply.outcome.code) == ("not_run", code)
+    assert not calls(world, "execute")
+
+
+def test_a_write_waits_for_a_new_primary():
+    """Guards against refusing writes during a failover instead of queueing them."""
+    world = World()
+    world.database.primary = ""
+    ticket = world.send("post", "x")
+    world.run(0.5)
+    assert ticket not in world.replies
+    world.fail_over("a")
+    world.run(0.2)
+    assert world.replies[ticket].outcome.tag == "done"
+    assert world.replies[ticket].outcome.peer != "a"
+
+
+def test_a_write_without_a_primary_is_not_run_at_its_deadline():
+    """Guards against a request that waits for ever."""
+    world = World()
+    world.database.primary = ""
+    reply = world.ask("post", "x", seconds=2.1)
+    assert (reply.outcome.tag, reply.outcome.code) == ("not_run", "deadline")
+
+
+@pytest.mark.parametrize("fault", [lose_call, lose_answer, break_connection, corrupt])
+def test_a_repeatable_write_is_sent_again_under_its_id(fault):
+    """Guards against a lost answer that loses or doubles a repeatable write."""
+    world = World(call_timeout=0.2)
+    world.fault = once("execute", fault)
+    reply = world.ask("post", "x", seconds=1, request_id="w-1")
+    assert reply.outcome.tag == "done"
+    assert ran(world, "w-1") == 1
+    assert {call.request_id for _, call in calls(world, "execute")} == {"w-1"}
+    assert reply.outcome.repeated == (fault is not lose_call)
+
+
+def test_a_resent_request_gets_the_first_answer():
+    """Guards against a second execution for a caller that asks again."""
+    world = World()
+    first = world.ask("post", "x", request_id="w-1")
+    second = world.ask("post", "x", request_id="w-1")
+    assert second.outcome.repeated
+    assert second.outcome.payload == first.outcome.payload
+    assert ran(world, "w-1") == 1
+
+
+def test_retries_stop_with_the_budget():
+    """Guards against retries that multiply the load of an endpoint in trouble."""
+    world = World(call_timeout=0.02)
+    world.fault = lambda member, call: lose_call if call.kind == "execute" else None
+    for _ in range(60):
+        world.send("post", "x")
+    world.run(2.5)
+    assert world.metrics["retries"] <= 30
+    assert {r.outcome.tag for r in world.replies.values()} <= {"unknown", "not_run"}
+
+
+def test_a_payout_is_reserved_and_sent_once():
+    """Guards against a second send of a request that must not be repeated."""
+    world = World(call_timeout=0.2)
+    world.fault = once("execute", lose_call)
+    reply = world.ask("payout", "100", seconds=3, request_id="p-1")
+    assert (reply.outcome.tag, reply.outcome.code) == ("unknown", "answer_timed_out")
+    assert len(calls(world, "execute")) == 1
+    again = world.ask("payout", "100", seconds=3, request_id="p-1")
+    assert (again.outcome.tag, again.outcome.code) == ("unknown", "reserved_elsewhere")
+    assert len(calls(world, "execute")) == 1
+
+
+@pytest.mark.parametrize("fault", [lose_answer, arrive_late, break_connection])
+def test_a_lost_payout_answer_is_looked_up(fault):
+    """Guards against *unknown* for a payout whose result is recorded."""
+    world = World(call_timeout=0.2)
+    world.fault = once("execute", fault)
+    reply = world.ask("payout", "100", seconds=3, request_id="p-1")
+    assert (reply.outcome.tag, reply.outcome.repeated) == ("done", True)
+    assert ran(world, "p-1") == 1
+
+
+def test_a_reservation_is_confirmed_before_the_statements_are_sent():
+    """Guards against a reservation that a promotion may lose."""
+    world = World()
+    world.group.followers = set()
+    reply = world.ask("payout", "100", seconds=3, request_id="p-1")
+    assert (reply.outcome.tag, reply.outcome.code) == ("not_run", "not_confirmed")
+    assert not calls(world, "execute")
+
+
+def test_a_replaced_primary_does_not_acknowledge():
+    """Guards against an acknowledgement by a primary of an older term, even one that
+    claims a majority: the topology's term decides, and the new primary is asked."""
+    world = World()
+    world.group.followers = set()
+    world.fault = once("execute", delay, "a")
+    ticket = world.send("post", "x", request_id="w-1")
+    world.run(0.05)
+    world.fail_over("a")
+    old = world.group.members["a"]
+    old.acks = {"b": 100, "c": 100}
+    world.run(0.5)
+    outcome = world.replies[ticket].outcome
+    assert ran(world, "w-1") == 1
+    assert (outcome.tag, outcome.code) == ("unknown", "deposed_primary")
+    assert [member for member, _ in calls(world, "lookup")] == [world.database.primary]
+
+
+def test_a_late_answer_of_a_replaced_primary_is_resolved_at_the_new_one():
+    """Guards against *unknown* for a write that the new primary holds."""
+    world = World()
+    world.fault = once("execute", delay, "a")
+    ticket = world.send("post", "x", request_id="w-1")
+    world.run(0.0015)
+    entry_holder = world.group.members["a"]
+    connection = world.node.blackboard.pools.by_ticket[ticket]
+    call = calls(world, "execute")[0][1]
+    world.group.serve(entry_holder, call, (id(world), connection))
+    world.fail_over("a")
+    world.run(0.5)
+    outcome = world.replies[ticket].outcome
+    assert (outcome.tag, outcome.repeated) == ("done", True)
+
+
+def test_a_call_that_was_never_sent_is_not_run():
+    """Guards against *unknown* for a call that the driver could not send."""
+    world = World(classes=[c for c in CLASSES if c.name == "post"])
+
+    def never_sent(world, connection, call, deliver):
+        world.schedule(0.001, ConnectionClosed(connection, "broken", sent=False))
+
+    world.fault = lambda m, call: never_sent if call.kind == "execute" else None
+    reply = world.ask("post", "x", seconds=3)
+    assert reply.outcome.tag == "not_run"
+
+
+def test_a_failed_statement_is_a_result():
+    """Guards against retrying a statement that ran and failed."""
+    world = World()
+    world.group._execute = lambda member, call, connection: ("failed", "constraint")
+    reply = world.ask("post", "x")
+    assert (reply.outcome.tag, reply.outcome.code) == ("done", "statement_failed")
+    assert len(calls(world, "execute")) == 1
+
+
+@pytest.mark.parametrize(
+    ("code", "outcome"),
+    [
+        ("request_id_reused", ("not_run", "request_id_reused")),
+        ("write_in_read", ("not_run", "write_in_read_class")),
+        ("deadline", ("not_run", "deadline")),
+        ("reserved", ("unknown", "reserved_elsewhere")),
+        ("busy", ("not_run", "busy")),
+    ],
+)
+def test_refusals_map_to_stable_codes(code, outcome):
+    """Guards against refusals that callers cannot tell apart."""
+    world = World()
+    world.group._execute = lambda member, call, connection: ("refused", code)
+    reply = world.ask("post", "x", seconds=3)
+    assert (reply.outcome.tag, reply.outcome.code) == outcome
+
+
+def test_a_read_moves_on_from_a_replica_that_is_behind():
+    """Guards against failing a read because a replica fell behind its report."""
+    world = World()
+    session = world.ask("post", "x").session
+    for name in ("b", "c"):
+        world.group.members[name].log = []
+    reply = world.ask("own", session=session)
+    assert json.loads(reply.outcome.payload) == ["x"]
+    assert reply.outcome.role == "primary"
+
+
+def test_a_write_in_progress_outlives_its_caller():
+    """Guards against giving up a write, or replying, when the caller left."""
+    world = World()
+    ticket = world.send("post", "x", request_id="w-1")
+    world.handle(CallerGone(ticket))
+    world.run(0.2)
+    assert ran(world, "w-1") == 1
+    assert ticket not in world.replies
+    assert not world.node.blackboard.requests.active
+
+
+def test_a_waiting_request_goes_with_its_caller():
+    """Guards against running a request that nobody waits for any more."""
+    world = World(share=0)
+    ticket = world.send("post", "x")
+    world.handle(CallerGone(ticket))
+    assert not world.node.blackboard.requests.active
+    assert world.node.blackboard.queues.depth("stock") == 0
+
+
+def test_an_age_bound_is_proved_by_a_sample():
+    """Guards against reads from a replica that is older than the bound, and against
+    reads at the primary while replicas are young enough."""
+    world = World()
+    world.run(1)
+    fresh = world.ask("catalogue")
+    assert (fresh.outcome.role, fresh.outcome.tag) == ("replica", "done")
+    call = calls(world, "execute")[-1][1]
+    samples = world.database.samples
+    assert samples
+    assert call.min_position in {sample.position for sample in samples}
+
+
+def test_an_isolated_primary_cannot_prove_the_age_of_a_read():
+    """Guards against a stale read that a replaced primary presents as fresh."""
+    world = World()
+    world.database.samples.clear()
+    world.group.confirmed_ago_ms = 5_000
+    read = (Statement("select x from t"),)
+    reply = world.ask("catalogue", seconds=2.1, statements=read)
+    assert reply.outcome.tag != "done"
