--- a/packages/core/src/bronzemoor_core/grants.py
+++ b/packages/core/src/bronzemoor_core/grants.py
@@ -27,12 +27,11 @@
         wanted = entry.wanted
         if wanted.ticket in pools.by_ticket or not wanted.members:
             continue
-        members = [m for m in wanted.members if idle.get(m)]
-        if not members:
-            starved[wanted.members[0]] += 1
-            continue
-        member = next((m for m in members if _has_slot(database, pool, m)), None)
+        members = [m for m in wanted.members if _has_slot(database, pool, m)]
+        member = next((m for m in members if idle.get(m)), None)
         if member is None:
+            if members:
+                starved[members[0]] += 1
             continue
         connection = idle[member].pop()
         _assign(pools, pool, connection, wanted.ticket)
--- /dev/null
+++ b/packages/core/tests/test_pools.py
@@ -0,0 +1,250 @@
+"""Guards the use, opening and closing of connections."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+from datapath_world import World, arrive_late, duplicate, lose_call
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bronzemoor_core.actions import CloseConnection, OpenConnection, SendCall
+from bronzemoor_core.connections import State
+from bronzemoor_core.events import (
+    AnswerReceived,
+    MemberLost,
+    MemberSuspected,
+    SharesChanged,
+)
+
+FIXED = settings(derandomize=True, database=None, deadline=None, max_examples=40)
+
+
+def pool(world):
+    return world.node.blackboard.pools.databases["stock"]
+
+
+def of(world, action):
+    return [item for item in world.emitted if isinstance(item, action)]
+
+
+def suspicions(world):
+    found = []
+    world.node._handlers[MemberSuspected].append(lambda now, e: found.append(e.member))
+    return found
+
+
+def test_without_a_share_nothing_is_opened():
+    """Guards against connections that no one granted."""
+    world = World(share=0)
+    world.ask("post", "x", seconds=1)
+    assert not of(world, OpenConnection)
+
+
+def test_the_primary_and_the_nearest_replica_are_kept_warm():
+    """Guards against a first request that waits 30 ms for a connection."""
+    world = World()
+    warm = Counter(c.member for c in pool(world).connections.values())
+    assert warm == {"a": 1, "b": 1}
+
+
+@FIXED
+@given(st.lists(st.tuples(st.integers(0, 5), st.integers(0, 8)), max_size=30))
+def test_the_share_is_never_exceeded(steps):
+    """Guards against more connections than the share at the endpoints, counting those
+    that are opening or not yet closed."""
+    world = World(share=3)
+    share = 3
+    for kind, number in steps:
+        if kind == 0:
+            allowed = max(number, pool(world).total)
+            share = number
+            world.handle(SharesChanged("stock", share, 1e9))
+            assert pool(world).total <= allowed
+        elif kind == 1:
+            world.fault = lambda member, call: lose_call if call.ticket else None
+        elif kind == 2:
+            world.fault = lambda member, call: None
+        else:
+            for _ in range(number):
+                world.send("own" if kind == 3 else "post", deadline=world.now + 0.5)
+        before = pool(world).total
+        world.run(0.02 * (number + 1))
+        assert pool(world).total <= max(share, before)
+        assert len(world.opened) <= pool(world).total
+    world.run(3)
+    assert pool(world).total <= share
+
+
+def test_a_shrunk_share_closes_idle_connections_at_once_and_busy_ones_later():
+    """Guards against a request that is interrupted, and against kept connections."""
+    world = World()
+    world.fault = lambda member, call: arrive_late if call.ticket == 1 else None
+    ticket = world.send("post", "x")
+    world.handle(SharesChanged("stock", 0, 1e9))
+    states = Counter(c.state for c in pool(world).connections.values())
+    assert states[State.WARM] == 0
+    assert states[State.BUSY] == 1
+    world.run(3)
+    assert ticket in world.replies
+    assert pool(world).total == 0
+
+
+def test_an_expired_share_opens_nothing_more():
+    """Guards against openings under a share that others may hold by now."""
+    world = World(share=0)
+    world.handle(SharesChanged("stock", 4, world.now - 1))
+    world.ask("post", "x")
+    assert not of(world, OpenConnection)
+
+
+def test_openings_are_limited():
+    """Guards against a storm of openings, for example after a failover."""
+    world = World(share=40)
+    for _ in range(40):
+        world.send("post", "x")
+    for _ in range(40):
+        world.run(0.005)
+        assert pool(world).counts[State.OPENING] <= 2
+    assert len(world.opened) > 3
+
+
+def test_a_connection_is_opened_ahead_of_demand():
+    """Guards against the second concurrent request paying for an opening."""
+    world = World()
+    world.fault = lambda member, call: None
+    world.send("post", "x")
+    assert pool(world).link("a").counts[State.OPENING] == 1
+
+
+def test_a_place_is_taken_from_idle_connections_to_other_members():
+    """Guards against writes that starve while replicas hold the whole share."""
+    world = World(share=2)
+    for _ in range(6):
+        world.send("own")
+    world.run(0.3)
+    world.group.members["b"].role = "replica"
+    world.fail_over("a")
+    reply = world.ask("post", "x", seconds=0.3)
+    assert reply.outcome.tag == "done"
+
+
+def test_slots_limit_the_statements_at_a_member():
+    """Guards against queueing at the endpoint, where priorities do not count."""
+    world = World(share=12)
+    world.fault = lambda m, call: (
+        (lambda w, n, c, deliver: w.schedule(0.1, deliver)) if call.ticket else None
+    )
+    for _ in range(10):
+        world.send("post", "x")
+    for _ in range(20):
+        world.run(0.01)
+        assert pool(world).link("a").running <= 3
+
+
+def test_a_connection_that_owes_an_answer_is_not_used_again():
+    """Guards against a late answer that is taken for the next request's."""
+    world = World(call_timeout=0.1)
+    world.fault = lambda m, call: arrive_late if call.ticket == 1 else None
+    world.ask("post", "x", seconds=0.5)
+    late = next(c for _, c in world.calls if c.ticket == 1)
+    sent = [a for a in of(world, SendCall) if a.call is late]
+    number = sent[0].connection
+    index = next(
+        i
+        for i, a in enumerate(world.emitted)
+        if isinstance(a, CloseConnection) and a.connection == number
+    )
+    later = [a for a in world.emitted[index:] if isinstance(a, SendCall)]
+    assert number not in {a.connection for a in later}
+
+
+def test_a_connection_with_an_unexpected_answer_is_closed():
+    """Guards against a connection whose answers are out of step."""
+    world = World()
+    world.fault = lambda m, call: duplicate if call.ticket == 1 else None
+    world.ask("post", "x")
+    assert "discarded_answer" in {a.reason for a in of(world, CloseConnection)}
+    assert world.metrics["answers.discarded.unexpected"] == 1
+
+
+def test_silent_connections_are_replaced_without_suspicion():
+    """Guards against a failover because old connections stopped responding while new
+    ones work, and against using the silent ones."""
+    world = World(share=8)
+    found = suspicions(world)
+    for _ in range(4):
+        world.send("post", "x")
+    world.run(0.3)
+    silent = set(pool(world).connections)
+    world.fault = lambda m, call: None
+    perform = world._on_SendCall
+
+    def drop(action):
+        if action.connection in silent:
+            world.time_out(action.connection, action.call)
+        else:
+            perform(action)
+
+    world._on_SendCall = drop
+    replies = [world.ask("post", "x", seconds=1.5) for _ in range(3)]
+    assert {reply.outcome.tag for reply in replies} == {"done"}
+    assert not found
+    assert not silent & set(pool(world).connections)
+    assert "connection_unresponsive" in world.logs
+
+
+def test_a_member_is_suspected_when_a_fresh_connection_fails_too():
+    """Guards against a failed primary that nobody reports."""
+    world = World()
+    found = suspicions(world)
+    world.down = {"a"}
+    world.run(1.0)
+    assert set(found) == {"a"}
+
+
+def test_a_lost_member_loses_its_idle_connections():
+    """Guards against connections that count although their member is gone."""
+    world = World()
+    world.down = {"b"}
+    world.handle(MemberLost("stock", "b"))
+    world.run(0.05)
+    assert not list(pool(world).of_member("b"))
+
+
+def test_a_leaving_member_gets_no_work_and_no_idle_connection():
+    """Guards against new work for a member that announced that it leaves."""
+    world = World()
+    world.group.members["b"].leaving = True
+    world.run(0.1)
+    world.calls.clear()
+    assert world.ask("own").outcome.peer == "c"
+    assert not [member for member, _ in world.calls if member == "b"]
+    assert not list(pool(world).of_member("b"))
+
+
+@pytest.mark.parametrize(("max_age", "most"), [(None, 0.55), (0.4, 0.4 / 3)])
+def test_the_primary_is_probed_as_often_as_the_classes_need(max_age, most):
+    """Guards against age bounds that cannot be proved for want of samples."""
+    world = World()
+    world.template.classes["catalogue"].max_age = max_age
+    world.run(3)
+    times = [s.proved_at for s in world.database.samples if s.proved_at > 101]
+    gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
+    assert max(gaps) <= most
+
+
+def test_an_idle_silent_connection_is_found_by_probes():
+    """Guards against a silent connection that only the next request discovers."""
+    world = World()
+    world.fault = lambda m, call: lose_call if m.name == "b" else None
+    world.run(1.0)
+    assert [a for a in of(world, CloseConnection) if a.reason == "answer_timed_out"]
+
+
+def test_an_answer_on_an_unknown_connection_is_ignored():
+    """Guards against an error on an event of a connection that is gone."""
+    world = World()
+    call = next(c for _, c in world.calls)
+    answer = world.answer(world.group.members["a"], call, ("ok", "", b"", False, ""))
+    world.handle(AnswerReceived(int(Random(1).random() * 1e6), call, answer, 0.0))
--- /dev/null
+++ b/packages/core/tests/test_routing.py
@@ -0,0 +1,156 @@
+"""Guards the selection of members and the time that it takes."""
+
+from random import Random
+
+import pytest
+
+from bronzemoor_core.connections import DatabasePool
+from bronzemoor_core.membership import Database, Member, PrimarySample
+from bronzemoor_core.positions import ZERO, Position
+from bronzemoor_core.routing import (
+    BALANCERS,
+    NOWHERE,
+    Candidate,
+    Router,
+    age_position,
+    surviving,
+)
+from bronzemoor_core.settings import DataPathSettings, NodeSettings
+
+NOW = 100.0
+PLACES = {"a": "lisbon", "b": "porto", "c": "faro"}
+
+
+def make_database(name="stock", term=1, offset=50):
+    database = Database(name, term, "a", tuple(PLACES))
+    database.history.record(1, 0)
+    for member, place in PLACES.items():
+        database.members[member] = Member(
+            member, name, member, place, position=Position(1, offset), last_heard=NOW
+        )
+    return database
+
+
+def make_router(balancer="measured_delay"):
+    path = DataPathSettings(balancer=balancer)
+    delays = {"porto": 0.0025, "faro": 0.003}
+    settings = NodeSettings("vm-1", "lisbon", delays=delays, data_path=path)
+    return Router(settings, Random(1))
+
+
+def read(database, position=ZERO, max_age=None, pool=None, **fields):
+    pool = pool or DatabasePool("stock")
+    return make_router().read_route(NOW, database, pool, position, max_age, **fields)
+
+
+def test_a_read_goes_to_the_cheapest_replica_first():
+    """Guards against reads at the primary, or far away, without need."""
+    assert read(make_database()).members == ("b", "c")
+    assert read(make_database(), data_centre="faro").members == ("c", "b")
+
+
+@pytest.mark.parametrize("change", [{"leaving": True}, {"last_heard": NOW - 1.1}])
+def test_a_leaving_or_silent_member_gets_no_work(change):
+    """Guards against new work for a member that leaves or whose lease ran out."""
+    database = make_database()
+    for member in ("a", "b"):
+        for name, value in change.items():
+            setattr(database.members[member], name, value)
+    assert read(database).members == ("c",)
+    assert make_router().primary_route(NOW, database) == NOWHERE
+
+
+def test_a_replica_that_lacks_the_session_position_is_passed_over():
+    """Guards against a read that misses the session's own write."""
+    database = make_database()
+    database.members["b"].position = Position(1, 40)
+    pool = DatabasePool("stock")
+    pool.link("b").lag = 1.0
+    route = read(database, Position(1, 45), pool=pool)
+    assert (route.members, route.min_position) == (("c",), Position(1, 45))
+    pool.link("b").lag = 0.001
+    route = read(database, Position(1, 45), pool=pool)
+    assert set(route.members) == {"b", "c"}
+    assert route.wait_ms == 5
+
+
+def test_the_primary_is_a_fallback():
+    """Guards against refusing a read that only the primary can serve."""
+    database, pool = make_database(), DatabasePool("stock")
+    pool.link("b").lag = pool.link("c").lag = 1.0
+    route = read(database, Position(1, 51), pool=pool)
+    assert (route.members, route.fallback) == (("a",), True)
+
+
+def test_positions_are_compared_through_the_terms():
+    """Guards against waiting for entries that a promotion discarded, and against
+    comparing offsets of different terms."""
+    database = make_database(term=2)
+    database.history.record(2, 45)
+    assert surviving(database.history, Position(1, 50)) == Position(2, 45)
+    assert surviving(database.history, Position(1, 44)) == Position(1, 44)
+    pool = DatabasePool("stock")
+    pool.link("b").lag = pool.link("c").lag = 1.0
+    database.members["b"].position = Position(2, 46)
+    route = read(database, Position(1, 50), pool=pool)
+    assert (route.members, route.min_position) == (("b",), Position(2, 45))
+
+
+def test_the_oldest_sample_within_the_bound_proves_the_age():
+    """Guards against a sample that is too old, and against asking a replica for
+    more than the bound needs."""
+    database = make_database()
+    for age, offset in ((2.0, 10), (0.9, 20), (0.1, 30)):
+        database.samples.append(PrimarySample(NOW - age, Position(1, offset)))
+    assert age_position(database, NOW, 1.0) == Position(1, 20)
+    assert age_position(database, NOW, 0.05) is None
+    assert read(database, max_age=1.0).min_position == Position(1, 20)
+    assert read(database, Position(1, 25), 1.0).min_position == Position(1, 25)
+    # The data ages on the way and while the replica waits.
+    assert read(database, max_age=0.901).min_position == Position(1, 30)
+    unproved = read(database, max_age=0.05)
+    assert (unproved.members, unproved.proved) == (("a",), False)
+
+
+def test_every_balancer_orders_all_candidates():
+    """Guards against a balancer that drops a member."""
+    candidates = [
+        Candidate("near", 3, 0.0, False),
+        Candidate("idle", 0, 0.004, True),
+        Candidate("far", 1, 0.02, True),
+    ]
+    first = {}
+    for name, order in BALANCERS.items():
+        ordered = order(candidates, Random(2))
+        assert sorted(c.member for c in ordered) == ["far", "idle", "near"]
+        first[name] = ordered[0].member
+    assert first["least_outstanding"] == "idle"
+    assert first["measured_delay"] == "near"
+    chosen = {
+        BALANCERS["two_random_choices"](candidates, Random(n))[0].member
+        for n in range(40)
+    }
+    assert chosen == {"near", "idle"}
+
+
+@pytest.mark.benchmark
+@pytest.mark.parametrize("balancer", sorted(BALANCERS))
+def test_a_decision_among_4300_databases(benchmark, balancer):
+    """Guards the target of 20 us median for one decision (design.md 1.7)."""
+    names = [f"db{number}" for number in range(4_300)]
+    databases = {name: make_database(name) for name in names}
+    pools = {name: DatabasePool(name) for name in names}
+    for database in databases.values():
+        for number in range(64):
+            sample = PrimarySample(NOW - 1 + number / 64, Position(1, number))
+            database.samples.append(sample)
+    router, random = make_router(balancer), Random(1)
+
+    def decide():
+        name = names[int(random.random() * 4_300)]
+        position = Position(1, 30)
+        return router.read_route(NOW, databases[name], pools[name], position, 0.5)
+
+    assert benchmark(decide).members
+    if benchmark.stats is not None:
+        assert benchmark.stats.stats.median <= 20e-6
