Give up calls to a replaced primary and limit fallback reads fairly

Cause: a write in flight at an isolated primary waited for its timeout (1 s) before its retry, a refused hello counted as evidence against the member, and reads that waited for a fallback place were looked at only every 50 ms.

--- a/packages/core/src/bronzemoor_core/admission.py
+++ b/packages/core/src/bronzemoor_core/admission.py
@@ -19,6 +19,7 @@
 
 # Weight of the newest sample in the average time that a request holds a connection.
 SERVICE_WEIGHT = 0.1
+GAUGE_INTERVAL = 1.0
 
 
 @dataclass(slots=True, order=True)
@@ -95,6 +96,7 @@
 
     _own: Queues
     _sequence = 0
+    _gauge_at = 0.0
 
     @handles(ConnectionWanted)
     def on_wanted(self, now: float, event: ConnectionWanted) -> list[object]:
@@ -155,6 +157,10 @@
             if entry.deadline <= now
         ]
         items: list[object] = []
+        if now >= self._gauge_at:
+            self._gauge_at = now + GAUGE_INTERVAL
+            depth = sum(len(queue.entries) for queue in self._own.databases.values())
+            items.append(EmitMetric("gauge", "queue.depth", float(depth)))
         for ticket in expired:
             self._remove(ticket)
             items.append(ConnectionRefused(ticket, "deadline", "no connection in time"))
--- a/packages/core/src/bronzemoor_core/flow.py
+++ b/packages/core/src/bronzemoor_core/flow.py
@@ -22,6 +22,9 @@
 from bronzemoor_core.routing import NOWHERE, Route, Router
 from bronzemoor_core.work import WAITING, Step, Work
 
+# Bounds requests that wait for a retry, as a multiple of the queue limit.
+MAX_WAITING = 2
+
 
 @section("requests")
 class Requests:
@@ -94,11 +97,17 @@
         work.lost_at = work.step
         work.goal = goal
         work.attempts += 1
+        waiting = self._own.waiting.setdefault(work.request.database, {})
+        if len(waiting) >= MAX_WAITING * self._settings.data_path.queue_limit:
+            return [
+                *items,
+                *self.fail(now, work, "queue_full", "too many retries wait"),
+            ]
         if reason == "behind" and work.attempts <= len(self.database(work).members):
             return [*items, *self.route(now, work)]
         work.step = Step.BACKOFF
         work.resume_at = work.deadline
-        self._own.waiting.setdefault(work.request.database, {})[work.ticket] = work
+        waiting[work.ticket] = work
         organisation = work.request.organisation
         items.append(RetryWanted(work.ticket, organisation, work.attempts, free))
         return items
@@ -136,9 +145,12 @@
         items += self._release(work, clean, "" if clean else outcome.step)
         if work.transaction is not None:
             items.append(TransactionUsed(work.request.transaction, 0))
+        fallback = work.route.fallback
         self._set_route(now, work, NOWHERE)
         self._own.waiting.get(work.request.database, {}).pop(ticket, None)
         del self._own.active[ticket]
+        if fallback:
+            items += self._resume_fallback(now, work.request.database)
         items += self._metrics(now, work, outcome)
         if not work.gone:
             token = self._blackboard.sessions.ring.sign(work.token)
@@ -201,15 +213,27 @@
             )
         ]
 
+    def _resume_fallback(self, now: float, database: str) -> list[object]:
+        """Lets the next read have the place of a read that the primary served."""
+        for work in self._own.waiting.get(database, {}).values():
+            if work.is_read and work.step is Step.QUEUED and not work.route.members:
+                self._set_route(now, work, self._select(now, work))
+                return self._want(work) if work.route.members else []
+        return []
+
     def _reroute(self, now: float, database: str, resume: bool = False) -> list[object]:
         """Routes waiting requests again after a change of members or positions."""
         items: list[object] = []
+        known = self._blackboard.topology.databases.get(database)
+        primary = self._router.primary_route(now, known).members if known else ()
         for work in list(self._own.waiting.get(database, {}).values()):
             if work.step is Step.BACKOFF:
                 if resume:
                     items += self.route(now, work)
                 continue
             members = work.route.members
+            if not work.is_read and members == primary:
+                continue
             # Members that were behind may have caught up meanwhile.
             work.excluded = ()
             self._set_route(now, work, self._select(now, work))
--- a/packages/core/src/bronzemoor_core/grants.py
+++ b/packages/core/src/bronzemoor_core/grants.py
@@ -36,6 +36,9 @@
         connection = idle[member].pop()
         _assign(pools, pool, connection, wanted.ticket)
         items.append(ConnectionGranted(wanted.ticket, connection.number, member))
+    if starved:
+        # Connections under a probe are about to be idle again.
+        starved -= Counter(c.member for c in pool.of_state(State.WARM) if c.probe)
     return items, starved
 
 
--- a/packages/core/src/bronzemoor_core/losses.py
+++ b/packages/core/src/bronzemoor_core/losses.py
@@ -38,7 +38,9 @@
     if sent or step is Step.CONFIRM:
         work.maybe_ran = True
     if work.is_read or (work.repeatable and work.request.kind == "statements"):
-        return flow.retry(now, work, Step.EXECUTE, free=not sent, clean=False)
+        # A failover happens once and must not use up the budget.
+        free = not sent or reason == "primary_replaced"
+        return flow.retry(now, work, Step.EXECUTE, free=free, clean=False)
     work.lookups_left = LOOKUPS_AFTER_LOSS
     return flow.look_up(now, work, clean=False)
 
--- a/packages/core/src/bronzemoor_core/pools.py
+++ b/packages/core/src/bronzemoor_core/pools.py
@@ -8,6 +8,7 @@
 from bronzemoor_core.connections import Connection, DatabasePool, Pools, State
 from bronzemoor_core.controllers import Controller, controller, handles
 from bronzemoor_core.events import (
+    AnnouncementReceived,
     AnswerReceived,
     AnswerTimedOut,
     ConnectionClosed,
@@ -69,7 +70,7 @@
         answer = event.answer
         if answer.status != "ok" or answer.member not in ("", connection.member):
             reason = answer.code or f"answered as {answer.member}"
-            return self._opening_failed(now, connection, reason)
+            return self._opening_failed(now, connection, reason, answered=True)
         pool = self._pool(connection.database)
         pool.move(connection, State.WARM)
         connection.answered_at = connection.probe_at = now
@@ -196,6 +197,13 @@
         if pool is not None:
             self._prober.observe(now, pool, event)
 
+    @handles(AnnouncementReceived)
+    def on_announcement(self, now: float, event: AnnouncementReceived) -> None:
+        said = event.announcement
+        position = Position(said.term, said.offset)
+        observed = PositionObserved(said.database, said.member, said.role, position)
+        self.on_position(now, observed)
+
     @handles(Tick)
     def on_tick(self, now: float, event: Tick) -> list[object]:
         items: list[object] = []
@@ -259,7 +267,7 @@
         return items
 
     def _opening_failed(
-        self, now: float, connection: Connection, error: str
+        self, now: float, connection: Connection, error: str, answered: bool = False
     ) -> list[object]:
         pool = self._pool(connection.database)
         self._opener.note_failure(now, pool, connection)
@@ -269,7 +277,7 @@
             "error": error,
         }
         items: list[object] = [EmitLog("warning", "connection_failed", fields)]
-        if not self._prober.answered_since(pool, connection):
+        if not answered and not self._prober.answered_since(pool, connection):
             items.append(
                 MemberSuspected(pool.name, connection.member, "fresh_connection_failed")
             )
--- a/packages/core/src/bronzemoor_core/probes.py
+++ b/packages/core/src/bronzemoor_core/probes.py
@@ -138,7 +138,7 @@
             pool.sampled_at = max(pool.sampled_at, now)
             return
         database = self._blackboard.topology.databases.get(pool.name)
-        if database is None or event.member == database.primary:
+        if database is None or event.role == "primary":
             return
         lag = 0.0
         for sample in database.samples:
--- a/packages/core/src/bronzemoor_core/requests.py
+++ b/packages/core/src/bronzemoor_core/requests.py
@@ -1,10 +1,11 @@
 """Life cycle of one request from admission to outcome."""
 
+from collections import deque
 from itertools import count
 from random import Random
 from typing import Any
 
-from bronzemoor_core.actions import EmitMetric, Reply
+from bronzemoor_core.actions import EmitLog, EmitMetric, Reply
 from bronzemoor_core.answers import check_answer
 from bronzemoor_core.blackboard import Blackboard
 from bronzemoor_core.controllers import controller, handles
@@ -26,7 +27,7 @@
     TransactionExpired,
     TransactionUsed,
 )
-from bronzemoor_core.exceptions import InvalidRequest
+from bronzemoor_core.exceptions import InvalidRequest, InvalidToken
 from bronzemoor_core.flow import RequestFlow
 from bronzemoor_core.losses import on_lost
 from bronzemoor_core.outcomes import NotRun, Unknown
@@ -36,7 +37,9 @@
 from bronzemoor_core.work import WAITING, Step, Work
 
 # How often waiting requests are routed again, seconds.
-REROUTE_INTERVAL = 0.050
+REROUTE_INTERVAL = 0.100
+# How long a replaced primary may still answer; a planned switchover needs less.
+ABANDON_AFTER = 0.050
 
 
 @controller("requests")
@@ -47,6 +50,8 @@
         super().__init__(blackboard, settings, random)
         self._reservations = count(1)
         self._reroute_at = 0.0
+        # When to give up, ticket and correlation id.
+        self._abandoned: deque[tuple[float, int, int]] = deque()
 
     @handles(RequestReceived)
     def on_request(self, now: float, event: RequestReceived) -> list[object]:
@@ -55,10 +60,11 @@
             work = make_work(now, ticket, request, self._blackboard, self._random)
         except InvalidRequest as error:
             refused = NotRun(error.code, error.message, error.step)
+            session = "" if isinstance(error, InvalidToken) else request.session
             return [
                 EmitMetric("counter", f"outcomes.{refused.tag}"),
                 EmitMetric("counter", f"refusals.{error.code}"),
-                Reply(ticket, refused, request.session),
+                Reply(ticket, refused, session),
                 RequestFinished(ticket, refused),
             ]
         self._own.active[ticket] = work
@@ -109,8 +115,10 @@
         assert work.call is not None
         reason = check_answer(work.call, event.answer)
         if reason:
+            fields = {"reason": reason, "step": work.step, "peer": work.member}
             metric = EmitMetric("counter", f"answers.discarded.{reason}")
-            return [metric, *self._lose(now, work, f"answer_{reason}")]
+            log = EmitLog("warning", "answer_discarded", fields)
+            return [metric, log, *self._lose(now, work, f"answer_{reason}")]
         answer = event.answer
         items: list[object] = []
         # Other answers may carry a position that is asked about or recorded.
@@ -187,11 +195,13 @@
     def on_member_changed(
         self, now: float, event: PrimaryChanged | MemberLost
     ) -> list[object]:
+        if isinstance(event, PrimaryChanged):
+            self._abandon_later(now, event)
         return self._reroute(now, event.database, resume=True)
 
     @handles(Tick)
     def on_tick(self, now: float, event: Tick) -> list[object]:
-        items: list[object] = []
+        items = self._abandon(now)
         all_due = now >= self._reroute_at
         if all_due:
             self._reroute_at = now + REROUTE_INTERVAL
@@ -203,6 +213,31 @@
                     items += self.route(now, work)
         return items
 
+    def _abandon_later(self, now: float, event: PrimaryChanged) -> None:
+        """Notes the writes in progress at a primary that was replaced."""
+        for work in self._own.active.values():
+            if (
+                work.request.database == event.database
+                and work.connection
+                and not work.is_read
+                and work.member != event.member
+                and work.call is not None
+            ):
+                at = now + ABANDON_AFTER
+                self._abandoned.append((at, work.ticket, work.call.correlation_id))
+
+    def _abandon(self, now: float) -> list[object]:
+        """Gives up on calls to a replaced primary, whose answers may never come."""
+        items: list[object] = []
+        while self._abandoned and self._abandoned[0][0] <= now:
+            _, ticket, correlation = self._abandoned.popleft()
+            work = self._own.active.get(ticket)
+            if work is None or work.call is None:
+                continue
+            if work.call.correlation_id == correlation:
+                items += self._lose(now, work, "primary_replaced")
+        return items
+
     def _lose(
         self, now: float, work: Work, reason: str, sent: bool = True
     ) -> list[object]:
--- a/packages/core/tests/test_requests.py
+++ b/packages/core/tests/test_requests.py
@@ -195,7 +195,7 @@
     world.group.followers = set()
     world.fault = once("execute", delay, "a")
     ticket = world.send("post", "x", request_id="w-1")
-    world.run(0.05)
+    world.run(0.17)
     world.fail_over("a")
     old = world.group.members["a"]
     old.acks = {"b": 100, "c": 100}
@@ -206,6 +206,40 @@
     assert [member for member, _ in calls(world, "lookup")] == [world.database.primary]
 
 
+def test_a_write_at_a_replaced_primary_moves_to_the_new_one():
+    """Guards against a write that waits for an isolated primary until its timeout."""
+    world = World()
+    world.fault = lambda m, call: lose_call if m.name == "a" else None
+    ticket = world.send("post", "x", request_id="w-1")
+    world.run(0.05)
+    world.fail_over("a")
+    world.run(0.15)
+    assert world.replies[ticket].outcome.tag == "done"
+    assert "retries.denied" not in world.metrics
+
+
+def test_reads_at_the_primary_in_place_of_replicas_are_limited():
+    """Guards against lagging replicas that turn all their reads on the primary, and
+    against reads that are forgotten while they wait for their turn."""
+    world = World(share=12)
+    session = world.ask("post", "x").session
+    for name in ("b", "c"):
+        world.group.members[name].log = []
+        world.node.blackboard.pools.databases["stock"].link(name).lag = 1.0
+    world.run(0.02)
+    running = []
+    world.fault = lambda m, call: (
+        (lambda w, n, c, deliver: (running.append(c), w.schedule(0.05, deliver)))
+        if call.kind == "execute"
+        else None
+    )
+    tickets = [world.send("own", session=session) for _ in range(8)]
+    world.run(0.01)
+    assert len(running) == 2
+    world.run(0.4)
+    assert all(world.replies[t].outcome.tag == "done" for t in tickets)
+
+
 def test_a_late_answer_of_a_replaced_primary_is_resolved_at_the_new_one():
     """Guards against *unknown* for a write that the new primary holds."""
     world = World()
