--- /dev/null
+++ b/packages/standin/src/bronzemoor_standin/caller.py
@@ -0,0 +1,82 @@
+"""Clients of an endpoint: the plain Thrift client and one with short calls."""
+
+import json
+from typing import Any
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.transport.TSocket import TSocket
+from thrift.transport.TTransport import TFramedTransport
+
+from bronzemoor_standin.gen.endpoint import Endpoint, ttypes
+
+ZERO = ttypes.Position(0, 0)
+
+
+class EndpointClient(Endpoint.Client):
+    """A Thrift client of an endpoint; ``timeout_ms`` bounds each call."""
+
+    def __init__(self, address: str, timeout_ms: float) -> None:
+        host, port = address.rsplit(":", 1)
+        self._socket = TSocket(host, int(port))
+        self._socket.setTimeout(timeout_ms)
+        self._transport = TFramedTransport(self._socket)
+        super().__init__(TBinaryProtocolAccelerated(self._transport))
+        self._transport.open()
+
+    def close(self) -> None:
+        self._transport.close()
+
+
+class Caller:
+    """A connection to a member with short calls, for tests and tools."""
+
+    def __init__(self, address: str, database: str, timeout_ms: float = 5000) -> None:
+        self.client = EndpointClient(address, timeout_ms)
+        self.greeting = self.client.hello(ttypes.Hello(1, "test", database))
+
+    def execute(self, sql: str, *params: Any, **fields: Any) -> ttypes.Reply:
+        fields.setdefault("min_position", ZERO)
+        fields.setdefault("request_id", "")
+        fields.setdefault("digest", "d")
+        statement = ttypes.Statement(sql, json.dumps(params).encode())
+        return self.client.execute(
+            ttypes.Execute(
+                correlation_id=7,
+                statements=[statement],
+                read_only=fields.pop("read_only", False),
+                recorded=fields.pop("recorded", False),
+                wait_ms=fields.pop("wait_ms", 0),
+                deadline_ms=fields.pop("deadline_ms", 2000),
+                **fields,
+            )
+        )
+
+    def rows(self, sql: str, *params: Any, **fields: Any) -> list[Any]:
+        reply = self.execute(sql, *params, **fields)
+        if reply.status != ttypes.Status.OK:
+            raise RuntimeError(f"{reply.code}: {reply.message}")
+        rows: list[Any] = json.loads(reply.payload)[0]["rows"]
+        return rows
+
+    def close(self) -> None:
+        self.client.close()
+
+    def reserve(self, request_id: str, token: str, digest: str = "d") -> ttypes.Reply:
+        return self.client.reserve(ttypes.Reserve(2, request_id, digest, token))
+
+    def lookup(self, request_id: str, digest: str = "d") -> ttypes.Reply:
+        return self.client.lookup(ttypes.Query(3, request_id, ZERO, 0, digest))
+
+    def confirm(self, reply: ttypes.Reply, wait_ms: int = 2000) -> ttypes.Reply:
+        position = ttypes.Position(reply.term, reply.offset)
+        return self.client.confirm(ttypes.Query(4, "", position, wait_ms, ""))
+
+    def transaction(self, kind: str, transaction_id: str, **fields: Any) -> Any:
+        call = ttypes.TransactionCall(5, "", transaction_id, "d", False, ZERO, 0)
+        for name, value in fields.items():
+            setattr(call, name, value)
+        return getattr(self.client, kind)(call)
+
+    def order(self, kind: str, term: int, **fields: Any) -> ttypes.Reply:
+        fields = {"primary": "", "start_offset": 0, "members": {}} | fields
+        return getattr(self.client, kind)(ttypes.Order(6, term, **fields))
--- /dev/null
+++ b/packages/standin/src/bronzemoor_standin/database.py
@@ -0,0 +1,209 @@
+"""The data of one member: an in-memory sqlite3 database with the request-id table."""
+
+import json
+import sqlite3
+import threading
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from bronzemoor_standin.replication import Entry
+from bronzemoor_standin.statements import Sql
+
+_SCHEMA = """
+CREATE TABLE request_records (
+    request_id TEXT PRIMARY KEY,
+    digest TEXT NOT NULL,
+    reservation TEXT NOT NULL,
+    state TEXT NOT NULL,
+    payload BLOB NOT NULL,
+    term INTEGER NOT NULL,
+    offset INTEGER NOT NULL,
+    recorded_at REAL NOT NULL
+) WITHOUT ROWID
+"""
+RESERVED, DONE, FAILED = "reserved", "done", "failed"
+
+
+@dataclass(slots=True, frozen=True)
+class RequestRecord:
+    """What is recorded under a request id; ``recorded_at`` is in epoch seconds."""
+
+    request_id: str
+    digest: str
+    reservation: str
+    state: str
+    payload: bytes
+    term: int = 0
+    offset: int = 0
+    recorded_at: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class Transaction:
+    """The decoded body of a log entry."""
+
+    statements: list[Sql]
+    record: RequestRecord | None = None
+
+    def encode(self) -> bytes:
+        body: dict[str, Any] = {
+            "statements": [[s.text, s.params] for s in self.statements]
+        }
+        if self.record is not None:
+            record = self.record
+            body["request"] = {
+                "request_id": record.request_id,
+                "digest": record.digest,
+                "reservation": record.reservation,
+                "state": record.state,
+                "payload": record.payload.decode(),
+                "recorded_at": record.recorded_at,
+            }
+        return json.dumps(body, separators=(",", ":")).encode()
+
+    @classmethod
+    def decode(cls, body: bytes) -> "Transaction":
+        data = json.loads(body)
+        request = data.get("request")
+        record = None
+        if request:
+            record = RequestRecord(
+                **{**request, "payload": request["payload"].encode()}
+            )
+        return cls([Sql(text, params) for text, params in data["statements"]], record)
+
+
+@dataclass(slots=True, frozen=True)
+class Step:
+    """A decoded transaction at its place in the log."""
+
+    transaction: Transaction
+    term: int
+    offset: int
+
+    @classmethod
+    def of(cls, entry: Entry) -> "Step":
+        return cls(Transaction.decode(entry.body), entry.term, entry.offset)
+
+
+class Database:
+    """Statements and request records of one sqlite3 connection.
+
+    Every method that touches data must be called with ``lock`` held.
+    """
+
+    def __init__(self) -> None:
+        self.lock = threading.RLock()
+        self.advanced = threading.Condition(self.lock)
+        self.applied = (0, 0)
+        self._connection = _connect()
+        self._connection.execute(_SCHEMA)
+
+    def begin(self) -> None:
+        self._connection.execute("BEGIN")
+
+    def commit(self) -> None:
+        self._connection.execute("COMMIT")
+
+    def rollback(self) -> None:
+        if self._connection.in_transaction:
+            self._connection.execute("ROLLBACK")
+
+    def savepoint(self) -> None:
+        self._connection.execute("SAVEPOINT call")
+
+    def release(self, keep: bool) -> None:
+        """Ends the savepoint; undoes what ran since unless ``keep``."""
+        if not keep:
+            self._connection.execute("ROLLBACK TO call")
+        self._connection.execute("RELEASE call")
+
+    def run(self, statements: Iterable[Sql]) -> list[dict[str, Any]]:
+        """Runs statements; raises ``sqlite3.Error`` or ``OverflowError``."""
+        results = []
+        for statement in statements:
+            cursor = self._connection.execute(statement.text, statement.params)
+            if cursor.description is None:
+                columns: list[str] = []
+                rows: list[Any] = []
+                count = max(cursor.rowcount, 0)
+            else:
+                columns = [column[0] for column in cursor.description]
+                rows = cursor.fetchall()
+                count = len(rows)
+            results.append({"columns": columns, "rows": rows, "row_count": count})
+        return results
+
+    def find(self, request_id: str) -> RequestRecord | None:
+        row = self._connection.execute(
+            "SELECT request_id, digest, reservation, state, payload, term, offset,"
+            " recorded_at FROM request_records WHERE request_id = ?",
+            (request_id,),
+        ).fetchone()
+        return RequestRecord(*row) if row else None
+
+    def record(self, record: RequestRecord, term: int, offset: int) -> None:
+        self._connection.execute(
+            "INSERT OR REPLACE INTO request_records VALUES (?, ?, ?, ?, ?, ?, ?, ?)",
+            (
+                record.request_id,
+                record.digest,
+                record.reservation,
+                record.state,
+                record.payload,
+                term,
+                offset,
+                record.recorded_at,
+            ),
+        )
+
+    def apply(self, steps: Iterable[Step]) -> None:
+        """Applies log entries in order in one sqlite3 transaction."""
+        self.begin()
+        applied = self.applied
+        try:
+            for step in steps:
+                self.run(step.transaction.statements)
+                if step.transaction.record is not None:
+                    self.record(step.transaction.record, step.term, step.offset)
+                applied = (step.term, step.offset)
+        except BaseException:
+            self.rollback()
+            raise
+        self.commit()
+        self.applied = applied
+        self.advanced.notify_all()
+
+    def copy_from(self, other: "Database") -> None:
+        """Replaces the data by that of ``other``."""
+        self._connection.close()
+        self._connection = _connect()
+        other._connection.backup(self._connection)
+        self.applied = other.applied
+
+    def reset(self) -> None:
+        """Discards all data; the log is replayed afterwards."""
+        self._connection.close()
+        self._connection = _connect()
+        self._connection.execute(_SCHEMA)
+        self.applied = (0, 0)
+
+    def wait_for(self, reached: Any, timeout: float) -> bool:
+        """Waits at most ``timeout`` s until ``reached()`` holds."""
+        until = time.monotonic() + timeout
+        while not reached():
+            left = until - time.monotonic()
+            if left <= 0 or not self.advanced.wait(left):
+                return bool(reached())
+        return True
+
+
+def _connect() -> sqlite3.Connection:
+    return sqlite3.connect(
+        ":memory:",
+        isolation_level=None,
+        check_same_thread=False,
+        cached_statements=512,
+    )
--- /dev/null
+++ b/packages/standin/src/bronzemoor_standin/peers.py
@@ -0,0 +1,97 @@
+"""Replication from the primary to the other members, one thread per member."""
+
+import contextlib
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from thrift.Thrift import TException
+
+from bronzemoor_standin.caller import EndpointClient
+from bronzemoor_standin.gen.endpoint import ttypes
+from bronzemoor_standin.replication import PRIMARY, Batch, BatchAnswer
+
+if TYPE_CHECKING:
+    from bronzemoor_standin.member import Member
+
+BATCH_ENTRIES = 500
+BATCH_BYTES = 512 * 1024
+
+
+class Replicator:
+    """Sends batches and heartbeats to one peer while this member is primary."""
+
+    def __init__(self, member: "Member", peer: str) -> None:
+        self._member = member
+        self._peer = peer
+        self._client: EndpointClient | None = None
+        self._answered_at = time.monotonic()
+        self._thread = threading.Thread(
+            target=self._run, name=f"replicate-{peer}", daemon=True
+        )
+
+    def start(self) -> None:
+        self._thread.start()
+
+    @property
+    def unreachable(self) -> bool:
+        """Whether the peer has not answered for longer than the peer timeout."""
+        silent = time.monotonic() - self._answered_at
+        return silent > self._member.settings.peer_timeout_ms / 1000
+
+    def _run(self) -> None:
+        member = self._member
+        while member.running:
+            member.faults.wait_while_frozen()
+            batch = self._next_batch()
+            if batch is None:
+                self._answered_at = time.monotonic()
+                continue
+            if not self._send(batch):
+                time.sleep(member.settings.heartbeat_ms / 1000)
+        self._disconnect()
+
+    def _next_batch(self) -> Batch | None:
+        ledger = self._member.ledger
+        with ledger.lock:
+            if not ledger.state.has_more_for(self._peer):
+                ledger.log_changed.wait(self._member.settings.heartbeat_ms / 1000)
+            return ledger.state.batch_for(self._peer, BATCH_ENTRIES, BATCH_BYTES)
+
+    def _send(self, batch: Batch) -> bool:
+        if self._member.faults.cut_peers:
+            self._disconnect()
+            return False
+        call = ttypes.Replicate(
+            batch.term,
+            batch.primary,
+            ttypes.Position(*batch.previous),
+            [ttypes.LogEntry(e.term, e.offset, e.body) for e in batch.entries],
+            batch.majority_offset,
+            batch.history,
+        )
+        sent_at = time.monotonic()
+        try:
+            if self._client is None:
+                address = self._member.addresses[self._peer]
+                self._client = EndpointClient(
+                    address, self._member.settings.peer_timeout_ms
+                )
+            reply = self._client.replicate(call)
+        except (TException, OSError, EOFError, KeyError):
+            self._disconnect()
+            return False
+        if self._member.faults.cut_peers:
+            return False
+        self._answered_at = time.monotonic()
+        answer = BatchAnswer(reply.accepted, reply.term, reply.offset)
+        self._member.ledger.acknowledge(self._peer, batch, answer, sent_at)
+        if self._member.ledger.state.role != PRIMARY:
+            self._member.announce_now()
+        return True
+
+    def _disconnect(self) -> None:
+        client, self._client = self._client, None
+        if client is not None:
+            with contextlib.suppress(OSError, TException):
+                client.close()
--- /dev/null
+++ b/packages/standin/src/bronzemoor_standin/replication.py
@@ -0,0 +1,344 @@
+"""Term and log rules of one member of a database group, without I/O.
+
+The caller serialises calls and persists ``accepted_term``, ``history`` and the log.
+"""
+
+from dataclasses import dataclass, field
+from itertools import islice
+
+PRIMARY = "primary"
+REPLICA = "replica"
+DEPOSED = "deposed"
+
+
+@dataclass(slots=True, frozen=True)
+class Entry:
+    """One committed write transaction; ``body`` is encoded JSON."""
+
+    term: int
+    offset: int
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """Why an order or a call was refused; ``code`` is stable."""
+
+    code: str
+    message: str
+
+
+@dataclass(slots=True, frozen=True)
+class Batch:
+    """What the primary sends to one replica; no entries make it a heartbeat."""
+
+    term: int
+    primary: str
+    previous: tuple[int, int]
+    entries: list[Entry]
+    majority_offset: int
+    history: dict[int, int]
+
+
+@dataclass(slots=True, frozen=True)
+class BatchAnswer:
+    """``offset`` is the last one that matches, or where the primary should resume."""
+
+    accepted: bool
+    term: int
+    offset: int
+
+
+class GroupLog:
+    """Entries with offsets 1, 2, ...; terms never decrease along the log.
+
+    ``history`` maps a term to its start offset: the last offset before the term.
+    """
+
+    __slots__ = ("entries", "history")
+
+    def __init__(self) -> None:
+        self.entries: list[Entry] = []
+        self.history: dict[int, int] = {}
+
+    @property
+    def last(self) -> tuple[int, int]:
+        """(term, offset) of the last entry, (0, 0) when the log is empty."""
+        if not self.entries:
+            return (0, 0)
+        entry = self.entries[-1]
+        return (entry.term, entry.offset)
+
+    def term_at(self, offset: int) -> int | None:
+        """Term of the entry at ``offset``, or None when the log does not reach it."""
+        if offset == 0:
+            return 0
+        if not 0 < offset <= len(self.entries):
+            return None
+        return self.entries[offset - 1].term
+
+    def holds(self, term: int, offset: int) -> bool:
+        return self.term_at(offset) == term
+
+    def append(self, entry: Entry) -> None:
+        if entry.offset != len(self.entries) + 1:
+            raise ValueError(f"offset {entry.offset} follows {len(self.entries)}")
+        self.entries.append(entry)
+
+    def after(self, offset: int, count: int, size: int) -> list[Entry]:
+        """One to ``count`` entries after ``offset``, of about ``size`` bytes."""
+        batch: list[Entry] = []
+        total = 0
+        for entry in islice(self.entries, offset, offset + count):
+            total += len(entry.body)
+            if batch and total > size:
+                break
+            batch.append(entry)
+        return batch
+
+    def truncate(self, offset: int) -> None:
+        """Discards every entry beyond ``offset``."""
+        del self.entries[offset:]
+
+    def first_of_term_at(self, offset: int) -> int:
+        """First offset whose entry has the same term as the entry at ``offset``."""
+        term = self.term_at(offset)
+        while offset > 1 and self.term_at(offset - 1) == term:
+            offset -= 1
+        return offset
+
+
+@dataclass(slots=True)
+class _Follower:
+    """What the primary knows of one replica in the present term."""
+
+    next_offset: int
+    held: int = 0
+    # Send time of the last batch that the replica accepted, in seconds.
+    confirmed_at: float = field(default=float("-inf"))
+
+
+class ReplicationState:
+    """Role, terms and log of one member, and the primary's view of its replicas.
+
+    ``term`` is the term that the member leads or follows; ``accepted_term`` is the
+    highest one it has promised, and older orders and batches are refused.
+    """
+
+    def __init__(self, name: str, members: tuple[str, ...] = ()) -> None:
+        self.name = name
+        self.members = members or (name,)
+        self.role = REPLICA
+        self.primary = ""
+        self.term = 0
+        self.accepted_term = 0
+        self.fenced = False
+        self.log = GroupLog()
+        self.known_majority = 0
+        self._followers: dict[str, _Follower] = {}
+
+    # --- orders
+
+    def fence(self, term: int) -> Refusal | None:
+        """Promises to accept nothing older than ``term``."""
+        if term < self.accepted_term:
+            return self._stale(term)
+        if term == self.accepted_term:
+            return None  # A resend of an order that was already carried out.
+        self.accepted_term = term
+        if self.role == PRIMARY:
+            self.role = DEPOSED
+            self.fenced = True
+        return None
+
+    def promote(
+        self, term: int, start_offset: int, members: tuple[str, ...], body: bytes
+    ) -> Refusal | None:
+        """Becomes primary of ``term`` and appends its first entry, ``body``.
+
+        The first entry lets the majority count start in the new term: an entry of an
+        older term on a majority alone can still be replaced by a later primary.
+        """
+        if term < self.accepted_term:
+            return self._stale(term)
+        if self.term == term:
+            if self.role == PRIMARY:
+                return None
+            if self.primary not in ("", self.name):
+                return Refusal("term_taken", f"{self.primary} leads term {term}")
+        if self.log.last[1] != start_offset:
+            return Refusal(
+                "offset_mismatch",
+                f"log ends at {self.log.last[1]}, order says {start_offset}",
+            )
+        self.accepted_term = self.term = term
+        self.role, self.primary, self.fenced = PRIMARY, self.name, False
+        self.members = members or self.members
+        self.log.history[term] = start_offset
+        self._followers = {
+            name: _Follower(start_offset) for name in self.members if name != self.name
+        }
+        self.append(body)
+        return None
+
+    def follow(
+        self, term: int, primary: str, start_offset: int, members: tuple[str, ...]
+    ) -> Refusal | None:
+        """Becomes a replica of ``primary``; discards entries the term does not have."""
+        if term < self.accepted_term:
+            return self._stale(term)
+        if primary == self.name:
+            return Refusal("invalid_order", "a member cannot follow itself")
+        if self.term == term and self.role == PRIMARY:
+            return Refusal("term_taken", f"{self.name} leads term {term}")
+        self._adopt(term, primary)
+        self.members = members or self.members
+        if self.log.last[0] < term and self.log.last[1] > start_offset:
+            self.log.truncate(start_offset)
+        return None
+
+    # --- the primary's side
+
+    def append(self, body: bytes) -> Entry:
+        """Adds a transaction to the primary's log."""
+        entry = Entry(self.term, self.log.last[1] + 1, body)
+        self.log.append(entry)
+        return entry
+
+    def refusal_of_write(self) -> Refusal | None:
+        """Why this member takes no write, or None when it does."""
+        if self.role == PRIMARY:
+            return None
+        if self.role == REPLICA:
+            return Refusal("not_primary", f"primary is {self.primary or 'unknown'}")
+        if self.fenced:
+            return Refusal("fenced", f"term {self.accepted_term} was accepted")
+        return Refusal("stale_term", f"term {self.accepted_term} exists")
+
+    def batch_for(self, peer: str, count: int, size: int) -> Batch | None:
+        """The next batch for ``peer``, or None when this member is not primary."""
+        follower = self._followers.get(peer)
+        if self.role != PRIMARY or follower is None:
+            return None
+        start = min(follower.next_offset, self.log.last[1])
+        return Batch(
+            self.term,
+            self.name,
+            (self.log.term_at(start) or 0, start),
+            self.log.after(start, count, size),
+            self.majority_offset,
+            dict(self.log.history),
+        )
+
+    def has_more_for(self, peer: str) -> bool:
+        """Tells whether ``peer`` lacks entries of this primary."""
+        follower = self._followers.get(peer)
+        return (
+            self.role == PRIMARY
+            and follower is not None
+            and follower.next_offset < self.log.last[1]
+        )
+
+    def acknowledge(
+        self, peer: str, batch: Batch, answer: BatchAnswer, sent_at: float
+    ) -> None:
+        """Records a replica's answer to ``batch``, which was sent at ``sent_at``."""
+        if answer.term > self.accepted_term:
+            self.accepted_term = answer.term
+        if self.role != PRIMARY or batch.term != self.term:
+            return
+        if answer.term > self.term:
+            self.role = DEPOSED
+            return
+        follower = self._followers.get(peer)
+        if follower is None:
+            return
+        if not answer.accepted:
+            follower.next_offset = min(answer.offset, batch.previous[1] - 1)
+            follower.next_offset = max(follower.next_offset, 0)
+            return
+        follower.held = max(follower.held, answer.offset)
+        follower.next_offset = max(follower.next_offset, answer.offset)
+        follower.confirmed_at = max(follower.confirmed_at, sent_at)
+
+    @property
+    def majority_offset(self) -> int:
+        """Highest offset of the primary's own term that a majority holds, or 0."""
+        if self.role != PRIMARY:
+            return 0
+        held = sorted((f.held for f in self._followers.values()), reverse=True)
+        needed = len(self.members) // 2
+        offset = held[needed - 1] if needed else self.log.last[1]
+        return offset if self.log.term_at(offset) == self.term else 0
+
+    def confirmed_at(self, now: float) -> float | None:
+        """When a majority last accepted this primary (send time), or None if never."""
+        if self.role != PRIMARY:
+            return None
+        times = sorted((f.confirmed_at for f in self._followers.values()), reverse=True)
+        needed = len(self.members) // 2
+        moment = times[needed - 1] if needed else now
+        return None if moment == float("-inf") else moment
+
+    # --- the replica's side
+
+    def replicate(self, batch: Batch) -> BatchAnswer:
+        """Stores what the primary sent and discards what its log does not have."""
+        if batch.term < self.accepted_term:
+            return BatchAnswer(False, self.accepted_term, self.log.last[1])
+        if batch.term == self.term and self.role == PRIMARY:
+            return BatchAnswer(False, self.term, self.log.last[1])
+        if batch.term != self.term or self.role != REPLICA:
+            self._adopt(batch.term, batch.primary)
+        self.primary = batch.primary
+        self._discard_superseded(batch.history)
+        previous_term, previous = batch.previous
+        held_term = self.log.term_at(previous)
+        if held_term is None:
+            return BatchAnswer(False, self.term, self.log.last[1])
+        if held_term != previous_term:
+            resume = self.log.first_of_term_at(previous) - 1
+            self.log.truncate(previous - 1)
+            return BatchAnswer(False, self.term, resume)
+        for entry in batch.entries:
+            known = self.log.term_at(entry.offset)
+            if known == entry.term:
+                continue
+            if known is not None:
+                self.log.truncate(entry.offset - 1)
+            self.log.append(entry)
+        self.log.history = dict(batch.history)
+        held = previous + len(batch.entries)
+        self.known_majority = min(batch.majority_offset, held)
+        return BatchAnswer(True, self.term, held)
+
+    def _discard_superseded(self, history: dict[int, int]) -> None:
+        for term, start in sorted(history.items()):
+            held_term = self.log.term_at(start + 1)
+            if held_term is not None and held_term < term:
+                self.log.truncate(start)
+
+    def _adopt(self, term: int, primary: str) -> None:
+        self.accepted_term = self.term = term
+        self.role, self.primary, self.fenced = REPLICA, primary, False
+        self._followers = {}
+
+    def _stale(self, term: int) -> Refusal:
+        return Refusal("stale_term", f"term {term} is older than {self.accepted_term}")
+
+
+def covers(
+    history: dict[int, int], held: tuple[int, int], wanted: tuple[int, int]
+) -> bool:
+    """Tells whether a member at ``held`` contains everything up to ``wanted``.
+
+    An offset alone is not enough: a promotion may have discarded an older term's tail.
+    """
+    if wanted[1] == 0:
+        return True
+    if held[0] == wanted[0]:
+        return held[1] >= wanted[1]
+    if held[0] < wanted[0]:
+        return False
+    ends = [start for term, start in history.items() if term > wanted[0]]
+    return (not ends or wanted[1] <= min(ends)) and held[1] >= wanted[1]
