--- a/packages/standin/src/bronzemoor_standin/announcements.py
+++ b/packages/standin/src/bronzemoor_standin/announcements.py
@@ -19,8 +19,9 @@
 class Announcer:
     """Posts the member's state to every daemon, periodically and on a change."""
 
-    def __init__(self, member: "Member") -> None:
+    def __init__(self, member: "Member", stopping: threading.Event) -> None:
         self._member = member
+        self._stopping = stopping
         self._connections: dict[str, http.client.HTTPConnection] = {}
         self._retry_at: dict[str, float] = {}
         self._changed = threading.Event()
@@ -34,11 +35,11 @@
 
     def _run(self) -> None:
         member = self._member
-        while member.running:
+        while not self._stopping.is_set():
             self._changed.wait(member.settings.announce_ms / 1000)
             self._changed.clear()
             member.faults.wait_while_frozen()
-            if member.running and not member.faults.cut_daemons:
+            if not self._stopping.is_set() and not member.faults.cut_daemons:
                 self._announce()
         for connection in self._connections.values():
             connection.close()
--- /dev/null
+++ b/packages/standin/src/bronzemoor_standin/applier.py
@@ -0,0 +1,106 @@
+"""Applies the log of a member to the data that its reads see."""
+
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+
+from bronzemoor_standin.database import Database, Step
+from bronzemoor_standin.replication import GroupLog
+
+APPLY_BATCH = 200
+
+
+class Applier:
+    """Keeps ``database`` up to date with the log, after the replica's lag.
+
+    ``lock`` protects the log. Lock order: ``busy``, ``lock``, ``database.lock``.
+    """
+
+    def __init__(
+        self,
+        log: GroupLog,
+        lock: threading.RLock,
+        database: Database,
+        lag_ms: Callable[[], float],
+    ) -> None:
+        self.database = database
+        self.busy = threading.Lock()
+        self.rebuilding = False
+        self._log = log
+        self._lock = lock
+        self._changed = threading.Condition(lock)
+        self._lag_ms = lag_ms
+        self._arrivals: deque[tuple[int, float]] = deque()
+
+    # --- with ``lock`` held
+
+    def arrived(self, offset: int) -> None:
+        """Notes that the entries up to ``offset`` are stored now."""
+        self._arrivals.append((offset, time.monotonic()))
+        self._changed.notify_all()
+
+    def check_log(self) -> None:
+        """Starts a rebuild when applied entries were discarded from the log."""
+        if not self._log.holds(*self.database.applied):
+            self.rebuilding = True
+            self._changed.notify_all()
+
+    # --- without locks
+
+    def run_once(self, timeout: float) -> None:
+        """Applies one batch, or waits up to ``timeout`` seconds for work."""
+        with self.busy:
+            worked = self.apply_some()
+        if worked:
+            return
+        with self._lock:
+            if not self.rebuilding and not self._due(self._lag_ms()):
+                self._changed.wait(self._until_due(timeout))
+
+    def apply_some(self, ignore_lag: bool = False) -> bool:
+        """Applies at most ``APPLY_BATCH`` entries; call with ``busy`` held."""
+        with self._lock:
+            self._reset_if_discarded()
+            lag = 0.0 if ignore_lag or self.rebuilding else self._lag_ms()
+            start = self.database.applied[1]
+            count = min(self._due(lag), APPLY_BATCH)
+            entries = self._log.entries[start : start + count]
+            if not entries:
+                self._finish_rebuild()
+                return False
+        steps = [Step.of(entry) for entry in entries]
+        with self._lock, self.database.lock:
+            last = entries[-1]
+            if self._log.holds(last.term, last.offset):
+                self.database.apply(steps)
+        return True
+
+    def _reset_if_discarded(self) -> None:
+        if self.rebuilding and not self._log.holds(*self.database.applied):
+            with self.database.lock:
+                self.database.reset()
+
+    def _finish_rebuild(self) -> None:
+        if self.rebuilding:
+            with self.database.lock:
+                self.rebuilding = False
+                self.database.advanced.notify_all()
+
+    def _due(self, lag_ms: float) -> int:
+        """Number of entries beyond the applied ones that may be applied now."""
+        applied, last = self.database.applied[1], self._log.last[1]
+        if lag_ms <= 0:
+            self._arrivals.clear()
+            return last - applied
+        due = applied
+        moment = time.monotonic() - lag_ms / 1000
+        while self._arrivals and self._arrivals[0][1] <= moment:
+            due = max(due, self._arrivals.popleft()[0])
+        return min(due, last) - applied
+
+    def _until_due(self, timeout: float) -> float:
+        if not self._arrivals:
+            return timeout
+        due = self._arrivals[0][1] + self._lag_ms() / 1000
+        return max(0.001, min(timeout, due - time.monotonic()))
--- a/packages/standin/src/bronzemoor_standin/database.py
+++ b/packages/standin/src/bronzemoor_standin/database.py
@@ -24,6 +24,11 @@
 ) WITHOUT ROWID
 """
 RESERVED, DONE, FAILED = "reserved", "done", "failed"
+# Errors of statements; Warning covers several statements in one text, ValueError
+# text that cannot be stored.
+DATABASE_ERRORS = (sqlite3.Error, sqlite3.Warning, OverflowError, ValueError)
+# Records are pruned at offsets divisible by this, so that all members do the same.
+PRUNE_EVERY = 256
 
 
 @dataclass(slots=True, frozen=True)
@@ -88,19 +93,37 @@
         return cls(Transaction.decode(entry.body), entry.term, entry.offset)
 
 
+@dataclass(slots=True, frozen=True)
+class Retention:
+    """How long request records are kept: ``age`` in seconds, at most ``count``.
+
+    A request that is sent again after its record was pruned runs again, so the age
+    must exceed the longest time after which callers or daemons resend. Reservations
+    without a result are pruned by age only.
+    """
+
+    age: float = 86_400.0
+    count: int = 1_000_000
+
+
 class Database:
     """Statements and request records of one sqlite3 connection.
 
     Every method that touches data must be called with ``lock`` held.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, retention: Retention | None = None) -> None:
+        self.retention = retention or Retention()
         self.lock = threading.RLock()
         self.advanced = threading.Condition(self.lock)
         self.applied = (0, 0)
         self._connection = _connect()
         self._connection.execute(_SCHEMA)
 
+    @property
+    def in_transaction(self) -> bool:
+        return self._connection.in_transaction
+
     def begin(self) -> None:
         self._connection.execute("BEGIN")
 
@@ -121,7 +144,7 @@
         self._connection.execute("RELEASE call")
 
     def run(self, statements: Iterable[Sql]) -> list[dict[str, Any]]:
-        """Runs statements; raises ``sqlite3.Error`` or ``OverflowError``."""
+        """Runs statements; raises one of ``DATABASE_ERRORS``."""
         results = []
         for statement in statements:
             cursor = self._connection.execute(statement.text, statement.params)
@@ -144,19 +167,35 @@
         ).fetchone()
         return RequestRecord(*row) if row else None
 
-    def record(self, record: RequestRecord, term: int, offset: int) -> None:
+    def record(self, step: Step) -> None:
+        """Records the request of ``step``, if any, and prunes old records."""
+        record = step.transaction.record
+        if record is not None:
+            self._connection.execute(
+                "REPLACE INTO request_records VALUES (?, ?, ?, ?, ?, ?, ?, ?)",
+                (
+                    record.request_id,
+                    record.digest,
+                    record.reservation,
+                    record.state,
+                    record.payload,
+                    step.term,
+                    step.offset,
+                    record.recorded_at,
+                ),
+            )
+            if step.offset % PRUNE_EVERY == 0:
+                self._prune(record.recorded_at)
+
+    def _prune(self, now: float) -> None:
+        self._connection.execute(
+            "DELETE FROM request_records WHERE recorded_at < ?",
+            (now - self.retention.age,),
+        )
         self._connection.execute(
-            "INSERT OR REPLACE INTO request_records VALUES (?, ?, ?, ?, ?, ?, ?, ?)",
-            (
-                record.request_id,
-                record.digest,
-                record.reservation,
-                record.state,
-                record.payload,
-                term,
-                offset,
-                record.recorded_at,
-            ),
+            "DELETE FROM request_records WHERE state <> ? AND offset <= ("
+            "SELECT offset FROM request_records ORDER BY offset DESC LIMIT 1 OFFSET ?)",
+            (RESERVED, self.retention.count),
         )
 
     def apply(self, steps: Iterable[Step]) -> None:
@@ -166,8 +205,7 @@
         try:
             for step in steps:
                 self.run(step.transaction.statements)
-                if step.transaction.record is not None:
-                    self.record(step.transaction.record, step.term, step.offset)
+                self.record(step)
                 applied = (step.term, step.offset)
         except BaseException:
             self.rollback()
--- /dev/null
+++ b/packages/standin/src/bronzemoor_standin/execution.py
@@ -0,0 +1,310 @@
+"""Statements, transactions and request ids of one connection."""
+
+import threading
+import time
+import uuid
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager
+from dataclasses import dataclass, replace
+from typing import Any
+
+from bronzemoor_standin.database import (
+    DATABASE_ERRORS,
+    DONE,
+    FAILED,
+    RESERVED,
+    RequestRecord,
+)
+from bronzemoor_standin.gen.endpoint import ttypes
+from bronzemoor_standin.ledger import Ledger, Position, Refused, Write
+from bronzemoor_standin.statements import Sql, decode, encode_results, writes
+
+# Longest wait of a lookup for the majority when the call does not say.
+LOOKUP_WAIT_MS = 1000
+
+
+class StatementFailed(Exception):
+    """Statements ran, failed and were rolled back; ``position`` if that is recorded."""
+
+    def __init__(
+        self, message: str, position: Position | None = None, repeated: bool = False
+    ) -> None:
+        super().__init__(message)
+        self.position = position
+        self.repeated = repeated
+
+
+@dataclass(slots=True)
+class Result:
+    """Outcome of a call that succeeded; no position means the applied one."""
+
+    position: Position | None = None
+    payload: bytes = b""
+    repeated: bool = False
+
+
+@dataclass(slots=True)
+class OpenTransaction:
+    """A transaction of one connection; ``write`` is set from its first write on."""
+
+    transaction_id: str
+    write: Write | None = None
+
+
+class RequestsInProgress:
+    """Ids of the requests that are being carried out by one member."""
+
+    def __init__(self) -> None:
+        self._counts: dict[str, int] = {}
+        self._lock = threading.Lock()
+
+    def __contains__(self, request_id: str) -> bool:
+        return request_id in self._counts
+
+    @contextmanager
+    def track(self, request_id: str) -> Iterator[None]:
+        if not request_id:
+            yield
+            return
+        with self._lock:
+            self._counts[request_id] = self._counts.get(request_id, 0) + 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._counts[request_id] -= 1
+                if not self._counts[request_id]:
+                    del self._counts[request_id]
+
+
+class Execution:
+    """Carries out the calls of one connection; at most one transaction is open.
+
+    Calls raise ``Refused``, ``InvalidStatement``, ``StatementFailed`` or one of
+    ``DATABASE_ERRORS``. ``slot(deadline)`` holds a statement slot of the member.
+    """
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        slot: Callable[[float], AbstractContextManager[None]],
+        in_progress: RequestsInProgress,
+        deadline_ms: float,
+        max_payload: int,
+    ) -> None:
+        self._ledger = ledger
+        self._slot = slot
+        self._in_progress = in_progress
+        self._deadline_ms = deadline_ms
+        self._max_payload = max_payload
+        self.transaction: OpenTransaction | None = None
+
+    # --- statements
+
+    def execute(self, call: ttypes.Execute) -> Result:
+        deadline = self._deadline(call.deadline_ms)
+        statements = decode(call.statements)
+        writing = [s for s in statements if writes(s.text)]
+        if call.read_only and writing:
+            raise Refused("read_only", "a writing statement in a read-only call")
+        if call.transaction_id:
+            return self._in_transaction(call, statements, writing, deadline)
+        if writing or call.recorded or call.reservation:
+            with self._in_progress.track(call.request_id):
+                return self._write(call, statements, writing, deadline)
+        return self._read(call, statements, deadline)
+
+    def _read(
+        self, call: ttypes.Execute, statements: list[Sql], deadline: float
+    ) -> Result:
+        with self._slot(deadline):
+            results, position = self._ledger.read(
+                statements, position_of(call.min_position), call.wait_ms / 1000
+            )
+        return Result(position, self._encode(results))
+
+    def _write(
+        self,
+        call: ttypes.Execute,
+        statements: list[Sql],
+        writing: list[Sql],
+        deadline: float,
+    ) -> Result:
+        self._ledger.require(position_of(call.min_position), call.wait_ms / 1000)
+        write = self._ledger.open_write(deadline - time.monotonic())
+        try:
+            known = write.find(call.request_id) if call.request_id else None
+            if known is not None and known.state != RESERVED:
+                return _recorded(call, known)
+            _check_reservation(call, known)
+            record = None
+            if call.recorded or call.reservation:
+                record = _new_record(call, call.reservation or "", DONE)
+            with self._slot(deadline):
+                try:
+                    payload = self._encode(write.run(statements, writing))
+                except DATABASE_ERRORS as error:
+                    raise _failure(write, record, str(error)) from error
+            if record is not None:
+                record = replace(record, payload=payload)
+            return Result(write.commit(record), payload)
+        finally:
+            write.rollback()
+
+    def _in_transaction(
+        self,
+        call: ttypes.Execute,
+        statements: list[Sql],
+        writing: list[Sql],
+        deadline: float,
+    ) -> Result:
+        transaction = self._find(call.transaction_id)
+        if transaction.write is None and writing:
+            # The lock is taken before the slot: its holder needs a slot to finish.
+            timeout = deadline - time.monotonic()
+            transaction.write = self._ledger.open_write(timeout)
+        if transaction.write is None:
+            return self._read(call, statements, deadline)
+        with self._slot(deadline):
+            return Result(
+                payload=self._encode(transaction.write.run(statements, writing))
+            )
+
+    def _encode(self, results: list[dict[str, Any]]) -> bytes:
+        payload = encode_results(results)
+        if len(payload) > self._max_payload:
+            raise ValueError(f"the result exceeds {self._max_payload} bytes")
+        return payload
+
+    # --- transactions
+
+    def begin(self, call: ttypes.TransactionCall) -> Result:
+        if self.transaction is not None:
+            raise Refused("transaction_open", self.transaction.transaction_id)
+        self._ledger.require(position_of(call.min_position), call.wait_ms / 1000)
+        self.transaction = OpenTransaction(call.transaction_id or uuid.uuid4().hex)
+        return Result()
+
+    def commit(self, call: ttypes.TransactionCall) -> Result:
+        """Commits; a known request id rolls back and returns the recorded result."""
+        transaction = self._find(call.transaction_id)
+        try:
+            with self._in_progress.track(call.request_id):
+                if transaction.write is None and call.recorded:
+                    timeout = self._deadline(0) - time.monotonic()
+                    transaction.write = self._ledger.open_write(timeout)
+                if transaction.write is None:
+                    return Result(payload=b"[]")
+                return self._commit(call, transaction.write)
+        finally:
+            self.end_transaction()
+
+    def _commit(self, call: ttypes.TransactionCall, write: Write) -> Result:
+        record = None
+        if call.recorded:
+            known = write.find(call.request_id)
+            if known is not None:
+                return _recorded(call, known)
+            record = replace(_new_record(call, "", DONE), payload=b"[]")
+        return Result(write.commit(record), b"[]")
+
+    def rollback(self, call: ttypes.TransactionCall) -> Result:
+        self._find(call.transaction_id)
+        self.end_transaction()
+        return Result()
+
+    def end_transaction(self) -> None:
+        """Rolls back what is open."""
+        transaction, self.transaction = self.transaction, None
+        if transaction is not None and transaction.write is not None:
+            transaction.write.rollback()
+
+    def _find(self, transaction_id: str) -> OpenTransaction:
+        transaction = self.transaction
+        if transaction is None or transaction.transaction_id != transaction_id:
+            raise Refused("unknown_transaction", transaction_id)
+        if transaction.write is not None and not transaction.write.open:
+            self.end_transaction()
+            raise Refused("unknown_transaction", "rolled back by an error")
+        return transaction
+
+    # --- request ids
+
+    def reserve(self, call: ttypes.Reserve) -> Result:
+        with self._in_progress.track(call.request_id):
+            write = self._ledger.open_write(self._deadline(0) - time.monotonic())
+            try:
+                known = write.find(call.request_id)
+                if known is None:
+                    record = _new_record(call, call.reservation, RESERVED)
+                    return Result(write.commit(record))
+            finally:
+                write.rollback()
+        same_holder = known.reservation == call.reservation
+        if known.state == RESERVED and known.digest == call.digest and same_holder:
+            return Result((known.term, known.offset))
+        return _recorded(call, known)
+
+    def lookup(self, call: ttypes.Query) -> Result:
+        """Finds a request; says ``unknown_request`` only as a confirmed primary."""
+        # In this order: a request that ends in between is found in the table.
+        running = call.request_id in self._in_progress
+        known = self._ledger.find(call.request_id)
+        if known is not None and not (running and known.state == RESERVED):
+            return _recorded(call, known)
+        if running:
+            raise Refused("in_progress", call.request_id)
+        self._ledger.confirm_term((call.wait_ms or LOOKUP_WAIT_MS) / 1000)
+        raise Refused("unknown_request", call.request_id)
+
+    def _deadline(self, deadline_ms: int) -> float:
+        return time.monotonic() + (deadline_ms or self._deadline_ms) / 1000
+
+
+def position_of(position: ttypes.Position | None) -> Position:
+    """(term, offset) of an optional position; (0, 0) when it is missing."""
+    return (position.term, position.offset) if position is not None else (0, 0)
+
+
+def _new_record(call: Any, reservation: str, state: str) -> RequestRecord:
+    return RequestRecord(
+        call.request_id,
+        call.digest or "",
+        reservation,
+        state,
+        b"",
+        recorded_at=time.time(),
+    )
+
+
+def _recorded(call: Any, known: RequestRecord) -> Result:
+    """The recorded result of a request; raises what else the record means."""
+    if known.digest != (call.digest or ""):
+        raise Refused("request_id_reused", call.request_id)
+    position = (known.term, known.offset)
+    if known.state == RESERVED:
+        raise Refused("reserved", known.reservation)
+    if known.state == FAILED:
+        raise StatementFailed(known.payload.decode(), position, repeated=True)
+    return Result(position, known.payload, repeated=True)
+
+
+def _failure(
+    write: Write, record: RequestRecord | None, message: str
+) -> StatementFailed:
+    """Ends a failed write; a reserved request must not run later by a late copy."""
+    if record is None or not record.reservation or not write.open:
+        return StatementFailed(message)
+    failed = replace(record, state=FAILED, payload=message.encode())
+    return StatementFailed(message, write.commit(failed))
+
+
+def _check_reservation(call: ttypes.Execute, known: RequestRecord | None) -> None:
+    if known is None:
+        if call.reservation:
+            raise Refused("not_reserved", call.request_id)
+        return
+    if known.digest != (call.digest or ""):
+        raise Refused("request_id_reused", call.request_id)
+    if known.reservation != call.reservation:
+        raise Refused("reserved", known.reservation)
--- a/packages/standin/src/bronzemoor_standin/faults.py
+++ b/packages/standin/src/bronzemoor_standin/faults.py
@@ -1,27 +1,130 @@
-"""Fault switches of one member."""
+"""Fault switches of one member, settable while it runs."""
 
+import random
 import threading
+import time
+from dataclasses import dataclass, field, fields
+from typing import Any
+
+
+class InvalidFault(Exception):
+    """A switch has an unknown name or a value of the wrong type."""
+
+
+@dataclass(slots=True)
+class Switches:
+    """Values of the switches; times in milliseconds, rates between 0 and 1.
+
+    The switches on answers affect connections of daemons only.
+    """
+
+    # No call from or to other members gets through.
+    cut_peers: bool = False
+    # No call from daemons and no announcement gets through.
+    cut_daemons: bool = False
+    # Nothing happens at all until the switch is reset.
+    frozen: bool = False
+    # Writing fails; a replica stores nothing more.
+    disk_full: bool = False
+    # Time each statement call takes, in addition to its real time.
+    statement_ms: float = 0.0
+    # Age at which a replica applies an entry that it holds.
+    lag_ms: float = 0.0
+    # One-way delay of each call: from daemons, from members, from daemons by name.
+    one_way_ms: float = 0.0
+    peer_one_way_ms: float = 0.0
+    client_one_way_ms: dict[str, float] = field(default_factory=dict)
+    # Rates of answers that are lost, delayed, sent twice, sent just before the next
+    # answer of the connection, or just after it.
+    drop_rate: float = 0.0
+    delay_rate: float = 0.0
+    delay_ms: float = 0.0
+    duplicate_rate: float = 0.0
+    late_rate: float = 0.0
+    reorder_rate: float = 0.0
+    # Number of answers yet to be affected; negative means no limit.
+    answers_left: int = -1
+    # Calls whose answers are affected; none means all.
+    only_calls: list[str] = field(default_factory=list)
+
+
+_KINDS = {f.name: f.type for f in fields(Switches)}
+_ANSWER_FAULTS = ("drop", "delay", "duplicate", "late", "reorder")
 
 
 class Faults:
-    """Switches that can be set while the member runs; times are in milliseconds."""
+    """The switches of one member; each can be read and set as an attribute."""
 
-    def __init__(self) -> None:
-        self.cut_peers = False
-        self.cut_daemons = False
+    def __init__(self, seed: int = 0, **values: Any) -> None:
+        self._switches = Switches(**values)
+        self._random = random.Random(seed)
+        self._lock = threading.Lock()
         self._running = threading.Event()
         self._running.set()
+        self.silenced_at = float("-inf")
 
-    @property
-    def frozen(self) -> bool:
-        return not self._running.is_set()
+    def __getattr__(self, name: str) -> Any:
+        if name.startswith("_"):
+            raise AttributeError(name)
+        return getattr(self._switches, name)
 
-    @frozen.setter
-    def frozen(self, value: bool) -> None:
-        if value:
+    def __setattr__(self, name: str, value: Any) -> None:
+        if name in _KINDS:
+            self.set({name: value})
+        else:
+            super().__setattr__(name, value)
+
+    def set(self, values: dict[str, Any]) -> None:
+        """Sets several switches; raises ``InvalidFault`` and then sets none."""
+        problems = [p for n, v in values.items() if (p := _problem_of(n, v))]
+        if problems:
+            raise InvalidFault("; ".join(problems))
+        with self._lock:
+            for name, value in values.items():
+                setattr(self._switches, name, value)
+        if self._switches.frozen:
             self._running.clear()
         else:
             self._running.set()
 
+    def values(self) -> dict[str, Any]:
+        return {name: getattr(self._switches, name) for name in _KINDS}
+
+    def clear(self) -> None:
+        """Resets all switches and ends the silence of old connections."""
+        self.set({name: getattr(Switches(), name) for name in _KINDS})
+        self.silenced_at = float("-inf")
+
+    def silence(self) -> None:
+        """Ignores every call on the daemons' connections that are open now."""
+        self.silenced_at = time.monotonic()
+
     def wait_while_frozen(self) -> None:
         self._running.wait()
+
+    def answer_fault(self, call: str) -> str:
+        """Draws what happens to the answer of ``call``; empty for nothing."""
+        switches = self._switches
+        for kind in _ANSWER_FAULTS:
+            rate = getattr(switches, f"{kind}_rate")
+            if rate <= 0 or (switches.only_calls and call not in switches.only_calls):
+                continue
+            with self._lock:
+                if switches.answers_left == 0 or self._random.random() >= rate:
+                    continue
+                if switches.answers_left > 0:
+                    switches.answers_left -= 1
+            return kind
+        return ""
+
+
+def _problem_of(name: str, value: Any) -> str:
+    kind = _KINDS.get(name)
+    if kind is None:
+        return f"unknown switch {name}"
+    kind = getattr(kind, "__origin__", kind)
+    assert isinstance(kind, type)
+    number = kind is float and isinstance(value, int) and not isinstance(value, bool)
+    if isinstance(value, kind) and not (kind is int and isinstance(value, bool)):
+        return ""
+    return "" if number else f"{name} must be {kind.__name__}"
--- a/packages/standin/src/bronzemoor_standin/ledger.py
+++ b/packages/standin/src/bronzemoor_standin/ledger.py
@@ -1,15 +1,22 @@
-"""The log and the data of one member: reads, writes, orders and replication.
-
-Lock order: ``apply_lock``, ``lock`` (terms and log), ``committed.lock`` (data).
-"""
+"""The log and the data of one member: reads, writes, orders and replication."""
 
 import sqlite3
 import threading
 import time
-from collections import deque
+from dataclasses import replace
 from typing import Any
 
-from bronzemoor_standin.database import Database, RequestRecord, Step, Transaction
+from bronzemoor_standin.applier import Applier
+from bronzemoor_standin.database import (
+    DATABASE_ERRORS,
+    Database,
+    RequestRecord,
+    Retention,
+    Step,
+    Transaction,
+)
+from bronzemoor_standin.faults import Faults
+from bronzemoor_standin.journal import Journal
 from bronzemoor_standin.replication import (
     PRIMARY,
     Batch,
@@ -20,18 +27,17 @@
 )
 from bronzemoor_standin.statements import Sql
 
-APPLY_BATCH = 200
 Position = tuple[int, int]
+_DISK_FULL = "database or disk is full"
 
 
 class Refused(Exception):
     """The call was refused before anything ran."""
 
-    def __init__(self, code: str, message: str, payload: bytes = b"") -> None:
+    def __init__(self, code: str, message: str) -> None:
         super().__init__(message)
         self.code = code
         self.message = message
-        self.payload = payload
 
 
 class Writer:
@@ -40,7 +46,7 @@
     def __init__(self, term: int, source: Database) -> None:
         self.term = term
         self.lock = threading.Lock()
-        self.database = Database()
+        self.database = Database(source.retention)
         self.database.copy_from(source)
 
 
@@ -48,10 +54,10 @@
     """A write transaction; holds the writer's lock until ``commit`` or ``rollback``."""
 
     def __init__(self, ledger: "Ledger", writer: Writer) -> None:
+        self.open = True
         self._ledger = ledger
         self._writer = writer
         self._statements: list[Sql] = []
-        self._open = True
         writer.database.begin()
 
     def find(self, request_id: str) -> RequestRecord | None:
@@ -62,9 +68,15 @@
         database = self._writer.database
         database.savepoint()
         try:
+            if writing and self._ledger.faults.disk_full:
+                raise sqlite3.OperationalError(_DISK_FULL)
             results = database.run(statements)
-        except (sqlite3.Error, OverflowError):
-            database.release(keep=False)
+        except DATABASE_ERRORS:
+            # Some errors make sqlite3 roll the whole transaction back by itself.
+            if database.in_transaction:
+                database.release(keep=False)
+            else:
+                self.rollback()
             raise
         database.release(keep=True)
         self._statements += writing
@@ -80,8 +92,8 @@
             self.rollback()
 
     def rollback(self) -> None:
-        if self._open:
-            self._open = False
+        if self.open:
+            self.open = False
             self._writer.database.rollback()
             self._writer.lock.release()
 
@@ -89,19 +101,35 @@
 class Ledger:
     """Log, committed data and, on a primary, the writer of one member."""
 
-    def __init__(self, name: str, members: tuple[str, ...]) -> None:
-        self.apply_lock = threading.Lock()
+    def __init__(
+        self,
+        name: str,
+        members: tuple[str, ...],
+        faults: Faults,
+        retention: Retention,
+        journal: Journal | None = None,
+    ) -> None:
+        self.faults = faults
         self.lock = threading.RLock()
         self.log_changed = threading.Condition(self.lock)
         self.majority_changed = threading.Condition(self.lock)
         self.state = ReplicationState(name, members)
-        self.committed = Database()
-        self.lag_ms = 0.0
+        self.committed = Database(retention)
         self.schema: list[Sql] = []
         self.heard_at = float("-inf")
+        # Send time that a replication round must have to answer a waiting lookup.
+        self.round_wanted_at = float("-inf")
+        self._journal = journal
+        if journal is not None:
+            journal.load(self.state)
         self._writer: Writer | None = None
-        self._arrivals: deque[tuple[int, float]] = deque()
-        self._rebuilding = False
+        self.applier = Applier(
+            self.state.log, self.lock, self.committed, lambda: self.faults.lag_ms
+        )
+
+    def _persist(self) -> None:
+        if self._journal is not None:
+            self._journal.sync(self.state)
 
     # --- reads
 
@@ -115,20 +143,30 @@
             return database.run(statements), database.applied
 
     def require(self, wanted: Position, wait: float) -> None:
-        """Raises ``Refused`` (``behind``) unless ``wanted`` is reached in time."""
-        database = self.committed
+        """Raises ``Refused`` unless ``wanted`` is reached within ``wait`` seconds."""
+        state, database = self.state, self.committed
+        with self.lock:
+            refusal = state.refusal_of_read()
+        if refusal is not None:
+            raise Refused(refusal.code, refusal.message)
 
         def reached() -> bool:
-            return not self._rebuilding and covers(
-                self.state.log.history, database.applied, wanted
+            return not self.applier.rebuilding and covers(
+                state.log.history, database.applied, wanted
             )
 
         with database.lock:
             if not reached() and not database.wait_for(reached, wait):
-                if self._rebuilding:
+                if self.applier.rebuilding:
                     raise Refused("rebuilding", "discarded entries are being undone")
                 raise Refused("behind", f"at {database.applied}, wanted {wanted}")
 
+    def find(self, request_id: str) -> RequestRecord | None:
+        """The committed record of ``request_id``; raises ``Refused`` on a replica."""
+        with self.lock, self.committed.lock:
+            self._require_writer()
+            return self.committed.find(request_id)
+
     # --- writes
 
     def open_write(self, timeout: float) -> Write:
@@ -150,14 +188,22 @@
             if self._require_writer() is not writer:
                 raise Refused("stale_term", f"term {writer.term} is over")
             term, offset = self.state.term, self.state.log.last[1] + 1
-            if transaction.record is not None:
-                writer.database.record(transaction.record, term, offset)
-            writer.database.commit()
+            step = Step(transaction, term, offset)
+            writer.database.record(step)
             self.state.append(body)
+            try:
+                if self.faults.disk_full:
+                    raise sqlite3.OperationalError(_DISK_FULL)
+                self._persist()
+            except sqlite3.Error:
+                self.state.log.truncate(offset - 1)
+                raise
+            writer.database.commit()
             with self.committed.lock:
-                self.committed.apply([Step(transaction, term, offset)])
+                self.committed.apply([step])
             self.log_changed.notify_all()
-            self._note_majority()
+            if len(self.state.members) == 1:
+                self.majority_changed.notify_all()
             return (term, offset)
 
     def _require_writer(self) -> Writer:
@@ -171,18 +217,38 @@
 
     def confirm(self, position: Position, wait: float) -> None:
         """Waits until a majority holds ``position``; raises ``Refused`` otherwise."""
+        term, offset = position
+
+        def held() -> bool:
+            if offset and not self.state.log.holds(term, offset):
+                raise Refused("position_discarded", f"{position} is not in the log")
+            return self.state.majority_offset >= max(offset, 1)
+
+        self._wait_for_majority(held, wait)
+
+    def confirm_term(self, wait: float) -> None:
+        """Waits until a majority accepts this primary in a round sent from now on."""
+        since = time.monotonic()
+
+        def confirmed() -> bool:
+            moment = self.state.confirmed_at(time.monotonic())
+            return moment is not None and moment >= since
+
+        with self.lock:
+            self.round_wanted_at = since
+            self.log_changed.notify_all()
+        self._wait_for_majority(confirmed, wait)
+
+    def _wait_for_majority(self, condition: Any, wait: float) -> None:
         until = time.monotonic() + wait
         with self.lock:
             while True:
                 self._require_writer()
-                term, offset = position
-                if offset and not self.state.log.holds(term, offset):
-                    raise Refused("position_discarded", f"{position} is not in the log")
-                if self.state.majority_offset >= max(offset, 1):
+                if condition():
                     return
                 left = until - time.monotonic()
                 if left <= 0:
-                    raise Refused("not_confirmed", "no majority holds the position yet")
+                    raise Refused("not_confirmed", "no majority answered in time")
                 self.majority_changed.wait(left)
 
     def acknowledge(
@@ -193,17 +259,16 @@
             role = self.state.role
             self.state.acknowledge(peer, batch, answer, sent_at)
             if self.state.role != role:
+                self._persist()
                 self._role_changed()
-            self._note_majority()
-
-    def _note_majority(self) -> None:
-        self.majority_changed.notify_all()
+            self.majority_changed.notify_all()
 
     # --- orders
 
     def fence(self, term: int) -> Refusal | None:
         with self.lock:
             refusal = self.state.fence(term)
+            self._persist()
             self._role_changed()
             return refusal
 
@@ -212,19 +277,18 @@
     ) -> Refusal | None:
         """Applies what the log holds and starts the writer of the new term."""
         body = Transaction(self.schema if start_offset == 0 else []).encode()
-        with self.apply_lock, self.lock:
+        with self.applier.busy, self.lock:
             refusal = self.state.promote(term, start_offset, members, body)
-            if refusal is not None or self._writer_of(term):
+            writer = self._writer
+            if refusal is not None or (writer is not None and writer.term == term):
                 return refusal
-            while self._apply_some(ignore_lag=True):
+            self._persist()
+            while self.applier.apply_some(ignore_lag=True):
                 pass
             self._writer = Writer(term, self.committed)
             self._role_changed()
             return None
 
-    def _writer_of(self, term: int) -> bool:
-        return self._writer is not None and self._writer.term == term
-
     def follow(
         self, term: int, primary: str, start_offset: int, members: tuple[str, ...]
     ) -> Refusal | None:
@@ -232,10 +296,17 @@
             refusal = self.state.follow(term, primary, start_offset, members)
             if refusal is None:
                 self.heard_at = time.monotonic()
-            self._log_replaced()
+            self._persist()
+            self.applier.check_log()
             self._role_changed()
             return refusal
 
+    def step_down(self) -> None:
+        """Gives up the role of primary, as a restart does; the term is kept."""
+        with self.lock:
+            self.state.step_down()
+            self._role_changed()
+
     def _role_changed(self) -> None:
         if self.state.role != PRIMARY:
             self._writer = None
@@ -245,74 +316,18 @@
     # --- replication
 
     def replicate(self, batch: Batch) -> BatchAnswer:
-        """Stores a batch; the applier thread applies it after the replica's lag."""
+        """Stores a batch; the applier applies it after the replica's lag."""
+        if self.faults.disk_full:
+            batch = replace(batch, entries=[])
         with self.lock:
             role = self.state.role
             answer = self.state.replicate(batch)
+            self._persist()
             if answer.term == batch.term:
                 self.heard_at = time.monotonic()
-            self._log_replaced()
+            self.applier.check_log()
             if batch.entries and answer.accepted:
-                self._arrivals.append((answer.offset, time.monotonic()))
-                self.log_changed.notify_all()
+                self.applier.arrived(answer.offset)
             if self.state.role != role:
                 self._role_changed()
             return answer
-
-    def _log_replaced(self) -> None:
-        """Starts a rebuild when applied entries were discarded from the log."""
-        term, offset = self.committed.applied
-        if not self.state.log.holds(term, offset):
-            self._rebuilding = True
-            self.log_changed.notify_all()
-
-    def apply_pending(self, timeout: float) -> None:
-        """One round of the applier thread; waits up to ``timeout`` s for work."""
-        with self.apply_lock:
-            worked = self._apply_some()
-        if not worked:
-            with self.lock:
-                if not self._steps_due(False) and not self._rebuilding:
-                    self.log_changed.wait(self._until_due(timeout))
-
-    def _apply_some(self, ignore_lag: bool = False) -> bool:
-        with self.lock:
-            if self._rebuilding and not self.state.log.holds(*self.committed.applied):
-                with self.committed.lock:
-                    self.committed.reset()
-            count = self._steps_due(ignore_lag or self._rebuilding)
-            start = self.committed.applied[1]
-            entries = self.state.log.entries[start : start + min(count, APPLY_BATCH)]
-            if not entries:
-                self._finish_rebuild()
-                return False
-        steps = [Step.of(entry) for entry in entries]
-        with self.lock, self.committed.lock:
-            last = entries[-1]
-            if self.state.log.holds(last.term, last.offset):
-                self.committed.apply(steps)
-        return True
-
-    def _finish_rebuild(self) -> None:
-        if self._rebuilding:
-            with self.committed.lock:
-                self._rebuilding = False
-                self.committed.advanced.notify_all()
-
-    def _steps_due(self, ignore_lag: bool) -> int:
-        """Number of entries beyond the applied ones that may be applied now."""
-        applied = self.committed.applied[1]
-        if ignore_lag or self.lag_ms <= 0:
-            self._arrivals.clear()
-            return self.state.log.last[1] - applied
-        due = applied
-        moment = time.monotonic() - self.lag_ms / 1000
-        while self._arrivals and self._arrivals[0][1] <= moment:
-            due = max(due, self._arrivals.popleft()[0])
-        return min(due, self.state.log.last[1]) - applied
-
-    def _until_due(self, timeout: float) -> float:
-        if not self._arrivals:
-            return timeout
-        due = self._arrivals[0][1] + self.lag_ms / 1000
-        return max(0.0, min(timeout, due - time.monotonic()))
--- a/packages/standin/src/bronzemoor_standin/member.py
+++ b/packages/standin/src/bronzemoor_standin/member.py
@@ -1,43 +1,77 @@
 """One member of a database group: settings, ledger, server and threads."""
 
-import contextlib
 import threading
 import time
-import uuid
 from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from thrift.Thrift import TException
 
 from bronzemoor_standin.announcements import Announcer
+from bronzemoor_standin.caller import EndpointClient
+from bronzemoor_standin.control import ControlServer
+from bronzemoor_standin.database import Retention
+from bronzemoor_standin.execution import RequestsInProgress
 from bronzemoor_standin.faults import Faults
 from bronzemoor_standin.gen.endpoint import ttypes
+from bronzemoor_standin.journal import Journal
 from bronzemoor_standin.ledger import Ledger, Refused
-from bronzemoor_standin.peers import EndpointClient, Replicator
+from bronzemoor_standin.peers import Replicator
 from bronzemoor_standin.replication import PRIMARY, REPLICA
+from bronzemoor_standin.schemas import load_schema
 from bronzemoor_standin.server import Connection, Server
 from bronzemoor_standin.service import Session
 from bronzemoor_standin.settings import MemberSettings
 
 BOOTSTRAP_TERM = 1
+BOOTSTRAP_RETRY_S = 0.05
+APPLY_WAIT_S = 0.5
+
+
+class ConnectionCap:
+    """Counts the daemons' connections up to a limit."""
+
+    def __init__(self, limit: int) -> None:
+        self._left = limit
+        self._lock = threading.Lock()
+
+    def acquire(self) -> bool:
+        """Takes one connection; false when the limit is reached."""
+        with self._lock:
+            if self._left <= 0:
+                return False
+            self._left -= 1
+            return True
+
+    def release(self) -> None:
+        with self._lock:
+            self._left += 1
 
 
 class Member:
     """A database endpoint that can be embedded in a process.
 
     The port is bound at construction, so that ``address`` is known before ``start``.
-    ``stop`` and ``kill`` keep log and data; a later ``start`` resumes with them.
+    ``stop`` and ``kill`` keep log and data in memory, as a disk would; a later
+    ``start`` resumes with them as a replica.
     """
 
     def __init__(self, settings: MemberSettings) -> None:
         self.settings = settings
-        self.faults = Faults()
-        self.leaving = False
-        self.running = False
-        self.incarnation = 0
+        self.faults = Faults(
+            statement_ms=settings.statement_ms,
+            lag_ms=settings.lag_ms,
+            one_way_ms=settings.one_way_ms,
+            peer_one_way_ms=settings.peer_one_way_ms,
+        )
         names = tuple(settings.members) or (settings.member,)
-        self.ledger = Ledger(settings.member, names)
-        self.ledger.lag_ms = settings.lag_ms
+        retention = Retention(settings.request_age_s, settings.request_count)
+        journal = Journal(settings.file) if settings.file else None
+        self.ledger = Ledger(settings.member, names, self.faults, retention, journal)
+        self.ledger.schema = load_schema(settings.schema)
+        self.ledger.state.catching_up = settings.rejoin
+        self.incarnation = 0
         self.addresses = dict(settings.members)
         self._server = Server(
             settings.host,
@@ -47,10 +81,16 @@
             settings.max_message_bytes,
         )
         self.addresses[settings.member] = self.address
-        self._connections = 0
-        self._lock = threading.Lock()
+        self.control: ControlServer | None = None
+        self.in_progress = RequestsInProgress()
+        self.cap = ConnectionCap(settings.connections)
         self._slots = threading.Semaphore(settings.slots)
-        self._announcer = Announcer(self)
+        self._active = 0
+        self._lock = threading.Lock()
+        self._leaving_at: float | None = None
+        self._stopping = threading.Event()
+        self._stopping.set()
+        self._announcer = Announcer(self, self._stopping)
         self._replicators: dict[str, Replicator] = {}
 
     @property
@@ -62,99 +102,134 @@
     def role(self) -> str:
         return self.ledger.state.role
 
+    @property
+    def running(self) -> bool:
+        return not self._stopping.is_set()
+
+    @property
+    def leaving(self) -> bool:
+        return self._leaving_at is not None
+
+    @property
+    def turns_away(self) -> bool:
+        """Whether the member has been leaving for so long that it refuses new work."""
+        if self._leaving_at is None:
+            return False
+        waited = time.monotonic() - self._leaving_at
+        return waited >= self.settings.leave_after_ms / 1000
+
     # --- life cycle
 
     def start(self) -> None:
         """Starts serving; returns at once."""
-        self.running = True
-        self.leaving = False
-        self.incarnation = int(time.time() * 1000)
-        self._connections = 0
+        self.faults.frozen = False
+        self._leaving_at = None
+        self._stopping = threading.Event()
+        self.incarnation = max(int(time.time() * 1000), self.incarnation + 1)
+        self.cap = ConnectionCap(self.settings.connections)
         self._replicators = {}
+        self._announcer = Announcer(self, self._stopping)
         self._server.start()
-        threading.Thread(target=self._apply, name="apply", daemon=True).start()
+        self._spawn(self._apply)
         self._start_replicators()
-        self._announcer = Announcer(self)
         self._announcer.start()
+        if self.settings.control_port >= 0 and self.control is None:
+            self.control = ControlServer(self, self.settings.control_port)
+            self.control.start()
         if self.settings.bootstrap_primary == self.settings.member:
-            threading.Thread(
-                target=self._bootstrap, name="bootstrap", daemon=True
-            ).start()
+            self._spawn(self._bootstrap)
         self.announce_now()
 
     def stop(self) -> None:
-        """Stops serving and closes every connection."""
-        self.running = False
-        self._server.stop()
-        with self.ledger.lock:
-            self.ledger.log_changed.notify_all()
+        """Stops accepting, finishes the calls in progress and stops."""
+        self._server.stop_accepting()
+        until = time.monotonic() + self.settings.stop_ms / 1000
+        while self._active and not self.faults.frozen and time.monotonic() < until:
+            time.sleep(0.002)
+        self.kill()
 
     def kill(self) -> None:
         """Stops as a crash does: nothing is announced and nothing is finished."""
-        self.stop()
+        self._stopping.set()
+        self.ledger.step_down()
+        self._server.stop_accepting()
+        self._server.close_connections()
+        self._announcer.announce_now()
+        if self.control is not None:
+            self.control.stop()
+            self.control = None
 
     def leave(self) -> None:
-        """Announces that the member is leaving."""
-        self.leaving = True
+        """Announces that the member is leaving; new work is refused a while later."""
+        if self._leaving_at is None:
+            self._leaving_at = time.monotonic()
         self.announce_now()
 
-    def _bootstrap(self) -> None:
-        """Becomes primary of the first term unless the group already has a term."""
-        for name, address in self.addresses.items():
-            if name != self.settings.member and _term_of(address) > 0:
-                return
-        if self.ledger.state.accepted_term == 0:
-            self.ledger.promote(BOOTSTRAP_TERM, 0, tuple(self.addresses))
-            self.announce_now()
+    def _spawn(self, target: Any) -> None:
+        threading.Thread(
+            target=target, args=(self._stopping,), name=target.__name__, daemon=True
+        ).start()
 
-    def _apply(self) -> None:
-        while self.running:
+    def _apply(self, stopping: threading.Event) -> None:
+        while not stopping.is_set():
             self.faults.wait_while_frozen()
-            self.ledger.apply_pending(0.05)
+            self.ledger.applier.run_once(APPLY_WAIT_S)
+
+    def _bootstrap(self, stopping: threading.Event) -> None:
+        """Becomes primary of the first term once a majority says that it has none.
+
+        A restarted member that lost its log must not start the first term again.
+        """
+        others = [a for n, a in self.addresses.items() if n != self.settings.member]
+        while not stopping.is_set() and self.ledger.state.accepted_term == 0:
+            answers = [_knows_a_term(address) for address in others]
+            if True in answers:
+                return
+            if answers.count(False) >= len(self.addresses) // 2:
+                self.ledger.promote(BOOTSTRAP_TERM, 0, tuple(self.addresses))
+                self.announce_now()
+                return
+            stopping.wait(BOOTSTRAP_RETRY_S)
 
     def _start_replicators(self) -> None:
-        if not self.running:
-            return
-        for name in self.addresses:
-            if name != self.settings.member and name not in self._replicators:
-                self._replicators[name] = Replicator(self, name)
-                self._replicators[name].start()
+        with self._lock:
+            for name in self.addresses:
+                if name != self.settings.member and name not in self._replicators:
+                    self._replicators[name] = Replicator(self, name, self._stopping)
+                    self._replicators[name].start()
 
     # --- used by sessions
 
     def _make_session(self, connection: Connection) -> Session:
         return Session(self, connection)
 
-    def admit_connection(self) -> bool:
-        """Counts a connection unless the member's own cap is reached."""
-        with self._lock:
-            if self._connections >= self.settings.connections:
-                return False
-            self._connections += 1
-            return True
-
-    def release_connection(self) -> None:
-        with self._lock:
-            self._connections -= 1
-
-    def new_transaction_id(self) -> str:
-        return uuid.uuid4().hex
-
     def learn_members(self, addresses: dict[str, str] | None) -> tuple[str, ...]:
         """Takes over the members named by an order; returns their names."""
         if addresses:
             self.addresses.update(addresses)
-            self._start_replicators()
+            if self.running:
+                self._start_replicators()
         return tuple(addresses or ())
 
-    @contextlib.contextmanager
+    @contextmanager
+    def activity(self) -> Iterator[None]:
+        """Marks a call in progress, which a graceful stop lets finish."""
+        with self._lock:
+            self._active += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._active -= 1
+
+    @contextmanager
     def slot(self, deadline: float) -> Iterator[None]:
         """Holds one of the statement slots; raises ``Refused`` past ``deadline``."""
         if not self._slots.acquire(timeout=max(deadline - time.monotonic(), 0)):
             raise Refused("deadline", "no free slot before the deadline")
         try:
-            if self.settings.statement_ms > 0:
-                time.sleep(self.settings.statement_ms / 1000)
+            if self.faults.statement_ms > 0:
+                time.sleep(self.faults.statement_ms / 1000)
             yield
         finally:
             self._slots.release()
@@ -201,12 +276,12 @@
         return set()
 
 
-def _term_of(address: str) -> int:
-    """Term of the last entry that the member at ``address`` applied, 0 if unknown."""
+def _knows_a_term(address: str) -> bool | None:
+    """Whether the member at ``address`` knows any term; None without an answer."""
     try:
         client = EndpointClient(address, 200)
         reply = client.ping(ttypes.Query(correlation_id=0))
         client.close()
     except (TException, OSError, EOFError):
-        return 0
-    return int(reply.term)
+        return None
+    return bool(reply.history or reply.term)
--- a/packages/standin/src/bronzemoor_standin/peers.py
+++ b/packages/standin/src/bronzemoor_standin/peers.py
@@ -16,14 +16,17 @@
 
 BATCH_ENTRIES = 500
 BATCH_BYTES = 512 * 1024
+# Wait of a member that is not primary; a change of role ends it at once.
+IDLE_MS = 500
 
 
 class Replicator:
     """Sends batches and heartbeats to one peer while this member is primary."""
 
-    def __init__(self, member: "Member", peer: str) -> None:
+    def __init__(self, member: "Member", peer: str, stopping: threading.Event) -> None:
         self._member = member
         self._peer = peer
+        self._stopping = stopping
         self._client: EndpointClient | None = None
         self._answered_at = time.monotonic()
         self._thread = threading.Thread(
@@ -41,24 +44,26 @@
 
     def _run(self) -> None:
         member = self._member
-        while member.running:
+        while not self._stopping.is_set():
             member.faults.wait_while_frozen()
             batch = self._next_batch()
             if batch is None:
                 self._answered_at = time.monotonic()
-                continue
-            if not self._send(batch):
-                time.sleep(member.settings.heartbeat_ms / 1000)
+            elif not self._send(batch):
+                self._stopping.wait(member.settings.heartbeat_ms / 1000)
         self._disconnect()
 
     def _next_batch(self) -> Batch | None:
         ledger = self._member.ledger
         with ledger.lock:
-            if not ledger.state.has_more_for(self._peer):
-                ledger.log_changed.wait(self._member.settings.heartbeat_ms / 1000)
+            if not ledger.state.has_work_for(self._peer, ledger.round_wanted_at):
+                is_primary = ledger.state.role == PRIMARY
+                wait_ms = self._member.settings.heartbeat_ms if is_primary else IDLE_MS
+                ledger.log_changed.wait(wait_ms / 1000)
             return ledger.state.batch_for(self._peer, BATCH_ENTRIES, BATCH_BYTES)
 
     def _send(self, batch: Batch) -> bool:
+        """Sends one batch; false when the next one should wait."""
         if self._member.faults.cut_peers:
             self._disconnect()
             return False
@@ -88,7 +93,9 @@
         self._member.ledger.acknowledge(self._peer, batch, answer, sent_at)
         if self._member.ledger.state.role != PRIMARY:
             self._member.announce_now()
-        return True
+        # A peer that stores nothing is asked again after a heartbeat, not at once.
+        stored = not batch.entries or reply.offset > batch.previous[1]
+        return stored or not reply.accepted
 
     def _disconnect(self) -> None:
         client, self._client = self._client, None
--- a/packages/standin/src/bronzemoor_standin/replication.py
+++ b/packages/standin/src/bronzemoor_standin/replication.py
@@ -55,11 +55,13 @@
     ``history`` maps a term to its start offset: the last offset before the term.
     """
 
-    __slots__ = ("entries", "history")
+    __slots__ = ("entries", "history", "truncated_to")
 
     def __init__(self) -> None:
         self.entries: list[Entry] = []
         self.history: dict[int, int] = {}
+        # Lowest offset that the log was cut to since its owner reset this.
+        self.truncated_to: int | None = None
 
     @property
     def last(self) -> tuple[int, int]:
@@ -98,7 +100,10 @@
 
     def truncate(self, offset: int) -> None:
         """Discards every entry beyond ``offset``."""
-        del self.entries[offset:]
+        if offset < len(self.entries):
+            del self.entries[offset:]
+            cut = self.truncated_to
+            self.truncated_to = offset if cut is None else min(cut, offset)
 
     def first_of_term_at(self, offset: int) -> int:
         """First offset whose entry has the same term as the entry at ``offset``."""
@@ -133,6 +138,9 @@
         self.term = 0
         self.accepted_term = 0
         self.fenced = False
+        # Set for a member that lost its log: it may have acknowledged entries that it
+        # no longer holds, so its promise must not count towards a majority yet.
+        self.catching_up = False
         self.log = GroupLog()
         self.known_majority = 0
         self._followers: dict[str, _Follower] = {}
@@ -145,6 +153,8 @@
             return self._stale(term)
         if term == self.accepted_term:
             return None  # A resend of an order that was already carried out.
+        if self.catching_up:
+            return Refusal("catching_up", "the log is not complete yet")
         self.accepted_term = term
         if self.role == PRIMARY:
             self.role = DEPOSED
@@ -197,6 +207,12 @@
             self.log.truncate(start_offset)
         return None
 
+    def step_down(self) -> None:
+        """Becomes a replica without a primary, as after a restart."""
+        if self.role == PRIMARY:
+            self.role, self.primary = REPLICA, ""
+            self._followers = {}
+
     # --- the primary's side
 
     def append(self, body: bytes) -> Entry:
@@ -215,6 +231,12 @@
             return Refusal("fenced", f"term {self.accepted_term} was accepted")
         return Refusal("stale_term", f"term {self.accepted_term} exists")
 
+    def refusal_of_read(self) -> Refusal | None:
+        """Why this member serves no read, or None when it does."""
+        if self.role == DEPOSED and not self.fenced:
+            return self.refusal_of_write()
+        return None
+
     def batch_for(self, peer: str, count: int, size: int) -> Batch | None:
         """The next batch for ``peer``, or None when this member is not primary."""
         follower = self._followers.get(peer)
@@ -230,14 +252,14 @@
             dict(self.log.history),
         )
 
-    def has_more_for(self, peer: str) -> bool:
-        """Tells whether ``peer`` lacks entries of this primary."""
+    def has_work_for(self, peer: str, round_wanted_at: float) -> bool:
+        """Tells whether ``peer`` lacks entries or a round since ``round_wanted_at``."""
         follower = self._followers.get(peer)
-        return (
-            self.role == PRIMARY
-            and follower is not None
-            and follower.next_offset < self.log.last[1]
-        )
+        if self.role != PRIMARY or follower is None:
+            return False
+        if follower.next_offset < self.log.last[1]:
+            return True
+        return follower.confirmed_at < round_wanted_at
 
     def acknowledge(
         self, peer: str, batch: Batch, answer: BatchAnswer, sent_at: float
@@ -310,6 +332,8 @@
         self.log.history = dict(batch.history)
         held = previous + len(batch.entries)
         self.known_majority = min(batch.majority_offset, held)
+        if 0 < batch.majority_offset <= held:
+            self.catching_up = False
         return BatchAnswer(True, self.term, held)
 
     def _discard_superseded(self, history: dict[int, int]) -> None:
--- a/packages/standin/src/bronzemoor_standin/settings.py
+++ b/packages/standin/src/bronzemoor_standin/settings.py
@@ -29,16 +29,39 @@
     bootstrap_primary: str = ""
     # Name of a packaged schema (claims, stock) or a path; run in the first term.
     schema: str = ""
+    # File that keeps terms and log; without it they end with the process.
+    file: str = ""
+    # Set for a member without a file that is restarted into a group that has data: it
+    # refuses to be fenced until it has caught up.
+    rejoin: bool = False
     slots: int = 3
+    # Cap on the connections that this member accepts from daemons.
     connections: int = 20
+    # Time it takes to open a connection.
     open_ms: float = 0.0
+    # Time that each statement call takes in addition to its real time.
     statement_ms: float = 0.0
     lag_ms: float = 0.0
+    one_way_ms: float = 0.0
+    peer_one_way_ms: float = 0.0
     announce_ms: float = 100.0
     heartbeat_ms: float = 30.0
+    # Longest wait for a peer's answer, after which it counts as unreachable.
     peer_timeout_ms: float = 150.0
+    # Used for calls that do not say.
     deadline_ms: float = 10_000.0
+    # An open transaction without calls for longer is rolled back.
+    transaction_idle_ms: float = 30_000.0
+    # From when on a leaving member refuses new work.
+    leave_after_ms: float = 2_000.0
+    # Longest time that a graceful stop waits for calls in progress.
+    stop_ms: float = 2_000.0
+    # Request records older than this (seconds) or beyond this number are pruned.
+    request_age_s: float = 86_400.0
+    request_count: int = 1_000_000
     max_message_bytes: int = 4 * 1024 * 1024
+    # Loopback port of the fault switches; 0 chooses a free one, negative means none.
+    control_port: int = -1
 
 
 def load_settings(path: str) -> MemberSettings:
@@ -46,13 +69,16 @@
     return parse_settings(yaml.safe_load(Path(path).read_text()))
 
 
+_REQUIRED = ("database", "member")
+
+
 def parse_settings(data: Any) -> MemberSettings:
     """Checks names and types of all settings and reports every problem at once."""
     if not isinstance(data, dict):
         raise InvalidSettings("settings must be a mapping")
     known = {f.name: f for f in fields(MemberSettings)}
     problems = [f"unknown setting {name}" for name in data if name not in known]
-    problems += [f"{n} is missing" for n in ("database", "member") if n not in data]
+    problems += [f"{n} is missing" for n in _REQUIRED if n not in data]
     for name, value in data.items():
         kind = known[name].type if name in known else None
         if kind is float and isinstance(value, int):
--- a/packages/standin/src/bronzemoor_standin/statements.py
+++ b/packages/standin/src/bronzemoor_standin/statements.py
@@ -7,8 +7,8 @@
 from functools import lru_cache
 from typing import Any
 
-_COMMENT = re.compile(r"--[^\n]*|/\*.*?\*/", re.DOTALL)
-_LITERAL = re.compile(r"'(?:[^']|'')*'")
+# A literal or a comment, whichever starts first.
+_OPAQUE = re.compile(r"'(?:[^']|'')*'|--[^\n]*|/\*.*?\*/", re.DOTALL)
 _READS = frozenset({"SELECT", "VALUES", "EXPLAIN"})
 # These would change the transaction or the connection that the member manages.
 _FORBIDDEN = frozenset(
@@ -20,7 +20,7 @@
 _NOT_DETERMINISTIC = re.compile(
     r"\b(random|randomblob|changes|total_changes|last_insert_rowid)\s*\("
     r"|\bcurrent_(time|date|timestamp)\b"
-    r"|\b(date|time|datetime|julianday|unixepoch|strftime)\s*\([^)]*'now'",
+    r"|\b(date|time|datetime|julianday|unixepoch|strftime)\s*\((\s*\)|[^)]*'now')",
     re.IGNORECASE,
 )
 
@@ -40,20 +40,29 @@
 @lru_cache(maxsize=4096)
 def writes(text: str) -> bool:
     """Tells whether ``text`` may change data; raises ``InvalidStatement``."""
-    bare = _COMMENT.sub(" ", text).strip().lstrip("(")
+    bare = _OPAQUE.sub(_blank, text).strip().lstrip("(")
     words = bare.split(None, 1)
     first = words[0].upper().rstrip(";") if words else ""
     if not first or first in _FORBIDDEN:
         raise InvalidStatement(f"statement not allowed: {first or 'empty'}")
     if first in _READS:
         return False
-    if first == "WITH" and not _WRITE_IN_WITH.search(_LITERAL.sub("''", bare)):
+    if first == "WITH" and not _WRITE_IN_WITH.search(bare):
         return False
+    if "request_records" in bare.lower():
+        raise InvalidStatement("request_records is written by the member only")
     if _NOT_DETERMINISTIC.search(bare):
         raise InvalidStatement("a write must not use a non-deterministic function")
     return True
 
 
+def _blank(match: re.Match[str]) -> str:
+    text = match.group()
+    if not text.startswith("'"):
+        return " "
+    return text if text.lower() == "'now'" else "''"
+
+
 def decode(statements: Iterable[Any]) -> list[Sql]:
     """Decodes the statements of a call; raises ``InvalidStatement``."""
     decoded = []
