--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -5,20 +5,22 @@
 namespace py peer
 
 struct LogEntry { 1: i64 index, 2: i64 term, 3: binary command }
-struct PreVote { 1: i64 term, 2: i64 last_index, 3: i64 last_term }
-struct PreVoteReply { 1: i64 term, 2: bool granted }
-struct Vote { 1: i64 term, 2: i64 last_index, 3: i64 last_term }
-struct VoteReply { 1: i64 term, 2: bool granted }
+struct PreVote { 1: i64 term, 2: i64 last_index, 3: i64 last_term, 4: string identity }
+struct PreVoteReply { 1: i64 term, 2: bool granted, 3: string identity }
+struct Vote { 1: i64 term, 2: i64 last_index, 3: i64 last_term, 4: string identity }
+struct VoteReply { 1: i64 term, 2: bool granted, 3: string identity }
 struct AppendEntries {
   1: i64 term, 2: i64 previous_index, 3: i64 previous_term,
   4: list<LogEntry> entries, 5: i64 commit_index, 6: i64 round_id
 }
-struct AppendEntriesReply { 1: i64 term, 2: bool success, 3: i64 match_index, 4: i64 round_id }
+struct AppendEntriesReply {
+  1: i64 term, 2: bool success, 3: i64 match_index, 4: i64 round_id, 5: string identity
+}
 struct InstallSnapshot {
   1: i64 term, 2: i64 last_index, 3: i64 last_term, 4: i64 offset, 5: i64 total,
   6: binary chunk, 7: i64 checksum
 }
-struct InstallSnapshotReply { 1: i64 term, 2: i64 last_index, 3: i64 received }
+struct InstallSnapshotReply { 1: i64 term, 2: i64 last_index, 3: i64 received, 4: string identity }
 struct Propose { 1: string proposal_id, 2: binary command }
 struct ProposeReply { 1: string proposal_id, 2: string code, 3: string message, 4: binary result }
 struct Suspicion { 1: string database, 2: string member, 3: string detector, 4: i64 term, 5: i32 age_ms }
@@ -32,7 +34,7 @@
 struct Heartbeat {
   1: i64 incarnation, 2: string data_centre, 3: i64 sequence, 4: map<string, i64> versions,
   5: list<Demand> demands, 6: list<Suspicion> suspicions, 7: list<MemberSummary> members,
-  8: list<string> subscriptions, 9: bool draining
+  8: list<string> subscriptions, 9: bool draining, 10: i64 acknowledged
 }
 struct Share { 1: string database, 2: i32 connections, 3: i32 lease_ms }
 struct HeartbeatReply {
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/heartbeats.py
@@ -0,0 +1,138 @@
+"""Heartbeats from daemons to the control members, and the replies to them."""
+
+from collections.abc import Callable
+from typing import Any
+
+from bronzemoor_core.blackboard import Blackboard
+from bronzemoor_core.messages import Demand, Heartbeat, HeartbeatReply, Share
+from bronzemoor_core.settings import NodeSettings
+
+HeartbeatPart = Callable[[float, Blackboard, NodeSettings, Heartbeat], None]
+ReplyPart = Callable[[float, Blackboard, NodeSettings, Heartbeat, HeartbeatReply], None]
+
+HEARTBEAT_PARTS: list[HeartbeatPart] = []
+REPLY_PARTS: list[ReplyPart] = []
+
+
+def heartbeat_part(function: HeartbeatPart) -> HeartbeatPart:
+    """Registers a function that fills its part of every heartbeat sent."""
+    HEARTBEAT_PARTS.append(function)
+    return function
+
+
+def reply_part(function: ReplyPart) -> ReplyPart:
+    """Registers a function that fills its part of every reply to a heartbeat."""
+    REPLY_PARTS.append(function)
+    return function
+
+
+def make_heartbeat(
+    now: float, blackboard: Blackboard, settings: NodeSettings, sequence: int
+) -> Heartbeat:
+    """Builds a heartbeat; every registered part fills in its fields."""
+    heartbeat = Heartbeat(
+        settings.incarnation, settings.data_centre, sequence, {}, [], [], [], []
+    )
+    for part in HEARTBEAT_PARTS:
+        part(now, blackboard, settings, heartbeat)
+    return heartbeat
+
+
+def make_reply(
+    now: float,
+    blackboard: Blackboard,
+    settings: NodeSettings,
+    heartbeat: Heartbeat,
+    shares: list[Share],
+) -> HeartbeatReply:
+    """Builds the leader's reply to ``heartbeat``."""
+    reply = HeartbeatReply(heartbeat.sequence, settings.name, shares, {}, 0)
+    for part in REPLY_PARTS:
+        part(now, blackboard, settings, heartbeat, reply)
+    return reply
+
+
+def heartbeat_recipients(blackboard: Blackboard, settings: NodeSettings) -> set[str]:
+    """Names the control members that this daemon reports to."""
+    log = blackboard.log
+    names = set(settings.control_members) | set(log.voters) | set(log.learners)
+    if log.leader:
+        names.add(log.leader)
+    if settings.control:
+        names.add(settings.name)
+    return names
+
+
+@heartbeat_part
+def report_versions(
+    now: float, blackboard: Blackboard, settings: NodeSettings, heartbeat: Heartbeat
+) -> None:
+    templates = blackboard.configuration.templates
+    heartbeat.versions = {name: item.version for name, item in templates.items()}
+
+
+@heartbeat_part
+def report_subscriptions(
+    now: float, blackboard: Blackboard, settings: NodeSettings, heartbeat: Heartbeat
+) -> None:
+    databases = {
+        database
+        for template in blackboard.configuration.templates.values()
+        for database in template.databases
+    }
+    heartbeat.subscriptions = sorted(databases)
+
+
+@heartbeat_part
+def report_demands(
+    now: float, blackboard: Blackboard, settings: NodeSettings, heartbeat: Heartbeat
+) -> None:
+    """Reports every database that is held, waited for or granted."""
+    held = section_dict(blackboard.pools, "held")
+    waiting = section_dict(blackboard.queues, "waiting")
+    shares = blackboard.limits.shares
+    owners = {
+        database: organisation
+        for organisation, template in blackboard.configuration.templates.items()
+        for database in template.databases
+    }
+    for database in sorted(held.keys() | waiting.keys() | shares.keys() | owners):
+        count = held.get(database, 0)
+        wanted = count + waiting.get(database, 0)
+        share = shares[database].connections if database in shares else 0
+        organisation = owners.get(database, "")
+        heartbeat.demands.append(Demand(database, organisation, count, wanted, share))
+
+
+@heartbeat_part
+def report_suspicions(
+    now: float, blackboard: Blackboard, settings: NodeSettings, heartbeat: Heartbeat
+) -> None:
+    heartbeat.suspicions = list(getattr(blackboard.failover, "suspicions", ()))
+
+
+@reply_part
+def answer_versions(
+    now: float,
+    blackboard: Blackboard,
+    settings: NodeSettings,
+    heartbeat: Heartbeat,
+    reply: HeartbeatReply,
+) -> None:
+    reply.versions = section_dict(blackboard.state, "versions")
+
+
+@reply_part
+def answer_topology(
+    now: float,
+    blackboard: Blackboard,
+    settings: NodeSettings,
+    heartbeat: Heartbeat,
+    reply: HeartbeatReply,
+) -> None:
+    reply.topology_digest = int(getattr(blackboard.topology, "digest", 0) or 0)
+
+
+def section_dict(view: Any, name: str) -> dict[str, int]:
+    """Copies a dictionary of a section; a missing attribute is empty."""
+    return dict(getattr(view, name, None) or {})
--- a/packages/core/src/bronzemoor_core/messages.py
+++ b/packages/core/src/bronzemoor_core/messages.py
@@ -31,9 +31,12 @@
 @message
 @dataclass(slots=True)
 class PreVote:
+    """``identity`` is the sender's storage identity, here and in other messages."""
+
     term: int
     last_index: int
     last_term: int
+    identity: str = ""
 
 
 @message
@@ -41,6 +44,7 @@
 class PreVoteReply:
     term: int
     granted: bool
+    identity: str = ""
 
 
 @message
@@ -49,6 +53,7 @@
     term: int
     last_index: int
     last_term: int
+    identity: str = ""
 
 
 @message
@@ -56,6 +61,7 @@
 class VoteReply:
     term: int
     granted: bool
+    identity: str = ""
 
 
 @message
@@ -80,6 +86,7 @@
     success: bool
     match_index: int
     round_id: int
+    identity: str = ""
 
 
 @message
@@ -102,6 +109,7 @@
     term: int
     last_index: int
     received: int
+    identity: str = ""
 
 
 @message
@@ -173,7 +181,10 @@
 @message
 @dataclass(slots=True)
 class Heartbeat:
-    """From a daemon to the control members: demand, versions, suspicions, members."""
+    """From a daemon to the control members: demand, versions, suspicions, members.
+
+    ``acknowledged`` is the newest sequence whose reply was applied, 0 for none.
+    """
 
     incarnation: int
     data_centre: str
@@ -184,6 +195,7 @@
     members: list[MemberSummary]
     subscriptions: list[str]
     draining: bool = False
+    acknowledged: int = 0
 
 
 @message
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/storage.py
@@ -0,0 +1,89 @@
+"""Storage of the replicated log: its data types, its interface and a copy in memory."""
+
+import json
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from bronzemoor_core.actions import PersistLog, PersistSnapshot
+from bronzemoor_core.events import StorageRecovered
+from bronzemoor_core.messages import LogEntry
+
+
+@dataclass(slots=True, frozen=True)
+class HardState:
+    """What must survive a restart besides the log.
+
+    ``vote`` is the identity voted for in ``term``. ``identity`` is the name and a
+    random identifier that is made once for each data folder, so that a VM that lost
+    its disk cannot vote twice in a term.
+    """
+
+    term: int = 0
+    vote: str = ""
+    identity: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Snapshot:
+    """The state up to ``index``; ``voters`` and ``learners`` map names to identities.
+
+    ``recent`` holds the ids of the last applied proposals, oldest first.
+    """
+
+    index: int
+    term: int
+    voters: dict[str, str]
+    learners: dict[str, str]
+    recent: tuple[str, ...]
+    data: dict[str, Any]
+
+    def encode(self) -> bytes:
+        body = {name: getattr(self, name) for name in self.__dataclass_fields__}
+        return json.dumps(body, separators=(",", ":"), sort_keys=True).encode()
+
+
+def decode_snapshot(data: bytes) -> Snapshot:
+    """Reads what ``Snapshot.encode`` wrote."""
+    body = json.loads(data)
+    return Snapshot(**{**body, "recent": tuple(body["recent"])})
+
+
+class Storage(Protocol):
+    """What the driver offers to the log; each call returns after the sync."""
+
+    def recover(self) -> StorageRecovered: ...
+
+    def persist(self, action: PersistLog) -> None: ...
+
+    def save(self, action: PersistSnapshot) -> None: ...
+
+
+@dataclass(slots=True)
+class MemoryStorage:
+    """Storage without a disk, for tests and for daemons that keep no log."""
+
+    hard_state: HardState | None = None
+    entries: dict[int, LogEntry] = field(default_factory=dict)
+    snapshot: Snapshot | None = None
+
+    def recover(self) -> StorageRecovered:
+        start = self.snapshot.index if self.snapshot else 0
+        entries = [self.entries[i] for i in sorted(self.entries) if i > start]
+        return StorageRecovered(self.hard_state, entries, self.snapshot)
+
+    def persist(self, action: PersistLog) -> None:
+        if action.hard_state is not None:
+            self.hard_state = action.hard_state
+        if action.truncate_from is not None:
+            self._truncate(action.truncate_from)
+        for entry in action.entries:
+            self.entries[entry.index] = entry
+
+    def save(self, action: PersistSnapshot) -> None:
+        self.snapshot = action.snapshot
+        for index in [i for i in self.entries if i <= action.snapshot.index]:
+            del self.entries[index]
+
+    def _truncate(self, first: int) -> None:
+        for index in [i for i in self.entries if i >= first]:
+            del self.entries[index]
--- a/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
+++ b/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
@@ -101,14 +101,16 @@
      - term
      - last_index
      - last_term
+     - identity
 
     """
 
 
-    def __init__(self, term=None, last_index=None, last_term=None,):
+    def __init__(self, term=None, last_index=None, last_term=None, identity=None,):
         self.term = term
         self.last_index = last_index
         self.last_term = last_term
+        self.identity = identity
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -134,6 +136,11 @@
                     self.last_term = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.identity = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -156,6 +163,10 @@
             oprot.writeFieldBegin('last_term', TType.I64, 3)
             oprot.writeI64(self.last_term)
             oprot.writeFieldEnd()
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 4)
+            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -179,13 +190,15 @@
     Attributes:
      - term
      - granted
+     - identity
 
     """
 
 
-    def __init__(self, term=None, granted=None,):
+    def __init__(self, term=None, granted=None, identity=None,):
         self.term = term
         self.granted = granted
+        self.identity = identity
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -206,6 +219,11 @@
                     self.granted = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.identity = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -224,6 +242,10 @@
             oprot.writeFieldBegin('granted', TType.BOOL, 2)
             oprot.writeBool(self.granted)
             oprot.writeFieldEnd()
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 3)
+            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -248,14 +270,16 @@
      - term
      - last_index
      - last_term
+     - identity
 
     """
 
 
-    def __init__(self, term=None, last_index=None, last_term=None,):
+    def __init__(self, term=None, last_index=None, last_term=None, identity=None,):
         self.term = term
         self.last_index = last_index
         self.last_term = last_term
+        self.identity = identity
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -281,6 +305,11 @@
                     self.last_term = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.identity = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -303,6 +332,10 @@
             oprot.writeFieldBegin('last_term', TType.I64, 3)
             oprot.writeI64(self.last_term)
             oprot.writeFieldEnd()
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 4)
+            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -326,13 +359,15 @@
     Attributes:
      - term
      - granted
+     - identity
 
     """
 
 
-    def __init__(self, term=None, granted=None,):
+    def __init__(self, term=None, granted=None, identity=None,):
         self.term = term
         self.granted = granted
+        self.identity = identity
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -353,6 +388,11 @@
                     self.granted = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.identity = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -371,6 +411,10 @@
             oprot.writeFieldBegin('granted', TType.BOOL, 2)
             oprot.writeBool(self.granted)
             oprot.writeFieldEnd()
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 3)
+            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -517,15 +561,17 @@
      - success
      - match_index
      - round_id
+     - identity
 
     """
 
 
-    def __init__(self, term=None, success=None, match_index=None, round_id=None,):
+    def __init__(self, term=None, success=None, match_index=None, round_id=None, identity=None,):
         self.term = term
         self.success = success
         self.match_index = match_index
         self.round_id = round_id
+        self.identity = identity
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -556,6 +602,11 @@
                     self.round_id = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.identity = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -582,6 +633,10 @@
             oprot.writeFieldBegin('round_id', TType.I64, 4)
             oprot.writeI64(self.round_id)
             oprot.writeFieldEnd()
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 5)
+            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -729,14 +784,16 @@
      - term
      - last_index
      - received
+     - identity
 
     """
 
 
-    def __init__(self, term=None, last_index=None, received=None,):
+    def __init__(self, term=None, last_index=None, received=None, identity=None,):
         self.term = term
         self.last_index = last_index
         self.received = received
+        self.identity = identity
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -762,6 +819,11 @@
                     self.received = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.identity = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -784,6 +846,10 @@
             oprot.writeFieldBegin('received', TType.I64, 3)
             oprot.writeI64(self.received)
             oprot.writeFieldEnd()
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 4)
+            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1411,11 +1477,12 @@
      - members
      - subscriptions
      - draining
+     - acknowledged
 
     """
 
 
-    def __init__(self, incarnation=None, data_centre=None, sequence=None, versions=None, demands=None, suspicions=None, members=None, subscriptions=None, draining=None,):
+    def __init__(self, incarnation=None, data_centre=None, sequence=None, versions=None, demands=None, suspicions=None, members=None, subscriptions=None, draining=None, acknowledged=None,):
         self.incarnation = incarnation
         self.data_centre = data_centre
         self.sequence = sequence
@@ -1425,6 +1492,7 @@
         self.members = members
         self.subscriptions = subscriptions
         self.draining = draining
+        self.acknowledged = acknowledged
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1509,6 +1577,11 @@
                     self.draining = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.acknowledged = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1571,6 +1644,10 @@
             oprot.writeFieldBegin('draining', TType.BOOL, 9)
             oprot.writeBool(self.draining)
             oprot.writeFieldEnd()
+        if self.acknowledged is not None:
+            oprot.writeFieldBegin('acknowledged', TType.I64, 10)
+            oprot.writeI64(self.acknowledged)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2674,12 +2751,14 @@
     (1, TType.I64, 'term', None, None, ),  # 1
     (2, TType.I64, 'last_index', None, None, ),  # 2
     (3, TType.I64, 'last_term', None, None, ),  # 3
+    (4, TType.STRING, 'identity', 'UTF8', None, ),  # 4
 )
 all_structs.append(PreVoteReply)
 PreVoteReply.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'term', None, None, ),  # 1
     (2, TType.BOOL, 'granted', None, None, ),  # 2
+    (3, TType.STRING, 'identity', 'UTF8', None, ),  # 3
 )
 all_structs.append(Vote)
 Vote.thrift_spec = (
@@ -2687,12 +2766,14 @@
     (1, TType.I64, 'term', None, None, ),  # 1
     (2, TType.I64, 'last_index', None, None, ),  # 2
     (3, TType.I64, 'last_term', None, None, ),  # 3
+    (4, TType.STRING, 'identity', 'UTF8', None, ),  # 4
 )
 all_structs.append(VoteReply)
 VoteReply.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'term', None, None, ),  # 1
     (2, TType.BOOL, 'granted', None, None, ),  # 2
+    (3, TType.STRING, 'identity', 'UTF8', None, ),  # 3
 )
 all_structs.append(AppendEntries)
 AppendEntries.thrift_spec = (
@@ -2711,6 +2792,7 @@
     (2, TType.BOOL, 'success', None, None, ),  # 2
     (3, TType.I64, 'match_index', None, None, ),  # 3
     (4, TType.I64, 'round_id', None, None, ),  # 4
+    (5, TType.STRING, 'identity', 'UTF8', None, ),  # 5
 )
 all_structs.append(InstallSnapshot)
 InstallSnapshot.thrift_spec = (
@@ -2729,6 +2811,7 @@
     (1, TType.I64, 'term', None, None, ),  # 1
     (2, TType.I64, 'last_index', None, None, ),  # 2
     (3, TType.I64, 'received', None, None, ),  # 3
+    (4, TType.STRING, 'identity', 'UTF8', None, ),  # 4
 )
 all_structs.append(Propose)
 Propose.thrift_spec = (
@@ -2793,6 +2876,7 @@
     (7, TType.LIST, 'members', (TType.STRUCT, [MemberSummary, None], False), None, ),  # 7
     (8, TType.LIST, 'subscriptions', (TType.STRING, 'UTF8', False), None, ),  # 8
     (9, TType.BOOL, 'draining', None, None, ),  # 9
+    (10, TType.I64, 'acknowledged', None, None, ),  # 10
 )
 all_structs.append(Share)
 Share.thrift_spec = (
