--- /dev/null
+++ b/packages/core/src/bronzemoor_core/proposals.py
@@ -0,0 +1,207 @@
+"""Proposals: commands on their way to the leader, into the log and back."""
+
+import json
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from bronzemoor_core.events import CommandCompleted
+from bronzemoor_core.messages import Propose, ProposeReply
+from bronzemoor_core.replica import Replica
+
+# Covers an election and a few round trips between regions.
+PROPOSAL_TIMEOUT = 2.0  # seconds
+# How long a daemon looks for a leader before it answers no_leader.
+LEADER_WAIT = 1.0  # seconds
+RETRY_INTERVAL = 0.05  # seconds
+# Proposals whose duplicates are recognised.
+SEEN_LIMIT = 4096
+
+
+@dataclass(slots=True, frozen=True)
+class ProposalRef:
+    """Origin of the commands that consensus hands to ``state``."""
+
+    proposal_id: str
+
+
+@dataclass(slots=True)
+class Pending:
+    """A proposal of this daemon. While ``sent`` is false it is certain that no
+    attempt was accepted."""
+
+    command: dict[str, Any]
+    origin: Any
+    started: float
+    next_try: float
+    attempt: int = 0
+    sent: bool = False
+
+
+class ProposalId:
+    """``name:session:number:attempt``; all attempts at one command share the base."""
+
+    __slots__ = ("attempt", "base", "name")
+
+    def __init__(self, text: str) -> None:
+        name, session, number, attempt = text.rsplit(":", 3)
+        self.name = name
+        self.base = f"{name}:{session}:{number}"
+        self.attempt = int(attempt)
+
+
+# Accepts a proposal as leader; returns an error code and message, or None.
+Accept = Callable[[float, str, dict[str, Any]], tuple[str, str] | None]
+
+
+class Proposals:
+    """Forwards this daemon's proposals and those of others; completes each once."""
+
+    def __init__(self, replica: Replica, accept: Accept) -> None:
+        self._replica = replica
+        self._accept = accept
+        self._session = f"{replica.random.getrandbits(64):016x}"
+        self._number = 0
+        self._pending: dict[str, Pending] = {}
+        # Every attempt is processed once, so that a duplicate of a refused one cannot
+        # be accepted after its proposer was told that it was not.
+        self._seen: OrderedDict[str, None] = OrderedDict()
+
+    def propose(self, now: float, command: dict[str, Any], origin: Any) -> None:
+        """Starts a proposal of this daemon."""
+        self._number += 1
+        base = f"{self._replica.name}:{self._session}:{self._number}"
+        self._pending[base] = Pending(command, origin, now, now)
+        self._try(now, base, self._pending[base])
+
+    def on_tick(self, now: float) -> None:
+        """Repeats refused attempts and gives up old ones."""
+        for base, pending in list(self._pending.items()):
+            age = now - pending.started
+            if age >= PROPOSAL_TIMEOUT and pending.sent:
+                self._complete(base, "unknown", "no answer in time", {})
+            elif age >= LEADER_WAIT and not pending.sent:
+                self._complete(base, "no_leader", "no leader is known", {})
+            elif not pending.sent and now >= pending.next_try:
+                self._try(now, base, pending)
+
+    def on_propose(self, now: float, sender: str, message: Propose) -> None:
+        """Accepts another daemon's proposal, or forwards it once more."""
+        replica = self._replica
+        try:
+            proposal = ProposalId(message.proposal_id)
+            command = json.loads(message.command)
+            if not isinstance(command, dict):
+                raise ValueError("the command is not an object")
+        except ValueError as error:
+            replica.emit_log("warning", "bad_proposal", peer=sender, error=str(error))
+            return
+        if self._is_repeated(message.proposal_id):
+            return
+        if replica.is_leader:
+            refusal = self._accept(now, message.proposal_id, command)
+            if refusal:
+                self._answer(proposal.name, message.proposal_id, *refusal, {})
+        elif sender == proposal.name and replica.leader not in ("", sender):
+            replica.send(replica.leader, message)
+        else:
+            self._answer(
+                proposal.name, message.proposal_id, "no_leader", "not the leader", {}
+            )
+
+    def on_reply(self, now: float, message: ProposeReply) -> None:
+        """Completes a proposal; one that was not accepted is tried again."""
+        try:
+            proposal = ProposalId(message.proposal_id)
+            result = json.loads(message.result)
+        except ValueError as error:
+            self._replica.emit_log("warning", "bad_proposal_reply", error=str(error))
+            return
+        pending = self._pending.get(proposal.base)
+        if pending is None or pending.attempt != proposal.attempt:
+            return
+        if message.code == "no_leader":
+            self._refused(now, pending)
+            return
+        self._complete(proposal.base, message.code, message.message, result)
+
+    def finish(self, proposal_id: str, result: dict[str, Any]) -> None:
+        """Answers the proposer with what ``state`` returned.
+
+        ``code`` and ``message`` of the result, if present, become those of the answer.
+        """
+        code = str(result.get("code", "ok"))
+        self.answer(proposal_id, code, str(result.get("message", "")), result)
+
+    def answer(
+        self, proposal_id: str, code: str, message: str, result: dict[str, Any]
+    ) -> None:
+        """Answers a proposal of this daemon, or as leader one of another daemon."""
+        proposal = ProposalId(proposal_id)
+        if proposal.name == self._replica.name:
+            pending = self._pending.get(proposal.base)
+            if pending is not None and code == "no_leader":
+                self._refused(pending.started, pending)
+            else:
+                self._complete(proposal.base, code, message, result)
+        elif proposal_id in self._seen:
+            self._answer(proposal.name, proposal_id, code, message, result)
+
+    def _try(self, now: float, base: str, pending: Pending) -> None:
+        replica = self._replica
+        pending.attempt += 1
+        proposal_id = f"{base}:{pending.attempt}"
+        if replica.is_leader:
+            pending.sent = True
+            refusal = self._accept(now, proposal_id, pending.command)
+            if refusal:
+                self.answer(proposal_id, *refusal, {})
+            return
+        recipient = replica.leader or self._any_control_member(pending.attempt)
+        if not recipient:
+            pending.next_try = now + RETRY_INTERVAL
+            return
+        pending.sent = True
+        command = json.dumps(pending.command, separators=(",", ":")).encode()
+        replica.send(recipient, Propose(proposal_id, command))
+
+    def _any_control_member(self, attempt: int) -> str:
+        """A member that may know the leader; a control member itself would know."""
+        replica = self._replica
+        if replica.active:
+            return ""
+        members = replica.settings.control_members
+        others = [name for name in members if name != replica.name]
+        return others[attempt % len(others)] if others else ""
+
+    def _refused(self, now: float, pending: Pending) -> None:
+        pending.sent = False
+        pending.next_try = now + RETRY_INTERVAL
+
+    def _is_repeated(self, proposal_id: str) -> bool:
+        if proposal_id in self._seen:
+            return True
+        self._seen[proposal_id] = None
+        if len(self._seen) > SEEN_LIMIT:
+            self._seen.popitem(last=False)
+        return False
+
+    def _complete(
+        self, base: str, code: str, message: str, result: dict[str, Any]
+    ) -> None:
+        pending = self._pending.pop(base, None)
+        if pending is not None:
+            completed = CommandCompleted(pending.origin, code, message, result)
+            self._replica.outbox.append(completed)
+
+    def _answer(
+        self,
+        recipient: str,
+        proposal_id: str,
+        code: str,
+        message: str,
+        result: dict[str, Any],
+    ) -> None:
+        body = json.dumps(result, separators=(",", ":")).encode()
+        self._replica.send(recipient, ProposeReply(proposal_id, code, message, body))
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/reads.py
@@ -0,0 +1,78 @@
+"""Reads that a quorum confirms, so that a deposed leader never answers them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from bronzemoor_core.replica import Replica
+from bronzemoor_core.replication import Replication
+
+
+@dataclass(slots=True)
+class Read:
+    """A query that waits for its round and for its index to be applied."""
+
+    command: dict[str, Any]
+    origin: Any
+    round_id: int
+    index: int | None
+
+
+class QuorumReads:
+    """Queries at the leader; a read sees every command committed before it came."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        replication: Replication,
+        ready: Callable[[float, Read], None],
+    ) -> None:
+        self._replica = replica
+        self._ready = ready
+        self._replication = replication
+        self._reads: list[Read] = []
+
+    def add(self, now: float, command: dict[str, Any], origin: Any) -> None:
+        """Queues a query; queries that come during a round share the next one."""
+        replication = self._replication
+        waiting = self._reads[-1].round_id if self._reads else 0
+        if waiting > replication.round_id:
+            round_id = waiting
+        elif waiting > replication.confirmed_round:
+            round_id = replication.round_id + 1
+        else:
+            round_id = replication.start_round(now)
+        self._reads.append(Read(command, origin, round_id, self._read_index()))
+
+    def advance(self, now: float) -> None:
+        """Hands over the queries that became ready."""
+        if not self._reads:
+            return
+        confirmed = self._replication.confirmed_round
+        applied = self._replica.applied_index
+        ready = 0
+        for read in self._reads:
+            if read.index is None:
+                read.index = self._read_index()
+            if read.round_id > confirmed or read.index is None or read.index > applied:
+                break
+            self._ready(now, read)
+            ready += 1
+        del self._reads[:ready]
+        current = self._replication.round_id
+        if self._reads and confirmed >= current and self._reads[0].round_id > current:
+            # The round that later queries were put off to.
+            self._replication.start_round(now)
+
+    def drop(self) -> list[Any]:
+        """Gives up all queries; returns their origins."""
+        origins = [read.origin for read in self._reads]
+        self._reads.clear()
+        return origins
+
+    def _read_index(self) -> int | None:
+        """The commit index, known only once an entry of this term is committed."""
+        replica = self._replica
+        if replica.journal.term_at(replica.commit_index) != replica.term:
+            return None
+        return replica.commit_index
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/reconfiguration.py
@@ -0,0 +1,188 @@
+"""Changes of the control group, one at a time, and its description for operators."""
+
+from typing import Any
+
+from bronzemoor_core.replica import Replica
+from bronzemoor_core.replication import Progress, Replication
+from bronzemoor_core.voters import MAX_VOTERS, MIN_VOTERS, Group, group_command
+
+CHANGES = ("control.add", "control.remove", "control.replace")
+MEMBERS = "control.members"
+
+Refusal = tuple[str, str]
+
+
+class Reconfiguration:
+    """Adds, removes and replaces members as leader.
+
+    A new member is a learner until it has the committed log; then it becomes a voter.
+    """
+
+    def __init__(self, replica: Replica, replication: Replication) -> None:
+        self._replica = replica
+        self._replication = replication
+        # Voters that answer under another identity, since when (seconds).
+        self._strangers: dict[str, float] = {}
+
+    def propose(
+        self, now: float, command: dict[str, Any], proposal_id: str
+    ) -> Refusal | None:
+        """Appends a change; returns why not if it is refused."""
+        kind = str(command["type"]).removeprefix("control.")
+        name = str(command.get("member", ""))
+        refusal = self._refusal(kind, name, str(command.get("by", "") or name))
+        if refusal is None:
+            group = self._changed(kind, name, str(command.get("by", "") or name))
+            self._append(now, kind, name, group, proposal_id)
+        return refusal
+
+    def start_group(self, now: float, identities: dict[str, str]) -> None:
+        """Appends the first entry of a new group with the identities of its voters."""
+        self._append(now, "start", self._replica.name, Group(identities), "")
+
+    def on_stranger(self, now: float, sender: str) -> None:
+        """Replaces a voter that lost its disk and is heard only under a new identity.
+
+        Its old identity can never answer again, so nobody has to ask for it.
+        """
+        progress = self._replication.progress.get(sender)
+        if progress is None or sender not in self._replica.group.voters:
+            return
+        since = self._strangers.setdefault(sender, now)
+        patience = self._replica.settings.timers.stale_after
+        if now - max(since, progress.last_reply) >= patience:
+            del self._strangers[sender]
+            command = {"type": "control.replace", "member": sender}
+            if self.propose(now, command, "") is None:
+                self._replica.emit_log("warning", "disk_lost", peer=sender)
+
+    def promote_ready(self, now: float) -> None:
+        """Turns a learner that has every committed entry into a voter."""
+        replica = self._replica
+        if self._change_in_progress():
+            return
+        for name in replica.group.learners:
+            progress = self._replication.progress.get(name)
+            if (
+                progress is not None
+                and progress.identity
+                and progress.match_index >= max(1, replica.commit_index)
+            ):
+                group = replica.group.with_voter(name, progress.identity)
+                self._append(now, "promote", name, group, "")
+                return
+
+    def check_identity(
+        self, sender: str, identity: str, progress: Progress, round_id: int | None
+    ) -> bool:
+        """Tells whether an answer counts; a learner's identity is learned from it."""
+        group = self._replica.group
+        if sender in group.voters:
+            return group.voters[sender] == identity
+        if round_id is None:
+            return progress.identity == identity
+        if round_id < progress.first_round:
+            return False
+        if progress.identity != identity:
+            # The learner is new, or lost its disk while it was catching up.
+            progress.identity = identity
+            progress.match_index = 0
+            progress.next_index = self._replica.journal.last_index + 1
+            progress.probing = True
+            progress.in_flight.clear()
+        return True
+
+    def describe(self, now: float) -> dict[str, Any]:
+        """Members, roles, match index and how many more losses can be tolerated."""
+        replica, group = self._replica, self._replica.group
+        members, alive = [], 0
+        for name, identity in {**group.voters, **group.learners}.items():
+            progress = self._replication.progress.get(name)
+            silence = now - progress.last_reply if progress else 0.0
+            reachable = silence < replica.settings.timers.stale_after
+            alive += reachable and name in group.voters
+            members.append(
+                {
+                    "member": name,
+                    "identity": identity,
+                    "role": self._role(name),
+                    "match_index": progress.match_index
+                    if progress
+                    else replica.synced_index,
+                    "reachable": reachable,
+                }
+            )
+        return {
+            "leader": replica.name,
+            "term": replica.term,
+            "commit_index": replica.commit_index,
+            "members": members,
+            "tolerated_losses": max(0, alive - group.quorum),
+        }
+
+    def _role(self, name: str) -> str:
+        if name == self._replica.name:
+            return "leader"
+        return "voter" if name in self._replica.group.voters else "learner"
+
+    def _refusal(self, kind: str, name: str, by: str) -> Refusal | None:
+        group = self._replica.group
+        if not name:
+            return "invalid_request", "member is missing"
+        if self._change_in_progress():
+            return "change_in_progress", "another change is not committed yet"
+        if kind == "add":
+            return self._refuse_add(group, name)
+        if name not in group.names:
+            return "unknown_member", f"{name} is not a member"
+        if (
+            kind == "remove"
+            and name in group.voters
+            and len(group.voters) <= MIN_VOTERS
+        ):
+            return "too_few_members", f"the group needs {MIN_VOTERS} voters"
+        if kind == "replace":
+            return self._refuse_replace(group, name, by)
+        return None
+
+    def _refuse_add(self, group: Group, name: str) -> Refusal | None:
+        if name in group.names:
+            return "already_member", f"{name} is a member"
+        if group.learners:
+            return "change_in_progress", "a learner is still catching up"
+        if len(group.voters) >= MAX_VOTERS:
+            return "too_many_members", f"the group has {MAX_VOTERS} voters"
+        return None
+
+    def _refuse_replace(self, group: Group, name: str, by: str) -> Refusal | None:
+        if name == self._replica.name:
+            return "invalid_request", "the leader cannot replace itself"
+        if by != name and by in group.names:
+            return "already_member", f"{by} is a member"
+        if set(group.learners) - {name}:
+            return "change_in_progress", "a learner is still catching up"
+        return None
+
+    def _changed(self, kind: str, name: str, by: str) -> Group:
+        group = self._replica.group
+        if kind == "add":
+            return group.with_learner(name)
+        if kind == "remove":
+            return group.without(name)
+        return group.without(name).with_learner(by)
+
+    def _change_in_progress(self) -> bool:
+        """A change needs the previous one and an entry of this term committed."""
+        replica = self._replica
+        committed_term = replica.journal.term_at(replica.commit_index)
+        return (
+            replica.group_index > replica.commit_index or committed_term != replica.term
+        )
+
+    def _append(
+        self, now: float, kind: str, name: str, group: Group, proposal_id: str
+    ) -> None:
+        self._replica.propose(group_command(kind, name, group), proposal_id)
+        if kind == "replace":
+            self._replication.progress.pop(name, None)
+        self._replication.sync_peers(now)
--- a/packages/core/src/bronzemoor_core/storage.py
+++ b/packages/core/src/bronzemoor_core/storage.py
@@ -67,8 +67,7 @@
     snapshot: Snapshot | None = None
 
     def recover(self) -> StorageRecovered:
-        start = self.snapshot.index if self.snapshot else 0
-        entries = [self.entries[i] for i in sorted(self.entries) if i > start]
+        entries = [self.entries[index] for index in sorted(self.entries)]
         return StorageRecovered(self.hard_state, entries, self.snapshot)
 
     def persist(self, action: PersistLog) -> None:
@@ -81,7 +80,7 @@
 
     def save(self, action: PersistSnapshot) -> None:
         self.snapshot = action.snapshot
-        for index in [i for i in self.entries if i <= action.snapshot.index]:
+        for index in [i for i in self.entries if i < action.snapshot.index]:
             del self.entries[index]
 
     def _truncate(self, first: int) -> None:
