Add the control plane's first working version

Templates, replicated state, membership, failover and distribution as pure decisions. Before: empty controllers.

--- a/packages/core/src/bronzemoor_core/events.py
+++ b/packages/core/src/bronzemoor_core/events.py
@@ -183,6 +183,8 @@
     name: str
     arguments: dict[str, Any]
     operator: str = ""
+    # Wall-clock time in seconds since the epoch, recorded with a change.
+    at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -390,6 +392,14 @@
     origin: Any = None
 
 
+@dataclass(slots=True)
+class StateChanged:
+    """Applied state changed: ``kind`` is template, database, keys or all (restored)."""
+
+    kind: str
+    name: str
+
+
 @dataclass(slots=True)
 class SnapshotRequested:
     """Consensus asks ``state`` for a snapshot up to the applied index."""
--- a/packages/core/src/bronzemoor_core/membership.py
+++ b/packages/core/src/bronzemoor_core/membership.py
@@ -1,63 +1,366 @@
 """Membership of endpoints and daemons: announcements, leases and incarnations."""
 
-from collections import deque
-from dataclasses import dataclass, field
 from typing import Any
 
-from bronzemoor_core.blackboard import section
-from bronzemoor_core.controllers import Controller, controller
-from bronzemoor_core.positions import ZERO, Position, TermHistory
+from bronzemoor_core.actions import EmitLog, EmitMetric, SendPeerMessage
+from bronzemoor_core.controllers import Controller, controller, handles
+from bronzemoor_core.events import (
+    AnnouncementReceived,
+    LeadershipChanged,
+    MemberLost,
+    PeerMessageReceived,
+    PositionObserved,
+    PrimaryChanged,
+    StateChanged,
+    Tick,
+)
+from bronzemoor_core.messages import (
+    ConfigurationAcknowledged,
+    DatabaseState,
+    Heartbeat,
+    HeartbeatReply,
+    MemberSummary,
+    TopologyUpdate,
+)
+from bronzemoor_core.positions import TermHistory
+from bronzemoor_core.relays import (
+    TOPOLOGY_KEY,
+    database_state,
+    digest_of,
+    subscribed_databases,
+    summarize_member,
+    to_summary,
+)
+from bronzemoor_core.topology import (
+    NEVER,
+    Daemon,
+    Database,
+    Member,
+    PrimarySample,
+    make_member,
+    member_facts,
+)
 
+__all__ = ["Daemon", "Database", "Member", "Membership", "PrimarySample"]
 
-@dataclass(slots=True)
-class Member:
-    """An endpoint of one database as this daemon knows it."""
+# How often leases are checked, seconds; small against every lease.
+LEASE_CHECK_INTERVAL = 0.05
 
-    name: str
-    database: str
-    address: str
-    data_centre: str
-    role: str = "replica"
-    position: Position = ZERO
-    incarnation: int = 0
-    leaving: bool = False
-    slots: int = 3
-    connections: int = 20
-    last_heard: float = 0.0
 
+@controller("topology")
+class Membership(Controller):
+    """Owns the topology section."""
 
-@dataclass(slots=True)
-class PrimarySample:
-    """The primary's position, known to be at least as new as ``proved_at``."""
+    _own: Any
 
-    proved_at: float
-    position: Position
+    def __init__(self, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self._lease_check = NEVER
+        self._position_flush = NEVER
+        self._mismatches = 0
+        # Databases whose positions changed since the last flush.
+        self._moved: set[str] = set()
 
+    # --- members
 
-@dataclass(slots=True)
-class Database:
-    """One database group. ``primary`` is a member's name, empty while there is none."""
+    @handles(AnnouncementReceived)
+    def announce(self, now: float, event: AnnouncementReceived) -> list[object]:
+        return self._merge(now, to_summary(event.announcement), "announcement")
 
-    name: str
-    term: int = 0
-    primary: str = ""
-    group: tuple[str, ...] = ()
-    history: TermHistory = field(default_factory=TermHistory)
-    members: dict[str, Member] = field(default_factory=dict)
-    # Oldest first.
-    samples: deque[PrimarySample] = field(default_factory=lambda: deque(maxlen=64))
+    @handles(PositionObserved)
+    def observe(self, now: float, event: PositionObserved) -> list[object]:
+        database = self._own.databases.get(event.database)
+        member = database.members.get(event.member) if database else None
+        if database is None or member is None:
+            return []
+        member.position = max(member.position, event.position)
+        changed = event.leaving and not member.leaving
+        if changed:
+            member.leaving, member.changed_at = True, now
+        if event.proved_at is not None and event.member == database.primary:
+            samples = database.samples
+            if not samples or event.proved_at > samples[-1].proved_at:
+                samples.append(PrimarySample(event.proved_at, event.position))
+        return self._notify(now, (event.database,)) if changed else []
 
+    def _merge(self, now: float, summary: MemberSummary, source: str) -> list[object]:
+        database = self._own.databases.get(summary.database)
+        if database is None:
+            database = Database(summary.database)
+            self._own.databases[database.name] = database
+        known = database.members.get(summary.member)
+        heard = now - summary.age_ms / 1000
+        if known is not None:
+            if summary.incarnation < known.incarnation:
+                return [EmitMetric("counter", "membership.old_incarnation")]
+            if self._conflicts(now, known, summary):
+                return _conflict(known, summary)
+            same = summary.incarnation == known.incarnation
+            if same and heard < known.last_heard:
+                return []
+        elif heard < now - self._settings.timers.announcement_lease:
+            return []
+        member = make_member(summary, heard, source)
+        changed = known is None or member_facts(member) != member_facts(known)
+        if known is not None:
+            member.announced_at, member.changed_at = (
+                known.announced_at,
+                known.changed_at,
+            )
+        if source == "announcement":
+            member.announced_at = now
+        if changed:
+            member.changed_at = now
+        elif known is not None and known.position != member.position:
+            self._moved.add(database.name)
+        database.members[member.name] = member
+        if not database.group:
+            database.group = member.group
+        return self._notify(now, (database.name,)) if changed else []
 
-@section("topology")
-class Topology:
-    __slots__ = ("databases",)
+    def _conflicts(self, now: float, known: Member, summary: MemberSummary) -> bool:
+        return (
+            summary.incarnation == known.incarnation
+            and summary.address != known.address
+            and now - known.last_heard < self._settings.timers.announcement_lease
+        )
 
-    def __init__(self) -> None:
-        self.databases: dict[str, Database] = {}
+    # --- committed state
 
+    @handles(StateChanged)
+    def record(self, now: float, event: StateChanged) -> list[object]:
+        records = self._blackboard.state.databases
+        names = list(records) if event.kind == "all" else [event.name]
+        if event.kind not in ("database", "all"):
+            return []
+        out: list[object] = []
+        for name in names:
+            record = records[name]
+            state = DatabaseState(
+                database=name,
+                term=record.term,
+                primary=record.primary,
+                fenced=record.fenced,
+                history=dict(record.history),
+                version=record.version,
+            )
+            out += self._commit(state)
+            self._own.databases[name].group = record.group
+        return out + self._notify(now, names)
 
-@controller("topology")
-class Membership(Controller):
-    """Owns the topology section."""
+    def _commit(self, state: DatabaseState) -> list[object]:
+        database = self._own.databases.setdefault(
+            state.database, Database(state.database)
+        )
+        if state.version <= database.version:
+            return []
+        before = (database.term, database.primary)
+        database.version = state.version
+        database.term = state.term
+        database.committed_primary = state.primary
+        database.fenced = state.fenced
+        database.primary = "" if state.fenced else state.primary
+        database.history = TermHistory(dict(state.history))
+        if before == (database.term, database.primary):
+            return []
+        start = state.history.get(state.term, 0)
+        return [PrimaryChanged(database.name, state.term, database.primary, start)]
 
-    _own: Any
+    # --- daemons and the leader
+
+    @handles(LeadershipChanged)
+    def lead(self, now: float, event: LeadershipChanged) -> None:
+        self._own.leader = event.leader
+        if event.is_leader and not self._own.is_leader:
+            self._own.leader_since = now
+            for daemon in self._own.daemons.values():
+                daemon.updated_at = NEVER
+        self._own.is_leader = event.is_leader
+
+    @handles(PeerMessageReceived)
+    def receive(self, now: float, event: PeerMessageReceived) -> list[object] | None:
+        message = event.message
+        if isinstance(message, Heartbeat):
+            return self._heartbeat(now, event.sender, message)
+        if isinstance(message, TopologyUpdate):
+            return self._update(now, event.sender, message)
+        if isinstance(message, HeartbeatReply):
+            return self._compare(event.sender, message)
+        if isinstance(message, ConfigurationAcknowledged):
+            return self._repair(now, event.sender, message)
+        return None
+
+    def _heartbeat(self, now: float, sender: str, message: Heartbeat) -> list[object]:
+        daemon = self._own.daemons.get(sender)
+        if daemon is not None and message.incarnation < daemon.incarnation:
+            return [EmitMetric("counter", "membership.old_incarnation")]
+        if daemon is None or message.incarnation > daemon.incarnation:
+            daemon = Daemon(sender, message.incarnation, message.data_centre, now)
+            self._own.daemons[sender] = daemon
+        daemon.last_heard = now
+        subscriptions = tuple(message.subscriptions)
+        if subscriptions != daemon.subscriptions:
+            daemon.subscriptions, daemon.updated_at = subscriptions, NEVER
+        daemon.draining = message.draining
+        out: list[object] = []
+        for summary in message.members:
+            out += self._merge(now, summary, "relay")
+        if self._own.is_leader and daemon.updated_at == NEVER:
+            out.append(self._whole(now, daemon))
+        return out
+
+    def _update(self, now: float, sender: str, message: TopologyUpdate) -> list[object]:
+        if self._own.is_leader:
+            return []
+        self._own.leader = sender
+        out: list[object] = []
+        for state in message.databases:
+            out += self._commit(state)
+        for summary in message.members:
+            if summary.age_ms > self._settings.timers.announcement_lease * 1000:
+                out += self._drop(now, summary.database, summary.member)
+            else:
+                out += self._merge(now, summary, "leader")
+        if message.full:
+            named = {(m.database, m.member) for m in message.members}
+            for database in self._own.databases.values():
+                for member in tuple(database.members):
+                    if (database.name, member) not in named:
+                        out += self._drop(now, database.name, member)
+        return out
+
+    def _drop(self, now: float, database: str, name: str) -> list[object]:
+        """Removes a member that the leader lost, unless it still announces here."""
+        group = self._own.databases.get(database)
+        member = group.members.get(name) if group else None
+        lease = self._settings.timers.announcement_lease
+        if group is None or member is None or now - member.announced_at <= lease:
+            return []
+        del group.members[name]
+        return [MemberLost(database, name)]
+
+    def _compare(self, sender: str, message: HeartbeatReply) -> list[object]:
+        if not message.topology_digest or self._own.is_leader:
+            return []
+        names = subscribed_databases(self._settings.organisations, self._blackboard)
+        digest = digest_of(self._blackboard, names)
+        same = digest == message.topology_digest
+        # A delta may still be on its way, so only a repeated mismatch is repaired.
+        self._mismatches = 0 if same else self._mismatches + 1
+        if self._mismatches < 2:
+            return []
+        self._mismatches = 0
+        repair = ConfigurationAcknowledged({TOPOLOGY_KEY: digest})
+        return [SendPeerMessage(sender, repair)]
+
+    def _repair(
+        self, now: float, sender: str, message: ConfigurationAcknowledged
+    ) -> list[object]:
+        daemon = self._own.daemons.get(sender)
+        if daemon is None or not self._own.is_leader:
+            return []
+        names = subscribed_databases(daemon.subscriptions, self._blackboard)
+        held = message.versions.get(TOPOLOGY_KEY)
+        if held is None or held == digest_of(self._blackboard, names):
+            return []
+        return [
+            EmitMetric("counter", "membership.topology_repaired"),
+            self._whole(now, daemon),
+        ]
+
+    # --- distribution to subscribers
+
+    def _whole(self, now: float, daemon: Daemon) -> SendPeerMessage:
+        daemon.updated_at = now
+        names = subscribed_databases(daemon.subscriptions, self._blackboard)
+        if names is None:
+            names = frozenset(self._own.databases)
+        # A new leader may not have heard of every member yet, so it removes none.
+        lease = self._settings.timers.announcement_lease
+        full = now - self._own.leader_since >= lease
+        return SendPeerMessage(daemon.name, self._topology(now, names, full))
+
+    def _topology(
+        self, now: float, names: frozenset[str], full: bool = False
+    ) -> TopologyUpdate:
+        databases = [
+            self._own.databases[n] for n in sorted(names) if n in self._own.databases
+        ]
+        return TopologyUpdate(
+            full=full,
+            databases=[database_state(d) for d in databases],
+            members=[
+                summarize_member(now, d, m)
+                for d in databases
+                for m in d.members.values()
+            ],
+        )
+
+    def _notify(self, now: float, changed: Any) -> list[object]:
+        """Sends the changed databases to the daemons that subscribe to them."""
+        if not self._own.is_leader:
+            return []
+        out: list[object] = []
+        for daemon in self._own.daemons.values():
+            names = subscribed_databases(daemon.subscriptions, self._blackboard)
+            wanted = frozenset(changed) if names is None else names & frozenset(changed)
+            if wanted:
+                out.append(SendPeerMessage(daemon.name, self._topology(now, wanted)))
+        return out
+
+    # --- leases
+
+    @handles(Tick)
+    def tick(self, now: float, event: Tick) -> list[object] | None:
+        out: list[object] = []
+        if now - self._lease_check >= LEASE_CHECK_INTERVAL:
+            self._lease_check = now
+            out += self._expire(now)
+        if now - self._position_flush >= self._settings.timers.digest_interval:
+            self._position_flush = now
+            if self._moved:
+                out += self._notify(now, self._moved)
+                self._moved.clear()
+        return out
+
+    def _expire(self, now: float) -> list[object]:
+        lease = self._settings.timers.announcement_lease
+        # A relay repeats an unchanged member only once in half a lease.
+        limits = {"announcement": lease, "relay": 2 * lease, "leader": float("inf")}
+        out: list[object] = []
+        for database in self._own.databases.values():
+            for member in tuple(database.members.values()):
+                if now - member.last_heard > limits[member.source]:
+                    out += self._lose(now, database, member)
+        daemon_lease = self._settings.timers.stale_after
+        for daemon in tuple(self._own.daemons.values()):
+            if now - daemon.last_heard > daemon_lease:
+                del self._own.daemons[daemon.name]
+                fields = {"daemon": daemon.name}
+                out.append(EmitLog("warning", "daemon_lost", fields))
+        return out
+
+    def _lose(self, now: float, database: Database, member: Member) -> list[object]:
+        del database.members[member.name]
+        out: list[object] = [MemberLost(database.name, member.name)]
+        fields = {"database": database.name, "member": member.name}
+        out.append(EmitLog("warning", "member_lost", fields))
+        if self._own.is_leader:
+            summary = summarize_member(now, database, member)
+            lost = TopologyUpdate(False, [database_state(database)], [summary])
+            out += [SendPeerMessage(name, lost) for name in self._own.daemons]
+        return out
+
+
+def _conflict(known: Member, summary: MemberSummary) -> list[object]:
+    fields = {
+        "database": summary.database,
+        "member": summary.member,
+        "address": summary.address,
+        "known_address": known.address,
+        "incarnation": summary.incarnation,
+    }
+    return [
+        EmitLog("error", "identity_conflict", fields),
+        EmitMetric("counter", "membership.identity_conflict"),
+    ]
--- a/packages/core/src/bronzemoor_core/node.py
+++ b/packages/core/src/bronzemoor_core/node.py
@@ -1,7 +1,7 @@
 """The central object: holds settings and blackboard and makes the controllers."""
 
 from collections import defaultdict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from importlib import import_module
 from random import Random
 from typing import Any
@@ -34,7 +34,13 @@
 class Node:
     """Runs one daemon's controllers as a pure ``(now, event) -> actions`` machine."""
 
-    def __init__(self, settings: Any, random: Random) -> None:
+    def __init__(
+        self,
+        settings: Any,
+        random: Random,
+        names: Collection[str] = CONTROLLER_TYPES.keys(),
+    ) -> None:
+        """``names`` selects controllers by section, for tests of a part."""
         self._settings = settings
         self._blackboard = Blackboard()
         self._controllers: dict[str, Controller] = {}
@@ -42,6 +48,8 @@
             list
         )
         for name, cls in CONTROLLER_TYPES.items():
+            if name not in names:
+                continue
             instance = cls(self._blackboard, settings, random)
             self._controllers[name] = instance
             self._register(instance)
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/records.py
@@ -0,0 +1,144 @@
+"""Records of the replicated state and their exact form in snapshots."""
+
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+from bronzemoor_core.blackboard import section
+
+
+@dataclass(slots=True)
+class TemplateEntry:
+    """One version of a template; ``at`` is the proposer's wall-clock time, seconds."""
+
+    version: int
+    body: dict[str, Any]
+    operator: str
+    at: float
+    change_id: str
+
+
+@dataclass(slots=True)
+class ChangeRecord:
+    """The first answer to an operator's change id; ``digest`` is of its arguments."""
+
+    digest: str
+    result: dict[str, Any]
+
+
+@dataclass(slots=True)
+class FailoverPlan:
+    """A promotion in progress; ``step`` is ``started`` or ``chosen``.
+
+    ``kind`` is ``failover``, ``handover`` or ``appointment``.
+    """
+
+    kind: str
+    old_term: int
+    new_term: int
+    change_id: str
+    reason: str = ""
+    target: str = ""
+    step: str = "started"
+    chosen: str = ""
+    start_offset: int = 0
+    at: float = 0.0
+
+
+@dataclass(slots=True)
+class DatabaseRecord:
+    """Committed facts of one database group.
+
+    ``group`` decides majorities. ``version`` rises with every change.
+    """
+
+    name: str
+    term: int = 0
+    primary: str = ""
+    group: tuple[str, ...] = ()
+    history: dict[int, int] = field(default_factory=dict)
+    plan: FailoverPlan | None = None
+    draining: tuple[str, ...] = ()
+    version: int = 0
+
+    @property
+    def fenced(self) -> bool:
+        """Tells whether a promotion is in progress, so that no write may start."""
+        return self.plan is not None
+
+    @property
+    def highest_term(self) -> int:
+        """The highest term ever given to this database."""
+        return max(self.term, self.plan.new_term if self.plan else 0)
+
+
+@dataclass(slots=True)
+class KeyRecord:
+    """A key for session tokens; ``secret`` is in hexadecimal."""
+
+    key_id: str
+    secret: str
+    at: float
+
+
+@section("state")
+class State:
+    """The applied state: the same on every control member at ``applied_index``."""
+
+    __slots__ = ("applied_index", "changes", "databases", "keys", "templates")
+
+    def __init__(self) -> None:
+        self.applied_index = 0
+        # Versions by organisation, oldest first.
+        self.templates: dict[str, list[TemplateEntry]] = {}
+        # Change ids by organisation, oldest first; "" holds those of no organisation.
+        self.changes: dict[str, dict[str, ChangeRecord]] = {}
+        self.databases: dict[str, DatabaseRecord] = {}
+        # Newest first; the first one signs.
+        self.keys: list[KeyRecord] = []
+
+
+def to_snapshot(state: Any) -> dict[str, Any]:
+    """Returns the state as plain JSON values."""
+    return {
+        "templates": {k: [asdict(e) for e in v] for k, v in state.templates.items()},
+        "changes": {
+            organisation: [[k, c.digest, c.result] for k, c in changes.items()]
+            for organisation, changes in state.changes.items()
+        },
+        "databases": [_database_to_dict(record) for record in state.databases.values()],
+        "keys": [asdict(key) for key in state.keys],
+    }
+
+
+def from_snapshot(state: State, index: int, data: dict[str, Any]) -> None:
+    """Replaces ``state`` by a snapshot, which may have passed through JSON."""
+    state.applied_index = index
+    state.templates = {
+        k: [TemplateEntry(**e) for e in v] for k, v in data["templates"].items()
+    }
+    state.changes = {
+        organisation: {k: ChangeRecord(digest, result) for k, digest, result in rows}
+        for organisation, rows in data["changes"].items()
+    }
+    records = [_database_from_dict(row) for row in data["databases"]]
+    state.databases = {record.name: record for record in records}
+    state.keys = [KeyRecord(**key) for key in data["keys"]]
+
+
+def _database_to_dict(record: DatabaseRecord) -> dict[str, Any]:
+    row = asdict(record)
+    row["history"] = sorted(record.history.items())
+    return row
+
+
+def _database_from_dict(row: dict[str, Any]) -> DatabaseRecord:
+    plan = row["plan"]
+    return DatabaseRecord(
+        **{
+            **row,
+            "group": tuple(row["group"]),
+            "draining": tuple(row["draining"]),
+            "history": {int(term): start for term, start in row["history"]},
+            "plan": FailoverPlan(**plan) if plan else None,
+        }
+    )
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/relays.py
@@ -0,0 +1,125 @@
+"""Relaying of member summaries and scoped distribution of the topology."""
+
+from collections.abc import Iterable
+from typing import Any
+from zlib import crc32
+
+from bronzemoor_core.commands import current_entry
+from bronzemoor_core.events import Announcement
+from bronzemoor_core.messages import DatabaseState, MemberSummary
+
+# Key of the topology digest in ``ConfigurationAcknowledged.versions``; it cannot be
+# an organisation's name.
+TOPOLOGY_KEY = "@topology"
+# A change is repeated in this many heartbeats, so that one lost message costs nothing.
+REPEATED_HEARTBEATS = 2
+
+
+def to_summary(announcement: Announcement) -> MemberSummary:
+    """Returns what a relay forwards of an announcement."""
+    a = announcement
+    return MemberSummary(
+        database=a.database,
+        member=a.member,
+        address=a.address,
+        data_centre=a.data_centre,
+        role=a.role,
+        term=a.term,
+        offset=a.offset,
+        incarnation=a.incarnation,
+        members=list(a.members),
+        leaving=a.leaving,
+        slots=a.slots,
+        connections=a.connections,
+        history=dict(a.history),
+        unreachable=list(a.unreachable),
+        age_ms=0,
+    )
+
+
+def summarize_member(now: float, database: Any, member: Any) -> MemberSummary:
+    """Returns a member as this daemon knows it; ``age_ms`` is since it was heard."""
+    return MemberSummary(
+        database=database.name,
+        member=member.name,
+        address=member.address,
+        data_centre=member.data_centre,
+        role=member.role,
+        term=member.position.term,
+        offset=member.position.offset,
+        incarnation=member.incarnation,
+        members=list(member.group),
+        leaving=member.leaving,
+        slots=member.slots,
+        connections=member.connections,
+        history=dict(member.history),
+        unreachable=list(member.unreachable),
+        age_ms=round(max(0.0, now - member.last_heard) * 1000),
+    )
+
+
+def member_summaries(now: float, blackboard: Any, timers: Any) -> list[MemberSummary]:
+    """Returns what the next heartbeat forwards to the control members.
+
+    Members that announce here are included when something other than their position
+    changed, and all of them once in half a lease, which coalesces positions.
+    """
+    repeat = REPEATED_HEARTBEATS * timers.daemon_heartbeat_interval
+    refresh = timers.announcement_lease / 2
+    slot = timers.daemon_heartbeat_interval
+    summaries = []
+    for database in blackboard.topology.databases.values():
+        for member in database.members.values():
+            if now - member.announced_at > timers.announcement_lease:
+                continue
+            phase = crc32(f"{database.name}/{member.name}".encode()) / 2**32 * refresh
+            due = (now + phase) % refresh < slot
+            if due or now - member.changed_at <= repeat:
+                summaries.append(summarize_member(now, database, member))
+    return summaries
+
+
+def database_state(database: Any) -> DatabaseState:
+    """Returns the committed state of a database for subscribers."""
+    return DatabaseState(
+        database=database.name,
+        term=database.term,
+        primary=database.committed_primary,
+        fenced=database.fenced,
+        history=dict(database.history.starts),
+        version=database.version,
+    )
+
+
+def subscribed_databases(
+    subscriptions: Iterable[str], blackboard: Any
+) -> frozenset[str] | None:
+    """Returns the databases of the subscribed organisations; None means all.
+
+    A name that is no organisation with a template counts as a database.
+    """
+    names: set[str] = set()
+    for name in subscriptions:
+        entry = current_entry(blackboard.state, name)
+        names.update(entry.body["databases"] if entry else (name,))
+    return frozenset(names) if names else None
+
+
+def topology_digest(blackboard: Any, subscriptions: Iterable[str]) -> int:
+    """Returns a checksum of all but the positions of the subscribed databases."""
+    return digest_of(blackboard, subscribed_databases(subscriptions, blackboard))
+
+
+def digest_of(blackboard: Any, names: frozenset[str] | None) -> int:
+    """Returns the topology digest over ``names``, or over all databases."""
+    rows = []
+    for name, database in sorted(blackboard.topology.databases.items()):
+        if names is not None and name not in names:
+            continue
+        members = [
+            (m.name, m.incarnation, m.address, m.leaving)
+            for _, m in sorted(database.members.items())
+        ]
+        rows.append((name, database.version, database.term, members))
+    # 0 stands for "no digest" in HeartbeatReply.
+    return crc32(repr(rows).encode()) or 1
--- a/packages/core/src/bronzemoor_core/settings.py
+++ b/packages/core/src/bronzemoor_core/settings.py
@@ -12,6 +12,7 @@
     heartbeat_interval: float = 0.050
     daemon_heartbeat_interval: float = 0.100
     snapshot_entries: int = 5_000
+    announcement_interval: float = 0.100
     announcement_lease: float = 1.0
     suspicion_timeout: float = 0.150
     order_timeout: float = 0.200
@@ -66,6 +67,8 @@
     control: bool = False
     peers: dict[str, str] = field(default_factory=dict)
     control_members: tuple[str, ...] = ()
+    # Organisations that this daemon serves; empty means all.
+    organisations: tuple[str, ...] = ()
     # Keys for session tokens by id; the first one signs.
     token_keys: dict[str, bytes] = field(default_factory=dict)
     # Measured or configured one-way delay to other data centres, seconds.
