--- /dev/null
+++ b/packages/daemon/src/bronzemoor_daemon/driver.py
@@ -0,0 +1,167 @@
+"""Interface between the core and the transports: one lock around the node."""
+
+from collections.abc import Callable, Mapping
+from itertools import count
+from queue import Empty, SimpleQueue
+from threading import Lock
+from time import monotonic
+from typing import Any
+
+from bronzemoor_core.actions import Action, AdminReply, Reply, SendCall
+from bronzemoor_core.events import AdminCommand, CallerGone, Request, RequestReceived
+from bronzemoor_core.node import Node
+from bronzemoor_core.outcomes import Unknown
+
+# How often a waiting request looks whether its caller is still connected.
+CALLER_CHECK_INTERVAL = 0.1
+# The core answers by the deadline; this margin covers a call in progress at that time.
+REPLY_MARGIN = 5.0
+ADMIN_TIMEOUT = 10.0
+
+Performer = Callable[[Any], None]
+
+
+class Driver:
+    """Feeds events to the node and hands its actions to their performers, in order.
+
+    Performers run under the lock, so they only enqueue. Actions for a request that a
+    thread serves go to that thread's mailbox instead.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        performers: Mapping[type, Performer],
+        call: Callable[[SendCall], object],
+        on_error: Callable[[object, Exception], None],
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
+        self._node = node
+        self._performers = dict(performers)
+        self._perform_call = call
+        self._send_elsewhere = self._performers[SendCall]
+        self._performers[SendCall] = self._route_call
+        self._performers[Reply] = self._route_reply
+        self._performers[AdminReply] = self._route_reply
+        self._on_error = on_error
+        self._clock = clock
+        self._lock = Lock()
+        self._tickets = count(1)
+        self._mailboxes: dict[int, SimpleQueue[Action]] = {}
+
+    @property
+    def node(self) -> Node:
+        return self._node
+
+    @property
+    def clock(self) -> Callable[[], float]:
+        return self._clock
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that have no answer yet."""
+        return len(self._mailboxes)
+
+    def handle(self, event: object) -> None:
+        """Processes one event; an error of the core is reported, not raised."""
+        with self._lock:
+            self._handle(event)
+
+    def read(self, function: Callable[[Any], Any]) -> Any:
+        """Calls ``function`` with the blackboard while no event is processed."""
+        with self._lock:
+            return function(self._node.blackboard)
+
+    def serve(self, request: Request, gone: Callable[[], bool]) -> Reply:
+        """Runs one request in the calling thread and returns its reply.
+
+        ``gone`` tells whether the caller closed its connection.
+        """
+        mailbox: SimpleQueue[Action] = SimpleQueue()
+        ticket = next(self._tickets)
+        with self._lock:
+            self._mailboxes[ticket] = mailbox
+            self._handle(RequestReceived(ticket, request))
+        try:
+            while True:
+                try:
+                    action = mailbox.get_nowait()
+                except Empty:
+                    action = self._wait(ticket, request, mailbox, gone)
+                if type(action) is SendCall:
+                    self.handle(self._perform_call(action))
+                else:
+                    return action  # type: ignore[return-value]
+        finally:
+            self._mailboxes.pop(ticket, None)
+
+    def command(
+        self, name: str, arguments: dict[str, Any], operator: str
+    ) -> AdminReply:
+        """Runs an operator's command; without an answer in time the code is unknown."""
+        mailbox: SimpleQueue[Any] = SimpleQueue()
+        ticket = next(self._tickets)
+        with self._lock:
+            self._mailboxes[ticket] = mailbox
+            self._handle(AdminCommand(ticket, name, arguments, operator))
+        try:
+            reply: AdminReply = mailbox.get(timeout=ADMIN_TIMEOUT)
+            return reply
+        except Empty:
+            message = f"no answer within {ADMIN_TIMEOUT} s; the change may be in force"
+            return AdminReply(ticket, "unknown", {"message": message})
+        finally:
+            self._mailboxes.pop(ticket, None)
+
+    def _wait(
+        self,
+        ticket: int,
+        request: Request,
+        mailbox: "SimpleQueue[Action]",
+        gone: Callable[[], bool],
+    ) -> Action:
+        told = False
+        while True:
+            try:
+                return mailbox.get(timeout=CALLER_CHECK_INTERVAL)
+            except Empty:
+                pass
+            if not told and gone():
+                told = True
+                self.handle(CallerGone(ticket))
+            if self._clock() > request.deadline + REPLY_MARGIN:
+                return Reply(
+                    ticket, Unknown("internal", "the core gave no answer", "driver")
+                )
+
+    def _handle(self, event: object) -> None:
+        try:
+            actions = self._node.handle(self._clock(), event)
+        except Exception as error:  # a fault of one event must not stop the daemon
+            self._on_error(event, error)
+            self._answer_failed(event, error)
+            return
+        for action in actions:
+            performer = self._performers.get(type(action))
+            if performer is not None:
+                performer(action)
+
+    def _answer_failed(self, event: object, error: Exception) -> None:
+        if isinstance(event, RequestReceived):
+            outcome = Unknown("internal", type(error).__name__, "core")
+            self._route_reply(Reply(event.ticket, outcome))
+        elif isinstance(event, AdminCommand):
+            body = {"message": type(error).__name__}
+            self._route_reply(AdminReply(event.ticket, "internal", body))
+
+    def _route_call(self, action: SendCall) -> None:
+        mailbox = self._mailboxes.get(action.call.ticket)
+        if mailbox is None:
+            self._send_elsewhere(action)
+        else:
+            mailbox.put(action)
+
+    def _route_reply(self, action: Reply | AdminReply) -> None:
+        mailbox = self._mailboxes.pop(action.ticket, None)
+        if mailbox is not None:
+            mailbox.put(action)
--- /dev/null
+++ b/packages/daemon/src/bronzemoor_daemon/endpoints.py
@@ -0,0 +1,287 @@
+"""Thrift connections to endpoints; performs connection and call actions."""
+
+from collections.abc import Callable
+from ssl import SSLContext
+from threading import Lock
+from time import monotonic
+from typing import Any
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.Thrift import TException
+from thrift.transport.TTransport import TTransportException
+
+from bronzemoor_core.actions import Answer, Call, OpenConnection, SendCall, SendOrder
+from bronzemoor_core.events import (
+    AnswerReceived,
+    AnswerTimedOut,
+    ConnectionClosed,
+    ConnectionFailed,
+    ConnectionOpened,
+    OrderAnswered,
+    OrderFailed,
+)
+from bronzemoor_daemon.framing import FramedTransport, NotSentError, connect
+from bronzemoor_daemon.gen.endpoint import Endpoint, ttypes
+
+CallEvent = AnswerReceived | AnswerTimedOut | ConnectionClosed
+
+_STATUS = {0: "ok", 1: "refused", 2: "failed"}
+_INT64_MAX = 2**63 - 1
+
+# Field names that a core Answer takes over unchanged from the Thrift reply.
+_ANSWER_TEXT = ("request_id", "code", "message", "member", "role", "transaction_id")
+_ANSWER_NUMBERS = ("term", "offset", "majority_offset", "length", "checksum")
+
+
+class _Connection:
+    """One open connection; ``client`` is the generated Thrift client."""
+
+    __slots__ = ("client", "transport")
+
+    def __init__(self, transport: FramedTransport) -> None:
+        self.transport = transport
+        self.client = Endpoint.Client(TBinaryProtocolAccelerated(transport))
+
+
+def _position(call: Call) -> ttypes.Position:
+    return ttypes.Position(call.min_position.term, call.min_position.offset)
+
+
+def _execute(call: Call) -> ttypes.Execute:
+    return ttypes.Execute(
+        correlation_id=call.correlation_id,
+        request_id=call.request_id,
+        digest=call.digest,
+        statements=[ttypes.Statement(s.sql, s.params) for s in call.statements],
+        read_only=call.read_only,
+        recorded=call.recorded,
+        reservation=call.reservation or None,
+        transaction_id=call.transaction_id or None,
+        min_position=_position(call),
+        wait_ms=call.wait_ms,
+        deadline_ms=int(call.timeout * 1000),
+    )
+
+
+def _transaction(call: Call) -> ttypes.TransactionCall:
+    return ttypes.TransactionCall(
+        correlation_id=call.correlation_id,
+        request_id=call.request_id,
+        transaction_id=call.transaction_id,
+        digest=call.digest,
+        recorded=call.recorded,
+        min_position=_position(call),
+        wait_ms=call.wait_ms,
+    )
+
+
+def _reserve(call: Call) -> ttypes.Reserve:
+    return ttypes.Reserve(
+        correlation_id=call.correlation_id,
+        request_id=call.request_id,
+        digest=call.digest,
+        reservation=call.reservation,
+    )
+
+
+def _query(call: Call) -> ttypes.Query:
+    return ttypes.Query(
+        correlation_id=call.correlation_id,
+        request_id=call.request_id,
+        position=_position(call),
+        wait_ms=call.wait_ms,
+        digest=call.digest,
+    )
+
+
+# Thrift argument of each call, by method name.
+CALL_ENCODERS: dict[str, Callable[[Call], Any]] = {
+    "execute": _execute,
+    "begin": _transaction,
+    "commit": _transaction,
+    "rollback": _transaction,
+    "reserve": _reserve,
+    "confirm": _query,
+    "lookup": _query,
+    "ping": _query,
+}
+
+
+def decode_answer(reply: ttypes.Reply) -> Answer:
+    """Maps a reply to the core's ``Answer``; raises ``ValueError`` if it is no reply.
+
+    Length, checksum and correlation are left for the core to check.
+    """
+    status = _STATUS.get(reply.status)
+    if status is None or reply.correlation_id is None:
+        raise ValueError("reply without status or correlation id")
+    return Answer(
+        reply.correlation_id,
+        status,
+        reply.request_id or "",
+        reply.code or "",
+        reply.message or "",
+        reply.term or 0,
+        reply.offset or 0,
+        reply.majority_offset or 0,
+        -1 if reply.confirmed_ago_ms is None else reply.confirmed_ago_ms,
+        reply.payload or b"",
+        reply.length or 0,
+        reply.checksum or 0,
+        reply.member or "",
+        reply.role or "",
+        bool(reply.repeated),
+        reply.transaction_id or "",
+        reply.history or {},
+        bool(reply.leaving),
+    )
+
+
+class EndpointConnections:
+    """All open connections of this daemon by the core's connection number.
+
+    Every method blocks and returns the one event that answers its action.
+    """
+
+    def __init__(
+        self,
+        client_name: str,
+        clock: Callable[[], float] = monotonic,
+        tls: SSLContext | None = None,
+    ) -> None:
+        self._client_name = client_name
+        self._clock = clock
+        self._tls = tls
+        self._connections: dict[int, _Connection] = {}
+        # Connections whose close was ordered while they were still opening.
+        self._abandoned: set[int] = set()
+        self._opening: set[int] = set()
+        self._lock = Lock()
+
+    def __len__(self) -> int:
+        return len(self._connections)
+
+    def announce_open(self, connection: int) -> None:
+        """Notes that an open is on its way, so that a close in between takes effect."""
+        with self._lock:
+            self._opening.add(connection)
+
+    def open(self, action: OpenConnection) -> ConnectionOpened | ConnectionFailed:
+        """Connects and says hello within ``action.timeout`` seconds."""
+        held = None
+        try:
+            held = self._dial(action.address, action.timeout)
+            hello = ttypes.Hello(action.connection, self._client_name, action.database)
+            answer = decode_answer(held.client.hello(hello))
+        except Exception as error:  # whatever the other side sent, the open failed
+            if held is not None:
+                held.transport.close()
+            with self._lock:
+                self._opening.discard(action.connection)
+                self._abandoned.discard(action.connection)
+            return ConnectionFailed(action.connection, _describe(error))
+        with self._lock:
+            self._opening.discard(action.connection)
+            abandoned = action.connection in self._abandoned
+            self._abandoned.discard(action.connection)
+            if not abandoned:
+                self._connections[action.connection] = held
+        if abandoned:
+            held.transport.close()
+            return ConnectionFailed(action.connection, "closed while opening")
+        return ConnectionOpened(action.connection, answer)
+
+    def call(self, action: SendCall) -> CallEvent:
+        """Performs one call; ``sent`` is false only if the endpoint cannot have it."""
+        held = self._connections.get(action.connection)
+        call = action.call
+        if held is None:
+            return ConnectionClosed(action.connection, "not open", sent=False)
+        transport = held.transport
+        sent_at = self._clock()
+        try:
+            if transport.has_input():
+                # The endpoint closed the connection or sent what nobody asked for.
+                return self._closed(action, "closed or unexpected data", False)
+            transport.deadline = monotonic() + call.timeout
+            argument = CALL_ENCODERS[call.kind](call)
+            reply = getattr(held.client, call.kind)(argument)
+            return AnswerReceived(
+                action.connection, call, decode_answer(reply), sent_at
+            )
+        except NotSentError as error:
+            return self._closed(action, _describe(error), False)
+        except TTransportException as error:
+            if error.type == TTransportException.TIMED_OUT:
+                return AnswerTimedOut(action.connection, call, sent_at)
+            return self._closed(action, _describe(error), True)
+        except Exception as error:  # a reply that cannot be decoded
+            return self._closed(action, _describe(error), True)
+
+    def close(self, connection: int) -> None:
+        """Closes a connection; a call in progress on it ends as closed."""
+        with self._lock:
+            held = self._connections.pop(connection, None)
+            if held is None and connection in self._opening:
+                self._abandoned.add(connection)
+        if held is not None:
+            held.transport.close()
+
+    def order(self, action: SendOrder) -> OrderAnswered | OrderFailed:
+        """Sends an order on a fresh connection within ``action.timeout`` seconds."""
+        order = action.order
+        try:
+            held = self._dial(order.address, action.timeout)
+        except (OSError, ValueError) as error:
+            return OrderFailed(order, _describe(error))
+        try:
+            hello = ttypes.Hello(
+                order.correlation_id, self._client_name, order.database
+            )
+            held.client.hello(hello)
+            if order.kind == "ping":
+                argument: Any = ttypes.Query(
+                    order.correlation_id, "", ttypes.Position(0, 0), 0, ""
+                )
+            else:
+                argument = ttypes.Order(
+                    order.correlation_id,
+                    order.term,
+                    order.primary,
+                    order.start_offset,
+                    order.members,
+                )
+            reply = getattr(held.client, order.kind)(argument)
+            return OrderAnswered(order, decode_answer(reply))
+        except Exception as error:  # whatever arrived is no answer to the order
+            return OrderFailed(order, _describe(error))
+        finally:
+            held.transport.close()
+
+    def close_all(self) -> None:
+        """Closes every connection."""
+        for connection in list(self._connections):
+            self.close(connection)
+
+    def _dial(self, address: str, timeout: float) -> _Connection:
+        deadline = monotonic() + timeout
+        connected = connect(address, timeout)
+        try:
+            if self._tls is not None:
+                connected = self._tls.wrap_socket(connected)
+        except OSError:
+            connected.close()
+            raise
+        transport = FramedTransport(connected)
+        transport.deadline = deadline
+        return _Connection(transport)
+
+    def _closed(self, action: SendCall, error: str, sent: bool) -> ConnectionClosed:
+        self.close(action.connection)
+        return ConnectionClosed(action.connection, error, sent)
+
+
+def _describe(error: BaseException) -> str:
+    if isinstance(error, TException) and getattr(error, "message", None):
+        return str(error.message)
+    return f"{type(error).__name__}: {error}"
--- /dev/null
+++ b/packages/daemon/src/bronzemoor_daemon/http.py
@@ -0,0 +1,115 @@
+"""Hot path of the HTTP interface: statements, transactions, announcements, health."""
+
+from collections.abc import Callable
+from typing import Any
+
+from bronzemoor_core.events import AnnouncementReceived
+from bronzemoor_core.exceptions import InvalidRequest
+from bronzemoor_daemon.answers import (
+    STATUS_OK,
+    STATUS_UNAVAILABLE,
+    encode_error,
+    encode_reply,
+)
+from bronzemoor_daemon.driver import Driver
+from bronzemoor_daemon.parsing import parse_announcement, parse_request
+from bronzemoor_daemon.server import DISCARD_BYTES, Response
+
+TRANSACTIONS = b"/v1/transactions/"
+TRANSACTION_ENDS = {b"commit": "commit", b"rollback": "rollback"}
+
+
+class HttpPath:
+    """Answers hot-path requests in the server's worker threads."""
+
+    def __init__(
+        self,
+        driver: Driver,
+        data_centre: str,
+        max_body: int,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self._driver = driver
+        self._data_centre = data_centre
+        self._max_body = max_body
+        self._is_ready = is_ready
+        self._routes: dict[bytes, Callable[[Any], Response]] = {
+            b"/v1/statements": self._statements,
+            b"/v1/transactions": self._begin,
+            b"/v1/announcements": self._announce,
+        }
+        self._health: dict[bytes, Callable[[], Response]] = {
+            b"/ready": self._ready,
+            b"/live": lambda: (STATUS_OK, b'{"live":true}'),
+        }
+
+    def __call__(self, req: Any) -> Response | None:
+        """Returns the response, or None when the path belongs to the admin tree."""
+        try:
+            route = self._routes.get(req.path)
+            if route is not None:
+                return self._checked(req, route)
+            health = self._health.get(req.path)
+            if health is not None:
+                return health()
+            if req.path.startswith(TRANSACTIONS):
+                return self._checked(req, self._end)
+        except InvalidRequest as error:
+            return encode_error(error)
+        return None
+
+    def _checked(self, req: Any, route: Callable[[Any], Response]) -> Response:
+        if req.method != b"POST":
+            raise InvalidRequest("use POST", step="http", code="method_not_allowed")
+        return route(req)
+
+    def _statements(self, req: Any) -> Response:
+        return self._serve(req, "statements")
+
+    def _begin(self, req: Any) -> Response:
+        return self._serve(req, "begin")
+
+    def _end(self, req: Any) -> Response:
+        transaction, _, end = req.path[len(TRANSACTIONS) :].partition(b"/")
+        kind = TRANSACTION_ENDS.get(end)
+        if kind is None:
+            raise InvalidRequest("no such path", step="http", code="not_found")
+        return self._serve(req, kind, transaction.decode("latin-1"))
+
+    def _serve(self, req: Any, kind: str, transaction: str = "") -> Response:
+        body = self._body(req)
+        now = self._driver.clock()
+        request = parse_request(body, kind, now, self._data_centre, transaction)
+        reply = self._driver.serve(request, req.conn.is_gone)
+        return encode_reply(reply, request.trace_id)
+
+    def _announce(self, req: Any) -> Response:
+        announcement = parse_announcement(self._body(req))
+        self._driver.handle(AnnouncementReceived(announcement))
+        return STATUS_OK, b'{"outcome":"done"}'
+
+    def _ready(self) -> Response:
+        if self._is_ready():
+            return STATUS_OK, b'{"ready":true}'
+        return STATUS_UNAVAILABLE, b'{"ready":false}'
+
+    def _body(self, req: Any) -> bytes:
+        """Reads the body; too large a one is partly discarded and closes."""
+        if req.chunked_read:
+            body: bytes = req.rfile.read(self._max_body + 1)
+        else:
+            remaining = req.rfile.remaining
+            if remaining <= self._max_body:
+                body = req.rfile.read(remaining) if remaining > 0 else b""
+                if len(body) == remaining:
+                    return body
+                req.close_connection = True
+                raise InvalidRequest("body ended early", step="http")
+            body = b" " * remaining if remaining < 0 else req.rfile.read(1)
+        if len(body) <= self._max_body and req.chunked_read:
+            return body
+        req.close_connection = True
+        req.rfile.read(DISCARD_BYTES)
+        raise InvalidRequest(
+            f"body exceeds {self._max_body} bytes", step="http", code="body_too_large"
+        )
--- /dev/null
+++ b/packages/daemon/src/bronzemoor_daemon/server.py
@@ -0,0 +1,238 @@
+"""HTTP server: cheroot with cheap idle connections, a hot path and a listener that
+closes before the connections do."""
+
+import socket
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from email.utils import formatdate
+from selectors import EVENT_READ
+from ssl import SSLContext
+from typing import Any
+
+from cheroot.makefile import MakeFile
+from cheroot.server import HTTPConnection
+from cheroot.ssl import Adapter
+from cheroot.wsgi import Gateway_10, Server
+
+# Handles one request: (method and path, body reader) -> response or None to pass on.
+Response = tuple[bytes, bytes]
+
+# Buffers of an idle connection; a request line, its headers and a short body fit.
+BUFFER_BYTES = 2_048
+EXPIRATION_INTERVAL = 5.0
+# What is read and thrown away of a body that is too large, so that the client gets to
+# read the answer before the connection closes.
+DISCARD_BYTES = 4 * 1024 * 1024
+
+
+class ClientConnection(HTTPConnection):
+    """A client connection that waits in the selector until its first byte arrives."""
+
+    rbufsize = BUFFER_BYTES
+    wbufsize = BUFFER_BYTES
+
+    def __init__(self, server: Any, sock: Any, makefile: Any = MakeFile) -> None:
+        super().__init__(server, sock, makefile)
+        sock.settimeout(server.read_timeout)
+        self.is_new = True
+
+    def is_gone(self) -> bool:
+        """Tells whether the client closed its side; unknown counts as connected."""
+        timeout = self.socket.gettimeout()
+        try:
+            self.socket.settimeout(0)
+            return self.socket.recv(1, socket.MSG_PEEK) == b""
+        except (BlockingIOError, ValueError):
+            return False
+        except OSError:
+            return True
+        finally:
+            with suppress(OSError):
+                self.socket.settimeout(timeout)
+
+
+class HotPathGateway(Gateway_10):
+    """Serves the server's ``hot_path`` directly and everything else through WSGI."""
+
+    def __init__(self, req: Any) -> None:
+        # The WSGI environment is made only for requests that need it.
+        self.req = req
+        self.started_response = False
+        self.remaining_bytes_out = None
+
+    def respond(self) -> None:
+        response = self.req.server.hot_path(self.req)
+        if response is not None:
+            self._send(*response)
+            return
+        self.env = self.get_environ()
+        super().respond()
+
+    def _send(self, status: bytes, body: bytes) -> None:
+        req = self.req
+        server = req.server
+        if req.response_protocol != "HTTP/1.1" or server.draining:
+            req.close_connection = True
+        head = (
+            b"HTTP/1.1 %b\r\nContent-Type: application/json\r\n%bContent-Length: %d"
+            % (
+                status,
+                server.date_header(),
+                len(body),
+            )
+        )
+        if req.close_connection:
+            head += b"\r\nConnection: close"
+        req.sent_headers = True
+        req.conn.wfile.write(head + b"\r\n\r\n" + body)
+
+
+class Waker:
+    """Wakes the selector for a stop, which else waits for its expiration interval."""
+
+    last_used = float("inf")
+
+    def __init__(self) -> None:
+        self.socket, self._other = socket.socketpair()
+
+    def wake(self) -> None:
+        self._other.send(b"x")
+
+    def close(self) -> None:
+        self.socket.close()
+        self._other.close()
+
+
+class DaemonServer(Server):
+    """One listener of the daemon; several may live in one process."""
+
+    ConnectionClass = ClientConnection
+    expiration_interval = EXPIRATION_INTERVAL
+    keep_alive_conn_limit: Any = None
+    # Set by cheroot when the server starts; its type stubs do not name it.
+    _connections: Any
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        wsgi_app: Callable[..., Any],
+        hot_path: Callable[[Any], Response | None],
+        *,
+        threads: int,
+        keep_alive: float,
+        read_timeout: float,
+        backlog: int,
+        reuse_port: bool,
+        tls: SSLContext | None = None,
+        report: Callable[[str, int], None] = lambda message, level: None,
+    ) -> None:
+        super().__init__(
+            address,
+            wsgi_app,
+            numthreads=threads,
+            request_queue_size=backlog,
+            timeout=keep_alive,  # type: ignore[arg-type]
+            shutdown_timeout=1,
+            reuse_port=reuse_port,
+            server_name="bronzemoor",
+        )
+        self.gateway = HotPathGateway
+        self.hot_path = hot_path
+        self.read_timeout = read_timeout
+        self.draining = False
+        self._report = report
+        self._date = (0, b"")
+        if tls is not None:
+            self.ssl_adapter = LazyTlsAdapter(tls)
+
+    @property
+    def connections(self) -> int:
+        """Client connections that are idle at the moment."""
+        # The waker is no client.
+        return max(0, self._connections._num_connections - 1) if self.ready else 0
+
+    @property
+    def can_add_keepalive_connection(self) -> bool:
+        """False while draining, so that each answer closes its connection."""
+        return not self.draining and super().can_add_keepalive_connection
+
+    def date_header(self) -> bytes:
+        """The Date header line, made once a second."""
+        now = int(time.time())
+        if self._date[0] != now:
+            line = f"Date: {formatdate(now, usegmt=True)}\r\n".encode()
+            self._date = (now, line)
+        return self._date[1]
+
+    def prepare(self) -> None:
+        """Binds the listener and starts the worker threads."""
+        super().prepare()
+        self._waker = Waker()
+        self._connections._selector.register(
+            self._waker.socket.fileno(), EVENT_READ, data=self._waker
+        )
+
+    def stop(self) -> None:
+        """Closes the listener and all connections, and ends the threads."""
+        if self.ready:
+            self._connections._stop_requested = True
+            self._waker.wake()
+        super().stop()
+
+    def process_conn(self, conn: Any) -> None:
+        """Queues a readable connection; a new one first waits for its first byte."""
+        if conn is self._waker:
+            return
+        if conn.is_new:
+            conn.is_new = False
+            self._connections.put(conn)
+        else:
+            super().process_conn(conn)
+
+    def close_listener(self) -> None:
+        """Takes no new connections; those in the kernel's backlog are still served."""
+        listener = self.socket
+        if listener is None:
+            return
+        self._connections._selector.unregister(listener.fileno())
+        listener.settimeout(0)
+        while (conn := self._accept_pending()) is not None:
+            self.process_conn(conn)
+        listener.close()
+
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        self._report(msg, level)
+
+    def _accept_pending(self) -> Any:
+        try:
+            return self._connections._from_server_socket(self.socket)
+        except OSError:
+            return None
+
+
+class LazyTlsAdapter(Adapter):
+    """Wraps accepted sockets; the handshake happens on the first read.
+
+    A handshake in the accepting thread would let one silent client stop all others.
+    """
+
+    def __init__(self, context: SSLContext) -> None:
+        self.context = context
+
+    def bind(self, sock: socket.socket) -> socket.socket:
+        return sock
+
+    def wrap(self, sock: socket.socket) -> tuple[Any, dict[str, str]]:
+        wrapped = self.context.wrap_socket(
+            sock, server_side=True, do_handshake_on_connect=False
+        )
+        return wrapped, self.get_environ()
+
+    def get_environ(self) -> dict[str, str]:
+        return {"HTTPS": "on", "wsgi.url_scheme": "https"}
+
+    def makefile(self, sock: Any, mode: str = "r", bufsize: int = -1) -> Any:
+        return MakeFile(sock, mode, bufsize)
