--- /dev/null
+++ b/packages/client/src/bronzemoor_client/changes.py
@@ -0,0 +1,201 @@
+"""Commands that operate the system: failover, drain, control members and keys."""
+
+from time import sleep
+from typing import Any, ClassVar
+from uuid import uuid4
+
+from cleo.helpers import argument, option
+
+from bronzemoor_client import exitcodes
+from bronzemoor_client.base import CHANGE_ID, YES, AdminCommand, register
+
+DATABASE = argument("database", "Name of the database")
+PROGRESS_INTERVAL_S = 0.5
+PROGRESS_LIMIT = 240
+
+
+class ChangeCommand(AdminCommand):
+    """A command that asks for confirmation and carries a change id."""
+
+    options: ClassVar[list[Any]] = [CHANGE_ID, YES]
+
+    def run_change(self, question: str, command: str, **arguments: Any) -> int:
+        """Confirms, sends the change and prints its answer."""
+        if not self.confirmed(question):
+            return exitcodes.REFUSED
+        change_id = str(self.option("change-id") or uuid4())
+        self.line_error(f"change id: {change_id}")
+        answer = self.change(command, change_id=change_id, **arguments)
+        return self.finish(answer, self.show)
+
+    def show(self, answer: dict[str, Any]) -> None:
+        for key, value in sorted(answer.items()):
+            if key != "code":
+                self.line(f"{key}: {value}")
+
+
+@register
+class PromoteCommand(ChangeCommand):
+    name = "promote"
+    description = "Hands a database over to another primary."
+    arguments: ClassVar[list[Any]] = [
+        DATABASE,
+        argument("member", "Member to promote; by default the best one", optional=True),
+    ]
+    options: ClassVar[list[Any]] = [
+        option("dry-run", None, "Only tell what would be done"),
+        CHANGE_ID,
+        YES,
+    ]
+
+    def execute_command(self) -> int:
+        database, member = self.argument("database"), self.argument("member")
+        if self.option("dry-run"):
+            return self.finish(
+                self.query("failover.plan", database=database), self.show
+            )
+        question = f"Hand {database} over to {member or 'the best replica'}?"
+        return self.run_change(
+            question, "failover.run", database=database, target=member or None
+        )
+
+
+@register
+class FailoverPlanCommand(ChangeCommand):
+    name = "failover plan"
+    description = "Tells which member would be promoted and whether it is safe now."
+    arguments: ClassVar[list[Any]] = [DATABASE]
+    options: ClassVar[list[Any]] = []
+
+    def execute_command(self) -> int:
+        answer = self.query("failover.plan", database=self.argument("database"))
+        return self.finish(answer, self.show)
+
+
+@register
+class FailoverRunCommand(PromoteCommand):
+    name = "failover run"
+    description = "Hands a database over to another primary, as promote does."
+
+
+@register
+class DrainEndpointCommand(ChangeCommand):
+    name = "drain endpoint"
+    description = "Gives an endpoint no new work; hands a primary over first."
+    arguments: ClassVar[list[Any]] = [DATABASE, argument("member", "Member to drain")]
+
+    def execute_command(self) -> int:
+        database, member = self.argument("database"), self.argument("member")
+        return self.run_change(
+            f"Drain {member} of {database}?",
+            "endpoint.drain",
+            database=database,
+            member=member,
+        )
+
+
+@register
+class DrainDaemonCommand(ChangeCommand):
+    name = "drain daemon"
+    description = "Stops the daemon that answers gracefully and shows its progress."
+    options: ClassVar[list[Any]] = [YES]
+
+    def execute_command(self) -> int:
+        connection = self.connection()
+        daemon = connection.daemons[0]
+        if not self.confirmed(f"Stop the daemon at {daemon}?"):
+            return exitcodes.REFUSED
+        answer = connection.send("drain.daemon", {}, repeatable=False)
+        if answer.get("code") != "ok" or self.option("json"):
+            return self.finish(answer, self.show)
+        return self.follow_progress()
+
+    def follow_progress(self) -> int:
+        """Prints the stage of the stop until the daemon no longer answers."""
+        for _ in range(PROGRESS_LIMIT):
+            try:
+                drain = self.query("status").get("drain", {})
+            except Exception:
+                self.line("stopped")
+                return exitcodes.OK
+            self.line(
+                f"stage={drain.get('stage')} in_progress={drain.get('in_progress')}"
+            )
+            sleep(PROGRESS_INTERVAL_S)
+        return self.fail("unknown", "the daemon is still running", exitcodes.UNKNOWN)
+
+
+@register
+class ControlMembersCommand(AdminCommand):
+    name = "control members"
+    description = "Lists the control group and how many losses it can tolerate."
+
+    def execute_command(self) -> int:
+        return self.finish(self.query("control.members"), self.show)
+
+    def show(self, answer: dict[str, Any]) -> None:
+        rows = [
+            [
+                member.get("name"),
+                member.get("role"),
+                member.get("match_index", ""),
+                member.get("identity", ""),
+            ]
+            for member in answer.get("members", [])
+        ]
+        self.print_table(["member", "role", "match index", "identity"], rows)
+        self.line(f"tolerated losses: {answer.get('tolerated_losses', 'unknown')}")
+
+
+@register
+class ControlAddCommand(ChangeCommand):
+    name = "control add"
+    description = "Adds a member; it votes once it has caught up."
+    arguments: ClassVar[list[Any]] = [argument("name", "Name of the daemon")]
+
+    def execute_command(self) -> int:
+        name = self.argument("name")
+        return self.run_change(
+            f"Add {name} to the control group?", "control.add", name=name
+        )
+
+
+@register
+class ControlRemoveCommand(ChangeCommand):
+    name = "control remove"
+    description = "Removes a member of the control group."
+    arguments: ClassVar[list[Any]] = [argument("name", "Name of the daemon")]
+
+    def execute_command(self) -> int:
+        name = self.argument("name")
+        return self.run_change(
+            f"Remove {name} from the control group?", "control.remove", name=name
+        )
+
+
+@register
+class ControlReplaceCommand(ChangeCommand):
+    name = "control replace"
+    description = "Adds a member and removes a lost one after it has caught up."
+    arguments: ClassVar[list[Any]] = [
+        argument("lost", "Name of the lost member"),
+        argument("replacement", "Name of the new member"),
+    ]
+
+    def execute_command(self) -> int:
+        lost, replacement = self.argument("lost"), self.argument("replacement")
+        return self.run_change(
+            f"Replace {lost} by {replacement}?",
+            "control.replace",
+            name=lost,
+            replacement=replacement,
+        )
+
+
+@register
+class KeysRotateCommand(ChangeCommand):
+    name = "keys rotate"
+    description = "Signs new session tokens with a new key; live tokens stay valid."
+
+    def execute_command(self) -> int:
+        return self.run_change("Rotate the session token keys?", "keys.rotate")
--- /dev/null
+++ b/packages/client/src/bronzemoor_client/exitcodes.py
@@ -0,0 +1,23 @@
+"""Exit codes of bronzemoorctl; documented in docs/operations.md."""
+
+OK = 0
+REFUSED = 1
+USAGE = 2
+UNREACHABLE = 3
+CONFLICT = 4
+UNKNOWN = 5
+UNHEALTHY = 6
+
+# Exit code by error code of the administration interface; others are REFUSED.
+BY_ERROR_CODE = {
+    "ok": OK,
+    "version_conflict": CONFLICT,
+    "change_id_reused": CONFLICT,
+    "unknown": UNKNOWN,
+    "no_leader": UNREACHABLE,
+}
+
+
+def exit_code(error_code: str) -> int:
+    """Exit code for an error code of the administration interface."""
+    return BY_ERROR_CODE.get(error_code, REFUSED)
