--- a/packages/client/src/bronzemoor_client/base.py
+++ b/packages/client/src/bronzemoor_client/base.py
@@ -129,8 +129,11 @@
         if not rows:
             self.line("none")
             return
-        cells = [[str(cell) for cell in row] for row in rows]
-        self.table(headers, cells).set_style("compact").render()
+        table = self.table(style="compact")
+        table.set_headers(headers)
+        for row in rows:
+            table.add_row([str(cell) for cell in row])
+        table.render()
 
 
 def problems_of(answer: dict[str, Any]) -> str:
--- a/packages/core/src/bronzemoor_core/requests.py
+++ b/packages/core/src/bronzemoor_core/requests.py
@@ -35,10 +35,10 @@
 from bronzemoor_core.losses import on_lost
 from bronzemoor_core.membership import Database
 from bronzemoor_core.outcomes import Done, NotRun, Outcome, Unknown
+from bronzemoor_core.preconditions import make_work
 from bronzemoor_core.probes import observed_position
 from bronzemoor_core.routing import NOWHERE, Route, Router
 from bronzemoor_core.steps import ANSWERED
-from bronzemoor_core.preconditions import make_work
 from bronzemoor_core.work import WAITING, Step, Work
 
 # How often waiting requests are routed again, seconds.
