--- a/packages/core/tests/logcluster.py
+++ b/packages/core/tests/logcluster.py
@@ -67,9 +67,10 @@
     def __init__(self, cluster, name, disk, seed, **settings):
         self.cluster, self.name, self.disk, self.rate = cluster, name, disk, 1.0
         settings = {"control": True, "control_members": cluster.names, **settings}
-        settings = NodeSettings(name, "lisbon", timers=cluster.timers, **settings)
+        settings = {"timers": cluster.timers, **settings}
+        self.settings = NodeSettings(name, "lisbon", **settings)
         blackboard = Blackboard()
-        self.consensus = Consensus(blackboard, settings, Random(seed))
+        self.consensus = Consensus(blackboard, self.settings, Random(seed))
         self.log = blackboard.log
         self.state = Values(cluster)
         self.completed, self.replies = [], []
@@ -105,7 +106,10 @@
             self.cluster.send(self.name, action.recipient, action.message)
         elif isinstance(action, actions.PersistLog | actions.PersistSnapshot):
             self.disk.unsynced.append(action)
-            self.cluster.schedule(self.cluster.sync_delay, ("sync", self, action))
+            delay = self.cluster.sync_delay
+            if self.name in self.cluster.slow_disks:
+                delay += 0.1
+            self.cluster.schedule(delay, ("sync", self, action))
         elif isinstance(action, actions.AdminReply):
             self.replies.append(action)
 
@@ -114,7 +118,8 @@
     """Members, their clocks and disks, and the messages between them.
 
     ``loss`` and ``duplication`` are probabilities; every message takes up to twice
-    ``delay`` seconds. ``cut`` holds the names that reach nobody.
+    ``delay`` seconds. ``cut`` holds the names that reach nobody, ``slow_disks`` those
+    whose syncs take 100 ms longer.
     """
 
     def __init__(self, size, seed=1, snapshot_entries=5_000, start=True):
@@ -128,7 +133,7 @@
         self.queue, self.count, self.sent = [], 0, []
         self.loss = self.duplication = 0.0
         self.delay, self.sync_delay = 0.005, 0.004
-        self.cut = set()
+        self.cut, self.slow_disks = set(), set()
         for name in self.names if start else ():
             self.start(name)
 
--- a/packages/core/tests/test_consensus.py
+++ b/packages/core/tests/test_consensus.py
@@ -5,7 +5,16 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from logcluster import Cluster, Disk
 
-from bronzemoor_core.events import StorageFailed
+from bronzemoor_core.events import PeerMessageReceived, StorageFailed, StorageSynced
+from bronzemoor_core.journal import encode_command
+from bronzemoor_core.messages import (
+    AppendEntries,
+    AppendEntriesReply,
+    LogEntry,
+    Vote,
+    VoteReply,
+)
+from bronzemoor_core.settings import ControlSettings
 
 PROFILE = hypothesis_settings(
     max_examples=100,
@@ -69,6 +78,60 @@
     assert not [item for item in cluster.sent if item[0] == old.name]
 
 
+def test_a_vote_is_not_sent_before_it_is_synced():
+    """Guards against a second vote in the term after a crash."""
+    cluster = Cluster(3, start=False)
+    member = cluster.start("vm-1")
+    member.disk.sync_one()
+    member.handle(StorageSynced(1))
+    vote = Vote(4, 0, 0, "vm-2.x")
+    member.handle(PeerMessageReceived("vm-2", vote))
+    assert cluster.sent == []
+    cluster.run(0.01)
+    replies = [item for item in cluster.sent if isinstance(item[2], VoteReply)]
+    assert [item[2].granted for item in replies] == [True]
+    assert member.disk.storage.hard_state.vote == "vm-2.x"
+
+
+def test_entries_are_not_acknowledged_before_they_are_synced():
+    """Guards against a commit that a power failure undoes."""
+    cluster = Cluster(3, start=False)
+    member = cluster.start("vm-1")
+    cluster.run(0.02)
+    append = AppendEntries(1, 0, 0, [LogEntry(1, 1, encode_command({}))], 0, 1)
+    beat = AppendEntries(1, 1, 1, [], 0, 2)
+    for message in (append, beat):
+        member.handle(PeerMessageReceived("vm-2", message))
+    assert cluster.sent == []
+    cluster.run(0.02)
+    replies = [i[2] for i in cluster.sent if isinstance(i[2], AppendEntriesReply)]
+    assert [reply.match_index for reply in replies] == [1, 0]
+    append = AppendEntries(1, 1, 1, [LogEntry(2, 1, encode_command({}))], 0, 3)
+    cluster.sent.clear()
+    member.handle(PeerMessageReceived("vm-2", append))
+    member.handle(PeerMessageReceived("vm-2", AppendEntries(1, 2, 1, [], 0, 4)))
+    assert [(i[2].round_id, i[2].match_index) for i in cluster.sent] == [(4, 1)]
+
+
+def test_a_deposed_leader_answers_no_read():
+    """Guards against a stale read while a cut-off leader has not stepped down yet."""
+    cluster = Cluster(3)
+    old = cluster.elect()
+    cluster.propose(old, 1)
+    cluster.run(0.2)
+    # It would step down in time by its own clock; a stopped clock must do no harm.
+    old.settings.timers = ControlSettings(election_timeout_max=60.0)
+    cluster.cut = {old.name}
+    cluster.run(1.0)
+    new = cluster.leader()
+    cluster.propose(new, 2)
+    cluster.run(0.2)
+    assert new.state.values == [1, 2] and old.log.role == "leader"
+    cluster.query(old, "read")
+    cluster.run(0.2)
+    assert [item.origin for item in old.completed] == [1]
+
+
 class LogMachine(RuleBasedStateMachine):
     """Faults in any order; safety is checked inside the cluster at every step."""
 
@@ -90,7 +153,7 @@
         loss=st.sampled_from([0.0, 0.1, 0.4]),
         duplication=st.sampled_from([0.0, 0.3]),
         delay=st.sampled_from([0.002, 0.02, 0.08]),
-        sync=st.sampled_from([0.001, 0.03]),
+        sync=st.sampled_from([0.001, 0.03, 0.09]),
     )
     def set_weather(self, loss, duplication, delay, sync):
         cluster = self.cluster
@@ -114,9 +177,45 @@
         self.cluster.run(0.01)
         if cut:
             self.cluster.cut = {leader.name}
+            self.use_both_sides(leader)
         else:
             self.cluster.crash(leader.name, synced)
-        self.cluster.run(0.6)
+            self.cluster.run(0.6)
+
+    def use_both_sides(self, leader):
+        """Writes on one side of a partition and reads on the other."""
+        for _ in range(30):
+            for name, member in self.cluster.members.items():
+                self.number += 1
+                if name == leader.name:
+                    self.floors[self.number] = self.acknowledged()
+                    self.cluster.query(member, ("read", self.number))
+                elif self.number % 3 == 0:
+                    self.cluster.propose(member, self.number)
+            self.cluster.run(0.02)
+
+    @precondition(lambda self: not self.disk_lost)
+    @rule(
+        synced=st.lists(st.integers(0, 2), min_size=5, max_size=5),
+        slow=st.sets(st.integers(0, 4), max_size=4),
+        count=st.integers(0, 4),
+    )
+    def lose_power(self, synced, slow, count):
+        """All members stop at once, some before their syncs; the leader stays down."""
+        cluster, leader = self.cluster, self.cluster.leader()
+        cluster.slow_disks = {cluster.names[i % self.size] for i in slow}
+        if leader:
+            cluster.slow_disks.discard(leader.name)
+            for _ in range(count):
+                self.number += 1
+                cluster.propose(leader, self.number)
+        cluster.run(0.03)
+        cluster.slow_disks = set()
+        for name, open_writes in zip(cluster.names, synced, strict=False):
+            cluster.crash(name, open_writes)
+            if not leader or name != leader.name:
+                cluster.start(name)
+        cluster.run(1.0)
 
     @precondition(lambda self: not self.disk_lost)
     @rule(which=st.integers(0, 4))
