Split detection from promotion and add handover, drain and confirmation

Cause: a verdict needs two vantage points and the leader's own pings; planned handovers wait for their target. Before: any failed pings with one report decided.

--- a/packages/core/src/bronzemoor_core/commands.py
+++ b/packages/core/src/bronzemoor_core/commands.py
@@ -28,8 +28,19 @@
 CHANGE_LIMIT = 10_000
 # Tokens signed with the previous two keys stay valid.
 KEY_LIMIT = 3
+# Change ids of the control leader's own proposals; their terms make them idempotent.
+AUTOMATIC = "auto:"
 # Fields of a command that may differ between a change and its resend.
-UNSIGNED_FIELDS = ("at", "operator", "secret", "change_id")
+UNSIGNED_FIELDS = (
+    "at",
+    "change_id",
+    "new_term",
+    "old_term",
+    "operator",
+    "reason",
+    "secret",
+    "target",
+)
 
 
 def command(name: str) -> Callable[[Apply], Apply]:
@@ -59,7 +70,7 @@
     if function is None:
         return _error("unknown_command", f"no command is named {name!r}")
     change_id = body.get("change_id", "")
-    if not change_id or name.startswith("failover."):
+    if not change_id or change_id.startswith(AUTOMATIC):
         return function(state, body)
     changes = state.changes.setdefault(body.get("organisation", ""), {})
     digest = _digest(body)
--- a/packages/core/src/bronzemoor_core/detectors.py
+++ b/packages/core/src/bronzemoor_core/detectors.py
@@ -7,25 +7,77 @@
 from bronzemoor_core.messages import Suspicion
 from bronzemoor_core.topology import NEVER
 
-# Evidence of a relay or a proxy counts until its next heartbeats; after this many
-# heartbeat intervals without one, it is dropped.
-EVIDENCE_HEARTBEATS = 4
 # A proxy's evidence stands for this long after its last failed call, seconds; the
 # data path probes twice a second.
 PROXY_EVIDENCE = 1.0
 # How long a primary may announce another role before that counts, seconds. A promoted
 # member may announce its old role once more.
 ROLE_GRACE = 0.3
+# Failed pings in a row that count as evidence. One may be lost; two lost in a row are
+# one in 10,000 at 1% loss.
+FAILED_PINGS = 2
+
+Key = tuple[str, str]  # database and member
+
+
+@dataclass(slots=True)
+class Report:
+    """A member's list of members that it cannot reach."""
+
+    unreachable: tuple[str, ...]
+    since: float
+    heard: float
+
+
+@dataclass(slots=True)
+class Span:
+    """When something was seen for the first and for the last time, seconds."""
+
+    first: float
+    last: float
+
+
+@dataclass(slots=True)
+class Investigation:
+    """Pings of the control leader to a suspected primary and its group.
+
+    ``failures`` counts failed pings in a row; ``others`` holds when each other member
+    last answered.
+    """
+
+    member: str
+    opened_at: float
+    failures: int = 0
+    answered_at: float = NEVER
+    confirmed_ago_ms: int = -1
+    others: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
 class Observations:
-    """What this daemon itself saw of members, by (database, member)."""
+    """What this daemon itself saw of members."""
 
-    announced: dict[tuple[str, str], float] = field(default_factory=dict)
-    suspected: dict[tuple[str, str], float] = field(default_factory=dict)
+    announced: dict[Key, float] = field(default_factory=dict)
+    suspected: dict[Key, Span] = field(default_factory=dict)
     # When the primary began to announce another role.
-    demoted: dict[tuple[str, str], float] = field(default_factory=dict)
+    demoted: dict[Key, float] = field(default_factory=dict)
+    # By database and reporting member.
+    reports: dict[str, dict[str, Report]] = field(default_factory=dict)
+    investigations: dict[str, Investigation] = field(default_factory=dict)
+
+    def suspect(self, now: float, database: str, member: str) -> None:
+        """Takes the data path's evidence; a pause begins a new span."""
+        span = self.suspected.get((database, member))
+        if span is None or now - span.last > PROXY_EVIDENCE:
+            span = self.suspected[database, member] = Span(now, now)
+        span.last = now
+
+    def concerned(self) -> set[str]:
+        """Returns the databases that detectors may have evidence on."""
+        keys = (*self.announced, *self.suspected, *self.demoted)
+        return (
+            {key[0] for key in keys} | self.reports.keys() | self.investigations.keys()
+        )
 
 
 @dataclass(slots=True)
@@ -40,73 +92,108 @@
     seen: float
 
 
-Detector = Callable[[float, Observations, Any, Any], float]
+# Yields (vantage point, since, confirmed at) for evidence against the primary.
+Finding = tuple[str, float, float]
+Detector = Callable[[float, Observations, Any, Any], Iterator[Finding]]
 
-DETECTORS: dict[str, Detector] = {}
+# Detectors that run on every daemon, and those of the control leader.
+LOCAL_DETECTORS: dict[str, Detector] = {}
+LEADER_DETECTORS: dict[str, Detector] = {}
 
 
-def detector(name: str) -> Callable[[Detector], Detector]:
-    """Registers a detector that runs on every daemon.
+def detector(
+    name: str, registry: dict[str, Detector]
+) -> Callable[[Detector], Detector]:
+    """Registers a detector, which takes ``(now, observations, database, timers)``.
 
-    It takes ``(now, observations, database, timers)`` and returns since when it has
-    evidence against the database's primary, or ``NEVER``.
+    An empty vantage point in a finding stands for this daemon.
     """
 
     def register(function: Detector) -> Detector:
-        DETECTORS[name] = function
+        registry[name] = function
         return function
 
     return register
 
 
-@detector("announcement_silence")
-def _silence(now: float, seen: Observations, database: Any, timers: Any) -> float:
-    """A relay's: the primary announced itself here and stopped."""
+@detector("announcement_silence", LOCAL_DETECTORS)
+def _silence(
+    now: float, seen: Observations, database: Any, timers: Any
+) -> Iterator[Finding]:
+    """The primary announced itself to this relay and stopped."""
     last = seen.announced.get((database.name, database.primary), NEVER)
-    if last == NEVER or now - last <= timers.suspicion_timeout:
-        return NEVER
-    return last
+    if last != NEVER and now - last > timers.suspicion_timeout:
+        yield "", last, now
 
 
-@detector("proxy")
-def _proxy(now: float, seen: Observations, database: Any, timers: Any) -> float:
-    """A proxy's: fresh connections to the primary fail as well."""
-    last = seen.suspected.get((database.name, database.primary), NEVER)
-    return last if now - last <= PROXY_EVIDENCE else NEVER
+@detector("proxy", LOCAL_DETECTORS)
+def _proxy(
+    now: float, seen: Observations, database: Any, timers: Any
+) -> Iterator[Finding]:
+    """Fresh connections of this proxy to the primary fail as well."""
+    span = seen.suspected.get((database.name, database.primary))
+    if span is not None and now - span.last <= PROXY_EVIDENCE:
+        yield "", span.first, now
 
 
-@detector("role_lost")
-def _role(now: float, seen: Observations, database: Any, timers: Any) -> float:
-    """A relay's: the primary announces that it is a replica, as after a restart."""
+@detector("role_lost", LOCAL_DETECTORS)
+def _role(
+    now: float, seen: Observations, database: Any, timers: Any
+) -> Iterator[Finding]:
+    """The primary announces that it is none, as after a restart."""
     since = seen.demoted.get((database.name, database.primary), NEVER)
-    return since if since != NEVER and now - since > ROLE_GRACE else NEVER
+    if since != NEVER and now - since > ROLE_GRACE:
+        yield "", since, now
+
+
+@detector("member", LEADER_DETECTORS)
+def _member(
+    now: float, seen: Observations, database: Any, timers: Any
+) -> Iterator[Finding]:
+    """Other members of the group cannot reach the primary."""
+    for reporter, report in seen.reports.get(database.name, {}).items():
+        fresh = now - report.heard <= timers.announcement_lease
+        if fresh and database.primary in report.unreachable:
+            yield reporter, report.since, report.heard
+
+
+@detector("order", LEADER_DETECTORS)
+def _order(
+    now: float, seen: Observations, database: Any, timers: Any
+) -> Iterator[Finding]:
+    """The control leader's own pings to the primary fail."""
+    found = seen.investigations.get(database.name)
+    if found is not None and found.failures >= FAILED_PINGS:
+        yield "", found.opened_at, now
 
 
 def find_evidence(
-    now: float, seen: Observations, databases: Any, timers: Any, vantage: str
+    now: float,
+    seen: Observations,
+    databases: Any,
+    timers: Any,
+    vantage: str,
+    registry: dict[str, Detector],
 ) -> Iterator[tuple[str, Evidence]]:
-    """Yields the evidence of this daemon against primaries, by database."""
-    for database in databases.values():
-        if not database.primary:
+    """Yields evidence against primaries with the name of their database."""
+    for name in sorted(seen.concerned()):
+        database = databases.get(name)
+        if database is None or not database.primary:
             continue
-        for name, function in DETECTORS.items():
-            since = function(now, seen, database, timers)
-            if since != NEVER:
-                yield (
-                    database.name,
-                    Evidence(vantage, name, database.primary, since, now),
+        for kind, function in registry.items():
+            for source, since, at in function(now, seen, database, timers):
+                evidence = Evidence(
+                    source or vantage, kind, database.primary, since, at
                 )
-
-
-def local_suspicions(now: float, blackboard: Any) -> list[Suspicion]:
-    """Returns this daemon's evidence for its next heartbeat."""
-    return [
-        Suspicion(
-            database=name,
-            member=evidence.member,
-            detector=evidence.detector,
-            term=blackboard.topology.databases[name].term,
-            age_ms=round((now - evidence.since) * 1000),
-        )
-        for name, evidence in blackboard.failover.local
-    ]
+                yield name, evidence
+
+
+def to_suspicion(now: float, database: Any, evidence: Evidence) -> Suspicion:
+    """Returns evidence as a heartbeat carries it."""
+    return Suspicion(
+        database=database.name,
+        member=evidence.member,
+        detector=evidence.detector,
+        term=database.term,
+        age_ms=round((now - evidence.since) * 1000),
+    )
--- a/packages/core/src/bronzemoor_core/distribution.py
+++ b/packages/core/src/bronzemoor_core/distribution.py
@@ -25,6 +25,7 @@
     HeartbeatReply,
     TemplateVersion,
 )
+from bronzemoor_core.records import TemplateEntry
 from bronzemoor_core.templates import Template, parse_template
 from bronzemoor_core.topology import NEVER
 
@@ -69,12 +70,25 @@
     return versions
 
 
+def report_versions(now: float, blackboard: Any, settings: Any, heartbeat: Any) -> None:
+    """Fills a heartbeat with the versions in force here."""
+    heartbeat.versions = held_versions(blackboard)
+
+
+def answer_versions(
+    now: float, blackboard: Any, settings: Any, heartbeat: Any, reply: Any
+) -> None:
+    """Fills a reply with the committed versions of what the daemon serves."""
+    reply.versions = committed_versions(blackboard, heartbeat.subscriptions)
+
+
 def committed_versions(blackboard: Any, subscriptions: Any = ()) -> dict[str, int]:
     """Returns the committed versions of the subscribed organisations (none: all)."""
     state = blackboard.state
-    names = list(subscriptions) or list(state.templates)
     versions = {
-        n: state.templates[n][-1].version for n in names if n in state.templates
+        name: entries[-1].version
+        for name, entries in state.templates.items()
+        if wanted(subscriptions, name, entries[-1])
     }
     keys = committed_keys(state)
     if keys:
@@ -82,6 +96,12 @@
     return versions
 
 
+def wanted(subscriptions: Any, organisation: str, entry: TemplateEntry) -> bool:
+    """Tells whether a daemon's subscriptions include a template."""
+    names = {organisation, *entry.body["databases"]}
+    return not subscriptions or not names.isdisjoint(subscriptions)
+
+
 def committed_keys(state: Any) -> tuple[str, ...]:
     """Returns the committed token keys as ``id:hex``, the signing one first."""
     return tuple(f"{key.key_id}:{key.secret}" for key in state.keys)
@@ -92,6 +112,34 @@
     return crc32("\n".join(keys).encode())
 
 
+def confirmation(blackboard: Any, organisation: str) -> dict[str, Any]:
+    """Reports, on the leader, where the current version of a template is in force.
+
+    A daemon whose lease ran out is not confirmed, whatever it said before.
+    """
+    entry = current_entry(blackboard.state, organisation)
+    version = entry.version if entry else 0
+    confirmed, behind, silent = [], [], []
+    configuration, topology = blackboard.configuration, blackboard.topology
+    for name, daemon in sorted(topology.daemons.items()):
+        if entry is None or not wanted(daemon.subscriptions, organisation, entry):
+            continue
+        held = configuration.confirmations.get(name, {}).get(organisation, 0)
+        if daemon.lost:
+            silent.append(name)
+        elif held >= version:
+            confirmed.append(name)
+        else:
+            behind.append(name)
+    return {
+        "version": version,
+        "in_force_everywhere": not behind and not silent,
+        "confirmed": confirmed,
+        "behind": behind,
+        "not_confirmed": silent,
+    }
+
+
 @controller("configuration")
 class Distribution(Controller):
     """Owns the configuration section."""
@@ -129,20 +177,20 @@
         if not self._blackboard.topology.is_leader:
             return out
         for daemon in self._blackboard.topology.daemons.values():
-            wanted = [
-                n
-                for n in names
-                if not daemon.subscriptions or n in daemon.subscriptions
-            ]
-            if wanted or event.kind == "keys":
-                out.append(self._push(daemon.name, wanted))
+            news = [n for n in names if self._wants(daemon.subscriptions, n)]
+            if not daemon.lost and (news or event.kind == "keys"):
+                out.append(self._push(daemon.name, news))
         return out
 
     @handles(LeadershipChanged)
     def lead(self, now: float, event: LeadershipChanged) -> None:
         self._queried = NEVER
         if not event.is_leader:
-            self._own.confirmations = {}
+            self._own.confirmations.clear()
+
+    def _wants(self, subscriptions: Any, organisation: str) -> bool:
+        entry = current_entry(self._blackboard.state, organisation)
+        return entry is not None and wanted(subscriptions, organisation, entry)
 
     def _push(self, daemon: str, names: list[str]) -> SendPeerMessage:
         state = self._blackboard.state
--- a/packages/core/src/bronzemoor_core/membership.py
+++ b/packages/core/src/bronzemoor_core/membership.py
@@ -1,5 +1,6 @@
 """Membership of endpoints and daemons: announcements, leases and incarnations."""
 
+from collections.abc import Iterator
 from typing import Any
 
 from bronzemoor_core.actions import EmitLog, EmitMetric, SendPeerMessage
@@ -26,7 +27,6 @@
 from bronzemoor_core.relays import (
     TOPOLOGY_KEY,
     database_state,
-    digest_of,
     subscribed_databases,
     summarize_member,
     to_summary,
@@ -39,12 +39,15 @@
     PrimarySample,
     make_member,
     member_facts,
+    topology_digest,
 )
 
 __all__ = ["Daemon", "Database", "Member", "Membership", "PrimarySample"]
 
 # How often leases are checked, seconds; small against every lease.
 LEASE_CHECK_INTERVAL = 0.05
+# How long a daemon without a lease is remembered as lost, seconds.
+DAEMON_MEMORY = 600.0
 
 
 @controller("topology")
@@ -101,6 +104,8 @@
         elif heard < now - self._settings.timers.announcement_lease:
             return []
         member = make_member(summary, heard, source)
+        member.drained = self._drained(known, summary, source)
+        member.leaving = member.leaving or member.drained
         changed = known is None or member_facts(member) != member_facts(known)
         if known is not None:
             member.announced_at, member.changed_at = (
@@ -118,6 +123,17 @@
             database.group = member.group
         return self._notify(now, (database.name,)) if changed else []
 
+    def _drained(
+        self, known: Member | None, summary: MemberSummary, source: str
+    ) -> bool:
+        """Tells whether an operator drains the member; a primary first hands over."""
+        if source == "leader":
+            return summary.leaving
+        record = self._blackboard.state.databases.get(summary.database)
+        if record is None:
+            return known is not None and known.drained
+        return summary.member in record.draining and summary.member != record.primary
+
     def _conflicts(self, now: float, known: Member, summary: MemberSummary) -> bool:
         return (
             summary.incarnation == known.incarnation
@@ -145,7 +161,13 @@
                 version=record.version,
             )
             out += self._commit(state)
-            self._own.databases[name].group = record.group
+            database = self._own.databases[name]
+            database.group = record.group or database.group
+            for member in database.members.values():
+                drained = member.name in record.draining
+                drained &= member.name != record.primary
+                if drained != member.drained:
+                    member.leaving = member.drained = drained
         return out + self._notify(now, names)
 
     def _commit(self, state: DatabaseState) -> list[object]:
@@ -197,7 +219,7 @@
         if daemon is None or message.incarnation > daemon.incarnation:
             daemon = Daemon(sender, message.incarnation, message.data_centre, now)
             self._own.daemons[sender] = daemon
-        daemon.last_heard = now
+        daemon.last_heard, daemon.lost = now, False
         subscriptions = tuple(message.subscriptions)
         if subscriptions != daemon.subscriptions:
             daemon.subscriptions, daemon.updated_at = subscriptions, NEVER
@@ -243,7 +265,7 @@
         if not message.topology_digest or self._own.is_leader:
             return []
         names = subscribed_databases(self._settings.organisations, self._blackboard)
-        digest = digest_of(self._blackboard, names)
+        digest = topology_digest(self._own.databases, names)
         same = digest == message.topology_digest
         # A delta may still be on its way, so only a repeated mismatch is repaired.
         self._mismatches = 0 if same else self._mismatches + 1
@@ -261,7 +283,7 @@
             return []
         names = subscribed_databases(daemon.subscriptions, self._blackboard)
         held = message.versions.get(TOPOLOGY_KEY)
-        if held is None or held == digest_of(self._blackboard, names):
+        if held is None or held == topology_digest(self._own.databases, names):
             return []
         return [
             EmitMetric("counter", "membership.topology_repaired"),
@@ -300,13 +322,19 @@
         """Sends the changed databases to the daemons that subscribe to them."""
         if not self._own.is_leader:
             return []
-        out: list[object] = []
+        return [
+            SendPeerMessage(daemon, self._topology(now, wanted))
+            for daemon, wanted in self._subscribers(frozenset(changed))
+        ]
+
+    def _subscribers(
+        self, changed: frozenset[str]
+    ) -> Iterator[tuple[str, frozenset[str]]]:
         for daemon in self._own.daemons.values():
             names = subscribed_databases(daemon.subscriptions, self._blackboard)
-            wanted = frozenset(changed) if names is None else names & frozenset(changed)
-            if wanted:
-                out.append(SendPeerMessage(daemon.name, self._topology(now, wanted)))
-        return out
+            wanted = changed if names is None else names & changed
+            if wanted and not daemon.lost:
+                yield daemon.name, wanted
 
     # --- leases
 
@@ -334,10 +362,13 @@
                     out += self._lose(now, database, member)
         daemon_lease = self._settings.timers.stale_after
         for daemon in tuple(self._own.daemons.values()):
-            if now - daemon.last_heard > daemon_lease:
+            silent = now - daemon.last_heard
+            if silent > DAEMON_MEMORY or (daemon.draining and silent > daemon_lease):
                 del self._own.daemons[daemon.name]
-                fields = {"daemon": daemon.name}
-                out.append(EmitLog("warning", "daemon_lost", fields))
+            elif silent > daemon_lease and not daemon.lost:
+                # It gets the whole topology when it returns.
+                daemon.lost, daemon.updated_at = True, NEVER
+                out.append(EmitLog("warning", "daemon_lost", {"daemon": daemon.name}))
         return out
 
     def _lose(self, now: float, database: Database, member: Member) -> list[object]:
@@ -348,7 +379,8 @@
         if self._own.is_leader:
             summary = summarize_member(now, database, member)
             lost = TopologyUpdate(False, [database_state(database)], [summary])
-            out += [SendPeerMessage(name, lost) for name in self._own.daemons]
+            for daemon, _ in self._subscribers(frozenset((database.name,))):
+                out.append(SendPeerMessage(daemon, lost))
         return out
 
 
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/operations.py
@@ -0,0 +1,159 @@
+"""Operators' commands on databases: list, plan, handover and drain."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from bronzemoor_core.actions import AdminReply
+from bronzemoor_core.events import AdminCommand, CommandCompleted, CommandProposed
+from bronzemoor_core.state import argument_problems, completion_reply
+
+# How long an operator's command waits for its effect at this daemon, seconds; the
+# upper bound of a failover.
+EFFECT_TIMEOUT = 5.0
+
+ARGUMENTS: dict[str, tuple[tuple[str, type, bool], ...]] = {
+    "database.list": (),
+    "failover.plan": (("database", str, True), ("target", str, False)),
+    "failover.run": (
+        ("database", str, True),
+        ("target", str, False),
+        ("change_id", str, True),
+    ),
+    "endpoint.drain": (
+        ("database", str, True),
+        ("member", str, True),
+        ("draining", bool, False),
+        ("change_id", str, False),
+    ),
+}
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A command whose effect is awaited: a term, or a member that is not primary."""
+
+    event: AdminCommand
+    started_at: float
+    completion: CommandCompleted
+    term: int = 0
+    member: str = ""
+
+
+class Operations:
+    """Answers each operator's command once, when its effect is known here."""
+
+    def __init__(self, blackboard: Any) -> None:
+        self._blackboard = blackboard
+        # Commands between their proposal and its completion.
+        self._proposed: dict[int, tuple[AdminCommand, float]] = {}
+        self._waiting: dict[int, Waiting] = {}
+
+    def admin(self, now: float, event: AdminCommand) -> list[object]:
+        """Proposes the command, or a plan first for a handover."""
+        if event.name not in ARGUMENTS:
+            return []
+        problems = argument_problems(ARGUMENTS[event.name], event.arguments)
+        if problems:
+            body = {"message": "; ".join(problems), "problems": problems}
+            return [AdminReply(event.ticket, "invalid_request", body)]
+        self._proposed[event.ticket] = (event, now)
+        names = [name for name, _, _ in ARGUMENTS[event.name]]
+        command = {k: event.arguments[k] for k in names if k in event.arguments}
+        if event.name == "endpoint.drain":
+            command |= {"operator": event.operator, "at": event.at}
+        else:
+            command["query"] = True
+        kind = "failover.plan" if event.name == "failover.run" else event.name
+        origin = ("operations", event.ticket)
+        return [CommandProposed({**command, "type": kind}, origin)]
+
+    def complete(self, now: float, event: CommandCompleted) -> list[object]:
+        """Takes the answer to a proposal of this daemon."""
+        origin = event.origin
+        if not isinstance(origin, tuple | list) or len(origin) != 2:
+            return []
+        step, ticket = origin
+        if step not in ("operations", "handover") or ticket not in self._proposed:
+            return []
+        command, started = self._proposed.pop(ticket)
+        code = event.code if event.code != "ok" else event.result.get("code", "ok")
+        if code != "ok" or command.name in ("database.list", "failover.plan"):
+            return [completion_reply(ticket, event)]
+        if command.name == "failover.run" and step == "operations":
+            return self._start(command, started, event)
+        waiting = Waiting(command, started, event)
+        if command.name == "failover.run":
+            waiting.term = event.result["term"]
+        elif command.arguments.get("draining", True):
+            waiting.member = command.arguments["member"]
+        self._waiting[ticket] = waiting
+        return self.check(now)
+
+    def check(self, now: float) -> list[object]:
+        """Answers commands whose effect is in force here, or too late."""
+        out: list[object] = []
+        for ticket, waiting in tuple(self._waiting.items()):
+            name = waiting.event.arguments["database"]
+            database = self._blackboard.topology.databases.get(name)
+            primary = database.primary if database else ""
+            spent = now - waiting.started_at
+            if primary and primary != waiting.member and database.term >= waiting.term:
+                reply = completion_reply(ticket, waiting.completion)
+                reply.body |= {"primary": primary, "took_ms": round(spent * 1000)}
+                out.append(reply)
+            elif spent > EFFECT_TIMEOUT:
+                message = "accepted, but not in force yet; see the status"
+                out.append(AdminReply(ticket, "unknown", {"message": message}))
+            else:
+                continue
+            del self._waiting[ticket]
+        return out
+
+    def _start(
+        self, command: AdminCommand, started: float, plan: CommandCompleted
+    ) -> list[object]:
+        """Starts a handover after its plan, unless the plan says that it is unsafe."""
+        result, ticket = plan.result, command.ticket
+        if not result["safe_now"] and not result.get("repeated"):
+            body = {"message": "; ".join(result["blockers"]), "plan": result}
+            return [AdminReply(ticket, "not_safe", body)]
+        self._proposed[ticket] = (command, started)
+        start = {
+            "type": "failover.start",
+            "kind": "handover",
+            "database": command.arguments["database"],
+            "wanted": command.arguments.get("target", ""),
+            "target": result["candidate"],
+            "old_term": result["highest_term"],
+            "new_term": result["highest_term"] + 1,
+            "reason": f"handover by {command.operator or 'an operator'}",
+            "change_id": command.arguments["change_id"],
+            "operator": command.operator,
+            "at": command.at,
+        }
+        return [CommandProposed(start, ("handover", ticket))]
+
+
+def list_databases(now: float, blackboard: Any) -> list[dict[str, Any]]:
+    """Returns one row for each database with its members."""
+    return [
+        {
+            "database": database.name,
+            "term": database.term,
+            "primary": database.committed_primary,
+            "in_failover": database.fenced,
+            "members": [
+                {
+                    "member": member.name,
+                    "data_centre": member.data_centre,
+                    "role": member.role,
+                    "term": member.position.term,
+                    "offset": member.position.offset,
+                    "leaving": member.leaving,
+                    "age_ms": round((now - member.last_heard) * 1000),
+                }
+                for _, member in sorted(database.members.items())
+            ],
+        }
+        for _, database in sorted(blackboard.topology.databases.items())
+    ]
--- a/packages/core/src/bronzemoor_core/promotion.py
+++ b/packages/core/src/bronzemoor_core/promotion.py
@@ -4,13 +4,29 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from bronzemoor_core.actions import Answer, Order, SendOrder
+from bronzemoor_core.actions import Answer, EmitLog, Order, SendOrder
+from bronzemoor_core.events import CommandProposed
 from bronzemoor_core.positions import Position
 from bronzemoor_core.topology import NEVER
 
 # A promotion that is not answered for this long is chosen again, seconds. Two orders
 # fit in it, and the gap stays under a second.
 PROMOTE_LIMIT = 0.4
+# A handover first lets writes in progress finish and reach the target, seconds: the
+# daemons stop new writes within one delay, and a statement takes a few milliseconds.
+HANDOVER_SETTLE = 0.010
+# A handover that waited this long for its target fences anyway, seconds; then the
+# member that is ahead stays primary. Keeps the gap near its target of 100 ms.
+HANDOVER_LIMIT = 0.050
+# How long a handover's fence waits for target and old primary before a plain majority
+# is enough, seconds.
+HANDOVER_FENCE = 0.150
+# Interval between pings while a handover waits, seconds.
+HANDOVER_PING = 0.010
+# A proposal without an answer is repeated after this long, seconds.
+PROPOSAL_TIMEOUT = 0.5
+# Code of an order that is older than the highest term which the member accepted.
+STALE_TERM = "stale_term"
 
 
 @dataclass(slots=True)
@@ -20,12 +36,13 @@
     database: str
     term: int
     started_at: float
+    fencing_since: float = NEVER
     answers: dict[str, Answer] = field(default_factory=dict)
     sent: dict[str, float] = field(default_factory=dict)
     promoting_since: float = NEVER
     promoted: bool = False
-    # Positions by member while a planned handover waits for its target.
-    positions: dict[str, Position] = field(default_factory=dict)
+    # Offsets by member while a planned handover waits for its target.
+    offsets: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -56,12 +73,17 @@
 
 
 def choose(
-    answers: dict[str, Answer], target: str, data_centres: dict[str, str], old: str
+    answers: dict[str, Answer],
+    target: str,
+    data_centres: dict[str, str],
+    old: str,
+    avoid: Iterable[str] = (),
 ) -> Choice:
     """Chooses the highest position of a fenced majority.
 
-    Among equals the target of a handover comes first, then the old primary's own data
-    centre, then the old primary itself, then the first name.
+    Among equals the target of a handover comes first, then members that are not to be
+    avoided, then the old primary's own data centre, then the old primary itself, then
+    the first name.
     """
     records = {name: last_record(answer) for name, answer in answers.items()}
     highest = max(records.values())
@@ -69,7 +91,12 @@
     home = data_centres.get(old)
     ranked = sorted(
         equals,
-        key=lambda name: (name != target, data_centres.get(name) != home, name != old),
+        key=lambda name: (
+            name != target,
+            name in avoid,
+            data_centres.get(name) != home,
+            name != old,
+        ),
     )
     chosen = ranked[0]
     if chosen == target:
@@ -85,7 +112,6 @@
 
 def make_order(
     kind: str,
-    correlation_id: int,
     database: str,
     member: str,
     addresses: dict[str, str],
@@ -96,7 +122,7 @@
     """Returns an order to one member that names all members of its group."""
     return Order(
         kind=kind,
-        correlation_id=correlation_id,
+        correlation_id=0,
         database=database,
         member=member,
         address=addresses[member],
@@ -120,47 +146,206 @@
     return answer.status == "ok"
 
 
-def fence_orders(
-    now: float,
-    promotion: Promotion,
-    record: Any,
-    addresses: dict[str, str],
-    timers: Any,
-) -> list[SendOrder]:
-    """Returns the fence orders that are due to members that did not answer yet."""
-    return [
-        SendOrder(
-            make_order("fence", 0, record.name, name, addresses, promotion.term),
-            timers.order_timeout,
+class Promoter:
+    """Drives committed plans at the control leader; every step may be repeated.
+
+    A method returns actions and proposals. ``promotions`` is the leader's progress.
+    """
+
+    def __init__(self, settings: Any, promotions: dict[str, Promotion]) -> None:
+        self._settings = settings
+        self._promotions = promotions
+        self._proposals: dict[str, float] = {}
+
+    def clear(self) -> None:
+        """Forgets all progress, as a new leader starts from the committed steps."""
+        self._promotions.clear()
+        self._proposals.clear()
+
+    def forget(self, database: str) -> None:
+        """Allows the next proposal on a database at once."""
+        self._proposals.pop(database, None)
+
+    def finish(self, database: str) -> Promotion | None:
+        """Forgets a promotion that is done and returns its progress."""
+        self.forget(database)
+        return self._promotions.pop(database, None)
+
+    def propose(
+        self, now: float, database: str, command: dict[str, Any]
+    ) -> list[object]:
+        """Proposes a command, one at a time for each database."""
+        if not due(self._proposals, database, now, PROPOSAL_TIMEOUT):
+            return []
+        return [CommandProposed(command, ("failover", database))]
+
+    def start(
+        self,
+        now: float,
+        record: Any,
+        kind: str,
+        reason: str,
+        target: str = "",
+        above: int = 0,
+    ) -> list[object]:
+        """Proposes a plan with a new term above every known one."""
+        new_term = max(record.highest_term, above) + 1
+        command = {
+            "type": "failover.start",
+            "database": record.name,
+            "kind": kind,
+            "old_term": record.highest_term,
+            "new_term": new_term,
+            "reason": reason,
+            "target": target,
+            "change_id": f"auto:{record.name}:{new_term}",
+        }
+        return self.propose(now, record.name, command)
+
+    def drive(
+        self, now: float, record: Any, database: Any, addresses: dict[str, str]
+    ) -> list[object]:
+        """Takes the next step of a committed plan."""
+        plan = record.plan
+        promotion = self._promotions.get(record.name)
+        if promotion is None or promotion.term != plan.new_term:
+            promotion = Promotion(record.name, plan.new_term, now)
+            self._promotions[record.name] = promotion
+        if plan.step == "started":
+            if plan.kind == "handover" and not _settled(now, promotion, record):
+                return self._wait(now, promotion, record, addresses)
+            return self._fence(now, promotion, record, database, addresses)
+        if promotion.promoted:
+            done = {"database": record.name, "term": plan.new_term}
+            return self.propose(now, record.name, {"type": "failover.done", **done})
+        if promotion.promoting_since == NEVER:
+            promotion.promoting_since = now
+        if now - promotion.promoting_since > PROMOTE_LIMIT:
+            return self.start(now, record, "failover", "promotion was not answered")
+        return self._promote(now, promotion, record, addresses)
+
+    def answered(self, now: float, order: Order, answer: Answer, record: Any) -> Any:
+        """Takes the answer to an order; returns proposals, or None to drive on."""
+        promotion = self._promotions.get(order.database)
+        if promotion is None or record is None or record.plan is None:
+            return []
+        if order.kind == "ping":
+            promotion.offsets[order.member] = answer.offset
+            return None
+        if promotion.term != order.term or order.kind == "follow":
+            return []
+        if not accepted(answer):
+            fields = {"database": order.database, "member": order.member}
+            log = EmitLog(
+                "warning", f"{order.kind}_refused", fields | {"code": answer.code}
+            )
+            if order.kind == "fence" and answer.code != STALE_TERM:
+                return [log]
+            above = max(answer.term, order.term)
+            reason = f"{order.kind} refused: {answer.code}"
+            restart = self.start(now, record, record.plan.kind, reason, "", above)
+            return [log, *restart]
+        if order.kind == "fence":
+            promotion.answers[order.member] = answer
+        else:
+            promotion.promoted = True
+        return None
+
+    def _wait(
+        self, now: float, promotion: Promotion, record: Any, addresses: dict[str, str]
+    ) -> list[object]:
+        """Asks old primary and target for their offsets before a handover fences."""
+        if now - promotion.started_at < HANDOVER_SETTLE:
+            return []
+        if not due(promotion.sent, "ping", now, HANDOVER_PING):
+            return []
+        names = [n for n in (record.primary, record.plan.target) if n in addresses]
+        return [
+            SendOrder(
+                make_order("ping", record.name, name, addresses, promotion.term),
+                self._settings.timers.order_timeout,
+            )
+            for name in names
+        ]
+
+    def _fence(
+        self,
+        now: float,
+        promotion: Promotion,
+        record: Any,
+        database: Any,
+        addresses: dict[str, str],
+    ) -> list[object]:
+        if promotion.fencing_since == NEVER:
+            promotion.fencing_since = now
+        if self._enough(now, promotion, record):
+            return self._choose(now, promotion, record, database)
+        timeout = self._settings.timers.order_timeout
+        return [
+            SendOrder(
+                make_order("fence", record.name, name, addresses, promotion.term),
+                timeout,
+            )
+            for name in record.group
+            if name in addresses
+            and name not in promotion.answers
+            and due(promotion.sent, f"fence {name}", now, timeout)
+        ]
+
+    def _enough(self, now: float, promotion: Promotion, record: Any) -> bool:
+        if len(promotion.answers) < majority(record.group):
+            return False
+        if record.plan.kind != "handover":
+            return True
+        both = {record.primary, record.plan.target} <= promotion.answers.keys()
+        return both or now - promotion.fencing_since > HANDOVER_FENCE
+
+    def _choose(
+        self, now: float, promotion: Promotion, record: Any, database: Any
+    ) -> list[object]:
+        members = database.members.values()
+        old = record.primary
+        if not old:
+            old = max((m.name for m in members if m.role == "primary"), default="")
+        centres = {m.name: m.data_centre for m in members}
+        avoid = set(record.draining) | {m.name for m in members if m.leaving}
+        choice = choose(promotion.answers, record.plan.target, centres, old, avoid)
+        command = {
+            "type": "failover.choose",
+            "database": record.name,
+            "term": promotion.term,
+            "member": choice.member,
+            "start_offset": choice.position.offset,
+            "position_term": choice.position.term,
+            "reason": choice.reason,
+        }
+        return self.propose(now, record.name, command)
+
+    def _promote(
+        self, now: float, promotion: Promotion, record: Any, addresses: dict[str, str]
+    ) -> list[object]:
+        plan, timeout = record.plan, self._settings.timers.order_timeout
+        if plan.chosen not in addresses:
+            return []
+        if not due(promotion.sent, "promote", now, timeout):
+            return []
+        order = make_order(
+            "promote",
+            record.name,
+            plan.chosen,
+            addresses,
+            plan.new_term,
+            plan.chosen,
+            plan.start_offset,
         )
-        for name in record.group
-        if name in addresses
-        and name not in promotion.answers
-        and due(promotion.sent, f"fence {name}", now, timers.order_timeout)
-    ]
+        return [SendOrder(order, timeout)]
 
 
-def promote_order(
-    now: float,
-    promotion: Promotion,
-    record: Any,
-    addresses: dict[str, str],
-    timers: Any,
-) -> list[SendOrder]:
-    """Returns the promote order if it is due."""
-    plan = record.plan
-    if plan.chosen not in addresses:
-        return []
-    if not due(promotion.sent, "promote", now, timers.order_timeout):
-        return []
-    order = make_order(
-        "promote",
-        0,
-        record.name,
-        plan.chosen,
-        addresses,
-        plan.new_term,
-        plan.chosen,
-        plan.start_offset,
-    )
-    return [SendOrder(order, timers.order_timeout)]
+def _settled(now: float, promotion: Promotion, record: Any) -> bool:
+    """Tells whether a handover's target has caught up, or was waited for."""
+    waited = now - promotion.started_at
+    if promotion.fencing_since != NEVER or waited > HANDOVER_SETTLE + HANDOVER_LIMIT:
+        return True
+    offsets = promotion.offsets
+    primary, target = record.primary, record.plan.target
+    return primary in offsets and offsets.get(target, -1) >= offsets[primary]
--- a/packages/core/src/bronzemoor_core/records.py
+++ b/packages/core/src/bronzemoor_core/records.py
@@ -96,6 +96,11 @@
         # Newest first; the first one signs.
         self.keys: list[KeyRecord] = []
 
+    @property
+    def versions(self) -> dict[str, int]:
+        """Current version of each organisation's template."""
+        return {name: entries[-1].version for name, entries in self.templates.items()}
+
 
 def to_snapshot(state: Any) -> dict[str, Any]:
     """Returns the state as plain JSON values."""
--- a/packages/core/src/bronzemoor_core/relays.py
+++ b/packages/core/src/bronzemoor_core/relays.py
@@ -7,6 +7,7 @@
 from bronzemoor_core.commands import current_entry
 from bronzemoor_core.events import Announcement
 from bronzemoor_core.messages import DatabaseState, MemberSummary
+from bronzemoor_core.topology import topology_digest
 
 # Key of the topology digest in ``ConfigurationAcknowledged.versions``; it cannot be
 # an organisation's name.
@@ -79,6 +80,20 @@
     return summaries
 
 
+def report_members(now: float, blackboard: Any, settings: Any, heartbeat: Any) -> None:
+    """Fills a heartbeat with member summaries and the organisations served here."""
+    heartbeat.members = member_summaries(now, blackboard, settings.timers)
+    heartbeat.subscriptions = list(settings.organisations)
+
+
+def answer_digest(
+    now: float, blackboard: Any, settings: Any, heartbeat: Any, reply: Any
+) -> None:
+    """Fills a reply with the digest of what the daemon subscribes to."""
+    names = subscribed_databases(heartbeat.subscriptions, blackboard)
+    reply.topology_digest = topology_digest(blackboard.topology.databases, names)
+
+
 def database_state(database: Any) -> DatabaseState:
     """Returns the committed state of a database for subscribers."""
     return DatabaseState(
@@ -103,23 +118,3 @@
         entry = current_entry(blackboard.state, name)
         names.update(entry.body["databases"] if entry else (name,))
     return frozenset(names) if names else None
-
-
-def topology_digest(blackboard: Any, subscriptions: Iterable[str]) -> int:
-    """Returns a checksum of all but the positions of the subscribed databases."""
-    return digest_of(blackboard, subscribed_databases(subscriptions, blackboard))
-
-
-def digest_of(blackboard: Any, names: frozenset[str] | None) -> int:
-    """Returns the topology digest over ``names``, or over all databases."""
-    rows = []
-    for name, database in sorted(blackboard.topology.databases.items()):
-        if names is not None and name not in names:
-            continue
-        members = [
-            (m.name, m.incarnation, m.address, m.leaving)
-            for _, m in sorted(database.members.items())
-        ]
-        rows.append((name, database.version, database.term, members))
-    # 0 stands for "no digest" in HeartbeatReply.
-    return crc32(repr(rows).encode()) or 1
--- a/packages/core/src/bronzemoor_core/state.py
+++ b/packages/core/src/bronzemoor_core/state.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from bronzemoor_core.actions import AdminReply
-from bronzemoor_core.commands import answer_query, apply_command
+from bronzemoor_core.commands import QUERIES, answer_query, apply_command
 from bronzemoor_core.controllers import Controller, controller, handles
 from bronzemoor_core.events import (
     AdminCommand,
@@ -63,6 +63,8 @@
 
     @handles(QueryReady)
     def query(self, now: float, event: QueryReady) -> list[object]:
+        if event.command.get("type") not in QUERIES:
+            return []
         result = answer_query(self._own, event.command)
         index = self._own.applied_index
         return [CommandApplied(index, event.command, result, event.origin)]
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/suspicion.py
@@ -0,0 +1,218 @@
+"""Evidence collected by the control leader, and the verdict on a primary."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from bronzemoor_core.actions import Answer, SendOrder
+from bronzemoor_core.detectors import (
+    LEADER_DETECTORS,
+    Evidence,
+    Investigation,
+    Observations,
+    Report,
+    find_evidence,
+)
+from bronzemoor_core.messages import Suspicion
+from bronzemoor_core.promotion import accepted, due, majority, make_order
+
+# Evidence of another daemon is replaced by its next heartbeat and dropped after this
+# many heartbeat intervals without one.
+EVIDENCE_HEARTBEATS = 4
+# Interval between pings to a suspected primary and its group, seconds.
+PING_INTERVAL = 0.05
+# A ping may take this many one-way delays: a round trip of tenfold delay, and a margin.
+PING_DELAYS = 24
+# A primary that a majority confirmed this recently (ms) works, whatever others say.
+# Members exchange heartbeats every 30 to 50 ms, so this is many lost in a row.
+CONFIRMED_LIMIT_MS = 400
+# An answer to a ping proves for this long that a member is reachable, seconds.
+ANSWER_VALID = 0.3
+# A daemon counts as heard this long after its last heartbeat, seconds: five intervals.
+DAEMON_HEARD = 0.5
+# How long a majority of proxies must report a primary that answers the control leader,
+# seconds. Longer than a data path's own retries with fresh connections.
+PROXY_CONFIRMATION = 0.5
+# Vantage points that convict without failed pings when the primary does not answer.
+CORROBORATION = 3
+
+
+class Suspicions:
+    """Evidence by database, and the pings that verify it. Only the leader has any
+    investigation; each daemon has its own observations."""
+
+    def __init__(self, settings: Any, seen: Observations) -> None:
+        self._settings = settings
+        self._seen = seen
+        # By database, then by (vantage point, detector).
+        self._evidence: dict[str, dict[tuple[str, str], Evidence]] = {}
+        self._sent: dict[str, float] = {}
+
+    @property
+    def databases(self) -> set[str]:
+        """Databases with evidence."""
+        return {name for name, held in self._evidence.items() if held}
+
+    def clear(self, database: str | None = None) -> None:
+        """Forgets evidence and pings of one database, or of all."""
+        if database is None:
+            self._evidence.clear()
+            self._seen.investigations.clear()
+        else:
+            self._evidence.pop(database, None)
+            self._seen.investigations.pop(database, None)
+
+    def learn_report(
+        self, heard: float, database: str, member: str, unreachable: tuple[str, ...]
+    ) -> None:
+        """Takes a member's list of members that it cannot reach."""
+        reports = self._seen.reports.setdefault(database, {})
+        known = reports.get(member)
+        if not unreachable:
+            reports.pop(member, None)
+        elif known is not None and known.unreachable == unreachable:
+            known.heard = max(known.heard, heard)
+        else:
+            reports[member] = Report(unreachable, heard, heard)
+
+    def learn_suspicions(
+        self, now: float, sender: str, suspicions: Iterable[Suspicion], databases: Any
+    ) -> None:
+        """Replaces a daemon's evidence by that of its newest heartbeat."""
+        for held in self._evidence.values():
+            for key in [key for key in held if key[0] == sender]:
+                del held[key]
+        for s in suspicions:
+            database = databases.get(s.database)
+            if database is not None and s.term == database.term:
+                since = now - s.age_ms / 1000
+                self._add(
+                    s.database, Evidence(sender, s.detector, s.member, since, now)
+                )
+
+    def collect(
+        self, now: float, databases: Any, local: list[tuple[str, Evidence]]
+    ) -> None:
+        """Renews this daemon's own evidence and drops what is no longer confirmed."""
+        timers, own = self._settings.timers, self._settings.name
+        limit = EVIDENCE_HEARTBEATS * timers.daemon_heartbeat_interval
+        for held in self._evidence.values():
+            for key, evidence in tuple(held.items()):
+                renewed = key[0] == own or key[1] in LEADER_DETECTORS
+                if renewed or now - evidence.seen > limit:
+                    del held[key]
+        leader = find_evidence(
+            now, self._seen, databases, timers, own, LEADER_DETECTORS
+        )
+        for name, evidence in [*local, *leader]:
+            self._add(name, evidence)
+
+    def standing(self, database: Any) -> list[Evidence]:
+        """Returns the evidence against the present primary."""
+        held = self._evidence.get(database.name, {})
+        return [e for e in held.values() if e.member == database.primary]
+
+    def pinged(self, now: float, database: str, member: str, answer: Answer) -> None:
+        """Takes the answer to a ping."""
+        found = self._seen.investigations.get(database)
+        if found is None:
+            return
+        if member != found.member:
+            found.others[member] = now
+        elif accepted(answer) and answer.role == "primary":
+            found.failures = 0
+            found.answered_at = now
+            found.confirmed_ago_ms = answer.confirmed_ago_ms
+        else:
+            found.failures += 1
+
+    def ping_failed(self, database: str, member: str) -> None:
+        """Takes a ping without an answer."""
+        found = self._seen.investigations.get(database)
+        if found is not None and found.member == member:
+            found.failures += 1
+
+    def investigate(
+        self, now: float, database: Any, record: Any, addresses: dict[str, str]
+    ) -> list[SendOrder]:
+        """Pings the suspected primary and its group."""
+        found = self._seen.investigations.get(database.name)
+        if found is None or found.member != record.primary:
+            found = Investigation(record.primary, now)
+            self._seen.investigations[database.name] = found
+        if not due(self._sent, database.name, now, PING_INTERVAL):
+            return []
+        orders = []
+        for name in record.group:
+            if name in addresses:
+                order = make_order("ping", database.name, name, addresses, record.term)
+                member = database.members.get(name)
+                timeout = self._ping_timeout(member.data_centre if member else "")
+                orders.append(SendOrder(order, timeout))
+        return orders
+
+    def verdict(
+        self, now: float, database: Any, record: Any, daemons: Any
+    ) -> list[Evidence]:
+        """Returns the evidence that convicts the primary, or nothing.
+
+        At least two vantage points must agree, and the leader must itself reach a
+        majority of the members and most daemons; one that is cut off does nothing.
+        """
+        evidence = self.standing(database)
+        found = self._seen.investigations.get(database.name)
+        if found is None or not evidence:
+            return []
+        reached = [at for at in found.others.values() if now - at <= ANSWER_VALID]
+        if len(reached) < majority(record.group) or _cut_off(now, daemons):
+            return []
+        if _rejected_by_proxies(now, evidence, daemons):
+            return evidence
+        if _confirmed(now, found):
+            return []
+        members = {e.vantage for e in evidence if e.detector == "member"}
+        unanswered = found.answered_at < found.opened_at or found.failures > 0
+        stale = not unanswered and now - found.answered_at <= ANSWER_VALID
+        if len(members) >= majority(record.group) and (found.failures or stale):
+            return evidence
+        kinds = {e.detector for e in evidence}
+        vantages = {e.vantage for e in evidence}
+        if "order" in kinds and len(kinds) >= 2:
+            return evidence
+        repeated = [e for e in evidence if e.seen > found.opened_at]
+        enough = len(vantages) >= CORROBORATION and len(repeated) >= CORROBORATION
+        waited = now - found.opened_at > self._settings.timers.suspicion_timeout
+        if unanswered and enough and len(kinds) >= 2 and waited:
+            return evidence
+        return []
+
+    def _ping_timeout(self, data_centre: str) -> float:
+        settings = self._settings
+        delay = settings.delays.get(data_centre, 0.0)
+        return max(settings.timers.suspicion_timeout, PING_DELAYS * delay)
+
+    def _add(self, database: str, evidence: Evidence) -> None:
+        held = self._evidence.setdefault(database, {})
+        held[evidence.vantage, evidence.detector] = evidence
+
+
+def _confirmed(now: float, found: Investigation) -> bool:
+    fresh = now - found.answered_at <= ANSWER_VALID
+    return fresh and 0 <= found.confirmed_ago_ms <= CONFIRMED_LIMIT_MS
+
+
+def _cut_off(now: float, daemons: Any) -> bool:
+    """Tells whether most known daemons fell silent at once: the fault is here."""
+    known = [d for d in daemons.values() if not d.draining]
+    heard = [d for d in known if now - d.last_heard <= DAEMON_HEARD]
+    return 2 * len(heard) < len(known)
+
+
+def _rejected_by_proxies(now: float, evidence: list[Evidence], daemons: Any) -> bool:
+    """Tells whether most proxies cannot use a primary that may reach its peers."""
+    proxies = {e.vantage for e in evidence if e.detector == "proxy"}
+    lasting = all(
+        now - e.since >= PROXY_CONFIRMATION for e in evidence if e.detector == "proxy"
+    )
+    # The leader itself is a daemon as well.
+    most = (sum(not d.lost for d in daemons.values()) + 1) // 2 + 1
+    return lasting and len(proxies) >= max(2, most)
--- a/packages/core/src/bronzemoor_core/topology.py
+++ b/packages/core/src/bronzemoor_core/topology.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 from typing import Any
+from zlib import crc32
 
 from bronzemoor_core.blackboard import section
 from bronzemoor_core.messages import MemberSummary
@@ -22,7 +23,9 @@
     role: str = "replica"
     position: Position = ZERO
     incarnation: int = 0
+    # Gets no new work: it announced so, or an operator drains it (``drained``).
     leaving: bool = False
+    drained: bool = False
     slots: int = 3
     connections: int = 20
     last_heard: float = 0.0
@@ -76,8 +79,11 @@
     last_heard: float
     subscriptions: tuple[str, ...] = ()
     draining: bool = False
-    # Whether this leader sent it the whole topology, and when.
+    # When this leader last sent it the whole topology.
     updated_at: float = NEVER
+    # Its lease ran out. It is remembered for a while, so that a report of what is in
+    # force everywhere does not forget it.
+    lost: bool = False
 
 
 @section("topology")
@@ -93,6 +99,26 @@
         self.is_leader = False
         self.leader_since = NEVER
 
+    @property
+    def digest(self) -> int:
+        """Digest over all databases."""
+        return topology_digest(self.databases, None)
+
+
+def topology_digest(databases: Any, names: frozenset[str] | None) -> int:
+    """Returns a checksum of all but the positions over ``names``, or over all."""
+    rows = []
+    for name, database in sorted(databases.items()):
+        if names is not None and name not in names:
+            continue
+        members = [
+            (m.name, m.incarnation, m.address, m.leaving)
+            for _, m in sorted(database.members.items())
+        ]
+        rows.append((name, database.version, database.term, members))
+    # 0 stands for "no digest" in HeartbeatReply.
+    return crc32(repr(rows).encode()) or 1
+
 
 def make_member(summary: MemberSummary, heard: float, source: str) -> Member:
     """Returns the member that a summary describes, last heard at ``heard``."""
--- a/packages/core/tests/fake_group.py
+++ b/packages/core/tests/fake_group.py
@@ -6,8 +6,7 @@
 from bronzemoor_core import messages as m
 from bronzemoor_core.actions import AdminReply, Answer, SendOrder, SendPeerMessage
 from bronzemoor_core.controllers import CONTROLLER_TYPES
-from bronzemoor_core.detectors import local_suspicions
-from bronzemoor_core.distribution import committed_versions, held_versions
+from bronzemoor_core.distribution import answer_versions, report_versions
 from bronzemoor_core.events import (
     AdminCommand,
     Announcement,
@@ -27,7 +26,7 @@
     Tick,
 )
 from bronzemoor_core.node import Node, make_node
-from bronzemoor_core.relays import member_summaries, topology_digest
+from bronzemoor_core.relays import answer_digest, report_members
 from bronzemoor_core.settings import NodeSettings
 
 PART = ("state", "topology", "failover", "configuration")
@@ -72,7 +71,7 @@
         if order.kind != "ping":
             if order.term < self.term:
                 return Answer(
-                    status="refused", code="old_term", term=self.term, **fields
+                    status="refused", code="stale_term", term=self.term, **fields
                 )
             if order.kind == "promote":
                 self._join(order, "primary")
@@ -229,15 +228,18 @@
         board, settings = node.blackboard, node.settings
         self.sequence += 1
         beat = m.Heartbeat(
-            incarnation=settings.incarnation,
-            data_centre=settings.data_centre,
-            sequence=self.sequence,
-            versions=held_versions(board),
-            demands=[],
-            suspicions=local_suspicions(self.now, board),
-            members=member_summaries(self.now, board, settings.timers),
-            subscriptions=list(settings.organisations),
+            settings.incarnation,
+            settings.data_centre,
+            self.sequence,
+            {},
+            [],
+            [],
+            [],
+            [],
         )
+        beat.suspicions = list(board.failover.suspicions)
+        for part in (report_members, report_versions):
+            part(self.now, board, settings, beat)
         for other in self.control:
             if other != name:
                 self.send(name, other, self._take_heartbeat, name, other, beat)
@@ -247,13 +249,9 @@
         self.event(other, PeerMessageReceived(name, beat))
         if other == self.leader and other in self.nodes and self._quorum(other):
             board = self.nodes[other].blackboard
-            reply = m.HeartbeatReply(
-                sequence=beat.sequence,
-                leader=other,
-                shares=[],
-                versions=committed_versions(board, beat.subscriptions),
-                topology_digest=topology_digest(board, beat.subscriptions),
-            )
+            reply = m.HeartbeatReply(beat.sequence, other, [], {}, 0)
+            for part in (answer_digest, answer_versions):
+                part(self.now, board, None, beat, reply)
             event = PeerMessageReceived(other, reply)
             self.send(other, name, self.event, name, event)
 
