--- a/packages/core/src/bronzemoor_core/distribution.py
+++ b/packages/core/src/bronzemoor_core/distribution.py
@@ -2,13 +2,13 @@
 
 import json
 from typing import Any
-from zlib import crc32
 
-from bronzemoor_core.actions import EmitLog, EmitMetric, SendPeerMessage
+from bronzemoor_core.actions import AdminReply, EmitLog, EmitMetric, SendPeerMessage
 from bronzemoor_core.blackboard import section
 from bronzemoor_core.commands import current_entry
 from bronzemoor_core.controllers import Controller, controller, handles
 from bronzemoor_core.events import (
+    AdminCommand,
     CommandCompleted,
     CommandProposed,
     LeadershipChanged,
@@ -25,12 +25,17 @@
     HeartbeatReply,
     TemplateVersion,
 )
-from bronzemoor_core.records import TemplateEntry
+from bronzemoor_core.status import summarize
 from bronzemoor_core.templates import Template, parse_template
 from bronzemoor_core.topology import NEVER
-
-# Key of the key ring's digest in version maps; it cannot be an organisation's name.
-KEYS_KEY = "@keys"
+from bronzemoor_core.versions import (
+    KEYS_KEY,
+    committed_keys,
+    committed_versions,
+    held_versions,
+    keys_digest,
+    wanted,
+)
 
 
 @section("configuration")
@@ -61,85 +66,6 @@
         self.confirmations: dict[str, dict[str, int]] = {}
 
 
-def held_versions(blackboard: Any) -> dict[str, int]:
-    """Returns the versions in force here, for heartbeats and acknowledgements."""
-    configuration = blackboard.configuration
-    versions = {name: t.version for name, t in configuration.templates.items()}
-    if configuration.keys:
-        versions[KEYS_KEY] = keys_digest(configuration.keys)
-    return versions
-
-
-def report_versions(now: float, blackboard: Any, settings: Any, heartbeat: Any) -> None:
-    """Fills a heartbeat with the versions in force here."""
-    heartbeat.versions = held_versions(blackboard)
-
-
-def answer_versions(
-    now: float, blackboard: Any, settings: Any, heartbeat: Any, reply: Any
-) -> None:
-    """Fills a reply with the committed versions of what the daemon serves."""
-    reply.versions = committed_versions(blackboard, heartbeat.subscriptions)
-
-
-def committed_versions(blackboard: Any, subscriptions: Any = ()) -> dict[str, int]:
-    """Returns the committed versions of the subscribed organisations (none: all)."""
-    state = blackboard.state
-    versions = {
-        name: entries[-1].version
-        for name, entries in state.templates.items()
-        if wanted(subscriptions, name, entries[-1])
-    }
-    keys = committed_keys(state)
-    if keys:
-        versions[KEYS_KEY] = keys_digest(keys)
-    return versions
-
-
-def wanted(subscriptions: Any, organisation: str, entry: TemplateEntry) -> bool:
-    """Tells whether a daemon's subscriptions include a template."""
-    names = {organisation, *entry.body["databases"]}
-    return not subscriptions or not names.isdisjoint(subscriptions)
-
-
-def committed_keys(state: Any) -> tuple[str, ...]:
-    """Returns the committed token keys as ``id:hex``, the signing one first."""
-    return tuple(f"{key.key_id}:{key.secret}" for key in state.keys)
-
-
-def keys_digest(keys: tuple[str, ...]) -> int:
-    """Returns a checksum of a key ring."""
-    return crc32("\n".join(keys).encode())
-
-
-def confirmation(blackboard: Any, organisation: str) -> dict[str, Any]:
-    """Reports, on the leader, where the current version of a template is in force.
-
-    A daemon whose lease ran out is not confirmed, whatever it said before.
-    """
-    entry = current_entry(blackboard.state, organisation)
-    version = entry.version if entry else 0
-    confirmed, behind, silent = [], [], []
-    configuration, topology = blackboard.configuration, blackboard.topology
-    for name, daemon in sorted(topology.daemons.items()):
-        if entry is None or not wanted(daemon.subscriptions, organisation, entry):
-            continue
-        held = configuration.confirmations.get(name, {}).get(organisation, 0)
-        if daemon.lost:
-            silent.append(name)
-        elif held >= version:
-            confirmed.append(name)
-        else:
-            behind.append(name)
-    return {
-        "version": version,
-        "in_force_everywhere": not behind and not silent,
-        "confirmed": confirmed,
-        "behind": behind,
-        "not_confirmed": silent,
-    }
-
-
 @controller("configuration")
 class Distribution(Controller):
     """Owns the configuration section."""
@@ -178,7 +104,10 @@
             return out
         for daemon in self._blackboard.topology.daemons.values():
             news = [n for n in names if self._wants(daemon.subscriptions, n)]
-            if not daemon.lost and (news or event.kind == "keys"):
+            here = daemon.name == self._settings.name
+            if not daemon.lost and not here and (news or event.kind == "keys"):
+                # The repair of a lost update waits for one digest interval.
+                self._repaired[daemon.name] = now
                 out.append(self._push(daemon.name, news))
         return out
 
@@ -218,7 +147,7 @@
             if name != KEYS_KEY and versions.get(name, 0) < version
         ]
         keys_differ = versions.get(KEYS_KEY) != current.get(KEYS_KEY)
-        if not lacking and not keys_differ:
+        if sender == self._settings.name or not (lacking or keys_differ):
             return []
         # A delta may be on its way, so a repair waits for one digest interval.
         last = self._repaired.get(sender, NEVER)
@@ -285,6 +214,14 @@
             return [EmitLog("info", "configuration_ready", {"versions": len(versions)})]
         return []
 
+    # --- operators
+
+    @handles(AdminCommand)
+    def admin(self, now: float, event: AdminCommand) -> list[object] | None:
+        if event.name != "status":
+            return None
+        return [AdminReply(event.ticket, "ok", summarize(now, self._blackboard))]
+
     # --- time
 
     @handles(Tick)
--- a/packages/core/src/bronzemoor_core/membership.py
+++ b/packages/core/src/bronzemoor_core/membership.py
@@ -227,7 +227,8 @@
         out: list[object] = []
         for summary in message.members:
             out += self._merge(now, summary, "relay")
-        if self._own.is_leader and daemon.updated_at == NEVER:
+        known = daemon.updated_at != NEVER or sender == self._settings.name
+        if self._own.is_leader and not known:
             out.append(self._whole(now, daemon))
         return out
 
@@ -333,7 +334,7 @@
         for daemon in self._own.daemons.values():
             names = subscribed_databases(daemon.subscriptions, self._blackboard)
             wanted = changed if names is None else names & changed
-            if wanted and not daemon.lost:
+            if wanted and not daemon.lost and daemon.name != self._settings.name:
                 yield daemon.name, wanted
 
     # --- leases
--- a/packages/core/src/bronzemoor_core/relays.py
+++ b/packages/core/src/bronzemoor_core/relays.py
@@ -6,6 +6,7 @@
 
 from bronzemoor_core.commands import current_entry
 from bronzemoor_core.events import Announcement
+from bronzemoor_core.heartbeats import heartbeat_part, reply_part
 from bronzemoor_core.messages import DatabaseState, MemberSummary
 from bronzemoor_core.topology import topology_digest
 
@@ -80,16 +81,22 @@
     return summaries
 
 
+@heartbeat_part
 def report_members(now: float, blackboard: Any, settings: Any, heartbeat: Any) -> None:
     """Fills a heartbeat with member summaries and the organisations served here."""
     heartbeat.members = member_summaries(now, blackboard, settings.timers)
     heartbeat.subscriptions = list(settings.organisations)
 
 
+@reply_part
 def answer_digest(
     now: float, blackboard: Any, settings: Any, heartbeat: Any, reply: Any
 ) -> None:
-    """Fills a reply with the digest of what the daemon subscribes to."""
+    """Fills one reply per digest interval with the digest of the subscriptions."""
+    timers = settings.timers
+    period = round(timers.digest_interval / timers.daemon_heartbeat_interval)
+    if heartbeat.sequence % max(1, period):
+        return
     names = subscribed_databases(heartbeat.subscriptions, blackboard)
     reply.topology_digest = topology_digest(blackboard.topology.databases, names)
 
--- a/packages/core/src/bronzemoor_core/suspicion.py
+++ b/packages/core/src/bronzemoor_core/suspicion.py
@@ -163,9 +163,10 @@
         if found is None or not evidence:
             return []
         reached = [at for at in found.others.values() if now - at <= ANSWER_VALID]
-        if len(reached) < majority(record.group) or _cut_off(now, daemons):
+        others = self._others(daemons)
+        if len(reached) < majority(record.group) or _cut_off(now, others):
             return []
-        if _rejected_by_proxies(now, evidence, daemons):
+        if _rejected_by_proxies(now, evidence, others):
             return evidence
         if _confirmed(now, found):
             return []
@@ -185,6 +186,11 @@
             return evidence
         return []
 
+    def _others(self, daemons: Any) -> list[Any]:
+        """Daemons but this one and those that are stopping."""
+        own = self._settings.name
+        return [d for d in daemons.values() if d.name != own and not d.draining]
+
     def _ping_timeout(self, data_centre: str) -> float:
         settings = self._settings
         delay = settings.delays.get(data_centre, 0.0)
@@ -200,19 +206,20 @@
     return fresh and 0 <= found.confirmed_ago_ms <= CONFIRMED_LIMIT_MS
 
 
-def _cut_off(now: float, daemons: Any) -> bool:
+def _cut_off(now: float, daemons: list[Any]) -> bool:
     """Tells whether most known daemons fell silent at once: the fault is here."""
-    known = [d for d in daemons.values() if not d.draining]
-    heard = [d for d in known if now - d.last_heard <= DAEMON_HEARD]
-    return 2 * len(heard) < len(known)
+    heard = [d for d in daemons if now - d.last_heard <= DAEMON_HEARD]
+    return 2 * len(heard) < len(daemons)
 
 
-def _rejected_by_proxies(now: float, evidence: list[Evidence], daemons: Any) -> bool:
+def _rejected_by_proxies(
+    now: float, evidence: list[Evidence], daemons: list[Any]
+) -> bool:
     """Tells whether most proxies cannot use a primary that may reach its peers."""
     proxies = {e.vantage for e in evidence if e.detector == "proxy"}
     lasting = all(
         now - e.since >= PROXY_CONFIRMATION for e in evidence if e.detector == "proxy"
     )
-    # The leader itself is a daemon as well.
-    most = (sum(not d.lost for d in daemons.values()) + 1) // 2 + 1
+    # The leader itself is a proxy as well.
+    most = (sum(not d.lost for d in daemons) + 1) // 2 + 1
     return lasting and len(proxies) >= max(2, most)
--- a/packages/core/src/bronzemoor_core/topology.py
+++ b/packages/core/src/bronzemoor_core/topology.py
@@ -99,11 +99,6 @@
         self.is_leader = False
         self.leader_since = NEVER
 
-    @property
-    def digest(self) -> int:
-        """Digest over all databases."""
-        return topology_digest(self.databases, None)
-
 
 def topology_digest(databases: Any, names: frozenset[str] | None) -> int:
     """Returns a checksum of all but the positions over ``names``, or over all."""
--- a/packages/core/tests/test_failover.py
+++ b/packages/core/tests/test_failover.py
@@ -32,9 +32,9 @@
 
 def test_a_primary_is_appointed_and_a_silent_one_replaced(group):
     """Guards against a group without primary at the start or after a failure."""
-    old = group.primary("claims")
+    old = group.primary("claims", "vm0")
     assert group.endpoints[old].role == "primary"
     group.endpoints[old].up = False
     assert group.run(1.0, until=lambda: settled(group, old))
-    new = group.endpoints[group.primary("claims")]
+    new = group.endpoints[group.primary("claims", "vm0")]
     assert (new.role, new.term) == ("primary", 2)
