--- a/packages/core/src/bronzemoor_core/commands.py
+++ b/packages/core/src/bronzemoor_core/commands.py
@@ -28,8 +28,19 @@
 CHANGE_LIMIT = 10_000
 # Tokens signed with the previous two keys stay valid.
 KEY_LIMIT = 3
+# Change ids of the control leader's own proposals; their terms make them idempotent.
+AUTOMATIC = "auto:"
 # Fields of a command that may differ between a change and its resend.
-UNSIGNED_FIELDS = ("at", "operator", "secret", "change_id")
+UNSIGNED_FIELDS = (
+    "at",
+    "change_id",
+    "new_term",
+    "old_term",
+    "operator",
+    "reason",
+    "secret",
+    "target",
+)
 
 
 def command(name: str) -> Callable[[Apply], Apply]:
@@ -59,7 +70,7 @@
     if function is None:
         return _error("unknown_command", f"no command is named {name!r}")
     change_id = body.get("change_id", "")
-    if not change_id or name.startswith("failover."):
+    if not change_id or change_id.startswith(AUTOMATIC):
         return function(state, body)
     changes = state.changes.setdefault(body.get("organisation", ""), {})
     digest = _digest(body)
@@ -177,7 +188,7 @@
     record = state.databases.get(body["database"]) or DatabaseRecord(body["database"])
     plan = record.plan
     if plan is not None and plan.change_id == body["change_id"]:
-        return {"code": "ok", "term": plan.new_term}
+        return {"code": "ok", "term": plan.new_term, "target": plan.target}
     expected = record.highest_term
     first = expected == 0  # no term was ever given: the members' terms decide
     if body["new_term"] <= body["old_term"] or not (
@@ -197,7 +208,7 @@
         at=body.get("at", 0.0),
     )
     record.version += 1
-    return {"code": "ok", "term": record.plan.new_term}
+    return {"code": "ok", "term": record.plan.new_term, "target": record.plan.target}
 
 
 @command("failover.choose")
--- a/packages/core/src/bronzemoor_core/distribution.py
+++ b/packages/core/src/bronzemoor_core/distribution.py
@@ -2,13 +2,13 @@
 
 import json
 from typing import Any
-from zlib import crc32
 
-from bronzemoor_core.actions import EmitLog, EmitMetric, SendPeerMessage
+from bronzemoor_core.actions import AdminReply, EmitLog, EmitMetric, SendPeerMessage
 from bronzemoor_core.blackboard import section
 from bronzemoor_core.commands import current_entry
 from bronzemoor_core.controllers import Controller, controller, handles
 from bronzemoor_core.events import (
+    AdminCommand,
     CommandCompleted,
     CommandProposed,
     LeadershipChanged,
@@ -25,11 +25,17 @@
     HeartbeatReply,
     TemplateVersion,
 )
+from bronzemoor_core.status import summarize
 from bronzemoor_core.templates import Template, parse_template
 from bronzemoor_core.topology import NEVER
-
-# Key of the key ring's digest in version maps; it cannot be an organisation's name.
-KEYS_KEY = "@keys"
+from bronzemoor_core.versions import (
+    KEYS_KEY,
+    committed_keys,
+    committed_versions,
+    held_versions,
+    keys_digest,
+    wanted,
+)
 
 
 @section("configuration")
@@ -60,38 +66,6 @@
         self.confirmations: dict[str, dict[str, int]] = {}
 
 
-def held_versions(blackboard: Any) -> dict[str, int]:
-    """Returns the versions in force here, for heartbeats and acknowledgements."""
-    configuration = blackboard.configuration
-    versions = {name: t.version for name, t in configuration.templates.items()}
-    if configuration.keys:
-        versions[KEYS_KEY] = keys_digest(configuration.keys)
-    return versions
-
-
-def committed_versions(blackboard: Any, subscriptions: Any = ()) -> dict[str, int]:
-    """Returns the committed versions of the subscribed organisations (none: all)."""
-    state = blackboard.state
-    names = list(subscriptions) or list(state.templates)
-    versions = {
-        n: state.templates[n][-1].version for n in names if n in state.templates
-    }
-    keys = committed_keys(state)
-    if keys:
-        versions[KEYS_KEY] = keys_digest(keys)
-    return versions
-
-
-def committed_keys(state: Any) -> tuple[str, ...]:
-    """Returns the committed token keys as ``id:hex``, the signing one first."""
-    return tuple(f"{key.key_id}:{key.secret}" for key in state.keys)
-
-
-def keys_digest(keys: tuple[str, ...]) -> int:
-    """Returns a checksum of a key ring."""
-    return crc32("\n".join(keys).encode())
-
-
 @controller("configuration")
 class Distribution(Controller):
     """Owns the configuration section."""
@@ -129,20 +103,23 @@
         if not self._blackboard.topology.is_leader:
             return out
         for daemon in self._blackboard.topology.daemons.values():
-            wanted = [
-                n
-                for n in names
-                if not daemon.subscriptions or n in daemon.subscriptions
-            ]
-            if wanted or event.kind == "keys":
-                out.append(self._push(daemon.name, wanted))
+            news = [n for n in names if self._wants(daemon.subscriptions, n)]
+            here = daemon.name == self._settings.name
+            if not daemon.lost and not here and (news or event.kind == "keys"):
+                # The repair of a lost update waits for one digest interval.
+                self._repaired[daemon.name] = now
+                out.append(self._push(daemon.name, news))
         return out
 
     @handles(LeadershipChanged)
     def lead(self, now: float, event: LeadershipChanged) -> None:
         self._queried = NEVER
         if not event.is_leader:
-            self._own.confirmations = {}
+            self._own.confirmations.clear()
+
+    def _wants(self, subscriptions: Any, organisation: str) -> bool:
+        entry = current_entry(self._blackboard.state, organisation)
+        return entry is not None and wanted(subscriptions, organisation, entry)
 
     def _push(self, daemon: str, names: list[str]) -> SendPeerMessage:
         state = self._blackboard.state
@@ -170,7 +147,7 @@
             if name != KEYS_KEY and versions.get(name, 0) < version
         ]
         keys_differ = versions.get(KEYS_KEY) != current.get(KEYS_KEY)
-        if not lacking and not keys_differ:
+        if sender == self._settings.name or not (lacking or keys_differ):
             return []
         # A delta may be on its way, so a repair waits for one digest interval.
         last = self._repaired.get(sender, NEVER)
@@ -237,6 +214,14 @@
             return [EmitLog("info", "configuration_ready", {"versions": len(versions)})]
         return []
 
+    # --- operators
+
+    @handles(AdminCommand)
+    def admin(self, now: float, event: AdminCommand) -> list[object] | None:
+        if event.name != "status":
+            return None
+        return [AdminReply(event.ticket, "ok", summarize(now, self._blackboard))]
+
     # --- time
 
     @handles(Tick)
