--- /dev/null
+++ b/packages/standin/src/bronzemoor_standin/ledger.py
@@ -0,0 +1,333 @@
+"""The log and the data of one member: reads, writes, orders and replication."""
+
+import sqlite3
+import threading
+import time
+from dataclasses import replace
+from typing import Any
+
+from bronzemoor_standin.applier import Applier
+from bronzemoor_standin.database import (
+    DATABASE_ERRORS,
+    Database,
+    RequestRecord,
+    Retention,
+    Step,
+    Transaction,
+)
+from bronzemoor_standin.faults import Faults
+from bronzemoor_standin.journal import Journal
+from bronzemoor_standin.replication import (
+    PRIMARY,
+    Batch,
+    BatchAnswer,
+    Refusal,
+    ReplicationState,
+    covers,
+)
+from bronzemoor_standin.statements import Sql
+
+Position = tuple[int, int]
+_DISK_FULL = "database or disk is full"
+
+
+class Refused(Exception):
+    """The call was refused before anything ran."""
+
+    def __init__(self, code: str, message: str) -> None:
+        super().__init__(message)
+        self.code = code
+        self.message = message
+
+
+class Writer:
+    """The primary's writing connection during one term."""
+
+    def __init__(self, term: int, source: Database) -> None:
+        self.term = term
+        self.lock = threading.Lock()
+        self.database = Database(source.retention)
+        self.database.copy_from(source)
+
+
+class Write:
+    """A write transaction; holds the writer's lock until ``commit`` or ``rollback``."""
+
+    def __init__(self, ledger: "Ledger", writer: Writer) -> None:
+        self.open = True
+        self._ledger = ledger
+        self._writer = writer
+        self._statements: list[Sql] = []
+        writer.database.begin()
+
+    def find(self, request_id: str) -> RequestRecord | None:
+        return self._writer.database.find(request_id)
+
+    def run(self, statements: list[Sql], writing: list[Sql]) -> list[dict[str, Any]]:
+        """Runs statements as a unit; on an error none of them has an effect."""
+        database = self._writer.database
+        database.savepoint()
+        try:
+            if writing and self._ledger.faults.disk_full:
+                raise sqlite3.OperationalError(_DISK_FULL)
+            results = database.run(statements)
+        except DATABASE_ERRORS:
+            # Some errors make sqlite3 roll the whole transaction back by itself.
+            if database.in_transaction:
+                database.release(keep=False)
+            else:
+                self.rollback()
+            raise
+        database.release(keep=True)
+        self._statements += writing
+        return results
+
+    def commit(self, record: RequestRecord | None) -> Position:
+        """Appends the transaction to the log; raises ``Refused`` after a rollback."""
+        transaction = Transaction(self._statements, record)
+        body = transaction.encode()
+        try:
+            return self._ledger.commit(self._writer, transaction, body)
+        finally:
+            self.rollback()
+
+    def rollback(self) -> None:
+        if self.open:
+            self.open = False
+            self._writer.database.rollback()
+            self._writer.lock.release()
+
+
+class Ledger:
+    """Log, committed data and, on a primary, the writer of one member."""
+
+    def __init__(
+        self,
+        name: str,
+        members: tuple[str, ...],
+        faults: Faults,
+        retention: Retention,
+        journal: Journal | None = None,
+    ) -> None:
+        self.faults = faults
+        self.lock = threading.RLock()
+        self.log_changed = threading.Condition(self.lock)
+        self.majority_changed = threading.Condition(self.lock)
+        self.state = ReplicationState(name, members)
+        self.committed = Database(retention)
+        self.schema: list[Sql] = []
+        self.heard_at = float("-inf")
+        # Send time that a replication round must have to answer a waiting lookup.
+        self.round_wanted_at = float("-inf")
+        self._journal = journal
+        if journal is not None:
+            journal.load(self.state)
+        self._writer: Writer | None = None
+        self.applier = Applier(
+            self.state.log, self.lock, self.committed, lambda: self.faults.lag_ms
+        )
+
+    def _persist(self) -> None:
+        if self._journal is not None:
+            self._journal.sync(self.state)
+
+    # --- reads
+
+    def read(
+        self, statements: list[Sql], wanted: Position, wait: float
+    ) -> tuple[list[dict[str, Any]], Position]:
+        """Runs reads at or after ``wanted``; waits at most ``wait`` seconds for it."""
+        database = self.committed
+        with database.lock:
+            self.require(wanted, wait)
+            return database.run(statements), database.applied
+
+    def require(self, wanted: Position, wait: float) -> None:
+        """Raises ``Refused`` unless ``wanted`` is reached within ``wait`` seconds."""
+        state, database = self.state, self.committed
+        with self.lock:
+            refusal = state.refusal_of_read()
+        if refusal is not None:
+            raise Refused(refusal.code, refusal.message)
+
+        def reached() -> bool:
+            return not self.applier.rebuilding and covers(
+                state.log.history, database.applied, wanted
+            )
+
+        with database.lock:
+            if not reached() and not database.wait_for(reached, wait):
+                if self.applier.rebuilding:
+                    raise Refused("rebuilding", "discarded entries are being undone")
+                raise Refused("behind", f"at {database.applied}, wanted {wanted}")
+
+    def find(self, request_id: str) -> RequestRecord | None:
+        """The committed record of ``request_id``; raises ``Refused`` on a replica."""
+        with self.lock, self.committed.lock:
+            self._require_writer()
+            return self.committed.find(request_id)
+
+    # --- writes
+
+    def open_write(self, timeout: float) -> Write:
+        """Waits for the writer's lock; raises ``Refused`` when not primary or late."""
+        with self.lock:
+            writer = self._require_writer()
+        if not writer.lock.acquire(timeout=max(timeout, 0)):
+            raise Refused("deadline", "waited too long for the write lock")
+        if writer is not self._writer:
+            writer.lock.release()
+            with self.lock:
+                self._require_writer()
+            raise Refused("stale_term", f"term {writer.term} is over")
+        return Write(self, writer)
+
+    def commit(self, writer: Writer, transaction: Transaction, body: bytes) -> Position:
+        """Commits to the log and to the data that reads see; called by ``Write``."""
+        with self.lock:
+            if self._require_writer() is not writer:
+                raise Refused("stale_term", f"term {writer.term} is over")
+            term, offset = self.state.term, self.state.log.last[1] + 1
+            step = Step(transaction, term, offset)
+            writer.database.record(step)
+            self.state.append(body)
+            try:
+                if self.faults.disk_full:
+                    raise sqlite3.OperationalError(_DISK_FULL)
+                self._persist()
+            except sqlite3.Error:
+                self.state.log.truncate(offset - 1)
+                raise
+            writer.database.commit()
+            with self.committed.lock:
+                self.committed.apply([step])
+            self.log_changed.notify_all()
+            if len(self.state.members) == 1:
+                self.majority_changed.notify_all()
+            return (term, offset)
+
+    def _require_writer(self) -> Writer:
+        refusal = self.state.refusal_of_write()
+        if refusal is not None:
+            raise Refused(refusal.code, refusal.message)
+        assert self._writer is not None
+        return self._writer
+
+    # --- the majority
+
+    def confirm(self, position: Position, wait: float) -> None:
+        """Waits until a majority holds ``position``; raises ``Refused`` otherwise."""
+        term, offset = position
+
+        def held() -> bool:
+            if offset and not self.state.log.holds(term, offset):
+                raise Refused("position_discarded", f"{position} is not in the log")
+            return self.state.majority_offset >= max(offset, 1)
+
+        self._wait_for_majority(held, wait)
+
+    def confirm_term(self, wait: float) -> None:
+        """Waits until a majority accepts this primary in a round sent from now on."""
+        since = time.monotonic()
+
+        def confirmed() -> bool:
+            moment = self.state.confirmed_at(time.monotonic())
+            return moment is not None and moment >= since
+
+        with self.lock:
+            self.round_wanted_at = since
+            self.log_changed.notify_all()
+        self._wait_for_majority(confirmed, wait)
+
+    def _wait_for_majority(self, condition: Any, wait: float) -> None:
+        until = time.monotonic() + wait
+        with self.lock:
+            while True:
+                self._require_writer()
+                if condition():
+                    return
+                left = until - time.monotonic()
+                if left <= 0:
+                    raise Refused("not_confirmed", "no majority answered in time")
+                self.majority_changed.wait(left)
+
+    def acknowledge(
+        self, peer: str, batch: Batch, answer: BatchAnswer, sent_at: float
+    ) -> None:
+        """Passes a replica's answer to the rules and wakes those who wait for it."""
+        with self.lock:
+            role = self.state.role
+            self.state.acknowledge(peer, batch, answer, sent_at)
+            if self.state.role != role:
+                self._persist()
+                self._role_changed()
+            self.majority_changed.notify_all()
+
+    # --- orders
+
+    def fence(self, term: int) -> Refusal | None:
+        with self.lock:
+            refusal = self.state.fence(term)
+            self._persist()
+            self._role_changed()
+            return refusal
+
+    def promote(
+        self, term: int, start_offset: int, members: tuple[str, ...]
+    ) -> Refusal | None:
+        """Applies what the log holds and starts the writer of the new term."""
+        body = Transaction(self.schema if start_offset == 0 else []).encode()
+        with self.applier.busy, self.lock:
+            refusal = self.state.promote(term, start_offset, members, body)
+            writer = self._writer
+            if refusal is not None or (writer is not None and writer.term == term):
+                return refusal
+            self._persist()
+            while self.applier.apply_some(ignore_lag=True):
+                pass
+            self._writer = Writer(term, self.committed)
+            self._role_changed()
+            return None
+
+    def follow(
+        self, term: int, primary: str, start_offset: int, members: tuple[str, ...]
+    ) -> Refusal | None:
+        with self.lock:
+            refusal = self.state.follow(term, primary, start_offset, members)
+            if refusal is None:
+                self.heard_at = time.monotonic()
+            self._persist()
+            self.applier.check_log()
+            self._role_changed()
+            return refusal
+
+    def step_down(self) -> None:
+        """Gives up the role of primary, as a restart does; the term is kept."""
+        with self.lock:
+            self.state.step_down()
+            self._role_changed()
+
+    def _role_changed(self) -> None:
+        if self.state.role != PRIMARY:
+            self._writer = None
+        self.log_changed.notify_all()
+        self.majority_changed.notify_all()
+
+    # --- replication
+
+    def replicate(self, batch: Batch) -> BatchAnswer:
+        """Stores a batch; the applier applies it after the replica's lag."""
+        if self.faults.disk_full:
+            batch = replace(batch, entries=[])
+        with self.lock:
+            role = self.state.role
+            answer = self.state.replicate(batch)
+            self._persist()
+            if answer.term == batch.term:
+                self.heard_at = time.monotonic()
+            self.applier.check_log()
+            if batch.entries and answer.accepted:
+                self.applier.arrived(answer.offset)
+            if self.state.role != role:
+                self._role_changed()
+            return answer
