--- a/packages/core/src/bronzemoor_core/drain.py
+++ b/packages/core/src/bronzemoor_core/drain.py
@@ -1,14 +1,124 @@
 """Stages of the graceful stop."""
 
-from bronzemoor_core.blackboard import section
-from bronzemoor_core.controllers import Controller, controller
+from collections.abc import Iterable
+from random import Random
+from typing import Any
+
+from bronzemoor_core.actions import EmitLog, Exit, StopListening
+from bronzemoor_core.blackboard import Blackboard, section
+from bronzemoor_core.controllers import Controller, controller, handles
+from bronzemoor_core.events import StopRequested, Tick, TransactionExpired
+
+SERVING = "serving"
+# Not ready, but serving: load balancers need time to notice.
+LEAVING = "leaving"
+# No new connections; requests and open transactions may finish.
+FINISHING = "finishing"
+# Open transactions were rolled back; the last requests get their answers.
+CLEANING = "cleaning"
+STOPPED = "stopped"
+
+EXIT_CLEAN = 0
+EXIT_CUT = 1
 
 
 @section("drain")
 class Drain:
-    __slots__ = ()
+    """Stage of the stop, its end in seconds, and how much work it cut short."""
+
+    __slots__ = ("cut_requests", "cut_transactions", "deadline", "stage")
+
+    def __init__(self) -> None:
+        self.stage = SERVING
+        self.deadline = 0.0
+        self.cut_requests = 0
+        self.cut_transactions = 0
 
 
 @controller("drain")
 class DrainController(Controller):
     """Owns the drain section."""
+
+    _own: Drain
+
+    def __init__(self, blackboard: Blackboard, settings: Any, random: Random) -> None:
+        super().__init__(blackboard, settings, random)
+        self._steps = {
+            LEAVING: self._leave,
+            FINISHING: self._finish,
+            CLEANING: self._clean,
+        }
+
+    @handles(StopRequested)
+    def on_stop(self, now: float, event: StopRequested) -> list[object]:
+        """Starts the stop; a repeated request changes nothing."""
+        if self._own.stage != SERVING:
+            return []
+        return [self._enter(now, LEAVING, self._settings.drain.delay)]
+
+    @handles(Tick)
+    def on_tick(self, now: float, event: Tick) -> list[object]:
+        step = self._steps.get(self._own.stage)
+        return step(now) if step is not None else []
+
+    def _leave(self, now: float) -> list[object]:
+        if now < self._own.deadline:
+            return []
+        drain = self._settings.drain
+        return [StopListening(), self._enter(now, FINISHING, drain.grace)]
+
+    def _finish(self, now: float) -> list[object]:
+        transactions = self._blackboard.transactions.open
+        busy = self._blackboard.requests.active or transactions
+        if busy and now < self._own.deadline:
+            return []
+        items = list(self._cut_transactions(transactions.values()))
+        return [*items, self._enter(now, CLEANING, self._settings.drain.cleanup)]
+
+    def _clean(self, now: float) -> list[object]:
+        active = self._blackboard.requests.active
+        if active and now < self._own.deadline:
+            return []
+        items: list[object] = []
+        for work in active.values():
+            self._own.cut_requests += 1
+            request = work.request
+            fields = {
+                "organisation": request.organisation,
+                "database": request.database,
+                "request_id": request.request_id,
+                "step": work.step.value,
+                "peer": work.member,
+            }
+            items.append(EmitLog("warning", "drain_request_cut", fields))
+        cut = self._own.cut_requests + self._own.cut_transactions
+        self._own.stage = STOPPED
+        reason = f"{cut} cut short" if cut else "all work finished"
+        return [*items, Exit(EXIT_CUT if cut else EXIT_CLEAN, reason)]
+
+    def _cut_transactions(self, transactions: Iterable[Any]) -> Iterable[object]:
+        for transaction in transactions:
+            if transaction.committing:
+                # Its outcome is decided at the endpoint; the request still waits.
+                continue
+            self._own.cut_transactions += 1
+            fields = {
+                "transaction": transaction.name,
+                "organisation": transaction.organisation,
+                "database": transaction.database,
+                "peer": transaction.member,
+            }
+            yield EmitLog("warning", "drain_transaction_rolled_back", fields)
+            yield TransactionExpired(transaction.name)
+
+    def _enter(self, now: float, stage: str, duration: float) -> EmitLog:
+        """``duration`` is in seconds."""
+        self._own.stage = stage
+        self._own.deadline = now + duration
+        fields = {
+            "stage": stage,
+            "seconds": duration,
+            "requests": len(self._blackboard.requests.active),
+            "transactions": len(self._blackboard.transactions.open),
+        }
+        return EmitLog("info", "drain_stage", fields)
--- /dev/null
+++ b/packages/daemon/src/bronzemoor_daemon/admin.py
@@ -0,0 +1,183 @@
+"""The operators' interface: commands, status and a page for people."""
+
+import hmac
+import json
+import time
+from collections.abc import Callable
+from html import escape
+from typing import Any
+
+import cherrypy
+
+from bronzemoor_core.actions import AdminReply
+from bronzemoor_core.exceptions import InvalidRequest
+from bronzemoor_daemon.driver import Driver
+from bronzemoor_daemon.parsing import parse_object
+
+# HTTP status by reply code; any other error code is a rejected request (400).
+CODE_STATUS = {
+    "ok": 200,
+    "unknown_command": 404,
+    "not_found": 404,
+    "version_not_found": 404,
+    "unknown_trace": 404,
+    "unauthorized": 401,
+    "version_conflict": 409,
+    "change_id_reused": 409,
+    "no_leader": 503,
+    "not_leader": 503,
+    "no_quorum": 503,
+    "overloaded": 503,
+    "unavailable": 503,
+    "unknown": 504,
+    "internal": 500,
+}
+MAX_BODY = 4 * 1024 * 1024
+
+LocalCommand = Callable[[dict[str, Any]], AdminReply]
+
+
+class AdminTree:
+    """cherrypy tree at /v1/admin; ``local`` holds commands that need no core."""
+
+    def __init__(
+        self,
+        driver: Driver,
+        operators: dict[str, str],
+        local: dict[str, LocalCommand],
+        extend_status: Callable[[dict[str, Any]], None],
+    ) -> None:
+        self._driver = driver
+        self._operators = operators
+        self._local = local
+        self._extend_status = extend_status
+
+    @cherrypy.expose
+    def default(self, *path: str, **_: str) -> bytes:
+        """Runs the command that the path names; arguments are the JSON body."""
+        operator = self._authenticate()
+        request = cherrypy.request
+        if len(path) != 1:
+            return self._answer("unknown_command", {"message": "no such path"})
+        if request.method == "GET":
+            if path[0] != "status":
+                return self._answer("unknown_command", {"message": "use POST"})
+            return self._run("status", {}, operator)
+        try:
+            body = self._body()
+            arguments = parse_object(body) if body else {}
+        except InvalidRequest as error:
+            return self._answer(error.code, {"message": error.message})
+        return self._run(path[0], arguments, operator)
+
+    def _run(self, name: str, arguments: dict[str, Any], operator: str) -> bytes:
+        if name in self._local:
+            reply = self._local[name](arguments)
+        else:
+            at = time.time()
+            reply = self._driver.command(name, {**arguments, "at": at}, operator, at)
+        body = dict(reply.body)
+        if name == "status":
+            self._extend_status(body)
+        return self._answer(reply.code, body)
+
+    def _body(self) -> bytes:
+        body = cherrypy.request.body.fp.read(MAX_BODY + 1) or b""
+        if len(body) > MAX_BODY:
+            raise InvalidRequest("body is too large", code="body_too_large")
+        return bytes(body)
+
+    def _authenticate(self) -> str:
+        """Returns the operator's name; a wrong token ends the request with 401."""
+        header = cherrypy.request.headers.get("Authorization", "")
+        scheme, _, token = header.partition(" ")
+        found = ""
+        for name, expected in self._operators.items():
+            # All are compared, so that the time taken tells nothing.
+            if hmac.compare_digest(token.encode(), expected.encode()):
+                found = name
+        if self._operators and (not found or scheme.lower() != "bearer"):
+            cherrypy.response.headers["WWW-Authenticate"] = "Bearer"
+            raise _Unauthorized
+        return found or "anonymous"
+
+    def _answer(self, code: str, body: dict[str, Any]) -> bytes:
+        cherrypy.response.status = CODE_STATUS.get(code, 400)
+        cherrypy.response.headers["Content-Type"] = "application/json"
+        return json.dumps({"code": code, **body}, default=str).encode()
+
+
+class _Unauthorized(cherrypy.HTTPError):
+    """Answers 401 as JSON."""
+
+    def __init__(self) -> None:
+        super().__init__(401, "unauthorized")
+
+    def set_response(self) -> None:
+        body = json.dumps({"code": "unauthorized", "message": "a token is needed"})
+        cherrypy.response.status = 401
+        cherrypy.response.headers["Content-Type"] = "application/json"
+        cherrypy.response.headers["Content-Length"] = str(len(body))
+        cherrypy.response.body = body.encode()
+
+
+class StatusPage:
+    """``GET /``: what runs where, for people."""
+
+    def __init__(self, name: str, status: Callable[[], dict[str, Any]]) -> None:
+        self._name = name
+        self._status = status
+
+    @cherrypy.expose
+    def index(self) -> bytes:
+        cherrypy.response.headers["Content-Type"] = "text/html; charset=utf-8"
+        return render_page(self._name, self._status()).encode()
+
+
+def render_page(name: str, status: dict[str, Any]) -> str:
+    """Renders nested values as tables; every text is escaped."""
+    title = escape(f"Bronzemoor {name}")
+    return (
+        f"<!doctype html><html lang=en><meta charset=utf-8><title>{title}</title>"
+        "<style>body{font-family:sans-serif}td,th{text-align:left;padding:2px 8px;"
+        "vertical-align:top}</style>"
+        f"<h1>{title}</h1>{_render(status)}</html>"
+    )
+
+
+def _render(value: Any) -> str:
+    if isinstance(value, dict):
+        rows = (
+            f"<tr><th>{escape(str(key))}</th><td>{_render(item)}</td></tr>"
+            for key, item in value.items()
+        )
+        return f"<table>{''.join(rows)}</table>"
+    if isinstance(value, list | tuple):
+        return "".join(f"<div>{_render(item)}</div>" for item in value)
+    return escape(str(value))
+
+
+def make_admin_application(tree: AdminTree, page: StatusPage) -> cherrypy.Application:
+    """Mounts both outside cherrypy's global tree, so that daemons stay apart."""
+    root = page
+    root.v1 = _Branch(tree)  # type: ignore[attr-defined]
+    config = {
+        "/": {
+            "tools.encode.on": False,
+            "tools.log_tracebacks.on": True,
+            "request.show_tracebacks": False,
+            "request.process_request_body": False,
+        }
+    }
+    application = cherrypy.Application(root, "", config)
+    application.log.screen = False
+    application.log.access_log.handlers.clear()
+    application.log.access_log.propagate = False
+    return application
+
+
+class _Branch:
+    """Path segment /v1."""
+
+    def __init__(self, admin: AdminTree) -> None:
+        self.admin = admin
--- a/packages/daemon/src/bronzemoor_daemon/application.py
+++ b/packages/daemon/src/bronzemoor_daemon/application.py
@@ -1,68 +1,89 @@
 """The central object of a daemon: builds node, servers, clients and sinks."""
 
-import sys
-from concurrent.futures import ThreadPoolExecutor
-from random import Random, SystemRandom
+import json
+import logging
+from random import SystemRandom
 from threading import Event, Thread
 from time import monotonic
 from typing import Any
 
-from cheroot.wsgi import PathInfoDispatcher
-
-from bronzemoor_core.actions import (
-    CloseConnection,
-    EmitLog,
-    EmitMetric,
-    Exit,
-    OpenConnection,
-    PersistLog,
-    PersistSnapshot,
-    SendCall,
-    SendOrder,
-    SendPeerMessage,
-    StopListening,
-)
+from bronzemoor_core.actions import AdminReply, Exit
+from bronzemoor_core.drain import LEAVING, SERVING
 from bronzemoor_core.events import StopRequested, Tick
+from bronzemoor_core.exceptions import InvalidSettings
 from bronzemoor_core.node import make_node
+from bronzemoor_core.storage import MemoryStorage, Storage
+from bronzemoor_daemon.admin import AdminTree, StatusPage, make_admin_application
+from bronzemoor_daemon.datafolder import DataFolder
 from bronzemoor_daemon.driver import Driver
 from bronzemoor_daemon.endpoints import EndpointConnections
 from bronzemoor_daemon.framing import split_address
 from bronzemoor_daemon.http import HttpPath
+from bronzemoor_daemon.logs import LogWriter
+from bronzemoor_daemon.metrics import Metrics
 from bronzemoor_daemon.peers import PeerSenders, PeerServer
+from bronzemoor_daemon.performers import Performers
 from bronzemoor_daemon.server import DaemonServer
 from bronzemoor_daemon.settings import DaemonSettings
+from bronzemoor_daemon.storagethread import StorageThread
+from bronzemoor_daemon.tls import TlsContexts, exposure_problems
+from bronzemoor_daemon.tracing import Tracing
 
 TICK_INTERVAL = 0.010
-# Opening and probing connections; each may wait for its timeout.
-CONNECTION_THREADS = 16
-# Orders of a failover never wait behind connections that time out.
-ORDER_THREADS = 8
+# How often certificate files are looked at, seconds.
+RELOAD_INTERVAL = 5.0
 
 
 class Application:
     """One daemon. Several may run in one process."""
 
-    def __init__(self, settings: DaemonSettings, seed: int | None = None) -> None:
+    def __init__(self, settings: DaemonSettings, random: Any = None) -> None:
+        node = settings.node
+        problems = exposure_problems(settings)
+        if problems and not settings.insecure:
+            raise InvalidSettings(problems)
         self._settings = settings
-        random = Random(SystemRandom().random() if seed is None else seed)
-        self._node = make_node(settings.node, random)
-        self._endpoints = EndpointConnections(settings.node.name, monotonic)
-        self._senders = PeerSenders(
-            settings.node.name, settings.node.peers, None, self._report
+        self._tls = TlsContexts(settings.tls) if settings.tls is not None else None
+        self._logs = LogWriter(node.name)
+        for problem in problems:
+            self._report("insecure", {"problem": problem})
+        self._metrics = Metrics(settings.statsd)
+        self._tracing = Tracing(
+            node.name, settings.trace_ratio, settings.trace_exporter
         )
-        self._connection_pool = ThreadPoolExecutor(CONNECTION_THREADS, "connections")
-        self._order_pool = ThreadPoolExecutor(ORDER_THREADS, "orders")
+        self._endpoints = EndpointConnections(node.name, monotonic)
+        client_tls = self._tls.peer_client if self._tls is not None else None
+        self._senders = PeerSenders(node.name, node.peers, client_tls, self._report)
+        self._storage = StorageThread(self._make_storage(), self._handle)
+        self._performers = Performers(
+            self._endpoints,
+            self._senders,
+            self._storage,
+            self._logs,
+            self._metrics,
+            self._handle,
+            lambda: self._driver.trace_context,
+            lambda: self._http_server.close_listener(),
+            self._exit,
+        )
+        # Keys and identities must not be guessable.
         self._driver = Driver(
-            self._node, self._performers(), self._endpoints.call, self._core_failed
+            make_node(node, random or SystemRandom()),
+            self._performers.table,
+            self._endpoints.call,
+            self._core_failed,
+            self._tracing,
         )
         self._peer_server = PeerServer(
-            settings.node.name,
+            node.name,
             split_address(settings.peer),
-            None,
-            lambda event, context: self._driver.handle(event),
+            self._tls.peer_server if self._tls is not None else None,
+            self._driver.handle_remote,
             self._report,
         )
         self._http_server = self._make_http_server()
+        self._stop_wanted = False
+        self._reload_wanted = False
         self._stopped = Event()
         self._exit_status = 0
 
@@ -74,6 +95,14 @@
     def driver(self) -> Driver:
         return self._driver
 
+    @property
+    def metrics(self) -> Metrics:
+        return self._metrics
+
+    @property
+    def tracing(self) -> Tracing:
+        return self._tracing
+
     @property
     def http_address(self) -> tuple[str, int]:
         return self._http_server.bind_addr
@@ -82,66 +111,64 @@
     def peer_address(self) -> tuple[str, int]:
         return self._peer_server.address
 
+    @property
+    def stage(self) -> str:
+        """Stage of the graceful stop."""
+        stage: str = self._driver.node.blackboard.drain.stage
+        return stage
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether load balancers should send requests here."""
+        ready: bool = self._driver.node.blackboard.configuration.ready
+        return ready and self.stage == SERVING
+
     def start(self) -> None:
         """Starts every thread and returns once requests are accepted."""
+        self._storage.start()
         self._peer_server.start()
         self._http_server.prepare()
         Thread(target=self._http_server.serve, name="http", daemon=True).start()
         Thread(target=self._tick, name="tick", daemon=True).start()
+        fields = {"http": self.http_address, "peer": self.peer_address}
+        self._logs.write("info", "started", fields)
 
     def run(self) -> int:
-        """Serves until stopped; returns the exit status."""
+        """Serves until stopped; returns 0, or 1 if the stop cut work short."""
         self.start()
+        return self.wait()
+
+    def wait(self) -> int:
+        """Waits for the end of a stop; returns the exit status."""
         self._stopped.wait()
         self._close()
+        self._logs.write("info", "stopped", {"status": self._exit_status})
+        self._logs.stop()
         return self._exit_status
 
-    def stop(self) -> None:
-        """Asks the core for a graceful stop."""
-        self._driver.handle(StopRequested())
+    def request_stop(self) -> None:
+        """Asks for a graceful stop; takes no lock, so signal handlers may call it."""
+        self._stop_wanted = True
+
+    def request_reload(self) -> None:
+        """Asks for a look at the certificate files; safe in signal handlers."""
+        self._reload_wanted = True
+
+    def stop(self) -> int:
+        """Stops gracefully; returns the exit status once everything has ended."""
+        self.request_stop()
+        return self.wait()
 
     def kill(self) -> None:
         """Ends abruptly, as a crash would: nothing is finished or announced."""
         self._stopped.set()
         self._close()
+        self._logs.stop()
 
-    def _performers(self) -> dict[type, Any]:
-        return {
-            OpenConnection: self._open,
-            CloseConnection: lambda action: self._endpoints.close(action.connection),
-            SendCall: self._call,
-            SendOrder: self._order,
-            SendPeerMessage: self._senders.send,
-            PersistLog: lambda action: None,
-            PersistSnapshot: lambda action: None,
-            EmitLog: lambda action: None,
-            EmitMetric: lambda action: None,
-            StopListening: lambda action: self._http_server.close_listener(),
-            Exit: self._exit,
-        }
-
-    def _open(self, action: OpenConnection) -> None:
-        self._endpoints.announce_open(action.connection)
-        self._submit(self._connection_pool, self._endpoints.open, action)
-
-    def _call(self, action: SendCall) -> None:
-        self._submit(self._connection_pool, self._endpoints.call, action)
-
-    def _order(self, action: SendOrder) -> None:
-        self._submit(self._order_pool, self._endpoints.order, action)
-
-    def _submit(self, pool: ThreadPoolExecutor, perform: Any, action: Any) -> None:
-        if not self._stopped.is_set():
-            pool.submit(lambda: self._driver.handle(perform(action)))
-
-    def _exit(self, action: Exit) -> None:
-        self._exit_status = action.status
-        self._stopped.set()
-
-    def _tick(self) -> None:
-        tick = Tick()
-        while not self._stopped.wait(TICK_INTERVAL):
-            self._driver.handle(tick)
+    def _make_storage(self) -> Storage:
+        if self._settings.data_folder:
+            return DataFolder(self._settings.data_folder)
+        return MemoryStorage()
 
     def _make_http_server(self) -> DaemonServer:
         settings = self._settings
@@ -149,36 +176,118 @@
             self._driver,
             settings.node.data_centre,
             settings.node.data_path.max_body,
-            lambda: not self._stopped.is_set(),
+            lambda: self.is_ready,
+            lambda: self.stage in (SERVING, LEAVING),
+            self._tracing,
+        )
+        tree = AdminTree(
+            self._driver,
+            settings.operators,
+            {"explain": self._explain},
+            self._extend_status,
         )
         return DaemonServer(
             split_address(settings.http),
-            PathInfoDispatcher({}),
+            make_admin_application(tree, StatusPage(settings.node.name, self._status)),
             path,
             threads=settings.threads,
             keep_alive=settings.keep_alive,
             read_timeout=settings.read_timeout,
             backlog=settings.backlog,
             reuse_port=settings.reuse_port,
+            tls=self._tls.http if self._tls is not None else None,
+            report=self._http_fault,
         )
 
+    def _handle(self, event: object) -> None:
+        self._driver.handle(event)
+
+    def _exit(self, action: Exit) -> None:
+        self._exit_status = action.status
+        self._logs.write("info", "exit", {"reason": action.reason})
+        self._stopped.set()
+
+    def _tick(self) -> None:
+        tick = Tick()
+        reload_at = monotonic() + RELOAD_INTERVAL
+        asked_to_stop = False
+        while not self._stopped.wait(TICK_INTERVAL):
+            self._driver.handle(tick)
+            if self._stop_wanted and not asked_to_stop:
+                asked_to_stop = True
+                self._http_server.draining = True
+                self._driver.handle(StopRequested())
+            if self._reload_wanted or monotonic() > reload_at:
+                self._reload_wanted = False
+                reload_at = monotonic() + RELOAD_INTERVAL
+                self._reload_certificates()
+
+    def _reload_certificates(self) -> None:
+        if self._tls is None:
+            return
+        try:
+            if self._tls.reload():
+                self._logs.write("info", "certificates_reloaded", {})
+        except InvalidSettings as error:
+            self._report("certificates_not_reloaded", {"error": str(error)})
+
+    def _explain(self, arguments: dict[str, Any]) -> AdminReply:
+        spans = self._tracing.recent.get(str(arguments.get("trace_id", "")))
+        if not spans:
+            message = "the trace was not sampled here or is no longer kept"
+            return AdminReply(0, "unknown_trace", {"message": message})
+        return AdminReply(0, "ok", {"spans": spans})
+
+    def _extend_status(self, status: dict[str, Any]) -> None:
+        """Adds what only this process knows."""
+        status["daemon"] = {
+            "name": self._settings.node.name,
+            "data_centre": self._settings.node.data_centre,
+            "stage": self.stage,
+            "ready": self.is_ready,
+            "requests_in_progress": self._driver.waiting,
+            "idle_client_connections": self._http_server.connections,
+            "endpoint_connections": len(self._endpoints),
+            "peer_queues": self._senders.queued,
+            "storage_queue": self._storage.queued,
+        }
+        status["metrics"] = self._metrics.snapshot()
+
+    def _status(self) -> dict[str, Any]:
+        reply = self._driver.command("status", {}, "", 0.0)
+        status = dict(reply.body)
+        self._extend_status(status)
+        return json.loads(json.dumps(status, default=str))
+
     def _core_failed(self, event: object, error: Exception) -> None:
-        self._report(
-            "core_failed", {"event": type(event).__name__, "error": repr(error)}
-        )
+        details = {"input": type(event).__name__, "error": repr(error)}
+        where = error.__traceback__
+        while where is not None and where.tb_next is not None:
+            where = where.tb_next
+        if where is not None:
+            code = where.tb_frame.f_code
+            details["where"] = f"{code.co_filename}:{where.tb_lineno}"
+        self._logs.write("error", "core_failed", details)
+        self._metrics.emit("counter", "core.failed", 1)
 
     def _report(self, event: str, details: dict[str, Any]) -> None:
-        print(event, details, file=sys.stderr)
+        self._logs.write("warning", event, details)
+
+    def _http_fault(self, message: str, level: int) -> None:
+        name = "error" if level >= logging.ERROR else "debug"
+        self._logs.write(name, "http_server", {"error": message})
 
     def _close(self) -> None:
         self._http_server.stop()
         self._peer_server.stop()
         self._senders.stop()
+        self._performers.stop()
         self._endpoints.close_all()
-        self._connection_pool.shutdown(wait=False, cancel_futures=True)
-        self._order_pool.shutdown(wait=False, cancel_futures=True)
+        self._storage.stop()
+        self._metrics.stop()
+        self._tracing.stop()
 
 
-def make_application(settings: DaemonSettings, seed: int | None = None) -> Application:
-    """Builds a daemon from its settings; ``seed`` fixes its random choices."""
-    return Application(settings, seed)
+def make_application(settings: DaemonSettings, random: Any = None) -> Application:
+    """Builds a daemon; ``random`` replaces the system's random source in tests."""
+    return Application(settings, random)
--- a/packages/daemon/src/bronzemoor_daemon/driver.py
+++ b/packages/daemon/src/bronzemoor_daemon/driver.py
@@ -8,14 +8,23 @@
 from typing import Any
 
 from bronzemoor_core.actions import Action, AdminReply, Reply, SendCall
-from bronzemoor_core.events import AdminCommand, CallerGone, Request, RequestReceived
+from bronzemoor_core.events import (
+    AdminCommand,
+    CallerGone,
+    PeerMessageReceived,
+    Request,
+    RequestReceived,
+)
 from bronzemoor_core.node import Node
 from bronzemoor_core.outcomes import Unknown
+from bronzemoor_daemon.tracing import Trace, Tracing
 
 # How often a waiting request looks whether its caller is still connected.
 CALLER_CHECK_INTERVAL = 0.1
 # The core answers by the deadline; this margin covers a call in progress at that time.
 REPLY_MARGIN = 5.0
+# Applies to a request that names no deadline and so has that of its class.
+DEFAULT_LIMIT = 60.0
 ADMIN_TIMEOUT = 10.0
 
 Performer = Callable[[Any], None]
@@ -34,6 +43,7 @@
         performers: Mapping[type, Performer],
         call: Callable[[SendCall], object],
         on_error: Callable[[object, Exception], None],
+        tracing: Tracing,
         clock: Callable[[], float] = monotonic,
     ) -> None:
         self._node = node
@@ -44,6 +54,9 @@
         self._performers[Reply] = self._route_reply
         self._performers[AdminReply] = self._route_reply
         self._on_error = on_error
+        self._tracing = tracing
+        # Trace of the event in progress, for messages to peers that it causes.
+        self._trace_context = ""
         self._clock = clock
         self._lock = Lock()
         self._tickets = count(1)
@@ -57,6 +70,11 @@
     def clock(self) -> Callable[[], float]:
         return self._clock
 
+    @property
+    def trace_context(self) -> str:
+        """W3C context of the event in progress; read by performers."""
+        return self._trace_context
+
     @property
     def waiting(self) -> int:
         """Number of requests that have no answer yet."""
@@ -72,46 +90,80 @@
         with self._lock:
             return function(self._node.blackboard)
 
-    def serve(self, request: Request, gone: Callable[[], bool]) -> Reply:
+    def serve(
+        self,
+        request: Request,
+        gone: Callable[[], bool],
+        trace: Trace | None = None,
+    ) -> Reply:
         """Runs one request in the calling thread and returns its reply.
 
         ``gone`` tells whether the caller closed its connection.
         """
         mailbox: SimpleQueue[Action] = SimpleQueue()
         ticket = next(self._tickets)
-        with self._lock:
-            self._mailboxes[ticket] = mailbox
-            self._handle(RequestReceived(ticket, request))
         try:
+            with self._lock:
+                self._mailboxes[ticket] = mailbox
+                self._handle_traced(RequestReceived(ticket, request), trace)
             while True:
                 try:
                     action = mailbox.get_nowait()
                 except Empty:
-                    action = self._wait(ticket, request, mailbox, gone)
-                if type(action) is SendCall:
-                    self.handle(self._perform_call(action))
-                else:
+                    action = self._wait(ticket, request, mailbox, gone, trace)
+                if type(action) is not SendCall:
                     return action  # type: ignore[return-value]
+                event = self._call(action, trace)
+                with self._lock:
+                    self._handle_traced(event, trace)
         finally:
-            self._mailboxes.pop(ticket, None)
+            self._abandon(ticket, mailbox)
+
+    def handle_remote(self, event: PeerMessageReceived, trace_context: str) -> None:
+        """Processes a message that may belong to a trace of another daemon."""
+        if not trace_context:
+            self.handle(event)
+            return
+        started = self._clock()
+        with self._lock:
+            self._trace_context = trace_context
+            self._handle(event)
+            self._trace_context = ""
+        self._tracing.record_remote(
+            trace_context,
+            f"peer:{type(event.message).__name__}",
+            started,
+            self._clock(),
+            event.sender,
+        )
 
     def command(
-        self, name: str, arguments: dict[str, Any], operator: str
+        self, name: str, arguments: dict[str, Any], operator: str, at: float
     ) -> AdminReply:
         """Runs an operator's command; without an answer in time the code is unknown."""
         mailbox: SimpleQueue[Any] = SimpleQueue()
         ticket = next(self._tickets)
-        with self._lock:
-            self._mailboxes[ticket] = mailbox
-            self._handle(AdminCommand(ticket, name, arguments, operator))
         try:
+            with self._lock:
+                self._mailboxes[ticket] = mailbox
+                self._handle(AdminCommand(ticket, name, arguments, operator, at))
             reply: AdminReply = mailbox.get(timeout=ADMIN_TIMEOUT)
             return reply
         except Empty:
             message = f"no answer within {ADMIN_TIMEOUT} s; the change may be in force"
             return AdminReply(ticket, "unknown", {"message": message})
         finally:
-            self._mailboxes.pop(ticket, None)
+            self._abandon(ticket, mailbox)
+
+    def _call(self, action: SendCall, trace: Trace | None) -> object:
+        if trace is None:
+            return self._perform_call(action)
+        started = self._clock()
+        event = self._perform_call(action)
+        call = action.call
+        attributes = {"kind": call.kind, "answer": type(event).__name__}
+        trace.observe(f"endpoint:{call.kind}", started, self._clock(), attributes)
+        return event
 
     def _wait(
         self,
@@ -119,21 +171,50 @@
         request: Request,
         mailbox: "SimpleQueue[Action]",
         gone: Callable[[], bool],
+        trace: Trace | None,
     ) -> Action:
-        told = False
+        started = self._clock()
+        give_up = (request.deadline or started + DEFAULT_LIMIT) + REPLY_MARGIN
         while True:
             try:
-                return mailbox.get(timeout=CALLER_CHECK_INTERVAL)
+                action = mailbox.get(timeout=CALLER_CHECK_INTERVAL)
             except Empty:
                 pass
-            if not told and gone():
-                told = True
+            else:
+                if trace is not None:
+                    trace.observe("queue", started, self._clock(), {})
+                return action
+            if gone():
+                # The core gives no reply to a caller that is gone.
                 self.handle(CallerGone(ticket))
-            if self._clock() > request.deadline + REPLY_MARGIN:
+                return Reply(ticket, Unknown("caller_gone", "", "http"))
+            if self._clock() > give_up:
                 return Reply(
                     ticket, Unknown("internal", "the core gave no answer", "driver")
                 )
 
+    def _abandon(self, ticket: int, mailbox: "SimpleQueue[Any]") -> None:
+        """Ends a mailbox; calls that are still in it are performed elsewhere."""
+        if mailbox.empty() and ticket not in self._mailboxes:
+            return
+        with self._lock:
+            self._mailboxes.pop(ticket, None)
+            while not mailbox.empty():
+                action = mailbox.get_nowait()
+                if type(action) is SendCall:
+                    self._send_elsewhere(action)
+
+    def _handle_traced(self, event: object, trace: Trace | None) -> None:
+        if trace is None:
+            self._handle(event)
+            return
+        started = self._clock()
+        self._trace_context = trace.trace_context
+        self._handle(event)
+        self._trace_context = ""
+        attributes = {"event": type(event).__name__}
+        trace.observe("decision", started, self._clock(), attributes)
+
     def _handle(self, event: object) -> None:
         try:
             actions = self._node.handle(self._clock(), event)
--- a/packages/daemon/src/bronzemoor_daemon/http.py
+++ b/packages/daemon/src/bronzemoor_daemon/http.py
@@ -3,8 +3,10 @@
 from collections.abc import Callable
 from typing import Any
 
+from bronzemoor_core.actions import Reply
 from bronzemoor_core.events import AnnouncementReceived
 from bronzemoor_core.exceptions import InvalidRequest
+from bronzemoor_core.outcomes import NotRun
 from bronzemoor_daemon.answers import (
     STATUS_OK,
     STATUS_UNAVAILABLE,
@@ -14,9 +16,11 @@
 from bronzemoor_daemon.driver import Driver
 from bronzemoor_daemon.parsing import parse_announcement, parse_request
 from bronzemoor_daemon.server import DISCARD_BYTES, Response
+from bronzemoor_daemon.tracing import Tracing, trace_id_of
 
 TRANSACTIONS = b"/v1/transactions/"
 TRANSACTION_ENDS = {b"commit": "commit", b"rollback": "rollback"}
+STOPPING = NotRun("draining", "this daemon is stopping", "http")
 
 
 class HttpPath:
@@ -28,11 +32,15 @@
         data_centre: str,
         max_body: int,
         is_ready: Callable[[], bool],
+        takes_transactions: Callable[[], bool],
+        tracing: Tracing,
     ) -> None:
         self._driver = driver
         self._data_centre = data_centre
         self._max_body = max_body
         self._is_ready = is_ready
+        self._takes_transactions = takes_transactions
+        self._tracing = tracing
         self._routes: dict[bytes, Callable[[Any], Response]] = {
             b"/v1/statements": self._statements,
             b"/v1/transactions": self._begin,
@@ -77,11 +85,26 @@
         return self._serve(req, kind, transaction.decode("latin-1"))
 
     def _serve(self, req: Any, kind: str, transaction: str = "") -> Response:
-        body = self._body(req)
-        now = self._driver.clock()
-        request = parse_request(body, kind, now, self._data_centre, transaction)
-        reply = self._driver.serve(request, req.conn.is_gone)
-        return encode_reply(reply, request.trace_id)
+        traceparent = req.inheaders.get(b"Traceparent", b"").decode("latin-1")
+        trace = self._tracing.start(f"http:{kind}", traceparent)
+        trace_id = trace.trace_id if trace is not None else trace_id_of(traceparent)
+        try:
+            body = self._body(req)
+            now = self._driver.clock()
+            request = parse_request(
+                body, kind, now, self._data_centre, transaction, trace_id
+            )
+            if kind == "begin" and not self._takes_transactions():
+                return encode_reply(Reply(0, STOPPING), trace_id)
+            reply = self._driver.serve(request, req.conn.is_gone, trace)
+        except InvalidRequest as error:
+            if trace is not None:
+                trace.end({"outcome": NotRun.tag, "code": error.code})
+            return encode_error(error, trace_id)
+        if trace is not None:
+            outcome = reply.outcome
+            trace.end({"outcome": outcome.tag, "code": outcome.code})
+        return encode_reply(reply, trace_id)
 
     def _announce(self, req: Any) -> Response:
         announcement = parse_announcement(self._body(req))
--- a/packages/daemon/src/bronzemoor_daemon/parsing.py
+++ b/packages/daemon/src/bronzemoor_daemon/parsing.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from hashlib import sha256
 from typing import Any, NoReturn
-from uuid import uuid4
 
 from bronzemoor_core.events import Announcement, Request, Statement
 from bronzemoor_core.exceptions import InvalidRequest
@@ -12,7 +11,6 @@
 MAX_STATEMENTS = 1_000
 MAX_NAME_LENGTH = 200
 MAX_TOKEN_LENGTH = 16_384
-DEFAULT_DEADLINE_MS = 2_000
 MAX_DEADLINE_MS = 60_000
 
 STATEMENT_FIELDS = frozenset(("sql", "params"))
@@ -100,15 +98,23 @@
     return Statement(sql, encoded)
 
 
-def _deadline_ms(raw: dict[str, Any]) -> int:
-    value = raw.get("deadline_ms", DEFAULT_DEADLINE_MS)
+def _deadline(raw: dict[str, Any], now: float) -> float:
+    """Deadline on the driver's clock, or 0 for that of the request class."""
+    value = raw.get("deadline_ms")
+    if value is None:
+        return 0.0
     if type(value) is not int or not 0 < value <= MAX_DEADLINE_MS:
         _invalid(f"deadline_ms is not a whole number from 1 to {MAX_DEADLINE_MS}")
-    return value
+    return now + value / 1000
 
 
 def parse_request(
-    body: bytes, kind: str, now: float, data_centre: str, transaction: str = ""
+    body: bytes,
+    kind: str,
+    now: float,
+    data_centre: str,
+    transaction: str = "",
+    trace_id: str = "",
 ) -> Request:
     """Builds a ``Request`` of ``kind``; raises ``InvalidRequest``.
 
@@ -118,7 +124,8 @@
     raw = parse_object(body) if body or kind == "statements" else {}
     if not raw.keys() <= REQUEST_FIELDS:
         _invalid(f"unknown fields: {sorted(raw.keys() - REQUEST_FIELDS)}")
-    name = _required if kind in ("statements", "begin") else _text
+    # A commit or rollback needs no class of its own.
+    class_of = _required if kind in ("statements", "begin") else _text
     statements: tuple[Statement, ...] = ()
     parts: list[bytes] = []
     if kind == "statements":
@@ -133,16 +140,17 @@
         _invalid(f"statements do not belong in {kind}")
     return Request(
         kind,
-        name(raw, "organisation"),
-        name(raw, "database"),
-        name(raw, "request_class"),
-        _text(raw, "request_id") or uuid4().hex,
+        _required(raw, "organisation"),
+        _required(raw, "database"),
+        class_of(raw, "request_class"),
+        _text(raw, "request_id"),
         statements,
-        now + _deadline_ms(raw) / 1000,
+        _deadline(raw, now),
         _text(raw, "session", MAX_TOKEN_LENGTH),
         transaction,
         sha256(b"[" + b",".join(parts) + b"]").hexdigest(),
         data_centre,
+        trace_id,
     )
 
 
--- a/packages/daemon/src/bronzemoor_daemon/settings.py
+++ b/packages/daemon/src/bronzemoor_daemon/settings.py
@@ -47,6 +47,8 @@
     statsd: str = ""
     # Share of the requests that are traced without a sampled parent, 0 to 1.
     trace_ratio: float = 0.0
+    # Name of a span exporter, or empty.
+    trace_exporter: str = ""
     log_level: str = "INFO"
 
 
--- /dev/null
+++ b/packages/daemon/src/bronzemoor_daemon/tracing.py
@@ -0,0 +1,156 @@
+"""Spans per hop: W3C trace context, sampling and a bounded store of recent traces."""
+
+import re
+from collections import OrderedDict
+from collections.abc import Callable
+from random import getrandbits, random
+from threading import Lock
+from time import monotonic, time
+from typing import Any
+
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, SpanProcessor, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    ConsoleSpanExporter,
+    SpanExporter,
+)
+from opentelemetry.sdk.trace.sampling import ALWAYS_ON
+from opentelemetry.trace import (
+    NonRecordingSpan,
+    Span,
+    SpanContext,
+    TraceFlags,
+    set_span_in_context,
+)
+
+TRACEPARENT = re.compile(r"00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})")
+# Recent traces kept for ``explain``, and the spans kept of each.
+TRACE_LIMIT = 512
+SPAN_LIMIT = 64
+
+EXPORTERS: dict[str, Callable[[], SpanExporter]] = {"console": ConsoleSpanExporter}
+
+
+class RecentTraces(SpanProcessor):
+    """Keeps the ended spans of the most recent traces by trace id."""
+
+    def __init__(self) -> None:
+        self._traces: OrderedDict[str, list[dict[str, Any]]] = OrderedDict()
+        self._lock = Lock()
+
+    def on_end(self, span: ReadableSpan) -> None:
+        assert span.context is not None and span.start_time and span.end_time
+        trace_id = f"{span.context.trace_id:032x}"
+        entry = {
+            "step": span.name,
+            "span_id": f"{span.context.span_id:016x}",
+            "parent_id": f"{span.parent.span_id:016x}" if span.parent else "",
+            "started_at": span.start_time / 1e9,
+            "milliseconds": (span.end_time - span.start_time) / 1e6,
+            "attributes": dict(span.attributes or {}),
+        }
+        with self._lock:
+            spans = self._traces.setdefault(trace_id, [])
+            if len(spans) < SPAN_LIMIT:
+                spans.append(entry)
+            self._traces.move_to_end(trace_id)
+            if len(self._traces) > TRACE_LIMIT:
+                self._traces.popitem(last=False)
+
+    def get(self, trace_id: str) -> list[dict[str, Any]]:
+        """Returns the spans of a trace by start time; empty if it is not known."""
+        with self._lock:
+            spans = list(self._traces.get(trace_id, ()))
+        return sorted(spans, key=lambda span: span["started_at"])
+
+
+class Trace:
+    """One sampled request; ``observe`` records its hops as children."""
+
+    def __init__(self, tracing: "Tracing", root: Span) -> None:
+        self._tracing = tracing
+        self._root = root
+        self._context = set_span_in_context(root)
+        context = root.get_span_context()
+        self.trace_id = f"{context.trace_id:032x}"
+        self.trace_context = f"00-{self.trace_id}-{context.span_id:016x}-01"
+
+    def observe(
+        self, step: str, started: float, ended: float, attributes: dict[str, Any]
+    ) -> None:
+        """Records one hop; times are seconds on the driver's clock."""
+        self._tracing.record(self._context, step, started, ended, attributes)
+
+    def end(self, attributes: dict[str, Any]) -> None:
+        self._root.set_attributes(attributes)
+        self._root.end()
+
+
+class Tracing:
+    """Starts traces and records spans; the exporter works in its own thread."""
+
+    def __init__(self, vm: str, ratio: float = 0.0, exporter: str = "") -> None:
+        self._ratio = ratio
+        self.recent = RecentTraces()
+        resource = Resource.create({"service.name": "bronzemoord", "host.name": vm})
+        # Sampling is decided here, so that an unsampled request makes no span objects.
+        self._provider = TracerProvider(
+            sampler=ALWAYS_ON, resource=resource, shutdown_on_exit=False
+        )
+        self._provider.add_span_processor(self.recent)
+        if exporter:
+            self._provider.add_span_processor(BatchSpanProcessor(EXPORTERS[exporter]()))
+        self._tracer = self._provider.get_tracer("bronzemoor")
+        self._wall_offset = time() - monotonic()
+
+    def start(self, name: str, traceparent: str = "") -> Trace | None:
+        """Starts a request's trace if its parent or the ratio asks for it."""
+        parent = TRACEPARENT.fullmatch(traceparent) if traceparent else None
+        if parent is None:
+            if not self._ratio or random() >= self._ratio:
+                return None
+            return Trace(self, self._tracer.start_span(name))
+        if not int(parent[3], 16) & 1:
+            return None
+        return Trace(self, self._tracer.start_span(name, _remote(parent)))
+
+    def record_remote(
+        self, trace_context: str, step: str, started: float, ended: float, peer: str
+    ) -> None:
+        """Records a hop of a trace that another daemon started."""
+        parent = TRACEPARENT.fullmatch(trace_context)
+        if parent is not None and int(parent[3], 16) & 1:
+            self.record(_remote(parent), step, started, ended, {"peer": peer})
+
+    def record(
+        self,
+        context: Any,
+        step: str,
+        started: float,
+        ended: float,
+        attributes: dict[str, Any],
+    ) -> None:
+        """Records one span with explicit times in monotonic seconds."""
+        start_ns = int((started + self._wall_offset) * 1e9)
+        end_ns = int((ended + self._wall_offset) * 1e9)
+        span = self._tracer.start_span(
+            step, context, attributes=attributes, start_time=start_ns
+        )
+        span.end(end_ns)
+
+    def stop(self) -> None:
+        self._provider.shutdown()
+
+
+def trace_id_of(traceparent: str) -> str:
+    """The id of an unsampled request: its parent's, or a new random one."""
+    parent = TRACEPARENT.fullmatch(traceparent) if traceparent else None
+    return parent[1] if parent else f"{getrandbits(128):032x}"
+
+
+def _remote(parent: re.Match[str]) -> Any:
+    context = SpanContext(
+        int(parent[1], 16), int(parent[2], 16), True, TraceFlags(TraceFlags.SAMPLED)
+    )
+    return set_span_in_context(NonRecordingSpan(context))
