--- a/packages/core/src/bronzemoor_core/requests.py
+++ b/packages/core/src/bronzemoor_core/requests.py
@@ -1,14 +1,211 @@
 """Life cycle of one request from admission to outcome."""
 
-from bronzemoor_core.blackboard import section
-from bronzemoor_core.controllers import Controller, controller
+from itertools import count
+from random import Random
+from typing import Any
 
+from bronzemoor_core.actions import EmitMetric, Reply
+from bronzemoor_core.answers import check_answer
+from bronzemoor_core.blackboard import Blackboard
+from bronzemoor_core.controllers import controller, handles
+from bronzemoor_core.events import (
+    AnswerReceived,
+    AnswerTimedOut,
+    CallerGone,
+    ConnectionClosed,
+    ConnectionGranted,
+    ConnectionRefused,
+    ConnectionReleased,
+    MemberLost,
+    PrimaryChanged,
+    RequestFinished,
+    RequestReceived,
+    RetryDecided,
+    Tick,
+    TransactionEnded,
+    TransactionExpired,
+    TransactionUsed,
+)
+from bronzemoor_core.exceptions import InvalidRequest
+from bronzemoor_core.flow import RequestFlow
+from bronzemoor_core.losses import on_lost
+from bronzemoor_core.outcomes import NotRun, Unknown
+from bronzemoor_core.preconditions import make_work
+from bronzemoor_core.probes import observed_position
+from bronzemoor_core.steps import ANSWERED
+from bronzemoor_core.work import WAITING, Step, Work
 
-@section("requests")
-class Requests:
-    __slots__ = ()
+# How often waiting requests are routed again, seconds.
+REROUTE_INTERVAL = 0.050
 
 
 @controller("requests")
-class RequestController(Controller):
+class RequestController(RequestFlow):
     """Owns the requests section."""
+
+    def __init__(self, blackboard: Blackboard, settings: Any, random: Random) -> None:
+        super().__init__(blackboard, settings, random)
+        self._reservations = count(1)
+        self._reroute_at = 0.0
+
+    @handles(RequestReceived)
+    def on_request(self, now: float, event: RequestReceived) -> list[object]:
+        ticket, request = event.ticket, event.request
+        try:
+            work = make_work(now, ticket, request, self._blackboard, self._random)
+        except InvalidRequest as error:
+            refused = NotRun(error.code, error.message, error.step)
+            return [
+                EmitMetric("counter", f"outcomes.{refused.tag}"),
+                EmitMetric("counter", f"refusals.{error.code}"),
+                Reply(ticket, refused, request.session),
+                RequestFinished(ticket, refused),
+            ]
+        self._own.active[ticket] = work
+        if work.goal is Step.RESERVE:
+            number = next(self._reservations)
+            settings = self._settings
+            work.reservation = f"{settings.name}.{settings.incarnation}.{number}"
+        if work.transaction is None:
+            return self.route(now, work)
+        commits = work.goal is Step.COMMIT
+        used = TransactionUsed(request.transaction, ticket, commits)
+        transaction = work.transaction
+        work.lease = transaction.lease
+        self._take(work, transaction.connection, transaction.member)
+        return [used, *self.send(now, work, work.goal)]
+
+    @handles(ConnectionGranted)
+    def on_granted(self, now: float, event: ConnectionGranted) -> list[object]:
+        work = self._own.active.get(event.ticket)
+        release = ConnectionReleased(event.ticket, event.connection, True)
+        if work is None or work.step is not Step.QUEUED or work.connection:
+            return [release]
+        if now >= work.deadline:
+            return [release, *self.fail(now, work, "deadline", "no connection in time")]
+        if now != work.routed_at:
+            self._set_route(now, work, self._select(now, work))
+        if event.member not in work.route.members:
+            return [release, *self._want(work)]
+        work.lease = event.ticket
+        self._take(work, event.connection, event.member)
+        return self.send(now, work, work.goal)
+
+    @handles(ConnectionRefused)
+    def on_refused(self, now: float, event: ConnectionRefused) -> list[object]:
+        work = self._own.active.get(event.ticket)
+        if work is None or work.step is not Step.QUEUED:
+            return []
+        return self.fail(now, work, event.code, event.message)
+
+    @handles(AnswerReceived)
+    def on_answer(self, now: float, event: AnswerReceived) -> list[object]:
+        ticket = self._own.by_connection.get(event.connection)
+        if ticket is None:
+            if not event.call.ticket:
+                return []
+            return [EmitMetric("counter", "answers.discarded.late")]
+        work = self._own.active[ticket]
+        assert work.call is not None
+        reason = check_answer(work.call, event.answer)
+        if reason:
+            metric = EmitMetric("counter", f"answers.discarded.{reason}")
+            return [metric, *self._lose(now, work, f"answer_{reason}")]
+        answer = event.answer
+        items: list[object] = []
+        # Other answers may carry a position that is asked about or recorded.
+        current = work.call.kind == "execute" and not work.call.transaction_id
+        if current and answer.status == "ok" and not answer.repeated:
+            connection = self._blackboard.pools.connections[event.connection]
+            items.append(observed_position(connection, event))
+        return [*items, *ANSWERED[work.step](self, now, work, event)]
+
+    @handles(AnswerTimedOut)
+    def on_timeout(self, now: float, event: AnswerTimedOut) -> list[object]:
+        ticket = self._own.by_connection.get(event.connection)
+        if ticket is None:
+            return []
+        return self._lose(now, self._own.active[ticket], "answer_timed_out")
+
+    @handles(ConnectionClosed)
+    def on_closed(self, now: float, event: ConnectionClosed) -> list[object]:
+        ticket = self._own.by_connection.get(event.connection)
+        if ticket is None:
+            return []
+        work = self._own.active[ticket]
+        return self._lose(now, work, "connection_closed", event.sent)
+
+    @handles(CallerGone)
+    def on_caller_gone(self, now: float, event: CallerGone) -> list[object]:
+        work = self._own.active.get(event.ticket)
+        if work is None:
+            return []
+        work.gone = True
+        gone = Unknown("caller_gone", "the caller left", work.step.value, work.member)
+        if work.step in WAITING and not work.maybe_ran:
+            return self.finish(now, work, gone)
+        if work.step is Step.STATEMENT:
+            ended = TransactionEnded(work.request.transaction, False)
+            return [ended, *self.finish(now, work, gone, clean=False)]
+        return []
+
+    @handles(TransactionExpired)
+    def on_transaction_expired(
+        self, now: float, event: TransactionExpired
+    ) -> list[object]:
+        transaction = self._blackboard.transactions.open.get(event.transaction)
+        if transaction is None:
+            return []
+        ended = TransactionEnded(event.transaction, False)
+        work = self._own.active.get(transaction.ticket)
+        if work is not None:
+            expired = Unknown(
+                "transaction_expired",
+                "the transaction exceeded its time limit",
+                work.step.value,
+                work.member,
+            )
+            return [ended, *self.finish(now, work, expired, clean=False)]
+        released = ConnectionReleased(
+            transaction.lease, transaction.connection, False, "transaction_expired"
+        )
+        return [ended, released]
+
+    @handles(RetryDecided)
+    def on_retry_decided(self, now: float, event: RetryDecided) -> list[object]:
+        work = self._own.active.get(event.ticket)
+        if work is None or work.step is not Step.BACKOFF:
+            return []
+        if not event.allowed:
+            return self.fail(now, work, work.code, "the retry budget is used up")
+        if event.resume_at >= work.deadline:
+            return self.fail(now, work, work.code, "no time is left for a retry")
+        work.resume_at = event.resume_at
+        return []
+
+    @handles(PrimaryChanged, MemberLost)
+    def on_member_changed(
+        self, now: float, event: PrimaryChanged | MemberLost
+    ) -> list[object]:
+        return self._reroute(now, event.database, resume=True)
+
+    @handles(Tick)
+    def on_tick(self, now: float, event: Tick) -> list[object]:
+        items: list[object] = []
+        all_due = now >= self._reroute_at
+        if all_due:
+            self._reroute_at = now + REROUTE_INTERVAL
+        for database, waiting in self._own.waiting.items():
+            if waiting and all_due:
+                items += self._reroute(now, database)
+            for work in list(waiting.values()):
+                if work.step is Step.BACKOFF and work.resume_at <= now:
+                    items += self.route(now, work)
+        return items
+
+    def _lose(
+        self, now: float, work: Work, reason: str, sent: bool = True
+    ) -> list[object]:
+        """Handles the loss of an answer; its connection is not used again."""
+        metric = EmitMetric("counter", "answers.lost")
+        return [metric, *on_lost(self, now, work, reason, sent)]
--- /dev/null
+++ b/packages/core/tests/fake_group.py
@@ -0,0 +1,343 @@
+"""Virtual clock, network, log and endpoints for tests of the control plane."""
+
+import heapq
+from random import Random
+
+from bronzemoor_core.actions import AdminReply, Answer, SendOrder, SendPeerMessage
+from bronzemoor_core.events import (
+    AdminCommand,
+    Announcement,
+    AnnouncementReceived,
+    CommandApplied,
+    CommandCommitted,
+    CommandCompleted,
+    CommandProposed,
+    LeadershipChanged,
+    OrderAnswered,
+    OrderFailed,
+    PeerMessageReceived,
+    PrimaryChanged,
+    QueryReady,
+    Tick,
+)
+from bronzemoor_core.heartbeats import make_heartbeat, make_reply
+from bronzemoor_core.node import Node, make_node
+from bronzemoor_core.settings import NodeSettings
+
+PART = ("state", "topology", "failover", "configuration")
+OUTSIDE = (CommandProposed, CommandApplied, PrimaryChanged)
+
+
+class Part(Node):
+    """A node with the control plane only; ``seen`` collects its internal events."""
+
+    def __init__(self, settings):
+        make_node(settings, Random(0))  # imports and registers the controllers
+        super().__init__(settings, Random(settings.name), PART)
+        self.seen, self.sequence = [], 0
+        for kind in OUTSIDE:
+            self._handlers[kind].append(lambda now, event: self.seen.append(event))
+
+    def run(self, now, event):
+        """Returns the actions and the internal events meant for other controllers."""
+        self.seen = []
+        return self.handle(now, event) + self.seen
+
+
+class Endpoint:
+    """A member that replicates, fences, promotes and confirms like the real one."""
+
+    def __init__(self, database, name, data_centre, group):
+        self.database, self.name, self.data_centre = database, name, data_centre
+        self.group, self.role, self.term, self.incarnation = group, "replica", 0, 1
+        # Records are (term, number); ``confirmed`` is what a majority acknowledged.
+        self.log, self.history, self.confirmed, self.held = [], {}, [], {}
+        self.heard, self.leaving, self.up, self.slow = {}, False, True, 0.0
+
+    def answer(self, now, status="ok", code=""):
+        heard = sorted(self.heard.values(), reverse=True)[: len(self.group) // 2]
+        fresh = self.role == "primary" and len(heard) == len(self.group) // 2
+        ago = round((now - heard[-1]) * 1000) if fresh else -1
+        term = self.log[-1][0] if self.log else 0
+        return Answer(0, status, code=code, term=term, offset=len(self.log),
+                      role=self.role, confirmed_ago_ms=ago, history=dict(self.history),
+                      member=self.name)  # fmt: skip
+
+    def order(self, now, order):
+        if order.kind == "ping":
+            return self.answer(now)
+        if order.term < self.term:
+            return self.answer(now, "refused", "stale_term")
+        if order.kind == "fence":
+            if order.term > self.term:
+                self.term = order.term
+                self.role = "deposed" if self.role == "primary" else self.role
+        elif order.kind == "promote":
+            if self.role != "primary":
+                if len(self.log) != order.start_offset:
+                    return self.answer(now, "refused", "offset_mismatch")
+                self.history[order.term] = order.start_offset
+                self.held, self.heard = {}, {}
+            self.role, self.term = "primary", order.term
+        elif self.role != "primary" or order.term > self.term:
+            self.role, self.term = "replica", order.term
+            if not self.log or self.log[-1][0] < order.term:
+                del self.log[order.start_offset :]
+        return self.answer(now)
+
+    def write(self, number):
+        if self.up and self.role == "primary":
+            self.log.append((self.term, number))
+
+    def replicate(self, now, primary, term, history, log):
+        """Takes the primary's log; returns the length held, or None when refused."""
+        if term < self.term or (term == self.term and self.role == "primary"):
+            return None
+        self.term, self.role = term, "replica"
+        self.log, self.history, self.heard = list(log), dict(history), {primary: now}
+        return len(self.log)
+
+    def acknowledge(self, now, member, term, length):
+        """Takes a replica's answer and confirms what a majority holds."""
+        if term != self.term or self.role != "primary":
+            return
+        self.heard[member] = now
+        self.held[member] = max(length, self.held.get(member, 0))
+        held = sorted([len(self.log), *self.held.values()], reverse=True)
+        needed = len(self.group) // 2
+        if len(held) > needed and held[needed] > len(self.confirmed):
+            self.confirmed = self.log[: held[needed]]
+
+    def announcement(self, now):
+        silent = tuple(n for n, at in self.heard.items() if now - at > 0.15)
+        term = self.log[-1][0] if self.log else 0
+        return Announcement(
+            self.database, self.name, f"{self.name}:1", self.data_centre, self.role,
+            term, len(self.log), self.incarnation, self.group, self.leaving,
+            history=dict(self.history), unreachable=silent,
+        )  # fmt: skip
+
+
+class Group:
+    """Daemons and endpoints on one virtual clock; all times in seconds.
+
+    Places are ``region/data centre``. ``spread`` multiplies each delay by 1 to spread.
+    """
+
+    def __init__(
+        self, daemons, control, endpoints, seed=1, loss=0.0, spread=1.0, options=None
+    ):
+        self.now, self.random, self.loss, self.spread = 0.0, Random(seed), loss, spread
+        self.places = daemons | {e.name: e.data_centre for e in endpoints}
+        self.control, self.heap, self.count = control, [], 0
+        self.tick, self.replicate = 0.01, 0.03
+        self.endpoints = {e.name: e for e in endpoints}
+        self.nodes, self.log, self.leader, self.term = {}, [], "", 0
+        self.cut, self.replies, self.changes, self.applied = set(), {}, [], {}
+        self.proposed = []
+        for name in daemons:
+            self.start(name, **(options or {}).get(name, {}))
+        for index, name in enumerate(self.endpoints):
+            self.at(0.001 * index, self._announce, name)
+            self.at(0.002 + 0.001 * index, self._replicate, name)
+
+    def start(self, name, incarnation=1, **options):
+        settings = NodeSettings(name, self.places[name], **options)
+        settings.incarnation = incarnation
+        region = self.places[name].split("/")[0]
+        for place in self.places.values():
+            settings.delays[place] = 0.0035 if place.startswith(region) else 0.012
+        node = self.nodes[name] = Part(settings)
+        self.applied[name] = 0
+        self.at(self.random.uniform(0, 0.1), self._heartbeat, name, node)
+        self.at(0.001 * len(self.nodes), self._tick, name, node)
+        self.at(0.0, self._catch_up, name)
+
+    def at(self, delay, function, *arguments):
+        self.count += 1
+        heapq.heappush(self.heap, (self.now + delay, self.count, function, arguments))
+
+    def run(self, seconds, until=None):
+        """Runs for ``seconds``, or until the condition holds and tells whether."""
+        end = self.now + seconds
+        while self.heap and self.heap[0][0] <= end:
+            self.now, _, function, arguments = heapq.heappop(self.heap)
+            function(*arguments)
+            if until is not None and until():
+                return True
+        self.now = end
+        return until is None
+
+    # --- network
+
+    def delay(self, a, b):
+        a, b = self.places[a], self.places[b]
+        base = 0.0002 if a == b else 0.0035 if a[:2] == b[:2] else 0.012
+        return base * self.random.uniform(1.0, self.spread)
+
+    def connected(self, a, b):
+        """Tells whether both run and no partition separates them."""
+        up = all(n in self.nodes or self.endpoints[n].up for n in (a, b)
+                 if n in self.nodes or n in self.endpoints)  # fmt: skip
+        known = all(n in self.nodes or n in self.endpoints for n in (a, b))
+        return known and up and (a, b) not in self.cut
+
+    def send(self, a, b, function, *arguments):
+        """Calls the function after the delay, unless the message is lost."""
+        if self.connected(a, b) and self.random.random() >= self.loss:
+            self.at(self.delay(a, b), self._deliver, a, b, function, arguments)
+
+    def _deliver(self, a, b, function, arguments):
+        if self.connected(a, b):
+            function(*arguments)
+
+    def partition(self, left, right):
+        """Cuts both directions between two sets of names."""
+        for a in left:
+            self.cut |= {pair for b in right for pair in ((a, b), (b, a)) if a != b}
+
+    # --- daemons
+
+    def event(self, name, event):
+        if name in self.nodes:
+            for item in self.nodes[name].run(self.now, event):
+                self._perform(name, item)
+
+    def _tick(self, name, node):
+        if self.nodes.get(name) is node:
+            self.event(name, Tick())
+            self.at(self.tick, self._tick, name, node)
+
+    def _heartbeat(self, name, node):
+        if self.nodes.get(name) is not node:
+            return
+        node.sequence += 1
+        board, settings = node.blackboard, node.settings
+        beat = make_heartbeat(self.now, board, settings, node.sequence)
+        for other in self.control:
+            if other == name:
+                self._take_heartbeat(name, name, beat)
+            else:
+                self.send(name, other, self._take_heartbeat, name, other, beat)
+        self.at(0.1, self._heartbeat, name, node)
+
+    def _take_heartbeat(self, name, other, beat):
+        self.event(other, PeerMessageReceived(name, beat))
+        if other == self.leader and self._quorum(other):
+            node = self.nodes[other]
+            reply = make_reply(self.now, node.blackboard, node.settings, beat, [])
+            event = PeerMessageReceived(other, reply)
+            self._pass(other, name, self.event, name, event)
+
+    def _pass(self, a, b, function, *arguments):
+        if a == b:
+            function(*arguments)
+        else:
+            self.send(a, b, function, *arguments)
+
+    def _perform(self, name, item):
+        if isinstance(item, SendPeerMessage):
+            assert item.recipient != name
+            event = PeerMessageReceived(name, item.message)
+            self.send(name, item.recipient, self.event, item.recipient, event)
+        elif isinstance(item, SendOrder):
+            self._order(name, item)
+        elif isinstance(item, CommandProposed):
+            self.proposed.append((self.now, name, item.command))
+            self._pass(name, self.leader, self._propose, name, self.leader, item)
+        elif isinstance(item, AdminReply):
+            assert item.ticket not in self.replies, "a ticket was answered twice"
+            self.replies[item.ticket] = item
+        elif isinstance(item, CommandApplied):
+            self._complete(name, item)
+        elif isinstance(item, PrimaryChanged):
+            self.changes.append((self.now, name, item))
+
+    def _order(self, name, item):
+        order, ended = item.order, []
+
+        def end(event):
+            if not ended:
+                ended.append(event)
+                self.event(name, event)
+
+        def execute():
+            endpoint = self.endpoints[order.member]
+            answer = OrderAnswered(order, endpoint.order(self.now, order))
+            self.at(endpoint.slow, self.send, order.member, name, end, answer)
+
+        self.send(name, order.member, execute)
+        self.at(item.timeout, end, OrderFailed(order, "timeout"))
+
+    def admin(self, name, ticket, command, **arguments):
+        self.event(name, AdminCommand(ticket, command, arguments, "operator", 1.0))
+
+    # --- the replicated log
+
+    def lead(self, name):
+        self.leader, self.term = name, self.term + 1
+        for other in self.control:
+            self.event(other, LeadershipChanged(name, self.term, other == name))
+
+    def _quorum(self, leader):
+        reached = [o for o in self.control if o == leader or self.connected(leader, o)]
+        return leader in self.nodes and len(reached) > len(self.control) // 2
+
+    def _propose(self, name, leader, item):
+        others = sorted(self.delay(leader, o) for o in self.control if o != leader)
+        commit = 2 * others[len(self.control) // 2 - 1] if others else 0.0
+        self.at(commit, self._commit, name, leader, self.term, item)
+
+    def _commit(self, name, leader, term, item):
+        if (leader, term) != (self.leader, self.term) or not self._quorum(leader):
+            return
+        if item.command.get("query"):
+            query = QueryReady(item.command, (name, item.origin))
+            self.event(leader, query)
+            return
+        self.log.append((item.command, (name, item.origin)))
+        for other in self.control:
+            self._pass(leader, other, self._catch_up, other)
+
+    def _catch_up(self, name):
+        while name in self.control and self.applied[name] < len(self.log):
+            index = self.applied[name] = self.applied[name] + 1
+            command, origin = self.log[index - 1]
+            event = CommandCommitted(index, self.term, command, origin)
+            self.event(name, event)
+
+    def _complete(self, leader, item):
+        if leader == self.leader and item.origin:
+            name, origin = item.origin
+            done = CommandCompleted(origin, item.result["code"], "", item.result)
+            self._pass(leader, name, self.event, name, done)
+
+    # --- endpoints
+
+    def _announce(self, name):
+        endpoint = self.endpoints[name]
+        for daemon in self.nodes:
+            if self.places[daemon] == endpoint.data_centre:
+                event = AnnouncementReceived(endpoint.announcement(self.now))
+                self.send(name, daemon, self.event, daemon, event)
+        self.at(0.1, self._announce, name)
+
+    def _replicate(self, name):
+        endpoint = self.endpoints[name]
+        if endpoint.role == "primary":
+            for other in endpoint.group:
+                if other != name:
+                    state = (endpoint.term, dict(endpoint.history), tuple(endpoint.log))
+                    self.send(name, other, self._take_log, name, other, *state)
+        self.at(self.replicate, self._replicate, name)
+
+    def _take_log(self, name, other, term, history, log):
+        held = self.endpoints[other].replicate(self.now, name, term, history, log)
+        if held is not None:
+            acknowledge = self.endpoints[name].acknowledge
+            self.send(other, name, lambda: acknowledge(self.now, other, term, held))
+
+    def primary(self, database, daemon):
+        """The database's primary as a daemon knows it."""
+        known = self.nodes[daemon].blackboard.topology.databases.get(database)
+        return known.primary if known else ""
