--- a/packages/core/src/bronzemoor_core/heartbeats.py
+++ b/packages/core/src/bronzemoor_core/heartbeats.py
@@ -96,7 +96,7 @@
         for organisation, template in blackboard.configuration.templates.items()
         for database in template.databases
     }
-    for database in sorted(held.keys() | waiting.keys() | shares.keys() | owners):
+    for database in sorted({*held, *waiting, *shares, *owners}):
         count = held.get(database, 0)
         wanted = count + waiting.get(database, 0)
         share = shares[database].connections if database in shares else 0
