--- a/packages/core/src/bronzemoor_core/consensus.py
+++ b/packages/core/src/bronzemoor_core/consensus.py
@@ -58,12 +58,16 @@
 
     ``role`` is follower, candidate, leader, learner, or none outside the control
     group. ``last_contact`` is when this daemon last heard the leader, in seconds; for
-    a leader, when a quorum last answered.
+    a leader, when a quorum last answered. ``established`` is true once a leader
+    committed an entry of its term. ``founded_term`` is the term in which this member
+    started the group as its first leader, or 0.
     """
 
     __slots__ = (
         "applied_index",
         "commit_index",
+        "established",
+        "founded_term",
         "last_contact",
         "leader",
         "learners",
@@ -81,6 +85,8 @@
         self.commit_index = 0
         self.applied_index = 0
         self.last_contact = float("-inf")
+        self.established = False
+        self.founded_term = 0
 
 
 class AdminOrigin:
@@ -279,6 +285,7 @@
         if replica.group.started:
             replica.propose({"type": "control.noop"})
         else:
+            self._own.founded_term = replica.term
             self._reconfiguration.start_group(now, dict(self._elections.answers))
         self._replication.start_round(now)
 
@@ -344,6 +351,8 @@
 
     def _publish(self, now: float) -> None:
         own, replica = self._own, self._replica
+        committed_term = replica.journal.term_at(replica.commit_index)
+        own.established = replica.is_leader and committed_term == replica.term
         if replica.is_leader:
             replica.last_contact = min(now, self._replication.quorum_contact())
         own.last_contact = replica.last_contact
--- a/packages/core/src/bronzemoor_core/heartbeats.py
+++ b/packages/core/src/bronzemoor_core/heartbeats.py
@@ -104,6 +104,13 @@
         heartbeat.demands.append(Demand(database, organisation, count, wanted, share))
 
 
+@heartbeat_part
+def report_acknowledged(
+    now: float, blackboard: Blackboard, settings: NodeSettings, heartbeat: Heartbeat
+) -> None:
+    heartbeat.acknowledged = blackboard.limits.acknowledged
+
+
 @heartbeat_part
 def report_suspicions(
     now: float, blackboard: Blackboard, settings: NodeSettings, heartbeat: Heartbeat
--- a/packages/core/src/bronzemoor_core/limits.py
+++ b/packages/core/src/bronzemoor_core/limits.py
@@ -1,22 +1,34 @@
-"""Leased shares of each database's connections: the holder and the allocator."""
+"""Leased shares of each database's connections: holder, and allocator at the leader."""
 
 from dataclasses import dataclass
 from random import Random
 from typing import Any
 
-from bronzemoor_core.actions import SendPeerMessage
+from bronzemoor_core.actions import EmitMetric, SendPeerMessage
+from bronzemoor_core.allocation import Allocator, Division, Limit, ShrinkTimer
 from bronzemoor_core.blackboard import Blackboard, section
 from bronzemoor_core.controllers import Controller, controller, handles
-from bronzemoor_core.events import PeerMessageReceived, SharesChanged, Tick
+from bronzemoor_core.events import (
+    LeadershipChanged,
+    PeerMessageReceived,
+    SharesChanged,
+    TemplateChanged,
+    Tick,
+)
 from bronzemoor_core.heartbeats import (
     heartbeat_recipients,
     make_heartbeat,
     make_reply,
 )
-from bronzemoor_core.messages import Heartbeat, HeartbeatReply, Share
+from bronzemoor_core.messages import Heartbeat, HeartbeatReply
 
-# Used while no member of a database is known.
-DEFAULT_CONNECTIONS = 20
+# Heartbeats whose sending time is remembered; at 100 ms they cover 10 s.
+SENT_LIMIT = 100
+# Bits of the random number that the sequence starts at, so that a late reply to an
+# earlier process of this daemon names no heartbeat of this one.
+SEQUENCE_BITS = 48
+# How often ran-out claims and shrunk limits are looked at, in seconds.
+REVIEW_INTERVAL = 0.1
 
 
 @dataclass(slots=True)
@@ -30,13 +42,15 @@
 @section("limits")
 class Limits:
     """``shares`` are held by this daemon, by database; ``granted`` are the leader's
-    outstanding grants by database and daemon."""
+    newest grants by database and daemon. ``acknowledged`` is the newest heartbeat whose
+    reply was applied."""
 
-    __slots__ = ("granted", "shares")
+    __slots__ = ("acknowledged", "granted", "shares")
 
     def __init__(self) -> None:
         self.shares: dict[str, HeldShare] = {}
         self.granted: dict[str, dict[str, int]] = {}
+        self.acknowledged = 0
 
 
 @controller("limits")
@@ -47,21 +61,29 @@
 
     def __init__(self, blackboard: Blackboard, settings: Any, random: Random) -> None:
         super().__init__(blackboard, settings, random)
-        self._sequence = 0
+        self._allocator = Allocator(settings.timers)
+        self._sequence = random.getrandbits(SEQUENCE_BITS)
         self._next_heartbeat = 0.0
+        self._next_review = 0.0
         self._sent_at: dict[int, float] = {}
+        # Organisations by database.
+        self._users: dict[str, list[str]] = {}
+        # Each organisation's connections over its databases.
+        self._divisions: dict[str, Division] = {}
+        self._shrinks = ShrinkTimer()
+
+    # --- holder
 
     @handles(Tick)
     def on_tick(self, now: float, event: Tick) -> list[Any]:
-        items: list[Any] = []
-        for database, share in list(self._own.shares.items()):
-            if now >= share.valid_until:
-                del self._own.shares[database]
-                items.append(SharesChanged(database, 0, now))
+        items = self._expire(now)
         if now >= self._next_heartbeat:
             interval = self._settings.timers.daemon_heartbeat_interval
             self._next_heartbeat = now + interval
             items += self._send_heartbeat(now)
+        if now >= self._next_review and self._may_allocate():
+            self._next_review = now + REVIEW_INTERVAL
+            items += self._review(now)
         return items
 
     @handles(PeerMessageReceived)
@@ -72,10 +94,18 @@
             return self._on_reply(now, event.message)
         return []
 
+    def _expire(self, now: float) -> list[Any]:
+        items: list[Any] = []
+        for database, share in list(self._own.shares.items()):
+            if now >= share.valid_until:
+                del self._own.shares[database]
+                items.append(SharesChanged(database, 0, now))
+        return items
+
     def _send_heartbeat(self, now: float) -> list[Any]:
         self._sequence += 1
         self._sent_at[self._sequence] = now
-        self._sent_at.pop(self._sequence - 100, None)
+        self._sent_at.pop(self._sequence - SENT_LIMIT, None)
         message = make_heartbeat(now, self._blackboard, self._settings, self._sequence)
         return [
             self._send(name, message)
@@ -87,35 +117,117 @@
             return PeerMessageReceived(recipient, message)
         return SendPeerMessage(recipient, message)
 
-    def _on_heartbeat(self, now: float, sender: str, message: Heartbeat) -> list[Any]:
-        if self._blackboard.log.role != "leader":
-            return []
-        lease_ms = int(self._settings.timers.share_lease * 1000)
-        shares = []
-        for demand in message.demands:
-            granted = self._own.granted.setdefault(demand.database, {})
-            others = sum(granted.values()) - granted.get(sender, 0)
-            limit = self._limit(demand.database)
-            granted[sender] = max(0, min(max(demand.wanted, 1) + 2, limit - others))
-            shares.append(Share(demand.database, granted[sender], lease_ms))
-        reply = make_reply(now, self._blackboard, self._settings, message, shares)
-        return [self._send(sender, reply)]
-
-    def _limit(self, database: str) -> int:
-        known = self._blackboard.topology.databases.get(database)
-        limits = (
-            [member.connections for member in known.members.values()] if known else []
-        )
-        return min(limits, default=DEFAULT_CONNECTIONS)
-
     def _on_reply(self, now: float, message: HeartbeatReply) -> list[Any]:
+        """Applies the shares of a reply, unless a newer one was applied before."""
         sent_at = self._sent_at.get(message.sequence)
-        if sent_at is None:
+        if sent_at is None or message.sequence <= self._own.acknowledged:
             return []
+        self._own.acknowledged = message.sequence
+        margin = 1.0 - self._settings.timers.share_drift
         items: list[Any] = []
-        drift = 1.0 - self._settings.timers.share_drift
         for share in message.shares:
-            valid_until = sent_at + share.lease_ms / 1000 * drift
+            valid_until = sent_at + share.lease_ms / 1000 * margin
             self._own.shares[share.database] = HeldShare(share.connections, valid_until)
             items.append(SharesChanged(share.database, share.connections, valid_until))
-        return items
+        return items + self._expire(now)
+
+    # --- allocator
+
+    @handles(LeadershipChanged)
+    def on_leadership(self, now: float, event: LeadershipChanged) -> None:
+        self._own.granted = {}
+        if event.is_leader:
+            log = self._blackboard.log
+            self._allocator.start(now, first=log.founded_term == event.term)
+            self._divisions.clear()
+            self._shrinks = ShrinkTimer()
+            self._map_users()
+
+    @handles(TemplateChanged)
+    def on_template(self, now: float, event: TemplateChanged) -> None:
+        self._map_users()
+
+    def _on_heartbeat(self, now: float, sender: str, message: Heartbeat) -> list[Any]:
+        if not self._may_allocate():
+            return []
+        shares = self._allocator.allocate(
+            now, sender, message, lambda database: self._limit(now, database)
+        )
+        if shares is None:
+            return []
+        reply = make_reply(now, self._blackboard, self._settings, message, shares)
+        return [self._send(sender, reply)]
+
+    def _may_allocate(self) -> bool:
+        """A leader grants nothing before it committed an entry of its own term."""
+        log = self._blackboard.log
+        return log.role == "leader" and log.established
+
+    def _review(self, now: float) -> list[Any]:
+        self._map_users()
+        self._allocator.drop_expired(now)
+        self._own.granted = self._allocator.granted()
+        return [
+            EmitMetric("timer", "limits.shrink_in_effect", seconds * 1000)
+            for seconds in self._shrinks.review(now, self._configured_limits(now))
+        ]
+
+    def _map_users(self) -> None:
+        self._users = {}
+        for name, template in self._blackboard.configuration.templates.items():
+            for database in template.databases:
+                self._users.setdefault(database, []).append(name)
+
+    def _configured_limits(self, now: float) -> dict[str, tuple[int, int]]:
+        """Every configured limit with the connections that count against it."""
+        limits = {}
+        for name in self._own.granted:
+            limit = self._database_limit(name)
+            if limit is not None:
+                limits[f"database {name}"] = limit, self._allocator.used(now, [name])
+        for name, template in self._blackboard.configuration.templates.items():
+            used = self._allocator.used(now, template.databases)
+            limits[f"organisation {name}"] = template.connections, used
+        return limits
+
+    def _database_limit(self, database: str) -> int | None:
+        known = self._blackboard.topology.databases.get(database)
+        if known is None or not known.members:
+            return None
+        return min(member.connections for member in known.members.values())
+
+    def _limit(self, now: float, database: str) -> Limit | None:
+        """The limit of a database: its own, and what its organisations may hold."""
+        own = self._database_limit(database)
+        if own is None:
+            return None
+        users = self._users.get(database)
+        if not users:
+            return Limit(own, own)
+        room = sum(self._room(now, name, database) for name in users)
+        part = sum(self._part(now, name, database) for name in users)
+        return Limit(min(own, room), min(own, part))
+
+    def _room(self, now: float, organisation: str, database: str) -> int:
+        """What an organisation may hold here, after its other databases.
+
+        A database that several organisations use counts fully for each of them, since
+        shares do not tell whose requests use the connections.
+        """
+        template = self._blackboard.configuration.templates.get(organisation)
+        if template is None:
+            return 0
+        others = [name for name in template.databases if name != database]
+        return max(0, template.connections - self._allocator.used(now, others))
+
+    def _part(self, now: float, organisation: str, database: str) -> int:
+        """What an organisation should hold here, by the demand for its databases."""
+        template = self._blackboard.configuration.templates.get(organisation)
+        if template is None:
+            return 0
+        division = self._divisions.setdefault(organisation, Division())
+        wanted = {
+            name: self._allocator.wanted(now, name) for name in template.databases
+        }
+        division.follow(now, template.connections, wanted)
+        return division.targets.get(database, 0)
