--- a/packages/core/src/bronzemoor_core/heartbeats.py
+++ b/packages/core/src/bronzemoor_core/heartbeats.py
@@ -96,7 +96,7 @@
         for organisation, template in blackboard.configuration.templates.items()
         for database in template.databases
     }
-    for database in sorted(held.keys() | waiting.keys() | shares.keys() | set(owners)):
+    for database in sorted({*held, *waiting, *shares, *owners}):
         count = held.get(database, 0)
         wanted = count + waiting.get(database, 0)
         share = shares[database].connections if database in shares else 0
@@ -104,6 +104,13 @@
         heartbeat.demands.append(Demand(database, organisation, count, wanted, share))
 
 
+@heartbeat_part
+def report_acknowledged(
+    now: float, blackboard: Blackboard, settings: NodeSettings, heartbeat: Heartbeat
+) -> None:
+    heartbeat.acknowledged = blackboard.limits.acknowledged
+
+
 @heartbeat_part
 def report_suspicions(
     now: float, blackboard: Blackboard, settings: NodeSettings, heartbeat: Heartbeat
