--- a/packages/core/tests/fake_group.py
+++ b/packages/core/tests/fake_group.py
@@ -177,10 +177,11 @@
 
     def connected(self, a, b):
         """Tells whether both run and no partition separates them."""
-        up = all(n in self.nodes or self.endpoints[n].up for n in (a, b)
-                 if n in self.nodes or n in self.endpoints)  # fmt: skip
-        known = all(n in self.nodes or n in self.endpoints for n in (a, b))
-        return known and up and (a, b) not in self.cut
+        return self._runs(a) and self._runs(b) and (a, b) not in self.cut
+
+    def _runs(self, name):
+        endpoint = self.endpoints.get(name)
+        return endpoint.up if endpoint else name in self.nodes
 
     def send(self, a, b, function, *arguments):
         """Calls the function after the delay, unless the message is lost."""
