--- a/packages/core/tests/test_distribution.py
+++ b/packages/core/tests/test_distribution.py
@@ -1,32 +1,190 @@
-"""Distribution of templates to the daemons."""
+"""Distribution: versions in force, confirmation, repair and staleness."""
 
+import json
+
+from fake_group import Part
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from test_failover import make_group
 from test_templates import BODY
 
+from bronzemoor_core.events import PeerMessageReceived, Tick
+from bronzemoor_core.messages import (
+    ConfigurationUpdate,
+    HeartbeatReply,
+    TemplateVersion,
+)
+from bronzemoor_core.settings import NodeSettings
+from bronzemoor_core.versions import confirmation
+
+FIXED = settings(derandomize=True, deadline=None, max_examples=40, database=None)
 
-def versions(group, organisation="reclamar"):
+
+def versions(group):
+    """Version of the template in force at each daemon, 0 for none."""
+    held = {n: node.blackboard.configuration for n, node in group.nodes.items()}
     return {
-        name: getattr(
-            node.blackboard.configuration.templates.get(organisation), "version", 0
-        )
-        for name, node in group.nodes.items()
+        name: getattr(configuration.templates.get("reclamar"), "version", 0)
+        for name, configuration in held.items()
     }
 
 
-def test_a_change_reaches_every_daemon():
-    """Guards against a daemon that keeps an older template."""
-    group = make_group()
-    group.run(1.0)
+def apply(group, version, name="vm0", change=None):
     group.admin(
-        "vm4",
-        1,
-        "template.apply",
-        organisation="reclamar",
-        body=BODY,
-        expect_version=0,
-        change_id="a",
+        name, group.count, "template.apply", organisation="reclamar", body=BODY,
+        expect_version=version, change_id=change or f"c{version}",
+    )  # fmt: skip
+
+
+def update(version, **body):
+    template = TemplateVersion(
+        "reclamar", version, json.dumps({**BODY, **body}).encode()
     )
-    assert group.run(1.0, until=lambda: set(versions(group).values()) == {1})
-    group.run(0.1)
-    assert group.replies[1].code == "ok"
-    assert group.replies[1].body["version"] == 1
+    return PeerMessageReceived("vm9", ConfigurationUpdate([template], 0, []))
+
+
+def reply(**held):
+    return PeerMessageReceived("vm9", HeartbeatReply(1, "vm9", [], held, 0))
+
+
+def test_a_change_reaches_every_daemon_and_is_reported():
+    """Guards against a daemon that keeps an older template, and against a report of
+    "in force everywhere" that is not true."""
+    group = make_group()
+    group.run(0.5)
+    apply(group, 0, "vm4")
+    assert group.run(0.5, lambda: set(versions(group).values()) == {1})
+    group.run(0.2)
+    assert [r.code for r in group.replies.values()] == ["ok"]
+    report = confirmation(group.nodes["vm0"].blackboard, "reclamar")
+    assert report["in_force_everywhere"] and report["confirmed"] == sorted(group.nodes)
+    group.partition(["vm5"], group.places)
+    apply(group, 1)
+    group.run(0.5)
+    report = confirmation(group.nodes["vm0"].blackboard, "reclamar")
+    assert (report["in_force_everywhere"], report["behind"]) == (False, ["vm5"])
+    group.run(4.0)
+    report = confirmation(group.nodes["vm0"].blackboard, "reclamar")
+    assert (report["in_force_everywhere"], report["not_confirmed"]) == (False, ["vm5"])
+    group.cut.clear()
+    assert group.run(1.5, lambda: set(versions(group).values()) == {2})
+
+
+def test_a_lost_update_is_repaired():
+    """Guards against a daemon that waits for the next change."""
+    group = make_group()
+    group.run(1.0)
+    group.loss = 1.0
+    apply(group, 0)
+    group.run(0.05)
+    group.loss = 0.0
+    assert set(versions(group).values()) == {0, 1}
+    assert group.run(3.0, lambda: set(versions(group).values()) == {1})
+
+
+def test_a_lower_version_is_never_applied():
+    """Guards against a configuration that reverts after a late or old update."""
+    part = Part(NodeSettings("vm5", "lisbon"))
+    part.run(0.0, update(4, connections=40))
+    part.run(0.0, update(3, connections=30))
+    part.run(0.0, update(4, connections=41))
+    template = part.blackboard.configuration.templates["reclamar"]
+    assert (template.version, template.connections) == (4, 40)
+
+
+def test_an_invalid_template_leaves_the_old_one_in_force():
+    """Guards against a daemon without configuration after an update that it cannot
+    read, as from a newer version of the software."""
+    part = Part(NodeSettings("vm5", "lisbon"))
+    part.run(0.0, update(4))
+    items = part.run(0.0, update(5, unheard_of=1))
+    assert items[0].event == "template_invalid"
+    assert part.blackboard.configuration.templates["reclamar"].version == 4
+
+
+def test_a_restarted_daemon_is_ready_only_with_the_current_versions():
+    """Guards against a restarted daemon that serves with an older configuration."""
+    part = Part(NodeSettings("vm5", "lisbon"))
+    configuration = part.blackboard.configuration
+    part.run(0.0, update(4))
+    assert not configuration.ready
+    part.run(0.1, PeerMessageReceived("vm8", HeartbeatReply(1, "vm9", [], {}, 0)))
+    assert not configuration.ready, "vm8 is not the leader"
+    part.run(0.2, reply(reclamar=5))
+    assert not configuration.ready
+    part.run(0.3, update(5))
+    part.run(0.4, reply(reclamar=5))
+    assert configuration.ready and configuration.confirmed_at == 0.4
+
+
+def test_silence_of_the_control_plane_makes_the_configuration_stale():
+    """Guards against an outage of the control plane that stops requests or that
+    nobody sees."""
+    part = Part(NodeSettings("vm5", "lisbon"))
+    configuration = part.blackboard.configuration
+    part.run(0.0, update(4))
+    part.run(0.0, reply(reclamar=4))
+    part.run(2.9, Tick())
+    assert not configuration.stale
+    part.run(3.1, Tick())
+    assert configuration.stale and configuration.ready
+    assert configuration.templates["reclamar"].version == 4
+    part.run(3.2, reply(reclamar=4))
+    assert not configuration.stale
+
+
+def test_keys_reach_every_daemon():
+    """Guards against a daemon that refuses tokens which another one signed."""
+    group = make_group()
+    group.run(0.5)
+    group.admin("vm3", 1, "keys.rotate", change_id="k", secret="ab" * 32)
+    group.run(0.5)
+    keys = {node.blackboard.configuration.keys for node in group.nodes.values()}
+    assert keys == {("key-k:" + "ab" * 32,)}
+
+
+FAULTS = st.lists(
+    st.tuples(
+        st.sampled_from(["apply", "apply", "cut", "heal", "lead", "restart"]),
+        st.integers(0, 5),
+        st.floats(0.01, 0.6),
+    ),
+    max_size=14,
+)
+
+
+@FIXED
+@given(FAULTS, st.integers(0, 99), st.sampled_from([0.0, 0.05, 0.3]))
+def test_versions_never_fall_and_converge(faults, seed, loss):
+    """Guards against a version that falls, a change that counts twice and a daemon
+    that never catches up, under loss, reordering, partitions and restarts."""
+    group = make_group(seed=seed, loss=loss, spread=10.0)
+    group.run(0.5)
+    seen, changes = versions(group), 0
+    for index, (kind, number, pause) in enumerate(faults):
+        name = f"vm{number}"
+        if kind == "apply":
+            changes += 1
+            state = group.nodes["vm0"].blackboard.state
+            apply(group, state.versions.get("reclamar", 0), name, f"change {index}")
+        elif kind == "cut":
+            group.partition([name], group.places)
+        elif kind == "heal":
+            group.cut.clear()
+        elif kind == "lead":
+            group.lead(f"vm{number % 3}")
+        elif kind == "restart" and number > 2:
+            group.start(name, incarnation=index + 2)
+            seen[name] = 0
+        group.run(pause)
+        now = versions(group)
+        assert all(now[name] >= seen[name] for name in now)
+        seen = now
+    group.cut.clear()
+    group.loss = 0.0
+    group.run(0.2)
+    assert group.run(6.0, lambda: len(set(versions(group).values())) == 1)
+    committed = [c for c, _ in group.log if c["type"] == "template.apply"]
+    assert len(committed) <= changes
+    final = group.nodes["vm0"].blackboard.state.versions.get("reclamar", 0)
+    assert set(versions(group).values()) == {final} and final <= len(committed)
--- /dev/null
+++ b/packages/core/tests/test_suspicion.py
@@ -0,0 +1,81 @@
+"""Evidence and verdict: vantage points, proofs of life and isolation."""
+
+import pytest
+from test_failover import settled, started
+
+from bronzemoor_core.detectors import Evidence, Investigation, Observations
+from bronzemoor_core.events import MemberSuspected
+from bronzemoor_core.records import DatabaseRecord
+from bronzemoor_core.settings import NodeSettings
+from bronzemoor_core.suspicion import Suspicions
+from bronzemoor_core.topology import Daemon, Database
+
+NOW = 10.0
+REACHED = {"c1": NOW, "c2": NOW}
+DAEMONS = {f"vm{i}": Daemon(f"vm{i}", 1, "lisbon", NOW) for i in range(5)}
+
+
+def convicts(evidence, daemons=None, others=None, **found):
+    """The verdict on c0 for (vantage point, detector) pairs, all confirmed just now."""
+    investigation = Investigation("c0", NOW - 0.4, others=others or REACHED)
+    for name, value in found.items():
+        setattr(investigation, name, value)
+    seen = Observations(investigations={"claims": investigation})
+    suspicions = Suspicions(NodeSettings("vm0", "lisbon"), seen)
+    for vantage, kind in evidence:
+        proof = Evidence(vantage, kind, "c0", NOW - 1.0, NOW)
+        suspicions._add("claims", proof)
+    record = DatabaseRecord("claims", 1, "c0", ("c0", "c1", "c2"))
+    database = Database("claims", 1, "c0")
+    return bool(suspicions.verdict(NOW, database, record, daemons or DAEMONS))
+
+
+SILENCE = ("vm1", "announcement_silence")
+ORDER = ("vm0", "order")
+MEMBERS = [("c1", "member"), ("c2", "member")]
+ALIVE = {"answered_at": NOW - 0.1, "confirmed_ago_ms": 40}
+
+
+@pytest.mark.parametrize(
+    ("evidence", "found", "expected"),
+    [
+        ([SILENCE], {}, False),
+        ([ORDER], {"failures": 2}, False),
+        ([SILENCE, ORDER], {"failures": 2}, True),
+        ([SILENCE, ("vm2", "announcement_silence")], {}, True),
+        ([SILENCE, ("vm1", "proxy")], {}, False),
+        (MEMBERS, {}, True),
+        (MEMBERS[:1], {}, False),
+        ([SILENCE, *MEMBERS], ALIVE, False),
+        (MEMBERS, {**ALIVE, "confirmed_ago_ms": 500}, True),
+        ([(f"vm{i}", "proxy") for i in range(5)], ALIVE, True),
+        ([(f"vm{i}", "proxy") for i in range(2)], ALIVE, False),
+    ],
+)
+def test_verdict(evidence, found, expected):
+    """Guards against a conviction by one vantage point or against proof of life, and
+    against a failed primary that stays."""
+    assert convicts(evidence, **found) is expected
+
+
+def test_a_leader_that_reaches_too_little_convicts_nobody():
+    """Guards against a leader that takes its own isolation for others' failure."""
+    proof = [SILENCE, ORDER, *MEMBERS]
+    assert convicts(proof, failures=3)
+    assert not convicts(proof, failures=3, others={"c1": NOW, "c2": NOW - 1.0})
+    silent = {n: Daemon(n, 1, "lisbon", NOW - 2.0) for n in DAEMONS}
+    assert not convicts(proof, failures=3, daemons=silent)
+
+
+def test_a_slow_primary_is_replaced_on_the_proxies_evidence():
+    """Guards against a primary that still sends announcements but serves nobody."""
+    group = started()
+    group.endpoints["c0"].slow = 1.0
+
+    def suspect():
+        for name in group.nodes:
+            group.event(name, MemberSuspected("claims", "c0", "timeout"))
+        group.at(0.5, suspect)
+
+    suspect()
+    assert group.run(1.0, lambda: settled(group, "c0"))
