--- a/packages/core/tests/test_failover.py
+++ b/packages/core/tests/test_failover.py
@@ -67,6 +67,18 @@
     assert group.endpoints[group.primary("claims", "vm0")].role == "primary"
 
 
+def test_no_member_is_chosen_before_a_majority_is_fenced():
+    """Guards against a primary that lacks records which the other members hold."""
+    group = make_group()
+    assert group.run(2.0, lambda: bool(group.log))
+    for name in ("c0", "c1"):
+        group.endpoints[name].up = False
+    group.run(1.0)
+    assert [command["type"] for command, _ in group.log] == ["failover.start"]
+    group.endpoints["c1"].up = True
+    assert group.run(1.0, lambda: settled(group, "c0"))
+
+
 CASES = {
     "stops": lambda group: setattr(group.endpoints["c0"], "up", False),
     "cut off": lambda group: group.partition(["c0"], group.places),
--- a/packages/core/tests/test_state.py
+++ b/packages/core/tests/test_state.py
@@ -12,6 +12,7 @@
 from bronzemoor_core.commands import CHANGE_LIMIT, KEY_LIMIT, VERSION_LIMIT
 from bronzemoor_core.events import (
     AdminCommand,
+    CommandApplied,
     CommandCommitted,
     CommandCompleted,
     CommandProposed,
@@ -35,12 +36,14 @@
 
     def commit(self, command):
         self.index += 1
-        event = CommandCommitted(self.index, 1, command)
-        return self.node.run(0.0, event)[-1].result
+        return self.result(CommandCommitted(self.index, 1, command))
+
+    def result(self, event):
+        items = self.node.run(0.0, event)
+        return next(item.result for item in items if isinstance(item, CommandApplied))
 
     def query(self, name, **arguments):
-        command = {"type": name, "query": True, **arguments}
-        return self.node.run(0.0, QueryReady(command, 0))[-1].result
+        return self.result(QueryReady({"type": name, "query": True, **arguments}, 0))
 
     def snapshot(self):
         ready = self.node._controllers["state"].snapshot(0.0, SnapshotRequested())[0]
@@ -54,7 +57,7 @@
         for item in [item for item in items if isinstance(item, CommandProposed)]:
             query = item.command.get("query")
             if query:
-                result = self.node.run(0.0, QueryReady(item.command, 0))[-1].result
+                result = self.result(QueryReady(item.command, 0))
             else:
                 result = self.commit(json.loads(json.dumps(item.command)))
             done = CommandCompleted(item.origin, result["code"], "", result)
@@ -120,20 +123,30 @@
     assert [row["version"] for row in rows] == list(range(1, version + 1))
 
 
+def start(old, new, change, **fields):
+    return {
+        "type": "failover.start",
+        "database": "claims",
+        "old_term": old,
+        "new_term": new,
+        "group": ["c0", "c1", "c2"],
+        "change_id": change,
+        **fields,
+    }
+
+
+def choose(term, member, **fields):
+    command = {"type": "failover.choose", "database": "claims", "term": term}
+    return {**command, "member": member, "start_offset": term * 10, **fields}
+
+
 COMMANDS = st.one_of(
     st.builds(
         lambda v, c: apply(v, f"c{c}", connections=c + 1), *[st.integers(0, 4)] * 2
     ),
     st.builds(
-        lambda old, new: {
-            "type": "failover.start",
-            "database": "claims",
-            "old_term": old,
-            "new_term": new,
-            "group": ["c0", "c1", "c2"],
-            "change_id": f"auto:{new}",
-        },
-        *[st.integers(0, 4)] * 2,
+        lambda term, rise: start(term, term + rise, f"auto:{rise}"),
+        *[st.integers(0, 2)] * 2,
     ),
     st.builds(
         lambda kind, term, member: {
@@ -144,7 +157,7 @@
             "start_offset": term * 10,
         },
         st.sampled_from(["failover.choose", "failover.done", "endpoint.drain"]),
-        st.integers(0, 4),
+        st.integers(0, 3),
         st.sampled_from(["c0", "c1", "c2"]),
     ),
     st.builds(
@@ -257,3 +270,36 @@
     again = machine.admin("keys.rotate", change_id="r3", secret="cd" * 32)
     assert again.body["keys"] == ["key-r3", "key-r2", "key-r1"]
     assert machine.node.blackboard.configuration.keys[0] == "key-r3:" + "ab" * 32
+
+
+def test_a_term_has_one_plan_and_one_choice():
+    """Guards against two leaders that each promote a member in the same term."""
+    machine = Machine()
+    record = machine.node.blackboard.state.databases
+    assert machine.commit(start(3, 4, "auto:a"))["code"] == "ok"
+    for late in (start(3, 4, "auto:b"), start(3, 5, "auto:c"), start(4, 4, "auto:d")):
+        assert machine.commit(late)["code"] == "term_conflict"
+    done = {"type": "failover.done", "database": "claims", "term": 4}
+    assert machine.commit(done)["code"] == "step_conflict"
+    assert machine.commit(choose(4, "c1"))["member"] == "c1"
+    assert machine.commit(choose(4, "c2"))["member"] == "c1"
+    assert machine.commit(choose(5, "c2"))["code"] == "term_conflict"
+    assert [machine.commit(done)["primary"] for _ in range(2)] == ["c1", "c1"]
+    assert (record["claims"].term, record["claims"].history) == (4, {4: 40})
+    assert machine.commit(start(3, 5, "auto:e"))["code"] == "term_conflict"
+    assert machine.commit(start(4, 5, "auto:f"))["code"] == "ok"
+
+
+def test_a_term_without_records_leaves_the_history():
+    """Guards against reads that are refused for records which survived, because a
+    promotion that never took effect is in the history."""
+    machine = Machine()
+    machine.commit(start(0, 1, "auto:a"))
+    machine.commit(choose(1, "c0"))
+    machine.commit({"type": "failover.done", "database": "claims", "term": 1})
+    machine.commit(start(1, 2, "auto:b"))
+    machine.commit(choose(2, "c1", position_term=1, start_offset=100))
+    machine.commit(start(2, 3, "auto:c"))
+    machine.commit(choose(3, "c2", position_term=1, start_offset=102))
+    record = machine.node.blackboard.state.databases["claims"]
+    assert record.history == {1: 10, 3: 102}
