Confirm closes to the core and add threads while all are occupied

The core counts a connection until ConnectionClosed; without it every close blocked a place for 1 s (reads after a write burst: p99 991 ms). Requests that wait occupied all threads and kept announcements out, so that members were lost.

--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,167 @@
+"""Child processes of the benchmarks: ``python -m bench.processes ROLE JSON``.
+
+A child prints one line with its address and ends when its standard input closes, so
+that none outlives the benchmark.
+"""
+
+import json
+import subprocess
+import sys
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from http.client import HTTPConnection
+from time import monotonic, sleep
+from typing import Any
+
+START_TIMEOUT = 10.0
+ORGANISATION = "bench"
+DATABASE = "claims"
+TEMPLATE = {
+    "databases": [DATABASE],
+    "connections": 60,
+    "classes": {
+        "write": {"kind": "write"},
+        "read": {"kind": "read"},
+    },
+}
+
+
+class Child:
+    """A started process and the line that it printed."""
+
+    def __init__(self, role: str, options: dict[str, Any]) -> None:
+        command = [sys.executable, "-m", "bench.processes", role, json.dumps(options)]
+        self.process = subprocess.Popen(
+            command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+        )
+        assert self.process.stdout is not None
+        self.address = self.process.stdout.readline().strip()
+
+    @property
+    def host_port(self) -> tuple[str, int]:
+        host, port = self.address.split(":")
+        return host, int(port)
+
+    @property
+    def resident_bytes(self) -> int:
+        with open(f"/proc/{self.process.pid}/statm") as file:
+            return int(file.read().split()[1]) * 4096
+
+    def stop(self) -> int:
+        """Closes the child's input; returns its exit status."""
+        assert self.process.stdin is not None
+        self.process.stdin.close()
+        return self.process.wait(30)
+
+
+@contextmanager
+def started(role: str, **options: Any) -> Iterator[Child]:
+    """Starts a child and stops it at the end."""
+    child = Child(role, options)
+    try:
+        yield child
+    finally:
+        child.stop()
+
+
+@contextmanager
+def daemon_and_group(**options: Any) -> Iterator[tuple[Child, Child]]:
+    """A daemon that leads its own control group, and three members of one database."""
+    with (
+        started("daemon", **options) as daemon,
+        started("group", daemon=daemon.address) as group,
+    ):
+        prepare(daemon)
+        yield daemon, group
+
+
+def prepare(daemon: Child) -> None:
+    """Applies the template and waits until a statement succeeds."""
+    until = monotonic() + START_TIMEOUT
+    change = {"organisation": ORGANISATION, "body": TEMPLATE}
+    change |= {"expect_version": 0, "change_id": "c1"}
+    while post(daemon, "/v1/admin/template.apply", change)[0] != 200:
+        if monotonic() > until:
+            raise TimeoutError("the template was not applied")
+        sleep(0.1)
+    while (
+        post(daemon, "/v1/statements", statement("write", INSERT, ["seed"]))[0] != 200
+    ):
+        if monotonic() > until:
+            raise TimeoutError("no statement succeeded")
+        sleep(0.1)
+
+
+INSERT = "INSERT OR REPLACE INTO claims VALUES (?, 'p', 'f', 'b', 'filed', 100, 'r')"
+SELECT = "SELECT claim_id, status FROM claims WHERE claim_id = ?"
+
+
+def statement(
+    request_class: str,
+    sql: str,
+    params: list[Any],
+    count: int = 1,
+    request_id: str = "",
+) -> dict[str, Any]:
+    """A body of /v1/statements with ``count`` equal statements."""
+    return {
+        "organisation": ORGANISATION,
+        "database": DATABASE,
+        "request_class": request_class,
+        "request_id": request_id or f"bench-{monotonic()}",
+        "statements": [{"sql": sql, "params": params}] * count,
+    }
+
+
+def post(child: Child, path: str, body: Any) -> tuple[int, Any]:
+    """Posts JSON on a connection of its own; status 0 means that it failed."""
+    connection = HTTPConnection(*child.host_port, timeout=15)
+    try:
+        connection.request("POST", path, json.dumps(body))
+        response = connection.getresponse()
+        return response.status, json.loads(response.read())
+    except OSError as error:
+        return 0, str(error)
+    finally:
+        connection.close()
+
+
+def _run_daemon(options: dict[str, Any]) -> None:
+    from bronzemoor_core.settings import DrainSettings, NodeSettings
+    from bronzemoor_daemon.application import make_application
+    from bronzemoor_daemon.logs import configure_logs
+    from bronzemoor_daemon.settings import DaemonSettings
+
+    configure_logs("WARNING")
+    quiet = options.pop("quiet", False)
+    drain = DrainSettings(**options.pop("drain", {}))
+    node = NodeSettings("vm-1", "dc1", control=True, control_members=("vm-1",))
+    node.drain = drain
+    settings = DaemonSettings(node, "127.0.0.1:0", "127.0.0.1:0", **options)
+    application = make_application(settings)
+    if quiet:
+        application.metrics.emit = lambda kind, name, value: None  # type: ignore[method-assign]
+    application.start()
+    host, port = application.http_address
+    print(f"{host}:{port}", flush=True)
+    sys.stdin.read()
+    sys.exit(application.stop() if options.get("graceful") else application.kill())
+
+
+def _run_group(options: dict[str, Any]) -> None:
+    from bronzemoor_standin.group import Group
+
+    group = Group(DATABASE, daemons=[options["daemon"]], schema="claims")
+    group.start()
+    print(group.members["m2"].address, flush=True)
+    sys.stdin.read()
+    group.stop()
+
+
+ROLES: dict[str, Callable[[dict[str, Any]], None]] = {
+    "daemon": _run_daemon,
+    "group": _run_group,
+}
+
+if __name__ == "__main__":
+    ROLES[sys.argv[1]](json.loads(sys.argv[2]))
--- a/packages/daemon/src/bronzemoor_daemon/admin.py
+++ b/packages/daemon/src/bronzemoor_daemon/admin.py
@@ -11,6 +11,8 @@
 
 from bronzemoor_core.actions import AdminReply
 from bronzemoor_core.exceptions import InvalidRequest
+from bronzemoor_core.reconfiguration import CHANGES, MEMBERS
+from bronzemoor_core.state import ARGUMENTS
 from bronzemoor_daemon.driver import Driver
 from bronzemoor_daemon.parsing import parse_object
 
@@ -32,6 +34,19 @@
     "unknown": 504,
     "internal": 500,
 }
+# A name outside this list would get no answer from the core.
+COMMANDS = frozenset(
+    (
+        *ARGUMENTS,
+        *CHANGES,
+        MEMBERS,
+        "status",
+        "database.list",
+        "failover.plan",
+        "failover.run",
+        "endpoint.drain",
+    )
+)
 MAX_BODY = 4 * 1024 * 1024
 
 LocalCommand = Callable[[dict[str, Any]], AdminReply]
@@ -73,9 +88,11 @@
     def _run(self, name: str, arguments: dict[str, Any], operator: str) -> bytes:
         if name in self._local:
             reply = self._local[name](arguments)
+        elif name not in COMMANDS:
+            reply = AdminReply(0, "unknown_command", {"message": f"no command {name}"})
         else:
             at = time.time()
-            reply = self._driver.command(name, {**arguments, "at": at}, operator, at)
+            reply = self._driver.command(name, arguments, operator, at)
         body = dict(reply.body)
         if name == "status":
             self._extend_status(body)
--- a/packages/daemon/src/bronzemoor_daemon/application.py
+++ b/packages/daemon/src/bronzemoor_daemon/application.py
@@ -130,6 +130,7 @@
         self._http_server.prepare()
         Thread(target=self._http_server.serve, name="http", daemon=True).start()
         Thread(target=self._tick, name="tick", daemon=True).start()
+        Thread(target=self._relieve, name="relieve", daemon=True).start()
         fields = {"http": self.http_address, "peer": self.peer_address}
         self._logs.write("info", "started", fields)
 
@@ -191,6 +192,7 @@
             make_admin_application(tree, StatusPage(settings.node.name, self._status)),
             path,
             threads=settings.threads,
+            max_threads=settings.max_threads,
             keep_alive=settings.keep_alive,
             read_timeout=settings.read_timeout,
             backlog=settings.backlog,
@@ -222,6 +224,10 @@
                 reload_at = monotonic() + RELOAD_INTERVAL
                 self._reload_certificates()
 
+    def _relieve(self) -> None:
+        while not self._stopped.wait(TICK_INTERVAL):
+            self._http_server.relieve()
+
     def _reload_certificates(self) -> None:
         if self._tls is None:
             return
--- a/packages/daemon/src/bronzemoor_daemon/driver.py
+++ b/packages/daemon/src/bronzemoor_daemon/driver.py
@@ -1,5 +1,6 @@
 """Interface between the core and the transports: one lock around the node."""
 
+from collections import deque
 from collections.abc import Callable, Mapping
 from itertools import count
 from queue import Empty, SimpleQueue
@@ -7,7 +8,13 @@
 from time import monotonic
 from typing import Any
 
-from bronzemoor_core.actions import Action, AdminReply, Reply, SendCall
+from bronzemoor_core.actions import (
+    Action,
+    AdminReply,
+    Reply,
+    SendCall,
+    SendPeerMessage,
+)
 from bronzemoor_core.events import (
     AdminCommand,
     CallerGone,
@@ -51,6 +58,8 @@
         self._perform_call = call
         self._send_elsewhere = self._performers[SendCall]
         self._performers[SendCall] = self._route_call
+        self._send_to_peer = self._performers[SendPeerMessage]
+        self._performers[SendPeerMessage] = self._route_message
         self._performers[Reply] = self._route_reply
         self._performers[AdminReply] = self._route_reply
         self._on_error = on_error
@@ -61,6 +70,8 @@
         self._lock = Lock()
         self._tickets = count(1)
         self._mailboxes: dict[int, SimpleQueue[Action]] = {}
+        # Messages of this daemon to itself, for example as its own control member.
+        self._local: deque[PeerMessageReceived] = deque()
 
     @property
     def node(self) -> Node:
@@ -226,6 +237,8 @@
             performer = self._performers.get(type(action))
             if performer is not None:
                 performer(action)
+        if self._local:
+            self._handle(self._local.popleft())
 
     def _answer_failed(self, event: object, error: Exception) -> None:
         if isinstance(event, RequestReceived):
@@ -242,6 +255,12 @@
         else:
             mailbox.put(action)
 
+    def _route_message(self, action: SendPeerMessage) -> None:
+        if action.recipient == self._node.settings.name:
+            self._local.append(PeerMessageReceived(action.recipient, action.message))
+        else:
+            self._send_to_peer(action)
+
     def _route_reply(self, action: Reply | AdminReply) -> None:
         mailbox = self._mailboxes.pop(action.ticket, None)
         if mailbox is not None:
--- a/packages/daemon/src/bronzemoor_daemon/endpoints.py
+++ b/packages/daemon/src/bronzemoor_daemon/endpoints.py
@@ -224,14 +224,19 @@
         except Exception as error:  # a reply that cannot be decoded
             return self._closed(action, _describe(error), True)
 
-    def close(self, connection: int) -> None:
-        """Closes a connection; a call in progress on it ends as closed."""
+    def close(self, connection: int) -> bool:
+        """Closes a connection; a call in progress on it ends as closed.
+
+        Returns false if it is still opening: then it closes once that has ended.
+        """
         with self._lock:
             held = self._connections.pop(connection, None)
-            if held is None and connection in self._opening:
+            opening = held is None and connection in self._opening
+            if opening:
                 self._abandoned.add(connection)
         if held is not None:
             held.transport.close()
+        return not opening
 
     def order(self, action: SendOrder) -> OrderAnswered | OrderFailed:
         """Sends an order on a fresh connection within ``action.timeout`` seconds."""
--- a/packages/daemon/src/bronzemoor_daemon/performers.py
+++ b/packages/daemon/src/bronzemoor_daemon/performers.py
@@ -18,6 +18,7 @@
     SendPeerMessage,
     StopListening,
 )
+from bronzemoor_core.events import ConnectionClosed
 from bronzemoor_daemon.endpoints import EndpointConnections
 from bronzemoor_daemon.logs import LogWriter
 from bronzemoor_daemon.metrics import Metrics
@@ -77,8 +78,12 @@
         self._perform(self._connection_pool, self._endpoints.open, action)
 
     def _close(self, action: CloseConnection) -> None:
-        # A close may wait for the thread that uses the connection.
-        self._submit(lambda: self._endpoints.close(action.connection))
+        self._submit(lambda: self._close_and_confirm(action))
+
+    def _close_and_confirm(self, action: CloseConnection) -> None:
+        """Closes and says so: the core counts a connection until it is closed."""
+        if self._endpoints.close(action.connection):
+            self._handle(ConnectionClosed(action.connection, action.reason, False))
 
     def _call(self, action: SendCall) -> None:
         self._perform(self._connection_pool, self._endpoints.call, action)
--- a/packages/daemon/src/bronzemoor_daemon/server.py
+++ b/packages/daemon/src/bronzemoor_daemon/server.py
@@ -23,6 +23,8 @@
 # Buffers of an idle connection; a request line, its headers and a short body fit.
 BUFFER_BYTES = 2_048
 EXPIRATION_INTERVAL = 5.0
+# Threads added at a time when all are occupied.
+GROWTH = 16
 # What is read and thrown away of a body that is too large, so that the client gets to
 # read the answer before the connection closes.
 DISCARD_BYTES = 4 * 1024 * 1024
@@ -145,6 +147,7 @@
         hot_path: Callable[[Any], Response | None],
         *,
         threads: int,
+        max_threads: int,
         keep_alive: float,
         read_timeout: float,
         backlog: int,
@@ -156,6 +159,7 @@
             address,
             wsgi_app,
             numthreads=threads,
+            max=max(threads, max_threads),
             request_queue_size=backlog,
             timeout=keep_alive,  # type: ignore[arg-type]
             shutdown_timeout=1,
@@ -199,6 +203,16 @@
         finally:
             self._staying.discard(conn)
 
+    def relieve(self) -> None:
+        """Adds threads while connections wait and every thread is occupied.
+
+        Requests that wait for a database occupy their threads; without more threads
+        they would keep out the announcements that end their wait.
+        """
+        pool = self.requests
+        if self.ready and not pool._queue.empty() and pool.idle == 0:
+            pool.grow(GROWTH)
+
     def date_header(self) -> bytes:
         """The Date header line, made once a second."""
         now = int(time.time())
--- a/packages/daemon/src/bronzemoor_daemon/settings.py
+++ b/packages/daemon/src/bronzemoor_daemon/settings.py
@@ -32,7 +32,10 @@
     peer: str = "127.0.0.1:8090"
     data_folder: str = ""
     # Threads that serve requests; a request that waits occupies one.
-    threads: int = 64
+    threads: int = 32
+    # Threads are added up to this number while all are occupied; it exceeds the
+    # default queue limit of the core.
+    max_threads: int = 600
     # How long an idle client connection is kept, and how long a request may take to
     # arrive once it has begun.
     keep_alive: float = 300.0
