--- a/packages/daemon/src/bronzemoor_daemon/http.py
+++ b/packages/daemon/src/bronzemoor_daemon/http.py
@@ -125,8 +125,7 @@
         else:
             remaining = req.rfile.remaining
             if remaining <= self._max_body:
-                # Nothing at all arrives as None when the read timeout passes.
-                body = (req.conn.rfile.read(remaining) or b"") if remaining > 0 else b""
+                body = req.conn.rfile.read(remaining) if remaining > 0 else b""
                 req.rfile.remaining = 0
                 if len(body) == remaining:
                     return body
--- a/packages/daemon/src/bronzemoor_daemon/server.py
+++ b/packages/daemon/src/bronzemoor_daemon/server.py
@@ -10,18 +10,17 @@
 from ssl import SSLContext, SSLSocket
 from typing import Any
 
-from cheroot.makefile import MakeFile
 from cheroot.server import HTTPConnection
 from cheroot.ssl import Adapter
 from cheroot.wsgi import Gateway_10, Server
 
 from bronzemoor_daemon.framing import TIMEVAL
+from bronzemoor_daemon.streams import make_stream
 
 # Handles one request: (method and path, body reader) -> response or None to pass on.
 Response = tuple[bytes, bytes]
 
-# Buffers of an idle connection; a request line, its headers and a short body fit.
-BUFFER_BYTES = 2_048
+MAX_HEADER_BYTES = 65_536
 EXPIRATION_INTERVAL = 5.0
 # Threads added at a time when all are occupied.
 GROWTH = 16
@@ -33,11 +32,8 @@
 class ClientConnection(HTTPConnection):
     """A client connection that waits in the selector until its first byte arrives."""
 
-    rbufsize = BUFFER_BYTES
-    wbufsize = BUFFER_BYTES
-
-    def __init__(self, server: Any, sock: Any, makefile: Any = MakeFile) -> None:
-        super().__init__(server, sock, makefile)
+    def __init__(self, server: Any, sock: Any, makefile: Any = None) -> None:
+        super().__init__(server, sock, make_stream)
         self.is_new = True
         self._is_tls = isinstance(sock, SSLSocket)
         if self._is_tls:
@@ -64,7 +60,7 @@
 
     def wait_for_input(self) -> bool:
         """Waits for the next request; false after the read timeout or at the end."""
-        return not self._is_tls and bool(self.rfile.peek(1))
+        return not self._is_tls and bool(self.rfile.peek())
 
     def is_gone(self) -> bool:
         """Tells whether the client closed its side; unknown counts as connected."""
@@ -137,6 +133,7 @@
     ConnectionClass = ClientConnection
     expiration_interval = EXPIRATION_INTERVAL
     keep_alive_conn_limit: Any = None
+    max_request_header_size = MAX_HEADER_BYTES
     # Set by cheroot when the server starts; its type stubs do not name it.
     _connections: Any
 
@@ -294,4 +291,4 @@
         return {"HTTPS": "on", "wsgi.url_scheme": "https"}
 
     def makefile(self, sock: Any, mode: str = "r", bufsize: int = -1) -> Any:
-        return MakeFile(sock, mode, bufsize)
+        return make_stream(sock, mode, bufsize)
