--- a/packages/core/src/bronzemoor_core/requests.py
+++ b/packages/core/src/bronzemoor_core/requests.py
@@ -31,9 +31,9 @@
 from bronzemoor_core.flow import RequestFlow
 from bronzemoor_core.losses import on_lost
 from bronzemoor_core.outcomes import NotRun, Unknown
+from bronzemoor_core.preconditions import make_work
 from bronzemoor_core.probes import observed_position
 from bronzemoor_core.steps import ANSWERED
-from bronzemoor_core.validation import make_work
 from bronzemoor_core.work import WAITING, Step, Work
 
 # How often waiting requests are routed again, seconds.
--- a/packages/core/src/bronzemoor_core/steps.py
+++ b/packages/core/src/bronzemoor_core/steps.py
@@ -12,7 +12,7 @@
 )
 from bronzemoor_core.outcomes import Done, NotRun, Unknown
 from bronzemoor_core.positions import Position
-from bronzemoor_core.validation import transaction_name
+from bronzemoor_core.preconditions import transaction_name
 from bronzemoor_core.work import Step, Work
 
 if TYPE_CHECKING:
--- a/packages/core/src/bronzemoor_core/validation.py
+++ b/packages/core/src/bronzemoor_core/validation.py
@@ -1,104 +1,87 @@
-"""Checks of a request before anything is sent for it."""
+"""Validation of operators' input against a JSON schema, all problems at once."""
 
 import re
-from random import Random
+from collections.abc import Iterable, Iterator
+from difflib import get_close_matches
 from typing import Any
 
-from bronzemoor_core.events import Request
-from bronzemoor_core.exceptions import InvalidRequest
-from bronzemoor_core.sessions import SessionToken
-from bronzemoor_core.statements import all_reads
-from bronzemoor_core.templates import RequestClass, Template
-from bronzemoor_core.transactions import Transaction
-from bronzemoor_core.work import Work
-
-KINDS = ("statements", "begin", "commit", "rollback")
-# Used by commit and rollback, which need no class of their own.
-TRANSACTION_CLASS = RequestClass("transaction")
-# Daemon, its incarnation and a random number; see ``transaction_name``.
-TRANSACTION_NAME = re.compile(r"[^.]+\.\d+\.[0-9a-f]{16}")
-
-
-def transaction_name(settings: Any, random: Random) -> str:
-    """Returns the id of a new transaction."""
-    return f"{settings.name}.{settings.incarnation}.{random.getrandbits(64):016x}"
-
-
-def make_work(
-    now: float, ticket: int, request: Request, blackboard: Any, random: Random
-) -> Work:
-    """Returns the work of a valid request, or raises ``InvalidRequest``."""
-    template = blackboard.configuration.templates.get(request.organisation)
-    if template is None:
-        raise _invalid("unknown_organisation", request.organisation)
-    if request.kind not in KINDS:
-        raise _invalid("unknown_kind", request.kind)
-    if request.database not in template.databases:
-        raise _invalid("unknown_database", request.database)
-    request_class = _class_of(template, request)
-    token = _token(request, blackboard, random)
-    transaction = _transaction(request, token, blackboard)
-    _check_statements(request, request_class)
-    writes = request_class.kind == "write" and request.kind == "statements"
-    needs_id = (writes and not request.transaction) or request.kind == "commit"
-    if needs_id and not request.request_id:
-        raise _invalid("missing_request_id", "a write needs a request id")
-    work = Work(now, ticket, request, request_class, token, transaction)
-    if work.deadline <= now:
-        raise _invalid("deadline", "the deadline has passed")
-    return work
-
-
-def _class_of(template: Template, request: Request) -> RequestClass:
-    request_class = template.classes.get(request.request_class)
-    if request_class is not None:
-        return request_class
-    if request.kind in ("commit", "rollback") or request.transaction:
-        return TRANSACTION_CLASS
-    raise _invalid("unknown_class", request.request_class)
-
-
-def _token(request: Request, blackboard: Any, random: Random) -> SessionToken:
-    if not request.session:
-        return SessionToken(request.organisation, f"{random.getrandbits(64):016x}")
-    token: SessionToken = blackboard.sessions.ring.verify(
-        request.session, request.organisation
-    )
-    return token
-
-
-def _transaction(
-    request: Request, token: SessionToken, blackboard: Any
-) -> Transaction | None:
-    if request.kind in ("commit", "rollback") and not request.transaction:
-        raise _invalid("unknown_transaction", "no transaction is named")
-    if not request.transaction or request.kind == "begin":
-        return None
-    transactions = blackboard.transactions
-    transaction: Transaction | None = transactions.open.get(request.transaction)
-    if transaction is None:
-        # A commit may have run before; only the endpoint knows.
-        may_have_run = transactions.ended.get(request.transaction, True)
-        well_formed = TRANSACTION_NAME.fullmatch(request.transaction)
-        if request.kind == "commit" and may_have_run and well_formed:
-            return None
-        raise _invalid("unknown_transaction", request.transaction)
-    owner = (transaction.organisation, transaction.database, transaction.session)
-    if owner != (request.organisation, request.database, token.session):
-        raise _invalid("unknown_transaction", "it belongs to another session")
-    if transaction.ticket:
-        raise _invalid("transaction_busy", "one statement at a time")
-    return transaction
-
-
-def _check_statements(request: Request, request_class: RequestClass) -> None:
-    if request.kind != "statements":
-        return
-    if not request.statements:
-        raise _invalid("no_statements", "the request holds no statement")
-    if request_class.kind == "read" and not all_reads(request.statements):
-        raise _invalid("write_in_read_class", "a statement is not provably a read")
-
-
-def _invalid(code: str, message: str) -> InvalidRequest:
-    return InvalidRequest(message, step="validation", code=code)
+from jsonschema import Draft202012Validator
+from jsonschema.exceptions import ValidationError
+
+UNIT_SECONDS = {"us": 1e-6, "ms": 1e-3, "s": 1.0, "m": 60.0, "h": 3600.0}
+DURATION_PATTERN = r"^\d+(\.\d+)?(us|ms|s|m|h)$"
+DURATION_SCHEMA: dict[str, Any] = {
+    "type": "string",
+    "pattern": DURATION_PATTERN,
+    "description": "a duration with its unit, such as 250ms, 2s or 1m",
+}
+NAME_SCHEMA: dict[str, Any] = {
+    "type": "string",
+    # Python's $ also matches before a final newline, which the lookahead excludes.
+    "pattern": r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$(?!\n)",
+    "description": "a name of 1 to 63 letters, digits, '-', '_' or '.'",
+}
+
+
+def parse_duration(text: str) -> float:
+    """Converts a duration such as ``250ms`` to seconds."""
+    match = re.match(r"^(\d+(?:\.\d+)?)(us|ms|s|m|h)$", text)
+    if match is None:
+        raise ValueError(f"{text!r} is no duration such as 250ms, 2s or 1m")
+    return float(match[1]) * UNIT_SECONDS[match[2]]
+
+
+def find_problems(schema: dict[str, Any], body: Any) -> list[str]:
+    """Returns one line a problem: its path, what was found and what is allowed."""
+    errors = Draft202012Validator(schema).iter_errors(body)
+    ordered = sorted(errors, key=lambda error: [str(part) for part in error.path])
+    return [line for error in ordered for line in _describe(error)]
+
+
+def nearest(name: str, allowed: Iterable[str]) -> str:
+    """Returns a suggestion such as ``; did you mean 'max_age'?``, or nothing."""
+    close = get_close_matches(name, list(allowed), n=1, cutoff=0.6)
+    return f"; did you mean {close[0]!r}?" if close else ""
+
+
+def _describe(error: ValidationError) -> Iterator[str]:
+    instance: Any = error.instance
+    path = ".".join(str(part) for part in error.absolute_path) or "(top level)"
+    found = _abbreviate(instance)
+    rule: Any = error.validator_value
+    schema: Any = error.schema
+    if error.validator == "additionalProperties":
+        known = sorted(schema.get("properties", {}))
+        for key in sorted(set(map(str, instance)) - set(known)):
+            names = ", ".join(known)
+            yield f"{path}: unknown key {key!r}{nearest(key, known)} (allowed: {names})"
+    elif error.validator == "required":
+        for key in rule:
+            if key not in instance:
+                yield f"{path}: required key {key!r} is missing"
+    elif error.validator == "enum":
+        names = ", ".join(map(str, rule))
+        hint = nearest(str(instance), map(str, rule))
+        yield f"{path}: found {found}, allowed: {names}{hint}"
+    elif error.validator in ("type", "pattern"):
+        allowed = schema.get("description", rule)
+        yield f"{path}: found {found}, allowed: {allowed}"
+    elif error.validator in ("minimum", "exclusiveMinimum", "maximum", "minItems"):
+        yield f"{path}: found {found}, allowed: {_bounds(schema)}"
+    else:
+        yield f"{path}: {error.message}"
+
+
+def _bounds(schema: dict[str, Any]) -> str:
+    words = {
+        "minimum": ">=",
+        "exclusiveMinimum": ">",
+        "maximum": "<=",
+        "minItems": "items >=",
+    }
+    return " and ".join(f"{words[k]} {schema[k]}" for k in words if k in schema)
+
+
+def _abbreviate(value: Any) -> str:
+    text = repr(value)
+    return text if len(text) <= 60 else f"{text[:57]}..."
