Follow the endpoint's position terms, refusals and the control plane's views

Cause: an answer carries the term of its position, so a record of an older term at the current primary looked deposed, and a lookup found it never. Members known only from a relay or the leader counted as silent. Heartbeats read held connections and waiting requests that did not exist, so demand was reported as 0.

--- a/packages/core/src/bronzemoor_core/admission.py
+++ b/packages/core/src/bronzemoor_core/admission.py
@@ -84,6 +84,11 @@
         self.granted_at: dict[int, float] = {}
         self.location: dict[int, str] = {}
 
+    @property
+    def waiting(self) -> dict[str, int]:
+        """Number of waiting requests by database."""
+        return {name: len(queue.entries) for name, queue in self.databases.items()}
+
     def depth(self, database: str) -> int:
         """Number of requests that wait for a connection to ``database``."""
         queue = self.databases.get(database)
--- a/packages/core/src/bronzemoor_core/calls.py
+++ b/packages/core/src/bronzemoor_core/calls.py
@@ -18,7 +18,8 @@
     Step.COMMIT: "commit",
     Step.ROLLBACK: "rollback",
 }
-# Part of a confirmation's timeout that the endpoint may wait; the rest is for the way.
+# Part of the timeout of a confirmation or lookup that the endpoint may wait; the rest
+# is for the way.
 CONFIRM_WAIT = 0.8
 
 
@@ -40,7 +41,7 @@
         request.digest,
         min_position=_min_position(work, kind),
     )
-    if kind == "confirm":
+    if kind in ("confirm", "lookup"):
         call.wait_ms = max(1, int(timeout * CONFIRM_WAIT * 1_000))
     elif kind in ("execute", "begin"):
         call.wait_ms = work.route.wait_ms
--- a/packages/core/src/bronzemoor_core/connections.py
+++ b/packages/core/src/bronzemoor_core/connections.py
@@ -43,6 +43,7 @@
     probe_at: float = 0.0
     answered_at: float = 0.0
     closing_since: float = 0.0
+    used_at: float = 0.0
 
     @property
     def idle(self) -> bool:
@@ -98,7 +99,9 @@
     next_open_at: float = 0.0
     next_probe_at: float = 0.0
     next_replace_at: float = 0.0
+    # When the primary's position was last sampled, and how often it should be.
     sampled_at: float = 0.0
+    sample_interval: float = 0.0
 
     @property
     def total(self) -> int:
@@ -159,6 +162,11 @@
         self.connections: dict[int, Connection] = {}
         self.by_ticket: dict[int, int] = {}
 
+    @property
+    def held(self) -> dict[str, int]:
+        """Connections that count against the share, by database."""
+        return {name: pool.total for name, pool in self.databases.items()}
+
     def total(self, database: str) -> int:
         """Connections of this daemon that count against its share of ``database``."""
         pool = self.databases.get(database)
--- a/packages/core/src/bronzemoor_core/flow.py
+++ b/packages/core/src/bronzemoor_core/flow.py
@@ -64,8 +64,9 @@
         return database or Database(name)
 
     def is_deposed(self, work: Work, answer: Answer) -> bool:
-        """Tells whether ``answer`` comes from a term that was replaced."""
-        return answer.term < self.database(work).term
+        """Tells whether ``answer`` comes from a primary that was replaced."""
+        database = self.database(work)
+        return answer.term < database.term and work.member != database.primary
 
     def route(self, now: float, work: Work) -> list[object]:
         """Queues the request for a connection that suits its next step."""
--- a/packages/core/src/bronzemoor_core/pools.py
+++ b/packages/core/src/bronzemoor_core/pools.py
@@ -37,6 +37,8 @@
 # How often the connections of each pool are checked, seconds.
 CHECK_INTERVAL = 0.020
 GAUGE_INTERVAL = 1.0
+# How long a connection beyond the warm ones stays without use, seconds.
+IDLE_LIMIT = 10.0
 
 
 @controller("pools")
@@ -73,7 +75,7 @@
             return self._opening_failed(now, connection, reason, answered=True)
         pool = self._pool(connection.database)
         pool.move(connection, State.WARM)
-        connection.answered_at = connection.probe_at = now
+        connection.answered_at = connection.probe_at = connection.used_at = now
         items = self._prober.on_fresh(now, pool, connection)
         position = Position(answer.term, answer.offset)
         items.append(
@@ -117,7 +119,7 @@
         self._detach(pool, connection)
         if event.clean:
             pool.move(connection, State.WARM)
-            connection.answered_at = connection.probe_at = now
+            connection.answered_at = connection.probe_at = connection.used_at = now
             items = self._shrink(now, pool)
         else:
             items = [self._close(now, connection, event.reason or "not_clean")]
@@ -264,6 +266,11 @@
             elif connections[0].replace and self._prober.may_replace(now, pool):
                 pool.link(member).replacements += 1
                 items.append(self._close(now, connections[0], "replaced"))
+            elif len(connections) > self._settings.data_path.min_warm:
+                unused = min(connections, key=lambda c: c.used_at)
+                if now - unused.used_at > IDLE_LIMIT:
+                    # Leaves the place to daemons with more demand.
+                    items.append(self._close(now, unused, "idle"))
         return items
 
     def _opening_failed(
--- a/packages/core/src/bronzemoor_core/probes.py
+++ b/packages/core/src/bronzemoor_core/probes.py
@@ -36,6 +36,7 @@
     def probe_due(self, now: float, pool: DatabasePool) -> list[object]:
         """Probes idle connections that are due, and the primary for its position."""
         interval = self._settings.data_path.probe_interval
+        pool.sample_interval = self._sample_interval(pool)
         items: list[object] = []
         for connections in pool.idle_by_member().values():
             for connection in connections:
@@ -136,7 +137,6 @@
         """Learns when the primary was sampled and how far replicas lag."""
         if event.proved_at is not None:
             pool.sampled_at = max(pool.sampled_at, now)
-            return
         database = self._blackboard.topology.databases.get(pool.name)
         if database is None or event.role == "primary":
             return
@@ -149,7 +149,7 @@
 
     def _sample_primary(self, now: float, pool: DatabasePool) -> list[object]:
         database = self._blackboard.topology.databases.get(pool.name)
-        if database is None or now - pool.sampled_at < self._sample_interval(pool):
+        if database is None or now - pool.sampled_at < pool.sample_interval:
             return []
         for connection in pool.of_member(database.primary):
             if connection.idle:
--- a/packages/core/src/bronzemoor_core/requests.py
+++ b/packages/core/src/bronzemoor_core/requests.py
@@ -18,6 +18,7 @@
     ConnectionRefused,
     ConnectionReleased,
     MemberLost,
+    PositionObserved,
     PrimaryChanged,
     RequestFinished,
     RequestReceived,
@@ -124,8 +125,7 @@
         # Other answers may carry a position that is asked about or recorded.
         current = work.call.kind == "execute" and not work.call.transaction_id
         if current and answer.status == "ok" and not answer.repeated:
-            connection = self._blackboard.pools.connections[event.connection]
-            items.append(observed_position(connection, event))
+            items.append(self._observe(now, event))
         return [*items, *ANSWERED[work.step](self, now, work, event)]
 
     @handles(AnswerTimedOut)
@@ -213,6 +213,17 @@
                     items += self.route(now, work)
         return items
 
+    def _observe(self, now: float, event: AnswerReceived) -> PositionObserved:
+        """The position of an answer; a sample only if one is due, because so many
+        samples would displace the older ones that lagging replicas need."""
+        pools = self._blackboard.pools
+        connection = pools.connections[event.connection]
+        pool = pools.databases[connection.database]
+        observed = observed_position(connection, event)
+        if now - pool.sampled_at < pool.sample_interval:
+            observed.proved_at = None
+        return observed
+
     def _abandon_later(self, now: float, event: PrimaryChanged) -> None:
         """Notes the writes in progress at a primary that was replaced."""
         for work in self._own.active.values():
--- a/packages/core/src/bronzemoor_core/routing.py
+++ b/packages/core/src/bronzemoor_core/routing.py
@@ -108,8 +108,13 @@
 
 
 def is_serving(member: Member, now: float, lease: float) -> bool:
-    """Tells whether ``member`` may get new work."""
-    return not member.leaving and now - member.last_heard <= lease
+    """Tells whether ``member`` may get new work.
+
+    Membership removes members that others report once those report their loss.
+    """
+    if member.leaving:
+        return False
+    return member.source != "announcement" or now - member.last_heard <= lease
 
 
 def expected_delay(member: Member, link: MemberLink, settings: Any) -> float:
@@ -211,7 +216,7 @@
             name = member.name
             if name == database.primary or name in excluded:
                 continue
-            if member.leaving or now - member.last_heard > lease:
+            if not is_serving(member, now, lease):
                 continue
             link = links.get(name, NEW_LINK)
             catch_up = 0.0
--- a/packages/core/src/bronzemoor_core/steps.py
+++ b/packages/core/src/bronzemoor_core/steps.py
@@ -24,13 +24,28 @@
 
 # Refusals that another member, or the same one later, may not repeat.
 TEMPORARY = frozenset(
-    ("not_primary", "stale_term", "behind", "fenced", "busy", "leaving")
+    (
+        "not_primary",
+        "stale_term",
+        "behind",
+        "fenced",
+        "busy",
+        "leaving",
+        "deadline",
+        "rebuilding",
+        "catching_up",
+        "in_progress",
+    )
 )
-# Refusals that show a member to be no primary of the newest term.
-DEPOSED = frozenset(("not_primary", "stale_term", "fenced"))
+# Refusals that show a member to be no primary of the newest term, or a write to be
+# discarded by a promotion.
+DEPOSED = frozenset(("not_primary", "stale_term", "fenced", "position_discarded"))
 # Refusals after which a transaction cannot go on.
 BROKEN = DEPOSED | {"unknown_transaction"}
-PUBLIC_CODES = {"write_in_read": "write_in_read_class"}
+PUBLIC_CODES = {
+    "write_in_read": "write_in_read_class",
+    "read_only": "write_in_read_class",
+}
 # Lookups after an own attempt was lost; it may still be running at the endpoint.
 LOOKUPS_AFTER_LOSS = 4
 # Bounds the rounds of a confirmation in case an endpoint does not wait.
@@ -86,7 +101,7 @@
         work.code = "deposed_primary"
         return flow.retry(now, work, Step.RESERVE, free=True)
     work.position = Position(answer.term, answer.offset)
-    if answer.majority_offset >= answer.offset:
+    if _is_covered(flow, work, answer):
         return _execute_reserved(flow, now, work)
     return [
         SlotReleased(work.connection),
@@ -117,7 +132,7 @@
         return flow.fail(now, work, answer.code, answer.message)
     if flow.is_deposed(work, answer):
         return flow.retry(now, work, Step.LOOKUP, free=True)
-    if answer.status == "ok" and answer.repeated:
+    if answer.repeated:
         return _settle(flow, now, work, answer, Step.CONFIRM_LOOKUP)
     work.lookups_left -= 1
     if work.lookups_left > 0:
@@ -246,9 +261,12 @@
         return _resolve(flow, now, work, "deposed_primary", 1)
     if answer.status == "failed":
         return flow.finish(now, work, _done(work, answer))
+    if answer.term < flow.database(work).term and not answer.repeated:
+        # Only a recorded result may be older than the term of its primary.
+        return _resolve(flow, now, work, "deposed_primary", 1)
     work.answer = answer
     work.position = Position(answer.term, answer.offset)
-    if answer.majority_offset >= answer.offset:
+    if _is_covered(flow, work, answer):
         return _acknowledge(flow, now, work)
     return [SlotReleased(work.connection), *flow.send(now, work, confirm)]
 
@@ -260,8 +278,7 @@
 
 
 def _execute_reserved(flow: "RequestFlow", now: float, work: Work) -> Items:
-    database = flow.database(work)
-    if database.primary != work.member or database.term > work.position.term:
+    if flow.database(work).primary != work.member:
         work.code = "deposed_primary"
         return flow.retry(now, work, Step.RESERVE, free=True)
     return flow.send(now, work, Step.EXECUTE)
@@ -277,6 +294,16 @@
     return flow.look_up(now, work)
 
 
+def _is_covered(flow: "RequestFlow", work: Work, answer: Answer) -> bool:
+    """Tells whether the answer itself shows that a majority holds its position.
+
+    Its ``majority_offset`` counts entries of the primary's term, so the position of an
+    older term has to be confirmed by a call.
+    """
+    current = answer.term >= flow.database(work).term
+    return current and answer.majority_offset >= answer.offset
+
+
 def _is_confirmed(flow: "RequestFlow", work: Work, answer: Answer) -> bool:
     return (
         answer.status == "ok"
