Give the share tests the sections that other heartbeat parts read

Cause: heartbeat parts register globally, so the fake blackboard of test_limits lacked sections as soon as another test had imported their modules. Conclusion: the checks are unchanged; only the fake is complete.

--- a/packages/core/tests/test_limits.py
+++ b/packages/core/tests/test_limits.py
@@ -24,6 +24,7 @@
 from bronzemoor_core.limits import LimitController, Limits
 from bronzemoor_core.membership import Database, Member
 from bronzemoor_core.messages import HeartbeatReply, Share
+from bronzemoor_core.node import make_node
 from bronzemoor_core.settings import ControlSettings, NodeSettings
 from bronzemoor_core.templates import Template
 
@@ -45,6 +46,8 @@
     def __init__(self, cluster, name, incarnation=1):
         self.cluster, self.name, self.rate = cluster, name, 1.0
         self.allowed, self.metrics = {}, []
+        # Heartbeat parts of other modules read their own sections.
+        others = make_node(NodeSettings(name, "lisbon"), Random(1)).blackboard
         self.board = Board(
             log=SimpleNamespace(
                 role="follower",
@@ -54,12 +57,12 @@
                 established=True,
                 founded_term=0,
             ),
-            configuration=SimpleNamespace(templates=cluster.templates),
+            configuration=SimpleNamespace(templates=cluster.templates, keys=()),
             topology=SimpleNamespace(databases=cluster.databases),
             pools=SimpleNamespace(held={}),
             queues=SimpleNamespace(waiting={}),
-            state=None,
-            failover=None,
+            state=others.state,
+            failover=others.failover,
         )
         options = NodeSettings(name, "lisbon", incarnation=incarnation)
         options.timers = cluster.timers
