Avoid replicas that cannot be reached before their lease ends

Conclusion: members whose openings fail are routed to and opened last (test_reads_avoid_a_replica_that_cannot_be_reached, which fails with both off).

--- a/packages/core/src/bronzemoor_core/grants.py
+++ b/packages/core/src/bronzemoor_core/grants.py
@@ -31,7 +31,8 @@
         member = next((m for m in members if idle.get(m)), None)
         if member is None:
             if members:
-                starved[members[0]] += 1
+                reachable = (m for m in members if not pool.link(m).failures)
+                starved[next(reachable, members[0])] += 1
             continue
         connection = idle[member].pop()
         _assign(pools, pool, connection, wanted.ticket)
--- a/packages/core/src/bronzemoor_core/routing.py
+++ b/packages/core/src/bronzemoor_core/routing.py
@@ -211,7 +211,8 @@
         wait = settings.data_path.catch_up_wait
         links = pool.links if pool else {}
         near = data_centre or settings.data_centre
-        candidates = []
+        candidates: list[Candidate] = []
+        unreachable: list[Candidate] = []
         for member in database.members.values():
             name = member.name
             if name == database.primary or name in excluded:
@@ -224,7 +225,9 @@
                 if link.lag > wait or now < link.behind_until:
                     continue
                 catch_up = link.lag
-            candidates.append(
+            # A member may be lost long before its lease ends.
+            reached = unreachable if link.failures else candidates
+            reached.append(
                 Candidate(
                     name,
                     link.running,
@@ -233,4 +236,4 @@
                     catch_up,
                 )
             )
-        return candidates
+        return candidates or unreachable
--- a/packages/core/tests/test_requests.py
+++ b/packages/core/tests/test_requests.py
@@ -320,6 +320,18 @@
     assert reply.outcome.role == "primary"
 
 
+def test_reads_avoid_a_replica_that_cannot_be_reached():
+    """Guards against reads that wait for a dead replica until its lease ends."""
+    world = World()
+    world.down = {"b"}
+    for connection, member in list(world.opened.items()):
+        if member == "b":
+            world.handle(ConnectionClosed(connection, "reset"))
+    for _ in range(5):
+        reply = world.ask("own", seconds=0.1)
+        assert (reply.outcome.tag, reply.outcome.peer) == ("done", "c")
+
+
 def test_a_write_in_progress_outlives_its_caller():
     """Guards against giving up a write, or replying, when the caller left."""
     world = World()
