Probe idle connections beside a slow call

Cause: while traffic sampled the primary, idle silent connections were found only by the timeout of a request or the probe after 0.5 s, so new requests got them too. Conclusion: a call without an answer for 0.25 s makes the idle connections of its member be probed before use; a new request is served within 0.1 s after that (test_silent_connections_are_replaced_without_suspicion fails with it off).

--- a/packages/core/src/bronzemoor_core/connections.py
+++ b/packages/core/src/bronzemoor_core/connections.py
@@ -69,6 +69,8 @@
     retry_at: float = 0.0
     # When a silent connection called for a comparison with a fresh one.
     compare_since: float | None = None
+    # When a slow call may next cause a look at the idle connections.
+    slow_check_at: float = 0.0
     # Closed connections that are to be opened again.
     replacements: int = 0
 
--- a/packages/core/src/bronzemoor_core/grants.py
+++ b/packages/core/src/bronzemoor_core/grants.py
@@ -35,7 +35,7 @@
                 starved[next(reachable, members[0])] += 1
             continue
         connection = idle[member].pop()
-        _assign(pools, pool, connection, wanted.ticket)
+        _assign(now, pools, pool, connection, wanted.ticket)
         items.append(ConnectionGranted(wanted.ticket, connection.number, member))
     if starved:
         # Connections under a probe are about to be idle again.
@@ -51,10 +51,11 @@
 
 
 def _assign(
-    pools: Pools, pool: DatabasePool, connection: Connection, ticket: int
+    now: float, pools: Pools, pool: DatabasePool, connection: Connection, ticket: int
 ) -> None:
     pool.move(connection, State.BUSY)
     connection.ticket = ticket
     connection.executing = True
+    connection.used_at = now
     pools.by_ticket[ticket] = connection.number
     pool.link(connection.member).running += 1
--- a/packages/core/src/bronzemoor_core/probes.py
+++ b/packages/core/src/bronzemoor_core/probes.py
@@ -16,6 +16,8 @@
 SUSPECT_SPACING = 0.020
 # Distance of the replacements of outdated connections of one pool, seconds.
 REPLACE_SPACING = 0.200
+# How often a slow call causes a look at the idle connections, seconds.
+SLOW_CHECK_INTERVAL = 1.0
 # A staleness bound needs several samples of the primary within it.
 SAMPLES_PER_AGE = 4
 # Shortest interval of probes of the primary, seconds.
@@ -43,6 +45,7 @@
                 jitter = 0.75 + 0.25 * self._random.random()
                 if now - connection.probe_at >= interval * jitter:
                     items.append(self._probe(now, connection))
+        items += self._probe_beside_slow(now, pool)
         items += self._sample_primary(now, pool)
         if now >= pool.next_probe_at and pool.counts[State.SUSPECT]:
             suspects = (c for c in pool.of_state(State.SUSPECT) if c.probe is None)
@@ -147,6 +150,27 @@
                 break
         pool.link(event.member).observe_lag(lag)
 
+    def _probe_beside_slow(self, now: float, pool: DatabasePool) -> list[object]:
+        """Probes the idle connections of a member with a slow call before they are
+        used: a slow statement harms nothing, but silence rarely hits one alone."""
+        limit = now - self._settings.data_path.probe_timeout
+        slow = {
+            c.member
+            for c in pool.of_state(State.BUSY)
+            if not c.pinned and max(c.used_at, c.answered_at) < limit
+        }
+        items: list[object] = []
+        for member in slow:
+            link = pool.link(member)
+            if now < link.slow_check_at:
+                continue
+            link.slow_check_at = now + SLOW_CHECK_INTERVAL
+            for connection in pool.of_member(member):
+                if connection.idle and connection.answered_at < limit:
+                    pool.move(connection, State.SUSPECT)
+                    items.append(self._probe(now, connection))
+        return items
+
     def _sample_primary(self, now: float, pool: DatabasePool) -> list[object]:
         database = self._blackboard.topology.databases.get(pool.name)
         if database is None or now - pool.sampled_at < pool.sample_interval:
