--- a/packages/core/src/bronzemoor_core/pools.py
+++ b/packages/core/src/bronzemoor_core/pools.py
@@ -169,7 +169,14 @@
         pool = self._pool(connection.database)
         self._detach(pool, connection)
         self._prober.compare(now, pool, connection, event.sent_at)
+        fields = {
+            "database": pool.name,
+            "peer": connection.member,
+            "call": event.call.kind,
+            "opened_ago": round(now - connection.started_at, 3),
+        }
         return [
+            EmitLog("warning", "connection_unresponsive", fields),
             self._close(now, connection, "answer_timed_out"),
             *self._settle(now, pool),
         ]
--- a/packages/core/src/bronzemoor_core/probes.py
+++ b/packages/core/src/bronzemoor_core/probes.py
@@ -116,8 +116,10 @@
             connection.replace = True
             if connection.state is State.WARM:
                 pool.move(connection, State.SUSPECT)
+        if not older:
+            return []
         fields = {"database": pool.name, "peer": fresh.member, "older": len(older)}
-        return [EmitLog("warning", "connection_unresponsive", fields)]
+        return [EmitLog("warning", "connections_outdated", fields)]
 
     def answered_since(self, pool: DatabasePool, failed: Connection) -> bool:
         """Tells whether another connection answered since ``failed`` began to open."""
