--- a/packages/core/src/bronzemoor_core/admission.py
+++ b/packages/core/src/bronzemoor_core/admission.py
@@ -35,12 +35,14 @@
 
 @dataclass(slots=True)
 class Queue:
-    """Waiting requests of one database, best first.
+    """Waiting requests of one database, best first; also grouped by the members that
+    they want, so that one group never stands in the way of another.
 
     ``service_time`` is the average time in seconds that a request holds a connection.
     """
 
     entries: list[Waiting] = field(default_factory=list)
+    groups: dict[tuple[str, ...], list[Waiting]] = field(default_factory=dict)
     by_ticket: dict[int, Waiting] = field(default_factory=dict)
     by_class: dict[tuple[str, str], int] = field(default_factory=dict)
     service_time: float = 0.0
@@ -48,6 +50,7 @@
     def add(self, entry: Waiting) -> None:
         insort(self.entries, entry)
         wanted = entry.wanted
+        insort(self.groups.setdefault(wanted.members, []), entry)
         self.by_ticket[wanted.ticket] = entry
         self._count(wanted, 1)
 
@@ -55,6 +58,10 @@
         entry = self.by_ticket.pop(ticket, None)
         if entry is not None:
             del self.entries[bisect_left(self.entries, entry)]
+            group = self.groups[entry.wanted.members]
+            del group[bisect_left(group, entry)]
+            if not group:
+                del self.groups[entry.wanted.members]
             self._count(entry.wanted, -1)
         return entry
 
--- a/packages/core/src/bronzemoor_core/connections.py
+++ b/packages/core/src/bronzemoor_core/connections.py
@@ -66,6 +66,8 @@
     # Number of connections by state.
     counts: Counter[State] = field(default_factory=Counter)
     failures: int = 0
+    # The last opening failed without an answer, and nothing answered since.
+    unreachable: bool = False
     retry_at: float = 0.0
     # When a silent connection called for a comparison with a fresh one.
     compare_since: float | None = None
@@ -104,6 +106,7 @@
     # When the primary's position was last sampled, and how often it should be.
     sampled_at: float = 0.0
     sample_interval: float = 0.0
+    interval_at: float = 0.0
 
     @property
     def total(self) -> int:
--- a/packages/core/src/bronzemoor_core/grants.py
+++ b/packages/core/src/bronzemoor_core/grants.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from typing import Any
 
+from bronzemoor_core.admission import Waiting
 from bronzemoor_core.connections import Connection, DatabasePool, Pools, State
 from bronzemoor_core.events import ConnectionGranted
 from bronzemoor_core.membership import Database
@@ -23,26 +24,56 @@
         return items, starved
     database = blackboard.topology.databases.get(pool.name)
     idle = pool.idle_by_member()
-    for entry in queue.entries:
-        wanted = entry.wanted
-        if wanted.ticket in pools.by_ticket or not wanted.members:
-            continue
-        members = [m for m in wanted.members if _has_slot(database, pool, m)]
+    groups = [_Group(members, group) for members, group in queue.groups.items()]
+    waiting = [group for group in groups if group.advance(pools)]
+    while waiting:
+        group = min(waiting, key=_Group.head)
+        members = [m for m in group.members if _has_slot(database, pool, m)]
         member = next((m for m in members if idle.get(m)), None)
         if member is None:
+            waiting.remove(group)
             if members:
-                reachable = (m for m in members if not pool.link(m).failures)
-                starved[next(reachable, members[0])] += 1
+                reachable = (m for m in members if not pool.link(m).unreachable)
+                starved[next(reachable, members[0])] += group.left
             continue
+        ticket = group.head().wanted.ticket
         connection = idle[member].pop()
-        _assign(now, pools, pool, connection, wanted.ticket)
-        items.append(ConnectionGranted(wanted.ticket, connection.number, member))
+        _assign(now, pools, pool, connection, ticket)
+        items.append(ConnectionGranted(ticket, connection.number, member))
+        if not group.advance(pools):
+            waiting.remove(group)
     if starved:
         # Connections under a probe are about to be idle again.
         starved -= Counter(c.member for c in pool.of_state(State.WARM) if c.probe)
     return items, starved
 
 
+class _Group:
+    """The requests that want the same members; granted ones are passed over."""
+
+    __slots__ = ("_entries", "_index", "members")
+
+    def __init__(self, members: tuple[str, ...], entries: list[Waiting]) -> None:
+        self.members = members
+        self._entries = entries
+        self._index = 0
+
+    @property
+    def left(self) -> int:
+        return len(self._entries) - self._index
+
+    def head(self) -> Waiting:
+        return self._entries[self._index]
+
+    def advance(self, pools: Pools) -> bool:
+        """Moves to the next request without a connection; tells if there is one."""
+        if not self.members:
+            return False
+        while self.left and self.head().wanted.ticket in pools.by_ticket:
+            self._index += 1
+        return self.left > 0
+
+
 def _has_slot(database: Database | None, pool: DatabasePool, member: str) -> bool:
     known = database.members.get(member) if database else None
     if known is None or known.leaving:
--- a/packages/core/src/bronzemoor_core/pools.py
+++ b/packages/core/src/bronzemoor_core/pools.py
@@ -153,9 +153,10 @@
         if connection is None or connection.state in (State.CLOSING, State.OPENING):
             return []
         connection.answered_at = now
+        pool = self._pool(connection.database)
+        pool.link(connection.member).unreachable = False
         if connection.ticket:
             return []
-        pool = self._pool(connection.database)
         items, valid = self._prober.on_answer(now, pool, connection, event)
         if not valid:
             items.append(self._close(now, connection, "discarded_answer"))
@@ -292,6 +293,7 @@
         }
         items: list[object] = [EmitLog("warning", "connection_failed", fields)]
         if not answered and not self._prober.answered_since(pool, connection):
+            pool.link(connection.member).unreachable = True
             items.append(
                 MemberSuspected(pool.name, connection.member, "fresh_connection_failed")
             )
--- a/packages/core/src/bronzemoor_core/probes.py
+++ b/packages/core/src/bronzemoor_core/probes.py
@@ -20,6 +20,8 @@
 SLOW_CHECK_INTERVAL = 1.0
 # A staleness bound needs several samples of the primary within it.
 SAMPLES_PER_AGE = 4
+# How often the interval of samples is derived from the templates, seconds.
+INTERVAL_REFRESH = 1.0
 # Shortest interval of probes of the primary, seconds.
 MIN_SAMPLE_INTERVAL = 0.020
 
@@ -38,7 +40,9 @@
     def probe_due(self, now: float, pool: DatabasePool) -> list[object]:
         """Probes idle connections that are due, and the primary for its position."""
         interval = self._settings.data_path.probe_interval
-        pool.sample_interval = self._sample_interval(pool)
+        if now >= pool.interval_at:
+            pool.interval_at = now + INTERVAL_REFRESH
+            pool.sample_interval = self._sample_interval(pool)
         items: list[object] = []
         for connections in pool.idle_by_member().values():
             for connection in connections:
@@ -103,6 +107,7 @@
         """Marks the older connections of a member once a fresh one works."""
         link = pool.link(fresh.member)
         link.failures = 0
+        link.unreachable = False
         link.retry_at = 0.0
         if link.compare_since is None:
             return []
--- a/packages/core/src/bronzemoor_core/routing.py
+++ b/packages/core/src/bronzemoor_core/routing.py
@@ -226,7 +226,7 @@
                     continue
                 catch_up = link.lag
             # A member may be lost long before its lease ends.
-            reached = unreachable if link.failures else candidates
+            reached = unreachable if link.unreachable else candidates
             reached.append(
                 Candidate(
                     name,
--- a/packages/core/tests/test_admission.py
+++ b/packages/core/tests/test_admission.py
@@ -33,6 +33,15 @@
     assert order == [urgent, pressing, relaxed, later]
 
 
+def test_waiting_writes_do_not_stand_in_the_way_of_reads():
+    """Guards against reads that wait for replicas behind writes without a primary."""
+    world = World(classes=(URGENT, RequestClass("own", "read", priority=9)))
+    world.database.primary = ""
+    for _ in range(100):
+        world.send("u")
+    assert world.ask("own", seconds=0.05).outcome.tag == "done"
+
+
 def test_a_full_queue_displaces_lower_priorities_first(stalled):
     """Guards against a queue full of bulk requests that shuts out claims."""
     first = [stalled.send("l", deadline=stalled.now + 2 + n) for n in range(4)]
