Retry reads elsewhere when their member is replaced or cannot be reached

Conclusion: such reads move on 50 ms after the change or the suspicion (test_a_read_leaves_a_member_that_cannot_be_reached fails without it).

--- a/packages/core/src/bronzemoor_core/losses.py
+++ b/packages/core/src/bronzemoor_core/losses.py
@@ -39,7 +39,7 @@
         work.maybe_ran = True
     if work.is_read or (work.repeatable and work.request.kind == "statements"):
         # A failover happens once and must not use up the budget.
-        free = not sent or reason == "primary_replaced"
+        free = not sent or reason == "member_given_up"
         return flow.retry(now, work, Step.EXECUTE, free=free, clean=False)
     if step is Step.EXECUTE and not sent:
         # Nothing left this process, so the reservation is still unused.
--- a/packages/core/src/bronzemoor_core/requests.py
+++ b/packages/core/src/bronzemoor_core/requests.py
@@ -1,6 +1,7 @@
 """Life cycle of one request from admission to outcome."""
 
 from collections import deque
+from collections.abc import Iterator
 from itertools import count
 from random import Random
 from typing import Any
@@ -18,6 +19,7 @@
     ConnectionRefused,
     ConnectionReleased,
     MemberLost,
+    MemberSuspected,
     PositionObserved,
     PrimaryChanged,
     RequestFinished,
@@ -39,7 +41,8 @@
 
 # How often waiting requests are routed again, seconds.
 REROUTE_INTERVAL = 0.100
-# How long a replaced primary may still answer; a planned switchover needs less.
+# How long a replaced or unreachable member may still answer; a planned switchover
+# needs less.
 ABANDON_AFTER = 0.050
 
 
@@ -196,7 +199,10 @@
         self, now: float, event: PrimaryChanged | MemberLost
     ) -> list[object]:
         if isinstance(event, PrimaryChanged):
-            self._abandon_later(now, event)
+            for work in self._in_progress(event.database):
+                at_primary = not work.is_read or work.route.fallback
+                if at_primary and work.member != event.member:
+                    self._abandon_later(now, work)
         return self._reroute(now, event.database, resume=True)
 
     @handles(Tick)
@@ -224,21 +230,26 @@
             observed.proved_at = None
         return observed
 
-    def _abandon_later(self, now: float, event: PrimaryChanged) -> None:
-        """Notes the writes in progress at a primary that was replaced."""
+    @handles(MemberSuspected)
+    def on_member_suspected(self, now: float, event: MemberSuspected) -> None:
+        for work in self._in_progress(event.database):
+            if work.is_read and work.member == event.member:
+                self._abandon_later(now, work)
+
+    def _in_progress(self, database: str) -> Iterator[Work]:
+        """Requests of ``database`` that wait for an answer."""
         for work in self._own.active.values():
-            if (
-                work.request.database == event.database
-                and work.connection
-                and not work.is_read
-                and work.member != event.member
-                and work.call is not None
-            ):
-                at = now + ABANDON_AFTER
-                self._abandoned.append((at, work.ticket, work.call.correlation_id))
+            if work.request.database == database and work.connection:
+                yield work
+
+    def _abandon_later(self, now: float, work: Work) -> None:
+        if work.call is not None:
+            at = now + ABANDON_AFTER
+            self._abandoned.append((at, work.ticket, work.call.correlation_id))
 
     def _abandon(self, now: float) -> list[object]:
-        """Gives up on calls to a replaced primary, whose answers may never come."""
+        """Gives up on calls to a primary that was replaced or a member that cannot be
+        reached, whose answers may never come."""
         items: list[object] = []
         while self._abandoned and self._abandoned[0][0] <= now:
             _, ticket, correlation = self._abandoned.popleft()
@@ -246,7 +257,7 @@
             if work is None or work.call is None:
                 continue
             if work.call.correlation_id == correlation:
-                items += self._lose(now, work, "primary_replaced")
+                items += self._lose(now, work, "member_given_up")
         return items
 
     def _lose(
--- a/packages/core/tests/datapath_world.py
+++ b/packages/core/tests/datapath_world.py
@@ -89,6 +89,9 @@
 
     def replicate_to(self, other):
         if other.term <= self.term and self.role == "primary":
+            if other.role == "primary":
+                # A member that accepts a newer primary's log steps down.
+                other.role, other.open = "replica", {}
             other.term, other.log = self.term, list(self.log)
             self.acks[other.name] = len(self.log)
 
--- a/packages/core/tests/test_requests.py
+++ b/packages/core/tests/test_requests.py
@@ -344,6 +344,17 @@
         assert (reply.outcome.tag, reply.outcome.peer) == ("done", "c")
 
 
+def test_a_read_leaves_a_member_that_cannot_be_reached():
+    """Guards against a read that waits for a dead member until its deadline."""
+    world = World(open_timeout=0.1)
+    world.down = {"b"}
+    world.fault = lambda m, call: lose_call if m.name == "b" else None
+    ticket = world.send("own")
+    world.run(0.7)
+    outcome = world.replies[ticket].outcome
+    assert (outcome.tag, outcome.peer) == ("done", "c")
+
+
 def test_a_write_in_progress_outlives_its_caller():
     """Guards against giving up a write, or replying, when the caller left."""
     world = World()
