--- /dev/null
+++ b/packages/daemon/src/bronzemoor_daemon/embedded.py
@@ -0,0 +1,222 @@
+"""A whole system in one process, for the demo and for tests of whole paths."""
+
+import socket
+from collections.abc import Callable
+from time import monotonic, sleep
+from typing import Any
+
+from requests import RequestException, Session
+
+from bronzemoor_core.exceptions import BronzemoorError
+from bronzemoor_core.settings import NodeSettings
+from bronzemoor_daemon.application import Application, make_application
+from bronzemoor_daemon.settings import DaemonSettings
+from bronzemoor_standin.member import Member
+from bronzemoor_standin.settings import MemberSettings
+
+LOOPBACK = "127.0.0.1"
+POLL_INTERVAL_S = 0.01
+HTTP_TIMEOUT_S = 10.0
+
+
+class Client:
+    """A client of several daemons; follows one session over all of them."""
+
+    def __init__(self, addresses: list[str], organisation: str, database: str) -> None:
+        self._http = Session()
+        self._http.trust_env = False
+        self._addresses = addresses
+        self._organisation = organisation
+        self._database = database
+        self.session = ""
+
+    def run(
+        self,
+        daemon: int,
+        request_class: str,
+        sql: str,
+        params: list[Any] | None = None,
+        request_id: str = "",
+        path: str = "/v1/statements",
+        **fields: Any,
+    ) -> dict[str, Any]:
+        """Sends one statement to the daemon of that index; returns the response.
+
+        A lost response is reported as the outcome ``unknown``.
+        """
+        body = {
+            "organisation": self._organisation,
+            "database": self._database,
+            "request_class": request_class,
+            "request_id": request_id,
+            "session": self.session,
+            **fields,
+        }
+        if sql:
+            body["statements"] = [{"sql": sql, "params": params or []}]
+        url = f"http://{self._addresses[daemon]}{path}"
+        try:
+            response = self._http.post(url, json=body, timeout=HTTP_TIMEOUT_S)
+        except RequestException as error:
+            return {
+                "outcome": "unknown",
+                "code": "response_lost",
+                "message": str(error),
+            }
+        answer: dict[str, Any] = response.json()
+        self.session = answer.get("session") or self.session
+        return answer
+
+    def write(
+        self, daemon: int, request_class: str, sql: str, params: list[Any], key: str
+    ) -> dict[str, Any]:
+        """Writes, and resends to the other daemons until the outcome is known."""
+        answer: dict[str, Any] = {}
+        for attempt in range(10):
+            index = (daemon + attempt) % len(self._addresses)
+            answer = self.run(index, request_class, sql, params, key)
+            if answer["outcome"] == "done":
+                return answer
+            sleep(POLL_INTERVAL_S)
+        return answer
+
+
+class EmbeddedSystem:
+    """Daemons and the members of one database, all on loopback.
+
+    The first ``control`` daemons form the control group.
+    """
+
+    def __init__(
+        self,
+        daemons: int = 2,
+        control: int = 1,
+        members: int = 3,
+        database: str = "claims-1",
+        schema: str = "claims",
+        data_folder: Callable[[str], str] = lambda name: "",
+        **member_settings: Any,
+    ) -> None:
+        self.database = database
+        names = [f"vm-{number}" for number in range(1, daemons + 1)]
+        self._peers = {name: free_address() for name in names}
+        self._http = {name: free_address() for name in names}
+        self._control = tuple(names[:control])
+        self._data_folder = data_folder
+        self.daemons = {name: self._make_daemon(name) for name in names}
+        addresses = {
+            f"member-{number}": free_address() for number in range(1, members + 1)
+        }
+        self.members = {
+            name: Member(
+                MemberSettings(
+                    database=database,
+                    member=name,
+                    data_centre="lisbon",
+                    port=int(address.rsplit(":", 1)[1]),
+                    members=addresses,
+                    daemons=list(self._http.values()),
+                    schema=schema,
+                    **member_settings,
+                )
+            )
+            for name, address in addresses.items()
+        }
+
+    @property
+    def addresses(self) -> list[str]:
+        """host:port of each daemon's HTTP interface."""
+        return list(self._http.values())
+
+    @property
+    def primary(self) -> str:
+        """Primary of the database as the first running daemon knows it, or empty."""
+        application = next(iter(self.daemons.values()))
+        databases = application.driver.node.blackboard.topology.databases
+        return databases[self.database].primary if self.database in databases else ""
+
+    def start(self) -> None:
+        """Starts everything and waits until every daemon is ready."""
+        for application in self.daemons.values():
+            application.start()
+        for member in self.members.values():
+            member.start()
+        self.wait_for(lambda: all(daemon.is_ready for daemon in self.daemons.values()))
+        self.wait_for(lambda: self.primary)
+
+    def stop(self) -> None:
+        """Ends everything abruptly."""
+        for member in self.members.values():
+            member.kill()
+        for application in self.daemons.values():
+            application.kill()
+
+    def restart_daemon(self, name: str) -> None:
+        """Starts a daemon that was killed; the addresses stay the same."""
+        self.daemons[name] = self._make_daemon(name)
+        self.daemons[name].start()
+
+    def admin(self, daemon: int, command: str, **arguments: Any) -> dict[str, Any]:
+        """Sends an administration command; returns the response with its ``code``."""
+        with Session() as http:
+            http.trust_env = False
+            url = f"http://{self.addresses[daemon]}/v1/admin/{command}"
+            answer = http.post(url, json=arguments, timeout=HTTP_TIMEOUT_S)
+            decoded: dict[str, Any] = answer.json()
+            return decoded
+
+    def apply_template(self, organisation: str, body: dict[str, Any]) -> None:
+        """Applies the first template and waits until every daemon has it."""
+        answer = self.admin(
+            0,
+            "template.apply",
+            organisation=organisation,
+            body=body,
+            expect_version=0,
+            change_id=f"first-template-of-{organisation}",
+        )
+        if answer["code"] != "ok":
+            raise BronzemoorError(f"template refused: {answer}", step="template")
+        self.wait_for(
+            lambda: all(
+                organisation in daemon.driver.node.blackboard.configuration.templates
+                and self.database in daemon.driver.node.blackboard.limits.shares
+                for daemon in self.daemons.values()
+            )
+        )
+
+    def client(self, organisation: str) -> Client:
+        """Makes a client with a new session."""
+        return Client(self.addresses, organisation, self.database)
+
+    def wait_for(self, condition: Callable[[], Any], timeout: float = 10.0) -> None:
+        """Polls until ``condition`` holds; ``timeout`` is in seconds."""
+        end = monotonic() + timeout
+        while not condition():
+            if monotonic() > end:
+                raise BronzemoorError("the system did not settle", step="embedded")
+            sleep(POLL_INTERVAL_S)
+
+    def _make_daemon(self, name: str) -> Application:
+        node = NodeSettings(
+            name=name,
+            data_centre="lisbon",
+            control=name in self._control,
+            peers=self._peers,
+            control_members=self._control,
+            token_keys={"embedded": b"only for systems inside one process"},
+        )
+        settings = DaemonSettings(
+            node=node,
+            http=self._http[name],
+            peer=self._peers[name],
+            data_folder=self._data_folder(name),
+        )
+        return make_application(settings)
+
+
+def free_address() -> str:
+    """Returns a loopback address with a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return f"{LOOPBACK}:{probe.getsockname()[1]}"
