--- a/packages/standin/src/bronzemoor_standin/replication.py
+++ b/packages/standin/src/bronzemoor_standin/replication.py
@@ -313,6 +313,7 @@
         if batch.term != self.term or self.role != REPLICA:
             self._adopt(batch.term, batch.primary)
         self.primary = batch.primary
+        self._discard_superseded(batch.history)
         previous_term, previous = batch.previous
         held_term = self.log.term_at(previous)
         if held_term is None:
@@ -334,6 +335,17 @@
             self.catching_up = False
         return BatchAnswer(True, self.term, held)
 
+    def _discard_superseded(self, history: dict[int, int]) -> None:
+        """Cuts the log where a term of ``history`` starts without its entries.
+
+        The control plane reads the term of a member's last entry from its history, so
+        both must agree even before the first entry of the new term arrives.
+        """
+        for term, start in sorted(history.items()):
+            held_term = self.log.term_at(start + 1)
+            if held_term is not None and held_term < term:
+                self.log.truncate(start)
+
     def _adopt(self, term: int, primary: str) -> None:
         self.accepted_term = self.term = term
         self.role, self.primary, self.fenced = REPLICA, primary, False
--- a/packages/standin/src/bronzemoor_standin/service.py
+++ b/packages/standin/src/bronzemoor_standin/service.py
@@ -144,6 +144,8 @@
             history = dict(self._ledger.state.log.history)
         reply = self._reply(call, Result(last))
         if refusal is not None:
+            # The next order must be above the term that this member has accepted.
+            reply.term = self._ledger.state.accepted_term
             reply.status = ttypes.Status.REFUSED
             reply.code, reply.message = refusal.code, refusal.message
         reply.history = history
--- a/packages/standin/tests/test_ledger.py
+++ b/packages/standin/tests/test_ledger.py
@@ -60,6 +60,19 @@
     assert caller.rows("SELECT id, text FROM notes") == [[2, "kept"]]
 
 
+def test_old_records_are_reported_in_the_new_term(group, caller, call):
+    """Guards against a daemon that takes a recorded result for a replaced primary's."""
+    sql = "INSERT INTO notes VALUES (1, 'a')"
+    written = caller.execute(sql, request_id="r", recorded=True)
+    assert caller.confirm(written).status == Status.OK
+    new = fail_over(group, call, 2)
+    found = new.lookup("r")
+    assert (found.repeated, found.term, found.offset) == (True, 2, written.offset)
+    assert new.confirm(found).status == Status.OK
+    stale = new.order("fence", 1)
+    assert (stale.code, stale.term) == ("stale_term", 2)
+
+
 def test_deposed_primary_confirms_nothing(group, caller, call, eventually):
     """Guards against an acknowledgement by a primary that has been replaced."""
     old = group.members["m1"]
--- a/packages/standin/tests/test_replication.py
+++ b/packages/standin/tests/test_replication.py
@@ -127,6 +127,15 @@
     assert (answer.accepted, answer.offset) == (True, 1)
 
 
+def test_history_and_last_entry_agree_before_the_new_term_arrives():
+    """Guards against a lost tail that a later choice takes for the newest entries."""
+    replica = ReplicationState("c", NAMES)
+    entries = [Entry(1, offset, b"") for offset in (1, 2, 3)]
+    replica.replicate(Batch(1, "a", (0, 0), entries, 0, {1: 0}))
+    replica.replicate(Batch(2, "b", (1, 1), [], 0, {1: 0, 2: 1}))
+    assert replica.log.last == (1, 1)
+
+
 def test_following_discards_at_once_what_the_new_term_does_not_have():
     """Guards against reads of lost writes on a member that just joined the new term."""
     state = primary_of_three()
