--- a/packages/standin/src/bronzemoor_standin/caller.py
+++ b/packages/standin/src/bronzemoor_standin/caller.py
@@ -33,11 +33,16 @@
             )
         )
 
-    def rows(self, sql: str, *params: Any, **fields: Any) -> list[Any]:
+    def result(self, sql: str, *params: Any, **fields: Any) -> dict[str, Any]:
+        """Columns, rows and row count of one statement; raises ``RuntimeError``."""
         reply = self.execute(sql, *params, **fields)
         if reply.status != ttypes.Status.OK:
             raise RuntimeError(f"{reply.code}: {reply.message}")
-        rows: list[Any] = json.loads(reply.payload)[0]["rows"]
+        result: dict[str, Any] = json.loads(reply.payload)[0]
+        return result
+
+    def rows(self, sql: str, *params: Any, **fields: Any) -> list[Any]:
+        rows: list[Any] = self.result(sql, *params, **fields)["rows"]
         return rows
 
     def close(self) -> None:
--- /dev/null
+++ b/packages/standin/src/bronzemoor_standin/load.py
@@ -0,0 +1,184 @@
+"""Open-loop load: arrivals are planned, latency counts from the planned time."""
+
+import random
+import threading
+import time
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field, fields
+from typing import Any
+
+from bronzemoor_standin.callers import Connections, Session
+from bronzemoor_standin.mixes import MIXES, Mix, User
+from bronzemoor_standin.records import History, Request, Tables
+from bronzemoor_standin.settings import InvalidSettings
+from bronzemoor_standin.tables import read_tables
+
+
+@dataclass(slots=True)
+class LoadSettings:
+    """What to send where; times in seconds, rates in operations per second."""
+
+    # host:port of the HTTP interface of each daemon.
+    daemons: list[str]
+    # Databases by mix (claims, stock).
+    databases: dict[str, list[str]]
+    # host:port of the members of each database, to read their tables at the end.
+    endpoints: dict[str, list[str]] = field(default_factory=dict)
+    # Organisation by mix, if it is not the mix's own.
+    organisations: dict[str, str] = field(default_factory=dict)
+    rate: float = 200.0
+    duration_s: float = 10.0
+    workers: int = 64
+    # Sessions of each database; more are made when all of them are busy.
+    sessions: int = 50
+    # Probability that a session continues at another daemon.
+    roam: float = 0.2
+    resends: int = 8
+    timeout_s: float = 10.0
+    # Time that members get to catch up before the tables are read.
+    settle_s: float = 1.0
+    seed: int = 1
+
+
+def parse_load_settings(data: Any) -> LoadSettings:
+    """Checks names of settings and mixes; raises ``InvalidSettings``."""
+    if not isinstance(data, dict):
+        raise InvalidSettings("settings must be a mapping")
+    known = {f.name for f in fields(LoadSettings)}
+    problems = [f"unknown setting {name}" for name in data if name not in known]
+    problems += [f"{n} is missing" for n in ("daemons", "databases") if not data.get(n)]
+    problems += [
+        f"unknown mix {name}" for name in data.get("databases", {}) if name not in MIXES
+    ]
+    if problems:
+        raise InvalidSettings("; ".join(problems))
+    return LoadSettings(**data)
+
+
+class _Target:
+    """A database with its mix and idle sessions."""
+
+    def __init__(self, mix: Mix, database: str, settings: LoadSettings) -> None:
+        self.mix = mix
+        self.database = database
+        self._settings = settings
+        self._shared: list[str] = []
+        self._idle: deque[Session] = deque()
+        self._made = 0
+        for _ in range(settings.sessions):
+            self._idle.append(self._make())
+
+    def _make(self) -> Session:
+        settings = self._settings
+        self._made += 1
+        name = f"{self.database}-s{self._made}"
+        rng = random.Random(f"{settings.seed} {name}")
+        mix = self.mix
+        organisation = settings.organisations.get(mix.name, mix.organisation)
+        return Session(
+            User(name, rng, self._shared),
+            organisation,
+            self.database,
+            settings.daemons,
+            settings.roam,
+            settings.resends,
+            rng,
+        )
+
+    def take(self) -> Session:
+        """An idle session, or a new one: a busy caller must not delay arrivals."""
+        try:
+            return self._idle.popleft()
+        except IndexError:
+            return self._make()
+
+    def give_back(self, session: Session) -> None:
+        self._idle.append(session)
+
+
+class Load:
+    """One run; ``history`` grows while it runs."""
+
+    def __init__(self, settings: LoadSettings) -> None:
+        self.settings = settings
+        self.history = History()
+        self._targets = [
+            _Target(MIXES[name], database, settings)
+            for name, databases in settings.databases.items()
+            for database in databases
+        ]
+        self._lock = threading.Lock()
+        self._stopping = threading.Event()
+        self._run_id = f"{int(time.time() * 1000):x}"
+
+    def run(self) -> History:
+        """Seeds the databases, sends the planned load and returns the history."""
+        self._seed()
+        arrivals = self._arrivals(time.time())
+        threads = [
+            threading.Thread(target=self._work, args=(arrivals,), daemon=True)
+            for _ in range(self.settings.workers)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        for target in self._targets:
+            for balance in target.mix.balances:
+                if balance not in self.history.balances:
+                    self.history.balances.append(balance)
+        return self.history
+
+    def stop(self) -> None:
+        """Plans no further arrivals."""
+        self._stopping.set()
+
+    def read_tables(self) -> Tables:
+        """Tables of the databases whose endpoints are known, after a pause."""
+        time.sleep(self.settings.settle_s)
+        return {
+            target.database: read_tables(target.database, addresses, target.mix.tables)
+            for target in self._targets
+            if (addresses := self.settings.endpoints.get(target.database))
+        }
+
+    def _seed(self) -> None:
+        connections = Connections(self.settings.timeout_s)
+        for target in self._targets:
+            request_id = f"{self._run_id}-seed-{target.database}"
+            operation = target.mix.seed(request_id)
+            if operation is not None:
+                session = target.take()
+                self._add(session.run(connections, operation, request_id, time.time()))
+                target.give_back(session)
+        connections.close()
+
+    def _arrivals(self, start: float) -> Iterator[tuple[float, _Target, str]]:
+        rng = random.Random(self.settings.seed)
+        at, number = start, 0
+        while True:
+            at += rng.expovariate(self.settings.rate)
+            if at >= start + self.settings.duration_s or self._stopping.is_set():
+                return
+            number += 1
+            yield at, rng.choice(self._targets), f"{self._run_id}-{number}"
+
+    def _work(self, arrivals: Iterator[tuple[float, _Target, str]]) -> None:
+        connections = Connections(self.settings.timeout_s)
+        while True:
+            with self._lock:
+                arrival = next(arrivals, None)
+            if arrival is None:
+                break
+            intended_at, target, request_id = arrival
+            time.sleep(max(0.0, intended_at - time.time()))
+            session = target.take()
+            operation = target.mix.choose(session.user, request_id)
+            self._add(session.run(connections, operation, request_id, intended_at))
+            target.give_back(session)
+        connections.close()
+
+    def _add(self, records: list[Request]) -> None:
+        with self._lock:
+            self.history.requests += records
--- /dev/null
+++ b/packages/standin/src/bronzemoor_standin/mixes.py
@@ -0,0 +1,363 @@
+"""Traffic mixes of the two users: a claims office and a textile wholesaler."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from bronzemoor_standin.records import Balance, Row
+
+Statement = tuple[str, list[Any]]
+
+ARTICLES = 40
+WAREHOUSES = ("sfax", "sousse")
+# Ids of other sessions' claims and orders that partners poll.
+SHARED_IDS = 500
+
+
+@dataclass(slots=True)
+class Operation:
+    """One thing that a user does; ``statements`` run as a unit.
+
+    The first column of every row that a statement returns is the request id, so that
+    an answer to another request is recognised. ``key`` is the one that is written with
+    ``value``, or read from the second column of the last result.
+    """
+
+    name: str
+    request_class: str
+    statements: list[Statement]
+    write: bool = False
+    repeatable: bool = True
+    in_transaction: bool = False
+    rows: list[Row] = field(default_factory=list)
+    key: str = ""
+    value: Any = None
+
+
+class User:
+    """State of one session: what it has written and may go on with.
+
+    ``items`` maps the id of an own claim or order to its status. ``shared`` holds ids
+    that all sessions know.
+    """
+
+    def __init__(self, name: str, rng: random.Random, shared: list[str]) -> None:
+        self.name = name
+        self.rng = rng
+        self.items: dict[str, str] = {}
+        self.shared = shared
+
+    def pick(self, status: str) -> str | None:
+        """An own item with ``status``, or None."""
+        found = [item for item, known in self.items.items() if known == status]
+        return self.rng.choice(found) if found else None
+
+    def finished(self, operation: Operation, acknowledged: bool) -> None:
+        """Notes the new status; an item whose write is in doubt is not used again."""
+        item = operation.key.partition(":")[2]
+        if not operation.write or not item:
+            return
+        if acknowledged:
+            self.items[item] = operation.value
+            self.shared.append(item)
+            del self.shared[:-SHARED_IDS]
+        else:
+            self.items.pop(item, None)
+
+
+Builder = Callable[[User, str], Operation | None]
+
+
+@dataclass(slots=True)
+class Mix:
+    """Operations with their weights, and what the checkers need to know."""
+
+    name: str
+    organisation: str
+    schema: str
+    tables: tuple[str, ...]
+    classes: dict[str, dict[str, Any]]
+    weights: list[tuple[Builder, int]]
+    seed: Callable[[str], Operation | None]
+    balances: tuple[Balance, ...] = ()
+
+    def choose(self, user: User, request_id: str) -> Operation:
+        """Draws an operation that is possible for ``user`` now."""
+        builders = [builder for builder, _ in self.weights]
+        weights = [weight for _, weight in self.weights]
+        while True:
+            builder = user.rng.choices(builders, weights)[0]
+            operation = builder(user, request_id)
+            if operation is not None:
+                return operation
+
+    def template(self, databases: list[str]) -> dict[str, Any]:
+        """Body of an organisation's template with the request classes of the mix."""
+        return {"databases": databases, "classes": self.classes}
+
+
+# --- claims
+
+
+def _file_claim(user: User, request_id: str) -> Operation:
+    claim, cents = f"c-{request_id}", user.rng.randrange(100, 60_000)
+    flight = f"TP{user.rng.randrange(100, 2000)}"
+    values = {
+        "claim_id": claim,
+        "passenger": f"João {user.name}",
+        "flight": flight,
+        "boarding_pass": f"M1 {request_id} 'ok' -- é",
+        "amount_cents": cents,
+        "request_id": request_id,
+    }
+    sql = (
+        "INSERT INTO claims (claim_id, passenger, flight, boarding_pass, amount_cents,"
+        " request_id, status) VALUES (?, ?, ?, ?, ?, ?, 'filed') RETURNING request_id"
+    )
+    return Operation(
+        "file_claim",
+        "claim",
+        [(sql, list(values.values()))],
+        write=True,
+        rows=[Row("claims", values)],
+        key=f"claim:{claim}",
+        value="filed",
+    )
+
+
+def _airline_reply(user: User, request_id: str) -> Operation | None:
+    claim = user.pick("filed")
+    if claim is None:
+        return None
+    values = {"claim_id": claim, "request_id": request_id, "text": "accepted"}
+    sql = (
+        "INSERT INTO airline_replies (claim_id, request_id, text) VALUES (?, ?, ?)"
+        " RETURNING request_id"
+    )
+    return Operation(
+        "airline_reply",
+        "claim",
+        [
+            (sql, list(values.values())),
+            (_SET_CLAIM, ["accepted", claim, request_id]),
+        ],
+        write=True,
+        in_transaction=True,
+        rows=[Row("airline_replies", values)],
+        key=f"claim:{claim}",
+        value="accepted",
+    )
+
+
+def _payout(user: User, request_id: str) -> Operation | None:
+    claim = user.pick("accepted")
+    if claim is None:
+        return None
+    cents = user.rng.randrange(100, 60_000)
+    values = {"claim_id": claim, "amount_cents": cents, "request_id": request_id}
+    sql = (
+        "INSERT INTO payouts (claim_id, amount_cents, request_id) VALUES (?, ?, ?)"
+        " RETURNING request_id"
+    )
+    return Operation(
+        "payout",
+        "payout",
+        [(sql, list(values.values())), (_SET_CLAIM, ["paid", claim, request_id])],
+        write=True,
+        repeatable=False,
+        rows=[Row("payouts", values)],
+        key=f"claim:{claim}",
+        value="paid",
+    )
+
+
+def _poll_claim(user: User, request_id: str) -> Operation:
+    claim = user.rng.choice(user.shared) if user.shared else "c-none"
+    return Operation("poll_claim", "poll", [(_GET_CLAIM, [request_id, claim])])
+
+
+def _read_own_claim(user: User, request_id: str) -> Operation | None:
+    if not user.items:
+        return None
+    claim = user.rng.choice(list(user.items))
+    statement = (_GET_CLAIM, [request_id, claim])
+    return Operation("read_own_claim", "own", [statement], key=f"claim:{claim}")
+
+
+_SET_CLAIM = "UPDATE claims SET status = ? WHERE claim_id = ? RETURNING ?"
+_GET_CLAIM = "SELECT ?, (SELECT status FROM claims WHERE claim_id = ?) AS status"
+
+
+# --- stock
+
+
+def _order(user: User, request_id: str) -> Operation:
+    order = f"o-{request_id}"
+    values = {
+        "order_id": order,
+        "article": _article(user),
+        "quantity": user.rng.randrange(1, 200),
+        "request_id": request_id,
+    }
+    sql = (
+        "INSERT INTO orders (order_id, article, quantity, request_id, status)"
+        " VALUES (?, ?, ?, ?, 'placed') RETURNING request_id"
+    )
+    return Operation(
+        "order",
+        "order",
+        [(sql, list(values.values()))],
+        write=True,
+        rows=[Row("orders", values)],
+        key=f"order:{order}",
+        value="placed",
+    )
+
+
+def _booking(user: User, request_id: str) -> Operation | None:
+    order = user.pick("placed")
+    if order is None:
+        return None
+    values = {"order_id": order, "carrier": "STM", "request_id": request_id}
+    sql = (
+        "INSERT INTO bookings (order_id, carrier, request_id) VALUES (?, ?, ?)"
+        " RETURNING request_id"
+    )
+    update = "UPDATE orders SET status = ? WHERE order_id = ? RETURNING ?"
+    return Operation(
+        "booking",
+        "booking",
+        [(sql, list(values.values())), (update, ["booked", order, request_id])],
+        write=True,
+        repeatable=False,
+        rows=[Row("bookings", values)],
+        key=f"order:{order}",
+        value="booked",
+    )
+
+
+def _catalogue(user: User, request_id: str) -> Operation:
+    sql = "SELECT ?, article, title, price_cents FROM articles WHERE article = ?"
+    return Operation("catalogue", "catalogue", [(sql, [request_id, _article(user)])])
+
+
+def _read_own_order(user: User, request_id: str) -> Operation | None:
+    if not user.items:
+        return None
+    order = user.rng.choice(list(user.items))
+    sql = "SELECT ?, (SELECT status FROM orders WHERE order_id = ?) AS status"
+    return Operation(
+        "read_own_order", "own", [(sql, [request_id, order])], key=f"order:{order}"
+    )
+
+
+def _pick(user: User, request_id: str) -> Operation:
+    return _posting("pick", -user.rng.randrange(1, 20), user, request_id)
+
+
+def _count(user: User, request_id: str) -> Operation:
+    operation = _posting("count", user.rng.randrange(-50, 50), user, request_id)
+    operation.in_transaction = True
+    return operation
+
+
+def _posting(kind: str, change: int, user: User, request_id: str) -> Operation:
+    article, warehouse = _article(user), user.rng.choice(WAREHOUSES)
+    values = {
+        "article": article,
+        "warehouse": warehouse,
+        "change": change,
+        "kind": kind,
+        "request_id": request_id,
+    }
+    sql = (
+        "INSERT INTO postings (article, warehouse, change, kind, request_id)"
+        " VALUES (?, ?, ?, ?, ?) RETURNING request_id"
+    )
+    update = (
+        "UPDATE stock SET on_hand = on_hand + ? WHERE article = ? AND warehouse = ?"
+        " RETURNING ?"
+    )
+    return Operation(
+        kind,
+        "posting",
+        [
+            (sql, list(values.values())),
+            (update, [change, article, warehouse, request_id]),
+        ],
+        write=True,
+        rows=[Row("postings", values)],
+    )
+
+
+def _article(user: User) -> str:
+    return f"a{user.rng.randrange(ARTICLES)}"
+
+
+def _seed_stock(request_id: str) -> Operation:
+    """Articles and empty stock; a second run leaves them as they are."""
+    names = [f"a{number}" for number in range(ARTICLES)]
+    articles = [v for name in names for v in (name, f"Toile {name}", 1250)]
+    stock = [v for name in names for place in WAREHOUSES for v in (name, place)]
+    return Operation(
+        "seed",
+        "posting",
+        [
+            (_insert("articles", "(?, ?, ?)", len(names)), articles),
+            (_insert("stock", "(?, ?, 0)", len(stock) // 2), stock),
+        ],
+        write=True,
+    )
+
+
+def _insert(table: str, row: str, count: int) -> str:
+    return f"INSERT OR IGNORE INTO {table} VALUES {', '.join([row] * count)}"
+
+
+CLAIMS = Mix(
+    "claims",
+    "reclamar",
+    "claims",
+    ("claims", "airline_replies", "payouts"),
+    {
+        "claim": {"kind": "write", "priority": 1},
+        "payout": {"kind": "write", "repeatable": False, "priority": 0},
+        "poll": {"kind": "read", "max_age": "250ms", "priority": 6},
+        "own": {"kind": "read", "priority": 3},
+    },
+    [
+        (_poll_claim, 50),
+        (_read_own_claim, 20),
+        (_file_claim, 16),
+        (_airline_reply, 8),
+        (_payout, 6),
+    ],
+    seed=lambda request_id: None,
+)
+STOCK = Mix(
+    "stock",
+    "toile",
+    "stock",
+    ("orders", "bookings", "postings", "stock"),
+    {
+        "order": {"kind": "write", "priority": 1},
+        "booking": {"kind": "write", "repeatable": False, "priority": 1},
+        "catalogue": {"kind": "read", "max_age": "1s", "priority": 6},
+        "own": {"kind": "read", "priority": 3},
+        "posting": {"kind": "write", "priority": 7, "deadline": "5s"},
+    },
+    [
+        (_catalogue, 50),
+        (_read_own_order, 15),
+        (_order, 14),
+        (_booking, 6),
+        (_pick, 10),
+        (_count, 5),
+    ],
+    seed=_seed_stock,
+    balances=(
+        Balance("stock", ("article", "warehouse"), "on_hand", "postings", "change"),
+    ),
+)
+MIXES = {mix.name: mix for mix in (CLAIMS, STOCK)}
