--- a/packages/standin/src/bronzemoor_standin/mixes.py
+++ b/packages/standin/src/bronzemoor_standin/mixes.py
@@ -1,4 +1,7 @@
-"""Traffic mixes of the two users: a claims office and a textile wholesaler."""
+"""Traffic mixes of the two users: a claims office and a textile wholesaler.
+
+The request classes are those of the templates in examples/.
+"""
 
 import random
 from collections.abc import Callable
@@ -11,6 +14,7 @@
 
 ARTICLES = 40
 WAREHOUSES = ("sfax", "sousse")
+_POSTING_CLASSES = {"pick": "pick-confirmation", "count": "count-correction"}
 # Ids of other sessions' claims and orders that partners poll.
 SHARED_IDS = 500
 
@@ -77,7 +81,6 @@
     organisation: str
     schema: str
     tables: tuple[str, ...]
-    classes: dict[str, dict[str, Any]]
     weights: list[tuple[Builder, int]]
     seed: Callable[[str], Operation | None]
     balances: tuple[Balance, ...] = ()
@@ -92,10 +95,6 @@
             if operation is not None:
                 return operation
 
-    def template(self, databases: list[str]) -> dict[str, Any]:
-        """Body of an organisation's template with the request classes of the mix."""
-        return {"databases": databases, "classes": self.classes}
-
 
 # --- claims
 
@@ -117,7 +116,7 @@
     )
     return Operation(
         "file_claim",
-        "claim",
+        "file-claim",
         [(sql, list(values.values()))],
         write=True,
         rows=[Row("claims", values)],
@@ -137,7 +136,7 @@
     )
     return Operation(
         "airline_reply",
-        "claim",
+        "airline-reply",
         [
             (sql, list(values.values())),
             (_SET_CLAIM, ["accepted", claim, request_id]),
@@ -174,7 +173,7 @@
 
 def _poll_claim(user: User, request_id: str) -> Operation:
     claim = user.rng.choice(user.shared) if user.shared else "c-none"
-    return Operation("poll_claim", "poll", [(_GET_CLAIM, [request_id, claim])])
+    return Operation("poll_claim", "claim-status", [(_GET_CLAIM, [request_id, claim])])
 
 
 def _read_own_claim(user: User, request_id: str) -> Operation | None:
@@ -182,7 +181,7 @@
         return None
     claim = user.rng.choice(list(user.items))
     statement = (_GET_CLAIM, [request_id, claim])
-    return Operation("read_own_claim", "own", [statement], key=f"claim:{claim}")
+    return Operation("read_own_claim", "agent-read", [statement], key=f"claim:{claim}")
 
 
 _SET_CLAIM = "UPDATE claims SET status = ? WHERE claim_id = ? RETURNING ?"
@@ -227,7 +226,7 @@
     update = "UPDATE orders SET status = ? WHERE order_id = ? RETURNING ?"
     return Operation(
         "booking",
-        "booking",
+        "consignment-booking",
         [(sql, list(values.values())), (update, ["booked", order, request_id])],
         write=True,
         repeatable=False,
@@ -248,7 +247,10 @@
     order = user.rng.choice(list(user.items))
     sql = "SELECT ?, (SELECT status FROM orders WHERE order_id = ?) AS status"
     return Operation(
-        "read_own_order", "own", [(sql, [request_id, order])], key=f"order:{order}"
+        "read_own_order",
+        "order-desk-read",
+        [(sql, [request_id, order])],
+        key=f"order:{order}",
     )
 
 
@@ -281,7 +283,7 @@
     )
     return Operation(
         kind,
-        "posting",
+        _POSTING_CLASSES[kind],
         [
             (sql, list(values.values())),
             (update, [change, article, warehouse, request_id]),
@@ -302,7 +304,7 @@
     stock = [v for name in names for place in WAREHOUSES for v in (name, place)]
     return Operation(
         "seed",
-        "posting",
+        "count-correction",
         [
             (_insert("articles", "(?, ?, ?)", len(names)), articles),
             (_insert("stock", "(?, ?, 0)", len(stock) // 2), stock),
@@ -317,15 +319,9 @@
 
 CLAIMS = Mix(
     "claims",
-    "reclamar",
+    "reclamar-voo",
     "claims",
     ("claims", "airline_replies", "payouts"),
-    {
-        "claim": {"kind": "write", "priority": 1},
-        "payout": {"kind": "write", "repeatable": False, "priority": 0},
-        "poll": {"kind": "read", "max_age": "250ms", "priority": 6},
-        "own": {"kind": "read", "priority": 3},
-    },
     [
         (_poll_claim, 50),
         (_read_own_claim, 20),
@@ -337,16 +333,9 @@
 )
 STOCK = Mix(
     "stock",
-    "toile",
+    "toile-sahel",
     "stock",
     ("orders", "bookings", "postings", "stock"),
-    {
-        "order": {"kind": "write", "priority": 1},
-        "booking": {"kind": "write", "repeatable": False, "priority": 1},
-        "catalogue": {"kind": "read", "max_age": "1s", "priority": 6},
-        "own": {"kind": "read", "priority": 3},
-        "posting": {"kind": "write", "priority": 7, "deadline": "5s"},
-    },
     [
         (_catalogue, 50),
         (_read_own_order, 15),
--- a/packages/standin/tests/conftest.py
+++ b/packages/standin/tests/conftest.py
@@ -55,6 +55,9 @@
     return wait
 
 
+READ_CLASSES = ("claim-status", "agent-read", "catalogue", "order-desk-read")
+
+
 class FakeDaemon(BaseHTTPRequestHandler):
     """A daemon that works on one group: confirmed writes, reads at the replicas.
 
@@ -140,11 +143,11 @@
         if transaction:
             call.transaction_id, call.recorded = transaction, False
             return self.transactions[transaction].client.execute(call)
-        if body["request_class"] in ("poll", "own", "catalogue"):
+        if body["request_class"] in READ_CLASSES:
             call.read_only, call.recorded = True, False
             return self.caller("m2").client.execute(call)
         primary = self.caller("m1")
-        if body["request_class"] in ("payout", "booking"):
+        if body["request_class"] in ("payout", "consignment-booking"):
             reservation = str(self.server.count)
             reserved = primary.reserve(body["request_id"], reservation)
             if reserved.repeated or reserved.status != ttypes.Status.OK:
