Observe members during load runs and say what was not judged

Cause: P7 to P9 were reported to hold in runs without any such event, and the gap was dominated by pauses between arrivals at low rates. Result: an observer notes promotions, leaving members and versions in effect; a guarantee without evidence is 'not judged'; the gap counts only while writes wait.

--- a/packages/standin/src/bronzemoor_standin/load.py
+++ b/packages/standin/src/bronzemoor_standin/load.py
@@ -10,7 +10,8 @@
 
 from bronzemoor_standin.callers import Connections, Session
 from bronzemoor_standin.mixes import MIXES, Mix, User
-from bronzemoor_standin.records import History, Request, Tables
+from bronzemoor_standin.observer import Observer
+from bronzemoor_standin.records import Event, History, Request, Tables
 from bronzemoor_standin.settings import InvalidSettings
 from bronzemoor_standin.tables import read_tables
 
@@ -114,6 +115,8 @@
 
     def run(self) -> History:
         """Seeds the databases, sends the planned load and returns the history."""
+        observer = Observer(self.settings.endpoints, self.settings.daemons, self.note)
+        observer.start()
         self._seed()
         arrivals = self._arrivals(time.time())
         threads = [
@@ -124,12 +127,18 @@
             thread.start()
         for thread in threads:
             thread.join()
+        observer.stop()
         for target in self._targets:
             for balance in target.mix.balances:
                 if balance not in self.history.balances:
                     self.history.balances.append(balance)
         return self.history
 
+    def note(self, event: Event) -> None:
+        """Adds an event, for example that a test stops a daemon gracefully."""
+        with self._lock:
+            self.history.events.append(event)
+
     def stop(self) -> None:
         """Plans no further arrivals."""
         self._stopping.set()
--- a/packages/standin/tests/test_history.py
+++ b/packages/standin/tests/test_history.py
@@ -56,6 +56,7 @@
         request("r2", 7.05, session="s2", read={"p": None}),
         request("cm", 8, kind="commit", transaction="tx", served_by="m2"),
         request("r3", 9, read={"p": "tx"}, served_by="m3"),
+        request("early", 5.1, write=True, served_by="m2"),
         request("gone", 10, transaction="t2", write=True, wrote={"p": "t2"},
                 rows=[row("postings", "t2", article="a", change=5)]),
         request("last", 20, outcome=LOST),
