--- a/packages/standin/src/bronzemoor_standin/member.py
+++ b/packages/standin/src/bronzemoor_standin/member.py
@@ -90,7 +90,7 @@
         self._leaving_at: float | None = None
         self._stopping = threading.Event()
         self._stopping.set()
-        self._announcer = Announcer(self, self._stopping)
+        self._announcer: Announcer | None = None
         self._replicators: dict[str, Replicator] = {}
 
     @property
@@ -154,7 +154,7 @@
         self.ledger.step_down()
         self._server.stop_accepting()
         self._server.close_connections()
-        self._announcer.announce_now()
+        self.announce_now()
         if self.control is not None:
             self.control.stop()
             self.control = None
@@ -237,7 +237,8 @@
     # --- announcements
 
     def announce_now(self) -> None:
-        self._announcer.announce_now()
+        if self._announcer is not None:
+            self._announcer.announce_now()
 
     def announcement(self) -> dict[str, Any]:
         """The fields of ``Announcement``, ready to be encoded as JSON."""
