--- a/packages/standin/src/bronzemoor_standin/member.py
+++ b/packages/standin/src/bronzemoor_standin/member.py
@@ -118,6 +118,10 @@
         waited = time.monotonic() - self._leaving_at
         return waited >= self.settings.leave_after_ms / 1000
 
+    @property
+    def calls_in_progress(self) -> int:
+        return self._active
+
     # --- life cycle
 
     def start(self) -> None:
--- a/packages/standin/tests/test_member.py
+++ b/packages/standin/tests/test_member.py
@@ -34,17 +34,17 @@
     plain.close()
 
 
-def test_statements_wait_for_a_slot_until_their_deadline(single, call):
+def test_statements_wait_for_a_slot_until_their_deadline(single, call, eventually):
     """Guards against more statements at once than there are slots."""
     member = single.primary
-    member.faults.statement_ms = 400
+    member.faults.statement_ms = 600
     busy = [call(member) for _ in range(member.settings.slots)]
     threads = [threading.Thread(target=b.execute, args=("SELECT 1",)) for b in busy]
     for thread in threads:
         thread.start()
     waiting = call(member)
-    codes = [waiting.execute("SELECT 1", deadline_ms=50).code for _ in range(2)]
-    assert "deadline" in codes
+    eventually(lambda: member.calls_in_progress == member.settings.slots)
+    assert waiting.execute("SELECT 1", deadline_ms=20).code == "deadline"
     for thread in threads:
         thread.join()
     assert waiting.execute("SELECT 1").status == Status.OK
@@ -65,13 +65,13 @@
     assert call(member).greeting.code == "leaving"
 
 
-def test_graceful_stop_lets_calls_finish(single, call):
+def test_graceful_stop_lets_calls_finish(single, call, eventually):
     """Guards against a stop that interrupts a request in progress."""
     single.primary.faults.statement_ms = 300
     caller, replies = call(single.primary), []
     thread = threading.Thread(target=lambda: replies.append(caller.execute("SELECT 1")))
     thread.start()
-    time.sleep(0.1)
+    eventually(lambda: single.primary.calls_in_progress)
     single.stop()
     thread.join()
     assert replies[0].status == Status.OK
--- a/packages/standin/tests/test_server.py
+++ b/packages/standin/tests/test_server.py
@@ -15,7 +15,7 @@
 
 def test_silent_connections_stay_open_while_new_ones_work(member, call):
     """Guards against a fault that a client would see as a closed connection."""
-    old = call(member, 150)
+    old = call(member, 500)
     member.faults.silence()
     with pytest.raises(TimeoutError):
         old.execute("CREATE TABLE t (a)")
@@ -26,7 +26,7 @@
 
 def test_dropped_answer_hides_a_write_that_ran(member, call):
     """Guards against a lost answer that also loses the write."""
-    caller = call(member, 150)
+    caller = call(member, 500)
     member.faults.set({"drop_rate": 1, "answers_left": 1})
     with pytest.raises(TimeoutError):
         caller.execute("CREATE TABLE t (a)")
@@ -74,7 +74,7 @@
 
 def test_frozen_member_answers_after_it_is_released(member, call):
     """Guards against a freeze that loses calls or lets some through."""
-    caller = call(member, 100)
+    caller = call(member, 500)
     member.faults.frozen = True
     with pytest.raises(TimeoutError):
         caller.execute("SELECT 1")
