--- /dev/null
+++ b/packages/standin/src/bronzemoor_standin/member.py
@@ -0,0 +1,287 @@
+"""One member of a database group: settings, ledger, server and threads."""
+
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+from thrift.Thrift import TException
+
+from bronzemoor_standin.announcements import Announcer
+from bronzemoor_standin.control import ControlServer
+from bronzemoor_standin.database import Retention
+from bronzemoor_standin.execution import RequestsInProgress
+from bronzemoor_standin.faults import Faults
+from bronzemoor_standin.framing import EndpointClient
+from bronzemoor_standin.gen.endpoint import ttypes
+from bronzemoor_standin.journal import Journal
+from bronzemoor_standin.ledger import Ledger, Refused
+from bronzemoor_standin.peers import Replicator
+from bronzemoor_standin.replication import PRIMARY, REPLICA
+from bronzemoor_standin.schemas import load_schema
+from bronzemoor_standin.server import Connection, Server
+from bronzemoor_standin.service import Session
+from bronzemoor_standin.settings import MemberSettings
+
+BOOTSTRAP_TERM = 1
+BOOTSTRAP_RETRY_S = 0.05
+APPLY_WAIT_S = 0.5
+
+
+class ConnectionCap:
+    """Counts the daemons' connections up to a limit."""
+
+    def __init__(self, limit: int) -> None:
+        self._left = limit
+        self._lock = threading.Lock()
+
+    def acquire(self) -> bool:
+        """Takes one connection; false when the limit is reached."""
+        with self._lock:
+            if self._left <= 0:
+                return False
+            self._left -= 1
+            return True
+
+    def release(self) -> None:
+        with self._lock:
+            self._left += 1
+
+
+class Member:
+    """A database endpoint that can be embedded in a process.
+
+    The port is bound at construction, so that ``address`` is known before ``start``.
+    ``stop`` and ``kill`` keep log and data in memory, as a disk would; a later
+    ``start`` resumes with them as a replica.
+    """
+
+    def __init__(self, settings: MemberSettings) -> None:
+        self.settings = settings
+        self.faults = Faults(
+            statement_ms=settings.statement_ms,
+            lag_ms=settings.lag_ms,
+            one_way_ms=settings.one_way_ms,
+            peer_one_way_ms=settings.peer_one_way_ms,
+        )
+        names = tuple(settings.members) or (settings.member,)
+        retention = Retention(settings.request_age_s, settings.request_count)
+        journal = Journal(settings.file) if settings.file else None
+        self.ledger = Ledger(settings.member, names, self.faults, retention, journal)
+        self.ledger.schema = load_schema(settings.schema)
+        self.ledger.state.catching_up = settings.rejoin
+        self.incarnation = 0
+        self.addresses = dict(settings.members)
+        self._server = Server(
+            settings.host,
+            settings.port,
+            self.faults,
+            self._make_session,
+            settings.max_message_bytes,
+        )
+        self.addresses[settings.member] = self.address
+        self.control: ControlServer | None = None
+        self.in_progress = RequestsInProgress()
+        self.cap = ConnectionCap(settings.connections)
+        self._slots = threading.Semaphore(settings.slots)
+        self._active = 0
+        self._lock = threading.Lock()
+        self._leaving_at: float | None = None
+        self._stopping = threading.Event()
+        self._stopping.set()
+        self._announcer = Announcer(self, self._stopping)
+        self._replicators: dict[str, Replicator] = {}
+
+    @property
+    def address(self) -> str:
+        """host:port of the Thrift interface."""
+        return self._server.address
+
+    @property
+    def role(self) -> str:
+        return self.ledger.state.role
+
+    @property
+    def running(self) -> bool:
+        return not self._stopping.is_set()
+
+    @property
+    def leaving(self) -> bool:
+        return self._leaving_at is not None
+
+    @property
+    def turns_away(self) -> bool:
+        """Whether the member has been leaving for so long that it refuses new work."""
+        if self._leaving_at is None:
+            return False
+        waited = time.monotonic() - self._leaving_at
+        return waited >= self.settings.leave_after_ms / 1000
+
+    # --- life cycle
+
+    def start(self) -> None:
+        """Starts serving; returns at once."""
+        self.faults.frozen = False
+        self._leaving_at = None
+        self._stopping = threading.Event()
+        self.incarnation = max(int(time.time() * 1000), self.incarnation + 1)
+        self.cap = ConnectionCap(self.settings.connections)
+        self._replicators = {}
+        self._announcer = Announcer(self, self._stopping)
+        self._server.start()
+        self._spawn(self._apply)
+        self._start_replicators()
+        self._announcer.start()
+        if self.settings.control_port >= 0 and self.control is None:
+            self.control = ControlServer(self, self.settings.control_port)
+            self.control.start()
+        if self.settings.bootstrap_primary == self.settings.member:
+            self._spawn(self._bootstrap)
+        self.announce_now()
+
+    def stop(self) -> None:
+        """Stops accepting, finishes the calls in progress and stops."""
+        self._server.stop_accepting()
+        until = time.monotonic() + self.settings.stop_ms / 1000
+        while self._active and not self.faults.frozen and time.monotonic() < until:
+            time.sleep(0.002)
+        self.kill()
+
+    def kill(self) -> None:
+        """Stops as a crash does: nothing is announced and nothing is finished."""
+        self._stopping.set()
+        self.ledger.step_down()
+        self._server.stop_accepting()
+        self._server.close_connections()
+        self._announcer.announce_now()
+        if self.control is not None:
+            self.control.stop()
+            self.control = None
+
+    def leave(self) -> None:
+        """Announces that the member is leaving; new work is refused a while later."""
+        if self._leaving_at is None:
+            self._leaving_at = time.monotonic()
+        self.announce_now()
+
+    def _spawn(self, target: Any) -> None:
+        threading.Thread(
+            target=target, args=(self._stopping,), name=target.__name__, daemon=True
+        ).start()
+
+    def _apply(self, stopping: threading.Event) -> None:
+        while not stopping.is_set():
+            self.faults.wait_while_frozen()
+            self.ledger.applier.run_once(APPLY_WAIT_S)
+
+    def _bootstrap(self, stopping: threading.Event) -> None:
+        """Becomes primary of the first term once a majority says that it has none.
+
+        A restarted member that lost its log must not start the first term again.
+        """
+        others = [a for n, a in self.addresses.items() if n != self.settings.member]
+        while not stopping.is_set() and self.ledger.state.accepted_term == 0:
+            answers = [_knows_a_term(address) for address in others]
+            if True in answers:
+                return
+            if answers.count(False) >= len(self.addresses) // 2:
+                self.ledger.promote(BOOTSTRAP_TERM, 0, tuple(self.addresses))
+                self.announce_now()
+                return
+            stopping.wait(BOOTSTRAP_RETRY_S)
+
+    def _start_replicators(self) -> None:
+        with self._lock:
+            for name in self.addresses:
+                if name != self.settings.member and name not in self._replicators:
+                    self._replicators[name] = Replicator(self, name, self._stopping)
+                    self._replicators[name].start()
+
+    # --- used by sessions
+
+    def _make_session(self, connection: Connection) -> Session:
+        return Session(self, connection)
+
+    def learn_members(self, addresses: dict[str, str] | None) -> tuple[str, ...]:
+        """Takes over the members named by an order; returns their names."""
+        if addresses:
+            self.addresses.update(addresses)
+            if self.running:
+                self._start_replicators()
+        return tuple(addresses or ())
+
+    @contextmanager
+    def activity(self) -> Iterator[None]:
+        """Marks a call in progress, which a graceful stop lets finish."""
+        with self._lock:
+            self._active += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._active -= 1
+
+    @contextmanager
+    def slot(self, deadline: float) -> Iterator[None]:
+        """Holds one of the statement slots; raises ``Refused`` past ``deadline``."""
+        if not self._slots.acquire(timeout=max(deadline - time.monotonic(), 0)):
+            raise Refused("deadline", "no free slot before the deadline")
+        try:
+            if self.faults.statement_ms > 0:
+                time.sleep(self.faults.statement_ms / 1000)
+            yield
+        finally:
+            self._slots.release()
+
+    # --- announcements
+
+    def announce_now(self) -> None:
+        self._announcer.announce_now()
+
+    def announcement(self) -> dict[str, Any]:
+        """The fields of ``Announcement``, ready to be encoded as JSON."""
+        with self.ledger.lock:
+            state = self.ledger.state
+            term, offset = self.ledger.committed.applied
+            return {
+                "database": self.settings.database,
+                "member": self.settings.member,
+                "address": self.address,
+                "data_centre": self.settings.data_centre,
+                "role": state.role,
+                "term": term,
+                "offset": offset,
+                "incarnation": self.incarnation,
+                "members": sorted(self.addresses),
+                "leaving": self.leaving,
+                "slots": self.settings.slots,
+                "connections": self.settings.connections,
+                "history": dict(state.log.history),
+                "unreachable": sorted(self.unreachable()),
+            }
+
+    def unreachable(self) -> set[str]:
+        """Members from which this one has heard nothing for the peer timeout."""
+        state = self.ledger.state
+        if state.role == PRIMARY:
+            return {name for name, r in self._replicators.items() if r.unreachable}
+        silent = time.monotonic() - self.ledger.heard_at
+        if (
+            state.role == REPLICA
+            and state.primary
+            and silent > self.settings.peer_timeout_ms / 1000
+        ):
+            return {state.primary}
+        return set()
+
+
+def _knows_a_term(address: str) -> bool | None:
+    """Whether the member at ``address`` knows any term; None without an answer."""
+    try:
+        client = EndpointClient(address, 200)
+        reply = client.ping(ttypes.Query(correlation_id=0))
+        client.close()
+    except (TException, OSError, EOFError):
+        return None
+    return bool(reply.history or reply.term)
