--- a/packages/core/src/bronzemoor_core/heartbeats.py
+++ b/packages/core/src/bronzemoor_core/heartbeats.py
@@ -1,9 +1,9 @@
 """Heartbeats from daemons to the control members, and the replies to them."""
 
 from collections.abc import Callable
-from typing import Any
 
 from bronzemoor_core.blackboard import Blackboard
+from bronzemoor_core.connections import State
 from bronzemoor_core.messages import Demand, Heartbeat, HeartbeatReply, Share
 from bronzemoor_core.settings import NodeSettings
 
@@ -63,45 +63,36 @@
     return names
 
 
-@heartbeat_part
-def report_versions(
-    now: float, blackboard: Blackboard, settings: NodeSettings, heartbeat: Heartbeat
-) -> None:
-    templates = blackboard.configuration.templates
-    heartbeat.versions = {name: item.version for name, item in templates.items()}
-
-
-@heartbeat_part
-def report_subscriptions(
-    now: float, blackboard: Blackboard, settings: NodeSettings, heartbeat: Heartbeat
-) -> None:
-    databases = {
-        database
-        for template in blackboard.configuration.templates.values()
-        for database in template.databases
-    }
-    heartbeat.subscriptions = sorted(databases)
-
-
 @heartbeat_part
 def report_demands(
     now: float, blackboard: Blackboard, settings: NodeSettings, heartbeat: Heartbeat
 ) -> None:
-    """Reports every database that is held, waited for or granted."""
-    held = section_dict(blackboard.pools, "held")
-    waiting = section_dict(blackboard.queues, "waiting")
+    """Reports every database that is held, waited for, granted or configured.
+
+    Idle connections are held but not wanted: they must not keep a share in place.
+    """
+    pools = blackboard.pools.databases
+    queues = blackboard.queues.databases
     shares = blackboard.limits.shares
     owners = {
         database: organisation
         for organisation, template in blackboard.configuration.templates.items()
         for database in template.databases
     }
-    for database in sorted({*held, *waiting, *shares, *owners}):
-        count = held.get(database, 0)
-        wanted = count + waiting.get(database, 0)
-        share = shares[database].connections if database in shares else 0
-        organisation = owners.get(database, "")
-        heartbeat.demands.append(Demand(database, organisation, count, wanted, share))
+    for database in sorted({*pools, *queues, *shares, *owners}):
+        pool, queue, share = (part.get(database) for part in (pools, queues, shares))
+        wanted = len(queue.entries) if queue else 0
+        if pool:
+            wanted += pool.counts[State.BUSY]
+        heartbeat.demands.append(
+            Demand(
+                database,
+                owners.get(database, ""),
+                held=pool.total if pool else 0,
+                wanted=wanted,
+                share=share.connections if share else 0,
+            )
+        )
 
 
 @heartbeat_part
@@ -116,30 +107,3 @@
     now: float, blackboard: Blackboard, settings: NodeSettings, heartbeat: Heartbeat
 ) -> None:
     heartbeat.suspicions = list(getattr(blackboard.failover, "suspicions", ()))
-
-
-@reply_part
-def answer_versions(
-    now: float,
-    blackboard: Blackboard,
-    settings: NodeSettings,
-    heartbeat: Heartbeat,
-    reply: HeartbeatReply,
-) -> None:
-    reply.versions = section_dict(blackboard.state, "versions")
-
-
-@reply_part
-def answer_topology(
-    now: float,
-    blackboard: Blackboard,
-    settings: NodeSettings,
-    heartbeat: Heartbeat,
-    reply: HeartbeatReply,
-) -> None:
-    reply.topology_digest = int(getattr(blackboard.topology, "digest", 0) or 0)
-
-
-def section_dict(view: Any, name: str) -> dict[str, int]:
-    """Copies a dictionary of a section; a missing attribute is empty."""
-    return dict(getattr(view, name, None) or {})
--- a/packages/core/tests/test_limits.py
+++ b/packages/core/tests/test_limits.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 from random import Random
-from types import SimpleNamespace
 
 import pytest
 from hypothesis import settings as hypothesis_settings
@@ -15,15 +14,18 @@
 )
 
 from bronzemoor_core.actions import EmitMetric, SendPeerMessage
+from bronzemoor_core.blackboard import Blackboard
+from bronzemoor_core.connections import State
 from bronzemoor_core.events import (
     LeadershipChanged,
     PeerMessageReceived,
     SharesChanged,
     Tick,
 )
-from bronzemoor_core.limits import LimitController, Limits
+from bronzemoor_core.limits import LimitController
 from bronzemoor_core.membership import Database, Member
 from bronzemoor_core.messages import HeartbeatReply, Share
+from bronzemoor_core.node import make_node
 from bronzemoor_core.settings import ControlSettings, NodeSettings
 from bronzemoor_core.templates import Template
 
@@ -31,12 +33,14 @@
 NAMES = ("vm-1", "vm-2", "vm-3", "vm-4")
 
 
-class Board(SimpleNamespace):
-    """A blackboard whose sections the test writes."""
+make_node(NodeSettings("vm-0", "lisbon"), Random(0))  # Registers all sections.
 
-    def claim(self, name, owner):
-        self.limits = Limits()
-        return self.limits
+
+class Load:
+    """Demand of one database: both its pool and its queue."""
+
+    def __init__(self):
+        self.total, self.counts, self.entries = 0, {State.BUSY: 0}, []
 
 
 class Daemon:
@@ -45,35 +49,28 @@
     def __init__(self, cluster, name, incarnation=1):
         self.cluster, self.name, self.rate = cluster, name, 1.0
         self.allowed, self.metrics = {}, []
-        self.board = Board(
-            log=SimpleNamespace(
-                role="follower",
-                leader="",
-                voters=NAMES[:2],
-                learners=(),
-                established=True,
-                founded_term=0,
-            ),
-            configuration=SimpleNamespace(templates=cluster.templates),
-            topology=SimpleNamespace(databases=cluster.databases),
-            pools=SimpleNamespace(held={}),
-            queues=SimpleNamespace(waiting={}),
-            state=None,
-            failover=None,
-        )
+        self.load = {database: Load() for database in cluster.databases}
+        board = Blackboard()
+        own = {
+            section: board.claim(section, "test")
+            for section in ("log", "configuration", "topology", "pools", "queues")
+        }
+        self.log = own["log"]
+        self.log.voters, self.log.established = NAMES[:2], True
+        own["configuration"].templates = cluster.templates
+        own["topology"].databases = cluster.databases
+        own["pools"].databases = own["queues"].databases = self.load
         options = NodeSettings(name, "lisbon", incarnation=incarnation)
         options.timers = cluster.timers
-        self.limits = LimitController(
-            self.board, options, Random(f"{name}.{incarnation}")
-        )
+        self.limits = LimitController(board, options, Random(f"{name}.{incarnation}"))
 
     @property
     def now(self):
         return self.cluster.now * self.rate
 
     def lead(self, term, first=False):
-        self.board.log.role = "leader"
-        self.board.log.founded_term = term if first else 0
+        self.log.role = "leader"
+        self.log.founded_term = term if first else 0
         self.limits.on_leadership(self.now, LeadershipChanged(self.name, term, True))
 
     def handle(self, event):
@@ -121,7 +118,7 @@
             database.members["m1"] = member
 
     def want(self, name, count, database="claims"):
-        self.daemons[name].board.queues.waiting[database] = count
+        self.daemons[name].load[database].entries = [None] * count
 
     def send(self, sender, recipient, message):
         for _ in range(2 if self.random.random() < self.duplication else 1):
@@ -253,12 +250,12 @@
     cluster = led()
     cluster.want("vm-2", 30)
     cluster.run(1.0)
-    cluster.daemons["vm-2"].board.pools.held["claims"] = 17
+    cluster.daemons["vm-2"].load["claims"].total = 17
     cluster.want("vm-2", 0)
     cluster.want("vm-3", 60)
     cluster.run(4.0)
     assert cluster.shares()[1] < 17 and cluster.shares()[2] <= 3
-    cluster.daemons["vm-2"].board.pools.held["claims"] = 1
+    cluster.daemons["vm-2"].load["claims"].total = 1
     cluster.run(2.0)
     assert cluster.shares()[2] > 10
 
@@ -281,7 +278,7 @@
     cluster.want("vm-3", 30)
     cluster.run(1.0)
     cluster.cut = {"vm-3"}
-    cluster.daemons["vm-1"].board.log.role = "follower"
+    cluster.daemons["vm-1"].log.role = "follower"
     cluster.daemons["vm-2"].lead(2)
     cluster.want("vm-4", 30)
     before = cluster.shares()[3]
@@ -352,7 +349,7 @@
         self.term += 1
         self.cluster.daemons[self.leader].lead(self.term)
         self.cluster.run(overlap, self.check)
-        old.board.log.role = "follower"
+        old.log.role = "follower"
 
     @rule(which=st.integers(2, 3))
     def restart(self, which):
