--- a/packages/core/src/bronzemoor_core/proposals.py
+++ b/packages/core/src/bronzemoor_core/proposals.py
@@ -15,6 +15,8 @@
 # How long a daemon looks for a leader before it answers no_leader.
 LEADER_WAIT = 1.0  # seconds
 RETRY_INTERVAL = 0.05  # seconds
+# A query without an answer is sent again, since asking twice changes nothing.
+QUERY_INTERVAL = 0.4  # seconds
 # Proposals whose duplicates are recognised.
 SEEN_LIMIT = 4096
 
@@ -83,7 +85,9 @@
                 self._complete(base, "unknown", "no answer in time", {})
             elif age >= LEADER_WAIT and not pending.sent:
                 self._complete(base, "no_leader", "no leader is known", {})
-            elif not pending.sent and now >= pending.next_try:
+            elif now >= pending.next_try and (
+                not pending.sent or pending.command.get("query")
+            ):
                 self._try(now, base, pending)
 
     def on_propose(self, now: float, sender: str, message: Propose) -> None:
@@ -151,6 +155,7 @@
     def _try(self, now: float, base: str, pending: Pending) -> None:
         replica = self._replica
         pending.attempt += 1
+        pending.next_try = now + QUERY_INTERVAL
         proposal_id = f"{base}:{pending.attempt}"
         if replica.is_leader:
             pending.sent = True
@@ -167,9 +172,9 @@
         replica.send(recipient, Propose(proposal_id, command))
 
     def _any_control_member(self, attempt: int) -> str:
-        """A member that may know the leader; a control member itself would know."""
+        """A member that may know the leader; a voter itself would know."""
         replica = self._replica
-        if replica.active:
+        if replica.can_vote:
             return ""
         members = replica.settings.control_members
         others = [name for name in members if name != replica.name]
--- a/packages/core/src/bronzemoor_core/replica.py
+++ b/packages/core/src/bronzemoor_core/replica.py
@@ -103,7 +103,7 @@
         self.role = FOLLOWER
         if state is not None:
             self.term, self.vote, self.identity = state.term, state.vote, state.identity
-        self._groups = [(0, first_group(self.name, self.settings.control_members))]
+        self._groups = [(0, first_group(self.settings))]
         if snapshot is not None:
             self._install(snapshot)
             stored, entries = entries, _entries_after(snapshot, entries)
--- a/packages/core/src/bronzemoor_core/replication.py
+++ b/packages/core/src/bronzemoor_core/replication.py
@@ -217,9 +217,14 @@
 
     def _matches(self, message: AppendEntries) -> bool:
         replica = self._replica
-        if message.previous_index <= replica.commit_index:
+        term = replica.journal.term_at(message.previous_index)
+        if message.previous_index > replica.commit_index:
+            return term == message.previous_term
+        if term in (None, message.previous_term):
             return True
-        return replica.journal.term_at(message.previous_index) == message.previous_term
+        # Committed entries never differ within a group: this leader is of another one.
+        replica.emit_log("error", "log_diverges", index=message.previous_index)
+        return False
 
     def _store_new(self, entries: list[LogEntry]) -> bool:
         """Stores entries from the first one on that is missing or differs."""
--- a/packages/core/src/bronzemoor_core/voters.py
+++ b/packages/core/src/bronzemoor_core/voters.py
@@ -5,6 +5,7 @@
 
 from bronzemoor_core.journal import decode_command
 from bronzemoor_core.messages import LogEntry
+from bronzemoor_core.settings import NodeSettings
 
 N = TypeVar("N", int, float)
 
@@ -90,6 +91,13 @@
     return Group(command["voters"], command["learners"])
 
 
-def first_group(name: str, control_members: tuple[str, ...]) -> Group:
-    """The group that the settings name; alone when they name nobody."""
-    return Group(dict.fromkeys(control_members or (name,), ""), {}, started=False)
+def first_group(settings: NodeSettings) -> Group:
+    """The group that the settings name; alone when they name nobody else at all.
+
+    A member without ``control_members`` but with peers waits to be added, so that a
+    forgotten setting does not make a second group.
+    """
+    names = settings.control_members
+    if not names and not set(settings.peers) - {settings.name}:
+        names = (settings.name,)
+    return Group(dict.fromkeys(names, ""), {}, started=False)
--- /dev/null
+++ b/packages/core/tests/test_proposals.py
@@ -0,0 +1,113 @@
+"""Tests of proposals on their way to the leader and back."""
+
+import pytest
+from logcluster import Cluster
+
+from bronzemoor_core.events import PeerMessageReceived
+from bronzemoor_core.messages import Propose, ProposeReply
+from bronzemoor_core.proposals import LEADER_WAIT, PROPOSAL_TIMEOUT
+
+
+def outcomes(member):
+    return [(item.origin, item.code) for item in member.completed]
+
+
+def test_a_daemon_outside_the_group_proposes_through_any_member():
+    """Guards against a daemon that must know the leader before it can propose."""
+    cluster = Cluster(3)
+    cluster.elect()
+    outside = cluster.start("vm-9", control=False)
+    for n in range(6):
+        cluster.propose(outside, n)
+        cluster.query(outside, ("read", n))
+    cluster.run(0.5)
+    assert (
+        outside.log.role == "none"
+        and outside.disk.unsynced == type(outside.disk.unsynced)()
+    )
+    assert sorted(map(str, outcomes(outside))) == sorted(
+        str((origin, "ok")) for n in range(6) for origin in (n, ("read", n))
+    )
+
+
+def test_a_proposal_is_forwarded_at_most_once_more():
+    """Guards against proposals that go round between members."""
+    cluster = Cluster(3)
+    leader = cluster.elect()
+    follower, other = (m for m in cluster.members.values() if m is not leader)
+    propose = Propose(f"{other.name}:s:1:1", b'{"type": "set", "n": 1}')
+    cluster.sent.clear()
+    follower.handle(PeerMessageReceived("vm-8", propose))
+    ((_, recipient, reply),) = cluster.sent
+    assert recipient == other.name and reply.code == "no_leader"
+
+
+def test_without_a_leader_the_answer_is_no_leader():
+    """Guards against a proposer that waits for ever, or calls it unknown."""
+    cluster = Cluster(3)
+    member = cluster.members["vm-1"]
+    cluster.cut = {"vm-1"}
+    cluster.propose(member, 1)
+    cluster.run(LEADER_WAIT + 0.1)
+    assert outcomes(member) == [(1, "no_leader")]
+
+
+def test_a_lost_answer_is_unknown():
+    """Guards against calling a proposal refused that may have been committed."""
+    cluster = Cluster(3)
+    leader = cluster.elect()
+    cluster.run(0.2)
+    follower = next(m for m in cluster.members.values() if m is not leader)
+    cluster.propose(follower, 1)
+    cluster.cut = {follower.name}
+    cluster.run(PROPOSAL_TIMEOUT + 0.1)
+    assert outcomes(follower) == [(1, "unknown")]
+
+
+def test_duplicates_are_committed_and_completed_once():
+    """Guards against a command applied twice after a repeated message."""
+    cluster = Cluster(3)
+    leader = cluster.elect()
+    cluster.run(0.2)
+    cluster.duplication = 1.0
+    follower = next(m for m in cluster.members.values() if m is not leader)
+    for n in range(10):
+        cluster.propose(follower, n)
+    cluster.run(0.5)
+    assert sorted(leader.state.values) == list(range(10))
+    assert sorted(outcomes(follower)) == [(n, "ok") for n in range(10)]
+
+
+def test_a_second_attempt_in_the_log_is_not_applied():
+    """Guards against a command applied twice when its refusal was overtaken."""
+    cluster = Cluster(1)
+    leader = cluster.elect()
+    for attempt in (1, 2):
+        propose = Propose(f"vm-9:s:1:{attempt}", b'{"type": "set", "n": 1}')
+        leader.handle(PeerMessageReceived("vm-9", propose))
+    cluster.run(0.1)
+    assert leader.state.values == [1]
+
+
+def test_a_proposal_survives_the_election_of_its_leader():
+    """Guards against no_leader for every command during a short election."""
+    cluster = Cluster(3)
+    for member in cluster.members.values():
+        cluster.propose(member, member.name)
+    cluster.run(1.5)
+    assert {c.code for m in cluster.members.values() for c in m.completed} == {"ok"}
+
+
+@pytest.mark.parametrize("proposal_id", ["", "x", "a:b:c:d"])
+@pytest.mark.parametrize("command", [b"", b"[1]", b'{"type": "set", "n": 1}'])
+def test_malformed_messages_change_nothing(proposal_id, command):
+    """Guards against a peer that stops the control group by a bad message."""
+    cluster = Cluster(1)
+    leader = cluster.elect()
+    for message in (
+        Propose(proposal_id, command),
+        ProposeReply(proposal_id, "ok", "", command),
+    ):
+        leader.handle(PeerMessageReceived("vm-2", message))
+    cluster.run(0.1)
+    assert leader.state.values == []
--- /dev/null
+++ b/packages/core/tests/test_reconfiguration.py
@@ -0,0 +1,163 @@
+"""Tests of membership change: learners, replacement and lost disks."""
+
+from logcluster import Cluster, Disk
+
+from bronzemoor_core.events import AdminCommand, PeerMessageReceived
+from bronzemoor_core.messages import AppendEntriesReply, Vote, VoteReply
+
+
+def command(cluster, member, name, /, **arguments):
+    """Runs an operator's command to its answer."""
+    count = len(member.replies)
+    member.handle(AdminCommand(count, name, arguments))
+    for _ in range(300):
+        cluster.run(0.01)
+        if len(member.replies) > count:
+            return member.replies[-1]
+    raise AssertionError("no answer")
+
+
+def roles(cluster, member):
+    reply = command(cluster, member, "control.members")
+    return {item["member"]: item["role"] for item in reply.body["members"]}
+
+
+def test_the_first_election_needs_every_member():
+    """Guards against two leaders when a disk is lost before the first entry."""
+    cluster = Cluster(3, start=False)
+    for name in ("vm-1", "vm-2"):
+        cluster.start(name)
+    cluster.run(2.0)
+    assert cluster.leader() is None
+    cluster.start("vm-3")
+    cluster.elect()
+    cluster.crash("vm-3")
+    cluster.run(1.0)
+    assert cluster.leader() is not None
+
+
+def test_a_member_with_peers_but_no_group_waits():
+    """Guards against a second group of one made by a forgotten setting."""
+    cluster = Cluster(3, start=False)
+    peers = {"vm-1": "127.0.0.1:1", "vm-2": "127.0.0.1:2"}
+    member = cluster.start("vm-1", control_members=(), peers=peers)
+    cluster.run(1.0)
+    assert member.log.role == "learner" and member.log.term == 0
+
+
+def test_a_new_member_becomes_a_voter_once_it_caught_up():
+    """Guards against a voter with an empty log, which weakens the quorum."""
+    cluster = Cluster(3)
+    leader = cluster.elect()
+    for n in range(20):
+        cluster.propose(leader, n)
+    follower = next(m for m in cluster.members.values() if m is not leader)
+    assert command(cluster, follower, "control.add", member="vm-4").code == "ok"
+    cluster.run(0.5)
+    assert roles(cluster, follower)["vm-4"] == "learner"
+    joined = cluster.start("vm-4")
+    cluster.run(0.5)
+    assert roles(cluster, follower)["vm-4"] == "voter"
+    assert joined.state.values == list(range(20)) and len(joined.log.voters) == 4
+
+
+def test_a_learner_does_not_count_for_a_quorum():
+    """Guards against a commit that only one voter holds."""
+    cluster = Cluster(3)
+    leader = cluster.elect()
+    command(cluster, leader, "control.add", member="vm-4")
+    cluster.start("vm-4")
+    cluster.run(0.02)
+    cluster.cut = set(cluster.names) - {leader.name}
+    commit = leader.log.commit_index
+    cluster.propose(leader, 1)
+    cluster.run(0.2)
+    assert leader.log.commit_index == commit
+
+
+def test_changes_are_refused_with_a_reason():
+    """Guards against two changes at once and groups of the wrong size."""
+    cluster = Cluster(3)
+    leader = cluster.elect()
+    refused = [
+        ("control.add", "vm-1", "already_member"),
+        ("control.remove", "vm-1", "too_few_members"),
+        ("control.remove", "vm-9", "unknown_member"),
+        ("control.replace", leader.name, "invalid_request"),
+        ("control.add", "", "invalid_request"),
+    ]
+    for name, member, code in refused:
+        assert command(cluster, leader, name, member=member).code == code
+    assert command(cluster, leader, "control.add", member="vm-4").code == "ok"
+    answer = command(cluster, leader, "control.add", member="vm-5")
+    assert answer.code == "change_in_progress"
+    for name in ("vm-4", "vm-5"):
+        command(cluster, leader, "control.add", member=name)
+        cluster.start(name)
+        cluster.run(0.5)
+    answer = command(cluster, leader, "control.add", member="vm-6")
+    assert answer.code == "too_many_members"
+
+
+def test_a_removed_leader_hands_over_and_stays_out():
+    """Guards against a removed member that goes on leading or disturbs the rest."""
+    cluster = Cluster(4)
+    leader = cluster.elect()
+    assert command(cluster, leader, "control.remove", member=leader.name).code == "ok"
+    cluster.run(2.0)
+    new = cluster.leader()
+    assert new is not leader and leader.name not in new.log.voters
+    term = new.log.term
+    cluster.run(2.0)
+    assert new.log.term == term and new.log.role == "leader"
+
+
+def test_the_tolerated_losses_follow_the_reachable_voters():
+    """Guards against a status that promises a loss which would stop the group."""
+    cluster = Cluster(5)
+    leader = cluster.elect()
+    for losses in (2, 1, 0):
+        body = command(cluster, leader, "control.members").body
+        assert body["tolerated_losses"] == losses
+        name = next(n for n in cluster.members if n != leader.name)
+        cluster.crash(name)
+        cluster.run(0.8)
+
+
+def test_a_member_that_lost_its_disk_is_replaced_and_votes_again():
+    """Guards against a group that stays one loss short until somebody looks."""
+    cluster = Cluster(3)
+    leader = cluster.elect()
+    name = next(n for n in cluster.names if n != leader.name)
+    cluster.crash(name)
+    old = cluster.disks[name].storage.hard_state.identity
+    cluster.disks[name] = Disk()
+    cluster.start(name)
+    cluster.run(2.0)
+    new = cluster.disks[name].storage.hard_state.identity
+    members = command(cluster, leader, "control.members").body["members"]
+    (known,) = (item for item in members if item["member"] == name)
+    assert new != old and known["identity"] == new and known["role"] == "voter"
+
+
+def test_votes_and_acknowledgements_of_another_identity_do_not_count():
+    """Guards against a lost disk that elects a second leader or commits alone."""
+    cluster = Cluster(3)
+    leader = cluster.elect()
+    name, other = (n for n in cluster.names if n != leader.name)
+    cluster.cut = {leader.name}
+    commit, term = leader.log.commit_index, leader.log.term
+    cluster.propose(leader, 1)
+    cluster.run(0.02)
+    forged = AppendEntriesReply(term, True, commit + 1, 10_000, f"{name}.new")
+    leader.handle(PeerMessageReceived(name, forged))
+    assert leader.log.commit_index == commit
+    cluster.crash(name)
+    cluster.cut = set()
+    member = cluster.members[other]
+    vote = Vote(term + 5, 1000, term + 4, f"{name}.new")
+    cluster.sent.clear()
+    member.handle(PeerMessageReceived(name, vote))
+    cluster.run(0.02)
+    replies = [item[2] for item in cluster.sent if isinstance(item[2], VoteReply)]
+    assert [reply.granted for reply in replies if reply.term == term + 5] == [False]
