--- a/packages/client/src/bronzemoor_client/changes.py
+++ b/packages/client/src/bronzemoor_client/changes.py
@@ -176,7 +176,7 @@
 @register
 class ControlReplaceCommand(ChangeCommand):
     name = "control replace"
-    description = "Adds a member and removes a lost one after it has caught up."
+    description = "Removes a lost member; another one votes once it has caught up."
     arguments: ClassVar[list[Any]] = [
         argument("lost", "Name of the lost member"),
         argument("replacement", "Name of the new member"),
--- a/packages/core/src/bronzemoor_core/reconfiguration.py
+++ b/packages/core/src/bronzemoor_core/reconfiguration.py
@@ -27,12 +27,18 @@
     def propose(
         self, now: float, command: dict[str, Any], proposal_id: str
     ) -> Refusal | None:
-        """Appends a change; returns why not if it is refused."""
+        """Appends a change of ``name``; returns why not if it is refused.
+
+        A replaced member is removed before its ``replacement``, by default the same
+        name with a new identity, joins as a learner: no two majorities may differ by
+        more than one voter.
+        """
         kind = str(command["type"]).removeprefix("control.")
-        name = str(command.get("member", ""))
-        refusal = self._refusal(kind, name, str(command.get("by", "") or name))
+        name = str(command.get("name", ""))
+        by = str(command.get("replacement") or name)
+        refusal = self._refusal(kind, name, by)
         if refusal is None:
-            group = self._changed(kind, name, str(command.get("by", "") or name))
+            group = self._changed(kind, name, by)
             self._append(now, kind, name, group, proposal_id)
         return refusal
 
@@ -52,7 +58,7 @@
         patience = self._replica.settings.timers.stale_after
         if now - max(since, progress.last_reply) >= patience:
             del self._strangers[sender]
-            command = {"type": "control.replace", "member": sender}
+            command = {"type": "control.replace", "name": sender}
             if self.propose(now, command, "") is None:
                 self._replica.emit_log("warning", "disk_lost", peer=sender)
 
@@ -103,7 +109,7 @@
             alive += reachable and name in group.voters
             members.append(
                 {
-                    "member": name,
+                    "name": name,
                     "identity": identity,
                     "role": self._role(name),
                     "match_index": progress.match_index
@@ -128,7 +134,7 @@
     def _refusal(self, kind: str, name: str, by: str) -> Refusal | None:
         group = self._replica.group
         if not name:
-            return "invalid_request", "member is missing"
+            return "invalid_request", "name is missing"
         if self._change_in_progress():
             return "change_in_progress", "another change is not committed yet"
         if kind == "add":
--- a/packages/core/tests/test_reconfiguration.py
+++ b/packages/core/tests/test_reconfiguration.py
@@ -19,7 +19,7 @@
 
 def roles(cluster, member):
     reply = command(cluster, member, "control.members")
-    return {item["member"]: item["role"] for item in reply.body["members"]}
+    return {item["name"]: item["role"] for item in reply.body["members"]}
 
 
 def test_the_first_election_needs_every_member():
@@ -52,7 +52,7 @@
     for n in range(20):
         cluster.propose(leader, n)
     follower = next(m for m in cluster.members.values() if m is not leader)
-    assert command(cluster, follower, "control.add", member="vm-4").code == "ok"
+    assert command(cluster, follower, "control.add", name="vm-4").code == "ok"
     cluster.run(0.5)
     assert roles(cluster, follower)["vm-4"] == "learner"
     joined = cluster.start("vm-4")
@@ -65,7 +65,7 @@
     """Guards against a commit that only one voter holds."""
     cluster = Cluster(3)
     leader = cluster.elect()
-    command(cluster, leader, "control.add", member="vm-4")
+    command(cluster, leader, "control.add", name="vm-4")
     cluster.start("vm-4")
     cluster.run(0.02)
     cluster.cut = set(cluster.names) - {leader.name}
@@ -87,15 +87,15 @@
         ("control.add", "", "invalid_request"),
     ]
     for name, member, code in refused:
-        assert command(cluster, leader, name, member=member).code == code
-    assert command(cluster, leader, "control.add", member="vm-4").code == "ok"
-    answer = command(cluster, leader, "control.add", member="vm-5")
+        assert command(cluster, leader, name, name=member).code == code
+    assert command(cluster, leader, "control.add", name="vm-4").code == "ok"
+    answer = command(cluster, leader, "control.add", name="vm-5")
     assert answer.code == "change_in_progress"
     for name in ("vm-4", "vm-5"):
-        command(cluster, leader, "control.add", member=name)
+        command(cluster, leader, "control.add", name=name)
         cluster.start(name)
         cluster.run(0.5)
-    answer = command(cluster, leader, "control.add", member="vm-6")
+    answer = command(cluster, leader, "control.add", name="vm-6")
     assert answer.code == "too_many_members"
 
 
@@ -103,7 +103,7 @@
     """Guards against a removed member that goes on leading or disturbs the rest."""
     cluster = Cluster(4)
     leader = cluster.elect()
-    assert command(cluster, leader, "control.remove", member=leader.name).code == "ok"
+    assert command(cluster, leader, "control.remove", name=leader.name).code == "ok"
     cluster.run(2.0)
     new = cluster.leader()
     assert new is not leader and leader.name not in new.log.voters
@@ -136,7 +136,7 @@
     cluster.run(2.0)
     new = cluster.disks[name].storage.hard_state.identity
     members = command(cluster, leader, "control.members").body["members"]
-    (known,) = (item for item in members if item["member"] == name)
+    (known,) = (item for item in members if item["name"] == name)
     assert new != old and known["identity"] == new and known["role"] == "voter"
 
 
