--- a/packages/core/src/bronzemoor_core/allocation.py
+++ b/packages/core/src/bronzemoor_core/allocation.py
@@ -62,13 +62,15 @@
 
     def follow(self, now: float, limit: int, wanted: dict[str, float]) -> None:
         """Divides again, unless the demand changed too little or too soon."""
+        settled = limit == self.limit and wanted.keys() == self.targets.keys()
+        if settled and now - self.moved_at < MOVE_INTERVAL:
+            return
         targets = divide(limit, wanted, self.targets)
-        if limit == self.limit and targets.keys() == self.targets.keys():
+        if settled:
             move = max(
                 (abs(targets[name] - self.targets[name]) for name in targets), default=0
             )
-            small = move < max(MIN_MOVE, MOVE_PART * limit)
-            if small or now - self.moved_at < MOVE_INTERVAL:
+            if move < max(MIN_MOVE, MOVE_PART * limit):
                 return
         self.limit, self.targets, self.moved_at = limit, targets, now
 
@@ -161,29 +163,21 @@
             self._pools[name].ceiling(now) for name in databases if name in self._pools
         )
 
-    def granted(self) -> dict[str, dict[str, int]]:
-        """The newest grant by database and daemon."""
-        return {
-            database: {
-                key[0]: claim.grants[-1].connections
-                for key, claim in pool.claims.items()
-                if claim.grants
-            }
-            for database, pool in self._pools.items()
-        }
-
     def wanted(self, now: float, database: str) -> float:
         """Demand of all daemons for one database."""
         pool = self._pools.get(database)
         return sum(pool.wanted(now).values()) if pool else 0.0
 
-    def drop_expired(self, now: float) -> None:
-        """Forgets claims whose reports and grants ran out."""
+    def drop_expired(self, now: float) -> list[tuple[str, str]]:
+        """Forgets claims that ran out; returns their databases and daemons."""
+        dropped = []
         for database, pool in list(self._pools.items()):
             for key in [key for key, item in pool.claims.items() if item.is_over(now)]:
                 del pool.claims[key]
+                dropped.append((database, key[0]))
             if not pool.claims:
                 del self._pools[database]
+        return dropped
 
     def _report(
         self, now: float, sender: str, heartbeat: Heartbeat, demand: Demand
@@ -225,25 +219,22 @@
 
 
 class ShrinkTimer:
-    """Measures how long shrunk limits take to be in effect."""
+    """Measures how long shrunk limits take to be in effect, by any key."""
 
     def __init__(self) -> None:
-        self._limits: dict[str, int] = {}
-        self._since: dict[str, float] = {}
-
-    def review(self, now: float, limits: dict[str, tuple[int, int]]) -> list[float]:
-        """Takes limit and use by name; returns the times that ended, in seconds."""
-        for name, (limit, _) in limits.items():
-            if limit < self._limits.get(name, limit):
-                self._since.setdefault(name, now)
-            self._limits[name] = limit
-        ended = []
-        for name, since in list(self._since.items()):
-            limit, used = limits.get(name, (0, 0))
-            if used <= limit:
-                ended.append(now - since)
-                del self._since[name]
-        return ended
+        self._limits: dict[tuple[str, str], int] = {}
+        self._since: dict[tuple[str, str], float] = {}
+
+    def note(self, now: float, key: tuple[str, str], limit: int) -> None:
+        """Takes the configured limit of ``key`` into account."""
+        if limit < self._limits.get(key, limit):
+            self._since.setdefault(key, now)
+        self._limits[key] = limit
+
+    def review(self, now: float, used: Callable[[tuple[str, str]], int]) -> list[float]:
+        """Returns the times that ended, in seconds."""
+        ended = [key for key in self._since if used(key) <= self._limits[key]]
+        return [now - self._since.pop(key) for key in ended]
 
 
 def divide(
--- a/packages/core/src/bronzemoor_core/limits.py
+++ b/packages/core/src/bronzemoor_core/limits.py
@@ -27,8 +27,12 @@
 # Bits of the random number that the sequence starts at, so that a late reply to an
 # earlier process of this daemon names no heartbeat of this one.
 SEQUENCE_BITS = 48
-# How often ran-out claims and shrunk limits are looked at, in seconds.
+# How often shrunk limits are looked at, in seconds.
 REVIEW_INTERVAL = 0.1
+# How often claims that ran out are dropped, in seconds; they stop counting before.
+DROP_INTERVAL = 1.0
+# Kinds of limits whose shrinking is timed.
+DATABASE, ORGANISATION = "database", "organisation"
 
 
 @dataclass(slots=True)
@@ -65,6 +69,7 @@
         self._sequence = random.getrandbits(SEQUENCE_BITS)
         self._next_heartbeat = 0.0
         self._next_review = 0.0
+        self._next_drop = 0.0
         self._sent_at: dict[int, float] = {}
         # Organisations by database.
         self._users: dict[str, list[str]] = {}
@@ -146,6 +151,10 @@
     @handles(TemplateChanged)
     def on_template(self, now: float, event: TemplateChanged) -> None:
         self._map_users()
+        template = self._blackboard.configuration.templates.get(event.organisation)
+        if template is not None:
+            key = (ORGANISATION, event.organisation)
+            self._shrinks.note(now, key, template.connections)
 
     def _on_heartbeat(self, now: float, sender: str, message: Heartbeat) -> list[Any]:
         if not self._may_allocate():
@@ -155,6 +164,9 @@
         )
         if shares is None:
             return []
+        for share in shares:
+            granted = self._own.granted.setdefault(share.database, {})
+            granted[sender] = share.connections
         reply = make_reply(now, self._blackboard, self._settings, message, shares)
         return [self._send(sender, reply)]
 
@@ -164,32 +176,29 @@
         return log.role == "leader" and log.established
 
     def _review(self, now: float) -> list[Any]:
-        self._map_users()
-        self._allocator.drop_expired(now)
-        self._own.granted = self._allocator.granted()
+        if now >= self._next_drop:
+            self._next_drop = now + DROP_INTERVAL
+            for database, daemon in self._allocator.drop_expired(now):
+                self._own.granted.get(database, {}).pop(daemon, None)
+        durations = self._shrinks.review(now, lambda key: self._used(now, *key))
         return [
             EmitMetric("timer", "limits.shrink_in_effect", seconds * 1000)
-            for seconds in self._shrinks.review(now, self._configured_limits(now))
+            for seconds in durations
         ]
 
+    def _used(self, now: float, kind: str, name: str) -> int:
+        """Connections that count against the limit of a database or organisation."""
+        if kind == DATABASE:
+            return self._allocator.used(now, [name])
+        template = self._blackboard.configuration.templates.get(name)
+        return self._allocator.used(now, template.databases) if template else 0
+
     def _map_users(self) -> None:
         self._users = {}
         for name, template in self._blackboard.configuration.templates.items():
             for database in template.databases:
                 self._users.setdefault(database, []).append(name)
 
-    def _configured_limits(self, now: float) -> dict[str, tuple[int, int]]:
-        """Every configured limit with the connections that count against it."""
-        limits = {}
-        for name in self._own.granted:
-            limit = self._database_limit(name)
-            if limit is not None:
-                limits[f"database {name}"] = limit, self._allocator.used(now, [name])
-        for name, template in self._blackboard.configuration.templates.items():
-            used = self._allocator.used(now, template.databases)
-            limits[f"organisation {name}"] = template.connections, used
-        return limits
-
     def _database_limit(self, database: str) -> int | None:
         known = self._blackboard.topology.databases.get(database)
         if known is None or not known.members:
@@ -201,6 +210,7 @@
         own = self._database_limit(database)
         if own is None:
             return None
+        self._shrinks.note(now, (DATABASE, database), own)
         users = self._users.get(database)
         if not users:
             return Limit(own, own)
@@ -225,6 +235,7 @@
         template = self._blackboard.configuration.templates.get(organisation)
         if template is None:
             return 0
+        self._shrinks.note(now, (ORGANISATION, organisation), template.connections)
         division = self._divisions.setdefault(organisation, Division())
         wanted = {
             name: self._allocator.wanted(now, name) for name in template.databases
--- a/packages/daemon/tests/test_datafolder.py
+++ b/packages/daemon/tests/test_datafolder.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+from functools import wraps
 from random import Random
 
 import pytest
@@ -62,8 +63,21 @@
     folder.close()
 
 
+def without_sync(test):
+    """Spares the disk in a test that damages the files itself."""
+
+    @wraps(test)
+    def run(*arguments, **options):
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(os, "fsync", lambda handle: None)
+            test(*arguments, **options)
+
+    return run
+
+
 @settings(max_examples=60, derandomize=True, database=None, deadline=None)
 @given(cut=st.integers(1, 120), flip=st.booleans())
+@without_sync
 def test_a_torn_tail_is_cut_at_the_last_whole_record(tmp_path_factory, cut, flip):
     """Guards against refusing to start, or inventing entries, after a power failure."""
     path = tmp_path_factory.mktemp("torn")
@@ -88,6 +102,7 @@
 
 @settings(max_examples=60, derandomize=True, database=None, deadline=None)
 @given(place=st.integers(0, 300), bit=st.integers(0, 7))
+@without_sync
 def test_damage_before_the_tail_stops_the_start(tmp_path_factory, place, bit):
     """Guards against dropping acknowledged entries as if they were a torn tail."""
     path = tmp_path_factory.mktemp("damage")
