--- a/packages/core/src/bronzemoor_core/elections.py
+++ b/packages/core/src/bronzemoor_core/elections.py
@@ -4,6 +4,9 @@
 from bronzemoor_core.messages import PreVote, PreVoteReply, Vote, VoteReply
 from bronzemoor_core.replica import CANDIDATE, FOLLOWER, LEADER, Replica
 
+# Seconds between log lines while the first members are not all heard.
+WAITING_LOG_INTERVAL = 5.0
+
 
 class Elections:
     """Decides when this member campaigns and whom it votes for."""
@@ -14,6 +17,7 @@
         # Answers to the pre-vote or vote in progress: name to identity.
         self._answers: dict[str, str] = {}
         self._asking = False
+        self._next_log = 0.0
 
     def start(self, now: float) -> None:
         """Sets the first timer; a group of one needs none."""
@@ -37,6 +41,8 @@
         self.reset_timer(now)
         replica.role, replica.leader = FOLLOWER, ""
         self._asking = True
+        if not replica.group.started and replica.group.votes_needed > 1:
+            self._log_waiting(now)
         self._answers = {replica.name: replica.identity}
         if len(self._answers) >= replica.group.votes_needed:
             self._campaign(now)
@@ -141,6 +147,13 @@
         replica.emit_log("info", "leadership_gained", voters=len(self._answers))
         return True
 
+    def _log_waiting(self, now: float) -> None:
+        """Tells operators why the first election needs every member."""
+        if now >= self._next_log:
+            self._next_log = now + WAITING_LOG_INTERVAL
+            names = ",".join(self._others())
+            self._replica.emit_log("info", "waiting_for_first_members", members=names)
+
     def _count(self, sender: str, identity: str) -> bool:
         if self._replica.group.is_voter(sender, identity):
             self._answers[sender] = identity
--- a/packages/core/src/bronzemoor_core/proposals.py
+++ b/packages/core/src/bronzemoor_core/proposals.py
@@ -123,10 +123,15 @@
             self._replica.emit_log("warning", "bad_proposal_reply", error=str(error))
             return
         pending = self._pending.get(proposal.base)
-        if pending is None or pending.attempt != proposal.attempt:
+        if pending is None:
             return
+        current = pending.attempt == proposal.attempt
         if message.code == "no_leader":
-            self._refused(now, pending)
+            if current:
+                self._refused(now, pending)
+            return
+        # Any attempt at a query will do; it is answered as of its arrival or later.
+        if not current and not pending.command.get("query"):
             return
         self._complete(proposal.base, message.code, message.message, result)
 
--- a/packages/daemon/src/bronzemoor_daemon/datafolder.py
+++ b/packages/daemon/src/bronzemoor_daemon/datafolder.py
@@ -14,6 +14,7 @@
 from bronzemoor_core.storage import HardState, Snapshot, decode_snapshot
 from bronzemoor_daemon.segments import (
     SEGMENT_BYTES,
+    SEGMENT_HEADER,
     SegmentWriter,
     read_segment,
     segment_numbers,
@@ -77,7 +78,8 @@
         path = self._path / HARD_STATE
         segments = segment_numbers(self._path)
         if not path.exists():
-            if len(segments) > 1 or self._snapshot_paths():
+            sizes = [segment_path(self._path, n).stat().st_size for n in segments]
+            if self._snapshot_paths() or any(s > SEGMENT_HEADER.size for s in sizes):
                 raise CorruptStorage("hard state is missing", file=str(path), offset=0)
             return None
         if not segments:
