Test the age bound of reads directly and in the interleavings

By hand on a scratch copy: ignoring the age of the primary's confirmation or skipping its check fails test_an_isolated_primary_cannot_prove_the_age_of_a_read; a sample older than the bound fails test_a_replica_older_than_the_bound_serves_no_read.

--- a/packages/core/tests/datapath_world.py
+++ b/packages/core/tests/datapath_world.py
@@ -112,6 +112,7 @@
         self.serial = count(1)
         self.history = {1: 0}
         self.confirmed_ago_ms = 0
+        self.replaced_at = {}  # since when no majority confirms a replaced primary
 
     def primary(self):
         """The primary of the newest term."""
@@ -122,14 +123,16 @@
         for name in self.followers - {primary.name}:
             primary.replicate_to(self.members[name])
 
-    def promote(self, isolated=()):
+    def promote(self, isolated=(), now=0.0):
         """Fences the other members and promotes the most advanced one."""
+        self.replaced_at.update(dict.fromkeys(isolated, now))
         term = max(member.term for member in self.members.values()) + 1
         voters = [m for m in self.members.values() if m.name not in isolated]
         best = max(voters, key=lambda m: m.position)
         for member in voters:
             member.term, member.role, member.open = term, "replica", {}
         best.role, best.acks = "primary", {}
+        self.replaced_at.pop(best.name, None)
         self.history[term] = len(best.log)
         # Marks the term in the log, so that a longer old log cannot win later.
         best.append("", "")
@@ -324,7 +327,7 @@
 
     def fail_over(self, *isolated):
         """Promotes among the members that are not isolated and tells the node."""
-        self.group.promote(isolated)
+        self.group.promote(isolated, self.now)
         self.learn()
 
     def learn(self):
@@ -340,6 +343,8 @@
 
     def answer(self, member, call, result):
         position = result.position or member.position
+        ago = self.now - self.group.replaced_at.get(member.name, self.now)
+        ago_ms = self.group.confirmed_ago_ms + round(ago * 1_000)
         return Answer(
             call.correlation_id,
             result.status,
@@ -349,7 +354,7 @@
             position.term,
             position.offset,
             member.majority,
-            self.group.confirmed_ago_ms if member.role == "primary" else -1,
+            ago_ms if member.role == "primary" else -1,
             result.payload,
             len(result.payload),
             crc32(result.payload),
--- a/packages/core/tests/test_interleavings.py
+++ b/packages/core/tests/test_interleavings.py
@@ -19,6 +19,7 @@
     suppress_health_check=list(HealthCheck),
 )
 STEP = 0.02
+MAX_AGE = 0.5  # of the class "catalogue"
 
 
 @dataclass
@@ -41,7 +42,8 @@
         self.faults = list(faults)
         self.worlds = [self.start(100.0), self.start(100.0)]
         self.sessions = [Session() for _ in range(3)]
-        self.not_run, self.acknowledged, self.payouts = set(), set(), set()
+        self.not_run, self.payouts = set(), set()
+        self.acknowledged = {}  # text of each write and when it was acknowledged
         self.serial = 0
 
     def start(self, now):
@@ -77,7 +79,8 @@
         elif kind == "followers":
             self.group.followers = {"a", "b", "c"} - set("abc"[: number % 4][1:])
         elif kind == "fail_over":
-            self.group.promote((self.group.primary().name,))
+            now = self.worlds[0].now
+            self.group.promote((self.group.primary().name,), now)
             self.worlds[proxy].learn()
         elif kind == "resend":
             self.resend(self.sessions[number % 3], self.worlds[proxy])
@@ -158,12 +161,17 @@
         missing = set(session.acknowledged) - seen
         assert not missing, f"read_your_writes: {missing} not read from {outcome.peer}"
 
-    _done_catalogue = _done_own
+    def _done_catalogue(self, session, text, outcome):
+        self._done_own(session, text, outcome)
+        seen = {part for row in json.loads(outcome.payload) for part in row.split("+")}
+        limit = self.worlds[0].now - STEP - MAX_AGE
+        old = {text for text, at in self.acknowledged.items() if at < limit}
+        assert old <= seen, f"{old - seen} is older than the age bound"
 
     def _done_post(self, session, text, outcome):
         assert json.loads(outcome.payload) == [text], "whole_answer"
         session.acknowledged.append(text)
-        self.acknowledged.add(text)
+        self.acknowledged[text] = self.worlds[0].now
 
     _done_payout = _done_post
 
@@ -177,7 +185,8 @@
     def _done_commit(self, session, text, outcome):
         assert json.loads(outcome.payload) == ["+".join(session.parts)], "whole_answer"
         session.acknowledged += session.parts
-        self.acknowledged.update(session.parts)
+        now = self.worlds[0].now
+        self.acknowledged.update(dict.fromkeys(session.parts, now))
 
     def check(self):
         self.faults.clear()
@@ -188,7 +197,7 @@
         self.group.heal()
         texts = self.group.primary().texts()
         kept = Counter(part for text in texts for part in text.split("+"))
-        assert self.acknowledged <= set(kept), "no_deposed_ack"
+        assert set(self.acknowledged) <= set(kept), "no_deposed_ack"
         assert max(kept.values(), default=1) == 1, "a write was applied twice"
         ran = Counter(request_id for request_id, _ in self.group.executions)
         assert not self.not_run & set(ran), "not_run_is_true"
--- a/packages/core/tests/test_requests.py
+++ b/packages/core/tests/test_requests.py
@@ -388,6 +388,18 @@
     assert call.min_position in {sample.position for sample in samples}
 
 
+def test_a_replica_older_than_the_bound_serves_no_read():
+    """Guards against a read from the nearest replica after it stopped to follow."""
+    world = World()
+    world.run(1)
+    world.group.followers = {"c"}
+    world.ask("post", "x")
+    for _ in range(20):
+        reply = world.ask("catalogue")
+    assert json.loads(reply.outcome.payload) == ["x"]
+    assert reply.outcome.peer == "c"
+
+
 def test_an_isolated_primary_cannot_prove_the_age_of_a_read():
     """Guards against a stale read that a replaced primary presents as fresh."""
     world = World()
