--- a/packages/core/src/bronzemoor_core/preconditions.py
+++ b/packages/core/src/bronzemoor_core/preconditions.py
@@ -15,12 +15,16 @@
 KINDS = ("statements", "begin", "commit", "rollback")
 # Used by commit and rollback, which need no class of their own.
 TRANSACTION_CLASS = RequestClass("transaction")
-# Daemon, its incarnation and a random number; see ``transaction_name``.
+# Daemon, its incarnation and a random number; see ``unique_name``.
 TRANSACTION_NAME = re.compile(r"[^.]+\.\d+\.[0-9a-f]{16}")
 
 
-def transaction_name(settings: Any, random: Random) -> str:
-    """Returns the id of a new transaction."""
+def unique_name(settings: Any, random: Random) -> str:
+    """Returns an id for a new transaction or reservation.
+
+    The random part keeps two processes apart even if they share name and incarnation:
+    an equal reservation would let both of them execute the request.
+    """
     return f"{settings.name}.{settings.incarnation}.{random.getrandbits(64):016x}"
 
 
--- a/packages/core/src/bronzemoor_core/requests.py
+++ b/packages/core/src/bronzemoor_core/requests.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 from collections.abc import Iterator
-from itertools import count
 from random import Random
 from typing import Any
 
@@ -34,7 +33,7 @@
 from bronzemoor_core.flow import RequestFlow
 from bronzemoor_core.losses import on_lost
 from bronzemoor_core.outcomes import NotRun, Unknown
-from bronzemoor_core.preconditions import make_work
+from bronzemoor_core.preconditions import make_work, unique_name
 from bronzemoor_core.probes import observed_position
 from bronzemoor_core.steps import ANSWERED
 from bronzemoor_core.work import WAITING, Step, Work
@@ -52,7 +51,6 @@
 
     def __init__(self, blackboard: Blackboard, settings: Any, random: Random) -> None:
         super().__init__(blackboard, settings, random)
-        self._reservations = count(1)
         self._reroute_at = 0.0
         # When to give up, ticket and correlation id.
         self._abandoned: deque[tuple[float, int, int]] = deque()
@@ -73,9 +71,7 @@
             ]
         self._own.active[ticket] = work
         if work.goal is Step.RESERVE:
-            number = next(self._reservations)
-            settings = self._settings
-            work.reservation = f"{settings.name}.{settings.incarnation}.{number}"
+            work.reservation = unique_name(self._settings, self._random)
         if work.transaction is None:
             return self.route(now, work)
         commits = work.goal is Step.COMMIT
--- a/packages/core/src/bronzemoor_core/steps.py
+++ b/packages/core/src/bronzemoor_core/steps.py
@@ -12,7 +12,7 @@
 )
 from bronzemoor_core.outcomes import Done, NotRun, Unknown
 from bronzemoor_core.positions import Position
-from bronzemoor_core.preconditions import transaction_name
+from bronzemoor_core.preconditions import unique_name
 from bronzemoor_core.work import Step, Work
 
 if TYPE_CHECKING:
@@ -156,7 +156,7 @@
     if work.gone:
         # Nobody will use the transaction; closing its connection rolls it back.
         return flow.finish(now, work, _done(work, answer), clean=False)
-    name = transaction_name(flow.settings, flow.random)
+    name = unique_name(flow.settings, flow.random)
     request = work.request
     opened = TransactionOpened(
         name,
--- a/packages/core/tests/test_interleavings.py
+++ b/packages/core/tests/test_interleavings.py
@@ -40,6 +40,7 @@
     def __init__(self, faults):
         self.group = Group()
         self.faults = list(faults)
+        self.seed = 0
         self.worlds = [self.start(100.0), self.start(100.0)]
         self.sessions = [Session() for _ in range(3)]
         self.not_run, self.payouts = set(), set()
@@ -47,7 +48,15 @@
         self.serial = 0
 
     def start(self, now):
-        world = World(group=self.group, now=now, call_timeout=0.2, confirm_timeout=0.2)
+        # Processes share name and incarnation, but not the state of their generators.
+        self.seed += 1
+        world = World(
+            seed=self.seed,
+            group=self.group,
+            now=now,
+            call_timeout=0.2,
+            confirm_timeout=0.2,
+        )
         world.fault = self.next_fault
         return world
 
--- a/packages/core/tests/test_requests.py
+++ b/packages/core/tests/test_requests.py
@@ -5,6 +5,7 @@
 import pytest
 from datapath_world import (
     CLASSES,
+    Group,
     Result,
     World,
     arrive_late,
@@ -170,6 +171,17 @@
     assert len(calls(world, "execute")) == 1
 
 
+def test_a_restarted_process_does_not_take_its_earlier_reservation_for_its_own():
+    """Guards against a second execution by a process that restarted under its name
+    and incarnation, or by two processes that share them."""
+    group = Group()
+    for seed in (1, 2):
+        world = World(seed=seed, group=group, now=100.0 * seed)
+        world.fault = once("execute", lose_call) if seed == 1 else world.fault
+        reply = world.ask("payout", "100", seconds=3, request_id="p-1")
+    assert (reply.outcome.tag, reply.outcome.code) == ("unknown", "reserved_elsewhere")
+
+
 @pytest.mark.parametrize("fault", [lose_answer, arrive_late, break_connection])
 def test_a_lost_payout_answer_is_looked_up(fault):
     """Guards against *unknown* for a payout whose result is recorded."""
