Make readiness depend on a quorum and keep key rings from reverting

Cause: a deposed leader's reply could make a restarted daemon ready; a late update could bring back an older key ring; a daemon of some organisations compared a digest over the wrong databases. A daemon now asks a quorum for the current versions; key rings carry a serial.

--- a/packages/core/src/bronzemoor_core/commands.py
+++ b/packages/core/src/bronzemoor_core/commands.py
@@ -160,6 +160,12 @@
     return {"code": "ok", "templates": rows}
 
 
+@query("configuration.versions")
+def _current_versions(state: Any, body: dict[str, Any]) -> dict[str, Any]:
+    serial = state.keys[0].serial if state.keys else 0
+    return {"code": "ok", "versions": state.versions, "keys": serial}
+
+
 @query("template.history")
 def _template_history(state: Any, body: dict[str, Any]) -> dict[str, Any]:
     entries = state.templates.get(body["organisation"], [])
@@ -267,7 +273,8 @@
 def _rotate_keys(state: State, body: dict[str, Any]) -> dict[str, Any]:
     if any(key.key_id == body["key_id"] for key in state.keys):
         return _error("key_id_reused", f"key {body['key_id']!r} exists already")
-    key = KeyRecord(body["key_id"], body["secret"], body.get("at", 0.0))
+    serial = state.keys[0].serial + 1 if state.keys else 1
+    key = KeyRecord(serial, body["key_id"], body["secret"], body.get("at", 0.0))
     state.keys = [key, *state.keys][:KEY_LIMIT]
     return {"code": "ok", "key_id": key.key_id, "keys": [k.key_id for k in state.keys]}
 
--- a/packages/core/src/bronzemoor_core/distribution.py
+++ b/packages/core/src/bronzemoor_core/distribution.py
@@ -16,6 +16,7 @@
     StateChanged,
     TemplateChanged,
     Tick,
+    TokenKeysChanged,
 )
 from bronzemoor_core.exceptions import InvalidSettings
 from bronzemoor_core.messages import (
@@ -25,25 +26,30 @@
     HeartbeatReply,
     TemplateVersion,
 )
+from bronzemoor_core.records import KeyRecord
 from bronzemoor_core.status import summarize
 from bronzemoor_core.templates import Template, parse_template
 from bronzemoor_core.topology import NEVER
 from bronzemoor_core.versions import (
     KEYS_KEY,
-    committed_keys,
     committed_versions,
+    covers,
     held_versions,
-    keys_digest,
+    read_key,
     wanted,
+    write_key,
 )
 
+# How often a daemon that is not ready asks a quorum for the current versions, seconds.
+QUERY_INTERVAL = 0.5
+
 
 @section("configuration")
 class Configuration:
     """Templates in force by organisation; ``confirmed_at`` is when a control member
     last confirmed the versions, in seconds.
 
-    ``keys`` are the token keys as ``id:hex``, the signing one first. ``ready`` tells
+    ``keys`` are the replicated token keys, the signing one first. ``ready`` tells
     whether the current versions were learned from a quorum since the start.
     ``confirmations`` holds, on the leader, the versions that each daemon confirmed.
     """
@@ -59,7 +65,7 @@
 
     def __init__(self) -> None:
         self.templates: dict[str, Template] = {}
-        self.keys: tuple[str, ...] = ()
+        self.keys: tuple[KeyRecord, ...] = ()
         self.confirmed_at = 0.0
         self.ready = False
         self.stale = False
@@ -75,6 +81,8 @@
     def __init__(self, *arguments: Any) -> None:
         super().__init__(*arguments)
         self._queried = NEVER
+        # Versions that a quorum confirmed since the start.
+        self._needed: dict[str, int] | None = None
         # When each daemon was last sent a repair.
         self._repaired: dict[str, float] = {}
 
@@ -83,40 +91,36 @@
     @handles(StateChanged)
     def changed(self, now: float, event: StateChanged) -> list[object]:
         state = self._blackboard.state
-        if event.kind == "template":
-            names = [event.name]
-        elif event.kind == "all":
-            names = list(state.templates)
-        elif event.kind != "keys":
+        names = {"template": [event.name], "all": list(state.templates), "keys": []}
+        if event.kind not in names:
             return []
-        else:
-            names = []
         out: list[object] = []
         served = self._settings.organisations
-        for name in names:
-            if served and name not in served:
-                continue
+        for name in names[event.kind]:
             entry = current_entry(state, name)
-            if entry is not None:
+            if entry is not None and (not served or name in served):
                 out += self._enforce(name, entry.version, entry.body)
-        self._own.keys = committed_keys(state) or self._own.keys
-        if not self._blackboard.topology.is_leader:
-            return out
-        for daemon in self._blackboard.topology.daemons.values():
-            news = [n for n in names if self._wants(daemon.subscriptions, n)]
-            here = daemon.name == self._settings.name
-            if not daemon.lost and not here and (news or event.kind == "keys"):
-                # The repair of a lost update waits for one digest interval.
-                self._repaired[daemon.name] = now
-                out.append(self._push(daemon.name, news))
+        out += self._enforce_keys(list(state.keys))
+        if self._blackboard.topology.is_leader:
+            out += self._publish(now, names[event.kind], event.kind == "keys")
         return out
 
     @handles(LeadershipChanged)
     def lead(self, now: float, event: LeadershipChanged) -> None:
-        self._queried = NEVER
         if not event.is_leader:
             self._own.confirmations.clear()
 
+    def _publish(self, now: float, names: list[str], keys: bool) -> list[object]:
+        out: list[object] = []
+        for daemon in self._blackboard.topology.daemons.values():
+            news = [n for n in names if self._wants(daemon.subscriptions, n)]
+            elsewhere = daemon.name != self._settings.name and not daemon.lost
+            if elsewhere and (news or keys):
+                # The repair of a lost update waits for one digest interval.
+                self._repaired[daemon.name] = now
+                out.append(self._push(daemon.name, news))
+        return out
+
     def _wants(self, subscriptions: Any, organisation: str) -> bool:
         entry = current_entry(self._blackboard.state, organisation)
         return entry is not None and wanted(subscriptions, organisation, entry)
@@ -128,9 +132,9 @@
             for name in names
             if (entry := current_entry(state, name)) is not None
         ]
-        keys = list(committed_keys(state))
-        digest = keys_digest(tuple(keys))
-        return SendPeerMessage(daemon, ConfigurationUpdate(templates, digest, keys))
+        keys = [write_key(key) for key in state.keys]
+        serial = state.keys[0].serial if state.keys else 0
+        return SendPeerMessage(daemon, ConfigurationUpdate(templates, serial, keys))
 
     def _confirm(
         self, now: float, sender: str, versions: dict[str, int]
@@ -141,20 +145,15 @@
             return []
         self._own.confirmations[sender] = dict(versions)
         current = committed_versions(self._blackboard, daemon.subscriptions)
-        lacking = [
-            name
-            for name, version in current.items()
-            if name != KEYS_KEY and versions.get(name, 0) < version
-        ]
-        keys_differ = versions.get(KEYS_KEY) != current.get(KEYS_KEY)
-        if sender == self._settings.name or not (lacking or keys_differ):
+        if sender == self._settings.name or covers(versions, current):
             return []
         # A delta may be on its way, so a repair waits for one digest interval.
-        last = self._repaired.get(sender, NEVER)
-        if now - last < self._settings.timers.digest_interval:
+        interval = self._settings.timers.digest_interval
+        if now - self._repaired.get(sender, NEVER) < interval:
             return []
         self._repaired[sender] = now
-        return [self._push(sender, lacking)]
+        names = [n for n, version in current.items() if versions.get(n, 0) < version]
+        return [self._push(sender, names)]
 
     # --- every daemon
 
@@ -170,7 +169,8 @@
         if isinstance(message, ConfigurationUpdate):
             return self._update(event.sender, message)
         if isinstance(message, HeartbeatReply) and message.leader == event.sender:
-            return self._confirmed(now, message.versions)
+            self._own.confirmed_at, self._own.stale = now, False
+            return self._check_ready()
         return None
 
     def _update(self, sender: str, message: ConfigurationUpdate) -> list[object]:
@@ -178,10 +178,9 @@
         for template in message.templates:
             body = json.loads(template.body)
             out += self._enforce(template.organisation, template.version, body)
-        if message.keys:
-            self._own.keys = tuple(message.keys)
+        out += self._enforce_keys([read_key(text) for text in message.keys])
         held = ConfigurationAcknowledged(held_versions(self._blackboard))
-        return [*out, SendPeerMessage(sender, held)]
+        return [*out, *self._check_ready(), SendPeerMessage(sender, held)]
 
     def _enforce(self, organisation: str, version: int, body: Any) -> list[object]:
         """Puts a version in force, never a lower one than before."""
@@ -199,20 +198,32 @@
         self._own.templates[organisation] = template
         return [TemplateChanged(organisation, version)]
 
-    def _confirmed(self, now: float, versions: dict[str, int]) -> list[object]:
-        self._own.confirmed_at = now
-        self._own.stale = False
-        held = held_versions(self._blackboard)
-        current = all(
-            held.get(name) == version
-            if name == KEYS_KEY
-            else held.get(name, 0) >= version
-            for name, version in versions.items()
-        )
-        if current and not self._own.ready:
-            self._own.ready = True
-            return [EmitLog("info", "configuration_ready", {"versions": len(versions)})]
-        return []
+    def _enforce_keys(self, keys: list[KeyRecord]) -> list[object]:
+        """Puts a key ring in force, never an older one than before.
+
+        Keys of the settings stay valid for tokens that were signed before the first
+        rotation.
+        """
+        held = self._own.keys[0].serial if self._own.keys else 0
+        if not keys or keys[0].serial <= held:
+            return []
+        self._own.keys = tuple(keys)
+        pairs = {key.key_id: bytes.fromhex(key.secret) for key in keys}
+        return [TokenKeysChanged(list((pairs | self._old_keys(pairs)).items()))]
+
+    def _old_keys(self, known: dict[str, bytes]) -> dict[str, bytes]:
+        own = self._settings.token_keys.items()
+        return {key_id: secret for key_id, secret in own if key_id not in known}
+
+    def _check_ready(self) -> list[object]:
+        """Becomes ready once all versions that a quorum confirmed are in force."""
+        own = self._own
+        if own.ready or self._needed is None:
+            return []
+        if not covers(held_versions(self._blackboard), self._needed):
+            return []
+        own.ready = True
+        return [EmitLog("info", "configuration_ready", {"versions": len(self._needed)})]
 
     # --- operators
 
@@ -226,17 +237,14 @@
 
     @handles(Tick)
     def tick(self, now: float, event: Tick) -> list[object] | None:
-        timers = self._settings.timers
-        leading = self._blackboard.topology.is_leader
-        if leading and now - self._queried >= timers.digest_interval:
-            # A quorum read proves that this leader's versions are the current ones.
+        timers, own = self._settings.timers, self._own
+        if not own.ready and now - self._queried >= QUERY_INTERVAL:
             self._queried = now
-            query = {"type": "template.list", "query": True}
+            query = {"type": "configuration.versions", "query": True}
             return [CommandProposed(query, ("configuration", 0))]
-        stale = now - self._own.confirmed_at > timers.stale_after
-        if stale and not self._own.stale and self._own.ready:
-            self._own.stale = True
-            fields = {"confirmed_at": self._own.confirmed_at}
+        if own.ready and not own.stale and now - own.confirmed_at > timers.stale_after:
+            own.stale = True
+            fields = {"confirmed_at": own.confirmed_at}
             return [EmitLog("warning", "configuration_stale", fields)]
         return None
 
@@ -245,6 +253,12 @@
         origin = event.origin
         if not isinstance(origin, tuple | list) or origin[0] != "configuration":
             return None
-        if event.code != "ok":
+        if event.code != "ok" or self._own.ready:
             return None
-        return self._confirmed(now, committed_versions(self._blackboard))
+        served = self._settings.organisations
+        versions = event.result["versions"].items()
+        self._needed = {n: v for n, v in versions if not served or n in served}
+        if event.result["keys"]:
+            self._needed[KEYS_KEY] = event.result["keys"]
+        self._own.confirmed_at = now
+        return self._check_ready()
--- a/packages/core/src/bronzemoor_core/failover.py
+++ b/packages/core/src/bronzemoor_core/failover.py
@@ -38,9 +38,11 @@
 
 # How often evidence is collected, seconds.
 CHECK_INTERVAL = 0.02
-# How often the leader looks at databases without evidence or plan, seconds: for first
-# appointments, members that are out of step and primaries that leave.
-SWEEP_INTERVAL = 0.1
+# The leader looks at all databases in turn, for first appointments, members that are
+# out of step and primaries that leave. A round takes this many checks (1 s), or fewer
+# when there are few databases; looking at 4,300 in each check would take a whole core.
+SWEEP_STEPS = 50
+SWEEP_MINIMUM = 10
 # A new leader collects announcements for this long before it appoints, seconds.
 SETTLE_TIME = 0.3
 # Interval between follow orders to a member that is out of step, seconds.
@@ -79,7 +81,8 @@
         self._suspicions = Suspicions(self._settings, self._seen)
         self._promoter = Promoter(self._settings, self._own.promotions)
         self._operations = Operations(self._blackboard)
-        self._checked = self._swept = NEVER
+        self._checked = NEVER
+        self._sweep: list[str] = []
         self._sent: dict[str, float] = {}
         self._addresses: dict[str, dict[str, str]] = {}
         self._surveys: list[Survey] = []
@@ -159,14 +162,19 @@
             return out
         databases = self._topology.databases
         self._suspicions.collect(now, databases, local)
-        sweep = now - self._swept >= SWEEP_INTERVAL
-        if sweep:
-            self._swept = now
-        for name in databases if sweep else sorted(self._suspicions.databases):
+        for name in sorted(self._suspicions.databases.union(self._next_sweep())):
             if name in databases:
                 out += self._check(now, databases[name])
         return out
 
+    def _next_sweep(self) -> list[str]:
+        """Returns the next databases to look at without cause, all of them in turn."""
+        if not self._sweep:
+            self._sweep = list(self._topology.databases)
+        count = max(SWEEP_MINIMUM, len(self._topology.databases) // SWEEP_STEPS)
+        names, self._sweep = self._sweep[:count], self._sweep[count:]
+        return names
+
     def _collect_local(self, now: float) -> list[tuple[str, Evidence]]:
         databases = self._topology.databases
         timers, own = self._settings.timers, self._settings.name
--- a/packages/core/src/bronzemoor_core/membership.py
+++ b/packages/core/src/bronzemoor_core/membership.py
@@ -1,9 +1,9 @@
 """Membership of endpoints and daemons: announcements, leases and incarnations."""
 
-from collections.abc import Iterator
 from typing import Any
 
 from bronzemoor_core.actions import EmitLog, EmitMetric, SendPeerMessage
+from bronzemoor_core.commands import current_entry
 from bronzemoor_core.controllers import Controller, controller, handles
 from bronzemoor_core.events import (
     AnnouncementReceived,
@@ -26,11 +26,11 @@
 from bronzemoor_core.positions import TermHistory
 from bronzemoor_core.relays import (
     TOPOLOGY_KEY,
-    database_state,
+    served_databases,
     subscribed_databases,
-    summarize_member,
     to_summary,
 )
+from bronzemoor_core.subscriptions import Publisher
 from bronzemoor_core.topology import (
     NEVER,
     Daemon,
@@ -45,7 +45,7 @@
 __all__ = ["Daemon", "Database", "Member", "Membership", "PrimarySample"]
 
 # How often leases are checked, seconds; small against every lease.
-LEASE_CHECK_INTERVAL = 0.05
+LEASE_CHECK_INTERVAL = 0.1
 # How long a daemon without a lease is remembered as lost, seconds.
 DAEMON_MEMORY = 600.0
 
@@ -59,10 +59,8 @@
     def __init__(self, *arguments: Any) -> None:
         super().__init__(*arguments)
         self._lease_check = NEVER
-        self._position_flush = NEVER
         self._mismatches = 0
-        # Databases whose positions changed since the last flush.
-        self._moved: set[str] = set()
+        self._publisher = Publisher(self._settings, self._blackboard, self._own)
 
     # --- members
 
@@ -84,7 +82,7 @@
             samples = database.samples
             if not samples or event.proved_at > samples[-1].proved_at:
                 samples.append(PrimarySample(event.proved_at, event.position))
-        return self._notify(now, (event.database,)) if changed else []
+        return self._publisher.notify(now, (event.database,)) if changed else []
 
     def _merge(self, now: float, summary: MemberSummary, source: str) -> list[object]:
         database = self._own.databases.get(summary.database)
@@ -117,11 +115,11 @@
         if changed:
             member.changed_at = now
         elif known is not None and known.position != member.position:
-            self._moved.add(database.name)
+            self._publisher.moved.add(database.name)
         database.members[member.name] = member
         if not database.group:
             database.group = member.group
-        return self._notify(now, (database.name,)) if changed else []
+        return self._publisher.notify(now, (database.name,)) if changed else []
 
     def _drained(
         self, known: Member | None, summary: MemberSummary, source: str
@@ -145,10 +143,14 @@
 
     @handles(StateChanged)
     def record(self, now: float, event: StateChanged) -> list[object]:
-        records = self._blackboard.state.databases
-        names = list(records) if event.kind == "all" else [event.name]
+        if event.kind == "template":
+            # Its subscribers may not know a database that was added.
+            entry = current_entry(self._blackboard.state, event.name)
+            return self._publisher.notify(now, entry.body["databases"] if entry else ())
         if event.kind not in ("database", "all"):
             return []
+        records = self._blackboard.state.databases
+        names = list(records) if event.kind == "all" else [event.name]
         out: list[object] = []
         for name in names:
             record = records[name]
@@ -168,7 +170,7 @@
                 drained &= member.name != record.primary
                 if drained != member.drained:
                     member.leaving = member.drained = drained
-        return out + self._notify(now, names)
+        return out + self._publisher.notify(now, names)
 
     def _commit(self, state: DatabaseState) -> list[object]:
         database = self._own.databases.setdefault(
@@ -229,7 +231,7 @@
             out += self._merge(now, summary, "relay")
         known = daemon.updated_at != NEVER or sender == self._settings.name
         if self._own.is_leader and not known:
-            out.append(self._whole(now, daemon))
+            out.append(self._publisher.whole(now, daemon))
         return out
 
     def _update(self, now: float, sender: str, message: TopologyUpdate) -> list[object]:
@@ -265,7 +267,7 @@
     def _compare(self, sender: str, message: HeartbeatReply) -> list[object]:
         if not message.topology_digest or self._own.is_leader:
             return []
-        names = subscribed_databases(self._settings.organisations, self._blackboard)
+        names = served_databases(self._settings.organisations, self._blackboard)
         digest = topology_digest(self._own.databases, names)
         same = digest == message.topology_digest
         # A delta may still be on its way, so only a repeated mismatch is repaired.
@@ -288,55 +290,9 @@
             return []
         return [
             EmitMetric("counter", "membership.topology_repaired"),
-            self._whole(now, daemon),
+            self._publisher.whole(now, daemon),
         ]
 
-    # --- distribution to subscribers
-
-    def _whole(self, now: float, daemon: Daemon) -> SendPeerMessage:
-        daemon.updated_at = now
-        names = subscribed_databases(daemon.subscriptions, self._blackboard)
-        if names is None:
-            names = frozenset(self._own.databases)
-        # A new leader may not have heard of every member yet, so it removes none.
-        lease = self._settings.timers.announcement_lease
-        full = now - self._own.leader_since >= lease
-        return SendPeerMessage(daemon.name, self._topology(now, names, full))
-
-    def _topology(
-        self, now: float, names: frozenset[str], full: bool = False
-    ) -> TopologyUpdate:
-        databases = [
-            self._own.databases[n] for n in sorted(names) if n in self._own.databases
-        ]
-        return TopologyUpdate(
-            full=full,
-            databases=[database_state(d) for d in databases],
-            members=[
-                summarize_member(now, d, m)
-                for d in databases
-                for m in d.members.values()
-            ],
-        )
-
-    def _notify(self, now: float, changed: Any) -> list[object]:
-        """Sends the changed databases to the daemons that subscribe to them."""
-        if not self._own.is_leader:
-            return []
-        return [
-            SendPeerMessage(daemon, self._topology(now, wanted))
-            for daemon, wanted in self._subscribers(frozenset(changed))
-        ]
-
-    def _subscribers(
-        self, changed: frozenset[str]
-    ) -> Iterator[tuple[str, frozenset[str]]]:
-        for daemon in self._own.daemons.values():
-            names = subscribed_databases(daemon.subscriptions, self._blackboard)
-            wanted = changed if names is None else names & changed
-            if wanted and not daemon.lost and daemon.name != self._settings.name:
-                yield daemon.name, wanted
-
     # --- leases
 
     @handles(Tick)
@@ -345,12 +301,7 @@
         if now - self._lease_check >= LEASE_CHECK_INTERVAL:
             self._lease_check = now
             out += self._expire(now)
-        if now - self._position_flush >= self._settings.timers.digest_interval:
-            self._position_flush = now
-            if self._moved:
-                out += self._notify(now, self._moved)
-                self._moved.clear()
-        return out
+        return out + self._publisher.flush_positions(now)
 
     def _expire(self, now: float) -> list[object]:
         lease = self._settings.timers.announcement_lease
@@ -378,10 +329,7 @@
         fields = {"database": database.name, "member": member.name}
         out.append(EmitLog("warning", "member_lost", fields))
         if self._own.is_leader:
-            summary = summarize_member(now, database, member)
-            lost = TopologyUpdate(False, [database_state(database)], [summary])
-            for daemon, _ in self._subscribers(frozenset((database.name,))):
-                out.append(SendPeerMessage(daemon, lost))
+            out += self._publisher.lost(now, database, member)
         return out
 
 
--- a/packages/core/src/bronzemoor_core/records.py
+++ b/packages/core/src/bronzemoor_core/records.py
@@ -73,8 +73,9 @@
 
 @dataclass(slots=True)
 class KeyRecord:
-    """A key for session tokens; ``secret`` is in hexadecimal."""
+    """A key for session tokens; ``secret`` is in hexadecimal. ``serial`` rises."""
 
+    serial: int
     key_id: str
     secret: str
     at: float
--- a/packages/core/src/bronzemoor_core/relays.py
+++ b/packages/core/src/bronzemoor_core/relays.py
@@ -88,6 +88,17 @@
     heartbeat.subscriptions = list(settings.organisations)
 
 
+def served_databases(
+    organisations: Iterable[str], blackboard: Any
+) -> frozenset[str] | None:
+    """Returns the databases of the organisations served here; None means all."""
+    names: set[str] = set()
+    for name in organisations:
+        template = blackboard.configuration.templates.get(name)
+        names.update(template.databases if template else (name,))
+    return frozenset(names) if names else None
+
+
 @reply_part
 def answer_digest(
     now: float, blackboard: Any, settings: Any, heartbeat: Any, reply: Any
--- a/packages/core/src/bronzemoor_core/suspicion.py
+++ b/packages/core/src/bronzemoor_core/suspicion.py
@@ -66,14 +66,17 @@
         self, heard: float, database: str, member: str, unreachable: tuple[str, ...]
     ) -> None:
         """Takes a member's list of members that it cannot reach."""
-        reports = self._seen.reports.setdefault(database, {})
+        reports = self._seen.reports.get(database, {})
         known = reports.get(member)
         if not unreachable:
             reports.pop(member, None)
+            if not reports:
+                self._seen.reports.pop(database, None)
         elif known is not None and known.unreachable == unreachable:
             known.heard = max(known.heard, heard)
         else:
             reports[member] = Report(unreachable, heard, heard)
+            self._seen.reports[database] = reports
 
     def learn_suspicions(
         self, now: float, sender: str, suspicions: Iterable[Suspicion], databases: Any
--- a/packages/core/src/bronzemoor_core/versions.py
+++ b/packages/core/src/bronzemoor_core/versions.py
@@ -1,25 +1,15 @@
 """Versions of the configuration: held, committed and confirmed."""
 
 from typing import Any
-from zlib import crc32
 
 from bronzemoor_core.commands import current_entry
 from bronzemoor_core.heartbeats import heartbeat_part, reply_part
-from bronzemoor_core.records import TemplateEntry
+from bronzemoor_core.records import KeyRecord, TemplateEntry
 
-# Key of the key ring's digest in version maps; it cannot be an organisation's name.
+# Key of the key ring's serial in version maps; it cannot be an organisation's name.
 KEYS_KEY = "@keys"
 
 
-def held_versions(blackboard: Any) -> dict[str, int]:
-    """Returns the versions in force here, for heartbeats and acknowledgements."""
-    configuration = blackboard.configuration
-    versions = {name: t.version for name, t in configuration.templates.items()}
-    if configuration.keys:
-        versions[KEYS_KEY] = keys_digest(configuration.keys)
-    return versions
-
-
 @heartbeat_part
 def report_versions(now: float, blackboard: Any, settings: Any, heartbeat: Any) -> None:
     """Fills a heartbeat with the versions in force here."""
@@ -34,6 +24,15 @@
     reply.versions = committed_versions(blackboard, heartbeat.subscriptions)
 
 
+def held_versions(blackboard: Any) -> dict[str, int]:
+    """Returns the versions in force here, for heartbeats and acknowledgements."""
+    configuration = blackboard.configuration
+    versions = {name: t.version for name, t in configuration.templates.items()}
+    if configuration.keys:
+        versions[KEYS_KEY] = configuration.keys[0].serial
+    return versions
+
+
 def committed_versions(blackboard: Any, subscriptions: Any = ()) -> dict[str, int]:
     """Returns the committed versions of the subscribed organisations (none: all)."""
     state = blackboard.state
@@ -42,26 +41,31 @@
         for name, entries in state.templates.items()
         if wanted(subscriptions, name, entries[-1])
     }
-    keys = committed_keys(state)
-    if keys:
-        versions[KEYS_KEY] = keys_digest(keys)
+    if state.keys:
+        versions[KEYS_KEY] = state.keys[0].serial
     return versions
 
 
-def wanted(subscriptions: Any, organisation: str, entry: TemplateEntry) -> bool:
-    """Tells whether a daemon's subscriptions include a template."""
-    names = {organisation, *entry.body["databases"]}
-    return not subscriptions or not names.isdisjoint(subscriptions)
+def covers(held: dict[str, int], needed: dict[str, int]) -> bool:
+    """Tells whether every needed version, or a later one, is held."""
+    return all(held.get(name, 0) >= version for name, version in needed.items())
 
 
-def committed_keys(state: Any) -> tuple[str, ...]:
-    """Returns the committed token keys as ``id:hex``, the signing one first."""
-    return tuple(f"{key.key_id}:{key.secret}" for key in state.keys)
+def write_key(key: KeyRecord) -> str:
+    """Returns a key as ``ConfigurationUpdate`` carries it."""
+    return f"{key.serial}:{key.key_id}:{key.secret}"
 
 
-def keys_digest(keys: tuple[str, ...]) -> int:
-    """Returns a checksum of a key ring."""
-    return crc32("\n".join(keys).encode())
+def read_key(text: str) -> KeyRecord:
+    """Reads a key of a ``ConfigurationUpdate``."""
+    serial, key_id, secret = text.split(":")
+    return KeyRecord(int(serial), key_id, secret, 0.0)
+
+
+def wanted(subscriptions: Any, organisation: str, entry: TemplateEntry) -> bool:
+    """Tells whether a daemon's subscriptions include a template."""
+    names = {organisation, *entry.body["databases"]}
+    return not subscriptions or not names.isdisjoint(subscriptions)
 
 
 def confirmation(blackboard: Any, organisation: str) -> dict[str, Any]:
--- a/packages/core/tests/fake_group.py
+++ b/packages/core/tests/fake_group.py
@@ -229,6 +229,7 @@
             reply = make_reply(self.now, node.blackboard, node.settings, beat, [])
             event = PeerMessageReceived(other, reply)
             self._pass(other, name, self.event, name, event)
+            self._pass(other, name, self._catch_up, name)
 
     def _pass(self, a, b, function, *arguments):
         if a == b:
@@ -277,6 +278,7 @@
 
     def lead(self, name):
         self.leader, self.term = name, self.term + 1
+        self._catch_up(name)
         for other in self.control:
             self.event(other, LeadershipChanged(name, self.term, other == name))
 
@@ -304,11 +306,15 @@
         while name in self.control and self.applied[name] < len(self.log):
             index = self.applied[name] = self.applied[name] + 1
             command, origin = self.log[index - 1]
+            if name == self.leader:  # answers the proposer, once
+                self.log[index - 1] = (command, None)
+            else:
+                origin = None
             event = CommandCommitted(index, self.term, command, origin)
             self.event(name, event)
 
     def _complete(self, leader, item):
-        if leader == self.leader and item.origin:
+        if item.origin:
             name, origin = item.origin
             done = CommandCompleted(origin, item.result["code"], "", item.result)
             self._pass(leader, name, self.event, name, done)
--- a/packages/core/tests/test_distribution.py
+++ b/packages/core/tests/test_distribution.py
@@ -8,7 +8,13 @@
 from test_failover import make_group
 from test_templates import BODY
 
-from bronzemoor_core.events import PeerMessageReceived, Tick
+from bronzemoor_core.events import (
+    CommandCompleted,
+    CommandProposed,
+    PeerMessageReceived,
+    Tick,
+    TokenKeysChanged,
+)
 from bronzemoor_core.messages import (
     ConfigurationUpdate,
     HeartbeatReply,
@@ -47,6 +53,12 @@
     return PeerMessageReceived("vm9", HeartbeatReply(1, "vm9", [], held, 0))
 
 
+def confirmed(proposal, **held):
+    """The answer of a quorum to a daemon's question for the current versions."""
+    result = {"code": "ok", "versions": held, "keys": 0}
+    return CommandCompleted(proposal.origin, "ok", "", result)
+
+
 def test_a_change_reaches_every_daemon_and_is_reported():
     """Guards against a daemon that keeps an older template, and against a report of
     "in force everywhere" that is not true."""
@@ -107,14 +119,14 @@
     part = Part(NodeSettings("vm5", "lisbon"))
     configuration = part.blackboard.configuration
     part.run(0.0, update(4))
+    part.run(0.1, reply(reclamar=4))
+    assert not configuration.ready, "a deposed leader may have answered"
+    asked = [e for e in part.run(0.2, Tick()) if isinstance(e, CommandProposed)]
+    assert asked[0].command == {"type": "configuration.versions", "query": True}
+    part.run(0.3, confirmed(asked[0], reclamar=5))
     assert not configuration.ready
-    part.run(0.1, PeerMessageReceived("vm8", HeartbeatReply(1, "vm9", [], {}, 0)))
-    assert not configuration.ready, "vm8 is not the leader"
-    part.run(0.2, reply(reclamar=5))
-    assert not configuration.ready
-    part.run(0.3, update(5))
-    part.run(0.4, reply(reclamar=5))
-    assert configuration.ready and configuration.confirmed_at == 0.4
+    part.run(0.4, update(5))
+    assert configuration.ready and configuration.confirmed_at == 0.3
 
 
 def test_silence_of_the_control_plane_makes_the_configuration_stale():
@@ -123,7 +135,7 @@
     part = Part(NodeSettings("vm5", "lisbon"))
     configuration = part.blackboard.configuration
     part.run(0.0, update(4))
-    part.run(0.0, reply(reclamar=4))
+    part.run(0.0, confirmed(CommandProposed({}, ("configuration", 0)), reclamar=4))
     part.run(2.9, Tick())
     assert not configuration.stale
     part.run(3.1, Tick())
@@ -139,8 +151,24 @@
     group.run(0.5)
     group.admin("vm3", 1, "keys.rotate", change_id="k", secret="ab" * 32)
     group.run(0.5)
-    keys = {node.blackboard.configuration.keys for node in group.nodes.values()}
-    assert keys == {("key-k:" + "ab" * 32,)}
+    rings = [node.blackboard.configuration.keys for node in group.nodes.values()]
+    assert [[(k.serial, k.key_id) for k in ring] for ring in rings] == [
+        [(1, "key-k")]
+    ] * 6
+
+
+def test_an_older_key_ring_is_never_applied():
+    """Guards against tokens signed with a retired key, and against tokens of the
+    settings' keys that die at the first rotation."""
+    part = Part(NodeSettings("vm5", "lisbon", token_keys={"s": b"secret"}))
+    part._handlers[TokenKeysChanged].append(lambda now, event: part.seen.append(event))
+    for serial in (2, 1):
+        keys = [f"{serial}:k{serial}:abcd"]
+        message = ConfigurationUpdate([], serial, keys)
+        items = part.run(0.0, PeerMessageReceived("vm9", message))
+        changed = [item.keys for item in items if isinstance(item, TokenKeysChanged)]
+        expected = [[("k2", b"\xab\xcd"), ("s", b"secret")]] if serial == 2 else []
+        assert changed == expected
 
 
 FAULTS = st.lists(
--- a/packages/core/tests/test_state.py
+++ b/packages/core/tests/test_state.py
@@ -269,7 +269,8 @@
         assert reply.code == "ok" and "abab" not in json.dumps(reply.body)
     again = machine.admin("keys.rotate", change_id="r3", secret="cd" * 32)
     assert again.body["keys"] == ["key-r3", "key-r2", "key-r1"]
-    assert machine.node.blackboard.configuration.keys[0] == "key-r3:" + "ab" * 32
+    key = machine.node.blackboard.configuration.keys[0]
+    assert (key.serial, key.key_id, key.secret) == (4, "key-r3", "ab" * 32)
 
 
 def test_a_term_has_one_plan_and_one_choice():
