--- /dev/null
+++ b/packages/core/tests/test_whole_node.py
@@ -0,0 +1,75 @@
+"""The control plane on whole nodes, with the replicated log and real elections."""
+
+from random import Random
+
+from fake_group import Group
+from test_failover import CENTRES, CONTROL, Endpoint, settled, terms, write
+from test_templates import BODY
+
+from bronzemoor_core.actions import AdminReply, PersistLog, PersistSnapshot
+from bronzemoor_core.events import PrimaryChanged, StorageRecovered, StorageSynced
+from bronzemoor_core.node import make_node
+from bronzemoor_core.settings import NodeSettings
+
+
+class WholeGroup(Group):
+    """Uses every controller; a sync of the log takes 1 ms."""
+
+    def start(self, name, incarnation=1):
+        settings = NodeSettings(name, self.places[name], incarnation=incarnation)
+        settings.control = name in self.control
+        settings.control_members = tuple(self.control)
+        node = self.nodes[name] = make_node(settings, Random(name))
+        node.run = node.handle
+        note = node._handlers[PrimaryChanged]
+        note.append(lambda now, event: self.changes.append((now, name, event)))
+        self.applied[name] = 0
+        self.at(0.0, self.event, name, StorageRecovered(None, []))
+        self.at(0.001 * len(self.nodes), self._tick, name, node)
+
+    def _perform(self, name, item):
+        if isinstance(item, PersistLog | PersistSnapshot):
+            self.at(0.001, self.event, name, StorageSynced(item.sequence))
+        else:
+            super()._perform(name, item)
+
+
+def make_group():
+    daemons = {f"vm{i}": CENTRES[i % 3] for i in range(6)}
+    names = ("c0", "c1", "c2")
+    endpoints = [Endpoint("claims", n, CENTRES[i], names) for i, n in enumerate(names)]
+    return WholeGroup(daemons, list(CONTROL), endpoints)
+
+
+def leader(group):
+    return next(
+        (n for n in CONTROL if n in group.nodes
+         and group.nodes[n].blackboard.topology.is_leader), ""
+    )  # fmt: skip
+
+
+def test_primary_and_leader_are_lost_together():
+    """Guards against parts that work alone and not with the replicated log: first
+    appointment, templates, readiness, and a double loss within the bound of 5 s."""
+    group = make_group()
+    assert group.run(3.0, lambda: settled(group))
+    write(group)
+    group.admin(
+        "vm4", 1, "template.apply", organisation="reclamar", body=BODY,
+        expect_version=0, change_id="a",
+    )  # fmt: skip
+    group.run(1.0)
+    assert isinstance(group.replies[1], AdminReply) and group.replies[1].code == "ok"
+    boards = [node.blackboard for node in group.nodes.values()]
+    assert all("reclamar" in board.configuration.templates for board in boards)
+    assert all(board.configuration.ready for board in boards)
+    old, failed_at = group.primary("claims", "vm4"), group.now
+    del group.nodes[leader(group)]
+    group.endpoints[old].up = False
+    assert group.run(5.0, lambda: settled(group, old))
+    print(f"primary and leader lost: {round((group.now - failed_at) * 1000)} ms")
+    assert len(terms(group)) == 2 and leader(group)
+    group.admin("vm4", 2, "status")
+    group.admin("vm4", 3, "failover.plan", database="claims")
+    group.run(0.5)
+    assert group.replies[2].code == group.replies[3].code == "ok"
