--- a/packages/core/src/bronzemoor_core/distribution.py
+++ b/packages/core/src/bronzemoor_core/distribution.py
@@ -113,7 +113,7 @@
     def _publish(self, now: float, names: list[str], keys: bool) -> list[object]:
         out: list[object] = []
         for daemon in self._blackboard.topology.daemons.values():
-            news = [n for n in names if self._wants(daemon.subscriptions, n)]
+            news = [n for n in names if wanted(daemon.subscriptions, n)]
             elsewhere = daemon.name != self._settings.name and not daemon.lost
             if elsewhere and (news or keys):
                 # The repair of a lost update waits for one digest interval.
@@ -121,10 +121,6 @@
                 out.append(self._push(daemon.name, news))
         return out
 
-    def _wants(self, subscriptions: Any, organisation: str) -> bool:
-        entry = current_entry(self._blackboard.state, organisation)
-        return entry is not None and wanted(subscriptions, organisation, entry)
-
     def _push(self, daemon: str, names: list[str]) -> SendPeerMessage:
         state = self._blackboard.state
         templates = [
--- a/packages/core/src/bronzemoor_core/membership.py
+++ b/packages/core/src/bronzemoor_core/membership.py
@@ -78,11 +78,12 @@
         changed = event.leaving and not member.leaving
         if changed:
             member.leaving, member.changed_at = True, now
+            self._publisher.changed.add(event.database)
         if event.proved_at is not None and event.member == database.primary:
             samples = database.samples
             if not samples or event.proved_at > samples[-1].proved_at:
                 samples.append(PrimarySample(event.proved_at, event.position))
-        return self._publisher.notify(now, (event.database,)) if changed else []
+        return []
 
     def _merge(self, now: float, summary: MemberSummary, source: str) -> list[object]:
         database = self._own.databases.get(summary.database)
@@ -114,12 +115,13 @@
             member.announced_at = now
         if changed:
             member.changed_at = now
+            self._publisher.changed.add(database.name)
         elif known is not None and known.position != member.position:
             self._publisher.moved.add(database.name)
         database.members[member.name] = member
         if not database.group:
             database.group = member.group
-        return self._publisher.notify(now, (database.name,)) if changed else []
+        return []
 
     def _drained(
         self, known: Member | None, summary: MemberSummary, source: str
@@ -301,7 +303,7 @@
         if now - self._lease_check >= LEASE_CHECK_INTERVAL:
             self._lease_check = now
             out += self._expire(now)
-        return out + self._publisher.flush_positions(now)
+        return out + self._publisher.flush(now)
 
     def _expire(self, now: float) -> list[object]:
         lease = self._settings.timers.announcement_lease
--- a/packages/core/src/bronzemoor_core/subscriptions.py
+++ b/packages/core/src/bronzemoor_core/subscriptions.py
@@ -21,7 +21,9 @@
 class Publisher:
     """Sends changes of the topology to other daemons; silent on any but the leader.
 
-    ``moved`` collects databases of which only positions changed.
+    ``changed`` collects databases whose members changed, for the next tick, so that
+    many changes at once cost one pass over the daemons. ``moved`` collects those of
+    which only positions changed.
     """
 
     def __init__(self, settings: Any, blackboard: Any, topology: Topology) -> None:
@@ -29,6 +31,7 @@
         self._blackboard = blackboard
         self._topology = topology
         self._flushed = NEVER
+        self.changed: set[str] = set()
         self.moved: set[str] = set()
 
     def notify(self, now: float, changed: Iterable[str]) -> list[object]:
@@ -58,8 +61,11 @@
             for daemon, _ in self._subscribers(frozenset((database.name,)))
         ]
 
-    def flush_positions(self, now: float) -> list[object]:
-        """Returns the coalesced updates of positions when they are due."""
+    def flush(self, now: float) -> list[object]:
+        """Returns updates of changed members, and of positions when they are due."""
+        if self.changed:
+            changed, self.changed = self.changed, set()
+            return self.notify(now, changed)
         factor = 1 + len(self._topology.daemons) // DAEMONS_PER_FLUSH
         interval = self._settings.timers.digest_interval * factor
         if not self.moved or now - self._flushed < interval:
--- a/packages/core/src/bronzemoor_core/versions.py
+++ b/packages/core/src/bronzemoor_core/versions.py
@@ -4,7 +4,7 @@
 
 from bronzemoor_core.commands import current_entry
 from bronzemoor_core.heartbeats import heartbeat_part, reply_part
-from bronzemoor_core.records import KeyRecord, TemplateEntry
+from bronzemoor_core.records import KeyRecord
 
 # Key of the key ring's serial in version maps; it cannot be an organisation's name.
 KEYS_KEY = "@keys"
@@ -36,11 +36,9 @@
 def committed_versions(blackboard: Any, subscriptions: Any = ()) -> dict[str, int]:
     """Returns the committed versions of the subscribed organisations (none: all)."""
     state = blackboard.state
-    versions = {
-        name: entries[-1].version
-        for name, entries in state.templates.items()
-        if wanted(subscriptions, name, entries[-1])
-    }
+    templates = state.templates
+    names = [n for n in subscriptions if n in templates] if subscriptions else templates
+    versions = {name: templates[name][-1].version for name in names}
     if state.keys:
         versions[KEYS_KEY] = state.keys[0].serial
     return versions
@@ -62,10 +60,9 @@
     return KeyRecord(int(serial), key_id, secret, 0.0)
 
 
-def wanted(subscriptions: Any, organisation: str, entry: TemplateEntry) -> bool:
-    """Tells whether a daemon's subscriptions include a template."""
-    names = {organisation, *entry.body["databases"]}
-    return not subscriptions or not names.isdisjoint(subscriptions)
+def wanted(subscriptions: Any, organisation: str) -> bool:
+    """Tells whether subscriptions include an organisation; none means all."""
+    return not subscriptions or organisation in subscriptions
 
 
 def confirmation(blackboard: Any, organisation: str) -> dict[str, Any]:
@@ -78,7 +75,7 @@
     confirmed, behind, silent = [], [], []
     configuration, topology = blackboard.configuration, blackboard.topology
     for name, daemon in sorted(topology.daemons.items()):
-        if entry is None or not wanted(daemon.subscriptions, organisation, entry):
+        if entry is None or not wanted(daemon.subscriptions, organisation):
             continue
         held = configuration.confirmations.get(name, {}).get(organisation, 0)
         if daemon.lost:
--- a/packages/core/tests/test_failover.py
+++ b/packages/core/tests/test_failover.py
@@ -124,6 +124,18 @@
     assert old.log == new.log[: len(old.log)] and len(old.log) > len(confirmed)
 
 
+def test_a_deposed_primary_is_ordered_to_follow():
+    """Guards against a deposed primary that its successor cannot reach and that keeps
+    records which were never confirmed."""
+    group = started()
+    group.partition(["c0"], group.endpoints)
+    assert group.run(1.0, lambda: settled(group, "c0"))
+    group.run(0.7)
+    old, new = group.endpoints["c0"], group.endpoints[group.primary("claims", "vm0")]
+    assert old.role == "replica"
+    assert old.log == new.log[: len(old.log)] and len(old.log) >= len(old.confirmed)
+
+
 def test_a_replica_that_is_far_behind_is_not_chosen():
     """Guards against a new primary without confirmed records."""
     group = started(load=False)
