Refuse malformed commands alike on every member and align answers

Cause: one malformed entry would have stopped every control member when applied; a key id with a colon could not be read back.

--- a/packages/core/src/bronzemoor_core/commands.py
+++ b/packages/core/src/bronzemoor_core/commands.py
@@ -1,6 +1,7 @@
 """Commands and queries of the replicated state; every function is deterministic."""
 
 import json
+import re
 from collections.abc import Callable
 from hashlib import sha256
 from typing import Any
@@ -28,6 +29,9 @@
 CHANGE_LIMIT = 10_000
 # Tokens signed with the previous two keys stay valid.
 KEY_LIMIT = 3
+# Daemons exchange keys as serial:id:hex.
+KEY_ID = re.compile(r"[A-Za-z0-9_.-]{1,80}\Z")
+KEY_SECRET = re.compile(r"([0-9a-fA-F]{2}){16,64}\Z")
 # Change ids of the control leader's own proposals; their terms make them idempotent.
 AUTOMATIC = "auto:"
 # Fields of a command that may differ between a change and its resend.
@@ -71,7 +75,7 @@
         return _error("unknown_command", f"no command is named {name!r}")
     change_id = body.get("change_id", "")
     if not change_id or change_id.startswith(AUTOMATIC):
-        return function(state, body)
+        return _run(function, state, body)
     changes = state.changes.setdefault(body.get("organisation", ""), {})
     digest = _digest(body)
     if change_id in changes:
@@ -82,20 +86,28 @@
             "change_id_reused",
             f"change id {change_id!r} was used before for another change",
         )
-    result = function(state, body)
+    result = _run(function, state, body)
     changes[change_id] = ChangeRecord(digest, result)
     while len(changes) > CHANGE_LIMIT:
         del changes[next(iter(changes))]
     return result
 
 
+def _run(function: Apply, state: State, body: dict[str, Any]) -> dict[str, Any]:
+    """A malformed command is refused alike by every member instead of stopping it."""
+    try:
+        return function(state, body)
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        return _error("invalid_request", f"malformed command: {error!r}")
+
+
 def answer_query(state: Any, body: dict[str, Any]) -> dict[str, Any]:
     """Answers a query from the applied state."""
     name = str(body.get("type", ""))
     function = QUERIES.get(name)
     if function is None:
         return _error("unknown_command", f"no query is named {name!r}")
-    return function(state, body)
+    return _run(function, state, body)
 
 
 def current_entry(state: Any, organisation: str) -> TemplateEntry | None:
@@ -148,7 +160,9 @@
     for entry in entries:
         if entry.version == wanted:
             return {"code": "ok", **_describe(entry), "body": entry.body}
-    return _error("not_found", f"{body['organisation']} has no version {wanted}")
+    if entries:
+        return _error("version_not_found", f"version {wanted} is not kept")
+    return _error("unknown_organisation", f"{body['organisation']} has no template")
 
 
 @query("template.list")
@@ -174,7 +188,7 @@
         {**_describe(entry), "changed": diff_templates(old, entry.body)}
         for old, entry in zip(previous, entries, strict=False)
     ]
-    return {"code": "ok", "versions": rows}
+    return {"code": "ok", "history": rows}
 
 
 def _describe(entry: TemplateEntry) -> dict[str, Any]:
@@ -255,7 +269,8 @@
 def _drain_endpoint(state: State, body: dict[str, Any]) -> dict[str, Any]:
     record = state.databases.get(body["database"])
     if record is None or body["member"] not in record.group:
-        return _error("not_found", f"{body['database']} has no {body['member']}")
+        code = "unknown_member" if record else "unknown_database"
+        return _error(code, f"{body['database']} has no {body['member']}")
     draining = set(record.draining)
     if body.get("draining", True):
         draining.add(body["member"])
@@ -271,6 +286,8 @@
 
 @command("keys.rotate")
 def _rotate_keys(state: State, body: dict[str, Any]) -> dict[str, Any]:
+    if not KEY_ID.match(body["key_id"]) or not KEY_SECRET.match(body["secret"]):
+        return _error("invalid_request", "a key needs a name and 16 or more bytes")
     if any(key.key_id == body["key_id"] for key in state.keys):
         return _error("key_id_reused", f"key {body['key_id']!r} exists already")
     serial = state.keys[0].serial + 1 if state.keys else 1
--- a/packages/core/src/bronzemoor_core/failover.py
+++ b/packages/core/src/bronzemoor_core/failover.py
@@ -349,8 +349,8 @@
         name = command["database"]
         database, record = self._topology.databases.get(name), self._record(name)
         if database is None or record is None or not record.term:
-            message = f"no primary of {name!r} is known"
-            result = {"code": "not_found", "message": message}
+            message = f"no database {name!r} with a primary is known"
+            result = {"code": "unknown_database", "message": message}
             return [CommandApplied(0, command, result, origin)] if origin else []
         target = command.get("target", "")
         self._surveys.append(Survey(name, target, now, origin, command))
--- a/packages/core/src/bronzemoor_core/operations.py
+++ b/packages/core/src/bronzemoor_core/operations.py
@@ -145,6 +145,14 @@
         return [CommandProposed(start, ("handover", ticket))]
 
 
+def _lag(database: Any, member: Any) -> int | None:
+    """Records that a member is behind the primary, as far as known here."""
+    primary = database.members.get(database.committed_primary)
+    if primary is None:
+        return None
+    return max(0, primary.position.offset - member.position.offset)
+
+
 def list_databases(now: float, blackboard: Any) -> list[dict[str, Any]]:
     """Returns one row for each database with its members."""
     return [
@@ -160,6 +168,7 @@
                     "role": member.role,
                     "term": member.position.term,
                     "offset": member.position.offset,
+                    "lag": _lag(database, member),
                     "leaving": member.leaving,
                     "age_ms": round((now - member.last_heard) * 1000),
                 }
--- a/packages/core/src/bronzemoor_core/status.py
+++ b/packages/core/src/bronzemoor_core/status.py
@@ -38,7 +38,7 @@
         "daemons": _daemons(now, blackboard),
         "pools": _pools(blackboard),
         "shares": _shares(now, blackboard),
-        "drain": {"stage": _plain(getattr(blackboard.drain, "stage", ""))},
+        "drain": {"stage": getattr(blackboard.drain, "stage", "")},
     }
 
 
@@ -196,7 +196,7 @@
         "commit_index": getattr(log, "commit_index", 0),
         "members": voters,
         "learners": list(getattr(log, "learners", ())),
-        "losses_tolerated": max(0, (len(voters) - 1) // 2),
+        "tolerated_losses": max(0, (len(voters) - 1) // 2),
     }
 
 
@@ -235,8 +235,3 @@
             states[state] = states.get(state, 0) + 1
         rows[name] = {"total": pool.total, "share": pool.share, "members": members}
     return rows
-
-
-def _plain(value: Any) -> Any:
-    """Returns a stage or another enumeration as a plain value."""
-    return getattr(value, "value", value)
--- a/packages/core/tests/test_failover.py
+++ b/packages/core/tests/test_failover.py
@@ -290,7 +290,10 @@
     group.run(1.0)
     assert group.replies[1].code == "not_safe"
     assert "c2 cannot take over" in group.replies[1].body["message"]
-    assert [group.replies[n].code for n in (2, 3)] == ["not_found", "invalid_request"]
+    assert [group.replies[n].code for n in (2, 3)] == [
+        "unknown_database",
+        "invalid_request",
+    ]
     assert terms(group) == {1: "c0"}
 
 
--- a/packages/core/tests/test_state.py
+++ b/packages/core/tests/test_state.py
@@ -119,7 +119,7 @@
             answers[change] = result
             assert (result["code"] == "ok") == (expect == version)
             version += result["code"] == "ok"
-    rows = machine.query("template.history", organisation="reclamar")["versions"]
+    rows = machine.query("template.history", organisation="reclamar")["history"]
     assert [row["version"] for row in rows] == list(range(1, version + 1))
 
 
@@ -161,7 +161,7 @@
         st.sampled_from(["c0", "c1", "c2"]),
     ),
     st.builds(
-        lambda key: {"type": "keys.rotate", "key_id": f"k{key}", "secret": "00"},
+        lambda key: {"type": "keys.rotate", "key_id": f"k{key}", "secret": "00" * 16},
         st.integers(0, 9),
     ),
     st.just({"type": "unheard_of"}),
@@ -213,7 +213,7 @@
     assert (back.code, back.body["version"]) == ("ok", 106)
     now = machine.admin("template.get", organisation="reclamar")
     assert now.body["body"]["connections"] == 6
-    rows = machine.admin("template.history", organisation="reclamar").body["versions"]
+    rows = machine.admin("template.history", organisation="reclamar").body["history"]
     assert (len(rows), rows[-1]["operator"], rows[-1]["at"]) == (
         VERSION_LIMIT,
         "ana",
@@ -225,6 +225,20 @@
     ]
 
 
+def test_a_malformed_command_stops_nobody():
+    """Guards against one bad entry of the log that ends every control member."""
+    machine = Machine()
+    for command in (
+        {"type": "template.apply", "change_id": "a"},
+        {"type": "failover.start", "database": "claims"},
+        {"type": "failover.start", **start("x", 2, "auto:a")},
+        {"type": "keys.rotate", "key_id": "a:b", "secret": "ab" * 16},
+        {"type": "keys.rotate", "key_id": "a", "secret": "secret"},
+    ):
+        assert machine.commit(command)["code"] == "invalid_request"
+    assert machine.query("template.get")["code"] == "invalid_request"
+
+
 def test_change_ids_are_bounded():
     """Guards against a state that grows with every change for ever."""
     machine = Machine()
