--- a/packages/core/src/bronzemoor_core/failover.py
+++ b/packages/core/src/bronzemoor_core/failover.py
@@ -4,6 +4,7 @@
 
 from bronzemoor_core.actions import EmitLog, EmitMetric, SendOrder
 from bronzemoor_core.blackboard import section
+from bronzemoor_core.candidates import agreed_group
 from bronzemoor_core.controllers import Controller, controller, handles
 from bronzemoor_core.detectors import (
     LOCAL_DETECTORS,
@@ -32,7 +33,7 @@
 from bronzemoor_core.handover import Survey, plan_handover, survey_orders
 from bronzemoor_core.messages import Heartbeat, Suspicion
 from bronzemoor_core.operations import Operations, list_databases
-from bronzemoor_core.promotion import Promoter, Promotion, due, majority, make_order
+from bronzemoor_core.promotion import Promoter, Promotion, due, make_order
 from bronzemoor_core.suspicion import Suspicions
 from bronzemoor_core.topology import NEVER
 
@@ -220,10 +221,10 @@
 
     def _appoint(self, now: float, database: Any) -> list[object]:
         """Starts the first appointment once a majority of the group announced."""
-        if now - self._topology.leader_since < SETTLE_TIME or not database.group:
+        if now - self._topology.leader_since < SETTLE_TIME:
             return []
-        agreeing = [m for m in database.members.values() if m.group == database.group]
-        if len(agreeing) < majority(database.group):
+        agreeing = agreed_group(database.members.values())
+        if not agreeing:
             return []
         term = max(m.position.term for m in agreeing)
         command = {
@@ -232,7 +233,7 @@
             "kind": "appointment",
             "old_term": term,
             "new_term": term + 1,
-            "group": list(database.group),
+            "group": list(agreeing[0].group),
             "reason": "no primary was known",
             "change_id": f"auto:{database.name}:{term + 1}",
         }
--- a/packages/core/src/bronzemoor_core/handover.py
+++ b/packages/core/src/bronzemoor_core/handover.py
@@ -4,7 +4,8 @@
 from typing import Any
 
 from bronzemoor_core.actions import Answer, SendOrder
-from bronzemoor_core.promotion import accepted, majority, make_order
+from bronzemoor_core.candidates import majority
+from bronzemoor_core.promotion import accepted, make_order
 
 # Records that a target may lack before a handover starts; it gets them while writes
 # are stopped, well within the wait of the handover.
--- a/packages/core/src/bronzemoor_core/membership.py
+++ b/packages/core/src/bronzemoor_core/membership.py
@@ -48,6 +48,8 @@
 LEASE_CHECK_INTERVAL = 0.1
 # Least interval between two questions for the whole topology, seconds.
 REPAIR_INTERVAL = 0.3
+# Least interval between log lines on two claimants of one identity, seconds.
+CONFLICT_LOG_INTERVAL = 1.0
 # How long a daemon without a lease is remembered as lost, seconds.
 DAEMON_MEMORY = 600.0
 
@@ -61,7 +63,7 @@
     def __init__(self, *arguments: Any) -> None:
         super().__init__(*arguments)
         self._lease_check = NEVER
-        self._asked = NEVER
+        self._asked = self._conflict_logged = NEVER
         # The leader's newest digest, 0 while none is known.
         self._digest = 0
         self._publisher = Publisher(self._settings, self._blackboard, self._own)
@@ -100,7 +102,7 @@
             if summary.incarnation < known.incarnation:
                 return [EmitMetric("counter", "membership.old_incarnation")]
             if self._conflicts(now, known, summary):
-                return _conflict(known, summary)
+                return self._refuse(now, known, summary)
             same = summary.incarnation == known.incarnation
             if same and heard < known.last_heard:
                 return []
@@ -145,6 +147,23 @@
             and now - known.last_heard < self._settings.timers.announcement_lease
         )
 
+    def _refuse(
+        self, now: float, known: Member, summary: MemberSummary
+    ) -> list[object]:
+        """Counts every refused claimant and logs them once a second."""
+        out: list[object] = [EmitMetric("counter", "membership.identity_conflict")]
+        if now - self._conflict_logged >= CONFLICT_LOG_INTERVAL:
+            self._conflict_logged = now
+            fields = {
+                "database": summary.database,
+                "member": summary.member,
+                "address": summary.address,
+                "known_address": known.address,
+                "incarnation": summary.incarnation,
+            }
+            out.append(EmitLog("error", "identity_conflict", fields))
+        return out
+
     # --- committed state
 
     @handles(StateChanged)
@@ -344,17 +363,3 @@
         if self._own.is_leader:
             out += self._publisher.lost(now, database, member)
         return out
-
-
-def _conflict(known: Member, summary: MemberSummary) -> list[object]:
-    fields = {
-        "database": summary.database,
-        "member": summary.member,
-        "address": summary.address,
-        "known_address": known.address,
-        "incarnation": summary.incarnation,
-    }
-    return [
-        EmitLog("error", "identity_conflict", fields),
-        EmitMetric("counter", "membership.identity_conflict"),
-    ]
--- a/packages/core/src/bronzemoor_core/promotion.py
+++ b/packages/core/src/bronzemoor_core/promotion.py
@@ -1,12 +1,11 @@
 """Steps of a promotion: fence a majority, choose, promote, announce, follow."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
 from bronzemoor_core.actions import Answer, EmitLog, Order, SendOrder
+from bronzemoor_core.candidates import choose, majority
 from bronzemoor_core.events import CommandProposed
-from bronzemoor_core.positions import Position
 from bronzemoor_core.topology import NEVER
 
 # A promotion that is not answered for this long is chosen again, seconds. Two orders
@@ -51,71 +50,6 @@
     offsets: dict[str, int] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class Choice:
-    """The member to promote, its last record and why it was chosen."""
-
-    member: str
-    position: Position
-    reason: str
-
-
-def majority(group: Iterable[str]) -> int:
-    """Returns how many members of a group form a majority."""
-    return len(tuple(group)) // 2 + 1
-
-
-def last_record(answer: Answer) -> Position:
-    """Returns the term and offset of a member's last record.
-
-    A fenced member already answers with the new term, so the term of its last record
-    is read from its history. Comparing offsets alone would prefer an old primary's
-    unconfirmed tail to confirmed records of a later term.
-    """
-    terms = [term for term, start in answer.history.items() if start < answer.offset]
-    if terms:
-        return Position(max(terms), answer.offset)
-    return Position(0 if answer.history else answer.term, answer.offset)
-
-
-def choose(
-    answers: dict[str, Answer],
-    target: str,
-    data_centres: dict[str, str],
-    old: str,
-    avoid: Iterable[str] = (),
-) -> Choice:
-    """Chooses the highest position of a fenced majority.
-
-    Among equals the target of a handover comes first, then members that are not to be
-    avoided, then the old primary's own data centre, then the old primary itself, then
-    the first name.
-    """
-    records = {name: last_record(answer) for name, answer in answers.items()}
-    highest = max(records.values())
-    equals = sorted(name for name, record in records.items() if record == highest)
-    home = data_centres.get(old)
-    ranked = sorted(
-        equals,
-        key=lambda name: (
-            name != target,
-            name in avoid,
-            data_centres.get(name) != home,
-            name != old,
-        ),
-    )
-    chosen = ranked[0]
-    if chosen == target:
-        reason = "target of the handover, nobody is ahead of it"
-    elif len(equals) == 1:
-        reason = "highest position of the fenced majority"
-    elif data_centres.get(chosen) == home:
-        reason = "highest position, in the old primary's data centre"
-    else:
-        reason = "highest position"
-    return Choice(chosen, highest, reason)
-
-
 def make_order(
     kind: str,
     record: Any,
--- a/packages/core/src/bronzemoor_core/status.py
+++ b/packages/core/src/bronzemoor_core/status.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
+from bronzemoor_core.candidates import majority
 from bronzemoor_core.operations import list_databases
-from bronzemoor_core.promotion import majority
 from bronzemoor_core.versions import confirmation, held_versions
 
 OK, DEGRADED, FAILING = "ok", "degraded", "failing"
--- a/packages/core/src/bronzemoor_core/suspicion.py
+++ b/packages/core/src/bronzemoor_core/suspicion.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from bronzemoor_core.actions import Answer, SendOrder
+from bronzemoor_core.candidates import majority
 from bronzemoor_core.detectors import (
     LEADER_DETECTORS,
     Evidence,
@@ -13,7 +14,7 @@
     find_evidence,
 )
 from bronzemoor_core.messages import Suspicion
-from bronzemoor_core.promotion import accepted, due, majority, make_order
+from bronzemoor_core.promotion import accepted, due, make_order
 
 # Evidence of another daemon is replaced by its next heartbeat and dropped after this
 # many heartbeat intervals without one.
--- a/packages/core/tests/test_promotion.py
+++ b/packages/core/tests/test_candidates.py
@@ -3,8 +3,8 @@
 import pytest
 
 from bronzemoor_core.actions import Answer
+from bronzemoor_core.candidates import choose, last_record
 from bronzemoor_core.positions import Position
-from bronzemoor_core.promotion import choose, last_record
 
 CENTRES = {"c0": "lisbon", "c1": "porto", "c2": "lisbon"}
 
