--- a/packages/core/src/bronzemoor_core/failover.py
+++ b/packages/core/src/bronzemoor_core/failover.py
@@ -4,6 +4,7 @@
 
 from bronzemoor_core.actions import EmitLog, EmitMetric, SendOrder
 from bronzemoor_core.blackboard import section
+from bronzemoor_core.candidates import agreed_group
 from bronzemoor_core.controllers import Controller, controller, handles
 from bronzemoor_core.detectors import (
     LOCAL_DETECTORS,
@@ -32,15 +33,17 @@
 from bronzemoor_core.handover import Survey, plan_handover, survey_orders
 from bronzemoor_core.messages import Heartbeat, Suspicion
 from bronzemoor_core.operations import Operations, list_databases
-from bronzemoor_core.promotion import Promoter, Promotion, due, majority, make_order
+from bronzemoor_core.promotion import Promoter, Promotion, due, make_order
 from bronzemoor_core.suspicion import Suspicions
 from bronzemoor_core.topology import NEVER
 
 # How often evidence is collected, seconds.
 CHECK_INTERVAL = 0.02
-# How often the leader looks at databases without evidence or plan, seconds: for first
-# appointments, members that are out of step and primaries that leave.
-SWEEP_INTERVAL = 0.1
+# The leader looks at all databases in turn, for first appointments, members that are
+# out of step and primaries that leave. A round takes this many checks (1 s), or fewer
+# when there are few databases; looking at 4,300 in each check would take a whole core.
+SWEEP_STEPS = 50
+SWEEP_MINIMUM = 10
 # A new leader collects announcements for this long before it appoints, seconds.
 SETTLE_TIME = 0.3
 # Interval between follow orders to a member that is out of step, seconds.
@@ -79,7 +82,8 @@
         self._suspicions = Suspicions(self._settings, self._seen)
         self._promoter = Promoter(self._settings, self._own.promotions)
         self._operations = Operations(self._blackboard)
-        self._checked = self._swept = NEVER
+        self._checked = NEVER
+        self._sweep: list[str] = []
         self._sent: dict[str, float] = {}
         self._addresses: dict[str, dict[str, str]] = {}
         self._surveys: list[Survey] = []
@@ -159,14 +163,19 @@
             return out
         databases = self._topology.databases
         self._suspicions.collect(now, databases, local)
-        sweep = now - self._swept >= SWEEP_INTERVAL
-        if sweep:
-            self._swept = now
-        for name in databases if sweep else sorted(self._suspicions.databases):
+        for name in sorted(self._suspicions.databases.union(self._next_sweep())):
             if name in databases:
                 out += self._check(now, databases[name])
         return out
 
+    def _next_sweep(self) -> list[str]:
+        """Returns the next databases to look at without cause, all of them in turn."""
+        if not self._sweep:
+            self._sweep = list(self._topology.databases)
+        count = max(SWEEP_MINIMUM, len(self._topology.databases) // SWEEP_STEPS)
+        names, self._sweep = self._sweep[:count], self._sweep[count:]
+        return names
+
     def _collect_local(self, now: float) -> list[tuple[str, Evidence]]:
         databases = self._topology.databases
         timers, own = self._settings.timers, self._settings.name
@@ -212,10 +221,10 @@
 
     def _appoint(self, now: float, database: Any) -> list[object]:
         """Starts the first appointment once a majority of the group announced."""
-        if now - self._topology.leader_since < SETTLE_TIME or not database.group:
+        if now - self._topology.leader_since < SETTLE_TIME:
             return []
-        agreeing = [m for m in database.members.values() if m.group == database.group]
-        if len(agreeing) < majority(database.group):
+        agreeing = agreed_group(database.members.values())
+        if not agreeing:
             return []
         term = max(m.position.term for m in agreeing)
         command = {
@@ -224,7 +233,7 @@
             "kind": "appointment",
             "old_term": term,
             "new_term": term + 1,
-            "group": list(database.group),
+            "group": list(agreeing[0].group),
             "reason": "no primary was known",
             "change_id": f"auto:{database.name}:{term + 1}",
         }
@@ -250,11 +259,13 @@
             key = f"follow {database.name} {member.name}"
             if member.name == record.primary or in_step:
                 continue
+            if member.name not in record.group:
+                continue
             if not due(self._sent, key, now, FOLLOW_INTERVAL):
                 continue
             order = make_order(
                 "follow",
-                record.name,
+                record,
                 member.name,
                 self._known_addresses(database),
                 record.term,
@@ -341,8 +352,8 @@
         name = command["database"]
         database, record = self._topology.databases.get(name), self._record(name)
         if database is None or record is None or not record.term:
-            message = f"no primary of {name!r} is known"
-            result = {"code": "not_found", "message": message}
+            message = f"no database {name!r} with a primary is known"
+            result = {"code": "unknown_database", "message": message}
             return [CommandApplied(0, command, result, origin)] if origin else []
         target = command.get("target", "")
         self._surveys.append(Survey(name, target, now, origin, command))
--- a/packages/core/src/bronzemoor_core/promotion.py
+++ b/packages/core/src/bronzemoor_core/promotion.py
@@ -1,12 +1,11 @@
 """Steps of a promotion: fence a majority, choose, promote, announce, follow."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
 from bronzemoor_core.actions import Answer, EmitLog, Order, SendOrder
+from bronzemoor_core.candidates import choose, majority
 from bronzemoor_core.events import CommandProposed
-from bronzemoor_core.positions import Position
 from bronzemoor_core.topology import NEVER
 
 # A promotion that is not answered for this long is chosen again, seconds. Two orders
@@ -29,6 +28,8 @@
 HANDOVER_PING = 0.010
 # A proposal without an answer is repeated after this long, seconds.
 PROPOSAL_TIMEOUT = 0.5
+# Stands for a member's address that is not known; connecting to it fails.
+UNKNOWN_ADDRESS = "0.0.0.0:0"
 # Code of an order that is older than the highest term which the member accepted.
 STALE_TERM = "stale_term"
 
@@ -49,91 +50,30 @@
     offsets: dict[str, int] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class Choice:
-    """The member to promote, its last record and why it was chosen."""
-
-    member: str
-    position: Position
-    reason: str
-
-
-def majority(group: Iterable[str]) -> int:
-    """Returns how many members of a group form a majority."""
-    return len(tuple(group)) // 2 + 1
-
-
-def last_record(answer: Answer) -> Position:
-    """Returns the term and offset of a member's last record.
-
-    A fenced member already answers with the new term, so the term of its last record
-    is read from its history. Comparing offsets alone would prefer an old primary's
-    unconfirmed tail to confirmed records of a later term.
-    """
-    terms = [term for term, start in answer.history.items() if start < answer.offset]
-    if terms:
-        return Position(max(terms), answer.offset)
-    return Position(0 if answer.history else answer.term, answer.offset)
-
-
-def choose(
-    answers: dict[str, Answer],
-    target: str,
-    data_centres: dict[str, str],
-    old: str,
-    avoid: Iterable[str] = (),
-) -> Choice:
-    """Chooses the highest position of a fenced majority.
-
-    Among equals the target of a handover comes first, then members that are not to be
-    avoided, then the old primary's own data centre, then the old primary itself, then
-    the first name.
-    """
-    records = {name: last_record(answer) for name, answer in answers.items()}
-    highest = max(records.values())
-    equals = sorted(name for name, record in records.items() if record == highest)
-    home = data_centres.get(old)
-    ranked = sorted(
-        equals,
-        key=lambda name: (
-            name != target,
-            name in avoid,
-            data_centres.get(name) != home,
-            name != old,
-        ),
-    )
-    chosen = ranked[0]
-    if chosen == target:
-        reason = "target of the handover, nobody is ahead of it"
-    elif len(equals) == 1:
-        reason = "highest position of the fenced majority"
-    elif data_centres.get(chosen) == home:
-        reason = "highest position, in the old primary's data centre"
-    else:
-        reason = "highest position"
-    return Choice(chosen, highest, reason)
-
-
 def make_order(
     kind: str,
-    database: str,
+    record: Any,
     member: str,
     addresses: dict[str, str],
     term: int,
     primary: str = "",
     start_offset: int = 0,
 ) -> Order:
-    """Returns an order to one member that names all members of its group."""
+    """Returns an order to one member that names all members of its group.
+
+    The members count majorities by this list, so it is the committed group, neither
+    less for an unknown address nor more for a stranger that announces itself.
+    """
     return Order(
         kind=kind,
         correlation_id=0,
-        database=database,
+        database=record.name,
         member=member,
         address=addresses[member],
         term=term,
         primary=primary,
         start_offset=start_offset,
-        members=dict(addresses),
+        members={n: addresses.get(n, UNKNOWN_ADDRESS) for n in record.group},
     )
 
 
@@ -269,7 +209,7 @@
         names = [n for n in (record.primary, record.plan.target) if n in addresses]
         return [
             SendOrder(
-                make_order("ping", record.name, name, addresses, promotion.term),
+                make_order("ping", record, name, addresses, promotion.term),
                 self._settings.timers.order_timeout,
             )
             for name in names
@@ -291,7 +231,7 @@
         timeout = self._settings.timers.order_timeout
         return [
             SendOrder(
-                make_order("fence", record.name, name, addresses, promotion.term),
+                make_order("fence", record, name, addresses, promotion.term),
                 timeout,
             )
             for name in record.group
@@ -359,7 +299,7 @@
             return []
         order = make_order(
             "promote",
-            record.name,
+            record,
             plan.chosen,
             addresses,
             plan.new_term,
