--- a/packages/core/src/bronzemoor_core/admission.py
+++ b/packages/core/src/bronzemoor_core/admission.py
@@ -19,6 +19,7 @@
 
 # Weight of the newest sample in the average time that a request holds a connection.
 SERVICE_WEIGHT = 0.1
+GAUGE_INTERVAL = 1.0
 
 
 @dataclass(slots=True, order=True)
@@ -34,12 +35,14 @@
 
 @dataclass(slots=True)
 class Queue:
-    """Waiting requests of one database, best first.
+    """Waiting requests of one database, best first; also grouped by the members that
+    they want, so that one group never stands in the way of another.
 
     ``service_time`` is the average time in seconds that a request holds a connection.
     """
 
     entries: list[Waiting] = field(default_factory=list)
+    groups: dict[tuple[str, ...], list[Waiting]] = field(default_factory=dict)
     by_ticket: dict[int, Waiting] = field(default_factory=dict)
     by_class: dict[tuple[str, str], int] = field(default_factory=dict)
     service_time: float = 0.0
@@ -47,6 +50,7 @@
     def add(self, entry: Waiting) -> None:
         insort(self.entries, entry)
         wanted = entry.wanted
+        insort(self.groups.setdefault(wanted.members, []), entry)
         self.by_ticket[wanted.ticket] = entry
         self._count(wanted, 1)
 
@@ -54,6 +58,10 @@
         entry = self.by_ticket.pop(ticket, None)
         if entry is not None:
             del self.entries[bisect_left(self.entries, entry)]
+            group = self.groups[entry.wanted.members]
+            del group[bisect_left(group, entry)]
+            if not group:
+                del self.groups[entry.wanted.members]
             self._count(entry.wanted, -1)
         return entry
 
@@ -83,6 +91,11 @@
         self.granted_at: dict[int, float] = {}
         self.location: dict[int, str] = {}
 
+    @property
+    def waiting(self) -> dict[str, int]:
+        """Number of waiting requests by database."""
+        return {name: len(queue.entries) for name, queue in self.databases.items()}
+
     def depth(self, database: str) -> int:
         """Number of requests that wait for a connection to ``database``."""
         queue = self.databases.get(database)
@@ -95,6 +108,7 @@
 
     _own: Queues
     _sequence = 0
+    _gauge_at = 0.0
 
     @handles(ConnectionWanted)
     def on_wanted(self, now: float, event: ConnectionWanted) -> list[object]:
@@ -155,6 +169,10 @@
             if entry.deadline <= now
         ]
         items: list[object] = []
+        if now >= self._gauge_at:
+            self._gauge_at = now + GAUGE_INTERVAL
+            depth = sum(len(queue.entries) for queue in self._own.databases.values())
+            items.append(EmitMetric("gauge", "queue.depth", float(depth)))
         for ticket in expired:
             self._remove(ticket)
             items.append(ConnectionRefused(ticket, "deadline", "no connection in time"))
--- a/packages/core/src/bronzemoor_core/pools.py
+++ b/packages/core/src/bronzemoor_core/pools.py
@@ -8,6 +8,7 @@
 from bronzemoor_core.connections import Connection, DatabasePool, Pools, State
 from bronzemoor_core.controllers import Controller, controller, handles
 from bronzemoor_core.events import (
+    AnnouncementReceived,
     AnswerReceived,
     AnswerTimedOut,
     ConnectionClosed,
@@ -36,6 +37,8 @@
 # How often the connections of each pool are checked, seconds.
 CHECK_INTERVAL = 0.020
 GAUGE_INTERVAL = 1.0
+# How long a connection beyond the warm ones stays without use, seconds.
+IDLE_LIMIT = 10.0
 
 
 @controller("pools")
@@ -69,10 +72,10 @@
         answer = event.answer
         if answer.status != "ok" or answer.member not in ("", connection.member):
             reason = answer.code or f"answered as {answer.member}"
-            return self._opening_failed(now, connection, reason)
+            return self._opening_failed(now, connection, reason, answered=True)
         pool = self._pool(connection.database)
         pool.move(connection, State.WARM)
-        connection.answered_at = connection.probe_at = now
+        connection.answered_at = connection.probe_at = connection.used_at = now
         items = self._prober.on_fresh(now, pool, connection)
         position = Position(answer.term, answer.offset)
         items.append(
@@ -116,7 +119,7 @@
         self._detach(pool, connection)
         if event.clean:
             pool.move(connection, State.WARM)
-            connection.answered_at = connection.probe_at = now
+            connection.answered_at = connection.probe_at = connection.used_at = now
             items = self._shrink(now, pool)
         else:
             items = [self._close(now, connection, event.reason or "not_clean")]
@@ -140,7 +143,9 @@
 
     @handles(TransactionOpened)
     def on_transaction(self, now: float, event: TransactionOpened) -> list[object]:
-        connection = self._own.connections[event.connection]
+        connection = self._own.connections.get(event.connection)
+        if connection is None:
+            return []
         connection.pinned = True
         return self.on_slot_released(now, SlotReleased(event.connection))
 
@@ -150,9 +155,10 @@
         if connection is None or connection.state in (State.CLOSING, State.OPENING):
             return []
         connection.answered_at = now
+        pool = self._pool(connection.database)
+        pool.link(connection.member).unreachable = False
         if connection.ticket:
             return []
-        pool = self._pool(connection.database)
         items, valid = self._prober.on_answer(now, pool, connection, event)
         if not valid:
             items.append(self._close(now, connection, "discarded_answer"))
@@ -166,7 +172,14 @@
         pool = self._pool(connection.database)
         self._detach(pool, connection)
         self._prober.compare(now, pool, connection, event.sent_at)
+        fields = {
+            "database": pool.name,
+            "peer": connection.member,
+            "call": event.call.kind,
+            "opened_ago": round(now - connection.started_at, 3),
+        }
         return [
+            EmitLog("warning", "connection_unresponsive", fields),
             self._close(now, connection, "answer_timed_out"),
             *self._settle(now, pool),
         ]
@@ -196,6 +209,13 @@
         if pool is not None:
             self._prober.observe(now, pool, event)
 
+    @handles(AnnouncementReceived)
+    def on_announcement(self, now: float, event: AnnouncementReceived) -> None:
+        said = event.announcement
+        position = Position(said.term, said.offset)
+        observed = PositionObserved(said.database, said.member, said.role, position)
+        self.on_position(now, observed)
+
     @handles(Tick)
     def on_tick(self, now: float, event: Tick) -> list[object]:
         items: list[object] = []
@@ -256,10 +276,15 @@
             elif connections[0].replace and self._prober.may_replace(now, pool):
                 pool.link(member).replacements += 1
                 items.append(self._close(now, connections[0], "replaced"))
+            elif len(connections) > self._settings.data_path.min_warm:
+                unused = min(connections, key=lambda c: c.used_at)
+                if now - unused.used_at > IDLE_LIMIT:
+                    # Leaves the place to daemons with more demand.
+                    items.append(self._close(now, unused, "idle"))
         return items
 
     def _opening_failed(
-        self, now: float, connection: Connection, error: str
+        self, now: float, connection: Connection, error: str, answered: bool = False
     ) -> list[object]:
         pool = self._pool(connection.database)
         self._opener.note_failure(now, pool, connection)
@@ -269,7 +294,8 @@
             "error": error,
         }
         items: list[object] = [EmitLog("warning", "connection_failed", fields)]
-        if not self._prober.answered_since(pool, connection):
+        if not answered and not self._prober.answered_since(pool, connection):
+            pool.link(connection.member).unreachable = True
             items.append(
                 MemberSuspected(pool.name, connection.member, "fresh_connection_failed")
             )
--- a/packages/core/src/bronzemoor_core/probes.py
+++ b/packages/core/src/bronzemoor_core/probes.py
@@ -16,8 +16,12 @@
 SUSPECT_SPACING = 0.020
 # Distance of the replacements of outdated connections of one pool, seconds.
 REPLACE_SPACING = 0.200
+# How often a slow call causes a look at the idle connections, seconds.
+SLOW_CHECK_INTERVAL = 1.0
 # A staleness bound needs several samples of the primary within it.
 SAMPLES_PER_AGE = 4
+# How often the interval of samples is derived from the templates, seconds.
+INTERVAL_REFRESH = 1.0
 # Shortest interval of probes of the primary, seconds.
 MIN_SAMPLE_INTERVAL = 0.020
 
@@ -36,12 +40,16 @@
     def probe_due(self, now: float, pool: DatabasePool) -> list[object]:
         """Probes idle connections that are due, and the primary for its position."""
         interval = self._settings.data_path.probe_interval
+        if now >= pool.interval_at:
+            pool.interval_at = now + INTERVAL_REFRESH
+            pool.sample_interval = self._sample_interval(pool)
         items: list[object] = []
         for connections in pool.idle_by_member().values():
             for connection in connections:
                 jitter = 0.75 + 0.25 * self._random.random()
                 if now - connection.probe_at >= interval * jitter:
                     items.append(self._probe(now, connection))
+        items += self._probe_beside_slow(now, pool)
         items += self._sample_primary(now, pool)
         if now >= pool.next_probe_at and pool.counts[State.SUSPECT]:
             suspects = (c for c in pool.of_state(State.SUSPECT) if c.probe is None)
@@ -99,6 +107,7 @@
         """Marks the older connections of a member once a fresh one works."""
         link = pool.link(fresh.member)
         link.failures = 0
+        link.unreachable = False
         link.retry_at = 0.0
         if link.compare_since is None:
             return []
@@ -112,8 +121,10 @@
             connection.replace = True
             if connection.state is State.WARM:
                 pool.move(connection, State.SUSPECT)
+        if not older:
+            return []
         fields = {"database": pool.name, "peer": fresh.member, "older": len(older)}
-        return [EmitLog("warning", "connection_unresponsive", fields)]
+        return [EmitLog("warning", "connections_outdated", fields)]
 
     def answered_since(self, pool: DatabasePool, failed: Connection) -> bool:
         """Tells whether another connection answered since ``failed`` began to open."""
@@ -136,9 +147,8 @@
         """Learns when the primary was sampled and how far replicas lag."""
         if event.proved_at is not None:
             pool.sampled_at = max(pool.sampled_at, now)
-            return
         database = self._blackboard.topology.databases.get(pool.name)
-        if database is None or event.member == database.primary:
+        if database is None or event.role == "primary":
             return
         lag = 0.0
         for sample in database.samples:
@@ -147,9 +157,30 @@
                 break
         pool.link(event.member).observe_lag(lag)
 
+    def _probe_beside_slow(self, now: float, pool: DatabasePool) -> list[object]:
+        """Probes the idle connections of a member with a slow call before they are
+        used: a slow statement harms nothing, but silence rarely hits one alone."""
+        limit = now - self._settings.data_path.probe_timeout
+        slow = {
+            c.member
+            for c in pool.of_state(State.BUSY)
+            if not c.pinned and max(c.used_at, c.answered_at) < limit
+        }
+        items: list[object] = []
+        for member in slow:
+            link = pool.link(member)
+            if now < link.slow_check_at:
+                continue
+            link.slow_check_at = now + SLOW_CHECK_INTERVAL
+            for connection in pool.of_member(member):
+                if connection.idle and connection.answered_at < limit:
+                    pool.move(connection, State.SUSPECT)
+                    items.append(self._probe(now, connection))
+        return items
+
     def _sample_primary(self, now: float, pool: DatabasePool) -> list[object]:
         database = self._blackboard.topology.databases.get(pool.name)
-        if database is None or now - pool.sampled_at < self._sample_interval(pool):
+        if database is None or now - pool.sampled_at < pool.sample_interval:
             return []
         for connection in pool.of_member(database.primary):
             if connection.idle:
--- a/packages/core/tests/test_transactions.py
+++ b/packages/core/tests/test_transactions.py
@@ -56,6 +56,7 @@
     world.fault = lambda m, call: lose_answer if call.kind == "commit" else None
     reply = world.ask("post", kind="commit", seconds=2, request_id="c-1", **held)
     assert (reply.outcome.tag, reply.outcome.repeated) == ("done", True)
+    world.fault = lambda m, call: None
     again = world.ask("post", kind="commit", seconds=2, request_id="c-1", **held)
     assert (again.outcome.tag, again.outcome.repeated) == ("done", True)
 
@@ -146,6 +147,15 @@
     assert number not in world.node.blackboard.pools.connections
 
 
+def test_a_caller_that_leaves_during_begin_opens_nothing():
+    """Guards against a transaction that nobody knows of."""
+    world = World()
+    world.handle(CallerGone(world.send("post", kind="begin")))
+    world.run(0.1)
+    assert not world.node.blackboard.transactions.open
+    assert not world.group.members["a"].open
+
+
 @pytest.mark.parametrize("busy", [True, False])
 def test_a_transaction_ends_with_its_connection(busy):
     """Guards against a transaction that goes on after its endpoint is gone."""
