--- a/bench/processes.py
+++ b/bench/processes.py
@@ -128,6 +128,7 @@
 
 def _run_daemon(options: dict[str, Any]) -> None:
     from bronzemoor_core.settings import DrainSettings, NodeSettings
+    from bronzemoor_core.settings_schema import ListenSettings
     from bronzemoor_daemon.application import make_application
     from bronzemoor_daemon.logs import configure_logs
     from bronzemoor_daemon.settings import DaemonSettings
@@ -137,7 +138,9 @@
     drain = DrainSettings(**options.pop("drain", {}))
     node = NodeSettings("vm-1", "dc1", control=True, control_members=("vm-1",))
     node.drain = drain
-    settings = DaemonSettings(node, "127.0.0.1:0", "127.0.0.1:0", **options)
+    settings = DaemonSettings(
+        node, ListenSettings("127.0.0.1:0", "127.0.0.1:0", **options)
+    )
     application = make_application(settings)
     if quiet:
         application.metrics.emit = lambda kind, name, value: None  # type: ignore[method-assign]
--- a/packages/core/src/bronzemoor_core/settings_schema.py
+++ b/packages/core/src/bronzemoor_core/settings_schema.py
@@ -44,13 +44,18 @@
     log_level: str = "INFO"
     tls: TlsFiles | None = None
     insecure: bool = False
-    # Threads that serve requests; a request that waits occupies one.
-    threads: int = 64
+    # Threads that serve requests; a request that waits occupies one. While all are
+    # occupied, threads are added up to ``max_threads``, which exceeds the default
+    # queue limit, so that announcements still get in.
+    threads: int = 32
+    max_threads: int = 600
     keep_alive: float = 300.0
     read_timeout: float = 5.0
     backlog: int = 1024
     reuse_port: bool = False
     trace_ratio: float = 0.0
+    # Name of a span exporter, or empty.
+    trace_exporter: str = ""
     # Bearer token by operator name.
     operators: dict[str, str] = field(default_factory=dict)
 
--- a/packages/daemon/src/bronzemoor_daemon/application.py
+++ b/packages/daemon/src/bronzemoor_daemon/application.py
@@ -38,19 +38,17 @@
     """One daemon. Several may run in one process."""
 
     def __init__(self, settings: DaemonSettings, random: Any = None) -> None:
-        node = settings.node
-        problems = exposure_problems(settings)
-        if problems and not settings.insecure:
+        node, listen = settings.node, settings.listen
+        problems = exposure_problems(listen)
+        if problems and not listen.insecure:
             raise InvalidSettings(problems)
         self._settings = settings
-        self._tls = TlsContexts(settings.tls) if settings.tls is not None else None
+        self._tls = TlsContexts(listen.tls) if listen.tls is not None else None
         self._logs = LogWriter(node.name)
         for problem in problems:
             self._report("insecure", {"problem": problem})
-        self._metrics = Metrics(settings.statsd)
-        self._tracing = Tracing(
-            node.name, settings.trace_ratio, settings.trace_exporter
-        )
+        self._metrics = Metrics(listen.statsd)
+        self._tracing = Tracing(node.name, listen.trace_ratio, listen.trace_exporter)
         self._endpoints = EndpointConnections(node.name, monotonic)
         client_tls = self._tls.peer_client if self._tls is not None else None
         self._senders = PeerSenders(node.name, node.peers, client_tls, self._report)
@@ -76,7 +74,7 @@
         )
         self._peer_server = PeerServer(
             node.name,
-            split_address(settings.peer),
+            split_address(listen.peer),
             self._tls.peer_server if self._tls is not None else None,
             self._driver.handle_remote,
             self._report,
@@ -167,12 +165,12 @@
         self._logs.stop()
 
     def _make_storage(self) -> Storage:
-        if self._settings.data_folder:
-            return DataFolder(self._settings.data_folder)
+        if self._settings.listen.data_folder:
+            return DataFolder(self._settings.listen.data_folder)
         return MemoryStorage()
 
     def _make_http_server(self) -> DaemonServer:
-        settings = self._settings
+        settings, listen = self._settings, self._settings.listen
         path = HttpPath(
             self._driver,
             settings.node.data_centre,
@@ -183,20 +181,20 @@
         )
         tree = AdminTree(
             self._driver,
-            settings.operators,
+            listen.operators,
             {"explain": self._explain},
             self._extend_status,
         )
         return DaemonServer(
-            split_address(settings.http),
+            split_address(listen.http),
             make_admin_application(tree, StatusPage(settings.node.name, self._status)),
             path,
-            threads=settings.threads,
-            max_threads=settings.max_threads,
-            keep_alive=settings.keep_alive,
-            read_timeout=settings.read_timeout,
-            backlog=settings.backlog,
-            reuse_port=settings.reuse_port,
+            threads=listen.threads,
+            max_threads=listen.max_threads,
+            keep_alive=listen.keep_alive,
+            read_timeout=listen.read_timeout,
+            backlog=listen.backlog,
+            reuse_port=listen.reuse_port,
             tls=self._tls.http if self._tls is not None else None,
             report=self._http_fault,
         )
--- a/packages/daemon/src/bronzemoor_daemon/command.py
+++ b/packages/daemon/src/bronzemoor_daemon/command.py
@@ -27,9 +27,10 @@
     """Loads and checks the settings; prints every problem."""
     try:
         settings = load_settings(str(command.option("config") or ""))
-        problems = [] if settings.insecure else exposure_problems(settings)
-        if settings.tls is not None:
-            TlsContexts(settings.tls)
+        listen = settings.listen
+        problems = [] if listen.insecure else exposure_problems(listen)
+        if listen.tls is not None:
+            TlsContexts(listen.tls)
     except InvalidSettings as error:
         problems = error.problems
     except OSError as error:
@@ -60,7 +61,7 @@
         settings = _load(self)
         if settings is None:
             return EXIT_INVALID_SETTINGS
-        configure_logs(settings.log_level)
+        configure_logs(settings.listen.log_level)
         try:
             application = make_application(settings)
             return run_until_stopped(application)
--- a/packages/daemon/src/bronzemoor_daemon/tls.py
+++ b/packages/daemon/src/bronzemoor_daemon/tls.py
@@ -5,14 +5,14 @@
 from pathlib import Path
 
 from bronzemoor_core.exceptions import InvalidSettings
+from bronzemoor_core.settings_schema import ListenSettings, TlsFiles
 from bronzemoor_daemon.framing import split_address
-from bronzemoor_daemon.settings import DaemonSettings, TlsSettings
 
 
 class TlsContexts:
     """Contexts for HTTP (server only) and for peers (both sides show certificates)."""
 
-    def __init__(self, settings: TlsSettings) -> None:
+    def __init__(self, settings: TlsFiles) -> None:
         self._settings = settings
         self.http = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
         self.peer_server = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
@@ -64,7 +64,7 @@
         return False
 
 
-def exposure_problems(settings: DaemonSettings) -> list[str]:
+def exposure_problems(settings: ListenSettings) -> list[str]:
     """Addresses that would be open to others without TLS."""
     if settings.tls is not None:
         return []
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -21,6 +21,7 @@
 )
 from bronzemoor_core.outcomes import Done, NotRun, Unknown
 from bronzemoor_core.settings import NodeSettings
+from bronzemoor_core.settings_schema import ListenSettings
 from bronzemoor_daemon.application import make_application
 from bronzemoor_daemon.framing import FramedTransport
 from bronzemoor_daemon.gen.endpoint import Endpoint, ttypes
@@ -142,9 +143,9 @@
 
 @pytest.fixture
 def settings():
-    return DaemonSettings(
-        NodeSettings("vm-1", "lisbon"), "127.0.0.1:0", "127.0.0.1:0", threads=8
-    )
+    listen = ListenSettings("127.0.0.1:0", "127.0.0.1:0", threads=8)
+    node = NodeSettings("vm-1", "lisbon", control=True, control_members=("vm-1",))
+    return DaemonSettings(node, listen)
 
 
 @pytest.fixture
