Test codec, transports, driver, HTTP server and admin interface

Found and fixed: an oversized body held its thread for the read timeout (5 s) before the answer; now the answer goes first. The page asks for the operator's token as well.

--- a/packages/daemon/src/bronzemoor_daemon/admin.py
+++ b/packages/daemon/src/bronzemoor_daemon/admin.py
@@ -3,6 +3,7 @@
 import hmac
 import json
 import time
+from base64 import b64decode
 from collections.abc import Callable
 from html import escape
 from typing import Any
@@ -70,7 +71,7 @@
     @cherrypy.expose
     def default(self, *path: str, **_: str) -> bytes:
         """Runs the command that the path names; arguments are the JSON body."""
-        operator = self._authenticate()
+        operator = self.authenticate()
         request = cherrypy.request
         if len(path) != 1:
             return self._answer("unknown_command", {"message": "no such path"})
@@ -104,17 +105,15 @@
             raise InvalidRequest("body is too large", code="body_too_large")
         return bytes(body)
 
-    def _authenticate(self) -> str:
+    def authenticate(self) -> str:
         """Returns the operator's name; a wrong token ends the request with 401."""
-        header = cherrypy.request.headers.get("Authorization", "")
-        scheme, _, token = header.partition(" ")
+        token = _token(cherrypy.request.headers.get("Authorization", ""))
         found = ""
         for name, expected in self._operators.items():
             # All are compared, so that the time taken tells nothing.
             if hmac.compare_digest(token.encode(), expected.encode()):
                 found = name
-        if self._operators and (not found or scheme.lower() != "bearer"):
-            cherrypy.response.headers["WWW-Authenticate"] = "Bearer"
+        if self._operators and not found:
             raise _Unauthorized
         return found or "anonymous"
 
@@ -124,6 +123,19 @@
         return json.dumps({"code": code, **body}, default=str).encode()
 
 
+def _token(header: str) -> str:
+    """The bearer token, or the password of a browser's basic authentication."""
+    scheme, _, value = header.partition(" ")
+    if scheme.lower() == "bearer":
+        return value
+    if scheme.lower() != "basic":
+        return ""
+    try:
+        return b64decode(value, validate=True).decode().partition(":")[2]
+    except ValueError:
+        return ""
+
+
 class _Unauthorized(cherrypy.HTTPError):
     """Answers 401 as JSON."""
 
@@ -135,18 +147,23 @@
         cherrypy.response.status = 401
         cherrypy.response.headers["Content-Type"] = "application/json"
         cherrypy.response.headers["Content-Length"] = str(len(body))
+        cherrypy.response.headers["WWW-Authenticate"] = 'Basic realm="bronzemoor"'
         cherrypy.response.body = body.encode()
 
 
 class StatusPage:
     """``GET /``: what runs where, for people."""
 
-    def __init__(self, name: str, status: Callable[[], dict[str, Any]]) -> None:
+    def __init__(
+        self, name: str, tree: AdminTree, status: Callable[[], dict[str, Any]]
+    ) -> None:
         self._name = name
+        self._tree = tree
         self._status = status
 
     @cherrypy.expose
     def index(self) -> bytes:
+        self._tree.authenticate()
         cherrypy.response.headers["Content-Type"] = "text/html; charset=utf-8"
         return render_page(self._name, self._status()).encode()
 
--- a/packages/daemon/src/bronzemoor_daemon/application.py
+++ b/packages/daemon/src/bronzemoor_daemon/application.py
@@ -187,7 +187,9 @@
         )
         return DaemonServer(
             split_address(listen.http),
-            make_admin_application(tree, StatusPage(settings.node.name, self._status)),
+            make_admin_application(
+                tree, StatusPage(settings.node.name, tree, self._status)
+            ),
             path,
             threads=listen.threads,
             max_threads=listen.max_threads,
--- a/packages/daemon/src/bronzemoor_daemon/http.py
+++ b/packages/daemon/src/bronzemoor_daemon/http.py
@@ -15,7 +15,7 @@
 )
 from bronzemoor_daemon.driver import Driver
 from bronzemoor_daemon.parsing import parse_announcement, parse_request
-from bronzemoor_daemon.server import DISCARD_BYTES, Response
+from bronzemoor_daemon.server import Response
 from bronzemoor_daemon.tracing import Tracing, trace_id_of
 
 TRANSACTIONS = b"/v1/transactions/"
@@ -132,7 +132,6 @@
                 req.close_connection = True
                 raise InvalidRequest("the body is incomplete", step="http")
         req.close_connection = True
-        req.conn.rfile.read(DISCARD_BYTES)
         raise InvalidRequest(
             f"body exceeds {self._max_body} bytes", step="http", code="body_too_large"
         )
--- a/packages/daemon/src/bronzemoor_daemon/server.py
+++ b/packages/daemon/src/bronzemoor_daemon/server.py
@@ -14,8 +14,9 @@
 from cheroot.ssl import Adapter
 from cheroot.wsgi import Gateway_10, Server
 
+from bronzemoor_daemon.answers import STATUS_TOO_LARGE
 from bronzemoor_daemon.framing import TIMEVAL
-from bronzemoor_daemon.streams import make_stream
+from bronzemoor_daemon.streams import RECEIVE_BYTES, make_stream
 
 # Handles one request: (method and path, body reader) -> response or None to pass on.
 Response = tuple[bytes, bytes]
@@ -24,9 +25,8 @@
 EXPIRATION_INTERVAL = 5.0
 # Threads added at a time when all are occupied.
 GROWTH = 16
-# What is read and thrown away of a body that is too large, so that the client gets to
-# read the answer before the connection closes.
-DISCARD_BYTES = 4 * 1024 * 1024
+# How long the rest of a body that is too large is read and thrown away.
+DISCARD_SECONDS = 0.5
 
 
 class ClientConnection(HTTPConnection):
@@ -62,6 +62,19 @@
         """Waits for the next request; false after the read timeout or at the end."""
         return not self._is_tls and bool(self.rfile.peek())
 
+    def discard_input(self) -> None:
+        """Reads on for a moment after an early answer.
+
+        Closing with unread input resets the connection, and the client might lose the
+        answer.
+        """
+        self.socket.shutdown(socket.SHUT_WR)
+        until = time.monotonic() + DISCARD_SECONDS
+        self.socket.settimeout(DISCARD_SECONDS)
+        with suppress(OSError):
+            while time.monotonic() < until and self.socket.recv(RECEIVE_BYTES):
+                pass
+
     def is_gone(self) -> bool:
         """Tells whether the client closed its side; unknown counts as connected."""
         if self._is_tls:
@@ -109,6 +122,8 @@
             head += b"\r\nConnection: close"
         req.sent_headers = True
         req.conn.wfile.write(head + b"\r\n\r\n" + body)
+        if status == STATUS_TOO_LARGE:
+            req.conn.discard_input()
 
 
 class Waker:
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -8,6 +8,7 @@
 from threading import Thread
 from zlib import crc32
 
+import hypothesis
 import pytest
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 
@@ -27,6 +28,11 @@
 from bronzemoor_daemon.gen.endpoint import Endpoint, ttypes
 from bronzemoor_daemon.settings import DaemonSettings
 
+hypothesis.settings.register_profile(
+    "fixed", derandomize=True, deadline=None, database=None
+)
+hypothesis.settings.load_profile("fixed")
+
 
 class FakeEndpoint:
     """Answers every call with ``payload``; ``script`` may replace an execution."""
--- /dev/null
+++ b/packages/daemon/tests/test_peers.py
@@ -0,0 +1,142 @@
+"""Messages between daemons over real sockets, with and without TLS."""
+
+import socket
+import time
+from queue import Empty, SimpleQueue
+
+import pytest
+import trustme
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+
+from bronzemoor_core.actions import SendPeerMessage
+from bronzemoor_core.messages import PreVote, Propose
+from bronzemoor_core.settings_schema import TlsFiles
+from bronzemoor_daemon.codec import encode_envelope
+from bronzemoor_daemon.framing import FramedTransport
+from bronzemoor_daemon.gen.peer import Peer, ttypes
+from bronzemoor_daemon.peers import PeerSenders, PeerServer
+from bronzemoor_daemon.tls import TlsContexts
+
+
+class Link:
+    """A server named vm-2, a sender at vm-1, and what was received and reported."""
+
+    def __init__(self, server_tls=None, client_tls=None):
+        self.received, self.reports = SimpleQueue(), SimpleQueue()
+        report = lambda event, details: self.reports.put((event, details))  # noqa: E731
+        deliver = lambda event, context: self.received.put((event, context))  # noqa: E731
+        self.server = PeerServer("vm-2", ("127.0.0.1", 0), server_tls, deliver, report)
+        self.server.start()
+        host, port = self.server.address
+        addresses = {"vm-2": f"{host}:{port}", "vm-3": f"{host}:{port}"}
+        self.senders = PeerSenders("vm-1", addresses, client_tls, report)
+
+    def stop(self):
+        self.senders.stop()
+        self.server.stop()
+
+
+@pytest.fixture
+def link():
+    link = Link()
+    yield link
+    link.stop()
+
+
+def client_of(link):
+    connected = socket.create_connection(link.server.address, 2)
+    return Peer.Client(TBinaryProtocolAccelerated(FramedTransport(connected)))
+
+
+def test_messages_arrive_in_order_with_sender_and_trace(link):
+    """Guards against messages that are lost, reordered or anonymous."""
+    for number in range(50):
+        link.senders.send(SendPeerMessage("vm-2", PreVote(number, 0, 0)), "context")
+    for number in range(50):
+        event, context = link.received.get(timeout=2)
+        assert (event.sender, event.message.term, context) == (
+            "vm-1",
+            number,
+            "context",
+        )
+
+
+@pytest.mark.parametrize(
+    ("change", "code"),
+    [
+        ({"version": 99}, "unknown_version"),
+        ({"recipient": "vm-9"}, "wrong_recipient"),
+        ({"message": ttypes.Message()}, "protocol_error"),
+    ],
+)
+def test_a_bad_envelope_rejects_the_whole_batch(link, change, code):
+    """Guards against a batch of which a part is processed."""
+    good = encode_envelope("vm-1", "vm-2", PreVote(1, 0, 0))
+    bad = encode_envelope("vm-1", "vm-2", PreVote(2, 0, 0))
+    for name, value in change.items():
+        setattr(bad, name, value)
+    client = client_of(link)
+    with pytest.raises(ttypes.Rejected) as caught:
+        client.deliver([good, bad])
+    assert caught.value.code == code
+    client.deliver([good])
+    assert link.received.get(timeout=2)[0].message.term == 1
+    with pytest.raises(Empty):
+        link.received.get(timeout=0.05)
+
+
+def test_garbage_ends_only_its_own_connection(link):
+    """Guards against garbage that stops the server or its other connections."""
+    client = client_of(link)
+    client.deliver([])
+    for garbage in (b"\x00" * 100, b"\xff" * 100, b"GET / HTTP/1.1\r\n\r\n"):
+        with socket.create_connection(link.server.address, 2) as other:
+            other.sendall(garbage)
+    client.deliver([encode_envelope("vm-1", "vm-2", Propose("p", b"{}"))])
+    assert link.received.get(timeout=2)[0].message == Propose("p", b"{}")
+
+
+def test_an_unreachable_peer_delays_no_other(link):
+    """Guards against one lost peer that blocks the messages to all."""
+    link.senders._addresses["vm-4"] = "127.0.0.1:1"
+    started = time.monotonic()
+    for number in range(2_000):
+        link.senders.send(SendPeerMessage("vm-4", PreVote(number, 0, 0)))
+    link.senders.send(SendPeerMessage("vm-2", PreVote(1, 0, 0)))
+    assert link.received.get(timeout=2)[0].message.term == 1
+    assert time.monotonic() - started < 1
+    assert link.senders.queued["vm-4"] <= 1_000
+
+
+@pytest.fixture
+def make_tls(tmp_path):
+    def make(authority, name):
+        files = [str(tmp_path / f"{name}.{kind}") for kind in ("pem", "key", "ca")]
+        certificate = authority.issue_cert(name)
+        certificate.cert_chain_pems[0].write_to_path(files[0])
+        certificate.private_key_pem.write_to_path(files[1])
+        authority.cert_pem.write_to_path(files[2])
+        return TlsContexts(TlsFiles(*files))
+
+    return make
+
+
+def test_mutual_tls_admits_only_certificates_of_the_authority(make_tls):
+    """Guards against a stranger that sends messages to the control group."""
+    ours, strangers = trustme.CA(), trustme.CA()
+    server, friend = make_tls(ours, "vm-2"), make_tls(ours, "vm-1")
+    stranger = make_tls(strangers, "vm-x")
+    link = Link(server.peer_server, friend.peer_client)
+    other = Link(server.peer_server, stranger.peer_client)
+    try:
+        link.senders.send(SendPeerMessage("vm-2", PreVote(1, 0, 0)))
+        assert link.received.get(timeout=3)[0].message.term == 1
+        other.senders.send(SendPeerMessage("vm-2", PreVote(1, 0, 0)))
+        assert other.reports.get(timeout=3)[0] in (
+            "peer_unreachable",
+            "peer_connection_failed",
+        )
+        assert other.received.empty()
+    finally:
+        link.stop()
+        other.stop()
--- /dev/null
+++ b/packages/daemon/tests/test_server.py
@@ -0,0 +1,149 @@
+"""Client connections: sizes, slowness, disconnects and the closing of the listener."""
+
+import contextlib
+import json
+import socket
+import time
+
+import pytest
+
+from bronzemoor_core.actions import Reply
+from bronzemoor_core.events import CallerGone, RequestReceived
+
+
+def raw(application, data, timeout=3.0):
+    """Sends bytes and returns all that comes back until the end or a timeout."""
+    with socket.create_connection(application.http_address, timeout) as connection:
+        connection.sendall(data)
+        received = b""
+        while chunk := connection.recv(65_536):
+            received += chunk
+            if received.endswith(b"}"):
+                break
+    return received
+
+
+def test_an_oversized_body_is_a_typed_error(passing, connect):
+    """Guards against a body that fills the memory or ends without a stable code."""
+    client = connect(passing)
+    status, answer = client.post("/v1/statements", b"x" * 1_100_000)
+    assert (status, answer["code"], answer["outcome"]) == (
+        413,
+        "body_too_large",
+        "not_run",
+    )
+    assert client.headers["Connection"] == "close"
+
+
+def test_a_chunked_body_is_bounded_and_read(passing, connect, body):
+    """Guards against a chunked body that evades the limit or is ignored."""
+    client = connect(passing)
+    data = json.dumps(body()).encode()
+    client.http.request("POST", "/v1/statements", iter([data[:9], data[9:]]))
+    response = client.http.getresponse()
+    assert response.status == 200
+    response.read()
+    client.http.request("POST", "/v1/statements", iter([b"x" * 1_100_000]))
+    assert client.http.getresponse().status == 413
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x00\xff\r\n\r\n",
+        b"POST /v1/statements HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+        b"POST /v1/statements HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
+        b"GET /" + b"x" * 100_000 + b" HTTP/1.1\r\n\r\n",
+        b"POST /v1/statements HTTP/1.1\r\nA: " + b"x" * 100_000 + b"\r\n\r\n",
+    ],
+    ids=lambda data: repr(data[:40]),
+)
+def test_malformed_http_leaves_the_daemon_serving(passing, connect, body, data):
+    """Guards against input that kills a worker thread."""
+    with contextlib.suppress(OSError):
+        raw(passing, data)
+    assert connect(passing).post("/v1/statements", body())[0] == 200
+
+
+def test_unsent_requests_hold_no_thread(passing, connect, body):
+    """Guards against idle or half-open clients that keep others out."""
+    idle = [socket.create_connection(passing.http_address) for _ in range(50)]
+    try:
+        assert connect(passing).post("/v1/statements", body())[0] == 200
+    finally:
+        for connection in idle:
+            connection.close()
+
+
+def test_an_incomplete_body_is_answered_after_the_read_timeout(start, settings):
+    """Guards against a slow sender that holds a thread for ever."""
+    settings.listen.read_timeout = 0.2
+    application = start(None, settings)
+    started = time.monotonic()
+    answer = raw(
+        application, b"POST /v1/statements HTTP/1.1\r\nContent-Length: 9\r\n\r\n{"
+    )
+    assert b'"code":"invalid_request"' in answer
+    assert time.monotonic() - started < 2
+
+
+class Silent:
+    """A node that never answers a request."""
+
+    def __init__(self, node):
+        self._node, self.seen = node, []
+        self.blackboard, self.settings = node.blackboard, node.settings
+
+    def handle(self, now, event):
+        if type(event) in (RequestReceived, CallerGone):
+            self.seen.append(event)
+            return []
+        return self._node.handle(now, event)
+
+
+def test_a_client_that_disconnects_is_noticed(start, body):
+    """Guards against requests that wait on for a client that left."""
+    application = start(Silent)
+    with socket.create_connection(application.http_address) as connection:
+        data = json.dumps(body()).encode()
+        head = f"POST /v1/statements HTTP/1.1\r\nContent-Length: {len(data)}\r\n\r\n"
+        connection.sendall(head.encode() + data)
+        wait_for(lambda: application.driver.node.seen)
+    wait_for(lambda: len(application.driver.node.seen) == 2)
+    assert type(application.driver.node.seen[1]) is CallerGone
+
+
+def test_announcements_get_in_while_all_threads_wait(start, settings, connect, body):
+    """Guards against waiting requests that keep out what they wait for."""
+    settings.listen.threads = 2
+    application = start(Silent, settings)
+    clients = [connect(application) for _ in range(8)]
+    for client in clients:
+        client.http.request("POST", "/v1/statements", json.dumps(body()))
+    assert connect(application).get("/live") == (200, {"live": True})
+
+
+def wait_for(condition, seconds=3.0):
+    until = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < until
+        time.sleep(0.005)
+
+
+def test_the_listener_closes_before_the_connections(passing, connect, body):
+    """Guards against a stop that cuts kept-alive clients off."""
+    client = connect(passing)
+    assert client.post("/v1/statements", body())[0] == 200
+    assert client.headers["Connection"] is None
+    passing._http_server.draining = True
+    passing._http_server.close_listener()
+    with pytest.raises(OSError):
+        socket.create_connection(passing.http_address, 1)
+    assert client.post("/v1/statements", body())[0] == 200
+    assert client.headers["Connection"] == "close"
+
+
+def test_a_reply_without_request_is_ignored(passing, connect, body):
+    """Guards against a late reply that reaches another client's request."""
+    passing.driver._route_reply(Reply(999_999, None))
+    assert connect(passing).post("/v1/statements", body())[0] == 200
