--- a/packages/daemon/src/bronzemoor_daemon/demo.py
+++ b/packages/daemon/src/bronzemoor_daemon/demo.py
@@ -41,7 +41,7 @@
 AFTER_KILL = 2.0
 START_TIMEOUT = 5.0
 # A request is sent again under its id until its outcome is known or this has passed.
-RESEND_LIMIT = 6.0
+RESEND_LIMIT = 3.0
 PAUSE = 0.010
 MAX_GAP = 5.0
 MIN_REPLICA_SHARE = 0.8
