--- a/bench/processes.py
+++ b/bench/processes.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from http.client import HTTPConnection
+from threading import Thread
 from time import monotonic, sleep
 from typing import Any
 
@@ -133,7 +134,7 @@
     from bronzemoor_daemon.logs import configure_logs
     from bronzemoor_daemon.settings import DaemonSettings
 
-    configure_logs("WARNING")
+    configure_logs("ERROR")
     quiet = options.pop("quiet", False)
     drain = DrainSettings(**options.pop("drain", {}))
     node = NodeSettings("vm-1", "dc1", control=True, control_members=("vm-1",))
@@ -161,8 +162,43 @@
     group.stop()
 
 
+def _run_floor(options: dict[str, Any]) -> None:
+    import cherrypy
+    from cheroot.wsgi import Server
+
+    class Echo:
+        @cherrypy.expose
+        @cherrypy.tools.json_in()
+        @cherrypy.tools.json_out()
+        def statements(self) -> Any:
+            return cherrypy.request.json
+
+    def plain(environ: Any, start_response: Any) -> list[bytes]:
+        data = environ["wsgi.input"].read()
+        length = ("Content-Length", str(len(data)))
+        start_response("200 OK", [("Content-Type", "application/json"), length])
+        return [data]
+
+    class Root:
+        v1 = Echo()
+
+    app: Any = plain
+    if options["kind"] == "cherrypy":
+        app = cherrypy.Application(Root(), "")
+        app.log.access_log.propagate = False
+    server = Server(("127.0.0.1", 0), app, numthreads=16)
+    server.keep_alive_conn_limit = None
+    server.prepare()
+    Thread(target=server.serve, daemon=True).start()
+    host, port = server.bind_addr
+    print(f"{host}:{port}", flush=True)
+    sys.stdin.read()
+    server.stop()
+
+
 ROLES: dict[str, Callable[[dict[str, Any]], None]] = {
     "daemon": _run_daemon,
+    "floor": _run_floor,
     "group": _run_group,
 }
 
