--- a/bench/processes.py
+++ b/bench/processes.py
@@ -51,7 +51,8 @@
     def stop(self) -> int:
         """Closes the child's input; returns its exit status."""
         assert self.process.stdin is not None
-        self.process.stdin.close()
+        if not self.process.stdin.closed:
+            self.process.stdin.close()
         return self.process.wait(30)
 
 
@@ -135,7 +136,7 @@
     from bronzemoor_daemon.settings import DaemonSettings
 
     configure_logs("ERROR")
-    quiet = options.pop("quiet", False)
+    quiet, graceful = options.pop("quiet", False), options.pop("graceful", False)
     drain = DrainSettings(**options.pop("drain", {}))
     node = NodeSettings("vm-1", "dc1", control=True, control_members=("vm-1",))
     node.drain = drain
@@ -149,7 +150,7 @@
     host, port = application.http_address
     print(f"{host}:{port}", flush=True)
     sys.stdin.read()
-    sys.exit(application.stop() if options.get("graceful") else application.kill())
+    sys.exit(application.stop() if graceful else application.kill())
 
 
 def _run_group(options: dict[str, Any]) -> None:
