--- a/packages/daemon/src/bronzemoor_daemon/admin.py
+++ b/packages/daemon/src/bronzemoor_daemon/admin.py
@@ -2,6 +2,7 @@
 
 import hmac
 import json
+import logging
 import time
 from base64 import b64decode
 from collections.abc import Callable
@@ -207,6 +208,8 @@
     application.log.screen = False
     application.log.access_log.handlers.clear()
     application.log.access_log.propagate = False
+    # Errors go to the process's log and not to cherrypy's global one.
+    application.log.error_log.parent = logging.getLogger()
     return application
 
 
--- a/packages/daemon/src/bronzemoor_daemon/application.py
+++ b/packages/daemon/src/bronzemoor_daemon/application.py
@@ -7,6 +7,8 @@
 from time import monotonic
 from typing import Any
 
+from cheroot.wsgi import PathInfoDispatcher
+
 from bronzemoor_core.actions import AdminReply, Exit
 from bronzemoor_core.drain import LEAVING, SERVING
 from bronzemoor_core.events import StopRequested, Tick
@@ -79,7 +81,8 @@
             self._driver.handle_remote,
             self._report,
         )
-        self._http_server = self._make_http_server()
+        self._servers = self._make_servers()
+        self._http_server = self._servers[0]
         self._stop_wanted = False
         self._reload_wanted = False
         self._stopped = Event()
@@ -105,6 +108,11 @@
     def http_address(self) -> tuple[str, int]:
         return self._http_server.bind_addr
 
+    @property
+    def admin_address(self) -> tuple[str, int]:
+        """Where operators are served; the clients' address unless set apart."""
+        return self._servers[-1].bind_addr
+
     @property
     def peer_address(self) -> tuple[str, int]:
         return self._peer_server.address
@@ -125,8 +133,9 @@
         """Starts every thread and returns once requests are accepted."""
         self._storage.start()
         self._peer_server.start()
-        self._http_server.prepare()
-        Thread(target=self._http_server.serve, name="http", daemon=True).start()
+        for server in self._servers:
+            server.prepare()
+            Thread(target=server.serve, name="http", daemon=True).start()
         Thread(target=self._tick, name="tick", daemon=True).start()
         Thread(target=self._relieve, name="relieve", daemon=True).start()
         fields = {"http": self.http_address, "peer": self.peer_address}
@@ -169,7 +178,8 @@
             return DataFolder(self._settings.listen.data_folder)
         return MemoryStorage()
 
-    def _make_http_server(self) -> DaemonServer:
+    def _make_servers(self) -> list[DaemonServer]:
+        """The clients' server first; operators may have one of their own."""
         settings, listen = self._settings, self._settings.listen
         path = HttpPath(
             self._driver,
@@ -185,11 +195,20 @@
             {"explain": self._explain},
             self._extend_status,
         )
+        page = StatusPage(settings.node.name, tree, self._status)
+        operators = make_admin_application(tree, page)
+        if not listen.admin:
+            return [self._make_server(listen.http, operators, path)]
+        return [
+            self._make_server(listen.http, PathInfoDispatcher({}), path),
+            self._make_server(listen.admin, operators, lambda request: None),
+        ]
+
+    def _make_server(self, address: str, app: Any, path: Any) -> DaemonServer:
+        listen = self._settings.listen
         return DaemonServer(
-            split_address(listen.http),
-            make_admin_application(
-                tree, StatusPage(settings.node.name, tree, self._status)
-            ),
+            split_address(address),
+            app,
             path,
             threads=listen.threads,
             max_threads=listen.max_threads,
@@ -226,7 +245,8 @@
 
     def _relieve(self) -> None:
         while not self._stopped.wait(TICK_INTERVAL):
-            self._http_server.relieve()
+            for server in self._servers:
+                server.relieve()
 
     def _reload_certificates(self) -> None:
         if self._tls is None:
@@ -284,7 +304,8 @@
         self._logs.write(name, "http_server", {"error": message})
 
     def _close(self) -> None:
-        self._http_server.stop()
+        for server in self._servers:
+            server.stop()
         self._peer_server.stop()
         self._senders.stop()
         self._performers.stop()
--- a/packages/daemon/src/bronzemoor_daemon/logs.py
+++ b/packages/daemon/src/bronzemoor_daemon/logs.py
@@ -1,6 +1,7 @@
 """One log line of key=value pairs per event, written by a thread of its own."""
 
 import json
+import logging
 import sys
 from collections import deque
 from threading import Condition, Lock, Thread
@@ -19,6 +20,18 @@
     """Sends the log of the whole process to standard error."""
     logger.remove()
     logger.add(sys.stderr, format=FORMAT, level=level)
+    logging.basicConfig(handlers=[LibraryHandler()], level=logging.WARNING, force=True)
+
+
+class LibraryHandler(logging.Handler):
+    """Passes the log of libraries on as events."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        fields = {"logger": record.name, "message": record.getMessage()}
+        if record.exc_info and record.exc_info[1] is not None:
+            fields["error"] = repr(record.exc_info[1])
+        level = "ERROR" if record.levelno >= logging.ERROR else "WARNING"
+        logger.log(level, format_line("", "library", fields))
 
 
 def format_line(vm: str, event: str, fields: dict[str, Any]) -> str:
--- a/packages/daemon/src/bronzemoor_daemon/tls.py
+++ b/packages/daemon/src/bronzemoor_daemon/tls.py
@@ -1,6 +1,7 @@
 """TLS contexts whose certificates can be replaced while connections go on."""
 
 import ssl
+from collections.abc import Iterator
 from ipaddress import ip_address
 from pathlib import Path
 
@@ -64,12 +65,19 @@
         return False
 
 
+def _addresses(settings: ListenSettings) -> Iterator[tuple[str, str]]:
+    for name in ("http", "peer", "admin"):
+        address = getattr(settings, name)
+        if address:
+            yield name, address
+
+
 def exposure_problems(settings: ListenSettings) -> list[str]:
     """Addresses that would be open to others without TLS."""
     if settings.tls is not None:
         return []
     return [
         f"{name}: {address} is beyond loopback and has no TLS"
-        for name, address in (("http", settings.http), ("peer", settings.peer))
+        for name, address in _addresses(settings)
         if not is_loopback(address)
     ]
--- a/packages/daemon/src/bronzemoor_daemon/tracing.py
+++ b/packages/daemon/src/bronzemoor_daemon/tracing.py
@@ -84,7 +84,7 @@
 
     def end(self, attributes: dict[str, Any]) -> None:
         self._root.set_attributes(attributes)
-        self._root.end()
+        self._root.end(self._tracing.wall_ns(monotonic()))
 
 
 class Tracing:
@@ -110,10 +110,22 @@
         if parent is None:
             if not self._ratio or random() >= self._ratio:
                 return None
-            return Trace(self, self._tracer.start_span(name))
+            return Trace(self, self._start_root(name, None))
         if not int(parent[3], 16) & 1:
             return None
-        return Trace(self, self._tracer.start_span(name, _remote(parent)))
+        return Trace(self, self._start_root(name, _remote(parent)))
+
+    def wall_ns(self, moment: float) -> int:
+        """Converts monotonic seconds to nanoseconds since the epoch.
+
+        All spans use it: the wall clock may step between two of them.
+        """
+        return int((moment + self._wall_offset) * 1e9)
+
+    def _start_root(self, name: str, context: Any) -> Span:
+        return self._tracer.start_span(
+            name, context, start_time=self.wall_ns(monotonic())
+        )
 
     def record_remote(
         self, trace_context: str, step: str, started: float, ended: float, peer: str
@@ -132,12 +144,10 @@
         attributes: dict[str, Any],
     ) -> None:
         """Records one span with explicit times in monotonic seconds."""
-        start_ns = int((started + self._wall_offset) * 1e9)
-        end_ns = int((ended + self._wall_offset) * 1e9)
         span = self._tracer.start_span(
-            step, context, attributes=attributes, start_time=start_ns
+            step, context, attributes=attributes, start_time=self.wall_ns(started)
         )
-        span.end(end_ns)
+        span.end(self.wall_ns(ended))
 
     def stop(self) -> None:
         self._provider.shutdown()
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -204,7 +204,9 @@
 
 @pytest.fixture
 def connect():
-    return lambda application: Client(application.http_address)
+    return lambda application, address="http_address": Client(
+        getattr(application, address)
+    )
 
 
 def statements(**changes):
--- a/packages/daemon/tests/test_admin.py
+++ b/packages/daemon/tests/test_admin.py
@@ -101,6 +101,18 @@
     assert client.get("/", headers)[0] == 200
 
 
+def test_operators_may_have_an_address_of_their_own(start, settings, connect):
+    """Guards against an admin interface that clients can reach as well."""
+    settings.listen.admin = "127.0.0.1:0"
+    application = start(None, settings)
+    client = connect(application)
+    assert client.get("/v1/admin/status")[0] == 404
+    assert client.get("/live")[0] == 200
+    operators = connect(application, "admin_address")
+    assert operators.get("/v1/admin/status")[0] == 200
+    assert operators.post("/v1/statements", {})[0] == 404
+
+
 def test_the_page_escapes_every_text():
     """Guards against a member's name that runs as a script in a browser."""
     page = render_page("<vm>", {"<b>": ["<i>", {"x": "<script>"}]})
