Swap TLS contexts as a whole on a certificate reload

Handshakes now run during 60 renewals in the test. A client that gives up its handshake is no error.

--- a/packages/daemon/src/bronzemoor_daemon/peers.py
+++ b/packages/daemon/src/bronzemoor_daemon/peers.py
@@ -4,7 +4,6 @@
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
-from ssl import SSLContext
 from threading import Condition, Lock, Thread
 from time import monotonic
 from typing import Any
@@ -17,6 +16,7 @@
 from bronzemoor_daemon.codec import decode_envelope, encode_envelope
 from bronzemoor_daemon.framing import FramedTransport, connect
 from bronzemoor_daemon.gen.peer import Peer, ttypes
+from bronzemoor_daemon.tls import ContextSource
 
 CONNECT_TIMEOUT = 0.5
 DELIVER_TIMEOUT = 1.0
@@ -36,7 +36,7 @@
         name: str,
         recipient: str,
         address: str,
-        tls: SSLContext | None,
+        tls: ContextSource | None,
         report: ReportFault,
     ) -> None:
         self._name = name
@@ -114,7 +114,7 @@
     def _connect(self) -> Peer.Client:
         connected = connect(self._address, CONNECT_TIMEOUT)
         if self._tls is not None:
-            connected = self._tls.wrap_socket(connected)
+            connected = self._tls().wrap_socket(connected)
         self._transport = FramedTransport(connected)
         return Peer.Client(TBinaryProtocolAccelerated(self._transport))
 
@@ -131,7 +131,7 @@
         self,
         name: str,
         addresses: dict[str, str],
-        tls: SSLContext | None,
+        tls: ContextSource | None,
         report: ReportFault,
     ) -> None:
         self._name = name
@@ -171,7 +171,7 @@
         self,
         name: str,
         address: tuple[str, int],
-        tls: SSLContext | None,
+        tls: ContextSource | None,
         deliver: Callable[[PeerMessageReceived, str], None],
         report: ReportFault,
     ) -> None:
@@ -248,7 +248,7 @@
             connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if self._tls is not None:
                 connected.settimeout(CONNECT_TIMEOUT)
-                connected = self._tls.wrap_socket(connected, server_side=True)
+                connected = self._tls().wrap_socket(connected, server_side=True)
             transport = FramedTransport(connected)
             self._transports.add(transport)
             protocol = TBinaryProtocolAccelerated(transport)
--- a/packages/daemon/src/bronzemoor_daemon/server.py
+++ b/packages/daemon/src/bronzemoor_daemon/server.py
@@ -7,7 +7,7 @@
 from contextlib import suppress
 from email.utils import formatdate
 from selectors import EVENT_READ
-from ssl import SSLContext, SSLSocket
+from ssl import SSLSocket
 from typing import Any
 
 from cheroot.server import HTTPConnection
@@ -17,6 +17,7 @@
 from bronzemoor_daemon.answers import STATUS_TOO_LARGE
 from bronzemoor_daemon.framing import TIMEVAL
 from bronzemoor_daemon.streams import RECEIVE_BYTES, make_stream
+from bronzemoor_daemon.tls import ContextSource
 
 # Handles one request: (method and path, body reader) -> response or None to pass on.
 Response = tuple[bytes, bytes]
@@ -164,7 +165,7 @@
         read_timeout: float,
         backlog: int,
         reuse_port: bool,
-        tls: SSLContext | None = None,
+        tls: ContextSource | None = None,
         report: Callable[[str, int], None] = lambda message, level: None,
     ) -> None:
         super().__init__(
@@ -290,14 +291,14 @@
     A handshake in the accepting thread would let one silent client stop all others.
     """
 
-    def __init__(self, context: SSLContext) -> None:
+    def __init__(self, context: ContextSource) -> None:
         self.context = context
 
     def bind(self, sock: socket.socket) -> socket.socket:
         return sock
 
     def wrap(self, sock: socket.socket) -> tuple[Any, dict[str, str]]:
-        wrapped = self.context.wrap_socket(
+        wrapped = self.context().wrap_socket(
             sock, server_side=True, do_handshake_on_connect=False
         )
         return wrapped, self.get_environ()
--- a/packages/daemon/src/bronzemoor_daemon/streams.py
+++ b/packages/daemon/src/bronzemoor_daemon/streams.py
@@ -1,6 +1,7 @@
 """Byte streams of a client connection: no buffer while idle, one call per operation."""
 
 import socket
+from ssl import SSLError
 
 RECEIVE_BYTES = 16_384
 
@@ -58,7 +59,8 @@
     def _fill(self) -> bool:
         try:
             data = self._socket.recv(RECEIVE_BYTES)
-        except (BlockingIOError, TimeoutError):
+        except (BlockingIOError, TimeoutError, SSLError):
+            # Includes a client that gave up its handshake.
             return False
         self._buffer += data
         self.bytes_read += len(data)
--- a/packages/daemon/src/bronzemoor_daemon/tls.py
+++ b/packages/daemon/src/bronzemoor_daemon/tls.py
@@ -1,7 +1,8 @@
 """TLS contexts whose certificates can be replaced while connections go on."""
 
 import ssl
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from ipaddress import ip_address
 from pathlib import Path
 
@@ -9,49 +10,75 @@
 from bronzemoor_core.settings_schema import ListenSettings, TlsFiles
 from bronzemoor_daemon.framing import split_address
 
+ContextSource = Callable[[], ssl.SSLContext]
+
+
+@dataclass(slots=True, frozen=True)
+class Contexts:
+    """Contexts made from one state of the files."""
+
+    http: ssl.SSLContext
+    peer_server: ssl.SSLContext
+    peer_client: ssl.SSLContext
+
 
 class TlsContexts:
-    """Contexts for HTTP (server only) and for peers (both sides show certificates)."""
+    """Contexts for HTTP (server only) and for peers (both sides show certificates).
+
+    A reload makes new contexts. Loading into a live one is not atomic: a handshake
+    between certificate and key would fail.
+    """
 
     def __init__(self, settings: TlsFiles) -> None:
         self._settings = settings
-        self.http = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-        self.peer_server = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-        self.peer_client = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
-        for context in (self.peer_server, self.peer_client):
-            # Daemons are known by IP address; the authority signs daemons only.
-            context.check_hostname = False
-            context.verify_mode = ssl.CERT_REQUIRED
-            try:
-                context.load_verify_locations(settings.authority)
-            except (OSError, ssl.SSLError) as error:
-                raise InvalidSettings([f"tls.authority: {error}"]) from error
-        self._modified = (0.0, 0.0)
-        self.reload()
+        self._modified = self._modification_times()
+        self._current = self._load()
+
+    def http(self) -> ssl.SSLContext:
+        return self._current.http
+
+    def peer_server(self) -> ssl.SSLContext:
+        return self._current.peer_server
+
+    def peer_client(self) -> ssl.SSLContext:
+        return self._current.peer_client
 
     def reload(self) -> bool:
-        """Loads changed files; connections in progress keep their certificate.
+        """Loads changed files for new connections; open ones keep their certificate.
 
         Raises ``InvalidSettings`` and keeps the old certificate if the files are bad.
         """
+        modified = self._modification_times()
+        if modified == self._modified:
+            return False
+        self._current = self._load()
+        self._modified = modified
+        return True
+
+    def _load(self) -> Contexts:
+        contexts = Contexts(
+            ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER),
+            ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER),
+            ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT),
+        )
         try:
-            modified = self._modification_times()
-            if modified == self._modified:
-                return False
-            # Tried on a scratch context first, because a mismatch of certificate and
-            # key would leave the live context without a usable pair.
-            scratch = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-            for context in (scratch, self.http, self.peer_server, self.peer_client):
+            for context in (contexts.http, contexts.peer_server, contexts.peer_client):
                 context.load_cert_chain(self._settings.certificate, self._settings.key)
+            for context in (contexts.peer_server, contexts.peer_client):
+                # Daemons are known by IP address; the authority signs daemons only.
+                context.check_hostname = False
+                context.verify_mode = ssl.CERT_REQUIRED
+                context.load_verify_locations(self._settings.authority)
         except (OSError, ssl.SSLError) as error:
-            raise InvalidSettings([f"tls.certificate: {error}"]) from error
-        self._modified = modified
-        return True
+            raise InvalidSettings([f"listen.tls: {error}"]) from error
+        return contexts
 
-    def _modification_times(self) -> tuple[float, float]:
+    def _modification_times(self) -> tuple[float, ...]:
         paths = (self._settings.certificate, self._settings.key)
-        first, second = (Path(path).stat().st_mtime for path in paths)
-        return first, second
+        try:
+            return tuple(Path(path).stat().st_mtime for path in paths)
+        except OSError as error:
+            raise InvalidSettings([f"listen.tls: {error}"]) from error
 
 
 def is_loopback(address: str) -> bool:
--- a/packages/daemon/tests/test_command.py
+++ b/packages/daemon/tests/test_command.py
@@ -117,14 +117,16 @@
     """Certificates of one authority at fixed paths."""
 
     def __init__(self, folder):
-        self.authority = trustme.CA()
+        self.authority = trustme.CA(key_type=trustme.KeyType.ECDSA)
         names = ("vm.pem", "vm.key", "ca.pem")
         self.files = TlsFiles(*(str(folder / name) for name in names))
         self.authority.cert_pem.write_to_path(self.files.authority)
         self.issue()
 
     def issue(self):
-        certificate = self.authority.issue_cert("127.0.0.1")
+        certificate = self.authority.issue_cert(
+            "127.0.0.1", key_type=trustme.KeyType.ECDSA
+        )
         certificate.cert_chain_pems[0].write_to_path(self.files.certificate)
         certificate.private_key_pem.write_to_path(self.files.key)
 
@@ -148,6 +150,24 @@
         certificates.issue()
         application.request_reload()
         wait_for(lambda: open_client()[1] != first)
+        # A certificate without its key, even for a moment, refuses a client.
+        renewing, failures = threading.Event(), []
+
+        def keep_opening():
+            while not renewing.is_set():
+                try:
+                    open_client()[0].close()
+                except OSError as error:
+                    failures.append(error)
+
+        opening = threading.Thread(target=keep_opening)
+        opening.start()
+        for _ in range(60):
+            certificates.issue()
+            application._tls.reload()
+        renewing.set()
+        opening.join()
+        assert failures == []
         (tmp_path / "vm.pem").write_text("garbage")
         application.request_reload()
         time.sleep(0.05)
