Repeat proposals after a change of leader and apply them once

A command sent to a leader that crashed was unknown after 2 s (seen with four daemons on loopback: 2.0 s, new leader after 0.26 s). It is now proposed again to the new leader; the log recognises the second copy and answers with the first result. State machines check that a refused command is never applied.

--- a/packages/core/src/bronzemoor_core/consensus.py
+++ b/packages/core/src/bronzemoor_core/consensus.py
@@ -323,6 +323,8 @@
                 replica.outbox.append(
                     CommandCommitted(entry.index, entry.term, command, origin)
                 )
+            else:
+                self._proposals.repeat(proposal_id)
         self._snapshots.request_if_due()
 
     def _apply_control(self, proposal_id: str, command: dict[str, Any]) -> None:
--- a/packages/core/src/bronzemoor_core/proposals.py
+++ b/packages/core/src/bronzemoor_core/proposals.py
@@ -17,8 +17,10 @@
 RETRY_INTERVAL = 0.05  # seconds
 # A query without an answer is sent again, since asking twice changes nothing.
 QUERY_INTERVAL = 0.4  # seconds
-# Proposals whose duplicates are recognised.
+# Proposals whose duplicates are recognised and whose results are kept.
 SEEN_LIMIT = 4096
+# Answers which mean that an attempt was not accepted and may be repeated.
+REFUSALS = ("no_leader", "overloaded")
 
 
 @dataclass(slots=True, frozen=True)
@@ -30,8 +32,11 @@
 
 @dataclass(slots=True)
 class Pending:
-    """A proposal of this daemon. While ``sent`` is false it is certain that no
-    attempt was accepted."""
+    """A proposal of this daemon.
+
+    ``sent`` tells that the newest attempt waits for its answer, ``uncertain`` that an
+    earlier one may have been accepted. ``leader`` is whom the newest one was for.
+    """
 
     command: dict[str, Any]
     origin: Any
@@ -39,6 +44,8 @@
     next_try: float
     attempt: int = 0
     sent: bool = False
+    uncertain: bool = False
+    leader: str = ""
 
 
 class ProposalId:
@@ -69,6 +76,9 @@
         # Every attempt is processed once, so that a duplicate of a refused one cannot
         # be accepted after its proposer was told that it was not.
         self._seen: OrderedDict[str, None] = OrderedDict()
+        # The newest attempt at each proposal of another daemon, to be answered.
+        self._newest: OrderedDict[str, str] = OrderedDict()
+        self._results: OrderedDict[str, dict[str, Any]] = OrderedDict()
 
     def propose(self, now: float, command: dict[str, Any], origin: Any) -> None:
         """Starts a proposal of this daemon."""
@@ -81,13 +91,13 @@
         """Repeats refused attempts and gives up old ones."""
         for base, pending in list(self._pending.items()):
             age = now - pending.started
-            if age >= PROPOSAL_TIMEOUT and pending.sent:
+            may_be_accepted = pending.sent or pending.uncertain
+            if age >= PROPOSAL_TIMEOUT and may_be_accepted:
                 self._complete(base, "unknown", "no answer in time", {})
-            elif age >= LEADER_WAIT and not pending.sent:
+            elif age >= LEADER_WAIT and not may_be_accepted:
                 self._complete(base, "no_leader", "no leader is known", {})
-            elif now >= pending.next_try and (
-                not pending.sent or pending.command.get("query")
-            ):
+            elif now >= pending.next_try and self._should_repeat(pending):
+                pending.uncertain = may_be_accepted
                 self._try(now, base, pending)
 
     def on_propose(self, now: float, sender: str, message: Propose) -> None:
@@ -125,24 +135,32 @@
         pending = self._pending.get(proposal.base)
         if pending is None:
             return
-        current = pending.attempt == proposal.attempt
-        if message.code == "no_leader":
-            if current:
-                self._refused(now, pending)
-            return
-        # Any attempt at a query will do; it is answered as of its arrival or later.
-        if not current and not pending.command.get("query"):
-            return
-        self._complete(proposal.base, message.code, message.message, result)
+        if message.code not in REFUSALS:
+            self._complete(proposal.base, message.code, message.message, result)
+        elif pending.attempt == proposal.attempt:
+            self._refused(now, proposal.base, pending, message.code, message.message)
 
     def finish(self, proposal_id: str, result: dict[str, Any]) -> None:
         """Answers the proposer with what ``state`` returned.
 
         ``code`` and ``message`` of the result, if present, become those of the answer.
         """
+        self._results[ProposalId(proposal_id).base] = result
+        if len(self._results) > SEEN_LIMIT:
+            self._results.popitem(last=False)
         code = str(result.get("code", "ok"))
         self.answer(proposal_id, code, str(result.get("message", "")), result)
 
+    def repeat(self, proposal_id: str) -> None:
+        """Answers a command that is in the log again with its first result.
+
+        A member that has the command from a snapshot does not know the result; the
+        proposer's answer is ``unknown`` then.
+        """
+        result = self._results.get(ProposalId(proposal_id).base)
+        if result is not None:
+            self.finish(proposal_id, result)
+
     def answer(
         self, proposal_id: str, code: str, message: str, result: dict[str, Any]
     ) -> None:
@@ -150,17 +168,19 @@
         proposal = ProposalId(proposal_id)
         if proposal.name == self._replica.name:
             pending = self._pending.get(proposal.base)
-            if pending is not None and code == "no_leader":
-                self._refused(pending.started, pending)
+            if pending is not None and code in REFUSALS:
+                self._refused(pending.started, proposal.base, pending, code, message)
             else:
                 self._complete(proposal.base, code, message, result)
-        elif proposal_id in self._seen:
-            self._answer(proposal.name, proposal_id, code, message, result)
+        elif proposal.base in self._newest:
+            newest = self._newest[proposal.base]
+            self._answer(proposal.name, newest, code, message, result)
 
     def _try(self, now: float, base: str, pending: Pending) -> None:
         replica = self._replica
         pending.attempt += 1
         pending.next_try = now + QUERY_INTERVAL
+        pending.leader = replica.leader
         proposal_id = f"{base}:{pending.attempt}"
         if replica.is_leader:
             pending.sent = True
@@ -185,7 +205,26 @@
         others = [name for name in members if name != replica.name]
         return others[attempt % len(others)] if others else ""
 
-    def _refused(self, now: float, pending: Pending) -> None:
+    def _should_repeat(self, pending: Pending) -> bool:
+        """Tells whether another attempt is useful and harmless.
+
+        A command may be in the log twice; it is applied once. Changes of the group are
+        not recognised as the same, so they are not repeated.
+        """
+        command, leader = pending.command, self._replica.leader
+        if not pending.sent or command.get("query"):
+            return True
+        changed = pending.leader and leader not in ("", pending.leader)
+        return bool(changed) and not str(command.get("type")).startswith("control.")
+
+    def _refused(
+        self, now: float, base: str, pending: Pending, code: str, message: str
+    ) -> None:
+        """Takes an attempt as not accepted; only no_leader is worth a new one, unless
+        an earlier attempt is still uncertain."""
+        if code != "no_leader" and not pending.uncertain:
+            self._complete(base, code, message, {})
+            return
         pending.sent = False
         pending.next_try = now + RETRY_INTERVAL
 
@@ -193,8 +232,10 @@
         if proposal_id in self._seen:
             return True
         self._seen[proposal_id] = None
-        if len(self._seen) > SEEN_LIMIT:
-            self._seen.popitem(last=False)
+        self._newest[ProposalId(proposal_id).base] = proposal_id
+        for kept in (self._seen, self._newest):
+            if len(kept) > SEEN_LIMIT:
+                kept.popitem(last=False)
         return False
 
     def _complete(
--- a/packages/core/tests/test_consensus.py
+++ b/packages/core/tests/test_consensus.py
@@ -272,6 +272,8 @@
         for member in cluster.members:
             assert member.state.values == leader.state.values
         assert self.acknowledged() <= set(leader.state.values), "a command was lost"
+        refused = self.answered("no_leader")
+        assert not refused & set(leader.state.values), "a refused command was applied"
 
     def pick(self, which):
         members = self.cluster.members
@@ -281,11 +283,14 @@
         return list(self.cluster.completions)
 
     def acknowledged(self):
-        return {
-            item.origin
-            for item in self.completions()
-            if isinstance(item.origin, int) and item.code == "ok"
-        }
+        return self.answered("ok")
+
+    def answered(self, code):
+        """Numbers of the commands that were answered with ``code``, each once."""
+        numbers = [item.origin for item in self.completions() if item.code == code]
+        numbers = [number for number in numbers if isinstance(number, int)]
+        assert len(numbers) == len(set(numbers)), "a proposal was completed twice"
+        return set(numbers)
 
 
 class FiveMembers(LogMachine):
--- a/packages/core/tests/test_proposals.py
+++ b/packages/core/tests/test_proposals.py
@@ -3,8 +3,8 @@
 import pytest
 from logcluster import Cluster
 
-from bronzemoor_core.events import PeerMessageReceived
-from bronzemoor_core.messages import Propose, ProposeReply
+from bronzemoor_core.events import PeerMessageReceived, Tick
+from bronzemoor_core.messages import HeartbeatReply, Propose, ProposeReply
 from bronzemoor_core.proposals import LEADER_WAIT, PROPOSAL_TIMEOUT
 
 
@@ -87,6 +87,45 @@
     assert leader.state.values == [1]
 
 
+def test_a_proposal_to_a_crashed_leader_is_repeated_and_applied_once():
+    """Guards against unknown for every command in progress at a change of leader."""
+    for synced in (0, 1):
+        cluster = Cluster(3, seed=synced)
+        leader = cluster.elect()
+        proposers = [*cluster.followers(), cluster.start("vm-9", control=False)]
+        for proposer in proposers:
+            proposer.consensus._replica.leader = leader.name
+            cluster.propose(proposer, proposer.name)
+        cluster.run(0.012 * synced)
+        cluster.crash(leader.name, synced)
+        cluster.run(0.8)
+        new = cluster.leader()
+        heard = PeerMessageReceived(new.name, HeartbeatReply(1, new.name, [], {}, 0))
+        proposers[-1].handle(heard)
+        cluster.run(0.5)
+        names = [proposer.name for proposer in proposers]
+        assert sorted(new.state.values) == sorted(names)
+        assert [outcomes(p) for p in proposers] == [[(name, "ok")] for name in names]
+
+
+def test_a_refused_repetition_leaves_the_outcome_unknown():
+    """Guards against no_leader for a command that its first leader may hold."""
+    cluster = Cluster(5)
+    leader = cluster.elect()
+    proposer, other, *rest = cluster.followers()
+    cluster.propose(proposer, 1)
+    for member in (leader, *rest):
+        cluster.crash(member.name)
+    cluster.run(0.5)
+    proposer.consensus._replica.leader = other.name
+    proposer.handle(Tick())
+    cluster.run(LEADER_WAIT)
+    assert len(cluster.messages(Propose)) == 2 and cluster.messages(ProposeReply)
+    assert outcomes(proposer) == []
+    cluster.run(PROPOSAL_TIMEOUT - LEADER_WAIT)
+    assert outcomes(proposer) == [(1, "unknown")]
+
+
 def test_a_proposal_survives_the_election_of_its_leader():
     """Guards against no_leader for every command during a short election."""
     cluster = Cluster(3)
