Sharpen the tests of the share and of fallback reads

Cause: with the check of the share before a second opening, or the bound on fallback reads, switched off by hand, no test failed. Conclusion: every opening is checked at once, and more connections than the bound are warm; both tests fail now (test_the_share_is_never_exceeded, test_reads_at_the_primary_in_place_of_replicas_are_ limited).

--- a/packages/core/tests/datapath_world.py
+++ b/packages/core/tests/datapath_world.py
@@ -345,25 +345,15 @@
         position = result.position or member.position
         ago = self.now - self.group.replaced_at.get(member.name, self.now)
         ago_ms = self.group.confirmed_ago_ms + round(ago * 1_000)
-        return Answer(
-            call.correlation_id,
-            result.status,
-            call.request_id,
-            result.code,
-            "",
-            position.term,
-            position.offset,
-            member.majority,
-            ago_ms if member.role == "primary" else -1,
-            result.payload,
-            len(result.payload),
-            crc32(result.payload),
-            member.name,
-            member.role,
-            result.repeated,
-            result.transaction,
-            leaving=member.leaving,
-        )
+        payload = result.payload
+        place = (position.term, position.offset, member.majority)
+        proof = (ago_ms if member.role == "primary" else -1,)
+        whole = (payload, len(payload), crc32(payload))
+        origin = (member.name, member.role, result.repeated, result.transaction)
+        head = (call.correlation_id, result.status, call.request_id, result.code, "")
+        answer = Answer(*head, *place, *proof, *whole, *origin)
+        answer.leaving = member.leaving
+        return answer
 
     def key(self, connection):
         """Name of a connection among those of all worlds."""
@@ -462,39 +452,39 @@
     world.schedule(min(0.2, call.timeout * 0.9), deliver)
 
 
-def _answers(world, call):
-    return [e for _, _, e in world._events if getattr(e, "call", None) is call]
+def slow(seconds):
+    """A fault that delivers a request's call after ``seconds``; probes are not slow."""
 
+    def late(world, connection, call, deliver):
+        world.schedule(seconds, deliver)
 
-def duplicate(world, connection, call, deliver):
-    """The call runs once and its answer arrives twice."""
-    deliver()
-    for event in _answers(world, call):
-        world.schedule(0.003, event)
+    return lambda member, call: late if call.ticket else None
 
 
-def corrupt(world, connection, call, deliver):
-    """The answer's payload is damaged on the way."""
-    deliver()
-    for event in _answers(world, call):
-        event.answer.payload += b"?"
+def altering(change):
+    """A fault that changes or repeats the answer on its way."""
 
+    def fault(world, connection, call, deliver):
+        deliver()
+        events = [event for _, _, event in world._events]
+        for event in events:
+            if getattr(event, "call", None) is call:
+                change(world, event)
 
-def swap(world, connection, call, deliver):
-    """The answer that arrives is the one to another request."""
-    deliver()
-    for event in _answers(world, call):
-        event.answer.correlation_id += 1_000
-        event.answer.request_id = "other"
+    return fault
 
 
-FAULTS = (
-    lose_call,
-    lose_answer,
-    arrive_late,
-    delay,
-    duplicate,
-    corrupt,
-    swap,
-    break_connection,
-)
+def _damage(world, event):
+    event.answer.payload += b"?"
+
+
+def _exchange(world, event):
+    event.answer.correlation_id += 1_000
+    event.answer.request_id = "other"
+
+
+duplicate = altering(lambda world, event: world.schedule(0.003, event))
+corrupt = altering(_damage)
+swap = altering(_exchange)
+LOSSES = (lose_call, lose_answer, arrive_late, break_connection)
+FAULTS = (*LOSSES, delay, duplicate, corrupt, swap)
--- a/packages/core/tests/test_admission.py
+++ b/packages/core/tests/test_admission.py
@@ -1,7 +1,7 @@
 """Guards the bounded priority queues."""
 
 import pytest
-from datapath_world import World
+from datapath_world import World, slow
 
 from bronzemoor_core.events import SharesChanged
 from bronzemoor_core.templates import RequestClass
@@ -70,9 +70,7 @@
 def test_an_unreachable_deadline_is_refused_at_once():
     """Guards against callers that wait for a refusal that was certain before."""
     world = World(share=2, classes=CLASSES)
-    world.fault = lambda member, call: (
-        lambda w, connection, c, deliver: w.schedule(0.1, deliver)
-    )
+    world.fault = slow(0.1)
     for _ in range(30):
         world.send("n", deadline=world.now + 10)
     world.run(1.0)
--- a/packages/core/tests/test_pools.py
+++ b/packages/core/tests/test_pools.py
@@ -4,7 +4,15 @@
 from random import Random
 
 import pytest
-from datapath_world import CLASSES, Result, World, arrive_late, duplicate, lose_call
+from datapath_world import (
+    CLASSES,
+    Result,
+    World,
+    arrive_late,
+    duplicate,
+    lose_call,
+    slow,
+)
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -55,6 +63,14 @@
     that are opening or not yet closed."""
     world = World(share=3)
     share = 3
+    perform = world._on_OpenConnection
+
+    def check(action):
+        # All openings of one event are decided before the first is performed.
+        assert pool(world).total <= pool(world).share
+        perform(action)
+
+    world._on_OpenConnection = check
     for kind, number in steps:
         if kind == 0:
             allowed = max(number, pool(world).total)
@@ -112,7 +128,6 @@
 def test_a_connection_is_opened_ahead_of_demand():
     """Guards against the second concurrent request paying for an opening."""
     world = World()
-    world.fault = lambda member, call: None
     world.send("post", "x")
     assert pool(world).link("a").counts[State.OPENING] == 1
 
@@ -132,9 +147,7 @@
 def test_slots_limit_the_statements_at_a_member():
     """Guards against queueing at the endpoint, where priorities do not count."""
     world = World(share=12)
-    world.fault = lambda m, call: (
-        (lambda w, n, c, deliver: w.schedule(0.1, deliver)) if call.ticket else None
-    )
+    world.fault = slow(0.1)
     for _ in range(10):
         world.send("post", "x")
     for _ in range(20):
@@ -177,7 +190,6 @@
         world.send("post", "x")
     world.run(0.3)
     silent = {c.number for c in pool(world).of_member("a")}
-    world.fault = lambda m, call: None
     perform = world._on_SendCall
 
     def drop(action):
--- a/packages/core/tests/test_requests.py
+++ b/packages/core/tests/test_requests.py
@@ -14,6 +14,7 @@
     delay,
     lose_answer,
     lose_call,
+    slow,
 )
 
 from bronzemoor_core.events import CallerGone, ConnectionClosed, Statement
@@ -249,19 +250,19 @@
     against reads that are forgotten while they wait for their turn."""
     world = World(share=12)
     session = world.ask("post", "x").session
+    # Opens more connections to the primary than reads may use.
+    for _ in range(6):
+        world.send("post", "x")
+    world.run(0.2)
     for name in ("b", "c"):
         world.group.members[name].log = []
         world.node.blackboard.pools.databases["stock"].link(name).lag = 1.0
     world.run(0.02)
-    running = []
-    world.fault = lambda m, call: (
-        (lambda w, n, c, deliver: (running.append(c), w.schedule(0.05, deliver)))
-        if call.kind == "execute"
-        else None
-    )
+    world.calls.clear()
+    world.fault = slow(0.05)
     tickets = [world.send("own", session=session) for _ in range(8)]
     world.run(0.01)
-    assert len(running) == 2
+    assert len(calls(world, "execute")) == 2
     world.run(0.4)
     assert all(world.replies[t].outcome.tag == "done" for t in tickets)
 
