--- a/packages/core/src/bronzemoor_core/proposals.py
+++ b/packages/core/src/bronzemoor_core/proposals.py
@@ -179,7 +179,8 @@
     def _try(self, now: float, base: str, pending: Pending) -> None:
         replica = self._replica
         pending.attempt += 1
-        pending.next_try = now + QUERY_INTERVAL
+        is_query = pending.command.get("query")
+        pending.next_try = now + (QUERY_INTERVAL if is_query else RETRY_INTERVAL)
         pending.leader = replica.leader
         proposal_id = f"{base}:{pending.attempt}"
         if replica.is_leader:
--- a/packages/daemon/tests/test_storagethread.py
+++ b/packages/daemon/tests/test_storagethread.py
@@ -10,7 +10,7 @@
     """Storage that notes its calls and fails at one sequence."""
 
     def __init__(self, broken=0):
-        self.calls, self.broken = [], broken
+        self.calls, self.broken, self.closed = [], broken, False
 
     def recover(self):
         return StorageRecovered(None, [])
@@ -23,6 +23,9 @@
     def save(self, action):
         self.calls.append(action.sequence)
 
+    def close(self):
+        self.closed = True
+
 
 def run(disk, actions):
     events = []
@@ -40,7 +43,7 @@
     events = run(disk, [PersistLog(1), PersistSnapshot(2, None), PersistLog(3)])
     assert type(events[0]) is StorageRecovered
     assert events[1:] == [StorageSynced(1), StorageSynced(2), StorageSynced(3)]
-    assert disk.calls == [1, 2, 3]
+    assert disk.calls == [1, 2, 3] and disk.closed
 
 
 def test_nothing_is_written_after_a_failure():
