Hear restarted daemons again and give each start its incarnation

The application uses milliseconds since the epoch; the allocator accepts an old order after a lease of silence.

--- a/packages/core/src/bronzemoor_core/allocation.py
+++ b/packages/core/src/bronzemoor_core/allocation.py
@@ -117,8 +117,8 @@
     def __init__(self, timers: ControlSettings) -> None:
         self._timers = timers
         self._pools: dict[str, Pool] = {}
-        # Newest heartbeat of each daemon: incarnation and sequence.
-        self._newest: dict[str, tuple[int, int]] = {}
+        # Newest heartbeat of each daemon: incarnation, sequence and when it came.
+        self._newest: dict[str, tuple[int, int, float]] = {}
         self._quiet_until = 0.0
 
     @property
@@ -143,9 +143,12 @@
     ) -> list[Share] | None:
         """Answers the demands of a heartbeat; None if a newer one came before."""
         order = (heartbeat.incarnation, heartbeat.sequence)
-        if order <= self._newest.get(sender, (-1, -1)):
+        *newest, heard_at = self._newest.get(sender, (-1, -1, now))
+        # A process that restarted with an old incarnation may count from a lower
+        # sequence; after a lease of silence it is heard again.
+        if order <= tuple(newest) and now - heard_at < self.lease:
             return None
-        self._newest[sender] = order
+        self._newest[sender] = (*order, now)
         for demand in heartbeat.demands:
             self._report(now, sender, heartbeat, demand)
         return [
--- a/packages/core/tests/test_limits.py
+++ b/packages/core/tests/test_limits.py
@@ -265,6 +265,15 @@
     assert fresh.allowed == {}
 
 
+def test_a_restarted_daemon_with_its_old_incarnation_is_heard_again():
+    """Guards against a daemon without shares until the leader changes."""
+    cluster = led()
+    cluster.run(1.0)
+    cluster.machines["vm-2"] = Daemon(cluster, "vm-2")
+    cluster.run(cluster.timers.share_lease + 1.0)
+    assert cluster.shares()[1] >= 1
+
+
 class ShareMachine(RuleBasedStateMachine):
     """Faults in any order; the sum of shares is checked after every event."""
 
--- a/packages/daemon/src/bronzemoor_daemon/application.py
+++ b/packages/daemon/src/bronzemoor_daemon/application.py
@@ -2,9 +2,10 @@
 
 import json
 import logging
+from dataclasses import replace
 from random import SystemRandom
 from threading import Event, Thread
-from time import monotonic
+from time import monotonic, time_ns
 from typing import Any
 
 from cheroot.wsgi import PathInfoDispatcher
@@ -40,7 +41,9 @@
     """One daemon. Several may run in one process."""
 
     def __init__(self, settings: DaemonSettings, random: Any = None) -> None:
-        node, listen = settings.node, settings.listen
+        # Peers tell restarts of this daemon apart by the incarnation, which must grow.
+        started = max(settings.node.incarnation, time_ns() // 1_000_000)
+        node, listen = replace(settings.node, incarnation=started), settings.listen
         problems = exposure_problems(listen)
         if problems and not listen.insecure:
             raise InvalidSettings(problems)
