--- a/packages/core/tests/test_limits.py
+++ b/packages/core/tests/test_limits.py
@@ -269,7 +269,8 @@
     """Guards against a daemon without shares until the leader changes."""
     cluster = led()
     cluster.run(1.0)
-    cluster.machines["vm-2"] = Daemon(cluster, "vm-2")
+    fresh = cluster.machines["vm-2"] = Daemon(cluster, "vm-2")
+    fresh.limits._sequence -= 1_000
     cluster.run(cluster.timers.share_lease + 1.0)
     assert cluster.shares()[1] >= 1
 
