--- a/packages/daemon/tests/test_datafolder.py
+++ b/packages/daemon/tests/test_datafolder.py
@@ -1,6 +1,5 @@
 """Tests of the data folder: recovery, damage, full disks and the lock."""
 
-import json
 import os
 from contextlib import suppress
 from functools import wraps
@@ -287,11 +286,14 @@
     folder.recover()
     node = make_node(options, Random(1))
     drive(node, folder, StorageRecovered(None, []))
-    body = {"type": "template.set", "body": json.dumps({"x": "y" * 300})}
-    entries = [
-        LogEntry(index, 1, encode_command(body, f"vm-2:s:{index}:1"))
-        for index in range(2, 10_002)
-    ]
+    body = {"databases": ["claims"], "classes": {"poll": {"kind": "read"}}}
+    change = {"type": "template.apply", "organisation": "voo", "operator": "op"}
+    entries = []
+    for version in range(10_000):
+        change |= {"expect_version": version, "change_id": f"c{version}", "at": 0.0}
+        change["body"] = {**body, "connections": 1 + version}
+        command = encode_command(change, f"vm-2:s:{version}:1")
+        entries.append(LogEntry(version + 2, 1, command))
     folder.persist(PersistLog(10, None, entries))
     folder.close()
 
@@ -301,7 +303,7 @@
         drive(node, folder, folder.recover())
         for tick in range(8):
             drive(node, folder, Tick(), 0.01 * tick)
-        assert node.blackboard.log.applied_index >= 10_001
+        assert node.blackboard.state.templates["voo"][-1].version == 10_000
         folder.close()
 
     benchmark.pedantic(restart, rounds=5)
