State the guarantees as scenarios on real daemons

Cause: the guarantees were only checked in the core and by the demo. Conclusion: each guarantee has a scenario with the fault that threatens it.

--- a/packages/core/src/bronzemoor_core/storage.py
+++ b/packages/core/src/bronzemoor_core/storage.py
@@ -57,6 +57,9 @@
 
     def save(self, action: PersistSnapshot) -> None: ...
 
+    def close(self) -> None:
+        """Releases the storage for another process."""
+
 
 @dataclass(slots=True)
 class MemoryStorage:
@@ -83,6 +86,9 @@
         for index in [i for i in self.entries if i < action.snapshot.index]:
             del self.entries[index]
 
+    def close(self) -> None:
+        """Keeps everything: a later ``recover`` sees it."""
+
     def _truncate(self, first: int) -> None:
         for index in [i for i in self.entries if i >= first]:
             del self.entries[index]
--- a/packages/daemon/src/bronzemoor_daemon/storagethread.py
+++ b/packages/daemon/src/bronzemoor_daemon/storagethread.py
@@ -32,10 +32,11 @@
         self._queue.put(action)
 
     def stop(self, timeout: float = 1.0) -> None:
-        """Finishes the queued writes and ends the thread."""
+        """Finishes the queued writes, ends the thread and releases the storage."""
         self._queue.put(None)
         if self._thread.is_alive():
             self._thread.join(timeout)
+        self._storage.close()
 
     def _run(self) -> None:
         while (action := self._queue.get()) is not None:
--- /dev/null
+++ b/packages/daemon/tests/test_guarantees.py
@@ -0,0 +1,379 @@
+"""The guarantees in the users' words, on real daemons and endpoints.
+
+Each scenario guards against a break of the guarantee that its title states.
+"""
+
+from concurrent.futures import ThreadPoolExecutor
+from time import monotonic, sleep
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from bronzemoor_daemon.demo import (
+    FILE_CLAIM,
+    ORGANISATION,
+    PAY_OUT,
+    READ_CLAIM,
+    TEMPLATE,
+)
+from bronzemoor_daemon.embedded import EmbeddedSystem
+from bronzemoor_standin.statements import Sql
+
+scenarios("daemon/tests/features/guarantees.feature")
+
+
+@pytest.fixture
+def start():
+    """Starts one system and ends it after the scenario."""
+    systems = []
+
+    def make(**options):
+        system = EmbeddedSystem(**options)
+        systems.append(system)
+        system.start()
+        system.apply_template(ORGANISATION, TEMPLATE)
+        return system
+
+    yield make
+    for system in systems:
+        system.stop()
+
+
+@pytest.fixture
+def notes():
+    """What one step leaves for the next ones."""
+    return {}
+
+
+def stored(system, table, column, member=None):
+    """Counts of the rows by a column in a member's tables."""
+    ledger = system.members[member or system.primary].ledger
+    sql = f"SELECT {column}, count(*) FROM {table} GROUP BY {column}"
+    results, _ = ledger.read([Sql(sql, [])], (0, 0), 0.0)
+    return {key: count for key, count in results[0]["rows"]}
+
+
+def file_claim(client, daemon, claim, **fields):
+    key = f"request-{claim}"
+    return client.run(
+        daemon, "file-claim", FILE_CLAIM, [claim, f"of {claim}", key], key, **fields
+    )
+
+
+# --- given
+
+
+@given("a running system", target_fixture="system")
+def plain_system(start):
+    return start()
+
+
+@given("a running system whose replicas lag by 300 ms", target_fixture="system")
+def lagging_system(start):
+    return start(lag_ms=300.0)
+
+
+@given(
+    parsers.parse("a running system whose statements take {time:d} ms"),
+    target_fixture="system",
+)
+def slow_system(start, time):
+    return start(statement_ms=float(time))
+
+
+@given("a running system with claims of ten passengers", target_fixture="system")
+def system_with_claims(start):
+    system = start()
+    client = system.client(ORGANISATION)
+    for number in range(10):
+        assert file_claim(client, 0, f"c{number}")["outcome"] == "done"
+    return system
+
+
+@given("a running system with a data folder", target_fixture="system")
+def durable_system(start, tmp_path):
+    return start(data_folder=lambda name: str(tmp_path / name))
+
+
+# --- when
+
+
+@when("a claim is filed through the first daemon", target_fixture="client")
+def one_claim(system):
+    client = system.client(ORGANISATION)
+    assert file_claim(client, 0, "c1")["outcome"] == "done"
+    return client
+
+
+@when("the primary is cut off from its fellow members")
+def cut_off_primary(system, notes):
+    notes["old"] = system.primary
+    system.members[system.primary].faults.cut_peers = True
+
+
+@when("a claim is filed with resends until it is done")
+def claim_with_resends(system):
+    client = system.client(ORGANISATION)
+    key = "request-c1"
+    answer = client.write(0, "file-claim", FILE_CLAIM, ["c1", "of c1", key], key)
+    assert answer["outcome"] == "done", answer
+
+
+@when("two transactions file a claim each", target_fixture="transactions")
+def two_transactions(system):
+    begun = []
+    for number in (1, 2):
+        client = system.client(ORGANISATION)
+        answer = client.run(0, "file-claim", "", path="/v1/transactions")
+        assert answer["outcome"] == "done", answer
+        begun.append((client, answer["transaction"]))
+    # The second one writes first; the first one's write must wait or be refused.
+    client, transaction = begun[1]
+    answer = file_claim(client, 0, "c2", transaction=transaction)
+    assert answer["outcome"] == "done", answer
+    return begun
+
+
+@when("the first one is rolled back and the second one is committed")
+def end_transactions(transactions):
+    (first, rolled_back), (second, committed) = transactions
+    file_claim(first, 0, "c1", transaction=rolled_back, deadline_ms=300)
+    path = f"/v1/transactions/{rolled_back}/rollback"
+    first.run(0, "file-claim", "", path=path)
+    path = f"/v1/transactions/{committed}/commit"
+    answer = second.run(0, "file-claim", "", request_id="commit-2", path=path)
+    assert answer["outcome"] == "done", answer
+
+
+@when("answers come late, twice and out of order", target_fixture="answers")
+def disturbed_reads(system):
+    for member in system.members.values():
+        member.faults.set(
+            {"duplicate_rate": 0.1, "late_rate": 0.1, "reorder_rate": 0.1}
+        )
+
+    def read(number):
+        client = system.client(ORGANISATION)
+        claim = f"c{number % 10}"
+        return claim, client.run(
+            number % 2, "agent-read", READ_CLAIM, [claim], deadline_ms=1500
+        )
+
+    with ThreadPoolExecutor(8) as pool:
+        return list(pool.map(read, range(200)))
+
+
+@when(
+    "thirty claims are filed at once with a deadline of 250 ms",
+    target_fixture="answers",
+)
+def overload(system):
+    def write(number):
+        client = system.client(ORGANISATION)
+        return f"c{number}", file_claim(
+            client, number % 2, f"c{number}", deadline_ms=250
+        )
+
+    with ThreadPoolExecutor(30) as pool:
+        return list(pool.map(write, range(30)))
+
+
+@when("the answers to a payout are lost")
+def lost_payout(system):
+    faults = system.members[system.primary].faults
+    faults.set({"drop_rate": 1.0, "only_calls": ["execute"]})
+    client = system.client(ORGANISATION)
+    client.run(0, "payout", PAY_OUT, ["c1", "p1"], "p1", deadline_ms=800)
+
+
+@when("the payout is sent again to both daemons at once")
+def resent_payout(system):
+    def resend(daemon):
+        client = system.client(ORGANISATION)
+        return client.run(
+            daemon, "payout", PAY_OUT, ["c1", "p1"], "p1", deadline_ms=800
+        )
+
+    with ThreadPoolExecutor(2) as pool:
+        assert "not_run" not in [a["outcome"] for a in pool.map(resend, (0, 1))]
+    system.members[system.primary].faults.clear()
+
+
+@when("a replica announces that it is leaving")
+def leaving_replica(system, notes):
+    notes["leaving"] = next(name for name in system.members if name != system.primary)
+    system.members[notes["leaving"]].leave()
+
+
+@when(
+    "a daemon is asked to stop while it serves ten requests", target_fixture="answers"
+)
+def stop_under_load(system, notes):
+    daemon = system.daemons["vm-2"]
+
+    def write(number):
+        client = system.client(ORGANISATION)
+        return file_claim(client, 1, f"c{number}", deadline_ms=8000)
+
+    with ThreadPoolExecutor(11) as pool:
+        writes = [pool.submit(write, number) for number in range(10)]
+        sleep(0.15)
+        notes["status"] = pool.submit(daemon.stop).result(timeout=20)
+        return [write.result(timeout=20) for write in writes]
+
+
+@when(
+    "two operators race twenty changes based on equal versions", target_fixture="races"
+)
+def racing_operators(system):
+    def change(operator, version):
+        return system.admin(
+            operator,
+            "template.apply",
+            organisation=ORGANISATION,
+            body={**TEMPLATE, "connections": 10 + version + 50 * operator},
+            expect_version=version,
+            change_id=f"change-{operator}-{version}",
+        )["code"]
+
+    with ThreadPoolExecutor(2) as pool:
+        return [
+            sorted(pool.map(change, (0, 1), (version, version)))
+            for version in range(1, 21)
+        ]
+
+
+@when("every daemon is killed and started again")
+def restart_daemons(system):
+    for daemon in system.daemons.values():
+        daemon.kill()
+    for name in list(system.daemons):
+        system.restart_daemon(name)
+
+
+@when("every open connection of every member goes silent")
+def silent_connections(system, notes):
+    client = system.client(ORGANISATION)
+    assert file_claim(client, 0, "before")["outcome"] == "done"
+    notes["old"] = system.primary
+    for member in system.members.values():
+        member.faults.silence()
+
+
+# --- then
+
+
+@then("the same session reads it at once through the second daemon")
+def read_own_write(client):
+    answer = client.run(1, "agent-read", READ_CLAIM, ["c1"])
+    assert answer["outcome"] == "done", answer
+    assert answer["result"][0]["rows"] == [["c1", "of c1", "request-c1"]]
+
+
+@then("another member is the primary")
+def another_primary(system, notes):
+    system.wait_for(lambda: system.primary not in ("", notes["old"]))
+
+
+@then("the claim counts once in the new primary")
+def counted_once(system):
+    assert stored(system, "claims", "claim_id") == {"c1": 1}
+
+
+@then("the old primary confirms no write")
+def old_primary_is_silent(system, notes):
+    state = system.members[notes["old"]].ledger.state
+    assert (
+        state.role != "primary"
+        or state.majority_offset < state.log.last.offset
+        or (state.term < system.members[system.primary].ledger.state.term)
+    )
+
+
+@then("only the second claim is stored")
+def second_claim(system):
+    assert stored(system, "claims", "claim_id") == {"c2": 1}
+
+
+@then("every caller reads its own claim or gets an error")
+def own_answers(answers):
+    done = 0
+    for claim, answer in answers:
+        if answer["outcome"] == "done":
+            done += 1
+            expected = [[claim, f"of {claim}", f"request-{claim}"]]
+            assert answer["result"][0]["rows"] == expected
+    assert done > len(answers) / 2
+
+
+@then("some are refused as not run")
+def some_refused(answers):
+    assert "not_run" in [answer["outcome"] for _, answer in answers]
+
+
+@then("no refused claim is stored")
+def refused_claims(system, answers):
+    sleep(0.5)
+    claims = stored(system, "claims", "claim_id")
+    for claim, answer in answers:
+        if answer["outcome"] == "not_run":
+            assert claim not in claims, answer
+        if answer["outcome"] == "done":
+            assert claims[claim] == 1
+
+
+@then("the payout counts at most once")
+def payout_once(system):
+    assert stored(system, "payouts", "request_id").get("p1", 0) <= 1
+
+
+@then("it serves no read that was sent 2 s later")
+def no_new_work(system, notes):
+    client = system.client(ORGANISATION)
+    sleep(2.0)
+    for number in range(50):
+        answer = client.run(number % 2, "agent-read", READ_CLAIM, ["c1"])
+        assert answer["outcome"] == "done", answer
+        assert answer["served_by"] != notes["leaving"]
+
+
+@then("all ten requests are answered as done")
+def all_done(answers):
+    assert [answer["outcome"] for answer in answers] == ["done"] * 10, answers
+
+
+@then("the daemon ends with exit status 0")
+def clean_exit(notes):
+    assert notes["status"] == 0
+
+
+@then("each version has one winner")
+def one_winner(races):
+    assert races == [["ok", "version_conflict"]] * 20
+
+
+@then("every daemon has the last version in effect")
+def last_version(system):
+    def versions():
+        boards = [d.driver.node.blackboard for d in system.daemons.values()]
+        templates = [
+            board.configuration.templates.get(ORGANISATION) for board in boards
+        ]
+        return [template.version if template else 0 for template in templates]
+
+    system.wait_for(lambda: versions() == [21, 21], timeout=3.0)
+
+
+@then("claims are filed again within 3 s")
+def filed_again(system):
+    client = system.client(ORGANISATION)
+    started = monotonic()
+    key = "request-after"
+    answer = client.write(0, "file-claim", FILE_CLAIM, ["after", "x", key], key)
+    assert answer["outcome"] == "done", answer
+    assert monotonic() - started < 3.0
+
+
+@then("the primary is still the same")
+def same_primary(system, notes):
+    assert system.primary == notes["old"]
--- a/packages/daemon/tests/test_storagethread.py
+++ b/packages/daemon/tests/test_storagethread.py
@@ -20,6 +20,9 @@
             raise StorageError("disk full")
         self.calls.append(action.sequence)
 
+    def close(self):
+        self.closed = True
+
     def save(self, action):
         self.calls.append(action.sequence)
 
