--- a/packages/standin/src/bronzemoor_standin/history.py
+++ b/packages/standin/src/bronzemoor_standin/history.py
@@ -9,17 +9,15 @@
 from dataclasses import dataclass
 from typing import Any
 
+from bronzemoor_standin.evidence import Evidence, expected_rows, gather, row_counts
 from bronzemoor_standin.records import (
     DONE,
     LOST,
     UNKNOWN,
-    Event,
     History,
     Request,
-    Row,
     Tables,
     Work,
-    works,
 )
 
 # A leaving member gets no new work after this time, in seconds (design, P7).
@@ -39,23 +37,6 @@
     message: str
 
 
-@dataclass(slots=True)
-class Evidence:
-    """A history with its tables, indexed for the checkers."""
-
-    history: History
-    tables: Tables
-    works: list[Work]
-    rows: dict[tuple[str, str, str], list[dict[str, Any]]]
-
-    def stored(self, work: Work, table: str, request_id: str) -> list[dict[str, Any]]:
-        return self.rows.get((work.database, table, request_id), [])
-
-    def events(self, kind: str) -> list[Event]:
-        found = [event for event in self.history.events if event.kind == kind]
-        return sorted(found, key=lambda event: event.at)
-
-
 Findings = Iterator[tuple[str, str]]
 Checker = Callable[[Evidence], Findings]
 CHECKERS: dict[str, Checker] = {}
@@ -73,7 +54,7 @@
 
 def check(history: History, tables: Tables, only: str | None = None) -> list[Violation]:
     """All violations in a history, or those of one guarantee."""
-    evidence = _evidence(history, tables)
+    evidence = gather(history, tables)
     return [
         Violation(guarantee, subject, message)
         for guarantee, function in CHECKERS.items()
@@ -82,34 +63,6 @@
     ]
 
 
-def _evidence(history: History, tables: Tables) -> Evidence:
-    rows: dict[tuple[str, str, str], list[dict[str, Any]]] = {}
-    for database, contents in tables.items():
-        for table, stored in contents.items():
-            for row in stored:
-                if "request_id" in row:
-                    key = (database, table, row["request_id"])
-                    rows.setdefault(key, []).append(row)
-    return Evidence(history, tables, list(works(history)), rows)
-
-
-def _expected(evidence: Evidence, work: Work) -> Iterator[tuple[str, str, list[Row]]]:
-    """Rows of a work by table and request id, for the tables that were read."""
-    known = evidence.tables.get(work.database, {})
-    groups: dict[tuple[str, str], list[Row]] = {}
-    for row in work.rows:
-        if row.table in known:
-            groups.setdefault((row.table, row.values["request_id"]), []).append(row)
-    for (table, request_id), rows in groups.items():
-        yield table, request_id, rows
-
-
-def _counts(evidence: Evidence, work: Work) -> Iterator[tuple[str, int, int]]:
-    """Number of rows expected and stored, by table."""
-    for table, request_id, rows in _expected(evidence, work):
-        yield table, len(rows), len(evidence.stored(work, table, request_id))
-
-
 # Kinds of events without which a checker has nothing to judge.
 NEEDED_EVENTS = {
     "P7 leaving_gets_no_work": "leaving",
@@ -208,7 +161,7 @@
     for work in evidence.works:
         if not work.acknowledged:
             continue
-        for table, expected, stored in _counts(evidence, work):
+        for table, expected, stored in row_counts(evidence, work):
             if stored < expected:
                 yield work.name, f"acknowledged, but {stored} of {expected} in {table}"
     promotions = evidence.events("promoted")
@@ -242,7 +195,7 @@
 
 
 def _not_atomic(evidence: Evidence, work: Work) -> Findings:
-    counts = list(_counts(evidence, work))
+    counts = list(row_counts(evidence, work))
     present = [stored for _, _, stored in counts if stored]
     if not work.attempts and present:
         yield work.name, "was not committed, but rows are stored"
@@ -320,7 +273,7 @@
     """What was always answered by "not run", or failed, has left no row."""
     for work in evidence.works:
         if work.attempts and work.never_ran:
-            for table, _, stored in _counts(evidence, work):
+            for table, _, stored in row_counts(evidence, work):
                 if stored:
                     yield work.name, f"reported as not run, but stored in {table}"
 
@@ -329,7 +282,7 @@
 def at_most_once(evidence: Evidence) -> Findings:
     """No request is executed twice, whatever was lost on the way."""
     for work in evidence.works:
-        for table, expected, stored in _counts(evidence, work):
+        for table, expected, stored in row_counts(evidence, work):
             if stored > expected:
                 yield work.name, f"{stored} instead of {expected} rows in {table}"
 
@@ -338,7 +291,7 @@
 def exactly_as_written(evidence: Evidence) -> Findings:
     """Stored rows have the values that were sent."""
     for work in evidence.works:
-        for table, request_id, rows in _expected(evidence, work):
+        for table, request_id, rows in expected_rows(evidence, work):
             left = list(evidence.stored(work, table, request_id))
             for row in rows:
                 same = [r for r in left if row.values.items() <= r.items()]
