--- a/packages/core/src/bronzemoor_core/storage.py
+++ b/packages/core/src/bronzemoor_core/storage.py
@@ -58,7 +58,7 @@
     def save(self, action: PersistSnapshot) -> None: ...
 
     def close(self) -> None:
-        """Releases the storage for another process."""
+        """Releases what the storage holds; nothing is written afterwards."""
 
 
 @dataclass(slots=True)
@@ -87,7 +87,7 @@
             del self.entries[index]
 
     def close(self) -> None:
-        """Keeps everything: a later ``recover`` sees it."""
+        """Holds nothing that must be released."""
 
     def _truncate(self, first: int) -> None:
         for index in [i for i in self.entries if i >= first]:
--- a/packages/daemon/src/bronzemoor_daemon/storagethread.py
+++ b/packages/daemon/src/bronzemoor_daemon/storagethread.py
@@ -36,7 +36,8 @@
         self._queue.put(None)
         if self._thread.is_alive():
             self._thread.join(timeout)
-        self._storage.close()
+        if not self._thread.is_alive():
+            self._storage.close()
 
     def _run(self) -> None:
         while (action := self._queue.get()) is not None:
