--- a/packages/core/tests/fake_group.py
+++ b/packages/core/tests/fake_group.py
@@ -130,7 +130,7 @@
         self.now, self.random, self.loss, self.spread = 0.0, Random(seed), loss, spread
         self.places = daemons | {e.name: e.data_centre for e in endpoints}
         self.control, self.heap, self.count = control, [], 0
-        self.tick, self.replicate = 0.01, 0.03
+        self.tick, self.replicate, self.duplication = 0.01, 0.03, 0.0
         self.endpoints = {e.name: e for e in endpoints}
         self.nodes, self.log, self.leader, self.term = {}, [], "", 0
         self.cut, self.replies, self.changes, self.applied = set(), {}, [], {}
@@ -184,7 +184,11 @@
         return endpoint.up if endpoint else name in self.nodes
 
     def send(self, a, b, function, *arguments):
-        """Calls the function after the delay, unless the message is lost."""
+        """Calls the function after the delay, unless the message is lost, or twice."""
+        for _ in range(2 if self.random.random() < self.duplication else 1):
+            self._send_once(a, b, function, *arguments)
+
+    def _send_once(self, a, b, function, *arguments):
         if self.connected(a, b) and self.random.random() >= self.loss:
             self.at(self.delay(a, b), self._deliver, a, b, function, arguments)
 
@@ -232,10 +236,11 @@
             self._pass(other, name, self._catch_up, name)
 
     def _pass(self, a, b, function, *arguments):
+        """Passes what the log itself delivers at most once."""
         if a == b:
             function(*arguments)
         else:
-            self.send(a, b, function, *arguments)
+            self._send_once(a, b, function, *arguments)
 
     def _perform(self, name, item):
         if isinstance(item, SendPeerMessage):
--- a/packages/core/tests/test_distribution.py
+++ b/packages/core/tests/test_distribution.py
@@ -185,8 +185,10 @@
 @given(FAULTS, st.integers(0, 99), st.sampled_from([0.0, 0.05, 0.3]))
 def test_versions_never_fall_and_converge(faults, seed, loss):
     """Guards against a version that falls, a change that counts twice and a daemon
-    that never catches up, under loss, reordering, partitions and restarts."""
+    that never catches up, under loss, duplication, reordering, partitions and
+    restarts."""
     group = make_group(seed=seed, loss=loss, spread=10.0)
+    group.duplication = 0.1
     group.run(0.5)
     seen, changes = versions(group), 0
     for index, (kind, number, pause) in enumerate(faults):
--- a/packages/core/tests/test_failover.py
+++ b/packages/core/tests/test_failover.py
@@ -304,7 +304,7 @@
     """Applies faults, of which crashes leave ``least`` daemons, and heals; checks that
     confirmed logs never diverge, that no term has two primaries and that no confirmed
     record is lost."""
-    confirmed = []
+    confirmed, group.duplication = [], 0.1
     for kind, number, pause in events:
         endpoint, daemon = group.endpoints[f"c{number}"], f"vm{number}"
         if kind in ("stop", "start"):
@@ -338,5 +338,6 @@
 @given(EVENTS, st.integers(0, 1000), st.sampled_from([0.0, 0.02, 0.1]))
 def test_any_faults(events, seed, loss):
     """Guards against two primaries in one term, a deposed primary that confirms a
-    write and lost confirmed records, under loss, delay, crashes and partitions."""
+    write and lost confirmed records, under loss, delay, duplication, crashes and
+    partitions."""
     survive(started(seed=seed, loss=loss, spread=5.0), events, least=4)
