--- a/bench/steps.py
+++ b/bench/steps.py
@@ -64,7 +64,7 @@
             trace = {"trace_id": response["trace_id"]}
             for span in post(daemon, "/v1/admin/explain", trace)[1]["spans"]:
                 event = span["attributes"].get("event", "")
-                spans[f"{span['step']}.{event}".strip(".")].append(span["milliseconds"])
+                spans[f"{span['name']}.{event}".strip(".")].append(span["duration_ms"])
         connection.close()
     for name, values in spans.items():
         yield Result(f"steps.span.{name}", median(values) * 1000, "us")
--- a/packages/daemon/src/bronzemoor_daemon/application.py
+++ b/packages/daemon/src/bronzemoor_daemon/application.py
@@ -192,7 +192,7 @@
         tree = AdminTree(
             self._driver,
             listen.operators,
-            {"explain": self._explain},
+            {"explain": self._explain, "drain.daemon": self._drain},
             self._extend_status,
         )
         page = StatusPage(settings.node.name, tree, self._status)
@@ -264,6 +264,11 @@
             return AdminReply(0, "unknown_trace", {"message": message})
         return AdminReply(0, "ok", {"spans": spans})
 
+    def _drain(self, arguments: dict[str, Any]) -> AdminReply:
+        self._logs.write("info", "stop_ordered", {})
+        self.request_stop()
+        return AdminReply(0, "ok", {"stage": self.stage})
+
     def _extend_status(self, status: dict[str, Any]) -> None:
         """Adds what only this process knows."""
         status["daemon"] = {
@@ -277,6 +282,8 @@
             "peer_queues": self._senders.queued,
             "storage_queue": self._storage.queued,
         }
+        drain = status.setdefault("drain", {"stage": self.stage})
+        drain["in_progress"] = self._driver.waiting
         status["metrics"] = self._metrics.snapshot()
 
     def _status(self) -> dict[str, Any]:
--- a/packages/daemon/src/bronzemoor_daemon/tracing.py
+++ b/packages/daemon/src/bronzemoor_daemon/tracing.py
@@ -43,11 +43,11 @@
         assert span.context is not None and span.start_time and span.end_time
         trace_id = f"{span.context.trace_id:032x}"
         entry = {
-            "step": span.name,
+            "name": span.name,
             "span_id": f"{span.context.span_id:016x}",
             "parent_id": f"{span.parent.span_id:016x}" if span.parent else "",
             "started_at": span.start_time / 1e9,
-            "milliseconds": (span.end_time - span.start_time) / 1e6,
+            "duration_ms": (span.end_time - span.start_time) / 1e6,
             "attributes": dict(span.attributes or {}),
         }
         with self._lock:
--- a/packages/daemon/tests/test_admin.py
+++ b/packages/daemon/tests/test_admin.py
@@ -81,7 +81,7 @@
     assert answer["trace_id"] == trace_id
     assert answer["code"] == "unknown_organisation"
     _, explained = client.post("/v1/admin/explain", {"trace_id": trace_id})
-    assert [span["step"] for span in explained["spans"]][0] == "http:statements"
+    assert [span["name"] for span in explained["spans"]][0] == "http:statements"
     status, answer = client.post("/v1/admin/explain", {"trace_id": "none"})
     assert (status, answer["code"]) == (404, "unknown_trace")
 
@@ -113,6 +113,17 @@
     assert operators.post("/v1/statements", {})[0] == 404
 
 
+def test_an_operator_can_stop_the_daemon(ready, connect):
+    """Guards against a drain command that the daemon does not know."""
+    ready.settings.node.drain.delay = 0.3
+    client = connect(ready)
+    assert client.post("/v1/admin/drain.daemon", {})[1]["code"] == "ok"
+    until = time.monotonic() + 3
+    while client.get("/v1/admin/status")[1]["drain"]["stage"] == "serving":
+        assert time.monotonic() < until
+    assert ready.wait() == 0
+
+
 def test_the_page_escapes_every_text():
     """Guards against a member's name that runs as a script in a browser."""
     page = render_page("<vm>", {"<b>": ["<i>", {"x": "<script>"}]})
--- a/packages/daemon/tests/test_driver.py
+++ b/packages/daemon/tests/test_driver.py
@@ -179,5 +179,5 @@
     driver.serve(request(), never, trace)
     if trace is not None:
         trace.end({"outcome": "done"})
-        steps = [span["step"] for span in tracing.recent.get(trace.trace_id)]
+        steps = [span["name"] for span in tracing.recent.get(trace.trace_id)]
         assert steps == ["http:statements", "decision", "endpoint:execute", "decision"]
--- a/packages/daemon/tests/test_sinks.py
+++ b/packages/daemon/tests/test_sinks.py
@@ -95,8 +95,8 @@
     second.record_remote(trace.trace_context, "peer:Propose", now, now + 0.1, "vm-1")
     second.record_remote("garbage", "peer:Propose", now, now, "vm-1")
     (span,) = second.recent.get(trace.trace_id)
-    assert span["step"] == "peer:Propose"
-    assert 99 < span["milliseconds"] < 101
+    assert span["name"] == "peer:Propose"
+    assert 99 < span["duration_ms"] < 101
 
 
 def test_recent_traces_are_bounded():
