Suppress equal log lines, not distinct ones, and fuzz the parsers

The limit per event could have hidden cut requests of a stop; an equal line now passes once a second and the number of the others is always written.

--- a/packages/daemon/src/bronzemoor_daemon/logs.py
+++ b/packages/daemon/src/bronzemoor_daemon/logs.py
@@ -11,8 +11,8 @@
 from loguru import logger
 
 FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} {message}"
-# Lines beyond this number per event and second are counted instead of written.
-LINES_PER_SECOND = 10
+# Different lines of one event that are written within a second.
+LINES_PER_SECOND = 100
 QUEUE_LIMIT = 10_000
 
 
@@ -44,34 +44,38 @@
 
 
 class RateLimit:
-    """Bounds the lines of one event and counts those that it suppresses."""
+    """Bounds how often a key passes within a second and counts the rest."""
 
-    def __init__(self, limit: int = LINES_PER_SECOND) -> None:
+    def __init__(self, limit: int) -> None:
         self._limit = limit
-        # Start of the current second, lines in it and suppressed lines, by event.
+        # Start of the second, passes in it and suppressions, by key.
         self._windows: dict[str, list[float]] = {}
 
-    def admit(self, now: float, event: str) -> int | None:
-        """Returns how many lines were suppressed before this one, or None."""
-        window = self._windows.setdefault(event, [now, 0, 0])
-        suppressed = 0
-        if now - window[0] >= 1:
-            suppressed = int(window[2])
-            window[:] = [now, 0, 0]
-        if window[1] >= self._limit:
-            window[2] += 1
-            return None
-        window[1] += 1
-        return suppressed
+    def admit(self, now: float, key: str) -> bool:
+        """Tells whether ``key`` may pass at ``now`` (seconds)."""
+        window = self._windows.setdefault(key, [now, 0, 0])
+        passes = window[1] < self._limit
+        window[1 if passes else 2] += 1
+        return passes
+
+    def close_windows(self, now: float) -> dict[str, int]:
+        """Ends the windows that are a second old; returns what they suppressed."""
+        ended = [key for key, window in self._windows.items() if now - window[0] >= 1]
+        counts = {key: int(self._windows.pop(key)[2]) for key in ended}
+        return {key: count for key, count in counts.items() if count}
 
 
 class LogWriter:
-    """Takes events without blocking and writes them in order."""
+    """Takes events without blocking and writes them in order.
+
+    An equal line is written once a second and an event ``LINES_PER_SECOND`` times; the
+    number of the others follows.
+    """
 
     def __init__(self, vm: str) -> None:
         self._vm = vm
-        self._limit = RateLimit()
-        self._queue: deque[tuple[str, str, dict[str, Any]]] = deque(maxlen=QUEUE_LIMIT)
+        self._limits = (RateLimit(1), RateLimit(LINES_PER_SECOND))
+        self._queue: deque[tuple[str, str]] = deque(maxlen=QUEUE_LIMIT)
         self._ready = Condition(Lock())
         self._stopped = False
         self._thread = Thread(target=self._run, name="logs", daemon=True)
@@ -79,28 +83,32 @@
 
     def write(self, level: str, event: str, fields: dict[str, Any]) -> None:
         """Enqueues one event; the oldest is dropped when the queue is full."""
+        now, line = monotonic(), format_line(self._vm, event, fields)
+        lines, events = self._limits
         with self._ready:
-            suppressed = self._limit.admit(monotonic(), event)
-            if suppressed is None:
-                return
-            if suppressed:
-                fields = {**fields, "suppressed": suppressed}
-            self._queue.append((level.upper(), event, fields))
-            self._ready.notify()
+            if lines.admit(now, line) and events.admit(now, event):
+                self._queue.append((level.upper(), line))
+                self._ready.notify()
 
     def stop(self) -> None:
-        """Writes what is queued and ends the thread."""
+        """Writes what is queued or suppressed and ends the thread."""
         with self._ready:
             self._stopped = True
             self._ready.notify()
         self._thread.join(1.0)
 
     def _run(self) -> None:
-        while True:
+        stopped = False
+        while not stopped:
             with self._ready:
-                while not self._queue and not self._stopped:
-                    self._ready.wait()
-                if not self._queue:
-                    return
-                level, event, fields = self._queue.popleft()
-            logger.log(level, format_line(self._vm, event, fields))
+                if not self._queue and not self._stopped:
+                    self._ready.wait(1.0)
+                batch = list(self._queue)
+                self._queue.clear()
+                stopped = self._stopped
+                now = float("inf") if stopped else monotonic()
+                for limit in self._limits:
+                    for key, count in limit.close_windows(now).items():
+                        batch.append(("WARNING", f"{key} suppressed={count}"))
+            for level, line in batch:
+                logger.log(level, line)
--- a/packages/daemon/tests/test_http.py
+++ b/packages/daemon/tests/test_http.py
@@ -1,6 +1,30 @@
 """The HTTP path from a request to the endpoint and back."""
 
+import json
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bronzemoor_core.exceptions import InvalidRequest
+from bronzemoor_daemon.parsing import (
+    REQUEST_FIELDS,
+    parse_announcement,
+    parse_request,
+)
+
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(st.characters(exclude_categories=()), max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from(["sql", "params", "x"]), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
 
 
 def test_payload_reaches_the_client_unchanged(passing, endpoint, connect, body):
@@ -46,3 +70,37 @@
     assert (status, answer["outcome"]) == (400, "not_run")
     assert answer["code"] == "invalid_request"
     assert client.post("/v1/statements", body())[0] == 200
+
+
+@given(st.dictionaries(st.sampled_from(sorted(REQUEST_FIELDS)), JSON), st.booleans())
+def test_any_json_is_a_request_or_a_typed_error(fields, complete):
+    """Guards against input that raises anything but ``InvalidRequest``."""
+    if complete:
+        fields = {"organisation": "o", "database": "d", "request_class": "c"} | fields
+    body = json.dumps(fields).encode()
+    for parse in (
+        lambda: parse_request(body, "statements", 0.0, "dc1"),
+        lambda: parse_request(body, "commit", 0.0, "dc1", "t1"),
+        lambda: parse_announcement(body),
+    ):
+        try:
+            parse()
+        except InvalidRequest as error:
+            assert error.code == "invalid_request"
+
+
+@given(st.lists(st.tuples(st.text(min_size=1), st.lists(st.integers(0, 9)))))
+def test_the_digest_tells_statements_apart(statements):
+    """Guards against two different bodies under one request id that look equal."""
+
+    def digest(listed):
+        raw = [{"sql": f"s{sql}", "params": params} for sql, params in listed]
+        fields = {"organisation": "o", "database": "d", "request_class": "c"}
+        fields["statements"] = raw
+        body = json.dumps(fields).encode()
+        return parse_request(body, "statements", 0.0, "dc1").digest
+
+    if statements:
+        assert digest(statements) == digest(statements)
+        assert digest(statements) != digest([*statements, ("x", [])])
+        assert digest(statements) != digest([("x", [10]), *statements[1:]])
--- a/packages/daemon/tests/test_sinks.py
+++ b/packages/daemon/tests/test_sinks.py
@@ -24,9 +24,26 @@
     """Guards against a fault that floods the log, and against silent loss."""
     limit = RateLimit(2)
     admitted = [limit.admit(0.1 * number, "fault") for number in range(10)]
-    assert admitted == [0, 0] + [None] * 8
-    assert limit.admit(0.5, "other") == 0
-    assert limit.admit(1.0, "fault") == 8
+    assert admitted == [True, True] + [False] * 8
+    assert limit.admit(0.5, "other")
+    assert limit.close_windows(0.9) == {}
+    assert limit.close_windows(1.0) == {"fault": 8}
+    assert limit.admit(1.1, "fault")
+
+
+def test_equal_lines_are_written_once_and_different_ones_all():
+    """Guards against a flood by one fault, and against cut work that is not named."""
+    lines = []
+    sink = logger.add(lambda message: lines.append(message.record["message"]))
+    writer = LogWriter("vm-1")
+    for number in range(20):
+        writer.write("warning", "unreachable", {"peer": "vm-2"})
+        writer.write("warning", "cut", {"request_id": number})
+    writer.stop()
+    logger.remove(sink)
+    assert lines.count('event=unreachable vm="vm-1" peer="vm-2"') == 1
+    assert sum(line.startswith("event=cut") for line in lines) == 20
+    assert 'event=unreachable vm="vm-1" peer="vm-2" suppressed=19' in lines
 
 
 def test_events_are_written_in_order_with_braces_untouched():
