--- a/packages/core/src/bronzemoor_core/storage.py
+++ b/packages/core/src/bronzemoor_core/storage.py
@@ -53,10 +53,12 @@
 
     def recover(self) -> StorageRecovered: ...
 
-    def persist(self, action: PersistLog) -> None: ...
+    def persist_all(self, actions: list[PersistLog]) -> None: ...
 
     def save(self, action: PersistSnapshot) -> None: ...
 
+    def close(self) -> None: ...
+
 
 @dataclass(slots=True)
 class MemoryStorage:
@@ -78,6 +80,13 @@
         for entry in action.entries:
             self.entries[entry.index] = entry
 
+    def persist_all(self, actions: list[PersistLog]) -> None:
+        for action in actions:
+            self.persist(action)
+
+    def close(self) -> None:
+        """Holds nothing to release."""
+
     def save(self, action: PersistSnapshot) -> None:
         self.snapshot = action.snapshot
         for index in [i for i in self.entries if i < action.snapshot.index]:
--- a/packages/daemon/src/bronzemoor_daemon/application.py
+++ b/packages/daemon/src/bronzemoor_daemon/application.py
@@ -149,7 +149,7 @@
     def wait(self) -> int:
         """Waits for the end of a stop; returns the exit status."""
         self._stopped.wait()
-        self._close()
+        self._close(finish=True)
         self._logs.write("info", "stopped", {"status": self._exit_status})
         self._logs.stop()
         return self._exit_status
@@ -170,7 +170,7 @@
     def kill(self) -> None:
         """Ends abruptly, as a crash would: nothing is finished or announced."""
         self._stopped.set()
-        self._close()
+        self._close(finish=False)
         self._logs.stop()
 
     def _make_storage(self) -> Storage:
@@ -310,14 +310,14 @@
         name = "error" if level >= logging.ERROR else "debug"
         self._logs.write(name, "http_server", {"error": message})
 
-    def _close(self) -> None:
+    def _close(self, finish: bool) -> None:
         for server in self._servers:
             server.stop()
         self._peer_server.stop()
         self._senders.stop()
         self._performers.stop()
         self._endpoints.close_all()
-        self._storage.stop()
+        self._storage.stop(finish)
         self._metrics.stop()
         self._tracing.stop()
 
