--- a/packages/core/src/bronzemoor_core/connections.py
+++ b/packages/core/src/bronzemoor_core/connections.py
@@ -43,6 +43,7 @@
     probe_at: float = 0.0
     answered_at: float = 0.0
     closing_since: float = 0.0
+    used_at: float = 0.0
 
     @property
     def idle(self) -> bool:
@@ -65,9 +66,13 @@
     # Number of connections by state.
     counts: Counter[State] = field(default_factory=Counter)
     failures: int = 0
+    # The last opening failed without an answer, and nothing answered since.
+    unreachable: bool = False
     retry_at: float = 0.0
     # When a silent connection called for a comparison with a fresh one.
     compare_since: float | None = None
+    # When a slow call may next cause a look at the idle connections.
+    slow_check_at: float = 0.0
     # Closed connections that are to be opened again.
     replacements: int = 0
 
@@ -98,7 +103,10 @@
     next_open_at: float = 0.0
     next_probe_at: float = 0.0
     next_replace_at: float = 0.0
+    # When the primary's position was last sampled, and how often it should be.
     sampled_at: float = 0.0
+    sample_interval: float = 0.0
+    interval_at: float = 0.0
 
     @property
     def total(self) -> int:
@@ -159,6 +167,11 @@
         self.connections: dict[int, Connection] = {}
         self.by_ticket: dict[int, int] = {}
 
+    @property
+    def held(self) -> dict[str, int]:
+        """Connections that count against the share, by database."""
+        return {name: pool.total for name, pool in self.databases.items()}
+
     def total(self, database: str) -> int:
         """Connections of this daemon that count against its share of ``database``."""
         pool = self.databases.get(database)
--- a/packages/core/src/bronzemoor_core/routing.py
+++ b/packages/core/src/bronzemoor_core/routing.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from bronzemoor_core.connections import DatabasePool, MemberLink
+from bronzemoor_core.exceptions import InvalidSettings
 from bronzemoor_core.membership import Database, Member
 from bronzemoor_core.positions import ZERO, Position, TermHistory
 
@@ -108,8 +109,13 @@
 
 
 def is_serving(member: Member, now: float, lease: float) -> bool:
-    """Tells whether ``member`` may get new work."""
-    return not member.leaving and now - member.last_heard <= lease
+    """Tells whether ``member`` may get new work.
+
+    Membership removes members that others report once those report their loss.
+    """
+    if member.leaving:
+        return False
+    return member.source != "announcement" or now - member.last_heard <= lease
 
 
 def expected_delay(member: Member, link: MemberLink, settings: Any) -> float:
@@ -140,7 +146,11 @@
     def __init__(self, settings: Any, random: Random) -> None:
         self._settings = settings
         self._random = random
-        self._balance = BALANCERS[settings.data_path.balancer]
+        name = settings.data_path.balancer
+        if name not in BALANCERS:
+            known = ", ".join(sorted(BALANCERS))
+            raise InvalidSettings([f"data_path.balancer: {name!r} is none of {known}"])
+        self._balance = BALANCERS[name]
 
     def primary_route(
         self, now: float, database: Database, position: Position = ZERO
@@ -206,12 +216,13 @@
         wait = settings.data_path.catch_up_wait
         links = pool.links if pool else {}
         near = data_centre or settings.data_centre
-        candidates = []
+        candidates: list[Candidate] = []
+        unreachable: list[Candidate] = []
         for member in database.members.values():
             name = member.name
             if name == database.primary or name in excluded:
                 continue
-            if member.leaving or now - member.last_heard > lease:
+            if not is_serving(member, now, lease):
                 continue
             link = links.get(name, NEW_LINK)
             catch_up = 0.0
@@ -219,7 +230,9 @@
                 if link.lag > wait or now < link.behind_until:
                     continue
                 catch_up = link.lag
-            candidates.append(
+            # A member may be lost long before its lease ends.
+            reached = unreachable if link.unreachable else candidates
+            reached.append(
                 Candidate(
                     name,
                     link.running,
@@ -228,4 +241,4 @@
                     catch_up,
                 )
             )
-        return candidates
+        return candidates or unreachable
