--- a/packages/daemon/src/bronzemoor_daemon/application.py
+++ b/packages/daemon/src/bronzemoor_daemon/application.py
@@ -152,7 +152,7 @@
     def wait(self) -> int:
         """Waits for the end of a stop; returns the exit status."""
         self._stopped.wait()
-        self._close()
+        self._close(finish=True)
         self._logs.write("info", "stopped", {"status": self._exit_status})
         self._logs.stop()
         return self._exit_status
@@ -173,7 +173,7 @@
     def kill(self) -> None:
         """Ends abruptly, as a crash would: nothing is finished or announced."""
         self._stopped.set()
-        self._close()
+        self._close(finish=False)
         self._logs.stop()
 
     def _make_storage(self) -> Storage:
@@ -195,7 +195,7 @@
         tree = AdminTree(
             self._driver,
             listen.operators,
-            {"explain": self._explain},
+            {"explain": self._explain, "drain.daemon": self._drain},
             self._extend_status,
         )
         page = StatusPage(settings.node.name, tree, self._status)
@@ -267,6 +267,11 @@
             return AdminReply(0, "unknown_trace", {"message": message})
         return AdminReply(0, "ok", {"spans": spans})
 
+    def _drain(self, arguments: dict[str, Any]) -> AdminReply:
+        self._logs.write("info", "stop_ordered", {})
+        self.request_stop()
+        return AdminReply(0, "ok", {"stage": self.stage})
+
     def _extend_status(self, status: dict[str, Any]) -> None:
         """Adds what only this process knows."""
         status["daemon"] = {
@@ -280,6 +285,8 @@
             "peer_queues": self._senders.queued,
             "storage_queue": self._storage.queued,
         }
+        drain = status.setdefault("drain", {"stage": self.stage})
+        drain["in_progress"] = self._driver.waiting
         status["metrics"] = self._metrics.snapshot()
 
     def _status(self) -> dict[str, Any]:
@@ -306,14 +313,14 @@
         name = "error" if level >= logging.ERROR else "debug"
         self._logs.write(name, "http_server", {"error": message})
 
-    def _close(self) -> None:
+    def _close(self, finish: bool) -> None:
         for server in self._servers:
             server.stop()
         self._peer_server.stop()
         self._senders.stop()
         self._performers.stop()
         self._endpoints.close_all()
-        self._storage.stop()
+        self._storage.stop(finish)
         self._metrics.stop()
         self._tracing.stop()
 
