--- a/packages/core/src/bronzemoor_core/storage.py
+++ b/packages/core/src/bronzemoor_core/storage.py
@@ -93,9 +93,6 @@
         for index in [i for i in self.entries if i < action.snapshot.index]:
             del self.entries[index]
 
-    def close(self) -> None:
-        """Holds nothing that must be released."""
-
     def _truncate(self, first: int) -> None:
         for index in [i for i in self.entries if i >= first]:
             del self.entries[index]
--- a/packages/daemon/tests/test_guarantees.py
+++ b/packages/daemon/tests/test_guarantees.py
@@ -50,7 +50,7 @@
     ledger = system.members[member or system.primary].ledger
     sql = f"SELECT {column}, count(*) FROM {table} GROUP BY {column}"
     results, _ = ledger.read([Sql(sql, [])], (0, 0), 0.0)
-    return {key: count for key, count in results[0]["rows"]}
+    return dict(results[0]["rows"])
 
 
 def file_claim(client, daemon, claim, **fields):
@@ -122,7 +122,7 @@
 @when("two transactions file a claim each", target_fixture="transactions")
 def two_transactions(system):
     begun = []
-    for number in (1, 2):
+    for _ in range(2):
         client = system.client(ORGANISATION)
         answer = client.run(0, "file-claim", "", path="/v1/transactions")
         assert answer["outcome"] == "done", answer
