--- a/packages/core/src/bronzemoor_core/storage.py
+++ b/packages/core/src/bronzemoor_core/storage.py
@@ -53,10 +53,13 @@
 
     def recover(self) -> StorageRecovered: ...
 
-    def persist(self, action: PersistLog) -> None: ...
+    def persist_all(self, actions: list[PersistLog]) -> None: ...
 
     def save(self, action: PersistSnapshot) -> None: ...
 
+    def close(self) -> None:
+        """Releases what the storage holds; nothing is written afterwards."""
+
 
 @dataclass(slots=True)
 class MemoryStorage:
@@ -78,11 +81,21 @@
         for entry in action.entries:
             self.entries[entry.index] = entry
 
+    def persist_all(self, actions: list[PersistLog]) -> None:
+        for action in actions:
+            self.persist(action)
+
+    def close(self) -> None:
+        """Holds nothing to release."""
+
     def save(self, action: PersistSnapshot) -> None:
         self.snapshot = action.snapshot
         for index in [i for i in self.entries if i < action.snapshot.index]:
             del self.entries[index]
 
+    def close(self) -> None:
+        """Holds nothing that must be released."""
+
     def _truncate(self, first: int) -> None:
         for index in [i for i in self.entries if i >= first]:
             del self.entries[index]
--- a/packages/core/tests/test_requests.py
+++ b/packages/core/tests/test_requests.py
@@ -5,6 +5,7 @@
 import pytest
 from datapath_world import (
     CLASSES,
+    Group,
     Result,
     World,
     arrive_late,
@@ -170,6 +171,17 @@
     assert len(calls(world, "execute")) == 1
 
 
+def test_a_restarted_process_does_not_take_its_earlier_reservation_for_its_own():
+    """Guards against a second execution by a process that restarted under its name
+    and incarnation, or by two processes that share them."""
+    group = Group()
+    for seed in (1, 2):
+        world = World(seed=seed, group=group, now=100.0 * seed)
+        world.fault = once("execute", lose_call) if seed == 1 else world.fault
+        reply = world.ask("payout", "100", seconds=3, request_id="p-1")
+    assert (reply.outcome.tag, reply.outcome.code) == ("unknown", "reserved_elsewhere")
+
+
 @pytest.mark.parametrize("fault", [lose_answer, arrive_late, break_connection])
 def test_a_lost_payout_answer_is_looked_up(fault):
     """Guards against *unknown* for a payout whose result is recorded."""
@@ -388,6 +400,18 @@
     assert call.min_position in {sample.position for sample in samples}
 
 
+def test_a_replica_older_than_the_bound_serves_no_read():
+    """Guards against a read from the nearest replica after it stopped to follow."""
+    world = World()
+    world.run(1)
+    world.group.followers = {"c"}
+    world.ask("post", "x")
+    for _ in range(20):
+        reply = world.ask("catalogue")
+    assert json.loads(reply.outcome.payload) == ["x"]
+    assert reply.outcome.peer == "c"
+
+
 def test_an_isolated_primary_cannot_prove_the_age_of_a_read():
     """Guards against a stale read that a replaced primary presents as fresh."""
     world = World()
