--- a/packages/daemon/src/bronzemoor_daemon/server.py
+++ b/packages/daemon/src/bronzemoor_daemon/server.py
@@ -244,6 +244,8 @@
 
     def stop(self) -> None:
         """Closes the listener and all connections, and ends the threads."""
+        # From here on no thread stays with its connection.
+        self.draining = True
         if self.ready:
             self._connections._stop_requested = True
             self._waker.wake()
--- a/packages/daemon/tests/test_application.py
+++ b/packages/daemon/tests/test_application.py
@@ -7,6 +7,7 @@
 
 from bronzemoor_core.settings import DrainSettings
 from bronzemoor_daemon.application import make_application
+from bronzemoor_daemon.embedded import EmbeddedSystem
 from bronzemoor_standin.group import Group
 
 TEMPLATE = {
@@ -131,3 +132,36 @@
     assert {(status, answer["outcome"]) for status, answer in answers} == {
         (200, "done")
     }
+
+
+def test_writes_survive_the_loss_of_control_leader_and_primary(tmp_path):
+    """Guards against a failover that needs the control leader of before, and against a
+    control member that cannot come back with its data."""
+    system = EmbeddedSystem(
+        daemons=4,
+        control=3,
+        data_folder=lambda name: str(tmp_path / name) if name != "vm-4" else "",
+    )
+    template = TEMPLATE | {"connections": 20}
+    try:
+        system.start()
+        system.apply_template("reclamar-voo", template)
+        client = system.client("reclamar-voo")
+        assert client.write(3, "claim", INSERT, ["c1"], "r1")["outcome"] == "done"
+        roles = {
+            name: daemon.driver.node.blackboard.log.role
+            for name, daemon in system.daemons.items()
+        }
+        leader = next(name for name, role in roles.items() if role == "leader")
+        primary = system.primary
+        system.daemons[leader].kill()
+        system.members[primary].kill()
+        until = time.monotonic() + 5
+        while client.run(3, "claim", INSERT, ["c2"], "r2")["outcome"] != "done":
+            assert time.monotonic() < until
+        rows = client.run(3, "status", COUNT["sql"])["result"][0]["rows"]
+        assert rows == [[2]]
+        system.restart_daemon(leader)
+        system.wait_for(lambda: system.daemons[leader].is_ready)
+    finally:
+        system.stop()
