--- a/packages/client/src/bronzemoor_client/changes.py
+++ b/packages/client/src/bronzemoor_client/changes.py
@@ -34,6 +34,27 @@
                 self.line(f"{key}: {value}")
 
 
+def show_plan(command: AdminCommand, database: str) -> int:
+    """Asks for the plan of a handover and prints it."""
+
+    def show(answer: dict[str, Any]) -> None:
+        safe = "yes" if answer.get("safe_now") else "no"
+        command.line(f"primary: {answer.get('primary') or 'none'}")
+        command.line(f"candidate: {answer.get('candidate') or 'none'}")
+        command.line(f"reason: {answer.get('reason', '')}")
+        command.line(f"safe now: {safe}")
+        for blocker in answer.get("blockers", []):
+            command.line(f"- {blocker}")
+        columns = ["member", "data_centre", "role", "term", "offset", "behind"]
+        rows = [
+            [member.get(column, "") for column in columns]
+            for member in answer.get("members", [])
+        ]
+        command.print_table(columns, rows)
+
+    return command.finish(command.query("failover.plan", database=database), show)
+
+
 @register
 class PromoteCommand(ChangeCommand):
     name = "promote"
@@ -68,8 +89,7 @@
     options: ClassVar[list[Any]] = []
 
     def execute_command(self) -> int:
-        answer = self.query("failover.plan", database=self.argument("database"))
-        return self.finish(answer, self.show)
+        return show_plan(self, self.argument("database"))
 
 
 @register
--- a/packages/client/src/bronzemoor_client/template.py
+++ b/packages/client/src/bronzemoor_client/template.py
@@ -1,6 +1,7 @@
 """Commands for templates: read, validate, compare, apply and roll back."""
 
 import json
+from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any, ClassVar
 from uuid import uuid4
@@ -23,6 +24,13 @@
 )
 
 
+def describe_time(seconds: float | None) -> str:
+    """UTC time of a change in ISO 8601, or empty if it is not known."""
+    if not seconds:
+        return ""
+    return datetime.fromtimestamp(seconds, UTC).isoformat(timespec="seconds")
+
+
 def read_body(path: str) -> dict[str, Any]:
     """Reads a YAML mapping; raises ``InvalidSettings`` with what is wrong."""
     try:
@@ -48,10 +56,20 @@
         return self.query("template.get", organisation=self.organisation)
 
     def expected_version(self) -> int:
-        """The given --expect-version, or the current version."""
+        """The given --expect-version, or the current version.
+
+        A resend expects what its first attempt expected: the version before the one
+        that the change made.
+        """
         given = self.option("expect-version")
         if given is not None:
             return int(given)
+        resent = self.option("change-id")
+        if resent:
+            history = self.query("template.history", organisation=self.organisation)
+            for entry in history.get("history", []):
+                if entry.get("change_id") == resent:
+                    return int(entry["version"]) - 1
         return int(self.current().get("version", 0))
 
     def change_id(self) -> str:
@@ -110,7 +128,7 @@
         rows = [
             [
                 item.get("version"),
-                item.get("at", ""),
+                describe_time(item.get("at")),
                 item.get("operator", ""),
                 item.get("change_id", ""),
             ]
--- a/packages/core/src/bronzemoor_core/calls.py
+++ b/packages/core/src/bronzemoor_core/calls.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from bronzemoor_core.actions import Call
+from bronzemoor_core.events import Request
 from bronzemoor_core.positions import ZERO, Position
 from bronzemoor_core.work import Step, Work
 
@@ -40,7 +41,7 @@
         correlation,
         work.ticket,
         timeout,
-        request.request_id,
+        scoped_request_id(request),
         request.digest,
         min_position=_min_position(work, kind),
     )
@@ -61,6 +62,17 @@
     return call
 
 
+def scoped_request_id(request: Request) -> str:
+    """Request id at the endpoint.
+
+    Organisations may share a database; none may get the result recorded for another
+    one that happens to use the same id.
+    """
+    if not request.request_id:
+        return ""
+    return f"{request.organisation}/{request.request_id}"
+
+
 def _min_position(work: Work, kind: str) -> Position:
     if kind == "confirm":
         return work.position
--- a/packages/core/src/bronzemoor_core/sessions.py
+++ b/packages/core/src/bronzemoor_core/sessions.py
@@ -18,6 +18,9 @@
 DEVELOPMENT_KEY_ID = "insecure-development"
 # Public by design: it only lets a loopback demo run without settings.
 DEVELOPMENT_KEY = sha256(b"bronzemoor insecure development key").digest()
+# A new key only verifies for this long, in seconds: a change is in effect everywhere
+# after 3 s, and no daemon may meet a token whose key it does not have yet.
+ACTIVATION_DELAY = 3.0
 # Bounds the work spent on a token before it is authenticated.
 MAX_TOKEN_LENGTH = 65_536
 
@@ -52,17 +55,22 @@
 
 
 class KeyRing:
-    """Keys by id; the first signs, all verify."""
+    """Keys by id; ``signer`` signs, by default the first one, and all verify."""
 
     __slots__ = ("_keys", "_signer")
 
-    def __init__(self, keys: list[tuple[str, bytes]]) -> None:
+    def __init__(self, keys: list[tuple[str, bytes]], signer: str = "") -> None:
         self._keys = dict(keys)
         if not keys or not all(name and key for name, key in keys):
             raise InvalidSettings(["token_keys: needs ids with non-empty keys"])
         if len(self._keys) < len(keys):
             raise InvalidSettings(["token_keys: an id is used twice"])
-        self._signer = keys[0][0]
+        self._signer = signer or keys[0][0]
+
+    @property
+    def signing_key(self) -> tuple[str, bytes]:
+        """Id and secret of the key that signs."""
+        return self._signer, self._keys[self._signer]
 
     @property
     def insecure(self) -> bool:
@@ -116,14 +124,27 @@
         if settings.token_keys:
             self._own.ring = KeyRing(list(settings.token_keys.items()))
         self._warned = not self._own.ring.insecure
+        self._next_ring: KeyRing | None = None
+        self._activate_at = 0.0
 
     @handles(TokenKeysChanged)
     def on_keys_changed(self, now: float, event: TokenKeysChanged) -> list[EmitLog]:
-        self._own.ring = KeyRing(event.keys)
-        return [EmitLog("info", "token_keys_changed", {"signer": event.keys[0][0]})]
+        old_id, old_secret = self._own.ring.signing_key
+        self._next_ring = KeyRing(event.keys)
+        self._activate_at = now + ACTIVATION_DELAY
+        keys = dict(event.keys)
+        keys.setdefault(old_id, old_secret)
+        self._own.ring = KeyRing(list(keys.items()), old_id)
+        return [
+            EmitLog("info", "token_keys_changed", {"next_signer": event.keys[0][0]})
+        ]
 
     @handles(Tick)
     def on_tick(self, now: float, event: Tick) -> list[EmitLog]:
+        if self._next_ring is not None and now >= self._activate_at:
+            self._own.ring, self._next_ring = self._next_ring, None
+            signer, _ = self._own.ring.signing_key
+            return [EmitLog("info", "token_key_activated", {"signer": signer})]
         if self._warned:
             return []
         self._warned = True
--- a/packages/core/src/bronzemoor_core/settings_schema.py
+++ b/packages/core/src/bronzemoor_core/settings_schema.py
@@ -76,6 +76,7 @@
     "pattern": "^([0-9a-fA-F]{2}){16,64}$",
     "description": "16 to 64 bytes in hexadecimal",
 }
+LOOPBACK_PREFIXES = ("127.", "localhost:")
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 RATIOS = ("share_drift", "trace_ratio")
 # Numbers that may be 0; all other counts are at least 1.
@@ -174,8 +175,10 @@
 
 @rule
 def _secured(node: NodeSettings, listen: ListenSettings) -> Iterator[str]:
-    if listen.tls is None and not listen.insecure:
-        yield "listen.tls: missing, allowed only with listen.insecure: true"
+    addresses = (listen.http, listen.peer, listen.admin)
+    exposed = any(a and not a.startswith(LOOPBACK_PREFIXES) for a in addresses)
+    if exposed and listen.tls is None and not listen.insecure:
+        yield "listen.tls: missing, allowed on loopback or with listen.insecure: true"
     if listen.tls is not None and listen.insecure:
         yield "listen.insecure: found true together with listen.tls"
 
--- a/packages/core/tests/test_sessions.py
+++ b/packages/core/tests/test_sessions.py
@@ -11,7 +11,7 @@
 from bronzemoor_core.exceptions import InvalidSettings, InvalidToken
 from bronzemoor_core.node import make_node
 from bronzemoor_core.positions import Position
-from bronzemoor_core.sessions import KeyRing, SessionToken
+from bronzemoor_core.sessions import ACTIVATION_DELAY, KeyRing, SessionToken
 from bronzemoor_core.settings import NodeSettings
 
 FIXED = settings(derandomize=True, database=None, deadline=None)
@@ -107,3 +107,16 @@
     node.handle(1.0, TokenKeysChanged([OLD]))
     assert node.blackboard.sessions.ring.verify(TEXT, "toile") == TOKEN
     assert not [a for a in node.handle(2.0, Tick()) if isinstance(a, EmitLog)]
+
+
+def test_a_new_key_signs_only_once_every_daemon_can_verify_it():
+    """Guards against tokens that another daemon refuses during a rotation."""
+    node = make_node(NodeSettings("vm-1", "lisbon", token_keys=dict([OLD])), Random(1))
+    node.handle(1.0, TokenKeysChanged([NEW, OLD]))
+    sessions = node.blackboard.sessions
+    assert sessions.ring.signing_key == OLD
+    node.handle(1.0 + ACTIVATION_DELAY / 2, Tick())
+    assert sessions.ring.signing_key == OLD
+    node.handle(1.0 + ACTIVATION_DELAY, Tick())
+    assert sessions.ring.signing_key == NEW
+    assert sessions.ring.verify(TEXT, "toile") == TOKEN
