--- a/packages/core/src/bronzemoor_core/settings_schema.py
+++ b/packages/core/src/bronzemoor_core/settings_schema.py
@@ -47,7 +47,7 @@
     # Threads that serve requests; a request that waits occupies one. While all are
     # occupied, threads are added up to ``max_threads``, which exceeds the default
     # queue limit, so that announcements still get in.
-    threads: int = 32
+    threads: int = 16
     max_threads: int = 600
     keep_alive: float = 300.0
     read_timeout: float = 5.0
--- a/packages/daemon/src/bronzemoor_daemon/server.py
+++ b/packages/daemon/src/bronzemoor_daemon/server.py
@@ -100,6 +100,7 @@
 
     def respond(self) -> None:
         response = self.req.server.hot_path(self.req)
+        self.req.server.served += 1
         if response is not None:
             self._send(*response)
             return
@@ -188,6 +189,9 @@
         self._staying: set[ClientConnection] = set()
         self._stay_limit = threads // 2
         self._date = (0, b"")
+        # Requests served; concurrent increments may be lost, which does not matter.
+        self.served = 0
+        self._served_before = -1
         if tls is not None:
             self.ssl_adapter = LazyTlsAdapter(tls)
 
@@ -217,13 +221,17 @@
             self._staying.discard(conn)
 
     def relieve(self) -> None:
-        """Adds threads while connections wait and every thread is occupied.
+        """Adds threads if connections wait and no request has ended since last time.
+
+        Under mere load requests do end, and more threads would only contend.
 
         Requests that wait for a database occupy their threads; without more threads
         they would keep out the announcements that end their wait.
         """
         pool = self.requests
-        if self.ready and not pool._queue.empty() and pool.idle == 0:
+        stuck = self.served == self._served_before
+        self._served_before = self.served
+        if stuck and self.ready and not pool._queue.empty() and pool.idle == 0:
             pool.grow(GROWTH)
 
     def date_header(self) -> bytes:
