Measure slopes of the control leader

Cause: design.md 1.6 needs the cost of each role, and nothing measures how it grows. python -m bench.slopes fits a line through four sizes of each cost.

--- /dev/null
+++ b/bench/control_slopes.py
@@ -0,0 +1,93 @@
+"""Slopes of the control leader and the control followers."""
+
+import gc
+from collections.abc import Callable
+from statistics import median
+from time import process_time
+
+from bench.fit import slope
+from bench.scale import Fleet, summary
+
+# Rounds of heartbeats that are timed, and how many heartbeats of each.
+ROUNDS = 5
+BEATS = 50
+
+
+def beat_cost(fleet: Fleet, members: int = 0) -> float:
+    """Median over rounds of the leader's microseconds per heartbeat.
+
+    One heartbeat in ten is answered with a digest, as in operation.
+    """
+    times = []
+    for _ in range(2 * ROUNDS):
+        beats = fleet.beats(BEATS)
+        for _, beat in beats:
+            beat.members = [summary(f"extra-{k}", "m1", fleet.sequence) for k in range(members)]
+        gc.collect()
+        before = process_time()
+        for daemon, beat in beats:
+            fleet.beat(daemon, beat)
+        times.append((process_time() - before) / len(beats) * 1e6)
+        fleet.leader.sent.clear()
+    # The mean keeps the round with the digests, which a median would drop.
+    return sum(times) / len(times)
+
+
+@slope("leader.heartbeat", "us", "daemons", (50, 100, 200, 400))
+def heartbeat_by_daemons(size: int) -> float:
+    """Daemons and databases in the ratio of the design scale."""
+    return beat_cost(Fleet(size, round(size * 4_300 / 3_700 / 3)))
+
+
+@slope("leader.heartbeat", "us", "databases", (300, 600, 1200, 2400))
+def heartbeat_by_databases(size: int) -> float:
+    return beat_cost(Fleet(50, size // 3))
+
+
+@slope("leader.heartbeat.shared", "us", "daemons per database", (5, 10, 20, 40))
+def heartbeat_by_sharers(size: int) -> float:
+    """All daemons serve the same three organisations."""
+    return beat_cost(Fleet(size, 3))
+
+
+@slope("leader.heartbeat.members", "us", "member summaries", (0, 10, 20, 40))
+def heartbeat_by_members(size: int) -> float:
+    return beat_cost(Fleet(50, 20), size)
+
+
+def timed(function: Callable[[], object], runs: int = 5) -> float:
+    """Median microseconds of single calls that change the state."""
+    times = []
+    for _ in range(runs):
+        gc.collect()
+        before = process_time()
+        function()
+        times.append((process_time() - before) * 1e6)
+    return median(times)
+
+
+@slope("leader.change", "us", "subscribed daemons", (50, 100, 200, 400))
+def change_by_subscribers(size: int) -> float:
+    """From the proposal to the last message of the fan-out."""
+    fleet = Fleet(size, 3)
+    versions = iter(range(1, 100))
+    return timed(lambda: fleet.apply(0, next(versions)))
+
+
+@slope("leader.change.elsewhere", "us", "daemons", (50, 100, 200, 400))
+def change_by_daemons(size: int) -> float:
+    """A change of an organisation that only a few of the daemons serve."""
+    fleet = Fleet(size, round(size * 4_300 / 3_700 / 3))
+    versions = iter(range(1, 100))
+    return timed(lambda: fleet.apply(0, next(versions)))
+
+
+@slope("leader.tick", "us", "databases", (300, 600, 1200, 2400))
+def tick_by_databases(size: int) -> float:
+    """Mean over one second of ticks; lease checks come every 100 ms."""
+    fleet = Fleet(50, size // 3)
+    leader = fleet.leader
+    before = process_time()
+    for _ in range(100):
+        leader.tick()
+    return (process_time() - before) / 100 * 1e6
