--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -5,12 +5,16 @@
 from statistics import median
 from time import process_time
 
-from bench.fit import slope
-from bench.scale import Fleet, summary
+from bench.fit import microseconds, slope
+from bench.scale import LEADER, Fleet, Machine, heartbeat, make_leader, summary
+from bronzemoor_core.messages import HeartbeatReply
+from bronzemoor_core.relays import answer_digest
 
 # Rounds of heartbeats that are timed, and how many heartbeats of each.
 ROUNDS = 5
 BEATS = 50
+# Ticks of one second.
+TICKS = 100
 
 
 def beat_cost(fleet: Fleet, members: int = 0) -> float:
@@ -82,12 +86,41 @@
     return timed(lambda: fleet.apply(0, next(versions)))
 
 
+def tick_cost(leader: Machine) -> float:
+    """Mean over one second of ticks: lease checks and heartbeats are less frequent."""
+    before = process_time()
+    for _ in range(TICKS):
+        leader.tick()
+    return (process_time() - before) / TICKS * 1e6
+
+
 @slope("leader.tick", "us", "databases", (300, 600, 1200, 2400))
 def tick_by_databases(size: int) -> float:
-    """Mean over one second of ticks; lease checks come every 100 ms."""
+    """A control VM that serves no organisation."""
+    leader = make_leader(organisations=("none",))
+    return tick_cost(Fleet(50, size // 3, leader=leader).leader)
+
+
+@slope("leader.tick", "us", "daemons", (100, 200, 400, 800))
+def tick_by_daemons(size: int) -> float:
+    leader = make_leader(organisations=("none",))
+    return tick_cost(Fleet(size, 20, leader=leader).leader)
+
+
+@slope("leader.tick.serving", "us", "databases", (75, 150, 300, 600))
+def tick_by_served_databases(size: int) -> float:
+    """A control VM that serves every organisation as well, the default."""
+    return tick_cost(Fleet(50, size // 3).leader)
+
+
+@slope("leader.heartbeat.digest", "us", "databases", (300, 600, 1200, 2400))
+def digest_by_databases(size: int) -> float:
+    """The extra cost of a reply with a digest of nine databases."""
     fleet = Fleet(50, size // 3)
-    leader = fleet.leader
-    before = process_time()
-    for _ in range(100):
-        leader.tick()
-    return (process_time() - before) / 100 * 1e6
+    leader, served = fleet.leader.node.blackboard, fleet.served[0]
+    reply = HeartbeatReply(0, LEADER, [], {}, 0)
+    beat = heartbeat(0, served, [])
+    settings = fleet.leader.settings
+    return microseconds(
+        lambda: answer_digest(fleet.leader.now, leader, settings, beat, reply)
+    )
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -20,7 +20,7 @@
 )
 from bronzemoor_core.messages import Demand, Heartbeat, MemberSummary
 from bronzemoor_core.node import Node, make_node
-from bronzemoor_core.settings import ControlSettings, NodeSettings
+from bronzemoor_core.settings import NodeSettings
 from bronzemoor_core.storage import MemoryStorage
 
 MEMBERS = ("m1", "m2", "m3")
@@ -120,10 +120,14 @@
         return self.handle(Tick())
 
 
-def make_leader(**timers: Any) -> Machine:
-    """An established control leader, alone in its group."""
-    settings = ControlSettings(**timers)
-    machine = Machine(control=True, control_members=(LEADER,), timers=settings)
+def make_leader(organisations: tuple[str, ...] = ()) -> Machine:
+    """An established control leader, alone in its group.
+
+    It serves the organisations given as a daemon, none given means all.
+    """
+    machine = Machine(
+        control=True, control_members=(LEADER,), organisations=organisations
+    )
     machine.handle(machine.storage.recover())
     for _ in range(100):
         machine.tick()
@@ -154,6 +158,8 @@
             ]
         for number in range(self.organisations):
             self.apply(number, 0)
+            for name in databases_of(number):
+                self.appoint(name)
         self.beat_all(members=True)
         self.beat_all()
         self.leader.sent.clear()
@@ -171,6 +177,18 @@
         }  # fmt: skip
         self.leader.handle(CommandProposed(command, ("bench", 0)))
 
+    def appoint(self, database: str) -> None:
+        """Commits the first primary, so that the leader has nothing left to do."""
+        base = {"database": database, "change_id": f"auto:{database}:4"}
+        start = {"type": "failover.start", "old_term": 3, "new_term": 4}
+        choose = {"type": "failover.choose", "member": MEMBERS[0], "start_offset": 1}
+        for command in (
+            {**start, "group": list(MEMBERS)},
+            {**choose, "term": 4},
+            {"type": "failover.done", "term": 4},
+        ):
+            self.leader.handle(CommandProposed({**base, **command}, ("bench", 0)))
+
     def beat_all(self, members: bool = False) -> None:
         """Every daemon sends a heartbeat; with ``members`` it relays its part."""
         self.sequence += 1
