Keep the control leader's cost independent of databases nobody asks about

Cause: a control member made a pool, asked for a share and checked the pool 50 times a second for every database it heard of; a digest sorted all databases; a fan-out built its messages anew for each daemon.

--- a/packages/core/src/bronzemoor_core/distribution.py
+++ b/packages/core/src/bronzemoor_core/distribution.py
@@ -1,6 +1,7 @@
 """Configuration in force at this daemon and its distribution to others."""
 
 import json
+from collections.abc import Iterable
 from typing import Any
 
 from bronzemoor_core.actions import AdminReply, EmitLog, EmitMetric, SendPeerMessage
@@ -112,16 +113,20 @@
 
     def _publish(self, now: float, names: list[str], keys: bool) -> list[object]:
         out: list[object] = []
+        # Daemons with the same news share one message.
+        updates: dict[tuple[str, ...], ConfigurationUpdate] = {}
         for daemon in self._blackboard.topology.daemons.values():
-            news = [n for n in names if wanted(daemon.subscriptions, n)]
+            news = tuple(n for n in names if wanted(daemon.subscriptions, n))
             elsewhere = daemon.name != self._settings.name and not daemon.lost
             if elsewhere and (news or keys):
                 # The repair of a lost update waits for one digest interval.
                 self._repaired[daemon.name] = now
-                out.append(self._push(daemon.name, news))
+                if news not in updates:
+                    updates[news] = self._update_of(news)
+                out.append(SendPeerMessage(daemon.name, updates[news]))
         return out
 
-    def _push(self, daemon: str, names: list[str]) -> SendPeerMessage:
+    def _update_of(self, names: Iterable[str]) -> ConfigurationUpdate:
         state = self._blackboard.state
         templates = [
             TemplateVersion(name, entry.version, json.dumps(entry.body).encode())
@@ -130,7 +135,7 @@
         ]
         keys = [write_key(key) for key in state.keys]
         serial = state.keys[0].serial if state.keys else 0
-        return SendPeerMessage(daemon, ConfigurationUpdate(templates, serial, keys))
+        return ConfigurationUpdate(templates, serial, keys)
 
     def _confirm(
         self, now: float, sender: str, versions: dict[str, int]
@@ -149,7 +154,7 @@
             return []
         self._repaired[sender] = now
         names = [n for n, version in current.items() if versions.get(n, 0) < version]
-        return [self._push(sender, names)]
+        return [SendPeerMessage(sender, self._update_of(names))]
 
     # --- every daemon
 
--- a/packages/core/src/bronzemoor_core/pools.py
+++ b/packages/core/src/bronzemoor_core/pools.py
@@ -186,13 +186,22 @@
 
     @handles(PrimaryChanged)
     def on_primary_changed(self, now: float, event: PrimaryChanged) -> list[object]:
-        pool = self._pool(event.database)
+        """Opens connections for a database with a share or requests, no other.
+
+        A control member hears of every database; a pool for each would cost it a
+        share of each and a check of each every ``CHECK_INTERVAL``.
+        """
+        pool = self._own.databases.get(event.database)
+        if pool is None:
+            return []
         self._opener.delay_openings(now, pool)
         return self._settle(now, pool)
 
     @handles(MemberLost)
     def on_member_lost(self, now: float, event: MemberLost) -> list[object]:
-        pool = self._pool(event.database)
+        pool = self._own.databases.get(event.database)
+        if pool is None:
+            return []
         items: list[object] = []
         for connection in list(pool.of_member(event.member)):
             if connection.ticket:
--- a/packages/core/src/bronzemoor_core/subscriptions.py
+++ b/packages/core/src/bronzemoor_core/subscriptions.py
@@ -36,10 +36,14 @@
 
     def notify(self, now: float, changed: Iterable[str]) -> list[object]:
         """Returns updates of the changed databases for their subscribers."""
-        return [
-            SendPeerMessage(daemon.name, self._update(now, names))
-            for daemon, names in self._subscribers(frozenset(changed))
-        ]
+        out: list[object] = []
+        # Daemons that lack the same databases share one message.
+        updates: dict[frozenset[str], TopologyUpdate] = {}
+        for daemon, names in self._subscribers(frozenset(changed)):
+            if names not in updates:
+                updates[names] = self._update(now, names)
+            out.append(SendPeerMessage(daemon.name, updates[names]))
+        return out
 
     def whole(self, now: float, daemon: Daemon) -> SendPeerMessage:
         """Returns an update of all that a daemon subscribes to."""
--- a/packages/core/src/bronzemoor_core/topology.py
+++ b/packages/core/src/bronzemoor_core/topology.py
@@ -103,8 +103,9 @@
 def topology_digest(databases: Any, names: frozenset[str] | None) -> int:
     """Returns a checksum of all but the positions over ``names``, or over all."""
     rows = []
-    for name, database in sorted(databases.items()):
-        if names is not None and name not in names:
+    for name in sorted(databases if names is None else names):
+        database = databases.get(name)
+        if database is None:
             continue
         members = [
             (m.name, m.incarnation, m.address, m.leaving)
--- a/packages/core/tests/test_distribution.py
+++ b/packages/core/tests/test_distribution.py
@@ -9,16 +9,20 @@
 from test_templates import BODY
 
 from bronzemoor_core.events import (
+    CommandCommitted,
     CommandCompleted,
     CommandProposed,
+    LeadershipChanged,
     PeerMessageReceived,
     Tick,
     TokenKeysChanged,
 )
 from bronzemoor_core.messages import (
     ConfigurationUpdate,
+    Heartbeat,
     HeartbeatReply,
     TemplateVersion,
+    TopologyUpdate,
 )
 from bronzemoor_core.settings import NodeSettings
 from bronzemoor_core.versions import confirmation
@@ -94,6 +98,27 @@
     assert group.run(3.0, lambda: set(versions(group).values()) == {1})
 
 
+def test_a_change_is_built_once_for_all_daemons_that_need_the_same():
+    """Guards against a fan-out that encodes the template and the keys, and summarizes
+    the members, for each daemon: 19 us for each, 70 ms for 3,700."""
+    part = Part(NodeSettings("vm0", "lisbon", control=True))
+    part.run(0.0, LeadershipChanged("vm0", 1, True))
+    for name, served in (("vm1", []), ("vm2", ["reclamar"]), ("vm3", ["toile"])):
+        beat = Heartbeat(1, "lisbon", 1, {}, [], [], [], served)
+        part.run(0.0, PeerMessageReceived(name, beat))
+    change = {"type": "template.apply", "organisation": "reclamar", "body": BODY}
+    change |= {"expect_version": 0, "change_id": "a", "operator": "o", "at": 0.0}
+    sent = part.run(0.1, CommandCommitted(1, 1, change, None))
+    for kind in (ConfigurationUpdate, TopologyUpdate):
+        found = {
+            item.recipient: item.message
+            for item in sent
+            if isinstance(getattr(item, "message", None), kind)
+        }
+        assert list(found) == ["vm1", "vm2"]
+        assert found["vm1"] is found["vm2"]
+
+
 def test_a_lower_version_is_never_applied():
     """Guards against a configuration that reverts after a late or old update."""
     part = Part(NodeSettings("vm5", "lisbon"))
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -18,6 +18,7 @@
 from bronzemoor_core.positions import Position
 from bronzemoor_core.relays import member_summaries
 from bronzemoor_core.settings import NodeSettings
+from bronzemoor_core.topology import Database, topology_digest
 
 
 def make_part(**options):
@@ -126,6 +127,26 @@
     assert list(templates) == ["toile"]
 
 
+class Unlisted(dict):
+    """Databases that may be looked up, but not iterated over."""
+
+    def __iter__(self):
+        raise AssertionError("iterated over all databases")
+
+    items = keys = values = __iter__
+
+
+def test_a_digest_costs_only_the_databases_subscribed_to():
+    """Guards against digests whose cost grows with all databases that the leader knows:
+    4,300 took 220 us of it for each daemon every second."""
+    databases = {name: Database(name, term) for term, name in enumerate("abcd")}
+    subscribed = frozenset("bdx")
+    digest = topology_digest(Unlisted(databases), subscribed)
+    assert digest == topology_digest(databases, frozenset("bd"))
+    assert digest == topology_digest({n: databases[n] for n in "db"}, None)
+    assert digest != topology_digest(databases, None)
+
+
 def test_a_lost_topology_update_is_repaired_by_the_digest():
     """Guards against a daemon that misses a new primary for ever."""
     group = make_group()
--- a/packages/core/tests/test_pools.py
+++ b/packages/core/tests/test_pools.py
@@ -14,6 +14,7 @@
     AnswerReceived,
     MemberLost,
     MemberSuspected,
+    PrimaryChanged,
     SharesChanged,
 )
 
@@ -41,6 +42,15 @@
     assert not of(world, OpenConnection)
 
 
+def test_a_database_that_is_only_heard_of_gets_no_pool():
+    """Guards against a control member that takes a share of every database and checks
+    a pool of each 50 times a second, although it serves none of them."""
+    world = World()
+    world.node.handle(world.now, PrimaryChanged("other", 1, "a", 0))
+    world.node.handle(world.now, MemberLost("other", "b"))
+    assert list(world.node.blackboard.pools.databases) == ["stock"]
+
+
 def test_the_primary_and_the_nearest_replica_are_kept_warm():
     """Guards against a first request that waits 30 ms for a connection."""
     world = World()
