Follow one template at a time in the allocator; measure log, messages and HTTP

Cause: a restart brings all templates one by one, and each rebuilt the allocator's map of all databases.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -13,7 +13,13 @@
 from bench.fit import DEFINITIONS, Slope, fit
 
 OUTPUT = Path("build/slopes.json")
-MODULES = ("control_slopes",)
+MODULES = (
+    "control_slopes",
+    "daemon_slopes",
+    "log_slopes",
+    "message_slopes",
+    "path_slopes",
+)
 HEADER = ("value", "per", "sizes", "coefficient", "intercept", "R2", "worst")
 
 
--- a/packages/core/src/bronzemoor_core/limits.py
+++ b/packages/core/src/bronzemoor_core/limits.py
@@ -71,8 +71,9 @@
         self._next_review = 0.0
         self._next_drop = 0.0
         self._sent_at: dict[int, float] = {}
-        # Organisations by database.
+        # Organisations by database, and each organisation's databases.
         self._users: dict[str, list[str]] = {}
+        self._used_by: dict[str, tuple[str, ...]] = {}
         # Each organisation's connections over its databases.
         self._divisions: dict[str, Division] = {}
         self._shrinks = ShrinkTimer()
@@ -150,7 +151,7 @@
 
     @handles(TemplateChanged)
     def on_template(self, now: float, event: TemplateChanged) -> None:
-        self._map_users()
+        self._map_user(event.organisation)
         template = self._blackboard.configuration.templates.get(event.organisation)
         if template is not None:
             key = (ORGANISATION, event.organisation)
@@ -194,10 +195,21 @@
         return self._allocator.used(now, template.databases) if template else 0
 
     def _map_users(self) -> None:
-        self._users = {}
-        for name, template in self._blackboard.configuration.templates.items():
-            for database in template.databases:
-                self._users.setdefault(database, []).append(name)
+        self._users, self._used_by = {}, {}
+        for name in self._blackboard.configuration.templates:
+            self._map_user(name)
+
+    def _map_user(self, organisation: str) -> None:
+        """Follows a template; the others stay as they are, since a restart brings all
+        templates one by one."""
+        for database in self._used_by.pop(organisation, ()):
+            self._users[database].remove(organisation)
+        template = self._blackboard.configuration.templates.get(organisation)
+        if template is None:
+            return
+        self._used_by[organisation] = template.databases
+        for database in template.databases:
+            self._users.setdefault(database, []).append(organisation)
 
     def _database_limit(self, database: str) -> int | None:
         known = self._blackboard.topology.databases.get(database)
--- a/packages/core/tests/test_limits.py
+++ b/packages/core/tests/test_limits.py
@@ -20,6 +20,7 @@
     LeadershipChanged,
     PeerMessageReceived,
     SharesChanged,
+    TemplateChanged,
     Tick,
 )
 from bronzemoor_core.limits import LimitController
@@ -210,6 +211,35 @@
             cluster.cut = set()
 
 
+class Unlisted(dict):
+    """Templates that may be looked up, but not iterated over."""
+
+    def __iter__(self):
+        raise AssertionError("iterated over all templates")
+
+    items = keys = values = __iter__
+
+
+def test_a_template_takes_over_a_database():
+    """Guards against a limit that still counts an organisation which gave a database
+    up, and against a restart that reads all templates for each template: with 1,433 it
+    took 2.9 s."""
+    cluster = led(databases=("claims", "stock"))
+    leader = cluster.machines["vm-1"]
+    cluster.templates |= {
+        "voo": Template("voo", 2, ("stock",), 100),
+        "toile": Template("toile", 1, ("claims",), 5),
+    }
+    own = leader.limits._blackboard._sections["configuration"]
+    own.templates = Unlisted(cluster.templates)
+    for name in cluster.templates:
+        leader.handle(TemplateChanged(name, 2))
+    own.templates = cluster.templates
+    cluster.want("vm-2", 30)
+    cluster.run(2.0)
+    assert (cluster.total("claims"), cluster.total("stock")) == (5, 20)
+
+
 def test_a_freed_part_waits_for_the_holder():
     """Guards against granting connections that the previous holder has not closed."""
     cluster = led()
