--- a/packages/daemon/src/bronzemoor_daemon/embedded.py
+++ b/packages/daemon/src/bronzemoor_daemon/embedded.py
@@ -2,6 +2,9 @@
 
 import socket
 from collections.abc import Callable
+from contextlib import suppress
+from itertools import cycle
+from os import getpid
 from time import monotonic, sleep
 from typing import Any
 
@@ -18,6 +21,9 @@
 LOOPBACK = "127.0.0.1"
 POLL_INTERVAL_S = 0.01
 HTTP_TIMEOUT_S = 10.0
+FIRST_PORT, LAST_PORT = 20_000, 32_000
+# Processes that run at the same time start at different ports.
+_ports = cycle(range(FIRST_PORT + getpid() * 97 % (LAST_PORT - FIRST_PORT), LAST_PORT))
 
 
 class Client:
@@ -216,7 +222,13 @@
 
 
 def free_address() -> str:
-    """Returns a loopback address with a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return f"{LOOPBACK}:{probe.getsockname()[1]}"
+    """Returns a loopback address with a port that is free now.
+
+    The port lies below the range from which the system takes the ports of outgoing
+    connections: one of those could take it before the server binds.
+    """
+    while True:
+        port = next(_ports)
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind((LOOPBACK, port))
+            return f"{LOOPBACK}:{port}"
