--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -64,6 +64,28 @@
     return beat_cost(Fleet(50, 20), size)
 
 
+@slope("follower.heartbeat", "us", "daemons", (50, 100, 200, 400))
+def follower_heartbeat(size: int) -> float:
+    """A control member that does not lead takes the same heartbeats."""
+    follower = Machine("control-2", control=True, control_members=(LEADER, "control-2"))
+    follower.handle(follower.storage.recover())
+    served = [
+        [daemon % 20, (daemon + 1) % 20, (daemon + 2) % 20] for daemon in range(size)
+    ]
+    sequences = iter(range(1, 1_000_000))
+
+    def beats() -> None:
+        sequence = next(sequences)
+        for daemon, numbers in enumerate(served):
+            beat = heartbeat(sequence, numbers, [])
+            follower.receive(f"daemon-{daemon:04}", beat)
+
+    build = microseconds(
+        lambda: [heartbeat(1, numbers, []) for numbers in served], size
+    )
+    return microseconds(beats, size) - build
+
+
 def timed(function: Callable[[], object], runs: int = 7) -> float:
     """Fastest of several single calls that change the state, microseconds."""
     times = []
