--- a/bench/log_slopes.py
+++ b/bench/log_slopes.py
@@ -7,7 +7,7 @@
 from bench.control_slopes import timed
 from bench.fit import slope
 from bench.scale import Machine, body_of, databases_of, organisation
-from bronzemoor_core.events import CommandProposed
+from bronzemoor_core.internal_events import CommandProposed
 from bronzemoor_core.journal import encode_command
 from bronzemoor_core.messages import AppendEntries, LogEntry
 from bronzemoor_core.records import to_snapshot
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -13,11 +13,11 @@
 from bronzemoor_core.events import (
     Announcement,
     AnnouncementReceived,
-    CommandProposed,
     PeerMessageReceived,
     StorageSynced,
     Tick,
 )
+from bronzemoor_core.internal_events import CommandProposed
 from bronzemoor_core.messages import Demand, Heartbeat, MemberSummary
 from bronzemoor_core.node import Node, make_node
 from bronzemoor_core.settings import NodeSettings
--- a/packages/core/src/bronzemoor_core/admission.py
+++ b/packages/core/src/bronzemoor_core/admission.py
@@ -6,14 +6,14 @@
 from bronzemoor_core.actions import EmitMetric
 from bronzemoor_core.blackboard import section
 from bronzemoor_core.controllers import Controller, controller, handles
-from bronzemoor_core.events import (
+from bronzemoor_core.events import Tick
+from bronzemoor_core.internal_events import (
     ConnectionGranted,
     ConnectionRefused,
     ConnectionReleased,
     ConnectionWanted,
     ConnectionWithdrawn,
     QueueChanged,
-    Tick,
     TransactionOpened,
 )
 
--- a/packages/core/src/bronzemoor_core/consensus.py
+++ b/packages/core/src/bronzemoor_core/consensus.py
@@ -9,18 +9,20 @@
 from bronzemoor_core.elections import Elections
 from bronzemoor_core.events import (
     AdminCommand,
+    PeerMessageReceived,
+    StorageFailed,
+    StorageRecovered,
+    StorageSynced,
+    Tick,
+)
+from bronzemoor_core.internal_events import (
     CommandApplied,
     CommandCommitted,
     CommandCompleted,
     CommandProposed,
-    PeerMessageReceived,
     QueryReady,
     SnapshotReady,
     SnapshotRestored,
-    StorageFailed,
-    StorageRecovered,
-    StorageSynced,
-    Tick,
 )
 from bronzemoor_core.journal import decode_command
 from bronzemoor_core.messages import (
--- a/packages/core/src/bronzemoor_core/distribution.py
+++ b/packages/core/src/bronzemoor_core/distribution.py
@@ -8,18 +8,16 @@
 from bronzemoor_core.blackboard import section
 from bronzemoor_core.commands import current_entry
 from bronzemoor_core.controllers import Controller, controller, handles
-from bronzemoor_core.events import (
-    AdminCommand,
+from bronzemoor_core.events import AdminCommand, PeerMessageReceived, Tick
+from bronzemoor_core.exceptions import InvalidSettings
+from bronzemoor_core.internal_events import (
     CommandCompleted,
     CommandProposed,
     LeadershipChanged,
-    PeerMessageReceived,
     StateChanged,
     TemplateChanged,
-    Tick,
     TokenKeysChanged,
 )
-from bronzemoor_core.exceptions import InvalidSettings
 from bronzemoor_core.messages import (
     ConfigurationAcknowledged,
     ConfigurationUpdate,
--- a/packages/core/src/bronzemoor_core/drain.py
+++ b/packages/core/src/bronzemoor_core/drain.py
@@ -7,7 +7,8 @@
 from bronzemoor_core.actions import EmitLog, Exit, StopListening
 from bronzemoor_core.blackboard import Blackboard, section
 from bronzemoor_core.controllers import Controller, controller, handles
-from bronzemoor_core.events import StopRequested, Tick, TransactionExpired
+from bronzemoor_core.events import StopRequested, Tick
+from bronzemoor_core.internal_events import TransactionExpired
 
 SERVING = "serving"
 # Not ready, but serving: load balancers need time to notice.
--- a/packages/core/src/bronzemoor_core/elections.py
+++ b/packages/core/src/bronzemoor_core/elections.py
@@ -1,6 +1,6 @@
 """Elections: pre-votes, votes and the timer that starts them."""
 
-from bronzemoor_core.events import LeadershipChanged
+from bronzemoor_core.internal_events import LeadershipChanged
 from bronzemoor_core.messages import PreVote, PreVoteReply, Vote, VoteReply
 from bronzemoor_core.replica import CANDIDATE, FOLLOWER, LEADER, Replica
 
--- a/packages/core/src/bronzemoor_core/failover.py
+++ b/packages/core/src/bronzemoor_core/failover.py
@@ -17,20 +17,22 @@
 from bronzemoor_core.events import (
     AdminCommand,
     AnnouncementReceived,
+    OrderAnswered,
+    OrderFailed,
+    PeerMessageReceived,
+    Tick,
+)
+from bronzemoor_core.handover import Survey, plan_handover, survey_orders
+from bronzemoor_core.internal_events import (
     CommandApplied,
     CommandCompleted,
     LeadershipChanged,
     MemberSuspected,
-    OrderAnswered,
-    OrderFailed,
-    PeerMessageReceived,
     PositionObserved,
     PrimaryChanged,
     QueryReady,
     StateChanged,
-    Tick,
 )
-from bronzemoor_core.handover import Survey, plan_handover, survey_orders
 from bronzemoor_core.messages import Heartbeat, Suspicion
 from bronzemoor_core.operations import Operations, list_databases
 from bronzemoor_core.promotion import Promoter, Promotion, due, make_order
--- a/packages/core/src/bronzemoor_core/flow.py
+++ b/packages/core/src/bronzemoor_core/flow.py
@@ -9,7 +9,7 @@
 from bronzemoor_core.blackboard import Blackboard, section
 from bronzemoor_core.calls import make_call
 from bronzemoor_core.controllers import Controller
-from bronzemoor_core.events import (
+from bronzemoor_core.internal_events import (
     ConnectionReleased,
     ConnectionWanted,
     ConnectionWithdrawn,
--- a/packages/core/src/bronzemoor_core/grants.py
+++ b/packages/core/src/bronzemoor_core/grants.py
@@ -5,7 +5,7 @@
 
 from bronzemoor_core.admission import Waiting
 from bronzemoor_core.connections import Connection, DatabasePool, Pools, State
-from bronzemoor_core.events import ConnectionGranted
+from bronzemoor_core.internal_events import ConnectionGranted
 from bronzemoor_core.membership import Database
 
 
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/internal_events.py
@@ -0,0 +1,296 @@
+"""Events that controllers of one daemon raise for each other."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from bronzemoor_core.outcomes import Outcome
+from bronzemoor_core.positions import Position
+
+
+@dataclass(slots=True)
+class ConnectionWanted:
+    """Asks pools for a connection to one of ``members`` (in order of preference).
+
+    Without members the request only waits in the queue, for example for a primary; a
+    second event for the same ticket replaces the first and keeps its place.
+    Pools answers with ``ConnectionGranted`` at once or later, or ``ConnectionRefused``.
+    """
+
+    ticket: int
+    database: str
+    members: tuple[str, ...]
+    priority: int
+    deadline: float
+    organisation: str = ""
+    # Class of the request and how many of its class may wait.
+    request_class: str = ""
+    queue_limit: int = 512
+
+
+@dataclass(slots=True)
+class QueueChanged:
+    """Requests wait for connections to ``database``."""
+
+    database: str
+
+
+@dataclass(slots=True)
+class ConnectionGranted:
+    ticket: int
+    connection: int
+    member: str
+
+
+@dataclass(slots=True)
+class ConnectionRefused:
+    """No connection before the deadline, or the queue is full."""
+
+    ticket: int
+    code: str
+    message: str
+
+
+@dataclass(slots=True)
+class ConnectionWithdrawn:
+    """The request of ``ticket`` no longer waits for a connection."""
+
+    ticket: int
+
+
+@dataclass(slots=True)
+class ConnectionReleased:
+    """The request is over; a connection that is not ``clean`` is closed."""
+
+    ticket: int
+    connection: int
+    clean: bool
+    reason: str = ""
+
+
+@dataclass(slots=True)
+class SlotReleased:
+    """The statement on ``connection`` is over, but the request keeps the connection."""
+
+    connection: int
+
+
+@dataclass(slots=True)
+class RetryWanted:
+    """Asks retries whether the request may be sent again, and when.
+
+    A ``free`` retry follows a refusal before execution and costs no budget.
+    """
+
+    ticket: int
+    organisation: str
+    attempt: int
+    free: bool = False
+
+
+@dataclass(slots=True)
+class RetryDecided:
+    """Answers ``RetryWanted``; ``resume_at`` is in seconds."""
+
+    ticket: int
+    allowed: bool
+    resume_at: float
+
+
+@dataclass(slots=True)
+class TokenKeysChanged:
+    """Replaces the keys for session tokens; the first (id, key) pair signs."""
+
+    keys: list[tuple[str, bytes]]
+
+
+@dataclass(slots=True)
+class RequestFinished:
+    ticket: int
+    outcome: Outcome
+
+
+@dataclass(slots=True)
+class TransactionOpened:
+    """A transaction began on ``connection``, which stays pinned to it."""
+
+    transaction: str
+    connection: int
+    member: str
+    organisation: str
+    database: str
+    session_position: Position
+    session: str = ""
+    ticket: int = 0
+    # The endpoint's own id of the transaction.
+    endpoint_transaction: str = ""
+
+
+@dataclass(slots=True)
+class TransactionUsed:
+    """A request uses an open transaction; ``ticket`` 0 means that it is idle again."""
+
+    transaction: str
+    ticket: int
+    commits: bool = False
+
+
+@dataclass(slots=True)
+class TransactionEnded:
+    transaction: str
+    clean: bool
+
+
+@dataclass(slots=True)
+class TransactionExpired:
+    """The transaction was idle or open for too long and was rolled back."""
+
+    transaction: str
+
+
+@dataclass(slots=True)
+class PositionObserved:
+    """A checked answer of a member; membership updates the topology from it.
+
+    ``proved_at`` (seconds) is set for a primary: when its position was proved current,
+    that is, the send time of the call less the age of the majority's confirmation.
+    """
+
+    database: str
+    member: str
+    role: str
+    position: Position
+    proved_at: float | None = None
+    leaving: bool = False
+
+
+@dataclass(slots=True)
+class PrimaryChanged:
+    """A new primary is in force for ``database``; empty ``member`` means none."""
+
+    database: str
+    term: int
+    member: str
+    start_offset: int
+
+
+@dataclass(slots=True)
+class MemberSuspected:
+    """This daemon has evidence that a member does not answer."""
+
+    database: str
+    member: str
+    reason: str
+
+
+@dataclass(slots=True)
+class MemberLost:
+    """A member's lease ran out or it left; its connections should be closed."""
+
+    database: str
+    member: str
+
+
+@dataclass(slots=True)
+class SharesChanged:
+    """The connection share of a database at this daemon changed."""
+
+    database: str
+    connections: int
+    valid_until: float
+
+
+@dataclass(slots=True)
+class TemplateChanged:
+    """A template version is now in force at this daemon."""
+
+    organisation: str
+    version: int
+
+
+@dataclass(slots=True)
+class CommandProposed:
+    """Asks consensus to replicate ``command``, at the leader if that is elsewhere.
+
+    A command with ``"query": True`` is not replicated: the leader confirms itself by a
+    quorum and evaluates it. ``origin`` is echoed on completion.
+    """
+
+    command: dict[str, Any]
+    origin: Any = None
+
+
+@dataclass(slots=True)
+class CommandCompleted:
+    """The one answer to a ``CommandProposed``, raised on the daemon that proposed.
+
+    ``code`` is ``ok`` or an error code; ``unknown`` means that it may yet be applied.
+    """
+
+    origin: Any
+    code: str
+    message: str
+    result: dict[str, Any]
+
+
+@dataclass(slots=True)
+class QueryReady:
+    """A quorum confirmed this leader; ``state`` answers with ``CommandApplied``."""
+
+    command: dict[str, Any]
+    origin: Any
+
+
+@dataclass(slots=True)
+class CommandCommitted:
+    """An entry of the replicated log is committed; sent in index order, once."""
+
+    index: int
+    term: int
+    command: dict[str, Any]
+    origin: Any = None
+
+
+@dataclass(slots=True)
+class CommandApplied:
+    """``state`` applied a committed command; ``result`` is its recorded answer."""
+
+    index: int
+    command: dict[str, Any]
+    result: dict[str, Any]
+    origin: Any = None
+
+
+@dataclass(slots=True)
+class StateChanged:
+    """Applied state changed: ``kind`` is template, database, keys or all (restored)."""
+
+    kind: str
+    name: str
+
+
+@dataclass(slots=True)
+class SnapshotRequested:
+    """Consensus asks ``state`` for a snapshot up to the applied index."""
+
+
+@dataclass(slots=True)
+class SnapshotReady:
+    index: int
+    data: dict[str, Any]
+
+
+@dataclass(slots=True)
+class SnapshotRestored:
+    """Consensus received or recovered a snapshot; ``state`` replaces itself by it."""
+
+    index: int
+    data: dict[str, Any]
+
+
+@dataclass(slots=True)
+class LeadershipChanged:
+    """This daemon gained or lost leadership of the control group."""
+
+    leader: str
+    term: int
+    is_leader: bool
--- a/packages/core/src/bronzemoor_core/limits.py
+++ b/packages/core/src/bronzemoor_core/limits.py
@@ -8,18 +8,17 @@
 from bronzemoor_core.allocation import Allocator, Division, Limit, ShrinkTimer
 from bronzemoor_core.blackboard import Blackboard, section
 from bronzemoor_core.controllers import Controller, controller, handles
-from bronzemoor_core.events import (
-    LeadershipChanged,
-    PeerMessageReceived,
-    SharesChanged,
-    TemplateChanged,
-    Tick,
-)
+from bronzemoor_core.events import PeerMessageReceived, Tick
 from bronzemoor_core.heartbeats import (
     heartbeat_recipients,
     make_heartbeat,
     make_reply,
 )
+from bronzemoor_core.internal_events import (
+    LeadershipChanged,
+    SharesChanged,
+    TemplateChanged,
+)
 from bronzemoor_core.messages import Heartbeat, HeartbeatReply
 
 # Heartbeats whose sending time is remembered; at 100 ms they cover 10 s.
--- a/packages/core/src/bronzemoor_core/losses.py
+++ b/packages/core/src/bronzemoor_core/losses.py
@@ -2,7 +2,7 @@
 
 from typing import TYPE_CHECKING
 
-from bronzemoor_core.events import TransactionEnded
+from bronzemoor_core.internal_events import TransactionEnded
 from bronzemoor_core.steps import LOOKUPS_AFTER_LOSS, rolled_back
 from bronzemoor_core.work import Step, Work
 
--- a/packages/core/src/bronzemoor_core/membership.py
+++ b/packages/core/src/bronzemoor_core/membership.py
@@ -5,15 +5,13 @@
 from bronzemoor_core.actions import EmitLog, EmitMetric, SendPeerMessage
 from bronzemoor_core.commands import current_entry
 from bronzemoor_core.controllers import Controller, controller, handles
-from bronzemoor_core.events import (
-    AnnouncementReceived,
+from bronzemoor_core.events import AnnouncementReceived, PeerMessageReceived, Tick
+from bronzemoor_core.internal_events import (
     LeadershipChanged,
     MemberLost,
-    PeerMessageReceived,
     PositionObserved,
     PrimaryChanged,
     StateChanged,
-    Tick,
 )
 from bronzemoor_core.messages import (
     ConfigurationAcknowledged,
--- a/packages/core/src/bronzemoor_core/operations.py
+++ b/packages/core/src/bronzemoor_core/operations.py
@@ -4,7 +4,8 @@
 from typing import Any
 
 from bronzemoor_core.actions import AdminReply
-from bronzemoor_core.events import AdminCommand, CommandCompleted, CommandProposed
+from bronzemoor_core.events import AdminCommand
+from bronzemoor_core.internal_events import CommandCompleted, CommandProposed
 from bronzemoor_core.state import argument_problems, completion_reply
 
 # How long an operator's command waits for its effect at this daemon, seconds; the
--- a/packages/core/src/bronzemoor_core/pools.py
+++ b/packages/core/src/bronzemoor_core/pools.py
@@ -14,6 +14,10 @@
     ConnectionClosed,
     ConnectionFailed,
     ConnectionOpened,
+    Tick,
+)
+from bronzemoor_core.grants import grant_waiting
+from bronzemoor_core.internal_events import (
     ConnectionReleased,
     ConnectionWithdrawn,
     MemberLost,
@@ -23,10 +27,8 @@
     QueueChanged,
     SharesChanged,
     SlotReleased,
-    Tick,
     TransactionOpened,
 )
-from bronzemoor_core.grants import grant_waiting
 from bronzemoor_core.openings import Opener
 from bronzemoor_core.positions import Position
 from bronzemoor_core.probes import Prober
--- a/packages/core/src/bronzemoor_core/probes.py
+++ b/packages/core/src/bronzemoor_core/probes.py
@@ -7,7 +7,8 @@
 from bronzemoor_core.actions import Call, EmitLog, EmitMetric, SendCall
 from bronzemoor_core.answers import check_answer
 from bronzemoor_core.connections import Connection, DatabasePool, State
-from bronzemoor_core.events import AnswerReceived, PositionObserved
+from bronzemoor_core.events import AnswerReceived
+from bronzemoor_core.internal_events import PositionObserved
 from bronzemoor_core.positions import Position
 
 # A member that refused a read as behind is not expected to catch up for this long.
--- a/packages/core/src/bronzemoor_core/promotion.py
+++ b/packages/core/src/bronzemoor_core/promotion.py
@@ -5,7 +5,7 @@
 
 from bronzemoor_core.actions import Answer, EmitLog, Order, SendOrder
 from bronzemoor_core.candidates import choose, majority
-from bronzemoor_core.events import CommandProposed
+from bronzemoor_core.internal_events import CommandProposed
 from bronzemoor_core.topology import NEVER
 
 # A promotion that is not answered for this long is chosen again, seconds. Two orders
--- a/packages/core/src/bronzemoor_core/proposals.py
+++ b/packages/core/src/bronzemoor_core/proposals.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from bronzemoor_core.events import CommandCompleted
+from bronzemoor_core.internal_events import CommandCompleted
 from bronzemoor_core.messages import Propose, ProposeReply
 from bronzemoor_core.replica import Replica
 
--- a/packages/core/src/bronzemoor_core/replica.py
+++ b/packages/core/src/bronzemoor_core/replica.py
@@ -10,7 +10,7 @@
     PersistSnapshot,
     SendPeerMessage,
 )
-from bronzemoor_core.events import LeadershipChanged
+from bronzemoor_core.internal_events import LeadershipChanged
 from bronzemoor_core.journal import Journal, encode_command
 from bronzemoor_core.messages import LogEntry
 from bronzemoor_core.settings import NodeSettings
--- a/packages/core/src/bronzemoor_core/requests.py
+++ b/packages/core/src/bronzemoor_core/requests.py
@@ -14,6 +14,12 @@
     AnswerTimedOut,
     CallerGone,
     ConnectionClosed,
+    RequestReceived,
+    Tick,
+)
+from bronzemoor_core.exceptions import InvalidRequest, InvalidToken
+from bronzemoor_core.flow import RequestFlow
+from bronzemoor_core.internal_events import (
     ConnectionGranted,
     ConnectionRefused,
     ConnectionReleased,
@@ -22,15 +28,11 @@
     PositionObserved,
     PrimaryChanged,
     RequestFinished,
-    RequestReceived,
     RetryDecided,
-    Tick,
     TransactionEnded,
     TransactionExpired,
     TransactionUsed,
 )
-from bronzemoor_core.exceptions import InvalidRequest, InvalidToken
-from bronzemoor_core.flow import RequestFlow
 from bronzemoor_core.losses import on_lost
 from bronzemoor_core.outcomes import NotRun, Unknown
 from bronzemoor_core.preconditions import make_work, unique_name
--- a/packages/core/src/bronzemoor_core/retries.py
+++ b/packages/core/src/bronzemoor_core/retries.py
@@ -5,7 +5,8 @@
 from bronzemoor_core.actions import EmitMetric
 from bronzemoor_core.blackboard import section
 from bronzemoor_core.controllers import Controller, controller, handles
-from bronzemoor_core.events import RequestReceived, RetryDecided, RetryWanted
+from bronzemoor_core.events import RequestReceived
+from bronzemoor_core.internal_events import RetryDecided, RetryWanted
 
 # Lets an organisation with little traffic retry at all.
 FLOOR_PER_SECOND = 1.0
--- a/packages/core/src/bronzemoor_core/sessions.py
+++ b/packages/core/src/bronzemoor_core/sessions.py
@@ -11,8 +11,9 @@
 from bronzemoor_core.actions import EmitLog
 from bronzemoor_core.blackboard import Blackboard, section
 from bronzemoor_core.controllers import Controller, controller, handles
-from bronzemoor_core.events import Tick, TokenKeysChanged
+from bronzemoor_core.events import Tick
 from bronzemoor_core.exceptions import InvalidSettings, InvalidToken
+from bronzemoor_core.internal_events import TokenKeysChanged
 from bronzemoor_core.positions import ZERO, Position
 
 DEVELOPMENT_KEY_ID = "insecure-development"
--- a/packages/core/src/bronzemoor_core/snapshots.py
+++ b/packages/core/src/bronzemoor_core/snapshots.py
@@ -4,7 +4,11 @@
 import zlib
 from typing import Any
 
-from bronzemoor_core.events import SnapshotReady, SnapshotRequested, SnapshotRestored
+from bronzemoor_core.internal_events import (
+    SnapshotReady,
+    SnapshotRequested,
+    SnapshotRestored,
+)
 from bronzemoor_core.messages import InstallSnapshot, InstallSnapshotReply
 from bronzemoor_core.replica import Replica
 from bronzemoor_core.replication import Progress, Replication
--- a/packages/core/src/bronzemoor_core/state.py
+++ b/packages/core/src/bronzemoor_core/state.py
@@ -6,8 +6,8 @@
 from bronzemoor_core.actions import AdminReply
 from bronzemoor_core.commands import QUERIES, answer_query, apply_command
 from bronzemoor_core.controllers import Controller, controller, handles
-from bronzemoor_core.events import (
-    AdminCommand,
+from bronzemoor_core.events import AdminCommand
+from bronzemoor_core.internal_events import (
     CommandApplied,
     CommandCommitted,
     CommandCompleted,
--- a/packages/core/src/bronzemoor_core/steps.py
+++ b/packages/core/src/bronzemoor_core/steps.py
@@ -4,8 +4,8 @@
 from typing import TYPE_CHECKING
 
 from bronzemoor_core.actions import Answer
-from bronzemoor_core.events import (
-    AnswerReceived,
+from bronzemoor_core.events import AnswerReceived
+from bronzemoor_core.internal_events import (
     SlotReleased,
     TransactionEnded,
     TransactionOpened,
--- a/packages/core/src/bronzemoor_core/transactions.py
+++ b/packages/core/src/bronzemoor_core/transactions.py
@@ -6,9 +6,8 @@
 from bronzemoor_core.actions import EmitLog, EmitMetric
 from bronzemoor_core.blackboard import section
 from bronzemoor_core.controllers import Controller, controller, handles
-from bronzemoor_core.events import (
-    ConnectionClosed,
-    Tick,
+from bronzemoor_core.events import ConnectionClosed, Tick
+from bronzemoor_core.internal_events import (
     TransactionEnded,
     TransactionExpired,
     TransactionOpened,
--- a/packages/core/tests/datapath_world.py
+++ b/packages/core/tests/datapath_world.py
@@ -14,14 +14,16 @@
     ConnectionClosed,
     ConnectionFailed,
     ConnectionOpened,
-    PositionObserved,
-    PrimaryChanged,
     Request,
     RequestReceived,
-    SharesChanged,
     Statement,
     Tick,
 )
+from bronzemoor_core.internal_events import (
+    PositionObserved,
+    PrimaryChanged,
+    SharesChanged,
+)
 from bronzemoor_core.membership import Database, Member, PrimarySample
 from bronzemoor_core.node import make_node
 from bronzemoor_core.positions import ZERO, Position
--- a/packages/core/tests/fake_group.py
+++ b/packages/core/tests/fake_group.py
@@ -8,19 +8,21 @@
     AdminCommand,
     Announcement,
     AnnouncementReceived,
+    OrderAnswered,
+    OrderFailed,
+    PeerMessageReceived,
+    Tick,
+)
+from bronzemoor_core.heartbeats import make_heartbeat, make_reply
+from bronzemoor_core.internal_events import (
     CommandApplied,
     CommandCommitted,
     CommandCompleted,
     CommandProposed,
     LeadershipChanged,
-    OrderAnswered,
-    OrderFailed,
-    PeerMessageReceived,
     PrimaryChanged,
     QueryReady,
-    Tick,
 )
-from bronzemoor_core.heartbeats import make_heartbeat, make_reply
 from bronzemoor_core.node import Node, make_node
 from bronzemoor_core.settings import NodeSettings
 
--- a/packages/core/tests/test_admission.py
+++ b/packages/core/tests/test_admission.py
@@ -3,7 +3,7 @@
 import pytest
 from datapath_world import World, slow
 
-from bronzemoor_core.events import SharesChanged
+from bronzemoor_core.internal_events import SharesChanged
 from bronzemoor_core.templates import RequestClass
 
 URGENT = RequestClass("u", priority=1)
--- a/packages/core/tests/test_distribution.py
+++ b/packages/core/tests/test_distribution.py
@@ -8,13 +8,12 @@
 from test_failover import make_group
 from test_templates import BODY
 
-from bronzemoor_core.events import (
+from bronzemoor_core.events import PeerMessageReceived, Tick
+from bronzemoor_core.internal_events import (
     CommandCommitted,
     CommandCompleted,
     CommandProposed,
     LeadershipChanged,
-    PeerMessageReceived,
-    Tick,
     TokenKeysChanged,
 )
 from bronzemoor_core.messages import (
--- a/packages/core/tests/test_drain.py
+++ b/packages/core/tests/test_drain.py
@@ -6,7 +6,8 @@
 
 from bronzemoor_core.actions import EmitLog, Exit, StopListening
 from bronzemoor_core.drain import CLEANING, FINISHING, LEAVING, SERVING, DrainController
-from bronzemoor_core.events import StopRequested, Tick, TransactionExpired
+from bronzemoor_core.events import StopRequested, Tick
+from bronzemoor_core.internal_events import TransactionExpired
 from bronzemoor_core.settings import DrainSettings, NodeSettings
 
 TICK = Tick()
--- a/packages/core/tests/test_limits.py
+++ b/packages/core/tests/test_limits.py
@@ -17,12 +17,11 @@
 from bronzemoor_core.allocation import Division, divide
 from bronzemoor_core.blackboard import Blackboard
 from bronzemoor_core.connections import State
-from bronzemoor_core.events import (
+from bronzemoor_core.events import PeerMessageReceived, Tick
+from bronzemoor_core.internal_events import (
     LeadershipChanged,
-    PeerMessageReceived,
     SharesChanged,
     TemplateChanged,
-    Tick,
 )
 from bronzemoor_core.limits import LimitController
 from bronzemoor_core.membership import Database, Member
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -7,13 +7,8 @@
 from test_templates import BODY
 
 from bronzemoor_core.actions import EmitLog, EmitMetric
-from bronzemoor_core.events import (
-    AnnouncementReceived,
-    MemberLost,
-    PeerMessageReceived,
-    PositionObserved,
-    Tick,
-)
+from bronzemoor_core.events import AnnouncementReceived, PeerMessageReceived, Tick
+from bronzemoor_core.internal_events import MemberLost, PositionObserved
 from bronzemoor_core.messages import DatabaseState, TopologyUpdate
 from bronzemoor_core.positions import Position
 from bronzemoor_core.relays import member_summaries
--- a/packages/core/tests/test_pools.py
+++ b/packages/core/tests/test_pools.py
@@ -18,9 +18,8 @@
 
 from bronzemoor_core.actions import Call, CloseConnection, OpenConnection, SendCall
 from bronzemoor_core.connections import State
-from bronzemoor_core.events import (
-    AnswerReceived,
-    ConnectionOpened,
+from bronzemoor_core.events import AnswerReceived, ConnectionOpened
+from bronzemoor_core.internal_events import (
     MemberLost,
     MemberSuspected,
     PrimaryChanged,
--- a/packages/core/tests/test_sessions.py
+++ b/packages/core/tests/test_sessions.py
@@ -7,8 +7,9 @@
 from hypothesis import strategies as st
 
 from bronzemoor_core.actions import EmitLog
-from bronzemoor_core.events import Tick, TokenKeysChanged
+from bronzemoor_core.events import Tick
 from bronzemoor_core.exceptions import InvalidSettings, InvalidToken
+from bronzemoor_core.internal_events import TokenKeysChanged
 from bronzemoor_core.node import make_node
 from bronzemoor_core.positions import Position
 from bronzemoor_core.sessions import ACTIVATION_DELAY, KeyRing, SessionToken
--- a/packages/core/tests/test_state.py
+++ b/packages/core/tests/test_state.py
@@ -10,8 +10,8 @@
 
 from bronzemoor_core.actions import AdminReply
 from bronzemoor_core.commands import CHANGE_LIMIT, KEY_LIMIT, VERSION_LIMIT
-from bronzemoor_core.events import (
-    AdminCommand,
+from bronzemoor_core.events import AdminCommand
+from bronzemoor_core.internal_events import (
     CommandApplied,
     CommandCommitted,
     CommandCompleted,
--- a/packages/core/tests/test_suspicion.py
+++ b/packages/core/tests/test_suspicion.py
@@ -4,7 +4,7 @@
 from test_failover import settled, started
 
 from bronzemoor_core.detectors import Evidence, Investigation, Observations
-from bronzemoor_core.events import MemberSuspected
+from bronzemoor_core.internal_events import MemberSuspected
 from bronzemoor_core.records import DatabaseRecord
 from bronzemoor_core.settings import NodeSettings
 from bronzemoor_core.suspicion import Suspicions
--- a/packages/core/tests/test_whole_node.py
+++ b/packages/core/tests/test_whole_node.py
@@ -9,7 +9,8 @@
 from test_templates import BODY
 
 from bronzemoor_core.actions import AdminReply, PersistLog, PersistSnapshot
-from bronzemoor_core.events import PrimaryChanged, StorageRecovered, StorageSynced
+from bronzemoor_core.events import StorageRecovered, StorageSynced
+from bronzemoor_core.internal_events import PrimaryChanged
 from bronzemoor_core.node import make_node
 from bronzemoor_core.settings import NodeSettings
 
