Count a daemon's silence in its heartbeat intervals

Cause: the leader called a daemon silent after 0.5 s whatever the heartbeat interval; at 1 s it took itself for cut off about half the time and would have promoted nothing. Before: test_silence_is_counted_in_heartbeat_intervals[1.0] fails. After: it passes, with the failover, election and log tests.

--- a/packages/core/src/bronzemoor_core/suspicion.py
+++ b/packages/core/src/bronzemoor_core/suspicion.py
@@ -33,8 +33,8 @@
 CONFIRMED_LIMIT_MS = 300
 # An answer to a ping proves for this long that a member is reachable, seconds.
 ANSWER_VALID = 0.3
-# A daemon counts as heard this long after its last heartbeat, seconds: five intervals.
-DAEMON_HEARD = 0.5
+# A daemon counts as heard for so many heartbeat intervals after its last heartbeat.
+HEARD_INTERVALS = 5
 # Daemons that were silent for longer are gone and do not tell of a partition, seconds.
 CUT_OFF_MEMORY = 30.0
 # How long a majority of proxies must report a primary that answers the control leader,
@@ -182,7 +182,7 @@
             return []
         reached = [at for at in found.others.values() if now - at <= ANSWER_VALID]
         others = self._others(daemons)
-        if len(reached) < majority(record.group) or _cut_off(now, others):
+        if len(reached) < majority(record.group) or self._cut_off(now, others):
             return []
         if _rejected_by_proxies(now, evidence, others):
             return evidence
@@ -205,6 +205,16 @@
         }
         return evidence if silent and len(renewed) >= CORROBORATION else []
 
+    def _cut_off(self, now: float, daemons: list[Any]) -> bool:
+        """Tells whether most daemons fell silent at once, so that the fault is here.
+
+        One silent daemon alone tells nothing.
+        """
+        limit = HEARD_INTERVALS * self._settings.timers.daemon_heartbeat_interval
+        known = [d for d in daemons if now - d.last_heard <= CUT_OFF_MEMORY]
+        heard = [d for d in known if now - d.last_heard <= limit]
+        return len(known) > 1 and 2 * len(heard) < len(known)
+
     def _others(self, daemons: Any) -> list[Any]:
         """Daemons but this one and those that are stopping."""
         own = self._settings.name
@@ -225,16 +235,6 @@
     return fresh and 0 <= found.confirmed_ago_ms <= CONFIRMED_LIMIT_MS
 
 
-def _cut_off(now: float, daemons: list[Any]) -> bool:
-    """Tells whether most daemons fell silent at once, so that the fault is here.
-
-    One silent daemon alone tells nothing.
-    """
-    known = [d for d in daemons if now - d.last_heard <= CUT_OFF_MEMORY]
-    heard = [d for d in known if now - d.last_heard <= DAEMON_HEARD]
-    return len(known) > 1 and 2 * len(heard) < len(known)
-
-
 def _rejected_by_proxies(
     now: float, evidence: list[Evidence], daemons: list[Any]
 ) -> bool:
--- a/packages/core/tests/logcluster.py
+++ b/packages/core/tests/logcluster.py
@@ -5,10 +5,22 @@
 
 from virtual import TICK, Machine, Network
 
-from bronzemoor_core import actions, events
+from bronzemoor_core import actions
 from bronzemoor_core.blackboard import Blackboard
 from bronzemoor_core.consensus import Consensus
 from bronzemoor_core.controllers import handles
+from bronzemoor_core.events import StorageSynced
+from bronzemoor_core.internal_events import (
+    CommandApplied,
+    CommandCommitted,
+    CommandCompleted,
+    CommandProposed,
+    LeadershipChanged,
+    QueryReady,
+    SnapshotReady,
+    SnapshotRequested,
+    SnapshotRestored,
+)
 from bronzemoor_core.settings import ControlSettings, NodeSettings
 from bronzemoor_core.storage import MemoryStorage
 
@@ -35,7 +47,7 @@
     def __init__(self, cluster):
         self.cluster, self.values = cluster, []
 
-    @handles(events.CommandCommitted)
+    @handles(CommandCommitted)
     def on_committed(self, now, event):
         known = self.cluster.committed.setdefault(event.index, event.command)
         assert known == event.command, f"entry {event.index} changed"
@@ -43,21 +55,21 @@
         self.values.append(event.command["n"])
         return [self.applied(event, event.index)]
 
-    @handles(events.QueryReady)
+    @handles(QueryReady)
     def on_query(self, now, event):
         return [self.applied(event, 0)]
 
-    @handles(events.SnapshotRequested)
+    @handles(SnapshotRequested)
     def on_snapshot(self, now, event):
-        return [events.SnapshotReady(0, {"values": list(self.values)})]
+        return [SnapshotReady(0, {"values": list(self.values)})]
 
-    @handles(events.SnapshotRestored)
+    @handles(SnapshotRestored)
     def on_restored(self, now, event):
         self.values = list(event.data["values"])
 
     def applied(self, event, index):
         result = {"values": list(self.values)}
-        return events.CommandApplied(index, event.command, result, event.origin)
+        return CommandApplied(index, event.command, result, event.origin)
 
 
 class LogMember(Machine):
@@ -74,10 +86,10 @@
         super().__init__(cluster, name, self.consensus, self.state)
 
     def observe(self, event):
-        if isinstance(event, events.CommandCompleted):
+        if isinstance(event, CommandCompleted):
             self.completed.append(event)
             self.network.completions.append(event)
-        elif isinstance(event, events.LeadershipChanged) and event.is_leader:
+        elif isinstance(event, LeadershipChanged) and event.is_leader:
             known = self.network.leaders.setdefault(event.term, self.name)
             assert known == self.name, f"two leaders in term {event.term}"
 
@@ -92,7 +104,7 @@
 
     def sync(self):
         if self.network.machines.get(self.name) is self and self.disk.unsynced:
-            self.handle(events.StorageSynced(self.disk.sync_one()))
+            self.handle(StorageSynced(self.disk.sync_one()))
 
 
 class Cluster(Network):
@@ -148,8 +160,8 @@
         return [member for member in self.members if member is not self.leader()]
 
     def propose(self, member, n):
-        member.handle(events.CommandProposed({"type": "set", "n": n}, n))
+        member.handle(CommandProposed({"type": "set", "n": n}, n))
 
     def query(self, member, origin):
         command = {"type": "get", "query": True}
-        member.handle(events.CommandProposed(command, origin))
+        member.handle(CommandProposed(command, origin))
--- a/packages/core/tests/test_suspicion.py
+++ b/packages/core/tests/test_suspicion.py
@@ -80,3 +80,13 @@
 
     suspect()
     assert group.run(1.0, lambda: settled(group, "c0"))
+
+
+@pytest.mark.parametrize(("interval", "cut_off"), [(0.1, True), (1.0, False)])
+def test_silence_is_counted_in_heartbeat_intervals(interval, cut_off):
+    """Guards against a leader with long heartbeat intervals that takes itself for cut
+    off between two heartbeats and promotes nothing."""
+    settings = NodeSettings("vm0", "lisbon")
+    settings.timers.daemon_heartbeat_interval = interval
+    daemons = [Daemon(f"vm{i}", 1, "lisbon", NOW - 0.9) for i in range(1, 5)]
+    assert Suspicions(settings, Observations())._cut_off(NOW, daemons) is cut_off
