Use plain terms for the confirmation of failures

Cause: a few names and comments of failure detection were figurative (verdict, convict, calm, patience, stranger). Before and after: the same behaviour; lint is clean, the 25 tests of suspicion and reconfiguration pass.

--- a/packages/core/src/bronzemoor_core/allocation.py
+++ b/packages/core/src/bronzemoor_core/allocation.py
@@ -135,8 +135,8 @@
         """Begins a term as leader.
 
         The grants of an earlier leader are not known. It may go on granting until it
-        notices that it was deposed, so the quiet time covers that and one lease. The
-        ``first`` leader of a group has no predecessor.
+        notices that it was deposed, so no new grants are made for that time and one
+        lease. The ``first`` leader of a group has no predecessor.
         """
         self._pools.clear()
         self._newest.clear()
--- a/packages/core/src/bronzemoor_core/failover.py
+++ b/packages/core/src/bronzemoor_core/failover.py
@@ -203,7 +203,9 @@
         out: list[object] = list(
             self._suspicions.investigate(now, database, record, addresses)
         )
-        proof = self._suspicions.verdict(now, database, record, self._topology.daemons)
+        proof = self._suspicions.confirm_failure(
+            now, database, record, self._topology.daemons
+        )
         if not proof or now < self._held_until(now, database.name):
             return out
         reason = ",".join(sorted(f"{e.detector}@{e.vantage}" for e in proof))
--- a/packages/core/src/bronzemoor_core/promotion.py
+++ b/packages/core/src/bronzemoor_core/promotion.py
@@ -62,7 +62,7 @@
     """Returns an order to one member that names all members of its group.
 
     The members count majorities by this list, so it is the committed group, neither
-    less for an unknown address nor more for a stranger that announces itself.
+    less for an unknown address nor more for an endpoint outside the group.
     """
     return Order(
         kind=kind,
--- a/packages/core/src/bronzemoor_core/reconfiguration.py
+++ b/packages/core/src/bronzemoor_core/reconfiguration.py
@@ -22,7 +22,7 @@
         self._replica = replica
         self._replication = replication
         # Voters that answer under another identity, since when (seconds).
-        self._strangers: dict[str, float] = {}
+        self._replaced_since: dict[str, float] = {}
 
     def propose(
         self, now: float, command: dict[str, Any], proposal_id: str
@@ -54,10 +54,10 @@
         progress = self._replication.progress.get(sender)
         if progress is None or sender not in self._replica.group.voters:
             return
-        since = self._strangers.setdefault(sender, now)
-        patience = self._replica.settings.timers.stale_after
-        if now - max(since, progress.last_reply) >= patience:
-            del self._strangers[sender]
+        since = self._replaced_since.setdefault(sender, now)
+        limit = self._replica.settings.timers.stale_after
+        if now - max(since, progress.last_reply) >= limit:
+            del self._replaced_since[sender]
             command = {"type": "control.replace", "name": sender}
             if self.propose(now, command, "") is None:
                 self._replica.emit_log("warning", "disk_lost", peer=sender)
--- a/packages/core/src/bronzemoor_core/retries.py
+++ b/packages/core/src/bronzemoor_core/retries.py
@@ -10,7 +10,7 @@
 
 # Lets an organisation with little traffic retry at all.
 FLOOR_PER_SECOND = 1.0
-# Retries that may be saved up, so that a quiet hour cannot pay for a storm.
+# Retries that may be saved up, so that an idle hour does not allow a burst of retries.
 MAX_SAVED = 20.0
 
 
--- a/packages/core/src/bronzemoor_core/subscriptions.py
+++ b/packages/core/src/bronzemoor_core/subscriptions.py
@@ -19,7 +19,7 @@
 
 
 class Publisher:
-    """Sends changes of the topology to other daemons; silent on any but the leader.
+    """Sends changes of the topology to other daemons; only the leader does.
 
     ``changed`` collects databases whose members changed, for the next tick, so that
     many changes at once cost one pass over the daemons. ``moved`` collects those of
--- a/packages/core/src/bronzemoor_core/suspicion.py
+++ b/packages/core/src/bronzemoor_core/suspicion.py
@@ -1,4 +1,4 @@
-"""Evidence collected by the control leader, and the verdict on a primary."""
+"""Evidence collected by the control leader, and the decision that a primary failed."""
 
 from collections.abc import Iterable
 from typing import Any
@@ -24,8 +24,8 @@
 # Interval once the primary has answered for so long, seconds: a relay to which it no
 # longer announces itself reports it for ever. Less than an answer stays valid. Without
 # the delay a primary cut off from its peers was replaced 200 ms later.
-CALM_AFTER = 2.0
-CALM_INTERVAL = 0.25
+RECHECK_AFTER = 2.0
+RECHECK_INTERVAL = 0.25
 # A ping may take this many one-way delays: a round trip of tenfold delay, and a margin.
 PING_DELAYS = 24
 # A primary that a majority confirmed this recently (ms) works, whatever others say.
@@ -151,8 +151,8 @@
         if found is None or found.member != record.primary:
             found = Investigation(record.primary, now)
             self._seen.investigations[database.name] = found
-        calm = now - found.opened_at > CALM_AFTER and _confirmed(now, found)
-        interval = CALM_INTERVAL if calm else PING_INTERVAL
+        confirmed = now - found.opened_at > RECHECK_AFTER and _confirmed(now, found)
+        interval = RECHECK_INTERVAL if confirmed else PING_INTERVAL
         if not due(self._sent, database.name, now, interval):
             return []
         orders = []
@@ -164,10 +164,10 @@
                 orders.append(SendOrder(order, timeout))
         return orders
 
-    def verdict(
+    def confirm_failure(
         self, now: float, database: Any, record: Any, daemons: Any
     ) -> list[Evidence]:
-        """Returns the evidence that convicts the primary, or nothing.
+        """Returns the evidence that the primary failed, or nothing.
 
         At least two vantage points must agree, and the leader must itself reach a
         majority of the members and most daemons; one that is cut off does nothing.
--- a/packages/core/tests/test_suspicion.py
+++ b/packages/core/tests/test_suspicion.py
@@ -1,4 +1,4 @@
-"""Evidence and verdict: vantage points, proofs of life and isolation."""
+"""Confirmation of a failure: vantage points, answers of the primary, isolation."""
 
 import pytest
 from test_failover import settled, started
@@ -15,8 +15,8 @@
 DAEMONS = {f"vm{i}": Daemon(f"vm{i}", 1, "lisbon", NOW) for i in range(5)}
 
 
-def convicts(evidence, daemons=None, others=None, **found):
-    """The verdict on c0 for (vantage point, detector) pairs, all confirmed just now."""
+def is_failed(evidence, daemons=None, others=None, **found):
+    """Whether c0 counts as failed by (vantage point, detector) pairs of just now."""
     investigation = Investigation("c0", NOW - 0.4, others=others or REACHED)
     for name, value in found.items():
         setattr(investigation, name, value)
@@ -27,7 +27,7 @@
         suspicions._add("claims", proof)
     record = DatabaseRecord("claims", 1, "c0", ("c0", "c1", "c2"))
     database = Database("claims", 1, "c0")
-    return bool(suspicions.verdict(NOW, database, record, daemons or DAEMONS))
+    return bool(suspicions.confirm_failure(NOW, database, record, daemons or DAEMONS))
 
 
 SILENCE = ("vm1", "announcement_silence")
@@ -53,19 +53,19 @@
         ([(f"vm{i}", "proxy") for i in range(2)], ALIVE, False),
     ],
 )
-def test_verdict(evidence, found, expected):
-    """Guards against a conviction by one vantage point or against proof of life, and
+def test_failure_needs_vantage_points(evidence, found, expected):
+    """Guards against a failover on one vantage point or of a primary that works, and
     against a failed primary that stays."""
-    assert convicts(evidence, **found) is expected
+    assert is_failed(evidence, **found) is expected
 
 
-def test_a_leader_that_reaches_too_little_convicts_nobody():
+def test_a_leader_that_reaches_too_few_members_acts_on_nothing():
     """Guards against a leader that takes its own isolation for others' failure."""
     proof = [SILENCE, ORDER, *MEMBERS]
-    assert convicts(proof, failures=3)
-    assert not convicts(proof, failures=3, others={"c1": NOW, "c2": NOW - 1.0})
+    assert is_failed(proof, failures=3)
+    assert not is_failed(proof, failures=3, others={"c1": NOW, "c2": NOW - 1.0})
     silent = {n: Daemon(n, 1, "lisbon", NOW - 2.0) for n in DAEMONS}
-    assert not convicts(proof, failures=3, daemons=silent)
+    assert not is_failed(proof, failures=3, daemons=silent)
 
 
 def test_a_slow_primary_is_replaced_on_the_proxies_evidence():
