Keep organisations' limits at a leader that does not serve them

Cause: the allocator read the templates in effect at its own daemon, so a control leader that serves no organisation enforced none of their limits. Conclusion: control VMs may be set to serve no organisation.

--- a/packages/core/src/bronzemoor_core/limits.py
+++ b/packages/core/src/bronzemoor_core/limits.py
@@ -17,9 +17,11 @@
 from bronzemoor_core.internal_events import (
     LeadershipChanged,
     SharesChanged,
+    StateChanged,
     TemplateChanged,
 )
 from bronzemoor_core.messages import Heartbeat, HeartbeatReply
+from bronzemoor_core.templates import Template, parse_template
 
 # Heartbeats whose sending time is remembered; at 100 ms they cover 10 s.
 SENT_LIMIT = 100
@@ -73,6 +75,8 @@
         # Organisations by database, and each organisation's databases.
         self._users: dict[str, list[str]] = {}
         self._used_by: dict[str, tuple[str, ...]] = {}
+        # Committed templates that are not in effect at this daemon.
+        self._committed: dict[str, Template] = {}
         # Each organisation's connections over its databases.
         self._divisions: dict[str, Division] = {}
         self._shrinks = ShrinkTimer()
@@ -150,11 +154,36 @@
 
     @handles(TemplateChanged)
     def on_template(self, now: float, event: TemplateChanged) -> None:
-        self._map_user(event.organisation)
-        template = self._blackboard.configuration.templates.get(event.organisation)
+        self._follow_template(now, event.organisation)
+
+    @handles(StateChanged)
+    def on_state(self, now: float, event: StateChanged) -> None:
+        if event.kind == "template":
+            self._follow_template(now, event.name)
+        elif event.kind == "all":
+            self._map_users()
+
+    def _follow_template(self, now: float, organisation: str) -> None:
+        self._map_user(organisation)
+        template = self._template(organisation)
         if template is not None:
-            key = (ORGANISATION, event.organisation)
-            self._shrinks.note(now, key, template.connections)
+            self._shrinks.note(now, (ORGANISATION, organisation), template.connections)
+
+    def _template(self, organisation: str) -> Template | None:
+        """The committed template, else the one in effect at this daemon.
+
+        A leader need not serve an organisation itself to keep its limit.
+        """
+        held = self._blackboard.configuration.templates.get(organisation)
+        entries = self._blackboard.state.templates.get(organisation)
+        if not entries or (held is not None and held.version >= entries[-1].version):
+            return held
+        parsed = self._committed.get(organisation)
+        if parsed is None or parsed.version != entries[-1].version:
+            newest = entries[-1]
+            parsed = parse_template(organisation, newest.body, newest.version)
+            self._committed[organisation] = parsed
+        return parsed
 
     def _on_heartbeat(self, now: float, sender: str, message: Heartbeat) -> list[Any]:
         if not self._may_allocate():
@@ -190,12 +219,13 @@
         """Connections that count against the limit of a database or organisation."""
         if kind == DATABASE:
             return self._allocator.used(now, [name])
-        template = self._blackboard.configuration.templates.get(name)
+        template = self._template(name)
         return self._allocator.used(now, template.databases) if template else 0
 
     def _map_users(self) -> None:
         self._users, self._used_by = {}, {}
-        for name in self._blackboard.configuration.templates:
+        held = self._blackboard.configuration.templates
+        for name in sorted({*held, *self._blackboard.state.templates}):
             self._map_user(name)
 
     def _map_user(self, organisation: str) -> None:
@@ -203,7 +233,7 @@
         templates one by one."""
         for database in self._used_by.pop(organisation, ()):
             self._users[database].remove(organisation)
-        template = self._blackboard.configuration.templates.get(organisation)
+        template = self._template(organisation)
         if template is None:
             return
         self._used_by[organisation] = template.databases
@@ -235,7 +265,7 @@
         A database that several organisations use counts fully for each of them, since
         shares do not tell whose requests use the connections.
         """
-        template = self._blackboard.configuration.templates.get(organisation)
+        template = self._template(organisation)
         if template is None:
             return 0
         others = [name for name in template.databases if name != database]
@@ -243,7 +273,7 @@
 
     def _part(self, now: float, organisation: str, database: str) -> int:
         """What an organisation should hold here, by the demand for its databases."""
-        template = self._blackboard.configuration.templates.get(organisation)
+        template = self._template(organisation)
         if template is None:
             return 0
         self._shrinks.note(now, (ORGANISATION, organisation), template.connections)
--- a/packages/core/tests/test_limits.py
+++ b/packages/core/tests/test_limits.py
@@ -21,12 +21,14 @@
 from bronzemoor_core.internal_events import (
     LeadershipChanged,
     SharesChanged,
+    StateChanged,
     TemplateChanged,
 )
 from bronzemoor_core.limits import LimitController
 from bronzemoor_core.membership import Database, Member
 from bronzemoor_core.messages import HeartbeatReply, Share
 from bronzemoor_core.node import make_node
+from bronzemoor_core.records import TemplateEntry
 from bronzemoor_core.settings import ControlSettings, NodeSettings
 from bronzemoor_core.templates import Template
 
@@ -52,9 +54,16 @@
         board = Blackboard()
         own = {
             section: board.claim(section, "test")
-            for section in ("log", "configuration", "topology", "pools", "queues")
+            for section in (
+                "log",
+                "configuration",
+                "topology",
+                "pools",
+                "queues",
+                "state",
+            )
         }
-        self.log = own["log"]
+        self.log, self.state = own["log"], own["state"]
         self.log.voters, self.log.established = NAMES[:2], True
         own["configuration"].templates = cluster.templates
         own["topology"].databases = cluster.databases
@@ -191,6 +200,28 @@
     assert cluster.shares()[2] == 0 and cluster.shares()[0] > 10
 
 
+@pytest.mark.parametrize(("limit", "most"), [(6, 6), (100, 20)])
+def test_a_leader_keeps_the_limit_of_an_organisation_that_it_does_not_serve(
+    limit, most
+):
+    """Guards against limits that hold only for what the leader serves as a daemon."""
+    body = {
+        "databases": ["claims"],
+        "connections": limit,
+        "classes": {"post": {"kind": "write"}},
+    }
+    entry = TemplateEntry(1, body, "operator", 1.0, "change")
+    cluster = led()
+    cluster.templates.clear()
+    for machine in cluster.machines.values():
+        machine.state.templates["voo"] = [entry]
+        machine.handle(StateChanged("template", "voo"))
+    for name in NAMES:
+        cluster.want(name, 30)
+    cluster.run(8.0)
+    assert most - 1 <= cluster.total() <= most
+
+
 def test_late_and_reordered_replies_do_not_add_up():
     """Guards against forgetting a grant that is still on its way to a holder."""
     cluster = led()
