--- a/packages/core/src/bronzemoor_core/limits.py
+++ b/packages/core/src/bronzemoor_core/limits.py
@@ -21,7 +21,7 @@
     TemplateChanged,
 )
 from bronzemoor_core.messages import Heartbeat, HeartbeatReply
-from bronzemoor_core.templates import Template, parse_template
+from bronzemoor_core.templates import DEFAULT_CONNECTIONS
 
 # Heartbeats whose sending time is remembered; at 100 ms they cover 10 s.
 SENT_LIMIT = 100
@@ -36,6 +36,14 @@
 DATABASE, ORGANISATION = "database", "organisation"
 
 
+@dataclass(slots=True)
+class OrganisationCap:
+    """Connections that an organisation may hold over its databases."""
+
+    databases: tuple[str, ...]
+    connections: int
+
+
 @dataclass(slots=True)
 class HeldShare:
     """Connections that this daemon may hold until ``valid_until`` (seconds)."""
@@ -75,8 +83,6 @@
         # Organisations by database, and each organisation's databases.
         self._users: dict[str, list[str]] = {}
         self._used_by: dict[str, tuple[str, ...]] = {}
-        # Committed templates that are not in effect at this daemon.
-        self._committed: dict[str, Template] = {}
         # Each organisation's connections over its databases.
         self._divisions: dict[str, Division] = {}
         self._shrinks = ShrinkTimer()
@@ -165,25 +171,22 @@
 
     def _follow_template(self, now: float, organisation: str) -> None:
         self._map_user(organisation)
-        template = self._template(organisation)
-        if template is not None:
-            self._shrinks.note(now, (ORGANISATION, organisation), template.connections)
+        cap = self._cap(organisation)
+        if cap is not None:
+            self._shrinks.note(now, (ORGANISATION, organisation), cap.connections)
 
-    def _template(self, organisation: str) -> Template | None:
-        """The committed template, else the one in effect at this daemon.
+    def _cap(self, organisation: str) -> OrganisationCap | None:
+        """The committed cap, else the one in effect at this daemon.
 
         A leader need not serve an organisation itself to keep its limit.
         """
-        held = self._blackboard.configuration.templates.get(organisation)
         entries = self._blackboard.state.templates.get(organisation)
-        if not entries or (held is not None and held.version >= entries[-1].version):
-            return held
-        parsed = self._committed.get(organisation)
-        if parsed is None or parsed.version != entries[-1].version:
-            newest = entries[-1]
-            parsed = parse_template(organisation, newest.body, newest.version)
-            self._committed[organisation] = parsed
-        return parsed
+        if entries:
+            body = entries[-1].body
+            connections = body.get("connections", DEFAULT_CONNECTIONS)
+            return OrganisationCap(tuple(body["databases"]), connections)
+        held = self._blackboard.configuration.templates.get(organisation)
+        return OrganisationCap(held.databases, held.connections) if held else None
 
     def _on_heartbeat(self, now: float, sender: str, message: Heartbeat) -> list[Any]:
         if not self._may_allocate():
@@ -219,8 +222,8 @@
         """Connections that count against the limit of a database or organisation."""
         if kind == DATABASE:
             return self._allocator.used(now, [name])
-        template = self._template(name)
-        return self._allocator.used(now, template.databases) if template else 0
+        cap = self._cap(name)
+        return self._allocator.used(now, cap.databases) if cap else 0
 
     def _map_users(self) -> None:
         self._users, self._used_by = {}, {}
@@ -233,11 +236,11 @@
         templates one by one."""
         for database in self._used_by.pop(organisation, ()):
             self._users[database].remove(organisation)
-        template = self._template(organisation)
-        if template is None:
+        cap = self._cap(organisation)
+        if cap is None:
             return
-        self._used_by[organisation] = template.databases
-        for database in template.databases:
+        self._used_by[organisation] = cap.databases
+        for database in cap.databases:
             self._users.setdefault(database, []).append(organisation)
 
     def _database_limit(self, database: str) -> int | None:
@@ -265,21 +268,19 @@
         A database that several organisations use counts fully for each of them, since
         shares do not tell whose requests use the connections.
         """
-        template = self._template(organisation)
-        if template is None:
+        cap = self._cap(organisation)
+        if cap is None:
             return 0
-        others = [name for name in template.databases if name != database]
-        return max(0, template.connections - self._allocator.used(now, others))
+        others = [name for name in cap.databases if name != database]
+        return max(0, cap.connections - self._allocator.used(now, others))
 
     def _part(self, now: float, organisation: str, database: str) -> int:
         """What an organisation should hold here, by the demand for its databases."""
-        template = self._template(organisation)
-        if template is None:
+        cap = self._cap(organisation)
+        if cap is None:
             return 0
-        self._shrinks.note(now, (ORGANISATION, organisation), template.connections)
+        self._shrinks.note(now, (ORGANISATION, organisation), cap.connections)
         division = self._divisions.setdefault(organisation, Division())
-        wanted = {
-            name: self._allocator.wanted(now, name) for name in template.databases
-        }
-        division.follow(now, template.connections, wanted)
+        wanted = {name: self._allocator.wanted(now, name) for name in cap.databases}
+        division.follow(now, cap.connections, wanted)
         return division.targets.get(database, 0)
--- a/packages/core/src/bronzemoor_core/templates.py
+++ b/packages/core/src/bronzemoor_core/templates.py
@@ -11,6 +11,9 @@
     parse_duration,
 )
 
+# Connections of an organisation whose template does not say.
+DEFAULT_CONNECTIONS = 20
+
 
 @dataclass(slots=True)
 class RequestClass:
@@ -36,7 +39,7 @@
     organisation: str
     version: int = 0
     databases: tuple[str, ...] = ()
-    connections: int = 20
+    connections: int = DEFAULT_CONNECTIONS
     retry_ratio: float = 0.1
     classes: dict[str, RequestClass] = field(default_factory=dict)
     # When a write is acknowledged; a majority of the members must hold it.
