Submit template changes through one function of the client

Cause: apply and rollback repeated confirmation, change id and sending. Conclusion: a new kind of template change needs only its arguments.

--- a/packages/client/src/bronzemoor_client/template.py
+++ b/packages/client/src/bronzemoor_client/template.py
@@ -72,9 +72,21 @@
                     return int(entry["version"]) - 1
         return int(self.current().get("version", 0))
 
-    def change_id(self) -> str:
-        """The given --change-id, or a new one that is shown for a resend."""
-        return str(self.option("change-id") or uuid4())
+    def submit(self, question: str, command: str, **arguments: Any) -> int:
+        """Confirms and sends a change; shows its id before, for a resend."""
+        expected = self.expected_version()
+        change_id = str(self.option("change-id") or uuid4())
+        if not self.confirmed(f"{question} Its version is {expected}."):
+            return exitcodes.REFUSED
+        self.line_error(f"change id: {change_id}")
+        answer = self.change(
+            command,
+            organisation=self.organisation,
+            expect_version=expected,
+            change_id=change_id,
+            **arguments,
+        )
+        return self.finish(answer, self.show_version)
 
     def show_version(self, answer: dict[str, Any]) -> None:
         self.line(f"{self.organisation}: version {answer.get('version')} accepted")
@@ -178,20 +190,8 @@
 
     def execute_command(self) -> int:
         body = read_body(self.argument("file"))
-        expected = self.expected_version()
-        change_id = self.change_id()
-        question = f"Replace version {expected} of {self.organisation}?"
-        if not self.confirmed(question):
-            return exitcodes.REFUSED
-        self.line_error(f"change id: {change_id}")
-        answer = self.change(
-            "template.apply",
-            organisation=self.organisation,
-            body=body,
-            expect_version=expected,
-            change_id=change_id,
-        )
-        return self.finish(answer, self.show_version)
+        question = f"Replace the template of {self.organisation}?"
+        return self.submit(question, "template.apply", body=body)
 
 
 @register
@@ -205,20 +205,9 @@
     options: ClassVar[list[Any]] = [EXPECT_VERSION, CHANGE_ID, YES]
 
     def execute_command(self) -> int:
-        expected = self.expected_version()
-        change_id = self.change_id()
         version = int(self.argument("version"))
-        if not self.confirmed(f"Roll {self.organisation} back to version {version}?"):
-            return exitcodes.REFUSED
-        self.line_error(f"change id: {change_id}")
-        answer = self.change(
-            "template.rollback",
-            organisation=self.organisation,
-            to_version=version,
-            expect_version=expected,
-            change_id=change_id,
-        )
-        return self.finish(answer, self.show_version)
+        question = f"Roll {self.organisation} back to version {version}?"
+        return self.submit(question, "template.rollback", to_version=version)
 
 
 @register
