Drop guards and errors that nothing needs any more

Cause: status and heartbeats read sections with defaults, from the time when those sections were stubs; two errors were never raised. Conclusion: behaviour is unchanged.

--- a/packages/core/src/bronzemoor_core/exceptions.py
+++ b/packages/core/src/bronzemoor_core/exceptions.py
@@ -47,18 +47,6 @@
         self.problems = problems
 
 
-class VersionConflict(BronzemoorError):
-    """A change was based on a version that is no longer the current one."""
-
-    code = "version_conflict"
-
-
-class NotLeader(BronzemoorError):
-    """This daemon does not lead the control group; ``peer`` is the leader if known."""
-
-    code = "not_leader"
-
-
 class StorageError(BronzemoorError):
     """The log or a snapshot cannot be written or read."""
 
--- a/packages/core/src/bronzemoor_core/heartbeats.py
+++ b/packages/core/src/bronzemoor_core/heartbeats.py
@@ -106,4 +106,4 @@
 def report_suspicions(
     now: float, blackboard: Blackboard, settings: NodeSettings, heartbeat: Heartbeat
 ) -> None:
-    heartbeat.suspicions = list(getattr(blackboard.failover, "suspicions", ()))
+    heartbeat.suspicions = list(blackboard.failover.suspicions)
--- a/packages/core/src/bronzemoor_core/status.py
+++ b/packages/core/src/bronzemoor_core/status.py
@@ -38,7 +38,7 @@
         "daemons": _daemons(now, blackboard),
         "pools": _pools(blackboard),
         "shares": _shares(now, blackboard),
-        "drain": {"stage": getattr(blackboard.drain, "stage", "")},
+        "drain": {"stage": blackboard.drain.stage},
     }
 
 
@@ -113,7 +113,7 @@
 @check
 def _control_group(now: float, board: Any) -> Iterator[Problem]:
     log = board.log
-    if not getattr(log, "leader", "") and not board.topology.leader:
+    if not log.leader and not board.topology.leader:
         yield _problem(
             DEGRADED,
             "no control leader is known",
@@ -188,14 +188,14 @@
 
 def _control(board: Any) -> dict[str, Any]:
     log = board.log
-    voters = list(getattr(log, "voters", ()))
+    voters = list(log.voters)
     return {
-        "leader": getattr(log, "leader", "") or board.topology.leader,
-        "role": getattr(log, "role", "none"),
-        "term": getattr(log, "term", 0),
-        "commit_index": getattr(log, "commit_index", 0),
+        "leader": log.leader or board.topology.leader,
+        "role": log.role,
+        "term": log.term,
+        "commit_index": log.commit_index,
         "members": voters,
-        "learners": list(getattr(log, "learners", ())),
+        "learners": list(log.learners),
         "tolerated_losses": max(0, (len(voters) - 1) // 2),
     }
 
@@ -214,7 +214,7 @@
 
 
 def _shares(now: float, board: Any) -> dict[str, Any]:
-    shares = getattr(board.limits, "shares", None) or {}
+    shares = board.limits.shares
     return {
         name: {
             "connections": share.connections,
@@ -227,7 +227,7 @@
 def _pools(board: Any) -> dict[str, Any]:
     """Connections of this daemon by database, member and state."""
     rows: dict[str, Any] = {}
-    for name, pool in sorted(getattr(board.pools, "databases", {}).items()):
+    for name, pool in sorted(board.pools.databases.items()):
         members: dict[str, dict[str, int]] = {}
         for connection in pool.connections.values():
             states = members.setdefault(connection.member, {})
