--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES = packages/core packages/daemon packages/client packages/standin
 SOURCES = $(foreach p,$(PACKAGES),$(p)/src)
 export PYTHONPATH = $(subst $(eval ) ,:,$(SOURCES))
-TOOLS = setuptools wheel ruff mypy pytest pytest-bdd pytest-benchmark hypothesis trustme \
+TOOLS = setuptools wheel ruff mypy pytest pytest-xdist pytest-bdd pytest-benchmark hypothesis trustme \
 	types-PyYAML types-requests types-jsonschema
 
 .PHONY: setup demo test lint format bench soak stats thrift
@@ -28,6 +28,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy $(SOURCES)
+	$(BIN)/mypy platform/bronzemoor_platform
 
 format: setup
 	$(BIN)/ruff format .
@@ -47,3 +48,4 @@
 	thrift --gen py:package_prefix=bronzemoor_daemon.gen. -out packages/daemon/src/bronzemoor_daemon/gen idl/peer.thrift
 	thrift --gen py:package_prefix=bronzemoor_daemon.gen. -out packages/daemon/src/bronzemoor_daemon/gen idl/endpoint.thrift
 	thrift --gen py:package_prefix=bronzemoor_standin.gen. -out packages/standin/src/bronzemoor_standin/gen idl/endpoint.thrift
+	find packages -name '*-remote' -delete
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -50,6 +50,27 @@
 struct ConfigurationUpdate { 1: list<TemplateVersion> templates, 2: i64 digest, 3: list<string> keys }
 struct ConfigurationAcknowledged { 1: map<string, i64> versions }
 
+struct JoinRequest { 1: string identity, 2: i64 incarnation }
+struct MemberView {
+  1: string member, 2: string address, 3: string zone, 4: bool leaving, 5: bool primary
+}
+struct GroupView {
+  1: string group, 2: i64 term, 3: string primary, 4: list<MemberView> members, 5: i32 connections
+}
+struct GroupReport {
+  1: string group, 2: string member, 3: i64 term, 4: i64 failing_ms, 5: i64 succeeded_ms,
+  6: i64 stalled_ms, 7: i64 acknowledged_term, 8: i64 acknowledged_offset, 9: list<string> unreachable
+}
+struct ProxyReport {
+  1: i64 incarnation, 2: i64 sequence, 3: i64 deployment_version, 4: i64 topology_version,
+  5: bool draining, 6: list<GroupReport> groups
+}
+struct ProxyGrant {
+  1: i64 sequence, 2: string leader, 3: i32 lease_ms, 4: i64 deployment_version,
+  5: binary deployment, 6: i64 topology_version, 7: list<GroupView> groups,
+  8: list<string> controls
+}
+
 union Message {
   1: PreVote pre_vote, 2: PreVoteReply pre_vote_reply, 3: Vote vote, 4: VoteReply vote_reply,
   5: AppendEntries append_entries, 6: AppendEntriesReply append_entries_reply,
@@ -57,7 +78,8 @@
   9: Propose propose, 10: ProposeReply propose_reply, 11: Heartbeat heartbeat,
   12: HeartbeatReply heartbeat_reply, 13: TopologyUpdate topology_update,
   14: ConfigurationUpdate configuration_update,
-  15: ConfigurationAcknowledged configuration_acknowledged
+  15: ConfigurationAcknowledged configuration_acknowledged,
+  16: JoinRequest join_request, 17: ProxyReport proxy_report, 18: ProxyGrant proxy_grant
 }
 
 struct Envelope {
--- a/packages/core/src/bronzemoor_core/consensus.py
+++ b/packages/core/src/bronzemoor_core/consensus.py
@@ -59,7 +59,8 @@
     """State of the replicated log at this daemon.
 
     ``role`` is follower, candidate, leader, learner, or none outside the control
-    group. ``last_contact`` is when this daemon last heard the leader, in seconds; for
+    group. ``confirmed_at`` is, for a leader, a time before which no other leader was
+    elected. ``last_contact`` is when this daemon last heard the leader, in seconds; for
     a leader, when a quorum last answered. ``established`` is true once a leader
     committed an entry of its term. ``founded_term`` is the term in which this member
     started the group as its first leader, or 0.
@@ -68,6 +69,7 @@
     __slots__ = (
         "applied_index",
         "commit_index",
+        "confirmed_at",
         "established",
         "founded_term",
         "last_contact",
@@ -87,6 +89,7 @@
         self.commit_index = 0
         self.applied_index = 0
         self.last_contact = float("-inf")
+        self.confirmed_at = float("-inf")
         self.established = False
         self.founded_term = 0
 
@@ -359,6 +362,7 @@
         own.established = replica.is_leader and committed_term == replica.term
         if replica.is_leader:
             replica.last_contact = min(now, self._replication.quorum_contact())
+            own.confirmed_at = self._replication.confirmed_at()
         own.last_contact = replica.last_contact
         own.term, own.leader = replica.term, replica.leader
         own.commit_index = replica.commit_index
--- a/packages/core/src/bronzemoor_core/elections.py
+++ b/packages/core/src/bronzemoor_core/elections.py
@@ -20,11 +20,16 @@
         self._next_log = 0.0
 
     def start(self, now: float) -> None:
-        """Sets the first timer; a group of one needs none."""
+        """Sets the first timer; a group of one needs none.
+
+        It is short, so that a whole group that restarts elects soon; the pre-vote
+        keeps a single restarted member from disturbing a leader.
+        """
         if self._replica.group.votes_needed == 1:
             self._deadline = now
         else:
-            self.reset_timer(now)
+            longest = self._replica.settings.timers.election_timeout_min
+            self._deadline = now + self._replica.random.uniform(0.0, longest)
 
     def reset_timer(self, now: float) -> None:
         timers = self._replica.settings.timers
--- a/packages/core/src/bronzemoor_core/messages.py
+++ b/packages/core/src/bronzemoor_core/messages.py
@@ -264,3 +264,97 @@
 @dataclass(slots=True)
 class ConfigurationAcknowledged:
     versions: dict[str, int]
+
+
+# --- between proxies of the statement protocol and the control group
+
+
+@message
+@dataclass(slots=True)
+class JoinRequest:
+    """A control daemon outside the group asks to become a member of it."""
+
+    identity: str
+    incarnation: int
+
+
+@message
+@dataclass(slots=True)
+class MemberView:
+    """One member of a database group as the proxies need it."""
+
+    member: str
+    address: str
+    zone: str
+    leaving: bool
+    primary: bool
+
+
+@message
+@dataclass(slots=True)
+class GroupView:
+    """One group: ``primary`` is empty while nobody may be used as primary.
+
+    ``connections`` is how many connections one proxy may hold to each member.
+    """
+
+    group: str
+    term: int
+    primary: str
+    members: list[MemberView]
+    connections: int
+
+
+@message
+@dataclass(slots=True)
+class GroupReport:
+    """What a proxy observed of a group's primary ``member`` in ``term``.
+
+    ``failing_ms`` is how long new connections to it have failed, ``succeeded_ms`` how
+    long ago it last answered, ``stalled_ms`` how long commits have had no answer while
+    other statements did; each is -1 where it does not apply. The acknowledged position
+    is the newest one of a commit that this proxy confirmed to a client.
+    """
+
+    group: str
+    member: str
+    term: int
+    failing_ms: int
+    succeeded_ms: int
+    stalled_ms: int
+    acknowledged_term: int
+    acknowledged_offset: int
+    unreachable: list[str]
+
+
+@message
+@dataclass(slots=True)
+class ProxyReport:
+    """From a proxy to the control leader; ``topology_version`` is the one in force."""
+
+    incarnation: int
+    sequence: int
+    deployment_version: int
+    topology_version: int
+    draining: bool
+    groups: list[GroupReport]
+
+
+@message
+@dataclass(slots=True)
+class ProxyGrant:
+    """Answers a report, or announces a change (``sequence`` 0, no lease).
+
+    ``lease_ms`` counts from the sending of the report that ``sequence`` names; 0 means
+    that the sender is not the leader. ``deployment`` is empty and ``groups`` is to be
+    ignored where the version is the one that the proxy reported.
+    """
+
+    sequence: int
+    leader: str
+    lease_ms: int
+    deployment_version: int
+    deployment: bytes
+    topology_version: int
+    groups: list[GroupView]
+    controls: list[str]
--- a/packages/core/src/bronzemoor_core/records.py
+++ b/packages/core/src/bronzemoor_core/records.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from bronzemoor_core.blackboard import section
+from bronzemoor_core.wire.records import WireRecords, wire_records
 
 
 @dataclass(slots=True)
@@ -85,7 +86,7 @@
 class State:
     """The applied state: the same on every control member at ``applied_index``."""
 
-    __slots__ = ("applied_index", "changes", "databases", "keys", "templates")
+    __slots__ = ("applied_index", "changes", "databases", "keys", "templates", "wire")
 
     def __init__(self) -> None:
         self.applied_index = 0
@@ -96,6 +97,8 @@
         self.databases: dict[str, DatabaseRecord] = {}
         # Newest first; the first one signs.
         self.keys: list[KeyRecord] = []
+        # What the statement protocol's control plane keeps.
+        self.wire = WireRecords()
 
     @property
     def versions(self) -> dict[str, int]:
@@ -113,6 +116,7 @@
         },
         "databases": [_database_to_dict(record) for record in state.databases.values()],
         "keys": [asdict(key) for key in state.keys],
+        "wire": state.wire.to_dict(),
     }
 
 
@@ -129,6 +133,7 @@
     records = [_database_from_dict(row) for row in data["databases"]]
     state.databases = {record.name: record for record in records}
     state.keys = [KeyRecord(**key) for key in data["keys"]]
+    state.wire = wire_records(data.get("wire"))
 
 
 def _database_to_dict(record: DatabaseRecord) -> dict[str, Any]:
--- a/packages/core/src/bronzemoor_core/replication.py
+++ b/packages/core/src/bronzemoor_core/replication.py
@@ -1,6 +1,6 @@
 """Replication of the leader's log, and the followers' side of it."""
 
-from collections import deque
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
 from bronzemoor_core.messages import AppendEntries, AppendEntriesReply, LogEntry
@@ -35,6 +35,9 @@
         self._replica = replica
         self._round_id = 0
         self._next_heartbeat = 0.0
+        # When each round that may still be confirmed started, seconds.
+        self._round_started: OrderedDict[int, float] = OrderedDict()
+        self._confirmed_at = float("-inf")
         # Highest index that is known to match the current leader's log.
         self._verified = 0
         self._verified_term = 0
@@ -57,6 +60,8 @@
     def lead(self, now: float) -> None:
         """Starts with no knowledge of any peer."""
         self.progress.clear()
+        self._round_started.clear()
+        self._confirmed_at = float("-inf")
         self.sync_peers(now)
         self._next_heartbeat = now
 
@@ -72,6 +77,16 @@
                 first_round=self._round_id + 1,
             )
 
+    def confirmed_at(self) -> float:
+        """When the newest round that a quorum answered was started, in seconds.
+
+        No other member can have been elected before that.
+        """
+        confirmed = self.confirmed_round
+        while self._round_started and next(iter(self._round_started)) <= confirmed:
+            self._confirmed_at = self._round_started.popitem(last=False)[1]
+        return self._confirmed_at
+
     def quorum_contact(self) -> float:
         """When a quorum last answered, in seconds."""
         times = {name: item.last_reply for name, item in self.progress.items()}
@@ -91,6 +106,7 @@
     def start_round(self, now: float) -> int:
         """Sends to every peer; returns the round that their answers will carry."""
         self._round_id += 1
+        self._round_started[self._round_id] = now
         self._next_heartbeat = now + self._replica.settings.timers.heartbeat_interval
         for name, progress in self.progress.items():
             self._send(name, progress, heartbeat=True)
--- a/packages/core/src/bronzemoor_core/state.py
+++ b/packages/core/src/bronzemoor_core/state.py
@@ -20,6 +20,7 @@
 )
 from bronzemoor_core.records import State, from_snapshot, to_snapshot
 from bronzemoor_core.templates import template_problems
+from bronzemoor_core.wire.commands import CHANGE_KINDS
 
 KEY_BYTES = 32
 
@@ -155,4 +156,6 @@
         "endpoint": lambda: StateChanged("database", command["database"]),
         "keys": lambda: StateChanged("keys", ""),
     }
+    if prefix in CHANGE_KINDS:
+        return [StateChanged(prefix, "")]
     return [kinds[prefix]()] if prefix in kinds else []
--- a/packages/core/src/bronzemoor_core/validation.py
+++ b/packages/core/src/bronzemoor_core/validation.py
@@ -3,10 +3,10 @@
 import re
 from collections.abc import Iterable, Iterator
 from difflib import get_close_matches
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from jsonschema import Draft202012Validator
-from jsonschema.exceptions import ValidationError
+if TYPE_CHECKING:
+    from jsonschema.exceptions import ValidationError
 
 UNIT_SECONDS = {"us": 1e-6, "ms": 1e-3, "s": 1.0, "m": 60.0, "h": 3600.0}
 DURATION_PATTERN = r"^\d+(\.\d+)?(us|ms|s|m|h)$"
@@ -33,6 +33,9 @@
 
 def find_problems(schema: dict[str, Any], body: Any) -> list[str]:
     """Returns one line a problem: its path, what was found and what is allowed."""
+    # Imported on first use: it takes a fifth of a control daemon's start.
+    from jsonschema import Draft202012Validator
+
     errors = Draft202012Validator(schema).iter_errors(body)
     ordered = sorted(errors, key=lambda error: [str(part) for part in error.path])
     return [line for error in ordered for line in _describe(error)]
@@ -44,7 +47,7 @@
     return f"; did you mean {close[0]!r}?" if close else ""
 
 
-def _describe(error: ValidationError) -> Iterator[str]:
+def _describe(error: "ValidationError") -> Iterator[str]:
     instance: Any = error.instance
     path = ".".join(str(part) for part in error.absolute_path) or "(top level)"
     found = _abbreviate(instance)
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/wire/records.py
@@ -0,0 +1,84 @@
+"""Replicated records of the statement protocol's control plane."""
+
+import base64
+import zlib
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+
+@dataclass(slots=True)
+class MemberRecord:
+    """One member of a group as it last announced itself.
+
+    ``born`` is the start of its process in milliseconds since the epoch and
+    ``sequence`` counts its announcements since then, so that a late one is recognised.
+    """
+
+    member: str
+    group: str
+    address: str
+    zone: str
+    born: int
+    sequence: int
+    leaving: bool
+    primary: bool
+
+    @property
+    def order(self) -> tuple[int, int]:
+        return self.born, self.sequence
+
+
+@dataclass(slots=True)
+class LeaderRecord:
+    """Who leads a group. ``candidate`` is set while a promotion is in progress."""
+
+    group: str
+    term: int = 0
+    primary: str = ""
+    candidate: str = ""
+    # Fencing number of the last promotion of this group.
+    fence: int = 0
+
+
+def pack_document(document: str) -> str:
+    """Compresses a document for the log and the way to the proxies, as text."""
+    return base64.b64encode(zlib.compress(document.encode())).decode()
+
+
+def unpack_document(packed: str) -> str:
+    """Reads what ``pack_document`` returned; raises ``ValueError``."""
+    try:
+        return zlib.decompress(base64.b64decode(packed)).decode()
+    except zlib.error as error:
+        raise ValueError(f"not a packed document: {error}") from error
+
+
+@dataclass(slots=True)
+class WireRecords:
+    """The packed deployment document, members, primaries and the fencing counter."""
+
+    version: int = 0
+    document: str = ""
+    members: dict[str, MemberRecord] = field(default_factory=dict)
+    leaders: dict[str, LeaderRecord] = field(default_factory=dict)
+    # Announcement order of members that left, so that a late announcement of theirs
+    # does not bring them back.
+    departed: dict[str, tuple[int, int]] = field(default_factory=dict)
+    last_fence: int = 0
+
+    def to_dict(self) -> dict[str, Any]:
+        return asdict(self)
+
+
+def wire_records(data: dict[str, Any] | None) -> WireRecords:
+    """Reads what ``to_dict`` returned; an older snapshot has none."""
+    if not data:
+        return WireRecords()
+    return WireRecords(
+        version=data["version"],
+        document=data["document"],
+        members={k: MemberRecord(**v) for k, v in data["members"].items()},
+        leaders={k: LeaderRecord(**v) for k, v in data["leaders"].items()},
+        departed={k: (v[0], v[1]) for k, v in data["departed"].items()},
+        last_fence=data["last_fence"],
+    )
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/wire/statements.py
@@ -0,0 +1,116 @@
+"""Statements and answers of the statement protocol, independent of their encoding."""
+
+from dataclasses import dataclass, field
+
+from bronzemoor_core.positions import ZERO, Position
+
+BEGIN = "begin"
+COMMIT = "commit"
+ROLLBACK = "rollback"
+READ = "read"
+WRITE = "write"
+SET = "set"
+PREPARE = "prepare"
+EXECUTE = "execute"
+DEALLOCATE = "deallocate"
+
+# Session states that follow every answer.
+IDLE = "idle"
+IN_TRANSACTION = "in_transaction"
+FAILED_TRANSACTION = "failed_transaction"
+
+# Error codes. Those in NOT_KEPT promise that nothing of the attempt is kept.
+BUSY = "busy"
+ABORTED = "aborted"
+LAGGING = "lagging"
+NOT_PRIMARY = "not_primary"
+WRONG_MEMBER = "wrong_member"
+CONNECTION_LIMIT = "connection_limit"
+FAILED = "failed"
+TIMEOUT = "timeout"
+UNKNOWN_PREPARED = "unknown_prepared"
+UNKNOWN_DATABASE = "unknown_database"
+MALFORMED = "malformed"
+IN_DOUBT = "in_doubt"
+TOO_LARGE = "too_large"
+
+NOT_KEPT = frozenset(
+    (BUSY, ABORTED, LAGGING, NOT_PRIMARY, WRONG_MEMBER, CONNECTION_LIMIT)
+)
+# Answers of an endpoint which say that the statement was not executed.
+NOT_RUN = frozenset(
+    (BUSY, UNKNOWN_PREPARED, LAGGING, NOT_PRIMARY, WRONG_MEMBER, CONNECTION_LIMIT)
+)
+
+
+@dataclass(slots=True)
+class Statement:
+    """One statement of a client; ``text`` is what is forwarded unchanged.
+
+    ``name`` is a value's or a prepared statement's name, ``writes`` the kind of what a
+    PREPARE prepares or an EXECUTE runs, ``body`` the shape, the value or the rest.
+    """
+
+    kind: str
+    text: bytes
+    name: bytes = b""
+    body: bytes = b""
+    writes: bool = False
+    read_only: bool = False
+
+
+@dataclass(slots=True)
+class StartRequest:
+    """A client opens a session on ``database``."""
+
+    database: str
+
+
+@dataclass(slots=True)
+class QueryRequest:
+    """A client's statement; None for a text that cannot be read."""
+
+    query_id: bytes
+    statement: Statement | None
+
+
+@dataclass(slots=True)
+class EndRequest:
+    """A client ends its session."""
+
+
+@dataclass(slots=True)
+class Answer:
+    """An endpoint's whole answer to one statement.
+
+    ``error`` is empty on success. ``rows`` are encoded as they came. ``position`` is
+    the member's log position after the statement.
+    """
+
+    rows: list[bytes] = field(default_factory=list)
+    signature: bytes = b""
+    error: str = ""
+    message: bytes = b""
+    state: str = IDLE
+    position: Position = ZERO
+
+    @property
+    def ok(self) -> bool:
+        return not self.error
+
+    @property
+    def not_run(self) -> bool:
+        return self.error in NOT_RUN
+
+
+@dataclass(slots=True)
+class MemberStatus:
+    """A member's report about itself; ``lag`` in seconds."""
+
+    primary: bool
+    term: int
+    position: Position
+    held_term: int
+    lag: float
+    busy: int
+    connections: int
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/wire/succession.py
@@ -0,0 +1,89 @@
+"""When a group's primary is replaced, and by which member."""
+
+from dataclasses import dataclass
+
+from bronzemoor_core.messages import GroupReport
+from bronzemoor_core.positions import ZERO, Position
+
+# A proxy's evidence counts once new connections failed for this long, seconds.
+FAILING_TIME = 0.250
+# Share of the reporting proxies that must fail before a primary that the control
+# leader itself still reaches is replaced.
+FAILING_SHARE = 0.30
+# Commits without an answer for this long, seconds, count as a primary without replicas.
+STALL_TIME = 1.2
+# Evidence older than this is not used, seconds.
+REPORT_AGE = 1.5
+# A primary that answered a proxy this recently is alive, seconds.
+ALIVE_TIME = 0.4
+
+
+@dataclass(slots=True)
+class Evidence:
+    """The newest report of one proxy about one group."""
+
+    received: float
+    report: GroupReport
+
+
+def should_replace(
+    now: float, primary: str, evidence: dict[str, Evidence], probe_failing: float
+) -> str:
+    """Returns why the primary must be replaced, or an empty text.
+
+    ``probe_failing`` is for how long, in seconds, the control leader's own probes have
+    failed, 0 while they succeed. A primary that only the control group cannot reach
+    goes on; so does one that a minority of the proxies cannot reach.
+    """
+    fresh = [
+        (item.report, now - item.received)
+        for item in evidence.values()
+        if now - item.received < REPORT_AGE and item.report.member == primary
+    ]
+    failing = sum(r.failing_ms >= FAILING_TIME * 1_000 for r, _ in fresh)
+    alive = sum(
+        r.succeeded_ms >= 0 and r.succeeded_ms / 1_000 + age < ALIVE_TIME
+        for r, age in fresh
+    )
+    stalled = sum(r.stalled_ms >= STALL_TIME * 1_000 for r, _ in fresh)
+    if probe_failing >= FAILING_TIME and (failing or not alive) and failing >= alive:
+        return "unreachable"
+    if failing and failing >= FAILING_SHARE * len(fresh):
+        return "unreachable_from_proxies"
+    if stalled >= max(1, FAILING_SHARE * len(fresh)):
+        return "commits_stalled"
+    return ""
+
+
+def acknowledged_position(evidence: dict[str, Evidence], term: int) -> Position:
+    """The newest commit of ``term`` that any proxy confirmed to a client."""
+    newest = ZERO
+    for item in evidence.values():
+        report = item.report
+        if report.acknowledged_term == term:
+            position = Position(report.acknowledged_term, report.acknowledged_offset)
+            newest = max(newest, position)
+    return newest
+
+
+def choose_successor(
+    held: dict[str, Position],
+    expected: set[str],
+    acknowledged: Position | None,
+    preferred: str = "",
+) -> str:
+    """The member that may be promoted, or an empty text while none is safe.
+
+    ``held`` are the positions of paused replicas and ``expected`` all replicas that may
+    have acknowledged a commit. With every one of them heard, the newest has all
+    commits. Otherwise a replica must have reached ``acknowledged``, the newest commit
+    that any client was told of, None while that is not known.
+    """
+    if not held:
+        return ""
+    best = max(held, key=lambda member: (held[member], member == preferred, member))
+    if expected <= set(held):
+        return best
+    if acknowledged is not None and held[best] >= acknowledged:
+        return best
+    return ""
--- a/packages/daemon/src/bronzemoor_daemon/datafolder.py
+++ b/packages/daemon/src/bronzemoor_daemon/datafolder.py
@@ -228,6 +228,14 @@
         sync_folder(self._path)
 
 
+def clear_folder(path: str | Path) -> None:
+    """Removes everything that the log stored; its identity is lost with it."""
+    for file in Path(path).iterdir():
+        if file.is_file():
+            file.unlink()
+    sync_folder(Path(path))
+
+
 def _fields(state: HardState) -> dict[str, int | str]:
     return {"term": state.term, "vote": state.vote, "identity": state.identity}
 
--- a/packages/daemon/src/bronzemoor_daemon/gen/peer/Peer.py
+++ b/packages/daemon/src/bronzemoor_daemon/gen/peer/Peer.py
@@ -151,11 +151,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.envelopes = []
-                    (_etype132, _size129) = iprot.readListBegin()
-                    for _i133 in range(_size129):
-                        _elem134 = Envelope()
-                        _elem134.read(iprot)
-                        self.envelopes.append(_elem134)
+                    (_etype167, _size164) = iprot.readListBegin()
+                    for _i168 in range(_size164):
+                        _elem169 = Envelope()
+                        _elem169.read(iprot)
+                        self.envelopes.append(_elem169)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -172,8 +172,8 @@
         if self.envelopes is not None:
             oprot.writeFieldBegin('envelopes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.envelopes))
-            for iter135 in self.envelopes:
-                iter135.write(oprot)
+            for iter170 in self.envelopes:
+                iter170.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
+++ b/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
@@ -2326,6 +2326,710 @@
         return not (self == other)
 
 
+class JoinRequest(object):
+    """
+    Attributes:
+     - identity
+     - incarnation
+
+    """
+
+
+    def __init__(self, identity=None, incarnation=None,):
+        self.identity = identity
+        self.incarnation = incarnation
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.identity = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JoinRequest')
+        if self.identity is not None:
+            oprot.writeFieldBegin('identity', TType.STRING, 1)
+            oprot.writeString(self.identity.encode('utf-8') if sys.version_info[0] == 2 else self.identity)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MemberView(object):
+    """
+    Attributes:
+     - member
+     - address
+     - zone
+     - leaving
+     - primary
+
+    """
+
+
+    def __init__(self, member=None, address=None, zone=None, leaving=None, primary=None,):
+        self.member = member
+        self.address = address
+        self.zone = zone
+        self.leaving = leaving
+        self.primary = primary
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.member = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.primary = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemberView')
+        if self.member is not None:
+            oprot.writeFieldBegin('member', TType.STRING, 1)
+            oprot.writeString(self.member.encode('utf-8') if sys.version_info[0] == 2 else self.member)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 2)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 3)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 4)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.primary is not None:
+            oprot.writeFieldBegin('primary', TType.BOOL, 5)
+            oprot.writeBool(self.primary)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GroupView(object):
+    """
+    Attributes:
+     - group
+     - term
+     - primary
+     - members
+     - connections
+
+    """
+
+
+    def __init__(self, group=None, term=None, primary=None, members=None, connections=None,):
+        self.group = group
+        self.term = term
+        self.primary = primary
+        self.members = members
+        self.connections = connections
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.primary = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype132, _size129) = iprot.readListBegin()
+                    for _i133 in range(_size129):
+                        _elem134 = MemberView()
+                        _elem134.read(iprot)
+                        self.members.append(_elem134)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.connections = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GroupView')
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 2)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.primary is not None:
+            oprot.writeFieldBegin('primary', TType.STRING, 3)
+            oprot.writeString(self.primary.encode('utf-8') if sys.version_info[0] == 2 else self.primary)
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter135 in self.members:
+                iter135.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.connections is not None:
+            oprot.writeFieldBegin('connections', TType.I32, 5)
+            oprot.writeI32(self.connections)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GroupReport(object):
+    """
+    Attributes:
+     - group
+     - member
+     - term
+     - failing_ms
+     - succeeded_ms
+     - stalled_ms
+     - acknowledged_term
+     - acknowledged_offset
+     - unreachable
+
+    """
+
+
+    def __init__(self, group=None, member=None, term=None, failing_ms=None, succeeded_ms=None, stalled_ms=None, acknowledged_term=None, acknowledged_offset=None, unreachable=None,):
+        self.group = group
+        self.member = member
+        self.term = term
+        self.failing_ms = failing_ms
+        self.succeeded_ms = succeeded_ms
+        self.stalled_ms = stalled_ms
+        self.acknowledged_term = acknowledged_term
+        self.acknowledged_offset = acknowledged_offset
+        self.unreachable = unreachable
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.member = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.failing_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.succeeded_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.stalled_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.acknowledged_term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.acknowledged_offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.unreachable = []
+                    (_etype139, _size136) = iprot.readListBegin()
+                    for _i140 in range(_size136):
+                        _elem141 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.unreachable.append(_elem141)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GroupReport')
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.member is not None:
+            oprot.writeFieldBegin('member', TType.STRING, 2)
+            oprot.writeString(self.member.encode('utf-8') if sys.version_info[0] == 2 else self.member)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 3)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.failing_ms is not None:
+            oprot.writeFieldBegin('failing_ms', TType.I64, 4)
+            oprot.writeI64(self.failing_ms)
+            oprot.writeFieldEnd()
+        if self.succeeded_ms is not None:
+            oprot.writeFieldBegin('succeeded_ms', TType.I64, 5)
+            oprot.writeI64(self.succeeded_ms)
+            oprot.writeFieldEnd()
+        if self.stalled_ms is not None:
+            oprot.writeFieldBegin('stalled_ms', TType.I64, 6)
+            oprot.writeI64(self.stalled_ms)
+            oprot.writeFieldEnd()
+        if self.acknowledged_term is not None:
+            oprot.writeFieldBegin('acknowledged_term', TType.I64, 7)
+            oprot.writeI64(self.acknowledged_term)
+            oprot.writeFieldEnd()
+        if self.acknowledged_offset is not None:
+            oprot.writeFieldBegin('acknowledged_offset', TType.I64, 8)
+            oprot.writeI64(self.acknowledged_offset)
+            oprot.writeFieldEnd()
+        if self.unreachable is not None:
+            oprot.writeFieldBegin('unreachable', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRING, len(self.unreachable))
+            for iter142 in self.unreachable:
+                oprot.writeString(iter142.encode('utf-8') if sys.version_info[0] == 2 else iter142)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ProxyReport(object):
+    """
+    Attributes:
+     - incarnation
+     - sequence
+     - deployment_version
+     - topology_version
+     - draining
+     - groups
+
+    """
+
+
+    def __init__(self, incarnation=None, sequence=None, deployment_version=None, topology_version=None, draining=None, groups=None,):
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.deployment_version = deployment_version
+        self.topology_version = topology_version
+        self.draining = draining
+        self.groups = groups
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.deployment_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.topology_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.draining = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.groups = []
+                    (_etype146, _size143) = iprot.readListBegin()
+                    for _i147 in range(_size143):
+                        _elem148 = GroupReport()
+                        _elem148.read(iprot)
+                        self.groups.append(_elem148)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ProxyReport')
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 1)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 2)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.deployment_version is not None:
+            oprot.writeFieldBegin('deployment_version', TType.I64, 3)
+            oprot.writeI64(self.deployment_version)
+            oprot.writeFieldEnd()
+        if self.topology_version is not None:
+            oprot.writeFieldBegin('topology_version', TType.I64, 4)
+            oprot.writeI64(self.topology_version)
+            oprot.writeFieldEnd()
+        if self.draining is not None:
+            oprot.writeFieldBegin('draining', TType.BOOL, 5)
+            oprot.writeBool(self.draining)
+            oprot.writeFieldEnd()
+        if self.groups is not None:
+            oprot.writeFieldBegin('groups', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.groups))
+            for iter149 in self.groups:
+                iter149.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ProxyGrant(object):
+    """
+    Attributes:
+     - sequence
+     - leader
+     - lease_ms
+     - deployment_version
+     - deployment
+     - topology_version
+     - groups
+     - controls
+
+    """
+
+
+    def __init__(self, sequence=None, leader=None, lease_ms=None, deployment_version=None, deployment=None, topology_version=None, groups=None, controls=None,):
+        self.sequence = sequence
+        self.leader = leader
+        self.lease_ms = lease_ms
+        self.deployment_version = deployment_version
+        self.deployment = deployment
+        self.topology_version = topology_version
+        self.groups = groups
+        self.controls = controls
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.lease_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.deployment_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.deployment = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.topology_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.groups = []
+                    (_etype153, _size150) = iprot.readListBegin()
+                    for _i154 in range(_size150):
+                        _elem155 = GroupView()
+                        _elem155.read(iprot)
+                        self.groups.append(_elem155)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.controls = []
+                    (_etype159, _size156) = iprot.readListBegin()
+                    for _i160 in range(_size156):
+                        _elem161 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.controls.append(_elem161)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ProxyGrant')
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.leader is not None:
+            oprot.writeFieldBegin('leader', TType.STRING, 2)
+            oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
+            oprot.writeFieldEnd()
+        if self.lease_ms is not None:
+            oprot.writeFieldBegin('lease_ms', TType.I32, 3)
+            oprot.writeI32(self.lease_ms)
+            oprot.writeFieldEnd()
+        if self.deployment_version is not None:
+            oprot.writeFieldBegin('deployment_version', TType.I64, 4)
+            oprot.writeI64(self.deployment_version)
+            oprot.writeFieldEnd()
+        if self.deployment is not None:
+            oprot.writeFieldBegin('deployment', TType.STRING, 5)
+            oprot.writeBinary(self.deployment)
+            oprot.writeFieldEnd()
+        if self.topology_version is not None:
+            oprot.writeFieldBegin('topology_version', TType.I64, 6)
+            oprot.writeI64(self.topology_version)
+            oprot.writeFieldEnd()
+        if self.groups is not None:
+            oprot.writeFieldBegin('groups', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.groups))
+            for iter162 in self.groups:
+                iter162.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.controls is not None:
+            oprot.writeFieldBegin('controls', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.controls))
+            for iter163 in self.controls:
+                oprot.writeString(iter163.encode('utf-8') if sys.version_info[0] == 2 else iter163)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Message(object):
     """
     Attributes:
@@ -2344,11 +3048,14 @@
      - topology_update
      - configuration_update
      - configuration_acknowledged
+     - join_request
+     - proxy_report
+     - proxy_grant
 
     """
 
 
-    def __init__(self, pre_vote=None, pre_vote_reply=None, vote=None, vote_reply=None, append_entries=None, append_entries_reply=None, install_snapshot=None, install_snapshot_reply=None, propose=None, propose_reply=None, heartbeat=None, heartbeat_reply=None, topology_update=None, configuration_update=None, configuration_acknowledged=None,):
+    def __init__(self, pre_vote=None, pre_vote_reply=None, vote=None, vote_reply=None, append_entries=None, append_entries_reply=None, install_snapshot=None, install_snapshot_reply=None, propose=None, propose_reply=None, heartbeat=None, heartbeat_reply=None, topology_update=None, configuration_update=None, configuration_acknowledged=None, join_request=None, proxy_report=None, proxy_grant=None,):
         self.pre_vote = pre_vote
         self.pre_vote_reply = pre_vote_reply
         self.vote = vote
@@ -2364,6 +3071,9 @@
         self.topology_update = topology_update
         self.configuration_update = configuration_update
         self.configuration_acknowledged = configuration_acknowledged
+        self.join_request = join_request
+        self.proxy_report = proxy_report
+        self.proxy_grant = proxy_grant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2464,6 +3174,24 @@
                     self.configuration_acknowledged.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.join_request = JoinRequest()
+                    self.join_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRUCT:
+                    self.proxy_report = ProxyReport()
+                    self.proxy_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRUCT:
+                    self.proxy_grant = ProxyGrant()
+                    self.proxy_grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2534,6 +3262,18 @@
             oprot.writeFieldBegin('configuration_acknowledged', TType.STRUCT, 15)
             self.configuration_acknowledged.write(oprot)
             oprot.writeFieldEnd()
+        if self.join_request is not None:
+            oprot.writeFieldBegin('join_request', TType.STRUCT, 16)
+            self.join_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.proxy_report is not None:
+            oprot.writeFieldBegin('proxy_report', TType.STRUCT, 17)
+            self.proxy_report.write(oprot)
+            oprot.writeFieldEnd()
+        if self.proxy_grant is not None:
+            oprot.writeFieldBegin('proxy_grant', TType.STRUCT, 18)
+            self.proxy_grant.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2930,6 +3670,65 @@
     None,  # 0
     (1, TType.MAP, 'versions', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 1
 )
+all_structs.append(JoinRequest)
+JoinRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'identity', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+)
+all_structs.append(MemberView)
+MemberView.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'member', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'zone', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'leaving', None, None, ),  # 4
+    (5, TType.BOOL, 'primary', None, None, ),  # 5
+)
+all_structs.append(GroupView)
+GroupView.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'term', None, None, ),  # 2
+    (3, TType.STRING, 'primary', 'UTF8', None, ),  # 3
+    (4, TType.LIST, 'members', (TType.STRUCT, [MemberView, None], False), None, ),  # 4
+    (5, TType.I32, 'connections', None, None, ),  # 5
+)
+all_structs.append(GroupReport)
+GroupReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'member', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'term', None, None, ),  # 3
+    (4, TType.I64, 'failing_ms', None, None, ),  # 4
+    (5, TType.I64, 'succeeded_ms', None, None, ),  # 5
+    (6, TType.I64, 'stalled_ms', None, None, ),  # 6
+    (7, TType.I64, 'acknowledged_term', None, None, ),  # 7
+    (8, TType.I64, 'acknowledged_offset', None, None, ),  # 8
+    (9, TType.LIST, 'unreachable', (TType.STRING, 'UTF8', False), None, ),  # 9
+)
+all_structs.append(ProxyReport)
+ProxyReport.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'incarnation', None, None, ),  # 1
+    (2, TType.I64, 'sequence', None, None, ),  # 2
+    (3, TType.I64, 'deployment_version', None, None, ),  # 3
+    (4, TType.I64, 'topology_version', None, None, ),  # 4
+    (5, TType.BOOL, 'draining', None, None, ),  # 5
+    (6, TType.LIST, 'groups', (TType.STRUCT, [GroupReport, None], False), None, ),  # 6
+)
+all_structs.append(ProxyGrant)
+ProxyGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'sequence', None, None, ),  # 1
+    (2, TType.STRING, 'leader', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'lease_ms', None, None, ),  # 3
+    (4, TType.I64, 'deployment_version', None, None, ),  # 4
+    (5, TType.STRING, 'deployment', 'BINARY', None, ),  # 5
+    (6, TType.I64, 'topology_version', None, None, ),  # 6
+    (7, TType.LIST, 'groups', (TType.STRUCT, [GroupView, None], False), None, ),  # 7
+    (8, TType.LIST, 'controls', (TType.STRING, 'UTF8', False), None, ),  # 8
+)
 all_structs.append(Message)
 Message.thrift_spec = (
     None,  # 0
@@ -2948,6 +3747,9 @@
     (13, TType.STRUCT, 'topology_update', [TopologyUpdate, None], None, ),  # 13
     (14, TType.STRUCT, 'configuration_update', [ConfigurationUpdate, None], None, ),  # 14
     (15, TType.STRUCT, 'configuration_acknowledged', [ConfigurationAcknowledged, None], None, ),  # 15
+    (16, TType.STRUCT, 'join_request', [JoinRequest, None], None, ),  # 16
+    (17, TType.STRUCT, 'proxy_report', [ProxyReport, None], None, ),  # 17
+    (18, TType.STRUCT, 'proxy_grant', [ProxyGrant, None], None, ),  # 18
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/packages/daemon/src/bronzemoor_daemon/logs.py
+++ b/packages/daemon/src/bronzemoor_daemon/logs.py
@@ -6,7 +6,7 @@
 from collections import deque
 from threading import Condition, Lock, Thread
 from time import monotonic
-from typing import Any
+from typing import Any, TextIO
 
 from loguru import logger
 
@@ -16,10 +16,10 @@
 QUEUE_LIMIT = 10_000
 
 
-def configure_logs(level: str) -> None:
-    """Sends the log of the whole process to standard error."""
+def configure_logs(level: str, stream: TextIO | None = None) -> None:
+    """Sends the log of the whole process to ``stream``, by default standard error."""
     logger.remove()
-    logger.add(sys.stderr, format=FORMAT, level=level)
+    logger.add(stream or sys.stderr, format=FORMAT, level=level)
     logging.basicConfig(handlers=[LibraryHandler()], level=logging.WARNING, force=True)
 
 
--- /dev/null
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
@@ -0,0 +1,265 @@
+"""One client session: its connection, its state and its open transaction."""
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING, cast
+
+from bronzemoor_core.exceptions import InvalidRequest
+from bronzemoor_core.wire import statements as st
+from bronzemoor_core.wire.deployment import Route
+from bronzemoor_core.wire.sessionstate import SessionState, find_prepared
+from bronzemoor_core.wire.statements import (
+    Answer,
+    EndRequest,
+    QueryRequest,
+    StartRequest,
+    Statement,
+)
+from bronzemoor_daemon.wire.clock import boottime
+from bronzemoor_daemon.wire.execution import Attempt, run_read, run_write
+from bronzemoor_daemon.wire.sockets import tune
+from bronzemoor_daemon.wire.transaction import Transaction
+
+if TYPE_CHECKING:
+    from bronzemoor_daemon.wire.proxy import Proxy
+
+MAX_MESSAGE_BYTES = 1_048_576
+CLIENT_USER_TIMEOUT = 10.0  # seconds
+# How long a new session waits for a deployment, seconds; clients wait two.
+START_PATIENCE = 1.7
+# Statements that a client may send ahead of their answers.
+MAX_PIPELINED = 64
+RETRY_HINT = b"retry_after_ms=250"
+
+
+class ClientSession(asyncio.Protocol):
+    """Serves one client; statements run one after the other, in a task of their own."""
+
+    def __init__(self, proxy: "Proxy") -> None:
+        self._proxy = proxy
+        self._codec = proxy.codec
+        self._buffer = b""
+        self._lines: deque[bytes] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._transport: asyncio.Transport | None = None
+        self._database = ""
+        self._transaction: Transaction | None = None
+        self.state = SessionState()
+
+    @property
+    def is_idle(self) -> bool:
+        """Tells whether the session may be closed without a failure."""
+        return self._task is None and self._transaction is None and not self._buffer
+
+    @property
+    def in_transaction(self) -> bool:
+        return self._transaction is not None
+
+    # --- transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        tune(transport, CLIENT_USER_TIMEOUT)
+        self._proxy.sessions.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        lines = (self._buffer + data).split(b"\r\n")
+        self._buffer = lines.pop()
+        self._lines.extend(lines)
+        too_long = len(self._buffer) > MAX_MESSAGE_BYTES
+        if too_long or len(self._lines) > MAX_PIPELINED:
+            self._write(self._codec.encode_error(st.TOO_LARGE, b"message too large"))
+            self.close()
+        elif self._lines and self._task is None:
+            self._task = asyncio.get_running_loop().create_task(self._serve())
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._transport = None
+        self._proxy.sessions.discard(self)
+        if self._task is not None:
+            self._task.cancel()
+        elif self._transaction is not None:
+            self._transaction.abandon()
+            self._transaction = None
+
+    def close(self) -> None:
+        """Closes after what was written is sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def end_transaction(self) -> None:
+        """Rolls back an open transaction; its next request is told so."""
+        if self._transaction is not None:
+            self._transaction.fail("stopping")
+
+    # --- requests
+
+    async def _serve(self) -> None:
+        try:
+            while self._lines and self._transport is not None:
+                await self._on_line(self._lines.popleft())
+        except asyncio.CancelledError:
+            if self._transaction is not None:
+                self._transaction.abandon()
+                self._transaction = None
+            raise
+        except Exception as error:  # a fault of one session must not stop the others
+            self._proxy.report("error", "session_failed", error=repr(error))
+            self.close()
+        finally:
+            self._task = None
+        if self._proxy.closing and self.is_idle:
+            self.close()
+
+    async def _on_line(self, line: bytes) -> None:
+        request = self._codec.decode_request(line)
+        if isinstance(request, QueryRequest) and self._database:
+            if request.statement is None:
+                self._answer_error(st.MALFORMED, b"unknown statement")
+                return
+            await self._on_statement(request.query_id, request.statement)
+        elif isinstance(request, StartRequest) and not self._database:
+            await self._start(request)
+        else:
+            if not isinstance(request, EndRequest):
+                self._proxy.report("info", "malformed_request", bytes=len(line))
+                self._write(self._codec.encode_error(st.MALFORMED, b"unexpected"))
+            self.close()
+
+    async def _start(self, request: StartRequest) -> None:
+        if self._proxy.deployment is None:
+            # A proxy that has just started learns it within moments.
+            try:
+                async with asyncio.timeout(START_PATIENCE):
+                    await self._proxy.deployed.wait()
+            except TimeoutError:
+                self._proxy.report("info", "start_refused", reason="no deployment")
+        deployment = self._proxy.deployment
+        if deployment is None:
+            self._write(self._codec.encode_error(st.BUSY, RETRY_HINT))
+            self.close()
+        elif request.database not in deployment.routes:
+            self._write(self._codec.encode_error(st.UNKNOWN_DATABASE, b"no route"))
+            self.close()
+        else:
+            self._database = request.database
+            self._write(self._codec.encode_ready(st.IDLE))
+
+    async def _on_statement(self, query_id: bytes, statement: Statement) -> None:
+        match statement.kind:
+            case st.SET:
+                self._set(statement)
+            case st.PREPARE:
+                self.state.prepared[statement.name] = (statement.writes, statement.body)
+                self._answer_local()
+            case st.DEALLOCATE:
+                self._deallocate(statement)
+            case st.BEGIN:
+                self._begin(query_id, statement)
+            case st.COMMIT | st.ROLLBACK:
+                await self._end(query_id, statement)
+            case _:
+                await self._run(query_id, statement)
+
+    def _set(self, statement: Statement) -> None:
+        self.state.values[statement.name] = statement.body
+        self._answer_local()
+
+    def _deallocate(self, statement: Statement) -> None:
+        if self.state.prepared.pop(statement.name, None) is None:
+            self._answer_error(st.UNKNOWN_PREPARED, b"no such prepared statement")
+        else:
+            self._answer_local()
+
+    def _begin(self, query_id: bytes, statement: Statement) -> None:
+        if self._transaction is not None:
+            self._answer_error(st.MALFORMED, b"a transaction is open")
+            return
+        route = self._route()
+        if route is None:
+            return
+        self._transaction = Transaction(
+            self._proxy, self._proxy.group(route.group), route, self.state,
+            Attempt(query_id, statement),
+        )  # fmt: skip
+        self._answer_local()
+
+    async def _end(self, query_id: bytes, statement: Statement) -> None:
+        transaction = self._transaction
+        if transaction is None:
+            self._answer_error(st.MALFORMED, b"no transaction is open")
+            return
+        started = boottime()
+        if statement.kind == st.ROLLBACK:
+            transaction.abandon()
+            answer = Answer(signature=b"")
+        else:
+            answer = await transaction.commit(started, Attempt(query_id, statement))
+        self._transaction = None
+        answer.state = st.IDLE
+        self._finish(query_id, statement, transaction.route, answer, started)
+
+    async def _run(self, query_id: bytes, statement: Statement) -> None:
+        started = boottime()
+        shape = None
+        writes = statement.kind == st.WRITE
+        if statement.kind == st.EXECUTE:
+            try:
+                shape = find_prepared(self.state, statement.name)
+            except InvalidRequest as error:
+                self._answer_error(st.UNKNOWN_PREPARED, error.message.encode())
+                return
+            writes = shape[0]
+        attempt = Attempt(query_id, statement, writes, shape)
+        transaction = self._transaction
+        if transaction is not None:
+            answer = await transaction.run(started, attempt)
+            answer.state = transaction.state
+            self._finish(query_id, statement, transaction.route, answer, started)
+            return
+        route = self._route()
+        if route is None:
+            return
+        group = self._proxy.group(route.group)
+        run = run_write if writes else run_read
+        answer = await run(self._proxy, group, route, self.state, attempt)
+        answer.state = st.IDLE
+        self._finish(query_id, statement, route, answer, started)
+
+    # --- answers
+
+    def _route(self) -> Route | None:
+        """The route in force; without one the client is told so."""
+        deployment = self._proxy.deployment
+        route = deployment.routes.get(self._database) if deployment else None
+        if route is None:
+            self._answer_error(st.UNKNOWN_DATABASE, b"no route")
+        return route
+
+    def _finish(
+        self,
+        query_id: bytes,
+        statement: Statement,
+        route: Route,
+        answer: Answer,
+        started: float,
+    ) -> None:
+        if answer.error in st.NOT_KEPT and not answer.message:
+            answer.message = RETRY_HINT
+        self._proxy.observe(query_id, statement, route, answer, boottime() - started)
+        self._write(self._codec.encode_answer(answer))
+
+    def _answer_local(self) -> None:
+        self._write(self._codec.encode_answer(Answer(state=self._state)))
+
+    def _answer_error(self, error: str, message: bytes) -> None:
+        answer = Answer(error=error, message=message, state=self._state)
+        self._write(self._codec.encode_answer(answer))
+
+    @property
+    def _state(self) -> str:
+        return self._transaction.state if self._transaction else st.IDLE
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None:
+            self._transport.write(data)
--- /dev/null
+++ b/packages/daemon/src/bronzemoor_daemon/wire/execution.py
@@ -0,0 +1,192 @@
+"""Runs single statements: choice of the member, retries and honest outcomes."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from bronzemoor_core.positions import ZERO, Position
+from bronzemoor_core.wire import statements as st
+from bronzemoor_core.wire.deployment import Route
+from bronzemoor_core.wire.sessionstate import SessionState
+from bronzemoor_core.wire.statements import Answer, Statement
+from bronzemoor_daemon.wire.clock import boottime
+from bronzemoor_daemon.wire.groups import Group
+from bronzemoor_daemon.wire.memberconnection import ConnectionLost, MemberConnection
+from bronzemoor_daemon.wire.memberpool import MemberPool, NoConnection
+
+if TYPE_CHECKING:
+    from bronzemoor_daemon.wire.proxy import Proxy
+
+# Share of a statement's time that one member gets before a read goes elsewhere.
+ATTEMPT_SHARE = 0.5
+# Pause before a statement that was refused is sent again, seconds.
+RETRY_PAUSE = 0.020
+# A connection that became free counts as waited for at least this long, seconds.
+MIN_WAIT = 0.010
+
+
+@dataclass(slots=True)
+class Attempt:
+    """A client's statement as it is sent to a member."""
+
+    query_id: bytes
+    statement: Statement
+    writes: bool = False
+    # Shape of the prepared statement that an EXECUTE runs.
+    shape: tuple[bool, bytes] | None = None
+
+
+def send(
+    proxy: "Proxy",
+    connection: MemberConnection,
+    attempt: Attempt,
+    at_least: Position = ZERO,
+) -> asyncio.Future[Answer]:
+    """Sends a statement with the preparation it needs on this connection."""
+    statement = attempt.statement
+    text = statement.text
+    if attempt.shape is not None:
+        name, futures = connection.prepare(attempt.shape)
+        ignore(futures)
+        text = proxy.codec.execute_text(name, statement.body)
+    return connection.query(attempt.query_id, text, at_least)
+
+
+def ignore(futures: list[asyncio.Future[Answer]]) -> None:
+    """Takes note of answers nobody waits for, also when the connection is lost."""
+    for future in futures:
+        future.add_done_callback(lambda f: f.cancelled() or f.exception())
+
+
+async def run_read(
+    proxy: "Proxy",
+    group: Group,
+    route: Route,
+    session: SessionState,
+    attempt: Attempt,
+) -> Answer:
+    """Runs a single read at the best member; a read may run more than once."""
+    deadline = boottime() + route.statement_timeout
+    tried: set[str] = set()
+    last = Answer(error=st.BUSY)
+    while (now := boottime()) < deadline - MIN_WAIT:
+        target = group.choose(now, route, session, tried)
+        if target is None:
+            if tried:
+                tried.clear()
+                await asyncio.sleep(min(RETRY_PAUSE, deadline - now))
+            else:
+                await group.wait_change(min(0.1, deadline - now))
+            continue
+        pool = group.pools[target.member]
+        limit = min(deadline - now, route.statement_timeout * ATTEMPT_SHARE)
+        try:
+            connection = await pool.acquire(session, route.priority, limit)
+        except NoConnection as error:
+            tried.add(pool.member)
+            proxy.note_retry(attempt, pool.member, str(error))
+            continue
+        if target.position == ZERO and not group.leads(
+            boottime(), pool.member, group.term
+        ):
+            pool.release(connection, clean=True)
+            continue
+        answer = await exchange(
+            proxy, group, pool, connection, session, attempt, target.position,
+            min(deadline - boottime(), route.statement_timeout * ATTEMPT_SHARE),
+        )  # fmt: skip
+        if answer is None:
+            tried.add(pool.member)
+            last = Answer(error=st.TIMEOUT)
+            continue
+        if answer.ok:
+            return answer
+        last = answer
+        if not answer.not_run and answer.error != st.FAILED:
+            return answer
+        tried.add(pool.member)
+    return last
+
+
+async def exchange(
+    proxy: "Proxy",
+    group: Group,
+    pool: MemberPool,
+    connection: MemberConnection,
+    session: SessionState,
+    attempt: Attempt,
+    at_least: Position,
+    timeout: float,
+) -> Answer | None:
+    """Runs one statement and returns the connection; None if no answer came."""
+    term = group.term
+    sent_at = boottime()
+    clean = False
+    try:
+        ignore(connection.adopt(session))
+        async with asyncio.timeout(timeout):
+            answer = await send(proxy, connection, attempt, at_least)
+        clean = answer.state == st.IDLE
+    except TimeoutError:
+        now = boottime()
+        pool.suspect(now)
+        proxy.note_retry(attempt, pool.member, "no answer in time")
+        return None
+    except ConnectionLost as error:
+        pool.failed_at = boottime()
+        proxy.note_retry(attempt, pool.member, str(error))
+        return None
+    finally:
+        pool.release(connection, clean)
+    now = boottime()
+    pool.succeeded(now, now - sent_at)
+    if answer.ok and at_least == ZERO and group.leads(now, pool.member, term):
+        group.samples.record(sent_at, answer.position)
+    return answer
+
+
+async def run_write(
+    proxy: "Proxy",
+    group: Group,
+    route: Route,
+    session: SessionState,
+    attempt: Attempt,
+) -> Answer:
+    """Runs a single write at the primary; it is sent again only if it did not run."""
+    deadline = boottime() + route.statement_timeout
+    last = Answer(error=st.BUSY)
+    while (now := boottime()) < deadline - MIN_WAIT:
+        pool = group.primary_pool(now)
+        if pool is None:
+            await group.wait_change(min(0.1, deadline - now))
+            continue
+        term = group.term
+        try:
+            connection = await pool.acquire(session, route.priority, deadline - now)
+        except NoConnection as error:
+            proxy.note_retry(attempt, pool.member, str(error))
+            await group.wait_change(min(RETRY_PAUSE, max(0.0, deadline - boottime())))
+            continue
+        sent_at = boottime()
+        if not connection.is_open or not group.leads(sent_at, pool.member, term):
+            pool.release(connection, clean=True)
+            continue
+        answer = await exchange(
+            proxy, group, pool, connection, session, attempt, ZERO,
+            max(MIN_WAIT, deadline - sent_at),
+        )  # fmt: skip
+        now = boottime()
+        if answer is None:
+            group.commit_unanswered(sent_at)
+            return Answer(error=st.IN_DOUBT, message=b"no answer to the write")
+        if answer.ok:
+            if not group.leads(now, pool.member, term):
+                return Answer(error=st.IN_DOUBT, message=b"the primary was replaced")
+            group.commit_answered(now, sent_at, answer.position)
+            session.last_commit = answer.position
+            return answer
+        if not answer.not_run:
+            return answer
+        last = answer
+        await asyncio.sleep(min(RETRY_PAUSE, max(0.0, deadline - boottime())))
+    return last
--- /dev/null
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -0,0 +1,257 @@
+"""The control leader's work: topology, leases, joins and one supervisor a group."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from bronzemoor_core.exceptions import BronzemoorError
+from bronzemoor_core.messages import GroupView, MemberView, ProxyGrant, ProxyReport
+from bronzemoor_core.wire.deployment import Deployment
+from bronzemoor_core.wire.leases import LeaseTable
+from bronzemoor_core.wire.records import LeaderRecord, MemberRecord, unpack_document
+from bronzemoor_core.wire.succession import Evidence
+from bronzemoor_daemon.wire.clock import boottime
+from bronzemoor_daemon.wire.metrics import WireMetrics
+from bronzemoor_daemon.wire.ports import (
+    DocumentReader,
+    PromotionExecutor,
+    StatementCodec,
+)
+from bronzemoor_daemon.wire.settings import WireSettings
+from bronzemoor_daemon.wire.supervisor import Supervisor
+
+if TYPE_CHECKING:
+    from bronzemoor_daemon.wire.control import ControlDaemon
+
+# Connections of each member that proxies leave for the control leader's orders.
+RESERVED_CONNECTIONS = 1
+# A voter that was silent for this long may be replaced by a joining daemon, seconds.
+VOTER_SILENCE = 4.0
+JOIN_PAUSE = 1.0  # seconds between changes of the control group
+# Topology versions count from here within each term of the control group.
+TERM_SHIFT = 32
+# A proxy that was not heard for this long is not told of changes, seconds.
+PROXY_SILENCE = 5.0
+DEFAULT_CONNECTIONS = 8
+
+
+class Leader:
+    """Lives from the first committed entry of a term until leadership is lost."""
+
+    def __init__(
+        self,
+        control: "ControlDaemon",
+        settings: WireSettings,
+        codec: StatementCodec,
+        read_document: DocumentReader,
+        execute_promotion: PromotionExecutor,
+        report: Callable[..., None],
+        metrics: WireMetrics,
+    ) -> None:
+        self._control = control
+        self._settings = settings
+        self._read_document = read_document
+        self._supervisors: dict[str, Supervisor] = {}
+        self._heard: dict[str, float] = {}
+        self._draining: set[str] = set()
+        self._version = control.log.term << TERM_SHIFT
+        self._views: list[GroupView] = []
+        self._packed = b""
+        self._joined_at = float("-inf")
+        self._closed = False
+        self.codec = codec
+        self.execute_promotion = execute_promotion
+        self.report = report
+        self.metrics = metrics
+        self.deployment: Deployment | None = None
+        self.leases = LeaseTable(boottime())
+        self.evidence: dict[str, dict[str, Evidence]] = {}
+        self.records_changed()
+
+    @property
+    def name(self) -> str:
+        return self._settings.name
+
+    @property
+    def version(self) -> int:
+        """Version of the topology that proxies are told."""
+        return self._version
+
+    def close(self) -> None:
+        """Ends every supervisor; promotions in progress go on under a new leader."""
+        self._closed = True
+        for supervisor in self._supervisors.values():
+            supervisor.close()
+
+    # --- records
+
+    def members(self, group: str) -> list[MemberRecord]:
+        records = self._control.records.members.values()
+        return [record for record in records if record.group == group]
+
+    def record(self, group: str) -> LeaderRecord:
+        """Who leads the group, as committed."""
+        record = self._control.records.leaders.get(group)
+        return record if record is not None else LeaderRecord(group)
+
+    async def commit(self, command: dict[str, object]) -> dict[str, object] | None:
+        """Commits a command; None if it is not certain that it is."""
+        reply = await self._control.propose(command)
+        if reply.code != "ok":
+            self.report(
+                "warning", "command_failed", type=command["type"], outcome=reply.code
+            )
+            return None
+        return reply.body
+
+    def records_changed(self) -> None:
+        """Follows the replicated records and tells proxies what changed."""
+        records = self._control.records
+        version = self.deployment.version if self.deployment else 0
+        newer = records.version > version
+        if newer:
+            try:
+                document = unpack_document(records.document)
+                self.deployment = self._read_document(document)
+            except (BronzemoorError, ValueError) as error:
+                self.report("error", "deployment_unreadable", error=str(error))
+                return
+            self._packed = records.document.encode()
+        groups = self.deployment.groups if self.deployment else {}
+        for name in groups:
+            if name not in self._supervisors:
+                self._supervisors[name] = Supervisor(self, name)
+        for name in set(self._supervisors) - set(groups):
+            self._supervisors.pop(name).close()
+        changed = self.refresh()
+        if newer and not changed:
+            self._announce()
+        for supervisor in self._supervisors.values():
+            supervisor.wake()
+
+    # --- topology
+
+    def refresh(self) -> bool:
+        """Computes the topology; announces it under a new version if it changed."""
+        views = [self._view(name) for name in self._supervisors]
+        if views == self._views:
+            return False
+        self._views = views
+        self._version += 1
+        self._announce()
+        return True
+
+    def _view(self, group: str) -> GroupView:
+        record = self.record(group)
+        usable = not record.candidate and not self._supervisors[group].revoked
+        members = [
+            MemberView(item.member, item.address, item.zone, item.leaving, item.primary)
+            for item in self.members(group)
+        ]
+        for view in members:
+            view.primary = view.member == record.primary
+        members.sort(key=lambda item: item.member)
+        return GroupView(
+            group,
+            record.term,
+            record.primary if usable else "",
+            members,
+            self._share(group),
+        )
+
+    def _share(self, group: str) -> int:
+        """Connections to each member that one proxy may hold."""
+        spec = self.deployment.groups.get(group) if self.deployment else None
+        limit = spec.max_connections if spec else 0
+        if not limit:
+            return DEFAULT_CONNECTIONS
+        proxies = max(1, self.leases.active(boottime()))
+        return max(1, (limit - RESERVED_CONNECTIONS) // proxies)
+
+    def _announce(self) -> None:
+        now = boottime()
+        for proxy, heard in list(self._heard.items()):
+            if now - heard < PROXY_SILENCE:
+                self._send_grant(proxy, 0, 0.0, 0, 0)
+            else:
+                del self._heard[proxy]
+
+    def _send_grant(
+        self, proxy: str, sequence: int, lease: float, deployment: int, topology: int
+    ) -> None:
+        """Sends what the proxy lacks; it reported the two versions that it has."""
+        version = self.deployment.version if self.deployment else 0
+        self._control.links.send(
+            proxy,
+            ProxyGrant(
+                sequence,
+                self._settings.peer,
+                int(lease * 1_000),
+                version,
+                self._packed if deployment < version else b"",
+                self._version,
+                self._views if topology < self._version else [],
+                self._control.controls,
+            ),
+        )
+
+    # --- proxies
+
+    def on_report(self, now: float, proxy: str, report: ProxyReport) -> None:
+        """Takes a proxy's report and answers with a lease."""
+        self._heard[proxy] = now
+        self.leases.confirm(proxy, report.topology_version)
+        for item in report.groups:
+            evidence = self.evidence.setdefault(item.group, {})
+            evidence[proxy] = Evidence(now, item)
+            supervisor = self._supervisors.get(item.group)
+            if supervisor is not None:
+                supervisor.on_evidence(item)
+        before = self.leases.active(now)
+        lease = self.leases.grant(now, proxy, self._control.log.confirmed_at)
+        if self.leases.active(now) != before:
+            self.report("info", "proxies_changed", proxies=self.leases.active(now))
+            self.refresh()
+        self._send_grant(
+            proxy,
+            report.sequence,
+            lease,
+            report.deployment_version,
+            report.topology_version,
+        )
+
+    # --- control group
+
+    def on_join(self, now: float, sender: str) -> None:
+        """Lets a daemon outside the group in, in the place of one that is lost."""
+        log = self._control.log
+        if now - self._joined_at < JOIN_PAUSE or sender in (*log.voters, *log.learners):
+            return
+        self._joined_at = now
+        self._control.spawn(self._join(sender))
+
+    async def _join(self, sender: str) -> None:
+        described = await self._control.change_group({"type": "control.members"})
+        members = described.body.get("members", [])
+        silent = [
+            item["name"]
+            for item in members
+            if not item["reachable"] and item["name"] != sender
+        ]
+        voters = [item for item in members if item["role"] != "learner"]
+        wanted = 2 * self._settings.tolerated_losses + 1
+        if silent:
+            change = {"type": "control.replace", "name": silent[0]}
+            change["replacement"] = sender
+        elif len(voters) < wanted:
+            change = {"type": "control.add", "name": sender}
+        else:
+            return
+        outcome = await self._control.change_group(change)
+        self.report(
+            "info",
+            "join",
+            peer=sender,
+            change=change["type"],
+            outcome=outcome.code,
+            message=outcome.body.get("message", ""),
+        )
--- /dev/null
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
@@ -0,0 +1,242 @@
+"""The connections of one proxy to one member."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from heapq import heappop, heappush
+from itertools import count
+
+from bronzemoor_core.exceptions import BronzemoorError
+from bronzemoor_core.wire.sessionstate import SessionState
+from bronzemoor_core.wire.statements import CONNECTION_LIMIT
+from bronzemoor_daemon.wire.clock import boottime
+from bronzemoor_daemon.wire.memberconnection import (
+    ConnectionLost,
+    MemberConnection,
+    connect,
+)
+from bronzemoor_daemon.wire.ports import StatementCodec
+
+CONNECT_TIMEOUT = 0.5  # seconds
+# Pause before the next attempt after a failed one.
+RECONNECT_INTERVAL = 0.1  # seconds
+# Connections that may be in opening at once, since each takes a slot of the member.
+MAX_OPENING = 2
+# How much a new measurement of the delay counts.
+DELAY_WEIGHT = 0.2
+
+
+class NoConnection(BronzemoorError):
+    """No connection to a member could be had; nothing was sent."""
+
+    code = "busy"
+
+
+class MemberPool:
+    """Keeps at most ``limit`` connections open and hands them out by priority."""
+
+    def __init__(
+        self,
+        codec: StatementCodec,
+        group: str,
+        caller: str,
+        member: str,
+        address: str,
+        is_local: bool,
+        limit: int,
+        report: Callable[..., None],
+    ) -> None:
+        self._codec = codec
+        self._group = group
+        self._caller = caller
+        self._report = report
+        self._idle: deque[MemberConnection] = deque()
+        self._open: set[MemberConnection] = set()
+        self._opening = 0
+        self._waiting: list[tuple[int, int, asyncio.Future[MemberConnection]]] = []
+        self._order = count()
+        self._closed = False
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.member = member
+        self.address = address
+        self.is_local = is_local
+        self.limit = limit
+        self.leaving = False
+        self.leaving_since = 0.0
+        # Seconds; when a connection or statement last failed or succeeded here.
+        self.failed_at = float("-inf")
+        self.succeeded_at = float("-inf")
+        # Since when every new connection failed, None while they succeed.
+        self.failing_since: float | None = None
+        # Smoothed time of a statement here, seconds.
+        self.delay = 0.001 if is_local else 0.025
+
+    @property
+    def load(self) -> int:
+        """Statements in progress or waiting."""
+        return len(self._open) - len(self._idle) + len(self._waiting)
+
+    async def acquire(
+        self, session: SessionState, priority: int, timeout: float
+    ) -> MemberConnection:
+        """Returns a connection, best one that ``session`` used before.
+
+        Raises ``NoConnection`` after ``timeout`` seconds or when none can be opened.
+        """
+        connection = self._take_idle(session)
+        if connection is not None:
+            return connection
+        future: asyncio.Future[MemberConnection] = (
+            asyncio.get_running_loop().create_future()
+        )
+        heappush(self._waiting, (priority, next(self._order), future))
+        self._open_more()
+        try:
+            async with asyncio.timeout(timeout):
+                return await future
+        except TimeoutError:
+            self._give_back(future)
+            raise NoConnection(
+                "no connection became free", step="pool", peer=self.member
+            ) from None
+        except asyncio.CancelledError:
+            self._give_back(future)
+            raise
+
+    def release(self, connection: MemberConnection, clean: bool) -> None:
+        """Takes a connection back; one that is not clean is closed."""
+        if not clean or not connection.is_open or not connection.is_quiet:
+            self._discard(connection)
+            self._open_more()
+            return
+        if self._closed or len(self._open) > self.limit:
+            self._discard(connection)
+            return
+        future = self._next_waiting()
+        if future is not None:
+            future.set_result(connection)
+        else:
+            self._idle.append(connection)
+
+    def succeeded(self, now: float, elapsed: float) -> None:
+        """Notes an answer that took ``elapsed`` seconds."""
+        self.succeeded_at = now
+        self.failing_since = None
+        self.delay += (elapsed - self.delay) * DELAY_WEIGHT
+
+    def suspect(self, now: float) -> None:
+        """A statement had no answer: idle connections may be silent as well."""
+        self.failed_at = now
+        while self._idle:
+            self._discard(self._idle.pop())
+
+    def set_limit(self, limit: int) -> None:
+        self.limit = max(1, limit)
+        while self._idle and len(self._open) > self.limit:
+            self._discard(self._idle.popleft())
+
+    def warm(self, wanted: int) -> None:
+        """Opens connections ahead of need, up to ``wanted``."""
+        while len(self._open) + self._opening < min(wanted, self.limit):
+            if not self._start_opening():
+                return
+
+    def close(self) -> None:
+        """Closes idle connections now and the others when they are released."""
+        self._closed = True
+        while self._idle:
+            self._discard(self._idle.pop())
+        self._fail_waiting("the member is gone")
+
+    def _take_idle(self, session: SessionState) -> MemberConnection | None:
+        for connection in list(self._idle):
+            if not connection.is_open:
+                self._idle.remove(connection)
+                self._discard(connection)
+        if not self._idle:
+            return None
+        for connection in self._idle:
+            if connection.session is session:
+                self._idle.remove(connection)
+                return connection
+        return self._idle.pop()
+
+    def _give_back(self, future: asyncio.Future[MemberConnection]) -> None:
+        """A connection that arrived together with the end of the wait is kept."""
+        if future.done() and not future.cancelled() and future.exception() is None:
+            self.release(future.result(), clean=True)
+
+    def _next_waiting(self) -> asyncio.Future[MemberConnection] | None:
+        while self._waiting:
+            future = heappop(self._waiting)[2]
+            if not future.done():
+                return future
+        return None
+
+    def _discard(self, connection: MemberConnection) -> None:
+        self._open.discard(connection)
+        connection.close()
+
+    def _open_more(self) -> None:
+        waiting = sum(not item[2].done() for item in self._waiting)
+        while waiting > self._opening and self._start_opening():
+            pass
+
+    def _start_opening(self) -> bool:
+        if (
+            self._closed
+            or self._opening >= MAX_OPENING
+            or len(self._open) + self._opening >= self.limit
+        ):
+            return False
+        self._opening += 1
+        task = asyncio.get_running_loop().create_task(self._open_one())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return True
+
+    async def _open_one(self) -> None:
+        started = boottime()
+        try:
+            connection, answer = await connect(
+                self._codec,
+                self._group,
+                self._caller,
+                self.member,
+                self.address,
+                CONNECT_TIMEOUT,
+            )
+        except ConnectionLost as error:
+            self._opening -= 1
+            self._failed(started, str(error))
+            await self._retry_later()
+            return
+        if not answer.ok:
+            self._opening -= 1
+            if answer.error == CONNECTION_LIMIT and self._open:
+                # The others keep working; somebody else holds the rest.
+                self._report("info", "connection_refused", member=self.member)
+            else:
+                self._failed(started, answer.error)
+            await self._retry_later()
+            return
+        self._opening -= 1
+        self.failing_since = None
+        self._open.add(connection)
+        self.release(connection, clean=True)
+
+    async def _retry_later(self) -> None:
+        await asyncio.sleep(RECONNECT_INTERVAL)
+        self._open_more()
+
+    def _failed(self, started: float, reason: str) -> None:
+        self.failed_at = boottime()
+        if self.failing_since is None:
+            self.failing_since = started
+        self._report("warning", "connect_failed", member=self.member, reason=reason)
+        if not self._open:
+            self._fail_waiting(reason)
+
+    def _fail_waiting(self, reason: str) -> None:
+        while (future := self._next_waiting()) is not None:
+            future.set_exception(NoConnection(reason, step="pool", peer=self.member))
--- /dev/null
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -0,0 +1,281 @@
+"""The proxy: client sessions in front of the groups that the control leader names."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from bronzemoor_core.exceptions import BronzemoorError
+from bronzemoor_core.messages import ProxyGrant, ProxyReport
+from bronzemoor_core.wire.deployment import Deployment, Route
+from bronzemoor_core.wire.leases import HeldLease
+from bronzemoor_core.wire.records import unpack_document
+from bronzemoor_core.wire.statements import Answer, Statement
+from bronzemoor_daemon.framing import split_address
+from bronzemoor_daemon.wire.clientsession import ClientSession
+from bronzemoor_daemon.wire.clock import boottime
+from bronzemoor_daemon.wire.execution import Attempt
+from bronzemoor_daemon.wire.groups import Group
+from bronzemoor_daemon.wire.links import Links
+from bronzemoor_daemon.wire.metrics import WireMetrics
+from bronzemoor_daemon.wire.ports import DocumentReader, StatementCodec
+from bronzemoor_daemon.wire.settings import WireSettings
+
+REPORT_INTERVAL = 0.5  # seconds
+# A leader that did not answer for this long is looked for again, seconds.
+LEADER_TIMEOUT = 1.2
+# Reports at once while a primary fails, at most this often, seconds.
+URGENT_INTERVAL = 0.1
+# Readiness is withdrawn after this long without a lease, seconds.
+UNREADY_AFTER = 4.0
+# Reports whose answers still renew the lease.
+REPORTS_KEPT = 32
+# Stages of a stop, as shares of the grace: idle sessions are closed, open transactions
+# are rolled back, the process ends.
+CLOSE_IDLE_AT, ABORT_AT, END_AT = 0.40, 0.60, 0.85
+LISTEN_BACKLOG = 512
+SLOW_STATEMENT = 1.0  # seconds
+
+
+class Proxy:
+    """Serves clients; follows the control leader's topology and deployment."""
+
+    def __init__(
+        self,
+        settings: WireSettings,
+        codec: StatementCodec,
+        read_document: DocumentReader,
+        report: Callable[..., None],
+        metrics: WireMetrics,
+    ) -> None:
+        self._settings = settings
+        self._read_document = read_document
+        self._metrics = metrics
+        self._groups: dict[str, Group] = {}
+        self._lease = HeldLease()
+        self._leader = ""
+        self._controls: list[str] = list(settings.seeds)
+        self._next_control = 0
+        self._heard_at = float("-inf")
+        self._sequence = 0
+        self._asked: dict[int, float] = {}
+        self._topology_version = 0
+        self._reported_at = float("-inf")
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self.codec = codec
+        self.report = report
+        self.deployment: Deployment | None = None
+        self.sessions: set[ClientSession] = set()
+        self.stopping = False
+        # Whether idle sessions are being closed.
+        self.closing = False
+        self.deployed = asyncio.Event()
+        self.links = Links(settings.peer, self.on_message, report)
+
+    # --- life cycle
+
+    async def start(self) -> None:
+        """Listens and starts to look for the control leader; raises ``OSError``."""
+        await self.links.start()
+        host, port = split_address(self._settings.listen_clients)
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: ClientSession(self), host, port, backlog=LISTEN_BACKLOG
+        )
+        self.spawn(self._report_forever())
+
+    async def stop(self) -> None:
+        """Drains within the grace: unready, idle sessions, transactions, the rest."""
+        self.stopping = True
+        grace, started = self._settings.stop_grace, boottime()
+        self._send_report()
+        while True:
+            await asyncio.sleep(0.05)
+            passed = (boottime() - started) / grace
+            if passed >= CLOSE_IDLE_AT:
+                self.closing = True
+                for session in [s for s in self.sessions if s.is_idle]:
+                    session.close()
+            if passed >= ABORT_AT:
+                for session in [s for s in self.sessions if s.in_transaction]:
+                    session.end_transaction()
+            if passed >= END_AT or (passed >= CLOSE_IDLE_AT and not self.sessions):
+                break
+        self.report("info", "proxy_stopped", sessions=len(self.sessions))
+        self.links.close()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the load balancer should send new connections here."""
+        return (
+            not self.stopping
+            and self.deployment is not None
+            and bool(self._groups)
+            and boottime() < self._lease.expires + UNREADY_AFTER
+        )
+
+    def add_controls(self, seeds: tuple[str, ...]) -> None:
+        """Asks these control daemons as well when the leader is silent."""
+        self._controls = list(dict.fromkeys((*seeds, *self._controls)))
+
+    def group(self, name: str) -> Group:
+        """The group of that name, without members until the leader names some."""
+        group = self._groups.get(name)
+        if group is None:
+            group = self._groups[name] = Group(
+                name,
+                self.codec,
+                self._settings.name,
+                self._settings.zone,
+                self._lease,
+                self.report,
+            )
+        return group
+
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # --- what statements report
+
+    def note_retry(self, attempt: Attempt, member: str, reason: str) -> None:
+        """A member gave no usable answer."""
+        self._metrics.retries.inc()
+        self.report(
+            "info",
+            "attempt_failed",
+            request=attempt.query_id.decode(errors="replace"),
+            member=member,
+            reason=reason,
+            topology=self._topology_version,
+        )
+        if boottime() - self._reported_at >= URGENT_INTERVAL:
+            self._send_report()
+
+    def observe(
+        self,
+        query_id: bytes,
+        statement: Statement,
+        route: Route,
+        answer: Answer,
+        elapsed: float,
+    ) -> None:
+        """Counts an answer and logs one that is not a quick success."""
+        outcome = answer.error or "done"
+        self._metrics.statements.labels(statement.kind, outcome).inc()
+        self._metrics.latency.labels(route.read_policy).observe(elapsed)
+        if answer.error or elapsed >= SLOW_STATEMENT:
+            group = self._groups.get(route.group)
+            self.report(
+                "info",
+                "statement",
+                request=query_id.decode(errors="replace"),
+                kind=statement.kind,
+                route=route.name,
+                outcome=outcome,
+                message=answer.message.decode(errors="replace"),
+                elapsed_ms=round(elapsed * 1_000),
+                group=route.group,
+                primary=group.primary if group else "",
+                term=group.term if group else 0,
+                lease_ms=round((self._lease.expires - boottime()) * 1_000),
+                topology=self._topology_version,
+                deployment=self.deployment.version if self.deployment else 0,
+            )
+
+    # --- control
+
+    async def _report_forever(self) -> None:
+        while True:
+            self._send_report()
+            self._metrics.sessions.set(len(self.sessions))
+            known = boottime() - self._heard_at < LEADER_TIMEOUT
+            await asyncio.sleep(REPORT_INTERVAL if known else REPORT_INTERVAL / 2)
+
+    def _send_report(self) -> None:
+        now = boottime()
+        self._reported_at = now
+        target = self._leader
+        if not target or now - self._heard_at > LEADER_TIMEOUT:
+            if not self._controls:
+                return
+            if self._leader:
+                self.report("warning", "leader_silent", leader=self._leader)
+                self._leader = ""
+            self._next_control += 1
+            target = self._controls[self._next_control % len(self._controls)]
+        self._sequence += 1
+        self._asked[self._sequence] = now
+        self._asked.pop(self._sequence - REPORTS_KEPT, None)
+        self.links.send(
+            target,
+            ProxyReport(
+                0,
+                self._sequence,
+                self.deployment.version if self.deployment else 0,
+                self._topology_version,
+                self.stopping,
+                [group.describe(now) for group in self._groups.values()],
+            ),
+        )
+
+    def on_message(self, sender: str, message: Any) -> None:
+        """Takes a grant or an announcement of the control leader."""
+        if not isinstance(message, ProxyGrant):
+            return
+        now = boottime()
+        if message.controls:
+            self._controls = message.controls
+        if message.leader != sender:
+            if message.leader and message.leader != self._leader:
+                self._leader, self._heard_at = message.leader, now
+                self._send_report()
+            return
+        if message.topology_version < self._topology_version:
+            # A replaced leader that does not know it yet.
+            return
+        if sender != self._leader:
+            self.report("info", "leader_found", leader=sender)
+        self._leader, self._heard_at = sender, now
+        self._take_deployment(message)
+        changed = message.topology_version > self._topology_version
+        if changed:
+            self._topology_version = message.topology_version
+            names = {view.group for view in message.groups}
+            for name in set(self._groups) - names:
+                del self._groups[name]
+            for view in message.groups:
+                self.group(view.group).follow(view)
+        asked_at = self._asked.pop(message.sequence, None)
+        if asked_at is not None and message.lease_ms > 0:
+            current = message.topology_version == self._topology_version
+            if current:
+                self._renew(now, asked_at, message.lease_ms / 1_000)
+        if changed and message.sequence == 0:
+            # Confirms the announced topology without waiting for the next report.
+            self._send_report()
+
+    def _renew(self, now: float, asked_at: float, length: float) -> None:
+        had_lease = self._lease.valid(now)
+        self._lease.renew(asked_at, length)
+        if not had_lease:
+            for group in self._groups.values():
+                group.notify()
+
+    def _take_deployment(self, message: ProxyGrant) -> None:
+        current = self.deployment.version if self.deployment else 0
+        if message.deployment_version <= current or not message.deployment:
+            return
+        try:
+            document = unpack_document(message.deployment.decode())
+            self.deployment = self._read_document(document)
+        except (BronzemoorError, ValueError) as error:
+            self.report("error", "deployment_unreadable", error=str(error))
+            return
+        self.deployed.set()
+        self.report(
+            "info",
+            "deployment_in_force",
+            version=self.deployment.version,
+            routes=len(self.deployment.routes),
+        )
--- /dev/null
+++ b/packages/daemon/src/bronzemoor_daemon/wire/settings.py
@@ -0,0 +1,33 @@
+"""Settings of a daemon of the statement protocol."""
+
+from dataclasses import dataclass, field
+
+PROXY = "proxy"
+CONTROL = "control"
+
+
+@dataclass(slots=True)
+class WireSettings:
+    """One process. Addresses are host:port, durations seconds.
+
+    ``name`` is for people; ``peer`` is the address for other daemons, by which they
+    know this one. ``first_start`` is true only while the whole system starts for the
+    first time. ``tolerated_losses`` is how many control daemons may be lost at once.
+    """
+
+    name: str
+    roles: tuple[str, ...]
+    zone: str
+    peer: str
+    seeds: tuple[str, ...]
+    first_start: bool = False
+    listen_clients: str = ""
+    listen_readiness: str = ""
+    listen_control: str = ""
+    listen_metrics: str = ""
+    data_folder: str = ""
+    announcement_interval: float = 1.2
+    stop_grace: float = 6.0
+    tolerated_losses: int = 1
+    log_level: str = "INFO"
+    extra: dict[str, str] = field(default_factory=dict)
