Keep waiting at a member that refuses a connection for its limit

After a power loss of every machine the members still counted the lost machines' connections and refused new ones for seconds. A refusal for the limit is now a sign of life, statements keep waiting, and connections that were not needed for 1.5 s are closed, so that fewer of them linger.

--- /dev/null
+++ b/packages/core/tests/wire/test_records.py
@@ -0,0 +1,81 @@
+"""Guards the replicated records of the statement protocol's control plane."""
+
+from bronzemoor_core.commands import answer_query, apply_command
+from bronzemoor_core.records import State, from_snapshot, to_snapshot
+from bronzemoor_core.wire.records import pack_document, unpack_document
+
+
+def put(state: State, version: int, document: str) -> dict:
+    body = {"type": "deployment.put", "version": version, "document": document}
+    return apply_command(state, body)
+
+
+def member(name="m", address="h:1", born=1, sequence=1, leaving=False) -> dict:
+    fields = {
+        "member": name,
+        "group": "g",
+        "address": address,
+        "zone": "z",
+        "born": born,
+        "sequence": sequence,
+        "leaving": leaving,
+        "primary": False,
+    }
+    return {"type": "member.put", "member": fields}
+
+
+def test_the_highest_version_wins_and_others_change_nothing():
+    """Guards against a deployment that reverts."""
+    state = State()
+    assert put(state, 7, "seven")["changed"]
+    assert put(state, 7, "other")["code"] == "ok"
+    assert put(state, 3, "three")["code"] == "ok"
+    answer = answer_query(state, {"type": "deployment.get"})
+    assert (answer["version"], answer["document"]) == (7, "seven")
+
+
+def test_a_late_announcement_changes_nothing():
+    """Guards against a heartbeat that was delayed by a partition."""
+    state = State()
+    apply_command(state, member(sequence=9, leaving=True))
+    apply_command(state, member(sequence=4))
+    assert state.wire.members["m"].leaving
+    apply_command(state, {"type": "member.drop", "member": "m"})
+    apply_command(state, member(sequence=9))
+    assert state.wire.members == {}
+
+
+def test_an_address_belongs_to_the_process_that_started_last():
+    """Guards against two members at one address after a replacement."""
+    state = State()
+    apply_command(state, member("old", born=1))
+    apply_command(state, member("new", born=5))
+    assert list(state.wire.members) == ["new"]
+    apply_command(state, member("old", born=1, sequence=2))
+    assert list(state.wire.members) == ["new"]
+
+
+def test_fencing_numbers_only_rise_and_an_old_promotion_is_not_recorded():
+    """Guards against a promotion of a replaced control leader."""
+    state = State()
+    plan = {"type": "primary.plan", "group": "g", "member": "a"}
+    first = apply_command(state, plan)["fence"]
+    second = apply_command(state, {**plan, "group": "h"})["fence"]
+    third = apply_command(state, {**plan, "member": "b"})["fence"]
+    assert first < second < third
+    done = {"type": "primary.set", "group": "g", "member": "a", "term": 2}
+    assert apply_command(state, {**done, "fence": first})["code"] == "term_conflict"
+    assert apply_command(state, {**done, "fence": third})["code"] == "ok"
+    older = {**done, "fence": third, "term": 1}
+    assert apply_command(state, older)["code"] == "term_conflict"
+
+
+def test_a_snapshot_keeps_everything():
+    """Guards against records that a restarted control daemon forgets."""
+    state, copy = State(), State()
+    put(state, 7, pack_document("text"))
+    apply_command(state, member())
+    apply_command(state, {"type": "primary.plan", "group": "g", "member": "a"})
+    from_snapshot(copy, 3, to_snapshot(state))
+    assert copy.wire == state.wire
+    assert unpack_document(copy.wire.document) == "text"
--- /dev/null
+++ b/packages/core/tests/wire/test_succession.py
@@ -0,0 +1,71 @@
+"""Guards the verdict on a primary and the choice of its successor."""
+
+import pytest
+
+from bronzemoor_core.messages import GroupReport
+from bronzemoor_core.positions import Position
+from bronzemoor_core.wire.succession import (
+    Evidence,
+    acknowledged_position,
+    choose_successor,
+    should_replace,
+)
+
+
+def report(failing=-1, succeeded=-1, stalled=-1, acknowledged=(1, 0)) -> GroupReport:
+    return GroupReport("g", "a", 1, failing, succeeded, stalled, *acknowledged, [])
+
+
+def evidence(*reports: GroupReport, received: float = 10.0) -> dict[str, Evidence]:
+    return {f"p{i}": Evidence(received, item) for i, item in enumerate(reports)}
+
+
+WORKING = report(succeeded=50)
+FAILING = report(failing=400, succeeded=3_000)
+STALLED = report(succeeded=50, stalled=1_500)
+
+
+@pytest.mark.parametrize(
+    ("reports", "probe_failing", "reason"),
+    [
+        # Only the control group cannot reach it.
+        ((WORKING, WORKING, WORKING), 3.0, ""),
+        # A proxy or two cannot reach it.
+        ((FAILING, WORKING, WORKING, WORKING), 0.0, ""),
+        ((FAILING, FAILING, WORKING), 0.0, "unreachable_from_proxies"),
+        ((FAILING, FAILING, FAILING), 1.0, "unreachable"),
+        ((report(), report()), 1.0, "unreachable"),
+        ((STALLED, STALLED, WORKING), 0.0, "commits_stalled"),
+        ((WORKING, WORKING), 0.0, ""),
+    ],
+)
+def test_the_verdict_needs_more_than_one_vantage_point(reports, probe_failing, reason):
+    """Guards against replacing a healthy primary for a cut of one observer."""
+    assert should_replace(10.1, "a", evidence(*reports), probe_failing) == reason
+
+
+def test_old_evidence_and_that_about_another_primary_count_for_nothing():
+    """Guards against a verdict on a new primary from reports about the old one."""
+    old = evidence(FAILING, FAILING, received=5.0)
+    assert should_replace(10.0, "a", old, 0.0) == ""
+    assert should_replace(10.1, "b", evidence(FAILING, FAILING), 0.0) == ""
+
+
+def test_the_successor_has_every_acknowledged_commit():
+    """Guards against promoting a replica that lacks a commit clients know of."""
+    b, c = Position(1, 5), Position(1, 7)
+    assert choose_successor({"b": b, "c": c}, {"b", "c"}, None) == "c"
+    assert choose_successor({"b": b}, {"b", "c"}, None) == ""
+    assert choose_successor({"b": b}, {"b", "c"}, Position(1, 6)) == ""
+    assert choose_successor({"b": b}, {"b", "c"}, Position(1, 5)) == "b"
+    assert choose_successor({}, set(), Position(1, 0)) == ""
+
+
+def test_the_acknowledged_position_is_the_newest_of_the_term():
+    """Guards against counting a commit of another term."""
+    reports = evidence(
+        report(acknowledged=(1, 4)),
+        report(acknowledged=(1, 9)),
+        report(acknowledged=(2, 30)),
+    )
+    assert acknowledged_position(reports, 1) == Position(1, 9)
--- a/packages/daemon/src/bronzemoor_daemon/wire/groups.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/groups.py
@@ -154,6 +154,11 @@
         if self.stalled_since is None:
             self.stalled_since = sent_at
 
+    def trim(self, now: float) -> None:
+        """Closes connections that were not needed lately."""
+        for pool in self._pools.values():
+            pool.trim(now)
+
     def describe(self, now: float) -> GroupReport:
         """The report about this group to the control leader."""
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
@@ -36,6 +36,8 @@
         self.member = member
         self.address = address
         self.state = ConnectionState()
+        # When it was last returned to its pool, seconds.
+        self.idle_since = 0.0
         # The session that used the connection last.
         self.session: SessionState | None = None
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
@@ -22,6 +22,10 @@
 RECONNECT_INTERVAL = 0.1  # seconds
 # Connections that may be in opening at once, since each takes a slot of the member.
 MAX_OPENING = 2
+# A connection that was idle for longer is closed, but for the last one, seconds. A
+# member counts those of a lost machine for some time, so that unused ones would keep
+# its replacement out.
+IDLE_LIMIT = 1.5
 # How much a new measurement of the delay counts.
 DELAY_WEIGHT = 0.2
 
@@ -116,6 +120,7 @@
         if future is not None:
             future.set_result(connection)
         else:
+            connection.idle_since = boottime()
             self._idle.append(connection)
 
     def succeeded(self, now: float, elapsed: float) -> None:
@@ -135,6 +140,11 @@
         while self._idle and len(self._open) > self.limit:
             self._discard(self._idle.popleft())
 
+    def trim(self, now: float) -> None:
+        """Closes connections that were not needed lately."""
+        while len(self._idle) > 1 and now - self._idle[0].idle_since > IDLE_LIMIT:
+            self._discard(self._idle.popleft())
+
     def warm(self, wanted: int) -> None:
         """Opens connections ahead of need, up to ``wanted``."""
         while len(self._open) + self._opening < min(wanted, self.limit):
@@ -213,8 +223,10 @@
             return
         if not answer.ok:
             self._opening -= 1
-            if answer.error == CONNECTION_LIMIT and self._open:
-                # The others keep working; somebody else holds the rest.
+            if answer.error == CONNECTION_LIMIT:
+                # The member is alive. It still counts connections of lost machines,
+                # or another proxy has not closed what it gave up yet.
+                self.failing_since = None
                 self._report("info", "connection_refused", member=self.member)
             else:
                 self._failed(started, answer.error)
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -189,6 +189,8 @@
         while True:
             self._send_report()
             self._metrics.sessions.set(len(self.sessions))
+            for group in self._groups.values():
+                group.trim(boottime())
             known = boottime() - self._heard_at < LEADER_TIMEOUT
             await asyncio.sleep(REPORT_INTERVAL if known else REPORT_INTERVAL / 2)
 
--- /dev/null
+++ b/tests/adapter/fake_members.py
@@ -0,0 +1,228 @@
+"""A database group in memory that speaks the platform's lines, for tests."""
+
+import asyncio
+from itertools import count
+
+ROLLBACK_STATE = "I"
+
+
+class FakeMember:
+    """One member; ``log`` holds (transaction number, writes) of committed work."""
+
+    def __init__(self, group: "FakeGroup", name: str) -> None:
+        self.group = group
+        self.name = name
+        self.log: list[list[tuple[str, str]]] = []
+        self.term = 1
+        self.held_term = 0
+        self.primary = False
+        self.limit = 100
+        # Texts whose answers are lost after they ran; a prefix each.
+        self.lose: list[str] = []
+        # Answers given to statements with this prefix instead of running them, once.
+        self.refuse: dict[str, str] = {}
+        self.ran: list[tuple[str, str]] = []
+        self.connections: set[FakeConnection] = set()
+        self.address = ""
+        self._server: asyncio.Server | None = None
+
+    async def start(self, port: int = 0) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: FakeConnection(self), "127.0.0.1", port
+        )
+        host, bound = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{bound}"
+
+    async def stop(self) -> None:
+        """Goes down like a crashed process."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.transport.abort()
+
+    @property
+    def position(self) -> str:
+        return f"{self.term}.{len(self.log)}"
+
+    def status(self) -> str:
+        role = "primary" if self.primary else "replica"
+        return (
+            f"ROW {role} {self.term} {self.position} {self.held_term} 0 0"
+            f" {len(self.connections)}"
+        )
+
+
+class FakeGroup:
+    """Three members; a commit counts once a replica that is not paused has it."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.members = {f"{name}-{i}": FakeMember(self, f"{name}-{i}") for i in "abc"}
+        self.acknowledged: list[tuple[str, str]] = []
+        self.promotions: list[tuple[str, int]] = []
+        next(iter(self.members.values())).primary = True
+
+    async def start(self) -> None:
+        for member in self.members.values():
+            await member.start()
+
+    async def stop(self) -> None:
+        for member in self.members.values():
+            await member.stop()
+
+    @property
+    def primary(self) -> FakeMember:
+        leading = [member for member in self.members.values() if member.primary]
+        return max(leading, key=lambda member: member.term)
+
+    def replicate(self, source: FakeMember, work: list[tuple[str, str]]) -> bool:
+        source.log.append(work)
+        received = False
+        for member in self.members.values():
+            if member is not source and not member.held_term and not member.primary:
+                member.log, member.term = list(source.log), source.term
+                received = True
+        return received
+
+    def promote(self, name: str, fence: int) -> str:
+        """What the platform does for a promotion, at once."""
+        self.promotions.append((name, fence))
+        target = self.members[name]
+        if target.primary:
+            return "done"
+        term = max(member.term for member in self.members.values()) + 1
+        target.primary, target.term = True, term
+        for member in self.members.values():
+            member.held_term = 0
+        return "done"
+
+
+class FakeConnection(asyncio.Protocol):
+    """One connection to a member."""
+
+    numbers = count(1)
+
+    def __init__(self, member: FakeMember) -> None:
+        self.member = member
+        self.buffer = b""
+        self.state = "I"
+        self.started = False
+        self.writes: list[tuple[str, str]] = []
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, str] = {}
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+        self.member.connections.add(self)
+
+    def connection_lost(self, error) -> None:
+        self.member.connections.discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        *lines, self.buffer = (self.buffer + data).split(b"\r\n")
+        for line in lines:
+            self.on_line(line.decode())
+
+    def on_line(self, line: str) -> None:
+        word, _, rest = line.partition(" ")
+        if word == "START":
+            self.start(rest)
+        elif word == "QUERY":
+            query_id, _, text = rest.partition(" ")
+            self.query(query_id, text)
+
+    def start(self, rest: str) -> None:
+        group, _, expected = rest.split(" ")
+        if group != self.member.group.name or expected != self.member.name:
+            self.send("ERROR WRONGNODE -")
+            self.transport.close()
+        elif len(self.member.connections) > self.member.limit:
+            self.send("ERROR CONNLIMIT -")
+            self.transport.close()
+        else:
+            self.ready()
+
+    def query(self, query_id: str, text: str) -> None:
+        member = self.member
+        if text.startswith("WAITLSN "):
+            _, position, text = text.split(" ", 2)
+            term, number = (int(part) for part in position.split("."))
+            if (member.term, len(member.log)) < (term, number):
+                return self.error("LAGGING")
+        for prefix, code in list(member.refuse.items()):
+            if text.startswith(prefix):
+                del member.refuse[prefix]
+                return self.error(code)
+        member.ran.append((query_id, text))
+        lost = [prefix for prefix in member.lose if text.startswith(prefix)]
+        answer = self.run(text)
+        if lost:
+            member.lose.remove(lost[0])
+            return None
+        return self.send(answer) or self.ready()
+
+    def run(self, text: str) -> str:
+        member, (word, *rest) = self.member, text.split(" ")
+        if word == "EXECUTE":
+            kind, shape = self.prepared[rest[0]].split(" ")
+            word, rest = kind, [f"{shape}:{rest[1]}", *rest[2:]]
+        match word:
+            case "STATUS":
+                return member.status() + "\r\nCOMPLETE -"
+            case "PAUSE":
+                member.held_term = int(rest[0])
+                return member.status() + "\r\nCOMPLETE -"
+            case "RESUME":
+                member.held_term = 0
+                return member.status() + "\r\nCOMPLETE -"
+            case "STEPDOWN":
+                member.primary = False
+                return member.status() + "\r\nCOMPLETE -"
+            case "SET":
+                self.values[rest[0]] = rest[1]
+            case "RESET":
+                self.values, self.prepared = {}, {}
+            case "PREPARE":
+                self.prepared[rest[0]] = " ".join(rest[1:])
+            case "BEGIN":
+                if not rest and not member.primary:
+                    return "ERROR READONLY -"
+                self.state = "T"
+            case "ROLLBACK":
+                self.state, self.writes = "I", []
+            case "COMMIT":
+                self.state = "I"
+                return self.commit()
+            case "FETCH":
+                return f"ROW {rest[0]}\r\nCOMPLETE s.{next(self.numbers)}"
+            case "STORE":
+                if not member.primary:
+                    return "ERROR READONLY -"
+                self.writes.append((rest[0], rest[1]))
+                if self.state == "I":
+                    return self.commit()
+                return f"COMPLETE s.{next(self.numbers)}"
+        return "COMPLETE -"
+
+    def commit(self) -> str:
+        member, (work, self.writes) = self.member, (self.writes, [])
+        if work:
+            if not member.primary:
+                return "ERROR READONLY -"
+            if not member.group.replicate(member, work):
+                return "ERROR TIMEOUT -"
+            member.group.acknowledged += work
+        return f"COMPLETE s.{next(self.numbers)}"
+
+    def error(self, code: str) -> None:
+        if self.state == "T" and code != "BUSY":
+            self.state = "E"
+        self.send(f"ERROR {code} -")
+        self.ready()
+
+    def ready(self) -> None:
+        self.send(f"READY {self.state} {self.member.position}")
+
+    def send(self, text: str) -> None:
+        self.transport.write(text.encode() + b"\r\n")
--- /dev/null
+++ b/tests/adapter/system.py
@@ -0,0 +1,194 @@
+"""The control group, proxies and members of a whole system on one event loop."""
+
+import asyncio
+import json
+import socket
+from contextlib import suppress
+from pathlib import Path
+
+from fake_members import FakeGroup
+
+from bronzemoor_core.wire.records import MemberRecord
+from bronzemoor_daemon.wire.control import ControlDaemon
+from bronzemoor_daemon.wire.metrics import WireMetrics
+from bronzemoor_daemon.wire.proxy import Proxy
+from bronzemoor_daemon.wire.settings import CONTROL, PROXY, WireSettings
+from bronzemoor_platform.documents import read_document
+from bronzemoor_platform.lines import PlatformLines
+
+ZONES = ("north", "south", "west")
+
+
+def free_addresses(number: int) -> list[str]:
+    """Addresses that nobody listens on; sockets are held until all are chosen."""
+    sockets = [socket.socket() for _ in range(number)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    addresses = [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
+    for item in sockets:
+        item.close()
+    return addresses
+
+
+def make_document(version: int, **changes) -> str:
+    """A document with one route a policy on the group ``ledger``."""
+    routes = [
+        {
+            "name": f"r-{policy}",
+            "database": database,
+            "path_prefix": "/",
+            "route_type": policy,
+            "timeout_ms": 800,
+            "target_latency_ms": 400,
+            "priority": 1,
+            "service": "ledger",
+            "max_attempts": 2,
+            "max_staleness_ms": 2_000,
+        }
+        for policy, database in (
+            ("primary", "orders"),
+            ("bounded_staleness", "catalogue"),
+            ("read_your_writes", "stock"),
+        )
+    ]
+    services = [{"name": "ledger", "max_conns": 22, "sync_replicas": 1}]
+    body = {"version": version, "routes": routes, "services": services}
+    return json.dumps({**body, "limits": {"tx_idle_ms": 3_000}, **changes})
+
+
+class Client:
+    """A client session; each call returns the lines of one answer."""
+
+    def __init__(self, reader, writer) -> None:
+        self._reader, self._writer = reader, writer
+        self._number = 0
+
+    @classmethod
+    async def open(cls, address: str, database: str) -> "Client":
+        host, port = address.split(":")
+        client = cls(*await asyncio.open_connection(host, int(port)))
+        client._writer.write(f"START {database} test\r\n".encode())
+        client.greeting = await client._line()
+        return client
+
+    async def call(self, text: str) -> list[str]:
+        self._number += 1
+        self._writer.write(f"QUERY q{self._number} {text}\r\n".encode())
+        lines = [await self._line()]
+        while not lines[-1].startswith("READY"):
+            lines.append(await self._line())
+        return lines
+
+    async def _line(self) -> str:
+        async with asyncio.timeout(10):
+            return (await self._reader.readline()).decode().rstrip()
+
+    def close(self) -> None:
+        self._writer.close()
+
+
+class System:
+    """Three control daemons, two proxies and one group."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._codec = PlatformLines()
+        self.group = FakeGroup("ledger")
+        self.controls: list[ControlDaemon] = []
+        self.proxies: list[Proxy] = []
+        self.fronts: list[str] = []
+        self.events: list[tuple[str, dict]] = []
+
+    async def start(self) -> None:
+        await self.group.start()
+        addresses = free_addresses(7)
+        seeds = tuple(addresses[:3])
+        for number, peer in enumerate(seeds):
+            settings = self._settings(f"control-{number}", CONTROL, peer, seeds)
+            control = ControlDaemon(
+                settings, self._codec, read_document, self._promote, self._report,
+                WireMetrics(),
+            )  # fmt: skip
+            self.controls.append(control)
+            await control.start()
+        for number, peer in enumerate(addresses[3:5]):
+            settings = self._settings(f"proxy-{number}", PROXY, peer, seeds)
+            settings.listen_clients = addresses[5 + number]
+            proxy = Proxy(
+                settings, self._codec, read_document, self._report, WireMetrics()
+            )
+            self.proxies.append(proxy)
+            self.fronts.append(addresses[5 + number])
+            await proxy.start()
+
+    async def deploy(self, version: int = 1) -> None:
+        """Puts a document in force, announces the members and waits for proxies."""
+        await self.until(lambda: any(c.leader_name for c in self.controls))
+        await self.until_async(lambda: self.put(version))
+        for index, name in enumerate(self.group.members):
+            await self.announce(name, zone=ZONES[index])
+        await self.until(lambda: all(p.is_ready for p in self.proxies))
+        await self.until(lambda: all(p.group("ledger").primary for p in self.proxies))
+
+    async def put(self, version: int) -> bool:
+        code = await self.controls[0].put_deployment(version, make_document(version))
+        return code == "ok"
+
+    async def announce(self, name: str, sequence: int = 1, **changes) -> bool:
+        member = self.group.members[name]
+        zone = changes.pop("zone", ZONES[list(self.group.members).index(name)])
+        fields = {"born": 1, "leaving": False, "primary": member.primary, **changes}
+        record = MemberRecord(
+            name, "ledger", member.address, zone, sequence=sequence, **fields
+        )
+        return await self.controls[1].announce(record)
+
+    async def stop(self) -> None:
+        for proxy in self.proxies:
+            proxy.links.close()
+        for control in self.controls:
+            await control.stop()
+        await self.group.stop()
+        tasks = [t for t in asyncio.all_tasks() if t is not asyncio.current_task()]
+        for task in tasks:
+            task.cancel()
+        with suppress(asyncio.CancelledError):
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def until(self, condition, timeout: float = 10.0) -> None:
+        async with asyncio.timeout(timeout):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def until_async(self, condition, timeout: float = 10.0) -> None:
+        async with asyncio.timeout(timeout):
+            while not await condition():
+                await asyncio.sleep(0.05)
+
+    def _settings(self, name, role, peer, seeds) -> WireSettings:
+        folder = self._folder / name
+        folder.mkdir()
+        return WireSettings(
+            name, (role,), ZONES[0], peer, seeds, True, data_folder=str(folder)
+        )
+
+    def _promote(self, group: str, member: str, holder: str, fence: int) -> str:
+        return self.group.promote(member, fence)
+
+    def _report(self, level: str, event: str, **fields) -> None:
+        self.events.append((event, fields))
+
+
+def run_system(folder: Path, scenario) -> None:
+    """Runs ``scenario(system)`` with a system that is in service."""
+
+    async def main() -> None:
+        system = System(folder)
+        try:
+            await system.start()
+            await system.deploy()
+            await scenario(system)
+        finally:
+            await system.stop()
+
+    asyncio.run(main())
--- /dev/null
+++ b/tests/adapter/test_translation.py
@@ -0,0 +1,131 @@
+"""Guards the translation of lines, documents, settings and announcements."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from system import make_document
+
+from bronzemoor_core.positions import ZERO, Position
+from bronzemoor_core.wire import statements
+from bronzemoor_core.wire.deployment import InvalidDeployment
+from bronzemoor_core.wire.statements import Answer, EndRequest, QueryRequest
+from bronzemoor_platform.calls import decode_announcement
+from bronzemoor_platform.documents import read_document
+from bronzemoor_platform.lines import PlatformLines
+from bronzemoor_platform.settings import decode_settings
+
+LINES = PlatformLines()
+
+
+@given(st.binary(max_size=200).filter(lambda line: b"\r\n" not in line))
+def test_any_line_of_a_client_is_read_or_refused(line):
+    """Guards against a malformed line that ends the process."""
+    LINES.decode_request(line)
+    LINES.decode_request(b"QUERY q " + line)
+
+
+@pytest.mark.parametrize(
+    ("text", "kind"),
+    [
+        (b"BEGIN", statements.BEGIN),
+        (b"BEGIN FETCH", statements.BEGIN),
+        (b"FETCH 1a4", statements.READ),
+        (b"STORE 1a4 some data", statements.WRITE),
+        (b"EXECUTE s1 1a4 data", statements.EXECUTE),
+        (b"DEALLOC s1", statements.DEALLOCATE),
+    ],
+)
+def test_statements_keep_their_text(text, kind):
+    """Guards against a text that is changed on its way to the member."""
+    request = LINES.decode_request(b"QUERY 5c0e " + text)
+    assert isinstance(request, QueryRequest)
+    assert (request.query_id, request.statement.kind) == (b"5c0e", kind)
+    assert request.statement.text == text
+    line = LINES.encode_query(b"5c0e", text, Position(3, 9))
+    assert line == b"QUERY 5c0e WAITLSN 3.9 " + text + b"\r\n"
+
+
+@pytest.mark.parametrize(
+    "text", [b"", b"WAITLSN 1.2 FETCH a", b"STATUS", b"PAUSE 3", b"BEGIN NOW", b"FETCH"]
+)
+def test_clients_cannot_send_orders(text):
+    """Guards against a client that controls a member."""
+    assert LINES.decode_request(b"QUERY q " + text).statement is None
+    assert LINES.decode_request(b"QUERY - FETCH a") is None
+
+
+def test_an_answer_passes_through_unchanged():
+    """Guards against a success without the member's rows and signature."""
+    answer = Answer()
+    lines = (b"ROW a b", b"ROW c", b"COMPLETE 7.1f", b"READY T 3.12")
+    done = [LINES.decode_reply(line, answer) for line in lines]
+    assert done == [False, False, False, True]
+    assert LINES.encode_answer(answer) == b"\r\n".join((*lines, b""))
+    assert isinstance(LINES.decode_request(b"CLOSE"), EndRequest)
+    assert LINES.encode_ready(statements.IDLE, ZERO) == b"READY I -\r\n"
+
+
+def test_a_document_is_taken_or_refused_as_a_whole():
+    """Guards against an invalid document in force."""
+    deployment = read_document(make_document(7))
+    assert deployment.version == 7 and deployment.transaction_idle == 3.0
+    assert deployment.routes["stock"].max_staleness == 2.0
+    body = json.loads(make_document(7))
+    bad = [
+        make_document(7)[:-10],
+        json.dumps({**body, "version": "7"}),
+        json.dumps({**body, "services": []}),
+        json.dumps({**body, "routes": body["routes"] + body["routes"][:1]}),
+        json.dumps({**body, "routes": [{**body["routes"][0], "timeout_ms": 0}]}),
+        json.dumps([]),
+        "null",
+    ]
+    for document in bad:
+        with pytest.raises(InvalidDeployment):
+            read_document(document)
+
+
+def test_announcements_of_other_writers_name_no_member():
+    """Guards against bytes that are no announcement."""
+    body = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "state": "ready",
+        "db_role": "replica",
+        "sequence": 4,
+    }
+    assert decode_announcement("i-1", json.dumps(body).encode()).sequence == 4
+    wrong = [b"", b"\xff", b"[]", b"1"]
+    for name, value in (
+        ("service", 3),
+        ("address", "nowhere"),
+        ("state", "asleep"),
+        ("db_role", None),
+        ("sequence", "4"),
+        ("born", True),
+    ):
+        wrong.append(json.dumps({**body, name: value}).encode())
+    for text in wrong:
+        assert decode_announcement("i-1", text) is None
+
+
+def test_settings_name_daemons_by_their_internal_address():
+    """Guards against daemons that look for each other at the operators' port."""
+    settings = decode_settings(
+        {
+            "node_name": "n",
+            "ip": "10.1.0.8",
+            "zone": "z",
+            "serves": ["control_plane", "new"],
+            "listen_addrs": {"control": "10.1.0.8:8782"},
+            "internal_port_range": [7440, 7455],
+            "seeds": ["10.1.0.11:8782"],
+            "unknown": 1,
+        }
+    )
+    assert settings.peer == "10.1.0.8:7440"
+    assert settings.seeds == ("10.1.0.11:7440",)
+    assert settings.roles == ("control",)
--- /dev/null
+++ b/tests/adapter/test_whole_path.py
@@ -0,0 +1,222 @@
+"""The whole path with fake members: sessions, transactions, losses and promotions."""
+
+import asyncio
+
+from system import Client, run_system
+
+from bronzemoor_core.wire.leases import LEASE
+
+
+def outcome(lines: list[str]) -> str:
+    """The first word of the end of an answer and an error's code."""
+    words = lines[-2].split(" ")
+    return " ".join(words[:2]) if words[0] == "ERROR" else words[0]
+
+
+def test_reads_writes_and_transactions_carry_the_members_answers(tmp_path):
+    """Guards against answers that are not the member's own."""
+
+    async def scenario(system):
+        client = await Client.open(system.fronts[0], "orders")
+        assert client.greeting == "READY I -"
+        assert (await client.call("STORE k1 v1"))[0].startswith("COMPLETE s.")
+        assert (await client.call("FETCH k1"))[0] == "ROW k1"
+        assert await client.call("BEGIN") == ["COMPLETE -", "READY T -"]
+        assert outcome(await client.call("STORE k2 v2")) == "COMPLETE"
+        lines = await client.call("COMMIT")
+        assert lines[0].startswith("COMPLETE s.") and lines[1].startswith("READY I")
+        assert system.group.acknowledged == [("k1", "v1"), ("k2", "v2")]
+
+    run_system(tmp_path, scenario)
+
+
+def test_session_values_and_prepared_names_follow_their_session(tmp_path):
+    """Guards against a statement that runs under another session's values."""
+
+    async def scenario(system):
+        one = await Client.open(system.fronts[0], "orders")
+        two = await Client.open(system.fronts[0], "orders")
+        await one.call("SET tz lisbon")
+        await one.call("PREPARE s1 FETCH shape-one")
+        await two.call("PREPARE s1 FETCH shape-two")
+        for _ in range(3):
+            assert (await one.call("EXECUTE s1 k"))[0] == "ROW shape-one:k"
+            assert (await two.call("EXECUTE s1 k"))[0] == "ROW shape-two:k"
+        ran = [text for _, text in system.group.primary.ran]
+        assert ran.index("SET tz lisbon") < ran.index("RESET")
+        assert outcome(await two.call("EXECUTE s2 k")) == "ERROR NOPREPARED"
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_lost_answer_is_retried_only_where_nothing_can_be_kept(tmp_path):
+    """Guards against doubled writes and against reads that fail for one lost answer."""
+
+    async def scenario(system):
+        client = await Client.open(system.fronts[0], "orders")
+        primary = system.group.primary
+        primary.lose.append("STORE k1")
+        assert outcome(await client.call("STORE k1 v")) == "ERROR INDOUBT"
+        assert [t for _, t in primary.ran].count("STORE k1 v") == 1
+        await client.call("BEGIN")
+        primary.lose.append("STORE k2")
+        assert outcome(await client.call("STORE k2 v")) == "COMPLETE"
+        primary.lose.append("STORE k4")
+        lines = await client.call("STORE k4 v")
+        assert outcome(lines) == "ERROR ABORTED" and lines[-1].startswith("READY E")
+        assert (await client.call("ROLLBACK"))[-1].startswith("READY I")
+        primary.lose.append("FETCH k3")
+        assert (await client.call("FETCH k3"))[0] == "ROW k3"
+        assert ("k2", "v") not in system.group.acknowledged
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_refused_write_runs_once_after_all(tmp_path):
+    """Guards against giving up on a statement that certainly did not run."""
+
+    async def scenario(system):
+        client = await Client.open(system.fronts[0], "orders")
+        system.group.primary.refuse["STORE k1"] = "BUSY"
+        assert outcome(await client.call("STORE k1 v")) == "COMPLETE"
+        assert system.group.acknowledged == [("k1", "v")]
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_lost_primary_is_replaced_without_losing_commits(tmp_path):
+    """Guards against a promotion that loses an acknowledged commit."""
+
+    async def scenario(system):
+        client = await Client.open(system.fronts[0], "orders")
+        for number in range(5):
+            await client.call(f"STORE k{number} v")
+        old = system.group.primary
+        await old.stop()
+        old.primary = False
+
+        async def writes_again() -> bool:
+            return outcome(await client.call("STORE after v")) == "COMPLETE"
+
+        await system.until_async(writes_again)
+        kept = [item for work in system.group.primary.log for item in work]
+        assert system.group.primary is not old
+        assert [item for item in system.group.acknowledged if item not in kept] == []
+        fences = [fence for _, fence in system.group.promotions]
+        assert fences == sorted(set(fences))
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_leaving_primary_hands_over_while_it_still_serves(tmp_path):
+    """Guards against waiting for a planned replacement until the member is gone."""
+
+    async def scenario(system):
+        client = await Client.open(system.fronts[0], "orders")
+        await client.call("STORE k0 v")
+        old = system.group.primary
+        assert await system.announce(old.name, sequence=2, leaving=True)
+        await system.until(lambda: system.group.primary is not old)
+
+        async def writes_again() -> bool:
+            return outcome(await client.call("STORE after v")) == "COMPLETE"
+
+        await system.until_async(writes_again)
+        await system.until(lambda: not old.primary)
+        kept = [item for work in system.group.primary.log for item in work]
+        assert set(system.group.acknowledged) <= set(kept)
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_full_member_is_not_taken_for_a_lost_one(tmp_path):
+    """Guards against replacing a primary that still counts lost machines' connections.
+
+    Seen after a power loss of every machine: members refused new connections for
+    seconds, and two healthy primaries were replaced.
+    """
+
+    async def scenario(system):
+        primary = system.group.primary
+        primary.limit = 0
+        for connection in list(primary.connections):
+            connection.transport.abort()
+        client = await Client.open(system.fronts[0], "orders")
+        assert outcome(await client.call("FETCH k1")) == "ERROR BUSY"
+        await asyncio.sleep(1.0)
+        assert system.group.promotions == []
+        primary.limit = 100
+        assert outcome(await client.call("FETCH k1")) == "COMPLETE"
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_proxy_without_the_control_group_stops_using_the_primary(tmp_path):
+    """Guards against reads at a primary that may have been replaced meanwhile."""
+
+    async def scenario(system):
+        client = await Client.open(system.fronts[0], "orders")
+        assert outcome(await client.call("FETCH k1")) == "COMPLETE"
+        for control in system.controls:
+            control.links.send = lambda peer, message: None
+        await asyncio.sleep(LEASE + 0.2)
+        assert outcome(await client.call("FETCH k1")) == "ERROR BUSY"
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_new_session_waits_for_the_first_deployment(tmp_path):
+    """Guards against spending clients' retries while a restarted proxy learns it."""
+
+    async def scenario(system):
+        proxy = system.proxies[0]
+        deployment, proxy.deployment = proxy.deployment, None
+        proxy.deployed.clear()
+        opening = asyncio.create_task(Client.open(system.fronts[0], "orders"))
+        await asyncio.sleep(0.3)
+        assert not opening.done()
+        proxy.deployment = deployment
+        proxy.deployed.set()
+        assert (await opening).greeting == "READY I -"
+        other = await Client.open(system.fronts[0], "nowhere")
+        assert other.greeting.startswith("ERROR NODB")
+
+    run_system(tmp_path, scenario)
+
+
+def test_stale_reads_are_served_by_replicas_that_prove_their_position(tmp_path):
+    """Guards against reads at a lagging replica, and against none at replicas."""
+
+    async def scenario(system):
+        client = await Client.open(system.fronts[0], "catalogue")
+        writer = await Client.open(system.fronts[0], "orders")
+        await writer.call("STORE k v")
+        replicas = [m for m in system.group.members.values() if not m.primary]
+        pools = system.proxies[0].group("ledger").pools
+        pools[system.group.primary.name].delay = 0.5
+        assert (await client.call("FETCH k"))[0] == "ROW k"
+        assert any(("FETCH k" in text) for m in replicas for _, text in m.ran)
+        for member in replicas:
+            member.log.clear()
+            member.ran.clear()
+        assert (await client.call("FETCH k"))[0] == "ROW k"
+        assert not any(m.ran for m in replicas)
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_client_that_leaves_rolls_its_transaction_back(tmp_path):
+    """Guards against a connection that is returned inside another's transaction."""
+
+    async def scenario(system):
+        client = await Client.open(system.fronts[0], "orders")
+        await client.call("BEGIN")
+        await client.call("STORE k v")
+        client.close()
+        ran = system.group.primary.ran
+        await system.until(lambda: any(text == "ROLLBACK" for _, text in ran))
+        other = await Client.open(system.fronts[0], "orders")
+        assert outcome(await other.call("STORE k2 v")) == "COMPLETE"
+        assert system.group.acknowledged == [("k2", "v")]
+
+    run_system(tmp_path, scenario)
