--- a/packages/core/src/bronzemoor_core/wire/succession.py
+++ b/packages/core/src/bronzemoor_core/wire/succession.py
@@ -7,9 +7,10 @@
 
 # A proxy's evidence counts once new connections failed for this long, seconds.
 FAILING_TIME = 0.250
-# Share of the reporting proxies that must fail before a primary that the control
-# leader itself still reaches is replaced.
+# Share of the reporting proxies that must fail, and for how many seconds, before a
+# primary that the control leader itself still reaches is replaced.
 FAILING_SHARE = 0.30
+FAILING_ALONE_TIME = 0.6
 # Commits without an answer for this long, seconds, count as a primary without replicas.
 STALL_TIME = 1.2
 # Evidence older than this is not used, seconds.
@@ -40,15 +41,21 @@
         for item in evidence.values()
         if now - item.received < REPORT_AGE and item.report.member == primary
     ]
-    failing = sum(r.failing_ms >= FAILING_TIME * 1_000 for r, _ in fresh)
-    alive = sum(
+    working = [
         r.succeeded_ms >= 0 and r.succeeded_ms / 1_000 + age < ALIVE_TIME
         for r, age in fresh
-    )
+    ]
+    failing_times = [
+        0.0 if works or r.failing_ms < 0 else r.failing_ms / 1_000 + age
+        for (r, age), works in zip(fresh, working, strict=True)
+    ]
+    failing = sum(time >= FAILING_TIME for time in failing_times)
+    failing_alone = sum(time >= FAILING_ALONE_TIME for time in failing_times)
+    alive = sum(working)
     stalled = sum(r.stalled_ms >= STALL_TIME * 1_000 for r, _ in fresh)
     if probe_failing >= FAILING_TIME and (failing or not alive) and failing >= alive:
         return "unreachable"
-    if failing and failing >= FAILING_SHARE * len(fresh):
+    if failing_alone and failing_alone >= FAILING_SHARE * len(fresh):
         return "unreachable_from_proxies"
     if stalled >= max(1, FAILING_SHARE * len(fresh)):
         return "commits_stalled"
--- a/packages/core/tests/wire/test_records.py
+++ b/packages/core/tests/wire/test_records.py
@@ -1,10 +1,17 @@
 """Guards the replicated records of the statement protocol's control plane."""
 
-from bronzemoor_core.commands import answer_query, apply_command
+from bronzemoor_core.commands import COMMANDS, answer_query, apply_command
 from bronzemoor_core.records import State, from_snapshot, to_snapshot
+from bronzemoor_core.wire.commands import CHANGE_KINDS
 from bronzemoor_core.wire.records import pack_document, unpack_document
 
 
+def test_every_kind_of_change_has_a_command():
+    """Guards against a control daemon that does not know the commands of the log."""
+    kinds = {name.partition(".")[0] for name in COMMANDS}
+    assert set(CHANGE_KINDS) <= kinds
+
+
 def put(state: State, version: int, document: str) -> dict:
     body = {"type": "deployment.put", "version": version, "document": document}
     return apply_command(state, body)
--- a/packages/core/tests/wire/test_succession.py
+++ b/packages/core/tests/wire/test_succession.py
@@ -21,7 +21,9 @@
 
 
 WORKING = report(succeeded=50)
-FAILING = report(failing=400, succeeded=3_000)
+FAILING = report(failing=700, succeeded=3_000)
+SLOW = report(failing=400, succeeded=3_000)
+FULL = report(failing=900, succeeded=50)
 STALLED = report(succeeded=50, stalled=1_500)
 
 
@@ -35,6 +37,11 @@
         ((FAILING, FAILING, WORKING), 0.0, "unreachable_from_proxies"),
         ((FAILING, FAILING, FAILING), 1.0, "unreachable"),
         ((report(), report()), 1.0, "unreachable"),
+        # New connections are slow, but the leader's own one works.
+        ((SLOW, SLOW, SLOW), 0.0, ""),
+        ((SLOW, SLOW, SLOW), 0.3, "unreachable"),
+        # Only new connections fail.
+        ((FULL, FULL, FULL), 0.0, ""),
         ((STALLED, STALLED, WORKING), 0.0, "commits_stalled"),
         ((WORKING, WORKING), 0.0, ""),
     ],
--- a/packages/daemon/src/bronzemoor_daemon/wire/groups.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/groups.py
@@ -172,12 +172,12 @@
             self._name,
             self.primary,
             self.term,
-            age(pool.failing_since) if pool else -1,
+            max(-1, int(pool.failing_for(now) * 1_000)) if pool else -1,
             age(pool.succeeded_at) if pool else -1,
             age(self.stalled_since),
             self.acknowledged.term,
             self.acknowledged.offset,
-            [p.member for p in self._pools.values() if p.failing_since is not None],
+            [p.member for p in self._pools.values() if p.failing_for(now) >= 0],
         )
 
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
@@ -25,7 +25,9 @@
 # A connection that was idle for longer is closed, but for the last one, seconds. A
 # member counts those of a lost machine for some time, so that unused ones would keep
 # its replacement out.
-IDLE_LIMIT = 1.5
+IDLE_LIMIT = 0.7
+# An attempt that takes longer than this counts as failing, seconds.
+SLOW_CONNECT = 0.2
 # How much a new measurement of the delay counts.
 DELAY_WEIGHT = 0.2
 
@@ -72,6 +74,8 @@
         self.succeeded_at = float("-inf")
         # Since when every new connection failed, None while they succeed.
         self.failing_since: float | None = None
+        # When the attempts in progress to open a connection started, seconds.
+        self._attempts: set[float] = set()
         # Smoothed time of a statement here, seconds.
         self.delay = 0.001 if is_local else 0.025
 
@@ -80,6 +84,12 @@
         """Statements in progress or waiting."""
         return len(self._open) - len(self._idle) + len(self._waiting)
 
+    def failing_for(self, now: float) -> float:
+        """For how long new connections have failed or hung, -1 if they succeed."""
+        since = [self.failing_since] if self.failing_since is not None else []
+        since += [start for start in self._attempts if now - start > SLOW_CONNECT]
+        return now - min(since) if since else -1.0
+
     async def acquire(
         self, session: SessionState, priority: int, timeout: float
     ) -> MemberConnection:
@@ -207,6 +217,7 @@
 
     async def _open_one(self) -> None:
         started = boottime()
+        self._attempts.add(started)
         try:
             connection, answer = await connect(
                 self._codec,
@@ -221,6 +232,8 @@
             self._failed(started, str(error))
             await self._retry_later()
             return
+        finally:
+            self._attempts.discard(started)
         if not answer.ok:
             self._opening -= 1
             if answer.error == CONNECTION_LIMIT:
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -25,8 +25,9 @@
 LEADER_TIMEOUT = 1.2
 # Reports at once while a primary fails, at most this often, seconds.
 URGENT_INTERVAL = 0.1
-# Readiness is withdrawn after this long without a lease, seconds.
-UNREADY_AFTER = 4.0
+# Without a lease for this long a proxy sends its idle clients elsewhere, seconds.
+# Shorter outages are over before clients have connected again.
+LEASELESS_LIMIT = 1.5
 # Reports whose answers still renew the lease.
 REPORTS_KEPT = 32
 # Stages of a stop, as shares of the grace: idle sessions are closed, open transactions
@@ -110,7 +111,7 @@
             not self.stopping
             and self.deployment is not None
             and bool(self._groups)
-            and boottime() < self._lease.expires + UNREADY_AFTER
+            and self._lease.valid(boottime())
         )
 
     def add_controls(self, seeds: tuple[str, ...]) -> None:
@@ -189,11 +190,24 @@
         while True:
             self._send_report()
             self._metrics.sessions.set(len(self.sessions))
+            now = boottime()
             for group in self._groups.values():
-                group.trim(boottime())
+                group.trim(now)
+            if now > self._lease.expires + LEASELESS_LIMIT:
+                self._send_clients_away()
             known = boottime() - self._heard_at < LEADER_TIMEOUT
             await asyncio.sleep(REPORT_INTERVAL if known else REPORT_INTERVAL / 2)
 
+    def _send_clients_away(self) -> None:
+        """Closes idle sessions, whose clients then reach a proxy with a lease."""
+        idle = [session for session in self.sessions if session.is_idle]
+        if idle:
+            self.report(
+                "warning", "sessions_closed", reason="no lease", number=len(idle)
+            )
+        for session in idle:
+            session.close()
+
     def _send_report(self) -> None:
         now = boottime()
         self._reported_at = now
