Share freshness samples and scarce connections between many proxies

Where a share is less than one, a proxy now opens connections when a statement needs them and closes them 0.1 s after their use.

A proxy that sends 0.8 statements a second to a primary has no recent position of it. Reports carry the newest sample and grants pass the newest of all on; ages are bounded by grants and reports, without comparing clocks.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES = packages/core packages/daemon packages/client packages/standin
 SOURCES = $(foreach p,$(PACKAGES),$(p)/src)
 export PYTHONPATH = $(subst $(eval ) ,:,$(SOURCES))
-TOOLS = setuptools wheel ruff mypy pytest pytest-xdist pytest-bdd pytest-benchmark hypothesis trustme \
+TOOLS = setuptools wheel ruff mypy pytest pytest-bdd pytest-benchmark hypothesis trustme \
 	types-PyYAML types-requests types-jsonschema
 
 .PHONY: setup demo test lint format bench soak stats thrift
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -59,16 +59,18 @@
 }
 struct GroupReport {
   1: string group, 2: string member, 3: i64 term, 4: i64 failing_ms, 5: i64 succeeded_ms,
-  6: i64 stalled_ms, 7: i64 acknowledged_term, 8: i64 acknowledged_offset, 9: list<string> unreachable
+  6: i64 stalled_ms, 7: i64 acknowledged_term, 8: i64 acknowledged_offset, 9: list<string> unreachable,
+  10: i64 sample_term, 11: i64 sample_offset, 12: i64 sample_after_ms, 13: i64 committed_ms
 }
+struct PositionSample { 1: string group, 2: i64 term, 3: i64 offset, 4: i64 age_ms }
 struct ProxyReport {
   1: i64 incarnation, 2: i64 sequence, 3: i64 deployment_version, 4: i64 topology_version,
-  5: bool draining, 6: list<GroupReport> groups
+  5: bool draining, 6: list<GroupReport> groups, 7: i64 last_grant
 }
 struct ProxyGrant {
   1: i64 sequence, 2: string leader, 3: i32 lease_ms, 4: i64 deployment_version,
   5: binary deployment, 6: i64 topology_version, 7: list<GroupView> groups,
-  8: list<string> controls
+  8: list<string> controls, 9: list<PositionSample> samples, 10: i64 number
 }
 
 union Message {
--- a/packages/core/src/bronzemoor_core/messages.py
+++ b/packages/core/src/bronzemoor_core/messages.py
@@ -295,7 +295,8 @@
 class GroupView:
     """One group: ``primary`` is empty while nobody may be used as primary.
 
-    ``connections`` is how many connections one proxy may hold to each member.
+    ``connections`` is how many connections one proxy may hold to each member, 0 if
+    there is less than one for each proxy.
     """
 
     group: str
@@ -311,9 +312,12 @@
     """What a proxy observed of a group's primary ``member`` in ``term``.
 
     ``failing_ms`` is how long new connections to it have failed, ``succeeded_ms`` how
-    long ago it last answered, ``stalled_ms`` how long commits have had no answer while
-    other statements did; each is -1 where it does not apply. The acknowledged position
-    is the newest one of a commit that this proxy confirmed to a client.
+    long ago it last answered, ``committed_ms`` how long ago it last answered a commit
+    and ``stalled_ms`` how long commits have had no answer; each is -1 where it does not
+    apply. The acknowledged position is the newest one of a commit that this proxy
+    confirmed to a client. The sample is
+    the newest position in an answer to a statement that was sent ``sample_after_ms``
+    after the grant that the report names arrived, -1 without one.
     """
 
     group: str
@@ -325,12 +329,31 @@
     acknowledged_term: int
     acknowledged_offset: int
     unreachable: list[str]
+    sample_term: int = 0
+    sample_offset: int = 0
+    sample_after_ms: int = -1
+    committed_ms: int = -1
+
+
+@message
+@dataclass(slots=True)
+class PositionSample:
+    """A primary's position; the statement that saw it was sent at most ``age_ms``
+    before this message was."""
+
+    group: str
+    term: int
+    offset: int
+    age_ms: int
 
 
 @message
 @dataclass(slots=True)
 class ProxyReport:
-    """From a proxy to the control leader; ``topology_version`` is the one in force."""
+    """From a proxy to the control leader; ``topology_version`` is the one in force.
+
+    ``last_grant`` is the number of the newest grant that the proxy got, for samples.
+    """
 
     incarnation: int
     sequence: int
@@ -338,6 +361,7 @@
     topology_version: int
     draining: bool
     groups: list[GroupReport]
+    last_grant: int = 0
 
 
 @message
@@ -347,7 +371,8 @@
 
     ``lease_ms`` counts from the sending of the report that ``sequence`` names; 0 means
     that the sender is not the leader. ``deployment`` is empty and ``groups`` is to be
-    ignored where the version is the one that the proxy reported.
+    ignored where the version is the one that the proxy reported. ``number`` tells the
+    grants to one proxy apart.
     """
 
     sequence: int
@@ -358,3 +383,5 @@
     topology_version: int
     groups: list[GroupView]
     controls: list[str]
+    samples: list[PositionSample] = field(default_factory=list)
+    number: int = 0
--- a/packages/core/src/bronzemoor_core/wire/succession.py
+++ b/packages/core/src/bronzemoor_core/wire/succession.py
@@ -11,8 +11,10 @@
 # primary that the control leader itself still reaches is replaced.
 FAILING_SHARE = 0.30
 FAILING_ALONE_TIME = 0.6
-# Commits without an answer for this long, seconds, count as a primary without replicas.
+# A primary is without replicas if at least so many proxies had no answer to commits for
+# this long, seconds, and no proxy had one. A single answer may just be lost.
 STALL_TIME = 1.2
+STALL_PROXIES = 2
 # Evidence older than this is not used, seconds.
 REPORT_AGE = 1.5
 # A primary that answered a proxy this recently is alive, seconds.
@@ -57,7 +59,11 @@
         return "unreachable"
     if failing_alone and failing_alone >= FAILING_SHARE * len(fresh):
         return "unreachable_from_proxies"
-    if stalled >= max(1, FAILING_SHARE * len(fresh)):
+    committed = any(
+        r.committed_ms >= 0 and r.committed_ms / 1_000 + age < STALL_TIME
+        for r, age in fresh
+    )
+    if not committed and stalled >= max(STALL_PROXIES, FAILING_SHARE * len(fresh)):
         return "commits_stalled"
     return ""
 
--- a/packages/core/tests/wire/test_freshness.py
+++ b/packages/core/tests/wire/test_freshness.py
@@ -9,7 +9,11 @@
     READ_YOUR_WRITES,
     Route,
 )
-from bronzemoor_core.wire.freshness import STALENESS_MARGIN, PositionSamples
+from bronzemoor_core.wire.freshness import (
+    STALENESS_MARGIN,
+    PositionSamples,
+    SampleExchange,
+)
 from bronzemoor_core.wire.placement import required_position
 
 
@@ -82,3 +86,38 @@
     samples.record(1.0, Position(1, 1))
     assert samples.required(3.0 - STALENESS_MARGIN, 2.0) is not None
     assert samples.required(3.0 - STALENESS_MARGIN / 2, 2.0) is None
+
+
+@given(
+    st.floats(0.0, 5.0),
+    st.floats(0.0, 0.5),
+    st.floats(0.0, 2.0),
+    st.floats(0.0, 0.5),
+    st.floats(0.0, 0.5),
+)
+def test_an_exchanged_sample_is_never_taken_for_newer_than_it_is(
+    granted, way, after, back, rest
+):
+    """Guards against a stale read at a proxy that uses another proxy's sample.
+
+    All times are true times: a grant is sent, arrives, a statement is sent, its
+    position is reported and passed on.
+    """
+    exchange = SampleExchange()
+    exchange.granted(granted, "p", 1)
+    sent_at = granted + way + after
+    exchange.take("p", 1, "g", after, Position(1, 7))
+    asked_at = sent_at + back
+    now = asked_at + rest
+    age, position = exchange.newest(now, "g")
+    assert position == Position(1, 7)
+    assert asked_at - age <= sent_at + 1e-9
+
+
+def test_a_sample_after_an_unknown_grant_proves_nothing():
+    """Guards against ages that no grant bounds."""
+    exchange = SampleExchange()
+    exchange.take("p", 1, "g", 0.1, Position(1, 7))
+    exchange.granted(1.0, "p", 2)
+    exchange.take("p", 2, "g", -0.1, Position(1, 7))
+    assert exchange.newest(2.0, "g") is None
--- a/packages/core/tests/wire/test_succession.py
+++ b/packages/core/tests/wire/test_succession.py
@@ -12,8 +12,13 @@
 )
 
 
-def report(failing=-1, succeeded=-1, stalled=-1, acknowledged=(1, 0)) -> GroupReport:
-    return GroupReport("g", "a", 1, failing, succeeded, stalled, *acknowledged, [])
+def report(
+    failing=-1, succeeded=-1, stalled=-1, acknowledged=(1, 0), committed=-1
+) -> GroupReport:
+    return GroupReport(
+        "g", "a", 1, failing, succeeded, stalled, *acknowledged, [],
+        committed_ms=committed,
+    )  # fmt: skip
 
 
 def evidence(*reports: GroupReport, received: float = 10.0) -> dict[str, Evidence]:
@@ -24,6 +29,7 @@
 FAILING = report(failing=700, succeeded=3_000)
 SLOW = report(failing=400, succeeded=3_000)
 FULL = report(failing=900, succeeded=50)
+COMMITTING = report(succeeded=50, committed=300)
 STALLED = report(succeeded=50, stalled=1_500)
 
 
@@ -43,6 +49,9 @@
         # Only new connections fail.
         ((FULL, FULL, FULL), 0.0, ""),
         ((STALLED, STALLED, WORKING), 0.0, "commits_stalled"),
+        # One lost answer, as after a lossy link.
+        ((STALLED, WORKING), 0.0, ""),
+        ((STALLED, STALLED, COMMITTING), 0.0, ""),
         ((WORKING, WORKING), 0.0, ""),
     ],
 )
--- a/packages/daemon/src/bronzemoor_daemon/gen/peer/Peer.py
+++ b/packages/daemon/src/bronzemoor_daemon/gen/peer/Peer.py
@@ -151,11 +151,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.envelopes = []
-                    (_etype167, _size164) = iprot.readListBegin()
-                    for _i168 in range(_size164):
-                        _elem169 = Envelope()
-                        _elem169.read(iprot)
-                        self.envelopes.append(_elem169)
+                    (_etype174, _size171) = iprot.readListBegin()
+                    for _i175 in range(_size171):
+                        _elem176 = Envelope()
+                        _elem176.read(iprot)
+                        self.envelopes.append(_elem176)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -172,8 +172,8 @@
         if self.envelopes is not None:
             oprot.writeFieldBegin('envelopes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.envelopes))
-            for iter170 in self.envelopes:
-                iter170.write(oprot)
+            for iter177 in self.envelopes:
+                iter177.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
+++ b/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
@@ -2617,11 +2617,15 @@
      - acknowledged_term
      - acknowledged_offset
      - unreachable
+     - sample_term
+     - sample_offset
+     - sample_after_ms
+     - committed_ms
 
     """
 
 
-    def __init__(self, group=None, member=None, term=None, failing_ms=None, succeeded_ms=None, stalled_ms=None, acknowledged_term=None, acknowledged_offset=None, unreachable=None,):
+    def __init__(self, group=None, member=None, term=None, failing_ms=None, succeeded_ms=None, stalled_ms=None, acknowledged_term=None, acknowledged_offset=None, unreachable=None, sample_term=None, sample_offset=None, sample_after_ms=None, committed_ms=None,):
         self.group = group
         self.member = member
         self.term = term
@@ -2631,6 +2635,10 @@
         self.acknowledged_term = acknowledged_term
         self.acknowledged_offset = acknowledged_offset
         self.unreachable = unreachable
+        self.sample_term = sample_term
+        self.sample_offset = sample_offset
+        self.sample_after_ms = sample_after_ms
+        self.committed_ms = committed_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2691,6 +2699,26 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.sample_term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.sample_offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.sample_after_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.committed_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2740,6 +2768,112 @@
                 oprot.writeString(iter142.encode('utf-8') if sys.version_info[0] == 2 else iter142)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.sample_term is not None:
+            oprot.writeFieldBegin('sample_term', TType.I64, 10)
+            oprot.writeI64(self.sample_term)
+            oprot.writeFieldEnd()
+        if self.sample_offset is not None:
+            oprot.writeFieldBegin('sample_offset', TType.I64, 11)
+            oprot.writeI64(self.sample_offset)
+            oprot.writeFieldEnd()
+        if self.sample_after_ms is not None:
+            oprot.writeFieldBegin('sample_after_ms', TType.I64, 12)
+            oprot.writeI64(self.sample_after_ms)
+            oprot.writeFieldEnd()
+        if self.committed_ms is not None:
+            oprot.writeFieldBegin('committed_ms', TType.I64, 13)
+            oprot.writeI64(self.committed_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PositionSample(object):
+    """
+    Attributes:
+     - group
+     - term
+     - offset
+     - age_ms
+
+    """
+
+
+    def __init__(self, group=None, term=None, offset=None, age_ms=None,):
+        self.group = group
+        self.term = term
+        self.offset = offset
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PositionSample')
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 2)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 3)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 4)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2767,17 +2901,19 @@
      - topology_version
      - draining
      - groups
+     - last_grant
 
     """
 
 
-    def __init__(self, incarnation=None, sequence=None, deployment_version=None, topology_version=None, draining=None, groups=None,):
+    def __init__(self, incarnation=None, sequence=None, deployment_version=None, topology_version=None, draining=None, groups=None, last_grant=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.deployment_version = deployment_version
         self.topology_version = topology_version
         self.draining = draining
         self.groups = groups
+        self.last_grant = last_grant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2824,6 +2960,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.last_grant = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2861,6 +3002,10 @@
                 iter149.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.last_grant is not None:
+            oprot.writeFieldBegin('last_grant', TType.I64, 7)
+            oprot.writeI64(self.last_grant)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2890,11 +3035,13 @@
      - topology_version
      - groups
      - controls
+     - samples
+     - number
 
     """
 
 
-    def __init__(self, sequence=None, leader=None, lease_ms=None, deployment_version=None, deployment=None, topology_version=None, groups=None, controls=None,):
+    def __init__(self, sequence=None, leader=None, lease_ms=None, deployment_version=None, deployment=None, topology_version=None, groups=None, controls=None, samples=None, number=None,):
         self.sequence = sequence
         self.leader = leader
         self.lease_ms = lease_ms
@@ -2903,6 +3050,8 @@
         self.topology_version = topology_version
         self.groups = groups
         self.controls = controls
+        self.samples = samples
+        self.number = number
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2964,6 +3113,22 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.samples = []
+                    (_etype165, _size162) = iprot.readListBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = PositionSample()
+                        _elem167.read(iprot)
+                        self.samples.append(_elem167)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3001,17 +3166,28 @@
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter162 in self.groups:
-                iter162.write(oprot)
+            for iter168 in self.groups:
+                iter168.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.controls is not None:
             oprot.writeFieldBegin('controls', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.controls))
-            for iter163 in self.controls:
-                oprot.writeString(iter163.encode('utf-8') if sys.version_info[0] == 2 else iter163)
+            for iter169 in self.controls:
+                oprot.writeString(iter169.encode('utf-8') if sys.version_info[0] == 2 else iter169)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.samples is not None:
+            oprot.writeFieldBegin('samples', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.samples))
+            for iter170 in self.samples:
+                iter170.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 10)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3706,6 +3882,18 @@
     (7, TType.I64, 'acknowledged_term', None, None, ),  # 7
     (8, TType.I64, 'acknowledged_offset', None, None, ),  # 8
     (9, TType.LIST, 'unreachable', (TType.STRING, 'UTF8', False), None, ),  # 9
+    (10, TType.I64, 'sample_term', None, None, ),  # 10
+    (11, TType.I64, 'sample_offset', None, None, ),  # 11
+    (12, TType.I64, 'sample_after_ms', None, None, ),  # 12
+    (13, TType.I64, 'committed_ms', None, None, ),  # 13
+)
+all_structs.append(PositionSample)
+PositionSample.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'term', None, None, ),  # 2
+    (3, TType.I64, 'offset', None, None, ),  # 3
+    (4, TType.I64, 'age_ms', None, None, ),  # 4
 )
 all_structs.append(ProxyReport)
 ProxyReport.thrift_spec = (
@@ -3716,6 +3904,7 @@
     (4, TType.I64, 'topology_version', None, None, ),  # 4
     (5, TType.BOOL, 'draining', None, None, ),  # 5
     (6, TType.LIST, 'groups', (TType.STRUCT, [GroupReport, None], False), None, ),  # 6
+    (7, TType.I64, 'last_grant', None, None, ),  # 7
 )
 all_structs.append(ProxyGrant)
 ProxyGrant.thrift_spec = (
@@ -3728,6 +3917,8 @@
     (6, TType.I64, 'topology_version', None, None, ),  # 6
     (7, TType.LIST, 'groups', (TType.STRUCT, [GroupView, None], False), None, ),  # 7
     (8, TType.LIST, 'controls', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.LIST, 'samples', (TType.STRUCT, [PositionSample, None], False), None, ),  # 9
+    (10, TType.I64, 'number', None, None, ),  # 10
 )
 all_structs.append(Message)
 Message.thrift_spec = (
--- a/packages/daemon/src/bronzemoor_daemon/wire/groups.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/groups.py
@@ -47,6 +47,7 @@
         self.acknowledged: Position = ZERO
         # When the oldest commit without an answer was sent, None if there is none.
         self.stalled_since: float | None = None
+        self._committed_at = float("-inf")
 
     @property
     def name(self) -> str:
@@ -148,6 +149,7 @@
         """Notes a commit that a client is told of."""
         self.acknowledged = max(self.acknowledged, position)
         self.stalled_since = None
+        self._committed_at = now
         self.samples.record(sent_at, position)
 
     def commit_unanswered(self, sent_at: float) -> None:
@@ -159,8 +161,14 @@
         for pool in self._pools.values():
             pool.trim(now)
 
-    def describe(self, now: float) -> GroupReport:
-        """The report about this group to the control leader."""
+    def take_sample(self, sent_at: float, position: Position) -> None:
+        """Takes a sample that another proxy saw, on this proxy's clock."""
+        self.samples.record(sent_at, position)
+
+    def describe(self, now: float, granted_at: float) -> GroupReport:
+        """The report to the control leader, whose last grant came at ``granted_at``."""
+        sampled_at, sample = self.samples.newest
+        after = int((sampled_at - granted_at) * 1_000) if sample != ZERO else -1
 
         def age(since: float | None) -> int:
             if since is None or since == float("-inf"):
@@ -178,6 +186,10 @@
             self.acknowledged.term,
             self.acknowledged.offset,
             [p.member for p in self._pools.values() if p.failing_for(now) >= 0],
+            sample.term,
+            sample.offset,
+            max(-1, after),
+            age(self._committed_at),
         )
 
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -4,8 +4,16 @@
 from typing import TYPE_CHECKING
 
 from bronzemoor_core.exceptions import BronzemoorError
-from bronzemoor_core.messages import GroupView, MemberView, ProxyGrant, ProxyReport
+from bronzemoor_core.messages import (
+    GroupView,
+    MemberView,
+    PositionSample,
+    ProxyGrant,
+    ProxyReport,
+)
+from bronzemoor_core.positions import Position
 from bronzemoor_core.wire.deployment import Deployment
+from bronzemoor_core.wire.freshness import SampleExchange
 from bronzemoor_core.wire.leases import LeaseTable
 from bronzemoor_core.wire.records import LeaderRecord, MemberRecord, unpack_document
 from bronzemoor_core.wire.succession import Evidence
@@ -32,6 +40,8 @@
 # A proxy that was not heard for this long is not told of changes, seconds.
 PROXY_SILENCE = 5.0
 DEFAULT_CONNECTIONS = 8
+# Samples older than this prove nothing that a read could use, seconds.
+SAMPLE_USE = 5.0
 
 
 class Leader:
@@ -64,6 +74,8 @@
         self.metrics = metrics
         self.deployment: Deployment | None = None
         self.leases = LeaseTable(boottime())
+        self._samples = SampleExchange()
+        self._grants = 0
         self.evidence: dict[str, dict[str, Evidence]] = {}
         self.records_changed()
 
@@ -159,13 +171,13 @@
         )
 
     def _share(self, group: str) -> int:
-        """Connections to each member that one proxy may hold."""
+        """Connections to each member that one proxy may hold; 0 is less than one."""
         spec = self.deployment.groups.get(group) if self.deployment else None
         limit = spec.max_connections if spec else 0
         if not limit:
             return DEFAULT_CONNECTIONS
         proxies = max(1, self.leases.active(boottime()))
-        return max(1, (limit - RESERVED_CONNECTIONS) // proxies)
+        return (limit - RESERVED_CONNECTIONS) // proxies
 
     def _announce(self) -> None:
         now = boottime()
@@ -180,6 +192,9 @@
     ) -> None:
         """Sends what the proxy lacks; it reported the two versions that it has."""
         version = self.deployment.version if self.deployment else 0
+        now = boottime()
+        self._grants += 1
+        self._samples.granted(now, proxy, self._grants)
         self._control.links.send(
             proxy,
             ProxyGrant(
@@ -191,9 +206,23 @@
                 self._version,
                 self._views if topology < self._version else [],
                 self._control.controls,
+                self._newest_samples(now) if sequence else [],
+                self._grants,
             ),
         )
 
+    def _newest_samples(self, now: float) -> list[PositionSample]:
+        samples = []
+        for group in self._supervisors:
+            newest = self._samples.newest(now, group)
+            if newest is not None and newest[0] < SAMPLE_USE:
+                age, position = newest
+                age_ms = int(age * 1_000) + 1
+                samples.append(
+                    PositionSample(group, position.term, position.offset, age_ms)
+                )
+        return samples
+
     # --- proxies
 
     def on_report(self, now: float, proxy: str, report: ProxyReport) -> None:
@@ -203,6 +232,13 @@
         for item in report.groups:
             evidence = self.evidence.setdefault(item.group, {})
             evidence[proxy] = Evidence(now, item)
+            self._samples.take(
+                proxy,
+                report.last_grant,
+                item.group,
+                item.sample_after_ms / 1_000,
+                Position(item.sample_term, item.sample_offset),
+            )
             supervisor = self._supervisors.get(item.group)
             if supervisor is not None:
                 supervisor.on_evidence(item)
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
@@ -26,6 +26,10 @@
 # member counts those of a lost machine for some time, so that unused ones would keep
 # its replacement out.
 IDLE_LIMIT = 0.7
+# Where there is less than one connection for each proxy, none is kept for longer than
+# this after its use, seconds, and each proxy may take this many for a while.
+SCARCE_IDLE_LIMIT = 0.1
+SCARCE_CONNECTIONS = 3
 # An attempt that takes longer than this counts as failing, seconds.
 SLOW_CONNECT = 0.2
 # How much a new measurement of the delay counts.
@@ -67,6 +71,8 @@
         self.address = address
         self.is_local = is_local
         self.limit = limit
+        self._scarce = False
+        self.set_limit(limit)
         self.leaving = False
         self.leaving_since = 0.0
         # Seconds; when a connection or statement last failed or succeeded here.
@@ -146,18 +152,23 @@
             self._discard(self._idle.pop())
 
     def set_limit(self, limit: int) -> None:
-        self.limit = max(1, limit)
+        """Follows the leader's share; 0 stands for less than one connection."""
+        self._scarce = limit == 0
+        self.limit = limit or SCARCE_CONNECTIONS
         while self._idle and len(self._open) > self.limit:
             self._discard(self._idle.popleft())
 
     def trim(self, now: float) -> None:
         """Closes connections that were not needed lately."""
-        while len(self._idle) > 1 and now - self._idle[0].idle_since > IDLE_LIMIT:
+        kept, limit = (0, SCARCE_IDLE_LIMIT) if self._scarce else (1, IDLE_LIMIT)
+        while len(self._idle) > kept and now - self._idle[0].idle_since > limit:
             self._discard(self._idle.popleft())
 
     def warm(self, wanted: int) -> None:
         """Opens connections ahead of need, up to ``wanted``."""
-        while len(self._open) + self._opening < min(wanted, self.limit):
+        while not self._scarce and len(self._open) + self._opening < min(
+            wanted, self.limit
+        ):
             if not self._start_opening():
                 return
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -6,6 +6,7 @@
 
 from bronzemoor_core.exceptions import BronzemoorError
 from bronzemoor_core.messages import ProxyGrant, ProxyReport
+from bronzemoor_core.positions import Position
 from bronzemoor_core.wire.deployment import Deployment, Route
 from bronzemoor_core.wire.leases import HeldLease
 from bronzemoor_core.wire.records import unpack_document
@@ -21,6 +22,8 @@
 from bronzemoor_daemon.wire.settings import WireSettings
 
 REPORT_INTERVAL = 0.5  # seconds
+# How often unused member connections are looked for, seconds.
+TRIM_INTERVAL = 0.1
 # A leader that did not answer for this long is looked for again, seconds.
 LEADER_TIMEOUT = 1.2
 # Reports at once while a primary fails, at most this often, seconds.
@@ -59,6 +62,8 @@
         self._heard_at = float("-inf")
         self._sequence = 0
         self._asked: dict[int, float] = {}
+        # Number of the leader's last grant, and when it came.
+        self._grant, self._granted_at = 0, float("-inf")
         self._topology_version = 0
         self._reported_at = float("-inf")
         self._server: asyncio.Server | None = None
@@ -83,6 +88,7 @@
             lambda: ClientSession(self), host, port, backlog=LISTEN_BACKLOG
         )
         self.spawn(self._report_forever())
+        self.spawn(self._trim_forever())
 
     async def stop(self) -> None:
         """Drains within the grace: unready, idle sessions, transactions, the rest."""
@@ -186,13 +192,18 @@
 
     # --- control
 
+    async def _trim_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TRIM_INTERVAL)
+            now = boottime()
+            for group in self._groups.values():
+                group.trim(now)
+
     async def _report_forever(self) -> None:
         while True:
             self._send_report()
             self._metrics.sessions.set(len(self.sessions))
             now = boottime()
-            for group in self._groups.values():
-                group.trim(now)
             if now > self._lease.expires + LEASELESS_LIMIT:
                 self._send_clients_away()
             known = boottime() - self._heard_at < LEADER_TIMEOUT
@@ -231,7 +242,8 @@
                 self.deployment.version if self.deployment else 0,
                 self._topology_version,
                 self.stopping,
-                [group.describe(now) for group in self._groups.values()],
+                [g.describe(now, self._granted_at) for g in self._groups.values()],
+                self._grant,
             ),
         )
 
@@ -262,7 +274,10 @@
                 del self._groups[name]
             for view in message.groups:
                 self.group(view.group).follow(view)
+        self._grant, self._granted_at = message.number, now
         asked_at = self._asked.pop(message.sequence, None)
+        if asked_at is not None:
+            self._take_samples(asked_at, message)
         if asked_at is not None and message.lease_ms > 0:
             current = message.topology_version == self._topology_version
             if current:
@@ -271,6 +286,14 @@
             # Confirms the announced topology without waiting for the next report.
             self._send_report()
 
+    def _take_samples(self, asked_at: float, message: ProxyGrant) -> None:
+        """Ages count from the leader's sending, which was after this proxy asked."""
+        for sample in message.samples:
+            group = self._groups.get(sample.group)
+            if group is not None:
+                position = Position(sample.term, sample.offset)
+                group.take_sample(asked_at - sample.age_ms / 1_000, position)
+
     def _renew(self, now: float, asked_at: float, length: float) -> None:
         had_lease = self._lease.valid(now)
         self._lease.renew(asked_at, length)
