Pace statements at members that shed, and openings at full ones

Refused statements returned after 20 ms, refused connections after 100 ms from every proxy, lagging replicas were asked each time, and a reset that overtook the refusal counted as an unreachable member.

A member that sheds now gets growing pauses, which less urgent statements keep; a lagging replica is left alone for 150 ms; openings back off; unused connections are kept longer while the member refuses none; a member that accepts and closes counts as alive.

--- a/packages/daemon/src/bronzemoor_daemon/wire/execution.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/execution.py
@@ -80,6 +80,7 @@
             continue
         pool = group.pools[target.member]
         limit = min(deadline - now, route.statement_timeout * ATTEMPT_SHARE)
+        await pool.pace(route.priority)
         try:
             connection = await pool.acquire(session, route.priority, limit)
         except NoConnection as error:
@@ -105,9 +106,19 @@
         if not answer.not_run and answer.error != st.FAILED:
             return answer
         tried.add(pool.member)
+        await refused(pool, answer, deadline)
     return last
 
 
+async def refused(pool: MemberPool, answer: Answer, deadline: float) -> None:
+    """Follows a refusal: a busy member gets a pause, a lagging one is left alone."""
+    now = boottime()
+    if answer.error == st.LAGGING:
+        pool.lagged(now)
+    elif answer.error == st.BUSY:
+        await asyncio.sleep(min(pool.shed(now), max(0.0, deadline - now)))
+
+
 async def exchange(
     proxy: "Proxy",
     group: Group,
@@ -188,5 +199,6 @@
         if not answer.not_run:
             return answer
         last = answer
+        await refused(pool, answer, deadline)
         await asyncio.sleep(min(RETRY_PAUSE, max(0.0, deadline - boottime())))
     return last
--- a/packages/daemon/src/bronzemoor_daemon/wire/groups.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/groups.py
@@ -131,6 +131,7 @@
                 for pool in self._pools.values()
                 if pool.member != self.primary
                 and pool.member not in tried
+                and now >= pool.lagging_until
                 and _takes_work(now, pool)
             ]
         if not pools:
--- a/packages/daemon/src/bronzemoor_daemon/wire/links.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/links.py
@@ -24,7 +24,7 @@
 DIAL_TIMEOUT = 1.0  # seconds
 # Pause after a failed dial; messages for the peer are dropped meanwhile.
 REDIAL_INTERVAL = 0.1  # seconds
-# Every message between daemons has an answer; without one the link is silent.
+# A link whose opener has no answer for this long is silent.
 SILENCE_LIMIT = 1.5  # seconds
 CHECK_INTERVAL = 0.25  # seconds
 # Messages that wait for a dial; the oldest are dropped.
@@ -44,6 +44,8 @@
         self._buffer = bytearray()
         self.peer = peer
         self.transport: asyncio.Transport | None = None
+        # Who opened the connection sends messages that are answered on it.
+        self._expects_answers = bool(peer)
         # When the oldest message without any later input was sent.
         self.waiting_since: float | None = None
 
@@ -74,7 +76,7 @@
         if self.transport is None:
             return
         self.transport.write(LENGTH.pack(len(frame)) + frame)
-        if self.waiting_since is None:
+        if self.waiting_since is None and self._expects_answers:
             self.waiting_since = now
 
     def abort(self) -> None:
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
@@ -6,6 +6,7 @@
 
 from bronzemoor_core.exceptions import BronzemoorError
 from bronzemoor_core.positions import ZERO, Position
+from bronzemoor_core.wire import statements as st
 from bronzemoor_core.wire.sessionstate import ConnectionState, SessionState
 from bronzemoor_core.wire.statements import Answer
 from bronzemoor_daemon.framing import split_address
@@ -136,6 +137,18 @@
         return future
 
 
+async def _started(answer: asyncio.Future[Answer]) -> Answer:
+    """The answer to a start.
+
+    A member that accepts and then closes is alive; a reset may overtake the message
+    that it holds too many connections.
+    """
+    try:
+        return await answer
+    except ConnectionLost as error:
+        return Answer(error=st.CONNECTION_LIMIT, message=error.message.encode())
+
+
 async def connect(
     codec: StatementCodec,
     group: str,
@@ -154,7 +167,7 @@
         host, port = split_address(address)
         async with asyncio.timeout(timeout):
             await loop.create_connection(lambda: connection, host, port)
-            answer = await connection.start(group, caller, member)
+            answer = await _started(connection.start(group, caller, member))
     except (OSError, ValueError, TimeoutError) as error:
         connection.close()
         raise ConnectionLost(
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from heapq import heappop, heappush
 from itertools import count
+from random import Random
 
 from bronzemoor_core.exceptions import BronzemoorError
 from bronzemoor_core.wire.sessionstate import SessionState
@@ -20,16 +21,25 @@
 CONNECT_TIMEOUT = 0.5  # seconds
 # Pause before the next attempt after a failed one.
 RECONNECT_INTERVAL = 0.1  # seconds
+# Longest pause of that kind, after several refusals for the limit, seconds.
+MAX_RECONNECT_INTERVAL = 0.8
 # Connections that may be in opening at once, since each takes a slot of the member.
 MAX_OPENING = 2
 # A connection that was idle for longer is closed, but for the last one, seconds. A
 # member counts those of a lost machine for some time, so that unused ones would keep
 # its replacement out.
 IDLE_LIMIT = 0.7
-# Where there is less than one connection for each proxy, none is kept for longer than
-# this after its use, seconds, and each proxy may take this many for a while.
-SCARCE_IDLE_LIMIT = 0.1
+# Where there is less than one connection for each proxy, each may take this many for a
+# while. How long an unused one is kept, seconds, falls to the first figure when the
+# member refuses one and rises by the third each second up to the second.
 SCARCE_CONNECTIONS = 3
+MIN_SCARCE_IDLE, MAX_SCARCE_IDLE, SCARCE_IDLE_RISE = 0.05, 2.0, 0.1
+# A replica that lacked a position is left alone for this long, seconds.
+LAGGING_PAUSE = 0.150
+# Pauses after a member shed a statement, seconds; each one doubles the next.
+MIN_SHED_PAUSE, MAX_SHED_PAUSE = 0.040, 0.400
+# Statements of a lower priority than this wait while a member sheds.
+URGENT_PRIORITY = 1
 # An attempt that takes longer than this counts as failing, seconds.
 SLOW_CONNECT = 0.2
 # How much a new measurement of the delay counts.
@@ -67,14 +77,22 @@
         self._order = count()
         self._closed = False
         self._tasks: set[asyncio.Task[None]] = set()
+        self._random = Random()
         self.member = member
         self.address = address
         self.is_local = is_local
         self.limit = limit
         self._scarce = False
+        self._scarce_idle = MAX_SCARCE_IDLE
+        self._trimmed_at = 0.0
+        self._reconnect_interval = RECONNECT_INTERVAL
+        self._shed_pause = 0.0
+        self._shed_until = 0.0
         self.set_limit(limit)
         self.leaving = False
         self.leaving_since = 0.0
+        # A replica that lagged is not asked again before, seconds.
+        self.lagging_until = 0.0
         # Seconds; when a connection or statement last failed or succeeded here.
         self.failed_at = float("-inf")
         self.succeeded_at = float("-inf")
@@ -139,8 +157,30 @@
             connection.idle_since = boottime()
             self._idle.append(connection)
 
+    def shed(self, now: float) -> float:
+        """The member refused a statement as busy; returns the pause, seconds.
+
+        It is partly random, so that proxies do not return together.
+        """
+        doubled = max(MIN_SHED_PAUSE, 2 * self._shed_pause)
+        self._shed_pause = min(MAX_SHED_PAUSE, doubled)
+        pause = self._shed_pause * (0.5 + self._random.random())
+        self._shed_until = max(self._shed_until, now + pause)
+        return pause
+
+    def lagged(self, now: float) -> None:
+        """The replica lacked a position that a read needs."""
+        self.lagging_until = now + LAGGING_PAUSE
+
+    async def pace(self, priority: int) -> None:
+        """Keeps what is not urgent from a member that sheds."""
+        pause = self._shed_until - boottime()
+        if pause > 0 and priority > URGENT_PRIORITY:
+            await asyncio.sleep(pause)
+
     def succeeded(self, now: float, elapsed: float) -> None:
         """Notes an answer that took ``elapsed`` seconds."""
+        self._shed_pause /= 2
         self.succeeded_at = now
         self.failing_since = None
         self.delay += (elapsed - self.delay) * DELAY_WEIGHT
@@ -160,7 +200,10 @@
 
     def trim(self, now: float) -> None:
         """Closes connections that were not needed lately."""
-        kept, limit = (0, SCARCE_IDLE_LIMIT) if self._scarce else (1, IDLE_LIMIT)
+        rise = min(1.0, now - self._trimmed_at) * SCARCE_IDLE_RISE
+        self._scarce_idle = min(MAX_SCARCE_IDLE, self._scarce_idle + rise)
+        self._trimmed_at = now
+        kept, limit = (0, self._scarce_idle) if self._scarce else (1, IDLE_LIMIT)
         while len(self._idle) > kept and now - self._idle[0].idle_since > limit:
             self._discard(self._idle.popleft())
 
@@ -251,18 +294,24 @@
                 # The member is alive. It still counts connections of lost machines,
                 # or another proxy has not closed what it gave up yet.
                 self.failing_since = None
+                self._scarce_idle = MIN_SCARCE_IDLE
+                self._reconnect_interval = min(
+                    MAX_RECONNECT_INTERVAL, 2 * self._reconnect_interval
+                )
                 self._report("info", "connection_refused", member=self.member)
             else:
                 self._failed(started, answer.error)
             await self._retry_later()
             return
         self._opening -= 1
+        self._reconnect_interval = RECONNECT_INTERVAL
         self.failing_since = None
         self._open.add(connection)
         self.release(connection, clean=True)
 
     async def _retry_later(self) -> None:
-        await asyncio.sleep(RECONNECT_INTERVAL)
+        # A random part spreads the proxies that were refused together.
+        await asyncio.sleep(self._reconnect_interval * (0.5 + self._random.random()))
         self._open_more()
 
     def _failed(self, started: float, reason: str) -> None:
--- a/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
@@ -16,6 +16,7 @@
     RETRY_PAUSE,
     Attempt,
     ignore,
+    refused,
     send,
 )
 from bronzemoor_daemon.wire.groups import Group
@@ -131,6 +132,7 @@
                 continue
             pool = self._group.pools[target.member]
             limit = min(deadline - now, self.route.statement_timeout * ATTEMPT_SHARE)
+            await pool.pace(self.route.priority)
             try:
                 connection = await pool.acquire(
                     self._session, self.route.priority, limit
@@ -155,6 +157,7 @@
                 last = answer
                 if not answer.not_run and answer.error != st.ABORTED:
                     break
+                await refused(pool, answer, deadline)
             tried.add(pool.member)
         self._failure = last.error
         return last
@@ -193,8 +196,8 @@
 
     async def _next(self, attempt: Attempt, deadline: float) -> Answer:
         """Runs a statement on the pinned connection."""
-        connection = self._connection
-        assert connection is not None
+        connection, pool = self._connection, self._pool
+        assert connection is not None and pool is not None
         if not connection.is_open:
             return self._abort("connection lost")
         ignore(connection.adopt(self._session))
@@ -210,7 +213,7 @@
                 and answer.state == st.IN_TRANSACTION
                 and may_wait
             ):
-                await asyncio.sleep(RETRY_PAUSE)
+                await refused(pool, answer, deadline)
                 continue
             if not answer.ok:
                 self._failure = answer.error
@@ -240,7 +243,7 @@
                 and answer.state == st.IN_TRANSACTION
                 and may_wait
             ):
-                await asyncio.sleep(RETRY_PAUSE)
+                await refused(pool, answer, deadline)
                 continue
             break
         now = boottime()
