Open fewer connections where they are scarce

A statement now waits 60 ms for a connection in use before another is opened, unused ones are kept for 0.3 s at least, and reads prefer a member with a free connection. The first election timer of a restarted member is at most half the shortest one.

--- a/packages/core/src/bronzemoor_core/elections.py
+++ b/packages/core/src/bronzemoor_core/elections.py
@@ -28,7 +28,7 @@
         if self._replica.group.votes_needed == 1:
             self._deadline = now
         else:
-            longest = self._replica.settings.timers.election_timeout_min
+            longest = self._replica.settings.timers.election_timeout_min / 2
             self._deadline = now + self._replica.random.uniform(0.0, longest)
 
     def reset_timer(self, now: float) -> None:
--- a/packages/core/src/bronzemoor_core/wire/placement.py
+++ b/packages/core/src/bronzemoor_core/wire/placement.py
@@ -9,6 +9,8 @@
 
 # A member whose connections failed is tried last for this long.
 FAILURE_PENALTY = 1.0  # seconds
+# Expected wait for a connection that is not open yet, seconds.
+OPENING_COST = 0.015
 # Expected wait behind one more statement of this proxy at a member, seconds.
 QUEUE_COST = 0.004
 
@@ -25,6 +27,9 @@
     @property
     def load(self) -> int: ...
 
+    @property
+    def has_idle(self) -> bool: ...
+
 
 C = TypeVar("C", bound=Candidate)
 
@@ -56,6 +61,7 @@
 
     def cost(item: C) -> tuple[bool, bool, float]:
         failing = now - item.failed_at < FAILURE_PENALTY
-        return failing, item.leaving, item.delay + item.load * QUEUE_COST
+        wait = 0.0 if item.has_idle else OPENING_COST
+        return failing, item.leaving, item.delay + item.load * QUEUE_COST + wait
 
     return sorted(candidates, key=cost)
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
@@ -33,7 +33,10 @@
 # while. How long an unused one is kept, seconds, falls to the first figure when the
 # member refuses one and rises by the third each second up to the second.
 SCARCE_CONNECTIONS = 3
-MIN_SCARCE_IDLE, MAX_SCARCE_IDLE, SCARCE_IDLE_RISE = 0.05, 2.0, 0.1
+MIN_SCARCE_IDLE, MAX_SCARCE_IDLE, SCARCE_IDLE_RISE = 0.3, 2.0, 0.1
+# Where connections are scarce a statement waits this long for one that is in use before
+# another is opened, seconds, since opening takes a slot of the member.
+SCARCE_OPEN_DELAY = 0.060
 # A replica that lacked a position is left alone for this long, seconds.
 LAGGING_PAUSE = 0.150
 # Pauses after a member shed a statement, seconds; each one doubles the next.
@@ -114,6 +117,11 @@
         since += [start for start in self._attempts if now - start > SLOW_CONNECT]
         return now - min(since) if since else -1.0
 
+    @property
+    def has_idle(self) -> bool:
+        """Tells whether a statement would not have to wait for a connection."""
+        return bool(self._idle)
+
     async def acquire(
         self, session: SessionState, priority: int, timeout: float
     ) -> MemberConnection:
@@ -128,7 +136,11 @@
             asyncio.get_running_loop().create_future()
         )
         heappush(self._waiting, (priority, next(self._order), future))
-        self._open_more()
+        if self._scarce and self._open:
+            loop = asyncio.get_running_loop()
+            loop.call_later(SCARCE_OPEN_DELAY, self._open_more)
+        else:
+            self._open_more()
         try:
             async with asyncio.timeout(timeout):
                 return await future
