--- a/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
@@ -33,7 +33,7 @@
 # while. How long an unused one is kept, seconds, falls to the first figure when the
 # member refuses one and rises by the third each second up to the second.
 SCARCE_CONNECTIONS = 3
-MIN_SCARCE_IDLE, MAX_SCARCE_IDLE, SCARCE_IDLE_RISE = 0.3, 2.0, 0.1
+MIN_SCARCE_IDLE, MAX_SCARCE_IDLE, SCARCE_IDLE_RISE = 0.1, 0.5, 0.1
 # Where connections are scarce a statement waits this long for one that is in use before
 # another is opened, seconds, since opening takes a slot of the member.
 SCARCE_OPEN_DELAY = 0.060
--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -6,7 +6,7 @@
 from bronzemoor_core.messages import GroupReport
 from bronzemoor_core.positions import Position
 from bronzemoor_core.wire.records import LeaderRecord, MemberRecord
-from bronzemoor_core.wire.statements import MemberStatus
+from bronzemoor_core.wire.statements import BUSY, CONNECTION_LIMIT, MemberStatus
 from bronzemoor_core.wire.succession import (
     acknowledged_position,
     choose_successor,
@@ -29,6 +29,11 @@
 STEP_DOWN_INTERVAL, STEP_DOWN_TIME = 0.5, 20.0
 
 
+def is_alive(status: MemberStatus | str) -> bool:
+    """Tells whether a member answered, if only that it is full or busy."""
+    return isinstance(status, MemberStatus) or status in (CONNECTION_LIMIT, BUSY)
+
+
 class Supervisor:
     """Runs as one task on the leader."""
 
@@ -135,7 +140,7 @@
         started = boottime()
         status = await self._status(primary)
         now = boottime()
-        healthy = isinstance(status, MemberStatus) and status.primary
+        healthy = is_alive(status)
         if isinstance(status, MemberStatus) and not status.primary:
             # It restarted as a replica, or another member leads.
             await self._find_primary(self._members())
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -5,6 +5,9 @@
 from system import Client, run_system
 
 from bronzemoor_core.wire.leases import LEASE
+from bronzemoor_daemon.wire.memberorders import order
+from bronzemoor_daemon.wire.supervisor import is_alive
+from bronzemoor_platform.lines import PlatformLines
 
 
 def outcome(lines: list[str]) -> str:
@@ -139,6 +142,10 @@
     async def scenario(system):
         primary = system.group.primary
         primary.limit = 0
+        leader = next(c for c in system.controls if c.log.established)
+        record = leader.records.members[primary.name]
+        status = await order(PlatformLines(), "test", record, b"STATUS")
+        assert is_alive(status)
         for connection in list(primary.connections):
             connection.transport.abort()
         client = await Client.open(system.fronts[0], "orders")
