Forget lost proxies when a successor is chosen from acknowledged commits

A proxy that was replaced never confirms a topology, so a group with one silent replica could not get a new primary from then on. Such a proxy is forgotten 5 s after its lease; what it acknowledged is covered by a position of the primary that was seen after that lease. Orders of unknown outcome are repeated after 0.3 s instead of at once.

--- a/packages/core/src/bronzemoor_core/wire/leases.py
+++ b/packages/core/src/bronzemoor_core/wire/leases.py
@@ -9,6 +9,8 @@
 LEASE = 2.0
 # Added by the leader for clocks that run at different speeds.
 LEASE_MARGIN = 0.100
+# A proxy whose lease ended this long ago is taken for lost, seconds.
+LOST_AFTER = 5.0
 
 
 class LeaseTable:
@@ -19,6 +21,20 @@
         self._unknown_until = elected_at + LEASE + LEASE_MARGIN
         self._expires: dict[str, float] = {}
         self._confirmed: dict[str, int] = {}
+        self._lost_until = float("-inf")
+
+    @property
+    def lost_until(self) -> float:
+        """Until when proxies that are lost by now may have acknowledged commits."""
+        return self._lost_until
+
+    def forget_lost(self, now: float) -> None:
+        """Drops proxies that will not confirm anything any more."""
+        for proxy, expires in list(self._expires.items()):
+            if now - expires > LOST_AFTER:
+                self._lost_until = max(self._lost_until, expires)
+                del self._expires[proxy]
+                self._confirmed.pop(proxy, None)
 
     @property
     def holders(self) -> list[str]:
--- a/packages/core/tests/wire/test_leases.py
+++ b/packages/core/tests/wire/test_leases.py
@@ -42,3 +42,15 @@
     end = granted + LEASE + LEASE_MARGIN
     assert table.waiting_for(end - 0.01, 1) == ["p"]
     assert not held.valid(end)
+
+
+def test_a_lost_proxy_is_forgotten_with_the_end_of_its_lease():
+    """Guards against a group that waits for ever for a proxy that was replaced."""
+    table = LeaseTable(0.0)
+    table.grant(20.0, "p", 20.0)
+    table.grant(30.0, "q", 30.0)
+    table.confirm("q", 7)
+    assert not table.all_confirmed(7)
+    table.forget_lost(30.0)
+    assert table.all_confirmed(7)
+    assert table.lost_until == 20.0 + LEASE + LEASE_MARGIN
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -67,6 +67,7 @@
         self._views: list[GroupView] = []
         self._packed = b""
         self._joined_at = float("-inf")
+        self._grants = 0
         self._closed = False
         self.codec = codec
         self.execute_promotion = execute_promotion
@@ -74,8 +75,7 @@
         self.metrics = metrics
         self.deployment: Deployment | None = None
         self.leases = LeaseTable(boottime())
-        self._samples = SampleExchange()
-        self._grants = 0
+        self.samples = SampleExchange()
         self.evidence: dict[str, dict[str, Evidence]] = {}
         self.records_changed()
 
@@ -194,7 +194,7 @@
         version = self.deployment.version if self.deployment else 0
         now = boottime()
         self._grants += 1
-        self._samples.granted(now, proxy, self._grants)
+        self.samples.granted(now, proxy, self._grants)
         self._control.links.send(
             proxy,
             ProxyGrant(
@@ -214,7 +214,7 @@
     def _newest_samples(self, now: float) -> list[PositionSample]:
         samples = []
         for group in self._supervisors:
-            newest = self._samples.newest(now, group)
+            newest = self.samples.newest(now, group)
             if newest is not None and newest[0] < SAMPLE_USE:
                 age, position = newest
                 age_ms = int(age * 1_000) + 1
@@ -232,7 +232,7 @@
         for item in report.groups:
             evidence = self.evidence.setdefault(item.group, {})
             evidence[proxy] = Evidence(now, item)
-            self._samples.take(
+            self.samples.take(
                 proxy,
                 report.last_grant,
                 item.group,
--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -23,6 +23,8 @@
 STEP_INTERVAL = 0.05  # seconds between the steps of a promotion
 # A promotion that has not taken effect after this is ordered again, seconds.
 EFFECT_TIMEOUT = 2.5
+# An order that may not have reached the executor is repeated after this, seconds.
+ORDER_RETRY = 0.3
 # How long a planned successor may take to catch up, seconds.
 CATCH_UP_TIMEOUT = 1.5
 # The old primary is told to step down this often, seconds, and for this long.
@@ -222,12 +224,23 @@
     def _choose(
         self, held: dict[str, Position], expected: set[str], version: int, term: int
     ) -> str:
-        leases = self._leader.leases
+        now, leases = boottime(), self._leader.leases
+        leases.forget_lost(now)
         acknowledged = None
-        known = not leases.waiting_for(boottime(), version)
-        if known and leases.holders and leases.all_confirmed(version):
+        known = not leases.waiting_for(now, version)
+        sample = self._leader.samples.newest(now, self._group)
+        sampled_at = now - sample[0] if sample else float("-inf")
+        # What a lost proxy acknowledged is part of any later position of the primary.
+        if (
+            known
+            and leases.holders
+            and leases.all_confirmed(version)
+            and sampled_at >= leases.lost_until
+        ):
             evidence = self._leader.evidence.get(self._group, {})
             acknowledged = acknowledged_position(evidence, term)
+            if sample and sample[1].term == term:
+                acknowledged = max(acknowledged, sample[1])
         successor = choose_successor(held, expected, acknowledged)
         self._report(
             "info",
@@ -286,7 +299,10 @@
                 )
                 if outcome == "refused":
                     return False
-                ordered_at = boottime() if outcome == "done" else float("-inf")
+                # An order of unknown outcome is repeated sooner.
+                ordered_at = boottime()
+                if outcome != "done":
+                    ordered_at += ORDER_RETRY - EFFECT_TIMEOUT
             record = self._members().get(member)
             if record is None:
                 return False
