Hold back openings at a member that refused one

The pause after a refusal held only the retry: each waiting statement tried to open another connection at once.

--- a/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
@@ -89,6 +89,7 @@
         self._scarce_idle = MAX_SCARCE_IDLE
         self._trimmed_at = 0.0
         self._reconnect_interval = RECONNECT_INTERVAL
+        self._open_after = 0.0
         self._shed_pause = 0.0
         self._shed_until = 0.0
         self.set_limit(limit)
@@ -271,7 +272,8 @@
     def _start_opening(self) -> bool:
         if (
             self._closed
-            or self._opening >= MAX_OPENING
+            or boottime() < self._open_after
+            or self._opening >= (1 if self._scarce else MAX_OPENING)
             or len(self._open) + self._opening >= self.limit
         ):
             return False
@@ -316,14 +318,16 @@
             await self._retry_later()
             return
         self._opening -= 1
-        self._reconnect_interval = RECONNECT_INTERVAL
+        self._reconnect_interval = max(RECONNECT_INTERVAL, self._reconnect_interval / 2)
         self.failing_since = None
         self._open.add(connection)
         self.release(connection, clean=True)
 
     async def _retry_later(self) -> None:
         # A random part spreads the proxies that were refused together.
-        await asyncio.sleep(self._reconnect_interval * (0.5 + self._random.random()))
+        pause = self._reconnect_interval * (0.5 + self._random.random())
+        self._open_after = boottime() + pause
+        await asyncio.sleep(pause)
         self._open_more()
 
     def _failed(self, started: float, reason: str) -> None:
