Send reads away from busy primaries and slow down at members that shed

Each success halved the pause that a refusal had doubled, so the pause never grew while a third of the statements ran; and a primary's own region read at it until it was as slow as another region.

--- a/packages/core/src/bronzemoor_core/wire/placement.py
+++ b/packages/core/src/bronzemoor_core/wire/placement.py
@@ -9,6 +9,9 @@
 
 # A member whose connections failed is tried last for this long.
 FAILURE_PENALTY = 1.0  # seconds
+# Reads leave a primary for a replica that takes up to so many times as long, since only
+# the primary can take the writes.
+PRIMARY_WEIGHT = 2.0
 # Expected wait for a connection that is not open yet, seconds.
 OPENING_COST = 0.015
 # Expected wait behind one more statement of this proxy at a member, seconds.
@@ -21,6 +24,7 @@
     member: str
     is_local: bool
     leaving: bool
+    is_primary: bool
     failed_at: float
     delay: float
 
@@ -62,6 +66,7 @@
     def cost(item: C) -> tuple[bool, bool, float]:
         failing = now - item.failed_at < FAILURE_PENALTY
         wait = 0.0 if item.has_idle else OPENING_COST
-        return failing, item.leaving, item.delay + item.load * QUEUE_COST + wait
+        delay = item.delay * (PRIMARY_WEIGHT if item.is_primary else 1.0)
+        return failing, item.leaving, delay + item.load * QUEUE_COST + wait
 
     return sorted(candidates, key=cost)
--- a/packages/daemon/src/bronzemoor_daemon/wire/groups.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/groups.py
@@ -81,6 +81,7 @@
             if item.leaving and not pool.leaving:
                 pool.leaving_since = boottime()
             pool.leaving = item.leaving
+            pool.is_primary = item.primary
             pool.set_limit(view.connections)
             pool.warm(WARM_CONNECTIONS)
         if (view.term, view.primary) != (self.term, self.primary):
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
@@ -39,7 +39,9 @@
 SCARCE_OPEN_DELAY = 0.060
 # A replica that lacked a position is left alone for this long, seconds.
 LAGGING_PAUSE = 0.150
-# Pauses after a member shed a statement, seconds; each one doubles the next.
+# Pauses after a member shed a statement, seconds; each one doubles the next, and each
+# answer shortens it to this part.
+SHED_DECAY = 0.9
 MIN_SHED_PAUSE, MAX_SHED_PAUSE = 0.040, 0.400
 # Statements of a lower priority than this wait while a member sheds.
 URGENT_PRIORITY = 1
@@ -97,6 +99,8 @@
         self.leaving_since = 0.0
         # A replica that lagged is not asked again before, seconds.
         self.lagging_until = 0.0
+        # A primary has work that no other member can take.
+        self.is_primary = False
         # Seconds; when a connection or statement last failed or succeeded here.
         self.failed_at = float("-inf")
         self.succeeded_at = float("-inf")
@@ -175,8 +179,10 @@
 
         It is partly random, so that proxies do not return together.
         """
-        doubled = max(MIN_SHED_PAUSE, 2 * self._shed_pause)
-        self._shed_pause = min(MAX_SHED_PAUSE, doubled)
+        if now >= self._shed_until:
+            # Refusals of one moment count once.
+            doubled = max(MIN_SHED_PAUSE, 2 * self._shed_pause)
+            self._shed_pause = min(MAX_SHED_PAUSE, doubled)
         pause = self._shed_pause * (0.5 + self._random.random())
         self._shed_until = max(self._shed_until, now + pause)
         return pause
@@ -193,7 +199,7 @@
 
     def succeeded(self, now: float, elapsed: float) -> None:
         """Notes an answer that took ``elapsed`` seconds."""
-        self._shed_pause /= 2
+        self._shed_pause *= SHED_DECAY
         self.succeeded_at = now
         self.failing_since = None
         self.delay += (elapsed - self.delay) * DELAY_WEIGHT
