--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -25,7 +25,7 @@
 # How often unused member connections are looked for, seconds.
 TRIM_INTERVAL = 0.1
 # A leader that did not answer for this long is looked for again, seconds.
-LEADER_TIMEOUT = 1.2
+LEADER_TIMEOUT = 0.8
 # Reports at once while a primary fails, at most this often, seconds.
 URGENT_INTERVAL = 0.1
 # Without a lease for this long a proxy sends its idle clients elsewhere, seconds.
@@ -58,6 +58,8 @@
         self._groups: dict[str, Group] = {}
         self._lease = HeldLease()
         self._had_lease = False
+        # Since when there has been no lease, or the start, seconds.
+        self._leaseless_since = boottime()
         self._leader = ""
         self._controls: list[str] = list(settings.seeds)
         self._next_control = 0
@@ -206,9 +208,9 @@
             self._send_report()
             self._metrics.sessions.set(len(self.sessions))
             now = boottime()
-            if now > self._lease.expires + LEASELESS_LIMIT:
-                self._send_clients_away()
             self._watch_lease(now)
+            if not self._had_lease and now - self._leaseless_since > LEASELESS_LIMIT:
+                self._send_clients_away()
             known = boottime() - self._heard_at < LEADER_TIMEOUT
             await asyncio.sleep(REPORT_INTERVAL if known else REPORT_INTERVAL / 2)
 
@@ -217,6 +219,7 @@
         valid = self._lease.valid(now)
         if valid != self._had_lease:
             self._had_lease = valid
+            self._leaseless_since = now
             event = "lease_gained" if valid else "lease_lost"
             self.report("info" if valid else "warning", event, leader=self._leader)
 
--- a/tests/adapter/system.py
+++ b/tests/adapter/system.py
@@ -83,6 +83,11 @@
         async with asyncio.timeout(10):
             return (await self._reader.readline()).decode().rstrip()
 
+    async def ended(self) -> bool:
+        """Whether the other side closed the session without a message."""
+        async with asyncio.timeout(10):
+            return await self._reader.read() == b""
+
     def close(self) -> None:
         self._writer.close()
 
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -5,7 +5,9 @@
 from system import Client, run_system
 
 from bronzemoor_core.wire.leases import LEASE
+from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.memberorders import order
+from bronzemoor_daemon.wire.proxy import LEASELESS_LIMIT
 from bronzemoor_daemon.wire.supervisor import is_alive
 from bronzemoor_platform.lines import PlatformLines
 
@@ -193,6 +195,27 @@
     run_system(tmp_path, scenario)
 
 
+def test_a_proxy_that_has_just_started_keeps_its_clients(tmp_path):
+    """Guards against closing sessions that wait for the first deployment.
+
+    Seen after a closing power loss: proxies closed idle sessions 0.3 s after their
+    start, because they had never had a lease.
+    """
+
+    async def scenario(system):
+        proxy = system.proxies[0]
+        client = await Client.open(system.fronts[0], "orders")
+        proxy._had_lease, proxy._leaseless_since = False, boottime()
+        proxy._lease._expires = float("-inf")
+        proxy.links.send = lambda peer, message: None
+        await asyncio.sleep(LEASELESS_LIMIT / 2)
+        assert len(proxy.sessions) == 1
+        await system.until(lambda: not proxy.sessions)
+        assert await client.ended()
+
+    run_system(tmp_path, scenario)
+
+
 def test_stale_reads_are_served_by_replicas_that_prove_their_position(tmp_path):
     """Guards against reads at a lagging replica, and against none at replicas."""
 
