Ask a lagging replica less often while it goes on lagging

The pause of 150 ms was shorter than the time between two reads of one proxy; it doubles now up to 1.5 s.

--- a/packages/daemon/src/bronzemoor_daemon/wire/execution.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/execution.py
@@ -159,6 +159,8 @@
         pool.release(connection, clean)
     now = boottime()
     pool.succeeded(now, now - sent_at)
+    if answer.ok and at_least != ZERO:
+        pool.caught_up()
     if answer.ok and at_least == ZERO and group.leads(now, pool.member, term):
         group.samples.record(sent_at, answer.position)
     return answer
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
@@ -37,8 +37,9 @@
 # Where connections are scarce a statement waits this long for one that is in use before
 # another is opened, seconds, since opening takes a slot of the member.
 SCARCE_OPEN_DELAY = 0.060
-# A replica that lacked a position is left alone for this long, seconds.
-LAGGING_PAUSE = 0.150
+# A replica that lacked a position is left alone for the first time, seconds, which
+# doubles with each further refusal up to the second.
+MIN_LAGGING_PAUSE, MAX_LAGGING_PAUSE = 0.150, 1.5
 # Pauses after a member shed a statement, seconds; each one doubles the next, and each
 # answer shortens it to this part.
 SHED_DECAY = 0.9
@@ -99,6 +100,7 @@
         self.leaving_since = 0.0
         # A replica that lagged is not asked again before, seconds.
         self.lagging_until = 0.0
+        self._lagging_pause = 0.0
         # A primary has work that no other member can take.
         self.is_primary = False
         # Seconds; when a connection or statement last failed or succeeded here.
@@ -189,7 +191,14 @@
 
     def lagged(self, now: float) -> None:
         """The replica lacked a position that a read needs."""
-        self.lagging_until = now + LAGGING_PAUSE
+        if now >= self.lagging_until:
+            doubled = max(MIN_LAGGING_PAUSE, 2 * self._lagging_pause)
+            self._lagging_pause = min(MAX_LAGGING_PAUSE, doubled)
+            self.lagging_until = now + self._lagging_pause
+
+    def caught_up(self) -> None:
+        """The replica served a read that needs a position."""
+        self._lagging_pause = 0.0
 
     async def pace(self, priority: int) -> None:
         """Keeps what is not urgent from a member that sheds."""
--- /dev/null
+++ b/tests/adapter/test_pool.py
@@ -0,0 +1,60 @@
+"""Guards the pauses of a member's pool: sheds, lags and scarce connections."""
+
+import asyncio
+
+from bronzemoor_daemon.wire.memberpool import (
+    MAX_LAGGING_PAUSE,
+    MAX_SHED_PAUSE,
+    MIN_LAGGING_PAUSE,
+    MemberPool,
+)
+from bronzemoor_platform.lines import PlatformLines
+
+
+def make_pool(limit: int = 3) -> MemberPool:
+    return MemberPool(
+        PlatformLines(), "g", "p", "m", "127.0.0.1:1", True, limit, lambda *a, **k: None
+    )
+
+
+def test_pauses_grow_while_a_member_sheds_more_than_it_serves():
+    """Guards against retries that keep a member overloaded after its trouble ended."""
+    pool, now, longest = make_pool(), 0.0, 0.0
+    for _ in range(20):
+        now += 0.5
+        longest = max(longest, pool.shed(now))
+        pool.shed(now)
+        pool.succeeded(now, 0.02)
+    assert longest > MAX_SHED_PAUSE / 2
+    for _ in range(60):
+        pool.succeeded(now, 0.02)
+    assert pool.shed(now + 10) < MAX_SHED_PAUSE / 2
+
+
+def test_a_replica_that_goes_on_lagging_is_asked_less_often():
+    """Guards against a refused attempt in front of every read while replicas lag."""
+    pool, now = make_pool(), 10.0
+    pool.lagged(now)
+    assert pool.lagging_until == now + MIN_LAGGING_PAUSE
+    for _ in range(8):
+        now = pool.lagging_until
+        pool.lagged(now)
+    assert pool.lagging_until - now == MAX_LAGGING_PAUSE
+    pool.caught_up()
+    now = pool.lagging_until
+    pool.lagged(now)
+    assert pool.lagging_until - now == MIN_LAGGING_PAUSE
+
+
+def test_where_connections_are_scarce_none_is_opened_ahead():
+    """Guards against warm connections that alone exceed the member's limit."""
+
+    async def scenario() -> None:
+        scarce, plenty = make_pool(0), make_pool(3)
+        scarce.warm(1)
+        plenty.warm(1)
+        assert (scarce._opening, plenty._opening) == (0, 1)
+        scarce.close()
+        plenty.close()
+
+    asyncio.run(scenario())
