Compare pauses of a pool approximately in its tests

The sums of times and pauses are not exact in floating point, so equal values compared as different (test_a_replica_that_goes_on_lagging_is_asked_less_often failed in its first run, before it had landed).

--- a/tests/adapter/test_pool.py
+++ b/tests/adapter/test_pool.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from bronzemoor_daemon.wire.memberpool import (
     MAX_LAGGING_PAUSE,
     MAX_SHED_PAUSE,
@@ -35,15 +37,15 @@
     """Guards against a refused attempt in front of every read while replicas lag."""
     pool, now = make_pool(), 10.0
     pool.lagged(now)
-    assert pool.lagging_until == now + MIN_LAGGING_PAUSE
+    assert pool.lagging_until - now == pytest.approx(MIN_LAGGING_PAUSE)
     for _ in range(8):
         now = pool.lagging_until
         pool.lagged(now)
-    assert pool.lagging_until - now == MAX_LAGGING_PAUSE
+    assert pool.lagging_until - now == pytest.approx(MAX_LAGGING_PAUSE)
     pool.caught_up()
     now = pool.lagging_until
     pool.lagged(now)
-    assert pool.lagging_until - now == MIN_LAGGING_PAUSE
+    assert pool.lagging_until - now == pytest.approx(MIN_LAGGING_PAUSE)
 
 
 def test_where_connections_are_scarce_none_is_opened_ahead():
