Add a randomized soak of the real programs as processes

Three control daemons and two proxies on loopback addresses, members in memory behind relays that delay, silence or reset, processes that are killed, paused and restarted, members that crash, answers that are lost, deployments all the while. Checked from outside: no acknowledged write lost, none doubled, none kept that was refused, no older deployment, no process that ends by itself, service back in time.

--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 
 soak: setup
 	BRONZEMOOR_SOAK=1 $(BIN)/python -m pytest $(ARGS)
+	$(BIN)/python tests/soak/soak.py --seeds $(or $(SEEDS),1-50)
 
 stats: setup
 	$(BIN)/python tools/stats.py
--- a/tests/adapter/fake_members.py
+++ b/tests/adapter/fake_members.py
@@ -24,6 +24,7 @@
         self.ran: list[tuple[str, str]] = []
         self.connections: set[FakeConnection] = set()
         self.address = ""
+        self.up = False
         self._server: asyncio.Server | None = None
 
     async def start(self, port: int = 0) -> None:
@@ -31,11 +32,23 @@
         self._server = await loop.create_server(
             lambda: FakeConnection(self), "127.0.0.1", port
         )
+        self.up = True
         host, bound = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{bound}"
 
+    async def restart(self) -> None:
+        """Comes back at its address with its log, as a replica if another leads."""
+        others = [m for m in self.group.members.values() if m.primary and m is not self]
+        if others:
+            self.primary = False
+            newest = max(others, key=lambda member: member.term)
+            self.log, self.term = list(newest.log), newest.term
+        self.held_term = 0
+        await self.start(int(self.address.rpartition(":")[2]))
+
     async def stop(self) -> None:
         """Goes down like a crashed process."""
+        self.up = False
         if self._server is not None:
             self._server.close()
         for connection in list(self.connections):
@@ -80,7 +93,8 @@
         source.log.append(work)
         received = False
         for member in self.members.values():
-            if member is not source and not member.held_term and not member.primary:
+            follows = member.term <= source.term and not member.primary
+            if member is not source and member.up and follows and not member.held_term:
                 member.log, member.term = list(source.log), source.term
                 received = True
         return received
@@ -95,6 +109,9 @@
         target.primary, target.term = True, term
         for member in self.members.values():
             member.held_term = 0
+            if not member.primary:
+                # Replicas that were ahead are rolled back.
+                member.log, member.term = list(target.log), term
         return "done"
 
 
--- a/tests/adapter/system.py
+++ b/tests/adapter/system.py
@@ -81,7 +81,10 @@
 
     async def _line(self) -> str:
         async with asyncio.timeout(10):
-            return (await self._reader.readline()).decode().rstrip()
+            line = await self._reader.readline()
+        if not line:
+            raise ConnectionError("the session was closed")
+        return line.decode().rstrip()
 
     async def ended(self) -> bool:
         """Whether the other side closed the session without a message."""
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,376 @@
+"""Randomized soak: the real programs as processes, with faults from outside.
+
+``python tests/soak/soak.py --seeds 1-50 --seconds 20`` plays one run a seed and prints
+what broke. Checked: no acknowledged write lost, none doubled, none kept that was
+refused as not kept, no deployment older than an acknowledged one, no process that ends
+by itself, service back within ``RECOVERY`` once the faults are over.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import signal
+import sys
+import tempfile
+from http.client import HTTPConnection, HTTPException
+from itertools import count
+from pathlib import Path
+from random import Random
+
+ROOT = Path(__file__).resolve().parents[2]
+sys.path += [str(ROOT / path) for path in ("tests/adapter", "tests/soak", "platform")]
+
+from fake_members import FakeGroup  # noqa: E402
+from relay import Relay  # noqa: E402
+from system import Client, make_document  # noqa: E402
+
+SOURCES = ("packages/core/src", "packages/daemon/src", "platform")
+PROGRAM = (
+    "from bronzemoor_daemon.wire.runner import run;"
+    "from bronzemoor_platform.adapter import Adapter; run(Adapter())"
+)
+CONTROLS, PROXIES, CLIENTS = 3, 2, 6
+START_LIMIT = 20.0  # seconds until the first write is served
+RECOVERY = 20.0  # seconds after the last fault
+BEAT = 0.4  # seconds
+NOT_KEPT = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT")
+ORDERS = count(1)
+
+
+class Program:
+    """One process of the system."""
+
+    def __init__(self, soak: "Soak", name: str, ip: str, serves: str) -> None:
+        self.soak, self.name, self.ip = soak, name, ip
+        self.file = soak.folder / f"{name}.json"
+        listen = {"control": f"{ip}:{soak.ports[1]}"}
+        if serves == "edge":
+            listen = {"front": f"{ip}:{soak.ports[2]}"}
+            listen["readiness"] = f"{ip}:{soak.ports[3]}"
+        self.settings = {
+            "node_name": name,
+            "ip": ip,
+            "zone": ip,
+            "serves": [serves],
+            "listen_addrs": listen,
+            "internal_port_range": [soak.ports[0], soak.ports[0]],
+            "seeds": [f"127.0.{soak.net}.{i}:1" for i in range(1, CONTROLS + 1)],
+            "bootstrap": True,
+            "data_dir": str(soak.folder / name),
+            "cloud_api": {"address": soak.executor},
+        }
+        self.process: asyncio.subprocess.Process | None = None
+        self.expected_end = False
+
+    async def start(self) -> None:
+        self.file.write_text(json.dumps(self.settings))
+        self.settings["bootstrap"] = False
+        environment = {
+            "PATH": os.environ["PATH"],
+            "BRONZEMOOR_NODE_FILE": str(self.file),
+            "PYTHONPATH": os.pathsep.join(str(ROOT / path) for path in SOURCES),
+        }
+        with (self.soak.folder / f"{self.name}.log").open("a") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-c", PROGRAM, cwd=self.soak.folder,
+                env=environment, stdout=log, stderr=log,
+            )  # fmt: skip
+        self.expected_end = False
+
+    def send(self, number: int) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.expected_end |= number in (signal.SIGKILL, signal.SIGTERM)
+            self.process.send_signal(number)
+
+    async def end(self, number: int = signal.SIGKILL) -> None:
+        self.send(number)
+        if self.process is not None:
+            await self.process.wait()
+
+
+class Soak:
+    """One seeded run."""
+
+    def __init__(self, seed: int, folder: Path) -> None:
+        self.random = Random(seed)
+        self.folder = folder
+        # Runs that overlap use other loopback addresses.
+        self.net = 1 + os.getpid() % 250
+        self.ports = [20_000 + 4 * (seed % 1_000) + i for i in range(4)]
+        self.executor = ""
+        self.group = FakeGroup("ledger")
+        self.relays: dict[str, Relay] = {}
+        self.programs: list[Program] = []
+        self.acknowledged: dict[str, str] = {}
+        self.refused: set[str] = set()
+        self.version = self.accepted = 0
+        self.problems: list[str] = []
+        self.stopping = False
+
+    # --- life cycle
+
+    async def run(self, seconds: float) -> list[str]:
+        loop = asyncio.get_running_loop()
+        server = await asyncio.start_server(self._execute, "127.0.0.1", 0)
+        self.executor = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        await self.group.start()
+        for name, member in self.group.members.items():
+            self.relays[name] = Relay(lambda member=member: member.address)
+            await self.relays[name].start()
+        roles = ["control_plane"] * CONTROLS + ["edge"] * PROXIES
+        for number, role in enumerate(roles, start=1):
+            name, ip = f"{role}-{number}", f"127.0.{self.net}.{number}"
+            (self.folder / name).mkdir()
+            self.programs.append(Program(self, name, ip, role))
+        try:
+            await asyncio.gather(*(program.start() for program in self.programs))
+            tasks = [loop.create_task(self._beat())]
+            tasks.append(loop.create_task(self._watch()))
+            await self._await_service("start", START_LIMIT)
+            tasks += [loop.create_task(self._client(n)) for n in range(CLIENTS)]
+            await self._faults(seconds)
+            await self._await_service("recovery", RECOVERY)
+            self.stopping = True
+            await asyncio.sleep(1.0)
+            await self._check()
+        finally:
+            self.stopping = True
+            for program in self.programs:
+                program.send(signal.SIGCONT)
+                await program.end()
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await self.group.stop()
+            server.close()
+        return self.problems
+
+    async def _await_service(self, step: str, limit: float) -> None:
+        """Waits until the operator and a client of each proxy are served."""
+        try:
+            async with asyncio.timeout(limit):
+                while not await self._deploy():
+                    await asyncio.sleep(0.2)
+                for proxy in self.programs[CONTROLS:]:
+                    while not await self._write(proxy, f"{step}-{proxy.name}"):
+                        await asyncio.sleep(0.2)
+        except TimeoutError:
+            self.problems.append(f"no service within {limit} s after {step}")
+
+    async def _check(self) -> None:
+        kept = [item for work in self.group.primary.log for item in work]
+        keys = [key for key, _ in kept]
+        lost = set(self.acknowledged) - set(keys)
+        doubled = {key for key in keys if keys.count(key) > 1}
+        untrue = self.refused & set(keys)
+        for name, found in (("lost", lost), ("doubled", doubled), ("untrue", untrue)):
+            if found:
+                self.problems.append(f"{name}: {sorted(found)[:5]} of {len(keys)}")
+        read = None
+        for _ in range(10):
+            read = await self._http("GET", "/bronzemoor/config")
+            if read is not None:
+                break
+        if read is None or json.loads(read)["version"] < self.accepted:
+            self.problems.append(f"deployment read {read!r:.60}, had {self.accepted}")
+
+    # --- the world
+
+    async def _execute(self, reader, writer) -> None:
+        """The platform's promotions, in force after a moment."""
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+        length = int(head.split("content-length: ")[1].split("\r\n")[0])
+        body = json.loads(await reader.readexactly(length))
+        member = self.group.members[body["instance_id"]]
+        status = "200 OK" if member.up else "409 Conflict"
+        if member.up:
+            await asyncio.sleep(0.3)
+            self.group.promote(body["instance_id"], 0)
+        writer.write(f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n".encode())
+        writer.close()
+
+    async def _beat(self) -> None:
+        for sequence in count(1):
+            for number, (name, member) in enumerate(self.group.members.items()):
+                if member.up:
+                    body = {
+                        "service": "ledger",
+                        "address": self.relays[name].address,
+                        "zone": f"127.0.{self.net}.{number + CONTROLS + 1}",
+                        "state": "ready",
+                        "db_role": "primary" if member.primary else "replica",
+                        "sequence": sequence,
+                    }
+                    await self._http("PUT", f"/bronzemoor/instances/{name}", body)
+            await asyncio.sleep(BEAT)
+
+    async def _deploy(self) -> bool:
+        self.version += self.random.randint(1, 3)
+        body = json.loads(make_document(self.version))
+        done = await self._http("PUT", "/bronzemoor/config", body)
+        if done is not None:
+            self.accepted = max(self.accepted, body["version"])
+        return done is not None
+
+    async def _http(self, method: str, path: str, body=None) -> bytes | None:
+        def call(ip: str) -> bytes | None:
+            connection = HTTPConnection(ip, self.ports[1], timeout=1.0)
+            try:
+                connection.request(method, path, json.dumps(body) if body else None)
+                response = connection.getresponse()
+                data = response.read()
+                return data if response.status == 200 else None
+            except (OSError, HTTPException):
+                return None
+            finally:
+                connection.close()
+
+        controls = self.programs[:CONTROLS]
+        for program in self.random.sample(controls, len(controls)):
+            data = await asyncio.to_thread(call, program.ip)
+            if data is not None:
+                return data
+        return None
+
+    async def _client(self, number: int) -> None:
+        for operation in count(1):
+            if self.stopping:
+                return
+            proxy = self.programs[CONTROLS + self.random.randrange(PROXIES)]
+            await self._write(proxy, f"c{number}-{operation}")
+            await asyncio.sleep(self.random.uniform(0.0, 0.1))
+
+    async def _write(self, proxy: Program, key: str) -> bool:
+        """Writes once, alone or in a transaction, and notes what the client is told."""
+        key = f"{key}-{next(ORDERS)}"
+        texts = [f"STORE {key} v"]
+        if self.random.random() < 0.4:
+            texts = ["BEGIN", *texts, "COMMIT"]
+        try:
+            async with asyncio.timeout(6):
+                client = await Client.open(f"{proxy.ip}:{self.ports[2]}", "orders")
+                if not client.greeting.startswith("READY"):
+                    return False
+                for text in texts:
+                    lines = await client.call(text)
+                    if lines[-2].startswith("ERROR"):
+                        client.close()
+                        if lines[-2].split(" ")[1] in NOT_KEPT:
+                            self.refused.add(key)
+                        return False
+                client.close()
+        except (OSError, TimeoutError, IndexError):
+            return False
+        self.acknowledged[key] = "v"
+        return True
+
+    async def _watch(self) -> None:
+        while not self.stopping:
+            for program in self.programs:
+                process = program.process
+                ended = process is not None and process.returncode is not None
+                if ended and not program.expected_end:
+                    self.problems.append(f"{program.name} ended: {process.returncode}")
+                    program.expected_end = True
+            await asyncio.sleep(0.2)
+
+    # --- faults
+
+    async def _faults(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        kinds = (self._kill, self._pause, self._term, self._crash_member,
+                 self._lose_answer, self._slow, self._silence, self._reset)  # fmt: skip
+        running: set[asyncio.Task] = set()
+        while loop.time() < until:
+            fault = self.random.choice(kinds)
+            running.add(loop.create_task(fault()))
+            await self._deploy()
+            await asyncio.sleep(self.random.uniform(0.3, 2.0))
+        await asyncio.gather(*running)
+
+    def _idle_program(self) -> Program | None:
+        """A program without a fault; at most one control daemon has one."""
+        free = [p for p in self.programs if not getattr(p, "fault", False)]
+        if any(getattr(p, "fault", False) for p in self.programs[:CONTROLS]):
+            free = [p for p in free if p in self.programs[CONTROLS:]]
+        if not free:
+            return None
+        chosen = self.random.choice(free)
+        chosen.fault = True
+        return chosen
+
+    async def _restart_after(self, number: int) -> None:
+        if (program := self._idle_program()) is not None:
+            await program.end(number)
+            await asyncio.sleep(self.random.uniform(0.1, 1.5))
+            await program.start()
+            await asyncio.sleep(2.0)
+            program.fault = False
+
+    async def _kill(self) -> None:
+        await self._restart_after(signal.SIGKILL)
+
+    async def _term(self) -> None:
+        await self._restart_after(signal.SIGTERM)
+
+    async def _pause(self) -> None:
+        if (program := self._idle_program()) is not None:
+            program.send(signal.SIGSTOP)
+            await asyncio.sleep(self.random.uniform(0.2, 4.0))
+            program.send(signal.SIGCONT)
+            program.fault = False
+
+    async def _crash_member(self) -> None:
+        members = list(self.group.members.values())
+        if all(member.up for member in members):
+            member = self.random.choice(members)
+            await member.stop()
+            await asyncio.sleep(self.random.uniform(0.5, 4.0))
+            await member.restart()
+
+    async def _lose_answer(self) -> None:
+        self.group.primary.lose.append(self.random.choice(("STORE", "COMMIT", "BEGIN")))
+
+    async def _slow(self) -> None:
+        relay = self.random.choice(list(self.relays.values()))
+        relay.delay = self.random.uniform(0.01, 0.2)
+        await asyncio.sleep(2.0)
+        relay.delay = 0.0
+
+    async def _silence(self) -> None:
+        relay = self.random.choice(list(self.relays.values()))
+        relay.silent = True
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        relay.silent = False
+
+    async def _reset(self) -> None:
+        self.random.choice(list(self.relays.values())).reset()
+
+
+def run_seed(seed: int, seconds: float) -> list[str]:
+    """Plays one run; returns its problems. Logs of a failed run are kept."""
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    problems = asyncio.run(Soak(seed, folder).run(seconds))
+    if problems:
+        problems.append(f"logs in {folder}")
+    return problems
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seeds", default="1-5", help="first-last")
+    parser.add_argument("--seconds", type=float, default=20.0)
+    options = parser.parse_args()
+    first, last = (int(part) for part in options.seeds.split("-"))
+    failed = 0
+    for seed in range(first, last + 1):
+        problems = run_seed(seed, options.seconds)
+        failed += bool(problems)
+        print(f"seed {seed}: {'; '.join(problems) or 'ok'}", flush=True)
+    sys.exit(failed > 0)
+
+
+if __name__ == "__main__":
+    main()
