Drop a setting and a test constant that nothing reads

announcement_interval was decoded and documented, but no code used it, so the page promised an effect that it did not have; found on reading the whole change again.

--- a/packages/daemon/src/bronzemoor_daemon/wire/settings.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/settings.py
@@ -26,7 +26,6 @@
     listen_control: str = ""
     listen_metrics: str = ""
     data_folder: str = ""
-    announcement_interval: float = 1.2
     stop_grace: float = 6.0
     tolerated_losses: int = 1
     log_level: str = "INFO"
--- a/tests/adapter/fake_members.py
+++ b/tests/adapter/fake_members.py
@@ -3,8 +3,6 @@
 import asyncio
 from itertools import count
 
-ROLLBACK_STATE = "I"
-
 
 class FakeMember:
     """One member; ``log`` holds (transaction number, writes) of committed work."""
