--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 TOOLS = setuptools wheel ruff mypy pytest pytest-bdd pytest-benchmark hypothesis trustme \
 	types-PyYAML types-requests types-jsonschema
 
-.PHONY: setup demo test lint format bench soak stats thrift
+.PHONY: setup demo test lint format bench platform-day soak stats thrift
 
 setup: $(STAMP)
 
@@ -37,6 +37,10 @@
 bench: setup
 	$(BIN)/python -m bench
 
+# Plays one day on the users' bench, for example FLEETBENCH=… SITE=… DAY=quiet-1.
+platform-day:
+	$(FLEETBENCH) run $(SITE) $(DAY)
+
 soak: setup
 	BRONZEMOOR_SOAK=1 $(BIN)/python -m pytest $(ARGS)
 
--- a/packages/client/src/bronzemoor_client/exitcodes.py
+++ b/packages/client/src/bronzemoor_client/exitcodes.py
@@ -1,4 +1,4 @@
-"""Exit codes of bronzemoorctl; documented in docs/operations.md."""
+"""Exit codes of bronzemoorctl; documented in docs/OPERATIONS.md."""
 
 OK = 0
 REFUSED = 1
--- a/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
@@ -190,14 +190,15 @@
             self._answer_error(st.MALFORMED, b"no transaction is open")
             return
         started = boottime()
+        attempt = Attempt(query_id, statement)
         if statement.kind == st.ROLLBACK:
             transaction.abandon()
-            answer = Answer(signature=b"")
+            answer = Answer()
         else:
-            answer = await transaction.commit(started, Attempt(query_id, statement))
+            answer = await transaction.commit(started, attempt)
         self._transaction = None
         answer.state = st.IDLE
-        self._finish(query_id, statement, transaction.route, answer, started)
+        self._finish(attempt, transaction.route, answer, started)
 
     async def _run(self, query_id: bytes, statement: Statement) -> None:
         started = boottime()
@@ -215,7 +216,7 @@
         if transaction is not None:
             answer = await transaction.run(started, attempt)
             answer.state = transaction.state
-            self._finish(query_id, statement, transaction.route, answer, started)
+            self._finish(attempt, transaction.route, answer, started)
             return
         route = self._route()
         if route is None:
@@ -224,7 +225,7 @@
         run = run_write if writes else run_read
         answer = await run(self._proxy, group, route, self.state, attempt)
         answer.state = st.IDLE
-        self._finish(query_id, statement, route, answer, started)
+        self._finish(attempt, route, answer, started)
 
     # --- answers
 
@@ -237,16 +238,11 @@
         return route
 
     def _finish(
-        self,
-        query_id: bytes,
-        statement: Statement,
-        route: Route,
-        answer: Answer,
-        started: float,
+        self, attempt: Attempt, route: Route, answer: Answer, started: float
     ) -> None:
         if answer.error in st.NOT_KEPT and not answer.message:
             answer.message = RETRY_HINT
-        self._proxy.observe(query_id, statement, route, answer, boottime() - started)
+        self._proxy.observe(attempt, route, answer, started)
         self._write(self._codec.encode_answer(answer))
 
     def _answer_local(self) -> None:
--- a/packages/daemon/src/bronzemoor_daemon/wire/execution.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/execution.py
@@ -34,6 +34,11 @@
     writes: bool = False
     # Shape of the prepared statement that an EXECUTE runs.
     shape: tuple[bool, bytes] | None = None
+    # For the log: the last member it was sent to, the position that was demanded of
+    # it, and how often it was sent.
+    member: str = ""
+    required: Position = ZERO
+    tries: int = 0
 
 
 def send(
@@ -44,6 +49,9 @@
 ) -> asyncio.Future[Answer]:
     """Sends a statement with the preparation it needs on this connection."""
     statement = attempt.statement
+    attempt.member, attempt.tries = connection.member, attempt.tries + 1
+    if at_least != ZERO:
+        attempt.required = at_least
     text = statement.text
     if attempt.shape is not None:
         name, futures = connection.prepare(attempt.shape)
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -10,7 +10,7 @@
 from bronzemoor_core.wire.deployment import Deployment, Route
 from bronzemoor_core.wire.leases import HeldLease
 from bronzemoor_core.wire.records import unpack_document
-from bronzemoor_core.wire.statements import Answer, Statement
+from bronzemoor_core.wire.statements import Answer
 from bronzemoor_daemon.framing import split_address
 from bronzemoor_daemon.wire.clientsession import ClientSession
 from bronzemoor_daemon.wire.clock import boottime
@@ -37,7 +37,8 @@
 # are rolled back, the process ends.
 CLOSE_IDLE_AT, ABORT_AT, END_AT = 0.40, 0.60, 0.85
 LISTEN_BACKLOG = 512
-SLOW_STATEMENT = 1.0  # seconds
+# Ages in the log are cut here, seconds.
+MAX_AGE = 3_600.0
 
 
 class Proxy:
@@ -56,6 +57,7 @@
         self._metrics = metrics
         self._groups: dict[str, Group] = {}
         self._lease = HeldLease()
+        self._had_lease = False
         self._leader = ""
         self._controls: list[str] = list(settings.seeds)
         self._next_control = 0
@@ -160,35 +162,35 @@
             self._send_report()
 
     def observe(
-        self,
-        query_id: bytes,
-        statement: Statement,
-        route: Route,
-        answer: Answer,
-        elapsed: float,
+        self, attempt: Attempt, route: Route, answer: Answer, started: float
     ) -> None:
-        """Counts an answer and logs one that is not a quick success."""
+        """Counts and logs an answer with what decided it."""
+        now = boottime()
         outcome = answer.error or "done"
-        self._metrics.statements.labels(statement.kind, outcome).inc()
-        self._metrics.latency.labels(route.read_policy).observe(elapsed)
-        if answer.error or elapsed >= SLOW_STATEMENT:
-            group = self._groups.get(route.group)
-            self.report(
-                "info",
-                "statement",
-                request=query_id.decode(errors="replace"),
-                kind=statement.kind,
-                route=route.name,
-                outcome=outcome,
-                message=answer.message.decode(errors="replace"),
-                elapsed_ms=round(elapsed * 1_000),
-                group=route.group,
-                primary=group.primary if group else "",
-                term=group.term if group else 0,
-                lease_ms=round((self._lease.expires - boottime()) * 1_000),
-                topology=self._topology_version,
-                deployment=self.deployment.version if self.deployment else 0,
-            )
+        self._metrics.statements.labels(attempt.statement.kind, outcome).inc()
+        self._metrics.latency.labels(route.read_policy).observe(now - started)
+        group = self.group(route.group)
+        sampled_at, _ = group.samples.newest
+        self.report(
+            "info",
+            "statement",
+            request=attempt.query_id.decode(errors="replace"),
+            kind=attempt.statement.kind,
+            route=route.name,
+            outcome=outcome,
+            message=answer.message.decode(errors="replace"),
+            elapsed_ms=round((now - started) * 1_000),
+            member=attempt.member,
+            tries=attempt.tries,
+            required=f"{attempt.required.term}.{attempt.required.offset}",
+            sample_age_ms=round(min(now - sampled_at, MAX_AGE) * 1_000),
+            group=route.group,
+            primary=group.primary,
+            term=group.term,
+            lease_ms=round((self._lease.expires - now) * 1_000),
+            topology=self._topology_version,
+            deployment=self.deployment.version if self.deployment else 0,
+        )
 
     # --- control
 
@@ -206,9 +208,18 @@
             now = boottime()
             if now > self._lease.expires + LEASELESS_LIMIT:
                 self._send_clients_away()
+            self._watch_lease(now)
             known = boottime() - self._heard_at < LEADER_TIMEOUT
             await asyncio.sleep(REPORT_INTERVAL if known else REPORT_INTERVAL / 2)
 
+    def _watch_lease(self, now: float) -> None:
+        """Logs when the control group is lost and regained."""
+        valid = self._lease.valid(now)
+        if valid != self._had_lease:
+            self._had_lease = valid
+            event = "lease_gained" if valid else "lease_lost"
+            self.report("info" if valid else "warning", event, leader=self._leader)
+
     def _send_clients_away(self) -> None:
         """Closes idle sessions, whose clients then reach a proxy with a lease."""
         idle = [session for session in self.sessions if session.is_idle]
--- a/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
@@ -180,6 +180,7 @@
             begin.query_id, begin.statement.text, target.position
         )
         if target.position != ZERO:
+            attempt.member, attempt.required = connection.member, target.position
             answer = await self._wait(started, attempt, deadline)
             if answer is None or not answer.ok:
                 return answer
