Reword the core's messages, records and operator commands

Docstrings and comments used figurative or terse wording, and some constants had no unit in their names. They now state what the code does in common terms; private names follow.

--- a/packages/core/src/bronzemoor_core/candidates.py
+++ b/packages/core/src/bronzemoor_core/candidates.py
@@ -1,4 +1,4 @@
-"""Which members decide for a group, and which of them becomes primary."""
+"""Selects the members that decide for a group, and the new primary among them."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -23,8 +23,10 @@
 
 
 def agreed_group(members: Iterable[Any]) -> list[Any]:
-    """Returns the members that announce one group of which they are a majority, or
-    none; a misconfigured member alone must not decide the group."""
+    """Returns a majority of members that announce the same group, or an empty list.
+
+    A misconfigured member alone must not decide the group.
+    """
     by_group: dict[tuple[str, ...], list[Any]] = {}
     for member in members:
         if member.name in member.group:
@@ -39,8 +41,8 @@
     """Returns the term and offset of a member's last record.
 
     A fenced member already answers with the new term, so the term of its last record
-    is read from its history. Comparing offsets alone would prefer an old primary's
-    unconfirmed tail to confirmed records of a later term.
+    comes from its history. Comparing offsets alone would prefer an old primary's
+    unconfirmed tail over confirmed records of a later term.
     """
     terms = [term for term, start in answer.history.items() if start < answer.offset]
     if terms:
@@ -52,34 +54,33 @@
     answers: dict[str, Answer],
     target: str,
     data_centres: dict[str, str],
-    old: str,
+    old_primary: str,
     avoid: Iterable[str] = (),
 ) -> Choice:
-    """Chooses the highest position of a fenced majority.
+    """Chooses the member with the highest position of a fenced majority.
 
-    Among equals the target of a handover comes first, then members that are not to be
-    avoided, then the old primary's own data centre, then the old primary itself, then
-    the first name.
+    Ties are broken in this order: the target of a handover, members that are not to be
+    avoided, the old primary's data centre, the old primary itself, the first name.
     """
     records = {name: last_record(answer) for name, answer in answers.items()}
     highest = max(records.values())
-    equals = sorted(name for name, record in records.items() if record == highest)
-    home = data_centres.get(old)
+    tied = sorted(name for name, record in records.items() if record == highest)
+    preferred_data_centre = data_centres.get(old_primary)
     ranked = sorted(
-        equals,
+        tied,
         key=lambda name: (
             name != target,
             name in avoid,
-            data_centres.get(name) != home,
-            name != old,
+            data_centres.get(name) != preferred_data_centre,
+            name != old_primary,
         ),
     )
     chosen = ranked[0]
     if chosen == target:
         reason = "target of the handover, nobody is ahead of it"
-    elif len(equals) == 1:
+    elif len(tied) == 1:
         reason = "highest position of the fenced majority"
-    elif data_centres.get(chosen) == home:
+    elif data_centres.get(chosen) == preferred_data_centre:
         reason = "highest position, in the old primary's data centre"
     else:
         reason = "highest position"
--- a/packages/core/src/bronzemoor_core/commands.py
+++ b/packages/core/src/bronzemoor_core/commands.py
@@ -16,26 +16,27 @@
 )
 from bronzemoor_core.templates import diff_templates
 
-Apply = Callable[[State, dict[str, Any]], dict[str, Any]]
+CommandFunction = Callable[[State, dict[str, Any]], dict[str, Any]]
 
-COMMANDS: dict[str, Apply] = {}
-QUERIES: dict[str, Apply] = {}
+COMMANDS: dict[str, CommandFunction] = {}
+QUERIES: dict[str, CommandFunction] = {}
 
-# Versions kept per organisation for history and rollback. 11,000 changes a day over
-# all organisations leave several days of history within this bound.
+# Versions kept per organisation for history and rollback. At 11,000 changes a day over
+# all organisations, this holds several days of history.
 VERSION_LIMIT = 100
 # Change ids kept per organisation. Bounded by count, not by age, because the state has
-# no clock; 10,000 outlasts a day of changes even if one organisation makes them all.
+# no clock; 10,000 cover about a day even if one organisation makes all changes.
 CHANGE_LIMIT = 10_000
-# Tokens signed with the previous two keys stay valid.
+# Keys kept in the ring: tokens signed with the previous two stay valid.
 KEY_LIMIT = 3
-# Daemons exchange keys as serial:id:hex.
+# Daemons exchange keys as serial:id:hex, so an id contains no colon.
 KEY_ID = re.compile(r"[A-Za-z0-9_.-]{1,80}\Z")
 KEY_SECRET = re.compile(r"([0-9a-fA-F]{2}){16,64}\Z")
-# Change ids of the control leader's own proposals; their terms make them idempotent.
-AUTOMATIC = "auto:"
-# Fields of a command that may differ between a change and its resend.
-UNSIGNED_FIELDS = (
+# Prefix of change ids of the control leader's own proposals, whose terms make them
+# idempotent.
+AUTOMATIC_PREFIX = "auto:"
+# Command fields that may differ when a change is resent, left out of its digest.
+UNDIGESTED_FIELDS = (
     "at",
     "change_id",
     "new_term",
@@ -47,20 +48,20 @@
 )
 
 
-def command(name: str) -> Callable[[Apply], Apply]:
+def command(name: str) -> Callable[[CommandFunction], CommandFunction]:
     """Registers the function that applies a committed command of type ``name``."""
 
-    def register(function: Apply) -> Apply:
+    def register(function: CommandFunction) -> CommandFunction:
         COMMANDS[name] = function
         return function
 
     return register
 
 
-def query(name: str) -> Callable[[Apply], Apply]:
+def query(name: str) -> Callable[[CommandFunction], CommandFunction]:
     """Registers the function that answers a query of type ``name``."""
 
-    def register(function: Apply) -> Apply:
+    def register(function: CommandFunction) -> CommandFunction:
         QUERIES[name] = function
         return function
 
@@ -68,14 +69,14 @@
 
 
 def apply_command(state: State, body: dict[str, Any]) -> dict[str, Any]:
-    """Applies a committed command once per change id; returns its recorded answer."""
+    """Applies a committed command once per change id; returns the recorded result."""
     name = str(body.get("type", ""))
     function = COMMANDS.get(name)
     if function is None:
-        return _error("unknown_command", f"no command is named {name!r}")
+        return _error("unknown_command", f"unknown command {name!r}")
     change_id = body.get("change_id", "")
-    if not change_id or change_id.startswith(AUTOMATIC):
-        return _run(function, state, body)
+    if not change_id or change_id.startswith(AUTOMATIC_PREFIX):
+        return _run_checked(function, state, body)
     changes = state.changes.setdefault(body.get("organisation", ""), {})
     digest = _digest(body)
     if change_id in changes:
@@ -86,15 +87,17 @@
             "change_id_reused",
             f"change id {change_id!r} was used before for another change",
         )
-    result = _run(function, state, body)
+    result = _run_checked(function, state, body)
     changes[change_id] = ChangeRecord(digest, result)
     while len(changes) > CHANGE_LIMIT:
         del changes[next(iter(changes))]
     return result
 
 
-def _run(function: Apply, state: State, body: dict[str, Any]) -> dict[str, Any]:
-    """A malformed command is refused alike by every member instead of stopping it."""
+def _run_checked(
+    function: CommandFunction, state: State, body: dict[str, Any]
+) -> dict[str, Any]:
+    """Runs a command; every member rejects a malformed one instead of crashing."""
     try:
         return function(state, body)
     except (AttributeError, KeyError, TypeError, ValueError) as error:
@@ -106,8 +109,8 @@
     name = str(body.get("type", ""))
     function = QUERIES.get(name)
     if function is None:
-        return _error("unknown_command", f"no query is named {name!r}")
-    return _run(function, state, body)
+        return _error("unknown_command", f"unknown query {name!r}")
+    return _run_checked(function, state, body)
 
 
 def current_entry(state: Any, organisation: str) -> TemplateEntry | None:
@@ -121,18 +124,18 @@
 
 @command("template.apply")
 def _apply_template(state: State, body: dict[str, Any]) -> dict[str, Any]:
-    return _append(state, body, body["body"])
+    return _append_version(state, body, body["body"])
 
 
 @command("template.rollback")
 def _rollback_template(state: State, body: dict[str, Any]) -> dict[str, Any]:
     for entry in state.templates.get(body["organisation"], ()):
         if entry.version == body["to_version"]:
-            return _append(state, body, entry.body)
+            return _append_version(state, body, entry.body)
     return _error("version_not_found", f"version {body['to_version']} is not kept")
 
 
-def _append(
+def _append_version(
     state: State, body: dict[str, Any], template: dict[str, Any]
 ) -> dict[str, Any]:
     organisation = body["organisation"]
@@ -156,19 +159,19 @@
 @query("template.get")
 def _get_template(state: Any, body: dict[str, Any]) -> dict[str, Any]:
     entries = state.templates.get(body["organisation"], [])
-    wanted = body.get("version") or (entries[-1].version if entries else 0)
+    requested = body.get("version") or (entries[-1].version if entries else 0)
     for entry in entries:
-        if entry.version == wanted:
-            return {"code": "ok", **_describe(entry), "body": entry.body}
+        if entry.version == requested:
+            return {"code": "ok", **_describe_entry(entry), "body": entry.body}
     if entries:
-        return _error("version_not_found", f"version {wanted} is not kept")
+        return _error("version_not_found", f"version {requested} is not kept")
     return _error("unknown_organisation", f"{body['organisation']} has no template")
 
 
 @query("template.list")
 def _list_templates(state: Any, body: dict[str, Any]) -> dict[str, Any]:
     rows = [
-        {"organisation": organisation, **_describe(entries[-1])}
+        {"organisation": organisation, **_describe_entry(entries[-1])}
         for organisation, entries in sorted(state.templates.items())
     ]
     return {"code": "ok", "templates": rows}
@@ -185,13 +188,13 @@
     entries = state.templates.get(body["organisation"], [])
     previous = [{}, *(entry.body for entry in entries)]
     rows = [
-        {**_describe(entry), "changed": diff_templates(old, entry.body)}
+        {**_describe_entry(entry), "changed": diff_templates(old, entry.body)}
         for old, entry in zip(previous, entries, strict=False)
     ]
     return {"code": "ok", "history": rows}
 
 
-def _describe(entry: TemplateEntry) -> dict[str, Any]:
+def _describe_entry(entry: TemplateEntry) -> dict[str, Any]:
     return {
         "version": entry.version,
         "operator": entry.operator,
@@ -210,7 +213,7 @@
     if plan is not None and plan.change_id == body["change_id"]:
         return {"code": "ok", "term": plan.new_term, "target": plan.target}
     expected = record.highest_term
-    first = expected == 0  # no term was ever given: the members' terms decide
+    first = expected == 0  # no term was committed yet: the members' terms decide
     if body["new_term"] <= body["old_term"] or not (
         first or body["old_term"] == expected
     ):
@@ -243,7 +246,7 @@
     plan.chosen = body["member"]
     plan.start_offset = body["start_offset"]
     record.version += 1
-    # Terms above the last record of the chosen log left no record in it.
+    # Terms above that of the chosen log's last record left no record in it.
     newest = body.get("position_term", plan.old_term)
     record.history = {t: s for t, s in record.history.items() if t <= newest}
     record.history[plan.new_term] = plan.start_offset
@@ -301,5 +304,5 @@
 
 
 def _digest(body: dict[str, Any]) -> str:
-    signed = {k: v for k, v in body.items() if k not in UNSIGNED_FIELDS}
-    return sha256(json.dumps(signed, sort_keys=True).encode()).hexdigest()
+    digested = {k: v for k, v in body.items() if k not in UNDIGESTED_FIELDS}
+    return sha256(json.dumps(digested, sort_keys=True).encode()).hexdigest()
--- a/packages/core/src/bronzemoor_core/grants.py
+++ b/packages/core/src/bronzemoor_core/grants.py
@@ -1,4 +1,4 @@
-"""Assignment of idle connections to waiting requests."""
+"""Assigns idle connections to waiting requests."""
 
 from collections import Counter
 from typing import Any
@@ -14,42 +14,42 @@
 ) -> tuple[list[object], Counter[str]]:
     """Grants idle connections in queue order.
 
-    Returns the grants and how many waiting requests lack a connection, by the member
-    that they prefer. Requests that only wait for a slot are not counted.
+    Returns the grants and the number of waiting requests without a connection by
+    preferred member. Requests that only wait for a slot are not counted.
     """
-    starved: Counter[str] = Counter()
-    items: list[object] = []
+    unserved: Counter[str] = Counter()
+    grants: list[object] = []
     queue = blackboard.queues.databases.get(pool.name)
     if queue is None or not queue.entries:
-        return items, starved
+        return grants, unserved
     database = blackboard.topology.databases.get(pool.name)
     idle = pool.idle_by_member()
-    groups = [_Group(members, group) for members, group in queue.groups.items()]
+    groups = [_RequestGroup(members, group) for members, group in queue.groups.items()]
     waiting = [group for group in groups if group.advance(pools)]
     while waiting:
-        group = min(waiting, key=_Group.head)
+        group = min(waiting, key=_RequestGroup.head)
         members = [m for m in group.members if _has_slot(database, pool, m)]
         member = next((m for m in members if idle.get(m)), None)
         if member is None:
             waiting.remove(group)
             if members:
                 reachable = (m for m in members if not pool.link(m).unreachable)
-                starved[next(reachable, members[0])] += group.left
+                unserved[next(reachable, members[0])] += group.remaining
             continue
         ticket = group.head().wanted.ticket
         connection = idle[member].pop()
         _assign(now, pools, pool, connection, ticket)
-        items.append(ConnectionGranted(ticket, connection.number, member))
+        grants.append(ConnectionGranted(ticket, connection.number, member))
         if not group.advance(pools):
             waiting.remove(group)
-    if starved:
-        # Connections under a probe are about to be idle again.
-        starved -= Counter(c.member for c in pool.of_state(State.WARM) if c.probe)
-    return items, starved
+    if unserved:
+        # Connections that are being probed will soon be idle again.
+        unserved -= Counter(c.member for c in pool.of_state(State.WARM) if c.probe)
+    return grants, unserved
 
 
-class _Group:
-    """The requests that want the same members; granted ones are passed over."""
+class _RequestGroup:
+    """Requests that accept the same members; granted requests are skipped."""
 
     __slots__ = ("_entries", "_index", "members")
 
@@ -59,19 +59,19 @@
         self._index = 0
 
     @property
-    def left(self) -> int:
+    def remaining(self) -> int:
         return len(self._entries) - self._index
 
     def head(self) -> Waiting:
         return self._entries[self._index]
 
     def advance(self, pools: Pools) -> bool:
-        """Moves to the next request without a connection; tells if there is one."""
+        """Skips requests with a connection; returns whether another request is left."""
         if not self.members:
             return False
-        while self.left and self.head().wanted.ticket in pools.by_ticket:
+        while self.remaining and self.head().wanted.ticket in pools.by_ticket:
             self._index += 1
-        return self.left > 0
+        return self.remaining > 0
 
 
 def _has_slot(database: Database | None, pool: DatabasePool, member: str) -> bool:
--- a/packages/core/src/bronzemoor_core/heartbeats.py
+++ b/packages/core/src/bronzemoor_core/heartbeats.py
@@ -1,4 +1,4 @@
-"""Heartbeats from daemons to the control members, and the replies to them."""
+"""Builds heartbeats from daemons to the control members, and the replies."""
 
 from collections.abc import Callable
 
@@ -53,7 +53,7 @@
 
 
 def heartbeat_recipients(blackboard: Blackboard, settings: NodeSettings) -> set[str]:
-    """Names the control members that this daemon reports to."""
+    """Returns the names of the control members that get this daemon's heartbeats."""
     log = blackboard.log
     names = set(settings.control_members) | set(log.voters) | set(log.learners)
     if log.leader:
@@ -67,9 +67,9 @@
 def report_demands(
     now: float, blackboard: Blackboard, settings: NodeSettings, heartbeat: Heartbeat
 ) -> None:
-    """Reports every database that is held, waited for, granted or configured.
+    """Reports demand for databases with connections, requests, shares or templates.
 
-    Idle connections are held but not wanted: they must not keep a share in place.
+    Idle connections count as held but not as wanted, so that they keep no share alive.
     """
     pools = blackboard.pools.databases
     queues = blackboard.queues.databases
--- a/packages/core/src/bronzemoor_core/messages.py
+++ b/packages/core/src/bronzemoor_core/messages.py
@@ -1,9 +1,9 @@
-"""Messages between daemons; fields follow idl/peer.thrift by name."""
+"""Messages between daemons; fields match idl/peer.thrift by name."""
 
 from dataclasses import dataclass, field
 from typing import TypeVar
 
-# Raised when a field changes its meaning; a daemon accepts its own version and the
+# Incremented when a field changes its meaning; a daemon accepts its own version and the
 # previous one.
 MESSAGE_VERSION = 1
 
@@ -13,7 +13,7 @@
 
 
 def message(cls: M) -> M:
-    """Registers a class as a message that may be sent between daemons."""
+    """Registers a class as a message between daemons."""
     MESSAGE_TYPES[cls.__name__] = cls
     return cls
 
@@ -67,7 +67,7 @@
 @message
 @dataclass(slots=True)
 class AppendEntries:
-    """``round_id`` identifies the heartbeat round that a quorum read waits for."""
+    """``round_id`` identifies the heartbeat round awaited by a quorum read."""
 
     term: int
     previous_index: int
@@ -80,7 +80,7 @@
 @message
 @dataclass(slots=True)
 class AppendEntriesReply:
-    """``match_index`` is the last synced index, or a hint for the next try."""
+    """``match_index`` is the last synced index, or a hint for the next attempt."""
 
     term: int
     success: bool
@@ -135,7 +135,7 @@
 @message
 @dataclass(slots=True)
 class Suspicion:
-    """Evidence of one vantage point against one member."""
+    """One vantage point's evidence that a member failed."""
 
     database: str
     member: str
@@ -147,7 +147,7 @@
 @message
 @dataclass(slots=True)
 class Demand:
-    """Connections of one database that a proxy holds and wants."""
+    """The connections to one database that a proxy holds and wants."""
 
     database: str
     organisation: str
@@ -159,7 +159,7 @@
 @message
 @dataclass(slots=True)
 class MemberSummary:
-    """State of one endpoint as last announced to a relay."""
+    """The state of one endpoint as last announced to a relay."""
 
     database: str
     member: str
@@ -181,9 +181,9 @@
 @message
 @dataclass(slots=True)
 class Heartbeat:
-    """From a daemon to the control members: demand, versions, suspicions, members.
+    """Sent by a daemon to the control members: demand, versions, suspicions, members.
 
-    ``acknowledged`` is the newest sequence whose reply was applied, 0 for none.
+    ``acknowledged`` is the latest sequence whose reply was applied, 0 for none.
     """
 
     incarnation: int
@@ -201,8 +201,8 @@
 @message
 @dataclass(slots=True)
 class Share:
-    """A leased share of a database's connections; ``lease_ms`` counts from the
-    sending of the heartbeat that ``sequence`` names."""
+    """A leased share of a database's connections; ``lease_ms`` counts from when the
+    heartbeat with the reply's ``sequence`` was sent."""
 
     database: str
     connections: int
@@ -222,7 +222,7 @@
 @message
 @dataclass(slots=True)
 class DatabaseState:
-    """Committed state of one database: its term, primary and term history."""
+    """The committed state of one database: its term, primary and term history."""
 
     database: str
     term: int
@@ -235,7 +235,7 @@
 @message
 @dataclass(slots=True)
 class TopologyUpdate:
-    """Changed databases and members; ``full`` replaces what is known."""
+    """Changed databases and members; a ``full`` update removes unlisted members."""
 
     full: bool
     databases: list[DatabaseState]
@@ -272,7 +272,7 @@
 @message
 @dataclass(slots=True)
 class JoinRequest:
-    """A control daemon outside the group asks to become a member of it."""
+    """A request of a control daemon outside the group to become a member."""
 
     identity: str
     incarnation: int
@@ -281,7 +281,7 @@
 @message
 @dataclass(slots=True)
 class MemberView:
-    """One member of a database group as the proxies need it."""
+    """One member of a database group as sent to proxies."""
 
     member: str
     address: str
@@ -293,10 +293,10 @@
 @message
 @dataclass(slots=True)
 class GroupView:
-    """One group: ``primary`` is empty while nobody may be used as primary.
+    """One group; ``primary`` is empty while no member may be used as primary.
 
-    ``connections`` is how many connections to each member one proxy may hold, or, if
-    they are ``shared``, all proxies of a zone together.
+    ``connections`` limits the connections to each member held by one proxy or, if
+    ``shared``, by all proxies of a zone together.
     """
 
     group: str
@@ -310,16 +310,16 @@
 @message
 @dataclass(slots=True)
 class GroupReport:
-    """What a proxy observed of a group's primary ``member`` in ``term``.
+    """A proxy's observations of a group's primary ``member`` in ``term``.
 
     ``failing_ms`` is how long new connections to it have failed, ``succeeded_ms`` how
     long ago it last answered, ``committed_ms`` how long ago it last answered a commit
     and ``stalled_ms`` how long commits have had no answer; each is -1 where it does not
-    apply. The acknowledged position is the newest one of a commit that this proxy
-    confirmed to a client. The sample is
-    the newest position in an answer to a statement that was sent ``sample_after_ms``
-    after the grant that the report names arrived, -1 without one. ``refused_ms`` is how
-    long ago the primary last refused a statement as busy, -1 if never.
+    apply. The acknowledged position is the highest one of a commit that this proxy
+    confirmed to a client. The sample is the highest position in an answer to a
+    statement that was sent ``sample_after_ms`` after the grant named by the report had
+    arrived, -1 without a sample. ``refused_ms`` is how long ago the primary last
+    answered BUSY to a statement, -1 if never.
     """
 
     group: str
@@ -341,8 +341,8 @@
 @message
 @dataclass(slots=True)
 class PositionSample:
-    """A primary's position; the statement that saw it was sent at most ``age_ms``
-    before this message was."""
+    """A primary's position, observed by a statement that was sent at most ``age_ms``
+    before this message."""
 
     group: str
     term: int
@@ -353,10 +353,10 @@
 @message
 @dataclass(slots=True)
 class ProxyReport:
-    """From a proxy to the control leader; ``topology_version`` is the one in force.
+    """Sent by a proxy to the control leader; ``topology_version`` is the one in force.
 
-    ``last_grant`` is the number of the newest grant that the proxy got, for samples,
-    and ``proxies_version`` that of the list of its zone's proxies.
+    ``last_grant`` is the number of the latest grant received, to which samples refer,
+    and ``proxies_version`` the version of the list of its zone's proxies.
     """
 
     incarnation: int
@@ -375,11 +375,11 @@
 class ProxyGrant:
     """Answers a report, or announces a change (``sequence`` 0, no lease).
 
-    ``lease_ms`` counts from the sending of the report that ``sequence`` names; 0 means
-    that the sender is not the leader. ``deployment`` is empty and ``groups`` is to be
-    ignored where the version is the one that the proxy reported. ``number`` tells the
-    grants to one proxy apart. ``proxies`` are those of its zone that share connections,
-    empty where the proxy has that version or none are shared.
+    ``lease_ms`` counts from when the report with this ``sequence`` was sent; 0 means
+    that the sender is not the leader. ``deployment`` is empty, and ``groups`` must be
+    ignored, if the proxy reported the same version. ``number`` identifies a grant among
+    those to one proxy. ``proxies`` lists those of its zone that share connections; it
+    is empty if the proxy has that version or none are shared.
     """
 
     sequence: int
@@ -399,9 +399,9 @@
 @message
 @dataclass(slots=True)
 class RelayOpen:
-    """Asks the owner of a member's connections for one, under a number of the sender's.
+    """Requests a connection from the owner of a member's connections.
 
-    The owner may wait ``timeout_ms`` for it.
+    The sender chooses the ``channel`` number; the owner may wait up to ``timeout_ms``.
     """
 
     channel: int
@@ -414,10 +414,10 @@
 @message
 @dataclass(slots=True)
 class RelayStatus:
-    """What became of a channel: waiting, open, refused or closed.
+    """The state of a channel: waiting, open, refused or closed.
 
-    ``failing_ms`` is for how long the owner's connections to the member have failed, -1
-    if they succeed.
+    ``failing_ms`` is how long the owner's connections to the member have failed, -1 if
+    they succeed.
     """
 
     channel: int
@@ -432,9 +432,10 @@
 class RelayStatement:
     """A statement for the connection of a channel.
 
-    A ``prepared`` one executes ``shape``, which ``writes`` or not, with ``text``. The
-    session's values are put on the connection first if ``sets_values``. The owner
-    refuses it unless the member leads in ``leading_term``, 0 where it need not lead.
+    A ``prepared`` statement executes ``shape`` with ``text``; ``writes`` tells whether
+    it writes. With ``sets_values``, the session's ``values`` are first set on the
+    connection. The owner refuses the statement unless the member is the primary of
+    ``leading_term``; 0 waives that check.
     """
 
     channel: int
@@ -454,7 +455,7 @@
 @message
 @dataclass(slots=True)
 class RelayAnswer:
-    """The encoded answer to a statement; without one the reason why there is none."""
+    """The encoded answer to a statement, or the ``reason`` why there is none."""
 
     channel: int
     number: int
@@ -465,7 +466,7 @@
 @message
 @dataclass(slots=True)
 class RelayClose:
-    """Gives a channel's connection back; one that is not clean is closed."""
+    """Returns a channel's connection, which is closed unless it is ``clean``."""
 
     channel: int
     clean: bool
--- a/packages/core/src/bronzemoor_core/operations.py
+++ b/packages/core/src/bronzemoor_core/operations.py
@@ -1,4 +1,4 @@
-"""Operators' commands on databases: list, plan, handover and drain."""
+"""Operator commands on databases: list, plan, handover and drain."""
 
 from dataclasses import dataclass
 from typing import Any
@@ -8,9 +8,9 @@
 from bronzemoor_core.internal_events import CommandCompleted, CommandProposed
 from bronzemoor_core.state import argument_problems, completion_reply
 
-# How long an operator's command waits for its effect at this daemon, seconds; the
-# upper bound of a failover.
-EFFECT_TIMEOUT = 5.0
+# How long an operator's command waits for its effect at this daemon; the upper bound of
+# a failover.
+EFFECT_TIMEOUT_SECONDS = 5.0
 
 ARGUMENTS: dict[str, tuple[tuple[str, type, bool], ...]] = {
     "database.list": (),
@@ -30,10 +30,10 @@
 
 
 @dataclass(slots=True)
-class Waiting:
-    """A command whose effect is awaited: a term, or that ``member`` is not primary.
+class PendingCommand:
+    """A command in force here once ``term`` is reached and ``member`` is not primary.
 
-    ``target`` is the member that a handover is to make primary.
+    ``target`` is the member that a handover is to promote.
     """
 
     event: AdminCommand
@@ -45,16 +45,16 @@
 
 
 class Operations:
-    """Answers each operator's command once, when its effect is known here."""
+    """Answers each operator command once, when it has taken effect at this daemon."""
 
     def __init__(self, blackboard: Any) -> None:
         self._blackboard = blackboard
-        # Commands between their proposal and its completion.
+        # Proposed commands that are not completed yet.
         self._proposed: dict[int, tuple[AdminCommand, float]] = {}
-        self._waiting: dict[int, Waiting] = {}
+        self._pending: dict[int, PendingCommand] = {}
 
     def admin(self, now: float, event: AdminCommand) -> list[object]:
-        """Proposes the command, or a plan first for a handover."""
+        """Proposes the command; a handover is planned first."""
         if event.name not in ARGUMENTS:
             return []
         problems = argument_problems(ARGUMENTS[event.name], event.arguments)
@@ -73,63 +73,63 @@
         return [CommandProposed({**command, "type": kind}, origin)]
 
     def complete(self, now: float, event: CommandCompleted) -> list[object]:
-        """Takes the answer to a proposal of this daemon."""
+        """Handles the completion of a proposal from this daemon."""
         origin = event.origin
         if not isinstance(origin, tuple | list) or len(origin) != 2:
             return []
         step, ticket = origin
         if step not in ("operations", "handover") or ticket not in self._proposed:
             return []
-        command, started = self._proposed.pop(ticket)
+        command, started_at = self._proposed.pop(ticket)
         code = event.code if event.code != "ok" else event.result.get("code", "ok")
         if code != "ok" or command.name in ("database.list", "failover.plan"):
             return [completion_reply(ticket, event)]
         if command.name == "failover.run" and step == "operations":
-            return self._start(command, started, event)
-        waiting = Waiting(command, started, event)
+            return self._start_handover(command, started_at, event)
+        pending = PendingCommand(command, started_at, event)
         if command.name == "failover.run":
-            waiting.term = event.result["term"]
-            waiting.target = event.result["target"]
+            pending.term = event.result["term"]
+            pending.target = event.result["target"]
         elif command.arguments.get("draining", True):
-            waiting.member = command.arguments["member"]
-        self._waiting[ticket] = waiting
+            pending.member = command.arguments["member"]
+        self._pending[ticket] = pending
         return self.check(now)
 
     def check(self, now: float) -> list[object]:
-        """Answers commands whose effect is in force here, or too late."""
+        """Answers commands that are in force here or have timed out."""
         out: list[object] = []
-        for ticket, waiting in tuple(self._waiting.items()):
-            name = waiting.event.arguments["database"]
+        for ticket, pending in tuple(self._pending.items()):
+            name = pending.event.arguments["database"]
             database = self._blackboard.topology.databases.get(name)
             primary = database.primary if database else ""
-            spent = now - waiting.started_at
-            if primary and primary != waiting.member and database.term >= waiting.term:
-                reply = completion_reply(ticket, waiting.completion)
-                reply.body |= {"primary": primary, "took_ms": round(spent * 1000)}
+            elapsed = now - pending.started_at
+            if primary and primary != pending.member and database.term >= pending.term:
+                reply = completion_reply(ticket, pending.completion)
+                reply.body |= {"primary": primary, "took_ms": round(elapsed * 1000)}
                 if (
-                    waiting.target not in ("", primary)
-                    and database.term == waiting.term
+                    pending.target not in ("", primary)
+                    and database.term == pending.term
                 ):
                     reply.code = "target_behind"
-                    reply.body["message"] = f"{waiting.target} was behind; try again"
+                    reply.body["message"] = f"{pending.target} was behind; try again"
                 out.append(reply)
-            elif spent > EFFECT_TIMEOUT:
+            elif elapsed > EFFECT_TIMEOUT_SECONDS:
                 message = "accepted, but not in force yet; see the status"
                 out.append(AdminReply(ticket, "unknown", {"message": message}))
             else:
                 continue
-            del self._waiting[ticket]
+            del self._pending[ticket]
         return out
 
-    def _start(
-        self, command: AdminCommand, started: float, plan: CommandCompleted
+    def _start_handover(
+        self, command: AdminCommand, started_at: float, plan: CommandCompleted
     ) -> list[object]:
-        """Starts a handover after its plan, unless the plan says that it is unsafe."""
+        """Starts a planned handover, unless its plan found it unsafe."""
         result, ticket = plan.result, command.ticket
         if not result["safe_now"] and not result.get("repeated"):
             body = {"message": "; ".join(result["blockers"]), "plan": result}
             return [AdminReply(ticket, "not_safe", body)]
-        self._proposed[ticket] = (command, started)
+        self._proposed[ticket] = (command, started_at)
         start = {
             "type": "failover.start",
             "kind": "handover",
@@ -146,8 +146,8 @@
         return [CommandProposed(start, ("handover", ticket))]
 
 
-def _lag(database: Any, member: Any) -> int | None:
-    """Records that a member is behind the primary, as far as known here."""
+def _replica_lag(database: Any, member: Any) -> int | None:
+    """Returns a member's lag behind the primary in records, None if unknown."""
     primary = database.members.get(database.committed_primary)
     if primary is None:
         return None
@@ -169,7 +169,7 @@
                     "role": member.role,
                     "term": member.position.term,
                     "offset": member.position.offset,
-                    "lag": _lag(database, member),
+                    "lag": _replica_lag(database, member),
                     "leaving": member.leaving,
                     "age_ms": round((now - member.last_heard) * 1000),
                 }
--- a/packages/core/src/bronzemoor_core/positions.py
+++ b/packages/core/src/bronzemoor_core/positions.py
@@ -5,7 +5,7 @@
 
 @dataclass(slots=True, frozen=True, order=True)
 class Position:
-    """A place in a database's log: ``term`` and ``offset`` in log entries."""
+    """A position in a database's log: ``term`` and ``offset`` in log entries."""
 
     term: int = 0
     offset: int = 0
@@ -16,29 +16,29 @@
 
 @dataclass(slots=True)
 class TermHistory:
-    """Start offset of each term of one database."""
+    """The start offset of each term of one database."""
 
     starts: dict[int, int] = field(default_factory=dict)
 
     def record(self, term: int, start_offset: int) -> None:
-        """Adds the start of a term; a known term keeps its first start offset."""
+        """Adds a term's start offset; a known term keeps its first one."""
         self.starts.setdefault(term, start_offset)
 
     def end_of(self, term: int) -> int | None:
-        """Last offset of ``term`` that survived, or None while it is the newest."""
+        """Returns the last surviving offset of ``term``, None for the latest term."""
         later = [start for other, start in self.starts.items() if other > term]
         return min(later) if later else None
 
     def survives(self, position: Position) -> bool:
-        """Tells whether the entry at ``position`` is part of the surviving log."""
+        """Returns whether the entry at ``position`` is part of the surviving log."""
         end = self.end_of(position.term)
         return end is None or position.offset <= end
 
     def covers(self, held: Position, wanted: Position) -> bool:
-        """Tells whether a member at ``held`` contains everything up to ``wanted``.
+        """Returns whether a member at ``held`` contains everything up to ``wanted``.
 
-        A bare offset is not enough: the tail of an older term may have been
-        discarded by a promotion, and a member may still hold that tail.
+        Comparing offsets is not enough: a promotion may have discarded the tail of an
+        older term, and a member may still hold that tail.
         """
         if wanted.offset == 0:
             return True
--- a/packages/core/src/bronzemoor_core/records.py
+++ b/packages/core/src/bronzemoor_core/records.py
@@ -1,4 +1,4 @@
-"""Records of the replicated state and their exact form in snapshots."""
+"""Records of the replicated state and their representation in snapshots."""
 
 from dataclasses import asdict, dataclass, field
 from typing import Any
@@ -20,7 +20,7 @@
 
 @dataclass(slots=True)
 class ChangeRecord:
-    """The first answer to an operator's change id; ``digest`` is of its arguments."""
+    """The recorded result of a change id; ``digest`` covers the command's arguments."""
 
     digest: str
     result: dict[str, Any]
@@ -47,9 +47,9 @@
 
 @dataclass(slots=True)
 class DatabaseRecord:
-    """Committed facts of one database group.
+    """Committed state of one database group.
 
-    ``group`` decides majorities. ``version`` rises with every change.
+    ``group`` determines majorities. ``version`` increases with every change.
     """
 
     name: str
@@ -63,18 +63,18 @@
 
     @property
     def fenced(self) -> bool:
-        """Tells whether a promotion is in progress, so that no write may start."""
+        """Whether a promotion is in progress, so that no write may start."""
         return self.plan is not None
 
     @property
     def highest_term(self) -> int:
-        """The highest term ever given to this database."""
+        """The highest term ever assigned to this database."""
         return max(self.term, self.plan.new_term if self.plan else 0)
 
 
 @dataclass(slots=True)
 class KeyRecord:
-    """A key for session tokens; ``secret`` is in hexadecimal. ``serial`` rises."""
+    """A session token key; ``secret`` is hexadecimal, ``serial`` grows per rotation."""
 
     serial: int
     key_id: str
@@ -84,7 +84,7 @@
 
 @section("state")
 class State:
-    """The applied state: the same on every control member at ``applied_index``."""
+    """The applied state, identical on every control member at ``applied_index``."""
 
     __slots__ = ("applied_index", "changes", "databases", "keys", "templates", "wire")
 
@@ -92,17 +92,17 @@
         self.applied_index = 0
         # Versions by organisation, oldest first.
         self.templates: dict[str, list[TemplateEntry]] = {}
-        # Change ids by organisation, oldest first; "" holds those of no organisation.
+        # Change ids by organisation, oldest first; "" is for commands without one.
         self.changes: dict[str, dict[str, ChangeRecord]] = {}
         self.databases: dict[str, DatabaseRecord] = {}
         # Newest first; the first one signs.
         self.keys: list[KeyRecord] = []
-        # What the statement protocol's control plane keeps.
+        # State of the statement protocol's control plane.
         self.wire = WireRecords()
 
     @property
     def versions(self) -> dict[str, int]:
-        """Current version of each organisation's template."""
+        """The current version of each organisation's template."""
         return {name: entries[-1].version for name, entries in self.templates.items()}
 
 
@@ -121,7 +121,7 @@
 
 
 def from_snapshot(state: State, index: int, data: dict[str, Any]) -> None:
-    """Replaces ``state`` by a snapshot, which may have passed through JSON."""
+    """Replaces ``state`` by a snapshot, which may have been decoded from JSON."""
     state.applied_index = index
     state.templates = {
         k: [TemplateEntry(**e) for e in v] for k, v in data["templates"].items()
--- a/packages/core/src/bronzemoor_core/state.py
+++ b/packages/core/src/bronzemoor_core/state.py
@@ -1,4 +1,4 @@
-"""The replicated state machine of the control group and its operator commands."""
+"""Replicated state machine of the control group and its operator commands."""
 
 from collections.abc import Callable
 from typing import Any
@@ -24,7 +24,7 @@
 
 KEY_BYTES = 32
 
-# Arguments of the operator commands answered here: name, type, required.
+# Arguments of the operator commands handled here: name, type, required.
 ARGUMENTS: dict[str, tuple[tuple[str, type, bool], ...]] = {
     "template.list": (),
     "template.get": (("organisation", str, True), ("version", int, False)),
@@ -59,7 +59,7 @@
         self._own.applied_index = event.index
         result = apply_command(self._own, event.command)
         applied = CommandApplied(event.index, event.command, result, event.origin)
-        changes = list(_changes(event.command)) if result["code"] == "ok" else []
+        changes = list(_state_changes(event.command)) if result["code"] == "ok" else []
         return [*changes, applied]
 
     @handles(QueryReady)
@@ -92,14 +92,14 @@
         if problems:
             body = {"message": "; ".join(problems), "problems": problems}
             return [AdminReply(event.ticket, "invalid_request", body)]
-        return [CommandProposed(self._command(event), ("state", event.ticket))]
+        return [CommandProposed(self._make_command(event), ("state", event.ticket))]
 
     @handles(CommandCompleted)
     def complete(self, now: float, event: CommandCompleted) -> list[object]:
         ticket = ticket_of(event.origin, "state")
         return [] if ticket is None else [completion_reply(ticket, event)]
 
-    def _command(self, event: AdminCommand) -> dict[str, Any]:
+    def _make_command(self, event: AdminCommand) -> dict[str, Any]:
         names = [name for name, _, _ in ARGUMENTS[event.name]]
         command: dict[str, Any] = {"type": event.name}
         command |= {k: event.arguments[k] for k in names if k in event.arguments}
@@ -117,7 +117,7 @@
 def argument_problems(
     allowed: tuple[tuple[str, type, bool], ...], arguments: dict[str, Any]
 ) -> list[str]:
-    """Returns every problem of an operator command's arguments."""
+    """Returns all problems with an operator command's arguments."""
     problems = []
     for name, kind, required in allowed:
         value = arguments.get(name)
@@ -128,19 +128,19 @@
             found = type(value).__name__
             problems.append(f"{name}: found {found}, allowed: {kind.__name__}")
         elif required and value == "":
-            problems.append(f"{name}: found an empty text")
+            problems.append(f"{name}: found an empty string")
     return problems
 
 
 def ticket_of(origin: Any, owner: str) -> int | None:
-    """Returns the admin ticket of a completion that ``owner`` proposed, or None."""
+    """Returns the admin ticket of a command that ``owner`` proposed, or None."""
     if isinstance(origin, tuple | list) and len(origin) == 2 and origin[0] == owner:
         return int(origin[1])
     return None
 
 
 def completion_reply(ticket: int, event: CommandCompleted) -> AdminReply:
-    """Answers an operator with a completed command's recorded result."""
+    """Returns the reply to an operator with a completed command's result."""
     body = {k: v for k, v in event.result.items() if k != "code"}
     code = event.code if event.code != "ok" else event.result.get("code", "ok")
     if event.message:
@@ -148,7 +148,7 @@
     return AdminReply(ticket, code, body)
 
 
-def _changes(command: dict[str, Any]) -> list[StateChanged]:
+def _state_changes(command: dict[str, Any]) -> list[StateChanged]:
     prefix, _, _ = command["type"].partition(".")
     kinds: dict[str, Callable[[], StateChanged]] = {
         "template": lambda: StateChanged("template", command["organisation"]),
