--- a/packages/core/src/bronzemoor_core/detectors.py
+++ b/packages/core/src/bronzemoor_core/detectors.py
@@ -1,4 +1,4 @@
-"""Failure detectors: the evidence of one vantage point against a primary."""
+"""Failure detectors, which yield one vantage point's evidence against a primary."""
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -7,31 +7,31 @@
 from bronzemoor_core.messages import Suspicion
 from bronzemoor_core.topology import NEVER
 
-# A proxy's evidence stands for this long after its last failed call, seconds; the
-# data path probes twice a second.
-PROXY_EVIDENCE = 1.0
-# How long a primary may announce another role before that counts, seconds. A promoted
-# member may announce its old role once more.
-ROLE_GRACE = 0.3
-# Failed pings in a row that count as evidence. One may be lost; two lost in a row are
-# one in 10,000 at 1% loss.
-FAILED_PINGS = 2
+# How long a proxy's evidence is valid after its last failed call; the data path probes
+# twice a second.
+PROXY_EVIDENCE_VALIDITY_SECONDS = 1.0
+# How long a primary may announce another role before that counts as evidence. A
+# promoted member may announce its old role once more.
+ROLE_CHANGE_GRACE_SECONDS = 0.3
+# Consecutive failed pings that count as evidence. A single one may be lost; at 1% loss
+# two in a row are lost once in 10,000.
+MIN_FAILED_PINGS = 2
 
 Key = tuple[str, str]  # database and member
 
 
 @dataclass(slots=True)
 class Report:
-    """A member's list of members that it cannot reach."""
+    """A member's report of the members that it cannot reach."""
 
     unreachable: tuple[str, ...]
     since: float
-    heard: float
+    heard_at: float
 
 
 @dataclass(slots=True)
 class Span:
-    """When something was seen for the first and for the last time, seconds."""
+    """Times of the first and the last observation, in seconds."""
 
     first: float
     last: float
@@ -41,8 +41,8 @@
 class Investigation:
     """Pings of the control leader to a suspected primary and its group.
 
-    ``failures`` counts failed pings in a row; ``others`` holds when each other member
-    last answered.
+    ``failures`` counts consecutive failed pings; ``others_answered_at`` holds the time
+    of each other member's last answer.
     """
 
     member: str
@@ -50,31 +50,31 @@
     failures: int = 0
     answered_at: float = NEVER
     confirmed_ago_ms: int = -1
-    others: dict[str, float] = field(default_factory=dict)
+    others_answered_at: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
 class Observations:
-    """What this daemon itself saw of members."""
+    """This daemon's own observations of members."""
 
-    announced: dict[Key, float] = field(default_factory=dict)
-    suspected: dict[Key, Span] = field(default_factory=dict)
-    # When the primary began to announce another role.
-    demoted: dict[Key, float] = field(default_factory=dict)
+    last_announced: dict[Key, float] = field(default_factory=dict)
+    suspected_spans: dict[Key, Span] = field(default_factory=dict)
+    # Time at which the primary began to announce another role.
+    demoted_at: dict[Key, float] = field(default_factory=dict)
     # By database and reporting member.
     reports: dict[str, dict[str, Report]] = field(default_factory=dict)
     investigations: dict[str, Investigation] = field(default_factory=dict)
 
     def suspect(self, now: float, database: str, member: str) -> None:
-        """Takes the data path's evidence; a pause begins a new span."""
-        span = self.suspected.get((database, member))
-        if span is None or now - span.last > PROXY_EVIDENCE:
-            span = self.suspected[database, member] = Span(now, now)
+        """Records the data path's evidence; a pause begins a new span."""
+        span = self.suspected_spans.get((database, member))
+        if span is None or now - span.last > PROXY_EVIDENCE_VALIDITY_SECONDS:
+            span = self.suspected_spans[database, member] = Span(now, now)
         span.last = now
 
-    def concerned(self) -> set[str]:
-        """Returns the databases that detectors may have evidence on."""
-        keys = (*self.announced, *self.suspected, *self.demoted)
+    def observed_databases(self) -> set[str]:
+        """Returns the databases on which detectors may have evidence."""
+        keys = (*self.last_announced, *self.suspected_spans, *self.demoted_at)
         return (
             {key[0] for key in keys} | self.reports.keys() | self.investigations.keys()
         )
@@ -82,21 +82,21 @@
 
 @dataclass(slots=True)
 class Evidence:
-    """A vantage point's evidence: ``since`` is when it began, ``seen`` when it was
-    last confirmed, in seconds."""
+    """A vantage point's evidence, begun at ``since`` and last confirmed at
+    ``confirmed_at``, in seconds."""
 
     vantage: str
     detector: str
     member: str
     since: float
-    seen: float
+    confirmed_at: float
 
 
-# Yields (vantage point, since, confirmed at) for evidence against the primary.
+# (vantage point, since, confirmed at) of evidence against the primary.
 Finding = tuple[str, float, float]
 Detector = Callable[[float, Observations, Any, Any], Iterator[Finding]]
 
-# Detectors that run on every daemon, and those of the control leader.
+# Detectors that run on every daemon, and those that run on the control leader.
 LOCAL_DETECTORS: dict[str, Detector] = {}
 LEADER_DETECTORS: dict[str, Detector] = {}
 
@@ -106,7 +106,7 @@
 ) -> Callable[[Detector], Detector]:
     """Registers a detector, which takes ``(now, observations, database, timers)``.
 
-    An empty vantage point in a finding stands for this daemon.
+    An empty vantage point in a finding means this daemon.
     """
 
     def register(function: Detector) -> Detector:
@@ -117,79 +117,81 @@
 
 
 @detector("announcement_silence", LOCAL_DETECTORS)
-def _silence(
-    now: float, seen: Observations, database: Any, timers: Any
+def _detect_announcement_silence(
+    now: float, observations: Observations, database: Any, timers: Any
 ) -> Iterator[Finding]:
-    """The primary announced itself to this relay and stopped."""
-    last = seen.announced.get((database.name, database.primary), NEVER)
+    """The primary announced itself to this relay and then stopped."""
+    last = observations.last_announced.get((database.name, database.primary), NEVER)
     if last != NEVER and now - last > timers.suspicion_timeout:
         yield "", last, now
 
 
 @detector("proxy", LOCAL_DETECTORS)
-def _proxy(
-    now: float, seen: Observations, database: Any, timers: Any
+def _detect_proxy_failures(
+    now: float, observations: Observations, database: Any, timers: Any
 ) -> Iterator[Finding]:
-    """Fresh connections of this proxy to the primary fail as well."""
-    span = seen.suspected.get((database.name, database.primary))
-    if span is not None and now - span.last <= PROXY_EVIDENCE:
+    """New connections of this proxy to the primary fail as well."""
+    span = observations.suspected_spans.get((database.name, database.primary))
+    if span is not None and now - span.last <= PROXY_EVIDENCE_VALIDITY_SECONDS:
         yield "", span.first, now
 
 
 @detector("role_lost", LOCAL_DETECTORS)
-def _role(
-    now: float, seen: Observations, database: Any, timers: Any
+def _detect_role_loss(
+    now: float, observations: Observations, database: Any, timers: Any
 ) -> Iterator[Finding]:
-    """The primary announces that it is none, as after a restart."""
-    since = seen.demoted.get((database.name, database.primary), NEVER)
-    if since != NEVER and now - since > ROLE_GRACE:
+    """The primary announces another role, as after a restart."""
+    since = observations.demoted_at.get((database.name, database.primary), NEVER)
+    if since != NEVER and now - since > ROLE_CHANGE_GRACE_SECONDS:
         yield "", since, now
 
 
 @detector("member", LEADER_DETECTORS)
-def _member(
-    now: float, seen: Observations, database: Any, timers: Any
+def _detect_member_reports(
+    now: float, observations: Observations, database: Any, timers: Any
 ) -> Iterator[Finding]:
     """Other members of the group cannot reach the primary."""
-    for reporter, report in seen.reports.get(database.name, {}).items():
-        fresh = now - report.heard <= timers.announcement_lease
+    for reporter, report in observations.reports.get(database.name, {}).items():
+        fresh = now - report.heard_at <= timers.announcement_lease
         if fresh and database.primary in report.unreachable:
-            yield reporter, report.since, report.heard
+            yield reporter, report.since, report.heard_at
 
 
 @detector("order", LEADER_DETECTORS)
-def _order(
-    now: float, seen: Observations, database: Any, timers: Any
+def _detect_failed_pings(
+    now: float, observations: Observations, database: Any, timers: Any
 ) -> Iterator[Finding]:
     """The control leader's own pings to the primary fail."""
-    found = seen.investigations.get(database.name)
-    if found is not None and found.failures >= FAILED_PINGS:
-        yield "", found.opened_at, now
+    investigation = observations.investigations.get(database.name)
+    if investigation is not None and investigation.failures >= MIN_FAILED_PINGS:
+        yield "", investigation.opened_at, now
 
 
 def find_evidence(
     now: float,
-    seen: Observations,
+    observations: Observations,
     databases: Any,
     timers: Any,
     vantage: str,
     registry: dict[str, Detector],
 ) -> Iterator[tuple[str, Evidence]]:
-    """Yields evidence against primaries with the name of their database."""
-    for name in sorted(seen.concerned()):
+    """Yields pairs of a database's name and evidence against its primary."""
+    for name in sorted(observations.observed_databases()):
         database = databases.get(name)
         if database is None or not database.primary:
             continue
         for kind, function in registry.items():
-            for source, since, at in function(now, seen, database, timers):
+            for source, since, confirmed_at in function(
+                now, observations, database, timers
+            ):
                 evidence = Evidence(
-                    source or vantage, kind, database.primary, since, at
+                    source or vantage, kind, database.primary, since, confirmed_at
                 )
                 yield name, evidence
 
 
 def to_suspicion(now: float, database: Any, evidence: Evidence) -> Suspicion:
-    """Returns evidence as a heartbeat carries it."""
+    """Converts evidence to the form sent in heartbeats."""
     return Suspicion(
         database=database.name,
         member=evidence.member,
--- a/packages/core/src/bronzemoor_core/distribution.py
+++ b/packages/core/src/bronzemoor_core/distribution.py
@@ -1,4 +1,4 @@
-"""Configuration in force at this daemon and its distribution to others."""
+"""Applies the configuration at this daemon and distributes it to others."""
 
 import json
 from collections.abc import Iterable
@@ -33,14 +33,14 @@
     KEYS_KEY,
     committed_versions,
     covers,
-    held_versions,
+    is_subscribed,
     read_key,
-    wanted,
+    versions_in_force,
     write_key,
 )
 
-# How often a daemon that is not ready asks a quorum for the current versions, seconds.
-QUERY_INTERVAL = 0.5
+# Interval at which a daemon that is not ready asks a quorum for current versions.
+VERSION_QUERY_INTERVAL_SECONDS = 0.5
 
 
 @section("configuration")
@@ -48,9 +48,9 @@
     """Templates in force by organisation; ``confirmed_at`` is when a control member
     last confirmed the versions, in seconds.
 
-    ``keys`` are the replicated token keys, the signing one first. ``ready`` tells
-    whether the current versions were learned from a quorum since the start.
-    ``confirmations`` holds, on the leader, the versions that each daemon confirmed.
+    ``keys`` are the replicated token keys, the signing key first. ``ready`` is set once
+    all versions confirmed by a quorum since the start are in force. ``confirmations``
+    holds, on the leader, the versions that each daemon confirmed.
     """
 
     __slots__ = (
@@ -79,11 +79,11 @@
 
     def __init__(self, *arguments: Any) -> None:
         super().__init__(*arguments)
-        self._queried = NEVER
+        self._queried_at = NEVER
         # Versions that a quorum confirmed since the start.
-        self._needed: dict[str, int] | None = None
-        # When each daemon was last sent a repair.
-        self._repaired: dict[str, float] = {}
+        self._required_versions: dict[str, int] | None = None
+        # Time of the last update sent to each daemon, which delays repairs.
+        self._repaired_at: dict[str, float] = {}
 
     # --- the leader
 
@@ -98,8 +98,8 @@
         for name in names[event.kind]:
             entry = current_entry(state, name)
             if entry is not None and (not served or name in served):
-                out += self._enforce(name, entry.version, entry.body)
-        out += self._enforce_keys(list(state.keys))
+                out += self._apply_template(name, entry.version, entry.body)
+        out += self._apply_keys(list(state.keys))
         if self._blackboard.topology.is_leader:
             out += self._publish(now, names[event.kind], event.kind == "keys")
         return out
@@ -111,20 +111,22 @@
 
     def _publish(self, now: float, names: list[str], keys: bool) -> list[object]:
         out: list[object] = []
-        # Daemons with the same news share one message.
+        # Daemons that need the same templates share one message.
         updates: dict[tuple[str, ...], ConfigurationUpdate] = {}
         for daemon in self._blackboard.topology.daemons.values():
-            news = tuple(n for n in names if wanted(daemon.subscriptions, n))
-            elsewhere = daemon.name != self._settings.name and not daemon.lost
-            if elsewhere and (news or keys):
-                # The repair of a lost update waits for one digest interval.
-                self._repaired[daemon.name] = now
-                if news not in updates:
-                    updates[news] = self._update_of(news)
-                out.append(SendPeerMessage(daemon.name, updates[news]))
+            organisations = tuple(
+                n for n in names if is_subscribed(daemon.subscriptions, n)
+            )
+            is_remote = daemon.name != self._settings.name and not daemon.lost
+            if is_remote and (organisations or keys):
+                # Delays the repair of a lost update by one digest interval.
+                self._repaired_at[daemon.name] = now
+                if organisations not in updates:
+                    updates[organisations] = self._make_update(organisations)
+                out.append(SendPeerMessage(daemon.name, updates[organisations]))
         return out
 
-    def _update_of(self, names: Iterable[str]) -> ConfigurationUpdate:
+    def _make_update(self, names: Iterable[str]) -> ConfigurationUpdate:
         state = self._blackboard.state
         templates = [
             TemplateVersion(name, entry.version, json.dumps(entry.body).encode())
@@ -135,10 +137,10 @@
         serial = state.keys[0].serial if state.keys else 0
         return ConfigurationUpdate(templates, serial, keys)
 
-    def _confirm(
+    def _record_confirmation(
         self, now: float, sender: str, versions: dict[str, int]
     ) -> list[object]:
-        """Notes what a daemon has in force and sends what it lacks."""
+        """Records the versions in force at a daemon and sends what it lacks."""
         daemon = self._blackboard.topology.daemons.get(sender)
         if daemon is None or not self._blackboard.topology.is_leader:
             return []
@@ -146,13 +148,13 @@
         current = committed_versions(self._blackboard, daemon.subscriptions)
         if sender == self._settings.name or covers(versions, current):
             return []
-        # A delta may be on its way, so a repair waits for one digest interval.
+        # An update may be in flight, so a repair waits for one digest interval.
         interval = self._settings.timers.digest_interval
-        if now - self._repaired.get(sender, NEVER) < interval:
+        if now - self._repaired_at.get(sender, NEVER) < interval:
             return []
-        self._repaired[sender] = now
+        self._repaired_at[sender] = now
         names = [n for n, version in current.items() if versions.get(n, 0) < version]
-        return [SendPeerMessage(sender, self._update_of(names))]
+        return [SendPeerMessage(sender, self._make_update(names))]
 
     # --- every daemon
 
@@ -160,31 +162,33 @@
     def receive(self, now: float, event: PeerMessageReceived) -> list[object] | None:
         message = event.message
         if isinstance(message, Heartbeat):
-            return self._confirm(now, event.sender, message.versions)
+            return self._record_confirmation(now, event.sender, message.versions)
         if isinstance(message, ConfigurationAcknowledged):
             if any(name.startswith("@topology") for name in message.versions):
                 return None
-            return self._confirm(now, event.sender, message.versions)
+            return self._record_confirmation(now, event.sender, message.versions)
         if isinstance(message, ConfigurationUpdate):
-            return self._update(event.sender, message)
+            return self._handle_update(event.sender, message)
         if isinstance(message, HeartbeatReply) and message.leader == event.sender:
             self._own.confirmed_at, self._own.stale = now, False
             return self._check_ready()
         return None
 
-    def _update(self, sender: str, message: ConfigurationUpdate) -> list[object]:
+    def _handle_update(self, sender: str, message: ConfigurationUpdate) -> list[object]:
         out: list[object] = []
         for template in message.templates:
             body = json.loads(template.body)
-            out += self._enforce(template.organisation, template.version, body)
-        out += self._enforce_keys([read_key(text) for text in message.keys])
-        held = ConfigurationAcknowledged(held_versions(self._blackboard))
-        return [*out, *self._check_ready(), SendPeerMessage(sender, held)]
+            out += self._apply_template(template.organisation, template.version, body)
+        out += self._apply_keys([read_key(text) for text in message.keys])
+        reply = ConfigurationAcknowledged(versions_in_force(self._blackboard))
+        return [*out, *self._check_ready(), SendPeerMessage(sender, reply)]
 
-    def _enforce(self, organisation: str, version: int, body: Any) -> list[object]:
-        """Puts a version in force, never a lower one than before."""
-        held = self._own.templates.get(organisation)
-        if held is not None and held.version >= version:
+    def _apply_template(
+        self, organisation: str, version: int, body: Any
+    ) -> list[object]:
+        """Applies a template version unless the same or a later one is in force."""
+        current = self._own.templates.get(organisation)
+        if current is not None and current.version >= version:
             return []
         try:
             template = parse_template(organisation, body, version)
@@ -197,32 +201,37 @@
         self._own.templates[organisation] = template
         return [TemplateChanged(organisation, version)]
 
-    def _enforce_keys(self, keys: list[KeyRecord]) -> list[object]:
-        """Puts a key ring in force, never an older one than before.
+    def _apply_keys(self, keys: list[KeyRecord]) -> list[object]:
+        """Applies a key ring unless the same or a later one is in force.
 
-        Keys of the settings stay valid for tokens that were signed before the first
-        rotation.
+        Keys from the settings stay valid for tokens signed before the first rotation.
         """
-        held = self._own.keys[0].serial if self._own.keys else 0
-        if not keys or keys[0].serial <= held:
+        current = self._own.keys[0].serial if self._own.keys else 0
+        if not keys or keys[0].serial <= current:
             return []
         self._own.keys = tuple(keys)
         pairs = {key.key_id: bytes.fromhex(key.secret) for key in keys}
-        return [TokenKeysChanged(list((pairs | self._old_keys(pairs)).items()))]
+        return [TokenKeysChanged(list((pairs | self._settings_keys(pairs)).items()))]
 
-    def _old_keys(self, known: dict[str, bytes]) -> dict[str, bytes]:
+    def _settings_keys(self, known: dict[str, bytes]) -> dict[str, bytes]:
         own = self._settings.token_keys.items()
         return {key_id: secret for key_id, secret in own if key_id not in known}
 
     def _check_ready(self) -> list[object]:
-        """Becomes ready once all versions that a quorum confirmed are in force."""
+        """Marks the daemon ready once all quorum-confirmed versions are in force."""
         own = self._own
-        if own.ready or self._needed is None:
+        if own.ready or self._required_versions is None:
             return []
-        if not covers(held_versions(self._blackboard), self._needed):
+        if not covers(versions_in_force(self._blackboard), self._required_versions):
             return []
         own.ready = True
-        return [EmitLog("info", "configuration_ready", {"versions": len(self._needed)})]
+        return [
+            EmitLog(
+                "info",
+                "configuration_ready",
+                {"versions": len(self._required_versions)},
+            )
+        ]
 
     # --- operators
 
@@ -237,8 +246,8 @@
     @handles(Tick)
     def tick(self, now: float, event: Tick) -> list[object] | None:
         timers, own = self._settings.timers, self._own
-        if not own.ready and now - self._queried >= QUERY_INTERVAL:
-            self._queried = now
+        if not own.ready and now - self._queried_at >= VERSION_QUERY_INTERVAL_SECONDS:
+            self._queried_at = now
             query = {"type": "configuration.versions", "query": True}
             return [CommandProposed(query, ("configuration", 0))]
         if own.ready and not own.stale and now - own.confirmed_at > timers.stale_after:
@@ -256,8 +265,10 @@
             return None
         served = self._settings.organisations
         versions = event.result["versions"].items()
-        self._needed = {n: v for n, v in versions if not served or n in served}
+        self._required_versions = {
+            n: v for n, v in versions if not served or n in served
+        }
         if event.result["keys"]:
-            self._needed[KEYS_KEY] = event.result["keys"]
+            self._required_versions[KEYS_KEY] = event.result["keys"]
         self._own.confirmed_at = now
         return self._check_ready()
--- a/packages/core/src/bronzemoor_core/handover.py
+++ b/packages/core/src/bronzemoor_core/handover.py
@@ -1,22 +1,22 @@
-"""Planned handover: which member would take over, why, and whether it is safe now."""
+"""Plans handovers: which member would take over, why, and whether it is safe now."""
 
 from dataclasses import dataclass, field
 from typing import Any
 
 from bronzemoor_core.actions import Answer, SendOrder
 from bronzemoor_core.candidates import majority
-from bronzemoor_core.promotion import accepted, make_order
+from bronzemoor_core.promotion import is_accepted, make_order
 
-# Records that a target may lack before a handover starts; it gets them while writes
-# are stopped, well within the wait of the handover.
-LAG_LIMIT = 100
-# How long a plan waits for the members' answers, seconds.
-PLAN_WAIT = 0.2
+# Records that a target may lack when a handover starts; it receives them while writes
+# are stopped, well within the time that a handover waits.
+MAX_START_LAG_RECORDS = 100
+# How long a plan waits for the members' answers.
+SURVEY_TIMEOUT_SECONDS = 0.2
 
 
 @dataclass(slots=True)
 class Survey:
-    """A question to all members of a group for a plan; ``origin`` gets the answer."""
+    """Pings to all members of a group for a plan; ``origin`` gets the answer."""
 
     database: str
     target: str
@@ -25,9 +25,12 @@
     command: dict[str, Any]
     answers: dict[str, Answer] = field(default_factory=dict)
 
-    def complete(self, now: float, group: tuple[str, ...]) -> bool:
-        """Tells whether all members answered or were waited for."""
-        return len(self.answers) >= len(group) or now - self.started_at > PLAN_WAIT
+    def is_complete(self, now: float, group: tuple[str, ...]) -> bool:
+        """Returns whether all members answered or the survey timed out."""
+        return (
+            len(self.answers) >= len(group)
+            or now - self.started_at > SURVEY_TIMEOUT_SECONDS
+        )
 
 
 def survey_orders(
@@ -35,7 +38,10 @@
 ) -> list[SendOrder]:
     """Returns pings to all members of a group."""
     return [
-        SendOrder(make_order("ping", record, name, addresses, record.term), PLAN_WAIT)
+        SendOrder(
+            make_order("ping", record, name, addresses, record.term),
+            SURVEY_TIMEOUT_SECONDS,
+        )
         for name in record.group
         if name in addresses
     ]
@@ -44,20 +50,25 @@
 def plan_handover(
     database: Any, record: Any, survey: Survey, repeated: bool
 ) -> dict[str, Any]:
-    """Returns the plan of a handover as an operator sees it.
+    """Returns the plan of a handover as shown to operators.
 
-    ``repeated`` tells that the change id was used before: then the first answer holds.
+    ``repeated`` means that the change id was used before, so that the recorded result
+    of that change applies.
     """
-    rows = [_row(name, database, record, survey.answers) for name in record.group]
+    rows = [
+        _member_row(name, database, record, survey.answers) for name in record.group
+    ]
     blockers = []
     if record.plan is not None:
-        blockers.append(f"a {record.plan.kind} to term {record.plan.new_term} runs")
+        blockers.append(
+            f"a {record.plan.kind} to term {record.plan.new_term} is in progress"
+        )
     reached = [row for row in rows if row["reachable"]]
     if len(reached) < majority(record.group):
         blockers.append(f"only {len(reached)} of {len(rows)} members answer")
     if not any(row["member"] == record.primary for row in reached):
         blockers.append("the primary does not answer")
-    candidate, reason = _candidate(rows, record, survey.target, blockers)
+    candidate, reason = _choose_candidate(rows, record, survey.target, blockers)
     return {
         "code": "ok",
         "repeated": repeated,
@@ -73,11 +84,11 @@
     }
 
 
-def _row(
+def _member_row(
     name: str, database: Any, record: Any, answers: dict[str, Answer]
 ) -> dict[str, Any]:
     member, answer = database.members.get(name), answers.get(name)
-    reachable = answer is not None and accepted(answer)
+    reachable = answer is not None and is_accepted(answer)
     primary = answers.get(record.primary)
     offset = answer.offset if answer else (member.position.offset if member else 0)
     return {
@@ -92,11 +103,13 @@
     }
 
 
-def _candidate(
+def _choose_candidate(
     rows: list[dict[str, Any]], record: Any, target: str, blockers: list[str]
 ) -> tuple[str, str]:
-    home = next((r["data_centre"] for r in rows if r["member"] == record.primary), "")
-    able = [
+    primary_data_centre = next(
+        (r["data_centre"] for r in rows if r["member"] == record.primary), ""
+    )
+    eligible = [
         row
         for row in rows
         if row["member"] != record.primary
@@ -104,14 +117,20 @@
         and not row["leaving"]
         and target in ("", row["member"])
     ]
-    if not able:
+    if not eligible:
         blockers.append(f"{target or 'no other member'} cannot take over now")
         return "", "no member can take over"
-    able.sort(key=lambda r: (-r["offset"], r["data_centre"] != home, r["member"]))
-    best = able[0]
-    if best["behind"] is not None and best["behind"] > LAG_LIMIT:
+    eligible.sort(
+        key=lambda r: (
+            -r["offset"],
+            r["data_centre"] != primary_data_centre,
+            r["member"],
+        )
+    )
+    best = eligible[0]
+    if best["behind"] is not None and best["behind"] > MAX_START_LAG_RECORDS:
         blockers.append(f"{best['member']} is {best['behind']} records behind")
     reason = "named by the operator" if target else "highest position"
-    if not target and best["data_centre"] == home:
+    if not target and best["data_centre"] == primary_data_centre:
         reason += ", in the primary's data centre"
     return best["member"], reason
--- a/packages/core/src/bronzemoor_core/membership.py
+++ b/packages/core/src/bronzemoor_core/membership.py
@@ -1,4 +1,4 @@
-"""Membership of endpoints and daemons: announcements, leases and incarnations."""
+"""Tracks endpoints and daemons by announcements, leases and incarnations."""
 
 from typing import Any
 
@@ -26,7 +26,7 @@
     TOPOLOGY_KEY,
     served_databases,
     subscribed_databases,
-    to_summary,
+    summarize_announcement,
 )
 from bronzemoor_core.subscriptions import Publisher
 from bronzemoor_core.topology import (
@@ -42,14 +42,14 @@
 
 __all__ = ["Daemon", "Database", "Member", "Membership", "PrimarySample"]
 
-# How often leases are checked, seconds; small against every lease.
-LEASE_CHECK_INTERVAL = 0.1
-# Least interval between two questions for the whole topology, seconds.
-REPAIR_INTERVAL = 0.3
-# Least interval between log lines on two claimants of one identity, seconds.
-CONFLICT_LOG_INTERVAL = 1.0
-# How long a daemon without a lease is remembered as lost, seconds.
-DAEMON_MEMORY = 600.0
+# Interval between lease checks, short compared with every lease.
+LEASE_CHECK_INTERVAL_SECONDS = 0.1
+# Minimum interval between two requests for the full topology.
+REPAIR_REQUEST_INTERVAL_SECONDS = 0.3
+# Minimum interval between log entries on two claimants of one identity.
+CONFLICT_LOG_INTERVAL_SECONDS = 1.0
+# How long a daemon whose lease expired is listed as lost.
+LOST_DAEMON_RETENTION_SECONDS = 600.0
 
 
 @controller("topology")
@@ -60,17 +60,19 @@
 
     def __init__(self, *arguments: Any) -> None:
         super().__init__(*arguments)
-        self._lease_check = NEVER
-        self._asked = self._conflict_logged = NEVER
-        # The leader's newest digest, 0 while none is known.
-        self._digest = 0
+        self._leases_checked_at = NEVER
+        self._repair_requested_at = self._conflict_logged_at = NEVER
+        # The leader's latest topology digest, 0 while unknown.
+        self._leader_digest = 0
         self._publisher = Publisher(self._settings, self._blackboard, self._own)
 
     # --- members
 
     @handles(AnnouncementReceived)
     def announce(self, now: float, event: AnnouncementReceived) -> list[object]:
-        return self._merge(now, to_summary(event.announcement), "announcement")
+        return self._merge(
+            now, summarize_announcement(event.announcement), "announcement"
+        )
 
     @handles(PositionObserved)
     def observe(self, now: float, event: PositionObserved) -> list[object]:
@@ -95,26 +97,26 @@
             database = Database(summary.database)
             self._own.databases[database.name] = database
         known = database.members.get(summary.member)
-        heard = now - summary.age_ms / 1000
+        heard_at = now - summary.age_ms / 1000
         if known is not None:
             if summary.incarnation < known.incarnation:
                 return [EmitMetric("counter", "membership.old_incarnation")]
-            if self._conflicts(now, known, summary):
-                return self._refuse(now, known, summary)
-            same = summary.incarnation == known.incarnation
-            if same and heard < known.last_heard:
+            if self._identity_conflicts(now, known, summary):
+                return self._reject_claimant(now, known, summary)
+            same_incarnation = summary.incarnation == known.incarnation
+            if same_incarnation and heard_at < known.last_heard:
                 return []
-        elif heard < now - self._settings.timers.announcement_lease:
+        elif heard_at < now - self._settings.timers.announcement_lease:
             return []
-        member = make_member(summary, heard, source)
-        member.drained = self._drained(known, summary, source)
+        member = make_member(summary, heard_at, source)
+        member.drained = self._is_drained(known, summary, source)
         member.leaving = member.leaving or member.drained
         changed = known is None or member_facts(member) != member_facts(known)
         if known is not None:
             member.announced_at = known.announced_at
             member.changed_at = known.changed_at
         if known is not None and summary.incarnation == known.incarnation:
-            # Answers to calls are often newer than a relayed, coalesced position.
+            # Answers to calls often carry a newer position than a coalesced summary.
             member.position = max(member.position, known.position)
         if source == "announcement":
             member.announced_at = now
@@ -122,16 +124,16 @@
             member.changed_at = now
             self._publisher.changed.add(database.name)
         elif known is not None and known.position != member.position:
-            self._publisher.moved.add(database.name)
+            self._publisher.position_changed.add(database.name)
         database.members[member.name] = member
         if not database.group:
             database.group = member.group
         return []
 
-    def _drained(
+    def _is_drained(
         self, known: Member | None, summary: MemberSummary, source: str
     ) -> bool:
-        """Tells whether an operator drains the member; a primary first hands over."""
+        """Returns whether an operator drains the member; a primary hands over first."""
         if source == "leader":
             return summary.leaving
         record = self._blackboard.state.databases.get(summary.database)
@@ -139,20 +141,22 @@
             return known is not None and known.drained
         return summary.member in record.draining and summary.member != record.primary
 
-    def _conflicts(self, now: float, known: Member, summary: MemberSummary) -> bool:
+    def _identity_conflicts(
+        self, now: float, known: Member, summary: MemberSummary
+    ) -> bool:
         return (
             summary.incarnation == known.incarnation
             and summary.address != known.address
             and now - known.last_heard < self._settings.timers.announcement_lease
         )
 
-    def _refuse(
+    def _reject_claimant(
         self, now: float, known: Member, summary: MemberSummary
     ) -> list[object]:
-        """Counts every refused claimant and logs them once a second."""
+        """Counts every rejected claimant and logs at most one per second."""
         out: list[object] = [EmitMetric("counter", "membership.identity_conflict")]
-        if now - self._conflict_logged >= CONFLICT_LOG_INTERVAL:
-            self._conflict_logged = now
+        if now - self._conflict_logged_at >= CONFLICT_LOG_INTERVAL_SECONDS:
+            self._conflict_logged_at = now
             fields = {
                 "database": summary.database,
                 "member": summary.member,
@@ -166,11 +170,13 @@
     # --- committed state
 
     @handles(StateChanged)
-    def record(self, now: float, event: StateChanged) -> list[object]:
+    def changed(self, now: float, event: StateChanged) -> list[object]:
         if event.kind == "template":
-            # Its subscribers may not know a database that was added.
+            # Subscribers may lack a database that the template added.
             entry = current_entry(self._blackboard.state, event.name)
-            return self._publisher.notify(now, entry.body["databases"] if entry else ())
+            return self._publisher.publish(
+                now, entry.body["databases"] if entry else ()
+            )
         if event.kind not in ("database", "all"):
             return []
         records = self._blackboard.state.databases
@@ -186,7 +192,7 @@
                 history=dict(record.history),
                 version=record.version,
             )
-            out += self._commit(state)
+            out += self._apply_state(state)
             database = self._own.databases[name]
             database.group = record.group or database.group
             for member in database.members.values():
@@ -194,22 +200,22 @@
                 drained &= member.name != record.primary
                 if drained != member.drained:
                     member.leaving = member.drained = drained
-        return out + self._publisher.notify(now, names)
+        return out + self._publisher.publish(now, names)
 
-    def _commit(self, state: DatabaseState) -> list[object]:
+    def _apply_state(self, state: DatabaseState) -> list[object]:
         database = self._own.databases.setdefault(
             state.database, Database(state.database)
         )
         if state.version <= database.version:
             return []
-        before = (database.term, database.primary)
+        previous = (database.term, database.primary)
         database.version = state.version
         database.term = state.term
         database.committed_primary = state.primary
         database.fenced = state.fenced
         database.primary = "" if state.fenced else state.primary
         database.history = TermHistory(dict(state.history))
-        if before == (database.term, database.primary):
+        if previous == (database.term, database.primary):
             return []
         start = state.history.get(state.term, 0)
         return [PrimaryChanged(database.name, state.term, database.primary, start)]
@@ -229,16 +235,18 @@
     def receive(self, now: float, event: PeerMessageReceived) -> list[object] | None:
         message = event.message
         if isinstance(message, Heartbeat):
-            return self._heartbeat(now, event.sender, message)
+            return self._handle_heartbeat(now, event.sender, message)
         if isinstance(message, TopologyUpdate):
-            return self._update(now, event.sender, message)
+            return self._handle_update(now, event.sender, message)
         if isinstance(message, HeartbeatReply):
-            return self._compare(now, event.sender, message)
+            return self._request_repair(now, event.sender, message)
         if isinstance(message, ConfigurationAcknowledged):
-            return self._repair(now, event.sender, message)
+            return self._repair_topology(now, event.sender, message)
         return None
 
-    def _heartbeat(self, now: float, sender: str, message: Heartbeat) -> list[object]:
+    def _handle_heartbeat(
+        self, now: float, sender: str, message: Heartbeat
+    ) -> list[object]:
         daemon = self._own.daemons.get(sender)
         if daemon is not None and message.incarnation < daemon.incarnation:
             return [EmitMetric("counter", "membership.old_incarnation")]
@@ -255,31 +263,33 @@
             out += self._merge(now, summary, "relay")
         known = daemon.updated_at != NEVER or sender == self._settings.name
         if self._own.is_leader and not known:
-            out.append(self._publisher.whole(now, daemon))
+            out.append(self._publisher.full_update(now, daemon))
         return out
 
-    def _update(self, now: float, sender: str, message: TopologyUpdate) -> list[object]:
+    def _handle_update(
+        self, now: float, sender: str, message: TopologyUpdate
+    ) -> list[object]:
         if self._own.is_leader:
             return []
         self._own.leader = sender
         out: list[object] = []
         for state in message.databases:
-            out += self._commit(state)
+            out += self._apply_state(state)
         for summary in message.members:
             if summary.age_ms > self._settings.timers.announcement_lease * 1000:
-                out += self._drop(now, summary.database, summary.member)
+                out += self._remove_member(now, summary.database, summary.member)
             else:
                 out += self._merge(now, summary, "leader")
         if message.full:
-            named = {(m.database, m.member) for m in message.members}
+            listed = {(m.database, m.member) for m in message.members}
             for database in self._own.databases.values():
                 for member in tuple(database.members):
-                    if (database.name, member) not in named:
-                        out += self._drop(now, database.name, member)
+                    if (database.name, member) not in listed:
+                        out += self._remove_member(now, database.name, member)
         return out
 
-    def _drop(self, now: float, database: str, name: str) -> list[object]:
-        """Removes a member that the leader lost, unless it still announces here."""
+    def _remove_member(self, now: float, database: str, name: str) -> list[object]:
+        """Removes a member lost by the leader, unless it still announces here."""
         group = self._own.databases.get(database)
         member = group.members.get(name) if group else None
         lease = self._settings.timers.announcement_lease
@@ -288,40 +298,45 @@
         del group.members[name]
         return [MemberLost(database, name)]
 
-    def _compare(
+    def _request_repair(
         self, now: float, sender: str, message: HeartbeatReply
     ) -> list[object]:
-        """Asks for the whole topology while it differs from the leader's digest.
+        """Requests the full topology while it differs from the leader's digest.
 
-        Every reply is a chance to ask again, as the digest, the question and the
-        update may each be lost.
+        Every reply may trigger another request, since the digest, the request and the
+        update can each be lost.
         """
         if self._own.is_leader:
             return []
-        self._digest = message.topology_digest or self._digest
-        if not self._digest or now - self._asked < REPAIR_INTERVAL:
+        self._leader_digest = message.topology_digest or self._leader_digest
+        if (
+            not self._leader_digest
+            or now - self._repair_requested_at < REPAIR_REQUEST_INTERVAL_SECONDS
+        ):
             return []
         names = served_databases(self._settings.organisations, self._blackboard)
         digest = topology_digest(self._own.databases, names)
-        if digest == self._digest:
+        if digest == self._leader_digest:
             return []
-        self._asked = now
-        question = ConfigurationAcknowledged({TOPOLOGY_KEY: digest})
-        return [SendPeerMessage(sender, question)]
+        self._repair_requested_at = now
+        request = ConfigurationAcknowledged({TOPOLOGY_KEY: digest})
+        return [SendPeerMessage(sender, request)]
 
-    def _repair(
+    def _repair_topology(
         self, now: float, sender: str, message: ConfigurationAcknowledged
     ) -> list[object]:
         daemon = self._own.daemons.get(sender)
         if daemon is None or not self._own.is_leader:
             return []
         names = subscribed_databases(daemon.subscriptions, self._blackboard)
-        held = message.versions.get(TOPOLOGY_KEY)
-        if held is None or held == topology_digest(self._own.databases, names):
+        daemon_digest = message.versions.get(TOPOLOGY_KEY)
+        if daemon_digest is None or daemon_digest == topology_digest(
+            self._own.databases, names
+        ):
             return []
         return [
             EmitMetric("counter", "membership.topology_repaired"),
-            self._publisher.whole(now, daemon),
+            self._publisher.full_update(now, daemon),
         ]
 
     # --- leases
@@ -329,36 +344,44 @@
     @handles(Tick)
     def tick(self, now: float, event: Tick) -> list[object] | None:
         out: list[object] = []
-        if now - self._lease_check >= LEASE_CHECK_INTERVAL:
-            self._lease_check = now
-            out += self._expire(now)
+        if now - self._leases_checked_at >= LEASE_CHECK_INTERVAL_SECONDS:
+            self._leases_checked_at = now
+            out += self._expire_leases(now)
         return out + self._publisher.flush(now)
 
-    def _expire(self, now: float) -> list[object]:
+    def _expire_leases(self, now: float) -> list[object]:
         lease = self._settings.timers.announcement_lease
-        # A relay repeats an unchanged member only once in half a lease.
-        limits = {"announcement": lease, "relay": 2 * lease, "leader": float("inf")}
+        # A relay repeats an unchanged member only once per half lease.
+        lease_by_source = {
+            "announcement": lease,
+            "relay": 2 * lease,
+            "leader": float("inf"),
+        }
         out: list[object] = []
         for database in self._own.databases.values():
             for member in tuple(database.members.values()):
-                if now - member.last_heard > limits[member.source]:
-                    out += self._lose(now, database, member)
+                if now - member.last_heard > lease_by_source[member.source]:
+                    out += self._expire_member(now, database, member)
         daemon_lease = self._settings.timers.stale_after
         for daemon in tuple(self._own.daemons.values()):
-            silent = now - daemon.last_heard
-            if silent > DAEMON_MEMORY or (daemon.draining and silent > daemon_lease):
+            silence = now - daemon.last_heard
+            if silence > LOST_DAEMON_RETENTION_SECONDS or (
+                daemon.draining and silence > daemon_lease
+            ):
                 del self._own.daemons[daemon.name]
-            elif silent > daemon_lease and not daemon.lost:
-                # It gets the whole topology when it returns.
+            elif silence > daemon_lease and not daemon.lost:
+                # Forces a full update when the daemon returns.
                 daemon.lost, daemon.updated_at = True, NEVER
                 out.append(EmitLog("warning", "daemon_lost", {"daemon": daemon.name}))
         return out
 
-    def _lose(self, now: float, database: Database, member: Member) -> list[object]:
+    def _expire_member(
+        self, now: float, database: Database, member: Member
+    ) -> list[object]:
         del database.members[member.name]
         out: list[object] = [MemberLost(database.name, member.name)]
         fields = {"database": database.name, "member": member.name}
         out.append(EmitLog("warning", "member_lost", fields))
         if self._own.is_leader:
-            out += self._publisher.lost(now, database, member)
+            out += self._publisher.announce_loss(now, database, member)
         return out
--- a/packages/core/src/bronzemoor_core/promotion.py
+++ b/packages/core/src/bronzemoor_core/promotion.py
@@ -1,4 +1,4 @@
-"""Steps of a promotion: fence a majority, choose, promote, announce, follow."""
+"""Performs the steps of a promotion: fence, choose, promote, announce, follow."""
 
 from dataclasses import dataclass, field
 from typing import Any
@@ -8,35 +8,35 @@
 from bronzemoor_core.internal_events import CommandProposed
 from bronzemoor_core.topology import NEVER
 
-# A promotion that is not answered for this long is chosen again, seconds. Two orders
-# fit in it, and the gap stays under a second.
-PROMOTE_LIMIT = 0.4
-# A handover first lets writes in progress finish and reach the target, seconds: the
-# stop reaches the daemons as fast as the fence reaches the members, so this is what
-# remains for the last statements and their replication. With 20 ms a target that lags
-# by 13 ms was behind at the fence in 4 of 12 runs, with 25 ms in none.
-HANDOVER_SETTLE = 0.025
-# Records that a target may lack when it is last asked; they arrive before the fence.
-HANDOVER_SLACK = 10
-# A handover that waited this long for its target fences anyway, seconds; then the
-# member that is ahead stays primary. Keeps the gap near its target of 100 ms.
-HANDOVER_LIMIT = 0.040
-# How long a fence waits for a majority without the failed primary, or in a handover
-# for target and old primary, before a plain majority is enough, seconds.
-FENCE_WAIT = 0.150
-# Interval between pings while a handover waits, seconds.
-HANDOVER_PING = 0.010
-# A proposal without an answer is repeated after this long, seconds.
-PROPOSAL_TIMEOUT = 0.5
-# Stands for a member's address that is not known; connecting to it fails.
+# A promotion without an answer for this long is restarted. This leaves time for two
+# orders and keeps the gap in writes under a second.
+PROMOTE_TIMEOUT_SECONDS = 0.4
+# Time a handover leaves for writes in progress to finish and to reach the target. The
+# stop reaches the daemons as fast as the fence reaches the members, so this is all that
+# the last statements and their replication have. A target with a lag of 13 ms was
+# behind at the fence in 4 of 12 runs with 20 ms, and in none with 25 ms.
+HANDOVER_SETTLE_SECONDS = 0.025
+# Records that a target may lack at its last answer; they arrive before the fence.
+MAX_FENCE_LAG_RECORDS = 10
+# A handover that has waited this long for its target fences anyway, and the member that
+# is ahead stays primary. Keeps the gap in writes near its target of 100 ms.
+HANDOVER_CATCH_UP_TIMEOUT_SECONDS = 0.040
+# How long a failover waits for a fenced majority without the failed primary, or a
+# handover for its target and the old primary, before any majority is enough.
+FENCE_WAIT_SECONDS = 0.150
+# Interval between pings while a handover waits for its target.
+HANDOVER_PING_INTERVAL_SECONDS = 0.010
+# A proposal without an answer is repeated after this long.
+PROPOSAL_TIMEOUT_SECONDS = 0.5
+# Placeholder for a member's unknown address; connecting to it fails.
 UNKNOWN_ADDRESS = "0.0.0.0:0"
-# Code of an order that is older than the highest term which the member accepted.
+# Error code of an order older than the highest term that the member accepted.
 STALE_TERM = "stale_term"
 
 
 @dataclass(slots=True)
 class Promotion:
-    """The leader's progress with one committed plan; lost with the leader."""
+    """The leader's progress with one committed plan, not kept across leaders."""
 
     database: str
     term: int
@@ -46,7 +46,7 @@
     sent: dict[str, float] = field(default_factory=dict)
     promoting_since: float = NEVER
     promoted: bool = False
-    # Offsets while a handover waits: the old primary's first, the target's newest.
+    # Offsets during a handover: the old primary's first, the target's latest.
     offsets: dict[str, int] = field(default_factory=dict)
 
 
@@ -59,10 +59,10 @@
     primary: str = "",
     start_offset: int = 0,
 ) -> Order:
-    """Returns an order to one member that names all members of its group.
+    """Returns an order to one member that lists all members of its group.
 
-    The members count majorities by this list, so it is the committed group, neither
-    less for an unknown address nor more for an endpoint outside the group.
+    Members count majorities by this list, so it is exactly the committed group: members
+    with an unknown address are included, endpoints outside the group are not.
     """
     return Order(
         kind=kind,
@@ -77,23 +77,23 @@
     )
 
 
-def due(sent: dict[str, float], key: str, now: float, interval: float) -> bool:
-    """Tells whether an order may be sent (again), and notes that it is."""
+def may_send(sent: dict[str, float], key: str, now: float, interval: float) -> bool:
+    """Returns whether an order may be sent now and, if so, records the time."""
     if now - sent.get(key, NEVER) < interval:
         return False
     sent[key] = now
     return True
 
 
-def accepted(answer: Answer) -> bool:
-    """Tells whether a member carried out an order."""
+def is_accepted(answer: Answer) -> bool:
+    """Returns whether a member carried out an order."""
     return answer.status == "ok"
 
 
 class Promoter:
-    """Drives committed plans at the control leader; every step may be repeated.
+    """Carries out committed plans at the control leader; every step is idempotent.
 
-    A method returns actions and proposals. ``promotions`` is the leader's progress.
+    Methods return actions and proposals. ``promotions`` holds the leader's progress.
     """
 
     def __init__(self, settings: Any, promotions: dict[str, Promotion]) -> None:
@@ -102,24 +102,24 @@
         self._proposals: dict[str, float] = {}
 
     def clear(self) -> None:
-        """Forgets all progress, as a new leader starts from the committed steps."""
+        """Discards all progress, since a new leader starts from the committed steps."""
         self._promotions.clear()
         self._proposals.clear()
 
-    def forget(self, database: str) -> None:
-        """Allows the next proposal on a database at once."""
+    def clear_proposal(self, database: str) -> None:
+        """Allows the next proposal on a database without delay."""
         self._proposals.pop(database, None)
 
     def finish(self, database: str) -> Promotion | None:
-        """Forgets a promotion that is done and returns its progress."""
-        self.forget(database)
+        """Removes a completed promotion and returns its progress."""
+        self.clear_proposal(database)
         return self._promotions.pop(database, None)
 
     def propose(
         self, now: float, database: str, command: dict[str, Any]
     ) -> list[object]:
         """Proposes a command, one at a time for each database."""
-        if not due(self._proposals, database, now, PROPOSAL_TIMEOUT):
+        if not may_send(self._proposals, database, now, PROPOSAL_TIMEOUT_SECONDS):
             return []
         return [CommandProposed(command, ("failover", database))]
 
@@ -132,7 +132,7 @@
         target: str = "",
         above: int = 0,
     ) -> list[object]:
-        """Proposes a plan with a new term above every known one."""
+        """Proposes a plan with a term above every known term and ``above``."""
         new_term = max(record.highest_term, above) + 1
         command = {
             "type": "failover.start",
@@ -146,36 +146,40 @@
         }
         return self.propose(now, record.name, command)
 
-    def drive(
+    def advance(
         self, now: float, record: Any, database: Any, addresses: dict[str, str]
     ) -> list[object]:
-        """Takes the next step of a committed plan."""
+        """Performs the next step of a committed plan."""
         plan = record.plan
         promotion = self._promotions.get(record.name)
         if promotion is None or promotion.term != plan.new_term:
             promotion = Promotion(record.name, plan.new_term, now)
             self._promotions[record.name] = promotion
         if plan.step == "started":
-            if plan.kind == "handover" and not _settled(now, promotion, record):
-                return self._wait(now, promotion, record, addresses)
+            if plan.kind == "handover" and not _is_ready_to_fence(
+                now, promotion, record
+            ):
+                return self._request_offsets(now, promotion, record, addresses)
             return self._fence(now, promotion, record, database, addresses)
         if promotion.promoted:
             done = {"database": record.name, "term": plan.new_term}
             return self.propose(now, record.name, {"type": "failover.done", **done})
         if promotion.promoting_since == NEVER:
             promotion.promoting_since = now
-        if now - promotion.promoting_since > PROMOTE_LIMIT:
+        if now - promotion.promoting_since > PROMOTE_TIMEOUT_SECONDS:
             return self.start(now, record, "failover", "promotion was not answered")
         return self._promote(now, promotion, record, addresses)
 
-    def answered(self, now: float, order: Order, answer: Answer, record: Any) -> Any:
-        """Takes the answer to an order; returns proposals, or None to drive on."""
+    def record_answer(
+        self, now: float, order: Order, answer: Answer, record: Any
+    ) -> Any:
+        """Records the answer to an order; returns proposals, or None to advance."""
         promotion = self._promotions.get(order.database)
         if promotion is None or record is None or record.plan is None:
             return []
         if order.kind == "ping":
-            # The target only has to reach what the primary held when writes were being
-            # stopped: what came later is on its way, and the fence decides.
+            # The target only has to reach the primary's offset from when writes were
+            # being stopped: later records are in flight, and the fence decides.
             if order.member == record.primary:
                 promotion.offsets.setdefault(order.member, answer.offset)
             else:
@@ -183,7 +187,7 @@
             return None
         if promotion.term != order.term or order.kind == "follow":
             return []
-        if not accepted(answer):
+        if not is_accepted(answer):
             fields = {"database": order.database, "member": order.member}
             log = EmitLog(
                 "warning", f"{order.kind}_refused", fields | {"code": answer.code}
@@ -200,11 +204,11 @@
             promotion.promoted = True
         return None
 
-    def _wait(
+    def _request_offsets(
         self, now: float, promotion: Promotion, record: Any, addresses: dict[str, str]
     ) -> list[object]:
         """Asks old primary and target for their offsets before a handover fences."""
-        if not due(promotion.sent, "ping", now, HANDOVER_PING):
+        if not may_send(promotion.sent, "ping", now, HANDOVER_PING_INTERVAL_SECONDS):
             return []
         names = [n for n in (record.primary, record.plan.target) if n in addresses]
         return [
@@ -237,19 +241,19 @@
             for name in record.group
             if name in addresses
             and name not in promotion.answers
-            and due(promotion.sent, f"fence {name}", now, timeout)
+            and may_send(promotion.sent, f"fence {name}", now, timeout)
         ]
 
     def _candidates(
         self, now: float, promotion: Promotion, record: Any
     ) -> dict[str, Answer]:
-        """Returns the answers to choose from, or none while more are awaited.
+        """Returns the answers to choose from, empty while more are awaited.
 
-        A failed primary that can be fenced may still be cut off from its group, and
-        every confirmed record is on a majority of the others, so it is left out.
+        A failed primary that can be fenced may still be cut off from its group, so it
+        is left out once the others form a majority and thus hold all confirmed records.
         """
         needed, answers = majority(record.group), promotion.answers
-        late = now - promotion.fencing_since > FENCE_WAIT
+        timed_out = now - promotion.fencing_since > FENCE_WAIT_SECONDS
         if record.plan.kind == "handover":
             awaited = {record.primary, record.plan.target} - answers.keys()
         elif record.plan.kind == "failover":
@@ -259,7 +263,7 @@
             awaited = {record.primary}
         else:
             awaited = set()
-        return answers if len(answers) >= needed and (late or not awaited) else {}
+        return answers if len(answers) >= needed and (timed_out or not awaited) else {}
 
     def _choose(
         self,
@@ -270,14 +274,16 @@
         answers: dict[str, Answer],
     ) -> list[object]:
         members = database.members.values()
-        old = record.primary
-        if not old:
-            old = max((m.name for m in members if m.role == "primary"), default="")
-        centres = {m.name: m.data_centre for m in members}
+        old_primary = record.primary
+        if not old_primary:
+            old_primary = max(
+                (m.name for m in members if m.role == "primary"), default=""
+            )
+        data_centres = {m.name: m.data_centre for m in members}
         avoid = set(record.draining) | {m.name for m in members if m.leaving}
         if record.plan.kind == "failover":
             avoid.add(record.primary)
-        choice = choose(answers, record.plan.target, centres, old, avoid)
+        choice = choose(answers, record.plan.target, data_centres, old_primary, avoid)
         command = {
             "type": "failover.choose",
             "database": record.name,
@@ -295,7 +301,7 @@
         plan, timeout = record.plan, self._settings.timers.order_timeout
         if plan.chosen not in addresses:
             return []
-        if not due(promotion.sent, "promote", now, timeout):
+        if not may_send(promotion.sent, "promote", now, timeout):
             return []
         order = make_order(
             "promote",
@@ -309,13 +315,16 @@
         return [SendOrder(order, timeout)]
 
 
-def _settled(now: float, promotion: Promotion, record: Any) -> bool:
-    """Tells whether a handover's target has caught up, or was waited for."""
+def _is_ready_to_fence(now: float, promotion: Promotion, record: Any) -> bool:
+    """Returns whether a handover's target has caught up or the wait has timed out."""
     waited = now - promotion.started_at
-    if promotion.fencing_since != NEVER or waited > HANDOVER_SETTLE + HANDOVER_LIMIT:
+    if (
+        promotion.fencing_since != NEVER
+        or waited > HANDOVER_SETTLE_SECONDS + HANDOVER_CATCH_UP_TIMEOUT_SECONDS
+    ):
         return True
     offsets = promotion.offsets
     primary, target = record.primary, record.plan.target
-    wanted = offsets.get(primary, 0) - HANDOVER_SLACK
-    caught_up = primary in offsets and offsets.get(target, -1) >= wanted
-    return caught_up and waited >= HANDOVER_SETTLE
+    required_offset = offsets.get(primary, 0) - MAX_FENCE_LAG_RECORDS
+    caught_up = primary in offsets and offsets.get(target, -1) >= required_offset
+    return caught_up and waited >= HANDOVER_SETTLE_SECONDS
--- a/packages/core/src/bronzemoor_core/relays.py
+++ b/packages/core/src/bronzemoor_core/relays.py
@@ -1,4 +1,4 @@
-"""Relaying of member summaries and scoped distribution of the topology."""
+"""Relays member summaries and selects the topology that a daemon subscribes to."""
 
 from collections.abc import Iterable
 from typing import Any
@@ -10,15 +10,15 @@
 from bronzemoor_core.messages import DatabaseState, MemberSummary
 from bronzemoor_core.topology import topology_digest
 
-# Key of the topology digest in ``ConfigurationAcknowledged.versions``; it cannot be
-# an organisation's name.
+# Entry of the topology digest in ``ConfigurationAcknowledged.versions``; never a valid
+# organisation name.
 TOPOLOGY_KEY = "@topology"
-# A change is repeated in this many heartbeats, so that one lost message costs nothing.
-REPEATED_HEARTBEATS = 2
+# A change is sent in this many heartbeats, so that one lost message has no effect.
+CHANGE_REPEAT_HEARTBEATS = 2
 
 
-def to_summary(announcement: Announcement) -> MemberSummary:
-    """Returns what a relay forwards of an announcement."""
+def summarize_announcement(announcement: Announcement) -> MemberSummary:
+    """Returns the summary of an announcement that a relay forwards."""
     a = announcement
     return MemberSummary(
         database=a.database,
@@ -40,7 +40,7 @@
 
 
 def summarize_member(now: float, database: Any, member: Any) -> MemberSummary:
-    """Returns a member as this daemon knows it; ``age_ms`` is since it was heard."""
+    """Returns a member as known here; ``age_ms`` counts from when it was last heard."""
     return MemberSummary(
         database=database.name,
         member=member.name,
@@ -61,29 +61,29 @@
 
 
 def member_summaries(now: float, blackboard: Any, timers: Any) -> list[MemberSummary]:
-    """Returns what the next heartbeat forwards to the control members.
+    """Returns the summaries that the next heartbeat forwards to the control members.
 
-    Members that announce here are included when something other than their position
-    changed, and all of them once in half a lease, which coalesces positions.
+    A member that announces here is included when anything but its position changed,
+    and otherwise once per half lease, which coalesces positions.
     """
-    repeat = REPEATED_HEARTBEATS * timers.daemon_heartbeat_interval
+    repeat_period = CHANGE_REPEAT_HEARTBEATS * timers.daemon_heartbeat_interval
     refresh = timers.announcement_lease / 2
-    slot = timers.daemon_heartbeat_interval
+    interval = timers.daemon_heartbeat_interval
     summaries = []
     for database in blackboard.topology.databases.values():
         for member in database.members.values():
             if now - member.announced_at > timers.announcement_lease:
                 continue
             phase = crc32(f"{database.name}/{member.name}".encode()) / 2**32 * refresh
-            due = (now + phase) % refresh < slot
-            if due or now - member.changed_at <= repeat:
+            due = (now + phase) % refresh < interval
+            if due or now - member.changed_at <= repeat_period:
                 summaries.append(summarize_member(now, database, member))
     return summaries
 
 
 @heartbeat_part
 def report_members(now: float, blackboard: Any, settings: Any, heartbeat: Any) -> None:
-    """Fills a heartbeat with member summaries and the organisations served here."""
+    """Adds member summaries and the organisations served here to a heartbeat."""
     heartbeat.members = member_summaries(now, blackboard, settings.timers)
     heartbeat.subscriptions = list(settings.organisations)
 
@@ -103,7 +103,7 @@
 def answer_digest(
     now: float, blackboard: Any, settings: Any, heartbeat: Any, reply: Any
 ) -> None:
-    """Fills one reply per digest interval with the digest of the subscriptions."""
+    """Adds the subscriptions' topology digest to one reply per digest interval."""
     timers = settings.timers
     period = round(timers.digest_interval / timers.daemon_heartbeat_interval)
     if heartbeat.sequence % max(1, period):
@@ -129,7 +129,7 @@
 ) -> frozenset[str] | None:
     """Returns the databases of the subscribed organisations; None means all.
 
-    A name that is no organisation with a template counts as a database.
+    A name that is not an organisation with a template counts as a database.
     """
     names: set[str] = set()
     for name in subscriptions:
--- a/packages/core/src/bronzemoor_core/status.py
+++ b/packages/core/src/bronzemoor_core/status.py
@@ -1,16 +1,18 @@
-"""Summary of a daemon's view for operators: what is wrong and what to do next."""
+"""Summarizes a daemon's state for operators: problems and next steps."""
 
 from collections.abc import Callable, Iterator
 from typing import Any
 
 from bronzemoor_core.candidates import majority
 from bronzemoor_core.operations import list_databases
-from bronzemoor_core.versions import confirmation, held_versions
+from bronzemoor_core.versions import confirmation, versions_in_force
 
-OK, DEGRADED, FAILING = "ok", "degraded", "failing"
+OK = "ok"
+DEGRADED = "degraded"
+FAILING = "failing"
 
-# A replica this many records behind the primary is reported.
-LAG_REPORTED = 1_000
+# A replica that lags by more than this many records is reported.
+REPORTED_LAG_RECORDS = 1_000
 
 Problem = dict[str, str]
 Check = Callable[[float, Any], Iterator[Problem]]
@@ -19,13 +21,13 @@
 
 
 def check(function: Check) -> Check:
-    """Registers a check, which yields the problems that it finds."""
+    """Registers a check, a function that yields the problems it finds."""
     CHECKS.append(function)
     return function
 
 
 def summarize(now: float, blackboard: Any) -> dict[str, Any]:
-    """Returns the whole status; the control leader's covers all daemons."""
+    """Returns the full status; on the control leader it covers all daemons."""
     problems = [problem for function in CHECKS for problem in function(now, blackboard)]
     levels = {problem.pop("level") for problem in problems}
     overall = next((level for level in (FAILING, DEGRADED) if level in levels), OK)
@@ -33,11 +35,11 @@
         "overall": overall,
         "problems": problems,
         "databases": list_databases(now, blackboard),
-        "configuration": _configuration(now, blackboard),
-        "control": _control(blackboard),
-        "daemons": _daemons(now, blackboard),
-        "pools": _pools(blackboard),
-        "shares": _shares(now, blackboard),
+        "configuration": _configuration_section(now, blackboard),
+        "control": _control_section(blackboard),
+        "daemons": _daemons_section(now, blackboard),
+        "pools": _pools_section(blackboard),
+        "shares": _shares_section(now, blackboard),
         "drain": {"stage": blackboard.drain.stage},
     }
 
@@ -50,8 +52,8 @@
 
 
 @check
-def _databases(now: float, board: Any) -> Iterator[Problem]:
-    for name, database in sorted(board.topology.databases.items()):
+def _check_databases(now: float, blackboard: Any) -> Iterator[Problem]:
+    for name, database in sorted(blackboard.topology.databases.items()):
         if database.fenced:
             yield _problem(
                 DEGRADED,
@@ -85,35 +87,35 @@
 
 
 @check
-def _lag(now: float, board: Any) -> Iterator[Problem]:
-    for name, database in sorted(board.topology.databases.items()):
+def _check_lag(now: float, blackboard: Any) -> Iterator[Problem]:
+    for name, database in sorted(blackboard.topology.databases.items()):
         primary = database.members.get(database.primary)
         for member in database.members.values() if primary else ():
-            behind = primary.position.offset - member.position.offset
-            if behind > LAG_REPORTED:
+            lag = primary.position.offset - member.position.offset
+            if lag > REPORTED_LAG_RECORDS:
                 yield _problem(
                     DEGRADED,
-                    f"{name}: {member.name} is {behind} records behind",
+                    f"{name}: {member.name} is {lag} records behind",
                     "it serves fewer reads and cannot take over in a handover",
                     "check the load and the network of the member",
                 )
 
 
 @check
-def _suspicions(now: float, board: Any) -> Iterator[Problem]:
-    for name, found in sorted(board.failover.investigations.items()):
+def _check_suspicions(now: float, blackboard: Any) -> Iterator[Problem]:
+    for name, investigation in sorted(blackboard.failover.investigations.items()):
         yield _problem(
             DEGRADED,
-            f"{name}: primary {found.member} is suspected",
+            f"{name}: primary {investigation.member} is suspected",
             "a failover follows if a second vantage point agrees",
-            f"check {found.member} and its network",
+            f"check {investigation.member} and its network",
         )
 
 
 @check
-def _control_group(now: float, board: Any) -> Iterator[Problem]:
-    log = board.log
-    if not log.leader and not board.topology.leader:
+def _check_control_group(now: float, blackboard: Any) -> Iterator[Problem]:
+    log = blackboard.log
+    if not log.leader and not blackboard.topology.leader:
         yield _problem(
             DEGRADED,
             "no control leader is known",
@@ -123,8 +125,8 @@
 
 
 @check
-def _stale(now: float, board: Any) -> Iterator[Problem]:
-    configuration = board.configuration
+def _check_configuration(now: float, blackboard: Any) -> Iterator[Problem]:
+    configuration = blackboard.configuration
     if configuration.stale:
         age = round(now - configuration.confirmed_at, 1)
         yield _problem(
@@ -143,25 +145,25 @@
 
 
 @check
-def _confirmations(now: float, board: Any) -> Iterator[Problem]:
-    if not board.topology.is_leader:
+def _check_confirmations(now: float, blackboard: Any) -> Iterator[Problem]:
+    if not blackboard.topology.is_leader:
         return
-    for organisation in sorted(board.state.templates):
-        report = confirmation(board, organisation)
-        late = report["behind"] + report["not_confirmed"]
-        if late:
+    for organisation in sorted(blackboard.state.templates):
+        report = confirmation(blackboard, organisation)
+        unconfirmed = report["behind"] + report["not_confirmed"]
+        if unconfirmed:
             yield _problem(
                 DEGRADED,
                 f"{organisation}: version {report['version']} is not confirmed by "
-                + ", ".join(late),
+                + ", ".join(unconfirmed),
                 "these daemons may still use an older version",
                 "check them, or their network to the control leader",
             )
 
 
 @check
-def _lost_daemons(now: float, board: Any) -> Iterator[Problem]:
-    for name, daemon in sorted(board.topology.daemons.items()):
+def _check_lost_daemons(now: float, blackboard: Any) -> Iterator[Problem]:
+    for name, daemon in sorted(blackboard.topology.daemons.items()):
         if daemon.lost:
             yield _problem(
                 DEGRADED,
@@ -174,23 +176,23 @@
 # --- sections
 
 
-def _configuration(now: float, board: Any) -> dict[str, Any]:
-    configuration = board.configuration
-    names = sorted(board.state.templates) if board.topology.is_leader else ()
+def _configuration_section(now: float, blackboard: Any) -> dict[str, Any]:
+    configuration = blackboard.configuration
+    names = sorted(blackboard.state.templates) if blackboard.topology.is_leader else ()
     return {
-        "versions": held_versions(board),
+        "versions": versions_in_force(blackboard),
         "ready": configuration.ready,
         "stale": configuration.stale,
         "confirmed_ago_ms": round((now - configuration.confirmed_at) * 1000),
-        "confirmation": {name: confirmation(board, name) for name in names},
+        "confirmation": {name: confirmation(blackboard, name) for name in names},
     }
 
 
-def _control(board: Any) -> dict[str, Any]:
-    log = board.log
+def _control_section(blackboard: Any) -> dict[str, Any]:
+    log = blackboard.log
     voters = list(log.voters)
     return {
-        "leader": log.leader or board.topology.leader,
+        "leader": log.leader or blackboard.topology.leader,
         "role": log.role,
         "term": log.term,
         "commit_index": log.commit_index,
@@ -200,7 +202,7 @@
     }
 
 
-def _daemons(now: float, board: Any) -> list[dict[str, Any]]:
+def _daemons_section(now: float, blackboard: Any) -> list[dict[str, Any]]:
     return [
         {
             "daemon": name,
@@ -209,12 +211,12 @@
             "draining": daemon.draining,
             "lost": daemon.lost,
         }
-        for name, daemon in sorted(board.topology.daemons.items())
+        for name, daemon in sorted(blackboard.topology.daemons.items())
     ]
 
 
-def _shares(now: float, board: Any) -> dict[str, Any]:
-    shares = board.limits.shares
+def _shares_section(now: float, blackboard: Any) -> dict[str, Any]:
+    shares = blackboard.limits.shares
     return {
         name: {
             "connections": share.connections,
@@ -224,10 +226,10 @@
     }
 
 
-def _pools(board: Any) -> dict[str, Any]:
-    """Connections of this daemon by database, member and state."""
+def _pools_section(blackboard: Any) -> dict[str, Any]:
+    """Returns this daemon's connection counts by database, member and state."""
     rows: dict[str, Any] = {}
-    for name, pool in sorted(board.pools.databases.items()):
+    for name, pool in sorted(blackboard.pools.databases.items()):
         members: dict[str, dict[str, int]] = {}
         for connection in pool.connections.values():
             states = members.setdefault(connection.member, {})
--- a/packages/core/src/bronzemoor_core/topology.py
+++ b/packages/core/src/bronzemoor_core/topology.py
@@ -1,4 +1,4 @@
-"""What a daemon knows of databases, their members and other daemons."""
+"""A daemon's view of databases, their members and other daemons."""
 
 from collections import deque
 from dataclasses import dataclass, field
@@ -23,26 +23,27 @@
     role: str = "replica"
     position: Position = ZERO
     incarnation: int = 0
-    # Gets no new work: it announced so, or an operator drains it (``drained``).
+    # Gets no new work: it announced that it leaves, or an operator drains it
+    # (``drained``).
     leaving: bool = False
     drained: bool = False
     slots: int = 3
     connections: int = 20
     last_heard: float = 0.0
-    # When it last announced itself to this daemon.
+    # Time of the last announcement received directly by this daemon.
     announced_at: float = NEVER
-    # When anything but its position last changed.
+    # Time of the last change other than of its position.
     changed_at: float = NEVER
     group: tuple[str, ...] = ()
     unreachable: tuple[str, ...] = ()
     history: dict[int, int] = field(default_factory=dict)
-    # announcement, relay or leader: who this daemon last heard it from.
+    # Origin of the latest information: announcement, relay or leader.
     source: str = "announcement"
 
 
 @dataclass(slots=True)
 class PrimarySample:
-    """The primary's position, known to be at least as new as ``proved_at``."""
+    """The primary's position, proved to be current at ``proved_at`` or later."""
 
     proved_at: float
     position: Position
@@ -50,10 +51,10 @@
 
 @dataclass(slots=True)
 class Database:
-    """One database group. ``primary`` is a member's name, empty while there is none.
+    """One database group; ``primary`` is a member's name, empty while there is none.
 
-    While a promotion is in progress (``fenced``) ``primary`` is empty and
-    ``committed_primary`` still names the one of ``term``.
+    While a promotion is in progress (``fenced``), ``primary`` is empty and
+    ``committed_primary`` still names the primary of ``term``.
     """
 
     name: str
@@ -71,7 +72,7 @@
 
 @dataclass(slots=True)
 class Daemon:
-    """A daemon known by its heartbeats."""
+    """A daemon known from its heartbeats."""
 
     name: str
     incarnation: int
@@ -79,16 +80,16 @@
     last_heard: float
     subscriptions: tuple[str, ...] = ()
     draining: bool = False
-    # When this leader last sent it the whole topology.
+    # When this leader last sent it a full topology update.
     updated_at: float = NEVER
-    # Its lease ran out. It is remembered for a while, so that a report of what is in
-    # force everywhere does not forget it.
+    # Its lease expired. It stays listed for a while, so that the report of versions in
+    # force everywhere still includes it.
     lost: bool = False
 
 
 @section("topology")
 class Topology:
-    """``leader`` is the control leader as far as this daemon knows."""
+    """The topology section; ``leader`` is the control leader last known here."""
 
     __slots__ = ("daemons", "databases", "is_leader", "leader", "leader_since")
 
@@ -101,7 +102,7 @@
 
 
 def topology_digest(databases: Any, names: frozenset[str] | None) -> int:
-    """Returns a checksum of all but the positions over ``names``, or over all."""
+    """Returns a checksum without positions over ``names``; None means all databases."""
     rows = []
     for name in sorted(databases if names is None else names):
         database = databases.get(name)
@@ -112,12 +113,12 @@
             for _, m in sorted(database.members.items())
         ]
         rows.append((name, database.version, database.term, members))
-    # 0 stands for "no digest" in HeartbeatReply.
+    # 0 means "no digest" in HeartbeatReply.
     return crc32(repr(rows).encode()) or 1
 
 
-def make_member(summary: MemberSummary, heard: float, source: str) -> Member:
-    """Returns the member that a summary describes, last heard at ``heard``."""
+def make_member(summary: MemberSummary, heard_at: float, source: str) -> Member:
+    """Returns the member that a summary describes, last heard at ``heard_at``."""
     return Member(
         name=summary.member,
         database=summary.database,
@@ -129,7 +130,7 @@
         leaving=summary.leaving,
         slots=summary.slots,
         connections=summary.connections,
-        last_heard=heard,
+        last_heard=heard_at,
         group=tuple(summary.members),
         unreachable=tuple(summary.unreachable),
         history=dict(summary.history),
@@ -138,7 +139,7 @@
 
 
 def member_facts(member: Member) -> tuple[Any, ...]:
-    """Everything that is forwarded at once when it changes."""
+    """Returns the values whose changes are forwarded immediately."""
     return (
         member.address,
         member.role,
--- a/packages/core/tests/fake_group.py
+++ b/packages/core/tests/fake_group.py
@@ -1,4 +1,4 @@
-"""Virtual clock, network, log and endpoints for tests of the control plane."""
+"""Simulated clock, network, log and endpoints for tests of the control plane."""
 
 import heapq
 from random import Random
@@ -26,40 +26,44 @@
 from bronzemoor_core.node import Node, make_node
 from bronzemoor_core.settings import NodeSettings
 
-PART = ("state", "topology", "failover", "configuration")
-OUTSIDE = (CommandProposed, CommandApplied, PrimaryChanged)
+CONTROL_PLANE_SECTIONS = ("state", "topology", "failover", "configuration")
+OBSERVED_EVENTS = (CommandProposed, CommandApplied, PrimaryChanged)
 
 
-class Part(Node):
-    """A node with the control plane only; ``seen`` collects its internal events."""
+class ControlPlaneNode(Node):
+    """A node with only the control plane; ``seen`` collects its internal events."""
 
     def __init__(self, settings):
         make_node(settings, Random(0))  # imports and registers the controllers
-        super().__init__(settings, Random(settings.name), PART)
-        self.seen, self.sequence = [], 0
-        for kind in OUTSIDE:
-            self._handlers[kind].append(lambda now, event: self.seen.append(event))
+        super().__init__(settings, Random(settings.name), CONTROL_PLANE_SECTIONS)
+        self.internal_events, self.sequence = [], 0
+        for kind in OBSERVED_EVENTS:
+            self._handlers[kind].append(
+                lambda now, event: self.internal_events.append(event)
+            )
 
     def run(self, now, event):
-        """Returns the actions and the internal events meant for other controllers."""
-        self.seen = []
-        return self.handle(now, event) + self.seen
+        """Returns the actions and the internal events for other controllers."""
+        self.internal_events = []
+        return self.handle(now, event) + self.internal_events
 
 
 class Endpoint:
-    """A member that replicates, fences, promotes and confirms like the real one."""
+    """A simulated member that replicates, fences, promotes and confirms writes."""
 
     def __init__(self, database, name, data_centre, group):
         self.database, self.name, self.data_centre = database, name, data_centre
         self.group, self.role, self.term, self.incarnation = group, "replica", 0, 1
         # Records are (term, number); ``confirmed`` is what a majority acknowledged.
-        self.log, self.history, self.confirmed, self.held = [], {}, [], {}
-        self.heard, self.leaving, self.up, self.slow = {}, False, True, 0.0
+        self.log, self.history, self.confirmed, self.replicated = [], {}, [], {}
+        self.last_contact, self.leaving, self.up, self.slow = {}, False, True, 0.0
 
     def answer(self, now, status="ok", code=""):
-        heard = sorted(self.heard.values(), reverse=True)[: len(self.group) // 2]
-        fresh = self.role == "primary" and len(heard) == len(self.group) // 2
-        ago = round((now - heard[-1]) * 1000) if fresh else -1
+        recent = sorted(self.last_contact.values(), reverse=True)[
+            : len(self.group) // 2
+        ]
+        fresh = self.role == "primary" and len(recent) == len(self.group) // 2
+        ago = round((now - recent[-1]) * 1000) if fresh else -1
         term = self.log[-1][0] if self.log else 0
         return Answer(0, status, code=code, term=term, offset=len(self.log),
                       role=self.role, confirmed_ago_ms=ago, history=dict(self.history),
@@ -79,7 +83,7 @@
                 if len(self.log) != order.start_offset:
                     return self.answer(now, "refused", "offset_mismatch")
                 self.history[order.term] = order.start_offset
-                self.held, self.heard = {}, {}
+                self.replicated, self.last_contact = {}, {}
             self.role, self.term = "primary", order.term
         elif self.role != "primary" or order.term > self.term:
             self.role, self.term = "replica", order.term
@@ -92,26 +96,30 @@
             self.log.append((self.term, number))
 
     def replicate(self, now, primary, term, history, log):
-        """Takes the primary's log; returns the length held, or None when refused."""
+        """Replaces the log by the primary's; returns its length, or None if refused."""
         if term < self.term or (term == self.term and self.role == "primary"):
             return None
         self.term, self.role = term, "replica"
-        self.log, self.history, self.heard = list(log), dict(history), {primary: now}
+        self.log, self.history, self.last_contact = (
+            list(log),
+            dict(history),
+            {primary: now},
+        )
         return len(self.log)
 
     def acknowledge(self, now, member, term, length):
-        """Takes a replica's answer and confirms what a majority holds."""
+        """Records a replica's acknowledgement and confirms what a majority holds."""
         if term != self.term or self.role != "primary":
             return
-        self.heard[member] = now
-        self.held[member] = max(length, self.held.get(member, 0))
-        held = sorted([len(self.log), *self.held.values()], reverse=True)
+        self.last_contact[member] = now
+        self.replicated[member] = max(length, self.replicated.get(member, 0))
+        lengths = sorted([len(self.log), *self.replicated.values()], reverse=True)
         needed = len(self.group) // 2
-        if len(held) > needed and held[needed] > len(self.confirmed):
-            self.confirmed = self.log[: held[needed]]
+        if len(lengths) > needed and lengths[needed] > len(self.confirmed):
+            self.confirmed = self.log[: lengths[needed]]
 
     def announcement(self, now):
-        silent = tuple(n for n, at in self.heard.items() if now - at > 0.15)
+        silent = tuple(n for n, at in self.last_contact.items() if now - at > 0.15)
         term = self.log[-1][0] if self.log else 0
         return Announcement(
             self.database, self.name, f"{self.name}:1", self.data_centre, self.role,
@@ -121,9 +129,9 @@
 
 
 class Group:
-    """Daemons and endpoints on one virtual clock; all times in seconds.
+    """Daemons and endpoints on a simulated clock; all times are in seconds.
 
-    Places are ``region/data centre``. ``spread`` multiplies each delay by 1 to spread.
+    Places are ``region/data centre``. Each delay is multiplied by 1 to ``spread``.
     """
 
     def __init__(
@@ -149,7 +157,7 @@
         region = self.places[name].split("/")[0]
         for place in self.places.values():
             settings.delays[place] = 0.0035 if place.startswith(region) else 0.012
-        node = self.nodes[name] = Part(settings)
+        node = self.nodes[name] = ControlPlaneNode(settings)
         self.applied[name] = 0
         self.at(self.random.uniform(0, 0.1), self._heartbeat, name, node)
         self.at(0.001 * len(self.nodes), self._tick, name, node)
@@ -160,7 +168,7 @@
         heapq.heappush(self.heap, (self.now + delay, self.count, function, arguments))
 
     def run(self, seconds, until=None):
-        """Runs for ``seconds``, or until the condition holds and tells whether."""
+        """Runs for ``seconds`` or until ``until`` holds; returns whether it held."""
         end = self.now + seconds
         while self.heap and self.heap[0][0] <= end:
             self.now, _, function, arguments = heapq.heappop(self.heap)
@@ -178,7 +186,7 @@
         return base * self.random.uniform(1.0, self.spread)
 
     def connected(self, a, b):
-        """Tells whether both run and no partition separates them."""
+        """Returns whether both run and no partition separates them."""
         return self._runs(a) and self._runs(b) and (a, b) not in self.cut
 
     def _runs(self, name):
@@ -186,7 +194,7 @@
         return endpoint.up if endpoint else name in self.nodes
 
     def send(self, a, b, function, *arguments):
-        """Calls the function after the delay, unless the message is lost, or twice."""
+        """Calls the function after a delay; messages may be lost or duplicated."""
         for _ in range(2 if self.random.random() < self.duplication else 1):
             self._send_once(a, b, function, *arguments)
 
@@ -199,7 +207,7 @@
             function(*arguments)
 
     def partition(self, left, right):
-        """Cuts both directions between two sets of names."""
+        """Cuts the connections in both directions between two sets of names."""
         for a in left:
             self.cut |= {pair for b in right for pair in ((a, b), (b, a)) if a != b}
 
@@ -219,26 +227,26 @@
         if self.nodes.get(name) is not node:
             return
         node.sequence += 1
-        board, settings = node.blackboard, node.settings
-        beat = make_heartbeat(self.now, board, settings, node.sequence)
+        blackboard, settings = node.blackboard, node.settings
+        heartbeat = make_heartbeat(self.now, blackboard, settings, node.sequence)
         for other in self.control:
             if other == name:
-                self._take_heartbeat(name, name, beat)
+                self._receive_heartbeat(name, name, heartbeat)
             else:
-                self.send(name, other, self._take_heartbeat, name, other, beat)
+                self.send(name, other, self._receive_heartbeat, name, other, heartbeat)
         self.at(0.1, self._heartbeat, name, node)
 
-    def _take_heartbeat(self, name, other, beat):
-        self.event(other, PeerMessageReceived(name, beat))
+    def _receive_heartbeat(self, name, other, heartbeat):
+        self.event(other, PeerMessageReceived(name, heartbeat))
         if other == self.leader and self._quorum(other):
             node = self.nodes[other]
-            reply = make_reply(self.now, node.blackboard, node.settings, beat, [])
+            reply = make_reply(self.now, node.blackboard, node.settings, heartbeat, [])
             event = PeerMessageReceived(other, reply)
-            self._pass(other, name, self.event, name, event)
-            self._pass(other, name, self._catch_up, name)
+            self._deliver_once(other, name, self.event, name, event)
+            self._deliver_once(other, name, self._catch_up, name)
 
-    def _pass(self, a, b, function, *arguments):
-        """Passes what the log itself delivers at most once."""
+    def _deliver_once(self, a, b, function, *arguments):
+        """Calls the function at most once, like the log's own messages."""
         if a == b:
             function(*arguments)
         else:
@@ -253,7 +261,9 @@
             self._order(name, item)
         elif isinstance(item, CommandProposed):
             self.proposed.append((self.now, name, item.command))
-            self._pass(name, self.leader, self._propose, name, self.leader, item)
+            self._deliver_once(
+                name, self.leader, self._propose, name, self.leader, item
+            )
         elif isinstance(item, AdminReply):
             assert item.ticket not in self.replies, "a ticket was answered twice"
             self.replies[item.ticket] = item
@@ -290,7 +300,7 @@
             self.event(other, LeadershipChanged(name, self.term, other == name))
 
     def recover(self):
-        """Restarts control members that crashed, and appoints another leader."""
+        """Restarts crashed control members and elects another leader."""
         for name in self.control:
             if name not in self.nodes:
                 self.start(name, incarnation=2)
@@ -314,7 +324,7 @@
             return
         self.log.append((item.command, (name, item.origin)))
         for other in self.control:
-            self._pass(leader, other, self._catch_up, other)
+            self._deliver_once(leader, other, self._catch_up, other)
 
     def _catch_up(self, name):
         while name in self.control and self.applied[name] < len(self.log):
@@ -331,7 +341,7 @@
         if item.origin:
             name, origin = item.origin
             done = CommandCompleted(origin, item.result["code"], "", item.result)
-            self._pass(leader, name, self.event, name, done)
+            self._deliver_once(leader, name, self.event, name, done)
 
     # --- endpoints
 
@@ -349,16 +359,16 @@
             for other in endpoint.group:
                 if other != name:
                     state = (endpoint.term, dict(endpoint.history), tuple(endpoint.log))
-                    self.send(name, other, self._take_log, name, other, *state)
+                    self.send(name, other, self._receive_log, name, other, *state)
         self.at(self.replicate, self._replicate, name)
 
-    def _take_log(self, name, other, term, history, log):
-        held = self.endpoints[other].replicate(self.now, name, term, history, log)
-        if held is not None:
+    def _receive_log(self, name, other, term, history, log):
+        length = self.endpoints[other].replicate(self.now, name, term, history, log)
+        if length is not None:
             acknowledge = self.endpoints[name].acknowledge
-            self.send(other, name, lambda: acknowledge(self.now, other, term, held))
+            self.send(other, name, lambda: acknowledge(self.now, other, term, length))
 
     def primary(self, database, daemon):
-        """The database's primary as a daemon knows it."""
+        """Returns the database's primary as known to a daemon."""
         known = self.nodes[daemon].blackboard.topology.databases.get(database)
         return known.primary if known else ""
--- a/packages/core/tests/test_candidates.py
+++ b/packages/core/tests/test_candidates.py
@@ -1,4 +1,4 @@
-"""Choice of the new primary and the order of positions."""
+"""Tests the choice of the new primary and the order of positions."""
 
 import pytest
 
@@ -13,9 +13,9 @@
     return Answer(0, "ok", term=term, offset=offset, history=history)
 
 
-def test_the_term_of_the_last_record_comes_first():
-    """Guards against an old primary's longer, unconfirmed tail that replaces confirmed
-    records of a later term."""
+def test_term_of_the_last_record_takes_precedence():
+    """Guards against replacing confirmed records of a later term by an old primary's
+    longer, unconfirmed tail."""
     old, new = answer(4, 105, {4: 0}), answer(5, 103, {4: 0, 5: 100})
     assert choose({"c0": old, "c1": new}, "c0", CENTRES, "c0").member == "c1"
     fenced = answer(6, 105, {4: 0})
@@ -33,8 +33,8 @@
         ("", {"c0", "c2"}, "c1"),
     ],
 )
-def test_choice_among_equals(target, avoid, member):
-    """Guards against a new primary in another data centre without need, and against a
-    handover that ignores its target."""
+def test_choice_among_equal_positions(target, avoid, member):
+    """Guards against needlessly moving the primary to another data centre, and against
+    a handover that ignores its target."""
     answers = {name: answer(1, 9, {1: 0}) for name in CENTRES}
     assert choose(answers, target, CENTRES, "c0", avoid).member == member
--- a/packages/core/tests/test_distribution.py
+++ b/packages/core/tests/test_distribution.py
@@ -1,8 +1,8 @@
-"""Distribution: versions in force, confirmation, repair and staleness."""
+"""Tests configuration distribution: versions, confirmation, repair, staleness."""
 
 import json
 
-from fake_group import Part
+from fake_group import ControlPlaneNode
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from test_failover import make_group
@@ -30,11 +30,13 @@
 
 
 def versions(group):
-    """Version of the template in force at each daemon, 0 for none."""
-    held = {n: node.blackboard.configuration for n, node in group.nodes.items()}
+    """Returns the template version in force at each daemon, 0 for none."""
+    configurations = {
+        n: node.blackboard.configuration for n, node in group.nodes.items()
+    }
     return {
         name: getattr(configuration.templates.get("reclamar"), "version", 0)
-        for name, configuration in held.items()
+        for name, configuration in configurations.items()
     }
 
 
@@ -52,19 +54,19 @@
     return PeerMessageReceived("vm9", ConfigurationUpdate([template], 0, []))
 
 
-def reply(**held):
-    return PeerMessageReceived("vm9", HeartbeatReply(1, "vm9", [], held, 0))
+def reply(**committed):
+    return PeerMessageReceived("vm9", HeartbeatReply(1, "vm9", [], committed, 0))
 
 
-def confirmed(proposal, **held):
-    """The answer of a quorum to a daemon's question for the current versions."""
-    result = {"code": "ok", "versions": held, "keys": 0}
+def confirmed(proposal, **committed):
+    """Returns a quorum's answer to a daemon's query for the current versions."""
+    result = {"code": "ok", "versions": committed, "keys": 0}
     return CommandCompleted(proposal.origin, "ok", "", result)
 
 
-def test_a_change_reaches_every_daemon_and_is_reported():
-    """Guards against a daemon that keeps an older template, and against a report of
-    "in force everywhere" that is not true."""
+def test_change_reaches_every_daemon_and_is_reported():
+    """Guards against a daemon that keeps an older template, and against a false report
+    of "in force everywhere"."""
     group = make_group()
     group.run(0.5)
     apply(group, 0, "vm4")
@@ -85,8 +87,8 @@
     assert group.run(1.5, lambda: set(versions(group).values()) == {2})
 
 
-def test_a_lost_update_is_repaired():
-    """Guards against a daemon that waits for the next change."""
+def test_lost_update_is_repaired():
+    """Guards against a daemon that stays outdated until the next change."""
     group = make_group()
     group.run(1.0)
     group.loss = 1.0
@@ -97,17 +99,17 @@
     assert group.run(3.0, lambda: set(versions(group).values()) == {1})
 
 
-def test_a_change_is_built_once_for_all_daemons_that_need_the_same():
-    """Guards against a fan-out that encodes the template and the keys, and summarizes
-    the members, for each daemon: 19 us for each, 70 ms for 3,700."""
-    part = Part(NodeSettings("vm0", "lisbon", control=True))
-    part.run(0.0, LeadershipChanged("vm0", 1, True))
+def test_daemons_with_equal_subscriptions_share_one_update():
+    """Guards against encoding the template and the keys, and summarizing the members,
+    once per daemon: 19 us each, 70 ms for 3,700 daemons."""
+    node = ControlPlaneNode(NodeSettings("vm0", "lisbon", control=True))
+    node.run(0.0, LeadershipChanged("vm0", 1, True))
     for name, served in (("vm1", []), ("vm2", ["reclamar"]), ("vm3", ["toile"])):
-        beat = Heartbeat(1, "lisbon", 1, {}, [], [], [], served)
-        part.run(0.0, PeerMessageReceived(name, beat))
+        heartbeat = Heartbeat(1, "lisbon", 1, {}, [], [], [], served)
+        node.run(0.0, PeerMessageReceived(name, heartbeat))
     change = {"type": "template.apply", "organisation": "reclamar", "body": BODY}
     change |= {"expect_version": 0, "change_id": "a", "operator": "o", "at": 0.0}
-    sent = part.run(0.1, CommandCommitted(1, 1, change, None))
+    sent = node.run(0.1, CommandCommitted(1, 1, change, None))
     for kind in (ConfigurationUpdate, TopologyUpdate):
         found = {
             item.recipient: item.message
@@ -118,59 +120,59 @@
         assert found["vm1"] is found["vm2"]
 
 
-def test_a_lower_version_is_never_applied():
-    """Guards against a configuration that reverts after a late or old update."""
-    part = Part(NodeSettings("vm5", "lisbon"))
-    part.run(0.0, update(4, connections=40))
-    part.run(0.0, update(3, connections=30))
-    part.run(0.0, update(4, connections=41))
-    template = part.blackboard.configuration.templates["reclamar"]
+def test_lower_version_is_never_applied():
+    """Guards against a configuration that reverts on a late or repeated update."""
+    node = ControlPlaneNode(NodeSettings("vm5", "lisbon"))
+    node.run(0.0, update(4, connections=40))
+    node.run(0.0, update(3, connections=30))
+    node.run(0.0, update(4, connections=41))
+    template = node.blackboard.configuration.templates["reclamar"]
     assert (template.version, template.connections) == (4, 40)
 
 
-def test_an_invalid_template_leaves_the_old_one_in_force():
-    """Guards against a daemon without configuration after an update that it cannot
-    read, as from a newer version of the software."""
-    part = Part(NodeSettings("vm5", "lisbon"))
-    part.run(0.0, update(4))
-    items = part.run(0.0, update(5, unheard_of=1))
+def test_invalid_template_leaves_the_old_one_in_force():
+    """Guards against a daemon that loses its configuration on an update that it cannot
+    read, such as one from a newer software version."""
+    node = ControlPlaneNode(NodeSettings("vm5", "lisbon"))
+    node.run(0.0, update(4))
+    items = node.run(0.0, update(5, unheard_of=1))
     assert items[0].event == "template_invalid"
-    assert part.blackboard.configuration.templates["reclamar"].version == 4
+    assert node.blackboard.configuration.templates["reclamar"].version == 4
 
 
-def test_a_restarted_daemon_is_ready_only_with_the_current_versions():
-    """Guards against a restarted daemon that serves with an older configuration."""
-    part = Part(NodeSettings("vm5", "lisbon"))
-    configuration = part.blackboard.configuration
-    part.run(0.0, update(4))
-    part.run(0.1, reply(reclamar=4))
+def test_restarted_daemon_is_ready_only_with_current_versions():
+    """Guards against a restarted daemon that serves with an outdated configuration."""
+    node = ControlPlaneNode(NodeSettings("vm5", "lisbon"))
+    configuration = node.blackboard.configuration
+    node.run(0.0, update(4))
+    node.run(0.1, reply(reclamar=4))
     assert not configuration.ready, "a deposed leader may have answered"
-    asked = [e for e in part.run(0.2, Tick()) if isinstance(e, CommandProposed)]
+    asked = [e for e in node.run(0.2, Tick()) if isinstance(e, CommandProposed)]
     assert asked[0].command == {"type": "configuration.versions", "query": True}
-    part.run(0.3, confirmed(asked[0], reclamar=5))
+    node.run(0.3, confirmed(asked[0], reclamar=5))
     assert not configuration.ready
-    part.run(0.4, update(5))
+    node.run(0.4, update(5))
     assert configuration.ready and configuration.confirmed_at == 0.3
 
 
-def test_silence_of_the_control_plane_makes_the_configuration_stale():
-    """Guards against an outage of the control plane that stops requests or that
-    nobody sees."""
-    part = Part(NodeSettings("vm5", "lisbon"))
-    configuration = part.blackboard.configuration
-    part.run(0.0, update(4))
-    part.run(0.0, confirmed(CommandProposed({}, ("configuration", 0)), reclamar=4))
-    part.run(2.9, Tick())
+def test_configuration_becomes_stale_without_the_control_plane():
+    """Guards against a control plane outage that stops requests or that is not
+    reported."""
+    node = ControlPlaneNode(NodeSettings("vm5", "lisbon"))
+    configuration = node.blackboard.configuration
+    node.run(0.0, update(4))
+    node.run(0.0, confirmed(CommandProposed({}, ("configuration", 0)), reclamar=4))
+    node.run(2.9, Tick())
     assert not configuration.stale
-    part.run(3.1, Tick())
+    node.run(3.1, Tick())
     assert configuration.stale and configuration.ready
     assert configuration.templates["reclamar"].version == 4
-    part.run(3.2, reply(reclamar=4))
+    node.run(3.2, reply(reclamar=4))
     assert not configuration.stale
 
 
 def test_keys_reach_every_daemon():
-    """Guards against a daemon that refuses tokens which another one signed."""
+    """Guards against a daemon that rejects tokens signed by another one."""
     group = make_group()
     group.run(0.5)
     group.admin("vm3", 1, "keys.rotate", change_id="k", secret="ab" * 32)
@@ -181,15 +183,17 @@
     ] * 6
 
 
-def test_an_older_key_ring_is_never_applied():
-    """Guards against tokens signed with a retired key, and against tokens of the
-    settings' keys that die at the first rotation."""
-    part = Part(NodeSettings("vm5", "lisbon", token_keys={"s": b"secret"}))
-    part._handlers[TokenKeysChanged].append(lambda now, event: part.seen.append(event))
+def test_older_key_ring_is_never_applied():
+    """Guards against tokens signed with a retired key, and against tokens signed with
+    keys from the settings that become invalid at the first rotation."""
+    node = ControlPlaneNode(NodeSettings("vm5", "lisbon", token_keys={"s": b"secret"}))
+    node._handlers[TokenKeysChanged].append(
+        lambda now, event: node.internal_events.append(event)
+    )
     for serial in (2, 1):
         keys = [f"{serial}:k{serial}:abcd"]
         message = ConfigurationUpdate([], serial, keys)
-        items = part.run(0.0, PeerMessageReceived("vm9", message))
+        items = node.run(0.0, PeerMessageReceived("vm9", message))
         changed = [item.keys for item in items if isinstance(item, TokenKeysChanged)]
         expected = [[("k2", b"\xab\xcd"), ("s", b"secret")]] if serial == 2 else []
         assert changed == expected
@@ -207,9 +211,9 @@
 
 @FIXED
 @given(FAULTS, st.integers(0, 99), st.sampled_from([0.0, 0.05, 0.3]))
-def test_versions_never_fall_and_converge(faults, seed, loss):
-    """Guards against a version that falls, a change that counts twice and a daemon
-    that never catches up, under loss, duplication, reordering, partitions and
+def test_versions_never_decrease_and_converge(faults, seed, loss):
+    """Guards against a version that decreases, a change that is applied twice and a
+    daemon that never catches up, under loss, duplication, reordering, partitions and
     restarts."""
     group = make_group(seed=seed, loss=loss, spread=10.0)
     group.duplication = 0.1
--- a/packages/core/tests/test_failover.py
+++ b/packages/core/tests/test_failover.py
@@ -1,4 +1,4 @@
-"""Failover: appointment, promotion after a failure, handover and resumption."""
+"""Tests failover: appointment, promotion after failures and resumption."""
 
 import pytest
 from fake_group import Endpoint, Group
@@ -13,8 +13,9 @@
 
 
 def make_group(control=CONTROL, **options):
-    """Daemons vm0 to vm5 in the data centres of the database's three members, vm6 to
-    vm8 in another region; the first control member leads."""
+    """Returns a group with daemons vm0 to vm5 in the data centres of the database's
+    three members and, if ``control`` names them, vm6 to vm8 in another region; the
+    first control member leads."""
     daemons = {f"vm{i}": CENTRES[i % 3] for i in range(6)}
     if not set(control) <= daemons.keys():
         daemons |= {f"vm{6 + i}": AWAY[i] for i in range(3)}
@@ -25,20 +26,20 @@
 
 
 def settled(group, *without):
-    """Tells whether every daemon knows one primary that is none of ``without``."""
+    """Returns whether all daemons know one primary, which is not in ``without``."""
     known = {group.primary("claims", name) for name in group.nodes}
     return len(known) == 1 and not known & {"", *without}
 
 
 def write(group, interval=0.01, number=0):
-    """Every daemon's writes go to the primary that it knows, again and again."""
+    """Sends a write to each primary known to a daemon, at every ``interval``."""
     for name in {group.primary("claims", daemon) for daemon in group.nodes} - {""}:
         group.at(0.0035, group.endpoints[name].write, number)
     group.at(interval, write, group, interval, number + 1)
 
 
 def started(control=CONTROL, load=True, **options):
-    """A group whose first primary was appointed a second ago."""
+    """Returns a group whose first primary was appointed a second ago."""
     group = make_group(control, **options)
     assert group.run(3.0, lambda: settled(group))
     if load:
@@ -48,7 +49,7 @@
 
 
 def terms(group):
-    """The primary of each term as daemons were told; fails on two for one term."""
+    """Returns the primary announced for each term; fails if a term has two."""
     known = {}
     for _, _, event in group.changes:
         if event.member:
@@ -56,8 +57,8 @@
     return known
 
 
-def test_the_first_primary_needs_a_majority_of_the_announced_group():
-    """Guards against a primary that a minority appointed."""
+def test_first_primary_needs_a_majority_of_the_announced_group():
+    """Guards against a primary appointed by a minority."""
     group = make_group()
     for name in ("c1", "c2"):
         group.endpoints[name].up = False
@@ -67,8 +68,8 @@
     assert group.endpoints[group.primary("claims", "vm0")].role == "primary"
 
 
-def test_a_misconfigured_member_does_not_decide_the_group():
-    """Guards against a group without primary because the first announcement named
+def test_misconfigured_member_does_not_decide_the_group():
+    """Guards against a group without a primary because the first announcement listed
     other members."""
     group = make_group()
     group.endpoints["c0"].group = ("c0", "x1", "x2", "x3", "x4")
@@ -77,7 +78,7 @@
 
 
 def test_no_member_is_chosen_before_a_majority_is_fenced():
-    """Guards against a primary that lacks records which the other members hold."""
+    """Guards against a primary that lacks records held by the other members."""
     group = make_group()
     assert group.run(2.0, lambda: bool(group.log))
     for name in ("c0", "c1"):
@@ -101,9 +102,9 @@
 
 
 @pytest.mark.parametrize("case", CASES)
-def test_a_failed_primary_is_replaced(case):
+def test_failed_primary_is_replaced(case):
     """Guards against writes that wait for a primary which can no longer confirm them,
-    and against confirmed records that the new primary lacks."""
+    and against a new primary that lacks confirmed records."""
     group = started()
     CASES[case](group)
     confirmed = list(group.endpoints["c0"].confirmed)
@@ -113,17 +114,17 @@
     assert terms(group) == {1: "c0", 2: new.name}
 
 
-def test_a_primary_that_restarts_as_a_replica_is_replaced():
-    """Guards against a group whose members all wait for a primary that forgot it."""
+def test_primary_that_restarts_as_a_replica_is_replaced():
+    """Guards against members waiting for a primary that lost its role in a restart."""
     group = started()
     old = group.endpoints["c0"]
-    old.role, old.incarnation, old.heard = "replica", 2, {}
+    old.role, old.incarnation, old.last_contact = "replica", 2, {}
     assert group.run(1.5, lambda: settled(group, "c0"))
 
 
-def test_the_old_primary_returns_as_a_replica():
-    """Guards against an old primary that confirms writes or keeps records that were
-    never confirmed."""
+def test_old_primary_returns_as_a_replica():
+    """Guards against an old primary that confirms writes or retains unconfirmed
+    records."""
     group = started()
     group.partition(["c0"], group.places)
     assert group.run(1.0, lambda: settled(group, "c0"))
@@ -141,9 +142,9 @@
     assert old.log == new.log[: len(old.log)] and len(old.log) > len(confirmed)
 
 
-def test_a_deposed_primary_is_ordered_to_follow():
-    """Guards against a deposed primary that its successor cannot reach and that keeps
-    records which were never confirmed."""
+def test_deposed_primary_is_ordered_to_follow():
+    """Guards against a deposed primary that its successor cannot reach and that retains
+    unconfirmed records."""
     group = started()
     group.partition(["c0"], group.endpoints)
     assert group.run(1.0, lambda: settled(group, "c0"))
@@ -153,7 +154,7 @@
     assert old.log == new.log[: len(old.log)] and len(old.log) >= len(old.confirmed)
 
 
-def test_a_replica_that_is_far_behind_is_not_chosen():
+def test_lagging_replica_is_not_chosen():
     """Guards against a new primary without confirmed records."""
     group = started(load=False)
     group.partition(["c1"], ["c0"])
@@ -167,8 +168,8 @@
     assert group.primary("claims", "vm0") == "c2"
 
 
-def test_a_member_that_is_ahead_but_unreachable_is_not_waited_for():
-    """Guards against a failover that waits for all members."""
+def test_failover_does_not_wait_for_an_unreachable_member():
+    """Guards against a failover that waits for every member."""
     group = started()
     group.partition(["c1"], ["c2", *group.nodes])
     group.run(1.0)
@@ -178,16 +179,16 @@
     assert group.run(1.0, lambda: settled(group, "c0"))
 
 
-def test_without_a_majority_nothing_is_promoted():
-    """Guards against a minority that goes on alone."""
+def test_no_promotion_without_a_majority():
+    """Guards against a minority that continues on its own."""
     group = started()
     group.endpoints["c0"].up = group.endpoints["c1"].up = False
     group.run(3.0)
     assert terms(group) == {1: "c0"} and group.endpoints["c2"].role == "replica"
 
 
-def test_a_leader_that_is_cut_off_does_not_act():
-    """Guards against a control leader that takes its own isolation for a failure of
+def test_isolated_leader_starts_no_failover():
+    """Guards against a control leader that mistakes its own isolation for a failure of
     every primary."""
     group = started()
     others = [name for name in group.places if name != "vm0"]
@@ -198,7 +199,7 @@
 
 
 def test_primary_and_leader_lost_together():
-    """Guards against a failover that depends on one control member."""
+    """Guards against a failover that depends on a single control member."""
     group = started()
     del group.nodes["vm0"]
     group.endpoints["c0"].up = False
@@ -208,7 +209,7 @@
 
 
 def test_loss_of_a_data_centre():
-    """Guards against a data centre whose loss stops the other two."""
+    """Guards against a lost data centre that stops the other two."""
     group = started()
     lost = [name for name, place in group.places.items() if place == CENTRES[0]]
     group.partition(lost, [name for name in group.places if name not in lost])
@@ -220,8 +221,8 @@
     )
 
 
-def test_a_flapping_primary_is_held_down():
-    """Guards against a link that moves the primary several times a second."""
+def test_hold_down_limits_failovers_of_a_flapping_primary():
+    """Guards against a flapping link that moves the primary several times a second."""
     group = started()
     for cycle in range(20):
         for name in MEMBERS:
@@ -237,7 +238,7 @@
 
 
 @pytest.mark.parametrize("step", ["start", "choose", "done", "promote"])
-def test_another_leader_resumes_at_each_step(step):
+def test_new_leader_resumes_a_promotion_at_each_step(step):
     """Guards against a promotion that is lost with its leader, and against a second
     choice in the same term."""
     group = started()
@@ -258,8 +259,8 @@
     assert set(terms(group)) == {1, 2}
 
 
-def test_an_unanswered_promotion_is_chosen_again():
-    """Guards against a second loss right after the choice."""
+def test_unanswered_promotion_is_restarted():
+    """Guards against a promotion that hangs when the chosen member fails as well."""
     group = started()
     group.endpoints["c0"].up = False
     assert group.run(1.0, lambda: group.log[-1][0]["type"] == "failover.choose")
@@ -271,8 +272,8 @@
 
 
 def test_orders_name_the_committed_group():
-    """Guards against majorities of members that count strangers, or that leave out a
-    member whose address the leader does not know."""
+    """Guards against majorities that count endpoints outside the group, or that omit a
+    member whose address is unknown to the leader."""
     group = started(load=False)
     group.endpoints["c9"] = Endpoint("claims", "c9", CENTRES[0], ("c0", "c1", "c9"))
     group.places["c9"] = CENTRES[0]
@@ -301,9 +302,11 @@
 
 
 def survive(group, events, least):
-    """Applies faults, of which crashes leave ``least`` daemons, and heals; checks that
-    confirmed logs never diverge, that no term has two primaries and that no confirmed
-    record is lost."""
+    """Applies faults that leave at least ``least`` daemons running, then heals them.
+
+    Checks that confirmed logs never diverge, that no term has two primaries and that no
+    confirmed record is lost.
+    """
     confirmed, group.duplication = [], 0.1
     for kind, number, pause in events:
         endpoint, daemon = group.endpoints[f"c{number}"], f"vm{number}"
@@ -337,7 +340,7 @@
 @FIXED
 @given(EVENTS, st.integers(0, 1000), st.sampled_from([0.0, 0.02, 0.1]))
 def test_any_faults(events, seed, loss):
-    """Guards against two primaries in one term, a deposed primary that confirms a
-    write and lost confirmed records, under loss, delay, duplication, crashes and
+    """Guards against two primaries in one term, writes confirmed by a deposed primary
+    and lost confirmed records, under loss, delay, duplication, crashes and
     partitions."""
     survive(started(seed=seed, loss=loss, spread=5.0), events, least=4)
--- a/packages/core/tests/test_handover.py
+++ b/packages/core/tests/test_handover.py
@@ -1,11 +1,11 @@
-"""Planned handover and draining of endpoints."""
+"""Tests planned handovers and draining of endpoints."""
 
 from test_failover import settled, started, terms
 
 
-def test_a_handover_by_an_operator():
-    """Guards against a handover that loses records, runs twice on a resend or answers
-    before it is in force."""
+def test_handover_by_an_operator():
+    """Guards against a handover that loses records, runs twice when resent or is
+    answered before it is in force."""
     group = started()
     group.replicate = 0.01
     group.run(0.1)
@@ -29,7 +29,7 @@
     )
 
 
-def test_an_unsafe_handover_is_refused():
+def test_unsafe_handover_is_refused():
     """Guards against a handover to a member that cannot take over."""
     group = started()
     group.endpoints["c2"].up = False
@@ -47,8 +47,8 @@
     assert terms(group) == {1: "c0"}
 
 
-def test_a_leaving_primary_hands_over():
-    """Guards against an endpoint that cannot leave because it is primary."""
+def test_leaving_primary_hands_over():
+    """Guards against an endpoint that cannot leave because it is the primary."""
     group = started()
     group.replicate = 0.01
     group.endpoints["c0"].leaving = True
@@ -57,8 +57,8 @@
     assert len(terms(group)) == 2
 
 
-def test_a_drained_primary_hands_over_first():
-    """Guards against an endpoint that gets no new work while it is primary."""
+def test_drained_primary_hands_over_first():
+    """Guards against a primary that gets no new work before its handover."""
     group = started()
     group.replicate = 0.01
     group.admin("vm3", 1, "endpoint.drain", database="claims", member="c0")
--- a/packages/core/tests/test_state.py
+++ b/packages/core/tests/test_state.py
@@ -1,9 +1,9 @@
-"""The replicated state machine: compare-and-set, change ids and snapshots."""
+"""Tests the replicated state machine: compare-and-set, change ids and snapshots."""
 
 import json
 
 import pytest
-from fake_group import Part
+from fake_group import ControlPlaneNode
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from test_templates import BODY
@@ -28,10 +28,10 @@
 
 
 class Machine:
-    """A control member that commits each command as soon as it is proposed."""
+    """A control member that commits each proposed command immediately."""
 
     def __init__(self):
-        self.node = Part(NodeSettings("vm0", "lisbon", control=True))
+        self.node = ControlPlaneNode(NodeSettings("vm0", "lisbon", control=True))
         self.index = 0
 
     def commit(self, command):
@@ -51,7 +51,7 @@
         return ready
 
     def admin(self, name, **arguments):
-        """Runs an operator's command; returns its one reply."""
+        """Runs an operator's command and returns its only reply."""
         items = self.node.run(0.0, AdminCommand(7, name, arguments, "ana", 5.0))
         replies = [item for item in items if isinstance(item, AdminReply)]
         for item in [item for item in items if isinstance(item, CommandProposed)]:
@@ -78,7 +78,7 @@
     }
 
 
-def test_of_two_equal_expected_versions_one_wins():
+def test_one_of_two_changes_to_the_same_version_succeeds():
     """Guards against a change that silently overwrites a concurrent one."""
     machine = Machine()
     assert machine.commit(apply(0, "a"))["version"] == 1
@@ -86,9 +86,9 @@
     assert (refused["code"], refused["current_version"]) == ("version_conflict", 1)
 
 
-def test_a_resend_returns_the_first_answer():
-    """Guards against a change that runs twice after its answer was lost, and against
-    a change id that hides another change."""
+def test_resent_change_returns_the_first_result():
+    """Guards against a change that is applied twice after its answer was lost, and
+    against a reused change id that hides another change."""
     machine = Machine()
     first = machine.commit(apply(0, "a"))
     machine.commit(apply(1, "b", connections=30))
@@ -104,9 +104,9 @@
 
 @FIXED
 @given(st.lists(st.tuples(st.integers(0, 6), st.integers(0, 8)), max_size=25))
-def test_versions_rise_by_one_and_each_change_counts_once(changes):
-    """Guards against lost, repeated or reordered changes under any interleaving of
-    operators who expect any version and resend any change."""
+def test_versions_increase_by_one_and_each_change_is_applied_once(changes):
+    """Guards against lost, repeated or reordered changes when operators expect
+    arbitrary versions and resend arbitrary changes."""
     machine, answers, version = Machine(), {}, 0
     for expect, number in changes:
         change = (f"c{number}", expect)
@@ -170,8 +170,8 @@
 
 @FIXED
 @given(st.lists(COMMANDS, max_size=30), st.integers(0, 30))
-def test_a_restored_snapshot_continues_exactly(commands, cut):
-    """Guards against a member that differs after a snapshot, also through JSON, and
+def test_restored_snapshot_leads_to_the_same_state(commands, cut):
+    """Guards against a state that differs after a snapshot was restored from JSON, and
     against two primaries in one term."""
     straight, restored, primaries = Machine(), Machine(), {}
     for index, command in enumerate(commands):
@@ -190,8 +190,8 @@
     assert json.dumps(left) == json.dumps(right)
 
 
-def test_an_entry_is_applied_once():
-    """Guards against a second application after a snapshot or a repeated commit."""
+def test_entry_is_applied_once():
+    """Guards against applying an entry again after a repeated commit or a snapshot."""
     machine = Machine()
     machine.commit(apply(0, "a"))
     assert machine.node.run(0.0, CommandCommitted(1, 1, apply(1, "b"))) == []
@@ -202,7 +202,7 @@
 
 
 def test_history_is_bounded_and_a_rollback_is_a_new_version():
-    """Guards against unbounded state and against versions that fall."""
+    """Guards against unbounded state and against versions that decrease."""
     machine = Machine()
     for version in range(VERSION_LIMIT + 5):
         machine.commit(apply(version, f"c{version}", connections=version + 1))
@@ -225,8 +225,8 @@
     ]
 
 
-def test_a_malformed_command_stops_nobody():
-    """Guards against one bad entry of the log that ends every control member."""
+def test_malformed_command_is_rejected():
+    """Guards against a malformed log entry that crashes every control member."""
     machine = Machine()
     for command in (
         {"type": "template.apply", "change_id": "a"},
@@ -240,7 +240,7 @@
 
 
 def test_change_ids_are_bounded():
-    """Guards against a state that grows with every change for ever."""
+    """Guards against a state that grows indefinitely with every change."""
     machine = Machine()
     changes = machine.node._controllers["state"]._own.changes
     for number in range(CHANGE_LIMIT + 3):
@@ -266,7 +266,7 @@
         ("template.get", {"organisation": "r", "version": "1"}, "version: found str"),
     ],
 )
-def test_invalid_commands_are_refused_before_the_log(name, arguments, part):
+def test_invalid_commands_are_not_logged(name, arguments, part):
     """Guards against invalid templates and arguments in the replicated log."""
     machine = Machine()
     reply = machine.admin(name, **arguments)
@@ -275,8 +275,8 @@
     assert machine.index == 0
 
 
-def test_keys_rotate_and_their_secrets_stay_inside():
-    """Guards against secrets in answers and against tokens that die at a rotation."""
+def test_keys_rotate_without_revealing_secrets():
+    """Guards against secrets in replies and tokens invalidated by one rotation."""
     machine = Machine()
     for number in range(KEY_LIMIT + 1):
         reply = machine.admin("keys.rotate", change_id=f"r{number}", secret="ab" * 32)
@@ -287,8 +287,8 @@
     assert (key.serial, key.key_id, key.secret) == (4, "key-r3", "ab" * 32)
 
 
-def test_a_term_has_one_plan_and_one_choice():
-    """Guards against two leaders that each promote a member in the same term."""
+def test_term_has_one_plan_and_one_choice():
+    """Guards against two leaders that promote different members in the same term."""
     machine = Machine()
     record = machine.node.blackboard.state.databases
     assert machine.commit(start(3, 4, "auto:a"))["code"] == "ok"
@@ -305,8 +305,8 @@
     assert machine.commit(start(4, 5, "auto:f"))["code"] == "ok"
 
 
-def test_a_term_without_records_leaves_the_history():
-    """Guards against reads that are refused for records which survived, because a
+def test_term_without_records_is_removed_from_the_history():
+    """Guards against reads that are refused although their records survived, because a
     promotion that never took effect is in the history."""
     machine = Machine()
     machine.commit(start(0, 1, "auto:a"))
--- a/packages/core/tests/test_status.py
+++ b/packages/core/tests/test_status.py
@@ -1,8 +1,8 @@
-"""The status for operators: overall level, problems and next steps."""
+"""Tests the status for operators: overall level, problems and next steps."""
 
 import json
 
-from fake_group import Part
+from fake_group import ControlPlaneNode
 from test_failover import started
 from test_templates import BODY
 
@@ -18,8 +18,8 @@
     return reply.body
 
 
-def test_a_healthy_group_is_ok():
-    """Guards against alarms without a fault."""
+def test_healthy_group_is_ok():
+    """Guards against reported problems without a fault."""
     group = started(load=False)
     body = status(group)
     assert (body["overall"], body["problems"]) == ("ok", [])
@@ -28,8 +28,8 @@
     assert body["configuration"]["ready"] and len(body["daemons"]) == 6
 
 
-def test_each_problem_says_what_it_does_and_what_to_do():
-    """Guards against an operator who sees a fault and cannot act on it."""
+def test_each_problem_has_an_effect_and_a_next_step():
+    """Guards against problems that do not tell operators how to act."""
     group = started(load=False)
     group.admin(
         "vm0", 2, "template.apply", organisation="reclamar", body=BODY,
@@ -54,8 +54,8 @@
     assert "configuration_stale" in json.dumps(cut_off["problems"])
 
 
-def test_a_group_without_majority_is_failing():
-    """Guards against a status that is merely degraded while writes are rejected."""
+def test_group_without_a_majority_is_failing():
+    """Guards against a status of degraded while writes are rejected."""
     group = started(load=False)
     for name in ("c0", "c1"):
         group.endpoints[name].up = False
@@ -65,8 +65,8 @@
     assert "only 1 of 3 members" in json.dumps(body["problems"])
 
 
-def test_a_fresh_daemon_is_not_ready():
-    """Guards against a status that hides a daemon which never got a configuration."""
-    part = Part(NodeSettings("vm0", "lisbon"))
-    problems = json.dumps(summarize(1.0, part.blackboard)["problems"])
+def test_new_daemon_is_not_ready():
+    """Guards against a status that hides a daemon without a configuration."""
+    node = ControlPlaneNode(NodeSettings("vm0", "lisbon"))
+    problems = json.dumps(summarize(1.0, node.blackboard)["problems"])
     assert "no control leader is known" in problems and "not ready" in problems
