--- a/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
@@ -1,4 +1,4 @@
-"""One client session: its connection, its state and its open transaction."""
+"""A client session: its connection, state and open transaction."""
 
 import asyncio
 from collections import deque
@@ -24,16 +24,16 @@
     from bronzemoor_daemon.wire.proxy import Proxy
 
 MAX_MESSAGE_BYTES = 1_048_576
-CLIENT_USER_TIMEOUT = 10.0  # seconds
-# How long a new session waits for a deployment, seconds; clients wait two.
-START_PATIENCE = 1.7
-# Statements that a client may send ahead of their answers.
-MAX_PIPELINED = 64
+CLIENT_TCP_USER_TIMEOUT_SECONDS = 10.0
+# How long a new session waits for a deployment. Clients time out after 2 s.
+DEPLOYMENT_WAIT_SECONDS = 1.7
+# Statements that a client may send before earlier ones are answered.
+MAX_PIPELINED_STATEMENTS = 64
 RETRY_HINT = b"retry_after_ms=250"
 
 
 class ClientSession(asyncio.Protocol):
-    """Serves one client; statements run one after the other, in a task of their own."""
+    """Serves one client, whose statements run one at a time in a separate task."""
 
     def __init__(self, proxy: "Proxy") -> None:
         self._proxy = proxy
@@ -44,13 +44,13 @@
         self._transport: asyncio.Transport | None = None
         self._database = ""
         self._transaction: Transaction | None = None
-        # When the client last sent something, seconds.
-        self.heard_at = boottime()
+        # When data was last received from the client, in seconds.
+        self.last_received_at = boottime()
         self.state = SessionState()
 
     @property
     def is_idle(self) -> bool:
-        """Tells whether the session may be closed without a failure."""
+        """Returns whether closing the session would interrupt nothing."""
         return self._task is None and self._transaction is None and not self._buffer
 
     @property
@@ -61,16 +61,16 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
-        tune(transport, CLIENT_USER_TIMEOUT)
+        tune(transport, CLIENT_TCP_USER_TIMEOUT_SECONDS)
         self._proxy.sessions.add(self)
 
     def data_received(self, data: bytes) -> None:
-        self.heard_at = boottime()
+        self.last_received_at = boottime()
         lines = (self._buffer + data).split(b"\r\n")
         self._buffer = lines.pop()
         self._lines.extend(lines)
         too_long = len(self._buffer) > MAX_MESSAGE_BYTES
-        if too_long or len(self._lines) > MAX_PIPELINED:
+        if too_long or len(self._lines) > MAX_PIPELINED_STATEMENTS:
             self._write(self._codec.encode_error(st.TOO_LARGE, b"message too large"))
             self.close()
         elif self._lines and self._task is None:
@@ -82,16 +82,16 @@
         if self._task is not None:
             self._task.cancel()
         elif self._transaction is not None:
-            self._transaction.abandon()
+            self._transaction.roll_back()
             self._transaction = None
 
     def close(self) -> None:
-        """Closes after what was written is sent."""
+        """Closes the connection once buffered data is sent."""
         if self._transport is not None:
             self._transport.close()
 
     def end_transaction(self) -> None:
-        """Rolls back an open transaction; its next request is told so."""
+        """Rolls back an open transaction; its next statement gets an error."""
         if self._transaction is not None:
             self._transaction.fail("stopping")
 
@@ -103,10 +103,10 @@
                 await self._on_line(self._lines.popleft())
         except asyncio.CancelledError:
             if self._transaction is not None:
-                self._transaction.abandon()
+                self._transaction.roll_back()
                 self._transaction = None
             raise
-        except Exception as error:  # a fault of one session must not stop the others
+        except Exception as error:  # an error in one session must not affect others
             self._proxy.report("error", "session_failed", error=repr(error))
             self.close()
         finally:
@@ -131,10 +131,10 @@
 
     async def _start(self, request: StartRequest) -> None:
         if self._proxy.deployment is None:
-            # A proxy that has just started learns it within moments.
+            # A proxy that has just started receives the deployment shortly after.
             try:
-                async with asyncio.timeout(START_PATIENCE):
-                    await self._proxy.deployed.wait()
+                async with asyncio.timeout(DEPLOYMENT_WAIT_SECONDS):
+                    await self._proxy.deployment_received.wait()
             except TimeoutError:
                 self._proxy.report("info", "start_refused", reason="no deployment")
         deployment = self._proxy.deployment
@@ -195,7 +195,7 @@
         started = boottime()
         attempt = Attempt(query_id, statement)
         if statement.kind == st.ROLLBACK:
-            transaction.abandon()
+            transaction.roll_back()
             answer = Answer()
         else:
             answer = await transaction.commit(started, attempt)
@@ -233,7 +233,7 @@
     # --- answers
 
     def _route(self) -> Route | None:
-        """The route in force; without one the client is told so."""
+        """Returns the session's route; answers with an error if there is none."""
         deployment = self._proxy.deployment
         route = deployment.routes.get(self._database) if deployment else None
         if route is None:
@@ -245,7 +245,7 @@
     ) -> None:
         if answer.error in st.NOT_KEPT and not answer.message:
             answer.message = RETRY_HINT
-        self._proxy.observe(attempt, route, answer, started)
+        self._proxy.record_answer(attempt, route, answer, started)
         self._write(self._codec.encode_answer(answer))
 
     def _answer_local(self) -> None:
--- a/packages/daemon/src/bronzemoor_daemon/wire/groups.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/groups.py
@@ -1,4 +1,4 @@
-"""What a proxy knows of one database group, and its connections to the members."""
+"""A database group as seen by a proxy, with connection pools for its members."""
 
 import asyncio
 from collections.abc import Callable
@@ -15,15 +15,16 @@
 from bronzemoor_daemon.wire.ports import StatementCodec
 from bronzemoor_daemon.wire.relays import RelayClient
 
-# Connections that are opened to each member before they are needed.
+# Connections that are opened to each member in advance.
 WARM_CONNECTIONS = 1
-# A leaving replica gets no new work after this long, seconds, and a leaving primary,
-# whose work nobody else can take, after the second figure. Members wait seven seconds.
-LEAVING_USE, LEAVING_PRIMARY_USE = 3.0, 4.5
+# How long a leaving member still gets new statements; a primary gets them for longer,
+# since no other member can serve writes. Leaving members wait 7 s.
+LEAVING_REPLICA_USE_SECONDS = 3.0
+LEAVING_PRIMARY_USE_SECONDS = 4.5
 
 
 class Group:
-    """Members, primary and freshness samples of one group."""
+    """Members, primary and position samples of one group."""
 
     def __init__(
         self,
@@ -42,14 +43,14 @@
         self._lease = lease
         self._report = report
         self._relays = relays
-        self._changed: asyncio.Future[None] | None = None
+        self._primary_changed: asyncio.Future[None] | None = None
         self._pools: dict[str, MemberPool] = {}
         self.term = 0
         self.primary = ""
         self.samples = PositionSamples()
-        # Newest commit that a client was told of.
+        # Newest commit that was acknowledged to a client.
         self.acknowledged: Position = ZERO
-        # When the oldest commit without an answer was sent, None if there is none.
+        # When the oldest unanswered commit was sent, None if there is none.
         self.stalled_since: float | None = None
         self._committed_at = float("-inf")
 
@@ -61,8 +62,8 @@
     def pools(self) -> dict[str, MemberPool]:
         return self._pools
 
-    def follow(self, view: GroupView) -> None:
-        """Takes over a topology update."""
+    def apply_topology(self, view: GroupView) -> None:
+        """Applies a topology update."""
         members = {item.member: item for item in view.members}
         for member in set(self._pools) - set(members):
             self._pools.pop(member).close()
@@ -101,31 +102,31 @@
             self.stalled_since = None
             if view.primary:
                 self.samples.start_term(view.term)
-            self.notify()
+            self.notify_waiters()
 
-    def notify(self) -> None:
-        """Wakes statements that wait for a usable primary."""
-        if self._changed is not None and not self._changed.done():
-            self._changed.set_result(None)
-        self._changed = None
+    def notify_waiters(self) -> None:
+        """Wakes up statements that wait for a usable primary."""
+        if self._primary_changed is not None and not self._primary_changed.done():
+            self._primary_changed.set_result(None)
+        self._primary_changed = None
 
-    async def wait_change(self, timeout: float) -> None:
-        """Waits for a change of the primary, at most ``timeout`` seconds."""
-        if self._changed is None:
-            self._changed = asyncio.get_running_loop().create_future()
-        await asyncio.wait((self._changed,), timeout=timeout)
+    async def wait_primary_change(self, timeout: float) -> None:
+        """Waits up to ``timeout`` seconds for a change of the primary."""
+        if self._primary_changed is None:
+            self._primary_changed = asyncio.get_running_loop().create_future()
+        await asyncio.wait((self._primary_changed,), timeout=timeout)
 
     def primary_pool(self, now: float) -> MemberPool | None:
-        """The leased primary's connections, None while there is none to use."""
+        """Returns the pool of the primary, None without a usable primary or a lease."""
         if not self.primary or not self._lease.valid(now):
             return None
         pool = self._pools.get(self.primary)
-        return pool if pool is not None and _takes_work(now, pool) else None
+        return pool if pool is not None and _accepts_work(now, pool) else None
 
-    def choose(
+    def choose_member(
         self, now: float, route: Route, session: SessionState, tried: set[str]
     ) -> Target | None:
-        """The best member for a read that was not tried yet."""
+        """Returns the best member for a read that is not in ``tried``, or None."""
         primary = self.primary_pool(now)
         pools = [] if primary is None or primary.member in tried else [primary]
         required: Position | None = None
@@ -142,7 +143,7 @@
                     required != session.last_commit
                     or now - session.last_commit_at >= pool.replication_delay
                 )
-                and _takes_work(now, pool)
+                and _accepts_work(now, pool)
             ]
         if not pools:
             return None
@@ -152,34 +153,36 @@
         assert required is not None
         return Target(best.member, required)
 
-    def leads(self, now: float, member: str, term: int) -> bool:
-        """Tells whether ``member`` is still the leased primary of ``term``."""
+    def is_current_primary(self, now: float, member: str, term: int) -> bool:
+        """Returns whether ``member`` is the primary of ``term`` under a valid lease."""
         return member == self.primary and term == self.term and self._lease.valid(now)
 
-    def commit_answered(self, now: float, sent_at: float, position: Position) -> None:
-        """Notes a commit that a client is told of."""
+    def record_commit(self, now: float, sent_at: float, position: Position) -> None:
+        """Records a commit that is acknowledged to a client."""
         self.acknowledged = max(self.acknowledged, position)
         self.stalled_since = None
         self._committed_at = now
         self.samples.record(sent_at, position)
 
-    def commit_unanswered(self, sent_at: float) -> None:
+    def record_unanswered_commit(self, sent_at: float) -> None:
         if self.stalled_since is None:
             self.stalled_since = sent_at
 
     def trim(self, now: float) -> None:
-        """Closes connections that were not needed lately."""
+        """Closes idle connections and evicts idle transactions."""
         for pool in self._pools.values():
             pool.trim(now)
 
-    def take_sample(self, sent_at: float, position: Position) -> None:
-        """Takes a sample that another proxy saw, on this proxy's clock."""
+    def record_sample(self, sent_at: float, position: Position) -> None:
+        """Records another proxy's sample; ``sent_at`` is on this proxy's clock."""
         self.samples.record(sent_at, position)
 
-    def describe(self, now: float, granted_at: float) -> GroupReport:
-        """The report to the control leader, whose last grant came at ``granted_at``."""
+    def build_report(self, now: float, granted_at: float) -> GroupReport:
+        """Builds the report to the leader, whose last grant came at ``granted_at``."""
         sampled_at, sample = self.samples.newest
-        after = int((sampled_at - granted_at) * 1_000) if sample != ZERO else -1
+        sample_after_ms = (
+            int((sampled_at - granted_at) * 1_000) if sample != ZERO else -1
+        )
 
         def age(since: float | None) -> int:
             if since is None or since == float("-inf"):
@@ -199,12 +202,14 @@
             [p.member for p in self._pools.values() if p.failing_for(now) >= 0],
             sample.term,
             sample.offset,
-            max(-1, after),
+            max(-1, sample_after_ms),
             age(self._committed_at),
             age(pool.refused_at) if pool else -1,
         )
 
 
-def _takes_work(now: float, pool: MemberPool) -> bool:
-    limit = LEAVING_PRIMARY_USE if pool.is_primary else LEAVING_USE
-    return not pool.leaving or now - pool.leaving_since < limit
+def _accepts_work(now: float, pool: MemberPool) -> bool:
+    use_seconds = (
+        LEAVING_PRIMARY_USE_SECONDS if pool.is_primary else LEAVING_REPLICA_USE_SECONDS
+    )
+    return not pool.leaving or now - pool.leaving_since < use_seconds
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
@@ -1,4 +1,4 @@
-"""One connection to a member of a database group."""
+"""A connection to a member of a database group."""
 
 import asyncio
 from collections import deque
@@ -15,14 +15,14 @@
 from bronzemoor_daemon.wire.ports import StatementCodec
 from bronzemoor_daemon.wire.sockets import tune
 
-# Unacknowledged bytes close the connection after this, seconds.
-USER_TIMEOUT = 3.0
-# Bytes of an unfinished line that are kept.
-LINE_LIMIT = 1_048_576 + 1_024
+# The connection is closed when sent data stays unacknowledged for this long.
+TCP_USER_TIMEOUT_SECONDS = 3.0
+# Maximum size of an incomplete line in the buffer.
+MAX_LINE_BYTES = 1_048_576 + 1_024
 
 
 class MemberConnection(asyncio.Protocol):
-    """Sends statements in order and matches the answers, which come in that order."""
+    """Pipelines statements and matches the answers, which arrive in the same order."""
 
     def __init__(self, codec: StatementCodec, member: str, address: str) -> None:
         self._codec = codec
@@ -33,16 +33,16 @@
         self.member = member
         self.address = address
         self.state = ConnectionState()
-        # When it was last returned to its pool, seconds.
+        # When the connection was last returned to its pool, in seconds.
         self.idle_since = 0.0
-        # The session that used the connection last.
+        # The last session that used the connection.
         self.session: SessionState | None = None
-        # State after the last answer.
+        # Transaction state after the last answer.
         self.last_state = st.IDLE
-        # When a statement was last sent or answered, seconds.
+        # When a statement was last sent or answered, in seconds.
         self.used_at = 0.0
-        # Told once when the connection is lost, and when others need it more than a
-        # transaction that rests on it.
+        # Called once when the connection is lost, and when an idle transaction on it is
+        # evicted.
         self.on_lost: Callable[[], None] | None = None
         self.on_evicted: Callable[[], None] | None = None
 
@@ -51,14 +51,14 @@
         return self._transport is not None and not self._transport.is_closing()
 
     @property
-    def is_quiet(self) -> bool:
-        """Tells whether no answer is outstanding."""
+    def is_settled(self) -> bool:
+        """Returns whether no answer is outstanding."""
         return not self._pending
 
-    def rests(self, now: float, limit: float) -> bool:
-        """Tells whether a transaction has rested here for ``limit`` seconds."""
+    def is_idle_in_transaction(self, now: float, limit: float) -> bool:
+        """Returns whether a transaction has been idle for over ``limit`` seconds."""
         return (
-            self.is_quiet
+            self.is_settled
             and self.last_state == st.IN_TRANSACTION
             and now - self.used_at > limit
         )
@@ -67,7 +67,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
-        tune(transport, USER_TIMEOUT)
+        tune(transport, TCP_USER_TIMEOUT_SECONDS)
 
     def data_received(self, data: bytes) -> None:
         lines = (self._buffer + data).split(b"\r\n")
@@ -82,13 +82,13 @@
                         future.set_result(answer)
         except (ValueError, KeyError, IndexError):
             self.close()
-        if len(self._buffer) > LINE_LIMIT:
+        if len(self._buffer) > MAX_LINE_BYTES:
             self.close()
 
     def connection_lost(self, error: Exception | None) -> None:
         self._transport = None
         if self._answer.error and self._pending:
-            # A refused start is an error followed by a close.
+            # A member refuses a start by sending an error and closing the connection.
             future = self._pending.popleft()
             if not future.done():
                 future.set_result(self._answer)
@@ -104,7 +104,7 @@
             on_lost()
 
     def close(self) -> None:
-        """Closes at once; the member rolls an open transaction back."""
+        """Closes immediately; the member rolls back an open transaction."""
         if self._transport is not None:
             self._transport.abort()
 
@@ -117,34 +117,34 @@
         self,
         query_id: bytes,
         text: bytes,
-        at_least: Position = ZERO,
+        required: Position = ZERO,
         shape: tuple[bool, bytes] | None = None,
         leading_term: int = 0,
     ) -> asyncio.Future[Answer]:
         """Sends a statement; the future may raise ``ConnectionLost``.
 
-        With a ``shape`` the text is what its prepared statement is executed with. That
-        the member leads in ``leading_term`` is for the caller to check.
+        With a ``shape``, a prepared statement, ``text`` holds its arguments. The caller
+        checks that the member is the primary of ``leading_term``.
         """
         if shape is not None:
             text = self._codec.execute_text(self._prepare(shape), text)
-        return self._send(self._codec.encode_query(query_id, text, at_least))
+        return self._send(self._codec.encode_query(query_id, text, required))
 
-    def adopt(self, session: SessionState) -> None:
-        """Puts a session's values on the connection."""
+    def apply_session(self, session: SessionState) -> None:
+        """Sets the session's values on the connection."""
         if self.state.needs_reset(session):
-            ignore(self.query(b"", self._codec.reset_text))
+            discard_answer(self.query(b"", self._codec.reset_text))
             self.state.reset()
         for name, value in self.state.missing_values(session):
-            ignore(self.query(b"", self._codec.set_text(name, value)))
+            discard_answer(self.query(b"", self._codec.set_text(name, value)))
             self.state.values[name] = value
         self.session = session
 
     def _prepare(self, shape: tuple[bool, bytes]) -> bytes:
-        """The name of a prepared shape here, which is prepared if it is new."""
+        """Returns the name of a prepared statement, preparing it first if necessary."""
         name, is_new = self.state.prepared_name(shape)
         if is_new:
-            ignore(self.query(b"", self._codec.prepare_text(name, *shape)))
+            discard_answer(self.query(b"", self._codec.prepare_text(name, *shape)))
         return name
 
     def _send(self, data: bytes) -> asyncio.Future[Answer]:
@@ -160,16 +160,16 @@
         return future
 
 
-def ignore(future: asyncio.Future[Answer]) -> None:
-    """Takes note of an answer nobody waits for, also when the connection is lost."""
+def discard_answer(future: asyncio.Future[Answer]) -> None:
+    """Retrieves and ignores the result of a statement, including its exception."""
     future.add_done_callback(lambda f: f.cancelled() or f.exception())
 
 
-async def _started(answer: asyncio.Future[Answer]) -> Answer:
-    """The answer to a start.
+async def _start_answer(answer: asyncio.Future[Answer]) -> Answer:
+    """Waits for the answer to a start.
 
-    A member that accepts and then closes is alive; a reset may overtake the message
-    that it holds too many connections.
+    A connection that is accepted and then closed counts as refused for the connection
+    limit: the member is alive, and a TCP reset may overtake its error message.
     """
     try:
         return await answer
@@ -185,13 +185,13 @@
     address: str,
     timeout: float,
     start_timeout: float,
-    connected: Callable[[], None] = lambda: None,
+    on_connected: Callable[[], None] = lambda: None,
 ) -> tuple[MemberConnection, Answer]:
     """Opens a connection to the expected member.
 
-    The connection itself may take ``timeout`` seconds and the member's answer, before
-    which ``connected`` is called, ``start_timeout``. Raises ``ConnectionLost``; an
-    answer with an error is a refusal by the member.
+    Connecting may take ``timeout`` seconds, and the member's answer another
+    ``start_timeout`` seconds; ``on_connected`` is called in between. Raises
+    ``ConnectionLost``. An answer with an error means that the member refused.
     """
     loop = asyncio.get_running_loop()
     connection = MemberConnection(codec, member, address)
@@ -199,9 +199,9 @@
         host, port = split_address(address)
         async with asyncio.timeout(timeout):
             await loop.create_connection(lambda: connection, host, port)
-        connected()
+        on_connected()
         async with asyncio.timeout(start_timeout):
-            answer = await _started(connection.start(group, caller, member))
+            answer = await _start_answer(connection.start(group, caller, member))
     except (OSError, ValueError, TimeoutError) as error:
         connection.close()
         raise ConnectionLost(
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberhealth.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberhealth.py
@@ -1,125 +1,131 @@
-"""What a proxy observed of one member: delays, failures, refusals, lag."""
+"""Health of a member as a proxy observes it: latency, failures, overload and lag."""
 
 import asyncio
 from random import Random
 
 from bronzemoor_daemon.wire.clock import boottime
 
-# A replica that lacked a position is left alone for the first time, seconds, which
-# doubles with each further refusal up to the second.
-MIN_LAGGING_PAUSE, MAX_LAGGING_PAUSE = 0.150, 1.5
-# How a replica's delay in taking over commits is estimated: it rises to this many times
-# the age of a commit that it lacked and falls by the second with each one that it had.
-LACKED_COMMIT_FACTOR, HAD_COMMIT_FACTOR = 1.5, 0.9
-# Pauses after a member shed a statement, seconds; each one doubles the next, and each
-# answer shortens it to this part.
-SHED_DECAY = 0.9
-MIN_SHED_PAUSE, MAX_SHED_PAUSE = 0.040, 0.400
-# Statements of a lower priority than this wait while a member sheds.
+# Backoff for a replica that lacked a required position; it doubles with each refusal.
+MIN_LAG_BACKOFF_SECONDS = 0.150
+MAX_LAG_BACKOFF_SECONDS = 1.5
+# The estimated replication delay rises to this multiple of the age of a commit that the
+# replica lacked, and is multiplied by the decay for each commit that it had.
+REPLICATION_DELAY_MARGIN = 1.5
+REPLICATION_DELAY_DECAY = 0.9
+# Backoff after BUSY answers: it doubles with each one and decays with other answers.
+BUSY_BACKOFF_DECAY = 0.9
+MIN_BUSY_BACKOFF_SECONDS = 0.040
+MAX_BUSY_BACKOFF_SECONDS = 0.400
+# Statements with a priority number above this are delayed while a member is overloaded.
 URGENT_PRIORITY = 1
-# A statement gets this many times the usual time of the member before it is tried
-# elsewhere, and at least so long, seconds. A member whose queue is full answers within
-# 0.2 s; giving up sooner would send it the same work again.
-ATTEMPT_DELAYS, MIN_ATTEMPT = 6.0, 0.35
-# An attempt that takes longer than this counts as failing, seconds.
-SLOW_CONNECT = 0.2
-# How much a new measurement of the delay counts.
+# An attempt times out after this multiple of the member's average latency, at least
+# after the minimum. A member whose queue is full answers within 0.2 s; a shorter
+# timeout would send it the same work again.
+ATTEMPT_TIMEOUT_FACTOR = 6.0
+MIN_ATTEMPT_TIMEOUT_SECONDS = 0.35
+# A connection attempt that takes longer than this counts as failing.
+SLOW_CONNECT_SECONDS = 0.2
+# Weight of a new measurement in the moving average of the latency.
 DELAY_WEIGHT = 0.2
 
 
 class MemberHealth:
-    """Times are in seconds."""
+    """Health statistics of one member; times are in seconds."""
 
     def __init__(self, member: str, address: str, is_local: bool) -> None:
         self._random = Random()
-        self._shed_pause = 0.0
-        self._shed_until = 0.0
-        self._lagging_pause = 0.0
-        # When the attempts in progress to open a connection started.
-        self._attempts: set[float] = set()
+        self._busy_backoff = 0.0
+        self._busy_until = 0.0
+        self._lag_backoff = 0.0
+        # Start times of the connection attempts in progress.
+        self._connect_attempts: set[float] = set()
         self.member = member
         self.address = address
         self.is_local = is_local
         self.leaving = False
         self.leaving_since = 0.0
-        # A primary has work that no other member can take.
+        # Whether the member is the primary, which alone can serve writes.
         self.is_primary = False
-        # A replica that lagged is not asked again before.
+        # End of the backoff of a lagging replica.
         self.lagging_until = 0.0
-        # Estimated time until a replica holds a commit.
+        # Estimated time until a replica has a commit.
         self.replication_delay = 0.0
-        # When the member last refused a statement as busy.
+        # Time of the last BUSY answer.
         self.refused_at = float("-inf")
-        # When a connection or statement last failed or succeeded here.
+        # Times of the last failure and the last success of a connection or statement.
         self.failed_at = float("-inf")
         self.succeeded_at = float("-inf")
-        # Since when every new connection failed, None while they succeed.
+        # Start of the current run of failed connection attempts, None without one.
         self.failing_since: float | None = None
-        # Smoothed time of a statement here.
+        # Moving average of the statement latency.
         self.delay = 0.001 if is_local else 0.025
 
     def failing_for(self, now: float) -> float:
-        """For how long new connections have failed or hung, -1 if they succeed."""
+        """Returns how long new connections have failed or hung, -1 if they succeed."""
         since = [self.failing_since] if self.failing_since is not None else []
-        since += [start for start in self._attempts if now - start > SLOW_CONNECT]
+        since += [
+            start
+            for start in self._connect_attempts
+            if now - start > SLOW_CONNECT_SECONDS
+        ]
         return now - min(since) if since else -1.0
 
-    def shed(self, now: float) -> float:
-        """The member refused a statement as busy; returns the pause, seconds.
+    def record_busy(self, now: float) -> float:
+        """Records a BUSY answer and returns the delay before a retry in seconds.
 
-        It is partly random, so that proxies do not return together.
+        The delay is partly random so that proxies do not retry at the same time.
         """
         self.refused_at = now
-        if now >= self._shed_until:
-            # Refusals of one moment count once.
-            doubled = max(MIN_SHED_PAUSE, 2 * self._shed_pause)
-            self._shed_pause = min(MAX_SHED_PAUSE, doubled)
-        pause = self._shed_pause * (0.5 + self._random.random())
-        self._shed_until = max(self._shed_until, now + pause)
+        if now >= self._busy_until:
+            # Refusals during the backoff do not double it again.
+            doubled = max(MIN_BUSY_BACKOFF_SECONDS, 2 * self._busy_backoff)
+            self._busy_backoff = min(MAX_BUSY_BACKOFF_SECONDS, doubled)
+        pause = self._busy_backoff * (0.5 + self._random.random())
+        self._busy_until = max(self._busy_until, now + pause)
         return pause
 
-    def lagged(self, now: float) -> None:
-        """The replica lacked a position that a read needs."""
+    def record_lag(self, now: float) -> None:
+        """Records that the replica lacked the position required by a read."""
         if now >= self.lagging_until:
-            doubled = max(MIN_LAGGING_PAUSE, 2 * self._lagging_pause)
-            self._lagging_pause = min(MAX_LAGGING_PAUSE, doubled)
-            self.lagging_until = now + self._lagging_pause
+            doubled = max(MIN_LAG_BACKOFF_SECONDS, 2 * self._lag_backoff)
+            self._lag_backoff = min(MAX_LAG_BACKOFF_SECONDS, doubled)
+            self.lagging_until = now + self._lag_backoff
 
-    def caught_up(self) -> None:
-        """The replica served a read that needs a position."""
-        self._lagging_pause = 0.0
+    def record_caught_up(self) -> None:
+        """Records that the replica served a read that required a position."""
+        self._lag_backoff = 0.0
 
-    def lacked_commit(self, age: float) -> None:
-        """The replica lacked a commit that was acknowledged ``age`` seconds ago.
+    def record_missing_commit(self, age: float) -> None:
+        """Records that the replica lacked a commit acknowledged ``age`` seconds ago.
 
-        The estimate is bounded: a replica that lags for long is left alone anyway.
+        The estimate is bounded, since a replica that lags for longer is in backoff.
         """
-        raised = max(self.replication_delay, age * LACKED_COMMIT_FACTOR)
-        self.replication_delay = min(raised, MAX_LAGGING_PAUSE)
+        raised = max(self.replication_delay, age * REPLICATION_DELAY_MARGIN)
+        self.replication_delay = min(raised, MAX_LAG_BACKOFF_SECONDS)
 
-    def had_commit(self, age: float) -> None:
-        """The replica had a commit that was acknowledged ``age`` seconds ago."""
-        if age < self.replication_delay / HAD_COMMIT_FACTOR:
-            self.replication_delay *= HAD_COMMIT_FACTOR
+    def record_present_commit(self, age: float) -> None:
+        """Records that the replica had a commit acknowledged ``age`` seconds ago."""
+        if age < self.replication_delay / REPLICATION_DELAY_DECAY:
+            self.replication_delay *= REPLICATION_DELAY_DECAY
 
-    async def pace(self, priority: int) -> None:
-        """Keeps what is not urgent from a member that sheds."""
-        pause = self._shed_until - boottime()
+    async def delay_low_priority(self, priority: int) -> None:
+        """Delays a statement that is not urgent while the member is overloaded."""
+        pause = self._busy_until - boottime()
         if pause > 0 and priority > URGENT_PRIORITY:
             await asyncio.sleep(pause)
 
-    def succeeded(self, now: float, elapsed: float) -> None:
-        """Notes an answer that took ``elapsed`` seconds."""
-        self._shed_pause *= SHED_DECAY
+    def record_success(self, now: float, elapsed: float) -> None:
+        """Records an answer that took ``elapsed`` seconds."""
+        self._busy_backoff *= BUSY_BACKOFF_DECAY
         self.succeeded_at = now
         self.failing_since = None
         self.delay += (elapsed - self.delay) * DELAY_WEIGHT
 
-    def answered_late(self, elapsed: float) -> None:
-        """Notes the time of an answer that came after it was given up."""
+    def record_late_answer(self, elapsed: float) -> None:
+        """Records the latency of an answer that arrived after the timeout."""
         self.delay += (elapsed - self.delay) * DELAY_WEIGHT
 
     @property
     def attempt_timeout(self) -> float:
-        """How long to wait for an answer before asking another member, seconds."""
-        return max(MIN_ATTEMPT, ATTEMPT_DELAYS * self.delay)
+        """Time in seconds to wait for an answer before trying another member."""
+        return max(MIN_ATTEMPT_TIMEOUT_SECONDS, ATTEMPT_TIMEOUT_FACTOR * self.delay)
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -1,4 +1,4 @@
-"""The proxy: client sessions in front of the groups that the control leader names."""
+"""The proxy, which routes client statements to database groups."""
 
 import asyncio
 from collections.abc import Callable, Coroutine
@@ -32,31 +32,33 @@
 from bronzemoor_daemon.wire.relayserver import RelayServer
 from bronzemoor_daemon.wire.settings import WireSettings
 
-REPORT_INTERVAL = 0.5  # seconds
-# How often unused member connections are looked for, seconds.
-TRIM_INTERVAL = 0.1
-# A leader that did not answer for this long is looked for again, seconds.
-LEADER_TIMEOUT = 0.8
-# Reports at once while a primary fails, at most this often, seconds.
-URGENT_INTERVAL = 0.1
-# Without a lease for this long a proxy sends its idle clients elsewhere, seconds.
-# Shorter outages are over before clients have connected again.
-LEASELESS_LIMIT = 1.5
-# Only sessions that were idle for longer are closed then, seconds: a new one, or one
-# that has just been answered, is about to send a statement, which a close would cut.
-AWAY_IDLE = 0.5
-# Reports whose answers still renew the lease.
-REPORTS_KEPT = 32
-# Stages of a stop, as shares of the grace: idle sessions are closed, open transactions
-# are rolled back, the process ends.
-CLOSE_IDLE_AT, ABORT_AT, END_AT = 0.40, 0.60, 0.85
+REPORT_INTERVAL_SECONDS = 0.5
+# Interval at which idle member connections are closed.
+TRIM_INTERVAL_SECONDS = 0.1
+# After this long without an answer of the leader the proxy contacts other daemons.
+LEADER_TIMEOUT_SECONDS = 0.8
+# Minimum interval between the extra reports sent while attempts fail.
+URGENT_REPORT_INTERVAL_SECONDS = 0.1
+# A proxy without a lease for this long closes its idle sessions. Shorter outages end
+# before the clients could reconnect elsewhere.
+LEASE_LOSS_GRACE_SECONDS = 1.5
+# Only sessions idle for longer than this are closed then. A session that has just been
+# opened or answered is likely to have a statement on its way, which would be lost.
+MIN_IDLE_BEFORE_CLOSE_SECONDS = 0.5
+# Number of latest reports whose answers can still renew the lease.
+MAX_OUTSTANDING_REPORTS = 32
+# Stages of a stop, as fractions of the grace period: close idle sessions, roll back
+# open transactions, exit.
+CLOSE_IDLE_FRACTION = 0.40
+ROLL_BACK_FRACTION = 0.60
+EXIT_FRACTION = 0.85
 LISTEN_BACKLOG = 512
-# Ages in the log are cut here, seconds.
-MAX_AGE = 3_600.0
+# Upper bound for sample ages in the log.
+MAX_LOGGED_AGE_SECONDS = 3_600.0
 
 
 class Proxy:
-    """Serves clients; follows the control leader's topology and deployment."""
+    """Serves client sessions under the control leader's topology and deployment."""
 
     def __init__(
         self,
@@ -72,16 +74,16 @@
         self._groups: dict[str, Group] = {}
         self._lease = HeldLease()
         self._had_lease = False
-        # Since when there has been no lease, or the start, seconds.
-        self._leaseless_since = boottime()
+        # Time of the last change of lease validity, initially of the start.
+        self._without_lease_since = boottime()
         self._leader = ""
-        self._controls: list[str] = list(settings.seeds)
-        self._next_control = 0
-        self._heard_at = float("-inf")
+        self._control_addresses: list[str] = list(settings.seeds)
+        self._control_index = 0
+        self._last_contact_at = float("-inf")
         self._sequence = 0
-        self._asked: dict[int, float] = {}
-        # Number of the leader's last grant, and when it came.
-        self._grant, self._granted_at = 0, float("-inf")
+        self._report_times: dict[int, float] = {}
+        # Number and arrival time of the leader's last grant.
+        self._grant_number, self._granted_at = 0, float("-inf")
         self._topology_version = 0
         self._reported_at = float("-inf")
         self._server: asyncio.Server | None = None
@@ -91,52 +93,54 @@
         self.deployment: Deployment | None = None
         self.sessions: set[ClientSession] = set()
         self.stopping = False
-        # Whether idle sessions are being closed.
+        # Whether idle sessions are closed because the proxy is stopping.
         self.closing = False
-        self.deployed = asyncio.Event()
+        self.deployment_received = asyncio.Event()
         self.links = Links(settings.peer, self.on_message, report, self._link_lost)
         self._relays = RelayClient(settings.peer, codec, self.links)
         self._relay_server = RelayServer(
-            codec, self.links, self._find_pool, self._leads, report
+            codec, self.links, self._find_pool, self._is_current_primary, report
         )
         self._proxies_version = 0
 
     # --- life cycle
 
     async def start(self) -> None:
-        """Listens and starts to look for the control leader; raises ``OSError``."""
+        """Starts listening and looking for the leader; may raise ``OSError``."""
         await self.links.start()
         host, port = split_address(self._settings.listen_clients)
         self._server = await asyncio.get_running_loop().create_server(
             lambda: ClientSession(self), host, port, backlog=LISTEN_BACKLOG
         )
-        self.spawn(self._report_forever())
-        self.spawn(self._trim_forever())
+        self.spawn(self._report_loop())
+        self.spawn(self._trim_loop())
 
     async def stop(self) -> None:
-        """Drains within the grace: unready, idle sessions, transactions, the rest."""
+        """Drains sessions and transactions in stages within the grace period."""
         self.stopping = True
         grace, started = self._settings.stop_grace, boottime()
         self._send_report()
         while True:
             await asyncio.sleep(0.05)
-            passed = (boottime() - started) / grace
-            if passed >= CLOSE_IDLE_AT:
+            elapsed = (boottime() - started) / grace
+            if elapsed >= CLOSE_IDLE_FRACTION:
                 self.closing = True
                 for session in [s for s in self.sessions if s.is_idle]:
                     session.close()
-            if passed >= ABORT_AT:
+            if elapsed >= ROLL_BACK_FRACTION:
                 for session in [s for s in self.sessions if s.in_transaction]:
                     session.end_transaction()
             in_use = self.sessions or self._relay_server.in_use
-            if passed >= END_AT or (passed >= CLOSE_IDLE_AT and not in_use):
+            if elapsed >= EXIT_FRACTION or (
+                elapsed >= CLOSE_IDLE_FRACTION and not in_use
+            ):
                 break
         self.report("info", "proxy_stopped", sessions=len(self.sessions))
         self.links.close()
 
     @property
     def is_ready(self) -> bool:
-        """Whether the load balancer should send new connections here."""
+        """Returns whether the proxy can accept new client connections."""
         return (
             not self.stopping
             and self.deployment is not None
@@ -145,11 +149,13 @@
         )
 
     def add_controls(self, seeds: tuple[str, ...]) -> None:
-        """Asks these control daemons as well when the leader is silent."""
-        self._controls = list(dict.fromkeys((*seeds, *self._controls)))
+        """Adds control daemons to contact when the leader is unreachable."""
+        self._control_addresses = list(
+            dict.fromkeys((*seeds, *self._control_addresses))
+        )
 
     def group(self, name: str) -> Group:
-        """The group of that name, without members until the leader names some."""
+        """Returns the group, created without members if it is not known yet."""
         group = self._groups.get(name)
         if group is None:
             group = self._groups[name] = Group(
@@ -168,10 +174,10 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    # --- what statements report
+    # --- statement results
 
-    def note_retry(self, attempt: Attempt, member: str, reason: str) -> None:
-        """A member gave no usable answer."""
+    def record_failed_attempt(self, attempt: Attempt, member: str, reason: str) -> None:
+        """Logs a failed attempt and reports to the leader without delay."""
         self._metrics.retries.inc()
         self.report(
             "info",
@@ -181,13 +187,13 @@
             reason=reason,
             topology=self._topology_version,
         )
-        if boottime() - self._reported_at >= URGENT_INTERVAL:
+        if boottime() - self._reported_at >= URGENT_REPORT_INTERVAL_SECONDS:
             self._send_report()
 
-    def observe(
+    def record_answer(
         self, attempt: Attempt, route: Route, answer: Answer, started: float
     ) -> None:
-        """Counts and logs an answer with what decided it."""
+        """Logs an answer and updates the metrics."""
         now = boottime()
         outcome = answer.error or "done"
         self._metrics.statements.labels(attempt.statement.kind, outcome).inc()
@@ -206,7 +212,7 @@
             member=attempt.member,
             tries=attempt.tries,
             required=f"{attempt.required.term}.{attempt.required.offset}",
-            sample_age_ms=round(min(now - sampled_at, MAX_AGE) * 1_000),
+            sample_age_ms=round(min(now - sampled_at, MAX_LOGGED_AGE_SECONDS) * 1_000),
             group=route.group,
             primary=group.primary,
             term=group.term,
@@ -215,43 +221,49 @@
             deployment=self.deployment.version if self.deployment else 0,
         )
 
-    # --- control
+    # --- control group
 
-    async def _trim_forever(self) -> None:
+    async def _trim_loop(self) -> None:
         while True:
-            await asyncio.sleep(TRIM_INTERVAL)
+            await asyncio.sleep(TRIM_INTERVAL_SECONDS)
             now = boottime()
             for group in self._groups.values():
                 group.trim(now)
             self._relay_server.trim(now)
 
-    async def _report_forever(self) -> None:
+    async def _report_loop(self) -> None:
         while True:
             self._send_report()
             self._metrics.sessions.set(len(self.sessions))
             now = boottime()
-            self._watch_lease(now)
-            if not self._had_lease and now - self._leaseless_since > LEASELESS_LIMIT:
-                self._send_clients_away()
-            known = boottime() - self._heard_at < LEADER_TIMEOUT
-            await asyncio.sleep(REPORT_INTERVAL if known else REPORT_INTERVAL / 2)
+            self._track_lease(now)
+            if (
+                not self._had_lease
+                and now - self._without_lease_since > LEASE_LOSS_GRACE_SECONDS
+            ):
+                self._close_idle_sessions()
+            known = boottime() - self._last_contact_at < LEADER_TIMEOUT_SECONDS
+            await asyncio.sleep(
+                REPORT_INTERVAL_SECONDS if known else REPORT_INTERVAL_SECONDS / 2
+            )
 
-    def _watch_lease(self, now: float) -> None:
-        """Logs when the control group is lost and regained."""
+    def _track_lease(self, now: float) -> None:
+        """Logs when the lease is lost or regained."""
         valid = self._lease.valid(now)
         if valid != self._had_lease:
             self._had_lease = valid
-            self._leaseless_since = now
+            self._without_lease_since = now
             event = "lease_gained" if valid else "lease_lost"
             self.report("info" if valid else "warning", event, leader=self._leader)
 
-    def _send_clients_away(self) -> None:
-        """Closes idle sessions, whose clients then reach a proxy with a lease."""
+    def _close_idle_sessions(self) -> None:
+        """Closes idle sessions so that their clients connect to another proxy."""
         now = boottime()
         idle = [
             session
             for session in self.sessions
-            if session.is_idle and now - session.heard_at > AWAY_IDLE
+            if session.is_idle
+            and now - session.last_received_at > MIN_IDLE_BEFORE_CLOSE_SECONDS
         ]
         if idle:
             self.report(
@@ -264,17 +276,19 @@
         now = boottime()
         self._reported_at = now
         target = self._leader
-        if not target or now - self._heard_at > LEADER_TIMEOUT:
-            if not self._controls:
+        if not target or now - self._last_contact_at > LEADER_TIMEOUT_SECONDS:
+            if not self._control_addresses:
                 return
             if self._leader:
                 self.report("warning", "leader_silent", leader=self._leader)
                 self._leader = ""
-            self._next_control += 1
-            target = self._controls[self._next_control % len(self._controls)]
+            self._control_index += 1
+            target = self._control_addresses[
+                self._control_index % len(self._control_addresses)
+            ]
         self._sequence += 1
-        self._asked[self._sequence] = now
-        self._asked.pop(self._sequence - REPORTS_KEPT, None)
+        self._report_times[self._sequence] = now
+        self._report_times.pop(self._sequence - MAX_OUTSTANDING_REPORTS, None)
         self.links.send(
             target,
             ProxyReport(
@@ -283,15 +297,15 @@
                 self.deployment.version if self.deployment else 0,
                 self._topology_version,
                 self.stopping,
-                [g.describe(now, self._granted_at) for g in self._groups.values()],
-                self._grant,
+                [g.build_report(now, self._granted_at) for g in self._groups.values()],
+                self._grant_number,
                 self._settings.zone,
                 self._proxies_version,
             ),
         )
 
     def on_message(self, sender: str, message: Any) -> None:
-        """Takes a message of the control leader or of another proxy."""
+        """Handles a message from a control daemon or another proxy."""
         link = self.links.current
         assert link is not None
         match message:
@@ -318,28 +332,28 @@
         known = self._groups.get(group)
         return known.pools.get(member) if known is not None else None
 
-    def _leads(self, now: float, pool: MemberPool, term: int) -> bool:
-        return self.group(pool.group).leads(now, pool.member, term)
+    def _is_current_primary(self, now: float, pool: MemberPool, term: int) -> bool:
+        return self.group(pool.group).is_current_primary(now, pool.member, term)
 
     def _on_grant(self, sender: str, message: ProxyGrant) -> None:
-        """Takes a grant or an announcement of the control leader."""
+        """Handles a grant or an announcement of the control leader."""
         now = boottime()
         if message.controls:
-            self._controls = message.controls
+            self._control_addresses = message.controls
         if message.leader != sender:
             if message.leader and message.leader != self._leader:
-                self._leader, self._heard_at = message.leader, now
+                self._leader, self._last_contact_at = message.leader, now
                 self._send_report()
             return
         if message.topology_version < self._topology_version:
-            # A replaced leader that does not know it yet.
+            # The sender was replaced as leader and has not learned of it yet.
             return
         if sender != self._leader:
             self.report("info", "leader_found", leader=sender)
-        self._leader, self._heard_at = sender, now
-        self._take_deployment(message)
+        self._leader, self._last_contact_at = sender, now
+        self._apply_deployment(message)
         if message.proxies:
-            self._relays.follow(message.proxies)
+            self._relays.set_proxies(message.proxies)
             self._proxies_version = message.proxies_version
         changed = message.topology_version > self._topology_version
         if changed:
@@ -348,35 +362,39 @@
             for name in set(self._groups) - names:
                 del self._groups[name]
             for view in message.groups:
-                self.group(view.group).follow(view)
-        self._grant, self._granted_at = message.number, now
-        asked_at = self._asked.pop(message.sequence, None)
-        if asked_at is not None:
-            self._take_samples(asked_at, message)
-        if asked_at is not None and message.lease_ms > 0:
+                self.group(view.group).apply_topology(view)
+        self._grant_number, self._granted_at = message.number, now
+        sent_at = self._report_times.pop(message.sequence, None)
+        if sent_at is not None:
+            self._record_samples(sent_at, message)
+        if sent_at is not None and message.lease_ms > 0:
             current = message.topology_version == self._topology_version
             if current:
-                self._renew(now, asked_at, message.lease_ms / 1_000)
+                self._renew_lease(now, sent_at, message.lease_ms / 1_000)
         if changed and message.sequence == 0:
-            # Confirms the announced topology without waiting for the next report.
+            # Confirms the announced topology before the next regular report.
             self._send_report()
 
-    def _take_samples(self, asked_at: float, message: ProxyGrant) -> None:
-        """Ages count from the leader's sending, which was after this proxy asked."""
+    def _record_samples(self, sent_at: float, message: ProxyGrant) -> None:
+        """Records position samples of other proxies.
+
+        Ages refer to the time at which the leader sent the message. That was after
+        ``sent_at``, so a sample is never taken for newer than it is.
+        """
         for sample in message.samples:
             group = self._groups.get(sample.group)
             if group is not None:
                 position = Position(sample.term, sample.offset)
-                group.take_sample(asked_at - sample.age_ms / 1_000, position)
+                group.record_sample(sent_at - sample.age_ms / 1_000, position)
 
-    def _renew(self, now: float, asked_at: float, length: float) -> None:
+    def _renew_lease(self, now: float, sent_at: float, length: float) -> None:
         had_lease = self._lease.valid(now)
-        self._lease.renew(asked_at, length)
+        self._lease.renew(sent_at, length)
         if not had_lease:
             for group in self._groups.values():
-                group.notify()
+                group.notify_waiters()
 
-    def _take_deployment(self, message: ProxyGrant) -> None:
+    def _apply_deployment(self, message: ProxyGrant) -> None:
         current = self.deployment.version if self.deployment else 0
         if message.deployment_version <= current or not message.deployment:
             return
@@ -386,7 +404,7 @@
         except (BronzemoorError, ValueError) as error:
             self.report("error", "deployment_unreadable", error=str(error))
             return
-        self.deployed.set()
+        self.deployment_received.set()
         self.report(
             "info",
             "deployment_in_force",
--- a/tests/adapter/fake_members.py
+++ b/tests/adapter/fake_members.py
@@ -1,11 +1,11 @@
-"""A database group in memory that speaks the platform's lines, for tests."""
+"""An in-memory database group that speaks the statement protocol, for tests."""
 
 import asyncio
 from itertools import count
 
 
 class FakeMember:
-    """One member; ``log`` holds (transaction number, writes) of committed work."""
+    """One member; ``log`` holds the writes of each committed transaction."""
 
     def __init__(self, group: "FakeGroup", name: str) -> None:
         self.group = group
@@ -15,16 +15,16 @@
         self.held_term = 0
         self.primary = False
         self.limit = 100
-        # Texts whose answers are lost after they ran; a prefix each.
+        # Prefixes of statements that run but whose answer is lost, once each.
         self.lose: list[str] = []
-        # Answers given to statements with this prefix instead of running them, once.
-        self.refuse: dict[str, str] = {}
-        # Whether statements are refused, and by how much it is behind, milliseconds.
+        # Error codes by the prefix of the statement that is refused with it, once each.
+        self.refusals: dict[str, str] = {}
+        # Whether statements are answered BUSY, and the reported lag in milliseconds.
         self.overloaded = False
         self.lag_ms = 0
-        # How long statements with this prefix take, seconds.
-        self.slow: dict[str, float] = {}
-        self.ran: list[tuple[str, str]] = []
+        # Execution time in seconds by statement prefix.
+        self.statement_delays: dict[str, float] = {}
+        self.executed: list[tuple[str, str]] = []
         self.connections: set[FakeConnection] = set()
         self.address = ""
         self.up = False
@@ -40,7 +40,7 @@
         self.address = f"{host}:{bound}"
 
     async def restart(self) -> None:
-        """Comes back at its address with its log, as a replica if another leads."""
+        """Restarts at the same address, as a replica if there is another primary."""
         others = [m for m in self.group.members.values() if m.primary and m is not self]
         if others:
             self.primary = False
@@ -50,7 +50,7 @@
         await self.start(int(self.address.rpartition(":")[2]))
 
     async def stop(self) -> None:
-        """Goes down like a crashed process."""
+        """Closes the listener and all connections, like a crash."""
         self.up = False
         if self._server is not None:
             self._server.close()
@@ -73,7 +73,7 @@
 
 
 class FakeGroup:
-    """Three members; a commit counts once a replica that is not paused has it."""
+    """Three members; a commit is acknowledged once an unpaused replica has it."""
 
     def __init__(self, name: str) -> None:
         self.name = name
@@ -92,8 +92,8 @@
 
     @property
     def primary(self) -> FakeMember:
-        leading = [member for member in self.members.values() if member.primary]
-        return max(leading, key=lambda member: member.term)
+        primaries = [member for member in self.members.values() if member.primary]
+        return max(primaries, key=lambda member: member.term)
 
     def replicate(self, source: FakeMember, work: list[tuple[str, str]]) -> bool:
         source.log.append(work)
@@ -106,7 +106,7 @@
         return received
 
     def promote(self, name: str, fence: int) -> str:
-        """What the platform does for a promotion, at once."""
+        """Carries out a promotion immediately, like the platform."""
         self.promotions.append((name, fence))
         target = self.members[name]
         if target.primary:
@@ -116,13 +116,13 @@
         for member in self.members.values():
             member.held_term = 0
             if not member.primary:
-                # Replicas that were ahead are rolled back.
+                # Discards writes that the new primary does not have.
                 member.log, member.term = list(target.log), term
         return "done"
 
 
 class FakeConnection(asyncio.Protocol):
-    """One connection to a member."""
+    """A connection to a member."""
 
     numbers = count(1)
 
@@ -134,8 +134,8 @@
         self.writes: list[tuple[str, str]] = []
         self.values: dict[str, str] = {}
         self.prepared: dict[str, str] = {}
-        # Lines that wait for a slow statement; None while there is none.
-        self.held: list[bytes] | None = None
+        # Lines received while a slow statement runs, None if none runs.
+        self.queued_lines: list[bytes] | None = None
 
     def connection_made(self, transport) -> None:
         self.transport = transport
@@ -146,23 +146,25 @@
 
     def data_received(self, data: bytes) -> None:
         *lines, self.buffer = (self.buffer + data).split(b"\r\n")
-        if self.held is not None:
-            self.held += lines
+        if self.queued_lines is not None:
+            self.queued_lines += lines
             return
         for number, line in enumerate(lines):
             text = line.decode()
-            delays = [s for p, s in self.member.slow.items() if f" {p}" in text]
+            delays = [
+                s for p, s in self.member.statement_delays.items() if f" {p}" in text
+            ]
             if delays:
-                self.held = lines[number + 1 :]
+                self.queued_lines = lines[number + 1 :]
                 loop = asyncio.get_running_loop()
                 loop.call_later(delays[0], self.resume, text)
                 return
             self.on_line(text)
 
     def resume(self, text: str) -> None:
-        """Ends a slow statement and goes on with what came meanwhile."""
+        """Runs a delayed statement and then the lines received in the meantime."""
         self.on_line(text)
-        lines, self.held = self.held or [], None
+        lines, self.queued_lines = self.queued_lines or [], None
         for line in lines:
             self.on_line(line.decode())
 
@@ -194,11 +196,11 @@
                 return self.error("LAGGING")
         if member.overloaded and text.split(" ")[0] in ("FETCH", "STORE", "EXECUTE"):
             return self.error("BUSY")
-        for prefix, code in list(member.refuse.items()):
+        for prefix, code in list(member.refusals.items()):
             if text.startswith(prefix):
-                del member.refuse[prefix]
+                del member.refusals[prefix]
                 return self.error(code)
-        member.ran.append((query_id, text))
+        member.executed.append((query_id, text))
         lost = [prefix for prefix in member.lose if text.startswith(prefix)]
         answer = self.run(text)
         if lost:
--- a/tests/adapter/system.py
+++ b/tests/adapter/system.py
@@ -1,4 +1,4 @@
-"""The control group, proxies and members of a whole system on one event loop."""
+"""Runs a control group, proxies and fake members on one event loop."""
 
 import asyncio
 import json
@@ -20,7 +20,7 @@
 
 
 def free_addresses(number: int) -> list[str]:
-    """Addresses that nobody listens on; sockets are held until all are chosen."""
+    """Returns unused addresses; sockets stay open until all addresses are chosen."""
     sockets = [socket.socket() for _ in range(number)]
     for item in sockets:
         item.bind(("127.0.0.1", 0))
@@ -31,7 +31,7 @@
 
 
 def make_document(version: int, **changes) -> str:
-    """A document with one route a policy on the group ``ledger``."""
+    """Returns a document with a route for each read policy on the group ``ledger``."""
     routes = [
         {
             "name": f"r-{policy}",
@@ -57,7 +57,7 @@
 
 
 class Client:
-    """A client session; each call returns the lines of one answer."""
+    """A client session; each call returns the lines of an answer."""
 
     def __init__(self, reader, writer) -> None:
         self._reader, self._writer = reader, writer
@@ -68,26 +68,26 @@
         host, port = address.split(":")
         client = cls(*await asyncio.open_connection(host, int(port)))
         client._writer.write(f"START {database} test\r\n".encode())
-        client.greeting = await client._line()
+        client.greeting = await client._read_line()
         return client
 
     async def call(self, text: str) -> list[str]:
         self._number += 1
         self._writer.write(f"QUERY q{self._number} {text}\r\n".encode())
-        lines = [await self._line()]
+        lines = [await self._read_line()]
         while not lines[-1].startswith("READY"):
-            lines.append(await self._line())
+            lines.append(await self._read_line())
         return lines
 
-    async def _line(self) -> str:
+    async def _read_line(self) -> str:
         async with asyncio.timeout(10):
             line = await self._reader.readline()
         if not line:
             raise ConnectionError("the session was closed")
         return line.decode().rstrip()
 
-    async def ended(self) -> bool:
-        """Whether the other side closed the session without a message."""
+    async def closed_without_message(self) -> bool:
+        """Waits for data and returns whether the session was closed without any."""
         async with asyncio.timeout(10):
             return await self._reader.read() == b""
 
@@ -130,7 +130,7 @@
             await proxy.start()
 
     async def deploy(self, version: int = 1, **changes) -> None:
-        """Puts a document in force, announces the members and waits for proxies."""
+        """Applies a document, announces the members and waits for the proxies."""
         await self.until(lambda: any(c.leader_name for c in self.controls))
         await self.until_async(lambda: self.put(version, **changes))
         for index, name in enumerate(self.group.members):
@@ -189,9 +189,9 @@
 
 
 def run_system(folder: Path, scenario, **changes) -> None:
-    """Runs ``scenario(system)`` with a system that is in service.
+    """Runs ``scenario(system)`` once the system is ready.
 
-    ``changes`` are made to the deployment document.
+    ``changes`` are applied to the deployment document.
     """
 
     async def main() -> None:
--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -1,4 +1,4 @@
-"""Guards member connections that proxies share: the whole path over a channel."""
+"""Tests the member connections that proxies share through relayed channels."""
 
 import asyncio
 
@@ -14,8 +14,8 @@
 )
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.exceptions import NoConnection
-from bronzemoor_daemon.wire.memberpool import RESTING_LIMIT, MemberPool
-from bronzemoor_daemon.wire.proxy import CLOSE_IDLE_AT
+from bronzemoor_daemon.wire.memberpool import IDLE_TRANSACTION_LIMIT_SECONDS, MemberPool
+from bronzemoor_daemon.wire.proxy import CLOSE_IDLE_FRACTION
 from bronzemoor_daemon.wire.relays import (
     CLOSED,
     OPEN,
@@ -27,14 +27,14 @@
 from bronzemoor_daemon.wire.relayserver import RelayServer
 from bronzemoor_platform.lines import PlatformLines
 
-# Less than one connection to each member for each of two proxies.
+# Not enough connections for each of the two proxies to have its own to every member.
 SCARCE = {"services": [{"name": "ledger", "max_conns": 2, "sync_replicas": 1}]}
-# With one more that the leader keeps for its orders.
-OWN_CONNECTIONS = 1
+# Connections that the control leader keeps for its own orders.
+LEADER_CONNECTIONS = 1
 
 
-class Sent:
-    """Stands for the links of a proxy."""
+class RecordingLinks:
+    """Replaces a proxy's links and records the messages."""
 
     def __init__(self) -> None:
         self.messages = []
@@ -53,15 +53,15 @@
         ((OPEN, CLOSED), False),
     ],
 )
-def test_news_of_a_channel_that_come_together_are_all_taken(states, opened):
-    """Guards against an owner that is passed over though it opened the channel.
+def test_status_messages_received_together_are_all_processed(states, opened):
+    """Guards against skipping an owner that did open the channel.
 
-    Seen as channels of which nothing was heard: the second of two messages in one
-    packet was taken for one that nobody waits for.
+    When two status messages arrived in one packet, the second was treated as one for a
+    cancelled request, so the request timed out.
     """
 
     async def scenario() -> None:
-        links, codec = Sent(), PlatformLines()
+        links, codec = RecordingLinks(), PlatformLines()
         relays = RelayClient("me", codec, links)
         pool = MemberPool(
             codec, "g", "me", "m", "h:1", True, 1, lambda *a, **k: None, relays
@@ -77,22 +77,22 @@
             with pytest.raises(NoConnection):
                 await task
         assert relays.owner(boottime(), "m") == ""
-        assert not relays._passed_over
+        assert not relays._skipped_until
 
     asyncio.run(scenario())
 
 
-def test_nothing_runs_behind_a_refused_begin():
+def test_statements_sent_after_a_refused_begin_do_not_run():
     """Guards against a write that runs outside its transaction.
 
-    Seen on the grown Toile Sahel, trouble-1: an owner refused a BEGIN, learned of the
-    new primary and passed the write behind it on, which was committed by itself while
-    the client was told that nothing was kept.
+    An owner refused a BEGIN, learned of the new primary and then forwarded the write
+    that followed. The write was committed on its own although the client had been told
+    that nothing was kept.
     """
-    leads, sent, replies = [False, True, True], [], []
+    is_primary, sent, replies = [False, True, True], [], []
 
     class Connection:
-        is_open = is_quiet = True
+        is_open = is_settled = True
         last_state = "idle"
         on_lost = on_evicted = None
 
@@ -112,7 +112,7 @@
             PlatformLines(),
             Links(),
             lambda group, member: Pool(),
-            lambda now, pool, term: leads.pop(0),
+            lambda now, pool, term: is_primary.pop(0),
             lambda *a, **k: None,
         )
         server.on_open("link", RelayOpen(1, "g", "m", 1, 500))
@@ -134,18 +134,18 @@
 
 
 async def shared(system) -> None:
-    """Waits until both proxies know that they share connections."""
+    """Waits until both proxies have received the list of sharing proxies."""
     await system.until(lambda: all(len(p._relays.proxies) == 2 for p in system.proxies))
 
 
 def owner_of(system, member: str) -> int:
-    """Index of the proxy that holds the connections to a member."""
+    """Returns the index of the proxy that owns the connections to a member."""
     names = [proxy.links._name for proxy in system.proxies]
     return names.index(rank_owners(member, names)[0])
 
 
 def test_the_loss_of_a_proxy_moves_only_its_own_members():
-    """Guards against channels that all move when one proxy stops."""
+    """Guards against reassigning all owners when one proxy stops."""
     proxies = [f"10.0.0.{n}:7440" for n in range(12)]
     members = [f"i-{n}" for n in range(200)]
     before = {m: rank_owners(m, proxies)[0] for m in members}
@@ -157,7 +157,7 @@
 
 @pytest.mark.parametrize("front", [0, 1])
 def test_sessions_of_every_proxy_share_the_connections(tmp_path, front):
-    """Guards against values, prepared names or transactions lost on a channel."""
+    """Guards against values, prepared statements or transactions lost on a channel."""
 
     async def scenario(system):
         await shared(system)
@@ -176,28 +176,28 @@
         assert outcome(await two.call("STORE k2 v")) == "COMPLETE"
         assert system.group.acknowledged == [("k1", "v"), ("k2", "v")]
         primary = system.group.primary
-        ran = [text for _, text in primary.ran]
-        assert "SET tz lisbon" in ran
+        executed = [text for _, text in primary.executed]
+        assert "SET tz lisbon" in executed
         owner = f"proxy-{owner_of(system, primary.name)}"
         allowed = {owner, "control-0", "control-1", "control-2"}
-        # The other may hold one from before the connections were shared.
+        # The other proxy may still have a connection from before sharing began.
         await system.until(lambda: {c.caller for c in primary.connections} <= allowed)
 
     run_system(tmp_path, scenario, **SCARCE)
 
 
 def test_no_more_connections_are_open_than_the_member_allows(tmp_path):
-    """Guards against proxies that together exceed a member's limit.
+    """Guards against proxies that together exceed a member's connection limit.
 
-    Seen with 47 connections and 84 proxies: a fifth of a primary's time went into new
-    connections, and most refusals were for want of one.
+    With 47 connections for 84 proxies, a primary spent a fifth of its time on new
+    connections, and most refusals were for lack of a connection.
     """
 
     async def scenario(system):
         await shared(system)
         primary, most = system.group.primary, 0
         clients = [await Client.open(system.fronts[n % 2], "orders") for n in range(12)]
-        primary.slow["FETCH"] = 0.02
+        primary.statement_delays["FETCH"] = 0.02
 
         async def read(client) -> str:
             nonlocal most
@@ -207,20 +207,20 @@
 
         results = await asyncio.gather(*(read(client) for client in clients))
         assert results == ["COMPLETE"] * 12
-        assert most <= OWN_CONNECTIONS + 1
+        assert most <= LEADER_CONNECTIONS + 1
 
     run_system(tmp_path, scenario, **SCARCE)
 
 
-def test_a_lost_owner_is_passed_over(tmp_path):
-    """Guards against a zone that is cut off from a member with one of its proxies."""
+def test_an_unresponsive_owner_is_skipped(tmp_path):
+    """Guards against a zone that loses access to a member with one of its proxies."""
 
     async def scenario(system):
         await shared(system)
         lost = owner_of(system, system.group.primary.name)
         client = await Client.open(system.fronts[1 - lost], "orders")
         assert outcome(await client.call("STORE k1 v")) == "COMPLETE"
-        # It stops without closing its connections, like a frozen machine.
+        # The owner stops responding without closing its connections.
         system.proxies[lost].links.send = lambda peer, message: None
         system.proxies[lost].links.reply = lambda link, message: None
         system.proxies[lost].links._receive = lambda sender, message: None
@@ -233,8 +233,10 @@
     run_system(tmp_path, scenario, **SCARCE)
 
 
-def test_a_client_that_leaves_rolls_its_transaction_back_at_the_owner(tmp_path):
-    """Guards against a shared connection that is left inside a transaction."""
+def test_a_transaction_is_rolled_back_at_the_owner_when_its_client_disconnects(
+    tmp_path,
+):
+    """Guards against a shared connection that is released inside a transaction."""
 
     async def scenario(system):
         await shared(system)
@@ -243,8 +245,8 @@
         await client.call("BEGIN")
         await client.call("STORE k v")
         client.close()
-        ran = system.group.primary.ran
-        await system.until(lambda: any(text == "ROLLBACK" for _, text in ran))
+        executed = system.group.primary.executed
+        await system.until(lambda: any(text == "ROLLBACK" for _, text in executed))
         other = await Client.open(system.fronts[front], "orders")
         assert outcome(await other.call("STORE k2 v")) == "COMPLETE"
         assert system.group.acknowledged == [("k2", "v")]
@@ -252,8 +254,8 @@
     run_system(tmp_path, scenario, **SCARCE)
 
 
-def test_a_lost_answer_on_a_channel_is_in_doubt_and_costs_no_other(tmp_path):
-    """Guards against an answer that is passed to the wrong statement."""
+def test_a_lost_answer_on_a_channel_is_in_doubt_and_affects_no_other(tmp_path):
+    """Guards against an answer that is matched to the wrong statement."""
 
     async def scenario(system):
         await shared(system)
@@ -265,38 +267,38 @@
         answers = [await client.call(f"FETCH k{number}") for number in range(5)]
         for number, lines in enumerate(answers):
             assert lines[0] == f"ROW k{number}" or outcome(lines) == "ERROR BUSY"
-        # The only connection is closed once its probe had no answer either.
+        # The only connection is closed once its probe has timed out as well.
         assert outcome(answers[-1]) == "COMPLETE"
-        assert [t for _, t in primary.ran].count("STORE k1 v") == 1
+        assert [t for _, t in primary.executed].count("STORE k1 v") == 1
 
     run_system(tmp_path, scenario, **SCARCE)
 
 
 @pytest.mark.parametrize("at_owner", [True, False])
-def test_a_resting_transaction_gives_way_to_those_that_wait(tmp_path, at_owner):
-    """Guards against clients that rest in transactions and hold every connection."""
+def test_an_idle_transaction_is_evicted_when_statements_wait(tmp_path, at_owner):
+    """Guards against idle transactions that occupy all connections."""
 
     async def scenario(system):
         await shared(system)
         owner = owner_of(system, system.group.primary.name)
-        resting = await Client.open(
+        idle = await Client.open(
             system.fronts[owner if at_owner else 1 - owner], "orders"
         )
-        await resting.call("BEGIN")
-        assert outcome(await resting.call("STORE k1 v")) == "COMPLETE"
-        await asyncio.sleep(RESTING_LIMIT)
+        await idle.call("BEGIN")
+        assert outcome(await idle.call("STORE k1 v")) == "COMPLETE"
+        await asyncio.sleep(IDLE_TRANSACTION_LIMIT_SECONDS)
         started = asyncio.get_running_loop().time()
         other = await Client.open(system.fronts[0], "orders")
         assert outcome(await other.call("STORE k2 v")) == "COMPLETE"
         assert asyncio.get_running_loop().time() - started < 0.6
-        assert outcome(await resting.call("COMMIT")) == "ERROR ABORTED"
+        assert outcome(await idle.call("COMMIT")) == "ERROR ABORTED"
         assert system.group.acknowledged == [("k2", "v")]
 
     run_system(tmp_path, scenario, **SCARCE)
 
 
-def test_a_stopping_owner_serves_what_others_have_open(tmp_path):
-    """Guards against a planned stop that cuts the transactions of other proxies."""
+def test_a_stopping_owner_serves_open_channels(tmp_path):
+    """Guards against a planned stop that aborts transactions of other proxies."""
 
     async def scenario(system):
         await shared(system)
@@ -305,7 +307,9 @@
         await client.call("BEGIN")
         assert outcome(await client.call("STORE k v")) == "COMPLETE"
         stopping = asyncio.create_task(system.proxies[owner].stop())
-        await asyncio.sleep(CLOSE_IDLE_AT * system.proxies[owner]._settings.stop_grace)
+        await asyncio.sleep(
+            CLOSE_IDLE_FRACTION * system.proxies[owner]._settings.stop_grace
+        )
         assert not stopping.done()
         assert outcome(await client.call("COMMIT")) == "COMPLETE"
         assert outcome(await client.call("STORE k2 v")) == "COMPLETE"
@@ -315,8 +319,8 @@
     run_system(tmp_path, scenario, **SCARCE)
 
 
-def test_an_owner_that_was_frozen_does_not_pass_on_old_statements(tmp_path):
-    """Guards against reads and writes at a replaced primary that an owner held up."""
+def test_an_owner_without_a_lease_does_not_forward_statements(tmp_path):
+    """Guards against delayed statements that an owner sends to a replaced primary."""
 
     async def scenario(system):
         await shared(system)
@@ -324,12 +328,14 @@
         owner = owner_of(system, primary.name)
         client = await Client.open(system.fronts[1 - owner], "orders")
         assert outcome(await client.call("STORE k1 v")) == "COMPLETE"
-        # What the owner knows after it was frozen for longer than its lease.
+        # Simulates an owner that was suspended for longer than its lease.
         system.proxies[owner]._lease.renew = lambda asked_at, length: None
         system.proxies[owner]._lease._expires = 0.0
-        ran = len(primary.ran)
+        executed = len(primary.executed)
         assert outcome(await client.call("STORE k2 v")).startswith("ERROR")
-        assert [text for _, text in primary.ran[ran:] if "STORE k2" in text] == []
+        assert [
+            text for _, text in primary.executed[executed:] if "STORE k2" in text
+        ] == []
         assert system.group.acknowledged == [("k1", "v")]
 
     run_system(tmp_path, scenario, **SCARCE)
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -1,4 +1,4 @@
-"""Guards the translation of lines, documents, settings and announcements."""
+"""Tests the decoding of protocol lines, documents, settings and announcements."""
 
 import json
 
@@ -20,8 +20,8 @@
 
 
 @given(st.binary(max_size=200).filter(lambda line: b"\r\n" not in line))
-def test_any_line_of_a_client_is_read_or_refused(line):
-    """Guards against a malformed line that ends the process."""
+def test_any_client_line_is_decoded_or_rejected(line):
+    """Guards against a malformed line that crashes the process."""
     LINES.decode_request(line)
     LINES.decode_request(b"QUERY q " + line)
 
@@ -38,7 +38,7 @@
     ],
 )
 def test_statements_keep_their_text(text, kind):
-    """Guards against a text that is changed on its way to the member."""
+    """Guards against statements that are altered on the way to the member."""
     request = LINES.decode_request(b"QUERY 5c0e " + text)
     assert isinstance(request, QueryRequest)
     assert (request.query_id, request.statement.kind) == (b"5c0e", kind)
@@ -51,13 +51,13 @@
     "text", [b"", b"WAITLSN 1.2 FETCH a", b"STATUS", b"PAUSE 3", b"BEGIN NOW", b"FETCH"]
 )
 def test_clients_cannot_send_orders(text):
-    """Guards against a client that controls a member."""
+    """Guards against clients that send control statements to members."""
     assert LINES.decode_request(b"QUERY q " + text).statement is None
     assert LINES.decode_request(b"QUERY - FETCH a") is None
 
 
 def test_an_answer_passes_through_unchanged():
-    """Guards against a success without the member's rows and signature."""
+    """Guards against answers that lose the member's rows or signature."""
     answer = Answer()
     lines = (b"ROW a b", b"ROW c", b"COMPLETE 7.1f", b"READY T 3.12")
     done = [LINES.decode_reply(line, answer) for line in lines]
@@ -67,8 +67,8 @@
     assert LINES.encode_ready(statements.IDLE, ZERO) == b"READY I -\r\n"
 
 
-def test_a_document_is_taken_or_refused_as_a_whole():
-    """Guards against an invalid document in force."""
+def test_a_document_is_accepted_or_rejected_as_a_whole():
+    """Guards against a partly applied or an invalid document."""
     deployment = read_document(make_document(7))
     assert deployment.version == 7 and deployment.transaction_idle == 3.0
     assert deployment.routes["stock"].max_staleness == 2.0
@@ -87,8 +87,8 @@
             read_document(document)
 
 
-def test_announcements_of_other_writers_name_no_member():
-    """Guards against bytes that are no announcement."""
+def test_invalid_announcements_are_ignored():
+    """Guards against malformed announcements that are taken for members."""
     body = {
         "service": "s",
         "address": "10.0.0.1:80",
@@ -113,7 +113,7 @@
 
 
 def test_settings_name_daemons_by_their_internal_address():
-    """Guards against daemons that look for each other at the operators' port."""
+    """Guards against daemons that connect to each other's operator port."""
     settings = decode_settings(
         {
             "node_name": "n",
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -1,4 +1,4 @@
-"""The whole path with fake members: sessions, transactions, losses and promotions."""
+"""End-to-end tests with fake members: sessions, transactions, failures, promotions."""
 
 import asyncio
 
@@ -7,19 +7,22 @@
 from bronzemoor_core.wire.leases import LEASE
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.memberorders import order
-from bronzemoor_daemon.wire.proxy import AWAY_IDLE, LEASELESS_LIMIT
+from bronzemoor_daemon.wire.proxy import (
+    LEASE_LOSS_GRACE_SECONDS,
+    MIN_IDLE_BEFORE_CLOSE_SECONDS,
+)
 from bronzemoor_daemon.wire.supervisor import is_alive
 from bronzemoor_platform.lines import PlatformLines
 
 
 def outcome(lines: list[str]) -> str:
-    """The first word of the end of an answer and an error's code."""
+    """Returns the keyword of the answer's result line, with the code for an error."""
     words = lines[-2].split(" ")
     return " ".join(words[:2]) if words[0] == "ERROR" else words[0]
 
 
 def test_reads_writes_and_transactions_carry_the_members_answers(tmp_path):
-    """Guards against answers that are not the member's own."""
+    """Guards against answers that differ from the member's."""
 
     async def scenario(system):
         client = await Client.open(system.fronts[0], "orders")
@@ -36,7 +39,7 @@
 
 
 def test_session_values_and_prepared_names_follow_their_session(tmp_path):
-    """Guards against a statement that runs under another session's values."""
+    """Guards against a statement that runs with another session's values."""
 
     async def scenario(system):
         one = await Client.open(system.fronts[0], "orders")
@@ -47,22 +50,22 @@
         for _ in range(3):
             assert (await one.call("EXECUTE s1 k"))[0] == "ROW shape-one:k"
             assert (await two.call("EXECUTE s1 k"))[0] == "ROW shape-two:k"
-        ran = [text for _, text in system.group.primary.ran]
-        assert ran.index("SET tz lisbon") < ran.index("RESET")
+        executed = [text for _, text in system.group.primary.executed]
+        assert executed.index("SET tz lisbon") < executed.index("RESET")
         assert outcome(await two.call("EXECUTE s2 k")) == "ERROR NOPREPARED"
 
     run_system(tmp_path, scenario)
 
 
 def test_a_lost_answer_is_retried_only_where_nothing_can_be_kept(tmp_path):
-    """Guards against doubled writes and against reads that fail for one lost answer."""
+    """Guards against duplicate writes and reads that fail after one lost answer."""
 
     async def scenario(system):
         client = await Client.open(system.fronts[0], "orders")
         primary = system.group.primary
         primary.lose.append("STORE k1")
         assert outcome(await client.call("STORE k1 v")) == "ERROR INDOUBT"
-        assert [t for _, t in primary.ran].count("STORE k1 v") == 1
+        assert [t for _, t in primary.executed].count("STORE k1 v") == 1
         await client.call("BEGIN")
         primary.lose.append("STORE k2")
         assert outcome(await client.call("STORE k2 v")) == "COMPLETE"
@@ -77,12 +80,12 @@
     run_system(tmp_path, scenario)
 
 
-def test_a_refused_write_runs_once_after_all(tmp_path):
-    """Guards against giving up on a statement that certainly did not run."""
+def test_a_refused_write_is_retried_and_runs_once(tmp_path):
+    """Guards against failing a statement that certainly did not run."""
 
     async def scenario(system):
         client = await Client.open(system.fronts[0], "orders")
-        system.group.primary.refuse["STORE k1"] = "BUSY"
+        system.group.primary.refusals["STORE k1"] = "BUSY"
         assert outcome(await client.call("STORE k1 v")) == "COMPLETE"
         assert system.group.acknowledged == [("k1", "v")]
 
@@ -114,7 +117,7 @@
 
 
 def test_a_leaving_primary_hands_over_while_it_still_serves(tmp_path):
-    """Guards against waiting for a planned replacement until the member is gone."""
+    """Guards against a handover that starts only after the member has stopped."""
 
     async def scenario(system):
         client = await Client.open(system.fronts[0], "orders")
@@ -134,11 +137,11 @@
     run_system(tmp_path, scenario)
 
 
-def test_a_leaving_primary_hands_over_beside_a_silent_replica(tmp_path):
-    """Guards against a planned replacement that is put off while a replica is down.
+def test_a_leaving_primary_hands_over_while_a_replica_is_unreachable(tmp_path):
+    """Guards against a handover that is postponed while a replica is down.
 
-    Seen with a replica that had crashed: proxies stopped using the leaving primary, and
-    no other was promoted for six seconds.
+    After a replica had crashed, proxies stopped using the leaving primary, and no other
+    member was promoted for 6 s.
     """
 
     async def scenario(system):
@@ -167,9 +170,9 @@
         primary = system.group.primary
         assert outcome(await client.call("FETCH k1")) == "COMPLETE"
         before = primary.connections_of("proxy-0")
-        primary.slow["FETCH k2"] = 0.9
+        primary.statement_delays["FETCH k2"] = 0.9
         assert outcome(await client.call("FETCH k2")).startswith("ERROR")
-        primary.slow.clear()
+        primary.statement_delays.clear()
         await asyncio.sleep(0.3)
         assert outcome(await client.call("FETCH k1")) == "COMPLETE"
         assert before and before <= primary.connections
@@ -177,19 +180,19 @@
     run_system(tmp_path, scenario)
 
 
-def test_a_connection_that_went_silent_is_closed_by_its_probe(tmp_path):
-    """Guards against idle connections that are silent for good and used again."""
+def test_an_unresponsive_connection_is_closed_by_its_probe(tmp_path):
+    """Guards against reusing idle connections that have stopped answering."""
 
     async def scenario(system):
         client = await Client.open(system.fronts[0], "orders")
         primary = system.group.primary
         assert outcome(await client.call("FETCH k1")) == "COMPLETE"
-        silent = primary.connections_of("proxy-0")
-        for connection in silent:
+        unresponsive = primary.connections_of("proxy-0")
+        for connection in unresponsive:
             connection.on_line = lambda text: None
         assert outcome(await client.call("FETCH k2")) == "COMPLETE"
-        await system.until(lambda: not silent & primary.connections)
-        assert silent
+        await system.until(lambda: not unresponsive & primary.connections)
+        assert unresponsive
         assert outcome(await client.call("FETCH k1")) == "COMPLETE"
 
     run_system(tmp_path, scenario)
@@ -198,8 +201,8 @@
 def test_a_full_member_is_not_taken_for_a_lost_one(tmp_path):
     """Guards against replacing a primary that still counts lost machines' connections.
 
-    Seen after a power loss of every machine: members refused new connections for
-    seconds, and two healthy primaries were replaced.
+    After a power loss of all machines, members refused new connections for seconds, and
+    two healthy primaries were replaced.
     """
 
     async def scenario(system):
@@ -222,7 +225,7 @@
 
 
 def test_a_proxy_without_the_control_group_stops_using_the_primary(tmp_path):
-    """Guards against reads at a primary that may have been replaced meanwhile."""
+    """Guards against reads at a primary that may have been replaced."""
 
     async def scenario(system):
         client = await Client.open(system.fronts[0], "orders")
@@ -236,20 +239,20 @@
 
 
 def test_a_new_session_waits_for_the_first_deployment(tmp_path):
-    """Guards against spending clients' retries while a restarted proxy learns it."""
+    """Guards against sessions refused before a restarted proxy has its deployment."""
 
     async def scenario(system):
         proxy = system.proxies[0]
-        # The next grant or announcement would bring the deployment back.
+        # The next grant or announcement would restore the deployment.
         proxy.links.send = lambda peer, message: None
         proxy.links._receive = lambda sender, message: None
         deployment, proxy.deployment = proxy.deployment, None
-        proxy.deployed.clear()
+        proxy.deployment_received.clear()
         opening = asyncio.create_task(Client.open(system.fronts[0], "orders"))
         await asyncio.sleep(0.3)
         assert not opening.done()
         proxy.deployment = deployment
-        proxy.deployed.set()
+        proxy.deployment_received.set()
         assert (await opening).greeting == "READY I -"
         other = await Client.open(system.fronts[0], "nowhere")
         assert other.greeting.startswith("ERROR NODB")
@@ -257,42 +260,42 @@
     run_system(tmp_path, scenario)
 
 
-def test_a_proxy_that_has_just_started_keeps_its_clients(tmp_path):
+def test_a_proxy_that_has_just_started_keeps_its_sessions(tmp_path):
     """Guards against closing sessions that wait for the first deployment.
 
-    Seen after a closing power loss: proxies closed idle sessions 0.3 s after their
-    start, because they had never had a lease.
+    After a power loss, proxies closed idle sessions 0.3 s after their start because
+    they had never had a lease.
     """
 
     async def scenario(system):
         proxy = system.proxies[0]
         client = await Client.open(system.fronts[0], "orders")
-        proxy._had_lease, proxy._leaseless_since = False, boottime()
+        proxy._had_lease, proxy._without_lease_since = False, boottime()
         proxy._lease._expires = float("-inf")
         proxy.links.send = lambda peer, message: None
-        await asyncio.sleep(LEASELESS_LIMIT / 2)
+        await asyncio.sleep(LEASE_LOSS_GRACE_SECONDS / 2)
         assert len(proxy.sessions) == 1
         await system.until(lambda: not proxy.sessions)
-        assert await client.ended()
+        assert await client.closed_without_message()
 
     run_system(tmp_path, scenario)
 
 
-def test_a_session_that_has_just_begun_is_not_sent_away(tmp_path):
-    """Guards against cutting a statement that is on its way.
+def test_a_new_session_is_not_closed_for_lack_of_a_lease(tmp_path):
+    """Guards against closing a session while its first statement is on the way.
 
-    Seen with proxies cut off from the control group, to which clients were sent all the
-    same: each new session was closed before its first statement had come.
+    Proxies without a connection to the control group still received clients, and closed
+    each new session before its first statement arrived.
     """
 
     async def scenario(system):
         proxy = system.proxies[0]
         proxy._lease.renew = lambda asked_at, length: None
         proxy._lease._expires = float("-inf")
-        await asyncio.sleep(LEASELESS_LIMIT + 0.6)
+        await asyncio.sleep(LEASE_LOSS_GRACE_SECONDS + 0.6)
         for _ in range(8):
             client = await Client.open(system.fronts[0], "orders")
-            await asyncio.sleep(AWAY_IDLE / 5)
+            await asyncio.sleep(MIN_IDLE_BEFORE_CLOSE_SECONDS / 5)
             assert outcome(await client.call("BEGIN")) == "COMPLETE"
             client.close()
 
@@ -300,7 +303,7 @@
 
 
 def test_stale_reads_are_served_by_replicas_that_prove_their_position(tmp_path):
-    """Guards against reads at a lagging replica, and against none at replicas."""
+    """Guards against reads at lagging replicas, and against unused replicas."""
 
     async def scenario(system):
         client = await Client.open(system.fronts[0], "catalogue")
@@ -310,26 +313,26 @@
         pools = system.proxies[0].group("ledger").pools
         pools[system.group.primary.name].delay = 0.5
         assert (await client.call("FETCH k"))[0] == "ROW k"
-        assert any(("FETCH k" in text) for m in replicas for _, text in m.ran)
+        assert any(("FETCH k" in text) for m in replicas for _, text in m.executed)
         for member in replicas:
             member.log.clear()
-            member.ran.clear()
+            member.executed.clear()
         assert (await client.call("FETCH k"))[0] == "ROW k"
-        assert not any(m.ran for m in replicas)
+        assert not any(m.executed for m in replicas)
 
     run_system(tmp_path, scenario)
 
 
 def test_a_client_that_leaves_rolls_its_transaction_back(tmp_path):
-    """Guards against a connection that is returned inside another's transaction."""
+    """Guards against a connection reused inside another client's transaction."""
 
     async def scenario(system):
         client = await Client.open(system.fronts[0], "orders")
         await client.call("BEGIN")
         await client.call("STORE k v")
         client.close()
-        ran = system.group.primary.ran
-        await system.until(lambda: any(text == "ROLLBACK" for _, text in ran))
+        executed = system.group.primary.executed
+        await system.until(lambda: any(text == "ROLLBACK" for _, text in executed))
         other = await Client.open(system.fronts[0], "orders")
         assert outcome(await other.call("STORE k2 v")) == "COMPLETE"
         assert system.group.acknowledged == [("k2", "v")]
