Reword the statement protocol's decisions in the core

Comments and docstrings used figurative terms and several constants lacked their unit. They now use the terms of the field, and durations end in _SECONDS.

--- a/packages/core/src/bronzemoor_core/wire/__init__.py
+++ b/packages/core/src/bronzemoor_core/wire/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions of the statement protocol: clients and endpoints on plain connections."""
+"""Decision logic of the statement protocol between clients, proxies and endpoints."""
--- a/packages/core/src/bronzemoor_core/wire/commands.py
+++ b/packages/core/src/bronzemoor_core/wire/commands.py
@@ -1,4 +1,4 @@
-"""Commands on the replicated records of the statement protocol."""
+"""Commands that change or read the statement protocol's replicated records."""
 
 from typing import Any
 
@@ -6,15 +6,15 @@
 from bronzemoor_core.records import State
 from bronzemoor_core.wire.records import LeaderRecord, MemberRecord
 
-# Members that left whose announcements are still recognised as late.
-DEPARTED_LIMIT = 1_000
-# What the commands of this module change, by their first word.
+# Members that left whose late announcements are still recognised.
+MAX_DEPARTED_MEMBERS = 1_000
+# Prefixes, before the dot, of the names of commands that change records.
 CHANGE_KINDS = ("deployment", "member", "primary", "sharing")
 
 
 @command("deployment.put")
 def _put_deployment(state: State, body: dict[str, Any]) -> dict[str, Any]:
-    """The highest version wins; any other changes nothing."""
+    """Stores the document if its version is newer than the stored one."""
     wire = state.wire
     changed = body["version"] > wire.version
     if changed:
@@ -46,9 +46,9 @@
         record.leaving = True
     wire.members[record.member] = record
     for other in list(wire.members.values()):
-        # An address has one owner: the one whose process started last.
+        # Only the member whose process started last keeps an address.
         if other.member != record.member and other.address == record.address:
-            _depart(state, other if other.born <= record.born else record)
+            _remove_member(state, other if other.born <= record.born else record)
     return {"code": "ok", "changed": True}
 
 
@@ -57,21 +57,21 @@
     record = state.wire.members.get(body["member"])
     if record is None or record.born > body.get("born", record.born):
         return {"code": "ok", "changed": False}
-    _depart(state, record)
+    _remove_member(state, record)
     return {"code": "ok", "changed": True}
 
 
-def _depart(state: State, record: MemberRecord) -> None:
+def _remove_member(state: State, record: MemberRecord) -> None:
     wire = state.wire
     wire.members.pop(record.member, None)
     wire.departed[record.member] = record.order
-    while len(wire.departed) > DEPARTED_LIMIT:
+    while len(wire.departed) > MAX_DEPARTED_MEMBERS:
         del wire.departed[next(iter(wire.departed))]
 
 
 @command("primary.plan")
 def _plan_primary(state: State, body: dict[str, Any]) -> dict[str, Any]:
-    """Starts a promotion under a new fencing number."""
+    """Starts a promotion and assigns it a new fencing number."""
     wire = state.wire
     record = wire.leaders.setdefault(body["group"], LeaderRecord(body["group"]))
     wire.last_fence += 1
@@ -82,7 +82,7 @@
 
 @command("primary.set")
 def _set_primary(state: State, body: dict[str, Any]) -> dict[str, Any]:
-    """Records a primary that was seen leading in ``term``."""
+    """Records the member that was observed as the primary of ``term``."""
     record = state.wire.leaders.setdefault(body["group"], LeaderRecord(body["group"]))
     if body["term"] < record.term or body.get("fence", record.fence) != record.fence:
         return {"code": "term_conflict", "current_term": record.term}
--- a/packages/core/src/bronzemoor_core/wire/deployment.py
+++ b/packages/core/src/bronzemoor_core/wire/deployment.py
@@ -1,4 +1,4 @@
-"""The deployment document in force: routes, groups and limits, checked as a whole."""
+"""Validates deployment documents: routes, groups and limits."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -12,7 +12,7 @@
 
 
 class InvalidDeployment(InvalidRequest):
-    """A deployment document was refused as a whole; lists every problem."""
+    """The deployment document was rejected; ``problems`` lists every reason."""
 
     code = "invalid_deployment"
 
@@ -23,7 +23,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Route:
-    """How statements of clients of one database are served; durations in seconds.
+    """Routing rules for the clients of one database; durations are in seconds.
 
     ``priority`` 0 is the highest. ``max_staleness`` applies to reads that a replica
     may serve.
@@ -48,7 +48,7 @@
 class GroupSpec:
     """One database group; ``max_connections`` is per member over all proxies.
 
-    A primary acknowledges a commit once ``acknowledging_replicas`` received it.
+    A primary acknowledges a commit once ``acknowledging_replicas`` have received it.
     """
 
     name: str
@@ -58,7 +58,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Deployment:
-    """One version of the document; ``transaction_idle`` is in seconds, 0 for none."""
+    """A validated document.
+
+    ``transaction_idle`` is the idle timeout in seconds, 0 for none.
+    """
 
     version: int
     routes: dict[str, Route]
@@ -72,7 +75,7 @@
     groups: Iterable[GroupSpec],
     transaction_idle: float,
 ) -> Deployment:
-    """Checks a whole document; raises ``InvalidDeployment``."""
+    """Validates a document; raises ``InvalidDeployment`` with every problem."""
     problems: list[str] = []
     by_group = {group.name: group for group in groups}
     by_database: dict[str, Route] = {}
@@ -81,7 +84,7 @@
         if route.group not in by_group:
             problems.append(f"route {route.name}: unknown group {route.group}")
         if (route.database, route.scope) in seen:
-            problems.append(f"route {route.name}: {route.database} has a route already")
+            problems.append(f"route {route.name}: {route.database} already has a route")
         if route.statement_timeout <= 0:
             problems.append(f"route {route.name}: the statement timeout must be > 0")
         if route.read_policy not in READ_POLICIES:
--- a/packages/core/src/bronzemoor_core/wire/freshness.py
+++ b/packages/core/src/bronzemoor_core/wire/freshness.py
@@ -1,24 +1,24 @@
-"""Proof of a replica's freshness from positions that the primary was seen at."""
+"""Bounds a replica's staleness by observed log positions of its primary."""
 
 from collections import OrderedDict, deque
 
 from bronzemoor_core.positions import ZERO, Position
 
-# Samples closer together than this add nothing to a proof.
-SAMPLE_SPACING = 0.050  # seconds
+# Samples closer together than this do not tighten the bound.
+SAMPLE_SPACING_SECONDS = 0.050
 MAX_SAMPLES = 128
-# Grants to a proxy that its next report may name.
-GRANTS_KEPT = 8
-# Covers the way of a statement to the replica and the rounding of times.
-STALENESS_MARGIN = 0.150  # seconds
+# Recent grants that a report of the proxy may refer to.
+MAX_GRANTS_PER_PROXY = 8
+# Covers the network delay of a statement to the replica and the rounding of times.
+STALENESS_MARGIN_SECONDS = 0.150
 
 
 class PositionSamples:
-    """Positions of one group's primary in one term, by the sending of a statement.
+    """Log positions of one group's primary in one term, by statement send time.
 
-    A commit that was acknowledged before a statement was sent to the primary is part of
-    the position in the answer. So a replica at that position is no staler than the
-    sending of that statement.
+    The position in an answer covers every commit that was acknowledged before the
+    statement was sent. A replica at that position is therefore at most as stale as the
+    time since the statement was sent.
     """
 
     def __init__(self) -> None:
@@ -31,30 +31,30 @@
 
     @property
     def newest(self) -> tuple[float, Position]:
-        """The newest sample; without one its position is ZERO."""
+        """The newest sample, with position ZERO if there is none."""
         return self._samples[-1] if self._samples else (float("-inf"), ZERO)
 
     def start_term(self, term: int) -> None:
-        """Forgets the samples of an earlier primary, whose tail may be discarded."""
+        """Drops the samples of an earlier primary, whose log tail may be discarded."""
         if term != self._term:
             self._term = term
             self._samples.clear()
 
     def record(self, sent_at: float, position: Position) -> None:
-        """Takes the position in an answer to a statement sent at ``sent_at``."""
+        """Adds the position in the answer to a statement sent at ``sent_at``."""
         if position.term != self._term:
             return
-        if self._samples and sent_at < self._samples[-1][0] + SAMPLE_SPACING:
+        if self._samples and sent_at < self._samples[-1][0] + SAMPLE_SPACING_SECONDS:
             return
         self._samples.append((sent_at, position))
 
     def required(self, now: float, max_staleness: float) -> Position | None:
-        """The position that a replica needs for a read at ``now``, None if unknown.
+        """Returns the position that a replica needs for a read, None if unknown.
 
-        Of the samples that are new enough the oldest is used, since more replicas have
-        reached it.
+        Uses the oldest sample that is recent enough, since more replicas have reached
+        it.
         """
-        oldest = now - max(0.0, max_staleness - STALENESS_MARGIN)
+        oldest = now - max(0.0, max_staleness - STALENESS_MARGIN_SECONDS)
         while len(self._samples) > 1 and self._samples[0][0] < oldest:
             self._samples.popleft()
         if not self._samples or self._samples[0][0] < oldest:
@@ -63,28 +63,28 @@
 
 
 class SampleExchange:
-    """The newest samples of all proxies, at the control leader.
+    """The newest position samples of all proxies, held by the control leader.
 
-    Times are the leader's. Clocks are not compared: a statement that a proxy sent some
-    time after a grant had arrived was sent that long after the grant at least.
+    All times are on the leader's clock, and clocks are not compared: a statement sent
+    some time after a grant arrived was sent at least that long after the grant.
     """
 
     def __init__(self) -> None:
         self._newest: dict[str, tuple[float, Position]] = {}
-        # When each of the last grants was sent, by proxy and number.
+        # Send times of the last grants, by proxy and grant number.
         self._grants: dict[str, OrderedDict[int, float]] = {}
 
     def granted(self, now: float, proxy: str, number: int) -> None:
-        """Notes the sending of a grant."""
+        """Records that a grant was sent at ``now``."""
         grants = self._grants.setdefault(proxy, OrderedDict())
         grants[number] = now
-        if len(grants) > GRANTS_KEPT:
+        if len(grants) > MAX_GRANTS_PER_PROXY:
             grants.popitem(last=False)
 
     def take(
         self, proxy: str, last_grant: int, group: str, after: float, position: Position
     ) -> None:
-        """Takes a proxy's sample, ``after`` seconds after it got that grant."""
+        """Adds a proxy's sample, taken ``after`` seconds after grant ``last_grant``."""
         grants = self._grants.get(proxy)
         sent_at = grants.get(last_grant) if grants else None
         if sent_at is None or after < 0:
@@ -96,7 +96,7 @@
             self._newest[group] = (sent_at + after, position)
 
     def newest(self, now: float, group: str) -> tuple[float, Position] | None:
-        """Age in seconds and position of the newest sample of a group."""
+        """Returns the age in seconds and the position of a group's newest sample."""
         if group not in self._newest:
             return None
         time, position = self._newest[group]
--- a/packages/core/src/bronzemoor_core/wire/leases.py
+++ b/packages/core/src/bronzemoor_core/wire/leases.py
@@ -1,89 +1,95 @@
-"""Leases on the topology: who may treat which member as a primary, and until when.
+"""Leases that limit how long a proxy may rely on the topology it was given.
 
 A proxy uses a primary only while it holds a lease. The control leader replaces a
 primary only after every proxy that may hold a lease has confirmed a newer topology or
-its lease has run out. Times are in seconds on a clock that counts suspension.
+its lease has expired. Times are in seconds, on a clock that also advances while the VM
+is suspended.
 """
 
-# How long a proxy goes on without the control leader.
+# How long a proxy may use a primary without contact to the control leader, seconds.
 LEASE = 2.0
-# Added by the leader for clocks that run at different speeds.
-LEASE_MARGIN = 0.100
-# A proxy whose lease ended this long ago is taken for lost, seconds.
-LOST_AFTER = 5.0
+# Added by the leader to allow for clock drift.
+LEASE_MARGIN_SECONDS = 0.100
+# A proxy whose lease expired this long ago is considered lost.
+LOST_AFTER_SECONDS = 5.0
 
 
 class LeaseTable:
-    """Leases that a control leader granted, and what their holders confirmed."""
+    """Granted leases and the topology versions that their holders confirmed."""
 
     def __init__(self, elected_at: float) -> None:
-        # An earlier leader's leases are unknown and run out within one lease.
-        self._unknown_until = elected_at + LEASE + LEASE_MARGIN
+        # Leases of an earlier leader are unknown and expire within one lease.
+        self._predecessor_leases_end = elected_at + LEASE + LEASE_MARGIN_SECONDS
         self._expires: dict[str, float] = {}
-        self._confirmed: dict[str, int] = {}
+        self._confirmed_versions: dict[str, int] = {}
         self._lost_until = float("-inf")
 
     @property
     def lost_until(self) -> float:
-        """Until when proxies that are lost by now may have acknowledged commits."""
+        """The latest time at which a proxy now lost may have acknowledged a commit."""
         return self._lost_until
 
     def forget_lost(self, now: float) -> None:
-        """Drops proxies that will not confirm anything any more."""
+        """Removes proxies that are lost and will confirm no further topology."""
         for proxy, expires in list(self._expires.items()):
-            if now - expires > LOST_AFTER:
+            if now - expires > LOST_AFTER_SECONDS:
                 self._lost_until = max(self._lost_until, expires)
                 del self._expires[proxy]
-                self._confirmed.pop(proxy, None)
+                self._confirmed_versions.pop(proxy, None)
 
     @property
     def holders(self) -> list[str]:
         return list(self._expires)
 
     def grant(self, now: float, proxy: str, quorum_confirmed: float) -> float:
-        """Returns for how long a lease granted at ``now`` may run.
+        """Grants a lease at ``now`` and returns its length in seconds.
 
-        It counts from when a quorum last confirmed this leader, so that it ends within
-        one lease of any later leader's election.
+        The lease counts from the last time a quorum confirmed this leader, so that it
+        expires within one lease of any later leader's election.
         """
         length = max(0.0, quorum_confirmed + LEASE - now)
         if length:
-            expires = now + length + LEASE_MARGIN
+            expires = now + length + LEASE_MARGIN_SECONDS
             self._expires[proxy] = max(self._expires.get(proxy, 0.0), expires)
         return length
 
     def confirm(self, proxy: str, topology_version: int) -> None:
-        """Notes the newest topology that a proxy follows."""
-        if topology_version > self._confirmed.get(proxy, 0):
-            self._confirmed[proxy] = topology_version
+        """Records the newest topology version that a proxy applies."""
+        if topology_version > self._confirmed_versions.get(proxy, 0):
+            self._confirmed_versions[proxy] = topology_version
 
     def holds(self, now: float, proxy: str) -> bool:
-        """Tells whether the proxy may hold a lease."""
+        """Returns whether the proxy may hold a lease."""
         return self._expires.get(proxy, 0.0) > now
 
     def active(self, now: float) -> int:
-        """Number of proxies that may hold a lease."""
+        """Returns the number of proxies that may hold a lease."""
         return sum(expires > now for expires in self._expires.values())
 
     def waiting_for(self, now: float, topology_version: int) -> list[str]:
-        """Proxies that may still act on a topology older than ``topology_version``."""
+        """Returns the proxies that may still use an older topology.
+
+        An empty name stands for holders of an earlier leader's leases.
+        """
         waiting = [
             proxy
             for proxy, expires in self._expires.items()
-            if expires > now and self._confirmed.get(proxy, 0) < topology_version
+            if expires > now
+            and self._confirmed_versions.get(proxy, 0) < topology_version
         ]
         if not self.knows_all(now):
             waiting.append("")
         return waiting
 
     def knows_all(self, now: float) -> bool:
-        """Tells whether every lease of an earlier leader has run out."""
-        return now >= self._unknown_until
+        """Returns whether every lease of an earlier leader has expired."""
+        return now >= self._predecessor_leases_end
 
     def all_confirmed(self, topology_version: int) -> bool:
-        """Tells whether every proxy ever granted a lease confirmed the topology."""
+        """Returns whether every proxy on record confirmed the topology."""
         return all(
-            self._confirmed.get(proxy, 0) >= topology_version for proxy in self._expires
+            self._confirmed_versions.get(proxy, 0) >= topology_version
+            for proxy in self._expires
         )
 
 
@@ -98,7 +104,7 @@
         return self._expires
 
     def renew(self, asked_at: float, length: float) -> None:
-        """Takes a lease that was asked for at ``asked_at``."""
+        """Extends the lease with one that was requested at ``asked_at``."""
         self._expires = max(self._expires, asked_at + length)
 
     def valid(self, now: float) -> bool:
--- a/packages/core/src/bronzemoor_core/wire/placement.py
+++ b/packages/core/src/bronzemoor_core/wire/placement.py
@@ -1,4 +1,4 @@
-"""The choice of the member that serves a statement."""
+"""Chooses the member that serves a statement."""
 
 from dataclasses import dataclass
 from typing import Protocol, TypeVar
@@ -7,19 +7,19 @@
 from bronzemoor_core.wire.deployment import READ_YOUR_WRITES, Route
 from bronzemoor_core.wire.freshness import PositionSamples
 
-# A member whose connections failed is tried last for this long.
-FAILURE_PENALTY = 1.0  # seconds
-# Reads leave a primary for a replica that takes up to so many times as long, since only
-# the primary can take the writes.
-PRIMARY_WEIGHT = 2.0
-# Expected wait for a connection that is not open yet, seconds.
-OPENING_COST = 0.015
-# Expected wait behind one more statement of this proxy at a member, seconds.
-QUEUE_COST = 0.004
+# A member whose connections failed is ranked last for this long.
+FAILURE_PENALTY_SECONDS = 1.0
+# Reads prefer a replica whose expected delay is up to this many times the primary's,
+# since only the primary can execute writes.
+PRIMARY_DELAY_FACTOR = 2.0
+# Expected wait for opening a new connection.
+OPENING_COST_SECONDS = 0.015
+# Expected wait for each further statement of this proxy in progress at a member.
+QUEUE_COST_SECONDS = 0.004
 
 
 class Candidate(Protocol):
-    """What placement needs to know of a member."""
+    """Properties of a member that its ranking depends on; delays are in seconds."""
 
     member: str
     is_local: bool
@@ -40,7 +40,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Target:
-    """A member and the log position that it must hold; ZERO for a primary."""
+    """A member and the log position that it must have reached; ZERO for a primary."""
 
     member: str
     position: Position = ZERO
@@ -49,7 +49,7 @@
 def required_position(
     now: float, route: Route, samples: PositionSamples, last_commit: Position
 ) -> Position | None:
-    """The position that a replica needs for a read on ``route``, None if unknown."""
+    """Returns the position that a replica needs for a read, None if unknown."""
     required = samples.required(now, route.max_staleness)
     if required is None:
         return None
@@ -61,12 +61,12 @@
 
 
 def rank(now: float, candidates: list[C]) -> list[C]:
-    """Orders members by expected delay; failing and leaving ones come last."""
+    """Sorts members by expected delay; leaving and then failing ones come last."""
 
     def cost(item: C) -> tuple[bool, bool, float]:
-        failing = now - item.failed_at < FAILURE_PENALTY
-        wait = 0.0 if item.has_idle else OPENING_COST
-        delay = item.delay * (PRIMARY_WEIGHT if item.is_primary else 1.0)
-        return failing, item.leaving, delay + item.load * QUEUE_COST + wait
+        failing = now - item.failed_at < FAILURE_PENALTY_SECONDS
+        wait = 0.0 if item.has_idle else OPENING_COST_SECONDS
+        delay = item.delay * (PRIMARY_DELAY_FACTOR if item.is_primary else 1.0)
+        return failing, item.leaving, delay + item.load * QUEUE_COST_SECONDS + wait
 
     return sorted(candidates, key=cost)
--- a/packages/core/src/bronzemoor_core/wire/records.py
+++ b/packages/core/src/bronzemoor_core/wire/records.py
@@ -8,7 +8,7 @@
 
 @dataclass(slots=True)
 class MemberRecord:
-    """One member of a group as it last announced itself.
+    """A member of a group according to its last announcement.
 
     ``born`` is the start of its process in milliseconds since the epoch and
     ``sequence`` counts its announcements since then, so that a late one is recognised.
@@ -30,7 +30,7 @@
 
 @dataclass(slots=True)
 class LeaderRecord:
-    """Who leads a group. ``candidate`` is set while a promotion is in progress."""
+    """A group's primary; ``candidate`` is set while a promotion is in progress."""
 
     group: str
     term: int = 0
@@ -41,17 +41,17 @@
 
 
 def pack_document(document: str) -> str:
-    """Compresses a document for the log and the way to the proxies, as text."""
+    """Compresses a document to text for the log and for distribution to proxies."""
     return base64.b64encode(zlib.compress(document.encode())).decode()
 
 
 def packed_bytes(packed: str) -> bytes:
-    """What ``pack_document`` returned, as short as it goes over a connection."""
+    """Returns the binary form of ``pack_document``'s result for the connection."""
     return base64.b64decode(packed)
 
 
 def unpack_document(packed: str | bytes) -> str:
-    """Reads ``pack_document`` or ``packed_bytes``; raises ``ValueError``."""
+    """Reverses ``pack_document`` or ``packed_bytes``; raises ``ValueError``."""
     try:
         data = base64.b64decode(packed) if isinstance(packed, str) else packed
         return zlib.decompress(data).decode()
@@ -67,12 +67,12 @@
     document: str = ""
     members: dict[str, MemberRecord] = field(default_factory=dict)
     leaders: dict[str, LeaderRecord] = field(default_factory=dict)
-    # Announcement order of members that left, so that a late announcement of theirs
-    # does not bring them back.
+    # Announcement order of members that left, so that a late announcement does not add
+    # them again.
     departed: dict[str, tuple[int, int]] = field(default_factory=dict)
     last_fence: int = 0
-    # Whether the proxies of a zone share connections, for a leader that does not know
-    # yet how many there are.
+    # Whether the proxies of a zone share connections, for a new leader that does not
+    # know yet how many proxies there are.
     sharing: bool = False
 
     def to_dict(self) -> dict[str, Any]:
@@ -80,7 +80,7 @@
 
 
 def wire_records(data: dict[str, Any] | None) -> WireRecords:
-    """Reads what ``to_dict`` returned; an older snapshot has none."""
+    """Restores records from ``to_dict``; ``data`` is empty in older snapshots."""
     if not data:
         return WireRecords()
     return WireRecords(
--- a/packages/core/src/bronzemoor_core/wire/sessionstate.py
+++ b/packages/core/src/bronzemoor_core/wire/sessionstate.py
@@ -1,39 +1,39 @@
-"""A client session's values and prepared statements, and those on a connection."""
+"""Values and prepared statements of client sessions and endpoint connections."""
 
 from bronzemoor_core.exceptions import InvalidRequest
 from bronzemoor_core.positions import ZERO, Position
 
 
 class SessionState:
-    """What a client session owns between transactions."""
+    """State that a client session keeps between transactions."""
 
     __slots__ = ("last_commit", "last_commit_at", "prepared", "values")
 
     def __init__(self) -> None:
         self.values: dict[bytes, bytes] = {}
-        # Shape and whether it writes, by the client's name.
+        # Whether the statement writes, and its shape, by the client's name for it.
         self.prepared: dict[bytes, tuple[bool, bytes]] = {}
         self.last_commit: Position = ZERO
-        # When the answer to it came, seconds.
+        # When the answer to that commit arrived, in seconds.
         self.last_commit_at = float("-inf")
 
     def committed(self, now: float, position: Position) -> None:
-        """Notes the newest commit that the client is told of."""
+        """Records the newest commit that is acknowledged to the client."""
         self.last_commit, self.last_commit_at = position, now
 
 
 class ConnectionState:
-    """Values and prepared statements that an endpoint connection carries."""
+    """Values and prepared statements that are set on an endpoint connection."""
 
     __slots__ = ("prepared", "values")
 
     def __init__(self) -> None:
         self.values: dict[bytes, bytes] = {}
-        # Name on the connection by shape and whether it writes.
+        # Name on the connection, by whether the statement writes and its shape.
         self.prepared: dict[tuple[bool, bytes], bytes] = {}
 
     def needs_reset(self, session: SessionState) -> bool:
-        """A value that the session does not have can only be removed by a reset."""
+        """Returns whether a value is set that the session lacks, so a reset is due."""
         return any(name not in session.values for name in self.values)
 
     def reset(self) -> None:
@@ -41,7 +41,7 @@
         self.prepared.clear()
 
     def missing_values(self, session: SessionState) -> list[tuple[bytes, bytes]]:
-        """Values of the session that the connection does not have yet."""
+        """Returns the session's values that are not set on the connection."""
         return [
             (name, value)
             for name, value in session.values.items()
@@ -49,9 +49,9 @@
         ]
 
     def prepared_name(self, shape: tuple[bool, bytes]) -> tuple[bytes, bool]:
-        """The name for a shape on this connection, and whether it is new.
+        """Returns the name for a shape on this connection, and whether it is new.
 
-        All sessions share one name a shape, since a shape means the same to each.
+        Sessions share one name for each shape, since its meaning is the same for all.
         """
         name = self.prepared.get(shape)
         if name is not None:
@@ -62,7 +62,7 @@
 
 
 def find_prepared(session: SessionState, name: bytes) -> tuple[bool, bytes]:
-    """Returns what a client prepared; raises ``InvalidRequest`` for an unknown name."""
+    """Returns a prepared statement; raises ``InvalidRequest`` for an unknown name."""
     try:
         return session.prepared[name]
     except KeyError:
--- a/packages/core/src/bronzemoor_core/wire/statements.py
+++ b/packages/core/src/bronzemoor_core/wire/statements.py
@@ -1,4 +1,4 @@
-"""Statements and answers of the statement protocol, independent of their encoding."""
+"""Statements and answers of the statement protocol, apart from their encoding."""
 
 from dataclasses import dataclass, field
 
@@ -14,12 +14,12 @@
 EXECUTE = "execute"
 DEALLOCATE = "deallocate"
 
-# Session states that follow every answer.
+# Session states reported with every answer.
 IDLE = "idle"
 IN_TRANSACTION = "in_transaction"
 FAILED_TRANSACTION = "failed_transaction"
 
-# Error codes. Those in NOT_KEPT promise that nothing of the attempt is kept.
+# Error codes. Those in NOT_KEPT guarantee that the attempt has no lasting effect.
 BUSY = "busy"
 ABORTED = "aborted"
 LAGGING = "lagging"
@@ -37,7 +37,7 @@
 NOT_KEPT = frozenset(
     (BUSY, ABORTED, LAGGING, NOT_PRIMARY, WRONG_MEMBER, CONNECTION_LIMIT)
 )
-# Answers of an endpoint which say that the statement was not executed.
+# Error codes with which an endpoint states that it did not execute the statement.
 NOT_RUN = frozenset(
     (BUSY, UNKNOWN_PREPARED, LAGGING, NOT_PRIMARY, WRONG_MEMBER, CONNECTION_LIMIT)
 )
@@ -45,10 +45,11 @@
 
 @dataclass(slots=True)
 class Statement:
-    """One statement of a client; ``text`` is what is forwarded unchanged.
+    """A client's statement; ``text`` is forwarded unchanged.
 
-    ``name`` is a value's or a prepared statement's name, ``writes`` the kind of what a
-    PREPARE prepares or an EXECUTE runs, ``body`` the shape, the value or the rest.
+    ``name`` is the name of a value or of a prepared statement. ``writes`` says whether
+    the statement that a PREPARE prepares or an EXECUTE runs is a write. ``body`` is the
+    shape, the value or the remaining text.
     """
 
     kind: str
@@ -61,14 +62,14 @@
 
 @dataclass(slots=True)
 class StartRequest:
-    """A client opens a session on ``database``."""
+    """A client's request to open a session on ``database``."""
 
     database: str
 
 
 @dataclass(slots=True)
 class QueryRequest:
-    """A client's statement; None for a text that cannot be read."""
+    """A client's statement, None if its text is malformed."""
 
     query_id: bytes
     statement: Statement | None
@@ -76,15 +77,15 @@
 
 @dataclass(slots=True)
 class EndRequest:
-    """A client ends its session."""
+    """A client's request to end its session."""
 
 
 @dataclass(slots=True)
 class Answer:
-    """An endpoint's whole answer to one statement.
+    """An endpoint's complete answer to one statement.
 
-    ``error`` is empty on success. ``rows`` are encoded as they came. ``position`` is
-    the member's log position after the statement.
+    ``error`` is empty on success. ``rows`` keep the encoding in which they were
+    received. ``position`` is the member's log position after the statement.
     """
 
     rows: list[bytes] = field(default_factory=list)
@@ -105,7 +106,7 @@
 
 @dataclass(slots=True)
 class MemberStatus:
-    """A member's report about itself; ``lag`` in seconds."""
+    """A member's status report; ``lag`` is in seconds."""
 
     primary: bool
     term: int
--- a/packages/core/src/bronzemoor_core/wire/succession.py
+++ b/packages/core/src/bronzemoor_core/wire/succession.py
@@ -1,4 +1,4 @@
-"""When a group's primary is replaced, and by which member."""
+"""Decides when a group's primary is replaced, and by which member."""
 
 from collections.abc import Collection
 from dataclasses import dataclass
@@ -6,30 +6,31 @@
 from bronzemoor_core.messages import GroupReport
 from bronzemoor_core.positions import ZERO, Position
 
-# A proxy's evidence counts once new connections failed for this long, seconds.
-FAILING_TIME = 0.250
-# Share of the reporting proxies that must fail, and for how many seconds, before a
-# primary that the control leader itself still reaches is replaced.
-FAILING_SHARE = 0.30
-FAILING_ALONE_TIME = 0.6
-# A primary is without replicas if at least so many proxies had no answer to commits for
-# this long, seconds, and no proxy had one. A single answer may just be lost.
-STALL_TIME = 1.2
-STALL_PROXIES = 2
-# Evidence older than this is not used, seconds.
-REPORT_AGE = 1.5
-# A primary that answered a proxy this recently is alive, seconds.
-ALIVE_TIME = 0.4
-# A primary is overloaded if at least this share of the proxies was refused by it within
-# this time, seconds.
-REFUSED_SHARE, REFUSED_TIME = 0.30, 1.0
-# Replicas that are further behind serve hardly any read, seconds.
-RELIEF_LAG = 1.5
+# A proxy's report counts as a failure once new connections failed for this long.
+MIN_FAILING_SECONDS = 0.250
+# Share of the reporting proxies that must fail, and for how long, before a primary that
+# the control leader itself can still reach is replaced.
+MIN_FAILING_SHARE = 0.30
+MIN_FAILING_ALONE_SECONDS = 0.6
+# A primary has lost its replicas if at least this many proxies got no answer to commits
+# for this long and no proxy got one. A single missing answer may just be lost.
+MIN_STALLED_SECONDS = 1.2
+MIN_STALLED_PROXIES = 2
+# Older reports are ignored.
+MAX_REPORT_AGE_SECONDS = 1.5
+# A primary that answered a proxy this recently is alive.
+MAX_ANSWER_AGE_SECONDS = 0.4
+# A primary is overloaded if it refused at least this share of the proxies within this
+# time.
+MIN_REFUSED_SHARE = 0.30
+MAX_REFUSAL_AGE_SECONDS = 1.0
+# Replicas that lag by more than this serve hardly any reads.
+MIN_RELIEF_LAG_SECONDS = 1.5
 
 
 @dataclass(slots=True)
 class Evidence:
-    """The newest report of one proxy about one group."""
+    """The newest report of one proxy about one group; ``received`` in seconds."""
 
     received: float
     report: GroupReport
@@ -38,72 +39,79 @@
 def _fresh_reports(
     now: float, primary: str, evidence: dict[str, Evidence]
 ) -> list[tuple[GroupReport, float]]:
-    """Reports about ``primary`` that are recent enough, with their age in seconds."""
+    """Returns recent reports about ``primary`` with their ages in seconds."""
     return [
         (item.report, now - item.received)
         for item in evidence.values()
-        if now - item.received < REPORT_AGE and item.report.member == primary
+        if now - item.received < MAX_REPORT_AGE_SECONDS
+        and item.report.member == primary
     ]
 
 
 def should_replace(
     now: float, primary: str, evidence: dict[str, Evidence], probe_failing: float
 ) -> str:
-    """Returns why the primary must be replaced, or an empty text.
+    """Returns why the primary must be replaced, or an empty string.
 
-    ``probe_failing`` is for how long, in seconds, the control leader's own probes have
-    failed, 0 while they succeed. A primary that only the control group cannot reach
-    goes on; so does one that a minority of the proxies cannot reach.
+    ``probe_failing`` is how long, in seconds, the control leader's own probes have
+    failed, 0 while they succeed. A primary is kept if only the control group, or only a
+    minority of the proxies, cannot reach it.
     """
     fresh = _fresh_reports(now, primary, evidence)
-    working = [
-        r.succeeded_ms >= 0 and r.succeeded_ms / 1_000 + age < ALIVE_TIME
+    answering = [
+        r.succeeded_ms >= 0 and r.succeeded_ms / 1_000 + age < MAX_ANSWER_AGE_SECONDS
         for r, age in fresh
     ]
     failing_times = [
-        0.0 if works or r.failing_ms < 0 else r.failing_ms / 1_000 + age
-        for (r, age), works in zip(fresh, working, strict=True)
+        0.0 if answers or r.failing_ms < 0 else r.failing_ms / 1_000 + age
+        for (r, age), answers in zip(fresh, answering, strict=True)
     ]
-    failing = sum(time >= FAILING_TIME for time in failing_times)
-    failing_alone = sum(time >= FAILING_ALONE_TIME for time in failing_times)
-    alive = sum(working)
-    stalled = sum(r.stalled_ms >= STALL_TIME * 1_000 for r, _ in fresh)
-    if probe_failing >= FAILING_TIME and (failing or not alive) and failing >= alive:
+    failing = sum(time >= MIN_FAILING_SECONDS for time in failing_times)
+    failing_alone = sum(time >= MIN_FAILING_ALONE_SECONDS for time in failing_times)
+    alive = sum(answering)
+    stalled = sum(r.stalled_ms >= MIN_STALLED_SECONDS * 1_000 for r, _ in fresh)
+    if (
+        probe_failing >= MIN_FAILING_SECONDS
+        and (failing or not alive)
+        and failing >= alive
+    ):
         return "unreachable"
-    if failing_alone and failing_alone >= FAILING_SHARE * len(fresh):
+    if failing_alone and failing_alone >= MIN_FAILING_SHARE * len(fresh):
         return "unreachable_from_proxies"
     committed = any(
-        r.committed_ms >= 0 and r.committed_ms / 1_000 + age < STALL_TIME
+        r.committed_ms >= 0 and r.committed_ms / 1_000 + age < MIN_STALLED_SECONDS
         for r, age in fresh
     )
-    if not committed and stalled >= max(STALL_PROXIES, FAILING_SHARE * len(fresh)):
+    if not committed and stalled >= max(
+        MIN_STALLED_PROXIES, MIN_FAILING_SHARE * len(fresh)
+    ):
         return "commits_stalled"
     return ""
 
 
 def is_overloaded(now: float, primary: str, evidence: dict[str, Evidence]) -> bool:
-    """Tells whether the primary refuses the work of many proxies."""
+    """Returns whether the primary refuses statements of many proxies."""
     fresh = _fresh_reports(now, primary, evidence)
     refused = sum(
-        r.refused_ms >= 0 and r.refused_ms / 1_000 + age < REFUSED_TIME
+        r.refused_ms >= 0 and r.refused_ms / 1_000 + age < MAX_REFUSAL_AGE_SECONDS
         for r, age in fresh
     )
-    return refused > 0 and refused >= REFUSED_SHARE * len(fresh)
+    return refused > 0 and refused >= MIN_REFUSED_SHARE * len(fresh)
 
 
 def brings_relief(lags: list[float]) -> bool:
-    """Tells whether an overloaded primary should be relieved by one of its replicas.
+    """Returns whether an overloaded primary should be replaced by a replica.
 
-    That is so where all of them, as far as they answer, apply commits too late for the
-    reads; ``lags`` are in seconds. The one that takes the lead serves at once with what
-    it received, and the old primary serves as a replica that is up to date, so that two
-    members share the work.
+    This holds if every replica that answers lags too much to serve reads; ``lags`` are
+    in seconds. The promoted replica serves at once with what it has received, and the
+    old primary serves as a replica that is up to date, so that two members share the
+    work.
     """
-    return bool(lags) and min(lags) >= RELIEF_LAG
+    return bool(lags) and min(lags) >= MIN_RELIEF_LAG_SECONDS
 
 
 def acknowledged_position(evidence: dict[str, Evidence], term: int) -> Position:
-    """The newest commit of ``term`` that any proxy confirmed to a client."""
+    """Returns the newest commit of ``term`` that a proxy confirmed to a client."""
     newest = ZERO
     for item in evidence.values():
         report = item.report
@@ -119,21 +127,21 @@
     acknowledged: Position | None,
     leaving: Collection[str] = (),
 ) -> str:
-    """The member that may be promoted, or an empty text while none is safe.
+    """Returns the member to promote, or an empty string while none is safe.
 
     ``held`` are the positions of paused replicas and ``expected`` all replicas that may
-    have acknowledged a commit. With every one of them heard, the newest has all
-    commits. Otherwise a replica must have reached ``acknowledged``, the newest commit
-    that any client was told of, None while that is not known. One that is ``leaving``
-    is chosen only where no other is safe, since it would have to be replaced at once.
+    have acknowledged a commit. Once all of them have reported, the newest has every
+    commit. Otherwise a replica must have reached ``acknowledged``, the newest commit
+    that any client was told of, None while unknown. A ``leaving`` member is chosen only
+    if no other is safe, since it would have to be replaced at once.
     """
     if not held:
         return ""
     newest = max(held.values()) if expected <= set(held) else None
-    enough = min((p for p in (newest, acknowledged) if p is not None), default=None)
-    if enough is None:
+    required = min((p for p in (newest, acknowledged) if p is not None), default=None)
+    if required is None:
         return ""
-    safe = [member for member, position in held.items() if position >= enough]
+    safe = [member for member, position in held.items() if position >= required]
     return max(
         safe,
         key=lambda member: (member not in leaving, held[member], member),
--- a/packages/core/tests/wire/test_freshness.py
+++ b/packages/core/tests/wire/test_freshness.py
@@ -1,4 +1,4 @@
-"""Guards the proof that a replica is fresh enough for a read."""
+"""Tests of the staleness bounds that decide whether a replica may serve a read."""
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -10,7 +10,7 @@
     Route,
 )
 from bronzemoor_core.wire.freshness import (
-    STALENESS_MARGIN,
+    STALENESS_MARGIN_SECONDS,
     PositionSamples,
     SampleExchange,
 )
@@ -21,8 +21,8 @@
     return Route("r", "db", "g", policy, 1.0, 0.4, 1, max_staleness=2.0)
 
 
-def test_without_a_recent_sample_nothing_is_proved():
-    """Guards against reads on replicas whose age is unknown."""
+def test_without_a_recent_sample_no_position_is_returned():
+    """Guards against reads on replicas whose staleness is unknown."""
     samples = PositionSamples()
     samples.start_term(1)
     assert samples.required(10.0, 2.0) is None
@@ -79,13 +79,13 @@
     assert required_position(1.1, bounded, samples, ZERO) == Position(2, 5)
 
 
-def test_the_margin_is_kept():
-    """Guards against a sample that is just too old when the replica runs the read."""
+def test_the_staleness_margin_is_subtracted():
+    """Guards against a sample that expires before the replica executes the read."""
     samples = PositionSamples()
     samples.start_term(1)
     samples.record(1.0, Position(1, 1))
-    assert samples.required(3.0 - STALENESS_MARGIN, 2.0) is not None
-    assert samples.required(3.0 - STALENESS_MARGIN / 2, 2.0) is None
+    assert samples.required(3.0 - STALENESS_MARGIN_SECONDS, 2.0) is not None
+    assert samples.required(3.0 - STALENESS_MARGIN_SECONDS / 2, 2.0) is None
 
 
 @given(
@@ -95,13 +95,13 @@
     st.floats(0.0, 0.5),
     st.floats(0.0, 0.5),
 )
-def test_an_exchanged_sample_is_never_taken_for_newer_than_it_is(
+def test_an_exchanged_sample_never_appears_newer_than_it_is(
     granted, way, after, back, rest
 ):
     """Guards against a stale read at a proxy that uses another proxy's sample.
 
-    All times are true times: a grant is sent, arrives, a statement is sent, its
-    position is reported and passed on.
+    All times are on one clock. The order is: a grant is sent and arrives, a statement
+    is sent, its position is reported and forwarded.
     """
     exchange = SampleExchange()
     exchange.granted(granted, "p", 1)
@@ -114,8 +114,8 @@
     assert asked_at - age <= sent_at + 1e-9
 
 
-def test_a_sample_after_an_unknown_grant_proves_nothing():
-    """Guards against ages that no grant bounds."""
+def test_a_sample_after_an_unknown_grant_is_ignored():
+    """Guards against sample ages that no grant bounds."""
     exchange = SampleExchange()
     exchange.take("p", 1, "g", 0.1, Position(1, 7))
     exchange.granted(1.0, "p", 2)
--- a/packages/core/tests/wire/test_leases.py
+++ b/packages/core/tests/wire/test_leases.py
@@ -1,16 +1,21 @@
-"""Guards the leases that keep proxies off a replaced primary."""
+"""Tests of the leases that keep proxies from using a replaced primary."""
 
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bronzemoor_core.wire.leases import LEASE, LEASE_MARGIN, HeldLease, LeaseTable
+from bronzemoor_core.wire.leases import (
+    LEASE,
+    LEASE_MARGIN_SECONDS,
+    HeldLease,
+    LeaseTable,
+)
 
 
 def test_a_new_leader_waits_for_the_leases_of_its_predecessor():
     """Guards against a promotion while an unknown proxy still uses the primary."""
     table = LeaseTable(10.0)
     assert table.waiting_for(10.0 + LEASE, 1)
-    assert table.waiting_for(10.0 + LEASE + 2 * LEASE_MARGIN, 1) == []
+    assert table.waiting_for(10.0 + LEASE + 2 * LEASE_MARGIN_SECONDS, 1) == []
 
 
 def test_a_lease_counts_from_the_last_quorum():
@@ -33,19 +38,19 @@
 
 
 @given(st.floats(0, 5), st.floats(0, 0.5), st.floats(0, 1))
-def test_no_proxy_holds_a_lease_that_the_leader_counts_as_ended(asked, way, back):
-    """Guards against a holder that believes in its lease longer than the leader."""
+def test_no_proxy_holds_a_lease_that_the_leader_considers_expired(asked, way, back):
+    """Guards against a holder whose lease outlasts the leader's record of it."""
     table, held = LeaseTable(-10.0), HeldLease()
     granted = asked + way
     length = table.grant(granted, "p", granted)
     held.renew(asked, length)
-    end = granted + LEASE + LEASE_MARGIN
+    end = granted + LEASE + LEASE_MARGIN_SECONDS
     assert table.waiting_for(end - 0.01, 1) == ["p"]
     assert not held.valid(end)
 
 
-def test_a_lost_proxy_is_forgotten_with_the_end_of_its_lease():
-    """Guards against a group that waits for ever for a proxy that was replaced."""
+def test_a_lost_proxy_is_removed_after_its_lease_expires():
+    """Guards against a group that waits forever for a proxy that was replaced."""
     table = LeaseTable(0.0)
     table.grant(20.0, "p", 20.0)
     table.grant(30.0, "q", 30.0)
@@ -53,4 +58,4 @@
     assert not table.all_confirmed(7)
     table.forget_lost(30.0)
     assert table.all_confirmed(7)
-    assert table.lost_until == 20.0 + LEASE + LEASE_MARGIN
+    assert table.lost_until == 20.0 + LEASE + LEASE_MARGIN_SECONDS
--- a/packages/core/tests/wire/test_records.py
+++ b/packages/core/tests/wire/test_records.py
@@ -1,4 +1,4 @@
-"""Guards the replicated records of the statement protocol's control plane."""
+"""Tests of the statement protocol's replicated records."""
 
 from bronzemoor_core.commands import COMMANDS, answer_query, apply_command
 from bronzemoor_core.records import State, from_snapshot, to_snapshot
@@ -7,7 +7,7 @@
 
 
 def test_every_kind_of_change_has_a_command():
-    """Guards against a control daemon that does not know the commands of the log."""
+    """Guards against a control daemon that rejects commands found in the log."""
     kinds = {name.partition(".")[0] for name in COMMANDS}
     assert set(CHANGE_KINDS) <= kinds
 
@@ -63,7 +63,7 @@
 
 
 def test_fencing_numbers_only_rise_and_an_old_promotion_is_not_recorded():
-    """Guards against a promotion of a replaced control leader."""
+    """Guards against a promotion started by a deposed control leader."""
     state = State()
     plan = {"type": "primary.plan", "group": "g", "member": "a"}
     first = apply_command(state, plan)["fence"]
@@ -78,7 +78,7 @@
 
 
 def test_a_snapshot_keeps_everything():
-    """Guards against records that a restarted control daemon forgets."""
+    """Guards against records that are lost when a control daemon restarts."""
     state, copy = State(), State()
     put(state, 7, pack_document("text"))
     apply_command(state, member())
@@ -88,8 +88,8 @@
     assert unpack_document(copy.wire.document) == "text"
 
 
-def test_sharing_outlasts_a_snapshot():
-    """Guards against a new leader that has every proxy open its own connections."""
+def test_a_snapshot_keeps_connection_sharing():
+    """Guards against a new leader that makes every proxy open its own connections."""
     state = State()
     assert not state.wire.sharing
     apply_command(state, {"type": "sharing.set", "sharing": True})
--- a/packages/core/tests/wire/test_succession.py
+++ b/packages/core/tests/wire/test_succession.py
@@ -1,4 +1,4 @@
-"""Guards the verdict on a primary and the choice of its successor."""
+"""Tests of the decision to replace a primary and of the choice of its successor."""
 
 import pytest
 
@@ -45,25 +45,25 @@
         ((FAILING, FAILING, WORKING), 0.0, "unreachable_from_proxies"),
         ((FAILING, FAILING, FAILING), 1.0, "unreachable"),
         ((report(), report()), 1.0, "unreachable"),
-        # New connections are slow, but the leader's own one works.
+        # New connections are slow, but the leader's own connection works.
         ((SLOW, SLOW, SLOW), 0.0, ""),
         ((SLOW, SLOW, SLOW), 0.3, "unreachable"),
         # Only new connections fail.
         ((FULL, FULL, FULL), 0.0, ""),
         ((STALLED, STALLED, WORKING), 0.0, "commits_stalled"),
-        # One lost answer, as after a lossy link.
+        # One lost answer, as on a lossy link.
         ((STALLED, WORKING), 0.0, ""),
         ((STALLED, STALLED, COMMITTING), 0.0, ""),
         ((WORKING, WORKING), 0.0, ""),
     ],
 )
-def test_the_verdict_needs_more_than_one_vantage_point(reports, probe_failing, reason):
-    """Guards against replacing a healthy primary for a cut of one observer."""
+def test_replacement_needs_more_than_one_observer(reports, probe_failing, reason):
+    """Guards against replacing a healthy primary that one observer cannot reach."""
     assert should_replace(10.1, "a", evidence(*reports), probe_failing) == reason
 
 
-def test_old_evidence_and_that_about_another_primary_count_for_nothing():
-    """Guards against a verdict on a new primary from reports about the old one."""
+def test_old_reports_and_those_about_another_primary_are_ignored():
+    """Guards against replacing a new primary because of reports about the old one."""
     old = evidence(FAILING, FAILING, received=5.0)
     assert should_replace(10.0, "a", old, 0.0) == ""
     assert should_replace(10.1, "b", evidence(FAILING, FAILING), 0.0) == ""
@@ -79,7 +79,7 @@
     ("reports", "overloaded"),
     [
         ((busy(), busy(), busy(-1)), True),
-        # Nobody is refused, or nobody lately.
+        # No proxy is refused, or none recently.
         ((busy(-1), busy(-1)), False),
         ((busy(5_000), busy(5_000)), False),
         # A single proxy of many.
@@ -88,7 +88,7 @@
     ],
 )
 def test_a_primary_is_overloaded_if_many_proxies_are_refused(reports, overloaded):
-    """Guards against a change of primary for the trouble of one proxy."""
+    """Guards against a change of primary because of one refused proxy."""
     assert is_overloaded(10.1, "a", evidence(*reports)) is overloaded
 
 
@@ -114,8 +114,8 @@
 def test_a_leaving_replica_is_promoted_only_where_no_other_is_safe():
     """Guards against a new primary that has to be replaced again at once.
 
-    Seen after a planned replacement whose new primary crashed: the member that was
-    leaving led again, and proxies gave it no work.
+    Occurred after a handover whose new primary crashed: the leaving member was promoted
+    again, and proxies sent it no statements.
     """
     b, c = Position(1, 5), Position(1, 7)
     held = {"b": b, "c": c}
@@ -126,7 +126,7 @@
 
 
 def test_the_acknowledged_position_is_the_newest_of_the_term():
-    """Guards against counting a commit of another term."""
+    """Guards against using a commit of another term."""
     reports = evidence(
         report(acknowledged=(1, 4)),
         report(acknowledged=(1, 9)),
