--- a/packages/core/src/bronzemoor_core/consensus.py
+++ b/packages/core/src/bronzemoor_core/consensus.py
@@ -45,25 +45,25 @@
 from bronzemoor_core.replication import Replication
 from bronzemoor_core.snapshots import Snapshots
 
-# Entries handed to ``state`` in one call, so that a long recovery does not keep the
-# other events waiting.
+# Entries applied for one event at most, so that a long recovery does not delay other
+# events.
 APPLY_BATCH = 2_000
-# Entries that may wait for their commit; more are refused.
-MAX_UNCOMMITTED = 4_096
-# Proposals whose second copy in the log is not applied.
-RECENT_PROPOSALS = 2_048
+# Further commands are refused while this many entries are uncommitted.
+MAX_UNCOMMITTED_ENTRIES = 4_096
+# Applied proposals that are remembered to skip a second copy in the log.
+MAX_RECENT_PROPOSALS = 2_048
 
 
 @section("log")
 class Log:
-    """State of the replicated log at this daemon.
+    """State of the replicated log on this daemon; times are in seconds.
 
     ``role`` is follower, candidate, leader, learner, or none outside the control
-    group. ``confirmed_at`` is, for a leader, a time before which no other leader was
-    elected. ``last_contact`` is when this daemon last heard the leader, in seconds; for
-    a leader, when a quorum last answered. ``established`` is true once a leader
-    committed an entry of its term. ``founded_term`` is the term in which this member
-    started the group as its first leader, or 0.
+    group. ``confirmed_at`` is, on a leader, a time before which no other leader was
+    elected. ``last_contact`` is when this daemon last received a message from the
+    leader, or, on a leader, when a quorum last answered. ``established`` is true once
+    a leader committed an entry of its term. ``founded_term`` is the term in which this
+    member started the group as its first leader, or 0.
     """
 
     __slots__ = (
@@ -95,7 +95,7 @@
 
 
 class AdminOrigin:
-    """Origin of a command that an operator gave to consensus."""
+    """Origin of a command that an operator sent."""
 
     __slots__ = ("ticket",)
 
@@ -105,7 +105,7 @@
 
 @controller("log")
 class Consensus(Controller):
-    """Owns the log section; passes events to the parts that share one replica."""
+    """Owns the log section; dispatches events to the components of one replica."""
 
     _own: Log
 
@@ -118,7 +118,7 @@
         self._snapshots = Snapshots(self._replica, self._replication)
         self._reconfiguration = Reconfiguration(self._replica, self._replication)
         self._proposals = Proposals(self._replica, self._accept)
-        self._led = False
+        self._was_leader = False
 
     # --- storage and clock
 
@@ -140,7 +140,7 @@
     def on_synced(self, now: float, event: StorageSynced) -> list[Any]:
         self._replica.on_synced(event.sequence)
         if self._replica.active and self._elections.on_synced():
-            self._lead(now)
+            self._on_elected(now)
         return self._finish(now)
 
     @handles(StorageFailed)
@@ -185,7 +185,7 @@
                 elections.on_vote(now, sender, message)
             case VoteReply():
                 if elections.on_vote_reply(now, sender, message):
-                    self._lead(now)
+                    self._on_elected(now)
             case AppendEntries():
                 if self._replication.on_append(now, sender, message):
                     elections.reset_timer(now)
@@ -193,16 +193,16 @@
                 if self._snapshots.on_install(now, sender, message):
                     elections.reset_timer(now)
             case AppendEntriesReply():
-                if self._counts(now, sender, message):
+                if self._is_valid_reply(now, sender, message):
                     self._replication.on_reply(now, sender, message)
             case InstallSnapshotReply():
-                if self._counts(now, sender, message):
+                if self._is_valid_reply(now, sender, message):
                     self._snapshots.on_reply(now, sender, message)
 
-    def _counts(
+    def _is_valid_reply(
         self, now: float, sender: str, reply: AppendEntriesReply | InstallSnapshotReply
     ) -> bool:
-        """Tells whether an answer is of this term and of a recorded identity."""
+        """Returns whether a reply is of this term and from a recorded identity."""
         replica = self._replica
         if reply.term > replica.term:
             replica.step_down(reply.term, "")
@@ -215,7 +215,7 @@
             sender, reply.identity, progress, round_id
         ):
             return True
-        self._reconfiguration.on_stranger(now, sender)
+        self._reconfiguration.on_unknown_identity(now, sender)
         return False
 
     # --- proposals
@@ -259,7 +259,7 @@
     def _accept(
         self, now: float, proposal_id: str, command: dict[str, Any]
     ) -> tuple[str, str] | None:
-        """Accepts a proposal as leader; returns an error code and message if not."""
+        """Accepts a proposal as leader; returns error code and message if refused."""
         replica = self._replica
         if command.get("query"):
             self._reads.add(now, command, ProposalRef(proposal_id))
@@ -268,8 +268,8 @@
             return self._reconfiguration.propose(now, command, proposal_id)
         if str(command.get("type", "")).startswith("control."):
             return "invalid_request", "unknown control command"
-        if replica.journal.last_index - replica.commit_index >= MAX_UNCOMMITTED:
-            return "overloaded", "too many commands wait for their commit"
+        if replica.journal.last_index - replica.commit_index >= MAX_UNCOMMITTED_ENTRIES:
+            return "overloaded", "too many commands are not committed yet"
         replica.propose(command, proposal_id)
         return None
 
@@ -282,10 +282,10 @@
 
     # --- leadership and commits
 
-    def _lead(self, now: float) -> None:
-        """Starts the term with an entry, since older ones commit only with it."""
+    def _on_elected(self, now: float) -> None:
+        """Appends a first entry, since those of older terms commit only with it."""
         replica = self._replica
-        self._led = True
+        self._was_leader = True
         self._replication.lead(now)
         if replica.group.started:
             replica.propose({"type": "control.noop"})
@@ -295,10 +295,10 @@
         self._replication.start_round(now)
 
     def _finish(self, now: float) -> list[Any]:
-        """Commits, applies and sends what the event made possible."""
+        """Commits, applies and sends whatever the event allows; returns the outbox."""
         replica = self._replica
-        if self._led and not replica.is_leader:
-            self._led = False
+        if self._was_leader and not replica.is_leader:
+            self._was_leader = False
             for origin in self._reads.drop():
                 self._proposals.answer(origin.proposal_id, "no_leader", "", {})
         if replica.is_leader:
@@ -308,7 +308,7 @@
         if replica.is_leader:
             self._reconfiguration.promote_ready(now)
             self._replication.send_entries()
-            self._snapshots.send_wanted()
+            self._snapshots.send_needed()
             self._reads.advance(now)
         self._publish(now)
         items, replica.outbox = replica.outbox, []
@@ -323,7 +323,7 @@
             proposal_id, command = decode_command(entry)
             if str(command.get("type", "")).startswith("control."):
                 self._apply_control(proposal_id, command)
-            elif self._is_first(proposal_id):
+            elif self._is_new_proposal(proposal_id):
                 origin = ProposalRef(proposal_id) if proposal_id else None
                 replica.outbox.append(
                     CommandCommitted(entry.index, entry.term, command, origin)
@@ -343,8 +343,8 @@
         if replica.is_leader and replica.name not in replica.group.voters:
             replica.step_down(replica.term, "")
 
-    def _is_first(self, proposal_id: str) -> bool:
-        """False for a command that is in the log for the second time."""
+    def _is_new_proposal(self, proposal_id: str) -> bool:
+        """Returns False for a command that an earlier entry contained."""
         if not proposal_id:
             return True
         base = ProposalId(proposal_id).base
@@ -352,7 +352,7 @@
         if base in recent:
             return False
         recent[base] = None
-        if len(recent) > RECENT_PROPOSALS:
+        if len(recent) > MAX_RECENT_PROPOSALS:
             recent.popitem(last=False)
         return True
 
--- a/packages/core/src/bronzemoor_core/journal.py
+++ b/packages/core/src/bronzemoor_core/journal.py
@@ -5,13 +5,13 @@
 
 from bronzemoor_core.messages import LogEntry
 
-# Bounds of one AppendEntries message; a batch always holds at least one entry.
+# Limits of one AppendEntries message; a batch always holds at least one entry.
 BATCH_ENTRIES = 256
 BATCH_BYTES = 262_144
 
 
 class Journal:
-    """Entries after ``base_index``; what is before is covered by a snapshot."""
+    """Entries after ``base_index``; earlier ones are covered by a snapshot."""
 
     __slots__ = ("_entries", "base_index", "base_term")
 
@@ -29,7 +29,7 @@
         return self._entries[-1].term if self._entries else self.base_term
 
     def term_at(self, index: int) -> int | None:
-        """Term of the entry at ``index``, or None when it is not in memory."""
+        """Returns the term of the entry at ``index``, None if it is not in memory."""
         if index == self.base_index:
             return self.base_term
         if self.base_index < index <= self.last_index:
@@ -40,15 +40,15 @@
         return self._entries[index - self.base_index - 1]
 
     def batch(self, first: int) -> list[LogEntry]:
-        """Entries from ``first`` on, as many as fit into one message."""
+        """Returns entries from ``first`` on, as many as fit into one message."""
         start = first - self.base_index - 1
-        chosen = self._entries[start : start + BATCH_ENTRIES]
+        entries = self._entries[start : start + BATCH_ENTRIES]
         size = 0
-        for count, entry in enumerate(chosen):
+        for count, entry in enumerate(entries):
             size += len(entry.command)
             if size > BATCH_BYTES and count:
-                return chosen[:count]
-        return chosen
+                return entries[:count]
+        return entries
 
     def append(self, entry: LogEntry) -> None:
         self._entries.append(entry)
@@ -58,7 +58,7 @@
         del self._entries[first - self.base_index - 1 :]
 
     def compact(self, index: int) -> None:
-        """Drops the entries up to ``index``, which is in memory."""
+        """Drops the entries up to ``index``, if it is in memory."""
         term = self.term_at(index)
         if term is None or index <= self.base_index:
             return
@@ -66,12 +66,12 @@
         self.base_index, self.base_term = index, term
 
     def reset(self, index: int, term: int) -> None:
-        """Drops everything and continues after ``index``."""
+        """Drops all entries and continues after ``index``."""
         self._entries.clear()
         self.base_index, self.base_term = index, term
 
     def conflict_hint(self, index: int) -> int:
-        """Where the leader should try next after a mismatch at ``index``."""
+        """Returns the index for the leader to try after a mismatch at ``index``."""
         if index > self.last_index:
             return self.last_index
         term = self.term_at(index)
@@ -81,7 +81,7 @@
 
 
 def encode_command(command: dict[str, Any], proposal_id: str = "") -> bytes:
-    """Encodes an entry: the command and the proposal that it came from."""
+    """Encodes an entry from a command and the id of its proposal."""
     body = {"id": proposal_id, "command": command}
     return json.dumps(body, separators=(",", ":")).encode()
 
--- a/packages/core/src/bronzemoor_core/proposals.py
+++ b/packages/core/src/bronzemoor_core/proposals.py
@@ -1,4 +1,4 @@
-"""Proposals: commands on their way to the leader, into the log and back."""
+"""Forwards commands to the leader as proposals and returns their results."""
 
 import json
 from collections import OrderedDict
@@ -10,38 +10,38 @@
 from bronzemoor_core.messages import Propose, ProposeReply
 from bronzemoor_core.replica import Replica
 
-# Covers an election and a few round trips between regions.
-PROPOSAL_TIMEOUT = 2.0  # seconds
-# How long a daemon looks for a leader before it answers no_leader.
-LEADER_WAIT = 1.0  # seconds
-RETRY_INTERVAL = 0.05  # seconds
-# A query without an answer is sent again, since asking twice changes nothing.
-QUERY_INTERVAL = 0.4  # seconds
+# Covers an election and a few round trips between regions; seconds.
+PROPOSAL_TIMEOUT = 2.0
+# How long a daemon waits for a leader before it answers no_leader.
+LEADER_WAIT_SECONDS = 1.0
+RETRY_INTERVAL_SECONDS = 0.05
+# A query without an answer is resent after this many seconds, since it has no effects.
+QUERY_INTERVAL = 0.4
 # Proposals whose duplicates are recognised and whose results are kept.
-SEEN_LIMIT = 4096
-# Answers which mean that an attempt was not accepted and may be repeated.
-REFUSALS = ("no_leader", "overloaded")
+MAX_SEEN_PROPOSALS = 4096
+# Codes which mean that an attempt was not accepted and may be retried.
+REFUSAL_CODES = ("no_leader", "overloaded")
 
 
 @dataclass(slots=True, frozen=True)
 class ProposalRef:
-    """Origin of the commands that consensus hands to ``state``."""
+    """Origin of the commands that consensus passes to ``state``."""
 
     proposal_id: str
 
 
 @dataclass(slots=True)
-class Pending:
-    """A proposal of this daemon.
+class PendingProposal:
+    """A proposal of this daemon that is not completed; times are in seconds.
 
-    ``sent`` tells that the newest attempt waits for its answer, ``uncertain`` that an
-    earlier one may have been accepted. ``leader`` is whom the newest one was for.
+    ``sent`` is true while the newest attempt waits for its answer, ``uncertain`` if an
+    earlier one may have been accepted. ``leader`` is the recipient of the newest one.
     """
 
     command: dict[str, Any]
     origin: Any
     started: float
-    next_try: float
+    next_attempt_at: float
     attempt: int = 0
     sent: bool = False
     uncertain: bool = False
@@ -60,48 +60,48 @@
         self.attempt = int(attempt)
 
 
-# Accepts a proposal as leader; returns an error code and message, or None.
-Accept = Callable[[float, str, dict[str, Any]], tuple[str, str] | None]
+# Accepts a proposal as leader; returns an error code and message if refused.
+AcceptProposal = Callable[[float, str, dict[str, Any]], tuple[str, str] | None]
 
 
 class Proposals:
-    """Forwards this daemon's proposals and those of others; completes each once."""
+    """Forwards proposals to the leader and completes each of this daemon's once."""
 
-    def __init__(self, replica: Replica, accept: Accept) -> None:
+    def __init__(self, replica: Replica, accept: AcceptProposal) -> None:
         self._replica = replica
         self._accept = accept
         self._session = f"{replica.random.getrandbits(64):016x}"
         self._number = 0
-        self._pending: dict[str, Pending] = {}
-        # Every attempt is processed once, so that a duplicate of a refused one cannot
-        # be accepted after its proposer was told that it was not.
-        self._seen: OrderedDict[str, None] = OrderedDict()
-        # The newest attempt at each proposal of another daemon, to be answered.
-        self._newest: OrderedDict[str, str] = OrderedDict()
+        self._pending: dict[str, PendingProposal] = {}
+        # Each attempt is processed once, so that a duplicate of a refused one cannot be
+        # accepted after its proposer learned of the refusal.
+        self._seen_attempts: OrderedDict[str, None] = OrderedDict()
+        # Newest attempt of each proposal of another daemon; answers refer to it.
+        self._newest_attempt: OrderedDict[str, str] = OrderedDict()
         self._results: OrderedDict[str, dict[str, Any]] = OrderedDict()
 
     def propose(self, now: float, command: dict[str, Any], origin: Any) -> None:
         """Starts a proposal of this daemon."""
         self._number += 1
         base = f"{self._replica.name}:{self._session}:{self._number}"
-        self._pending[base] = Pending(command, origin, now, now)
-        self._try(now, base, self._pending[base])
+        self._pending[base] = PendingProposal(command, origin, now, now)
+        self._send_attempt(now, base, self._pending[base])
 
     def on_tick(self, now: float) -> None:
-        """Repeats refused attempts and gives up old ones."""
+        """Retries refused attempts and completes proposals that timed out."""
         for base, pending in list(self._pending.items()):
             age = now - pending.started
             may_be_accepted = pending.sent or pending.uncertain
             if age >= PROPOSAL_TIMEOUT and may_be_accepted:
                 self._complete(base, "unknown", "no answer in time", {})
-            elif age >= LEADER_WAIT and not may_be_accepted:
+            elif age >= LEADER_WAIT_SECONDS and not may_be_accepted:
                 self._complete(base, "no_leader", "no leader is known", {})
-            elif now >= pending.next_try and self._should_repeat(pending):
+            elif now >= pending.next_attempt_at and self._should_retry(pending):
                 pending.uncertain = may_be_accepted
-                self._try(now, base, pending)
+                self._send_attempt(now, base, pending)
 
     def on_propose(self, now: float, sender: str, message: Propose) -> None:
-        """Accepts another daemon's proposal, or forwards it once more."""
+        """Accepts another daemon's proposal, or forwards it to the leader once."""
         replica = self._replica
         try:
             proposal = ProposalId(message.proposal_id)
@@ -111,7 +111,7 @@
         except ValueError as error:
             replica.emit_log("warning", "bad_proposal", peer=sender, error=str(error))
             return
-        if self._is_repeated(message.proposal_id):
+        if self._is_duplicate(message.proposal_id):
             return
         if replica.is_leader:
             refusal = self._accept(now, message.proposal_id, command)
@@ -125,7 +125,7 @@
             )
 
     def on_reply(self, now: float, message: ProposeReply) -> None:
-        """Completes a proposal; one that was not accepted is tried again."""
+        """Completes a proposal, or schedules a retry if it was not accepted."""
         try:
             proposal = ProposalId(message.proposal_id)
             result = json.loads(message.result)
@@ -135,10 +135,10 @@
         pending = self._pending.get(proposal.base)
         if pending is None:
             return
-        if message.code not in REFUSALS:
+        if message.code not in REFUSAL_CODES:
             self._complete(proposal.base, message.code, message.message, result)
         elif pending.attempt == proposal.attempt:
-            self._refused(now, proposal.base, pending, message.code, message.message)
+            self._on_refused(now, proposal.base, pending, message.code, message.message)
 
     def finish(self, proposal_id: str, result: dict[str, Any]) -> None:
         """Answers the proposer with what ``state`` returned.
@@ -146,16 +146,16 @@
         ``code`` and ``message`` of the result, if present, become those of the answer.
         """
         self._results[ProposalId(proposal_id).base] = result
-        if len(self._results) > SEEN_LIMIT:
+        if len(self._results) > MAX_SEEN_PROPOSALS:
             self._results.popitem(last=False)
         code = str(result.get("code", "ok"))
         self.answer(proposal_id, code, str(result.get("message", "")), result)
 
     def repeat(self, proposal_id: str) -> None:
-        """Answers a command that is in the log again with its first result.
+        """Answers a command that is in the log twice with its first result.
 
-        A member that has the command from a snapshot does not know the result; the
-        proposer's answer is ``unknown`` then.
+        A member that restored the command from a snapshot has no result, and the
+        proposal completes as ``unknown``.
         """
         result = self._results.get(ProposalId(proposal_id).base)
         if result is not None:
@@ -168,19 +168,21 @@
         proposal = ProposalId(proposal_id)
         if proposal.name == self._replica.name:
             pending = self._pending.get(proposal.base)
-            if pending is not None and code in REFUSALS:
-                self._refused(pending.started, proposal.base, pending, code, message)
+            if pending is not None and code in REFUSAL_CODES:
+                self._on_refused(pending.started, proposal.base, pending, code, message)
             else:
                 self._complete(proposal.base, code, message, result)
-        elif proposal.base in self._newest:
-            newest = self._newest[proposal.base]
+        elif proposal.base in self._newest_attempt:
+            newest = self._newest_attempt[proposal.base]
             self._answer(proposal.name, newest, code, message, result)
 
-    def _try(self, now: float, base: str, pending: Pending) -> None:
+    def _send_attempt(self, now: float, base: str, pending: PendingProposal) -> None:
         replica = self._replica
         pending.attempt += 1
         is_query = pending.command.get("query")
-        pending.next_try = now + (QUERY_INTERVAL if is_query else RETRY_INTERVAL)
+        pending.next_attempt_at = now + (
+            QUERY_INTERVAL if is_query else RETRY_INTERVAL_SECONDS
+        )
         pending.leader = replica.leader
         proposal_id = f"{base}:{pending.attempt}"
         if replica.is_leader:
@@ -191,14 +193,14 @@
             return
         recipient = replica.leader or self._any_control_member(pending.attempt)
         if not recipient:
-            pending.next_try = now + RETRY_INTERVAL
+            pending.next_attempt_at = now + RETRY_INTERVAL_SECONDS
             return
         pending.sent = True
         command = json.dumps(pending.command, separators=(",", ":")).encode()
         replica.send(recipient, Propose(proposal_id, command))
 
     def _any_control_member(self, attempt: int) -> str:
-        """A member that may know the leader; a voter itself would know."""
+        """Returns a member to ask; empty on a voter, which would know the leader."""
         replica = self._replica
         if replica.can_vote:
             return ""
@@ -206,11 +208,11 @@
         others = [name for name in members if name != replica.name]
         return others[attempt % len(others)] if others else ""
 
-    def _should_repeat(self, pending: Pending) -> bool:
-        """Tells whether another attempt is useful and harmless.
+    def _should_retry(self, pending: PendingProposal) -> bool:
+        """Returns whether another attempt is useful and safe.
 
-        A command may be in the log twice; it is applied once. Changes of the group are
-        not recognised as the same, so they are not repeated.
+        A command that is in the log twice is applied once. Changes of the group are not
+        deduplicated, so they are not retried.
         """
         command, leader = pending.command, self._replica.leader
         if not pending.sent or command.get("query"):
@@ -218,24 +220,27 @@
         changed = pending.leader and leader not in ("", pending.leader)
         return bool(changed) and not str(command.get("type")).startswith("control.")
 
-    def _refused(
-        self, now: float, base: str, pending: Pending, code: str, message: str
+    def _on_refused(
+        self, now: float, base: str, pending: PendingProposal, code: str, message: str
     ) -> None:
-        """Takes an attempt as not accepted; only no_leader is worth a new one, unless
-        an earlier attempt is still uncertain."""
+        """Handles a refused attempt.
+
+        It is retried after no_leader, and after any refusal while an earlier attempt is
+        uncertain.
+        """
         if code != "no_leader" and not pending.uncertain:
             self._complete(base, code, message, {})
             return
         pending.sent = False
-        pending.next_try = now + RETRY_INTERVAL
+        pending.next_attempt_at = now + RETRY_INTERVAL_SECONDS
 
-    def _is_repeated(self, proposal_id: str) -> bool:
-        if proposal_id in self._seen:
+    def _is_duplicate(self, proposal_id: str) -> bool:
+        if proposal_id in self._seen_attempts:
             return True
-        self._seen[proposal_id] = None
-        self._newest[ProposalId(proposal_id).base] = proposal_id
-        for kept in (self._seen, self._newest):
-            if len(kept) > SEEN_LIMIT:
+        self._seen_attempts[proposal_id] = None
+        self._newest_attempt[ProposalId(proposal_id).base] = proposal_id
+        for kept in (self._seen_attempts, self._newest_attempt):
+            if len(kept) > MAX_SEEN_PROPOSALS:
                 kept.popitem(last=False)
         return False
 
--- a/packages/core/src/bronzemoor_core/reads.py
+++ b/packages/core/src/bronzemoor_core/reads.py
@@ -1,4 +1,4 @@
-"""Reads that a quorum confirms, so that a deposed leader never answers them."""
+"""Reads confirmed by a quorum, so that a deposed leader never answers one."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,7 +10,7 @@
 
 @dataclass(slots=True)
 class Read:
-    """A query that waits for its round and for its index to be applied."""
+    """A query that waits for its round's quorum and for its index to be applied."""
 
     command: dict[str, Any]
     origin: Any
@@ -19,7 +19,10 @@
 
 
 class QuorumReads:
-    """Queries at the leader; a read sees every command committed before it came."""
+    """Linearizable queries on the leader.
+
+    A read sees every command that was committed before it arrived.
+    """
 
     def __init__(
         self,
@@ -33,7 +36,7 @@
         self._reads: list[Read] = []
 
     def add(self, now: float, command: dict[str, Any], origin: Any) -> None:
-        """Queues a query; queries that come during a round share the next one."""
+        """Queues a query; those that arrive during a round share the next round."""
         replication = self._replication
         waiting = self._reads[-1].round_id if self._reads else 0
         if waiting > replication.round_id:
@@ -45,7 +48,7 @@
         self._reads.append(Read(command, origin, round_id, self._read_index()))
 
     def advance(self, now: float) -> None:
-        """Hands over the queries that became ready."""
+        """Passes on the queries that became ready."""
         if not self._reads:
             return
         confirmed = self._replication.confirmed_round
@@ -61,17 +64,17 @@
         del self._reads[:ready]
         current = self._replication.round_id
         if self._reads and confirmed >= current and self._reads[0].round_id > current:
-            # The round that later queries were put off to.
+            # Starts the next round, for which later queries wait.
             self._replication.start_round(now)
 
     def drop(self) -> list[Any]:
-        """Gives up all queries; returns their origins."""
+        """Drops all queries and returns their origins."""
         origins = [read.origin for read in self._reads]
         self._reads.clear()
         return origins
 
     def _read_index(self) -> int | None:
-        """The commit index, known only once an entry of this term is committed."""
+        """Returns the commit index, None until an entry of this term is committed."""
         replica = self._replica
         if replica.journal.term_at(replica.commit_index) != replica.term:
             return None
--- a/packages/core/src/bronzemoor_core/reconfiguration.py
+++ b/packages/core/src/bronzemoor_core/reconfiguration.py
@@ -1,4 +1,4 @@
-"""Changes of the control group, one at a time, and its description for operators."""
+"""Changes of the control group, one at a time, and its status for operators."""
 
 from typing import Any
 
@@ -13,21 +13,21 @@
 
 
 class Reconfiguration:
-    """Adds, removes and replaces members as leader.
+    """Adds, removes and replaces members on the leader.
 
-    A new member is a learner until it has the committed log; then it becomes a voter.
+    A new member is a learner until it has every committed entry; then it can vote.
     """
 
     def __init__(self, replica: Replica, replication: Replication) -> None:
         self._replica = replica
         self._replication = replication
-        # Voters that answer under another identity, since when (seconds).
-        self._replaced_since: dict[str, float] = {}
+        # When each voter first answered under another identity, in seconds.
+        self._new_identity_since: dict[str, float] = {}
 
     def propose(
         self, now: float, command: dict[str, Any], proposal_id: str
     ) -> Refusal | None:
-        """Appends a change of ``name``; returns why not if it is refused.
+        """Appends a change; returns error code and message if it is refused.
 
         A replaced member is removed before its ``replacement``, by default the same
         name with a new identity, joins as a learner: no two majorities may differ by
@@ -35,10 +35,10 @@
         """
         kind = str(command["type"]).removeprefix("control.")
         name = str(command.get("name", ""))
-        by = str(command.get("replacement") or name)
-        refusal = self._refusal(kind, name, by)
+        replacement = str(command.get("replacement") or name)
+        refusal = self._refusal(kind, name, replacement)
         if refusal is None:
-            group = self._changed(kind, name, by)
+            group = self._changed_group(kind, name, replacement)
             self._append(now, kind, name, group, proposal_id)
         return refusal
 
@@ -46,18 +46,18 @@
         """Appends the first entry of a new group with the identities of its voters."""
         self._append(now, "start", self._replica.name, Group(identities), "")
 
-    def on_stranger(self, now: float, sender: str) -> None:
-        """Replaces a voter that lost its disk and is heard only under a new identity.
+    def on_unknown_identity(self, now: float, sender: str) -> None:
+        """Replaces a voter that lost its disk and now answers under a new identity.
 
-        Its old identity can never answer again, so nobody has to ask for it.
+        Its old identity can never answer again, so no operator has to request this.
         """
         progress = self._replication.progress.get(sender)
         if progress is None or sender not in self._replica.group.voters:
             return
-        since = self._replaced_since.setdefault(sender, now)
+        since = self._new_identity_since.setdefault(sender, now)
         limit = self._replica.settings.timers.stale_after
         if now - max(since, progress.last_reply) >= limit:
-            del self._replaced_since[sender]
+            del self._new_identity_since[sender]
             command = {"type": "control.replace", "name": sender}
             if self.propose(now, command, "") is None:
                 self._replica.emit_log("warning", "disk_lost", peer=sender)
@@ -81,16 +81,16 @@
     def check_identity(
         self, sender: str, identity: str, progress: Progress, round_id: int | None
     ) -> bool:
-        """Tells whether an answer counts; a learner's identity is learned from it."""
+        """Returns whether a reply is valid; records a learner's identity from it."""
         group = self._replica.group
         if sender in group.voters:
             return group.voters[sender] == identity
         if round_id is None:
             return progress.identity == identity
-        if round_id < progress.first_round:
+        if round_id < progress.first_valid_round:
             return False
         if progress.identity != identity:
-            # The learner is new, or lost its disk while it was catching up.
+            # The learner is new, or lost its disk while catching up.
             progress.identity = identity
             progress.match_index = 0
             progress.next_index = self._replica.journal.last_index + 1
@@ -101,12 +101,12 @@
     def describe(self, now: float) -> dict[str, Any]:
         """Members, roles, match index and how many more losses can be tolerated."""
         replica, group = self._replica, self._replica.group
-        members, alive = [], 0
+        members, reachable_voters = [], 0
         for name, identity in {**group.voters, **group.learners}.items():
             progress = self._replication.progress.get(name)
             silence = now - progress.last_reply if progress else 0.0
             reachable = silence < replica.settings.timers.stale_after
-            alive += reachable and name in group.voters
+            reachable_voters += reachable and name in group.voters
             members.append(
                 {
                     "name": name,
@@ -123,7 +123,7 @@
             "term": replica.term,
             "commit_index": replica.commit_index,
             "members": members,
-            "tolerated_losses": max(0, alive - group.quorum),
+            "tolerated_losses": max(0, reachable_voters - group.quorum),
         }
 
     def _role(self, name: str) -> str:
@@ -131,7 +131,7 @@
             return "leader"
         return "voter" if name in self._replica.group.voters else "learner"
 
-    def _refusal(self, kind: str, name: str, by: str) -> Refusal | None:
+    def _refusal(self, kind: str, name: str, replacement: str) -> Refusal | None:
         group = self._replica.group
         if not name:
             return "invalid_request", "name is missing"
@@ -148,7 +148,7 @@
         ):
             return "too_few_members", f"the group needs {MIN_VOTERS} voters"
         if kind == "replace":
-            return self._refuse_replace(group, name, by)
+            return self._refuse_replace(group, name, replacement)
         return None
 
     def _refuse_add(self, group: Group, name: str) -> Refusal | None:
@@ -160,25 +160,27 @@
             return "too_many_members", f"the group has {MAX_VOTERS} voters"
         return None
 
-    def _refuse_replace(self, group: Group, name: str, by: str) -> Refusal | None:
+    def _refuse_replace(
+        self, group: Group, name: str, replacement: str
+    ) -> Refusal | None:
         if name == self._replica.name:
             return "invalid_request", "the leader cannot replace itself"
-        if by != name and by in group.names:
-            return "already_member", f"{by} is a member"
+        if replacement != name and replacement in group.names:
+            return "already_member", f"{replacement} is a member"
         if set(group.learners) - {name}:
             return "change_in_progress", "a learner is still catching up"
         return None
 
-    def _changed(self, kind: str, name: str, by: str) -> Group:
+    def _changed_group(self, kind: str, name: str, replacement: str) -> Group:
         group = self._replica.group
         if kind == "add":
             return group.with_learner(name)
         if kind == "remove":
             return group.without(name)
-        return group.without(name).with_learner(by)
+        return group.without(name).with_learner(replacement)
 
     def _change_in_progress(self) -> bool:
-        """A change needs the previous one and an entry of this term committed."""
+        """Returns whether the last change or this term's first entry is uncommitted."""
         replica = self._replica
         committed_term = replica.journal.term_at(replica.commit_index)
         return (
--- a/packages/core/src/bronzemoor_core/replica.py
+++ b/packages/core/src/bronzemoor_core/replica.py
@@ -1,4 +1,4 @@
-"""One member's part of the replicated log: terms, entries and what is synced."""
+"""One member's replica of the log: terms, entries and what is synced."""
 
 from collections import OrderedDict, deque
 from random import Random
@@ -15,7 +15,7 @@
 from bronzemoor_core.messages import LogEntry
 from bronzemoor_core.settings import NodeSettings
 from bronzemoor_core.storage import HardState, Snapshot
-from bronzemoor_core.voters import Group, first_group, group_of
+from bronzemoor_core.voters import Group, group_from_entry, initial_group
 
 FOLLOWER = "follower"
 CANDIDATE = "candidate"
@@ -25,10 +25,10 @@
 
 
 class Replica:
-    """Shared by elections, replication, proposals and snapshots.
+    """State shared by elections, replication, proposals and snapshots.
 
     Actions and internal events are collected in ``outbox``. Messages that depend on
-    storage are held back until the sequence that they depend on is synced.
+    storage are held until the write sequence that they depend on is synced.
     """
 
     def __init__(self, settings: NodeSettings, random: Random) -> None:
@@ -53,14 +53,14 @@
         self._groups: list[tuple[int, Group]] = [(0, Group())]
         self._sequence = 0
         self._synced_sequence = 0
-        self._hard_sequence = 0
-        # Sequence and the last index that is stored once it is synced.
-        self._appends: deque[tuple[int, int]] = deque()
-        self._held: deque[tuple[int, str, Any]] = deque()
+        self._hard_state_sequence = 0
+        # Write sequences and the last log index that each of them stores.
+        self._unsynced_appends: deque[tuple[int, int]] = deque()
+        self._held_messages: deque[tuple[int, str, Any]] = deque()
 
     @property
     def active(self) -> bool:
-        """False outside the control group and after a storage failure."""
+        """Returns False outside the control group and after a storage failure."""
         return self.role != NONE and not self.failed
 
     @property
@@ -69,21 +69,21 @@
 
     @property
     def group(self) -> Group:
-        """The newest group in the log, committed or not."""
+        """The newest group configuration in the log, committed or not."""
         return self._groups[-1][1]
 
     @property
     def group_index(self) -> int:
-        """Index of the entry that put the group into force."""
+        """Index of the entry that contains this group configuration."""
         return self._groups[-1][0]
 
     @property
     def hard_state_synced(self) -> bool:
-        return self._hard_sequence <= self._synced_sequence
+        return self._hard_state_sequence <= self._synced_sequence
 
     @property
     def sequence(self) -> int:
-        """Sequence of the newest write."""
+        """Sequence number of the newest write."""
         return self._sequence
 
     @property
@@ -91,7 +91,7 @@
         return self.active and self.group.is_voter(self.name, self.identity)
 
     def group_at(self, index: int) -> Group:
-        """The group in force at ``index``."""
+        """Returns the group configuration in effect at ``index``."""
         return next(group for start, group in reversed(self._groups) if start <= index)
 
     # --- start
@@ -99,13 +99,13 @@
     def recover(
         self, state: HardState | None, entries: list[LogEntry], snapshot: Any
     ) -> None:
-        """Takes over what storage held; a new data folder gets an identity."""
+        """Restores the stored state; a new data folder gets an identity."""
         self.role = FOLLOWER
         if state is not None:
             self.term, self.vote, self.identity = state.term, state.vote, state.identity
-        self._groups = [(0, first_group(self.settings))]
+        self._groups = [(0, initial_group(self.settings))]
         if snapshot is not None:
-            self._install(snapshot)
+            self._install_snapshot(snapshot)
             stored, entries = entries, _entries_after(snapshot, entries)
             if stored and not entries:
                 self._clear_stored_log()
@@ -117,12 +117,12 @@
             self.persist_hard_state()
 
     def restore(self, snapshot: Snapshot) -> None:
-        """Puts a received snapshot in the place of the log up to its index."""
+        """Replaces the log up to the snapshot's index by a received snapshot."""
         diverges = self.journal.term_at(snapshot.index) != snapshot.term
         if diverges:
             self.synced_index = min(self.synced_index, snapshot.index)
-            self._appends.clear()
-        self._install(snapshot)
+            self._unsynced_appends.clear()
+        self._install_snapshot(snapshot)
         self.store_snapshot(snapshot)
         if diverges:
             # The stored log must not continue after a snapshot that it contradicts.
@@ -131,14 +131,14 @@
     # --- storage
 
     def persist_hard_state(self) -> None:
-        """Stores term, vote and identity; later messages wait for the sync."""
+        """Stores term, vote and identity; later messages wait until they are synced."""
         self._sequence += 1
-        self._hard_sequence = self._sequence
+        self._hard_state_sequence = self._sequence
         state = HardState(self.term, self.vote, self.identity)
         self.outbox.append(PersistLog(self._sequence, state))
 
     def store(self, entries: list[LogEntry]) -> None:
-        """Appends entries and stores them; a conflicting tail is removed."""
+        """Appends and stores entries after removing a conflicting tail."""
         truncate_from = None
         if entries[0].index <= self.journal.last_index:
             truncate_from = entries[0].index
@@ -146,12 +146,12 @@
         for entry in entries:
             self._append(entry)
         self._sequence += 1
-        self._appends.append((self._sequence, entries[-1].index))
+        self._unsynced_appends.append((self._sequence, entries[-1].index))
         self.outbox.append(PersistLog(self._sequence, None, entries, truncate_from))
 
     def store_snapshot(self, snapshot: Snapshot) -> None:
         self._sequence += 1
-        self._appends.append((self._sequence, snapshot.index))
+        self._unsynced_appends.append((self._sequence, snapshot.index))
         self.outbox.append(PersistSnapshot(self._sequence, snapshot))
 
     def _clear_stored_log(self) -> None:
@@ -165,19 +165,19 @@
         return index
 
     def on_synced(self, sequence: int) -> None:
-        """Releases the messages that waited for ``sequence``."""
+        """Sends the messages that waited for ``sequence``."""
         self._synced_sequence = max(self._synced_sequence, sequence)
-        while self._appends and self._appends[0][0] <= sequence:
-            index = self._appends.popleft()[1]
+        while self._unsynced_appends and self._unsynced_appends[0][0] <= sequence:
+            index = self._unsynced_appends.popleft()[1]
             self.synced_index = max(self.synced_index, index)
-        while self._held and self._held[0][0] <= sequence:
-            _, recipient, message = self._held.popleft()
+        while self._held_messages and self._held_messages[0][0] <= sequence:
+            _, recipient, message = self._held_messages.popleft()
             self.outbox.append(SendPeerMessage(recipient, message))
 
     def on_storage_failed(self, error: str) -> None:
-        """Stops taking part; nothing that is not synced is ever answered."""
-        self._held.clear()
-        self._appends.clear()
+        """Stops participating, so that nothing unsynced is ever acknowledged."""
+        self._held_messages.clear()
+        self._unsynced_appends.clear()
         self.step_down(self.term, "")
         self.failed = True
         self.emit_log("error", "storage_failed", error=error)
@@ -186,14 +186,14 @@
 
     def send(self, recipient: str, message: Any, after: int = 0) -> None:
         """Sends once the hard state and the sequence ``after`` are synced."""
-        barrier = max(self._hard_sequence, after)
+        barrier = max(self._hard_state_sequence, after)
         if barrier <= self._synced_sequence:
             self.outbox.append(SendPeerMessage(recipient, message))
             return
-        # Sequences are released in order, so a later message never has a lower one.
-        if self._held:
-            barrier = max(barrier, self._held[-1][0])
-        self._held.append((barrier, recipient, message))
+        # Messages are sent in order, so a later one never waits for a lower sequence.
+        if self._held_messages:
+            barrier = max(barrier, self._held_messages[-1][0])
+        self._held_messages.append((barrier, recipient, message))
 
     def emit_log(self, level: str, event: str, **fields: Any) -> None:
         self.outbox.append(EmitLog(level, event, {**fields, "term": self.term}))
@@ -211,7 +211,7 @@
             self.outbox.append(LeadershipChanged(leader, self.term, False))
             self.emit_log("info", "leadership_lost", leader=leader)
 
-    def _install(self, snapshot: Snapshot) -> None:
+    def _install_snapshot(self, snapshot: Snapshot) -> None:
         self.snapshot = snapshot
         group = Group(dict(snapshot.voters), dict(snapshot.learners))
         later = [item for item in self._groups if item[0] > snapshot.index]
@@ -227,7 +227,7 @@
 
     def _append(self, entry: LogEntry) -> None:
         self.journal.append(entry)
-        group = group_of(entry)
+        group = group_from_entry(entry)
         if group is not None:
             self._groups.append((entry.index, group))
 
@@ -236,15 +236,17 @@
         while self._groups[-1][0] >= first:
             self._groups.pop()
         self.synced_index = min(self.synced_index, first - 1)
-        clipped = [(number, min(index, first - 1)) for number, index in self._appends]
-        self._appends = deque(clipped)
+        clipped = [
+            (number, min(index, first - 1)) for number, index in self._unsynced_appends
+        ]
+        self._unsynced_appends = deque(clipped)
 
 
 def _entries_after(snapshot: Snapshot, entries: list[LogEntry]) -> list[LogEntry]:
-    """Stored entries that continue the snapshot.
+    """Returns the stored entries that continue the snapshot.
 
-    A crash while a received snapshot replaces a diverging log leaves entries behind
-    that contradict the snapshot at its index; none of them is used.
+    A crash while a received snapshot replaces a diverging log leaves entries that
+    contradict the snapshot at its index; none of them is used.
     """
     for entry in entries:
         if entry.index == snapshot.index and entry.term != snapshot.term:
--- a/packages/core/src/bronzemoor_core/replication.py
+++ b/packages/core/src/bronzemoor_core/replication.py
@@ -1,4 +1,4 @@
-"""Replication of the leader's log, and the followers' side of it."""
+"""Log replication, on the leader and on the followers."""
 
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
@@ -6,24 +6,24 @@
 from bronzemoor_core.messages import AppendEntries, AppendEntriesReply, LogEntry
 from bronzemoor_core.replica import Replica
 
-# Messages with entries that a peer may leave unanswered before sending pauses.
+# Messages with entries that may await a peer's reply before sending pauses.
 MAX_IN_FLIGHT = 8
 
 
 @dataclass(slots=True)
 class Progress:
-    """What the leader knows of one peer."""
+    """The leader's view of one peer's log."""
 
     next_index: int
     last_reply: float
     identity: str = ""
     match_index: int = 0
-    # While probing, the peer's matching index is unknown and nothing is pipelined.
+    # While probing, the peer's match index is unknown and nothing is pipelined.
     probing: bool = True
     in_flight: deque[int] = field(default_factory=deque)
     round_id: int = 0
-    # Answers to earlier rounds may come from an identity that was replaced.
-    first_round: int = 0
+    # Replies to earlier rounds may come from an identity that was replaced.
+    first_valid_round: int = 0
     # Bytes of the snapshot that the peer acknowledged, None while none is sent.
     snapshot_offset: int | None = None
 
@@ -35,11 +35,11 @@
         self._replica = replica
         self._round_id = 0
         self._next_heartbeat = 0.0
-        # When each round that may still be confirmed started, seconds.
+        # Start time in seconds of each round that may still be confirmed.
         self._round_started: OrderedDict[int, float] = OrderedDict()
         self._confirmed_at = float("-inf")
         # Highest index that is known to match the current leader's log.
-        self._verified = 0
+        self._verified_index = 0
         self._verified_term = 0
         self.progress: dict[str, Progress] = {}
         self.needs_snapshot: list[str] = []
@@ -58,7 +58,7 @@
         return self._round_id
 
     def lead(self, now: float) -> None:
-        """Starts with no knowledge of any peer."""
+        """Resets what is known of the peers at the start of a leader's term."""
         self.progress.clear()
         self._round_started.clear()
         self._confirmed_at = float("-inf")
@@ -66,7 +66,7 @@
         self._next_heartbeat = now
 
     def sync_peers(self, now: float) -> None:
-        """Follows a change of the group."""
+        """Adds and removes peers after a change of the group."""
         names = set(self._replica.group.names) - {self._replica.name}
         for name in set(self.progress) - names:
             del self.progress[name]
@@ -74,11 +74,11 @@
             self.progress[name] = Progress(
                 self._replica.journal.last_index + 1,
                 now,
-                first_round=self._round_id + 1,
+                first_valid_round=self._round_id + 1,
             )
 
     def confirmed_at(self) -> float:
-        """When the newest round that a quorum answered was started, in seconds.
+        """Returns when the newest round that a quorum answered started, in seconds.
 
         No other member can have been elected before that.
         """
@@ -88,13 +88,13 @@
         return self._confirmed_at
 
     def quorum_contact(self) -> float:
-        """When a quorum last answered, in seconds."""
+        """Returns when a quorum last answered, in seconds."""
         times = {name: item.last_reply for name, item in self.progress.items()}
         times[self._replica.name] = float("inf")
         return self._replica.group.quorum_value(times)
 
     def on_tick(self, now: float) -> None:
-        """Sends heartbeats; a leader without a quorum steps down."""
+        """Sends heartbeats, or steps down as a leader without a quorum."""
         replica = self._replica
         if not replica.is_leader:
             return
@@ -104,7 +104,7 @@
             self.start_round(now)
 
     def start_round(self, now: float) -> int:
-        """Sends to every peer; returns the round that their answers will carry."""
+        """Sends a heartbeat to every peer; returns the round id of their replies."""
         self._round_id += 1
         self._round_started[self._round_id] = now
         self._next_heartbeat = now + self._replica.settings.timers.heartbeat_interval
@@ -113,7 +113,7 @@
         return self._round_id
 
     def send_entries(self) -> None:
-        """Sends entries that peers do not have, as far as the pipeline allows."""
+        """Sends missing entries to the peers, as far as the pipeline allows."""
         for name, progress in self.progress.items():
             self.send_to(name, progress)
 
@@ -128,12 +128,12 @@
             self._send(name, progress)
 
     def on_reply(self, now: float, sender: str, reply: AppendEntriesReply) -> None:
-        """Takes an answer of this term from a recorded identity into account."""
+        """Handles a reply of this term from a recorded identity."""
         progress = self.progress[sender]
         progress.last_reply = now
         progress.round_id = max(progress.round_id, reply.round_id)
         if not reply.success:
-            self._go_back(sender, progress, reply.match_index)
+            self._rewind(sender, progress, reply.match_index)
             return
         progress.match_index = max(progress.match_index, reply.match_index)
         progress.next_index = max(progress.next_index, progress.match_index + 1)
@@ -144,7 +144,7 @@
         self.send_to(sender, progress)
 
     def quorum_index(self) -> int:
-        """The highest index that a quorum has synced, if it is of this term."""
+        """Returns the highest index that a quorum synced, 0 if not of this term."""
         replica = self._replica
         matches = {name: item.match_index for name, item in self.progress.items()}
         matches[replica.name] = replica.synced_index
@@ -182,8 +182,8 @@
             progress.next_index = entries[-1].index + 1
             progress.in_flight.append(entries[-1].index)
 
-    def _go_back(self, name: str, progress: Progress, hint: int) -> None:
-        """Continues after ``hint`` or the last index that is known to match."""
+    def _rewind(self, name: str, progress: Progress, hint: int) -> None:
+        """Retries after ``hint`` or the last index that is known to match."""
         if progress.snapshot_offset is not None:
             if hint < self._replica.journal.base_index:
                 return
@@ -202,7 +202,7 @@
     # --- follower
 
     def on_append(self, now: float, sender: str, message: AppendEntries) -> bool:
-        """Answers a leader; False when its term is over."""
+        """Handles a leader's entries; returns False if its term is outdated."""
         replica = self._replica
         if message.term < replica.term:
             self._reply(sender, False, 0, message.round_id)
@@ -211,8 +211,8 @@
             replica.step_down(message.term, sender)
         replica.last_contact = now
         if self._verified_term != message.term:
-            self._verified_term, self._verified = message.term, 0
-        self._verified = max(self._verified, replica.commit_index)
+            self._verified_term, self._verified_index = message.term, 0
+        self._verified_index = max(self._verified_index, replica.commit_index)
         if not self._matches(message):
             hint = replica.journal.conflict_hint(message.previous_index)
             hint = max(hint, replica.commit_index)
@@ -220,12 +220,12 @@
             return True
         stored = self._store_new(message.entries)
         last = message.previous_index + len(message.entries)
-        self._verified = max(self._verified, last)
+        self._verified_index = max(self._verified_index, last)
         replica.commit_index = max(
-            replica.commit_index, min(message.commit_index, self._verified)
+            replica.commit_index, min(message.commit_index, self._verified_index)
         )
         if stored:
-            # Answered once the entries are synced.
+            # Sent once the entries are synced.
             self._reply(sender, True, last, message.round_id, replica.sequence)
         else:
             self._reply_synced(sender, message.round_id)
@@ -238,12 +238,12 @@
             return term == message.previous_term
         if term in (None, message.previous_term):
             return True
-        # Committed entries never differ within a group: this leader is of another one.
+        # Committed entries never differ in a group, so this leader is of another group.
         replica.emit_log("error", "log_diverges", index=message.previous_index)
         return False
 
     def _store_new(self, entries: list[LogEntry]) -> bool:
-        """Stores entries from the first one on that is missing or differs."""
+        """Stores entries from the first missing or differing one on."""
         replica = self._replica
         for position, entry in enumerate(entries):
             if entry.index <= replica.commit_index:
@@ -254,8 +254,8 @@
         return False
 
     def _reply_synced(self, sender: str, round_id: int) -> None:
-        """Acknowledges at once what is both verified and synced."""
-        match = min(self._verified, self._replica.synced_index)
+        """Acknowledges immediately what is both verified and synced."""
+        match = min(self._verified_index, self._replica.synced_index)
         self._reply(sender, True, match, round_id)
 
     def _reply(
--- a/packages/core/src/bronzemoor_core/snapshots.py
+++ b/packages/core/src/bronzemoor_core/snapshots.py
@@ -1,4 +1,4 @@
-"""Snapshots: compaction of the log and streaming to members that are behind."""
+"""Snapshots for compacting the log and for members that lag too far behind."""
 
 import json
 import zlib
@@ -15,31 +15,31 @@
 from bronzemoor_core.storage import Snapshot, decode_snapshot
 
 CHUNK_BYTES = 65_536
-# Part of ``snapshot_entries`` kept in memory behind a snapshot, so that a member that
-# is a little behind gets entries instead of the whole state.
-KEPT_PART = 0.2
+# Share of ``snapshot_entries`` kept in memory before a snapshot, so that a member that
+# lags a little is sent entries instead of the whole state.
+RETAINED_RATIO = 0.2
 
 
 class Snapshots:
-    """Makes snapshots as member, sends them as leader, receives them as follower."""
+    """Takes snapshots on members, sends them as leader, receives them as follower."""
 
     def __init__(self, replica: Replica, replication: Replication) -> None:
         self._replica = replica
         self._replication = replication
-        self._requested_at = 0
+        self._requested_index = 0
         self._encoded: tuple[int, bytes] = (0, b"")
         self._encoded_term = 0
-        # The snapshot being received: sender, term, last index, size; then its bytes.
-        self._receiving: tuple[Any, ...] = ()
+        # The snapshot being received (sender, term, last index, size) and its bytes.
+        self._transfer_key: tuple[Any, ...] = ()
         self._received = bytearray()
 
     def request_if_due(self) -> None:
-        """Asks ``state`` for a snapshot once enough entries were applied."""
+        """Requests a snapshot from ``state`` once enough entries were applied."""
         replica = self._replica
         last = replica.snapshot.index if replica.snapshot else 0
-        last = max(last, self._requested_at)
+        last = max(last, self._requested_index)
         if replica.applied_index - last >= replica.settings.timers.snapshot_entries:
-            self._requested_at = replica.applied_index
+            self._requested_index = replica.applied_index
             replica.outbox.append(SnapshotRequested())
 
     def on_ready(self, event: SnapshotReady) -> None:
@@ -50,20 +50,20 @@
         if term is None or (replica.snapshot and index <= replica.snapshot.index):
             return
         group = replica.group_at(index)
-        # The snapshot is encoded later and elsewhere; ``state`` may change its objects.
+        # Copied because ``state`` may change its objects before they are encoded.
         data = json.loads(json.dumps(event.data))
         replica.snapshot = Snapshot(
             index, term, group.voters, group.learners, tuple(replica.recent), data
         )
         replica.store_snapshot(replica.snapshot)
-        kept = int(KEPT_PART * replica.settings.timers.snapshot_entries)
+        kept = int(RETAINED_RATIO * replica.settings.timers.snapshot_entries)
         replica.journal.compact(index - kept)
         replica.emit_log("info", "snapshot_made", index=index)
 
     # --- leader
 
-    def send_wanted(self) -> None:
-        """Sends the next chunk to every peer that replication cannot serve."""
+    def send_needed(self) -> None:
+        """Sends the next chunk to every peer whose next entries were compacted."""
         for name in dict.fromkeys(self._replication.needs_snapshot):
             progress = self._replication.progress.get(name)
             if progress is not None and progress.snapshot_offset is not None:
@@ -71,7 +71,7 @@
         self._replication.needs_snapshot.clear()
 
     def on_reply(self, now: float, sender: str, reply: InstallSnapshotReply) -> None:
-        """Sends the next chunk, or goes on with entries after the last one."""
+        """Sends the next chunk, or entries after the last chunk."""
         progress = self._replication.progress[sender]
         progress.last_reply = now
         if progress.snapshot_offset is None or reply.last_index != self._encoded[0]:
@@ -92,7 +92,7 @@
         replica, snapshot = self._replica, self._replica.snapshot
         if snapshot is None:
             return
-        # A newer snapshot must not restart a transfer that is under way.
+        # A newer snapshot must not restart a transfer in progress.
         peers = self._replication.progress.values()
         if not any(peer.snapshot_offset for peer in peers):
             self._encode(snapshot)
@@ -120,7 +120,7 @@
     # --- follower
 
     def on_install(self, now: float, sender: str, message: InstallSnapshot) -> bool:
-        """Takes a chunk; the last one puts the snapshot in force. False if refused."""
+        """Stores a chunk and installs a complete snapshot; returns False if refused."""
         replica = self._replica
         if message.term < replica.term:
             self._reply(sender, message.last_index, 0)
@@ -129,12 +129,12 @@
             replica.step_down(message.term, sender)
         replica.last_contact = now
         if message.last_index <= replica.commit_index:
-            # What is committed here may not be synced yet.
+            # Entries committed here may not be synced yet.
             self._reply(sender, message.last_index, message.total, replica.sequence)
             return True
         key = (sender, message.term, message.last_index, message.total)
-        if key != self._receiving:
-            self._receiving, self._received = key, bytearray()
+        if key != self._transfer_key:
+            self._transfer_key, self._received = key, bytearray()
         intact = zlib.crc32(message.chunk) == message.checksum
         if intact and message.offset == len(self._received):
             self._received += message.chunk
@@ -142,7 +142,7 @@
             self._reply(sender, message.last_index, len(self._received))
             return True
         self._restore(decode_snapshot(bytes(self._received)))
-        self._receiving, self._received = (), bytearray()
+        self._transfer_key, self._received = (), bytearray()
         self._reply(sender, message.last_index, message.total, replica.sequence)
         return True
 
--- a/packages/core/src/bronzemoor_core/storage.py
+++ b/packages/core/src/bronzemoor_core/storage.py
@@ -1,4 +1,4 @@
-"""Storage of the replicated log: its data types, its interface and a copy in memory."""
+"""Storage of the replicated log: data types, interface, in-memory implementation."""
 
 import json
 from dataclasses import dataclass, field
@@ -11,10 +11,10 @@
 
 @dataclass(slots=True, frozen=True)
 class HardState:
-    """What must survive a restart besides the log.
+    """State that must survive a restart besides the log.
 
     ``vote`` is the identity voted for in ``term``. ``identity`` is the name and a
-    random identifier that is made once for each data folder, so that a VM that lost
+    random identifier that is created once for each data folder, so that a VM that lost
     its disk cannot vote twice in a term.
     """
 
@@ -25,7 +25,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Snapshot:
-    """The state up to ``index``; ``voters`` and ``learners`` map names to identities.
+    """The state at ``index``; ``voters`` and ``learners`` map names to identities.
 
     ``recent`` holds the ids of the last applied proposals, oldest first.
     """
@@ -43,13 +43,13 @@
 
 
 def decode_snapshot(data: bytes) -> Snapshot:
-    """Reads what ``Snapshot.encode`` wrote."""
+    """Decodes the result of ``Snapshot.encode``."""
     body = json.loads(data)
     return Snapshot(**{**body, "recent": tuple(body["recent"])})
 
 
 class Storage(Protocol):
-    """What the driver offers to the log; each call returns after the sync."""
+    """Storage as the driver provides it; each call returns once it is synced."""
 
     def recover(self) -> StorageRecovered: ...
 
@@ -58,12 +58,12 @@
     def save(self, action: PersistSnapshot) -> None: ...
 
     def close(self) -> None:
-        """Releases what the storage holds; nothing is written afterwards."""
+        """Releases all resources; nothing is written afterwards."""
 
 
 @dataclass(slots=True)
 class MemoryStorage:
-    """Storage without a disk, for tests and for daemons that keep no log."""
+    """Storage in memory, for tests and for daemons that keep no log."""
 
     hard_state: HardState | None = None
     entries: dict[int, LogEntry] = field(default_factory=dict)
@@ -86,7 +86,7 @@
             self.persist(action)
 
     def close(self) -> None:
-        """Holds nothing to release."""
+        """Does nothing, since there is nothing to release."""
 
     def save(self, action: PersistSnapshot) -> None:
         self.snapshot = action.snapshot
--- a/packages/core/src/bronzemoor_core/voters.py
+++ b/packages/core/src/bronzemoor_core/voters.py
@@ -1,4 +1,4 @@
-"""Members of the control group: voters, learners and their identities."""
+"""Group configurations of the control group: voters, learners and identities."""
 
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
@@ -12,16 +12,16 @@
 MIN_VOTERS = 3
 MAX_VOTERS = 5
 
-# Every entry that changes the group contains this; saves decoding all the others.
-GROUP_MARK = b'"type":"control.'
+# Contained in every entry that changes the group, so that others are not decoded.
+GROUP_COMMAND_MARKER = b'"type":"control.'
 
 
 @dataclass(slots=True, frozen=True)
 class Group:
-    """Voters and learners as name to identity.
+    """A group configuration, with voters and learners as name to identity.
 
-    Before the first entry is committed the identities are not known. Such a group is
-    not ``started``: it accepts any identity but needs every voter to elect, so that a
+    Before the first entry is committed, the identities are unknown. Such a group is not
+    ``started``: it accepts any identity but an election needs every vote, so that a
     voter that loses its disk meanwhile cannot elect two leaders in one term.
     """
 
@@ -42,13 +42,13 @@
         return [*self.voters, *self.learners]
 
     def is_voter(self, name: str, identity: str) -> bool:
-        """Tells whether an answer of ``identity`` counts."""
+        """Returns whether votes and replies of ``identity`` count."""
         if name not in self.voters:
             return False
         return not self.started or self.voters[name] == identity
 
     def with_learner(self, name: str) -> "Group":
-        """Adds a learner; its identity is recorded when it becomes a voter."""
+        """Adds a learner, whose identity is recorded once it becomes a voter."""
         return Group(self.without(name).voters, {**self.learners, name: ""})
 
     def with_voter(self, name: str, identity: str) -> "Group":
@@ -63,14 +63,14 @@
         )
 
     def quorum_value(self, values: dict[str, N]) -> N:
-        """The largest value that a quorum of the voters has reached."""
+        """Returns the largest value that a quorum of the voters has reached."""
         zero = type(next(iter(values.values())))()
         ordered = sorted((values.get(name, zero) for name in self.voters), reverse=True)
         return ordered[self.quorum - 1] if ordered else zero
 
 
 def group_command(kind: str, name: str, group: Group) -> dict[str, Any]:
-    """The command of an entry that puts ``group`` into force."""
+    """Returns the command of an entry that changes the group to ``group``."""
     return {
         "type": f"control.{kind}",
         "member": name,
@@ -79,9 +79,9 @@
     }
 
 
-def group_of(entry: LogEntry) -> Group | None:
-    """The group that an entry puts into force, or None for any other entry."""
-    if GROUP_MARK not in entry.command:
+def group_from_entry(entry: LogEntry) -> Group | None:
+    """Returns the group that an entry changes to, None if it does not change it."""
+    if GROUP_COMMAND_MARKER not in entry.command:
         return None
     _, command = decode_command(entry)
     if not str(command.get("type", "")).startswith("control."):
@@ -91,11 +91,11 @@
     return Group(command["voters"], command["learners"])
 
 
-def first_group(settings: NodeSettings) -> Group:
-    """The group that the settings name; alone when they name nobody else at all.
+def initial_group(settings: NodeSettings) -> Group:
+    """Returns the group that the settings name, or a group of one without peers.
 
     A member without ``control_members`` but with peers waits to be added, so that a
-    forgotten setting does not make a second group.
+    missing setting does not create a second group.
     """
     names = settings.control_members
     if not names and not set(settings.peers) - {settings.name}:
--- a/packages/core/tests/logcluster.py
+++ b/packages/core/tests/logcluster.py
@@ -1,4 +1,4 @@
-"""A control group on a virtual clock, a list of messages and disks in memory."""
+"""Simulates a control group with a virtual clock, network and disks."""
 
 from collections import deque
 from random import Random
@@ -26,7 +26,7 @@
 
 
 class Disk:
-    """Keeps writes apart from what is synced, so that a crash can lose them."""
+    """Separates writes from synced state, so that a crash can lose writes."""
 
     def __init__(self):
         self.storage = MemoryStorage()
@@ -42,7 +42,7 @@
 
 
 class Values:
-    """The replicated state: the values of the commands in the order applied."""
+    """Replicated state: the values of all commands in the order of application."""
 
     def __init__(self, cluster):
         self.cluster, self.values = cluster, []
@@ -73,7 +73,7 @@
 
 
 class LogMember(Machine):
-    """One daemon with nothing but the log and the values."""
+    """A daemon that runs only the log and the replicated values."""
 
     def __init__(self, cluster, name, disk, seed, **settings):
         settings = {"control": True, "control_members": cluster.names, **settings}
@@ -134,7 +134,7 @@
         return member
 
     def crash(self, name, synced=0):
-        """Stops a member; ``synced`` of its open writes reach the disk before."""
+        """Stops a member after syncing the first ``synced`` of its pending writes."""
         disk = self.disks[name]
         for _ in range(min(synced, len(disk.unsynced))):
             disk.sync_one()
--- a/packages/core/tests/test_consensus.py
+++ b/packages/core/tests/test_consensus.py
@@ -1,4 +1,4 @@
-"""Tests of the replicated log over members on a virtual clock."""
+"""Tests of the replicated log with simulated members."""
 
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
@@ -53,7 +53,7 @@
 
 
 def test_a_leader_without_quorum_steps_down_and_rejoins():
-    """Guards against a deposed leader that goes on as if it led."""
+    """Guards against a deposed leader that continues to act as leader."""
     cluster = Cluster(3)
     old = cluster.elect()
     cluster.cut = {old.name}
@@ -94,7 +94,7 @@
 
 
 def test_entries_are_not_acknowledged_before_they_are_synced():
-    """Guards against a commit that a power failure undoes."""
+    """Guards against a commit that a power failure reverts."""
     cluster = Cluster(3, start=False)
     member = cluster.start("vm-1")
     cluster.run(0.02)
@@ -119,7 +119,7 @@
     old = cluster.elect()
     cluster.propose(old, 1)
     cluster.run(0.2)
-    # It would step down in time by its own clock; a stopped clock must do no harm.
+    # Prevents it from stepping down, as if its clock had stopped.
     old.settings.timers = ControlSettings(election_timeout_max=60.0)
     cluster.cut = {old.name}
     cluster.run(1.0)
@@ -133,7 +133,7 @@
 
 
 class LogMachine(RuleBasedStateMachine):
-    """Faults in any order; safety is checked inside the cluster at every step."""
+    """Injects faults in any order; the cluster checks safety at every step."""
 
     size = 3
 
@@ -141,7 +141,7 @@
         super().__init__()
         self.cluster = Cluster(self.size, seed=self.size, snapshot_entries=15)
         self.number = 0
-        self.floors = {}
+        self.acknowledged_before = {}
         self.disk_lost = False
         self.cluster.elect()
 
@@ -169,7 +169,7 @@
     @precondition(lambda self: self.cluster.leader())
     @rule(synced=st.integers(0, 3), count=st.integers(0, 8), cut=st.booleans())
     def lose_leader(self, synced, count, cut):
-        """Isolates or crashes the leader with proposals in progress."""
+        """Isolates or crashes the leader while proposals are in progress."""
         leader = self.cluster.leader()
         for _ in range(count):
             self.number += 1
@@ -177,18 +177,18 @@
         self.cluster.run(0.01)
         if cut:
             self.cluster.cut = {leader.name}
-            self.use_both_sides(leader)
+            self.write_and_read_during_partition(leader)
         else:
             self.cluster.crash(leader.name, synced)
             self.cluster.run(0.6)
 
-    def use_both_sides(self, leader):
+    def write_and_read_during_partition(self, leader):
         """Writes on one side of a partition and reads on the other."""
         for _ in range(30):
             for name, member in self.cluster.machines.items():
                 self.number += 1
                 if name == leader.name:
-                    self.floors[self.number] = self.acknowledged()
+                    self.acknowledged_before[self.number] = self.acknowledged()
                     self.cluster.query(member, ("read", self.number))
                 elif self.number % 3 == 0:
                     self.cluster.propose(member, self.number)
@@ -220,7 +220,7 @@
     @precondition(lambda self: not self.disk_lost)
     @rule(which=st.integers(0, 4))
     def lose_disk(self, which):
-        """One member for the whole run, since two are more than three may lose."""
+        """Loses at most one disk in a run, since a group of three tolerates no more."""
         self.disk_lost = True
         name = self.cluster.names[which % self.size]
         self.cluster.crash(name)
@@ -249,15 +249,17 @@
     @rule(which=st.integers(0, 4))
     def query(self, which):
         self.number += 1
-        self.floors[self.number] = self.acknowledged()
+        self.acknowledged_before[self.number] = self.acknowledged()
         self.cluster.query(self.pick(which), ("read", self.number))
 
     @invariant()
     def reads_are_never_stale(self):
-        """A read shows every command whose success was known before it began."""
+        """A read returns every command that was acknowledged before it began."""
         for item in self.completions():
             if isinstance(item.origin, tuple) and item.code == "ok":
-                assert self.floors[item.origin[1]] <= set(item.result["values"])
+                assert self.acknowledged_before[item.origin[1]] <= set(
+                    item.result["values"]
+                )
 
     def teardown(self):
         cluster = self.cluster
@@ -286,7 +288,7 @@
         return self.answered("ok")
 
     def answered(self, code):
-        """Numbers of the commands that were answered with ``code``, each once."""
+        """Returns the commands that were answered with ``code``, each only once."""
         numbers = [item.origin for item in self.completions() if item.code == code]
         numbers = [number for number in numbers if isinstance(number, int)]
         assert len(numbers) == len(set(numbers)), "a proposal was completed twice"
--- a/packages/core/tests/test_elections.py
+++ b/packages/core/tests/test_elections.py
@@ -7,28 +7,28 @@
 
 
 def test_an_isolated_member_does_not_raise_the_term():
-    """Guards against a member that deposes a healthy leader when it comes back."""
+    """Guards against a member that deposes a healthy leader when it reconnects."""
     cluster = Cluster(3)
     leader = cluster.elect()
-    away = cluster.followers()[0].name
+    isolated = cluster.followers()[0].name
     term = leader.log.term
-    cluster.cut = {away}
+    cluster.cut = {isolated}
     cluster.run(3.0)
     cluster.cut = set()
     cluster.run(1.0)
     assert leader.log.role == "leader" and leader.log.term == term
 
 
-def test_who_hears_a_leader_refuses_pre_votes():
-    """Guards against an election while only one link to the leader is broken."""
+def test_a_member_in_contact_with_the_leader_refuses_pre_votes():
+    """Guards against an election when only one link to the leader is broken."""
     cluster = Cluster(3)
     leader = cluster.elect()
     sender = cluster.followers()[0]
-    last = sender.consensus._replica.journal
+    journal = sender.consensus._replica.journal
     message = PreVote(
         leader.log.term + 1,
-        last.last_index,
-        last.last_term,
+        journal.last_index,
+        journal.last_term,
         sender.consensus._replica.identity,
     )
     cluster.sent.clear()
--- a/packages/core/tests/test_proposals.py
+++ b/packages/core/tests/test_proposals.py
@@ -1,11 +1,11 @@
-"""Tests of proposals on their way to the leader and back."""
+"""Tests of proposals: forwarding, retries and results."""
 
 import pytest
 from logcluster import Cluster
 
 from bronzemoor_core.events import PeerMessageReceived, Tick
 from bronzemoor_core.messages import HeartbeatReply, Propose, ProposeReply
-from bronzemoor_core.proposals import LEADER_WAIT, PROPOSAL_TIMEOUT
+from bronzemoor_core.proposals import LEADER_WAIT_SECONDS, PROPOSAL_TIMEOUT
 
 
 def outcomes(member):
@@ -30,8 +30,8 @@
     )
 
 
-def test_a_proposal_is_forwarded_at_most_once_more():
-    """Guards against proposals that go round between members."""
+def test_a_proposal_is_forwarded_at_most_once():
+    """Guards against proposals that circulate between members."""
     cluster = Cluster(3)
     cluster.elect()
     follower, other = cluster.followers()
@@ -43,17 +43,17 @@
 
 
 def test_without_a_leader_the_answer_is_no_leader():
-    """Guards against a proposer that waits for ever, or calls it unknown."""
+    """Guards against a proposer that waits forever or reports ``unknown``."""
     cluster = Cluster(3)
     member = cluster.machines["vm-1"]
     cluster.cut = {"vm-1"}
     cluster.propose(member, 1)
-    cluster.run(LEADER_WAIT + 0.1)
+    cluster.run(LEADER_WAIT_SECONDS + 0.1)
     assert outcomes(member) == [(1, "no_leader")]
 
 
 def test_a_lost_answer_is_unknown():
-    """Guards against calling a proposal refused that may have been committed."""
+    """Guards against reporting a possibly committed proposal as refused."""
     cluster = Cluster(3)
     cluster.elect()
     follower = cluster.followers()[0]
@@ -77,7 +77,7 @@
 
 
 def test_a_second_attempt_in_the_log_is_not_applied():
-    """Guards against a command applied twice when its refusal was overtaken."""
+    """Guards against a command applied twice because of reordered messages."""
     cluster = Cluster(1)
     leader = cluster.elect()
     for attempt in (1, 2):
@@ -87,8 +87,8 @@
     assert leader.state.values == [1]
 
 
-def test_a_proposal_to_a_crashed_leader_is_repeated_and_applied_once():
-    """Guards against unknown for every command in progress at a change of leader."""
+def test_a_proposal_to_a_crashed_leader_is_retried_and_applied_once():
+    """Guards against ``unknown`` for every command in progress at a leader change."""
     for synced in (0, 1):
         cluster = Cluster(3, seed=synced)
         leader = cluster.elect()
@@ -100,16 +100,16 @@
         cluster.crash(leader.name, synced)
         cluster.run(0.8)
         new = cluster.leader()
-        heard = PeerMessageReceived(new.name, HeartbeatReply(1, new.name, [], {}, 0))
-        proposers[-1].handle(heard)
+        reply = PeerMessageReceived(new.name, HeartbeatReply(1, new.name, [], {}, 0))
+        proposers[-1].handle(reply)
         cluster.run(0.5)
         names = [proposer.name for proposer in proposers]
         assert sorted(new.state.values) == sorted(names)
         assert [outcomes(p) for p in proposers] == [[(name, "ok")] for name in names]
 
 
-def test_a_refused_repetition_leaves_the_outcome_unknown():
-    """Guards against no_leader for a command that its first leader may hold."""
+def test_a_refused_retry_leaves_the_outcome_unknown():
+    """Guards against ``no_leader`` for a command that its first leader may have."""
     cluster = Cluster(5)
     leader = cluster.elect()
     proposer, other, *rest = cluster.followers()
@@ -119,15 +119,15 @@
     cluster.run(0.5)
     proposer.consensus._replica.leader = other.name
     proposer.handle(Tick())
-    cluster.run(LEADER_WAIT)
+    cluster.run(LEADER_WAIT_SECONDS)
     assert len(cluster.messages(Propose)) == 2 and cluster.messages(ProposeReply)
     assert outcomes(proposer) == []
-    cluster.run(PROPOSAL_TIMEOUT - LEADER_WAIT)
+    cluster.run(PROPOSAL_TIMEOUT - LEADER_WAIT_SECONDS)
     assert outcomes(proposer) == [(1, "unknown")]
 
 
 def test_a_proposal_survives_the_election_of_its_leader():
-    """Guards against no_leader for every command during a short election."""
+    """Guards against ``no_leader`` for every command during a short election."""
     cluster = Cluster(3)
     for member in cluster.members:
         cluster.propose(member, member.name)
@@ -138,7 +138,7 @@
 @pytest.mark.parametrize("proposal_id", ["", "x", "a:b:c:d"])
 @pytest.mark.parametrize("command", [b"", b"[1]", b'{"type": "set", "n": 1}'])
 def test_malformed_messages_change_nothing(proposal_id, command):
-    """Guards against a peer that stops the control group by a bad message."""
+    """Guards against a peer that stops the control group with a malformed message."""
     cluster = Cluster(1)
     leader = cluster.elect()
     for message in (
--- a/packages/core/tests/test_reads.py
+++ b/packages/core/tests/test_reads.py
@@ -1,4 +1,4 @@
-"""Tests of reads that a quorum confirms."""
+"""Tests of reads that are confirmed by a quorum."""
 
 from logcluster import Cluster
 
@@ -16,7 +16,7 @@
 
 
 def test_a_read_waits_for_the_first_commit_of_the_term():
-    """Guards against a new leader that does not know yet what was committed."""
+    """Guards against a new leader that does not yet know what was committed."""
     cluster = Cluster(3)
     cluster.propose(cluster.elect(), 1)
     cluster.run(0.2)
--- a/packages/core/tests/test_reconfiguration.py
+++ b/packages/core/tests/test_reconfiguration.py
@@ -7,7 +7,7 @@
 
 
 def command(cluster, member, name, /, **arguments):
-    """Runs an operator's command to its answer."""
+    """Runs an operator's command and returns its answer."""
     count = len(member.replies)
     member.handle(AdminCommand(count, name, arguments))
     for _ in range(300):
@@ -37,7 +37,7 @@
 
 
 def test_a_member_with_peers_but_no_group_waits():
-    """Guards against a second group of one made by a forgotten setting."""
+    """Guards against a second group of one created by a missing setting."""
     cluster = Cluster(3, start=False)
     peers = {"vm-1": "127.0.0.1:1", "vm-2": "127.0.0.1:2"}
     member = cluster.start("vm-1", control_members=(), peers=peers)
@@ -55,14 +55,14 @@
     assert command(cluster, follower, "control.add", name="vm-4").code == "ok"
     cluster.run(0.5)
     assert roles(cluster, follower)["vm-4"] == "learner"
-    joined = cluster.start("vm-4")
+    learner = cluster.start("vm-4")
     cluster.run(0.5)
     assert roles(cluster, follower)["vm-4"] == "voter"
-    assert joined.state.values == list(range(20)) and len(joined.log.voters) == 4
+    assert learner.state.values == list(range(20)) and len(learner.log.voters) == 4
 
 
 def test_a_learner_does_not_count_for_a_quorum():
-    """Guards against a commit that only one voter holds."""
+    """Guards against a commit that is stored by only one voter."""
     cluster = Cluster(3)
     leader = cluster.elect()
     command(cluster, leader, "control.add", name="vm-4")
@@ -99,8 +99,8 @@
     assert answer.code == "too_many_members"
 
 
-def test_a_removed_leader_hands_over_and_stays_out():
-    """Guards against a removed member that goes on leading or disturbs the rest."""
+def test_a_removed_leader_steps_down_and_does_not_return():
+    """Guards against a removed member that keeps leading or starts elections."""
     cluster = Cluster(4)
     leader = cluster.elect()
     assert command(cluster, leader, "control.remove", name=leader.name).code == "ok"
@@ -113,7 +113,7 @@
 
 
 def test_the_tolerated_losses_follow_the_reachable_voters():
-    """Guards against a status that promises a loss which would stop the group."""
+    """Guards against a status that overstates how many losses are tolerated."""
     cluster = Cluster(5)
     leader = cluster.elect()
     for losses in (2, 1, 0):
@@ -125,7 +125,7 @@
 
 
 def test_a_member_that_lost_its_disk_is_replaced_and_votes_again():
-    """Guards against a group that stays one loss short until somebody looks."""
+    """Guards against a group that is less fault-tolerant until an operator acts."""
     cluster = Cluster(3)
     leader = cluster.elect()
     name = cluster.followers()[0].name
@@ -136,8 +136,8 @@
     cluster.run(2.0)
     new = cluster.disks[name].storage.hard_state.identity
     members = command(cluster, leader, "control.members").body["members"]
-    (known,) = (item for item in members if item["name"] == name)
-    assert new != old and known["identity"] == new and known["role"] == "voter"
+    (record,) = (item for item in members if item["name"] == name)
+    assert new != old and record["identity"] == new and record["role"] == "voter"
 
 
 def test_votes_and_acknowledgements_of_another_identity_do_not_count():
--- a/packages/core/tests/test_replication.py
+++ b/packages/core/tests/test_replication.py
@@ -1,4 +1,4 @@
-"""Tests of replication: commits, pipelining and repair after losses."""
+"""Tests of log replication: commits, pipelining and recovery from lost messages."""
 
 from logcluster import Cluster
 
@@ -9,7 +9,7 @@
 
 
 def test_the_leaders_own_entry_counts_only_once_synced():
-    """Guards against a commit that only one disk holds."""
+    """Guards against a commit that is stored on only one disk."""
     cluster = Cluster(3)
     leader = cluster.elect()
     cluster.cut = {cluster.followers()[0].name}
@@ -37,7 +37,7 @@
     cluster = Cluster(3)
     leader = cluster.elect()
     cluster.delay = 0.02
-    cluster.random.uniform = lambda low, high: 1.0  # In order, as over one connection.
+    cluster.random.uniform = lambda low, high: 1.0  # Keeps messages in order.
     cluster.sent.clear()
     for n in range(500):
         cluster.propose(leader, n)
@@ -54,7 +54,7 @@
     cluster.cut = {old.name}
     for n in range(5):
         cluster.propose(old, n)
-    cluster.run(PROPOSAL_TIMEOUT + 0.1)  # Later the old leader would propose again.
+    cluster.run(PROPOSAL_TIMEOUT + 0.1)  # The old leader must not retry.
     new = cluster.leader()
     for n in range(10, 13):
         cluster.propose(new, n)
@@ -66,8 +66,8 @@
     assert journals[0].last_index == journals[1].last_index
 
 
-def test_losses_are_repaired_without_a_new_term():
-    """Guards against a pipeline that waits for ever for a lost message."""
+def test_lost_messages_are_resent_without_a_new_term():
+    """Guards against a pipeline that waits forever for a lost message."""
     cluster = Cluster(3)
     leader = cluster.elect()
     cluster.loss = 0.2
--- a/packages/core/tests/test_snapshots.py
+++ b/packages/core/tests/test_snapshots.py
@@ -1,4 +1,4 @@
-"""Tests of snapshots: compaction, streaming and recovery."""
+"""Tests of snapshots: compaction, transfer and recovery."""
 
 import zlib
 
@@ -22,7 +22,7 @@
 
 @pytest.fixture
 def behind(monkeypatch):
-    """A group whose log was compacted while one member was away; tiny chunks."""
+    """A group whose log was compacted while one member was down; small chunks."""
     monkeypatch.setattr(snapshots, "CHUNK_BYTES", 200)
     cluster = Cluster(3, snapshot_entries=20)
     leader = cluster.elect()
@@ -32,7 +32,7 @@
     return cluster, name
 
 
-def test_a_member_that_is_behind_gets_the_snapshot_in_chunks(behind):
+def test_a_lagging_member_gets_the_snapshot_in_chunks(behind):
     """Guards against a member that can never rejoin after a compaction."""
     cluster, name = behind
     member = cluster.start(name)
@@ -45,18 +45,18 @@
     assert member.state.values[-1] == 200
 
 
-def test_a_damaged_chunk_is_not_used(behind):
-    """Guards against a state that differs after a damaged transfer."""
+def test_a_corrupted_chunk_is_not_used(behind):
+    """Guards against a state that differs after a corrupted transfer."""
     cluster, name = behind
     member = cluster.start(name)
-    real = cluster.send
+    send = cluster.send
 
-    def damage(sender, recipient, message):
+    def corrupt_and_send(sender, recipient, message):
         if isinstance(message, InstallSnapshot) and cluster.random.random() < 0.5:
             message.chunk = b"#" + message.chunk[1:]
-        real(sender, recipient, message)
+        send(sender, recipient, message)
 
-    cluster.send = damage
+    cluster.send = corrupt_and_send
     cluster.run(5.0)
     assert member.state.values == list(range(200))
 
@@ -91,11 +91,11 @@
         assert member.state.values == list(range(90))
 
 
-def entry(index, term):
+def make_entry(index, term):
     return LogEntry(index, term, encode_command({"type": "set", "n": index}))
 
 
-def made(index, term):
+def make_snapshot(index, term):
     return Snapshot(index, term, {"vm-1": "vm-1.x"}, {}, (), {"values": []})
 
 
@@ -103,8 +103,11 @@
     """Guards against serving entries that a received snapshot replaced."""
     cluster = Cluster(3, start=False)
     storage = cluster.disks["vm-1"].storage
-    storage.hard_state, storage.snapshot = HardState(6, "", "vm-1.x"), made(100, 5)
-    storage.entries = {index: entry(index, 6) for index in range(99, 103)}
+    storage.hard_state, storage.snapshot = (
+        HardState(6, "", "vm-1.x"),
+        make_snapshot(100, 5),
+    )
+    storage.entries = {index: make_entry(index, 6) for index in range(99, 103)}
     member = cluster.start("vm-1")
     assert member.consensus._replica.journal.last_index == 100
     while member.disk.unsynced:
@@ -113,13 +116,13 @@
 
 
 def test_a_received_snapshot_removes_a_diverging_log():
-    """Guards against a stored log that goes on after a snapshot it contradicts."""
+    """Guards against a stored log that continues a snapshot it contradicts."""
     cluster = Cluster(3, start=False)
     member = cluster.start("vm-1")
     cluster.run(0.02)
-    append = AppendEntries(1, 0, 0, [entry(n, 1) for n in range(1, 6)], 0, 1)
+    append = AppendEntries(1, 0, 0, [make_entry(n, 1) for n in range(1, 6)], 0, 1)
     member.handle(PeerMessageReceived("vm-2", append))
-    data = made(3, 2).encode()
+    data = make_snapshot(3, 2).encode()
     install = InstallSnapshot(2, 3, 2, 0, len(data), data, zlib.crc32(data))
     member.handle(PeerMessageReceived("vm-2", install))
     cluster.run(0.05)
@@ -128,7 +131,7 @@
 
 
 def test_a_snapshot_of_an_old_leader_is_refused():
-    """Guards against going back to the state of a deposed leader."""
+    """Guards against reverting to the state of a deposed leader."""
     cluster = Cluster(3)
     member = cluster.elect()
     old = InstallSnapshot(0, 100, 0, 0, 1, b"x", 0)
--- a/packages/core/tests/virtual.py
+++ b/packages/core/tests/virtual.py
@@ -1,4 +1,4 @@
-"""Controllers on a virtual clock, with a network that loses and delays messages."""
+"""Runs controllers on a virtual clock and an unreliable simulated network."""
 
 import heapq
 from collections import deque
@@ -13,7 +13,7 @@
 class Machine:
     """Runs some controllers of one daemon; its clock runs at ``rate``.
 
-    Events are kept in ``seen`` and other actions than messages in ``done``.
+    Subclasses may record events in ``seen`` and performed actions in ``done``.
     """
 
     def __init__(self, network, name, *controllers):
@@ -43,18 +43,18 @@
         self.network.check()
 
     def observe(self, event):
-        """Sees every event before its handlers do."""
+        """Called with every event before its handlers."""
 
     def act(self, item):
-        """Performs an action; false for an event."""
+        """Performs an action; returns a false value for an event."""
 
 
 class Network:
     """Machines by name, and the messages between them.
 
     ``loss`` and ``duplication`` are probabilities; a message takes up to twice
-    ``delay`` seconds. ``cut`` holds isolated names, ``muted`` those whose messages are
-    lost.
+    ``delay`` seconds. ``cut`` names one side of a partition, ``muted`` machines whose
+    messages are lost.
     """
 
     def __init__(self, seed):
@@ -82,7 +82,7 @@
             self.machines[recipient].handle(event)
 
     def run(self, seconds):
-        """Advances the clock; ticks and messages come when they are due."""
+        """Advances the clock and delivers ticks and messages when they are due."""
         end = self.now + seconds
         while self.now < end:
             limit = min(end, self.now + TICK)
@@ -94,8 +94,8 @@
                 machine.handle(Tick())
 
     def check(self):
-        """Called after every event."""
+        """Called after every event; subclasses check invariants here."""
 
     def messages(self, kind):
-        """Messages of one type in the order sent."""
+        """Returns the messages of one type in the order sent."""
         return [message for _, _, message in self.sent if isinstance(message, kind)]
