--- a/packages/daemon/src/bronzemoor_daemon/wire/__init__.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/__init__.py
@@ -1,1 +1,1 @@
-"""The statement protocol on plain connections: event loop, proxy and control side."""
+"""Proxy and control daemon of the statement protocol, on an asyncio event loop."""
--- a/packages/daemon/src/bronzemoor_daemon/wire/clock.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clock.py
@@ -1,8 +1,8 @@
-"""The clock of every lease and deadline."""
+"""The clock that all leases and deadlines use."""
 
 from time import CLOCK_BOOTTIME, clock_gettime
 
 
 def boottime() -> float:
-    """Seconds that count suspension of the machine, unlike the monotonic clock."""
+    """Seconds since boot, which include suspension, unlike the monotonic clock."""
     return clock_gettime(CLOCK_BOOTTIME)
--- a/packages/daemon/src/bronzemoor_daemon/wire/control.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/control.py
@@ -1,4 +1,4 @@
-"""A control daemon: the replicated log on the event loop, and the leader's work."""
+"""Runs the replicated log of a control daemon and the duties of its leader."""
 
 import asyncio
 from collections import deque
@@ -52,28 +52,28 @@
 )
 from bronzemoor_daemon.wire.settings import WireSettings
 
-TICK_INTERVAL = 0.025  # seconds
-# Election time-outs cover two syncs of a slow disk and round trips between regions.
-TIMERS = ControlSettings(
+TICK_INTERVAL_SECONDS = 0.025
+# Election timeouts cover two syncs of a slow disk and round trips between regions.
+CONTROL_TIMERS = ControlSettings(
     election_timeout_min=0.6,
     election_timeout_max=1.0,
     heartbeat_interval=0.12,
     snapshot_entries=200,
     stale_after=2.0,
 )
-# A failed data folder is opened again after this, seconds.
-STORAGE_RETRY = 0.5
-JOIN_INTERVAL = 0.5  # seconds
-# Proxies that asked longer ago are not told of a new leader, seconds.
-PROXY_MEMORY = 3.0
-# An answer to an operator or a member comes within this, seconds.
-PROPOSAL_LIMIT = 2.5
+# Delay before a data folder that failed is opened again.
+STORAGE_RETRY_SECONDS = 0.5
+JOIN_INTERVAL_SECONDS = 0.5
+# Proxies whose last report is older are not notified of a new leader.
+PROXY_REQUEST_MAX_AGE_SECONDS = 3.0
+# Operators and members get an answer within this time.
+PROPOSAL_TIMEOUT_SECONDS = 2.5
 
 CONTROLLERS: tuple[type[Controller], ...] = (Consensus, StateMachine)
 
 
 class ControlDaemon:
-    """Drives the log with events of the loop; leads the proxies while elected."""
+    """Passes events of the loop to the log and runs a ``Leader`` while elected."""
 
     def __init__(
         self,
@@ -91,19 +91,19 @@
         self._report = report
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
-        self._local: deque[PeerMessageReceived] = deque()
+        self._own_messages: deque[PeerMessageReceived] = deque()
         self._tickets = count(1)
-        self._waiting: dict[int, asyncio.Future[AdminReply]] = {}
+        self._pending_replies: dict[int, asyncio.Future[AdminReply]] = {}
         self._leader: Leader | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._applied = -1
+        self._applied_index = -1
         self._known_leader = ""
-        # Proxies that asked here, and when: they are told of a new leader.
-        self._proxies: dict[str, float] = {}
-        self._join_number = 0
-        self._handling = False
+        # Time of the last report of each proxy that is to be notified of a new leader.
+        self._waiting_proxies: dict[str, float] = {}
+        self._join_attempts = 0
+        self._handling_own_messages = False
         self._storage: StorageThread | None = None
-        self._storage_number = 0
+        self._storage_generation = 0
         self.seeds = list(settings.seeds)
         self.links = Links(settings.peer, self._on_message, report)
         self._node = self._make_node()
@@ -118,7 +118,7 @@
         self.spawn(self._join_forever())
 
     async def stop(self) -> None:
-        """Ends the leader's work and releases the data folder."""
+        """Stops the leader and releases the data folder."""
         if self._leader is not None:
             self._leader.close()
         for task in self._tasks:
@@ -139,7 +139,7 @@
 
     @property
     def records(self) -> WireRecords:
-        """The replicated records as applied here."""
+        """The replicated records as applied on this daemon."""
         records: WireRecords = self._node.blackboard.state.wire
         return records
 
@@ -148,40 +148,40 @@
         name: str = self.log.leader
         return name
 
-    # --- what operators and members ask for
+    # --- requests of operators and members
 
     async def propose(self, command: dict[str, Any]) -> AdminReply:
-        """Commits a command, or answers a query; the code is ok or an error code."""
+        """Commits a command or answers a query; the code is ``ok`` or an error code."""
         ticket = next(self._tickets)
-        return await self._ask(ticket, CommandProposed(command, ("state", ticket)))
+        return await self._submit(ticket, CommandProposed(command, ("state", ticket)))
 
-    async def _ask(self, ticket: int, event: object) -> AdminReply:
+    async def _submit(self, ticket: int, event: object) -> AdminReply:
         future: asyncio.Future[AdminReply] = self._loop.create_future()
-        self._waiting[ticket] = future
+        self._pending_replies[ticket] = future
         try:
             self._handle(event)
-            async with asyncio.timeout(PROPOSAL_LIMIT):
+            async with asyncio.timeout(PROPOSAL_TIMEOUT_SECONDS):
                 return await future
         except TimeoutError:
             return AdminReply(ticket, "unknown", {"message": "no answer in time"})
         finally:
-            self._waiting.pop(ticket, None)
+            self._pending_replies.pop(ticket, None)
 
-    async def change_group(self, change: dict[str, Any]) -> AdminReply:
-        """Describes or changes the control group."""
+    async def change_control_group(self, change: dict[str, Any]) -> AdminReply:
+        """Returns a description of the control group, or changes its membership."""
         ticket = next(self._tickets)
-        return await self._ask(ticket, AdminCommand(ticket, change["type"], change))
+        return await self._submit(ticket, AdminCommand(ticket, change["type"], change))
 
     async def announce(self, record: MemberRecord) -> bool:
-        """Takes a member's announcement; False if it is not recorded."""
+        """Records a member's announcement; False if that is not confirmed."""
         known = self.records.members.get(record.member)
         if known is not None and known.born == record.born:
-            same = (
+            unchanged = (
                 known.address == record.address
                 and known.leaving == record.leaving
                 and known.primary == record.primary
             )
-            if same or record.sequence < known.sequence:
+            if unchanged or record.sequence < known.sequence:
                 return True
         body = {name: getattr(record, name) for name in MemberRecord.__slots__}
         reply = await self.propose({"type": "member.put", "member": body})
@@ -197,14 +197,14 @@
         )
         return reply.code == "ok"
 
-    async def leave(self, member: str) -> bool:
-        """A member is gone for good; False if that is not recorded."""
+    async def remove_member(self, member: str) -> bool:
+        """Removes a member that has left for good; False if that is not confirmed."""
         reply = await self.propose({"type": "member.drop", "member": member})
         self._report("info", "member_left", member=member, outcome=reply.code)
         return reply.code == "ok"
 
     async def put_deployment(self, version: int, document: str) -> str:
-        """Stores a checked document; returns ``ok`` or an error code."""
+        """Stores a validated document; returns ``ok`` or an error code."""
         if version <= self.records.version:
             code = "ok"
         else:
@@ -225,7 +225,7 @@
         return code
 
     async def get_deployment(self) -> str | None:
-        """The newest document, confirmed by a quorum; None without one."""
+        """Returns the newest document, confirmed by a quorum, or None."""
         reply = await self.propose({"type": "deployment.get", "query": True})
         if reply.code != "ok":
             self._report("info", "deployment_read_refused", outcome=reply.code)
@@ -245,75 +245,75 @@
                     if self._storage is not None:
                         self._storage.put(action)
                 case AdminReply():
-                    future = self._waiting.get(action.ticket)
+                    future = self._pending_replies.get(action.ticket)
                     if future is not None and not future.done():
                         future.set_result(action)
                 case EmitLog():
                     self._report(action.level, action.event, **action.fields)
-        while self._local and not self._handling:
-            self._handling = True
+        while self._own_messages and not self._handling_own_messages:
+            self._handling_own_messages = True
             try:
-                self._handle(self._local.popleft())
+                self._handle(self._own_messages.popleft())
             finally:
-                self._handling = False
-        self._follow_log()
+                self._handling_own_messages = False
+        self._update_leadership()
 
     def _send(self, recipient: str, message: Any) -> None:
         if recipient == self._settings.peer:
-            self._local.append(PeerMessageReceived(recipient, message))
+            self._own_messages.append(PeerMessageReceived(recipient, message))
         else:
             self.links.send(recipient, message)
 
-    def _follow_log(self) -> None:
-        """Starts or ends the leader's work and tells it of new records."""
-        leads = self.log.established
+    def _update_leadership(self) -> None:
+        """Starts or stops the leader when the role changes; forwards record changes."""
+        is_leader = self.log.established
         if self.leader_name != self._known_leader:
             self._known_leader = self.leader_name
-            self._announce_leader()
-        if leads and self._leader is None:
+            self._notify_waiting_proxies()
+        if is_leader and self._leader is None:
             self._report("info", "leading", term=self.log.term)
             self._leader = Leader(
                 self, self._settings, self._codec, self._read_document,
                 self._execute_promotion, self._report, self._metrics,
             )  # fmt: skip
-        elif not leads and self._leader is not None:
+        elif not is_leader and self._leader is not None:
             self._leader.close()
             self._leader = None
-        if self.log.applied_index != self._applied:
-            self._applied = self.log.applied_index
+        if self.log.applied_index != self._applied_index:
+            self._applied_index = self.log.applied_index
             if self._leader is not None:
                 self._leader.records_changed()
 
     def _on_message(self, sender: str, message: Any) -> None:
         match message:
             case ProxyReport():
-                self._on_report(sender, message)
+                self._on_proxy_report(sender, message)
             case JoinRequest():
-                self._on_join(sender, message)
+                self._on_join_request(sender, message)
             case _:
                 self._handle(PeerMessageReceived(sender, message))
 
-    def _on_report(self, sender: str, message: ProxyReport) -> None:
+    def _on_proxy_report(self, sender: str, message: ProxyReport) -> None:
         now = boottime()
         if self._leader is not None:
             self._leader.on_report(now, sender, message)
             return
-        self._proxies[sender] = now
-        self._send_leader(sender, message.sequence)
+        self._waiting_proxies[sender] = now
+        self._send_leader_name(sender, message.sequence)
 
-    def _announce_leader(self) -> None:
-        """Tells the proxies that wait here who leads now."""
+    def _notify_waiting_proxies(self) -> None:
+        """Sends the current leader's name to the proxies that wait for one."""
         now = boottime()
-        waiting, self._proxies = self._proxies, {}
-        for proxy, asked_at in waiting.items():
-            if self.leader_name and now - asked_at < PROXY_MEMORY:
-                self._send_leader(proxy, 0)
+        waiting, self._waiting_proxies = self._waiting_proxies, {}
+        for proxy, requested_at in waiting.items():
+            if self.leader_name and now - requested_at < PROXY_REQUEST_MAX_AGE_SECONDS:
+                self._send_leader_name(proxy, 0)
 
-    def _send_leader(self, proxy: str, sequence: int) -> None:
+    def _send_leader_name(self, proxy: str, sequence: int) -> None:
         grant = ProxyGrant(sequence, self.leader_name, 0, 0, b"", 0, [], self.controls)
         self.links.send(proxy, grant)
 
-    def _on_join(self, sender: str, message: JoinRequest) -> None:
+    def _on_join_request(self, sender: str, message: JoinRequest) -> None:
         reply = HeartbeatReply(0, self.leader_name, [], {}, 0)
         self.links.send(sender, reply)
         if self._leader is not None:
@@ -321,57 +321,57 @@
 
     @property
     def controls(self) -> list[str]:
-        """Control daemons that proxies may ask."""
+        """Control daemons that proxies may contact."""
         return [*self.log.voters, *self.log.learners] or self.seeds
 
     # --- storage
 
     def _make_node(self) -> Node:
         settings = self._settings
-        first = settings.first_start and settings.peer in settings.seeds
+        is_first_start = settings.first_start and settings.peer in settings.seeds
         node_settings = NodeSettings(
             settings.peer,
             settings.zone,
             control=True,
             peers=dict.fromkeys(settings.seeds, ""),
-            control_members=tuple(settings.seeds) if first else (),
-            timers=TIMERS,
+            control_members=tuple(settings.seeds) if is_first_start else (),
+            timers=CONTROL_TIMERS,
         )
-        # A name that is never this daemon's keeps it from founding a group alone.
+        # A name that no daemon has; a node without peers would form a group alone.
         node_settings.peers.setdefault("another", "")
         names = [cls.name for cls in CONTROLLERS]
         return Node(node_settings, SystemRandom(), names)
 
     async def _open_storage(self) -> None:
         """Reads the data folder and starts writing to it."""
-        self._storage_number += 1
-        number = self._storage_number
+        self._storage_generation += 1
+        generation = self._storage_generation
 
         def handle(event: object) -> None:
-            self._loop.call_soon_threadsafe(self._on_storage, number, event)
+            self._loop.call_soon_threadsafe(self._on_storage_event, generation, event)
 
         try:
             folder = DataFolder(self._settings.data_folder)
             self._storage = StorageThread(folder, handle)
             await asyncio.to_thread(self._storage.start)
         except CorruptStorage as error:
-            # The log cannot be continued: this daemon joins again like a new one.
+            # A corrupt log cannot be continued; the daemon rejoins with an empty one.
             self._report("error", "storage_corrupt", error=str(error))
             await asyncio.to_thread(clear_folder, self._settings.data_folder)
-            self._loop.call_later(STORAGE_RETRY, self._reopen)
+            self._loop.call_later(STORAGE_RETRY_SECONDS, self._schedule_reopen)
         except (OSError, StorageError) as error:
             self._report("error", "storage_unreadable", error=str(error))
-            self._loop.call_later(STORAGE_RETRY, self._reopen)
+            self._loop.call_later(STORAGE_RETRY_SECONDS, self._schedule_reopen)
 
-    def _on_storage(self, number: int, event: object) -> None:
-        if number != self._storage_number:
+    def _on_storage_event(self, generation: int, event: object) -> None:
+        if generation != self._storage_generation:
             return
         self._handle(event)
         if isinstance(event, StorageFailed):
-            # What was not synced was never acknowledged, so the log may be read again.
-            self._loop.call_later(STORAGE_RETRY, self._reopen)
+            # Unsynced entries were never acknowledged, so re-reading the log is safe.
+            self._loop.call_later(STORAGE_RETRY_SECONDS, self._schedule_reopen)
 
-    def _reopen(self) -> None:
+    def _schedule_reopen(self) -> None:
         self.spawn(self._reopen_storage())
 
     async def _reopen_storage(self) -> None:
@@ -382,20 +382,20 @@
         if storage is not None:
             await asyncio.to_thread(storage.stop)
         self._node = self._make_node()
-        self._applied = -1
+        self._applied_index = -1
         await self._open_storage()
 
     # --- timers
 
     async def _tick_forever(self) -> None:
         while True:
-            await asyncio.sleep(TICK_INTERVAL)
+            await asyncio.sleep(TICK_INTERVAL_SECONDS)
             self._handle(Tick())
 
     async def _join_forever(self) -> None:
-        """Asks the leader for membership while outside the control group."""
+        """Requests membership from the leader while not in the control group."""
         while True:
-            await asyncio.sleep(JOIN_INTERVAL)
+            await asyncio.sleep(JOIN_INTERVAL_SECONDS)
             members = (*self.log.voters, *self.log.learners)
             if self._settings.peer in members:
                 continue
@@ -405,6 +405,6 @@
                 if name and name != self._settings.peer
             ]
             if others:
-                self._join_number += 1
-                target = others[self._join_number % len(others)]
+                self._join_attempts += 1
+                target = others[self._join_attempts % len(others)]
                 self.links.send(target, JoinRequest("", 0))
--- a/packages/daemon/src/bronzemoor_daemon/wire/exceptions.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/exceptions.py
@@ -1,15 +1,15 @@
-"""Errors of the statement protocol's daemons."""
+"""Exceptions of the daemons of the statement protocol."""
 
 from bronzemoor_core.exceptions import BronzemoorError
 
 
 class ConnectionLost(BronzemoorError):
-    """A connection ended, or could not be opened, before the answer was whole."""
+    """A connection failed, or could not be opened, before the answer was complete."""
 
     code = "connection_lost"
 
 
 class NoConnection(BronzemoorError):
-    """No connection to a member could be had; nothing was sent."""
+    """No connection to a member was available; nothing was sent."""
 
     code = "busy"
--- a/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
@@ -1,4 +1,4 @@
-"""Orders to the members of one group, and its promotions through the executor."""
+"""Sends orders to the members of one group and promotes them through the executor."""
 
 import asyncio
 from typing import TYPE_CHECKING
@@ -11,31 +11,32 @@
 if TYPE_CHECKING:
     from bronzemoor_daemon.wire.leader import Leader
 
-STEP_INTERVAL = 0.05  # seconds between the steps of a promotion
-# A promotion that has not taken effect after this is ordered again, seconds.
-EFFECT_TIMEOUT = 2.5
-# An order that may not have reached the executor is repeated after this, seconds.
-ORDER_RETRY = 0.3
-# The old primary is told to step down this often, seconds, and for this long.
-STEP_DOWN_INTERVAL, STEP_DOWN_TIME = 0.5, 20.0
+STEP_INTERVAL_SECONDS = 0.05  # between the steps of a promotion
+# A promotion that has not taken effect after this time is ordered again.
+EFFECT_TIMEOUT_SECONDS = 2.5
+# An order that may not have reached the executor is retried after this time.
+ORDER_RETRY_SECONDS = 0.3
+# The old primary is ordered to step down at this interval, until the timeout.
+STEP_DOWN_INTERVAL_SECONDS = 0.5
+STEP_DOWN_TIMEOUT_SECONDS = 20.0
 
 
 class GroupOrders:
-    """What a supervisor has done to its group."""
+    """Carries out a supervisor's decisions on the members of its group."""
 
     def __init__(self, leader: "Leader", group: str) -> None:
         self._leader = leader
         self._group = group
-        self._stepping_down: asyncio.Task[None] | None = None
+        self._step_down_task: asyncio.Task[None] | None = None
 
     def close(self) -> None:
-        if self._stepping_down is not None:
-            self._stepping_down.cancel()
+        if self._step_down_task is not None:
+            self._step_down_task.cancel()
 
     @property
-    def record(self) -> LeaderRecord:
-        """Who leads the group, as committed."""
-        return self._leader.record(self._group)
+    def leader_record(self) -> LeaderRecord:
+        """The committed record of the group's primary."""
+        return self._leader.leader_record(self._group)
 
     @property
     def members(self) -> dict[str, MemberRecord]:
@@ -47,32 +48,32 @@
             "group": self._group,
             "member": member,
             "term": term,
-            "fence": self.record.fence,
+            "fence": self.leader_record.fence,
         }
         done = await self._leader.commit(command) is not None
         self.report("info", "primary_recorded", member=member, term=term, done=done)
         return done
 
-    async def promote(self, member: str, version: int, started: float) -> bool:
-        """Orders the promotion once no proxy can act on the old primary."""
+    async def promote(self, member: str, version: int, started_at: float) -> bool:
+        """Orders the promotion once no proxy can use the old primary any more."""
         leader = self._leader
-        old_term = self.record.term
+        old_term = self.leader_record.term
         planned = await leader.commit(
             {"type": "primary.plan", "group": self._group, "member": member}
         )
         if planned is None:
             return False
         fence = int(str(planned["fence"]))
-        reported = 0
+        reported_count = 0
         while waiting := leader.leases.waiting_for(boottime(), version):
-            if len(waiting) != reported:
-                reported = len(waiting)
-                self.report("info", "waiting_for_leases", proxies=reported)
-            await asyncio.sleep(STEP_INTERVAL)
+            if len(waiting) != reported_count:
+                reported_count = len(waiting)
+                self.report("info", "waiting_for_leases", proxies=reported_count)
+            await asyncio.sleep(STEP_INTERVAL_SECONDS)
         ordered_at = float("-inf")
-        give_up = boottime() + 2 * EFFECT_TIMEOUT
-        while boottime() < give_up:
-            if boottime() - ordered_at > EFFECT_TIMEOUT:
+        deadline = boottime() + 2 * EFFECT_TIMEOUT_SECONDS
+        while boottime() < deadline:
+            if boottime() - ordered_at > EFFECT_TIMEOUT_SECONDS:
                 outcome = await asyncio.to_thread(
                     leader.execute_promotion, self._group, member, leader.name, fence
                 )
@@ -83,14 +84,14 @@
                     member=member,
                     fence=fence,
                     outcome=outcome,
-                    after_ms=round((boottime() - started) * 1_000),
+                    after_ms=round((boottime() - started_at) * 1_000),
                 )
                 if outcome == "refused":
                     return False
-                # An order of unknown outcome is repeated sooner.
+                # An order with an unknown outcome is retried sooner.
                 ordered_at = boottime()
                 if outcome != "done":
-                    ordered_at += ORDER_RETRY - EFFECT_TIMEOUT
+                    ordered_at += ORDER_RETRY_SECONDS - EFFECT_TIMEOUT_SECONDS
             record = self.members.get(member)
             if record is None:
                 return False
@@ -100,37 +101,39 @@
                 and status.primary
                 and status.term > old_term
             ):
-                await self.finish(member, status.term, started)
+                await self.complete_promotion(member, status.term, started_at)
                 return True
-            await asyncio.sleep(STEP_INTERVAL)
+            await asyncio.sleep(STEP_INTERVAL_SECONDS)
         return False
 
-    async def finish(self, member: str, term: int, started: float) -> None:
-        """Records the new primary and tells the old one to step down."""
-        old = self.members.get(self.record.primary)
+    async def complete_promotion(
+        self, member: str, term: int, started_at: float
+    ) -> None:
+        """Records the new primary and orders the old one to step down."""
+        old = self.members.get(self.leader_record.primary)
         while not await self.record_primary(member, term):
-            await asyncio.sleep(STEP_INTERVAL)
+            await asyncio.sleep(STEP_INTERVAL_SECONDS)
         self.report(
             "info",
             "primary_replaced",
             member=member,
             term=term,
-            after_ms=round((boottime() - started) * 1_000),
+            after_ms=round((boottime() - started_at) * 1_000),
         )
         if old is not None and old.member != member:
-            if self._stepping_down is not None:
-                self._stepping_down.cancel()
+            if self._step_down_task is not None:
+                self._step_down_task.cancel()
             loop = asyncio.get_running_loop()
-            self._stepping_down = loop.create_task(self._step_down(old, term))
+            self._step_down_task = loop.create_task(self._step_down(old, term))
 
     async def _step_down(self, old: MemberRecord, term: int) -> None:
         text = self._leader.codec.step_down_text(term)
-        until = boottime() + STEP_DOWN_TIME
-        while boottime() < until and old.member in self.members:
+        deadline = boottime() + STEP_DOWN_TIMEOUT_SECONDS
+        while boottime() < deadline and old.member in self.members:
             status = await order(self._leader.codec, self._leader.name, old, text)
             if isinstance(status, MemberStatus) and not status.primary:
                 return
-            await asyncio.sleep(STEP_DOWN_INTERVAL)
+            await asyncio.sleep(STEP_DOWN_INTERVAL_SECONDS)
 
     async def status(self, record: MemberRecord) -> MemberStatus | str:
         return await order(
@@ -140,7 +143,7 @@
             self._leader.codec.status_text,
         )
 
-    async def order(
+    async def send_orders(
         self, members: dict[str, MemberRecord], text: bytes
     ) -> dict[str, MemberStatus]:
         return await order_all(
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -1,4 +1,4 @@
-"""The control leader's work: topology, leases, joins and one supervisor a group."""
+"""The control leader: topology, leases, joins and a supervisor for each group."""
 
 import asyncio
 from collections.abc import Callable
@@ -37,29 +37,30 @@
 if TYPE_CHECKING:
     from bronzemoor_daemon.wire.control import ControlDaemon
 
-# Connections of each member that proxies leave for the control leader's orders.
+# Connections to each member that are reserved for the control leader's orders.
 RESERVED_CONNECTIONS = 1
-# A voter that was silent for this long may be replaced by a joining daemon, seconds.
-VOTER_SILENCE = 4.0
-JOIN_PAUSE = 1.0  # seconds between changes of the control group
-# Topology versions count from here within each term of the control group.
-TERM_SHIFT = 32
-# A proxy that was not heard for this long is not told of changes, seconds.
-PROXY_SILENCE = 5.0
+# A voter that was unreachable for this long may be replaced by a joining daemon.
+VOTER_TIMEOUT_SECONDS = 4.0
+# Minimum time between membership changes of the control group.
+GROUP_CHANGE_INTERVAL_SECONDS = 1.0
+# A topology version has the control group's term above this bit and a counter below.
+TERM_SHIFT_BITS = 32
+# Changes are not announced to proxies whose last report is older.
+PROXY_TIMEOUT_SECONDS = 5.0
 DEFAULT_CONNECTIONS = 8
-# With fewer connections to a member for each proxy, the proxies of a zone share theirs.
+# If each proxy would get fewer connections to a member, the proxies of a zone share.
 MIN_PROXY_SHARE = 3
-# A zone needs no more to a member; each statement in progress waits at the member.
+# More connections from a zone to a member only add statements that wait at the member.
 MAX_ZONE_SHARE = 12
-# Deployments and shares are announced at most this often, seconds; each announcement
-# goes to every proxy.
-ANNOUNCE_INTERVAL = 0.2
-# Samples older than this prove nothing that a read could use, seconds.
-SAMPLE_USE = 5.0
+# Minimum time between announcements of deployments and connection shares, since each
+# announcement goes to every proxy.
+ANNOUNCE_INTERVAL_SECONDS = 0.2
+# Older position samples cannot prove the freshness of any read.
+SAMPLE_MAX_AGE_SECONDS = 5.0
 
 
 class Leader:
-    """Lives from the first committed entry of a term until leadership is lost."""
+    """Exists from the first committed entry of a term until leadership is lost."""
 
     def __init__(
         self,
@@ -75,20 +76,20 @@
         self._settings = settings
         self._read_document = read_document
         self._supervisors: dict[str, Supervisor] = {}
-        self._heard: dict[str, float] = {}
-        # Versions of the deployment and of its zone's proxies that each proxy reported.
-        self._reported: dict[str, tuple[int, int]] = {}
-        # Zone of each proxy that is not stopping.
-        self._zones: dict[str, str] = {}
-        self._version = control.log.term << TERM_SHIFT
+        self._last_report_at: dict[str, float] = {}
+        # Versions of the deployment and of the zone's proxies that each proxy reported.
+        self._reported_versions: dict[str, tuple[int, int]] = {}
+        # Zone of each proxy that is not draining.
+        self._proxy_zones: dict[str, str] = {}
+        self._topology_version = control.log.term << TERM_SHIFT_BITS
         self._views: list[GroupView] = []
-        self._packed = b""
-        self._joined_at = float("-inf")
-        self._grants = 0
+        self._packed_document = b""
+        self._group_changed_at = float("-inf")
+        self._grant_count = 0
         self._announced_at = float("-inf")
-        self._announcing: asyncio.TimerHandle | None = None
-        self._refreshing = False
-        self._recording: asyncio.Task[Any] | None = None
+        self._announce_timer: asyncio.TimerHandle | None = None
+        self._refresh_scheduled = False
+        self._sharing_task: asyncio.Task[Any] | None = None
         self._closed = False
         self.codec = codec
         self.execute_promotion = execute_promotion
@@ -105,12 +106,12 @@
         return self._settings.name
 
     @property
-    def version(self) -> int:
-        """Version of the topology that proxies are told."""
-        return self._version
+    def topology_version(self) -> int:
+        """Version of the topology that is announced to proxies."""
+        return self._topology_version
 
     def close(self) -> None:
-        """Ends every supervisor; promotions in progress go on under a new leader."""
+        """Stops all supervisors; a new leader resumes promotions in progress."""
         self._closed = True
         for supervisor in self._supervisors.values():
             supervisor.close()
@@ -121,13 +122,13 @@
         records = self._control.records.members.values()
         return [record for record in records if record.group == group]
 
-    def record(self, group: str) -> LeaderRecord:
-        """Who leads the group, as committed."""
+    def leader_record(self, group: str) -> LeaderRecord:
+        """The committed record of the group's primary."""
         record = self._control.records.leaders.get(group)
         return record if record is not None else LeaderRecord(group)
 
     async def commit(self, command: dict[str, object]) -> dict[str, object] | None:
-        """Commits a command; None if it is not certain that it is."""
+        """Commits a command; None if the commit is not confirmed."""
         reply = await self._control.propose(command)
         if reply.code != "ok":
             self.report(
@@ -137,7 +138,7 @@
         return reply.body
 
     def records_changed(self) -> None:
-        """Follows the replicated records and tells proxies what changed."""
+        """Applies changes of the replicated records and announces them to proxies."""
         records = self._control.records
         version = self.deployment.version if self.deployment else 0
         newer = records.version > version
@@ -148,58 +149,62 @@
             except (BronzemoorError, ValueError) as error:
                 self.report("error", "deployment_unreadable", error=str(error))
                 return
-            self._packed = packed_bytes(records.document)
+            self._packed_document = packed_bytes(records.document)
         groups = self.deployment.groups if self.deployment else {}
         for name in groups:
             if name not in self._supervisors:
                 self._supervisors[name] = Supervisor(self, name)
         for name in set(self._supervisors) - set(groups):
             self._supervisors.pop(name).close()
-        changed = self.refresh()
+        changed = self.refresh_topology()
         if newer and not changed:
-            self._announce_soon()
+            self._schedule_announcement()
         for supervisor in self._supervisors.values():
             supervisor.wake()
 
     # --- topology
 
-    def refresh(self) -> bool:
-        """Computes the topology; announces it under a new version if it changed."""
-        views = [self._view(name) for name in self._supervisors]
+    def refresh_topology(self) -> bool:
+        """Recomputes the topology; announces it under a new version if it changed."""
+        views = [self._group_view(name) for name in self._supervisors]
         if views == self._views:
             return False
         self._views = views
-        self._version += 1
-        self._announce()
+        self._topology_version += 1
+        self._send_announcement()
         return True
 
-    def _refresh_soon(self) -> None:
-        """Refreshes the shares once for many proxies that come or go together."""
-        if not self._refreshing:
-            self._refreshing = True
+    def _schedule_refresh(self) -> None:
+        """Schedules one refresh of the shares for proxies that come or go together."""
+        if not self._refresh_scheduled:
+            self._refresh_scheduled = True
             loop = asyncio.get_running_loop()
-            loop.call_later(ANNOUNCE_INTERVAL, self._refresh_late)
-
-    def _refresh_late(self) -> None:
-        self._refreshing = False
-        if not self._closed and not self.refresh() and self._shares:
-            # The proxies of a zone changed all the same.
-            self._announce()
+            loop.call_later(ANNOUNCE_INTERVAL_SECONDS, self._run_scheduled_refresh)
+
+    def _run_scheduled_refresh(self) -> None:
+        self._refresh_scheduled = False
+        if (
+            not self._closed
+            and not self.refresh_topology()
+            and self._has_shared_connections
+        ):
+            # The topology is the same, but the list of a zone's proxies changed.
+            self._send_announcement()
 
     @property
-    def _shares(self) -> bool:
+    def _has_shared_connections(self) -> bool:
         return any(view.shared for view in self._views)
 
-    def _keep_sharing(self) -> None:
-        """Records whether connections are shared, for the next leader."""
-        known, shares = self.leases.knows_all(boottime()), self._shares
-        recording = self._recording is not None and not self._recording.done()
-        if known and shares != self._control.records.sharing and not recording:
+    def _record_sharing(self) -> None:
+        """Commits whether connections are shared, so that the next leader knows."""
+        known, shares = self.leases.knows_all(boottime()), self._has_shared_connections
+        in_progress = self._sharing_task is not None and not self._sharing_task.done()
+        if known and shares != self._control.records.sharing and not in_progress:
             command: dict[str, object] = {"type": "sharing.set", "sharing": shares}
-            self._recording = self._control.spawn(self.commit(command))
+            self._sharing_task = self._control.spawn(self.commit(command))
 
-    def _view(self, group: str) -> GroupView:
-        record = self.record(group)
+    def _group_view(self, group: str) -> GroupView:
+        record = self.leader_record(group)
         usable = not record.candidate and not self._supervisors[group].revoked
         members = [
             MemberView(item.member, item.address, item.zone, item.leaving, item.primary)
@@ -208,7 +213,7 @@
         for view in members:
             view.primary = view.member == record.primary
         members.sort(key=lambda item: item.member)
-        connections, shared = self._share(group)
+        connections, shared = self._connection_share(group)
         return GroupView(
             group,
             record.term,
@@ -218,75 +223,79 @@
             shared,
         )
 
-    def _share(self, group: str) -> tuple[int, bool]:
-        """Connections to each member for one proxy, or one zone if they are shared."""
+    def _connection_share(self, group: str) -> tuple[int, bool]:
+        """Connections to each member for a proxy, or for a zone if they are shared."""
         spec = self.deployment.groups.get(group) if self.deployment else None
         limit = spec.max_connections if spec else 0
         if not limit:
             return DEFAULT_CONNECTIONS, False
         now = boottime()
         share = (limit - RESERVED_CONNECTIONS) // max(1, self.leases.active(now))
-        # A new leader has not heard all proxies yet.
+        # A new leader has not had a report from every proxy yet.
         sharing = self._control.records.sharing and not self.leases.knows_all(now)
         if share >= MIN_PROXY_SHARE and not sharing:
             return share, False
-        zones = max(1, len(set(self._zones.values())))
+        zones = max(1, len(set(self._proxy_zones.values())))
         share = (limit - RESERVED_CONNECTIONS) // zones
         return max(1, min(share, MAX_ZONE_SHARE)), True
 
-    def _proxies_of(self, zone: str) -> tuple[list[str], int]:
-        """The proxies of a zone that may own shared connections, and their version."""
+    def _eligible_owners(self, zone: str) -> tuple[list[str], int]:
+        """The zone's proxies that may own shared connections, and their version."""
         now = boottime()
         proxies = sorted(
             proxy
-            for proxy, where in self._zones.items()
-            if where == zone and self.leases.holds(now, proxy)
+            for proxy, proxy_zone in self._proxy_zones.items()
+            if proxy_zone == zone and self.leases.holds(now, proxy)
         )
         return proxies, crc32(",".join(proxies).encode())
 
-    def _announce_soon(self) -> None:
-        """Announces a deployment, together with others that follow at once."""
-        if self._announcing is None:
-            pause = self._announced_at + ANNOUNCE_INTERVAL - boottime()
+    def _schedule_announcement(self) -> None:
+        """Schedules one announcement for deployments that follow each other closely."""
+        if self._announce_timer is None:
+            delay = self._announced_at + ANNOUNCE_INTERVAL_SECONDS - boottime()
             loop = asyncio.get_running_loop()
-            self._announcing = loop.call_later(max(0.0, pause), self._announce)
+            self._announce_timer = loop.call_later(
+                max(0.0, delay), self._send_announcement
+            )
 
-    def _announce(self) -> None:
-        if self._announcing is not None:
-            self._announcing.cancel()
-            self._announcing = None
+    def _send_announcement(self) -> None:
+        if self._announce_timer is not None:
+            self._announce_timer.cancel()
+            self._announce_timer = None
         if self._closed:
             return
         now = self._announced_at = boottime()
-        for proxy, heard in list(self._heard.items()):
-            if now - heard < PROXY_SILENCE:
-                deployment, proxies = self._reported[proxy]
-                self._send_grant(proxy, 0, 0.0, deployment, 0, proxies)
+        for proxy, reported_at in list(self._last_report_at.items()):
+            if now - reported_at < PROXY_TIMEOUT_SECONDS:
+                deployment_version, proxies = self._reported_versions[proxy]
+                self._send_grant(proxy, 0, 0.0, deployment_version, 0, proxies)
             else:
-                del self._heard[proxy], self._reported[proxy]
-                self._zones.pop(proxy, None)
+                del self._last_report_at[proxy], self._reported_versions[proxy]
+                self._proxy_zones.pop(proxy, None)
 
     def _send_grant(
         self,
         proxy: str,
         sequence: int,
         lease: float,
-        deployment: int,
-        topology: int,
-        proxies_known: int,
+        known_deployment: int,
+        known_topology: int,
+        known_proxies: int,
     ) -> None:
-        """Sends what the proxy lacks; it reported the versions that it has."""
+        """Sends what is newer than the versions that the proxy reported."""
         version = self.deployment.version if self.deployment else 0
         now = boottime()
-        self._grants += 1
-        self.samples.granted(now, proxy, self._grants)
+        self._grant_count += 1
+        self.samples.granted(now, proxy, self._grant_count)
         proxies: list[str] = []
-        if self._shares:
-            proxies, proxies_version = self._proxies_of(self._zones.get(proxy, ""))
-            if proxies_version == proxies_known:
+        if self._has_shared_connections:
+            proxies, proxies_version = self._eligible_owners(
+                self._proxy_zones.get(proxy, "")
+            )
+            if proxies_version == known_proxies:
                 proxies = []
         else:
-            proxies_version = proxies_known
+            proxies_version = known_proxies
         self._control.links.send(
             proxy,
             ProxyGrant(
@@ -294,12 +303,12 @@
                 self._settings.peer,
                 int(lease * 1_000),
                 version,
-                self._packed if deployment < version else b"",
-                self._version,
-                self._views if topology < self._version else [],
+                self._packed_document if known_deployment < version else b"",
+                self._topology_version,
+                self._views if known_topology < self._topology_version else [],
                 self._control.controls,
                 self._newest_samples(now) if sequence else [],
-                self._grants,
+                self._grant_count,
                 proxies,
                 proxies_version,
             ),
@@ -309,7 +318,7 @@
         samples = []
         for group in self._supervisors:
             newest = self.samples.newest(now, group)
-            if newest is not None and newest[0] < SAMPLE_USE:
+            if newest is not None and newest[0] < SAMPLE_MAX_AGE_SECONDS:
                 age, position = newest
                 age_ms = int(age * 1_000) + 1
                 samples.append(
@@ -320,14 +329,17 @@
     # --- proxies
 
     def on_report(self, now: float, proxy: str, report: ProxyReport) -> None:
-        """Takes a proxy's report and answers with a lease."""
-        self._heard[proxy] = now
-        self._reported[proxy] = report.deployment_version, report.proxies_version
+        """Processes a proxy's report and replies with a lease."""
+        self._last_report_at[proxy] = now
+        self._reported_versions[proxy] = (
+            report.deployment_version,
+            report.proxies_version,
+        )
         if report.draining:
-            if self._zones.pop(proxy, None) is not None:
-                self._refresh_soon()
+            if self._proxy_zones.pop(proxy, None) is not None:
+                self._schedule_refresh()
         else:
-            self._zones[proxy] = report.zone
+            self._proxy_zones[proxy] = report.zone
         self.leases.confirm(proxy, report.topology_version)
         for item in report.groups:
             evidence = self.evidence.setdefault(item.group, {})
@@ -341,13 +353,13 @@
             )
             supervisor = self._supervisors.get(item.group)
             if supervisor is not None:
-                supervisor.on_evidence(item)
-        self._keep_sharing()
+                supervisor.on_group_report(item)
+        self._record_sharing()
         before = self.leases.active(now)
         lease = self.leases.grant(now, proxy, self._control.log.confirmed_at)
         if self.leases.active(now) != before:
             self.report("info", "proxies_changed", proxies=self.leases.active(now))
-            self._refresh_soon()
+            self._schedule_refresh()
         self._send_grant(
             proxy,
             report.sequence,
@@ -360,31 +372,36 @@
     # --- control group
 
     def on_join(self, now: float, sender: str) -> None:
-        """Lets a daemon outside the group in, in the place of one that is lost."""
+        """Adds a daemon to the control group, or replaces an unreachable one by it."""
         log = self._control.log
-        if now - self._joined_at < JOIN_PAUSE or sender in (*log.voters, *log.learners):
+        if now - self._group_changed_at < GROUP_CHANGE_INTERVAL_SECONDS or sender in (
+            *log.voters,
+            *log.learners,
+        ):
             return
-        self._joined_at = now
+        self._group_changed_at = now
         self._control.spawn(self._join(sender))
 
     async def _join(self, sender: str) -> None:
-        described = await self._control.change_group({"type": "control.members"})
+        described = await self._control.change_control_group(
+            {"type": "control.members"}
+        )
         members = described.body.get("members", [])
-        silent = [
+        unreachable = [
             item["name"]
             for item in members
             if not item["reachable"] and item["name"] != sender
         ]
         voters = [item for item in members if item["role"] != "learner"]
         wanted = 2 * self._settings.tolerated_losses + 1
-        if silent:
-            change = {"type": "control.replace", "name": silent[0]}
+        if unreachable:
+            change = {"type": "control.replace", "name": unreachable[0]}
             change["replacement"] = sender
         elif len(voters) < wanted:
             change = {"type": "control.add", "name": sender}
         else:
             return
-        outcome = await self._control.change_group(change)
+        outcome = await self._control.change_control_group(change)
         self.report(
             "info",
             "join",
--- a/packages/daemon/src/bronzemoor_daemon/wire/links.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/links.py
@@ -1,7 +1,6 @@
-"""Connections between daemons on the event loop: framed Thrift envelopes.
+"""Connections between daemons on the event loop, with framed Thrift envelopes.
 
-A daemon's name is the address of its internal port, so that every daemon can be
-reached by its name.
+A daemon's name is the address of its internal port, so a name is enough to reach it.
 """
 
 import asyncio
@@ -21,21 +20,21 @@
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.sockets import tune
 
-DIAL_TIMEOUT = 1.0  # seconds
-# Pause after a failed dial; messages for the peer are dropped meanwhile.
-REDIAL_INTERVAL = 0.1  # seconds
-# A link whose opener has no answer for this long is silent.
-SILENCE_LIMIT = 1.5  # seconds
-CHECK_INTERVAL = 0.25  # seconds
-# Messages that wait for a dial; the oldest are dropped.
-QUEUE_LIMIT = 256
-# Unsent bytes after which a link counts as stuck.
-BUFFER_LIMIT = 8 * 1024 * 1024
-
-Receive = Callable[[str, Any], None]
+DIAL_TIMEOUT_SECONDS = 1.0
+# Delay after a failed dial; messages to the peer are dropped meanwhile.
+REDIAL_INTERVAL_SECONDS = 0.1
+# A dialed link is unresponsive if nothing was received for this long after a message.
+RESPONSE_TIMEOUT_SECONDS = 1.5
+CHECK_INTERVAL_SECONDS = 0.25
+# Messages to a peer that wait for a dial; beyond this the oldest are dropped.
+MAX_QUEUED_MESSAGES = 256
+# A link with more unsent data is closed, since its peer does not read.
+MAX_UNSENT_BYTES = 8 * 1024 * 1024
+
+MessageHandler = Callable[[str, Any], None]
 Report = Callable[..., None]
-# Told of each peer whose connection ended; without a link it could not be opened.
-Lost = Callable[[str, "Link | None"], None]
+# Called when the connection to a peer ended, or without a link if the dial failed.
+LossHandler = Callable[[str, "Link | None"], None]
 
 
 class Link(asyncio.Protocol):
@@ -46,17 +45,17 @@
         self._buffer = bytearray()
         self.peer = peer
         self.transport: asyncio.Transport | None = None
-        # Who opened the connection sends messages that are answered on it.
+        # The side that opened the connection sends messages that are answered on it.
         self.is_dialed = bool(peer)
-        # When the oldest message without any later input was sent.
-        self.waiting_since: float | None = None
+        # When the first message since the last received data was sent.
+        self.unanswered_since: float | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        tune(transport, SILENCE_LIMIT)
+        tune(transport, RESPONSE_TIMEOUT_SECONDS)
 
     def data_received(self, data: bytes) -> None:
-        self.waiting_since = None
+        self.unanswered_since = None
         self._buffer += data
         while len(self._buffer) >= LENGTH.size:
             (size,) = LENGTH.unpack_from(self._buffer)
@@ -72,14 +71,14 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.transport = None
-        self._links.forget(self, error)
+        self._links.remove(self, error)
 
     def send(self, frame: bytes, now: float) -> None:
         if self.transport is None:
             return
         self.transport.write(LENGTH.pack(len(frame)) + frame)
-        if self.waiting_since is None and self.is_dialed:
-            self.waiting_since = now
+        if self.unanswered_since is None and self.is_dialed:
+            self.unanswered_since = now
 
     def abort(self) -> None:
         if self.transport is not None:
@@ -92,30 +91,30 @@
     def __init__(
         self,
         name: str,
-        receive: Receive,
+        receive: MessageHandler,
         report: Report,
-        lost: Lost = lambda peer, link: None,
+        lost: LossHandler = lambda peer, link: None,
     ) -> None:
         self._name = name
         self._receive = receive
-        self._lost = lost
+        self._on_lost = lost
         self._report = report
         self._links: dict[str, Link] = {}
-        # Those that this daemon opened.
-        self._dialed: dict[str, Link] = {}
-        # The link whose message is being received.
+        # Links that this daemon opened.
+        self._dialed_links: dict[str, Link] = {}
+        # The link whose message is being handled.
         self.current: Link | None = None
-        self._dialing: dict[str, deque[Any]] = {}
-        self._failed_at: dict[str, float] = {}
+        self._queued_messages: dict[str, deque[Any]] = {}
+        self._dial_failed_at: dict[str, float] = {}
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
-        """Listens at the daemon's name; raises ``OSError``."""
+        """Listens on the address that is the daemon's name; raises ``OSError``."""
         host, port = split_address(self._name)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(lambda: Link(self), host, port)
-        self._spawn(self._check())
+        self._spawn(self._check_unresponsive())
 
     def close(self) -> None:
         """Closes every connection and the listener."""
@@ -127,39 +126,42 @@
             link.abort()
 
     def send(self, peer: str, message: Any) -> None:
-        """Sends at most once, without blocking."""
+        """Sends at most once and does not block."""
         link = self._links.get(peer)
         if link is not None and link.transport is not None:
             self._write(link, message)
             return
-        self._send_later(peer, message)
+        self._queue_until_dialed(peer, message)
 
     def request(self, peer: str, message: Any) -> None:
-        """Like ``send``, in order over one connection that this daemon opened."""
-        link = self._dialed.get(peer)
+        """Like ``send``, but in order over a connection that this daemon opened."""
+        link = self._dialed_links.get(peer)
         if link is not None and link.transport is not None:
             self._write(link, message)
         else:
-            self._send_later(peer, message)
+            self._queue_until_dialed(peer, message)
 
     def reply(self, link: Link, message: Any) -> None:
-        """Sends over the connection that a request came on, if it is still open."""
+        """Sends over the connection of the request, if that is still open."""
         if link.transport is not None:
             self._write(link, message)
 
-    def _send_later(self, peer: str, message: Any) -> None:
-        waiting = self._dialing.get(peer)
-        if waiting is None:
+    def _queue_until_dialed(self, peer: str, message: Any) -> None:
+        queue = self._queued_messages.get(peer)
+        if queue is None:
             now = boottime()
-            if now - self._failed_at.get(peer, float("-inf")) < REDIAL_INTERVAL:
-                self._lost(peer, None)
+            if (
+                now - self._dial_failed_at.get(peer, float("-inf"))
+                < REDIAL_INTERVAL_SECONDS
+            ):
+                self._on_lost(peer, None)
                 return
-            waiting = self._dialing[peer] = deque(maxlen=QUEUE_LIMIT)
+            queue = self._queued_messages[peer] = deque(maxlen=MAX_QUEUED_MESSAGES)
             self._spawn(self._dial(peer))
-        waiting.append(message)
+        queue.append(message)
 
     def receive(self, link: Link, frame: bytes) -> None:
-        """Decodes a frame and passes its message on."""
+        """Decodes a frame and passes its message to the handler."""
         try:
             envelope = from_bytes(ttypes.Envelope, frame)
             message = decode_envelope(envelope)
@@ -179,18 +181,18 @@
         self._report("warning", "link_failed", peer=link.peer, reason=reason)
         link.abort()
 
-    def forget(self, link: Link, error: Exception | None) -> None:
+    def remove(self, link: Link, error: Exception | None) -> None:
         if self._links.get(link.peer) is link:
             del self._links[link.peer]
             self._report("info", "link_lost", peer=link.peer, error=str(error or ""))
-        if self._dialed.get(link.peer) is link:
-            del self._dialed[link.peer]
-        self._lost(link.peer, link)
+        if self._dialed_links.get(link.peer) is link:
+            del self._dialed_links[link.peer]
+        self._on_lost(link.peer, link)
 
     def _write(self, link: Link, message: Any) -> None:
         assert link.transport is not None
-        if link.transport.get_write_buffer_size() > BUFFER_LIMIT:
-            self.fail(link, "the peer does not read")
+        if link.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self.fail(link, "the peer does not read; too much unsent data")
             return
         envelope = encode_envelope(self._name, link.peer, message)
         link.send(to_bytes(envelope), boottime())
@@ -199,29 +201,29 @@
         loop = asyncio.get_running_loop()
         try:
             host, port = split_address(peer)
-            async with asyncio.timeout(DIAL_TIMEOUT):
+            async with asyncio.timeout(DIAL_TIMEOUT_SECONDS):
                 _, link = await loop.create_connection(
                     lambda: Link(self, peer), host, port
                 )
         except (OSError, ValueError, TimeoutError) as error:
-            self._failed_at[peer] = boottime()
+            self._dial_failed_at[peer] = boottime()
             self._report("info", "dial_failed", peer=peer, error=repr(error))
-            self._dialing.pop(peer, None)
-            self._lost(peer, None)
+            self._queued_messages.pop(peer, None)
+            self._on_lost(peer, None)
             return
-        waiting = self._dialing.pop(peer, deque())
-        self._links[peer] = self._dialed[peer] = link
+        queue = self._queued_messages.pop(peer, deque())
+        self._links[peer] = self._dialed_links[peer] = link
         self._report("info", "link_open", peer=peer)
-        for message in waiting:
+        for message in queue:
             self._write(link, message)
 
-    async def _check(self) -> None:
+    async def _check_unresponsive(self) -> None:
         while True:
-            await asyncio.sleep(CHECK_INTERVAL)
+            await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             now = boottime()
             for link in list(self._links.values()):
-                since = link.waiting_since
-                if since is not None and now - since > SILENCE_LIMIT:
+                since = link.unanswered_since
+                if since is not None and now - since > RESPONSE_TIMEOUT_SECONDS:
                     self.fail(link, "silent")
 
     def _spawn(self, coroutine: Any) -> None:
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberorders.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberorders.py
@@ -1,4 +1,4 @@
-"""Short-lived connections of the control leader to members: status and orders."""
+"""Sends status requests and orders to members, each on a short-lived connection."""
 
 import asyncio
 
@@ -8,7 +8,7 @@
 from bronzemoor_daemon.wire.memberconnection import connect
 from bronzemoor_daemon.wire.ports import StatementCodec
 
-ORDER_TIMEOUT = 0.4  # seconds
+ORDER_TIMEOUT_SECONDS = 0.4
 
 
 async def order(
@@ -16,11 +16,11 @@
     caller: str,
     record: MemberRecord,
     text: bytes,
-    timeout: float = ORDER_TIMEOUT,
+    timeout: float = ORDER_TIMEOUT_SECONDS,
 ) -> MemberStatus | str:
-    """Sends one order on a fresh connection; returns the status or why there is none.
+    """Sends an order on a new connection; returns the status or the reason for none.
 
-    ``timeout`` in seconds covers connection and answer.
+    ``timeout`` is in seconds and covers both the connection and the answer.
     """
     try:
         async with asyncio.timeout(timeout):
@@ -43,7 +43,7 @@
 async def order_all(
     codec: StatementCodec, caller: str, records: list[MemberRecord], text: bytes
 ) -> dict[str, MemberStatus]:
-    """Sends one order to several members at once; returns the statuses that came."""
+    """Sends an order to several members at once; returns the statuses received."""
     results = await asyncio.gather(
         *(order(codec, caller, record, text) for record in records)
     )
--- a/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
@@ -1,15 +1,15 @@
-"""Counters and latency histograms, served as text."""
+"""Metrics of the statement protocol in the Prometheus text format."""
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
-LATENCY_BUCKETS = (
+LATENCY_BUCKETS_SECONDS = (
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8,
 )  # fmt: skip
 
 
 class WireMetrics:
-    """The metrics of one process."""
+    """Metrics of one process, in a registry of its own."""
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
@@ -23,7 +23,7 @@
             "bronzemoor_statement_seconds",
             "Time from a statement's arrival to its answer",
             ("policy",),
-            buckets=LATENCY_BUCKETS,
+            buckets=LATENCY_BUCKETS_SECONDS,
             registry=self.registry,
         )
         self.retries = Counter(
@@ -48,5 +48,5 @@
         )
 
     def render(self) -> bytes:
-        """The metrics in the text format of Prometheus."""
+        """Returns all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/packages/daemon/src/bronzemoor_daemon/wire/ports.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/ports.py
@@ -1,4 +1,4 @@
-"""Interfaces that an adapter to a platform implements."""
+"""Interfaces that a platform adapter implements."""
 
 from typing import Protocol
 
@@ -14,7 +14,7 @@
 
 
 class StatementCodec(Protocol):
-    """Encodes the statement protocol, whose messages end with CR LF."""
+    """Encodes and decodes the statement protocol, whose messages end with CR LF."""
 
     reset_text: bytes
     rollback_text: bytes
@@ -59,10 +59,10 @@
 
 
 class PromotionExecutor(Protocol):
-    """Orders a promotion outside; blocking, called on a thread.
+    """Requests a promotion from the platform; blocks, so it is called on a thread.
 
-    Returns the status: ``done``, ``refused`` (the member is not running), or ``failed``
-    when it is not known whether the order was carried out.
+    Returns the outcome: ``done``, ``refused`` (the member is not running), or
+    ``failed`` if it is unknown whether the promotion was carried out.
     """
 
     def __call__(self, group: str, member: str, holder: str, fence: int) -> str: ...
--- a/packages/daemon/src/bronzemoor_daemon/wire/runner.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/runner.py
@@ -1,4 +1,4 @@
-"""Builds and runs one daemon of the statement protocol until it is told to stop."""
+"""Builds and runs a daemon of the statement protocol until it is stopped."""
 
 import asyncio
 import os
@@ -23,16 +23,16 @@
 if TYPE_CHECKING:
     from bronzemoor_daemon.wire.webserver import LoopBridge, WebServer, Wsgi
 
-# How often the settings are read again without a signal, seconds.
-RELOAD_INTERVAL = 2.0
+# The settings are reloaded at this interval, also without a signal.
+RELOAD_INTERVAL_SECONDS = 2.0
 CONTROL_THREADS = 8
 READINESS_THREADS = 2
-# Web requests in progress at a stop get this long, seconds.
-CONTROL_STOP_DELAY = 0.3
+# Time for HTTP requests in progress to finish when the daemon stops.
+CONTROL_STOP_DELAY_SECONDS = 0.3
 
 
 class Platform(Protocol):
-    """What an adapter provides."""
+    """Interface of a platform adapter."""
 
     codec: StatementCodec
     read_document: DocumentReader
@@ -41,9 +41,11 @@
     def load_settings(self) -> WireSettings:
         """Reads the settings; raises ``InvalidSettings`` or ``OSError``."""
 
-    def make_readiness(self, is_ready: Callable[[], bool]) -> "Wsgi": ...
+    def make_readiness_application(self, is_ready: Callable[[], bool]) -> "Wsgi": ...
 
-    def make_control(self, control: ControlDaemon, bridge: "LoopBridge") -> "Wsgi": ...
+    def make_control_application(
+        self, control: ControlDaemon, bridge: "LoopBridge"
+    ) -> "Wsgi": ...
 
 
 class Runner:
@@ -57,28 +59,28 @@
         self._servers: list[WebServer] = []
         self._proxy: Proxy | None = None
         self._control: ControlDaemon | None = None
-        self._stop = asyncio.Event()
+        self._stop_requested = asyncio.Event()
 
     async def run(self) -> None:
         """Serves until SIGTERM or SIGINT; raises ``OSError`` if it cannot listen."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop.set)
+            loop.add_signal_handler(number, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload, "signal")
         self._report("info", "start", roles=",".join(self._settings.roles))
-        await self._start()
-        while not self._stop.is_set():
+        await self._start_daemons()
+        while not self._stop_requested.is_set():
             try:
-                async with asyncio.timeout(RELOAD_INTERVAL):
-                    await self._stop.wait()
+                async with asyncio.timeout(RELOAD_INTERVAL_SECONDS):
+                    await self._stop_requested.wait()
             except TimeoutError:
                 self._reload("timer")
         self._report("info", "stopping")
-        await self._end()
+        await self._stop_daemons()
         self._report("info", "stop")
         self._logs.stop()
 
-    async def _start(self) -> None:
+    async def _start_daemons(self) -> None:
         settings, platform = self._settings, self._platform
         if PROXY in settings.roles:
             self._proxy = Proxy(
@@ -99,10 +101,10 @@
                 self._metrics,
             )
             await self._control.start()
-        # The event loop serves while a thread imports what HTTP needs.
-        await asyncio.to_thread(self._serve_web, asyncio.get_running_loop())
+        # A thread imports the HTTP libraries, so that the event loop serves meanwhile.
+        await asyncio.to_thread(self._start_web_servers, asyncio.get_running_loop())
 
-    def _serve_web(self, loop: asyncio.AbstractEventLoop) -> None:
+    def _start_web_servers(self, loop: asyncio.AbstractEventLoop) -> None:
         from bronzemoor_daemon.wire.webserver import (
             LoopBridge,
             MetricsPage,
@@ -111,26 +113,32 @@
 
         settings, platform = self._settings, self._platform
         if self._proxy is not None:
-            ready = platform.make_readiness(self._is_ready)
-            self._serve(settings.listen_readiness, ready, READINESS_THREADS)
+            ready = platform.make_readiness_application(self._is_ready)
+            self._start_web_server(settings.listen_readiness, ready, READINESS_THREADS)
         if self._control is not None:
-            tree = platform.make_control(self._control, LoopBridge(loop))
-            self._serve(settings.listen_control, tree, CONTROL_THREADS)
+            application = platform.make_control_application(
+                self._control, LoopBridge(loop)
+            )
+            self._start_web_server(
+                settings.listen_control, application, CONTROL_THREADS
+            )
         if settings.listen_metrics:
             page = make_application(MetricsPage(self._metrics))
-            self._serve(settings.listen_metrics, page, 1)
+            self._start_web_server(settings.listen_metrics, page, 1)
 
-    async def _end(self) -> None:
+    async def _stop_daemons(self) -> None:
         if self._proxy is not None:
             await self._proxy.stop()
         if self._control is not None:
-            await asyncio.sleep(CONTROL_STOP_DELAY)
+            await asyncio.sleep(CONTROL_STOP_DELAY_SECONDS)
             await self._control.stop()
 
     def _is_ready(self) -> bool:
         return self._proxy is not None and self._proxy.is_ready
 
-    def _serve(self, address: str, application: "Wsgi", threads: int) -> None:
+    def _start_web_server(
+        self, address: str, application: "Wsgi", threads: int
+    ) -> None:
         from bronzemoor_daemon.wire.webserver import WebServer
 
         server = WebServer(address, application, threads)
@@ -140,7 +148,7 @@
     def _reload(self, cause: str) -> None:
         try:
             settings = self._platform.load_settings()
-        except Exception as error:  # a half-written file is read again later
+        except Exception as error:  # a half-written file is reloaded later
             self._report("warning", "reload_failed", cause=cause, error=repr(error))
             return
         changed = settings.seeds != self._settings.seeds
@@ -157,7 +165,7 @@
 
 
 def run(platform: Platform) -> NoReturn:
-    """Runs the process until it is told to stop, and ends it."""
+    """Runs the daemon until it is stopped, then exits the process."""
     settings = platform.load_settings()
     configure_logs(settings.log_level, sys.stdout)
 
@@ -165,6 +173,6 @@
         await Runner(platform, settings).run()
 
     uvloop.run(serve())
-    # The threads of the web servers would keep the process until they time out.
+    # A normal exit would wait for the threads of the web servers to time out.
     sys.stdout.flush()
     os._exit(0)
--- a/packages/daemon/src/bronzemoor_daemon/wire/settings.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/settings.py
@@ -8,11 +8,12 @@
 
 @dataclass(slots=True)
 class WireSettings:
-    """One process. Addresses are host:port, durations seconds.
+    """Settings of one process. Addresses are ``host:port``, durations in seconds.
 
-    ``name`` is for people; ``peer`` is the address for other daemons, by which they
-    know this one. ``first_start`` is true only while the whole system starts for the
-    first time. ``tolerated_losses`` is how many control daemons may be lost at once.
+    ``name`` identifies the daemon to operators; ``peer`` is its address for other
+    daemons and its name among them. ``first_start`` is true only while the whole system
+    starts for the first time. ``tolerated_losses`` is how many control daemons may fail
+    at once.
     """
 
     name: str
--- a/packages/daemon/src/bronzemoor_daemon/wire/sockets.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/sockets.py
@@ -1,11 +1,11 @@
-"""Socket options shared by all connections of the event loop."""
+"""Socket options of all connections on the event loop."""
 
 import socket
 from asyncio import BaseTransport
 
 
 def tune(transport: BaseTransport, user_timeout: float) -> None:
-    """Sends without delay and gives up on unacknowledged data after ``user_timeout``.
+    """Sets TCP_NODELAY, and a timeout for unacknowledged data in ``user_timeout``.
 
     ``user_timeout`` is in seconds.
     """
@@ -13,5 +13,5 @@
     if connected is None:
         return
     connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    milliseconds = int(user_timeout * 1_000)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+    user_timeout_ms = int(user_timeout * 1_000)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -1,4 +1,4 @@
-"""Watches one group: finds its primary, replaces a lost one and a leaving one."""
+"""Monitors one group: finds its primary and runs failovers and handovers."""
 
 import asyncio
 from typing import TYPE_CHECKING
@@ -15,41 +15,42 @@
     should_replace,
 )
 from bronzemoor_daemon.wire.clock import boottime
-from bronzemoor_daemon.wire.grouporders import STEP_INTERVAL, GroupOrders
+from bronzemoor_daemon.wire.grouporders import STEP_INTERVAL_SECONDS, GroupOrders
 
 if TYPE_CHECKING:
     from bronzemoor_daemon.wire.leader import Leader
 
-WATCH_INTERVAL = 0.5  # seconds while nothing is wrong
-PROBE_INTERVAL = 0.1  # seconds while a primary is suspected
-# How long a planned successor may take to catch up, seconds.
-CATCH_UP_TIMEOUT = 1.5
-# Pause after a planned change that had to be put off, seconds.
-HANDOVER_PAUSE = 1.5
-# How long a primary must be overloaded before it is relieved, and the pause until the
-# next relief, seconds.
-RELIEF_AFTER, RELIEF_PAUSE = 0.5, 10.0
+WATCH_INTERVAL_SECONDS = 0.5  # while the primary is not suspected
+PROBE_INTERVAL_SECONDS = 0.1  # while the primary is suspected
+# Limit for the successor in a handover to catch up.
+CATCH_UP_TIMEOUT_SECONDS = 1.5
+# Delay before a handover that was put off is attempted again.
+HANDOVER_RETRY_SECONDS = 1.5
+# How long a primary must be overloaded before it is relieved.
+RELIEF_AFTER_SECONDS = 0.5
+# Minimum time between two reliefs.
+RELIEF_INTERVAL_SECONDS = 10.0
 
 
 def is_alive(status: MemberStatus | str) -> bool:
-    """Tells whether a member answered, if only that it is full or busy."""
+    """Returns whether a member answered, even with a connection limit or BUSY error."""
     return isinstance(status, MemberStatus) or status in (CONNECTION_LIMIT, BUSY)
 
 
 class Supervisor:
-    """Runs as one task on the leader."""
+    """Runs as a task on the control leader, one for each group."""
 
     def __init__(self, leader: "Leader", group: str) -> None:
         self._leader = leader
         self._group = group
         self._orders = GroupOrders(leader, group)
-        self._woken = asyncio.Event()
+        self._wake_event = asyncio.Event()
         self._probe_failing_since: float | None = None
         self._suspected = False
-        self._hand_over_after = float("-inf")
+        self._next_handover_at = float("-inf")
         self._overloaded_since: float | None = None
-        self._relieved_at = float("-inf")
-        # While true no proxy may use the primary.
+        self._last_relief_at = float("-inf")
+        # While true, the topology names no primary, so that no proxy uses it.
         self.revoked = False
         self._task = asyncio.get_running_loop().create_task(self._run())
 
@@ -58,15 +59,15 @@
         self._orders.close()
 
     def wake(self) -> None:
-        """The records changed."""
-        self._woken.set()
+        """Ends the current wait because the records changed."""
+        self._wake_event.set()
 
-    def on_evidence(self, report: GroupReport) -> None:
-        """A proxy reported; trouble with the primary is looked at now."""
-        trouble = report.failing_ms >= 0 or report.stalled_ms >= 0
-        if trouble and report.member == self._orders.record.primary:
+    def on_group_report(self, report: GroupReport) -> None:
+        """Starts a check at once if a proxy reports failures of the primary."""
+        failing = report.failing_ms >= 0 or report.stalled_ms >= 0
+        if failing and report.member == self._orders.leader_record.primary:
             self._suspected = True
-            self._woken.set()
+            self._wake_event.set()
 
     async def _run(self) -> None:
         while True:
@@ -74,25 +75,27 @@
                 await self._step()
             except asyncio.CancelledError:
                 raise
-            except Exception as error:  # the next step looks at everything again
+            except Exception as error:  # the next step starts from the current state
                 self._orders.report("error", "supervisor_failed", error=repr(error))
-            interval = PROBE_INTERVAL if self._suspected else WATCH_INTERVAL
+            interval = (
+                PROBE_INTERVAL_SECONDS if self._suspected else WATCH_INTERVAL_SECONDS
+            )
             try:
                 async with asyncio.timeout(interval):
-                    await self._woken.wait()
+                    await self._wake_event.wait()
             except TimeoutError:
                 pass
             else:
-                # Evidence comes in bursts; one look at it is enough.
-                await asyncio.sleep(STEP_INTERVAL)
-            self._woken.clear()
+                # Reports come in bursts; one step handles them together.
+                await asyncio.sleep(STEP_INTERVAL_SECONDS)
+            self._wake_event.clear()
 
     async def _step(self) -> None:
-        record, members = self._orders.record, self._orders.members
+        record, members = self._orders.leader_record, self._orders.members
         if not members:
             return
         if record.candidate:
-            await self._replace("resumed")
+            await self._fail_over("resumed")
             return
         primary = members.get(record.primary)
         if primary is None:
@@ -102,42 +105,46 @@
             await self._hand_over("leaving")
             return
         if self._suspected:
-            await self._examine(primary)
-        if self._stays_overloaded(boottime()):
+            await self._check_primary(primary)
+        if self._overload_persists(boottime()):
             await self._relieve(members)
 
-    def _stays_overloaded(self, now: float) -> bool:
-        """Tells whether the primary has refused work for a while."""
+    def _overload_persists(self, now: float) -> bool:
+        """Returns whether the primary has been overloaded long enough to relieve it."""
         evidence = self._leader.evidence.get(self._group, {})
-        if not is_overloaded(now, self._orders.record.primary, evidence):
+        if not is_overloaded(now, self._orders.leader_record.primary, evidence):
             self._overloaded_since = None
             return False
         if self._overloaded_since is None:
             self._overloaded_since = now
         return (
-            now - self._overloaded_since >= RELIEF_AFTER
-            and now - self._relieved_at >= RELIEF_PAUSE
+            now - self._overloaded_since >= RELIEF_AFTER_SECONDS
+            and now - self._last_relief_at >= RELIEF_INTERVAL_SECONDS
         )
 
     async def _relieve(self, members: dict[str, MemberRecord]) -> None:
-        """Has another member lead if that brings the primary's group relief."""
+        """Relieves an overloaded primary by a handover if its replicas lag too far."""
         self._overloaded_since = None
-        primary = self._orders.record.primary
-        # Leaving replicas get no work soon, however fresh they are.
+        primary = self._orders.leader_record.primary
+        # Leaving replicas will soon get no work, so their lag does not count.
         staying = {m: r for m, r in members.items() if m != primary and not r.leaving}
-        statuses = await self._orders.order(staying, self._leader.codec.status_text)
+        statuses = await self._orders.send_orders(
+            staying, self._leader.codec.status_text
+        )
         lags = {member: status.lag for member, status in statuses.items()}
         relieves = brings_relief(list(lags.values()))
         self._orders.report("info", "primary_overloaded", lags=lags, relieves=relieves)
         if relieves and await self._hand_over("overloaded"):
-            self._relieved_at = boottime()
+            self._last_relief_at = boottime()
 
     # --- finding the primary
 
     async def _find_primary(self, members: dict[str, MemberRecord]) -> None:
-        """Adopts a member that leads, when none is recorded or the recorded is gone."""
-        record = self._orders.record
-        statuses = await self._orders.order(members, self._leader.codec.status_text)
+        """Records a member that is primary; fails over if the recorded one is gone."""
+        record = self._orders.leader_record
+        statuses = await self._orders.send_orders(
+            members, self._leader.codec.status_text
+        )
         leading = {m: s for m, s in statuses.items() if s.primary}
         if leading:
             member = max(leading, key=lambda name: leading[name].term)
@@ -145,36 +152,36 @@
                 await self._orders.record_primary(member, leading[member].term)
                 return
         if record.primary:
-            await self._replace("primary_gone")
+            await self._fail_over("primary_gone")
 
-    # --- examining a suspected primary
+    # --- checking a suspected primary
 
-    async def _examine(self, primary: MemberRecord) -> None:
-        started = boottime()
+    async def _check_primary(self, primary: MemberRecord) -> None:
+        started_at = boottime()
         status = await self._orders.status(primary)
         now = boottime()
         healthy = is_alive(status)
         if isinstance(status, MemberStatus) and not status.primary:
-            # It restarted as a replica, or another member leads.
+            # It restarted as a replica, or another member is primary.
             await self._find_primary(self._orders.members)
-            if self._orders.record.primary == primary.member:
-                await self._replace("primary_is_replica")
+            if self._orders.leader_record.primary == primary.member:
+                await self._fail_over("primary_is_replica")
             return
         if healthy:
             self._probe_failing_since = None
         elif self._probe_failing_since is None:
-            self._probe_failing_since = started
+            self._probe_failing_since = started_at
         since = self._probe_failing_since
         evidence = self._leader.evidence.get(self._group, {})
         reason = should_replace(
             now, primary.member, evidence, 0.0 if since is None else now - since
         )
         if reason:
-            await self._replace(reason)
-        elif healthy and not self._has_trouble(now):
+            await self._fail_over(reason)
+        elif healthy and not self._has_failure_reports(now):
             self._suspected = False
 
-    def _has_trouble(self, now: float) -> bool:
+    def _has_failure_reports(self, now: float) -> bool:
         evidence = self._leader.evidence.get(self._group, {})
         return any(
             now - item.received < 1.0
@@ -182,12 +189,12 @@
             for item in evidence.values()
         )
 
-    # --- replacing it
+    # --- failover
 
-    async def _replace(self, reason: str) -> None:
+    async def _fail_over(self, reason: str) -> None:
         """Promotes a replica that has every acknowledged commit."""
-        started = boottime()
-        record, leader = self._orders.record, self._leader
+        started_at = boottime()
+        record, leader = self._orders.leader_record, self._leader
         old_term = record.term
         resumed = bool(record.candidate)
         self._orders.report(
@@ -196,45 +203,51 @@
             reason=reason,
             primary=record.primary,
             term=old_term,
-            topology=leader.version,
+            topology=leader.topology_version,
         )
         self._revoke()
-        version = leader.version
+        version = leader.topology_version
         try:
             while True:
                 members = self._orders.members
                 replicas = {
-                    m: r for m, r in members.items() if m != self._orders.record.primary
+                    m: r
+                    for m, r in members.items()
+                    if m != self._orders.leader_record.primary
                 }
-                paused = await self._orders.order(
+                paused = await self._orders.send_orders(
                     replicas, leader.codec.pause_text(old_term + 1)
                 )
                 newer = [
                     m for m, s in paused.items() if s.primary and s.term > old_term
                 ]
                 if newer:
-                    # An earlier order took effect.
-                    await self._orders.finish(newer[0], paused[newer[0]].term, started)
+                    # An earlier promotion order took effect.
+                    await self._orders.complete_promotion(
+                        newer[0], paused[newer[0]].term, started_at
+                    )
                     return
                 held = {m: s.position for m, s in paused.items() if not s.primary}
-                successor = self._choose(held, replicas, version, old_term)
+                successor = self._choose_successor(held, replicas, version, old_term)
                 if successor and await self._orders.promote(
-                    successor, version, started
+                    successor, version, started_at
                 ):
                     return
-                primary = members.get(self._orders.record.primary)
-                if not resumed and await self._recovered(primary, old_term, reason):
-                    await self._orders.order(replicas, leader.codec.resume_text)
+                primary = members.get(self._orders.leader_record.primary)
+                if not resumed and await self._primary_recovered(
+                    primary, old_term, reason
+                ):
+                    await self._orders.send_orders(replicas, leader.codec.resume_text)
                     self._orders.report("info", "replacement_cancelled", term=old_term)
                     return
-                await asyncio.sleep(STEP_INTERVAL)
+                await asyncio.sleep(STEP_INTERVAL_SECONDS)
         finally:
             self._suspected = False
             self._probe_failing_since = None
             self.revoked = False
-            leader.refresh()
+            leader.refresh_topology()
 
-    def _choose(
+    def _choose_successor(
         self,
         held: dict[str, Position],
         replicas: dict[str, MemberRecord],
@@ -247,7 +260,8 @@
         known = not leases.waiting_for(now, version)
         sample = self._leader.samples.newest(now, self._group)
         sampled_at = now - sample[0] if sample else float("-inf")
-        # What a lost proxy acknowledged is part of any later position of the primary.
+        # Any later position of the primary includes the commits that a lost proxy
+        # acknowledged.
         if (
             known
             and leases.holders
@@ -271,40 +285,40 @@
         )
         return successor
 
-    async def _recovered(
+    async def _primary_recovered(
         self, primary: MemberRecord | None, term: int, reason: str
     ) -> bool:
-        """Tells whether the old primary is back before anybody was promoted."""
+        """Returns whether the primary is back and no promotion has been planned."""
         if primary is None or reason not in ("unreachable", "commits_stalled"):
             return False
-        if self._orders.record.candidate:
+        if self._orders.leader_record.candidate:
             return False
         status = await self._orders.status(primary)
         return (
             isinstance(status, MemberStatus) and status.primary and status.term == term
         )
 
-    # --- planned change
+    # --- handover
 
     async def _hand_over(self, reason: str) -> bool:
-        """Moves the lead from the primary to a replica that has everything.
+        """Promotes a replica that has every commit of the primary.
 
-        Returns whether that was tried.
+        Returns whether that was attempted.
 
-        With the other replicas paused only the successor can acknowledge commits, so
-        it has whatever the primary acknowledges from then on. Where one of them is
-        silent, the primary is stopped first and says what it acknowledged.
+        While the other replicas are paused, only the successor can acknowledge commits,
+        so it has all that the primary acknowledges from then on. If one of them is
+        unreachable, the primary is revoked first and its final position is read.
         """
-        started = boottime()
-        if started < self._hand_over_after or not self._leader.leases.knows_all(
-            started
+        started_at = boottime()
+        if started_at < self._next_handover_at or not self._leader.leases.knows_all(
+            started_at
         ):
-            # While an earlier leader's leases are unknown, proxies would go without a
-            # primary until they end.
+            # The promotion would wait until an earlier leader's unknown leases have
+            # expired, and proxies would have no primary meanwhile.
             return False
         leader, record, members = (
             self._leader,
-            self._orders.record,
+            self._orders.leader_record,
             self._orders.members,
         )
         replicas = {m: r for m, r in members.items() if m != record.primary}
@@ -318,62 +332,70 @@
             primary=record.primary,
             term=record.term,
         )
-        statuses = await self._orders.order(replicas, leader.codec.status_text)
+        statuses = await self._orders.send_orders(replicas, leader.codec.status_text)
         ready = {m: s.position for m, s in statuses.items() if m in staying}
         if not ready:
             return False
         successor = max(ready, key=lambda m: (ready[m], m))
         others = {m: r for m, r in replicas.items() if m != successor}
         try:
-            paused = await self._orders.order(
+            paused = await self._orders.send_orders(
                 others, leader.codec.pause_text(record.term + 1)
             )
-            silent = set(others) - set(paused)
-            if silent:
-                self._orders.report("info", "handover_stops_writes", silent=len(silent))
-                wanted = await self._stopped_position(members[record.primary])
+            unreachable = set(others) - set(paused)
+            if unreachable:
+                self._orders.report(
+                    "info", "handover_stops_writes", silent=len(unreachable)
+                )
+                required = await self._final_position(members[record.primary])
             else:
-                wanted = max(
+                required = max(
                     (s.position for s in paused.values()), default=ready[successor]
                 )
-            if wanted is None or not await self._caught_up(members[successor], wanted):
-                self._hand_over_after = boottime() + HANDOVER_PAUSE
+            if required is None or not await self._await_catch_up(
+                members[successor], required
+            ):
+                self._next_handover_at = boottime() + HANDOVER_RETRY_SECONDS
                 self._orders.report("info", "handover_put_off", successor=successor)
                 return True
             self._revoke()
-            await self._orders.promote(successor, leader.version, started)
+            await self._orders.promote(successor, leader.topology_version, started_at)
             return True
         finally:
             self.revoked = False
-            leader.refresh()
-            if self._orders.record.primary == record.primary:
-                await self._orders.order(others, leader.codec.resume_text)
+            leader.refresh_topology()
+            if self._orders.leader_record.primary == record.primary:
+                await self._orders.send_orders(others, leader.codec.resume_text)
 
-    async def _stopped_position(self, primary: MemberRecord) -> Position | None:
-        """Revokes the primary; its position once no proxy uses it, None if silent.
+    async def _final_position(self, primary: MemberRecord) -> Position | None:
+        """Revokes the primary and returns its position once no proxy uses it.
 
-        A commit that it answers later counts as in doubt at the proxies.
+        Returns None if leases remain or it does not answer in time. Proxies treat a
+        commit that it answers later as in doubt.
         """
         self._revoke()
-        version, until = self._leader.version, boottime() + CATCH_UP_TIMEOUT
+        version, deadline = (
+            self._leader.topology_version,
+            boottime() + CATCH_UP_TIMEOUT_SECONDS,
+        )
         while self._leader.leases.waiting_for(boottime(), version):
-            if boottime() > until:
+            if boottime() > deadline:
                 return None
-            await asyncio.sleep(STEP_INTERVAL)
+            await asyncio.sleep(STEP_INTERVAL_SECONDS)
         status = await self._orders.status(primary)
         return status.position if isinstance(status, MemberStatus) else None
 
-    async def _caught_up(self, member: MemberRecord, wanted: Position) -> bool:
-        until = boottime() + CATCH_UP_TIMEOUT
-        while boottime() < until:
+    async def _await_catch_up(self, member: MemberRecord, required: Position) -> bool:
+        deadline = boottime() + CATCH_UP_TIMEOUT_SECONDS
+        while boottime() < deadline:
             status = await self._orders.status(member)
-            if isinstance(status, MemberStatus) and status.position >= wanted:
+            if isinstance(status, MemberStatus) and status.position >= required:
                 return True
-            await asyncio.sleep(STEP_INTERVAL)
+            await asyncio.sleep(STEP_INTERVAL_SECONDS)
         return False
 
     # --- helpers
 
     def _revoke(self) -> None:
         self.revoked = True
-        self._leader.refresh()
+        self._leader.refresh_topology()
--- a/packages/daemon/src/bronzemoor_daemon/wire/webserver.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/webserver.py
@@ -1,4 +1,4 @@
-"""HTTP beside the event loop: readiness, metrics, operators and announcements."""
+"""HTTP servers on threads beside the event loop, and their bridge to it."""
 
 import asyncio
 from collections.abc import Callable, Coroutine
@@ -15,38 +15,38 @@
 
 Wsgi = Callable[..., Any]
 
-REQUEST_QUEUE = 128
-SOCKET_TIMEOUT = 5  # seconds
-# A call of a web thread into the event loop is given up after this, seconds.
-LOOP_TIMEOUT = 4.0
+REQUEST_QUEUE_SIZE = 128
+SOCKET_TIMEOUT_SECONDS = 5
+# Limit for a call from a web thread into the event loop.
+LOOP_CALL_TIMEOUT_SECONDS = 4.0
 
 
 class LoopBridge:
-    """Lets the threads of a web server call into the event loop."""
+    """Runs coroutines on the event loop for the threads of a web server."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
 
     def call(self, coroutine: Coroutine[Any, Any, T]) -> T:
-        """Runs a coroutine on the loop; raises ``TimeoutError``."""
+        """Runs a coroutine on the loop and waits; raises ``TimeoutError``."""
         future = asyncio.run_coroutine_threadsafe(coroutine, self._loop)
-        return future.result(LOOP_TIMEOUT)
+        return future.result(LOOP_CALL_TIMEOUT_SECONDS)
 
 
 class WebServer:
-    """One listener with a few threads."""
+    """An HTTP listener with its own thread pool."""
 
     def __init__(self, address: str, application: Wsgi, threads: int) -> None:
         self._server = Server(
             split_address(address),
             application,
             numthreads=threads,
-            request_queue_size=REQUEST_QUEUE,
-            timeout=SOCKET_TIMEOUT,
+            request_queue_size=REQUEST_QUEUE_SIZE,
+            timeout=SOCKET_TIMEOUT_SECONDS,
         )
 
     def start(self) -> None:
-        """Binds and serves on threads of its own; raises ``OSError``."""
+        """Binds the address and serves on background threads; raises ``OSError``."""
         self._server.prepare()
         Thread(target=self._server.serve, name="web", daemon=True).start()
 
@@ -55,7 +55,7 @@
 
 
 class MetricsPage:
-    """The metrics as text, at any path."""
+    """Serves the metrics as text at any path."""
 
     def __init__(self, metrics: WireMetrics) -> None:
         self._metrics = metrics
@@ -67,7 +67,7 @@
 
 
 def make_application(root: object, config: dict[str, Any] | None = None) -> Wsgi:
-    """Wraps a tree of handlers outside cherrypy's global one, without its log."""
+    """Makes a WSGI application that is not in cherrypy's global tree and has no log."""
     section = {
         "tools.encode.on": False,
         "request.show_tracebacks": False,
--- a/tests/adapter/test_leader.py
+++ b/tests/adapter/test_leader.py
@@ -1,4 +1,4 @@
-"""Guards what the control leader decides and announces, on a whole system."""
+"""Tests the control leader's decisions and announcements on a whole system."""
 
 import asyncio
 
@@ -7,17 +7,17 @@
 from test_relays import SCARCE, shared
 from test_whole_path import outcome
 
-from bronzemoor_daemon.wire.leader import ANNOUNCE_INTERVAL
+from bronzemoor_daemon.wire.leader import ANNOUNCE_INTERVAL_SECONDS
 
 
 @pytest.mark.parametrize(("lag_ms", "relieved"), [(9_000, True), (50, False)])
 def test_an_overloaded_primary_is_relieved_while_its_replicas_lag(
     tmp_path, lag_ms, relieved
 ):
-    """Guards against a primary that is left alone with all reads of its group.
+    """Guards against an overloaded primary that serves all reads of its group.
 
-    Seen on every day with lagging replicas: half of a group's work was refused for ten
-    seconds and more.
+    When all replicas lagged, half of a group's statements were refused for ten seconds
+    and more.
     """
 
     async def scenario(system):
@@ -37,10 +37,10 @@
 
 
 def test_deployments_in_quick_succession_are_announced_together(tmp_path):
-    """Guards against sending every proxy each of a storm of deployments."""
+    """Guards against a separate announcement of each deployment to every proxy."""
 
     async def scenario(system):
-        await asyncio.sleep(2 * ANNOUNCE_INTERVAL)
+        await asyncio.sleep(2 * ANNOUNCE_INTERVAL_SECONDS)
         system.events.clear()
         for version in range(2, 12):
             assert await system.put(version)
@@ -54,9 +54,9 @@
 
 
 def test_a_new_leader_goes_on_sharing_connections(tmp_path):
-    """Guards against proxies that all open connections when the leader has changed.
+    """Guards against proxies that stop sharing connections after a leader change.
 
-    Seen after a power loss of everything: 54 proxies opened connections to each of 12
+    After a power loss of the whole system, 54 proxies opened connections to each of 12
     members at once, and no statement was served for two seconds.
     """
 
--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -1,17 +1,17 @@
-"""A loopback relay in front of a member that delays, silences or resets connections."""
+"""A loopback relay in front of a member; delays, stalls or resets connections."""
 
 import asyncio
 
 
 class Relay:
-    """Forwards to ``target()``; ``delay`` is in seconds."""
+    """Forwards to the address ``target()``; ``delay`` is in seconds."""
 
     def __init__(self, target) -> None:
         self._target = target
-        self._open: set[asyncio.StreamWriter] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self.delay = 0.0
-        self.silent = False
+        self.stalled = False
         self.address = ""
 
     async def start(self) -> None:
@@ -21,7 +21,7 @@
 
     def reset(self) -> None:
         """Resets every open connection."""
-        for writer in list(self._open):
+        for writer in list(self._writers):
             writer.transport.abort()
 
     async def _serve(self, reader, writer) -> None:
@@ -31,17 +31,17 @@
         except OSError:
             writer.transport.abort()
             return
-        self._open |= {writer, upstream[1]}
+        self._writers |= {writer, upstream[1]}
         await asyncio.gather(
-            self._pump(reader, upstream[1]), self._pump(upstream[0], writer)
+            self._forward(reader, upstream[1]), self._forward(upstream[0], writer)
         )
-        self._open -= {writer, upstream[1]}
+        self._writers -= {writer, upstream[1]}
 
-    async def _pump(self, reader, writer) -> None:
+    async def _forward(self, reader, writer) -> None:
         try:
             while data := await reader.read(65_536):
                 await asyncio.sleep(self.delay)
-                while self.silent:
+                while self.stalled:
                     await asyncio.sleep(0.05)
                 writer.write(data)
         except OSError:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,10 +1,10 @@
-"""Randomized soak: the real programs as processes, with faults from outside.
+"""Randomized soak test: real daemon processes with injected faults.
 
-``python tests/soak/soak.py --seeds 1-50 --seconds 20`` plays one run a seed and prints
-what broke. Checked: no acknowledged write lost, none doubled, none kept that was
-refused as not kept, no deployment older than an acknowledged one, no process that ends
-by itself, service back within ``RECOVERY`` once the faults are over. With an odd seed
-the proxies share the members' connections.
+``python tests/soak/soak.py --seeds 1-50 --seconds 20`` runs once for each seed and
+prints the violations. Checked: no acknowledged write lost, none applied twice, none
+stored that was refused as not stored, no deployment older than an acknowledged one, no
+process that exits unexpectedly, service restored within ``RECOVERY_TIMEOUT_SECONDS``
+after the last fault. With an odd seed the proxies share the members' connections.
 """
 
 import argparse
@@ -32,20 +32,23 @@
     "from bronzemoor_daemon.wire.runner import run;"
     "from bronzemoor_platform.adapter import Adapter; run(Adapter())"
 )
-CONTROLS, PROXIES, CLIENTS = 3, 2, 6
-START_LIMIT = 20.0  # seconds until the first write is served
-RECOVERY = 20.0  # seconds after the last fault
-BEAT = 0.4  # seconds
-# Connections that a member allows: plenty, and few enough for proxies to share them.
-PLENTY, SCARCE = 22, 5
-# Until a control daemon that lost its disk counts as whole again, seconds.
-DISK_CATCH_UP = 8.0
-NOT_KEPT = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT")
-ORDERS = count(1)
+CONTROL_COUNT = 3
+PROXY_COUNT = 2
+CLIENT_COUNT = 6
+START_TIMEOUT_SECONDS = 20.0  # until the first write is served
+RECOVERY_TIMEOUT_SECONDS = 20.0  # after the last fault
+HEARTBEAT_INTERVAL_SECONDS = 0.4
+# Connection limits of a member: enough for all proxies, and so few that they share.
+AMPLE_CONNECTIONS = 22
+SCARCE_CONNECTIONS = 5
+# Time in which a control daemon that lost its disk rejoins and catches up.
+DISK_RECOVERY_SECONDS = 8.0
+NOT_STORED_ERRORS = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT")
+WRITE_NUMBERS = count(1)
 
 
 class Program:
-    """One process of the system."""
+    """A daemon process of the system under test."""
 
     def __init__(self, soak: "Soak", name: str, ip: str, serves: str) -> None:
         self.soak, self.name, self.ip = soak, name, ip
@@ -62,7 +65,9 @@
             "serves": [serves],
             "listen_addrs": listen,
             "internal_port_range": [soak.ports[0], soak.ports[0]],
-            "seeds": [f"127.0.{soak.net}.{i}:1" for i in range(1, CONTROLS + 1)],
+            "seeds": [
+                f"127.0.{soak.subnet}.{i}:1" for i in range(1, CONTROL_COUNT + 1)
+            ],
             "bootstrap": True,
             "data_dir": str(soak.folder / name),
             "cloud_api": {"address": soak.executor},
@@ -97,14 +102,14 @@
 
 
 class Soak:
-    """One seeded run."""
+    """A soak run with one seed."""
 
     def __init__(self, seed: int, folder: Path) -> None:
         self.random = Random(seed)
         self.folder = folder
         self.scarce = seed % 2 == 1
-        # Runs that overlap use other loopback addresses.
-        self.net = 1 + os.getpid() % 250
+        # Concurrent runs use different loopback addresses.
+        self.subnet = 1 + os.getpid() % 250
         self.ports = [20_000 + 4 * (seed % 1_000) + i for i in range(4)]
         self.executor = ""
         self.group = FakeGroup("ledger")
@@ -120,25 +125,25 @@
 
     async def run(self, seconds: float) -> list[str]:
         loop = asyncio.get_running_loop()
-        server = await asyncio.start_server(self._execute, "127.0.0.1", 0)
+        server = await asyncio.start_server(self._serve_promotion, "127.0.0.1", 0)
         self.executor = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         await self.group.start()
         for name, member in self.group.members.items():
             self.relays[name] = Relay(lambda member=member: member.address)
             await self.relays[name].start()
-        roles = ["control_plane"] * CONTROLS + ["edge"] * PROXIES
+        roles = ["control_plane"] * CONTROL_COUNT + ["edge"] * PROXY_COUNT
         for number, role in enumerate(roles, start=1):
-            name, ip = f"{role}-{number}", f"127.0.{self.net}.{number}"
+            name, ip = f"{role}-{number}", f"127.0.{self.subnet}.{number}"
             (self.folder / name).mkdir()
             self.programs.append(Program(self, name, ip, role))
         try:
             await asyncio.gather(*(program.start() for program in self.programs))
-            tasks = [loop.create_task(self._beat())]
-            tasks.append(loop.create_task(self._watch()))
-            await self._await_service("start", START_LIMIT)
-            tasks += [loop.create_task(self._client(n)) for n in range(CLIENTS)]
-            await self._faults(seconds)
-            await self._await_service("recovery", RECOVERY)
+            tasks = [loop.create_task(self._send_heartbeats())]
+            tasks.append(loop.create_task(self._watch_processes()))
+            await self._await_service("start", START_TIMEOUT_SECONDS)
+            tasks += [loop.create_task(self._client(n)) for n in range(CLIENT_COUNT)]
+            await self._inject_faults(seconds)
+            await self._await_service("recovery", RECOVERY_TIMEOUT_SECONDS)
             self.stopping = True
             await asyncio.sleep(1.0)
             await self._check()
@@ -155,24 +160,28 @@
         return self.problems
 
     async def _await_service(self, step: str, limit: float) -> None:
-        """Waits until the operator and a client of each proxy are served."""
+        """Waits until a deployment and a write through each proxy succeed."""
         try:
             async with asyncio.timeout(limit):
                 while not await self._deploy():
                     await asyncio.sleep(0.2)
-                for proxy in self.programs[CONTROLS:]:
+                for proxy in self.programs[CONTROL_COUNT:]:
                     while not await self._write(proxy, f"{step}-{proxy.name}"):
                         await asyncio.sleep(0.2)
         except TimeoutError:
             self.problems.append(f"no service within {limit} s after {step}")
 
     async def _check(self) -> None:
-        kept = [item for work in self.group.primary.log for item in work]
-        keys = [key for key, _ in kept]
+        stored = [item for work in self.group.primary.log for item in work]
+        keys = [key for key, _ in stored]
         lost = set(self.acknowledged) - set(keys)
-        doubled = {key for key in keys if keys.count(key) > 1}
-        untrue = self.refused & set(keys)
-        for name, found in (("lost", lost), ("doubled", doubled), ("untrue", untrue)):
+        duplicated = {key for key in keys if keys.count(key) > 1}
+        wrongly_refused = self.refused & set(keys)
+        for name, found in (
+            ("lost", lost),
+            ("doubled", duplicated),
+            ("untrue", wrongly_refused),
+        ):
             if found:
                 self.problems.append(f"{name}: {sorted(found)[:5]} of {len(keys)}")
         read = None
@@ -183,10 +192,10 @@
         if read is None or json.loads(read)["version"] < self.accepted:
             self.problems.append(f"deployment read {read!r:.60}, had {self.accepted}")
 
-    # --- the world
+    # --- platform and clients
 
-    async def _execute(self, reader, writer) -> None:
-        """The platform's promotions, in force after a moment."""
+    async def _serve_promotion(self, reader, writer) -> None:
+        """Serves the platform's promotion API; a promotion takes effect after 0.3 s."""
         head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
         length = int(head.split("content-length: ")[1].split("\r\n")[0])
         body = json.loads(await reader.readexactly(length))
@@ -198,25 +207,27 @@
         writer.write(f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n".encode())
         writer.close()
 
-    async def _beat(self) -> None:
+    async def _send_heartbeats(self) -> None:
         for sequence in count(1):
             for number, (name, member) in enumerate(self.group.members.items()):
                 if member.up:
                     body = {
                         "service": "ledger",
                         "address": self.relays[name].address,
-                        "zone": f"127.0.{self.net}.{number + CONTROLS + 1}",
+                        "zone": f"127.0.{self.subnet}.{number + CONTROL_COUNT + 1}",
                         "state": "ready",
                         "db_role": "primary" if member.primary else "replica",
                         "sequence": sequence,
                     }
                     await self._http("PUT", f"/bronzemoor/instances/{name}", body)
-            await asyncio.sleep(BEAT)
+            await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
 
     async def _deploy(self) -> bool:
         self.version += self.random.randint(1, 3)
         body = json.loads(make_document(self.version))
-        body["services"][0]["max_conns"] = SCARCE if self.scarce else PLENTY
+        body["services"][0]["max_conns"] = (
+            SCARCE_CONNECTIONS if self.scarce else AMPLE_CONNECTIONS
+        )
         done = await self._http("PUT", "/bronzemoor/config", body)
         if done is not None:
             self.accepted = max(self.accepted, body["version"])
@@ -235,7 +246,7 @@
             finally:
                 connection.close()
 
-        controls = self.programs[:CONTROLS]
+        controls = self.programs[:CONTROL_COUNT]
         for program in self.random.sample(controls, len(controls)):
             data = await asyncio.to_thread(call, program.ip)
             if data is not None:
@@ -246,13 +257,13 @@
         for operation in count(1):
             if self.stopping:
                 return
-            proxy = self.programs[CONTROLS + self.random.randrange(PROXIES)]
+            proxy = self.programs[CONTROL_COUNT + self.random.randrange(PROXY_COUNT)]
             await self._write(proxy, f"c{number}-{operation}")
             await asyncio.sleep(self.random.uniform(0.0, 0.1))
 
     async def _write(self, proxy: Program, key: str) -> bool:
-        """Writes once, alone or in a transaction, and notes what the client is told."""
-        key = f"{key}-{next(ORDERS)}"
+        """Writes once, with or without a transaction, and records the outcome."""
+        key = f"{key}-{next(WRITE_NUMBERS)}"
         texts = [f"STORE {key} v"]
         if self.random.random() < 0.4:
             texts = ["BEGIN", *texts, "COMMIT"]
@@ -265,7 +276,7 @@
                     lines = await client.call(text)
                     if lines[-2].startswith("ERROR"):
                         client.close()
-                        if lines[-2].split(" ")[1] in NOT_KEPT:
+                        if lines[-2].split(" ")[1] in NOT_STORED_ERRORS:
                             self.refused.add(key)
                         return False
                 client.close()
@@ -274,7 +285,7 @@
         self.acknowledged[key] = "v"
         return True
 
-    async def _watch(self) -> None:
+    async def _watch_processes(self) -> None:
         while not self.stopping:
             for program in self.programs:
                 process = program.process
@@ -286,12 +297,13 @@
 
     # --- faults
 
-    async def _faults(self, seconds: float) -> None:
+    async def _inject_faults(self, seconds: float) -> None:
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
-        kinds = (self._kill, self._pause, self._term, self._crash_member,
-                 self._lose_answer, self._slow, self._silence, self._reset,
-                 self._lose_disk, self._pause_and_term)  # fmt: skip
+        kinds = (self._kill, self._pause, self._terminate, self._crash_member,
+                 self._lose_answer, self._delay_connections, self._stall_connections,
+                 self._reset_connections, self._lose_disk,
+                 self._pause_and_terminate)  # fmt: skip
         running: set[asyncio.Task] = set()
         while loop.time() < until:
             fault = self.random.choice(kinds)
@@ -300,11 +312,11 @@
             await asyncio.sleep(self.random.uniform(0.3, 2.0))
         await asyncio.gather(*running)
 
-    def _idle_program(self) -> Program | None:
-        """A program without a fault; at most one control daemon has one."""
+    def _choose_healthy_program(self) -> Program | None:
+        """Picks a program without a fault; at most one control daemon has a fault."""
         free = [p for p in self.programs if not p.fault]
-        if any(p.fault for p in self.programs[:CONTROLS]):
-            free = [p for p in free if p in self.programs[CONTROLS:]]
+        if any(p.fault for p in self.programs[:CONTROL_COUNT]):
+            free = [p for p in free if p in self.programs[CONTROL_COUNT:]]
         if not free:
             return None
         chosen = self.random.choice(free)
@@ -312,7 +324,7 @@
         return chosen
 
     async def _restart_after(self, number: int) -> None:
-        if (program := self._idle_program()) is not None:
+        if (program := self._choose_healthy_program()) is not None:
             await program.end(number)
             await asyncio.sleep(self.random.uniform(0.1, 1.5))
             await program.start()
@@ -322,19 +334,19 @@
     async def _kill(self) -> None:
         await self._restart_after(signal.SIGKILL)
 
-    async def _term(self) -> None:
+    async def _terminate(self) -> None:
         await self._restart_after(signal.SIGTERM)
 
     async def _pause(self) -> None:
-        if (program := self._idle_program()) is not None:
+        if (program := self._choose_healthy_program()) is not None:
             program.send(signal.SIGSTOP)
             await asyncio.sleep(self.random.uniform(0.2, 4.0))
             program.send(signal.SIGCONT)
             program.fault = False
 
-    async def _pause_and_term(self) -> None:
-        """A stop that reaches a paused program, which then has to end in time."""
-        if (program := self._idle_program()) is not None:
+    async def _pause_and_terminate(self) -> None:
+        """Sends SIGTERM to a suspended program, which must then exit in time."""
+        if (program := self._choose_healthy_program()) is not None:
             program.send(signal.SIGSTOP)
             program.send(signal.SIGTERM)
             await asyncio.sleep(self.random.uniform(0.2, 3.0))
@@ -345,10 +357,10 @@
             program.fault = False
 
     async def _lose_disk(self) -> None:
-        """A control daemon comes back with an empty disk, or with a torn file."""
-        if any(p.fault for p in self.programs[:CONTROLS]):
+        """Restarts a control daemon with an empty disk or a truncated file."""
+        if any(p.fault for p in self.programs[:CONTROL_COUNT]):
             return
-        program = self.random.choice(self.programs[:CONTROLS])
+        program = self.random.choice(self.programs[:CONTROL_COUNT])
         program.fault = True
         await program.end()
         data = self.folder / program.name
@@ -361,7 +373,7 @@
             shutil.rmtree(data)
             data.mkdir()
         await program.start()
-        await asyncio.sleep(DISK_CATCH_UP)
+        await asyncio.sleep(DISK_RECOVERY_SECONDS)
         program.fault = False
 
     async def _crash_member(self) -> None:
@@ -375,24 +387,24 @@
     async def _lose_answer(self) -> None:
         self.group.primary.lose.append(self.random.choice(("STORE", "COMMIT", "BEGIN")))
 
-    async def _slow(self) -> None:
+    async def _delay_connections(self) -> None:
         relay = self.random.choice(list(self.relays.values()))
         relay.delay = self.random.uniform(0.01, 0.2)
         await asyncio.sleep(2.0)
         relay.delay = 0.0
 
-    async def _silence(self) -> None:
+    async def _stall_connections(self) -> None:
         relay = self.random.choice(list(self.relays.values()))
-        relay.silent = True
+        relay.stalled = True
         await asyncio.sleep(self.random.uniform(0.5, 3.0))
-        relay.silent = False
+        relay.stalled = False
 
-    async def _reset(self) -> None:
+    async def _reset_connections(self) -> None:
         self.random.choice(list(self.relays.values())).reset()
 
 
 def run_seed(seed: int, seconds: float) -> list[str]:
-    """Plays one run; returns its problems. Logs of a failed run are kept."""
+    """Runs one seed and returns its problems; keeps the logs of a failed run."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     problems = asyncio.run(Soak(seed, folder).run(seconds))
     if problems:
