--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -370,8 +370,8 @@
     async def _final_position(self, primary: MemberRecord) -> Position | None:
         """Revokes the primary and returns its position once no proxy uses it.
 
-        Returns None if leases remain or it does not answer in time. Proxies treat a
-        commit that it answers later as in doubt.
+        Returns None if leases remain too long or the primary does not answer. Proxies
+        treat a commit that it acknowledges later as in doubt.
         """
         self._revoke()
         version, deadline = (
