Reword routing and admission in the terms of the field

Comments, docstrings and names used private or figurative words. Names now say what a value is (enqueued_at, class_counts, surviving_position, position_for_age) and durations carry their unit; comments keep their reasons. The text of a displaced request's refusal changes with its code kept.

--- a/packages/core/src/bronzemoor_core/admission.py
+++ b/packages/core/src/bronzemoor_core/admission.py
@@ -1,4 +1,4 @@
-"""Bounded priority queues with deadlines."""
+"""Bounded priority queues of requests that wait for a connection."""
 
 from bisect import bisect_left, insort
 from dataclasses import dataclass, field
@@ -17,34 +17,35 @@
     TransactionOpened,
 )
 
-# Weight of the newest sample in the average time that a request holds a connection.
-SERVICE_WEIGHT = 0.1
-GAUGE_INTERVAL = 1.0
+# Weight of the newest sample in the moving average of the service time.
+SERVICE_TIME_WEIGHT = 0.1
+GAUGE_INTERVAL_SECONDS = 1.0
 
 
 @dataclass(slots=True, order=True)
 class Waiting:
-    """A request that waits; ordered by priority, then deadline, then arrival."""
+    """A waiting request; ordered by priority, then deadline, then arrival."""
 
     priority: int
     deadline: float
     sequence: int
-    since: float = field(compare=False)
+    enqueued_at: float = field(compare=False)
     wanted: ConnectionWanted = field(compare=False)
 
 
 @dataclass(slots=True)
 class Queue:
-    """Waiting requests of one database, best first; also grouped by the members that
-    they want, so that one group never stands in the way of another.
+    """Waiting requests of one database in order of service.
 
-    ``service_time`` is the average time in seconds that a request holds a connection.
+    ``groups`` holds the same requests by the members that may serve them, so that
+    requests without a usable member do not block the others. ``service_time`` is the
+    average time in seconds that a request holds a connection.
     """
 
     entries: list[Waiting] = field(default_factory=list)
     groups: dict[tuple[str, ...], list[Waiting]] = field(default_factory=dict)
     by_ticket: dict[int, Waiting] = field(default_factory=dict)
-    by_class: dict[tuple[str, str], int] = field(default_factory=dict)
+    class_counts: dict[tuple[str, str], int] = field(default_factory=dict)
     service_time: float = 0.0
 
     def add(self, entry: Waiting) -> None:
@@ -65,31 +66,31 @@
             self._count(entry.wanted, -1)
         return entry
 
-    def waiting_of(self, wanted: ConnectionWanted) -> int:
-        """Number of waiting requests of the same organisation and class."""
-        return self.by_class.get((wanted.organisation, wanted.request_class), 0)
+    def waiting_in_class(self, wanted: ConnectionWanted) -> int:
+        """Returns the number of waiting requests of the same organisation and class."""
+        return self.class_counts.get((wanted.organisation, wanted.request_class), 0)
 
-    def observe(self, held: float) -> None:
-        weight = SERVICE_WEIGHT if self.service_time else 1.0
-        self.service_time += weight * (held - self.service_time)
+    def record_service_time(self, duration: float) -> None:
+        weight = SERVICE_TIME_WEIGHT if self.service_time else 1.0
+        self.service_time += weight * (duration - self.service_time)
 
     def _count(self, wanted: ConnectionWanted, change: int) -> None:
         key = (wanted.organisation, wanted.request_class)
-        self.by_class[key] = self.by_class.get(key, 0) + change
-        if not self.by_class[key]:
-            del self.by_class[key]
+        self.class_counts[key] = self.class_counts.get(key, 0) + change
+        if not self.class_counts[key]:
+            del self.class_counts[key]
 
 
 @section("queues")
 class Queues:
     """Queues by database; ``granted_at`` is when each ticket got its connection."""
 
-    __slots__ = ("databases", "granted_at", "location")
+    __slots__ = ("databases", "granted_at", "database_by_ticket")
 
     def __init__(self) -> None:
         self.databases: dict[str, Queue] = {}
         self.granted_at: dict[int, float] = {}
-        self.location: dict[int, str] = {}
+        self.database_by_ticket: dict[int, str] = {}
 
     @property
     def waiting(self) -> dict[str, int]:
@@ -97,40 +98,40 @@
         return {name: len(queue.entries) for name, queue in self.databases.items()}
 
     def depth(self, database: str) -> int:
-        """Number of requests that wait for a connection to ``database``."""
+        """Returns the number of requests that wait for a connection to ``database``."""
         queue = self.databases.get(database)
         return len(queue.entries) if queue else 0
 
 
 @controller("queues")
 class AdmissionController(Controller):
-    """Owns the queues section."""
+    """Owns the queues section: admits, refuses and displaces waiting requests."""
 
     _own: Queues
     _sequence = 0
-    _gauge_at = 0.0
+    _next_gauge_at = 0.0
 
     @handles(ConnectionWanted)
     def on_wanted(self, now: float, event: ConnectionWanted) -> list[object]:
         if event.ticket in self._blackboard.pools.by_ticket:
-            # Granted meanwhile, or not given back yet; then it is asked for again.
+            # Already granted, or not released yet: the request asks again after that.
             return []
         queue = self._own.databases.setdefault(event.database, Queue())
-        earlier = self._remove(event.ticket)
-        if earlier is not None:
-            # A request that moves to other members keeps its place.
-            earlier.wanted = event
-            queue.add(earlier)
-            self._own.location[event.ticket] = event.database
+        queued = self._remove(event.ticket)
+        if queued is not None:
+            # A request that is rerouted to other members keeps its place in the queue.
+            queued.wanted = event
+            queue.add(queued)
+            self._own.database_by_ticket[event.ticket] = event.database
             return [QueueChanged(event.database)]
         self._sequence += 1
         entry = Waiting(event.priority, event.deadline, self._sequence, now, event)
-        refused = self._check(now, queue, entry)
+        refused = self._refusal(now, queue, entry)
         if refused is not None:
             return [EmitMetric("counter", f"queue.refused.{refused.code}"), refused]
         items: list[object] = self._displace(queue, entry)
         queue.add(entry)
-        self._own.location[event.ticket] = event.database
+        self._own.database_by_ticket[event.ticket] = event.database
         items.append(QueueChanged(event.database))
         return items
 
@@ -140,20 +141,20 @@
         if entry is None:
             return []
         self._own.granted_at[event.ticket] = now
-        return [EmitMetric("timer", "queue.wait", (now - entry.since) * 1_000)]
+        return [EmitMetric("timer", "queue.wait", (now - entry.enqueued_at) * 1_000)]
 
     @handles(ConnectionReleased)
     def on_released(self, now: float, event: ConnectionReleased) -> None:
-        since = self._own.granted_at.pop(event.ticket, None)
+        granted_at = self._own.granted_at.pop(event.ticket, None)
         database = self._blackboard.pools.database_of(event.connection)
         queue = self._own.databases.get(database)
-        # A lost answer measures the timeout, not the service.
-        if since is not None and queue is not None and event.clean:
-            queue.observe(now - since)
+        # After a lost answer the elapsed time is the timeout, not the service time.
+        if granted_at is not None and queue is not None and event.clean:
+            queue.record_service_time(now - granted_at)
 
     @handles(TransactionOpened)
     def on_transaction(self, now: float, event: TransactionOpened) -> None:
-        # The time that callers think is no service time.
+        # The time between a caller's statements does not count as service time.
         self._own.granted_at.pop(event.ticket, None)
 
     @handles(ConnectionWithdrawn)
@@ -169,8 +170,8 @@
             if entry.deadline <= now
         ]
         items: list[object] = []
-        if now >= self._gauge_at:
-            self._gauge_at = now + GAUGE_INTERVAL
+        if now >= self._next_gauge_at:
+            self._next_gauge_at = now + GAUGE_INTERVAL_SECONDS
             depth = sum(len(queue.entries) for queue in self._own.databases.values())
             items.append(EmitMetric("gauge", "queue.depth", float(depth)))
         for ticket in expired:
@@ -178,11 +179,11 @@
             items.append(ConnectionRefused(ticket, "deadline", "no connection in time"))
         return items
 
-    def _check(
+    def _refusal(
         self, now: float, queue: Queue, entry: Waiting
     ) -> ConnectionRefused | None:
         wanted = entry.wanted
-        if queue.waiting_of(wanted) >= wanted.queue_limit:
+        if queue.waiting_in_class(wanted) >= wanted.queue_limit:
             return _queue_full(wanted.ticket, "the queue of the request class is full")
         full = len(queue.entries) >= self._settings.data_path.queue_limit
         if full and queue.entries[-1].priority <= entry.priority:
@@ -203,11 +204,11 @@
         self._remove(last)
         return [
             EmitMetric("counter", "queue.displaced"),
-            _queue_full(last, "a request of higher priority took the place"),
+            _queue_full(last, "displaced by a request of higher priority"),
         ]
 
     def _expected_wait(self, queue: Queue, entry: Waiting) -> float:
-        """Seconds until a connection is expected for ``entry``."""
+        """Returns the estimated seconds until ``entry`` gets a connection."""
         ahead = bisect_left(queue.entries, entry)
         usable, idle = self._blackboard.pools.capacity(
             entry.wanted.database, entry.wanted.members
@@ -217,7 +218,7 @@
         return (ahead - idle + 1) * queue.service_time / usable
 
     def _remove(self, ticket: int) -> Waiting | None:
-        database = self._own.location.pop(ticket, None)
+        database = self._own.database_by_ticket.pop(ticket, None)
         return self._own.databases[database].remove(ticket) if database else None
 
 
--- a/packages/core/src/bronzemoor_core/routing.py
+++ b/packages/core/src/bronzemoor_core/routing.py
@@ -10,24 +10,24 @@
 from bronzemoor_core.membership import Database, Member
 from bronzemoor_core.positions import ZERO, Position, TermHistory
 
-# One-way delay to another data centre before it is measured or configured, seconds.
-DEFAULT_REMOTE_DELAY = 0.0035
-# Traffic between data centres costs money besides time; expressed in seconds.
-CROSSING_COST = 0.001
-# Assumed time that one outstanding request adds at a member, seconds.
-OUTSTANDING_COST = 0.001
+# One-way delay assumed for a data centre without a measured or configured value.
+DEFAULT_REMOTE_DELAY_SECONDS = 0.0035
+# Traffic between data centres is billed; its price is expressed as a delay.
+REMOTE_COST_SECONDS = 0.001
+# Estimated delay that each outstanding request adds at a member.
+OUTSTANDING_COST_SECONDS = 0.001
 
-NEW_LINK = MemberLink()
+DEFAULT_LINK = MemberLink()
 
 
 @dataclass(slots=True, frozen=True)
 class Candidate:
-    """A member that may serve a read, with what the balancers weigh."""
+    """A member that may serve a read, and the inputs of the balancers."""
 
     member: str
     outstanding: int
     delay: float
-    crosses: bool
+    is_remote: bool
     # Seconds until the member is expected to hold the minimum position.
     catch_up: float = 0.0
 
@@ -62,7 +62,7 @@
 def order_by_two_choices(
     candidates: Sequence[Candidate], random: Random
 ) -> list[Candidate]:
-    """The better of two random candidates first, the others in random order."""
+    """Puts the cheaper of two random candidates first, the others in random order."""
     shuffled = random.sample(candidates, len(candidates))
     return sorted(shuffled[:2], key=_cost) + shuffled[2:]
 
@@ -71,8 +71,8 @@
     return (
         candidate.delay
         + candidate.catch_up
-        + CROSSING_COST * candidate.crosses
-        + OUTSTANDING_COST * candidate.outstanding
+        + REMOTE_COST_SECONDS * candidate.is_remote
+        + OUTSTANDING_COST_SECONDS * candidate.outstanding
     )
 
 
@@ -80,9 +80,9 @@
 class Route:
     """Members in order of preference and the position that they must have reached.
 
-    ``fallback`` tells that the primary serves a read because no replica qualifies.
-    ``proved`` tells that the position proves the wanted age; otherwise the primary's
-    answer has to.
+    ``fallback`` is set if the primary serves a read because no replica qualifies.
+    ``proved`` is false if the position does not prove the staleness bound, so that the
+    primary's answer has to.
     """
 
     members: tuple[str, ...]
@@ -95,10 +95,10 @@
 NOWHERE = Route(())
 
 
-def surviving(history: TermHistory, position: Position) -> Position:
-    """Returns ``position``, or where its term's log was cut off by a promotion.
+def surviving_position(history: TermHistory, position: Position) -> Position:
+    """Returns ``position``, or the start of the term whose promotion discarded it.
 
-    No member will ever hold a discarded position, so a read must not wait for it.
+    No member will ever reach a discarded position, so a read must not wait for it.
     """
     if history.survives(position):
         return position
@@ -109,9 +109,10 @@
 
 
 def is_serving(member: Member, now: float, lease: float) -> bool:
-    """Tells whether ``member`` may get new work.
+    """Returns whether ``member`` may get new work.
 
-    Membership removes members that others report once those report their loss.
+    The lease applies to members that announce themselves here; a member known from
+    another daemon is removed by membership once that daemon reports its loss.
     """
     if member.leaving:
         return False
@@ -119,27 +120,27 @@
 
 
 def expected_delay(member: Member, link: MemberLink, settings: Any) -> float:
-    """One-way delay to ``member`` in seconds: measured, else configured."""
+    """Returns the one-way delay to ``member`` in seconds: measured, else configured."""
     if link.delay is not None:
         return link.delay
     if member.data_centre == settings.data_centre:
         return 0.0
-    return settings.delays.get(member.data_centre, DEFAULT_REMOTE_DELAY)
+    return settings.delays.get(member.data_centre, DEFAULT_REMOTE_DELAY_SECONDS)
 
 
-def age_position(database: Database, now: float, max_age: float) -> Position | None:
+def position_for_age(database: Database, now: float, max_age: float) -> Position | None:
     """Returns a position that proves an age of at most ``max_age``, or None.
 
-    The oldest sample that is young enough asks the least of a replica.
+    The oldest sample within the bound is the one that most replicas have reached.
     """
     for sample in database.samples:
         if now - sample.proved_at <= max_age:
-            return surviving(database.history, sample.position)
+            return surviving_position(database.history, sample.position)
     return None
 
 
 class Router:
-    """Selects members for one request; holds no state of its own."""
+    """Selects the members for a request; stateless."""
 
     __slots__ = ("_balance", "_random", "_settings")
 
@@ -155,13 +156,15 @@
     def primary_route(
         self, now: float, database: Database, position: Position = ZERO
     ) -> Route:
-        """Route of a write; ``NOWHERE`` while there is no primary to send it to."""
+        """Returns the route of a write, ``NOWHERE`` if no primary is serving."""
         member = database.members.get(database.primary)
         lease = self._settings.timers.announcement_lease
         if member is None or not is_serving(member, now, lease):
             return NOWHERE
         wait_ms = max(1, round(self._settings.data_path.catch_up_wait * 1_000))
-        return Route((member.name,), surviving(database.history, position), wait_ms)
+        return Route(
+            (member.name,), surviving_position(database.history, position), wait_ms
+        )
 
     def read_route(
         self,
@@ -173,22 +176,22 @@
         data_centre: str = "",
         excluded: tuple[str, ...] = (),
     ) -> Route:
-        """Route of a read whose session has seen ``position``.
+        """Returns the route of a read whose session has seen ``position``.
 
         ``max_age`` is in seconds or None; ``excluded`` members were tried before.
         """
         path = self._settings.data_path
-        minimum = surviving(database.history, position)
+        minimum = surviving_position(database.history, position)
         proved = True
         if max_age is not None:
-            # The member may wait before it reads, and the data ages meanwhile.
-            young = max_age - path.catch_up_wait - DEFAULT_REMOTE_DELAY
-            sample = age_position(database, now, young)
+            # The data ages on the way and while the member waits before it reads.
+            age_limit = max_age - path.catch_up_wait - DEFAULT_REMOTE_DELAY_SECONDS
+            sample = position_for_age(database, now, age_limit)
             proved = sample is not None
             minimum = max(minimum, sample or ZERO)
         wait_ms = max(1, round(path.catch_up_wait * 1_000))
         if proved:
-            candidates = self._replicas(
+            candidates = self._replica_candidates(
                 now, database, pool, minimum, data_centre, excluded
             )
             if candidates:
@@ -202,7 +205,7 @@
         fallback = len(database.members) > 1
         return Route(primary.members, minimum, wait_ms, fallback, proved)
 
-    def _replicas(
+    def _replica_candidates(
         self,
         now: float,
         database: Database,
@@ -215,7 +218,7 @@
         lease = settings.timers.announcement_lease
         wait = settings.data_path.catch_up_wait
         links = pool.links if pool else {}
-        near = data_centre or settings.data_centre
+        local_data_centre = data_centre or settings.data_centre
         candidates: list[Candidate] = []
         unreachable: list[Candidate] = []
         for member in database.members.values():
@@ -224,20 +227,20 @@
                 continue
             if not is_serving(member, now, lease):
                 continue
-            link = links.get(name, NEW_LINK)
+            link = links.get(name, DEFAULT_LINK)
             catch_up = 0.0
             if not database.history.covers(member.position, minimum):
                 if link.lag > wait or now < link.behind_until:
                     continue
                 catch_up = link.lag
-            # A member may be lost long before its lease ends.
-            reached = unreachable if link.unreachable else candidates
-            reached.append(
+            # A member may be lost long before its lease expires.
+            group = unreachable if link.unreachable else candidates
+            group.append(
                 Candidate(
                     name,
                     link.running,
                     expected_delay(member, link, settings),
-                    member.data_centre != near,
+                    member.data_centre != local_data_centre,
                     catch_up,
                 )
             )
--- a/packages/core/tests/test_routing.py
+++ b/packages/core/tests/test_routing.py
@@ -1,4 +1,4 @@
-"""Guards the selection of members and the time that it takes."""
+"""Tests of the selection of members, and a benchmark of it."""
 
 from random import Random
 
@@ -14,21 +14,21 @@
     NOWHERE,
     Candidate,
     Router,
-    age_position,
-    surviving,
+    position_for_age,
+    surviving_position,
 )
 from bronzemoor_core.settings import DataPathSettings, NodeSettings
 
 NOW = 100.0
-PLACES = {"a": "lisbon", "b": "porto", "c": "faro"}
+DATA_CENTRES = {"a": "lisbon", "b": "porto", "c": "faro"}
 
 
 def make_database(name="stock", term=1, offset=50):
-    database = Database(name, term, "a", tuple(PLACES))
+    database = Database(name, term, "a", tuple(DATA_CENTRES))
     database.history.record(1, 0)
-    for member, place in PLACES.items():
+    for member, centre in DATA_CENTRES.items():
         database.members[member] = Member(
-            member, name, member, place, position=Position(1, offset), last_heard=NOW
+            member, name, member, centre, position=Position(1, offset), last_heard=NOW
         )
     return database
 
@@ -45,15 +45,15 @@
     return make_router().read_route(NOW, database, pool, position, max_age, **fields)
 
 
-def test_a_read_goes_to_the_cheapest_replica_first():
-    """Guards against reads at the primary, or far away, without need."""
+def test_a_read_prefers_the_replica_with_the_lowest_cost():
+    """Guards against reads at the primary or a remote replica without need."""
     assert read(make_database()).members == ("b", "c")
     assert read(make_database(), data_centre="faro").members == ("c", "b")
 
 
 @pytest.mark.parametrize("change", [{"leaving": True}, {"last_heard": NOW - 1.1}])
 def test_a_leaving_or_silent_member_gets_no_work(change):
-    """Guards against new work for a member that leaves or whose lease ran out."""
+    """Guards against new work for a member that leaves or whose lease expired."""
     database = make_database()
     for member in ("a", "b"):
         for name, value in change.items():
@@ -62,8 +62,8 @@
     assert make_router().primary_route(NOW, database) == NOWHERE
 
 
-def test_a_replica_that_lacks_the_session_position_is_passed_over():
-    """Guards against a read that misses the session's own write."""
+def test_a_replica_behind_the_session_position_is_skipped():
+    """Guards against a read that does not see the session's own write."""
     database = make_database()
     database.members["b"].position = Position(1, 40)
     pool = DatabasePool("stock")
@@ -76,7 +76,7 @@
     assert route.wait_ms == 5
 
 
-def test_the_primary_is_a_fallback():
+def test_the_primary_serves_reads_as_a_fallback():
     """Guards against refusing a read that only the primary can serve."""
     database, pool = make_database(), DatabasePool("stock")
     pool.link("b").lag = pool.link("c").lag = 1.0
@@ -84,13 +84,13 @@
     assert (route.members, route.fallback) == (("a",), True)
 
 
-def test_positions_are_compared_through_the_terms():
+def test_positions_are_compared_across_terms():
     """Guards against waiting for entries that a promotion discarded, and against
-    comparing offsets of different terms."""
+    comparing offsets of different terms directly."""
     database = make_database(term=2)
     database.history.record(2, 45)
-    assert surviving(database.history, Position(1, 50)) == Position(2, 45)
-    assert surviving(database.history, Position(1, 44)) == Position(1, 44)
+    assert surviving_position(database.history, Position(1, 50)) == Position(2, 45)
+    assert surviving_position(database.history, Position(1, 44)) == Position(1, 44)
     pool = DatabasePool("stock")
     pool.link("b").lag = pool.link("c").lag = 1.0
     database.members["b"].position = Position(2, 46)
@@ -99,16 +99,16 @@
 
 
 def test_the_oldest_sample_within_the_bound_proves_the_age():
-    """Guards against a sample that is too old, and against asking a replica for
-    more than the bound needs."""
+    """Guards against a sample that is older than the staleness bound, and against a
+    higher minimum position than the bound requires."""
     database = make_database()
     for age, offset in ((2.0, 10), (0.9, 20), (0.1, 30)):
         database.samples.append(PrimarySample(NOW - age, Position(1, offset)))
-    assert age_position(database, NOW, 1.0) == Position(1, 20)
-    assert age_position(database, NOW, 0.05) is None
+    assert position_for_age(database, NOW, 1.0) == Position(1, 20)
+    assert position_for_age(database, NOW, 0.05) is None
     assert read(database, max_age=1.0).min_position == Position(1, 20)
     assert read(database, Position(1, 25), 1.0).min_position == Position(1, 25)
-    # The data ages on the way and while the replica waits.
+    # The delay to the replica and its wait count against the bound.
     assert read(database, max_age=0.901).min_position == Position(1, 30)
     unproved = read(database, max_age=0.05)
     assert (unproved.members, unproved.proved) == (("a",), False)
@@ -136,16 +136,16 @@
 
 
 def test_an_unknown_balancer_is_refused():
-    """Guards against a start that fails without the name of the setting."""
+    """Guards against a startup error that does not list the valid balancers."""
     with pytest.raises(InvalidSettings, match="measured_delay"):
         make_router("nearest")
 
 
 @pytest.mark.parametrize("intervals", [(0.03, 0.06), (0.2, 0.3)])
 def test_replicas_serve_their_share_of_reads(intervals):
-    """Guards the targets of design.md 1.7 with replicas that catch up at intervals:
-    95% of reads with an age bound, and 80% of reads of a session after its write,
-    which one replica holds once it is confirmed."""
+    """Guards the targets of design.md 1.7 with replicas that catch up at intervals: at
+    least 95% of reads with a staleness bound, and 80% of reads that follow a write of
+    their session, which one replica holds once it is confirmed."""
     world = World(share=12)
     world.group.followers = set()
 
@@ -168,7 +168,7 @@
 @pytest.mark.benchmark
 @pytest.mark.parametrize("balancer", sorted(BALANCERS))
 def test_a_decision_among_4300_databases(benchmark, balancer):
-    """Guards the target of 20 us median for one decision (design.md 1.7)."""
+    """Guards the target of 20 us median for one routing decision (design.md 1.7)."""
     names = [f"db{number}" for number in range(4_300)]
     databases = {name: make_database(name) for name in names}
     pools = {name: DatabasePool(name) for name in names}
