Reword the allocation of connection shares

The allocator's claims, looks and parts are named allocations, checks and targets, and its constants carry units.

--- a/packages/core/src/bronzemoor_core/allocation.py
+++ b/packages/core/src/bronzemoor_core/allocation.py
@@ -7,17 +7,17 @@
 from bronzemoor_core.messages import Demand, Heartbeat, Share
 from bronzemoor_core.settings import ControlSettings
 
-# Weight of the newest demand in the average that shares follow.
-SMOOTHING = 0.3
-# Shares move when one of them is off by this part of the limit, and at least by
-# MIN_MOVE connections; smaller moves would cost more in opening than they gain.
-MOVE_PART = 0.1
-MIN_MOVE = 2
-# Shortest time between two moves caused by demand alone, in seconds.
-MOVE_INTERVAL = 0.5
-# Shortest time between two looks at unmoved shares, in seconds. Each heartbeat of each
-# daemon of a database would divide its limit otherwise.
-LOOK_INTERVAL = 0.1
+# Weight of the newest sample in the moving average of the demand.
+DEMAND_WEIGHT = 0.3
+# Shares move when one of them is off by this ratio of the limit and by at least
+# MIN_MOVE_CONNECTIONS; a smaller move costs more in opening connections than it gains.
+MIN_MOVE_RATIO = 0.1
+MIN_MOVE_CONNECTIONS = 2
+# Minimum time between two moves caused by demand alone.
+MOVE_INTERVAL_SECONDS = 0.5
+# Minimum time between two checks that move no share. Without it, each heartbeat of each
+# daemon of a database would divide the limit again.
+RECHECK_INTERVAL_SECONDS = 0.1
 
 
 @dataclass(slots=True)
@@ -30,78 +30,78 @@
 
 
 @dataclass(slots=True)
-class Claim:
+class Allocation:
     """What one process may hold of one database, by its reports and its grants."""
 
     grants: deque[Grant] = field(default_factory=deque)
     share: int = 0
     held: int = 0
     wanted: float = 0.0
-    reported_until: float = 0.0
+    report_expires_at: float = 0.0
 
     def ceiling(self, now: float) -> int:
-        """The most that the process may hold now.
+        """Returns the maximum that the process may hold now.
 
-        Every grant counts that it may still apply, since replies can be on their way;
-        so does what it reported, which another leader may have granted.
+        Every unexpired grant counts, since its reply may still be in flight; so does
+        what the process reported, which another leader may have granted.
         """
         live = [item.connections for item in self.grants if item.expires_at > now]
-        reported = max(self.share, self.held) if self.reported_until > now else 0
+        reported = max(self.share, self.held) if self.report_expires_at > now else 0
         return max(live, default=0) if not reported else max([reported, *live])
 
-    def is_over(self, now: float) -> bool:
-        return self.reported_until <= now and all(
+    def is_expired(self, now: float) -> bool:
+        return self.report_expires_at <= now and all(
             item.expires_at <= now for item in self.grants
         )
 
 
 @dataclass(slots=True)
 class Division:
-    """A limit divided by demand, and when it may next be divided again."""
+    """A limit divided by demand, and when to check next whether to divide it again."""
 
     limit: int = -1
     targets: dict[str, int] = field(default_factory=dict)
-    next_look: float = float("-inf")
+    next_check_at: float = float("-inf")
 
-    def follow(self, now: float, limit: int, wanted: dict[str, float]) -> None:
-        """Divides again, unless the demand changed too little or too soon."""
-        settled = limit == self.limit and wanted.keys() == self.targets.keys()
-        if settled and now < self.next_look:
+    def update(self, now: float, limit: int, wanted: dict[str, float]) -> None:
+        """Divides the limit again, unless the demand changed too little or too soon."""
+        unchanged = limit == self.limit and wanted.keys() == self.targets.keys()
+        if unchanged and now < self.next_check_at:
             return
         targets = divide(limit, wanted, self.targets)
-        if settled:
+        if unchanged:
             move = max(
                 (abs(targets[name] - self.targets[name]) for name in targets), default=0
             )
-            if move < max(MIN_MOVE, MOVE_PART * limit):
-                self.next_look = now + LOOK_INTERVAL
+            if move < max(MIN_MOVE_CONNECTIONS, MIN_MOVE_RATIO * limit):
+                self.next_check_at = now + RECHECK_INTERVAL_SECONDS
                 return
         self.limit, self.targets = limit, targets
-        self.next_look = now + MOVE_INTERVAL
+        self.next_check_at = now + MOVE_INTERVAL_SECONDS
 
 
 @dataclass(slots=True)
-class Pool:
-    """All claims on one database, by daemon and incarnation."""
+class DatabaseAllocations:
+    """All allocations of one database, by daemon and incarnation."""
 
-    claims: dict[tuple[str, int], Claim] = field(default_factory=dict)
+    allocations: dict[tuple[str, int], Allocation] = field(default_factory=dict)
     division: Division = field(default_factory=Division)
 
     def ceiling(self, now: float) -> int:
-        return sum(claim.ceiling(now) for claim in self.claims.values())
+        return sum(allocation.ceiling(now) for allocation in self.allocations.values())
 
     def wanted(self, now: float) -> dict[str, float]:
-        """Smoothed demand of each daemon that is heard."""
+        """Returns the smoothed demand of each daemon whose report has not expired."""
         return {
-            name: claim.wanted
-            for (name, _), claim in self.claims.items()
-            if claim.reported_until > now
+            name: allocation.wanted
+            for (name, _), allocation in self.allocations.items()
+            if allocation.report_expires_at > now
         }
 
 
 @dataclass(slots=True, frozen=True)
 class Limit:
-    """``hard`` bounds all claims on a database; ``target`` is what to divide now.
+    """``hard`` bounds all allocations of a database; ``target`` is what to divide now.
 
     They differ while an organisation's connections move between its databases.
     """
@@ -110,48 +110,48 @@
     target: int
 
 
-LimitOf = Callable[[str], Limit | None]
+LimitLookup = Callable[[str], Limit | None]
 
 
 class Allocator:
-    """Grants shares so that the claims on a database never exceed its limit.
+    """Grants shares so that the allocations of a database never exceed its limit.
 
-    A limit of None means that it is not known; shares are then renewed, not raised.
+    A limit of None is unknown; shares are then renewed, but not raised.
     """
 
     def __init__(self, timers: ControlSettings) -> None:
         self._timers = timers
-        self._pools: dict[str, Pool] = {}
-        # Newest heartbeat of each daemon: incarnation, sequence and when it came.
+        self._databases: dict[str, DatabaseAllocations] = {}
+        # Newest heartbeat of each daemon: incarnation, sequence and time of receipt.
         self._newest: dict[str, tuple[int, int, float]] = {}
-        self._quiet_until = 0.0
+        self._renew_only_until = 0.0
 
     @property
     def lease(self) -> float:
-        """How long a grant counts here; the holder's own lease is shorter."""
+        """Seconds that a grant counts here; the holder's own lease is shorter."""
         return self._timers.share_lease * (1 + self._timers.share_drift)
 
     def start(self, now: float, first: bool) -> None:
-        """Begins a term as leader.
+        """Starts a term as leader.
 
-        The grants of an earlier leader are not known. It may go on granting until it
-        notices that it was deposed, so no new grants are made for that time and one
-        lease. The ``first`` leader of a group has no predecessor.
+        The grants of the previous leader are unknown, and it may continue to grant
+        until it notices that it was deposed. Shares are therefore only renewed for that
+        time plus one lease. The ``first`` leader of a group has no predecessor.
         """
-        self._pools.clear()
+        self._databases.clear()
         self._newest.clear()
         overlap = self._timers.election_timeout_max * (1 + self._timers.share_drift)
-        self._quiet_until = now if first else now + self.lease + overlap
+        self._renew_only_until = now if first else now + self.lease + overlap
 
     def allocate(
-        self, now: float, sender: str, heartbeat: Heartbeat, limit_of: LimitOf
+        self, now: float, sender: str, heartbeat: Heartbeat, get_limit: LimitLookup
     ) -> list[Share] | None:
-        """Answers the demands of a heartbeat; None if a newer one came before."""
+        """Returns the shares for a heartbeat, or None if a newer one was received."""
         order = (heartbeat.incarnation, heartbeat.sequence)
-        *newest, heard_at = self._newest.get(sender, (-1, -1, now))
-        # A process that restarted with an old incarnation may count from a lower
-        # sequence; after a lease of silence it is heard again.
-        if order <= tuple(newest) and now - heard_at < self.lease:
+        *newest, received_at = self._newest.get(sender, (-1, -1, now))
+        # A process that restarted with its old incarnation may start at a lower
+        # sequence; its heartbeats are accepted again after a lease without any.
+        if order <= tuple(newest) and now - received_at < self.lease:
             return None
         self._newest[sender] = (*order, now)
         for demand in heartbeat.demands:
@@ -159,50 +159,56 @@
         return [
             Share(
                 demand.database,
-                self._grant(now, sender, heartbeat, demand, limit_of(demand.database)),
+                self._grant(now, sender, heartbeat, demand, get_limit(demand.database)),
                 round(self._timers.share_lease * 1000),
             )
             for demand in heartbeat.demands
         ]
 
     def used(self, now: float, databases: Iterable[str]) -> int:
-        """The most connections that all daemons together may hold now."""
+        """Returns the maximum that all daemons together may hold now."""
         return sum(
-            self._pools[name].ceiling(now) for name in databases if name in self._pools
+            self._databases[name].ceiling(now)
+            for name in databases
+            if name in self._databases
         )
 
     def wanted(self, now: float, database: str) -> float:
-        """Demand of all daemons for one database."""
-        pool = self._pools.get(database)
-        return sum(pool.wanted(now).values()) if pool else 0.0
+        """Returns the demand of all daemons for one database."""
+        entry = self._databases.get(database)
+        return sum(entry.wanted(now).values()) if entry else 0.0
 
     def drop_expired(self, now: float) -> list[tuple[str, str]]:
-        """Forgets claims that ran out; returns their databases and daemons."""
+        """Removes expired allocations; returns their databases and daemons."""
         dropped = []
-        for database, pool in list(self._pools.items()):
-            for key in [key for key, item in pool.claims.items() if item.is_over(now)]:
-                del pool.claims[key]
+        for database, entry in list(self._databases.items()):
+            for key in [
+                key for key, item in entry.allocations.items() if item.is_expired(now)
+            ]:
+                del entry.allocations[key]
                 dropped.append((database, key[0]))
-            if not pool.claims:
-                del self._pools[database]
+            if not entry.allocations:
+                del self._databases[database]
         return dropped
 
     def _report(
         self, now: float, sender: str, heartbeat: Heartbeat, demand: Demand
     ) -> None:
-        pool = self._pools.setdefault(demand.database, Pool())
+        entry = self._databases.setdefault(demand.database, DatabaseAllocations())
         key = (sender, heartbeat.incarnation)
-        known = key in pool.claims
-        claim = pool.claims.setdefault(key, Claim())
-        claim.share, claim.held = demand.share, demand.held
-        claim.reported_until = now + self.lease
-        weight = SMOOTHING if known else 1.0
-        claim.wanted += weight * (demand.wanted - claim.wanted)
-        # Earlier replies can no longer be applied.
-        while claim.grants and claim.grants[0].sequence < heartbeat.acknowledged:
-            claim.grants.popleft()
-        while claim.grants and claim.grants[0].expires_at <= now:
-            claim.grants.popleft()
+        known = key in entry.allocations
+        allocation = entry.allocations.setdefault(key, Allocation())
+        allocation.share, allocation.held = demand.share, demand.held
+        allocation.report_expires_at = now + self.lease
+        weight = DEMAND_WEIGHT if known else 1.0
+        allocation.wanted += weight * (demand.wanted - allocation.wanted)
+        # The holder ignores replies older than the one that it acknowledged.
+        while (
+            allocation.grants and allocation.grants[0].sequence < heartbeat.acknowledged
+        ):
+            allocation.grants.popleft()
+        while allocation.grants and allocation.grants[0].expires_at <= now:
+            allocation.grants.popleft()
 
     def _grant(
         self,
@@ -212,35 +218,37 @@
         demand: Demand,
         limit: Limit | None,
     ) -> int:
-        pool = self._pools[demand.database]
-        claim = pool.claims[(sender, heartbeat.incarnation)]
+        entry = self._databases[demand.database]
+        allocation = entry.allocations[(sender, heartbeat.incarnation)]
         if limit is None:
             share = demand.share
         else:
-            pool.division.follow(now, limit.target, pool.wanted(now))
-            free = limit.hard - (pool.ceiling(now) - claim.ceiling(now))
-            share = max(0, min(pool.division.targets.get(sender, 0), free))
-        if now < self._quiet_until:
+            entry.division.update(now, limit.target, entry.wanted(now))
+            free = limit.hard - (entry.ceiling(now) - allocation.ceiling(now))
+            share = max(0, min(entry.division.targets.get(sender, 0), free))
+        if now < self._renew_only_until:
             share = min(share, demand.share)
-        claim.grants.append(Grant(heartbeat.sequence, share, now + self.lease))
+        allocation.grants.append(Grant(heartbeat.sequence, share, now + self.lease))
         return share
 
 
 class ShrinkTimer:
-    """Measures how long shrunk limits take to be in effect, by any key."""
+    """Measures how long lowered limits take to be in effect, by any key."""
 
     def __init__(self) -> None:
         self._limits: dict[tuple[str, str], int] = {}
         self._since: dict[tuple[str, str], float] = {}
 
-    def note(self, now: float, key: tuple[str, str], limit: int) -> None:
-        """Takes the configured limit of ``key`` into account."""
+    def set_limit(self, now: float, key: tuple[str, str], limit: int) -> None:
+        """Sets the configured limit of ``key``; a lower one starts a measurement."""
         if limit < self._limits.get(key, limit):
             self._since.setdefault(key, now)
         self._limits[key] = limit
 
-    def review(self, now: float, used: Callable[[tuple[str, str]], int]) -> list[float]:
-        """Returns the times that ended, in seconds."""
+    def pop_completed(
+        self, now: float, used: Callable[[tuple[str, str]], int]
+    ) -> list[float]:
+        """Removes the completed measurements; returns their durations in seconds."""
         ended = [key for key in self._since if used(key) <= self._limits[key]]
         return [now - self._since.pop(key) for key in ended]
 
@@ -250,24 +258,27 @@
 ) -> dict[str, int]:
     """Divides ``limit`` in proportion to ``wanted``, at least 1 for each if possible.
 
-    When there are more daemons than connections, those that have one keep it.
+    Fractions are assigned by the largest remainder. With more daemons than connections,
+    those that have one keep it.
     """
     names = sorted(
         wanted, key=lambda name: (not current.get(name), -wanted[name], name)
     )
     shares = {name: int(place < limit) for place, name in enumerate(names)}
-    rest = limit - sum(shares.values())
-    if rest <= 0:
+    remaining = limit - sum(shares.values())
+    if remaining <= 0:
         return shares
     total = sum(wanted.values())
-    parts = {
-        name: rest * (wanted[name] / total if total else 1 / len(names))
+    quotas = {
+        name: remaining * (wanted[name] / total if total else 1 / len(names))
         for name in names
     }
-    for name, part in parts.items():
-        shares[name] += int(part)
-    left = limit - sum(shares.values())
-    by_fraction = sorted(names, key=lambda name: (int(parts[name]) - parts[name], name))
-    for name in by_fraction[:left]:
+    for name, quota in quotas.items():
+        shares[name] += int(quota)
+    leftover = limit - sum(shares.values())
+    by_remainder = sorted(
+        names, key=lambda name: (int(quotas[name]) - quotas[name], name)
+    )
+    for name in by_remainder[:leftover]:
         shares[name] += 1
     return shares
--- a/packages/core/src/bronzemoor_core/limits.py
+++ b/packages/core/src/bronzemoor_core/limits.py
@@ -1,4 +1,4 @@
-"""Leased shares of each database's connections: holder, and allocator at the leader."""
+"""Leased shares of each database's connections, at the holder and at the leader."""
 
 from dataclasses import dataclass
 from random import Random
@@ -23,22 +23,23 @@
 from bronzemoor_core.messages import Heartbeat, HeartbeatReply
 from bronzemoor_core.templates import DEFAULT_CONNECTIONS
 
-# Heartbeats whose sending time is remembered; at 100 ms they cover 10 s.
-SENT_LIMIT = 100
-# Bits of the random number that the sequence starts at, so that a late reply to an
-# earlier process of this daemon names no heartbeat of this one.
-SEQUENCE_BITS = 48
-# How often shrunk limits are looked at, in seconds.
-REVIEW_INTERVAL = 0.1
-# How often claims that ran out are dropped, in seconds; they stop counting before.
-DROP_INTERVAL = 1.0
-# Kinds of limits whose shrinking is timed.
-DATABASE, ORGANISATION = "database", "organisation"
+# Heartbeats whose send time is kept; with an interval of 100 ms they cover 10 s.
+MAX_REMEMBERED_HEARTBEATS = 100
+# The sequence starts at a random number of this many bits, so that a late reply to a
+# previous process of this daemon matches no heartbeat of the current one.
+INITIAL_SEQUENCE_BITS = 48
+# How often lowered limits are checked for being in effect.
+SHRINK_CHECK_INTERVAL_SECONDS = 0.1
+# How often expired allocations are removed; they stop counting at their expiry.
+EXPIRY_CHECK_INTERVAL_SECONDS = 1.0
+# Kinds of limits whose lowering is timed.
+DATABASE = "database"
+ORGANISATION = "organisation"
 
 
 @dataclass(slots=True)
 class OrganisationCap:
-    """Connections that an organisation may hold over its databases."""
+    """Connections that an organisation may hold across its databases."""
 
     databases: tuple[str, ...]
     connections: int
@@ -54,9 +55,11 @@
 
 @section("limits")
 class Limits:
-    """``shares`` are held by this daemon, by database; ``granted`` are the leader's
-    newest grants by database and daemon. ``acknowledged`` is the newest heartbeat whose
-    reply was applied."""
+    """Shares held by this daemon and, at the leader, granted to all daemons.
+
+    ``shares`` is by database, ``granted`` by database and daemon. ``acknowledged`` is
+    the sequence of the newest heartbeat whose reply was applied.
+    """
 
     __slots__ = ("acknowledged", "granted", "shares")
 
@@ -75,17 +78,17 @@
     def __init__(self, blackboard: Blackboard, settings: Any, random: Random) -> None:
         super().__init__(blackboard, settings, random)
         self._allocator = Allocator(settings.timers)
-        self._sequence = random.getrandbits(SEQUENCE_BITS)
+        self._sequence = random.getrandbits(INITIAL_SEQUENCE_BITS)
         self._next_heartbeat = 0.0
-        self._next_review = 0.0
-        self._next_drop = 0.0
+        self._next_shrink_check = 0.0
+        self._next_expiry_check = 0.0
         self._sent_at: dict[int, float] = {}
-        # Organisations by database, and each organisation's databases.
-        self._users: dict[str, list[str]] = {}
-        self._used_by: dict[str, tuple[str, ...]] = {}
-        # Each organisation's connections over its databases.
+        # Organisations by database, and databases by organisation.
+        self._organisations: dict[str, list[str]] = {}
+        self._databases: dict[str, tuple[str, ...]] = {}
+        # How each organisation's connections are divided between its databases.
         self._divisions: dict[str, Division] = {}
-        self._shrinks = ShrinkTimer()
+        self._shrink_timer = ShrinkTimer()
 
     # --- holder
 
@@ -96,9 +99,9 @@
             interval = self._settings.timers.daemon_heartbeat_interval
             self._next_heartbeat = now + interval
             items += self._send_heartbeat(now)
-        if now >= self._next_review and self._may_allocate():
-            self._next_review = now + REVIEW_INTERVAL
-            items += self._review(now)
+        if now >= self._next_shrink_check and self._may_allocate():
+            self._next_shrink_check = now + SHRINK_CHECK_INTERVAL_SECONDS
+            items += self._check_allocations(now)
         return items
 
     @handles(PeerMessageReceived)
@@ -120,7 +123,7 @@
     def _send_heartbeat(self, now: float) -> list[Any]:
         self._sequence += 1
         self._sent_at[self._sequence] = now
-        self._sent_at.pop(self._sequence - SENT_LIMIT, None)
+        self._sent_at.pop(self._sequence - MAX_REMEMBERED_HEARTBEATS, None)
         message = make_heartbeat(now, self._blackboard, self._settings, self._sequence)
         return [
             self._send(name, message)
@@ -133,7 +136,7 @@
         return SendPeerMessage(recipient, message)
 
     def _on_reply(self, now: float, message: HeartbeatReply) -> list[Any]:
-        """Applies the shares of a reply, unless a newer one was applied before."""
+        """Applies the shares of a reply, unless a newer one was applied already."""
         sent_at = self._sent_at.get(message.sequence)
         if sent_at is None or message.sequence <= self._own.acknowledged:
             return []
@@ -155,30 +158,32 @@
             log = self._blackboard.log
             self._allocator.start(now, first=log.founded_term == event.term)
             self._divisions.clear()
-            self._shrinks = ShrinkTimer()
-            self._map_users()
+            self._shrink_timer = ShrinkTimer()
+            self._index_templates()
 
     @handles(TemplateChanged)
     def on_template(self, now: float, event: TemplateChanged) -> None:
-        self._follow_template(now, event.organisation)
+        self._apply_template(now, event.organisation)
 
     @handles(StateChanged)
     def on_state(self, now: float, event: StateChanged) -> None:
         if event.kind == "template":
-            self._follow_template(now, event.name)
+            self._apply_template(now, event.name)
         elif event.kind == "all":
-            self._map_users()
+            self._index_templates()
 
-    def _follow_template(self, now: float, organisation: str) -> None:
-        self._map_user(organisation)
-        cap = self._cap(organisation)
+    def _apply_template(self, now: float, organisation: str) -> None:
+        self._index_template(organisation)
+        cap = self._organisation_cap(organisation)
         if cap is not None:
-            self._shrinks.note(now, (ORGANISATION, organisation), cap.connections)
+            self._shrink_timer.set_limit(
+                now, (ORGANISATION, organisation), cap.connections
+            )
 
-    def _cap(self, organisation: str) -> OrganisationCap | None:
-        """The committed cap, else the one in effect at this daemon.
+    def _organisation_cap(self, organisation: str) -> OrganisationCap | None:
+        """Returns the committed cap, else the one in effect at this daemon.
 
-        A leader need not serve an organisation itself to keep its limit.
+        The leader enforces the limits of organisations that it does not serve itself.
         """
         entries = self._blackboard.state.templates.get(organisation)
         if entries:
@@ -207,41 +212,43 @@
         log = self._blackboard.log
         return log.role == "leader" and log.established
 
-    def _review(self, now: float) -> list[Any]:
-        if now >= self._next_drop:
-            self._next_drop = now + DROP_INTERVAL
+    def _check_allocations(self, now: float) -> list[Any]:
+        if now >= self._next_expiry_check:
+            self._next_expiry_check = now + EXPIRY_CHECK_INTERVAL_SECONDS
             for database, daemon in self._allocator.drop_expired(now):
                 self._own.granted.get(database, {}).pop(daemon, None)
-        durations = self._shrinks.review(now, lambda key: self._used(now, *key))
+        durations = self._shrink_timer.pop_completed(
+            now, lambda key: self._used(now, *key)
+        )
         return [
             EmitMetric("timer", "limits.shrink_in_effect", seconds * 1000)
             for seconds in durations
         ]
 
     def _used(self, now: float, kind: str, name: str) -> int:
-        """Connections that count against the limit of a database or organisation."""
+        """Returns what counts against the limit of a database or an organisation."""
         if kind == DATABASE:
             return self._allocator.used(now, [name])
-        cap = self._cap(name)
+        cap = self._organisation_cap(name)
         return self._allocator.used(now, cap.databases) if cap else 0
 
-    def _map_users(self) -> None:
-        self._users, self._used_by = {}, {}
+    def _index_templates(self) -> None:
+        self._organisations, self._databases = {}, {}
         held = self._blackboard.configuration.templates
         for name in sorted({*held, *self._blackboard.state.templates}):
-            self._map_user(name)
-
-    def _map_user(self, organisation: str) -> None:
-        """Follows a template; the others stay as they are, since a restart brings all
-        templates one by one."""
-        for database in self._used_by.pop(organisation, ()):
-            self._users[database].remove(organisation)
-        cap = self._cap(organisation)
+            self._index_template(name)
+
+    def _index_template(self, organisation: str) -> None:
+        """Updates the index for one template only, since a restart applies all of them
+        one by one."""
+        for database in self._databases.pop(organisation, ()):
+            self._organisations[database].remove(organisation)
+        cap = self._organisation_cap(organisation)
         if cap is None:
             return
-        self._used_by[organisation] = cap.databases
+        self._databases[organisation] = cap.databases
         for database in cap.databases:
-            self._users.setdefault(database, []).append(organisation)
+            self._organisations.setdefault(database, []).append(organisation)
 
     def _database_limit(self, database: str) -> int | None:
         known = self._blackboard.topology.databases.get(database)
@@ -250,37 +257,39 @@
         return min(member.connections for member in known.members.values())
 
     def _limit(self, now: float, database: str) -> Limit | None:
-        """The limit of a database: its own, and what its organisations may hold."""
+        """Returns the lower of a database's own limit and that of its organisations."""
         own = self._database_limit(database)
         if own is None:
             return None
-        self._shrinks.note(now, (DATABASE, database), own)
-        users = self._users.get(database)
-        if not users:
+        self._shrink_timer.set_limit(now, (DATABASE, database), own)
+        organisations = self._organisations.get(database)
+        if not organisations:
             return Limit(own, own)
-        room = sum(self._room(now, name, database) for name in users)
-        part = sum(self._part(now, name, database) for name in users)
-        return Limit(min(own, room), min(own, part))
+        hard = sum(self._max_connections(now, name, database) for name in organisations)
+        target = sum(
+            self._target_connections(now, name, database) for name in organisations
+        )
+        return Limit(min(own, hard), min(own, target))
 
-    def _room(self, now: float, organisation: str, database: str) -> int:
-        """What an organisation may hold here, after its other databases.
+    def _max_connections(self, now: float, organisation: str, database: str) -> int:
+        """Returns what an organisation may hold here, less what its others may hold.
 
         A database that several organisations use counts fully for each of them, since
-        shares do not tell whose requests use the connections.
+        shares do not record whose requests use the connections.
         """
-        cap = self._cap(organisation)
+        cap = self._organisation_cap(organisation)
         if cap is None:
             return 0
         others = [name for name in cap.databases if name != database]
         return max(0, cap.connections - self._allocator.used(now, others))
 
-    def _part(self, now: float, organisation: str, database: str) -> int:
-        """What an organisation should hold here, by the demand for its databases."""
-        cap = self._cap(organisation)
+    def _target_connections(self, now: float, organisation: str, database: str) -> int:
+        """Returns what an organisation should hold here by demand for its databases."""
+        cap = self._organisation_cap(organisation)
         if cap is None:
             return 0
-        self._shrinks.note(now, (ORGANISATION, organisation), cap.connections)
+        self._shrink_timer.set_limit(now, (ORGANISATION, organisation), cap.connections)
         division = self._divisions.setdefault(organisation, Division())
         wanted = {name: self._allocator.wanted(now, name) for name in cap.databases}
-        division.follow(now, cap.connections, wanted)
+        division.update(now, cap.connections, wanted)
         return division.targets.get(database, 0)
--- a/packages/core/tests/test_limits.py
+++ b/packages/core/tests/test_limits.py
@@ -40,17 +40,17 @@
 
 
 class Load:
-    """Demand of one database: both its pool and its queue."""
+    """Demand of one database; stands in for its pool and its queue."""
 
     def __init__(self):
         self.total, self.counts, self.entries = 0, {State.BUSY: 0}, []
 
 
 class Daemon(Machine):
-    """A limits controller, the shares that it may use now and its fake pool."""
+    """A limits controller with a fake pool, and the shares that it applied."""
 
     def __init__(self, cluster, name, incarnation=1):
-        self.allowed, self.metrics = {}, []
+        self.applied, self.metrics = {}, []
         self.load = {database: Load() for database in cluster.databases}
         board = Blackboard()
         own = {
@@ -81,20 +81,20 @@
 
     def observe(self, event):
         if isinstance(event, SharesChanged):
-            self.allowed[event.database] = (event.connections, event.valid_until)
+            self.applied[event.database] = (event.connections, event.valid_until)
 
     def act(self, item):
         if isinstance(item, EmitMetric):
             self.metrics.append(item)
         return isinstance(item, EmitMetric)
 
-    def may_hold(self, database):
-        connections, valid_until = self.allowed.get(database, (0, 0.0))
+    def usable_share(self, database):
+        connections, valid_until = self.applied.get(database, (0, 0.0))
         return connections if self.now < valid_until else 0
 
 
 class ShareCluster(Network):
-    """Daemons, the first two of which are control members."""
+    """Daemons, of which the first two are control members."""
 
     def __init__(self, databases=("claims",), limit=20, cap=100, seed=1):
         super().__init__(seed)
@@ -113,13 +113,13 @@
         self.machines[name].load[database].entries = [None] * count
 
     def total(self, database="claims"):
-        return sum(daemon.may_hold(database) for daemon in self.machines.values())
+        return sum(daemon.usable_share(database) for daemon in self.machines.values())
 
     def shares(self, database="claims"):
-        return [daemon.may_hold(database) for daemon in self.machines.values()]
+        return [daemon.usable_share(database) for daemon in self.machines.values()]
 
 
-def led(**options):
+def make_cluster(**options):
     cluster = ShareCluster(**options)
     cluster.machines["vm-1"].lead(1, first=True)
     return cluster
@@ -127,7 +127,7 @@
 
 def test_shares_follow_demand_with_a_floor():
     """Guards against a daemon without any connection while others hold many."""
-    cluster = led()
+    cluster = make_cluster()
     cluster.want("vm-2", 30)
     cluster.run(1.0)
     assert cluster.total() <= 20 and cluster.shares()[1] > 10
@@ -139,8 +139,8 @@
 
 
 def test_small_changes_of_demand_move_nothing():
-    """Guards against shares that flap and make pools open and close connections."""
-    cluster = led()
+    """Guards against flapping shares, which make pools open and close connections."""
+    cluster = make_cluster()
     for name in NAMES:
         cluster.want(name, 10)
     cluster.run(3.0)
@@ -152,15 +152,15 @@
 
 
 def test_the_floor_holds_with_fewer_connections_than_daemons():
-    """Guards against a sum above the limit when not everybody can have one."""
-    cluster = led(limit=2)
+    """Guards against a sum above the limit when there is not one for each daemon."""
+    cluster = make_cluster(limit=2)
     cluster.run(2.0)
     assert sorted(cluster.shares()) == [0, 0, 1, 1]
 
 
-def test_an_organisations_cap_is_moved_between_its_databases():
-    """Guards against a first database that keeps the whole cap from the others."""
-    cluster = led(databases=("claims", "flights"), cap=10)
+def test_an_organisations_connections_move_between_its_databases():
+    """Guards against one database that holds all connections of an organisation."""
+    cluster = make_cluster(databases=("claims", "flights"), cap=10)
     cluster.want("vm-1", 30)
     cluster.run(2.0)
     assert cluster.total("claims") >= 8
@@ -180,7 +180,7 @@
 @pytest.mark.parametrize("delay", [0.005, 0.2])
 def test_a_cut_off_daemon_loses_its_share_before_it_is_granted_again(delay, fault):
     """Guards against the same connections in use on both sides of a partition."""
-    cluster = led()
+    cluster = make_cluster()
     cluster.delay = delay
     cluster.machines["vm-1"].rate, cluster.machines["vm-3"].rate = 1.1, 0.9
     cluster.want("vm-3", 30)
@@ -195,24 +195,24 @@
     cluster.check = check
 
     cluster.run(2.0)
-    # Replies on their way still move some of it; the lease keeps the rest.
+    # Replies in flight still move a part of the share; the lease protects the rest.
     assert cluster.shares()[2] > 10
     cluster.run(4.0)
     assert cluster.shares()[2] == 0 and cluster.shares()[0] > 10
 
 
 @pytest.mark.parametrize(("limit", "most"), [(6, 6), (100, 20)])
-def test_a_leader_keeps_the_limit_of_an_organisation_that_it_does_not_serve(
+def test_a_leader_enforces_the_limit_of_an_organisation_that_it_does_not_serve(
     limit, most
 ):
-    """Guards against limits that hold only for what the leader serves as a daemon."""
+    """Guards against limits that apply only to organisations the leader serves."""
     body = {
         "databases": ["claims"],
         "connections": limit,
         "classes": {"post": {"kind": "write"}},
     }
     entry = TemplateEntry(1, body, "operator", 1.0, "change")
-    cluster = led()
+    cluster = make_cluster()
     cluster.templates.clear()
     for machine in cluster.machines.values():
         machine.state.templates["voo"] = [entry]
@@ -224,8 +224,8 @@
 
 
 def test_late_and_reordered_replies_do_not_add_up():
-    """Guards against forgetting a grant that is still on its way to a holder."""
-    cluster = led()
+    """Guards against ignoring a grant that is still in flight to a holder."""
+    cluster = make_cluster()
 
     def check():
         assert cluster.total() <= 20
@@ -243,9 +243,9 @@
             cluster.cut = set()
 
 
-def test_an_unmoved_division_is_not_computed_for_each_heartbeat(monkeypatch):
-    """Guards against an allocator that divides a limit again for every daemon that
-    reports, a third of the leader's work on a heartbeat."""
+def test_a_division_is_not_recomputed_for_each_heartbeat(monkeypatch):
+    """Guards against dividing a limit again for every heartbeat, which took a third of
+    the leader's time on each."""
     divided = []
 
     def count(*arguments):
@@ -255,14 +255,14 @@
     monkeypatch.setattr("bronzemoor_core.allocation.divide", count)
     division = Division()
     for step in range(100):
-        division.follow(step / 100, 20, {"vm-1": 5.0, "vm-2": 5.0})
+        division.update(step / 100, 20, {"vm-1": 5.0, "vm-2": 5.0})
     assert len(divided) <= 7
-    division.follow(1.1, 20, {"vm-1": 5.0, "vm-2": 30.0})
+    division.update(1.1, 20, {"vm-1": 5.0, "vm-2": 30.0})
     assert division.targets["vm-2"] > 10
 
 
-class Unlisted(dict):
-    """Templates that may be looked up, but not iterated over."""
+class NonIterableDict(dict):
+    """A dict that allows lookups, but no iteration."""
 
     def __iter__(self):
         raise AssertionError("iterated over all templates")
@@ -270,18 +270,18 @@
     items = keys = values = __iter__
 
 
-def test_a_template_takes_over_a_database():
-    """Guards against a limit that still counts an organisation which gave a database
-    up, and against a restart that reads all templates for each template: with 1,433 it
-    took 2.9 s."""
-    cluster = led(databases=("claims", "stock"))
+def test_a_database_moves_to_another_template():
+    """Guards against a limit that still counts an organisation which no longer uses the
+    database, and against a restart that reads all templates for each template, which
+    took 2.9 s with 1,433 templates."""
+    cluster = make_cluster(databases=("claims", "stock"))
     leader = cluster.machines["vm-1"]
     cluster.templates |= {
         "voo": Template("voo", 2, ("stock",), 100),
         "toile": Template("toile", 1, ("claims",), 5),
     }
     own = leader.limits._blackboard._sections["configuration"]
-    own.templates = Unlisted(cluster.templates)
+    own.templates = NonIterableDict(cluster.templates)
     for name in cluster.templates:
         leader.handle(TemplateChanged(name, 2))
     own.templates = cluster.templates
@@ -290,9 +290,9 @@
     assert (cluster.total("claims"), cluster.total("stock")) == (5, 20)
 
 
-def test_a_freed_part_waits_for_the_holder():
+def test_a_reduced_share_is_granted_again_only_once_it_is_released():
     """Guards against granting connections that the previous holder has not closed."""
-    cluster = led()
+    cluster = make_cluster()
     cluster.want("vm-2", 30)
     cluster.run(1.0)
     cluster.machines["vm-2"].load["claims"].total = 17
@@ -305,9 +305,9 @@
     assert cluster.shares()[2] > 10
 
 
-def test_a_shrunk_limit_is_in_effect_soon_and_measured():
-    """Guards against a lowered limit that waits for leases of healthy daemons."""
-    cluster = led()
+def test_a_lowered_limit_takes_effect_quickly_and_is_measured():
+    """Guards against a lowered limit that waits for the leases of healthy daemons."""
+    cluster = make_cluster()
     cluster.want("vm-2", 30)
     cluster.run(1.0)
     cluster.set_limit(6)
@@ -317,9 +317,9 @@
     assert metric.name == "limits.shrink_in_effect" and 0 < metric.value <= 500
 
 
-def test_a_new_leader_grants_nothing_new_for_a_lease():
-    """Guards against grants that the previous leader's holders still use."""
-    cluster = led()
+def test_a_new_leader_raises_no_share_for_a_lease():
+    """Guards against granting what the previous leader has granted to others."""
+    cluster = make_cluster()
     cluster.want("vm-3", 30)
     cluster.run(1.0)
     cluster.cut = {"vm-3"}
@@ -333,21 +333,21 @@
     assert cluster.shares()[3] > before
 
 
-def test_a_reply_to_an_earlier_process_is_ignored():
-    """Guards against a restarted daemon that takes over a stale share."""
-    cluster = led()
+def test_a_reply_to_a_previous_process_is_ignored():
+    """Guards against a restarted daemon that applies a stale share."""
+    cluster = make_cluster()
     cluster.run(1.0)
     earlier = cluster.machines["vm-2"].limits._sequence
     fresh = Daemon(cluster, "vm-2", incarnation=2)
     fresh.handle(Tick())
     reply = HeartbeatReply(earlier, "vm-1", [Share("claims", 20, 3000)], {}, 0)
     fresh.handle(PeerMessageReceived("vm-1", reply))
-    assert fresh.allowed == {}
+    assert fresh.applied == {}
 
 
-def test_a_restarted_daemon_with_its_old_incarnation_is_heard_again():
-    """Guards against a daemon without shares until the leader changes."""
-    cluster = led()
+def test_a_restarted_daemon_with_its_old_incarnation_gets_a_share_again():
+    """Guards against a daemon that gets no share until the leader changes."""
+    cluster = make_cluster()
     cluster.run(1.0)
     fresh = cluster.machines["vm-2"] = Daemon(cluster, "vm-2")
     fresh.limits._sequence -= 1_000
@@ -360,7 +360,7 @@
 
     def __init__(self):
         super().__init__()
-        self.cluster = led(seed=7)
+        self.cluster = make_cluster(seed=7)
         self.cluster.check = self.check
         for name in NAMES:
             self.cluster.want(name, 40)
@@ -383,7 +383,7 @@
         duplication=st.sampled_from([0.0, 0.3]),
         delay=st.sampled_from([0.005, 0.1, 0.5]),
     )
-    def set_weather(self, loss, duplication, delay):
+    def set_network_faults(self, loss, duplication, delay):
         self.cluster.loss, self.cluster.duplication = loss, duplication
         self.cluster.delay = delay
 
@@ -399,7 +399,7 @@
 
     @rule(overlap=st.sampled_from([0.0, 0.1, 0.3]))
     def change_leader(self, overlap):
-        """The old leader goes on until it notices."""
+        """The old leader continues for ``overlap`` seconds."""
         old = self.cluster.machines[self.leader]
         self.leader = "vm-2" if self.leader == "vm-1" else "vm-1"
         self.term += 1
@@ -409,7 +409,7 @@
 
     @rule(which=st.integers(2, 3))
     def restart(self, which):
-        """A process that crashes holds nothing; its name comes back at once."""
+        """A crashed process holds nothing; it restarts at once under the same name."""
         name = NAMES[which]
         old = self.cluster.machines[name]
         incarnation = old.limits._settings.incarnation + 1
@@ -418,7 +418,7 @@
 
     @invariant()
     def check(self):
-        """The sum is within the largest limit of the last lease and round trip."""
+        """The sum is within the largest limit in effect during the last lease."""
         lease = self.cluster.timers.share_lease
         start = self.cluster.now - lease
         before = [limit for time, limit in self.limits if time <= start][-1:]
@@ -427,7 +427,7 @@
 
 
 class SkewedShareMachine(ShareMachine):
-    """Clocks of holders up to 9% slow and of the leaders up to 9% fast."""
+    """Clocks that run up to 9% fast at the leaders and up to 9% slow at the others."""
 
     def __init__(self):
         super().__init__()
