Reword the connection pools, their probes and the retry budget

Places, victims and silent connections are now capacity, connections to close and unresponsive connections, a connection to be replaced is outdated, and durations carry their unit. The retry budget uses the terms of a token bucket. The log text for a hello from a different member says so plainly; event names and reasons are unchanged.

--- a/packages/core/src/bronzemoor_core/allocation.py
+++ b/packages/core/src/bronzemoor_core/allocation.py
@@ -264,7 +264,7 @@
     names = sorted(
         wanted, key=lambda name: (not current.get(name), -wanted[name], name)
     )
-    shares = {name: int(place < limit) for place, name in enumerate(names)}
+    shares = {name: int(rank < limit) for rank, name in enumerate(names)}
     remaining = limit - sum(shares.values())
     if remaining <= 0:
         return shares
--- a/packages/core/src/bronzemoor_core/connections.py
+++ b/packages/core/src/bronzemoor_core/connections.py
@@ -1,4 +1,4 @@
-"""Connections of one daemon to the members of a database, and what they measured."""
+"""Connections of one daemon to the members of a database, and their measurements."""
 
 from collections import Counter
 from collections.abc import Iterator
@@ -8,12 +8,12 @@
 from bronzemoor_core.actions import Call
 from bronzemoor_core.blackboard import section
 
-# Weight of the newest sample in the averages of delay and lag.
+# Weight of the newest sample in the moving averages of delay and lag.
 SAMPLE_WEIGHT = 0.2
 
 
 class State(StrEnum):
-    """State of a connection. A connection counts until it is known to be closed."""
+    """State of a connection; it counts against the share until it is known closed."""
 
     OPENING = "opening"
     WARM = "warm"
@@ -24,10 +24,11 @@
 
 @dataclass(slots=True)
 class Connection:
-    """One connection. ``started_at`` is when it began to open, in seconds.
+    """One connection. ``started_at`` is when its opening started, in seconds.
 
-    ``executing`` tells whether its request occupies a slot of the member, and
-    ``replace`` that it is older than a fresh connection that had to be compared.
+    ``executing`` is set while its request occupies a slot of the member. ``outdated``
+    is set if it is to be closed once idle: a newer connection works while an older one
+    was unresponsive, or the member was lost.
     """
 
     number: int
@@ -38,22 +39,22 @@
     ticket: int = 0
     executing: bool = False
     pinned: bool = False
-    replace: bool = False
+    outdated: bool = False
     probe: Call | None = None
-    probe_at: float = 0.0
+    last_probe_at: float = 0.0
     answered_at: float = 0.0
     closing_since: float = 0.0
     used_at: float = 0.0
 
     @property
     def idle(self) -> bool:
-        """Warm and owing no answer."""
+        """Whether the connection is warm and waits for no answer."""
         return self.state is State.WARM and self.probe is None
 
 
 @dataclass(slots=True)
 class MemberLink:
-    """What this daemon measured of one member; durations are in seconds.
+    """What this daemon measured at one member; durations are in seconds.
 
     ``delay`` is the one-way delay, None before the first probe; ``lag`` is how far the
     member was behind the primary when it last answered.
@@ -69,11 +70,11 @@
     # The last opening failed without an answer, and nothing answered since.
     unreachable: bool = False
     retry_at: float = 0.0
-    # When a silent connection called for a comparison with a fresh one.
-    compare_since: float | None = None
-    # When a slow call may next cause a look at the idle connections.
-    slow_check_at: float = 0.0
-    # Closed connections that are to be opened again.
+    # Since when a fresh connection is wanted to compare with an unresponsive one.
+    comparison_wanted_since: float | None = None
+    # When a slow call may next cause a check of the idle connections.
+    next_slow_check_at: float = 0.0
+    # Number of closed connections to open again.
     replacements: int = 0
 
     def observe_delay(self, delay: float) -> None:
@@ -89,8 +90,8 @@
 class DatabasePool:
     """All connections of this daemon to one database.
 
-    ``share`` bounds them over all members; after ``valid_until`` (seconds) none is
-    opened any more.
+    ``share`` bounds them over all members; none is opened after ``valid_until``
+    (seconds).
     """
 
     name: str
@@ -99,21 +100,21 @@
     connections: dict[int, Connection] = field(default_factory=dict)
     links: dict[str, MemberLink] = field(default_factory=dict)
     counts: Counter[State] = field(default_factory=Counter)
-    check_at: float = 0.0
+    next_check_at: float = 0.0
     next_open_at: float = 0.0
     next_probe_at: float = 0.0
     next_replace_at: float = 0.0
-    # When the primary's position was last sampled, and how often it should be.
+    # When the primary's position was last sampled, and the interval of samples.
     sampled_at: float = 0.0
     sample_interval: float = 0.0
-    interval_at: float = 0.0
+    next_interval_update_at: float = 0.0
 
     @property
     def total(self) -> int:
         """Connections that count against the share, closing ones included."""
         return len(self.connections)
 
-    def has_place(self, now: float) -> bool:
+    def has_capacity(self, now: float) -> bool:
         return self.total < self.share and now < self.valid_until
 
     def link(self, member: str) -> MemberLink:
@@ -128,13 +129,13 @@
         return (c for c in self.connections.values() if c.state is state)
 
     def idle_by_member(self) -> dict[str, list[Connection]]:
-        """Idle connections by member; the most recently used one is last."""
+        """Returns idle connections by member; the most recently used one is last."""
         idle: dict[str, list[Connection]] = {}
         for connection in self.connections.values():
             if connection.idle:
                 idle.setdefault(connection.member, []).append(connection)
         for connections in idle.values():
-            connections.sort(key=lambda c: (not c.replace, c.answered_at))
+            connections.sort(key=lambda c: (not c.outdated, c.answered_at))
         return idle
 
     def add(self, connection: Connection) -> None:
@@ -146,7 +147,7 @@
         self._count(connection, -1)
 
     def move(self, connection: Connection, state: State) -> None:
-        """Changes the connection's state."""
+        """Changes the state of a connection and the counts by state."""
         self._count(connection, -1)
         connection.state = state
         self._count(connection, 1)
@@ -173,17 +174,17 @@
         return {name: pool.total for name, pool in self.databases.items()}
 
     def total(self, database: str) -> int:
-        """Connections of this daemon that count against its share of ``database``."""
+        """Returns how many connections count against the share of ``database``."""
         pool = self.databases.get(database)
         return pool.total if pool else 0
 
     def database_of(self, connection: int) -> str:
-        """Name of the connection's database, or an empty string once it is closed."""
+        """Returns the connection's database, or an empty string once it is closed."""
         known = self.connections.get(connection)
         return known.database if known else ""
 
     def capacity(self, database: str, members: tuple[str, ...]) -> tuple[int, int]:
-        """Usable and idle connections to ``members``."""
+        """Returns the number of usable and of idle connections to ``members``."""
         usable = idle = 0
         pool = self.databases.get(database)
         for connection in pool.connections.values() if pool else ():
--- a/packages/core/src/bronzemoor_core/openings.py
+++ b/packages/core/src/bronzemoor_core/openings.py
@@ -1,4 +1,4 @@
-"""Decisions to open connections: demand, warm connections and limits on storms."""
+"""Decisions to open connections: by demand, ahead of demand, and at a bounded rate."""
 
 from collections import Counter
 from itertools import count
@@ -17,13 +17,13 @@
 from bronzemoor_core.retries import backoff
 from bronzemoor_core.routing import expected_delay, is_serving
 
-# Spreads openings of many daemons after a change of primary, seconds.
-FAILOVER_JITTER = 0.020
-# Average distance between two openings of one pool, seconds.
-OPEN_SPACING = 0.002
-# Bounds of the backoff after a failed opening, seconds.
-RETRY_MIN = 0.025
-RETRY_MAX = 1.0
+# Maximum delay that spreads the openings of many daemons after a change of primary.
+FAILOVER_JITTER_SECONDS = 0.020
+# Average interval between two openings of one pool.
+OPEN_INTERVAL_SECONDS = 0.002
+# Bounds of the backoff after a failed opening.
+OPEN_BACKOFF_MIN_SECONDS = 0.025
+OPEN_BACKOFF_MAX_SECONDS = 1.0
 
 
 class Opener:
@@ -43,74 +43,82 @@
     def open_wanted(
         self, now: float, pool: DatabasePool, starved: Counter[str]
     ) -> list[object]:
-        """Opens what is missing, the most urgent first, as far as allowed."""
+        """Opens missing connections, the most urgent first, within share and rate."""
         database = self._blackboard.topology.databases.get(pool.name)
-        if database is None or not pool.has_place(now) or now < pool.next_open_at:
+        if database is None or not pool.has_capacity(now) or now < pool.next_open_at:
             return []
         items: list[object] = []
         opening = pool.counts[State.OPENING]
         for member in self._missing(now, pool, database, starved):
             if opening >= self._settings.data_path.max_opening:
                 break
-            if not pool.has_place(now):
+            if not pool.has_capacity(now):
                 break
             if not self._may_open(now, pool, database, member):
                 continue
             items.append(self._open(now, pool, database, member))
             opening += 1
         if items:
-            pool.next_open_at = now + OPEN_SPACING * 2 * self._random.random()
+            pool.next_open_at = now + OPEN_INTERVAL_SECONDS * 2 * self._random.random()
         return items
 
-    def victims(
+    def idle_to_close(
         self, now: float, pool: DatabasePool, starved: Counter[str]
     ) -> list[Connection]:
-        """Idle connections to close because waiting requests need their places."""
-        if not starved or pool.has_place(now) or now >= pool.valid_until:
+        """Returns idle connections to close in favour of waiting requests."""
+        if not starved or pool.has_capacity(now) or now >= pool.valid_until:
             return []
         needed = sum(starved.values()) - (
             pool.counts[State.OPENING] + pool.counts[State.CLOSING]
         )
         idle = pool.idle_by_member()
         spare = [c for m, group in idle.items() if m not in starved for c in group]
-        spare.sort(key=lambda c: (not c.replace, c.answered_at))
+        spare.sort(key=lambda c: (not c.outdated, c.answered_at))
         return spare[: max(0, min(needed, self._settings.data_path.max_opening))]
 
     def delay_openings(self, now: float, pool: DatabasePool) -> None:
         """Spreads the openings of many daemons after a change of primary."""
-        pool.next_open_at = now + FAILOVER_JITTER * self._random.random()
+        pool.next_open_at = now + FAILOVER_JITTER_SECONDS * self._random.random()
 
-    def note_failure(
+    def record_failure(
         self, now: float, pool: DatabasePool, connection: Connection
     ) -> None:
         link = pool.link(connection.member)
         link.failures += 1
-        wait = backoff(link.failures, RETRY_MIN, RETRY_MAX, self._random)
+        wait = backoff(
+            link.failures,
+            OPEN_BACKOFF_MIN_SECONDS,
+            OPEN_BACKOFF_MAX_SECONDS,
+            self._random,
+        )
         link.retry_at = now + wait
 
     def _missing(
         self, now: float, pool: DatabasePool, database: Database, starved: Counter[str]
     ) -> list[str]:
         missing = []
-        later = []
+        less_urgent = []
         for name, link in pool.links.items():
-            if link.compare_since is not None and not link.counts[State.OPENING]:
+            if (
+                link.comparison_wanted_since is not None
+                and not link.counts[State.OPENING]
+            ):
                 missing.append(name)
-            later += [name] * link.replacements
-            if _is_used_up(link):
-                later.append(name)
+            less_urgent += [name] * link.replacements
+            if _is_saturated(link):
+                less_urgent.append(name)
         for name, waiting in starved.items():
             opening = pool.link(name).counts[State.OPENING]
             missing += [name] * (waiting - opening)
-        for name in self._kept_warm(now, pool, database):
-            live = _live(pool.link(name))
+        for name in self._members_to_keep_warm(now, pool, database):
+            live = _count_live(pool.link(name))
             missing += [name] * (self._settings.data_path.min_warm - live)
-        return missing + later
+        return missing + less_urgent
 
-    def _kept_warm(
+    def _members_to_keep_warm(
         self, now: float, pool: DatabasePool, database: Database
     ) -> list[str]:
-        """The primary and the nearest replica."""
+        """Returns the primary and the nearest replica."""
         lease = self._settings.timers.announcement_lease
         replicas = [
             member
@@ -151,11 +159,11 @@
         )
 
 
-def _live(link: MemberLink) -> int:
+def _count_live(link: MemberLink) -> int:
     return sum(link.counts.values()) - link.counts[State.CLOSING]
 
 
-def _is_used_up(link: MemberLink) -> bool:
-    """Tells whether the next request to the member would have to wait."""
+def _is_saturated(link: MemberLink) -> bool:
+    """Returns whether the next request to the member would have to wait."""
     busy = link.counts[State.BUSY]
-    return busy > 0 and busy == _live(link)
+    return busy > 0 and busy == _count_live(link)
--- a/packages/core/src/bronzemoor_core/pools.py
+++ b/packages/core/src/bronzemoor_core/pools.py
@@ -1,4 +1,4 @@
-"""Connections to endpoints: granting, reuse, opening and closing."""
+"""Connection pools to endpoints: granting, reuse, opening and closing."""
 
 from random import Random
 from typing import Any
@@ -33,14 +33,14 @@
 from bronzemoor_core.positions import Position
 from bronzemoor_core.probes import Prober
 
-# How long a connection counts after its closing was ordered, unless the driver reports
-# it closed before.
-CLOSE_TIMEOUT = 1.0
-# How often the connections of each pool are checked, seconds.
-CHECK_INTERVAL = 0.020
-GAUGE_INTERVAL = 1.0
-# How long a connection beyond the warm ones stays without use, seconds.
-IDLE_LIMIT = 10.0
+# How long a closing connection counts against the share, unless the driver reports it
+# closed before.
+CLOSE_TIMEOUT_SECONDS = 1.0
+# How often the connections of each pool are checked.
+CHECK_INTERVAL_SECONDS = 0.020
+GAUGE_INTERVAL_SECONDS = 1.0
+# How long a connection beyond ``min_warm`` may stay unused.
+IDLE_TIMEOUT_SECONDS = 10.0
 
 
 @controller("pools")
@@ -53,18 +53,18 @@
         super().__init__(blackboard, settings, random)
         self._opener = Opener(self._own, blackboard, settings, random)
         self._prober = Prober(blackboard, settings, random)
-        self._gauges_at = 0.0
+        self._next_gauges_at = 0.0
 
     @handles(SharesChanged)
     def on_shares_changed(self, now: float, event: SharesChanged) -> list[object]:
         pool = self._pool(event.database)
         pool.share = event.connections
         pool.valid_until = event.valid_until
-        return [*self._shrink(now, pool), *self._settle(now, pool)]
+        return [*self._close_excess(now, pool), *self._serve_queue(now, pool)]
 
     @handles(QueueChanged)
     def on_queue_changed(self, now: float, event: QueueChanged) -> list[object]:
-        return self._settle(now, self._pool(event.database))
+        return self._serve_queue(now, self._pool(event.database))
 
     @handles(ConnectionOpened)
     def on_opened(self, now: float, event: ConnectionOpened) -> list[object]:
@@ -73,12 +73,12 @@
             return [CloseConnection(event.connection, "not_wanted")]
         answer = event.answer
         if answer.status != "ok" or answer.member not in ("", connection.member):
-            reason = answer.code or f"answered as {answer.member}"
+            reason = answer.code or f"connected to another member: {answer.member}"
             return self._opening_failed(now, connection, reason, answered=True)
         pool = self._pool(connection.database)
         pool.move(connection, State.WARM)
-        connection.answered_at = connection.probe_at = connection.used_at = now
-        items = self._prober.on_fresh(now, pool, connection)
+        connection.answered_at = connection.last_probe_at = connection.used_at = now
+        items = self._prober.on_fresh_connection(now, pool, connection)
         position = Position(answer.term, answer.offset)
         items.append(
             PositionObserved(
@@ -89,7 +89,7 @@
                 leaving=answer.leaving,
             )
         )
-        return [*items, *self._shrink(now, pool), *self._settle(now, pool)]
+        return [*items, *self._close_excess(now, pool), *self._serve_queue(now, pool)]
 
     @handles(ConnectionFailed)
     def on_failed(self, now: float, event: ConnectionFailed) -> list[object]:
@@ -97,7 +97,7 @@
         if connection is None:
             return []
         if connection.state is State.CLOSING:
-            return self._forget(now, connection)
+            return self._handle_closed(now, connection)
         return self._opening_failed(now, connection, event.error)
 
     @handles(ConnectionClosed)
@@ -108,7 +108,7 @@
         pool = self._pool(connection.database)
         if connection.state is not State.CLOSING:
             pool.link(connection.member).replacements += 1
-        return self._forget(now, connection)
+        return self._handle_closed(now, connection)
 
     @handles(ConnectionReleased)
     def on_released(self, now: float, event: ConnectionReleased) -> list[object]:
@@ -117,15 +117,15 @@
             return []
         pool = self._pool(connection.database)
         if event.reason == "behind":
-            self._prober.note_behind(now, pool, connection.member)
+            self._prober.record_behind(now, pool, connection.member)
         self._detach(pool, connection)
         if event.clean:
             pool.move(connection, State.WARM)
-            connection.answered_at = connection.probe_at = connection.used_at = now
-            items = self._shrink(now, pool)
+            connection.answered_at = connection.last_probe_at = connection.used_at = now
+            items = self._close_excess(now, pool)
         else:
             items = [self._close(now, connection, event.reason or "not_clean")]
-        return [*items, *self._settle(now, pool)]
+        return [*items, *self._serve_queue(now, pool)]
 
     @handles(ConnectionWithdrawn)
     def on_withdrawn(self, now: float, event: ConnectionWithdrawn) -> list[object]:
@@ -164,7 +164,7 @@
         items, valid = self._prober.on_answer(now, pool, connection, event)
         if not valid:
             items.append(self._close(now, connection, "discarded_answer"))
-        return [*items, *self._settle(now, pool)]
+        return [*items, *self._serve_queue(now, pool)]
 
     @handles(AnswerTimedOut)
     def on_timeout(self, now: float, event: AnswerTimedOut) -> list[object]:
@@ -173,7 +173,7 @@
             return []
         pool = self._pool(connection.database)
         self._detach(pool, connection)
-        self._prober.compare(now, pool, connection, event.sent_at)
+        self._prober.request_comparison(now, pool, connection, event.sent_at)
         fields = {
             "database": pool.name,
             "peer": connection.member,
@@ -183,21 +183,21 @@
         return [
             EmitLog("warning", "connection_unresponsive", fields),
             self._close(now, connection, "answer_timed_out"),
-            *self._settle(now, pool),
+            *self._serve_queue(now, pool),
         ]
 
     @handles(PrimaryChanged)
     def on_primary_changed(self, now: float, event: PrimaryChanged) -> list[object]:
-        """Opens connections for a database with a share or requests, no other.
+        """Opens connections only for a database that has a pool already.
 
-        A control member hears of every database; a pool for each would cost it a
-        share of each and a check of each every ``CHECK_INTERVAL``.
+        A control member receives this event for every database. A pool for each would
+        cost it a share of each, and a check of each every ``CHECK_INTERVAL_SECONDS``.
         """
         pool = self._own.databases.get(event.database)
         if pool is None:
             return []
         self._opener.delay_openings(now, pool)
-        return self._settle(now, pool)
+        return self._serve_queue(now, pool)
 
     @handles(MemberLost)
     def on_member_lost(self, now: float, event: MemberLost) -> list[object]:
@@ -207,45 +207,47 @@
         items: list[object] = []
         for connection in list(pool.of_member(event.member)):
             if connection.ticket:
-                connection.replace = True
+                connection.outdated = True
             elif connection.state is not State.CLOSING:
                 items.append(self._close(now, connection, "member_lost"))
         pool.link(event.member).replacements = 0
-        pool.link(event.member).compare_since = None
+        pool.link(event.member).comparison_wanted_since = None
         return items
 
     @handles(PositionObserved)
     def on_position(self, now: float, event: PositionObserved) -> None:
         pool = self._own.databases.get(event.database)
         if pool is not None:
-            self._prober.observe(now, pool, event)
+            self._prober.observe_position(now, pool, event)
 
     @handles(AnnouncementReceived)
     def on_announcement(self, now: float, event: AnnouncementReceived) -> None:
-        said = event.announcement
-        position = Position(said.term, said.offset)
-        observed = PositionObserved(said.database, said.member, said.role, position)
+        announcement = event.announcement
+        position = Position(announcement.term, announcement.offset)
+        observed = PositionObserved(
+            announcement.database, announcement.member, announcement.role, position
+        )
         self.on_position(now, observed)
 
     @handles(Tick)
     def on_tick(self, now: float, event: Tick) -> list[object]:
         items: list[object] = []
         for pool in self._own.databases.values():
-            if now < pool.check_at:
+            if now < pool.next_check_at:
                 continue
-            pool.check_at = now + CHECK_INTERVAL
+            pool.next_check_at = now + CHECK_INTERVAL_SECONDS
             for connection in list(pool.of_state(State.CLOSING)):
-                if now - connection.closing_since > CLOSE_TIMEOUT:
+                if now - connection.closing_since > CLOSE_TIMEOUT_SECONDS:
                     self._remove(connection)
             items += self._retire(now, pool)
             items += self._prober.probe_due(now, pool)
-            items += self._settle(now, pool)
+            items += self._serve_queue(now, pool)
         return [*items, *self._gauges(now)]
 
     def _gauges(self, now: float) -> list[object]:
-        if now < self._gauges_at:
+        if now < self._next_gauges_at:
             return []
-        self._gauges_at = now + GAUGE_INTERVAL
+        self._next_gauges_at = now + GAUGE_INTERVAL_SECONDS
         pools = self._own.databases.values()
         return [
             EmitMetric(
@@ -256,49 +258,49 @@
             for state in State
         ]
 
-    def _settle(self, now: float, pool: DatabasePool) -> list[object]:
-        """Grants idle connections to waiting requests and opens what is missing."""
+    def _serve_queue(self, now: float, pool: DatabasePool) -> list[object]:
+        """Grants idle connections to waiting requests and opens the missing ones."""
         items, starved = grant_waiting(now, self._own, self._blackboard, pool)
-        for victim in self._opener.victims(now, pool, starved):
-            items.append(self._close(now, victim, "place_wanted"))
+        for connection in self._opener.idle_to_close(now, pool, starved):
+            items.append(self._close(now, connection, "place_wanted"))
         items += self._opener.open_wanted(now, pool, starved)
         return items
 
-    def _shrink(self, now: float, pool: DatabasePool) -> list[object]:
-        """Closes idle connections above the share, those to be replaced first."""
+    def _close_excess(self, now: float, pool: DatabasePool) -> list[object]:
+        """Closes opening and idle connections above the share, the outdated first."""
         excess = pool.total - pool.counts[State.CLOSING] - pool.share
         if excess <= 0:
             return []
         idle = [c for group in pool.idle_by_member().values() for c in group]
         idle += pool.of_state(State.SUSPECT)
-        idle.sort(key=lambda c: (not c.replace, c.answered_at))
+        idle.sort(key=lambda c: (not c.outdated, c.answered_at))
         opening = list(pool.of_state(State.OPENING))
-        victims = (opening + idle)[:excess]
-        return [self._close(now, victim, "share_shrunk") for victim in victims]
+        closed = (opening + idle)[:excess]
+        return [self._close(now, c, "share_shrunk") for c in closed]
 
     def _retire(self, now: float, pool: DatabasePool) -> list[object]:
-        """Closes idle connections to leaving members and replaces outdated ones."""
+        """Closes idle connections that are unused, outdated or to a leaving member."""
         database = self._blackboard.topology.databases.get(pool.name)
         items: list[object] = []
         for member, connections in pool.idle_by_member().items():
             known = database.members.get(member) if database else None
             if known is None or known.leaving:
                 items += [self._close(now, c, "member_left") for c in connections]
-            elif connections[0].replace and self._prober.may_replace(now, pool):
+            elif connections[0].outdated and self._prober.take_replacement(now, pool):
                 pool.link(member).replacements += 1
                 items.append(self._close(now, connections[0], "replaced"))
             elif len(connections) > self._settings.data_path.min_warm:
-                unused = min(connections, key=lambda c: c.used_at)
-                if now - unused.used_at > IDLE_LIMIT:
-                    # Leaves the place to daemons with more demand.
-                    items.append(self._close(now, unused, "idle"))
+                least_recent = min(connections, key=lambda c: c.used_at)
+                if now - least_recent.used_at > IDLE_TIMEOUT_SECONDS:
+                    # Frees the share for daemons with more demand.
+                    items.append(self._close(now, least_recent, "idle"))
         return items
 
     def _opening_failed(
         self, now: float, connection: Connection, error: str, answered: bool = False
     ) -> list[object]:
         pool = self._pool(connection.database)
-        self._opener.note_failure(now, pool, connection)
+        self._opener.record_failure(now, pool, connection)
         fields = {
             "database": pool.name,
             "peer": connection.member,
@@ -312,7 +314,7 @@
             )
         if connection.state is State.OPENING:
             items.append(self._close(now, connection, "opening_failed"))
-        return [*items, *self._settle(now, pool)]
+        return [*items, *self._serve_queue(now, pool)]
 
     def _pool(self, database: str) -> DatabasePool:
         pools = self._own.databases
@@ -328,12 +330,12 @@
         connection.closing_since = now
         return CloseConnection(connection.number, reason)
 
-    def _forget(self, now: float, connection: Connection) -> list[object]:
-        """Handles a connection that is known to be closed."""
+    def _handle_closed(self, now: float, connection: Connection) -> list[object]:
+        """Removes a connection that is known to be closed."""
         pool = self._pool(connection.database)
         self._detach(pool, connection)
         self._remove(connection)
-        return self._settle(now, pool)
+        return self._serve_queue(now, pool)
 
     def _remove(self, connection: Connection) -> None:
         del self._own.connections[connection.number]
--- a/packages/core/src/bronzemoor_core/retries.py
+++ b/packages/core/src/bronzemoor_core/retries.py
@@ -8,42 +8,45 @@
 from bronzemoor_core.events import RequestReceived
 from bronzemoor_core.internal_events import RetryDecided, RetryWanted
 
-# Lets an organisation with little traffic retry at all.
-FLOOR_PER_SECOND = 1.0
-# Retries that may be saved up, so that an idle hour does not allow a burst of retries.
-MAX_SAVED = 20.0
+# Allows some retries to an organisation with little traffic.
+MIN_RETRIES_PER_SECOND = 1.0
+# Bounds the burst of retries after an idle period.
+MAX_TOKENS = 20.0
 
 
 class RetryBudget:
-    """Token bucket that earns ``ratio`` of a retry per first attempt."""
+    """Token bucket that gains ``ratio`` of a retry for each first attempt."""
 
-    __slots__ = ("_refilled_at", "_saved")
+    __slots__ = ("_refilled_at", "_tokens")
 
     def __init__(self, now: float) -> None:
-        self._saved = MAX_SAVED / 2
+        self._tokens = MAX_TOKENS / 2
         self._refilled_at = now
 
     @property
-    def saved(self) -> float:
-        return self._saved
+    def tokens(self) -> float:
+        return self._tokens
 
-    def earn(self, ratio: float) -> None:
-        self._saved = min(MAX_SAVED, self._saved + ratio)
+    def deposit(self, ratio: float) -> None:
+        self._tokens = min(MAX_TOKENS, self._tokens + ratio)
 
-    def spend(self, now: float) -> bool:
-        """Takes one retry; tells whether there was one."""
+    def withdraw(self, now: float) -> bool:
+        """Takes a token for one retry; returns whether there was one."""
         elapsed = max(0.0, now - self._refilled_at)
-        self._saved = min(MAX_SAVED, self._saved + elapsed * FLOOR_PER_SECOND)
+        self._tokens = min(MAX_TOKENS, self._tokens + elapsed * MIN_RETRIES_PER_SECOND)
         self._refilled_at = now
-        if self._saved < 1.0:
+        if self._tokens < 1.0:
             return False
-        self._saved -= 1.0
+        self._tokens -= 1.0
         return True
 
 
-def backoff(attempt: int, low: float, high: float, random: Random) -> float:
-    """Seconds to wait before retry ``attempt`` (from 1): exponential, half jittered."""
-    ceiling = min(high, low * 2 ** min(attempt, 16))
+def backoff(attempt: int, minimum: float, maximum: float, random: Random) -> float:
+    """Returns the delay in seconds before retry ``attempt`` (from 1).
+
+    It grows exponentially up to ``maximum``; half of it is random jitter.
+    """
+    ceiling = min(maximum, minimum * 2 ** min(attempt, 16))
     return ceiling / 2 + random.random() * ceiling / 2
 
 
@@ -68,11 +71,11 @@
         organisation = event.request.organisation
         template = self._blackboard.configuration.templates.get(organisation)
         if template is not None:
-            self._budget(now, organisation).earn(template.retry_ratio)
+            self._budget(now, organisation).deposit(template.retry_ratio)
 
     @handles(RetryWanted)
     def on_retry_wanted(self, now: float, event: RetryWanted) -> list[object]:
-        allowed = event.free or self._budget(now, event.organisation).spend(now)
+        allowed = event.free or self._budget(now, event.organisation).withdraw(now)
         path = self._settings.data_path
         wait = backoff(event.attempt, path.backoff_min, path.backoff_max, self._random)
         name = "retries" if allowed else "retries.denied"
--- a/packages/core/tests/test_pools.py
+++ b/packages/core/tests/test_pools.py
@@ -1,4 +1,4 @@
-"""Guards the use, opening and closing of connections."""
+"""Tests of the use, opening and closing of connections."""
 
 from collections import Counter
 from random import Random
@@ -33,24 +33,24 @@
     return world.node.blackboard.pools.databases["stock"]
 
 
-def of(world, action):
+def emitted_actions(world, action):
     return [item for item in world.emitted if isinstance(item, action)]
 
 
-def suspicions(world):
+def record_suspicions(world):
     found = []
     world.node._handlers[MemberSuspected].append(lambda now, e: found.append(e.member))
     return found
 
 
 def test_without_a_share_nothing_is_opened():
-    """Guards against connections that no one granted."""
+    """Guards against connections without a granted share."""
     world = World(share=0)
     world.ask("post", "x", seconds=1)
-    assert not of(world, OpenConnection)
+    assert not emitted_actions(world, OpenConnection)
 
 
-def test_a_database_that_is_only_heard_of_gets_no_pool():
+def test_a_database_without_share_or_requests_gets_no_pool():
     """Guards against a control member that takes a share of every database and checks
     a pool of each 50 times a second, although it serves none of them."""
     world = World()
@@ -69,7 +69,7 @@
 @FIXED
 @given(st.lists(st.tuples(st.integers(0, 5), st.integers(0, 8)), max_size=30))
 def test_the_share_is_never_exceeded(steps):
-    """Guards against more connections than the share at the endpoints, counting those
+    """Guards against more connections to the endpoints than the share, including those
     that are opening or not yet closed."""
     world = World(share=3)
     share = 3
@@ -103,7 +103,7 @@
 
 
 def test_a_shrunk_share_closes_idle_connections_at_once_and_busy_ones_later():
-    """Guards against a request that is interrupted, and against kept connections."""
+    """Guards against interrupted requests and connections that are never closed."""
     world = World()
     world.fault = lambda member, call: arrive_late if call.ticket == 1 else None
     ticket = world.send("post", "x")
@@ -117,11 +117,11 @@
 
 
 def test_an_expired_share_opens_nothing_more():
-    """Guards against openings under a share that others may hold by now."""
+    """Guards against openings within a share that others may hold already."""
     world = World(share=0)
     world.handle(SharesChanged("stock", 4, world.now - 1))
     world.ask("post", "x")
-    assert not of(world, OpenConnection)
+    assert not emitted_actions(world, OpenConnection)
 
 
 def test_openings_are_limited():
@@ -136,14 +136,14 @@
 
 
 def test_a_connection_is_opened_ahead_of_demand():
-    """Guards against the second concurrent request paying for an opening."""
+    """Guards against a second concurrent request that waits for an opening."""
     world = World()
     world.send("post", "x")
     assert pool(world).link("a").counts[State.OPENING] == 1
 
 
-def test_a_place_is_taken_from_idle_connections_to_other_members():
-    """Guards against writes that starve while others hold the whole share."""
+def test_idle_connections_to_other_members_make_room_for_waiting_requests():
+    """Guards against writes that starve while idle connections use up the share."""
     world = World(share=2)
     world.group.members["c"].append("", "")
     world.fail_over("a")
@@ -152,8 +152,8 @@
     assert (reply.outcome.tag, reply.outcome.peer) == ("done", "c")
 
 
-def test_connections_without_use_leave_their_places():
-    """Guards against a share that one busy moment keeps for ever."""
+def test_unused_connections_are_closed():
+    """Guards against a share that stays in use after a short burst of requests."""
     world = World(share=8)
     for _ in range(6):
         world.send("post", "x")
@@ -163,8 +163,8 @@
     assert len(list(pool(world).of_member("a"))) == 1
 
 
-def test_older_connections_are_replaced_after_a_silent_one():
-    """Guards against connections that will stop responding like the first one."""
+def test_older_connections_are_replaced_after_an_unresponsive_one():
+    """Guards against keeping connections that may stop responding as well."""
     world = World(share=8, call_timeout=0.1)
     for _ in range(6):
         world.send("post", "x")
@@ -175,10 +175,10 @@
     assert not older & set(pool(world).connections)
 
 
-def test_a_refused_connection_is_no_suspicion():
+def test_a_refused_connection_raises_no_suspicion():
     """Guards against a failover because a member refuses further connections."""
     world = World()
-    found = suspicions(world)
+    found = record_suspicions(world)
     member = world.group.members["a"]
     full = Result("refused", "too_many_connections")
 
@@ -194,16 +194,16 @@
     assert not found
 
 
-def test_samples_under_load_still_cover_the_age_bound():
-    """Guards against many answers that displace the samples lagging replicas need."""
+def test_samples_under_load_still_cover_the_staleness_bound():
+    """Guards against answers that displace the older samples lagging replicas need."""
     world = World()
     for number in range(400):
         world.ask("post", str(number), seconds=0.005)
     assert world.now - world.database.samples[0].proved_at > 0.5
 
 
-def test_slots_limit_the_statements_at_a_member():
-    """Guards against queueing at the endpoint, where priorities do not count."""
+def test_slots_limit_the_concurrent_statements_at_a_member():
+    """Guards against queueing at the endpoint, which ignores priorities."""
     world = World(share=12)
     world.fault = slow(0.1)
     for _ in range(10):
@@ -213,13 +213,13 @@
         assert pool(world).link("a").running <= 3
 
 
-def test_a_connection_that_owes_an_answer_is_not_used_again():
-    """Guards against a late answer that is taken for the next request's."""
+def test_a_connection_with_a_pending_answer_is_not_reused():
+    """Guards against a late answer that is taken for that of the next request."""
     world = World(call_timeout=0.1)
     world.fault = lambda m, call: arrive_late if call.ticket == 1 else None
     world.ask("post", "x", seconds=0.5)
     late = next(c for _, c in world.calls if c.ticket == 1)
-    sent = [a for a in of(world, SendCall) if a.call is late]
+    sent = [a for a in emitted_actions(world, SendCall) if a.call is late]
     number = sent[0].connection
     index = next(
         i
@@ -231,27 +231,29 @@
 
 
 def test_a_connection_with_an_unexpected_answer_is_closed():
-    """Guards against a connection whose answers are out of step."""
+    """Guards against a connection whose answers no longer match its calls."""
     world = World()
     world.fault = lambda m, call: duplicate if call.ticket == 1 else None
     world.ask("post", "x")
-    assert "discarded_answer" in {a.reason for a in of(world, CloseConnection)}
+    assert "discarded_answer" in {
+        a.reason for a in emitted_actions(world, CloseConnection)
+    }
     assert world.metrics["answers.discarded.unexpected"] == 1
 
 
-def test_silent_connections_are_replaced_without_suspicion():
+def test_unresponsive_connections_are_replaced_without_suspicion():
     """Guards against a failover because old connections stopped responding while new
-    ones work, and against using the silent ones."""
+    ones work, and against use of the unresponsive ones."""
     world = World(share=8, classes=CLASSES[:2], probe_interval=10)
-    found = suspicions(world)
+    found = record_suspicions(world)
     for _ in range(4):
         world.send("post", "x")
     world.run(0.3)
-    silent = {c.number for c in pool(world).of_member("a")}
+    unresponsive = {c.number for c in pool(world).of_member("a")}
     perform = world._on_SendCall
 
     def drop(action):
-        if action.connection in silent:
+        if action.connection in unresponsive:
             world.time_out(action.connection, action.call)
         else:
             perform(action)
@@ -264,21 +266,21 @@
     replies = [world.ask("post", "x", seconds=1.5) for _ in range(3)]
     assert {reply.outcome.tag for reply in replies} == {"done"}
     assert not found
-    assert not silent & set(pool(world).connections)
+    assert not unresponsive & set(pool(world).connections)
     assert "connection_unresponsive" in world.logs
 
 
 def test_a_member_is_suspected_when_a_fresh_connection_fails_too():
-    """Guards against a failed primary that nobody reports."""
+    """Guards against a failed primary that no daemon reports."""
     world = World()
-    found = suspicions(world)
+    found = record_suspicions(world)
     world.down = {"a"}
     world.run(1.0)
     assert set(found) == {"a"}
 
 
 def test_a_lost_member_loses_its_idle_connections():
-    """Guards against connections that count although their member is gone."""
+    """Guards against idle connections that are kept after their member was lost."""
     world = World()
     world.down = {"b"}
     world.handle(MemberLost("stock", "b"))
@@ -298,8 +300,8 @@
 
 
 @pytest.mark.parametrize(("max_age", "most"), [(None, 0.55), (0.4, 0.4 / 3)])
-def test_the_primary_is_probed_as_often_as_the_classes_need(max_age, most):
-    """Guards against age bounds that cannot be proved for want of samples."""
+def test_the_primary_is_probed_as_often_as_the_staleness_bounds_need(max_age, most):
+    """Guards against staleness bounds that cannot be proved for lack of samples."""
     world = World()
     world.template.classes["catalogue"].max_age = max_age
     world.run(3)
@@ -308,16 +310,20 @@
     assert max(gaps) <= most
 
 
-def test_an_idle_silent_connection_is_found_by_probes():
-    """Guards against a silent connection that only the next request discovers."""
+def test_probes_find_an_unresponsive_idle_connection():
+    """Guards against an unresponsive connection that only the next request detects."""
     world = World()
     world.fault = lambda m, call: lose_call if m.name == "b" else None
     world.run(1.0)
-    assert [a for a in of(world, CloseConnection) if a.reason == "answer_timed_out"]
+    assert [
+        a
+        for a in emitted_actions(world, CloseConnection)
+        if a.reason == "answer_timed_out"
+    ]
 
 
 def test_an_answer_on_an_unknown_connection_is_ignored():
-    """Guards against an error on an event of a connection that is gone."""
+    """Guards against an error on an event of a removed connection."""
     world = World()
     call = next(c for _, c in world.calls)
     answer = world.answer(world.group.members["a"], call, Result())
--- a/packages/core/tests/test_routing.py
+++ b/packages/core/tests/test_routing.py
@@ -52,7 +52,7 @@
 
 
 @pytest.mark.parametrize("change", [{"leaving": True}, {"last_heard": NOW - 1.1}])
-def test_a_leaving_or_silent_member_gets_no_work(change):
+def test_a_leaving_or_expired_member_gets_no_work(change):
     """Guards against new work for a member that leaves or whose lease expired."""
     database = make_database()
     for member in ("a", "b"):
