Reword the node, the controllers and the blackboard

Docstrings now say what these modules do, and the error for an unbounded chain of internal events names its cause.

--- a/packages/core/src/bronzemoor_core/blackboard.py
+++ b/packages/core/src/bronzemoor_core/blackboard.py
@@ -1,4 +1,4 @@
-"""Shared state of a daemon: named sections, each written by one controller."""
+"""Shared state of a daemon in named sections, each written by one controller."""
 
 from types import MappingProxyType
 from typing import Any, TypeVar
@@ -57,7 +57,7 @@
         self._owners: dict[str, str] = {}
 
     def claim(self, name: str, owner: str) -> Any:
-        """Returns the writable section; a second owner raises ``OwnershipError``."""
+        """Returns the writable section; a second claim raises ``OwnershipError``."""
         if name in self._owners:
             raise OwnershipError(
                 f"section {name} is owned by {self._owners[name]}, not {owner}",
--- a/packages/core/src/bronzemoor_core/controllers.py
+++ b/packages/core/src/bronzemoor_core/controllers.py
@@ -13,7 +13,7 @@
 
 
 class Controller:
-    """Base of all controllers: owns one section and handles events.
+    """Base class of controllers, which own one section and handle events.
 
     A handler takes ``(now, event)`` and returns actions and follow-up events, or None.
     """
--- a/packages/core/src/bronzemoor_core/node.py
+++ b/packages/core/src/bronzemoor_core/node.py
@@ -1,4 +1,4 @@
-"""The central object: holds settings and blackboard and makes the controllers."""
+"""The node, which creates the controllers of a daemon and dispatches events to them."""
 
 from collections import defaultdict, deque
 from collections.abc import Callable, Collection
@@ -32,7 +32,7 @@
 
 
 class Node:
-    """Runs one daemon's controllers as a pure ``(now, event) -> actions`` machine."""
+    """Runs one daemon's controllers without I/O: ``(now, event) -> actions``."""
 
     def __init__(
         self,
@@ -40,7 +40,7 @@
         random: Random,
         names: Collection[str] = CONTROLLER_TYPES.keys(),
     ) -> None:
-        """``names`` selects controllers by section, for tests of a part."""
+        """``names`` selects controllers by section, for tests of some of them."""
         self._settings = settings
         self._blackboard = Blackboard()
         self._controllers: dict[str, Controller] = {}
@@ -77,7 +77,7 @@
                         actions.append(item)
                     else:
                         pending.append(item)
-        raise RuntimeError(f"event loop does not settle after {type(event).__name__}")
+        raise RuntimeError(f"too many internal events after {type(event).__name__}")
 
     def _register(self, instance: Controller) -> None:
         for attribute in dir(type(instance)):
@@ -87,7 +87,7 @@
 
 
 def make_node(settings: Any, random: Random) -> Node:
-    """Imports every controller module, then makes the node."""
+    """Imports every controller module, then creates the node."""
     for module in CONTROLLER_MODULES:
         import_module(f"bronzemoor_core.{module}")
     return Node(settings, random)
--- a/packages/core/tests/test_architecture.py
+++ b/packages/core/tests/test_architecture.py
@@ -1,4 +1,4 @@
-"""Guards the import rules of the core and the ownership of blackboard sections."""
+"""Tests of the import rules of the core and the ownership of blackboard sections."""
 
 import ast
 from pathlib import Path
@@ -54,7 +54,7 @@
 
 @pytest.mark.parametrize("path", sorted(SOURCE.rglob("*.py")), ids=lambda p: p.stem)
 def test_core_imports_no_clock_socket_thread_file_or_global_random(path):
-    """Guards against a core that a virtual clock can no longer drive."""
+    """Guards against a core that cannot run on a virtual clock."""
     for name in imported_names(path):
         if name.startswith("random."):
             assert name == "random.Random"
@@ -86,7 +86,7 @@
 
 
 def test_a_write_by_another_controller_is_refused():
-    """Guards against silent writes through the read-only views."""
+    """Guards against undetected writes through the read-only views."""
     blackboard = Blackboard()
     blackboard.claim("topology", "topology")
     with pytest.raises(OwnershipError):
--- a/packages/core/tests/test_whole_node.py
+++ b/packages/core/tests/test_whole_node.py
@@ -1,4 +1,4 @@
-"""The control plane on whole nodes, with the replicated log and real elections."""
+"""Tests of the control plane on complete nodes with replicated log and elections."""
 
 from random import Random
 
@@ -16,7 +16,7 @@
 
 
 class WholeGroup(Group):
-    """Uses every controller; a sync of the log takes 1 ms."""
+    """Runs every controller; a sync of the log takes 1 ms."""
 
     def start(self, name, incarnation=1):
         settings = NodeSettings(name, self.places[name], incarnation=incarnation)
@@ -37,10 +37,10 @@
             super()._perform(name, item)
 
     def lead(self, name):
-        """The log elects its leader itself."""
+        """Does nothing, since the replicated log elects its leader."""
 
     def recover(self):
-        """A minority of the control members may stay lost."""
+        """Does nothing, since a minority of the control members may stay lost."""
 
 
 def make_group(**options):
@@ -57,9 +57,9 @@
     )  # fmt: skip
 
 
-def test_primary_and_leader_are_lost_together():
-    """Guards against parts that work alone and not with the replicated log: first
-    appointment, templates, readiness, and a double loss within the bound of 5 s."""
+def test_the_primary_and_the_leader_fail_together():
+    """Guards against parts that work alone, but not with the replicated log: the first
+    appointment, templates, readiness, and a double failure within the bound of 5 s."""
     group = make_group()
     assert group.run(3.0, lambda: settled(group))
     write(group)
@@ -87,8 +87,8 @@
 @settings(derandomize=True, deadline=None, max_examples=25, database=None)
 @given(EVENTS, st.integers(0, 1000), st.sampled_from([0.0, 0.02, 0.05]))
 def test_any_faults(events, seed, loss):
-    """Guards against lost confirmed records and a second primary of a term, with real
-    elections under loss, delay, a crash and partitions."""
+    """Guards against lost confirmed records and two primaries in one term, with real
+    elections under message loss, delay, a crash and partitions."""
     group = make_group(seed=seed, loss=loss, spread=5.0)
     assert group.run(5.0, lambda: settled(group))
     write(group)
