--- a/packages/core/src/bronzemoor_core/__init__.py
+++ b/packages/core/src/bronzemoor_core/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions of the Bronzemoor database proxy."""
+"""Decision logic of the Bronzemoor database proxy, free of I/O."""
--- a/packages/core/src/bronzemoor_core/actions.py
+++ b/packages/core/src/bronzemoor_core/actions.py
@@ -17,7 +17,7 @@
 class Call:
     """One call on an endpoint connection; ``kind`` is the method's name.
 
-    ``timeout`` is in seconds; ``ticket`` is the request it serves, or 0 for a probe.
+    ``timeout`` is in seconds; ``ticket`` identifies the request, or is 0 for a probe.
     """
 
     kind: str
@@ -140,7 +140,7 @@
 
 @dataclass(slots=True)
 class Reply(Action):
-    """The one answer to a ``RequestReceived``."""
+    """The only reply to a ``RequestReceived``."""
 
     ticket: int
     outcome: Outcome
@@ -150,7 +150,7 @@
 
 @dataclass(slots=True)
 class AdminReply(Action):
-    """The one answer to an ``AdminCommand``; ``code`` is ``ok`` or an error code."""
+    """The only reply to an ``AdminCommand``; ``code`` is ``ok`` or an error code."""
 
     ticket: int
     code: str
@@ -177,7 +177,7 @@
 
 @dataclass(slots=True)
 class StopListening(Action):
-    """Closes the caller listener; requests in progress go on."""
+    """Closes the listener for callers; requests in progress continue."""
 
 
 @dataclass(slots=True)
--- a/packages/core/src/bronzemoor_core/answers.py
+++ b/packages/core/src/bronzemoor_core/answers.py
@@ -1,4 +1,4 @@
-"""Matching of endpoint answers by request id, length and checksum."""
+"""Matching of endpoint answers to calls by ids, length and checksum."""
 
 from zlib import crc32
 
@@ -6,7 +6,7 @@
 
 
 def check_answer(call: Call, answer: Answer) -> str:
-    """Returns why ``answer`` is not the whole answer to ``call``, or an empty string.
+    """Returns why ``answer`` is no complete answer to ``call``, or an empty string.
 
     The reasons are ``correlation``, ``request_id``, ``length`` and ``checksum``.
     """
--- a/packages/core/src/bronzemoor_core/calls.py
+++ b/packages/core/src/bronzemoor_core/calls.py
@@ -1,4 +1,4 @@
-"""Calls to endpoints for each step of a request."""
+"""Builds the endpoint call for each step of a request."""
 
 from typing import Any
 
@@ -7,7 +7,7 @@
 from bronzemoor_core.positions import ZERO, Position
 from bronzemoor_core.work import Step, Work
 
-KINDS = {
+CALL_KINDS = {
     Step.RESERVE: "reserve",
     Step.CONFIRM_RESERVATION: "confirm",
     Step.EXECUTE: "execute",
@@ -19,22 +19,23 @@
     Step.COMMIT: "commit",
     Step.ROLLBACK: "rollback",
 }
-# How long an answer may be late before its connection is given up, seconds: opening
-# another one costs more, and requests granted at their deadline would close many.
-GRACE = 0.050
-# Part of the timeout of a confirmation or lookup that the endpoint may wait; the rest
-# is for the way.
-CONFIRM_WAIT = 0.8
+# How long past the request's deadline a call waits for its answer before its connection
+# is closed. Opening another one costs more, and requests that get a connection just
+# before their deadline would close many.
+ANSWER_GRACE_SECONDS = 0.050
+# Share of the timeout of a confirmation or lookup that the endpoint may wait; the rest
+# covers the network round trip.
+CONFIRM_WAIT_RATIO = 0.8
 
 
 def make_call(
     now: float, work: Work, step: Step, correlation: int, settings: Any
 ) -> Call:
-    """Returns the call of ``step``; it ends with the deadline and a short grace."""
-    kind = KINDS[step]
+    """Returns the call of ``step``; it times out shortly after the deadline."""
+    kind = CALL_KINDS[step]
     path = settings.data_path
     limit = path.confirm_timeout if kind == "confirm" else path.call_timeout
-    timeout = min(limit, max(0.0, work.deadline - now) + GRACE)
+    timeout = min(limit, max(0.0, work.deadline - now) + ANSWER_GRACE_SECONDS)
     request = work.request
     call = Call(
         kind,
@@ -46,7 +47,7 @@
         min_position=_min_position(work, kind),
     )
     if kind in ("confirm", "lookup"):
-        call.wait_ms = max(1, int(timeout * CONFIRM_WAIT * 1_000))
+        call.wait_ms = max(1, int(timeout * CONFIRM_WAIT_RATIO * 1_000))
     elif kind in ("execute", "begin"):
         call.wait_ms = work.route.wait_ms
     if kind == "execute":
@@ -58,15 +59,15 @@
     if kind == "commit":
         call.recorded = True
     if work.transaction is not None:
-        call.transaction_id = work.transaction.endpoint_name
+        call.transaction_id = work.transaction.endpoint_transaction_id
     return call
 
 
 def scoped_request_id(request: Request) -> str:
-    """Request id at the endpoint.
+    """Returns the request id sent to the endpoint, prefixed with the organisation.
 
-    Organisations may share a database; none may get the result recorded for another
-    one that happens to use the same id.
+    Organisations may share a database, and none may get the result recorded for another
+    one that uses the same id.
     """
     if not request.request_id:
         return ""
--- a/packages/core/src/bronzemoor_core/drain.py
+++ b/packages/core/src/bronzemoor_core/drain.py
@@ -1,4 +1,4 @@
-"""Stages of the graceful stop."""
+"""Graceful stop of a daemon in stages."""
 
 from collections.abc import Iterable
 from random import Random
@@ -11,29 +11,29 @@
 from bronzemoor_core.internal_events import TransactionExpired
 
 SERVING = "serving"
-# Not ready, but serving: load balancers need time to notice.
+# Not ready, but still serving, so that load balancers have time to notice.
 LEAVING = "leaving"
 # No new connections; requests and open transactions may finish.
 FINISHING = "finishing"
-# Open transactions were rolled back; the last requests get their answers.
+# Open transactions are rolled back; the remaining requests wait for their answers.
 CLEANING = "cleaning"
 STOPPED = "stopped"
 
 EXIT_CLEAN = 0
-EXIT_CUT = 1
+EXIT_INCOMPLETE = 1
 
 
 @section("drain")
 class Drain:
-    """Stage of the stop, its end in seconds, and how much work it cut short."""
+    """Stage of the stop, its deadline in seconds, and counts of aborted work."""
 
-    __slots__ = ("cut_requests", "cut_transactions", "deadline", "stage")
+    __slots__ = ("aborted_requests", "rolled_back_transactions", "deadline", "stage")
 
     def __init__(self) -> None:
         self.stage = SERVING
         self.deadline = 0.0
-        self.cut_requests = 0
-        self.cut_transactions = 0
+        self.aborted_requests = 0
+        self.rolled_back_transactions = 0
 
 
 @controller("drain")
@@ -44,7 +44,7 @@
 
     def __init__(self, blackboard: Blackboard, settings: Any, random: Random) -> None:
         super().__init__(blackboard, settings, random)
-        self._steps = {
+        self._stage_handlers = {
             LEAVING: self._leave,
             FINISHING: self._finish,
             CLEANING: self._clean,
@@ -55,26 +55,26 @@
         """Starts the stop; a repeated request changes nothing."""
         if self._own.stage != SERVING:
             return []
-        return [self._enter(now, LEAVING, self._settings.drain.delay)]
+        return [self._enter_stage(now, LEAVING, self._settings.drain.delay)]
 
     @handles(Tick)
     def on_tick(self, now: float, event: Tick) -> list[object]:
-        step = self._steps.get(self._own.stage)
-        return step(now) if step is not None else []
+        handle_stage = self._stage_handlers.get(self._own.stage)
+        return handle_stage(now) if handle_stage is not None else []
 
     def _leave(self, now: float) -> list[object]:
         if now < self._own.deadline:
             return []
         drain = self._settings.drain
-        return [StopListening(), self._enter(now, FINISHING, drain.grace)]
+        return [StopListening(), self._enter_stage(now, FINISHING, drain.grace)]
 
     def _finish(self, now: float) -> list[object]:
         transactions = self._blackboard.transactions.open
         busy = self._blackboard.requests.active or transactions
         if busy and now < self._own.deadline:
             return []
-        items = list(self._cut_transactions(transactions.values()))
-        return [*items, self._enter(now, CLEANING, self._settings.drain.cleanup)]
+        items = list(self._roll_back_transactions(transactions.values()))
+        return [*items, self._enter_stage(now, CLEANING, self._settings.drain.cleanup)]
 
     def _clean(self, now: float) -> list[object]:
         active = self._blackboard.requests.active
@@ -82,7 +82,7 @@
             return []
         items: list[object] = []
         for work in active.values():
-            self._own.cut_requests += 1
+            self._own.aborted_requests += 1
             request = work.request
             fields = {
                 "organisation": request.organisation,
@@ -92,17 +92,17 @@
                 "peer": work.member,
             }
             items.append(EmitLog("warning", "drain_request_cut", fields))
-        cut = self._own.cut_requests + self._own.cut_transactions
+        aborted = self._own.aborted_requests + self._own.rolled_back_transactions
         self._own.stage = STOPPED
-        reason = f"{cut} cut short" if cut else "all work finished"
-        return [*items, Exit(EXIT_CUT if cut else EXIT_CLEAN, reason)]
+        reason = f"{aborted} cut short" if aborted else "all work finished"
+        return [*items, Exit(EXIT_INCOMPLETE if aborted else EXIT_CLEAN, reason)]
 
-    def _cut_transactions(self, transactions: Iterable[Any]) -> Iterable[object]:
+    def _roll_back_transactions(self, transactions: Iterable[Any]) -> Iterable[object]:
         for transaction in transactions:
             if transaction.committing:
-                # Its outcome is decided at the endpoint; the request still waits.
+                # The endpoint decides its outcome; the request still waits for it.
                 continue
-            self._own.cut_transactions += 1
+            self._own.rolled_back_transactions += 1
             fields = {
                 "transaction": transaction.name,
                 "organisation": transaction.organisation,
@@ -112,8 +112,8 @@
             yield EmitLog("warning", "drain_transaction_rolled_back", fields)
             yield TransactionExpired(transaction.name)
 
-    def _enter(self, now: float, stage: str, duration: float) -> EmitLog:
-        """``duration`` is in seconds."""
+    def _enter_stage(self, now: float, stage: str, duration: float) -> EmitLog:
+        """Enters ``stage``, whose deadline is ``duration`` seconds away."""
         self._own.stage = stage
         self._own.deadline = now + duration
         fields = {
--- a/packages/core/src/bronzemoor_core/events.py
+++ b/packages/core/src/bronzemoor_core/events.py
@@ -70,7 +70,7 @@
 
 @dataclass(slots=True)
 class ConnectionClosed:
-    """A connection was closed by the endpoint or broke; a call may have been sent."""
+    """The endpoint closed the connection or it broke; a call may have been sent."""
 
     connection: int
     error: str
@@ -89,7 +89,7 @@
 
 @dataclass(slots=True)
 class AnswerTimedOut:
-    """No answer to ``call`` came in time; the connection still owes it."""
+    """``call`` timed out; its answer may still arrive on the connection."""
 
     connection: int
     call: Call
@@ -117,7 +117,7 @@
 
 @dataclass(slots=True)
 class Announcement:
-    """What an endpoint says of itself; ``members`` names all members of its group."""
+    """An endpoint's report of its state; ``members`` are all members of its group."""
 
     database: str
     member: str
@@ -154,7 +154,7 @@
 
 @dataclass(slots=True)
 class StorageRecovered:
-    """What the data folder held at start; sent once before any other event."""
+    """The data folder's contents at start; sent once, before any other event."""
 
     hard_state: Any
     entries: list[Any]
--- a/packages/core/src/bronzemoor_core/exceptions.py
+++ b/packages/core/src/bronzemoor_core/exceptions.py
@@ -1,11 +1,11 @@
-"""Errors of Bronzemoor; each carries where it arose."""
+"""Exceptions of Bronzemoor, with the step and the peer at which they arose."""
 
 
 class BronzemoorError(Exception):
     """Base of all errors.
 
-    ``code`` is stable and meant for programs, ``step`` names the stage of the path and
-    ``peer`` the process at the other end, or is empty.
+    ``code`` is stable and machine-readable, ``step`` names the processing step and
+    ``peer`` the remote process, or is empty.
     """
 
     code = "internal"
--- a/packages/core/src/bronzemoor_core/flow.py
+++ b/packages/core/src/bronzemoor_core/flow.py
@@ -1,4 +1,4 @@
-"""Routing, sending, retrying and ending of requests."""
+"""Routes, sends, retries and finishes requests."""
 
 from collections import Counter
 from itertools import count
@@ -20,16 +20,16 @@
 from bronzemoor_core.membership import Database
 from bronzemoor_core.outcomes import Done, NotRun, Outcome, Unknown
 from bronzemoor_core.routing import NOWHERE, Route, Router
-from bronzemoor_core.work import WAITING, Step, Work
+from bronzemoor_core.work import WAITING_STEPS, Step, Work
 
-# Bounds requests that wait for a retry, as a multiple of the queue limit.
-MAX_WAITING = 2
+# Retries fail once this multiple of the queue limit waits for the database.
+WAITING_LIMIT_FACTOR = 2
 
 
 @section("requests")
 class Requests:
     """Requests in progress by ticket, the ticket served on each connection, waiting
-    requests by database, and reads that a primary serves in place of replicas."""
+    requests by database, and counts of reads that a primary serves as a fallback."""
 
     __slots__ = ("active", "by_connection", "fallbacks", "waiting")
 
@@ -41,7 +41,7 @@
 
 
 class RequestFlow(Controller):
-    """What the steps of a request and the handlers of events have in common."""
+    """Operations shared by the handlers of request steps and of events."""
 
     _own: Requests
 
@@ -64,7 +64,7 @@
         return database or Database(name)
 
     def is_deposed(self, work: Work, answer: Answer) -> bool:
-        """Tells whether ``answer`` comes from a primary that was replaced."""
+        """Returns whether ``answer`` comes from a primary that was replaced."""
         database = self.database(work)
         return answer.term < database.term and work.member != database.primary
 
@@ -74,8 +74,8 @@
             return self.fail(now, work, "deadline", "the deadline has passed")
         work.step = Step.QUEUED
         self._own.waiting.setdefault(work.request.database, {})[work.ticket] = work
-        self._set_route(now, work, self._select(now, work))
-        return self._want(work)
+        self._set_route(now, work, self._select_route(now, work))
+        return self._request_connection(work)
 
     def send(self, now: float, work: Work, step: Step) -> list[object]:
         """Sends the call of ``step`` on the connection that the request holds."""
@@ -88,21 +88,26 @@
         self,
         now: float,
         work: Work,
-        goal: Step,
+        next_step: Step,
         free: bool = False,
         clean: bool = True,
         reason: str = "",
     ) -> list[object]:
-        """Gives the connection back and takes ``goal`` later, if retries allow it."""
-        items = self._release(work, clean, reason)
-        work.lost_at = work.step
-        work.goal = goal
+        """Releases the connection and schedules ``next_step``, if a retry is allowed.
+
+        A ``free`` retry is not charged to the retry budget.
+        """
+        items = self._release_connection(work, clean, reason)
+        work.lost_step = work.step
+        work.next_step = next_step
         work.attempts += 1
         waiting = self._own.waiting.setdefault(work.request.database, {})
-        if len(waiting) >= MAX_WAITING * self._settings.data_path.queue_limit:
+        if len(waiting) >= WAITING_LIMIT_FACTOR * self._settings.data_path.queue_limit:
             return [
                 *items,
-                *self.fail(now, work, "queue_full", "too many retries wait"),
+                *self.fail(
+                    now, work, "queue_full", "too many requests wait for a retry"
+                ),
             ]
         if reason == "behind" and work.attempts <= len(self.database(work).members):
             return [*items, *self.route(now, work)]
@@ -115,9 +120,9 @@
 
     def look_up(self, now: float, work: Work, clean: bool = True) -> list[object]:
         """Asks the current primary for the recorded result of the request id."""
-        items = self._release(work, clean, work.code)
-        work.lost_at = work.step
-        work.goal = Step.LOOKUP
+        items = self._release_connection(work, clean, work.code)
+        work.lost_step = work.step
+        work.next_step = Step.LOOKUP
         return [*items, *self.route(now, work)]
 
     def keep_connection(self, work: Work) -> None:
@@ -128,22 +133,26 @@
     def fail(
         self, now: float, work: Work, code: str, message: str, clean: bool = True
     ) -> list[object]:
-        """Ends a request without a result: not run if that is certain."""
-        step = work.lost_at if work.step in WAITING and work.lost_at else work.step
+        """Ends a request without a result: *not run* if certain, else *unknown*."""
+        step = (
+            work.lost_step
+            if work.step in WAITING_STEPS and work.lost_step
+            else work.step
+        )
         outcome = NotRun(code, message, step.value, work.member)
         return self.finish(now, work, outcome, clean)
 
     def finish(
         self, now: float, work: Work, outcome: Outcome, clean: bool = True
     ) -> list[object]:
-        """Ends the request, replies once and gives the connection back."""
+        """Ends the request, sends its only reply and releases the connection."""
         if isinstance(outcome, NotRun) and work.maybe_ran:
             outcome = Unknown(outcome.code, outcome.message, outcome.step, outcome.peer)
         ticket = work.ticket
         items: list[object] = []
         if work.step is Step.QUEUED and not work.connection:
             items.append(ConnectionWithdrawn(ticket))
-        items += self._release(work, clean, "" if clean else outcome.step)
+        items += self._release_connection(work, clean, "" if clean else outcome.step)
         if work.transaction is not None:
             items.append(TransactionUsed(work.request.transaction, 0))
         fallback = work.route.fallback
@@ -151,15 +160,17 @@
         self._own.waiting.get(work.request.database, {}).pop(ticket, None)
         del self._own.active[ticket]
         if fallback:
-            items += self._resume_fallback(now, work.request.database)
-        items += self._metrics(now, work, outcome)
-        if not work.gone:
+            items += self._admit_next_fallback(now, work.request.database)
+        items += self._outcome_metrics(now, work, outcome)
+        if not work.caller_gone:
             token = self._blackboard.sessions.ring.sign(work.token)
             items.append(Reply(ticket, outcome, token, work.member))
         items.append(RequestFinished(ticket, outcome))
         return items
 
-    def _metrics(self, now: float, work: Work, outcome: Outcome) -> list[object]:
+    def _outcome_metrics(
+        self, now: float, work: Work, outcome: Outcome
+    ) -> list[object]:
         milliseconds = (now - work.started_at) * 1_000
         items: list[object] = [
             EmitMetric("counter", f"outcomes.{outcome.tag}"),
@@ -170,7 +181,7 @@
             items.append(EmitMetric("counter", f"reads.{role}"))
         return items
 
-    def _select(self, now: float, work: Work) -> Route:
+    def _select_route(self, now: float, work: Work) -> Route:
         request = work.request
         database = self._blackboard.topology.databases.get(request.database)
         if database is None:
@@ -199,7 +210,7 @@
         work.route = route
         work.routed_at = now
 
-    def _want(self, work: Work) -> list[object]:
+    def _request_connection(self, work: Work) -> list[object]:
         request_class = work.request_class
         return [
             ConnectionWanted(
@@ -214,15 +225,17 @@
             )
         ]
 
-    def _resume_fallback(self, now: float, database: str) -> list[object]:
-        """Lets the next read have the place of a read that the primary served."""
+    def _admit_next_fallback(self, now: float, database: str) -> list[object]:
+        """Gives a freed fallback slot at the primary to the next waiting read."""
         for work in self._own.waiting.get(database, {}).values():
             if work.is_read and work.step is Step.QUEUED and not work.route.members:
-                self._set_route(now, work, self._select(now, work))
-                return self._want(work) if work.route.members else []
+                self._set_route(now, work, self._select_route(now, work))
+                return self._request_connection(work) if work.route.members else []
         return []
 
-    def _reroute(self, now: float, database: str, resume: bool = False) -> list[object]:
+    def _reroute_waiting(
+        self, now: float, database: str, resume: bool = False
+    ) -> list[object]:
         """Routes waiting requests again after a change of members or positions."""
         items: list[object] = []
         known = self._blackboard.topology.databases.get(database)
@@ -235,24 +248,24 @@
             members = work.route.members
             if not work.is_read and members == primary:
                 continue
-            # Members that were behind may have caught up meanwhile.
+            # Replicas that lagged may have caught up since.
             work.excluded = ()
-            self._set_route(now, work, self._select(now, work))
+            self._set_route(now, work, self._select_route(now, work))
             if work.route.members != members:
-                items += self._want(work)
+                items += self._request_connection(work)
         return items
 
-    def _take(self, work: Work, connection: int, member: str) -> None:
+    def _assign_connection(self, work: Work, connection: int, member: str) -> None:
         work.connection = connection
         work.member = member
         self._own.by_connection[connection] = work.ticket
         self._own.waiting.get(work.request.database, {}).pop(work.ticket, None)
 
-    def _release(self, work: Work, clean: bool, reason: str) -> list[object]:
+    def _release_connection(self, work: Work, clean: bool, reason: str) -> list[object]:
         connection = work.connection
         if not connection:
             return []
         self._own.by_connection.pop(connection, None)
         work.connection = 0
         work.call = None
-        return [ConnectionReleased(work.lease, connection, clean, reason)]
+        return [ConnectionReleased(work.connection_ticket, connection, clean, reason)]
--- a/packages/core/src/bronzemoor_core/internal_events.py
+++ b/packages/core/src/bronzemoor_core/internal_events.py
@@ -59,7 +59,7 @@
 
 @dataclass(slots=True)
 class ConnectionReleased:
-    """The request is over; a connection that is not ``clean`` is closed."""
+    """The request no longer needs ``connection``; it is closed unless ``clean``."""
 
     ticket: int
     connection: int
@@ -69,7 +69,7 @@
 
 @dataclass(slots=True)
 class SlotReleased:
-    """The statement on ``connection`` is over, but the request keeps the connection."""
+    """The statement on ``connection`` ended, but the request keeps the connection."""
 
     connection: int
 
@@ -78,7 +78,7 @@
 class RetryWanted:
     """Asks retries whether the request may be sent again, and when.
 
-    A ``free`` retry follows a refusal before execution and costs no budget.
+    A ``free`` retry, as after a refusal before execution, is not charged to the budget.
     """
 
     ticket: int
@@ -89,7 +89,7 @@
 
 @dataclass(slots=True)
 class RetryDecided:
-    """Answers ``RetryWanted``; ``resume_at`` is in seconds."""
+    """The answer to ``RetryWanted``; ``resume_at`` is in seconds."""
 
     ticket: int
     allowed: bool
@@ -122,7 +122,7 @@
     session: str = ""
     ticket: int = 0
     # The endpoint's own id of the transaction.
-    endpoint_transaction: str = ""
+    endpoint_transaction_id: str = ""
 
 
 @dataclass(slots=True)
@@ -149,7 +149,7 @@
 
 @dataclass(slots=True)
 class PositionObserved:
-    """A checked answer of a member; membership updates the topology from it.
+    """A member's position from a validated answer; membership updates the topology.
 
     ``proved_at`` (seconds) is set for a primary: when its position was proved current,
     that is, the send time of the call less the age of the majority's confirmation.
@@ -175,7 +175,7 @@
 
 @dataclass(slots=True)
 class MemberSuspected:
-    """This daemon has evidence that a member does not answer."""
+    """This daemon has evidence that a member is unreachable."""
 
     database: str
     member: str
@@ -184,7 +184,7 @@
 
 @dataclass(slots=True)
 class MemberLost:
-    """A member's lease ran out or it left; its connections should be closed."""
+    """A member's lease expired or it left; its connections should be closed."""
 
     database: str
     member: str
@@ -221,7 +221,7 @@
 
 @dataclass(slots=True)
 class CommandCompleted:
-    """The one answer to a ``CommandProposed``, raised on the daemon that proposed.
+    """The only answer to a ``CommandProposed``, raised on the daemon that proposed.
 
     ``code`` is ``ok`` or an error code; ``unknown`` means that it may yet be applied.
     """
@@ -281,7 +281,7 @@
 
 @dataclass(slots=True)
 class SnapshotRestored:
-    """Consensus received or recovered a snapshot; ``state`` replaces itself by it."""
+    """Consensus received or recovered a snapshot; ``state`` restores itself from it."""
 
     index: int
     data: dict[str, Any]
--- a/packages/core/src/bronzemoor_core/losses.py
+++ b/packages/core/src/bronzemoor_core/losses.py
@@ -1,9 +1,9 @@
-"""What a request does when the answer to one of its steps is lost."""
+"""Recovery of a request when the answer to one of its steps is lost."""
 
 from typing import TYPE_CHECKING
 
 from bronzemoor_core.internal_events import TransactionEnded
-from bronzemoor_core.steps import LOOKUPS_AFTER_LOSS, rolled_back
+from bronzemoor_core.steps import LOOKUPS_AFTER_LOSS, rollback_outcome
 from bronzemoor_core.work import Step, Work
 
 if TYPE_CHECKING:
@@ -11,14 +11,14 @@
 
 Items = list[object]
 
-# Steps that may be repeated without any effect on the data of other requests.
-HARMLESS = (Step.RESERVE, Step.CONFIRM_RESERVATION, Step.BEGIN)
+# Steps that may be repeated without affecting the data of other requests.
+SAFE_TO_REPEAT_STEPS = (Step.RESERVE, Step.CONFIRM_RESERVATION, Step.BEGIN)
 
 
-def on_lost(
+def handle_lost_answer(
     flow: "RequestFlow", now: float, work: Work, reason: str, sent: bool
 ) -> Items:
-    """Decides on a retry, a lookup or an outcome; ``sent`` tells whether the call
+    """Starts a retry or a lookup, or ends the request; ``sent`` tells whether the call
     may have reached the endpoint."""
     step = work.step
     work.code = reason
@@ -27,33 +27,33 @@
         Step.COMMIT,
         Step.ROLLBACK,
     ):
-        return _lost_in_transaction(flow, now, work, sent)
+        return _handle_loss_in_transaction(flow, now, work, sent)
     if step in (Step.LOOKUP, Step.CONFIRM_LOOKUP):
         return flow.retry(now, work, Step.LOOKUP, free=True, clean=False)
-    if step in HARMLESS:
-        goal = Step.BEGIN if step is Step.BEGIN else Step.RESERVE
-        return flow.retry(now, work, goal, free=not sent, clean=False)
+    if step in SAFE_TO_REPEAT_STEPS:
+        next_step = Step.BEGIN if step is Step.BEGIN else Step.RESERVE
+        return flow.retry(now, work, next_step, free=not sent, clean=False)
     if work.is_read:
         work.excluded = (*work.excluded, work.member)
     if sent or step is Step.CONFIRM:
         work.maybe_ran = True
     if work.is_read or (work.repeatable and work.request.kind == "statements"):
-        # A failover happens once and must not use up the budget.
+        # A failover is a single event and must not exhaust the retry budget.
         free = not sent or reason == "member_given_up"
         return flow.retry(now, work, Step.EXECUTE, free=free, clean=False)
     if step is Step.EXECUTE and not sent:
-        # Nothing left this process, so the reservation is still unused.
+        # The call was never sent, so the reservation is still unused.
         return flow.retry(now, work, Step.RESERVE, free=True, clean=False)
     work.lookups_left = LOOKUPS_AFTER_LOSS
     return flow.look_up(now, work, clean=False)
 
 
-def _lost_in_transaction(
+def _handle_loss_in_transaction(
     flow: "RequestFlow", now: float, work: Work, sent: bool
 ) -> Items:
     ended = TransactionEnded(work.request.transaction, False)
     if work.step is Step.ROLLBACK:
-        return [ended, *flow.finish(now, work, rolled_back(work), clean=False)]
+        return [ended, *flow.finish(now, work, rollback_outcome(work), clean=False)]
     work.maybe_ran = sent
     if work.step is Step.COMMIT and sent:
         work.lookups_left = LOOKUPS_AFTER_LOSS
--- a/packages/core/src/bronzemoor_core/outcomes.py
+++ b/packages/core/src/bronzemoor_core/outcomes.py
@@ -6,7 +6,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Done:
-    """The request ran; ``payload`` is the endpoint's whole JSON answer.
+    """The request ran; ``payload`` is the endpoint's complete JSON answer.
 
     ``code`` is ``ok`` or ``statement_failed``; a failed statement list was rolled
     back as a whole and ``message`` holds the endpoint's error.
@@ -25,7 +25,7 @@
 
 @dataclass(slots=True, frozen=True)
 class NotRun:
-    """Nothing ran: it was never sent, or the endpoint refused before execution."""
+    """The request did not run: it was not sent, or was refused before execution."""
 
     tag: ClassVar[str] = "not_run"
     code: str
@@ -37,7 +37,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Unknown:
-    """The request may or may not have run; ask again with the same request id."""
+    """The request may or may not have run; resend it with the same request id."""
 
     tag: ClassVar[str] = "unknown"
     code: str
--- a/packages/core/src/bronzemoor_core/requests.py
+++ b/packages/core/src/bronzemoor_core/requests.py
@@ -33,18 +33,16 @@
     TransactionExpired,
     TransactionUsed,
 )
-from bronzemoor_core.losses import on_lost
+from bronzemoor_core.losses import handle_lost_answer
 from bronzemoor_core.outcomes import NotRun, Unknown
-from bronzemoor_core.preconditions import make_work, unique_name
+from bronzemoor_core.preconditions import make_unique_id, make_work
 from bronzemoor_core.probes import observed_position
-from bronzemoor_core.steps import ANSWERED
-from bronzemoor_core.work import WAITING, Step, Work
+from bronzemoor_core.steps import ANSWER_HANDLERS
+from bronzemoor_core.work import WAITING_STEPS, Step, Work
 
-# How often waiting requests are routed again, seconds.
-REROUTE_INTERVAL = 0.100
-# How long a replaced or unreachable member may still answer; a planned switchover
-# needs less.
-ABANDON_AFTER = 0.050
+REROUTE_INTERVAL_SECONDS = 0.100
+# How long a replaced or unreachable member may still answer; a handover takes less.
+ABANDON_DELAY_SECONDS = 0.050
 
 
 @controller("requests")
@@ -54,8 +52,8 @@
     def __init__(self, blackboard: Blackboard, settings: Any, random: Random) -> None:
         super().__init__(blackboard, settings, random)
         self._reroute_at = 0.0
-        # When to give up, ticket and correlation id.
-        self._abandoned: deque[tuple[float, int, int]] = deque()
+        # Time to abandon the call, ticket and correlation id.
+        self._pending_abandons: deque[tuple[float, int, int]] = deque()
 
     @handles(RequestReceived)
     def on_request(self, now: float, event: RequestReceived) -> list[object]:
@@ -72,16 +70,16 @@
                 RequestFinished(ticket, refused),
             ]
         self._own.active[ticket] = work
-        if work.goal is Step.RESERVE:
-            work.reservation = unique_name(self._settings, self._random)
+        if work.next_step is Step.RESERVE:
+            work.reservation = make_unique_id(self._settings, self._random)
         if work.transaction is None:
             return self.route(now, work)
-        commits = work.goal is Step.COMMIT
+        commits = work.next_step is Step.COMMIT
         used = TransactionUsed(request.transaction, ticket, commits)
         transaction = work.transaction
-        work.lease = transaction.lease
-        self._take(work, transaction.connection, transaction.member)
-        return [used, *self.send(now, work, work.goal)]
+        work.connection_ticket = transaction.connection_ticket
+        self._assign_connection(work, transaction.connection, transaction.member)
+        return [used, *self.send(now, work, work.next_step)]
 
     @handles(ConnectionGranted)
     def on_granted(self, now: float, event: ConnectionGranted) -> list[object]:
@@ -92,12 +90,12 @@
         if now >= work.deadline:
             return [release, *self.fail(now, work, "deadline", "no connection in time")]
         if now != work.routed_at:
-            self._set_route(now, work, self._select(now, work))
+            self._set_route(now, work, self._select_route(now, work))
         if event.member not in work.route.members:
-            return [release, *self._want(work)]
-        work.lease = event.ticket
-        self._take(work, event.connection, event.member)
-        return self.send(now, work, work.goal)
+            return [release, *self._request_connection(work)]
+        work.connection_ticket = event.ticket
+        self._assign_connection(work, event.connection, event.member)
+        return self.send(now, work, work.next_step)
 
     @handles(ConnectionRefused)
     def on_refused(self, now: float, event: ConnectionRefused) -> list[object]:
@@ -120,21 +118,21 @@
             fields = {"reason": reason, "step": work.step, "peer": work.member}
             metric = EmitMetric("counter", f"answers.discarded.{reason}")
             log = EmitLog("warning", "answer_discarded", fields)
-            return [metric, log, *self._lose(now, work, f"answer_{reason}")]
+            return [metric, log, *self._handle_loss(now, work, f"answer_{reason}")]
         answer = event.answer
         items: list[object] = []
-        # Other answers may carry a position that is asked about or recorded.
+        # Answers to other calls may hold the position asked about or a recorded one.
         current = work.call.kind == "execute" and not work.call.transaction_id
         if current and answer.status == "ok" and not answer.repeated:
-            items.append(self._observe(now, event))
-        return [*items, *ANSWERED[work.step](self, now, work, event)]
+            items.append(self._make_position_event(now, event))
+        return [*items, *ANSWER_HANDLERS[work.step](self, now, work, event)]
 
     @handles(AnswerTimedOut)
     def on_timeout(self, now: float, event: AnswerTimedOut) -> list[object]:
         ticket = self._own.by_connection.get(event.connection)
         if ticket is None:
             return []
-        return self._lose(now, self._own.active[ticket], "answer_timed_out")
+        return self._handle_loss(now, self._own.active[ticket], "answer_timed_out")
 
     @handles(ConnectionClosed)
     def on_closed(self, now: float, event: ConnectionClosed) -> list[object]:
@@ -142,20 +140,22 @@
         if ticket is None:
             return []
         work = self._own.active[ticket]
-        return self._lose(now, work, "connection_closed", event.sent)
+        return self._handle_loss(now, work, "connection_closed", event.sent)
 
     @handles(CallerGone)
     def on_caller_gone(self, now: float, event: CallerGone) -> list[object]:
         work = self._own.active.get(event.ticket)
         if work is None:
             return []
-        work.gone = True
-        gone = Unknown("caller_gone", "the caller left", work.step.value, work.member)
-        if work.step in WAITING and not work.maybe_ran:
-            return self.finish(now, work, gone)
+        work.caller_gone = True
+        outcome = Unknown(
+            "caller_gone", "the caller disconnected", work.step.value, work.member
+        )
+        if work.step in WAITING_STEPS and not work.maybe_ran:
+            return self.finish(now, work, outcome)
         if work.step is Step.STATEMENT:
             ended = TransactionEnded(work.request.transaction, False)
-            return [ended, *self.finish(now, work, gone, clean=False)]
+            return [ended, *self.finish(now, work, outcome, clean=False)]
         return []
 
     @handles(TransactionExpired)
@@ -176,7 +176,10 @@
             )
             return [ended, *self.finish(now, work, expired, clean=False)]
         released = ConnectionReleased(
-            transaction.lease, transaction.connection, False, "transaction_expired"
+            transaction.connection_ticket,
+            transaction.connection,
+            False,
+            "transaction_expired",
         )
         return [ended, released]
 
@@ -186,9 +189,11 @@
         if work is None or work.step is not Step.BACKOFF:
             return []
         if not event.allowed:
-            return self.fail(now, work, work.code, "the retry budget is used up")
+            return self.fail(now, work, work.code, "the retry budget is exhausted")
         if event.resume_at >= work.deadline:
-            return self.fail(now, work, work.code, "no time is left for a retry")
+            return self.fail(
+                now, work, work.code, "the deadline leaves no time for a retry"
+            )
         work.resume_at = event.resume_at
         return []
 
@@ -200,25 +205,27 @@
             for work in self._in_progress(event.database):
                 at_primary = not work.is_read or work.route.fallback
                 if at_primary and work.member != event.member:
-                    self._abandon_later(now, work)
-        return self._reroute(now, event.database, resume=True)
+                    self._schedule_abandon(now, work)
+        return self._reroute_waiting(now, event.database, resume=True)
 
     @handles(Tick)
     def on_tick(self, now: float, event: Tick) -> list[object]:
-        items = self._abandon(now)
+        items = self._abandon_due_calls(now)
         all_due = now >= self._reroute_at
         if all_due:
-            self._reroute_at = now + REROUTE_INTERVAL
+            self._reroute_at = now + REROUTE_INTERVAL_SECONDS
         for database, waiting in self._own.waiting.items():
             if waiting and all_due:
-                items += self._reroute(now, database)
+                items += self._reroute_waiting(now, database)
             for work in list(waiting.values()):
                 if work.step is Step.BACKOFF and work.resume_at <= now:
                     items += self.route(now, work)
         return items
 
-    def _observe(self, now: float, event: AnswerReceived) -> PositionObserved:
-        """The position of an answer; a sample only if one is due, because so many
+    def _make_position_event(
+        self, now: float, event: AnswerReceived
+    ) -> PositionObserved:
+        """Returns the position of an answer, as a sample only if one is due: too many
         samples would displace the older ones that lagging replicas need."""
         pools = self._blackboard.pools
         connection = pools.connections[event.connection]
@@ -232,35 +239,35 @@
     def on_member_suspected(self, now: float, event: MemberSuspected) -> None:
         for work in self._in_progress(event.database):
             if work.is_read and work.member == event.member:
-                self._abandon_later(now, work)
+                self._schedule_abandon(now, work)
 
     def _in_progress(self, database: str) -> Iterator[Work]:
-        """Requests of ``database`` that wait for an answer."""
+        """Yields the requests of ``database`` that wait for an answer."""
         for work in self._own.active.values():
             if work.request.database == database and work.connection:
                 yield work
 
-    def _abandon_later(self, now: float, work: Work) -> None:
+    def _schedule_abandon(self, now: float, work: Work) -> None:
         if work.call is not None:
-            at = now + ABANDON_AFTER
-            self._abandoned.append((at, work.ticket, work.call.correlation_id))
+            at = now + ABANDON_DELAY_SECONDS
+            self._pending_abandons.append((at, work.ticket, work.call.correlation_id))
 
-    def _abandon(self, now: float) -> list[object]:
-        """Gives up on calls to a primary that was replaced or a member that cannot be
-        reached, whose answers may never come."""
+    def _abandon_due_calls(self, now: float) -> list[object]:
+        """Abandons calls to replaced primaries and unreachable members, whose answers
+        may never arrive."""
         items: list[object] = []
-        while self._abandoned and self._abandoned[0][0] <= now:
-            _, ticket, correlation = self._abandoned.popleft()
+        while self._pending_abandons and self._pending_abandons[0][0] <= now:
+            _, ticket, correlation = self._pending_abandons.popleft()
             work = self._own.active.get(ticket)
             if work is None or work.call is None:
                 continue
             if work.call.correlation_id == correlation:
-                items += self._lose(now, work, "member_given_up")
+                items += self._handle_loss(now, work, "member_given_up")
         return items
 
-    def _lose(
+    def _handle_loss(
         self, now: float, work: Work, reason: str, sent: bool = True
     ) -> list[object]:
-        """Handles the loss of an answer; its connection is not used again."""
+        """Handles the loss of an answer; its connection is not reused."""
         metric = EmitMetric("counter", "answers.lost")
-        return [metric, *on_lost(self, now, work, reason, sent)]
+        return [metric, *handle_lost_answer(self, now, work, reason, sent)]
--- a/packages/core/src/bronzemoor_core/sessions.py
+++ b/packages/core/src/bronzemoor_core/sessions.py
@@ -1,4 +1,4 @@
-"""Session tokens with a position for each database."""
+"""Session tokens, which hold a position for each database, and their keys."""
 
 import hmac
 import json
@@ -17,18 +17,18 @@
 from bronzemoor_core.positions import ZERO, Position
 
 DEVELOPMENT_KEY_ID = "insecure-development"
-# Public by design: it only lets a loopback demo run without settings.
+# Public by design: it only lets a demo on loopback run without settings.
 DEVELOPMENT_KEY = sha256(b"bronzemoor insecure development key").digest()
-# A new key only verifies for this long, in seconds: a change is in effect everywhere
-# after 3 s, and no daemon may meet a token whose key it does not have yet.
-ACTIVATION_DELAY = 3.0
-# Bounds the work spent on a token before it is authenticated.
+# For this long a new key verifies tokens but does not sign them: a change reaches every
+# daemon within 3 s, and none may receive a token whose key it does not have yet.
+ACTIVATION_DELAY_SECONDS = 3.0
+# Limits the work spent on a token before it is authenticated.
 MAX_TOKEN_LENGTH = 65_536
 
 
 @dataclass(slots=True)
 class SessionToken:
-    """What a session has seen: the latest position of each database.
+    """The latest position that a session has seen of each database.
 
     ``session`` is a random id that binds transactions to their session.
     """
@@ -41,22 +41,22 @@
         return self.positions.get(database, ZERO)
 
     def advance(self, database: str, position: Position) -> None:
-        """Takes the later of the known position and ``position``.
+        """Raises the known position to ``position`` if that is later.
 
-        The order by (term, offset) is enough here: a promotion keeps every confirmed
-        position, so a later term's position contains all that survived.
+        Comparing (term, offset) suffices: a promotion keeps every confirmed position,
+        so a position of a later term includes all surviving entries of earlier terms.
         """
         if position.offset and position > self.position(database):
             self.positions[database] = position
 
     def merge(self, other: "SessionToken") -> None:
-        """Takes the later position per database."""
+        """Keeps the later position of each database."""
         for database, position in other.positions.items():
             self.advance(database, position)
 
 
 class KeyRing:
-    """Keys by id; ``signer`` signs, by default the first one, and all verify."""
+    """Keys by id; all verify, and ``signer``, by default the first one, signs."""
 
     __slots__ = ("_keys", "_signer")
 
@@ -91,22 +91,24 @@
 
     def verify(self, text: str, organisation: str) -> SessionToken:
         """Returns the token of ``text``, or raises ``InvalidToken``."""
-        data, signature = _split(text)
-        body = _parse(data)
+        data, signature = _split_token(text)
+        body = _parse_body(data)
         key = self._keys.get(body["k"])
         if key is None:
             raise InvalidToken("the token's key is not known", step="session")
         if not hmac.compare_digest(hmac.digest(key, data, "sha256"), signature):
             raise InvalidToken("the token's signature does not match", step="session")
         if body["o"] != organisation:
-            raise InvalidToken("the token is another organisation's", step="session")
+            raise InvalidToken(
+                "the token belongs to another organisation", step="session"
+            )
         positions = {name: Position(*pair) for name, pair in body["p"].items()}
         return SessionToken(organisation, body["s"], positions)
 
 
 @section("sessions")
 class Sessions:
-    """``ring`` holds the keys in force."""
+    """``ring`` holds the active keys."""
 
     __slots__ = ("ring",)
 
@@ -115,7 +117,7 @@
 
 
 @controller("sessions")
-class SessionKeys(Controller):
+class SessionKeyController(Controller):
     """Owns the sessions section."""
 
     _own: Sessions
@@ -132,7 +134,7 @@
     def on_keys_changed(self, now: float, event: TokenKeysChanged) -> list[EmitLog]:
         old_id, old_secret = self._own.ring.signing_key
         self._next_ring = KeyRing(event.keys)
-        self._activate_at = now + ACTIVATION_DELAY
+        self._activate_at = now + ACTIVATION_DELAY_SECONDS
         keys = dict(event.keys)
         keys.setdefault(old_id, old_secret)
         self._own.ring = KeyRing(list(keys.items()), old_id)
@@ -166,7 +168,7 @@
     return b64decode(text + "=" * (-len(text) % 4), b"-_", validate=True)
 
 
-def _split(text: str) -> tuple[bytes, bytes]:
+def _split_token(text: str) -> tuple[bytes, bytes]:
     body, separator, signature = text.partition(".")
     try:
         if not separator or len(text) > MAX_TOKEN_LENGTH:
@@ -176,7 +178,7 @@
         raise InvalidToken(f"the token is malformed: {error}", step="session") from None
 
 
-def _parse(data: bytes) -> dict[str, Any]:
+def _parse_body(data: bytes) -> dict[str, Any]:
     try:
         body = json.loads(data)
         ids_are_text = all(isinstance(body[name], str) for name in "kos")
--- a/packages/core/src/bronzemoor_core/settings.py
+++ b/packages/core/src/bronzemoor_core/settings.py
@@ -1,4 +1,4 @@
-"""Settings of one daemon as the core sees them; durations are in seconds."""
+"""Settings of one daemon that the core uses; durations are in seconds."""
 
 from dataclasses import dataclass, field
 
@@ -24,7 +24,7 @@
 
 @dataclass(slots=True)
 class DataPathSettings:
-    """Bounds of the path from callers to endpoints."""
+    """Limits and timeouts of the path from callers to endpoints."""
 
     balancer: str = "measured_delay"
     queue_limit: int = 512
@@ -46,7 +46,7 @@
 
 @dataclass(slots=True)
 class DrainSettings:
-    """Stages of a graceful stop."""
+    """Durations of the stages of a graceful stop."""
 
     delay: float = 2.0
     grace: float = 10.0
--- a/packages/core/src/bronzemoor_core/settings_schema.py
+++ b/packages/core/src/bronzemoor_core/settings_schema.py
@@ -30,10 +30,10 @@
 
 @dataclass(slots=True)
 class ListenSettings:
-    """The daemon's own part: addresses as host:port, files and sinks.
+    """Settings of the daemon outside the core; addresses are host:port.
 
-    An empty ``admin`` serves operators on ``http``; an empty ``statsd`` sends nothing.
-    Durations are in seconds.
+    With an empty ``admin``, operators are served on ``http``; with an empty ``statsd``,
+    no metrics are sent. Durations are in seconds.
     """
 
     http: str = "127.0.0.1:8080"
@@ -44,9 +44,9 @@
     log_level: str = "INFO"
     tls: TlsFiles | None = None
     insecure: bool = False
-    # Threads that serve requests; a request that waits occupies one. While all are
+    # Threads that serve requests; a waiting request occupies one. While all are
     # occupied, threads are added up to ``max_threads``, which exceeds the default
-    # queue limit, so that announcements still get in.
+    # queue limit, so that announcements are still accepted.
     threads: int = 16
     max_threads: int = 600
     keep_alive: float = 300.0
@@ -78,42 +78,42 @@
 }
 LOOPBACK_PREFIXES = ("127.", "localhost:")
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
-RATIOS = ("share_drift", "trace_ratio")
-# Numbers that may be 0; all other counts are at least 1.
-OPTIONAL_COUNTS = ("min_warm", "fallback_reads")
+RATIO_FIELDS = ("share_drift", "trace_ratio")
+# Counts that may be 0; all others are at least 1.
+ZERO_ALLOWED_FIELDS = ("min_warm", "fallback_reads")
 
 
 def _field_schema(name: str, kind: Any) -> dict[str, Any]:
     if kind is float:
-        return RATIO_SCHEMA if name in RATIOS else DURATION_SCHEMA
+        return RATIO_SCHEMA if name in RATIO_FIELDS else DURATION_SCHEMA
     if kind is int:
-        least = 0 if name in OPTIONAL_COUNTS else 1
-        words = f"a whole number >= {least}"
-        return {"type": "integer", "minimum": least, "description": words}
+        minimum = 0 if name in ZERO_ALLOWED_FIELDS else 1
+        description = f"a whole number >= {minimum}"
+        return {"type": "integer", "minimum": minimum, "description": description}
     if kind is bool:
         return {"type": "boolean", "description": "true or false"}
-    return {"type": "string", "description": "a text"}
+    return {"type": "string", "description": "a string"}
 
 
-def _mapping(values: dict[str, Any], words: str) -> dict[str, Any]:
+def _mapping(values: dict[str, Any], description: str) -> dict[str, Any]:
     return {
         "type": "object",
         "propertyNames": NAME_SCHEMA,
         "additionalProperties": values,
-        "description": words,
+        "description": description,
     }
 
 
 def _section(
-    cls: Any, special: dict[str, Any] | None = None, required: tuple[str, ...] = ()
+    cls: Any, overrides: dict[str, Any] | None = None, required: tuple[str, ...] = ()
 ) -> dict[str, Any]:
-    """Returns the schema of a settings class; ``special`` overrides its fields."""
+    """Returns the schema of a settings class; ``overrides`` replaces some fields."""
     properties = {f.name: _field_schema(f.name, f.type) for f in fields(cls)}
     return {
         "type": "object",
         "description": "a mapping of settings",
         "additionalProperties": False,
-        "properties": properties | (special or {}),
+        "properties": properties | (overrides or {}),
         "required": list(required),
     }
 
@@ -168,13 +168,13 @@
 
 
 def rule(function: Rule) -> Rule:
-    """Registers a check over several settings; it yields problems."""
+    """Registers a check across several settings, which yields problems."""
     RULES.append(function)
     return function
 
 
 @rule
-def _secured(node: NodeSettings, listen: ListenSettings) -> Iterator[str]:
+def _check_encryption(node: NodeSettings, listen: ListenSettings) -> Iterator[str]:
     addresses = (listen.http, listen.peer, listen.admin)
     exposed = any(a and not a.startswith(LOOPBACK_PREFIXES) for a in addresses)
     if exposed and listen.tls is None and not listen.insecure:
@@ -184,20 +184,20 @@
 
 
 @rule
-def _durable(node: NodeSettings, listen: ListenSettings) -> Iterator[str]:
+def _check_data_folder(node: NodeSettings, listen: ListenSettings) -> Iterator[str]:
     if node.control and not listen.data_folder:
         yield "listen.data_folder: required when node.control is true"
 
 
 @rule
-def _known_peers(node: NodeSettings, listen: ListenSettings) -> Iterator[str]:
+def _check_control_members(node: NodeSettings, listen: ListenSettings) -> Iterator[str]:
     for name in node.control_members:
         if name != node.name and name not in node.peers:
             yield f"node.control_members: {name!r} has no address in node.peers"
 
 
 @rule
-def _timers(node: NodeSettings, listen: ListenSettings) -> Iterator[str]:
+def _check_timer_order(node: NodeSettings, listen: ListenSettings) -> Iterator[str]:
     timers = node.timers
     order = (
         ("heartbeat_interval", "election_timeout_min"),
@@ -239,7 +239,7 @@
 
 def _convert(cls: Any, values: dict[str, Any]) -> dict[str, Any]:
     """Converts the durations among a section's values to seconds."""
-    durations = {f.name for f in fields(cls) if f.type is float} - set(RATIOS)
+    durations = {f.name for f in fields(cls) if f.type is float} - set(RATIO_FIELDS)
     return {
         name: parse_duration(value) if name in durations else value
         for name, value in values.items()
--- a/packages/core/src/bronzemoor_core/statements.py
+++ b/packages/core/src/bronzemoor_core/statements.py
@@ -9,15 +9,20 @@
 
 from bronzemoor_core.events import Statement
 
-CACHED_STATEMENTS = 2_048
+MAX_CACHED_STATEMENTS = 2_048
 # Parsing takes about 0.4 ms per 100 characters, and every request waits for it.
 MAX_READ_LENGTH = 4_096
 
-# Texts that begin otherwise need not be parsed.
-READ_TOKENS = (TokenType.SELECT, TokenType.WITH, TokenType.VALUES, TokenType.L_PAREN)
+# Text that starts with any other token is no read and need not be parsed.
+READ_START_TOKENS = (
+    TokenType.SELECT,
+    TokenType.WITH,
+    TokenType.VALUES,
+    TokenType.L_PAREN,
+)
 
 READ_ROOTS = (exp.Select, exp.SetOperation, exp.Values, exp.Subquery)
-# Any of these below a read's root makes the whole statement a write.
+# Any of these nodes in the tree of a read makes the whole statement a write.
 WRITE_NODES = (
     exp.DML,
     exp.DDL,
@@ -54,19 +59,19 @@
 )
 
 
-@lru_cache(maxsize=CACHED_STATEMENTS)
+@lru_cache(maxsize=MAX_CACHED_STATEMENTS)
 def is_read(sql: str) -> bool:
-    """Tells whether ``sql`` is provably one reading statement.
+    """Returns whether ``sql`` is provably a single read statement.
 
-    Whatever cannot be proved a read counts as a write: text that does not parse,
-    several statements in one string, functions that sqlglot does not know, since
-    such a function may have side effects, and texts over ``MAX_READ_LENGTH``.
+    Anything that cannot be proved to be a read counts as a write: text that does not
+    parse, several statements in one string, functions that sqlglot does not know, as
+    they may have side effects, and text longer than ``MAX_READ_LENGTH``.
     """
     if len(sql) > MAX_READ_LENGTH:
         return False
     try:
         tokens = tokenize(sql, dialect="sqlite")
-        if not tokens or tokens[0].token_type not in READ_TOKENS:
+        if not tokens or tokens[0].token_type not in READ_START_TOKENS:
             return False
         trees = parse(sql, dialect="sqlite")
     except (SqlglotError, RecursionError):
@@ -77,7 +82,7 @@
 
 
 def all_reads(statements: Iterable[Statement]) -> bool:
-    """Tells whether every statement is provably a read."""
+    """Returns whether every statement is provably a read."""
     return all(is_read(statement.sql) for statement in statements)
 
 
--- a/packages/core/src/bronzemoor_core/templates.py
+++ b/packages/core/src/bronzemoor_core/templates.py
@@ -1,4 +1,4 @@
-"""Templates: what an operator sets for one organisation."""
+"""Templates, the settings that operators make for one organisation."""
 
 from dataclasses import dataclass, field
 from typing import Any
@@ -11,16 +11,16 @@
     parse_duration,
 )
 
-# Connections of an organisation whose template does not say.
+# Limit for an organisation whose template sets none.
 DEFAULT_CONNECTIONS = 20
 
 
 @dataclass(slots=True)
 class RequestClass:
-    """How requests of one class are treated. Durations are in seconds.
+    """Settings of the requests of one class. Durations are in seconds.
 
-    ``max_age`` is the age that a read accepts; None means that only the session's own
-    writes bound it. A smaller ``priority`` is served first.
+    ``max_age`` is the highest data age that a read accepts; with None, only the
+    session's own writes bound it. A smaller ``priority`` is served first.
     """
 
     name: str
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True)
 class Template:
-    """One organisation's template; ``connections`` caps it over all databases."""
+    """One organisation's template; ``connections`` limits all databases together."""
 
     organisation: str
     version: int = 0
@@ -74,7 +74,7 @@
     },
 }
 
-# JSON schema of a template's body, for validation here and in editors.
+# JSON schema of a template's body, also for validation in editors.
 TEMPLATE_SCHEMA: dict[str, Any] = {
     "$schema": "https://json-schema.org/draft/2020-12/schema",
     "title": "Bronzemoor template",
@@ -157,7 +157,7 @@
 
 def diff_templates(old: Any, new: Any) -> list[str]:
     """Returns the changes between two bodies as lines ``path: old -> new``."""
-    before, after = dict(_leaves(old)), dict(_leaves(new))
+    before, after = dict(_flatten(old)), dict(_flatten(new))
     return [
         f"{path}: {before.get(path, '(unset)')} -> {after.get(path, '(unset)')}"
         for path in sorted(before.keys() | after.keys())
@@ -173,11 +173,11 @@
     return RequestClass(name, **values)
 
 
-def _leaves(value: Any, path: str = "") -> list[tuple[str, Any]]:
+def _flatten(value: Any, path: str = "") -> list[tuple[str, Any]]:
     if not isinstance(value, dict):
         return [(path, value)]
     return [
         leaf
         for key, child in value.items()
-        for leaf in _leaves(child, f"{path}.{key}" if path else str(key))
+        for leaf in _flatten(child, f"{path}.{key}" if path else str(key))
     ]
--- a/packages/core/src/bronzemoor_core/transactions.py
+++ b/packages/core/src/bronzemoor_core/transactions.py
@@ -15,21 +15,21 @@
 )
 from bronzemoor_core.positions import Position
 
-# Ended transactions that are remembered, to answer a late commit truthfully.
-REMEMBERED = 4_096
+# Ended transactions are remembered to answer a late commit correctly.
+MAX_ENDED_TRANSACTIONS = 4_096
 
 
 @dataclass(slots=True)
 class Transaction:
     """An open transaction; it belongs to one organisation and one session.
 
-    ``lease`` is the ticket under which its connection was granted, ``ticket`` the
-    request that uses it, or 0; times are in seconds.
+    ``connection_ticket`` is the ticket under which its connection was granted,
+    ``ticket`` the request that uses it, or 0; times are in seconds.
     """
 
     name: str
-    lease: int
-    endpoint_name: str
+    connection_ticket: int
+    endpoint_transaction_id: str
     connection: int
     member: str
     organisation: str
@@ -44,7 +44,7 @@
 
 @section("transactions")
 class Transactions:
-    """Open transactions by id; ``ended`` tells whether a commit had been sent."""
+    """Open transactions by id; ``ended`` records whether a commit had been sent."""
 
     __slots__ = ("ended", "open")
 
@@ -64,7 +64,7 @@
         self._own.open[event.transaction] = Transaction(
             event.transaction,
             event.ticket,
-            event.endpoint_transaction,
+            event.endpoint_transaction_id,
             event.connection,
             event.member,
             event.organisation,
@@ -74,7 +74,7 @@
             now,
             now,
         )
-        return [self._gauge()]
+        return [self._open_gauge()]
 
     @handles(TransactionUsed)
     def on_used(self, now: float, event: TransactionUsed) -> None:
@@ -90,13 +90,13 @@
         if transaction is None:
             return []
         self._own.ended[event.transaction] = transaction.committing
-        if len(self._own.ended) > REMEMBERED:
+        if len(self._own.ended) > MAX_ENDED_TRANSACTIONS:
             self._own.ended.popitem(last=False)
-        return [self._gauge()]
+        return [self._open_gauge()]
 
     @handles(ConnectionClosed)
     def on_closed(self, now: float, event: ConnectionClosed) -> list[object]:
-        """Ends the idle transaction of a broken connection; the endpoint rolls back."""
+        """Ends a lost connection's idle transaction; the endpoint rolls it back."""
         return [
             TransactionEnded(transaction.name, False)
             for transaction in self._own.open.values()
@@ -107,14 +107,14 @@
     def on_tick(self, now: float, event: Tick) -> list[object]:
         items: list[object] = []
         for transaction in self._own.open.values():
-            reason = self._exceeded(now, transaction)
+            reason = self._exceeded_limit(now, transaction)
             if reason:
                 fields = {"transaction": transaction.name, "limit": reason}
                 items.append(EmitLog("warning", "transaction_expired", fields))
                 items.append(TransactionExpired(transaction.name))
         return items
 
-    def _exceeded(self, now: float, transaction: Transaction) -> str:
+    def _exceeded_limit(self, now: float, transaction: Transaction) -> str:
         path = self._settings.data_path
         if transaction.committing:
             return ""
@@ -124,5 +124,5 @@
             return "idle"
         return ""
 
-    def _gauge(self) -> EmitMetric:
+    def _open_gauge(self) -> EmitMetric:
         return EmitMetric("gauge", "transactions.open", float(len(self._own.open)))
--- a/packages/core/src/bronzemoor_core/validation.py
+++ b/packages/core/src/bronzemoor_core/validation.py
@@ -1,4 +1,4 @@
-"""Validation of operators' input against a JSON schema, all problems at once."""
+"""Validates operators' input against a JSON schema and reports all problems."""
 
 import re
 from collections.abc import Iterable, Iterator
@@ -27,13 +27,13 @@
     """Converts a duration such as ``250ms`` to seconds."""
     match = re.match(r"^(\d+(?:\.\d+)?)(us|ms|s|m|h)$", text)
     if match is None:
-        raise ValueError(f"{text!r} is no duration such as 250ms, 2s or 1m")
+        raise ValueError(f"{text!r} is not a duration such as 250ms, 2s or 1m")
     return float(match[1]) * UNIT_SECONDS[match[2]]
 
 
 def find_problems(schema: dict[str, Any], body: Any) -> list[str]:
-    """Returns one line a problem: its path, what was found and what is allowed."""
-    # Imported on first use: it takes a fifth of a control daemon's start.
+    """Returns a line for each problem: path, value found and what is allowed."""
+    # Imported on first use: the import takes a fifth of a control daemon's start-up.
     from jsonschema import Draft202012Validator
 
     errors = Draft202012Validator(schema).iter_errors(body)
@@ -41,7 +41,7 @@
     return [line for error in ordered for line in _describe(error)]
 
 
-def nearest(name: str, allowed: Iterable[str]) -> str:
+def suggest(name: str, allowed: Iterable[str]) -> str:
     """Returns a suggestion such as ``; did you mean 'max_age'?``, or nothing."""
     close = get_close_matches(name, list(allowed), n=1, cutoff=0.6)
     return f"; did you mean {close[0]!r}?" if close else ""
@@ -57,14 +57,14 @@
         known = sorted(schema.get("properties", {}))
         for key in sorted(set(map(str, instance)) - set(known)):
             names = ", ".join(known)
-            yield f"{path}: unknown key {key!r}{nearest(key, known)} (allowed: {names})"
+            yield f"{path}: unknown key {key!r}{suggest(key, known)} (allowed: {names})"
     elif error.validator == "required":
         for key in rule:
             if key not in instance:
                 yield f"{path}: required key {key!r} is missing"
     elif error.validator == "enum":
         names = ", ".join(map(str, rule))
-        hint = nearest(str(instance), map(str, rule))
+        hint = suggest(str(instance), map(str, rule))
         yield f"{path}: found {found}, allowed: {names}{hint}"
     elif error.validator in ("type", "pattern"):
         allowed = schema.get("description", rule)
--- a/packages/core/src/bronzemoor_core/work.py
+++ b/packages/core/src/bronzemoor_core/work.py
@@ -12,7 +12,7 @@
 
 
 class Step(StrEnum):
-    """What a request does; the value is the ``step`` of its outcome."""
+    """Processing step of a request; its value is the ``step`` of the outcome."""
 
     QUEUED = "queue"
     BACKOFF = "backoff"
@@ -28,14 +28,14 @@
     ROLLBACK = "rollback"
 
 
-WAITING = (Step.QUEUED, Step.BACKOFF)
+WAITING_STEPS = (Step.QUEUED, Step.BACKOFF)
 
 
 class Work:
     """One request in progress.
 
-    ``goal`` is the step to take once a connection is granted. ``maybe_ran`` is set as
-    soon as the statements may have run, which rules out the outcome *not run*.
+    ``next_step`` is the step to take once a connection is granted. ``maybe_ran`` is set
+    as soon as the statements may have run, which rules out the outcome *not run*.
     """
 
     __slots__ = (
@@ -47,12 +47,12 @@
         "connection",
         "deadline",
         "excluded",
-        "goal",
-        "gone",
+        "next_step",
+        "caller_gone",
         "is_read",
-        "lease",
+        "connection_ticket",
         "lookups_left",
-        "lost_at",
+        "lost_step",
         "maybe_ran",
         "member",
         "position",
@@ -88,16 +88,16 @@
         self.started_at = now
         self.deadline = request.deadline or now + request_class.deadline
         self.step = Step.QUEUED
-        self.goal = first_step(request, request_class)
+        self.next_step = first_step(request, request_class)
         self.route: Route = NOWHERE
         self.routed_at = 0.0
         self.excluded: tuple[str, ...] = ()
         # The ticket under which pools granted the connection.
-        self.lease = ticket
+        self.connection_ticket = ticket
         self.connection = 0
         self.member = ""
         self.call: Call | None = None
-        # The answer whose position waits for its confirmation, and that position.
+        # The answer whose position awaits confirmation, and that position.
         self.answer: Answer | None = None
         self.position = ZERO
         self.attempts = 0
@@ -105,12 +105,12 @@
         self.lookups_left = 0
         self.resume_at = 0.0
         self.maybe_ran = False
-        self.gone = False
+        self.caller_gone = False
         self.reservation = ""
         self.reserved_term = 0
         # Why and at which step the last attempt ended without a result.
         self.code = ""
-        self.lost_at: Step | None = None
+        self.lost_step: Step | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -118,7 +118,7 @@
 
 
 def first_step(request: Request, request_class: RequestClass) -> Step:
-    """The first step that needs a connection."""
+    """Returns the first step that needs a connection."""
     if request.kind != "statements":
         return Step(request.kind)
     if request.transaction:
--- a/packages/core/tests/test_drain.py
+++ b/packages/core/tests/test_drain.py
@@ -1,4 +1,4 @@
-"""Stages of the graceful stop under a virtual clock."""
+"""Tests the stages of the graceful stop under a virtual clock."""
 
 from types import SimpleNamespace
 
@@ -13,14 +13,14 @@
 TICK = Tick()
 
 
-class Stopping:
-    """A drain controller with settable work in progress."""
+class DrainHarness:
+    """A drain controller whose work in progress is set by the test."""
 
     def __init__(self):
         settings = NodeSettings("vm-1", "lisbon", drain=DrainSettings(2.0, 10.0, 1.0))
         self.active, self.open = {}, {}
         section = SimpleNamespace(
-            stage=SERVING, deadline=0.0, cut_requests=0, cut_transactions=0
+            stage=SERVING, deadline=0.0, aborted_requests=0, rolled_back_transactions=0
         )
         blackboard = SimpleNamespace(
             claim=lambda name, owner: section,
@@ -53,63 +53,66 @@
 
 
 @pytest.fixture
-def stopping():
-    return Stopping()
+def harness():
+    return DrainHarness()
 
 
-def test_an_idle_daemon_stops_after_the_delay(stopping):
+def test_an_idle_daemon_stops_after_the_delay(harness):
     """Guards against a listener that closes before load balancers have noticed."""
-    assert stopping.tick(0.0) == []
-    stopping.stop()
-    assert (stopping.section.stage, stopping.tick(1.99)) == (LEAVING, [])
-    assert stopping.tick(2.0) == [StopListening()]
-    assert stopping.section.stage == FINISHING
-    assert stopping.tick(2.01) == []
-    assert stopping.tick(2.02) == [Exit(0, "all work finished")]
-    assert stopping.tick(2.03) == []
-
-
-def test_work_in_progress_finishes_within_the_grace(stopping):
-    """Guards against a stop that cuts requests or transactions that end in time."""
-    stopping.request(1)
-    stopping.begin("t1")
-    stopping.stop()
-    stopping.tick(2.0)
-    assert stopping.tick(5.0) == []
-    stopping.active.clear()
-    assert stopping.tick(6.0) == []
-    stopping.open.clear()
-    stopping.tick(7.0)
-    assert stopping.tick(7.01) == [Exit(0, "all work finished")]
-
-
-def test_what_cannot_finish_is_rolled_back_and_counted(stopping):
-    """Guards against a transaction that is dropped silently or delays the stop."""
-    stopping.request(1)
-    stopping.begin("t1")
-    stopping.begin("t2", committing=True)
-    stopping.stop()
-    stopping.tick(2.0)
-    assert stopping.tick(12.0) == [TransactionExpired("t1")]
-    assert stopping.section.stage == CLEANING
-    assert stopping.tick(12.5) == []
-    assert stopping.tick(13.0) == [Exit(1, "2 cut short")]
-    assert (stopping.section.cut_requests, stopping.section.cut_transactions) == (1, 1)
-
-
-def test_every_cut_is_logged_with_its_place(stopping):
-    """Guards against work that is cut without a trace in the log."""
-    stopping.request(1)
-    stopping.stop()
-    stopping.tick(2.0)
-    stopping.tick(12.0)
-    logs = stopping.controller.on_tick(13.0, TICK)
-    cut = [log for log in logs if getattr(log, "event", "") == "drain_request_cut"]
-    assert [log.fields["peer"] for log in cut] == ["m1"]
-
-
-def test_a_second_request_to_stop_changes_nothing(stopping):
+    assert harness.tick(0.0) == []
+    harness.stop()
+    assert (harness.section.stage, harness.tick(1.99)) == (LEAVING, [])
+    assert harness.tick(2.0) == [StopListening()]
+    assert harness.section.stage == FINISHING
+    assert harness.tick(2.01) == []
+    assert harness.tick(2.02) == [Exit(0, "all work finished")]
+    assert harness.tick(2.03) == []
+
+
+def test_work_in_progress_finishes_within_the_grace(harness):
+    """Guards against aborting requests or transactions that finish in time."""
+    harness.request(1)
+    harness.begin("t1")
+    harness.stop()
+    harness.tick(2.0)
+    assert harness.tick(5.0) == []
+    harness.active.clear()
+    assert harness.tick(6.0) == []
+    harness.open.clear()
+    harness.tick(7.0)
+    assert harness.tick(7.01) == [Exit(0, "all work finished")]
+
+
+def test_unfinished_work_is_rolled_back_and_counted(harness):
+    """Guards against a transaction that is lost silently or delays the stop."""
+    harness.request(1)
+    harness.begin("t1")
+    harness.begin("t2", committing=True)
+    harness.stop()
+    harness.tick(2.0)
+    assert harness.tick(12.0) == [TransactionExpired("t1")]
+    assert harness.section.stage == CLEANING
+    assert harness.tick(12.5) == []
+    assert harness.tick(13.0) == [Exit(1, "2 cut short")]
+    assert (
+        harness.section.aborted_requests,
+        harness.section.rolled_back_transactions,
+    ) == (1, 1)
+
+
+def test_every_aborted_request_is_logged_with_its_peer(harness):
+    """Guards against work that is aborted without a log line."""
+    harness.request(1)
+    harness.stop()
+    harness.tick(2.0)
+    harness.tick(12.0)
+    logs = harness.controller.on_tick(13.0, TICK)
+    aborted = [log for log in logs if getattr(log, "event", "") == "drain_request_cut"]
+    assert [log.fields["peer"] for log in aborted] == ["m1"]
+
+
+def test_a_repeated_stop_request_is_ignored(harness):
     """Guards against a repeated signal that restarts the delay."""
-    stopping.stop()
-    assert stopping.stop(1.0) == []
-    assert stopping.tick(2.0) == [StopListening()]
+    harness.stop()
+    assert harness.stop(1.0) == []
+    assert harness.tick(2.0) == [StopListening()]
--- a/packages/core/tests/test_interleavings.py
+++ b/packages/core/tests/test_interleavings.py
@@ -1,4 +1,4 @@
-"""Checks the guarantees of the data path under interleavings of faults."""
+"""Tests the guarantees of the data path under interleavings of faults."""
 
 import json
 from collections import Counter
@@ -10,7 +10,7 @@
 
 from bronzemoor_core.connections import State
 
-# Derandomized, so that every run gives the same verdict.
+# Derandomized, so that every run has the same result.
 FIXED = settings(
     derandomize=True,
     database=None,
@@ -18,13 +18,13 @@
     max_examples=120,
     suppress_health_check=list(HealthCheck),
 )
-STEP = 0.02
-MAX_AGE = 0.5  # of the class "catalogue"
+STEP_SECONDS = 0.02
+MAX_AGE_SECONDS = 0.5  # of the class "catalogue"
 
 
 @dataclass
 class Session:
-    """A caller that sends one request at a time, at changing proxies."""
+    """A caller that sends one request at a time, through changing proxies."""
 
     token: str = ""
     waiting: tuple = ()  # world, ticket, kind, text
@@ -44,7 +44,7 @@
         self.worlds = [self.start(100.0), self.start(100.0)]
         self.sessions = [Session() for _ in range(3)]
         self.not_run, self.payouts = set(), set()
-        self.acknowledged = {}  # text of each write and when it was acknowledged
+        self.acknowledged = {}  # text of each write and time of its acknowledgement
         self.serial = 0
 
     def start(self, now):
@@ -61,7 +61,7 @@
         return world
 
     def crash(self, proxy):
-        """Loses a proxy; its connections close and its callers get no reply."""
+        """Restarts a proxy; its connections close and its callers get no reply."""
         crashed = self.worlds[proxy]
         for member in self.group.members.values():
             member.open = {
@@ -81,7 +81,7 @@
     def next_fault(self, member, call):
         return self.faults.pop() if self.faults and call.kind != "ping" else None
 
-    def act(self, action):
+    def perform(self, action):
         kind, number, proxy = action
         if kind == "request":
             self.request(self.sessions[number % 3], self.worlds[proxy], number)
@@ -99,17 +99,17 @@
             self.worlds[proxy].learn()
         elif kind == "heal":
             self.group.heal()
-        self.run(STEP * (1 + number % 5))
+        self.run(STEP_SECONDS * (1 + number % 5))
 
     def run(self, seconds):
-        for _ in range(round(seconds / STEP)):
+        for _ in range(round(seconds / STEP_SECONDS)):
             for world in self.worlds:
-                world.run(STEP)
+                world.run(STEP_SECONDS)
             for session in self.sessions:
                 self.collect(session)
 
     def resend(self, session, world):
-        """The caller asks again with the same request id."""
+        """Resends the last write of unknown outcome with the same request id."""
         if session.waiting or not session.lost or session.transaction:
             return
         kind, text = session.lost
@@ -173,7 +173,7 @@
     def _done_catalogue(self, session, text, outcome):
         self._done_own(session, text, outcome)
         seen = {part for row in json.loads(outcome.payload) for part in row.split("+")}
-        limit = self.worlds[0].now - STEP - MAX_AGE
+        limit = self.worlds[0].now - STEP_SECONDS - MAX_AGE_SECONDS
         old = {text for text, at in self.acknowledged.items() if at < limit}
         assert old <= seen, f"{old - seen} is older than the age bound"
 
@@ -214,19 +214,21 @@
 
 
 def assert_nothing_left(world):
-    """Guards against leaks: of connections, slots, places in queues and fallbacks."""
-    board = world.node.blackboard
-    leases = {held.lease for held in board.transactions.open.values()}
-    pool = board.pools.databases["stock"]
-    assert not board.requests.active
-    assert not board.requests.by_connection
-    assert not any(board.requests.fallbacks.values())
-    assert not any(board.requests.waiting.values())
-    assert board.queues.depth("stock") == 0
-    assert not board.queues.granted_at
-    assert set(board.pools.by_ticket) == leases
+    """Guards against leaked connections, slots, queue entries and fallback reads."""
+    blackboard = world.node.blackboard
+    connection_tickets = {
+        held.connection_ticket for held in blackboard.transactions.open.values()
+    }
+    pool = blackboard.pools.databases["stock"]
+    assert not blackboard.requests.active
+    assert not blackboard.requests.by_connection
+    assert not any(blackboard.requests.fallbacks.values())
+    assert not any(blackboard.requests.waiting.values())
+    assert blackboard.queues.depth("stock") == 0
+    assert not blackboard.queues.granted_at
+    assert set(blackboard.pools.by_ticket) == connection_tickets
     assert all(link.running == 0 for link in pool.links.values())
-    assert pool.counts[State.BUSY] == len(leases)
+    assert pool.counts[State.BUSY] == len(connection_tickets)
 
 
 ACTIONS = st.tuples(
@@ -246,9 +248,9 @@
     st.lists(st.sampled_from([None, None, *FAULTS]), min_size=10, max_size=60),
 )
 def test_guarantees_hold_under_faults(actions, faults):
-    """Guards against any interleaving of loss, delay, duplication, damage, broken
-    connections and changes of primary that breaks a guarantee of design.md 1.1."""
+    """Guards against interleavings of loss, delay, duplication, damage, broken
+    connections and changes of primary that violate a guarantee of design.md 1.1."""
     scenario = Scenario(faults)
     for action in actions:
-        scenario.act(action)
+        scenario.perform(action)
     scenario.check()
--- a/packages/core/tests/test_sessions.py
+++ b/packages/core/tests/test_sessions.py
@@ -1,4 +1,4 @@
-"""Guards session tokens: authenticity, rotation of keys and merging."""
+"""Tests session tokens: authenticity, key rotation and merging."""
 
 from random import Random
 
@@ -12,7 +12,7 @@
 from bronzemoor_core.internal_events import TokenKeysChanged
 from bronzemoor_core.node import make_node
 from bronzemoor_core.positions import Position
-from bronzemoor_core.sessions import ACTIVATION_DELAY, KeyRing, SessionToken
+from bronzemoor_core.sessions import ACTIVATION_DELAY_SECONDS, KeyRing, SessionToken
 from bronzemoor_core.settings import NodeSettings
 
 FIXED = settings(derandomize=True, database=None, deadline=None)
@@ -36,7 +36,7 @@
 @FIXED
 @given(st.integers(0, len(TEXT) - 1), st.characters(max_codepoint=0x17F))
 def test_a_forged_token_is_refused(index, character):
-    """Guards against a changed token; only its padding bits may read the same."""
+    """Guards against accepting a changed token; only padding bits may differ."""
     forged = TEXT[:index] + character + TEXT[index + 1 :]
     try:
         assert RING.verify(forged, "toile") == TOKEN
@@ -47,7 +47,7 @@
 
 @pytest.mark.parametrize("length", range(len(TEXT)))
 def test_a_truncated_token_is_refused(length):
-    """Guards against a token that lost its end on the way."""
+    """Guards against accepting a token that was truncated in transit."""
     with pytest.raises(InvalidToken):
         RING.verify(TEXT[:length], "toile")
 
@@ -55,7 +55,7 @@
 @FIXED
 @given(st.text() | st.binary().map(lambda data: data.decode("latin-1")))
 def test_any_other_text_is_refused(text):
-    """Guards against an error other than ``InvalidToken`` on foreign input."""
+    """Guards against an error other than ``InvalidToken`` on untrusted input."""
     with pytest.raises(InvalidToken):
         RING.verify(text, "toile")
 
@@ -68,13 +68,13 @@
 
 
 def test_a_token_of_another_organisation_is_refused():
-    """Guards against a session that crosses organisations."""
+    """Guards against a session that is valid in two organisations."""
     with pytest.raises(InvalidToken):
         RING.verify(TEXT, "reclamar")
 
 
 def test_a_rotation_keeps_live_tokens_until_the_old_key_is_retired():
-    """Guards against sessions that break when a key is added."""
+    """Guards against sessions that are invalidated when a key is added."""
     rotated = KeyRing([NEW, OLD])
     assert rotated.verify(TEXT, "toile") == TOKEN
     assert KeyRing([OLD, NEW]).verify(rotated.sign(TOKEN), "toile") == TOKEN
@@ -116,8 +116,8 @@
     node.handle(1.0, TokenKeysChanged([NEW, OLD]))
     sessions = node.blackboard.sessions
     assert sessions.ring.signing_key == OLD
-    node.handle(1.0 + ACTIVATION_DELAY / 2, Tick())
+    node.handle(1.0 + ACTIVATION_DELAY_SECONDS / 2, Tick())
     assert sessions.ring.signing_key == OLD
-    node.handle(1.0 + ACTIVATION_DELAY, Tick())
+    node.handle(1.0 + ACTIVATION_DELAY_SECONDS, Tick())
     assert sessions.ring.signing_key == NEW
     assert sessions.ring.verify(TEXT, "toile") == TOKEN
