Reword the data path's tests

Some tests and fakes had names and docstrings that did not say which failure they guard against. They are named by the behaviour under test, and durations carry their unit; parameters and checks are the same.

--- a/packages/core/tests/datapath_world.py
+++ b/packages/core/tests/datapath_world.py
@@ -30,8 +30,8 @@
 from bronzemoor_core.settings import DataPathSettings, NodeSettings
 from bronzemoor_core.templates import RequestClass, Template
 
-TICK = 0.010
-ANNOUNCE = 0.100
+TICK_SECONDS = 0.010
+ANNOUNCE_INTERVAL_SECONDS = 0.100
 CLASSES = (
     RequestClass("post", "write"),
     RequestClass("payout", "write", repeatable=False, priority=1),
@@ -51,7 +51,7 @@
 
 @dataclass
 class Result:
-    """What a fake member answers; ``position`` defaults to its last entry."""
+    """A fake member's result; ``position`` defaults to that of its last entry."""
 
     status: str = "ok"
     code: str = ""
@@ -63,7 +63,7 @@
 
 @dataclass
 class FakeMember:
-    """One member: its log is the data, and a read returns the texts of the log."""
+    """A member whose log is its data; a read returns the texts of the log."""
 
     name: str
     role: str = "replica"
@@ -92,7 +92,7 @@
     def replicate_to(self, other):
         if other.term <= self.term and self.role == "primary":
             if other.role == "primary":
-                # A member that accepts a newer primary's log steps down.
+                # A primary that accepts a newer primary's log becomes a replica.
                 other.role, other.open = "replica", {}
             other.term, other.log = self.term, list(self.log)
             self.acks[other.name] = len(self.log)
@@ -104,7 +104,7 @@
 
 
 class Group:
-    """Three fake members of one database; ``followers`` replicate at once."""
+    """Three fake members of one database; ``followers`` replicate immediately."""
 
     def __init__(self):
         self.members = {name: FakeMember(name) for name in ("a", "b", "c")}
@@ -114,7 +114,7 @@
         self.serial = count(1)
         self.history = {1: 0}
         self.confirmed_ago_ms = 0
-        self.replaced_at = {}  # since when no majority confirms a replaced primary
+        self.replaced_at = {}  # when a replaced primary lost its majority
 
     def primary(self):
         """The primary of the newest term."""
@@ -136,14 +136,14 @@
         best.role, best.acks = "primary", {}
         self.replaced_at.pop(best.name, None)
         self.history[term] = len(best.log)
-        # Marks the term in the log, so that a longer old log cannot win later.
+        # An entry of the new term keeps a longer log of an older term from winning.
         best.append("", "")
         for member in voters:
             if member is not best:
                 best.replicate_to(member)
 
     def heal(self):
-        """Every member follows the newest primary and drops extra entries."""
+        """Makes all members replicas of the newest primary, without extra entries."""
         best = self.primary()
         for member in self.members.values():
             if member is not best:
@@ -162,8 +162,8 @@
 
     def _confirm(self, member, call, connection):
         wanted = call.min_position
-        held = member.log[wanted.offset - 1 : wanted.offset]
-        if not held or held[0].term != wanted.term:
+        entries = member.log[wanted.offset - 1 : wanted.offset]
+        if not entries or entries[0].term != wanted.term:
             return Result("refused", "position_discarded")
         if member.majority < wanted.offset:
             return Result("refused", "not_confirmed")
@@ -197,21 +197,21 @@
         return Result()
 
     def _commit(self, member, call, connection):
-        held = member.open.pop(call.transaction_id, None)
-        if held is None:
+        transaction = member.open.pop(call.transaction_id, None)
+        if transaction is None:
             return Result("refused", "unknown_transaction")
-        return self._write(member, call, "+".join(held[1]))
+        return self._write(member, call, "+".join(transaction[1]))
 
     def _execute(self, member, call, connection):
         text = call.statements[0].params.decode()
         if call.transaction_id:
-            held = member.open.get(call.transaction_id)
-            if held is None or held[0] != connection:
+            transaction = member.open.get(call.transaction_id)
+            if transaction is None or transaction[0] != connection:
                 return Result("refused", "unknown_transaction")
-            held[1].append(text)
-            return Result(payload=json.dumps(held[1]).encode())
+            transaction[1].append(text)
+            return Result(payload=json.dumps(transaction[1]).encode())
         if call.read_only:
-            # Positions of later terms contain what survived of earlier ones.
+            # A position of a later term includes what survived of earlier terms.
             behind = member.position.offset < call.min_position.offset
             if behind or member.position < call.min_position:
                 return Result("refused", "behind")
@@ -257,8 +257,8 @@
         self.database = Database("stock", 1, "a", ("a", "b", "c"))
         self.database.history.record(1, 0)
         own["topology"].databases["stock"] = self.database
-        for name, place in (("a", "lisbon"), ("b", "porto"), ("c", "faro")):
-            self.database.members[name] = Member(name, "stock", name, place)
+        for name, data_centre in (("a", "lisbon"), ("b", "porto"), ("c", "faro")):
+            self.database.members[name] = Member(name, "stock", name, data_centre)
         self.node._handlers[PositionObserved].append(self._sample)
         self.schedule(0, Tick())
         self.announce()
@@ -285,7 +285,7 @@
         heapq.heappush(self._events, entry)
 
     def run(self, seconds):
-        """Advances the clock and handles what is due."""
+        """Advances the clock and handles the events that are due."""
         end = self.now + seconds
         while self._events and self._events[0][0] <= end:
             self.now, _, event = heapq.heappop(self._events)
@@ -294,9 +294,9 @@
                 continue
             if isinstance(event, Tick):
                 if self.now >= self._announce_at:
-                    self._announce_at = self.now + ANNOUNCE
+                    self._announce_at = self.now + ANNOUNCE_INTERVAL_SECONDS
                     self.announce()
-                self.schedule(TICK, Tick())
+                self.schedule(TICK_SECONDS, Tick())
             self.handle(event)
         self.now = end
 
@@ -323,18 +323,18 @@
         return ticket
 
     def ask(self, request_class, text="", seconds=0.1, **fields):
-        """Sends a request, runs the clock and returns the reply, if any."""
+        """Sends a request, advances the clock and returns the reply, if any."""
         ticket = self.send(request_class, text, **fields)
         self.run(seconds)
         return self.replies.get(ticket)
 
     def fail_over(self, *isolated):
-        """Promotes among the members that are not isolated and tells the node."""
+        """Promotes a member that is not isolated and notifies the node."""
         self.group.promote(isolated, self.now)
         self.learn()
 
     def learn(self):
-        """Tells the node of the group's newest primary."""
+        """Notifies the node of the newest primary of the group."""
         best = self.group.primary()
         if best.term <= self.database.term:
             return
@@ -349,17 +349,17 @@
         ago = self.now - self.group.replaced_at.get(member.name, self.now)
         ago_ms = self.group.confirmed_ago_ms + round(ago * 1_000)
         payload = result.payload
-        place = (position.term, position.offset, member.majority)
-        proof = (ago_ms if member.role == "primary" else -1,)
-        whole = (payload, len(payload), crc32(payload))
-        origin = (member.name, member.role, result.repeated, result.transaction)
+        offsets = (position.term, position.offset, member.majority)
+        confirmation = (ago_ms if member.role == "primary" else -1,)
+        body = (payload, len(payload), crc32(payload))
+        source = (member.name, member.role, result.repeated, result.transaction)
         head = (call.correlation_id, result.status, call.request_id, result.code, "")
-        answer = Answer(*head, *place, *proof, *whole, *origin)
+        answer = Answer(*head, *offsets, *confirmation, *body, *source)
         answer.leaving = member.leaving
         return answer
 
-    def key(self, connection):
-        """Name of a connection among those of all worlds."""
+    def connection_key(self, connection):
+        """Returns a key that is unique among the connections of all worlds."""
         return (id(self), connection)
 
     def time_out(self, connection, call):
@@ -379,10 +379,10 @@
     def _on_CloseConnection(self, action):  # noqa: N802
         name = self.opened.pop(action.connection, None)
         if name is not None:
-            held = self.group.members[name].open
-            for transaction, (key, _) in list(held.items()):
-                if key == self.key(action.connection):
-                    del held[transaction]
+            transactions = self.group.members[name].open
+            for transaction, (key, _) in list(transactions.items()):
+                if key == self.connection_key(action.connection):
+                    del transactions[transaction]
         self.schedule(0.001, ConnectionClosed(action.connection, "closed"))
 
     def _on_SendCall(self, action):  # noqa: N802
@@ -396,7 +396,7 @@
             if call.kind == "confirm" and short and self.now < until:
                 self.schedule(0.01, lambda: deliver(until))
                 return
-            result = self.group.serve(member, call, self.key(connection))
+            result = self.group.serve(member, call, self.connection_key(connection))
             answer = self.answer(member, call, result)
             self.schedule(0.001, AnswerReceived(connection, call, answer, sent_at))
 
@@ -422,41 +422,41 @@
 
 
 def lose_call(world, connection, call, deliver):
-    """The call never arrives."""
+    """Drops the call."""
     world.time_out(connection, call)
 
 
 def _run_unanswered(world, connection, call):
     member = world.group.members[world.opened[connection]]
-    key = world.key(connection)
+    key = world.connection_key(connection)
     world.schedule(0.001, lambda: world.group.serve(member, call, key))
 
 
 def lose_answer(world, connection, call, deliver):
-    """The call runs, its answer never arrives."""
+    """Runs the call and drops its answer."""
     _run_unanswered(world, connection, call)
     world.time_out(connection, call)
 
 
 def break_connection(world, connection, call, deliver):
-    """The connection breaks after the call ran."""
+    """Runs the call and breaks the connection."""
     _run_unanswered(world, connection, call)
     world.schedule(0.002, ConnectionClosed(connection, "reset"))
 
 
 def arrive_late(world, connection, call, deliver):
-    """The call runs and is answered only after its timeout."""
+    """Runs and answers the call only after its timeout."""
     world.time_out(connection, call)
     world.schedule(call.timeout + 0.05, deliver)
 
 
 def delay(world, connection, call, deliver):
-    """Slow, but within the timeout; overtaken by calls on other connections."""
+    """Delays the call within its timeout; calls on other connections overtake it."""
     world.schedule(min(0.2, call.timeout * 0.9), deliver)
 
 
 def slow(seconds):
-    """A fault that delivers a request's call after ``seconds``; probes are not slow."""
+    """Returns a fault that delays requests, but not probes, by ``seconds``."""
 
     def late(world, connection, call, deliver):
         world.schedule(seconds, deliver)
@@ -464,8 +464,8 @@
     return lambda member, call: late if call.ticket else None
 
 
-def altering(change):
-    """A fault that changes or repeats the answer on its way."""
+def altered_answer(change):
+    """Returns a fault that changes or duplicates the answer in transit."""
 
     def fault(world, connection, call, deliver):
         deliver()
@@ -477,17 +477,17 @@
     return fault
 
 
-def _damage(world, event):
+def _corrupt_payload(world, event):
     event.answer.payload += b"?"
 
 
-def _exchange(world, event):
+def _replace_ids(world, event):
     event.answer.correlation_id += 1_000
     event.answer.request_id = "other"
 
 
-duplicate = altering(lambda world, event: world.schedule(0.003, event))
-corrupt = altering(_damage)
-swap = altering(_exchange)
+duplicate = altered_answer(lambda world, event: world.schedule(0.003, event))
+corrupt = altered_answer(_corrupt_payload)
+replace_ids = altered_answer(_replace_ids)
 LOSSES = (lose_call, lose_answer, arrive_late, break_connection)
-FAULTS = (*LOSSES, delay, duplicate, corrupt, swap)
+FAULTS = (*LOSSES, delay, duplicate, corrupt, replace_ids)
--- a/packages/core/tests/test_answers.py
+++ b/packages/core/tests/test_answers.py
@@ -1,4 +1,4 @@
-"""Guards the matching of answers to calls."""
+"""Tests the matching of answers to calls."""
 
 from dataclasses import replace
 from zlib import crc32
@@ -24,6 +24,6 @@
         (replace(WHOLE, checksum=0), "checksum"),
     ],
 )
-def test_only_the_whole_answer_to_the_call_is_accepted(answer, reason):
-    """Guards against an answer to another call and against a damaged one."""
+def test_only_a_complete_answer_to_the_call_is_accepted(answer, reason):
+    """Guards against accepting a damaged answer or one to another call."""
     assert check_answer(CALL, answer) == reason
--- a/packages/core/tests/test_calls.py
+++ b/packages/core/tests/test_calls.py
@@ -1,4 +1,4 @@
-"""Calls to endpoints."""
+"""Tests the calls to endpoints."""
 
 from bronzemoor_core.calls import scoped_request_id
 from bronzemoor_core.events import Request, Statement
@@ -12,7 +12,7 @@
 
 
 def test_organisations_that_share_a_database_do_not_share_request_ids():
-    """Guards against the recorded result of another organisation as an answer."""
+    """Guards against answering with a result recorded for another organisation."""
     voo, toile = (scoped_request_id(request(name, "r1")) for name in ("voo", "toile"))
     assert voo != toile
     assert scoped_request_id(request("voo", "")) == ""
--- a/packages/core/tests/test_gaps.py
+++ b/packages/core/tests/test_gaps.py
@@ -1,6 +1,6 @@
-"""Measures the gaps of failover and handover and counts wrong promotions.
+"""Measures the write gaps of failover and handover and counts wrong promotions.
 
-Delays are those of the design: 3.5 ms one way between data centres, 12 ms between
+One-way delays are those of the design: 3.5 ms between data centres, 12 ms between
 regions. A gap is measured at each daemon and ends when it knows the new primary.
 """
 
@@ -11,19 +11,25 @@
 from test_failover import CASES, CONTROL, settled, started, terms
 
 RUNS = 12
-HOUR = 3600.0
-# Control members in another region than the database, as seen from its daemons.
-REMOTE = ("vm6", "vm7", "vm8")
+HOUR_SECONDS = 3600.0
+# Control members in another region than the database and its daemons.
+OTHER_REGION_CONTROL = ("vm6", "vm7", "vm8")
 # The soak adds an hour with all control members in the other region.
-SOAK = [(seed, REMOTE) for seed in (2, 3)] if os.environ.get("BRONZEMOOR_SOAK") else []
+SOAK_CASES = (
+    [(seed, OTHER_REGION_CONTROL) for seed in (2, 3)]
+    if os.environ.get("BRONZEMOOR_SOAK")
+    else []
+)
 
 
-def report(what, gaps):
+def report(title, gaps):
     times = sorted(round(gap * 1000) for gap in gaps)
-    print(f"{what}: median {round(median(times))} ms, worst {times[-1]} ms")
+    print(f"{title}: median {round(median(times))} ms, worst {times[-1]} ms")
 
 
-@pytest.mark.parametrize("control", [CONTROL, REMOTE], ids=["same", "other"])
+@pytest.mark.parametrize(
+    "control", [CONTROL, OTHER_REGION_CONTROL], ids=["same", "other"]
+)
 @pytest.mark.parametrize("case", CASES)
 def test_failover_gap(case, control):
     """Guards against a gap above its target: median 500 ms, worst 1 s."""
@@ -38,9 +44,11 @@
     assert median(gaps) <= 0.5 and max(gaps) <= 1.0
 
 
-@pytest.mark.parametrize("control", [CONTROL, REMOTE], ids=["same", "other"])
+@pytest.mark.parametrize(
+    "control", [CONTROL, OTHER_REGION_CONTROL], ids=["same", "other"]
+)
 def test_handover_gap(control):
-    """Guards against a planned handover that stops writes for more than 100 ms."""
+    """Guards against a handover that stops writes for more than 100 ms."""
     gaps = []
     for seed in range(RUNS):
         group = started(control, seed=seed)
@@ -50,13 +58,13 @@
         group.admin("vm4", 1, "failover.run", database="claims", change_id="h")
         assert group.run(1.0, lambda group=group: settled(group, "c0"))
         stopped = {n: at for at, n, e in group.changes[begin:] if not e.member}
-        going = {n: at for at, n, e in group.changes[begin:] if e.member}
-        gaps += [going[name] - stopped[name] for name in group.nodes]
+        resumed = {n: at for at, n, e in group.changes[begin:] if e.member}
+        gaps += [resumed[name] - stopped[name] for name in group.nodes]
     report(f"handover, control in {control}", gaps)
     assert max(gaps) <= 0.1
 
 
-@pytest.mark.parametrize(("seed", "control"), [(1, ("vm6", "vm0", "vm1")), *SOAK])
+@pytest.mark.parametrize(("seed", "control"), [(1, ("vm6", "vm0", "vm1")), *SOAK_CASES])
 def test_no_wrong_promotion_in_an_hour(seed, control):
     """Guards against failovers of a healthy primary, at 1% loss and with delays that
     vary tenfold, with the control leader in another region."""
@@ -66,7 +74,7 @@
             del group.nodes[name]
     group.tick = 0.02
     before = len(group.changes)
-    group.run(HOUR)
-    wrong = [event for _, _, event in group.changes[before:]]
-    print(f"wrong promotions in an hour, control in {control}: {len(wrong)}")
-    assert not wrong and len(terms(group)) == 1
+    group.run(HOUR_SECONDS)
+    wrong_promotions = [event for _, _, event in group.changes[before:]]
+    print(f"wrong promotions in an hour, control in {control}: {len(wrong_promotions)}")
+    assert not wrong_promotions and len(terms(group)) == 1
--- a/packages/core/tests/test_requests.py
+++ b/packages/core/tests/test_requests.py
@@ -1,4 +1,4 @@
-"""Guards the life cycle of requests and their outcomes."""
+"""Tests the life cycle of requests and their outcomes."""
 
 import json
 
@@ -20,23 +20,23 @@
 from bronzemoor_core.events import CallerGone, ConnectionClosed, Statement
 
 
-def once(kind, fault, member=None):
-    """A fault for the first matching call only."""
+def fault_once(kind, fault, member=None):
+    """Returns a fault of the first matching call only."""
     left = [fault]
 
-    def choose(target, call):
+    def choose_fault(target, call):
         if call.kind == kind and member in (None, target.name) and left:
             return left.pop()
         return None
 
-    return choose
+    return choose_fault
 
 
 def calls(world, kind):
     return [(member, call) for member, call in world.calls if call.kind == kind]
 
 
-def ran(world, request_id):
+def execution_count(world, request_id):
     return [r for r, _ in world.group.executions].count(request_id)
 
 
@@ -73,8 +73,8 @@
     assert (reply.outcome.tag, reply.outcome.code) == ("unknown", "not_confirmed")
 
 
-def test_a_covered_answer_needs_no_confirmation():
-    """Guards against a round trip that the answer already made unnecessary."""
+def test_an_answer_that_shows_a_majority_needs_no_confirmation():
+    """Guards against a round trip to confirm what the answer already shows."""
     world = World()
     assert world.ask("post", "x").outcome.tag == "done"
     assert not calls(world, "confirm")
@@ -120,7 +120,7 @@
 
 
 def test_a_write_without_a_primary_is_not_run_at_its_deadline():
-    """Guards against a request that waits for ever."""
+    """Guards against a request that waits forever."""
     world = World()
     world.database.primary = ""
     reply = world.ask("post", "x", seconds=2.1)
@@ -129,28 +129,28 @@
 
 @pytest.mark.parametrize("fault", [lose_call, lose_answer, break_connection, corrupt])
 def test_a_repeatable_write_is_sent_again_under_its_id(fault):
-    """Guards against a lost answer that loses or doubles a repeatable write."""
+    """Guards against losing a write, or running it twice, when its answer is lost."""
     world = World(call_timeout=0.2)
-    world.fault = once("execute", fault)
+    world.fault = fault_once("execute", fault)
     reply = world.ask("post", "x", seconds=1, request_id="w-1")
     assert reply.outcome.tag == "done"
-    assert ran(world, "w-1") == 1
+    assert execution_count(world, "w-1") == 1
     assert {call.request_id for _, call in calls(world, "execute")} == {"toile/w-1"}
     assert reply.outcome.repeated == (fault is not lose_call)
 
 
 def test_a_resent_request_gets_the_first_answer():
-    """Guards against a second execution for a caller that asks again."""
+    """Guards against a second execution when a caller resends its request."""
     world = World()
     first = world.ask("post", "x", request_id="w-1")
     second = world.ask("post", "x", request_id="w-1")
     assert second.outcome.repeated
     assert second.outcome.payload == first.outcome.payload
-    assert ran(world, "w-1") == 1
+    assert execution_count(world, "w-1") == 1
 
 
 def test_retries_stop_with_the_budget():
-    """Guards against retries that multiply the load of an endpoint in trouble."""
+    """Guards against retries that multiply the load of a failing endpoint."""
     world = World(call_timeout=0.02)
     world.fault = lambda member, call: lose_call if call.kind == "execute" else None
     for _ in range(60):
@@ -163,7 +163,7 @@
 def test_a_payout_is_reserved_and_sent_once():
     """Guards against a second send of a request that must not be repeated."""
     world = World(call_timeout=0.2)
-    world.fault = once("execute", lose_call)
+    world.fault = fault_once("execute", lose_call)
     reply = world.ask("payout", "100", seconds=3, request_id="p-1")
     assert (reply.outcome.tag, reply.outcome.code) == ("unknown", "answer_timed_out")
     assert len(calls(world, "execute")) == 1
@@ -172,13 +172,13 @@
     assert len(calls(world, "execute")) == 1
 
 
-def test_a_restarted_process_does_not_take_its_earlier_reservation_for_its_own():
+def test_a_restarted_process_does_not_reuse_its_earlier_reservation():
     """Guards against a second execution by a process that restarted under its name
     and incarnation, or by two processes that share them."""
     group = Group()
     for seed in (1, 2):
         world = World(seed=seed, group=group, now=100.0 * seed)
-        world.fault = once("execute", lose_call) if seed == 1 else world.fault
+        world.fault = fault_once("execute", lose_call) if seed == 1 else world.fault
         reply = world.ask("payout", "100", seconds=3, request_id="p-1")
     assert (reply.outcome.tag, reply.outcome.code) == ("unknown", "reserved_elsewhere")
 
@@ -187,10 +187,10 @@
 def test_a_lost_payout_answer_is_looked_up(fault):
     """Guards against *unknown* for a payout whose result is recorded."""
     world = World(call_timeout=0.2)
-    world.fault = once("execute", fault)
+    world.fault = fault_once("execute", fault)
     reply = world.ask("payout", "100", seconds=3, request_id="p-1")
     assert (reply.outcome.tag, reply.outcome.repeated) == ("done", True)
-    assert ran(world, "p-1") == 1
+    assert execution_count(world, "p-1") == 1
 
 
 def test_a_reservation_is_confirmed_before_the_statements_are_sent():
@@ -211,7 +211,7 @@
     old = world.group.members["a"]
     if recorded:
         old.append("w-1", "x")
-    world.fault = once("execute", delay, "a")
+    world.fault = fault_once("execute", delay, "a")
     ticket = world.send("post", "x", request_id="w-1")
     world.run(0.17)
     world.fail_over("a")
@@ -233,7 +233,7 @@
     assert len(calls(world, "confirm")) == 1
 
 
-def test_a_write_at_a_replaced_primary_moves_to_the_new_one():
+def test_a_write_at_a_replaced_primary_is_retried_at_the_new_one():
     """Guards against a write that waits for an isolated primary until its timeout."""
     world = World()
     world.fault = lambda m, call: lose_call if m.name == "a" else None
@@ -246,8 +246,8 @@
 
 
 def test_reads_at_the_primary_in_place_of_replicas_are_limited():
-    """Guards against lagging replicas that turn all their reads on the primary, and
-    against reads that are forgotten while they wait for their turn."""
+    """Guards against lagging replicas whose reads all go to the primary, and against
+    reads that are never resumed after waiting for a fallback slot."""
     world = World(share=12)
     session = world.ask("post", "x").session
     # Opens more connections to the primary than reads may use.
@@ -270,13 +270,13 @@
 def test_a_late_answer_of_a_replaced_primary_is_resolved_at_the_new_one():
     """Guards against *unknown* for a write that the new primary holds."""
     world = World()
-    world.fault = once("execute", delay, "a")
+    world.fault = fault_once("execute", delay, "a")
     ticket = world.send("post", "x", request_id="w-1")
     world.run(0.0015)
-    entry_holder = world.group.members["a"]
+    old_primary = world.group.members["a"]
     connection = world.node.blackboard.pools.by_ticket[ticket]
     call = calls(world, "execute")[0][1]
-    world.group.serve(entry_holder, call, world.key(connection))
+    world.group.serve(old_primary, call, world.connection_key(connection))
     world.fail_over("a")
     world.run(0.5)
     outcome = world.replies[ticket].outcome
@@ -296,15 +296,15 @@
 
 
 def test_a_payout_that_was_never_sent_is_sent_later():
-    """Guards against *unknown* for a payout whose connection had closed before."""
+    """Guards against *unknown* for a payout whose connection closed before the send."""
     world = World()
-    world.fault = once("execute", never_sent)
+    world.fault = fault_once("execute", never_sent)
     reply = world.ask("payout", "100", seconds=1, request_id="p-1")
     assert reply.outcome.tag == "done"
-    assert ran(world, "p-1") == 1
+    assert execution_count(world, "p-1") == 1
     again = world.ask("payout", "100", request_id="p-1")
     assert (again.outcome.tag, again.outcome.repeated) == ("done", True)
-    assert ran(world, "p-1") == 1
+    assert execution_count(world, "p-1") == 1
 
 
 def test_a_failed_statement_is_a_result():
@@ -334,8 +334,8 @@
     assert (reply.outcome.tag, reply.outcome.code) == outcome
 
 
-def test_a_read_moves_on_from_a_replica_that_is_behind():
-    """Guards against failing a read because a replica fell behind its report."""
+def test_a_read_is_retried_when_its_replica_lags():
+    """Guards against a read that fails because a replica lags its reported position."""
     world = World()
     session = world.ask("post", "x").session
     for name in ("b", "c"):
@@ -345,8 +345,8 @@
     assert reply.outcome.role == "primary"
 
 
-def test_reads_avoid_a_replica_that_cannot_be_reached():
-    """Guards against reads that wait for a dead replica until its lease ends."""
+def test_reads_avoid_an_unreachable_replica():
+    """Guards against reads that wait for a failed replica until its lease expires."""
     world = World()
     world.down = {"b"}
     for connection, member in list(world.opened.items()):
@@ -357,8 +357,8 @@
         assert (reply.outcome.tag, reply.outcome.peer) == ("done", "c")
 
 
-def test_a_read_leaves_a_member_that_cannot_be_reached():
-    """Guards against a read that waits for a dead member until its deadline."""
+def test_a_read_is_retried_when_its_member_is_unreachable():
+    """Guards against a read that waits for a failed member until its deadline."""
     world = World(open_timeout=0.1)
     world.down = {"b"}
     world.fault = lambda m, call: lose_call if m.name == "b" else None
@@ -368,19 +368,19 @@
     assert (outcome.tag, outcome.peer) == ("done", "c")
 
 
-def test_a_write_in_progress_outlives_its_caller():
-    """Guards against giving up a write, or replying, when the caller left."""
+def test_a_write_in_progress_completes_after_its_caller_disconnects():
+    """Guards against aborting a write, or replying, after the caller disconnected."""
     world = World()
     ticket = world.send("post", "x", request_id="w-1")
     world.handle(CallerGone(ticket))
     world.run(0.2)
-    assert ran(world, "w-1") == 1
+    assert execution_count(world, "w-1") == 1
     assert ticket not in world.replies
     assert not world.node.blackboard.requests.active
 
 
-def test_a_waiting_request_goes_with_its_caller():
-    """Guards against running a request that nobody waits for any more."""
+def test_a_waiting_request_ends_when_its_caller_disconnects():
+    """Guards against running a request whose caller has disconnected."""
     world = World(share=0)
     ticket = world.send("post", "x")
     world.handle(CallerGone(ticket))
@@ -402,7 +402,7 @@
 
 
 def test_a_replica_older_than_the_bound_serves_no_read():
-    """Guards against a read from the nearest replica after it stopped to follow."""
+    """Guards against a read from the nearest replica after it stopped replicating."""
     world = World()
     world.run(1)
     world.group.followers = {"c"}
--- a/packages/core/tests/test_settings_schema.py
+++ b/packages/core/tests/test_settings_schema.py
@@ -1,4 +1,4 @@
-"""The daemon's settings file: units, defaults and problems."""
+"""Tests the daemon's settings file: units, defaults and problems."""
 
 import pytest
 
@@ -7,7 +7,7 @@
 
 
 def test_units_keys_and_defaults():
-    """Guards against a timer that is read in another unit."""
+    """Guards against durations that are read in the wrong unit."""
     node, listen = parse_settings(
         {
             "node": {
@@ -34,7 +34,7 @@
 
 
 def test_all_problems_are_reported_at_once():
-    """Guards against a daemon that is started many times to find each problem."""
+    """Guards against having to start the daemon once for each problem."""
     text = problems(
         {
             "node": {"name": "vm 1", "timers": {"stale_after": 3, "share_leese": "1s"}},
@@ -53,9 +53,9 @@
         assert part in text
 
 
-def test_settings_that_contradict_each_other():
-    """Guards against a control member without a disk, timers that cannot work and a
-    plain-text daemon that nobody asked for."""
+def test_contradictory_settings_are_refused():
+    """Guards against a control member without a data folder, timers in the wrong order
+    and unintended plain-text connections."""
     text = problems(
         {
             "node": {
--- a/packages/core/tests/test_statements.py
+++ b/packages/core/tests/test_statements.py
@@ -1,4 +1,4 @@
-"""Guards the classification of statements into reads and writes."""
+"""Tests the classification of statements as reads and writes."""
 
 import pytest
 
@@ -53,12 +53,12 @@
 
 @pytest.mark.parametrize("sql", READS)
 def test_a_provable_read_is_a_read(sql):
-    """Guards against reads that are refused or sent to the primary."""
+    """Guards against reads that are refused or sent to the primary as writes."""
     assert is_read(sql)
 
 
 @pytest.mark.parametrize("sql", WRITES, ids=lambda sql: sql[:40])
-def test_whatever_is_not_provably_a_read_is_a_write(sql):
+def test_an_unproved_read_is_a_write(sql):
     """Guards against a write that reaches a replica or runs unrecorded."""
     assert not is_read(sql)
 
--- a/packages/core/tests/test_templates.py
+++ b/packages/core/tests/test_templates.py
@@ -1,4 +1,4 @@
-"""Templates: problems, defaults, units and differences."""
+"""Tests templates: problems, defaults, units and differences."""
 
 import pytest
 
@@ -15,7 +15,7 @@
 
 
 def test_units_and_defaults():
-    """Guards against durations read in another unit and against lost defaults."""
+    """Guards against durations read in the wrong unit and missing defaults."""
     template = parse_template("reclamar", BODY, 3)
     assert (template.version, template.connections) == (3, 20)
     assert template.classes["poll"].max_age == 0.25
@@ -25,7 +25,7 @@
 
 
 def test_all_problems_are_reported_at_once():
-    """Guards against an operator who must fix one problem after the other."""
+    """Guards against reporting only the first problem."""
     body = {
         "databases": [],
         "conections": 5,
@@ -52,7 +52,7 @@
         assert part in text
 
 
-def test_differences_name_the_path():
+def test_differences_are_listed_by_path():
     """Guards against a diff that hides a removed or an added setting."""
     new = {**BODY, "connections": 40, "classes": {"claim": {"kind": "read"}}}
     assert diff_templates(BODY, new) == [
