Name the key ring of the sessions section in full

The section called its keys a ring, which reads like a hash ring; the attribute is now key_ring. Two names in tests say what they check.

--- a/packages/core/src/bronzemoor_core/flow.py
+++ b/packages/core/src/bronzemoor_core/flow.py
@@ -163,7 +163,7 @@
             items += self._admit_next_fallback(now, work.request.database)
         items += self._outcome_metrics(now, work, outcome)
         if not work.caller_gone:
-            token = self._blackboard.sessions.ring.sign(work.token)
+            token = self._blackboard.sessions.key_ring.sign(work.token)
             items.append(Reply(ticket, outcome, token, work.member))
         items.append(RequestFinished(ticket, outcome))
         return items
--- a/packages/core/src/bronzemoor_core/internal_events.py
+++ b/packages/core/src/bronzemoor_core/internal_events.py
@@ -13,7 +13,7 @@
 
     Without members the request only waits in the queue, for example for a primary; a
     second event for the same ticket replaces the first and keeps its place.
-    Pools answers with ``ConnectionGranted`` at once or later, or ``ConnectionRefused``.
+    Pools answers with ``ConnectionGranted``, now or later, or ``ConnectionRefused``.
     """
 
     ticket: int
--- a/packages/core/src/bronzemoor_core/preconditions.py
+++ b/packages/core/src/bronzemoor_core/preconditions.py
@@ -71,7 +71,7 @@
 def _session_token(request: Request, blackboard: Any, random: Random) -> SessionToken:
     if not request.session:
         return SessionToken(request.organisation, f"{random.getrandbits(64):016x}")
-    token: SessionToken = blackboard.sessions.ring.verify(
+    token: SessionToken = blackboard.sessions.key_ring.verify(
         request.session, request.organisation
     )
     return token
--- a/packages/core/src/bronzemoor_core/sessions.py
+++ b/packages/core/src/bronzemoor_core/sessions.py
@@ -108,12 +108,12 @@
 
 @section("sessions")
 class Sessions:
-    """``ring`` holds the active keys."""
+    """``key_ring`` holds the active keys."""
 
-    __slots__ = ("ring",)
+    __slots__ = ("key_ring",)
 
     def __init__(self) -> None:
-        self.ring = KeyRing([(DEVELOPMENT_KEY_ID, DEVELOPMENT_KEY)])
+        self.key_ring = KeyRing([(DEVELOPMENT_KEY_ID, DEVELOPMENT_KEY)])
 
 
 @controller("sessions")
@@ -125,19 +125,19 @@
     def __init__(self, blackboard: Blackboard, settings: Any, random: Random) -> None:
         super().__init__(blackboard, settings, random)
         if settings.token_keys:
-            self._own.ring = KeyRing(list(settings.token_keys.items()))
-        self._warned = not self._own.ring.insecure
+            self._own.key_ring = KeyRing(list(settings.token_keys.items()))
+        self._warned = not self._own.key_ring.insecure
         self._next_ring: KeyRing | None = None
         self._activate_at = 0.0
 
     @handles(TokenKeysChanged)
     def on_keys_changed(self, now: float, event: TokenKeysChanged) -> list[EmitLog]:
-        old_id, old_secret = self._own.ring.signing_key
+        old_id, old_secret = self._own.key_ring.signing_key
         self._next_ring = KeyRing(event.keys)
         self._activate_at = now + ACTIVATION_DELAY_SECONDS
         keys = dict(event.keys)
         keys.setdefault(old_id, old_secret)
-        self._own.ring = KeyRing(list(keys.items()), old_id)
+        self._own.key_ring = KeyRing(list(keys.items()), old_id)
         return [
             EmitLog("info", "token_keys_changed", {"next_signer": event.keys[0][0]})
         ]
@@ -145,8 +145,8 @@
     @handles(Tick)
     def on_tick(self, now: float, event: Tick) -> list[EmitLog]:
         if self._next_ring is not None and now >= self._activate_at:
-            self._own.ring, self._next_ring = self._next_ring, None
-            signer, _ = self._own.ring.signing_key
+            self._own.key_ring, self._next_ring = self._next_ring, None
+            signer, _ = self._own.key_ring.signing_key
             return [EmitLog("info", "token_key_activated", {"signer": signer})]
         if self._warned:
             return []
--- a/packages/core/tests/test_interleavings.py
+++ b/packages/core/tests/test_interleavings.py
@@ -202,7 +202,7 @@
         self.run(4.0)
         assert not any(session.waiting for session in self.sessions), "no reply"
         for world in self.worlds:
-            assert_nothing_left(world)
+            assert_no_leaks(world)
         self.group.heal()
         texts = self.group.primary().texts()
         kept = Counter(part for text in texts for part in text.split("+"))
@@ -213,7 +213,7 @@
         assert all(ran[payout] <= 1 for payout in self.payouts), "at_most_once"
 
 
-def assert_nothing_left(world):
+def assert_no_leaks(world):
     """Guards against leaked connections, slots, queue entries and fallback reads."""
     blackboard = world.node.blackboard
     connection_tickets = {
--- a/packages/core/tests/test_sessions.py
+++ b/packages/core/tests/test_sessions.py
@@ -106,7 +106,7 @@
     logs = [a for a in node.handle(0.0, Tick()) if isinstance(a, EmitLog)]
     assert [log.event for log in logs] == ["insecure_token_key"]
     node.handle(1.0, TokenKeysChanged([OLD]))
-    assert node.blackboard.sessions.ring.verify(TEXT, "toile") == TOKEN
+    assert node.blackboard.sessions.key_ring.verify(TEXT, "toile") == TOKEN
     assert not [a for a in node.handle(2.0, Tick()) if isinstance(a, EmitLog)]
 
 
@@ -115,9 +115,9 @@
     node = make_node(NodeSettings("vm-1", "lisbon", token_keys=dict([OLD])), Random(1))
     node.handle(1.0, TokenKeysChanged([NEW, OLD]))
     sessions = node.blackboard.sessions
-    assert sessions.ring.signing_key == OLD
+    assert sessions.key_ring.signing_key == OLD
     node.handle(1.0 + ACTIVATION_DELAY_SECONDS / 2, Tick())
-    assert sessions.ring.signing_key == OLD
+    assert sessions.key_ring.signing_key == OLD
     node.handle(1.0 + ACTIVATION_DELAY_SECONDS, Tick())
-    assert sessions.ring.signing_key == NEW
-    assert sessions.ring.verify(TEXT, "toile") == TOKEN
+    assert sessions.key_ring.signing_key == NEW
+    assert sessions.key_ring.verify(TEXT, "toile") == TOKEN
--- a/packages/core/tests/test_transactions.py
+++ b/packages/core/tests/test_transactions.py
@@ -22,7 +22,7 @@
     return tx["transaction"] in world.node.blackboard.transactions.open
 
 
-def test_a_transaction_sees_its_own_writes_and_nobody_elses():
+def test_a_transaction_sees_only_its_own_writes():
     """Guards against mixing the work of two transactions."""
     world = World()
     one, two = begin(world), begin(world)
