Reword the peer and endpoint connections in usual terms

Comments, error messages and some names of the transports, the codec and the TLS contexts were figurative or vague.

--- a/packages/daemon/src/bronzemoor_daemon/codec.py
+++ b/packages/daemon/src/bronzemoor_daemon/codec.py
@@ -1,4 +1,4 @@
-"""Mapping between the core's dataclasses and Thrift structs, by field name."""
+"""Conversion between the core's dataclasses and Thrift structs, by field name."""
 
 import re
 from collections.abc import Callable
@@ -36,27 +36,31 @@
     actual = {field.name for field in fields(cls)}
     if expected != actual:
         raise ProtocolError(
-            f"{cls.__name__} differs from its struct in {sorted(expected ^ actual)}",
+            f"{cls.__name__} and its struct differ in {sorted(expected ^ actual)}",
             step="codec",
         )
     return struct
 
 
-def _converter(hint: Any, make: Callable[[type], Converter], check: bool) -> Converter:
-    """Makes the converter of one field; scalars are checked only when decoding."""
+def _converter(
+    hint: Any, make_converter: Callable[[type], Converter], check_types: bool
+) -> Converter:
+    """Returns the converter of one field; scalars are checked only when decoding."""
     origin, arguments = get_origin(hint), get_args(hint)
     if origin is list:
-        inner = _converter(arguments[0], make, check)
-        return lambda value: [inner(item) for item in value]
+        convert_item = _converter(arguments[0], make_converter, check_types)
+        return lambda value: [convert_item(item) for item in value]
     if origin is dict:
-        key, item = (_converter(argument, make, check) for argument in arguments)
+        key, item = (
+            _converter(argument, make_converter, check_types) for argument in arguments
+        )
         return lambda value: {key(k): item(v) for k, v in value.items()}
     if hint in (int, str, bytes, bool):
-        return _scalar(hint) if check else _identity
-    return make(hint)
+        return _type_checker(hint) if check_types else _identity
+    return make_converter(hint)
 
 
-def _scalar(expected: type) -> Converter:
+def _type_checker(expected: type) -> Converter:
     def convert(value: Any) -> Any:
         if type(value) is not expected:
             raise ProtocolError(
@@ -69,7 +73,7 @@
 
 
 def _default(field: Field[Any]) -> Any:
-    """The default of a field; ``MISSING``, which equals nothing, without one."""
+    """Returns the default of a field, or ``MISSING``, which equals no value."""
     if field.default_factory is not MISSING:
         return field.default_factory()
     return field.default
@@ -78,7 +82,7 @@
 def _encoder(cls: type) -> Converter:
     if cls not in _ENCODERS:
         struct, hints = _struct_type(cls), get_type_hints(cls)
-        parts = [
+        field_converters = [
             (
                 field.name,
                 _converter(hints[field.name], _encoder, False),
@@ -88,12 +92,12 @@
         ]
 
         def encode(value: Any) -> Any:
-            # What has its default is left out and filled in by the decoder.
+            # Fields with their default value are omitted and set by the decoder.
             values = {}
-            for name, part, default in parts:
+            for name, convert_field, default in field_converters:
                 item = getattr(value, name)
                 if item != default:
-                    values[name] = part(item)
+                    values[name] = convert_field(item)
             return struct(**values)
 
         _ENCODERS[cls] = encode
@@ -104,7 +108,7 @@
     if cls not in _DECODERS:
         _struct_type(cls)
         hints = get_type_hints(cls)
-        parts = [
+        field_converters = [
             (
                 field.name,
                 _converter(hints[field.name], _decoder, True),
@@ -115,10 +119,10 @@
 
         def decode(struct: Any) -> Any:
             values = {}
-            for name, part, optional in parts:
+            for name, convert_field, optional in field_converters:
                 value = getattr(struct, name, None)
                 if value is not None:
-                    values[name] = part(value)
+                    values[name] = convert_field(value)
                 elif not optional:
                     raise ProtocolError(
                         f"{cls.__name__}.{name} is missing", step="codec"
@@ -135,7 +139,7 @@
 
 
 def decode_struct(cls: type, struct: Any) -> Any:
-    """Returns a ``cls`` from its struct; raises ``ProtocolError`` on a bad field."""
+    """Returns a ``cls`` from its struct; raises ``ProtocolError`` if invalid."""
     return _decoder(cls)(struct)
 
 
@@ -143,7 +147,7 @@
     return re.sub(r"(?<!^)(?=[A-Z])", "_", name).lower()
 
 
-# Union field by message class; messages that only occur inside others have none.
+# Union field by message class; classes used only inside other messages have none.
 UNION_FIELDS = {
     cls: _union_field(name)
     for name, cls in MESSAGE_TYPES.items()
@@ -154,11 +158,13 @@
 def encode_envelope(
     sender: str, recipient: str, message: Any, trace_context: str = ""
 ) -> ttypes.Envelope:
-    """Wraps a message for sending; raises ``ProtocolError`` for a foreign type."""
+    """Wraps a message for sending; raises ``ProtocolError`` for an unknown type."""
     name = UNION_FIELDS.get(type(message))
     if name is None:
         raise ProtocolError(
-            f"{type(message).__name__} is not a message", step="codec", peer=recipient
+            f"{type(message).__name__} is not a message type",
+            step="codec",
+            peer=recipient,
         )
     return ttypes.Envelope(
         sender=sender,
@@ -170,22 +176,25 @@
 
 
 def decode_envelope(envelope: ttypes.Envelope) -> Any:
-    """Returns the message; raises ``ProtocolError`` unless it has exactly one."""
+    """Returns the message; raises ``ProtocolError`` if the envelope is invalid."""
     if envelope.version not in ACCEPTED_VERSIONS:
         raise ProtocolError(
-            f"message version {envelope.version} is not accepted",
+            f"message version {envelope.version} is not supported",
             step="codec",
             peer=envelope.sender or "",
             code="unknown_version",
         )
-    found = [
+    matches = [
         (cls, struct)
         for cls, name in UNION_FIELDS.items()
         if (struct := getattr(envelope.message, name, None)) is not None
     ]
-    if len(found) != 1 or not envelope.sender or envelope.recipient is None:
-        raise ProtocolError("envelope without exactly one message", step="codec")
-    return decode_struct(*found[0])
+    if len(matches) != 1 or not envelope.sender or envelope.recipient is None:
+        raise ProtocolError(
+            "envelope must have a sender, a recipient and exactly one message",
+            step="codec",
+        )
+    return decode_struct(*matches[0])
 
 
 def to_bytes(struct: Any) -> bytes:
@@ -199,7 +208,7 @@
 
 
 def from_bytes(struct_type: type, data: bytes) -> Any:
-    """Decodes a Thrift struct; raises ``ProtocolError`` on garbage."""
+    """Decodes a Thrift struct; raises ``ProtocolError`` on malformed data."""
     struct = struct_type()
     try:
         struct.read(TBinaryProtocolAccelerated(TMemoryBuffer(data)))
--- a/packages/daemon/src/bronzemoor_daemon/endpoints.py
+++ b/packages/daemon/src/bronzemoor_daemon/endpoints.py
@@ -1,4 +1,4 @@
-"""Thrift connections to endpoints; performs connection and call actions."""
+"""Thrift connections to endpoints, and the core's actions on them."""
 
 from collections.abc import Callable
 from ssl import SSLContext
@@ -25,14 +25,14 @@
 
 CallEvent = AnswerReceived | AnswerTimedOut | ConnectionClosed
 
-# A connection that answered this recently (seconds) is used without a look at its
-# input first; the look finds most closed connections before anything is sent.
-UNCHECKED_IDLE = 0.020
+# A connection without an answer for longer than this is checked for unexpected input
+# before a call, which detects most closed connections before anything is sent.
+MAX_UNCHECKED_IDLE_SECONDS = 0.020
 
 _STATUS = {0: "ok", 1: "refused", 2: "failed"}
 _INT64_MAX = 2**63 - 1
 
-# Field names that a core Answer takes over unchanged from the Thrift reply.
+# Fields that are copied unchanged from the Thrift reply to the core's Answer.
 _ANSWER_TEXT = ("request_id", "code", "message", "member", "role", "transaction_id")
 _ANSWER_NUMBERS = ("term", "offset", "majority_offset", "length", "checksum")
 
@@ -99,7 +99,7 @@
     )
 
 
-# Thrift argument of each call, by method name.
+# Functions that build the Thrift argument of a call, by method name.
 CALL_ENCODERS: dict[str, Callable[[Call], Any]] = {
     "execute": _execute,
     "begin": _transaction,
@@ -113,9 +113,9 @@
 
 
 def decode_answer(reply: ttypes.Reply) -> Answer:
-    """Maps a reply to the core's ``Answer``; raises ``ValueError`` if it is no reply.
+    """Converts a reply to the core's ``Answer``; raises ``ValueError`` if malformed.
 
-    Length, checksum and correlation are left for the core to check.
+    The core checks the length, the checksum and the correlation id.
     """
     status = _STATUS.get(reply.status)
     if status is None or reply.correlation_id is None:
@@ -143,9 +143,9 @@
 
 
 class EndpointConnections:
-    """All open connections of this daemon by the core's connection number.
+    """Open connections of this daemon to endpoints, by the core's connection number.
 
-    Every method blocks and returns the one event that answers its action.
+    ``open``, ``call`` and ``order`` block and return the event that results.
     """
 
     def __init__(
@@ -158,8 +158,8 @@
         self._clock = clock
         self._tls = tls
         self._connections: dict[int, _Connection] = {}
-        # Connections whose close was ordered while they were still opening.
-        self._abandoned: set[int] = set()
+        # Connections that the core closed while they were still opening.
+        self._closed_while_opening: set[int] = set()
         self._opening: set[int] = set()
         self._lock = Lock()
 
@@ -167,89 +167,96 @@
         return len(self._connections)
 
     def announce_open(self, connection: int) -> None:
-        """Notes that an open is on its way, so that a close in between takes effect."""
+        """Registers a pending open, so that a close before its end takes effect."""
         with self._lock:
             self._opening.add(connection)
 
     def open(self, action: OpenConnection) -> ConnectionOpened | ConnectionFailed:
-        """Connects and says hello within ``action.timeout`` seconds."""
-        held = None
+        """Connects and exchanges hellos within ``action.timeout`` seconds."""
+        conn = None
         try:
-            held = self._dial(action.address, action.timeout)
+            conn = self._dial(action.address, action.timeout)
             hello = ttypes.Hello(action.connection, self._client_name, action.database)
-            answer = decode_answer(held.client.hello(hello))
-        except Exception as error:  # whatever the other side sent, the open failed
-            if held is not None:
-                held.transport.close()
+            answer = decode_answer(conn.client.hello(hello))
+        except Exception as error:  # includes any invalid reply to the hello
+            if conn is not None:
+                conn.transport.close()
             with self._lock:
                 self._opening.discard(action.connection)
-                self._abandoned.discard(action.connection)
+                self._closed_while_opening.discard(action.connection)
             return ConnectionFailed(action.connection, _describe(error))
         with self._lock:
             self._opening.discard(action.connection)
-            abandoned = action.connection in self._abandoned
-            self._abandoned.discard(action.connection)
-            if not abandoned:
-                self._connections[action.connection] = held
-        if abandoned:
-            held.transport.close()
+            closed_while_opening = action.connection in self._closed_while_opening
+            self._closed_while_opening.discard(action.connection)
+            if not closed_while_opening:
+                self._connections[action.connection] = conn
+        if closed_while_opening:
+            conn.transport.close()
             return ConnectionFailed(action.connection, "closed while opening")
         return ConnectionOpened(action.connection, answer)
 
     def call(self, action: SendCall) -> CallEvent:
-        """Performs one call; ``sent`` is false only if the endpoint cannot have it."""
-        held = self._connections.get(action.connection)
+        """Performs one call; ``sent`` is false only if it cannot have arrived."""
+        conn = self._connections.get(action.connection)
         call = action.call
-        if held is None:
-            return ConnectionClosed(action.connection, "not open", sent=False)
-        transport = held.transport
+        if conn is None:
+            return ConnectionClosed(
+                action.connection, "connection is not open", sent=False
+            )
+        transport = conn.transport
         sent_at = self._clock()
         try:
-            if sent_at - held.used_at > UNCHECKED_IDLE and transport.has_input():
-                # The endpoint closed the connection or sent what nobody asked for.
-                return self._closed(action, "closed or unexpected data", False)
+            if (
+                sent_at - conn.used_at > MAX_UNCHECKED_IDLE_SECONDS
+                and transport.has_unexpected_input()
+            ):
+                # The endpoint closed the connection or sent unsolicited data.
+                return self._close_with_event(
+                    action, "connection closed or unsolicited data received", False
+                )
             transport.deadline = monotonic() + call.timeout
             argument = CALL_ENCODERS[call.kind](call)
-            reply = getattr(held.client, call.kind)(argument)
-            held.used_at = self._clock()
+            reply = getattr(conn.client, call.kind)(argument)
+            conn.used_at = self._clock()
             return AnswerReceived(
                 action.connection, call, decode_answer(reply), sent_at
             )
         except NotSentError as error:
-            return self._closed(action, _describe(error), False)
+            return self._close_with_event(action, _describe(error), False)
         except TTransportException as error:
             if error.type == TTransportException.TIMED_OUT:
                 return AnswerTimedOut(action.connection, call, sent_at)
-            return self._closed(action, _describe(error), True)
+            return self._close_with_event(action, _describe(error), True)
         except Exception as error:  # a reply that cannot be decoded
-            return self._closed(action, _describe(error), True)
+            return self._close_with_event(action, _describe(error), True)
 
     def close(self, connection: int) -> bool:
-        """Closes a connection; a call in progress on it ends as closed.
+        """Closes a connection; a call in progress on it returns ``ConnectionClosed``.
 
-        Returns false if it is still opening: then it closes once that has ended.
+        Returns false if it is still opening; it is then closed once that has ended.
         """
         with self._lock:
-            held = self._connections.pop(connection, None)
-            opening = held is None and connection in self._opening
+            conn = self._connections.pop(connection, None)
+            opening = conn is None and connection in self._opening
             if opening:
-                self._abandoned.add(connection)
-        if held is not None:
-            held.transport.close()
+                self._closed_while_opening.add(connection)
+        if conn is not None:
+            conn.transport.close()
         return not opening
 
     def order(self, action: SendOrder) -> OrderAnswered | OrderFailed:
-        """Sends an order on a fresh connection within ``action.timeout`` seconds."""
+        """Sends an order on a new connection within ``action.timeout`` seconds."""
         order = action.order
         try:
-            held = self._dial(order.address, action.timeout)
+            conn = self._dial(order.address, action.timeout)
         except (OSError, ValueError) as error:
             return OrderFailed(order, _describe(error))
         try:
             hello = ttypes.Hello(
                 order.correlation_id, self._client_name, order.database
             )
-            held.client.hello(hello)
+            conn.client.hello(hello)
             if order.kind == "ping":
                 argument: Any = ttypes.Query(
                     order.correlation_id, "", ttypes.Position(0, 0), 0, ""
@@ -262,32 +269,33 @@
                     order.start_offset,
                     order.members,
                 )
-            reply = getattr(held.client, order.kind)(argument)
+            reply = getattr(conn.client, order.kind)(argument)
             return OrderAnswered(order, decode_answer(reply))
-        except Exception as error:  # whatever arrived is no answer to the order
+        except Exception as error:  # includes any invalid reply
             return OrderFailed(order, _describe(error))
         finally:
-            held.transport.close()
+            conn.transport.close()
 
     def close_all(self) -> None:
-        """Closes every connection."""
         for connection in list(self._connections):
             self.close(connection)
 
     def _dial(self, address: str, timeout: float) -> _Connection:
         deadline = monotonic() + timeout
-        connected = connect(address, timeout)
+        sock = connect(address, timeout)
         try:
             if self._tls is not None:
-                connected = self._tls.wrap_socket(connected)
+                sock = self._tls.wrap_socket(sock)
         except OSError:
-            connected.close()
+            sock.close()
             raise
-        transport = FramedTransport(connected)
+        transport = FramedTransport(sock)
         transport.deadline = deadline
         return _Connection(transport)
 
-    def _closed(self, action: SendCall, error: str, sent: bool) -> ConnectionClosed:
+    def _close_with_event(
+        self, action: SendCall, error: str, sent: bool
+    ) -> ConnectionClosed:
         self.close(action.connection)
         return ConnectionClosed(action.connection, error, sent)
 
--- a/packages/daemon/src/bronzemoor_daemon/framing.py
+++ b/packages/daemon/src/bronzemoor_daemon/framing.py
@@ -1,4 +1,4 @@
-"""Framed Thrift transport on a socket, with a deadline per frame and a size bound."""
+"""Framed Thrift transport over a socket, with a deadline and a frame size limit."""
 
 import socket
 import ssl
@@ -13,37 +13,38 @@
     TTransportException,
 )
 
-# A frame length above this is garbage or abuse; it is never allocated.
+# A longer frame is malformed or hostile; it is refused before memory is allocated.
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 RECEIVE_BYTES = 65_536
 LENGTH = struct.Struct("!I")
 TIMEVAL = struct.Struct("@ll")
-# Longest single wait of a plain socket, seconds; a timeout is late by at most this.
-WAIT_SLICE = 0.020
+# Kernel timeout of one operation on a plain socket; the deadline is checked after it,
+# so a timeout is late by at most this.
+MAX_WAIT_SECONDS = 0.020
 
 
 class NotSentError(TTransportException):
-    """The frame did not leave completely, so the other side cannot have run it."""
+    """The frame was not sent completely, so the receiver cannot have executed it."""
 
 
 class FramedTransport(TTransportBase, CReadableTransport):
-    """Exchanges whole frames on a connected socket; not safe for several threads.
+    """Exchanges whole frames on a connected socket; not thread-safe.
 
-    Plain sockets stay in blocking mode with a kernel timeout of one slice: Python's own
-    timeouts cost an extra poll, and a release of the interpreter lock, per operation.
+    Plain sockets stay in blocking mode with a kernel timeout: Python's own timeouts
+    cost an extra poll, and a release of the interpreter lock, per operation.
     """
 
-    def __init__(self, connected: socket.socket) -> None:
-        self._socket = connected
-        self._outgoing: list[bytes] = []
-        self._buffer = BytesIO()
-        self._received = b""
-        self._is_tls = isinstance(connected, ssl.SSLSocket)
-        self._slice = -1.0
-        # Monotonic seconds after which a receive fails; None waits for ever.
+    def __init__(self, sock: socket.socket) -> None:
+        self._socket = sock
+        self._write_buffer: list[bytes] = []
+        self._frame = BytesIO()
+        self._receive_buffer = b""
+        self._is_tls = isinstance(sock, ssl.SSLSocket)
+        self._kernel_timeout = -1.0
+        # Monotonic time in seconds after which an operation fails; None for no limit.
         self.deadline: float | None = None
         if not self._is_tls:
-            connected.settimeout(None)
+            sock.settimeout(None)
 
     @property
     def socket(self) -> socket.socket:
@@ -52,12 +53,12 @@
     def isOpen(self) -> bool:  # noqa: N802
         return self._socket.fileno() >= 0
 
-    def has_input(self) -> bool:
-        """Tells whether bytes or an end of stream wait although none are expected.
+    def has_unexpected_input(self) -> bool:
+        """Returns whether data or an end of stream arrived while none is expected.
 
-        Under TLS this is not known, because session tickets are input as well.
+        Under TLS the socket is not checked, because session tickets are input as well.
         """
-        if self._received:
+        if self._receive_buffer:
             return True
         if self._is_tls:
             return False
@@ -70,40 +71,40 @@
         return True
 
     def write(self, data: bytes) -> None:
-        self._outgoing.append(data)
+        self._write_buffer.append(data)
 
     def flush(self) -> None:
-        """Sends what was written as one frame; raises ``NotSentError`` if it broke."""
-        body = b"".join(self._outgoing)
-        self._outgoing.clear()
+        """Sends the written data as one frame; raises ``NotSentError`` on failure."""
+        body = b"".join(self._write_buffer)
+        self._write_buffer.clear()
         try:
-            self._limit_wait()
+            self._apply_deadline()
             self._socket.sendall(LENGTH.pack(len(body)) + body)
         except (OSError, ValueError) as error:
             raise NotSentError(TTransportException.NOT_OPEN, str(error)) from error
 
     def read(self, size: int) -> bytes:
-        data = self._buffer.read(size)
+        data = self._frame.read(size)
         if data or size == 0:
             return data
         self._receive_frame()
-        return self._buffer.read(size)
+        return self._frame.read(size)
 
     @property
     def cstringio_buf(self) -> BytesIO:
-        return self._buffer
+        return self._frame
 
     def cstringio_refill(self, partialread: bytes, reqlen: int) -> BytesIO:
-        """Called by the accelerated decoder when the frame has too few bytes."""
-        if partialread or self._buffer.tell():
+        """Called by the accelerated decoder when the current frame is exhausted."""
+        if partialread or self._frame.tell():
             raise TTransportException(
-                TTransportException.END_OF_FILE, "message longer than its frame"
+                TTransportException.END_OF_FILE, "message extends beyond its frame"
             )
         self._receive_frame()
-        return self._buffer
+        return self._frame
 
     def close(self) -> None:
-        """Wakes a thread that waits in a receive, then closes the socket."""
+        """Wakes a thread that is blocked in a receive, then closes the socket."""
         with suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
         self._socket.close()
@@ -113,21 +114,22 @@
         (length,) = LENGTH.unpack(header)
         if length > MAX_FRAME_BYTES:
             raise TTransportException(
-                TTransportException.SIZE_LIMIT, f"frame of {length} bytes"
+                TTransportException.SIZE_LIMIT,
+                f"frame of {length} bytes exceeds the limit",
             )
-        self._buffer = BytesIO(self._receive(length))
+        self._frame = BytesIO(self._receive(length))
 
     def _receive(self, size: int) -> bytes:
-        chunks, held = [self._received], len(self._received)
-        while held < size:
+        chunks, size_received = [self._receive_buffer], len(self._receive_buffer)
+        while size_received < size:
             try:
-                self._limit_wait()
+                self._apply_deadline()
                 chunk = self._socket.recv(RECEIVE_BYTES)
             except BlockingIOError:
-                continue  # one slice passed; the deadline decides
+                continue  # the kernel timeout passed; check the deadline
             except TimeoutError as error:
                 raise TTransportException(
-                    TTransportException.TIMED_OUT, "no whole answer in time"
+                    TTransportException.TIMED_OUT, "timed out while receiving a frame"
                 ) from error
             except (OSError, ValueError) as error:
                 raise TTransportException(
@@ -138,13 +140,13 @@
                     TTransportException.END_OF_FILE, "closed by the other side"
                 )
             chunks.append(chunk)
-            held += len(chunk)
+            size_received += len(chunk)
         data = b"".join(chunks)
-        self._received = data[size:]
+        self._receive_buffer = data[size:]
         return data[:size]
 
-    def _limit_wait(self) -> None:
-        """Bounds the next socket operation; raises ``TimeoutError`` when too late."""
+    def _apply_deadline(self) -> None:
+        """Bounds the next operation; raises ``TimeoutError`` after the deadline."""
         remaining = None
         if self.deadline is not None:
             remaining = self.deadline - time.monotonic()
@@ -153,24 +155,26 @@
         if self._is_tls:
             self._socket.settimeout(remaining)
             return
-        wanted = 0.0 if remaining is None else WAIT_SLICE
-        if wanted != self._slice:
-            self._slice = wanted
-            value = TIMEVAL.pack(int(wanted), int(wanted % 1 * 1_000_000))
+        kernel_timeout = 0.0 if remaining is None else MAX_WAIT_SECONDS
+        if kernel_timeout != self._kernel_timeout:
+            self._kernel_timeout = kernel_timeout
+            value = TIMEVAL.pack(
+                int(kernel_timeout), int(kernel_timeout % 1 * 1_000_000)
+            )
             self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, value)
             self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, value)
 
 
 def split_address(address: str) -> tuple[str, int]:
     """Splits ``host:port``; an IPv6 host may be bracketed. Raises ``ValueError``."""
-    host, colon, port = address.rpartition(":")
-    if not colon or not host:
+    host, separator, port = address.rpartition(":")
+    if not separator or not host:
         raise ValueError(f"address {address!r} is not host:port")
     return host.strip("[]"), int(port)
 
 
 def connect(address: str, timeout: float) -> socket.socket:
-    """Opens a TCP connection without Nagle's delay. Raises ``OSError``."""
-    connected = socket.create_connection(split_address(address), timeout)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return connected
+    """Opens a TCP connection with TCP_NODELAY. Raises ``OSError``."""
+    sock = socket.create_connection(split_address(address), timeout)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
--- a/packages/daemon/src/bronzemoor_daemon/peers.py
+++ b/packages/daemon/src/bronzemoor_daemon/peers.py
@@ -1,4 +1,4 @@
-"""Thrift server and clients between daemons."""
+"""Thrift server and clients for messages between daemons."""
 
 import socket
 from collections import deque
@@ -18,12 +18,13 @@
 from bronzemoor_daemon.gen.peer import Peer, ttypes
 from bronzemoor_daemon.tls import ContextSource
 
-CONNECT_TIMEOUT = 0.5
-DELIVER_TIMEOUT = 1.0
-# Messages repeat what matters, so an unreachable peer costs only this much memory.
+CONNECT_TIMEOUT_SECONDS = 0.5
+DELIVER_TIMEOUT_SECONDS = 1.0
+# Bounds the memory used for an unreachable peer. Dropped messages are tolerated, since
+# the protocol repeats all essential information.
 QUEUE_LIMIT = 1_000
 BATCH_LIMIT = 100
-RETRY_PAUSE = 0.05
+RETRY_INTERVAL_SECONDS = 0.05
 
 ReportFault = Callable[[str, dict[str, Any]], None]
 
@@ -45,7 +46,7 @@
         self._tls = tls
         self._report = report
         self._queue: deque[tuple[Any, str]] = deque(maxlen=QUEUE_LIMIT)
-        self._ready = Condition(Lock())
+        self._condition = Condition(Lock())
         self._stopped = False
         self._transport: FramedTransport | None = None
         self._thread = Thread(target=self._run, name=f"peer-{recipient}", daemon=True)
@@ -56,16 +57,16 @@
         return len(self._queue)
 
     def put(self, message: Any, trace_context: str = "") -> None:
-        """Enqueues without blocking; the oldest message is dropped when full."""
-        with self._ready:
+        """Enqueues without blocking; drops the oldest message of a full queue."""
+        with self._condition:
             self._queue.append((message, trace_context))
-            self._ready.notify()
+            self._condition.notify()
 
     def stop(self) -> None:
-        """Sends nothing more and closes the connection."""
-        with self._ready:
+        """Stops sending and closes the connection."""
+        with self._condition:
             self._stopped = True
-            self._ready.notify()
+            self._condition.notify()
         transport = self._transport
         if transport is not None:
             transport.close()
@@ -81,7 +82,7 @@
                 if client is None:
                     client = self._connect()
                 assert self._transport is not None
-                self._transport.deadline = monotonic() + DELIVER_TIMEOUT
+                self._transport.deadline = monotonic() + DELIVER_TIMEOUT_SECONDS
                 client.deliver(envelopes)
             except ttypes.Rejected as error:
                 self._report(
@@ -92,30 +93,32 @@
                         "error": error.message,
                     },
                 )
-            except Exception as error:  # the batch is lost, which the core allows for
+            except Exception as error:  # the batch is lost; the core tolerates it
                 self._disconnect()
                 client = None
                 self._report(
                     "peer_unreachable", {"peer": self._recipient, "error": str(error)}
                 )
-                with self._ready:
-                    self._ready.wait_for(lambda: self._stopped, RETRY_PAUSE)
+                with self._condition:
+                    self._condition.wait_for(
+                        lambda: self._stopped, RETRY_INTERVAL_SECONDS
+                    )
         self._disconnect()
 
     def _next_batch(self) -> list[tuple[Any, str]] | None:
-        with self._ready:
+        with self._condition:
             while not self._queue and not self._stopped:
-                self._ready.wait()
+                self._condition.wait()
             if self._stopped:
                 return None
             size = min(len(self._queue), BATCH_LIMIT)
             return [self._queue.popleft() for _ in range(size)]
 
     def _connect(self) -> Peer.Client:
-        connected = connect(self._address, CONNECT_TIMEOUT)
+        sock = connect(self._address, CONNECT_TIMEOUT_SECONDS)
         if self._tls is not None:
-            connected = self._tls().wrap_socket(connected)
-        self._transport = FramedTransport(connected)
+            sock = self._tls().wrap_socket(sock)
+        self._transport = FramedTransport(sock)
         return Peer.Client(TBinaryProtocolAccelerated(self._transport))
 
     def _disconnect(self) -> None:
@@ -125,7 +128,7 @@
 
 
 class PeerSenders:
-    """One sender per known peer, made when its first message is sent."""
+    """Holds one sender per known peer, created with the first message to it."""
 
     def __init__(
         self,
@@ -142,11 +145,11 @@
 
     @property
     def queued(self) -> dict[str, int]:
-        """Waiting messages by recipient."""
+        """Number of queued messages by recipient."""
         return {name: sender.queued for name, sender in self._senders.items()}
 
     def send(self, action: SendPeerMessage, trace_context: str = "") -> None:
-        """Enqueues a message; one for an unknown peer is reported and dropped."""
+        """Enqueues a message; reports and drops one for an unknown peer."""
         sender = self._senders.get(action.recipient)
         if sender is None:
             address = self._addresses.get(action.recipient)
@@ -165,7 +168,7 @@
 
 
 class PeerServer:
-    """Takes messages from other daemons; one thread per connected daemon."""
+    """Receives messages from other daemons, with one thread per connection."""
 
     def __init__(
         self,
@@ -202,14 +205,14 @@
             transport.close()
 
     def deliver(self, envelopes: list[ttypes.Envelope]) -> None:
-        """Thrift handler: feeds every message, or raises ``Rejected`` before any."""
+        """Thrift handler: delivers all messages, or raises ``Rejected`` and none."""
         received = []
         for envelope in envelopes or ():
             try:
                 message = decode_envelope(envelope)
                 if envelope.recipient != self._name:
                     raise ProtocolError(
-                        f"message for {envelope.recipient!r}",
+                        f"message is addressed to {envelope.recipient!r}",
                         step="peers",
                         code="wrong_recipient",
                     )
@@ -233,35 +236,33 @@
     def _accept(self) -> None:
         while not self._stopped:
             try:
-                connected, _ = self._listener.accept()
+                sock, _ = self._listener.accept()
             except OSError:
                 if self._stopped:
                     return
                 continue
-            Thread(
-                target=self._serve, args=(connected,), name="peer", daemon=True
-            ).start()
+            Thread(target=self._serve, args=(sock,), name="peer", daemon=True).start()
 
-    def _serve(self, connected: socket.socket) -> None:
+    def _serve(self, sock: socket.socket) -> None:
         transport = None
         try:
-            connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if self._tls is not None:
-                connected.settimeout(CONNECT_TIMEOUT)
-                connected = self._tls().wrap_socket(connected, server_side=True)
-            transport = FramedTransport(connected)
+                sock.settimeout(CONNECT_TIMEOUT_SECONDS)
+                sock = self._tls().wrap_socket(sock, server_side=True)
+            transport = FramedTransport(sock)
             self._transports.add(transport)
             protocol = TBinaryProtocolAccelerated(transport)
             while not self._stopped:
                 self._processor.process(protocol, protocol)
-        except Exception as error:  # a broken stream ends this connection only
+        except Exception as error:  # an invalid stream ends only its connection
             if not self._stopped and not _is_end_of_stream(error):
                 self._report("peer_connection_failed", {"error": str(error)})
         finally:
             if transport is not None:
                 self._transports.discard(transport)
                 transport.close()
-            connected.close()
+            sock.close()
 
 
 def _is_end_of_stream(error: Exception) -> bool:
--- a/packages/daemon/src/bronzemoor_daemon/tls.py
+++ b/packages/daemon/src/bronzemoor_daemon/tls.py
@@ -1,4 +1,4 @@
-"""TLS contexts whose certificates can be replaced while connections go on."""
+"""TLS contexts whose certificates can be replaced while connections are open."""
 
 import ssl
 from collections.abc import Callable, Iterator
@@ -15,7 +15,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Contexts:
-    """Contexts made from one state of the files."""
+    """Contexts created from one version of the certificate files."""
 
     http: ssl.SSLContext
     peer_server: ssl.SSLContext
@@ -23,10 +23,10 @@
 
 
 class TlsContexts:
-    """Contexts for HTTP (server only) and for peers (both sides show certificates).
+    """Contexts for HTTP (server only) and for peers (mutual authentication).
 
-    A reload makes new contexts. Loading into a live one is not atomic: a handshake
-    between certificate and key would fail.
+    A reload creates new contexts. Loading into one in use is not atomic: a handshake
+    between loading the certificate and the key would fail.
     """
 
     def __init__(self, settings: TlsFiles) -> None:
@@ -46,7 +46,7 @@
     def reload(self) -> bool:
         """Loads changed files for new connections; open ones keep their certificate.
 
-        Raises ``InvalidSettings`` and keeps the old certificate if the files are bad.
+        Raises ``InvalidSettings`` and keeps the old certificate if a file is invalid.
         """
         modified = self._modification_times()
         if modified == self._modified:
@@ -65,7 +65,7 @@
             for context in (contexts.http, contexts.peer_server, contexts.peer_client):
                 context.load_cert_chain(self._settings.certificate, self._settings.key)
             for context in (contexts.peer_server, contexts.peer_client):
-                # Daemons are known by IP address; the authority signs daemons only.
+                # Daemons are addressed by IP; the authority certifies daemons only.
                 context.check_hostname = False
                 context.verify_mode = ssl.CERT_REQUIRED
                 context.load_verify_locations(self._settings.authority)
@@ -82,7 +82,7 @@
 
 
 def is_loopback(address: str) -> bool:
-    """Tells whether host:port names this machine only."""
+    """Returns whether the host of ``host:port`` is a loopback address."""
     host, _ = split_address(address)
     if host == "localhost":
         return True
@@ -100,11 +100,11 @@
 
 
 def exposure_problems(settings: ListenSettings) -> list[str]:
-    """Addresses that would be open to others without TLS."""
+    """Returns a problem for each address exposed to other hosts without TLS."""
     if settings.tls is not None:
         return []
     return [
-        f"{name}: {address} is beyond loopback and has no TLS"
+        f"{name}: {address} is not a loopback address and has no TLS"
         for name, address in _addresses(settings)
         if not is_loopback(address)
     ]
--- a/packages/daemon/tests/test_codec.py
+++ b/packages/daemon/tests/test_codec.py
@@ -1,4 +1,4 @@
-"""Mapping between the core's messages and Thrift structs."""
+"""Tests of the conversion between the core's messages and Thrift structs."""
 
 import contextlib
 from dataclasses import fields
@@ -66,15 +66,15 @@
 
 
 @given(st.binary(max_size=200))
-def test_garbage_is_a_typed_error_or_a_message(data):
-    """Guards against garbage from the network that crashes the decoding thread."""
+def test_malformed_data_is_a_typed_error_or_a_message(data):
+    """Guards against malformed data that crashes the decoding thread."""
     with contextlib.suppress(ProtocolError):
         decode_envelope(from_bytes(ttypes.Envelope, data))
 
 
 @given(instances(PreVote), st.integers(0, 10_000), st.integers(0, 255))
 def test_a_changed_byte_is_a_typed_error_or_a_message(message, place, value):
-    """Guards against damaged envelopes that raise anything but a typed error."""
+    """Guards against damaged envelopes that raise other than a typed error."""
     data = bytearray(to_bytes(encode_envelope("vm-1", "vm-2", message)))
     data[place % len(data)] = value
     with contextlib.suppress(ProtocolError):
@@ -94,7 +94,7 @@
     ids=str,
 )
 def test_envelopes_that_are_incomplete_or_of_another_version_are_refused(change):
-    """Guards against messages whose fields have another meaning."""
+    """Guards against misread fields of an incompatible message."""
     envelope = encode_envelope("vm-1", "vm-2", PreVote(1, 2, 3))
     for name, value in change.items():
         setattr(envelope, name, value)
@@ -103,7 +103,7 @@
 
 
 def test_missing_and_wrong_fields_are_refused():
-    """Guards against None or a wrong type that reaches the core."""
+    """Guards against None or a value of a wrong type that reaches the core."""
     with pytest.raises(ProtocolError, match="missing"):
         decode_struct(PreVote, ttypes.PreVote(term=1, last_index=2))
     with pytest.raises(ProtocolError, match="expected int"):
@@ -115,9 +115,9 @@
 
 
 def test_fields_with_their_defaults_are_not_sent():
-    """Guards against reports of thousands of proxies that repeat what is not so."""
-    quiet = GroupReport("g", "m", 3)
-    failing = GroupReport("g", "m", 3, failing_ms=250)
-    assert decode_struct(GroupReport, encode_struct(quiet)) == quiet
-    assert decode_struct(GroupReport, encode_struct(failing)) == failing
-    assert len(to_bytes(encode_struct(quiet))) < 40
+    """Guards against large reports: thousands of proxies would repeat the defaults."""
+    default = GroupReport("g", "m", 3)
+    with_failure = GroupReport("g", "m", 3, failing_ms=250)
+    assert decode_struct(GroupReport, encode_struct(default)) == default
+    assert decode_struct(GroupReport, encode_struct(with_failure)) == with_failure
+    assert len(to_bytes(encode_struct(default))) < 40
--- a/packages/daemon/tests/test_endpoints.py
+++ b/packages/daemon/tests/test_endpoints.py
@@ -1,4 +1,4 @@
-"""Connections to endpoints: each action has exactly one truthful answer."""
+"""Tests of connections to endpoints: each action results in one accurate event."""
 
 import time
 from threading import Event, Thread
@@ -26,7 +26,7 @@
     connections.close_all()
 
 
-def open_one(connections, endpoint, number=1):
+def open_connection(connections, endpoint, number=1):
     event = connections.open(OpenConnection(number, "db", "m1", endpoint.address, 1.0))
     assert type(event) is ConnectionOpened
     return event
@@ -37,10 +37,10 @@
     return SendCall(number, call)
 
 
-def test_call_passes_the_raw_answer(connections, endpoint):
+def test_call_returns_the_unchecked_answer(connections, endpoint):
     """Guards against an answer that is checked or changed before the core sees it."""
     endpoint.payload = b'[{"rows": []}]'
-    open_one(connections, endpoint)
+    open_connection(connections, endpoint)
     event = connections.call(execute())
     assert type(event) is AnswerReceived
     answer = event.answer
@@ -58,16 +58,16 @@
 
 
 def test_every_kind_of_call_has_an_encoder():
-    """Guards against a call of the protocol that the daemon cannot send."""
+    """Guards against a call kind that the daemon cannot encode."""
     for kind, encode in CALL_ENCODERS.items():
         argument = encode(Call(kind, 7, request_id="r1"))
         assert argument.correlation_id == 7, kind
 
 
-def test_no_answer_in_time_is_a_timeout_near_the_limit(connections, endpoint):
+def test_a_missing_answer_times_out_near_the_limit(connections, endpoint):
     """Guards against a call that hangs or is reported as closed."""
     endpoint.script = lambda endpoint, call: time.sleep(0.5)
-    open_one(connections, endpoint)
+    open_connection(connections, endpoint)
     started = time.monotonic()
     event = connections.call(execute(timeout=0.1))
     assert type(event) is AnswerTimedOut
@@ -75,8 +75,8 @@
 
 
 def test_a_closed_idle_connection_counts_as_not_sent(connections, endpoint):
-    """Guards against "unknown" for a request that the endpoint cannot have."""
-    open_one(connections, endpoint)
+    """Guards against "unknown" for a request that the endpoint never received."""
+    open_connection(connections, endpoint)
     endpoint.transports[-1].close()
     time.sleep(0.05)
     event = connections.call(execute())
@@ -87,21 +87,21 @@
 def test_a_connection_that_breaks_after_sending_counts_as_sent(connections, endpoint):
     """Guards against "not run" for a request that may have run."""
     endpoint.script = lambda endpoint, call: endpoint.transports[-1].close()
-    open_one(connections, endpoint)
+    open_connection(connections, endpoint)
     event = connections.call(execute())
     assert (type(event), event.sent) == (ConnectionClosed, True)
 
 
 def test_close_ends_a_call_in_progress(connections, endpoint):
-    """Guards against a thread that waits for an answer on a closed connection."""
+    """Guards against a thread that stays blocked on a closed connection."""
     arrived, release = Event(), Event()
 
-    def hold(endpoint, call):
+    def block_call(endpoint, call):
         arrived.set()
         release.wait(5)
 
-    endpoint.script = hold
-    open_one(connections, endpoint)
+    endpoint.script = block_call
+    open_connection(connections, endpoint)
     events = []
     thread = Thread(target=lambda: events.append(connections.call(execute(5.0))))
     thread.start()
@@ -129,8 +129,8 @@
     assert type(connections.open(action)) is ConnectionFailed
 
 
-def test_orders_use_a_connection_of_their_own(connections, endpoint):
-    """Guards against an order that waits behind statements."""
+def test_orders_use_a_separate_connection(connections, endpoint):
+    """Guards against an order that is queued behind statements."""
     order = Order("fence", 9, "db", "m1", endpoint.address, 4)
     event = connections.order(SendOrder(order, 1.0))
     assert (type(event), event.answer.correlation_id) == (OrderAnswered, 9)
--- a/packages/daemon/tests/test_peers.py
+++ b/packages/daemon/tests/test_peers.py
@@ -1,4 +1,4 @@
-"""Messages between daemons over real sockets, with and without TLS."""
+"""Tests of messages between daemons over real sockets, with and without TLS."""
 
 import socket
 import time
@@ -18,8 +18,8 @@
 from bronzemoor_daemon.tls import TlsContexts
 
 
-class Link:
-    """A server named vm-2, a sender at vm-1, and what was received and reported."""
+class PeerLink:
+    """A server vm-2 and a sender vm-1; collects received messages and reports."""
 
     def __init__(self, server_tls=None, client_tls=None):
         self.received, self.reports = SimpleQueue(), SimpleQueue()
@@ -38,18 +38,18 @@
 
 @pytest.fixture
 def link():
-    link = Link()
+    link = PeerLink()
     yield link
     link.stop()
 
 
-def client_of(link):
-    connected = socket.create_connection(link.server.address, 2)
-    return Peer.Client(TBinaryProtocolAccelerated(FramedTransport(connected)))
+def make_client(link):
+    sock = socket.create_connection(link.server.address, 2)
+    return Peer.Client(TBinaryProtocolAccelerated(FramedTransport(sock)))
 
 
 def test_messages_arrive_in_order_with_sender_and_trace(link):
-    """Guards against messages that are lost, reordered or anonymous."""
+    """Guards against messages that are lost, reordered or lack sender or trace."""
     for number in range(50):
         link.senders.send(SendPeerMessage("vm-2", PreVote(number, 0, 0)), "context")
     for number in range(50):
@@ -69,35 +69,35 @@
         ({"message": ttypes.Message()}, "protocol_error"),
     ],
 )
-def test_a_bad_envelope_rejects_the_whole_batch(link, change, code):
-    """Guards against a batch of which a part is processed."""
-    good = encode_envelope("vm-1", "vm-2", PreVote(1, 0, 0))
-    bad = encode_envelope("vm-1", "vm-2", PreVote(2, 0, 0))
+def test_an_invalid_envelope_rejects_the_whole_batch(link, change, code):
+    """Guards against the partial processing of a batch."""
+    valid = encode_envelope("vm-1", "vm-2", PreVote(1, 0, 0))
+    invalid = encode_envelope("vm-1", "vm-2", PreVote(2, 0, 0))
     for name, value in change.items():
-        setattr(bad, name, value)
-    client = client_of(link)
+        setattr(invalid, name, value)
+    client = make_client(link)
     with pytest.raises(ttypes.Rejected) as caught:
-        client.deliver([good, bad])
+        client.deliver([valid, invalid])
     assert caught.value.code == code
-    client.deliver([good])
+    client.deliver([valid])
     assert link.received.get(timeout=2)[0].message.term == 1
     with pytest.raises(Empty):
         link.received.get(timeout=0.05)
 
 
-def test_garbage_ends_only_its_own_connection(link):
-    """Guards against garbage that stops the server or its other connections."""
-    client = client_of(link)
+def test_malformed_input_ends_only_its_own_connection(link):
+    """Guards against malformed input that stops the server or other connections."""
+    client = make_client(link)
     client.deliver([])
-    for garbage in (b"\x00" * 100, b"\xff" * 100, b"GET / HTTP/1.1\r\n\r\n"):
+    for malformed in (b"\x00" * 100, b"\xff" * 100, b"GET / HTTP/1.1\r\n\r\n"):
         with socket.create_connection(link.server.address, 2) as other:
-            other.sendall(garbage)
+            other.sendall(malformed)
     client.deliver([encode_envelope("vm-1", "vm-2", Propose("p", b"{}"))])
     assert link.received.get(timeout=2)[0].message == Propose("p", b"{}")
 
 
-def test_an_unreachable_peer_delays_no_other(link):
-    """Guards against one lost peer that blocks the messages to all."""
+def test_an_unreachable_peer_does_not_delay_others(link):
+    """Guards against an unreachable peer that blocks the messages to all others."""
     link.senders._addresses["vm-4"] = "127.0.0.1:1"
     started = time.monotonic()
     for number in range(2_000):
@@ -122,12 +122,12 @@
 
 
 def test_mutual_tls_admits_only_certificates_of_the_authority(make_tls):
-    """Guards against a stranger that sends messages to the control group."""
-    ours, strangers = trustme.CA(), trustme.CA()
-    server, friend = make_tls(ours, "vm-2"), make_tls(ours, "vm-1")
-    stranger = make_tls(strangers, "vm-x")
-    link = Link(server.peer_server, friend.peer_client)
-    other = Link(server.peer_server, stranger.peer_client)
+    """Guards against messages of an untrusted process to the control group."""
+    trusted_ca, untrusted_ca = trustme.CA(), trustme.CA()
+    server, trusted = make_tls(trusted_ca, "vm-2"), make_tls(trusted_ca, "vm-1")
+    untrusted = make_tls(untrusted_ca, "vm-x")
+    link = PeerLink(server.peer_server, trusted.peer_client)
+    other = PeerLink(server.peer_server, untrusted.peer_client)
     try:
         link.senders.send(SendPeerMessage("vm-2", PreVote(1, 0, 0)))
         assert link.received.get(timeout=3)[0].message.term == 1
