--- a/packages/daemon/src/bronzemoor_daemon/segments.py
+++ b/packages/daemon/src/bronzemoor_daemon/segments.py
@@ -1,4 +1,4 @@
-"""Append-only log files: records with length and CRC-32 in segments."""
+"""Append-only log segments: files of records with length and CRC-32."""
 
 import os
 import struct
@@ -14,16 +14,16 @@
 # Magic, number of the segment, CRC-32 of the number.
 SEGMENT_HEADER = struct.Struct(">8sQI")
 RECORD_MAGIC = b"\xb2\x4d"
-# Magic, length of the payload, CRC-32 of all that follows it, byte where the batch of
-# records that were synced together starts.
+# Magic, payload length, CRC-32 of all that follows it, file offset of the batch of
+# records that were synced together.
 RECORD_HEADER = struct.Struct(">2sIIQ")
-START = struct.Struct(">Q")
+UINT64 = struct.Struct(">Q")
 SEGMENT_BYTES = 4 * 1024 * 1024
 
 
 @dataclass(slots=True)
 class Record:
-    """One record as read back; ``offset`` is its place in the file."""
+    """One record read from a segment; ``offset`` is its position in the file."""
 
     payload: bytes
     offset: int
@@ -40,12 +40,12 @@
 
 
 def sync_folder(folder: Path) -> None:
-    """Makes created, renamed and removed names durable."""
-    handle = os.open(folder, os.O_RDONLY)
+    """Syncs the directory, so that created, renamed and removed files are durable."""
+    descriptor = os.open(folder, os.O_RDONLY)
     try:
-        os.fsync(handle)
+        os.fsync(descriptor)
     finally:
-        os.close(handle)
+        os.close(descriptor)
 
 
 class SegmentWriter:
@@ -54,11 +54,13 @@
     def __init__(self, folder: Path, number: int) -> None:
         self.number = number
         path = segment_path(folder, number)
-        created = not path.exists()
+        is_new = not path.exists()
         self._file: BinaryIO = open(path, "ab")  # noqa: SIM115
-        if created:
-            count = START.pack(number)
-            header = SEGMENT_HEADER.pack(SEGMENT_MAGIC, number, zlib.crc32(count))
+        if is_new:
+            packed_number = UINT64.pack(number)
+            header = SEGMENT_HEADER.pack(
+                SEGMENT_MAGIC, number, zlib.crc32(packed_number)
+            )
             self._file.write(header)
             self._sync()
             sync_folder(folder)
@@ -66,7 +68,7 @@
 
     def append(self, payloads: list[bytes]) -> None:
         """Writes the payloads as one batch with one sync."""
-        start = START.pack(self.size)
+        start = UINT64.pack(self.size)
         batch = bytearray()
         for payload in payloads:
             checksum = zlib.crc32(payload, zlib.crc32(start))
@@ -84,27 +86,27 @@
         os.fsync(self._file.fileno())
 
 
-def read_segment(path: Path, number: int, newest: bool) -> Iterator[Record]:
+def read_segment(path: Path, number: int, is_newest: bool) -> Iterator[Record]:
     """Yields the records of a segment.
 
-    A crash may leave an unfinished batch at the end of the newest segment; it was
-    never acknowledged and is cut off. Any other damage raises ``CorruptStorage``.
+    A crash may leave an incomplete batch at the end of the newest segment; it was
+    never acknowledged and is truncated. Any other damage raises ``CorruptStorage``.
     """
     data = path.read_bytes()
     if not _header_is_valid(data, number):
-        if newest and len(data) < SEGMENT_HEADER.size:
-            # The crash came while the segment was created, before its first record.
+        if is_newest and len(data) < SEGMENT_HEADER.size:
+            # A crash interrupted the creation of the segment, before its first record.
             path.unlink()
             sync_folder(path.parent)
             return
-        raise CorruptStorage("bad segment header", file=str(path), offset=0)
+        raise CorruptStorage("invalid segment header", file=str(path), offset=0)
     offset = SEGMENT_HEADER.size
     while offset < len(data):
         record = _record_at(data, offset)
         if record is None:
-            if not newest or _has_later_batch(data, offset):
-                raise CorruptStorage("bad record", file=str(path), offset=offset)
-            _cut(path, offset)
+            if not is_newest or _has_later_batch(data, offset):
+                raise CorruptStorage("invalid record", file=str(path), offset=offset)
+            _truncate(path, offset)
             return
         yield record
         offset = record.end
@@ -114,7 +116,7 @@
     if len(data) < SEGMENT_HEADER.size:
         return False
     magic, found, checksum = SEGMENT_HEADER.unpack_from(data)
-    expected = zlib.crc32(START.pack(number))
+    expected = zlib.crc32(UINT64.pack(number))
     return magic == SEGMENT_MAGIC and found == number and checksum == expected
 
 
@@ -122,35 +124,35 @@
     start = offset + RECORD_HEADER.size
     if start > len(data):
         return None
-    magic, length, checksum, batch = RECORD_HEADER.unpack_from(data, offset)
+    magic, length, checksum, batch_start = RECORD_HEADER.unpack_from(data, offset)
     end = start + length
-    if magic != RECORD_MAGIC or end > len(data) or batch > offset:
+    if magic != RECORD_MAGIC or end > len(data) or batch_start > offset:
         return None
     payload = data[start:end]
-    if zlib.crc32(payload, zlib.crc32(START.pack(batch))) != checksum:
+    if zlib.crc32(payload, zlib.crc32(UINT64.pack(batch_start))) != checksum:
         return None
     return Record(payload, offset, end)
 
 
-def _has_later_batch(data: bytes, damaged: int) -> bool:
-    """Tells whether a batch that was written after the damaged record is intact.
+def _has_later_batch(data: bytes, damaged_offset: int) -> bool:
+    """Returns whether an intact batch follows the damaged record.
 
     Blocks of one unsynced batch may reach the disk in any order, so an intact record
     of the same batch proves nothing; one of a later batch proves that the damaged
     record had been synced.
     """
-    offset = data.find(RECORD_MAGIC, damaged + 1)
+    offset = data.find(RECORD_MAGIC, damaged_offset + 1)
     while offset != -1:
         record = _record_at(data, offset)
         if record is not None:
-            batch: int = RECORD_HEADER.unpack_from(data, offset)[3]
-            if batch > damaged:
+            batch_start: int = RECORD_HEADER.unpack_from(data, offset)[3]
+            if batch_start > damaged_offset:
                 return True
         offset = data.find(RECORD_MAGIC, offset + 1)
     return False
 
 
-def _cut(path: Path, size: int) -> None:
+def _truncate(path: Path, size: int) -> None:
     with open(path, "r+b") as file:
         file.truncate(size)
         file.flush()
--- a/packages/daemon/tests/test_datafolder.py
+++ b/packages/daemon/tests/test_datafolder.py
@@ -31,8 +31,8 @@
     return Snapshot(index, 1, {"vm-1": "vm-1.x"}, {}, ("a",), {"upto": index})
 
 
-def filled(path, count=10, **options):
-    """A folder with hard state and ``count`` entries, each written on its own."""
+def make_filled_folder(path, count=10, **options):
+    """Returns a folder with hard state and ``count`` separately written entries."""
     folder = DataFolder(path)
     folder.recover()
     folder.persist(PersistLog(1, STATE))
@@ -41,15 +41,15 @@
     return folder
 
 
-def reopened(folder):
+def reopen(folder):
     folder.close()
     folder = DataFolder(folder._path)
     recovered = folder.recover()
     return folder, recovered
 
 
-def refused(path):
-    """The error with which a folder refuses to be recovered."""
+def recovery_error(path):
+    """Returns the error that the recovery of a folder raises."""
     folder = DataFolder(path)
     with pytest.raises(CorruptStorage) as caught:
         folder.recover()
@@ -57,28 +57,28 @@
     return caught.value
 
 
-def newest(path):
+def newest_segment(path):
     return max(path.glob("log-*.seg"))
 
 
-def test_what_was_synced_is_recovered(tmp_path):
-    """Guards against losing hard state, entries or a removed tail at a restart."""
-    folder = filled(tmp_path)
+def test_synced_data_is_recovered(tmp_path):
+    """Guards against a restart that loses hard state, entries or a truncation."""
+    folder = make_filled_folder(tmp_path)
     folder.persist(PersistLog(11, None, [entry(6, term=2), entry(7, term=2)], 6))
     folder.persist(PersistLog(12, None, [], 7))
-    folder, recovered = reopened(folder)
+    folder, recovered = reopen(folder)
     assert recovered.hard_state == STATE and recovered.snapshot is None
     assert recovered.entries == [*map(entry, range(1, 6)), entry(6, term=2)]
     folder.close()
 
 
-def without_sync(test):
-    """Spares the disk in a test that damages the files itself."""
+def without_fsync(test):
+    """Disables fsync in a test that damages the files itself."""
 
     @wraps(test)
     def run(*arguments, **options):
         with pytest.MonkeyPatch.context() as patch:
-            patch.setattr(os, "fsync", lambda handle: None)
+            patch.setattr(os, "fsync", lambda descriptor: None)
             test(*arguments, **options)
 
     return run
@@ -86,49 +86,51 @@
 
 @settings(max_examples=60, derandomize=True, database=None, deadline=None)
 @given(cut=st.integers(1, 120), flip=st.booleans())
-@without_sync
-def test_a_torn_tail_is_cut_at_the_last_whole_record(tmp_path_factory, cut, flip):
-    """Guards against refusing to start, or inventing entries, after a power failure."""
+@without_fsync
+def test_a_torn_tail_is_truncated_after_the_last_complete_record(
+    tmp_path_factory, cut, flip
+):
+    """Guards against a failed start, or entries never written, after a power loss."""
     path = tmp_path_factory.mktemp("torn")
-    folder = filled(path, 5)
-    before = newest(path).stat().st_size
+    folder = make_filled_folder(path, 5)
+    before = newest_segment(path).stat().st_size
     folder.persist(PersistLog(6, None, [entry(6), entry(7), entry(8)]))
-    data = bytearray(newest(path).read_bytes())
+    data = bytearray(newest_segment(path).read_bytes())
     if flip:
-        # Blocks of one batch reach the disk in any order.
+        # Blocks of one batch may reach the disk in any order.
         data[before + cut % 35] ^= 0xFF
     else:
         data = data[: max(before, len(data) - cut)]
-    newest(path).write_bytes(data)
-    folder, recovered = reopened(folder)
+    newest_segment(path).write_bytes(data)
+    folder, recovered = reopen(folder)
     indexes = [item.index for item in recovered.entries]
     assert indexes == list(range(1, len(indexes) + 1)) and 5 <= len(indexes) < 8
     folder.persist(PersistLog(7, None, [entry(len(indexes) + 1)]))
-    folder, again = reopened(folder)
-    assert len(again.entries) == len(indexes) + 1
+    folder, recovered_again = reopen(folder)
+    assert len(recovered_again.entries) == len(indexes) + 1
     folder.close()
 
 
 @settings(max_examples=60, derandomize=True, database=None, deadline=None)
 @given(place=st.integers(0, 300), bit=st.integers(0, 7))
-@without_sync
-def test_damage_before_the_tail_stops_the_start(tmp_path_factory, place, bit):
-    """Guards against dropping acknowledged entries as if they were a torn tail."""
+@without_fsync
+def test_damage_before_the_tail_fails_recovery(tmp_path_factory, place, bit):
+    """Guards against acknowledged entries that are dropped as a torn tail."""
     path = tmp_path_factory.mktemp("damage")
-    folder = filled(path, 20)
+    folder = make_filled_folder(path, 20)
     folder.close()
-    data = bytearray(newest(path).read_bytes())
+    data = bytearray(newest_segment(path).read_bytes())
     data[place] ^= 1 << bit
-    newest(path).write_bytes(data)
-    error = refused(path)
-    assert error.file == str(newest(path))
+    newest_segment(path).write_bytes(data)
+    error = recovery_error(path)
+    assert error.file == str(newest_segment(path))
     assert error.offset <= place < error.offset + 60
 
 
-def test_a_missing_or_damaged_segment_stops_the_start(tmp_path, monkeypatch):
-    """Guards against serving from a log with a hole."""
+def test_a_missing_or_damaged_segment_fails_recovery(tmp_path, monkeypatch):
+    """Guards against serving from a log with a gap."""
     monkeypatch.setattr(datafolder, "SEGMENT_BYTES", 200)
-    folder = filled(tmp_path, 20)
+    folder = make_filled_folder(tmp_path, 20)
     folder.close()
     paths = sorted(tmp_path.glob("log-*.seg"))
     assert len(paths) > 3
@@ -137,60 +139,60 @@
         paths[1].unlink()
         if damaged is not None:
             paths[1].write_bytes(damaged)
-        assert refused(tmp_path).file == str(paths[1])
+        assert recovery_error(tmp_path).file == str(paths[1])
         paths[1].write_bytes(content)
 
 
 @pytest.mark.parametrize("name", ["hard-state", "log-*.seg"])
-def test_a_missing_file_stops_the_start(tmp_path, name):
-    """Guards against a second vote in a term by a member that forgot the first."""
-    filled(tmp_path).close()
+def test_a_missing_file_fails_recovery(tmp_path, name):
+    """Guards against a second vote in a term by a member that lost its first one."""
+    make_filled_folder(tmp_path).close()
     next(tmp_path.glob(name)).unlink()
-    assert refused(tmp_path)
+    assert recovery_error(tmp_path)
 
 
 def test_a_damaged_snapshot_falls_back_to_the_older_one(tmp_path, monkeypatch):
-    """Guards against losing a member to one bad block in its newest snapshot."""
+    """Guards against the loss of a member by one bad block in its newest snapshot."""
     monkeypatch.setattr(datafolder, "SEGMENT_BYTES", 200)
-    folder = filled(tmp_path, 30)
+    folder = make_filled_folder(tmp_path, 30)
     for index in (5, 15, 25):
         folder.save(PersistSnapshot(30 + index, snapshot(index)))
     paths = sorted(tmp_path.glob("snapshot-*"))
     assert len(paths) == 2
     paths[-1].write_bytes(paths[-1].read_bytes()[:-1])
-    folder, recovered = reopened(folder)
+    folder, recovered = reopen(folder)
     assert recovered.snapshot == snapshot(15)
     assert recovered.entries[0].index <= 15 and recovered.entries[-1].index == 30
     assert recovered.entries[0].index > 1, "covered segments are not removed"
     paths[0].write_bytes(b"")
     folder.close()
-    assert refused(tmp_path)
+    assert recovery_error(tmp_path)
 
 
-def test_a_damaged_received_snapshot_stops_the_start(tmp_path):
-    """Guards against going back behind what the member acknowledged."""
-    folder = filled(tmp_path, 10)
+def test_a_damaged_received_snapshot_fails_recovery(tmp_path):
+    """Guards against recovering an earlier state than the member acknowledged."""
+    folder = make_filled_folder(tmp_path, 10)
     folder.save(PersistSnapshot(11, snapshot(5)))
     folder.save(PersistSnapshot(12, snapshot(100)))
     folder.persist(PersistLog(13, None, [], 1))
     folder.persist(PersistLog(14, None, [entry(101)]))
-    folder, recovered = reopened(folder)
+    folder, recovered = reopen(folder)
     assert [item.index for item in recovered.entries] == [101]
     folder.close()
     path = max(tmp_path.glob("snapshot-*"))
     path.write_bytes(b"")
-    assert refused(tmp_path)
+    assert recovery_error(tmp_path)
 
 
 def test_nothing_is_written_after_a_failed_sync(tmp_path, monkeypatch):
-    """Guards against a retried fsync that reports lost pages as written."""
-    folder = filled(tmp_path, 3)
+    """Guards against a repeated fsync that reports lost pages as written."""
+    folder = make_filled_folder(tmp_path, 3)
     failing = iter([OSError(28, "No space left on device")])
 
-    def fsync(handle, real=os.fsync):
+    def fsync(descriptor, real=os.fsync):
         for error in failing:
             raise error
-        real(handle)
+        real(descriptor)
 
     monkeypatch.setattr(segments.os, "fsync", fsync)
     with pytest.raises(StorageError):
@@ -201,19 +203,19 @@
 
 
 class Crash(Exception):
-    """Ends the process as far as the folder is concerned."""
+    """Raised by fsync to simulate a crash of the process."""
 
 
 @pytest.mark.parametrize("calls", range(24))
-def test_a_crash_at_any_sync_loses_nothing_that_was_acknowledged(tmp_path, calls):
-    """Guards against files that only make sense once the next write is done."""
-    left, real, acknowledged = [calls], os.fsync, [0, 0, 0]
+def test_a_crash_at_any_sync_loses_no_acknowledged_data(tmp_path, calls):
+    """Guards against files that are valid only after the following write."""
+    remaining_syncs, real, acknowledged = [calls], os.fsync, [0, 0, 0]
 
-    def fsync(handle):
-        left[0] -= 1
-        if left[0] < 0:
+    def fsync(descriptor):
+        remaining_syncs[0] -= 1
+        if remaining_syncs[0] < 0:
             raise Crash
-        real(handle)
+        real(descriptor)
 
     with pytest.MonkeyPatch.context() as patch, suppress(Crash):
         patch.setattr(os, "fsync", fsync)
@@ -239,7 +241,7 @@
 
 def test_several_actions_share_one_sync(tmp_path, monkeypatch):
     """Guards against one fsync for each record under load."""
-    folder = filled(tmp_path, 1)
+    folder = make_filled_folder(tmp_path, 1)
     calls = []
     monkeypatch.setattr(segments.os, "fsync", calls.append)
     folder.persist_all([PersistLog(n, None, [entry(n)]) for n in range(2, 50)])
@@ -247,9 +249,9 @@
     folder.close()
 
 
-def test_a_folder_has_one_owner(tmp_path):
-    """Guards against two processes that vote under one identity."""
-    folder = filled(tmp_path)
+def test_a_folder_is_locked_by_one_owner(tmp_path):
+    """Guards against two processes that vote with one identity."""
+    folder = make_filled_folder(tmp_path)
     with pytest.raises(StorageError):
         DataFolder(tmp_path)
     folder.close()
@@ -257,8 +259,8 @@
 
 
 def test_append_of_one_entry(tmp_path, benchmark):
-    """Guards against a slow write path; the sync dominates."""
-    folder = filled(tmp_path, 1)
+    """Guards against a slow write path; the sync takes most of the time."""
+    folder = make_filled_folder(tmp_path, 1)
     numbers = iter(range(2, 1_000_000))
 
     def append():
@@ -269,8 +271,8 @@
     folder.close()
 
 
-def drive(node, folder, event, now=0.0):
-    """Handles an event and performs its storage actions, until nothing is left."""
+def process_event(node, folder, event, now=0.0):
+    """Handles an event and performs the storage actions until none is left."""
     pending = [event]
     while pending:
         for action in node.handle(now, pending.pop(0)):
@@ -285,7 +287,7 @@
     folder = DataFolder(tmp_path)
     folder.recover()
     node = make_node(options, Random(1))
-    drive(node, folder, StorageRecovered(None, []))
+    process_event(node, folder, StorageRecovered(None, []))
     body = {"databases": ["claims"], "classes": {"poll": {"kind": "read"}}}
     change = {"type": "template.apply", "organisation": "voo", "operator": "op"}
     entries = []
@@ -300,9 +302,9 @@
     def restart():
         folder = DataFolder(tmp_path)
         node = make_node(options, Random(1))
-        drive(node, folder, folder.recover())
+        process_event(node, folder, folder.recover())
         for tick in range(8):
-            drive(node, folder, Tick(), 0.01 * tick)
+            process_event(node, folder, Tick(), 0.01 * tick)
         assert node.blackboard.state.templates["voo"][-1].version == 10_000
         folder.close()
 
--- a/packages/daemon/tests/test_storagethread.py
+++ b/packages/daemon/tests/test_storagethread.py
@@ -1,4 +1,4 @@
-"""Writes of the log run in order and report their syncs."""
+"""Tests that writes of the log run in order and report their syncs."""
 
 import time
 from threading import Event, Timer
@@ -9,23 +9,23 @@
 from bronzemoor_daemon.storagethread import StorageThread
 
 
-class Disk:
-    """Storage that notes its calls and fails at one sequence."""
+class FakeStorage:
+    """Storage that records its calls and fails at one sequence number."""
 
-    def __init__(self, broken=0):
-        self.calls, self.broken = [], broken
-        self.syncing, self.closed = Event(), False
-        self.syncing.set()
+    def __init__(self, failing_sequence=0):
+        self.calls, self.failing_sequence = [], failing_sequence
+        self.sync_released, self.closed = Event(), False
+        self.sync_released.set()
 
     def recover(self):
         return StorageRecovered(None, [])
 
     def persist_all(self, actions):
         sequences = [action.sequence for action in actions]
-        if self.broken in sequences:
+        if self.failing_sequence in sequences:
             raise StorageError("disk full")
         self.calls.append(sequences)
-        self.syncing.wait(2)
+        self.sync_released.wait(2)
 
     def save(self, action):
         self.calls.append([action.sequence])
@@ -34,9 +34,9 @@
         self.closed = True
 
 
-def run(disk, actions):
+def run_storage_thread(storage, actions):
     events = []
-    thread = StorageThread(disk, events.append)
+    thread = StorageThread(storage, events.append)
     thread.start()
     for action in actions:
         thread.put(action)
@@ -45,53 +45,55 @@
 
 
 def test_writes_are_reported_in_order_after_the_recovery():
-    """Guards against an acknowledged entry that is not on the disk yet."""
-    disk = Disk()
-    events = run(disk, [PersistLog(1), PersistSnapshot(2, None), PersistLog(3)])
+    """Guards against acknowledging an entry that is not yet on disk."""
+    storage = FakeStorage()
+    events = run_storage_thread(
+        storage, [PersistLog(1), PersistSnapshot(2, None), PersistLog(3)]
+    )
     assert type(events[0]) is StorageRecovered
     assert events[1:] == [StorageSynced(1), StorageSynced(2), StorageSynced(3)]
-    assert disk.calls == [[1], [2], [3]]
-    assert disk.closed
+    assert storage.calls == [[1], [2], [3]]
+    assert storage.closed
 
 
-def test_nothing_is_written_after_a_failure():
+def test_no_write_follows_a_failure():
     """Guards against a gap in the log that counts as synced."""
-    disk = Disk(broken=2)
-    events = run(disk, [PersistLog(1), PersistLog(2), PersistLog(3)])
+    storage = FakeStorage(failing_sequence=2)
+    events = run_storage_thread(storage, [PersistLog(1), PersistLog(2), PersistLog(3)])
     assert type(events[-1]) is StorageFailed
     assert "disk full" in events[-1].error
     assert StorageSynced(2) not in events
     assert StorageSynced(3) not in events
-    assert [3] not in disk.calls
+    assert [3] not in storage.calls
 
 
-def syncing():
-    """A disk that is in the sync of one write until ``syncing`` is set."""
-    disk, events = Disk(), []
-    disk.syncing.clear()
-    thread = StorageThread(disk, events.append)
+def start_blocked_sync():
+    """Starts a thread that blocks in one sync until ``sync_released`` is set."""
+    storage, events = FakeStorage(), []
+    storage.sync_released.clear()
+    thread = StorageThread(storage, events.append)
     thread.start()
     thread.put(PersistLog(1))
-    while not disk.calls:
+    while not storage.calls:
         time.sleep(0.001)
-    return disk, events, thread
+    return storage, events, thread
 
 
-def test_writes_that_wait_share_a_sync():
-    """Guards against a sync per entry, which bounds the rate of changes."""
-    disk, events, thread = syncing()
+def test_queued_writes_share_a_sync():
+    """Guards against one sync per entry, which limits the rate of changes."""
+    storage, events, thread = start_blocked_sync()
     for sequence in (2, 3, 4):
         thread.put(PersistLog(sequence))
-    disk.syncing.set()
+    storage.sync_released.set()
     thread.stop()
-    assert disk.calls == [[1], [2, 3, 4]]
+    assert storage.calls == [[1], [2, 3, 4]]
     assert events[1:] == [StorageSynced(1), StorageSynced(4)]
 
 
-def test_an_abrupt_end_writes_nothing_more():
+def test_an_immediate_stop_discards_queued_writes():
     """Guards against a killed daemon that still writes beside its successor."""
-    disk, events, thread = syncing()
+    storage, events, thread = start_blocked_sync()
     thread.put(PersistLog(2))
-    Timer(0.05, disk.syncing.set).start()
-    thread.stop(finish=False)
-    assert disk.calls == [[1]]
+    Timer(0.05, storage.sync_released.set).start()
+    thread.stop(flush=False)
+    assert storage.calls == [[1]]
