--- a/packages/daemon/src/bronzemoor_daemon/lifecycle.py
+++ b/packages/daemon/src/bronzemoor_daemon/lifecycle.py
@@ -1,4 +1,4 @@
-"""Signals of the process and its graceful stop."""
+"""Signal handling and graceful stop of the process."""
 
 import signal
 from collections.abc import Callable
@@ -10,21 +10,23 @@
 
 
 def install_signals(application: Application) -> None:
-    """SIGTERM and SIGINT stop gracefully; SIGHUP loads changed certificates.
+    """SIGTERM and SIGINT stop gracefully; SIGHUP reloads changed certificates.
 
-    The handlers only set flags: a handler that took the driver's lock could interrupt
-    the very thread that holds it.
+    The handlers only set flags: one that acquired the driver's lock could deadlock,
+    since it may interrupt the thread that holds it.
     """
 
-    def on(action: Callable[[], None]) -> Callable[[int, FrameType | None], None]:
-        return lambda number, frame: action()
+    def make_handler(
+        action: Callable[[], None],
+    ) -> Callable[[int, FrameType | None], None]:
+        return lambda signal_number, frame: action()
 
-    for number in STOP_SIGNALS:
-        signal.signal(number, on(application.request_stop))
-    signal.signal(signal.SIGHUP, on(application.request_reload))
+    for signal_number in STOP_SIGNALS:
+        signal.signal(signal_number, make_handler(application.request_stop))
+    signal.signal(signal.SIGHUP, make_handler(application.request_reload))
 
 
 def run_until_stopped(application: Application) -> int:
-    """Serves until a signal; returns 0, or 1 if the stop had to cut work short."""
+    """Serves until a stop signal; returns 0, or 1 if the stop interrupted work."""
     install_signals(application)
     return application.run()
--- a/packages/daemon/src/bronzemoor_daemon/logs.py
+++ b/packages/daemon/src/bronzemoor_daemon/logs.py
@@ -1,4 +1,4 @@
-"""One log line of key=value pairs per event, written by a thread of its own."""
+"""Log of one line of key=value pairs per event, written by a background thread."""
 
 import json
 import logging
@@ -11,20 +11,20 @@
 from loguru import logger
 
 FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} {message}"
-# Different lines of one event that are written within a second.
-LINES_PER_SECOND = 100
+# Limit for the distinct lines of one event.
+EVENT_LINES_PER_SECOND = 100
 QUEUE_LIMIT = 10_000
 
 
 def configure_logs(level: str, stream: TextIO | None = None) -> None:
-    """Sends the log of the whole process to ``stream``, by default standard error."""
+    """Directs the log of the process to ``stream``, by default standard error."""
     logger.remove()
     logger.add(stream or sys.stderr, format=FORMAT, level=level)
     logging.basicConfig(handlers=[LibraryHandler()], level=logging.WARNING, force=True)
 
 
 class LibraryHandler(logging.Handler):
-    """Passes the log of libraries on as events."""
+    """Writes the log records of libraries as events."""
 
     def emit(self, record: logging.LogRecord) -> None:
         fields = {"logger": record.name, "message": record.getMessage()}
@@ -35,7 +35,7 @@
 
 
 def format_line(vm: str, event: str, fields: dict[str, Any]) -> str:
-    """Formats an event; text values are quoted, so that a line stays one line."""
+    """Formats an event as one line; line breaks in values are escaped."""
     parts = [f"event={event}", f"vm={json.dumps(vm)}"]
     parts += [
         f"{key}={json.dumps(value, default=str)}" for key, value in fields.items()
@@ -44,39 +44,39 @@
 
 
 class RateLimit:
-    """Bounds how often a key passes within a second and counts the rest."""
+    """Limits the events per key and second and counts the suppressed ones."""
 
     def __init__(self, limit: int) -> None:
         self._limit = limit
-        # Start of the second, passes in it and suppressions, by key.
+        # Start of the window, admitted and suppressed events, by key.
         self._windows: dict[str, list[float]] = {}
 
     def admit(self, now: float, key: str) -> bool:
-        """Tells whether ``key`` may pass at ``now`` (seconds)."""
+        """Returns whether an event of ``key`` is admitted at ``now`` (seconds)."""
         window = self._windows.setdefault(key, [now, 0, 0])
-        passes = window[1] < self._limit
-        window[1 if passes else 2] += 1
-        return passes
+        is_admitted = window[1] < self._limit
+        window[1 if is_admitted else 2] += 1
+        return is_admitted
 
-    def close_windows(self, now: float) -> dict[str, int]:
-        """Ends the windows that are a second old; returns what they suppressed."""
+    def expire_windows(self, now: float) -> dict[str, int]:
+        """Removes windows that are a second old; returns their suppressed events."""
         ended = [key for key, window in self._windows.items() if now - window[0] >= 1]
         counts = {key: int(self._windows.pop(key)[2]) for key in ended}
         return {key: count for key, count in counts.items() if count}
 
 
 class LogWriter:
-    """Takes events without blocking and writes them in order.
+    """Queues events without blocking and writes them in order.
 
-    An equal line is written once a second and an event ``LINES_PER_SECOND`` times; the
-    number of the others follows.
+    Per second, a line is written once and an event ``EVENT_LINES_PER_SECOND`` times; a
+    further line reports the number of suppressed ones.
     """
 
     def __init__(self, vm: str) -> None:
         self._vm = vm
-        self._limits = (RateLimit(1), RateLimit(LINES_PER_SECOND))
+        self._limits = (RateLimit(1), RateLimit(EVENT_LINES_PER_SECOND))
         self._queue: deque[tuple[str, str]] = deque(maxlen=QUEUE_LIMIT)
-        self._ready = Condition(Lock())
+        self._condition = Condition(Lock())
         self._stopped = False
         self._thread = Thread(target=self._run, name="logs", daemon=True)
         self._thread.start()
@@ -84,31 +84,31 @@
     def write(self, level: str, event: str, fields: dict[str, Any]) -> None:
         """Enqueues one event; the oldest is dropped when the queue is full."""
         now, line = monotonic(), format_line(self._vm, event, fields)
-        lines, events = self._limits
-        with self._ready:
-            if lines.admit(now, line) and events.admit(now, event):
+        line_limit, event_limit = self._limits
+        with self._condition:
+            if line_limit.admit(now, line) and event_limit.admit(now, event):
                 self._queue.append((level.upper(), line))
-                self._ready.notify()
+                self._condition.notify()
 
     def stop(self) -> None:
-        """Writes what is queued or suppressed and ends the thread."""
-        with self._ready:
+        """Writes queued events and suppression counts and stops the thread."""
+        with self._condition:
             self._stopped = True
-            self._ready.notify()
+            self._condition.notify()
         self._thread.join(1.0)
 
     def _run(self) -> None:
         stopped = False
         while not stopped:
-            with self._ready:
+            with self._condition:
                 if not self._queue and not self._stopped:
-                    self._ready.wait(1.0)
+                    self._condition.wait(1.0)
                 batch = list(self._queue)
                 self._queue.clear()
                 stopped = self._stopped
                 now = float("inf") if stopped else monotonic()
                 for limit in self._limits:
-                    for key, count in limit.close_windows(now).items():
+                    for key, count in limit.expire_windows(now).items():
                         batch.append(("WARNING", f"{key} suppressed={count}"))
             for level, line in batch:
                 logger.log(level, line)
--- a/packages/daemon/src/bronzemoor_daemon/settings.py
+++ b/packages/daemon/src/bronzemoor_daemon/settings.py
@@ -12,7 +12,7 @@
 
 @dataclass(slots=True)
 class DaemonSettings:
-    """The core's settings and the process's own."""
+    """Settings of the core and of the process."""
 
     node: NodeSettings
     listen: ListenSettings = field(default_factory=ListenSettings)
--- a/packages/daemon/src/bronzemoor_daemon/tracing.py
+++ b/packages/daemon/src/bronzemoor_daemon/tracing.py
@@ -1,4 +1,4 @@
-"""Spans per hop: W3C trace context, sampling and a bounded store of recent traces."""
+"""Tracing with W3C trace context, sampling and a bounded store of recent traces."""
 
 import re
 from collections import OrderedDict
@@ -24,10 +24,10 @@
     set_span_in_context,
 )
 
-TRACEPARENT = re.compile(r"00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})")
-# Recent traces kept for ``explain``, and the spans kept of each.
-TRACE_LIMIT = 512
-SPAN_LIMIT = 64
+TRACEPARENT_PATTERN = re.compile(r"00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})")
+# Recent traces that are kept for ``explain``, and spans kept per trace.
+MAX_TRACES = 512
+MAX_SPANS_PER_TRACE = 64
 
 EXPORTERS: dict[str, Callable[[], SpanExporter]] = {"console": ConsoleSpanExporter}
 
@@ -52,21 +52,21 @@
         }
         with self._lock:
             spans = self._traces.setdefault(trace_id, [])
-            if len(spans) < SPAN_LIMIT:
+            if len(spans) < MAX_SPANS_PER_TRACE:
                 spans.append(entry)
             self._traces.move_to_end(trace_id)
-            if len(self._traces) > TRACE_LIMIT:
+            if len(self._traces) > MAX_TRACES:
                 self._traces.popitem(last=False)
 
     def get(self, trace_id: str) -> list[dict[str, Any]]:
-        """Returns the spans of a trace by start time; empty if it is not known."""
+        """Returns the spans of a trace by start time; empty if it is unknown."""
         with self._lock:
             spans = list(self._traces.get(trace_id, ()))
         return sorted(spans, key=lambda span: span["started_at"])
 
 
 class Trace:
-    """One sampled request; ``observe`` records its hops as children."""
+    """One sampled request; ``observe`` records child spans."""
 
     def __init__(self, tracing: "Tracing", root: Span) -> None:
         self._tracing = tracing
@@ -77,24 +77,24 @@
         self.trace_context = f"00-{self.trace_id}-{context.span_id:016x}-01"
 
     def observe(
-        self, step: str, started: float, ended: float, attributes: dict[str, Any]
+        self, span_name: str, started: float, ended: float, attributes: dict[str, Any]
     ) -> None:
-        """Records one hop; times are seconds on the driver's clock."""
-        self._tracing.record(self._context, step, started, ended, attributes)
+        """Records a child span; times are seconds on the driver's clock."""
+        self._tracing.record(self._context, span_name, started, ended, attributes)
 
     def end(self, attributes: dict[str, Any]) -> None:
         self._root.set_attributes(attributes)
-        self._root.end(self._tracing.wall_ns(monotonic()))
+        self._root.end(self._tracing.epoch_ns(monotonic()))
 
 
 class Tracing:
-    """Starts traces and records spans; the exporter works in its own thread."""
+    """Starts traces and records spans; the exporter runs in its own thread."""
 
     def __init__(self, vm: str, ratio: float = 0.0, exporter: str = "") -> None:
         self._ratio = ratio
         self.recent = RecentTraces()
         resource = Resource.create({"service.name": "bronzemoord", "host.name": vm})
-        # Sampling is decided here, so that an unsampled request makes no span objects.
+        # ``start`` decides about sampling, so that unsampled requests create no spans.
         self._provider = TracerProvider(
             sampler=ALWAYS_ON, resource=resource, shutdown_on_exit=False
         )
@@ -102,64 +102,71 @@
         if exporter:
             self._provider.add_span_processor(BatchSpanProcessor(EXPORTERS[exporter]()))
         self._tracer = self._provider.get_tracer("bronzemoor")
-        self._wall_offset = time() - monotonic()
+        self._epoch_offset = time() - monotonic()
 
     def start(self, name: str, traceparent: str = "") -> Trace | None:
-        """Starts a request's trace if its parent or the ratio asks for it."""
-        parent = TRACEPARENT.fullmatch(traceparent) if traceparent else None
+        """Starts a trace if the parent is sampled or, without one, by the ratio."""
+        parent = TRACEPARENT_PATTERN.fullmatch(traceparent) if traceparent else None
         if parent is None:
             if not self._ratio or random() >= self._ratio:
                 return None
             return Trace(self, self._start_root(name, None))
         if not int(parent[3], 16) & 1:
             return None
-        return Trace(self, self._start_root(name, _remote(parent)))
+        return Trace(self, self._start_root(name, _remote_context(parent)))
 
-    def wall_ns(self, moment: float) -> int:
+    def epoch_ns(self, monotonic_seconds: float) -> int:
         """Converts monotonic seconds to nanoseconds since the epoch.
 
-        All spans use it: the wall clock may step between two of them.
+        All spans use one offset, since the wall clock may step between two of them.
         """
-        return int((moment + self._wall_offset) * 1e9)
+        return int((monotonic_seconds + self._epoch_offset) * 1e9)
 
     def _start_root(self, name: str, context: Any) -> Span:
         return self._tracer.start_span(
-            name, context, start_time=self.wall_ns(monotonic())
+            name, context, start_time=self.epoch_ns(monotonic())
         )
 
     def record_remote(
-        self, trace_context: str, step: str, started: float, ended: float, peer: str
+        self,
+        trace_context: str,
+        span_name: str,
+        started: float,
+        ended: float,
+        peer: str,
     ) -> None:
-        """Records a hop of a trace that another daemon started."""
-        parent = TRACEPARENT.fullmatch(trace_context)
+        """Records a span of a trace that another daemon started."""
+        parent = TRACEPARENT_PATTERN.fullmatch(trace_context)
         if parent is not None and int(parent[3], 16) & 1:
-            self.record(_remote(parent), step, started, ended, {"peer": peer})
+            self.record(
+                _remote_context(parent), span_name, started, ended, {"peer": peer}
+            )
 
     def record(
         self,
         context: Any,
-        step: str,
+        span_name: str,
         started: float,
         ended: float,
         attributes: dict[str, Any],
     ) -> None:
         """Records one span with explicit times in monotonic seconds."""
         span = self._tracer.start_span(
-            step, context, attributes=attributes, start_time=self.wall_ns(started)
+            span_name, context, attributes=attributes, start_time=self.epoch_ns(started)
         )
-        span.end(self.wall_ns(ended))
+        span.end(self.epoch_ns(ended))
 
     def stop(self) -> None:
         self._provider.shutdown()
 
 
 def trace_id_of(traceparent: str) -> str:
-    """The id of an unsampled request: its parent's, or a new random one."""
-    parent = TRACEPARENT.fullmatch(traceparent) if traceparent else None
+    """Returns the trace id of an unsampled request: its parent's or a random one."""
+    parent = TRACEPARENT_PATTERN.fullmatch(traceparent) if traceparent else None
     return parent[1] if parent else f"{getrandbits(128):032x}"
 
 
-def _remote(parent: re.Match[str]) -> Any:
+def _remote_context(parent: re.Match[str]) -> Any:
     context = SpanContext(
         int(parent[1], 16), int(parent[2], 16), True, TraceFlags(TraceFlags.SAMPLED)
     )
--- a/packages/daemon/tests/test_sinks.py
+++ b/packages/daemon/tests/test_sinks.py
@@ -1,4 +1,4 @@
-"""Logs, metrics and traces: bounded, quoted and never in the way."""
+"""Tests of logs, metrics and traces: bounded, escaped and non-blocking."""
 
 import socket
 import time
@@ -9,30 +9,35 @@
 
 from bronzemoor_daemon.logs import LogWriter, RateLimit, format_line
 from bronzemoor_daemon.metrics import Metrics
-from bronzemoor_daemon.tracing import SPAN_LIMIT, TRACE_LIMIT, Tracing, trace_id_of
+from bronzemoor_daemon.tracing import (
+    MAX_SPANS_PER_TRACE,
+    MAX_TRACES,
+    Tracing,
+    trace_id_of,
+)
 
 
 @given(st.text(), st.one_of(st.text(), st.integers(), st.binary(), st.none()))
 def test_an_event_is_one_line(vm, value):
-    """Guards against a value that forges a line or a field of the log."""
+    """Guards against values that inject a line or a field into the log."""
     line = format_line(vm, "event", {"key": value})
     assert len(line.splitlines()) == 1
     assert line.startswith("event=event vm=")
 
 
 def test_repeated_events_are_limited_and_counted():
-    """Guards against a fault that floods the log, and against silent loss."""
+    """Guards against a fault that floods the log, and against uncounted losses."""
     limit = RateLimit(2)
     admitted = [limit.admit(0.1 * number, "fault") for number in range(10)]
     assert admitted == [True, True] + [False] * 8
     assert limit.admit(0.5, "other")
-    assert limit.close_windows(0.9) == {}
-    assert limit.close_windows(1.0) == {"fault": 8}
+    assert limit.expire_windows(0.9) == {}
+    assert limit.expire_windows(1.0) == {"fault": 8}
     assert limit.admit(1.1, "fault")
 
 
 def test_equal_lines_are_written_once_and_different_ones_all():
-    """Guards against a flood by one fault, and against cut work that is not named."""
+    """Guards against a flood by one fault, and against interruptions left unlogged."""
     lines = []
     sink = logger.add(lambda message: lines.append(message.record["message"]))
     writer = LogWriter("vm-1")
@@ -59,7 +64,7 @@
 
 
 def test_statsd_gets_sums_and_samples():
-    """Guards against a datagram per event and against values that are sent twice."""
+    """Guards against one datagram per event and against values sent twice."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
         server.bind(("127.0.0.1", 0))
         server.settimeout(3)
@@ -75,8 +80,8 @@
     assert "bronzemoor.requests.time:1.500000|ms" in lines
 
 
-def test_the_snapshot_has_the_share_of_replica_reads():
-    """Guards against a wrong value of the most important figure."""
+def test_the_snapshot_contains_the_share_of_replica_reads():
+    """Guards against a wrong value of the most important metric."""
     metrics = Metrics()
     assert metrics.snapshot()["replica_read_share"] is None
     metrics.emit("counter", "reads.replica", 3)
@@ -89,8 +94,8 @@
     assert (timer["median_ms"], timer["p99_ms"]) == (50.0, 99.0)
 
 
-def test_a_parent_decides_about_sampling():
-    """Guards against traces that break at this daemon, or unwanted spans."""
+def test_the_parent_decides_about_sampling():
+    """Guards against traces that end at this daemon, and against unsampled spans."""
     tracing = Tracing("vm-1", ratio=0.0)
     trace_id, parent = "a" * 32, "b" * 16
     sampled = tracing.start("http", f"00-{trace_id}-{parent}-01")
@@ -104,8 +109,8 @@
     assert len(trace_id_of("garbage")) == 32
 
 
-def test_a_hop_at_another_daemon_joins_the_trace():
-    """Guards against peer messages that are missing in a trace."""
+def test_a_span_of_another_daemon_joins_the_trace():
+    """Guards against traces without their peer messages."""
     first, second = Tracing("vm-1", 1.0), Tracing("vm-2")
     trace = first.start("http")
     now = time.monotonic()
@@ -117,12 +122,12 @@
 
 
 def test_recent_traces_are_bounded():
-    """Guards against traces that fill the memory."""
+    """Guards against unbounded memory use by traces."""
     tracing = Tracing("vm-1", 1.0)
     first = tracing.start("http")
-    for _ in range(SPAN_LIMIT + 10):
+    for _ in range(MAX_SPANS_PER_TRACE + 10):
         first.observe("hop", 0.0, 0.1, {})
-    assert len(tracing.recent.get(first.trace_id)) == SPAN_LIMIT
-    for _ in range(TRACE_LIMIT):
+    assert len(tracing.recent.get(first.trace_id)) == MAX_SPANS_PER_TRACE
+    for _ in range(MAX_TRACES):
         tracing.start("http").end({})
     assert tracing.recent.get(first.trace_id) == []
