--- a/packages/standin/src/bronzemoor_standin/announcements.py
+++ b/packages/standin/src/bronzemoor_standin/announcements.py
@@ -1,4 +1,4 @@
-"""Announcements of the member to the daemons over HTTP."""
+"""Announces the member's state to the daemons over HTTP."""
 
 import contextlib
 import json
@@ -13,14 +13,14 @@
     from bronzemoor_standin.member import Member
 
 PATH = "/v1/announcements"
-# A daemon that does not connect or answer for this long is disconnected, and tried
-# again after the same time.
-TIMEOUT_S = 0.5
+# Timeout of a connection attempt and of an answer, after which the daemon is
+# disconnected, and delay before the next attempt.
+TIMEOUT_SECONDS = 0.5
 _RECEIVE_BYTES = 4096
 
 
 class Announcer:
-    """Posts the member's state to every daemon, periodically and on a change.
+    """Posts the member's state to every daemon, periodically and on changes.
 
     All connections are non-blocking, so that no daemon delays the others.
     """
@@ -29,11 +29,13 @@
         self._member = member
         self._stopping = stopping
         self._selector = selectors.DefaultSelector()
-        self._woken, self._wake = socket.socketpair()
-        self._woken.setblocking(False)
-        self._wake.setblocking(False)
-        self._selector.register(self._woken, selectors.EVENT_READ, self._on_wake)
-        self._links: dict[str, _Link] = {}
+        self._wake_receiver, self._wake_sender = socket.socketpair()
+        self._wake_receiver.setblocking(False)
+        self._wake_sender.setblocking(False)
+        self._selector.register(
+            self._wake_receiver, selectors.EVENT_READ, self._on_wake
+        )
+        self._connections: dict[str, _DaemonConnection] = {}
         self._thread = threading.Thread(target=self._run, name="announce", daemon=True)
 
     def start(self) -> None:
@@ -41,88 +43,89 @@
 
     def announce_now(self) -> None:
         with contextlib.suppress(OSError):
-            self._wake.send(b"\0")
+            self._wake_sender.send(b"\0")
 
     def close(self) -> None:
-        """Releases everything; for an announcer that does not run (any more)."""
-        for link in self._links.values():
-            link.close()
+        """Closes all sockets; the announcer's thread must not be running."""
+        for connection in self._connections.values():
+            connection.close()
         self._selector.close()
-        self._woken.close()
-        self._wake.close()
+        self._wake_receiver.close()
+        self._wake_sender.close()
 
     def _run(self) -> None:
         member = self._member
         while not self._stopping.is_set():
             member.faults.wait_while_frozen()
             if not member.faults.cut_daemons:
-                self._offer(json.dumps(member.announcement()).encode())
+                self._post_to_daemons(json.dumps(member.announcement()).encode())
             self._wait(member.settings.announce_ms / 1000)
         self.close()
 
-    def _offer(self, body: bytes) -> None:
+    def _post_to_daemons(self, body: bytes) -> None:
         for daemon in self._member.settings.daemons:
-            if daemon not in self._links:
-                self._links[daemon] = _Link(daemon, self._selector)
-            self._links[daemon].offer(body)
-
-    def _wait(self, span: float) -> None:
-        """Handles sockets until ``span`` seconds have passed or a change is noted."""
-        until = time.monotonic() + span
-        while (left := until - time.monotonic()) > 0:
-            for key, _ in self._selector.select(left):
+            if daemon not in self._connections:
+                self._connections[daemon] = _DaemonConnection(daemon, self._selector)
+            self._connections[daemon].post(body)
+
+    def _wait(self, seconds: float) -> None:
+        """Handles socket events for ``seconds`` or until ``announce_now`` is called."""
+        deadline = time.monotonic() + seconds
+        while (remaining := deadline - time.monotonic()) > 0:
+            for key, _ in self._selector.select(remaining):
                 handle: Callable[[], bool] = key.data
                 if handle():
                     return
 
     def _on_wake(self) -> bool:
         with contextlib.suppress(BlockingIOError):
-            while self._woken.recv(_RECEIVE_BYTES):
+            while self._wake_receiver.recv(_RECEIVE_BYTES):
                 pass
         return True
 
 
-class _Link:
-    """A kept-alive connection to one daemon; at most one request is unanswered."""
+class _DaemonConnection:
+    """A persistent connection to one daemon with at most one request in flight."""
 
     def __init__(self, daemon: str, selector: selectors.BaseSelector) -> None:
         host, port = daemon.rsplit(":", 1)
         self._address = (host, int(port))
-        self._head = (
+        self._header = (
             f"POST {PATH} HTTP/1.1\r\nHost: {daemon}\r\n"
             "Content-Type: application/json\r\nContent-Length: %d\r\n\r\n"
         )
         self._selector = selector
         self._socket: socket.socket | None = None
         self._connected = False
-        self._busy = False
-        # The newest announcement that was not sent yet.
+        self._pending = False
+        # The latest announcement, if it has not been sent yet.
         self._body: bytes | None = None
-        # When a connection or answer is overdue, or may be tried again.
-        self._limit = 0.0
+        # When the attempt or request in progress times out or, while disconnected, when
+        # to connect again.
+        self._deadline = 0.0
 
-    def offer(self, body: bytes) -> None:
-        """Sends ``body`` now, or as soon as the daemon has answered the last one."""
+    def post(self, body: bytes) -> None:
+        """Sends ``body`` now, or once the daemon has answered the previous one."""
         self._body = body
         now = time.monotonic()
         if self._socket is None:
-            if now >= self._limit:
+            if now >= self._deadline:
                 self._connect(now)
-        elif self._busy and now >= self._limit:
+        elif self._pending and now >= self._deadline:
             self._fail()
-        elif not self._busy:
+        elif not self._pending:
             self._send()
 
     def _connect(self, now: float) -> None:
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setblocking(False)
-        self._connected, self._busy = False, True
-        self._limit = now + TIMEOUT_S
+        self._connected, self._pending = False, True
+        self._deadline = now + TIMEOUT_SECONDS
         self._selector.register(self._socket, selectors.EVENT_WRITE, self._on_ready)
         self._socket.connect_ex(self._address)
 
     def _on_ready(self) -> bool:
-        """The connection is made or refused, or an answer arrived."""
+        """Handles the result of a connection attempt or an answer."""
         assert self._socket is not None
         try:
             if not self._connected:
@@ -140,7 +143,7 @@
         except OSError:
             self._fail()
             return False
-        self._busy = False
+        self._pending = False
         self._send()
         return False
 
@@ -148,11 +151,11 @@
         body, self._body = self._body, None
         if body is None or self._socket is None:
             return
-        data = (self._head % len(body)).encode() + body
+        data = (self._header % len(body)).encode() + body
         try:
             if self._socket.send(data) == len(data):
-                self._busy = True
-                self._limit = time.monotonic() + TIMEOUT_S
+                self._pending = True
+                self._deadline = time.monotonic() + TIMEOUT_SECONDS
                 return
         except OSError:
             pass
@@ -160,7 +163,7 @@
 
     def _fail(self) -> None:
         self.close()
-        self._limit = time.monotonic() + TIMEOUT_S
+        self._deadline = time.monotonic() + TIMEOUT_SECONDS
 
     def close(self) -> None:
         connection: Any = self._socket
--- a/packages/standin/src/bronzemoor_standin/applier.py
+++ b/packages/standin/src/bronzemoor_standin/applier.py
@@ -1,4 +1,4 @@
-"""Applies the log of a member to the data that its reads see."""
+"""Applies the log of a member to its committed data."""
 
 import threading
 import time
@@ -8,11 +8,11 @@
 from bronzemoor_standin.database import Database, Step
 from bronzemoor_standin.replication import GroupLog
 
-APPLY_BATCH = 200
+APPLY_BATCH_ENTRIES = 200
 
 
 class Applier:
-    """Keeps ``database`` up to date with the log, after the replica's lag.
+    """Applies log entries to ``database`` after the simulated replication lag.
 
     ``lock`` protects the log. Lock order: ``busy``, ``database.lock``, ``lock``.
     """
@@ -36,12 +36,12 @@
     # --- with ``lock`` held
 
     def arrived(self, offset: int) -> None:
-        """Notes that the entries up to ``offset`` are stored now."""
+        """Records the arrival time of the entries up to ``offset``."""
         self._arrivals.append((offset, time.monotonic()))
         self._changed.notify_all()
 
     def check_log(self) -> None:
-        """Starts a rebuild when applied entries were discarded from the log."""
+        """Starts a rebuild if applied entries were discarded from the log."""
         if not self._log.holds(*self.database.applied):
             self.rebuilding = True
             self._changed.notify_all()
@@ -49,27 +49,27 @@
     # --- without locks
 
     def run_once(self, timeout: float) -> None:
-        """Applies one batch, or waits up to ``timeout`` seconds for work."""
+        """Applies one batch, or waits up to ``timeout`` seconds for due entries."""
         with self.busy:
-            worked = self.apply_some()
-        if worked:
+            applied_any = self.apply_some()
+        if applied_any:
             return
         with self._lock:
-            if not self.rebuilding and not self._due(self._lag_ms()):
-                self._changed.wait(self._until_due(timeout))
+            if not self.rebuilding and not self._due_count(self._lag_ms()):
+                self._changed.wait(self._seconds_until_due(timeout))
 
     def apply_some(self, ignore_lag: bool = False) -> bool:
-        """Applies at most ``APPLY_BATCH`` entries; call with ``busy`` held."""
+        """Applies one batch, with ``busy`` held; returns whether entries were due."""
         with self.database.lock, self._lock:
             self._reset_if_discarded()
             lag = 0.0 if ignore_lag or self.rebuilding else self._lag_ms()
             start = self.database.applied[1]
-            count = min(self._due(lag), APPLY_BATCH)
+            count = min(self._due_count(lag), APPLY_BATCH_ENTRIES)
             entries = self._log.entries[start : start + count]
             if not entries:
                 self._finish_rebuild()
                 return False
-        steps = [Step.of(entry) for entry in entries]
+        steps = [Step.from_entry(entry) for entry in entries]
         with self.database.lock, self._lock:
             last = entries[-1]
             if self._log.holds(last.term, last.offset):
@@ -85,19 +85,19 @@
             self.rebuilding = False
             self.database.advanced.notify_all()
 
-    def _due(self, lag_ms: float) -> int:
-        """Number of entries beyond the applied ones that may be applied now."""
+    def _due_count(self, lag_ms: float) -> int:
+        """Number of stored entries that are due to be applied."""
         applied, last = self.database.applied[1], self._log.last[1]
         if lag_ms <= 0:
             self._arrivals.clear()
             return last - applied
         due = applied
-        moment = time.monotonic() - lag_ms / 1000
-        while self._arrivals and self._arrivals[0][1] <= moment:
+        cutoff = time.monotonic() - lag_ms / 1000
+        while self._arrivals and self._arrivals[0][1] <= cutoff:
             due = max(due, self._arrivals.popleft()[0])
         return min(due, last) - applied
 
-    def _until_due(self, timeout: float) -> float:
+    def _seconds_until_due(self, timeout: float) -> float:
         if not self._arrivals:
             return timeout
         due = self._arrivals[0][1] + self._lag_ms() / 1000
--- a/packages/standin/src/bronzemoor_standin/command.py
+++ b/packages/standin/src/bronzemoor_standin/command.py
@@ -18,7 +18,7 @@
 from bronzemoor_standin.settings import InvalidSettings, load_settings
 from bronzemoor_standin.tables import NoPrimary
 
-FAILED = 1
+EXIT_FAILURE = 1
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -34,23 +34,23 @@
     load.add_argument("--duration", type=float, help="seconds")
     load.add_argument("--out", default="build/load", help="directory of the results")
     load.set_defaults(run=_run_load)
-    again = commands.add_parser("check", help="check a recorded history again")
-    again.add_argument("directory", help="results of an earlier load run")
-    again.set_defaults(run=_run_check)
+    check_command = commands.add_parser("check", help="check a recorded history again")
+    check_command.add_argument("directory", help="results of an earlier load run")
+    check_command.set_defaults(run=_run_check)
     options = parser.parse_args(arguments)
     try:
         status: int = options.run(options)
     except (InvalidSettings, NoPrimary, OSError, yaml.YAMLError) as error:
         print(f"event=failed error={str(error)!r}", file=sys.stderr)
-        return FAILED
+        return EXIT_FAILURE
     return status
 
 
 def _run_endpoint(options: argparse.Namespace) -> int:
     member = Member(load_settings(options.config))
     stopped = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopped.set())
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(signum, lambda *_: stopped.set())
     member.start()
     control = member.control.address if member.control else ""
     print(
@@ -65,7 +65,7 @@
 
 
 def _run_load(options: argparse.Namespace) -> int:
-    """Exits with 1 when a guarantee is violated."""
+    """Returns 1 if a guarantee is violated."""
     settings = parse_load_settings(yaml.safe_load(Path(options.config).read_text()))
     settings.rate = options.rate or settings.rate
     settings.duration_s = options.duration or settings.duration_s
@@ -82,7 +82,7 @@
     (directory / "report.txt").write_text(as_text(report))
     plot(report, str(directory / "report.png"))
     print(as_text(report), end="")
-    return FAILED if report.violations else 0
+    return EXIT_FAILURE if report.violations else 0
 
 
 def _run_check(options: argparse.Namespace) -> int:
@@ -92,4 +92,4 @@
     found = check(history, tables)
     for violation in found:
         print(f"{violation.guarantee} {violation.subject}: {violation.message}")
-    return FAILED if found else 0
+    return EXIT_FAILURE if found else 0
--- a/packages/standin/src/bronzemoor_standin/control.py
+++ b/packages/standin/src/bronzemoor_standin/control.py
@@ -1,4 +1,4 @@
-"""HTTP control port on loopback for the fault switches of one member."""
+"""HTTP interface on loopback for the fault switches of one member."""
 
 import json
 import threading
@@ -12,7 +12,7 @@
     from bronzemoor_standin.member import Member
 
 LOOPBACK = "127.0.0.1"
-_MAX_BODY = 64 * 1024
+_MAX_BODY_BYTES = 64 * 1024
 
 
 class ControlServer:
@@ -71,7 +71,7 @@
         self._respond(self._handle({}))
 
     def do_POST(self) -> None:  # noqa: N802
-        size = min(int(self.headers.get("Content-Length") or 0), _MAX_BODY)
+        size = min(int(self.headers.get("Content-Length") or 0), _MAX_BODY_BYTES)
         try:
             body = json.loads(self.rfile.read(size) or b"{}")
         except ValueError:
@@ -100,4 +100,4 @@
         self.wfile.write(data)
 
     def log_message(self, format: str, *args: Any) -> None:
-        """Requests are not logged."""
+        """Disables the request log."""
--- a/packages/standin/src/bronzemoor_standin/database.py
+++ b/packages/standin/src/bronzemoor_standin/database.py
@@ -23,17 +23,20 @@
     recorded_at REAL NOT NULL
 ) WITHOUT ROWID
 """
-RESERVED, DONE, FAILED = "reserved", "done", "failed"
-# Errors of statements; Warning covers several statements in one text, ValueError
-# text that cannot be stored.
+RESERVED = "reserved"
+DONE = "done"
+FAILED = "failed"
+# Raised by failing statements: Warning for several statements in one text,
+# ValueError for text that cannot be stored.
 DATABASE_ERRORS = (sqlite3.Error, sqlite3.Warning, OverflowError, ValueError)
-# Records are pruned at offsets divisible by this, so that all members do the same.
-PRUNE_EVERY = 256
+# Request records are pruned at multiples of this offset, which are the same on all
+# members.
+PRUNE_INTERVAL_ENTRIES = 256
 
 
 @dataclass(slots=True, frozen=True)
 class RequestRecord:
-    """What is recorded under a request id; ``recorded_at`` is in epoch seconds."""
+    """State and result recorded for a request id; ``recorded_at`` in epoch seconds."""
 
     request_id: str
     digest: str
@@ -82,7 +85,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Step:
-    """A decoded transaction at its place in the log."""
+    """A decoded transaction with its position in the log."""
 
     transaction: Transaction
     term: int
@@ -93,25 +96,25 @@
         return (self.term, self.offset)
 
     @classmethod
-    def of(cls, entry: Entry) -> "Step":
+    def from_entry(cls, entry: Entry) -> "Step":
         return cls(Transaction.decode(entry.body), entry.term, entry.offset)
 
 
 @dataclass(slots=True, frozen=True)
 class Retention:
-    """How long request records are kept: ``age`` in seconds, at most ``count``.
+    """How long and how many request records are kept.
 
-    A request that is sent again after its record was pruned runs again, so the age
-    must exceed the longest time after which callers or daemons resend. Reservations
-    without a result are pruned by age only.
+    A request that is retried after its record was pruned runs again, so the age must
+    exceed the longest time after which callers or daemons retry. Reservations without
+    a result are pruned by age only.
     """
 
-    age: float = 86_400.0
-    count: int = 1_000_000
+    max_age_seconds: float = 86_400.0
+    max_records: int = 1_000_000
 
 
 class Database:
-    """Statements and request records of one sqlite3 connection.
+    """Data and request records of a member in one sqlite3 connection.
 
     Every method that touches data must be called with ``lock`` held.
     """
@@ -141,8 +144,8 @@
     def savepoint(self) -> None:
         self._connection.execute("SAVEPOINT call")
 
-    def release(self, keep: bool) -> None:
-        """Ends the savepoint; undoes what ran since unless ``keep``."""
+    def end_savepoint(self, keep: bool) -> None:
+        """Ends the savepoint; rolls back to it first unless ``keep``."""
         if not keep:
             self._connection.execute("ROLLBACK TO call")
         self._connection.execute("RELEASE call")
@@ -188,22 +191,22 @@
                     record.recorded_at,
                 ),
             )
-            if step.offset % PRUNE_EVERY == 0:
+            if step.offset % PRUNE_INTERVAL_ENTRIES == 0:
                 self._prune(record.recorded_at)
 
     def _prune(self, now: float) -> None:
         self._connection.execute(
             "DELETE FROM request_records WHERE recorded_at < ?",
-            (now - self.retention.age,),
+            (now - self.retention.max_age_seconds,),
         )
         self._connection.execute(
             "DELETE FROM request_records WHERE state <> ? AND offset <= ("
             "SELECT offset FROM request_records ORDER BY offset DESC LIMIT 1 OFFSET ?)",
-            (RESERVED, self.retention.count),
+            (RESERVED, self.retention.max_records),
         )
 
     def run_step(self, step: Step) -> None:
-        """Runs a transaction of the log and records its request."""
+        """Runs a logged transaction and records its request."""
         self.run(step.transaction.statements)
         self.record(step)
 
@@ -223,25 +226,25 @@
         self.advanced.notify_all()
 
     def copy_from(self, other: "Database") -> None:
-        """Replaces the data by that of ``other``."""
+        """Replaces the data with that of ``other``."""
         self._connection.close()
         self._connection = _connect()
         other._connection.backup(self._connection)
         self.applied = other.applied
 
     def reset(self) -> None:
-        """Discards all data; the log is replayed afterwards."""
+        """Discards all data, so that the log can be replayed."""
         self._connection.close()
         self._connection = _connect()
         self._connection.execute(_SCHEMA)
         self.applied = (0, 0)
 
     def wait_for(self, reached: Any, timeout: float) -> bool:
-        """Waits at most ``timeout`` s until ``reached()`` holds."""
-        until = time.monotonic() + timeout
+        """Waits up to ``timeout`` seconds and returns whether ``reached()`` holds."""
+        deadline = time.monotonic() + timeout
         while not reached():
-            left = until - time.monotonic()
-            if left <= 0 or not self.advanced.wait(left):
+            remaining = deadline - time.monotonic()
+            if remaining <= 0 or not self.advanced.wait(remaining):
                 return bool(reached())
         return True
 
--- a/packages/standin/src/bronzemoor_standin/execution.py
+++ b/packages/standin/src/bronzemoor_standin/execution.py
@@ -1,4 +1,4 @@
-"""Statements, transactions and request ids of one connection."""
+"""Executes statements, transactions and recorded requests of one connection."""
 
 import threading
 import time
@@ -20,12 +20,12 @@
 from bronzemoor_standin.statements import Sql, decode, encode_results, writes
 from bronzemoor_standin.writes import Write
 
-# Longest wait of a lookup for the majority when the call does not say.
-LOOKUP_WAIT_MS = 250
+# Time that a lookup waits for a majority when the call sets no limit.
+DEFAULT_LOOKUP_WAIT_MS = 250
 
 
 class StatementFailed(Exception):
-    """Statements ran, failed and were rolled back; ``position`` if that is recorded."""
+    """Statements failed and were rolled back; ``position`` if this is recorded."""
 
     def __init__(
         self, message: str, position: Position | None = None, repeated: bool = False
@@ -37,7 +37,7 @@
 
 @dataclass(slots=True)
 class Result:
-    """Outcome of a call that succeeded; no position means the applied one."""
+    """Result of a successful call; without a position, the applied one counts."""
 
     position: Position | None = None
     payload: bytes = b""
@@ -46,14 +46,14 @@
 
 @dataclass(slots=True)
 class OpenTransaction:
-    """A transaction of one connection; ``write`` is set from its first write on."""
+    """The open transaction of a connection; ``write`` is set by its first write."""
 
     transaction_id: str
     write: Write | None = None
 
 
 class RequestsInProgress:
-    """Ids of the requests that are being carried out by one member."""
+    """Ids of the requests that a member is executing, with their number of calls."""
 
     def __init__(self) -> None:
         self._counts: dict[str, int] = {}
@@ -79,10 +79,10 @@
 
 
 class Execution:
-    """Carries out the calls of one connection; at most one transaction is open.
+    """Executes the calls of one connection, which has at most one open transaction.
 
     Calls raise ``Refused``, ``InvalidStatement``, ``StatementFailed`` or one of
-    ``DATABASE_ERRORS``. ``slot(deadline)`` holds a statement slot of the member.
+    ``DATABASE_ERRORS``. ``slot(deadline)`` occupies a statement slot of the member.
     """
 
     def __init__(
@@ -105,17 +105,19 @@
     def execute(self, call: ttypes.Execute) -> Result:
         deadline = self._deadline(call.deadline_ms)
         statements = decode(call.statements)
-        writing = [s for s in statements if writes(s.text)]
-        if call.read_only and writing:
+        write_statements = [s for s in statements if writes(s.text)]
+        if call.read_only and write_statements:
             raise Refused("read_only", "a writing statement in a read-only call")
         if call.transaction_id:
-            return self._in_transaction(call, statements, writing, deadline)
-        if writing or call.recorded or call.reservation:
+            return self._execute_in_transaction(
+                call, statements, write_statements, deadline
+            )
+        if write_statements or call.recorded or call.reservation:
             with self._in_progress.track(call.request_id):
-                return self._write(call, statements, writing, deadline)
-        return self._read(call, statements, deadline)
+                return self._execute_write(call, statements, write_statements, deadline)
+        return self._execute_read(call, statements, deadline)
 
-    def _read(
+    def _execute_read(
         self, call: ttypes.Execute, statements: list[Sql], deadline: float
     ) -> Result:
         with self._slot(deadline):
@@ -124,11 +126,11 @@
             )
         return Result(position, self._encode(results))
 
-    def _write(
+    def _execute_write(
         self,
         call: ttypes.Execute,
         statements: list[Sql],
-        writing: list[Sql],
+        write_statements: list[Sql],
         deadline: float,
     ) -> Result:
         self._ledger.require(position_of(call.min_position), call.wait_ms / 1000)
@@ -136,10 +138,10 @@
         try:
             known = write.find(call.request_id) if call.request_id else None
             if known is not None and known.state != RESERVED:
-                return self._recorded(call, known)
+                return self._recorded_result(call, known)
             _check_reservation(call, known)
             with self._slot(deadline):
-                return self._run_once(call, write, statements, writing)
+                return self._run_once(call, write, statements, write_statements)
         finally:
             write.rollback()
 
@@ -148,19 +150,19 @@
         call: ttypes.Execute,
         write: Write,
         statements: list[Sql],
-        writing: list[Sql],
+        write_statements: list[Sql],
     ) -> Result:
         result = Result()
         reservation = call.reservation or ""
 
-        def finish(results: list[dict[str, Any]]) -> RequestRecord | None:
+        def make_record(results: list[dict[str, Any]]) -> RequestRecord | None:
             result.payload = self._encode(results)
             if not (call.recorded or reservation):
                 return None
             return _new_record(call, reservation, DONE, result.payload)
 
         try:
-            result.position = write.run_once(statements, writing, finish)
+            result.position = write.run_once(statements, write_statements, make_record)
         except DATABASE_ERRORS as error:
             message = str(error)
             if not reservation:
@@ -170,23 +172,25 @@
             raise StatementFailed(message, write.commit(failed)) from error
         return result
 
-    def _in_transaction(
+    def _execute_in_transaction(
         self,
         call: ttypes.Execute,
         statements: list[Sql],
-        writing: list[Sql],
+        write_statements: list[Sql],
         deadline: float,
     ) -> Result:
-        transaction = self._find(call.transaction_id)
-        if transaction.write is None and writing:
-            # The lock is taken before the slot: its holder needs a slot to finish.
+        transaction = self._find_transaction(call.transaction_id)
+        if transaction.write is None and write_statements:
+            # The lock is taken before the slot since its holder needs a slot to finish.
             timeout = deadline - time.monotonic()
             transaction.write = self._ledger.open_write(timeout)
         if transaction.write is None:
-            return self._read(call, statements, deadline)
+            return self._execute_read(call, statements, deadline)
         with self._slot(deadline):
             return Result(
-                payload=self._encode(transaction.write.run(statements, writing))
+                payload=self._encode(
+                    transaction.write.run(statements, write_statements)
+                )
             )
 
     def _encode(self, results: list[dict[str, Any]]) -> bytes:
@@ -205,8 +209,8 @@
         return Result()
 
     def commit(self, call: ttypes.TransactionCall) -> Result:
-        """Commits; a known request id rolls back and returns the recorded result."""
-        transaction = self._find(call.transaction_id)
+        """Commits, or rolls back and returns the result recorded for the request id."""
+        transaction = self._find_transaction(call.transaction_id)
         try:
             with self._in_progress.track(call.request_id):
                 if transaction.write is None and call.recorded:
@@ -223,22 +227,22 @@
         if call.recorded:
             known = write.find(call.request_id)
             if known is not None:
-                return self._recorded(call, known)
+                return self._recorded_result(call, known)
             record = _new_record(call, "", DONE, b"[]")
         return Result(write.commit(record), b"[]")
 
     def rollback(self, call: ttypes.TransactionCall) -> Result:
-        self._find(call.transaction_id)
+        self._find_transaction(call.transaction_id)
         self.end_transaction()
         return Result()
 
     def end_transaction(self) -> None:
-        """Rolls back what is open."""
+        """Rolls back the open transaction, if any."""
         transaction, self.transaction = self.transaction, None
         if transaction is not None and transaction.write is not None:
             transaction.write.rollback()
 
-    def _find(self, transaction_id: str) -> OpenTransaction:
+    def _find_transaction(self, transaction_id: str) -> OpenTransaction:
         transaction = self.transaction
         if transaction is None or transaction.transaction_id != transaction_id:
             raise Refused("unknown_transaction", transaction_id)
@@ -262,22 +266,22 @@
         same_holder = known.reservation == call.reservation
         if known.state == RESERVED and known.digest == call.digest and same_holder:
             return Result(self._ledger.position_now(known.offset))
-        return self._recorded(call, known)
+        return self._recorded_result(call, known)
 
     def lookup(self, call: ttypes.Query) -> Result:
-        """Finds a request; says ``unknown_request`` only as a confirmed primary."""
-        # In this order: a request that ends in between is found in the table.
+        """Returns a recorded result; ``unknown_request`` needs a confirmed primary."""
+        # Checked in this order to find a request that ends between the two checks.
         running = call.request_id in self._in_progress
         known = self._ledger.find(call.request_id)
         if known is not None and not (running and known.state == RESERVED):
-            return self._recorded(call, known)
+            return self._recorded_result(call, known)
         if running:
             raise Refused("in_progress", call.request_id)
-        self._ledger.confirm_term((call.wait_ms or LOOKUP_WAIT_MS) / 1000)
+        self._ledger.confirm_term((call.wait_ms or DEFAULT_LOOKUP_WAIT_MS) / 1000)
         raise Refused("unknown_request", call.request_id)
 
-    def _recorded(self, call: Any, known: RequestRecord) -> Result:
-        """The recorded result of a request; raises what else the record means."""
+    def _recorded_result(self, call: Any, known: RequestRecord) -> Result:
+        """Returns a recorded success; raises for any other state or another digest."""
         if known.digest != (call.digest or ""):
             raise Refused("request_id_reused", call.request_id)
         if known.state == RESERVED:
@@ -292,7 +296,7 @@
 
 
 def position_of(position: ttypes.Position | None) -> Position:
-    """(term, offset) of an optional position; (0, 0) when it is missing."""
+    """Converts an optional position to (term, offset); (0, 0) if it is missing."""
     return (position.term, position.offset) if position is not None else (0, 0)
 
 
--- a/packages/standin/src/bronzemoor_standin/faults.py
+++ b/packages/standin/src/bronzemoor_standin/faults.py
@@ -1,4 +1,4 @@
-"""Fault switches of one member, settable while it runs."""
+"""Fault switches of one member, which can be changed while it runs."""
 
 import random
 import threading
@@ -18,37 +18,37 @@
     The switches on answers affect connections of daemons only.
     """
 
-    # No call from or to other members gets through.
+    # Calls from and to other members are lost.
     cut_peers: bool = False
-    # No call from daemons and no announcement gets through.
+    # Calls from daemons and announcements to them are lost.
     cut_daemons: bool = False
-    # Nothing happens at all until the switch is reset.
+    # The member makes no progress until this is reset.
     frozen: bool = False
-    # Writing fails; a replica stores nothing more.
+    # Writes fail, and a replica stores no more entries.
     disk_full: bool = False
-    # Time each statement call takes, in addition to its real time.
+    # Time added to each statement call.
     statement_ms: float = 0.0
-    # Age at which a replica applies an entry that it holds.
+    # Age at which a replica applies a stored entry.
     lag_ms: float = 0.0
     # One-way delay of each call: from daemons, from members, from daemons by name.
     one_way_ms: float = 0.0
     peer_one_way_ms: float = 0.0
     client_one_way_ms: dict[str, float] = field(default_factory=dict)
-    # Rates of answers that are lost, delayed, sent twice, sent just before the next
-    # answer of the connection, or just after it.
+    # Rates of answers that are lost, delayed, sent twice, held back until just before
+    # the next answer on the connection, or until just after it.
     drop_rate: float = 0.0
     delay_rate: float = 0.0
     delay_ms: float = 0.0
     duplicate_rate: float = 0.0
     late_rate: float = 0.0
     reorder_rate: float = 0.0
-    # Number of answers yet to be affected; negative means no limit.
+    # Number of answers still to be affected; negative means no limit.
     answers_left: int = -1
-    # Calls whose answers are affected; none means all.
+    # Names of the calls whose answers are affected; an empty list means all.
     only_calls: list[str] = field(default_factory=list)
 
 
-_KINDS = {f.name: f.type for f in fields(Switches)}
+_SWITCH_TYPES = {f.name: f.type for f in fields(Switches)}
 _ANSWER_FAULTS = ("drop", "delay", "duplicate", "late", "reorder")
 
 
@@ -76,8 +76,8 @@
         self.set({name: value})
 
     def set(self, values: dict[str, Any]) -> None:
-        """Sets several switches; raises ``InvalidFault`` and then sets none."""
-        problems = [p for n, v in values.items() if (p := _problem_of(n, v))]
+        """Sets several switches at once, or none if it raises ``InvalidFault``."""
+        problems = [p for n, v in values.items() if (p := _validation_error(n, v))]
         if problems:
             raise InvalidFault("; ".join(problems))
         state = self.__dict__
@@ -91,22 +91,22 @@
             self._running.set()
 
     def values(self) -> dict[str, Any]:
-        return {name: self.__dict__[name] for name in _KINDS}
+        return {name: self.__dict__[name] for name in _SWITCH_TYPES}
 
     def clear(self) -> None:
-        """Resets all switches and ends the silence of old connections."""
+        """Resets all switches and the effect of ``silence``."""
         self.set(asdict(Switches()))
         self.__dict__["silenced_at"] = float("-inf")
 
     def silence(self) -> None:
-        """Ignores every call on the daemons' connections that are open now."""
+        """Ignores all further calls on the daemon connections that are open now."""
         self.__dict__["silenced_at"] = time.monotonic()
 
     def wait_while_frozen(self) -> None:
         self._running.wait()
 
-    def answer_fault(self, call: str) -> str:
-        """Draws what happens to the answer of ``call``; empty for nothing."""
+    def draw_answer_fault(self, call: str) -> str:
+        """Chooses a random fault for the answer to ``call``; empty for none."""
         if self.only_calls and call not in self.only_calls:
             return ""
         for kind, rate in self._answer_rates.items():
@@ -119,8 +119,8 @@
         return ""
 
 
-def _problem_of(name: str, value: Any) -> str:
-    kind = _KINDS.get(name)
+def _validation_error(name: str, value: Any) -> str:
+    kind = _SWITCH_TYPES.get(name)
     if kind is None:
         return f"unknown switch {name}"
     kind = getattr(kind, "__origin__", kind)
--- a/packages/standin/src/bronzemoor_standin/framing.py
+++ b/packages/standin/src/bronzemoor_standin/framing.py
@@ -1,7 +1,7 @@
 """Framed binary Thrift messages over plain sockets, for servers and clients.
 
 Thrift's own framed transport and processor spend most of a short call's time in Python
-layers; this module keeps the same bytes on the wire and the generated structs.
+layers. This module writes the same bytes and uses the generated structs.
 """
 
 import socket
@@ -20,14 +20,14 @@
 
 from bronzemoor_standin.gen.endpoint import Endpoint
 
-_SIZE = struct.Struct("!i")
-_HEAD = struct.Struct("!iIi")  # frame size, version and type, length of the name
+_INT32 = struct.Struct("!i")
+_HEADER = struct.Struct("!iIi")  # frame size, version and type, length of the name
 _VERSION = 0x80010000
 _VERSION_MASK = 0xFFFF0000
 
 
 class Frame(TTransportBase, CReadableTransport):
-    """A transport over one frame that was read, and over the one being written."""
+    """A Thrift transport that reads one received frame and buffers one to send."""
 
     def __init__(self) -> None:
         self._input = BytesIO()
@@ -56,46 +56,46 @@
     def write(self, data: bytes) -> None:
         self._output.append(data)
 
-    def take(self) -> bytes:
+    def take_output(self) -> bytes:
         data, self._output = b"".join(self._output), []
         return data
 
 
 class Codec:
-    """Encodes and decodes messages; one per connection, used by one thread."""
+    """Encodes and decodes messages of one connection; not thread-safe."""
 
     def __init__(self) -> None:
         self._frame = Frame()
         self._protocol = TBinaryProtocolAccelerated(self._frame)
 
-    def encode(self, kind: int, name: bytes, sequence: int, body: Any) -> bytes:
-        """A complete frame with a struct as its body."""
+    def encode(self, message_type: int, name: bytes, sequence: int, body: Any) -> bytes:
+        """Returns a complete frame with the struct ``body``."""
         body.write(self._protocol)
-        data = self._frame.take()
+        data = self._frame.take_output()
         size = 8 + len(name) + 4 + len(data)
-        head = _HEAD.pack(size, _VERSION | kind, len(name))
-        return b"".join((head, name, _SIZE.pack(sequence), data))
+        header = _HEADER.pack(size, _VERSION | message_type, len(name))
+        return b"".join((header, name, _INT32.pack(sequence), data))
 
     def decode(self, frame: bytes, start: int, body: Any) -> Any:
-        """Fills the struct ``body`` from the bytes after the header."""
+        """Decodes the bytes after the header into the struct ``body``."""
         self._frame.load(frame, start)
         body.read(self._protocol)
         return body
 
 
-def parse_head(frame: bytes) -> tuple[int, bytes, int, int]:
-    """Type, name, sequence number and start of the body of a message."""
+def parse_header(frame: bytes) -> tuple[int, bytes, int, int]:
+    """Returns the type, name, sequence number and body offset of a message."""
     version, length = struct.unpack_from("!Ii", frame)
     if version & _VERSION_MASK != _VERSION:
         raise ValueError("not a message of the strict binary protocol")
     end = 8 + length
-    (sequence,) = _SIZE.unpack_from(frame, end)
+    (sequence,) = _INT32.unpack_from(frame, end)
     return version & 0xFF, frame[8:end], sequence, end + 4
 
 
-def run_call(codec: Codec, handler: Any, frame: bytes) -> bytes:
-    """Runs the call in ``frame`` on ``handler`` and returns the framed answer."""
-    _, name, sequence, start = parse_head(frame)
+def dispatch_call(codec: Codec, handler: Any, frame: bytes) -> bytes:
+    """Calls the method of ``handler`` named in ``frame``; returns the framed answer."""
+    _, name, sequence, start = parse_header(frame)
     call = name.decode()
     arguments = getattr(Endpoint, f"{call}_args", None)
     if arguments is None:
@@ -108,15 +108,15 @@
 
 
 def read_size(reader: Any) -> int:
-    """Size of the next frame; raises ``EOFError`` or ``ValueError``."""
-    (size,) = _SIZE.unpack(read_exactly(reader, 4))
+    """Reads the size of the next frame; raises ``EOFError`` or ``ValueError``."""
+    (size,) = _INT32.unpack(read_exactly(reader, 4))
     if size < 0:
         raise ValueError("negative frame size")
     return int(size)
 
 
 def read_exactly(reader: Any, size: int) -> bytes:
-    """``size`` bytes from a file object; raises ``EOFError`` when it ends before."""
+    """Reads ``size`` bytes from a file object; raises ``EOFError`` at its end."""
     data: bytes = reader.read(size)
     if len(data) < size:
         raise EOFError("the connection was closed")
@@ -126,7 +126,7 @@
 class EndpointClient:
     """A client of an endpoint with one method per call of the service.
 
-    Calls raise ``OSError`` (also on a time-out), ``EOFError`` or ``TException``; the
+    Calls raise ``OSError`` (also on a timeout), ``EOFError`` or ``TException``; the
     connection is unusable afterwards. ``timeout_ms`` bounds each call.
     """
 
@@ -158,11 +158,11 @@
         )
 
     def receive(self, name: str, any_sequence: bool = False) -> Any:
-        """Waits for the answer to the last call, or with a flag for the next answer."""
+        """Waits for the answer to the last call, or for any with ``any_sequence``."""
         while True:
             frame = read_exactly(self._reader, read_size(self._reader))
-            kind, _, sequence, start = parse_head(frame)
-            if kind == TMessageType.EXCEPTION:
+            message_type, _, sequence, start = parse_header(frame)
+            if message_type == TMessageType.EXCEPTION:
                 error = TApplicationException()
                 self.codec.decode(frame, start, error)
                 raise error
--- a/packages/standin/src/bronzemoor_standin/group.py
+++ b/packages/standin/src/bronzemoor_standin/group.py
@@ -1,4 +1,4 @@
-"""A whole database group in one process, for tests, development and the demo."""
+"""Runs a database group in one process, for tests, development and the demo."""
 
 import time
 from collections.abc import Iterable
@@ -36,7 +36,7 @@
             )
         addresses = {name: m.address for name, m in self.members.items()}
         for member in self.members.values():
-            member.learn_members(addresses)
+            member.add_members(addresses)
 
     def __enter__(self) -> "Group":
         self.start()
@@ -60,9 +60,9 @@
         for member in reversed(self.members.values()):
             member.start()
         first = next(iter(self.members.values()))
-        until = time.monotonic() + timeout
+        deadline = time.monotonic() + timeout
         while first.settings.bootstrap_primary and self.primary is None:
-            if time.monotonic() > until:
+            if time.monotonic() > deadline:
                 raise TimeoutError("the group has no primary")
             time.sleep(0.005)
 
--- a/packages/standin/src/bronzemoor_standin/journal.py
+++ b/packages/standin/src/bronzemoor_standin/journal.py
@@ -1,4 +1,4 @@
-"""Storage of a member's terms and log in a file, so that they survive its process."""
+"""Stores a member's terms and log in a file, so that they survive a restart."""
 
 import json
 import sqlite3
@@ -14,9 +14,9 @@
 
 
 class Journal:
-    """Keeps a copy of ``ReplicationState`` in a sqlite3 file.
+    """Persists the terms and log of a ``ReplicationState`` in a sqlite3 file.
 
-    Calls must be serialised. ``sync`` returns after the file is synced to disk.
+    Calls must be serialised. ``sync`` returns once the data is synced to disk.
     """
 
     def __init__(self, path: str) -> None:
@@ -26,14 +26,14 @@
         self._connection.execute("PRAGMA journal_mode = TRUNCATE")
         self._connection.execute("PRAGMA synchronous = FULL")
         self._connection.executescript(_SCHEMA)
-        self._stored = 0
-        self._terms = ""
+        self._stored_offset = 0
+        self._stored_terms = ""
 
     def load(self, state: ReplicationState) -> None:
         """Restores terms and log; the member starts as a replica without a primary."""
         row = self._connection.execute("SELECT value FROM state").fetchone()
         if row:
-            self._terms = row[0]
+            self._stored_terms = row[0]
             terms = json.loads(row[0])
             state.accepted_term = terms["accepted_term"]
             state.term = terms["term"]
@@ -43,11 +43,11 @@
         )
         for row in rows:
             state.log.append(Entry(*row))
-        self._stored = state.log.last[1]
+        self._stored_offset = state.log.last[1]
         state.log.truncated_to = None
 
     def sync(self, state: ReplicationState) -> None:
-        """Stores what changed since the last call; raises ``sqlite3.Error``."""
+        """Stores the changes since the last call; raises ``sqlite3.Error``."""
         log = state.log
         terms = json.dumps(
             {
@@ -56,10 +56,18 @@
                 "history": log.history,
             }
         )
-        cut = log.truncated_to
-        if terms == self._terms and cut is None and log.last[1] == self._stored:
+        truncated = log.truncated_to
+        if (
+            terms == self._stored_terms
+            and truncated is None
+            and log.last[1] == self._stored_offset
+        ):
             return
-        kept = self._stored if cut is None else min(cut, self._stored)
+        kept = (
+            self._stored_offset
+            if truncated is None
+            else min(truncated, self._stored_offset)
+        )
         connection = self._connection
         connection.execute("BEGIN IMMEDIATE")
         try:
@@ -76,7 +84,11 @@
             if connection.in_transaction:
                 connection.execute("ROLLBACK")
             raise
-        self._stored, self._terms, log.truncated_to = log.last[1], terms, None
+        self._stored_offset, self._stored_terms, log.truncated_to = (
+            log.last[1],
+            terms,
+            None,
+        )
 
     def close(self) -> None:
         self._connection.close()
--- a/packages/standin/src/bronzemoor_standin/member.py
+++ b/packages/standin/src/bronzemoor_standin/member.py
@@ -25,35 +25,35 @@
 from bronzemoor_standin.settings import MemberSettings
 
 BOOTSTRAP_TERM = 1
-BOOTSTRAP_RETRY_S = 0.05
-APPLY_WAIT_S = 0.5
+BOOTSTRAP_RETRY_INTERVAL_SECONDS = 0.05
+APPLY_TIMEOUT_SECONDS = 0.5
 
 
-class ConnectionCap:
-    """Counts the daemons' connections up to a limit."""
+class ConnectionLimiter:
+    """Limits the number of connections from daemons."""
 
     def __init__(self, limit: int) -> None:
-        self._left = limit
+        self._available = limit
         self._lock = threading.Lock()
 
     def acquire(self) -> bool:
-        """Takes one connection; false when the limit is reached."""
+        """Reserves one connection; returns False when the limit is reached."""
         with self._lock:
-            if self._left <= 0:
+            if self._available <= 0:
                 return False
-            self._left -= 1
+            self._available -= 1
             return True
 
     def release(self) -> None:
         with self._lock:
-            self._left += 1
+            self._available += 1
 
 
 class Member:
     """A database endpoint that can be embedded in a process.
 
     The port is bound at construction, so that ``address`` is known before ``start``.
-    ``stop`` and ``kill`` keep log and data in memory, as a disk would; a later
+    ``stop`` and ``kill`` keep log and data in memory, in place of a disk; a later
     ``start`` resumes with them as a replica.
     """
 
@@ -83,9 +83,9 @@
         self.addresses[settings.member] = self.address
         self.control: ControlServer | None = None
         self.in_progress = RequestsInProgress()
-        self.cap = ConnectionCap(settings.connections)
+        self.connection_limiter = ConnectionLimiter(settings.connections)
         self._slots = threading.Semaphore(settings.slots)
-        self._active = 0
+        self._active_calls = 0
         self._lock = threading.Lock()
         self._leaving_at: float | None = None
         self._stopping = threading.Event()
@@ -111,8 +111,8 @@
         return self._leaving_at is not None
 
     @property
-    def turns_away(self) -> bool:
-        """Whether the member has been leaving for so long that it refuses new work."""
+    def refuses_new_work(self) -> bool:
+        """Whether the member has been leaving for ``leave_after_ms`` or longer."""
         if self._leaving_at is None:
             return False
         waited = time.monotonic() - self._leaving_at
@@ -120,7 +120,7 @@
 
     @property
     def calls_in_progress(self) -> int:
-        return self._active
+        return self._active_calls
 
     # --- life cycle
 
@@ -130,30 +130,34 @@
         self._leaving_at = None
         self._stopping = threading.Event()
         self.incarnation = max(int(time.time() * 1000), self.incarnation + 1)
-        self.cap = ConnectionCap(self.settings.connections)
+        self.connection_limiter = ConnectionLimiter(self.settings.connections)
         self._replicators = {}
         self._announcer = Announcer(self, self._stopping)
         self._server.start()
-        self._spawn(self._apply)
+        self._start_thread(self._apply)
         self._start_replicators()
         self._announcer.start()
         if self.settings.control_port >= 0 and self.control is None:
             self.control = ControlServer(self, self.settings.control_port)
             self.control.start()
         if self.settings.bootstrap_primary == self.settings.member:
-            self._spawn(self._bootstrap)
+            self._start_thread(self._bootstrap)
         self.announce_now()
 
     def stop(self) -> None:
-        """Stops accepting, finishes the calls in progress and stops."""
+        """Closes the listener, lets calls in progress finish and stops."""
         self._server.stop_accepting()
-        until = time.monotonic() + self.settings.stop_ms / 1000
-        while self._active and not self.faults.frozen and time.monotonic() < until:
+        deadline = time.monotonic() + self.settings.stop_ms / 1000
+        while (
+            self._active_calls
+            and not self.faults.frozen
+            and time.monotonic() < deadline
+        ):
             time.sleep(0.002)
         self.kill()
 
     def kill(self) -> None:
-        """Stops as a crash does: nothing is announced and nothing is finished."""
+        """Simulates a crash: nothing is announced and calls are interrupted."""
         self._stopping.set()
         self.ledger.step_down()
         self._server.stop_accepting()
@@ -164,12 +168,12 @@
             self.control = None
 
     def leave(self) -> None:
-        """Announces that the member is leaving; new work is refused a while later."""
+        """Announces the departure; new work is refused ``leave_after_ms`` later."""
         if self._leaving_at is None:
             self._leaving_at = time.monotonic()
         self.announce_now()
 
-    def _spawn(self, target: Any) -> None:
+    def _start_thread(self, target: Any) -> None:
         threading.Thread(
             target=target, args=(self._stopping,), name=target.__name__, daemon=True
         ).start()
@@ -177,23 +181,23 @@
     def _apply(self, stopping: threading.Event) -> None:
         while not stopping.is_set():
             self.faults.wait_while_frozen()
-            self.ledger.applier.run_once(APPLY_WAIT_S)
+            self.ledger.applier.run_once(APPLY_TIMEOUT_SECONDS)
 
     def _bootstrap(self, stopping: threading.Event) -> None:
-        """Becomes primary of the first term once a majority says that it has none.
+        """Becomes primary of the first term once a majority reports no term.
 
         A restarted member that lost its log must not start the first term again.
         """
         others = [a for n, a in self.addresses.items() if n != self.settings.member]
         while not stopping.is_set() and self.ledger.state.accepted_term == 0:
-            answers = [_knows_a_term(address) for address in others]
+            answers = [_knows_any_term(address) for address in others]
             if True in answers:
                 return
             if answers.count(False) >= len(self.addresses) // 2:
                 self.ledger.promote(BOOTSTRAP_TERM, 0, tuple(self.addresses))
                 self.announce_now()
                 return
-            stopping.wait(BOOTSTRAP_RETRY_S)
+            stopping.wait(BOOTSTRAP_RETRY_INTERVAL_SECONDS)
 
     def _start_replicators(self) -> None:
         with self._lock:
@@ -207,8 +211,8 @@
     def _make_session(self, connection: Connection) -> Session:
         return Session(self, connection)
 
-    def learn_members(self, addresses: dict[str, str] | None) -> tuple[str, ...]:
-        """Takes over the members named by an order; returns their names."""
+    def add_members(self, addresses: dict[str, str] | None) -> tuple[str, ...]:
+        """Adds the members named in an order and returns their names."""
         if addresses:
             self.addresses.update(addresses)
             if self.running:
@@ -216,19 +220,19 @@
         return tuple(addresses or ())
 
     @contextmanager
-    def activity(self) -> Iterator[None]:
-        """Marks a call in progress, which a graceful stop lets finish."""
+    def track_call(self) -> Iterator[None]:
+        """Counts a call in progress, for which a graceful stop waits."""
         with self._lock:
-            self._active += 1
+            self._active_calls += 1
         try:
             yield
         finally:
             with self._lock:
-                self._active -= 1
+                self._active_calls -= 1
 
     @contextmanager
     def slot(self, deadline: float) -> Iterator[None]:
-        """Holds one of the statement slots; raises ``Refused`` past ``deadline``."""
+        """Occupies a statement slot; raises ``Refused`` if none is free in time."""
         if not self._slots.acquire(timeout=max(deadline - time.monotonic(), 0)):
             raise Refused("deadline", "no free slot before the deadline")
         try:
@@ -245,7 +249,7 @@
             self._announcer.announce_now()
 
     def announcement(self) -> dict[str, Any]:
-        """The fields of ``Announcement``, ready to be encoded as JSON."""
+        """The member's state as announced to daemons, in types that JSON can encode."""
         with self.ledger.lock:
             state = self.ledger.state
             term, offset = self.ledger.committed.applied
@@ -267,7 +271,7 @@
             }
 
     def unreachable(self) -> set[str]:
-        """Members from which this one has heard nothing for the peer timeout."""
+        """Members that have been silent for longer than the peer timeout."""
         state = self.ledger.state
         if state.role == PRIMARY:
             return {name for name, r in self._replicators.items() if r.unreachable}
@@ -281,8 +285,8 @@
         return set()
 
 
-def _knows_a_term(address: str) -> bool | None:
-    """Whether the member at ``address`` knows any term; None without an answer."""
+def _knows_any_term(address: str) -> bool | None:
+    """Whether the member at ``address`` knows any term; None if it does not answer."""
     try:
         client = EndpointClient(address, 200)
         reply = client.ping(ttypes.Query(correlation_id=0))
--- a/packages/standin/src/bronzemoor_standin/peers.py
+++ b/packages/standin/src/bronzemoor_standin/peers.py
@@ -16,11 +16,11 @@
 
 BATCH_ENTRIES = 500
 BATCH_BYTES = 512 * 1024
-# Pause after a batch, so that the next one carries several writes: without it, eight
-# writers on two replicas got 1,590 instead of 2,070 writes/s through.
-COALESCE_S = 0.0005
-# Wait of a member that is not primary; a change of role ends it at once.
-IDLE_MS = 500
+# Delay after a batch, so that the next one carries several writes: without it, eight
+# writers and two replicas reached 1,590 instead of 2,070 writes/s.
+COALESCE_DELAY_SECONDS = 0.0005
+# Longest wait while this member is not primary; a role change ends it at once.
+IDLE_WAIT_MS = 500
 
 
 class Replicator:
@@ -54,7 +54,7 @@
                 self._answered_at = time.monotonic()
             elif self._send(batch):
                 if batch.entries:
-                    time.sleep(COALESCE_S)
+                    time.sleep(COALESCE_DELAY_SECONDS)
             else:
                 self._stopping.wait(member.settings.heartbeat_ms / 1000)
         self._disconnect()
@@ -64,12 +64,14 @@
         with ledger.lock:
             if not ledger.state.has_work_for(self._peer, ledger.round_wanted_at):
                 is_primary = ledger.state.role == PRIMARY
-                wait_ms = self._member.settings.heartbeat_ms if is_primary else IDLE_MS
+                wait_ms = (
+                    self._member.settings.heartbeat_ms if is_primary else IDLE_WAIT_MS
+                )
                 ledger.log_changed.wait(wait_ms / 1000)
             return ledger.state.batch_for(self._peer, BATCH_ENTRIES, BATCH_BYTES)
 
     def _send(self, batch: Batch) -> bool:
-        """Sends one batch; false when the next one should wait."""
+        """Sends one batch; returns False if the next must wait for a heartbeat."""
         if self._member.faults.cut_peers:
             self._disconnect()
             return False
@@ -99,7 +101,7 @@
         self._member.ledger.acknowledge(self._peer, batch, answer, sent_at)
         if self._member.ledger.state.role != PRIMARY:
             self._member.announce_now()
-        # A peer that stores nothing is asked again after a heartbeat, not at once.
+        # A peer that stored nothing is retried after a heartbeat interval, not at once.
         stored = not batch.entries or reply.offset > batch.previous[1]
         return stored or not reply.accepted
 
--- a/packages/standin/src/bronzemoor_standin/replication.py
+++ b/packages/standin/src/bronzemoor_standin/replication.py
@@ -1,4 +1,4 @@
-"""Term and log rules of one member of a database group, without I/O.
+"""Replication state machine of one member of a database group, without I/O.
 
 The caller serialises calls and persists ``accepted_term``, ``history`` and the log.
 """
@@ -22,7 +22,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Refusal:
-    """Why an order or a call was refused; ``code`` is stable."""
+    """Reason for refusing an order or a call; ``code`` is part of the protocol."""
 
     code: str
     message: str
@@ -30,7 +30,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Batch:
-    """What the primary sends to one replica; no entries make it a heartbeat."""
+    """Entries from the primary to one replica; without entries, a heartbeat."""
 
     term: int
     primary: str
@@ -42,7 +42,7 @@
 
 @dataclass(slots=True, frozen=True)
 class BatchAnswer:
-    """``offset`` is the last one that matches, or where the primary should resume."""
+    """``offset`` is the last matching one if accepted, else where to resume."""
 
     accepted: bool
     term: int
@@ -60,7 +60,7 @@
     def __init__(self) -> None:
         self.entries: list[Entry] = []
         self.history: dict[int, int] = {}
-        # Lowest offset that the log was cut to since its owner reset this.
+        # Lowest offset the log was truncated to since the journal last stored it.
         self.truncated_to: int | None = None
 
     @property
@@ -84,16 +84,20 @@
 
     def append(self, entry: Entry) -> None:
         if entry.offset != len(self.entries) + 1:
-            raise ValueError(f"offset {entry.offset} follows {len(self.entries)}")
+            raise ValueError(
+                f"entry offset {entry.offset} does not follow {len(self.entries)}"
+            )
         self.entries.append(entry)
 
-    def after(self, offset: int, count: int, size: int) -> list[Entry]:
-        """One to ``count`` entries after ``offset``, of about ``size`` bytes."""
+    def entries_after(
+        self, offset: int, max_entries: int, max_bytes: int
+    ) -> list[Entry]:
+        """Entries after ``offset`` within both limits, at least one if there is any."""
         batch: list[Entry] = []
-        total = 0
-        for entry in islice(self.entries, offset, offset + count):
-            total += len(entry.body)
-            if batch and total > size:
+        total_bytes = 0
+        for entry in islice(self.entries, offset, offset + max_entries):
+            total_bytes += len(entry.body)
+            if batch and total_bytes > max_bytes:
                 break
             batch.append(entry)
         return batch
@@ -102,10 +106,10 @@
         """Discards every entry beyond ``offset``."""
         if offset < len(self.entries):
             del self.entries[offset:]
-            cut = self.truncated_to
-            self.truncated_to = offset if cut is None else min(cut, offset)
+            lowest = self.truncated_to
+            self.truncated_to = offset if lowest is None else min(lowest, offset)
 
-    def first_of_term_at(self, offset: int) -> int:
+    def first_offset_of_term_at(self, offset: int) -> int:
         """First offset whose entry has the same term as the entry at ``offset``."""
         term = self.term_at(offset)
         while offset > 1 and self.term_at(offset - 1) == term:
@@ -114,11 +118,11 @@
 
 
 @dataclass(slots=True)
-class _Follower:
-    """What the primary knows of one replica in the present term."""
+class _ReplicaProgress:
+    """Replication progress of one replica as known to the primary in its term."""
 
     next_offset: int
-    held: int = 0
+    acknowledged_offset: int = 0
     # Send time of the last batch that the replica accepted, in seconds.
     confirmed_at: float = field(default=float("-inf"))
 
@@ -127,7 +131,7 @@
     """Role, terms and log of one member, and the primary's view of its replicas.
 
     ``term`` is the term that the member leads or follows; ``accepted_term`` is the
-    highest one it has promised, and older orders and batches are refused.
+    highest one it has accepted; orders and batches of older terms are refused.
     """
 
     def __init__(self, name: str, members: tuple[str, ...] = ()) -> None:
@@ -139,20 +143,20 @@
         self.accepted_term = 0
         self.fenced = False
         # Set for a member that lost its log: it may have acknowledged entries that it
-        # no longer holds, so its promise must not count towards a majority yet.
+        # no longer holds, so it must not count towards a majority for a new term yet.
         self.catching_up = False
         self.log = GroupLog()
         self.known_majority = 0
-        self._followers: dict[str, _Follower] = {}
+        self._replicas: dict[str, _ReplicaProgress] = {}
 
     # --- orders
 
     def fence(self, term: int) -> Refusal | None:
-        """Promises to accept nothing older than ``term``."""
+        """Accepts ``term``, so that orders and batches of older terms are refused."""
         if term < self.accepted_term:
-            return self._stale(term)
+            return self._stale_term_refusal(term)
         if term == self.accepted_term:
-            return None  # A resend of an order that was already carried out.
+            return None  # The order is a retry of one that was already carried out.
         if self.catching_up:
             return Refusal("catching_up", "the log is not complete yet")
         self.accepted_term = term
@@ -166,11 +170,11 @@
     ) -> Refusal | None:
         """Becomes primary of ``term`` and appends its first entry, ``body``.
 
-        The first entry lets the majority count start in the new term: an entry of an
-        older term on a majority alone can still be replaced by a later primary.
+        The majority offset counts from this first entry on: an entry of an older term
+        can still be replaced by a later primary although a majority holds it.
         """
         if term < self.accepted_term:
-            return self._stale(term)
+            return self._stale_term_refusal(term)
         if self.term == term:
             if self.role == PRIMARY:
                 return None
@@ -185,8 +189,10 @@
         self.role, self.primary, self.fenced = PRIMARY, self.name, False
         self.members = members or self.members
         self.log.history[term] = start_offset
-        self._followers = {
-            name: _Follower(start_offset) for name in self.members if name != self.name
+        self._replicas = {
+            name: _ReplicaProgress(start_offset)
+            for name in self.members
+            if name != self.name
         }
         self.append(body)
         return None
@@ -196,12 +202,12 @@
     ) -> Refusal | None:
         """Becomes a replica of ``primary``; discards entries the term does not have."""
         if term < self.accepted_term:
-            return self._stale(term)
+            return self._stale_term_refusal(term)
         if primary == self.name:
             return Refusal("invalid_order", "a member cannot follow itself")
         if self.term == term and self.role == PRIMARY:
             return Refusal("term_taken", f"{self.name} leads term {term}")
-        self._adopt(term, primary)
+        self._become_replica(term, primary)
         self.members = members or self.members
         if self.log.last[0] < term and self.log.last[1] > start_offset:
             self.log.truncate(start_offset)
@@ -211,9 +217,9 @@
         """Becomes a replica without a primary, as after a restart."""
         if self.role == PRIMARY:
             self.role, self.primary = REPLICA, ""
-            self._followers = {}
+            self._replicas = {}
 
-    # --- the primary's side
+    # --- primary
 
     def append(self, body: bytes) -> Entry:
         """Adds a transaction to the primary's log."""
@@ -222,7 +228,7 @@
         return entry
 
     def refusal_of_write(self) -> Refusal | None:
-        """Why this member takes no write, or None when it does."""
+        """Reason why this member accepts no writes, or None if it does."""
         if self.role == PRIMARY:
             return None
         if self.role == REPLICA:
@@ -232,34 +238,34 @@
         return Refusal("stale_term", f"term {self.accepted_term} exists")
 
     def refusal_of_read(self) -> Refusal | None:
-        """Why this member serves no read, or None when it does."""
+        """Reason why this member serves no reads, or None if it does."""
         if self.role == DEPOSED and not self.fenced:
             return self.refusal_of_write()
         return None
 
-    def batch_for(self, peer: str, count: int, size: int) -> Batch | None:
+    def batch_for(self, peer: str, max_entries: int, max_bytes: int) -> Batch | None:
         """The next batch for ``peer``, or None when this member is not primary."""
-        follower = self._followers.get(peer)
-        if self.role != PRIMARY or follower is None:
+        replica = self._replicas.get(peer)
+        if self.role != PRIMARY or replica is None:
             return None
-        start = min(follower.next_offset, self.log.last[1])
+        start = min(replica.next_offset, self.log.last[1])
         return Batch(
             self.term,
             self.name,
             (self.log.term_at(start) or 0, start),
-            self.log.after(start, count, size),
+            self.log.entries_after(start, max_entries, max_bytes),
             self.majority_offset,
             dict(self.log.history),
         )
 
     def has_work_for(self, peer: str, round_wanted_at: float) -> bool:
-        """Tells whether ``peer`` lacks entries or a round since ``round_wanted_at``."""
-        follower = self._followers.get(peer)
-        if self.role != PRIMARY or follower is None:
+        """Whether ``peer`` lacks entries or a batch sent since ``round_wanted_at``."""
+        replica = self._replicas.get(peer)
+        if self.role != PRIMARY or replica is None:
             return False
-        if follower.next_offset < self.log.last[1]:
+        if replica.next_offset < self.log.last[1]:
             return True
-        return follower.confirmed_at < round_wanted_at
+        return replica.confirmed_at < round_wanted_at
 
     def acknowledge(
         self, peer: str, batch: Batch, answer: BatchAnswer, sent_at: float
@@ -272,46 +278,48 @@
         if answer.term > self.term:
             self.role = DEPOSED
             return
-        follower = self._followers.get(peer)
-        if follower is None:
+        replica = self._replicas.get(peer)
+        if replica is None:
             return
         if not answer.accepted:
-            follower.next_offset = min(answer.offset, batch.previous[1] - 1)
-            follower.next_offset = max(follower.next_offset, 0)
+            replica.next_offset = min(answer.offset, batch.previous[1] - 1)
+            replica.next_offset = max(replica.next_offset, 0)
             return
-        follower.held = max(follower.held, answer.offset)
-        follower.next_offset = max(follower.next_offset, answer.offset)
-        follower.confirmed_at = max(follower.confirmed_at, sent_at)
+        replica.acknowledged_offset = max(replica.acknowledged_offset, answer.offset)
+        replica.next_offset = max(replica.next_offset, answer.offset)
+        replica.confirmed_at = max(replica.confirmed_at, sent_at)
 
     @property
     def majority_offset(self) -> int:
         """Highest offset of the primary's own term that a majority holds, or 0."""
         if self.role != PRIMARY:
             return 0
-        held = sorted((f.held for f in self._followers.values()), reverse=True)
+        acknowledged = sorted(
+            (r.acknowledged_offset for r in self._replicas.values()), reverse=True
+        )
         needed = len(self.members) // 2
-        offset = held[needed - 1] if needed else self.log.last[1]
+        offset = acknowledged[needed - 1] if needed else self.log.last[1]
         return offset if self.log.term_at(offset) == self.term else 0
 
     def confirmed_at(self, now: float) -> float | None:
-        """When a majority last accepted this primary (send time), or None if never."""
+        """Send time of the last round that a majority accepted, or None without one."""
         if self.role != PRIMARY:
             return None
-        times = sorted((f.confirmed_at for f in self._followers.values()), reverse=True)
+        times = sorted((r.confirmed_at for r in self._replicas.values()), reverse=True)
         needed = len(self.members) // 2
-        moment = times[needed - 1] if needed else now
-        return None if moment == float("-inf") else moment
+        confirmed = times[needed - 1] if needed else now
+        return None if confirmed == float("-inf") else confirmed
 
-    # --- the replica's side
+    # --- replica
 
     def replicate(self, batch: Batch) -> BatchAnswer:
-        """Stores what the primary sent and discards what its log does not have."""
+        """Stores the primary's entries and discards those that its log lacks."""
         if batch.term < self.accepted_term:
             return BatchAnswer(False, self.accepted_term, self.log.last[1])
         if batch.term == self.term and self.role == PRIMARY:
             return BatchAnswer(False, self.term, self.log.last[1])
         if batch.term != self.term or self.role != REPLICA:
-            self._adopt(batch.term, batch.primary)
+            self._become_replica(batch.term, batch.primary)
         self.primary = batch.primary
         self._discard_superseded(batch.history)
         previous_term, previous = batch.previous
@@ -319,24 +327,24 @@
         if held_term is None:
             return BatchAnswer(False, self.term, self.log.last[1])
         if held_term != previous_term:
-            resume = self.log.first_of_term_at(previous) - 1
+            resume = self.log.first_offset_of_term_at(previous) - 1
             return BatchAnswer(False, self.term, resume)
         for entry in batch.entries:
-            known = self.log.term_at(entry.offset)
-            if known == entry.term:
+            stored_term = self.log.term_at(entry.offset)
+            if stored_term == entry.term:
                 continue
-            if known is not None:
+            if stored_term is not None:
                 self.log.truncate(entry.offset - 1)
             self.log.append(entry)
         self.log.history = dict(batch.history)
-        held = previous + len(batch.entries)
-        self.known_majority = min(batch.majority_offset, held)
-        if 0 < batch.majority_offset <= held:
+        matched = previous + len(batch.entries)
+        self.known_majority = min(batch.majority_offset, matched)
+        if 0 < batch.majority_offset <= matched:
             self.catching_up = False
-        return BatchAnswer(True, self.term, held)
+        return BatchAnswer(True, self.term, matched)
 
     def _discard_superseded(self, history: dict[int, int]) -> None:
-        """Cuts the log where a term of ``history`` starts without its entries.
+        """Truncates the log at the start of a term whose entries it does not hold.
 
         The control plane reads the term of a member's last entry from its history, so
         both must agree even before the first entry of the new term arrives.
@@ -346,21 +354,22 @@
             if held_term is not None and held_term < term:
                 self.log.truncate(start)
 
-    def _adopt(self, term: int, primary: str) -> None:
+    def _become_replica(self, term: int, primary: str) -> None:
         self.accepted_term = self.term = term
         self.role, self.primary, self.fenced = REPLICA, primary, False
-        self._followers = {}
+        self._replicas = {}
 
-    def _stale(self, term: int) -> Refusal:
+    def _stale_term_refusal(self, term: int) -> Refusal:
         return Refusal("stale_term", f"term {term} is older than {self.accepted_term}")
 
 
 def covers(
     history: dict[int, int], held: tuple[int, int], wanted: tuple[int, int]
 ) -> bool:
-    """Tells whether a member at ``held`` contains everything up to ``wanted``.
+    """Whether a member at ``held`` contains everything up to ``wanted``.
 
-    An offset alone is not enough: a promotion may have discarded an older term's tail.
+    Comparing offsets is not enough: a promotion may have discarded the tail of an older
+    term.
     """
     if wanted[1] == 0:
         return True
--- a/packages/standin/src/bronzemoor_standin/schemas.py
+++ b/packages/standin/src/bronzemoor_standin/schemas.py
@@ -1,4 +1,4 @@
-"""Schemas of the two example ledgers, and reading of schema files."""
+"""Loads the two packaged example schemas and schema files."""
 
 import sqlite3
 from importlib.resources import files
@@ -6,14 +6,14 @@
 
 from bronzemoor_standin.statements import Sql
 
-PACKAGED = ("claims", "stock")
+PACKAGED_SCHEMAS = ("claims", "stock")
 
 
 def load_schema(name: str) -> list[Sql]:
-    """Statements of a packaged schema or of the file ``name``; none for ''."""
+    """Loads a packaged schema or the file ``name``; returns no statements for ''."""
     if not name:
         return []
-    if name in PACKAGED:
+    if name in PACKAGED_SCHEMAS:
         text = files("bronzemoor_standin").joinpath(f"{name}.sql").read_text()
     else:
         text = Path(name).read_text()
--- a/packages/standin/src/bronzemoor_standin/server.py
+++ b/packages/standin/src/bronzemoor_standin/server.py
@@ -1,4 +1,4 @@
-"""Framed Thrift server with one thread per connection; applies the answer faults."""
+"""Framed Thrift server with one thread per connection and fault injection."""
 
 import contextlib
 import socket
@@ -13,21 +13,21 @@
 from bronzemoor_standin.faults import Faults
 from bronzemoor_standin.framing import (
     Codec,
-    parse_head,
+    dispatch_call,
+    parse_header,
     read_exactly,
     read_size,
-    run_call,
 )
 from bronzemoor_standin.gen.endpoint import Endpoint
 
 # Enough of an oversized frame to decode the call's name and correlation id.
-_HEAD_BYTES = 512
-_CHUNK = 64 * 1024
-# Type and id of field 1 of the arguments, then of the call, and the id itself.
+_HEADER_BYTES = 512
+_CHUNK_BYTES = 64 * 1024
+# Skips the field headers of the call struct and of its correlation id.
 _CORRELATION_ID = struct.Struct("!6xq")
 _PEER_CALL = b"replicate"
-# The peer closed the connection or broke the protocol.
-_BROKEN = (OSError, TException, EOFError, ValueError, struct.error)
+# Raised when the client closes the connection or violates the protocol.
+_CONNECTION_ERRORS = (OSError, TException, EOFError, ValueError, struct.error)
 
 
 class Server:
@@ -88,12 +88,14 @@
     def _accept(self, listener: socket.socket) -> None:
         while True:
             try:
-                peer, _ = listener.accept()
+                client_socket, _ = listener.accept()
             except OSError:
                 return
             self._faults.wait_while_frozen()
-            peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection = Connection(peer, self._faults, self._max_message_bytes)
+            client_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection = Connection(
+                client_socket, self._faults, self._max_message_bytes
+            )
             with self._lock:
                 self._connections.add(connection)
             threading.Thread(
@@ -108,24 +110,27 @@
             connection.close()
             with self._lock:
                 self._connections.discard(connection)
-            handler.closed()
+            handler.on_close()
 
 
 class Connection:
-    """One accepted connection; ``greeted`` once ``hello`` was accepted on it."""
+    """One client connection; most calls need ``hello_accepted``."""
 
-    def __init__(self, peer: socket.socket, faults: Faults, limit: int) -> None:
+    def __init__(
+        self, client_socket: socket.socket, faults: Faults, max_message_bytes: int
+    ) -> None:
         self.closing = False
-        self.greeted = False
+        self.hello_accepted = False
         self.client = ""
-        self._socket = peer
+        self._socket = client_socket
         self._faults = faults
-        self._limit = limit
+        self._max_message_bytes = max_message_bytes
         self._codec = Codec()
         self._opened_at = time.monotonic()
-        # Answers held back until the next one: sent before it, and after it.
+        # Answers held back until the next one: late ones precede it, reordered ones
+        # follow it.
         self._late: list[bytes] = []
-        self._overtaken: list[bytes] = []
+        self._reordered: list[bytes] = []
 
     def close(self) -> None:
         with contextlib.suppress(OSError):
@@ -133,32 +138,32 @@
         self._socket.close()
 
     def serve(self, handler: Any) -> None:
-        """Answers frames until the peer closes, breaks the protocol or is refused."""
+        """Answers calls until the connection fails, is closed or is refused."""
         with (
-            contextlib.suppress(*_BROKEN),
+            contextlib.suppress(*_CONNECTION_ERRORS),
             self._socket.makefile("rb") as reader,
         ):
             while not self.closing:
-                self._socket.settimeout(handler.idle_limit)
+                self._socket.settimeout(handler.idle_timeout)
                 size = read_size(reader)
-                if size > self._limit:
-                    self._answer_too_large(reader, size, handler)
+                if size > self._max_message_bytes:
+                    self._refuse_too_large(reader, size, handler)
                     continue
                 frame = read_exactly(reader, size)
-                name = parse_head(frame)[1]
-                if self._receive(name):
-                    self._send(name, run_call(self._codec, handler, frame))
+                name = parse_header(frame)[1]
+                if self._deliver_call(name):
+                    self._send_answer(name, dispatch_call(self._codec, handler, frame))
 
-    def _receive(self, name: bytes) -> bool:
-        """Lets the call arrive; false when a fault makes it disappear."""
+    def _deliver_call(self, name: bytes) -> bool:
+        """Delays the call; returns False if a fault drops it."""
         self._faults.wait_while_frozen()
-        self._travel(name)
+        self._wait_one_way_delay(name)
         if name == _PEER_CALL:
             return not self._faults.cut_peers
-        silent = self.greeted and self._opened_at <= self._faults.silenced_at
+        silent = self.hello_accepted and self._opened_at <= self._faults.silenced_at
         return not silent and not self._faults.cut_daemons
 
-    def _travel(self, name: bytes) -> None:
+    def _wait_one_way_delay(self, name: bytes) -> None:
         if name == _PEER_CALL:
             delay = self._faults.peer_one_way_ms
         else:
@@ -167,40 +172,42 @@
         if delay > 0:
             time.sleep(delay / 1000)
 
-    def _send(self, name: bytes, answer: bytes) -> None:
+    def _send_answer(self, name: bytes, answer: bytes) -> None:
         self._faults.wait_while_frozen()
-        self._travel(name)
+        self._wait_one_way_delay(name)
         if name == _PEER_CALL:
             if not self._faults.cut_peers:
                 self._socket.sendall(answer)
             return
         if self._faults.cut_daemons:
             return
-        kind = self._faults.answer_fault(name.decode()) if self.greeted else ""
-        if kind == "drop":
+        fault = (
+            self._faults.draw_answer_fault(name.decode()) if self.hello_accepted else ""
+        )
+        if fault == "drop":
             return
-        if kind == "late":
+        if fault == "late":
             self._late.append(answer)
             return
-        if kind == "reorder":
-            self._overtaken.append(answer)
+        if fault == "reorder":
+            self._reordered.append(answer)
             return
-        if kind == "delay":
+        if fault == "delay":
             time.sleep(self._faults.delay_ms / 1000)
-        copies = [answer, answer] if kind == "duplicate" else [answer]
-        frames = self._late + copies + self._overtaken
-        self._late, self._overtaken = [], []
+        copies = [answer, answer] if fault == "duplicate" else [answer]
+        frames = self._late + copies + self._reordered
+        self._late, self._reordered = [], []
         self._socket.sendall(b"".join(frames))
 
-    def _answer_too_large(self, reader: Any, size: int, handler: Any) -> None:
-        head = read_exactly(reader, min(size, _HEAD_BYTES))
-        left = size - len(head)
-        while left > 0:
-            left -= len(read_exactly(reader, min(left, _CHUNK)))
-        _, name, sequence, start = parse_head(head)
+    def _refuse_too_large(self, reader: Any, size: int, handler: Any) -> None:
+        header = read_exactly(reader, min(size, _HEADER_BYTES))
+        remaining = size - len(header)
+        while remaining > 0:
+            remaining -= len(read_exactly(reader, min(remaining, _CHUNK_BYTES)))
+        _, name, sequence, start = parse_header(header)
         # The body starts with field 1 (a struct), whose field 1 is the correlation id.
-        (correlation_id,) = _CORRELATION_ID.unpack_from(head, start)
+        (correlation_id,) = _CORRELATION_ID.unpack_from(header, start)
         reply = handler.refuse_too_large(correlation_id)
         result = getattr(Endpoint, f"{name.decode()}_result")(success=reply)
         answer = self._codec.encode(TMessageType.REPLY, name, sequence, result)
-        self._send(name, answer)
+        self._send_answer(name, answer)
--- a/packages/standin/src/bronzemoor_standin/service.py
+++ b/packages/standin/src/bronzemoor_standin/service.py
@@ -1,4 +1,4 @@
-"""Thrift calls of one connection: admission, replies and orders."""
+"""Handles the Thrift calls of one connection: admission, replies and orders."""
 
 import time
 import zlib
@@ -23,13 +23,13 @@
 
 
 class Session:
-    """Handler of one connection; ``closed`` rolls back what it left open."""
+    """Handler of one connection; ``on_close`` rolls back its open transaction."""
 
     def __init__(self, member: "Member", connection: Connection) -> None:
         self._member = member
         self._ledger = member.ledger
         self._connection = connection
-        self._cap = member.cap
+        self._connection_limiter = member.connection_limiter
         self._execution = Execution(
             member.ledger,
             member.slot,
@@ -38,14 +38,14 @@
             member.settings.max_message_bytes,
         )
 
-    def closed(self) -> None:
+    def on_close(self) -> None:
         self._execution.end_transaction()
-        if self._connection.greeted:
-            self._cap.release()
+        if self._connection.hello_accepted:
+            self._connection_limiter.release()
 
     @property
-    def idle_limit(self) -> float | None:
-        """Seconds that the connection may be idle; None without a transaction."""
+    def idle_timeout(self) -> float | None:
+        """Seconds that an open transaction may be idle; None without a transaction."""
         if self._execution.transaction is None:
             return None
         return self._member.settings.transaction_idle_ms / 1000
@@ -57,14 +57,17 @@
         refused = None
         if call.database != self._member.settings.database:
             refused = Refused("wrong_database", self._member.settings.database)
-        elif self._member.turns_away:
+        elif self._member.refuses_new_work:
             refused = Refused("leaving", "this member is leaving")
-        elif not self._connection.greeted and not self._cap.acquire():
+        elif (
+            not self._connection.hello_accepted
+            and not self._connection_limiter.acquire()
+        ):
             refused = Refused("too_many_connections", "connection cap reached")
         if refused is not None:
             self._connection.closing = True
-            return self._refuse(call, refused.code, refused.message)
-        self._connection.greeted = True
+            return self._refusal_reply(call, refused.code, refused.message)
+        self._connection.hello_accepted = True
         self._connection.client = call.client
         return self._reply(call, Result())
 
@@ -75,76 +78,76 @@
         return reply
 
     def execute(self, call: ttypes.Execute) -> ttypes.Reply:
-        return self._guard(call, self._execution.execute, not call.transaction_id)
+        return self._handle(call, self._execution.execute, not call.transaction_id)
 
     def begin(self, call: ttypes.TransactionCall) -> ttypes.Reply:
-        return self._guard(call, self._execution.begin, True)
+        return self._handle(call, self._execution.begin, True)
 
     def commit(self, call: ttypes.TransactionCall) -> ttypes.Reply:
-        return self._guard(call, self._execution.commit)
+        return self._handle(call, self._execution.commit)
 
     def rollback(self, call: ttypes.TransactionCall) -> ttypes.Reply:
-        return self._guard(call, self._execution.rollback)
+        return self._handle(call, self._execution.rollback)
 
     def reserve(self, call: ttypes.Reserve) -> ttypes.Reply:
-        return self._guard(call, self._execution.reserve, True)
+        return self._handle(call, self._execution.reserve, True)
 
     def confirm(self, call: ttypes.Query) -> ttypes.Reply:
-        return self._guard(call, self._confirm)
+        return self._handle(call, self._confirm)
 
     def lookup(self, call: ttypes.Query) -> ttypes.Reply:
-        return self._guard(call, self._execution.lookup)
+        return self._handle(call, self._execution.lookup)
 
     def _confirm(self, call: ttypes.Query) -> Result:
         position = position_of(call.position)
         self._ledger.confirm(position, call.wait_ms / 1000)
         return Result(position)
 
-    def _guard(
+    def _handle(
         self, call: Any, run: Callable[[Any], Result], is_new_work: bool = False
     ) -> ttypes.Reply:
-        if not self._connection.greeted:
-            return self._refuse(call, "hello_required", "call hello first")
-        if is_new_work and self._member.turns_away:
-            return self._refuse(call, "leaving", "this member is leaving")
+        if not self._connection.hello_accepted:
+            return self._refusal_reply(call, "hello_required", "call hello first")
+        if is_new_work and self._member.refuses_new_work:
+            return self._refusal_reply(call, "leaving", "this member is leaving")
         try:
-            with self._member.activity():
+            with self._member.track_call():
                 return self._reply(call, run(call))
         except Refused as refused:
-            return self._refuse(call, refused.code, refused.message)
+            return self._refusal_reply(call, refused.code, refused.message)
         except InvalidStatement as error:
-            return self._refuse(call, "invalid_statement", str(error))
+            return self._refusal_reply(call, "invalid_statement", str(error))
         except StatementFailed as failed:
-            return self._fail(call, str(failed), failed)
+            return self._failure_reply(call, str(failed), failed)
         except DATABASE_ERRORS as error:
-            return self._fail(call, str(error))
+            return self._failure_reply(call, str(error))
 
     # --- orders and replication
 
     def fence(self, call: ttypes.Order) -> ttypes.Reply:
-        return self._order(call, self._ledger.fence(call.term))
+        return self._order_reply(call, self._ledger.fence(call.term))
 
     def promote(self, call: ttypes.Order) -> ttypes.Reply:
-        members = self._member.learn_members(call.members)
+        members = self._member.add_members(call.members)
         refusal = self._ledger.promote(call.term, call.start_offset, members)
-        return self._order(call, refusal)
+        return self._order_reply(call, refusal)
 
     def follow(self, call: ttypes.Order) -> ttypes.Reply:
-        members = self._member.learn_members(call.members)
+        members = self._member.add_members(call.members)
         refusal = self._ledger.follow(
             call.term, call.primary, call.start_offset, members
         )
-        return self._order(call, refusal)
+        return self._order_reply(call, refusal)
 
-    def _order(self, call: ttypes.Order, refusal: Refusal | None) -> ttypes.Reply:
-        """Replies with the last position of the log, not the applied one."""
+    def _order_reply(self, call: ttypes.Order, refusal: Refusal | None) -> ttypes.Reply:
+        """Replies with the last position in the log, not the applied one."""
         self._member.announce_now()
         with self._ledger.lock:
             last = self._ledger.state.log.last
             history = dict(self._ledger.state.log.history)
         reply = self._reply(call, Result(last))
         if refusal is not None:
-            # The next order must be above the term that this member has accepted.
+            # Tells the caller which term the next order must exceed.
             reply.term = self._ledger.state.accepted_term
             reply.status = ttypes.Status.REFUSED
             reply.code, reply.message = refusal.code, refusal.message
@@ -169,18 +172,18 @@
     # --- replies
 
     def refuse_too_large(self, correlation_id: int) -> ttypes.Reply:
-        """Reply to a call that exceeds the size limit and was not decoded."""
+        """Replies to a call that exceeds the size limit and was not decoded."""
         call = ttypes.Query(correlation_id=correlation_id)
         limit = self._member.settings.max_message_bytes
-        return self._refuse(call, "message_too_large", f"limit is {limit} bytes")
+        return self._refusal_reply(call, "message_too_large", f"limit is {limit} bytes")
 
-    def _refuse(self, call: Any, code: str, message: str) -> ttypes.Reply:
+    def _refusal_reply(self, call: Any, code: str, message: str) -> ttypes.Reply:
         reply = self._reply(call, Result())
         reply.status = ttypes.Status.REFUSED
         reply.code, reply.message = code, message
         return reply
 
-    def _fail(
+    def _failure_reply(
         self, call: Any, message: str, failed: StatementFailed | None = None
     ) -> ttypes.Reply:
         reply = self._reply(call, Result(failed.position if failed else None))
--- a/packages/standin/src/bronzemoor_standin/settings.py
+++ b/packages/standin/src/bronzemoor_standin/settings.py
@@ -23,36 +23,36 @@
     port: int = 0
     # host:port of every member of the group by name, this one included.
     members: dict[str, str] = field(default_factory=dict)
-    # host:port of the HTTP interface of the daemons that get announcements.
+    # host:port of the HTTP interfaces of the daemons that receive announcements.
     daemons: list[str] = field(default_factory=list)
-    # Member that starts as primary of term 1 when no member knows a term yet.
+    # Member that becomes primary of term 1 if no member knows a term yet.
     bootstrap_primary: str = ""
-    # Name of a packaged schema (claims, stock) or a path; run in the first term.
+    # Name of a packaged schema (claims, stock) or a path; in the first log entry.
     schema: str = ""
-    # File that keeps terms and log; without it they end with the process.
+    # File that stores terms and log; without it they are lost with the process.
     file: str = ""
-    # Set for a member without a file that is restarted into a group that has data: it
-    # refuses to be fenced until it has caught up.
+    # Set for a member without a file that restarts in a group with data: it refuses
+    # fence orders until it has caught up.
     rejoin: bool = False
     slots: int = 3
-    # Cap on the connections that this member accepts from daemons.
+    # Largest number of connections that this member accepts from daemons.
     connections: int = 20
-    # Time it takes to open a connection.
+    # Time added to opening a connection.
     open_ms: float = 0.0
-    # Time that each statement call takes in addition to its real time.
+    # Time added to each statement call.
     statement_ms: float = 0.0
     lag_ms: float = 0.0
     one_way_ms: float = 0.0
     peer_one_way_ms: float = 0.0
     announce_ms: float = 100.0
     heartbeat_ms: float = 30.0
-    # Longest wait for a peer's answer, after which it counts as unreachable.
+    # Timeout of calls to peers, and silence after which a peer counts as unreachable.
     peer_timeout_ms: float = 150.0
-    # Used for calls that do not say.
+    # Default deadline of calls.
     deadline_ms: float = 10_000.0
-    # An open transaction without calls for longer is rolled back.
+    # A transaction that is idle for longer is rolled back.
     transaction_idle_ms: float = 30_000.0
-    # From when on a leaving member refuses new work.
+    # Time after which a leaving member refuses new work.
     leave_after_ms: float = 2_000.0
     # Longest time that a graceful stop waits for calls in progress.
     stop_ms: float = 2_000.0
--- a/packages/standin/src/bronzemoor_standin/statements.py
+++ b/packages/standin/src/bronzemoor_standin/statements.py
@@ -1,4 +1,4 @@
-"""Decoding, classification and encoding of SQL statements and their results."""
+"""Decodes and classifies SQL statements, and encodes their results."""
 
 import json
 import re
@@ -8,15 +8,15 @@
 from typing import Any
 
 # A literal or a comment, whichever starts first.
-_OPAQUE = re.compile(r"'(?:[^']|'')*'|--[^\n]*|/\*.*?\*/", re.DOTALL)
-_READS = frozenset({"SELECT", "VALUES", "EXPLAIN"})
-# These would change the transaction or the connection that the member manages.
-_FORBIDDEN = frozenset(
+_LITERAL_OR_COMMENT = re.compile(r"'(?:[^']|'')*'|--[^\n]*|/\*.*?\*/", re.DOTALL)
+_READ_KEYWORDS = frozenset({"SELECT", "VALUES", "EXPLAIN"})
+# These would affect the transaction or connection, which the member manages.
+_FORBIDDEN_KEYWORDS = frozenset(
     ["BEGIN", "COMMIT", "END", "ROLLBACK", "SAVEPOINT", "RELEASE"]
     + ["ATTACH", "DETACH", "PRAGMA", "VACUUM"]
 )
-_WRITE_IN_WITH = re.compile(r"\b(INSERT|UPDATE|DELETE|REPLACE)\b", re.IGNORECASE)
-# Replicas run the same statements again, so their effect must not depend on where.
+_WRITE_KEYWORD = re.compile(r"\b(INSERT|UPDATE|DELETE|REPLACE)\b", re.IGNORECASE)
+# Replicas run the same statements, which must have the same effect on each of them.
 _NOT_DETERMINISTIC = re.compile(
     r"\b(random|randomblob|changes|total_changes|last_insert_rowid)\s*\("
     r"|\bcurrent_(time|date|timestamp)\b"
@@ -39,19 +39,19 @@
 
 @lru_cache(maxsize=4096)
 def writes(text: str) -> bool:
-    """Tells whether ``text`` may change data; raises ``InvalidStatement``."""
-    bare = _OPAQUE.sub(_blank, text).strip().lstrip("(")
-    words = bare.split(None, 1)
+    """Returns whether ``text`` may change data; raises ``InvalidStatement``."""
+    code = _LITERAL_OR_COMMENT.sub(_blank, text).strip().lstrip("(")
+    words = code.split(None, 1)
     first = words[0].upper().rstrip(";") if words else ""
-    if not first or first in _FORBIDDEN:
+    if not first or first in _FORBIDDEN_KEYWORDS:
         raise InvalidStatement(f"statement not allowed: {first or 'empty'}")
-    if first in _READS:
+    if first in _READ_KEYWORDS:
         return False
-    if first == "WITH" and not _WRITE_IN_WITH.search(bare):
+    if first == "WITH" and not _WRITE_KEYWORD.search(code):
         return False
-    if "request_records" in bare.lower():
+    if "request_records" in code.lower():
         raise InvalidStatement("request_records is written by the member only")
-    if _NOT_DETERMINISTIC.search(bare):
+    if _NOT_DETERMINISTIC.search(code):
         raise InvalidStatement("a write must not use a non-deterministic function")
     return True
 
--- a/packages/standin/src/bronzemoor_standin/tables.py
+++ b/packages/standin/src/bronzemoor_standin/tables.py
@@ -1,4 +1,4 @@
-"""Reads whole tables from the endpoints after a run."""
+"""Reads whole tables from a database group after a load run."""
 
 from collections.abc import Iterable
 from typing import Any
@@ -19,7 +19,7 @@
 def read_tables(
     database: str, addresses: Iterable[str], tables: Iterable[str]
 ) -> dict[str, list[dict[str, Any]]]:
-    """All rows of ``tables`` at the confirmed primary; raises ``NoPrimary``."""
+    """Returns all rows of ``tables`` at the confirmed primary; raises ``NoPrimary``."""
     for address in addresses:
         try:
             caller = Caller(address, database, TIMEOUT_MS)
@@ -27,13 +27,13 @@
             continue
         try:
             if caller.confirm(caller.greeting).status == Status.OK:
-                return {table: _read(caller, table) for table in tables}
+                return {table: _read_table(caller, table) for table in tables}
         finally:
             caller.close()
     raise NoPrimary(database)
 
 
-def _read(caller: Caller, table: str) -> list[dict[str, Any]]:
+def _read_table(caller: Caller, table: str) -> list[dict[str, Any]]:
     rows: list[dict[str, Any]] = []
     while True:
         sql = f"SELECT * FROM {table} ORDER BY 1, 2 LIMIT ? OFFSET ?"
--- a/packages/standin/src/bronzemoor_standin/writes.py
+++ b/packages/standin/src/bronzemoor_standin/writes.py
@@ -16,17 +16,17 @@
 if TYPE_CHECKING:
     from bronzemoor_standin.ledger import Ledger, Position
 
-Finish = Callable[[list[dict[str, Any]]], RequestRecord | None]
-# A copy that lacks more entries is replaced: replaying 1,000 takes about 20 ms.
-REPLAY_LIMIT = 1000
+RecordFactory = Callable[[list[dict[str, Any]]], RequestRecord | None]
+# A copy that lags further is copied anew: replaying 1,000 entries takes about 20 ms.
+MAX_REPLAYED_ENTRIES = 1000
 DISK_FULL = "database or disk is full"
 
 
 class Write:
-    """A write; holds the lock of its term's writer until it is committed or undone.
+    """A write transaction; holds its term's write lock until commit or rollback.
 
     ``run_once`` works on the committed data directly. A transaction of several calls
-    uses ``run`` and ``commit``, which work on a copy, so that nobody sees it before.
+    uses ``run`` and ``commit``, which work on a copy to keep it invisible until then.
     """
 
     def __init__(self, ledger: "Ledger", writer: "Writer") -> None:
@@ -42,44 +42,49 @@
             return committed.find(request_id)
 
     def run_once(
-        self, statements: list[Sql], writing: list[Sql], finish: Finish
+        self,
+        statements: list[Sql],
+        write_statements: list[Sql],
+        make_record: RecordFactory,
     ) -> "Position":
-        """Runs and commits; ``finish`` gets the results and returns the record.
+        """Runs and commits; ``make_record`` turns the results into the request record.
 
-        After an error nothing has changed and the write is still open.
+        On an error nothing is changed and the write stays open.
         """
         database = self._ledger.committed
         with database.lock:
             database.begin()
             try:
-                self._check_disk(writing)
-                record = finish(database.run(statements))
-                step = self._ledger.next_step(writing, record)
+                self._check_disk(write_statements)
+                record = make_record(database.run(statements))
+                step = self._ledger.next_step(write_statements, record)
                 database.record(step)
                 self._ledger.append(self._writer, step, database)
             finally:
                 database.rollback()
             return step.position
 
-    def run(self, statements: list[Sql], writing: list[Sql]) -> list[dict[str, Any]]:
-        """Runs statements as a unit; on an error none of them has an effect."""
+    def run(
+        self, statements: list[Sql], write_statements: list[Sql]
+    ) -> list[dict[str, Any]]:
+        """Runs statements atomically: on an error none of them has an effect."""
         if self._copy is None:
             self._copy = self._writer.current_copy()
             self._copy.begin()
         database = self._copy
         database.savepoint()
         try:
-            self._check_disk(writing)
+            self._check_disk(write_statements)
             results = database.run(statements)
         except DATABASE_ERRORS:
-            # Some errors make sqlite3 roll the whole transaction back by itself.
+            # On some errors sqlite3 rolls back the whole transaction itself.
             if database.in_transaction:
-                database.release(keep=False)
+                database.end_savepoint(keep=False)
             else:
                 self.rollback()
             raise
-        database.release(keep=True)
-        self._statements += writing
+        database.end_savepoint(keep=True)
+        self._statements += write_statements
         return results
 
     def commit(self, record: RequestRecord | None) -> "Position":
@@ -109,13 +114,13 @@
                 self._copy.rollback()
             self._writer.lock.release()
 
-    def _check_disk(self, writing: list[Sql]) -> None:
-        if writing and self._ledger.faults.disk_full:
+    def _check_disk(self, write_statements: list[Sql]) -> None:
+        if write_statements and self._ledger.faults.disk_full:
             raise sqlite3.OperationalError(DISK_FULL)
 
 
 class Writer:
-    """Serialises the writes of one term and keeps the copy for open transactions."""
+    """Serialises the writes of one term and owns the copy for open transactions."""
 
     def __init__(self, ledger: "Ledger", term: int) -> None:
         self.term = term
@@ -124,16 +129,16 @@
         self._copy: Database | None = None
 
     def current_copy(self) -> Database:
-        """The copy, brought up to date; call with ``lock`` held, so nothing commits."""
+        """Returns the up-to-date copy; needs ``lock`` held, so that nothing commits."""
         committed = self._ledger.committed
         if self._copy is None:
             self._copy = Database(committed.retention)
         start = self._copy.applied[1]
-        if committed.applied[1] - start > REPLAY_LIMIT:
+        if committed.applied[1] - start > MAX_REPLAYED_ENTRIES:
             with committed.lock:
                 self._copy.copy_from(committed)
             return self._copy
         entries = self._ledger.state.log.entries[start : committed.applied[1]]
         with self._copy.lock:
-            self._copy.apply([Step.of(entry) for entry in entries])
+            self._copy.apply([Step.from_entry(entry) for entry in entries])
         return self._copy
--- a/packages/standin/tests/conftest.py
+++ b/packages/standin/tests/conftest.py
@@ -43,12 +43,12 @@
 
 @pytest.fixture
 def eventually() -> Callable[..., Any]:
-    """Waits for a condition to hold; the limit is only an outer bound."""
+    """Waits for a condition to hold, up to a generous timeout."""
 
     def wait(condition: Callable[[], Any], timeout: float = 10.0) -> Any:
-        until = time.monotonic() + timeout
+        deadline = time.monotonic() + timeout
         while not (value := condition()):
-            assert time.monotonic() < until, "the condition never held"
+            assert time.monotonic() < deadline, "the condition never held"
             time.sleep(0.005)
         return value
 
@@ -59,11 +59,11 @@
 
 
 class FakeDaemon(BaseHTTPRequestHandler):
-    """A daemon that works on one group: confirmed writes, reads at the replicas.
+    """A daemon for one group: writes are confirmed, reads are served by a replica.
 
-    Attributes of the server: ``lose_every`` closes the connection instead of every
-    n-th response, ``lose_class`` instead of the first response to each request of a
-    class, and ``records`` says whether request ids are recorded.
+    Attributes of the server: ``lose_every`` drops every n-th response by closing the
+    connection, ``lose_class`` drops the first response to each request of a class, and
+    ``records`` enables the recording of request ids.
     """
 
     protocol_version = "HTTP/1.1"
@@ -88,7 +88,7 @@
         body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
         response = self.answer(body)
         self.server.count += 1
-        if self.loses(body):
+        if self.drops_response(body):
             self.close_connection = True
             return
         data = json.dumps(response).encode()
@@ -97,7 +97,7 @@
         self.end_headers()
         self.wfile.write(data)
 
-    def loses(self, body: dict[str, Any]) -> bool:
+    def drops_response(self, body: dict[str, Any]) -> bool:
         server = self.server
         if server.lose_every:
             return server.count % server.lose_every == 0
@@ -113,7 +113,7 @@
             reply = caller.transaction(
                 parts[-1], parts[-2], request_id=body["request_id"], recorded=True
             )
-            reply = self.confirmed(caller, reply)
+            reply = self.confirm_write(caller, reply)
             caller.close()
         elif parts[-1] == "transactions":
             caller = Caller(self.server.group.primary.address, body["database"])
@@ -162,9 +162,9 @@
             if reserved.repeated or reserved.status != ttypes.Status.OK:
                 return reserved
             call.reservation = reservation
-        return self.confirmed(primary, primary.client.execute(call))
+        return self.confirm_write(primary, primary.client.execute(call))
 
-    def confirmed(self, caller: Caller, reply: Any) -> Any:
+    def confirm_write(self, caller: Caller, reply: Any) -> Any:
         if reply.status == ttypes.Status.OK:
             assert caller.confirm(reply).status == ttypes.Status.OK
         return reply
--- a/packages/standin/tests/test_announcements.py
+++ b/packages/standin/tests/test_announcements.py
@@ -45,7 +45,7 @@
 
 
 def test_announcements_are_complete_periodic_and_on_one_connection(daemon, eventually):
-    """Guards against a daemon that cannot build its topology from announcements."""
+    """Guards against missing fields, of which daemons build their topology."""
     silent = socket.create_server(("127.0.0.1", 0))
     dead = f"127.0.0.1:{silent.getsockname()[1]}"
     with Group(data_centres=["dc1"], daemons=[dead, daemon.address], announce_ms=5):
@@ -58,7 +58,7 @@
 
 
 def test_change_is_announced_at_once(daemon, eventually, call):
-    """Guards against a period of waiting before daemons hear of a change."""
+    """Guards against a change that daemons learn only after the interval."""
     settings = {"daemons": [daemon.address], "announce_ms": 60_000}
     with Group(data_centres=["dc1"], **settings) as group:
         eventually(lambda: daemon.received)
--- a/packages/standin/tests/test_control.py
+++ b/packages/standin/tests/test_control.py
@@ -6,7 +6,7 @@
 
 
 def test_switches_are_set_and_reported_over_http():
-    """Guards against fault tests that cannot reach a member in another process."""
+    """Guards against faults that cannot be set on a member in another process."""
     with Group(data_centres=["dc1"], control_port=0) as group:
         member = group.primary
         base = f"http://{member.control.address}"
--- a/packages/standin/tests/test_database.py
+++ b/packages/standin/tests/test_database.py
@@ -1,4 +1,4 @@
-"""Tests of the data of one member."""
+"""Tests of the database of one member."""
 
 import sqlite3
 
@@ -6,7 +6,7 @@
 
 from bronzemoor_standin.database import (
     DONE,
-    PRUNE_EVERY,
+    PRUNE_INTERVAL_ENTRIES,
     RESERVED,
     Database,
     RequestRecord,
@@ -26,8 +26,8 @@
         database.apply(steps)
 
 
-def test_bodies_survive_encoding():
-    """Guards against a replica that applies something else than the primary ran."""
+def test_transaction_is_unchanged_by_encoding_and_decoding():
+    """Guards against a replica that applies another transaction than the primary."""
     record = RequestRecord("r", "d", "x", DONE, b'[{"rows":[]}]', recorded_at=2.5)
     transaction = Transaction(
         [Sql("INSERT INTO t VALUES (?)", ["é", None, 1.1])], record
@@ -35,8 +35,8 @@
     assert Transaction.decode(transaction.encode()) == transaction
 
 
-def test_failed_batch_leaves_nothing_behind():
-    """Guards against half of a transaction being visible."""
+def test_failed_batch_has_no_effect():
+    """Guards against the visible effect of a transaction that failed halfway."""
     database = Database()
     apply(database, step(1, "CREATE TABLE t (a)"))
     with pytest.raises(sqlite3.Error):
@@ -48,7 +48,7 @@
 
 
 def test_copy_and_reset():
-    """Guards against a copy that shares data, or a rebuild on top of old data."""
+    """Guards against a copy that shares data, and a reset that keeps old data."""
     one, two = Database(), Database()
     apply(one, step(1, "CREATE TABLE t (a)"))
     two.copy_from(one)
@@ -60,19 +60,21 @@
 
 
 def test_old_records_are_pruned_but_open_reservations_stay():
-    """Guards against unbounded growth, and against a reservation that runs twice."""
-    database = Database(Retention(age=100.0, count=PRUNE_EVERY // 2))
+    """Guards against unbounded growth, and a reserved request that runs twice."""
+    database = Database(
+        Retention(max_age_seconds=100.0, max_records=PRUNE_INTERVAL_ENTRIES // 2)
+    )
     records = [
         RequestRecord(
             f"r{i}", "d", "", RESERVED if i == 150 else DONE, b"", recorded_at=i
         )
-        for i in range(1, PRUNE_EVERY + 1)
+        for i in range(1, PRUNE_INTERVAL_ENTRIES + 1)
     ]
     apply(database, *(step(i, record=r) for i, r in enumerate(records, start=1)))
     kept = database.run([Sql("SELECT count(*) FROM request_records", [])])[0]["rows"]
     assert kept == [(101,)]
-    database = Database(Retention(count=10))
+    database = Database(Retention(max_records=10))
     apply(database, *(step(i, record=r) for i, r in enumerate(records, start=1)))
     assert database.find("r150").state == RESERVED
-    assert database.find(f"r{PRUNE_EVERY - 10}") is None
-    assert database.find(f"r{PRUNE_EVERY - 9}") is not None
+    assert database.find(f"r{PRUNE_INTERVAL_ENTRIES - 10}") is None
+    assert database.find(f"r{PRUNE_INTERVAL_ENTRIES - 9}") is not None
--- a/packages/standin/tests/test_execution.py
+++ b/packages/standin/tests/test_execution.py
@@ -25,7 +25,7 @@
 def test_transaction_is_isolated_and_rolled_back_with_its_connection(
     primary, caller, call
 ):
-    """Guards against a transaction being seen, mixed or kept after its caller left."""
+    """Guards against dirty reads, and a transaction that outlives its connection."""
     other = call(primary)
     caller.transaction("begin", "t1")
     caller.execute("INSERT INTO notes VALUES (1, 'open')", transaction_id="t1")
@@ -40,7 +40,7 @@
 
 
 def test_transaction_locks_from_its_first_write_only(primary, caller, call):
-    """Guards against idle transactions that block every other writer."""
+    """Guards against a transaction that blocks other writers before its first write."""
     other = call(primary)
     caller.transaction("begin", "t1")
     assert caller.rows("SELECT * FROM notes", transaction_id="t1") == []
@@ -50,8 +50,8 @@
     assert other.rows("SELECT count(*) FROM notes") == [[2]]
 
 
-def test_failed_call_keeps_the_rest_of_the_transaction(caller):
-    """Guards against half of a failed call, and against losing the calls before."""
+def test_failed_call_preserves_the_rest_of_the_transaction(caller):
+    """Guards against partial effects of a failed call, and loss of the calls before."""
     caller.transaction("begin", "t1")
     caller.execute("INSERT INTO notes VALUES (1, 'a')", transaction_id="t1")
     failed = caller.execute("INSERT INTO notes VALUES (1, 'b')", transaction_id="t1")
@@ -67,7 +67,7 @@
 
 
 def test_rollback_undoes_and_commit_records(caller):
-    """Guards against a commit that runs twice when its answer was lost."""
+    """Guards against a retried commit that runs twice after its answer was lost."""
     caller.transaction("begin", "t1")
     caller.execute(INSERT, transaction_id="t1")
     caller.transaction("rollback", "t1")
@@ -95,7 +95,7 @@
 
 
 def test_reserved_request_runs_once_for_its_holder(caller):
-    """Guards against a payout that a second proxy executes again."""
+    """Guards against a reserved request that a second proxy executes again."""
     early = caller.execute(INSERT, request_id="r", reservation="x")
     assert early.code == "not_reserved"
     first = caller.reserve("r", "x")
@@ -119,7 +119,7 @@
 
 
 def test_transaction_after_many_writes_sees_them(caller):
-    """Guards against a transaction on an outdated copy of the data."""
+    """Guards against a transaction that works on an outdated copy of the data."""
     for start in (0, 1200, 1210):
         for number in range(1200 if start == 0 else 10):
             caller.execute("INSERT INTO notes VALUES (?, 'a')", start + number)
@@ -132,7 +132,7 @@
 
 
 def test_failed_reserved_request_never_runs_later(caller):
-    """Guards against a delayed copy that runs after the caller was told it failed."""
+    """Guards against a delayed duplicate that runs after the failure was reported."""
     caller.reserve("r", "x")
     broken = "INSERT INTO missing VALUES (1)"
     assert caller.execute(broken, request_id="r", reservation="x").code == (
@@ -145,7 +145,7 @@
 
 
 def test_lookup_sees_a_request_in_progress(primary, caller, call):
-    """Guards against "not run" being reported for a request that is still running."""
+    """Guards against reporting a request as not run while it is still running."""
     other = call(primary)
     primary.faults.statement_ms = 300
     running = threading.Thread(
@@ -183,7 +183,7 @@
     ],
 )
 def test_bad_calls_get_a_code_and_change_nothing(caller, statement, read_only, code):
-    """Guards against bad input that closes the connection or has an effect."""
+    """Guards against invalid input that closes the connection or has an effect."""
     reply = caller.execute(*statement, read_only=read_only)
     assert (reply.status == Status.OK, reply.code) == (False, code)
     assert caller.rows("SELECT count(*) FROM notes") == [[0]]
--- a/packages/standin/tests/test_faults.py
+++ b/packages/standin/tests/test_faults.py
@@ -6,7 +6,7 @@
 
 
 def test_all_problems_are_reported_and_nothing_is_set():
-    """Guards against a half-applied fault plan."""
+    """Guards against a partially applied set of faults."""
     faults = Faults()
     with pytest.raises(InvalidFault, match="unknown switch nope.*frozen must be bool"):
         faults.set({"lag_ms": 5, "nope": 1, "frozen": "yes"})
@@ -16,9 +16,11 @@
 
 
 def test_answer_faults_respect_calls_and_count():
-    """Guards against a fault that hits other calls than planned."""
+    """Guards against a fault that affects other calls than configured."""
     faults = Faults(drop_rate=1.0, answers_left=2, only_calls=["execute"])
-    drawn = [faults.answer_fault(c) for c in ("ping", "execute", "execute", "execute")]
+    drawn = [
+        faults.draw_answer_fault(c) for c in ("ping", "execute", "execute", "execute")
+    ]
     assert drawn == ["", "drop", "drop", ""]
     faults.clear()
     assert faults.values() == Faults().values()
--- a/packages/standin/tests/test_group.py
+++ b/packages/standin/tests/test_group.py
@@ -1,4 +1,4 @@
-"""Randomised faults and failovers of a whole group, judged by the history checkers."""
+"""Random faults and failovers of a group, verified by the history checkers."""
 
 import os
 import random
@@ -23,13 +23,13 @@
 )
 from bronzemoor_standin.tables import read_tables
 
-BROKEN = (OSError, EOFError, TException)
-SECONDS = 60 if os.environ.get("BRONZEMOOR_SOAK") else 2
+CONNECTION_ERRORS = (OSError, EOFError, TException)
+DURATION_SECONDS = 60 if os.environ.get("BRONZEMOOR_SOAK") else 2
 INSERT = "INSERT INTO payouts (claim_id, amount_cents, request_id) VALUES (?, 1, ?)"
 
 
-class Chaos:
-    """Writers that confirm, and a controller that breaks members and promotes."""
+class FaultInjection:
+    """Writers that confirm, and a controller that injects faults and fails over."""
 
     def __init__(self, group, seed):
         self.group = group
@@ -45,7 +45,7 @@
             member = primary or rng.choice(list(self.group.members.values()))
             try:
                 caller = Caller(member.address, self.group.database, 500)
-            except BROKEN:
+            except CONNECTION_ERRORS:
                 continue
             outcome = DONE
             while outcome == DONE and not self.stopping.is_set():
@@ -59,7 +59,7 @@
         request.rows, request.result = [Row("payouts", values)], []
         try:
             request.outcome = self.outcome(caller, request_id, rng.random() < 0.3)
-        except BROKEN:
+        except CONNECTION_ERRORS:
             request.outcome = LOST
         self.history.requests.append(request)
         return request.outcome
@@ -83,14 +83,14 @@
             caller = Caller(self.group.members[name].address, self.group.database, 300)
             reply = caller.order(kind, self.term, **fields)
             caller.close()
-        except BROKEN:
+        except CONNECTION_ERRORS:
             return None
         return reply if reply.status == Status.OK else None
 
-    def fail_over(self, lose):
-        """One attempt at a promotion; each order is left out with ``lose``."""
+    def fail_over(self, loss_rate):
+        """Attempts one failover; each order is lost with probability ``loss_rate``."""
         self.term += 1
-        names = [n for n in self.group.members if self.random.random() >= lose]
+        names = [n for n in self.group.members if self.random.random() >= loss_rate]
         replies = {name: self.order(name, "fence") for name in names}
         last = {n: (r.term, r.offset) for n, r in replies.items() if r is not None}
         if len(last) < 2:
@@ -99,11 +99,15 @@
         order = {"start_offset": last[name][1], "members": self.group.addresses}
         promoted = self.order(name, "promote", primary=name, **order)
         for other in self.group.members:
-            if promoted is not None and other != name and self.random.random() >= lose:
+            if (
+                promoted is not None
+                and other != name
+                and self.random.random() >= loss_rate
+            ):
                 self.order(other, "follow", primary=name, **order)
         return promoted is not None
 
-    def break_something(self):
+    def inject_fault(self):
         member = self.random.choice(list(self.group.members.values()))
         fault = self.random.choice(["cut", "freeze", "kill", "lag", "silence", "heal"])
         if fault == "cut":
@@ -127,30 +131,30 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2])
-def test_no_order_of_faults_loses_or_repeats_a_write(seed, eventually):
-    """Guards against faults in combination: partitions, freezes, crashes, failovers."""
+def test_combined_faults_neither_lose_nor_repeat_a_write(seed, eventually):
+    """Guards against combinations of partitions, freezes, crashes and failovers."""
     with Group(schema="claims", connections=100, slots=10, heartbeat_ms=10) as group:
-        chaos = Chaos(group, seed)
+        injection = FaultInjection(group, seed)
         writers = [
-            threading.Thread(target=chaos.write, args=(f"{seed}-{n}",))
+            threading.Thread(target=injection.write, args=(f"{seed}-{n}",))
             for n in range(4)
         ]
         for writer in writers:
             writer.start()
-        until = time.monotonic() + SECONDS
-        while time.monotonic() < until:
-            time.sleep(chaos.random.uniform(0.05, 0.4))
-            chaos.break_something()
-            if chaos.random.random() < 0.6:
-                chaos.fail_over(lose=0.25)
-        chaos.heal()
-        eventually(lambda: chaos.fail_over(lose=0))
-        eventually(lambda: chaos.history.requests[-1].outcome == DONE)
-        chaos.stopping.set()
+        deadline = time.monotonic() + DURATION_SECONDS
+        while time.monotonic() < deadline:
+            time.sleep(injection.random.uniform(0.05, 0.4))
+            injection.inject_fault()
+            if injection.random.random() < 0.6:
+                injection.fail_over(loss_rate=0.25)
+        injection.heal()
+        eventually(lambda: injection.fail_over(loss_rate=0))
+        eventually(lambda: injection.history.requests[-1].outcome == DONE)
+        injection.stopping.set()
         for writer in writers:
             writer.join()
         tables = read_tables("claims", group.addresses.values(), ["payouts"])
-        assert check(chaos.history, {"claims": tables}) == []
+        assert check(injection.history, {"claims": tables}) == []
         logs = [member.ledger.state.log for member in group.members.values()]
         eventually(lambda: logs[0].last == logs[1].last == logs[2].last)
         assert logs[0].entries == logs[1].entries == logs[2].entries
--- a/packages/standin/tests/test_journal.py
+++ b/packages/standin/tests/test_journal.py
@@ -13,7 +13,7 @@
 
 
 def test_terms_and_log_survive_a_restart(tmp_path):
-    """Guards against a member that forgets a promise or an acknowledged entry."""
+    """Guards against losing an accepted term or an acknowledged entry at a restart."""
     path = str(tmp_path / "a.db")
     journal, state = Journal(path), ReplicationState("a", NAMES)
     journal.load(state)
@@ -30,7 +30,7 @@
 
 
 def test_discarded_entries_do_not_return(tmp_path):
-    """Guards against a discarded entry that is back after a restart."""
+    """Guards against a discarded entry that reappears after a restart."""
     path = str(tmp_path / "a.db")
     journal, state = Journal(path), ReplicationState("a", NAMES)
     state.promote(1, 0, NAMES, b"first")
--- a/packages/standin/tests/test_member.py
+++ b/packages/standin/tests/test_member.py
@@ -9,15 +9,15 @@
 from bronzemoor_standin.framing import EndpointClient
 from bronzemoor_standin.gen.endpoint.ttypes import Status, TransactionCall
 from bronzemoor_standin.group import Group
-from bronzemoor_standin.member import ConnectionCap, Member
+from bronzemoor_standin.member import ConnectionLimiter, Member
 from bronzemoor_standin.settings import MemberSettings
 
 CREATE = "CREATE TABLE notes (id INTEGER PRIMARY KEY, text TEXT)"
 
 
-def test_connections_beyond_the_cap_are_refused(single, call, eventually):
-    """Guards against a member that accepts more connections than it has."""
-    single.primary.cap = ConnectionCap(1)
+def test_connections_beyond_the_limit_are_refused(single, call, eventually):
+    """Guards against a member that accepts more connections than configured."""
+    single.primary.connection_limiter = ConnectionLimiter(1)
     first, second = call(single.primary), call(single.primary)
     assert second.greeting.code == "too_many_connections"
     first.close()
@@ -25,7 +25,7 @@
 
 
 def test_hello_names_the_database_and_comes_first(single):
-    """Guards against work on the wrong database, and on an uncounted connection."""
+    """Guards against work on the wrong database or without a counted connection."""
     wrong = Caller(single.primary.address, "other")
     assert wrong.greeting.code == "wrong_database"
     wrong.close()
@@ -38,8 +38,10 @@
     """Guards against more statements at once than there are slots."""
     member = single.primary
     member.faults.statement_ms = 600
-    busy = [call(member) for _ in range(member.settings.slots)]
-    threads = [threading.Thread(target=b.execute, args=("SELECT 1",)) for b in busy]
+    occupying = [call(member) for _ in range(member.settings.slots)]
+    threads = [
+        threading.Thread(target=b.execute, args=("SELECT 1",)) for b in occupying
+    ]
     for thread in threads:
         thread.start()
     waiting = call(member)
@@ -51,7 +53,7 @@
 
 
 def test_leaving_member_finishes_its_work_and_takes_no_more(single, call):
-    """Guards against work that is cut off, and against new work while leaving."""
+    """Guards against interrupted work, and against new work while leaving."""
     member = single.primary
     member.settings.leave_after_ms = 0
     caller = call(member)
@@ -77,8 +79,8 @@
     assert replies[0].status == Status.OK
 
 
-def test_killed_primary_returns_as_a_replica_with_its_log(group, call, eventually):
-    """Guards against two primaries, and against a log that a restart loses."""
+def test_killed_primary_restarts_as_a_replica_with_its_log(group, call, eventually):
+    """Guards against two primaries, and against losing the log at a restart."""
     first = group.members["m1"]
     caller = call(first)
     assert caller.confirm(caller.execute(CREATE)).status == Status.OK
@@ -92,7 +94,7 @@
 
 
 @pytest.mark.parametrize("bootstrap", [True, False])
-def test_file_keeps_log_and_promises(tmp_path, call, bootstrap, eventually):
+def test_file_keeps_log_and_accepted_term(tmp_path, call, bootstrap, eventually):
     """Guards against an acknowledged write that is lost with the process."""
     settings = MemberSettings("claims", "m1", file=str(tmp_path / "m1.db"))
     settings.bootstrap_primary = "m1" if bootstrap else ""
@@ -131,7 +133,7 @@
 
 
 def test_restarted_empty_member_does_not_start_the_first_term_again():
-    """Guards against a second first term that replaces acknowledged entries."""
+    """Guards against starting term 1 twice, which replaces acknowledged entries."""
     with Group() as group:
         group.members["m1"].kill()
         settings = MemberSettings("claims", "m1", members=group.addresses)
--- a/packages/standin/tests/test_peers.py
+++ b/packages/standin/tests/test_peers.py
@@ -2,7 +2,7 @@
 
 
 def test_unreachable_members_are_listed(group, eventually):
-    """Guards against a partition that nobody reports."""
+    """Guards against a partition that is not announced."""
     members = group.members
     eventually(lambda: members["m2"].ledger.state.primary == "m1")
     eventually(lambda: members["m1"].unreachable() == set())
@@ -16,7 +16,7 @@
 
 
 def test_confirmation_of_the_primary_ages_without_a_majority(group, call, eventually):
-    """Guards against reads that look fresh although the primary is isolated."""
+    """Guards against reads at an isolated primary that are reported as fresh."""
     primary = call(group.members["m1"])
     replica = call(group.members["m2"])
     assert replica.greeting.confirmed_ago_ms == -1
--- a/packages/standin/tests/test_replication.py
+++ b/packages/standin/tests/test_replication.py
@@ -1,4 +1,4 @@
-"""Tests of the term and log rules."""
+"""Tests of the replication state machine."""
 
 import hypothesis.strategies as st
 from hypothesis import settings
@@ -38,7 +38,7 @@
 
 
 def test_only_newer_terms_are_accepted_and_orders_are_idempotent():
-    """Guards against a member that follows two primaries or an outdated decision."""
+    """Guards against a member that follows two primaries or an outdated order."""
     state = ReplicationState("a", NAMES)
     assert state.fence(3) is None
     assert state.fence(3) is None
@@ -77,7 +77,7 @@
     assert deposed.confirmed_at(0.0) is None
 
 
-def test_majority_counts_only_from_the_own_term_on():
+def test_majority_offset_counts_only_entries_of_the_own_term():
     """Guards against confirming an old entry that a later primary can still replace."""
     old, b, c = primary_of_three(), *(ReplicationState(n, NAMES) for n in "bc")
     old.append(b"1")
@@ -97,7 +97,7 @@
 
 
 def test_resume_after_extra_entries_and_from_far_behind():
-    """Guards against a returned member that keeps entries of a lost term."""
+    """Guards against a returning member that keeps entries of a replaced primary."""
     old = primary_of_three()
     for _ in range(3):
         old.append(b"lost")
@@ -128,7 +128,7 @@
 
 
 def test_history_and_last_entry_agree_before_the_new_term_arrives():
-    """Guards against a lost tail that a later choice takes for the newest entries."""
+    """Guards against a failover that takes a discarded tail for the newest entries."""
     replica = ReplicationState("c", NAMES)
     entries = [Entry(1, offset, b"") for offset in (1, 2, 3)]
     replica.replicate(Batch(1, "a", (0, 0), entries, 0, {1: 0}))
@@ -137,7 +137,7 @@
 
 
 def test_following_discards_at_once_what_the_new_term_does_not_have():
-    """Guards against reads of lost writes on a member that just joined the new term."""
+    """Guards against reads of discarded writes on a member that joins the new term."""
     state = primary_of_three()
     state.append(b"lost")
     assert state.follow(2, "b", 1, NAMES) is None
@@ -145,7 +145,7 @@
 
 
 def test_member_that_lost_its_log_counts_only_after_it_caught_up():
-    """Guards against a promise from a member that forgot what it had acknowledged."""
+    """Guards against a failover that counts a member without its acknowledged log."""
     primary, healthy = primary_of_three(), ReplicationState("b", NAMES)
     send(primary, healthy)
     restarted = ReplicationState("c", NAMES)
@@ -156,7 +156,7 @@
 
 
 def test_late_answer_of_an_earlier_term_is_ignored():
-    """Guards against counting an acknowledgement that was given to another term."""
+    """Guards against counting an acknowledgement of an earlier term."""
     state = primary_of_three()
     batch = state.batch_for("b", 1, 1)
     state.fence(2)
@@ -166,7 +166,7 @@
 
 
 def test_positions_are_compared_through_the_history():
-    """Guards against a read that takes a discarded tail for newer data."""
+    """Guards against a read that treats a discarded tail as newer data."""
     history = {1: 0, 2: 10}
     assert covers(history, (2, 11), (1, 10))
     assert not covers(history, (2, 30), (1, 12))
@@ -176,14 +176,14 @@
 
 
 class GroupRules(RuleBasedStateMachine):
-    """Guards against any order of events that loses a confirmed entry."""
+    """Guards against event orders that lose a confirmed entry."""
 
     @initialize()
     def start(self):
         self.states = {name: ReplicationState(name, NAMES) for name in NAMES}
         self.states["a"].promote(1, 0, NAMES, b"first")
         self.term = 1
-        self.flying = []
+        self.in_flight = []
         self.confirmed = {}
         self.written = 0
 
@@ -208,15 +208,15 @@
     def send(self, sender, receiver, count):
         batch = self.states[sender].batch_for(receiver, count, 1000)
         if batch is not None:
-            self.flying.append((sender, receiver, batch))
+            self.in_flight.append((sender, receiver, batch))
 
-    @precondition(lambda self: self.flying)
+    @precondition(lambda self: self.in_flight)
     @rule(index=st.integers(0, 50), repeat=st.booleans(), answered=st.booleans())
     def deliver(self, index, repeat, answered):
-        index %= len(self.flying)
-        sender, receiver, batch = self.flying[index]
+        index %= len(self.in_flight)
+        sender, receiver, batch = self.in_flight[index]
         if not repeat:
-            del self.flying[index]
+            del self.in_flight[index]
         answer = self.states[receiver].replicate(batch)
         if answered:
             self.states[sender].acknowledge(receiver, batch, answer, 0.0)
@@ -265,7 +265,7 @@
 TestGroupRules = GroupRules.TestCase
 
 
-def test_unknown_batch_shapes_leave_the_log_alone():
+def test_batch_beyond_the_end_of_the_log_is_refused():
     """Guards against a gap in the log when a batch arrives too early."""
     state = ReplicationState("b", NAMES)
     answer = state.replicate(Batch(1, "a", (1, 9), [], 0, {1: 0}))
--- a/packages/standin/tests/test_server.py
+++ b/packages/standin/tests/test_server.py
@@ -1,4 +1,4 @@
-"""Tests of connections and of the faults on them."""
+"""Tests of connections and of answer faults."""
 
 import socket
 import time
@@ -14,7 +14,7 @@
 
 
 def test_silent_connections_stay_open_while_new_ones_work(member, call):
-    """Guards against a fault that a client would see as a closed connection."""
+    """Guards against closing a silenced connection, which its client would notice."""
     old = call(member, 500)
     member.faults.silence()
     with pytest.raises(TimeoutError):
@@ -25,7 +25,7 @@
 
 
 def test_dropped_answer_hides_a_write_that_ran(member, call):
-    """Guards against a lost answer that also loses the write."""
+    """Guards against a dropped answer that also drops the write."""
     caller = call(member, 500)
     member.faults.set({"drop_rate": 1, "answers_left": 1})
     with pytest.raises(TimeoutError):
@@ -62,18 +62,18 @@
 
 
 @pytest.mark.parametrize("data", [b"\xff\xff\xff\xff", b"\0\0\0\4abcd", b"GET / HTTP"])
-def test_garbage_closes_only_its_own_connection(member, call, data):
-    """Guards against a stray client that stops the member."""
+def test_invalid_data_closes_only_its_own_connection(member, call, data):
+    """Guards against a client of another protocol that stops the member."""
     host, port = member.address.split(":")
-    with socket.create_connection((host, int(port)), 5) as stray:
-        stray.sendall(data)
-        stray.shutdown(socket.SHUT_WR)
-        assert stray.recv(1) == b""
+    with socket.create_connection((host, int(port)), 5) as client:
+        client.sendall(data)
+        client.shutdown(socket.SHUT_WR)
+        assert client.recv(1) == b""
     assert call(member).execute("SELECT 1").status == Status.OK
 
 
 def test_frozen_member_answers_after_it_is_released(member, call):
-    """Guards against a freeze that loses calls or lets some through."""
+    """Guards against a freeze that lets calls through or that does not end."""
     caller = call(member, 500)
     member.faults.frozen = True
     with pytest.raises(TimeoutError):
@@ -83,7 +83,7 @@
 
 
 def test_one_way_delay_counts_twice(member, call):
-    """Guards against distances that are not modelled."""
+    """Guards against a delay that is not applied in both directions."""
     caller = call(member)
     member.faults.client_one_way_ms = {"test": 20.0}
     started = time.monotonic()
@@ -92,7 +92,7 @@
 
 
 def test_idle_transaction_is_rolled_back(single, call, eventually):
-    """Guards against a lost client that blocks writers for ever."""
+    """Guards against an unresponsive client that blocks writers forever."""
     single.primary.settings.transaction_idle_ms = 50
     lost, other = call(single.primary), call(single.primary)
     other.execute("CREATE TABLE t (a)")
--- a/packages/standin/tests/test_settings.py
+++ b/packages/standin/tests/test_settings.py
@@ -17,7 +17,7 @@
 
 
 def test_integers_are_accepted_for_times():
-    """Guards against refusing ``lag_ms: 5``."""
+    """Guards against refusing an integer such as ``lag_ms: 5``."""
     assert parse_settings({"database": "a", "member": "m", "lag_ms": 5}).lag_ms == 5
 
 
--- a/packages/standin/tests/test_statements.py
+++ b/packages/standin/tests/test_statements.py
@@ -1,4 +1,4 @@
-"""Tests of the classification and coding of statements."""
+"""Tests of the classification, decoding and encoding of statements."""
 
 import pytest
 
@@ -42,7 +42,7 @@
     ],
 )
 def test_statements_that_break_transactions_or_replicas_are_refused(text):
-    """Guards against data that differs between members, or a lost request table."""
+    """Guards against members whose data differs, and altered request records."""
     with pytest.raises(InvalidStatement):
         writes(text)
 
