Clarify comments of the stand-in's writes, terms and tests

A few comments stated less than the code guarantees or kept vague wording. They now name the condition and the case that each test covers.

--- a/packages/standin/src/bronzemoor_standin/replication.py
+++ b/packages/standin/src/bronzemoor_standin/replication.py
@@ -131,7 +131,7 @@
     """Role, terms and log of one member, and the primary's view of its replicas.
 
     ``term`` is the term that the member leads or follows; ``accepted_term`` is the
-    highest one it has accepted; orders and batches of older terms are refused.
+    highest one it knows of; orders and batches of older terms are refused.
     """
 
     def __init__(self, name: str, members: tuple[str, ...] = ()) -> None:
--- a/packages/standin/src/bronzemoor_standin/settings.py
+++ b/packages/standin/src/bronzemoor_standin/settings.py
@@ -60,7 +60,7 @@
     request_age_s: float = 86_400.0
     request_count: int = 1_000_000
     max_message_bytes: int = 4 * 1024 * 1024
-    # Loopback port of the fault switches; 0 chooses a free one, negative means none.
+    # Loopback port of the fault interface; 0 chooses a free one, negative means none.
     control_port: int = -1
 
 
--- a/packages/standin/src/bronzemoor_standin/writes.py
+++ b/packages/standin/src/bronzemoor_standin/writes.py
@@ -17,7 +17,7 @@
     from bronzemoor_standin.ledger import Ledger, Position
 
 RecordFactory = Callable[[list[dict[str, Any]]], RequestRecord | None]
-# A copy that lags further is copied anew: replaying 1,000 entries takes about 20 ms.
+# A copy that lags by more entries is replaced: replaying 1,000 takes about 20 ms.
 MAX_REPLAYED_ENTRIES = 1000
 DISK_FULL = "database or disk is full"
 
--- a/packages/standin/tests/test_announcements.py
+++ b/packages/standin/tests/test_announcements.py
@@ -45,7 +45,7 @@
 
 
 def test_announcements_are_complete_periodic_and_on_one_connection(daemon, eventually):
-    """Guards against missing fields, of which daemons build their topology."""
+    """Guards against a topology that daemons build from incomplete announcements."""
     silent = socket.create_server(("127.0.0.1", 0))
     dead = f"127.0.0.1:{silent.getsockname()[1]}"
     with Group(data_centres=["dc1"], daemons=[dead, daemon.address], announce_ms=5):
--- a/packages/standin/tests/test_group.py
+++ b/packages/standin/tests/test_group.py
@@ -29,7 +29,7 @@
 
 
 class FaultInjection:
-    """Writers that confirm, and a controller that injects faults and fails over."""
+    """Writers that confirm their writes, and a controller of faults and failovers."""
 
     def __init__(self, group, seed):
         self.group = group
--- a/packages/standin/tests/test_member.py
+++ b/packages/standin/tests/test_member.py
@@ -95,7 +95,7 @@
 
 @pytest.mark.parametrize("bootstrap", [True, False])
 def test_file_keeps_log_and_accepted_term(tmp_path, call, bootstrap, eventually):
-    """Guards against an acknowledged write that is lost with the process."""
+    """Guards against an acknowledged write or an accepted term lost at a restart."""
     settings = MemberSettings("claims", "m1", file=str(tmp_path / "m1.db"))
     settings.bootstrap_primary = "m1" if bootstrap else ""
     member = Member(settings)
--- a/packages/standin/tests/test_settings.py
+++ b/packages/standin/tests/test_settings.py
@@ -36,6 +36,6 @@
 
 
 def test_statements_with_semicolons_inside_are_not_split():
-    """Guards against half of a trigger or a literal being run."""
+    """Guards against running part of a trigger or of a literal as a statement."""
     text = "CREATE TABLE t (a TEXT DEFAULT ';');\nSELECT 1;\n"
     assert split_statements(text) == text.splitlines()
