Name the history checkers and reports in the usual terms

The checkers spoke of evidence that is judged and limits had no unit. They work on an indexed history now, limits carry their unit, and docstrings say what holds.

--- a/packages/standin/src/bronzemoor_standin/history.py
+++ b/packages/standin/src/bronzemoor_standin/history.py
@@ -1,7 +1,7 @@
-"""Checkers of the guarantees over a recorded history and the endpoints' tables.
+"""Checks the guarantees on a recorded history and the endpoints' tables.
 
-The tables are read from the primaries after the run, when all faults are healed.
-Without the tables of a database, only what callers saw of it is checked.
+The tables are read from the primaries after the run, when no fault is active any more.
+For a database without tables, only the clients' view of it is checked.
 """
 
 from collections import Counter
@@ -9,7 +9,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-from bronzemoor_standin.evidence import Evidence, expected_rows, gather, row_counts
+from bronzemoor_standin.evidence import (
+    IndexedHistory,
+    expected_rows,
+    index_history,
+    row_counts,
+)
 from bronzemoor_standin.records import (
     DONE,
     LOST,
@@ -20,17 +25,17 @@
     Work,
 )
 
-# A leaving member gets no new work after this time, in seconds (design, P7).
-LEAVING_LIMIT = 2.0
-# An accepted configuration is in effect everywhere after this time, in seconds (P9).
-CONFIGURATION_LIMIT = 3.0
-# A promotion is noted at most this much after it took place, in seconds.
-OBSERVATION_DELAY = 1.0
+# A leaving member gets no new request after this time (design, P7).
+LEAVING_LIMIT_SECONDS = 2.0
+# An accepted configuration is in effect on every daemon after this time (P9).
+CONFIGURATION_LIMIT_SECONDS = 3.0
+# Longest time between a promotion and its record in the history.
+OBSERVATION_DELAY_SECONDS = 1.0
 
 
 @dataclass(slots=True, frozen=True)
 class Violation:
-    """A guarantee that a history breaks; ``subject`` is a request, member or daemon."""
+    """A violated guarantee; ``subject`` is a request, member or daemon."""
 
     guarantee: str
     subject: str
@@ -38,7 +43,7 @@
 
 
 Findings = Iterator[tuple[str, str]]
-Checker = Callable[[Evidence], Findings]
+Checker = Callable[[IndexedHistory], Findings]
 CHECKERS: dict[str, Checker] = {}
 
 
@@ -53,36 +58,36 @@
 
 
 def check(history: History, tables: Tables, only: str | None = None) -> list[Violation]:
-    """All violations in a history, or those of one guarantee."""
-    evidence = gather(history, tables)
+    """Returns all violations in a history, or those of one guarantee."""
+    indexed = index_history(history, tables)
     return [
         Violation(guarantee, subject, message)
         for guarantee, function in CHECKERS.items()
         if only in (None, guarantee)
-        for subject, message in function(evidence)
+        for subject, message in function(indexed)
     ]
 
 
-# Kinds of events without which a checker has nothing to judge.
-NEEDED_EVENTS = {
+# Kind of event that a history must contain for a checker to apply.
+REQUIRED_EVENTS = {
     "P7 leaving_gets_no_work": "leaving",
     "P8 graceful_stop": "stopping",
     "P9 configuration_never_reverts": "version_seen",
 }
 
 
-def judged(history: History, tables: Tables) -> dict[str, bool]:
-    """Whether a history holds what each checker needs to find a violation."""
+def checkable_guarantees(history: History, tables: Tables) -> dict[str, bool]:
+    """Returns, for each checker, whether the history has the data that it needs."""
     kinds = {event.kind for event in history.events}
     return {
-        name: NEEDED_EVENTS[name] in kinds
-        if name in NEEDED_EVENTS
-        else bool(history.requests) and (bool(tables) or name not in _NEED_TABLES)
+        name: REQUIRED_EVENTS[name] in kinds
+        if name in REQUIRED_EVENTS
+        else bool(history.requests) and (bool(tables) or name not in _REQUIRE_TABLES)
         for name in CHECKERS
     }
 
 
-_NEED_TABLES = frozenset(
+_REQUIRE_TABLES = frozenset(
     ("P2 no_deposed_ack", "P3 transaction_isolation", "P5 not_run_is_true")
     + ("P6 at_most_once", "exactly_as_written")
 )
@@ -92,40 +97,42 @@
 
 
 @checker("P1 read_your_writes")
-def read_your_writes(evidence: Evidence) -> Findings:
-    """A read sees the session's last acknowledged write of a key, or a later one."""
+def read_your_writes(indexed: IndexedHistory) -> Findings:
+    """A read returns the session's last acknowledged write of a key, or a later one."""
     writes: dict[tuple[str, str], list[Request]] = {}
-    for write in _effective_writes(evidence):
+    for write in _effective_writes(indexed):
         for key in write.wrote:
             writes.setdefault((write.database, key), []).append(write)
-    for read in evidence.history.requests:
+    for read in indexed.history.requests:
         if read.outcome != DONE or read.transaction:
             continue
         for key, seen in read.read.items():
-            known = writes.get((read.database, key), [])
-            own = [
+            key_writes = writes.get((read.database, key), [])
+            own_writes = [
                 w
-                for w in known
+                for w in key_writes
                 if w.session == read.session
                 and w.outcome == DONE
                 and w.answered_at <= read.sent_at
             ]
-            if not own:
+            if not own_writes:
                 continue
-            last = max(own, key=lambda w: w.sent_at)
-            allowed = [w.wrote[key] for w in known if _may_follow(w, last, read)]
+            last = max(own_writes, key=lambda w: w.sent_at)
+            allowed = [
+                w.wrote[key] for w in key_writes if _may_be_visible(w, last, read)
+            ]
             if seen not in allowed:
                 yield read.request_id, f"{key} is {seen!r}, wrote {last.wrote[key]!r}"
 
 
-def _effective_writes(evidence: Evidence) -> Iterator[Request]:
+def _effective_writes(indexed: IndexedHistory) -> Iterator[Request]:
     """Writes that may have had an effect; those of a transaction at its commit."""
     commits = {
         (r.database, r.transaction): r
-        for r in evidence.history.requests
+        for r in indexed.history.requests
         if r.kind == "commit" and r.outcome in (DONE, UNKNOWN, LOST)
     }
-    for request in evidence.history.requests:
+    for request in indexed.history.requests:
         if not request.wrote or request.outcome not in (DONE, UNKNOWN, LOST):
             continue
         if not request.transaction:
@@ -144,28 +151,28 @@
             )
 
 
-def _may_follow(write: Request, last: Request, read: Request) -> bool:
-    """Whether ``write`` can be the newest one that a read after ``last`` sees."""
+def _may_be_visible(write: Request, last: Request, read: Request) -> bool:
+    """Whether ``write`` can be the newest one that a read after ``last`` returns."""
     if write is last:
         return True
-    ended = write.answered_at if write.outcome == DONE else float("inf")
-    return ended > last.sent_at and write.sent_at < read.answered_at
+    finished_at = write.answered_at if write.outcome == DONE else float("inf")
+    return finished_at > last.sent_at and write.sent_at < read.answered_at
 
 
 # --- P2
 
 
 @checker("P2 no_deposed_ack")
-def no_deposed_ack(evidence: Evidence) -> Findings:
+def no_deposed_ack(indexed: IndexedHistory) -> Findings:
     """Acknowledged writes survive, and no replaced primary acknowledges one."""
-    for work in evidence.works:
+    for work in indexed.units:
         if not work.acknowledged:
             continue
-        for table, expected, stored in row_counts(evidence, work):
+        for table, expected, stored in row_counts(indexed, work):
             if stored < expected:
                 yield work.name, f"acknowledged, but {stored} of {expected} in {table}"
-    promotions = evidence.events("promoted")
-    for request in evidence.history.requests:
+    promotions = indexed.events("promoted")
+    for request in indexed.history.requests:
         if request.outcome != DONE or not request.served_by or request.repeated:
             continue
         acknowledges = request.kind == "commit" or (
@@ -174,10 +181,12 @@
         relevant = [p for p in promotions if p.database == request.database]
         if not acknowledges or not relevant or request.sent_at < relevant[0].at:
             continue
-        before = [p.name for p in relevant if p.at <= request.sent_at][-1:]
-        until = request.answered_at + OBSERVATION_DELAY
-        during = [p.name for p in relevant if request.sent_at < p.at <= until]
-        if request.served_by not in before + during:
+        primary_at_send = [p.name for p in relevant if p.at <= request.sent_at][-1:]
+        until = request.answered_at + OBSERVATION_DELAY_SECONDS
+        promoted_meanwhile = [
+            p.name for p in relevant if request.sent_at < p.at <= until
+        ]
+        if request.served_by not in primary_at_send + promoted_meanwhile:
             yield request.request_id, f"acknowledged by {request.served_by}"
 
 
@@ -185,40 +194,40 @@
 
 
 @checker("P3 transaction_isolation")
-def transaction_isolation(evidence: Evidence) -> Findings:
-    """Transactions take effect as a whole and are not seen before their commit."""
-    for work in evidence.works:
+def transaction_isolation(indexed: IndexedHistory) -> Findings:
+    """Transactions are atomic and invisible to others before their commit."""
+    for work in indexed.units:
         if work.is_transaction:
-            yield from _not_atomic(evidence, work)
-    yield from _dirty_reads(evidence)
-    yield from _wrong_balances(evidence)
+            yield from _partial_transaction(indexed, work)
+    yield from _dirty_reads(indexed)
+    yield from _balance_mismatches(indexed)
 
 
-def _not_atomic(evidence: Evidence, work: Work) -> Findings:
-    counts = list(row_counts(evidence, work))
-    present = [stored for _, _, stored in counts if stored]
-    if not work.attempts and present:
+def _partial_transaction(indexed: IndexedHistory, work: Work) -> Findings:
+    counts = list(row_counts(indexed, work))
+    stored_counts = [stored for _, _, stored in counts if stored]
+    if not work.attempts and stored_counts:
         yield work.name, "was not committed, but rows are stored"
-    elif present and any(stored < expected for _, expected, stored in counts):
+    elif stored_counts and any(stored < expected for _, expected, stored in counts):
         yield work.name, "only a part of the transaction is stored"
 
 
-def _dirty_reads(evidence: Evidence) -> Findings:
+def _dirty_reads(indexed: IndexedHistory) -> Findings:
     committed_at: dict[tuple[str, str], float] = {}
-    for request in evidence.history.requests:
+    for request in indexed.history.requests:
         if request.kind == "commit":
             key = (request.database, request.transaction)
             sent = committed_at.get(key, float("inf"))
             committed_at[key] = min(sent, request.sent_at)
     pending: dict[tuple[str, str, str], tuple[str, float]] = {}
-    for request in evidence.history.requests:
+    for request in indexed.history.requests:
         if request.transaction:
             transaction = (request.database, request.transaction)
             committed = committed_at.get(transaction, float("inf"))
             for name, value in request.wrote.items():
-                place = (request.database, name, repr(value))
-                pending[place] = (request.transaction, committed)
-    for read in evidence.history.requests:
+                written = (request.database, name, repr(value))
+                pending[written] = (request.transaction, committed)
+    for read in indexed.history.requests:
         for name, seen in read.read.items():
             found = pending.get((read.database, name, repr(seen)))
             if found is None or found[0] == read.transaction:
@@ -227,9 +236,9 @@
                 yield read.request_id, f"saw {name} of uncommitted {found[0]}"
 
 
-def _wrong_balances(evidence: Evidence) -> Findings:
-    for balance in evidence.history.balances:
-        for database, tables in evidence.tables.items():
+def _balance_mismatches(indexed: IndexedHistory) -> Findings:
+    for balance in indexed.history.balances:
+        for database, tables in indexed.tables.items():
             if balance.table not in tables or balance.source not in tables:
                 continue
             sums: Counter[tuple[Any, ...]] = Counter()
@@ -246,9 +255,9 @@
 
 
 @checker("P4 whole_answer")
-def whole_answer(evidence: Evidence) -> Findings:
+def whole_answer(indexed: IndexedHistory) -> Findings:
     """Each answer is complete and belongs to its request."""
-    for request in evidence.history.requests:
+    for request in indexed.history.requests:
         if request.outcome != DONE or request.kind != "statements":
             continue
         result = request.result
@@ -269,66 +278,68 @@
 
 
 @checker("P5 not_run_is_true")
-def not_run_is_true(evidence: Evidence) -> Findings:
-    """What was always answered by "not run", or failed, has left no row."""
-    for work in evidence.works:
+def not_run_is_true(indexed: IndexedHistory) -> Findings:
+    """A unit of work that failed or was reported as not run has left no row."""
+    for work in indexed.units:
         if work.attempts and work.never_ran:
-            for table, _, stored in row_counts(evidence, work):
+            for table, _, stored in row_counts(indexed, work):
                 if stored:
                     yield work.name, f"reported as not run, but stored in {table}"
 
 
 @checker("P6 at_most_once")
-def at_most_once(evidence: Evidence) -> Findings:
-    """No request is executed twice, whatever was lost on the way."""
-    for work in evidence.works:
-        for table, expected, stored in row_counts(evidence, work):
+def at_most_once(indexed: IndexedHistory) -> Findings:
+    """No request is executed twice, whichever messages were lost."""
+    for work in indexed.units:
+        for table, expected, stored in row_counts(indexed, work):
             if stored > expected:
                 yield work.name, f"{stored} instead of {expected} rows in {table}"
 
 
 @checker("exactly_as_written")
-def exactly_as_written(evidence: Evidence) -> Findings:
-    """Stored rows have the values that were sent."""
-    for work in evidence.works:
-        for table, request_id, rows in expected_rows(evidence, work):
-            left = list(evidence.stored(work, table, request_id))
+def exactly_as_written(indexed: IndexedHistory) -> Findings:
+    """Stored rows hold the values that were sent."""
+    for work in indexed.units:
+        for table, request_id, rows in expected_rows(indexed, work):
+            unmatched = list(indexed.stored_rows(work, table, request_id))
             for row in rows:
-                same = [r for r in left if row.values.items() <= r.items()]
-                if same:
-                    left.remove(same[0])
-                elif left:
-                    yield work.name, f"{table} holds {left[0]!r}"
+                matches = [r for r in unmatched if row.values.items() <= r.items()]
+                if matches:
+                    unmatched.remove(matches[0])
+                elif unmatched:
+                    yield work.name, f"{table} holds {unmatched[0]!r}"
 
 
 # --- P7 to P9
 
 
 @checker("P7 leaving_gets_no_work")
-def leaving_gets_no_work(evidence: Evidence) -> Findings:
+def leaving_gets_no_work(indexed: IndexedHistory) -> Findings:
     """A leaving member gets no new request after the limit."""
-    returned = evidence.events("returned")
-    for event in evidence.events("leaving"):
-        back = [r.at for r in returned if r.name == event.name and r.at > event.at]
-        until = min(back, default=float("inf"))
-        for request in evidence.history.requests:
+    returned = indexed.events("returned")
+    for event in indexed.events("leaving"):
+        return_times = [
+            r.at for r in returned if r.name == event.name and r.at > event.at
+        ]
+        until = min(return_times, default=float("inf"))
+        for request in indexed.history.requests:
             is_new = not request.transaction or request.kind == "begin"
             if (
                 is_new
                 and request.database == event.database
                 and request.served_by == event.name
-                and event.at + LEAVING_LIMIT < request.sent_at < until
+                and event.at + LEAVING_LIMIT_SECONDS < request.sent_at < until
             ):
                 late = request.sent_at - event.at
                 yield request.request_id, f"served by {event.name} {late:.2f} s later"
 
 
 @checker("P8 graceful_stop")
-def graceful_stop(evidence: Evidence) -> Findings:
+def graceful_stop(indexed: IndexedHistory) -> Findings:
     """A daemon that stops gracefully answers every request it has received."""
-    for event in evidence.events("stopping"):
+    for event in indexed.events("stopping"):
         until = event.until if event.until is not None else float("inf")
-        for request in evidence.history.requests:
+        for request in indexed.history.requests:
             if (
                 request.daemon == event.name
                 and request.outcome == LOST
@@ -339,20 +350,20 @@
 
 
 @checker("P9 configuration_never_reverts")
-def configuration_never_reverts(evidence: Evidence) -> Findings:
+def configuration_never_reverts(indexed: IndexedHistory) -> Findings:
     """Versions in effect never decrease and reach every daemon within the limit."""
-    accepted = evidence.events("version_accepted")
+    accepted = indexed.events("version_accepted")
     highest: dict[tuple[str, str], int] = {}
-    for event in evidence.events("version_seen"):
+    for event in indexed.events("version_seen"):
         key = (event.name, event.organisation)
         if event.version < highest.get(key, 0):
             yield event.name, f"reverted from {highest[key]} to {event.version}"
         highest[key] = max(highest.get(key, 0), event.version)
-        due = [
+        due_versions = [
             a.version
             for a in accepted
             if a.organisation == event.organisation
-            and a.at + CONFIGURATION_LIMIT < event.at
+            and a.at + CONFIGURATION_LIMIT_SECONDS < event.at
         ]
-        if not event.stale and event.version < max(due, default=0):
-            yield event.name, f"still at {event.version}, accepted {max(due)}"
+        if not event.stale and event.version < max(due_versions, default=0):
+            yield event.name, f"still at {event.version}, accepted {max(due_versions)}"
--- a/packages/standin/src/bronzemoor_standin/records.py
+++ b/packages/standin/src/bronzemoor_standin/records.py
@@ -1,17 +1,22 @@
-"""Records of what callers asked and were answered, for the history checkers."""
+"""Records of client requests and their answers, for the history checkers."""
 
 import json
 from collections.abc import Iterable, Iterator
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
-# Outcomes of a daemon, and those that a caller finds itself: the statements failed,
-# the connection was lost after the request was sent, or nothing could be sent.
-DONE, NOT_RUN, UNKNOWN = "done", "not_run", "unknown"
-FAILED, LOST, NOT_SENT = "failed", "lost", "not_sent"
-NEVER_RAN = frozenset((NOT_RUN, NOT_SENT, FAILED))
-
-# Rows of every table by database and table name.
+# Outcomes that a daemon reports.
+DONE = "done"
+NOT_RUN = "not_run"
+UNKNOWN = "unknown"
+# Outcomes that a client determines itself: a statement failed, the connection was lost
+# after the request was sent, or nothing could be sent.
+FAILED = "failed"
+LOST = "lost"
+NOT_SENT = "not_sent"
+NEVER_RAN_OUTCOMES = frozenset((NOT_RUN, NOT_SENT, FAILED))
+
+# Rows by database and table name.
 Tables = dict[str, dict[str, list[dict[str, Any]]]]
 
 
@@ -25,10 +30,10 @@
 
 @dataclass(slots=True)
 class Request:
-    """One attempt of a request; a resend has the same ``request_id``.
+    """One attempt of a request; a retry has the same ``request_id``.
 
     Times are in seconds on one clock for the whole history. ``transaction`` is the
-    caller's own label of the transaction that the request belongs to.
+    client's own label of the transaction that the request belongs to.
     """
 
     session: str
@@ -48,11 +53,11 @@
     served_by: str = ""
     role: str = ""
     repeated: bool = False
-    # Number of statements, the results, and what the first column of each row is.
+    # Number of statements, their results, and the value of every row's first column.
     statements: int = 0
     result: list[dict[str, Any]] | None = None
     echo: str = ""
-    # Rows inserted, and keys with the values written and seen (None: not there).
+    # Rows inserted, and keys with the values written and read (None: no such row).
     rows: list[Row] = field(default_factory=list)
     wrote: dict[str, Any] = field(default_factory=dict)
     read: dict[str, Any] = field(default_factory=dict)
@@ -60,12 +65,12 @@
 
 @dataclass(slots=True)
 class Event:
-    """Something that happened to a daemon, a member or a configuration.
+    """A change of a daemon, a member or a configuration.
 
-    kinds: ``leaving`` and ``returned`` (member ``name``), ``promoted`` (member ``name``
-    leads ``term``), ``stopping`` (daemon ``name`` stops gracefully, gone at ``until``),
-    ``version_accepted`` and ``version_seen`` (``version`` of ``organisation``, seen in
-    effect at daemon ``name``, which may admit to be ``stale``).
+    Kinds: ``leaving`` and ``returned`` (member ``name``), ``promoted`` (member ``name``
+    leads ``term``), ``stopping`` (daemon ``name`` shuts down gracefully, gone
+    at ``until``), ``version_accepted`` and ``version_seen`` (``version`` of
+    ``organisation``, observed at daemon ``name``, which may report it as ``stale``).
     """
 
     kind: str
@@ -81,7 +86,7 @@
 
 @dataclass(slots=True)
 class Balance:
-    """``table.value`` must be the sum of ``source.change`` over the same ``keys``."""
+    """Requires ``table.value`` to be the sum of ``source.change`` by ``keys``."""
 
     table: str
     keys: tuple[str, ...]
@@ -101,7 +106,7 @@
 
 @dataclass(slots=True)
 class Work:
-    """What was asked as a unit: a request with its resends, or a transaction."""
+    """A unit of work: a request with its retries, or a transaction."""
 
     name: str
     database: str
@@ -115,13 +120,13 @@
 
     @property
     def never_ran(self) -> bool:
-        """Whether every attempt was answered by "not run" or never sent."""
-        return all(attempt.outcome in NEVER_RAN for attempt in self.attempts)
+        """Whether every attempt was reported as not run, failed or was never sent."""
+        return all(attempt.outcome in NEVER_RAN_OUTCOMES for attempt in self.attempts)
 
 
-def works(history: History) -> Iterator[Work]:
-    """The units of writing in a history; a transaction's attempts are its commits."""
-    plain: dict[tuple[str, str], list[Request]] = {}
+def units_of_work(history: History) -> Iterator[Work]:
+    """Yields the units that write; a transaction's attempts are its commits."""
+    single: dict[tuple[str, str], list[Request]] = {}
     transactions: dict[tuple[str, str], list[Request]] = {}
     for request in history.requests:
         if request.transaction:
@@ -129,8 +134,8 @@
             transactions.setdefault(key, []).append(request)
         elif request.write:
             key = (request.database, request.request_id)
-            plain.setdefault(key, []).append(request)
-    for (database, name), attempts in plain.items():
+            single.setdefault(key, []).append(request)
+    for (database, name), attempts in single.items():
         yield Work(name, database, attempts, attempts[0].rows)
     for (database, name), parts in transactions.items():
         commits = [part for part in parts if part.kind == "commit"]
@@ -140,14 +145,14 @@
 
 
 def encode(history: History) -> Iterator[str]:
-    """One JSON line for each record."""
+    """Yields one line of JSON for each record."""
     for name in ("requests", "events", "balances"):
         for record in getattr(history, name):
             yield json.dumps({"record": name, **asdict(record)})
 
 
 def decode(lines: Iterable[str]) -> History:
-    """The history of JSON lines; raises ``ValueError`` or ``TypeError``."""
+    """Decodes lines of JSON; raises ``ValueError`` or ``TypeError``."""
     history = History()
     for line in lines:
         fields = json.loads(line)
--- a/packages/standin/src/bronzemoor_standin/report.py
+++ b/packages/standin/src/bronzemoor_standin/report.py
@@ -1,4 +1,4 @@
-"""Reports of a load run: figures from its history as text, JSON and a plot."""
+"""Computes the figures of a load run and renders them as text and as a plot."""
 
 from collections import Counter
 from dataclasses import asdict, dataclass, field, replace
@@ -6,12 +6,14 @@
 
 from hdrh.histogram import HdrHistogram
 
-from bronzemoor_standin.history import check, judged
+from bronzemoor_standin.history import check, checkable_guarantees
 from bronzemoor_standin.records import DONE, History, Request, Tables
 
 PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
 # Range of recorded latencies: 1 us to 60 s with three significant digits.
-_LOWEST_US, _HIGHEST_US, _DIGITS = 1, 60_000_000, 3
+_MIN_LATENCY_US = 1
+_MAX_LATENCY_US = 60_000_000
+_SIGNIFICANT_DIGITS = 3
 REPLICA = "replica"
 
 
@@ -22,25 +24,25 @@
     duration_s: float = 0.0
     operations: int = 0
     attempts: int = 0
-    # Outcome of the last attempt of each operation, and of all attempts by code.
+    # Operations by outcome of the last attempt; attempts not done by outcome and code.
     outcomes: dict[str, int] = field(default_factory=dict)
     codes: dict[str, int] = field(default_factory=dict)
-    # Percentiles by operation, counted from the intended time of arrival.
+    # Percentiles by operation, measured from the intended time of arrival.
     latency_ms: dict[str, dict[str, float]] = field(default_factory=dict)
     # Longest time in which writes waited and none succeeded, by database, and its
-    # begin after the start of the run.
+    # offset from the start of the run.
     failover_gap_s: dict[str, float] = field(default_factory=dict)
     failover_gap_at_s: dict[str, float] = field(default_factory=dict)
-    # Share of reads served by replicas: of all, by operation and in each second.
+    # Share of reads served by replicas: in total, by operation and by second.
     replica_share: float = 0.0
     replica_shares: dict[str, float] = field(default_factory=dict)
     replica_share_by_second: list[float | None] = field(default_factory=list)
-    # Throughput and percentiles in each second.
+    # Throughput and percentiles by second.
     done_by_second: list[int] = field(default_factory=list)
     latency_ms_by_second: list[dict[str, float]] = field(default_factory=list)
     checked_tables: bool = False
     violations: list[dict[str, str]] = field(default_factory=list)
-    # Number of violations, or None where the run gave nothing to judge.
+    # Number of violations, or None where the run had nothing to check.
     violations_by_guarantee: dict[str, int | None] = field(default_factory=dict)
 
 
@@ -62,25 +64,25 @@
         name: _percentiles([r for r in done if r.operation == name])
         for name in sorted({r.operation for r in done})
     }
-    _add_gaps(report, done, start)
-    _add_shares(report, done, start)
-    for second in _by_second(done, start):
+    _add_failover_gaps(report, done, start)
+    _add_replica_shares(report, done, start)
+    for second in _group_by_second(done, start):
         report.done_by_second.append(len(second))
         report.latency_ms_by_second.append(_percentiles(second))
     found = check(history, tables)
     report.violations = [asdict(violation) for violation in found]
     counts = Counter(violation.guarantee for violation in found)
     report.violations_by_guarantee = {
-        name: counts[name] if counts[name] or evidence else None
-        for name, evidence in judged(history, tables).items()
+        name: counts[name] if counts[name] or checkable else None
+        for name, checkable in checkable_guarantees(history, tables).items()
     }
     return report
 
 
 def _final_attempts(history: History) -> list[Request]:
-    """The last attempt of each operation, in order of arrival.
+    """Returns the last attempt of each operation, in order of arrival.
 
-    A transaction counts by its commit, or by the part at which it ended.
+    A transaction is represented by its commit, or by the request at which it ended.
     """
     final: dict[tuple[str, str], Request] = {}
     for request in history.requests:
@@ -88,11 +90,11 @@
         known = final.get(key)
         if known is None or request.sent_at >= known.sent_at:
             final[key] = request
-    attempts = [_as_operation(request) for request in final.values()]
+    attempts = [_with_operation_outcome(request) for request in final.values()]
     return sorted(attempts, key=lambda request: request.intended_at)
 
 
-def _as_operation(request: Request) -> Request:
+def _with_operation_outcome(request: Request) -> Request:
     if request.kind == "rollback" and request.outcome == DONE:
         return replace(request, outcome="rolled_back")
     return request
@@ -101,15 +103,15 @@
 def _percentiles(requests: list[Request]) -> dict[str, float]:
     if not requests:
         return {}
-    histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+    histogram = HdrHistogram(_MIN_LATENCY_US, _MAX_LATENCY_US, _SIGNIFICANT_DIGITS)
     for request in requests:
         latency = int((request.answered_at - request.intended_at) * 1_000_000)
-        histogram.record_value(min(max(latency, _LOWEST_US), _HIGHEST_US))
+        histogram.record_value(min(max(latency, _MIN_LATENCY_US), _MAX_LATENCY_US))
     values = histogram.get_percentile_to_value_dict(list(PERCENTILES))
     return {f"p{p:g}": round(values[p] / 1000, 3) for p in PERCENTILES}
 
 
-def _add_gaps(report: Report, done: list[Request], start: float) -> None:
+def _add_failover_gaps(report: Report, done: list[Request], start: float) -> None:
     writes: dict[str, list[Request]] = {}
     for request in done:
         if request.write:
@@ -121,12 +123,12 @@
 
 
 def _longest_gap(writes: list[Request]) -> tuple[float, float]:
-    """Longest time in which writes waited and none succeeded, and its begin.
+    """Returns the longest time in which writes waited without success, and its start.
 
     Time without any write in progress does not count, so the figure does not depend on
     pauses between arrivals.
     """
-    longest, begin = 0.0, writes[0].intended_at
+    longest, gap_start = 0.0, writes[0].intended_at
     waiting_since = float("inf")
     ordered = sorted(writes, key=lambda request: request.answered_at)
     for before, after in reversed(list(zip([None, *ordered], ordered, strict=False))):
@@ -134,28 +136,30 @@
         last = before.answered_at if before is not None else waiting_since
         since = max(last, waiting_since)
         if after.answered_at - since > longest:
-            longest, begin = after.answered_at - since, since
-    return longest, begin
+            longest, gap_start = after.answered_at - since, since
+    return longest, gap_start
 
 
-def _add_shares(report: Report, done: list[Request], start: float) -> None:
+def _add_replica_shares(report: Report, done: list[Request], start: float) -> None:
     reads = [r for r in done if not r.write and r.kind == "statements" and r.role]
     if not reads:
         return
-    report.replica_share = _share(reads) or 0.0
+    report.replica_share = _replica_share(reads) or 0.0
     for name in sorted({r.operation for r in reads}):
-        share = _share([r for r in reads if r.operation == name])
+        share = _replica_share([r for r in reads if r.operation == name])
         report.replica_shares[name] = share or 0.0
-    report.replica_share_by_second = [_share(s) for s in _by_second(reads, start)]
+    report.replica_share_by_second = [
+        _replica_share(s) for s in _group_by_second(reads, start)
+    ]
 
 
-def _share(reads: list[Request]) -> float | None:
+def _replica_share(reads: list[Request]) -> float | None:
     if not reads:
         return None
     return round(sum(r.role == REPLICA for r in reads) / len(reads), 4)
 
 
-def _by_second(requests: list[Request], start: float) -> list[list[Request]]:
+def _group_by_second(requests: list[Request], start: float) -> list[list[Request]]:
     if not requests:
         return []
     seconds: list[list[Request]] = []
@@ -168,12 +172,12 @@
 
 
 def as_text(report: Report) -> str:
-    """A summary for people."""
+    """Renders a summary in plain text."""
     lines = [
         f"{report.operations} operations in {report.duration_s:.1f} s"
         f" ({report.attempts} attempts)",
-        "outcomes: " + _listed(report.outcomes),
-        "not done, by code: " + _listed(report.codes),
+        "outcomes: " + _format_counts(report.outcomes),
+        "not done, by code: " + _format_counts(report.codes),
         "",
         f"{'latency in ms':<18}" + "".join(f"{f'p{p:g}':>10}" for p in PERCENTILES),
     ]
@@ -192,25 +196,25 @@
         else "guarantees, without the endpoints' tables:"
     )
     for name, count in report.violations_by_guarantee.items():
-        lines.append(f"  {name}: {_verdict(count)}")
+        lines.append(f"  {name}: {_format_result(count)}")
     for found in report.violations[:20]:
         lines.append(f"  {found['guarantee']} {found['subject']}: {found['message']}")
     return "\n".join(lines) + "\n"
 
 
-def _verdict(count: int | None) -> str:
+def _format_result(count: int | None) -> str:
     if count is None:
-        return "not judged: nothing of it happened in this run"
+        return "not judged: the run has no data for it"
     return f"{count} violations" if count else "holds"
 
 
-def _listed(counts: dict[str, int]) -> str:
+def _format_counts(counts: dict[str, int]) -> str:
     return ", ".join(f"{n} {c}" for n, c in sorted(counts.items())) or "none"
 
 
 def plot(report: Report, path: str) -> None:
-    """Writes latency, throughput with the gaps, and replica share over time."""
-    # Imported here: it takes half a second, which only a run with a plot needs.
+    """Plots latency, throughput with the gaps, and replica share over time."""
+    # Imported here because the import takes half a second and only plots need it.
     from matplotlib.figure import Figure
 
     figure = Figure(figsize=(9, 9), layout="constrained")
--- a/packages/standin/tests/test_history.py
+++ b/packages/standin/tests/test_history.py
@@ -1,4 +1,4 @@
-"""Tests of the history checkers: each finds its violation and accepts a clean run."""
+"""Tests of the history checkers: each finds its violation and accepts a valid run."""
 
 from copy import deepcopy
 
@@ -40,8 +40,8 @@
     return Row(table, {"request_id": request_id} | values)
 
 
-def clean():
-    """A history without violations, and its tables."""
+def clean_history():
+    """Returns a history without violations and its tables."""
     pay = [row("payouts", "pay", cents=7)]
     pick = [row("postings", "tx", article="a", change=-2)]
     requests = [
@@ -101,11 +101,11 @@
     tables["claims"].clear()
 
 
-def acknowledged_by_the_old_primary(history, tables):
+def acknowledged_by_a_replaced_primary(history, tables):
     find(history, "cm").served_by = "m1"
 
 
-def half_transaction(history, tables):
+def partial_transaction(history, tables):
     find(history, "st").rows.append(row("payouts", "tx", cents=1))
 
 
@@ -126,7 +126,7 @@
     tables["stock"][0]["on_hand"] = 10
 
 
-def another_requests_answer(history, tables):
+def answer_to_another_request(history, tables):
     find(history, "read").result[0]["rows"] = [["file"]]
 
 
@@ -147,7 +147,7 @@
     tables["claims"].append({"request_id": "busy"})
 
 
-def paid_twice(history, tables):
+def duplicate_payout(history, tables):
     tables["payouts"].append({"request_id": "pay", "cents": 7})
 
 
@@ -173,17 +173,17 @@
 
 PLANTED = {
     "P1 read_your_writes": [stale_read, read_of_an_overwritten_value],
-    "P2 no_deposed_ack": [lost_write, acknowledged_by_the_old_primary],
+    "P2 no_deposed_ack": [lost_write, acknowledged_by_a_replaced_primary],
     "P3 transaction_isolation": [
-        half_transaction,
+        partial_transaction,
         uncommitted_rows,
         dirty_read,
         read_of_a_rolled_back_value,
         wrong_sum,
     ],
-    "P4 whole_answer": [another_requests_answer, truncated_answer, missing_result],
+    "P4 whole_answer": [answer_to_another_request, truncated_answer, missing_result],
     "P5 not_run_is_true": [not_run_but_stored, failed_but_stored],
-    "P6 at_most_once": [paid_twice],
+    "P6 at_most_once": [duplicate_payout],
     "exactly_as_written": [altered_value],
     "P7 leaving_gets_no_work": [work_for_a_leaving_member],
     "P8 graceful_stop": [interrupted_by_a_stop],
@@ -192,8 +192,8 @@
 
 
 def test_clean_history_passes():
-    """Guards against checkers that report what is allowed."""
-    history, tables = clean()
+    """Guards against checkers that report violations in a valid history."""
+    history, tables = clean_history()
     assert check(history, tables) == []
     assert set(PLANTED) == set(CHECKERS)
 
@@ -202,17 +202,17 @@
     ("guarantee", "plant"), [(g, p) for g, plants in PLANTED.items() for p in plants]
 )
 def test_planted_violation_is_found(guarantee, plant):
-    """Guards against a checker that finds nothing, or finds it under another name."""
-    history, tables = clean()
+    """Guards against a checker that misses a violation or reports another guarantee."""
+    history, tables = clean_history()
     before = deepcopy(tables)
     plant(history, tables["claims"])
     assert {v.guarantee for v in check(history, tables)} >= {guarantee}
     assert check(history, tables, only=guarantee)
-    assert check(*clean(), only=guarantee) == []
-    assert before == clean()[1]
+    assert check(*clean_history(), only=guarantee) == []
+    assert before == clean_history()[1]
 
 
 def test_history_survives_encoding():
-    """Guards against a recorded history that is checked differently later."""
-    history, tables = clean()
+    """Guards against a recorded history that changes when it is written and read."""
+    history, tables = clean_history()
     assert decode(encode(history)) == history
--- a/packages/standin/tests/test_report.py
+++ b/packages/standin/tests/test_report.py
@@ -1,4 +1,4 @@
-"""Tests of the figures of a report."""
+"""Tests of the figures in a load report."""
 
 import pytest
 
@@ -21,7 +21,7 @@
 
 @pytest.fixture
 def history():
-    """Writes until 0.21 s, one that waits until 1.31 s; half of the reads replicas'."""
+    """Writes until 0.21 s, one that ends at 1.31 s; replicas serve half the reads."""
     writes = [attempt(f"w{t}", t, write=True) for t in (0, 0.1, 0.2, 1.4, 9)]
     writes.append(attempt("waits", 0.31, latency=1.0, write=True))
     reads = [
@@ -37,7 +37,7 @@
 
 
 def test_figures(history):
-    """Guards against wrong gaps and shares, and latencies that skip a resend's wait."""
+    """Guards against wrong gaps and shares, and latencies that exclude retries."""
     report = make_report(history, {})
     assert (report.operations, report.attempts) == (28, 29)
     assert report.outcomes == {"done": 27, "not_run": 1}
