Describe the load tool in plain terms

Names such as roam, resend, take and note described the load sessions in private words. They are retries, acquired sessions and recorded events now; settings and stored records keep their names.

--- a/packages/standin/src/bronzemoor_standin/caller.py
+++ b/packages/standin/src/bronzemoor_standin/caller.py
@@ -1,4 +1,4 @@
-"""A client of an endpoint with short calls, for tests and tools."""
+"""A client of an endpoint with default arguments, for tests and tools."""
 
 import json
 from typing import Any
@@ -6,18 +6,18 @@
 from bronzemoor_standin.framing import EndpointClient
 from bronzemoor_standin.gen.endpoint import ttypes
 
-ZERO = ttypes.Position(0, 0)
+ZERO_POSITION = ttypes.Position(0, 0)
 
 
 class Caller:
-    """A connection to a member, after ``hello``."""
+    """A connection to a member that has completed ``hello``."""
 
     def __init__(self, address: str, database: str, timeout_ms: float = 5000) -> None:
         self.client = EndpointClient(address, timeout_ms)
         self.greeting = self.client.hello(ttypes.Hello(1, "test", database))
 
     def execute(self, sql: str, *params: Any, **fields: Any) -> ttypes.Reply:
-        fields.setdefault("min_position", ZERO)
+        fields.setdefault("min_position", ZERO_POSITION)
         fields.setdefault("request_id", "")
         fields.setdefault("digest", "d")
         statement = ttypes.Statement(sql, json.dumps(params).encode())
@@ -54,14 +54,18 @@
     def lookup(
         self, request_id: str, digest: str = "d", wait_ms: int = 0
     ) -> ttypes.Reply:
-        return self.client.lookup(ttypes.Query(3, request_id, ZERO, wait_ms, digest))
+        return self.client.lookup(
+            ttypes.Query(3, request_id, ZERO_POSITION, wait_ms, digest)
+        )
 
     def confirm(self, reply: ttypes.Reply, wait_ms: int = 2000) -> ttypes.Reply:
         position = ttypes.Position(reply.term, reply.offset)
         return self.client.confirm(ttypes.Query(4, "", position, wait_ms, ""))
 
     def transaction(self, kind: str, transaction_id: str, **fields: Any) -> Any:
-        call = ttypes.TransactionCall(5, "", transaction_id, "d", False, ZERO, 0)
+        call = ttypes.TransactionCall(
+            5, "", transaction_id, "d", False, ZERO_POSITION, 0
+        )
         for name, value in fields.items():
             setattr(call, name, value)
         return getattr(self.client, kind)(call)
--- a/packages/standin/src/bronzemoor_standin/callers.py
+++ b/packages/standin/src/bronzemoor_standin/callers.py
@@ -1,4 +1,4 @@
-"""Sessions of callers over the daemons' HTTP interface; every attempt is recorded."""
+"""Client sessions over the daemons' HTTP interface that record every attempt."""
 
 import http.client
 import json
@@ -21,30 +21,30 @@
 
 STATEMENTS_PATH = "/v1/statements"
 TRANSACTIONS_PATH = "/v1/transactions"
-# Outcomes after which the same request id is sent again.
-RESENT = frozenset((UNKNOWN, LOST, NOT_SENT, NOT_RUN))
-RESEND_PAUSE_S = 0.05
+# Outcomes after which a request is retried with the same request id.
+RETRIED_OUTCOMES = frozenset((UNKNOWN, LOST, NOT_SENT, NOT_RUN))
+RETRY_INTERVAL_SECONDS = 0.05
 
 
 @dataclass(slots=True)
 class Answer:
-    """A daemon's response, or what the caller found instead."""
+    """A daemon's response, or the failure that the client observed."""
 
     outcome: str
     body: dict[str, Any]
 
 
 class Connections:
-    """Kept-alive connections of one thread to all daemons."""
+    """Persistent connections of one thread to all daemons."""
 
     def __init__(self, timeout: float) -> None:
         self._timeout = timeout
-        self._open: dict[str, http.client.HTTPConnection] = {}
+        self._connections: dict[str, http.client.HTTPConnection] = {}
 
     def post(self, daemon: str, path: str, body: dict[str, Any]) -> Answer:
-        """Posts JSON; an error before anything was sent is ``not_sent``."""
-        connection = self._open.get(daemon)
-        if connection is not None and _closed_by_peer(connection):
+        """Posts JSON; a failure to connect gives ``not_sent``."""
+        connection = self._connections.get(daemon)
+        if connection is not None and _is_closed_by_peer(connection):
             self._drop(daemon)
             connection = None
         if connection is None:
@@ -56,7 +56,7 @@
                 connection.connect()
             except OSError as error:
                 return Answer(NOT_SENT, {"code": type(error).__name__})
-            self._open[daemon] = connection
+            self._connections[daemon] = connection
         try:
             headers = {"Content-Type": "application/json"}
             connection.request("POST", path, json.dumps(body).encode(), headers)
@@ -73,26 +73,26 @@
         return Answer(outcome, answer)
 
     def _drop(self, daemon: str) -> None:
-        connection = self._open.pop(daemon, None)
+        connection = self._connections.pop(daemon, None)
         if connection is not None:
             connection.close()
 
     def close(self) -> None:
-        for daemon in list(self._open):
+        for daemon in list(self._connections):
             self._drop(daemon)
 
 
-def _closed_by_peer(connection: http.client.HTTPConnection) -> bool:
-    """Whether an idle connection has something to read, which can only be its end."""
+def _is_closed_by_peer(connection: http.client.HTTPConnection) -> bool:
+    """Whether an idle connection is readable, which can only mean its end of file."""
     if connection.sock is None:
         return True
-    readable = select.poll()
-    readable.register(connection.sock, select.POLLIN)
-    return bool(readable.poll(0))
+    poller = select.poll()
+    poller.register(connection.sock, select.POLLIN)
+    return bool(poller.poll(0))
 
 
 class Session:
-    """One caller: keeps its token, roams between daemons and records each attempt."""
+    """One client: keeps its session token, changes daemons and records each attempt."""
 
     def __init__(
         self,
@@ -100,8 +100,8 @@
         organisation: str,
         database: str,
         daemons: list[str],
-        roam: float,
-        resends: int,
+        roam_probability: float,
+        max_retries: int,
         rng: random.Random,
     ) -> None:
         self.user = user
@@ -109,8 +109,8 @@
         self._organisation = organisation
         self._daemons = daemons
         self._daemon = rng.choice(daemons)
-        self._roam = roam
-        self._resends = resends
+        self._roam_probability = roam_probability
+        self._max_retries = max_retries
         self._rng = rng
         self._token = ""
         self._last_body: dict[str, Any] = {}
@@ -123,9 +123,9 @@
         intended_at: float,
     ) -> list[Request]:
         """Carries out an operation and returns a record of every attempt."""
-        if self._rng.random() < self._roam:
+        if self._rng.random() < self._roam_probability:
             self._daemon = self._rng.choice(self._daemons)
-        template = Request(
+        prototype = Request(
             self.user.name,
             self.database,
             request_id,
@@ -136,59 +136,61 @@
             echo=request_id,
         )
         if operation.in_transaction:
-            records = self._run_transaction(connections, operation, template)
+            records = self._run_transaction(connections, operation, prototype)
         else:
-            records = self._run_plain(connections, operation, template)
+            records = self._run_statements(connections, operation, prototype)
         last = records[-1]
-        settles = "commit" if operation.in_transaction else "statements"
-        self.user.finished(operation, last.outcome == DONE and last.kind == settles)
+        final_kind = "commit" if operation.in_transaction else "statements"
+        self.user.record_result(
+            operation, last.outcome == DONE and last.kind == final_kind
+        )
         return records
 
     # --- requests
 
-    def _run_plain(
-        self, connections: Connections, operation: Operation, template: Request
+    def _run_statements(
+        self, connections: Connections, operation: Operation, prototype: Request
     ) -> list[Request]:
-        body = self._body(operation, template.request_id)
+        body = self._body(operation, prototype.request_id)
         body["statements"] = [{"sql": s, "params": p} for s, p in operation.statements]
         request = replace(
-            template, statements=len(operation.statements), rows=operation.rows
+            prototype, statements=len(operation.statements), rows=operation.rows
         )
         if operation.write and operation.key:
             request.wrote = {operation.key: operation.value}
         records = []
-        for attempt in range(self._resends + 1):
+        for attempt in range(self._max_retries + 1):
             records.append(self._send(connections, STATEMENTS_PATH, body, request))
-            if records[-1].outcome not in RESENT:
+            if records[-1].outcome not in RETRIED_OUTCOMES:
                 break
-            self._move_on()
-            if attempt < self._resends:
-                time.sleep(RESEND_PAUSE_S)
+            self._switch_daemon()
+            if attempt < self._max_retries:
+                time.sleep(RETRY_INTERVAL_SECONDS)
         if not operation.write and operation.key and records[-1].outcome == DONE:
-            records[-1].read = {operation.key: _second_value(records[-1].result)}
+            records[-1].read = {operation.key: _second_column(records[-1].result)}
         return records
 
     def _run_transaction(
-        self, connections: Connections, operation: Operation, template: Request
+        self, connections: Connections, operation: Operation, prototype: Request
     ) -> list[Request]:
-        """Begin, each statement and commit at one daemon; nothing is sent again."""
-        label = template.request_id
+        """Sends begin, each statement and commit to one daemon without retries."""
+        label = prototype.request_id
         body = self._body(operation, f"{label}-begin")
         begin = replace(
-            template, request_id=f"{label}-begin", kind="begin", write=False
+            prototype, request_id=f"{label}-begin", kind="begin", write=False
         )
         begin.transaction = label
         records = [self._send(connections, TRANSACTIONS_PATH, body, begin)]
         transaction = self._last_body.get("transaction", "")
         if records[-1].outcome != DONE or not transaction:
-            self._move_on()
+            self._switch_daemon()
             return records
         for number, (sql, params) in enumerate(operation.statements):
             body = self._body(operation, f"{label}-{number}")
             body["statements"] = [{"sql": sql, "params": params}]
             body["transaction"] = transaction
             part = replace(
-                template,
+                prototype,
                 request_id=f"{label}-{number}",
                 transaction=label,
                 statements=1,
@@ -201,26 +203,28 @@
             if records[-1].outcome != DONE:
                 return [
                     *records,
-                    self._end(
-                        connections, operation, template, transaction, "rollback"
+                    self._end_transaction(
+                        connections, operation, prototype, transaction, "rollback"
                     ),
                 ]
         records.append(
-            self._end(connections, operation, template, transaction, "commit")
+            self._end_transaction(
+                connections, operation, prototype, transaction, "commit"
+            )
         )
         return records
 
-    def _end(
+    def _end_transaction(
         self,
         connections: Connections,
         operation: Operation,
-        template: Request,
+        prototype: Request,
         transaction: str,
         kind: str,
     ) -> Request:
-        label = template.request_id
+        label = prototype.request_id
         body = self._body(operation, label)
-        record = replace(template, kind=kind, transaction=label)
+        record = replace(prototype, kind=kind, transaction=label)
         path = f"{TRANSACTIONS_PATH}/{transaction}/{kind}"
         return self._send(connections, path, body, record)
 
@@ -238,7 +242,7 @@
         connections: Connections,
         path: str,
         body: dict[str, Any],
-        template: Request,
+        prototype: Request,
     ) -> Request:
         body["session"] = self._token
         sent_at = time.time()
@@ -246,7 +250,7 @@
         self._last_body = answer.body
         self._token = answer.body.get("session") or self._token
         return replace(
-            template,
+            prototype,
             daemon=self._daemon,
             sent_at=sent_at,
             answered_at=time.time(),
@@ -258,12 +262,12 @@
             result=answer.body.get("result"),
         )
 
-    def _move_on(self) -> None:
+    def _switch_daemon(self) -> None:
         others = [daemon for daemon in self._daemons if daemon != self._daemon]
         if others:
             self._daemon = self._rng.choice(others)
 
 
-def _second_value(result: list[dict[str, Any]] | None) -> Any:
+def _second_column(result: list[dict[str, Any]] | None) -> Any:
     rows = result[-1].get("rows") if result else None
     return rows[0][1] if rows and len(rows[0]) > 1 else None
--- a/packages/standin/src/bronzemoor_standin/load.py
+++ b/packages/standin/src/bronzemoor_standin/load.py
@@ -1,4 +1,4 @@
-"""Open-loop load: arrivals are planned, latency counts from the planned time."""
+"""Generates open-loop load: latency is measured from the planned time of arrival."""
 
 import random
 import threading
@@ -18,32 +18,32 @@
 
 @dataclass(slots=True)
 class LoadSettings:
-    """What to send where; times in seconds, rates in operations per second."""
+    """Targets and volume; times in seconds, rates in operations per second."""
 
     # host:port of the HTTP interface of each daemon.
     daemons: list[str]
-    # Databases by mix (claims, stock).
+    # Databases by mix (claims or stock).
     databases: dict[str, list[str]]
-    # host:port of the members of each database, to read their tables at the end.
+    # host:port of the members of each database, to read its tables after the run.
     endpoints: dict[str, list[str]] = field(default_factory=dict)
-    # Organisation by mix, if it is not the mix's own.
+    # Organisation by mix, if it differs from the mix's default.
     organisations: dict[str, str] = field(default_factory=dict)
     rate: float = 200.0
     duration_s: float = 10.0
     workers: int = 64
-    # Sessions of each database; more are made when all of them are busy.
+    # Sessions of each database; more are created when all of them are busy.
     sessions: int = 50
-    # Probability that a session continues at another daemon.
+    # Probability that a session chooses a random daemon before an operation.
     roam: float = 0.2
     resends: int = 8
     timeout_s: float = 10.0
-    # Time that members get to catch up before the tables are read.
+    # Time for members to catch up before the tables are read.
     settle_s: float = 1.0
     seed: int = 1
 
 
 def parse_load_settings(data: Any) -> LoadSettings:
-    """Checks names of settings and mixes; raises ``InvalidSettings``."""
+    """Checks the names of settings and mixes; raises ``InvalidSettings``."""
     if not isinstance(data, dict):
         raise InvalidSettings("settings must be a mapping")
     known = {f.name for f in fields(LoadSettings)}
@@ -58,27 +58,27 @@
 
 
 class _Target:
-    """A database with its mix and idle sessions."""
+    """A database with its traffic mix and idle sessions."""
 
     def __init__(self, mix: Mix, database: str, settings: LoadSettings) -> None:
         self.mix = mix
         self.database = database
         self._settings = settings
-        self._shared: list[str] = []
+        self._shared_ids: list[str] = []
         self._idle: deque[Session] = deque()
-        self._made = 0
+        self._session_count = 0
         for _ in range(settings.sessions):
-            self._idle.append(self._make())
+            self._idle.append(self._create_session())
 
-    def _make(self) -> Session:
+    def _create_session(self) -> Session:
         settings = self._settings
-        self._made += 1
-        name = f"{self.database}-s{self._made}"
+        self._session_count += 1
+        name = f"{self.database}-s{self._session_count}"
         rng = random.Random(f"{settings.seed} {name}")
         mix = self.mix
         organisation = settings.organisations.get(mix.name, mix.organisation)
         return Session(
-            User(name, rng, self._shared),
+            User(name, rng, self._shared_ids),
             organisation,
             self.database,
             settings.daemons,
@@ -87,19 +87,19 @@
             rng,
         )
 
-    def take(self) -> Session:
-        """An idle session, or a new one: a busy caller must not delay arrivals."""
+    def acquire_session(self) -> Session:
+        """Returns an idle or a new session: busy sessions must not delay arrivals."""
         try:
             return self._idle.popleft()
         except IndexError:
-            return self._make()
+            return self._create_session()
 
-    def give_back(self, session: Session) -> None:
+    def release_session(self, session: Session) -> None:
         self._idle.append(session)
 
 
 class Load:
-    """One run; ``history`` grows while it runs."""
+    """A load run; ``history`` grows while it runs."""
 
     def __init__(self, settings: LoadSettings) -> None:
         self.settings = settings
@@ -114,13 +114,13 @@
         self._run_id = f"{int(time.time() * 1000):x}"
 
     def run(self) -> History:
-        """Seeds the databases, sends the planned load and returns the history."""
+        """Seeds the databases, sends the load and returns the history."""
         observer = Observer(self.settings.endpoints, self.settings.daemons, self.note)
         observer.start()
-        self._seed()
+        self._seed_databases()
         arrivals = self._arrivals(time.time())
         threads = [
-            threading.Thread(target=self._work, args=(arrivals,), daemon=True)
+            threading.Thread(target=self._run_worker, args=(arrivals,), daemon=True)
             for _ in range(self.settings.workers)
         ]
         for thread in threads:
@@ -135,16 +135,16 @@
         return self.history
 
     def note(self, event: Event) -> None:
-        """Adds an event, for example that a test stops a daemon gracefully."""
+        """Records an event, for example the graceful stop of a daemon by a test."""
         with self._lock:
             self.history.events.append(event)
 
     def stop(self) -> None:
-        """Plans no further arrivals."""
+        """Stops planning arrivals; planned ones are still sent."""
         self._stopping.set()
 
     def read_tables(self) -> Tables:
-        """Tables of the databases whose endpoints are known, after a pause."""
+        """Reads the tables of databases with known endpoints after ``settle_s``."""
         time.sleep(self.settings.settle_s)
         return {
             target.database: read_tables(target.database, addresses, target.mix.tables)
@@ -152,15 +152,17 @@
             if (addresses := self.settings.endpoints.get(target.database))
         }
 
-    def _seed(self) -> None:
+    def _seed_databases(self) -> None:
         connections = Connections(self.settings.timeout_s)
         for target in self._targets:
             request_id = f"{self._run_id}-seed-{target.database}"
             operation = target.mix.seed(request_id)
             if operation is not None:
-                session = target.take()
-                self._add(session.run(connections, operation, request_id, time.time()))
-                target.give_back(session)
+                session = target.acquire_session()
+                self._record(
+                    session.run(connections, operation, request_id, time.time())
+                )
+                target.release_session(session)
         connections.close()
 
     def _arrivals(self, start: float) -> Iterator[tuple[float, _Target, str]]:
@@ -173,7 +175,7 @@
             number += 1
             yield at, rng.choice(self._targets), f"{self._run_id}-{number}"
 
-    def _work(self, arrivals: Iterator[tuple[float, _Target, str]]) -> None:
+    def _run_worker(self, arrivals: Iterator[tuple[float, _Target, str]]) -> None:
         connections = Connections(self.settings.timeout_s)
         while True:
             with self._lock:
@@ -182,12 +184,12 @@
                 break
             intended_at, target, request_id = arrival
             time.sleep(max(0.0, intended_at - time.time()))
-            session = target.take()
-            operation = target.mix.choose(session.user, request_id)
-            self._add(session.run(connections, operation, request_id, intended_at))
-            target.give_back(session)
+            session = target.acquire_session()
+            operation = target.mix.choose_operation(session.user, request_id)
+            self._record(session.run(connections, operation, request_id, intended_at))
+            target.release_session(session)
         connections.close()
 
-    def _add(self, records: list[Request]) -> None:
+    def _record(self, records: list[Request]) -> None:
         with self._lock:
             self.history.requests += records
--- a/packages/standin/src/bronzemoor_standin/mixes.py
+++ b/packages/standin/src/bronzemoor_standin/mixes.py
@@ -1,4 +1,4 @@
-"""Traffic mixes of the two users: a claims office and a textile wholesaler.
+"""Traffic mixes of a claims office and a textile wholesaler.
 
 The request classes are those of the templates in examples/.
 """
@@ -15,17 +15,17 @@
 ARTICLES = 40
 WAREHOUSES = ("sfax", "sousse")
 _POSTING_CLASSES = {"pick": "pick-confirmation", "count": "count-correction"}
-# Ids of other sessions' claims and orders that partners poll.
-SHARED_IDS = 500
+# Number of claims or orders whose ids all sessions of a database share.
+MAX_SHARED_IDS = 500
 
 
 @dataclass(slots=True)
 class Operation:
-    """One thing that a user does; ``statements`` run as a unit.
+    """A request or transaction of a user; ``statements`` run as a unit.
 
     The first column of every row that a statement returns is the request id, so that
-    an answer to another request is recognised. ``key`` is the one that is written with
-    ``value``, or read from the second column of the last result.
+    an answer to another request is detected. A write sets ``key`` to ``value``; a read
+    returns the value of ``key`` in the second column of the last result.
     """
 
     name: str
@@ -40,32 +40,32 @@
 
 
 class User:
-    """State of one session: what it has written and may go on with.
+    """State of one session: the claims or orders that it has written.
 
-    ``items`` maps the id of an own claim or order to its status. ``shared`` holds ids
-    that all sessions know.
+    ``items`` maps the id of an own claim or order to its status. ``shared_ids`` holds
+    ids that all sessions of the database read.
     """
 
-    def __init__(self, name: str, rng: random.Random, shared: list[str]) -> None:
+    def __init__(self, name: str, rng: random.Random, shared_ids: list[str]) -> None:
         self.name = name
         self.rng = rng
         self.items: dict[str, str] = {}
-        self.shared = shared
+        self.shared_ids = shared_ids
 
-    def pick(self, status: str) -> str | None:
-        """An own item with ``status``, or None."""
+    def choose_item(self, status: str) -> str | None:
+        """Returns a random own item with ``status``, or None."""
         found = [item for item, known in self.items.items() if known == status]
         return self.rng.choice(found) if found else None
 
-    def finished(self, operation: Operation, acknowledged: bool) -> None:
-        """Notes the new status; an item whose write is in doubt is not used again."""
+    def record_result(self, operation: Operation, acknowledged: bool) -> None:
+        """Stores the new status; an item whose write is in doubt is not used again."""
         item = operation.key.partition(":")[2]
         if not operation.write or not item:
             return
         if acknowledged:
             self.items[item] = operation.value
-            self.shared.append(item)
-            del self.shared[:-SHARED_IDS]
+            self.shared_ids.append(item)
+            del self.shared_ids[:-MAX_SHARED_IDS]
         else:
             self.items.pop(item, None)
 
@@ -75,7 +75,7 @@
 
 @dataclass(slots=True)
 class Mix:
-    """Operations with their weights, and what the checkers need to know."""
+    """Weighted operations, with the schema, tables and balances that they use."""
 
     name: str
     organisation: str
@@ -85,8 +85,8 @@
     seed: Callable[[str], Operation | None]
     balances: tuple[Balance, ...] = ()
 
-    def choose(self, user: User, request_id: str) -> Operation:
-        """Draws an operation that is possible for ``user`` now."""
+    def choose_operation(self, user: User, request_id: str) -> Operation:
+        """Chooses a random operation that is possible for ``user`` now."""
         builders = [builder for builder, _ in self.weights]
         weights = [weight for _, weight in self.weights]
         while True:
@@ -126,7 +126,7 @@
 
 
 def _airline_reply(user: User, request_id: str) -> Operation | None:
-    claim = user.pick("filed")
+    claim = user.choose_item("filed")
     if claim is None:
         return None
     values = {"claim_id": claim, "request_id": request_id, "text": "accepted"}
@@ -139,7 +139,7 @@
         "airline-reply",
         [
             (sql, list(values.values())),
-            (_SET_CLAIM, ["accepted", claim, request_id]),
+            (_SET_CLAIM_STATUS, ["accepted", claim, request_id]),
         ],
         write=True,
         in_transaction=True,
@@ -150,7 +150,7 @@
 
 
 def _payout(user: User, request_id: str) -> Operation | None:
-    claim = user.pick("accepted")
+    claim = user.choose_item("accepted")
     if claim is None:
         return None
     cents = user.rng.randrange(100, 60_000)
@@ -162,7 +162,10 @@
     return Operation(
         "payout",
         "payout",
-        [(sql, list(values.values())), (_SET_CLAIM, ["paid", claim, request_id])],
+        [
+            (sql, list(values.values())),
+            (_SET_CLAIM_STATUS, ["paid", claim, request_id]),
+        ],
         write=True,
         repeatable=False,
         rows=[Row("payouts", values)],
@@ -172,20 +175,22 @@
 
 
 def _poll_claim(user: User, request_id: str) -> Operation:
-    claim = user.rng.choice(user.shared) if user.shared else "c-none"
-    return Operation("poll_claim", "claim-status", [(_GET_CLAIM, [request_id, claim])])
+    claim = user.rng.choice(user.shared_ids) if user.shared_ids else "c-none"
+    return Operation(
+        "poll_claim", "claim-status", [(_GET_CLAIM_STATUS, [request_id, claim])]
+    )
 
 
 def _read_own_claim(user: User, request_id: str) -> Operation | None:
     if not user.items:
         return None
     claim = user.rng.choice(list(user.items))
-    statement = (_GET_CLAIM, [request_id, claim])
+    statement = (_GET_CLAIM_STATUS, [request_id, claim])
     return Operation("read_own_claim", "agent-read", [statement], key=f"claim:{claim}")
 
 
-_SET_CLAIM = "UPDATE claims SET status = ? WHERE claim_id = ? RETURNING ?"
-_GET_CLAIM = "SELECT ?, (SELECT status FROM claims WHERE claim_id = ?) AS status"
+_SET_CLAIM_STATUS = "UPDATE claims SET status = ? WHERE claim_id = ? RETURNING ?"
+_GET_CLAIM_STATUS = "SELECT ?, (SELECT status FROM claims WHERE claim_id = ?) AS status"
 
 
 # --- stock
@@ -215,7 +220,7 @@
 
 
 def _booking(user: User, request_id: str) -> Operation | None:
-    order = user.pick("placed")
+    order = user.choose_item("placed")
     if order is None:
         return None
     values = {"order_id": order, "carrier": "STM", "request_id": request_id}
@@ -298,22 +303,22 @@
 
 
 def _seed_stock(request_id: str) -> Operation:
-    """Articles and empty stock; a second run leaves them as they are."""
+    """Inserts articles and empty stock; existing rows are kept."""
     names = [f"a{number}" for number in range(ARTICLES)]
     articles = [v for name in names for v in (name, f"Toile {name}", 1250)]
-    stock = [v for name in names for place in WAREHOUSES for v in (name, place)]
+    stock = [v for name in names for warehouse in WAREHOUSES for v in (name, warehouse)]
     return Operation(
         "seed",
         "count-correction",
         [
-            (_insert("articles", "(?, ?, ?)", len(names)), articles),
-            (_insert("stock", "(?, ?, 0)", len(stock) // 2), stock),
+            (_insert_sql("articles", "(?, ?, ?)", len(names)), articles),
+            (_insert_sql("stock", "(?, ?, 0)", len(stock) // 2), stock),
         ],
         write=True,
     )
 
 
-def _insert(table: str, row: str, count: int) -> str:
+def _insert_sql(table: str, row: str, count: int) -> str:
     return f"INSERT OR IGNORE INTO {table} VALUES {', '.join([row] * count)}"
 
 
--- a/packages/standin/src/bronzemoor_standin/observer.py
+++ b/packages/standin/src/bronzemoor_standin/observer.py
@@ -1,4 +1,4 @@
-"""Watches endpoints and daemons during a load run, for the history checkers."""
+"""Observes endpoints and daemons during a load run, for the history checkers."""
 
 import http.client
 import json
@@ -13,32 +13,33 @@
 from bronzemoor_standin.gen.endpoint import ttypes
 from bronzemoor_standin.records import Event
 
-INTERVAL_S = 0.1
-TIMEOUT_S = 1.0
+POLL_INTERVAL_SECONDS = 0.1
+TIMEOUT_SECONDS = 1.0
 STATUS_PATH = "/v1/admin/status"
 PRIMARY = "primary"
 
 
 class Observer:
-    """Polls members and daemons on one thread each and notes what changes.
+    """Polls each member and daemon on a thread of its own and records changes.
 
-    Members show who leads which term and who is leaving, daemons the versions in
-    effect. ``note`` takes events; a target that does not answer gives none.
+    Members report the primary of a term and whether they are leaving, daemons the
+    versions in effect. ``record_event`` receives the events; unreachable targets give
+    none.
     """
 
     def __init__(
         self,
         endpoints: dict[str, list[str]],
         daemons: list[str],
-        note: Callable[[Event], None],
+        record_event: Callable[[Event], None],
     ) -> None:
-        self._note = note
+        self._record_event = record_event
         self._stopping = threading.Event()
-        self._terms: dict[str, int] = {}
+        self._highest_terms: dict[str, int] = {}
         self._lock = threading.Lock()
         self._threads = [
             threading.Thread(target=self._watch_member, args=pair, daemon=True)
-            for pair in _pairs(endpoints)
+            for pair in _member_addresses(endpoints)
         ] + [
             threading.Thread(target=self._watch_daemon, args=(daemon,), daemon=True)
             for daemon in daemons
@@ -51,59 +52,59 @@
     def stop(self) -> None:
         self._stopping.set()
         for thread in self._threads:
-            thread.join(2 * TIMEOUT_S)
+            thread.join(2 * TIMEOUT_SECONDS)
 
     def _watch_member(self, database: str, address: str) -> None:
         client: EndpointClient | None = None
         leaving = False
-        while not self._stopping.wait(INTERVAL_S):
+        while not self._stopping.wait(POLL_INTERVAL_SECONDS):
             try:
-                client = client or EndpointClient(address, TIMEOUT_S * 1000)
+                client = client or EndpointClient(address, TIMEOUT_SECONDS * 1000)
                 reply = client.ping(ttypes.Query(correlation_id=0))
             except (OSError, EOFError, TException):
                 client = None
                 continue
             if reply.role == PRIMARY:
-                self._note_primary(database, reply)
+                self._record_primary(database, reply)
             if reply.leaving != leaving:
                 leaving = reply.leaving
                 kind = "leaving" if leaving else "returned"
-                self._note(Event(kind, time.time(), reply.member, database))
+                self._record_event(Event(kind, time.time(), reply.member, database))
         if client is not None:
             client.close()
 
-    def _note_primary(self, database: str, reply: ttypes.Reply) -> None:
-        """Notes a primary of a newer term; older ones may not know of it yet."""
+    def _record_primary(self, database: str, reply: ttypes.Reply) -> None:
+        """Records a primary of a newer term; older ones may not know of it yet."""
         with self._lock:
-            if reply.term <= self._terms.get(database, 0):
+            if reply.term <= self._highest_terms.get(database, 0):
                 return
-            self._terms[database] = reply.term
+            self._highest_terms[database] = reply.term
         event = Event("promoted", time.time(), reply.member, database, reply.term)
-        self._note(event)
+        self._record_event(event)
 
     def _watch_daemon(self, daemon: str) -> None:
-        while not self._stopping.wait(INTERVAL_S):
+        while not self._stopping.wait(POLL_INTERVAL_SECONDS):
             asked_at = time.time()
-            configuration = _configuration(daemon)
+            configuration = _read_configuration(daemon)
             stale = bool(configuration.get("stale"))
             for name, version in configuration.get("versions", {}).items():
                 if not name.startswith("@"):
                     event = Event("version_seen", asked_at, daemon)
                     event.organisation, event.version = name, version
                     event.stale = stale
-                    self._note(event)
+                    self._record_event(event)
 
 
-def _pairs(endpoints: dict[str, list[str]]) -> Iterator[tuple[str, str]]:
+def _member_addresses(endpoints: dict[str, list[str]]) -> Iterator[tuple[str, str]]:
     for database, addresses in endpoints.items():
         for address in addresses:
             yield database, address
 
 
-def _configuration(daemon: str) -> dict[str, Any]:
-    """The configuration section of a daemon's status, or an empty one."""
+def _read_configuration(daemon: str) -> dict[str, Any]:
+    """Returns the configuration section of a daemon's status, empty on failure."""
     host, port = daemon.rsplit(":", 1)
-    connection = http.client.HTTPConnection(host, int(port), timeout=TIMEOUT_S)
+    connection = http.client.HTTPConnection(host, int(port), timeout=TIMEOUT_SECONDS)
     try:
         connection.request("GET", STATUS_PATH)
         status = json.loads(connection.getresponse().read())
--- a/packages/standin/tests/test_load.py
+++ b/packages/standin/tests/test_load.py
@@ -1,4 +1,4 @@
-"""Tests of whole load runs against fake daemons."""
+"""Tests of complete load runs against fake daemons."""
 
 import json
 
@@ -13,21 +13,21 @@
 from bronzemoor_standin.settings import InvalidSettings
 
 LOST_CLASS = "pick-confirmation"
-MIXES = ["claims", "stock"]
+MIX_NAMES = ["claims", "stock"]
 
 
 @pytest.fixture
-def running():
-    started = []
+def start_group():
+    groups = []
 
     def start(schema):
         group = Group(schema, schema=schema, connections=100, slots=20)
         group.start()
-        started.append(group)
+        groups.append(group)
         return group
 
     yield start
-    for group in started:
+    for group in groups:
         group.stop()
 
 
@@ -40,10 +40,10 @@
     )
 
 
-@pytest.mark.parametrize("mix", MIXES)
-def test_lost_answers_leave_a_clean_history(running, daemons, mix):
-    """Guards against resends that the tool or the endpoint counts twice."""
-    group = running(mix)
+@pytest.mark.parametrize("mix", MIX_NAMES)
+def test_lost_answers_violate_no_guarantee(start_group, daemons, mix):
+    """Guards against retries that the load tool or the endpoint counts twice."""
+    group = start_group(mix)
     load = Load(settings(group, daemons(group, 2, lose_every=6)))
     history = load.run()
     tables = load.read_tables()
@@ -54,9 +54,9 @@
     assert any(tables[mix].values())
 
 
-def test_daemon_that_does_not_record_requests_is_found_out(running, daemons):
-    """Guards against a tool that cannot see a request that ran twice."""
-    group = running("stock")
+def test_daemon_that_does_not_record_requests_is_detected(start_group, daemons):
+    """Guards against a load tool that misses a request that ran twice."""
+    group = start_group("stock")
     load = Load(
         settings(group, daemons(group, 1, lose_class=LOST_CLASS, records=False))
     )
@@ -65,9 +65,9 @@
     assert "P6 at_most_once" in found
 
 
-def test_slow_daemon_counts_from_the_intended_time(running, daemons):
+def test_slow_answers_do_not_delay_the_intended_times(start_group, daemons):
     """Guards against coordinated omission: arrivals that wait for slow answers."""
-    group = running("claims")
+    group = start_group("claims")
     group.members["m2"].faults.statement_ms = 100
     fields = {"workers": 2, "rate": 100, "duration_s": 0.5}
     history = Load(settings(group, daemons(group, 1), **fields)).run()
@@ -75,9 +75,9 @@
     assert max(waited) > 0.5
 
 
-def test_unreachable_daemon_is_recorded_and_left(running, daemons):
+def test_unreachable_daemon_is_recorded_and_avoided(start_group, daemons):
     """Guards against a run that stops, or records nothing, when a daemon is down."""
-    group = running("claims")
+    group = start_group("claims")
     addresses = [*daemons(group, 1), "127.0.0.1:9"]
     history = Load(settings(group, addresses, roam=0.5, duration_s=0.5)).run()
     down = [r for r in history.requests if r.daemon == "127.0.0.1:9"]
@@ -85,9 +85,9 @@
     assert check(history, {}) == []
 
 
-def test_command_writes_every_report(running, daemons, tmp_path, capsys):
-    """Guards against a run whose results are incomplete or cannot be checked again."""
-    group = running("claims")
+def test_command_writes_every_report(start_group, daemons, tmp_path, capsys):
+    """Guards against results that are incomplete or cannot be checked again."""
+    group = start_group("claims")
     config = {
         "daemons": daemons(group, 1),
         "databases": {"claims": ["claims"]},
--- a/packages/standin/tests/test_mixes.py
+++ b/packages/standin/tests/test_mixes.py
@@ -11,15 +11,15 @@
 
 
 @pytest.mark.parametrize("mix", MIXES.values(), ids=MIXES)
-def test_every_operation_occurs_and_runs(mix):
-    """Guards against operations that never happen, fail, or cannot be told apart."""
+def test_every_operation_occurs_and_succeeds(mix):
+    """Guards against operations that never occur, fail, or return no request id."""
     database = sqlite3.connect(":memory:")
     for statement in load_schema(mix.schema):
         database.execute(statement.text)
     user, seen = User("s", random.Random(1), []), set()
     seed = mix.seed("seed")
     for number in range(-1, 400):
-        operation = mix.choose(user, f"r{number}") if number >= 0 else seed
+        operation = mix.choose_operation(user, f"r{number}") if number >= 0 else seed
         if operation is None:
             continue
         request_id = f"r{number}"
@@ -31,18 +31,18 @@
             where = " AND ".join(f"{column} = ?" for column in row.values)
             sql = f"SELECT count(*) FROM {row.table} WHERE {where}"
             assert database.execute(sql, list(row.values.values())).fetchone() == (1,)
-        user.finished(operation, acknowledged=True)
+        user.record_result(operation, acknowledged=True)
         seen.add(operation.name)
     assert len(seen - {"seed"}) == len(mix.weights)
     for table in mix.tables:
         assert database.execute(f"SELECT count(*) FROM {table}").fetchone() > (0,)
 
 
-def test_item_in_doubt_is_not_used_again():
-    """Guards against histories in which nobody knows what a read should see."""
+def test_item_with_a_write_in_doubt_is_not_used_again():
+    """Guards against histories in which the expected value of a read is unknown."""
     mix, user = MIXES["claims"], User("s", random.Random(1), [])
     operation = mix.weights[2][0](user, "r1")
-    user.finished(operation, acknowledged=True)
-    assert user.pick("filed") == "c-r1"
-    user.finished(operation, acknowledged=False)
-    assert (user.pick("filed"), user.items) == (None, {})
+    user.record_result(operation, acknowledged=True)
+    assert user.choose_item("filed") == "c-r1"
+    user.record_result(operation, acknowledged=False)
+    assert (user.choose_item("filed"), user.items) == (None, {})
--- a/packages/standin/tests/test_observer.py
+++ b/packages/standin/tests/test_observer.py
@@ -1,11 +1,11 @@
-"""Tests of the observation of members during a run."""
+"""Tests of the observer of members during a load run."""
 
 from bronzemoor_standin.group import Group
 from bronzemoor_standin.observer import Observer
 
 
-def test_changes_of_members_are_noted_once(call, eventually):
-    """Guards against checkers that get no events, or one of a primary twice."""
+def test_each_change_of_a_member_is_recorded_once(call, eventually):
+    """Guards against missing events and a promotion that is recorded twice."""
     with Group(data_centres=["dc1"], database="claims") as group:
         member = group.members["m1"]
         events = []
