Use timeout, deadline and min_position in the member's ledger

Parameters were named wait, wanted and until, unlike the protocol and the callers. Messages on the wire are unchanged.

--- a/packages/standin/src/bronzemoor_standin/ledger.py
+++ b/packages/standin/src/bronzemoor_standin/ledger.py
@@ -1,4 +1,4 @@
-"""The log and the data of one member: reads, writes, orders and replication."""
+"""The log and data of one member: reads, writes, orders and replication."""
 
 import sqlite3
 import threading
@@ -42,14 +42,14 @@
 
 @dataclass(slots=True, eq=False)
 class _Waiter:
-    """A call that waits for a majority; ``changed`` shares the ledger's lock."""
+    """A call that waits for a majority; ``changed`` uses the ledger's lock."""
 
     condition: Callable[[], bool]
     changed: threading.Condition
 
 
 class Ledger:
-    """Log, committed data and, on a primary, the writer of one member.
+    """The log, the committed data and, on a primary, the writer of one member.
 
     Lock order: a writer's lock, ``applier.busy``, ``committed.lock``, ``lock``.
     """
@@ -70,7 +70,7 @@
         self.committed = Database(retention)
         self.schema: list[Sql] = []
         self.heard_at = float("-inf")
-        # Send time that a replication round must have to answer a waiting lookup.
+        # Earliest send time of a replication round that can answer a waiting lookup.
         self.round_wanted_at = float("-inf")
         self._journal = journal
         if journal is not None:
@@ -87,16 +87,16 @@
     # --- reads
 
     def read(
-        self, statements: list[Sql], wanted: Position, wait: float
+        self, statements: list[Sql], min_position: Position, timeout: float
     ) -> tuple[list[dict[str, Any]], Position]:
-        """Runs reads at or after ``wanted``; waits at most ``wait`` seconds for it."""
+        """Runs reads at or after ``min_position``; waits up to ``timeout`` seconds."""
         database = self.committed
         with database.lock:
-            self.require(wanted, wait)
+            self.require(min_position, timeout)
             return database.run(statements), database.applied
 
-    def require(self, wanted: Position, wait: float) -> None:
-        """Raises ``Refused`` unless ``wanted`` is reached within ``wait`` seconds."""
+    def require(self, min_position: Position, timeout: float) -> None:
+        """Raises ``Refused`` unless the position is reached in ``timeout`` seconds."""
         state, database = self.state, self.committed
         refusal = state.refusal_of_read()
         if refusal is not None:
@@ -104,14 +104,14 @@
 
         def reached() -> bool:
             return not self.applier.rebuilding and covers(
-                state.log.history, database.applied, wanted
+                state.log.history, database.applied, min_position
             )
 
         with database.lock:
-            if not reached() and not database.wait_for(reached, wait):
+            if not reached() and not database.wait_for(reached, timeout):
                 if self.applier.rebuilding:
                     raise Refused("behind", "discarded entries are being undone")
-                raise Refused("behind", f"at {database.applied}, wanted {wanted}")
+                raise Refused("behind", f"at {database.applied}, wanted {min_position}")
 
     def find(self, request_id: str) -> RequestRecord | None:
         """The committed record of ``request_id``; raises ``Refused`` on a replica."""
@@ -122,7 +122,7 @@
     # --- writes
 
     def open_write(self, timeout: float) -> Write:
-        """Waits for the writer's lock; raises ``Refused`` when not primary or late."""
+        """Acquires the writer's lock; raises ``Refused`` on timeout or as a replica."""
         with self.lock:
             writer = self._require_writer()
         if not writer.lock.acquire(timeout=max(timeout, 0)):
@@ -135,7 +135,7 @@
         return Write(self, writer)
 
     def next_step(self, writing: list[Sql], record: RequestRecord | None) -> Step:
-        """The place of the next transaction; call with the writer's lock held."""
+        """Returns the next log step; the caller holds the writer's lock."""
         offset = self.state.log.last[1] + 1
         return Step(Transaction(writing, record), self.state.term, offset)
 
@@ -168,17 +168,17 @@
         return self._writer
 
     def position_now(self, offset: int) -> Position:
-        """Position of an entry of any term as seen from the primary's term.
+        """Returns the position of an entry of any term in the primary's current term.
 
-        Daemons take an answer with an older term than the primary's for one of a
-        replaced primary, so an old record is reported as part of the new term's log.
+        Daemons treat an answer with an older term as one of a replaced primary, so an
+        older record is reported as part of the current term's log.
         """
         return (self.state.term, offset)
 
     # --- the majority
 
-    def confirm(self, position: Position, wait: float) -> None:
-        """Waits until a majority holds ``position``; raises ``Refused`` otherwise."""
+    def confirm(self, position: Position, timeout: float) -> None:
+        """Waits until a majority holds ``position``; raises ``Refused`` on timeout."""
 
         def held() -> bool:
             return self.state.majority_offset >= max(position[1], 1)
@@ -188,9 +188,9 @@
             log = self.state.log
             if not covers(log.history, (self.state.term, log.last[1]), position):
                 raise Refused("position_discarded", f"{position} is not in the log")
-        self._wait_for_majority(held, wait)
+        self._wait_for_majority(held, timeout)
 
-    def confirm_term(self, wait: float) -> None:
+    def confirm_term(self, timeout: float) -> None:
         """Waits until a majority accepts this primary in a round sent from now on."""
         since = time.monotonic()
 
@@ -201,10 +201,10 @@
         with self.lock:
             self.round_wanted_at = since
             self.log_changed.notify_all()
-        self._wait_for_majority(confirmed, wait)
+        self._wait_for_majority(confirmed, timeout)
 
-    def _wait_for_majority(self, condition: Callable[[], bool], wait: float) -> None:
-        until = time.monotonic() + wait
+    def _wait_for_majority(self, condition: Callable[[], bool], timeout: float) -> None:
+        deadline = time.monotonic() + timeout
         waiter = _Waiter(condition, threading.Condition(self.lock))
         with self.lock:
             self._waiters.add(waiter)
@@ -213,23 +213,23 @@
                     self._require_writer()
                     if condition():
                         return
-                    left = until - time.monotonic()
-                    if left <= 0:
+                    remaining = deadline - time.monotonic()
+                    if remaining <= 0:
                         raise Refused("not_confirmed", "no majority answered in time")
-                    waiter.changed.wait(left)
+                    waiter.changed.wait(remaining)
             finally:
                 self._waiters.discard(waiter)
 
-    def _wake_waiters(self, everyone: bool = False) -> None:
-        """Wakes only those whose condition holds: an acknowledgement serves few."""
+    def _wake_waiters(self, wake_all: bool = False) -> None:
+        """Wakes only calls whose condition holds: an acknowledgement satisfies few."""
         for waiter in self._waiters:
-            if everyone or waiter.condition():
+            if wake_all or waiter.condition():
                 waiter.changed.notify()
 
     def acknowledge(
         self, peer: str, batch: Batch, answer: BatchAnswer, sent_at: float
     ) -> None:
-        """Passes a replica's answer to the rules and wakes those who wait for it."""
+        """Processes a replica's answer and wakes the calls that it satisfies."""
         with self.lock:
             role = self.state.role
             self.state.acknowledge(peer, batch, answer, sent_at)
@@ -250,7 +250,7 @@
     def promote(
         self, term: int, start_offset: int, members: tuple[str, ...]
     ) -> Refusal | None:
-        """Applies what the log holds and starts the writer of the new term."""
+        """Applies the rest of the log and starts the writer of the new term."""
         body = Transaction(self.schema if start_offset == 0 else []).encode()
         with self.applier.busy, self.committed.lock, self.lock:
             refusal = self.state.promote(term, start_offset, members, body)
@@ -286,12 +286,12 @@
         if self.state.role != PRIMARY:
             self._writer = None
         self.log_changed.notify_all()
-        self._wake_waiters(everyone=True)
+        self._wake_waiters(wake_all=True)
 
     # --- replication
 
     def replicate(self, batch: Batch) -> BatchAnswer:
-        """Stores a batch; the applier applies it after the replica's lag."""
+        """Stores a batch, which the applier applies after the replica's lag."""
         if self.faults.disk_full:
             batch = replace(batch, entries=[])
         with self.lock:
--- a/packages/standin/tests/test_ledger.py
+++ b/packages/standin/tests/test_ledger.py
@@ -1,4 +1,4 @@
-"""Tests of failover, confirmation and rebuilding over the protocol."""
+"""Tests of failover, confirmation and rebuilding through the endpoint protocol."""
 
 import threading
 
@@ -35,7 +35,7 @@
 
 
 def test_confirmed_write_reaches_the_replicas(group, caller, call, eventually):
-    """Guards against a confirm that succeeds without the replicas holding the write."""
+    """Guards against a confirmation of a write that no majority holds."""
     written = insert(caller, 1, "é")
     assert caller.confirm(written).status == Status.OK
     held = [m.ledger.state.log.last for m in group.members.values()]
@@ -46,7 +46,7 @@
     assert (refused.status, refused.code) == (Status.REFUSED, "not_primary")
 
 
-def test_old_primary_discards_what_only_it_held(group, caller, call, eventually):
+def test_old_primary_discards_unreplicated_writes(group, caller, call, eventually):
     """Guards against an unacknowledged write surviving on a returned old primary."""
     old = group.members["m1"]
     old.faults.cut_peers = True
@@ -60,8 +60,8 @@
     assert caller.rows("SELECT id, text FROM notes") == [[2, "kept"]]
 
 
-def test_old_records_are_reported_in_the_new_term(group, caller, call):
-    """Guards against a daemon that takes a recorded result for a replaced primary's."""
+def test_old_request_records_are_reported_in_the_new_term(group, caller, call):
+    """Guards against recorded results that daemons attribute to a replaced primary."""
     sql = "INSERT INTO notes VALUES (1, 'a')"
     written = caller.execute(sql, request_id="r", recorded=True)
     assert caller.confirm(written).status == Status.OK
@@ -93,14 +93,14 @@
     assert caller.lookup("r").code == "stale_term"
 
 
-def test_isolated_primary_cannot_say_that_a_request_is_unknown(group, caller):
+def test_isolated_primary_does_not_report_a_request_as_unknown(group, caller):
     """Guards against "not run" from a primary that missed the request's execution."""
     assert caller.lookup("r").code == "unknown_request"
     group.members["m1"].faults.cut_peers = True
     assert caller.lookup("r", wait_ms=50).code == "not_confirmed"
 
 
-def test_fenced_primary_undoes_what_is_open(group, caller, call):
+def test_fenced_primary_rolls_back_open_transactions(group, caller, call):
     """Guards against a transaction that commits on a fenced primary."""
     caller.transaction("begin", "t1")
     statement = "INSERT INTO notes VALUES (1, 'open')"
@@ -111,8 +111,8 @@
     assert caller.rows("SELECT * FROM notes") == []
 
 
-def test_lagging_replica_holds_what_it_has_not_applied(group, caller, call):
-    """Guards against a promotion that skips entries held but not applied."""
+def test_promotion_applies_the_entries_of_a_lagging_replica(group, caller, call):
+    """Guards against a promotion that skips entries in the log that are not applied."""
     for name in ("m2", "m3"):
         group.members[name].faults.lag_ms = 60_000
     written = insert(caller, 1, "a")
@@ -124,8 +124,8 @@
     assert new.rows("SELECT text FROM notes") == [["a"]]
 
 
-def test_replica_far_behind_catches_up_and_rebuilds(group, caller, call, eventually):
-    """Guards against a member that stays behind after a long absence."""
+def test_long_partitioned_member_rebuilds(group, caller, call, eventually):
+    """Guards against a member that does not catch up after a long partition."""
     old = group.members["m1"]
     old.faults.cut_peers = True
     for number in range(300):
@@ -140,7 +140,7 @@
     assert caller.rows("SELECT count(*) FROM notes") == [[1500]]
 
 
-def test_concurrent_writes_count_once_on_every_member(group, caller, call, eventually):
+def test_concurrent_writes_are_applied_once(group, caller, call, eventually):
     """Guards against writes lost or applied twice between concurrent connections."""
 
     def work(number):
