--- a/packages/standin/tests/test_settings.py
+++ b/packages/standin/tests/test_settings.py
@@ -17,7 +17,7 @@
 
 
 def test_integers_are_accepted_for_times():
-    """Guards against refusing ``lag_ms: 5``."""
+    """Guards against refusing an integer such as ``lag_ms: 5``."""
     assert parse_settings({"database": "a", "member": "m", "lag_ms": 5}).lag_ms == 5
 
 
@@ -36,6 +36,6 @@
 
 
 def test_statements_with_semicolons_inside_are_not_split():
-    """Guards against half of a trigger or a literal being run."""
+    """Guards against running part of a trigger or of a literal as a statement."""
     text = "CREATE TABLE t (a TEXT DEFAULT ';');\nSELECT 1;\n"
     assert split_statements(text) == text.splitlines()
