Reword the command line client and its tests

Method names such as finish and confirmed did not say what they do, and durations were named _S. Names, help texts, hints, docstrings and test names now use the usual terms; error codes, exit codes, commands, options and checks are unchanged.

--- a/packages/client/src/bronzemoor_client/__init__.py
+++ b/packages/client/src/bronzemoor_client/__init__.py
@@ -1,1 +1,1 @@
-"""Command line for operators of Bronzemoor."""
+"""Command line client for operators of Bronzemoor."""
--- a/packages/client/src/bronzemoor_client/changes.py
+++ b/packages/client/src/bronzemoor_client/changes.py
@@ -7,26 +7,26 @@
 from cleo.helpers import argument, option
 
 from bronzemoor_client import exitcodes
-from bronzemoor_client.base import CHANGE_ID, YES, AdminCommand, register
+from bronzemoor_client.base import CHANGE_ID_OPTION, YES_OPTION, AdminCommand, register
 
-DATABASE = argument("database", "Name of the database")
-PROGRESS_INTERVAL_S = 0.5
-PROGRESS_LIMIT = 240
+DATABASE_ARGUMENT = argument("database", "Name of the database")
+PROGRESS_INTERVAL_SECONDS = 0.5
+MAX_PROGRESS_POLLS = 240
 
 
 class ChangeCommand(AdminCommand):
     """A command that asks for confirmation and carries a change id."""
 
-    options: ClassVar[list[Any]] = [CHANGE_ID, YES]
+    options: ClassVar[list[Any]] = [CHANGE_ID_OPTION, YES_OPTION]
 
     def run_change(self, question: str, command: str, **arguments: Any) -> int:
-        """Confirms, sends the change and prints its answer."""
-        if not self.confirmed(question):
+        """Sends the change if confirmed and prints its answer."""
+        if not self.ask_confirmation(question):
             return exitcodes.REFUSED
         change_id = str(self.option("change-id") or uuid4())
         self.line_error(f"change id: {change_id}")
-        answer = self.change(command, change_id=change_id, **arguments)
-        return self.finish(answer, self.show)
+        answer = self.send_change(command, change_id=change_id, **arguments)
+        return self.print_answer(answer, self.show)
 
     def show(self, answer: dict[str, Any]) -> None:
         for key, value in sorted(answer.items()):
@@ -35,7 +35,7 @@
 
 
 def show_plan(command: AdminCommand, database: str) -> int:
-    """Asks for the plan of a handover and prints it."""
+    """Queries the plan of a handover and prints it."""
 
     def show(answer: dict[str, Any]) -> None:
         safe = "yes" if answer.get("safe_now") else "no"
@@ -52,7 +52,9 @@
         ]
         command.print_table(columns, rows)
 
-    return command.finish(command.query("failover.plan", database=database), show)
+    return command.print_answer(
+        command.send_query("failover.plan", database=database), show
+    )
 
 
 @register
@@ -60,20 +62,22 @@
     name = "promote"
     description = "Hands a database over to another primary."
     arguments: ClassVar[list[Any]] = [
-        DATABASE,
-        argument("member", "Member to promote; by default the best one", optional=True),
+        DATABASE_ARGUMENT,
+        argument(
+            "member", "Member to promote; defaults to the best replica", optional=True
+        ),
     ]
     options: ClassVar[list[Any]] = [
-        option("dry-run", None, "Only tell what would be done"),
-        CHANGE_ID,
-        YES,
+        option("dry-run", None, "Print the plan without changing anything"),
+        CHANGE_ID_OPTION,
+        YES_OPTION,
     ]
 
     def execute_command(self) -> int:
         database, member = self.argument("database"), self.argument("member")
         if self.option("dry-run"):
-            return self.finish(
-                self.query("failover.plan", database=database), self.show
+            return self.print_answer(
+                self.send_query("failover.plan", database=database), self.show
             )
         question = f"Hand {database} over to {member or 'the best replica'}?"
         return self.run_change(
@@ -84,8 +88,8 @@
 @register
 class FailoverPlanCommand(ChangeCommand):
     name = "failover plan"
-    description = "Tells which member would be promoted and whether it is safe now."
-    arguments: ClassVar[list[Any]] = [DATABASE]
+    description = "Shows which member would be promoted and whether it is safe now."
+    arguments: ClassVar[list[Any]] = [DATABASE_ARGUMENT]
     options: ClassVar[list[Any]] = []
 
     def execute_command(self) -> int:
@@ -95,14 +99,19 @@
 @register
 class FailoverRunCommand(PromoteCommand):
     name = "failover run"
-    description = "Hands a database over to another primary, as promote does."
+    description = "Hands a database over to another primary; same as promote."
 
 
 @register
 class DrainEndpointCommand(ChangeCommand):
     name = "drain endpoint"
-    description = "Gives an endpoint no new work; hands a primary over first."
-    arguments: ClassVar[list[Any]] = [DATABASE, argument("member", "Member to drain")]
+    description = (
+        "Stops sending new work to an endpoint; a primary is handed over first."
+    )
+    arguments: ClassVar[list[Any]] = [
+        DATABASE_ARGUMENT,
+        argument("member", "Member to drain"),
+    ]
 
     def execute_command(self) -> int:
         database, member = self.argument("database"), self.argument("member")
@@ -117,41 +126,45 @@
 @register
 class DrainDaemonCommand(ChangeCommand):
     name = "drain daemon"
-    description = "Stops the daemon that answers gracefully and shows its progress."
-    options: ClassVar[list[Any]] = [YES]
+    description = (
+        "Gracefully stops the first daemon that answers and shows its progress."
+    )
+    options: ClassVar[list[Any]] = [YES_OPTION]
 
     def execute_command(self) -> int:
         connection = self.connection()
         daemon = connection.daemons[0]
-        if not self.confirmed(f"Stop the daemon at {daemon}?"):
+        if not self.ask_confirmation(f"Stop the daemon at {daemon}?"):
             return exitcodes.REFUSED
         answer = connection.send("drain.daemon", {}, repeatable=False)
         if answer.get("code") != "ok" or self.option("json"):
-            return self.finish(answer, self.show)
+            return self.print_answer(answer, self.show)
         return self.follow_progress()
 
     def follow_progress(self) -> int:
-        """Prints the stage of the stop until the daemon no longer answers."""
-        for _ in range(PROGRESS_LIMIT):
+        """Prints the drain stage until the daemon no longer answers."""
+        for _ in range(MAX_PROGRESS_POLLS):
             try:
-                drain = self.query("status").get("drain", {})
+                drain = self.send_query("status").get("drain", {})
             except Exception:
                 self.line("stopped")
                 return exitcodes.OK
             self.line(
                 f"stage={drain.get('stage')} in_progress={drain.get('in_progress')}"
             )
-            sleep(PROGRESS_INTERVAL_S)
-        return self.fail("unknown", "the daemon is still running", exitcodes.UNKNOWN)
+            sleep(PROGRESS_INTERVAL_SECONDS)
+        return self.print_error(
+            "unknown", "the daemon is still running", exitcodes.UNKNOWN
+        )
 
 
 @register
 class ControlMembersCommand(AdminCommand):
     name = "control members"
-    description = "Lists the control group and how many losses it can tolerate."
+    description = "Lists the control group and how many member losses it tolerates."
 
     def execute_command(self) -> int:
-        return self.finish(self.query("control.members"), self.show)
+        return self.print_answer(self.send_query("control.members"), self.show)
 
     def show(self, answer: dict[str, Any]) -> None:
         rows = [
@@ -170,7 +183,7 @@
 @register
 class ControlAddCommand(ChangeCommand):
     name = "control add"
-    description = "Adds a member; it votes once it has caught up."
+    description = "Adds a member to the control group; it votes once it has caught up."
     arguments: ClassVar[list[Any]] = [argument("name", "Name of the daemon")]
 
     def execute_command(self) -> int:
@@ -183,7 +196,7 @@
 @register
 class ControlRemoveCommand(ChangeCommand):
     name = "control remove"
-    description = "Removes a member of the control group."
+    description = "Removes a member from the control group."
     arguments: ClassVar[list[Any]] = [argument("name", "Name of the daemon")]
 
     def execute_command(self) -> int:
@@ -196,7 +209,7 @@
 @register
 class ControlReplaceCommand(ChangeCommand):
     name = "control replace"
-    description = "Removes a lost member; another one votes once it has caught up."
+    description = "Replaces a lost member; the new one votes once it has caught up."
     arguments: ClassVar[list[Any]] = [
         argument("lost", "Name of the lost member"),
         argument("replacement", "Name of the new member"),
@@ -215,7 +228,7 @@
 @register
 class KeysRotateCommand(ChangeCommand):
     name = "keys rotate"
-    description = "Signs new session tokens with a new key; live tokens stay valid."
+    description = "Signs new session tokens with a new key; current tokens stay valid."
 
     def execute_command(self) -> int:
         return self.run_change("Rotate the session token keys?", "keys.rotate")
--- a/packages/client/src/bronzemoor_client/command.py
+++ b/packages/client/src/bronzemoor_client/command.py
@@ -11,7 +11,7 @@
 
 
 def make_application() -> Application:
-    """Makes the application with every registered command."""
+    """Returns the application with all registered commands."""
     for module in COMMAND_MODULES:
         import_module(f"bronzemoor_client.{module}")
     application = Application("bronzemoorctl", VERSION)
@@ -21,5 +21,5 @@
 
 
 def main() -> None:
-    """Runs the command line; exits with a code of ``exitcodes``."""
+    """Runs the command line and exits with a code from ``exitcodes``."""
     make_application().run()
--- a/packages/client/src/bronzemoor_client/connection.py
+++ b/packages/client/src/bronzemoor_client/connection.py
@@ -1,4 +1,4 @@
-"""HTTP connection to the administration interface of one of several daemons."""
+"""HTTP client of the administration interface, with several daemons to try."""
 
 from typing import Any
 from urllib.parse import urlsplit
@@ -8,21 +8,21 @@
 
 from bronzemoor_core.exceptions import BronzemoorError
 
-CONNECT_TIMEOUT_S = 2.0
-ANSWER_TIMEOUT_S = 15.0
+CONNECT_TIMEOUT_SECONDS = 2.0
+ANSWER_TIMEOUT_SECONDS = 15.0
 
-# Errors after which another daemon may still answer; nothing was changed.
-RETRY_ELSEWHERE = frozenset({"no_leader", "not_leader"})
+# Errors that guarantee that nothing was changed; another daemon may still answer.
+RETRYABLE_CODES = frozenset({"no_leader", "not_leader"})
 
 
 class DaemonUnreachable(BronzemoorError):
-    """None of the given daemons answered."""
+    """None of the given daemons could be reached."""
 
     code = "unreachable"
 
 
 class AnswerLost(BronzemoorError):
-    """A daemon took the command but its answer was lost; the change may be applied."""
+    """The answer was lost after the request was sent; the change may be applied."""
 
     code = "unknown"
 
@@ -33,7 +33,7 @@
     def __init__(self, daemons: list[str], token: str = "", ca: str = "") -> None:
         self._daemons = [with_scheme(daemon) for daemon in daemons]
         self._session = Session()
-        # Environment proxies must not see the operators' credentials.
+        # Proxies from the environment must not receive operator credentials.
         self._session.trust_env = False
         if token:
             self._session.headers["Authorization"] = f"Bearer {token}"
@@ -49,8 +49,8 @@
     ) -> dict[str, Any]:
         """Sends one command and returns the decoded answer, which has a ``code``.
 
-        A command that is not ``repeatable`` is sent on to the next daemon only if the
-        previous one certainly did not take it.
+        A command that is not ``repeatable`` is tried at the next daemon only if the
+        previous one certainly did not receive or execute it.
         """
         failures = []
         answer: dict[str, Any] = {}
@@ -60,13 +60,13 @@
             except RequestException as error:
                 if not repeatable and not is_connect_failure(error):
                     raise AnswerLost(
-                        f"the answer to {command} was lost: {describe(error)}",
+                        f"the answer to {command} was lost: {describe_error(error)}",
                         step="admin",
                         peer=daemon,
                     ) from error
-                failures.append(f"{daemon}: {describe(error)}")
+                failures.append(f"{daemon}: {describe_error(error)}")
                 continue
-            if answer.get("code") not in RETRY_ELSEWHERE:
+            if answer.get("code") not in RETRYABLE_CODES:
                 return answer
             failures.append(f"{daemon}: {answer.get('code')}")
         if answer:
@@ -79,7 +79,7 @@
         response = self._session.post(
             f"{daemon}/v1/admin/{command}",
             json=arguments,
-            timeout=(CONNECT_TIMEOUT_S, ANSWER_TIMEOUT_S),
+            timeout=(CONNECT_TIMEOUT_SECONDS, ANSWER_TIMEOUT_SECONDS),
         )
         body = response.json()
         if not isinstance(body, dict):
@@ -88,8 +88,7 @@
 
 
 def is_connect_failure(error: RequestException) -> bool:
-    """Tells whether the connection was never established, so that nothing was sent."""
-
+    """Returns whether the connection was never established, so nothing was sent."""
     if isinstance(error, ConnectTimeout):
         return True
     cause = error.args[0] if error.args else None
@@ -98,13 +97,13 @@
     )
 
 
-def describe(error: RequestException) -> str:
-    """A short reason in place of the library's nested message."""
+def describe_error(error: RequestException) -> str:
+    """Returns a short reason instead of the nested message of ``requests``."""
     return "connection refused" if is_connect_failure(error) else type(error).__name__
 
 
 def with_scheme(daemon: str) -> str:
-    """Completes ``host:port`` to a URL."""
+    """Returns the daemon's URL; ``host:port`` without a scheme gets ``http://``."""
     url = daemon if "://" in daemon else f"http://{daemon}"
     parts = urlsplit(url)
     if not parts.hostname:
--- a/packages/client/src/bronzemoor_client/exitcodes.py
+++ b/packages/client/src/bronzemoor_client/exitcodes.py
@@ -8,7 +8,7 @@
 UNKNOWN = 5
 UNHEALTHY = 6
 
-# Exit code by error code of the administration interface; others are REFUSED.
+# Exit codes by error code of the administration interface; all others are REFUSED.
 BY_ERROR_CODE = {
     "ok": OK,
     "version_conflict": CONFLICT,
@@ -19,5 +19,5 @@
 
 
 def exit_code(error_code: str) -> int:
-    """Exit code for an error code of the administration interface."""
+    """Returns the exit code for an error code of the administration interface."""
     return BY_ERROR_CODE.get(error_code, REFUSED)
--- a/packages/client/src/bronzemoor_client/status.py
+++ b/packages/client/src/bronzemoor_client/status.py
@@ -1,4 +1,4 @@
-"""Commands that show the state of the system: status, watch, explain, database list."""
+"""Commands that show the system's state: status, watch, explain, database list."""
 
 from time import sleep
 from typing import Any, ClassVar
@@ -8,17 +8,17 @@
 from bronzemoor_client import exitcodes
 from bronzemoor_client.base import AdminCommand, register
 
-WATCH_INTERVAL_S = 2.0
+WATCH_INTERVAL_SECONDS = 2.0
 
 
 @register
 class StatusCommand(AdminCommand):
     name = "status"
-    description = "Tells whether everything is all right and, if not, what to do."
+    description = "Shows the health of the system and the next step for each problem."
 
     def execute_command(self) -> int:
-        answer = self.query("status")
-        status = self.finish(answer, self.show)
+        answer = self.send_query("status")
+        status = self.print_answer(answer, self.show)
         if status == exitcodes.OK and answer.get("overall", "ok") != "ok":
             return exitcodes.UNHEALTHY
         return status
@@ -37,16 +37,18 @@
 @register
 class WatchCommand(StatusCommand):
     name = "watch"
-    description = "Shows the status again and again until interrupted."
+    description = "Shows the status repeatedly until interrupted."
     options: ClassVar[list[Any]] = [
         option(
-            "interval", None, "Seconds between two answers", flag=False, default="2"
+            "interval", None, "Seconds between two queries", flag=False, default="2"
+        ),
+        option(
+            "count", None, "Number of queries, 0 for no limit", flag=False, default="0"
         ),
-        option("count", None, "Stop after so many answers", flag=False, default="0"),
     ]
 
     def execute_command(self) -> int:
-        interval = float(self.option("interval") or WATCH_INTERVAL_S)
+        interval = float(self.option("interval") or WATCH_INTERVAL_SECONDS)
         remaining = int(self.option("count") or 0)
         while True:
             status = super().execute_command()
@@ -62,22 +64,23 @@
     description = "Lists the databases with their primaries and members."
 
     def execute_command(self) -> int:
-        return self.finish(
-            self.query("database.list"), lambda answer: show_databases(self, answer)
+        return self.print_answer(
+            self.send_query("database.list"),
+            lambda answer: show_databases(self, answer),
         )
 
 
 @register
 class ExplainCommand(AdminCommand):
     name = "explain"
-    description = "Tells why a request went where it went."
+    description = "Shows the traced steps of a request and how it was routed."
     arguments: ClassVar[list[Any]] = [
-        argument("trace", "The trace_id of the request's answer")
+        argument("trace", "Value of trace_id in the answer to the request")
     ]
 
     def execute_command(self) -> int:
-        answer = self.query("explain", trace_id=self.argument("trace"))
-        return self.finish(answer, self.show)
+        answer = self.send_query("explain", trace_id=self.argument("trace"))
+        return self.print_answer(answer, self.show)
 
     def show(self, answer: dict[str, Any]) -> None:
         rows = [
@@ -95,7 +98,7 @@
 
 
 def show_databases(command: AdminCommand, answer: dict[str, Any]) -> None:
-    """Prints a row for each database."""
+    """Prints a table of the databases."""
     rows = []
     for database in answer.get("databases", []):
         members = database.get("members", [])
@@ -104,14 +107,14 @@
                 database.get("database", database.get("name", "")),
                 database.get("term", ""),
                 database.get("primary") or "none",
-                " ".join(describe_member(member) for member in members),
+                " ".join(format_member(member) for member in members),
             ]
         )
     command.print_table(["database", "term", "primary", "members"], rows)
 
 
-def describe_member(member: dict[str, Any] | str) -> str:
-    """Name, role and lag of one member in a few characters."""
+def format_member(member: dict[str, Any] | str) -> str:
+    """Returns the name, role, lag and leaving state of a member, in short form."""
     if isinstance(member, str):
         return member
     state = " leaving" if member.get("leaving") else ""
@@ -122,7 +125,7 @@
 
 
 def show_control(command: AdminCommand, answer: dict[str, Any]) -> None:
-    """Prints the control group and how many losses it can still tolerate."""
+    """Prints the control leader and how many more member losses are tolerated."""
     control = answer.get("control")
     if not control:
         return
--- a/packages/client/src/bronzemoor_client/template.py
+++ b/packages/client/src/bronzemoor_client/template.py
@@ -1,4 +1,4 @@
-"""Commands for templates: read, validate, compare, apply and roll back."""
+"""Commands that read, validate, compare, apply and roll back templates."""
 
 import json
 from datetime import UTC, datetime
@@ -10,29 +10,29 @@
 from yaml import YAMLError, safe_dump, safe_load
 
 from bronzemoor_client import exitcodes
-from bronzemoor_client.base import CHANGE_ID, YES, AdminCommand, register
+from bronzemoor_client.base import CHANGE_ID_OPTION, YES_OPTION, AdminCommand, register
 from bronzemoor_core.exceptions import InvalidSettings
 from bronzemoor_core.templates import TEMPLATE_SCHEMA, diff_templates, parse_template
 
-ORGANISATION = argument("organisation", "Name of the organisation")
-FILE = argument("file", "Template in YAML")
-EXPECT_VERSION = option(
+ORGANISATION_ARGUMENT = argument("organisation", "Name of the organisation")
+FILE_ARGUMENT = argument("file", "Template file in YAML")
+EXPECT_VERSION_OPTION = option(
     "expect-version",
     None,
-    "Version that the change is based on; by default the current one",
+    "Version that the change is based on; defaults to the current one",
     flag=False,
 )
 
 
-def describe_time(seconds: float | None) -> str:
-    """UTC time of a change in ISO 8601, or empty if it is not known."""
+def format_time(seconds: float | None) -> str:
+    """Returns a UTC time in ISO 8601, or an empty text if it is unknown."""
     if not seconds:
         return ""
     return datetime.fromtimestamp(seconds, UTC).isoformat(timespec="seconds")
 
 
-def read_body(path: str) -> dict[str, Any]:
-    """Reads a YAML mapping; raises ``InvalidSettings`` with what is wrong."""
+def read_template(path: str) -> dict[str, Any]:
+    """Reads a YAML mapping; raises ``InvalidSettings`` if the file holds none."""
     try:
         body = safe_load(Path(path).read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError, YAMLError) as error:
@@ -43,50 +43,52 @@
 
 
 class TemplateCommand(AdminCommand):
-    """A command about one organisation's template."""
+    """Base class of the commands for one organisation's template."""
 
-    arguments: ClassVar[list[Any]] = [ORGANISATION]
+    arguments: ClassVar[list[Any]] = [ORGANISATION_ARGUMENT]
 
     @property
     def organisation(self) -> str:
         return str(self.argument("organisation"))
 
-    def current(self) -> dict[str, Any]:
-        """The current version and body, confirmed by a quorum."""
-        return self.query("template.get", organisation=self.organisation)
+    def current_template(self) -> dict[str, Any]:
+        """Returns the current version and body, confirmed by a quorum."""
+        return self.send_query("template.get", organisation=self.organisation)
 
     def expected_version(self) -> int:
-        """The given --expect-version, or the current version.
+        """Returns --expect-version, or else the current version.
 
-        A resend expects what its first attempt expected: the version before the one
-        that the change made.
+        A resend expects the same version as its first attempt: the one before the
+        version that the change created.
         """
         given = self.option("expect-version")
         if given is not None:
             return int(given)
-        resent = self.option("change-id")
-        if resent:
-            history = self.query("template.history", organisation=self.organisation)
+        change_id = self.option("change-id")
+        if change_id:
+            history = self.send_query(
+                "template.history", organisation=self.organisation
+            )
             for entry in history.get("history", []):
-                if entry.get("change_id") == resent:
+                if entry.get("change_id") == change_id:
                     return int(entry["version"]) - 1
-        return int(self.current().get("version", 0))
+        return int(self.current_template().get("version", 0))
 
     def submit(self, question: str, command: str, **arguments: Any) -> int:
-        """Confirms and sends a change; shows its id before, for a resend."""
+        """Sends a change if confirmed; prints its id first, for a resend."""
         expected = self.expected_version()
         change_id = str(self.option("change-id") or uuid4())
-        if not self.confirmed(f"{question} Its version is {expected}."):
+        if not self.ask_confirmation(f"{question} Its version is {expected}."):
             return exitcodes.REFUSED
         self.line_error(f"change id: {change_id}")
-        answer = self.change(
+        answer = self.send_change(
             command,
             organisation=self.organisation,
             expect_version=expected,
             change_id=change_id,
             **arguments,
         )
-        return self.finish(answer, self.show_version)
+        return self.print_answer(answer, self.show_version)
 
     def show_version(self, answer: dict[str, Any]) -> None:
         self.line(f"{self.organisation}: version {answer.get('version')} accepted")
@@ -98,7 +100,7 @@
     description = "Lists the organisations and the versions of their templates."
 
     def execute_command(self) -> int:
-        return self.finish(self.query("template.list"), self.show)
+        return self.print_answer(self.send_query("template.list"), self.show)
 
     def show(self, answer: dict[str, Any]) -> None:
         rows = [
@@ -113,14 +115,16 @@
     name = "template get"
     description = "Prints a template as YAML."
     options: ClassVar[list[Any]] = [
-        option("at", None, "An earlier version", flag=False)
+        option("at", None, "Version to print; defaults to the current one", flag=False)
     ]
 
     def execute_command(self) -> int:
         arguments: dict[str, Any] = {"organisation": self.organisation}
         if self.option("at"):
             arguments["version"] = int(self.option("at"))
-        return self.finish(self.query("template.get", **arguments), self.show)
+        return self.print_answer(
+            self.send_query("template.get", **arguments), self.show
+        )
 
     def show(self, answer: dict[str, Any]) -> None:
         self.line(f"# {self.organisation}, version {answer.get('version')}")
@@ -130,17 +134,17 @@
 @register
 class TemplateHistoryCommand(TemplateCommand):
     name = "template history"
-    description = "Lists the versions of a template and who made them."
+    description = "Lists the versions of a template and the operators who created them."
 
     def execute_command(self) -> int:
-        answer = self.query("template.history", organisation=self.organisation)
-        return self.finish(answer, self.show)
+        answer = self.send_query("template.history", organisation=self.organisation)
+        return self.print_answer(answer, self.show)
 
     def show(self, answer: dict[str, Any]) -> None:
         rows = [
             [
                 item.get("version"),
-                describe_time(item.get("at")),
+                format_time(item.get("at")),
                 item.get("operator", ""),
                 item.get("change_id", ""),
             ]
@@ -152,30 +156,30 @@
 @register
 class TemplateValidateCommand(AdminCommand):
     name = "template validate"
-    description = "Checks a template without a daemon; prints every problem."
-    arguments: ClassVar[list[Any]] = [FILE]
+    description = "Checks a template without a daemon and prints every problem."
+    arguments: ClassVar[list[Any]] = [FILE_ARGUMENT]
 
     def execute_command(self) -> int:
         try:
-            parse_template("check", read_body(self.argument("file")), 0)
+            parse_template("check", read_template(self.argument("file")), 0)
         except InvalidSettings as error:
-            return self.finish({"code": error.code, "problems": error.problems})
-        return self.finish({"code": "ok"}, lambda _answer: self.line("valid"))
+            return self.print_answer({"code": error.code, "problems": error.problems})
+        return self.print_answer({"code": "ok"}, lambda _answer: self.line("valid"))
 
 
 @register
 class TemplateDiffCommand(TemplateCommand):
     name = "template diff"
     description = "Compares a file with the current template."
-    arguments: ClassVar[list[Any]] = [ORGANISATION, FILE]
+    arguments: ClassVar[list[Any]] = [ORGANISATION_ARGUMENT, FILE_ARGUMENT]
 
     def execute_command(self) -> int:
-        answer = self.current()
+        answer = self.current_template()
         if answer.get("code", "ok") != "ok":
-            return self.finish(answer)
-        body = read_body(self.argument("file"))
+            return self.print_answer(answer)
+        body = read_template(self.argument("file"))
         lines = diff_templates(answer.get("body", {}), body)
-        return self.finish(
+        return self.print_answer(
             {"code": "ok", "version": answer.get("version"), "changes": lines},
             lambda shown: self.line("\n".join(shown["changes"]) or "no changes"),
         )
@@ -185,11 +189,11 @@
 class TemplateApplyCommand(TemplateCommand):
     name = "template apply"
     description = "Replaces an organisation's template."
-    arguments: ClassVar[list[Any]] = [ORGANISATION, FILE]
-    options: ClassVar[list[Any]] = [EXPECT_VERSION, CHANGE_ID, YES]
+    arguments: ClassVar[list[Any]] = [ORGANISATION_ARGUMENT, FILE_ARGUMENT]
+    options: ClassVar[list[Any]] = [EXPECT_VERSION_OPTION, CHANGE_ID_OPTION, YES_OPTION]
 
     def execute_command(self) -> int:
-        body = read_body(self.argument("file"))
+        body = read_template(self.argument("file"))
         question = f"Replace the template of {self.organisation}?"
         return self.submit(question, "template.apply", body=body)
 
@@ -199,10 +203,10 @@
     name = "template rollback"
     description = "Makes an earlier version current again, as a new version."
     arguments: ClassVar[list[Any]] = [
-        ORGANISATION,
-        argument("version", "The earlier version"),
+        ORGANISATION_ARGUMENT,
+        argument("version", "Version to restore"),
     ]
-    options: ClassVar[list[Any]] = [EXPECT_VERSION, CHANGE_ID, YES]
+    options: ClassVar[list[Any]] = [EXPECT_VERSION_OPTION, CHANGE_ID_OPTION, YES_OPTION]
 
     def execute_command(self) -> int:
         version = int(self.argument("version"))
--- a/packages/client/tests/test_commands.py
+++ b/packages/client/tests/test_commands.py
@@ -1,4 +1,4 @@
-"""The command line against a running system and against broken ones."""
+"""Tests the command line with a running system, without one and with lost answers."""
 
 import json
 import socket
@@ -37,8 +37,8 @@
 
 @pytest.fixture
 def run(system, monkeypatch):
-    """Runs a command line; returns exit code, output and errors."""
-    # The first daemon does not answer: every command has to try the next one.
+    """Returns a function that runs a command line: (exit code, output, errors)."""
+    # The first daemon is unreachable, so every command has to try the next one.
     daemons = [free_address(), *reversed(system.addresses)]
     monkeypatch.setenv("BRONZEMOOR_DAEMONS", ",".join(daemons))
 
@@ -72,8 +72,8 @@
         ("watch --count 1", ["overall: ok"]),
     ],
 )
-def test_a_query_answers(run, line, words):
-    """Guards against commands that no longer fit the administration interface."""
+def test_queries_succeed(run, line, words):
+    """Guards against commands that do not match the administration interface."""
     code, output, errors = run(line)
     assert code == exitcodes.OK, errors
     for word in words:
@@ -81,15 +81,15 @@
 
 
 @pytest.mark.parametrize("line", ["status", "database list", "failover plan claims-1"])
-def test_json_is_for_programs(run, line):
-    """Guards against text among the JSON."""
+def test_json_output_is_valid(run, line):
+    """Guards against other text in JSON output, which would break its parsing."""
     code, output, _ = run(f"{line} --json")
     assert code == exitcodes.OK
     assert json.loads(output)["code"] == "ok"
 
 
-def test_a_change_is_confirmed_resent_and_raced(run, files):
-    """Guards against double changes, lost races and changes without confirmation."""
+def test_changes_are_confirmed_resent_and_checked_for_conflicts(run, files):
+    """Guards against unconfirmed changes, a resend applied twice and lost updates."""
     apply = f"template apply {ORGANISATION} {files / 'new.yaml'}"
     assert run(apply)[0] == exitcodes.REFUSED
     for _ in range(2):
@@ -103,16 +103,16 @@
     assert (code, "connections: 20 -> 12" in output) == (exitcodes.OK, True)
 
 
-def test_a_planned_handover_moves_the_primary(run, system):
-    """Guards against a failover run that reports success and changes nothing."""
+def test_failover_run_changes_the_primary(run, system):
+    """Guards against a handover that reports success but keeps the primary."""
     before = system.primary
     code, _, errors = run("failover run claims-1 --yes")
     assert code == exitcodes.OK, errors
     system.wait_for(lambda: system.primary not in ("", before))
 
 
-def test_keys_rotate_without_breaking_a_session(run, system):
-    """Guards against sessions that end with the key that signed their token."""
+def test_key_rotation_keeps_sessions_valid(run, system):
+    """Guards against sessions that end when their signing key is replaced."""
     client = system.client(ORGANISATION)
     assert client.run(0, "agent-read", "SELECT 1")["outcome"] == "done"
     assert run("keys rotate --yes")[0] == exitcodes.OK
@@ -120,8 +120,8 @@
         assert client.run(daemon, "agent-read", "SELECT 1")["outcome"] == "done"
 
 
-def test_every_problem_of_a_template_is_shown(run, files):
-    """Guards against fixing a file one error at a time."""
+def test_template_validate_prints_every_problem(run, files):
+    """Guards against validation that stops at the first error."""
     code, _, errors = run(f"template validate {files / 'bad.yaml'}")
     assert code == exitcodes.REFUSED
     for words in ("did you mean 'connections'", "found 'writes'", "databases: found"):
@@ -129,14 +129,14 @@
 
 
 @pytest.mark.parametrize("line", ["template get nobody", "failover plan nothing"])
-def test_an_unknown_name_is_an_error_with_a_hint(run, line):
-    """Guards against an empty answer for a misspelt name."""
+def test_unknown_name_is_an_error_with_a_hint(run, line):
+    """Guards against an empty result for a misspelt name."""
     code, _, errors = run(line)
     assert code == exitcodes.REFUSED and "hint:" in errors
 
 
-def test_no_daemon_and_a_lost_answer_differ(monkeypatch, run):
-    """Guards against resending a change whose answer was lost as if it never ran."""
+def test_unreachable_daemon_and_lost_answer_have_different_exit_codes(monkeypatch, run):
+    """Guards against a lost answer reported as "not sent", which invites a resend."""
     monkeypatch.setenv("BRONZEMOOR_DAEMONS", free_address())
     assert run("status")[0] == exitcodes.UNREACHABLE
     with socket.create_server(("127.0.0.1", 0)) as server:
--- a/packages/client/tests/test_examples.py
+++ b/packages/client/tests/test_examples.py
@@ -1,4 +1,4 @@
-"""The examples are what an operator copies first."""
+"""Tests the example templates and settings, which operators copy first."""
 
 from pathlib import Path
 
@@ -13,16 +13,16 @@
 
 
 @pytest.mark.parametrize("name", ["reclamar-voo", "toile-sahel"])
-def test_an_example_template_is_valid(name):
-    """Guards against an example that the system refuses."""
+def test_example_template_is_valid(name):
+    """Guards against an example template that validation rejects."""
     body = safe_load((EXAMPLES / f"{name}.yaml").read_text())
     template = parse_template(name, body, 1)
     not_repeatable = [c.name for c in template.classes.values() if not c.repeatable]
     assert len(template.databases) == 3 and len(not_repeatable) == 1
 
 
-def test_the_settings_describe_one_system():
-    """Guards against VMs that disagree about each other."""
+def test_example_settings_are_consistent():
+    """Guards against example settings of VMs that contradict each other."""
     nodes = [parse_settings(safe_load(path.read_text()))[0] for path in SETTINGS]
     assert len(nodes) == 7
     assert {node.name for node in nodes} == set(nodes[0].peers)
--- a/tools/stats.py
+++ b/tools/stats.py
@@ -1,10 +1,10 @@
-"""Prints the share of tests and of the core's decision modules in the code."""
+"""Prints the shares of tests and of the core's decision modules in the code."""
 
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 
-# Routing, limits, retries, membership, state and recovery, by prefix of module names.
+# Module name prefixes of routing, limits, retries, membership, state and recovery.
 DECISION_PREFIXES = (
     "admission",
     "consensus",
@@ -41,7 +41,7 @@
 
 
 def main() -> int:
-    """Returns 1 if a share is out of its bounds."""
+    """Returns the exit status: 1 if a share is out of bounds."""
     files = [
         path
         for path in sorted((ROOT / "packages").rglob("*"))
