--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,6 +1,6 @@
-"""Runs all benchmarks, or those whose names are given, and writes build/bench.json.
+"""Runs all benchmarks, or the named ones, and writes build/bench.json.
 
-Exits with 1 if a bound is missed.
+Exits with status 1 if a bound is missed.
 """
 
 import json
@@ -14,14 +14,14 @@
 from bench.registry import BENCHMARKS
 
 OUTPUT = Path("build/bench.json")
-# Modules that a benchmark starts or uses and that must not be imported as one.
-HELPERS = {"__main__", "registry", "load", "processes"}
+# Modules that benchmarks use or start; they define none and must not be imported here.
+HELPER_MODULES = {"__main__", "registry", "load", "processes"}
 
 
 def main(names: list[str]) -> int:
     """Returns the exit status."""
     for module in iter_modules(bench.__path__):
-        if module.name not in HELPERS:
+        if module.name not in HELPER_MODULES:
             import_module(f"bench.{module.name}")
     if unknown := set(names) - set(BENCHMARKS):
         print(f"unknown: {sorted(unknown)}; known: {sorted(BENCHMARKS)}")
@@ -30,10 +30,10 @@
     for name in names or list(BENCHMARKS):
         for result in BENCHMARKS[name]():
             results.append(asdict(result))
-            mark = "ok" if result.ok else "MISSED"
+            status = "ok" if result.ok else "MISSED"
             print(
                 f"{result.name}: {result.value:.4g} {result.unit} "
-                f"{result.target} {mark if result.target else ''}",
+                f"{result.target} {status if result.target else ''}",
                 flush=True,
             )
     OUTPUT.parent.mkdir(exist_ok=True)
--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -1,93 +1,103 @@
-"""Slopes of the control leader and the control followers."""
+"""Slopes of the costs of the control leader and of control followers."""
 
 import gc
 from collections.abc import Callable
 from time import process_time
 
-from bench.fit import microseconds, slope
-from bench.scale import LEADER, Fleet, Machine, heartbeat, make_leader, summary
+from bench.fit import cpu_microseconds, slope
+from bench.scale import (
+    LEADER,
+    NodeHarness,
+    SimulatedSystem,
+    make_daemon_heartbeat,
+    make_leader,
+    make_member_summary,
+)
 from bronzemoor_core.messages import HeartbeatReply
 from bronzemoor_core.relays import answer_digest
 
-# Rounds of heartbeats that are timed, and how many heartbeats of each.
+# Timed rounds of heartbeats, and the heartbeats timed in each.
 ROUNDS = 6
-BEATS = 50
-# Rounds before them, until the allocator no longer moves shares.
-SETTLING = 7
-# Ticks of 100 ms.
-TICKS = 10
+HEARTBEATS_PER_ROUND = 50
+# Rounds before them, after which the allocator no longer moves shares.
+WARMUP_ROUNDS = 7
+# Ticks of 10 ms in the heartbeat interval of 100 ms.
+TICKS_PER_INTERVAL = 10
 
 
-def beat_cost(fleet: Fleet, members: int = 0) -> float:
-    """The leader's microseconds per heartbeat, in the fastest round.
+def heartbeat_cost(system: SimulatedSystem, members: int = 0) -> float:
+    """Returns the leader's microseconds per heartbeat in the fastest round.
 
-    One round in ten also makes digests; ``leader.digest`` is their cost.
+    One round in ten also makes digests; ``leader.digest`` measures their cost.
     """
     times = []
-    for _ in range(SETTLING):
-        for daemon, beat in fleet.beats(fleet.daemons):
-            fleet.beat(daemon, beat)
+    for _ in range(WARMUP_ROUNDS):
+        for daemon, heartbeat in system.make_heartbeats(system.daemons):
+            system.send_heartbeat(daemon, heartbeat)
     for _ in range(ROUNDS):
-        beats = fleet.beats(BEATS)
-        for _, beat in beats:
-            beat.members = [
-                summary(f"extra-{k}", "m1", fleet.sequence) for k in range(members)
+        heartbeats = system.make_heartbeats(HEARTBEATS_PER_ROUND)
+        for _, heartbeat in heartbeats:
+            heartbeat.members = [
+                make_member_summary(f"extra-{k}", "m1", system.sequence)
+                for k in range(members)
             ]
         gc.collect()
         before = process_time()
-        for daemon, beat in beats:
-            fleet.beat(daemon, beat)
-        times.append((process_time() - before) / len(beats) * 1e6)
-        fleet.leader.sent.clear()
+        for daemon, heartbeat in heartbeats:
+            system.send_heartbeat(daemon, heartbeat)
+        times.append((process_time() - before) / len(heartbeats) * 1e6)
+        system.leader.sent.clear()
     return min(times)
 
 
 @slope("leader.heartbeat", "us", "daemons", (50, 100, 200, 400))
 def heartbeat_by_daemons(size: int) -> float:
-    """Daemons and databases in the ratio of the design scale."""
-    return beat_cost(Fleet(size, round(size * 4_300 / 3_700 / 3)))
+    """Daemons and databases in the ratio of the two-year scale."""
+    return heartbeat_cost(SimulatedSystem(size, round(size * 4_300 / 3_700 / 3)))
 
 
 @slope("leader.heartbeat", "us", "databases", (150, 300, 600, 1200))
 def heartbeat_by_databases(size: int) -> float:
-    return beat_cost(Fleet(50, size // 3))
+    return heartbeat_cost(SimulatedSystem(50, size // 3))
 
 
 @slope("leader.heartbeat.shared", "us", "daemons per database", (5, 10, 20, 40))
 def heartbeat_by_sharers(size: int) -> float:
     """All daemons serve the same three organisations."""
-    return beat_cost(Fleet(size, 3))
+    return heartbeat_cost(SimulatedSystem(size, 3))
 
 
 @slope("leader.heartbeat.members", "us", "member summaries", (0, 10, 20, 40))
 def heartbeat_by_members(size: int) -> float:
-    return beat_cost(Fleet(50, 20), size)
+    return heartbeat_cost(SimulatedSystem(50, 20), size)
 
 
 @slope("follower.heartbeat", "us", "daemons", (50, 100, 200, 400))
 def follower_heartbeat(size: int) -> float:
-    """A control member that does not lead takes the same heartbeats."""
-    follower = Machine("control-2", control=True, control_members=(LEADER, "control-2"))
+    """Cost of the same heartbeats at a control member that is not the leader."""
+    follower = NodeHarness(
+        "control-2", control=True, control_members=(LEADER, "control-2")
+    )
     follower.handle(follower.storage.recover())
     served = [
         [daemon % 20, (daemon + 1) % 20, (daemon + 2) % 20] for daemon in range(size)
     ]
     sequences = iter(range(1, 1_000_000))
 
-    def beats() -> None:
+    def handle_heartbeats() -> None:
         sequence = next(sequences)
         for daemon, numbers in enumerate(served):
-            beat = heartbeat(sequence, numbers, [])
-            follower.receive(f"daemon-{daemon:04}", beat)
+            heartbeat = make_daemon_heartbeat(sequence, numbers, [])
+            follower.receive(f"daemon-{daemon:04}", heartbeat)
 
-    build = microseconds(
-        lambda: [heartbeat(1, numbers, []) for numbers in served], size
+    build = cpu_microseconds(
+        lambda: [make_daemon_heartbeat(1, numbers, []) for numbers in served], size
     )
-    return microseconds(beats, size) - build
+    return cpu_microseconds(handle_heartbeats, size) - build
 
 
-def timed(function: Callable[[], object], runs: int = 7) -> float:
-    """Fastest of several single calls that change the state, microseconds."""
+def fastest_call_microseconds(function: Callable[[], object], runs: int = 7) -> float:
+    """Times single calls that change the state; returns the fastest of ``runs``."""
     times = []
     for _ in range(runs):
         gc.collect()
@@ -99,31 +109,31 @@
 
 @slope("leader.change", "us", "subscribed daemons", (25, 50, 100, 200))
 def change_by_subscribers(size: int) -> float:
-    """From the proposal to the last message of the fan-out."""
-    fleet = Fleet(size, 3)
+    """From the proposal to the last message that distributes the change."""
+    system = SimulatedSystem(size, 3)
     versions = iter(range(1, 100))
-    return timed(lambda: fleet.apply(0, next(versions)))
+    return fastest_call_microseconds(lambda: system.apply_template(0, next(versions)))
 
 
 @slope("leader.change.elsewhere", "us", "daemons", (50, 100, 200, 400))
 def change_by_daemons(size: int) -> float:
-    """A change of an organisation that only a few of the daemons serve."""
-    fleet = Fleet(size, round(size * 4_300 / 3_700 / 3))
+    """A change for an organisation that only a few daemons serve."""
+    system = SimulatedSystem(size, round(size * 4_300 / 3_700 / 3))
     versions = iter(range(1, 100))
-    return timed(lambda: fleet.apply(0, next(versions)))
+    return fastest_call_microseconds(lambda: system.apply_template(0, next(versions)))
 
 
-def tick_cost(machine: Machine) -> float:
-    """Mean microseconds of the ticks of 100 ms, in the fastest of ten spans.
+def tick_cost(harness: NodeHarness) -> float:
+    """Returns the mean microseconds of a tick in the fastest of ten intervals.
 
-    Leases are checked and the machine's own heartbeat is sent once in a span.
+    The node checks leases and sends its own heartbeat once per heartbeat interval.
     """
     times = []
     for _ in range(10):
         before = process_time()
-        for _ in range(TICKS):
-            machine.tick()
-        times.append((process_time() - before) / TICKS * 1e6)
+        for _ in range(TICKS_PER_INTERVAL):
+            harness.tick()
+        times.append((process_time() - before) / TICKS_PER_INTERVAL * 1e6)
     return min(times)
 
 
@@ -131,29 +141,29 @@
 def tick_by_databases(size: int) -> float:
     """A control VM that serves no organisation."""
     leader = make_leader(organisations=("none",))
-    return tick_cost(Fleet(50, size // 3, leader=leader).leader)
+    return tick_cost(SimulatedSystem(50, size // 3, leader=leader).leader)
 
 
 @slope("leader.tick", "us", "daemons", (100, 200, 400, 800))
 def tick_by_daemons(size: int) -> float:
     leader = make_leader(organisations=("none",))
-    return tick_cost(Fleet(size, 20, leader=leader).leader)
+    return tick_cost(SimulatedSystem(size, 20, leader=leader).leader)
 
 
 @slope("leader.tick.serving", "us", "databases", (75, 150, 300, 600))
 def tick_by_served_databases(size: int) -> float:
-    """A control VM that serves every organisation as well, the default."""
-    return tick_cost(Fleet(50, size // 3).leader)
+    """A control VM that also serves every organisation, which is the default."""
+    return tick_cost(SimulatedSystem(50, size // 3).leader)
 
 
 @slope("leader.digest", "us", "databases", (150, 300, 600, 1200))
 def digest_by_databases(size: int) -> float:
-    """The extra cost of a reply with a digest of nine databases."""
-    fleet = Fleet(50, size // 3)
-    leader, served = fleet.leader.node.blackboard, fleet.served[0]
+    """Added cost of a heartbeat reply with a digest of nine databases."""
+    system = SimulatedSystem(50, size // 3)
+    leader, served = system.leader.node.blackboard, system.served[0]
     reply = HeartbeatReply(0, LEADER, [], {}, 0)
-    beat = heartbeat(0, served, [])
-    settings = fleet.leader.settings
-    return microseconds(
-        lambda: answer_digest(fleet.leader.now, leader, settings, beat, reply)
+    heartbeat = make_daemon_heartbeat(0, served, [])
+    settings = system.leader.settings
+    return cpu_microseconds(
+        lambda: answer_digest(system.leader.now, leader, settings, heartbeat, reply)
     )
--- a/bench/drain.py
+++ b/bench/drain.py
@@ -1,4 +1,4 @@
-"""Requests refused during a stop, behind a load balancer that polls readiness."""
+"""Requests refused while a daemon stops behind a load balancer that polls readiness."""
 
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
@@ -9,45 +9,45 @@
 from threading import Event, Lock, Thread
 from time import monotonic, sleep
 
-from bench.processes import Child, started
+from bench.processes import ChildProcess, running_child
 from bench.registry import Result, at_most, benchmark
 
 CLIENTS = 4
-# Pause of one client between two requests, seconds.
-PAUSE = 0.020
-# Poll interval of the load balancer and delay of the stop, seconds.
+# Pause of a client between two requests.
+PAUSE_SECONDS = 0.020
+# Poll interval of the load balancer and drain delay, both in seconds.
 CASES = ((1.0, 0.0), (1.0, 2.0), (5.0, 0.0), (5.0, 2.0), (5.0, 6.0))
-# Time after the end of the delay in which refusals still count.
-TAIL = 2.0
+# Time after the longer of poll interval and delay in which refusals are counted.
+TAIL_SECONDS = 2.0
 
 
 @dataclass(slots=True)
-class Counts:
+class RequestCounts:
     sent: int = 0
     refused: int = 0
     lock: Lock = field(default_factory=Lock)
 
-    def add(self, refused: bool) -> None:
+    def record(self, refused: bool) -> None:
         with self.lock:
             self.sent += 1
             self.refused += refused
 
 
 class LoadBalancer:
-    """Knows which daemons were ready at its last poll and takes them in turn."""
+    """Chooses in turn among the daemons that were ready at the last poll."""
 
-    def __init__(self, daemons: list[Child], interval: float) -> None:
+    def __init__(self, daemons: list[ChildProcess], interval: float) -> None:
         self._daemons = daemons
         self._interval = interval
         self._ready = list(daemons)
-        self._turn = count()
+        self._next_index = count()
         self._stopped = Event()
         self.polled = Event()
         Thread(target=self._poll, daemon=True).start()
 
-    def choose(self) -> Child:
+    def choose(self) -> ChildProcess:
         ready = self._ready or self._daemons
-        return ready[next(self._turn) % len(ready)]
+        return ready[next(self._next_index) % len(ready)]
 
     def stop(self) -> None:
         self._stopped.set()
@@ -60,8 +60,8 @@
                 return
 
 
-def is_ready(daemon: Child) -> bool:
-    """One readiness poll on a connection of its own."""
+def is_ready(daemon: ChildProcess) -> bool:
+    """Returns whether the daemon is ready, polled on a new connection."""
     connection = HTTPConnection(*daemon.host_port, timeout=2)
     try:
         connection.request("GET", "/ready")
@@ -72,10 +72,10 @@
         connection.close()
 
 
-def send_all(balancer: LoadBalancer, counts: Counts, stopped: Event) -> None:
-    """One client: keeps its connection until an answer closes it, then asks anew."""
+def run_client(balancer: LoadBalancer, counts: RequestCounts, stopped: Event) -> None:
+    """Sends requests as one client; asks the balancer for each new connection."""
     connection = None
-    while not stopped.wait(PAUSE):
+    while not stopped.wait(PAUSE_SECONDS):
         try:
             if connection is None:
                 daemon = balancer.choose()
@@ -83,33 +83,33 @@
             connection.request("POST", "/v1/statements", b"{}")
             response = connection.getresponse()
             response.read()
-            counts.add(False)
-            # Half of the answers end their connection, so that new ones are opened.
+            counts.record(False)
+            # Half of the answers close the connection, so that new ones are opened.
             if response.will_close or counts.sent % 2:
                 connection.close()
                 connection = None
         except (OSError, HTTPException):
-            counts.add(True)
+            counts.record(True)
             connection = None
 
 
-def run_case(interval: float, delay: float) -> Counts:
-    """Stops one of two daemons right after a poll, the worst moment."""
-    counts, finished = Counts(), Event()
+def run_case(interval: float, delay: float) -> RequestCounts:
+    """Stops one of two daemons right after a poll, which is the worst case."""
+    counts, finished = RequestCounts(), Event()
     with ExitStack() as stack:
         drain = {"delay": delay, "grace": 2.0, "cleanup": 1.0}
         daemons = [
-            stack.enter_context(started("daemon", graceful=True, drain=drain))
+            stack.enter_context(running_child("daemon", graceful=True, drain=drain))
             for _ in range(2)
         ]
-        until = monotonic() + 5
+        deadline = monotonic() + 5
         while not all(is_ready(daemon) for daemon in daemons):
-            if monotonic() > until:
+            if monotonic() > deadline:
                 raise TimeoutError("a daemon is not ready")
             sleep(0.05)
         balancer = LoadBalancer(daemons, interval)
         clients = [
-            Thread(target=send_all, args=(balancer, counts, finished), daemon=True)
+            Thread(target=run_client, args=(balancer, counts, finished), daemon=True)
             for _ in range(CLIENTS)
         ]
         for client in clients:
@@ -119,7 +119,7 @@
         balancer.polled.wait(interval + 1)
         stopping = Thread(target=daemons[0].stop)
         stopping.start()
-        sleep(max(interval, delay) + TAIL)
+        sleep(max(interval, delay) + TAIL_SECONDS)
         finished.set()
         for client in clients:
             client.join()
@@ -130,7 +130,7 @@
 
 @benchmark
 def drain_refusals() -> Iterator[Result]:
-    """The delay prevents refusals if it is longer than the poll interval."""
+    """A drain delay longer than the poll interval prevents refusals."""
     with ThreadPoolExecutor(len(CASES)) as pool:
         results = list(pool.map(lambda case: run_case(*case), CASES))
     for (interval, delay), counts in zip(CASES, results, strict=True):
--- a/bench/fit.py
+++ b/bench/fit.py
@@ -1,4 +1,4 @@
-"""Slopes: a cost measured at several sizes and fitted by a line."""
+"""Slopes: costs measured at several sizes and fitted by a line."""
 
 import gc
 from collections.abc import Callable, Sequence
@@ -7,17 +7,19 @@
 
 import numpy
 
-# A line through fewer sizes shows nothing about its error.
+# With fewer sizes the residuals say too little about the error of the line.
 MIN_SIZES = 4
-# Shortest span of one timing, seconds; process_time is exact enough for it.
-SPAN = 0.02
+# Shortest timing for which the resolution of process_time is sufficient.
+MIN_TIMING_SECONDS = 0.02
 
 
 @dataclass(slots=True)
 class Slope:
-    """``value = intercept + coefficient * size``; ``r2`` is 1 for a perfect line.
+    """A fitted line, ``value = intercept + coefficient * size``.
 
-    ``worst`` is the largest residual as a share of the largest value.
+
+    ``r2`` is 1 for a perfect fit; ``worst`` is the largest residual as a share of the
+    largest value.
     """
 
     name: str
@@ -31,13 +33,13 @@
     worst: float
 
     def at(self, size: float) -> float:
-        """The value computed for ``size``."""
+        """Returns the fitted value for ``size``."""
         return self.intercept + self.coefficient * size
 
 
 @dataclass(slots=True)
 class Definition:
-    """A measurement of one value (in ``unit``) at each of ``sizes`` (of ``per``)."""
+    """Describes how to measure a value in ``unit`` at several ``sizes`` of ``per``."""
 
     name: str
     unit: str
@@ -54,7 +56,7 @@
 def slope(
     name: str, unit: str, per: str, sizes: Sequence[int]
 ) -> Callable[[Measure], Measure]:
-    """Registers a function from a size to a value."""
+    """Registers a function that returns the value for a size."""
     if len(sizes) < MIN_SIZES:
         raise ValueError(f"{name}: {len(sizes)} sizes, at least {MIN_SIZES} needed")
 
@@ -66,13 +68,13 @@
 
 
 def fit(definition: Definition) -> Slope:
-    """Measures every size and fits a line by least squares."""
+    """Measures the value at every size and fits a line by least squares."""
     sizes = [float(size) for size in definition.sizes]
     values = [definition.measure(size) for size in definition.sizes]
     coefficient, intercept = numpy.polyfit(sizes, values, 1)
     residuals = numpy.array(values) - (intercept + coefficient * numpy.array(sizes))
-    spread = float(((numpy.array(values) - numpy.mean(values)) ** 2).sum())
-    r2 = 1 - float((residuals**2).sum()) / spread if spread else 1.0
+    total_squares = float(((numpy.array(values) - numpy.mean(values)) ** 2).sum())
+    r2 = 1 - float((residuals**2).sum()) / total_squares if total_squares else 1.0
     worst = float(abs(residuals).max()) / max(map(abs, values))
     return Slope(
         definition.name,
@@ -87,27 +89,27 @@
     )
 
 
-def reference() -> float:
-    """Milliseconds of a fixed loop: how fast this machine is at the moment."""
+def reference_loop_ms() -> float:
+    """Times a fixed loop, which shows the present speed of this machine."""
     before = process_time()
     for _ in range(1_000_000):
         pass
     return (process_time() - before) * 1e3
 
 
-def microseconds(
+def cpu_microseconds(
     function: Callable[[], object], calls: int = 1, runs: int = 5
 ) -> float:
-    """Processor time of one call in the fastest of ``runs``.
+    """Returns the processor time of one call in the fastest of ``runs``.
 
-    ``function`` makes ``calls`` of them. The fastest run is the one that other work on
-    this machine disturbed least.
+    ``function`` makes ``calls`` calls. The fastest run is the one least disturbed by
+    other load on this machine.
     """
     gc.collect()
     times = []
     for _ in range(runs):
         done, before = 0, process_time()
-        while not done or process_time() - before < SPAN:
+        while not done or process_time() - before < MIN_TIMING_SECONDS:
             function()
             done += calls
         times.append((process_time() - before) / done)
--- a/bench/http.py
+++ b/bench/http.py
@@ -1,4 +1,4 @@
-"""Throughput, latency and connections of one daemon over its whole HTTP path."""
+"""Throughput, latency and idle connections of one daemon, measured over HTTP."""
 
 import json
 import socket
@@ -9,82 +9,84 @@
 
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 
-from bench.load import Measured, closed_loop, encode_request, open_loop
+from bench.load import LoadResult, closed_loop, encode_request, open_loop
 from bench.processes import (
     DATABASE,
     INSERT,
     SELECT,
-    Child,
+    ChildProcess,
     daemon_and_group,
-    started,
-    statement,
+    request_body,
+    running_child,
 )
 from bench.registry import Result, at_least, at_most, benchmark
 from bronzemoor_daemon.framing import FramedTransport, connect
 from bronzemoor_daemon.gen.endpoint import Endpoint, ttypes
 
-SECONDS = 4.0
+LOAD_SECONDS = 4.0
 CONNECTIONS = 16
-# The rate at which the added latency has a target, requests per second.
-RATE = 378
+# Requests per second for which the added latency has a target.
+TARGET_RATE = 378
 IDLE_CONNECTIONS = 10_000
 ROUNDS = 24
 
-_numbers = count(1)
+_request_numbers = count(1)
 
 
 def read_request(statements: int = 1) -> bytes:
-    body = statement("read", SELECT, ["seed"], statements)
+    body = request_body("read", SELECT, ["seed"], statements)
     return encode_request("/v1/statements", json.dumps(body).encode())
 
 
 def write_request() -> bytes:
-    number = next(_numbers)
-    body = statement("write", INSERT, [f"c{number % 500}"], request_id=f"w{number}")
+    number = next(_request_numbers)
+    body = request_body("write", INSERT, [f"c{number % 500}"], request_id=f"w{number}")
     return encode_request("/v1/statements", json.dumps(body).encode())
 
 
-def throughput(daemon: Child, make: Callable[[], bytes], connections: int) -> Measured:
-    return closed_loop(daemon.host_port, make, connections, SECONDS)
+def measure_throughput(
+    daemon: ChildProcess, make_request: Callable[[], bytes], connections: int
+) -> LoadResult:
+    return closed_loop(daemon.host_port, make_request, connections, LOAD_SECONDS)
 
 
 @benchmark
 def floor() -> Iterator[Result]:
-    """The web server alone, without parsing, core or endpoint."""
+    """Baseline: the web server alone, without parsing, core or endpoint."""
     request = read_request()
     for kind in ("cherrypy", "wsgi"):
-        with started("floor", kind=kind) as child:
+        with running_child("floor", kind=kind) as child:
             for connections in (1, CONNECTIONS):
-                measured = throughput(child, lambda: request, connections)
+                result = measure_throughput(child, lambda: request, connections)
                 name = f"floor.{kind}.{connections}_connections"
-                yield Result(name, measured.rate, "requests/s")
+                yield Result(name, result.rate, "requests/s")
 
 
 @benchmark
 def statements() -> Iterator[Result]:
-    """Statements per second through HTTP, core and stand-in endpoints."""
+    """Statements per second through HTTP, the core and stand-in endpoints."""
     with daemon_and_group() as (daemon, _):
         read, batch = read_request(), read_request(10)
         for connections in (1, CONNECTIONS, 64):
-            measured = throughput(daemon, lambda: read, connections)
+            result = measure_throughput(daemon, lambda: read, connections)
             name = f"http.reads.{connections}_connections"
-            yield at_least(name, measured.rate, "statements/s", 1_000)
-            yield at_most(f"{name}.failures", measured.failures, "requests", 0)
-        measured = throughput(daemon, lambda: batch, CONNECTIONS)
-        yield at_least("http.reads.batch_10", measured.rate * 10, "statements/s", 1_000)
+            yield at_least(name, result.rate, "statements/s", 1_000)
+            yield at_most(f"{name}.failures", result.failures, "requests", 0)
+        result = measure_throughput(daemon, lambda: batch, CONNECTIONS)
+        yield at_least("http.reads.batch_10", result.rate * 10, "statements/s", 1_000)
         # Limited by the stand-in group, whose three members share one process.
-        measured = throughput(daemon, write_request, CONNECTIONS)
-        yield Result("http.writes.16_connections", measured.rate, "statements/s")
+        result = measure_throughput(daemon, write_request, CONNECTIONS)
+        yield Result("http.writes.16_connections", result.rate, "statements/s")
 
 
 def direct_latency(address: str) -> float:
-    """Median milliseconds of the same read straight at the endpoint, at ``RATE``."""
+    """Median milliseconds of the same read sent to the endpoint at ``TARGET_RATE``."""
     transport = FramedTransport(connect(address, 2))
     client = Endpoint.Client(TBinaryProtocolAccelerated(transport))
     client.hello(ttypes.Hello(1, "bench", DATABASE))
     zero = ttypes.Position(0, 0)
     latencies = []
-    for number in range(2, int(RATE * SECONDS)):
+    for number in range(2, int(TARGET_RATE * LOAD_SECONDS)):
         call = ttypes.Execute(
             correlation_id=number,
             request_id="",
@@ -99,34 +101,38 @@
         before = perf_counter()
         client.execute(call)
         latencies.append(perf_counter() - before)
-        sleep(1 / RATE)
+        sleep(1 / TARGET_RATE)
     transport.close()
     return median(latencies) * 1000
 
 
 @benchmark
 def added_latency() -> Iterator[Result]:
-    """Latency at the rate of the target, less the endpoint's own median."""
+    """Latency at the target rate, minus the median of the endpoint itself."""
     with daemon_and_group() as (daemon, group):
         direct = direct_latency(group.address)
         yield Result("endpoint.direct.median", direct, "ms")
         request = read_request()
-        measured = open_loop(
-            daemon.host_port, lambda: request, CONNECTIONS, 3 * SECONDS, RATE
+        result = open_loop(
+            daemon.host_port,
+            lambda: request,
+            CONNECTIONS,
+            3 * LOAD_SECONDS,
+            TARGET_RATE,
         )
-        yield at_least("http.378.rate", measured.rate, "statements/s", 0.99 * RATE)
-        added = measured.quantile(0.5) - direct
+        yield at_least("http.378.rate", result.rate, "statements/s", 0.99 * TARGET_RATE)
+        added = result.quantile(0.5) - direct
         yield at_most("http.378.added_median", added, "ms", 2)
-        added = measured.quantile(0.99) - direct
+        added = result.quantile(0.99) - direct
         yield at_most("http.378.added_p99", added, "ms", 10)
 
 
 @benchmark
 def idle_connections() -> Iterator[Result]:
-    """Memory and service with many idle client connections."""
+    """Memory and latency with many idle client connections."""
     with daemon_and_group(backlog=4096) as (daemon, _):
         request = read_request()
-        open_loop(daemon.host_port, lambda: request, CONNECTIONS, 1, RATE)
+        open_loop(daemon.host_port, lambda: request, CONNECTIONS, 1, TARGET_RATE)
         before = daemon.resident_bytes
         idle = []
         try:
@@ -138,12 +144,16 @@
             used = daemon.resident_bytes - before
             yield at_least("idle.connections", len(idle), "connections", 10_000)
             yield Result("idle.bytes_each", used / len(idle), "bytes")
-            measured = open_loop(
-                daemon.host_port, lambda: request, CONNECTIONS, SECONDS, RATE
+            result = open_loop(
+                daemon.host_port,
+                lambda: request,
+                CONNECTIONS,
+                LOAD_SECONDS,
+                TARGET_RATE,
             )
-            yield at_most("idle.failures", measured.failures, "requests", 0)
-            yield Result("idle.378.median", measured.quantile(0.5), "ms")
-            yield Result("idle.378.p99", measured.quantile(0.99), "ms")
+            yield at_most("idle.failures", result.failures, "requests", 0)
+            yield Result("idle.378.median", result.quantile(0.5), "ms")
+            yield Result("idle.378.p99", result.quantile(0.99), "ms")
         finally:
             for connection in idle:
                 connection.close()
@@ -151,10 +161,10 @@
 
 @benchmark
 def observability() -> Iterator[Result]:
-    """Throughput with metrics and sampled traces against none.
+    """Throughput with metrics and sampled traces, compared with neither.
 
-    One daemon is switched between both, in changing order: two processes differ by
-    more than the cost that is looked for.
+    One daemon is switched between both modes in alternating order, because two
+    processes differ by more than the cost to be measured.
     """
     request = read_request()
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as statsd:
@@ -165,9 +175,9 @@
             for number in range(ROUNDS):
                 order = ("off", "on") if number % 2 else ("on", "off")
                 for mode in order:
-                    daemon.switch(mode)
-                    measured = closed_loop(daemon.host_port, lambda: request, 1, 0.5)
-                    rates[mode].append(measured.rate)
+                    daemon.set_observability(mode)
+                    result = closed_loop(daemon.host_port, lambda: request, 1, 0.5)
+                    rates[mode].append(result.rate)
     yield Result("observability.off", median(rates["off"]), "statements/s")
     yield Result("observability.on", median(rates["on"]), "statements/s")
     pairs = zip(rates["off"], rates["on"], strict=True)
--- a/bench/load.py
+++ b/bench/load.py
@@ -1,4 +1,4 @@
-"""HTTP load from one thread: closed loop for throughput, open loop for latency."""
+"""Single-threaded HTTP load: closed loop for throughput, open loop for latency."""
 
 import select
 import socket
@@ -10,8 +10,8 @@
 
 
 @dataclass(slots=True)
-class Measured:
-    """Seconds from the intended send time to the whole answer, by request."""
+class LoadResult:
+    """Latencies in seconds, each from the intended send time to the whole answer."""
 
     seconds: float
     latencies: list[float] = field(default_factory=list)
@@ -22,14 +22,14 @@
         """Answers per second."""
         return len(self.latencies) / self.seconds
 
-    def quantile(self, share: float) -> float:
-        """Latency in milliseconds below which ``share`` of the answers lie."""
+    def quantile(self, fraction: float) -> float:
+        """Returns the latency quantile for ``fraction``, in milliseconds."""
         ordered = sorted(self.latencies)
-        return ordered[min(len(ordered) - 1, int(share * len(ordered)))] * 1000
+        return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))] * 1000
 
 
 def encode_request(path: str, body: bytes) -> bytes:
-    """A whole HTTP/1.1 POST request."""
+    """Returns a complete HTTP/1.1 POST request."""
     head = (
         f"POST {path} HTTP/1.1\r\nHost: bench\r\nContent-Type: application/json\r\n"
         f"Content-Length: {len(body)}\r\n\r\n"
@@ -48,7 +48,7 @@
         self._expected = -1
 
     def receive(self) -> int:
-        """Reads what is there; returns the status of a whole answer, or 0."""
+        """Reads available data; returns the status of a complete answer, or else 0."""
         chunk = self.socket.recv(65_536)
         if not chunk:
             raise ConnectionError("closed by the server")
@@ -67,57 +67,60 @@
 
 
 def closed_loop(
-    address: Address, make: Callable[[], bytes], connections: int, seconds: float
-) -> Measured:
-    """Sends the next request on each connection as soon as it has its answer."""
-    return _run(address, make, connections, seconds, 0.0)
+    address: Address,
+    make_request: Callable[[], bytes],
+    connections: int,
+    seconds: float,
+) -> LoadResult:
+    """Sends the next request on each connection once the previous one is answered."""
+    return _run(address, make_request, connections, seconds, 0.0)
 
 
 def open_loop(
     address: Address,
-    make: Callable[[], bytes],
+    make_request: Callable[[], bytes],
     connections: int,
     seconds: float,
     rate: float,
-) -> Measured:
-    """Sends ``rate`` requests a second regardless of answers; waiting counts."""
-    return _run(address, make, connections, seconds, rate)
+) -> LoadResult:
+    """Sends ``rate`` requests per second; waiting for a connection adds to latency."""
+    return _run(address, make_request, connections, seconds, rate)
 
 
 def _run(
     address: Address,
-    make: Callable[[], bytes],
+    make_request: Callable[[], bytes],
     connections: int,
     seconds: float,
     rate: float,
-) -> Measured:
-    measured = Measured(seconds)
-    poll = select.poll()
+) -> LoadResult:
+    result = LoadResult(seconds)
+    poller = select.poll()
     idle = [_Connection(address) for _ in range(connections)]
-    by_file = {item.socket.fileno(): item for item in idle}
-    for number in by_file:
-        poll.register(number, select.POLLIN)
+    by_descriptor = {connection.socket.fileno(): connection for connection in idle}
+    for descriptor in by_descriptor:
+        poller.register(descriptor, select.POLLIN)
     start = perf_counter()
     end, due = start + seconds, start
     while (now := perf_counter()) < end:
         while idle and (not rate or due <= now):
-            item = idle.pop()
-            item.due = due if rate else now
-            item.socket.sendall(make())
+            connection = idle.pop()
+            connection.due = due if rate else now
+            connection.socket.sendall(make_request())
             if rate:
                 due += 1 / rate
-        wait = 100.0 if not rate or not idle else max(0.0, (due - now) * 1000)
-        if 0 < wait < 1.5:
+        wait_ms = 100.0 if not rate or not idle else max(0.0, (due - now) * 1000)
+        if 0 < wait_ms < 1.5:
             # poll() rounds up to whole milliseconds, which would delay the next send.
-            sleep(min(wait / 1000, 0.0002))
-            wait = 0
-        for number, _ in poll.poll(wait):
-            item = by_file[number]
-            status = item.receive()
+            sleep(min(wait_ms / 1000, 0.0002))
+            wait_ms = 0
+        for descriptor, _ in poller.poll(wait_ms):
+            connection = by_descriptor[descriptor]
+            status = connection.receive()
             if status:
-                measured.latencies.append(perf_counter() - item.due)
-                measured.failures += status != 200
-                idle.append(item)
-    for item in by_file.values():
-        item.socket.close()
-    return measured
+                result.latencies.append(perf_counter() - connection.due)
+                result.failures += status != 200
+                idle.append(connection)
+    for connection in by_descriptor.values():
+        connection.socket.close()
+    return result
--- a/bench/log_slopes.py
+++ b/bench/log_slopes.py
@@ -1,67 +1,71 @@
-"""Slopes of the replicated log: entries, snapshots and restarts."""
+"""Slopes of the replicated log's costs: entries, snapshots and restarts."""
 
 import json
 from functools import cache
 from time import process_time
 
-from bench.control_slopes import timed
+from bench.control_slopes import fastest_call_microseconds
 from bench.fit import slope
-from bench.scale import Machine, body_of, databases_of, organisation
+from bench.scale import NodeHarness, database_names, organisation_name, template_body
 from bronzemoor_core.internal_events import CommandProposed
 from bronzemoor_core.journal import encode_command
 from bronzemoor_core.messages import AppendEntries, LogEntry
 from bronzemoor_core.records import to_snapshot
 from bronzemoor_core.storage import MemoryStorage, Snapshot, decode_snapshot
 
-# Changes come from as many organisations as have three databases each.
+# Organisations that make changes in turn: 4,300 databases, three in each.
 ORGANISATIONS = 1_433
 CHANGES = (1_000, 2_000, 4_000, 8_000)
 
 
-def change(number: int) -> dict[str, object]:
-    """The ``number``-th change; organisations take turns."""
-    version, place = divmod(number, ORGANISATIONS)
+def template_change(number: int) -> dict[str, object]:
+    """Returns change ``number``; organisations take turns."""
+    version, index = divmod(number, ORGANISATIONS)
     return {
-        "type": "template.apply", "organisation": organisation(place),
-        "body": body_of(databases_of(place)), "expect_version": version,
+        "type": "template.apply", "organisation": organisation_name(index),
+        "body": template_body(database_names(index)), "expect_version": version,
         "change_id": f"change-{number:08}", "operator": "operator-1", "at": 1.0,
     }  # fmt: skip
 
 
-def entry(index: int) -> LogEntry:
+def log_entry(index: int) -> LogEntry:
     return LogEntry(
-        index, 1, encode_command(change(index - 1), f"control-1:0:{index}:1")
+        index, 1, encode_command(template_change(index - 1), f"control-1:0:{index}:1")
     )
 
 
-def make_group(size: int) -> dict[str, Machine]:
-    """An established group whose messages ``settle`` passes on."""
+def make_group(size: int) -> dict[str, NodeHarness]:
+    """Returns a control group of ``size`` members with an established leader."""
     names = tuple(f"control-{number}" for number in range(1, size + 1))
     group = {
-        name: Machine(name, control=True, control_members=names, organisations=("x",))
+        name: NodeHarness(
+            name, control=True, control_members=names, organisations=("x",)
+        )
         for name in names
     }
-    for machine in group.values():
-        machine.handle(machine.storage.recover())
+    for harness in group.values():
+        harness.handle(harness.storage.recover())
     for _ in range(300):
-        for machine in group.values():
-            machine.tick()
-        settle(group)
+        for harness in group.values():
+            harness.tick()
+        deliver_messages(group)
         if any(m.node.blackboard.log.established for m in group.values()):
             return group
-    raise AssertionError("no leader")
+    raise AssertionError("no leader was elected")
 
 
-def settle(group: dict[str, Machine], leader: Machine | None = None) -> float:
-    """Passes on all messages; returns the processor seconds of ``leader``."""
+def deliver_messages(
+    group: dict[str, NodeHarness], leader: NodeHarness | None = None
+) -> float:
+    """Delivers all messages; returns the processor seconds used by ``leader``."""
     spent = 0.0
-    while any(machine.sent for machine in group.values()):
-        for machine in group.values():
-            sent, machine.sent = machine.sent, []
+    while any(harness.sent for harness in group.values()):
+        for harness in group.values():
+            sent, harness.sent = harness.sent, []
             for item in sent:
                 recipient = group[item.recipient]
                 before = process_time()
-                recipient.receive(machine.settings.name, item.message)
+                recipient.receive(harness.settings.name, item.message)
                 if recipient is leader:
                     spent += process_time() - before
     return spent
@@ -69,7 +73,7 @@
 
 @slope("leader.entry", "us", "voters", (1, 3, 5, 7))
 def append_and_commit(size: int) -> float:
-    """The leader's part of one change: append, send, commit and apply."""
+    """The leader's cost of one change: append, send, commit and apply."""
     group = make_group(size)
     leader = next(m for m in group.values() if m.node.blackboard.log.established)
     times = []
@@ -77,64 +81,66 @@
         spent = 0.0
         for number in range(start, start + 50):
             before = process_time()
-            leader.handle(CommandProposed(change(number), ("bench", 0)))
+            leader.handle(CommandProposed(template_change(number), ("bench", 0)))
             spent += process_time() - before
-            spent += settle(group, leader)
+            spent += deliver_messages(group, leader)
         times.append(spent / 50 * 1e6)
     return min(times)
 
 
 @slope("follower.append", "us", "entries in the message", (1, 8, 32, 128))
-def take_entries(size: int) -> float:
-    """A follower stores, acknowledges and applies one message of entries."""
+def follower_append(size: int) -> float:
+    """Cost of storing, acknowledging and applying one message of entries."""
     names = ("control-1", "control-2", "control-3")
-    follower = Machine(names[1], control=True, control_members=names)
+    follower = NodeHarness(names[1], control=True, control_members=names)
     follower.handle(follower.storage.recover())
-    batches = [[entry(k * size + j + 1) for j in range(size)] for k in range(7)]
+    batches = [[log_entry(k * size + j + 1) for j in range(size)] for k in range(7)]
     messages = iter(
-        AppendEntries(1, b[0].index - 1, int(b[0].index > 1), b, b[-1].index, k)
-        for k, b in enumerate(batches)
+        AppendEntries(
+            1, batch[0].index - 1, int(batch[0].index > 1), batch, batch[-1].index, k
+        )
+        for k, batch in enumerate(batches)
     )
-    return timed(lambda: follower.receive(names[0], next(messages)))
+    return fastest_call_microseconds(lambda: follower.receive(names[0], next(messages)))
 
 
-def changed(count: int) -> Machine:
-    """A group of one that holds ``count`` changes as entries, without a snapshot."""
-    storage = MemoryStorage(entries={k: entry(k) for k in range(1, count + 1)})
-    machine = Machine(
+def make_changed_member(count: int) -> NodeHarness:
+    """Returns a group of one with ``count`` changes as entries and no snapshot."""
+    storage = MemoryStorage(entries={k: log_entry(k) for k in range(1, count + 1)})
+    harness = NodeHarness(
         control=True, control_members=("control-1",), organisations=("x",)
     )
-    machine.storage = storage
-    machine.settings.timers.snapshot_entries = 10**9
-    return machine
+    harness.storage = storage
+    harness.settings.timers.snapshot_entries = 10**9
+    return harness
 
 
-def restart(machine: Machine) -> None:
-    """Until everything that was stored is applied."""
-    machine.handle(machine.storage.recover())
-    log = machine.node.blackboard.log
-    last = machine.node._controllers["log"]._replica.journal.last_index
+def restart(harness: NodeHarness) -> None:
+    """Recovers from storage and ticks until all stored entries are applied."""
+    harness.handle(harness.storage.recover())
+    log = harness.node.blackboard.log
+    last = harness.node._controllers["log"]._replica.journal.last_index
     for _ in range(200):
-        machine.tick()
+        harness.tick()
         if log.applied_index >= last and log.established:
             return
-    raise AssertionError("not applied")
+    raise AssertionError("stored entries were not applied")
 
 
 @slope("restart.entries", "ms", "entries without a snapshot", CHANGES)
 def restart_from_entries(size: int) -> float:
-    """Recovery, election and application; reading the disk is not included."""
-    machine = changed(size)
+    """Recovery, election and application, without reading the disk."""
+    harness = make_changed_member(size)
     before = process_time()
-    restart(machine)
+    restart(harness)
     return (process_time() - before) * 1e3
 
 
 @cache
 def make_snapshot(count: int) -> bytes:
-    machine = changed(count)
-    restart(machine)
-    data = json.loads(json.dumps(to_snapshot(machine.node.blackboard.state)))
+    harness = make_changed_member(count)
+    restart(harness)
+    data = json.loads(json.dumps(to_snapshot(harness.node.blackboard.state)))
     return Snapshot(count, 1, {}, {}, (), data).encode()
 
 
@@ -145,12 +151,12 @@
 
 @slope("restart.snapshot", "ms", "changes in the snapshot", CHANGES)
 def restart_from_snapshot(size: int) -> float:
-    """Parsing and recovery of a snapshot; reading the disk is not included."""
+    """Parsing and recovery of a snapshot, without reading the disk."""
     data = make_snapshot(size)
 
-    def start() -> None:
-        machine = Machine(control=True, control_members=("control-1",))
-        machine.storage = MemoryStorage(snapshot=decode_snapshot(data))
-        machine.handle(machine.storage.recover())
+    def recover() -> None:
+        harness = NodeHarness(control=True, control_members=("control-1",))
+        harness.storage = MemoryStorage(snapshot=decode_snapshot(data))
+        harness.handle(harness.storage.recover())
 
-    return timed(start, runs=3) / 1e3
+    return fastest_call_microseconds(recover, runs=3) / 1e3
--- a/bench/message_slopes.py
+++ b/bench/message_slopes.py
@@ -1,13 +1,18 @@
-"""Slopes of the messages' sizes and of encoding and decoding them."""
+"""Slopes of message sizes and of the costs of encoding and decoding messages."""
 
 import json
 from collections.abc import Callable
 from typing import Any
 
-from bench.daemon_slopes import configuration, topology
-from bench.fit import microseconds, slope
-from bench.log_slopes import entry
-from bench.scale import MEMBERS, announcement, heartbeat, summary
+from bench.daemon_slopes import configuration_update, topology_update
+from bench.fit import cpu_microseconds, slope
+from bench.log_slopes import log_entry
+from bench.scale import (
+    MEMBERS,
+    make_announcement,
+    make_daemon_heartbeat,
+    make_member_summary,
+)
 from bronzemoor_core.messages import (
     AppendEntries,
     Heartbeat,
@@ -23,32 +28,35 @@
 from bronzemoor_daemon.gen.peer import ttypes
 
 SIZES = (9, 18, 36, 72)
-GROUPS = (3, 5, 7, 9)
+GROUP_SIZES = (3, 5, 7, 9)
 
 
-def beat_with_members(size: int) -> Heartbeat:
-    members = [summary(f"stock-{k:05}", "m1") for k in range(size)]
-    return heartbeat(2**47, [], members)
+def heartbeat_with_members(size: int) -> Heartbeat:
+    members = [make_member_summary(f"stock-{k:05}", "m1") for k in range(size)]
+    return make_daemon_heartbeat(2**47, [], members)
 
 
-def reply(size: int) -> HeartbeatReply:
+def heartbeat_reply(size: int) -> HeartbeatReply:
     shares = [Share(f"stock-{k:05}", 8, 3_000) for k in range(size)]
     versions = {f"organisation-{k:04}": 7 for k in range(size // 3)}
     return HeartbeatReply(2**47, "control-1", shares, versions, 2**31)
 
 
-def append(size: int) -> AppendEntries:
-    return AppendEntries(1, 0, 0, [entry(k + 1) for k in range(size)], 0, 1)
+def append_entries(size: int) -> AppendEntries:
+    return AppendEntries(1, 0, 0, [log_entry(k + 1) for k in range(size)], 0, 1)
 
 
-# Message by name: how to make it, and what its size counts.
+# Messages by name, each with its factory and the unit of its size.
 MESSAGES: dict[str, tuple[Callable[[int], Any], str]] = {
-    "Heartbeat": (lambda n: heartbeat(2**47, list(range(n // 3)), []), "databases"),
-    "Heartbeat.members": (beat_with_members, "member summaries"),
-    "HeartbeatReply": (reply, "databases"),
-    "TopologyUpdate": (lambda n: topology(range(n // 3)), "databases"),
-    "ConfigurationUpdate": (lambda n: configuration(range(n), 7), "templates"),
-    "AppendEntries": (append, "entries"),
+    "Heartbeat": (
+        lambda n: make_daemon_heartbeat(2**47, list(range(n // 3)), []),
+        "databases",
+    ),
+    "Heartbeat.members": (heartbeat_with_members, "member summaries"),
+    "HeartbeatReply": (heartbeat_reply, "databases"),
+    "TopologyUpdate": (lambda n: topology_update(range(n // 3)), "databases"),
+    "ConfigurationUpdate": (lambda n: configuration_update(range(n), 7), "templates"),
+    "AppendEntries": (append_entries, "entries"),
 }
 
 
@@ -60,8 +68,8 @@
     return decode_envelope(from_bytes(ttypes.Envelope, data))
 
 
-def register(name: str, make: Callable[[int], Any], per: str) -> None:
-    """Registers the size of one kind of message and the cost of both directions."""
+def register_slopes(name: str, make: Callable[[int], Any], per: str) -> None:
+    """Registers the size, encoding cost and decoding cost of one kind of message."""
 
     @slope(f"bytes.{name}", "bytes", per, SIZES)
     def size_of(size: int) -> float:
@@ -70,22 +78,22 @@
     @slope(f"encode.{name}", "us", per, SIZES)
     def encode_cost(size: int) -> float:
         message = make(size)
-        return microseconds(lambda: encode(message))
+        return cpu_microseconds(lambda: encode(message))
 
     @slope(f"decode.{name}", "us", per, SIZES)
     def decode_cost(size: int) -> float:
         data = encode(make(size))
-        return microseconds(lambda: decode(data))
+        return cpu_microseconds(lambda: decode(data))
 
 
 for _name, (_make, _per) in MESSAGES.items():
-    register(_name, _make, _per)
+    register_slopes(_name, _make, _per)
 
 
-@slope("bytes.Announcement", "bytes", "members of the group", GROUPS)
+@slope("bytes.Announcement", "bytes", "members of the group", GROUP_SIZES)
 def announcement_size(size: int) -> float:
-    """The JSON body of an announcement, without the headers of its request."""
-    said = announcement("stock-00001", MEMBERS[0]).announcement
-    fields = {name: getattr(said, name) for name in said.__slots__}
+    """The JSON body of an announcement, without HTTP headers."""
+    message = make_announcement("stock-00001", MEMBERS[0]).announcement
+    fields = {name: getattr(message, name) for name in message.__slots__}
     fields["members"] = [f"m{number}" for number in range(size)]
     return len(json.dumps(fields))
--- a/bench/path_slopes.py
+++ b/bench/path_slopes.py
@@ -1,7 +1,7 @@
-"""Processor time of a whole daemon process by the rate of its HTTP requests.
+"""Slopes of a daemon process's processor time with the rate of its HTTP requests.
 
-These include the web server, the threads and the connections to endpoints, which the
-slopes of the core alone leave out.
+They include the web server, the threads and the connections to endpoints, unlike the
+slopes of the core.
 """
 
 import json
@@ -13,59 +13,59 @@
 from bench.fit import slope
 from bench.http import read_request
 from bench.load import encode_request, open_loop
-from bench.processes import Child, daemon_and_group
-from bench.scale import announcement
+from bench.processes import ChildProcess, daemon_and_group
+from bench.scale import make_announcement
 
-SECONDS = 1.5
+LOAD_SECONDS = 1.5
 CONNECTIONS = 16
 RATES = (100, 200, 400, 800)
 
 
-def processor_seconds(child: Child) -> float:
+def cpu_seconds(child: ChildProcess) -> float:
     with open(f"/proc/{child.process.pid}/stat") as file:
         fields = file.read().rpartition(")")[2].split()
     # utime and stime, the 14th and 15th fields, in clock ticks.
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
-def percent_of_core(make: Callable[[], bytes]) -> dict[int, float]:
-    """Percent of a core by rate, of one daemon."""
-    found = {}
+def cpu_percent_by_rate(make_request: Callable[[], bytes]) -> dict[int, float]:
+    """Returns the processor use of one daemon, in percent of a core, by rate."""
+    percents = {}
     with daemon_and_group() as (daemon, _):
-        open_loop(daemon.host_port, make, CONNECTIONS, 0.5, max(RATES))
+        open_loop(daemon.host_port, make_request, CONNECTIONS, 0.5, max(RATES))
         for rate in RATES:
-            before = processor_seconds(daemon)
-            open_loop(daemon.host_port, make, CONNECTIONS, SECONDS, rate)
-            found[rate] = (processor_seconds(daemon) - before) / SECONDS * 100
-    return found
+            before = cpu_seconds(daemon)
+            open_loop(daemon.host_port, make_request, CONNECTIONS, LOAD_SECONDS, rate)
+            percents[rate] = (cpu_seconds(daemon) - before) / LOAD_SECONDS * 100
+    return percents
 
 
 @cache
-def reads() -> dict[int, float]:
-    """A daemon with one database that is also its own control leader."""
+def read_cpu_percents() -> dict[int, float]:
+    """Reads at a daemon with one database that is its own control leader."""
     request = read_request()
-    return percent_of_core(lambda: request)
+    return cpu_percent_by_rate(lambda: request)
 
 
 @cache
-def announcements() -> dict[int, float]:
-    """Announcements over HTTP of a member of another database."""
-    said = announcement("stock-00001", "m1").announcement
-    body = {name: getattr(said, name) for name in said.__slots__}
+def announcement_cpu_percents() -> dict[int, float]:
+    """Announcements over HTTP by a member of another database."""
+    message = make_announcement("stock-00001", "m1").announcement
+    body = {name: getattr(message, name) for name in message.__slots__}
     offsets = count(10)
 
-    def make() -> bytes:
+    def make_request() -> bytes:
         data = json.dumps({**body, "offset": next(offsets)}).encode()
         return encode_request("/v1/announcements", data)
 
-    return percent_of_core(make)
+    return cpu_percent_by_rate(make_request)
 
 
 @slope("path.read", "% of a core", "statements/s", RATES)
 def read_path(rate: int) -> float:
-    return reads()[rate]
+    return read_cpu_percents()[rate]
 
 
 @slope("path.announcement", "% of a core", "announcements/s", RATES)
 def announcement_path(rate: int) -> float:
-    return announcements()[rate]
+    return announcement_cpu_percents()[rate]
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,7 +1,7 @@
 """Child processes of the benchmarks: ``python -m bench.processes ROLE JSON``.
 
-A child prints one line with its address and ends when its standard input closes, so
-that none outlives the benchmark.
+A child prints its address in one line and exits when its standard input closes, so
+that no child outlives the benchmark.
 """
 
 import json
@@ -14,7 +14,7 @@
 from time import monotonic, sleep
 from typing import Any
 
-START_TIMEOUT = 10.0
+START_TIMEOUT_SECONDS = 10.0
 ORGANISATION = "bench"
 DATABASE = "claims"
 TEMPLATE = {
@@ -27,8 +27,8 @@
 }
 
 
-class Child:
-    """A started process and the line that it printed."""
+class ChildProcess:
+    """A running child process and the address that it printed."""
 
     def __init__(self, role: str, options: dict[str, Any]) -> None:
         command = [sys.executable, "-m", "bench.processes", role, json.dumps(options)]
@@ -48,15 +48,15 @@
         with open(f"/proc/{self.process.pid}/statm") as file:
             return int(file.read().split()[1]) * 4096
 
-    def switch(self, observability: str) -> None:
-        """Switches metrics and traces of a daemon ``on`` or ``off``."""
+    def set_observability(self, observability: str) -> None:
+        """Switches the metrics and traces of a daemon ``on`` or ``off``."""
         assert self.process.stdin is not None and self.process.stdout is not None
         self.process.stdin.write(f"{observability}\n")
         self.process.stdin.flush()
         self.process.stdout.readline()
 
     def stop(self) -> int:
-        """Closes the child's input; returns its exit status."""
+        """Closes the standard input of the child and returns its exit status."""
         assert self.process.stdin is not None
         if not self.process.stdin.closed:
             self.process.stdin.close()
@@ -64,9 +64,9 @@
 
 
 @contextmanager
-def started(role: str, **options: Any) -> Iterator[Child]:
-    """Starts a child and stops it at the end."""
-    child = Child(role, options)
+def running_child(role: str, **options: Any) -> Iterator[ChildProcess]:
+    """Starts a child process and stops it on exit."""
+    child = ChildProcess(role, options)
     try:
         yield child
     finally:
@@ -74,29 +74,30 @@
 
 
 @contextmanager
-def daemon_and_group(**options: Any) -> Iterator[tuple[Child, Child]]:
-    """A daemon that leads its own control group, and three members of one database."""
+def daemon_and_group(**options: Any) -> Iterator[tuple[ChildProcess, ChildProcess]]:
+    """Runs a daemon that leads its own control group, and a group of three members."""
     with (
-        started("daemon", **options) as daemon,
-        started("group", daemon=daemon.address) as group,
+        running_child("daemon", **options) as daemon,
+        running_child("group", daemon=daemon.address) as group,
     ):
-        prepare(daemon)
+        prepare_daemon(daemon)
         yield daemon, group
 
 
-def prepare(daemon: Child) -> None:
+def prepare_daemon(daemon: ChildProcess) -> None:
     """Applies the template and waits until a statement succeeds."""
-    until = monotonic() + START_TIMEOUT
+    deadline = monotonic() + START_TIMEOUT_SECONDS
     change = {"organisation": ORGANISATION, "body": TEMPLATE}
     change |= {"expect_version": 0, "change_id": "c1"}
     while post(daemon, "/v1/admin/template.apply", change)[0] != 200:
-        if monotonic() > until:
+        if monotonic() > deadline:
             raise TimeoutError("the template was not applied")
         sleep(0.1)
     while (
-        post(daemon, "/v1/statements", statement("write", INSERT, ["seed"]))[0] != 200
+        post(daemon, "/v1/statements", request_body("write", INSERT, ["seed"]))[0]
+        != 200
     ):
-        if monotonic() > until:
+        if monotonic() > deadline:
             raise TimeoutError("no statement succeeded")
         sleep(0.1)
 
@@ -105,14 +106,14 @@
 SELECT = "SELECT claim_id, status FROM claims WHERE claim_id = ?"
 
 
-def statement(
+def request_body(
     request_class: str,
     sql: str,
     params: list[Any],
     count: int = 1,
     request_id: str = "",
 ) -> dict[str, Any]:
-    """A body of /v1/statements with ``count`` equal statements."""
+    """Returns a request body for /v1/statements with ``count`` equal statements."""
     return {
         "organisation": ORGANISATION,
         "database": DATABASE,
@@ -122,8 +123,8 @@
     }
 
 
-def post(child: Child, path: str, body: Any) -> tuple[int, Any]:
-    """Posts JSON on a connection of its own; status 0 means that it failed."""
+def post(child: ChildProcess, path: str, body: Any) -> tuple[int, Any]:
+    """Posts JSON on a new connection; status 0 stands for a connection error."""
     connection = HTTPConnection(*child.host_port, timeout=15)
     try:
         connection.request("POST", path, json.dumps(body))
@@ -135,8 +136,8 @@
         connection.close()
 
 
-def _discard(kind: str, name: str, value: float) -> None:
-    """Stands in for ``Metrics.emit`` while metrics are switched off."""
+def _discard_metric(kind: str, name: str, value: float) -> None:
+    """Replaces ``Metrics.emit`` while metrics are off."""
 
 
 def _run_daemon(options: dict[str, Any]) -> None:
@@ -158,12 +159,12 @@
     application.start()
     host, port = application.http_address
     print(f"{host}:{port}", flush=True)
-    # "off" and "on" switch metrics and traces in the running process.
+    # Lines "off" and "on" switch metrics and traces of this process.
     emit, ratio = application.metrics.emit, application.tracing._ratio
     for line in sys.stdin:
-        quiet = line.strip() == "off"
-        application.metrics.emit = _discard if quiet else emit  # type: ignore[method-assign]
-        application.tracing._ratio = 0.0 if quiet else ratio
+        disabled = line.strip() == "off"
+        application.metrics.emit = _discard_metric if disabled else emit  # type: ignore[method-assign]
+        application.tracing._ratio = 0.0 if disabled else ratio
         print("switched", flush=True)
     sys.exit(application.stop() if graceful else application.kill())
 
@@ -189,7 +190,7 @@
         def statements(self) -> Any:
             return cherrypy.request.json
 
-    def plain(environ: Any, start_response: Any) -> list[bytes]:
+    def echo_body(environ: Any, start_response: Any) -> list[bytes]:
         data = environ["wsgi.input"].read()
         length = ("Content-Length", str(len(data)))
         start_response("200 OK", [("Content-Type", "application/json"), length])
@@ -198,7 +199,7 @@
     class Root:
         v1 = Echo()
 
-    app: Any = plain
+    app: Any = echo_body
     if options["kind"] == "cherrypy":
         app = cherrypy.Application(Root(), "")
         app.log.access_log.propagate = False
--- a/bench/registry.py
+++ b/bench/registry.py
@@ -1,4 +1,4 @@
-"""Registry of benchmarks; each yields its results."""
+"""Registry of benchmarks, which are generators of results."""
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -6,7 +6,7 @@
 
 @dataclass(slots=True)
 class Result:
-    """One measured value; ``target`` is a text such as ``>= 1000`` or empty."""
+    """One measured value; ``target`` is a bound such as ``>= 1000``, or empty."""
 
     name: str
     value: float
@@ -21,16 +21,16 @@
 
 
 def benchmark(function: Benchmark) -> Benchmark:
-    """Registers a generator of results under its function's name."""
+    """Registers a benchmark under the name of its function."""
     BENCHMARKS[function.__name__] = function
     return function
 
 
 def at_least(name: str, value: float, unit: str, bound: float) -> Result:
-    """A result that misses its target when it is below ``bound``."""
+    """Returns a result that misses its target if it is below ``bound``."""
     return Result(name, value, unit, f">= {bound:g}", value >= bound)
 
 
 def at_most(name: str, value: float, unit: str, bound: float) -> Result:
-    """A result that misses its target when it is above ``bound``."""
+    """Returns a result that misses its target if it is above ``bound``."""
     return Result(name, value, unit, f"<= {bound:g}", value <= bound)
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -1,7 +1,7 @@
-"""Nodes on a virtual clock, filled with databases, members and daemons of a size.
+"""Nodes on a virtual clock with given numbers of databases, members and daemons.
 
 Messages are passed as objects. An organisation has three databases and a daemon
-serves three organisations, as many daemons per database (7.7) as today (6 to 7).
+serves three organisations, which gives 7.7 daemons per database (6 to 7 today).
 """
 
 import json
@@ -36,21 +36,23 @@
 }
 
 
-def organisation(number: int) -> str:
+def organisation_name(number: int) -> str:
     return f"organisation-{number:04}"
 
 
-def databases_of(number: int) -> list[str]:
+def database_names(number: int) -> list[str]:
     first = number * DATABASES_PER_ORGANISATION
     return [f"stock-{first + k:05}" for k in range(DATABASES_PER_ORGANISATION)]
 
 
-def body_of(databases: list[str]) -> dict[str, Any]:
-    """A template with four classes."""
+def template_body(databases: list[str]) -> dict[str, Any]:
+    """Returns the body of a template with four classes."""
     return {"databases": databases, "connections": CONNECTIONS, "classes": CLASSES}
 
 
-def summary(database: str, member: str, offset: int = 1, age_ms: int = 10) -> Any:
+def make_member_summary(
+    database: str, member: str, offset: int = 1, age_ms: int = 10
+) -> Any:
     role = "primary" if member == MEMBERS[0] else "replica"
     return MemberSummary(
         database, member, f"10.20.30.40:{7000 + int(member[1])}", "data-centre-17",
@@ -58,7 +60,9 @@
     )  # fmt: skip
 
 
-def announcement(database: str, member: str, offset: int = 1) -> AnnouncementReceived:
+def make_announcement(
+    database: str, member: str, offset: int = 1
+) -> AnnouncementReceived:
     role = "primary" if member == MEMBERS[0] else "replica"
     return AnnouncementReceived(
         Announcement(
@@ -68,28 +72,28 @@
     )  # fmt: skip
 
 
-def demand(database: str, organisation: str, wanted: int) -> Demand:
+def make_demand(database: str, organisation: str, wanted: int) -> Demand:
     return Demand(database, organisation, held=8, wanted=wanted, share=8)
 
 
-def heartbeat(
+def make_daemon_heartbeat(
     sequence: int, served: list[int], members: list[Any], wanted: int = 4
 ) -> Heartbeat:
-    """A heartbeat of a daemon that serves the organisations ``served``."""
+    """Returns a heartbeat of a daemon that serves the organisations ``served``."""
     demands = [
-        demand(database, organisation(number), wanted)
+        make_demand(database, organisation_name(number), wanted)
         for number in served
-        for database in databases_of(number)
+        for database in database_names(number)
     ]
-    names = [organisation(number) for number in served]
+    names = [organisation_name(number) for number in served]
     return Heartbeat(
         3, "data-centre-17", sequence, dict.fromkeys(names, 1), demands, [], members,
         names, acknowledged=max(0, sequence - 1),
     )  # fmt: skip
 
 
-class Machine:
-    """A node, its clock, its storage in memory and the messages that it sent."""
+class NodeHarness:
+    """Runs a node on a virtual clock, with storage in memory; keeps sent messages."""
 
     def __init__(self, name: str = LEADER, **settings: Any) -> None:
         self.settings = NodeSettings(name, "data-centre-17", **settings)
@@ -99,7 +103,7 @@
         self.sent: list[SendPeerMessage] = []
 
     def handle(self, event: object) -> list[Any]:
-        """Handles an event and syncs at once what it stores."""
+        """Handles an event and immediately syncs what the node stores."""
         actions = self.node.handle(self.now, event)
         for item in actions:
             if isinstance(item, SendPeerMessage):
@@ -120,32 +124,32 @@
         return self.handle(Tick())
 
 
-def make_leader(organisations: tuple[str, ...] = ()) -> Machine:
-    """An established control leader, alone in its group.
+def make_leader(organisations: tuple[str, ...] = ()) -> NodeHarness:
+    """Returns the established leader of a control group of one.
 
-    It serves the organisations given as a daemon, none given means all.
+    As a daemon it serves ``organisations``, or all of them if that is empty.
     """
-    machine = Machine(
+    harness = NodeHarness(
         control=True, control_members=(LEADER,), organisations=organisations
     )
-    machine.handle(machine.storage.recover())
+    harness.handle(harness.storage.recover())
     for _ in range(100):
-        machine.tick()
-        if machine.node.blackboard.log.established:
-            return machine
-    raise AssertionError("no leader")
+        harness.tick()
+        if harness.node.blackboard.log.established:
+            return harness
+    raise AssertionError("no leader was elected")
 
 
 @dataclass(slots=True)
-class Fleet:
-    """A control leader that knows databases, their templates and daemons."""
+class SimulatedSystem:
+    """A control leader with databases, their templates and daemons that it knows."""
 
     daemons: int
     organisations: int
-    # Organisations of each daemon; None spreads them evenly.
+    # Organisations by daemon; if empty, they are spread evenly.
     served: list[list[int]] = field(default_factory=list)
     sequence: int = 0
-    leader: Machine = field(default_factory=make_leader)
+    leader: NodeHarness = field(default_factory=make_leader)
 
     def __post_init__(self) -> None:
         if not self.served:
@@ -157,28 +161,28 @@
                 for daemon in range(self.daemons)
             ]
         for number in range(self.organisations):
-            self.apply(number, 0)
-            for name in databases_of(number):
-                self.appoint(name)
-        self.beat_all(members=True)
-        self.beat_all()
+            self.apply_template(number, 0)
+            for name in database_names(number):
+                self.commit_primary(name)
+        self.send_all_heartbeats(members=True)
+        self.send_all_heartbeats()
         self.leader.sent.clear()
 
     @property
     def databases(self) -> int:
         return self.organisations * DATABASES_PER_ORGANISATION
 
-    def apply(self, number: int, version: int) -> None:
-        """Commits a version of one organisation's template."""
+    def apply_template(self, number: int, version: int) -> None:
+        """Commits a new version of an organisation's template."""
         command = {
-            "type": "template.apply", "organisation": organisation(number),
-            "body": body_of(databases_of(number)), "expect_version": version,
+            "type": "template.apply", "organisation": organisation_name(number),
+            "body": template_body(database_names(number)), "expect_version": version,
             "change_id": f"change-{version}", "operator": "operator", "at": 1.0,
         }  # fmt: skip
         self.leader.handle(CommandProposed(command, ("bench", 0)))
 
-    def appoint(self, database: str) -> None:
-        """Commits the first primary, so that the leader has nothing left to do."""
+    def commit_primary(self, database: str) -> None:
+        """Commits the first primary, which leaves the leader nothing to do."""
         base = {"database": database, "change_id": f"auto:{database}:4"}
         start = {"type": "failover.start", "old_term": 3, "new_term": 4}
         choose = {"type": "failover.choose", "member": MEMBERS[0], "start_offset": 1}
@@ -189,31 +193,39 @@
         ):
             self.leader.handle(CommandProposed({**base, **command}, ("bench", 0)))
 
-    def beat_all(self, members: bool = False) -> None:
-        """Every daemon sends a heartbeat; with ``members`` it relays its part."""
+    def send_all_heartbeats(self, members: bool = False) -> None:
+        """Sends a heartbeat of every daemon; with ``members`` it relays its members."""
         self.sequence += 1
         self.leader.now += 0.1
-        names = [n for k in range(self.organisations) for n in databases_of(k)]
+        names = [
+            n for index in range(self.organisations) for n in database_names(index)
+        ]
         for daemon, served in enumerate(self.served):
-            part = names[daemon :: self.daemons] if members else []
+            relayed_databases = names[daemon :: self.daemons] if members else []
             relayed = [
-                summary(name, m, self.sequence) for name in part for m in MEMBERS
+                make_member_summary(name, m, self.sequence)
+                for name in relayed_databases
+                for m in MEMBERS
             ]
-            self.beat(daemon, heartbeat(self.sequence, served, relayed))
+            self.send_heartbeat(
+                daemon, make_daemon_heartbeat(self.sequence, served, relayed)
+            )
 
-    def beat(self, daemon: int, message: Heartbeat) -> None:
+    def send_heartbeat(self, daemon: int, message: Heartbeat) -> None:
         self.leader.receive(f"daemon-{daemon:04}", message)
 
-    def beats(self, limit: int) -> list[tuple[int, Heartbeat]]:
-        """Heartbeats of the next round from at most ``limit`` daemons."""
+    def make_heartbeats(self, limit: int) -> list[tuple[int, Heartbeat]]:
+        """Returns the heartbeats of the next round from at most ``limit`` daemons."""
         self.sequence += 1
         self.leader.now += 0.1
         return [
-            (daemon, heartbeat(self.sequence, served, []))
+            (daemon, make_daemon_heartbeat(self.sequence, served, []))
             for daemon, served in enumerate(self.served[:limit])
         ]
 
 
 def encoded_body(databases: int) -> bytes:
-    """The body of a template as ``TemplateVersion`` carries it."""
-    return json.dumps(body_of([f"stock-{k:05}" for k in range(databases)])).encode()
+    """Returns a template's body, encoded as in ``TemplateVersion``."""
+    return json.dumps(
+        template_body([f"stock-{k:05}" for k in range(databases)])
+    ).encode()
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -1,6 +1,6 @@
 """Measures how costs grow with size: ``python -m bench.slopes [NAME ...]``.
 
-Prints a table and writes build/slopes.json; docs/CAPACITY.md computes from it.
+Prints a table and writes build/slopes.json, from which docs/CAPACITY.md is computed.
 """
 
 import json
@@ -10,7 +10,7 @@
 from pathlib import Path
 from time import monotonic
 
-from bench.fit import DEFINITIONS, Slope, fit, reference
+from bench.fit import DEFINITIONS, Slope, fit, reference_loop_ms
 
 OUTPUT = Path("build/slopes.json")
 MODULES = (
@@ -23,8 +23,8 @@
 HEADER = ("value", "per", "sizes", "coefficient", "intercept", "R2", "worst")
 
 
-def row(item: Slope) -> tuple[str, ...]:
-    """One line of the table; ``worst`` is the largest residual in percent."""
+def table_row(item: Slope) -> tuple[str, ...]:
+    """Returns a row of the table, with the largest residual in percent last."""
     return (
         f"{item.name} ({item.unit})",
         item.per,
@@ -46,17 +46,17 @@
         return 2
     print("| " + " | ".join(HEADER) + " |")
     print("|---" * len(HEADER) + "|")
-    start, found, speed = monotonic(), [], []
+    start, slopes, reference_times = monotonic(), [], []
     for definition in DEFINITIONS:
         if not names or definition.name in names:
-            speed.append(reference())
-            found.append(fit(definition))
-            print("| " + " | ".join(row(found[-1])) + " |", flush=True)
+            reference_times.append(reference_loop_ms())
+            slopes.append(fit(definition))
+            print("| " + " | ".join(table_row(slopes[-1])) + " |", flush=True)
     print(f"measured in {monotonic() - start:.0f} s", end=", ")
-    print(f"reference loop {min(speed):.0f} to {max(speed):.0f} ms")
+    print(f"reference loop {min(reference_times):.0f} to {max(reference_times):.0f} ms")
     if not names:
         OUTPUT.parent.mkdir(exist_ok=True)
-        OUTPUT.write_text(json.dumps([asdict(item) for item in found], indent=1))
+        OUTPUT.write_text(json.dumps([asdict(item) for item in slopes], indent=1))
     return 0
 
 
--- a/bench/steps.py
+++ b/bench/steps.py
@@ -1,4 +1,4 @@
-"""Cost of each step of one read at a daemon."""
+"""Time of each step of a read in a daemon."""
 
 import json
 from collections import defaultdict
@@ -7,7 +7,7 @@
 from statistics import median
 from time import perf_counter, sleep
 
-from bench.processes import SELECT, daemon_and_group, post, statement
+from bench.processes import SELECT, daemon_and_group, post, request_body
 from bench.registry import Result, benchmark
 from bronzemoor_core.actions import Call, Reply
 from bronzemoor_core.events import Statement
@@ -20,13 +20,13 @@
 
 REPEATS = 2_000
 REQUESTS = 300
-# Pause between two requests, seconds; the daemon is idle otherwise.
-PAUSE = 0.003
+# Pause between two requests to an otherwise idle daemon.
+PAUSE_SECONDS = 0.003
 PAYLOAD = b'[{"columns":["claim_id","status"],"rows":[["c1","filed"]],"row_count":1}]'
 
 
-def cost(function: Callable[[], object]) -> float:
-    """Median microseconds of one call."""
+def median_microseconds(function: Callable[[], object]) -> float:
+    """Returns the median time of one call."""
     times = []
     for _ in range(REPEATS):
         before = perf_counter()
@@ -37,8 +37,8 @@
 
 @benchmark
 def steps() -> Iterator[Result]:
-    """The daemon's own functions in a loop, and the spans of an otherwise idle one."""
-    body = json.dumps(statement("read", SELECT, ["c1"])).encode()
+    """The daemon's functions in a loop, and the trace spans of an idle daemon."""
+    body = json.dumps(request_body("read", SELECT, ["c1"])).encode()
     reply = Reply(1, Done(PAYLOAD, peer="m1", role="replica"), "t" * 150, "m1")
     call = Call("execute", 1, 1, 1.0, "r", "d" * 64, (Statement(SELECT, b'["c1"]'),))
     answer = ttypes.Reply(1, "r", 0, "", "", 1, 2, 2, -1, PAYLOAD, len(PAYLOAD), 1)
@@ -50,17 +50,17 @@
         "encode_json": lambda: encode_reply(reply, "0" * 32),
     }
     for name, function in functions.items():
-        yield Result(f"steps.{name}", cost(function), "us")
+        yield Result(f"steps.{name}", median_microseconds(function), "us")
     spans = defaultdict(list)
     with daemon_and_group(trace_ratio=1.0) as (daemon, _):
         connection = HTTPConnection(*daemon.host_port, timeout=5)
-        total = []
+        request_times = []
         for _ in range(REQUESTS):
-            sleep(PAUSE)
+            sleep(PAUSE_SECONDS)
             before = perf_counter()
             connection.request("POST", "/v1/statements", body)
             response = json.loads(connection.getresponse().read())
-            total.append(perf_counter() - before)
+            request_times.append(perf_counter() - before)
             trace = {"trace_id": response["trace_id"]}
             for span in post(daemon, "/v1/admin/explain", trace)[1]["spans"]:
                 event = span["attributes"].get("event", "")
@@ -68,4 +68,4 @@
         connection.close()
     for name, values in spans.items():
         yield Result(f"steps.span.{name}", median(values) * 1000, "us")
-    yield Result("steps.seen_by_client", median(total) * 1e6, "us")
+    yield Result("steps.seen_by_client", median(request_times) * 1e6, "us")
