Reword the daemon's HTTP, driver and application modules

Comments, messages and names were figurative or private to the project, and durations did not carry their unit. The names now use the terms of the field; wire codes, settings, log events and metrics stay, and the error codes of responses are unchanged.

--- a/packages/daemon/src/bronzemoor_daemon/__init__.py
+++ b/packages/daemon/src/bronzemoor_daemon/__init__.py
@@ -1,1 +1,1 @@
-"""The Bronzemoor daemon."""
+"""The Bronzemoor daemon: transports, storage and HTTP around the core."""
--- a/packages/daemon/src/bronzemoor_daemon/admin.py
+++ b/packages/daemon/src/bronzemoor_daemon/admin.py
@@ -1,4 +1,4 @@
-"""The operators' interface: commands, status and a page for people."""
+"""Administration interface: commands, status and an HTML status page."""
 
 import hmac
 import json
@@ -18,7 +18,7 @@
 from bronzemoor_daemon.driver import Driver
 from bronzemoor_daemon.parsing import parse_object
 
-# HTTP status by reply code; any other error code is a rejected request (400).
+# HTTP status by reply code; a code that is not listed maps to 400.
 CODE_STATUS = {
     "ok": 200,
     "unknown_command": 404,
@@ -36,7 +36,7 @@
     "unknown": 504,
     "internal": 500,
 }
-# A name outside this list would get no answer from the core.
+# The core sends no reply to a command that is not listed here.
 COMMANDS = frozenset(
     (
         *ARGUMENTS,
@@ -49,83 +49,94 @@
         "endpoint.drain",
     )
 )
-MAX_BODY = 4 * 1024 * 1024
+MAX_BODY_BYTES = 4 * 1024 * 1024
 
 LocalCommand = Callable[[dict[str, Any]], AdminReply]
 
 
 class AdminTree:
-    """cherrypy tree at /v1/admin; ``local`` holds commands that need no core."""
+    """CherryPy handler at /v1/admin.
+
+    ``local_commands`` are answered without the core.
+    """
 
     def __init__(
         self,
         driver: Driver,
         operators: dict[str, str],
-        local: dict[str, LocalCommand],
+        local_commands: dict[str, LocalCommand],
         extend_status: Callable[[dict[str, Any]], None],
     ) -> None:
         self._driver = driver
         self._operators = operators
-        self._local = local
+        self._local_commands = local_commands
         self._extend_status = extend_status
 
     @cherrypy.expose
     def default(self, *path: str, **_: str) -> bytes:
-        """Runs the command that the path names; arguments are the JSON body."""
+        """Runs the command named in the path with the JSON body as its arguments."""
         operator = self.authenticate()
         request = cherrypy.request
         if len(path) != 1:
-            return self._answer("unknown_command", {"message": "no such path"})
+            return self._respond("unknown_command", {"message": "unknown path"})
         if request.method == "GET":
             if path[0] != "status":
-                return self._answer("unknown_command", {"message": "use POST"})
-            return self._run("status", {}, operator)
+                return self._respond(
+                    "unknown_command", {"message": "only POST is allowed"}
+                )
+            return self._run_command("status", {}, operator)
         try:
-            body = self._body()
+            body = self._read_body()
             arguments = parse_object(body) if body else {}
         except InvalidRequest as error:
-            return self._answer(error.code, {"message": error.message})
-        return self._run(path[0], arguments, operator)
-
-    def _run(self, name: str, arguments: dict[str, Any], operator: str) -> bytes:
-        if name in self._local:
-            reply = self._local[name](arguments)
+            return self._respond(error.code, {"message": error.message})
+        return self._run_command(path[0], arguments, operator)
+
+    def _run_command(
+        self, name: str, arguments: dict[str, Any], operator: str
+    ) -> bytes:
+        if name in self._local_commands:
+            reply = self._local_commands[name](arguments)
         elif name not in COMMANDS:
-            reply = AdminReply(0, "unknown_command", {"message": f"no command {name}"})
+            reply = AdminReply(
+                0, "unknown_command", {"message": f"unknown command {name}"}
+            )
         else:
-            at = time.time()
-            reply = self._driver.command(name, arguments, operator, at)
+            now = time.time()
+            reply = self._driver.command(name, arguments, operator, now)
         body = dict(reply.body)
         if name == "status":
             self._extend_status(body)
-        return self._answer(reply.code, body)
-
-    def _body(self) -> bytes:
-        body = cherrypy.request.body.fp.read(MAX_BODY + 1) or b""
-        if len(body) > MAX_BODY:
-            raise InvalidRequest("body is too large", code="body_too_large")
+        return self._respond(reply.code, body)
+
+    def _read_body(self) -> bytes:
+        body = cherrypy.request.body.fp.read(MAX_BODY_BYTES + 1) or b""
+        if len(body) > MAX_BODY_BYTES:
+            raise InvalidRequest(
+                f"body exceeds {MAX_BODY_BYTES} bytes", code="body_too_large"
+            )
         return bytes(body)
 
     def authenticate(self) -> str:
-        """Returns the operator's name; a wrong token ends the request with 401."""
-        token = _token(cherrypy.request.headers.get("Authorization", ""))
+        """Returns the operator's name; raises 401 if the token is invalid."""
+        token = _extract_token(cherrypy.request.headers.get("Authorization", ""))
         found = ""
         for name, expected in self._operators.items():
-            # All are compared, so that the time taken tells nothing.
+            # Compares with every token, so that the duration reveals nothing.
             if hmac.compare_digest(token.encode(), expected.encode()):
                 found = name
         if self._operators and not found:
             raise _Unauthorized
         return found or "anonymous"
 
-    def _answer(self, code: str, body: dict[str, Any]) -> bytes:
+    def _respond(self, code: str, body: dict[str, Any]) -> bytes:
         cherrypy.response.status = CODE_STATUS.get(code, 400)
         cherrypy.response.headers["Content-Type"] = "application/json"
         return json.dumps({"code": code, **body}, default=str).encode()
 
 
-def _token(header: str) -> str:
-    """The bearer token, or the password of a browser's basic authentication."""
+def _extract_token(header: str) -> str:
+    """Returns the bearer token, or the password of basic authentication."""
     scheme, _, value = header.partition(" ")
     if scheme.lower() == "bearer":
         return value
@@ -138,13 +149,15 @@
 
 
 class _Unauthorized(cherrypy.HTTPError):
-    """Answers 401 as JSON."""
+    """A 401 response with a JSON body."""
 
     def __init__(self) -> None:
         super().__init__(401, "unauthorized")
 
     def set_response(self) -> None:
-        body = json.dumps({"code": "unauthorized", "message": "a token is needed"})
+        body = json.dumps(
+            {"code": "unauthorized", "message": "a valid token is required"}
+        )
         cherrypy.response.status = 401
         cherrypy.response.headers["Content-Type"] = "application/json"
         cherrypy.response.headers["Content-Length"] = str(len(body))
@@ -153,7 +166,7 @@
 
 
 class StatusPage:
-    """``GET /``: what runs where, for people."""
+    """HTML page at ``GET /`` with the status of the daemon."""
 
     def __init__(
         self, name: str, tree: AdminTree, status: Callable[[], dict[str, Any]]
@@ -193,9 +206,9 @@
 
 
 def make_admin_application(tree: AdminTree, page: StatusPage) -> cherrypy.Application:
-    """Mounts both outside cherrypy's global tree, so that daemons stay apart."""
+    """Mounts both outside CherryPy's global tree, which is shared by all daemons."""
     root = page
-    root.v1 = _Branch(tree)  # type: ignore[attr-defined]
+    root.v1 = _V1Path(tree)  # type: ignore[attr-defined]
     config = {
         "/": {
             "tools.encode.on": False,
@@ -208,13 +221,13 @@
     application.log.screen = False
     application.log.access_log.handlers.clear()
     application.log.access_log.propagate = False
-    # Errors go to the process's log and not to cherrypy's global one.
+    # Errors go to the process's log instead of CherryPy's global one.
     application.log.error_log.parent = logging.getLogger()
     return application
 
 
-class _Branch:
-    """Path segment /v1."""
+class _V1Path:
+    """Handler of the path segment /v1; CherryPy looks up its attributes."""
 
     def __init__(self, admin: AdminTree) -> None:
         self.admin = admin
--- a/packages/daemon/src/bronzemoor_daemon/answers.py
+++ b/packages/daemon/src/bronzemoor_daemon/answers.py
@@ -1,4 +1,4 @@
-"""Encodes outcomes as JSON bodies and HTTP status lines."""
+"""Encodes outcomes as HTTP status lines and JSON bodies."""
 
 import json
 
@@ -18,7 +18,7 @@
 STATUS_NOT_ALLOWED = b"405 Method Not Allowed"
 STATUS_CONFLICT = b"409 Conflict"
 
-# Status of a "not run" outcome by code; any other code is a passing condition (503).
+# Status of a "not run" outcome by code; other codes are temporary conditions (503).
 NOT_RUN_STATUS = {
     **dict.fromkeys(
         (
@@ -48,7 +48,7 @@
 }
 
 
-def _done(outcome: Done, reply: Reply, trace_id: str) -> tuple[bytes, bytes]:
+def _encode_done(outcome: Done, reply: Reply, trace_id: str) -> tuple[bytes, bytes]:
     payload = outcome.payload or b"null"
     head = b'{"outcome":"done","result":' + payload
     tail = (
@@ -62,7 +62,7 @@
     return STATUS_OK, head + tail.encode()
 
 
-def _not_done(
+def _encode_not_done(
     outcome: NotRun | Unknown, reply: Reply, trace_id: str
 ) -> tuple[bytes, bytes]:
     retry = ""
@@ -84,15 +84,15 @@
 def encode_reply(reply: Reply, trace_id: str = "") -> tuple[bytes, bytes]:
     """Returns the status line and the JSON body of a reply.
 
-    The endpoint's payload is JSON already and is embedded as it is.
+    The endpoint's payload is already JSON and is inserted without decoding.
     """
     outcome = reply.outcome
     if type(outcome) is Done:
-        return _done(outcome, reply, trace_id)
-    return _not_done(outcome, reply, trace_id)  # type: ignore[arg-type]
+        return _encode_done(outcome, reply, trace_id)
+    return _encode_not_done(outcome, reply, trace_id)  # type: ignore[arg-type]
 
 
 def encode_error(error: BronzemoorError, trace_id: str = "") -> tuple[bytes, bytes]:
-    """Returns status line and body for input that was rejected before the core."""
+    """Returns the status line and body for input rejected before the core."""
     outcome = NotRun(error.code, error.message, error.step or "http", error.peer)
     return encode_reply(Reply(0, outcome), trace_id)
--- a/packages/daemon/src/bronzemoor_daemon/command.py
+++ b/packages/daemon/src/bronzemoor_daemon/command.py
@@ -1,7 +1,7 @@
 """Command line of the daemon.
 
-Exit status: 0 success, 1 the stop cut work short, 2 invalid settings, 3 the daemon
-cannot start (an address is in use or the data folder cannot be read).
+Exit status: 0 success, 1 the stop cut off work in progress, 2 invalid settings, 3 the
+daemon cannot start (an address is in use or the data folder cannot be read).
 """
 
 import sys
@@ -23,8 +23,8 @@
 CONFIG_OPTION = option("config", "c", "YAML file with the settings", flag=False)
 
 
-def _load(command: Command) -> DaemonSettings | None:
-    """Loads and checks the settings; prints every problem."""
+def _load_settings(command: Command) -> DaemonSettings | None:
+    """Loads and validates the settings; prints every problem and returns None."""
     try:
         settings = load_settings(str(command.option("config") or ""))
         listen = settings.listen
@@ -46,7 +46,7 @@
     options = [CONFIG_OPTION]  # noqa: RUF012
 
     def handle(self) -> int:
-        if _load(self) is None:
+        if _load_settings(self) is None:
             return EXIT_INVALID_SETTINGS
         self.line("the settings are valid")
         return 0
@@ -58,7 +58,7 @@
     options = [CONFIG_OPTION]  # noqa: RUF012
 
     def handle(self) -> int:
-        settings = _load(self)
+        settings = _load_settings(self)
         if settings is None:
             return EXIT_INVALID_SETTINGS
         configure_logs(settings.listen.log_level)
--- a/packages/daemon/src/bronzemoor_daemon/demo.py
+++ b/packages/daemon/src/bronzemoor_daemon/demo.py
@@ -1,4 +1,4 @@
-"""Demo: a whole system in one process survives the loss of its primary."""
+"""Demo: runs a complete system in one process and kills its primary under load."""
 
 import sys
 from dataclasses import dataclass, field
@@ -38,15 +38,15 @@
 READ_CLAIM = "SELECT claim_id, passenger, request_id FROM claims WHERE claim_id = ?"
 COUNT_CLAIMS = "SELECT count(*) FROM claims"
 WRITERS = 4
-BEFORE_FAILURE_S = 1.5
-AFTER_FAILURE_S = 2.5
-# Outer bound on the failover gap, from the users' requirements.
-MAX_GAP_S = 5.0
+BEFORE_FAILURE_SECONDS = 1.5
+AFTER_FAILURE_SECONDS = 2.5
+# Upper bound on the failover gap, from the users' requirements.
+MAX_GAP_SECONDS = 5.0
 
 
 @dataclass(slots=True)
-class Tally:
-    """What the writers and readers saw; each writer fills its own."""
+class WriterLog:
+    """Outcomes that one writer and its reads observed."""
 
     acknowledged: list[float] = field(default_factory=list)
     claims: dict[str, str] = field(default_factory=dict)
@@ -60,38 +60,42 @@
             self.reads[role] = self.reads.get(role, 0) + 1
 
 
-def file_claims(client: Client, writer: int, tally: Tally, stopped: Event) -> None:
-    """Files claims and payouts and reads each back through the other daemon."""
+def file_claims(client: Client, writer: int, log: WriterLog, stopped: Event) -> None:
+    """Files claims and payouts; reads each claim back through the other daemon."""
     number = 0
     while not stopped.is_set():
         number += 1
-        claim, here = f"claim-{writer}-{number}", number % 2
+        claim, daemon = f"claim-{writer}-{number}", number % 2
         key = f"request-{claim}"
-        answer = client.write(here, "file-claim", FILE_CLAIM, [claim, "Ana", key], key)
-        tally.claims[claim] = answer["outcome"]
+        answer = client.write(
+            daemon, "file-claim", FILE_CLAIM, [claim, "Ana", key], key
+        )
+        log.claims[claim] = answer["outcome"]
         if answer["outcome"] == "done":
-            tally.acknowledged.append(monotonic())
-            read_back(client, 1 - here, claim, key, tally)
+            log.acknowledged.append(monotonic())
+            read_back(client, 1 - daemon, claim, key, log)
         if number % 3 == 0:
             key = f"payout-{claim}"
-            answer = client.write(here, "payout", PAY_OUT, [claim, key], key)
-            tally.payouts[key] = answer["outcome"]
-        status = client.run(1 - here, "claim-status", COUNT_CLAIMS)
-        tally.count_read(status)
+            answer = client.write(daemon, "payout", PAY_OUT, [claim, key], key)
+            log.payouts[key] = answer["outcome"]
+        status = client.run(1 - daemon, "claim-status", COUNT_CLAIMS)
+        log.count_read(status)
 
 
-def read_back(client: Client, daemon: int, claim: str, key: str, tally: Tally) -> None:
-    """Reads a claim with the session's token; it must be there as it was written."""
+def read_back(
+    client: Client, daemon: int, claim: str, key: str, log: WriterLog
+) -> None:
+    """Checks that a read in the same session returns the claim as written."""
     answer = client.run(daemon, "agent-read", READ_CLAIM, [claim])
-    tally.count_read(answer)
+    log.count_read(answer)
     if answer["outcome"] == "done":
         rows = answer["result"][0]["rows"]
         if rows != [[claim, "Ana", key]]:
-            tally.wrong_reads.append(f"{claim}: {rows}")
+            log.wrong_reads.append(f"{claim}: {rows}")
 
 
 def largest_gap(times: list[float]) -> float:
-    """Longest time in seconds between two successive acknowledgements."""
+    """Returns the longest time in seconds between successive acknowledgements."""
     ordered = sorted(times)
     return max(
         (later - earlier for earlier, later in zip(ordered, ordered[1:], strict=False)),
@@ -100,7 +104,7 @@
 
 
 def count_rows(member: Member, sql: str) -> dict[str, int]:
-    """Counts rows by key in a member's tables, past all caches."""
+    """Counts rows by key, read directly from a member's tables."""
     rows = member.ledger.committed.run([Sql(sql, [])])[0]["rows"]
     return {str(key): int(count) for key, count in rows}
 
@@ -108,7 +112,7 @@
 def find_all_faults(
     system: EmbeddedSystem, claims: dict[str, str], payouts: dict[str, str]
 ) -> list[str]:
-    """Checks the tables of every running member once all hold the same."""
+    """Checks the tables of every running member once all have applied the same log."""
     members = [member for member in system.members.values() if member.running]
     system.wait_for(lambda: len({m.ledger.committed.applied for m in members}) == 1)
     count = "SELECT {0}, count(*) FROM {1} GROUP BY {0}"
@@ -122,23 +126,25 @@
     return faults
 
 
-def find_faults(outcomes: dict[str, str], rows: dict[str, int], what: str) -> list[str]:
-    """Compares the outcomes that clients saw with the rows in the tables."""
+def find_faults(
+    outcomes: dict[str, str], rows: dict[str, int], label: str
+) -> list[str]:
+    """Compares the outcomes reported to clients with the rows in the tables."""
     faults = []
     for key, outcome in outcomes.items():
         count = rows.get(key, 0)
         if count > 1:
-            faults.append(f"{what} {key} counts {count} times")
+            faults.append(f"{label} {key} is stored {count} times")
         if outcome == "done" and count == 0:
-            faults.append(f"{what} {key} was acknowledged and is lost")
+            faults.append(f"{label} {key} was acknowledged but is lost")
         if outcome == "not_run" and count:
-            faults.append(f"{what} {key} was reported as not run and ran")
-    faults += [f"{what} {key} was never sent" for key in rows.keys() - outcomes.keys()]
+            faults.append(f"{label} {key} was reported as not run but ran")
+    faults += [f"{label} {key} was never sent" for key in rows.keys() - outcomes.keys()]
     return faults
 
 
 def run_demo() -> int:
-    """Runs the demo; returns 0 only if every check passed."""
+    """Runs the demo; returns 0 if every check passed, otherwise 1."""
     started = monotonic()
     system = EmbeddedSystem()
     try:
@@ -153,45 +159,45 @@
 
 
 def fail_over_under_load(system: EmbeddedSystem) -> int:
-    """Kills the primary while clients write; returns the exit status."""
-    tallies = [Tally() for _ in range(WRITERS)]
+    """Kills the primary while clients write; returns the exit status of the demo."""
+    logs = [WriterLog() for _ in range(WRITERS)]
     stopped = Event()
     threads = [
         Thread(
             target=file_claims,
-            args=(system.client(ORGANISATION), writer, tally, stopped),
+            args=(system.client(ORGANISATION), writer, log, stopped),
         )
-        for writer, tally in enumerate(tallies)
+        for writer, log in enumerate(logs)
     ]
     for thread in threads:
         thread.start()
-    sleep(BEFORE_FAILURE_S)
+    sleep(BEFORE_FAILURE_SECONDS)
     old_primary = system.primary
     system.members[old_primary].kill()
     killed = monotonic()
     print(f"killed the primary {old_primary}")
-    sleep(AFTER_FAILURE_S)
+    sleep(AFTER_FAILURE_SECONDS)
     stopped.set()
     for thread in threads:
         thread.join()
-    return report(system, tallies, killed, old_primary)
+    return report(system, logs, killed, old_primary)
 
 
 def report(
-    system: EmbeddedSystem, tallies: list[Tally], killed: float, old_primary: str
+    system: EmbeddedSystem, logs: list[WriterLog], killed: float, old_primary: str
 ) -> int:
-    """Prints the measures and checks the tables; returns the exit status."""
-    acknowledged = [moment for tally in tallies for moment in tally.acknowledged]
-    claims = {key: out for tally in tallies for key, out in tally.claims.items()}
-    payouts = {key: out for tally in tallies for key, out in tally.payouts.items()}
+    """Prints the measurements and checks the tables; returns the exit status."""
+    acknowledged = [time for log in logs for time in log.acknowledged]
+    claims = {key: outcome for log in logs for key, outcome in log.claims.items()}
+    payouts = {key: outcome for log in logs for key, outcome in log.payouts.items()}
     reads = {
-        role: sum(tally.reads.get(role, 0) for tally in tallies)
+        role: sum(log.reads.get(role, 0) for log in logs)
         for role in ("replica", "primary")
     }
     gap = largest_gap([time for time in acknowledged if time > killed - 0.5])
     system.wait_for(lambda: system.primary not in ("", old_primary))
     faults = find_all_faults(system, claims, payouts)
-    faults += [read for tally in tallies for read in tally.wrong_reads]
+    faults += [read for log in logs for read in log.wrong_reads]
     share = reads["replica"] / max(1, sum(reads.values()))
     done = sum(outcome == "done" for outcome in claims.values())
     paid = sum(outcome == "done" for outcome in payouts.values())
@@ -201,18 +207,20 @@
     print(
         f"claims: {done} of {len(claims)} done, payouts: {paid} of {len(payouts)} done"
     )
-    if gap > MAX_GAP_S:
-        faults.append(f"the failover gap exceeds {MAX_GAP_S} s")
+    if gap > MAX_GAP_SECONDS:
+        faults.append(f"the failover gap exceeds {MAX_GAP_SECONDS} s")
     if not done or not paid or not reads["replica"]:
-        faults.append("nothing was written or nothing was read from a replica")
+        faults.append(
+            "no claim or payout was written, or no read was served by a replica"
+        )
     for fault in faults:
         print(f"FAULT: {fault}")
-    print("every claim and payout counts once" if not faults else "checks failed")
+    print("every claim and payout is stored once" if not faults else "checks failed")
     return int(bool(faults))
 
 
 def main() -> None:
-    """Runs the demo with warnings only in the log."""
+    """Runs the demo with the log limited to errors."""
     logger.remove()
     logger.add(sys.stderr, level="ERROR")
     raise SystemExit(run_demo())
--- a/packages/daemon/src/bronzemoor_daemon/embedded.py
+++ b/packages/daemon/src/bronzemoor_daemon/embedded.py
@@ -1,4 +1,4 @@
-"""A whole system in one process, for the demo and for tests of whole paths."""
+"""Runs a complete system in one process, for the demo and end-to-end tests."""
 
 import socket
 from collections.abc import Callable
@@ -19,15 +19,16 @@
 from bronzemoor_standin.settings import MemberSettings
 
 LOOPBACK = "127.0.0.1"
-POLL_INTERVAL_S = 0.01
-HTTP_TIMEOUT_S = 10.0
-FIRST_PORT, LAST_PORT = 20_000, 32_000
-# Processes that run at the same time start at different ports.
+POLL_INTERVAL_SECONDS = 0.01
+HTTP_TIMEOUT_SECONDS = 10.0
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
+# Starts at a port derived from the process id, so that concurrent processes differ.
 _ports = cycle(range(FIRST_PORT + getpid() * 97 % (LAST_PORT - FIRST_PORT), LAST_PORT))
 
 
 class Client:
-    """A client of several daemons; follows one session over all of them."""
+    """HTTP client of several daemons that carries one session across them."""
 
     def __init__(self, addresses: list[str], organisation: str, database: str) -> None:
         self._http = Session()
@@ -47,7 +48,7 @@
         path: str = "/v1/statements",
         **fields: Any,
     ) -> dict[str, Any]:
-        """Sends one statement to the daemon of that index; returns the response.
+        """Sends one statement to the daemon at that index; returns the response.
 
         A lost response is reported as the outcome ``unknown``.
         """
@@ -63,7 +64,7 @@
             body["statements"] = [{"sql": sql, "params": params or []}]
         url = f"http://{self._addresses[daemon]}{path}"
         try:
-            response = self._http.post(url, json=body, timeout=HTTP_TIMEOUT_S)
+            response = self._http.post(url, json=body, timeout=HTTP_TIMEOUT_SECONDS)
         except RequestException as error:
             return {
                 "outcome": "unknown",
@@ -77,19 +78,19 @@
     def write(
         self, daemon: int, request_class: str, sql: str, params: list[Any], key: str
     ) -> dict[str, Any]:
-        """Writes, and resends to the other daemons until the outcome is known."""
+        """Writes, with up to ten attempts on the daemons in turn, until it is done."""
         answer: dict[str, Any] = {}
         for attempt in range(10):
             index = (daemon + attempt) % len(self._addresses)
             answer = self.run(index, request_class, sql, params, key)
             if answer["outcome"] == "done":
                 return answer
-            sleep(POLL_INTERVAL_S)
+            sleep(POLL_INTERVAL_SECONDS)
         return answer
 
 
 class EmbeddedSystem:
-    """Daemons and the members of one database, all on loopback.
+    """Daemons and the members of one database on loopback.
 
     The first ``control`` daemons form the control group.
     """
@@ -106,8 +107,8 @@
     ) -> None:
         self.database = database
         names = [f"vm-{number}" for number in range(1, daemons + 1)]
-        self._peers = {name: free_address() for name in names}
-        self._http = {name: free_address() for name in names}
+        self._peer_addresses = {name: free_address() for name in names}
+        self._http_addresses = {name: free_address() for name in names}
         self._control = tuple(names[:control])
         self._data_folder = data_folder
         self.daemons = {name: self._make_daemon(name) for name in names}
@@ -122,7 +123,7 @@
                     data_centre="lisbon",
                     port=int(address.rsplit(":", 1)[1]),
                     members=addresses,
-                    daemons=list(self._http.values()),
+                    daemons=list(self._http_addresses.values()),
                     schema=schema,
                     **member_settings,
                 )
@@ -133,17 +134,17 @@
     @property
     def addresses(self) -> list[str]:
         """host:port of each daemon's HTTP interface."""
-        return list(self._http.values())
+        return list(self._http_addresses.values())
 
     @property
     def primary(self) -> str:
-        """Primary of the database as the first running daemon knows it, or empty."""
+        """Primary of the database according to the first daemon, or an empty string."""
         application = next(iter(self.daemons.values()))
         databases = application.driver.node.blackboard.topology.databases
         return databases[self.database].primary if self.database in databases else ""
 
     def start(self) -> None:
-        """Starts everything and waits until every daemon is ready."""
+        """Starts all daemons and members; waits for readiness and a primary."""
         for application in self.daemons.values():
             application.start()
         for member in self.members.values():
@@ -152,14 +153,14 @@
         self.wait_for(lambda: self.primary)
 
     def stop(self) -> None:
-        """Ends everything abruptly."""
+        """Kills all members and daemons."""
         for member in self.members.values():
             member.kill()
         for application in self.daemons.values():
             application.kill()
 
     def restart_daemon(self, name: str) -> None:
-        """Starts a daemon that was killed; the addresses stay the same."""
+        """Starts a killed daemon again with the same addresses."""
         self.daemons[name] = self._make_daemon(name)
         self.daemons[name].start()
 
@@ -168,12 +169,12 @@
         with Session() as http:
             http.trust_env = False
             url = f"http://{self.addresses[daemon]}/v1/admin/{command}"
-            answer = http.post(url, json=arguments, timeout=HTTP_TIMEOUT_S)
+            answer = http.post(url, json=arguments, timeout=HTTP_TIMEOUT_SECONDS)
             decoded: dict[str, Any] = answer.json()
             return decoded
 
     def apply_template(self, organisation: str, body: dict[str, Any]) -> None:
-        """Applies the first template and waits until every daemon has it."""
+        """Applies the first template; waits until it is in effect on every daemon."""
         answer = self.admin(
             0,
             "template.apply",
@@ -193,29 +194,31 @@
         )
 
     def client(self, organisation: str) -> Client:
-        """Makes a client with a new session."""
+        """Returns a client with a new session."""
         return Client(self.addresses, organisation, self.database)
 
     def wait_for(self, condition: Callable[[], Any], timeout: float = 10.0) -> None:
-        """Polls until ``condition`` holds; ``timeout`` is in seconds."""
-        end = monotonic() + timeout
+        """Polls until ``condition`` holds; raises after ``timeout`` seconds."""
+        deadline = monotonic() + timeout
         while not condition():
-            if monotonic() > end:
-                raise BronzemoorError("the system did not settle", step="embedded")
-            sleep(POLL_INTERVAL_S)
+            if monotonic() > deadline:
+                raise BronzemoorError(
+                    "timed out waiting for a condition of the system", step="embedded"
+                )
+            sleep(POLL_INTERVAL_SECONDS)
 
     def _make_daemon(self, name: str) -> Application:
         node = NodeSettings(
             name=name,
             data_centre="lisbon",
             control=name in self._control,
-            peers=self._peers,
+            peers=self._peer_addresses,
             control_members=self._control,
             token_keys={"embedded": b"only for systems inside one process"},
         )
         listen = ListenSettings(
-            http=self._http[name],
-            peer=self._peers[name],
+            http=self._http_addresses[name],
+            peer=self._peer_addresses[name],
             data_folder=self._data_folder(name),
         )
         return make_application(DaemonSettings(node, listen))
@@ -224,8 +227,8 @@
 def free_address() -> str:
     """Returns a loopback address with a port that is free now.
 
-    The port lies below the range from which the system takes the ports of outgoing
-    connections: one of those could take it before the server binds.
+    The port lies below the ephemeral range: an outgoing connection could otherwise take
+    it before the server binds.
     """
     while True:
         port = next(_ports)
--- a/packages/daemon/src/bronzemoor_daemon/http.py
+++ b/packages/daemon/src/bronzemoor_daemon/http.py
@@ -1,4 +1,4 @@
-"""Hot path of the HTTP interface: statements, transactions, announcements, health."""
+"""Serves statements, transactions, announcements and health checks over HTTP."""
 
 from collections.abc import Callable
 from typing import Any
@@ -18,85 +18,87 @@
 from bronzemoor_daemon.server import Response
 from bronzemoor_daemon.tracing import Tracing, trace_id_of
 
-TRANSACTIONS = b"/v1/transactions/"
+TRANSACTIONS_PREFIX = b"/v1/transactions/"
 TRANSACTION_ENDS = {b"commit": "commit", b"rollback": "rollback"}
-STOPPING = NotRun("draining", "this daemon is stopping", "http")
+STOPPING_OUTCOME = NotRun("draining", "this daemon is stopping", "http")
 
 
-class HttpPath:
-    """Answers hot-path requests in the server's worker threads."""
+class HotPathHandler:
+    """Handles hot-path requests in the server's worker threads."""
 
     def __init__(
         self,
         driver: Driver,
         data_centre: str,
-        max_body: int,
+        max_body_bytes: int,
         is_ready: Callable[[], bool],
-        takes_transactions: Callable[[], bool],
+        accepts_transactions: Callable[[], bool],
         tracing: Tracing,
     ) -> None:
         self._driver = driver
         self._data_centre = data_centre
-        self._max_body = max_body
+        self._max_body_bytes = max_body_bytes
         self._is_ready = is_ready
-        self._takes_transactions = takes_transactions
+        self._accepts_transactions = accepts_transactions
         self._tracing = tracing
         self._routes: dict[bytes, Callable[[Any], Response]] = {
-            b"/v1/statements": self._statements,
-            b"/v1/transactions": self._begin,
-            b"/v1/announcements": self._announce,
+            b"/v1/statements": self._run_statements,
+            b"/v1/transactions": self._begin_transaction,
+            b"/v1/announcements": self._handle_announcement,
         }
-        self._health: dict[bytes, Callable[[], Response]] = {
-            b"/ready": self._ready,
+        self._health_routes: dict[bytes, Callable[[], Response]] = {
+            b"/ready": self._check_readiness,
             b"/live": lambda: (STATUS_OK, b'{"live":true}'),
         }
 
     def __call__(self, req: Any) -> Response | None:
-        """Returns the response, or None when the path belongs to the admin tree."""
+        """Returns the response, or None if the path belongs to the WSGI application."""
         try:
             route = self._routes.get(req.path)
             if route is not None:
-                return self._checked(req, route)
-            health = self._health.get(req.path)
+                return self._require_post(req, route)
+            health = self._health_routes.get(req.path)
             if health is not None:
                 return health()
-            if req.path.startswith(TRANSACTIONS):
-                return self._checked(req, self._end)
+            if req.path.startswith(TRANSACTIONS_PREFIX):
+                return self._require_post(req, self._end_transaction)
         except InvalidRequest as error:
             return encode_error(error)
         return None
 
-    def _checked(self, req: Any, route: Callable[[Any], Response]) -> Response:
+    def _require_post(self, req: Any, route: Callable[[Any], Response]) -> Response:
         if req.method != b"POST":
-            raise InvalidRequest("use POST", step="http", code="method_not_allowed")
+            raise InvalidRequest(
+                "only POST is allowed", step="http", code="method_not_allowed"
+            )
         return route(req)
 
-    def _statements(self, req: Any) -> Response:
-        return self._serve(req, "statements")
+    def _run_statements(self, req: Any) -> Response:
+        return self._serve_request(req, "statements")
 
-    def _begin(self, req: Any) -> Response:
-        return self._serve(req, "begin")
+    def _begin_transaction(self, req: Any) -> Response:
+        return self._serve_request(req, "begin")
 
-    def _end(self, req: Any) -> Response:
-        transaction, _, end = req.path[len(TRANSACTIONS) :].partition(b"/")
+    def _end_transaction(self, req: Any) -> Response:
+        transaction, _, end = req.path[len(TRANSACTIONS_PREFIX) :].partition(b"/")
         kind = TRANSACTION_ENDS.get(end)
         if kind is None:
-            raise InvalidRequest("no such path", step="http", code="not_found")
-        return self._serve(req, kind, transaction.decode("latin-1"))
+            raise InvalidRequest("unknown path", step="http", code="not_found")
+        return self._serve_request(req, kind, transaction.decode("latin-1"))
 
-    def _serve(self, req: Any, kind: str, transaction: str = "") -> Response:
+    def _serve_request(self, req: Any, kind: str, transaction: str = "") -> Response:
         traceparent = req.inheaders.get(b"Traceparent", b"").decode("latin-1")
         trace = self._tracing.start(f"http:{kind}", traceparent)
         trace_id = trace.trace_id if trace is not None else trace_id_of(traceparent)
         try:
-            body = self._body(req)
+            body = self._read_body(req)
             now = self._driver.clock()
             request = parse_request(
                 body, kind, now, self._data_centre, transaction, trace_id
             )
-            if kind == "begin" and not self._takes_transactions():
-                return encode_reply(Reply(0, STOPPING), trace_id)
-            reply = self._driver.serve(request, req.conn.is_gone, trace)
+            if kind == "begin" and not self._accepts_transactions():
+                return encode_reply(Reply(0, STOPPING_OUTCOME), trace_id)
+            reply = self._driver.serve(request, req.conn.is_disconnected, trace)
         except InvalidRequest as error:
             if trace is not None:
                 trace.end({"outcome": NotRun.tag, "code": error.code})
@@ -106,25 +108,25 @@
             trace.end({"outcome": outcome.tag, "code": outcome.code})
         return encode_reply(reply, trace_id)
 
-    def _announce(self, req: Any) -> Response:
-        announcement = parse_announcement(self._body(req))
+    def _handle_announcement(self, req: Any) -> Response:
+        announcement = parse_announcement(self._read_body(req))
         self._driver.handle(AnnouncementReceived(announcement))
         return STATUS_OK, b'{"outcome":"done"}'
 
-    def _ready(self) -> Response:
+    def _check_readiness(self) -> Response:
         if self._is_ready():
             return STATUS_OK, b'{"ready":true}'
         return STATUS_UNAVAILABLE, b'{"ready":false}'
 
-    def _body(self, req: Any) -> bytes:
-        """Reads the body; too large a one is partly discarded and closes."""
+    def _read_body(self, req: Any) -> bytes:
+        """Reads the body; closes the connection if it is too large or incomplete."""
         if req.chunked_read:
-            body: bytes = req.rfile.read(self._max_body + 1)
-            if len(body) <= self._max_body:
+            body: bytes = req.rfile.read(self._max_body_bytes + 1)
+            if len(body) <= self._max_body_bytes:
                 return body
         else:
             remaining = req.rfile.remaining
-            if remaining <= self._max_body:
+            if remaining <= self._max_body_bytes:
                 body = req.conn.rfile.read(remaining) if remaining > 0 else b""
                 req.rfile.remaining = 0
                 if len(body) == remaining:
@@ -133,5 +135,7 @@
                 raise InvalidRequest("the body is incomplete", step="http")
         req.close_connection = True
         raise InvalidRequest(
-            f"body exceeds {self._max_body} bytes", step="http", code="body_too_large"
+            f"body exceeds {self._max_body_bytes} bytes",
+            step="http",
+            code="body_too_large",
         )
--- a/packages/daemon/src/bronzemoor_daemon/performers.py
+++ b/packages/daemon/src/bronzemoor_daemon/performers.py
@@ -1,4 +1,4 @@
-"""Performs the core's actions: calls on pool threads, messages and sinks by queue."""
+"""Performs the core's actions on thread pools and through queues."""
 
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -25,14 +25,14 @@
 from bronzemoor_daemon.peers import PeerSenders
 from bronzemoor_daemon.storagethread import StorageThread
 
-# Opening and probing connections; each may wait for its timeout.
+# Threads that open and probe connections; each may block until its timeout.
 CONNECTION_THREADS = 16
-# Orders of a failover never wait behind connections that time out.
+# Separate threads, so that failover orders never wait for connections to time out.
 ORDER_THREADS = 8
 
 
 class Performers:
-    """Table of performers by action type; none of them blocks."""
+    """Maps action types to performers; no performer blocks."""
 
     def __init__(
         self,
@@ -44,17 +44,17 @@
         handle: Callable[[object], None],
         trace_context: Callable[[], str],
         stop_listening: Callable[[], None],
-        leave: Callable[[Exit], None],
+        on_exit: Callable[[Exit], None],
     ) -> None:
         self._endpoints = endpoints
-        self._handle = handle
+        self._handle_event = handle
         self._connection_pool = ThreadPoolExecutor(CONNECTION_THREADS, "connections")
         self._order_pool = ThreadPoolExecutor(ORDER_THREADS, "orders")
         self.table: dict[type, Callable[[Any], None]] = {
-            OpenConnection: self._open,
-            CloseConnection: self._close,
-            SendCall: self._call,
-            SendOrder: self._order,
+            OpenConnection: self._open_connection,
+            CloseConnection: self._close_connection,
+            SendCall: self._send_call,
+            SendOrder: self._send_order,
             SendPeerMessage: lambda action: senders.send(action, trace_context()),
             PersistLog: storage.put,
             PersistSnapshot: storage.put,
@@ -65,37 +65,39 @@
                 action.kind, action.name, action.value
             ),
             StopListening: lambda action: self._submit(stop_listening),
-            Exit: leave,
+            Exit: on_exit,
         }
 
     def stop(self) -> None:
-        """Starts no further action; those in progress end by their timeouts."""
+        """Starts no further actions; those in progress end within their timeouts."""
         self._connection_pool.shutdown(wait=False, cancel_futures=True)
         self._order_pool.shutdown(wait=False, cancel_futures=True)
 
-    def _open(self, action: OpenConnection) -> None:
+    def _open_connection(self, action: OpenConnection) -> None:
         self._endpoints.announce_open(action.connection)
-        self._perform(self._connection_pool, self._endpoints.open, action)
+        self._submit_action(self._connection_pool, self._endpoints.open, action)
 
-    def _close(self, action: CloseConnection) -> None:
-        self._submit(lambda: self._close_and_confirm(action))
+    def _close_connection(self, action: CloseConnection) -> None:
+        self._submit(lambda: self._close_and_report(action))
 
-    def _close_and_confirm(self, action: CloseConnection) -> None:
-        """Closes and says so: the core counts a connection until it is closed."""
+    def _close_and_report(self, action: CloseConnection) -> None:
+        """Closes and reports it: the core counts a connection until it is closed."""
         if self._endpoints.close(action.connection):
-            self._handle(ConnectionClosed(action.connection, action.reason, False))
+            self._handle_event(
+                ConnectionClosed(action.connection, action.reason, False)
+            )
 
-    def _call(self, action: SendCall) -> None:
-        self._perform(self._connection_pool, self._endpoints.call, action)
+    def _send_call(self, action: SendCall) -> None:
+        self._submit_action(self._connection_pool, self._endpoints.call, action)
 
-    def _order(self, action: SendOrder) -> None:
-        self._perform(self._order_pool, self._endpoints.order, action)
+    def _send_order(self, action: SendOrder) -> None:
+        self._submit_action(self._order_pool, self._endpoints.order, action)
 
-    def _perform(
+    def _submit_action(
         self, pool: ThreadPoolExecutor, perform: Callable[[Any], object], action: Any
     ) -> None:
-        with suppress(RuntimeError):  # the pool is stopped
-            pool.submit(lambda: self._handle(perform(action)))
+        with suppress(RuntimeError):  # the pool is shut down
+            pool.submit(lambda: self._handle_event(perform(action)))
 
     def _submit(self, function: Callable[[], None]) -> None:
         with suppress(RuntimeError):
--- a/packages/daemon/src/bronzemoor_daemon/server.py
+++ b/packages/daemon/src/bronzemoor_daemon/server.py
@@ -1,5 +1,5 @@
-"""HTTP server: cheroot with cheap idle connections, a hot path and a listener that
-closes before the connections do."""
+"""HTTP server on cheroot with cheap idle connections, a hot path that skips WSGI, and a
+listener that can be closed before its connections."""
 
 import socket
 import time
@@ -19,19 +19,19 @@
 from bronzemoor_daemon.streams import RECEIVE_BYTES, make_stream
 from bronzemoor_daemon.tls import ContextSource
 
-# Handles one request: (method and path, body reader) -> response or None to pass on.
+# Status line and body.
 Response = tuple[bytes, bytes]
 
 MAX_HEADER_BYTES = 65_536
-EXPIRATION_INTERVAL = 5.0
-# Threads added at a time when all are occupied.
-GROWTH = 16
-# How long the rest of a body that is too large is read and thrown away.
+EXPIRATION_INTERVAL_SECONDS = 5.0
+# Number of threads added at a time when all are busy.
+THREAD_GROWTH = 16
+# How long the remainder of an oversized body is read and discarded.
 DISCARD_SECONDS = 0.5
 
 
 class ClientConnection(HTTPConnection):
-    """A client connection that waits in the selector until its first byte arrives."""
+    """Client connection that waits in the selector until its first byte arrives."""
 
     def __init__(self, server: Any, sock: Any, makefile: Any = None) -> None:
         super().__init__(server, sock, make_stream)
@@ -49,35 +49,35 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, value)
 
     def communicate(self) -> bool:
-        """Serves one request, and further ones if they come soon.
+        """Serves one request, and more while they arrive within the read timeout.
 
-        A thread that stays with its connection saves the way through the selector, the
-        queue and two thread switches; the server bounds how many do so.
+        Staying with the connection saves a pass through the selector and the queue and
+        two thread switches; the server limits how many threads do so.
         """
         while super().communicate():
-            if not self.rfile.has_data() and not self.server.may_stay(self):
+            if not self.rfile.has_data() and not self.server.await_next_request(self):
                 return True
         return False
 
     def wait_for_input(self) -> bool:
-        """Waits for the next request; false after the read timeout or at the end."""
+        """Waits for input; false after the read timeout or at the end of the stream."""
         return not self._is_tls and bool(self.rfile.peek())
 
     def discard_input(self) -> None:
-        """Reads on for a moment after an early answer.
+        """Reads and discards input for a short time after an early response.
 
         Closing with unread input resets the connection, and the client might lose the
-        answer.
+        response.
         """
         self.socket.shutdown(socket.SHUT_WR)
-        until = time.monotonic() + DISCARD_SECONDS
+        deadline = time.monotonic() + DISCARD_SECONDS
         self.socket.settimeout(DISCARD_SECONDS)
         with suppress(OSError):
-            while time.monotonic() < until and self.socket.recv(RECEIVE_BYTES):
+            while time.monotonic() < deadline and self.socket.recv(RECEIVE_BYTES):
                 pass
 
-    def is_gone(self) -> bool:
-        """Tells whether the client closed its side; unknown counts as connected."""
+    def is_disconnected(self) -> bool:
+        """Returns whether the client closed its side; false if unknown, as with TLS."""
         if self._is_tls:
             return False
         try:
@@ -90,17 +90,17 @@
 
 
 class HotPathGateway(Gateway_10):
-    """Serves the server's ``hot_path`` directly and everything else through WSGI."""
+    """Passes requests to the server's ``hot_path`` and all others to WSGI."""
 
     def __init__(self, req: Any) -> None:
-        # The WSGI environment is made only for requests that need it.
+        # Skips the base class, which builds the WSGI environment for every request.
         self.req = req
         self.started_response = False
         self.remaining_bytes_out = None
 
     def respond(self) -> None:
         response = self.req.server.hot_path(self.req)
-        self.req.server.served += 1
+        self.req.server.requests_served += 1
         if response is not None:
             self._send(*response)
             return
@@ -129,29 +129,29 @@
 
 
 class Waker:
-    """Wakes the selector for a stop, which else waits for its expiration interval."""
+    """Wakes the selector on a stop; it would otherwise wait for its timeout."""
 
     last_used = float("inf")
 
     def __init__(self) -> None:
-        self.socket, self._other = socket.socketpair()
+        self.socket, self._sender = socket.socketpair()
 
     def wake(self) -> None:
-        self._other.send(b"x")
+        self._sender.send(b"x")
 
     def close(self) -> None:
         self.socket.close()
-        self._other.close()
+        self._sender.close()
 
 
 class DaemonServer(Server):
-    """One listener of the daemon; several may live in one process."""
+    """One HTTP listener of a daemon; a process may have several."""
 
     ConnectionClass = ClientConnection
-    expiration_interval = EXPIRATION_INTERVAL
+    expiration_interval = EXPIRATION_INTERVAL_SECONDS
     keep_alive_conn_limit: Any = None
     max_request_header_size = MAX_HEADER_BYTES
-    # Set by cheroot when the server starts; its type stubs do not name it.
+    # Set by cheroot when the server starts; missing in its type stubs.
     _connections: Any
 
     def __init__(
@@ -185,57 +185,57 @@
         self.read_timeout = read_timeout
         self.draining = False
         self._report = report
-        # Connections whose thread waits with them; the other threads serve the rest.
-        self._staying: set[ClientConnection] = set()
-        self._stay_limit = threads // 2
+        # Connections that keep a thread; the other threads serve all other connections.
+        self._pinned: set[ClientConnection] = set()
+        self._pinned_limit = threads // 2
         self._date = (0, b"")
-        # Requests served; concurrent increments may be lost, which does not matter.
-        self.served = 0
-        self._served_before = -1
+        # Approximate, since concurrent increments may be lost; only changes matter.
+        self.requests_served = 0
+        self._last_requests_served = -1
         if tls is not None:
             self.ssl_adapter = LazyTlsAdapter(tls)
 
     @property
     def connections(self) -> int:
-        """Client connections that are idle at the moment."""
-        # The waker is no client.
+        """Number of idle client connections."""
+        # Excludes the waker.
         return max(0, self._connections._num_connections - 1) if self.ready else 0
 
     @property
     def can_add_keepalive_connection(self) -> bool:
-        """False while draining, so that each answer closes its connection."""
+        """False while draining, so that every response closes its connection."""
         return not self.draining and super().can_add_keepalive_connection
 
-    def may_stay(self, conn: ClientConnection) -> bool:
-        """Waits with ``conn`` for its next request if enough threads are free."""
+    def await_next_request(self, conn: ClientConnection) -> bool:
+        """Keeps the thread on ``conn`` until its next request if enough are free."""
         if (
             self.draining
-            or len(self._staying) >= self._stay_limit
+            or len(self._pinned) >= self._pinned_limit
             or not self.requests._queue.empty()
         ):
             return False
-        self._staying.add(conn)
+        self._pinned.add(conn)
         try:
             return conn.wait_for_input()
         finally:
-            self._staying.discard(conn)
+            self._pinned.discard(conn)
 
-    def relieve(self) -> None:
-        """Adds threads if connections wait and no request has ended since last time.
+    def grow_if_stalled(self) -> None:
+        """Adds threads if connections wait and no request ended since the last call.
 
-        Under mere load requests do end, and more threads would only contend.
+        Under ordinary load requests do end, and more threads would only add contention.
 
-        Requests that wait for a database occupy their threads; without more threads
-        they would keep out the announcements that end their wait.
+        Requests that wait for a database occupy their threads and could block the
+        announcements that they wait for.
         """
         pool = self.requests
-        stuck = self.served == self._served_before
-        self._served_before = self.served
-        if stuck and self.ready and not pool._queue.empty() and pool.idle == 0:
-            pool.grow(GROWTH)
+        stalled = self.requests_served == self._last_requests_served
+        self._last_requests_served = self.requests_served
+        if stalled and self.ready and not pool._queue.empty() and pool.idle == 0:
+            pool.grow(THREAD_GROWTH)
 
     def date_header(self) -> bytes:
-        """The Date header line, made once a second."""
+        """Returns the Date header line, which is formatted once a second."""
         now = int(time.time())
         if self._date[0] != now:
             line = f"Date: {formatdate(now, usegmt=True)}\r\n".encode()
@@ -243,7 +243,7 @@
         return self._date[1]
 
     def prepare(self) -> None:
-        """Binds the listener and starts the worker threads."""
+        """Binds the listener, starts the worker threads and registers the waker."""
         super().prepare()
         self._waker = Waker()
         self._connections._selector.register(
@@ -251,19 +251,19 @@
         )
 
     def stop(self) -> None:
-        """Closes the listener and all connections, and ends the threads."""
-        # From here on no thread stays with its connection.
+        """Closes the listener and all connections and stops the threads."""
+        # Set first, so that no thread starts to wait on its connection.
         self.draining = True
         if self.ready:
             self._connections._stop_requested = True
             self._waker.wake()
-            for conn in list(self._staying):
+            for conn in list(self._pinned):
                 with suppress(OSError):
                     conn.socket.shutdown(socket.SHUT_RD)
         super().stop()
 
     def process_conn(self, conn: Any) -> None:
-        """Queues a readable connection; a new one first waits for its first byte."""
+        """Queues a readable connection; a new one is first added to the selector."""
         if conn is self._waker:
             return
         if conn.is_new:
@@ -273,7 +273,7 @@
             super().process_conn(conn)
 
     def close_listener(self) -> None:
-        """Takes no new connections; those in the kernel's backlog are still served."""
+        """Closes the listener; connections in the kernel's backlog are still served."""
         listener = self.socket
         if listener is None:
             return
@@ -296,9 +296,9 @@
 
 
 class LazyTlsAdapter(Adapter):
-    """Wraps accepted sockets; the handshake happens on the first read.
+    """Wraps accepted sockets and leaves the handshake to the first read.
 
-    A handshake in the accepting thread would let one silent client stop all others.
+    A handshake in the accepting thread would let one silent client block all others.
     """
 
     def __init__(self, context: ContextSource) -> None:
--- a/packages/daemon/tests/test_driver.py
+++ b/packages/daemon/tests/test_driver.py
@@ -1,4 +1,4 @@
-"""The lock around the node, mailboxes of requests and errors of the core."""
+"""The driver: its lock, the mailboxes of requests and exceptions in the core."""
 
 import time
 from queue import SimpleQueue
@@ -32,7 +32,7 @@
 
 
 class ScriptedNode:
-    """Answers each type of event with what the script's function returns."""
+    """Fake node; ``script`` maps an event type to a function that returns actions."""
 
     settings = NodeSettings("vm-1", "lisbon")
     blackboard = None
@@ -46,16 +46,16 @@
 
 
 def make_driver(script, performers=None):
-    faults = []
+    errors = []
     table = {SendCall: lambda action: None, SendPeerMessage: lambda action: None}
     driver = Driver(
         ScriptedNode(script),
         table | (performers or {}),
         lambda action: AnswerReceived(action.connection, action.call, None, 0.0),
-        lambda event, error: faults.append((type(event), str(error))),
+        lambda event, error: errors.append((type(event), str(error))),
         Tracing("vm-1"),
     )
-    driver.faults = faults
+    driver.errors = errors
     return driver
 
 
@@ -80,11 +80,11 @@
     """Guards against a thread hand-off on the common path."""
     driver = make_driver({RequestReceived: send, AnswerReceived: reply})
     assert driver.serve(request(), never).outcome is DONE
-    assert driver.waiting == 0
+    assert driver.requests_in_progress == 0
 
 
 def test_actions_for_another_request_wake_its_thread():
-    """Guards against a queued request that nobody performs once it is granted."""
+    """Guards against a queued request that no thread runs once it is admitted."""
     waiting, results = [], SimpleQueue()
 
     def on_request(event):
@@ -106,7 +106,7 @@
 
 
 def test_actions_are_performed_in_order():
-    """Guards against log entries or messages that overtake each other."""
+    """Guards against log entries or messages that are reordered."""
     seen = []
     logs = [EmitLog("info", str(number)) for number in range(5)]
     driver = make_driver(
@@ -116,23 +116,23 @@
     assert seen == logs
 
 
-def test_a_gone_caller_is_told_once_and_its_calls_go_on_elsewhere():
-    """Guards against a thread that waits for a caller that left, and against the loss
-    of a call that the core still wants, such as a rollback."""
-    elsewhere = []
+def test_a_disconnected_caller_is_reported_once_and_its_calls_are_still_sent():
+    """Guards against a thread that waits for a disconnected caller, and against the
+    loss of a call that the core still needs, such as a rollback."""
+    submitted = []
     driver = make_driver(
         {CallerGone: lambda event: [SendCall(5, Call("rollback", 1, event.ticket))]},
-        {SendCall: elsewhere.append},
+        {SendCall: submitted.append},
     )
     outcome = driver.serve(request(), lambda: True).outcome
     assert (outcome.tag, outcome.code) == ("unknown", "caller_gone")
     gone = [event for event in driver.node.events if type(event) is CallerGone]
     assert len(gone) == 1
-    assert [action.call.kind for action in elsewhere] == ["rollback"]
+    assert [action.call.kind for action in submitted] == ["rollback"]
 
 
-def test_a_fault_of_the_core_answers_and_is_reported():
-    """Guards against a fault that leaves a request without an answer."""
+def test_an_exception_in_the_core_is_answered_and_reported():
+    """Guards against an exception that leaves a request without a reply."""
 
     def fail(event):
         raise KeyError("broken")
@@ -143,21 +143,21 @@
     )
     assert driver.command("status", {}, "", 0.0).code == "internal"
     driver.handle(Tick())
-    assert [kind for kind, _ in driver.faults] == [RequestReceived, AdminCommand, Tick]
+    assert [kind for kind, _ in driver.errors] == [RequestReceived, AdminCommand, Tick]
 
 
-def test_a_core_without_an_answer_does_not_hold_the_thread(monkeypatch):
-    """Guards against a thread that is lost for ever."""
-    monkeypatch.setattr("bronzemoor_daemon.driver.REPLY_MARGIN", 0.0)
-    monkeypatch.setattr("bronzemoor_daemon.driver.ADMIN_TIMEOUT", 0.05)
+def test_a_request_without_a_reply_releases_the_thread(monkeypatch):
+    """Guards against a thread that waits for ever."""
+    monkeypatch.setattr("bronzemoor_daemon.driver.REPLY_MARGIN_SECONDS", 0.0)
+    monkeypatch.setattr("bronzemoor_daemon.driver.ADMIN_TIMEOUT_SECONDS", 0.05)
     driver = make_driver({})
     outcome = driver.serve(request(0.05), never).outcome
     assert (outcome.tag, outcome.code) == ("unknown", "internal")
     assert driver.command("status", {}, "", 0.0).code == "unknown"
 
 
-def test_messages_to_itself_come_back():
-    """Guards against a control daemon that cannot reach its own control part."""
+def test_messages_to_the_own_daemon_are_delivered():
+    """Guards against a control daemon that cannot reach its own control member."""
     driver = make_driver(
         {
             Tick: lambda event: [SendPeerMessage("vm-1", "hello")],
