Reword the daemon's tests and guarantee scenarios

Docstrings, fixtures and step texts were figurative, or named what a test does only loosely. They now state the failure that each test guards against; step texts change together in the feature file and in the step definitions, and all parameters and checks stay.

--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Small fakes: a node that passes requests straight through and a scripted endpoint."""
+"""Fixtures and fakes: a pass-through node and a scripted endpoint."""
 
 import json
 import socket
@@ -93,8 +93,8 @@
             transport.close()
 
 
-class PassThrough:
-    """Stands in for the node: one warm connection per request in progress."""
+class PassThroughNode:
+    """Fake node that keeps one reusable connection per request in progress."""
 
     def __init__(self, node, address):
         self._node, self._address = node, address
@@ -156,7 +156,7 @@
 
 @pytest.fixture
 def start(settings):
-    """Starts an application; its node may be wrapped, for example by a fake."""
+    """Starts an application; ``wrap`` may replace its node, for example by a fake."""
     started = []
 
     def starter(wrap=None, chosen=settings):
@@ -173,13 +173,13 @@
 
 
 @pytest.fixture
-def passing(start, endpoint):
-    """An application whose requests go straight to the fake endpoint."""
-    return start(lambda node: PassThrough(node, endpoint.address))
+def pass_through_app(start, endpoint):
+    """Application that sends its requests directly to the fake endpoint."""
+    return start(lambda node: PassThroughNode(node, endpoint.address))
 
 
 class Client:
-    """A kept-alive HTTP client connection that speaks JSON."""
+    """JSON client on one persistent HTTP connection."""
 
     def __init__(self, address):
         self.http = HTTPConnection(*address, timeout=5)
@@ -210,7 +210,7 @@
 
 
 def statements(**changes):
-    """A valid body of /v1/statements with changed fields."""
+    """Returns a valid body for /v1/statements with some fields replaced."""
     return {
         "organisation": "reclamar-voo",
         "database": "claims-1",
--- a/packages/daemon/tests/features/guarantees.feature
+++ b/packages/daemon/tests/features/guarantees.feature
@@ -1,4 +1,4 @@
-Feature: What callers can rely on while parts fail
+Feature: Guarantees to callers during failures
   Each scenario runs real daemons and endpoints on loopback.
 
   Scenario: A session reads its own write through another daemon
@@ -6,7 +6,7 @@
     When a claim is filed through the first daemon
     Then the same session reads it at once through the second daemon
 
-  Scenario: A replaced primary acknowledges nothing
+  Scenario: A replaced primary acknowledges no write
     Given a running system
     When the primary is cut off from its fellow members
     And a claim is filed with resends until it is done
@@ -14,13 +14,13 @@
     And only claim c1 is stored, once, at the primary
     And the old primary confirms no write
 
-  Scenario: Work of one transaction never mixes with another's
+  Scenario: Transactions are isolated from each other
     Given a running system
     When two transactions file a claim each
     And the first one is rolled back and the second one is committed
     Then only claim c2 is stored, once, at the primary
 
-  Scenario: Late and reordered answers reach nobody else
+  Scenario: Late and reordered answers reach no other caller
     Given a running system with claims of ten passengers
     When answers come late, twice and out of order
     Then every caller reads its own claim or gets an error
@@ -35,7 +35,7 @@
     Given a running system
     When the answers to a payout are lost
     And the payout is sent again to both daemons at once
-    Then the payout counts at most once
+    Then the payout is stored at most once
 
   Scenario: A leaving endpoint receives no new work
     Given a running system
@@ -50,13 +50,13 @@
 
   Scenario: An accepted configuration survives the restart of every daemon
     Given a running system with a data folder
-    When two operators race twenty changes based on equal versions
+    When two operators submit competing changes to twenty successive versions
     And every daemon is killed and started again
-    Then each version has one winner
+    Then one change to each version is accepted
     And every daemon has the last version in effect
 
-  Scenario: Silent connections are replaced without a failover
+  Scenario: Unresponsive connections are replaced without a failover
     Given a running system
-    When every open connection of every member goes silent
+    When every open connection of every member becomes unresponsive
     Then claims are filed again within 3 s
     And the primary is still the same
--- a/packages/daemon/tests/test_admin.py
+++ b/packages/daemon/tests/test_admin.py
@@ -1,4 +1,4 @@
-"""The operators' interface over HTTP with the real core."""
+"""The administration interface over HTTP, with the real core."""
 
 import time
 from base64 import b64encode
@@ -16,24 +16,24 @@
 @pytest.fixture
 def ready(start):
     application = start()
-    until = time.monotonic() + 5
+    deadline = time.monotonic() + 5
     while not application.is_ready:
-        assert time.monotonic() < until
+        assert time.monotonic() < deadline
         time.sleep(0.01)
     return application
 
 
-def change(**more):
+def change(**fields):
     return {
         "organisation": "reclamar-voo",
         "body": TEMPLATE,
         "expect_version": 0,
         "change_id": "c1",
-    } | more
+    } | fields
 
 
 def test_commands_answer_with_their_code_and_status(ready, connect):
-    """Guards against an error code that reaches operators as success."""
+    """Guards against an error that is reported to operators as success."""
     client = connect(ready)
     assert client.get("/ready") == (200, {"ready": True})
     status, answer = client.post("/v1/admin/template.apply", change())
@@ -51,7 +51,7 @@
     assert (status, answer["code"]) == (400, "invalid_request")
 
 
-def test_the_operator_and_the_time_go_with_a_change(ready, connect):
+def test_history_records_the_operator_and_the_time(ready, connect):
     """Guards against a history that does not say who changed what and when."""
     client = connect(ready)
     client.post("/v1/admin/template.apply", change())
@@ -63,7 +63,7 @@
     assert str(int(time.time()))[:6] in entry
 
 
-def test_status_tells_about_this_daemon(ready, connect):
+def test_status_describes_this_daemon(ready, connect):
     """Guards against a status without the figures of the process."""
     status, answer = connect(ready).get("/v1/admin/status")
     assert status == 200
@@ -73,7 +73,7 @@
 
 
 def test_explain_shows_the_hops_of_a_sampled_trace(ready, connect, body):
-    """Guards against traces that nobody can look at."""
+    """Guards against traces that operators cannot read."""
     client = connect(ready)
     trace_id = "a" * 32
     parent = {"traceparent": f"00-{trace_id}-{'b' * 16}-01"}
@@ -87,7 +87,7 @@
 
 
 def test_operators_need_their_token(start, settings, connect):
-    """Guards against changes by anybody who reaches the port."""
+    """Guards against unauthenticated access by anyone who can reach the port."""
     settings.listen.operators = {"ana": "secret"}
     client = connect(start(None, settings))
     assert client.get("/v1/admin/status")[0] == 401
@@ -101,8 +101,8 @@
     assert client.get("/", headers)[0] == 200
 
 
-def test_operators_may_have_an_address_of_their_own(start, settings, connect):
-    """Guards against an admin interface that clients can reach as well."""
+def test_the_admin_interface_can_have_its_own_address(start, settings, connect):
+    """Guards against an administration interface that clients can also reach."""
     settings.listen.admin = "127.0.0.1:0"
     application = start(None, settings)
     client = connect(application)
@@ -114,18 +114,18 @@
 
 
 def test_an_operator_can_stop_the_daemon(ready, connect):
-    """Guards against a drain command that the daemon does not know."""
+    """Guards against a drain command that the daemon does not handle."""
     ready.settings.node.drain.delay = 0.3
     client = connect(ready)
     assert client.post("/v1/admin/drain.daemon", {})[1]["code"] == "ok"
-    until = time.monotonic() + 3
+    deadline = time.monotonic() + 3
     while client.get("/v1/admin/status")[1]["drain"]["stage"] == "serving":
-        assert time.monotonic() < until
+        assert time.monotonic() < deadline
     assert ready.wait() == 0
 
 
 def test_the_page_escapes_every_text():
-    """Guards against a member's name that runs as a script in a browser."""
+    """Guards against script injection through a name in the status."""
     page = render_page("<vm>", {"<b>": ["<i>", {"x": "<script>"}]})
     assert "<script>" not in page
     assert "&lt;script&gt;" in page
--- a/packages/daemon/tests/test_application.py
+++ b/packages/daemon/tests/test_application.py
@@ -1,4 +1,4 @@
-"""A whole daemon with the real core and a stand-in group."""
+"""A complete daemon with the real core and a stand-in group."""
 
 import threading
 import time
@@ -36,13 +36,13 @@
 def client(serving, connect, body):
     client = connect(serving)
     change = {"organisation": "reclamar-voo", "body": TEMPLATE, "expect_version": 0}
-    until = time.monotonic() + 5
+    deadline = time.monotonic() + 5
     while True:
         client.post("/v1/admin/template.apply", {**change, "change_id": "c1"})
         read = body(request_class="status", statements=[COUNT])
         if client.post("/v1/statements", read)[0] == 200:
             return client
-        assert time.monotonic() < until
+        assert time.monotonic() < deadline
         time.sleep(0.02)
 
 
@@ -59,7 +59,7 @@
 
 
 def test_several_statements_are_atomic(client, body):
-    """Guards against a failed batch of which a part is kept."""
+    """Guards against a failed batch that is partly applied."""
     batch = insert("c1") + insert("c1")
     status, answer = client.post("/v1/statements", body(statements=batch))
     assert (status, answer["code"]) == (200, "statement_failed")
@@ -86,7 +86,7 @@
 
 
 def test_forged_tokens_and_reused_ids_are_refused(client, body):
-    """Guards against a forged session, and another request under a known id."""
+    """Guards against a forged session, and a request id reused by another request."""
     status, answer = client.post("/v1/statements", body(session="forged"))
     assert (status, answer["code"]) == (400, "invalid_session_token")
     assert client.post("/v1/statements", body(statements=insert("a")))[0] == 200
@@ -95,7 +95,7 @@
 
 
 def test_an_open_transaction_is_rolled_back_by_a_stop(serving, client, body):
-    """Guards against a stop that waits for ever or hides what it cut."""
+    """Guards against a stop that waits for ever or reports success after a rollback."""
     begun = begin(client, body)
     started = time.monotonic()
     statuses = []
@@ -112,10 +112,10 @@
 
 
 def test_a_stop_lets_a_request_in_progress_finish(serving, client, body):
-    """Guards against a request that is cut by a graceful stop."""
+    """Guards against a request that is cut off by a graceful stop."""
     answers = []
 
-    def work():
+    def send_requests():
         for number in range(60):
             claim = f"w{number}"
             request = body(request_id=claim, statements=insert(claim))
@@ -124,7 +124,7 @@
                 return
             time.sleep(0.005)
 
-    thread = threading.Thread(target=work)
+    thread = threading.Thread(target=send_requests)
     thread.start()
     time.sleep(0.1)
     assert serving.stop() == 0
@@ -135,8 +135,8 @@
 
 
 def test_writes_survive_the_loss_of_control_leader_and_primary(tmp_path):
-    """Guards against a failover that needs the control leader of before, and against a
-    control member that cannot come back with its data."""
+    """Guards against a failover that needs the former control leader, and against a
+    control member that cannot restart from its data folder."""
     system = EmbeddedSystem(
         daemons=4,
         control=3,
@@ -156,9 +156,9 @@
         primary = system.primary
         system.daemons[leader].kill()
         system.members[primary].kill()
-        until = time.monotonic() + 5
+        deadline = time.monotonic() + 5
         while client.run(3, "claim", INSERT, ["c2"], "r2")["outcome"] != "done":
-            assert time.monotonic() < until
+            assert time.monotonic() < deadline
         rows = client.run(3, "status", COUNT["sql"])["result"][0]["rows"]
         assert rows == [[2]]
         system.restart_daemon(leader)
--- a/packages/daemon/tests/test_command.py
+++ b/packages/daemon/tests/test_command.py
@@ -38,8 +38,8 @@
     return run
 
 
-def test_check_tells_every_problem(check):
-    """Guards against settings that are repaired one error at a time."""
+def test_check_reports_every_problem(check):
+    """Guards against a check that reports one error at a time."""
     assert check({"node": NODE, "listen": LISTEN}) == (0, "the settings are valid\n")
     bad = {"node": {"name": "vm-1", "dc": 1}, "listen": {"http": "x", "threads": 0}}
     status, output = check(bad)
@@ -50,7 +50,7 @@
         assert check(text)[0] == 2
 
 
-def test_missing_files_have_their_own_message(check, tmp_path):
+def test_missing_files_are_reported(check, tmp_path):
     """Guards against a traceback in place of a message."""
     tester = ApplicationTester(make_console())
     assert tester.execute(f"check --config {tmp_path}/none.yaml") == 2
@@ -62,25 +62,25 @@
 
 
 def test_an_address_in_use_has_its_own_exit_status(check):
-    """Guards against a start that fails like a settings error."""
+    """Guards against a failed start with the exit status of invalid settings."""
     with socket.create_server(("127.0.0.1", 0)) as other:
-        taken = f"127.0.0.1:{other.getsockname()[1]}"
-        listen = LISTEN | {"peer": taken}
+        address_in_use = f"127.0.0.1:{other.getsockname()[1]}"
+        listen = LISTEN | {"peer": address_in_use}
         assert check({"node": NODE, "listen": listen}, "run")[0] == 3
 
 
 @pytest.mark.parametrize("address", ["0.0.0.0:0", "192.0.2.1:0", "[::]:0", "host:0"])
 def test_an_open_daemon_without_tls_refuses_to_start(address):
-    """Guards against a daemon that serves strangers in clear text by mistake."""
+    """Guards against accidentally serving clear text on a non-loopback address."""
     listen = ListenSettings(http=address, peer="127.0.0.1:0")
     with pytest.raises(InvalidSettings):
         make_application(DaemonSettings(NodeSettings(**NODE), listen))
 
 
 def wait_for(condition):
-    until = time.monotonic() + 5
+    deadline = time.monotonic() + 5
     while not condition():
-        assert time.monotonic() < until
+        assert time.monotonic() < deadline
         time.sleep(0.005)
 
 
@@ -130,7 +130,7 @@
         certificate.private_key_pem.write_to_path(self.files.key)
 
 
-def started_with_tls(tmp_path, settings):
+def start_with_tls(tmp_path, settings):
     certificates = Certificates(tmp_path)
     settings.listen.tls = certificates.files
     application = make_application(settings)
@@ -139,9 +139,9 @@
     return certificates, application, context
 
 
-def test_certificates_change_without_a_refused_request(tmp_path, settings):
-    """Guards against an outage at every renewal, and at a failed one."""
-    certificates, application, context = started_with_tls(tmp_path, settings)
+def test_certificates_are_renewed_without_refusing_clients(tmp_path, settings):
+    """Guards against refused clients during a certificate renewal, or a failed one."""
+    certificates, application, context = start_with_tls(tmp_path, settings)
 
     def open_client():
         client = HTTPSConnection(*application.http_address, timeout=5, context=context)
@@ -154,7 +154,7 @@
         certificates.issue()
         application.request_reload()
         wait_for(lambda: open_client()[1] != first)
-        # A certificate without its key, even for a moment, refuses a client.
+        # A mismatch of certificate and key, even a brief one, would refuse a client.
         renewing, failures = threading.Event(), []
 
         def keep_opening():
@@ -182,9 +182,9 @@
         application.kill()
 
 
-def test_a_silent_tls_client_stops_nobody(tmp_path, settings):
+def test_silent_tls_clients_do_not_block_others(tmp_path, settings):
     """Guards against a handshake that blocks the accepting thread."""
-    certificates, application, context = started_with_tls(tmp_path, settings)
+    certificates, application, context = start_with_tls(tmp_path, settings)
     silent = [socket.create_connection(application.http_address) for _ in range(20)]
     try:
         started = time.monotonic()
--- a/packages/daemon/tests/test_demo.py
+++ b/packages/daemon/tests/test_demo.py
@@ -1,4 +1,4 @@
-"""The demo as an integration test of all parts."""
+"""Runs the demo as an integration test of all parts, and tests its checks."""
 
 import pytest
 
@@ -6,7 +6,7 @@
 
 
 def test_the_demo_passes(capsys):
-    """Guards against a lost or doubled write, or a stale read, in a failover."""
+    """Guards against a lost or duplicated write, or a stale read, in a failover."""
     assert run_demo() == 0, capsys.readouterr().out
 
 
@@ -14,7 +14,7 @@
     ("times", "gap"), [([2.1, 1.0, 1.1, 2.0], 0.9), ([], float("inf"))]
 )
 def test_the_gap_is_the_longest_pause(times, gap):
-    """Guards against a figure that hides the outage."""
+    """Guards against a reported failover gap that is too short."""
     assert largest_gap(times) == pytest.approx(gap)
 
 
@@ -32,6 +32,6 @@
     ],
 )
 def test_tables_are_checked_against_outcomes(outcome, count, faults):
-    """Guards against checks that pass whatever happened."""
+    """Guards against checks that miss a lost, duplicated or unexpected row."""
     rows = {"c1": count} if count else {}
     assert len(find_faults({"c1": outcome}, rows, "claim")) == faults
--- a/packages/daemon/tests/test_guarantees.py
+++ b/packages/daemon/tests/test_guarantees.py
@@ -1,6 +1,6 @@
-"""The guarantees in the users' words, on real daemons and endpoints.
+"""Steps of the guarantee scenarios, which run real daemons and endpoints.
 
-Each scenario guards against a break of the guarantee that its title states.
+Each scenario guards against a violation of the guarantee in its title.
 """
 
 from concurrent.futures import ThreadPoolExecutor
@@ -24,7 +24,7 @@
 
 @pytest.fixture
 def start():
-    """Starts one system and ends it after the scenario."""
+    """Returns a function that starts a system, which is stopped after the scenario."""
     systems = []
 
     def make(**options):
@@ -40,13 +40,13 @@
 
 
 @pytest.fixture
-def notes():
-    """What one step leaves for the next ones."""
+def context():
+    """Values that one step passes on to later ones."""
     return {}
 
 
-def stored(system, table, column, member=None):
-    """Counts of the rows by a column in a member's tables."""
+def count_stored(system, table, column, member=None):
+    """Counts the rows by a column in a table of a member, the primary by default."""
     ledger = system.members[member or system.primary].ledger
     sql = f"SELECT {column}, count(*) FROM {table} GROUP BY {column}"
     results, _ = ledger.read([Sql(sql, [])], (0, 0), 0.0)
@@ -90,8 +90,8 @@
 
 
 @when("the primary is cut off from its fellow members")
-def cut_off_primary(system, notes):
-    notes["old"] = system.primary
+def cut_off_primary(system, context):
+    context["old"] = system.primary
     system.members[system.primary].faults.cut_peers = True
 
 
@@ -111,7 +111,7 @@
         answer = client.run(0, "file-claim", "", path="/v1/transactions")
         assert answer["outcome"] == "done", answer
         begun.append((client, answer["transaction"]))
-    # The second one writes first; the first one's write must wait or be refused.
+    # The second transaction writes first; a write in the first must wait or fail.
     client, transaction = begun[1]
     answer = file_claim(client, 0, "c2", transaction=transaction)
     assert answer["outcome"] == "done", answer
@@ -130,7 +130,7 @@
 
 
 @when("answers come late, twice and out of order", target_fixture="answers")
-def disturbed_reads(system):
+def reads_with_disturbed_answers(system):
     for member in system.members.values():
         member.faults.set(
             {"duplicate_rate": 0.1, "late_rate": 0.1, "reorder_rate": 0.1}
@@ -184,15 +184,15 @@
 
 
 @when("a replica announces that it is leaving")
-def leaving_replica(system, notes):
-    notes["leaving"] = next(name for name in system.members if name != system.primary)
-    system.members[notes["leaving"]].leave()
+def leaving_replica(system, context):
+    context["leaving"] = next(name for name in system.members if name != system.primary)
+    system.members[context["leaving"]].leave()
 
 
 @when(
     "a daemon is asked to stop while it serves ten requests", target_fixture="answers"
 )
-def stop_under_load(system, notes):
+def stop_under_load(system, context):
     daemon = system.daemons["vm-2"]
 
     def write(number):
@@ -202,14 +202,15 @@
     with ThreadPoolExecutor(11) as pool:
         writes = [pool.submit(write, number) for number in range(10)]
         sleep(0.15)
-        notes["status"] = pool.submit(daemon.stop).result(timeout=20)
+        context["status"] = pool.submit(daemon.stop).result(timeout=20)
         return [write.result(timeout=20) for write in writes]
 
 
 @when(
-    "two operators race twenty changes based on equal versions", target_fixture="races"
+    "two operators submit competing changes to twenty successive versions",
+    target_fixture="codes_by_version",
 )
-def racing_operators(system):
+def competing_operators(system):
     def change(operator, version):
         return system.admin(
             operator,
@@ -235,11 +236,11 @@
         system.restart_daemon(name)
 
 
-@when("every open connection of every member goes silent")
-def silent_connections(system, notes):
+@when("every open connection of every member becomes unresponsive")
+def unresponsive_connections(system, context):
     client = system.client(ORGANISATION)
     assert file_claim(client, 0, "before")["outcome"] == "done"
-    notes["old"] = system.primary
+    context["old"] = system.primary
     for member in system.members.values():
         member.faults.silence()
 
@@ -255,18 +256,18 @@
 
 
 @then("another member is the primary")
-def another_primary(system, notes):
-    system.wait_for(lambda: system.primary not in ("", notes["old"]))
+def another_primary(system, context):
+    system.wait_for(lambda: system.primary not in ("", context["old"]))
 
 
 @then(parsers.parse("only claim {claim} is stored, once, at the primary"))
 def stored_once(system, claim):
-    assert stored(system, "claims", "claim_id") == {claim: 1}
+    assert count_stored(system, "claims", "claim_id") == {claim: 1}
 
 
 @then("the old primary confirms no write")
-def old_primary_is_silent(system, notes):
-    state = system.members[notes["old"]].ledger.state
+def old_primary_confirms_nothing(system, context):
+    state = system.members[context["old"]].ledger.state
     assert (
         state.role != "primary"
         or state.majority_offset < state.log.last.offset
@@ -293,7 +294,7 @@
 @then("no refused claim is stored")
 def refused_claims(system, answers):
     sleep(0.5)
-    claims = stored(system, "claims", "claim_id")
+    claims = count_stored(system, "claims", "claim_id")
     for claim, answer in answers:
         if answer["outcome"] == "not_run":
             assert claim not in claims, answer
@@ -301,19 +302,19 @@
             assert claims[claim] == 1
 
 
-@then("the payout counts at most once")
+@then("the payout is stored at most once")
 def payout_once(system):
-    assert stored(system, "payouts", "request_id").get("p1", 0) <= 1
+    assert count_stored(system, "payouts", "request_id").get("p1", 0) <= 1
 
 
 @then("it serves no read that was sent 2 s later")
-def no_new_work(system, notes):
+def no_new_work(system, context):
     client = system.client(ORGANISATION)
     sleep(2.0)
     for number in range(50):
         answer = client.run(number % 2, "agent-read", READ_CLAIM, ["c1"])
         assert answer["outcome"] == "done", answer
-        assert answer["served_by"] != notes["leaving"]
+        assert answer["served_by"] != context["leaving"]
 
 
 @then("all ten requests are answered as done")
@@ -322,21 +323,22 @@
 
 
 @then("the daemon ends with exit status 0")
-def clean_exit(notes):
-    assert notes["status"] == 0
+def clean_exit(context):
+    assert context["status"] == 0
 
 
-@then("each version has one winner")
-def one_winner(races):
-    assert races == [["ok", "version_conflict"]] * 20
+@then("one change to each version is accepted")
+def one_change_accepted(codes_by_version):
+    assert codes_by_version == [["ok", "version_conflict"]] * 20
 
 
 @then("every daemon has the last version in effect")
 def last_version(system):
     def versions():
-        boards = [d.driver.node.blackboard for d in system.daemons.values()]
+        blackboards = [d.driver.node.blackboard for d in system.daemons.values()]
         templates = [
-            board.configuration.templates.get(ORGANISATION) for board in boards
+            blackboard.configuration.templates.get(ORGANISATION)
+            for blackboard in blackboards
         ]
         return [template.version if template else 0 for template in templates]
 
@@ -354,5 +356,5 @@
 
 
 @then("the primary is still the same")
-def same_primary(system, notes):
-    assert system.primary == notes["old"]
+def same_primary(system, context):
+    assert system.primary == context["old"]
--- a/packages/daemon/tests/test_http.py
+++ b/packages/daemon/tests/test_http.py
@@ -1,4 +1,4 @@
-"""The HTTP path from a request to the endpoint and back."""
+"""HTTP requests from the client to the endpoint and back, and their parsing."""
 
 import json
 
@@ -27,10 +27,12 @@
 )
 
 
-def test_payload_reaches_the_client_unchanged(passing, endpoint, connect, body):
+def test_payload_reaches_the_client_unchanged(
+    pass_through_app, endpoint, connect, body
+):
     """Guards against a result that is decoded, reordered or re-encoded on the way."""
     endpoint.payload = b'[{"columns": ["a"], "rows": [[1.0]], "row_count": 1}]'
-    client = connect(passing)
+    client = connect(pass_through_app)
     for _ in range(3):
         status, answer = client.post("/v1/statements", body())
         assert (status, answer["outcome"]) == (200, "done")
@@ -62,9 +64,11 @@
     ],
     ids=lambda value: str(value)[:30],
 )
-def test_bad_input_is_not_run_and_the_daemon_goes_on(passing, connect, body, bad):
+def test_bad_input_is_not_run_and_the_daemon_keeps_serving(
+    pass_through_app, connect, body, bad
+):
     """Guards against bad input that crashes a worker or is reported as unknown."""
-    client = connect(passing)
+    client = connect(pass_through_app)
     data = body(**bad) if isinstance(bad, dict) else bad
     status, answer = client.post("/v1/statements", data)
     assert (status, answer["outcome"]) == (400, "not_run")
@@ -90,8 +94,8 @@
 
 
 @given(st.lists(st.tuples(st.text(min_size=1), st.lists(st.integers(0, 9)))))
-def test_the_digest_tells_statements_apart(statements):
-    """Guards against two different bodies under one request id that look equal."""
+def test_different_statements_have_different_digests(statements):
+    """Guards against a request id reused with other statements but an equal digest."""
 
     def digest(listed):
         raw = [{"sql": f"s{sql}", "params": params} for sql, params in listed]
--- a/packages/daemon/tests/test_server.py
+++ b/packages/daemon/tests/test_server.py
@@ -1,4 +1,4 @@
-"""Client connections: sizes, slowness, disconnects and the closing of the listener."""
+"""Client connections: size limits, slow clients, disconnects, listener close."""
 
 import contextlib
 import json
@@ -11,8 +11,8 @@
 from bronzemoor_core.events import CallerGone, RequestReceived
 
 
-def raw(application, data, timeout=3.0):
-    """Sends bytes and returns all that comes back until the end or a timeout."""
+def send_raw(application, data, timeout=3.0):
+    """Sends bytes; returns the response up to a closing brace or the end."""
     with socket.create_connection(application.http_address, timeout) as connection:
         connection.sendall(data)
         received = b""
@@ -23,9 +23,9 @@
     return received
 
 
-def test_an_oversized_body_is_a_typed_error(passing, connect):
-    """Guards against a body that fills the memory or ends without a stable code."""
-    client = connect(passing)
+def test_an_oversized_body_is_a_typed_error(pass_through_app, connect):
+    """Guards against a body that exhausts memory or is refused without a code."""
+    client = connect(pass_through_app)
     status, answer = client.post("/v1/statements", b"x" * 1_100_000)
     assert (status, answer["code"], answer["outcome"]) == (
         413,
@@ -35,9 +35,9 @@
     assert client.headers["Connection"] == "close"
 
 
-def test_a_chunked_body_is_bounded_and_read(passing, connect, body):
+def test_a_chunked_body_is_bounded_and_read(pass_through_app, connect, body):
     """Guards against a chunked body that evades the limit or is ignored."""
-    client = connect(passing)
+    client = connect(pass_through_app)
     data = json.dumps(body()).encode()
     client.http.request("POST", "/v1/statements", iter([data[:9], data[9:]]))
     response = client.http.getresponse()
@@ -58,18 +58,20 @@
     ],
     ids=lambda data: repr(data[:40]),
 )
-def test_malformed_http_leaves_the_daemon_serving(passing, connect, body, data):
+def test_malformed_http_leaves_the_daemon_serving(
+    pass_through_app, connect, body, data
+):
     """Guards against input that kills a worker thread."""
     with contextlib.suppress(OSError):
-        raw(passing, data)
-    assert connect(passing).post("/v1/statements", body())[0] == 200
+        send_raw(pass_through_app, data)
+    assert connect(pass_through_app).post("/v1/statements", body())[0] == 200
 
 
-def test_unsent_requests_hold_no_thread(passing, connect, body):
-    """Guards against idle or half-open clients that keep others out."""
-    idle = [socket.create_connection(passing.http_address) for _ in range(50)]
+def test_unsent_requests_hold_no_thread(pass_through_app, connect, body):
+    """Guards against idle or half-open clients that occupy all threads."""
+    idle = [socket.create_connection(pass_through_app.http_address) for _ in range(50)]
     try:
-        assert connect(passing).post("/v1/statements", body())[0] == 200
+        assert connect(pass_through_app).post("/v1/statements", body())[0] == 200
     finally:
         for connection in idle:
             connection.close()
@@ -80,14 +82,14 @@
     settings.listen.read_timeout = 0.2
     application = start(None, settings)
     started = time.monotonic()
-    answer = raw(
+    answer = send_raw(
         application, b"POST /v1/statements HTTP/1.1\r\nContent-Length: 9\r\n\r\n{"
     )
     assert b'"code":"invalid_request"' in answer
     assert time.monotonic() - started < 2
 
 
-class Silent:
+class UnresponsiveNode:
     """A node that never answers a request."""
 
     def __init__(self, node):
@@ -101,9 +103,9 @@
         return self._node.handle(now, event)
 
 
-def test_a_client_that_disconnects_is_noticed(start, body):
-    """Guards against requests that wait on for a client that left."""
-    application = start(Silent)
+def test_a_disconnected_client_is_detected(start, body):
+    """Guards against requests that keep waiting for a disconnected client."""
+    application = start(UnresponsiveNode)
     with socket.create_connection(application.http_address) as connection:
         data = json.dumps(body()).encode()
         head = f"POST /v1/statements HTTP/1.1\r\nContent-Length: {len(data)}\r\n\r\n"
@@ -113,10 +115,10 @@
     assert type(application.driver.node.seen[1]) is CallerGone
 
 
-def test_announcements_get_in_while_all_threads_wait(start, settings, connect, body):
-    """Guards against waiting requests that keep out what they wait for."""
+def test_requests_are_served_while_all_threads_wait(start, settings, connect, body):
+    """Guards against waiting requests that block the announcements they wait for."""
     settings.listen.threads = 2
-    application = start(Silent, settings)
+    application = start(UnresponsiveNode, settings)
     clients = [connect(application) for _ in range(8)]
     for client in clients:
         client.http.request("POST", "/v1/statements", json.dumps(body()))
@@ -124,26 +126,26 @@
 
 
 def wait_for(condition, seconds=3.0):
-    until = time.monotonic() + seconds
+    deadline = time.monotonic() + seconds
     while not condition():
-        assert time.monotonic() < until
+        assert time.monotonic() < deadline
         time.sleep(0.005)
 
 
-def test_the_listener_closes_before_the_connections(passing, connect, body):
+def test_the_listener_closes_before_the_connections(pass_through_app, connect, body):
     """Guards against a stop that cuts kept-alive clients off."""
-    client = connect(passing)
+    client = connect(pass_through_app)
     assert client.post("/v1/statements", body())[0] == 200
     assert client.headers["Connection"] is None
-    passing._http_server.draining = True
-    passing._http_server.close_listener()
+    pass_through_app._http_server.draining = True
+    pass_through_app._http_server.close_listener()
     with pytest.raises(OSError):
-        socket.create_connection(passing.http_address, 1)
+        socket.create_connection(pass_through_app.http_address, 1)
     assert client.post("/v1/statements", body())[0] == 200
     assert client.headers["Connection"] == "close"
 
 
-def test_a_reply_without_request_is_ignored(passing, connect, body):
+def test_a_reply_without_request_is_ignored(pass_through_app, connect, body):
     """Guards against a late reply that reaches another client's request."""
-    passing.driver._route_reply(Reply(999_999, None))
-    assert connect(passing).post("/v1/statements", body())[0] == 200
+    pass_through_app.driver._route_reply(Reply(999_999, None))
+    assert connect(pass_through_app).post("/v1/statements", body())[0] == 200
