--- a/packages/core/src/bronzemoor_core/admission.py
+++ b/packages/core/src/bronzemoor_core/admission.py
@@ -23,7 +23,7 @@
 
 
 @dataclass(slots=True, order=True)
-class Waiting:
+class QueueEntry:
     """A waiting request; ordered by priority, then deadline, then arrival."""
 
     priority: int
@@ -42,20 +42,20 @@
     average time in seconds that a request holds a connection.
     """
 
-    entries: list[Waiting] = field(default_factory=list)
-    groups: dict[tuple[str, ...], list[Waiting]] = field(default_factory=dict)
-    by_ticket: dict[int, Waiting] = field(default_factory=dict)
+    entries: list[QueueEntry] = field(default_factory=list)
+    groups: dict[tuple[str, ...], list[QueueEntry]] = field(default_factory=dict)
+    by_ticket: dict[int, QueueEntry] = field(default_factory=dict)
     class_counts: dict[tuple[str, str], int] = field(default_factory=dict)
     service_time: float = 0.0
 
-    def add(self, entry: Waiting) -> None:
+    def add(self, entry: QueueEntry) -> None:
         insort(self.entries, entry)
         wanted = entry.wanted
         insort(self.groups.setdefault(wanted.members, []), entry)
         self.by_ticket[wanted.ticket] = entry
         self._count(wanted, 1)
 
-    def remove(self, ticket: int) -> Waiting | None:
+    def remove(self, ticket: int) -> QueueEntry | None:
         entry = self.by_ticket.pop(ticket, None)
         if entry is not None:
             del self.entries[bisect_left(self.entries, entry)]
@@ -107,7 +107,7 @@
 class AdmissionController(Controller):
     """Owns the queues section: admits, refuses and displaces waiting requests."""
 
-    _own: Queues
+    _section: Queues
     _sequence = 0
     _next_gauge_at = 0.0
 
@@ -116,22 +116,22 @@
         if event.ticket in self._blackboard.pools.by_ticket:
             # Already granted, or not released yet: the request asks again after that.
             return []
-        queue = self._own.databases.setdefault(event.database, Queue())
+        queue = self._section.databases.setdefault(event.database, Queue())
         queued = self._remove(event.ticket)
         if queued is not None:
             # A request that is rerouted to other members keeps its place in the queue.
             queued.wanted = event
             queue.add(queued)
-            self._own.database_by_ticket[event.ticket] = event.database
+            self._section.database_by_ticket[event.ticket] = event.database
             return [QueueChanged(event.database)]
         self._sequence += 1
-        entry = Waiting(event.priority, event.deadline, self._sequence, now, event)
+        entry = QueueEntry(event.priority, event.deadline, self._sequence, now, event)
         refused = self._refusal(now, queue, entry)
         if refused is not None:
             return [EmitMetric("counter", f"queue.refused.{refused.code}"), refused]
         items: list[object] = self._displace(queue, entry)
         queue.add(entry)
-        self._own.database_by_ticket[event.ticket] = event.database
+        self._section.database_by_ticket[event.ticket] = event.database
         items.append(QueueChanged(event.database))
         return items
 
@@ -140,14 +140,14 @@
         entry = self._remove(event.ticket)
         if entry is None:
             return []
-        self._own.granted_at[event.ticket] = now
+        self._section.granted_at[event.ticket] = now
         return [EmitMetric("timer", "queue.wait", (now - entry.enqueued_at) * 1_000)]
 
     @handles(ConnectionReleased)
     def on_released(self, now: float, event: ConnectionReleased) -> None:
-        granted_at = self._own.granted_at.pop(event.ticket, None)
+        granted_at = self._section.granted_at.pop(event.ticket, None)
         database = self._blackboard.pools.database_of(event.connection)
-        queue = self._own.databases.get(database)
+        queue = self._section.databases.get(database)
         # After a lost answer the elapsed time is the timeout, not the service time.
         if granted_at is not None and queue is not None and event.clean:
             queue.record_service_time(now - granted_at)
@@ -155,7 +155,7 @@
     @handles(TransactionOpened)
     def on_transaction(self, now: float, event: TransactionOpened) -> None:
         # The time between a caller's statements does not count as service time.
-        self._own.granted_at.pop(event.ticket, None)
+        self._section.granted_at.pop(event.ticket, None)
 
     @handles(ConnectionWithdrawn)
     def on_withdrawn(self, now: float, event: ConnectionWithdrawn) -> None:
@@ -165,14 +165,16 @@
     def on_tick(self, now: float, event: Tick) -> list[object]:
         expired = [
             entry.wanted.ticket
-            for queue in self._own.databases.values()
+            for queue in self._section.databases.values()
             for entry in queue.entries
             if entry.deadline <= now
         ]
         items: list[object] = []
         if now >= self._next_gauge_at:
             self._next_gauge_at = now + GAUGE_INTERVAL_SECONDS
-            depth = sum(len(queue.entries) for queue in self._own.databases.values())
+            depth = sum(
+                len(queue.entries) for queue in self._section.databases.values()
+            )
             items.append(EmitMetric("gauge", "queue.depth", float(depth)))
         for ticket in expired:
             self._remove(ticket)
@@ -180,7 +182,7 @@
         return items
 
     def _refusal(
-        self, now: float, queue: Queue, entry: Waiting
+        self, now: float, queue: Queue, entry: QueueEntry
     ) -> ConnectionRefused | None:
         wanted = entry.wanted
         if queue.waiting_in_class(wanted) >= wanted.queue_limit:
@@ -197,7 +199,7 @@
             )
         return None
 
-    def _displace(self, queue: Queue, entry: Waiting) -> list[object]:
+    def _displace(self, queue: Queue, entry: QueueEntry) -> list[object]:
         if len(queue.entries) < self._settings.data_path.queue_limit:
             return []
         last = queue.entries[-1].wanted.ticket
@@ -207,7 +209,7 @@
             _queue_full(last, "displaced by a request of higher priority"),
         ]
 
-    def _expected_wait(self, queue: Queue, entry: Waiting) -> float:
+    def _expected_wait(self, queue: Queue, entry: QueueEntry) -> float:
         """Returns the estimated seconds until ``entry`` gets a connection."""
         ahead = bisect_left(queue.entries, entry)
         usable, idle = self._blackboard.pools.capacity(
@@ -217,9 +219,9 @@
             return 0.0
         return (ahead - idle + 1) * queue.service_time / usable
 
-    def _remove(self, ticket: int) -> Waiting | None:
-        database = self._own.database_by_ticket.pop(ticket, None)
-        return self._own.databases[database].remove(ticket) if database else None
+    def _remove(self, ticket: int) -> QueueEntry | None:
+        database = self._section.database_by_ticket.pop(ticket, None)
+        return self._section.databases[database].remove(ticket) if database else None
 
 
 def _queue_full(ticket: int, message: str) -> ConnectionRefused:
--- a/packages/core/src/bronzemoor_core/connections.py
+++ b/packages/core/src/bronzemoor_core/connections.py
@@ -12,7 +12,7 @@
 SAMPLE_WEIGHT = 0.2
 
 
-class State(StrEnum):
+class ConnectionState(StrEnum):
     """State of a connection; it counts against the share until it is known closed."""
 
     OPENING = "opening"
@@ -35,7 +35,7 @@
     database: str
     member: str
     started_at: float
-    state: State = State.OPENING
+    state: ConnectionState = ConnectionState.OPENING
     ticket: int = 0
     executing: bool = False
     pinned: bool = False
@@ -49,7 +49,7 @@
     @property
     def idle(self) -> bool:
         """Whether the connection is warm and waits for no answer."""
-        return self.state is State.WARM and self.probe is None
+        return self.state is ConnectionState.WARM and self.probe is None
 
 
 @dataclass(slots=True)
@@ -63,9 +63,9 @@
     delay: float | None = None
     lag: float = 0.0
     behind_until: float = 0.0
-    running: int = 0
+    slots_in_use: int = 0
     # Number of connections by state.
-    counts: Counter[State] = field(default_factory=Counter)
+    counts: Counter[ConnectionState] = field(default_factory=Counter)
     failures: int = 0
     # The last opening failed without an answer, and nothing answered since.
     unreachable: bool = False
@@ -99,7 +99,7 @@
     valid_until: float = 0.0
     connections: dict[int, Connection] = field(default_factory=dict)
     links: dict[str, MemberLink] = field(default_factory=dict)
-    counts: Counter[State] = field(default_factory=Counter)
+    counts: Counter[ConnectionState] = field(default_factory=Counter)
     next_check_at: float = 0.0
     next_open_at: float = 0.0
     next_probe_at: float = 0.0
@@ -125,7 +125,7 @@
     def of_member(self, member: str) -> Iterator[Connection]:
         return (c for c in self.connections.values() if c.member == member)
 
-    def of_state(self, state: State) -> Iterator[Connection]:
+    def of_state(self, state: ConnectionState) -> Iterator[Connection]:
         return (c for c in self.connections.values() if c.state is state)
 
     def idle_by_member(self) -> dict[str, list[Connection]]:
@@ -146,7 +146,7 @@
         del self.connections[connection.number]
         self._count(connection, -1)
 
-    def move(self, connection: Connection, state: State) -> None:
+    def move(self, connection: Connection, state: ConnectionState) -> None:
         """Changes the state of a connection and the counts by state."""
         self._count(connection, -1)
         connection.state = state
@@ -188,7 +188,10 @@
         usable = idle = 0
         pool = self.databases.get(database)
         for connection in pool.connections.values() if pool else ():
-            if connection.member in members and connection.state is not State.CLOSING:
+            if (
+                connection.member in members
+                and connection.state is not ConnectionState.CLOSING
+            ):
                 usable += 1
                 idle += connection.idle
         return usable, idle
--- a/packages/core/src/bronzemoor_core/consensus.py
+++ b/packages/core/src/bronzemoor_core/consensus.py
@@ -107,7 +107,7 @@
 class Consensus(Controller):
     """Owns the log section; dispatches events to the components of one replica."""
 
-    _own: Log
+    _section: Log
 
     def __init__(self, blackboard: Blackboard, settings: Any, random: Random) -> None:
         super().__init__(blackboard, settings, random)
@@ -290,8 +290,8 @@
         if replica.group.started:
             replica.propose({"type": "control.noop"})
         else:
-            self._own.founded_term = replica.term
-            self._reconfiguration.start_group(now, dict(self._elections.answers))
+            self._section.founded_term = replica.term
+            self._reconfiguration.start_group(now, dict(self._elections.granted_by))
         self._replication.start_round(now)
 
     def _finish(self, now: float) -> list[Any]:
@@ -357,7 +357,7 @@
         return True
 
     def _publish(self, now: float) -> None:
-        own, replica = self._own, self._replica
+        own, replica = self._section, self._replica
         committed_term = replica.journal.term_at(replica.commit_index)
         own.established = replica.is_leader and committed_term == replica.term
         if replica.is_leader:
--- a/packages/core/src/bronzemoor_core/controllers.py
+++ b/packages/core/src/bronzemoor_core/controllers.py
@@ -24,7 +24,7 @@
         self._blackboard = blackboard
         self._settings = settings
         self._random = random
-        self._own: Any = blackboard.claim(self.name, self.name)
+        self._section: Any = blackboard.claim(self.name, self.name)
 
 
 def controller(section: str) -> Callable[[C], C]:
--- a/packages/core/src/bronzemoor_core/distribution.py
+++ b/packages/core/src/bronzemoor_core/distribution.py
@@ -75,7 +75,7 @@
 class Distribution(Controller):
     """Owns the configuration section."""
 
-    _own: Configuration
+    _section: Configuration
 
     def __init__(self, *arguments: Any) -> None:
         super().__init__(*arguments)
@@ -107,7 +107,7 @@
     @handles(LeadershipChanged)
     def lead(self, now: float, event: LeadershipChanged) -> None:
         if not event.is_leader:
-            self._own.confirmations.clear()
+            self._section.confirmations.clear()
 
     def _publish(self, now: float, names: list[str], keys: bool) -> list[object]:
         out: list[object] = []
@@ -144,7 +144,7 @@
         daemon = self._blackboard.topology.daemons.get(sender)
         if daemon is None or not self._blackboard.topology.is_leader:
             return []
-        self._own.confirmations[sender] = dict(versions)
+        self._section.confirmations[sender] = dict(versions)
         current = committed_versions(self._blackboard, daemon.subscriptions)
         if sender == self._settings.name or covers(versions, current):
             return []
@@ -170,7 +170,7 @@
         if isinstance(message, ConfigurationUpdate):
             return self._handle_update(event.sender, message)
         if isinstance(message, HeartbeatReply) and message.leader == event.sender:
-            self._own.confirmed_at, self._own.stale = now, False
+            self._section.confirmed_at, self._section.stale = now, False
             return self._check_ready()
         return None
 
@@ -187,7 +187,7 @@
         self, organisation: str, version: int, body: Any
     ) -> list[object]:
         """Applies a template version unless the same or a later one is in force."""
-        current = self._own.templates.get(organisation)
+        current = self._section.templates.get(organisation)
         if current is not None and current.version >= version:
             return []
         try:
@@ -198,7 +198,7 @@
                 EmitLog("error", "template_invalid", fields),
                 EmitMetric("counter", "distribution.template_invalid"),
             ]
-        self._own.templates[organisation] = template
+        self._section.templates[organisation] = template
         return [TemplateChanged(organisation, version)]
 
     def _apply_keys(self, keys: list[KeyRecord]) -> list[object]:
@@ -206,10 +206,10 @@
 
         Keys from the settings stay valid for tokens signed before the first rotation.
         """
-        current = self._own.keys[0].serial if self._own.keys else 0
+        current = self._section.keys[0].serial if self._section.keys else 0
         if not keys or keys[0].serial <= current:
             return []
-        self._own.keys = tuple(keys)
+        self._section.keys = tuple(keys)
         pairs = {key.key_id: bytes.fromhex(key.secret) for key in keys}
         return [TokenKeysChanged(list((pairs | self._settings_keys(pairs)).items()))]
 
@@ -219,7 +219,7 @@
 
     def _check_ready(self) -> list[object]:
         """Marks the daemon ready once all quorum-confirmed versions are in force."""
-        own = self._own
+        own = self._section
         if own.ready or self._required_versions is None:
             return []
         if not covers(versions_in_force(self._blackboard), self._required_versions):
@@ -245,7 +245,7 @@
 
     @handles(Tick)
     def tick(self, now: float, event: Tick) -> list[object] | None:
-        timers, own = self._settings.timers, self._own
+        timers, own = self._settings.timers, self._section
         if not own.ready and now - self._queried_at >= VERSION_QUERY_INTERVAL_SECONDS:
             self._queried_at = now
             query = {"type": "configuration.versions", "query": True}
@@ -261,7 +261,7 @@
         origin = event.origin
         if not isinstance(origin, tuple | list) or origin[0] != "configuration":
             return None
-        if event.code != "ok" or self._own.ready:
+        if event.code != "ok" or self._section.ready:
             return None
         served = self._settings.organisations
         versions = event.result["versions"].items()
@@ -270,5 +270,5 @@
         }
         if event.result["keys"]:
             self._required_versions[KEYS_KEY] = event.result["keys"]
-        self._own.confirmed_at = now
+        self._section.confirmed_at = now
         return self._check_ready()
--- a/packages/core/src/bronzemoor_core/drain.py
+++ b/packages/core/src/bronzemoor_core/drain.py
@@ -40,7 +40,7 @@
 class DrainController(Controller):
     """Owns the drain section."""
 
-    _own: Drain
+    _section: Drain
 
     def __init__(self, blackboard: Blackboard, settings: Any, random: Random) -> None:
         super().__init__(blackboard, settings, random)
@@ -53,17 +53,17 @@
     @handles(StopRequested)
     def on_stop(self, now: float, event: StopRequested) -> list[object]:
         """Starts the stop; a repeated request changes nothing."""
-        if self._own.stage != SERVING:
+        if self._section.stage != SERVING:
             return []
         return [self._enter_stage(now, LEAVING, self._settings.drain.delay)]
 
     @handles(Tick)
     def on_tick(self, now: float, event: Tick) -> list[object]:
-        handle_stage = self._stage_handlers.get(self._own.stage)
+        handle_stage = self._stage_handlers.get(self._section.stage)
         return handle_stage(now) if handle_stage is not None else []
 
     def _leave(self, now: float) -> list[object]:
-        if now < self._own.deadline:
+        if now < self._section.deadline:
             return []
         drain = self._settings.drain
         return [StopListening(), self._enter_stage(now, FINISHING, drain.grace)]
@@ -71,18 +71,18 @@
     def _finish(self, now: float) -> list[object]:
         transactions = self._blackboard.transactions.open
         busy = self._blackboard.requests.active or transactions
-        if busy and now < self._own.deadline:
+        if busy and now < self._section.deadline:
             return []
         items = list(self._roll_back_transactions(transactions.values()))
         return [*items, self._enter_stage(now, CLEANING, self._settings.drain.cleanup)]
 
     def _clean(self, now: float) -> list[object]:
         active = self._blackboard.requests.active
-        if active and now < self._own.deadline:
+        if active and now < self._section.deadline:
             return []
         items: list[object] = []
         for work in active.values():
-            self._own.aborted_requests += 1
+            self._section.aborted_requests += 1
             request = work.request
             fields = {
                 "organisation": request.organisation,
@@ -92,8 +92,10 @@
                 "peer": work.member,
             }
             items.append(EmitLog("warning", "drain_request_cut", fields))
-        aborted = self._own.aborted_requests + self._own.rolled_back_transactions
-        self._own.stage = STOPPED
+        aborted = (
+            self._section.aborted_requests + self._section.rolled_back_transactions
+        )
+        self._section.stage = STOPPED
         reason = f"{aborted} cut short" if aborted else "all work finished"
         return [*items, Exit(EXIT_INCOMPLETE if aborted else EXIT_CLEAN, reason)]
 
@@ -102,7 +104,7 @@
             if transaction.committing:
                 # The endpoint decides its outcome; the request still waits for it.
                 continue
-            self._own.rolled_back_transactions += 1
+            self._section.rolled_back_transactions += 1
             fields = {
                 "transaction": transaction.name,
                 "organisation": transaction.organisation,
@@ -114,8 +116,8 @@
 
     def _enter_stage(self, now: float, stage: str, duration: float) -> EmitLog:
         """Enters ``stage``, whose deadline is ``duration`` seconds away."""
-        self._own.stage = stage
-        self._own.deadline = now + duration
+        self._section.stage = stage
+        self._section.deadline = now + duration
         fields = {
             "stage": stage,
             "seconds": duration,
--- a/packages/core/src/bronzemoor_core/elections.py
+++ b/packages/core/src/bronzemoor_core/elections.py
@@ -118,7 +118,7 @@
         return self._become_leader_if_elected()
 
     @property
-    def answers(self) -> dict[str, str]:
+    def granted_by(self) -> dict[str, str]:
         """Identities of the members whose votes won the election."""
         return self._granted_by
 
--- a/packages/core/src/bronzemoor_core/failover.py
+++ b/packages/core/src/bronzemoor_core/failover.py
@@ -77,13 +77,13 @@
 class Failover(Controller):
     """Owns the failover section."""
 
-    _own: FailoverPlans
+    _section: FailoverPlans
 
     def __init__(self, *arguments: Any) -> None:
         super().__init__(*arguments)
-        self._observations = Observations(investigations=self._own.investigations)
+        self._observations = Observations(investigations=self._section.investigations)
         self._suspicions = SuspicionTracker(self._settings, self._observations)
-        self._promoter = Promoter(self._settings, self._own.promotions)
+        self._promoter = Promoter(self._settings, self._section.promotions)
         self._operations = Operations(self._blackboard)
         self._checked_at = NEVER
         self._sweep_queue: list[str] = []
@@ -150,7 +150,7 @@
     @handles(LeadershipChanged)
     def lead(self, now: float, event: LeadershipChanged) -> None:
         self._promoter.clear()
-        self._own.investigations.clear()
+        self._section.investigations.clear()
         self._surveys.clear()
 
     @handles(Tick)
@@ -158,7 +158,7 @@
         out: list[object] = []
         is_leader = self._topology.is_leader
         if is_leader:
-            for name in tuple(self._own.promotions):
+            for name in tuple(self._section.promotions):
                 out += self._advance_promotion(now, name)
             out += self._finish_surveys(now)
         if now - self._checked_at < CHECK_INTERVAL_SECONDS:
@@ -191,7 +191,9 @@
                 now, self._observations, databases, timers, own, LOCAL_DETECTORS
             )
         )
-        self._own.suspicions = [to_suspicion(now, databases[n], e) for n, e in local]
+        self._section.suspicions = [
+            to_suspicion(now, databases[n], e) for n, e in local
+        ]
         return local
 
     def _check_database(self, now: float, database: Any) -> list[object]:
@@ -202,7 +204,7 @@
             return self._start_appointment(now, database)
         if self._suspicions.evidence_against_primary(database):
             return self._investigate(now, database, record)
-        self._own.investigations.pop(database.name, None)
+        self._section.investigations.pop(database.name, None)
         return [
             *self._send_follow_orders(now, database, record),
             *self._start_handover(now, database),
--- a/packages/core/src/bronzemoor_core/flow.py
+++ b/packages/core/src/bronzemoor_core/flow.py
@@ -19,7 +19,7 @@
 )
 from bronzemoor_core.membership import Database
 from bronzemoor_core.outcomes import Done, NotRun, Outcome, Unknown
-from bronzemoor_core.routing import NOWHERE, Route, Router
+from bronzemoor_core.routing import NO_ROUTE, Route, Router
 from bronzemoor_core.work import WAITING_STEPS, Step, Work
 
 # Retries fail once this multiple of the queue limit waits for the database.
@@ -43,7 +43,7 @@
 class RequestFlow(Controller):
     """Operations shared by the handlers of request steps and of events."""
 
-    _own: Requests
+    _section: Requests
 
     def __init__(self, blackboard: Blackboard, settings: Any, random: Random) -> None:
         super().__init__(blackboard, settings, random)
@@ -73,7 +73,7 @@
         if now >= work.deadline:
             return self.fail(now, work, "deadline", "the deadline has passed")
         work.step = Step.QUEUED
-        self._own.waiting.setdefault(work.request.database, {})[work.ticket] = work
+        self._section.waiting.setdefault(work.request.database, {})[work.ticket] = work
         self._set_route(now, work, self._select_route(now, work))
         return self._request_connection(work)
 
@@ -101,7 +101,7 @@
         work.lost_step = work.step
         work.next_step = next_step
         work.attempts += 1
-        waiting = self._own.waiting.setdefault(work.request.database, {})
+        waiting = self._section.waiting.setdefault(work.request.database, {})
         if len(waiting) >= WAITING_LIMIT_FACTOR * self._settings.data_path.queue_limit:
             return [
                 *items,
@@ -127,7 +127,7 @@
 
     def keep_connection(self, work: Work) -> None:
         """Leaves the connection to the transaction when the request ends."""
-        self._own.by_connection.pop(work.connection, None)
+        self._section.by_connection.pop(work.connection, None)
         work.connection = 0
 
     def fail(
@@ -156,9 +156,9 @@
         if work.transaction is not None:
             items.append(TransactionUsed(work.request.transaction, 0))
         fallback = work.route.fallback
-        self._set_route(now, work, NOWHERE)
-        self._own.waiting.get(work.request.database, {}).pop(ticket, None)
-        del self._own.active[ticket]
+        self._set_route(now, work, NO_ROUTE)
+        self._section.waiting.get(work.request.database, {}).pop(ticket, None)
+        del self._section.active[ticket]
         if fallback:
             items += self._admit_next_fallback(now, work.request.database)
         items += self._outcome_metrics(now, work, outcome)
@@ -185,7 +185,7 @@
         request = work.request
         database = self._blackboard.topology.databases.get(request.database)
         if database is None:
-            return NOWHERE
+            return NO_ROUTE
         if not work.is_read:
             position = work.token.position(request.database)
             return self._router.primary_route(now, database, position)
@@ -199,14 +199,14 @@
             work.excluded,
         )
         if route.fallback and not work.route.fallback:
-            running = self._own.fallbacks[request.database]
+            running = self._section.fallbacks[request.database]
             if running >= self._settings.data_path.fallback_reads:
-                return NOWHERE
+                return NO_ROUTE
         return route
 
     def _set_route(self, now: float, work: Work, route: Route) -> None:
         database = work.request.database
-        self._own.fallbacks[database] += route.fallback - work.route.fallback
+        self._section.fallbacks[database] += route.fallback - work.route.fallback
         work.route = route
         work.routed_at = now
 
@@ -227,7 +227,7 @@
 
     def _admit_next_fallback(self, now: float, database: str) -> list[object]:
         """Gives a freed fallback slot at the primary to the next waiting read."""
-        for work in self._own.waiting.get(database, {}).values():
+        for work in self._section.waiting.get(database, {}).values():
             if work.is_read and work.step is Step.QUEUED and not work.route.members:
                 self._set_route(now, work, self._select_route(now, work))
                 return self._request_connection(work) if work.route.members else []
@@ -240,7 +240,7 @@
         items: list[object] = []
         known = self._blackboard.topology.databases.get(database)
         primary = self._router.primary_route(now, known).members if known else ()
-        for work in list(self._own.waiting.get(database, {}).values()):
+        for work in list(self._section.waiting.get(database, {}).values()):
             if work.step is Step.BACKOFF:
                 if resume:
                     items += self.route(now, work)
@@ -258,14 +258,14 @@
     def _assign_connection(self, work: Work, connection: int, member: str) -> None:
         work.connection = connection
         work.member = member
-        self._own.by_connection[connection] = work.ticket
-        self._own.waiting.get(work.request.database, {}).pop(work.ticket, None)
+        self._section.by_connection[connection] = work.ticket
+        self._section.waiting.get(work.request.database, {}).pop(work.ticket, None)
 
     def _release_connection(self, work: Work, clean: bool, reason: str) -> list[object]:
         connection = work.connection
         if not connection:
             return []
-        self._own.by_connection.pop(connection, None)
+        self._section.by_connection.pop(connection, None)
         work.connection = 0
         work.call = None
         return [ConnectionReleased(work.connection_ticket, connection, clean, reason)]
--- a/packages/core/src/bronzemoor_core/grants.py
+++ b/packages/core/src/bronzemoor_core/grants.py
@@ -3,8 +3,8 @@
 from collections import Counter
 from typing import Any
 
-from bronzemoor_core.admission import Waiting
-from bronzemoor_core.connections import Connection, DatabasePool, Pools, State
+from bronzemoor_core.admission import QueueEntry
+from bronzemoor_core.connections import Connection, ConnectionState, DatabasePool, Pools
 from bronzemoor_core.internal_events import ConnectionGranted
 from bronzemoor_core.membership import Database
 
@@ -44,7 +44,9 @@
             waiting.remove(group)
     if unserved:
         # Connections that are being probed will soon be idle again.
-        unserved -= Counter(c.member for c in pool.of_state(State.WARM) if c.probe)
+        unserved -= Counter(
+            c.member for c in pool.of_state(ConnectionState.WARM) if c.probe
+        )
     return grants, unserved
 
 
@@ -53,7 +55,7 @@
 
     __slots__ = ("_entries", "_index", "members")
 
-    def __init__(self, members: tuple[str, ...], entries: list[Waiting]) -> None:
+    def __init__(self, members: tuple[str, ...], entries: list[QueueEntry]) -> None:
         self.members = members
         self._entries = entries
         self._index = 0
@@ -62,7 +64,7 @@
     def remaining(self) -> int:
         return len(self._entries) - self._index
 
-    def head(self) -> Waiting:
+    def head(self) -> QueueEntry:
         return self._entries[self._index]
 
     def advance(self, pools: Pools) -> bool:
@@ -78,15 +80,15 @@
     known = database.members.get(member) if database else None
     if known is None or known.leaving:
         return False
-    return pool.link(member).running < max(1, known.slots)
+    return pool.link(member).slots_in_use < max(1, known.slots)
 
 
 def _assign(
     now: float, pools: Pools, pool: DatabasePool, connection: Connection, ticket: int
 ) -> None:
-    pool.move(connection, State.BUSY)
+    pool.move(connection, ConnectionState.BUSY)
     connection.ticket = ticket
     connection.executing = True
     connection.used_at = now
     pools.by_ticket[ticket] = connection.number
-    pool.link(connection.member).running += 1
+    pool.link(connection.member).slots_in_use += 1
--- a/packages/core/src/bronzemoor_core/heartbeats.py
+++ b/packages/core/src/bronzemoor_core/heartbeats.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from bronzemoor_core.blackboard import Blackboard
-from bronzemoor_core.connections import State
+from bronzemoor_core.connections import ConnectionState
 from bronzemoor_core.messages import Demand, Heartbeat, HeartbeatReply, Share
 from bronzemoor_core.settings import NodeSettings
 
@@ -83,7 +83,7 @@
         pool, queue, share = (part.get(database) for part in (pools, queues, shares))
         wanted = len(queue.entries) if queue else 0
         if pool:
-            wanted += pool.counts[State.BUSY]
+            wanted += pool.counts[ConnectionState.BUSY]
         heartbeat.demands.append(
             Demand(
                 database,
--- a/packages/core/src/bronzemoor_core/limits.py
+++ b/packages/core/src/bronzemoor_core/limits.py
@@ -73,7 +73,7 @@
 class LimitController(Controller):
     """Owns the limits section; sends the heartbeats that report demand."""
 
-    _own: Limits
+    _section: Limits
 
     def __init__(self, blackboard: Blackboard, settings: Any, random: Random) -> None:
         super().__init__(blackboard, settings, random)
@@ -114,9 +114,9 @@
 
     def _expire(self, now: float) -> list[Any]:
         items: list[Any] = []
-        for database, share in list(self._own.shares.items()):
+        for database, share in list(self._section.shares.items()):
             if now >= share.valid_until:
-                del self._own.shares[database]
+                del self._section.shares[database]
                 items.append(SharesChanged(database, 0, now))
         return items
 
@@ -138,14 +138,16 @@
     def _on_reply(self, now: float, message: HeartbeatReply) -> list[Any]:
         """Applies the shares of a reply, unless a newer one was applied already."""
         sent_at = self._sent_at.get(message.sequence)
-        if sent_at is None or message.sequence <= self._own.acknowledged:
+        if sent_at is None or message.sequence <= self._section.acknowledged:
             return []
-        self._own.acknowledged = message.sequence
+        self._section.acknowledged = message.sequence
         margin = 1.0 - self._settings.timers.share_drift
         items: list[Any] = []
         for share in message.shares:
             valid_until = sent_at + share.lease_ms / 1000 * margin
-            self._own.shares[share.database] = HeldShare(share.connections, valid_until)
+            self._section.shares[share.database] = HeldShare(
+                share.connections, valid_until
+            )
             items.append(SharesChanged(share.database, share.connections, valid_until))
         return items + self._expire(now)
 
@@ -153,7 +155,7 @@
 
     @handles(LeadershipChanged)
     def on_leadership(self, now: float, event: LeadershipChanged) -> None:
-        self._own.granted = {}
+        self._section.granted = {}
         if event.is_leader:
             log = self._blackboard.log
             self._allocator.start(now, first=log.founded_term == event.term)
@@ -202,7 +204,7 @@
         if shares is None:
             return []
         for share in shares:
-            granted = self._own.granted.setdefault(share.database, {})
+            granted = self._section.granted.setdefault(share.database, {})
             granted[sender] = share.connections
         reply = make_reply(now, self._blackboard, self._settings, message, shares)
         return [self._send(sender, reply)]
@@ -216,7 +218,7 @@
         if now >= self._next_expiry_check:
             self._next_expiry_check = now + EXPIRY_CHECK_INTERVAL_SECONDS
             for database, daemon in self._allocator.drop_expired(now):
-                self._own.granted.get(database, {}).pop(daemon, None)
+                self._section.granted.get(database, {}).pop(daemon, None)
         durations = self._shrink_timer.pop_completed(
             now, lambda key: self._used(now, *key)
         )
--- a/packages/core/src/bronzemoor_core/membership.py
+++ b/packages/core/src/bronzemoor_core/membership.py
@@ -56,7 +56,7 @@
 class Membership(Controller):
     """Owns the topology section."""
 
-    _own: Any
+    _section: Any
 
     def __init__(self, *arguments: Any) -> None:
         super().__init__(*arguments)
@@ -64,7 +64,7 @@
         self._repair_requested_at = self._conflict_logged_at = NEVER
         # The leader's latest topology digest, 0 while unknown.
         self._leader_digest = 0
-        self._publisher = Publisher(self._settings, self._blackboard, self._own)
+        self._publisher = Publisher(self._settings, self._blackboard, self._section)
 
     # --- members
 
@@ -76,7 +76,7 @@
 
     @handles(PositionObserved)
     def observe(self, now: float, event: PositionObserved) -> list[object]:
-        database = self._own.databases.get(event.database)
+        database = self._section.databases.get(event.database)
         member = database.members.get(event.member) if database else None
         if database is None or member is None:
             return []
@@ -92,10 +92,10 @@
         return []
 
     def _merge(self, now: float, summary: MemberSummary, source: str) -> list[object]:
-        database = self._own.databases.get(summary.database)
+        database = self._section.databases.get(summary.database)
         if database is None:
             database = Database(summary.database)
-            self._own.databases[database.name] = database
+            self._section.databases[database.name] = database
         known = database.members.get(summary.member)
         heard_at = now - summary.age_ms / 1000
         if known is not None:
@@ -193,7 +193,7 @@
                 version=record.version,
             )
             out += self._apply_state(state)
-            database = self._own.databases[name]
+            database = self._section.databases[name]
             database.group = record.group or database.group
             for member in database.members.values():
                 drained = member.name in record.draining
@@ -203,7 +203,7 @@
         return out + self._publisher.publish(now, names)
 
     def _apply_state(self, state: DatabaseState) -> list[object]:
-        database = self._own.databases.setdefault(
+        database = self._section.databases.setdefault(
             state.database, Database(state.database)
         )
         if state.version <= database.version:
@@ -224,12 +224,12 @@
 
     @handles(LeadershipChanged)
     def lead(self, now: float, event: LeadershipChanged) -> None:
-        self._own.leader = event.leader
-        if event.is_leader and not self._own.is_leader:
-            self._own.leader_since = now
-            for daemon in self._own.daemons.values():
+        self._section.leader = event.leader
+        if event.is_leader and not self._section.is_leader:
+            self._section.leader_since = now
+            for daemon in self._section.daemons.values():
                 daemon.updated_at = NEVER
-        self._own.is_leader = event.is_leader
+        self._section.is_leader = event.is_leader
 
     @handles(PeerMessageReceived)
     def receive(self, now: float, event: PeerMessageReceived) -> list[object] | None:
@@ -247,12 +247,12 @@
     def _handle_heartbeat(
         self, now: float, sender: str, message: Heartbeat
     ) -> list[object]:
-        daemon = self._own.daemons.get(sender)
+        daemon = self._section.daemons.get(sender)
         if daemon is not None and message.incarnation < daemon.incarnation:
             return [EmitMetric("counter", "membership.old_incarnation")]
         if daemon is None or message.incarnation > daemon.incarnation:
             daemon = Daemon(sender, message.incarnation, message.data_centre, now)
-            self._own.daemons[sender] = daemon
+            self._section.daemons[sender] = daemon
         daemon.last_heard, daemon.lost = now, False
         subscriptions = tuple(message.subscriptions)
         if subscriptions != daemon.subscriptions:
@@ -262,16 +262,16 @@
         for summary in message.members:
             out += self._merge(now, summary, "relay")
         known = daemon.updated_at != NEVER or sender == self._settings.name
-        if self._own.is_leader and not known:
+        if self._section.is_leader and not known:
             out.append(self._publisher.full_update(now, daemon))
         return out
 
     def _handle_update(
         self, now: float, sender: str, message: TopologyUpdate
     ) -> list[object]:
-        if self._own.is_leader:
+        if self._section.is_leader:
             return []
-        self._own.leader = sender
+        self._section.leader = sender
         out: list[object] = []
         for state in message.databases:
             out += self._apply_state(state)
@@ -282,7 +282,7 @@
                 out += self._merge(now, summary, "leader")
         if message.full:
             listed = {(m.database, m.member) for m in message.members}
-            for database in self._own.databases.values():
+            for database in self._section.databases.values():
                 for member in tuple(database.members):
                     if (database.name, member) not in listed:
                         out += self._remove_member(now, database.name, member)
@@ -290,7 +290,7 @@
 
     def _remove_member(self, now: float, database: str, name: str) -> list[object]:
         """Removes a member lost by the leader, unless it still announces here."""
-        group = self._own.databases.get(database)
+        group = self._section.databases.get(database)
         member = group.members.get(name) if group else None
         lease = self._settings.timers.announcement_lease
         if group is None or member is None or now - member.announced_at <= lease:
@@ -306,7 +306,7 @@
         Every reply may trigger another request, since the digest, the request and the
         update can each be lost.
         """
-        if self._own.is_leader:
+        if self._section.is_leader:
             return []
         self._leader_digest = message.topology_digest or self._leader_digest
         if (
@@ -315,7 +315,7 @@
         ):
             return []
         names = served_databases(self._settings.organisations, self._blackboard)
-        digest = topology_digest(self._own.databases, names)
+        digest = topology_digest(self._section.databases, names)
         if digest == self._leader_digest:
             return []
         self._repair_requested_at = now
@@ -325,13 +325,13 @@
     def _repair_topology(
         self, now: float, sender: str, message: ConfigurationAcknowledged
     ) -> list[object]:
-        daemon = self._own.daemons.get(sender)
-        if daemon is None or not self._own.is_leader:
+        daemon = self._section.daemons.get(sender)
+        if daemon is None or not self._section.is_leader:
             return []
         names = subscribed_databases(daemon.subscriptions, self._blackboard)
         daemon_digest = message.versions.get(TOPOLOGY_KEY)
         if daemon_digest is None or daemon_digest == topology_digest(
-            self._own.databases, names
+            self._section.databases, names
         ):
             return []
         return [
@@ -358,17 +358,17 @@
             "leader": float("inf"),
         }
         out: list[object] = []
-        for database in self._own.databases.values():
+        for database in self._section.databases.values():
             for member in tuple(database.members.values()):
                 if now - member.last_heard > lease_by_source[member.source]:
                     out += self._expire_member(now, database, member)
         daemon_lease = self._settings.timers.stale_after
-        for daemon in tuple(self._own.daemons.values()):
+        for daemon in tuple(self._section.daemons.values()):
             silence = now - daemon.last_heard
             if silence > LOST_DAEMON_RETENTION_SECONDS or (
                 daemon.draining and silence > daemon_lease
             ):
-                del self._own.daemons[daemon.name]
+                del self._section.daemons[daemon.name]
             elif silence > daemon_lease and not daemon.lost:
                 # Forces a full update when the daemon returns.
                 daemon.lost, daemon.updated_at = True, NEVER
@@ -382,6 +382,6 @@
         out: list[object] = [MemberLost(database.name, member.name)]
         fields = {"database": database.name, "member": member.name}
         out.append(EmitLog("warning", "member_lost", fields))
-        if self._own.is_leader:
+        if self._section.is_leader:
             out += self._publisher.announce_loss(now, database, member)
         return out
--- a/packages/core/src/bronzemoor_core/openings.py
+++ b/packages/core/src/bronzemoor_core/openings.py
@@ -8,10 +8,10 @@
 from bronzemoor_core.actions import OpenConnection
 from bronzemoor_core.connections import (
     Connection,
+    ConnectionState,
     DatabasePool,
     MemberLink,
     Pools,
-    State,
 )
 from bronzemoor_core.membership import Database
 from bronzemoor_core.retries import backoff
@@ -48,7 +48,7 @@
         if database is None or not pool.has_capacity(now) or now < pool.next_open_at:
             return []
         items: list[object] = []
-        opening = pool.counts[State.OPENING]
+        opening = pool.counts[ConnectionState.OPENING]
         for member in self._missing(now, pool, database, starved):
             if opening >= self._settings.data_path.max_opening:
                 break
@@ -69,7 +69,7 @@
         if not starved or pool.has_capacity(now) or now >= pool.valid_until:
             return []
         needed = sum(starved.values()) - (
-            pool.counts[State.OPENING] + pool.counts[State.CLOSING]
+            pool.counts[ConnectionState.OPENING] + pool.counts[ConnectionState.CLOSING]
         )
         idle = pool.idle_by_member()
         spare = [c for m, group in idle.items() if m not in starved for c in group]
@@ -101,14 +101,14 @@
         for name, link in pool.links.items():
             if (
                 link.comparison_wanted_since is not None
-                and not link.counts[State.OPENING]
+                and not link.counts[ConnectionState.OPENING]
             ):
                 missing.append(name)
             less_urgent += [name] * link.replacements
             if _is_saturated(link):
                 less_urgent.append(name)
         for name, waiting in starved.items():
-            opening = pool.link(name).counts[State.OPENING]
+            opening = pool.link(name).counts[ConnectionState.OPENING]
             missing += [name] * (waiting - opening)
         for name in self._members_to_keep_warm(now, pool, database):
             live = _count_live(pool.link(name))
@@ -160,10 +160,10 @@
 
 
 def _count_live(link: MemberLink) -> int:
-    return sum(link.counts.values()) - link.counts[State.CLOSING]
+    return sum(link.counts.values()) - link.counts[ConnectionState.CLOSING]
 
 
 def _is_saturated(link: MemberLink) -> bool:
     """Returns whether the next request to the member would have to wait."""
-    busy = link.counts[State.BUSY]
+    busy = link.counts[ConnectionState.BUSY]
     return busy > 0 and busy == _count_live(link)
--- a/packages/core/src/bronzemoor_core/pools.py
+++ b/packages/core/src/bronzemoor_core/pools.py
@@ -5,7 +5,7 @@
 
 from bronzemoor_core.actions import CloseConnection, EmitLog, EmitMetric
 from bronzemoor_core.blackboard import Blackboard
-from bronzemoor_core.connections import Connection, DatabasePool, Pools, State
+from bronzemoor_core.connections import Connection, ConnectionState, DatabasePool, Pools
 from bronzemoor_core.controllers import Controller, controller, handles
 from bronzemoor_core.events import (
     AnnouncementReceived,
@@ -47,11 +47,11 @@
 class PoolController(Controller):
     """Owns the pools section."""
 
-    _own: Pools
+    _section: Pools
 
     def __init__(self, blackboard: Blackboard, settings: Any, random: Random) -> None:
         super().__init__(blackboard, settings, random)
-        self._opener = Opener(self._own, blackboard, settings, random)
+        self._opener = Opener(self._section, blackboard, settings, random)
         self._prober = Prober(blackboard, settings, random)
         self._next_gauges_at = 0.0
 
@@ -68,15 +68,15 @@
 
     @handles(ConnectionOpened)
     def on_opened(self, now: float, event: ConnectionOpened) -> list[object]:
-        connection = self._own.connections.get(event.connection)
-        if connection is None or connection.state is not State.OPENING:
+        connection = self._section.connections.get(event.connection)
+        if connection is None or connection.state is not ConnectionState.OPENING:
             return [CloseConnection(event.connection, "not_wanted")]
         answer = event.answer
         if answer.status != "ok" or answer.member not in ("", connection.member):
             reason = answer.code or f"connected to another member: {answer.member}"
             return self._opening_failed(now, connection, reason, answered=True)
         pool = self._pool(connection.database)
-        pool.move(connection, State.WARM)
+        pool.move(connection, ConnectionState.WARM)
         connection.answered_at = connection.last_probe_at = connection.used_at = now
         items = self._prober.on_fresh_connection(now, pool, connection)
         position = Position(answer.term, answer.offset)
@@ -93,26 +93,26 @@
 
     @handles(ConnectionFailed)
     def on_failed(self, now: float, event: ConnectionFailed) -> list[object]:
-        connection = self._own.connections.get(event.connection)
+        connection = self._section.connections.get(event.connection)
         if connection is None:
             return []
-        if connection.state is State.CLOSING:
+        if connection.state is ConnectionState.CLOSING:
             return self._handle_closed(now, connection)
         return self._opening_failed(now, connection, event.error)
 
     @handles(ConnectionClosed)
     def on_closed(self, now: float, event: ConnectionClosed) -> list[object]:
-        connection = self._own.connections.get(event.connection)
+        connection = self._section.connections.get(event.connection)
         if connection is None:
             return []
         pool = self._pool(connection.database)
-        if connection.state is not State.CLOSING:
+        if connection.state is not ConnectionState.CLOSING:
             pool.link(connection.member).replacements += 1
         return self._handle_closed(now, connection)
 
     @handles(ConnectionReleased)
     def on_released(self, now: float, event: ConnectionReleased) -> list[object]:
-        connection = self._own.connections.get(event.connection)
+        connection = self._section.connections.get(event.connection)
         if connection is None or connection.ticket != event.ticket:
             return []
         pool = self._pool(connection.database)
@@ -120,7 +120,7 @@
             self._prober.record_behind(now, pool, connection.member)
         self._detach(pool, connection)
         if event.clean:
-            pool.move(connection, State.WARM)
+            pool.move(connection, ConnectionState.WARM)
             connection.answered_at = connection.last_probe_at = connection.used_at = now
             items = self._close_excess(now, pool)
         else:
@@ -129,23 +129,23 @@
 
     @handles(ConnectionWithdrawn)
     def on_withdrawn(self, now: float, event: ConnectionWithdrawn) -> list[object]:
-        number = self._own.by_ticket.get(event.ticket)
+        number = self._section.by_ticket.get(event.ticket)
         if number is None:
             return []
         return self.on_released(now, ConnectionReleased(event.ticket, number, True))
 
     @handles(SlotReleased)
     def on_slot_released(self, now: float, event: SlotReleased) -> list[object]:
-        connection = self._own.connections.get(event.connection)
+        connection = self._section.connections.get(event.connection)
         if connection is None or not connection.executing:
             return []
         pool = self._pool(connection.database)
         self._free_slot(pool, connection)
-        return grant_waiting(now, self._own, self._blackboard, pool)[0]
+        return grant_waiting(now, self._section, self._blackboard, pool)[0]
 
     @handles(TransactionOpened)
     def on_transaction(self, now: float, event: TransactionOpened) -> list[object]:
-        connection = self._own.connections.get(event.connection)
+        connection = self._section.connections.get(event.connection)
         if connection is None:
             return []
         connection.pinned = True
@@ -153,8 +153,11 @@
 
     @handles(AnswerReceived)
     def on_answer(self, now: float, event: AnswerReceived) -> list[object]:
-        connection = self._own.connections.get(event.connection)
-        if connection is None or connection.state in (State.CLOSING, State.OPENING):
+        connection = self._section.connections.get(event.connection)
+        if connection is None or connection.state in (
+            ConnectionState.CLOSING,
+            ConnectionState.OPENING,
+        ):
             return []
         connection.answered_at = now
         pool = self._pool(connection.database)
@@ -168,8 +171,8 @@
 
     @handles(AnswerTimedOut)
     def on_timeout(self, now: float, event: AnswerTimedOut) -> list[object]:
-        connection = self._own.connections.get(event.connection)
-        if connection is None or connection.state is State.CLOSING:
+        connection = self._section.connections.get(event.connection)
+        if connection is None or connection.state is ConnectionState.CLOSING:
             return []
         pool = self._pool(connection.database)
         self._detach(pool, connection)
@@ -193,7 +196,7 @@
         A control member receives this event for every database. A pool for each would
         cost it a share of each, and a check of each every ``CHECK_INTERVAL_SECONDS``.
         """
-        pool = self._own.databases.get(event.database)
+        pool = self._section.databases.get(event.database)
         if pool is None:
             return []
         self._opener.delay_openings(now, pool)
@@ -201,14 +204,14 @@
 
     @handles(MemberLost)
     def on_member_lost(self, now: float, event: MemberLost) -> list[object]:
-        pool = self._own.databases.get(event.database)
+        pool = self._section.databases.get(event.database)
         if pool is None:
             return []
         items: list[object] = []
         for connection in list(pool.of_member(event.member)):
             if connection.ticket:
                 connection.outdated = True
-            elif connection.state is not State.CLOSING:
+            elif connection.state is not ConnectionState.CLOSING:
                 items.append(self._close(now, connection, "member_lost"))
         pool.link(event.member).replacements = 0
         pool.link(event.member).comparison_wanted_since = None
@@ -216,7 +219,7 @@
 
     @handles(PositionObserved)
     def on_position(self, now: float, event: PositionObserved) -> None:
-        pool = self._own.databases.get(event.database)
+        pool = self._section.databases.get(event.database)
         if pool is not None:
             self._prober.observe_position(now, pool, event)
 
@@ -232,11 +235,11 @@
     @handles(Tick)
     def on_tick(self, now: float, event: Tick) -> list[object]:
         items: list[object] = []
-        for pool in self._own.databases.values():
+        for pool in self._section.databases.values():
             if now < pool.next_check_at:
                 continue
             pool.next_check_at = now + CHECK_INTERVAL_SECONDS
-            for connection in list(pool.of_state(State.CLOSING)):
+            for connection in list(pool.of_state(ConnectionState.CLOSING)):
                 if now - connection.closing_since > CLOSE_TIMEOUT_SECONDS:
                     self._remove(connection)
             items += self._retire(now, pool)
@@ -248,19 +251,19 @@
         if now < self._next_gauges_at:
             return []
         self._next_gauges_at = now + GAUGE_INTERVAL_SECONDS
-        pools = self._own.databases.values()
+        pools = self._section.databases.values()
         return [
             EmitMetric(
                 "gauge",
                 f"pools.{state.value}",
                 float(sum(pool.counts[state] for pool in pools)),
             )
-            for state in State
+            for state in ConnectionState
         ]
 
     def _serve_queue(self, now: float, pool: DatabasePool) -> list[object]:
         """Grants idle connections to waiting requests and opens the missing ones."""
-        items, starved = grant_waiting(now, self._own, self._blackboard, pool)
+        items, starved = grant_waiting(now, self._section, self._blackboard, pool)
         for connection in self._opener.idle_to_close(now, pool, starved):
             items.append(self._close(now, connection, "place_wanted"))
         items += self._opener.open_wanted(now, pool, starved)
@@ -268,13 +271,13 @@
 
     def _close_excess(self, now: float, pool: DatabasePool) -> list[object]:
         """Closes opening and idle connections above the share, the outdated first."""
-        excess = pool.total - pool.counts[State.CLOSING] - pool.share
+        excess = pool.total - pool.counts[ConnectionState.CLOSING] - pool.share
         if excess <= 0:
             return []
         idle = [c for group in pool.idle_by_member().values() for c in group]
-        idle += pool.of_state(State.SUSPECT)
+        idle += pool.of_state(ConnectionState.SUSPECT)
         idle.sort(key=lambda c: (not c.outdated, c.answered_at))
-        opening = list(pool.of_state(State.OPENING))
+        opening = list(pool.of_state(ConnectionState.OPENING))
         closed = (opening + idle)[:excess]
         return [self._close(now, c, "share_shrunk") for c in closed]
 
@@ -312,12 +315,12 @@
             items.append(
                 MemberSuspected(pool.name, connection.member, "fresh_connection_failed")
             )
-        if connection.state is State.OPENING:
+        if connection.state is ConnectionState.OPENING:
             items.append(self._close(now, connection, "opening_failed"))
         return [*items, *self._serve_queue(now, pool)]
 
     def _pool(self, database: str) -> DatabasePool:
-        pools = self._own.databases
+        pools = self._section.databases
         if database not in pools:
             pools[database] = DatabasePool(database)
         return pools[database]
@@ -325,7 +328,7 @@
     def _close(self, now: float, connection: Connection, reason: str) -> object:
         pool = self._pool(connection.database)
         self._detach(pool, connection)
-        pool.move(connection, State.CLOSING)
+        pool.move(connection, ConnectionState.CLOSING)
         connection.probe = None
         connection.closing_since = now
         return CloseConnection(connection.number, reason)
@@ -338,12 +341,12 @@
         return self._serve_queue(now, pool)
 
     def _remove(self, connection: Connection) -> None:
-        del self._own.connections[connection.number]
-        self._own.databases[connection.database].remove(connection)
+        del self._section.connections[connection.number]
+        self._section.databases[connection.database].remove(connection)
 
     def _detach(self, pool: DatabasePool, connection: Connection) -> None:
         if connection.ticket:
-            self._own.by_ticket.pop(connection.ticket, None)
+            self._section.by_ticket.pop(connection.ticket, None)
         connection.ticket = 0
         connection.pinned = False
         self._free_slot(pool, connection)
@@ -351,4 +354,4 @@
     def _free_slot(self, pool: DatabasePool, connection: Connection) -> None:
         if connection.executing:
             connection.executing = False
-            pool.link(connection.member).running -= 1
+            pool.link(connection.member).slots_in_use -= 1
--- a/packages/core/src/bronzemoor_core/positions.py
+++ b/packages/core/src/bronzemoor_core/positions.py
@@ -18,15 +18,15 @@
 class TermHistory:
     """The start offset of each term of one database."""
 
-    starts: dict[int, int] = field(default_factory=dict)
+    start_offsets: dict[int, int] = field(default_factory=dict)
 
-    def record(self, term: int, start_offset: int) -> None:
+    def add_term(self, term: int, start_offset: int) -> None:
         """Adds a term's start offset; a known term keeps its first one."""
-        self.starts.setdefault(term, start_offset)
+        self.start_offsets.setdefault(term, start_offset)
 
     def end_of(self, term: int) -> int | None:
         """Returns the last surviving offset of ``term``, None for the latest term."""
-        later = [start for other, start in self.starts.items() if other > term]
+        later = [start for other, start in self.start_offsets.items() if other > term]
         return min(later) if later else None
 
     def survives(self, position: Position) -> bool:
--- a/packages/core/src/bronzemoor_core/probes.py
+++ b/packages/core/src/bronzemoor_core/probes.py
@@ -6,7 +6,7 @@
 
 from bronzemoor_core.actions import Call, EmitLog, EmitMetric, SendCall
 from bronzemoor_core.answers import check_answer
-from bronzemoor_core.connections import Connection, DatabasePool, State
+from bronzemoor_core.connections import Connection, ConnectionState, DatabasePool
 from bronzemoor_core.events import AnswerReceived
 from bronzemoor_core.internal_events import PositionObserved
 from bronzemoor_core.positions import Position
@@ -55,8 +55,10 @@
                     items.append(self._probe(now, connection))
         items += self._probe_members_with_slow_calls(now, pool)
         items += self._sample_primary(now, pool)
-        if now >= pool.next_probe_at and pool.counts[State.SUSPECT]:
-            suspects = (c for c in pool.of_state(State.SUSPECT) if c.probe is None)
+        if now >= pool.next_probe_at and pool.counts[ConnectionState.SUSPECT]:
+            suspects = (
+                c for c in pool.of_state(ConnectionState.SUSPECT) if c.probe is None
+            )
             suspect = next(suspects, None)
             if suspect is not None:
                 pool.next_probe_at = now + SUSPECT_PROBE_INTERVAL_SECONDS
@@ -79,7 +81,7 @@
         if reason:
             return [EmitMetric("counter", f"answers.discarded.{reason}")], False
         connection.probe = None
-        pool.move(connection, State.WARM)
+        pool.move(connection, ConnectionState.WARM)
         pool.link(connection.member).observe_delay((now - event.sent_at) / 2)
         observed = observed_position(connection, event)
         return [observed], answer.status == "ok"
@@ -119,12 +121,13 @@
         older = [
             c
             for c in pool.of_member(fresh.member)
-            if c.started_at < fresh.started_at and c.state is not State.CLOSING
+            if c.started_at < fresh.started_at
+            and c.state is not ConnectionState.CLOSING
         ]
         for connection in older:
             connection.outdated = True
-            if connection.state is State.WARM:
-                pool.move(connection, State.SUSPECT)
+            if connection.state is ConnectionState.WARM:
+                pool.move(connection, ConnectionState.SUSPECT)
         if not older:
             return []
         fields = {"database": pool.name, "peer": fresh.member, "older": len(older)}
@@ -173,7 +176,7 @@
         cutoff = now - self._settings.data_path.probe_timeout
         slow = {
             c.member
-            for c in pool.of_state(State.BUSY)
+            for c in pool.of_state(ConnectionState.BUSY)
             if not c.pinned and max(c.used_at, c.answered_at) < cutoff
         }
         items: list[object] = []
@@ -184,7 +187,7 @@
             link.next_slow_check_at = now + SLOW_CHECK_INTERVAL_SECONDS
             for connection in pool.of_member(member):
                 if connection.idle and connection.answered_at < cutoff:
-                    pool.move(connection, State.SUSPECT)
+                    pool.move(connection, ConnectionState.SUSPECT)
                     items.append(self._probe(now, connection))
         return items
 
--- a/packages/core/src/bronzemoor_core/proposals.py
+++ b/packages/core/src/bronzemoor_core/proposals.py
@@ -11,12 +11,12 @@
 from bronzemoor_core.replica import Replica
 
 # Covers an election and a few round trips between regions; seconds.
-PROPOSAL_TIMEOUT = 2.0
+PROPOSAL_TIMEOUT_SECONDS = 2.0
 # How long a daemon waits for a leader before it answers no_leader.
 LEADER_WAIT_SECONDS = 1.0
 RETRY_INTERVAL_SECONDS = 0.05
 # A query without an answer is resent after this many seconds, since it has no effects.
-QUERY_INTERVAL = 0.4
+QUERY_INTERVAL_SECONDS = 0.4
 # Proposals whose duplicates are recognised and whose results are kept.
 MAX_SEEN_PROPOSALS = 4096
 # Codes which mean that an attempt was not accepted and may be retried.
@@ -92,7 +92,7 @@
         for base, pending in list(self._pending.items()):
             age = now - pending.started
             may_be_accepted = pending.sent or pending.uncertain
-            if age >= PROPOSAL_TIMEOUT and may_be_accepted:
+            if age >= PROPOSAL_TIMEOUT_SECONDS and may_be_accepted:
                 self._complete(base, "unknown", "no answer in time", {})
             elif age >= LEADER_WAIT_SECONDS and not may_be_accepted:
                 self._complete(base, "no_leader", "no leader is known", {})
@@ -181,7 +181,7 @@
         pending.attempt += 1
         is_query = pending.command.get("query")
         pending.next_attempt_at = now + (
-            QUERY_INTERVAL if is_query else RETRY_INTERVAL_SECONDS
+            QUERY_INTERVAL_SECONDS if is_query else RETRY_INTERVAL_SECONDS
         )
         pending.leader = replica.leader
         proposal_id = f"{base}:{pending.attempt}"
--- a/packages/core/src/bronzemoor_core/relays.py
+++ b/packages/core/src/bronzemoor_core/relays.py
@@ -119,7 +119,7 @@
         term=database.term,
         primary=database.committed_primary,
         fenced=database.fenced,
-        history=dict(database.history.starts),
+        history=dict(database.history.start_offsets),
         version=database.version,
     )
 
--- a/packages/core/src/bronzemoor_core/requests.py
+++ b/packages/core/src/bronzemoor_core/requests.py
@@ -69,7 +69,7 @@
                 Reply(ticket, refused, session),
                 RequestFinished(ticket, refused),
             ]
-        self._own.active[ticket] = work
+        self._section.active[ticket] = work
         if work.next_step is Step.RESERVE:
             work.reservation = make_unique_id(self._settings, self._random)
         if work.transaction is None:
@@ -83,7 +83,7 @@
 
     @handles(ConnectionGranted)
     def on_granted(self, now: float, event: ConnectionGranted) -> list[object]:
-        work = self._own.active.get(event.ticket)
+        work = self._section.active.get(event.ticket)
         release = ConnectionReleased(event.ticket, event.connection, True)
         if work is None or work.step is not Step.QUEUED or work.connection:
             return [release]
@@ -99,19 +99,19 @@
 
     @handles(ConnectionRefused)
     def on_refused(self, now: float, event: ConnectionRefused) -> list[object]:
-        work = self._own.active.get(event.ticket)
+        work = self._section.active.get(event.ticket)
         if work is None or work.step is not Step.QUEUED:
             return []
         return self.fail(now, work, event.code, event.message)
 
     @handles(AnswerReceived)
     def on_answer(self, now: float, event: AnswerReceived) -> list[object]:
-        ticket = self._own.by_connection.get(event.connection)
+        ticket = self._section.by_connection.get(event.connection)
         if ticket is None:
             if not event.call.ticket:
                 return []
             return [EmitMetric("counter", "answers.discarded.late")]
-        work = self._own.active[ticket]
+        work = self._section.active[ticket]
         assert work.call is not None
         reason = check_answer(work.call, event.answer)
         if reason:
@@ -129,22 +129,22 @@
 
     @handles(AnswerTimedOut)
     def on_timeout(self, now: float, event: AnswerTimedOut) -> list[object]:
-        ticket = self._own.by_connection.get(event.connection)
+        ticket = self._section.by_connection.get(event.connection)
         if ticket is None:
             return []
-        return self._handle_loss(now, self._own.active[ticket], "answer_timed_out")
+        return self._handle_loss(now, self._section.active[ticket], "answer_timed_out")
 
     @handles(ConnectionClosed)
     def on_closed(self, now: float, event: ConnectionClosed) -> list[object]:
-        ticket = self._own.by_connection.get(event.connection)
+        ticket = self._section.by_connection.get(event.connection)
         if ticket is None:
             return []
-        work = self._own.active[ticket]
+        work = self._section.active[ticket]
         return self._handle_loss(now, work, "connection_closed", event.sent)
 
     @handles(CallerGone)
     def on_caller_gone(self, now: float, event: CallerGone) -> list[object]:
-        work = self._own.active.get(event.ticket)
+        work = self._section.active.get(event.ticket)
         if work is None:
             return []
         work.caller_gone = True
@@ -166,7 +166,7 @@
         if transaction is None:
             return []
         ended = TransactionEnded(event.transaction, False)
-        work = self._own.active.get(transaction.ticket)
+        work = self._section.active.get(transaction.ticket)
         if work is not None:
             expired = Unknown(
                 "transaction_expired",
@@ -185,7 +185,7 @@
 
     @handles(RetryDecided)
     def on_retry_decided(self, now: float, event: RetryDecided) -> list[object]:
-        work = self._own.active.get(event.ticket)
+        work = self._section.active.get(event.ticket)
         if work is None or work.step is not Step.BACKOFF:
             return []
         if not event.allowed:
@@ -214,7 +214,7 @@
         all_due = now >= self._reroute_at
         if all_due:
             self._reroute_at = now + REROUTE_INTERVAL_SECONDS
-        for database, waiting in self._own.waiting.items():
+        for database, waiting in self._section.waiting.items():
             if waiting and all_due:
                 items += self._reroute_waiting(now, database)
             for work in list(waiting.values()):
@@ -243,7 +243,7 @@
 
     def _in_progress(self, database: str) -> Iterator[Work]:
         """Yields the requests of ``database`` that wait for an answer."""
-        for work in self._own.active.values():
+        for work in self._section.active.values():
             if work.request.database == database and work.connection:
                 yield work
 
@@ -258,7 +258,7 @@
         items: list[object] = []
         while self._pending_abandons and self._pending_abandons[0][0] <= now:
             _, ticket, correlation = self._pending_abandons.popleft()
-            work = self._own.active.get(ticket)
+            work = self._section.active.get(ticket)
             if work is None or work.call is None:
                 continue
             if work.call.correlation_id == correlation:
--- a/packages/core/src/bronzemoor_core/retries.py
+++ b/packages/core/src/bronzemoor_core/retries.py
@@ -64,7 +64,7 @@
 class RetryController(Controller):
     """Owns the retries section."""
 
-    _own: Retries
+    _section: Retries
 
     @handles(RequestReceived)
     def on_request(self, now: float, event: RequestReceived) -> None:
@@ -85,7 +85,7 @@
         ]
 
     def _budget(self, now: float, organisation: str) -> RetryBudget:
-        budgets = self._own.budgets
+        budgets = self._section.budgets
         if organisation not in budgets:
             budgets[organisation] = RetryBudget(now)
         return budgets[organisation]
--- a/packages/core/src/bronzemoor_core/routing.py
+++ b/packages/core/src/bronzemoor_core/routing.py
@@ -92,7 +92,7 @@
     proved: bool = True
 
 
-NOWHERE = Route(())
+NO_ROUTE = Route(())
 
 
 def surviving_position(history: TermHistory, position: Position) -> Position:
@@ -103,7 +103,9 @@
     if history.survives(position):
         return position
     start, term = min(
-        (start, term) for term, start in history.starts.items() if term > position.term
+        (start, term)
+        for term, start in history.start_offsets.items()
+        if term > position.term
     )
     return Position(term, start)
 
@@ -156,11 +158,11 @@
     def primary_route(
         self, now: float, database: Database, position: Position = ZERO
     ) -> Route:
-        """Returns the route of a write, ``NOWHERE`` if no primary is serving."""
+        """Returns the route of a write, ``NO_ROUTE`` if no primary is serving."""
         member = database.members.get(database.primary)
         lease = self._settings.timers.announcement_lease
         if member is None or not is_serving(member, now, lease):
-            return NOWHERE
+            return NO_ROUTE
         wait_ms = max(1, round(self._settings.data_path.catch_up_wait * 1_000))
         return Route(
             (member.name,), surviving_position(database.history, position), wait_ms
@@ -201,7 +203,7 @@
                 return Route(names, minimum, wait_ms)
         primary = self.primary_route(now, database)
         if not primary.members:
-            return NOWHERE
+            return NO_ROUTE
         fallback = len(database.members) > 1
         return Route(primary.members, minimum, wait_ms, fallback, proved)
 
@@ -238,7 +240,7 @@
             group.append(
                 Candidate(
                     name,
-                    link.running,
+                    link.slots_in_use,
                     expected_delay(member, link, settings),
                     member.data_centre != local_data_centre,
                     catch_up,
--- a/packages/core/src/bronzemoor_core/sessions.py
+++ b/packages/core/src/bronzemoor_core/sessions.py
@@ -120,24 +120,24 @@
 class SessionKeyController(Controller):
     """Owns the sessions section."""
 
-    _own: Sessions
+    _section: Sessions
 
     def __init__(self, blackboard: Blackboard, settings: Any, random: Random) -> None:
         super().__init__(blackboard, settings, random)
         if settings.token_keys:
-            self._own.key_ring = KeyRing(list(settings.token_keys.items()))
-        self._warned = not self._own.key_ring.insecure
+            self._section.key_ring = KeyRing(list(settings.token_keys.items()))
+        self._warned = not self._section.key_ring.insecure
         self._next_ring: KeyRing | None = None
         self._activate_at = 0.0
 
     @handles(TokenKeysChanged)
     def on_keys_changed(self, now: float, event: TokenKeysChanged) -> list[EmitLog]:
-        old_id, old_secret = self._own.key_ring.signing_key
+        old_id, old_secret = self._section.key_ring.signing_key
         self._next_ring = KeyRing(event.keys)
         self._activate_at = now + ACTIVATION_DELAY_SECONDS
         keys = dict(event.keys)
         keys.setdefault(old_id, old_secret)
-        self._own.key_ring = KeyRing(list(keys.items()), old_id)
+        self._section.key_ring = KeyRing(list(keys.items()), old_id)
         return [
             EmitLog("info", "token_keys_changed", {"next_signer": event.keys[0][0]})
         ]
@@ -145,8 +145,8 @@
     @handles(Tick)
     def on_tick(self, now: float, event: Tick) -> list[EmitLog]:
         if self._next_ring is not None and now >= self._activate_at:
-            self._own.key_ring, self._next_ring = self._next_ring, None
-            signer, _ = self._own.key_ring.signing_key
+            self._section.key_ring, self._next_ring = self._next_ring, None
+            signer, _ = self._section.key_ring.signing_key
             return [EmitLog("info", "token_key_activated", {"signer": signer})]
         if self._warned:
             return []
--- a/packages/core/src/bronzemoor_core/state.py
+++ b/packages/core/src/bronzemoor_core/state.py
@@ -50,14 +50,14 @@
 class StateMachine(Controller):
     """Owns the state section."""
 
-    _own: State
+    _section: State
 
     @handles(CommandCommitted)
     def commit(self, now: float, event: CommandCommitted) -> list[object]:
-        if event.index <= self._own.applied_index:
+        if event.index <= self._section.applied_index:
             return []
-        self._own.applied_index = event.index
-        result = apply_command(self._own, event.command)
+        self._section.applied_index = event.index
+        result = apply_command(self._section, event.command)
         applied = CommandApplied(event.index, event.command, result, event.origin)
         changes = list(_state_changes(event.command)) if result["code"] == "ok" else []
         return [*changes, applied]
@@ -66,19 +66,19 @@
     def query(self, now: float, event: QueryReady) -> list[object]:
         if event.command.get("type") not in QUERIES:
             return []
-        result = answer_query(self._own, event.command)
-        index = self._own.applied_index
+        result = answer_query(self._section, event.command)
+        index = self._section.applied_index
         return [CommandApplied(index, event.command, result, event.origin)]
 
     @handles(SnapshotRequested)
     def snapshot(self, now: float, event: SnapshotRequested) -> list[object]:
-        return [SnapshotReady(self._own.applied_index, to_snapshot(self._own))]
+        return [SnapshotReady(self._section.applied_index, to_snapshot(self._section))]
 
     @handles(SnapshotRestored)
     def restore(self, now: float, event: SnapshotRestored) -> list[object]:
-        if event.index <= self._own.applied_index:
+        if event.index <= self._section.applied_index:
             return []
-        from_snapshot(self._own, event.index, event.data)
+        from_snapshot(self._section, event.index, event.data)
         return [StateChanged("all", "")]
 
     @handles(AdminCommand)
--- a/packages/core/src/bronzemoor_core/transactions.py
+++ b/packages/core/src/bronzemoor_core/transactions.py
@@ -57,11 +57,11 @@
 class TransactionController(Controller):
     """Owns the transactions section."""
 
-    _own: Transactions
+    _section: Transactions
 
     @handles(TransactionOpened)
     def on_opened(self, now: float, event: TransactionOpened) -> list[object]:
-        self._own.open[event.transaction] = Transaction(
+        self._section.open[event.transaction] = Transaction(
             event.transaction,
             event.ticket,
             event.endpoint_transaction_id,
@@ -78,7 +78,7 @@
 
     @handles(TransactionUsed)
     def on_used(self, now: float, event: TransactionUsed) -> None:
-        transaction = self._own.open.get(event.transaction)
+        transaction = self._section.open.get(event.transaction)
         if transaction is not None:
             transaction.ticket = event.ticket
             transaction.used_at = now
@@ -86,12 +86,12 @@
 
     @handles(TransactionEnded)
     def on_ended(self, now: float, event: TransactionEnded) -> list[object]:
-        transaction = self._own.open.pop(event.transaction, None)
+        transaction = self._section.open.pop(event.transaction, None)
         if transaction is None:
             return []
-        self._own.ended[event.transaction] = transaction.committing
-        if len(self._own.ended) > MAX_ENDED_TRANSACTIONS:
-            self._own.ended.popitem(last=False)
+        self._section.ended[event.transaction] = transaction.committing
+        if len(self._section.ended) > MAX_ENDED_TRANSACTIONS:
+            self._section.ended.popitem(last=False)
         return [self._open_gauge()]
 
     @handles(ConnectionClosed)
@@ -99,14 +99,14 @@
         """Ends a lost connection's idle transaction; the endpoint rolls it back."""
         return [
             TransactionEnded(transaction.name, False)
-            for transaction in self._own.open.values()
+            for transaction in self._section.open.values()
             if transaction.connection == event.connection and not transaction.ticket
         ]
 
     @handles(Tick)
     def on_tick(self, now: float, event: Tick) -> list[object]:
         items: list[object] = []
-        for transaction in self._own.open.values():
+        for transaction in self._section.open.values():
             reason = self._exceeded_limit(now, transaction)
             if reason:
                 fields = {"transaction": transaction.name, "limit": reason}
@@ -125,4 +125,4 @@
         return ""
 
     def _open_gauge(self) -> EmitMetric:
-        return EmitMetric("gauge", "transactions.open", float(len(self._own.open)))
+        return EmitMetric("gauge", "transactions.open", float(len(self._section.open)))
--- a/packages/core/src/bronzemoor_core/wire/freshness.py
+++ b/packages/core/src/bronzemoor_core/wire/freshness.py
@@ -81,7 +81,7 @@
         if len(grants) > MAX_GRANTS_PER_PROXY:
             grants.popitem(last=False)
 
-    def take(
+    def add_sample(
         self, proxy: str, last_grant: int, group: str, after: float, position: Position
     ) -> None:
         """Adds a proxy's sample, taken ``after`` seconds after grant ``last_grant``."""
--- a/packages/core/src/bronzemoor_core/wire/leases.py
+++ b/packages/core/src/bronzemoor_core/wire/leases.py
@@ -7,7 +7,7 @@
 """
 
 # How long a proxy may use a primary without contact to the control leader, seconds.
-LEASE = 2.0
+LEASE_SECONDS = 2.0
 # Added by the leader to allow for clock drift.
 LEASE_MARGIN_SECONDS = 0.100
 # A proxy whose lease expired this long ago is considered lost.
@@ -19,7 +19,7 @@
 
     def __init__(self, elected_at: float) -> None:
         # Leases of an earlier leader are unknown and expire within one lease.
-        self._predecessor_leases_end = elected_at + LEASE + LEASE_MARGIN_SECONDS
+        self._predecessor_leases_end = elected_at + LEASE_SECONDS + LEASE_MARGIN_SECONDS
         self._expires: dict[str, float] = {}
         self._confirmed_versions: dict[str, int] = {}
         self._lost_until = float("-inf")
@@ -47,7 +47,7 @@
         The lease counts from the last time a quorum confirmed this leader, so that it
         expires within one lease of any later leader's election.
         """
-        length = max(0.0, quorum_confirmed + LEASE - now)
+        length = max(0.0, quorum_confirmed + LEASE_SECONDS - now)
         if length:
             expires = now + length + LEASE_MARGIN_SECONDS
             self._expires[proxy] = max(self._expires.get(proxy, 0.0), expires)
@@ -77,11 +77,11 @@
             if expires > now
             and self._confirmed_versions.get(proxy, 0) < topology_version
         ]
-        if not self.knows_all(now):
+        if not self.predecessor_leases_expired(now):
             waiting.append("")
         return waiting
 
-    def knows_all(self, now: float) -> bool:
+    def predecessor_leases_expired(self, now: float) -> bool:
         """Returns whether every lease of an earlier leader has expired."""
         return now >= self._predecessor_leases_end
 
--- a/packages/core/src/bronzemoor_core/wire/sessionstate.py
+++ b/packages/core/src/bronzemoor_core/wire/sessionstate.py
@@ -17,7 +17,7 @@
         # When the answer to that commit arrived, in seconds.
         self.last_commit_at = float("-inf")
 
-    def committed(self, now: float, position: Position) -> None:
+    def record_commit(self, now: float, position: Position) -> None:
         """Records the newest commit that is acknowledged to the client."""
         self.last_commit, self.last_commit_at = position, now
 
--- a/packages/core/src/bronzemoor_core/wire/statements.py
+++ b/packages/core/src/bronzemoor_core/wire/statements.py
@@ -19,7 +19,7 @@
 IN_TRANSACTION = "in_transaction"
 FAILED_TRANSACTION = "failed_transaction"
 
-# Error codes. Those in NOT_KEPT guarantee that the attempt has no lasting effect.
+# Error codes. Those in NO_EFFECT_ERRORS guarantee that the attempt has no effect.
 BUSY = "busy"
 ABORTED = "aborted"
 LAGGING = "lagging"
@@ -34,7 +34,7 @@
 IN_DOUBT = "in_doubt"
 TOO_LARGE = "too_large"
 
-NOT_KEPT = frozenset(
+NO_EFFECT_ERRORS = frozenset(
     (BUSY, ABORTED, LAGGING, NOT_PRIMARY, WRONG_MEMBER, CONNECTION_LIMIT)
 )
 # Error codes with which an endpoint states that it did not execute the statement.
--- a/packages/core/src/bronzemoor_core/wire/succession.py
+++ b/packages/core/src/bronzemoor_core/wire/succession.py
@@ -48,7 +48,7 @@
     ]
 
 
-def should_replace(
+def replacement_reason(
     now: float, primary: str, evidence: dict[str, Evidence], probe_failing: float
 ) -> str:
     """Returns why the primary must be replaced, or an empty string.
--- a/packages/core/src/bronzemoor_core/work.py
+++ b/packages/core/src/bronzemoor_core/work.py
@@ -5,7 +5,7 @@
 from bronzemoor_core.actions import Answer, Call
 from bronzemoor_core.events import Request
 from bronzemoor_core.positions import ZERO
-from bronzemoor_core.routing import NOWHERE, Route
+from bronzemoor_core.routing import NO_ROUTE, Route
 from bronzemoor_core.sessions import SessionToken
 from bronzemoor_core.templates import RequestClass
 from bronzemoor_core.transactions import Transaction
@@ -89,7 +89,7 @@
         self.deadline = request.deadline or now + request_class.deadline
         self.step = Step.QUEUED
         self.next_step = first_step(request, request_class)
-        self.route: Route = NOWHERE
+        self.route: Route = NO_ROUTE
         self.routed_at = 0.0
         self.excluded: tuple[str, ...] = ()
         # The ticket under which pools granted the connection.
--- a/packages/core/tests/datapath_world.py
+++ b/packages/core/tests/datapath_world.py
@@ -250,12 +250,12 @@
         path = DataPathSettings(**path)
         settings = NodeSettings("vm-1", "lisbon", data_path=path)
         self.node = make_node(settings, Random(seed))
-        own = {name: c._own for name, c in self.node._controllers.items()}
+        own = {name: c._section for name, c in self.node._controllers.items()}
         classes = {c.name: c for c in classes}
         self.template = Template("toile", 1, ("stock",), classes=classes)
         own["configuration"].templates["toile"] = self.template
         self.database = Database("stock", 1, "a", ("a", "b", "c"))
-        self.database.history.record(1, 0)
+        self.database.history.add_term(1, 0)
         own["topology"].databases["stock"] = self.database
         for name, data_centre in (("a", "lisbon"), ("b", "porto"), ("c", "faro")):
             self.database.members[name] = Member(name, "stock", name, data_centre)
@@ -340,7 +340,7 @@
             return
         self.database.term, self.database.primary = best.term, best.name
         for term, start in self.group.history.items():
-            self.database.history.record(term, start)
+            self.database.history.add_term(term, start)
         start = self.group.history[best.term]
         self.handle(PrimaryChanged("stock", best.term, best.name, start))
 
--- a/packages/core/tests/test_consensus.py
+++ b/packages/core/tests/test_consensus.py
@@ -155,7 +155,7 @@
         delay=st.sampled_from([0.002, 0.02, 0.08]),
         sync=st.sampled_from([0.001, 0.03, 0.09]),
     )
-    def set_weather(self, loss, duplication, delay, sync):
+    def set_network_faults(self, loss, duplication, delay, sync):
         cluster = self.cluster
         cluster.loss, cluster.duplication = loss, duplication
         cluster.delay, cluster.sync_delay = delay, sync
--- a/packages/core/tests/test_failover.py
+++ b/packages/core/tests/test_failover.py
@@ -25,7 +25,7 @@
     return group
 
 
-def settled(group, *without):
+def has_agreed_primary(group, *without):
     """Returns whether all daemons know one primary, which is not in ``without``."""
     known = {group.primary("claims", name) for name in group.nodes}
     return len(known) == 1 and not known & {"", *without}
@@ -38,17 +38,17 @@
     group.at(interval, write, group, interval, number + 1)
 
 
-def started(control=CONTROL, load=True, **options):
+def start_group(control=CONTROL, load=True, **options):
     """Returns a group whose first primary was appointed a second ago."""
     group = make_group(control, **options)
-    assert group.run(3.0, lambda: settled(group))
+    assert group.run(3.0, lambda: has_agreed_primary(group))
     if load:
         write(group)
     group.run(1.0 + group.random.random() / 10)
     return group
 
 
-def terms(group):
+def primaries_by_term(group):
     """Returns the primary announced for each term; fails if a term has two."""
     known = {}
     for _, _, event in group.changes:
@@ -62,9 +62,9 @@
     group = make_group()
     for name in ("c1", "c2"):
         group.endpoints[name].up = False
-    assert not group.run(3.0, lambda: settled(group))
+    assert not group.run(3.0, lambda: has_agreed_primary(group))
     group.endpoints["c1"].up = True
-    assert group.run(1.0, lambda: settled(group))
+    assert group.run(1.0, lambda: has_agreed_primary(group))
     assert group.endpoints[group.primary("claims", "vm0")].role == "primary"
 
 
@@ -73,7 +73,7 @@
     other members."""
     group = make_group()
     group.endpoints["c0"].group = ("c0", "x1", "x2", "x3", "x4")
-    assert group.run(3.0, lambda: settled(group))
+    assert group.run(3.0, lambda: has_agreed_primary(group))
     assert group.log[0][0]["group"] == list(MEMBERS)
 
 
@@ -86,7 +86,7 @@
     group.run(1.0)
     assert [command["type"] for command, _ in group.log] == ["failover.start"]
     group.endpoints["c1"].up = True
-    assert group.run(1.0, lambda: settled(group, "c0"))
+    assert group.run(1.0, lambda: has_agreed_primary(group, "c0"))
 
 
 CASES = {
@@ -105,29 +105,29 @@
 def test_failed_primary_is_replaced(case):
     """Guards against writes that wait for a primary which can no longer confirm them,
     and against a new primary that lacks confirmed records."""
-    group = started()
+    group = start_group()
     CASES[case](group)
     confirmed = list(group.endpoints["c0"].confirmed)
-    assert group.run(1.0, lambda: settled(group, "c0"))
+    assert group.run(1.0, lambda: has_agreed_primary(group, "c0"))
     new = group.endpoints[group.primary("claims", "vm0")]
     assert confirmed and new.log[: len(confirmed)] == confirmed
-    assert terms(group) == {1: "c0", 2: new.name}
+    assert primaries_by_term(group) == {1: "c0", 2: new.name}
 
 
 def test_primary_that_restarts_as_a_replica_is_replaced():
     """Guards against members waiting for a primary that lost its role in a restart."""
-    group = started()
+    group = start_group()
     old = group.endpoints["c0"]
     old.role, old.incarnation, old.last_contact = "replica", 2, {}
-    assert group.run(1.5, lambda: settled(group, "c0"))
+    assert group.run(1.5, lambda: has_agreed_primary(group, "c0"))
 
 
 def test_old_primary_returns_as_a_replica():
     """Guards against an old primary that confirms writes or retains unconfirmed
     records."""
-    group = started()
+    group = start_group()
     group.partition(["c0"], group.places)
-    assert group.run(1.0, lambda: settled(group, "c0"))
+    assert group.run(1.0, lambda: has_agreed_primary(group, "c0"))
     old = group.endpoints["c0"]
     confirmed = list(old.confirmed)
     for number in range(5):
@@ -145,9 +145,9 @@
 def test_deposed_primary_is_ordered_to_follow():
     """Guards against a deposed primary that its successor cannot reach and that retains
     unconfirmed records."""
-    group = started()
+    group = start_group()
     group.partition(["c0"], group.endpoints)
-    assert group.run(1.0, lambda: settled(group, "c0"))
+    assert group.run(1.0, lambda: has_agreed_primary(group, "c0"))
     group.run(0.7)
     old, new = group.endpoints["c0"], group.endpoints[group.primary("claims", "vm0")]
     assert old.role == "replica"
@@ -156,7 +156,7 @@
 
 def test_lagging_replica_is_not_chosen():
     """Guards against a new primary without confirmed records."""
-    group = started(load=False)
+    group = start_group(load=False)
     group.partition(["c1"], ["c0"])
     group.run(0.2)
     write(group)
@@ -164,33 +164,36 @@
     assert len(group.endpoints["c1"].log) < len(group.endpoints["c2"].log)
     group.endpoints["c0"].up = False
     group.cut.clear()
-    assert group.run(1.0, lambda: settled(group, "c0"))
+    assert group.run(1.0, lambda: has_agreed_primary(group, "c0"))
     assert group.primary("claims", "vm0") == "c2"
 
 
 def test_failover_does_not_wait_for_an_unreachable_member():
     """Guards against a failover that waits for every member."""
-    group = started()
+    group = start_group()
     group.partition(["c1"], ["c2", *group.nodes])
     group.run(1.0)
     assert group.primary("claims", "vm0") == "c0"
     group.cut.clear()
     group.partition(["c0"], group.places)
-    assert group.run(1.0, lambda: settled(group, "c0"))
+    assert group.run(1.0, lambda: has_agreed_primary(group, "c0"))
 
 
 def test_no_promotion_without_a_majority():
     """Guards against a minority that continues on its own."""
-    group = started()
+    group = start_group()
     group.endpoints["c0"].up = group.endpoints["c1"].up = False
     group.run(3.0)
-    assert terms(group) == {1: "c0"} and group.endpoints["c2"].role == "replica"
+    assert (
+        primaries_by_term(group) == {1: "c0"}
+        and group.endpoints["c2"].role == "replica"
+    )
 
 
 def test_isolated_leader_starts_no_failover():
     """Guards against a control leader that mistakes its own isolation for a failure of
     every primary."""
-    group = started()
+    group = start_group()
     others = [name for name in group.places if name != "vm0"]
     group.partition(["vm0"], others)
     group.run(2.0)
@@ -200,17 +203,17 @@
 
 def test_primary_and_leader_lost_together():
     """Guards against a failover that depends on a single control member."""
-    group = started()
+    group = start_group()
     del group.nodes["vm0"]
     group.endpoints["c0"].up = False
     group.run(0.3)
     group.lead("vm1")
-    assert group.run(1.0, lambda: settled(group, "c0"))
+    assert group.run(1.0, lambda: has_agreed_primary(group, "c0"))
 
 
 def test_loss_of_a_data_centre():
     """Guards against a lost data centre that stops the other two."""
-    group = started()
+    group = start_group()
     lost = [name for name, place in group.places.items() if place == CENTRES[0]]
     group.partition(lost, [name for name in group.places if name not in lost])
     group.run(0.3)
@@ -223,7 +226,7 @@
 
 def test_hold_down_limits_failovers_of_a_flapping_primary():
     """Guards against a flapping link that moves the primary several times a second."""
-    group = started()
+    group = start_group()
     for cycle in range(20):
         for name in MEMBERS:
             cut = cycle % 2 == 0 and group.endpoints[name].role == "primary"
@@ -233,15 +236,15 @@
         group.run(0.35)
         group.cut.clear()
     group.run(1.0)
-    assert len(terms(group)) <= 4
-    assert settled(group)
+    assert len(primaries_by_term(group)) <= 4
+    assert has_agreed_primary(group)
 
 
 @pytest.mark.parametrize("step", ["start", "choose", "done", "promote"])
 def test_new_leader_resumes_a_promotion_at_each_step(step):
     """Guards against a promotion that is lost with its leader, and against a second
     choice in the same term."""
-    group = started()
+    group = start_group()
     group.endpoints["c0"].up = False
 
     def reached():
@@ -255,26 +258,26 @@
     del group.nodes["vm0"]
     group.run(0.25)
     group.lead("vm1")
-    assert group.run(1.0, lambda: settled(group, "c0"))
-    assert set(terms(group)) == {1, 2}
+    assert group.run(1.0, lambda: has_agreed_primary(group, "c0"))
+    assert set(primaries_by_term(group)) == {1, 2}
 
 
 def test_unanswered_promotion_is_restarted():
     """Guards against a promotion that hangs when the chosen member fails as well."""
-    group = started()
+    group = start_group()
     group.endpoints["c0"].up = False
     assert group.run(1.0, lambda: group.log[-1][0]["type"] == "failover.choose")
     chosen = group.log[-1][0]["member"]
     group.endpoints[chosen].up = False
     group.endpoints["c0"].up = True
-    assert group.run(3.0, lambda: settled(group, chosen))
-    assert max(terms(group)) == 3
+    assert group.run(3.0, lambda: has_agreed_primary(group, chosen))
+    assert max(primaries_by_term(group)) == 3
 
 
 def test_orders_name_the_committed_group():
     """Guards against majorities that count endpoints outside the group, or that omit a
     member whose address is unknown to the leader."""
-    group = started(load=False)
+    group = start_group(load=False)
     group.endpoints["c9"] = Endpoint("claims", "c9", CENTRES[0], ("c0", "c1", "c9"))
     group.places["c9"] = CENTRES[0]
     group.at(0.0, group._announce, "c9")
@@ -285,7 +288,7 @@
         )
     group.run(0.5)
     group.endpoints["c0"].up = False
-    assert group.run(1.0, lambda: settled(group, "c0"))
+    assert group.run(1.0, lambda: has_agreed_primary(group, "c0"))
     assert {tuple(order.members) for order in orders} == {MEMBERS}
     assert {order.member for order in orders} <= set(MEMBERS)
 
@@ -301,7 +304,7 @@
 )
 
 
-def survive(group, events, least):
+def apply_faults_and_check(group, events, least):
     """Applies faults that leave at least ``least`` daemons running, then heals them.
 
     Checks that confirmed logs never diverge, that no term has two primaries and that no
@@ -330,9 +333,9 @@
     for endpoint in group.endpoints.values():
         endpoint.up, endpoint.slow = True, 0.0
     group.recover()
-    assert group.run(10.0, lambda: settled(group))
+    assert group.run(10.0, lambda: has_agreed_primary(group))
     group.run(2.0)
-    terms(group)
+    primaries_by_term(group)
     log = group.endpoints[group.primary("claims", "vm5")].log
     assert log[: len(confirmed)] == confirmed
 
@@ -343,4 +346,6 @@
     """Guards against two primaries in one term, writes confirmed by a deposed primary
     and lost confirmed records, under loss, delay, duplication, crashes and
     partitions."""
-    survive(started(seed=seed, loss=loss, spread=5.0), events, least=4)
+    apply_faults_and_check(
+        start_group(seed=seed, loss=loss, spread=5.0), events, least=4
+    )
--- a/packages/core/tests/test_gaps.py
+++ b/packages/core/tests/test_gaps.py
@@ -8,7 +8,13 @@
 from statistics import median
 
 import pytest
-from test_failover import CASES, CONTROL, settled, started, terms
+from test_failover import (
+    CASES,
+    CONTROL,
+    has_agreed_primary,
+    primaries_by_term,
+    start_group,
+)
 
 RUNS = 12
 HOUR_SECONDS = 3600.0
@@ -35,10 +41,10 @@
     """Guards against a gap above its target: median 500 ms, worst 1 s."""
     gaps = []
     for seed in range(RUNS):
-        group = started(control, seed=seed)
+        group = start_group(control, seed=seed)
         failed_at = group.now
         CASES[case](group)
-        assert group.run(5.0, lambda group=group: settled(group, "c0"))
+        assert group.run(5.0, lambda group=group: has_agreed_primary(group, "c0"))
         gaps.append(group.now - failed_at)
     report(f"failover, {case}, control in {control}", gaps)
     assert median(gaps) <= 0.5 and max(gaps) <= 1.0
@@ -51,12 +57,12 @@
     """Guards against a handover that stops writes for more than 100 ms."""
     gaps = []
     for seed in range(RUNS):
-        group = started(control, seed=seed)
+        group = start_group(control, seed=seed)
         group.replicate = 0.01
         group.run(0.1)
         begin = len(group.changes)
         group.admin("vm4", 1, "failover.run", database="claims", change_id="h")
-        assert group.run(1.0, lambda group=group: settled(group, "c0"))
+        assert group.run(1.0, lambda group=group: has_agreed_primary(group, "c0"))
         stopped = {n: at for at, n, e in group.changes[begin:] if not e.member}
         resumed = {n: at for at, n, e in group.changes[begin:] if e.member}
         gaps += [resumed[name] - stopped[name] for name in group.nodes]
@@ -68,7 +74,7 @@
 def test_no_wrong_promotion_in_an_hour(seed, control):
     """Guards against failovers of a healthy primary, at 1% loss and with delays that
     vary tenfold, with the control leader in another region."""
-    group = started(control, load=False, seed=seed, loss=0.01, spread=10.0)
+    group = start_group(control, load=False, seed=seed, loss=0.01, spread=10.0)
     for name in [n for n in group.nodes if n in ("vm3", "vm4", "vm5", "vm7", "vm8")]:
         if name not in control:
             del group.nodes[name]
@@ -77,4 +83,4 @@
     group.run(HOUR_SECONDS)
     wrong_promotions = [event for _, _, event in group.changes[before:]]
     print(f"wrong promotions in an hour, control in {control}: {len(wrong_promotions)}")
-    assert not wrong_promotions and len(terms(group)) == 1
+    assert not wrong_promotions and len(primaries_by_term(group)) == 1
--- a/packages/core/tests/test_interleavings.py
+++ b/packages/core/tests/test_interleavings.py
@@ -8,7 +8,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from bronzemoor_core.connections import State
+from bronzemoor_core.connections import ConnectionState
 
 # Derandomized, so that every run has the same result.
 FIXED = settings(
@@ -227,8 +227,8 @@
     assert blackboard.queues.depth("stock") == 0
     assert not blackboard.queues.granted_at
     assert set(blackboard.pools.by_ticket) == connection_tickets
-    assert all(link.running == 0 for link in pool.links.values())
-    assert pool.counts[State.BUSY] == len(connection_tickets)
+    assert all(link.slots_in_use == 0 for link in pool.links.values())
+    assert pool.counts[ConnectionState.BUSY] == len(connection_tickets)
 
 
 ACTIONS = st.tuples(
--- a/packages/core/tests/test_limits.py
+++ b/packages/core/tests/test_limits.py
@@ -16,7 +16,7 @@
 from bronzemoor_core.actions import EmitMetric
 from bronzemoor_core.allocation import Division, divide
 from bronzemoor_core.blackboard import Blackboard
-from bronzemoor_core.connections import State
+from bronzemoor_core.connections import ConnectionState
 from bronzemoor_core.events import PeerMessageReceived, Tick
 from bronzemoor_core.internal_events import (
     LeadershipChanged,
@@ -43,7 +43,7 @@
     """Demand of one database; stands in for its pool and its queue."""
 
     def __init__(self):
-        self.total, self.counts, self.entries = 0, {State.BUSY: 0}, []
+        self.total, self.counts, self.entries = 0, {ConnectionState.BUSY: 0}, []
 
 
 class Daemon(Machine):
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from fake_group import ControlPlaneNode, Endpoint
-from test_failover import make_group, settled
+from test_failover import has_agreed_primary, make_group
 from test_templates import BODY
 
 from bronzemoor_core.actions import EmitLog, EmitMetric
@@ -170,7 +170,7 @@
     because the repair of a lost update is also lost (seed 129: 6.5 s)."""
     for seed in range(120, 160):
         group = make_group(seed=seed, loss=0.05, spread=5.0)
-        assert group.run(3.0, lambda group=group: settled(group)), seed
+        assert group.run(3.0, lambda group=group: has_agreed_primary(group)), seed
 
 
 def test_lost_member_is_removed_at_every_daemon():
--- a/packages/core/tests/test_pools.py
+++ b/packages/core/tests/test_pools.py
@@ -17,7 +17,7 @@
 from hypothesis import strategies as st
 
 from bronzemoor_core.actions import Call, CloseConnection, OpenConnection, SendCall
-from bronzemoor_core.connections import State
+from bronzemoor_core.connections import ConnectionState
 from bronzemoor_core.events import AnswerReceived, ConnectionOpened
 from bronzemoor_core.internal_events import (
     MemberLost,
@@ -109,8 +109,8 @@
     ticket = world.send("post", "x")
     world.handle(SharesChanged("stock", 0, 1e9))
     states = Counter(c.state for c in pool(world).connections.values())
-    assert states[State.WARM] == 0
-    assert states[State.BUSY] == 1
+    assert states[ConnectionState.WARM] == 0
+    assert states[ConnectionState.BUSY] == 1
     world.run(3)
     assert ticket in world.replies
     assert pool(world).total == 0
@@ -131,7 +131,7 @@
         world.send("post", "x")
     for _ in range(40):
         world.run(0.005)
-        assert pool(world).counts[State.OPENING] <= 2
+        assert pool(world).counts[ConnectionState.OPENING] <= 2
     assert len(world.opened) > 3
 
 
@@ -139,7 +139,7 @@
     """Guards against a second concurrent request that waits for an opening."""
     world = World()
     world.send("post", "x")
-    assert pool(world).link("a").counts[State.OPENING] == 1
+    assert pool(world).link("a").counts[ConnectionState.OPENING] == 1
 
 
 def test_idle_connections_to_other_members_make_room_for_waiting_requests():
@@ -210,7 +210,7 @@
         world.send("post", "x")
     for _ in range(20):
         world.run(0.01)
-        assert pool(world).link("a").running <= 3
+        assert pool(world).link("a").slots_in_use <= 3
 
 
 def test_a_connection_with_a_pending_answer_is_not_reused():
--- a/packages/core/tests/test_proposals.py
+++ b/packages/core/tests/test_proposals.py
@@ -5,7 +5,7 @@
 
 from bronzemoor_core.events import PeerMessageReceived, Tick
 from bronzemoor_core.messages import HeartbeatReply, Propose, ProposeReply
-from bronzemoor_core.proposals import LEADER_WAIT_SECONDS, PROPOSAL_TIMEOUT
+from bronzemoor_core.proposals import LEADER_WAIT_SECONDS, PROPOSAL_TIMEOUT_SECONDS
 
 
 def outcomes(member):
@@ -59,7 +59,7 @@
     follower = cluster.followers()[0]
     cluster.propose(follower, 1)
     cluster.cut = {follower.name}
-    cluster.run(PROPOSAL_TIMEOUT + 0.1)
+    cluster.run(PROPOSAL_TIMEOUT_SECONDS + 0.1)
     assert outcomes(follower) == [(1, "unknown")]
 
 
@@ -122,7 +122,7 @@
     cluster.run(LEADER_WAIT_SECONDS)
     assert len(cluster.messages(Propose)) == 2 and cluster.messages(ProposeReply)
     assert outcomes(proposer) == []
-    cluster.run(PROPOSAL_TIMEOUT - LEADER_WAIT_SECONDS)
+    cluster.run(PROPOSAL_TIMEOUT_SECONDS - LEADER_WAIT_SECONDS)
     assert outcomes(proposer) == [(1, "unknown")]
 
 
--- a/packages/core/tests/test_replication.py
+++ b/packages/core/tests/test_replication.py
@@ -4,7 +4,7 @@
 
 from bronzemoor_core.journal import BATCH_ENTRIES
 from bronzemoor_core.messages import AppendEntries
-from bronzemoor_core.proposals import PROPOSAL_TIMEOUT
+from bronzemoor_core.proposals import PROPOSAL_TIMEOUT_SECONDS
 from bronzemoor_core.replication import MAX_IN_FLIGHT
 
 
@@ -54,7 +54,7 @@
     cluster.cut = {old.name}
     for n in range(5):
         cluster.propose(old, n)
-    cluster.run(PROPOSAL_TIMEOUT + 0.1)  # The old leader must not retry.
+    cluster.run(PROPOSAL_TIMEOUT_SECONDS + 0.1)  # The old leader must not retry.
     new = cluster.leader()
     for n in range(10, 13):
         cluster.propose(new, n)
--- a/packages/core/tests/test_routing.py
+++ b/packages/core/tests/test_routing.py
@@ -11,7 +11,7 @@
 from bronzemoor_core.positions import ZERO, Position
 from bronzemoor_core.routing import (
     BALANCERS,
-    NOWHERE,
+    NO_ROUTE,
     Candidate,
     Router,
     position_for_age,
@@ -25,7 +25,7 @@
 
 def make_database(name="stock", term=1, offset=50):
     database = Database(name, term, "a", tuple(DATA_CENTRES))
-    database.history.record(1, 0)
+    database.history.add_term(1, 0)
     for member, centre in DATA_CENTRES.items():
         database.members[member] = Member(
             member, name, member, centre, position=Position(1, offset), last_heard=NOW
@@ -59,7 +59,7 @@
         for name, value in change.items():
             setattr(database.members[member], name, value)
     assert read(database).members == ("c",)
-    assert make_router().primary_route(NOW, database) == NOWHERE
+    assert make_router().primary_route(NOW, database) == NO_ROUTE
 
 
 def test_a_replica_behind_the_session_position_is_skipped():
@@ -88,7 +88,7 @@
     """Guards against waiting for entries that a promotion discarded, and against
     comparing offsets of different terms directly."""
     database = make_database(term=2)
-    database.history.record(2, 45)
+    database.history.add_term(2, 45)
     assert surviving_position(database.history, Position(1, 50)) == Position(2, 45)
     assert surviving_position(database.history, Position(1, 44)) == Position(1, 44)
     pool = DatabasePool("stock")
--- a/packages/core/tests/test_state.py
+++ b/packages/core/tests/test_state.py
@@ -242,7 +242,7 @@
 def test_change_ids_are_bounded():
     """Guards against a state that grows indefinitely with every change."""
     machine = Machine()
-    changes = machine.node._controllers["state"]._own.changes
+    changes = machine.node._controllers["state"]._section.changes
     for number in range(CHANGE_LIMIT + 3):
         machine.commit(apply(9, f"c{number}"))
     assert len(changes["reclamar"]) == CHANGE_LIMIT
--- a/packages/core/tests/test_status.py
+++ b/packages/core/tests/test_status.py
@@ -3,7 +3,7 @@
 import json
 
 from fake_group import ControlPlaneNode
-from test_failover import started
+from test_failover import start_group
 from test_templates import BODY
 
 from bronzemoor_core.settings import NodeSettings
@@ -20,7 +20,7 @@
 
 def test_healthy_group_is_ok():
     """Guards against reported problems without a fault."""
-    group = started(load=False)
+    group = start_group(load=False)
     body = status(group)
     assert (body["overall"], body["problems"]) == ("ok", [])
     assert body["databases"][0]["primary"] == "c0"
@@ -30,7 +30,7 @@
 
 def test_each_problem_has_an_effect_and_a_next_step():
     """Guards against problems that do not tell operators how to act."""
-    group = started(load=False)
+    group = start_group(load=False)
     group.admin(
         "vm0", 2, "template.apply", organisation="reclamar", body=BODY,
         expect_version=0, change_id="a",
@@ -56,7 +56,7 @@
 
 def test_group_without_a_majority_is_failing():
     """Guards against a status of degraded while writes are rejected."""
-    group = started(load=False)
+    group = start_group(load=False)
     for name in ("c0", "c1"):
         group.endpoints[name].up = False
     group.run(3.0)
--- a/packages/core/tests/test_suspicion.py
+++ b/packages/core/tests/test_suspicion.py
@@ -1,7 +1,7 @@
 """Tests when evidence confirms that a primary failed."""
 
 import pytest
-from test_failover import settled, started
+from test_failover import has_agreed_primary, start_group
 
 from bronzemoor_core.detectors import Evidence, Investigation, Observations
 from bronzemoor_core.internal_events import MemberSuspected
@@ -74,7 +74,7 @@
 
 def test_slow_primary_is_replaced_on_evidence_of_proxies():
     """Guards against a primary that still announces itself but serves no requests."""
-    group = started()
+    group = start_group()
     group.endpoints["c0"].slow = 1.0
 
     def suspect():
@@ -83,7 +83,7 @@
         group.at(0.5, suspect)
 
     suspect()
-    assert group.run(1.0, lambda: settled(group, "c0"))
+    assert group.run(1.0, lambda: has_agreed_primary(group, "c0"))
 
 
 @pytest.mark.parametrize(("interval", "cut_off"), [(0.1, True), (1.0, False)])
--- a/packages/core/tests/test_transactions.py
+++ b/packages/core/tests/test_transactions.py
@@ -147,7 +147,7 @@
     assert number not in world.node.blackboard.pools.connections
 
 
-def test_a_caller_that_leaves_during_begin_opens_nothing():
+def test_a_caller_that_disconnects_during_begin_opens_no_transaction():
     """Guards against an open transaction that has no caller."""
     world = World()
     world.handle(CallerGone(world.send("post", kind="begin")))
--- a/packages/core/tests/test_whole_node.py
+++ b/packages/core/tests/test_whole_node.py
@@ -5,7 +5,15 @@
 from fake_group import Endpoint, Group
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from test_failover import CENTRES, CONTROL, EVENTS, settled, survive, terms, write
+from test_failover import (
+    CENTRES,
+    CONTROL,
+    EVENTS,
+    apply_faults_and_check,
+    has_agreed_primary,
+    primaries_by_term,
+    write,
+)
 from test_templates import BODY
 
 from bronzemoor_core.actions import AdminReply, PersistLog, PersistSnapshot
@@ -61,7 +69,7 @@
     """Guards against parts that work alone, but not with the replicated log: the first
     appointment, templates, readiness, and a double failure within the bound of 5 s."""
     group = make_group()
-    assert group.run(3.0, lambda: settled(group))
+    assert group.run(3.0, lambda: has_agreed_primary(group))
     write(group)
     group.admin(
         "vm4", 1, "template.apply", organisation="reclamar", body=BODY,
@@ -75,9 +83,9 @@
     old, failed_at = group.primary("claims", "vm4"), group.now
     del group.nodes[leader(group)]
     group.endpoints[old].up = False
-    assert group.run(5.0, lambda: settled(group, old))
+    assert group.run(5.0, lambda: has_agreed_primary(group, old))
     print(f"primary and leader lost: {round((group.now - failed_at) * 1000)} ms")
-    assert len(terms(group)) == 2 and leader(group)
+    assert len(primaries_by_term(group)) == 2 and leader(group)
     group.admin("vm4", 2, "status")
     group.admin("vm4", 3, "failover.plan", database="claims")
     group.run(0.5)
@@ -90,6 +98,6 @@
     """Guards against lost confirmed records and two primaries in one term, with real
     elections under message loss, delay, a crash and partitions."""
     group = make_group(seed=seed, loss=loss, spread=5.0)
-    assert group.run(5.0, lambda: settled(group))
+    assert group.run(5.0, lambda: has_agreed_primary(group))
     write(group)
-    survive(group, events, least=5)
+    apply_faults_and_check(group, events, least=5)
--- a/packages/core/tests/wire/test_freshness.py
+++ b/packages/core/tests/wire/test_freshness.py
@@ -106,7 +106,7 @@
     exchange = SampleExchange()
     exchange.granted(granted, "p", 1)
     sent_at = granted + way + after
-    exchange.take("p", 1, "g", after, Position(1, 7))
+    exchange.add_sample("p", 1, "g", after, Position(1, 7))
     asked_at = sent_at + back
     now = asked_at + rest
     age, position = exchange.newest(now, "g")
@@ -117,7 +117,7 @@
 def test_a_sample_after_an_unknown_grant_is_ignored():
     """Guards against sample ages that no grant bounds."""
     exchange = SampleExchange()
-    exchange.take("p", 1, "g", 0.1, Position(1, 7))
+    exchange.add_sample("p", 1, "g", 0.1, Position(1, 7))
     exchange.granted(1.0, "p", 2)
-    exchange.take("p", 2, "g", -0.1, Position(1, 7))
+    exchange.add_sample("p", 2, "g", -0.1, Position(1, 7))
     assert exchange.newest(2.0, "g") is None
--- a/packages/core/tests/wire/test_leases.py
+++ b/packages/core/tests/wire/test_leases.py
@@ -4,8 +4,8 @@
 from hypothesis import strategies as st
 
 from bronzemoor_core.wire.leases import (
-    LEASE,
     LEASE_MARGIN_SECONDS,
+    LEASE_SECONDS,
     HeldLease,
     LeaseTable,
 )
@@ -14,15 +14,15 @@
 def test_a_new_leader_waits_for_the_leases_of_its_predecessor():
     """Guards against a promotion while an unknown proxy still uses the primary."""
     table = LeaseTable(10.0)
-    assert table.waiting_for(10.0 + LEASE, 1)
-    assert table.waiting_for(10.0 + LEASE + 2 * LEASE_MARGIN_SECONDS, 1) == []
+    assert table.waiting_for(10.0 + LEASE_SECONDS, 1)
+    assert table.waiting_for(10.0 + LEASE_SECONDS + 2 * LEASE_MARGIN_SECONDS, 1) == []
 
 
 def test_a_lease_counts_from_the_last_quorum():
     """Guards against a deposed leader whose leases outlive the next election."""
     table = LeaseTable(0.0)
-    assert table.grant(20.0, "p", 19.5) == LEASE - 0.5
-    assert table.grant(20.0, "p", 20.0 - LEASE - 1) == 0.0
+    assert table.grant(20.0, "p", 19.5) == LEASE_SECONDS - 0.5
+    assert table.grant(20.0, "p", 20.0 - LEASE_SECONDS - 1) == 0.0
 
 
 def test_a_confirmed_topology_ends_the_wait_for_that_proxy():
@@ -44,7 +44,7 @@
     granted = asked + way
     length = table.grant(granted, "p", granted)
     held.renew(asked, length)
-    end = granted + LEASE + LEASE_MARGIN_SECONDS
+    end = granted + LEASE_SECONDS + LEASE_MARGIN_SECONDS
     assert table.waiting_for(end - 0.01, 1) == ["p"]
     assert not held.valid(end)
 
@@ -58,4 +58,4 @@
     assert not table.all_confirmed(7)
     table.forget_lost(30.0)
     assert table.all_confirmed(7)
-    assert table.lost_until == 20.0 + LEASE + LEASE_MARGIN_SECONDS
+    assert table.lost_until == 20.0 + LEASE_SECONDS + LEASE_MARGIN_SECONDS
--- a/packages/core/tests/wire/test_succession.py
+++ b/packages/core/tests/wire/test_succession.py
@@ -10,7 +10,7 @@
     brings_relief,
     choose_successor,
     is_overloaded,
-    should_replace,
+    replacement_reason,
 )
 
 
@@ -59,14 +59,14 @@
 )
 def test_replacement_needs_more_than_one_observer(reports, probe_failing, reason):
     """Guards against replacing a healthy primary that one observer cannot reach."""
-    assert should_replace(10.1, "a", evidence(*reports), probe_failing) == reason
+    assert replacement_reason(10.1, "a", evidence(*reports), probe_failing) == reason
 
 
 def test_old_reports_and_those_about_another_primary_are_ignored():
     """Guards against replacing a new primary because of reports about the old one."""
     old = evidence(FAILING, FAILING, received=5.0)
-    assert should_replace(10.0, "a", old, 0.0) == ""
-    assert should_replace(10.1, "b", evidence(FAILING, FAILING), 0.0) == ""
+    assert replacement_reason(10.0, "a", old, 0.0) == ""
+    assert replacement_reason(10.1, "b", evidence(FAILING, FAILING), 0.0) == ""
 
 
 def busy(refused: int = 200) -> GroupReport:
--- a/packages/daemon/src/bronzemoor_daemon/driver.py
+++ b/packages/daemon/src/bronzemoor_daemon/driver.py
@@ -179,7 +179,7 @@
         event = self._perform_call(action)
         call = action.call
         attributes = {"kind": call.kind, "answer": type(event).__name__}
-        trace.observe(f"endpoint:{call.kind}", started, self._clock(), attributes)
+        trace.record_span(f"endpoint:{call.kind}", started, self._clock(), attributes)
         return event
 
     def _wait_for_action(
@@ -201,7 +201,7 @@
                 pass
             else:
                 if trace is not None:
-                    trace.observe("queue", started, self._clock(), {})
+                    trace.record_span("queue", started, self._clock(), {})
                 return action
             if is_disconnected():
                 # The core sends no reply to a disconnected caller.
@@ -232,7 +232,7 @@
         self._process_event(event)
         self._trace_context = ""
         attributes = {"event": type(event).__name__}
-        trace.observe("decision", started, self._clock(), attributes)
+        trace.record_span("decision", started, self._clock(), attributes)
 
     def _process_event(self, event: object) -> None:
         try:
--- a/packages/daemon/src/bronzemoor_daemon/endpoints.py
+++ b/packages/daemon/src/bronzemoor_daemon/endpoints.py
@@ -145,7 +145,7 @@
 class EndpointConnections:
     """Open connections of this daemon to endpoints, by the core's connection number.
 
-    ``open``, ``call`` and ``order`` block and return the event that results.
+    ``open``, ``call`` and ``send_order`` block and return the event that results.
     """
 
     def __init__(
@@ -166,7 +166,7 @@
     def __len__(self) -> int:
         return len(self._connections)
 
-    def announce_open(self, connection: int) -> None:
+    def register_open(self, connection: int) -> None:
         """Registers a pending open, so that a close before its end takes effect."""
         with self._lock:
             self._opening.add(connection)
@@ -245,7 +245,7 @@
             conn.transport.close()
         return not opening
 
-    def order(self, action: SendOrder) -> OrderAnswered | OrderFailed:
+    def send_order(self, action: SendOrder) -> OrderAnswered | OrderFailed:
         """Sends an order on a new connection within ``action.timeout`` seconds."""
         order = action.order
         try:
--- a/packages/daemon/src/bronzemoor_daemon/framing.py
+++ b/packages/daemon/src/bronzemoor_daemon/framing.py
@@ -16,7 +16,7 @@
 # A longer frame is malformed or hostile; it is refused before memory is allocated.
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 RECEIVE_BYTES = 65_536
-LENGTH = struct.Struct("!I")
+FRAME_LENGTH = struct.Struct("!I")
 TIMEVAL = struct.Struct("@ll")
 # Kernel timeout of one operation on a plain socket; the deadline is checked after it,
 # so a timeout is late by at most this.
@@ -79,7 +79,7 @@
         self._write_buffer.clear()
         try:
             self._apply_deadline()
-            self._socket.sendall(LENGTH.pack(len(body)) + body)
+            self._socket.sendall(FRAME_LENGTH.pack(len(body)) + body)
         except (OSError, ValueError) as error:
             raise NotSentError(TTransportException.NOT_OPEN, str(error)) from error
 
@@ -110,8 +110,8 @@
         self._socket.close()
 
     def _receive_frame(self) -> None:
-        header = self._receive(LENGTH.size)
-        (length,) = LENGTH.unpack(header)
+        header = self._receive(FRAME_LENGTH.size)
+        (length,) = FRAME_LENGTH.unpack(header)
         if length > MAX_FRAME_BYTES:
             raise TTransportException(
                 TTransportException.SIZE_LIMIT,
--- a/packages/daemon/src/bronzemoor_daemon/performers.py
+++ b/packages/daemon/src/bronzemoor_daemon/performers.py
@@ -74,7 +74,7 @@
         self._order_pool.shutdown(wait=False, cancel_futures=True)
 
     def _open_connection(self, action: OpenConnection) -> None:
-        self._endpoints.announce_open(action.connection)
+        self._endpoints.register_open(action.connection)
         self._submit_action(self._connection_pool, self._endpoints.open, action)
 
     def _close_connection(self, action: CloseConnection) -> None:
@@ -91,7 +91,7 @@
         self._submit_action(self._connection_pool, self._endpoints.call, action)
 
     def _send_order(self, action: SendOrder) -> None:
-        self._submit_action(self._order_pool, self._endpoints.order, action)
+        self._submit_action(self._order_pool, self._endpoints.send_order, action)
 
     def _submit_action(
         self, pool: ThreadPoolExecutor, perform: Callable[[Any], object], action: Any
--- a/packages/daemon/src/bronzemoor_daemon/tracing.py
+++ b/packages/daemon/src/bronzemoor_daemon/tracing.py
@@ -66,7 +66,7 @@
 
 
 class Trace:
-    """One sampled request; ``observe`` records child spans."""
+    """One sampled request; ``record_span`` records child spans."""
 
     def __init__(self, tracing: "Tracing", root: Span) -> None:
         self._tracing = tracing
@@ -76,7 +76,7 @@
         self.trace_id = f"{context.trace_id:032x}"
         self.trace_context = f"00-{self.trace_id}-{context.span_id:016x}-01"
 
-    def observe(
+    def record_span(
         self, span_name: str, started: float, ended: float, attributes: dict[str, Any]
     ) -> None:
         """Records a child span; times are seconds on the driver's clock."""
--- a/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
@@ -17,7 +17,7 @@
 )
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.execution import Attempt, run_read, run_write
-from bronzemoor_daemon.wire.sockets import tune
+from bronzemoor_daemon.wire.sockets import set_tcp_options
 from bronzemoor_daemon.wire.transaction import Transaction
 
 if TYPE_CHECKING:
@@ -61,7 +61,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
-        tune(transport, CLIENT_TCP_USER_TIMEOUT_SECONDS)
+        set_tcp_options(transport, CLIENT_TCP_USER_TIMEOUT_SECONDS)
         self._proxy.sessions.add(self)
 
     def data_received(self, data: bytes) -> None:
@@ -243,7 +243,7 @@
     def _finish(
         self, attempt: Attempt, route: Route, answer: Answer, started: float
     ) -> None:
-        if answer.error in st.NOT_KEPT and not answer.message:
+        if answer.error in st.NO_EFFECT_ERRORS and not answer.message:
             answer.message = RETRY_HINT
         self._proxy.record_answer(attempt, route, answer, started)
         self._write(self._codec.encode_answer(answer))
--- a/packages/daemon/src/bronzemoor_daemon/wire/execution.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/execution.py
@@ -231,7 +231,7 @@
             if not group.is_current_primary(now, pool.member, term):
                 return Answer(error=st.IN_DOUBT, message=b"the primary was replaced")
             group.record_commit(now, sent_at, answer.position)
-            session.committed(now, answer.position)
+            session.record_commit(now, answer.position)
             return answer
         if not answer.not_run:
             return answer
--- a/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
@@ -6,7 +6,7 @@
 from bronzemoor_core.wire.records import LeaderRecord, MemberRecord
 from bronzemoor_core.wire.statements import MemberStatus
 from bronzemoor_daemon.wire.clock import boottime
-from bronzemoor_daemon.wire.memberorders import order, order_all
+from bronzemoor_daemon.wire.memberorders import send_order, send_order_to_all
 
 if TYPE_CHECKING:
     from bronzemoor_daemon.wire.leader import Leader
@@ -130,13 +130,13 @@
         text = self._leader.codec.step_down_text(term)
         deadline = boottime() + STEP_DOWN_TIMEOUT_SECONDS
         while boottime() < deadline and old.member in self.members:
-            status = await order(self._leader.codec, self._leader.name, old, text)
+            status = await send_order(self._leader.codec, self._leader.name, old, text)
             if isinstance(status, MemberStatus) and not status.primary:
                 return
             await asyncio.sleep(STEP_DOWN_INTERVAL_SECONDS)
 
     async def status(self, record: MemberRecord) -> MemberStatus | str:
-        return await order(
+        return await send_order(
             self._leader.codec,
             self._leader.name,
             record,
@@ -146,7 +146,7 @@
     async def send_orders(
         self, members: dict[str, MemberRecord], text: bytes
     ) -> dict[str, MemberStatus]:
-        return await order_all(
+        return await send_order_to_all(
             self._leader.codec, self._leader.name, list(members.values()), text
         )
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -197,7 +197,10 @@
 
     def _record_sharing(self) -> None:
         """Commits whether connections are shared, so that the next leader knows."""
-        known, shares = self.leases.knows_all(boottime()), self._has_shared_connections
+        known, shares = (
+            self.leases.predecessor_leases_expired(boottime()),
+            self._has_shared_connections,
+        )
         in_progress = self._sharing_task is not None and not self._sharing_task.done()
         if known and shares != self._control.records.sharing and not in_progress:
             command: dict[str, object] = {"type": "sharing.set", "sharing": shares}
@@ -232,7 +235,10 @@
         now = boottime()
         share = (limit - RESERVED_CONNECTIONS) // max(1, self.leases.active(now))
         # A new leader has not had a report from every proxy yet.
-        sharing = self._control.records.sharing and not self.leases.knows_all(now)
+        sharing = (
+            self._control.records.sharing
+            and not self.leases.predecessor_leases_expired(now)
+        )
         if share >= MIN_PROXY_SHARE and not sharing:
             return share, False
         zones = max(1, len(set(self._proxy_zones.values())))
@@ -344,7 +350,7 @@
         for item in report.groups:
             evidence = self.evidence.setdefault(item.group, {})
             evidence[proxy] = Evidence(now, item)
-            self.samples.take(
+            self.samples.add_sample(
                 proxy,
                 report.last_grant,
                 item.group,
--- a/packages/daemon/src/bronzemoor_daemon/wire/links.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/links.py
@@ -15,10 +15,10 @@
     from_bytes,
     to_bytes,
 )
-from bronzemoor_daemon.framing import LENGTH, MAX_FRAME_BYTES, split_address
+from bronzemoor_daemon.framing import FRAME_LENGTH, MAX_FRAME_BYTES, split_address
 from bronzemoor_daemon.gen.peer import ttypes
 from bronzemoor_daemon.wire.clock import boottime
-from bronzemoor_daemon.wire.sockets import tune
+from bronzemoor_daemon.wire.sockets import set_tcp_options
 
 DIAL_TIMEOUT_SECONDS = 1.0
 # Delay after a failed dial; messages to the peer are dropped meanwhile.
@@ -52,20 +52,20 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        tune(transport, RESPONSE_TIMEOUT_SECONDS)
+        set_tcp_options(transport, RESPONSE_TIMEOUT_SECONDS)
 
     def data_received(self, data: bytes) -> None:
         self.unanswered_since = None
         self._buffer += data
-        while len(self._buffer) >= LENGTH.size:
-            (size,) = LENGTH.unpack_from(self._buffer)
+        while len(self._buffer) >= FRAME_LENGTH.size:
+            (size,) = FRAME_LENGTH.unpack_from(self._buffer)
             if size > MAX_FRAME_BYTES:
                 self._links.fail(self, "frame too large")
                 return
-            end = LENGTH.size + size
+            end = FRAME_LENGTH.size + size
             if len(self._buffer) < end:
                 return
-            frame = bytes(self._buffer[LENGTH.size : end])
+            frame = bytes(self._buffer[FRAME_LENGTH.size : end])
             del self._buffer[:end]
             self._links.receive(self, frame)
 
@@ -76,7 +76,7 @@
     def send(self, frame: bytes, now: float) -> None:
         if self.transport is None:
             return
-        self.transport.write(LENGTH.pack(len(frame)) + frame)
+        self.transport.write(FRAME_LENGTH.pack(len(frame)) + frame)
         if self.unanswered_since is None and self.is_dialed:
             self.unanswered_since = now
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
@@ -13,7 +13,7 @@
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.exceptions import ConnectionLost
 from bronzemoor_daemon.wire.ports import StatementCodec
-from bronzemoor_daemon.wire.sockets import tune
+from bronzemoor_daemon.wire.sockets import set_tcp_options
 
 # The connection is closed when sent data stays unacknowledged for this long.
 TCP_USER_TIMEOUT_SECONDS = 3.0
@@ -67,7 +67,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
-        tune(transport, TCP_USER_TIMEOUT_SECONDS)
+        set_tcp_options(transport, TCP_USER_TIMEOUT_SECONDS)
 
     def data_received(self, data: bytes) -> None:
         lines = (self._buffer + data).split(b"\r\n")
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberorders.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberorders.py
@@ -11,7 +11,7 @@
 ORDER_TIMEOUT_SECONDS = 0.4
 
 
-async def order(
+async def send_order(
     codec: StatementCodec,
     caller: str,
     record: MemberRecord,
@@ -40,12 +40,12 @@
         return f"unreadable status: {error}"
 
 
-async def order_all(
+async def send_order_to_all(
     codec: StatementCodec, caller: str, records: list[MemberRecord], text: bytes
 ) -> dict[str, MemberStatus]:
     """Sends an order to several members at once; returns the statuses received."""
     results = await asyncio.gather(
-        *(order(codec, caller, record, text) for record in records)
+        *(send_order(codec, caller, record, text) for record in records)
     )
     return {
         record.member: result
--- a/packages/daemon/src/bronzemoor_daemon/wire/sockets.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/sockets.py
@@ -4,7 +4,7 @@
 from asyncio import BaseTransport
 
 
-def tune(transport: BaseTransport, user_timeout: float) -> None:
+def set_tcp_options(transport: BaseTransport, user_timeout: float) -> None:
     """Sets TCP_NODELAY, and a timeout for unacknowledged data in ``user_timeout``.
 
     ``user_timeout`` is in seconds.
--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -12,7 +12,7 @@
     brings_relief,
     choose_successor,
     is_overloaded,
-    should_replace,
+    replacement_reason,
 )
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.grouporders import STEP_INTERVAL_SECONDS, GroupOrders
@@ -173,7 +173,7 @@
             self._probe_failing_since = started_at
         since = self._probe_failing_since
         evidence = self._leader.evidence.get(self._group, {})
-        reason = should_replace(
+        reason = replacement_reason(
             now, primary.member, evidence, 0.0 if since is None else now - since
         )
         if reason:
@@ -310,8 +310,9 @@
         unreachable, the primary is revoked first and its final position is read.
         """
         started_at = boottime()
-        if started_at < self._next_handover_at or not self._leader.leases.knows_all(
-            started_at
+        if (
+            started_at < self._next_handover_at
+            or not self._leader.leases.predecessor_leases_expired(started_at)
         ):
             # The promotion would wait until an earlier leader's unknown leases have
             # expired, and proxies would have no primary meanwhile.
--- a/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
@@ -275,7 +275,7 @@
             if not self._group.is_current_primary(now, pool.member, self._term):
                 return Answer(error=st.IN_DOUBT, message=b"the primary was replaced")
             self._group.record_commit(now, sent_at, answer.position)
-            self._session.committed(now, answer.position)
+            self._session.record_commit(now, answer.position)
         if answer.state == st.IDLE:
             self._pool = self._connection = None
             pool.release(connection, clean=True)
--- a/packages/daemon/tests/test_endpoints.py
+++ b/packages/daemon/tests/test_endpoints.py
@@ -114,7 +114,7 @@
 
 def test_a_close_while_opening_takes_effect(connections, endpoint):
     """Guards against a connection that stays open although the core closed it."""
-    connections.announce_open(1)
+    connections.register_open(1)
     assert not connections.close(1)
     event = connections.open(OpenConnection(1, "db", "m1", endpoint.address, 1.0))
     assert type(event) is ConnectionFailed
@@ -132,8 +132,8 @@
 def test_orders_use_a_separate_connection(connections, endpoint):
     """Guards against an order that is queued behind statements."""
     order = Order("fence", 9, "db", "m1", endpoint.address, 4)
-    event = connections.order(SendOrder(order, 1.0))
+    event = connections.send_order(SendOrder(order, 1.0))
     assert (type(event), event.answer.correlation_id) == (OrderAnswered, 9)
     assert len(connections) == 0
     order = Order("fence", 9, "db", "m1", "127.0.0.1:1", 4)
-    assert type(connections.order(SendOrder(order, 0.2))) is OrderFailed
+    assert type(connections.send_order(SendOrder(order, 0.2))) is OrderFailed
--- a/packages/daemon/tests/test_sinks.py
+++ b/packages/daemon/tests/test_sinks.py
@@ -126,7 +126,7 @@
     tracing = Tracing("vm-1", 1.0)
     first = tracing.start("http")
     for _ in range(MAX_SPANS_PER_TRACE + 10):
-        first.observe("hop", 0.0, 0.1, {})
+        first.record_span("hop", 0.0, 0.1, {})
     assert len(tracing.recent.get(first.trace_id)) == MAX_SPANS_PER_TRACE
     for _ in range(MAX_TRACES):
         tracing.start("http").end({})
--- a/packages/standin/src/bronzemoor_standin/applier.py
+++ b/packages/standin/src/bronzemoor_standin/applier.py
@@ -14,7 +14,7 @@
 class Applier:
     """Applies log entries to ``database`` after the simulated replication lag.
 
-    ``lock`` protects the log. Lock order: ``busy``, ``database.lock``, ``lock``.
+    ``lock`` protects the log. Lock order: ``apply_lock``, ``database.lock``, ``lock``.
     """
 
     def __init__(
@@ -25,7 +25,7 @@
         lag_ms: Callable[[], float],
     ) -> None:
         self.database = database
-        self.busy = threading.Lock()
+        self.apply_lock = threading.Lock()
         self.rebuilding = False
         self._log = log
         self._lock = lock
@@ -35,12 +35,12 @@
 
     # --- with ``lock`` held
 
-    def arrived(self, offset: int) -> None:
+    def record_arrival(self, offset: int) -> None:
         """Records the arrival time of the entries up to ``offset``."""
         self._arrivals.append((offset, time.monotonic()))
         self._changed.notify_all()
 
-    def check_log(self) -> None:
+    def rebuild_if_truncated(self) -> None:
         """Starts a rebuild if applied entries were discarded from the log."""
         if not self._log.holds(*self.database.applied):
             self.rebuilding = True
@@ -50,7 +50,7 @@
 
     def run_once(self, timeout: float) -> None:
         """Applies one batch, or waits up to ``timeout`` seconds for due entries."""
-        with self.busy:
+        with self.apply_lock:
             applied_any = self.apply_some()
         if applied_any:
             return
@@ -59,7 +59,7 @@
                 self._changed.wait(self._seconds_until_due(timeout))
 
     def apply_some(self, ignore_lag: bool = False) -> bool:
-        """Applies one batch, with ``busy`` held; returns whether entries were due."""
+        """Applies a batch with ``apply_lock`` held; returns whether any were due."""
         with self.database.lock, self._lock:
             self._reset_if_discarded()
             lag = 0.0 if ignore_lag or self.rebuilding else self._lag_ms()
@@ -83,7 +83,7 @@
     def _finish_rebuild(self) -> None:
         if self.rebuilding:
             self.rebuilding = False
-            self.database.advanced.notify_all()
+            self.database.applied_changed.notify_all()
 
     def _due_count(self, lag_ms: float) -> int:
         """Number of stored entries that are due to be applied."""
--- a/packages/standin/src/bronzemoor_standin/database.py
+++ b/packages/standin/src/bronzemoor_standin/database.py
@@ -122,7 +122,7 @@
     def __init__(self, retention: Retention | None = None) -> None:
         self.retention = retention or Retention()
         self.lock = threading.RLock()
-        self.advanced = threading.Condition(self.lock)
+        self.applied_changed = threading.Condition(self.lock)
         self.applied = (0, 0)
         self._connection = _connect()
         self._connection.execute(_SCHEMA)
@@ -223,7 +223,7 @@
             raise
         self.commit()
         self.applied = applied
-        self.advanced.notify_all()
+        self.applied_changed.notify_all()
 
     def copy_from(self, other: "Database") -> None:
         """Replaces the data with that of ``other``."""
@@ -244,7 +244,7 @@
         deadline = time.monotonic() + timeout
         while not reached():
             remaining = deadline - time.monotonic()
-            if remaining <= 0 or not self.advanced.wait(remaining):
+            if remaining <= 0 or not self.applied_changed.wait(remaining):
                 return bool(reached())
         return True
 
--- a/packages/standin/src/bronzemoor_standin/execution.py
+++ b/packages/standin/src/bronzemoor_standin/execution.py
@@ -17,7 +17,7 @@
 )
 from bronzemoor_standin.gen.endpoint import ttypes
 from bronzemoor_standin.ledger import Ledger, Position, Refused
-from bronzemoor_standin.statements import Sql, decode, encode_results, writes
+from bronzemoor_standin.statements import Sql, decode, encode_results, is_write
 from bronzemoor_standin.writes import Write
 
 # Time that a lookup waits for a majority when the call sets no limit.
@@ -105,7 +105,7 @@
     def execute(self, call: ttypes.Execute) -> Result:
         deadline = self._deadline(call.deadline_ms)
         statements = decode(call.statements)
-        write_statements = [s for s in statements if writes(s.text)]
+        write_statements = [s for s in statements if is_write(s.text)]
         if call.read_only and write_statements:
             raise Refused("read_only", "a writing statement in a read-only call")
         if call.transaction_id:
@@ -133,7 +133,9 @@
         write_statements: list[Sql],
         deadline: float,
     ) -> Result:
-        self._ledger.require(position_of(call.min_position), call.wait_ms / 1000)
+        self._ledger.wait_for_position(
+            position_of(call.min_position), call.wait_ms / 1000
+        )
         write = self._ledger.open_write(deadline - time.monotonic())
         try:
             known = write.find(call.request_id) if call.request_id else None
@@ -204,7 +206,9 @@
     def begin(self, call: ttypes.TransactionCall) -> Result:
         if self.transaction is not None:
             raise Refused("transaction_open", self.transaction.transaction_id)
-        self._ledger.require(position_of(call.min_position), call.wait_ms / 1000)
+        self._ledger.wait_for_position(
+            position_of(call.min_position), call.wait_ms / 1000
+        )
         self.transaction = OpenTransaction(call.transaction_id or uuid.uuid4().hex)
         return Result()
 
@@ -265,7 +269,7 @@
                 write.rollback()
         same_holder = known.reservation == call.reservation
         if known.state == RESERVED and known.digest == call.digest and same_holder:
-            return Result(self._ledger.position_now(known.offset))
+            return Result(self._ledger.position_in_current_term(known.offset))
         return self._recorded_result(call, known)
 
     def lookup(self, call: ttypes.Query) -> Result:
@@ -286,7 +290,7 @@
             raise Refused("request_id_reused", call.request_id)
         if known.state == RESERVED:
             raise Refused("reserved", known.reservation)
-        position = self._ledger.position_now(known.offset)
+        position = self._ledger.position_in_current_term(known.offset)
         if known.state == FAILED:
             raise StatementFailed(known.payload.decode(), position, repeated=True)
         return Result(position, known.payload, repeated=True)
--- a/packages/standin/src/bronzemoor_standin/ledger.py
+++ b/packages/standin/src/bronzemoor_standin/ledger.py
@@ -26,7 +26,7 @@
     covers,
 )
 from bronzemoor_standin.statements import Sql
-from bronzemoor_standin.writes import DISK_FULL, Write, Writer
+from bronzemoor_standin.writes import DISK_FULL_MESSAGE, Write, Writer
 
 Position = tuple[int, int]
 
@@ -51,7 +51,7 @@
 class Ledger:
     """The log, the committed data and, on a primary, the writer of one member.
 
-    Lock order: a writer's lock, ``applier.busy``, ``committed.lock``, ``lock``.
+    Lock order: a writer's lock, ``applier.apply_lock``, ``committed.lock``, ``lock``.
     """
 
     def __init__(
@@ -92,10 +92,10 @@
         """Runs reads at or after ``min_position``; waits up to ``timeout`` seconds."""
         database = self.committed
         with database.lock:
-            self.require(min_position, timeout)
+            self.wait_for_position(min_position, timeout)
             return database.run(statements), database.applied
 
-    def require(self, min_position: Position, timeout: float) -> None:
+    def wait_for_position(self, min_position: Position, timeout: float) -> None:
         """Raises ``Refused`` unless the position is reached in ``timeout`` seconds."""
         state, database = self.state, self.committed
         refusal = state.refusal_of_read()
@@ -148,7 +148,7 @@
             self.state.append(body)
             try:
                 if self.faults.disk_full:
-                    raise sqlite3.OperationalError(DISK_FULL)
+                    raise sqlite3.OperationalError(DISK_FULL_MESSAGE)
                 self._persist()
             except sqlite3.Error:
                 self.state.log.truncate(step.offset - 1)
@@ -158,7 +158,7 @@
             self.log_changed.notify_all()
             if len(self.state.members) == 1:
                 self._wake_waiters()
-        database.advanced.notify_all()
+        database.applied_changed.notify_all()
 
     def _require_writer(self) -> Writer:
         refusal = self.state.refusal_of_write()
@@ -167,7 +167,7 @@
         assert self._writer is not None
         return self._writer
 
-    def position_now(self, offset: int) -> Position:
+    def position_in_current_term(self, offset: int) -> Position:
         """Returns the position of an entry of any term in the primary's current term.
 
         Daemons treat an answer with an older term as one of a replaced primary, so an
@@ -252,7 +252,7 @@
     ) -> Refusal | None:
         """Applies the rest of the log and starts the writer of the new term."""
         body = Transaction(self.schema if start_offset == 0 else []).encode()
-        with self.applier.busy, self.committed.lock, self.lock:
+        with self.applier.apply_lock, self.committed.lock, self.lock:
             refusal = self.state.promote(term, start_offset, members, body)
             writer = self._writer
             if refusal is not None or (writer is not None and writer.term == term):
@@ -272,7 +272,7 @@
             if refusal is None:
                 self.heard_at = time.monotonic()
             self._persist()
-            self.applier.check_log()
+            self.applier.rebuild_if_truncated()
             self._role_changed()
             return refusal
 
@@ -300,9 +300,9 @@
             self._persist()
             if answer.term == batch.term:
                 self.heard_at = time.monotonic()
-            self.applier.check_log()
+            self.applier.rebuild_if_truncated()
             if batch.entries and answer.accepted:
-                self.applier.arrived(answer.offset)
+                self.applier.record_arrival(answer.offset)
             if self.state.role != role:
                 self._role_changed()
             return answer
--- a/packages/standin/src/bronzemoor_standin/load.py
+++ b/packages/standin/src/bronzemoor_standin/load.py
@@ -115,7 +115,9 @@
 
     def run(self) -> History:
         """Seeds the databases, sends the load and returns the history."""
-        observer = Observer(self.settings.endpoints, self.settings.daemons, self.note)
+        observer = Observer(
+            self.settings.endpoints, self.settings.daemons, self.record_event
+        )
         observer.start()
         self._seed_databases()
         arrivals = self._arrivals(time.time())
@@ -134,7 +136,7 @@
                     self.history.balances.append(balance)
         return self.history
 
-    def note(self, event: Event) -> None:
+    def record_event(self, event: Event) -> None:
         """Records an event, for example the graceful stop of a daemon by a test."""
         with self._lock:
             self.history.events.append(event)
--- a/packages/standin/src/bronzemoor_standin/statements.py
+++ b/packages/standin/src/bronzemoor_standin/statements.py
@@ -38,7 +38,7 @@
 
 
 @lru_cache(maxsize=4096)
-def writes(text: str) -> bool:
+def is_write(text: str) -> bool:
     """Returns whether ``text`` may change data; raises ``InvalidStatement``."""
     code = _LITERAL_OR_COMMENT.sub(_blank, text).strip().lstrip("(")
     words = code.split(None, 1)
--- a/packages/standin/src/bronzemoor_standin/writes.py
+++ b/packages/standin/src/bronzemoor_standin/writes.py
@@ -19,7 +19,7 @@
 RecordFactory = Callable[[list[dict[str, Any]]], RequestRecord | None]
 # A copy that lags by more entries is replaced: replaying 1,000 takes about 20 ms.
 MAX_REPLAYED_ENTRIES = 1000
-DISK_FULL = "database or disk is full"
+DISK_FULL_MESSAGE = "database or disk is full"
 
 
 class Write:
@@ -116,7 +116,7 @@
 
     def _check_disk(self, write_statements: list[Sql]) -> None:
         if write_statements and self._ledger.faults.disk_full:
-            raise sqlite3.OperationalError(DISK_FULL)
+            raise sqlite3.OperationalError(DISK_FULL_MESSAGE)
 
 
 class Writer:
--- a/packages/standin/tests/test_mixes.py
+++ b/packages/standin/tests/test_mixes.py
@@ -7,7 +7,7 @@
 
 from bronzemoor_standin.mixes import MIXES, User
 from bronzemoor_standin.schemas import load_schema
-from bronzemoor_standin.statements import writes
+from bronzemoor_standin.statements import is_write
 
 
 @pytest.mark.parametrize("mix", MIXES.values(), ids=MIXES)
@@ -24,7 +24,7 @@
             continue
         request_id = f"r{number}"
         for sql, params in operation.statements:
-            assert writes(sql) is operation.write
+            assert is_write(sql) is operation.write
             for row in database.execute(sql, params):
                 assert row[0] == request_id
         for row in operation.rows:
--- a/packages/standin/tests/test_statements.py
+++ b/packages/standin/tests/test_statements.py
@@ -7,7 +7,7 @@
     InvalidStatement,
     decode,
     encode_results,
-    writes,
+    is_write,
 )
 
 
@@ -26,7 +26,7 @@
 )
 def test_writes_are_recognised(text, expected):
     """Guards against a write that reaches a replica as a read, or is refused."""
-    assert writes(text) is expected
+    assert is_write(text) is expected
 
 
 @pytest.mark.parametrize(
@@ -44,7 +44,7 @@
 def test_statements_that_break_transactions_or_replicas_are_refused(text):
     """Guards against members whose data differs, and altered request records."""
     with pytest.raises(InvalidStatement):
-        writes(text)
+        is_write(text)
 
 
 @pytest.mark.parametrize("params", [b"{", b"{}", b"1"])
--- a/tests/adapter/fake_members.py
+++ b/tests/adapter/fake_members.py
@@ -16,7 +16,7 @@
         self.primary = False
         self.limit = 100
         # Prefixes of statements that run but whose answer is lost, once each.
-        self.lose: list[str] = []
+        self.lost_answers: list[str] = []
         # Error codes by the prefix of the statement that is refused with it, once each.
         self.refusals: dict[str, str] = {}
         # Whether statements are answered BUSY, and the reported lag in milliseconds.
@@ -201,10 +201,10 @@
                 del member.refusals[prefix]
                 return self.error(code)
         member.executed.append((query_id, text))
-        lost = [prefix for prefix in member.lose if text.startswith(prefix)]
+        lost = [prefix for prefix in member.lost_answers if text.startswith(prefix)]
         answer = self.run(text)
         if lost:
-            member.lose.remove(lost[0])
+            member.lost_answers.remove(lost[0])
             return None
         return self.send(answer) or self.ready()
 
--- a/tests/adapter/system.py
+++ b/tests/adapter/system.py
@@ -104,7 +104,7 @@
         self.group = FakeGroup("ledger")
         self.controls: list[ControlDaemon] = []
         self.proxies: list[Proxy] = []
-        self.fronts: list[str] = []
+        self.client_addresses: list[str] = []
         self.events: list[tuple[str, dict]] = []
 
     async def start(self) -> None:
@@ -126,7 +126,7 @@
                 settings, self._codec, read_document, self._report, WireMetrics()
             )
             self.proxies.append(proxy)
-            self.fronts.append(addresses[5 + number])
+            self.client_addresses.append(addresses[5 + number])
             await proxy.start()
 
     async def deploy(self, version: int = 1, **changes) -> None:
--- a/tests/adapter/test_leader.py
+++ b/tests/adapter/test_leader.py
@@ -4,7 +4,7 @@
 
 import pytest
 from system import Client, run_system
-from test_relays import SCARCE, shared
+from test_relays import SCARCE, wait_until_shared
 from test_whole_path import outcome
 
 from bronzemoor_daemon.wire.clock import boottime
@@ -24,7 +24,9 @@
 
     async def scenario(system):
         old = system.group.primary
-        clients = [await Client.open(front, "orders") for front in system.fronts]
+        clients = [
+            await Client.open(front, "orders") for front in system.client_addresses
+        ]
         old.overloaded = True
         for member in system.group.members.values():
             member.lag_ms = lag_ms
@@ -70,7 +72,7 @@
     """
 
     async def scenario(system):
-        await shared(system)
+        await wait_until_shared(system)
         await system.until(lambda: all(c.records.sharing for c in system.controls))
         leader = next(c for c in system.controls if c.log.established)
         pools = [p.group("ledger").pools for p in system.proxies]
--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -133,7 +133,7 @@
     assert all(item.answer.startswith(b"ERROR READONLY") for item in answers)
 
 
-async def shared(system) -> None:
+async def wait_until_shared(system) -> None:
     """Waits until both proxies have received the list of sharing proxies."""
     await system.until(lambda: all(len(p._relays.proxies) == 2 for p in system.proxies))
 
@@ -160,9 +160,9 @@
     """Guards against values, prepared statements or transactions lost on a channel."""
 
     async def scenario(system):
-        await shared(system)
-        one = await Client.open(system.fronts[front], "orders")
-        two = await Client.open(system.fronts[front], "orders")
+        await wait_until_shared(system)
+        one = await Client.open(system.client_addresses[front], "orders")
+        two = await Client.open(system.client_addresses[front], "orders")
         await one.call("SET tz lisbon")
         await one.call("PREPARE s1 FETCH shape-one")
         await two.call("PREPARE s1 FETCH shape-two")
@@ -194,9 +194,12 @@
     """
 
     async def scenario(system):
-        await shared(system)
+        await wait_until_shared(system)
         primary, most = system.group.primary, 0
-        clients = [await Client.open(system.fronts[n % 2], "orders") for n in range(12)]
+        clients = [
+            await Client.open(system.client_addresses[n % 2], "orders")
+            for n in range(12)
+        ]
         primary.statement_delays["FETCH"] = 0.02
 
         async def read(client) -> str:
@@ -216,9 +219,9 @@
     """Guards against a zone that loses access to a member with one of its proxies."""
 
     async def scenario(system):
-        await shared(system)
+        await wait_until_shared(system)
         lost = owner_of(system, system.group.primary.name)
-        client = await Client.open(system.fronts[1 - lost], "orders")
+        client = await Client.open(system.client_addresses[1 - lost], "orders")
         assert outcome(await client.call("STORE k1 v")) == "COMPLETE"
         # The owner stops responding without closing its connections.
         system.proxies[lost].links.send = lambda peer, message: None
@@ -239,15 +242,15 @@
     """Guards against a shared connection that is released inside a transaction."""
 
     async def scenario(system):
-        await shared(system)
+        await wait_until_shared(system)
         front = 1 - owner_of(system, system.group.primary.name)
-        client = await Client.open(system.fronts[front], "orders")
+        client = await Client.open(system.client_addresses[front], "orders")
         await client.call("BEGIN")
         await client.call("STORE k v")
         client.close()
         executed = system.group.primary.executed
         await system.until(lambda: any(text == "ROLLBACK" for _, text in executed))
-        other = await Client.open(system.fronts[front], "orders")
+        other = await Client.open(system.client_addresses[front], "orders")
         assert outcome(await other.call("STORE k2 v")) == "COMPLETE"
         assert system.group.acknowledged == [("k2", "v")]
 
@@ -258,11 +261,11 @@
     """Guards against an answer that is matched to the wrong statement."""
 
     async def scenario(system):
-        await shared(system)
+        await wait_until_shared(system)
         primary = system.group.primary
         front = 1 - owner_of(system, primary.name)
-        client = await Client.open(system.fronts[front], "orders")
-        primary.lose.append("STORE k1")
+        client = await Client.open(system.client_addresses[front], "orders")
+        primary.lost_answers.append("STORE k1")
         assert outcome(await client.call("STORE k1 v")) == "ERROR INDOUBT"
         answers = [await client.call(f"FETCH k{number}") for number in range(5)]
         for number, lines in enumerate(answers):
@@ -279,16 +282,16 @@
     """Guards against idle transactions that occupy all connections."""
 
     async def scenario(system):
-        await shared(system)
+        await wait_until_shared(system)
         owner = owner_of(system, system.group.primary.name)
         idle = await Client.open(
-            system.fronts[owner if at_owner else 1 - owner], "orders"
+            system.client_addresses[owner if at_owner else 1 - owner], "orders"
         )
         await idle.call("BEGIN")
         assert outcome(await idle.call("STORE k1 v")) == "COMPLETE"
         await asyncio.sleep(IDLE_TRANSACTION_LIMIT_SECONDS)
         started = asyncio.get_running_loop().time()
-        other = await Client.open(system.fronts[0], "orders")
+        other = await Client.open(system.client_addresses[0], "orders")
         assert outcome(await other.call("STORE k2 v")) == "COMPLETE"
         assert asyncio.get_running_loop().time() - started < 0.6
         assert outcome(await idle.call("COMMIT")) == "ERROR ABORTED"
@@ -301,9 +304,9 @@
     """Guards against a planned stop that aborts transactions of other proxies."""
 
     async def scenario(system):
-        await shared(system)
+        await wait_until_shared(system)
         owner = owner_of(system, system.group.primary.name)
-        client = await Client.open(system.fronts[1 - owner], "orders")
+        client = await Client.open(system.client_addresses[1 - owner], "orders")
         await client.call("BEGIN")
         assert outcome(await client.call("STORE k v")) == "COMPLETE"
         stopping = asyncio.create_task(system.proxies[owner].stop())
@@ -323,10 +326,10 @@
     """Guards against delayed statements that an owner sends to a replaced primary."""
 
     async def scenario(system):
-        await shared(system)
+        await wait_until_shared(system)
         primary = system.group.primary
         owner = owner_of(system, primary.name)
-        client = await Client.open(system.fronts[1 - owner], "orders")
+        client = await Client.open(system.client_addresses[1 - owner], "orders")
         assert outcome(await client.call("STORE k1 v")) == "COMPLETE"
         # Simulates an owner that was suspended for longer than its lease.
         system.proxies[owner]._lease.renew = lambda asked_at, length: None
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -4,9 +4,9 @@
 
 from system import Client, run_system
 
-from bronzemoor_core.wire.leases import LEASE
+from bronzemoor_core.wire.leases import LEASE_SECONDS
 from bronzemoor_daemon.wire.clock import boottime
-from bronzemoor_daemon.wire.memberorders import order
+from bronzemoor_daemon.wire.memberorders import send_order
 from bronzemoor_daemon.wire.proxy import (
     LEASE_LOSS_GRACE_SECONDS,
     MIN_IDLE_BEFORE_CLOSE_SECONDS,
@@ -25,7 +25,7 @@
     """Guards against answers that differ from the member's."""
 
     async def scenario(system):
-        client = await Client.open(system.fronts[0], "orders")
+        client = await Client.open(system.client_addresses[0], "orders")
         assert client.greeting == "READY I -"
         assert (await client.call("STORE k1 v1"))[0].startswith("COMPLETE s.")
         assert (await client.call("FETCH k1"))[0] == "ROW k1"
@@ -42,8 +42,8 @@
     """Guards against a statement that runs with another session's values."""
 
     async def scenario(system):
-        one = await Client.open(system.fronts[0], "orders")
-        two = await Client.open(system.fronts[0], "orders")
+        one = await Client.open(system.client_addresses[0], "orders")
+        two = await Client.open(system.client_addresses[0], "orders")
         await one.call("SET tz lisbon")
         await one.call("PREPARE s1 FETCH shape-one")
         await two.call("PREPARE s1 FETCH shape-two")
@@ -61,19 +61,19 @@
     """Guards against duplicate writes and reads that fail after one lost answer."""
 
     async def scenario(system):
-        client = await Client.open(system.fronts[0], "orders")
+        client = await Client.open(system.client_addresses[0], "orders")
         primary = system.group.primary
-        primary.lose.append("STORE k1")
+        primary.lost_answers.append("STORE k1")
         assert outcome(await client.call("STORE k1 v")) == "ERROR INDOUBT"
         assert [t for _, t in primary.executed].count("STORE k1 v") == 1
         await client.call("BEGIN")
-        primary.lose.append("STORE k2")
+        primary.lost_answers.append("STORE k2")
         assert outcome(await client.call("STORE k2 v")) == "COMPLETE"
-        primary.lose.append("STORE k4")
+        primary.lost_answers.append("STORE k4")
         lines = await client.call("STORE k4 v")
         assert outcome(lines) == "ERROR ABORTED" and lines[-1].startswith("READY E")
         assert (await client.call("ROLLBACK"))[-1].startswith("READY I")
-        primary.lose.append("FETCH k3")
+        primary.lost_answers.append("FETCH k3")
         assert (await client.call("FETCH k3"))[0] == "ROW k3"
         assert ("k2", "v") not in system.group.acknowledged
 
@@ -84,7 +84,7 @@
     """Guards against failing a statement that certainly did not run."""
 
     async def scenario(system):
-        client = await Client.open(system.fronts[0], "orders")
+        client = await Client.open(system.client_addresses[0], "orders")
         system.group.primary.refusals["STORE k1"] = "BUSY"
         assert outcome(await client.call("STORE k1 v")) == "COMPLETE"
         assert system.group.acknowledged == [("k1", "v")]
@@ -96,7 +96,7 @@
     """Guards against a promotion that loses an acknowledged commit."""
 
     async def scenario(system):
-        client = await Client.open(system.fronts[0], "orders")
+        client = await Client.open(system.client_addresses[0], "orders")
         for number in range(5):
             await client.call(f"STORE k{number} v")
         old = system.group.primary
@@ -120,7 +120,7 @@
     """Guards against a handover that starts only after the member has stopped."""
 
     async def scenario(system):
-        client = await Client.open(system.fronts[0], "orders")
+        client = await Client.open(system.client_addresses[0], "orders")
         await client.call("STORE k0 v")
         old = system.group.primary
         assert await system.announce(old.name, sequence=2, leaving=True)
@@ -145,7 +145,7 @@
     """
 
     async def scenario(system):
-        client = await Client.open(system.fronts[0], "orders")
+        client = await Client.open(system.client_addresses[0], "orders")
         await client.call("STORE k0 v")
         old = system.group.primary
         await next(m for m in system.group.members.values() if m is not old).stop()
@@ -162,11 +162,11 @@
     run_system(tmp_path, scenario)
 
 
-def test_a_late_answer_does_not_cost_the_connection(tmp_path):
+def test_a_late_answer_does_not_close_the_connection(tmp_path):
     """Guards against new connections that keep an overloaded member overloaded."""
 
     async def scenario(system):
-        client = await Client.open(system.fronts[0], "orders")
+        client = await Client.open(system.client_addresses[0], "orders")
         primary = system.group.primary
         assert outcome(await client.call("FETCH k1")) == "COMPLETE"
         before = primary.connections_of("proxy-0")
@@ -184,7 +184,7 @@
     """Guards against reusing idle connections that have stopped answering."""
 
     async def scenario(system):
-        client = await Client.open(system.fronts[0], "orders")
+        client = await Client.open(system.client_addresses[0], "orders")
         primary = system.group.primary
         assert outcome(await client.call("FETCH k1")) == "COMPLETE"
         unresponsive = primary.connections_of("proxy-0")
@@ -198,7 +198,7 @@
     run_system(tmp_path, scenario)
 
 
-def test_a_full_member_is_not_taken_for_a_lost_one(tmp_path):
+def test_a_full_member_is_not_treated_as_lost(tmp_path):
     """Guards against replacing a primary that still counts lost machines' connections.
 
     After a power loss of all machines, members refused new connections for seconds, and
@@ -210,11 +210,11 @@
         primary.limit = 0
         leader = next(c for c in system.controls if c.log.established)
         record = leader.records.members[primary.name]
-        status = await order(PlatformLines(), "test", record, b"STATUS")
+        status = await send_order(PlatformLines(), "test", record, b"STATUS")
         assert is_alive(status)
         for connection in list(primary.connections):
             connection.transport.abort()
-        client = await Client.open(system.fronts[0], "orders")
+        client = await Client.open(system.client_addresses[0], "orders")
         assert outcome(await client.call("FETCH k1")) == "ERROR BUSY"
         await asyncio.sleep(1.0)
         assert system.group.promotions == []
@@ -228,11 +228,11 @@
     """Guards against reads at a primary that may have been replaced."""
 
     async def scenario(system):
-        client = await Client.open(system.fronts[0], "orders")
+        client = await Client.open(system.client_addresses[0], "orders")
         assert outcome(await client.call("FETCH k1")) == "COMPLETE"
         for control in system.controls:
             control.links.send = lambda peer, message: None
-        await asyncio.sleep(LEASE + 0.2)
+        await asyncio.sleep(LEASE_SECONDS + 0.2)
         assert outcome(await client.call("FETCH k1")) == "ERROR BUSY"
 
     run_system(tmp_path, scenario)
@@ -248,13 +248,13 @@
         proxy.links._receive = lambda sender, message: None
         deployment, proxy.deployment = proxy.deployment, None
         proxy.deployment_received.clear()
-        opening = asyncio.create_task(Client.open(system.fronts[0], "orders"))
+        opening = asyncio.create_task(Client.open(system.client_addresses[0], "orders"))
         await asyncio.sleep(0.3)
         assert not opening.done()
         proxy.deployment = deployment
         proxy.deployment_received.set()
         assert (await opening).greeting == "READY I -"
-        other = await Client.open(system.fronts[0], "nowhere")
+        other = await Client.open(system.client_addresses[0], "nowhere")
         assert other.greeting.startswith("ERROR NODB")
 
     run_system(tmp_path, scenario)
@@ -269,7 +269,7 @@
 
     async def scenario(system):
         proxy = system.proxies[0]
-        client = await Client.open(system.fronts[0], "orders")
+        client = await Client.open(system.client_addresses[0], "orders")
         proxy._had_lease, proxy._without_lease_since = False, boottime()
         proxy._lease._expires = float("-inf")
         proxy.links.send = lambda peer, message: None
@@ -294,7 +294,7 @@
         proxy._lease._expires = float("-inf")
         await asyncio.sleep(LEASE_LOSS_GRACE_SECONDS + 0.6)
         for _ in range(8):
-            client = await Client.open(system.fronts[0], "orders")
+            client = await Client.open(system.client_addresses[0], "orders")
             await asyncio.sleep(MIN_IDLE_BEFORE_CLOSE_SECONDS / 5)
             assert outcome(await client.call("BEGIN")) == "COMPLETE"
             client.close()
@@ -306,8 +306,8 @@
     """Guards against reads at lagging replicas, and against unused replicas."""
 
     async def scenario(system):
-        client = await Client.open(system.fronts[0], "catalogue")
-        writer = await Client.open(system.fronts[0], "orders")
+        client = await Client.open(system.client_addresses[0], "catalogue")
+        writer = await Client.open(system.client_addresses[0], "orders")
         await writer.call("STORE k v")
         replicas = [m for m in system.group.members.values() if not m.primary]
         pools = system.proxies[0].group("ledger").pools
@@ -323,17 +323,17 @@
     run_system(tmp_path, scenario)
 
 
-def test_a_client_that_leaves_rolls_its_transaction_back(tmp_path):
+def test_a_transaction_is_rolled_back_when_its_client_disconnects(tmp_path):
     """Guards against a connection reused inside another client's transaction."""
 
     async def scenario(system):
-        client = await Client.open(system.fronts[0], "orders")
+        client = await Client.open(system.client_addresses[0], "orders")
         await client.call("BEGIN")
         await client.call("STORE k v")
         client.close()
         executed = system.group.primary.executed
         await system.until(lambda: any(text == "ROLLBACK" for _, text in executed))
-        other = await Client.open(system.fronts[0], "orders")
+        other = await Client.open(system.client_addresses[0], "orders")
         assert outcome(await other.call("STORE k2 v")) == "COMPLETE"
         assert system.group.acknowledged == [("k2", "v")]
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -43,7 +43,7 @@
 SCARCE_CONNECTIONS = 5
 # Time in which a control daemon that lost its disk rejoins and catches up.
 DISK_RECOVERY_SECONDS = 8.0
-NOT_STORED_ERRORS = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT")
+NO_EFFECT_ERRORS = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT")
 WRITE_NUMBERS = count(1)
 
 
@@ -276,7 +276,7 @@
                     lines = await client.call(text)
                     if lines[-2].startswith("ERROR"):
                         client.close()
-                        if lines[-2].split(" ")[1] in NOT_STORED_ERRORS:
+                        if lines[-2].split(" ")[1] in NO_EFFECT_ERRORS:
                             self.refused.add(key)
                         return False
                 client.close()
@@ -385,7 +385,9 @@
             await member.restart()
 
     async def _lose_answer(self) -> None:
-        self.group.primary.lose.append(self.random.choice(("STORE", "COMMIT", "BEGIN")))
+        self.group.primary.lost_answers.append(
+            self.random.choice(("STORE", "COMMIT", "BEGIN"))
+        )
 
     async def _delay_connections(self) -> None:
         relay = self.random.choice(list(self.relays.values()))
