Reword remaining figurative comments and name times by their event

Members and daemons were heard or silent, and tests were described in several manners. Such names are now last_contact_at, received_at and unresponsive, comments use the usual terms, and every test module says what it tests in the same form.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -124,7 +124,7 @@
 
 
 def post(child: ChildProcess, path: str, body: Any) -> tuple[int, Any]:
-    """Posts JSON on a new connection; status 0 stands for a connection error."""
+    """Posts JSON on a new connection; status 0 means a connection error."""
     connection = HTTPConnection(*child.host_port, timeout=15)
     try:
         connection.request("POST", path, json.dumps(body))
--- a/packages/client/tests/test_commands.py
+++ b/packages/client/tests/test_commands.py
@@ -1,4 +1,4 @@
-"""Tests the command line with a running system, without one and with lost answers."""
+"""Tests of the command line with a running system, without one, with lost answers."""
 
 import json
 import socket
--- a/packages/client/tests/test_examples.py
+++ b/packages/client/tests/test_examples.py
@@ -1,4 +1,4 @@
-"""Tests the example templates and settings, which operators copy first."""
+"""Tests of the example templates and settings, which operators copy first."""
 
 from pathlib import Path
 
--- a/packages/core/src/bronzemoor_core/detectors.py
+++ b/packages/core/src/bronzemoor_core/detectors.py
@@ -11,7 +11,7 @@
 # twice a second.
 PROXY_EVIDENCE_VALIDITY_SECONDS = 1.0
 # How long a primary may announce another role before that counts as evidence. A
-# promoted member may announce its old role once more.
+# promoted member may announce its old role one last time.
 ROLE_CHANGE_GRACE_SECONDS = 0.3
 # Consecutive failed pings that count as evidence. A single one may be lost; at 1% loss
 # two in a row are lost once in 10,000.
@@ -26,7 +26,7 @@
 
     unreachable: tuple[str, ...]
     since: float
-    heard_at: float
+    received_at: float
 
 
 @dataclass(slots=True)
@@ -152,9 +152,9 @@
 ) -> Iterator[Finding]:
     """Other members of the group cannot reach the primary."""
     for reporter, report in observations.reports.get(database.name, {}).items():
-        fresh = now - report.heard_at <= timers.announcement_lease
+        fresh = now - report.received_at <= timers.announcement_lease
         if fresh and database.primary in report.unreachable:
-            yield reporter, report.since, report.heard_at
+            yield reporter, report.since, report.received_at
 
 
 @detector("order", LEADER_DETECTORS)
--- a/packages/core/src/bronzemoor_core/failover.py
+++ b/packages/core/src/bronzemoor_core/failover.py
@@ -122,8 +122,10 @@
             now, event.sender, message.suspicions, self._topology.databases
         )
         for s in message.members:
-            heard_at, unreachable = now - s.age_ms / 1000, tuple(s.unreachable)
-            self._suspicions.record_report(heard_at, s.database, s.member, unreachable)
+            received_at, unreachable = now - s.age_ms / 1000, tuple(s.unreachable)
+            self._suspicions.record_report(
+                received_at, s.database, s.member, unreachable
+            )
 
     @handles(MemberSuspected)
     def suspect(self, now: float, event: MemberSuspected) -> None:
--- a/packages/core/src/bronzemoor_core/losses.py
+++ b/packages/core/src/bronzemoor_core/losses.py
@@ -18,8 +18,10 @@
 def handle_lost_answer(
     flow: "RequestFlow", now: float, work: Work, reason: str, sent: bool
 ) -> Items:
-    """Starts a retry or a lookup, or ends the request; ``sent`` tells whether the call
-    may have reached the endpoint."""
+    """Starts a retry or a lookup, or ends the request.
+
+    ``sent`` is set if the call may have reached the endpoint.
+    """
     step = work.step
     work.code = reason
     if work.transaction is not None and step in (
--- a/packages/core/src/bronzemoor_core/membership.py
+++ b/packages/core/src/bronzemoor_core/membership.py
@@ -97,18 +97,18 @@
             database = Database(summary.database)
             self._section.databases[database.name] = database
         known = database.members.get(summary.member)
-        heard_at = now - summary.age_ms / 1000
+        contact_at = now - summary.age_ms / 1000
         if known is not None:
             if summary.incarnation < known.incarnation:
                 return [EmitMetric("counter", "membership.old_incarnation")]
             if self._identity_conflicts(now, known, summary):
                 return self._reject_claimant(now, known, summary)
             same_incarnation = summary.incarnation == known.incarnation
-            if same_incarnation and heard_at < known.last_heard:
+            if same_incarnation and contact_at < known.last_contact_at:
                 return []
-        elif heard_at < now - self._settings.timers.announcement_lease:
+        elif contact_at < now - self._settings.timers.announcement_lease:
             return []
-        member = make_member(summary, heard_at, source)
+        member = make_member(summary, contact_at, source)
         member.drained = self._is_drained(known, summary, source)
         member.leaving = member.leaving or member.drained
         changed = known is None or member_facts(member) != member_facts(known)
@@ -147,7 +147,7 @@
         return (
             summary.incarnation == known.incarnation
             and summary.address != known.address
-            and now - known.last_heard < self._settings.timers.announcement_lease
+            and now - known.last_contact_at < self._settings.timers.announcement_lease
         )
 
     def _reject_claimant(
@@ -253,7 +253,7 @@
         if daemon is None or message.incarnation > daemon.incarnation:
             daemon = Daemon(sender, message.incarnation, message.data_centre, now)
             self._section.daemons[sender] = daemon
-        daemon.last_heard, daemon.lost = now, False
+        daemon.last_contact_at, daemon.lost = now, False
         subscriptions = tuple(message.subscriptions)
         if subscriptions != daemon.subscriptions:
             daemon.subscriptions, daemon.updated_at = subscriptions, NEVER
@@ -360,11 +360,11 @@
         out: list[object] = []
         for database in self._section.databases.values():
             for member in tuple(database.members.values()):
-                if now - member.last_heard > lease_by_source[member.source]:
+                if now - member.last_contact_at > lease_by_source[member.source]:
                     out += self._expire_member(now, database, member)
         daemon_lease = self._settings.timers.stale_after
         for daemon in tuple(self._section.daemons.values()):
-            silence = now - daemon.last_heard
+            silence = now - daemon.last_contact_at
             if silence > LOST_DAEMON_RETENTION_SECONDS or (
                 daemon.draining and silence > daemon_lease
             ):
--- a/packages/core/src/bronzemoor_core/messages.py
+++ b/packages/core/src/bronzemoor_core/messages.py
@@ -432,8 +432,8 @@
 class RelayStatement:
     """A statement for the connection of a channel.
 
-    A ``prepared`` statement executes ``shape`` with ``text``; ``writes`` tells whether
-    it writes. With ``sets_values``, the session's ``values`` are first set on the
+    A ``prepared`` statement executes ``shape`` with ``text``; ``writes`` is set if it
+    is a write. With ``sets_values``, the session's ``values`` are first set on the
     connection. The owner refuses the statement unless the member is the primary of
     ``leading_term``; 0 waives that check.
     """
--- a/packages/core/src/bronzemoor_core/operations.py
+++ b/packages/core/src/bronzemoor_core/operations.py
@@ -171,7 +171,7 @@
                     "offset": member.position.offset,
                     "lag": _replica_lag(database, member),
                     "leaving": member.leaving,
-                    "age_ms": round((now - member.last_heard) * 1000),
+                    "age_ms": round((now - member.last_contact_at) * 1000),
                 }
                 for _, member in sorted(database.members.items())
             ],
--- a/packages/core/src/bronzemoor_core/relays.py
+++ b/packages/core/src/bronzemoor_core/relays.py
@@ -40,7 +40,7 @@
 
 
 def summarize_member(now: float, database: Any, member: Any) -> MemberSummary:
-    """Returns a member as known here; ``age_ms`` counts from when it was last heard."""
+    """Returns a member as known here; ``age_ms`` is the time since the last contact."""
     return MemberSummary(
         database=database.name,
         member=member.name,
@@ -56,7 +56,7 @@
         connections=member.connections,
         history=dict(member.history),
         unreachable=list(member.unreachable),
-        age_ms=round(max(0.0, now - member.last_heard) * 1000),
+        age_ms=round(max(0.0, now - member.last_contact_at) * 1000),
     )
 
 
--- a/packages/core/src/bronzemoor_core/routing.py
+++ b/packages/core/src/bronzemoor_core/routing.py
@@ -118,7 +118,7 @@
     """
     if member.leaving:
         return False
-    return member.source != "announcement" or now - member.last_heard <= lease
+    return member.source != "announcement" or now - member.last_contact_at <= lease
 
 
 def expected_delay(member: Member, link: MemberLink, settings: Any) -> float:
@@ -186,7 +186,7 @@
         minimum = surviving_position(database.history, position)
         proved = True
         if max_age is not None:
-            # The data ages on the way and while the member waits before it reads.
+            # The data ages in transit and while the member waits before it reads.
             age_limit = max_age - path.catch_up_wait - DEFAULT_REMOTE_DELAY_SECONDS
             sample = position_for_age(database, now, age_limit)
             proved = sample is not None
--- a/packages/core/src/bronzemoor_core/status.py
+++ b/packages/core/src/bronzemoor_core/status.py
@@ -167,7 +167,7 @@
         if daemon.lost:
             yield _problem(
                 DEGRADED,
-                f"{name}: no heartbeat for {now - daemon.last_heard:.0f} s",
+                f"{name}: no heartbeat for {now - daemon.last_contact_at:.0f} s",
                 "its shares return after their lease; others carry its load",
                 "restart the daemon or repair its network",
             )
@@ -207,7 +207,7 @@
         {
             "daemon": name,
             "data_centre": daemon.data_centre,
-            "age_ms": round((now - daemon.last_heard) * 1000),
+            "age_ms": round((now - daemon.last_contact_at) * 1000),
             "draining": daemon.draining,
             "lost": daemon.lost,
         }
--- a/packages/core/src/bronzemoor_core/suspicion.py
+++ b/packages/core/src/bronzemoor_core/suspicion.py
@@ -37,7 +37,7 @@
 ANSWER_VALIDITY_SECONDS = 0.3
 # A daemon counts as responsive for this many intervals after its last heartbeat.
 RESPONSIVE_HEARTBEAT_INTERVALS = 5
-# Daemons silent for longer are gone and are no sign of a partition.
+# Daemons without a heartbeat for longer are gone and are no sign of a partition.
 SILENT_DAEMON_RETENTION_SECONDS = 30.0
 # How long a majority of proxies must report a primary that answers the control leader.
 # Longer than the data path's own retries on new connections.
@@ -75,7 +75,11 @@
             self._observations.investigations.pop(database, None)
 
     def record_report(
-        self, heard_at: float, database: str, member: str, unreachable: tuple[str, ...]
+        self,
+        received_at: float,
+        database: str,
+        member: str,
+        unreachable: tuple[str, ...],
     ) -> None:
         """Records the members that a member reports as unreachable."""
         reports = self._observations.reports.get(database, {})
@@ -85,9 +89,9 @@
             if not reports:
                 self._observations.reports.pop(database, None)
         elif known is not None and known.unreachable == unreachable:
-            known.heard_at = max(known.heard_at, heard_at)
+            known.received_at = max(known.received_at, received_at)
         else:
-            reports[member] = Report(unreachable, heard_at, heard_at)
+            reports[member] = Report(unreachable, received_at, received_at)
             self._observations.reports[database] = reports
 
     def record_suspicions(
@@ -203,12 +207,14 @@
         if _is_confirmed(now, investigation):
             return []
         timeout = self._settings.timers.suspicion_timeout
-        silent = now - max(investigation.answered_at, investigation.opened_at) > timeout
+        unresponsive = (
+            now - max(investigation.answered_at, investigation.opened_at) > timeout
+        )
         members = {e.vantage for e in evidence if e.detector == "member"}
         # The primary answers, but reports that no majority confirms it.
         unconfirmed = investigation.answered_at >= investigation.opened_at
         if len(members) >= majority(record.group):
-            return evidence if silent or unconfirmed else []
+            return evidence if unresponsive or unconfirmed else []
         kinds = {e.detector for e in evidence}
         if "order" in kinds and len(kinds) >= 2:
             return evidence
@@ -218,21 +224,27 @@
             if e.confirmed_at > investigation.opened_at
             and e.vantage != self._settings.name
         }
-        return evidence if silent and len(renewed) >= MIN_CORROBORATING_VANTAGES else []
+        return (
+            evidence
+            if unresponsive and len(renewed) >= MIN_CORROBORATING_VANTAGES
+            else []
+        )
 
     def _is_isolated(self, now: float, daemons: list[Any]) -> bool:
-        """Returns whether most daemons fell silent, so that the fault is local.
+        """Returns whether most daemons are unreachable, so that the fault is local.
 
-        A single silent daemon is no evidence of isolation.
+        A single unreachable daemon is no evidence of isolation.
         """
         limit = (
             RESPONSIVE_HEARTBEAT_INTERVALS
             * self._settings.timers.daemon_heartbeat_interval
         )
         known = [
-            d for d in daemons if now - d.last_heard <= SILENT_DAEMON_RETENTION_SECONDS
+            d
+            for d in daemons
+            if now - d.last_contact_at <= SILENT_DAEMON_RETENTION_SECONDS
         ]
-        responsive = [d for d in known if now - d.last_heard <= limit]
+        responsive = [d for d in known if now - d.last_contact_at <= limit]
         return len(known) > 1 and 2 * len(responsive) < len(known)
 
     def _other_daemons(self, daemons: Any) -> list[Any]:
--- a/packages/core/src/bronzemoor_core/topology.py
+++ b/packages/core/src/bronzemoor_core/topology.py
@@ -29,7 +29,7 @@
     drained: bool = False
     slots: int = 3
     connections: int = 20
-    last_heard: float = 0.0
+    last_contact_at: float = 0.0
     # Time of the last announcement received directly by this daemon.
     announced_at: float = NEVER
     # Time of the last change other than of its position.
@@ -77,7 +77,7 @@
     name: str
     incarnation: int
     data_centre: str
-    last_heard: float
+    last_contact_at: float
     subscriptions: tuple[str, ...] = ()
     draining: bool = False
     # When this leader last sent it a full topology update.
@@ -117,8 +117,8 @@
     return crc32(repr(rows).encode()) or 1
 
 
-def make_member(summary: MemberSummary, heard_at: float, source: str) -> Member:
-    """Returns the member that a summary describes, last heard at ``heard_at``."""
+def make_member(summary: MemberSummary, contact_at: float, source: str) -> Member:
+    """Returns the member that a summary describes, last contacted at ``contact_at``."""
     return Member(
         name=summary.member,
         database=summary.database,
@@ -130,7 +130,7 @@
         leaving=summary.leaving,
         slots=summary.slots,
         connections=summary.connections,
-        last_heard=heard_at,
+        last_contact_at=contact_at,
         group=tuple(summary.members),
         unreachable=tuple(summary.unreachable),
         history=dict(summary.history),
--- a/packages/core/src/bronzemoor_core/wire/leases.py
+++ b/packages/core/src/bronzemoor_core/wire/leases.py
@@ -69,7 +69,7 @@
     def waiting_for(self, now: float, topology_version: int) -> list[str]:
         """Returns the proxies that may still use an older topology.
 
-        An empty name stands for holders of an earlier leader's leases.
+        An empty name represents holders of an earlier leader's leases.
         """
         waiting = [
             proxy
--- a/packages/core/src/bronzemoor_core/wire/succession.py
+++ b/packages/core/src/bronzemoor_core/wire/succession.py
@@ -132,8 +132,8 @@
     ``held`` are the positions of paused replicas and ``expected`` all replicas that may
     have acknowledged a commit. Once all of them have reported, the newest has every
     commit. Otherwise a replica must have reached ``acknowledged``, the newest commit
-    that any client was told of, None while unknown. A ``leaving`` member is chosen only
-    if no other is safe, since it would have to be replaced at once.
+    that was reported to any client, None while unknown. A ``leaving`` member is chosen
+    only if no other is safe, since it would have to be replaced at once.
     """
     if not held:
         return ""
--- a/packages/core/tests/datapath_world.py
+++ b/packages/core/tests/datapath_world.py
@@ -278,7 +278,7 @@
             known.role, known.leaving = fake.role, fake.leaving
             known.position = fake.position
             if name not in self.down:
-                known.last_heard = self.now
+                known.last_contact_at = self.now
 
     def schedule(self, delay, event):
         entry = (self.now + delay, next(self._order), event)
--- a/packages/core/tests/test_answers.py
+++ b/packages/core/tests/test_answers.py
@@ -1,4 +1,4 @@
-"""Tests the matching of answers to calls."""
+"""Tests of the matching of answers to calls."""
 
 from dataclasses import replace
 from zlib import crc32
--- a/packages/core/tests/test_calls.py
+++ b/packages/core/tests/test_calls.py
@@ -1,4 +1,4 @@
-"""Tests the calls to endpoints."""
+"""Tests of the calls to endpoints."""
 
 from bronzemoor_core.calls import scoped_request_id
 from bronzemoor_core.events import Request, Statement
--- a/packages/core/tests/test_candidates.py
+++ b/packages/core/tests/test_candidates.py
@@ -1,4 +1,4 @@
-"""Tests the choice of the new primary and the order of positions."""
+"""Tests of the choice of the new primary and the order of positions."""
 
 import pytest
 
--- a/packages/core/tests/test_consensus.py
+++ b/packages/core/tests/test_consensus.py
@@ -38,7 +38,7 @@
 
 
 def test_three_members_elect_one_leader_and_apply_in_the_same_order():
-    """Guards against a group that elects nobody or applies in different orders."""
+    """Guards against a group that elects no leader or applies in different orders."""
     cluster = Cluster(3)
     leader = cluster.elect()
     for n in range(50):
--- a/packages/core/tests/test_distribution.py
+++ b/packages/core/tests/test_distribution.py
@@ -1,4 +1,4 @@
-"""Tests configuration distribution: versions, confirmation, repair, staleness."""
+"""Tests of configuration distribution: versions, confirmation, repair, staleness."""
 
 import json
 
--- a/packages/core/tests/test_drain.py
+++ b/packages/core/tests/test_drain.py
@@ -1,4 +1,4 @@
-"""Tests the stages of the graceful stop under a virtual clock."""
+"""Tests of the stages of the graceful stop under a virtual clock."""
 
 from types import SimpleNamespace
 
--- a/packages/core/tests/test_failover.py
+++ b/packages/core/tests/test_failover.py
@@ -1,4 +1,4 @@
-"""Tests failover: appointment, promotion after failures and resumption."""
+"""Tests of failover: appointment, promotion after failures and resumption."""
 
 import pytest
 from fake_group import Endpoint, Group
--- a/packages/core/tests/test_gaps.py
+++ b/packages/core/tests/test_gaps.py
@@ -1,4 +1,4 @@
-"""Measures the write gaps of failover and handover and counts wrong promotions.
+"""Tests of the write gaps of failover and handover, and of wrong promotions.
 
 One-way delays are those of the design: 3.5 ms between data centres, 12 ms between
 regions. A gap is measured at each daemon and ends when it knows the new primary.
--- a/packages/core/tests/test_handover.py
+++ b/packages/core/tests/test_handover.py
@@ -1,4 +1,4 @@
-"""Tests planned handovers and draining of endpoints."""
+"""Tests of planned handovers and draining of endpoints."""
 
 from test_failover import has_agreed_primary, primaries_by_term, start_group
 
--- a/packages/core/tests/test_interleavings.py
+++ b/packages/core/tests/test_interleavings.py
@@ -1,4 +1,4 @@
-"""Tests the guarantees of the data path under interleavings of faults."""
+"""Tests of the guarantees of the data path under interleavings of faults."""
 
 import json
 from collections import Counter
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -1,4 +1,4 @@
-"""Tests membership: incarnations, leases, relays and scoped topology updates."""
+"""Tests of membership: incarnations, leases, relays and scoped topology updates."""
 
 from dataclasses import replace
 
@@ -122,8 +122,8 @@
     group.changes.clear()
     group.endpoints["c0"].up = False
     group.run(2.0)
-    told = {name for _, name, event in group.changes if event.member}
-    assert told == {"vm0", "vm1", "vm2", "vm3", "vm5"}
+    notified = {name for _, name, event in group.changes if event.member}
+    assert notified == {"vm0", "vm1", "vm2", "vm3", "vm5"}
     templates = group.nodes["vm4"].blackboard.configuration.templates
     assert list(templates) == ["toile"]
 
--- a/packages/core/tests/test_pools.py
+++ b/packages/core/tests/test_pools.py
@@ -214,7 +214,7 @@
 
 
 def test_a_connection_with_a_pending_answer_is_not_reused():
-    """Guards against a late answer that is taken for that of the next request."""
+    """Guards against a late answer that is matched to the next request."""
     world = World(call_timeout=0.1)
     world.fault = lambda m, call: arrive_late if call.ticket == 1 else None
     world.ask("post", "x", seconds=0.5)
--- a/packages/core/tests/test_replication.py
+++ b/packages/core/tests/test_replication.py
@@ -48,7 +48,7 @@
 
 
 def test_a_diverging_tail_is_replaced():
-    """Guards against a follower that keeps entries nobody committed."""
+    """Guards against a follower that keeps uncommitted entries."""
     cluster = Cluster(3)
     old = cluster.elect()
     cluster.cut = {old.name}
--- a/packages/core/tests/test_requests.py
+++ b/packages/core/tests/test_requests.py
@@ -1,4 +1,4 @@
-"""Tests the life cycle of requests and their outcomes."""
+"""Tests of the life cycle of requests and their outcomes."""
 
 import json
 
--- a/packages/core/tests/test_routing.py
+++ b/packages/core/tests/test_routing.py
@@ -28,7 +28,12 @@
     database.history.add_term(1, 0)
     for member, centre in DATA_CENTRES.items():
         database.members[member] = Member(
-            member, name, member, centre, position=Position(1, offset), last_heard=NOW
+            member,
+            name,
+            member,
+            centre,
+            position=Position(1, offset),
+            last_contact_at=NOW,
         )
     return database
 
@@ -51,7 +56,7 @@
     assert read(make_database(), data_centre="faro").members == ("c", "b")
 
 
-@pytest.mark.parametrize("change", [{"leaving": True}, {"last_heard": NOW - 1.1}])
+@pytest.mark.parametrize("change", [{"leaving": True}, {"last_contact_at": NOW - 1.1}])
 def test_a_leaving_or_expired_member_gets_no_work(change):
     """Guards against new work for a member that leaves or whose lease expired."""
     database = make_database()
--- a/packages/core/tests/test_sessions.py
+++ b/packages/core/tests/test_sessions.py
@@ -1,4 +1,4 @@
-"""Tests session tokens: authenticity, key rotation and merging."""
+"""Tests of session tokens: authenticity, key rotation and merging."""
 
 from random import Random
 
@@ -101,7 +101,7 @@
 
 
 def test_keys_change_at_run_time_and_the_development_key_is_reported():
-    """Guards against a silent insecure key and keys that need a restart."""
+    """Guards against an unreported insecure key and keys that need a restart."""
     node = make_node(NodeSettings("vm-1", "lisbon"), Random(1))
     logs = [a for a in node.handle(0.0, Tick()) if isinstance(a, EmitLog)]
     assert [log.event for log in logs] == ["insecure_token_key"]
--- a/packages/core/tests/test_settings_schema.py
+++ b/packages/core/tests/test_settings_schema.py
@@ -1,4 +1,4 @@
-"""Tests the daemon's settings file: units, defaults and problems."""
+"""Tests of the daemon's settings file: units, defaults and problems."""
 
 import pytest
 
--- a/packages/core/tests/test_state.py
+++ b/packages/core/tests/test_state.py
@@ -1,4 +1,4 @@
-"""Tests the replicated state machine: compare-and-set, change ids and snapshots."""
+"""Tests of the replicated state machine: compare-and-set, change ids and snapshots."""
 
 import json
 
--- a/packages/core/tests/test_statements.py
+++ b/packages/core/tests/test_statements.py
@@ -1,4 +1,4 @@
-"""Tests the classification of statements as reads and writes."""
+"""Tests of the classification of statements as reads and writes."""
 
 import pytest
 
--- a/packages/core/tests/test_status.py
+++ b/packages/core/tests/test_status.py
@@ -1,4 +1,4 @@
-"""Tests the status for operators: overall level, problems and next steps."""
+"""Tests of the status for operators: overall level, problems and next steps."""
 
 import json
 
--- a/packages/core/tests/test_suspicion.py
+++ b/packages/core/tests/test_suspicion.py
@@ -1,4 +1,4 @@
-"""Tests when evidence confirms that a primary failed."""
+"""Tests of the evidence that confirms the failure of a primary."""
 
 import pytest
 from test_failover import has_agreed_primary, start_group
--- a/packages/core/tests/test_templates.py
+++ b/packages/core/tests/test_templates.py
@@ -1,4 +1,4 @@
-"""Tests templates: problems, defaults, units and differences."""
+"""Tests of templates: problems, defaults, units and differences."""
 
 import pytest
 
--- a/packages/core/tests/test_transactions.py
+++ b/packages/core/tests/test_transactions.py
@@ -1,4 +1,4 @@
-"""Tests transactions and their pinned connections."""
+"""Tests of transactions and their pinned connections."""
 
 import json
 
--- a/packages/daemon/src/bronzemoor_daemon/server.py
+++ b/packages/daemon/src/bronzemoor_daemon/server.py
@@ -298,7 +298,7 @@
 class LazyTlsAdapter(Adapter):
     """Wraps accepted sockets and leaves the handshake to the first read.
 
-    A handshake in the accepting thread would let one silent client block all others.
+    A handshake in the accepting thread would let an unresponsive client block others.
     """
 
     def __init__(self, context: ContextSource) -> None:
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -379,7 +379,7 @@
         """Records position samples of other proxies.
 
         Ages refer to the time at which the leader sent the message. That was after
-        ``sent_at``, so a sample is never taken for newer than it is.
+        ``sent_at``, so a sample never appears newer than it is.
         """
         for sample in message.samples:
             group = self._groups.get(sample.group)
--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -24,7 +24,7 @@
 PROBE_INTERVAL_SECONDS = 0.1  # while the primary is suspected
 # Limit for the successor in a handover to catch up.
 CATCH_UP_TIMEOUT_SECONDS = 1.5
-# Delay before a handover that was put off is attempted again.
+# Delay before a postponed handover is attempted again.
 HANDOVER_RETRY_SECONDS = 1.5
 # How long a primary must be overloaded before it is relieved.
 RELIEF_AFTER_SECONDS = 0.5
--- a/packages/daemon/tests/test_admin.py
+++ b/packages/daemon/tests/test_admin.py
@@ -1,4 +1,4 @@
-"""The administration interface over HTTP, with the real core."""
+"""Tests of the administration interface over HTTP, with the real core."""
 
 import time
 from base64 import b64encode
--- a/packages/daemon/tests/test_application.py
+++ b/packages/daemon/tests/test_application.py
@@ -1,4 +1,4 @@
-"""A complete daemon with the real core and a stand-in group."""
+"""Tests of a complete daemon with the real core and a stand-in group."""
 
 import threading
 import time
@@ -95,7 +95,7 @@
 
 
 def test_an_open_transaction_is_rolled_back_by_a_stop(serving, client, body):
-    """Guards against a stop that waits for ever or reports success after a rollback."""
+    """Guards against a stop that never ends or reports success after a rollback."""
     begun = begin(client, body)
     started = time.monotonic()
     statuses = []
--- a/packages/daemon/tests/test_command.py
+++ b/packages/daemon/tests/test_command.py
@@ -1,4 +1,4 @@
-"""Command line, settings files, signals and TLS of the whole process."""
+"""Tests of the process: command line, settings files, signals and TLS."""
 
 import json
 import os
@@ -185,7 +185,9 @@
 def test_silent_tls_clients_do_not_block_others(tmp_path, settings):
     """Guards against a handshake that blocks the accepting thread."""
     certificates, application, context = start_with_tls(tmp_path, settings)
-    silent = [socket.create_connection(application.http_address) for _ in range(20)]
+    idle_connections = [
+        socket.create_connection(application.http_address) for _ in range(20)
+    ]
     try:
         started = time.monotonic()
         client = HTTPSConnection(*application.http_address, timeout=5, context=context)
@@ -193,6 +195,6 @@
         assert client.getresponse().status == 200
         assert time.monotonic() - started < 2
     finally:
-        for connection in silent:
+        for connection in idle_connections:
             connection.close()
         application.kill()
--- a/packages/daemon/tests/test_demo.py
+++ b/packages/daemon/tests/test_demo.py
@@ -1,4 +1,4 @@
-"""Runs the demo as an integration test of all parts, and tests its checks."""
+"""Tests of the demo as an integration of all parts, and of its checks."""
 
 import pytest
 
--- a/packages/daemon/tests/test_driver.py
+++ b/packages/daemon/tests/test_driver.py
@@ -1,4 +1,4 @@
-"""The driver: its lock, the mailboxes of requests and exceptions in the core."""
+"""Tests of the driver: its lock, the mailboxes of requests, exceptions in the core."""
 
 import time
 from queue import SimpleQueue
@@ -147,7 +147,7 @@
 
 
 def test_a_request_without_a_reply_releases_the_thread(monkeypatch):
-    """Guards against a thread that waits for ever."""
+    """Guards against a thread that waits forever."""
     monkeypatch.setattr("bronzemoor_daemon.driver.REPLY_MARGIN_SECONDS", 0.0)
     monkeypatch.setattr("bronzemoor_daemon.driver.ADMIN_TIMEOUT_SECONDS", 0.05)
     driver = make_driver({})
--- a/packages/daemon/tests/test_http.py
+++ b/packages/daemon/tests/test_http.py
@@ -1,4 +1,4 @@
-"""HTTP requests from the client to the endpoint and back, and their parsing."""
+"""Tests of HTTP requests to the endpoint and back, and of their parsing."""
 
 import json
 
@@ -30,7 +30,7 @@
 def test_payload_reaches_the_client_unchanged(
     pass_through_app, endpoint, connect, body
 ):
-    """Guards against a result that is decoded, reordered or re-encoded on the way."""
+    """Guards against a result that is decoded, reordered or re-encoded in transit."""
     endpoint.payload = b'[{"columns": ["a"], "rows": [[1.0]], "row_count": 1}]'
     client = connect(pass_through_app)
     for _ in range(3):
--- a/packages/daemon/tests/test_server.py
+++ b/packages/daemon/tests/test_server.py
@@ -1,4 +1,4 @@
-"""Client connections: size limits, slow clients, disconnects, listener close."""
+"""Tests of client connections: limits, slow clients, disconnects, listener close."""
 
 import contextlib
 import json
@@ -78,7 +78,7 @@
 
 
 def test_an_incomplete_body_is_answered_after_the_read_timeout(start, settings):
-    """Guards against a slow sender that holds a thread for ever."""
+    """Guards against a slow sender that occupies a thread forever."""
     settings.listen.read_timeout = 0.2
     application = start(None, settings)
     started = time.monotonic()
--- a/packages/daemon/tests/test_storagethread.py
+++ b/packages/daemon/tests/test_storagethread.py
@@ -1,4 +1,4 @@
-"""Tests that writes of the log run in order and report their syncs."""
+"""Tests of the storage thread: writes run in order and report their syncs."""
 
 import time
 from threading import Event, Timer
--- a/packages/standin/src/bronzemoor_standin/ledger.py
+++ b/packages/standin/src/bronzemoor_standin/ledger.py
@@ -69,7 +69,7 @@
         self.state = ReplicationState(name, members)
         self.committed = Database(retention)
         self.schema: list[Sql] = []
-        self.heard_at = float("-inf")
+        self.last_contact_at = float("-inf")
         # Earliest send time of a replication round that can answer a waiting lookup.
         self.round_wanted_at = float("-inf")
         self._journal = journal
@@ -270,7 +270,7 @@
         with self.lock:
             refusal = self.state.follow(term, primary, start_offset, members)
             if refusal is None:
-                self.heard_at = time.monotonic()
+                self.last_contact_at = time.monotonic()
             self._persist()
             self.applier.rebuild_if_truncated()
             self._role_changed()
@@ -299,7 +299,7 @@
             answer = self.state.replicate(batch)
             self._persist()
             if answer.term == batch.term:
-                self.heard_at = time.monotonic()
+                self.last_contact_at = time.monotonic()
             self.applier.rebuild_if_truncated()
             if batch.entries and answer.accepted:
                 self.applier.record_arrival(answer.offset)
--- a/packages/standin/src/bronzemoor_standin/member.py
+++ b/packages/standin/src/bronzemoor_standin/member.py
@@ -271,15 +271,15 @@
             }
 
     def unreachable(self) -> set[str]:
-        """Members that have been silent for longer than the peer timeout."""
+        """Members without contact for longer than the peer timeout."""
         state = self.ledger.state
         if state.role == PRIMARY:
             return {name for name, r in self._replicators.items() if r.unreachable}
-        silent = time.monotonic() - self.ledger.heard_at
+        since_contact = time.monotonic() - self.ledger.last_contact_at
         if (
             state.role == REPLICA
             and state.primary
-            and silent > self.settings.peer_timeout_ms / 1000
+            and since_contact > self.settings.peer_timeout_ms / 1000
         ):
             return {state.primary}
         return set()
--- a/packages/standin/src/bronzemoor_standin/peers.py
+++ b/packages/standin/src/bronzemoor_standin/peers.py
@@ -42,8 +42,8 @@
     @property
     def unreachable(self) -> bool:
         """Whether the peer has not answered for longer than the peer timeout."""
-        silent = time.monotonic() - self._answered_at
-        return silent > self._member.settings.peer_timeout_ms / 1000
+        since_answer = time.monotonic() - self._answered_at
+        return since_answer > self._member.settings.peer_timeout_ms / 1000
 
     def _run(self) -> None:
         member = self._member
--- a/packages/standin/tests/test_group.py
+++ b/packages/standin/tests/test_group.py
@@ -1,4 +1,4 @@
-"""Random faults and failovers of a group, verified by the history checkers."""
+"""Tests of a group under random faults and failovers, with the history checkers."""
 
 import os
 import random
--- a/tests/adapter/test_leader.py
+++ b/tests/adapter/test_leader.py
@@ -1,4 +1,4 @@
-"""Tests the control leader's decisions and announcements on a whole system."""
+"""Tests of the control leader's decisions and announcements on a whole system."""
 
 import asyncio
 
--- a/tests/adapter/test_memberhealth.py
+++ b/tests/adapter/test_memberhealth.py
@@ -1,4 +1,4 @@
-"""Tests the backoff for overloaded and lagging members."""
+"""Tests of the backoff for overloaded and lagging members."""
 
 import pytest
 
--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -1,4 +1,4 @@
-"""Tests the member connections that proxies share through relayed channels."""
+"""Tests of the member connections that proxies share through relayed channels."""
 
 import asyncio
 
@@ -86,8 +86,8 @@
     """Guards against a write that runs outside its transaction.
 
     An owner refused a BEGIN, learned of the new primary and then forwarded the write
-    that followed. The write was committed on its own although the client had been told
-    that nothing was kept.
+    that followed. The write was committed on its own although the client had
+    received an error code that guarantees no effect.
     """
     is_primary, sent, replies = [False, True, True], [], []
 
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -1,4 +1,4 @@
-"""Tests the decoding of protocol lines, documents, settings and announcements."""
+"""Tests of the decoding of protocol lines, documents, settings and announcements."""
 
 import json
 
@@ -38,7 +38,7 @@
     ],
 )
 def test_statements_keep_their_text(text, kind):
-    """Guards against statements that are altered on the way to the member."""
+    """Guards against statements that are altered before they reach the member."""
     request = LINES.decode_request(b"QUERY 5c0e " + text)
     assert isinstance(request, QueryRequest)
     assert (request.query_id, request.statement.kind) == (b"5c0e", kind)
@@ -88,7 +88,7 @@
 
 
 def test_invalid_announcements_are_ignored():
-    """Guards against malformed announcements that are taken for members."""
+    """Guards against malformed announcements that are accepted as members."""
     body = {
         "service": "s",
         "address": "10.0.0.1:80",
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -282,7 +282,7 @@
 
 
 def test_a_new_session_is_not_closed_for_lack_of_a_lease(tmp_path):
-    """Guards against closing a session while its first statement is on the way.
+    """Guards against closing a session while its first statement is in transit.
 
     Proxies without a connection to the control group still received clients, and closed
     each new session before its first statement arrived.
