--- a/packages/core/src/bronzemoor_core/routing.py
+++ b/packages/core/src/bronzemoor_core/routing.py
@@ -92,7 +92,7 @@
     proved: bool = True
 
 
-NOWHERE = Route(())
+NO_ROUTE = Route(())
 
 
 def surviving_position(history: TermHistory, position: Position) -> Position:
@@ -103,7 +103,9 @@
     if history.survives(position):
         return position
     start, term = min(
-        (start, term) for term, start in history.starts.items() if term > position.term
+        (start, term)
+        for term, start in history.start_offsets.items()
+        if term > position.term
     )
     return Position(term, start)
 
@@ -116,7 +118,7 @@
     """
     if member.leaving:
         return False
-    return member.source != "announcement" or now - member.last_heard <= lease
+    return member.source != "announcement" or now - member.last_contact_at <= lease
 
 
 def expected_delay(member: Member, link: MemberLink, settings: Any) -> float:
@@ -156,11 +158,11 @@
     def primary_route(
         self, now: float, database: Database, position: Position = ZERO
     ) -> Route:
-        """Returns the route of a write, ``NOWHERE`` if no primary is serving."""
+        """Returns the route of a write, ``NO_ROUTE`` if no primary is serving."""
         member = database.members.get(database.primary)
         lease = self._settings.timers.announcement_lease
         if member is None or not is_serving(member, now, lease):
-            return NOWHERE
+            return NO_ROUTE
         wait_ms = max(1, round(self._settings.data_path.catch_up_wait * 1_000))
         return Route(
             (member.name,), surviving_position(database.history, position), wait_ms
@@ -184,7 +186,7 @@
         minimum = surviving_position(database.history, position)
         proved = True
         if max_age is not None:
-            # The data ages on the way and while the member waits before it reads.
+            # The data ages in transit and while the member waits before it reads.
             age_limit = max_age - path.catch_up_wait - DEFAULT_REMOTE_DELAY_SECONDS
             sample = position_for_age(database, now, age_limit)
             proved = sample is not None
@@ -201,7 +203,7 @@
                 return Route(names, minimum, wait_ms)
         primary = self.primary_route(now, database)
         if not primary.members:
-            return NOWHERE
+            return NO_ROUTE
         fallback = len(database.members) > 1
         return Route(primary.members, minimum, wait_ms, fallback, proved)
 
@@ -238,7 +240,7 @@
             group.append(
                 Candidate(
                     name,
-                    link.running,
+                    link.slots_in_use,
                     expected_delay(member, link, settings),
                     member.data_centre != local_data_centre,
                     catch_up,
--- a/packages/core/tests/test_consensus.py
+++ b/packages/core/tests/test_consensus.py
@@ -38,7 +38,7 @@
 
 
 def test_three_members_elect_one_leader_and_apply_in_the_same_order():
-    """Guards against a group that elects nobody or applies in different orders."""
+    """Guards against a group that elects no leader or applies in different orders."""
     cluster = Cluster(3)
     leader = cluster.elect()
     for n in range(50):
@@ -155,7 +155,7 @@
         delay=st.sampled_from([0.002, 0.02, 0.08]),
         sync=st.sampled_from([0.001, 0.03, 0.09]),
     )
-    def set_weather(self, loss, duplication, delay, sync):
+    def set_network_faults(self, loss, duplication, delay, sync):
         cluster = self.cluster
         cluster.loss, cluster.duplication = loss, duplication
         cluster.delay, cluster.sync_delay = delay, sync
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -1,9 +1,9 @@
-"""Tests membership: incarnations, leases, relays and scoped topology updates."""
+"""Tests of membership: incarnations, leases, relays and scoped topology updates."""
 
 from dataclasses import replace
 
 from fake_group import ControlPlaneNode, Endpoint
-from test_failover import make_group, settled
+from test_failover import has_agreed_primary, make_group
 from test_templates import BODY
 
 from bronzemoor_core.actions import EmitLog, EmitMetric
@@ -122,8 +122,8 @@
     group.changes.clear()
     group.endpoints["c0"].up = False
     group.run(2.0)
-    told = {name for _, name, event in group.changes if event.member}
-    assert told == {"vm0", "vm1", "vm2", "vm3", "vm5"}
+    notified = {name for _, name, event in group.changes if event.member}
+    assert notified == {"vm0", "vm1", "vm2", "vm3", "vm5"}
     templates = group.nodes["vm4"].blackboard.configuration.templates
     assert list(templates) == ["toile"]
 
@@ -170,7 +170,7 @@
     because the repair of a lost update is also lost (seed 129: 6.5 s)."""
     for seed in range(120, 160):
         group = make_group(seed=seed, loss=0.05, spread=5.0)
-        assert group.run(3.0, lambda group=group: settled(group)), seed
+        assert group.run(3.0, lambda group=group: has_agreed_primary(group)), seed
 
 
 def test_lost_member_is_removed_at_every_daemon():
--- a/packages/core/tests/test_replication.py
+++ b/packages/core/tests/test_replication.py
@@ -4,7 +4,7 @@
 
 from bronzemoor_core.journal import BATCH_ENTRIES
 from bronzemoor_core.messages import AppendEntries
-from bronzemoor_core.proposals import PROPOSAL_TIMEOUT
+from bronzemoor_core.proposals import PROPOSAL_TIMEOUT_SECONDS
 from bronzemoor_core.replication import MAX_IN_FLIGHT
 
 
@@ -48,13 +48,13 @@
 
 
 def test_a_diverging_tail_is_replaced():
-    """Guards against a follower that keeps entries nobody committed."""
+    """Guards against a follower that keeps uncommitted entries."""
     cluster = Cluster(3)
     old = cluster.elect()
     cluster.cut = {old.name}
     for n in range(5):
         cluster.propose(old, n)
-    cluster.run(PROPOSAL_TIMEOUT + 0.1)  # The old leader must not retry.
+    cluster.run(PROPOSAL_TIMEOUT_SECONDS + 0.1)  # The old leader must not retry.
     new = cluster.leader()
     for n in range(10, 13):
         cluster.propose(new, n)
