Rename the last short names to say what they do

Some functions and handlers had names such as rank, lead, finish, move or held that did not tell their act.

--- a/packages/core/src/bronzemoor_core/allocation.py
+++ b/packages/core/src/bronzemoor_core/allocation.py
@@ -35,7 +35,7 @@
 
     grants: deque[Grant] = field(default_factory=deque)
     share: int = 0
-    held: int = 0
+    held_connections: int = 0
     wanted: float = 0.0
     report_expires_at: float = 0.0
 
@@ -46,7 +46,11 @@
         what the process reported, which another leader may have granted.
         """
         live = [item.connections for item in self.grants if item.expires_at > now]
-        reported = max(self.share, self.held) if self.report_expires_at > now else 0
+        reported = (
+            max(self.share, self.held_connections)
+            if self.report_expires_at > now
+            else 0
+        )
         return max(live, default=0) if not reported else max([reported, *live])
 
     def is_expired(self, now: float) -> bool:
@@ -198,7 +202,7 @@
         key = (sender, heartbeat.incarnation)
         known = key in entry.allocations
         allocation = entry.allocations.setdefault(key, Allocation())
-        allocation.share, allocation.held = demand.share, demand.held
+        allocation.share, allocation.held_connections = demand.share, demand.held
         allocation.report_expires_at = now + self.lease
         weight = DEMAND_WEIGHT if known else 1.0
         allocation.wanted += weight * (demand.wanted - allocation.wanted)
--- a/packages/core/src/bronzemoor_core/connections.py
+++ b/packages/core/src/bronzemoor_core/connections.py
@@ -146,7 +146,7 @@
         del self.connections[connection.number]
         self._count(connection, -1)
 
-    def move(self, connection: Connection, state: ConnectionState) -> None:
+    def change_state(self, connection: Connection, state: ConnectionState) -> None:
         """Changes the state of a connection and the counts by state."""
         self._count(connection, -1)
         connection.state = state
@@ -169,7 +169,7 @@
         self.by_ticket: dict[int, int] = {}
 
     @property
-    def held(self) -> dict[str, int]:
+    def totals_by_database(self) -> dict[str, int]:
         """Connections that count against the share, by database."""
         return {name: pool.total for name, pool in self.databases.items()}
 
--- a/packages/core/src/bronzemoor_core/consensus.py
+++ b/packages/core/src/bronzemoor_core/consensus.py
@@ -247,7 +247,7 @@
     @handles(CommandApplied)
     def on_applied(self, now: float, event: CommandApplied) -> list[Any]:
         if isinstance(event.origin, ProposalRef):
-            self._proposals.finish(event.origin.proposal_id, event.result)
+            self._proposals.answer_with_result(event.origin.proposal_id, event.result)
         return self._finish(now)
 
     @handles(SnapshotReady)
@@ -276,7 +276,7 @@
     def _read_ready(self, now: float, read: Read) -> None:
         if read.command.get("type") == MEMBERS:
             members = self._reconfiguration.describe(now)
-            self._proposals.finish(read.origin.proposal_id, members)
+            self._proposals.answer_with_result(read.origin.proposal_id, members)
         else:
             self._replica.outbox.append(QueryReady(read.command, read.origin))
 
@@ -286,7 +286,7 @@
         """Appends a first entry, since those of older terms commit only with it."""
         replica = self._replica
         self._was_leader = True
-        self._replication.lead(now)
+        self._replication.start_leader_term(now)
         if replica.group.started:
             replica.propose({"type": "control.noop"})
         else:
@@ -335,7 +335,7 @@
     def _apply_control(self, proposal_id: str, command: dict[str, Any]) -> None:
         replica = self._replica
         if proposal_id:
-            self._proposals.finish(proposal_id, command)
+            self._proposals.answer_with_result(proposal_id, command)
         if command["type"] != "control.noop":
             replica.emit_log(
                 "info", "group_changed", kind=command["type"], member=command["member"]
--- a/packages/core/src/bronzemoor_core/distribution.py
+++ b/packages/core/src/bronzemoor_core/distribution.py
@@ -105,7 +105,7 @@
         return out
 
     @handles(LeadershipChanged)
-    def lead(self, now: float, event: LeadershipChanged) -> None:
+    def on_leadership_changed(self, now: float, event: LeadershipChanged) -> None:
         if not event.is_leader:
             self._section.confirmations.clear()
 
--- a/packages/core/src/bronzemoor_core/failover.py
+++ b/packages/core/src/bronzemoor_core/failover.py
@@ -150,7 +150,7 @@
     # --- the leader
 
     @handles(LeadershipChanged)
-    def lead(self, now: float, event: LeadershipChanged) -> None:
+    def on_leadership_changed(self, now: float, event: LeadershipChanged) -> None:
         self._promoter.clear()
         self._section.investigations.clear()
         self._surveys.clear()
@@ -313,7 +313,7 @@
         self._promoter.clear_proposal(record.name)
         if record.plan is not None:
             return self._advance_promotion(now, record.name)
-        promotion = self._promoter.finish(record.name)
+        promotion = self._promoter.remove_promotion(record.name)
         if promotion is None:
             return None
         self._failover_times.setdefault(record.name, []).append(now)
--- a/packages/core/src/bronzemoor_core/grants.py
+++ b/packages/core/src/bronzemoor_core/grants.py
@@ -27,7 +27,7 @@
     groups = [_RequestGroup(members, group) for members, group in queue.groups.items()]
     waiting = [group for group in groups if group.advance(pools)]
     while waiting:
-        group = min(waiting, key=_RequestGroup.head)
+        group = min(waiting, key=_RequestGroup.next_entry)
         members = [m for m in group.members if _has_slot(database, pool, m)]
         member = next((m for m in members if idle.get(m)), None)
         if member is None:
@@ -36,7 +36,7 @@
                 reachable = (m for m in members if not pool.link(m).unreachable)
                 unserved[next(reachable, members[0])] += group.remaining
             continue
-        ticket = group.head().wanted.ticket
+        ticket = group.next_entry().wanted.ticket
         connection = idle[member].pop()
         _assign(now, pools, pool, connection, ticket)
         grants.append(ConnectionGranted(ticket, connection.number, member))
@@ -64,14 +64,14 @@
     def remaining(self) -> int:
         return len(self._entries) - self._index
 
-    def head(self) -> QueueEntry:
+    def next_entry(self) -> QueueEntry:
         return self._entries[self._index]
 
     def advance(self, pools: Pools) -> bool:
         """Skips requests with a connection; returns whether another request is left."""
         if not self.members:
             return False
-        while self.remaining and self.head().wanted.ticket in pools.by_ticket:
+        while self.remaining and self.next_entry().wanted.ticket in pools.by_ticket:
             self._index += 1
         return self.remaining > 0
 
@@ -86,7 +86,7 @@
 def _assign(
     now: float, pools: Pools, pool: DatabasePool, connection: Connection, ticket: int
 ) -> None:
-    pool.move(connection, ConnectionState.BUSY)
+    pool.change_state(connection, ConnectionState.BUSY)
     connection.ticket = ticket
     connection.executing = True
     connection.used_at = now
--- a/packages/core/src/bronzemoor_core/membership.py
+++ b/packages/core/src/bronzemoor_core/membership.py
@@ -223,7 +223,7 @@
     # --- daemons and the leader
 
     @handles(LeadershipChanged)
-    def lead(self, now: float, event: LeadershipChanged) -> None:
+    def on_leadership_changed(self, now: float, event: LeadershipChanged) -> None:
         self._section.leader = event.leader
         if event.is_leader and not self._section.is_leader:
             self._section.leader_since = now
--- a/packages/core/src/bronzemoor_core/pools.py
+++ b/packages/core/src/bronzemoor_core/pools.py
@@ -76,7 +76,7 @@
             reason = answer.code or f"connected to another member: {answer.member}"
             return self._opening_failed(now, connection, reason, answered=True)
         pool = self._pool(connection.database)
-        pool.move(connection, ConnectionState.WARM)
+        pool.change_state(connection, ConnectionState.WARM)
         connection.answered_at = connection.last_probe_at = connection.used_at = now
         items = self._prober.on_fresh_connection(now, pool, connection)
         position = Position(answer.term, answer.offset)
@@ -120,7 +120,7 @@
             self._prober.record_behind(now, pool, connection.member)
         self._detach(pool, connection)
         if event.clean:
-            pool.move(connection, ConnectionState.WARM)
+            pool.change_state(connection, ConnectionState.WARM)
             connection.answered_at = connection.last_probe_at = connection.used_at = now
             items = self._close_excess(now, pool)
         else:
@@ -328,7 +328,7 @@
     def _close(self, now: float, connection: Connection, reason: str) -> object:
         pool = self._pool(connection.database)
         self._detach(pool, connection)
-        pool.move(connection, ConnectionState.CLOSING)
+        pool.change_state(connection, ConnectionState.CLOSING)
         connection.probe = None
         connection.closing_since = now
         return CloseConnection(connection.number, reason)
--- a/packages/core/src/bronzemoor_core/probes.py
+++ b/packages/core/src/bronzemoor_core/probes.py
@@ -81,7 +81,7 @@
         if reason:
             return [EmitMetric("counter", f"answers.discarded.{reason}")], False
         connection.probe = None
-        pool.move(connection, ConnectionState.WARM)
+        pool.change_state(connection, ConnectionState.WARM)
         pool.link(connection.member).observe_delay((now - event.sent_at) / 2)
         observed = observed_position(connection, event)
         return [observed], answer.status == "ok"
@@ -127,7 +127,7 @@
         for connection in older:
             connection.outdated = True
             if connection.state is ConnectionState.WARM:
-                pool.move(connection, ConnectionState.SUSPECT)
+                pool.change_state(connection, ConnectionState.SUSPECT)
         if not older:
             return []
         fields = {"database": pool.name, "peer": fresh.member, "older": len(older)}
@@ -187,7 +187,7 @@
             link.next_slow_check_at = now + SLOW_CHECK_INTERVAL_SECONDS
             for connection in pool.of_member(member):
                 if connection.idle and connection.answered_at < cutoff:
-                    pool.move(connection, ConnectionState.SUSPECT)
+                    pool.change_state(connection, ConnectionState.SUSPECT)
                     items.append(self._probe(now, connection))
         return items
 
--- a/packages/core/src/bronzemoor_core/promotion.py
+++ b/packages/core/src/bronzemoor_core/promotion.py
@@ -110,7 +110,7 @@
         """Allows the next proposal on a database without delay."""
         self._proposals.pop(database, None)
 
-    def finish(self, database: str) -> Promotion | None:
+    def remove_promotion(self, database: str) -> Promotion | None:
         """Removes a completed promotion and returns its progress."""
         self.clear_proposal(database)
         return self._promotions.pop(database, None)
--- a/packages/core/src/bronzemoor_core/proposals.py
+++ b/packages/core/src/bronzemoor_core/proposals.py
@@ -140,7 +140,7 @@
         elif pending.attempt == proposal.attempt:
             self._on_refused(now, proposal.base, pending, message.code, message.message)
 
-    def finish(self, proposal_id: str, result: dict[str, Any]) -> None:
+    def answer_with_result(self, proposal_id: str, result: dict[str, Any]) -> None:
         """Answers the proposer with what ``state`` returned.
 
         ``code`` and ``message`` of the result, if present, become those of the answer.
@@ -159,7 +159,7 @@
         """
         result = self._results.get(ProposalId(proposal_id).base)
         if result is not None:
-            self.finish(proposal_id, result)
+            self.answer_with_result(proposal_id, result)
 
     def answer(
         self, proposal_id: str, code: str, message: str, result: dict[str, Any]
--- a/packages/core/src/bronzemoor_core/replication.py
+++ b/packages/core/src/bronzemoor_core/replication.py
@@ -57,7 +57,7 @@
     def round_id(self) -> int:
         return self._round_id
 
-    def lead(self, now: float) -> None:
+    def start_leader_term(self, now: float) -> None:
         """Resets what is known of the peers at the start of a leader's term."""
         self.progress.clear()
         self._round_started.clear()
--- a/packages/core/src/bronzemoor_core/wire/placement.py
+++ b/packages/core/src/bronzemoor_core/wire/placement.py
@@ -60,7 +60,7 @@
     return required
 
 
-def rank(now: float, candidates: list[C]) -> list[C]:
+def sort_by_expected_delay(now: float, candidates: list[C]) -> list[C]:
     """Sorts members by expected delay; leaving and then failing ones come last."""
 
     def cost(item: C) -> tuple[bool, bool, float]:
--- a/packages/core/src/bronzemoor_core/wire/succession.py
+++ b/packages/core/src/bronzemoor_core/wire/succession.py
@@ -99,7 +99,7 @@
     return refused > 0 and refused >= MIN_REFUSED_SHARE * len(fresh)
 
 
-def brings_relief(lags: list[float]) -> bool:
+def should_replace_overloaded_primary(lags: list[float]) -> bool:
     """Returns whether an overloaded primary should be replaced by a replica.
 
     This holds if every replica that answers lags too much to serve reads; ``lags`` are
--- a/packages/core/tests/test_limits.py
+++ b/packages/core/tests/test_limits.py
@@ -109,7 +109,7 @@
             member = Member("m1", name, "a", "lisbon", connections=limit)
             database.members["m1"] = member
 
-    def want(self, name, count, database="claims"):
+    def set_demand(self, name, count, database="claims"):
         self.machines[name].load[database].entries = [None] * count
 
     def total(self, database="claims"):
@@ -128,12 +128,12 @@
 def test_shares_follow_demand_with_a_floor():
     """Guards against a daemon without any connection while others hold many."""
     cluster = make_cluster()
-    cluster.want("vm-2", 30)
+    cluster.set_demand("vm-2", 30)
     cluster.run(1.0)
     assert cluster.total() <= 20 and cluster.shares()[1] > 10
     assert min(cluster.shares()) >= 1
-    cluster.want("vm-2", 0)
-    cluster.want("vm-3", 30)
+    cluster.set_demand("vm-2", 0)
+    cluster.set_demand("vm-3", 30)
     cluster.run(3.0)
     assert cluster.shares()[2] > 10 and cluster.total() == 20
 
@@ -142,11 +142,11 @@
     """Guards against flapping shares, which make pools open and close connections."""
     cluster = make_cluster()
     for name in NAMES:
-        cluster.want(name, 10)
+        cluster.set_demand(name, 10)
     cluster.run(3.0)
     before = cluster.shares()
     for step in range(20):
-        cluster.want(NAMES[step % 4], 10 + step % 2)
+        cluster.set_demand(NAMES[step % 4], 10 + step % 2)
         cluster.run(0.2)
         assert cluster.shares() == before
 
@@ -161,11 +161,11 @@
 def test_an_organisations_connections_move_between_its_databases():
     """Guards against one database that holds all connections of an organisation."""
     cluster = make_cluster(databases=("claims", "flights"), cap=10)
-    cluster.want("vm-1", 30)
+    cluster.set_demand("vm-1", 30)
     cluster.run(2.0)
     assert cluster.total("claims") >= 8
-    cluster.want("vm-1", 0)
-    cluster.want("vm-2", 30, "flights")
+    cluster.set_demand("vm-1", 0)
+    cluster.set_demand("vm-2", 30, "flights")
 
     def check():
         assert cluster.total("claims") + cluster.total("flights") <= 10
@@ -183,11 +183,11 @@
     cluster = make_cluster()
     cluster.delay = delay
     cluster.machines["vm-1"].rate, cluster.machines["vm-3"].rate = 1.1, 0.9
-    cluster.want("vm-3", 30)
+    cluster.set_demand("vm-3", 30)
     cluster.run(1.0)
     assert cluster.shares()[2] > 10
     setattr(cluster, fault, {"vm-3"})
-    cluster.want("vm-1", 30)
+    cluster.set_demand("vm-1", 30)
 
     def check():
         assert cluster.total() <= 20
@@ -218,7 +218,7 @@
         machine.state.templates["voo"] = [entry]
         machine.handle(StateChanged("template", "voo"))
     for name in NAMES:
-        cluster.want(name, 30)
+        cluster.set_demand(name, 30)
     cluster.run(8.0)
     assert most - 1 <= cluster.total() <= most
 
@@ -234,8 +234,8 @@
 
     cluster.delay = 0.4
     for step in range(60):
-        cluster.want(NAMES[step % 4], 60)
-        cluster.want(NAMES[(step + 1) % 4], 0)
+        cluster.set_demand(NAMES[step % 4], 60)
+        cluster.set_demand(NAMES[(step + 1) % 4], 0)
         cluster.run(0.7)
         if step % 20 == 10:
             cluster.cut = {NAMES[2]}
@@ -285,7 +285,7 @@
     for name in cluster.templates:
         leader.handle(TemplateChanged(name, 2))
     own.templates = cluster.templates
-    cluster.want("vm-2", 30)
+    cluster.set_demand("vm-2", 30)
     cluster.run(2.0)
     assert (cluster.total("claims"), cluster.total("stock")) == (5, 20)
 
@@ -293,11 +293,11 @@
 def test_a_reduced_share_is_granted_again_only_once_it_is_released():
     """Guards against granting connections that the previous holder has not closed."""
     cluster = make_cluster()
-    cluster.want("vm-2", 30)
+    cluster.set_demand("vm-2", 30)
     cluster.run(1.0)
     cluster.machines["vm-2"].load["claims"].total = 17
-    cluster.want("vm-2", 0)
-    cluster.want("vm-3", 60)
+    cluster.set_demand("vm-2", 0)
+    cluster.set_demand("vm-3", 60)
     cluster.run(4.0)
     assert cluster.shares()[1] < 17 and cluster.shares()[2] <= 3
     cluster.machines["vm-2"].load["claims"].total = 1
@@ -308,7 +308,7 @@
 def test_a_lowered_limit_takes_effect_quickly_and_is_measured():
     """Guards against a lowered limit that waits for the leases of healthy daemons."""
     cluster = make_cluster()
-    cluster.want("vm-2", 30)
+    cluster.set_demand("vm-2", 30)
     cluster.run(1.0)
     cluster.set_limit(6)
     cluster.run(0.5)
@@ -320,12 +320,12 @@
 def test_a_new_leader_raises_no_share_for_a_lease():
     """Guards against granting what the previous leader has granted to others."""
     cluster = make_cluster()
-    cluster.want("vm-3", 30)
+    cluster.set_demand("vm-3", 30)
     cluster.run(1.0)
     cluster.cut = {"vm-3"}
     cluster.machines["vm-1"].log.role = "follower"
     cluster.machines["vm-2"].lead(2)
-    cluster.want("vm-4", 30)
+    cluster.set_demand("vm-4", 30)
     before = cluster.shares()[3]
     cluster.run(2.0)
     assert cluster.shares()[3] == before
@@ -363,7 +363,7 @@
         self.cluster = make_cluster(seed=7)
         self.cluster.check = self.check
         for name in NAMES:
-            self.cluster.want(name, 40)
+            self.cluster.set_demand(name, 40)
         self.limits = [(0.0, 20)]
         self.term, self.leader, self.ends = 1, "vm-1", []
 
@@ -375,8 +375,8 @@
     def want(self, which, count):
         """Moves the demand to one daemon."""
         for name in NAMES:
-            self.cluster.want(name, 1)
-        self.cluster.want(NAMES[which], count)
+            self.cluster.set_demand(name, 1)
+        self.cluster.set_demand(NAMES[which], count)
 
     @rule(
         loss=st.sampled_from([0.0, 0.3]),
--- a/packages/core/tests/wire/test_succession.py
+++ b/packages/core/tests/wire/test_succession.py
@@ -7,10 +7,10 @@
 from bronzemoor_core.wire.succession import (
     Evidence,
     acknowledged_position,
-    brings_relief,
     choose_successor,
     is_overloaded,
     replacement_reason,
+    should_replace_overloaded_primary,
 )
 
 
@@ -98,7 +98,7 @@
 )
 def test_a_primary_is_relieved_only_if_it_is_alone(lags, relieves):
     """Guards against a change of primary that brings no more capacity."""
-    assert brings_relief(lags) is relieves
+    assert should_replace_overloaded_primary(lags) is relieves
 
 
 def test_the_successor_has_every_acknowledged_commit():
--- a/packages/daemon/src/bronzemoor_daemon/wire/groups.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/groups.py
@@ -8,7 +8,11 @@
 from bronzemoor_core.wire.deployment import PRIMARY, Route
 from bronzemoor_core.wire.freshness import PositionSamples
 from bronzemoor_core.wire.leases import HeldLease
-from bronzemoor_core.wire.placement import Target, rank, required_position
+from bronzemoor_core.wire.placement import (
+    Target,
+    required_position,
+    sort_by_expected_delay,
+)
 from bronzemoor_core.wire.sessionstate import SessionState
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.memberpool import MemberPool
@@ -147,7 +151,7 @@
             ]
         if not pools:
             return None
-        best = rank(now, pools)[0]
+        best = sort_by_expected_delay(now, pools)[0]
         if primary is not None and best is primary:
             return Target(best.member)
         assert required is not None
--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -9,10 +9,10 @@
 from bronzemoor_core.wire.statements import BUSY, CONNECTION_LIMIT, MemberStatus
 from bronzemoor_core.wire.succession import (
     acknowledged_position,
-    brings_relief,
     choose_successor,
     is_overloaded,
     replacement_reason,
+    should_replace_overloaded_primary,
 )
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.grouporders import STEP_INTERVAL_SECONDS, GroupOrders
@@ -132,7 +132,7 @@
             staying, self._leader.codec.status_text
         )
         lags = {member: status.lag for member, status in statuses.items()}
-        relieves = brings_relief(list(lags.values()))
+        relieves = should_replace_overloaded_primary(list(lags.values()))
         self._orders.report("info", "primary_overloaded", lags=lags, relieves=relieves)
         if relieves and await self._hand_over("overloaded"):
             self._last_relief_at = boottime()
