--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -19,16 +19,15 @@
 Position = tuple[int, int]
 
 
-async def http_call(
+async def http_exchange(
     address: str,
     method: str,
     path: str,
-    body: Any = None,
+    data: bytes = b"",
     timeout: float = CALL_TIMEOUT_SECONDS,
-) -> int:
-    """Sends one request; returns the status, 0 without a response in time."""
+) -> tuple[int, bytes]:
+    """Sends one request; returns status and body, status 0 without a response."""
     host, port = address.rsplit(":", 1)
-    data = b"" if body is None else json.dumps(body).encode()
     head = (
         f"{method} {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n"
         f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n"
@@ -39,14 +38,21 @@
             reader, writer = await asyncio.open_connection(host, int(port))
             writer.write(head.encode() + data)
             line = await reader.readline()
-            return int(line.split()[1])
+            _, _, body = (await reader.read()).partition(b"\r\n\r\n")
+            return int(line.split()[1]), body
     except (OSError, TimeoutError, IndexError, ValueError):
-        return 0
+        return 0, b""
     finally:
         if writer is not None:
             writer.close()
 
 
+async def http_call(address: str, method: str, path: str, body: Any = None) -> int:
+    """Sends one request with a JSON body; returns the status, 0 without a response."""
+    data = b"" if body is None else json.dumps(body).encode()
+    return (await http_exchange(address, method, path, data))[0]
+
+
 class Member:
     """One member of a group; ``log`` holds the ids of the writes of each commit."""
 
@@ -88,6 +94,15 @@
         for connection in list(self.connections):
             connection.transport.abort()
 
+    async def restart(self) -> None:
+        """Comes back with its log, as a replica if another member was promoted."""
+        newest = self.group.newest_primary()
+        if newest is not None and newest is not self:
+            self.primary = False
+        self.held_term, self.sequence = 0, 0
+        self.born = int(time.time() * 1_000)
+        await self.start()
+
     async def beat_forever(self, controls: list[str]) -> None:
         """Reports to the control daemons, to the next one after a failure."""
         index = 0
--- a/review/common/system.py
+++ b/review/common/system.py
@@ -73,7 +73,9 @@
         self._log = folder / f"{self.name}.log"
         self.process: subprocess.Popen[bytes] | None = None
 
-    def start(self) -> None:
+    def start(self, first_start: bool = True) -> None:
+        if not first_start:
+            self._file.write_text(json.dumps({**self.settings, "bootstrap": False}))
         environment = {
             name: os.environ[name] for name in ("PATH", "HOME", "LANG")
             if name in os.environ
