Review cases: commit of a foreign transaction at a stop (2), stale fences (4), renumbered

Cause: case 2, the COMMIT that is repeated after BUSY isn't protected from the rollback of a stop; case 4, a leader that wakes sends a planned promotion before it learns that it was replaced. Cases 2, 3, 4 are now 3, 4, 5: the gravest come first.

--- a/review/2/run.py
+++ b/review/2/run.py
@@ -1,9 +1,10 @@
-"""A primary is cut off from its replicas while clients are inside transactions."""
+"""A proxy is stopped as planned while its members are busy."""
 
 import asyncio
+import random
+import signal
 import sys
-import time
-from contextlib import closing
+from contextlib import closing, suppress
 from pathlib import Path
 from typing import Any
 
@@ -13,165 +14,147 @@
 from system import System, run_case  # noqa: E402
 
 SERVICE = "ledger"
-# The cut ends as another member is promoted, after this time at the latest.
-MAX_CUT_SECONDS = 5.0
-SECONDS_BEFORE = 6.0
-# When the clients begin their transactions, after the start of the cut.
-BEGIN_AFTER_SECONDS = 0.6
-# A transaction has 12 statements at most.
-STATEMENTS, PAUSE_SECONDS = 11, 0.4
-# How long the clients go on reading after their transactions.
-READ_SECONDS, READ_PAUSE_SECONDS = 10.0, 0.02
-READERS, READER_PAUSE_SECONDS = 6, 0.05
-WRITE_PAUSE_SECONDS = 0.08
-
-
-async def write_forever(system: System, number: int) -> None:
-    """A session that writes, and connects again when it is closed."""
-    count = 0
-    while True:
-        client = Client(f"w{number}", system.recorder.write)
-        with closing(client):
-            try:
-                if await client.open(system.front(number), f"primary-{SERVICE}"):
-                    while True:
-                        count += 1
-                        await client.call(f"STORE item{count} data")
-                        await asyncio.sleep(WRITE_PAUSE_SECONDS)
-            except ClientClosed:
-                pass
-        await asyncio.sleep(0.2)
-
-
-async def read_forever(system: System, number: int) -> None:
-    """A session that reads single items."""
-    client = Client(f"r{number}", system.recorder.write)
-    with closing(client):
-        await open_session(client, system)
-        while True:
-            await client.call("FETCH item")
-            await asyncio.sleep(READER_PAUSE_SECONDS)
-
-
-async def run_prepared(system: System, number: int) -> None:
-    """Prepares reads, uses them in a transaction with pauses, and then in short ones.
-
-    The statement that failed is used again in the short transactions.
-    """
-    client = Client(f"p{number}", system.recorder.write)
-    with closing(client):
-        await open_session(client, system)
-        names = [f"s{count}" for count in range(STATEMENTS)]
-        for count, name in enumerate(names):
-            await client.call(f"PREPARE {name} FETCH q{number}x{count}")
-        await asyncio.sleep(SECONDS_BEFORE + BEGIN_AFTER_SECONDS)
-        texts = [f"EXECUTE {name} item" for name in names]
-        used = await run_reads(client, "BEGIN", texts, PAUSE_SECONDS)
-        await read_on(client, ["FETCH item", texts[used - 1]])
-
-
-async def run_values(system: System, number: int) -> None:
-    """Sets a session value again and again in a transaction, and reads on after it."""
-    client = Client(f"v{number}", system.recorder.write)
-    with closing(client):
-        await open_session(client, system)
-        await client.call("SET page 0")
-        await asyncio.sleep(SECONDS_BEFORE + BEGIN_AFTER_SECONDS)
-        texts = []
-        for count in range(1, STATEMENTS // 2 + 1):
-            texts += [f"SET page {number}{count}", "FETCH item"]
-        await run_reads(client, "BEGIN", texts, PAUSE_SECONDS)
-        await read_on(client, ["FETCH item"])
-
-
-async def open_session(client: Client, system: System) -> None:
-    if not await client.open(system.front(0), f"read_your_writes-{SERVICE}"):
-        raise OSError("a client could not connect")
-
-
-async def read_on(client: Client, texts: list[str]) -> None:
-    deadline = time.monotonic() + READ_SECONDS
-    while time.monotonic() < deadline:
-        await run_reads(client, "BEGIN FETCH", texts, 0.0)
-        await asyncio.sleep(READ_PAUSE_SECONDS)
-
-
-async def run_reads(client: Client, begin: str, texts: list[str], pause: float) -> int:
-    """Runs a transaction; returns the number of statements up to an error."""
-    await client.call(begin)
-    for number, text in enumerate(texts, 1):
-        _, lines = await client.call(text)
-        if any(line.startswith("ERROR") for line in lines):
-            await client.call("ROLLBACK")
-            return number
-        await asyncio.sleep(pause)
-    await client.call("COMMIT")
-    return len(texts)
-
-
-async def cut_primary(system: System) -> None:
-    """Cuts the primary off from its replicas until another one is promoted."""
-    await asyncio.sleep(SECONDS_BEFORE)
-    group = system.groups[SERVICE]
-    primary = group.newest_primary()
-    assert primary is not None
-    primary.is_cut = True
-    system.recorder.write("primary_cut", member=primary.name, how="replicas heals")
-    for _ in range(int(MAX_CUT_SECONDS / 0.01)):
-        if group.newest_primary() is not primary:
-            break
-        await asyncio.sleep(0.01)
-    primary.is_cut = False
-    system.recorder.write("cut_healed", member=primary.name)
+# The proxy gets three connections to each member; one is for the control leader.
+MAX_CONNS = 4
+SLOTS, WORK_SECONDS = 8, 0.03
+# Times are in seconds after the SIGTERM. Others take all slots of the primary:
+BUSY_FROM, BUSY_TO = 2.85, 3.55
+# A session commits while the primary is busy, and two pause in a transaction then. They
+# use all connections. Times of their writes and of COMMIT:
+COMMITTER_TIMES = (1.5, 2.0, 2.5, 2.9)
+HOLDER_TIMES = (1.5, 2.15, 2.75, 3.9)
+# Sessions that pause after BEGIN, and write when all connections are in use.
+OTHERS, OTHERS_FROM = 20, (2.0, 2.35)
+OTHERS_PAUSE = (1.0, 1.2)
+OTHERS_WRITES, OTHERS_WRITE_PAUSE = 3, 0.3
+SECONDS_BEFORE, GRACE_SECONDS = 4.0, 6.0
+
+
+async def hold_connection(
+    system: System, name: str, stop_at: float, times: tuple[float, ...]
+) -> None:
+    """A session with a transaction that writes at all of the times but the last."""
+    client = Client(name, system.recorder.write)
+    with closing(client), suppress(ClientClosed):
+        await client.open(system.front(0), f"primary-{SERVICE}")
+        for count, after in enumerate(times):
+            await asyncio.sleep(stop_at + after - system.recorder.now)
+            if not count:
+                await client.call("BEGIN")
+            text = "COMMIT" if after == times[-1] else f"STORE item{count} data"
+            _, lines = await client.call(text)
+            if any(line.startswith("ERROR") for line in lines):
+                if text != "COMMIT":
+                    await client.call("ROLLBACK")
+                return
+
+
+async def write_while_stopping(system: System, number: int, start: float) -> None:
+    """A session that begins before idle sessions are closed, and pauses first."""
+    chance = random.Random(number)
+    client = Client(f"b{number}", system.recorder.write)
+    with closing(client), suppress(ClientClosed):
+        await client.open(system.front(0), f"primary-{SERVICE}")
+        await asyncio.sleep(start - system.recorder.now)
+        await client.call("BEGIN")
+        await asyncio.sleep(chance.uniform(*OTHERS_PAUSE))
+        for count in range(OTHERS_WRITES):
+            _, lines = await client.call(f"STORE item{count} data")
+            if any(line.startswith("ERROR") for line in lines):
+                await client.call("ROLLBACK")
+                return
+            await asyncio.sleep(OTHERS_WRITE_PAUSE)
+        await client.call("COMMIT")
 
 
 async def scenario(system: System, with_trouble: bool) -> list[str]:
-    for number in range(2):
-        system.spawn(write_forever(system, number))
-    for number in range(READERS):
-        system.spawn(read_forever(system, number))
-    runs = [run(system, n) for n in range(3) for run in (run_prepared, run_values)]
+    for member in system.groups[SERVICE].members.values():
+        member.slots, member.work_seconds = SLOTS, WORK_SECONDS
+    stop_at = system.recorder.now + SECONDS_BEFORE
+    for name, times in (
+        ("a0", COMMITTER_TIMES),
+        ("h0", HOLDER_TIMES),
+        ("h1", HOLDER_TIMES),
+    ):
+        system.spawn(hold_connection(system, name, stop_at, times))
+    for number in range(OTHERS):
+        first, last = OTHERS_FROM
+        start = stop_at + first + (last - first) * number / OTHERS
+        system.spawn(write_while_stopping(system, number, start))
+    await asyncio.sleep(stop_at - system.recorder.now)
+    system.recorder.write("sigterm", node=system.edges[0].name, sent=with_trouble)
     if with_trouble:
-        runs.append(cut_primary(system))
-    await asyncio.gather(*runs)
-    return check(system.recorder.events)
-
+        system.edges[0].send(signal.SIGTERM)
+    await occupy_slots(system, stop_at)
+    await asyncio.sleep(stop_at + GRACE_SECONDS + 1 - system.recorder.now)
+    return unasked_commits(system)
 
-def check(events: list[dict[str, Any]]) -> list[str]:
-    """Returns where prepared names or values differ from what was acknowledged.
 
-    The clients deallocate no name, and a session sends one statement at a time.
-    """
-    prepared: set[tuple[str, str]] = set()
-    values: dict[str, dict[str, str]] = {}
-    texts: dict[str, str] = {}
+async def occupy_slots(system: System, stop_at: float) -> None:
+    """Lets the primary answer BUSY for less than the route's timeout."""
+    primary = system.groups[SERVICE].newest_primary()
+    assert primary is not None
+    await asyncio.sleep(stop_at + BUSY_FROM - system.recorder.now)
+    system.recorder.write("slots_taken", member=primary.name)
+    primary.slots = 0
+    await asyncio.sleep(stop_at + BUSY_TO - system.recorder.now)
+    primary.slots = SLOTS
+    system.recorder.write("slots_free", member=primary.name)
+
+
+def unasked_commits(system: System) -> list[str]:
+    """Returns the transactions that were committed though no client asked for it."""
+    committed: dict[str, str] = {}
+    for member in system.groups[SERVICE].members.values():
+        for _, number, writes in member.log:
+            for query_id in writes:
+                committed[query_id] = f"{member.name} as number {number}"
+    asked: set[str] = set()
+    promises: dict[str, str] = {}
+    for writes, end, lines in client_transactions(system.recorder.events):
+        if end == "COMMIT":
+            asked.update(writes)
+        promise = next((x for x in lines if x.startswith("ERROR ABORTED")), "")
+        promises |= dict.fromkeys(writes, promise)
     broken = []
-    for event in events:
-        name = event.get("id", "").split("-")[0]
-        if event["event"] == "sent":
-            texts[event["id"]] = event["text"]
-        elif event["event"] == "answered":
-            word, *rest = texts[event["id"]].split(" ")
-            error = next((x for x in event["lines"] if x.startswith("ERROR")), "")
-            if word == "PREPARE" and not error:
-                prepared.add((name, rest[0]))
-            if word == "SET" and not error:
-                values.setdefault(name, {})[rest[0]] = rest[1]
-            unknown = word == "EXECUTE" and "NOPREPARED" in error
-            if unknown and (name, rest[0]) in prepared:
-                broken.append(
-                    f"PINNED: {event['at']} s: {event['id']} ({texts[event['id']]})"
-                    f" got {error}, though PREPARE {rest[0]} was acknowledged"
-                )
-        elif event["event"] == "ran" and event["values"] != values.get(name, {}):
+    for query_id, where in sorted(committed.items()):
+        if query_id not in asked:
+            promise = promises.get(query_id, "")
+            told = f"; REFUSED: the client was told {promise}" if promise else ""
             broken.append(
-                f"PINNED: {event['at']} s: {event['id']} ran at {event['member']} with"
-                f" {event['values']}, acknowledged were {values.get(name, {})}"
+                f"UNASKED: {query_id} was committed at {where}, and its client had not"
+                f" sent COMMIT{told}"
             )
     return broken
 
 
+def client_transactions(
+    events: list[dict[str, Any]],
+) -> list[tuple[list[str], str, list[str]]]:
+    """Returns the writes of each transaction, how it ended and its last answer."""
+    open_writes: dict[str, list[str]] = {}
+    answers: dict[str, list[str]] = {}
+    ended = []
+    for event in events:
+        session = event.get("id", "").split("-")[0]
+        if event["event"] == "sent":
+            word = event["text"].split(" ")[0]
+            if word == "BEGIN":
+                if open_writes.get(session):
+                    ended.append((open_writes[session], "", answers.get(session, [])))
+                open_writes[session] = []
+                answers[session] = []
+            elif word == "STORE":
+                open_writes[session].append(event["id"])
+            else:
+                ended.append((open_writes.pop(session, []), word, answers[session]))
+        elif event["event"] == "answered":
+            answers.setdefault(session, []).extend(event["lines"])
+    ended += [(writes, "", answers.get(s, [])) for s, writes in open_writes.items()]
+    return ended
+
+
 if __name__ == "__main__":
     run_case(
-        Path(__file__).resolve().parent, ["north-a", "north-a"], [SERVICE], scenario
+        Path(__file__).resolve().parent, ["north-a"], [SERVICE], scenario, MAX_CONNS
     )
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,38 +1,39 @@
-"""The control leader is frozen while promotions wait for the lease of a lost proxy."""
+"""A primary is cut off from its replicas while clients are inside transactions."""
 
 import asyncio
-import signal
 import sys
+import time
 from contextlib import closing
 from pathlib import Path
 from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 
-from standins import Client, ClientClosed, Member  # noqa: E402
-from system import CannotRun, Daemon, System, run_case  # noqa: E402
-
-SERVICES = ["ledger-a", "ledger-b", "ledger-c"]
-ROUNDS = 5
-# Before each round; a machine is in touch after 5 s without a disruption.
-CALM_SECONDS = 8.0
-# A proxy stands still, the primaries crash, the control leader stands still.
-EDGE_FREEZE_SECONDS = 3.5
-CRASH_AFTER_SECONDS = (0.05, 0.2, 0.35)
-LEADER_FREEZE_AFTER_SECONDS = 1.3
-LEADER_FREEZE_SECONDS = 6.5
-SECONDS_AFTER = 2.0
+from standins import Client, ClientClosed  # noqa: E402
+from system import System, run_case  # noqa: E402
+
+SERVICE = "ledger"
+# The cut ends as another member is promoted, after this time at the latest.
+MAX_CUT_SECONDS = 5.0
+SECONDS_BEFORE = 6.0
+# When the clients begin their transactions, after the start of the cut.
+BEGIN_AFTER_SECONDS = 0.6
+# A transaction has 12 statements at most.
+STATEMENTS, PAUSE_SECONDS = 11, 0.4
+# How long the clients go on reading after their transactions.
+READ_SECONDS, READ_PAUSE_SECONDS = 10.0, 0.02
+READERS, READER_PAUSE_SECONDS = 6, 0.05
 WRITE_PAUSE_SECONDS = 0.08
 
 
-async def write_forever(system: System, service: str) -> None:
+async def write_forever(system: System, number: int) -> None:
     """A session that writes, and connects again when it is closed."""
     count = 0
     while True:
-        client = Client(f"w-{service}", system.recorder.write)
+        client = Client(f"w{number}", system.recorder.write)
         with closing(client):
             try:
-                if await client.open(system.front(0), f"primary-{service}"):
+                if await client.open(system.front(number), f"primary-{SERVICE}"):
                     while True:
                         count += 1
                         await client.call(f"STORE item{count} data")
@@ -42,65 +43,135 @@
         await asyncio.sleep(0.2)
 
 
-async def scenario(system: System, with_trouble: bool) -> list[str]:
-    for service in SERVICES:
-        system.spawn(write_forever(system, service))
-    for _ in range(ROUNDS):
-        await asyncio.sleep(CALM_SECONDS)
-        crashed = await play_round(system, with_trouble)
-        await asyncio.sleep(SECONDS_AFTER)
-        for member in crashed:
-            await member.restart()
-    return stale_fences(system)
-
-
-async def play_round(system: System, with_trouble: bool) -> list[Member]:
-    """Crashes the primaries; returns them."""
-    leader = system.leader()
-    primaries = [group.newest_primary() for group in system.groups.values()]
-    crashed = [member for member in primaries if member is not None]
-    if leader is None or len(crashed) < len(SERVICES):
-        raise CannotRun("no control daemon or no member leads")
-    steps = [freeze(system, system.edges[1], 0.0, EDGE_FREEZE_SECONDS)]
-    if with_trouble:
-        steps.append(
-            freeze(system, leader, LEADER_FREEZE_AFTER_SECONDS, LEADER_FREEZE_SECONDS)
-        )
-    for member, after in zip(crashed, CRASH_AFTER_SECONDS, strict=True):
-        steps.append(crash(system, member, after))
-    await asyncio.gather(*steps)
-    return crashed
-
+async def read_forever(system: System, number: int) -> None:
+    """A session that reads single items."""
+    client = Client(f"r{number}", system.recorder.write)
+    with closing(client):
+        await open_session(client, system)
+        while True:
+            await client.call("FETCH item")
+            await asyncio.sleep(READER_PAUSE_SECONDS)
+
+
+async def run_prepared(system: System, number: int) -> None:
+    """Prepares reads, uses them in a transaction with pauses, and then in short ones.
+
+    The statement that failed is used again in the short transactions.
+    """
+    client = Client(f"p{number}", system.recorder.write)
+    with closing(client):
+        await open_session(client, system)
+        names = [f"s{count}" for count in range(STATEMENTS)]
+        for count, name in enumerate(names):
+            await client.call(f"PREPARE {name} FETCH q{number}x{count}")
+        await asyncio.sleep(SECONDS_BEFORE + BEGIN_AFTER_SECONDS)
+        texts = [f"EXECUTE {name} item" for name in names]
+        used = await run_reads(client, "BEGIN", texts, PAUSE_SECONDS)
+        await read_on(client, ["FETCH item", texts[used - 1]])
+
+
+async def run_values(system: System, number: int) -> None:
+    """Sets a session value again and again in a transaction, and reads on after it."""
+    client = Client(f"v{number}", system.recorder.write)
+    with closing(client):
+        await open_session(client, system)
+        await client.call("SET page 0")
+        await asyncio.sleep(SECONDS_BEFORE + BEGIN_AFTER_SECONDS)
+        texts = []
+        for count in range(1, STATEMENTS // 2 + 1):
+            texts += [f"SET page {number}{count}", "FETCH item"]
+        await run_reads(client, "BEGIN", texts, PAUSE_SECONDS)
+        await read_on(client, ["FETCH item"])
+
+
+async def open_session(client: Client, system: System) -> None:
+    if not await client.open(system.front(0), f"read_your_writes-{SERVICE}"):
+        raise OSError("a client could not connect")
+
+
+async def read_on(client: Client, texts: list[str]) -> None:
+    deadline = time.monotonic() + READ_SECONDS
+    while time.monotonic() < deadline:
+        await run_reads(client, "BEGIN FETCH", texts, 0.0)
+        await asyncio.sleep(READ_PAUSE_SECONDS)
+
+
+async def run_reads(client: Client, begin: str, texts: list[str], pause: float) -> int:
+    """Runs a transaction; returns the number of statements up to an error."""
+    await client.call(begin)
+    for number, text in enumerate(texts, 1):
+        _, lines = await client.call(text)
+        if any(line.startswith("ERROR") for line in lines):
+            await client.call("ROLLBACK")
+            return number
+        await asyncio.sleep(pause)
+    await client.call("COMMIT")
+    return len(texts)
+
+
+async def cut_primary(system: System) -> None:
+    """Cuts the primary off from its replicas until another one is promoted."""
+    await asyncio.sleep(SECONDS_BEFORE)
+    group = system.groups[SERVICE]
+    primary = group.newest_primary()
+    assert primary is not None
+    primary.is_cut = True
+    system.recorder.write("primary_cut", member=primary.name, how="replicas heals")
+    for _ in range(int(MAX_CUT_SECONDS / 0.01)):
+        if group.newest_primary() is not primary:
+            break
+        await asyncio.sleep(0.01)
+    primary.is_cut = False
+    system.recorder.write("cut_healed", member=primary.name)
 
-async def freeze(system: System, daemon: Daemon, after: float, seconds: float) -> None:
-    await asyncio.sleep(after)
-    system.recorder.write("node_freeze", node=daemon.name)
-    daemon.send(signal.SIGSTOP)
-    await asyncio.sleep(seconds)
-    daemon.send(signal.SIGCONT)
-    system.recorder.write("node_thaw", node=daemon.name)
 
+async def scenario(system: System, with_trouble: bool) -> list[str]:
+    for number in range(2):
+        system.spawn(write_forever(system, number))
+    for number in range(READERS):
+        system.spawn(read_forever(system, number))
+    runs = [run(system, n) for n in range(3) for run in (run_prepared, run_values)]
+    if with_trouble:
+        runs.append(cut_primary(system))
+    await asyncio.gather(*runs)
+    return check(system.recorder.events)
 
-async def crash(system: System, member: Member, after: float) -> None:
-    await asyncio.sleep(after)
-    member.crash()
-    system.recorder.write("srv_crash", member=member.name)
 
+def check(events: list[dict[str, Any]]) -> list[str]:
+    """Returns where prepared names or values differ from what was acknowledged.
 
-def stale_fences(system: System) -> list[str]:
-    """Returns the calls with a lower fence than another holder sent for the service."""
-    newest: dict[str, dict[str, Any]] = {}
+    The clients deallocate no name, and a session sends one statement at a time.
+    """
+    prepared: set[tuple[str, str]] = set()
+    values: dict[str, dict[str, str]] = {}
+    texts: dict[str, str] = {}
     broken = []
-    for call in system.platform.calls:
-        last = newest.setdefault(call["service"], call)
-        if call["fence"] < last["fence"] and call["holder"] != last["holder"]:
-            broken.append(f"ONE: {call} was sent after {last}")
-        if call["fence"] > last["fence"]:
-            newest[call["service"]] = call
+    for event in events:
+        name = event.get("id", "").split("-")[0]
+        if event["event"] == "sent":
+            texts[event["id"]] = event["text"]
+        elif event["event"] == "answered":
+            word, *rest = texts[event["id"]].split(" ")
+            error = next((x for x in event["lines"] if x.startswith("ERROR")), "")
+            if word == "PREPARE" and not error:
+                prepared.add((name, rest[0]))
+            if word == "SET" and not error:
+                values.setdefault(name, {})[rest[0]] = rest[1]
+            unknown = word == "EXECUTE" and "NOPREPARED" in error
+            if unknown and (name, rest[0]) in prepared:
+                broken.append(
+                    f"PINNED: {event['at']} s: {event['id']} ({texts[event['id']]})"
+                    f" got {error}, though PREPARE {rest[0]} was acknowledged"
+                )
+        elif event["event"] == "ran" and event["values"] != values.get(name, {}):
+            broken.append(
+                f"PINNED: {event['at']} s: {event['id']} ran at {event['member']} with"
+                f" {event['values']}, acknowledged were {values.get(name, {})}"
+            )
     return broken
 
 
 if __name__ == "__main__":
     run_case(
-        Path(__file__).resolve().parent, ["north-a", "south-a"], SERVICES, scenario
+        Path(__file__).resolve().parent, ["north-a", "north-a"], [SERVICE], scenario
     )
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -72,6 +72,10 @@
         self.sequence = 0
         self.born = int(time.time() * 1_000)
         self.connections: set[MemberConnection] = set()
+        # Reads, writes and commits that may run at once; more are refused with BUSY.
+        self.slots = 1_000
+        self.running = 0
+        self.work_seconds = STATEMENT_SECONDS
         self._server: asyncio.Server | None = None
 
     @property
@@ -274,7 +278,8 @@
         elif word == "QUERY":
             query_id, _, text = rest.partition(" ")
             answer = await self._query(query_id, text)
-            if answer.startswith("ERROR") and self.state == "T":
+            refused = answer.startswith("ERROR") and not answer.startswith("ERROR BUSY")
+            if refused and self.state == "T":
                 self.state = "E"
             if answer:
                 self._send(answer)
@@ -295,6 +300,20 @@
             return "COMPLETE -"
         if self.state == "E":
             return "ERROR MALFORMED the transaction failed"
+        if word in ("FETCH", "STORE", "EXECUTE", "COMMIT"):
+            if member.running >= member.slots:
+                member.group.record("busy", id=query_id, kind=word)
+                return "ERROR BUSY -"
+            member.running += 1
+            try:
+                return await self._run_checked(query_id, word, rest)
+            finally:
+                member.running -= 1
+        return await self._run_checked(query_id, word, rest)
+
+    async def _run_checked(self, query_id: str, word: str, rest: list[str]) -> str:
+        """Runs a statement unless the member has lost the lead."""
+        member = self.member
         lost_lead = self.state == "T" and not self.read_only and not member.primary
         if lost_lead and (word != "COMMIT" or self.writes):
             return f"ERROR READONLY {member.name}"
@@ -345,7 +364,7 @@
             (word, shape), rest = self.prepared[rest[0]], rest[1:]
         if word == "STORE" and not member.primary:
             return f"ERROR READONLY {member.name}"
-        await asyncio.sleep(STATEMENT_SECONDS)
+        await asyncio.sleep(member.work_seconds)
         member.group.record(
             "ran", id=query_id, member=member.name, kind=word, shape=shape,
             values=dict(self.values),
@@ -358,6 +377,8 @@
         return await self._commit(query_id)
 
     async def _commit(self, query_id: str) -> str:
+        if self.state == "I" and not self.writes:
+            return "ERROR MALFORMED no transaction"
         self.state = "I"
         writes, self.writes = tuple(self.writes), []
         if writes and not await self.member.group.commit(self.member, writes):
--- a/review/common/system.py
+++ b/review/common/system.py
@@ -88,8 +88,12 @@
                 stdin=subprocess.DEVNULL, start_new_session=True,
             )  # fmt: skip
 
+    @property
+    def running(self) -> bool:
+        return self.process is not None and self.process.poll() is None
+
     def send(self, number: signal.Signals) -> None:
-        if self.process is not None and self.process.poll() is None:
+        if self.process is not None and self.running:
             self.process.send_signal(number)
 
     def end(self) -> None:
@@ -282,7 +286,9 @@
         return settings
 
 
-def make_config(version: int, services: list[str]) -> dict[str, Any]:
+def make_config(
+    version: int, services: list[str], max_conns: int = 38
+) -> dict[str, Any]:
     """Returns a configuration with a route of each type to every service."""
     routes = []
     for service in services:
@@ -308,7 +314,7 @@
             {
                 "name": service,
                 "health_path": "/health",
-                "max_conns": 38,
+                "max_conns": max_conns,
                 "protocol": "h1",
                 "tls": False,
                 "sync_replicas": 1,
@@ -323,7 +329,11 @@
 
 
 def run_case(
-    folder: Path, edge_zones: list[str], services: list[str], scenario: Any
+    folder: Path,
+    edge_zones: list[str],
+    services: list[str],
+    scenario: Any,
+    max_conns: int = 38,
 ) -> None:
     """Runs ``scenario(system, with_trouble)``, which returns what broke the rule.
 
@@ -336,7 +346,7 @@
         system = System(recorder, edge_zones, services)
         try:
             async with asyncio.timeout(LIMIT_SECONDS):
-                await system.start(make_config(7, services))
+                await system.start(make_config(7, services, max_conns))
                 broken: list[str] = await scenario(system, with_trouble)
                 return broken
         finally:
