--- a/review/2/run.py
+++ b/review/2/run.py
@@ -27,7 +27,9 @@
 OTHERS, OTHERS_FROM = 20, (2.0, 2.35)
 OTHERS_PAUSE = (1.0, 1.2)
 OTHERS_WRITES, OTHERS_WRITE_PAUSE = 3, 0.3
-SECONDS_BEFORE, GRACE_SECONDS = 4.0, 6.0
+# The proxy is stopped and started again in each round.
+ROUNDS = 3
+SECONDS_BEFORE, GRACE_SECONDS = 6.0, 6.0
 
 
 async def hold_connection(
@@ -49,10 +51,12 @@
                 return
 
 
-async def write_while_stopping(system: System, number: int, start: float) -> None:
+async def write_while_stopping(
+    system: System, name: str, number: int, start: float
+) -> None:
     """A session that begins before idle sessions are closed, and pauses first."""
     chance = random.Random(number)
-    client = Client(f"b{number}", system.recorder.write)
+    client = Client(name, system.recorder.write)
     with closing(client), suppress(ClientClosed):
         await client.open(system.front(0), f"primary-{SERVICE}")
         await asyncio.sleep(start - system.recorder.now)
@@ -70,24 +74,35 @@
 async def scenario(system: System, with_trouble: bool) -> list[str]:
     for member in system.groups[SERVICE].members.values():
         member.slots, member.work_seconds = SLOTS, WORK_SECONDS
+    for part in range(ROUNDS):
+        await play_round(system, part, with_trouble)
+    return unasked_commits(system)
+
+
+async def play_round(system: System, part: int, with_trouble: bool) -> None:
     stop_at = system.recorder.now + SECONDS_BEFORE
     for name, times in (
-        ("a0", COMMITTER_TIMES),
-        ("h0", HOLDER_TIMES),
-        ("h1", HOLDER_TIMES),
+        (f"a{part}", COMMITTER_TIMES),
+        (f"h{part}.0", HOLDER_TIMES),
+        (f"h{part}.1", HOLDER_TIMES),
     ):
         system.spawn(hold_connection(system, name, stop_at, times))
     for number in range(OTHERS):
         first, last = OTHERS_FROM
         start = stop_at + first + (last - first) * number / OTHERS
-        system.spawn(write_while_stopping(system, number, start))
+        name = f"b{part}.{number}"
+        system.spawn(write_while_stopping(system, name, number, start))
     await asyncio.sleep(stop_at - system.recorder.now)
-    system.recorder.write("sigterm", node=system.edges[0].name, sent=with_trouble)
+    edge = system.edges[0]
+    system.recorder.write("sigterm", node=edge.name, sent=with_trouble)
     if with_trouble:
-        system.edges[0].send(signal.SIGTERM)
+        edge.send(signal.SIGTERM)
     await occupy_slots(system, stop_at)
     await asyncio.sleep(stop_at + GRACE_SECONDS + 1 - system.recorder.now)
-    return unasked_commits(system)
+    if with_trouble:
+        edge.end()
+        edge.start(first_start=False)
+    await system.wait_ready()
 
 
 async def occupy_slots(system: System, stop_at: float) -> None:
--- a/review/common/system.py
+++ b/review/common/system.py
@@ -85,7 +85,7 @@
         with self._log.open("ab") as log:
             self.process = subprocess.Popen(
                 self._command, cwd=ROOT, env=environment, stdout=log, stderr=log,
-                stdin=subprocess.DEVNULL, start_new_session=True,
+                stdin=subprocess.DEVNULL,
             )  # fmt: skip
 
     @property
@@ -206,6 +206,11 @@
                 controls = self.control_addresses
                 shift = (number + index) % 3
                 self.spawn(member.beat_forever(controls[shift:] + controls[:shift]))
+        await self.wait_ready()
+
+    async def wait_ready(self) -> None:
+        """Waits until all edges are ready."""
+        deadline = time.monotonic() + CONFIG_TIMEOUT_SECONDS
         while not await self._all_ready():
             if time.monotonic() > deadline:
                 raise CannotRun("the edges did not become ready")
@@ -343,6 +348,9 @@
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main() -> list[str]:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         system = System(recorder, edge_zones, services)
         try:
             async with asyncio.timeout(LIMIT_SECONDS):
@@ -358,7 +366,7 @@
 
     try:
         broken = asyncio.run(main())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
         recorder.write("cannot_run", error=repr(error))
         print(f"the case could not run: {error!r}")
         sys.exit(2)
