Log and count the transactions that a proxy ends by itself

transaction_ended names the BEGIN, the member and the reason, and bronzemoor_ended_transactions_total counts by reason. session_failed names the statement, whether a transaction was open, and file and line.

--- a/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
@@ -18,6 +18,7 @@
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.execution import Attempt, run_read, run_write
 from bronzemoor_daemon.wire.sockets import set_tcp_options
+from bronzemoor_daemon.wire.tasks import error_location
 from bronzemoor_daemon.wire.transaction import Transaction
 
 if TYPE_CHECKING:
@@ -44,6 +45,8 @@
         self._transport: asyncio.Transport | None = None
         self._database = ""
         self._transaction: Transaction | None = None
+        # Id of the last statement that was started, for the log.
+        self._current_request = b""
         # When data was last received from the client, in seconds.
         self.last_received_at = boottime()
         self.state = SessionState()
@@ -107,7 +110,14 @@
                 self._transaction = None
             raise
         except Exception as error:  # an error in one session must not affect others
-            self._proxy.report("error", "session_failed", error=repr(error))
+            self._proxy.report(
+                "error",
+                "session_failed",
+                request=self._current_request.decode(errors="replace"),
+                in_transaction=self.in_transaction,
+                error=repr(error),
+                where=error_location(error),
+            )
             self.close()
         finally:
             self._task = None
@@ -149,6 +159,7 @@
             self._write(self._codec.encode_ready(st.IDLE))
 
     async def _on_statement(self, query_id: bytes, statement: Statement) -> None:
+        self._current_request = query_id
         match statement.kind:
             case st.SET:
                 self._set(statement)
--- a/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
@@ -70,6 +70,7 @@
 
     __slots__ = (
         "changes",
+        "ended_transactions",
         "latency",
         "promotions",
         "retries",
@@ -92,6 +93,11 @@
             "bronzemoor_member_retries",
             "Attempts at a member that had no usable answer",
         )
+        self.ended_transactions = Counter(
+            "bronzemoor_ended_transactions",
+            "Open transactions that the proxy ended by itself",
+            "reason",
+        )
         self.sessions = Gauge("bronzemoor_sessions", "Open client sessions")
         self.promotions = Counter(
             "bronzemoor_promotions",
@@ -103,7 +109,6 @@
             "Deployment documents handled",
             "outcome",
         )
-
         self.sent_bytes = Counter(
             "bronzemoor_sent_bytes",
             "Bytes of messages sent to other daemons, as compressed",
@@ -115,6 +120,7 @@
         return (
             self.statements,
             self.retries,
+            self.ended_transactions,
             self.promotions,
             self.changes,
             self.sent_bytes,
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -191,6 +191,22 @@
         if boottime() - self._reported_at >= URGENT_REPORT_INTERVAL_SECONDS:
             self._send_report()
 
+    def record_ended_transaction(
+        self, begin: Attempt, member: str, reason: str
+    ) -> None:
+        """Logs and counts a transaction that the proxy ends by itself.
+
+        ``member`` is empty if the transaction has not begun at one.
+        """
+        self._metrics.ended_transactions.add(reason)
+        self.report(
+            "info",
+            "transaction_ended",
+            request=begin.query_id.decode(errors="replace"),
+            member=member,
+            reason=reason,
+        )
+
     def record_answer(
         self, attempt: Attempt, route: Route, answer: Answer, started: float
     ) -> None:
--- a/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
@@ -114,6 +114,9 @@
         The next statement of the client gets the reason.
         """
         if not self._running and not self._failure:
+            self._proxy.record_ended_transaction(
+                self._begin, self._pool.member if self._pool else "", reason
+            )
             self._failure = reason
             self._failure_reported = False
             self.roll_back()
