Keep the connection of a transaction while its COMMIT is repeated

Cause: run() marked a statement as in progress, so that a stop, an idle timeout or an eviction left the transaction alone; commit() did not. The stop released the connection during the pause before a repeat, and the steps of the commit sent COMMIT on it again, inside the next session's transaction. Trace: transaction_ended request="a0-3" reason="stopping" and 10 ms later session_failed request="a0-33" at the assertion of _wait_answer.

Related paths: an eviction and an idle timeout during a repeated COMMIT, and a COMMIT in flight, whose connection was released twice (-1 channels in use where connections are shared), fail before this change and pass now. A COMMIT as first statement at a replica had the same gap, by reading. Single statements, clients that disconnect, owners of shared connections, late answers and probes are sound, by reading.

Why it works: statements and the commit run inside one guard, and while it is held only their own steps release the connection.

--- a/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
@@ -1,6 +1,8 @@
 """A client transaction, pinned to a member connection from its first statement."""
 
 import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 from bronzemoor_core.positions import ZERO
@@ -67,16 +69,14 @@
     async def run(self, now: float, attempt: Attempt) -> Answer:
         if self._failure:
             return self._failed_answer()
+        self._cancel_idle_timer()
         deadline = now + self.route.statement_timeout
-        self._running = True
-        try:
+        with self._statement_in_progress():
             if self._connection is None:
                 answer = await self._run_first(attempt, deadline)
             else:
                 answer = await self._run_next(attempt, deadline)
-        finally:
-            self._running = False
-            self._start_idle_timer()
+        self._start_idle_timer()
         if attempt.writes and answer.ok:
             self._wrote = True
         return answer
@@ -89,10 +89,11 @@
             answer.error = st.ABORTED
             return answer
         deadline = now + self.route.statement_timeout
-        if self._connection is None:
-            answer = await self._run_first(attempt, deadline)
-        else:
-            answer = await self._commit_pinned(attempt, deadline)
+        with self._statement_in_progress():
+            if self._connection is None:
+                answer = await self._run_first(attempt, deadline)
+            else:
+                answer = await self._commit_pinned(attempt, deadline)
         self.roll_back()
         return answer
 
@@ -109,7 +110,7 @@
         self._proxy.spawn(self._roll_back_connection(pool, connection), "roll-back")
 
     def fail(self, reason: str) -> None:
-        """Aborts the transaction unless a statement is running.
+        """Aborts the transaction unless a statement or its commit is running.
 
         The next statement of the client gets the reason.
         """
@@ -123,6 +124,19 @@
 
     # --- steps
 
+    @contextmanager
+    def _statement_in_progress(self) -> Iterator[None]:
+        """Keeps the connection for the steps of a statement or of the commit.
+
+        Only they may release it meanwhile: one that waits before it repeats a refused
+        statement would use it inside another client's transaction.
+        """
+        self._running = True
+        try:
+            yield
+        finally:
+            self._running = False
+
     async def _run_first(self, attempt: Attempt, deadline: float) -> Answer:
         """Begins at a member and runs the first statement, retried at other members."""
         tried: set[str] = set()
@@ -216,8 +230,8 @@
         assert connection is not None and pool is not None
         if not connection.is_open:
             return self._abort("connection lost")
-        connection.apply_session(self._session)
         while True:
+            connection.apply_session(self._session)
             answer = await self._wait_answer(
                 send_statement(connection, attempt, leading_term=self._term),
                 attempt,
--- a/tests/adapter/fake_members.py
+++ b/tests/adapter/fake_members.py
@@ -21,12 +21,16 @@
         self.lost_answers: list[str] = []
         # Error codes by the prefix of the statement that is refused with it, once each.
         self.refusals: dict[str, str] = {}
-        # Whether statements are answered BUSY, and the reported lag in milliseconds.
+        # Whether statements that begin with one of the keywords are answered BUSY, and
+        # the reported lag in milliseconds.
         self.overloaded = False
+        self.busy_keywords = {"FETCH", "STORE", "EXECUTE"}
         self.lag_ms = 0
         # Execution time in seconds by statement prefix.
         self.statement_delays: dict[str, float] = {}
         self.executed: list[tuple[str, str]] = []
+        # Values of the connection at the last run of each statement.
+        self.values_at_run: dict[str, dict[str, str]] = {}
         self.connections: set[FakeConnection] = set()
         self.address = ""
         self.up = False
@@ -196,12 +200,14 @@
             term, number = (int(part) for part in position.split("."))
             if (member.term, len(member.log)) < (term, number):
                 return self.error("LAGGING")
-        if member.overloaded and text.split(" ")[0] in ("FETCH", "STORE", "EXECUTE"):
+        if member.overloaded and text.split(" ")[0] in member.busy_keywords:
             return self.error("BUSY")
         for prefix, code in list(member.refusals.items()):
             if text.startswith(prefix):
                 del member.refusals[prefix]
                 return self.error(code)
+        if self.state == "E" and text not in ("ROLLBACK", "COMMIT"):
+            return self.error("MALFORMED")
         member.executed.append((query_id, text))
         lost = [prefix for prefix in member.lost_answers if text.startswith(prefix)]
         answer = self.run(text)
@@ -212,7 +218,11 @@
 
     def run(self, text: str) -> str:
         member, (word, *rest) = self.member, text.split(" ")
+        member.values_at_run[text] = dict(self.values)
         if word == "EXECUTE":
+            if rest[0] not in self.prepared:
+                self.state = "E" if self.state == "T" else self.state
+                return f"ERROR NOPREPARED {rest[0]}"
             kind, shape = self.prepared[rest[0]].split(" ")
             word, rest = kind, [f"{shape}:{rest[1]}", *rest[2:]]
         match word:
--- a/tests/adapter/test_stop.py
+++ b/tests/adapter/test_stop.py
@@ -6,6 +6,8 @@
 
 import pytest
 from system import Client, run_system
+from test_logged_causes import only_session
+from test_relays import SCARCE, owner_of, wait_until_shared
 from test_whole_path import outcome
 
 SESSIONS = 12
@@ -55,3 +57,74 @@
         assert stored == acknowledged
 
     run_system(tmp_path, scenario)
+
+
+def end_by_stop(session) -> None:
+    """Ends the session's transaction like a stopping proxy, in its second half."""
+    session.end_transaction()
+
+
+def end_by_idle_timeout(session) -> None:
+    session._transaction.fail("idle for too long")
+
+
+def end_by_eviction(session) -> None:
+    session._transaction._connection.on_evicted()
+
+
+@pytest.mark.parametrize("end", [end_by_stop, end_by_idle_timeout, end_by_eviction])
+def test_a_commit_that_is_repeated_keeps_its_connection(tmp_path, end):
+    """Guards against a repeated COMMIT that commits another client's transaction.
+
+    A stop released the connection while its COMMIT waited for a busy member, and the
+    COMMIT was sent again after another session had begun on that connection.
+    """
+
+    async def scenario(system):
+        proxy, address = system.proxies[0], system.client_addresses[0]
+        primary = system.group.primary
+        pool = proxy.group("ledger").pools[primary.name]
+        one = await Client.open(address, "orders")
+        await one.call("BEGIN")
+        assert outcome(await one.call("STORE k1 v")) == "COMPLETE"
+        primary.busy_keywords, primary.overloaded = {"COMMIT"}, True
+        committing = asyncio.create_task(one.call("COMMIT"))
+        await system.until(lambda: pool.refused_at > 0)
+        end(only_session(proxy))
+        two = await Client.open(address, "orders")
+        await two.call("BEGIN")
+        assert outcome(await two.call("STORE k2 v")) == "COMPLETE"
+        primary.overloaded = False
+        assert outcome(await committing) == "COMPLETE"
+        assert system.group.acknowledged == [("k1", "v")]
+        assert outcome(await two.call("COMMIT")) == "COMPLETE"
+        assert system.group.acknowledged == [("k1", "v"), ("k2", "v")]
+
+    run_system(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("changes", [{}, SCARCE])
+def test_a_commit_in_flight_releases_its_connection_once(tmp_path, changes):
+    """Guards against a connection that is released by its stop and by its COMMIT."""
+
+    async def scenario(system):
+        primary, number = system.group.primary, 0
+        if changes:
+            await wait_until_shared(system)
+            number = 1 - owner_of(system, primary.name)
+        proxy = system.proxies[number]
+        client = await Client.open(system.client_addresses[number], "orders")
+        await client.call("BEGIN")
+        assert outcome(await client.call("STORE k1 v")) == "COMPLETE"
+        primary.statement_delays["COMMIT"] = 0.1
+        committing = asyncio.create_task(client.call("COMMIT"))
+        await asyncio.sleep(0.05)
+        only_session(proxy).end_transaction()
+        assert outcome(await committing) == "COMPLETE"
+        pool = proxy.group("ledger").pools[primary.name]
+        await system.until(lambda: pool.load <= 0)
+        assert pool.load == 0
+        assert "ROLLBACK" not in [text for _, text in primary.executed]
+        assert system.group.acknowledged == [("k1", "v")]
+
+    run_system(tmp_path, scenario, **changes)
