Log the set-up statements that a member refused

The proxy sends SET, PREPARE and RESET by itself and ignored their answers, so the log could not tell a refused set-up from a connection that was given to the wrong session, from a member that lost its state and from a wrong name.

setup_refused names the member, the kind, the code and the state after it.

--- a/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
@@ -19,6 +19,22 @@
 TCP_USER_TIMEOUT_SECONDS = 3.0
 # Maximum size of an incomplete line in the buffer.
 MAX_LINE_BYTES = 1_048_576 + 1_024
+# Keyword in the log of the set-up statement that clears values and prepared statements.
+RESET = "reset"
+
+
+class PendingAnswer:
+    """An answer that a member owes.
+
+    ``setup`` is the keyword of a statement that the connection sends by itself ahead of
+    a client's, such as a session value; nobody waits for its answer.
+    """
+
+    __slots__ = ("future", "setup")
+
+    def __init__(self, future: asyncio.Future[Answer] | None, setup: str = "") -> None:
+        self.future = future
+        self.setup = setup
 
 
 class MemberConnection(asyncio.Protocol):
@@ -28,7 +44,7 @@
         self._codec = codec
         self._buffer = b""
         self._answer = Answer()
-        self._pending: deque[asyncio.Future[Answer]] = deque()
+        self._pending: deque[PendingAnswer] = deque()
         self._transport: asyncio.Transport | None = None
         self.member = member
         self.address = address
@@ -45,6 +61,9 @@
         # evicted.
         self.on_lost: Callable[[], None] | None = None
         self.on_evicted: Callable[[], None] | None = None
+        # Called with the keyword of a set-up statement that the member refused, and
+        # with its answer.
+        self.on_setup_refused: Callable[[str, Answer], None] | None = None
 
     @property
     def is_open(self) -> bool:
@@ -77,9 +96,7 @@
                 if self._codec.decode_reply(line, self._answer):
                     answer, self._answer = self._answer, Answer()
                     self.last_state, self.used_at = answer.state, boottime()
-                    future = self._pending.popleft()
-                    if not future.done():
-                        future.set_result(answer)
+                    self._deliver(self._pending.popleft(), answer)
         except (ValueError, KeyError, IndexError):
             self.close()
         if len(self._buffer) > MAX_LINE_BYTES:
@@ -89,20 +106,24 @@
         self._transport = None
         if self._answer.error and self._pending:
             # A member refuses a start by sending an error and closing the connection.
-            future = self._pending.popleft()
-            if not future.done():
-                future.set_result(self._answer)
+            self._deliver(self._pending.popleft(), self._answer)
         lost = ConnectionLost(
             str(error or "closed by the member"), step="member", peer=self.member
         )
-        for future in self._pending:
-            if not future.done():
-                future.set_exception(lost)
+        for pending in self._pending:
+            if pending.future is not None and not pending.future.done():
+                pending.future.set_exception(lost)
         self._pending.clear()
         on_lost, self.on_lost = self.on_lost, None
         if on_lost is not None:
             on_lost()
 
+    def _deliver(self, pending: PendingAnswer, answer: Answer) -> None:
+        if pending.setup and answer.error and self.on_setup_refused is not None:
+            self.on_setup_refused(pending.setup, answer)
+        if pending.future is not None and not pending.future.done():
+            pending.future.set_result(answer)
+
     def close(self) -> None:
         """Closes immediately; the member rolls back an open transaction."""
         if self._transport is not None:
@@ -133,10 +154,10 @@
     def apply_session(self, session: SessionState) -> None:
         """Sets the session's values on the connection."""
         if self.state.needs_reset(session):
-            discard_answer(self.query(b"", self._codec.reset_text))
+            self._send_setup(RESET, self._codec.reset_text)
             self.state.reset()
         for name, value in self.state.missing_values(session):
-            discard_answer(self.query(b"", self._codec.set_text(name, value)))
+            self._send_setup(st.SET, self._codec.set_text(name, value))
             self.state.values[name] = value
         self.session = session
 
@@ -144,9 +165,14 @@
         """Returns the name of a prepared statement, preparing it first if necessary."""
         name, is_new = self.state.prepared_name(shape)
         if is_new:
-            discard_answer(self.query(b"", self._codec.prepare_text(name, *shape)))
+            self._send_setup(st.PREPARE, self._codec.prepare_text(name, *shape))
         return name
 
+    def _send_setup(self, setup: str, text: bytes) -> None:
+        """Sends a statement that sets up the session for the client's statements."""
+        if self.is_open:
+            self._write(self._codec.encode_query(b"", text), PendingAnswer(None, setup))
+
     def _send(self, data: bytes) -> asyncio.Future[Answer]:
         future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         if self._transport is None or self._transport.is_closing():
@@ -154,10 +180,14 @@
                 ConnectionLost("not connected", step="member", peer=self.member)
             )
             return future
-        self._pending.append(future)
+        self._write(data, PendingAnswer(future))
+        return future
+
+    def _write(self, data: bytes, pending: PendingAnswer) -> None:
+        assert self._transport is not None
+        self._pending.append(pending)
         self.used_at = boottime()
         self._transport.write(data)
-        return future
 
 
 def discard_answer(future: asyncio.Future[Answer]) -> None:
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
@@ -7,7 +7,7 @@
 from itertools import count
 
 from bronzemoor_core.wire.sessionstate import SessionState
-from bronzemoor_core.wire.statements import CONNECTION_LIMIT, IDLE
+from bronzemoor_core.wire.statements import CONNECTION_LIMIT, IDLE, Answer
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.exceptions import ConnectionLost, NoConnection
 from bronzemoor_daemon.wire.memberconnection import MemberConnection, connect
@@ -354,8 +354,19 @@
             await self._retry_open_later()
             return
         self._open.add(connection)
+        connection.on_setup_refused = self._report_refused_setup
         self.release(connection, clean=True)
 
+    def _report_refused_setup(self, setup: str, answer: Answer) -> None:
+        self._report(
+            "info",
+            "setup_refused",
+            member=self.member,
+            setup=setup,
+            code=answer.error,
+            state=answer.state,
+        )
+
     async def _connect(self, started: float) -> MemberConnection | None:
         """Opens one connection; records why if that fails, and returns None."""
         self._connect_attempts.add(started)
