Count what a member acknowledged as set up on its connection

Cause: the proxy sends SET, PREPARE and RESET ahead of the statement that needs them. MemberConnection recorded them as done when it sent them and ignored the answers. A member that has lost the lead answers READONLY to any statement of a plain transaction, and the rollback leaves the connection clean. Trace: setup_refused for set and prepare 1 to 2 ms after primary_changed, then 42 breaks at connections to that member.

Ruled out: connections given to a wrong session, a member that lost its state, names that stand for two shapes.

Names of refused PREPAREs could be reused for another shape. Sound, by reading: the BEGIN sent ahead of a statement, ROLLBACK, the RESET of a probe, the project's own protocol.

Why it works: a refusal takes back what counts as set (an unknown value, a forgotten name that is never reused, a reset that is due again). A client's statement belongs to the set-up sent ahead of it; if that was refused, it gets the refusal's code, and an answer to a statement that ran all the same is not passed on.

--- a/packages/core/src/bronzemoor_core/wire/sessionstate.py
+++ b/packages/core/src/bronzemoor_core/wire/sessionstate.py
@@ -23,43 +23,71 @@
 
 
 class ConnectionState:
-    """Values and prepared statements that are set on an endpoint connection."""
+    """Values and prepared statements that are set on an endpoint connection.
 
-    __slots__ = ("prepared", "values")
+    What a statement sets counts as set from its sending, since the endpoint runs the
+    statements of a connection in order. A refusal takes that back.
+    """
+
+    __slots__ = ("_is_reset_due", "_last_name", "_prepared", "_values")
 
     def __init__(self) -> None:
-        self.values: dict[bytes, bytes] = {}
+        # A value is None after a refusal: the endpoint may have the old or the new one.
+        self._values: dict[bytes, bytes | None] = {}
         # Name on the connection, by whether the statement writes and its shape.
-        self.prepared: dict[tuple[bool, bytes], bytes] = {}
+        self._prepared: dict[tuple[bool, bytes], bytes] = {}
+        # Names are not reused, so that none can stand for two shapes.
+        self._last_name = 0
+        # Whether the endpoint refused to reset the connection.
+        self._is_reset_due = False
 
     def needs_reset(self, session: SessionState) -> bool:
-        """Returns whether a value is set that the session lacks, so a reset is due."""
-        return any(name not in session.values for name in self.values)
+        """Returns whether a value may be set that the session lacks."""
+        return self._is_reset_due or any(
+            name not in session.values for name in self._values
+        )
 
     def reset(self) -> None:
-        self.values.clear()
-        self.prepared.clear()
+        """Records that a reset was sent."""
+        self._values.clear()
+        self._prepared.clear()
+        self._is_reset_due = False
+
+    def reset_refused(self) -> None:
+        self._is_reset_due = True
 
     def missing_values(self, session: SessionState) -> list[tuple[bytes, bytes]]:
         """Returns the session's values that are not set on the connection."""
         return [
             (name, value)
             for name, value in session.values.items()
-            if self.values.get(name) != value
+            if self._values.get(name) != value
         ]
 
+    def set_value(self, name: bytes, value: bytes) -> None:
+        """Records that a value was sent."""
+        self._values[name] = value
+
+    def value_refused(self, name: bytes) -> None:
+        self._values[name] = None
+
     def prepared_name(self, shape: tuple[bool, bytes]) -> tuple[bytes, bool]:
         """Returns the name for a shape on this connection, and whether it is new.
 
         Sessions share one name for each shape, since its meaning is the same for all.
         """
-        name = self.prepared.get(shape)
+        name = self._prepared.get(shape)
         if name is not None:
             return name, False
-        name = b"p%d" % (len(self.prepared) + 1)
-        self.prepared[shape] = name
+        self._last_name += 1
+        name = self._prepared[shape] = b"p%d" % self._last_name
         return name, True
 
+    def prepare_refused(self, shape: tuple[bool, bytes], name: bytes) -> None:
+        """Records that the endpoint does not know ``name``."""
+        if self._prepared.get(shape) == name:
+            del self._prepared[shape]
+
 
 def find_prepared(session: SessionState, name: bytes) -> tuple[bool, bytes]:
     """Returns a prepared statement; raises ``InvalidRequest`` for an unknown name."""
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import cast
 
 from bronzemoor_core.positions import ZERO, Position
@@ -21,20 +22,86 @@
 MAX_LINE_BYTES = 1_048_576 + 1_024
 # Keyword in the log of the set-up statement that clears values and prepared statements.
 RESET = "reset"
+# Errors of a statement that did not run because its set-up was refused: a transaction
+# that failed with the set-up answers MALFORMED to what follows.
+UNPREPARED_ERRORS = frozenset((st.MALFORMED, st.UNKNOWN_PREPARED))
+
+
+class Setup:
+    """Statements that establish a session's state, sent ahead of those that need it."""
+
+    __slots__ = ("outstanding", "refusal")
+
+    def __init__(self) -> None:
+        self.outstanding = 0
+        # The first answer with an error.
+        self.refusal: Answer | None = None
 
 
 class PendingAnswer:
-    """An answer that a member owes.
+    """An answer that a member owes to a statement of the proxy's own, or to a start."""
 
-    ``setup`` is the keyword of a statement that the connection sends by itself ahead of
-    a client's, such as a session value; nobody waits for its answer.
-    """
+    __slots__ = ("_future",)
+
+    def __init__(self, future: asyncio.Future[Answer]) -> None:
+        self._future = future
+
+    def deliver(self, answer: Answer) -> None:
+        if not self._future.done():
+            self._future.set_result(answer)
+
+    def fail(self, error: ConnectionLost) -> None:
+        if not self._future.done():
+            self._future.set_exception(error)
+
+
+class PendingSetupAnswer:
+    """An answer to a set-up statement, which nobody waits for."""
+
+    __slots__ = ("_on_refused", "_setup")
+
+    def __init__(self, setup: Setup, on_refused: Callable[[Answer], None]) -> None:
+        self._setup = setup
+        self._on_refused = on_refused
+        setup.outstanding += 1
+
+    def deliver(self, answer: Answer) -> None:
+        self._setup.outstanding -= 1
+        if answer.error:
+            self._setup.refusal = self._setup.refusal or answer
+            self._on_refused(answer)
 
-    __slots__ = ("future", "setup")
+    def fail(self, error: ConnectionLost) -> None:
+        self._setup.outstanding -= 1
 
-    def __init__(self, future: asyncio.Future[Answer] | None, setup: str = "") -> None:
-        self.future = future
-        self.setup = setup
+
+class PendingClientAnswer(PendingAnswer):
+    """An answer to a client's statement, which needs its session's state."""
+
+    __slots__ = ("_connection", "_setup")
+
+    def __init__(
+        self,
+        future: asyncio.Future[Answer],
+        setup: Setup,
+        connection: "MemberConnection",
+    ) -> None:
+        super().__init__(future)
+        self._setup = setup
+        self._connection = connection
+
+    def deliver(self, answer: Answer) -> None:
+        refusal = self._setup.refusal
+        if refusal is not None and answer.ok:
+            connection = self._connection
+            reason = "ran without its session state"
+            self.fail(ConnectionLost(reason, step="member", peer=connection.member))
+            connection.close()
+            return
+        if refusal is not None and answer.error in UNPREPARED_ERRORS:
+            answer.error = refusal.error if refusal.not_run else st.ABORTED
+            answer.message = refusal.message
+        super().deliver(answer)
 
 
 class MemberConnection(asyncio.Protocol):
@@ -44,7 +111,8 @@
         self._codec = codec
         self._buffer = b""
         self._answer = Answer()
-        self._pending: deque[PendingAnswer] = deque()
+        self._pending: deque[PendingAnswer | PendingSetupAnswer] = deque()
+        self._setup = Setup()
         self._transport: asyncio.Transport | None = None
         self.member = member
         self.address = address
@@ -96,7 +164,7 @@
                 if self._codec.decode_reply(line, self._answer):
                     answer, self._answer = self._answer, Answer()
                     self.last_state, self.used_at = answer.state, boottime()
-                    self._deliver(self._pending.popleft(), answer)
+                    self._pending.popleft().deliver(answer)
         except (ValueError, KeyError, IndexError):
             self.close()
         if len(self._buffer) > MAX_LINE_BYTES:
@@ -106,24 +174,17 @@
         self._transport = None
         if self._answer.error and self._pending:
             # A member refuses a start by sending an error and closing the connection.
-            self._deliver(self._pending.popleft(), self._answer)
+            self._pending.popleft().deliver(self._answer)
         lost = ConnectionLost(
             str(error or "closed by the member"), step="member", peer=self.member
         )
         for pending in self._pending:
-            if pending.future is not None and not pending.future.done():
-                pending.future.set_exception(lost)
+            pending.fail(lost)
         self._pending.clear()
         on_lost, self.on_lost = self.on_lost, None
         if on_lost is not None:
             on_lost()
 
-    def _deliver(self, pending: PendingAnswer, answer: Answer) -> None:
-        if pending.setup and answer.error and self.on_setup_refused is not None:
-            self.on_setup_refused(pending.setup, answer)
-        if pending.future is not None and not pending.future.done():
-            pending.future.set_result(answer)
-
     def close(self) -> None:
         """Closes immediately; the member rolls back an open transaction."""
         if self._transport is not None:
@@ -132,7 +193,8 @@
     # --- statements
 
     def start(self, group: str, caller: str, member: str) -> asyncio.Future[Answer]:
-        return self._send(self._codec.encode_start(group, caller, member))
+        data = self._codec.encode_start(group, caller, member)
+        return self._send(data, PendingAnswer)
 
     def query(
         self,
@@ -149,41 +211,72 @@
         """
         if shape is not None:
             text = self._codec.execute_text(self._prepare(shape), text)
-        return self._send(self._codec.encode_query(query_id, text, required))
+        data = self._codec.encode_query(query_id, text, required)
+        if not query_id:
+            return self._send(data, PendingAnswer)
+        return self._send(
+            data, lambda future: PendingClientAnswer(future, self._setup, self)
+        )
 
     def apply_session(self, session: SessionState) -> None:
         """Sets the session's values on the connection."""
+        if not self._setup.outstanding:
+            self._setup = Setup()
         if self.state.needs_reset(session):
-            self._send_setup(RESET, self._codec.reset_text)
+            self._send_setup(RESET, self._codec.reset_text, self.state.reset_refused)
             self.state.reset()
         for name, value in self.state.missing_values(session):
-            self._send_setup(st.SET, self._codec.set_text(name, value))
-            self.state.values[name] = value
+            self._send_setup(
+                st.SET,
+                self._codec.set_text(name, value),
+                partial(self.state.value_refused, name),
+            )
+            self.state.set_value(name, value)
         self.session = session
 
     def _prepare(self, shape: tuple[bool, bytes]) -> bytes:
         """Returns the name of a prepared statement, preparing it first if necessary."""
         name, is_new = self.state.prepared_name(shape)
         if is_new:
-            self._send_setup(st.PREPARE, self._codec.prepare_text(name, *shape))
+            self._send_setup(
+                st.PREPARE,
+                self._codec.prepare_text(name, *shape),
+                partial(self.state.prepare_refused, shape, name),
+            )
         return name
 
-    def _send_setup(self, setup: str, text: bytes) -> None:
-        """Sends a statement that sets up the session for the client's statements."""
-        if self.is_open:
-            self._write(self._codec.encode_query(b"", text), PendingAnswer(None, setup))
+    def _send_setup(self, kind: str, text: bytes, undo: Callable[[], None]) -> None:
+        """Sends a statement that the client's next one needs.
 
-    def _send(self, data: bytes) -> asyncio.Future[Answer]:
+        ``undo`` is called if the member refuses it.
+        """
+        if self.is_open:
+            data = self._codec.encode_query(b"", text)
+            on_refused = partial(self._setup_refused, kind, undo)
+            self._write(data, PendingSetupAnswer(self._setup, on_refused))
+
+    def _setup_refused(
+        self, kind: str, undo: Callable[[], None], answer: Answer
+    ) -> None:
+        undo()
+        if self.on_setup_refused is not None:
+            self.on_setup_refused(kind, answer)
+
+    def _send(
+        self,
+        data: bytes,
+        make_pending: Callable[[asyncio.Future[Answer]], PendingAnswer],
+    ) -> asyncio.Future[Answer]:
         future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         if self._transport is None or self._transport.is_closing():
             future.set_exception(
                 ConnectionLost("not connected", step="member", peer=self.member)
             )
             return future
-        self._write(data, PendingAnswer(future))
+        self._write(data, make_pending(future))
         return future
 
-    def _write(self, data: bytes, pending: PendingAnswer) -> None:
+    def _write(self, data: bytes, pending: PendingAnswer | PendingSetupAnswer) -> None:
         assert self._transport is not None
         self._pending.append(pending)
         self.used_at = boottime()
