Refuse announcements that no message can carry

What callers would see: an endpoint announces an address with port 99999 or a name with a lone surrogate. Until now it was stored, and each heartbeat to the control members that mentions it fails to be encoded, or each connection raises OverflowError, which is neither OSError nor ValueError.

Names must be printable and of limited length, addresses need a port from 1 to 65535, and split_address raises ValueError for a port that does not exist. Eight of the nine new cases of announcements failed before, since they were accepted; the ninth, a term of 2**63, was refused already. All pass now.

--- a/packages/daemon/src/bronzemoor_daemon/framing.py
+++ b/packages/daemon/src/bronzemoor_daemon/framing.py
@@ -15,6 +15,7 @@
 
 # A longer frame is malformed or hostile; it is refused before memory is allocated.
 MAX_FRAME_BYTES = 64 * 1024 * 1024
+MAX_PORT = 65_535
 RECEIVE_BYTES = 65_536
 FRAME_LENGTH = struct.Struct("!I")
 TIMEVAL = struct.Struct("@ll")
@@ -167,10 +168,13 @@
 
 def split_address(address: str) -> tuple[str, int]:
     """Splits ``host:port``; an IPv6 host may be bracketed. Raises ``ValueError``."""
-    host, separator, port = address.rpartition(":")
+    host, separator, text = address.rpartition(":")
     if not separator or not host:
         raise ValueError(f"address {address!r} is not host:port")
-    return host.strip("[]"), int(port)
+    port = int(text)
+    if not 0 <= port <= MAX_PORT:
+        raise ValueError(f"the port of {address!r} is not from 0 to {MAX_PORT}")
+    return host.strip("[]"), port
 
 
 def connect(address: str, timeout: float) -> socket.socket:
--- a/packages/daemon/src/bronzemoor_daemon/parsing.py
+++ b/packages/daemon/src/bronzemoor_daemon/parsing.py
@@ -7,6 +7,7 @@
 
 from bronzemoor_core.events import Announcement, Request, Statement
 from bronzemoor_core.exceptions import InvalidRequest
+from bronzemoor_daemon.framing import split_address
 
 MAX_STATEMENTS = 1_000
 MAX_NAME_LENGTH = 200
@@ -160,25 +161,44 @@
     return type(value) is int and 0 <= value < _INT64_LIMIT
 
 
-def _is_string_list(value: Any) -> bool:
-    return type(value) is list and all(type(item) is str for item in value)
+def _is_text(value: Any) -> bool:
+    """Returns whether a value is a string that messages and logs can carry."""
+    return type(value) is str and len(value) <= MAX_NAME_LENGTH and value.isprintable()
+
+
+def _is_name(value: Any) -> bool:
+    return _is_text(value) and bool(value)
+
+
+def _is_name_list(value: Any) -> bool:
+    return type(value) is list and all(_is_name(item) for item in value)
+
+
+def _is_address(value: Any) -> bool:
+    if not _is_name(value):
+        return False
+    try:
+        _, port = split_address(value)
+    except ValueError:
+        return False
+    return port > 0
 
 
 _ANNOUNCEMENT_CHECKS: dict[str, Callable[[Any], bool]] = {
-    "database": lambda value: type(value) is str and bool(value),
-    "member": lambda value: type(value) is str and bool(value),
-    "address": lambda value: type(value) is str and ":" in value,
-    "data_centre": lambda value: type(value) is str,
-    "role": lambda value: type(value) is str,
+    "database": _is_name,
+    "member": _is_name,
+    "address": _is_address,
+    "data_centre": _is_text,
+    "role": _is_text,
     "term": _is_non_negative_int64,
     "offset": _is_non_negative_int64,
     "incarnation": _is_non_negative_int64,
-    "members": _is_string_list,
+    "members": _is_name_list,
     "leaving": lambda value: type(value) is bool,
     "slots": _is_non_negative_int64,
     "connections": _is_non_negative_int64,
     "history": lambda value: type(value) is dict,
-    "unreachable": _is_string_list,
+    "unreachable": _is_name_list,
 }
 _OPTIONAL_ANNOUNCEMENT_FIELDS = {
     "leaving",
--- a/packages/daemon/tests/test_framing.py
+++ b/packages/daemon/tests/test_framing.py
@@ -79,7 +79,9 @@
     assert transport.has_unexpected_input()
 
 
-@pytest.mark.parametrize("text", ["", "host", ":1", "host:", "host:x"])
+@pytest.mark.parametrize(
+    "text", ["", "host", ":1", "host:", "host:x", "host:65536", "host:-1"]
+)
 def test_addresses_without_host_or_port_are_refused(text):
     """Guards against an unclear error when the address is first used."""
     with pytest.raises(ValueError):
--- a/packages/daemon/tests/test_http.py
+++ b/packages/daemon/tests/test_http.py
@@ -76,6 +76,40 @@
     assert client.post("/v1/statements", body())[0] == 200
 
 
+ANNOUNCEMENT = {
+    "database": "claims-1",
+    "member": "member-1",
+    "address": "127.0.0.1:7000",
+    "data_centre": "dc1",
+    "role": "replica",
+    "term": 1,
+    "offset": 1,
+    "incarnation": 1,
+    "members": ["member-1"],
+}
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"address": "127.0.0.1:99999"},
+        {"address": "127.0.0.1:0"},
+        {"address": "\ud800:80"},
+        {"member": "\ud800"},
+        {"data_centre": "\ud800"},
+        {"members": ["member-1", "\ud800"]},
+        {"unreachable": [""]},
+        {"database": "d\r\n"},
+        {"term": 2**63},
+    ],
+)
+def test_an_announcement_that_no_message_can_carry_is_refused(changes):
+    """Guards against one endpoint's announcement that ends the heartbeats to peers."""
+    assert parse_announcement(json.dumps(ANNOUNCEMENT).encode()).term == 1
+    with pytest.raises(InvalidRequest):
+        parse_announcement(json.dumps({**ANNOUNCEMENT, **changes}).encode())
+
+
 @given(st.dictionaries(st.sampled_from(sorted(REQUEST_FIELDS)), JSON), st.booleans())
 def test_any_json_is_a_request_or_a_typed_error(fields, complete):
     """Guards against input that raises anything but ``InvalidRequest``."""
