Use only members whose announcement is valid

Deep nesting got a 500.

Cause: heartbeats were checked for field types only, and what was stored then failed in each daemon that used it, at every step.

Ruled out: numbers beyond 64 bits in born and sequence reach no proxy; they were stored and, by reading, hide the true member's later heartbeats. The web server outlived every entry.

Settings files, peers' frames and members' answers are sound, by reading.

Why it works: entries are decoded once at the door into fields with type and range; what does not fit gets 400, announcement_refused and a count. Records of earlier builds that do not fit are left out of the topology, and a message that cannot be encoded is logged and stops nothing else.

--- a/packages/core/src/bronzemoor_core/wire/records.py
+++ b/packages/core/src/bronzemoor_core/wire/records.py
@@ -2,11 +2,27 @@
 
 import base64
 import zlib
-from typing import Any
+from typing import Annotated, Any
 
-from msgspec import Struct, field
+from msgspec import Meta, Struct, ValidationError, convert, field
 from msgspec.structs import asdict
 
+# Names and addresses are words of the statement protocol.
+Name = Annotated[str, Meta(pattern=r"^[!-~]{1,200}\Z")]
+Label = Annotated[str, Meta(pattern=r"^[^\x00-\x1f\x7f\ud800-\udfff]{1,200}\Z")]
+# A host and a port from 1 to 65535.
+Address = Annotated[
+    str,
+    Meta(
+        pattern=r"^[!-~]{1,250}:([1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}"
+        r"|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])\Z"
+    ),
+]
+# What peers' messages can carry.
+Count = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+# The end of the year 9999: no later start of a process is plausible.
+UnixMilliseconds = Annotated[int, Meta(ge=0, le=253_402_300_799_999)]
+
 
 class MemberRecord(Struct):
     """A member of a group according to its last announcement.
@@ -15,12 +31,12 @@
     ``sequence`` counts its announcements since then, so that a late one is recognised.
     """
 
-    member: str
-    group: str
-    address: str
-    zone: str
-    born: int
-    sequence: int
+    member: Name
+    group: Name
+    address: Address
+    zone: Label
+    born: UnixMilliseconds
+    sequence: Count
     leaving: bool
     primary: bool
 
@@ -29,6 +45,19 @@
         return self.born, self.sequence
 
 
+def is_usable(record: MemberRecord) -> bool:
+    """Returns whether the fields of a stored record are valid.
+
+    Earlier builds stored records with a port out of range or with text that no message
+    can carry.
+    """
+    try:
+        convert(asdict(record), MemberRecord)
+    except ValidationError:
+        return False
+    return True
+
+
 class LeaderRecord(Struct):
     """A group's primary; ``candidate`` is set while a promotion is in progress."""
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/control.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/control.py
@@ -198,6 +198,13 @@
         )
         return reply.code == "ok"
 
+    async def refuse_announcement(self, member: str, reason: str) -> None:
+        """Logs and counts an announcement that names no member to use."""
+        self._metrics.refused_announcements.add()
+        self._report(
+            "warning", "announcement_refused", member=member[:200], reason=reason
+        )
+
     async def remove_member(self, member: str) -> bool:
         """Removes a member that has left for good; False if that is not confirmed."""
         reply = await self.propose({"type": "member.drop", "member": member})
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -22,6 +22,7 @@
 from bronzemoor_core.wire.records import (
     LeaderRecord,
     MemberRecord,
+    is_usable,
     packed_bytes,
     unpack_document,
 )
@@ -127,8 +128,9 @@
     # --- records
 
     def members(self, group: str) -> list[MemberRecord]:
+        """Returns the usable records of a group's members."""
         records = self._control.records.members.values()
-        return [record for record in records if record.group == group]
+        return [r for r in records if r.group == group and is_usable(r)]
 
     def leader_record(self, group: str) -> LeaderRecord:
         """The committed record of the group's primary."""
--- a/packages/daemon/src/bronzemoor_daemon/wire/links.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/links.py
@@ -245,11 +245,23 @@
         if link.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.fail(link, "the peer does not read; too much unsent data")
             return
-        envelope = encode_envelope(
-            self._name, link.peer, message, accepts_compression=True
-        )
+        try:
+            envelope = encode_envelope(
+                self._name, link.peer, message, accepts_compression=True
+            )
+            frame = to_bytes(envelope)
+        except ProtocolError as error:
+            # The caller's other messages and actions must still be handled.
+            self._report(
+                "error",
+                "message_not_sent",
+                peer=link.peer,
+                type=type(message).__name__,
+                error=str(error),
+            )
+            return
         compress = isinstance(message, COMPRESSED_MESSAGES)
-        size = link.send(to_bytes(envelope), compress, boottime())
+        size = link.send(frame, compress, boottime())
         self._sent_bytes.add(type(message).__name__, number=size)
 
     async def _dial(self, peer: str) -> None:
--- a/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
@@ -73,6 +73,7 @@
         "ended_transactions",
         "latency",
         "promotions",
+        "refused_announcements",
         "retries",
         "sent_bytes",
         "sessions",
@@ -109,6 +110,10 @@
             "Deployment documents handled",
             "outcome",
         )
+        self.refused_announcements = Counter(
+            "bronzemoor_refused_announcements",
+            "Announcements that name no member to use",
+        )
         self.sent_bytes = Counter(
             "bronzemoor_sent_bytes",
             "Bytes of messages sent to other daemons, as compressed",
@@ -123,6 +128,7 @@
             self.ended_transactions,
             self.promotions,
             self.changes,
+            self.refused_announcements,
             self.sent_bytes,
         )
 
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -11,7 +11,7 @@
 from bronzemoor_core.wire import statements
 from bronzemoor_core.wire.deployment import InvalidDeployment
 from bronzemoor_core.wire.statements import Answer, EndRequest, QueryRequest
-from bronzemoor_platform.calls import decode_announcement
+from bronzemoor_platform.calls import InvalidAnnouncement, decode_announcement
 from bronzemoor_platform.documents import read_document
 from bronzemoor_platform.lines import PlatformLines
 from bronzemoor_platform.settings import decode_settings
@@ -109,7 +109,8 @@
     ):
         wrong.append(json.dumps({**body, name: value}).encode())
     for text in wrong:
-        assert decode_announcement("i-1", text) is None
+        with pytest.raises(InvalidAnnouncement):
+            decode_announcement("i-1", text)
 
 
 def test_settings_name_daemons_by_their_internal_address():
