Move the answers that a member owes to a module of their own

Sending is one step for all of them now. No change of behaviour: test_setup, test_relays, test_stop and test_whole_path pass.

--- a/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
@@ -13,6 +13,12 @@
 from bronzemoor_daemon.framing import split_address
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.exceptions import ConnectionLost
+from bronzemoor_daemon.wire.pendinganswers import (
+    PendingAnswer,
+    PendingClientAnswer,
+    PendingSetupAnswer,
+    Setup,
+)
 from bronzemoor_daemon.wire.ports import StatementCodec
 from bronzemoor_daemon.wire.sockets import set_tcp_options
 
@@ -22,86 +28,6 @@
 MAX_LINE_BYTES = 1_048_576 + 1_024
 # Keyword in the log of the set-up statement that clears values and prepared statements.
 RESET = "reset"
-# Errors of a statement that did not run because its set-up was refused: a transaction
-# that failed with the set-up answers MALFORMED to what follows.
-UNPREPARED_ERRORS = frozenset((st.MALFORMED, st.UNKNOWN_PREPARED))
-
-
-class Setup:
-    """Statements that establish a session's state, sent ahead of those that need it."""
-
-    __slots__ = ("outstanding", "refusal")
-
-    def __init__(self) -> None:
-        self.outstanding = 0
-        # The first answer with an error.
-        self.refusal: Answer | None = None
-
-
-class PendingAnswer:
-    """An answer that a member owes to a statement of the proxy's own, or to a start."""
-
-    __slots__ = ("_future",)
-
-    def __init__(self, future: asyncio.Future[Answer]) -> None:
-        self._future = future
-
-    def deliver(self, answer: Answer) -> None:
-        if not self._future.done():
-            self._future.set_result(answer)
-
-    def fail(self, error: ConnectionLost) -> None:
-        if not self._future.done():
-            self._future.set_exception(error)
-
-
-class PendingSetupAnswer:
-    """An answer to a set-up statement, which nobody waits for."""
-
-    __slots__ = ("_on_refused", "_setup")
-
-    def __init__(self, setup: Setup, on_refused: Callable[[Answer], None]) -> None:
-        self._setup = setup
-        self._on_refused = on_refused
-        setup.outstanding += 1
-
-    def deliver(self, answer: Answer) -> None:
-        self._setup.outstanding -= 1
-        if answer.error:
-            self._setup.refusal = self._setup.refusal or answer
-            self._on_refused(answer)
-
-    def fail(self, error: ConnectionLost) -> None:
-        self._setup.outstanding -= 1
-
-
-class PendingClientAnswer(PendingAnswer):
-    """An answer to a client's statement, which needs its session's state."""
-
-    __slots__ = ("_connection", "_setup")
-
-    def __init__(
-        self,
-        future: asyncio.Future[Answer],
-        setup: Setup,
-        connection: "MemberConnection",
-    ) -> None:
-        super().__init__(future)
-        self._setup = setup
-        self._connection = connection
-
-    def deliver(self, answer: Answer) -> None:
-        refusal = self._setup.refusal
-        if refusal is not None and answer.ok:
-            connection = self._connection
-            reason = "ran without its session state"
-            self.fail(ConnectionLost(reason, step="member", peer=connection.member))
-            connection.close()
-            return
-        if refusal is not None and answer.error in UNPREPARED_ERRORS:
-            answer.error = refusal.error if refusal.not_run else st.ABORTED
-            answer.message = refusal.message
-        super().deliver(answer)
 
 
 class MemberConnection(asyncio.Protocol):
@@ -193,8 +119,10 @@
     # --- statements
 
     def start(self, group: str, caller: str, member: str) -> asyncio.Future[Answer]:
+        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         data = self._codec.encode_start(group, caller, member)
-        return self._send(data, PendingAnswer)
+        self._send(data, PendingAnswer(future))
+        return future
 
     def query(
         self,
@@ -211,12 +139,14 @@
         """
         if shape is not None:
             text = self._codec.execute_text(self._prepare(shape), text)
-        data = self._codec.encode_query(query_id, text, required)
-        if not query_id:
-            return self._send(data, PendingAnswer)
-        return self._send(
-            data, lambda future: PendingClientAnswer(future, self._setup, self)
+        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        pending = (
+            PendingClientAnswer(future, self._setup, self.member, self.close)
+            if query_id
+            else PendingAnswer(future)
         )
+        self._send(self._codec.encode_query(query_id, text, required), pending)
+        return future
 
     def apply_session(self, session: SessionState) -> None:
         """Sets the session's values on the connection."""
@@ -250,10 +180,11 @@
 
         ``undo`` is called if the member refuses it.
         """
-        if self.is_open:
-            data = self._codec.encode_query(b"", text)
-            on_refused = partial(self._setup_refused, kind, undo)
-            self._write(data, PendingSetupAnswer(self._setup, on_refused))
+        on_refused = partial(self._setup_refused, kind, undo)
+        self._send(
+            self._codec.encode_query(b"", text),
+            PendingSetupAnswer(self._setup, on_refused),
+        )
 
     def _setup_refused(
         self, kind: str, undo: Callable[[], None], answer: Answer
@@ -262,22 +193,12 @@
         if self.on_setup_refused is not None:
             self.on_setup_refused(kind, answer)
 
-    def _send(
-        self,
-        data: bytes,
-        make_pending: Callable[[asyncio.Future[Answer]], PendingAnswer],
-    ) -> asyncio.Future[Answer]:
-        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+    def _send(self, data: bytes, pending: PendingAnswer | PendingSetupAnswer) -> None:
         if self._transport is None or self._transport.is_closing():
-            future.set_exception(
+            pending.fail(
                 ConnectionLost("not connected", step="member", peer=self.member)
             )
-            return future
-        self._write(data, make_pending(future))
-        return future
-
-    def _write(self, data: bytes, pending: PendingAnswer | PendingSetupAnswer) -> None:
-        assert self._transport is not None
+            return
         self._pending.append(pending)
         self.used_at = boottime()
         self._transport.write(data)
