End failed transactions in the test of a planned stop

Its client did not end a transaction that had failed: once a STORE got ABORTED stopping it sent BEGIN again and again and got MALFORMED, so that its session never was idle, and the proxy rightly kept it until the process ended. PROTOCOL.md: a client closes its session if an operation ends outside I.

The client rolls back now, as it must.

--- a/tests/adapter/test_stop.py
+++ b/tests/adapter/test_stop.py
@@ -1,6 +1,7 @@
 """Tests of a planned stop of a proxy under load."""
 
 import asyncio
+import time
 from contextlib import suppress
 from itertools import count
 
@@ -10,12 +11,17 @@
 from test_relays import SCARCE, owner_of, wait_until_shared
 from test_whole_path import outcome
 
+from bronzemoor_daemon.wire.proxy import CLOSE_IDLE_FRACTION, ROLL_BACK_FRACTION
+
 SESSIONS = 12
 GRACE_SECONDS = 1.5
 
 
 async def write_until_closed(address, numbers, acknowledged, texts) -> None:
-    """Writes without pauses, as single statements or transactions of ``texts``."""
+    """Writes without pauses, as single statements or transactions of ``texts``.
+
+    A transaction that failed is rolled back, since its session cannot end otherwise.
+    """
     client = await Client.open(address, "orders")
     with suppress(ConnectionError):
         while True:
@@ -23,6 +29,8 @@
             for text in texts:
                 answer = await client.call(text.format(value))
                 if outcome(answer) != "COMPLETE":
+                    if answer[-1].startswith("READY E"):
+                        await client.call("ROLLBACK")
                     break
             else:
                 acknowledged.add(value)
@@ -30,10 +38,12 @@
 
 @pytest.mark.parametrize("texts", [("STORE a {}",), ("BEGIN", "STORE a {}", "COMMIT")])
 @pytest.mark.parametrize("delay", [0.0, 0.05])
-def test_a_stop_answers_all_that_it_ran(tmp_path, texts, delay):
+@pytest.mark.parametrize("stall", [False, True])
+def test_a_stop_answers_all_that_it_ran(tmp_path, texts, delay, stall):
     """Guards against requests that were accepted and cut off without an answer.
 
-    Members may be slow, and clients go on until their connection is closed.
+    Members may be slow, and clients go on until their connection is closed. The process
+    may stall while idle sessions are closed, until open transactions are ended.
     """
 
     async def scenario(system):
@@ -49,6 +59,12 @@
             for _ in range(SESSIONS)
         ]
         await system.until(lambda: len(acknowledged) >= SESSIONS)
+        if stall:
+            # Longer than the stage between, and begun just before it.
+            stage = (ROLL_BACK_FRACTION - CLOSE_IDLE_FRACTION) * GRACE_SECONDS
+            begin = CLOSE_IDLE_FRACTION * GRACE_SECONDS - 0.02
+            loop = asyncio.get_running_loop()
+            loop.call_later(begin, time.sleep, stage + 0.1)
         await proxy.stop()
         assert not proxy.sessions
         await asyncio.gather(*writers)
