Log who gives which order under which leadership

On the log says neither when a promotion was planned, under which control term, how old its sender's confirmation was, nor that a leader ended; PAUSE, RESUME and STEPDOWN leave no line at all; a control daemon without a leader does not say whether it is outside the group or hears nobody; and a refused BEGIN is silent. Each order now has a line with control_term, confirmed_ms and closed, the read that a successor was chosen by says how many leases were left, and changes of the control leader are logged.

--- a/packages/daemon/src/bronzemoor_daemon/wire/control.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/control.py
@@ -43,7 +43,7 @@
 from bronzemoor_daemon.datafolder import DataFolder, clear_folder
 from bronzemoor_daemon.storagethread import StorageThread
 from bronzemoor_daemon.wire.clock import boottime
-from bronzemoor_daemon.wire.leader import Leader
+from bronzemoor_daemon.wire.leader import MAX_LOGGED_AGE_SECONDS, Leader
 from bronzemoor_daemon.wire.links import Links
 from bronzemoor_daemon.wire.metrics import WireMetrics
 from bronzemoor_daemon.wire.ports import (
@@ -236,7 +236,18 @@
         """Returns the newest document, confirmed by a quorum, or None."""
         reply = await self.propose({"type": "deployment.get", "query": True})
         if reply.code != "ok":
-            self._report("info", "deployment_read_refused", outcome=reply.code)
+            log, now = self.log, boottime()
+            silence = min(now - log.last_contact, MAX_LOGGED_AGE_SECONDS)
+            self._report(
+                "info",
+                "deployment_read_refused",
+                outcome=reply.code,
+                leader=self.leader_name,
+                role=log.role,
+                term=log.term,
+                contact_ms=round(silence * 1_000),
+                in_group=self._settings.peer in log.voters,
+            )
             return None
         packed = str(reply.body.get("document", ""))
         return unpack_document(packed) if packed else None
@@ -275,6 +286,14 @@
         """Starts or stops the leader when the role changes; forwards record changes."""
         is_leader = self.log.established
         if self.leader_name != self._known_leader:
+            self._report(
+                "info",
+                "control_leader_changed",
+                leader=self.leader_name,
+                previous=self._known_leader,
+                role=self.log.role,
+                term=self.log.term,
+            )
             self._known_leader = self.leader_name
             if self.leader_name:
                 self._notify_waiting_proxies()
@@ -285,6 +304,8 @@
                 self._execute_promotion, self._report, self._metrics,
             )  # fmt: skip
         elif not is_leader and self._leader is not None:
+            fields = self._leader.authority_fields(boottime())
+            self._report("warning", "leading_ended", **fields)
             self._leader.close()
             self._leader = None
         if self.log.applied_index != self._applied_index:
--- a/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
@@ -64,6 +64,14 @@
         if planned is None:
             return False
         fence = int(str(planned["fence"]))
+        self.report(
+            "info",
+            "promotion_planned",
+            member=member,
+            fence=fence,
+            term=old_term,
+            **leader.authority_fields(boottime()),
+        )
         reported_count = 0
         while waiting := leader.leases.waiting_for(boottime(), version):
             if len(waiting) != reported_count:
@@ -74,17 +82,21 @@
         deadline = boottime() + 2 * EFFECT_TIMEOUT_SECONDS
         while boottime() < deadline:
             if boottime() - ordered_at > EFFECT_TIMEOUT_SECONDS:
+                sent_at = boottime()
                 outcome = await asyncio.to_thread(
                     leader.execute_promotion, self._group, member, leader.name, fence
                 )
                 leader.metrics.promotions.add(outcome)
+                now = boottime()
                 self.report(
                     "info",
                     "promotion_ordered",
                     member=member,
                     fence=fence,
                     outcome=outcome,
-                    after_ms=round((boottime() - started_at) * 1_000),
+                    answered_ms=round((now - sent_at) * 1_000),
+                    after_ms=round((now - started_at) * 1_000),
+                    **leader.authority_fields(now),
                 )
                 if outcome == "refused":
                     return False
@@ -126,6 +138,7 @@
 
     async def _step_down(self, old: MemberRecord, term: int) -> None:
         text = self._leader.codec.step_down_text(term)
+        self.report("info", "primary_stepping_down", member=old.member, term=term)
         deadline = boottime() + STEP_DOWN_TIMEOUT_SECONDS
         while boottime() < deadline and old.member in self.members:
             status = await send_order(self._leader.codec, self._leader.name, old, text)
@@ -141,12 +154,51 @@
             self._leader.codec.status_text,
         )
 
-    async def send_orders(
+    async def statuses(
+        self, members: dict[str, MemberRecord]
+    ) -> dict[str, MemberStatus]:
+        """Returns the status of each member that answers."""
+        return await self._send_to_all(members, self._leader.codec.status_text)
+
+    async def pause(
+        self, members: dict[str, MemberRecord], term: int
+    ) -> dict[str, MemberStatus]:
+        """Stops replicas from receiving; returns the status of each that answers."""
+        text = self._leader.codec.pause_text(term)
+        statuses = await self._send_to_all(members, text)
+        self._report_order("replicas_paused", members, statuses, term=term)
+        return statuses
+
+    async def resume(self, members: dict[str, MemberRecord]) -> None:
+        """Lets paused replicas receive again."""
+        statuses = await self._send_to_all(members, self._leader.codec.resume_text)
+        self._report_order("replicas_resumed", members, statuses)
+
+    async def _send_to_all(
         self, members: dict[str, MemberRecord], text: bytes
     ) -> dict[str, MemberStatus]:
         return await send_order_to_all(
             self._leader.codec, self._leader.name, list(members.values()), text
         )
 
+    def _report_order(
+        self,
+        event: str,
+        members: dict[str, MemberRecord],
+        statuses: dict[str, MemberStatus],
+        **fields: object,
+    ) -> None:
+        """Logs an order with the positions of the members that answered."""
+        self.report(
+            "info",
+            event,
+            **fields,
+            positions={
+                m: f"{s.position.term}.{s.position.offset}" for m, s in statuses.items()
+            },
+            silent=sorted(set(members) - set(statuses)),
+            **self._leader.authority_fields(boottime()),
+        )
+
     def report(self, level: str, event: str, **fields: object) -> None:
         self._leader.report(level, event, group=self._group, **fields)
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -59,6 +59,8 @@
 ANNOUNCE_INTERVAL_SECONDS = 0.2
 # Older position samples cannot prove the freshness of any read.
 SAMPLE_MAX_AGE_SECONDS = 5.0
+# Upper bound for ages in the log.
+MAX_LOGGED_AGE_SECONDS = 3_600.0
 
 
 class KnownVersions(Struct, frozen=True):
@@ -125,6 +127,16 @@
         for supervisor in self._supervisors.values():
             supervisor.close()
 
+    def authority_fields(self, now: float) -> dict[str, object]:
+        """Returns log fields that say under which leadership an order was given."""
+        log = self._control.log
+        confirmed = max(0.0, now - log.confirmed_at)
+        return {
+            "control_term": log.term,
+            "confirmed_ms": round(min(confirmed, MAX_LOGGED_AGE_SECONDS) * 1_000),
+            "closed": self._closed,
+        }
+
     # --- records
 
     def members(self, group: str) -> list[MemberRecord]:
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -200,6 +200,18 @@
         self._metrics.ended_transactions.add(reason)
         self._report_attempt("transaction_ended", begin, member=member, reason=reason)
 
+    def record_refused_begin(self, begin: Attempt, member: str, answer: Answer) -> None:
+        """Logs that a member refused to begin a transaction at the primary."""
+        self._report_attempt(
+            "begin_refused",
+            begin,
+            member=member,
+            code=answer.error,
+            state=answer.state,
+            topology=self._topology_version,
+            lease_ms=round((self._lease.expires - boottime()) * 1_000),
+        )
+
     def record_answer(
         self, attempt: Attempt, route: Route, answer: Answer, started: float
     ) -> None:
--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -128,9 +128,7 @@
         primary = self._orders.leader_record.primary
         # Leaving replicas will soon get no work, so their lag does not count.
         staying = {m: r for m, r in members.items() if m != primary and not r.leaving}
-        statuses = await self._orders.send_orders(
-            staying, self._leader.codec.status_text
-        )
+        statuses = await self._orders.statuses(staying)
         lags = {member: status.lag for member, status in statuses.items()}
         relieves = should_replace_overloaded_primary(list(lags.values()))
         self._orders.report("info", "primary_overloaded", lags=lags, relieves=relieves)
@@ -142,9 +140,7 @@
     async def _find_primary(self, members: dict[str, MemberRecord]) -> None:
         """Records a member that is primary; fails over if the recorded one is gone."""
         record = self._orders.leader_record
-        statuses = await self._orders.send_orders(
-            members, self._leader.codec.status_text
-        )
+        statuses = await self._orders.statuses(members)
         leading = {m: s for m, s in statuses.items() if s.primary}
         if leading:
             member = max(leading, key=lambda name: leading[name].term)
@@ -215,9 +211,7 @@
                     for m, r in members.items()
                     if m != self._orders.leader_record.primary
                 }
-                paused = await self._orders.send_orders(
-                    replicas, leader.codec.pause_text(old_term + 1)
-                )
+                paused = await self._orders.pause(replicas, old_term + 1)
                 newer = [
                     m for m, s in paused.items() if s.primary and s.term > old_term
                 ]
@@ -237,7 +231,7 @@
                 if not resumed and await self._primary_recovered(
                     primary, old_term, reason
                 ):
-                    await self._orders.send_orders(replicas, leader.codec.resume_text)
+                    await self._orders.resume(replicas)
                     self._orders.report("info", "replacement_cancelled", term=old_term)
                     return
                 await asyncio.sleep(STEP_INTERVAL_SECONDS)
@@ -282,6 +276,8 @@
             expected=len(replicas),
             leaving=len(leaving),
             acknowledged=str(acknowledged),
+            # Proxies that may still acknowledge commits of the old primary.
+            leases=len(leases.waiting_for(now, version)),
         )
         return successor
 
@@ -333,16 +329,14 @@
             primary=record.primary,
             term=record.term,
         )
-        statuses = await self._orders.send_orders(replicas, leader.codec.status_text)
+        statuses = await self._orders.statuses(replicas)
         ready = {m: s.position for m, s in statuses.items() if m in staying}
         if not ready:
             return False
         successor = max(ready, key=lambda m: (ready[m], m))
         others = {m: r for m, r in replicas.items() if m != successor}
         try:
-            paused = await self._orders.send_orders(
-                others, leader.codec.pause_text(record.term + 1)
-            )
+            paused = await self._orders.pause(others, record.term + 1)
             unreachable = set(others) - set(paused)
             if unreachable:
                 self._orders.report(
@@ -366,7 +360,7 @@
             self.revoked = False
             leader.refresh_topology()
             if self._orders.leader_record.primary == record.primary:
-                await self._orders.send_orders(others, leader.codec.resume_text)
+                await self._orders.resume(others)
 
     async def _final_position(self, primary: MemberRecord) -> Position | None:
         """Revokes the primary and returns its position once no proxy uses it.
--- a/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
@@ -222,7 +222,12 @@
         )
         if answer is None or not begin_answer.done() or begin_answer.exception():
             return None
-        return answer if begin_answer.result().ok else begin_answer.result()
+        if begin_answer.result().ok:
+            return answer
+        self._proxy.record_refused_begin(
+            begin, connection.member, begin_answer.result()
+        )
+        return begin_answer.result()
 
     async def _run_next(self, attempt: Attempt, deadline: float) -> Answer:
         """Runs a statement on the pinned connection."""
