Reproduce the stale promotion: six failing tests

On this code all six fail, each alone: 'assert [('k2', 'v')] == []' (a late order of an earlier leader loses an acknowledged write; so does a replica released while a lease lasts), RESUME by a deposed leader ([0, 42] for [42, 42]), ('ledger-b', 2) recorded with ledger-c in term 3, a connection in FIN_WAIT1 after the call failed, and a promotion after a freeze of five seconds.

--- /dev/null
+++ b/tests/adapter/test_stale_orders.py
@@ -0,0 +1,206 @@
+"""Tests of orders that outlive the leadership of the control leader that gave them."""
+
+import asyncio
+import socket
+import threading
+import time
+from itertools import count
+from pathlib import Path
+
+import pytest
+from fake_members import FakeGroup
+from loopback import own_host
+from system import Client, run_system
+from test_control_loss import disconnect, silence
+from test_whole_path import outcome
+
+from bronzemoor_daemon.wire.clock import boottime
+from bronzemoor_platform.promotions import post_promotion
+
+# Longer than any lease and than the limit of a promotion call.
+LONG_SECONDS = 2.5
+KEYS = count(1)
+
+
+def leader_of(system):
+    """Returns the control daemon that leads."""
+    return next(c for c in system.controls if c.log.established)
+
+
+def lost_writes(group: FakeGroup) -> list[tuple[str, str]]:
+    """Returns the acknowledged writes that the newest primary lacks."""
+    held = [write for work in group.primary.log for write in work]
+    return [write for write in group.acknowledged if write not in held]
+
+
+async def write(client: Client) -> bool:
+    """Stores one item; returns whether that was acknowledged."""
+    return outcome(await client.call(f"STORE k{next(KEYS)} v")) == "COMPLETE"
+
+
+def replace_primary(system) -> None:
+    """Makes the leader replace the primary, as after failed probes."""
+    supervisor = leader_of(system)._leader._supervisors["ledger"]
+
+    async def fail_over(primary) -> None:
+        await supervisor._fail_over("unreachable")
+
+    supervisor._check_primary = fail_over
+    supervisor._suspected = True
+    supervisor.wake()
+
+
+def test_a_replica_that_is_released_early_acknowledges_no_write_that_is_lost(tmp_path):
+    """Guards against a successor that is chosen before the last write is acknowledged.
+
+    A paused replica that restarted, or that a late RESUME reached, received again while
+    a proxy that could not be reached still held its lease.
+    """
+
+    async def scenario(system):
+        client = await Client.open(system.client_addresses[0], "orders")
+        assert await write(client)
+        disconnect(system.proxies[0])
+        replace_primary(system)
+        first, second = [m for m in system.group.members.values() if not m.primary]
+        await system.until(lambda: first.held_term and second.held_term)
+        # Both hold the same; the one with the greater name is promoted.
+        await asyncio.sleep(0.2)
+        first.held_term = 0
+        assert await write(client)
+        await system.until(lambda: system.group.primary.term > 1)
+        assert lost_writes(system.group) == []
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_promotion_of_an_earlier_leader_that_arrives_late_loses_no_write(tmp_path):
+    """Guards against a second promotion by an order that was on its way.
+
+    The next leader promoted another replica, and the late order then replaced that one
+    by a member without its commits.
+    """
+
+    async def scenario(system):
+        group, old_leader = system.group, leader_of(system)
+        may_arrive, calls = threading.Event(), []
+        carry_out = group.promote
+
+        def promote(member: str, fence: int) -> str:
+            calls.append(member)
+            if len(calls) == 1:
+                # The first order is on its way until the test lets it arrive.
+                may_arrive.wait(4 * LONG_SECONDS)
+            return carry_out(member, fence)
+
+        group.promote = promote
+        replace_primary(system)
+        await system.until(lambda: calls)
+        planned = group.members[calls[0]]
+        # A member that stays would be preferred to one that leaves.
+        assert await system.announce(planned.name, sequence=9, leaving=True)
+        silence(old_leader)
+        await system.until(lambda: len(calls) > 1)
+        client = await Client.open(system.client_addresses[0], "orders")
+        await system.until_async(lambda: write(client))
+        if not planned.primary:
+            planned.held_term = 99  # it falls behind
+        assert await write(client)
+        may_arrive.set()
+        await asyncio.sleep(0.3)
+        assert lost_writes(group) == []
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_deposed_leader_releases_no_paused_replica(tmp_path):
+    """Guards against RESUME orders of a handover whose leader was replaced.
+
+    They released replicas that its successor had paused and whose positions it relied
+    on.
+    """
+
+    async def scenario(system):
+        group, old_leader = system.group, leader_of(system)
+        supervisor = old_leader._leader._supervisors["ledger"]
+        replicas = [m for m in group.members.values() if not m.primary]
+        leases = old_leader._leader.leases
+        await system.until(lambda: leases.predecessor_leases_expired(boottime()))
+        # The promotion waits until the lease of this proxy has ended.
+        disconnect(system.proxies[0])
+        handover = asyncio.create_task(supervisor._hand_over("leaving"))
+        await system.until(lambda: any(m.held_term == 2 for m in replicas))
+        old_leader._leader.close()
+        handover.cancel()
+        for member in replicas:
+            member.held_term = 42  # paused by the next leader
+        await asyncio.gather(handover, return_exceptions=True)
+        assert [member.held_term for member in replicas] == [42, 42]
+
+    run_system(tmp_path, scenario)
+
+
+def test_the_newest_of_two_primaries_is_recorded(tmp_path):
+    """Guards against a topology that names the older of two promoted members."""
+
+    async def scenario(system):
+        first, second = [m for m in system.group.members.values() if not m.primary]
+        first.primary, first.term = True, 2
+        second.primary, second.term = True, 3
+        leader = leader_of(system)._leader
+        replace_primary(system)
+        await system.until(lambda: leader.leader_record("ledger").term > 1)
+        record = leader.leader_record("ledger")
+        assert (record.primary, record.term) == (second.name, 3)
+
+    run_system(tmp_path, scenario)
+
+
+@pytest.fixture
+def listener():
+    """A platform that accepts connections late or never."""
+    with socket.socket() as server:
+        server.bind((own_host(), 0))
+        server.listen()
+        yield server
+
+
+def connections_to(address: tuple[str, int]) -> list[str]:
+    """Returns the kernel's connections to ``address``, established or closing."""
+    host = "".join(f"{int(part):02X}" for part in reversed(address[0].split(".")))
+    remote = f"{host}:{address[1]:04X}"
+    rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()]
+    return [row[3] for row in rows if row[2] == remote]
+
+
+def test_the_kernel_goes_on_with_no_promotion_that_was_given_up(listener):
+    """Guards against an order that the kernel delivers after its sender gave it up."""
+    address = listener.getsockname()
+    outcome = post_promotion(
+        f"{address[0]}:{address[1]}", "ledger", "a", "control-1", 7
+    )
+    assert outcome == "failed"
+    assert connections_to(address) == []
+
+
+def test_a_leader_that_was_frozen_sends_no_promotion(tmp_path, monkeypatch):
+    """Guards against an order that leaves when its sender's leadership has ended.
+
+    After a freeze the timers of the event loop run before it reads what its peers sent.
+    """
+
+    async def scenario(system):
+        old_leader = leader_of(system)
+        disconnect(system.proxies[0])
+        replace_primary(system)
+        await system.until(
+            lambda: any(e == "waiting_for_leases" for e, _ in system.events)
+        )
+        silence(old_leader)
+        time.sleep(2 * LONG_SECONDS)  # the whole process stands still
+        # As on a loop whose timer of this task is due before that of the tick.
+        old_leader._handle = lambda event: None
+        await asyncio.sleep(0.3)
+        assert system.group.promotions == []
+
+    run_system(tmp_path, scenario)
