Record the newest of two primaries

Callers: none seen directly; after a stale promotion the topology could name the older primary, whose replicas had left it, until its commits had stalled for 1.2 s. Cause: a replacement that found promoted members took the first in the order of names. Evidence: test_the_newest_of_two_primaries_is_recorded failed ('ledger-b' in term 2 recorded, 'ledger-c' led term 3) and passes. Ruled out: _find_primary, which compares terms already.

--- a/packages/core/src/bronzemoor_core/wire/succession.py
+++ b/packages/core/src/bronzemoor_core/wire/succession.py
@@ -6,6 +6,7 @@
 
 from bronzemoor_core.messages import GroupReport
 from bronzemoor_core.positions import ZERO, Position
+from bronzemoor_core.wire.statements import MemberStatus
 
 # A proxy's report counts as a failure once new connections failed for this long.
 MIN_FAILING_SECONDS = 0.250
@@ -121,6 +122,15 @@
     return newest
 
 
+def newest_primary(statuses: dict[str, MemberStatus], term: int) -> str:
+    """Returns the member that leads the newest term after ``term``, or an empty string.
+
+    A promotion that took effect late can leave two members that lead.
+    """
+    leading = {m: s.term for m, s in statuses.items() if s.primary and s.term > term}
+    return max(leading, key=lambda member: leading[member], default="")
+
+
 def choose_successor(
     held: dict[str, Position],
     expected: set[str],
--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -11,6 +11,7 @@
     acknowledged_position,
     choose_successor,
     is_overloaded,
+    newest_primary,
     replacement_reason,
     should_replace_overloaded_primary,
 )
@@ -212,13 +213,10 @@
                     if m != self._orders.leader_record.primary
                 }
                 paused = await self._orders.pause(replicas, old_term + 1)
-                newer = [
-                    m for m, s in paused.items() if s.primary and s.term > old_term
-                ]
-                if newer:
+                if newest := newest_primary(paused, old_term):
                     # An earlier promotion order took effect.
                     await self._orders.complete_promotion(
-                        newer[0], paused[newer[0]].term, started_at
+                        newest, paused[newest].term, started_at
                     )
                     return
                 held = {m: s.position for m, s in paused.items() if not s.primary}
