Complete a planned promotion with the member that was planned

Callers: acknowledged commits lost (LOST) after the control leader changed in the middle of a promotion. Cause: the next leader chose its successor anew and could promote another member, here because the planned one was leaving; the first leader's order, on its way until then, replaced it by a member without the commits made since. Nothing said what a leader may assume about its predecessor's orders. Now a planned member that holds all acknowledged commits goes before every other, also one that stays: once it is the primary, an order for it changes nothing. Ruled out: the choice by position alone (both held the same).

--- a/packages/core/src/bronzemoor_core/wire/succession.py
+++ b/packages/core/src/bronzemoor_core/wire/succession.py
@@ -136,14 +136,17 @@
     expected: set[str],
     acknowledged: Position | None,
     leaving: Collection[str] = (),
+    planned: str = "",
 ) -> str:
     """Returns the member to promote, or an empty string while none is safe.
 
     ``held`` are the positions of paused replicas and ``expected`` all replicas that may
     have acknowledged a commit. Once all of them have reported, the newest has every
     commit. Otherwise a replica must have reached ``acknowledged``, the newest commit
-    that was reported to any client, None while unknown. A ``leaving`` member is chosen
-    only if no other is safe, since it would have to be replaced at once.
+    that was reported to any client, None while unknown. An order to promote the
+    ``planned`` member may still be on its way and is harmless only once that member is
+    the primary, so it is preferred. A ``leaving`` member is chosen only if no other is
+    safe, since it would have to be replaced at once.
     """
     if not held:
         return ""
@@ -154,6 +157,11 @@
     safe = [member for member, position in held.items() if position >= required]
     return max(
         safe,
-        key=lambda member: (member not in leaving, held[member], member),
+        key=lambda member: (
+            member == planned,
+            member not in leaving,
+            held[member],
+            member,
+        ),
         default="",
     )
--- a/packages/core/tests/wire/test_succession.py
+++ b/packages/core/tests/wire/test_succession.py
@@ -133,3 +133,13 @@
         report(acknowledged=(2, 30)),
     )
     assert acknowledged_position(reports, 1) == Position(1, 9)
+
+
+def test_a_planned_successor_is_not_exchanged_for_another():
+    """Guards against two promotions of one term, the first of which arrives last."""
+    held = {"b": Position(1, 5), "c": Position(1, 5)}
+    assert choose_successor(held, {"b", "c"}, None, planned="b") == "b"
+    assert choose_successor(held, {"b", "c"}, None, {"b"}, planned="b") == "b"
+    held["c"] = Position(1, 6)
+    # It lacks a commit that may have been acknowledged.
+    assert choose_successor(held, {"b", "c"}, None, planned="b") == "c"
--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -265,11 +265,15 @@
             if sample and sample[1].term == term:
                 acknowledged = max(acknowledged, sample[1])
         leaving = {member for member, record in replicas.items() if record.leaving}
-        successor = choose_successor(held, set(replicas), acknowledged, leaving)
+        planned = self._orders.leader_record.candidate
+        successor = choose_successor(
+            held, set(replicas), acknowledged, leaving, planned
+        )
         self._orders.report(
             "info",
             "successor",
             successor=successor,
+            planned=planned,
             held={m: f"{p.term}.{p.offset}" for m, p in held.items()},
             expected=len(replicas),
             leaving=len(leaving),
