Read a successor's position once no proxy can use the old primary

Callers: acknowledged commits lost (LOST) without a stale promotion. Cause: replicas were paused and read first, and the leases of the proxies were waited for afterwards. A replica that was released meanwhile, by its restart or by a RESUME of another leader that names no term, received again, and the old primary's commits were acknowledged under the leases that remained; the successor chosen before lacked them. Now the leases end first; a replacement pauses and reads the replicas after that, and a handover reads the paused replicas once more. A RESUME that comes later can release nothing that a client would be told of. A handover resumes its replicas only while no promotion is planned. Ruled out: a check of the pause alone, since STATUS says nothing of a pause that ended and began again. Cost: one round of orders more between the revocation and the plan of a handover, none in a replacement, whose first round is left out. Evidence: test_a_replica_that_is_released_early_acknowledges_no_write_that_is_lost and test_a_handover_waits_for_writes_that_a_released_replica_acknowledged failed ([('k2', 'v')] lost) and pass. The first waits for waiting_for_leases in place of the pause, which comes later now; it fails on the old code in this form too.

--- a/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
@@ -54,8 +54,20 @@
         self.report("info", "primary_recorded", member=member, term=term, done=done)
         return done
 
-    async def promote(self, member: str, version: int, started_at: float) -> bool:
-        """Orders the promotion once no proxy can use the old primary any more."""
+    async def wait_for_leases(self, version: int) -> None:
+        """Waits until no proxy can use an older topology than ``version``."""
+        reported_count = 0
+        while waiting := self._leader.leases.waiting_for(boottime(), version):
+            if len(waiting) != reported_count:
+                reported_count = len(waiting)
+                self.report("info", "waiting_for_leases", proxies=reported_count)
+            await asyncio.sleep(STEP_INTERVAL_SECONDS)
+
+    async def promote(self, member: str, started_at: float) -> bool:
+        """Orders the promotion; no proxy may be able to use the old primary any more.
+
+        Returns whether it took effect.
+        """
         leader = self._leader
         old_term = self.leader_record.term
         planned = await leader.commit(
@@ -72,12 +84,6 @@
             term=old_term,
             **leader.authority_fields(boottime()),
         )
-        reported_count = 0
-        while waiting := leader.leases.waiting_for(boottime(), version):
-            if len(waiting) != reported_count:
-                reported_count = len(waiting)
-                self.report("info", "waiting_for_leases", proxies=reported_count)
-            await asyncio.sleep(STEP_INTERVAL_SECONDS)
         ordered_at = float("-inf")
         deadline = boottime() + 2 * EFFECT_TIMEOUT_SECONDS
         while boottime() < deadline:
--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 from bronzemoor_core.messages import GroupReport
-from bronzemoor_core.positions import Position
+from bronzemoor_core.positions import ZERO, Position
 from bronzemoor_core.wire.records import MemberRecord
 from bronzemoor_core.wire.statements import BUSY, CONNECTION_LIMIT, MemberStatus
 from bronzemoor_core.wire.succession import (
@@ -205,27 +205,21 @@
         self._revoke()
         version = leader.topology_version
         try:
+            if resumed and await self._complete_earlier(old_term, started_at):
+                return
             while True:
-                members = self._orders.members
-                replicas = {
-                    m: r
-                    for m, r in members.items()
-                    if m != self._orders.leader_record.primary
-                }
+                # A replica that is released or restarted may acknowledge commits until
+                # then, so its position is read afterwards.
+                await self._orders.wait_for_leases(version)
+                replicas = self._replicas
                 paused = await self._orders.pause(replicas, old_term + 1)
-                if newest := newest_primary(paused, old_term):
-                    # An earlier promotion order took effect.
-                    await self._orders.complete_promotion(
-                        newest, paused[newest].term, started_at
-                    )
+                if await self._complete_promoted(paused, old_term, started_at):
                     return
                 held = {m: s.position for m, s in paused.items() if not s.primary}
                 successor = self._choose_successor(held, replicas, version, old_term)
-                if successor and await self._orders.promote(
-                    successor, version, started_at
-                ):
+                if successor and await self._orders.promote(successor, started_at):
                     return
-                primary = members.get(self._orders.leader_record.primary)
+                primary = self._orders.members.get(self._orders.leader_record.primary)
                 if not resumed and await self._primary_recovered(
                     primary, old_term, reason
                 ):
@@ -239,6 +233,32 @@
             self.revoked = False
             leader.refresh_topology()
 
+    @property
+    def _term(self) -> int:
+        return self._orders.leader_record.term
+
+    @property
+    def _replicas(self) -> dict[str, MemberRecord]:
+        """All members but the recorded primary."""
+        primary = self._orders.leader_record.primary
+        return {m: r for m, r in self._orders.members.items() if m != primary}
+
+    async def _complete_earlier(self, term: int, started_at: float) -> bool:
+        """Completes an earlier leader's promotion that has taken effect already."""
+        statuses = await self._orders.statuses(self._replicas)
+        return await self._complete_promoted(statuses, term, started_at)
+
+    async def _complete_promoted(
+        self, statuses: dict[str, MemberStatus], term: int, started_at: float
+    ) -> bool:
+        """Records a member that leads a term after ``term``; False if none does."""
+        newest = newest_primary(statuses, term)
+        if newest:
+            await self._orders.complete_promotion(
+                newest, statuses[newest].term, started_at
+            )
+        return bool(newest)
+
     def _choose_successor(
         self,
         held: dict[str, Position],
@@ -315,12 +335,9 @@
             # The promotion would wait until an earlier leader's unknown leases have
             # expired, and proxies would have no primary meanwhile.
             return False
-        leader, record, members = (
-            self._leader,
-            self._orders.leader_record,
-            self._orders.members,
-        )
-        replicas = {m: r for m, r in members.items() if m != record.primary}
+        leader, members = self._leader, self._orders.members
+        old, term = members[self._orders.leader_record.primary], self._term
+        replicas = self._replicas
         staying = {m: r for m, r in replicas.items() if not r.leaving}
         if not staying:
             return False
@@ -328,8 +345,8 @@
             "info",
             "handing_over",
             reason=reason,
-            primary=record.primary,
-            term=record.term,
+            primary=old.member,
+            term=term,
         )
         statuses = await self._orders.statuses(replicas)
         ready = {m: s.position for m, s in statuses.items() if m in staying}
@@ -338,32 +355,39 @@
         successor = max(ready, key=lambda m: (ready[m], m))
         others = {m: r for m, r in replicas.items() if m != successor}
         try:
-            paused = await self._orders.pause(others, record.term + 1)
-            unreachable = set(others) - set(paused)
-            if unreachable:
-                self._orders.report(
-                    "info", "handover_stops_writes", silent=len(unreachable)
-                )
-                required = await self._final_position(members[record.primary])
-            else:
-                required = max(
-                    (s.position for s in paused.values()), default=ready[successor]
-                )
-            if required is None or not await self._await_catch_up(
-                members[successor], required
-            ):
-                self._next_handover_at = boottime() + HANDOVER_RETRY_SECONDS
-                self._orders.report("info", "handover_put_off", successor=successor)
-                return True
-            self._revoke()
-            await self._orders.promote(successor, leader.topology_version, started_at)
+            required = await self._position_to_reach(others, old, term)
+            if await self._await_catch_up(members[successor], required):
+                self._revoke()
+                await self._orders.wait_for_leases(leader.topology_version)
+                # One that was released meanwhile may have acknowledged commits.
+                required = await self._position_to_reach(others, old, term)
+                if await self._await_catch_up(members[successor], required):
+                    await self._orders.promote(successor, started_at)
+                    return True
+            self._next_handover_at = boottime() + HANDOVER_RETRY_SECONDS
+            self._orders.report("info", "handover_put_off", successor=successor)
             return True
         finally:
             self.revoked = False
             leader.refresh_topology()
-            if self._orders.leader_record.primary == record.primary:
+            current = self._orders.leader_record
+            if current.primary == old.member and not current.candidate:
                 await self._orders.resume(others)
 
+    async def _position_to_reach(
+        self, others: dict[str, MemberRecord], primary: MemberRecord, term: int
+    ) -> Position | None:
+        """Pauses all replicas but the successor and returns what it has to reach.
+
+        The position is None if some are silent and so is the primary.
+        """
+        paused = await self._orders.pause(others, term + 1)
+        silent = set(others) - set(paused)
+        if silent:
+            self._orders.report("info", "handover_stops_writes", silent=len(silent))
+            return await self._final_position(primary)
+        return max((s.position for s in paused.values()), default=ZERO)
+
     async def _final_position(self, primary: MemberRecord) -> Position | None:
         """Revokes the primary and returns its position once no proxy uses it.
 
@@ -382,7 +406,12 @@
         status = await self._orders.status(primary)
         return status.position if isinstance(status, MemberStatus) else None
 
-    async def _await_catch_up(self, member: MemberRecord, required: Position) -> bool:
+    async def _await_catch_up(
+        self, member: MemberRecord, required: Position | None
+    ) -> bool:
+        """Returns whether a member reaches ``required`` in time; None is unknown."""
+        if required is None:
+            return False
         deadline = boottime() + CATCH_UP_TIMEOUT_SECONDS
         while boottime() < deadline:
             status = await self._orders.status(member)
--- a/tests/adapter/test_stale_orders.py
+++ b/tests/adapter/test_stale_orders.py
@@ -33,6 +33,10 @@
     return [write for write in group.acknowledged if write not in held]
 
 
+def names(events: list[tuple[str, dict]]) -> list[str]:
+    return [event for event, _ in events]
+
+
 async def write(client: Client) -> bool:
     """Stores one item; returns whether that was acknowledged."""
     return outcome(await client.call(f"STORE k{next(KEYS)} v")) == "COMPLETE"
@@ -62,11 +66,10 @@
         assert await write(client)
         disconnect(system.proxies[0])
         replace_primary(system)
-        first, second = [m for m in system.group.members.values() if not m.primary]
-        await system.until(lambda: first.held_term and second.held_term)
-        # Both hold the same; the one with the greater name is promoted.
-        await asyncio.sleep(0.2)
-        first.held_term = 0
+        await system.until(lambda: "waiting_for_leases" in names(system.events))
+        # The other replica has the greater name and is promoted.
+        released = next(m for m in system.group.members.values() if not m.primary)
+        released.held_term = 0
         assert await write(client)
         await system.until(lambda: system.group.primary.term > 1)
         assert lost_writes(system.group) == []
@@ -74,6 +77,31 @@
     run_system(tmp_path, scenario)
 
 
+def test_a_handover_waits_for_writes_that_a_released_replica_acknowledged(tmp_path):
+    """Guards against a planned successor that lacks an acknowledged write."""
+
+    async def scenario(system):
+        leader = leader_of(system)._leader
+        await system.until(lambda: leader.leases.predecessor_leases_expired(boottime()))
+        client = await Client.open(system.client_addresses[0], "orders")
+        assert await write(client)
+        disconnect(system.proxies[0])
+        handover = leader._supervisors["ledger"]._hand_over("overloaded")
+        task = asyncio.create_task(handover)
+        await system.until(lambda: "waiting_for_leases" in names(system.events))
+        released = next(m for m in system.group.members.values() if m.held_term)
+        released.held_term = 0
+        for member in system.group.members.values():
+            if member is not released and not member.primary:
+                member.held_term = 99  # receives nothing for a while
+        assert await write(client)
+        async with asyncio.timeout(2 * LONG_SECONDS):
+            await task
+        assert lost_writes(system.group) == []
+
+    run_system(tmp_path, scenario)
+
+
 def test_a_promotion_of_an_earlier_leader_that_arrives_late_loses_no_write(tmp_path):
     """Guards against a second promotion by an order that was on its way.
 
@@ -193,9 +221,7 @@
         old_leader = leader_of(system)
         disconnect(system.proxies[0])
         replace_primary(system)
-        await system.until(
-            lambda: any(e == "waiting_for_leases" for e, _ in system.events)
-        )
+        await system.until(lambda: "waiting_for_leases" in names(system.events))
         silence(old_leader)
         time.sleep(2 * LONG_SECONDS)  # the whole process stands still
         # As on a loop whose timer of this task is due before that of the tick.
