Send a promotion only while its sender's leadership is confirmed

Cause: nothing bounded when an order left or arrived. After a freeze the loop's timers sent it before the new term was read; a cancelled supervisor's thread went on; and a call that was given up left its bytes to the kernel, which retransmits them for minutes and delivers them when the path is back. An order now has a deadline, 1.5 s after the last confirmation by a quorum, checked right before each write. The kernel gives up unacknowledged bytes by then (TCP_USER_TIMEOUT) and at once when the call is given up (a reset in place of a close). Ruled out: a check before the call only, since the connection takes time; a check on the event loop, since the call blocks a thread. What stays: bytes that the platform's kernel has taken and its program has not read can still act; a later order queues behind them. The tests' executor takes the typed order.

--- a/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from bronzemoor_core.wire.authority import PromotionOrder, may_order
 from bronzemoor_core.wire.records import LeaderRecord, MemberRecord
 from bronzemoor_core.wire.statements import MemberStatus
 from bronzemoor_daemon.wire.clock import boottime
@@ -87,28 +88,16 @@
         ordered_at = float("-inf")
         deadline = boottime() + 2 * EFFECT_TIMEOUT_SECONDS
         while boottime() < deadline:
-            if boottime() - ordered_at > EFFECT_TIMEOUT_SECONDS:
-                sent_at = boottime()
-                outcome = await asyncio.to_thread(
-                    leader.execute_promotion, self._group, member, leader.name, fence
-                )
-                leader.metrics.promotions.add(outcome)
-                now = boottime()
-                self.report(
-                    "info",
-                    "promotion_ordered",
-                    member=member,
-                    fence=fence,
-                    outcome=outcome,
-                    answered_ms=round((now - sent_at) * 1_000),
-                    after_ms=round((now - started_at) * 1_000),
-                    **leader.authority_fields(now),
-                )
+            if boottime() - ordered_at > EFFECT_TIMEOUT_SECONDS and may_order(
+                boottime(), leader.order_deadline
+            ):
+                outcome = await self._execute(member, fence, started_at)
                 if outcome == "refused":
                     return False
-                # An order with an unknown outcome is retried sooner.
-                ordered_at = boottime()
-                if outcome != "done":
+                if outcome != "expired":
+                    ordered_at = boottime()
+                if outcome == "failed":
+                    # Its effect is unknown, so it is retried sooner.
                     ordered_at += ORDER_RETRY_SECONDS - EFFECT_TIMEOUT_SECONDS
             record = self.members.get(member)
             if record is None:
@@ -124,6 +113,27 @@
             await asyncio.sleep(STEP_INTERVAL_SECONDS)
         return False
 
+    async def _execute(self, member: str, fence: int, started_at: float) -> str:
+        """Passes an order to the executor and returns its outcome."""
+        leader, sent_at = self._leader, boottime()
+        order = PromotionOrder(
+            self._group, member, leader.name, fence, leader.order_deadline
+        )
+        outcome = await asyncio.to_thread(leader.execute_promotion, order)
+        now = boottime()
+        leader.metrics.promotions.add(outcome)
+        self.report(
+            "info",
+            "promotion_ordered",
+            member=member,
+            fence=fence,
+            outcome=outcome,
+            answered_ms=round((now - sent_at) * 1_000),
+            after_ms=round((now - started_at) * 1_000),
+            **leader.authority_fields(now),
+        )
+        return outcome
+
     async def complete_promotion(
         self, member: str, term: int, started_at: float
     ) -> None:
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -16,6 +16,7 @@
     ProxyReport,
 )
 from bronzemoor_core.positions import Position
+from bronzemoor_core.wire.authority import order_deadline
 from bronzemoor_core.wire.deployment import Deployment
 from bronzemoor_core.wire.freshness import SampleExchange
 from bronzemoor_core.wire.leases import LeaseTable
@@ -127,6 +128,13 @@
         for supervisor in self._supervisors.values():
             supervisor.close()
 
+    @property
+    def order_deadline(self) -> float:
+        """When orders that are given now must have left; past once this has closed."""
+        if self._closed:
+            return float("-inf")
+        return order_deadline(self._control.log.confirmed_at)
+
     def authority_fields(self, now: float) -> dict[str, object]:
         """Returns log fields that say under which leadership an order was given."""
         log = self._control.log
--- a/packages/daemon/src/bronzemoor_daemon/wire/ports.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/ports.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 from bronzemoor_core.positions import ZERO, Position
+from bronzemoor_core.wire.authority import PromotionOrder
 from bronzemoor_core.wire.deployment import Deployment
 from bronzemoor_core.wire.statements import (
     Answer,
@@ -61,8 +62,9 @@
 class PromotionExecutor(Protocol):
     """Requests a promotion from the platform; blocks, so it is called on a thread.
 
-    Returns the outcome: ``done``, ``refused`` (the member is not running), or
-    ``failed`` if it is unknown whether the promotion was carried out.
+    Returns the outcome: ``done``, ``refused`` (the member is not running), ``expired``
+    (the order was not sent by its deadline), or ``failed`` if it is unknown whether the
+    promotion was carried out.
     """
 
-    def __call__(self, group: str, member: str, holder: str, fence: int) -> str: ...
+    def __call__(self, order: PromotionOrder) -> str: ...
--- a/tests/adapter/system.py
+++ b/tests/adapter/system.py
@@ -8,6 +8,7 @@
 from fake_members import FakeGroup
 from loopback import free_addresses
 
+from bronzemoor_core.wire.authority import PromotionOrder
 from bronzemoor_core.wire.records import MemberRecord
 from bronzemoor_daemon.wire.control import ControlDaemon
 from bronzemoor_daemon.wire.metrics import WireMetrics
@@ -175,8 +176,8 @@
             name, (role,), ZONES[0], peer, seeds, True, data_folder=str(folder)
         )
 
-    def _promote(self, group: str, member: str, holder: str, fence: int) -> str:
-        return self.group.promote(member, fence)
+    def _promote(self, order: PromotionOrder) -> str:
+        return self.group.promote(order.member, order.fence)
 
     def _report(self, level: str, event: str, **fields) -> None:
         self.events.append((event, fields))
--- a/tests/adapter/test_stale_orders.py
+++ b/tests/adapter/test_stale_orders.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+from contextlib import closing
 from itertools import count
 from pathlib import Path
 
@@ -14,6 +15,8 @@
 from test_control_loss import disconnect, silence
 from test_whole_path import outcome
 
+from bronzemoor_core.wire.authority import PromotionOrder
+from bronzemoor_daemon.wire import boundedcalls
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_platform.promotions import post_promotion
 
@@ -201,16 +204,30 @@
     return [row[3] for row in rows if row[2] == remote]
 
 
+def order_for(deadline: float) -> PromotionOrder:
+    return PromotionOrder("ledger", "a", "control-1", 7, deadline)
+
+
 def test_the_kernel_goes_on_with_no_promotion_that_was_given_up(listener):
     """Guards against an order that the kernel delivers after its sender gave it up."""
     address = listener.getsockname()
-    outcome = post_promotion(
-        f"{address[0]}:{address[1]}", "ledger", "a", "control-1", 7
-    )
-    assert outcome == "failed"
+    order = order_for(boottime() + LONG_SECONDS)
+    assert post_promotion("{}:{}".format(*address), order) == "failed"
     assert connections_to(address) == []
 
 
+def test_no_byte_of_a_promotion_leaves_after_its_deadline(listener, monkeypatch):
+    """Guards against an order whose sender stood still after it had connected."""
+    address = listener.getsockname()
+    order = order_for(boottime() + LONG_SECONDS)
+    times = iter((boottime(), order.deadline))
+    monkeypatch.setattr(boundedcalls, "boottime", lambda: next(times))
+    assert post_promotion("{}:{}".format(*address), order) == "expired"
+    connection, _ = listener.accept()
+    with closing(connection), pytest.raises(ConnectionResetError):
+        connection.recv(100)
+
+
 def test_a_leader_that_was_frozen_sends_no_promotion(tmp_path, monkeypatch):
     """Guards against an order that leaves when its sender's leadership has ended.
 
