Give members no orders after the leadership that decided on them

Callers: acknowledged commits lost (LOST): a RESUME of an earlier leader released a replica that its successor had paused and read. Cause: a handover sends RESUME in its finally, so also when its leader was deposed; an order that timed out stayed on an open connection, which nobody closed, so its bytes could arrive for as long as the kernel kept them. PAUSE, RESUME and STEPDOWN have the deadline of promotions now, checked before connecting and right before the write; a leader that has closed has none left; an order that is given up resets its connection. Ruled out: STEPDOWN alone names a term and harms no newer primary; it has the deadline too.

--- a/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
@@ -7,7 +7,11 @@
 from bronzemoor_core.wire.records import LeaderRecord, MemberRecord
 from bronzemoor_core.wire.statements import MemberStatus
 from bronzemoor_daemon.wire.clock import boottime
-from bronzemoor_daemon.wire.memberorders import send_order, send_order_to_all
+from bronzemoor_daemon.wire.memberorders import (
+    NO_DEADLINE,
+    send_order,
+    send_order_to_all,
+)
 from bronzemoor_daemon.wire.tasks import Tasks
 
 if TYPE_CHECKING:
@@ -157,7 +161,10 @@
         self.report("info", "primary_stepping_down", member=old.member, term=term)
         deadline = boottime() + STEP_DOWN_TIMEOUT_SECONDS
         while boottime() < deadline and old.member in self.members:
-            status = await send_order(self._leader.codec, self._leader.name, old, text)
+            leader = self._leader
+            status = await send_order(
+                leader.codec, leader.name, old, text, leader.order_deadline
+            )
             if isinstance(status, MemberStatus) and not status.primary:
                 return
             await asyncio.sleep(STEP_DOWN_INTERVAL_SECONDS)
@@ -168,33 +175,40 @@
             self._leader.name,
             record,
             self._leader.codec.status_text,
+            NO_DEADLINE,
         )
 
     async def statuses(
         self, members: dict[str, MemberRecord]
     ) -> dict[str, MemberStatus]:
         """Returns the status of each member that answers."""
-        return await self._send_to_all(members, self._leader.codec.status_text)
+        text = self._leader.codec.status_text
+        return await self._send_to_all(members, text, NO_DEADLINE)
 
     async def pause(
         self, members: dict[str, MemberRecord], term: int
     ) -> dict[str, MemberStatus]:
         """Stops replicas from receiving; returns the status of each that answers."""
         text = self._leader.codec.pause_text(term)
-        statuses = await self._send_to_all(members, text)
+        deadline = self._leader.order_deadline
+        statuses = await self._send_to_all(members, text, deadline)
         self._report_order("replicas_paused", members, statuses, term=term)
         return statuses
 
     async def resume(self, members: dict[str, MemberRecord]) -> None:
         """Lets paused replicas receive again."""
-        statuses = await self._send_to_all(members, self._leader.codec.resume_text)
+        leader = self._leader
+        statuses = await self._send_to_all(
+            members, leader.codec.resume_text, leader.order_deadline
+        )
         self._report_order("replicas_resumed", members, statuses)
 
     async def _send_to_all(
-        self, members: dict[str, MemberRecord], text: bytes
+        self, members: dict[str, MemberRecord], text: bytes, deadline: float
     ) -> dict[str, MemberStatus]:
+        leader, records = self._leader, list(members.values())
         return await send_order_to_all(
-            self._leader.codec, self._leader.name, list(members.values()), text
+            leader.codec, leader.name, records, text, deadline
         )
 
     def _report_order(
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
@@ -20,7 +20,11 @@
     Setup,
 )
 from bronzemoor_daemon.wire.ports import StatementCodec
-from bronzemoor_daemon.wire.sockets import set_tcp_options
+from bronzemoor_daemon.wire.sockets import (
+    reset_on_close,
+    set_tcp_options,
+    set_user_timeout,
+)
 
 # The connection is closed when sent data stays unacknowledged for this long.
 TCP_USER_TIMEOUT_SECONDS = 3.0
@@ -116,6 +120,17 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def limit_delivery(self, seconds: float) -> None:
+        """Makes the kernel give up data that stays unacknowledged for ``seconds``."""
+        if self._transport is not None:
+            set_user_timeout(self._transport.get_extra_info("socket"), seconds)
+
+    def reset(self) -> None:
+        """Closes immediately; the kernel drops what was not acknowledged."""
+        if self._transport is not None:
+            reset_on_close(self._transport.get_extra_info("socket"))
+        self.close()
+
     # --- statements
 
     def start(self, group: str, caller: str, member: str) -> asyncio.Future[Answer]:
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberorders.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberorders.py
@@ -3,12 +3,15 @@
 import asyncio
 
 from bronzemoor_core.wire.records import MemberRecord
-from bronzemoor_core.wire.statements import MemberStatus
+from bronzemoor_core.wire.statements import Answer, MemberStatus
+from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.exceptions import ConnectionLost
-from bronzemoor_daemon.wire.memberconnection import connect
+from bronzemoor_daemon.wire.memberconnection import MemberConnection, connect
 from bronzemoor_daemon.wire.ports import StatementCodec
 
 ORDER_TIMEOUT_SECONDS = 0.4
+# Deadline of requests that change nothing.
+NO_DEADLINE = float("inf")
 
 
 async def send_order(
@@ -16,36 +19,58 @@
     caller: str,
     record: MemberRecord,
     text: bytes,
-    timeout: float = ORDER_TIMEOUT_SECONDS,
+    deadline: float,
 ) -> MemberStatus | str:
     """Sends an order on a new connection; returns the status or the reason for none.
 
-    ``timeout`` is in seconds and covers both the connection and the answer.
+    The order is sent before ``deadline``, a time of ``boottime``, or not at all, and
+    the kernel does not go on with one that is given up.
     """
+    if boottime() >= deadline:
+        return "the deadline has passed"
+    timeout = ORDER_TIMEOUT_SECONDS
     try:
         async with asyncio.timeout(timeout):
             connection, answer = await connect(
                 codec, record.group, caller, record.member, record.address, timeout,
                 timeout,
             )  # fmt: skip
-            if answer.ok:
-                answer = await connection.query(b"", text)
-        connection.close()
-        if not answer.ok:
-            return answer.error
-        return codec.decode_status(answer)
+            if not answer.ok:
+                return answer.error
+            answer = await _exchange(connection, text, deadline)
+        return codec.decode_status(answer) if answer.ok else answer.error
     except (TimeoutError, ConnectionLost) as error:
         return repr(error)
     except ValueError as error:
         return f"unreadable status: {error}"
 
 
+async def _exchange(
+    connection: MemberConnection, text: bytes, deadline: float
+) -> Answer:
+    """Sends an order and closes the connection after the answer, or resets it."""
+    try:
+        if boottime() >= deadline:
+            raise TimeoutError("the deadline has passed")
+        connection.limit_delivery(ORDER_TIMEOUT_SECONDS)
+        answer = await connection.query(b"", text)
+    except BaseException:
+        connection.reset()
+        raise
+    connection.close()
+    return answer
+
+
 async def send_order_to_all(
-    codec: StatementCodec, caller: str, records: list[MemberRecord], text: bytes
+    codec: StatementCodec,
+    caller: str,
+    records: list[MemberRecord],
+    text: bytes,
+    deadline: float,
 ) -> dict[str, MemberStatus]:
     """Sends an order to several members at once; returns the statuses received."""
     results = await asyncio.gather(
-        *(send_order(codec, caller, record, text) for record in records)
+        *(send_order(codec, caller, record, text, deadline) for record in records)
     )
     return {
         record.member: result
--- a/tests/adapter/test_stale_orders.py
+++ b/tests/adapter/test_stale_orders.py
@@ -16,8 +16,10 @@
 from test_whole_path import outcome
 
 from bronzemoor_core.wire.authority import PromotionOrder
-from bronzemoor_daemon.wire import boundedcalls
+from bronzemoor_daemon.wire import boundedcalls, memberorders
 from bronzemoor_daemon.wire.clock import boottime
+from bronzemoor_daemon.wire.memberorders import send_order
+from bronzemoor_platform.lines import PlatformLines
 from bronzemoor_platform.promotions import post_promotion
 
 # Longer than any lease and than the limit of a promotion call.
@@ -171,6 +173,21 @@
     run_system(tmp_path, scenario)
 
 
+def test_no_order_to_a_member_leaves_after_its_deadline(tmp_path, monkeypatch):
+    """Guards against a RESUME whose sender stood still after it had connected."""
+
+    async def scenario(system):
+        replica = next(m for m in system.group.members.values() if not m.primary)
+        record = leader_of(system).records.members[replica.name]
+        times = iter((0.0, 5.0))
+        monkeypatch.setattr(memberorders, "boottime", lambda: next(times))
+        resumed = await send_order(PlatformLines(), "test", record, b"RESUME", 5.0)
+        assert resumed == "TimeoutError('the deadline has passed')"
+        assert "RESUME" not in [text for _, text in replica.executed]
+
+    run_system(tmp_path, scenario)
+
+
 def test_the_newest_of_two_primaries_is_recorded(tmp_path):
     """Guards against a topology that names the older of two promoted members."""
 
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -6,7 +6,7 @@
 
 from bronzemoor_core.wire.leases import LEASE_SECONDS
 from bronzemoor_daemon.wire.clock import boottime
-from bronzemoor_daemon.wire.memberorders import send_order
+from bronzemoor_daemon.wire.memberorders import NO_DEADLINE, send_order
 from bronzemoor_daemon.wire.proxy import (
     LEASE_LOSS_GRACE_SECONDS,
     MIN_IDLE_BEFORE_CLOSE_SECONDS,
@@ -210,7 +210,9 @@
         primary.limit = 0
         leader = next(c for c in system.controls if c.log.established)
         record = leader.records.members[primary.name]
-        status = await send_order(PlatformLines(), "test", record, b"STATUS")
+        status = await send_order(
+            PlatformLines(), "test", record, b"STATUS", NO_DEADLINE
+        )
         assert is_alive(status)
         for connection in list(primary.connections):
             connection.transport.abort()
