Keep decisions of a deposed leader out of the next leader's log

Cause: a leader's commands were proposals like any other, which are repeated to the next leader for two seconds; a plan or a record of the earlier leader was then committed under the later one. Commands that a leader decides are proposed to its own log only. Ruled out: a term or an expected fence in the command, which daemons of an earlier build would apply without the check and so store other records. Evidence: test_a_decision_of_a_deposed_leader_is_not_passed_on; without the flag the command ends (1, 'ok') at the next leader in place of 'unknown'.

--- a/packages/core/src/bronzemoor_core/consensus.py
+++ b/packages/core/src/bronzemoor_core/consensus.py
@@ -230,7 +230,7 @@
 
     @handles(CommandProposed)
     def on_proposed(self, now: float, event: CommandProposed) -> list[Any]:
-        self._proposals.propose(now, event.command, event.origin)
+        self._proposals.propose(now, event.command, event.origin, event.leader_only)
         return self._finish(now)
 
     @handles(AdminCommand)
--- a/packages/core/src/bronzemoor_core/internal_events.py
+++ b/packages/core/src/bronzemoor_core/internal_events.py
@@ -195,11 +195,14 @@
     """Asks consensus to replicate ``command``, at the leader if that is elsewhere.
 
     A command with ``"query": True`` is not replicated: the leader confirms itself by a
-    quorum and evaluates it. ``origin`` is echoed on completion.
+    quorum and evaluates it. ``origin`` is echoed on completion. A command that is
+    ``leader_only`` rests on a decision of this daemon as leader; it is neither sent to
+    another leader nor repeated.
     """
 
     command: dict[str, Any]
     origin: Any = None
+    leader_only: bool = False
 
 
 class CommandCompleted(Struct):
--- a/packages/core/src/bronzemoor_core/proposals.py
+++ b/packages/core/src/bronzemoor_core/proposals.py
@@ -45,6 +45,7 @@
     sent: bool = False
     uncertain: bool = False
     leader: str = ""
+    leader_only: bool = False
 
 
 class ProposalId:
@@ -83,11 +84,19 @@
         """Continues with a replica that was recovered after a storage failure."""
         self._replica = replica
 
-    def propose(self, now: float, command: dict[str, Any], origin: Any) -> None:
+    def propose(
+        self,
+        now: float,
+        command: dict[str, Any],
+        origin: Any,
+        leader_only: bool = False,
+    ) -> None:
         """Starts a proposal of this daemon."""
         self._number += 1
         base = f"{self._replica.name}:{self._session}:{self._number}"
-        self._pending[base] = PendingProposal(command, origin, now, now)
+        self._pending[base] = PendingProposal(
+            command, origin, now, now, leader_only=leader_only
+        )
         self._send_attempt(now, base, self._pending[base])
 
     def on_tick(self, now: float) -> None:
@@ -181,6 +190,9 @@
 
     def _send_attempt(self, now: float, base: str, pending: PendingProposal) -> None:
         replica = self._replica
+        if pending.leader_only and not replica.is_leader:
+            self._complete(base, "no_leader", "not the leader", {})
+            return
         pending.attempt += 1
         is_query = pending.command.get("query")
         pending.next_attempt_at = now + (
@@ -218,6 +230,8 @@
         deduplicated, so they are not retried.
         """
         command, leader = pending.command, self._replica.leader
+        if pending.leader_only and pending.sent:
+            return False
         if not pending.sent or command.get("query"):
             return True
         changed = pending.leader and leader not in ("", pending.leader)
--- a/packages/core/tests/test_proposals.py
+++ b/packages/core/tests/test_proposals.py
@@ -4,6 +4,7 @@
 from logcluster import Cluster
 
 from bronzemoor_core.events import PeerMessageReceived, Tick
+from bronzemoor_core.internal_events import CommandProposed
 from bronzemoor_core.messages import HeartbeatReply, Propose, ProposeReply
 from bronzemoor_core.proposals import LEADER_WAIT_SECONDS, PROPOSAL_TIMEOUT_SECONDS
 
@@ -148,3 +149,19 @@
         leader.handle(PeerMessageReceived("vm-2", message))
     cluster.run(0.1)
     assert leader.state.values == []
+
+
+def test_a_decision_of_a_deposed_leader_is_not_passed_on():
+    """Guards against a promotion that the next leader's log plans for the last one."""
+    cluster = Cluster(3)
+    old = cluster.elect()
+    cluster.cut = {old.name}
+    old.handle(CommandProposed({"type": "set", "n": 1}, 1, leader_only=True))
+    cluster.run(1.5)
+    cluster.cut = set()
+    cluster.run(PROPOSAL_TIMEOUT_SECONDS)
+    old.handle(CommandProposed({"type": "set", "n": 2}, 2, leader_only=True))
+    cluster.run(1.0)
+    assert cluster.leader() is not old
+    assert outcomes(old) == [(1, "unknown"), (2, "no_leader")]
+    assert cluster.leader().state.values == []
--- a/packages/daemon/src/bronzemoor_daemon/wire/control.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/control.py
@@ -151,10 +151,16 @@
 
     # --- requests of operators and members
 
-    async def propose(self, command: dict[str, Any]) -> AdminReply:
-        """Commits a command or answers a query; the code is ``ok`` or an error code."""
+    async def propose(
+        self, command: dict[str, Any], leader_only: bool = False
+    ) -> AdminReply:
+        """Commits a command or answers a query; the code is ``ok`` or an error code.
+
+        A ``leader_only`` command is not passed on to another leader.
+        """
         ticket = next(self._tickets)
-        return await self._submit(ticket, CommandProposed(command, ("state", ticket)))
+        event = CommandProposed(command, ("state", ticket), leader_only)
+        return await self._submit(ticket, event)
 
     async def _submit(self, ticket: int, event: object) -> AdminReply:
         future: asyncio.Future[AdminReply] = self._loop.create_future()
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -159,7 +159,7 @@
 
     async def commit(self, command: dict[str, object]) -> dict[str, object] | None:
         """Commits a command; None if the commit is not confirmed."""
-        reply = await self._control.propose(command)
+        reply = await self._control.propose(command, leader_only=True)
         if reply.code != "ok":
             self.report(
                 "warning", "command_failed", type=command["type"], outcome=reply.code
