Keep a deposed leader's changes of the control group to itself

Cause: a leader that lost its leadership between the description of the group and its change had the change carried out by the next leader, so that a VM which only the earlier one had not reached could be replaced. The change is proposed to the own log only now. Evidence: the test of deposed decisions covers a change of the group; without the flag it is forwarded.

--- a/packages/core/tests/test_proposals.py
+++ b/packages/core/tests/test_proposals.py
@@ -152,16 +152,26 @@
 
 
 def test_a_decision_of_a_deposed_leader_is_not_passed_on():
-    """Guards against a promotion that the next leader's log plans for the last one."""
+    """Guards against a promotion that the next leader's log plans for the last one.
+
+    So would a member be replaced that only the earlier leader had not reached.
+    """
     cluster = Cluster(3)
     old = cluster.elect()
     cluster.cut = {old.name}
-    old.handle(CommandProposed({"type": "set", "n": 1}, 1, leader_only=True))
+    decisions = (
+        {"type": "set", "n": 1},
+        {"type": "set", "n": 2},
+        {"type": "control.remove", "name": cluster.followers()[0].name},
+    )
+    old.handle(CommandProposed(decisions[0], 1, leader_only=True))
     cluster.run(1.5)
     cluster.cut = set()
     cluster.run(PROPOSAL_TIMEOUT_SECONDS)
-    old.handle(CommandProposed({"type": "set", "n": 2}, 2, leader_only=True))
+    for origin, command in enumerate(decisions[1:], start=2):
+        old.handle(CommandProposed(command, origin, leader_only=True))
     cluster.run(1.0)
-    assert cluster.leader() is not old
-    assert outcomes(old) == [(1, "unknown"), (2, "no_leader")]
-    assert cluster.leader().state.values == []
+    leader = cluster.leader()
+    assert leader is not old
+    assert outcomes(old) == [(1, "unknown"), (2, "no_leader"), (3, "no_leader")]
+    assert leader.state.values == [] and len(leader.log.voters) == 3
--- a/packages/daemon/src/bronzemoor_daemon/wire/control.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/control.py
@@ -32,6 +32,7 @@
     ProxyReport,
 )
 from bronzemoor_core.node import Node
+from bronzemoor_core.reconfiguration import MEMBERS
 from bronzemoor_core.settings import ControlSettings, NodeSettings
 from bronzemoor_core.state import StateMachine
 from bronzemoor_core.wire.records import (
@@ -174,10 +175,10 @@
         finally:
             self._pending_replies.pop(ticket, None)
 
-    async def change_control_group(self, change: dict[str, Any]) -> AdminReply:
-        """Returns a description of the control group, or changes its membership."""
+    async def describe_control_group(self) -> AdminReply:
+        """Returns the members of the control group and whether they are reachable."""
         ticket = next(self._tickets)
-        return await self._submit(ticket, AdminCommand(ticket, change["type"], change))
+        return await self._submit(ticket, AdminCommand(ticket, MEMBERS, {}))
 
     async def announce(self, record: MemberRecord) -> bool:
         """Records a member's announcement; False if that is not confirmed."""
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -402,9 +402,7 @@
         self._control.spawn(self._join(sender), "add-voter")
 
     async def _join(self, sender: str) -> None:
-        described = await self._control.change_control_group(
-            {"type": "control.members"}
-        )
+        described = await self._control.describe_control_group()
         members = described.body.get("members", [])
         unreachable = [
             item["name"]
@@ -420,7 +418,7 @@
             change = {"type": "control.add", "name": sender}
         else:
             return
-        outcome = await self._control.change_control_group(change)
+        outcome = await self._control.propose(change, leader_only=True)
         self.report(
             "info",
             "join",
