Count what earlier terms, leaders and lost proxies acknowledged

Callers: acknowledged commits lost (LOST) where a replica did not answer. Cause: the newest acknowledged commit is what proxies reported, and three kinds were left out: commits of an earlier term (right after a promotion any replica passed for safe), those of a proxy that was cut off with an earlier leader and never reported to this one, and, since the smaller of two bounds counts, both even when every replica had answered. Reports count whatever their term; a new leader starts with its predecessor's leases as possibly lost; and the bound is known only with a sample of this term's primary that is newer than the last lease of a lost proxy. Otherwise every replica must answer. Ruled out: taking the newest position of all replicas in place of the smaller bound, which would demand commits that nobody acknowledged of a staying replica. Evidence: test_a_commit_of_a_proxy_that_a_new_leader_never_heard_of_is_kept failed (the replica without the commit was promoted) and passes; the test of the acknowledged position expected that commits of other terms are left out, which was the fault; in its place stand two that ask for them, and one for the new leader's start.

--- a/packages/core/src/bronzemoor_core/wire/leases.py
+++ b/packages/core/src/bronzemoor_core/wire/leases.py
@@ -22,7 +22,8 @@
         self._predecessor_leases_end = elected_at + LEASE_SECONDS + LEASE_MARGIN_SECONDS
         self._expires: dict[str, float] = {}
         self._confirmed_versions: dict[str, int] = {}
-        self._lost_until = float("-inf")
+        # Proxies that an earlier leader had granted leases may be lost already.
+        self._lost_until = self._predecessor_leases_end
 
     @property
     def lost_until(self) -> float:
--- a/packages/core/src/bronzemoor_core/wire/succession.py
+++ b/packages/core/src/bronzemoor_core/wire/succession.py
@@ -5,7 +5,7 @@
 from msgspec import Struct
 
 from bronzemoor_core.messages import GroupReport
-from bronzemoor_core.positions import ZERO, Position
+from bronzemoor_core.positions import Position
 from bronzemoor_core.wire.statements import MemberStatus
 
 # A proxy's report counts as a failure once new connections failed for this long.
@@ -111,15 +111,26 @@
     return bool(lags) and min(lags) >= MIN_RELIEF_LAG_SECONDS
 
 
-def acknowledged_position(evidence: dict[str, Evidence], term: int) -> Position:
-    """Returns the newest commit of ``term`` that a proxy confirmed to a client."""
-    newest = ZERO
-    for item in evidence.values():
-        report = item.report
-        if report.acknowledged_term == term:
-            position = Position(report.acknowledged_term, report.acknowledged_offset)
-            newest = max(newest, position)
-    return newest
+def acknowledged_position(
+    evidence: dict[str, Evidence],
+    sample: tuple[float, Position],
+    term: int,
+    lost_until: float,
+) -> Position | None:
+    """Returns a position that covers every acknowledged commit, or None if unknown.
+
+    ``evidence`` holds the reports of all proxies that may still know of commits. What
+    others acknowledged, until ``lost_until`` at the latest, is covered only by a
+    ``sample`` (time and position) of the primary of ``term`` that is as new.
+    """
+    sampled_at, position = sample
+    if position.term != term or sampled_at < lost_until:
+        return None
+    reported = (
+        Position(item.report.acknowledged_term, item.report.acknowledged_offset)
+        for item in evidence.values()
+    )
+    return max(position, *reported)
 
 
 def newest_primary(statuses: dict[str, MemberStatus], term: int) -> str:
--- a/packages/core/tests/wire/test_leases.py
+++ b/packages/core/tests/wire/test_leases.py
@@ -59,3 +59,9 @@
     table.forget_lost(30.0)
     assert table.all_confirmed(7)
     assert table.lost_until == 20.0 + LEASE_SECONDS + LEASE_MARGIN_SECONDS
+
+
+def test_proxies_of_an_earlier_leader_may_be_lost_already():
+    """Guards against a new leader that misses commits of a proxy it never heard of."""
+    table = LeaseTable(10.0)
+    assert table.lost_until == 10.0 + LEASE_SECONDS + LEASE_MARGIN_SECONDS
--- a/packages/core/tests/wire/test_succession.py
+++ b/packages/core/tests/wire/test_succession.py
@@ -125,14 +125,27 @@
     assert choose_successor({"c": c}, {"b", "c"}, c, {"c"}) == "c"
 
 
-def test_the_acknowledged_position_is_the_newest_of_the_term():
-    """Guards against using a commit of another term."""
-    reports = evidence(
-        report(acknowledged=(1, 4)),
-        report(acknowledged=(1, 9)),
-        report(acknowledged=(2, 30)),
-    )
-    assert acknowledged_position(reports, 1) == Position(1, 9)
+def test_a_commit_of_an_earlier_term_counts_as_acknowledged():
+    """Guards against a successor that lacks what its predecessor's primary committed.
+
+    Right after a promotion nothing is acknowledged in the new term yet, and any replica
+    passed for safe.
+    """
+    reports = evidence(report(acknowledged=(1, 4)), report(acknowledged=(1, 9)))
+    sampled = Position(2, 9)
+    assert acknowledged_position(reports, (20.0, sampled), 2, 12.0) == sampled
+    assert acknowledged_position(reports, (20.0, Position(1, 9)), 2, 12.0) is None
+    reports = evidence(report(acknowledged=(2, 11)), report(acknowledged=(1, 9)))
+    newest = Position(2, 11)
+    assert acknowledged_position(reports, (20.0, sampled), 2, 12.0) == newest
+
+
+def test_without_a_sample_since_a_proxy_was_lost_nothing_is_known():
+    """Guards against a successor without the commits of a proxy that was lost."""
+    reports = evidence(report(acknowledged=(1, 9)))
+    sample = Position(1, 9)
+    assert acknowledged_position(reports, (11.9, sample), 1, 12.0) is None
+    assert acknowledged_position(reports, (12.0, sample), 1, 12.0) == sample
 
 
 def test_a_planned_successor_is_not_exchanged_for_another():
--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -27,6 +27,8 @@
 CATCH_UP_TIMEOUT_SECONDS = 1.5
 # Delay before a postponed handover is attempted again.
 HANDOVER_RETRY_SECONDS = 1.5
+# Age and position where no sample of a primary is known.
+NO_SAMPLE = (float("inf"), ZERO)
 # How long a primary must be overloaded before it is relieved.
 RELIEF_AFTER_SECONDS = 0.5
 # Minimum time between two reliefs.
@@ -269,21 +271,17 @@
         now, leases = boottime(), self._leader.leases
         leases.forget_lost(now)
         acknowledged = None
-        known = not leases.waiting_for(now, version)
-        sample = self._leader.samples.newest(now, self._group)
-        sampled_at = now - sample[0] if sample else float("-inf")
-        # Any later position of the primary includes the commits that a lost proxy
-        # acknowledged.
+        age, position = self._leader.samples.newest(now, self._group) or NO_SAMPLE
         if (
-            known
-            and leases.holders
+            leases.holders
+            and not leases.waiting_for(now, version)
             and leases.all_confirmed(version)
-            and sampled_at >= leases.lost_until
         ):
             evidence = self._leader.evidence.get(self._group, {})
-            acknowledged = acknowledged_position(evidence, term)
-            if sample and sample[1].term == term:
-                acknowledged = max(acknowledged, sample[1])
+            sample = (now - age, position)
+            acknowledged = acknowledged_position(
+                evidence, sample, term, leases.lost_until
+            )
         leaving = {member for member, record in replicas.items() if record.leaving}
         planned = self._orders.leader_record.candidate
         successor = choose_successor(
--- a/tests/adapter/test_stale_orders.py
+++ b/tests/adapter/test_stale_orders.py
@@ -107,6 +107,37 @@
     run_system(tmp_path, scenario)
 
 
+def test_a_commit_of_a_proxy_that_a_new_leader_never_heard_of_is_kept(tmp_path):
+    """Guards against a successor that is chosen without what a lost proxy acknowledged.
+
+    The proxy was cut off with the earlier leader, and the replica that had its commit
+    did not answer.
+    """
+
+    async def scenario(system):
+        group, old_leader = system.group, leader_of(system)
+        primary = group.primary
+        holder, behind = [m for m in group.members.values() if not m.primary]
+        client = await Client.open(system.client_addresses[0], "orders")
+        assert await write(client)
+        disconnect(system.proxies[0])
+        silence(old_leader)
+        behind.held_term = 99  # receives nothing
+        assert await write(client)
+        await primary.stop()
+        await holder.stop()
+        other = await Client.open(system.client_addresses[1], "orders")
+        for _ in range(6):
+            assert not await write(other)
+        assert "successor" in names(system.events)
+        assert not behind.primary
+        await holder.restart()
+        await system.until(lambda: group.primary.term > 1)
+        assert lost_writes(group) == []
+
+    run_system(tmp_path, scenario)
+
+
 def test_a_promotion_of_an_earlier_leader_that_arrives_late_loses_no_write(tmp_path):
     """Guards against a second promotion by an order that was on its way.
 
