Tell a proxy's reports of earlier processes and late ones apart

Cause: the leader kept the report that arrived last. A restarted proxy's first report took back what its earlier process had acknowledged, and so did one that was overtaken on another connection. Late reports are left out; a process that ended counts like a lost proxy until a sample of the primary is newer. Ruled out: an order by the incarnation alone, which a reboot sets back.

--- a/packages/core/src/bronzemoor_core/wire/leases.py
+++ b/packages/core/src/bronzemoor_core/wire/leases.py
@@ -27,7 +27,7 @@
 
     @property
     def lost_until(self) -> float:
-        """The latest time at which a proxy now lost may have acknowledged a commit."""
+        """The latest time at which a process now lost may have confirmed a commit."""
         return self._lost_until
 
     def forget_lost(self, now: float) -> None:
@@ -38,6 +38,10 @@
                 del self._expires[proxy]
                 self._confirmed_versions.pop(proxy, None)
 
+    def process_ended(self, now: float) -> None:
+        """Records that a proxy's process has ended, with what it had acknowledged."""
+        self._lost_until = max(self._lost_until, now)
+
     @property
     def holders(self) -> list[str]:
         return list(self._expires)
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -27,6 +27,7 @@
     packed_bytes,
     unpack_document,
 )
+from bronzemoor_core.wire.reportorder import ReportAge, ReportOrder
 from bronzemoor_core.wire.succession import Evidence
 from bronzemoor_core.wire.zoneproxies import ZoneProxies
 from bronzemoor_daemon.wire.clock import boottime
@@ -108,6 +109,7 @@
         self.metrics = metrics
         self.deployment: Deployment | None = None
         self.leases = LeaseTable(boottime())
+        self._report_order = ReportOrder()
         self._zone_proxies = ZoneProxies(self.leases)
         self.samples = SampleExchange()
         self.evidence: dict[str, dict[str, Evidence]] = {}
@@ -354,6 +356,12 @@
 
     def on_report(self, now: float, proxy: str, report: ProxyReport) -> None:
         """Processes a proxy's report and replies with a lease."""
+        age = self._report_order.classify(proxy, report.incarnation, report.sequence)
+        if age is ReportAge.LATE:
+            return
+        if age is ReportAge.NEW_PROCESS:
+            self.leases.process_ended(now)
+            self.report("info", "proxy_restarted", peer=proxy)
         self._last_report_at[proxy] = now
         known = KnownVersions(
             report.deployment_version, report.topology_version, report.proxies_version
--- a/tests/adapter/test_stale_orders.py
+++ b/tests/adapter/test_stale_orders.py
@@ -15,6 +15,8 @@
 from test_control_loss import disconnect, silence
 from test_whole_path import outcome
 
+from bronzemoor_core.messages import GroupReport, ProxyReport
+from bronzemoor_core.positions import Position
 from bronzemoor_core.wire.authority import PromotionOrder
 from bronzemoor_daemon.wire import boundedcalls, memberorders
 from bronzemoor_daemon.wire.clock import boottime
@@ -138,6 +140,35 @@
     run_system(tmp_path, scenario)
 
 
+def test_a_restarted_proxy_does_not_take_back_what_it_acknowledged(tmp_path):
+    """Guards against a report that replaces that of the proxy's earlier process."""
+
+    async def scenario(system):
+        leader, proxy = leader_of(system)._leader, system.proxies[0].links._name
+        client = await Client.open(system.client_addresses[0], "orders")
+        assert await write(client)
+        acknowledged = Position(1, 1)
+        await system.until(lambda: reported(leader, proxy) == acknowledged)
+        earlier = system.proxies[0]._incarnation
+        disconnect(system.proxies[0])
+        now = boottime()
+        leader.on_report(now, proxy, ProxyReport(earlier + 1, 1, 0, 0, False, []))
+        assert leader.leases.lost_until >= now
+        group = GroupReport("ledger", "a", 1, -1, -1, -1, 0, 0, [])
+        leader.on_report(now, proxy, ProxyReport(earlier, 99, 0, 0, False, [group]))
+        assert reported(leader, proxy) == acknowledged
+
+    run_system(tmp_path, scenario)
+
+
+def reported(leader, proxy: str) -> Position | None:
+    """Returns the newest acknowledged commit that the leader has from ``proxy``."""
+    item = leader.evidence.get("ledger", {}).get(proxy)
+    if item is None:
+        return None
+    return Position(item.report.acknowledged_term, item.report.acknowledged_offset)
+
+
 def test_a_promotion_of_an_earlier_leader_that_arrives_late_loses_no_write(tmp_path):
     """Guards against a second promotion by an order that was on its way.
 
