Wait for an unanswered order before another member is promoted

Callers: acknowledged commits lost (LOST), by one leader alone. Cause: an order that got no answer may still arrive; when its member did not answer, the leader planned another one at once, and the late order replaced that primary by a member without its commits. A new leader records a primary that it finds at once only if it is the planned one. Ruled out: waiting for the leases only, which had ended long before.

--- a/packages/core/src/bronzemoor_core/wire/authority.py
+++ b/packages/core/src/bronzemoor_core/wire/authority.py
@@ -9,11 +9,12 @@
 
 from msgspec import Struct
 
-from bronzemoor_core.wire.leases import LEASE_MARGIN_SECONDS, LEASE_SECONDS
+from bronzemoor_core.wire.leases import LEASE_SECONDS
 
 ORDER_WINDOW_SECONDS = 1.5
-# How long bytes that left in time may take until they arrive.
-TRANSIT_SECONDS = LEASE_SECONDS + LEASE_MARGIN_SECONDS - ORDER_WINDOW_SECONDS
+# How long bytes that left in time may take until they arrive; the margin of the leases,
+# for the drift of clocks, remains.
+TRANSIT_SECONDS = LEASE_SECONDS - ORDER_WINDOW_SECONDS
 # No order is begun with less time than this left.
 MIN_REMAINING_SECONDS = 0.2
 
@@ -27,6 +28,11 @@
     fence: int
     deadline: float
 
+    @property
+    def arrives_until(self) -> float:
+        """When the order arrives at the latest, if it was sent."""
+        return self.deadline + TRANSIT_SECONDS
+
 
 def order_deadline(confirmed_at: float) -> float:
     """Returns when the last byte of an order must have left its sender.
--- a/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
@@ -34,6 +34,8 @@
         self._leader = leader
         self._group = group
         self._tasks = Tasks(self.report)
+        # Until when orders whose outcome is unknown may arrive, by the ordered member.
+        self._arrives_until: dict[str, float] = {}
 
     def close(self) -> None:
         self._tasks.cancel()
@@ -68,6 +70,16 @@
                 self.report("info", "waiting_for_leases", proxies=reported_count)
             await asyncio.sleep(STEP_INTERVAL_SECONDS)
 
+    async def wait_for_orders(self, member: str) -> bool:
+        """Waits until only orders for ``member`` may arrive; False without a wait."""
+        others = [t for m, t in self._arrives_until.items() if m != member]
+        remaining = max(others, default=0.0) - boottime()
+        if remaining <= 0:
+            return False
+        self.report("info", "waiting_for_orders", wait_ms=round(remaining * 1_000))
+        await asyncio.sleep(remaining)
+        return True
+
     async def promote(self, member: str, started_at: float) -> bool:
         """Orders the promotion; no proxy may be able to use the old primary any more.
 
@@ -125,6 +137,8 @@
         )
         outcome = await asyncio.to_thread(leader.execute_promotion, order)
         now = boottime()
+        if outcome == "failed":
+            self._arrives_until[member] = order.arrives_until
         leader.metrics.promotions.add(outcome)
         self.report(
             "info",
--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -207,7 +207,7 @@
         self._revoke()
         version = leader.topology_version
         try:
-            if resumed and await self._complete_earlier(old_term, started_at):
+            if resumed and await self._complete_planned(old_term, started_at):
                 return
             while True:
                 # A replica that is released or restarted may acknowledge commits until
@@ -215,10 +215,19 @@
                 await self._orders.wait_for_leases(version)
                 replicas = self._replicas
                 paused = await self._orders.pause(replicas, old_term + 1)
-                if await self._complete_promoted(paused, old_term, started_at):
+                newest = newest_primary(paused, old_term)
+                if newest and await self._orders.wait_for_orders(newest):
+                    continue
+                if newest:
+                    # An earlier promotion order took effect.
+                    await self._orders.complete_promotion(
+                        newest, paused[newest].term, started_at
+                    )
                     return
                 held = {m: s.position for m, s in paused.items() if not s.primary}
                 successor = self._choose_successor(held, replicas, version, old_term)
+                if successor and await self._orders.wait_for_orders(successor):
+                    continue
                 if successor and await self._orders.promote(successor, started_at):
                     return
                 primary = self._orders.members.get(self._orders.leader_record.primary)
@@ -245,21 +254,19 @@
         primary = self._orders.leader_record.primary
         return {m: r for m, r in self._orders.members.items() if m != primary}
 
-    async def _complete_earlier(self, term: int, started_at: float) -> bool:
-        """Completes an earlier leader's promotion that has taken effect already."""
-        statuses = await self._orders.statuses(self._replicas)
-        return await self._complete_promoted(statuses, term, started_at)
+    async def _complete_planned(self, term: int, started_at: float) -> bool:
+        """Completes an earlier leader's promotion that has taken effect as planned.
 
-    async def _complete_promoted(
-        self, statuses: dict[str, MemberStatus], term: int, started_at: float
-    ) -> bool:
-        """Records a member that leads a term after ``term``; False if none does."""
-        newest = newest_primary(statuses, term)
-        if newest:
-            await self._orders.complete_promotion(
-                newest, statuses[newest].term, started_at
-            )
-        return bool(newest)
+        That of another member could still be replaced by an order for the planned one.
+        """
+        planned = self._orders.leader_record.candidate
+        statuses = await self._orders.statuses(self._replicas)
+        if newest_primary(statuses, term) != planned:
+            return False
+        await self._orders.complete_promotion(
+            planned, statuses[planned].term, started_at
+        )
+        return True
 
     def _choose_successor(
         self,
--- a/tests/adapter/test_stale_orders.py
+++ b/tests/adapter/test_stale_orders.py
@@ -21,6 +21,7 @@
 from bronzemoor_daemon.wire import boundedcalls, memberorders
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.memberorders import send_order
+from bronzemoor_daemon.wire.proxy import REPORT_INTERVAL_SECONDS
 from bronzemoor_platform.lines import PlatformLines
 from bronzemoor_platform.promotions import post_promotion
 
@@ -140,6 +141,48 @@
     run_system(tmp_path, scenario)
 
 
+def test_an_order_without_an_answer_is_waited_for_before_another_member_is_promoted(
+    tmp_path,
+):
+    """Guards against two promotions by one leader, the first of which arrives last."""
+
+    async def scenario(system):
+        group, calls = system.group, []
+        carry_out, loop = group.promote, asyncio.get_running_loop()
+        leader = leader_of(system)._leader
+        await system.until(lambda: leader.leases.predecessor_leases_expired(boottime()))
+        client = await Client.open(system.client_addresses[0], "orders")
+        for _ in range(4):  # the leader gets a new sample of the primary
+            assert await write(client)
+            await asyncio.sleep(REPORT_INTERVAL_SECONDS)
+
+        def promote(member: str, fence: int) -> str:
+            calls.append(member)
+            if len(calls) == 1:
+                asyncio.run_coroutine_threadsafe(arrive_late(member, fence), loop)
+                return "failed"
+            return carry_out(member, fence) if group.members[member].up else "refused"
+
+        async def arrive_late(member: str, fence: int) -> None:
+            late = group.members[member]
+            held = list(late.log)
+            await late.stop()
+            await asyncio.sleep(0.8)
+            await late.restart()
+            late.log = held  # it has received nothing since
+            carry_out(member, fence)
+
+        group.promote = promote
+        replace_primary(system)
+        await system.until(lambda: group.primary.term > 1)
+        for _ in range(6):  # the late order arrives in between
+            await write(client)
+            await asyncio.sleep(0.2)
+        assert lost_writes(group) == []
+
+    run_system(tmp_path, scenario)
+
+
 def test_a_restarted_proxy_does_not_take_back_what_it_acknowledged(tmp_path):
     """Guards against a report that replaces that of the proxy's earlier process."""
 
