Release replicas that an ended leader left paused

Callers: none seen; reads at a replica would be refused as lagging, and commits stall if all replicas are paused, until the next change of primary. Cause: a leader that ends between its PAUSE and its plan gives no RESUME since orders have a deadline, and before that when it was killed; its successor knows of no promotion. A new leader asks the replicas once its predecessor's orders can no longer arrive, and resumes those that hold a later term. Ruled out: a RESUME when the earlier leader ends, which is what released replicas that its successor had paused. Evidence: test_a_replica_that_a_deposed_leader_left_paused_is_released failed (timeout) and passes.

--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -27,6 +27,8 @@
 CATCH_UP_TIMEOUT_SECONDS = 1.5
 # Delay before a postponed handover is attempted again.
 HANDOVER_RETRY_SECONDS = 1.5
+# Interval at which replicas that did not answer are asked whether they are paused.
+RELEASE_INTERVAL_SECONDS = 5.0
 # Age and position where no sample of a primary is known.
 NO_SAMPLE = (float("inf"), ZERO)
 # How long a primary must be overloaded before it is relieved.
@@ -53,6 +55,8 @@
         self._next_handover_at = float("-inf")
         self._overloaded_since: float | None = None
         self._last_relief_at = float("-inf")
+        # When replicas that an earlier leader left paused are released.
+        self._next_release_at = float("-inf")
         # While true, the topology names no primary, so that no proxy uses it.
         self.revoked = False
         self._task = asyncio.get_running_loop().create_task(self._run())
@@ -111,6 +115,28 @@
             await self._check_primary(primary)
         if self._overload_persists(boottime()):
             await self._relieve(members)
+        if not self._suspected:
+            await self._release_paused(boottime())
+
+    async def _release_paused(self, now: float) -> None:
+        """Resumes replicas that an earlier leader paused for a promotion not planned.
+
+        That leader may have ended in between, and gives no orders afterwards.
+        """
+        if (
+            now < self._next_release_at
+            or not self._leader.leases.predecessor_leases_expired(now)
+        ):
+            return
+        replicas, term = self._replicas, self._term
+        statuses = await self._orders.statuses(replicas)
+        paused = {m: replicas[m] for m, s in statuses.items() if s.held_term > term}
+        if paused:
+            await self._orders.resume(paused)
+        complete = set(statuses) == set(replicas)
+        self._next_release_at = now + (
+            float("inf") if complete else RELEASE_INTERVAL_SECONDS
+        )
 
     def _overload_persists(self, now: float) -> bool:
         """Returns whether the primary has been overloaded long enough to relieve it."""
--- a/tests/adapter/test_stale_orders.py
+++ b/tests/adapter/test_stale_orders.py
@@ -293,6 +293,18 @@
     run_system(tmp_path, scenario)
 
 
+def test_a_replica_that_a_deposed_leader_left_paused_is_released(tmp_path):
+    """Guards against a replica that receives nothing until the next promotion."""
+
+    async def scenario(system):
+        replica = next(m for m in system.group.members.values() if not m.primary)
+        silence(leader_of(system))
+        replica.held_term = 2
+        await system.until(lambda: not replica.held_term)
+
+    run_system(tmp_path, scenario)
+
+
 def test_the_newest_of_two_primaries_is_recorded(tmp_path):
     """Guards against a topology that names the older of two promoted members."""
 
