--- a/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
@@ -36,10 +36,27 @@
         self._tasks = Tasks(self.report)
         # Until when orders whose outcome is unknown may arrive, by the ordered member.
         self._arrives_until: dict[str, float] = {}
+        self._revoked = False
 
     def close(self) -> None:
         self._tasks.cancel()
 
+    @property
+    def revoked(self) -> bool:
+        """Whether the topology names no primary, so that no proxy uses it."""
+        return self._revoked
+
+    def revoke(self) -> int:
+        """Withdraws the primary; returns the version of the topology without it."""
+        self._revoked = True
+        self._leader.refresh_topology()
+        return self._leader.topology_version
+
+    def restore(self) -> None:
+        """Announces the recorded primary again."""
+        self._revoked = False
+        self._leader.refresh_topology()
+
     @property
     def leader_record(self) -> LeaderRecord:
         """The committed record of the group's primary."""
@@ -49,6 +66,17 @@
     def members(self) -> dict[str, MemberRecord]:
         return {item.member: item for item in self._leader.members(self._group)}
 
+    @property
+    def term(self) -> int:
+        """The term of the recorded primary."""
+        return self.leader_record.term
+
+    @property
+    def replicas(self) -> dict[str, MemberRecord]:
+        """All members but the recorded primary."""
+        primary = self.leader_record.primary
+        return {m: r for m, r in self.members.items() if m != primary}
+
     async def record_primary(self, member: str, term: int) -> bool:
         command = {
             "type": "primary.set",
