Wait for BEGIN's answer before a read of a plain transaction

Cause: BEGIN and the first statement went to the primary in one packet, and BEGIN's answer was looked at afterwards. A member that lost the lead by a promotion that no proxy expects refuses a plain BEGIN with READONLY. If its connection then stays in state I, the read behind it runs there, outside its transaction, and the proxy repeats both every 20 ms until the deadline: one statement made three cases in 60 ms. Whether a refused BEGIN leaves I or E isn't stated: PROTOCOL.md explains E as "the transaction failed", and there was none. With E the read gets MALFORMED and doesn't run.

Fix: a read of a plain transaction is sent after BEGIN is answered. One packet stays where the protocol rules the case out: a write ("READONLY is returned to a write or a plain BEGIN at a replica"), and a read after BEGIN FETCH, which that sentence doesn't name. A guard that makes the read harmless in the same packet isn't possible: its text must stay as it is, and no other statement fails outside a transaction and only there. A PREPARE behind a refused BEGIN isn't sent any more either.

Cost: one round trip for each plain transaction that begins with a read, 24 ms between regions.

Ruled out for this path: shared connections (an owner refuses by term and remembers it; what the member itself refused it didn't know, so the fault was there as well).

The fake member refuses the statements of plain transactions once it has lost the lead, as the protocol says.

--- a/packages/daemon/src/bronzemoor_daemon/wire/execution.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/execution.py
@@ -122,6 +122,13 @@
     return last
 
 
+def can_repeat(answer: Answer, now: float, deadline: float) -> bool:
+    """Returns whether a statement that its transaction survived can be repeated."""
+    in_time = now + RETRY_DELAY_SECONDS < deadline - MIN_REMAINING_SECONDS
+    survived = answer.error == st.BUSY and answer.state == st.IN_TRANSACTION
+    return survived and in_time
+
+
 async def handle_refusal(
     pool: MemberPool,
     answer: Answer,
--- a/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
@@ -18,6 +18,7 @@
     MIN_REMAINING_SECONDS,
     RETRY_DELAY_SECONDS,
     Attempt,
+    can_repeat,
     handle_refusal,
     send_statement,
 )
@@ -195,39 +196,41 @@
     async def _begin_at(
         self, target: Target, attempt: Attempt, deadline: float
     ) -> Answer | None:
-        """Sends BEGIN and the statement; a replica must accept the position first."""
+        """Begins at a member and runs the statement there.
+
+        A read waits for the answer to BEGIN: after a refusal it would run outside the
+        transaction. A write follows in the same packet, since a member that refuses
+        BEGIN because it is a replica refuses the write too. So does a read after a
+        read-only BEGIN at the primary, which members refuse only for a position.
+        """
         connection = self._connection
         assert connection is not None and self._pool is not None
         begin = self._begin
+        attempt.member = connection.member
         connection.apply_session(self._session)
         begin_answer = connection.query(
             begin.query_id, begin.statement.text, target.position,
             leading_term=self._term,
         )  # fmt: skip
-        if target.position != ZERO:
-            attempt.member, attempt.required = connection.member, target.position
+        at_primary = target.position == ZERO
+        if at_primary and (attempt.writes or begin.statement.read_only):
+            discard_answer(begin_answer)
+            answer = await self._exchange(attempt, deadline)
+            if answer is None or not begin_answer.done() or begin_answer.exception():
+                return None
+        else:
+            attempt.required = target.position
             answer = await self._wait_answer(begin_answer, attempt, deadline)
-            if answer is None or not answer.ok:
-                return answer
-            return await self._wait_answer(
-                send_statement(connection, attempt, leading_term=self._term),
-                attempt,
-                deadline,
-            )
-        discard_answer(begin_answer)
-        answer = await self._wait_answer(
-            send_statement(connection, attempt, leading_term=self._term),
-            attempt,
-            deadline,
-        )
-        if answer is None or not begin_answer.done() or begin_answer.exception():
-            return None
-        if begin_answer.result().ok:
+            if answer is None:
+                return None
+            if answer.ok:
+                return await self._exchange(attempt, deadline)
+        refusal = begin_answer.result()
+        if refusal.ok:
             return answer
-        self._proxy.record_refused_begin(
-            begin, connection.member, begin_answer.result()
-        )
-        return begin_answer.result()
+        if at_primary:
+            self._proxy.record_refused_begin(begin, connection.member, refusal)
+        return refusal
 
     async def _run_next(self, attempt: Attempt, deadline: float) -> Answer:
         """Runs a statement on the pinned connection."""
@@ -237,21 +240,10 @@
             return self._abort("connection lost")
         while True:
             connection.apply_session(self._session)
-            answer = await self._wait_answer(
-                send_statement(connection, attempt, leading_term=self._term),
-                attempt,
-                deadline,
-            )
+            answer = await self._exchange(attempt, deadline)
             if answer is None:
                 return self._abort("no answer")
-            can_retry = (
-                boottime() + RETRY_DELAY_SECONDS < deadline - MIN_REMAINING_SECONDS
-            )
-            if (
-                answer.error == st.BUSY
-                and answer.state == st.IN_TRANSACTION
-                and can_retry
-            ):
+            if can_repeat(answer, boottime(), deadline):
                 await handle_refusal(pool, answer, deadline, self._session)
                 continue
             if not answer.ok:
@@ -269,25 +261,13 @@
             problem = self._group.why_not_primary(sent_at, pool.member, self._term)
             if self._wrote and problem:
                 return Answer(error=st.ABORTED, message=problem.encode())
-            answer = await self._wait_answer(
-                send_statement(connection, attempt, leading_term=self._term),
-                attempt,
-                deadline,
-                is_commit=True,
-            )
+            answer = await self._exchange(attempt, deadline, is_commit=True)
             if answer is None:
                 if not self._wrote:
                     return Answer(error=st.ABORTED, message=b"no answer to the commit")
                 self._group.record_unanswered_commit(sent_at)
                 return Answer(error=st.IN_DOUBT, message=b"no answer to the commit")
-            can_retry = (
-                boottime() + RETRY_DELAY_SECONDS < deadline - MIN_REMAINING_SECONDS
-            )
-            if (
-                answer.error == st.BUSY
-                and answer.state == st.IN_TRANSACTION
-                and can_retry
-            ):
+            if can_repeat(answer, boottime(), deadline):
                 await handle_refusal(pool, answer, deadline, self._session)
                 continue
             break
@@ -302,6 +282,14 @@
             pool.release(connection, clean=True)
         return answer
 
+    async def _exchange(
+        self, attempt: Attempt, deadline: float, is_commit: bool = False
+    ) -> Answer | None:
+        """Sends a statement and waits for its answer like ``_wait_answer``."""
+        assert self._connection is not None
+        future = send_statement(self._connection, attempt, leading_term=self._term)
+        return await self._wait_answer(future, attempt, deadline, is_commit)
+
     async def _wait_answer(
         self,
         future: "asyncio.Future[Answer]",
--- a/tests/adapter/fake_members.py
+++ b/tests/adapter/fake_members.py
@@ -26,6 +26,8 @@
         self.overloaded = False
         self.busy_keywords = {"FETCH", "STORE", "EXECUTE"}
         self.lag_ms = 0
+        # The protocol names no state for a connection whose BEGIN was refused.
+        self.state_after_refused_begin = "I"
         # Execution time in seconds by statement prefix.
         self.statement_delays: dict[str, float] = {}
         self.executed: list[tuple[str, str]] = []
@@ -136,6 +138,8 @@
         self.member = member
         self.buffer = b""
         self.state = "I"
+        # Whether the open transaction only reads.
+        self.read_only = False
         self.caller = ""
         self.writes: list[tuple[str, str]] = []
         self.values: dict[str, str] = {}
@@ -208,6 +212,9 @@
                 return self.error(code)
         if self.state == "E" and text not in ("ROLLBACK", "COMMIT"):
             return self.error("MALFORMED")
+        lost_lead = self.state == "T" and not self.read_only and not member.primary
+        if lost_lead and text != "ROLLBACK" and (text != "COMMIT" or self.writes):
+            return self.error("READONLY")
         member.executed.append((query_id, text))
         lost = [prefix for prefix in member.lost_answers if text.startswith(prefix)]
         answer = self.run(text)
@@ -245,8 +252,9 @@
                 self.prepared[rest[0]] = " ".join(rest[1:])
             case "BEGIN":
                 if not rest and not member.primary:
+                    self.state = member.state_after_refused_begin
                     return "ERROR READONLY -"
-                self.state = "T"
+                self.state, self.read_only = "T", bool(rest)
             case "ROLLBACK":
                 self.state, self.writes = "I", []
             case "COMMIT":
