End a transaction that its member says isn't open

What callers saw: nothing on record. If a member answers a statement of a transaction with success and state I, the transaction isn't open there: the following statements ran outside it as well, a STORE was committed on its own, and the client was told COMPLETE. In the same way a write that ran after a refused BEGIN was repeated and committed twice.

Fix: a success outside state T ends the transaction and closes its connection; a write is then in doubt, a read is ABORTED. A success of a write behind a refused BEGIN is in doubt and isn't repeated. The log has transaction_ended with "not open at its member".

Ruled out: the protocol names no case in which a member does this. "READONLY is returned to any statement of a plain transaction whose member has lost the lead" keeps the transaction until its client ends it, and READONLY to BEGIN means a replica, which refuses the write. So this limits the damage of a member that behaves otherwise; it can't prevent the first such statement, and isn't shown to be in the users' record.

No message and no round trip more.

--- a/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
@@ -77,6 +77,8 @@
                 answer = await self._run_first(attempt, deadline)
             else:
                 answer = await self._run_next(attempt, deadline)
+            if answer.ok and answer.state != st.IN_TRANSACTION:
+                answer = self._end_lost(attempt)
         self._start_idle_timer()
         if attempt.writes and answer.ok:
             self._wrote = True
@@ -230,6 +232,8 @@
             return answer
         if at_primary:
             self._proxy.record_refused_begin(begin, connection.member, refusal)
+        if answer.ok and attempt.writes:
+            return Answer(error=st.IN_DOUBT, message=b"ran outside its transaction")
         return refusal
 
     async def _run_next(self, attempt: Attempt, deadline: float) -> Answer:
@@ -334,6 +338,18 @@
         self.roll_back()
         return Answer(error=st.ABORTED, message=reason.encode())
 
+    def _end_lost(self, attempt: Attempt) -> Answer:
+        """Ends a transaction that was not open at its member when a statement ran."""
+        pool, connection = self._pool, self._connection
+        assert pool is not None and connection is not None
+        connection.close()
+        answer = self._abort("not open at its member")
+        self._proxy.record_ended_transaction(self._begin, pool.member, self._failure)
+        if attempt.writes:
+            # A write outside a transaction is committed on its own.
+            answer.error = st.IN_DOUBT
+        return answer
+
     def _failed_answer(self) -> Answer:
         """Returns ABORTED, or MALFORMED once the client has received the failure."""
         already_reported, self._failure_reported = self._failure_reported, True
