Set a session's new values before its COMMIT

What callers saw: nothing on record.

Cause: every statement applies the session's values to its connection first, except the COMMIT of a transaction that has begun.

Fix: the COMMIT does the same. A SET goes ahead in the same packet, only if a value has changed.

Ruled out: ROLLBACK, which is the proxy's own statement, and the first statement, BEGIN and COMMIT of an empty transaction, which follow the values already.

Evidence: test_a_value_set_after_the_last_statement_holds_for_the_commit, for own and for shared connections, seen to fail before ({} for {'tz': 'lisbon'}). Whether the users' clients set values there isn't known.

--- a/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
@@ -265,6 +265,7 @@
             problem = self._group.why_not_primary(sent_at, pool.member, self._term)
             if self._wrote and problem:
                 return Answer(error=st.ABORTED, message=problem.encode())
+            connection.apply_session(self._session)
             answer = await self._exchange(attempt, deadline, is_commit=True)
             if answer is None:
                 if not self._wrote:
--- a/tests/adapter/test_setup.py
+++ b/tests/adapter/test_setup.py
@@ -112,6 +112,23 @@
     run_system(tmp_path, scenario)
 
 
+@pytest.mark.parametrize("shared", [False, True])
+def test_a_value_set_after_the_last_statement_holds_for_the_commit(tmp_path, shared):
+    """Guards against a COMMIT that runs with other values than its client's."""
+
+    async def scenario(system):
+        client = await open_client(system, shared)
+        await client.call("BEGIN")
+        assert outcome(await client.call("STORE a v")) == "COMPLETE"
+        await client.call("SET tz lisbon")
+        assert outcome(await client.call("COMMIT")) == "COMPLETE"
+        primary = system.group.primary
+        assert primary.values_at_run["COMMIT"] == {"tz": "lisbon"}
+        assert system.group.acknowledged == [("a", "v")]
+
+    run_system(tmp_path, scenario, **(SCARCE if shared else {}))
+
+
 @pytest.mark.parametrize("refused", ["SET", "RESET"])
 @pytest.mark.parametrize(
     ("text", "expected"), [("FETCH c", "COMPLETE"), ("STORE c v", "ERROR INDOUBT")]
