Promote an older primary again while the planned member is silent

Callers: acknowledged commits lost (LOST), found by an exhaustive search over a model; no run of the users shows it. Cause: a replacement that found a primary recorded it, also if the member that was planned last did not answer, which may lead a newer term unseen and take the replicas with it. The primary that was found is promoted again in that case, so that it leads the newest term; for the present primary the order changes nothing. Ruled out: waiting for the planned member, which may never come back. Evidence: test_an_older_primary_is_promoted_again_while_the_planned_member_is_silent failed (no promotion ordered) and passes.

--- a/packages/daemon/src/bronzemoor_daemon/wire/failover.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/failover.py
@@ -56,14 +56,19 @@
                 newest = newest_primary(paused, old_term)
                 if newest and await self._orders.wait_for_orders(newest):
                     continue
-                if newest:
+                planned = self._orders.leader_record.candidate
+                if newest and planned in ("", *paused):
                     # An earlier promotion order took effect.
                     await self._orders.complete_promotion(
                         newest, paused[newest].term, started_at
                     )
                     return
                 held = {m: s.position for m, s in paused.items() if not s.primary}
-                successor = self._choose_successor(held, replicas, version, old_term)
+                # A planned member that is silent may lead a newer term, so an older
+                # primary is promoted again.
+                successor = newest or self._choose_successor(
+                    held, replicas, version, old_term
+                )
                 if successor and await self._orders.wait_for_orders(successor):
                     continue
                 if successor and await self._orders.promote(successor, started_at):
--- a/tests/adapter/test_stale_orders.py
+++ b/tests/adapter/test_stale_orders.py
@@ -312,6 +312,25 @@
     run_system(tmp_path, scenario)
 
 
+def test_an_older_primary_is_promoted_again_while_the_planned_member_is_silent(
+    tmp_path,
+):
+    """Guards against a recorded primary beside a silent one of a newer term."""
+
+    async def scenario(system):
+        group, leader = system.group, leader_of(system)._leader
+        older, planned = [m for m in group.members.values() if not m.primary]
+        plan = {"type": "primary.plan", "group": "ledger", "member": planned.name}
+        older.primary, older.term = True, 2
+        planned.primary, planned.term = True, 3
+        await planned.stop()
+        assert await leader.commit(plan) is not None
+        await system.until(lambda: leader.leader_record("ledger").primary == older.name)
+        assert (older.name, 2) in group.promotions
+
+    run_system(tmp_path, scenario)
+
+
 def test_the_newest_of_two_primaries_is_recorded(tmp_path):
     """Guards against a topology that names the older of two promoted members."""
 
