Search a model of primary replacement for lost writes and late orders

The model searches every order of events of two control leaders, three members and one or two proxies, with the real choose_successor and LeaseTable, and a switch for each rule of the fix. Causes found: a new leader doesn't know every proxy that acknowledged commits; a proxy that restarts forgets its own; a term without known commits counts as one without commits; one leader may have two orders on their way; an older primary is recorded while the planned one is silent.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 TOOLS = setuptools wheel ruff mypy pytest pytest-bdd pytest-benchmark pytest-xdist hypothesis trustme \
 	types-PyYAML types-requests types-jsonschema
 
-.PHONY: setup demo test lint format bench platform-day soak stats thrift
+.PHONY: setup demo test lint format bench platform-day soak explore stats thrift
 
 setup: $(STAMP)
 
@@ -48,6 +48,10 @@
 	BRONZEMOOR_SOAK=1 $(BIN)/python -m pytest $(ARGS)
 	$(BIN)/python tests/soak/soak.py --seeds $(or $(SEEDS),1-50)
 
+# Searches all states of the model of a primary's replacement; takes some minutes.
+explore:
+	PYTHONPATH=$(PYTHONPATH):packages/core/tests $(BIN)/python -m wire.explore.search
+
 stats: setup
 	$(BIN)/python tools/stats.py
 
--- /dev/null
+++ b/packages/core/tests/wire/explore/test_replacement.py
@@ -0,0 +1,21 @@
+"""Exhaustive searches of the model of a primary's replacement."""
+
+import pytest
+from wire.explore.search import ALL, SMALL, WITHOUT, report
+
+
+def test_no_order_of_events_loses_a_write_or_reorders_fences():
+    """Guards against rules of a replacement that leave a fault."""
+    result = report("all rules", ALL, SMALL)
+    assert result.complete
+    assert result.fault == "", result.trace
+
+
+@pytest.mark.parametrize(
+    ("rule", "fault"),
+    [("check", "ONE"), ("abort", "ONE"), ("wait", "LOST"), ("closed", "LOST")],
+)
+def test_the_search_finds_the_fault_of_a_missing_rule(rule, fault):
+    """Guards against a model in which no rule matters."""
+    result = report(f"without {rule}", *WITHOUT[rule])
+    assert result.fault == fault
