Go on with a primary that is back, and bound the wait for unheard proxies

Cause: after a change of the leader a sample of the primary newer than its predecessor's leases was asked for, which a lost primary never gives; and a primary that crashed and came back under another name counted as a replica without a position, as it did before, so that not all had answered. A member that leads the old term is no replica: it is left out of those that must answer, and where no successor is safe, it is recorded again, once no order can take effect any more.

--- a/packages/core/src/bronzemoor_core/wire/leases.py
+++ b/packages/core/src/bronzemoor_core/wire/leases.py
@@ -22,13 +22,17 @@
         self._predecessor_leases_end = elected_at + LEASE_SECONDS + LEASE_MARGIN_SECONDS
         self._expires: dict[str, float] = {}
         self._confirmed_versions: dict[str, int] = {}
-        # Proxies that an earlier leader had granted leases may be lost already.
-        self._lost_until = self._predecessor_leases_end
+        # 0 if no proxy is known to be lost.
+        self._lost_until = 0.0
 
-    @property
-    def lost_until(self) -> float:
-        """The latest time at which a process now lost may have confirmed a commit."""
-        return self._lost_until
+    def lost_until(self, now: float) -> float:
+        """The latest time at which a process now lost may have confirmed a commit.
+
+        Proxies that an earlier leader had granted leases and that have not reported yet
+        may be lost; they count for as long as a proxy that has.
+        """
+        end = self._predecessor_leases_end
+        return max(self._lost_until, end if now - end <= LOST_AFTER_SECONDS else 0.0)
 
     def forget_lost(self, now: float) -> None:
         """Removes proxies that are lost and will confirm no further topology."""
--- a/packages/core/src/bronzemoor_core/wire/succession.py
+++ b/packages/core/src/bronzemoor_core/wire/succession.py
@@ -5,7 +5,7 @@
 from msgspec import Struct
 
 from bronzemoor_core.messages import GroupReport
-from bronzemoor_core.positions import Position
+from bronzemoor_core.positions import ZERO, Position
 from bronzemoor_core.wire.statements import MemberStatus
 
 # A proxy's report counts as a failure once new connections failed for this long.
@@ -124,13 +124,24 @@
     ``sample`` (time and position) of the primary of ``term`` that is as new.
     """
     sampled_at, position = sample
-    if position.term != term or sampled_at < lost_until:
+    if position.term != term:
+        sampled_at, position = float("-inf"), ZERO
+    if lost_until > 0 and sampled_at < lost_until:
         return None
     reported = (
         Position(item.report.acknowledged_term, item.report.acknowledged_offset)
         for item in evidence.values()
     )
-    return max(position, *reported)
+    newest = max(position, *reported, ZERO)
+    return newest if newest != ZERO else None
+
+
+def primary_of(statuses: dict[str, MemberStatus], term: int) -> str:
+    """Returns the member that leads ``term``, or an empty string.
+
+    A primary that crashed comes back with its log, also under another name.
+    """
+    return next((m for m, s in statuses.items() if s.primary and s.term == term), "")
 
 
 def newest_primary(statuses: dict[str, MemberStatus], term: int) -> str:
--- a/packages/daemon/src/bronzemoor_daemon/wire/failover.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/failover.py
@@ -4,12 +4,14 @@
 from typing import TYPE_CHECKING
 
 from bronzemoor_core.positions import ZERO, Position
+from bronzemoor_core.wire.leases import LEASE_SECONDS
 from bronzemoor_core.wire.records import MemberRecord
 from bronzemoor_core.wire.statements import MemberStatus
 from bronzemoor_core.wire.succession import (
     acknowledged_position,
     choose_successor,
     newest_primary,
+    primary_of,
 )
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.grouporders import STEP_INTERVAL_SECONDS, GroupOrders
@@ -19,6 +21,9 @@
 
 # Age and position where no sample of a primary is known.
 NO_SAMPLE = (float("inf"), ZERO)
+# After this time an order has arrived and taken effect, also one that an earlier leader
+# gave before the start of a replacement.
+SETTLED_SECONDS = 2 * LEASE_SECONDS
 
 
 class Failover:
@@ -47,43 +52,44 @@
         try:
             if resumed and await self._complete_planned(old_term, started_at):
                 return
-            while True:
-                # A replica that is released or restarted may acknowledge commits until
-                # then, so its position is read afterwards.
-                await self._orders.wait_for_leases(version)
-                replicas = self._orders.replicas
-                paused = await self._orders.pause(replicas, old_term + 1)
-                newest = newest_primary(paused, old_term)
-                if newest and await self._orders.wait_for_orders(newest):
-                    continue
-                planned = self._orders.leader_record.candidate
-                if newest and planned in ("", *paused):
-                    # An earlier promotion order took effect.
-                    await self._orders.complete_promotion(
-                        newest, paused[newest].term, started_at
-                    )
-                    return
-                held = {m: s.position for m, s in paused.items() if not s.primary}
-                # A planned member that is silent may lead a newer term, so an older
-                # primary is promoted again.
-                successor = newest or self._choose_successor(
-                    held, replicas, version, old_term
-                )
-                if successor and await self._orders.wait_for_orders(successor):
-                    continue
-                if successor and await self._orders.promote(successor, started_at):
-                    return
-                primary = self._orders.members.get(self._orders.leader_record.primary)
-                if not resumed and await self._primary_recovered(
-                    primary, old_term, reason
-                ):
-                    await self._orders.resume(replicas)
-                    self._orders.report("info", "replacement_cancelled", term=old_term)
-                    return
+            while not await self._attempt(old_term, version, reason, started_at):
                 await asyncio.sleep(STEP_INTERVAL_SECONDS)
         finally:
             self._orders.restore()
 
+    async def _attempt(
+        self, term: int, version: int, reason: str, started_at: float
+    ) -> bool:
+        """Returns whether the group has a primary of ``term`` or a later one."""
+        # A replica that is released or restarted may acknowledge commits until then, so
+        # its position is read afterwards.
+        await self._orders.wait_for_leases(version)
+        members = self._orders.replicas
+        paused = await self._orders.pause(members, term + 1)
+        newest = newest_primary(paused, term)
+        if newest and await self._orders.wait_for_orders(newest):
+            return False
+        planned = self._orders.leader_record.candidate
+        if newest and planned in ("", *paused):
+            # An earlier promotion order took effect.
+            await self._orders.complete_promotion(
+                newest, paused[newest].term, started_at
+            )
+            return True
+        # A primary that came back under another name is no replica: it has acknowledged
+        # nothing of another's.
+        returned = primary_of(paused, term)
+        replicas = {m: r for m, r in members.items() if m != returned}
+        held = {m: s.position for m, s in paused.items() if m in replicas}
+        # A planned member that is silent may lead a newer term, so an older primary is
+        # promoted again.
+        successor = newest or self._choose_successor(held, replicas, version, term)
+        if successor and await self._orders.wait_for_orders(successor):
+            return False
+        if successor and await self._orders.promote(successor, started_at):
+            return True
+        return await self._keep_primary(returned, term, reason, started_at)
+
     async def _complete_planned(self, term: int, started_at: float) -> bool:
         """Completes an earlier leader's promotion that has taken effect as planned.
 
@@ -117,7 +123,7 @@
             evidence = self._leader.evidence.get(self._group, {})
             sample = (now - age, position)
             acknowledged = acknowledged_position(
-                evidence, sample, term, leases.lost_until
+                evidence, sample, term, leases.lost_until(now)
             )
         leaving = {member for member, record in replicas.items() if record.leaving}
         planned = self._orders.leader_record.candidate
@@ -138,15 +144,31 @@
         )
         return successor
 
-    async def _primary_recovered(
-        self, primary: MemberRecord | None, term: int, reason: str
+    async def _keep_primary(
+        self, returned: str, term: int, reason: str, started_at: float
     ) -> bool:
-        """Returns whether the primary is back and no promotion has been planned."""
-        if primary is None or reason not in ("unreachable", "commits_stalled"):
+        """Goes on with the primary of ``term`` if it is back and nothing is ordered.
+
+        Returns whether it does.
+        """
+        record, now = self._orders.leader_record, boottime()
+        settled = now - max(started_at, self._orders.ordered_at) > SETTLED_SECONDS
+        if reason == "unreachable_from_proxies" or (record.candidate and not settled):
             return False
-        if self._orders.leader_record.candidate:
+        member = returned or await self._recorded_primary(term)
+        if not member or not await self._orders.record_primary(member, term):
             return False
+        await self._orders.resume(self._orders.replicas)
+        self._orders.report("info", "replacement_cancelled", term=term, primary=member)
+        return True
+
+    async def _recorded_primary(self, term: int) -> str:
+        """Returns the recorded primary if it still leads ``term``."""
+        primary = self._orders.members.get(self._orders.leader_record.primary)
+        if primary is None:
+            return ""
         status = await self._orders.status(primary)
-        return (
+        leads = (
             isinstance(status, MemberStatus) and status.primary and status.term == term
         )
+        return primary.member if leads else ""
--- a/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
@@ -37,6 +37,8 @@
         # Until when orders whose outcome is unknown may arrive, by the ordered member.
         self._arrives_until: dict[str, float] = {}
         self._revoked = False
+        # When the last order that may have arrived was answered or given up.
+        self.ordered_at = float("-inf")
 
     def close(self) -> None:
         self._tasks.cancel()
@@ -165,6 +167,8 @@
         )
         outcome = await asyncio.to_thread(leader.execute_promotion, order)
         now = boottime()
+        if outcome in ("done", "failed"):
+            self.ordered_at = now
         if outcome == "failed":
             self._arrives_until[member] = order.arrives_until
         leader.metrics.promotions.add(outcome)
