Test sessions around a demotion, late answers and lost links

No fault was found on these paths; the tests keep them so.

A first form failed with BEGIN, FETCH, SET, COMMIT at a demoted member: the SET was refused, and the fake member then committed in state E. "Ending it rolls back", so the fake member now does that and answers ABORTED.

test_relays.py: a channel number used again by a restarted proxy is another channel. test_ownership.py: links between proxies are cut as well.

--- a/tests/adapter/fake_members.py
+++ b/tests/adapter/fake_members.py
@@ -212,6 +212,10 @@
                 return self.error(code)
         if self.state == "E" and text not in ("ROLLBACK", "COMMIT"):
             return self.error("MALFORMED")
+        if self.state == "E" and text == "COMMIT":
+            # Ending a failed transaction rolls back.
+            self.state, self.writes = "I", []
+            return self.error("ABORTED")
         lost_lead = self.state == "T" and not self.read_only and not member.primary
         if lost_lead and text != "ROLLBACK" and (text != "COMMIT" or self.writes):
             return self.error("READONLY")
--- a/tests/adapter/test_ownership.py
+++ b/tests/adapter/test_ownership.py
@@ -1,7 +1,7 @@
 """Random tests that a transaction alone uses its member connection.
 
 Clients run transactions over few connections, while the proxy ends transactions,
-members refuse, delay and lose answers, and clients disconnect.
+members refuse, delay and lose answers, clients disconnect and links are lost.
 """
 
 import asyncio
@@ -22,7 +22,10 @@
 SHARED_CONNECTION = {
     "services": [{"name": "ledger", "max_conns": 2, "sync_replicas": 1}]
 }
-KINDS = ("end", "end", "end", "evict", "close", "busy", "busy", "slow", "lose", "cut")
+KINDS = (
+    "end", "end", "end", "evict", "close", "busy", "busy", "slow", "lose", "cut",
+    "link",
+)  # fmt: skip
 PROMISES = {"ERROR BUSY", "ERROR ABORTED", "ERROR READONLY", "ERROR LAGGING"}
 
 
@@ -145,11 +148,24 @@
                 primary.lost_answers = [random.choice(("COMMIT", "STORE", "ROLLBACK"))]
             case "cut" if primary.connections:
                 random.choice(sorted(primary.connections, key=id)).transport.abort()
+            case "link" if links := dialed_links(system):
+                random.choice(links).abort()
         await asyncio.sleep(DISRUPTION_INTERVAL_SECONDS)
     primary.overloaded, primary.statement_delays = False, {}
     primary.lost_answers = []
 
 
+def dialed_links(system) -> list:
+    """Returns the links between proxies at the side that opened them."""
+    names = {proxy.links._name for proxy in system.proxies}
+    return [
+        link
+        for proxy in system.proxies
+        for link in proxy.links._dialed_links.values()
+        if link.peer in names
+    ]
+
+
 def connections_in_use(pool) -> int:
     """Returns the connections and channels that were handed out and not released."""
     return len(pool._open) - len(pool._idle) + pool._channel_count
--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -133,6 +133,56 @@
     assert all(item.answer.startswith(b"ERROR READONLY") for item in answers)
 
 
+def test_a_channel_number_used_again_on_a_new_link_is_another_channel():
+    """Guards against statements of a restarted proxy on a connection of the earlier.
+
+    Both processes count their channels from 1, and the owner has not noticed yet that
+    the link of the earlier one is lost.
+    """
+    sent, released = [], []
+
+    class Connection:
+        is_open = is_settled = True
+        last_state = "in_transaction"
+        on_lost = on_evicted = None
+
+        def query(self, query_id, text, *rest):
+            sent.append((self, text))
+            return asyncio.get_running_loop().create_future()
+
+    class Pool:
+        member = "m"
+        take_idle = staticmethod(lambda session: Connection())
+        release = staticmethod(lambda item, clean: released.append((item, clean)))
+
+    class Links:
+        reply = staticmethod(lambda link, message: None)
+
+    def statement(text: bytes) -> RelayStatement:
+        return RelayStatement(
+            1, 1, b"q", text, 0, 0, False, False, b"", False, {}, 0
+        )  # fmt: skip
+
+    async def scenario() -> None:
+        server = RelayServer(
+            PlatformLines(), Links(), lambda group, member: Pool(),
+            lambda now, pool, term: True, lambda *a, **k: None,
+        )  # fmt: skip
+        for link in ("earlier", "later"):
+            server.on_open(link, RelayOpen(1, "g", "m", 1, 500))
+            server.on_statement(link, statement(link.encode()))
+        server.link_lost("earlier")
+        server.on_statement("earlier", statement(b"late"))
+        server.on_statement("later", statement(b"next"))
+
+    asyncio.run(scenario())
+    (first, _), (second, _), (third, _) = sent
+    assert [text for _, text in sent] == [b"earlier", b"later", b"next"]
+    assert first is not second and second is third
+    # A connection inside a transaction is closed, not used again.
+    assert released == [(first, False)]
+
+
 async def wait_until_shared(system) -> None:
     """Waits until both proxies have received the list of sharing proxies."""
     await system.until(lambda: all(len(p._relays.proxies) == 2 for p in system.proxies))
--- a/tests/adapter/test_setup.py
+++ b/tests/adapter/test_setup.py
@@ -129,6 +129,21 @@
     run_system(tmp_path, scenario, **(SCARCE if shared else {}))
 
 
+def test_a_commit_whose_value_was_refused_is_not_confirmed(tmp_path):
+    """Guards against a confirmed COMMIT that ran without its session value."""
+
+    async def scenario(system):
+        client = await open_client(system, shared=False)
+        await client.call("BEGIN")
+        assert outcome(await client.call("STORE a v")) == "COMPLETE"
+        await client.call("SET tz lisbon")
+        system.group.primary.refusals["SET"] = "READONLY"
+        assert outcome(await client.call("COMMIT")) == "ERROR ABORTED"
+        assert system.group.acknowledged == []
+
+    run_system(tmp_path, scenario)
+
+
 @pytest.mark.parametrize("refused", ["SET", "RESET"])
 @pytest.mark.parametrize(
     ("text", "expected"), [("FETCH c", "COMPLETE"), ("STORE c v", "ERROR INDOUBT")]
