--- a/packages/core/src/bronzemoor_core/wire/succession.py
+++ b/packages/core/src/bronzemoor_core/wire/succession.py
@@ -5,7 +5,8 @@
 from msgspec import Struct
 
 from bronzemoor_core.messages import GroupReport
-from bronzemoor_core.positions import ZERO, Position
+from bronzemoor_core.positions import Position
+from bronzemoor_core.wire.statements import MemberStatus
 
 # A proxy's report counts as a failure once new connections failed for this long.
 MIN_FAILING_SECONDS = 0.250
@@ -110,15 +111,35 @@
     return bool(lags) and min(lags) >= MIN_RELIEF_LAG_SECONDS
 
 
-def acknowledged_position(evidence: dict[str, Evidence], term: int) -> Position:
-    """Returns the newest commit of ``term`` that a proxy confirmed to a client."""
-    newest = ZERO
-    for item in evidence.values():
-        report = item.report
-        if report.acknowledged_term == term:
-            position = Position(report.acknowledged_term, report.acknowledged_offset)
-            newest = max(newest, position)
-    return newest
+def acknowledged_position(
+    evidence: dict[str, Evidence],
+    sample: tuple[float, Position],
+    term: int,
+    lost_until: float,
+) -> Position | None:
+    """Returns a position that covers every acknowledged commit, or None if unknown.
+
+    ``evidence`` holds the reports of all proxies that may still know of commits. What
+    others acknowledged, until ``lost_until`` at the latest, is covered only by a
+    ``sample`` (time and position) of the primary of ``term`` that is as new.
+    """
+    sampled_at, position = sample
+    if position.term != term or sampled_at < lost_until:
+        return None
+    reported = (
+        Position(item.report.acknowledged_term, item.report.acknowledged_offset)
+        for item in evidence.values()
+    )
+    return max(position, *reported)
+
+
+def newest_primary(statuses: dict[str, MemberStatus], term: int) -> str:
+    """Returns the member that leads the newest term after ``term``, or an empty string.
+
+    A promotion that took effect late can leave two members that lead.
+    """
+    leading = {m: s.term for m, s in statuses.items() if s.primary and s.term > term}
+    return max(leading, key=lambda member: leading[member], default="")
 
 
 def choose_successor(
@@ -126,14 +147,17 @@
     expected: set[str],
     acknowledged: Position | None,
     leaving: Collection[str] = (),
+    planned: str = "",
 ) -> str:
     """Returns the member to promote, or an empty string while none is safe.
 
     ``held`` are the positions of paused replicas and ``expected`` all replicas that may
     have acknowledged a commit. Once all of them have reported, the newest has every
     commit. Otherwise a replica must have reached ``acknowledged``, the newest commit
-    that was reported to any client, None while unknown. A ``leaving`` member is chosen
-    only if no other is safe, since it would have to be replaced at once.
+    that was reported to any client, None while unknown. An order to promote the
+    ``planned`` member may still be on its way and is harmless only once that member is
+    the primary, so it is preferred. A ``leaving`` member is chosen only if no other is
+    safe, since it would have to be replaced at once.
     """
     if not held:
         return ""
@@ -144,6 +168,11 @@
     safe = [member for member, position in held.items() if position >= required]
     return max(
         safe,
-        key=lambda member: (member not in leaving, held[member], member),
+        key=lambda member: (
+            member == planned,
+            member not in leaving,
+            held[member],
+            member,
+        ),
         default="",
     )
--- a/packages/core/tests/test_proposals.py
+++ b/packages/core/tests/test_proposals.py
@@ -4,6 +4,7 @@
 from logcluster import Cluster
 
 from bronzemoor_core.events import PeerMessageReceived, Tick
+from bronzemoor_core.internal_events import CommandProposed
 from bronzemoor_core.messages import HeartbeatReply, Propose, ProposeReply
 from bronzemoor_core.proposals import LEADER_WAIT_SECONDS, PROPOSAL_TIMEOUT_SECONDS
 
@@ -148,3 +149,29 @@
         leader.handle(PeerMessageReceived("vm-2", message))
     cluster.run(0.1)
     assert leader.state.values == []
+
+
+def test_a_decision_of_a_deposed_leader_is_not_passed_on():
+    """Guards against a promotion that the next leader's log plans for the last one.
+
+    So would a member be replaced that only the earlier leader had not reached.
+    """
+    cluster = Cluster(3)
+    old = cluster.elect()
+    cluster.cut = {old.name}
+    decisions = (
+        {"type": "set", "n": 1},
+        {"type": "set", "n": 2},
+        {"type": "control.remove", "name": cluster.followers()[0].name},
+    )
+    old.handle(CommandProposed(decisions[0], 1, leader_only=True))
+    cluster.run(1.5)
+    cluster.cut = set()
+    cluster.run(PROPOSAL_TIMEOUT_SECONDS)
+    for origin, command in enumerate(decisions[1:], start=2):
+        old.handle(CommandProposed(command, origin, leader_only=True))
+    cluster.run(1.0)
+    leader = cluster.leader()
+    assert leader is not old
+    assert outcomes(old) == [(1, "unknown"), (2, "no_leader"), (3, "no_leader")]
+    assert leader.state.values == [] and len(leader.log.voters) == 3
--- a/packages/daemon/src/bronzemoor_daemon/wire/control.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/control.py
@@ -32,6 +32,7 @@
     ProxyReport,
 )
 from bronzemoor_core.node import Node
+from bronzemoor_core.reconfiguration import MEMBERS
 from bronzemoor_core.settings import ControlSettings, NodeSettings
 from bronzemoor_core.state import StateMachine
 from bronzemoor_core.wire.records import (
@@ -151,10 +152,16 @@
 
     # --- requests of operators and members
 
-    async def propose(self, command: dict[str, Any]) -> AdminReply:
-        """Commits a command or answers a query; the code is ``ok`` or an error code."""
+    async def propose(
+        self, command: dict[str, Any], leader_only: bool = False
+    ) -> AdminReply:
+        """Commits a command or answers a query; the code is ``ok`` or an error code.
+
+        A ``leader_only`` command is not passed on to another leader.
+        """
         ticket = next(self._tickets)
-        return await self._submit(ticket, CommandProposed(command, ("state", ticket)))
+        event = CommandProposed(command, ("state", ticket), leader_only)
+        return await self._submit(ticket, event)
 
     async def _submit(self, ticket: int, event: object) -> AdminReply:
         future: asyncio.Future[AdminReply] = self._loop.create_future()
@@ -168,10 +175,10 @@
         finally:
             self._pending_replies.pop(ticket, None)
 
-    async def change_control_group(self, change: dict[str, Any]) -> AdminReply:
-        """Returns a description of the control group, or changes its membership."""
+    async def describe_control_group(self) -> AdminReply:
+        """Returns the members of the control group and whether they are reachable."""
         ticket = next(self._tickets)
-        return await self._submit(ticket, AdminCommand(ticket, change["type"], change))
+        return await self._submit(ticket, AdminCommand(ticket, MEMBERS, {}))
 
     async def announce(self, record: MemberRecord) -> bool:
         """Records a member's announcement; False if that is not confirmed."""
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -16,6 +16,7 @@
     ProxyReport,
 )
 from bronzemoor_core.positions import Position
+from bronzemoor_core.wire.authority import order_deadline
 from bronzemoor_core.wire.deployment import Deployment
 from bronzemoor_core.wire.freshness import SampleExchange
 from bronzemoor_core.wire.leases import LeaseTable
@@ -26,6 +27,7 @@
     packed_bytes,
     unpack_document,
 )
+from bronzemoor_core.wire.reportorder import ReportAge, ReportOrder
 from bronzemoor_core.wire.succession import Evidence
 from bronzemoor_core.wire.zoneproxies import ZoneProxies
 from bronzemoor_daemon.wire.clock import boottime
@@ -107,6 +109,7 @@
         self.metrics = metrics
         self.deployment: Deployment | None = None
         self.leases = LeaseTable(boottime())
+        self._report_order = ReportOrder()
         self._zone_proxies = ZoneProxies(self.leases)
         self.samples = SampleExchange()
         self.evidence: dict[str, dict[str, Evidence]] = {}
@@ -127,6 +130,13 @@
         for supervisor in self._supervisors.values():
             supervisor.close()
 
+    @property
+    def order_deadline(self) -> float:
+        """When orders that are given now must have left; past once this has closed."""
+        if self._closed:
+            return float("-inf")
+        return order_deadline(self._control.log.confirmed_at)
+
     def authority_fields(self, now: float) -> dict[str, object]:
         """Returns log fields that say under which leadership an order was given."""
         log = self._control.log
@@ -151,7 +161,7 @@
 
     async def commit(self, command: dict[str, object]) -> dict[str, object] | None:
         """Commits a command; None if the commit is not confirmed."""
-        reply = await self._control.propose(command)
+        reply = await self._control.propose(command, leader_only=True)
         if reply.code != "ok":
             self.report(
                 "warning", "command_failed", type=command["type"], outcome=reply.code
@@ -346,6 +356,12 @@
 
     def on_report(self, now: float, proxy: str, report: ProxyReport) -> None:
         """Processes a proxy's report and replies with a lease."""
+        age = self._report_order.classify(proxy, report.incarnation, report.sequence)
+        if age is ReportAge.LATE:
+            return
+        if age is ReportAge.NEW_PROCESS:
+            self.leases.process_ended(now)
+            self.report("info", "proxy_restarted", peer=proxy)
         self._last_report_at[proxy] = now
         known = KnownVersions(
             report.deployment_version, report.topology_version, report.proxies_version
@@ -394,9 +410,7 @@
         self._control.spawn(self._join(sender), "add-voter")
 
     async def _join(self, sender: str) -> None:
-        described = await self._control.change_control_group(
-            {"type": "control.members"}
-        )
+        described = await self._control.describe_control_group()
         members = described.body.get("members", [])
         unreachable = [
             item["name"]
@@ -412,7 +426,7 @@
             change = {"type": "control.add", "name": sender}
         else:
             return
-        outcome = await self._control.change_control_group(change)
+        outcome = await self._control.propose(change, leader_only=True)
         self.report(
             "info",
             "join",
--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -4,13 +4,14 @@
 from typing import TYPE_CHECKING
 
 from bronzemoor_core.messages import GroupReport
-from bronzemoor_core.positions import Position
+from bronzemoor_core.positions import ZERO, Position
 from bronzemoor_core.wire.records import MemberRecord
 from bronzemoor_core.wire.statements import BUSY, CONNECTION_LIMIT, MemberStatus
 from bronzemoor_core.wire.succession import (
     acknowledged_position,
     choose_successor,
     is_overloaded,
+    newest_primary,
     replacement_reason,
     should_replace_overloaded_primary,
 )
@@ -26,6 +27,10 @@
 CATCH_UP_TIMEOUT_SECONDS = 1.5
 # Delay before a postponed handover is attempted again.
 HANDOVER_RETRY_SECONDS = 1.5
+# Interval at which replicas that did not answer are asked whether they are paused.
+RELEASE_INTERVAL_SECONDS = 5.0
+# Age and position where no sample of a primary is known.
+NO_SAMPLE = (float("inf"), ZERO)
 # How long a primary must be overloaded before it is relieved.
 RELIEF_AFTER_SECONDS = 0.5
 # Minimum time between two reliefs.
@@ -50,6 +55,8 @@
         self._next_handover_at = float("-inf")
         self._overloaded_since: float | None = None
         self._last_relief_at = float("-inf")
+        # When replicas that an earlier leader left paused are released.
+        self._next_release_at = float("-inf")
         # While true, the topology names no primary, so that no proxy uses it.
         self.revoked = False
         self._task = asyncio.get_running_loop().create_task(self._run())
@@ -108,6 +115,28 @@
             await self._check_primary(primary)
         if self._overload_persists(boottime()):
             await self._relieve(members)
+        if not self._suspected:
+            await self._release_paused(boottime())
+
+    async def _release_paused(self, now: float) -> None:
+        """Resumes replicas that an earlier leader paused for a promotion not planned.
+
+        That leader may have ended in between, and gives no orders afterwards.
+        """
+        if (
+            now < self._next_release_at
+            or not self._leader.leases.predecessor_leases_expired(now)
+        ):
+            return
+        replicas, term = self._replicas, self._term
+        statuses = await self._orders.statuses(replicas)
+        paused = {m: replicas[m] for m, s in statuses.items() if s.held_term > term}
+        if paused:
+            await self._orders.resume(paused)
+        complete = set(statuses) == set(replicas)
+        self._next_release_at = now + (
+            float("inf") if complete else RELEASE_INTERVAL_SECONDS
+        )
 
     def _overload_persists(self, now: float) -> bool:
         """Returns whether the primary has been overloaded long enough to relieve it."""
@@ -204,30 +233,30 @@
         self._revoke()
         version = leader.topology_version
         try:
+            if resumed and await self._complete_planned(old_term, started_at):
+                return
             while True:
-                members = self._orders.members
-                replicas = {
-                    m: r
-                    for m, r in members.items()
-                    if m != self._orders.leader_record.primary
-                }
+                # A replica that is released or restarted may acknowledge commits until
+                # then, so its position is read afterwards.
+                await self._orders.wait_for_leases(version)
+                replicas = self._replicas
                 paused = await self._orders.pause(replicas, old_term + 1)
-                newer = [
-                    m for m, s in paused.items() if s.primary and s.term > old_term
-                ]
-                if newer:
+                newest = newest_primary(paused, old_term)
+                if newest and await self._orders.wait_for_orders(newest):
+                    continue
+                if newest:
                     # An earlier promotion order took effect.
                     await self._orders.complete_promotion(
-                        newer[0], paused[newer[0]].term, started_at
+                        newest, paused[newest].term, started_at
                     )
                     return
                 held = {m: s.position for m, s in paused.items() if not s.primary}
                 successor = self._choose_successor(held, replicas, version, old_term)
-                if successor and await self._orders.promote(
-                    successor, version, started_at
-                ):
+                if successor and await self._orders.wait_for_orders(successor):
+                    continue
+                if successor and await self._orders.promote(successor, started_at):
                     return
-                primary = members.get(self._orders.leader_record.primary)
+                primary = self._orders.members.get(self._orders.leader_record.primary)
                 if not resumed and await self._primary_recovered(
                     primary, old_term, reason
                 ):
@@ -241,6 +270,30 @@
             self.revoked = False
             leader.refresh_topology()
 
+    @property
+    def _term(self) -> int:
+        return self._orders.leader_record.term
+
+    @property
+    def _replicas(self) -> dict[str, MemberRecord]:
+        """All members but the recorded primary."""
+        primary = self._orders.leader_record.primary
+        return {m: r for m, r in self._orders.members.items() if m != primary}
+
+    async def _complete_planned(self, term: int, started_at: float) -> bool:
+        """Completes an earlier leader's promotion that has taken effect as planned.
+
+        That of another member could still be replaced by an order for the planned one.
+        """
+        planned = self._orders.leader_record.candidate
+        statuses = await self._orders.statuses(self._replicas)
+        if newest_primary(statuses, term) != planned:
+            return False
+        await self._orders.complete_promotion(
+            planned, statuses[planned].term, started_at
+        )
+        return True
+
     def _choose_successor(
         self,
         held: dict[str, Position],
@@ -251,27 +304,27 @@
         now, leases = boottime(), self._leader.leases
         leases.forget_lost(now)
         acknowledged = None
-        known = not leases.waiting_for(now, version)
-        sample = self._leader.samples.newest(now, self._group)
-        sampled_at = now - sample[0] if sample else float("-inf")
-        # Any later position of the primary includes the commits that a lost proxy
-        # acknowledged.
+        age, position = self._leader.samples.newest(now, self._group) or NO_SAMPLE
         if (
-            known
-            and leases.holders
+            leases.holders
+            and not leases.waiting_for(now, version)
             and leases.all_confirmed(version)
-            and sampled_at >= leases.lost_until
         ):
             evidence = self._leader.evidence.get(self._group, {})
-            acknowledged = acknowledged_position(evidence, term)
-            if sample and sample[1].term == term:
-                acknowledged = max(acknowledged, sample[1])
+            sample = (now - age, position)
+            acknowledged = acknowledged_position(
+                evidence, sample, term, leases.lost_until
+            )
         leaving = {member for member, record in replicas.items() if record.leaving}
-        successor = choose_successor(held, set(replicas), acknowledged, leaving)
+        planned = self._orders.leader_record.candidate
+        successor = choose_successor(
+            held, set(replicas), acknowledged, leaving, planned
+        )
         self._orders.report(
             "info",
             "successor",
             successor=successor,
+            planned=planned,
             held={m: f"{p.term}.{p.offset}" for m, p in held.items()},
             expected=len(replicas),
             leaving=len(leaving),
@@ -313,12 +366,9 @@
             # The promotion would wait until an earlier leader's unknown leases have
             # expired, and proxies would have no primary meanwhile.
             return False
-        leader, record, members = (
-            self._leader,
-            self._orders.leader_record,
-            self._orders.members,
-        )
-        replicas = {m: r for m, r in members.items() if m != record.primary}
+        leader, members = self._leader, self._orders.members
+        old, term = members[self._orders.leader_record.primary], self._term
+        replicas = self._replicas
         staying = {m: r for m, r in replicas.items() if not r.leaving}
         if not staying:
             return False
@@ -326,8 +376,8 @@
             "info",
             "handing_over",
             reason=reason,
-            primary=record.primary,
-            term=record.term,
+            primary=old.member,
+            term=term,
         )
         statuses = await self._orders.statuses(replicas)
         ready = {m: s.position for m, s in statuses.items() if m in staying}
@@ -336,32 +386,39 @@
         successor = max(ready, key=lambda m: (ready[m], m))
         others = {m: r for m, r in replicas.items() if m != successor}
         try:
-            paused = await self._orders.pause(others, record.term + 1)
-            unreachable = set(others) - set(paused)
-            if unreachable:
-                self._orders.report(
-                    "info", "handover_stops_writes", silent=len(unreachable)
-                )
-                required = await self._final_position(members[record.primary])
-            else:
-                required = max(
-                    (s.position for s in paused.values()), default=ready[successor]
-                )
-            if required is None or not await self._await_catch_up(
-                members[successor], required
-            ):
-                self._next_handover_at = boottime() + HANDOVER_RETRY_SECONDS
-                self._orders.report("info", "handover_put_off", successor=successor)
-                return True
-            self._revoke()
-            await self._orders.promote(successor, leader.topology_version, started_at)
+            required = await self._position_to_reach(others, old, term)
+            if await self._await_catch_up(members[successor], required):
+                self._revoke()
+                await self._orders.wait_for_leases(leader.topology_version)
+                # One that was released meanwhile may have acknowledged commits.
+                required = await self._position_to_reach(others, old, term)
+                if await self._await_catch_up(members[successor], required):
+                    await self._orders.promote(successor, started_at)
+                    return True
+            self._next_handover_at = boottime() + HANDOVER_RETRY_SECONDS
+            self._orders.report("info", "handover_put_off", successor=successor)
             return True
         finally:
             self.revoked = False
             leader.refresh_topology()
-            if self._orders.leader_record.primary == record.primary:
+            current = self._orders.leader_record
+            if current.primary == old.member and not current.candidate:
                 await self._orders.resume(others)
 
+    async def _position_to_reach(
+        self, others: dict[str, MemberRecord], primary: MemberRecord, term: int
+    ) -> Position | None:
+        """Pauses all replicas but the successor and returns what it has to reach.
+
+        The position is None if some are silent and so is the primary.
+        """
+        paused = await self._orders.pause(others, term + 1)
+        silent = set(others) - set(paused)
+        if silent:
+            self._orders.report("info", "handover_stops_writes", silent=len(silent))
+            return await self._final_position(primary)
+        return max((s.position for s in paused.values()), default=ZERO)
+
     async def _final_position(self, primary: MemberRecord) -> Position | None:
         """Revokes the primary and returns its position once no proxy uses it.
 
@@ -380,7 +437,12 @@
         status = await self._orders.status(primary)
         return status.position if isinstance(status, MemberStatus) else None
 
-    async def _await_catch_up(self, member: MemberRecord, required: Position) -> bool:
+    async def _await_catch_up(
+        self, member: MemberRecord, required: Position | None
+    ) -> bool:
+        """Returns whether a member reaches ``required`` in time; None is unknown."""
+        if required is None:
+            return False
         deadline = boottime() + CATCH_UP_TIMEOUT_SECONDS
         while boottime() < deadline:
             status = await self._orders.status(member)
--- a/tests/adapter/test_stale_orders.py
+++ b/tests/adapter/test_stale_orders.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+from contextlib import closing
 from itertools import count
 from pathlib import Path
 
@@ -14,7 +15,14 @@
 from test_control_loss import disconnect, silence
 from test_whole_path import outcome
 
+from bronzemoor_core.messages import GroupReport, ProxyReport
+from bronzemoor_core.positions import Position
+from bronzemoor_core.wire.authority import PromotionOrder
+from bronzemoor_daemon.wire import boundedcalls, memberorders
 from bronzemoor_daemon.wire.clock import boottime
+from bronzemoor_daemon.wire.memberorders import send_order
+from bronzemoor_daemon.wire.proxy import REPORT_INTERVAL_SECONDS
+from bronzemoor_platform.lines import PlatformLines
 from bronzemoor_platform.promotions import post_promotion
 
 # Longer than any lease and than the limit of a promotion call.
@@ -33,6 +41,10 @@
     return [write for write in group.acknowledged if write not in held]
 
 
+def names(events: list[tuple[str, dict]]) -> list[str]:
+    return [event for event, _ in events]
+
+
 async def write(client: Client) -> bool:
     """Stores one item; returns whether that was acknowledged."""
     return outcome(await client.call(f"STORE k{next(KEYS)} v")) == "COMPLETE"
@@ -62,11 +74,10 @@
         assert await write(client)
         disconnect(system.proxies[0])
         replace_primary(system)
-        first, second = [m for m in system.group.members.values() if not m.primary]
-        await system.until(lambda: first.held_term and second.held_term)
-        # Both hold the same; the one with the greater name is promoted.
-        await asyncio.sleep(0.2)
-        first.held_term = 0
+        await system.until(lambda: "waiting_for_leases" in names(system.events))
+        # The other replica has the greater name and is promoted.
+        released = next(m for m in system.group.members.values() if not m.primary)
+        released.held_term = 0
         assert await write(client)
         await system.until(lambda: system.group.primary.term > 1)
         assert lost_writes(system.group) == []
@@ -74,6 +85,133 @@
     run_system(tmp_path, scenario)
 
 
+def test_a_handover_waits_for_writes_that_a_released_replica_acknowledged(tmp_path):
+    """Guards against a planned successor that lacks an acknowledged write."""
+
+    async def scenario(system):
+        leader = leader_of(system)._leader
+        await system.until(lambda: leader.leases.predecessor_leases_expired(boottime()))
+        client = await Client.open(system.client_addresses[0], "orders")
+        assert await write(client)
+        disconnect(system.proxies[0])
+        handover = leader._supervisors["ledger"]._hand_over("overloaded")
+        task = asyncio.create_task(handover)
+        await system.until(lambda: "waiting_for_leases" in names(system.events))
+        released = next(m for m in system.group.members.values() if m.held_term)
+        released.held_term = 0
+        for member in system.group.members.values():
+            if member is not released and not member.primary:
+                member.held_term = 99  # receives nothing for a while
+        assert await write(client)
+        async with asyncio.timeout(2 * LONG_SECONDS):
+            await task
+        assert lost_writes(system.group) == []
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_commit_of_a_proxy_that_a_new_leader_never_heard_of_is_kept(tmp_path):
+    """Guards against a successor that is chosen without what a lost proxy acknowledged.
+
+    The proxy was cut off with the earlier leader, and the replica that had its commit
+    did not answer.
+    """
+
+    async def scenario(system):
+        group, old_leader = system.group, leader_of(system)
+        primary = group.primary
+        holder, behind = [m for m in group.members.values() if not m.primary]
+        client = await Client.open(system.client_addresses[0], "orders")
+        assert await write(client)
+        disconnect(system.proxies[0])
+        silence(old_leader)
+        behind.held_term = 99  # receives nothing
+        assert await write(client)
+        await primary.stop()
+        await holder.stop()
+        other = await Client.open(system.client_addresses[1], "orders")
+        for _ in range(6):
+            assert not await write(other)
+        assert "successor" in names(system.events)
+        assert not behind.primary
+        await holder.restart()
+        await system.until(lambda: group.primary.term > 1)
+        assert lost_writes(group) == []
+
+    run_system(tmp_path, scenario)
+
+
+def test_an_order_without_an_answer_is_waited_for_before_another_member_is_promoted(
+    tmp_path,
+):
+    """Guards against two promotions by one leader, the first of which arrives last."""
+
+    async def scenario(system):
+        group, calls = system.group, []
+        carry_out, loop = group.promote, asyncio.get_running_loop()
+        leader = leader_of(system)._leader
+        await system.until(lambda: leader.leases.predecessor_leases_expired(boottime()))
+        client = await Client.open(system.client_addresses[0], "orders")
+        for _ in range(4):  # the leader gets a new sample of the primary
+            assert await write(client)
+            await asyncio.sleep(REPORT_INTERVAL_SECONDS)
+
+        def promote(member: str, fence: int) -> str:
+            calls.append(member)
+            if len(calls) == 1:
+                asyncio.run_coroutine_threadsafe(arrive_late(member, fence), loop)
+                return "failed"
+            return carry_out(member, fence) if group.members[member].up else "refused"
+
+        async def arrive_late(member: str, fence: int) -> None:
+            late = group.members[member]
+            held = list(late.log)
+            await late.stop()
+            await asyncio.sleep(0.8)
+            await late.restart()
+            late.log = held  # it has received nothing since
+            carry_out(member, fence)
+
+        group.promote = promote
+        replace_primary(system)
+        await system.until(lambda: group.primary.term > 1)
+        for _ in range(6):  # the late order arrives in between
+            await write(client)
+            await asyncio.sleep(0.2)
+        assert lost_writes(group) == []
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_restarted_proxy_does_not_take_back_what_it_acknowledged(tmp_path):
+    """Guards against a report that replaces that of the proxy's earlier process."""
+
+    async def scenario(system):
+        leader, proxy = leader_of(system)._leader, system.proxies[0].links._name
+        client = await Client.open(system.client_addresses[0], "orders")
+        assert await write(client)
+        acknowledged = Position(1, 1)
+        await system.until(lambda: reported(leader, proxy) == acknowledged)
+        earlier = system.proxies[0]._incarnation
+        disconnect(system.proxies[0])
+        now = boottime()
+        leader.on_report(now, proxy, ProxyReport(earlier + 1, 1, 0, 0, False, []))
+        assert leader.leases.lost_until >= now
+        group = GroupReport("ledger", "a", 1, -1, -1, -1, 0, 0, [])
+        leader.on_report(now, proxy, ProxyReport(earlier, 99, 0, 0, False, [group]))
+        assert reported(leader, proxy) == acknowledged
+
+    run_system(tmp_path, scenario)
+
+
+def reported(leader, proxy: str) -> Position | None:
+    """Returns the newest acknowledged commit that the leader has from ``proxy``."""
+    item = leader.evidence.get("ledger", {}).get(proxy)
+    if item is None:
+        return None
+    return Position(item.report.acknowledged_term, item.report.acknowledged_offset)
+
+
 def test_a_promotion_of_an_earlier_leader_that_arrives_late_loses_no_write(tmp_path):
     """Guards against a second promotion by an order that was on its way.
 
@@ -140,6 +278,33 @@
     run_system(tmp_path, scenario)
 
 
+def test_no_order_to_a_member_leaves_after_its_deadline(tmp_path, monkeypatch):
+    """Guards against a RESUME whose sender stood still after it had connected."""
+
+    async def scenario(system):
+        replica = next(m for m in system.group.members.values() if not m.primary)
+        record = leader_of(system).records.members[replica.name]
+        times = iter((0.0, 5.0))
+        monkeypatch.setattr(memberorders, "boottime", lambda: next(times))
+        resumed = await send_order(PlatformLines(), "test", record, b"RESUME", 5.0)
+        assert resumed == "TimeoutError('the deadline has passed')"
+        assert "RESUME" not in [text for _, text in replica.executed]
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_replica_that_a_deposed_leader_left_paused_is_released(tmp_path):
+    """Guards against a replica that receives nothing until the next promotion."""
+
+    async def scenario(system):
+        replica = next(m for m in system.group.members.values() if not m.primary)
+        silence(leader_of(system))
+        replica.held_term = 2
+        await system.until(lambda: not replica.held_term)
+
+    run_system(tmp_path, scenario)
+
+
 def test_the_newest_of_two_primaries_is_recorded(tmp_path):
     """Guards against a topology that names the older of two promoted members."""
 
@@ -173,16 +338,30 @@
     return [row[3] for row in rows if row[2] == remote]
 
 
+def order_for(deadline: float) -> PromotionOrder:
+    return PromotionOrder("ledger", "a", "control-1", 7, deadline)
+
+
 def test_the_kernel_goes_on_with_no_promotion_that_was_given_up(listener):
     """Guards against an order that the kernel delivers after its sender gave it up."""
     address = listener.getsockname()
-    outcome = post_promotion(
-        f"{address[0]}:{address[1]}", "ledger", "a", "control-1", 7
-    )
-    assert outcome == "failed"
+    order = order_for(boottime() + LONG_SECONDS)
+    assert post_promotion("{}:{}".format(*address), order) == "failed"
     assert connections_to(address) == []
 
 
+def test_no_byte_of_a_promotion_leaves_after_its_deadline(listener, monkeypatch):
+    """Guards against an order whose sender stood still after it had connected."""
+    address = listener.getsockname()
+    order = order_for(boottime() + LONG_SECONDS)
+    times = iter((boottime(), order.deadline))
+    monkeypatch.setattr(boundedcalls, "boottime", lambda: next(times))
+    assert post_promotion("{}:{}".format(*address), order) == "expired"
+    connection, _ = listener.accept()
+    with closing(connection), pytest.raises(ConnectionResetError):
+        connection.recv(100)
+
+
 def test_a_leader_that_was_frozen_sends_no_promotion(tmp_path, monkeypatch):
     """Guards against an order that leaves when its sender's leadership has ended.
 
@@ -193,9 +372,7 @@
         old_leader = leader_of(system)
         disconnect(system.proxies[0])
         replace_primary(system)
-        await system.until(
-            lambda: any(e == "waiting_for_leases" for e, _ in system.events)
-        )
+        await system.until(lambda: "waiting_for_leases" in names(system.events))
         silence(old_leader)
         time.sleep(2 * LONG_SECONDS)  # the whole process stands still
         # As on a loop whose timer of this task is due before that of the tick.
