--- a/tests/faults/faultbench.py
+++ b/tests/faults/faultbench.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import time
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -245,9 +246,23 @@
         start, running = time.monotonic(), []
         for fault in make_schedule(self.schedule_seed, seconds, *self.sizes):
             await asyncio.sleep(start + fault.at - time.monotonic())
-            running.append(asyncio.create_task(self._apply(fault)))
+            if fault.target == "orderer":
+                self._arm(fault, running)
+            else:
+                running.append(asyncio.create_task(self._apply(fault)))
+        self.network.armed.clear()
         await asyncio.gather(*running)
 
+    def _arm(self, fault: Fault, running: list[asyncio.Task[None]]) -> None:
+        """Applies the fault to the daemon that next sends to the platform."""
+
+        def apply(vm: str) -> None:
+            number = [daemon.vm for daemon in self.controls].index(vm)
+            found = replace(fault, target=f"control:{number}")
+            running.append(asyncio.create_task(self._apply(found)))
+
+        self.network.armed[self.platform_vm] = apply
+
     async def _apply(self, fault: Fault) -> None:
         """Applies the fault unless its target has one already."""
         target = self._find(fault.target)
--- a/tests/faults/faultchecks.py
+++ b/tests/faults/faultchecks.py
@@ -6,6 +6,7 @@
 import json
 import time
 from collections import Counter
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -14,18 +15,16 @@
 THAW_SECONDS = 0.3
 
 
+@dataclass(slots=True, eq=False)
 class Attempt:
     """One operation of a client; ``outcome`` is empty while it is not known."""
 
-    __slots__ = ("connection", "in_transaction", "outcome", "session", "vm", "writes")
-
-    def __init__(self, session: str, vm: str, in_transaction: bool) -> None:
-        self.session = session
-        self.vm = vm
-        self.in_transaction = in_transaction
-        self.outcome = ""
-        self.writes: list[str] = []
-        self.connection: Any = None
+    session: str
+    vm: str
+    in_transaction: bool
+    outcome: str = ""
+    writes: list[str] = field(default_factory=list)
+    connection: Any = None
 
     def __repr__(self) -> str:
         return f"attempt of {self.session} ({', '.join(self.writes)})"
@@ -39,28 +38,30 @@
             self.outcome = "unknown" if code else "done"
 
 
+@dataclass(slots=True)
 class Statement:
     """A statement as its client sent it, with the session's values at that time."""
 
-    __slots__ = ("attempt", "kind", "values")
-
-    def __init__(self, attempt: Attempt, kind: str, values: dict[str, str]) -> None:
-        self.attempt = attempt
-        self.kind = kind
-        self.values = dict(values)
+    attempt: Attempt
+    kind: str
+    values: dict[str, str]
 
 
+@dataclass(slots=True)
 class Commit:
-    """A commit that a member acknowledged; ``fate`` says how it was lost."""
+    """A commit that a member acknowledged; ``fate`` says how it was lost.
+
+    ``entry`` is that of the member's log, ``newest`` whether it was the newest primary.
+    """
 
-    __slots__ = ("entry", "fate", "group", "newest", "writes")
+    group: str
+    entry: tuple[int, int, tuple[str, ...]]
+    newest: bool
+    fate: str = ""
 
-    def __init__(self, group: str, entry: Any, newest: bool) -> None:
-        self.group = group
-        self.entry = entry
-        self.writes = entry[2]
-        self.newest = newest
-        self.fate = ""
+    @property
+    def writes(self) -> tuple[str, ...]:
+        return self.entry[2]
 
 
 class Checker:
--- a/tests/faults/faultclients.py
+++ b/tests/faults/faultclients.py
@@ -120,6 +120,6 @@
             if kind.startswith("STORE"):
                 self._attempt.writes.append(query_id)
             if kind:
-                statement = Statement(self._attempt, kind, self._values)
+                statement = Statement(self._attempt, kind, dict(self._values))
                 self._checker.statements[query_id] = statement
         self._checker.record(event, **fields)
--- a/tests/faults/faultnet.py
+++ b/tests/faults/faultnet.py
@@ -8,12 +8,15 @@
   connection that was closed in the meantime (FIN).
 * Those of a connection that its sender resets (SO_LINGER 0) are discarded, as a kernel
   does; and so are those held for longer than the connection's TCP_USER_TIMEOUT.
+* What is on its way when a link is cut or a VM stands still is held as well: it counts
+  as lost at first and then retransmitted.
 * With ``keeps_bytes`` both are delivered after all, as by a network that holds bytes.
 """
 
 import asyncio
 import time
 from collections import Counter, deque
+from collections.abc import Callable
 
 TICK_SECONDS = 0.01
 # TCP_USER_TIMEOUT of the daemons' connections among themselves and to members; members
@@ -34,6 +37,8 @@
         self.member_vms: set[str] = set()
         self.connections: set[Connection] = set()
         self.relay = ""
+        # Called once with the sender's VM, before bytes to the VM are forwarded.
+        self.armed: dict[str, Callable[[str], None]] = {}
         self._peer_port = peer_port
         self._blocks: Counter[Way] = Counter()
         self._lags: dict[str, float] = {}
@@ -101,6 +106,10 @@
         try:
             source, address = (await reader.readline()).decode().split()
             target, _, port = address.rpartition(":")
+            if source == "timeout-ms":
+                self._set_timeout(int(target), int(port) / 1_000)
+                writer.write(b"+")
+                return writer.close()
             await asyncio.sleep(self.lag(target))
             while not self.reachable(source, target):
                 if reader.at_eof() or reader.exception():
@@ -117,11 +126,18 @@
         writer.write(b"+")
         ends = (source, target)
         connection = Connection(self, ends, timeout, (reader, writer), other)
+        connection.port = writer.get_extra_info("peername")[1]
         self.connections.add(connection)
         await connection.run()
         self.connections.discard(connection)
         return None
 
+    def _set_timeout(self, port: int, seconds: float) -> None:
+        """Takes the TCP_USER_TIMEOUT of the caller's socket at the port."""
+        for connection in self.connections:
+            if connection.port == port:
+                connection.timeout = seconds
+
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(0.1)
@@ -138,7 +154,8 @@
         self.network = network
         self.ends = ends
         self.is_dead = False
-        self._timeout = timeout
+        self.port = 0
+        self.timeout = timeout
         self._blocked_since = 0.0
         self._pipes = (
             Pipe(self, ends, caller[0], called[1]),
@@ -164,12 +181,12 @@
         self._blocked_since = self._blocked_since or now
         out, back = self._pipes
         to_member = self.ends[1] in self.network.member_vms
-        if to_member and now - self._blocked_since > self._timeout:
+        if to_member and now - self._blocked_since > self.timeout:
             out.writer.transport.abort()
         if self.network.keeps_bytes or self.is_dead:
             return
         for pipe, reverse in ((out, back), (back, out)):
-            if pipe.held_since and now - pipe.held_since > self._timeout:
+            if pipe.held_since and now - pipe.held_since > self.timeout:
                 reverse.writer.transport.abort()
                 pipe.reset()
 
@@ -200,6 +217,8 @@
     async def receive(self) -> None:
         try:
             while data := await self._reader.read(65_536):
+                if armed := self._network.armed.pop(self._way[1], None):
+                    armed(self._way[0])
                 self._hold(data)
             self._hold(b"")
         except OSError:
--- a/tests/faults/faultschedule.py
+++ b/tests/faults/faultschedule.py
@@ -15,7 +15,8 @@
 class Fault:
     """A fault from ``at`` on, in seconds after the start of the faults.
 
-    ``target`` is ``leader``, ``control:N``, ``edge:N``, ``primary:GROUP``,
+    ``target`` is ``orderer`` (the control daemon that next sends to the platform, from
+    its first byte on), ``leader``, ``control:N``, ``edge:N``, ``primary:GROUP``,
     ``replica:GROUP:N`` or ``platform``. ``other`` is the second VM of a pair.
     """
 
@@ -49,8 +50,11 @@
     ]
     leader_at = at + random.uniform(0.2, 2.0)
     leader_kind = random.choice(LEADER_KINDS)
+    leader = random.choice(("orderer", "leader"))
+    if leader == "orderer":
+        leader_at = at
     leader_seconds = random.uniform(3, 10)
-    faults.append(Fault(leader_at, leader_kind, "leader", leader_seconds))
+    faults.append(Fault(leader_at, leader_kind, leader, leader_seconds))
     edge = f"edge:{random.randrange(proxies)}"
     if random.random() < 0.6:
         edge_at = at - random.uniform(0, 0.5)
@@ -58,7 +62,7 @@
     if random.random() < 0.5:
         faults.append(Fault(at, "lag", "platform", random.uniform(3, 6)))
     for group in range(groups):
-        # Replicas differ as the primary is lost, and as the leader's orders arrive late.
+        # Replicas differ as the primary is lost, and as orders arrive late.
         for deaf_at in (at, leader_at + leader_seconds):
             if random.random() < 0.5:
                 replica = f"replica:{group}:{random.randrange(2)}"
--- a/tests/faults/launcher.py
+++ b/tests/faults/launcher.py
@@ -29,9 +29,24 @@
     return f"{os.environ['FAULT_VM']} {host}:{port}\n".encode()
 
 
+class _RelayedSocket(socket.socket):
+    """Tells the relay of its TCP_USER_TIMEOUT: the own kernel sees no loss."""
+
+    def setsockopt(self, level: int, option: int, *value: Any) -> None:
+        super().setsockopt(level, option, *value)
+        if (level, option) == (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT):
+            with _dial_directly(_relay(), 1.0) as side:
+                port = self.getsockname()[1]
+                side.sendall(f"timeout-ms {port}:{value[0]}\n".encode())
+                side.recv(1)
+
+
 def _dial(address: tuple[str, int], *args: Any, **options: Any) -> socket.socket:
     """Replaces ``socket.create_connection``."""
-    connected = _dial_directly(_relay(), *args, **options)
+    dialed = _dial_directly(_relay(), *args, **options)
+    timeout = dialed.gettimeout()
+    connected = _RelayedSocket(fileno=dialed.detach())
+    connected.settimeout(timeout)
     try:
         connected.sendall(_first_line(*address))
         if connected.recv(1) != ACCEPTED:
