--- a/tests/faults/faultchecks.py
+++ b/tests/faults/faultchecks.py
@@ -24,6 +24,8 @@
     in_transaction: bool
     outcome: str = ""
     writes: list[str] = field(default_factory=list)
+    # The statement that ran first, and where.
+    first: str = ""
     connection: Any = None
 
     def __repr__(self) -> str:
@@ -117,6 +119,9 @@
                 "UNASKED", f"{query_id} ran at {connection.member.name}"
             )
         attempt, problem = statement.attempt, ""
+        if attempt.first in ("", query_id):
+            # Without an answer, the first statement begins the transaction elsewhere.
+            attempt.first, attempt.connection = query_id, connection
         in_transaction = connection.state == "T"
         if in_transaction and connection.owner is None:
             connection.owner = attempt
@@ -124,13 +129,12 @@
             problem = f"ran inside {connection.owner}"
         elif in_transaction != attempt.in_transaction:
             problem = f"ran with state {connection.state}"
-        elif in_transaction and attempt.connection not in (None, connection):
+        elif in_transaction and attempt.connection is not connection:
             problem = "ran on another connection"
         elif kind != "COMMIT" and statement.values != connection.values:
             problem = f"has {connection.values}, acknowledged were {statement.values}"
         elif kind != statement.kind:
             problem = f"ran as {kind}, prepared was {statement.kind}"
-        attempt.connection = connection
         if problem:
             where = f"{connection.member.name} term {connection.member.term}"
             self.violate("PINNED", f"{query_id} of {attempt} at {where}: {problem}")
--- a/tests/faults/faultschedule.py
+++ b/tests/faults/faultschedule.py
@@ -45,16 +45,25 @@
     """All groups lose their primaries; then the control leader is gone."""
     kind = random.choice(PRIMARY_KINDS)
     faults = [
-        Fault(at + random.uniform(0, 0.5), kind, f"primary:{n}", random.uniform(1, 7))
+        Fault(
+            at + random.uniform(0, 0.5),
+            kind,
+            f"primary:{n}",
+            # Half of them come back while the orders for a successor are on their way.
+            random.uniform(*random.choice(((1.0, 3.0), (4.0, 7.0)))),
+        )
         for n in range(groups)
     ]
     leader_at = at + random.uniform(0.2, 2.0)
     leader_kind = random.choice(LEADER_KINDS)
     leader = random.choice(("orderer", "leader"))
-    if leader == "orderer":
-        leader_at = at
     leader_seconds = random.uniform(3, 10)
-    faults.append(Fault(leader_at, leader_kind, leader, leader_seconds))
+    if leader == "orderer":
+        # Armed from the start; orders leave about two seconds later.
+        faults.append(Fault(at, leader_kind, leader, leader_seconds))
+        leader_at = at + 2.0
+    else:
+        faults.append(Fault(leader_at, leader_kind, leader, leader_seconds))
     edge = f"edge:{random.randrange(proxies)}"
     if random.random() < 0.6:
         edge_at = at - random.uniform(0, 0.5)
