--- a/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
@@ -3,10 +3,15 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from bronzemoor_core.wire.authority import PromotionOrder, may_order
 from bronzemoor_core.wire.records import LeaderRecord, MemberRecord
 from bronzemoor_core.wire.statements import MemberStatus
 from bronzemoor_daemon.wire.clock import boottime
-from bronzemoor_daemon.wire.memberorders import send_order, send_order_to_all
+from bronzemoor_daemon.wire.memberorders import (
+    NO_DEADLINE,
+    send_order,
+    send_order_to_all,
+)
 from bronzemoor_daemon.wire.tasks import Tasks
 
 if TYPE_CHECKING:
@@ -29,6 +34,8 @@
         self._leader = leader
         self._group = group
         self._tasks = Tasks(self.report)
+        # Until when orders whose outcome is unknown may arrive, by the ordered member.
+        self._arrives_until: dict[str, float] = {}
 
     def close(self) -> None:
         self._tasks.cancel()
@@ -54,8 +61,30 @@
         self.report("info", "primary_recorded", member=member, term=term, done=done)
         return done
 
-    async def promote(self, member: str, version: int, started_at: float) -> bool:
-        """Orders the promotion once no proxy can use the old primary any more."""
+    async def wait_for_leases(self, version: int) -> None:
+        """Waits until no proxy can use an older topology than ``version``."""
+        reported_count = 0
+        while waiting := self._leader.leases.waiting_for(boottime(), version):
+            if len(waiting) != reported_count:
+                reported_count = len(waiting)
+                self.report("info", "waiting_for_leases", proxies=reported_count)
+            await asyncio.sleep(STEP_INTERVAL_SECONDS)
+
+    async def wait_for_orders(self, member: str) -> bool:
+        """Waits until only orders for ``member`` may arrive; False without a wait."""
+        others = [t for m, t in self._arrives_until.items() if m != member]
+        remaining = max(others, default=0.0) - boottime()
+        if remaining <= 0:
+            return False
+        self.report("info", "waiting_for_orders", wait_ms=round(remaining * 1_000))
+        await asyncio.sleep(remaining)
+        return True
+
+    async def promote(self, member: str, started_at: float) -> bool:
+        """Orders the promotion; no proxy may be able to use the old primary any more.
+
+        Returns whether it took effect.
+        """
         leader = self._leader
         old_term = self.leader_record.term
         planned = await leader.commit(
@@ -72,37 +101,19 @@
             term=old_term,
             **leader.authority_fields(boottime()),
         )
-        reported_count = 0
-        while waiting := leader.leases.waiting_for(boottime(), version):
-            if len(waiting) != reported_count:
-                reported_count = len(waiting)
-                self.report("info", "waiting_for_leases", proxies=reported_count)
-            await asyncio.sleep(STEP_INTERVAL_SECONDS)
         ordered_at = float("-inf")
         deadline = boottime() + 2 * EFFECT_TIMEOUT_SECONDS
         while boottime() < deadline:
-            if boottime() - ordered_at > EFFECT_TIMEOUT_SECONDS:
-                sent_at = boottime()
-                outcome = await asyncio.to_thread(
-                    leader.execute_promotion, self._group, member, leader.name, fence
-                )
-                leader.metrics.promotions.add(outcome)
-                now = boottime()
-                self.report(
-                    "info",
-                    "promotion_ordered",
-                    member=member,
-                    fence=fence,
-                    outcome=outcome,
-                    answered_ms=round((now - sent_at) * 1_000),
-                    after_ms=round((now - started_at) * 1_000),
-                    **leader.authority_fields(now),
-                )
+            if boottime() - ordered_at > EFFECT_TIMEOUT_SECONDS and may_order(
+                boottime(), leader.order_deadline
+            ):
+                outcome = await self._execute(member, fence, started_at)
                 if outcome == "refused":
                     return False
-                # An order with an unknown outcome is retried sooner.
-                ordered_at = boottime()
-                if outcome != "done":
+                if outcome != "expired":
+                    ordered_at = boottime()
+                if outcome == "failed":
+                    # Its effect is unknown, so it is retried sooner.
                     ordered_at += ORDER_RETRY_SECONDS - EFFECT_TIMEOUT_SECONDS
             record = self.members.get(member)
             if record is None:
@@ -118,6 +129,29 @@
             await asyncio.sleep(STEP_INTERVAL_SECONDS)
         return False
 
+    async def _execute(self, member: str, fence: int, started_at: float) -> str:
+        """Passes an order to the executor and returns its outcome."""
+        leader, sent_at = self._leader, boottime()
+        order = PromotionOrder(
+            self._group, member, leader.name, fence, leader.order_deadline
+        )
+        outcome = await asyncio.to_thread(leader.execute_promotion, order)
+        now = boottime()
+        if outcome == "failed":
+            self._arrives_until[member] = order.arrives_until
+        leader.metrics.promotions.add(outcome)
+        self.report(
+            "info",
+            "promotion_ordered",
+            member=member,
+            fence=fence,
+            outcome=outcome,
+            answered_ms=round((now - sent_at) * 1_000),
+            after_ms=round((now - started_at) * 1_000),
+            **leader.authority_fields(now),
+        )
+        return outcome
+
     async def complete_promotion(
         self, member: str, term: int, started_at: float
     ) -> None:
@@ -141,7 +175,10 @@
         self.report("info", "primary_stepping_down", member=old.member, term=term)
         deadline = boottime() + STEP_DOWN_TIMEOUT_SECONDS
         while boottime() < deadline and old.member in self.members:
-            status = await send_order(self._leader.codec, self._leader.name, old, text)
+            leader = self._leader
+            status = await send_order(
+                leader.codec, leader.name, old, text, leader.order_deadline
+            )
             if isinstance(status, MemberStatus) and not status.primary:
                 return
             await asyncio.sleep(STEP_DOWN_INTERVAL_SECONDS)
@@ -152,33 +189,40 @@
             self._leader.name,
             record,
             self._leader.codec.status_text,
+            NO_DEADLINE,
         )
 
     async def statuses(
         self, members: dict[str, MemberRecord]
     ) -> dict[str, MemberStatus]:
         """Returns the status of each member that answers."""
-        return await self._send_to_all(members, self._leader.codec.status_text)
+        text = self._leader.codec.status_text
+        return await self._send_to_all(members, text, NO_DEADLINE)
 
     async def pause(
         self, members: dict[str, MemberRecord], term: int
     ) -> dict[str, MemberStatus]:
         """Stops replicas from receiving; returns the status of each that answers."""
         text = self._leader.codec.pause_text(term)
-        statuses = await self._send_to_all(members, text)
+        deadline = self._leader.order_deadline
+        statuses = await self._send_to_all(members, text, deadline)
         self._report_order("replicas_paused", members, statuses, term=term)
         return statuses
 
     async def resume(self, members: dict[str, MemberRecord]) -> None:
         """Lets paused replicas receive again."""
-        statuses = await self._send_to_all(members, self._leader.codec.resume_text)
+        leader = self._leader
+        statuses = await self._send_to_all(
+            members, leader.codec.resume_text, leader.order_deadline
+        )
         self._report_order("replicas_resumed", members, statuses)
 
     async def _send_to_all(
-        self, members: dict[str, MemberRecord], text: bytes
+        self, members: dict[str, MemberRecord], text: bytes, deadline: float
     ) -> dict[str, MemberStatus]:
+        leader, records = self._leader, list(members.values())
         return await send_order_to_all(
-            self._leader.codec, self._leader.name, list(members.values()), text
+            leader.codec, leader.name, records, text, deadline
         )
 
     def _report_order(
