--- a/tests/faults/faultschedule.py
+++ b/tests/faults/faultschedule.py
@@ -6,6 +6,8 @@
 # Until the first fault, and between the series.
 FIRST_SECONDS = 3.0
 SERIES_INTERVAL_SECONDS = (8.0, 12.0)
+# After the start of a series, while orders for the first successor may be held.
+SECOND_LOSS_SECONDS = (3.5, 6.0)
 PRIMARY_KINDS = ("crash", "crash", "isolate", "hide", "drop")
 LEADER_KINDS = ("freeze", "freeze", "cut", "cut_out", "cut_in", "drop")
 SINGLE_KINDS = ("freeze", "cut", "cut_out", "cut_in", "drop", "kill")
@@ -64,6 +66,11 @@
         leader_at = at + 2.0
     else:
         faults.append(Fault(leader_at, leader_kind, leader, leader_seconds))
+    for group in range(groups):
+        if random.random() < 0.5:
+            lost_at = at + random.uniform(*SECOND_LOSS_SECONDS)
+            kind, seconds = random.choice(PRIMARY_KINDS), random.uniform(1.0, 3.0)
+            faults.append(Fault(lost_at, kind, f"primary:{group}", seconds))
     edge = f"edge:{random.randrange(proxies)}"
     if random.random() < 0.6:
         edge_at = at - random.uniform(0, 0.5)
