--- a/tests/faults/test_faults.py
+++ b/tests/faults/test_faults.py
@@ -6,6 +6,8 @@
 
 import pytest
 from faultbench import run_seed
+from faultchecks import Attempt, Checker, Statement
+from faultmembers import FaultGroup, FaultMember
 from faultnet import Network
 from faultschedule import make_schedule
 
@@ -69,3 +71,49 @@
     network.stop()
     server.close()
     return result
+
+
+@pytest.mark.parametrize(
+    ("deaf", "promoted_first", "broken"),
+    [
+        (set(), False, {}),
+        ({"c"}, False, {"LOST": 1}),
+        ({"c"}, True, {"ONE": 1}),
+    ],
+)
+def test_the_checker_sees_a_commit_that_is_lost(tmp_path, deaf, promoted_first, broken):
+    """Guards against a bench that finds nothing because it is blind."""
+    checker = asyncio.run(commit_and_promote(tmp_path, deaf, promoted_first))
+    assert checker.violations == broken
+
+
+async def commit_and_promote(folder, deaf, promoted_first) -> Checker:
+    """Commits at ``a`` and promotes ``c``; a client is told of the commit."""
+    network = Network(peer_port=1)
+    checker = Checker(folder, network)
+    group = FaultGroup("ledger", network, checker)
+    for number, name in enumerate("abc"):
+        address = f"127.0.0.{number + 1}:1"
+        group.members[name] = FaultMember(group, name, "north", address)
+        group.members[name].up = True
+    group.members["a"].primary, group.deaf = True, deaf
+    attempt = Attempt("session", "127.0.0.9", False, "done", ["w"])
+    checker.statements["w"] = Statement(attempt, "STORE", {})
+    commit = asyncio.ensure_future(group.commit(group.members["a"], ("w",)))
+    await asyncio.sleep(0)
+    if promoted_first:
+        group.promote("c")
+    group._send_log(group.members["a"])
+    await commit
+    group.promote("c")
+    checker.finish([group])
+    return checker
+
+
+def test_the_checker_sees_a_lower_fence_of_another_holder(tmp_path):
+    """Guards against a bench that misses an order of an earlier leader."""
+    checker = Checker(tmp_path, Network(peer_port=1))
+    call = {"service": "ledger", "member": "a"}
+    for holder, fence in (("one", 2), ("one", 1), ("two", 3), ("one", 2), ("one", 3)):
+        checker.record("promotion_call", **call, holder=holder, fence=fence)
+    assert checker.violations == {"ONE": 2}
