--- a/packages/core/src/bronzemoor_core/wire/freshness.py
+++ b/packages/core/src/bronzemoor_core/wire/freshness.py
@@ -89,11 +89,15 @@
         sent_at = grants.get(last_grant) if grants else None
         if sent_at is None or after < 0:
             return
+        self.record(group, sent_at + after, position)
+
+    def record(self, group: str, sampled_at: float, position: Position) -> None:
+        """Adds the position of a group's primary, asked for at ``sampled_at``."""
         time, newest = self._newest.get(group, (float("-inf"), ZERO))
         if position.term > newest.term or (
-            position.term == newest.term and sent_at + after > time
+            position.term == newest.term and sampled_at > time
         ):
-            self._newest[group] = (sent_at + after, position)
+            self._newest[group] = (sampled_at, position)
 
     def newest(self, now: float, group: str) -> tuple[float, Position] | None:
         """Returns the age in seconds and the position of a group's newest sample."""
--- a/packages/core/src/bronzemoor_core/wire/leases.py
+++ b/packages/core/src/bronzemoor_core/wire/leases.py
@@ -42,9 +42,10 @@
                 del self._expires[proxy]
                 self._confirmed_versions.pop(proxy, None)
 
-    def process_ended(self, now: float) -> None:
+    def process_ended(self, now: float, proxy: str) -> None:
         """Records that a proxy's process has ended, with what it had acknowledged."""
-        self._lost_until = max(self._lost_until, now)
+        ended_at = min(now, self._expires.get(proxy, now))
+        self._lost_until = max(self._lost_until, ended_at)
 
     @property
     def holders(self) -> list[str]:
--- a/packages/daemon/src/bronzemoor_daemon/wire/boundedcalls.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/boundedcalls.py
@@ -23,14 +23,10 @@
         super().__init__(address, timeout=timeout)
         self._deadline = deadline
 
-    def connect(self) -> None:
-        super().connect()
-        set_user_timeout(self.sock, self._remaining())
-
     def send(self, data: Any) -> None:
         if self.sock is None:
             self.connect()
-        self._remaining()
+        set_user_timeout(self.sock, self._remaining())
         super().send(data)
 
     def abort(self) -> None:
--- a/packages/daemon/src/bronzemoor_daemon/wire/failover.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/failover.py
@@ -4,7 +4,6 @@
 from typing import TYPE_CHECKING
 
 from bronzemoor_core.positions import ZERO, Position
-from bronzemoor_core.wire.leases import LEASE_SECONDS
 from bronzemoor_core.wire.records import MemberRecord
 from bronzemoor_core.wire.statements import MemberStatus
 from bronzemoor_core.wire.succession import (
@@ -21,9 +20,6 @@
 
 # Age and position where no sample of a primary is known.
 NO_SAMPLE = (float("inf"), ZERO)
-# After this time an order has arrived and taken effect, also one that an earlier leader
-# gave before the start of a replacement.
-SETTLED_SECONDS = 2 * LEASE_SECONDS
 
 
 class Failover:
@@ -147,16 +143,19 @@
     async def _keep_primary(
         self, returned: str, term: int, reason: str, started_at: float
     ) -> bool:
-        """Goes on with the primary of ``term`` if it is back and nothing is ordered.
+        """Goes on with the primary of ``term`` if it is back and no order can follow.
 
         Returns whether it does.
         """
-        record, now = self._orders.leader_record, boottime()
-        settled = now - max(started_at, self._orders.ordered_at) > SETTLED_SECONDS
-        if reason == "unreachable_from_proxies" or (record.candidate and not settled):
+        if reason == "unreachable_from_proxies":
             return False
         member = returned or await self._recorded_primary(term)
-        if not member or not await self._orders.record_primary(member, term):
+        if not member:
+            return False
+        planned = self._orders.leader_record.candidate
+        if planned and not await self._orders.reinstate(member, started_at):
+            return False
+        if not await self._orders.record_primary(member, term):
             return False
         await self._orders.resume(self._orders.replicas)
         self._orders.report("info", "replacement_cancelled", term=term, primary=member)
--- a/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
@@ -6,6 +6,7 @@
 from bronzemoor_core.wire.authority import PromotionOrder, may_order
 from bronzemoor_core.wire.records import LeaderRecord, MemberRecord
 from bronzemoor_core.wire.statements import MemberStatus
+from bronzemoor_core.wire.succession import newest_primary, primary_of
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.memberorders import (
     NO_DEADLINE,
@@ -37,8 +38,6 @@
         # Until when orders whose outcome is unknown may arrive, by the ordered member.
         self._arrives_until: dict[str, float] = {}
         self._revoked = False
-        # When the last order that may have arrived was answered or given up.
-        self.ordered_at = float("-inf")
 
     def close(self) -> None:
         self._tasks.cancel()
@@ -117,6 +116,8 @@
         """
         leader = self._leader
         old_term = self.leader_record.term
+        # An unanswered order has a lower fence than the next one.
+        await self.wait_for_orders("")
         planned = await leader.commit(
             {"type": "primary.plan", "group": self._group, "member": member}
         )
@@ -159,6 +160,28 @@
             await asyncio.sleep(STEP_INTERVAL_SECONDS)
         return False
 
+    async def reinstate(self, member: str, started_at: float) -> bool:
+        """Goes on with the recorded term's primary although another was planned.
+
+        The platform carries out orders as they come. Once it has answered one for the
+        present primary, which changes nothing, it holds none of an earlier plan.
+        Returns whether ``member`` still leads its term after that.
+        """
+        term = self.term
+        planned = await self._leader.commit(
+            {"type": "primary.plan", "group": self._group, "member": member}
+        )
+        if planned is None or not may_order(boottime(), self._leader.order_deadline):
+            return False
+        fence = int(str(planned["fence"]))
+        if await self._execute(member, fence, started_at) != "done":
+            return False
+        await asyncio.sleep(EFFECT_TIMEOUT_SECONDS)
+        statuses = await self.statuses(self.members)
+        return primary_of(statuses, term) == member and not newest_primary(
+            statuses, term
+        )
+
     async def _execute(self, member: str, fence: int, started_at: float) -> str:
         """Passes an order to the executor and returns its outcome."""
         leader, sent_at = self._leader, boottime()
@@ -167,8 +190,6 @@
         )
         outcome = await asyncio.to_thread(leader.execute_promotion, order)
         now = boottime()
-        if outcome in ("done", "failed"):
-            self.ordered_at = now
         if outcome == "failed":
             self._arrives_until[member] = order.arrives_until
         leader.metrics.promotions.add(outcome)
@@ -241,13 +262,14 @@
         self._report_order("replicas_paused", members, statuses, term=term)
         return statuses
 
-    async def resume(self, members: dict[str, MemberRecord]) -> None:
-        """Lets paused replicas receive again."""
+    async def resume(self, members: dict[str, MemberRecord]) -> set[str]:
+        """Lets paused replicas receive again; returns those that answered."""
         leader = self._leader
         statuses = await self._send_to_all(
             members, leader.codec.resume_text, leader.order_deadline
         )
         self._report_order("replicas_resumed", members, statuses)
+        return set(statuses)
 
     async def _send_to_all(
         self, members: dict[str, MemberRecord], text: bytes, deadline: float
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -360,7 +360,7 @@
         if age is ReportAge.LATE:
             return
         if age is ReportAge.NEW_PROCESS:
-            self.leases.process_ended(now)
+            self.leases.process_ended(now, proxy)
             self.report("info", "proxy_restarted", peer=proxy)
         self._last_report_at[proxy] = now
         known = KnownVersions(
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberorders.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberorders.py
@@ -50,9 +50,10 @@
 ) -> Answer:
     """Sends an order and closes the connection after the answer, or resets it."""
     try:
-        if boottime() >= deadline:
+        remaining = deadline - boottime()
+        if remaining <= 0:
             raise TimeoutError("the deadline has passed")
-        connection.limit_delivery(ORDER_TIMEOUT_SECONDS)
+        connection.limit_delivery(min(ORDER_TIMEOUT_SECONDS, remaining))
         answer = await connection.query(b"", text)
     except BaseException:
         connection.reset()
--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -105,7 +105,7 @@
             await self._find_primary(members)
             return
         if primary.leaving:
-            await self._handover.run("leaving")
+            await self._hand_over("leaving")
             return
         if self._suspected:
             await self._check_primary(primary)
@@ -113,6 +113,7 @@
             await self._relieve(members)
         if not self._suspected:
             await self._release_paused(boottime())
+            await self._sample_primary(boottime(), primary)
 
     async def _release_paused(self, now: float) -> None:
         """Resumes replicas that an earlier leader paused for a promotion not planned.
@@ -127,13 +128,25 @@
         replicas, term = self._orders.replicas, self._orders.term
         statuses = await self._orders.statuses(replicas)
         paused = {m: replicas[m] for m, s in statuses.items() if s.held_term > term}
-        if paused:
-            await self._orders.resume(paused)
-        complete = set(statuses) == set(replicas)
+        resumed = await self._orders.resume(paused) if paused else set()
+        complete = set(statuses) == set(replicas) and resumed == set(paused)
         self._next_release_at = now + (
             float("inf") if complete else RELEASE_INTERVAL_SECONDS
         )
 
+    async def _sample_primary(self, now: float, primary: MemberRecord) -> None:
+        """Asks the primary for its position if a lost proxy's commits need one.
+
+        Statements give no sample while the group is idle.
+        """
+        sampled = self._leader.samples.newest(now, self._group)
+        sampled_at = now - sampled[0] if sampled else float("-inf")
+        if sampled_at >= self._leader.leases.lost_until(now):
+            return
+        status = await self._orders.status(primary)
+        if isinstance(status, MemberStatus) and status.primary:
+            self._leader.samples.record(self._group, now, status.position)
+
     def _overload_persists(self, now: float) -> bool:
         """Returns whether the primary has been overloaded long enough to relieve it."""
         evidence = self._leader.evidence.get(self._group, {})
@@ -157,7 +170,7 @@
         lags = {member: status.lag for member, status in statuses.items()}
         relieves = should_replace_overloaded_primary(list(lags.values()))
         self._orders.report("info", "primary_overloaded", lags=lags, relieves=relieves)
-        if relieves and await self._handover.run("overloaded"):
+        if relieves and await self._hand_over("overloaded"):
             self._last_relief_at = boottime()
 
     # --- finding the primary
@@ -210,9 +223,16 @@
             for item in evidence.values()
         )
 
+    async def _hand_over(self, reason: str) -> bool:
+        try:
+            return await self._handover.run(reason)
+        finally:
+            self._next_release_at = float("-inf")
+
     async def _replace(self, reason: str) -> None:
         try:
             await self._failover.run(reason)
         finally:
+            self._next_release_at = float("-inf")
             self._suspected = False
             self._probe_failing_since = None
