--- /dev/null
+++ b/tests/adapter/test_lost_commits.py
@@ -0,0 +1,182 @@
+"""Tests that a successor has every commit that was acknowledged."""
+
+import asyncio
+
+import pytest
+from replacements import (
+    hand_over,
+    leader_of,
+    lost_writes,
+    names,
+    replace_primary,
+    write,
+    write_anew,
+)
+from system import Client, run_system
+from test_control_loss import disconnect, silence
+
+from bronzemoor_core.messages import GroupReport, ProxyReport
+from bronzemoor_core.positions import Position
+from bronzemoor_daemon.wire.clock import boottime
+from bronzemoor_daemon.wire.supervisor import WATCH_INTERVAL_SECONDS
+
+
+def test_a_replica_that_is_released_early_acknowledges_no_write_that_is_lost(tmp_path):
+    """Guards against a successor that is chosen before the last write is acknowledged.
+
+    A paused replica that restarted, or that a late RESUME reached, received again while
+    a proxy that could not be reached still held its lease.
+    """
+
+    async def scenario(system):
+        client = await Client.open(system.client_addresses[0], "orders")
+        assert await write(client)
+        disconnect(system.proxies[0])
+        replace_primary(system)
+        await system.until(lambda: "waiting_for_leases" in names(system.events))
+        # The other replica has the greater name and is promoted.
+        released = next(m for m in system.group.members.values() if not m.primary)
+        released.held_term = 0
+        assert await write(client)
+        await system.until(lambda: system.group.primary.term > 1)
+        assert lost_writes(system.group) == []
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_handover_waits_for_writes_that_a_released_replica_acknowledged(tmp_path):
+    """Guards against a planned successor that lacks an acknowledged write."""
+
+    async def scenario(system):
+        leader = leader_of(system)._leader
+        await system.until(lambda: leader.leases.predecessor_leases_expired(boottime()))
+        client = await Client.open(system.client_addresses[0], "orders")
+        assert await write(client)
+        disconnect(system.proxies[0])
+        hand_over(system)
+        await system.until(lambda: "waiting_for_leases" in names(system.events))
+        released = next(m for m in system.group.members.values() if m.held_term)
+        released.held_term = 0
+        for member in system.group.members.values():
+            if member is not released and not member.primary:
+                member.held_term = 99  # receives nothing for a while
+        assert await write(client)
+        ends = {"handover_put_off", "primary_replaced"}
+        await system.until(lambda: ends & set(names(system.events)))
+        assert lost_writes(system.group) == []
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_commit_of_a_proxy_that_a_new_leader_never_heard_of_is_kept(tmp_path):
+    """Guards against a successor that is chosen without what a lost proxy acknowledged.
+
+    The proxy was cut off with the earlier leader, and the replica that had its commit
+    did not answer.
+    """
+
+    async def scenario(system):
+        group, old_leader = system.group, leader_of(system)
+        primary = group.primary
+        holder, behind = [m for m in group.members.values() if not m.primary]
+        client = await Client.open(system.client_addresses[0], "orders")
+        assert await write(client)
+        disconnect(system.proxies[0])
+        silence(old_leader)
+        behind.held_term = 99  # receives nothing
+        assert await write(client)
+        await primary.stop()
+        await holder.stop()
+        while "successor" not in names(system.events):
+            assert not await write_anew(system.client_addresses[1])
+        assert not behind.primary
+        await holder.restart()
+        await system.until(lambda: group.primary.term > 1)
+        assert lost_writes(group) == []
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_restarted_proxy_does_not_take_back_what_it_acknowledged(tmp_path):
+    """Guards against a report that replaces that of the proxy's earlier process."""
+
+    async def scenario(system):
+        leader, proxy = leader_of(system)._leader, system.proxies[0].links._name
+        client = await Client.open(system.client_addresses[0], "orders")
+        assert await write(client)
+        acknowledged = Position(1, 1)
+        await system.until(lambda: reported(leader, proxy) == acknowledged)
+        earlier = system.proxies[0]._incarnation
+        disconnect(system.proxies[0])
+        now = boottime()
+        leader.on_report(now, proxy, ProxyReport(earlier + 1, 1, 0, 0, False, []))
+        assert leader.leases.lost_until(now) >= now
+        group = GroupReport("ledger", "a", 1, -1, -1, -1, 0, 0, [])
+        leader.on_report(now, proxy, ProxyReport(earlier, 99, 0, 0, False, [group]))
+        assert reported(leader, proxy) == acknowledged
+
+    run_system(tmp_path, scenario)
+
+
+def reported(leader, proxy: str) -> Position | None:
+    """Returns the newest acknowledged commit that the leader has from ``proxy``."""
+    item = leader.evidence.get("ledger", {}).get(proxy)
+    if item is None:
+        return None
+    return Position(item.report.acknowledged_term, item.report.acknowledged_offset)
+
+
+@pytest.mark.parametrize("planned", [False, True])
+def test_a_primary_that_comes_back_under_another_name_ends_the_replacement(
+    tmp_path, planned
+):
+    """Guards against a group without a primary while one replica does not answer."""
+
+    async def scenario(system):
+        group, leader = system.group, leader_of(system)._leader
+        client = await Client.open(system.client_addresses[0], "orders")
+        assert await write(client)
+        old, silent, _ = group.members.values()
+        await silent.stop()
+        await old.stop()
+        replace_primary(system)
+        await system.until(lambda: "successor" in names(system.events))
+        if planned:
+            plan = {"type": "primary.plan", "group": "ledger", "member": silent.name}
+            assert await leader.commit(plan) is not None
+        old.name = "ledger-again"
+        group.members = {member.name: member for member in group.members.values()}
+        await old.start(int(old.address.rpartition(":")[2]))
+        assert await system.announce(old.name, born=2, zone="north")
+        await system.until(lambda: leader.leader_record("ledger").primary == old.name)
+        await system.until_async(lambda: write(client))
+        assert {name for name, _ in group.promotions} <= {old.name}
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_restarted_proxy_does_not_hold_up_the_failover_of_an_idle_group(tmp_path):
+    """Guards against a wait for a sample that an idle group never gives."""
+
+    async def scenario(system):
+        group, leader = system.group, leader_of(system)._leader
+        await system.until(lambda: leader.leases.predecessor_leases_expired(boottime()))
+        clients = [await Client.open(a, "orders") for a in system.client_addresses]
+        assert await write(clients[0])
+        await system.until(lambda: leader.samples.newest(boottime(), "ledger"))
+        await asyncio.sleep(1.0)
+        now, proxy = boottime(), system.proxies[0]
+        restarted = ProxyReport(proxy._incarnation + 1, 1, 0, 0, False, [])
+        leader.on_report(now, proxy.links._name, restarted)
+        proxy._incarnation += 1
+        proxy._sequence += 100
+        await asyncio.sleep(2 * WATCH_INTERVAL_SECONDS)
+        replica = next(m for m in group.members.values() if not m.primary)
+        await group.primary.stop()
+        await replica.stop()
+        for _ in range(2):
+            await asyncio.gather(*(write(client) for client in clients))
+        await system.until(lambda: group.primary.term > 1)
+        assert lost_writes(group) == []
+
+    run_system(tmp_path, scenario)
