Share the plan of a promotion, the age in logs and the newest sample

The bound of logged ages stood in proxy.py and leader.py; logged_ms stands in clock.py. Supervisor and failover turned a sample's age back into its time; SampleExchange gives the time. The recorded primary is found by primary_of, like one that returned.

--- a/packages/core/src/bronzemoor_core/wire/freshness.py
+++ b/packages/core/src/bronzemoor_core/wire/freshness.py
@@ -93,12 +93,16 @@
 
     def record(self, group: str, sampled_at: float, position: Position) -> None:
         """Adds the position of a group's primary, asked for at ``sampled_at``."""
-        time, newest = self._newest.get(group, (float("-inf"), ZERO))
+        time, newest = self.newest_sample(group)
         if position.term > newest.term or (
             position.term == newest.term and sampled_at > time
         ):
             self._newest[group] = (sampled_at, position)
 
+    def newest_sample(self, group: str) -> tuple[float, Position]:
+        """Returns time and position of a group's newest sample, ZERO if none."""
+        return self._newest.get(group, (float("-inf"), ZERO))
+
     def newest(self, now: float, group: str) -> tuple[float, Position] | None:
         """Returns the age in seconds and the position of a group's newest sample."""
         if group not in self._newest:
--- a/packages/daemon/src/bronzemoor_daemon/wire/control.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/control.py
@@ -43,8 +43,8 @@
 )
 from bronzemoor_daemon.datafolder import DataFolder, clear_folder
 from bronzemoor_daemon.storagethread import StorageThread
-from bronzemoor_daemon.wire.clock import boottime
-from bronzemoor_daemon.wire.leader import MAX_LOGGED_AGE_SECONDS, Leader
+from bronzemoor_daemon.wire.clock import boottime, logged_ms
+from bronzemoor_daemon.wire.leader import Leader
 from bronzemoor_daemon.wire.links import Links
 from bronzemoor_daemon.wire.metrics import WireMetrics
 from bronzemoor_daemon.wire.ports import (
@@ -244,7 +244,6 @@
         reply = await self.propose({"type": "deployment.get", "query": True})
         if reply.code != "ok":
             log, now = self.log, boottime()
-            silence = min(now - log.last_contact, MAX_LOGGED_AGE_SECONDS)
             self._report(
                 "info",
                 "deployment_read_refused",
@@ -252,7 +251,7 @@
                 leader=self.leader_name,
                 role=log.role,
                 term=log.term,
-                contact_ms=round(silence * 1_000),
+                contact_ms=logged_ms(now - log.last_contact),
                 in_group=self._settings.peer in log.voters,
             )
             return None
--- a/packages/daemon/src/bronzemoor_daemon/wire/failover.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/failover.py
@@ -3,9 +3,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from bronzemoor_core.positions import ZERO, Position
+from bronzemoor_core.positions import Position
 from bronzemoor_core.wire.records import MemberRecord
-from bronzemoor_core.wire.statements import MemberStatus
 from bronzemoor_core.wire.succession import (
     acknowledged_position,
     choose_successor,
@@ -18,9 +17,6 @@
 if TYPE_CHECKING:
     from bronzemoor_daemon.wire.leader import Leader
 
-# Age and position where no sample of a primary is known.
-NO_SAMPLE = (float("inf"), ZERO)
-
 
 class Failover:
     """Runs on the control leader for one group."""
@@ -110,14 +106,13 @@
         now, leases = boottime(), self._leader.leases
         leases.forget_lost(now)
         acknowledged = None
-        age, position = self._leader.samples.newest(now, self._group) or NO_SAMPLE
         if (
             leases.holders
             and not leases.waiting_for(now, version)
             and leases.all_confirmed(version)
         ):
             evidence = self._leader.evidence.get(self._group, {})
-            sample = (now - age, position)
+            sample = self._leader.samples.newest_sample(self._group)
             acknowledged = acknowledged_position(
                 evidence, sample, term, leases.lost_until(now)
             )
@@ -163,11 +158,6 @@
 
     async def _recorded_primary(self, term: int) -> str:
         """Returns the recorded primary if it still leads ``term``."""
-        primary = self._orders.members.get(self._orders.leader_record.primary)
-        if primary is None:
-            return ""
-        status = await self._orders.status(primary)
-        leads = (
-            isinstance(status, MemberStatus) and status.primary and status.term == term
-        )
-        return primary.member if leads else ""
+        recorded = self._orders.leader_record.primary
+        members = {m: r for m, r in self._orders.members.items() if m == recorded}
+        return primary_of(await self._orders.statuses(members), term)
--- a/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
@@ -118,20 +118,9 @@
         old_term = self.leader_record.term
         # An unanswered order has a lower fence than the next one.
         await self.wait_for_orders("")
-        planned = await leader.commit(
-            {"type": "primary.plan", "group": self._group, "member": member}
-        )
-        if planned is None:
+        fence = await self._plan(member)
+        if fence is None:
             return False
-        fence = int(str(planned["fence"]))
-        self.report(
-            "info",
-            "promotion_planned",
-            member=member,
-            fence=fence,
-            term=old_term,
-            **leader.authority_fields(boottime()),
-        )
         ordered_at = float("-inf")
         deadline = boottime() + 2 * EFFECT_TIMEOUT_SECONDS
         while boottime() < deadline:
@@ -168,12 +157,9 @@
         Returns whether ``member`` still leads its term after that.
         """
         term = self.term
-        planned = await self._leader.commit(
-            {"type": "primary.plan", "group": self._group, "member": member}
-        )
-        if planned is None or not may_order(boottime(), self._leader.order_deadline):
+        fence = await self._plan(member)
+        if fence is None or not may_order(boottime(), self._leader.order_deadline):
             return False
-        fence = int(str(planned["fence"]))
         if await self._execute(member, fence, started_at) != "done":
             return False
         await asyncio.sleep(EFFECT_TIMEOUT_SECONDS)
@@ -182,6 +168,24 @@
             statuses, term
         )
 
+    async def _plan(self, member: str) -> int | None:
+        """Commits a promotion; returns its fence, or None if it is not confirmed."""
+        planned = await self._leader.commit(
+            {"type": "primary.plan", "group": self._group, "member": member}
+        )
+        if planned is None:
+            return None
+        fence = int(str(planned["fence"]))
+        self.report(
+            "info",
+            "promotion_planned",
+            member=member,
+            fence=fence,
+            term=self.term,
+            **self._leader.authority_fields(boottime()),
+        )
+        return fence
+
     async def _execute(self, member: str, fence: int, started_at: float) -> str:
         """Passes an order to the executor and returns its outcome."""
         leader, sent_at = self._leader, boottime()
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -30,7 +30,7 @@
 from bronzemoor_core.wire.reportorder import ReportAge, ReportOrder
 from bronzemoor_core.wire.succession import Evidence
 from bronzemoor_core.wire.zoneproxies import ZoneProxies
-from bronzemoor_daemon.wire.clock import boottime
+from bronzemoor_daemon.wire.clock import boottime, logged_ms
 from bronzemoor_daemon.wire.metrics import WireMetrics
 from bronzemoor_daemon.wire.ports import (
     DocumentReader,
@@ -61,8 +61,6 @@
 ANNOUNCE_INTERVAL_SECONDS = 0.2
 # Older position samples cannot prove the freshness of any read.
 SAMPLE_MAX_AGE_SECONDS = 5.0
-# Upper bound for ages in the log.
-MAX_LOGGED_AGE_SECONDS = 3_600.0
 
 
 class KnownVersions(Struct, frozen=True):
@@ -140,10 +138,9 @@
     def authority_fields(self, now: float) -> dict[str, object]:
         """Returns log fields that say under which leadership an order was given."""
         log = self._control.log
-        confirmed = max(0.0, now - log.confirmed_at)
         return {
             "control_term": log.term,
-            "confirmed_ms": round(min(confirmed, MAX_LOGGED_AGE_SECONDS) * 1_000),
+            "confirmed_ms": logged_ms(max(0.0, now - log.confirmed_at)),
             "closed": self._closed,
         }
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -22,7 +22,7 @@
 from bronzemoor_core.wire.statements import Answer
 from bronzemoor_daemon.framing import split_address
 from bronzemoor_daemon.wire.clientsession import ClientSession
-from bronzemoor_daemon.wire.clock import boottime
+from bronzemoor_daemon.wire.clock import boottime, logged_ms
 from bronzemoor_daemon.wire.execution import Attempt
 from bronzemoor_daemon.wire.groups import Group
 from bronzemoor_daemon.wire.links import Link, Links
@@ -53,8 +53,6 @@
 ROLL_BACK_FRACTION = 0.60
 EXIT_FRACTION = 0.85
 LISTEN_BACKLOG = 512
-# Upper bound for sample ages in the log.
-MAX_LOGGED_AGE_SECONDS = 3_600.0
 
 
 class Proxy:
@@ -233,7 +231,7 @@
             member=attempt.member,
             tries=attempt.tries,
             required=f"{attempt.required.term}.{attempt.required.offset}",
-            sample_age_ms=round(min(now - sampled_at, MAX_LOGGED_AGE_SECONDS) * 1_000),
+            sample_age_ms=logged_ms(now - sampled_at),
             group=route.group,
             primary=group.primary,
             term=group.term,
--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -139,8 +139,7 @@
 
         Statements give no sample while the group is idle.
         """
-        sampled = self._leader.samples.newest(now, self._group)
-        sampled_at = now - sampled[0] if sampled else float("-inf")
+        sampled_at, _ = self._leader.samples.newest_sample(self._group)
         if sampled_at >= self._leader.leases.lost_until(now):
             return
         status = await self._orders.status(primary)
