Identify callers by key and open member connections for organisations

Cause: nothing on the statement front knew who called.

Change: documents hold organisations with keys, decoded and validated as a whole. A key is turned into a digest when a session starts and is checked again before each operation. Member connections belong to the organisation that they were opened for, also over channels to an owner; an idle connection of another organisation makes room. Proxies get the document with digests in place of keys, and a proxy that has just started accepts a document only from a leader that a quorum confirmed. Deployments without organisations send the same messages as before.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -77,7 +77,8 @@
   11: list<string> proxies, 12: i64 proxies_version
 }
 struct RelayOpen {
-  1: i64 channel, 2: string group, 3: string member, 4: i32 priority, 5: i32 timeout_ms
+  1: i64 channel, 2: string group, 3: string member, 4: i32 priority, 5: i32 timeout_ms,
+  6: string caller
 }
 struct RelayStatus {
   1: i64 channel, 2: string state, 3: string reason, 4: string member, 5: i64 failing_ms
--- a/packages/core/src/bronzemoor_core/messages.py
+++ b/packages/core/src/bronzemoor_core/messages.py
@@ -377,6 +377,7 @@
     """Requests a connection from the owner of a member's connections.
 
     The sender chooses the ``channel`` number; the owner may wait up to ``timeout_ms``.
+    ``caller`` is the organisation that the connection is for, empty without one.
     """
 
     channel: int
@@ -384,6 +385,7 @@
     member: str
     priority: int
     timeout_ms: int
+    caller: str = ""
 
 
 @message
--- a/packages/core/src/bronzemoor_core/wire/deployment.py
+++ b/packages/core/src/bronzemoor_core/wire/deployment.py
@@ -1,8 +1,10 @@
-"""Validates deployment documents: routes, groups and limits."""
+"""Validates deployment documents: routes, groups, organisations and limits."""
 
+import re
 from collections.abc import Iterable
+from math import isfinite
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 from bronzemoor_core.exceptions import InvalidRequest
 
@@ -10,6 +12,10 @@
 BOUNDED_STALENESS = "bounded_staleness"
 READ_YOUR_WRITES = "read_your_writes"
 READ_POLICIES = (PRIMARY, BOUNDED_STALENESS, READ_YOUR_WRITES)
+# Organisations are named in START messages to members.
+ORGANISATION_NAME = re.compile(r"[!-~]{1,200}\Z")
+# Highest rate and burst of an organisation's quota, operations per second and number.
+MAX_QUOTA = 1e9
 
 
 class InvalidDeployment(InvalidRequest):
@@ -38,6 +44,8 @@
     priority: int
     scope: str = "/"
     max_staleness: float = 0.0
+    # Whether clients without a valid key may use the route.
+    public: bool = False
 
     @property
     def replicas_may_serve(self) -> bool:
@@ -55,16 +63,37 @@
     acknowledging_replicas: int
 
 
+class Organisation(Struct, frozen=True):
+    """An organisation whose clients identify themselves with a key.
+
+    ``key_digests`` stand for its keys. It may start ``rate`` operations per second
+    and ``burst`` more at once; a ``rate`` of None is no limit. ``priority`` 0 is the
+    highest.
+    """
+
+    name: str
+    key_digests: tuple[str, ...]
+    priority: int = 0
+    rate: float | None = None
+    burst: float = 0.0
+
+
 class Deployment(Struct, frozen=True):
     """A validated document.
 
-    ``transaction_idle`` is the idle timeout in seconds, 0 for none.
+    ``transaction_idle`` is the idle timeout in seconds, 0 for none. Without
+    ``organisations``, clients need no keys. ``key_owners`` has the name of the
+    organisation by key digest. ``redacted`` is the document with digests in place of
+    keys, empty if it has no keys.
     """
 
     version: int
     routes: dict[str, Route]
     groups: dict[str, GroupSpec]
     transaction_idle: float
+    organisations: dict[str, Organisation] = field(default_factory=dict)
+    key_owners: dict[str, str] = field(default_factory=dict)
+    redacted: str = ""
 
 
 def make_deployment(
@@ -72,9 +101,11 @@
     routes: Iterable[Route],
     groups: Iterable[GroupSpec],
     transaction_idle: float,
+    organisations: Iterable[Organisation] = (),
+    redacted: str = "",
 ) -> Deployment:
     """Validates a document; raises ``InvalidDeployment`` with every problem."""
-    problems: list[str] = []
+    by_name, key_owners, problems = _index_organisations(organisations)
     by_group = {group.name: group for group in groups}
     by_database: dict[str, Route] = {}
     seen: set[tuple[str, str]] = set()
@@ -91,4 +122,33 @@
         by_database.setdefault(route.database, route)
     if problems:
         raise InvalidDeployment(problems)
-    return Deployment(version, by_database, by_group, transaction_idle)
+    return Deployment(
+        version, by_database, by_group, transaction_idle, by_name, key_owners, redacted
+    )
+
+
+def _index_organisations(
+    organisations: Iterable[Organisation],
+) -> tuple[dict[str, Organisation], dict[str, str], list[str]]:
+    """Returns organisations by name, owners by key digest, and the problems found."""
+    by_name: dict[str, Organisation] = {}
+    key_owners: dict[str, str] = {}
+    problems: list[str] = []
+    for item in organisations:
+        label = f"organisation {item.name[:40]!r}"
+        if not ORGANISATION_NAME.match(item.name):
+            problems.append(f"{label}: the name must be printable without blanks")
+        if item.name in by_name:
+            problems.append(f"{label}: the name is used twice")
+        if item.rate is not None and not 0 < item.rate <= MAX_QUOTA:
+            problems.append(f"{label}: the rate must be > 0 and <= {MAX_QUOTA:.0f}")
+        if not (isfinite(item.burst) and 0 <= item.burst <= MAX_QUOTA):
+            problems.append(f"{label}: the burst must be >= 0 and <= {MAX_QUOTA:.0f}")
+        by_name[item.name] = item
+        for digest in item.key_digests:
+            owner = key_owners.setdefault(digest, item.name)
+            if owner != item.name:
+                problems.append(f"{label}: has a key in common with {owner[:40]!r}")
+        if len(set(item.key_digests)) < len(item.key_digests):
+            problems.append(f"{label}: a key is listed twice")
+    return by_name, key_owners, problems
--- a/packages/core/src/bronzemoor_core/wire/sessionstate.py
+++ b/packages/core/src/bronzemoor_core/wire/sessionstate.py
@@ -7,9 +7,11 @@
 class SessionState:
     """State that a client session keeps between transactions."""
 
-    __slots__ = ("last_commit", "last_commit_at", "prepared", "values")
+    __slots__ = ("caller", "last_commit", "last_commit_at", "prepared", "values")
 
     def __init__(self) -> None:
+        # The organisation of the client; empty if the deployment has none.
+        self.caller = ""
         self.values: dict[bytes, bytes] = {}
         # Whether the statement writes, and its shape, by the client's name for it.
         self.prepared: dict[bytes, tuple[bool, bytes]] = {}
--- a/packages/core/src/bronzemoor_core/wire/statements.py
+++ b/packages/core/src/bronzemoor_core/wire/statements.py
@@ -33,6 +33,7 @@
 MALFORMED = "malformed"
 IN_DOUBT = "in_doubt"
 TOO_LARGE = "too_large"
+AUTHENTICATION_FAILED = "authentication_failed"
 
 NO_EFFECT_ERRORS = frozenset(
     (BUSY, ABORTED, LAGGING, NOT_PRIMARY, WRONG_MEMBER, CONNECTION_LIMIT)
@@ -60,9 +61,13 @@
 
 
 class StartRequest(Struct):
-    """A client's request to open a session on ``database``."""
+    """A client's request to open a session on ``database``.
+
+    ``key_digest`` stands for the client's key.
+    """
 
     database: str
+    key_digest: str = ""
 
 
 class QueryRequest(Struct):
--- a/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
+++ b/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
@@ -3288,16 +3288,18 @@
      - member
      - priority
      - timeout_ms
+     - caller
 
     """
 
 
-    def __init__(self, channel=None, group=None, member=None, priority=None, timeout_ms=None,):
+    def __init__(self, channel=None, group=None, member=None, priority=None, timeout_ms=None, caller=None,):
         self.channel = channel
         self.group = group
         self.member = member
         self.priority = priority
         self.timeout_ms = timeout_ms
+        self.caller = caller
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3333,6 +3335,11 @@
                     self.timeout_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.caller = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3363,6 +3370,10 @@
             oprot.writeFieldBegin('timeout_ms', TType.I32, 5)
             oprot.writeI32(self.timeout_ms)
             oprot.writeFieldEnd()
+        if self.caller is not None:
+            oprot.writeFieldBegin('caller', TType.STRING, 6)
+            oprot.writeString(self.caller.encode('utf-8') if sys.version_info[0] == 2 else self.caller)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4627,6 +4638,7 @@
     (3, TType.STRING, 'member', 'UTF8', None, ),  # 3
     (4, TType.I32, 'priority', None, None, ),  # 4
     (5, TType.I32, 'timeout_ms', None, None, ),  # 5
+    (6, TType.STRING, 'caller', 'UTF8', None, ),  # 6
 )
 all_structs.append(RelayStatus)
 RelayStatus.thrift_spec = (
--- a/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
@@ -6,6 +6,7 @@
 
 from bronzemoor_core.exceptions import InvalidRequest
 from bronzemoor_core.wire import statements as st
+from bronzemoor_core.wire.callers import find_caller
 from bronzemoor_core.wire.deployment import Route
 from bronzemoor_core.wire.sessionstate import SessionState, find_prepared
 from bronzemoor_core.wire.statements import (
@@ -44,6 +45,7 @@
         self._task: asyncio.Task[None] | None = None
         self._transport: asyncio.Transport | None = None
         self._database = ""
+        self._key_digest = ""
         self._transaction: Transaction | None = None
         # Id of the last statement that was started, for the log.
         self._current_request = b""
@@ -155,6 +157,11 @@
             self._write(self._codec.encode_error(st.UNKNOWN_DATABASE, b"no route"))
             self.close()
         else:
+            self._key_digest = request.key_digest
+            if not self._identify_caller(deployment.routes[request.database]):
+                self._write(self._codec.encode_error(*self._refused_key()))
+                self.close()
+                return
             self._database = request.database
             self._write(self._codec.encode_ready(st.IDLE))
 
@@ -249,8 +256,33 @@
         route = deployment.routes.get(self._database) if deployment else None
         if route is None:
             self._answer_error(st.UNKNOWN_DATABASE, b"no route")
+        elif not self._identify_caller(route):
+            # The key was withdrawn after the session started.
+            self._answer_error(*self._refused_key())
+            self.close()
+            return None
         return route
 
+    def _identify_caller(self, route: Route) -> bool:
+        """Sets the session's organisation; returns whether the key may be used."""
+        deployment = self._proxy.deployment
+        assert deployment is not None
+        caller = find_caller(deployment, route, self._key_digest)
+        if caller is None:
+            self._proxy.record_refused_key(route, self._key_digest)
+            return False
+        self.state.caller = caller
+        return True
+
+    def _refused_key(self) -> tuple[str, bytes]:
+        """Returns the error for a key that the deployment does not have.
+
+        Without a lease the deployment may be outdated, so that the key may be valid.
+        """
+        if self._proxy.has_lease:
+            return st.AUTHENTICATION_FAILED, b"unknown key"
+        return st.BUSY, RETRY_HINT
+
     def _finish(
         self, attempt: Attempt, route: Route, answer: Answer, started: float
     ) -> None:
--- a/packages/daemon/src/bronzemoor_daemon/wire/groups.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/groups.py
@@ -49,6 +49,7 @@
         self._relays = relays
         self._primary_changed: asyncio.Future[None] | None = None
         self._pools: dict[str, MemberPool] = {}
+        self._by_organisation = False
         self.term = 0
         self.primary = ""
         self.samples = PositionSamples()
@@ -66,6 +67,17 @@
     def pools(self) -> dict[str, MemberPool]:
         return self._pools
 
+    @property
+    def by_organisation(self) -> bool:
+        """Whether connections to members are opened for organisations."""
+        return self._by_organisation
+
+    @by_organisation.setter
+    def by_organisation(self, value: bool) -> None:
+        self._by_organisation = value
+        for pool in self._pools.values():
+            pool.by_organisation = value
+
     def apply_topology(self, view: GroupView) -> None:
         """Applies a topology update."""
         members = {item.member: item for item in view.members}
@@ -92,8 +104,10 @@
                 pool.leaving_since = boottime()
             pool.leaving = item.leaving
             pool.is_primary = item.primary
+            pool.by_organisation = self.by_organisation
             pool.set_limit(view.connections, view.shared)
-            pool.warm(WARM_CONNECTIONS)
+            if not self.by_organisation:
+                pool.warm(WARM_CONNECTIONS)
         if (view.term, view.primary) != (self.term, self.primary):
             self._report(
                 "info",
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -24,6 +24,7 @@
     LeaderRecord,
     MemberRecord,
     is_usable,
+    pack_document,
     packed_bytes,
     unpack_document,
 )
@@ -178,7 +179,10 @@
             except (BronzemoorError, ValueError) as error:
                 self.report("error", "deployment_unreadable", error=str(error))
                 return
-            self._packed_document = packed_bytes(records.document)
+            # Proxies get digests in place of keys.
+            redacted = self.deployment.redacted
+            packed = pack_document(redacted) if redacted else records.document
+            self._packed_document = packed_bytes(packed)
         groups = self.deployment.groups if self.deployment else {}
         for name in groups:
             if name not in self._supervisors:
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
@@ -37,7 +37,9 @@
 class MemberConnection(asyncio.Protocol):
     """Pipelines statements and matches the answers, which arrive in the same order."""
 
-    def __init__(self, codec: StatementCodec, member: str, address: str) -> None:
+    def __init__(
+        self, codec: StatementCodec, member: str, address: str, caller: str
+    ) -> None:
         self._codec = codec
         self._buffer = b""
         self._answer = Answer()
@@ -46,6 +48,8 @@
         self._transport: asyncio.Transport | None = None
         self.member = member
         self.address = address
+        # Whom the connection was opened for; no other caller may use it.
+        self.caller = caller
         self.state = ConnectionState()
         # When the connection was last returned to its pool, in seconds.
         self.idle_since = 0.0
@@ -253,7 +257,7 @@
     ``ConnectionLost``. An answer with an error means that the member refused.
     """
     loop = asyncio.get_running_loop()
-    connection = MemberConnection(codec, member, address)
+    connection = MemberConnection(codec, member, address, caller)
     try:
         host, port = split_address(address)
         async with asyncio.timeout(timeout):
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
@@ -1,10 +1,11 @@
 """The connection pool of a proxy for one member."""
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from heapq import heappop, heappush
 from itertools import count
+from operator import itemgetter
 
 from bronzemoor_core.wire.sessionstate import SessionState
 from bronzemoor_core.wire.statements import CONNECTION_LIMIT, IDLE, Answer
@@ -30,6 +31,9 @@
 # connections of a lost machine for some time, so unused ones could keep the machine's
 # replacement from connecting.
 IDLE_TIMEOUT_SECONDS = 0.7
+# Share of the limit that idle connections of organisations are kept up to. After a loss
+# of power, members still count the old ones while as many new ones are opened.
+KEPT_SHARE = 0.5
 # Where proxies share connections, a statement waits this long for one in use before
 # another is opened, since opening takes a slot of the member.
 SHARED_OPEN_DELAY_SECONDS = 0.060
@@ -43,11 +47,16 @@
 
 
 AnyConnection = MemberConnection | RelayedConnection
+# Priority, order of arrival, the caller and the connection that it waits for.
+Waiter = tuple[int, int, str, asyncio.Future[MemberConnection]]
 
 
 class MemberPool(MemberHealth):
     """Keeps at most ``limit`` connections open and assigns them by priority.
 
+    A connection serves only the caller that it was opened for: an organisation or,
+    where the deployment has none, this proxy.
+
     If the limit applies to the whole zone, one proxy owns all connections of the zone
     and the others use them through relayed channels.
     """
@@ -71,8 +80,9 @@
         self._report = report
         self._idle: deque[MemberConnection] = deque()
         self._open: set[MemberConnection] = set()
-        self._opening = 0
-        self._waiters: list[tuple[int, int, asyncio.Future[MemberConnection]]] = []
+        # Number of connections that are being opened, by caller.
+        self._opening: Counter[str] = Counter()
+        self._waiters: list[Waiter] = []
         self._sequence = count()
         self._closed = False
         self._tasks = Tasks(report)
@@ -82,6 +92,8 @@
         self._relays = relays
         # Whether the limit applies to all proxies of the zone together.
         self._shared = False
+        # Whether connections are opened for organisations instead of for this proxy.
+        self.by_organisation = False
         # Number of channels open or requested at other proxies.
         self._channel_count = 0
 
@@ -107,30 +119,38 @@
     ) -> AnyConnection:
         """Returns a connection, preferably one that ``session`` used before.
 
-        Raises ``NoConnection`` after ``timeout`` seconds or when none can be opened.
+        It is one for the session's caller. Raises ``NoConnection`` after ``timeout``
+        seconds or when none can be opened.
         """
         owner = self._owner(boottime())
         if not owner or self._relays is None:
-            return await self.acquire_own(session, priority, timeout)
+            return await self.acquire_own(session, priority, timeout, session.caller)
         self._channel_count += 1
         try:
-            return await self._relays.open(owner, self, priority, timeout)
+            return await self._relays.open(
+                owner, self, priority, timeout, session.caller
+            )
         except BaseException:
             self._channel_count -= 1
             raise
 
     async def acquire_own(
-        self, session: SessionState | None, priority: int, timeout: float
+        self,
+        session: SessionState | None,
+        priority: int,
+        timeout: float,
+        caller: str = "",
     ) -> MemberConnection:
         """Returns a connection that this proxy owns, like ``acquire``."""
-        connection = self.take_idle(session)
+        connection = self.take_idle(session, caller)
         if connection is not None:
             return connection
         future: asyncio.Future[MemberConnection] = (
             asyncio.get_running_loop().create_future()
         )
-        heappush(self._waiters, (priority, next(self._sequence), future))
-        if self._shared and self._open:
+        caller = caller or self._caller
+        heappush(self._waiters, (priority, next(self._sequence), caller, future))
+        if self._shared and any(item.caller == caller for item in self._open):
             loop = asyncio.get_running_loop()
             loop.call_later(SHARED_OPEN_DELAY_SECONDS, self._open_more)
         else:
@@ -164,12 +184,14 @@
         if self._closed or len(self._open) > self._limit:
             self._discard(connection)
             return
-        future = self._next_waiter()
+        future = self._next_waiter(connection.caller)
         if future is not None:
             future.set_result(connection)
-        else:
-            connection.idle_since = boottime()
-            self._idle.append(connection)
+            return
+        connection.idle_since = boottime()
+        self._idle.append(connection)
+        if self._waiters:
+            self._open_more()
 
     def release_unanswered(self, connection: AnyConnection, sent_at: float) -> None:
         """Releases a connection that did not answer in time.
@@ -202,8 +224,11 @@
     def trim(self, now: float) -> None:
         """Closes idle connections and evicts idle transactions."""
         kept = 0 if self._owner(now) else 1
+        if self.by_organisation and kept:
+            # Other organisations' connections cannot take their place.
+            kept = int(self._limit * KEPT_SHARE) - (len(self._open) - len(self._idle))
         while (
-            len(self._idle) > kept
+            len(self._idle) > max(0, kept)
             and now - self._idle[0].idle_since > IDLE_TIMEOUT_SECONDS
         ):
             self._discard(self._idle.popleft())
@@ -211,7 +236,7 @@
 
     def _evict_transactions(self, now: float) -> None:
         """Evicts idle transactions if statements wait for a connection."""
-        needed = sum(not item[2].done() for item in self._waiters)
+        needed = sum(not item[3].done() for item in self._waiters)
         if not needed or len(self._open) < self._limit:
             return
         evictable = [
@@ -237,8 +262,8 @@
         """Opens up to ``wanted`` connections in advance."""
         if self._owner(boottime()):
             return
-        while len(self._open) + self._opening < min(wanted, self._limit):
-            if not self._start_opening():
+        while len(self._open) + self._opening.total() < min(wanted, self._limit):
+            if not self._start_opening(self._caller):
                 return
 
     def relay_refused(self, now: float, failing: float, waited: float) -> None:
@@ -259,31 +284,46 @@
             self._discard(self._idle.pop())
         self._fail_waiters("the member is gone")
 
-    def take_idle(self, session: SessionState | None) -> MemberConnection | None:
-        """Returns an idle connection, or None."""
+    def take_idle(
+        self, session: SessionState | None, caller: str = ""
+    ) -> MemberConnection | None:
+        """Returns an idle connection for ``caller``, or None."""
         for connection in list(self._idle):
             if not connection.is_open:
                 self._idle.remove(connection)
                 self._discard(connection)
-        if not self._idle:
+        caller = caller or self._caller
+        usable = [item for item in self._idle if item.caller == caller]
+        if not usable:
             return None
-        for connection in self._idle:
-            if session is not None and connection.session is session:
-                self._idle.remove(connection)
-                return connection
-        return self._idle.pop()
+        chosen = usable[-1]
+        if session is not None:
+            chosen = next((c for c in usable if c.session is session), chosen)
+        self._idle.remove(chosen)
+        return chosen
 
     def _return_connection(self, future: asyncio.Future[MemberConnection]) -> None:
         """Releases a connection that was assigned just when the wait ended."""
         if future.done() and not future.cancelled() and future.exception() is None:
             self.release(future.result(), clean=True)
 
-    def _next_waiter(self) -> asyncio.Future[MemberConnection] | None:
-        while self._waiters:
-            future = heappop(self._waiters)[2]
-            if not future.done():
-                return future
-        return None
+    def _next_waiter(
+        self, caller: str | None = None
+    ) -> asyncio.Future[MemberConnection] | None:
+        """Removes and returns the first waiter, of ``caller`` if one is given."""
+        others: list[Waiter] = []
+        found = None
+        while self._waiters and found is None:
+            waiter = heappop(self._waiters)
+            if waiter[3].done():
+                continue
+            if caller is None or waiter[2] == caller:
+                found = waiter[3]
+            else:
+                others.append(waiter)
+        for waiter in others:
+            heappush(self._waiters, waiter)
+        return found
 
     async def _wait_late_answer(
         self, connection: MemberConnection, sent_at: float
@@ -325,31 +365,50 @@
         connection.close()
 
     def _open_more(self) -> None:
-        waiting = sum(not item[2].done() for item in self._waiters)
-        while waiting > self._opening and self._start_opening():
-            pass
+        waiting: Counter[str] = Counter()
+        for _, _, caller, future in sorted(self._waiters, key=itemgetter(0, 1)):
+            if future.done():
+                continue
+            waiting[caller] += 1
+            if waiting[caller] > self._opening[caller] and not self._start_opening(
+                caller
+            ):
+                return
 
-    def _start_opening(self) -> bool:
+    def _start_opening(self, caller: str) -> bool:
+        """Starts opening a connection for ``caller``; returns whether it may."""
+        opening = self._opening.total()
         if (
             self._closed
             or boottime() < self._next_open_at
-            or self._opening >= MAX_OPENING
-            or len(self._open) + self._opening >= self._limit
+            or opening >= MAX_OPENING
+            or (
+                len(self._open) + opening >= self._limit and not self._make_room(caller)
+            )
         ):
             return False
-        self._opening += 1
-        self._tasks.start(self._open_one(), "open-connection")
+        self._opening[caller] += 1
+        self._tasks.start(self._open_one(caller), "open-connection")
         return True
 
-    async def _open_one(self) -> None:
+    def _make_room(self, caller: str) -> bool:
+        """Closes the idle connection of another caller that was used least recently."""
+        for connection in self._idle:
+            if connection.caller != caller:
+                self._idle.remove(connection)
+                self._discard(connection)
+                return True
+        return False
+
+    async def _open_one(self, caller: str) -> None:
         started = boottime()
         try:
-            connection = await self._connect(started)
+            connection = await self._connect(started, caller)
         except Exception as error:  # statements wait for the connection
             self._open_failed(started, repr(error))
             connection = None
         finally:
-            self._opening -= 1
+            self._opening[caller] -= 1
         if connection is None:
             await self._retry_open_later()
             return
@@ -367,14 +426,14 @@
             state=answer.state,
         )
 
-    async def _connect(self, started: float) -> MemberConnection | None:
+    async def _connect(self, started: float, caller: str) -> MemberConnection | None:
         """Opens one connection; records why if that fails, and returns None."""
         self._connect_attempts.add(started)
         try:
             connection, answer = await connect(
                 self._codec,
                 self.group,
-                self._caller,
+                caller,
                 self.member,
                 self.address,
                 CONNECT_TIMEOUT_SECONDS,
--- a/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
@@ -74,6 +74,7 @@
         "latency",
         "promotions",
         "refused_announcements",
+        "refused_operations",
         "retries",
         "sent_bytes",
         "sessions",
@@ -114,6 +115,11 @@
             "bronzemoor_refused_announcements",
             "Announcements that name no member to use",
         )
+        self.refused_operations = Counter(
+            "bronzemoor_refused_operations",
+            "Operations and sessions refused before anything was sent to a member",
+            "reason",
+        )
         self.sent_bytes = Counter(
             "bronzemoor_sent_bytes",
             "Bytes of messages sent to other daemons, as compressed",
@@ -129,6 +135,7 @@
             self.promotions,
             self.changes,
             self.refused_announcements,
+            self.refused_operations,
             self.sent_bytes,
         )
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -53,6 +53,8 @@
 ROLL_BACK_FRACTION = 0.60
 EXIT_FRACTION = 0.85
 LISTEN_BACKLOG = 512
+# Enough of a digest to tell keys apart in the log.
+LOGGED_DIGEST_LENGTH = 8
 
 
 class Proxy:
@@ -151,6 +153,10 @@
             and self._lease.valid(boottime())
         )
 
+    @property
+    def has_lease(self) -> bool:
+        return self._lease.valid(boottime())
+
     def add_controls(self, seeds: tuple[str, ...]) -> None:
         """Adds control daemons to contact when the leader is unreachable."""
         self._search.add_controls(seeds)
@@ -168,8 +174,13 @@
                 self.report,
                 self._relays,
             )
+            group.by_organisation = self._has_organisations
         return group
 
+    @property
+    def _has_organisations(self) -> bool:
+        return self.deployment is not None and bool(self.deployment.organisations)
+
     def spawn(self, coroutine: Coroutine[Any, Any, Any], name: str) -> None:
         self._tasks.start(coroutine, name)
 
@@ -240,6 +251,21 @@
             deployment=self.deployment.version if self.deployment else 0,
         )
 
+    def record_refused_key(self, route: Route, key_digest: str) -> None:
+        """Logs and counts a session or an operation with an unknown key.
+
+        The log names the beginning of the key's digest, never the key.
+        """
+        self._metrics.refused_operations.add("key")
+        self.report(
+            "info",
+            "key_refused",
+            route=route.name,
+            key_digest=key_digest[:LOGGED_DIGEST_LENGTH],
+            has_lease=self.has_lease,
+            deployment=self.deployment.version if self.deployment else 0,
+        )
+
     def _report_attempt(self, event: str, attempt: Attempt, **fields: Any) -> None:
         """Logs an event under the id of the client's statement."""
         request = attempt.query_id.decode(errors="replace")
@@ -421,12 +447,18 @@
         current = self.deployment.version if self.deployment else 0
         if message.deployment_version <= current or not message.deployment:
             return
+        if self.deployment is None and message.lease_ms <= 0:
+            # A leader without a quorum may have been replaced and may still have keys
+            # and routes that were removed since.
+            return
         try:
             document = unpack_document(message.deployment)
             self.deployment = self._read_document(document)
         except (BronzemoorError, ValueError) as error:
             self.report("error", "deployment_unreadable", error=str(error))
             return
+        for group in self._groups.values():
+            group.by_organisation = self._has_organisations
         self.deployment_received.set()
         self.report(
             "info",
--- a/packages/daemon/src/bronzemoor_daemon/wire/relays.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/relays.py
@@ -200,16 +200,21 @@
         return ""
 
     async def open(
-        self, owner: str, pool: "MemberPool", priority: int, timeout: float
+        self,
+        owner: str,
+        pool: "MemberPool",
+        priority: int,
+        timeout: float,
+        caller: str = "",
     ) -> RelayedConnection:
-        """Opens a channel within ``timeout`` seconds.
+        """Opens a channel for ``caller`` within ``timeout`` seconds.
 
         Raises ``NoConnection``, also if the owner does not respond in time.
         """
         channel, started = next(self._numbers), boottime()
         deadline = started + timeout
         request = RelayOpen(
-            channel, pool.group, pool.member, priority, int(timeout * 1_000)
+            channel, pool.group, pool.member, priority, int(timeout * 1_000), caller
         )
         statuses: asyncio.Queue[RelayStatus] = asyncio.Queue()
         self._opening[channel] = owner, statuses
--- a/packages/daemon/src/bronzemoor_daemon/wire/relayserver.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/relayserver.py
@@ -76,7 +76,7 @@
         if pool is None:
             self._send_status(key, REFUSED, "unknown member")
             return
-        connection = pool.take_idle(None)
+        connection = pool.take_idle(None, message.caller)
         if connection is not None:
             self._add_channel(key, pool, connection)
             return
@@ -90,7 +90,9 @@
     ) -> None:
         timeout = message.timeout_ms / 1_000
         try:
-            connection = await pool.acquire_own(None, message.priority, timeout)
+            connection = await pool.acquire_own(
+                None, message.priority, timeout, message.caller
+            )
         except NoConnection as error:
             failing_ms = max(-1, int(pool.failing_for(boottime()) * 1_000))
             self._send_status(key, REFUSED, error.message, failing_ms=failing_ms)
--- a/tests/adapter/system.py
+++ b/tests/adapter/system.py
@@ -54,10 +54,11 @@
         self._number = 0
 
     @classmethod
-    async def open(cls, address: str, database: str) -> "Client":
+    async def open(cls, address: str, database: str, key: str = "test") -> "Client":
         host, port = address.split(":")
         client = cls(*await asyncio.open_connection(host, int(port)))
-        client._writer.write(f"START {database} test\r\n".encode())
+        start = f"START {database} {key}\r\n"
+        client._writer.write(start.encode(errors="surrogateescape"))
         client.greeting = await client._read_line()
         return client
 
--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -102,7 +102,7 @@
 
     class Pool:
         member = "m"
-        take_idle = staticmethod(lambda session: Connection())
+        take_idle = staticmethod(lambda session, caller: Connection())
 
     class Links:
         reply = staticmethod(lambda link, message: replies.append(message))
@@ -152,7 +152,7 @@
 
     class Pool:
         member = "m"
-        take_idle = staticmethod(lambda session: Connection())
+        take_idle = staticmethod(lambda session, caller: Connection())
         release = staticmethod(lambda item, clean: released.append((item, clean)))
 
     class Links:
--- a/tests/adapter/test_setup.py
+++ b/tests/adapter/test_setup.py
@@ -258,7 +258,7 @@
 
 async def play(steps, refusals: Iterator[str]) -> None:
     transport = RefusingTransport(refusals)
-    connection = MemberConnection(PlatformLines(), "m", "h:1")
+    connection = MemberConnection(PlatformLines(), "m", "h:1", "test")
     connection._transport = transport
     sessions, holder = [SessionState(), SessionState()], None
     for number, action, detail in steps:
