Check deployment documents before they are sent

Cause: an operator learned only from the daemon's answer whether a document was valid, and not at all that an entry could never match, that limits contradicted each other or whom a new version affected.

Change: `bronzemoorctl deployment check FILE [--against FILE]` runs the daemon's reader and pure checks in wire/deploymentcheck.py, with exit codes and JSON.

--- a/packages/client/src/bronzemoor_client/command.py
+++ b/packages/client/src/bronzemoor_client/command.py
@@ -6,7 +6,7 @@
 
 from bronzemoor_client.base import COMMANDS
 
-COMMAND_MODULES = ("status", "template", "changes")
+COMMAND_MODULES = ("status", "template", "changes", "deployment")
 VERSION = "0.1.0"
 
 
--- a/packages/client/src/bronzemoor_client/exitcodes.py
+++ b/packages/client/src/bronzemoor_client/exitcodes.py
@@ -7,6 +7,8 @@
 CONFLICT = 4
 UNKNOWN = 5
 UNHEALTHY = 6
+CHECK_WARNINGS = 7
+CHECK_ERRORS = 8
 
 # Exit codes by error code of the administration interface; all others are REFUSED.
 BY_ERROR_CODE = {
