Choose members by load figures that count less as they age

Proxies that share connections ranked members by their own latencies alone, so that all of them moved to the same member, and a member that nobody asked kept its old figure. Owners now tell their counts of statements in progress, the leader sums those of other zones, and each proxy draws among the members whose expected delays are about equal. Failing members get single probes, and an owner answers for a replica that is known to lag.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -62,7 +62,7 @@
   1: string group, 2: string member, 3: i64 term, 4: i64 failing_ms, 5: i64 succeeded_ms,
   6: i64 stalled_ms, 7: i64 acknowledged_term, 8: i64 acknowledged_offset, 9: list<string> unreachable,
   10: i64 sample_term, 11: i64 sample_offset, 12: i64 sample_after_ms, 13: i64 committed_ms,
-  14: i64 refused_ms
+  14: i64 refused_ms, 15: list<i32> loads
 }
 struct PositionSample { 1: string group, 2: i64 term, 3: i64 offset, 4: i64 age_ms }
 struct ProxyReport {
@@ -74,22 +74,23 @@
   1: i64 sequence, 2: string leader, 3: i32 lease_ms, 4: i64 deployment_version,
   5: binary deployment, 6: i64 topology_version, 7: list<GroupView> groups,
   8: list<string> controls, 9: list<PositionSample> samples, 10: i64 number,
-  11: list<string> proxies, 12: i64 proxies_version
+  11: list<string> proxies, 12: i64 proxies_version, 14: list<i32> loads
 }
 struct RelayOpen {
   1: i64 channel, 2: string group, 3: string member, 4: i32 priority, 5: i32 timeout_ms,
   6: string caller
 }
 struct RelayStatus {
-  1: i64 channel, 2: string state, 3: string reason, 4: string member, 5: i64 failing_ms
+  1: i64 channel, 2: string state, 3: string reason, 4: string member, 5: i64 failing_ms,
+  6: i32 in_progress
 }
 struct RelayStatement {
   1: i64 channel, 2: i64 number, 3: binary query_id, 4: binary text, 5: i64 required_term,
   6: i64 required_offset, 7: bool prepared, 8: bool writes, 9: binary shape,
   10: bool sets_values, 11: map<binary, binary> values,
-  12: i64 leading_term
+  12: i64 leading_term, 13: bool own_commit
 }
-struct RelayAnswer { 1: i64 channel, 2: i64 number, 3: binary answer, 4: string reason }
+struct RelayAnswer { 1: i64 channel, 2: i64 number, 3: binary answer, 4: string reason, 5: i32 in_progress }
 struct RelayClose { 1: i64 channel, 2: bool clean }
 
 union Message {
--- a/packages/core/src/bronzemoor_core/messages.py
+++ b/packages/core/src/bronzemoor_core/messages.py
@@ -294,7 +294,8 @@
     confirmed to a client. The sample is the highest position in an answer to a
     statement that was sent ``sample_after_ms`` after the grant named by the report had
     arrived, -1 without a sample. ``refused_ms`` is how long ago the primary last
-    answered BUSY to a statement, -1 if never.
+    answered BUSY to a statement, -1 if never. ``loads`` has the encoded average numbers
+    of statements in progress at the members whose connections this proxy owns.
     """
 
     group: str
@@ -311,6 +312,7 @@
     sample_after_ms: int = -1
     committed_ms: int = -1
     refused_ms: int = -1
+    loads: list[int] = field(default_factory=list)
 
 
 @message
@@ -355,7 +357,8 @@
     process of the proxy, so empty groups count only in the answer to a report.
     ``number`` identifies a grant among those to one proxy. ``proxies`` lists those of
     its zone that share connections; it is empty if the proxy has that version or none
-    are shared.
+    are shared. ``loads`` has the encoded numbers of statements that the other zones
+    have in progress at members; members with few are left out.
     """
 
     sequence: int
@@ -370,6 +373,7 @@
     number: int = 0
     proxies: list[str] = field(default_factory=list)
     proxies_version: int = 0
+    loads: list[int] = field(default_factory=list)
 
 
 @message
@@ -393,7 +397,8 @@
     """The state of a channel: waiting, open, refused or closed.
 
     ``failing_ms`` is how long the owner's connections to the member have failed, -1 if
-    they succeed.
+    they succeed. ``in_progress`` is the owner's number of statements in progress and
+    waiting at the member, -1 if it is not told.
     """
 
     channel: int
@@ -401,6 +406,7 @@
     reason: str
     member: str
     failing_ms: int
+    in_progress: int = -1
 
 
 @message
@@ -410,7 +416,8 @@
     A ``prepared`` statement executes ``shape`` with ``text``; ``writes`` is set if it
     is a write. With ``sets_values``, the session's ``values`` are first set on the
     connection. The owner refuses the statement unless the member is the primary of
-    ``leading_term``; 0 waives that check.
+    ``leading_term``; 0 waives that check. With ``own_commit``, the required position is
+    that of the session's last commit, which a replica may lack without lagging.
     """
 
     channel: int
@@ -425,16 +432,21 @@
     sets_values: bool
     values: dict[bytes, bytes]
     leading_term: int = 0
+    own_commit: bool = False
 
 
 @message
 class RelayAnswer(Struct):
-    """The encoded answer to a statement, or the ``reason`` why there is none."""
+    """The encoded answer to a statement, or the ``reason`` why there is none.
+
+    ``in_progress`` is as in ``RelayStatus``.
+    """
 
     channel: int
     number: int
     answer: bytes
     reason: str
+    in_progress: int = -1
 
 
 @message
--- a/packages/daemon/src/bronzemoor_daemon/gen/peer/Peer.py
+++ b/packages/daemon/src/bronzemoor_daemon/gen/peer/Peer.py
@@ -151,11 +151,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.envelopes = []
-                    (_etype190, _size187) = iprot.readListBegin()
-                    for _i191 in range(_size187):
-                        _elem192 = Envelope()
-                        _elem192.read(iprot)
-                        self.envelopes.append(_elem192)
+                    (_etype204, _size201) = iprot.readListBegin()
+                    for _i205 in range(_size201):
+                        _elem206 = Envelope()
+                        _elem206.read(iprot)
+                        self.envelopes.append(_elem206)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -172,8 +172,8 @@
         if self.envelopes is not None:
             oprot.writeFieldBegin('envelopes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.envelopes))
-            for iter193 in self.envelopes:
-                iter193.write(oprot)
+            for iter207 in self.envelopes:
+                iter207.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
+++ b/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
@@ -2633,11 +2633,12 @@
      - sample_after_ms
      - committed_ms
      - refused_ms
+     - loads
 
     """
 
 
-    def __init__(self, group=None, member=None, term=None, failing_ms=None, succeeded_ms=None, stalled_ms=None, acknowledged_term=None, acknowledged_offset=None, unreachable=None, sample_term=None, sample_offset=None, sample_after_ms=None, committed_ms=None, refused_ms=None,):
+    def __init__(self, group=None, member=None, term=None, failing_ms=None, succeeded_ms=None, stalled_ms=None, acknowledged_term=None, acknowledged_offset=None, unreachable=None, sample_term=None, sample_offset=None, sample_after_ms=None, committed_ms=None, refused_ms=None, loads=None,):
         self.group = group
         self.member = member
         self.term = term
@@ -2652,6 +2653,7 @@
         self.sample_after_ms = sample_after_ms
         self.committed_ms = committed_ms
         self.refused_ms = refused_ms
+        self.loads = loads
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2737,6 +2739,16 @@
                     self.refused_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = iprot.readI32()
+                        self.loads.append(_elem147)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2782,8 +2794,8 @@
         if self.unreachable is not None:
             oprot.writeFieldBegin('unreachable', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.unreachable))
-            for iter142 in self.unreachable:
-                oprot.writeString(iter142.encode('utf-8') if sys.version_info[0] == 2 else iter142)
+            for iter148 in self.unreachable:
+                oprot.writeString(iter148.encode('utf-8') if sys.version_info[0] == 2 else iter148)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sample_term is not None:
@@ -2806,6 +2818,13 @@
             oprot.writeFieldBegin('refused_ms', TType.I64, 14)
             oprot.writeI64(self.refused_ms)
             oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 15)
+            oprot.writeListBegin(TType.I32, len(self.loads))
+            for iter149 in self.loads:
+                oprot.writeI32(iter149)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2978,11 +2997,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype146, _size143) = iprot.readListBegin()
-                    for _i147 in range(_size143):
-                        _elem148 = GroupReport()
-                        _elem148.read(iprot)
-                        self.groups.append(_elem148)
+                    (_etype153, _size150) = iprot.readListBegin()
+                    for _i154 in range(_size150):
+                        _elem155 = GroupReport()
+                        _elem155.read(iprot)
+                        self.groups.append(_elem155)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3034,8 +3053,8 @@
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter149 in self.groups:
-                iter149.write(oprot)
+            for iter156 in self.groups:
+                iter156.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.last_grant is not None:
@@ -3083,11 +3102,12 @@
      - number
      - proxies
      - proxies_version
+     - loads
 
     """
 
 
-    def __init__(self, sequence=None, leader=None, lease_ms=None, deployment_version=None, deployment=None, topology_version=None, groups=None, controls=None, samples=None, number=None, proxies=None, proxies_version=None,):
+    def __init__(self, sequence=None, leader=None, lease_ms=None, deployment_version=None, deployment=None, topology_version=None, groups=None, controls=None, samples=None, number=None, proxies=None, proxies_version=None, loads=None,):
         self.sequence = sequence
         self.leader = leader
         self.lease_ms = lease_ms
@@ -3100,6 +3120,7 @@
         self.number = number
         self.proxies = proxies
         self.proxies_version = proxies_version
+        self.loads = loads
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3143,32 +3164,32 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype153, _size150) = iprot.readListBegin()
-                    for _i154 in range(_size150):
-                        _elem155 = GroupView()
-                        _elem155.read(iprot)
-                        self.groups.append(_elem155)
+                    (_etype160, _size157) = iprot.readListBegin()
+                    for _i161 in range(_size157):
+                        _elem162 = GroupView()
+                        _elem162.read(iprot)
+                        self.groups.append(_elem162)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.controls = []
-                    (_etype159, _size156) = iprot.readListBegin()
-                    for _i160 in range(_size156):
-                        _elem161 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.controls.append(_elem161)
+                    (_etype166, _size163) = iprot.readListBegin()
+                    for _i167 in range(_size163):
+                        _elem168 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.controls.append(_elem168)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.samples = []
-                    (_etype165, _size162) = iprot.readListBegin()
-                    for _i166 in range(_size162):
-                        _elem167 = PositionSample()
-                        _elem167.read(iprot)
-                        self.samples.append(_elem167)
+                    (_etype172, _size169) = iprot.readListBegin()
+                    for _i173 in range(_size169):
+                        _elem174 = PositionSample()
+                        _elem174.read(iprot)
+                        self.samples.append(_elem174)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3180,10 +3201,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.proxies = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.proxies.append(_elem173)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.proxies.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3192,6 +3213,16 @@
                     self.proxies_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype184, _size181) = iprot.readListBegin()
+                    for _i185 in range(_size181):
+                        _elem186 = iprot.readI32()
+                        self.loads.append(_elem186)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3229,22 +3260,22 @@
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter174 in self.groups:
-                iter174.write(oprot)
+            for iter187 in self.groups:
+                iter187.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.controls is not None:
             oprot.writeFieldBegin('controls', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.controls))
-            for iter175 in self.controls:
-                oprot.writeString(iter175.encode('utf-8') if sys.version_info[0] == 2 else iter175)
+            for iter188 in self.controls:
+                oprot.writeString(iter188.encode('utf-8') if sys.version_info[0] == 2 else iter188)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.samples is not None:
             oprot.writeFieldBegin('samples', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.samples))
-            for iter176 in self.samples:
-                iter176.write(oprot)
+            for iter189 in self.samples:
+                iter189.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.number is not None:
@@ -3254,14 +3285,21 @@
         if self.proxies is not None:
             oprot.writeFieldBegin('proxies', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.proxies))
-            for iter177 in self.proxies:
-                oprot.writeString(iter177.encode('utf-8') if sys.version_info[0] == 2 else iter177)
+            for iter190 in self.proxies:
+                oprot.writeString(iter190.encode('utf-8') if sys.version_info[0] == 2 else iter190)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.proxies_version is not None:
             oprot.writeFieldBegin('proxies_version', TType.I64, 12)
             oprot.writeI64(self.proxies_version)
             oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 14)
+            oprot.writeListBegin(TType.I32, len(self.loads))
+            for iter191 in self.loads:
+                oprot.writeI32(iter191)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3400,16 +3438,18 @@
      - reason
      - member
      - failing_ms
+     - in_progress
 
     """
 
 
-    def __init__(self, channel=None, state=None, reason=None, member=None, failing_ms=None,):
+    def __init__(self, channel=None, state=None, reason=None, member=None, failing_ms=None, in_progress=None,):
         self.channel = channel
         self.state = state
         self.reason = reason
         self.member = member
         self.failing_ms = failing_ms
+        self.in_progress = in_progress
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3445,6 +3485,11 @@
                     self.failing_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.in_progress = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3475,6 +3520,10 @@
             oprot.writeFieldBegin('failing_ms', TType.I64, 5)
             oprot.writeI64(self.failing_ms)
             oprot.writeFieldEnd()
+        if self.in_progress is not None:
+            oprot.writeFieldBegin('in_progress', TType.I32, 6)
+            oprot.writeI32(self.in_progress)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3508,11 +3557,12 @@
      - sets_values
      - values
      - leading_term
+     - own_commit
 
     """
 
 
-    def __init__(self, channel=None, number=None, query_id=None, text=None, required_term=None, required_offset=None, prepared=None, writes=None, shape=None, sets_values=None, values=None, leading_term=None,):
+    def __init__(self, channel=None, number=None, query_id=None, text=None, required_term=None, required_offset=None, prepared=None, writes=None, shape=None, sets_values=None, values=None, leading_term=None, own_commit=None,):
         self.channel = channel
         self.number = number
         self.query_id = query_id
@@ -3525,6 +3575,7 @@
         self.sets_values = sets_values
         self.values = values
         self.leading_term = leading_term
+        self.own_commit = own_commit
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3588,11 +3639,11 @@
             elif fid == 11:
                 if ftype == TType.MAP:
                     self.values = {}
-                    (_ktype179, _vtype180, _size178) = iprot.readMapBegin()
-                    for _i182 in range(_size178):
-                        _key183 = iprot.readBinary()
-                        _val184 = iprot.readBinary()
-                        self.values[_key183] = _val184
+                    (_ktype193, _vtype194, _size192) = iprot.readMapBegin()
+                    for _i196 in range(_size192):
+                        _key197 = iprot.readBinary()
+                        _val198 = iprot.readBinary()
+                        self.values[_key197] = _val198
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -3601,6 +3652,11 @@
                     self.leading_term = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.BOOL:
+                    self.own_commit = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3654,15 +3710,19 @@
         if self.values is not None:
             oprot.writeFieldBegin('values', TType.MAP, 11)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.values))
-            for kiter185, viter186 in self.values.items():
-                oprot.writeBinary(kiter185)
-                oprot.writeBinary(viter186)
+            for kiter199, viter200 in self.values.items():
+                oprot.writeBinary(kiter199)
+                oprot.writeBinary(viter200)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.leading_term is not None:
             oprot.writeFieldBegin('leading_term', TType.I64, 12)
             oprot.writeI64(self.leading_term)
             oprot.writeFieldEnd()
+        if self.own_commit is not None:
+            oprot.writeFieldBegin('own_commit', TType.BOOL, 13)
+            oprot.writeBool(self.own_commit)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3688,15 +3748,17 @@
      - number
      - answer
      - reason
+     - in_progress
 
     """
 
 
-    def __init__(self, channel=None, number=None, answer=None, reason=None,):
+    def __init__(self, channel=None, number=None, answer=None, reason=None, in_progress=None,):
         self.channel = channel
         self.number = number
         self.answer = answer
         self.reason = reason
+        self.in_progress = in_progress
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3727,6 +3789,11 @@
                     self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.in_progress = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3753,6 +3820,10 @@
             oprot.writeFieldBegin('reason', TType.STRING, 4)
             oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
             oprot.writeFieldEnd()
+        if self.in_progress is not None:
+            oprot.writeFieldBegin('in_progress', TType.I32, 5)
+            oprot.writeI32(self.in_progress)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4592,6 +4663,7 @@
     (12, TType.I64, 'sample_after_ms', None, None, ),  # 12
     (13, TType.I64, 'committed_ms', None, None, ),  # 13
     (14, TType.I64, 'refused_ms', None, None, ),  # 14
+    (15, TType.LIST, 'loads', (TType.I32, None, False), None, ),  # 15
 )
 all_structs.append(PositionSample)
 PositionSample.thrift_spec = (
@@ -4629,6 +4701,8 @@
     (10, TType.I64, 'number', None, None, ),  # 10
     (11, TType.LIST, 'proxies', (TType.STRING, 'UTF8', False), None, ),  # 11
     (12, TType.I64, 'proxies_version', None, None, ),  # 12
+    None,  # 13
+    (14, TType.LIST, 'loads', (TType.I32, None, False), None, ),  # 14
 )
 all_structs.append(RelayOpen)
 RelayOpen.thrift_spec = (
@@ -4648,6 +4722,7 @@
     (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'member', 'UTF8', None, ),  # 4
     (5, TType.I64, 'failing_ms', None, None, ),  # 5
+    (6, TType.I32, 'in_progress', None, None, ),  # 6
 )
 all_structs.append(RelayStatement)
 RelayStatement.thrift_spec = (
@@ -4664,6 +4739,7 @@
     (10, TType.BOOL, 'sets_values', None, None, ),  # 10
     (11, TType.MAP, 'values', (TType.STRING, 'BINARY', TType.STRING, 'BINARY', False), None, ),  # 11
     (12, TType.I64, 'leading_term', None, None, ),  # 12
+    (13, TType.BOOL, 'own_commit', None, None, ),  # 13
 )
 all_structs.append(RelayAnswer)
 RelayAnswer.thrift_spec = (
@@ -4672,6 +4748,7 @@
     (2, TType.I64, 'number', None, None, ),  # 2
     (3, TType.STRING, 'answer', 'BINARY', None, ),  # 3
     (4, TType.STRING, 'reason', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'in_progress', None, None, ),  # 5
 )
 all_structs.append(RelayClose)
 RelayClose.thrift_spec = (
--- a/packages/daemon/src/bronzemoor_daemon/wire/execution.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/execution.py
@@ -101,7 +101,7 @@
             continue
         now = boottime()
         timeout = pool.attempt_timeout
-        if group.choose_member(now, route, session, tried | {pool.member}) is None:
+        if not group.can_serve(now, route, session, tried | {pool.member}):
             # No other member can serve the read.
             timeout = max(timeout, route.statement_timeout * SOLE_MEMBER_ATTEMPT_SHARE)
         answer = await run_attempt(
@@ -145,7 +145,7 @@
         if required == session.last_commit:
             pool.record_missing_commit(now - session.last_commit_at)
         else:
-            pool.record_lag(now)
+            pool.record_lag(now, required)
     elif answer.error == st.BUSY:
         await asyncio.sleep(min(pool.record_busy(now), max(0.0, deadline - now)))
 
@@ -182,11 +182,11 @@
         raise
     pool.release(connection, answer.state == st.IDLE)
     now = boottime()
-    pool.record_success(now, now - sent_at)
+    pool.record_success(now, now - sent_at, answer.error)
     if answer.ok and required != ZERO:
         if required == session.last_commit:
             pool.record_present_commit(sent_at - session.last_commit_at)
-        pool.record_caught_up()
+        pool.record_caught_up(required)
     if (
         answer.ok
         and required == ZERO
--- a/packages/daemon/src/bronzemoor_daemon/wire/exposition.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/exposition.py
@@ -25,6 +25,11 @@
         for counter in self._metrics.counters:
             yield _counter_family(counter)
         yield _histogram_family(self._metrics.latency)
+        for gauge in self._metrics.gauges:
+            family = GaugeMetricFamily(gauge.name, gauge.help, labels=gauge.labels)
+            for labels, value in gauge.values.items():
+                family.add_metric(labels, value)
+            yield family
         sessions = self._metrics.sessions
         yield GaugeMetricFamily(sessions.name, sessions.help, value=sessions.value)
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/groups.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/groups.py
@@ -2,12 +2,15 @@
 
 import asyncio
 from collections.abc import Callable
+from random import Random
 
 from bronzemoor_core.messages import GroupReport, GroupView
 from bronzemoor_core.positions import ZERO, Position
 from bronzemoor_core.wire.deployment import PRIMARY, Route
 from bronzemoor_core.wire.freshness import PositionSamples
 from bronzemoor_core.wire.leases import HeldLease
+from bronzemoor_core.wire.loadbalance import WriteShare, choose_by_load
+from bronzemoor_core.wire.loadexchange import encode_load
 from bronzemoor_core.wire.placement import (
     Target,
     required_position,
@@ -50,6 +53,11 @@
         self._primary_changed: asyncio.Future[None] | None = None
         self._pools: dict[str, MemberPool] = {}
         self._by_organisation = False
+        self._shared = False
+        # Members in the order of the topology, by which loads name them.
+        self._members: list[str] = []
+        self._random = Random()
+        self._write_share = WriteShare()
         self.term = 0
         self.primary = ""
         self.samples = PositionSamples()
@@ -67,6 +75,11 @@
     def pools(self) -> dict[str, MemberPool]:
         return self._pools
 
+    @property
+    def shared(self) -> bool:
+        """Whether the proxies of a zone share the connections to members."""
+        return self._shared
+
     @property
     def by_organisation(self) -> bool:
         """Whether connections to members are opened for organisations."""
@@ -81,6 +94,7 @@
     def apply_topology(self, view: GroupView) -> None:
         """Applies a topology update."""
         members = {item.member: item for item in view.members}
+        self._members, self._shared = list(members), view.shared
         for member in set(self._pools) - set(members):
             self._pools.pop(member).close()
         for member, item in members.items():
@@ -145,6 +159,34 @@
         self, now: float, route: Route, session: SessionState, tried: set[str]
     ) -> Target | None:
         """Returns the best member for a read that is not in ``tried``, or None."""
+        pools, required = self._readable_pools(now, route, session, tried)
+        if not pools:
+            return None
+        if self._shared:
+            for pool in pools:
+                pool.note_failures()
+            share = self._write_share
+            share.record_read()
+            best = choose_by_load(now, pools, self._random, share.value)
+        else:
+            best = sort_by_expected_delay(now, pools)[0]
+        if best.member == self.primary:
+            return Target(best.member)
+        assert required is not None
+        if self._shared:
+            best.lag.claim(now, required)
+        return Target(best.member, required)
+
+    def can_serve(
+        self, now: float, route: Route, session: SessionState, tried: set[str]
+    ) -> bool:
+        """Returns whether a member that is not in ``tried`` can serve a read."""
+        return bool(self._readable_pools(now, route, session, tried)[0])
+
+    def _readable_pools(
+        self, now: float, route: Route, session: SessionState, tried: set[str]
+    ) -> tuple[list[MemberPool], Position | None]:
+        """Returns who can serve a read, and the position required of replicas."""
         primary = self.primary_pool(now)
         pools = [] if primary is None or primary.member in tried else [primary]
         required: Position | None = None
@@ -156,20 +198,19 @@
                 for pool in self._pools.values()
                 if pool.member != self.primary
                 and pool.member not in tried
-                and now >= pool.lagging_until
+                and self._may_have(now, pool, required)
                 and (
                     required != session.last_commit
                     or now - session.last_commit_at >= pool.replication_delay
                 )
                 and _accepts_work(now, pool)
             ]
-        if not pools:
-            return None
-        best = sort_by_expected_delay(now, pools)[0]
-        if primary is not None and best is primary:
-            return Target(best.member)
-        assert required is not None
-        return Target(best.member, required)
+        return pools, required
+
+    def _may_have(self, now: float, pool: MemberPool, required: Position) -> bool:
+        if self._shared:
+            return pool.lag.may_ask(now, required)
+        return now >= pool.lagging_until
 
     def is_current_primary(self, now: float, member: str, term: int) -> bool:
         """Returns whether ``member`` is the primary of ``term`` under a valid lease."""
@@ -190,6 +231,7 @@
 
     def record_commit(self, now: float, sent_at: float, position: Position) -> None:
         """Records a commit that is acknowledged to a client."""
+        self._write_share.record_write()
         self.acknowledged = max(self.acknowledged, position)
         self.stalled_since = None
         self._committed_at = now
@@ -203,6 +245,7 @@
         """Closes idle connections and evicts idle transactions."""
         for pool in self._pools.values():
             pool.trim(now)
+            pool.average_load.sample(pool.load)
 
     def record_sample(self, sent_at: float, position: Position) -> None:
         """Records another proxy's sample; ``sent_at`` is on this proxy's clock."""
@@ -236,8 +279,17 @@
             max(-1, sample_after_ms),
             age(self._committed_at),
             age(pool.refused_at) if pool else -1,
+            self._owned_loads() if self._shared else [],
         )
 
+    def _owned_loads(self) -> list[int]:
+        """Returns the loads of members whose connections this proxy owns."""
+        return [
+            encode_load(index, load)
+            for index, member in enumerate(self._members)
+            if (load := self._pools[member].owned_load)
+        ]
+
 
 def _accepts_work(now: float, pool: MemberPool) -> bool:
     use_seconds = (
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -20,6 +20,7 @@
 from bronzemoor_core.wire.deployment import Deployment
 from bronzemoor_core.wire.freshness import SampleExchange
 from bronzemoor_core.wire.leases import LeaseTable
+from bronzemoor_core.wire.loadexchange import LoadExchange
 from bronzemoor_core.wire.records import (
     LeaderRecord,
     MemberRecord,
@@ -111,6 +112,7 @@
         self._report_order = ReportOrder()
         self._zone_proxies = ZoneProxies(self.leases)
         self.samples = SampleExchange()
+        self._loads = LoadExchange()
         self.evidence: dict[str, dict[str, Evidence]] = {}
         self.records_changed()
 
@@ -338,9 +340,18 @@
                 self._grant_count,
                 proxies,
                 proxies_version,
+                self._other_loads(now, proxy) if sequence else [],
             ),
         )
 
+    def _other_loads(self, now: float, proxy: str) -> list[int]:
+        """Returns the loads that other zones than the proxy's have on members."""
+        if not self._has_shared_connections:
+            return []
+        sizes = {view.group: len(view.members) for view in self._views}
+        zone = self._zone_proxies.zone(proxy)
+        return self._loads.others(now, zone, self._topology_version, sizes)
+
     def _newest_samples(self, now: float) -> list[PositionSample]:
         samples = []
         for group in self._supervisors:
@@ -379,6 +390,9 @@
         for item in report.groups:
             evidence = self.evidence.setdefault(item.group, {})
             evidence[proxy] = Evidence(now, item)
+            self._loads.record(
+                now, proxy, report.zone, item.group, report.topology_version, item.loads
+            )
             self.samples.add_sample(
                 proxy,
                 report.last_grant,
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberhealth.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberhealth.py
@@ -3,6 +3,12 @@
 import asyncio
 from random import Random
 
+from bronzemoor_core.positions import ZERO, Position
+from bronzemoor_core.wire.loadbalance import LoadFigures
+from bronzemoor_core.wire.loadexchange import LoadAverage
+from bronzemoor_core.wire.memberfailures import FailureRecord
+from bronzemoor_core.wire.replicalag import LagRecord
+from bronzemoor_core.wire.statements import FAILED
 from bronzemoor_daemon.wire.clock import boottime
 
 # Backoff for a replica that lacked a required position; it doubles with each refusal.
@@ -59,6 +65,18 @@
         self.failing_since: float | None = None
         # Moving average of the statement latency.
         self.delay = 0.001 if is_local else 0.025
+        # Used where connections are shared.
+        self.figures = LoadFigures()
+        self.failures = FailureRecord(self._random)
+        self.lag = LagRecord()
+        self.average_load = LoadAverage()
+        self._noted_failure_at = float("-inf")
+
+    def note_failures(self) -> None:
+        """Passes on a failure recorded as ``failed_at`` since the last call."""
+        if self.failed_at > self._noted_failure_at:
+            self._noted_failure_at = self.failed_at
+            self.failures.record_failure(self.failed_at)
 
     def failing_for(self, now: float) -> float:
         """Returns how long new connections have failed or hung, -1 if they succeed."""
@@ -84,15 +102,17 @@
         self._busy_until = max(self._busy_until, now + pause)
         return pause
 
-    def record_lag(self, now: float) -> None:
+    def record_lag(self, now: float, required: Position = ZERO) -> None:
         """Records that the replica lacked the position required by a read."""
+        self.lag.record_lacked(now, required)
         if now >= self.lagging_until:
             doubled = max(MIN_LAG_BACKOFF_SECONDS, 2 * self._lag_backoff)
             self._lag_backoff = min(MAX_LAG_BACKOFF_SECONDS, doubled)
             self.lagging_until = now + self._lag_backoff
 
-    def record_caught_up(self) -> None:
+    def record_caught_up(self, required: Position = ZERO) -> None:
         """Records that the replica served a read that required a position."""
+        self.lag.record_reached(required)
         self._lag_backoff = 0.0
 
     def record_missing_commit(self, age: float) -> None:
@@ -114,8 +134,14 @@
         if pause > 0 and priority > URGENT_PRIORITY:
             await asyncio.sleep(pause)
 
-    def record_success(self, now: float, elapsed: float) -> None:
-        """Records an answer that took ``elapsed`` seconds."""
+    def record_success(self, now: float, elapsed: float, error: str = "") -> None:
+        """Records an answer that took ``elapsed`` seconds, with its error code."""
+        if error == FAILED:
+            self.failures.record_failure(now)
+        else:
+            self.failures.record_success(now, now - elapsed)
+        if not error:
+            self.figures.record_latency(elapsed)
         self._busy_backoff *= BUSY_BACKOFF_DECAY
         self.succeeded_at = now
         self.failing_since = None
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
@@ -103,6 +103,20 @@
         own = len(self._open) - len(self._idle) + len(self._waiters)
         return own + self._channel_count
 
+    @property
+    def shared(self) -> bool:
+        """Whether the limit applies to all proxies of the zone together."""
+        return self._shared
+
+    @property
+    def owned_load(self) -> int:
+        """Average load where this proxy owns the zone's connections, otherwise 0."""
+        return 0 if self._owner(boottime()) else self.average_load.value
+
+    def record_owner_load(self, count: int) -> None:
+        """Records the owner's count of statements in progress or waiting."""
+        self.figures.record_owner(boottime(), count, self.load)
+
     @property
     def has_idle(self) -> bool:
         """Returns whether a statement can run without opening a connection here."""
--- a/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
@@ -42,6 +42,17 @@
         self.value = 0.0
 
 
+class LabelledGauge:
+    """Values that go up and down, by the values of the labels."""
+
+    __slots__ = ("help", "labels", "name", "values")
+
+    def __init__(self, name: str, text: str, *labels: str) -> None:
+        self.name, self.help, self.labels = name, text, labels
+        # Replaced as a whole, so that labels of what is gone do not stay.
+        self.values: dict[Labels, float] = {}
+
+
 class Histogram:
     """Counts durations in seconds by bucket, for each value of its label."""
 
@@ -72,6 +83,9 @@
         "changes",
         "ended_transactions",
         "latency",
+        "load_ages",
+        "load_spreads",
+        "loads",
         "promotions",
         "refused_announcements",
         "refused_operations",
@@ -101,6 +115,23 @@
             "reason",
         )
         self.sessions = Gauge("bronzemoor_sessions", "Open client sessions")
+        self.loads = LabelledGauge(
+            "bronzemoor_member_load",
+            "Statements believed in progress at a member",
+            "group",
+            "member",
+        )
+        self.load_ages = LabelledGauge(
+            "bronzemoor_member_load_age_seconds",
+            "Age of the newest figure that other proxies told of a member's load",
+            "group",
+            "member",
+        )
+        self.load_spreads = LabelledGauge(
+            "bronzemoor_group_load_spread",
+            "Believed load of a group's busiest member over the mean of its members",
+            "group",
+        )
         self.promotions = Counter(
             "bronzemoor_promotions",
             "Promotions ordered by this control leader",
@@ -139,6 +170,10 @@
             self.sent_bytes,
         )
 
+    @property
+    def gauges(self) -> tuple[LabelledGauge, ...]:
+        return self.loads, self.load_ages, self.load_spreads
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         from bronzemoor_daemon.wire.exposition import render
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -26,6 +26,7 @@
 from bronzemoor_daemon.wire.execution import Attempt
 from bronzemoor_daemon.wire.groups import Group
 from bronzemoor_daemon.wire.links import Link, Links
+from bronzemoor_daemon.wire.memberloads import MemberLoads
 from bronzemoor_daemon.wire.memberpool import MemberPool
 from bronzemoor_daemon.wire.metrics import WireMetrics
 from bronzemoor_daemon.wire.ports import DocumentReader, StatementCodec
@@ -107,6 +108,7 @@
             codec, self.links, self._find_pool, self._is_current_primary, report
         )
         self._proxies_version = 0
+        self._loads = MemberLoads(report, metrics)
 
     # --- life cycle
 
@@ -279,6 +281,7 @@
             now = boottime()
             for group in self._groups.values():
                 group.trim(now)
+            self._loads.update(now, self._groups)
             self._relay_server.trim(now)
 
     async def _report_loop(self) -> None:
@@ -412,10 +415,13 @@
                 del self._groups[name]
             for view in message.groups:
                 self.group(view.group).apply_topology(view)
+            self._loads.set_topology(message.groups)
         self._grant_number, self._granted_at = message.number, now
         sent_at = self._report_times.pop(message.sequence, None)
         if sent_at is not None:
             self._record_samples(sent_at, message)
+            if message.topology_version == self._topology_version:
+                self._loads.record(now, sent_at, message.loads, self._groups)
         if sent_at is not None and message.lease_ms > 0:
             current = message.topology_version == self._topology_version
             if current:
--- a/packages/daemon/src/bronzemoor_daemon/wire/relays.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/relays.py
@@ -70,11 +70,14 @@
         # Completed when no answer is outstanding; None unless someone waits for it.
         self._settled: asyncio.Future[None] | None = None
         self._is_open = True
+        self._last_commit = ZERO
         self.owner = owner
         self.channel = channel
         self.member = member
         # Never called here: the owner evicts a transaction by closing the channel.
         self.on_evicted: Callable[[], None] | None = None
+        # Receives the owner's count of statements in progress at the member.
+        self.on_load: Callable[[int], None] | None = None
 
     @property
     def is_open(self) -> bool:
@@ -83,6 +86,7 @@
     def apply_session(self, session: SessionState) -> None:
         """Makes the owner set the session's values on the connection."""
         self._values = dict(session.values)
+        self._last_commit = session.last_commit
 
     def query(
         self,
@@ -108,13 +112,15 @@
         message = RelayStatement(
             self.channel, number, query_id, text, required.term, required.offset,
             shape is not None, writes, body, values is not None, values or {},
-            leading_term,
+            leading_term, required == self._last_commit != ZERO,
         )  # fmt: skip
         self._links.request(self.owner, message)
         return future
 
     def handle_answer(self, message: RelayAnswer) -> None:
         """Handles an answer, or a message that there will be none."""
+        if self.on_load is not None:
+            self.on_load(message.in_progress)
         future = self._pending.pop(message.number, None)
         self._notify_settled()
         if future is None or future.done():
@@ -224,6 +230,7 @@
             while True:
                 async with asyncio.timeout(limit):
                     status = await statuses.get()
+                pool.record_owner_load(status.in_progress)
                 if status.state != WAITING:
                     break
                 limit = max(0.0, deadline - boottime()) + OWNER_TIMEOUT_SECONDS
@@ -242,7 +249,9 @@
         if status.state == REFUSED:
             now = boottime()
             pool.relay_refused(now, status.failing_ms / 1_000, now - started)
-        if connection is None:
+        if connection is not None:
+            connection.on_load = pool.record_owner_load
+        else:
             reason = status.reason or "channel closed immediately"
             raise NoConnection(reason, step="relay", peer=owner)
         return connection
--- a/packages/daemon/src/bronzemoor_daemon/wire/relayserver.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/relayserver.py
@@ -11,9 +11,9 @@
     RelayStatement,
     RelayStatus,
 )
-from bronzemoor_core.positions import Position
+from bronzemoor_core.positions import ZERO, Position
 from bronzemoor_core.wire.sessionstate import SessionState
-from bronzemoor_core.wire.statements import IDLE, NOT_PRIMARY, Answer
+from bronzemoor_core.wire.statements import IDLE, LAGGING, NOT_PRIMARY, Answer
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.exceptions import NoConnection
 from bronzemoor_daemon.wire.links import Link, Links
@@ -80,7 +80,7 @@
         if connection is not None:
             self._add_channel(key, pool, connection)
             return
-        self._send_status(key, WAITING)
+        self._send_status(key, WAITING, in_progress=pool.load)
         task = self._tasks.start(self._open(key, pool, message), "open-channel")
         self._pending_opens[key] = task
         task.add_done_callback(lambda _: self._pending_opens.pop(key, None))
@@ -95,7 +95,13 @@
             )
         except NoConnection as error:
             failing_ms = max(-1, int(pool.failing_for(boottime()) * 1_000))
-            self._send_status(key, REFUSED, error.message, failing_ms=failing_ms)
+            self._send_status(
+                key,
+                REFUSED,
+                error.message,
+                failing_ms=failing_ms,
+                in_progress=pool.load,
+            )
             return
         except Exception as error:  # the other proxy waits for an answer
             self._send_status(key, REFUSED, repr(error))
@@ -108,7 +114,7 @@
         self._channels[key] = Channel(pool, connection)
         connection.on_lost = lambda: self._end_channel(key, "closed by the member")
         connection.on_evicted = lambda: self._end_channel(key, "others wait for it")
-        self._send_status(key, OPEN, member=pool.member)
+        self._send_status(key, OPEN, member=pool.member, in_progress=pool.load)
 
     def on_statement(self, link: Link, message: RelayStatement) -> None:
         key = (link, message.channel)
@@ -122,10 +128,15 @@
             channel.refused or not self._is_current_primary(now, channel.pool, term)
         ):
             channel.refused = True
-            state = channel.connection.last_state
-            refusal = Answer(error=NOT_PRIMARY, message=b"replaced", state=state)
-            self._send_answer(key, message.number, self._codec.encode_answer(refusal))
+            self._refuse(key, channel, message.number, NOT_PRIMARY, b"replaced")
             return
+        required = Position(message.required_term, message.required_offset)
+        if required != ZERO:
+            lag = channel.pool.lag
+            if not lag.may_ask(now, required):
+                self._refuse(key, channel, message.number, LAGGING, b"known to lag")
+                return
+            lag.claim(now, required)
         if message.sets_values:
             channel.session.values = message.values
             channel.connection.apply_session(channel.session)
@@ -133,23 +144,44 @@
         future = channel.connection.query(
             message.query_id,
             message.text,
-            Position(message.required_term, message.required_offset),
+            required,
             shape,
         )
         future.add_done_callback(
-            lambda done: self._on_answer(key, message.number, done)
+            lambda done: self._on_answer(key, channel.pool, message, done)
+        )
+
+    def _refuse(
+        self, key: ChannelKey, channel: Channel, number: int, code: str, text: bytes
+    ) -> None:
+        state = channel.connection.last_state
+        answer = self._codec.encode_answer(
+            Answer(error=code, message=text, state=state)
         )
+        self._send_answer(key, number, answer, in_progress=channel.pool.load)
 
     def _on_answer(
-        self, key: ChannelKey, number: int, future: "asyncio.Future[Answer]"
+        self,
+        key: ChannelKey,
+        pool: "MemberPool",
+        message: RelayStatement,
+        future: "asyncio.Future[Answer]",
     ) -> None:
         if future.cancelled():
             return
         error = future.exception()
         if error is not None:
-            self._send_answer(key, number, b"", str(error))
-        else:
-            self._send_answer(key, number, self._codec.encode_answer(future.result()))
+            self._send_answer(key, message.number, b"", str(error))
+            return
+        answer = future.result()
+        required = Position(message.required_term, message.required_offset)
+        if required != ZERO:
+            if answer.ok:
+                pool.lag.record_reached(required)
+            elif answer.error == LAGGING and not message.own_commit:
+                pool.lag.record_lacked(boottime(), required)
+        encoded = self._codec.encode_answer(answer)
+        self._send_answer(key, message.number, encoded, in_progress=pool.load)
 
     def on_close(self, link: Link, message: RelayClose) -> None:
         key = (link, message.channel)
@@ -196,11 +228,18 @@
         reason: str = "",
         member: str = "",
         failing_ms: int = -1,
+        in_progress: int = -1,
     ) -> None:
-        status = RelayStatus(key[1], state, reason, member, failing_ms)
+        status = RelayStatus(key[1], state, reason, member, failing_ms, in_progress)
         self._links.reply(key[0], status)
 
     def _send_answer(
-        self, key: ChannelKey, number: int, answer: bytes, reason: str = ""
+        self,
+        key: ChannelKey,
+        number: int,
+        answer: bytes,
+        reason: str = "",
+        in_progress: int = -1,
     ) -> None:
-        self._links.reply(key[0], RelayAnswer(key[1], number, answer, reason))
+        reply = RelayAnswer(key[1], number, answer, reason, in_progress)
+        self._links.reply(key[0], reply)
--- a/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
@@ -329,7 +329,7 @@
             self._proxy.record_failed_attempt(attempt, pool.member, str(error))
             return None
         now = boottime()
-        pool.record_success(now, now - sent_at)
+        pool.record_success(now, now - sent_at, answer.error)
         if answer.ok and self._group.is_current_primary(now, pool.member, self._term):
             self._group.samples.record(sent_at, answer.position)
         return answer
--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -102,6 +102,7 @@
 
     class Pool:
         member = "m"
+        load = 0
         take_idle = staticmethod(lambda session, caller: Connection())
 
     class Links:
@@ -152,6 +153,7 @@
 
     class Pool:
         member = "m"
+        load = 0
         take_idle = staticmethod(lambda session, caller: Connection())
         release = staticmethod(lambda item, clean: released.append((item, clean)))
 
