Divide members' connections among data centres by demand

Most of the connections of data centres far from a member were idle, while those near it changed hands between 84 organisations.

Change: owners report how often they assigned a member's connections, and the control leader divides them by what was used lately. What one data centre gives up is assigned to another only after every proxy confirmed the lowered shares. Only where members have connections by organisation.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -52,7 +52,7 @@
 
 struct JoinRequest { 1: string identity, 2: i64 incarnation }
 struct MemberView {
-  1: string member, 2: string address, 3: string zone, 4: bool leaving, 5: bool primary
+  1: string member, 2: string address, 3: string zone, 4: bool leaving, 5: bool primary, 6: map<string, i32> shares
 }
 struct GroupView {
   1: string group, 2: i64 term, 3: string primary, 4: list<MemberView> members, 5: i32 connections,
@@ -62,7 +62,7 @@
   1: string group, 2: string member, 3: i64 term, 4: i64 failing_ms, 5: i64 succeeded_ms,
   6: i64 stalled_ms, 7: i64 acknowledged_term, 8: i64 acknowledged_offset, 9: list<string> unreachable,
   10: i64 sample_term, 11: i64 sample_offset, 12: i64 sample_after_ms, 13: i64 committed_ms,
-  14: i64 refused_ms, 15: list<i32> loads
+  14: i64 refused_ms, 15: list<i32> loads, 16: list<i32> uses
 }
 struct PositionSample { 1: string group, 2: i64 term, 3: i64 offset, 4: i64 age_ms }
 struct ProxyReport {
--- a/packages/core/src/bronzemoor_core/messages.py
+++ b/packages/core/src/bronzemoor_core/messages.py
@@ -265,6 +265,8 @@
     zone: str
     leaving: bool = False
     primary: bool = False
+    # Connections by data centre; empty if ``GroupView.connections`` applies to each.
+    shares: dict[str, int] = field(default_factory=dict)
 
 
 @message
@@ -295,7 +297,8 @@
     statement that was sent ``sample_after_ms`` after the grant named by the report had
     arrived, -1 without a sample. ``refused_ms`` is how long ago the primary last
     answered BUSY to a statement, -1 if never. ``loads`` has the encoded average numbers
-    of statements in progress at the members whose connections this proxy owns.
+    of statements in progress at the members whose connections this proxy owns, and
+    ``uses`` how often their connections were used since the last report.
     """
 
     group: str
@@ -313,6 +316,7 @@
     committed_ms: int = -1
     refused_ms: int = -1
     loads: list[int] = field(default_factory=list)
+    uses: list[int] = field(default_factory=list)
 
 
 @message
--- a/packages/core/src/bronzemoor_core/wire/zoneproxies.py
+++ b/packages/core/src/bronzemoor_core/wire/zoneproxies.py
@@ -35,6 +35,11 @@
     def zone_count(self) -> int:
         return len(set(self._zones.values()))
 
+    @property
+    def zones(self) -> list[str]:
+        """The zones that have proxies, sorted by name."""
+        return sorted(set(self._zones.values()))
+
     def zone(self, proxy: str) -> str:
         """Returns the proxy's zone, empty if it is unknown or draining."""
         return self._zones.get(proxy, "")
--- a/packages/daemon/src/bronzemoor_daemon/gen/peer/Peer.py
+++ b/packages/daemon/src/bronzemoor_daemon/gen/peer/Peer.py
@@ -151,11 +151,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.envelopes = []
-                    (_etype204, _size201) = iprot.readListBegin()
-                    for _i205 in range(_size201):
-                        _elem206 = Envelope()
-                        _elem206.read(iprot)
-                        self.envelopes.append(_elem206)
+                    (_etype220, _size217) = iprot.readListBegin()
+                    for _i221 in range(_size217):
+                        _elem222 = Envelope()
+                        _elem222.read(iprot)
+                        self.envelopes.append(_elem222)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -172,8 +172,8 @@
         if self.envelopes is not None:
             oprot.writeFieldBegin('envelopes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.envelopes))
-            for iter207 in self.envelopes:
-                iter207.write(oprot)
+            for iter223 in self.envelopes:
+                iter223.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
+++ b/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
@@ -2402,16 +2402,18 @@
      - zone
      - leaving
      - primary
+     - shares
 
     """
 
 
-    def __init__(self, member=None, address=None, zone=None, leaving=None, primary=None,):
+    def __init__(self, member=None, address=None, zone=None, leaving=None, primary=None, shares=None,):
         self.member = member
         self.address = address
         self.zone = zone
         self.leaving = leaving
         self.primary = primary
+        self.shares = shares
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2447,6 +2449,17 @@
                     self.primary = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.MAP:
+                    self.shares = {}
+                    (_ktype130, _vtype131, _size129) = iprot.readMapBegin()
+                    for _i133 in range(_size129):
+                        _key134 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val135 = iprot.readI32()
+                        self.shares[_key134] = _val135
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2477,6 +2490,14 @@
             oprot.writeFieldBegin('primary', TType.BOOL, 5)
             oprot.writeBool(self.primary)
             oprot.writeFieldEnd()
+        if self.shares is not None:
+            oprot.writeFieldBegin('shares', TType.MAP, 6)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.shares))
+            for kiter136, viter137 in self.shares.items():
+                oprot.writeString(kiter136.encode('utf-8') if sys.version_info[0] == 2 else kiter136)
+                oprot.writeI32(viter137)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2543,11 +2564,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype132, _size129) = iprot.readListBegin()
-                    for _i133 in range(_size129):
-                        _elem134 = MemberView()
-                        _elem134.read(iprot)
-                        self.members.append(_elem134)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = MemberView()
+                        _elem143.read(iprot)
+                        self.members.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2586,8 +2607,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter135 in self.members:
-                iter135.write(oprot)
+            for iter144 in self.members:
+                iter144.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.connections is not None:
@@ -2634,11 +2655,12 @@
      - committed_ms
      - refused_ms
      - loads
+     - uses
 
     """
 
 
-    def __init__(self, group=None, member=None, term=None, failing_ms=None, succeeded_ms=None, stalled_ms=None, acknowledged_term=None, acknowledged_offset=None, unreachable=None, sample_term=None, sample_offset=None, sample_after_ms=None, committed_ms=None, refused_ms=None, loads=None,):
+    def __init__(self, group=None, member=None, term=None, failing_ms=None, succeeded_ms=None, stalled_ms=None, acknowledged_term=None, acknowledged_offset=None, unreachable=None, sample_term=None, sample_offset=None, sample_after_ms=None, committed_ms=None, refused_ms=None, loads=None, uses=None,):
         self.group = group
         self.member = member
         self.term = term
@@ -2654,6 +2676,7 @@
         self.committed_ms = committed_ms
         self.refused_ms = refused_ms
         self.loads = loads
+        self.uses = uses
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2707,10 +2730,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.unreachable = []
-                    (_etype139, _size136) = iprot.readListBegin()
-                    for _i140 in range(_size136):
-                        _elem141 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.unreachable.append(_elem141)
+                    (_etype148, _size145) = iprot.readListBegin()
+                    for _i149 in range(_size145):
+                        _elem150 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.unreachable.append(_elem150)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2742,10 +2765,20 @@
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype145, _size142) = iprot.readListBegin()
-                    for _i146 in range(_size142):
-                        _elem147 = iprot.readI32()
-                        self.loads.append(_elem147)
+                    (_etype154, _size151) = iprot.readListBegin()
+                    for _i155 in range(_size151):
+                        _elem156 = iprot.readI32()
+                        self.loads.append(_elem156)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.uses = []
+                    (_etype160, _size157) = iprot.readListBegin()
+                    for _i161 in range(_size157):
+                        _elem162 = iprot.readI32()
+                        self.uses.append(_elem162)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2794,8 +2827,8 @@
         if self.unreachable is not None:
             oprot.writeFieldBegin('unreachable', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.unreachable))
-            for iter148 in self.unreachable:
-                oprot.writeString(iter148.encode('utf-8') if sys.version_info[0] == 2 else iter148)
+            for iter163 in self.unreachable:
+                oprot.writeString(iter163.encode('utf-8') if sys.version_info[0] == 2 else iter163)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sample_term is not None:
@@ -2821,8 +2854,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 15)
             oprot.writeListBegin(TType.I32, len(self.loads))
-            for iter149 in self.loads:
-                oprot.writeI32(iter149)
+            for iter164 in self.loads:
+                oprot.writeI32(iter164)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.uses is not None:
+            oprot.writeFieldBegin('uses', TType.LIST, 16)
+            oprot.writeListBegin(TType.I32, len(self.uses))
+            for iter165 in self.uses:
+                oprot.writeI32(iter165)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2997,11 +3037,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype153, _size150) = iprot.readListBegin()
-                    for _i154 in range(_size150):
-                        _elem155 = GroupReport()
-                        _elem155.read(iprot)
-                        self.groups.append(_elem155)
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = GroupReport()
+                        _elem171.read(iprot)
+                        self.groups.append(_elem171)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3053,8 +3093,8 @@
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter156 in self.groups:
-                iter156.write(oprot)
+            for iter172 in self.groups:
+                iter172.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.last_grant is not None:
@@ -3164,32 +3204,32 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype160, _size157) = iprot.readListBegin()
-                    for _i161 in range(_size157):
-                        _elem162 = GroupView()
-                        _elem162.read(iprot)
-                        self.groups.append(_elem162)
+                    (_etype176, _size173) = iprot.readListBegin()
+                    for _i177 in range(_size173):
+                        _elem178 = GroupView()
+                        _elem178.read(iprot)
+                        self.groups.append(_elem178)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.controls = []
-                    (_etype166, _size163) = iprot.readListBegin()
-                    for _i167 in range(_size163):
-                        _elem168 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.controls.append(_elem168)
+                    (_etype182, _size179) = iprot.readListBegin()
+                    for _i183 in range(_size179):
+                        _elem184 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.controls.append(_elem184)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.samples = []
-                    (_etype172, _size169) = iprot.readListBegin()
-                    for _i173 in range(_size169):
-                        _elem174 = PositionSample()
-                        _elem174.read(iprot)
-                        self.samples.append(_elem174)
+                    (_etype188, _size185) = iprot.readListBegin()
+                    for _i189 in range(_size185):
+                        _elem190 = PositionSample()
+                        _elem190.read(iprot)
+                        self.samples.append(_elem190)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3201,10 +3241,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.proxies = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.proxies.append(_elem180)
+                    (_etype194, _size191) = iprot.readListBegin()
+                    for _i195 in range(_size191):
+                        _elem196 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.proxies.append(_elem196)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3216,10 +3256,10 @@
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype184, _size181) = iprot.readListBegin()
-                    for _i185 in range(_size181):
-                        _elem186 = iprot.readI32()
-                        self.loads.append(_elem186)
+                    (_etype200, _size197) = iprot.readListBegin()
+                    for _i201 in range(_size197):
+                        _elem202 = iprot.readI32()
+                        self.loads.append(_elem202)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3260,22 +3300,22 @@
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter187 in self.groups:
-                iter187.write(oprot)
+            for iter203 in self.groups:
+                iter203.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.controls is not None:
             oprot.writeFieldBegin('controls', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.controls))
-            for iter188 in self.controls:
-                oprot.writeString(iter188.encode('utf-8') if sys.version_info[0] == 2 else iter188)
+            for iter204 in self.controls:
+                oprot.writeString(iter204.encode('utf-8') if sys.version_info[0] == 2 else iter204)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.samples is not None:
             oprot.writeFieldBegin('samples', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.samples))
-            for iter189 in self.samples:
-                iter189.write(oprot)
+            for iter205 in self.samples:
+                iter205.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.number is not None:
@@ -3285,8 +3325,8 @@
         if self.proxies is not None:
             oprot.writeFieldBegin('proxies', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.proxies))
-            for iter190 in self.proxies:
-                oprot.writeString(iter190.encode('utf-8') if sys.version_info[0] == 2 else iter190)
+            for iter206 in self.proxies:
+                oprot.writeString(iter206.encode('utf-8') if sys.version_info[0] == 2 else iter206)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.proxies_version is not None:
@@ -3296,8 +3336,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 14)
             oprot.writeListBegin(TType.I32, len(self.loads))
-            for iter191 in self.loads:
-                oprot.writeI32(iter191)
+            for iter207 in self.loads:
+                oprot.writeI32(iter207)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3639,11 +3679,11 @@
             elif fid == 11:
                 if ftype == TType.MAP:
                     self.values = {}
-                    (_ktype193, _vtype194, _size192) = iprot.readMapBegin()
-                    for _i196 in range(_size192):
-                        _key197 = iprot.readBinary()
-                        _val198 = iprot.readBinary()
-                        self.values[_key197] = _val198
+                    (_ktype209, _vtype210, _size208) = iprot.readMapBegin()
+                    for _i212 in range(_size208):
+                        _key213 = iprot.readBinary()
+                        _val214 = iprot.readBinary()
+                        self.values[_key213] = _val214
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -3710,9 +3750,9 @@
         if self.values is not None:
             oprot.writeFieldBegin('values', TType.MAP, 11)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.values))
-            for kiter199, viter200 in self.values.items():
-                oprot.writeBinary(kiter199)
-                oprot.writeBinary(viter200)
+            for kiter215, viter216 in self.values.items():
+                oprot.writeBinary(kiter215)
+                oprot.writeBinary(viter216)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.leading_term is not None:
@@ -4635,6 +4675,7 @@
     (3, TType.STRING, 'zone', 'UTF8', None, ),  # 3
     (4, TType.BOOL, 'leaving', None, None, ),  # 4
     (5, TType.BOOL, 'primary', None, None, ),  # 5
+    (6, TType.MAP, 'shares', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 6
 )
 all_structs.append(GroupView)
 GroupView.thrift_spec = (
@@ -4664,6 +4705,7 @@
     (13, TType.I64, 'committed_ms', None, None, ),  # 13
     (14, TType.I64, 'refused_ms', None, None, ),  # 14
     (15, TType.LIST, 'loads', (TType.I32, None, False), None, ),  # 15
+    (16, TType.LIST, 'uses', (TType.I32, None, False), None, ),  # 16
 )
 all_structs.append(PositionSample)
 PositionSample.thrift_spec = (
--- a/packages/daemon/src/bronzemoor_daemon/wire/groups.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/groups.py
@@ -17,6 +17,7 @@
     sort_by_expected_delay,
 )
 from bronzemoor_core.wire.sessionstate import SessionState
+from bronzemoor_core.wire.zoneshares import MIN_ZONE_SHARE
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.memberpool import MemberPool
 from bronzemoor_daemon.wire.ports import StatementCodec
@@ -119,7 +120,10 @@
             pool.leaving = item.leaving
             pool.is_primary = item.primary
             pool.by_organisation = self.by_organisation
-            pool.set_limit(view.connections, view.shared)
+            limit = view.connections
+            if item.shares:
+                limit = item.shares.get(self._zone, MIN_ZONE_SHARE)
+            pool.set_limit(limit, view.shared)
             if not self.by_organisation:
                 pool.warm(WARM_CONNECTIONS)
         if (view.term, view.primary) != (self.term, self.primary):
@@ -280,6 +284,7 @@
             age(self._committed_at),
             age(pool.refused_at) if pool else -1,
             self._owned_loads() if self._shared else [],
+            self._collect_uses() if self._shared and self._by_organisation else [],
         )
 
     def _owned_loads(self) -> list[int]:
@@ -290,6 +295,14 @@
             if (load := self._pools[member].owned_load)
         ]
 
+    def _collect_uses(self) -> list[int]:
+        """Returns how often each member's connections were used since the last call."""
+        return [
+            encode_load(index, uses)
+            for index, member in enumerate(self._members)
+            if (uses := self._pools[member].collect_uses())
+        ]
+
 
 def _accepts_work(now: float, pool: MemberPool) -> bool:
     use_seconds = (
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -20,7 +20,7 @@
 from bronzemoor_core.wire.deployment import Deployment
 from bronzemoor_core.wire.freshness import SampleExchange
 from bronzemoor_core.wire.leases import LeaseTable
-from bronzemoor_core.wire.loadexchange import LoadExchange
+from bronzemoor_core.wire.loadexchange import LoadExchange, decode_loads
 from bronzemoor_core.wire.records import (
     LeaderRecord,
     MemberRecord,
@@ -32,6 +32,7 @@
 from bronzemoor_core.wire.reportorder import ReportAge, ReportOrder
 from bronzemoor_core.wire.succession import Evidence
 from bronzemoor_core.wire.zoneproxies import ZoneProxies
+from bronzemoor_core.wire.zoneshares import ZoneShares
 from bronzemoor_daemon.wire.clock import boottime, logged_ms
 from bronzemoor_daemon.wire.metrics import WireMetrics
 from bronzemoor_daemon.wire.ports import (
@@ -113,6 +114,7 @@
         self._zone_proxies = ZoneProxies(self.leases)
         self.samples = SampleExchange()
         self._loads = LoadExchange()
+        self._shares = ZoneShares()
         self.evidence: dict[str, dict[str, Evidence]] = {}
         self.records_changed()
 
@@ -247,7 +249,14 @@
         record = self.leader_record(group)
         usable = not record.candidate and not self._supervisors[group].revoked
         members = [
-            MemberView(item.member, item.address, item.zone, item.leaving, item.primary)
+            MemberView(
+                item.member,
+                item.address,
+                item.zone,
+                item.leaving,
+                item.primary,
+                self._shares.shares(item.member),
+            )
             for item in self.members(group)
         ]
         for view in members:
@@ -282,6 +291,40 @@
         share = (limit - RESERVED_CONNECTIONS) // zones
         return max(1, min(share, MAX_ZONE_SHARE)), True
 
+    def _record_uses(self, now: float, report: ProxyReport) -> None:
+        """Records which members' connections the proxy's data centre uses."""
+        if report.topology_version != self._topology_version:
+            return
+        members = {view.group: view.members for view in self._views}
+        for item in report.groups:
+            known = members.get(item.group, [])
+            for index, uses in decode_loads(item.uses, len(known)).items():
+                self._shares.record_use(now, known[index].member, report.zone, uses)
+
+    def _divide_connections(self, now: float) -> None:
+        """Moves connections of members to the data centres that use them.
+
+        Only where members have connections by organisation: others can be used by any
+        statement, so that few suffice.
+        """
+        if self.deployment is None or not self.deployment.organisations:
+            return
+        if self._shares.is_changing:
+            if self.leases.waiting_for(now, self._topology_version):
+                return
+            self._shares.confirmed()
+            self.refresh_topology()
+            return
+        limits = {
+            member.member: self.deployment.groups[view.group].max_connections
+            - RESERVED_CONNECTIONS
+            for view in self._views
+            if view.shared and view.group in self.deployment.groups
+            for member in view.members
+        }
+        if self._shares.divide(now, limits, self._zone_proxies.zones):
+            self.refresh_topology()
+
     def _schedule_announcement(self) -> None:
         """Schedules one announcement for deployments that follow each other closely."""
         if self._announce_timer is None:
@@ -403,6 +446,8 @@
             supervisor = self._supervisors.get(item.group)
             if supervisor is not None:
                 supervisor.on_group_report(item)
+        self._record_uses(now, report)
+        self._divide_connections(now)
         self._record_sharing()
         held = self.leases.holds(now, proxy)
         lease = self.leases.grant(now, proxy, self._control.log.confirmed_at)
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
@@ -94,6 +94,8 @@
         self._shared = False
         # Whether connections are opened for organisations instead of for this proxy.
         self.by_organisation = False
+        # How often a connection was assigned since the last report.
+        self._uses = 0
         # Number of channels open or requested at other proxies.
         self._channel_count = 0
 
@@ -122,6 +124,11 @@
         """Returns whether a statement can run without opening a connection here."""
         return bool(self._idle) or bool(self._owner(boottime()))
 
+    def collect_uses(self) -> int:
+        """Returns how often connections were assigned since the last call."""
+        uses, self._uses = self._uses, 0
+        return uses
+
     def _owner(self, now: float) -> str:
         """Returns the proxy that owns the connections, empty for this one."""
         if not self._shared or self._relays is None:
@@ -171,7 +178,9 @@
             self._open_more()
         try:
             async with asyncio.timeout(timeout):
-                return await future
+                connection = await future
+                self._uses += 1
+                return connection
         except TimeoutError:
             self._return_connection(future)
             if len(self._open) >= self._limit:
@@ -314,6 +323,7 @@
         if session is not None:
             chosen = next((c for c in usable if c.session is session), chosen)
         self._idle.remove(chosen)
+        self._uses += 1
         return chosen
 
     def _return_connection(self, future: asyncio.Future[MemberConnection]) -> None:
