Merge load balancing with stale figures, and shares of connections by demand

Change: load figures of owners and of the leader that count less as they age, two random choices among about equal members, single probes of failing and lagging ones; members' connections follow demand where organisations have connections of their own.

--- a/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
+++ b/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
@@ -2402,16 +2402,18 @@
      - zone
      - leaving
      - primary
+     - shares
 
     """
 
 
-    def __init__(self, member=None, address=None, zone=None, leaving=None, primary=None,):
+    def __init__(self, member=None, address=None, zone=None, leaving=None, primary=None, shares=None,):
         self.member = member
         self.address = address
         self.zone = zone
         self.leaving = leaving
         self.primary = primary
+        self.shares = shares
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2447,6 +2449,17 @@
                     self.primary = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.MAP:
+                    self.shares = {}
+                    (_ktype130, _vtype131, _size129) = iprot.readMapBegin()
+                    for _i133 in range(_size129):
+                        _key134 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val135 = iprot.readI32()
+                        self.shares[_key134] = _val135
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2477,6 +2490,14 @@
             oprot.writeFieldBegin('primary', TType.BOOL, 5)
             oprot.writeBool(self.primary)
             oprot.writeFieldEnd()
+        if self.shares is not None:
+            oprot.writeFieldBegin('shares', TType.MAP, 6)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.shares))
+            for kiter136, viter137 in self.shares.items():
+                oprot.writeString(kiter136.encode('utf-8') if sys.version_info[0] == 2 else kiter136)
+                oprot.writeI32(viter137)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2543,11 +2564,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype132, _size129) = iprot.readListBegin()
-                    for _i133 in range(_size129):
-                        _elem134 = MemberView()
-                        _elem134.read(iprot)
-                        self.members.append(_elem134)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = MemberView()
+                        _elem143.read(iprot)
+                        self.members.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2586,8 +2607,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter135 in self.members:
-                iter135.write(oprot)
+            for iter144 in self.members:
+                iter144.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.connections is not None:
@@ -2633,11 +2654,13 @@
      - sample_after_ms
      - committed_ms
      - refused_ms
+     - loads
+     - uses
 
     """
 
 
-    def __init__(self, group=None, member=None, term=None, failing_ms=None, succeeded_ms=None, stalled_ms=None, acknowledged_term=None, acknowledged_offset=None, unreachable=None, sample_term=None, sample_offset=None, sample_after_ms=None, committed_ms=None, refused_ms=None,):
+    def __init__(self, group=None, member=None, term=None, failing_ms=None, succeeded_ms=None, stalled_ms=None, acknowledged_term=None, acknowledged_offset=None, unreachable=None, sample_term=None, sample_offset=None, sample_after_ms=None, committed_ms=None, refused_ms=None, loads=None, uses=None,):
         self.group = group
         self.member = member
         self.term = term
@@ -2652,6 +2675,8 @@
         self.sample_after_ms = sample_after_ms
         self.committed_ms = committed_ms
         self.refused_ms = refused_ms
+        self.loads = loads
+        self.uses = uses
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2705,10 +2730,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.unreachable = []
-                    (_etype139, _size136) = iprot.readListBegin()
-                    for _i140 in range(_size136):
-                        _elem141 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.unreachable.append(_elem141)
+                    (_etype148, _size145) = iprot.readListBegin()
+                    for _i149 in range(_size145):
+                        _elem150 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.unreachable.append(_elem150)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2737,6 +2762,26 @@
                     self.refused_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype154, _size151) = iprot.readListBegin()
+                    for _i155 in range(_size151):
+                        _elem156 = iprot.readI32()
+                        self.loads.append(_elem156)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.uses = []
+                    (_etype160, _size157) = iprot.readListBegin()
+                    for _i161 in range(_size157):
+                        _elem162 = iprot.readI32()
+                        self.uses.append(_elem162)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2782,8 +2827,8 @@
         if self.unreachable is not None:
             oprot.writeFieldBegin('unreachable', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.unreachable))
-            for iter142 in self.unreachable:
-                oprot.writeString(iter142.encode('utf-8') if sys.version_info[0] == 2 else iter142)
+            for iter163 in self.unreachable:
+                oprot.writeString(iter163.encode('utf-8') if sys.version_info[0] == 2 else iter163)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sample_term is not None:
@@ -2806,6 +2851,20 @@
             oprot.writeFieldBegin('refused_ms', TType.I64, 14)
             oprot.writeI64(self.refused_ms)
             oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 15)
+            oprot.writeListBegin(TType.I32, len(self.loads))
+            for iter164 in self.loads:
+                oprot.writeI32(iter164)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.uses is not None:
+            oprot.writeFieldBegin('uses', TType.LIST, 16)
+            oprot.writeListBegin(TType.I32, len(self.uses))
+            for iter165 in self.uses:
+                oprot.writeI32(iter165)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2978,11 +3037,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype146, _size143) = iprot.readListBegin()
-                    for _i147 in range(_size143):
-                        _elem148 = GroupReport()
-                        _elem148.read(iprot)
-                        self.groups.append(_elem148)
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = GroupReport()
+                        _elem171.read(iprot)
+                        self.groups.append(_elem171)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3034,8 +3093,8 @@
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter149 in self.groups:
-                iter149.write(oprot)
+            for iter172 in self.groups:
+                iter172.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.last_grant is not None:
@@ -3083,11 +3142,12 @@
      - number
      - proxies
      - proxies_version
+     - loads
 
     """
 
 
-    def __init__(self, sequence=None, leader=None, lease_ms=None, deployment_version=None, deployment=None, topology_version=None, groups=None, controls=None, samples=None, number=None, proxies=None, proxies_version=None,):
+    def __init__(self, sequence=None, leader=None, lease_ms=None, deployment_version=None, deployment=None, topology_version=None, groups=None, controls=None, samples=None, number=None, proxies=None, proxies_version=None, loads=None,):
         self.sequence = sequence
         self.leader = leader
         self.lease_ms = lease_ms
@@ -3100,6 +3160,7 @@
         self.number = number
         self.proxies = proxies
         self.proxies_version = proxies_version
+        self.loads = loads
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3143,32 +3204,32 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype153, _size150) = iprot.readListBegin()
-                    for _i154 in range(_size150):
-                        _elem155 = GroupView()
-                        _elem155.read(iprot)
-                        self.groups.append(_elem155)
+                    (_etype176, _size173) = iprot.readListBegin()
+                    for _i177 in range(_size173):
+                        _elem178 = GroupView()
+                        _elem178.read(iprot)
+                        self.groups.append(_elem178)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.controls = []
-                    (_etype159, _size156) = iprot.readListBegin()
-                    for _i160 in range(_size156):
-                        _elem161 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.controls.append(_elem161)
+                    (_etype182, _size179) = iprot.readListBegin()
+                    for _i183 in range(_size179):
+                        _elem184 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.controls.append(_elem184)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.samples = []
-                    (_etype165, _size162) = iprot.readListBegin()
-                    for _i166 in range(_size162):
-                        _elem167 = PositionSample()
-                        _elem167.read(iprot)
-                        self.samples.append(_elem167)
+                    (_etype188, _size185) = iprot.readListBegin()
+                    for _i189 in range(_size185):
+                        _elem190 = PositionSample()
+                        _elem190.read(iprot)
+                        self.samples.append(_elem190)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3180,10 +3241,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.proxies = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.proxies.append(_elem173)
+                    (_etype194, _size191) = iprot.readListBegin()
+                    for _i195 in range(_size191):
+                        _elem196 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.proxies.append(_elem196)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3192,6 +3253,16 @@
                     self.proxies_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype200, _size197) = iprot.readListBegin()
+                    for _i201 in range(_size197):
+                        _elem202 = iprot.readI32()
+                        self.loads.append(_elem202)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3229,22 +3300,22 @@
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter174 in self.groups:
-                iter174.write(oprot)
+            for iter203 in self.groups:
+                iter203.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.controls is not None:
             oprot.writeFieldBegin('controls', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.controls))
-            for iter175 in self.controls:
-                oprot.writeString(iter175.encode('utf-8') if sys.version_info[0] == 2 else iter175)
+            for iter204 in self.controls:
+                oprot.writeString(iter204.encode('utf-8') if sys.version_info[0] == 2 else iter204)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.samples is not None:
             oprot.writeFieldBegin('samples', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.samples))
-            for iter176 in self.samples:
-                iter176.write(oprot)
+            for iter205 in self.samples:
+                iter205.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.number is not None:
@@ -3254,14 +3325,21 @@
         if self.proxies is not None:
             oprot.writeFieldBegin('proxies', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.proxies))
-            for iter177 in self.proxies:
-                oprot.writeString(iter177.encode('utf-8') if sys.version_info[0] == 2 else iter177)
+            for iter206 in self.proxies:
+                oprot.writeString(iter206.encode('utf-8') if sys.version_info[0] == 2 else iter206)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.proxies_version is not None:
             oprot.writeFieldBegin('proxies_version', TType.I64, 12)
             oprot.writeI64(self.proxies_version)
             oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 14)
+            oprot.writeListBegin(TType.I32, len(self.loads))
+            for iter207 in self.loads:
+                oprot.writeI32(iter207)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3400,16 +3478,18 @@
      - reason
      - member
      - failing_ms
+     - in_progress
 
     """
 
 
-    def __init__(self, channel=None, state=None, reason=None, member=None, failing_ms=None,):
+    def __init__(self, channel=None, state=None, reason=None, member=None, failing_ms=None, in_progress=None,):
         self.channel = channel
         self.state = state
         self.reason = reason
         self.member = member
         self.failing_ms = failing_ms
+        self.in_progress = in_progress
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3445,6 +3525,11 @@
                     self.failing_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.in_progress = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3475,6 +3560,10 @@
             oprot.writeFieldBegin('failing_ms', TType.I64, 5)
             oprot.writeI64(self.failing_ms)
             oprot.writeFieldEnd()
+        if self.in_progress is not None:
+            oprot.writeFieldBegin('in_progress', TType.I32, 6)
+            oprot.writeI32(self.in_progress)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3508,11 +3597,12 @@
      - sets_values
      - values
      - leading_term
+     - own_commit
 
     """
 
 
-    def __init__(self, channel=None, number=None, query_id=None, text=None, required_term=None, required_offset=None, prepared=None, writes=None, shape=None, sets_values=None, values=None, leading_term=None,):
+    def __init__(self, channel=None, number=None, query_id=None, text=None, required_term=None, required_offset=None, prepared=None, writes=None, shape=None, sets_values=None, values=None, leading_term=None, own_commit=None,):
         self.channel = channel
         self.number = number
         self.query_id = query_id
@@ -3525,6 +3615,7 @@
         self.sets_values = sets_values
         self.values = values
         self.leading_term = leading_term
+        self.own_commit = own_commit
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3588,11 +3679,11 @@
             elif fid == 11:
                 if ftype == TType.MAP:
                     self.values = {}
-                    (_ktype179, _vtype180, _size178) = iprot.readMapBegin()
-                    for _i182 in range(_size178):
-                        _key183 = iprot.readBinary()
-                        _val184 = iprot.readBinary()
-                        self.values[_key183] = _val184
+                    (_ktype209, _vtype210, _size208) = iprot.readMapBegin()
+                    for _i212 in range(_size208):
+                        _key213 = iprot.readBinary()
+                        _val214 = iprot.readBinary()
+                        self.values[_key213] = _val214
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -3601,6 +3692,11 @@
                     self.leading_term = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.BOOL:
+                    self.own_commit = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3654,15 +3750,19 @@
         if self.values is not None:
             oprot.writeFieldBegin('values', TType.MAP, 11)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.values))
-            for kiter185, viter186 in self.values.items():
-                oprot.writeBinary(kiter185)
-                oprot.writeBinary(viter186)
+            for kiter215, viter216 in self.values.items():
+                oprot.writeBinary(kiter215)
+                oprot.writeBinary(viter216)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.leading_term is not None:
             oprot.writeFieldBegin('leading_term', TType.I64, 12)
             oprot.writeI64(self.leading_term)
             oprot.writeFieldEnd()
+        if self.own_commit is not None:
+            oprot.writeFieldBegin('own_commit', TType.BOOL, 13)
+            oprot.writeBool(self.own_commit)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3688,15 +3788,17 @@
      - number
      - answer
      - reason
+     - in_progress
 
     """
 
 
-    def __init__(self, channel=None, number=None, answer=None, reason=None,):
+    def __init__(self, channel=None, number=None, answer=None, reason=None, in_progress=None,):
         self.channel = channel
         self.number = number
         self.answer = answer
         self.reason = reason
+        self.in_progress = in_progress
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3727,6 +3829,11 @@
                     self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.in_progress = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3753,6 +3860,10 @@
             oprot.writeFieldBegin('reason', TType.STRING, 4)
             oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
             oprot.writeFieldEnd()
+        if self.in_progress is not None:
+            oprot.writeFieldBegin('in_progress', TType.I32, 5)
+            oprot.writeI32(self.in_progress)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4564,6 +4675,7 @@
     (3, TType.STRING, 'zone', 'UTF8', None, ),  # 3
     (4, TType.BOOL, 'leaving', None, None, ),  # 4
     (5, TType.BOOL, 'primary', None, None, ),  # 5
+    (6, TType.MAP, 'shares', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 6
 )
 all_structs.append(GroupView)
 GroupView.thrift_spec = (
@@ -4592,6 +4704,8 @@
     (12, TType.I64, 'sample_after_ms', None, None, ),  # 12
     (13, TType.I64, 'committed_ms', None, None, ),  # 13
     (14, TType.I64, 'refused_ms', None, None, ),  # 14
+    (15, TType.LIST, 'loads', (TType.I32, None, False), None, ),  # 15
+    (16, TType.LIST, 'uses', (TType.I32, None, False), None, ),  # 16
 )
 all_structs.append(PositionSample)
 PositionSample.thrift_spec = (
@@ -4629,6 +4743,8 @@
     (10, TType.I64, 'number', None, None, ),  # 10
     (11, TType.LIST, 'proxies', (TType.STRING, 'UTF8', False), None, ),  # 11
     (12, TType.I64, 'proxies_version', None, None, ),  # 12
+    None,  # 13
+    (14, TType.LIST, 'loads', (TType.I32, None, False), None, ),  # 14
 )
 all_structs.append(RelayOpen)
 RelayOpen.thrift_spec = (
@@ -4648,6 +4764,7 @@
     (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'member', 'UTF8', None, ),  # 4
     (5, TType.I64, 'failing_ms', None, None, ),  # 5
+    (6, TType.I32, 'in_progress', None, None, ),  # 6
 )
 all_structs.append(RelayStatement)
 RelayStatement.thrift_spec = (
@@ -4664,6 +4781,7 @@
     (10, TType.BOOL, 'sets_values', None, None, ),  # 10
     (11, TType.MAP, 'values', (TType.STRING, 'BINARY', TType.STRING, 'BINARY', False), None, ),  # 11
     (12, TType.I64, 'leading_term', None, None, ),  # 12
+    (13, TType.BOOL, 'own_commit', None, None, ),  # 13
 )
 all_structs.append(RelayAnswer)
 RelayAnswer.thrift_spec = (
@@ -4672,6 +4790,7 @@
     (2, TType.I64, 'number', None, None, ),  # 2
     (3, TType.STRING, 'answer', 'BINARY', None, ),  # 3
     (4, TType.STRING, 'reason', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'in_progress', None, None, ),  # 5
 )
 all_structs.append(RelayClose)
 RelayClose.thrift_spec = (
