Queue statements fairly and refuse those that cannot be served in time

An organisation that sent seven times its load crowded out the others, and statements that could not be served waited until their deadline. The pool now uses the fair queue and the connection shares, and opening connections is a module of its own. While others wait, an organisation uses a twelfth of the limit, since each of its connections is a statement ahead of theirs at the member. A refusal by the expected wait is answered BUSY with a hint when to try again, also through a channel, whose request tells the owner the organisation's priority and whether its transaction has begun. Without organisations the order, the messages and the absence of refusals stay.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -78,7 +78,7 @@
 }
 struct RelayOpen {
   1: i64 channel, 2: string group, 3: string member, 4: i32 priority, 5: i32 timeout_ms,
-  6: string caller
+  6: string caller, 7: i32 caller_priority, 8: bool started
 }
 struct RelayStatus {
   1: i64 channel, 2: string state, 3: string reason, 4: string member, 5: i64 failing_ms
--- a/packages/core/src/bronzemoor_core/messages.py
+++ b/packages/core/src/bronzemoor_core/messages.py
@@ -377,7 +377,8 @@
     """Requests a connection from the owner of a member's connections.
 
     The sender chooses the ``channel`` number; the owner may wait up to ``timeout_ms``.
-    ``caller`` is the organisation that the connection is for, empty without one.
+    ``caller`` is the organisation that the connection is for, empty without one, and
+    ``started`` whether it is for a transaction that the client has begun.
     """
 
     channel: int
@@ -386,6 +387,8 @@
     priority: int
     timeout_ms: int
     caller: str = ""
+    caller_priority: int = 0
+    started: bool = False
 
 
 @message
--- a/packages/core/src/bronzemoor_core/wire/callers.py
+++ b/packages/core/src/bronzemoor_core/wire/callers.py
@@ -31,3 +31,15 @@
         return ""
     owner = deployment.key_owners.get(key_digest)
     return ANONYMOUS if owner is None and route.public else owner
+
+
+def find_priority(deployment: Deployment, caller: str) -> int:
+    """Returns the priority of an organisation.
+
+    Callers without a key come after all organisations.
+    """
+    organisation = deployment.organisations.get(caller)
+    if organisation is not None:
+        return organisation.priority
+    priorities = (item.priority for item in deployment.organisations.values())
+    return 1 + max(priorities) if deployment.organisations else 0
--- a/packages/core/src/bronzemoor_core/wire/sessionstate.py
+++ b/packages/core/src/bronzemoor_core/wire/sessionstate.py
@@ -7,11 +7,19 @@
 class SessionState:
     """State that a client session keeps between transactions."""
 
-    __slots__ = ("caller", "last_commit", "last_commit_at", "prepared", "values")
+    __slots__ = (
+        "caller",
+        "caller_priority",
+        "last_commit",
+        "last_commit_at",
+        "prepared",
+        "values",
+    )
 
     def __init__(self) -> None:
         # The organisation of the client; empty if the deployment has none.
         self.caller = ""
+        self.caller_priority = 0
         self.values: dict[bytes, bytes] = {}
         # Whether the statement writes, and its shape, by the client's name for it.
         self.prepared: dict[bytes, tuple[bool, bytes]] = {}
--- a/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
+++ b/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
@@ -3289,17 +3289,21 @@
      - priority
      - timeout_ms
      - caller
+     - caller_priority
+     - started
 
     """
 
 
-    def __init__(self, channel=None, group=None, member=None, priority=None, timeout_ms=None, caller=None,):
+    def __init__(self, channel=None, group=None, member=None, priority=None, timeout_ms=None, caller=None, caller_priority=None, started=None,):
         self.channel = channel
         self.group = group
         self.member = member
         self.priority = priority
         self.timeout_ms = timeout_ms
         self.caller = caller
+        self.caller_priority = caller_priority
+        self.started = started
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3340,6 +3344,16 @@
                     self.caller = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.caller_priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.started = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3374,6 +3388,14 @@
             oprot.writeFieldBegin('caller', TType.STRING, 6)
             oprot.writeString(self.caller.encode('utf-8') if sys.version_info[0] == 2 else self.caller)
             oprot.writeFieldEnd()
+        if self.caller_priority is not None:
+            oprot.writeFieldBegin('caller_priority', TType.I32, 7)
+            oprot.writeI32(self.caller_priority)
+            oprot.writeFieldEnd()
+        if self.started is not None:
+            oprot.writeFieldBegin('started', TType.BOOL, 8)
+            oprot.writeBool(self.started)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4639,6 +4661,8 @@
     (4, TType.I32, 'priority', None, None, ),  # 4
     (5, TType.I32, 'timeout_ms', None, None, ),  # 5
     (6, TType.STRING, 'caller', 'UTF8', None, ),  # 6
+    (7, TType.I32, 'caller_priority', None, None, ),  # 7
+    (8, TType.BOOL, 'started', None, None, ),  # 8
 )
 all_structs.append(RelayStatus)
 RelayStatus.thrift_spec = (
--- a/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
@@ -6,7 +6,7 @@
 
 from bronzemoor_core.exceptions import InvalidRequest
 from bronzemoor_core.wire import statements as st
-from bronzemoor_core.wire.callers import find_caller
+from bronzemoor_core.wire.callers import find_caller, find_priority
 from bronzemoor_core.wire.deployment import Route
 from bronzemoor_core.wire.sessionstate import SessionState, find_prepared
 from bronzemoor_core.wire.statements import (
@@ -272,6 +272,7 @@
             self._proxy.record_refused_key(route, self._key_digest)
             return False
         self.state.caller = caller
+        self.state.caller_priority = find_priority(deployment, caller)
         return True
 
     def _refused_key(self) -> tuple[str, bytes]:
--- a/packages/daemon/src/bronzemoor_daemon/wire/exceptions.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/exceptions.py
@@ -13,3 +13,10 @@
     """No connection to a member was available; nothing was sent."""
 
     code = "busy"
+
+
+class Refused(NoConnection):
+    """The expected wait for a connection is too long.
+
+    The message is the client's hint when to try again; nothing was sent.
+    """
--- a/packages/daemon/src/bronzemoor_daemon/wire/execution.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/execution.py
@@ -10,7 +10,7 @@
 from bronzemoor_core.wire.sessionstate import SessionState
 from bronzemoor_core.wire.statements import Answer, Statement
 from bronzemoor_daemon.wire.clock import boottime
-from bronzemoor_daemon.wire.exceptions import ConnectionLost, NoConnection
+from bronzemoor_daemon.wire.exceptions import ConnectionLost, NoConnection, Refused
 from bronzemoor_daemon.wire.groups import Group
 from bronzemoor_daemon.wire.memberpool import AnyConnection, MemberPool
 
@@ -65,6 +65,25 @@
     )
 
 
+def wait_limit(
+    group: Group,
+    route: Route,
+    session: SessionState,
+    tried: set[str],
+    remaining: float,
+) -> float:
+    """Returns how long a read may wait for a connection before trying others.
+
+    With organisations, a wait is refused at once if it is too long, so that a read may
+    wait for all of its remaining time where no other member than ``tried`` serves it.
+    """
+    share = min(remaining, route.statement_timeout * ATTEMPT_SHARE)
+    if not group.by_organisation:
+        return share
+    other = group.choose_member(boottime(), route, session, tried)
+    return share if other is not None else remaining
+
+
 async def run_read(
     proxy: "Proxy",
     group: Group,
@@ -75,6 +94,7 @@
     """Runs a read at the best member; a failed read is retried at others."""
     deadline = boottime() + route.statement_timeout
     tried: set[str] = set()
+    refused: set[str] = set()
     last = Answer(error=st.BUSY)
     while (now := boottime()) < deadline - MIN_REMAINING_SECONDS:
         target = group.choose_member(now, route, session, tried)
@@ -86,10 +106,20 @@
                 await group.wait_primary_change(min(0.1, deadline - now))
             continue
         pool = group.pools[target.member]
-        limit = min(deadline - now, route.statement_timeout * ATTEMPT_SHARE)
+        limit = wait_limit(group, route, session, tried | {pool.member}, deadline - now)
         await pool.delay_low_priority(route.priority)
         try:
             connection = await pool.acquire(session, route.priority, limit)
+        except Refused as error:
+            tried.add(pool.member)
+            refused.add(pool.member)
+            proxy.record_refusal(attempt, pool.member, error.message)
+            last = Answer(error=st.BUSY, message=error.message.encode())
+            if refused >= tried and not group.choose_member(
+                boottime(), route, session, tried
+            ):
+                return last
+            continue
         except NoConnection as error:
             tried.add(pool.member)
             proxy.record_failed_attempt(attempt, pool.member, str(error))
@@ -214,6 +244,9 @@
         term = group.term
         try:
             connection = await pool.acquire(session, route.priority, deadline - now)
+        except Refused as error:
+            proxy.record_refusal(attempt, pool.member, error.message)
+            return Answer(error=st.BUSY, message=error.message.encode())
         except NoConnection as error:
             proxy.record_failed_attempt(attempt, pool.member, str(error))
             await group.wait_primary_change(
--- a/packages/daemon/src/bronzemoor_daemon/wire/groups.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/groups.py
@@ -16,6 +16,7 @@
 from bronzemoor_core.wire.sessionstate import SessionState
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.memberpool import MemberPool
+from bronzemoor_daemon.wire.metrics import WireMetrics
 from bronzemoor_daemon.wire.ports import StatementCodec
 from bronzemoor_daemon.wire.relays import RelayClient
 
@@ -39,6 +40,7 @@
         lease: HeldLease,
         report: Callable[..., None],
         relays: RelayClient,
+        metrics: WireMetrics,
     ) -> None:
         self._name = name
         self._codec = codec
@@ -47,6 +49,7 @@
         self._lease = lease
         self._report = report
         self._relays = relays
+        self._metrics = metrics
         self._primary_changed: asyncio.Future[None] | None = None
         self._pools: dict[str, MemberPool] = {}
         self._by_organisation = False
@@ -99,6 +102,7 @@
                     view.connections,
                     self._report,
                     self._relays,
+                    self._metrics,
                 )
             if item.leaving and not pool.leaving:
                 pool.leaving_since = boottime()
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberconnection.py
@@ -53,6 +53,8 @@
         self.state = ConnectionState()
         # When the connection was last returned to its pool, in seconds.
         self.idle_since = 0.0
+        # When it was taken from the pool for a statement, 0 if it is not in use.
+        self.acquired_at = 0.0
         # The last session that used the connection.
         self.session: SessionState | None = None
         # Transaction state after the last answer.
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
@@ -3,40 +3,35 @@
 import asyncio
 from collections import Counter, deque
 from collections.abc import Callable
-from heapq import heappop, heappush
-from itertools import count
-from operator import itemgetter
 
+from bronzemoor_core.wire.connectionshares import is_within_share
 from bronzemoor_core.wire.sessionstate import SessionState
-from bronzemoor_core.wire.statements import CONNECTION_LIMIT, IDLE, Answer
+from bronzemoor_core.wire.statements import IDLE
+from bronzemoor_core.wire.waiting import Rank, make_rank
 from bronzemoor_daemon.wire.clock import boottime
-from bronzemoor_daemon.wire.exceptions import ConnectionLost, NoConnection
-from bronzemoor_daemon.wire.memberconnection import MemberConnection, connect
-from bronzemoor_daemon.wire.memberhealth import MemberHealth
+from bronzemoor_daemon.wire.exceptions import ConnectionLost, NoConnection, Refused
+from bronzemoor_daemon.wire.memberconnection import MemberConnection
+from bronzemoor_daemon.wire.memberopenings import ConnectionOpener
+from bronzemoor_daemon.wire.memberqueue import (
+    ALL_IN_USE,
+    OPENING,
+    OWN_IN_USE,
+    ConnectionWaiter,
+    MemberQueue,
+)
+from bronzemoor_daemon.wire.metrics import WireMetrics
 from bronzemoor_daemon.wire.ports import StatementCodec
 from bronzemoor_daemon.wire.relays import RelayClient, RelayedConnection
-from bronzemoor_daemon.wire.tasks import Tasks
-
-CONNECT_TIMEOUT_SECONDS = 0.5
-# How long a member may take to accept a connection. Accepting one takes a slot, so
-# giving up too early wastes work of an overloaded member.
-START_TIMEOUT_SECONDS = 1.5
-# Initial delay before the next attempt to open a connection after a failed one.
-RECONNECT_INTERVAL_SECONDS = 0.1
-# Maximum delay, reached after repeated refusals for the connection limit.
-MAX_RECONNECT_INTERVAL_SECONDS = 0.8
-# Maximum number of connections being opened at once; each takes a slot of the member.
-MAX_OPENING = 2
+
 # Connections idle for longer are closed, except for the last one. A member counts the
 # connections of a lost machine for some time, so unused ones could keep the machine's
 # replacement from connecting.
 IDLE_TIMEOUT_SECONDS = 0.7
-# Share of the limit that idle connections of organisations are kept up to. After a loss
-# of power, members still count the old ones while as many new ones are opened.
-KEPT_SHARE = 0.5
 # Where proxies share connections, a statement waits this long for one in use before
 # another is opened, since opening takes a slot of the member.
 SHARED_OPEN_DELAY_SECONDS = 0.060
+# A timer may fire this much early on the clock of the deadlines.
+TIMER_TOLERANCE_SECONDS = 0.002
 # A transaction that is idle for longer is evicted if statements wait for a connection.
 IDLE_TRANSACTION_LIMIT_SECONDS = 1.0
 # How long an idle connection, and one with an outstanding answer, may take to answer a
@@ -47,12 +42,10 @@
 
 
 AnyConnection = MemberConnection | RelayedConnection
-# Priority, order of arrival, the caller and the connection that it waits for.
-Waiter = tuple[int, int, str, asyncio.Future[MemberConnection]]
 
 
-class MemberPool(MemberHealth):
-    """Keeps at most ``limit`` connections open and assigns them by priority.
+class MemberPool(ConnectionOpener):
+    """Keeps at most ``limit`` connections open and assigns them to waiting statements.
 
     A connection serves only the caller that it was opened for: an organisation or,
     where the deployment has none, this proxy.
@@ -72,23 +65,16 @@
         limit: int,
         report: Callable[..., None],
         relays: RelayClient | None = None,
+        metrics: WireMetrics | None = None,
     ) -> None:
-        super().__init__(member, address, is_local)
-        self._codec = codec
-        self.group = group
+        super().__init__(
+            codec, group, member, address, is_local, report, metrics or WireMetrics()
+        )
         self._caller = caller
-        self._report = report
         self._idle: deque[MemberConnection] = deque()
-        self._open: set[MemberConnection] = set()
-        # Number of connections that are being opened, by caller.
-        self._opening: Counter[str] = Counter()
-        self._waiters: list[Waiter] = []
-        self._sequence = count()
+        self._queue = MemberQueue(member, self._report, self._metrics, self._random)
         self._closed = False
-        self._tasks = Tasks(report)
         self._limit = limit
-        self._reconnect_interval = RECONNECT_INTERVAL_SECONDS
-        self._next_open_at = 0.0
         self._relays = relays
         # Whether the limit applies to all proxies of the zone together.
         self._shared = False
@@ -100,7 +86,7 @@
     @property
     def load(self) -> int:
         """Number of statements in progress or waiting."""
-        own = len(self._open) - len(self._idle) + len(self._waiters)
+        own = len(self._open) - len(self._idle) + len(self._queue)
         return own + self._channel_count
 
     @property
@@ -115,21 +101,32 @@
         return self._relays.owner(now, self.member)
 
     async def acquire(
-        self, session: SessionState, priority: int, timeout: float
+        self,
+        session: SessionState,
+        priority: int,
+        timeout: float,
+        started: bool = False,
     ) -> AnyConnection:
         """Returns a connection, preferably one that ``session`` used before.
 
-        It is one for the session's caller. Raises ``NoConnection`` after ``timeout``
-        seconds or when none can be opened.
+        It is one for the session's caller. ``started`` is whether it is for a
+        transaction that the client has begun. Raises ``NoConnection`` after ``timeout``
+        seconds or when none can be opened, and ``Refused`` at once if ``timeout`` is
+        too short.
         """
+        started = started and self.by_organisation
         owner = self._owner(boottime())
         if not owner or self._relays is None:
-            return await self.acquire_own(session, priority, timeout, session.caller)
+            return await self.acquire_own(
+                session, priority, timeout, session.caller, session.caller_priority,
+                started,
+            )  # fmt: skip
         self._channel_count += 1
         try:
             return await self._relays.open(
-                owner, self, priority, timeout, session.caller
-            )
+                owner, self, priority, timeout, session.caller,
+                session.caller_priority, started,
+            )  # fmt: skip
         except BaseException:
             self._channel_count -= 1
             raise
@@ -140,26 +137,22 @@
         priority: int,
         timeout: float,
         caller: str = "",
+        caller_priority: int = 0,
+        started: bool = False,
     ) -> MemberConnection:
         """Returns a connection that this proxy owns, like ``acquire``."""
         connection = self.take_idle(session, caller)
         if connection is not None:
             return connection
-        future: asyncio.Future[MemberConnection] = (
-            asyncio.get_running_loop().create_future()
-        )
         caller = caller or self._caller
-        heappush(self._waiters, (priority, next(self._sequence), caller, future))
-        if self._shared and any(item.caller == caller for item in self._open):
-            loop = asyncio.get_running_loop()
-            loop.call_later(SHARED_OPEN_DELAY_SECONDS, self._open_more)
-        else:
-            self._open_more()
+        waiter = self._wait(
+            make_rank(started, priority, caller_priority), caller, timeout
+        )
         try:
             async with asyncio.timeout(timeout):
-                return await future
+                connection = await waiter.handle
         except TimeoutError:
-            self._return_connection(future)
+            self._stop_waiting(waiter)
             if len(self._open) >= self._limit:
                 # All connections are in use.
                 self.refused_at = boottime()
@@ -167,8 +160,48 @@
                 "no connection became free", step="pool", peer=self.member
             ) from None
         except asyncio.CancelledError:
-            self._return_connection(future)
+            self._stop_waiting(waiter)
             raise
+        return connection
+
+    def _wait(self, rank: Rank, caller: str, timeout: float) -> ConnectionWaiter:
+        """Adds a waiter to the queue and sees to it that a connection is opened.
+
+        Raises ``Refused`` if it cannot be served in time.
+        """
+        now, loop = boottime(), asyncio.get_running_loop()
+        held, in_use = self._count_held(caller)
+        waiting = self._queue.waiting(caller) + 1
+        if self.by_organisation:
+            needed = min(in_use + waiting, self._limit)
+            self._shares.record_use(now, caller, needed)
+        reason = OWN_IN_USE if held else OPENING
+        taken = len(self._open) + self._opening.total()
+        if taken >= self._limit and not (self._idle and self._may_use(caller)):
+            reason = ALL_IN_USE
+            try:
+                if self.by_organisation:
+                    self._queue.check_wait(now, rank, caller, timeout)
+            except Refused:
+                self.refused_at = now
+                raise
+        waiter = self._queue.add(now, rank, caller, timeout, reason)
+        delay = 0.0
+        if self.by_organisation:
+            delay = self._shares.opening_delay(held, waiting, self._queue.mean_hold)
+            waiter.open_at = now + delay
+        elif self._shared and held:
+            delay = SHARED_OPEN_DELAY_SECONDS
+        if delay:
+            loop.call_later(delay, self._open_more)
+        else:
+            self._open_more()
+        return waiter
+
+    def _count_held(self, caller: str) -> tuple[int, int]:
+        """Returns how many connections of a caller are open, and in use."""
+        held = sum(item.caller == caller for item in self._open)
+        return held, held - sum(item.caller == caller for item in self._idle)
 
     def release(self, connection: AnyConnection, clean: bool) -> None:
         """Returns a connection to the pool; one that is not clean is closed."""
@@ -177,22 +210,76 @@
             connection.release(clean)
             return
         connection.on_evicted = None
+        now = boottime()
+        if connection.acquired_at:
+            self._queue.record_hold(now, now - connection.acquired_at)
+            connection.acquired_at = 0.0
         if not clean or not connection.is_open or not connection.is_settled:
             self._discard(connection)
-            self._open_more()
+            self._serve_more()
             return
         if self._closed or len(self._open) > self._limit:
             self._discard(connection)
             return
-        future = self._next_waiter(connection.caller)
-        if future is not None:
-            future.set_result(connection)
+        self._reuse(now, connection)
+
+    def _reuse(self, now: float, connection: MemberConnection) -> None:
+        """Gives a free connection to a waiting statement or keeps it for later."""
+        caller = connection.caller
+        connection.idle_since = now
+        if not self.by_organisation:
+            own = self._queue.first(now, caller)
+            if own is not None:
+                self._queue.serve(now, own, connection)
+                return
+            self._idle.append(connection)
+            if len(self._queue):
+                self._open_more()
             return
-        connection.idle_since = boottime()
         self._idle.append(connection)
-        if self._waiters:
+        if (
+            self._may_open
+            and len(self._open) + self._opening.total() >= self._limit
+            and all(item.caller == caller for item in self._idle)
+        ):
+            other = self._queue.choose_next(now, caller, self._needs_connection)
+            if other is not None:
+                self._evict(connection, "turn")
+                self._start_opening(other.caller)
+        self._serve_more()
+
+    def _serve_more(self) -> None:
+        """Serves waiting statements with idle connections, and opens others."""
+        if self.by_organisation and self._idle:
+            now = boottime()
+            for head in list(self._queue.heads(now)):
+                waiter: ConnectionWaiter | None = head
+                while waiter is not None and self._may_use(waiter.caller):
+                    connection = self._find_idle(None, waiter.caller)
+                    if connection is None:
+                        break
+                    self._idle.remove(connection)
+                    self._queue.serve(now, waiter, connection)
+                    waiter = self._queue.first(now, waiter.caller)
+        if len(self._queue):
             self._open_more()
 
+    def _may_use(self, caller: str, opening: int = 0) -> bool:
+        """Returns whether a caller may use one more connection.
+
+        ``opening`` of its connections are being opened.
+        """
+        if not self.by_organisation:
+            return True
+        if len(self._queue) <= self._queue.waiting(caller):
+            return True
+        idle_in_transaction = sum(
+            item.caller == caller and item.is_settled and item.last_state != IDLE
+            for item in self._open
+        )
+        in_use = self._count_held(caller)[1] - idle_in_transaction + opening
+        return is_within_share(self._limit, in_use)
+
     def release_unanswered(self, connection: AnyConnection, sent_at: float) -> None:
         """Releases a connection that did not answer in time.
 
@@ -219,24 +306,31 @@
         """Applies the limit, for this proxy or for all proxies of its zone."""
         self._limit, self._shared = limit, shared
         while self._idle and len(self._open) > limit:
-            self._discard(self._idle.popleft())
+            self._evict(self._idle[0], "limit")
 
     def trim(self, now: float) -> None:
         """Closes idle connections and evicts idle transactions."""
-        kept = 0 if self._owner(now) else 1
-        if self.by_organisation and kept:
-            # Other organisations' connections cannot take their place.
-            kept = int(self._limit * KEPT_SHARE) - (len(self._open) - len(self._idle))
-        while (
-            len(self._idle) > max(0, kept)
-            and now - self._idle[0].idle_since > IDLE_TIMEOUT_SECONDS
-        ):
-            self._discard(self._idle.popleft())
+        is_owner = not self._owner(now)
+        if self.by_organisation and is_owner:
+            held = Counter(item.caller for item in self._open)
+            surplus = self._shares.choose_surplus(
+                now, self._idle, held, self._limit, IDLE_TIMEOUT_SECONDS
+            )
+            self._shares.forget(now)
+        else:
+            oldest = list(self._idle)[: -1 if is_owner else None]
+            surplus = [
+                item for item in oldest if now - item.idle_since > IDLE_TIMEOUT_SECONDS
+            ]
+        for connection in surplus:
+            self._evict(connection, "idle")
         self._evict_transactions(now)
+        if self.by_organisation:
+            self._serve_more()
 
     def _evict_transactions(self, now: float) -> None:
         """Evicts idle transactions if statements wait for a connection."""
-        needed = sum(not item[3].done() for item in self._waiters)
+        needed = len(self._queue)
         if not needed or len(self._open) < self._limit:
             return
         evictable = [
@@ -293,37 +387,40 @@
                 self._idle.remove(connection)
                 self._discard(connection)
         caller = caller or self._caller
-        usable = [item for item in self._idle if item.caller == caller]
-        if not usable:
+        if self.by_organisation and (
+            self._queue.waiting(caller) or not self._may_use(caller)
+        ):
+            # Those that wait come first.
+            return None
+        chosen = self._find_idle(session, caller)
+        if chosen is None:
             return None
-        chosen = usable[-1]
-        if session is not None:
-            chosen = next((c for c in usable if c.session is session), chosen)
         self._idle.remove(chosen)
+        now = boottime()
+        chosen.acquired_at = now
+        if self.by_organisation:
+            self._shares.record_use(now, caller, self._count_held(caller)[1])
         return chosen
 
-    def _return_connection(self, future: asyncio.Future[MemberConnection]) -> None:
-        """Releases a connection that was assigned just when the wait ended."""
+    def _find_idle(
+        self, session: SessionState | None, caller: str
+    ) -> MemberConnection | None:
+        """Returns the connection that ``session`` used, or the one used last."""
+        usable = [item for item in self._idle if item.caller == caller]
+        if not usable:
+            return None
+        if session is None:
+            return usable[-1]
+        return next((c for c in usable if c.session is session), usable[-1])
+
+    def _stop_waiting(self, waiter: ConnectionWaiter) -> None:
+        """Removes a waiter, or releases what it was assigned as its wait ended."""
+        future = waiter.handle
+        self._queue.discard(waiter)
         if future.done() and not future.cancelled() and future.exception() is None:
             self.release(future.result(), clean=True)
-
-    def _next_waiter(
-        self, caller: str | None = None
-    ) -> asyncio.Future[MemberConnection] | None:
-        """Removes and returns the first waiter, of ``caller`` if one is given."""
-        others: list[Waiter] = []
-        found = None
-        while self._waiters and found is None:
-            waiter = heappop(self._waiters)
-            if waiter[3].done():
-                continue
-            if caller is None or waiter[2] == caller:
-                found = waiter[3]
-            else:
-                others.append(waiter)
-        for waiter in others:
-            heappush(self._waiters, waiter)
-        return found
+        elif self.by_organisation:
+            self._serve_more()
 
     async def _wait_late_answer(
         self, connection: MemberConnection, sent_at: float
@@ -360,31 +457,42 @@
             self.release(connection, clean)
         return clean
 
+    def _evict(self, connection: MemberConnection, reason: str) -> None:
+        """Closes an idle connection."""
+        self._metrics.evicted_connections.add(reason)
+        self._idle.remove(connection)
+        self._discard(connection)
+
     def _discard(self, connection: MemberConnection) -> None:
         self._open.discard(connection)
         connection.close()
 
     def _open_more(self) -> None:
-        waiting: Counter[str] = Counter()
-        for _, _, caller, future in sorted(self._waiters, key=itemgetter(0, 1)):
-            if future.done():
-                continue
-            waiting[caller] += 1
-            if waiting[caller] > self._opening[caller] and not self._start_opening(
-                caller
-            ):
-                return
+        """Opens connections for waiting statements, in the order of their turns."""
+        now = boottime()
+        for head in list(self._queue.heads(now)):
+            while self._needs_connection(head):
+                if not self._start_opening(head.caller):
+                    return
+
+    def _needs_connection(self, waiter: ConnectionWaiter) -> bool:
+        """Returns whether a connection is to be opened for the waiter's caller."""
+        caller = waiter.caller
+        opening = self._opening[caller]
+        if self._queue.waiting(caller) <= opening:
+            return False
+        return not self.by_organisation or (
+            boottime() >= waiter.open_at - TIMER_TOLERANCE_SECONDS
+            and self._may_use(caller, opening)
+        )
 
     def _start_opening(self, caller: str) -> bool:
         """Starts opening a connection for ``caller``; returns whether it may."""
-        opening = self._opening.total()
+        opened = len(self._open) + self._opening.total()
         if (
             self._closed
-            or boottime() < self._next_open_at
-            or opening >= MAX_OPENING
-            or (
-                len(self._open) + opening >= self._limit and not self._make_room(caller)
-            )
+            or not self._may_open
+            or (opened >= self._limit and not self._make_room(caller))
         ):
             return False
         self._opening[caller] += 1
@@ -392,92 +500,16 @@
         return True
 
     def _make_room(self, caller: str) -> bool:
-        """Closes the idle connection of another caller that was used least recently."""
-        for connection in self._idle:
-            if connection.caller != caller:
-                self._idle.remove(connection)
-                self._discard(connection)
-                return True
-        return False
-
-    async def _open_one(self, caller: str) -> None:
-        started = boottime()
-        try:
-            connection = await self._connect(started, caller)
-        except Exception as error:  # statements wait for the connection
-            self._open_failed(started, repr(error))
-            connection = None
-        finally:
-            self._opening[caller] -= 1
+        """Closes an idle connection of another caller, if there is one."""
+        held = Counter(item.caller for item in self._open)
+        connection = self._shares.choose_evicted(boottime(), self._idle, held, caller)
         if connection is None:
-            await self._retry_open_later()
-            return
-        self._open.add(connection)
-        connection.on_setup_refused = self._report_refused_setup
-        self.release(connection, clean=True)
-
-    def _report_refused_setup(self, setup: str, answer: Answer) -> None:
-        self._report(
-            "info",
-            "setup_refused",
-            member=self.member,
-            setup=setup,
-            code=answer.error,
-            state=answer.state,
-        )
+            return False
+        self._evict(connection, "other")
+        return True
 
-    async def _connect(self, started: float, caller: str) -> MemberConnection | None:
-        """Opens one connection; records why if that fails, and returns None."""
-        self._connect_attempts.add(started)
-        try:
-            connection, answer = await connect(
-                self._codec,
-                self.group,
-                caller,
-                self.member,
-                self.address,
-                CONNECT_TIMEOUT_SECONDS,
-                START_TIMEOUT_SECONDS,
-                lambda: self._connect_attempts.discard(started),
-            )
-        except ConnectionLost as error:
-            self._open_failed(started, str(error))
-            return None
-        finally:
-            self._connect_attempts.discard(started)
-        if answer.ok:
-            self._reconnect_interval = max(
-                RECONNECT_INTERVAL_SECONDS, self._reconnect_interval / 2
-            )
-            self.failing_since = None
-            return connection
-        if answer.error == CONNECTION_LIMIT:
-            # The member is alive. It still counts connections of lost machines, or
-            # another proxy has not closed its surplus connections yet.
-            self.failing_since = None
-            self._reconnect_interval = min(
-                MAX_RECONNECT_INTERVAL_SECONDS, 2 * self._reconnect_interval
-            )
-            self._report("info", "connection_refused", member=self.member)
-        else:
-            self._open_failed(started, answer.error)
-        return None
-
-    async def _retry_open_later(self) -> None:
-        # Jitter spreads the retries of proxies that were refused at the same time.
-        pause = self._reconnect_interval * (0.5 + self._random.random())
-        self._next_open_at = boottime() + pause
-        await asyncio.sleep(pause)
-        self._open_more()
-
-    def _open_failed(self, started: float, reason: str) -> None:
-        self.failed_at = boottime()
-        if self.failing_since is None:
-            self.failing_since = started
-        self._report("warning", "connect_failed", member=self.member, reason=reason)
-        if not self._open:
-            self._fail_waiters(reason)
+    def _on_opened(self, connection: MemberConnection) -> None:
+        self.release(connection, clean=True)
 
     def _fail_waiters(self, reason: str) -> None:
-        while (future := self._next_waiter()) is not None:
-            future.set_exception(NoConnection(reason, step="pool", peer=self.member))
+        self._queue.fail(NoConnection(reason, step="pool", peer=self.member))
--- a/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
@@ -70,7 +70,9 @@
 
     __slots__ = (
         "changes",
+        "connection_openings",
         "ended_transactions",
+        "evicted_connections",
         "latency",
         "promotions",
         "refused_announcements",
@@ -79,6 +81,7 @@
         "sent_bytes",
         "sessions",
         "statements",
+        "waiting_statements",
     )
 
     def __init__(self) -> None:
@@ -120,6 +123,21 @@
             "Operations and sessions refused before anything was sent to a member",
             "reason",
         )
+        self.connection_openings = Counter(
+            "bronzemoor_connection_openings",
+            "Attempts to open a connection to a member",
+            "outcome",
+        )
+        self.evicted_connections = Counter(
+            "bronzemoor_evicted_connections",
+            "Usable connections to members that the proxy closed",
+            "reason",
+        )
+        self.waiting_statements = Counter(
+            "bronzemoor_waiting_statements",
+            "Statements that had to wait for a connection to a member",
+            "reason",
+        )
         self.sent_bytes = Counter(
             "bronzemoor_sent_bytes",
             "Bytes of messages sent to other daemons, as compressed",
@@ -136,6 +154,9 @@
             self.changes,
             self.refused_announcements,
             self.refused_operations,
+            self.connection_openings,
+            self.evicted_connections,
+            self.waiting_statements,
             self.sent_bytes,
         )
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -173,6 +173,7 @@
                 self._lease,
                 self.report,
                 self._relays,
+                self._metrics,
             )
             group.by_organisation = self._has_organisations
         return group
@@ -199,6 +200,10 @@
         if boottime() - self._reported_at >= URGENT_REPORT_INTERVAL_SECONDS:
             self._send_report()
 
+    def record_refusal(self, attempt: Attempt, member: str, reason: str) -> None:
+        """Logs that a statement cannot get a connection to a member in time."""
+        self._report_attempt("attempt_refused", attempt, member=member, reason=reason)
+
     def record_ended_transaction(
         self, begin: Attempt, member: str, reason: str
     ) -> None:
--- a/packages/daemon/src/bronzemoor_daemon/wire/relays.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/relays.py
@@ -23,7 +23,7 @@
 from bronzemoor_core.wire.sessionstate import SessionState
 from bronzemoor_core.wire.statements import Answer
 from bronzemoor_daemon.wire.clock import boottime
-from bronzemoor_daemon.wire.exceptions import ConnectionLost, NoConnection
+from bronzemoor_daemon.wire.exceptions import ConnectionLost, NoConnection, Refused
 from bronzemoor_daemon.wire.links import Links
 from bronzemoor_daemon.wire.ports import StatementCodec
 
@@ -37,6 +37,8 @@
 # Number of proxies considered as the owner of a member.
 MAX_OWNERS = 3
 WAITING, OPEN, REFUSED, CLOSED = "waiting", "open", "refused", "closed"
+# The owner expects none in time; the reason is the client's hint when to try again.
+OVERLOADED = "overloaded"
 # Local state that is never sent: the link to the owner is lost.
 LOST = "lost"
 
@@ -206,16 +208,20 @@
         priority: int,
         timeout: float,
         caller: str = "",
+        caller_priority: int = 0,
+        started: bool = False,
     ) -> RelayedConnection:
         """Opens a channel for ``caller`` within ``timeout`` seconds.
 
-        Raises ``NoConnection``, also if the owner does not respond in time.
+        Raises ``NoConnection``, also if the owner does not respond in time, and
+        ``Refused`` if the owner expects that ``timeout`` is too short.
         """
-        channel, started = next(self._numbers), boottime()
-        deadline = started + timeout
+        channel, asked_at = next(self._numbers), boottime()
+        deadline = asked_at + timeout
         request = RelayOpen(
-            channel, pool.group, pool.member, priority, int(timeout * 1_000), caller
-        )
+            channel, pool.group, pool.member, priority, int(timeout * 1_000), caller,
+            caller_priority, started,
+        )  # fmt: skip
         statuses: asyncio.Queue[RelayStatus] = asyncio.Queue()
         self._opening[channel] = owner, statuses
         self._links.request(owner, request)
@@ -241,7 +247,10 @@
             self._skipped_until[owner] = boottime() + OWNER_SKIP_SECONDS
         if status.state == REFUSED:
             now = boottime()
-            pool.relay_refused(now, status.failing_ms / 1_000, now - started)
+            pool.relay_refused(now, status.failing_ms / 1_000, now - asked_at)
+        if status.state == OVERLOADED:
+            pool.refused_at = boottime()
+            raise Refused(status.reason, step="relay", peer=owner)
         if connection is None:
             reason = status.reason or "channel closed immediately"
             raise NoConnection(reason, step="relay", peer=owner)
--- a/packages/daemon/src/bronzemoor_daemon/wire/relayserver.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/relayserver.py
@@ -15,10 +15,10 @@
 from bronzemoor_core.wire.sessionstate import SessionState
 from bronzemoor_core.wire.statements import IDLE, NOT_PRIMARY, Answer
 from bronzemoor_daemon.wire.clock import boottime
-from bronzemoor_daemon.wire.exceptions import NoConnection
+from bronzemoor_daemon.wire.exceptions import NoConnection, Refused
 from bronzemoor_daemon.wire.links import Link, Links
 from bronzemoor_daemon.wire.ports import StatementCodec
-from bronzemoor_daemon.wire.relays import CLOSED, OPEN, REFUSED, WAITING
+from bronzemoor_daemon.wire.relays import CLOSED, OPEN, OVERLOADED, REFUSED, WAITING
 from bronzemoor_daemon.wire.tasks import Tasks
 
 if TYPE_CHECKING:
@@ -91,8 +91,12 @@
         timeout = message.timeout_ms / 1_000
         try:
             connection = await pool.acquire_own(
-                None, message.priority, timeout, message.caller
-            )
+                None, message.priority, timeout, message.caller,
+                message.caller_priority, message.started,
+            )  # fmt: skip
+        except Refused as error:
+            self._send_status(key, OVERLOADED, error.message)
+            return
         except NoConnection as error:
             failing_ms = max(-1, int(pool.failing_for(boottime()) * 1_000))
             self._send_status(key, REFUSED, error.message, failing_ms=failing_ms)
--- a/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
@@ -12,7 +12,7 @@
 from bronzemoor_core.wire.sessionstate import SessionState
 from bronzemoor_core.wire.statements import Answer
 from bronzemoor_daemon.wire.clock import boottime
-from bronzemoor_daemon.wire.exceptions import ConnectionLost, NoConnection
+from bronzemoor_daemon.wire.exceptions import ConnectionLost, NoConnection, Refused
 from bronzemoor_daemon.wire.execution import (
     ATTEMPT_SHARE,
     MIN_REMAINING_SECONDS,
@@ -143,6 +143,7 @@
     async def _run_first(self, attempt: Attempt, deadline: float) -> Answer:
         """Begins at a member and runs the first statement, retried at other members."""
         tried: set[str] = set()
+        refused: set[str] = set()
         last = Answer(error=st.ABORTED)
         while (now := boottime()) < deadline - MIN_REMAINING_SECONDS:
             target = self._choose(now, tried)
@@ -158,8 +159,16 @@
             await pool.delay_low_priority(self.route.priority)
             try:
                 connection = await pool.acquire(
-                    self._session, self.route.priority, limit
+                    self._session, self.route.priority, limit, started=True
                 )
+            except Refused as error:
+                tried.add(pool.member)
+                refused.add(pool.member)
+                self._proxy.record_refusal(attempt, pool.member, error.message)
+                last = Answer(error=st.BUSY, message=error.message.encode())
+                if refused >= tried and self._choose(boottime(), tried) is None:
+                    break
+                continue
             except NoConnection as error:
                 tried.add(pool.member)
                 self._proxy.record_failed_attempt(attempt, pool.member, str(error))
