Leave late answers and idle transactions out of an organisation's use

Both may hold a connection for seconds, in which the organisation's other statements would have waited while anyone else waited. A lost idle connection is also no longer given to a waiting statement, a new statement is served with an idle connection that was held back, and the search for waiters that need a connection ends early while none may be opened.

--- a/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
@@ -194,7 +194,9 @@
             delay = SHARED_OPEN_DELAY_SECONDS
         if delay:
             loop.call_later(delay, self._open_more)
-        else:
+        if self.by_organisation:
+            self._serve_more()
+        elif not delay:
             self._open_more()
         return waiter
 
@@ -273,12 +275,14 @@
             return True
         if len(self._queue) <= self._queue.waiting(caller):
             return True
-        idle_in_transaction = sum(
-            item.caller == caller and item.is_settled and item.last_state != IDLE
+        # Idle transactions and late answers do not count: they may last for seconds.
+        in_use = sum(
+            item.caller == caller
+            and item.acquired_at > 0
+            and not (item.is_settled and item.last_state != IDLE)
             for item in self._open
         )
-        in_use = self._count_held(caller)[1] - idle_in_transaction + opening
-        return is_within_share(self._limit, in_use)
+        return is_within_share(self._limit, in_use + opening)
 
     def release_unanswered(self, connection: AnyConnection, sent_at: float) -> None:
         """Releases a connection that did not answer in time.
@@ -292,6 +296,7 @@
                 self._wait_late_channel_answer(connection, sent_at), "late-answer"
             )
             return
+        connection.acquired_at = 0.0
         self._tasks.start(self._wait_late_answer(connection, sent_at), "late-answer")
         self.suspect(boottime())
 
@@ -382,10 +387,6 @@
         self, session: SessionState | None, caller: str = ""
     ) -> MemberConnection | None:
         """Returns an idle connection for ``caller``, or None."""
-        for connection in list(self._idle):
-            if not connection.is_open:
-                self._idle.remove(connection)
-                self._discard(connection)
         caller = caller or self._caller
         if self.by_organisation and (
             self._queue.waiting(caller) or not self._may_use(caller)
@@ -406,6 +407,10 @@
         self, session: SessionState | None, caller: str
     ) -> MemberConnection | None:
         """Returns the connection that ``session`` used, or the one used last."""
+        for connection in list(self._idle):
+            if not connection.is_open:
+                self._idle.remove(connection)
+                self._discard(connection)
         usable = [item for item in self._idle if item.caller == caller]
         if not usable:
             return None
@@ -469,6 +474,8 @@
 
     def _open_more(self) -> None:
         """Opens connections for waiting statements, in the order of their turns."""
+        if not self._may_open:
+            return
         now = boottime()
         for head in list(self._queue.heads(now)):
             while self._needs_connection(head):
--- a/tests/adapter/test_relays.py
+++ b/tests/adapter/test_relays.py
@@ -19,6 +19,7 @@
 from bronzemoor_daemon.wire.relays import (
     CLOSED,
     OPEN,
+    OVERLOADED,
     REFUSED,
     WAITING,
     RelayClient,
@@ -49,6 +50,7 @@
         ((WAITING, OPEN), True),
         ((OPEN,), True),
         ((REFUSED,), False),
+        ((WAITING, OVERLOADED), False),
         ((WAITING, REFUSED), False),
         ((OPEN, CLOSED), False),
     ],
