--- a/packages/core/src/bronzemoor_core/messages.py
+++ b/packages/core/src/bronzemoor_core/messages.py
@@ -324,6 +324,41 @@
     age_ms: int
 
 
+@message
+class QuotaReport(Struct):
+    """What a proxy holds and wants of an organisation's quota, in tokens.
+
+    ``spent`` and ``returned`` count since the term of the leader began; the latter are
+    tokens that can no longer be spent at the proxy. ``wanted`` are to be held for the
+    expected demand, ``waiting`` are operations without a token. Until the leader has
+    answered once, ``carried`` has the tokens of its predecessor, ``history`` the
+    operations before its term by steps of their age, and ``calm_term`` the term before
+    if its leader had known all spending, else 0.
+    """
+
+    organisation: str
+    spent: int = 0
+    returned: int = 0
+    wanted: int = 0
+    waiting: int = 0
+    carried: int = 0
+    history: list[int] = field(default_factory=list)
+    calm_term: int = 0
+
+
+@message
+class QuotaGrant(Struct):
+    """New ``tokens`` of an organisation; ``granted`` counts all since the term began.
+
+    For ``exhausted_ms`` the leader expects to have no further token.
+    """
+
+    organisation: str
+    granted: int = 0
+    tokens: int = 0
+    exhausted_ms: int = 0
+
+
 @message
 class ProxyReport(Struct):
     """Sent by a proxy to the control leader; ``topology_version`` is the one in force.
@@ -343,6 +378,7 @@
     last_grant: int = 0
     zone: str = ""
     proxies_version: int = 0
+    quotas: list[QuotaReport] = field(default_factory=list)
 
 
 @message
@@ -370,6 +406,7 @@
     number: int = 0
     proxies: list[str] = field(default_factory=list)
     proxies_version: int = 0
+    quotas: list[QuotaGrant] = field(default_factory=list)
 
 
 @message
--- a/packages/core/src/bronzemoor_core/wire/commands.py
+++ b/packages/core/src/bronzemoor_core/wire/commands.py
@@ -9,7 +9,7 @@
 # Members that left whose late announcements are still recognised.
 MAX_DEPARTED_MEMBERS = 1_000
 # Prefixes, before the dot, of the names of commands that change records.
-CHANGE_KINDS = ("deployment", "member", "primary", "sharing")
+CHANGE_KINDS = ("deployment", "member", "primary", "quota", "sharing")
 
 
 @command("deployment.put")
@@ -28,6 +28,14 @@
     return {"code": "ok", "version": wire.version, "document": wire.document}
 
 
+@command("quota.holders")
+def _change_quota_holders(state: State, body: dict[str, Any]) -> dict[str, Any]:
+    added, removed = set(body["add"]), set(body["remove"])
+    holders = (set(state.wire.quota_holders) | added) - removed
+    state.wire.quota_holders = sorted(holders)
+    return {"code": "ok"}
+
+
 @command("sharing.set")
 def _set_sharing(state: State, body: dict[str, Any]) -> dict[str, Any]:
     state.wire.sharing = body["sharing"]
--- a/packages/core/src/bronzemoor_core/wire/freshness.py
+++ b/packages/core/src/bronzemoor_core/wire/freshness.py
@@ -81,6 +81,11 @@
         if len(grants) > MAX_GRANTS_PER_PROXY:
             grants.popitem(last=False)
 
+    def granted_at(self, proxy: str, number: int) -> float:
+        """Returns when a recent grant was sent; its receiver acts after that."""
+        grants = self._grants.get(proxy)
+        return grants.get(number, float("-inf")) if grants else float("-inf")
+
     def add_sample(
         self, proxy: str, last_grant: int, group: str, after: float, position: Position
     ) -> None:
--- /dev/null
+++ b/packages/core/src/bronzemoor_core/wire/quotaledger.py
@@ -0,0 +1,333 @@
+"""Divides the quotas of organisations among the proxies, at the control leader.
+
+Load pattern: many proxies spend one limit, which may never be exceeded, also while
+proxies, messages and leaders are lost. A token counts against the limit from its grant
+until a window after the last moment at which its operation can reach a member. Times
+are in seconds, on a clock that also advances while the VM is suspended.
+"""
+
+from collections import deque
+from collections.abc import Iterable, Mapping
+from heapq import heappop, heappush
+from random import Random
+
+from bronzemoor_core.messages import QuotaGrant, QuotaReport
+from bronzemoor_core.wire.deployment import Organisation
+from bronzemoor_core.wire.leases import LEASE_MARGIN_SECONDS, LEASE_SECONDS
+from bronzemoor_core.wire.quotas import (
+    HISTORY_STEP_SECONDS,
+    MAX_EXHAUSTED_MS,
+    TOKEN_EXTENSION_SECONDS,
+    QuotaSettings,
+    clamp,
+)
+
+# A proxy spends a token at most this long after its grant, with the margin for drift.
+TOKEN_SECONDS = LEASE_SECONDS + TOKEN_EXTENSION_SECONDS + LEASE_MARGIN_SECONDS
+# How long an operation that has spent a token may take to reach a member.
+DELIVERY_SECONDS = 0.25
+# Part of the slack that is granted while all spending is known. The rest serves
+# callers after a change of leader, when the spending of lost proxies is unknown.
+USED_SLACK_SHARE = 0.4
+# Tokens kept for operations that wait, out of reach of expected demand.
+MAX_RESERVE = 10
+RESERVE_SHARE = 0.5
+# In short supply a report gets this multiple of its proportional share, since what is
+# left over until the next report counts for nobody.
+SHORT_SUPPLY_FACTOR = 4
+# Proxies whose last report is older do not count in the division.
+DEMAND_MAX_AGE_SECONDS = 1.0
+# Share of the nominal limit that must be spent before the organisation is exhausted;
+# below it, tokens are only held elsewhere and come back soon.
+EXHAUSTED_SHARE = 0.9
+# Shorter pauses would only add reports.
+MIN_EXHAUSTED_SECONDS = 0.2
+
+
+class _Account:
+    """Tokens of one process of a proxy for one organisation, numbered by grant.
+
+    Tokens up to number ``resolved`` can no longer be spent.
+    """
+
+    __slots__ = ("asked_at", "granted", "limit", "resolved", "spent", "wanted")
+
+    def __init__(self, limit: "_Limit") -> None:
+        self.limit = limit
+        self.granted = 0
+        self.resolved = 0
+        self.spent = 0
+        self.wanted = 0
+        self.asked_at = float("-inf")
+
+    def resolve(self, number: int) -> None:
+        number = min(number, self.granted)
+        if number > self.resolved:
+            self.limit.outstanding -= number - self.resolved
+            self.resolved = number
+
+
+class _Limit:
+    """What is spent and granted of one organisation's limit."""
+
+    __slots__ = (
+        "accounts",
+        "charged",
+        "charges",
+        "credit",
+        "grants",
+        "nominal",
+        "outstanding",
+        "total",
+        "usual",
+    )
+
+    def __init__(self) -> None:
+        self.nominal = 0.0
+        # What is allowed in a window, and what is used of it while spending is known.
+        self.total = 0
+        self.usual = 0
+        # Operations spent in the last window, with the time until which they count.
+        self.charged = 0
+        self.charges: list[tuple[float, int]] = []
+        # Tokens that may still be spent, and until when each grant counts.
+        self.outstanding = 0
+        self.grants: list[tuple[float, int, _Account, int]] = []
+        # Operations and tokens under earlier leaders that have been reported.
+        self.credit = 0
+        self.accounts: dict[str, _Account] = {}
+
+    def charge(self, until: float, number: int) -> None:
+        if number > 0:
+            self.charged += number
+            heappush(self.charges, (until, number))
+
+    def release(self, now: float) -> None:
+        while self.charges and self.charges[0][0] <= now:
+            self.charged -= heappop(self.charges)[1]
+        while self.grants and self.grants[0][0] <= now:
+            _, _, account, number = heappop(self.grants)
+            account.resolve(number)
+
+    def next_release(self, now: float) -> float:
+        """Returns in how many seconds something stops to count."""
+        return self.charges[0][0] - now if self.charges else 0.0
+
+
+class _Proxy:
+    """The accounts of a proxy's process and its grants, oldest first."""
+
+    __slots__ = ("accounts", "grants")
+
+    def __init__(self) -> None:
+        self.accounts: dict[str, _Account] = {}
+        # Expiry at the proxy, account and number of the last token.
+        self.grants: deque[tuple[float, _Account, int]] = deque()
+
+
+class QuotaLedger:
+    """Exists as long as the leader of one term.
+
+    ``holders`` are the processes of proxies to which earlier leaders may have granted
+    tokens.
+    """
+
+    def __init__(
+        self,
+        settings: QuotaSettings,
+        now: float,
+        term: int,
+        holders: Iterable[str],
+        random: Random,
+    ) -> None:
+        self._settings = settings
+        self._term = term
+        self._random = random
+        # When the last token of an earlier leader expires, and counts no longer.
+        self._earlier_tokens_end = now + TOKEN_SECONDS
+        self._known_at = self._earlier_tokens_end + settings.window + DELIVERY_SECONDS
+        # Whether the predecessor is known to have kept the rest of the slack.
+        self._slack_is_free = False
+        # Holders that have not reported yet.
+        self._unheard = set(holders)
+        self._limits: dict[str, _Limit] = {}
+        self._proxies: dict[str, _Proxy] = {}
+        self._grant_count = 0
+
+    # --- limits
+
+    def set_organisations(self, organisations: Mapping[str, Organisation]) -> None:
+        """Applies the limits of a deployment."""
+        for limit in self._limits.values():
+            limit.nominal = limit.total = limit.usual = 0
+        for name, organisation in organisations.items():
+            if organisation.rate is not None:
+                if name not in self._limits:
+                    self._limits[name] = _Limit()
+                limit = self._limits[name]
+                nominal = organisation.rate * self._settings.window + organisation.burst
+                highest = nominal * (1 + self._settings.overage)
+                limit.nominal = nominal
+                limit.total = int(highest + self._settings.slack)
+                limit.usual = int(highest + self._settings.slack * USED_SLACK_SHARE)
+
+    @property
+    def unheard(self) -> int:
+        """How many holders have not reported to this leader."""
+        return len(self._unheard)
+
+    def used(self, now: float, name: str) -> tuple[int, int, int]:
+        """Returns the operations that count, the tokens out, and their limit."""
+        limit = self._limits[name]
+        limit.release(now)
+        return limit.charged, limit.outstanding, self._budget(now, limit)
+
+    def _budget(self, now: float, limit: _Limit) -> int:
+        """Returns how many operations and tokens may count.
+
+        Holders that have not reported may have spent what an earlier leader granted,
+        apart from what the others reported. It is kept back until it no longer counts.
+        """
+        if not self._unheard or now >= self._known_at:
+            return limit.usual
+        unknown = limit.usual - min(limit.usual, limit.credit)
+        highest = limit.total if self._slack_is_free else limit.usual
+        return min(limit.usual, highest - unknown)
+
+    # --- proxies
+
+    def process_ended(self, proxy: str) -> None:
+        """Forgets a proxy's process; its tokens count until they have expired."""
+        ended = self._proxies.pop(proxy, None)
+        if ended is not None:
+            for account in ended.accounts.values():
+                account.limit.accounts.pop(proxy, None)
+
+    def on_report(
+        self,
+        now: float,
+        proxy: str,
+        process: str,
+        sent_after: float,
+        items: list[QuotaReport],
+        may_grant: bool,
+    ) -> list[QuotaGrant]:
+        """Processes a report of this term that a process sent after ``sent_after``.
+
+        Returns new tokens if the leader ``may_grant`` them.
+        """
+        state = self._proxies.get(proxy)
+        if state is None:
+            state = self._proxies[proxy] = _Proxy()
+        # Others have no limit, or belong to a deployment that is not known yet.
+        items = [item for item in items if item.organisation in self._limits]
+        self._unheard.discard(process)
+        for item in items:
+            self._record(now, proxy, state, item)
+        # The report says what was spent of all grants that had expired when it was
+        # sent; the rest of them cannot be spent any more.
+        while state.grants and state.grants[0][0] <= sent_after:
+            _, account, number = state.grants.popleft()
+            account.resolve(number)
+        if not may_grant:
+            return []
+        grants = []
+        for item in items:
+            grant = self._allot(now, state, item)
+            if grant is not None:
+                grants.append(grant)
+        return grants
+
+    def _record(self, now: float, proxy: str, state: _Proxy, item: QuotaReport) -> None:
+        limit = self._limits[item.organisation]
+        limit.release(now)
+        account = state.accounts.get(item.organisation)
+        if account is None:
+            account = _Account(limit)
+            state.accounts[item.organisation] = account
+            limit.accounts[proxy] = account
+            self._inherit(now, state, account, item)
+        counted_until = now + self._settings.window + DELIVERY_SECONDS
+        spent = clamp(item.spent, account.granted)
+        if spent > account.spent:
+            limit.charge(counted_until, spent - account.spent)
+            account.spent = spent
+        account.resolve(account.spent + clamp(item.returned))
+        account.wanted = clamp(item.wanted) + clamp(item.waiting)
+        account.asked_at = now
+
+    def _inherit(
+        self, now: float, state: _Proxy, account: _Account, item: QuotaReport
+    ) -> None:
+        """Records what a proxy did under earlier leaders."""
+        if item.calm_term and item.calm_term == self._term - 1:
+            self._slack_is_free = True
+        limit = account.limit
+        carried = clamp(item.carried, limit.total)
+        if carried:
+            self._add_tokens(now, state, account, carried)
+        limit.credit += carried
+        window = self._settings.window
+        for step, number in enumerate(item.history):
+            number = clamp(number, limit.total)
+            latest = now - max(0, step - 1) * HISTORY_STEP_SECONDS
+            limit.charge(latest + window + DELIVERY_SECONDS, number)
+            earliest = now - (step + 1) * HISTORY_STEP_SECONDS - DELIVERY_SECONDS
+            if earliest > self._earlier_tokens_end - window:
+                limit.credit += number
+
+    def _allot(self, now: float, state: _Proxy, item: QuotaReport) -> QuotaGrant | None:
+        account = state.accounts[item.organisation]
+        limit = account.limit
+        waiting, wanted = clamp(item.waiting), clamp(item.wanted)
+        if not limit.total or not waiting + wanted:
+            return None
+        budget = self._budget(now, limit)
+        free = max(0, budget - limit.charged - limit.outstanding)
+        reserve = min(int(budget * RESERVE_SHARE), MAX_RESERVE)
+        if waiting + wanted <= free - reserve:
+            tokens = waiting + wanted
+        else:
+            share = self._share(now, limit, account)
+            tokens = min(waiting, free, max(1, self._round(free * share)))
+            spare = max(0, free - reserve)
+            tokens += min(wanted, max(0, self._round(spare * share) - tokens))
+        exhausted = 0.0
+        used = EXHAUSTED_SHARE * min(limit.nominal, budget)
+        is_short = tokens < waiting or tokens == free
+        if is_short and limit.charged >= used:
+            exhausted = max(MIN_EXHAUSTED_SECONDS, limit.next_release(now))
+        if not tokens and not exhausted:
+            return None
+        if tokens:
+            self._add_tokens(now, state, account, tokens)
+        exhausted_ms = min(int(exhausted * 1_000), MAX_EXHAUSTED_MS)
+        return QuotaGrant(item.organisation, account.granted, tokens, exhausted_ms)
+
+    def _share(self, now: float, limit: _Limit, account: _Account) -> float:
+        """Returns the part of the free tokens that a proxy gets in short supply."""
+        total = sum(
+            other.wanted
+            for other in limit.accounts.values()
+            if now - other.asked_at < DEMAND_MAX_AGE_SECONDS
+        )
+        return min(1.0, SHORT_SUPPLY_FACTOR * account.wanted / max(1, total))
+
+    def _round(self, tokens: float) -> int:
+        """Rounds at random, so that small shares are not always lost."""
+        return int(tokens + self._random.random())
+
+    def _add_tokens(
+        self, now: float, state: _Proxy, account: _Account, number: int
+    ) -> None:
+        account.granted += number
+        limit = account.limit
+        limit.outstanding += number
+        expires = now + TOKEN_SECONDS
+        state.grants.append((expires, account, account.granted))
+        counted_until = expires + self._settings.window + DELIVERY_SECONDS
+        self._grant_count += 1
+        heappush(
+            limit.grants,
+            (counted_until, self._grant_count, account, account.granted),
+        )
--- a/packages/core/src/bronzemoor_core/wire/records.py
+++ b/packages/core/src/bronzemoor_core/wire/records.py
@@ -102,10 +102,17 @@
     # Whether the proxies of a zone share connections, for a new leader that does not
     # know yet how many proxies there are.
     sharing: bool = False
+    # Processes of proxies that may have tokens of organisations' quotas. A leader
+    # grants none before it has recorded the process.
+    quota_holders: list[str] = field(default_factory=list)
 
     def to_dict(self) -> dict[str, Any]:
+        fields = asdict(self)
+        if not self.quota_holders:
+            # Snapshots of deployments without quotas are as before.
+            del fields["quota_holders"]
         return {
-            **asdict(self),
+            **fields,
             "members": {k: asdict(v) for k, v in self.members.items()},
             "leaders": {k: asdict(v) for k, v in self.leaders.items()},
             "departed": dict(self.departed),
@@ -124,4 +131,5 @@
         departed={k: (v[0], v[1]) for k, v in data["departed"].items()},
         last_fence=data["last_fence"],
         sharing=data.get("sharing", False),
+        quota_holders=list(data.get("quota_holders", ())),
     )
--- a/packages/core/tests/wire/test_records.py
+++ b/packages/core/tests/wire/test_records.py
@@ -88,6 +88,18 @@
     assert unpack_document(copy.wire.document) == "text"
 
 
+def test_a_snapshot_keeps_the_holders_of_quotas():
+    """Guards against a new leader that grants what an unknown proxy may spend."""
+    state = State()
+    assert "quota_holders" not in state.wire.to_dict()
+    for added, removed in ((["b", "a"], []), (["c"], ["b"])):
+        command = {"type": "quota.holders", "add": added, "remove": removed}
+        apply_command(state, command)
+    copy = State()
+    from_snapshot(copy, 1, to_snapshot(state))
+    assert copy.wire.quota_holders == ["a", "c"]
+
+
 def test_a_snapshot_keeps_connection_sharing():
     """Guards against a new leader that makes every proxy open its own connections."""
     state = State()
--- a/packages/daemon/src/bronzemoor_daemon/gen/peer/Peer.py
+++ b/packages/daemon/src/bronzemoor_daemon/gen/peer/Peer.py
@@ -151,11 +151,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.envelopes = []
-                    (_etype190, _size187) = iprot.readListBegin()
-                    for _i191 in range(_size187):
-                        _elem192 = Envelope()
-                        _elem192.read(iprot)
-                        self.envelopes.append(_elem192)
+                    (_etype211, _size208) = iprot.readListBegin()
+                    for _i212 in range(_size208):
+                        _elem213 = Envelope()
+                        _elem213.read(iprot)
+                        self.envelopes.append(_elem213)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -172,8 +172,8 @@
         if self.envelopes is not None:
             oprot.writeFieldBegin('envelopes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.envelopes))
-            for iter193 in self.envelopes:
-                iter193.write(oprot)
+            for iter214 in self.envelopes:
+                iter214.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
+++ b/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
@@ -2914,6 +2914,238 @@
         return not (self == other)
 
 
+class QuotaReport(object):
+    """
+    Attributes:
+     - organisation
+     - spent
+     - returned
+     - wanted
+     - waiting
+     - carried
+     - history
+     - calm_term
+
+    """
+
+
+    def __init__(self, organisation=None, spent=None, returned=None, wanted=None, waiting=None, carried=None, history=None, calm_term=None,):
+        self.organisation = organisation
+        self.spent = spent
+        self.returned = returned
+        self.wanted = wanted
+        self.waiting = waiting
+        self.carried = carried
+        self.history = history
+        self.calm_term = calm_term
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.spent = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.returned = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.wanted = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.waiting = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.carried = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.history = []
+                    (_etype146, _size143) = iprot.readListBegin()
+                    for _i147 in range(_size143):
+                        _elem148 = iprot.readI64()
+                        self.history.append(_elem148)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.calm_term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaReport')
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 1)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.spent is not None:
+            oprot.writeFieldBegin('spent', TType.I64, 2)
+            oprot.writeI64(self.spent)
+            oprot.writeFieldEnd()
+        if self.returned is not None:
+            oprot.writeFieldBegin('returned', TType.I64, 3)
+            oprot.writeI64(self.returned)
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.I64, 4)
+            oprot.writeI64(self.wanted)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I64, 5)
+            oprot.writeI64(self.waiting)
+            oprot.writeFieldEnd()
+        if self.carried is not None:
+            oprot.writeFieldBegin('carried', TType.I64, 6)
+            oprot.writeI64(self.carried)
+            oprot.writeFieldEnd()
+        if self.history is not None:
+            oprot.writeFieldBegin('history', TType.LIST, 7)
+            oprot.writeListBegin(TType.I64, len(self.history))
+            for iter149 in self.history:
+                oprot.writeI64(iter149)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.calm_term is not None:
+            oprot.writeFieldBegin('calm_term', TType.I64, 8)
+            oprot.writeI64(self.calm_term)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaGrant(object):
+    """
+    Attributes:
+     - organisation
+     - granted
+     - tokens
+     - exhausted_ms
+
+    """
+
+
+    def __init__(self, organisation=None, granted=None, tokens=None, exhausted_ms=None,):
+        self.organisation = organisation
+        self.granted = granted
+        self.tokens = tokens
+        self.exhausted_ms = exhausted_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.granted = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.exhausted_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaGrant')
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 1)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.I64, 2)
+            oprot.writeI64(self.granted)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I64, 3)
+            oprot.writeI64(self.tokens)
+            oprot.writeFieldEnd()
+        if self.exhausted_ms is not None:
+            oprot.writeFieldBegin('exhausted_ms', TType.I32, 4)
+            oprot.writeI32(self.exhausted_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ProxyReport(object):
     """
     Attributes:
@@ -2926,11 +3158,12 @@
      - last_grant
      - zone
      - proxies_version
+     - quotas
 
     """
 
 
-    def __init__(self, incarnation=None, sequence=None, deployment_version=None, topology_version=None, draining=None, groups=None, last_grant=None, zone=None, proxies_version=None,):
+    def __init__(self, incarnation=None, sequence=None, deployment_version=None, topology_version=None, draining=None, groups=None, last_grant=None, zone=None, proxies_version=None, quotas=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.deployment_version = deployment_version
@@ -2940,6 +3173,7 @@
         self.last_grant = last_grant
         self.zone = zone
         self.proxies_version = proxies_version
+        self.quotas = quotas
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2978,11 +3212,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype146, _size143) = iprot.readListBegin()
-                    for _i147 in range(_size143):
-                        _elem148 = GroupReport()
-                        _elem148.read(iprot)
-                        self.groups.append(_elem148)
+                    (_etype153, _size150) = iprot.readListBegin()
+                    for _i154 in range(_size150):
+                        _elem155 = GroupReport()
+                        _elem155.read(iprot)
+                        self.groups.append(_elem155)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3001,6 +3235,17 @@
                     self.proxies_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.quotas = []
+                    (_etype159, _size156) = iprot.readListBegin()
+                    for _i160 in range(_size156):
+                        _elem161 = QuotaReport()
+                        _elem161.read(iprot)
+                        self.quotas.append(_elem161)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3034,8 +3279,8 @@
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter149 in self.groups:
-                iter149.write(oprot)
+            for iter162 in self.groups:
+                iter162.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.last_grant is not None:
@@ -3050,6 +3295,13 @@
             oprot.writeFieldBegin('proxies_version', TType.I64, 9)
             oprot.writeI64(self.proxies_version)
             oprot.writeFieldEnd()
+        if self.quotas is not None:
+            oprot.writeFieldBegin('quotas', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.quotas))
+            for iter163 in self.quotas:
+                iter163.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3083,11 +3335,12 @@
      - number
      - proxies
      - proxies_version
+     - quotas
 
     """
 
 
-    def __init__(self, sequence=None, leader=None, lease_ms=None, deployment_version=None, deployment=None, topology_version=None, groups=None, controls=None, samples=None, number=None, proxies=None, proxies_version=None,):
+    def __init__(self, sequence=None, leader=None, lease_ms=None, deployment_version=None, deployment=None, topology_version=None, groups=None, controls=None, samples=None, number=None, proxies=None, proxies_version=None, quotas=None,):
         self.sequence = sequence
         self.leader = leader
         self.lease_ms = lease_ms
@@ -3100,6 +3353,7 @@
         self.number = number
         self.proxies = proxies
         self.proxies_version = proxies_version
+        self.quotas = quotas
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3143,32 +3397,32 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype153, _size150) = iprot.readListBegin()
-                    for _i154 in range(_size150):
-                        _elem155 = GroupView()
-                        _elem155.read(iprot)
-                        self.groups.append(_elem155)
+                    (_etype167, _size164) = iprot.readListBegin()
+                    for _i168 in range(_size164):
+                        _elem169 = GroupView()
+                        _elem169.read(iprot)
+                        self.groups.append(_elem169)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.controls = []
-                    (_etype159, _size156) = iprot.readListBegin()
-                    for _i160 in range(_size156):
-                        _elem161 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.controls.append(_elem161)
+                    (_etype173, _size170) = iprot.readListBegin()
+                    for _i174 in range(_size170):
+                        _elem175 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.controls.append(_elem175)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.samples = []
-                    (_etype165, _size162) = iprot.readListBegin()
-                    for _i166 in range(_size162):
-                        _elem167 = PositionSample()
-                        _elem167.read(iprot)
-                        self.samples.append(_elem167)
+                    (_etype179, _size176) = iprot.readListBegin()
+                    for _i180 in range(_size176):
+                        _elem181 = PositionSample()
+                        _elem181.read(iprot)
+                        self.samples.append(_elem181)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3180,10 +3434,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.proxies = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.proxies.append(_elem173)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.proxies.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3192,6 +3446,17 @@
                     self.proxies_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.quotas = []
+                    (_etype191, _size188) = iprot.readListBegin()
+                    for _i192 in range(_size188):
+                        _elem193 = QuotaGrant()
+                        _elem193.read(iprot)
+                        self.quotas.append(_elem193)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3229,22 +3494,22 @@
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter174 in self.groups:
-                iter174.write(oprot)
+            for iter194 in self.groups:
+                iter194.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.controls is not None:
             oprot.writeFieldBegin('controls', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.controls))
-            for iter175 in self.controls:
-                oprot.writeString(iter175.encode('utf-8') if sys.version_info[0] == 2 else iter175)
+            for iter195 in self.controls:
+                oprot.writeString(iter195.encode('utf-8') if sys.version_info[0] == 2 else iter195)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.samples is not None:
             oprot.writeFieldBegin('samples', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.samples))
-            for iter176 in self.samples:
-                iter176.write(oprot)
+            for iter196 in self.samples:
+                iter196.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.number is not None:
@@ -3254,14 +3519,21 @@
         if self.proxies is not None:
             oprot.writeFieldBegin('proxies', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.proxies))
-            for iter177 in self.proxies:
-                oprot.writeString(iter177.encode('utf-8') if sys.version_info[0] == 2 else iter177)
+            for iter197 in self.proxies:
+                oprot.writeString(iter197.encode('utf-8') if sys.version_info[0] == 2 else iter197)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.proxies_version is not None:
             oprot.writeFieldBegin('proxies_version', TType.I64, 12)
             oprot.writeI64(self.proxies_version)
             oprot.writeFieldEnd()
+        if self.quotas is not None:
+            oprot.writeFieldBegin('quotas', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.quotas))
+            for iter198 in self.quotas:
+                iter198.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3588,11 +3860,11 @@
             elif fid == 11:
                 if ftype == TType.MAP:
                     self.values = {}
-                    (_ktype179, _vtype180, _size178) = iprot.readMapBegin()
-                    for _i182 in range(_size178):
-                        _key183 = iprot.readBinary()
-                        _val184 = iprot.readBinary()
-                        self.values[_key183] = _val184
+                    (_ktype200, _vtype201, _size199) = iprot.readMapBegin()
+                    for _i203 in range(_size199):
+                        _key204 = iprot.readBinary()
+                        _val205 = iprot.readBinary()
+                        self.values[_key204] = _val205
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -3654,9 +3926,9 @@
         if self.values is not None:
             oprot.writeFieldBegin('values', TType.MAP, 11)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.values))
-            for kiter185, viter186 in self.values.items():
-                oprot.writeBinary(kiter185)
-                oprot.writeBinary(viter186)
+            for kiter206, viter207 in self.values.items():
+                oprot.writeBinary(kiter206)
+                oprot.writeBinary(viter207)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.leading_term is not None:
@@ -4601,6 +4873,26 @@
     (3, TType.I64, 'offset', None, None, ),  # 3
     (4, TType.I64, 'age_ms', None, None, ),  # 4
 )
+all_structs.append(QuotaReport)
+QuotaReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'spent', None, None, ),  # 2
+    (3, TType.I64, 'returned', None, None, ),  # 3
+    (4, TType.I64, 'wanted', None, None, ),  # 4
+    (5, TType.I64, 'waiting', None, None, ),  # 5
+    (6, TType.I64, 'carried', None, None, ),  # 6
+    (7, TType.LIST, 'history', (TType.I64, None, False), None, ),  # 7
+    (8, TType.I64, 'calm_term', None, None, ),  # 8
+)
+all_structs.append(QuotaGrant)
+QuotaGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'granted', None, None, ),  # 2
+    (3, TType.I64, 'tokens', None, None, ),  # 3
+    (4, TType.I32, 'exhausted_ms', None, None, ),  # 4
+)
 all_structs.append(ProxyReport)
 ProxyReport.thrift_spec = (
     None,  # 0
@@ -4613,6 +4905,7 @@
     (7, TType.I64, 'last_grant', None, None, ),  # 7
     (8, TType.STRING, 'zone', 'UTF8', None, ),  # 8
     (9, TType.I64, 'proxies_version', None, None, ),  # 9
+    (10, TType.LIST, 'quotas', (TType.STRUCT, [QuotaReport, None], False), None, ),  # 10
 )
 all_structs.append(ProxyGrant)
 ProxyGrant.thrift_spec = (
@@ -4629,6 +4922,7 @@
     (10, TType.I64, 'number', None, None, ),  # 10
     (11, TType.LIST, 'proxies', (TType.STRING, 'UTF8', False), None, ),  # 11
     (12, TType.I64, 'proxies_version', None, None, ),  # 12
+    (13, TType.LIST, 'quotas', (TType.STRUCT, [QuotaGrant, None], False), None, ),  # 13
 )
 all_structs.append(RelayOpen)
 RelayOpen.thrift_spec = (
--- a/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
@@ -18,6 +18,7 @@
 )
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.execution import Attempt, run_read, run_write
+from bronzemoor_daemon.wire.quotagate import Permit
 from bronzemoor_daemon.wire.sockets import set_tcp_options
 from bronzemoor_daemon.wire.tasks import error_location
 from bronzemoor_daemon.wire.transaction import Transaction
@@ -47,6 +48,8 @@
         self._database = ""
         self._key_digest = ""
         self._transaction: Transaction | None = None
+        # For the transaction; spent with its first statement.
+        self._permit: Permit | None = None
         # Id of the last statement that was started, for the log.
         self._current_request = b""
         # When data was last received from the client, in seconds.
@@ -163,6 +166,7 @@
                 self.close()
                 return
             self._database = request.database
+            self._proxy.quotas.expect(self.state.caller)
             self._write(self._codec.encode_ready(st.IDLE))
 
     async def _on_statement(self, query_id: bytes, statement: Statement) -> None:
@@ -176,7 +180,7 @@
             case st.DEALLOCATE:
                 self._deallocate(statement)
             case st.BEGIN:
-                self._begin(query_id, statement)
+                await self._begin(query_id, statement)
             case st.COMMIT | st.ROLLBACK:
                 await self._end(query_id, statement)
             case _:
@@ -192,17 +196,22 @@
         else:
             self._answer_local()
 
-    def _begin(self, query_id: bytes, statement: Statement) -> None:
+    async def _begin(self, query_id: bytes, statement: Statement) -> None:
         if self._transaction is not None:
             self._answer_error(st.MALFORMED, b"a transaction is open")
             return
         route = self._route()
         if route is None:
             return
+        started, attempt = boottime(), Attempt(query_id, statement)
+        permit = await self._acquire_permit(attempt, route)
+        if isinstance(permit, Answer):
+            self._finish(attempt, route, permit, started)
+            return
+        self._permit = permit
         self._transaction = Transaction(
-            self._proxy, self._proxy.group(route.group), route, self.state,
-            Attempt(query_id, statement),
-        )  # fmt: skip
+            self._proxy, self._proxy.group(route.group), route, self.state, attempt
+        )
         self._answer_local()
 
     async def _end(self, query_id: bytes, statement: Statement) -> None:
@@ -213,9 +222,12 @@
         started = boottime()
         attempt = Attempt(query_id, statement)
         if statement.kind == st.ROLLBACK:
+            if self._permit is not None:
+                self._proxy.quotas.release(self._permit)
             transaction.roll_back()
             answer = Answer()
         else:
+            await self._spend_permit(attempt, transaction)
             answer = await transaction.commit(started, attempt)
         self._transaction = None
         answer.state = st.IDLE
@@ -235,6 +247,7 @@
         attempt = Attempt(query_id, statement, writes, shape)
         transaction = self._transaction
         if transaction is not None:
+            await self._spend_permit(attempt, transaction)
             answer = await transaction.run(started, attempt)
             answer.state = transaction.state
             self._finish(attempt, transaction.route, answer, started)
@@ -242,12 +255,40 @@
         route = self._route()
         if route is None:
             return
+        permit = await self._acquire_permit(attempt, route)
+        if isinstance(permit, Answer):
+            self._finish(attempt, route, permit, started)
+            return
+        self._proxy.quotas.spend(permit)
         group = self._proxy.group(route.group)
         run = run_write if writes else run_read
         answer = await run(self._proxy, group, route, self.state, attempt)
         answer.state = st.IDLE
         self._finish(attempt, route, answer, started)
 
+    # --- quotas
+
+    async def _acquire_permit(self, attempt: Attempt, route: Route) -> Permit | Answer:
+        return await self._proxy.quotas.acquire(
+            attempt.query_id, self.state.caller, route.statement_timeout
+        )
+
+    async def _spend_permit(self, attempt: Attempt, transaction: Transaction) -> None:
+        """Spends the transaction's permit before its first statement is sent.
+
+        One that expired meanwhile is replaced; if there is none, the transaction fails.
+        """
+        permit = self._permit
+        if permit is None or transaction.state != st.IN_TRANSACTION:
+            return
+        while not self._proxy.quotas.spend(permit):
+            renewed = await self._acquire_permit(attempt, transaction.route)
+            if isinstance(renewed, Answer):
+                transaction.fail("quota")
+                break
+            permit = renewed
+        self._permit = None
+
     # --- answers
 
     def _route(self) -> Route | None:
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -1,7 +1,7 @@
 """The control leader: topology, leases, joins and a supervisor for each group."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING, Any
 
 from msgspec import Struct
@@ -14,12 +14,14 @@
     PositionSample,
     ProxyGrant,
     ProxyReport,
+    QuotaGrant,
 )
 from bronzemoor_core.positions import Position
 from bronzemoor_core.wire.authority import order_deadline
 from bronzemoor_core.wire.deployment import Deployment
 from bronzemoor_core.wire.freshness import SampleExchange
 from bronzemoor_core.wire.leases import LeaseTable
+from bronzemoor_core.wire.quotas import TERM_SHIFT_BITS
 from bronzemoor_core.wire.records import (
     LeaderRecord,
     MemberRecord,
@@ -32,6 +34,7 @@
 from bronzemoor_core.wire.succession import Evidence
 from bronzemoor_core.wire.zoneproxies import ZoneProxies
 from bronzemoor_daemon.wire.clock import boottime, logged_ms
+from bronzemoor_daemon.wire.leaderquotas import LeaderQuotas
 from bronzemoor_daemon.wire.metrics import WireMetrics
 from bronzemoor_daemon.wire.ports import (
     DocumentReader,
@@ -48,8 +51,6 @@
 RESERVED_CONNECTIONS = 1
 # Minimum time between membership changes of the control group.
 GROUP_CHANGE_INTERVAL_SECONDS = 1.0
-# A topology version has the control group's term above this bit and a counter below.
-TERM_SHIFT_BITS = 32
 # Changes are not announced to proxies whose last report is older.
 PROXY_TIMEOUT_SECONDS = 5.0
 DEFAULT_CONNECTIONS = 8
@@ -92,6 +93,7 @@
         self._supervisors: dict[str, Supervisor] = {}
         self._last_report_at: dict[str, float] = {}
         self._reported_versions: dict[str, KnownVersions] = {}
+        # The term is above this bit and a counter below.
         self._topology_version = control.log.term << TERM_SHIFT_BITS
         self._views: list[GroupView] = []
         self._packed_document = b""
@@ -112,6 +114,13 @@
         self._zone_proxies = ZoneProxies(self.leases)
         self.samples = SampleExchange()
         self.evidence: dict[str, dict[str, Evidence]] = {}
+        self._quotas = LeaderQuotas(
+            settings.quota,
+            control.log.term,
+            control.records.quota_holders,
+            self._spawn_commit,
+            report,
+        )
         self.records_changed()
 
     @property
@@ -167,6 +176,16 @@
             return None
         return reply.body
 
+    def _spawn_commit(
+        self, command: dict[str, object], done: Callable[[bool], None]
+    ) -> None:
+        """Commits a command in the background; ``done`` is told whether it is."""
+
+        async def commit() -> None:
+            done(await self.commit(command) is not None)
+
+        self._control.spawn(commit(), "commit")
+
     def records_changed(self) -> None:
         """Applies changes of the replicated records and announces them to proxies."""
         records = self._control.records
@@ -181,6 +200,7 @@
                 return
             # Proxies get digests in place of keys.
             redacted = self.deployment.redacted
+            self._quotas.set_organisations(self.deployment.organisations)
             packed = pack_document(redacted) if redacted else records.document
             self._packed_document = packed_bytes(packed)
         groups = self.deployment.groups if self.deployment else {}
@@ -304,7 +324,13 @@
                 self._zone_proxies.remove(proxy)
 
     def _send_grant(
-        self, proxy: str, sequence: int, lease: float, known: KnownVersions
+        self,
+        proxy: str,
+        sequence: int,
+        lease: float,
+        known: KnownVersions,
+        with_samples: bool = False,
+        quotas: Sequence[QuotaGrant] = (),
     ) -> None:
         """Sends what is newer than ``known``; an announcement without news is left out.
 
@@ -334,10 +360,11 @@
                 self._topology_version,
                 self._views if known.topology < self._topology_version else [],
                 self._control.controls,
-                self._newest_samples(now) if sequence else [],
+                self._newest_samples(now) if with_samples else [],
                 self._grant_count,
                 proxies,
                 proxies_version,
+                list(quotas),
             ),
         )
 
@@ -362,6 +389,7 @@
             return
         if age is ReportAge.NEW_PROCESS:
             self.leases.process_ended(now, proxy)
+            self._quotas.process_ended(proxy)
             self.report("info", "proxy_restarted", peer=proxy)
         self._last_report_at[proxy] = now
         known = KnownVersions(
@@ -395,7 +423,12 @@
         if self.leases.holds(now, proxy) != held:
             self.report("info", "proxies_changed", proxies=self.leases.active(now))
             self._schedule_refresh()
-        self._send_grant(proxy, report.sequence, lease, known)
+        sent_after = self.samples.granted_at(proxy, report.last_grant)
+        quotas = self._quotas.on_report(now, proxy, sent_after, report, lease > 0)
+        # Reports that only ask for tokens have no groups.
+        self._send_grant(
+            proxy, report.sequence, lease, known, bool(report.groups), quotas
+        )
 
     # --- control group
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
@@ -73,6 +73,7 @@
         "ended_transactions",
         "latency",
         "promotions",
+        "quota_refusals",
         "refused_announcements",
         "refused_operations",
         "retries",
@@ -120,6 +121,11 @@
             "Operations and sessions refused before anything was sent to a member",
             "reason",
         )
+        self.quota_refusals = Counter(
+            "bronzemoor_quota_refusals",
+            "Operations refused for a quota, by name of the largest organisations",
+            "organisation",
+        )
         self.sent_bytes = Counter(
             "bronzemoor_sent_bytes",
             "Bytes of messages sent to other daemons, as compressed",
@@ -136,6 +142,7 @@
             self.changes,
             self.refused_announcements,
             self.refused_operations,
+            self.quota_refusals,
             self.sent_bytes,
         )
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -18,6 +18,7 @@
 from bronzemoor_core.wire.deployment import Deployment, Route
 from bronzemoor_core.wire.leadersearch import LeaderSearch
 from bronzemoor_core.wire.leases import HeldLease
+from bronzemoor_core.wire.quotas import TERM_SHIFT_BITS, TOKEN_EXTENSION_SECONDS
 from bronzemoor_core.wire.records import unpack_document
 from bronzemoor_core.wire.statements import Answer
 from bronzemoor_daemon.framing import split_address
@@ -29,6 +30,7 @@
 from bronzemoor_daemon.wire.memberpool import MemberPool
 from bronzemoor_daemon.wire.metrics import WireMetrics
 from bronzemoor_daemon.wire.ports import DocumentReader, StatementCodec
+from bronzemoor_daemon.wire.quotagate import make_quota_gate
 from bronzemoor_daemon.wire.relays import RelayClient
 from bronzemoor_daemon.wire.relayserver import RelayServer
 from bronzemoor_daemon.wire.settings import WireSettings
@@ -95,6 +97,9 @@
         # Whether idle sessions are closed because the proxy is stopping.
         self.closing = False
         self.deployment_received = asyncio.Event()
+        self.quotas = make_quota_gate(
+            settings.quota, self._send_quota_report, report, metrics
+        )
         self.links = Links(
             settings.peer,
             self.on_message,
@@ -331,7 +336,15 @@
         if target := self._search.next_target():
             self._send_report_to(target, now)
 
-    def _send_report_to(self, target: str, now: float) -> None:
+    def _send_quota_report(self) -> None:
+        """Asks a known leader for tokens, without other observations."""
+        now = boottime()
+        if self._search.leader and self._search.is_answering(now):
+            self._send_report_to(self._search.leader, now, quotas_only=True)
+
+    def _send_report_to(
+        self, target: str, now: float, quotas_only: bool = False
+    ) -> None:
         self._sequence += 1
         self._report_times[self._sequence] = now
         self._report_times.pop(self._sequence - MAX_OUTSTANDING_REPORTS, None)
@@ -343,10 +356,15 @@
                 self.deployment.version if self.deployment else 0,
                 self._topology_version,
                 self.stopping,
-                [g.build_report(now, self._granted_at) for g in self._groups.values()],
+                []
+                if quotas_only
+                else [
+                    g.build_report(now, self._granted_at) for g in self._groups.values()
+                ],
                 self._grant_number,
                 self._settings.zone,
                 self._proxies_version,
+                self.quotas.build_report(now, self._sequence),
             ),
         )
 
@@ -420,10 +438,26 @@
             current = message.topology_version == self._topology_version
             if current:
                 self._renew_lease(now, sent_at, message.lease_ms / 1_000)
+        if sent_at is not None:
+            self._apply_quotas(now, sent_at, message)
         if changed and message.sequence == 0:
             # Confirms the announced topology before the next regular report.
             self._send_report()
 
+    def _apply_quotas(self, now: float, sent_at: float, message: ProxyGrant) -> None:
+        """Applies the tokens in a grant of the leader whose topology is in force."""
+        term = message.topology_version >> TERM_SHIFT_BITS
+        if term != self._topology_version >> TERM_SHIFT_BITS:
+            return
+        expires = float("-inf")
+        if message.lease_ms > 0:
+            expires = sent_at + message.lease_ms / 1_000 + TOKEN_EXTENSION_SECONDS
+        if self.quotas.apply_grant(
+            now, term, message.sequence, expires, message.quotas
+        ):
+            # A new leader divides the quotas once it knows what was spent.
+            self._send_quota_report()
+
     def _record_samples(self, sent_at: float, message: ProxyGrant) -> None:
         """Records position samples of other proxies.
 
@@ -459,6 +493,7 @@
             return
         for group in self._groups.values():
             group.by_organisation = self._has_organisations
+        self.quotas.set_deployment(self.deployment)
         self.deployment_received.set()
         self.report(
             "info",
--- a/packages/daemon/src/bronzemoor_daemon/wire/settings.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/settings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from bronzemoor_core.wire.quotas import QuotaSettings
+
 PROXY = "proxy"
 CONTROL = "control"
 
@@ -13,7 +15,7 @@
     ``name`` identifies the daemon to operators; ``peer`` is its address for other
     daemons and its name among them. ``first_start`` is true only while the whole system
     starts for the first time. ``tolerated_losses`` is how many control daemons may fail
-    at once.
+    at once. Without ``quota``, the limits of organisations are not enforced.
     """
 
     name: str
@@ -30,4 +32,5 @@
     stop_grace: float = 6.0
     tolerated_losses: int = 1
     log_level: str = "INFO"
+    quota: QuotaSettings | None = None
     extra: dict[str, str] = field(default_factory=dict)
--- a/tests/adapter/system.py
+++ b/tests/adapter/system.py
@@ -9,6 +9,7 @@
 from loopback import free_addresses
 
 from bronzemoor_core.wire.authority import PromotionOrder
+from bronzemoor_core.wire.quotas import QuotaSettings
 from bronzemoor_core.wire.records import MemberRecord
 from bronzemoor_daemon.wire.control import ControlDaemon
 from bronzemoor_daemon.wire.metrics import WireMetrics
@@ -93,6 +94,9 @@
 class System:
     """Three control daemons, two proxies and one group."""
 
+    # Quotas are not enforced unless a subclass says so.
+    quota: QuotaSettings | None = None
+
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         self._codec = PlatformLines()
@@ -174,8 +178,9 @@
         folder = self._folder / name
         folder.mkdir()
         return WireSettings(
-            name, (role,), ZONES[0], peer, seeds, True, data_folder=str(folder)
-        )
+            name, (role,), ZONES[0], peer, seeds, True, data_folder=str(folder),
+            quota=self.quota,
+        )  # fmt: skip
 
     def _promote(self, order: PromotionOrder) -> str:
         return self.group.promote(order.member, order.fence)
@@ -184,14 +189,14 @@
         self.events.append((event, fields))
 
 
-def run_system(folder: Path, scenario, **changes) -> None:
+def run_system(folder: Path, scenario, system_type=System, **changes) -> None:
     """Runs ``scenario(system)`` once the system is ready.
 
     ``changes`` are applied to the deployment document.
     """
 
     async def main() -> None:
-        system = System(folder)
+        system = system_type(folder)
         try:
             await system.start()
             await system.deploy(**changes)
