Merge the quotas of organisations across all proxies

Change: the control leader grants tokens to proxies by demand; each operation spends one before anything is sent to a member.

--- a/packages/daemon/src/bronzemoor_daemon/gen/peer/Peer.py
+++ b/packages/daemon/src/bronzemoor_daemon/gen/peer/Peer.py
@@ -151,11 +151,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.envelopes = []
-                    (_etype220, _size217) = iprot.readListBegin()
-                    for _i221 in range(_size217):
-                        _elem222 = Envelope()
-                        _elem222.read(iprot)
-                        self.envelopes.append(_elem222)
+                    (_etype241, _size238) = iprot.readListBegin()
+                    for _i242 in range(_size238):
+                        _elem243 = Envelope()
+                        _elem243.read(iprot)
+                        self.envelopes.append(_elem243)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -172,8 +172,8 @@
         if self.envelopes is not None:
             oprot.writeFieldBegin('envelopes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.envelopes))
-            for iter223 in self.envelopes:
-                iter223.write(oprot)
+            for iter244 in self.envelopes:
+                iter244.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
+++ b/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
@@ -2973,6 +2973,238 @@
         return not (self == other)
 
 
+class QuotaReport(object):
+    """
+    Attributes:
+     - organisation
+     - spent
+     - returned
+     - wanted
+     - waiting
+     - carried
+     - history
+     - calm_term
+
+    """
+
+
+    def __init__(self, organisation=None, spent=None, returned=None, wanted=None, waiting=None, carried=None, history=None, calm_term=None,):
+        self.organisation = organisation
+        self.spent = spent
+        self.returned = returned
+        self.wanted = wanted
+        self.waiting = waiting
+        self.carried = carried
+        self.history = history
+        self.calm_term = calm_term
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.spent = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.returned = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.wanted = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.waiting = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.carried = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.history = []
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = iprot.readI64()
+                        self.history.append(_elem171)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.calm_term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaReport')
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 1)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.spent is not None:
+            oprot.writeFieldBegin('spent', TType.I64, 2)
+            oprot.writeI64(self.spent)
+            oprot.writeFieldEnd()
+        if self.returned is not None:
+            oprot.writeFieldBegin('returned', TType.I64, 3)
+            oprot.writeI64(self.returned)
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.I64, 4)
+            oprot.writeI64(self.wanted)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I64, 5)
+            oprot.writeI64(self.waiting)
+            oprot.writeFieldEnd()
+        if self.carried is not None:
+            oprot.writeFieldBegin('carried', TType.I64, 6)
+            oprot.writeI64(self.carried)
+            oprot.writeFieldEnd()
+        if self.history is not None:
+            oprot.writeFieldBegin('history', TType.LIST, 7)
+            oprot.writeListBegin(TType.I64, len(self.history))
+            for iter172 in self.history:
+                oprot.writeI64(iter172)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.calm_term is not None:
+            oprot.writeFieldBegin('calm_term', TType.I64, 8)
+            oprot.writeI64(self.calm_term)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaGrant(object):
+    """
+    Attributes:
+     - organisation
+     - granted
+     - tokens
+     - exhausted_ms
+
+    """
+
+
+    def __init__(self, organisation=None, granted=None, tokens=None, exhausted_ms=None,):
+        self.organisation = organisation
+        self.granted = granted
+        self.tokens = tokens
+        self.exhausted_ms = exhausted_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.granted = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.exhausted_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaGrant')
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 1)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.I64, 2)
+            oprot.writeI64(self.granted)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I64, 3)
+            oprot.writeI64(self.tokens)
+            oprot.writeFieldEnd()
+        if self.exhausted_ms is not None:
+            oprot.writeFieldBegin('exhausted_ms', TType.I32, 4)
+            oprot.writeI32(self.exhausted_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ProxyReport(object):
     """
     Attributes:
@@ -2985,11 +3217,12 @@
      - last_grant
      - zone
      - proxies_version
+     - quotas
 
     """
 
 
-    def __init__(self, incarnation=None, sequence=None, deployment_version=None, topology_version=None, draining=None, groups=None, last_grant=None, zone=None, proxies_version=None,):
+    def __init__(self, incarnation=None, sequence=None, deployment_version=None, topology_version=None, draining=None, groups=None, last_grant=None, zone=None, proxies_version=None, quotas=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.deployment_version = deployment_version
@@ -2999,6 +3232,7 @@
         self.last_grant = last_grant
         self.zone = zone
         self.proxies_version = proxies_version
+        self.quotas = quotas
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3037,11 +3271,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype169, _size166) = iprot.readListBegin()
-                    for _i170 in range(_size166):
-                        _elem171 = GroupReport()
-                        _elem171.read(iprot)
-                        self.groups.append(_elem171)
+                    (_etype176, _size173) = iprot.readListBegin()
+                    for _i177 in range(_size173):
+                        _elem178 = GroupReport()
+                        _elem178.read(iprot)
+                        self.groups.append(_elem178)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3060,6 +3294,17 @@
                     self.proxies_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.quotas = []
+                    (_etype182, _size179) = iprot.readListBegin()
+                    for _i183 in range(_size179):
+                        _elem184 = QuotaReport()
+                        _elem184.read(iprot)
+                        self.quotas.append(_elem184)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3093,8 +3338,8 @@
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter172 in self.groups:
-                iter172.write(oprot)
+            for iter185 in self.groups:
+                iter185.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.last_grant is not None:
@@ -3109,6 +3354,13 @@
             oprot.writeFieldBegin('proxies_version', TType.I64, 9)
             oprot.writeI64(self.proxies_version)
             oprot.writeFieldEnd()
+        if self.quotas is not None:
+            oprot.writeFieldBegin('quotas', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.quotas))
+            for iter186 in self.quotas:
+                iter186.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3142,12 +3394,13 @@
      - number
      - proxies
      - proxies_version
+     - quotas
      - loads
 
     """
 
 
-    def __init__(self, sequence=None, leader=None, lease_ms=None, deployment_version=None, deployment=None, topology_version=None, groups=None, controls=None, samples=None, number=None, proxies=None, proxies_version=None, loads=None,):
+    def __init__(self, sequence=None, leader=None, lease_ms=None, deployment_version=None, deployment=None, topology_version=None, groups=None, controls=None, samples=None, number=None, proxies=None, proxies_version=None, quotas=None, loads=None,):
         self.sequence = sequence
         self.leader = leader
         self.lease_ms = lease_ms
@@ -3160,6 +3413,7 @@
         self.number = number
         self.proxies = proxies
         self.proxies_version = proxies_version
+        self.quotas = quotas
         self.loads = loads
 
     def read(self, iprot):
@@ -3204,32 +3458,32 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.groups = []
-                    (_etype176, _size173) = iprot.readListBegin()
-                    for _i177 in range(_size173):
-                        _elem178 = GroupView()
-                        _elem178.read(iprot)
-                        self.groups.append(_elem178)
+                    (_etype190, _size187) = iprot.readListBegin()
+                    for _i191 in range(_size187):
+                        _elem192 = GroupView()
+                        _elem192.read(iprot)
+                        self.groups.append(_elem192)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.controls = []
-                    (_etype182, _size179) = iprot.readListBegin()
-                    for _i183 in range(_size179):
-                        _elem184 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.controls.append(_elem184)
+                    (_etype196, _size193) = iprot.readListBegin()
+                    for _i197 in range(_size193):
+                        _elem198 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.controls.append(_elem198)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.samples = []
-                    (_etype188, _size185) = iprot.readListBegin()
-                    for _i189 in range(_size185):
-                        _elem190 = PositionSample()
-                        _elem190.read(iprot)
-                        self.samples.append(_elem190)
+                    (_etype202, _size199) = iprot.readListBegin()
+                    for _i203 in range(_size199):
+                        _elem204 = PositionSample()
+                        _elem204.read(iprot)
+                        self.samples.append(_elem204)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3241,10 +3495,10 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.proxies = []
-                    (_etype194, _size191) = iprot.readListBegin()
-                    for _i195 in range(_size191):
-                        _elem196 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.proxies.append(_elem196)
+                    (_etype208, _size205) = iprot.readListBegin()
+                    for _i209 in range(_size205):
+                        _elem210 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.proxies.append(_elem210)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3253,13 +3507,24 @@
                     self.proxies_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.quotas = []
+                    (_etype214, _size211) = iprot.readListBegin()
+                    for _i215 in range(_size211):
+                        _elem216 = QuotaGrant()
+                        _elem216.read(iprot)
+                        self.quotas.append(_elem216)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype200, _size197) = iprot.readListBegin()
-                    for _i201 in range(_size197):
-                        _elem202 = iprot.readI32()
-                        self.loads.append(_elem202)
+                    (_etype220, _size217) = iprot.readListBegin()
+                    for _i221 in range(_size217):
+                        _elem222 = iprot.readI32()
+                        self.loads.append(_elem222)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3300,22 +3565,22 @@
         if self.groups is not None:
             oprot.writeFieldBegin('groups', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.groups))
-            for iter203 in self.groups:
-                iter203.write(oprot)
+            for iter223 in self.groups:
+                iter223.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.controls is not None:
             oprot.writeFieldBegin('controls', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.controls))
-            for iter204 in self.controls:
-                oprot.writeString(iter204.encode('utf-8') if sys.version_info[0] == 2 else iter204)
+            for iter224 in self.controls:
+                oprot.writeString(iter224.encode('utf-8') if sys.version_info[0] == 2 else iter224)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.samples is not None:
             oprot.writeFieldBegin('samples', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.samples))
-            for iter205 in self.samples:
-                iter205.write(oprot)
+            for iter225 in self.samples:
+                iter225.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.number is not None:
@@ -3325,19 +3590,26 @@
         if self.proxies is not None:
             oprot.writeFieldBegin('proxies', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.proxies))
-            for iter206 in self.proxies:
-                oprot.writeString(iter206.encode('utf-8') if sys.version_info[0] == 2 else iter206)
+            for iter226 in self.proxies:
+                oprot.writeString(iter226.encode('utf-8') if sys.version_info[0] == 2 else iter226)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.proxies_version is not None:
             oprot.writeFieldBegin('proxies_version', TType.I64, 12)
             oprot.writeI64(self.proxies_version)
             oprot.writeFieldEnd()
+        if self.quotas is not None:
+            oprot.writeFieldBegin('quotas', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.quotas))
+            for iter227 in self.quotas:
+                iter227.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 14)
             oprot.writeListBegin(TType.I32, len(self.loads))
-            for iter207 in self.loads:
-                oprot.writeI32(iter207)
+            for iter228 in self.loads:
+                oprot.writeI32(iter228)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3701,11 +3973,11 @@
             elif fid == 11:
                 if ftype == TType.MAP:
                     self.values = {}
-                    (_ktype209, _vtype210, _size208) = iprot.readMapBegin()
-                    for _i212 in range(_size208):
-                        _key213 = iprot.readBinary()
-                        _val214 = iprot.readBinary()
-                        self.values[_key213] = _val214
+                    (_ktype230, _vtype231, _size229) = iprot.readMapBegin()
+                    for _i233 in range(_size229):
+                        _key234 = iprot.readBinary()
+                        _val235 = iprot.readBinary()
+                        self.values[_key234] = _val235
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -3772,9 +4044,9 @@
         if self.values is not None:
             oprot.writeFieldBegin('values', TType.MAP, 11)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.values))
-            for kiter215, viter216 in self.values.items():
-                oprot.writeBinary(kiter215)
-                oprot.writeBinary(viter216)
+            for kiter236, viter237 in self.values.items():
+                oprot.writeBinary(kiter236)
+                oprot.writeBinary(viter237)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.leading_term is not None:
@@ -4737,6 +5009,26 @@
     (3, TType.I64, 'offset', None, None, ),  # 3
     (4, TType.I64, 'age_ms', None, None, ),  # 4
 )
+all_structs.append(QuotaReport)
+QuotaReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'spent', None, None, ),  # 2
+    (3, TType.I64, 'returned', None, None, ),  # 3
+    (4, TType.I64, 'wanted', None, None, ),  # 4
+    (5, TType.I64, 'waiting', None, None, ),  # 5
+    (6, TType.I64, 'carried', None, None, ),  # 6
+    (7, TType.LIST, 'history', (TType.I64, None, False), None, ),  # 7
+    (8, TType.I64, 'calm_term', None, None, ),  # 8
+)
+all_structs.append(QuotaGrant)
+QuotaGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'granted', None, None, ),  # 2
+    (3, TType.I64, 'tokens', None, None, ),  # 3
+    (4, TType.I32, 'exhausted_ms', None, None, ),  # 4
+)
 all_structs.append(ProxyReport)
 ProxyReport.thrift_spec = (
     None,  # 0
@@ -4749,6 +5041,7 @@
     (7, TType.I64, 'last_grant', None, None, ),  # 7
     (8, TType.STRING, 'zone', 'UTF8', None, ),  # 8
     (9, TType.I64, 'proxies_version', None, None, ),  # 9
+    (10, TType.LIST, 'quotas', (TType.STRUCT, [QuotaReport, None], False), None, ),  # 10
 )
 all_structs.append(ProxyGrant)
 ProxyGrant.thrift_spec = (
@@ -4765,7 +5058,7 @@
     (10, TType.I64, 'number', None, None, ),  # 10
     (11, TType.LIST, 'proxies', (TType.STRING, 'UTF8', False), None, ),  # 11
     (12, TType.I64, 'proxies_version', None, None, ),  # 12
-    None,  # 13
+    (13, TType.LIST, 'quotas', (TType.STRUCT, [QuotaGrant, None], False), None, ),  # 13
     (14, TType.LIST, 'loads', (TType.I32, None, False), None, ),  # 14
 )
 all_structs.append(RelayOpen)
--- a/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
@@ -89,6 +89,7 @@
         "load_spreads",
         "loads",
         "promotions",
+        "quota_refusals",
         "refused_announcements",
         "refused_operations",
         "retries",
@@ -169,6 +170,11 @@
             "Statements that had to wait for a connection to a member",
             "reason",
         )
+        self.quota_refusals = Counter(
+            "bronzemoor_quota_refusals",
+            "Operations refused for a quota, by name of the largest organisations",
+            "organisation",
+        )
         self.sent_bytes = Counter(
             "bronzemoor_sent_bytes",
             "Bytes of messages sent to other daemons, as compressed",
@@ -188,6 +194,7 @@
             self.connection_openings,
             self.evicted_connections,
             self.waiting_statements,
+            self.quota_refusals,
             self.sent_bytes,
         )
 
