--- a/tests/adapter/fake_members.py
+++ b/tests/adapter/fake_members.py
@@ -31,6 +31,8 @@
         # Execution time in seconds by statement prefix.
         self.statement_delays: dict[str, float] = {}
         self.executed: list[tuple[str, str]] = []
+        # Callers of the connections on which each statement ran.
+        self.callers_at_run: dict[str, set[str]] = {}
         # Values of the connection at the last run of each statement.
         self.values_at_run: dict[str, dict[str, str]] = {}
         self.connections: set[FakeConnection] = set()
@@ -220,6 +222,7 @@
         if lost_lead and text != "ROLLBACK" and (text != "COMMIT" or self.writes):
             return self.error("READONLY")
         member.executed.append((query_id, text))
+        member.callers_at_run.setdefault(text, set()).add(self.caller)
         lost = [prefix for prefix in member.lost_answers if text.startswith(prefix)]
         answer = self.run(text)
         if lost:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,7 +4,9 @@
 prints the violations. Checked: no acknowledged write lost, none applied twice, none
 stored that was refused as not stored, no deployment older than an acknowledged one, no
 process that exits unexpectedly, service restored within ``RECOVERY_TIMEOUT_SECONDS``
-after the last fault. With an odd seed the proxies share the members' connections.
+after the last fault. With an odd seed the proxies share the members' connections. With
+a seed whose half is odd, clients have keys: no statement may run for another
+organisation or for a key that was withdrawn for ``WITHDRAWAL_SECONDS``.
 """
 
 import argparse
@@ -24,6 +26,7 @@
 sys.path += [str(ROOT / path) for path in ("tests/adapter", "tests/soak", "platform")]
 
 from fake_members import FakeGroup  # noqa: E402
+from keys import Keys  # noqa: E402
 from relay import Relay  # noqa: E402
 from system import Client, make_document  # noqa: E402
 
@@ -108,6 +111,7 @@
         self.random = Random(seed)
         self.folder = folder
         self.scarce = seed % 2 == 1
+        self.keys = Keys(self.random) if seed // 2 % 2 == 1 else None
         # Concurrent runs use different loopback addresses.
         self.subnet = 1 + os.getpid() % 250
         self.ports = [20_000 + 4 * (seed % 1_000) + i for i in range(4)]
@@ -184,6 +188,8 @@
         ):
             if found:
                 self.problems.append(f"{name}: {sorted(found)[:5]} of {len(keys)}")
+        if self.keys is not None:
+            self._check_callers()
         read = None
         for _ in range(10):
             read = await self._http("GET", "/bronzemoor/config")
@@ -192,6 +198,13 @@
         if read is None or json.loads(read)["version"] < self.accepted:
             self.problems.append(f"deployment read {read!r:.60}, had {self.accepted}")
 
+    def _check_callers(self) -> None:
+        """Checks that writes ran on connections of their organisation only."""
+        for member in self.group.members.values():
+            for text, callers in member.callers_at_run.items():
+                if text.startswith("STORE ") and callers != {text[6:].split(".")[0]}:
+                    self.problems.append(f"{text} ran for {sorted(callers)}")
+
     # --- platform and clients
 
     async def _serve_promotion(self, reader, writer) -> None:
@@ -228,9 +241,14 @@
         body["services"][0]["max_conns"] = (
             SCARCE_CONNECTIONS if self.scarce else AMPLE_CONNECTIONS
         )
+        keys = self.keys.rotate() if self.keys is not None else {}
+        if self.keys is not None:
+            body["tenants"] = self.keys.describe(keys)
         done = await self._http("PUT", "/bronzemoor/config", body)
         if done is not None:
             self.accepted = max(self.accepted, body["version"])
+            if self.keys is not None:
+                self.keys.accepted(keys)
         return done is not None
 
     async def _http(self, method: str, path: str, body=None) -> bytes | None:
@@ -264,12 +282,17 @@
     async def _write(self, proxy: Program, key: str) -> bool:
         """Writes once, with or without a transaction, and records the outcome."""
         key = f"{key}-{next(WRITE_NUMBERS)}"
+        organisation, secret, in_force = "", "test", True
+        if self.keys is not None:
+            organisation, secret, in_force = self.keys.choose()
+            key = f"{organisation}.{key}"
         texts = [f"STORE {key} v"]
         if self.random.random() < 0.4:
             texts = ["BEGIN", *texts, "COMMIT"]
         try:
             async with asyncio.timeout(6):
-                client = await Client.open(f"{proxy.ip}:{self.ports[2]}", "orders")
+                address = f"{proxy.ip}:{self.ports[2]}"
+                client = await Client.open(address, "orders", secret)
                 if not client.greeting.startswith("READY"):
                     return False
                 for text in texts:
@@ -283,6 +306,8 @@
         except (OSError, TimeoutError, IndexError):
             return False
         self.acknowledged[key] = "v"
+        if not in_force:
+            self.problems.append(f"{key} ran for a withdrawn key")
         return True
 
     async def _watch_processes(self) -> None:
