Send changed documents to proxies as deltas

Cause: each change of the configuration sent the whole document to every proxy, about 5 KB compressed with 79 organisations, two thirds of it to other regions. Change: a proxy says that it accepts deltas; the leader compresses a document with the one that the proxy has as its dictionary. Proxies of earlier builds and those with an older version get the whole document.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -73,14 +73,14 @@
 struct ProxyReport {
   1: i64 incarnation, 2: i64 sequence, 3: i64 deployment_version, 4: i64 topology_version,
   5: bool draining, 6: list<GroupReport> groups, 7: i64 last_grant,
-  8: string zone, 9: i64 proxies_version, 10: list<QuotaReport> quotas
+  8: string zone, 9: i64 proxies_version, 10: list<QuotaReport> quotas, 11: bool accepts_deltas
 }
 struct ProxyGrant {
   1: i64 sequence, 2: string leader, 3: i32 lease_ms, 4: i64 deployment_version,
   5: binary deployment, 6: i64 topology_version, 7: list<GroupView> groups,
   8: list<string> controls, 9: list<PositionSample> samples, 10: i64 number,
   11: list<string> proxies, 12: i64 proxies_version, 13: list<QuotaGrant> quotas,
-  14: list<i32> loads
+  14: list<i32> loads, 15: i64 deployment_base
 }
 struct RelayOpen {
   1: i64 channel, 2: string group, 3: string member, 4: i32 priority, 5: i32 timeout_ms,
--- a/packages/core/src/bronzemoor_core/messages.py
+++ b/packages/core/src/bronzemoor_core/messages.py
@@ -372,7 +372,8 @@
     ``incarnation`` identifies the proxy's process; it is 0 in earlier builds, which do
     not accept announcements without groups. ``last_grant`` is the number of the latest
     grant received, to which samples refer, and ``proxies_version`` the version of the
-    list of its zone's proxies.
+    list of its zone's proxies. With ``accepts_deltas`` the proxy decodes documents that
+    were encoded for the one that it has.
     """
 
     incarnation: int
@@ -385,6 +386,7 @@
     zone: str = ""
     proxies_version: int = 0
     quotas: list[QuotaReport] = field(default_factory=list)
+    accepts_deltas: bool = False
 
 
 @message
@@ -395,10 +397,11 @@
     that the sender is not the leader. ``deployment`` and ``groups`` are empty if the
     proxy reported the same version; in an announcement that may have been an earlier
     process of the proxy, so empty groups count only in the answer to a report.
-    ``number`` identifies a grant among those to one proxy. ``proxies`` lists those of
-    its zone that share connections; it is empty if the proxy has that version or none
-    are shared. ``loads`` has the encoded numbers of statements that the other zones
-    have in progress at members; members with few are left out.
+    ``deployment_base`` is the version that is needed to decode the deployment, 0
+    for none. ``number`` identifies a grant among those to one proxy. ``proxies``
+    lists those of its zone that share connections; it is empty if the proxy has
+    that version or none are shared. ``loads`` has the encoded numbers of statements
+    that the other zones have in progress at members; members with few are left out.
     """
 
     sequence: int
@@ -415,6 +418,7 @@
     proxies_version: int = 0
     loads: list[int] = field(default_factory=list)
     quotas: list[QuotaGrant] = field(default_factory=list)
+    deployment_base: int = 0
 
 
 @message
--- a/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
+++ b/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
@@ -3218,11 +3218,12 @@
      - zone
      - proxies_version
      - quotas
+     - accepts_deltas
 
     """
 
 
-    def __init__(self, incarnation=None, sequence=None, deployment_version=None, topology_version=None, draining=None, groups=None, last_grant=None, zone=None, proxies_version=None, quotas=None,):
+    def __init__(self, incarnation=None, sequence=None, deployment_version=None, topology_version=None, draining=None, groups=None, last_grant=None, zone=None, proxies_version=None, quotas=None, accepts_deltas=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.deployment_version = deployment_version
@@ -3233,6 +3234,7 @@
         self.zone = zone
         self.proxies_version = proxies_version
         self.quotas = quotas
+        self.accepts_deltas = accepts_deltas
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3305,6 +3307,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.accepts_deltas = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3361,6 +3368,10 @@
                 iter186.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.accepts_deltas is not None:
+            oprot.writeFieldBegin('accepts_deltas', TType.BOOL, 11)
+            oprot.writeBool(self.accepts_deltas)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3396,11 +3407,12 @@
      - proxies_version
      - quotas
      - loads
+     - deployment_base
 
     """
 
 
-    def __init__(self, sequence=None, leader=None, lease_ms=None, deployment_version=None, deployment=None, topology_version=None, groups=None, controls=None, samples=None, number=None, proxies=None, proxies_version=None, quotas=None, loads=None,):
+    def __init__(self, sequence=None, leader=None, lease_ms=None, deployment_version=None, deployment=None, topology_version=None, groups=None, controls=None, samples=None, number=None, proxies=None, proxies_version=None, quotas=None, loads=None, deployment_base=None,):
         self.sequence = sequence
         self.leader = leader
         self.lease_ms = lease_ms
@@ -3415,6 +3427,7 @@
         self.proxies_version = proxies_version
         self.quotas = quotas
         self.loads = loads
+        self.deployment_base = deployment_base
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3528,6 +3541,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I64:
+                    self.deployment_base = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3612,6 +3630,10 @@
                 oprot.writeI32(iter228)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.deployment_base is not None:
+            oprot.writeFieldBegin('deployment_base', TType.I64, 15)
+            oprot.writeI64(self.deployment_base)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5042,6 +5064,7 @@
     (8, TType.STRING, 'zone', 'UTF8', None, ),  # 8
     (9, TType.I64, 'proxies_version', None, None, ),  # 9
     (10, TType.LIST, 'quotas', (TType.STRUCT, [QuotaReport, None], False), None, ),  # 10
+    (11, TType.BOOL, 'accepts_deltas', None, None, ),  # 11
 )
 all_structs.append(ProxyGrant)
 ProxyGrant.thrift_spec = (
@@ -5060,6 +5083,7 @@
     (12, TType.I64, 'proxies_version', None, None, ),  # 12
     (13, TType.LIST, 'quotas', (TType.STRUCT, [QuotaGrant, None], False), None, ),  # 13
     (14, TType.LIST, 'loads', (TType.I32, None, False), None, ),  # 14
+    (15, TType.I64, 'deployment_base', None, None, ),  # 15
 )
 all_structs.append(RelayOpen)
 RelayOpen.thrift_spec = (
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -19,6 +19,7 @@
 from bronzemoor_core.positions import Position
 from bronzemoor_core.wire.authority import order_deadline
 from bronzemoor_core.wire.deployment import Deployment
+from bronzemoor_core.wire.documentdeltas import DocumentEncoder
 from bronzemoor_core.wire.freshness import SampleExchange
 from bronzemoor_core.wire.leases import LeaseTable
 from bronzemoor_core.wire.loadexchange import LoadExchange, decode_loads
@@ -27,8 +28,6 @@
     LeaderRecord,
     MemberRecord,
     is_usable,
-    pack_document,
-    packed_bytes,
     unpack_document,
 )
 from bronzemoor_core.wire.reportorder import ReportAge, ReportOrder
@@ -74,6 +73,7 @@
     topology: int = 0
     # Version of the list of its zone's proxies.
     proxies: int = 0
+    accepts_deltas: bool = False
 
 
 class Leader:
@@ -98,7 +98,7 @@
         # The term is above this bit and a counter below.
         self._topology_version = control.log.term << TERM_SHIFT_BITS
         self._views: list[GroupView] = []
-        self._packed_document = b""
+        self._document = DocumentEncoder()
         self._group_changed_at = float("-inf")
         self._grant_count = 0
         self._announced_at = float("-inf")
@@ -203,10 +203,9 @@
                 self.report("error", "deployment_unreadable", error=str(error))
                 return
             # Proxies get digests in place of keys.
-            redacted = self.deployment.redacted
-            self._quotas.set_organisations(self.deployment.organisations)
-            packed = pack_document(redacted) if redacted else records.document
-            self._packed_document = packed_bytes(packed)
+            self._document.set_document(
+                self.deployment.version, self.deployment.redacted or document
+            )
         groups = self.deployment.groups if self.deployment else {}
         for name in groups:
             if name not in self._supervisors:
@@ -389,9 +388,16 @@
             owners = self._zone_proxies.owners(now, self._zone_proxies.zone(proxy))
             if owners.version != known.proxies:
                 proxies, proxies_version = owners.proxies, owners.version
-        newest = KnownVersions(version, self._topology_version, proxies_version)
+        newest = KnownVersions(
+            version, self._topology_version, proxies_version, known.accepts_deltas
+        )
         if not sequence and newest == known:
             return
+        document, base = b"", 0
+        if known.deployment < version:
+            document, base = self._document.encode(
+                known.deployment, known.accepts_deltas
+            )
         self._grant_count += 1
         self.samples.granted(now, proxy, self._grant_count)
         self._control.links.send(
@@ -401,7 +407,7 @@
                 self._settings.peer,
                 int(lease * 1_000),
                 version,
-                self._packed_document if known.deployment < version else b"",
+                document,
                 self._topology_version,
                 self._views if known.topology < self._topology_version else [],
                 self._control.controls,
@@ -411,6 +417,7 @@
                 proxies_version,
                 self._other_loads(now, proxy) if sequence else [],
                 list(quotas),
+                base,
             ),
         )
 
@@ -447,7 +454,10 @@
             self.report("info", "proxy_restarted", peer=proxy)
         self._last_report_at[proxy] = now
         known = KnownVersions(
-            report.deployment_version, report.topology_version, report.proxies_version
+            report.deployment_version,
+            report.topology_version,
+            report.proxies_version,
+            report.accepts_deltas,
         )
         # A proxy of an earlier build applies an announcement without groups.
         self._reported_versions[proxy] = (
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -16,6 +16,7 @@
 )
 from bronzemoor_core.positions import Position
 from bronzemoor_core.wire.deployment import Deployment, Route
+from bronzemoor_core.wire.documentdeltas import decode_delta
 from bronzemoor_core.wire.leadersearch import LeaderSearch
 from bronzemoor_core.wire.leases import HeldLease
 from bronzemoor_core.wire.quotas import TERM_SHIFT_BITS, TOKEN_EXTENSION_SECONDS
@@ -93,6 +94,8 @@
         self.codec = codec
         self.report = report
         self.deployment: Deployment | None = None
+        # The text that later versions are encoded for.
+        self._document = ""
         self.sessions: set[ClientSession] = set()
         self.stopping = False
         # Whether idle sessions are closed because the proxy is stopping.
@@ -373,6 +376,7 @@
                 self._settings.zone,
                 self._proxies_version,
                 self.quotas.build_report(now, self._sequence),
+                accepts_deltas=True,
             ),
         )
 
@@ -496,9 +500,18 @@
             # A leader without a quorum may have been replaced and may still have keys
             # and routes that were removed since.
             return
+        if message.deployment_base not in (0, current):
+            # It was encoded for the process before this one; the answer to the next
+            # report is not.
+            return
         try:
-            document = unpack_document(message.deployment)
+            document = (
+                decode_delta(message.deployment, self._document)
+                if message.deployment_base
+                else unpack_document(message.deployment)
+            )
             self.deployment = self._read_document(document)
+            self._document = document
         except (BronzemoorError, ValueError) as error:
             self.report("error", "deployment_unreadable", error=str(error))
             return
