Warm up members that become known, and learn nothing from a lagging answer

A member that has just become known may be cold, and got its full share at once; it now starts with a fifth of its slots and has all after 2 s. A LAGGING answer may come from the owner of the connections and no longer counts as a successful probe of a failing member.

--- a/packages/core/src/bronzemoor_core/wire/memberfailures.py
+++ b/packages/core/src/bronzemoor_core/wire/memberfailures.py
@@ -14,7 +14,8 @@
 FORGET_SECONDS = 10.0
 # An unanswered probe is followed by another after this.
 PROBE_TIMEOUT_SECONDS = 1.0
-# A member that was left out is believed to have few slots at first, and all after this.
+# A member that is new or was left out is believed to have few slots at first, and all
+# after this.
 WARM_UP_SECONDS = 2.0
 COLD_SHARE = 0.2
 
@@ -33,11 +34,12 @@
         "_restored_at",
     )
 
-    def __init__(self, random: Random) -> None:
+    def __init__(self, random: Random, known_since: float = float("-inf")) -> None:
         self._random = random
         self._is_cut = False
         self._cut_at = float("-inf")
-        self._restored_at = float("-inf")
+        # A member that has just become known may have just started.
+        self._restored_at = known_since
         self._next_probe = float("-inf")
         self._pause = 0.0
         self._probing = False
--- a/packages/core/tests/wire/test_loadbalance.py
+++ b/packages/core/tests/wire/test_loadbalance.py
@@ -117,6 +117,7 @@
     record.record_success(14.0, 13.9)
     assert not record.is_cut
     assert record.warmth(14.0) < 0.3 < 0.9 < record.warmth(16.0)
+    assert FailureRecord(Random(1), 10.0).warmth(10.0) < 0.3
 
 
 def test_never_so_many_members_are_left_out_that_the_rest_is_overrun():
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberhealth.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberhealth.py
@@ -8,7 +8,7 @@
 from bronzemoor_core.wire.loadexchange import LoadAverage
 from bronzemoor_core.wire.memberfailures import FailureRecord
 from bronzemoor_core.wire.replicalag import LagRecord
-from bronzemoor_core.wire.statements import FAILED
+from bronzemoor_core.wire.statements import FAILED, LAGGING
 from bronzemoor_daemon.wire.clock import boottime
 
 # Backoff for a replica that lacked a required position; it doubles with each refusal.
@@ -67,7 +67,7 @@
         self.delay = 0.001 if is_local else 0.025
         # Used where connections are shared.
         self.figures = LoadFigures()
-        self.failures = FailureRecord(self._random)
+        self.failures = FailureRecord(self._random, boottime())
         self.lag = LagRecord()
         self.average_load = LoadAverage()
         self._noted_failure_at = float("-inf")
@@ -138,7 +138,8 @@
         """Records an answer that took ``elapsed`` seconds, with its error code."""
         if error == FAILED:
             self.failures.record_failure(now)
-        else:
+        elif error != LAGGING:
+            # The owner of the connections may have answered for a lagging replica.
             self.failures.record_success(now, now - elapsed)
         if not error:
             self.figures.record_latency(now, elapsed)
