--- a/packages/core/tests/wire/test_loadbalance.py
+++ b/packages/core/tests/wire/test_loadbalance.py
@@ -207,7 +207,7 @@
 def test_lagging_replicas_are_not_asked_by_every_statement(shared, bound):
     """Guards against a burst of reads that each find out that both replicas lag.
 
-    Without the owner's record every proxy asks by itself, which was over a tenth.
+    Without the owners' records every proxy asks by itself, and 28% were refused.
     """
     random = Random(3)
     owners = [[LagRecord(), LagRecord()] for _ in range(ZONES)]
