Count a transaction as started from its first connection

The first statement of each transaction went ahead of all single statements, since its client had got the answer to BEGIN. Transactions hold connections for long, so that they took them all. Only a transaction that had a connection before, which it lost or whose BEGIN was refused there, now goes first.

--- a/packages/core/src/bronzemoor_core/messages.py
+++ b/packages/core/src/bronzemoor_core/messages.py
@@ -378,7 +378,7 @@
 
     The sender chooses the ``channel`` number; the owner may wait up to ``timeout_ms``.
     ``caller`` is the organisation that the connection is for, empty without one, and
-    ``started`` whether it is for a transaction that the client has begun.
+    ``started`` whether it is for a transaction that had a connection before.
     """
 
     channel: int
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
@@ -110,9 +110,9 @@
         """Returns a connection, preferably one that ``session`` used before.
 
         It is one for the session's caller. ``started`` is whether it is for a
-        transaction that the client has begun. Raises ``NoConnection`` after ``timeout``
-        seconds or when none can be opened, and ``Refused`` at once if ``timeout`` is
-        too short.
+        transaction that had a connection before. Raises ``NoConnection`` after
+        ``timeout`` seconds or when none can be opened, and ``Refused`` at once if
+        ``timeout`` is too short.
         """
         started = started and self.by_organisation
         owner = self._owner(boottime())
--- a/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
@@ -144,6 +144,8 @@
         """Begins at a member and runs the first statement, retried at other members."""
         tried: set[str] = set()
         refused: set[str] = set()
+        # Whether the transaction has begun at a member, which refused or lost it.
+        started = False
         last = Answer(error=st.ABORTED)
         while (now := boottime()) < deadline - MIN_REMAINING_SECONDS:
             target = self._choose(now, tried)
@@ -159,7 +161,7 @@
             await pool.delay_low_priority(self.route.priority)
             try:
                 connection = await pool.acquire(
-                    self._session, self.route.priority, limit, started=True
+                    self._session, self.route.priority, limit, started
                 )
             except Refused as error:
                 tried.add(pool.member)
@@ -180,6 +182,7 @@
                 pool.release(connection, clean=True)
                 continue
             self._pool, self._connection = pool, connection
+            started = True
             connection.on_evicted = lambda: self.fail("others wait for its connection")
             # A transaction at a replica does not depend on the primary's term.
             self._term = self._group.term if at_primary else 0
