Test which transactions go first

The order of service depends on whether a transaction had a connection before, which no test showed on the whole path. A member now refuses a BEGIN, and only the second request for a connection may be marked.

--- a/tests/adapter/test_queueing.py
+++ b/tests/adapter/test_queueing.py
@@ -14,6 +14,7 @@
 from virtualpool import CONNECTIONS, OPENING_SECONDS, VirtualPool, play
 
 from bronzemoor_daemon.wire.exceptions import Refused
+from bronzemoor_daemon.wire.memberpool import MemberPool
 from bronzemoor_daemon.wire.memberqueue import MemberQueue
 
 # The target load: 79 organisations whose sizes follow a Zipf law.
@@ -175,3 +176,22 @@
         other.close()
 
     run_system(tmp_path, scenario, tenants=ORGANISATIONS, **SCARCE)
+
+
+def test_only_a_transaction_that_had_a_connection_goes_first(tmp_path, monkeypatch):
+    """Guards against new transactions that leave single statements no connection."""
+    seen, acquire = [], VirtualPool.acquire
+
+    async def record(self, session, priority, timeout, started=False):
+        seen.append(started)
+        return await acquire(self, session, priority, timeout, started)
+
+    async def scenario(system):
+        client = await Client.open(system.client_addresses[0], "orders", "key-s")
+        system.group.primary.refusals["BEGIN"] = "BUSY"
+        monkeypatch.setattr(MemberPool, "acquire", record)
+        await client.call("BEGIN")
+        assert outcome(await client.call("FETCH a")) == "COMPLETE"
+        assert seen == [False, True]
+
+    run_system(tmp_path, scenario, tenants=ORGANISATIONS)
