Move the probing of silent connections out of the member pool

The 252 tests of the pool, relays, ownership, callers, whole path, late answers, tasks, member health and the core's wire modules passed.

--- a/packages/daemon/src/bronzemoor_daemon/wire/execution.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/execution.py
@@ -12,7 +12,8 @@
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.exceptions import ConnectionLost, NoConnection, Refused
 from bronzemoor_daemon.wire.groups import Group
-from bronzemoor_daemon.wire.memberpool import AnyConnection, MemberPool
+from bronzemoor_daemon.wire.memberpool import MemberPool
+from bronzemoor_daemon.wire.memberprobes import AnyConnection
 
 if TYPE_CHECKING:
     from bronzemoor_daemon.wire.proxy import Proxy
--- a/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
@@ -1,7 +1,7 @@
 """The connection pool of a proxy for one member."""
 
 import asyncio
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable
 
 from bronzemoor_core.wire.connectionshares import is_within_share
@@ -9,9 +9,9 @@
 from bronzemoor_core.wire.statements import IDLE
 from bronzemoor_core.wire.waiting import Rank, make_rank
 from bronzemoor_daemon.wire.clock import boottime
-from bronzemoor_daemon.wire.exceptions import ConnectionLost, NoConnection, Refused
+from bronzemoor_daemon.wire.exceptions import NoConnection, Refused
 from bronzemoor_daemon.wire.memberconnection import MemberConnection
-from bronzemoor_daemon.wire.memberopenings import ConnectionOpener
+from bronzemoor_daemon.wire.memberprobes import AnyConnection, ConnectionProber
 from bronzemoor_daemon.wire.memberqueue import (
     ALL_IN_USE,
     OPENING,
@@ -34,17 +34,9 @@
 TIMER_TOLERANCE_SECONDS = 0.002
 # A transaction that is idle for longer is evicted if statements wait for a connection.
 IDLE_TRANSACTION_LIMIT_SECONDS = 1.0
-# How long an idle connection, and one with an outstanding answer, may take to answer a
-# probe. Replacing a connection whose answer is only late takes a slot of the member,
-# which would keep an overloaded member overloaded.
-IDLE_PROBE_TIMEOUT_SECONDS = 0.25
-LATE_PROBE_TIMEOUT_SECONDS = 1.0
 
 
-AnyConnection = MemberConnection | RelayedConnection
-
-
-class MemberPool(ConnectionOpener):
+class MemberPool(ConnectionProber):
     """Keeps at most ``limit`` connections open and assigns them to waiting statements.
 
     A connection serves only the caller that it was opened for: an organisation or,
@@ -71,7 +63,6 @@
             codec, group, member, address, is_local, report, metrics or WireMetrics()
         )
         self._caller = caller
-        self._idle: deque[MemberConnection] = deque()
         self._queue = MemberQueue(member, self._report, self._metrics, self._random)
         self._closed = False
         self._limit = limit
@@ -284,29 +275,6 @@
         )
         return is_within_share(self._limit, in_use + opening)
 
-    def release_unanswered(self, connection: AnyConnection, sent_at: float) -> None:
-        """Releases a connection that did not answer in time.
-
-        It is kept if it answers late. Idle connections are probed, since they may be
-        unresponsive as well.
-        """
-        if isinstance(connection, RelayedConnection):
-            self.failed_at = boottime()
-            self._tasks.start(
-                self._wait_late_channel_answer(connection, sent_at), "late-answer"
-            )
-            return
-        connection.acquired_at = 0.0
-        self._tasks.start(self._wait_late_answer(connection, sent_at), "late-answer")
-        self.suspect(boottime())
-
-    def suspect(self, now: float) -> None:
-        """Records a timeout and probes the idle connections before further use."""
-        self.failed_at = now
-        while self._idle:
-            probe = self._probe(self._idle.pop(), IDLE_PROBE_TIMEOUT_SECONDS)
-            self._tasks.start(probe, "probe")
-
     def set_limit(self, limit: int, shared: bool) -> None:
         """Applies the limit, for this proxy or for all proxies of its zone."""
         self._limit, self._shared = limit, shared
@@ -427,41 +395,6 @@
         elif self.by_organisation:
             self._serve_more()
 
-    async def _wait_late_answer(
-        self, connection: MemberConnection, sent_at: float
-    ) -> None:
-        if await self._probe(connection, LATE_PROBE_TIMEOUT_SECONDS):
-            # The member is slow. A lost answer would give no latency to record.
-            self.record_late_answer(boottime() - sent_at)
-
-    async def _wait_late_channel_answer(
-        self, connection: RelayedConnection, sent_at: float
-    ) -> None:
-        try:
-            async with asyncio.timeout(LATE_PROBE_TIMEOUT_SECONDS):
-                if await connection.wait_settled():
-                    self.record_late_answer(boottime() - sent_at)
-        except TimeoutError:
-            self._report("info", "connection_silent", member=self.member, via="relay")
-        finally:
-            self.release(connection, clean=True)
-
-    async def _probe(self, connection: MemberConnection, timeout: float) -> bool:
-        """Sends a statement that takes no slot; returns whether it was answered."""
-        clean = False
-        try:
-            connection.state.reset()
-            async with asyncio.timeout(timeout):
-                answer = await connection.query(b"", self._codec.reset_text)
-            clean = answer.ok and answer.state == IDLE
-        except (TimeoutError, ConnectionLost) as error:
-            self._report(
-                "info", "connection_silent", member=self.member, error=repr(error)
-            )
-        finally:
-            self.release(connection, clean)
-        return clean
-
     def _evict(self, connection: MemberConnection, reason: str) -> None:
         """Closes an idle connection."""
         self._metrics.evicted_connections.add(reason)
--- a/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/transaction.py
@@ -24,7 +24,8 @@
 )
 from bronzemoor_daemon.wire.groups import Group
 from bronzemoor_daemon.wire.memberconnection import discard_answer
-from bronzemoor_daemon.wire.memberpool import AnyConnection, MemberPool
+from bronzemoor_daemon.wire.memberpool import MemberPool
+from bronzemoor_daemon.wire.memberprobes import AnyConnection
 
 if TYPE_CHECKING:
     from bronzemoor_daemon.wire.proxy import Proxy
