Encode uses of connections apart from loads

Cause: loads are now averages in eighths of a statement, and the number of uses that decides about connection shares was read in the same unit. Change: uses have an encoding of their own next to the division.

--- a/packages/core/src/bronzemoor_core/wire/zoneshares.py
+++ b/packages/core/src/bronzemoor_core/wire/zoneshares.py
@@ -22,6 +22,24 @@
 DEMAND_HALF_LIFE_SECONDS = 4.0
 
 
+# Distance of the members' indices in encoded uses, which bounds the number of uses.
+USES_SCALE = 1_024
+
+
+def encode_uses(index: int, uses: int) -> int:
+    """Returns how often the member with this index was used, as one integer."""
+    return index * USES_SCALE + min(uses, USES_SCALE - 1)
+
+
+def decode_uses(items: list[int], number: int) -> dict[int, int]:
+    """Returns uses by index; indices beyond the ``number`` of members are left out."""
+    return {
+        item // USES_SCALE: item % USES_SCALE
+        for item in items
+        if 0 <= item < number * USES_SCALE
+    }
+
+
 def divide_connections(
     limit: int, demand: Mapping[str, float], minimum: int = MIN_ZONE_SHARE
 ) -> dict[str, int]:
--- a/packages/daemon/src/bronzemoor_daemon/wire/groups.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/groups.py
@@ -17,7 +17,7 @@
     sort_by_expected_delay,
 )
 from bronzemoor_core.wire.sessionstate import SessionState
-from bronzemoor_core.wire.zoneshares import MIN_ZONE_SHARE
+from bronzemoor_core.wire.zoneshares import MIN_ZONE_SHARE, encode_uses
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.memberpool import MemberPool
 from bronzemoor_daemon.wire.metrics import WireMetrics
@@ -302,7 +302,7 @@
     def _collect_uses(self) -> list[int]:
         """Returns how often each member's connections were used since the last call."""
         return [
-            encode_load(index, uses)
+            encode_uses(index, uses)
             for index, member in enumerate(self._members)
             if (uses := self._pools[member].collect_uses())
         ]
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -22,7 +22,7 @@
 from bronzemoor_core.wire.documentdeltas import DocumentEncoder
 from bronzemoor_core.wire.freshness import SampleExchange
 from bronzemoor_core.wire.leases import LeaseTable
-from bronzemoor_core.wire.loadexchange import LoadExchange, decode_loads
+from bronzemoor_core.wire.loadexchange import LoadExchange
 from bronzemoor_core.wire.quotas import TERM_SHIFT_BITS
 from bronzemoor_core.wire.records import (
     LeaderRecord,
@@ -33,7 +33,7 @@
 from bronzemoor_core.wire.reportorder import ReportAge, ReportOrder
 from bronzemoor_core.wire.succession import Evidence
 from bronzemoor_core.wire.zoneproxies import ZoneProxies
-from bronzemoor_core.wire.zoneshares import ZoneShares
+from bronzemoor_core.wire.zoneshares import ZoneShares, decode_uses
 from bronzemoor_daemon.wire.clock import boottime, logged_ms
 from bronzemoor_daemon.wire.leaderquotas import LeaderQuotas
 from bronzemoor_daemon.wire.metrics import WireMetrics
@@ -317,7 +317,7 @@
         members = {view.group: view.members for view in self._views}
         for item in report.groups:
             known = members.get(item.group, [])
-            for index, uses in decode_loads(item.uses, len(known)).items():
+            for index, uses in decode_uses(item.uses, len(known)).items():
                 self._shares.record_use(now, known[index].member, report.zone, uses)
 
     def _divide_connections(self, now: float) -> None:
