Let organisations use more connections while others wait, and keep them longer

Change: a quarter of the limit while others wait; a connection is kept if its next use is expected within 12 s.

--- a/packages/core/src/bronzemoor_core/wire/connectionshares.py
+++ b/packages/core/src/bronzemoor_core/wire/connectionshares.py
@@ -20,7 +20,7 @@
 KEPT_SHARE = 0.5
 # Beyond that share, a connection is in demand if its next use is expected within this
 # time, and after as long without a use it is not.
-DEMAND_SECONDS = 5.0
+DEMAND_SECONDS = 12.0
 # No connection is kept for longer without a use.
 MAX_IDLE_SECONDS = 30.0
 # How many statements an organisation may be ahead of its fair turn before a connection
@@ -29,7 +29,7 @@
 # While others wait, an organisation may use the limit divided by this. Each connection
 # in use is a statement ahead of theirs at the member. In the target load the data
 # centres have 12 connections each to a member, which has 5 slots for 6 of them.
-CONTENDED_DIVISOR = 12
+CONTENDED_DIVISOR = 4
 # Expected time to open a connection until one was measured, and the longest wait for a
 # connection in use before another is opened.
 OPENING_SECONDS = 0.015
