--- a/tests/clients/test_misbehaving_clients.py
+++ b/tests/clients/test_misbehaving_clients.py
@@ -5,12 +5,16 @@
 """
 
 import asyncio
+from contextlib import suppress
 
 from clientbench import MAX_DESCRIPTORS, run_crowd
 
 CROWD = 150
 LARGE = b"QUERY q STORE key " + b"v" * 1_048_000 + b"\r\n"
 SLOW_STATEMENT_SECONDS = 0.2
+# Until so many answers wait for slow readers, or for this time.
+SLOWLY_READ_ANSWERS = 1_000
+SLOW_READING_SECONDS = 10.0
 
 
 def _slow_writes(bench) -> None:
@@ -101,7 +105,10 @@
         await bench.open_sessions(CROWD)
         bench.spawn(read_slowly(bench))
         await bench.send_to_all(b"QUERY q FETCH large\r\n" * 20)
-        await asyncio.sleep(4.0)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(SLOW_READING_SECONDS):
+                while len(bench.group.primary.executed) < SLOWLY_READ_ANSWERS:
+                    await asyncio.sleep(0.1)
 
     run_crowd(crowd)
 
