Bound what the clients of a proxy make it hold

Clients could make a proxy hold any number of messages, unread answers and session values, and take all of its descriptors. Every byte beyond 2 KiB of a kind per connection is now acquired from one budget before it is read, reading pauses where the budget is used up and resumes in order, unread answers and unfinished messages have time limits, and idle connections make room for new ones so that a quarter of the descriptors stays with members, peers, probes and operators. The limits follow from the VM's memory and descriptors.

--- a/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
@@ -1,8 +1,7 @@
-"""A client session: its connection, state and open transaction."""
+"""A client session: its state and open transaction."""
 
 import asyncio
-from collections import deque
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
 from bronzemoor_core.exceptions import InvalidRequest
 from bronzemoor_core.wire import statements as st
@@ -16,47 +15,56 @@
     StartRequest,
     Statement,
 )
+from bronzemoor_daemon.wire.clientguard import (
+    FIRST_MESSAGE,
+    STARTED_MESSAGE,
+    STATE_TOO_LARGE,
+)
+from bronzemoor_daemon.wire.clientstream import ClientStream
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.execution import Attempt, run_read, run_write
-from bronzemoor_daemon.wire.sockets import set_tcp_options
 from bronzemoor_daemon.wire.tasks import error_location
 from bronzemoor_daemon.wire.transaction import Transaction
 
 if TYPE_CHECKING:
     from bronzemoor_daemon.wire.proxy import Proxy
 
-MAX_MESSAGE_BYTES = 1_048_576
-CLIENT_TCP_USER_TIMEOUT_SECONDS = 10.0
 # How long a new session waits for a deployment. Clients time out after 2 s.
 DEPLOYMENT_WAIT_SECONDS = 1.7
-# Statements that a client may send before earlier ones are answered.
-MAX_PIPELINED_STATEMENTS = 64
+# Memory of a value or a prepared statement beside its name and its text.
+STATE_ENTRY_BYTES = 256
 RETRY_HINT = b"retry_after_ms=250"
 
 
-class ClientSession(asyncio.Protocol):
+class ClientSession(ClientStream):
     """Serves one client, whose statements run one at a time in a separate task."""
 
+    __slots__ = (
+        "_codec",
+        "_current_request",
+        "_database",
+        "_key_digest",
+        "_proxy",
+        "_task",
+        "_transaction",
+        "state",
+    )
+
     def __init__(self, proxy: "Proxy") -> None:
+        super().__init__(proxy.guard)
         self._proxy = proxy
         self._codec = proxy.codec
-        self._buffer = b""
-        self._lines: deque[bytes] = deque()
         self._task: asyncio.Task[None] | None = None
-        self._transport: asyncio.Transport | None = None
         self._database = ""
         self._key_digest = ""
         self._transaction: Transaction | None = None
         # Id of the last statement that was started, for the log.
         self._current_request = b""
-        # When data was last received from the client, in seconds.
-        self.last_received_at = boottime()
         self.state = SessionState()
 
     @property
-    def is_idle(self) -> bool:
-        """Returns whether closing the session would interrupt nothing."""
-        return self._task is None and self._transaction is None and not self._buffer
+    def is_in_use(self) -> bool:
+        return self._task is not None or self._transaction is not None
 
     @property
     def in_transaction(self) -> bool:
@@ -64,37 +72,26 @@
 
     # --- transport
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.Transport, transport)
-        set_tcp_options(transport, CLIENT_TCP_USER_TIMEOUT_SECONDS)
-        self._proxy.sessions.add(self)
-
-    def data_received(self, data: bytes) -> None:
-        self.last_received_at = boottime()
-        lines = (self._buffer + data).split(b"\r\n")
-        self._buffer = lines.pop()
-        self._lines.extend(lines)
-        too_long = len(self._buffer) > MAX_MESSAGE_BYTES
-        if too_long or len(self._lines) > MAX_PIPELINED_STATEMENTS:
-            self._write(self._codec.encode_error(st.TOO_LARGE, b"message too large"))
-            self.close()
-        elif self._lines and self._task is None:
+    def on_lines(self) -> None:
+        if self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._serve())
 
-    def connection_lost(self, error: Exception | None) -> None:
-        self._transport = None
-        self._proxy.sessions.discard(self)
+    def on_closed(self) -> None:
         if self._task is not None:
             self._task.cancel()
-        elif self._transaction is not None:
+        else:
+            self._abandon_transaction()
+
+    def encode_refusal(self, reason: str) -> bytes:
+        if reason in (FIRST_MESSAGE, STARTED_MESSAGE):
+            return self._codec.encode_error(st.TIMEOUT, b"message not complete in time")
+        return self._codec.encode_error(st.TOO_LARGE, b"message too large")
+
+    def _abandon_transaction(self) -> None:
+        if self._transaction is not None:
             self._transaction.roll_back()
             self._transaction = None
 
-    def close(self) -> None:
-        """Closes the connection once buffered data is sent."""
-        if self._transport is not None:
-            self._transport.close()
-
     def end_transaction(self) -> None:
         """Rolls back an open transaction; its next statement gets an error."""
         if self._transaction is not None:
@@ -104,12 +101,14 @@
 
     async def _serve(self) -> None:
         try:
-            while self._lines and self._transport is not None:
-                await self._on_line(self._lines.popleft())
+            while (line := self.next_line()) is not None:
+                try:
+                    await self.drain()
+                    await self._on_line(line)
+                finally:
+                    self.line_done(line)
         except asyncio.CancelledError:
-            if self._transaction is not None:
-                self._transaction.roll_back()
-                self._transaction = None
+            self._abandon_transaction()
             raise
         except Exception as error:  # an error in one session must not affect others
             self._proxy.report(
@@ -123,6 +122,9 @@
             self.close()
         finally:
             self._task = None
+            if self.is_closed:
+                # A session that closes itself is not interrupted by the cancellation.
+                self._abandon_transaction()
         if self._proxy.closing and self.is_idle:
             self.close()
 
@@ -138,7 +140,7 @@
         else:
             if not isinstance(request, EndRequest):
                 self._proxy.report("info", "malformed_request", bytes=len(line))
-                self._write(self._codec.encode_error(st.MALFORMED, b"unexpected"))
+                self.write(self._codec.encode_error(st.MALFORMED, b"unexpected"))
             self.close()
 
     async def _start(self, request: StartRequest) -> None:
@@ -151,19 +153,19 @@
                 self._proxy.report("info", "start_refused", reason="no deployment")
         deployment = self._proxy.deployment
         if deployment is None:
-            self._write(self._codec.encode_error(st.BUSY, RETRY_HINT))
+            self.write(self._codec.encode_error(st.BUSY, RETRY_HINT))
             self.close()
         elif request.database not in deployment.routes:
-            self._write(self._codec.encode_error(st.UNKNOWN_DATABASE, b"no route"))
+            self.write(self._codec.encode_error(st.UNKNOWN_DATABASE, b"no route"))
             self.close()
         else:
             self._key_digest = request.key_digest
             if not self._identify_caller(deployment.routes[request.database]):
-                self._write(self._codec.encode_error(*self._refused_key()))
+                self.write(self._codec.encode_error(*self._refused_key()))
                 self.close()
                 return
             self._database = request.database
-            self._write(self._codec.encode_ready(st.IDLE))
+            self.write(self._codec.encode_ready(st.IDLE))
 
     async def _on_statement(self, query_id: bytes, statement: Statement) -> None:
         self._current_request = query_id
@@ -171,8 +173,7 @@
             case st.SET:
                 self._set(statement)
             case st.PREPARE:
-                self.state.prepared[statement.name] = (statement.writes, statement.body)
-                self._answer_local()
+                self._prepare(statement)
             case st.DEALLOCATE:
                 self._deallocate(statement)
             case st.BEGIN:
@@ -183,15 +184,37 @@
                 await self._run(query_id, statement)
 
     def _set(self, statement: Statement) -> None:
-        self.state.values[statement.name] = statement.body
-        self._answer_local()
+        name, value = statement.name, statement.body
+        if self._change_state(name, self.state.values.get(name), value):
+            self.state.values[name] = value
+            self._answer_local()
+
+    def _prepare(self, statement: Statement) -> None:
+        name, shape = statement.name, statement.body
+        _, before = self.state.prepared.get(name, (False, None))
+        if self._change_state(name, before, shape):
+            self.state.prepared[name] = (statement.writes, shape)
+            self._answer_local()
 
     def _deallocate(self, statement: Statement) -> None:
-        if self.state.prepared.pop(statement.name, None) is None:
+        removed = self.state.prepared.pop(statement.name, None)
+        if removed is None:
             self._answer_error(st.UNKNOWN_PREPARED, b"no such prepared statement")
         else:
+            self.holding.add_state(-_state_size(statement.name, removed[1]))
             self._answer_local()
 
+    def _change_state(self, name: bytes, before: bytes | None, after: bytes) -> bool:
+        """Accounts for an entry; answers with an error if it does not fit."""
+        change = _state_size(name, after)
+        if before is not None:
+            change -= _state_size(name, before)
+        if self.holding.add_state(change):
+            return True
+        self._proxy.guard.count(STATE_TOO_LARGE)
+        self._answer_error(st.TOO_LARGE, b"session state too large")
+        return False
+
     def _begin(self, query_id: bytes, statement: Statement) -> None:
         if self._transaction is not None:
             self._answer_error(st.MALFORMED, b"a transaction is open")
@@ -289,19 +312,19 @@
         if answer.error in st.NO_EFFECT_ERRORS and not answer.message:
             answer.message = RETRY_HINT
         self._proxy.record_answer(attempt, route, answer, started)
-        self._write(self._codec.encode_answer(answer))
+        self.write(self._codec.encode_answer(answer))
 
     def _answer_local(self) -> None:
-        self._write(self._codec.encode_answer(Answer(state=self._state)))
+        self.write(self._codec.encode_answer(Answer(state=self._state)))
 
     def _answer_error(self, error: str, message: bytes) -> None:
         answer = Answer(error=error, message=message, state=self._state)
-        self._write(self._codec.encode_answer(answer))
+        self.write(self._codec.encode_answer(answer))
 
     @property
     def _state(self) -> str:
         return self._transaction.state if self._transaction else st.IDLE
 
-    def _write(self, data: bytes) -> None:
-        if self._transport is not None:
-            self._transport.write(data)
+
+def _state_size(name: bytes, text: bytes) -> int:
+    return STATE_ENTRY_BYTES + len(name) + len(text)
--- a/packages/daemon/src/bronzemoor_daemon/wire/exposition.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/exposition.py
@@ -27,6 +27,11 @@
         yield _histogram_family(self._metrics.latency)
         sessions = self._metrics.sessions
         yield GaugeMetricFamily(sessions.name, sessions.help, value=sessions.value)
+        held = self._metrics.client_bytes
+        family = GaugeMetricFamily(held.name, held.help, labels=(held.label,))
+        for kind, value in dict(held.values).items():
+            family.add_metric((kind,), value)
+        yield family
 
 
 def render(metrics: WireMetrics) -> bytes:
--- a/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
@@ -6,6 +6,7 @@
 
 from bisect import bisect_left
 from collections import defaultdict
+from collections.abc import Mapping
 from time import time
 
 LATENCY_BUCKETS_SECONDS = (
@@ -42,6 +43,16 @@
         self.value = 0.0
 
 
+class KindGauge:
+    """Values that go up and down, by the value of its label."""
+
+    __slots__ = ("help", "label", "name", "values")
+
+    def __init__(self, name: str, text: str, label: str) -> None:
+        self.name, self.help, self.label = name, text, label
+        self.values: Mapping[str, float] = {}
+
+
 class Histogram:
     """Counts durations in seconds by bucket, for each value of its label."""
 
@@ -70,8 +81,10 @@
 
     __slots__ = (
         "changes",
+        "client_bytes",
         "ended_transactions",
         "latency",
+        "limited_clients",
         "promotions",
         "refused_announcements",
         "refused_operations",
@@ -101,6 +114,16 @@
             "reason",
         )
         self.sessions = Gauge("bronzemoor_sessions", "Open client sessions")
+        self.client_bytes = KindGauge(
+            "bronzemoor_client_bytes",
+            "Bytes that clients make the process hold",
+            "kind",
+        )
+        self.limited_clients = Counter(
+            "bronzemoor_limited_clients",
+            "Clients that were refused or closed because of a limit",
+            "reason",
+        )
         self.promotions = Counter(
             "bronzemoor_promotions",
             "Promotions ordered by this control leader",
@@ -132,6 +155,7 @@
             self.statements,
             self.retries,
             self.ended_transactions,
+            self.limited_clients,
             self.promotions,
             self.changes,
             self.refused_announcements,
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -1,8 +1,8 @@
 """The proxy, which routes client statements to database groups."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable, Collection, Coroutine
+from typing import Any, cast
 
 from bronzemoor_core.exceptions import BronzemoorError
 from bronzemoor_core.messages import (
@@ -21,6 +21,7 @@
 from bronzemoor_core.wire.records import unpack_document
 from bronzemoor_core.wire.statements import Answer
 from bronzemoor_daemon.framing import split_address
+from bronzemoor_daemon.wire.clientguard import ClientGuard
 from bronzemoor_daemon.wire.clientsession import ClientSession
 from bronzemoor_daemon.wire.clock import boottime, logged_ms
 from bronzemoor_daemon.wire.execution import Attempt
@@ -90,7 +91,10 @@
         self.codec = codec
         self.report = report
         self.deployment: Deployment | None = None
-        self.sessions: set[ClientSession] = set()
+        self.guard = ClientGuard(
+            settings.memory_limit, settings.max_descriptors, report, metrics
+        )
+        self.sessions = cast(Collection[ClientSession], self.guard.sessions)
         self.stopping = False
         # Whether idle sessions are closed because the proxy is stopping.
         self.closing = False
@@ -115,7 +119,10 @@
         await self.links.start()
         host, port = split_address(self._settings.listen_clients)
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: ClientSession(self), host, port, backlog=LISTEN_BACKLOG
+            lambda: ClientSession(self),
+            host,
+            port,
+            backlog=min(LISTEN_BACKLOG, self.guard.backlog),
         )
         self._tasks.repeat(self._report_loop, "report")
         self._tasks.repeat(self._trim_loop, "trim")
@@ -280,6 +287,7 @@
             for group in self._groups.values():
                 group.trim(now)
             self._relay_server.trim(now)
+            self.guard.sweep()
 
     async def _report_loop(self) -> None:
         while True:
--- a/packages/daemon/src/bronzemoor_daemon/wire/settings.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/settings.py
@@ -13,7 +13,8 @@
     ``name`` identifies the daemon to operators; ``peer`` is its address for other
     daemons and its name among them. ``first_start`` is true only while the whole system
     starts for the first time. ``tolerated_losses`` is how many control daemons may fail
-    at once.
+    at once. ``memory_limit`` (bytes) and ``max_descriptors`` are the limits of the VM;
+    0 stands for the defaults of ``clientbudget``.
     """
 
     name: str
@@ -30,4 +31,6 @@
     stop_grace: float = 6.0
     tolerated_losses: int = 1
     log_level: str = "INFO"
+    memory_limit: int = 0
+    max_descriptors: int = 0
     extra: dict[str, str] = field(default_factory=dict)
