Read requests of the control port whole before they take a thread

Slow or stopped senders occupied all eight threads of the control port, and bodies, headers and decoded documents were held without a bound.

--- a/packages/daemon/src/bronzemoor_daemon/wire/clientguard.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientguard.py
@@ -1,4 +1,4 @@
-"""Enforces the limits of what the clients of a proxy make it hold."""
+"""Enforces the limits of what clients make a process hold."""
 
 from collections import Counter, OrderedDict
 from collections.abc import Callable
@@ -6,12 +6,12 @@
 from itertools import islice
 from typing import TYPE_CHECKING, cast
 
-from bronzemoor_core.wire.clientbudget import ClientBudget, derive_limits
+from bronzemoor_core.wire.clientbudget import ClientBudget, ClientLimits
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.metrics import WireMetrics
 
 if TYPE_CHECKING:
-    from bronzemoor_daemon.wire.clientstream import ClientStream
+    from bronzemoor_daemon.wire.clientstream import ClientConnection
 
 # From the connection to the end of its first message, and from the first byte of a
 # message to its end. 1 MiB in this time is less than 1 Mbit/s.
@@ -47,26 +47,25 @@
 
     def __init__(
         self,
-        memory_limit: int,
-        max_descriptors: int,
+        limits: ClientLimits,
         report: Callable[..., None],
         metrics: WireMetrics,
     ) -> None:
-        self._limits = derive_limits(memory_limit, max_descriptors)
+        self._limits = limits
         self._report = report
         self._metrics = metrics
         self._closed: Counter[str] = Counter()
         self._logged_at = self._swept_at = float("-inf")
         self.budget = ClientBudget(self._limits.budget_bytes)
-        metrics.client_bytes.values = self.budget.by_kind
+        metrics.client_bytes.sources.append(self.budget.by_kind)
         # Open sessions, the one that sent data last at the end.
-        self.sessions: OrderedDict[ClientStream, None] = OrderedDict()
+        self.sessions: OrderedDict[ClientConnection, None] = OrderedDict()
         # Connections without a complete message, and those with an incomplete message,
         # by their time of opening and of the message's first byte.
-        self.unstarted: OrderedDict[ClientStream, float] = OrderedDict()
-        self.incomplete: OrderedDict[ClientStream, float] = OrderedDict()
+        self.unstarted: OrderedDict[ClientConnection, float] = OrderedDict()
+        self.incomplete: OrderedDict[ClientConnection, float] = OrderedDict()
         # Connections with unsent answers, and since when and with which progress.
-        self.unread: OrderedDict[ClientStream, Unread] = OrderedDict()
+        self.unread: OrderedDict[ClientConnection, Unread] = OrderedDict()
 
     @property
     def backlog(self) -> int:
@@ -75,7 +74,7 @@
 
     # --- connections
 
-    def admit(self, stream: "ClientStream") -> bool:
+    def admit(self, stream: "ClientConnection") -> bool:
         """Adds a connection; another one makes room where the bound is reached."""
         if len(self.sessions) >= self._limits.max_sessions:
             victim = self._find_idle(boottime())
@@ -87,13 +86,13 @@
         self.unstarted[stream] = boottime()
         return True
 
-    def discard(self, stream: "ClientStream") -> None:
+    def discard(self, stream: "ClientConnection") -> None:
         self.sessions.pop(stream, None)
         self.unstarted.pop(stream, None)
         self.incomplete.pop(stream, None)
         self.unread.pop(stream, None)
 
-    def _find_idle(self, now: float) -> "ClientStream | None":
+    def _find_idle(self, now: float) -> "ClientConnection | None":
         """Returns the connection whose end interrupts least.
 
         A connection that never sent a message comes first, then the longest idle
@@ -113,7 +112,7 @@
 
     # --- bytes
 
-    def make_room_for_answer(self, stream: "ClientStream", amount: int) -> bool:
+    def make_room_for_answer(self, stream: "ClientConnection", amount: int) -> bool:
         """Acquires bytes for an answer; the slowest readers make room for it."""
         now = boottime()
         while not stream.holding.set_unsent(amount):
@@ -128,7 +127,7 @@
     def resume_waiting(self) -> None:
         """Resumes reading for clients that have waited for the budget."""
         while (holding := self.budget.next_granted()) is not None:
-            cast("ClientStream", holding.owner).resume_reading()
+            cast("ClientConnection", holding.owner).resume_reading()
 
     # --- time limits
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/clientstream.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientstream.py
@@ -32,10 +32,10 @@
 FIRST_READ_BUFFER = READ_BUFFER[:ALLOWANCE_BYTES]
 
 
-class ClientStream(asyncio.BufferedProtocol):
-    """Splits what a client sends into lines and sends it answers.
+class ClientConnection(asyncio.BufferedProtocol):
+    """Reads and writes within the limits of its guard.
 
-    Subclasses say what is in use, and handle lines and the end of the connection.
+    Subclasses say what is in use, and handle data and the end of the connection.
     """
 
     __slots__ = (
@@ -45,7 +45,6 @@
         "_is_paused",
         "_is_refused",
         "_is_writing_paused",
-        "_lines",
         "_transport",
         "holding",
         "last_received_at",
@@ -56,7 +55,6 @@
         self._guard = guard
         # The beginning of a message, None between messages.
         self._buffer: bytearray | None = None
-        self._lines: deque[bytes] | None = None
         self._transport: asyncio.Transport | None = None
         self._drained: asyncio.Future[None] | None = None
         self._is_paused = self._is_writing_paused = self._is_refused = False
@@ -83,10 +81,10 @@
     @property
     def is_idle(self) -> bool:
         """Returns whether closing the session would interrupt nothing."""
-        return not (self.is_in_use or self._buffer or self._lines)
+        raise NotImplementedError
 
-    def on_lines(self) -> None:
-        """Handles complete messages, which ``next_line`` returns."""
+    def on_data(self, data: bytes) -> None:
+        """Handles data, which stays accounted for until ``release_received``."""
         raise NotImplementedError
 
     def on_closed(self) -> None:
@@ -141,7 +139,7 @@
             transport.abort()
             return
         self._is_refused = True
-        self._buffer = self._lines = None
+        self._buffer = None
         self.holding.release_received(self.holding.received)
         self._guard.incomplete.pop(self, None)
         self._guard.unstarted.pop(self, None)
@@ -157,7 +155,7 @@
 
     def _finish_connection(self) -> None:
         self._guard.discard(self)
-        self._buffer = self._lines = None
+        self._buffer = None
         self.holding.release_all()
         self.on_closed()
         self._guard.resume_waiting()
@@ -175,69 +173,16 @@
     def buffer_updated(self, size: int) -> None:
         if self._is_refused or self._transport is None:
             return
-        guard = self._guard
         self.last_received_at = boottime()
-        guard.sessions.move_to_end(self)
+        self._guard.sessions.move_to_end(self)
         data = bytes(READ_BUFFER[:size])
         self.holding.receive(size)
-        has_lines = self._split(data)
-        if self._buffer is None:
-            guard.incomplete.pop(self, None)
-        elif has_lines or self not in guard.incomplete:
-            guard.incomplete[self] = self.last_received_at
-            guard.incomplete.move_to_end(self)
-        if self._buffer is not None and len(self._buffer) > MAX_MESSAGE_BYTES:
-            self.refuse(TOO_LARGE)
-        elif has_lines:
-            guard.unstarted.pop(self, None)
-            assert self._lines is not None
-            if len(self._lines) > MAX_PIPELINED_STATEMENTS:
-                self.refuse(TOO_MANY_STATEMENTS)
-                return
-            self.on_lines()
+        self.on_data(data)
         self._check_reading()
 
-    def _split(self, data: bytes) -> bool:
-        """Adds data to the buffer and the lines; returns whether a line is complete.
-
-        Each byte is searched and copied a fixed number of times, however small the
-        pieces are in which a message arrives.
-        """
-        buffer = self._buffer
-        if buffer is not None:
-            searched = max(0, len(buffer) - 1)
-            buffer += data
-            end = buffer.find(LINE_END, searched)
-            if end < 0 or end > MAX_MESSAGE_BYTES:
-                return False
-            with memoryview(buffer) as view:
-                first = bytes(view[:end])
-                data = bytes(view[end + len(LINE_END) :])
-            lines = [first]
-        else:
-            lines = []
-        *others, rest = data.split(LINE_END)
-        lines += others
-        self._buffer = bytearray(rest) if rest else None
-        if not lines:
-            return False
-        if self._lines is None:
-            self._lines = deque(lines)
-        else:
-            self._lines.extend(lines)
-        return True
-
-    def next_line(self) -> bytes | None:
-        """Returns the next message; ``line_done`` must follow it."""
-        lines = self._lines
-        if not lines or self.is_closed:
-            self._lines = None
-            return None
-        return lines.popleft()
-
-    def line_done(self, line: bytes) -> None:
-        """Releases the bytes of a message that was handled."""
-        self.holding.release_received(len(line) + len(LINE_END))
+    def release_received(self, size: int) -> None:
+        """Releases bytes of data that were handled."""
+        self.holding.release_received(size)
         if self._guard.budget.waiting_count:
             self._guard.resume_waiting()
         if self._is_paused:
@@ -308,3 +253,79 @@
             self._drained = asyncio.get_running_loop().create_future()
             await self._drained
             self._drained = None
+
+
+class ClientStream(ClientConnection):
+    """Splits what a client sends into lines."""
+
+    __slots__ = ("_lines",)
+
+    def __init__(self, guard: ClientGuard) -> None:
+        super().__init__(guard)
+        self._lines: deque[bytes] | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        return not (self.is_in_use or self._buffer or self._lines)
+
+    def on_lines(self) -> None:
+        """Handles complete messages, which ``next_line`` returns."""
+        raise NotImplementedError
+
+    def on_data(self, data: bytes) -> None:
+        guard = self._guard
+        has_lines = self._split(data)
+        if self._buffer is None:
+            guard.incomplete.pop(self, None)
+        elif has_lines or self not in guard.incomplete:
+            guard.incomplete[self] = self.last_received_at
+            guard.incomplete.move_to_end(self)
+        if self._buffer is not None and len(self._buffer) > MAX_MESSAGE_BYTES:
+            self.refuse(TOO_LARGE)
+        elif has_lines:
+            guard.unstarted.pop(self, None)
+            assert self._lines is not None
+            if len(self._lines) > MAX_PIPELINED_STATEMENTS:
+                self.refuse(TOO_MANY_STATEMENTS)
+            else:
+                self.on_lines()
+
+    def _split(self, data: bytes) -> bool:
+        """Adds data to the buffer and the lines; returns whether a line is complete.
+
+        Each byte is searched and copied a fixed number of times, however small the
+        pieces are in which a message arrives.
+        """
+        buffer = self._buffer
+        lines = []
+        if buffer is not None:
+            searched = max(0, len(buffer) - 1)
+            buffer += data
+            end = buffer.find(LINE_END, searched)
+            if end < 0 or end > MAX_MESSAGE_BYTES:
+                return False
+            with memoryview(buffer) as view:
+                lines.append(bytes(view[:end]))
+                data = bytes(view[end + len(LINE_END) :])
+        *others, rest = data.split(LINE_END)
+        lines += others
+        self._buffer = bytearray(rest) if rest else None
+        if not lines:
+            return False
+        if self._lines is None:
+            self._lines = deque(lines)
+        else:
+            self._lines.extend(lines)
+        return True
+
+    def next_line(self) -> bytes | None:
+        """Returns the next message; ``line_done`` must follow it."""
+        lines = self._lines
+        if not lines or self.is_closed:
+            self._lines = None
+            return None
+        return lines.popleft()
+
+    def line_done(self, line: bytes) -> None:
+        """Releases the bytes of a message that was handled."""
+        self.release_received(len(line) + len(LINE_END))
--- a/packages/daemon/src/bronzemoor_daemon/wire/exposition.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/exposition.py
@@ -29,7 +29,11 @@
         yield GaugeMetricFamily(sessions.name, sessions.help, value=sessions.value)
         held = self._metrics.client_bytes
         family = GaugeMetricFamily(held.name, held.help, labels=(held.label,))
-        for kind, value in dict(held.values).items():
+        total: dict[str, float] = {}
+        for source in held.sources:
+            for kind, value in dict(source).items():
+                total[kind] = total.get(kind, 0) + value
+        for kind, value in total.items():
             family.add_metric((kind,), value)
         yield family
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
@@ -46,11 +46,12 @@
 class KindGauge:
     """Values that go up and down, by the value of its label."""
 
-    __slots__ = ("help", "label", "name", "values")
+    __slots__ = ("help", "label", "name", "sources")
 
     def __init__(self, name: str, text: str, label: str) -> None:
         self.name, self.help, self.label = name, text, label
-        self.values: Mapping[str, float] = {}
+        # The values of each component, which are added up.
+        self.sources: list[Mapping[str, float]] = []
 
 
 class Histogram:
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -15,6 +15,7 @@
     RelayStatus,
 )
 from bronzemoor_core.positions import Position
+from bronzemoor_core.wire.clientbudget import derive_limits
 from bronzemoor_core.wire.deployment import Deployment, Route
 from bronzemoor_core.wire.leadersearch import LeaderSearch
 from bronzemoor_core.wire.leases import HeldLease
@@ -91,9 +92,8 @@
         self.codec = codec
         self.report = report
         self.deployment: Deployment | None = None
-        self.guard = ClientGuard(
-            settings.memory_limit, settings.max_descriptors, report, metrics
-        )
+        limits = derive_limits(settings.memory_limit, settings.max_descriptors)
+        self.guard = ClientGuard(limits, report, metrics)
         self.sessions = cast(Collection[ClientSession], self.guard.sessions)
         self.stopping = False
         # Whether idle sessions are closed because the proxy is stopping.
--- a/packages/daemon/src/bronzemoor_daemon/wire/runner.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/runner.py
@@ -10,6 +10,7 @@
 import uvloop
 
 from bronzemoor_daemon.logs import LogWriter, configure_logs
+from bronzemoor_daemon.wire.clientguard import SWEEP_INTERVAL_SECONDS
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.metrics import WireMetrics
 from bronzemoor_daemon.wire.pages import (
@@ -57,6 +58,9 @@
         self, control: "ControlDaemon", bridge: "LoopBridge"
     ) -> "Wsgi": ...
 
+    def body_limit(self, method: str, path: str) -> int:
+        """Returns the largest body of a control request, in bytes."""
+
 
 class Runner:
     """One process with a proxy, a control daemon or both."""
@@ -138,7 +142,10 @@
             # A new leader first answers the proxies.
             await asyncio.sleep(WEB_SERVER_DELAY_SECONDS)
             loop = asyncio.get_running_loop()
-            await asyncio.to_thread(self._start_web_server, self._control, loop)
+            server = await asyncio.to_thread(self._make_web_server, self._control, loop)
+            await server.start()
+            self._server = server
+            self._tasks.repeat(self._sweep_web_server, "sweep-web-server")
 
     async def _until_serving(self) -> None:
         """Waits until statements can be served, for a limited time."""
@@ -153,17 +160,25 @@
             control is None or bool(control.leader_name)
         )
 
-    def _start_web_server(
+    def _make_web_server(
         self, control: "ControlDaemon", loop: asyncio.AbstractEventLoop
-    ) -> None:
-        """Serves operators and members."""
+    ) -> "WebServer":
+        """Makes the server of operators and members, whose libraries load slowly."""
         from bronzemoor_daemon.wire.webserver import LoopBridge, WebServer
 
-        application = self._platform.make_control_application(control, LoopBridge(loop))
-        self._server = WebServer(
-            self._settings.listen_control, application, CONTROL_THREADS
+        return WebServer(
+            self._settings,
+            self._platform.make_control_application(control, LoopBridge(loop)),
+            self._platform.body_limit,
+            CONTROL_THREADS,
+            self._report,
+            self._metrics,
         )
-        self._server.start()
+
+    async def _sweep_web_server(self) -> None:
+        while self._server is not None:
+            await asyncio.sleep(SWEEP_INTERVAL_SECONDS)
+            self._server.sweep()
 
     async def _stop_daemons(self) -> None:
         self._tasks.cancel()
--- /dev/null
+++ b/tests/adapter/test_client_limits.py
@@ -0,0 +1,136 @@
+"""Tests that ordinary clients meet no limit, and what a client leaves behind."""
+
+import asyncio
+import json
+
+from clientlimits import ControlPort, metric
+from system import Client, make_document, run_system
+from test_whole_path import outcome
+
+from bronzemoor_core.wire.clientbudget import MAX_MESSAGE_BYTES
+from bronzemoor_core.wire.controllimits import MAX_DOCUMENT_BYTES
+
+LARGEST_VALUE = "v" * (MAX_MESSAGE_BYTES - len("QUERY q1 STORE k "))
+PIPELINED = 64
+
+
+def test_the_largest_message_is_served(tmp_path):
+    """Guards against a limit that a legal message reaches."""
+
+    async def scenario(system):
+        client = await Client.open(system.client_addresses[0], "orders")
+        assert outcome(await client.call(f"STORE k {LARGEST_VALUE}")) == "COMPLETE"
+        assert system.group.acknowledged == [("k", LARGEST_VALUE)]
+        assert system.proxies[0].guard.budget.used == 0
+
+    run_system(tmp_path, scenario)
+
+
+def test_statements_sent_ahead_are_served_in_order(tmp_path):
+    """Guards against a limit that 64 statements sent ahead reach."""
+
+    async def scenario(system):
+        client = await Client.open(system.client_addresses[0], "orders")
+        values = [f"{number}-{'v' * 100_000}" for number in range(PIPELINED)]
+        lines = [f"QUERY q STORE k {value}\r\n" for value in values]
+        client._writer.write("".join(lines).encode())
+        for _ in range(PIPELINED):
+            assert (await client._read_line()).startswith("COMPLETE")
+            assert (await client._read_line()).startswith("READY")
+        assert [value for _, value in system.group.acknowledged] == values
+        assert metric(system.proxies[0], "limited_clients") == {}
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_message_over_the_limit_is_refused_with_an_error(tmp_path):
+    """Guards against a refusal that the client does not receive."""
+
+    async def scenario(system):
+        client = await Client.open(system.client_addresses[0], "orders")
+        client._writer.write(b"v" * 3 * MAX_MESSAGE_BYTES)
+        assert (await client._read_line()).startswith("ERROR TOOLARGE")
+        assert await client.closed_without_message()
+        await system.until(lambda: not system.proxies[0].sessions)
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_client_that_ends_its_sending_side_leaves_nothing_behind(tmp_path):
+    """Guards against a transaction that stays open while answers are not read."""
+
+    async def scenario(system):
+        proxy, primary = system.proxies[0], system.group.primary
+        client = await Client.open(system.client_addresses[0], "orders")
+        await client.call("BEGIN")
+        assert outcome(await client.call("STORE k v")) == "COMPLETE"
+        pool = proxy.group("ledger").pools[primary.name]
+        assert pool.load == 1
+        client._writer.write_eof()
+        await system.until(lambda: pool.load == 0)
+        await system.until(lambda: not proxy.sessions)
+        assert system.group.acknowledged == []
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_value_that_does_not_fit_is_refused_and_the_session_goes_on(tmp_path):
+    """Guards against session state that grows without limit."""
+
+    async def scenario(system):
+        client = await Client.open(system.client_addresses[0], "orders")
+        guard = system.proxies[0].guard
+        value, results = "v" * 1_000_000, []
+        while "ERROR TOOLARGE" not in results:
+            results.append(outcome(await client.call(f"SET n{len(results)} {value}")))
+        assert guard.budget.used <= guard.budget.limit
+        assert outcome(await client.call("SET n0 v")) == "COMPLETE"
+        assert outcome(await client.call("FETCH k")) == "COMPLETE"
+        client.close()
+        await system.until(lambda: guard.budget.used == 0)
+
+    run_system(tmp_path, scenario)
+
+
+def test_the_control_port_serves_the_largest_document(tmp_path):
+    """Guards against limits that a legal document or heartbeat reaches."""
+
+    async def scenario(system):
+        async with ControlPort(system.controls[0]) as port:
+            body = json.loads(make_document(2))
+            count = (MAX_DOCUMENT_BYTES - 2_000) // 70
+            body["tenants"] = [
+                {"name": f"t{n}", "api_keys": [f"{n:030}"]} for n in range(count)
+            ]
+            text = json.dumps(body).encode()
+            assert MAX_DOCUMENT_BYTES * 0.9 < len(text) <= MAX_DOCUMENT_BYTES
+            head = b"Expect: 100-continue\r\n"
+            assert await port.request("PUT", "/bronzemoor/config", text, head) == 200
+            assert await port.request("GET", "/bronzemoor/config") == 200
+            text += b" " * (MAX_DOCUMENT_BYTES + 1 - len(text))
+            assert await port.request("PUT", "/bronzemoor/config", text) == 413
+            path = "/bronzemoor/instances/i-1"
+            assert await port.request("PUT", path, b" " * 4_096) == 400
+            assert await port.request("PUT", path, b" " * 4_097) == 413
+            await system.until(lambda: port.server.guard.budget.used == 0)
+
+    run_system(tmp_path, scenario)
+
+
+def test_the_control_port_answers_requests_on_one_connection_in_order(tmp_path):
+    """Guards against a request that is lost between two others."""
+
+    async def scenario(system):
+        async with ControlPort(system.controls[0]) as port:
+            reader, writer = await port.connect()
+            get = b"GET /bronzemoor/config HTTP/1.1\r\nHost: c\r\n\r\n"
+            bad = b"GET /bronzemoor/none HTTP/1.1\r\nHost: c\r\n\r\n"
+            writer.write(get + bad + get)
+            statuses = [await port.read_status(reader) for _ in range(3)]
+            assert statuses == [200, 404, 200]
+            writer.write(b"GET / HTTP/1.1\r\nX: " + b"v" * 17_000)
+            assert await port.read_status(reader) == 431
+            async with asyncio.timeout(5):
+                assert await reader.read() == b""
+
+    run_system(tmp_path, scenario)
