--- a/packages/core/src/bronzemoor_core/wire/clientbudget.py
+++ b/packages/core/src/bronzemoor_core/wire/clientbudget.py
@@ -157,9 +157,21 @@
 
     @property
     def readable(self) -> int:
-        """Returns how many bytes may be read now."""
+        """Returns how many bytes may be read without acquiring more."""
         return max(0, ALLOWANCE_BYTES - self._received) + self._granted
 
+    @property
+    def read_limit(self) -> int:
+        """Returns how many bytes the next read may take.
+
+        A message that begins may take what is free, since ``receive`` follows at once.
+        A longer one waits for its turn in ``prepare_read``.
+        """
+        if self._received >= ALLOWANCE_BYTES:
+            return self._granted
+        allowed = ALLOWANCE_BYTES - self._received
+        return allowed + min(GRANT_BYTES, self._budget.free)
+
     @property
     def is_at_limit(self) -> bool:
         """Returns whether the client must wait for its own statements."""
@@ -179,19 +191,26 @@
         return self.readable > 0
 
     def receive(self, amount: int) -> None:
-        """Records bytes that were read, at most ``readable``."""
-        before = _charge(self._received)
-        self._received += amount
-        self._granted -= _charge(self._received) - before
+        """Records bytes that were read, at most ``read_limit``."""
+        received = self._received + amount
+        if received > ALLOWANCE_BYTES:
+            change = _charge(received) - _charge(self._received)
+            granted = min(change, self._granted)
+            if not self._budget.acquire(change - granted):
+                raise ValueError("more was read than the budget has")
+            self._granted -= granted
+        self._received = received
         self._budget.by_kind[RECEIVED] += amount
 
     def release_received(self, amount: int) -> None:
         """Releases bytes that were processed, and a grant that is not needed."""
         amount = min(amount, self._received)
-        before = _charge(self._received)
+        before = self._received
         self._received -= amount
         self._budget.by_kind[RECEIVED] -= amount
-        freed = before - _charge(self._received)
+        if before <= ALLOWANCE_BYTES:
+            return
+        freed = _charge(before) - _charge(self._received)
         if self._received < ALLOWANCE_BYTES:
             freed += self._granted
             self._granted = 0
--- a/packages/core/tests/wire/test_clientbudget.py
+++ b/packages/core/tests/wire/test_clientbudget.py
@@ -27,7 +27,7 @@
 def step(budget: ClientBudget, holding: Holding, action: str, amount: int) -> None:
     if action == "read":
         if holding.prepare_read():
-            holding.receive(min(amount, holding.readable))
+            holding.receive(min(amount, holding.read_limit))
         else:
             budget.wait(holding)
     elif action == "process":
--- a/packages/daemon/src/bronzemoor_daemon/wire/clientguard.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientguard.py
@@ -2,8 +2,9 @@
 
 from collections import Counter, OrderedDict
 from collections.abc import Callable
-from heapq import nlargest
+from heapq import nlargest, nsmallest
 from itertools import islice
+from operator import itemgetter
 from typing import TYPE_CHECKING, cast
 
 from bronzemoor_core.wire.clientbudget import ClientBudget, ClientLimits
@@ -27,7 +28,9 @@
 SWEEP_INTERVAL_SECONDS = 0.5
 LOG_INTERVAL_SECONDS = 1.0
 LOGGED_HOLDERS = 3
-# Sessions in use that are passed over in the search for an idle one.
+# Idle sessions that are found by one search through all sessions.
+LISTED_IDLE_SESSIONS = 64
+# Messages in use that are passed over in the search for one to interrupt.
 MAX_PASSED_OVER = 256
 
 # Reasons for refusals and closes.
@@ -55,11 +58,12 @@
         self._report = report
         self._metrics = metrics
         self._closed: Counter[str] = Counter()
-        self._logged_at = self._swept_at = float("-inf")
+        self._logged_at = self._swept_at = self._listed_at = float("-inf")
         self.budget = ClientBudget(self._limits.budget_bytes)
         metrics.client_bytes.sources.append(self.budget.by_kind)
-        # Open sessions, the one that sent data last at the end.
-        self.sessions: OrderedDict[ClientConnection, None] = OrderedDict()
+        self.sessions: set[ClientConnection] = set()
+        # Idle sessions that make room next, with the time of their last data.
+        self._longest_idle: list[tuple[float, ClientConnection]] = []
         # Connections without a complete message, and those with an incomplete message,
         # by their time of opening and of the message's first byte.
         self.unstarted: OrderedDict[ClientConnection, float] = OrderedDict()
@@ -82,12 +86,12 @@
                 self.count(DESCRIPTORS)
                 return False
             victim.drop(DESCRIPTORS)
-        self.sessions[stream] = None
+        self.sessions.add(stream)
         self.unstarted[stream] = boottime()
         return True
 
     def discard(self, stream: "ClientConnection") -> None:
-        self.sessions.pop(stream, None)
+        self.sessions.discard(stream)
         self.unstarted.pop(stream, None)
         self.incomplete.pop(stream, None)
         self.unread.pop(stream, None)
@@ -100,16 +104,33 @@
         """
         for stream in self.unstarted:
             return stream
-        for stream in islice(self.sessions, MAX_PASSED_OVER):
-            if now - stream.last_received_at < MIN_IDLE_SECONDS:
-                break
-            if stream.is_idle:
-                return stream
+        if (idle := self._next_idle(now)) is not None:
+            return idle
         for stream in islice(self.incomplete, MAX_PASSED_OVER):
             if not stream.is_in_use:
                 return stream
         return None
 
+    def _next_idle(self, now: float) -> "ClientConnection | None":
+        """Returns the longest idle session, from a list that is made for many."""
+        for _ in range(2):
+            while self._longest_idle:
+                since, stream = self._longest_idle.pop()
+                unused = since == stream.last_received_at and stream.is_idle
+                if stream in self.sessions and unused:
+                    return stream
+            if now - self._listed_at < MIN_IDLE_SECONDS:
+                return None
+            self._listed_at = now
+            idle = (
+                (stream.last_received_at, stream)
+                for stream in self.sessions
+                if now - stream.last_received_at >= MIN_IDLE_SECONDS and stream.is_idle
+            )
+            found = nsmallest(LISTED_IDLE_SESSIONS, idle, key=itemgetter(0))
+            self._longest_idle = found[::-1]
+        return None
+
     # --- bytes
 
     def make_room_for_answer(self, stream: "ClientConnection", amount: int) -> bool:
--- a/packages/daemon/src/bronzemoor_daemon/wire/clientstream.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientstream.py
@@ -28,8 +28,7 @@
 REFUSED_READ_SECONDS = 1.0
 LINE_END = b"\r\n"
 # Data is read into one buffer for all connections: the loop hands it over at once.
-READ_BUFFER = memoryview(bytearray(ALLOWANCE_BYTES + GRANT_BYTES))
-FIRST_READ_BUFFER = READ_BUFFER[:ALLOWANCE_BYTES]
+READ_BUFFER = memoryview(bytearray(GRANT_BYTES))
 
 
 class ClientConnection(asyncio.BufferedProtocol):
@@ -48,7 +47,6 @@
         "_transport",
         "holding",
         "last_received_at",
-        "peer",
     )
 
     def __init__(self, guard: ClientGuard) -> None:
@@ -61,8 +59,14 @@
         # When data was last received from the client, in seconds.
         self.last_received_at = boottime()
         self.holding = Holding(guard.budget, self)
-        # The client's address, for the log.
-        self.peer = ""
+
+    @property
+    def peer(self) -> str:
+        """Returns the client's address, for the log."""
+        if self._transport is None:
+            return ""
+        host, port = (self._transport.get_extra_info("peername") or ("", 0))[:2]
+        return f"{host}:{port}"
 
     @property
     def is_in_use(self) -> bool:
@@ -104,8 +108,6 @@
             return
         set_tcp_options(transport, CLIENT_TCP_USER_TIMEOUT_SECONDS)
         self._transport.set_write_buffer_limits(high=ALLOWANCE_BYTES, low=0)
-        host, port = (transport.get_extra_info("peername") or ("", 0))[:2]
-        self.peer = f"{host}:{port}"
 
     def connection_lost(self, error: Exception | None) -> None:
         self._transport = None
@@ -165,16 +167,13 @@
     def get_buffer(self, size_hint: int) -> memoryview:
         if self._is_refused:
             return READ_BUFFER
-        readable = self.holding.readable
-        if readable == ALLOWANCE_BYTES:
-            return FIRST_READ_BUFFER
-        return READ_BUFFER[: max(1, readable)]
+        limit = self.holding.read_limit
+        return READ_BUFFER if limit >= GRANT_BYTES else READ_BUFFER[:limit]
 
     def buffer_updated(self, size: int) -> None:
         if self._is_refused or self._transport is None:
             return
         self.last_received_at = boottime()
-        self._guard.sessions.move_to_end(self)
         data = bytes(READ_BUFFER[:size])
         self.holding.receive(size)
         self.on_data(data)
--- a/packages/daemon/src/bronzemoor_daemon/wire/webserver.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/webserver.py
@@ -269,9 +269,8 @@
         self.guard.sweep()
         now = boottime()
         for connection in list(self.guard.sessions):
-            if now - connection.last_received_at <= IDLE_TIMEOUT_SECONDS:
-                break
-            if connection.is_idle:
+            idle = now - connection.last_received_at
+            if idle > IDLE_TIMEOUT_SECONDS and connection.is_idle:
                 connection.close()
 
     async def run(self, request: Request, client: str) -> bytes:
