--- a/packages/daemon/src/bronzemoor_daemon/wire/clientguard.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientguard.py
@@ -64,6 +64,7 @@
         self.sessions: set[ClientConnection] = set()
         # Idle sessions that make room next, with the time of their last data.
         self._longest_idle: list[tuple[float, ClientConnection]] = []
+        self._list_was_full = False
         # Connections without a complete message, and those with an incomplete message,
         # by their time of opening and of the message's first byte.
         self.unstarted: OrderedDict[ClientConnection, float] = OrderedDict()
@@ -119,7 +120,7 @@
                 unused = since == stream.last_received_at and stream.is_idle
                 if stream in self.sessions and unused:
                     return stream
-            if now - self._listed_at < MIN_IDLE_SECONDS:
+            if now - self._listed_at < MIN_IDLE_SECONDS and not self._list_was_full:
                 return None
             self._listed_at = now
             idle = (
@@ -129,6 +130,7 @@
             )
             found = nsmallest(LISTED_IDLE_SESSIONS, idle, key=itemgetter(0))
             self._longest_idle = found[::-1]
+            self._list_was_full = len(found) == LISTED_IDLE_SESSIONS
         return None
 
     # --- bytes
--- a/tests/adapter/test_client_limits.py
+++ b/tests/adapter/test_client_limits.py
@@ -9,6 +9,7 @@
 
 from bronzemoor_core.wire.clientbudget import MAX_MESSAGE_BYTES
 from bronzemoor_core.wire.controllimits import MAX_DOCUMENT_BYTES
+from bronzemoor_daemon.wire import clientguard
 
 LARGEST_VALUE = "v" * (MAX_MESSAGE_BYTES - len("QUERY q1 STORE k "))
 PIPELINED = 64
@@ -92,6 +93,86 @@
     run_system(tmp_path, scenario)
 
 
+def test_a_message_that_stops_half_way_is_refused_in_time(tmp_path, monkeypatch):
+    """Guards against incomplete messages that are kept without end."""
+    monkeypatch.setattr(clientguard, "STARTED_MESSAGE_TIMEOUT_SECONDS", 0.3)
+
+    async def scenario(system):
+        client = await Client.open(system.client_addresses[0], "orders")
+        await asyncio.sleep(1.5)
+        assert outcome(await client.call("STORE k v")) == "COMPLETE"
+        client._writer.write(b"QUERY q STORE k")
+        assert (await client._read_line()).startswith("ERROR TIMEOUT")
+        assert await client.closed_without_message()
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_client_that_reads_nothing_leaves_nothing_behind(tmp_path, monkeypatch):
+    """Guards against a member connection that an unread answer keeps."""
+    monkeypatch.setattr(clientguard, "UNREAD_ANSWER_TIMEOUT_SECONDS", 1.0)
+
+    async def scenario(system):
+        proxy, primary = system.proxies[0], system.group.primary
+        client = await Client.open(system.client_addresses[0], "orders")
+        await client.call("BEGIN")
+        client._reader._transport.pause_reading()
+        # Each answer is as large as its statement; the kernel takes the first ones.
+        for _ in range(20):
+            client._writer.write(b"QUERY q FETCH " + b"k" * 1_000_000 + b"\r\n")
+        pool = proxy.group("ledger").pools[primary.name]
+        await system.until(lambda: proxy.guard.unread)
+        assert pool.load == 1
+        await system.until(lambda: not proxy.sessions)
+        await system.until(lambda: pool.load == 0)
+        assert metric(proxy, "limited_clients") == {("unread_answer",): 1}
+        assert proxy.guard.budget.used == 0
+
+    run_system(tmp_path, scenario, limits={"tx_idle_ms": 0})
+
+
+def test_an_answer_that_is_read_late_is_complete(tmp_path):
+    """Guards against a limit that cuts the answer of a client that pauses."""
+
+    async def scenario(system):
+        client = await Client.open(system.client_addresses[0], "orders")
+        client._reader._transport.pause_reading()
+        keys = [f"{number}{'k' * 1_000_000}" for number in range(10)]
+        client._writer.write("".join(f"QUERY q FETCH {k}\r\n" for k in keys).encode())
+        await system.until(lambda: system.proxies[0].guard.unread)
+        await asyncio.sleep(2.0)
+        client._reader._transport.resume_reading()
+        client._reader._limit = 4 * MAX_MESSAGE_BYTES
+        for key in keys:
+            assert await client._read_line() == f"ROW {key}"
+            assert (await client._read_line()).startswith("COMPLETE")
+            assert (await client._read_line()).startswith("READY")
+
+    run_system(tmp_path, scenario)
+
+
+def test_the_longest_idle_session_makes_room(tmp_path):
+    """Guards against closing a transaction, or a session that is in use, for others."""
+
+    async def scenario(system):
+        address, guard = system.client_addresses[0], system.proxies[0].guard
+        guard._limits.max_sessions = 3
+        working = await Client.open(address, "orders")
+        await working.call("BEGIN")
+        idle = await Client.open(address, "orders")
+        recent = await Client.open(address, "orders")
+        await asyncio.sleep(clientguard.MIN_IDLE_SECONDS + 0.1)
+        assert outcome(await recent.call("STORE k v")) == "COMPLETE"
+        late = await Client.open(address, "orders")
+        assert await idle.closed_without_message()
+        assert outcome(await working.call("STORE l v")) == "COMPLETE"
+        assert outcome(await recent.call("STORE m v")) == "COMPLETE"
+        assert outcome(await late.call("STORE n v")) == "COMPLETE"
+        assert outcome(await working.call("COMMIT")) == "COMPLETE"
+
+    run_system(tmp_path, scenario)
+
+
 def test_the_control_port_serves_the_largest_document(tmp_path):
     """Guards against limits that a legal document or heartbeat reaches."""
 
