Merge the limits on what clients make a process hold

Cause: clients could run a process out of memory or descriptors: messages and answers were held without a bound, and nothing timed out.

--- a/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
@@ -6,6 +6,7 @@
 
 from bisect import bisect_left
 from collections import defaultdict
+from collections.abc import Mapping
 from time import time
 
 LATENCY_BUCKETS_SECONDS = (
@@ -53,6 +54,17 @@
         self.values: dict[Labels, float] = {}
 
 
+class KindGauge:
+    """Values that go up and down, by the value of its label."""
+
+    __slots__ = ("help", "label", "name", "sources")
+
+    def __init__(self, name: str, text: str, label: str) -> None:
+        self.name, self.help, self.label = name, text, label
+        # The values of each component, which are added up.
+        self.sources: list[Mapping[str, float]] = []
+
+
 class Histogram:
     """Counts durations in seconds by bucket, for each value of its label."""
 
@@ -82,12 +94,14 @@
     __slots__ = (
         "changes",
         "connection_openings",
+        "client_bytes",
         "ended_transactions",
         "evicted_connections",
         "latency",
         "load_ages",
         "load_spreads",
         "loads",
+        "limited_clients",
         "promotions",
         "quota_refusals",
         "refused_announcements",
@@ -136,6 +150,16 @@
             "Believed load of a group's busiest member over the mean of its members",
             "group",
         )
+        self.client_bytes = KindGauge(
+            "bronzemoor_client_bytes",
+            "Bytes that clients make the process hold",
+            "kind",
+        )
+        self.limited_clients = Counter(
+            "bronzemoor_limited_clients",
+            "Clients that were refused or closed because of a limit",
+            "reason",
+        )
         self.promotions = Counter(
             "bronzemoor_promotions",
             "Promotions ordered by this control leader",
@@ -187,6 +211,7 @@
             self.statements,
             self.retries,
             self.ended_transactions,
+            self.limited_clients,
             self.promotions,
             self.changes,
             self.refused_announcements,
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -1,8 +1,8 @@
 """The proxy, which routes client statements to database groups."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable, Collection, Coroutine
+from typing import Any, cast
 
 from bronzemoor_core.exceptions import BronzemoorError
 from bronzemoor_core.messages import (
@@ -15,6 +15,7 @@
     RelayStatus,
 )
 from bronzemoor_core.positions import Position
+from bronzemoor_core.wire.clientbudget import derive_limits
 from bronzemoor_core.wire.deployment import Deployment, Route
 from bronzemoor_core.wire.documentdeltas import decode_delta
 from bronzemoor_core.wire.leadersearch import LeaderSearch
@@ -23,6 +24,7 @@
 from bronzemoor_core.wire.records import unpack_document
 from bronzemoor_core.wire.statements import Answer
 from bronzemoor_daemon.framing import split_address
+from bronzemoor_daemon.wire.clientguard import ClientGuard
 from bronzemoor_daemon.wire.clientsession import ClientSession
 from bronzemoor_daemon.wire.clock import boottime, logged_ms
 from bronzemoor_daemon.wire.execution import Attempt
@@ -96,7 +98,9 @@
         self.deployment: Deployment | None = None
         # The text that later versions are encoded for.
         self._document = ""
-        self.sessions: set[ClientSession] = set()
+        limits = derive_limits(settings.memory_limit, settings.max_descriptors)
+        self.guard = ClientGuard(limits, report, metrics)
+        self.sessions = cast(Collection[ClientSession], self.guard.sessions)
         self.stopping = False
         # Whether idle sessions are closed because the proxy is stopping.
         self.closing = False
@@ -125,7 +129,10 @@
         await self.links.start()
         host, port = split_address(self._settings.listen_clients)
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: ClientSession(self), host, port, backlog=LISTEN_BACKLOG
+            lambda: ClientSession(self),
+            host,
+            port,
+            backlog=min(LISTEN_BACKLOG, self.guard.backlog),
         )
         self._tasks.repeat(self._report_loop, "report")
         self._tasks.repeat(self._trim_loop, "trim")
@@ -296,6 +303,7 @@
                 group.trim(now)
             self._loads.update(now, self._groups)
             self._relay_server.trim(now)
+            self.guard.sweep()
 
     async def _report_loop(self) -> None:
         while True:
--- a/packages/daemon/src/bronzemoor_daemon/wire/settings.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/settings.py
@@ -16,6 +16,8 @@
     daemons and its name among them. ``first_start`` is true only while the whole system
     starts for the first time. ``tolerated_losses`` is how many control daemons may fail
     at once. Without ``quota``, the limits of organisations are not enforced.
+    ``memory_limit`` (bytes) and ``max_descriptors`` are the limits of the VM; 0 stands
+    for the defaults of ``clientbudget``.
     """
 
     name: str
@@ -33,4 +35,6 @@
     tolerated_losses: int = 1
     log_level: str = "INFO"
     quota: QuotaSettings | None = None
+    memory_limit: int = 0
+    max_descriptors: int = 0
     extra: dict[str, str] = field(default_factory=dict)
