--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -202,6 +202,7 @@
             except (BronzemoorError, ValueError) as error:
                 self.report("error", "deployment_unreadable", error=str(error))
                 return
+            self._quotas.set_organisations(self.deployment.organisations)
             # Proxies get digests in place of keys.
             self._document.set_document(
                 self.deployment.version, self.deployment.redacted or document
