Keep spending across two changes of leader and ask for fewer tokens ahead

Cause: a proxy dropped what it had spent under earlier leaders once the new one had answered. After a second change within the window that spending was missing from its report, and 44 operations of at most 36 were counted in a window. Single operations of small organisations asked for tokens ahead in vain, and an organisation counted as exhausted while other proxies held free tokens.

Change: a proxy keeps that history for the whole window. The estimate of the demand follows slowly, and fast only where it has changed beyond chance. An organisation is exhausted from 85% of its present limit on, and the ledger allows 0.3 s from a token to the member; later ones fit into unused slack.

Result: the failed schedule is an example of the property test, which passes with 100 random ones.

--- a/packages/core/src/bronzemoor_core/wire/quotaledger.py
+++ b/packages/core/src/bronzemoor_core/wire/quotaledger.py
@@ -24,8 +24,9 @@
 
 # A proxy spends a token at most this long after its grant, with the margin for drift.
 TOKEN_SECONDS = LEASE_SECONDS + TOKEN_EXTENSION_SECONDS + LEASE_MARGIN_SECONDS
-# How long an operation that has spent a token may take to reach a member.
-DELIVERY_SECONDS = 0.4
+# How long an operation that has spent a token may take to reach a member. What takes
+# longer must fit into the part of the slack that is not used.
+DELIVERY_SECONDS = 0.3
 # Part of the slack that is granted while all spending is known. The rest serves
 # callers after a change of leader, when the spending of lost proxies is unknown.
 USED_SLACK_SHARE = 0.4
@@ -37,9 +38,9 @@
 SHORT_SUPPLY_FACTOR = 4
 # Proxies whose last report is older do not count in the division.
 DEMAND_MAX_AGE_SECONDS = 1.0
-# Share of the nominal limit that must be spent before the organisation is exhausted;
-# below it, tokens are only held elsewhere and come back soon.
-EXHAUSTED_SHARE = 0.9
+# Share of the limit that must be spent before the organisation is exhausted; below it,
+# tokens are only held elsewhere and come back soon.
+EXHAUSTED_SHARE = 0.85
 # Shorter pauses would only add reports.
 MIN_EXHAUSTED_SECONDS = 0.2
 
@@ -76,14 +77,12 @@
         "charges",
         "credit",
         "grants",
-        "nominal",
         "outstanding",
         "total",
         "usual",
     )
 
     def __init__(self) -> None:
-        self.nominal = 0.0
         # What is allowed in a window, and what is used of it while spending is known.
         self.total = 0
         self.usual = 0
@@ -159,7 +158,7 @@
     def set_organisations(self, organisations: Mapping[str, Organisation]) -> None:
         """Applies the limits of a deployment."""
         for limit in self._limits.values():
-            limit.nominal = limit.total = limit.usual = 0
+            limit.total = limit.usual = 0
         for name, organisation in organisations.items():
             if organisation.rate is not None:
                 if name not in self._limits:
@@ -167,7 +166,6 @@
                 limit = self._limits[name]
                 nominal = organisation.rate * self._settings.window + organisation.burst
                 highest = nominal * (1 + self._settings.overage)
-                limit.nominal = nominal
                 limit.total = int(highest + self._settings.slack)
                 limit.usual = int(highest + self._settings.slack * USED_SLACK_SHARE)
 
@@ -293,9 +291,8 @@
             spare = max(0, free - reserve)
             tokens += min(wanted, max(0, self._round(spare * share) - tokens))
         exhausted = 0.0
-        used = EXHAUSTED_SHARE * min(limit.nominal, budget)
         is_short = tokens < waiting or tokens == free
-        if is_short and limit.charged >= used:
+        if is_short and limit.charged >= EXHAUSTED_SHARE * budget:
             exhausted = max(MIN_EXHAUSTED_SECONDS, limit.next_release(now))
         if not tokens and not exhausted:
             return None
--- a/packages/core/src/bronzemoor_core/wire/quotas.py
+++ b/packages/core/src/bronzemoor_core/wire/quotas.py
@@ -18,8 +18,11 @@
 TOKEN_EXTENSION_SECONDS = 1.0
 # Demand for which a proxy holds tokens, which covers an election of a control leader.
 HORIZON_SECONDS = 2.0
-# Time constant of the estimated demand.
-DEMAND_TIME_CONSTANT_SECONDS = 0.7
+# Time constants of the estimated demand: usually, so that single operations of a small
+# organisation ask for no tokens ahead, and where it has changed beyond chance.
+DEMAND_TIME_CONSTANT_SECONDS = 2.0
+CHANGE_TIME_CONSTANT_SECONDS = 0.3
+MIN_CHANGE_OPERATIONS = 3
 # Shorter intervals between reports give no useful estimate of the demand.
 MIN_ESTIMATE_SECONDS = 0.3
 # Tokens beyond the expected demand by this factor are given back.
@@ -182,7 +185,12 @@
         self.acknowledged, self.announced = (0, 0), False
 
     def past_counts(self, now: float, window: float) -> list[int]:
-        """Returns the operations before the term, by interval of their age."""
+        """Returns the operations before the term, by interval of their age.
+
+        They are kept for the window, since the next leader may be replaced as well.
+        """
+        if not self.past:
+            return []
         counts = [0] * (int(window / HISTORY_STEP_SECONDS) + 1)
         for started, number in self.past or ():
             step = int((now - started) / HISTORY_STEP_SECONDS)
@@ -196,7 +204,18 @@
 
     def _update_demand(self, now: float) -> None:
         elapsed = now - self.estimated_at
-        kept = exp(-elapsed / DEMAND_TIME_CONSTANT_SECONDS)
+        expected = self.demand * elapsed
+        has_changed = abs(self.arrivals - expected) >= max(
+            MIN_CHANGE_OPERATIONS, expected / 2
+        )
+        kept = exp(
+            -elapsed
+            / (
+                CHANGE_TIME_CONSTANT_SECONDS
+                if has_changed
+                else DEMAND_TIME_CONSTANT_SECONDS
+            )
+        )
         self.demand = kept * self.demand + (1 - kept) * self.arrivals / elapsed
         self.arrivals, self.estimated_at = 0, now
 
@@ -316,9 +335,7 @@
             if 4 * missing < target:
                 missing = 0
             progress = (share.spent, share.given_back)
-            past: list[int] = []
-            if not share.announced:
-                past = share.past_counts(now, self._settings.window)
+            past = share.past_counts(now, self._settings.window)
             if not (
                 missing
                 or share.waiting
@@ -361,7 +378,7 @@
         for share in self._shares.values():
             if share.sent is not None and share.sent_sequence == sequence:
                 share.acknowledged, share.sent = share.sent, None
-                share.announced, share.past = True, None
+                share.announced = True
         for item in items:
             self._apply_item(now, expires, item)
         return is_new_term and bool(self._shares)
--- a/packages/core/tests/wire/test_quotas.py
+++ b/packages/core/tests/wire/test_quotas.py
@@ -3,7 +3,7 @@
 from random import Random
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from wire.quotaworld import SETTINGS, World, highest
 
@@ -34,7 +34,8 @@
             world.loss = world.late = 0.0
 
 
-@settings(max_examples=60, deadline=None, derandomize=True, database=None)
+@example(0, (3, 0), 6.0, 0.0, [("replace", 0, 1.0), ("replace", 0, 1.0)])
+@settings(max_examples=100, deadline=None, derandomize=True, database=None)
 @given(
     seed=st.integers(0, 2**32),
     limit=st.sampled_from([(0.5, 1), (3, 0), (20, 10), (40, 80)]),
@@ -92,13 +93,23 @@
 
 
 def test_an_idle_share_is_usable_elsewhere_within_a_second():
-    """Guards against tokens that stay at a proxy whose clients have left."""
-    world = World(3, proxies=5, a=(40, 20))
-    world.run(10.0, {(0, "a"): 38.0})
-    world.run(1.0, {(1, "a"): 38.0})
+    """Guards against tokens that stay at a proxy whose clients have left.
+
+    The load is even, one operation each step, so that no peak is above the limit.
+    """
+    world = World(3, proxies=5, a=(105, 0))
+    world.run(10.0, {(0, "a"): 100.0})
+    world.run(1.0, {(1, "a"): 100.0})
     before = world.refused["a"]
-    world.run(5.0, {(1, "a"): 38.0})
+    world.run(5.0, {(1, "a"): 100.0})
     assert world.refused["a"] == before
+    # Far below the limit, tokens for two seconds are held.
+    world = World(3, proxies=1, a=(200, 200))
+    world.run(10.0, {"a": 100.0})
+    held = world.proxies[0].purse.held(world.now, "a")
+    world.run(1.1, {})
+    assert held > 100
+    assert world.leader.ledger.used(world.now, "a")[1] < 0.2 * held
 
 
 @pytest.mark.parametrize("rate", [0.5, 1.0, 2.0, 5.0])
