Return the token of a transaction that sends nothing

Cause: a transaction that ended before its first statement, with its client or by ROLLBACK, kept its token out of the proxy's counts, so that the leader saw every later token of the organisation as spent one too late.

Change: the session returns an unspent permit when its transaction or its connection ends.

--- a/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
@@ -87,6 +87,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         self._transport = None
         self._proxy.sessions.discard(self)
+        self._release_permit()
         if self._task is not None:
             self._task.cancel()
         elif self._transaction is not None:
@@ -222,13 +223,12 @@
         started = boottime()
         attempt = Attempt(query_id, statement)
         if statement.kind == st.ROLLBACK:
-            if self._permit is not None:
-                self._proxy.quotas.release(self._permit)
             transaction.roll_back()
             answer = Answer()
         else:
             await self._spend_permit(attempt, transaction)
             answer = await transaction.commit(started, attempt)
+        self._release_permit()
         self._transaction = None
         answer.state = st.IDLE
         self._finish(attempt, transaction.route, answer, started)
@@ -296,6 +296,12 @@
             permit = renewed
         self._permit = None
 
+    def _release_permit(self) -> None:
+        """Returns the permit of a transaction that has sent nothing."""
+        if self._permit is not None:
+            self._proxy.quotas.release(self._permit)
+            self._permit = None
+
     # --- answers
 
     def _route(self) -> Route | None:
--- a/tests/adapter/test_quotas.py
+++ b/tests/adapter/test_quotas.py
@@ -65,3 +65,24 @@
             assert proxy._metrics.refused_operations.values[("quota",)]
 
     run_system(tmp_path, scenario, system_type=LimitedSystem, tenants=ORGANISATIONS)
+
+
+def test_a_transaction_that_sends_nothing_costs_no_token(tmp_path):
+    """Guards against tokens that are lost with idle transactions and their clients."""
+
+    async def scenario(system):
+        purse = system.proxies[0].quotas._purse
+        for end in ("ROLLBACK", ""):
+            client = await Client.open(system.client_addresses[0], "orders", "key-n")
+            assert (await client.call("BEGIN"))[0].startswith("COMPLETE")
+            share = purse._shares["north"]
+            taken = share.granted - share.returned - share.held
+            if end:
+                await client.call(end)
+            client.close()
+            await system.until(lambda: not system.proxies[0].sessions)
+            assert taken == 1
+            assert share.granted == share.returned + share.held
+            assert not share.spent
+
+    run_system(tmp_path, scenario, system_type=LimitedSystem, tenants=ORGANISATIONS)
