--- a/packages/core/src/bronzemoor_core/wire/quotas.py
+++ b/packages/core/src/bronzemoor_core/wire/quotas.py
@@ -379,6 +379,8 @@
             if share.sent is not None and share.sent_sequence == sequence:
                 share.acknowledged, share.sent = share.sent, None
                 share.announced = True
+                # A token for a new session is asked for once, whether granted or not.
+                share.expects = False
         for item in items:
             self._apply_item(now, expires, item)
         return is_new_term and bool(self._shares)
