--- a/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
@@ -81,6 +81,7 @@
             self._task = asyncio.get_running_loop().create_task(self._serve())
 
     def on_closed(self) -> None:
+        self._release_permit()
         if self._task is not None:
             self._task.cancel()
         else:
@@ -246,13 +247,12 @@
         started = boottime()
         attempt = Attempt(query_id, statement)
         if statement.kind == st.ROLLBACK:
-            if self._permit is not None:
-                self._proxy.quotas.release(self._permit)
             transaction.roll_back()
             answer = Answer()
         else:
             await self._spend_permit(attempt, transaction)
             answer = await transaction.commit(started, attempt)
+        self._release_permit()
         self._transaction = None
         answer.state = st.IDLE
         self._finish(attempt, transaction.route, answer, started)
@@ -320,6 +320,12 @@
             permit = renewed
         self._permit = None
 
+    def _release_permit(self) -> None:
+        """Returns the permit of a transaction that has sent nothing."""
+        if self._permit is not None:
+            self._proxy.quotas.release(self._permit)
+            self._permit = None
+
     # --- answers
 
     def _route(self) -> Route | None:
