Separate the settings of quotas from the shares of proxies

Change: settings and shared bounds are in quotasettings.py. A test covers the decoding of the platform's settings, which enforce quotas only where agreed.

--- a/bench/quotas.py
+++ b/bench/quotas.py
@@ -9,7 +9,8 @@
 
 from bench.registry import Result, at_most, benchmark
 from bronzemoor_core.messages import QuotaGrant
-from bronzemoor_core.wire.quotas import QuotaSettings, TokenPurse
+from bronzemoor_core.wire.quotas import TokenPurse
+from bronzemoor_core.wire.quotasettings import QuotaSettings
 
 ORGANISATIONS = 79
 DECISIONS = 20_000
--- a/packages/core/src/bronzemoor_core/wire/quotaledger.py
+++ b/packages/core/src/bronzemoor_core/wire/quotaledger.py
@@ -14,7 +14,7 @@
 from bronzemoor_core.messages import QuotaGrant, QuotaReport
 from bronzemoor_core.wire.deployment import Organisation
 from bronzemoor_core.wire.leases import LEASE_MARGIN_SECONDS, LEASE_SECONDS
-from bronzemoor_core.wire.quotas import (
+from bronzemoor_core.wire.quotasettings import (
     HISTORY_STEP_SECONDS,
     MAX_EXHAUSTED_MS,
     TOKEN_EXTENSION_SECONDS,
--- a/packages/core/src/bronzemoor_core/wire/quotas.py
+++ b/packages/core/src/bronzemoor_core/wire/quotas.py
@@ -8,14 +8,14 @@
 
 from math import exp
 
-from msgspec import Struct
-
 from bronzemoor_core.messages import QuotaGrant, QuotaReport
+from bronzemoor_core.wire.quotasettings import (
+    HISTORY_STEP_SECONDS,
+    MAX_EXHAUSTED_MS,
+    QuotaSettings,
+    clamp,
+)
 
-# Bits of a topology version below the control group's term.
-TERM_SHIFT_BITS = 32
-# How much longer than the lease of its grant a token may be spent.
-TOKEN_EXTENSION_SECONDS = 1.0
 # Demand for which a proxy holds tokens, which covers an election of a control leader.
 HORIZON_SECONDS = 2.0
 # Time constants of the estimated demand: usually, so that single operations of a small
@@ -31,34 +31,14 @@
 # reports early that it spent this many, or has none left and spent so many.
 EARLY_REPORT_TOKENS = 20
 DRY_REPORT_TOKENS = 5
-# Width of the intervals in which a proxy reports to a new leader what it spent.
-HISTORY_STEP_SECONDS = 0.5
-# Bound for numbers in messages; the limit of an organisation is lower.
-MAX_COUNT = 10**11
 # A leader that has led for this long beyond a window knows all spending in it: the
 # tokens of its predecessor have expired.
 CALM_SECONDS = 5.0
-# Bound for how long operations are refused without asking the leader again.
-MAX_EXHAUSTED_MS = 1_000
 
 # Expiry of a reserved token and the term of the leader that granted it.
 Token = tuple[float, int]
 
 
-class QuotaSettings(Struct, frozen=True):
-    """At most ``(rate * window + burst) * (1 + overage) + slack`` operations start in
-    any ``window`` seconds."""
-
-    window: float = 5.0
-    overage: float = 0.1
-    slack: float = 20.0
-
-
-def clamp(value: int, highest: int = MAX_COUNT) -> int:
-    """Returns a number from a message within its possible range."""
-    return max(0, min(value, highest))
-
-
 class _Share:
     """What a proxy holds for one organisation.
 
--- a/packages/core/tests/wire/quotaworld.py
+++ b/packages/core/tests/wire/quotaworld.py
@@ -11,11 +11,8 @@
 from bronzemoor_core.wire.freshness import SampleExchange
 from bronzemoor_core.wire.leases import LEASE_SECONDS
 from bronzemoor_core.wire.quotaledger import DELIVERY_SECONDS, QuotaLedger
-from bronzemoor_core.wire.quotas import (
-    TOKEN_EXTENSION_SECONDS,
-    QuotaSettings,
-    TokenPurse,
-)
+from bronzemoor_core.wire.quotas import TokenPurse
+from bronzemoor_core.wire.quotasettings import TOKEN_EXTENSION_SECONDS, QuotaSettings
 from bronzemoor_core.wire.reportorder import ReportAge, ReportOrder
 
 SETTINGS = QuotaSettings()
--- a/packages/core/tests/wire/test_quotas.py
+++ b/packages/core/tests/wire/test_quotas.py
@@ -10,7 +10,8 @@
 from bronzemoor_core.messages import QuotaGrant, QuotaReport
 from bronzemoor_core.wire.deployment import Organisation
 from bronzemoor_core.wire.quotaledger import QuotaLedger
-from bronzemoor_core.wire.quotas import MAX_COUNT, TokenPurse
+from bronzemoor_core.wire.quotas import TokenPurse
+from bronzemoor_core.wire.quotasettings import MAX_COUNT
 
 FAULTS = ("freeze", "restart", "cut", "replace", "lossy", "late", "calm")
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -21,7 +21,7 @@
 from bronzemoor_core.wire.deployment import Deployment
 from bronzemoor_core.wire.freshness import SampleExchange
 from bronzemoor_core.wire.leases import LeaseTable
-from bronzemoor_core.wire.quotas import TERM_SHIFT_BITS
+from bronzemoor_core.wire.quotasettings import TERM_SHIFT_BITS
 from bronzemoor_core.wire.records import (
     LeaderRecord,
     MemberRecord,
--- a/packages/daemon/src/bronzemoor_daemon/wire/leaderquotas.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leaderquotas.py
@@ -6,7 +6,7 @@
 from bronzemoor_core.messages import ProxyReport, QuotaGrant
 from bronzemoor_core.wire.deployment import Organisation
 from bronzemoor_core.wire.quotaledger import QuotaLedger
-from bronzemoor_core.wire.quotas import TERM_SHIFT_BITS, QuotaSettings
+from bronzemoor_core.wire.quotasettings import TERM_SHIFT_BITS, QuotaSettings
 from bronzemoor_daemon.wire.clock import boottime
 
 # Processes silent for longer are removed from the records; the tokens of a process
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -18,7 +18,7 @@
 from bronzemoor_core.wire.deployment import Deployment, Route
 from bronzemoor_core.wire.leadersearch import LeaderSearch
 from bronzemoor_core.wire.leases import HeldLease
-from bronzemoor_core.wire.quotas import TERM_SHIFT_BITS, TOKEN_EXTENSION_SECONDS
+from bronzemoor_core.wire.quotasettings import TERM_SHIFT_BITS, TOKEN_EXTENSION_SECONDS
 from bronzemoor_core.wire.records import unpack_document
 from bronzemoor_core.wire.statements import Answer
 from bronzemoor_daemon.framing import split_address
--- a/packages/daemon/src/bronzemoor_daemon/wire/quotagate.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/quotagate.py
@@ -9,7 +9,8 @@
 from bronzemoor_core.messages import QuotaGrant, QuotaReport
 from bronzemoor_core.wire import statements as st
 from bronzemoor_core.wire.deployment import Deployment, Organisation
-from bronzemoor_core.wire.quotas import QuotaSettings, Token, TokenPurse
+from bronzemoor_core.wire.quotas import Token, TokenPurse
+from bronzemoor_core.wire.quotasettings import QuotaSettings
 from bronzemoor_core.wire.statements import Answer
 from bronzemoor_daemon.wire.clock import boottime, logged_ms
 from bronzemoor_daemon.wire.metrics import WireMetrics
--- a/packages/daemon/src/bronzemoor_daemon/wire/settings.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from bronzemoor_core.wire.quotas import QuotaSettings
+from bronzemoor_core.wire.quotasettings import QuotaSettings
 
 PROXY = "proxy"
 CONTROL = "control"
--- a/tests/adapter/system.py
+++ b/tests/adapter/system.py
@@ -9,7 +9,7 @@
 from loopback import free_addresses
 
 from bronzemoor_core.wire.authority import PromotionOrder
-from bronzemoor_core.wire.quotas import QuotaSettings
+from bronzemoor_core.wire.quotasettings import QuotaSettings
 from bronzemoor_core.wire.records import MemberRecord
 from bronzemoor_daemon.wire.control import ControlDaemon
 from bronzemoor_daemon.wire.metrics import WireMetrics
--- a/tests/adapter/test_quotas.py
+++ b/tests/adapter/test_quotas.py
@@ -4,7 +4,8 @@
 
 from system import Client, System, run_system
 
-from bronzemoor_core.wire.quotas import QuotaSettings
+from bronzemoor_core.wire.quotasettings import QuotaSettings
+from bronzemoor_platform.settings import decode_settings
 
 RATE, BURST, WINDOW = 10, 5, 5.0
 ORGANISATIONS = [
@@ -106,3 +107,20 @@
         assert known[0]["holders"] == len(clients)
 
     run_system(tmp_path, scenario, system_type=LimitedSystem, tenants=ORGANISATIONS)
+
+
+def test_quotas_are_enforced_where_they_are_agreed():
+    """Guards against limits that an earlier deployment did not agree to."""
+    body = {
+        "node_name": "one",
+        "ip": "127.0.0.1",
+        "zone": "north",
+        "serves": ["edge"],
+        "listen_addrs": {},
+        "internal_port_range": [7000, 7000],
+        "seeds": [],
+        "bounds": {"quota_window_s": 4, "quota_overage": 0.2, "quota_slack": 7},
+    }
+    assert decode_settings(body).quota is None
+    body["contracts"] = ["quota"]
+    assert decode_settings(body).quota == QuotaSettings(4.0, 0.2, 7.0)
