--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -23,7 +23,7 @@
 from bronzemoor_core.wire.freshness import SampleExchange
 from bronzemoor_core.wire.leases import LeaseTable
 from bronzemoor_core.wire.loadexchange import LoadExchange
-from bronzemoor_core.wire.quotas import TERM_SHIFT_BITS
+from bronzemoor_core.wire.quotasettings import TERM_SHIFT_BITS
 from bronzemoor_core.wire.records import (
     LeaderRecord,
     MemberRecord,
