Give no lease to proxies that check no keys

Cause: a proxy of an earlier build among new ones let anyone in. Change: proxies say that they check keys; where the deployment has organisations the leader does not answer the others, so that their leases end.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -73,7 +73,8 @@
 struct ProxyReport {
   1: i64 incarnation, 2: i64 sequence, 3: i64 deployment_version, 4: i64 topology_version,
   5: bool draining, 6: list<GroupReport> groups, 7: i64 last_grant,
-  8: string zone, 9: i64 proxies_version, 10: list<QuotaReport> quotas, 11: bool accepts_deltas
+  8: string zone, 9: i64 proxies_version, 10: list<QuotaReport> quotas, 11: bool accepts_deltas,
+  12: bool checks_keys
 }
 struct ProxyGrant {
   1: i64 sequence, 2: string leader, 3: i32 lease_ms, 4: i64 deployment_version,
--- a/packages/core/src/bronzemoor_core/messages.py
+++ b/packages/core/src/bronzemoor_core/messages.py
@@ -387,6 +387,8 @@
     proxies_version: int = 0
     quotas: list[QuotaReport] = field(default_factory=list)
     accepts_deltas: bool = False
+    # Whether the proxy refuses clients without a valid key; earlier builds do not.
+    checks_keys: bool = False
 
 
 @message
--- a/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
+++ b/packages/daemon/src/bronzemoor_daemon/gen/peer/ttypes.py
@@ -3219,11 +3219,12 @@
      - proxies_version
      - quotas
      - accepts_deltas
+     - checks_keys
 
     """
 
 
-    def __init__(self, incarnation=None, sequence=None, deployment_version=None, topology_version=None, draining=None, groups=None, last_grant=None, zone=None, proxies_version=None, quotas=None, accepts_deltas=None,):
+    def __init__(self, incarnation=None, sequence=None, deployment_version=None, topology_version=None, draining=None, groups=None, last_grant=None, zone=None, proxies_version=None, quotas=None, accepts_deltas=None, checks_keys=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.deployment_version = deployment_version
@@ -3235,6 +3236,7 @@
         self.proxies_version = proxies_version
         self.quotas = quotas
         self.accepts_deltas = accepts_deltas
+        self.checks_keys = checks_keys
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3312,6 +3314,11 @@
                     self.accepts_deltas = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.checks_keys = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3372,6 +3379,10 @@
             oprot.writeFieldBegin('accepts_deltas', TType.BOOL, 11)
             oprot.writeBool(self.accepts_deltas)
             oprot.writeFieldEnd()
+        if self.checks_keys is not None:
+            oprot.writeFieldBegin('checks_keys', TType.BOOL, 12)
+            oprot.writeBool(self.checks_keys)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5065,6 +5076,7 @@
     (9, TType.I64, 'proxies_version', None, None, ),  # 9
     (10, TType.LIST, 'quotas', (TType.STRUCT, [QuotaReport, None], False), None, ),  # 10
     (11, TType.BOOL, 'accepts_deltas', None, None, ),  # 11
+    (12, TType.BOOL, 'checks_keys', None, None, ),  # 12
 )
 all_structs.append(ProxyGrant)
 ProxyGrant.thrift_spec = (
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -248,6 +248,10 @@
             # The topology is the same, but the list of a zone's proxies changed.
             self._send_announcement()
 
+    @property
+    def _has_organisations(self) -> bool:
+        return self.deployment is not None and bool(self.deployment.organisations)
+
     @property
     def _has_shared_connections(self) -> bool:
         return any(view.shared for view in self._views)
@@ -327,7 +331,7 @@
         Only where members have connections by organisation: others can be used by any
         statement, so that few suffice.
         """
-        if self.deployment is None or not self.deployment.organisations:
+        if self.deployment is None or not self._has_organisations:
             return
         if self._shares.is_changing:
             if self.leases.waiting_for(now, self._topology_version):
@@ -453,6 +457,10 @@
             self.leases.process_ended(now, proxy)
             self._quotas.process_ended(proxy)
             self.report("info", "proxy_restarted", peer=proxy)
+        if not report.checks_keys and self._has_organisations:
+            # Its lease ends, and without leases and samples it serves nobody.
+            self.report("warning", "proxy_refused", peer=proxy, reason="checks no keys")
+            return
         self._last_report_at[proxy] = now
         known = KnownVersions(
             report.deployment_version,
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -385,6 +385,7 @@
                 self._proxies_version,
                 self.quotas.build_report(now, self._sequence),
                 accepts_deltas=True,
+                checks_keys=True,
             ),
         )
 
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -6,6 +6,7 @@
 import pytest
 from system import Client, run_system
 
+from bronzemoor_core.messages import ProxyReport
 from bronzemoor_core.wire.callers import ANONYMOUS, digest_key, find_caller
 from bronzemoor_core.wire.deployment import InvalidDeployment
 from bronzemoor_platform.documents import read_document
@@ -149,3 +150,26 @@
 
     services = [{"name": "ledger", "max_conns": 9, "sync_replicas": 1}]
     run_system(tmp_path, scenario, tenants=organisations, services=services)
+
+
+def test_a_proxy_that_checks_no_keys_serves_nobody(tmp_path):
+    """Guards against a proxy of an earlier build among others, which lets anyone in."""
+
+    async def scenario(system):
+        earlier = system.proxies[0]
+        send = earlier.links.send
+
+        def send_as_earlier_build(peer, message):
+            if isinstance(message, ProxyReport):
+                message.checks_keys = False
+            send(peer, message)
+
+        earlier.links.send = send_as_earlier_build
+        await system.until(lambda: not earlier.has_lease)
+        await asyncio.sleep(1.0)
+        assert not earlier.has_lease
+        assert any(event == "proxy_refused" for event, _ in system.events)
+        client = await Client.open(system.client_addresses[1], "orders", "key-s")
+        assert (await client.call("STORE a 1"))[0].startswith("COMPLETE")
+
+    run_system(tmp_path, scenario, tenants=ORGANISATIONS)
