Serve organisations at their pace after every process was lost

Cause: nothing told organisations that had used little from those at their limit. Change: tokens beyond 1.5 times the rate need a mark in the replicated log; a new leader keeps whole limits back for marked organisations only, and a holder whose successor reports can spend nothing more.

--- a/packages/core/src/bronzemoor_core/wire/commands.py
+++ b/packages/core/src/bronzemoor_core/wire/commands.py
@@ -36,6 +36,13 @@
     return {"code": "ok"}
 
 
+@command("quota.marks")
+def _change_quota_marks(state: State, body: dict[str, Any]) -> dict[str, Any]:
+    marks = (set(state.wire.quota_marks) | set(body["add"])) - set(body["remove"])
+    state.wire.quota_marks = sorted(marks)
+    return {"code": "ok"}
+
+
 @command("sharing.set")
 def _set_sharing(state: State, body: dict[str, Any]) -> dict[str, Any]:
     state.wire.sharing = body["sharing"]
--- a/packages/core/src/bronzemoor_core/wire/quotaledger.py
+++ b/packages/core/src/bronzemoor_core/wire/quotaledger.py
@@ -41,6 +41,14 @@
 # Share of the limit that must be spent before the organisation is exhausted; below it,
 # tokens are only held elsewhere and come back soon.
 EXHAUSTED_SHARE = 0.85
+# An organisation gets tokens at this multiple of its rate at most, and those of
+# PACE_SECONDS at once, unless it is marked in the replicated record. What was granted to
+# those without a mark before a change of leader is therefore spread over time.
+PACE_FACTOR = 1.5
+PACE_SECONDS = 1.0
+MIN_PACED_TOKENS = 6
+# A mark is removed after the pace was kept for this long.
+CALM_SECONDS = 15.0
 # Shorter pauses would only add reports.
 MIN_EXHAUSTED_SECONDS = 0.2
 
@@ -77,12 +85,24 @@
         "charges",
         "credit",
         "grants",
+        "high_at",
+        "name",
         "outstanding",
+        "pace",
+        "paced",
+        "paced_at",
         "total",
         "usual",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, name: str, now: float) -> None:
+        self.name = name
+        # When more tokens were last asked for than the pace allows.
+        self.high_at = now
+        # Tokens per second, and those that may be granted at ``paced_at``.
+        self.pace = 0.0
+        self.paced = 0.0
+        self.paced_at = now
         # What is allowed in a window, and what is used of it while spending is known.
         self.total = 0
         self.usual = 0
@@ -128,7 +148,8 @@
     """Exists as long as the leader of one term.
 
     ``holders`` are the processes of proxies to which earlier leaders may have granted
-    tokens.
+    tokens. ``marked`` are the organisations that the replicated record marks; others
+    got no more than their pace.
     """
 
     def __init__(
@@ -138,17 +159,21 @@
         term: int,
         holders: Iterable[str],
         random: Random,
+        marked: Iterable[str] = (),
     ) -> None:
         self._settings = settings
         self._term = term
         self._random = random
-        # When the last token of an earlier leader expires, and counts no longer.
+        self._started_at = now
+        # When the last token of an earlier leader expires.
         self._earlier_tokens_end = now + TOKEN_SECONDS
-        self._known_at = self._earlier_tokens_end + settings.window + DELIVERY_SECONDS
         # Whether the predecessor is known to have kept the rest of the slack.
         self._slack_is_free = False
-        # Holders that have not reported yet.
-        self._unheard = set(holders)
+        # Holders that have not reported yet, and when they can spend no token any more.
+        self._unheard = dict.fromkeys(holders, self._earlier_tokens_end)
+        self._earlier_marked = frozenset(marked)
+        self._marked = set(marked)
+        self._to_mark: set[str] = set()
         self._limits: dict[str, _Limit] = {}
         self._proxies: dict[str, _Proxy] = {}
         self._grant_count = 0
@@ -162,12 +187,13 @@
         for name, organisation in organisations.items():
             if organisation.rate is not None:
                 if name not in self._limits:
-                    self._limits[name] = _Limit()
+                    self._limits[name] = _Limit(name, self._started_at)
                 limit = self._limits[name]
                 nominal = organisation.rate * self._settings.window + organisation.burst
                 highest = nominal * (1 + self._settings.overage)
                 limit.total = int(highest + self._settings.slack)
                 limit.usual = int(highest + self._settings.slack * USED_SLACK_SHARE)
+                limit.pace = organisation.rate * PACE_FACTOR
 
     @property
     def unheard(self) -> int:
@@ -180,18 +206,61 @@
         limit.release(now)
         return limit.charged, limit.outstanding, self._budget(now, limit)
 
-    def _budget(self, now: float, limit: _Limit) -> int:
-        """Returns how many operations and tokens may count.
+    def _unknown(self, now: float, limit: _Limit) -> int:
+        """Returns what holders that have not reported may have spent of the limit.
 
-        Holders that have not reported may have spent what an earlier leader granted,
-        apart from what the others reported. It is kept back until it no longer counts.
+        It is what earlier leaders may have granted apart from what the others reported,
+        and is kept back until it no longer counts.
         """
-        if not self._unheard or now >= self._known_at:
-            return limit.usual
-        unknown = limit.usual - min(limit.usual, limit.credit)
-        highest = limit.total if self._slack_is_free else limit.usual
+        if not self._unheard:
+            return 0
+        counted = self._settings.window + DELIVERY_SECONDS
+        if now >= max(self._unheard.values()) + counted:
+            return 0
+        highest = limit.usual
+        if limit.name not in self._earlier_marked:
+            # At an even pace it leaves the window evenly.
+            past = (now - self._started_at) / counted
+            highest = int(highest * max(0.0, 1.0 - past))
+        return highest - min(highest, limit.credit)
+
+    def _budget(self, now: float, limit: _Limit) -> int:
+        """Returns how many operations and tokens may count."""
+        unknown = self._unknown(now, limit)
+        highest = limit.total if unknown and self._slack_is_free else limit.usual
         return min(limit.usual, highest - unknown)
 
+    def _paced(self, now: float, limit: _Limit) -> int:
+        """Returns how many tokens the pace allows now."""
+        capacity = max(MIN_PACED_TOKENS, limit.pace * PACE_SECONDS)
+        earned = max(0.0, now - limit.paced_at) * limit.pace
+        limit.paced = min(capacity, limit.paced + earned)
+        limit.paced_at = now
+        return int(limit.paced)
+
+    # --- marks
+
+    @property
+    def to_mark(self) -> set[str]:
+        """Organisations that get more once the replicated record marks them."""
+        return self._to_mark
+
+    def mark(self, names: Iterable[str]) -> None:
+        """Allows whole limits after the marks are confirmed in the record."""
+        self._marked.update(names)
+        self._to_mark -= self._marked
+
+    def unmark_calm(self, now: float) -> list[str]:
+        """Returns organisations whose mark may be removed, and limits them at once."""
+        calm = [
+            name
+            for name in sorted(self._marked)
+            if name not in self._limits
+            or now - self._limits[name].high_at > CALM_SECONDS
+        ]
+        self._marked.difference_update(calm)
+        return calm
+
     # --- proxies
 
     def process_ended(self, proxy: str) -> None:
@@ -219,7 +288,11 @@
             state = self._proxies[proxy] = _Proxy()
         # Others have no limit, or belong to a deployment that is not known yet.
         items = [item for item in items if item.organisation in self._limits]
-        self._unheard.discard(process)
+        self._unheard.pop(process, None)
+        ended = [name for name in self._unheard if name.startswith(f"{proxy}#")]
+        for name in ended:
+            # This process took the place of the holder.
+            self._unheard[name] = min(self._unheard[name], now)
         for item in items:
             self._record(now, proxy, state, item)
         # The report says what was spent of all grants that had expired when it was
@@ -282,6 +355,12 @@
             return None
         budget = self._budget(now, limit)
         free = max(0, budget - limit.charged - limit.outstanding)
+        paced = self._paced(now, limit)
+        if waiting + wanted > paced:
+            limit.high_at = now
+            if limit.name not in self._marked:
+                self._to_mark.add(limit.name)
+                free = min(free, paced)
         reserve = min(int(budget * RESERVE_SHARE), MAX_RESERVE)
         if waiting + wanted <= free - reserve:
             tokens = waiting + wanted
@@ -292,11 +371,13 @@
             tokens += min(wanted, max(0, self._round(spare * share) - tokens))
         exhausted = 0.0
         is_short = tokens < waiting or tokens == free
-        if is_short and limit.charged >= EXHAUSTED_SHARE * budget:
+        is_marking = limit.name in self._to_mark
+        if is_short and not is_marking and limit.charged >= EXHAUSTED_SHARE * budget:
             exhausted = max(MIN_EXHAUSTED_SECONDS, limit.next_release(now))
         if not tokens and not exhausted:
             return None
         if tokens:
+            limit.paced = max(0.0, limit.paced - tokens)
             self._add_tokens(now, state, account, tokens)
         exhausted_ms = min(int(exhausted * 1_000), MAX_EXHAUSTED_MS)
         return QuotaGrant(item.organisation, account.granted, tokens, exhausted_ms)
--- a/packages/core/src/bronzemoor_core/wire/records.py
+++ b/packages/core/src/bronzemoor_core/wire/records.py
@@ -105,12 +105,14 @@
     # Processes of proxies that may have tokens of organisations' quotas. A leader
     # grants none before it has recorded the process.
     quota_holders: list[str] = field(default_factory=list)
+    # Organisations that may have got tokens faster than at their pace.
+    quota_marks: list[str] = field(default_factory=list)
 
     def to_dict(self) -> dict[str, Any]:
         fields = asdict(self)
         if not self.quota_holders:
             # Snapshots of deployments without quotas are as before.
-            del fields["quota_holders"]
+            del fields["quota_holders"], fields["quota_marks"]
         return {
             **fields,
             "members": {k: asdict(v) for k, v in self.members.items()},
@@ -132,4 +134,5 @@
         last_fence=data["last_fence"],
         sharing=data.get("sharing", False),
         quota_holders=list(data.get("quota_holders", ())),
+        quota_marks=list(data.get("quota_marks", ())),
     )
--- a/packages/core/tests/wire/quotaworld.py
+++ b/packages/core/tests/wire/quotaworld.py
@@ -27,7 +27,7 @@
         self.confirmed_at = world.now
         self.order, self.samples = ReportOrder(), SampleExchange()
         self.ledger = QuotaLedger(
-            SETTINGS, world.now, term, world.holders, world.random
+            SETTINGS, world.now, term, world.holders, world.random, world.marks
         )
         self.recorded = set(world.holders)
         self.ledger.set_organisations(world.organisations)
@@ -54,6 +54,11 @@
             if items and self is world.leader:
                 self.recorded.add(process)
                 world.holders.add(process)
+        if self is world.leader:
+            marks = set(self.ledger.to_mark)
+            world.marks -= set(self.ledger.unmark_calm(world.now))
+            world.marks |= marks
+            self.ledger.mark(marks)
         number = next(self.numbers)
         self.samples.granted(world.now, proxy.name, number)
         answer = (sequence, self.term, lease, number, grants)
@@ -152,7 +157,7 @@
         self.loss = self.late = 0.0
         self.set_limits(**limits)
         # The replicated record, which only the current leader changes.
-        self.holders = set()
+        self.holders, self.marks = set(), set()
         self.leader = Leader(self, 1)
         self.proxies = [Proxy(self, f"p{n}") for n in range(proxies)]
         for proxy in self.proxies:
--- a/packages/core/tests/wire/test_quotas.py
+++ b/packages/core/tests/wire/test_quotas.py
@@ -168,3 +168,23 @@
     world.items = 0
     world.run(10.0, {})
     assert world.items == 0
+
+
+@pytest.mark.parametrize("overload", [0.6, 6.0])
+def test_callers_are_served_soon_after_every_process_was_lost(overload):
+    """Guards against refusals for seconds after a loss of power.
+
+    Nobody knows then what was spent, but only an organisation with a mark may have
+    used more than half of its limit.
+    """
+    world = World(3, proxies=10, a=(20, 20))
+    world.run(20.0, {"a": 20 * overload / 10})
+    for proxy in world.proxies:
+        proxy.start(world)
+    world.replace_leader(learned_within=0.2)
+    world.run(1.0, {"a": 1.2})
+    served, refused = len(world.served["a"]), world.refused["a"]
+    world.run(4.0, {"a": 1.2})
+    if overload < 1:
+        assert world.refused["a"] - refused <= 0.05 * (len(world.served["a"]) - served)
+    assert world.most_in_window("a") <= highest(20, 20)
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -122,6 +122,7 @@
             settings.quota,
             control.log.term,
             control.records.quota_holders,
+            control.records.quota_marks,
             self._spawn_commit,
             report,
         )
--- a/packages/daemon/src/bronzemoor_daemon/wire/leaderquotas.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leaderquotas.py
@@ -31,6 +31,7 @@
         settings: QuotaSettings | None,
         term: int,
         holders: Iterable[str],
+        marked: Iterable[str],
         commit: Commit,
         report: Callable[..., None],
     ) -> None:
@@ -44,10 +45,14 @@
         self._waiting: set[str] = set()
         self._committing = False
         self._removal_due_at = now + HOLDER_TIMEOUT_SECONDS
+        self._marking = False
+        self._unmarking_due_at = now + REMOVAL_INTERVAL_SECONDS
         self._all_heard = not self._recorded
         self._started_at = now
         if settings is not None:
-            self._ledger = QuotaLedger(settings, now, term, self._recorded, Random())
+            self._ledger = QuotaLedger(
+                settings, now, term, self._recorded, Random(), marked
+            )
 
     def set_organisations(self, organisations: Mapping[str, Organisation]) -> None:
         """Applies the limits of a deployment."""
@@ -89,8 +94,29 @@
                 elapsed_ms=round((now - self._started_at) * 1_000),
             )
         self._update_record(now)
+        self._update_marks(now, ledger)
         return quotas
 
+    def _update_marks(self, now: float, ledger: QuotaLedger) -> None:
+        """Records which organisations may get tokens faster than at their pace."""
+        if self._marking:
+            return
+        added = sorted(ledger.to_mark)
+        removed: list[str] = []
+        if now >= self._unmarking_due_at:
+            self._unmarking_due_at = now + REMOVAL_INTERVAL_SECONDS
+            removed = ledger.unmark_calm(now)
+        if not added and not removed:
+            return
+        self._marking = True
+
+        def done(confirmed: bool) -> None:
+            self._marking = False
+            if confirmed:
+                ledger.mark(added)
+
+        self._commit({"type": "quota.marks", "add": added, "remove": removed}, done)
+
     def _update_record(self, now: float) -> None:
         if self._committing:
             return
