Handle a complete message with fewer calls

The limits added calls to every statement of the proxy. A message within its allowance no longer checks the budget, and waiting messages are a list instead of a queue that is made for each.

--- a/packages/core/src/bronzemoor_core/wire/clientbudget.py
+++ b/packages/core/src/bronzemoor_core/wire/clientbudget.py
@@ -134,31 +134,23 @@
 class Holding:
     """The bytes that one client holds; ``owner`` is its connection."""
 
-    __slots__ = ("_budget", "_granted", "_received", "_state", "_unsent", "owner")
+    __slots__ = ("_budget", "_granted", "_state", "owner", "received", "unsent")
 
     def __init__(self, budget: ClientBudget, owner: object = None) -> None:
         self._budget = budget
-        self._received = self._unsent = self._state = 0
+        self.received = self.unsent = self._state = 0
         # Bytes that are acquired and not read yet.
         self._granted = 0
         self.owner = owner
 
     @property
     def total(self) -> int:
-        return self._received + self._unsent + self._state
-
-    @property
-    def received(self) -> int:
-        return self._received
-
-    @property
-    def unsent(self) -> int:
-        return self._unsent
+        return self.received + self.unsent + self._state
 
     @property
     def readable(self) -> int:
         """Returns how many bytes may be read without acquiring more."""
-        return max(0, ALLOWANCE_BYTES - self._received) + self._granted
+        return max(0, ALLOWANCE_BYTES - self.received) + self._granted
 
     @property
     def read_limit(self) -> int:
@@ -167,20 +159,20 @@
         A message that begins may take what is free, since ``receive`` follows at once.
         A longer one waits for its turn in ``prepare_read``.
         """
-        if self._received >= ALLOWANCE_BYTES:
+        if self.received >= ALLOWANCE_BYTES:
             return self._granted
-        allowed = ALLOWANCE_BYTES - self._received
+        allowed = ALLOWANCE_BYTES - self.received
         return allowed + min(GRANT_BYTES, self._budget.free)
 
     @property
     def is_at_limit(self) -> bool:
         """Returns whether the client must wait for its own statements."""
-        return _charge(self._received) + self._granted >= self._budget.client_limit
+        return _charge(self.received) + self._granted >= self._budget.client_limit
 
     def prepare_read(self) -> bool:
         """Acquires bytes for the next read; returns whether any may be read."""
-        if self._received >= ALLOWANCE_BYTES:
-            held = _charge(self._received) + self._granted
+        if self.received >= ALLOWANCE_BYTES:
+            held = _charge(self.received) + self._granted
             wanted = min(
                 GRANT_BYTES - self._granted,
                 self._budget.client_limit - held,
@@ -192,36 +184,36 @@
 
     def receive(self, amount: int) -> None:
         """Records bytes that were read, at most ``read_limit``."""
-        received = self._received + amount
+        received = self.received + amount
         if received > ALLOWANCE_BYTES:
-            change = _charge(received) - _charge(self._received)
+            change = _charge(received) - _charge(self.received)
             granted = min(change, self._granted)
             if not self._budget.acquire(change - granted):
                 raise ValueError("more was read than the budget has")
             self._granted -= granted
-        self._received = received
+        self.received = received
         self._budget.by_kind[RECEIVED] += amount
 
     def release_received(self, amount: int) -> None:
         """Releases bytes that were processed, and a grant that is not needed."""
-        amount = min(amount, self._received)
-        before = self._received
-        self._received -= amount
+        amount = min(amount, self.received)
+        before = self.received
+        self.received -= amount
         self._budget.by_kind[RECEIVED] -= amount
         if before <= ALLOWANCE_BYTES:
             return
-        freed = _charge(before) - _charge(self._received)
-        if self._received < ALLOWANCE_BYTES:
+        freed = _charge(before) - _charge(self.received)
+        if self.received < ALLOWANCE_BYTES:
             freed += self._granted
             self._granted = 0
         self._budget.release(freed)
 
     def set_unsent(self, amount: int) -> bool:
         """Changes the bytes that wait to be sent; returns whether they fit."""
-        if not self._change(self._unsent, amount):
+        if not self._change(self.unsent, amount):
             return False
-        self._budget.by_kind[UNSENT] += amount - self._unsent
-        self._unsent = amount
+        self._budget.by_kind[UNSENT] += amount - self.unsent
+        self.unsent = amount
         return True
 
     def add_state(self, amount: int) -> bool:
@@ -241,7 +233,7 @@
     def release_all(self) -> None:
         """Releases everything once the connection is closed; repeats change nothing."""
         self._budget.stop_waiting(self)
-        self.release_received(self._received)
+        self.release_received(self.received)
         self.set_unsent(0)
         self.add_state(-self._state)
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
@@ -103,7 +103,8 @@
         try:
             while (line := self.next_line()) is not None:
                 try:
-                    await self.drain()
+                    if self.is_writing_paused:
+                        await self.drain()
                     await self._on_line(line)
                 finally:
                     self.line_done(line)
--- a/packages/daemon/src/bronzemoor_daemon/wire/clientstream.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientstream.py
@@ -1,7 +1,6 @@
 """The connection of a client: messages in, answers out, within limits."""
 
 import asyncio
-from collections import deque
 from typing import cast
 
 from bronzemoor_core.wire.clientbudget import (
@@ -43,9 +42,9 @@
         "_guard",
         "_is_paused",
         "_is_refused",
-        "_is_writing_paused",
         "_transport",
         "holding",
+        "is_writing_paused",
         "last_received_at",
     )
 
@@ -55,7 +54,7 @@
         self._buffer: bytearray | None = None
         self._transport: asyncio.Transport | None = None
         self._drained: asyncio.Future[None] | None = None
-        self._is_paused = self._is_writing_paused = self._is_refused = False
+        self._is_paused = self.is_writing_paused = self._is_refused = False
         # When data was last received from the client, in seconds.
         self.last_received_at = boottime()
         self.holding = Holding(guard.budget, self)
@@ -136,7 +135,7 @@
         if transport is None or self._is_refused:
             return
         self._guard.count(reason)
-        if transport.is_closing() or self._is_writing_paused:
+        if transport.is_closing() or self.is_writing_paused:
             # The client does not read, or already has its last answer.
             transport.abort()
             return
@@ -175,9 +174,11 @@
             return
         self.last_received_at = boottime()
         data = bytes(READ_BUFFER[:size])
-        self.holding.receive(size)
+        holding = self.holding
+        holding.receive(size)
         self.on_data(data)
-        self._check_reading()
+        if holding.received >= ALLOWANCE_BYTES:
+            self._check_reading()
 
     def release_received(self, size: int) -> None:
         """Releases bytes of data that were handled."""
@@ -193,7 +194,8 @@
         if transport is None or self._is_refused or transport.is_closing():
             return
         if self.holding.prepare_read():
-            self.resume_reading()
+            if self._is_paused:
+                self.resume_reading()
             return
         if not self._is_paused:
             self._is_paused = True
@@ -216,7 +218,7 @@
         transport = self._transport
         if transport is None or self._is_refused:
             return
-        if len(data) <= ALLOWANCE_BYTES and not self._is_writing_paused:
+        if len(data) <= ALLOWANCE_BYTES and not self.is_writing_paused:
             transport.write(data)
             return
         if not self._guard.make_room_for_answer(self, self.holding.unsent + len(data)):
@@ -237,10 +239,10 @@
         return size
 
     def pause_writing(self) -> None:
-        self._is_writing_paused = True
+        self.is_writing_paused = True
 
     def resume_writing(self) -> None:
-        self._is_writing_paused = False
+        self.is_writing_paused = False
         self._guard.unread.pop(self, None)
         self.settle_unsent()
         if self._drained is not None and not self._drained.done():
@@ -248,7 +250,7 @@
 
     async def drain(self) -> None:
         """Waits until the client has read its answers."""
-        if self._is_writing_paused:
+        if self.is_writing_paused:
             self._drained = asyncio.get_running_loop().create_future()
             await self._drained
             self._drained = None
@@ -261,7 +263,8 @@
 
     def __init__(self, guard: ClientGuard) -> None:
         super().__init__(guard)
-        self._lines: deque[bytes] | None = None
+        # Complete messages that wait, None if none does.
+        self._lines: list[bytes] | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -296,7 +299,7 @@
         pieces are in which a message arrives.
         """
         buffer = self._buffer
-        lines = []
+        lines: list[bytes] = []
         if buffer is not None:
             searched = max(0, len(buffer) - 1)
             buffer += data
@@ -306,15 +309,15 @@
             with memoryview(buffer) as view:
                 lines.append(bytes(view[:end]))
                 data = bytes(view[end + len(LINE_END) :])
-        *others, rest = data.split(LINE_END)
-        lines += others
+        lines += data.split(LINE_END)
+        rest = lines.pop()
         self._buffer = bytearray(rest) if rest else None
         if not lines:
             return False
         if self._lines is None:
-            self._lines = deque(lines)
+            self._lines = lines
         else:
-            self._lines.extend(lines)
+            self._lines += lines
         return True
 
     def next_line(self) -> bytes | None:
@@ -323,7 +326,7 @@
         if not lines or self.is_closed:
             self._lines = None
             return None
-        return lines.popleft()
+        return lines.pop(0)
 
     def line_done(self, line: bytes) -> None:
         """Releases the bytes of a message that was handled."""
