End the transaction of a client that closes before its statement begins

A closed sending side cancels the session's task at once since reading moved to the client stream. A task that is cancelled before its first step runs no cleanup, so the transaction and its member connection stayed until the idle limit. The session now ends such work itself; the new test times out without the change and passes with it.

--- a/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
@@ -43,6 +43,7 @@
         "_codec",
         "_current_request",
         "_database",
+        "_is_serving",
         "_key_digest",
         "_proxy",
         "_task",
@@ -55,6 +56,8 @@
         self._proxy = proxy
         self._codec = proxy.codec
         self._task: asyncio.Task[None] | None = None
+        # Whether the task has begun.
+        self._is_serving = False
         self._database = ""
         self._key_digest = ""
         self._transaction: Transaction | None = None
@@ -79,7 +82,9 @@
     def on_closed(self) -> None:
         if self._task is not None:
             self._task.cancel()
-        else:
+        if not self._is_serving:
+            # A task that is cancelled before its first step does not end its work.
+            self._task = None
             self._abandon_transaction()
 
     def encode_refusal(self, reason: str) -> bytes:
@@ -100,6 +105,7 @@
     # --- requests
 
     async def _serve(self) -> None:
+        self._is_serving = True
         try:
             while (line := self.next_line()) is not None:
                 try:
@@ -123,6 +129,7 @@
             self.close()
         finally:
             self._task = None
+            self._is_serving = False
             if self.is_closed:
                 # A session that closes itself is not interrupted by the cancellation.
                 self._abandon_transaction()
--- a/tests/adapter/test_client_limits.py
+++ b/tests/adapter/test_client_limits.py
@@ -75,6 +75,25 @@
     run_system(tmp_path, scenario)
 
 
+def test_a_client_that_ends_before_its_statement_begins_leaves_nothing(tmp_path):
+    """Guards against a cancelled task that never began to end its transaction."""
+
+    async def scenario(system):
+        proxy, primary = system.proxies[0], system.group.primary
+        client = await Client.open(system.client_addresses[0], "orders")
+        await client.call("BEGIN")
+        assert outcome(await client.call("STORE k v")) == "COMPLETE"
+        pool = proxy.group("ledger").pools[primary.name]
+        (session,) = proxy.sessions
+        # Data and the end of the stream in one iteration of the loop.
+        session.on_data(b"QUERY q STORE l v\r\n")
+        session.eof_received()
+        await system.until(lambda: pool.load == 0)
+        assert system.group.acknowledged == []
+
+    run_system(tmp_path, scenario, limits={"tx_idle_ms": 0})
+
+
 def test_a_value_that_does_not_fit_is_refused_and_the_session_goes_on(tmp_path):
     """Guards against session state that grows without limit."""
 
