--- a/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
@@ -44,6 +44,7 @@
         "_codec",
         "_current_request",
         "_database",
+        "_is_serving",
         "_key_digest",
         "_permit",
         "_proxy",
@@ -57,6 +58,8 @@
         self._proxy = proxy
         self._codec = proxy.codec
         self._task: asyncio.Task[None] | None = None
+        # Whether the task has begun.
+        self._is_serving = False
         self._database = ""
         self._key_digest = ""
         self._transaction: Transaction | None = None
@@ -84,7 +87,9 @@
         self._release_permit()
         if self._task is not None:
             self._task.cancel()
-        else:
+        if not self._is_serving:
+            # A task that is cancelled before its first step does not end its work.
+            self._task = None
             self._abandon_transaction()
 
     def encode_refusal(self, reason: str) -> bytes:
@@ -105,10 +110,12 @@
     # --- requests
 
     async def _serve(self) -> None:
+        self._is_serving = True
         try:
             while (line := self.next_line()) is not None:
                 try:
-                    await self.drain()
+                    if self.is_writing_paused:
+                        await self.drain()
                     await self._on_line(line)
                 finally:
                     self.line_done(line)
@@ -127,6 +134,7 @@
             self.close()
         finally:
             self._task = None
+            self._is_serving = False
             if self.is_closed:
                 # A session that closes itself is not interrupted by the cancellation.
                 self._abandon_transaction()
