Serve a waiting statement once, and evict no transaction beside idle connections

Callers saw: an answer that had arrived was lost and a connection stayed in use for good, when an organisation waited with two route priorities. Cause: the list of heads was made before the first of them served the second. Beside it, transactions were evicted though idle connections could make room, and the last connection of an organisation that is gone was kept.

--- a/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/memberpool.py
@@ -268,7 +268,8 @@
         if self.by_organisation and self._idle:
             now = boottime()
             for head in list(self._queue.heads(now)):
-                waiter: ConnectionWaiter | None = head
+                # An earlier head of the same organisation may have served this one.
+                waiter = self._queue.first(now, head.caller)
                 while waiter is not None and self._may_use(waiter.caller):
                     connection = self._find_idle(None, waiter.caller)
                     if connection is None:
@@ -313,9 +314,13 @@
             )
             self._shares.forget(now)
         else:
-            oldest = list(self._idle)[: -1 if is_owner else None]
+            # One connection is kept, unless it is of an organisation that is gone.
+            own = [item for item in self._idle if item.caller == self._caller]
+            kept = own[-1:] if is_owner else []
             surplus = [
-                item for item in oldest if now - item.idle_since > IDLE_TIMEOUT_SECONDS
+                item
+                for item in self._idle
+                if item not in kept and now - item.idle_since > IDLE_TIMEOUT_SECONDS
             ]
         for connection in surplus:
             self._evict(connection, "idle")
@@ -325,8 +330,8 @@
 
     def _evict_transactions(self, now: float) -> None:
         """Evicts idle transactions if statements wait for a connection."""
-        needed = len(self._queue)
-        if not needed or len(self._open) < self._limit:
+        needed = len(self._queue) - len(self._idle)
+        if needed <= 0 or len(self._open) < self._limit:
             return
         evictable = [
             c
--- a/tests/adapter/test_queueing.py
+++ b/tests/adapter/test_queueing.py
@@ -71,6 +71,23 @@
     assert hints and min(hints) > 0
 
 
+def test_an_organisation_that_waits_with_two_priorities_is_served_once_each():
+    """Guards against a connection that is lost to a statement served before.
+
+    The same organisation stands in the queue with two priorities.
+    """
+    for seed in range(12):
+        random, statements = Random(seed), []
+        for number in range(300):
+            caller = HOT if random.random() < 0.7 else f"o{random.randint(1, 9)}"
+            priority = number % 2 if caller == HOT else 1
+            duration = random.uniform(0.005, 0.2)
+            statements.append((number * 0.004, caller, duration, 0.8, priority))
+        pool = play(statements, limit=6)
+        assert len(pool.results) == len(statements)
+        assert pool.load == 0
+
+
 def test_few_connections_are_opened_for_many_organisations():
     """Guards against paying for a new connection with each statement."""
     load = arrivals(15)
