Apply lowered limits and other data centres to shares of connections

Cause: shares whose sum exceeded a lowered limit, or that named a lost data centre, counted as unchanged; shares by data centre were also sent where each proxy has a limit of its own, or no organisations are left. Change: such shares are divided anew from what is in force, and sent only where connections are shared and belong to organisations.

--- a/packages/core/src/bronzemoor_core/wire/zoneshares.py
+++ b/packages/core/src/bronzemoor_core/wire/zoneshares.py
@@ -108,12 +108,17 @@
             return False
         self._divided_at = now
         equal = divide_connections(limit, dict.fromkeys(zones, 1.0))
-        current = self._shares if set(self._shares) == set(zones) else equal
+        current = equal
+        if self._shares:
+            current = {z: self._shares.get(z, MIN_ZONE_SHARE) for z in zones}
+        is_valid = set(self._shares) in (set(), set(zones)) and (
+            sum(current.values()) <= limit
+        )
         target = divide_connections(
             limit, {zone: self._demand.get(zone, 0.0) for zone in zones}
         )
         moved = sum(max(0, target[zone] - current[zone]) for zone in zones)
-        if moved < max(1.0, limit * MIN_MOVED_FRACTION):
+        if is_valid and moved < max(1.0, limit * MIN_MOVED_FRACTION):
             return False
         self._shares = {zone: min(current[zone], target[zone]) for zone in zones}
         self._target = target
--- a/packages/core/tests/wire/test_zoneshares.py
+++ b/packages/core/tests/wire/test_zoneshares.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from random import Random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -106,3 +107,27 @@
     assert not shares.divide(20.0, {}, ZONES)
     assert shares.shares("m") == {}
     assert not shares.is_changing
+
+
+@pytest.mark.parametrize(
+    ("limit", "zones"), [(30, ZONES), (LIMIT, ZONES[1:]), (LIMIT, [*ZONES, "g"])]
+)
+def test_a_lower_limit_and_other_data_centres_take_effect(limit, zones):
+    """Guards against shares of a limit or of data centres that are gone.
+
+    Meanwhile nothing is raised before every proxy has the lowered shares.
+    """
+    member = MemberShares(0.0)
+    for zone in ZONES:
+        member.record_use(1.0, zone, 500 if zone == "a" else 100)
+    assert member.divide(10.0, LIMIT, ZONES)
+    member.confirmed()
+    before = member.shares
+    for zone in zones:
+        member.record_use(11.0, zone, 300)
+    assert member.divide(20.0, limit, zones)
+    lowered = member.shares
+    assert all(lowered[z] <= before.get(z, MIN_ZONE_SHARE) for z in zones)
+    member.confirmed()
+    assert set(member.shares) == set(zones)
+    assert sum(member.shares.values()) <= limit
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -271,6 +271,8 @@
             )
 
     def _group_view(self, group: str) -> GroupView:
+        connections, shared = self._connection_share(group)
+        by_demand = shared and self._has_organisations
         record = self.leader_record(group)
         usable = not record.candidate and not self._supervisors[group].revoked
         members = [
@@ -280,14 +282,13 @@
                 item.zone,
                 item.leaving,
                 item.primary,
-                self._shares.shares(item.member),
+                self._shares.shares(item.member) if by_demand else {},
             )
             for item in self.members(group)
         ]
         for view in members:
             view.primary = view.member == record.primary
         members.sort(key=lambda item: item.member)
-        connections, shared = self._connection_share(group)
         return GroupView(
             group,
             record.term,
