Spend a token directly before a statement is sent

Cause: a statement that the pool refused had spent its token, and one that waited reached its member long after its token was counted. Change: permits are spent after a connection was got; expired tokens are replaced; polls keep their interval.

--- a/packages/core/src/bronzemoor_core/wire/quotaledger.py
+++ b/packages/core/src/bronzemoor_core/wire/quotaledger.py
@@ -42,8 +42,8 @@
 # tokens are only held elsewhere and come back soon.
 EXHAUSTED_SHARE = 0.85
 # An organisation gets tokens at this multiple of its rate at most, and those of
-# PACE_SECONDS at once, unless it is marked in the replicated record. What was granted to
-# those without a mark before a change of leader is therefore spread over time.
+# PACE_SECONDS at once, unless it is marked in the replicated record. What others were
+# granted before a change of leader is therefore spread over time.
 PACE_FACTOR = 1.5
 PACE_SECONDS = 1.0
 MIN_PACED_TOKENS = 6
--- a/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientsession.py
@@ -287,12 +287,17 @@
         route = self._route()
         if route is None:
             return
-        if refusal := await self._admit(attempt, route):
-            self._finish(attempt, route, refusal, started)
+        permit = await self._acquire_permit(attempt, route)
+        if isinstance(permit, Answer):
+            self._finish(attempt, route, permit, started)
             return
+        attempt.permit = permit
         group = self._proxy.group(route.group)
         run = run_write if writes else run_read
-        answer = await run(self._proxy, group, route, self.state, attempt)
+        try:
+            answer = await run(self._proxy, group, route, self.state, attempt)
+        finally:
+            self._proxy.quotas.release(permit)
         answer.state = st.IDLE
         self._finish(attempt, route, answer, started)
 
@@ -303,15 +308,6 @@
             attempt.query_id, self.state.caller, route.statement_timeout
         )
 
-    async def _admit(self, attempt: Attempt, route: Route) -> Answer | None:
-        """Spends a permit for a single statement; returns the answer if refused."""
-        while True:
-            permit = await self._acquire_permit(attempt, route)
-            if isinstance(permit, Answer):
-                return permit
-            if self._proxy.quotas.spend(permit):
-                return None
-
     async def _spend_permit(self, attempt: Attempt, transaction: Transaction) -> None:
         """Spends the transaction's permit before its first statement is sent.
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/execution.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/execution.py
@@ -14,6 +14,7 @@
 from bronzemoor_daemon.wire.groups import Group
 from bronzemoor_daemon.wire.memberpool import MemberPool
 from bronzemoor_daemon.wire.memberprobes import AnyConnection
+from bronzemoor_daemon.wire.quotagate import Permit
 
 if TYPE_CHECKING:
     from bronzemoor_daemon.wire.proxy import Proxy
@@ -44,6 +45,8 @@
     member: str = ""
     required: Position = ZERO
     tries: int = 0
+    # Spent directly before the statement is first sent.
+    permit: Permit | None = None
 
 
 def send_statement(
@@ -66,6 +69,11 @@
     )
 
 
+def spend_permit(proxy: "Proxy", attempt: Attempt) -> bool:
+    """Returns whether the quota allows the statement; it is asked once."""
+    return attempt.permit is None or proxy.quotas.spend(attempt.permit)
+
+
 def wait_limit(
     group: Group,
     route: Route,
@@ -81,8 +89,7 @@
     share = min(remaining, route.statement_timeout * ATTEMPT_SHARE)
     if not group.by_organisation:
         return share
-    other = group.choose_member(boottime(), route, session, tried)
-    return share if other is not None else remaining
+    return share if group.can_serve(boottime(), route, session, tried) else remaining
 
 
 async def run_read(
@@ -116,7 +123,7 @@
             refused.add(pool.member)
             proxy.record_refusal(attempt, pool.member, error.message)
             last = Answer(error=st.BUSY, message=error.message.encode())
-            if refused >= tried and not group.choose_member(
+            if refused >= tried and not group.can_serve(
                 boottime(), route, session, tried
             ):
                 return last
@@ -130,6 +137,9 @@
         ):
             pool.release(connection, clean=True)
             continue
+        if not spend_permit(proxy, attempt):
+            pool.release(connection, clean=True)
+            return Answer(error=st.BUSY)
         now = boottime()
         timeout = pool.attempt_timeout
         if not group.can_serve(now, route, session, tried | {pool.member}):
@@ -260,6 +270,9 @@
         ):
             pool.release(connection, clean=True)
             continue
+        if not spend_permit(proxy, attempt):
+            pool.release(connection, clean=True)
+            return Answer(error=st.BUSY)
         answer = await run_attempt(
             proxy, group, pool, connection, session, attempt, ZERO,
             max(MIN_REMAINING_SECONDS, deadline - sent_at),
--- a/packages/daemon/src/bronzemoor_daemon/wire/quotagate.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/quotagate.py
@@ -101,20 +101,28 @@
         return Permit(caller, token)
 
     def spend(self, permit: Permit) -> bool:
-        """Spends a permit before its operation is sent; False if it has expired."""
-        if not permit.is_spent:
-            assert self._purse is not None and permit.token is not None
-            permit.is_spent = True
-            if not self._purse.spend(boottime(), permit.caller, permit.token):
+        """Spends a permit before its operation is sent.
+
+        An expired token is replaced; returns whether there was another one.
+        """
+        purse = self._purse
+        while not permit.is_spent:
+            assert purse is not None
+            now = boottime()
+            if permit.token is None:
                 return False
-            if self._purse.is_report_due(permit.caller):
-                self._schedule_poll()
+            if purse.spend(now, permit.caller, permit.token):
+                permit.is_spent = True
+                if purse.is_report_due(permit.caller):
+                    self._schedule_poll()
+            else:
+                permit.token = purse.reserve(now, permit.caller)
         return True
 
     def release(self, permit: Permit) -> None:
         """Returns a permit whose operation was not sent."""
-        if not permit.is_spent and self._purse is not None:
-            assert permit.token is not None
+        if not permit.is_spent and permit.token is not None:
+            assert self._purse is not None
             permit.is_spent = True
             self._purse.release(boottime(), permit.caller, permit.token)
 
@@ -131,6 +139,8 @@
             async with asyncio.timeout(timeout):
                 return await waiter, "exhausted"
         except TimeoutError:
+            if waiter.done() and not waiter.cancelled():
+                return waiter.result(), "exhausted"
             return None, "no grant"
         except asyncio.CancelledError:
             if waiter.done() and not waiter.cancelled():
@@ -229,7 +239,10 @@
 
     def _poll(self) -> None:
         self._poll_timer = None
-        if boottime() - self._polled_at >= POLL_INTERVAL_SECONDS:
+        now = boottime()
+        if now - self._polled_at >= POLL_INTERVAL_SECONDS:
+            # Nothing is sent while no leader is known.
+            self._polled_at = now
             self._send_report()
         if self._waiters:
             self._schedule_poll()
