Send the whole document after a delta that cannot be decoded

Cause: a proxy whose document differs from the leader's said again that it accepts deltas and got the same one. Digests in an operator's document were lost in the copy for proxies, and an organisation could be named like callers without a key.

--- a/packages/core/src/bronzemoor_core/wire/callers.py
+++ b/packages/core/src/bronzemoor_core/wire/callers.py
@@ -6,11 +6,9 @@
 
 from hashlib import blake2b
 
-from bronzemoor_core.wire.deployment import Deployment, Route
+from bronzemoor_core.wire.deployment import ANONYMOUS, Deployment, Route
 
 DIGEST_BYTES = 16
-# Named to members for clients without a valid key on public routes.
-ANONYMOUS = "public"
 
 
 def digest_key(key: bytes) -> str:
--- a/packages/core/src/bronzemoor_core/wire/deployment.py
+++ b/packages/core/src/bronzemoor_core/wire/deployment.py
@@ -15,6 +15,8 @@
 READ_POLICIES = (PRIMARY, BOUNDED_STALENESS, READ_YOUR_WRITES)
 # Organisations are named in START messages to members.
 ORGANISATION_NAME = re.compile(r"[!-~]{1,200}\Z")
+# Named to members for clients without a valid key on public routes.
+ANONYMOUS = "public"
 # Highest rate and burst of an organisation's quota, operations per second and number.
 MAX_QUOTA = 1e9
 
@@ -124,6 +126,12 @@
 ) -> Deployment:
     """Validates a document; raises ``InvalidDeployment`` with every problem."""
     by_name, key_owners, problems = _index_organisations(organisations)
+    routes = list(routes)
+    if ANONYMOUS in by_name and any(route.public for route in routes):
+        text = "the name is that of clients without a key"
+        path = ("organisations", ANONYMOUS, "name")
+        label = f"organisation {ANONYMOUS!r}"
+        problems.append(Problem(path, f"{label}: {text}", ANONYMOUS, "another name"))
     by_group: dict[str, GroupSpec] = {}
     shadowed_groups = []
     for group in groups:
--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -98,6 +98,8 @@
         self.deployment: Deployment | None = None
         # The text that later versions are encoded for.
         self._document = ""
+        # False after one could not be decoded, so that the whole document is sent.
+        self._accepts_deltas = True
         limits = derive_limits(settings.memory_limit, settings.max_descriptors)
         self.guard = ClientGuard(limits, report, metrics)
         self.sessions = cast(Collection[ClientSession], self.guard.sessions)
@@ -384,7 +386,7 @@
                 self._settings.zone,
                 self._proxies_version,
                 self.quotas.build_report(now, self._sequence),
-                accepts_deltas=True,
+                accepts_deltas=self._accepts_deltas,
                 checks_keys=True,
             ),
         )
@@ -520,8 +522,9 @@
                 else unpack_document(message.deployment)
             )
             self.deployment = self._read_document(document)
-            self._document = document
+            self._document, self._accepts_deltas = document, True
         except (BronzemoorError, ValueError) as error:
+            self._accepts_deltas = False
             self.report("error", "deployment_unreadable", error=str(error))
             return
         for group in self._groups.values():
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -9,6 +9,7 @@
 from bronzemoor_core.messages import ProxyReport
 from bronzemoor_core.wire.callers import ANONYMOUS, digest_key, find_caller
 from bronzemoor_core.wire.deployment import InvalidDeployment
+from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_platform.documents import read_document
 
 ORGANISATIONS = [
@@ -70,7 +71,8 @@
         ({"rate_per_s": float("nan")}, "the rate must be > 0"),
         ({"burst": -1}, "the burst must be >= 0"),
         ({"rate_per_s": "fast"}, "rate_per_s must be a number"),
-        ({"api_keys": [7]}, "a key must be a non-empty string"),
+        ({"api_keys": [7]}, "api_keys must be a list of non-empty strings"),
+        ({"key_digests": "abc"}, "key_digests must be a list"),
     ],
 )
 def test_an_invalid_organisation_is_refused(changes, problem):
@@ -173,3 +175,48 @@
         assert (await client.call("STORE a 1"))[0].startswith("COMPLETE")
 
     run_system(tmp_path, scenario, tenants=ORGANISATIONS)
+
+
+def test_digests_in_a_document_reach_proxies():
+    """Guards against keys that only the control leader knows."""
+    given = [
+        {"name": "north", "api_keys": ["key-n"]},
+        {"name": "south", "key_digests": [digest("key-s")]},
+    ]
+    deployment = read_document(document(given))
+    copy = read_document(deployment.redacted)
+    assert copy.key_owners == deployment.key_owners
+
+
+def test_no_organisation_is_named_like_callers_without_a_key():
+    """Guards against callers without a key on an organisation's connections."""
+    with pytest.raises(InvalidDeployment, match="clients without a key"):
+        given = [{"name": ANONYMOUS, "api_keys": ["key-p"]}]
+        read_document(document(given, public=True))
+
+
+def test_a_delta_that_cannot_be_decoded_is_replaced_by_the_whole_document(tmp_path):
+    """Guards against a proxy that keeps a withdrawn key for the next four changes."""
+
+    async def scenario(system):
+        proxy = system.proxies[0]
+        proxy._document = "the text of a leader of another build"
+        assert await system.put(2, tenants=ORGANISATIONS[1:])
+        await system.until(lambda: proxy.deployment.version == 2)
+
+    run_system(tmp_path, scenario, tenants=ORGANISATIONS)
+
+
+def test_a_proxys_own_limit_is_not_that_of_its_zone(tmp_path):
+    """Guards against shares by zone that each proxy takes for itself."""
+
+    async def scenario(system):
+        leader = next(c._leader for c in system.controls if c._leader is not None)
+        assert not any(view.shared for view in leader._views)
+        now, member = boottime(), system.group.primary.name
+        leader._shares.record_use(now - 60.0, member, "north", 500)
+        assert leader._shares.divide(now, {member: 40}, ["north", "south"])
+        assert leader._shares.shares(member)
+        assert not any(item.shares for item in leader._group_view("ledger").members)
+
+    run_system(tmp_path, scenario, tenants=ORGANISATIONS)
