Release what a message of the size of the allowance acquired

Callers saw: each connection that sent a line of exactly 2 KiB took 64 KiB of the budget for good; a client that had read an answer was closed 10 s later; answers over 2 KiB were dropped while others held the whole budget with messages that they never completed. Cause: a grant was released only for messages above the allowance; the rest of an answer below the mark at which writing pauses stayed on the list of unread ones; received bytes could take the whole budget. Change: grants are always released, sent rests leave the list, and an eighth of the budget is kept for answers. test_small_messages_need_no_budget now checks the bytes that may be read, which the part for answers lowers.

--- a/packages/core/src/bronzemoor_core/wire/clientbudget.py
+++ b/packages/core/src/bronzemoor_core/wire/clientbudget.py
@@ -22,6 +22,9 @@
 # Part of the budget that the received bytes of one client may take. It exceeds the
 # largest message, so that a message that was begun can be completed.
 CLIENT_SHARE = 0.25
+# Part of the budget that received bytes leave to answers. Otherwise messages that are
+# never completed would get the answers of other clients dropped.
+ANSWER_SHARE = 0.125
 # Part of the budget that values and prepared statements of all sessions may take. They
 # stay as long as their sessions, and messages need the rest.
 STATE_SHARE = 0.5
@@ -94,6 +97,11 @@
     def free(self) -> int:
         return self.limit - self._used
 
+    @property
+    def free_to_read(self) -> int:
+        """Bytes that may be read; the rest is kept for answers."""
+        return max(0, self.free - int(self.limit * ANSWER_SHARE))
+
     @property
     def waiting_count(self) -> int:
         return len(self._waiting)
@@ -109,7 +117,7 @@
         """
         while self._waiting:
             holding = next(iter(self._waiting))
-            if holding.readable == 0 and self.free < min(GRANT_BYTES, self.limit):
+            if holding.readable == 0 and self.free_to_read < GRANT_BYTES:
                 return None
             del self._waiting[holding]
             if holding.prepare_read():
@@ -162,7 +170,7 @@
         if self.received >= ALLOWANCE_BYTES:
             return self._granted
         allowed = ALLOWANCE_BYTES - self.received
-        return allowed + min(GRANT_BYTES, self._budget.free)
+        return allowed + min(GRANT_BYTES, self._budget.free_to_read)
 
     @property
     def is_at_limit(self) -> bool:
@@ -176,7 +184,7 @@
             wanted = min(
                 GRANT_BYTES - self._granted,
                 self._budget.client_limit - held,
-                self._budget.free,
+                self._budget.free_to_read,
             )
             if wanted > 0 and self._budget.acquire(wanted):
                 self._granted += wanted
@@ -200,8 +208,6 @@
         before = self.received
         self.received -= amount
         self._budget.by_kind[RECEIVED] -= amount
-        if before <= ALLOWANCE_BYTES:
-            return
         freed = _charge(before) - _charge(self.received)
         if self.received < ALLOWANCE_BYTES:
             freed += self._granted
--- a/packages/core/tests/wire/test_clientbudget.py
+++ b/packages/core/tests/wire/test_clientbudget.py
@@ -6,6 +6,7 @@
 
 from bronzemoor_core.wire.clientbudget import (
     ALLOWANCE_BYTES,
+    ANSWER_SHARE,
     GRANT_BYTES,
     MAX_MESSAGE_BYTES,
     MEBIBYTE,
@@ -89,7 +90,7 @@
     budget = ClientBudget(SMALL_LIMIT)
     for _ in range(5):
         fill(budget, Holding(budget))
-    assert budget.free == 0
+    assert budget.free_to_read == 0
     late = Holding(budget)
     assert late.prepare_read()
     assert late.readable == ALLOWANCE_BYTES
@@ -117,3 +118,23 @@
     if memory_mb > 64:
         sessions = limits.max_sessions * SESSION_BYTES
         assert 3 * limits.budget_bytes + sessions < memory_mb * MEBIBYTE
+
+
+def test_received_bytes_leave_a_part_for_answers():
+    """Guards against clients that are closed because others complete no message."""
+    budget = ClientBudget(SMALL_LIMIT)
+    for _ in range(5):
+        fill(budget, Holding(budget))
+    assert Holding(budget).set_unsent(int(SMALL_LIMIT * ANSWER_SHARE) // 2)
+
+
+def test_a_message_as_large_as_the_allowance_is_released():
+    """Guards against a grant that stays acquired after its connection is gone."""
+    budget = ClientBudget(SMALL_LIMIT)
+    holding = Holding(budget)
+    assert holding.prepare_read()
+    holding.receive(ALLOWANCE_BYTES)
+    assert holding.prepare_read()
+    holding.release_received(ALLOWANCE_BYTES)
+    holding.release_all()
+    assert budget.used == 0
--- a/packages/daemon/src/bronzemoor_daemon/wire/clientguard.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientguard.py
@@ -175,7 +175,11 @@
                 stream.refuse(reason)
                 waiting.pop(stream, None)
         for stream, unread in list(self.unread.items()):
-            if unread.record(now, stream.settle_unsent()) and stream in self.unread:
+            size = stream.settle_unsent()
+            if not size:
+                # A small rest is sent without a pause of writing.
+                self.unread.pop(stream, None)
+            elif unread.record(now, size) and stream in self.unread:
                 stream.drop(UNREAD_ANSWER)
         self._log(now)
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/clientstream.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/clientstream.py
@@ -75,7 +75,7 @@
     @property
     def is_held_back(self) -> bool:
         """Returns whether the client can send nothing until its statements ran."""
-        return self._is_paused and self.holding.is_at_limit
+        return self._is_paused and self.holding.is_at_limit and self.is_in_use
 
     @property
     def is_closed(self) -> bool:
@@ -112,9 +112,10 @@
         self._transport = None
         self._finish_connection()
 
-    def eof_received(self) -> None:
+    def eof_received(self) -> bool:
         # The transport closes; a client that reads nothing must not keep its work.
         self.on_closed()
+        return False
 
     def close(self) -> None:
         """Closes the connection once buffered data is sent."""
