Answer HTTP clients that close their side, and bound unread pages

Callers saw: a request that ran was answered 408 when the next one was sent ahead and waited 10 s; a client that ended its sending side got no answer; an empty line after a body got 400; a stop of a control daemon cut requests that it had accepted; requests for a page whose answers are not read held memory without end. Cause: time limits, the end of the stream and idleness were counted from what was received last, and the daemon's stop waited 0.3 s only. Change: the time of a request begins when it can run, its connection stays open for the answer, answers wait until earlier ones are read, a stop waits for accepted requests, and an unread page closes its connection at 256 KiB.

--- a/packages/daemon/src/bronzemoor_daemon/wire/pages.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/pages.py
@@ -12,6 +12,7 @@
 from bronzemoor_daemon.framing import split_address
 
 MAX_HEAD_BYTES = 8 * 1024
+MAX_UNSENT_BYTES = 256 * 1024
 # A connection without a complete request for this long is closed.
 IDLE_TIMEOUT_SECONDS = 5.0
 HEAD_END = b"\r\n\r\n"
@@ -53,9 +54,17 @@
             head, _, self._buffer = self._buffer.partition(HEAD_END)
             self._restart_timer()
             self._answer(head)
+            self._check_unsent()
         if len(self._buffer) > MAX_HEAD_BYTES:
             self._write(400, "text/plain", b"request too large", close=True)
 
+    def _check_unsent(self) -> None:
+        """Closes the connection of a client that does not read its answers."""
+        transport = self._transport
+        if transport and transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self._transport = None
+            transport.abort()
+
     def _answer(self, head: bytes) -> None:
         lines = head.split(b"\r\n")
         words = lines[0].split(b" ")
--- a/packages/daemon/src/bronzemoor_daemon/wire/runner.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/runner.py
@@ -185,9 +185,20 @@
         if self._proxy is not None:
             await self._proxy.stop()
         if self._control is not None:
-            await asyncio.sleep(CONTROL_STOP_DELAY_SECONDS)
+            await self._stop_web_server()
             await self._control.stop()
 
+    async def _stop_web_server(self) -> None:
+        """Stops listening and answers the requests that were accepted."""
+        deadline = boottime() + self._settings.stop_grace / 2
+        await asyncio.sleep(CONTROL_STOP_DELAY_SECONDS)
+        server = self._server
+        if server is None:
+            return
+        server.stop()
+        while boottime() < deadline and server.is_in_use:
+            await asyncio.sleep(SERVING_CHECK_INTERVAL_SECONDS)
+
     def _is_ready(self) -> bool:
         return self._proxy is not None and self._proxy.is_ready
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/webserver.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/webserver.py
@@ -37,6 +37,7 @@
 LOOP_CALL_TIMEOUT_SECONDS = 4.0
 # Larger bodies are handled one at a time, since decoding takes many times their size.
 SMALL_BODY_BYTES = 64 * 1_024
+LINE_END = b"\r\n"
 HEAD_END = b"\r\n\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 STATUS_LINES = {
@@ -136,12 +137,14 @@
 class HttpConnection(ClientConnection):
     """One connection; requests are answered in order."""
 
-    __slots__ = ("_request", "_server", "_task")
+    __slots__ = ("_is_last", "_request", "_server", "_task")
 
     def __init__(self, server: "WebServer") -> None:
         super().__init__(server.guard)
         self._server = server
         self._request: Request | None = None
+        # Whether the client sends nothing more but waits for an answer.
+        self._is_last = False
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -156,6 +159,11 @@
         if self._task is not None:
             self._task.cancel()
 
+    def eof_received(self) -> bool:
+        """Keeps the connection open for the answer to a request that runs."""
+        self._is_last = self._task is not None
+        return self._is_last
+
     def encode_refusal(self, reason: str) -> bytes:
         status = reason if reason.isdigit() else "408"
         line = STATUS_LINES[int(status)]
@@ -164,7 +172,9 @@
     def on_data(self, data: bytes) -> None:
         if self._buffer is None:
             self._buffer = bytearray(data)
-            self._guard.incomplete[self] = self.last_received_at
+            if self._task is None:
+                # Otherwise its time begins after the request that runs.
+                self._guard.incomplete[self] = self.last_received_at
         else:
             self._buffer += data
         if self._task is None:
@@ -173,7 +183,13 @@
     def _continue(self) -> None:
         """Starts the request in the buffer once it is complete."""
         buffer = self._buffer
+        while buffer and self._request is None and buffer.startswith(LINE_END):
+            # Some clients send an empty line after a body.
+            del buffer[: len(LINE_END)]
+            self.release_received(len(LINE_END))
         if not buffer:
+            self._buffer = None
+            self._guard.incomplete.pop(self, None)
             return
         try:
             if self._request is None and not self._read_head(buffer):
@@ -213,13 +229,16 @@
 
     async def _run(self, request: Request) -> None:
         try:
+            # Answers that the client does not read are not added to.
+            await self.drain()
             answer = await self._server.run(request, self.peer)
             if request.closes:
                 answer = answer.replace(b"\r\n", b"\r\nConnection: close\r\n", 1)
             self.write(answer)
-            if request.closes:
+            if request.closes or (self._is_last and not self._buffer):
                 self.close()
         finally:
+            self.last_received_at = boottime()
             self._request = self._task = None
             self.release_received(len(request.body))
         if not self.is_closed and self._buffer:
@@ -259,6 +278,13 @@
             backlog=min(REQUEST_QUEUE_SIZE, self.guard.backlog),
         )
 
+    @property
+    def is_in_use(self) -> bool:
+        """Returns whether a request runs or its answer is not sent yet."""
+        return any(
+            item.is_in_use or item.holding.unsent for item in self.guard.sessions
+        )
+
     def stop(self) -> None:
         """Stops listening."""
         if self._server is not None:
--- a/tests/adapter/test_client_limits.py
+++ b/tests/adapter/test_client_limits.py
@@ -3,13 +3,16 @@
 import asyncio
 import json
 
+import pytest
 from clientlimits import ControlPort, metric
+from loopback import free_addresses
 from system import Client, make_document, run_system
 from test_whole_path import outcome
 
 from bronzemoor_core.wire.clientbudget import MAX_MESSAGE_BYTES
 from bronzemoor_core.wire.controllimits import MAX_DOCUMENT_BYTES
 from bronzemoor_daemon.wire import clientguard
+from bronzemoor_daemon.wire.pages import serve_page
 
 LARGEST_VALUE = "v" * (MAX_MESSAGE_BYTES - len("QUERY q1 STORE k "))
 PIPELINED = 64
@@ -233,3 +236,58 @@
                 assert await reader.read() == b""
 
     run_system(tmp_path, scenario)
+
+
+def test_a_client_that_read_its_answer_is_not_closed(tmp_path, monkeypatch):
+    """Guards against closing a client for the rest of an answer that it has read."""
+    monkeypatch.setattr(clientguard, "UNREAD_ANSWER_TIMEOUT_SECONDS", 0.2)
+    monkeypatch.setattr(clientguard, "SWEEP_INTERVAL_SECONDS", 0.0)
+
+    async def scenario(system):
+        client = await Client.open(system.client_addresses[0], "orders")
+        guard = system.proxies[0].guard
+        (stream,) = [item for item in guard.sessions if item.peer]
+        # A rest below the limit at which writing pauses.
+        guard.unread[stream] = clientguard.Unread(0.0, 1_000)
+        await asyncio.sleep(0.5)
+        assert stream not in guard.unread
+        assert outcome(await client.call("STORE k v")) == "COMPLETE"
+
+    run_system(tmp_path, scenario)
+
+
+def test_the_control_port_answers_clients_as_http_servers_do(tmp_path):
+    """Guards against requests that are refused for an empty line or a closed side."""
+
+    async def scenario(system):
+        async with ControlPort(system.controls[0]) as port:
+            reader, writer = await port.connect()
+            request = b"GET /bronzemoor/config HTTP/1.1\r\nHost: c\r\n\r\n"
+            writer.write(request + b"\r\n" + request)
+            assert await port.read_status(reader) in (200, 503)
+            assert await port.read_status(reader) in (200, 503)
+            writer.write(request)
+            writer.write_eof()
+            assert await port.read_status(reader) in (200, 503)
+            assert await reader.read() == b""
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_page_that_is_not_read_is_not_kept(tmp_path):
+    """Guards against requests for a page whose answers fill the memory."""
+
+    async def scenario():
+        (address,) = free_addresses(1)
+        await serve_page(address, lambda path: (200, "text/plain", b"x" * 100_000))
+        host, port = address.split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        request = b"GET / HTTP/1.1\r\n\r\n"
+        with pytest.raises(ConnectionError):
+            async with asyncio.timeout(10):
+                while True:
+                    writer.write(request * 100)
+                    await writer.drain()
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(scenario())
