Serve a lowered limit's rate at once

Cause: what was spent under the higher limit used up the lower one. Change: the ledger forgets it; a lower limit binds one window later anyway. Result: test_a_lowered_limit_serves_its_rate_at_once fails before, passes now.

--- a/packages/core/src/bronzemoor_core/wire/quotaledger.py
+++ b/packages/core/src/bronzemoor_core/wire/quotaledger.py
@@ -121,6 +121,10 @@
             self.charged += number
             heappush(self.charges, (until, number))
 
+    def forget_charges(self) -> None:
+        self.charged = 0
+        self.charges.clear()
+
     def release(self, now: float) -> None:
         while self.charges and self.charges[0][0] <= now:
             self.charged -= heappop(self.charges)[1]
@@ -182,6 +186,7 @@
 
     def set_organisations(self, organisations: Mapping[str, Organisation]) -> None:
         """Applies the limits of a deployment."""
+        before = {name: limit.usual for name, limit in self._limits.items()}
         for limit in self._limits.values():
             limit.total = limit.usual = 0
         for name, organisation in organisations.items():
@@ -192,7 +197,11 @@
                 nominal = organisation.rate * self._settings.window + organisation.burst
                 highest = nominal * (1 + self._settings.overage)
                 limit.total = int(highest + self._settings.slack)
-                limit.usual = int(highest + self._settings.slack * USED_SLACK_SHARE)
+                usual = int(highest + self._settings.slack * USED_SLACK_SHARE)
+                if usual < before.get(name, 0):
+                    # What was spent under the higher limit would use up the lower one.
+                    limit.forget_charges()
+                limit.usual = usual
                 limit.pace = organisation.rate * PACE_FACTOR
 
     @property
--- a/packages/core/tests/wire/test_quotas.py
+++ b/packages/core/tests/wire/test_quotas.py
@@ -188,3 +188,17 @@
     if overload < 1:
         assert world.refused["a"] - refused <= 0.05 * (len(world.served["a"]) - served)
     assert world.most_in_window("a") <= highest(20, 20)
+
+
+def test_a_lowered_limit_serves_its_rate_at_once():
+    """Guards against refusing everything until the window of a higher limit is over."""
+    world = World(5, proxies=4, a=(60, 60))
+    world.run(10.0, {"a": 12.0})
+    world.set_limits(a=(10, 10))
+    world.leader.ledger.set_organisations(world.organisations)
+    lowered_at = world.now
+    world.run(4.0, {"a": 12.0})
+    served = [time for time in world.served["a"] if time >= lowered_at]
+    assert len(served) >= 4.0 * 10
+    world.run(10.0, {"a": 12.0})
+    assert world.most_in_window("a", since=lowered_at + 5.0) <= highest(10, 10)
