Split the recording of results and the grants out of the proxy

Change: statementlog.py logs and counts the results of statements, grants.py applies the leader's grants and decodes deployments, and idlesessions.py closes idle sessions without a lease. Proxy keeps the names that sessions and transactions call; deployment_version and topology_version are new properties that the log reads. Behaviour is unchanged. test_a_delta_that_cannot_be_decoded_is_replaced_by_the_whole_document sets the moved private text at its new place, proxy._decoder._document. It fails if the decoder does not ask for the whole document. The whole suite was not run.

--- a/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/proxy.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Collection, Coroutine
 from typing import Any, cast
 
-from bronzemoor_core.exceptions import BronzemoorError
 from bronzemoor_core.messages import (
     ProxyGrant,
     ProxyReport,
@@ -14,21 +13,18 @@
     RelayStatement,
     RelayStatus,
 )
-from bronzemoor_core.positions import Position
 from bronzemoor_core.wire.clientbudget import derive_limits
-from bronzemoor_core.wire.deployment import Deployment, Route
-from bronzemoor_core.wire.documentdeltas import decode_delta
+from bronzemoor_core.wire.deployment import Deployment
 from bronzemoor_core.wire.leadersearch import LeaderSearch
 from bronzemoor_core.wire.leases import HeldLease
-from bronzemoor_core.wire.quotasettings import TERM_SHIFT_BITS, TOKEN_EXTENSION_SECONDS
-from bronzemoor_core.wire.records import unpack_document
-from bronzemoor_core.wire.statements import Answer
 from bronzemoor_daemon.framing import split_address
 from bronzemoor_daemon.wire.clientguard import ClientGuard
 from bronzemoor_daemon.wire.clientsession import ClientSession
-from bronzemoor_daemon.wire.clock import boottime, logged_ms
+from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.execution import Attempt
+from bronzemoor_daemon.wire.grants import DeploymentDecoder, GrantApplier
 from bronzemoor_daemon.wire.groups import Group
+from bronzemoor_daemon.wire.idlesessions import close_idle_sessions
 from bronzemoor_daemon.wire.links import Link, Links
 from bronzemoor_daemon.wire.memberloads import MemberLoads
 from bronzemoor_daemon.wire.memberpool import MemberPool
@@ -38,6 +34,7 @@
 from bronzemoor_daemon.wire.relays import RelayClient
 from bronzemoor_daemon.wire.relayserver import RelayServer
 from bronzemoor_daemon.wire.settings import WireSettings
+from bronzemoor_daemon.wire.statementlog import StatementLog
 from bronzemoor_daemon.wire.tasks import Tasks
 
 REPORT_INTERVAL_SECONDS = 0.5
@@ -59,8 +56,6 @@
 ROLL_BACK_FRACTION = 0.60
 EXIT_FRACTION = 0.85
 LISTEN_BACKLOG = 512
-# Enough of a digest to tell keys apart in the log.
-LOGGED_DIGEST_LENGTH = 8
 
 
 class Proxy:
@@ -75,7 +70,6 @@
         metrics: WireMetrics,
     ) -> None:
         self._settings = settings
-        self._read_document = read_document
         self._metrics = metrics
         self._groups: dict[str, Group] = {}
         self._lease = HeldLease()
@@ -96,10 +90,7 @@
         self.codec = codec
         self.report = report
         self.deployment: Deployment | None = None
-        # The text that later versions are encoded for.
-        self._document = ""
-        # False after one could not be decoded, so that the whole document is sent.
-        self._accepts_deltas = True
+        self._decoder = DeploymentDecoder(read_document, report)
         limits = derive_limits(settings.memory_limit, settings.max_descriptors)
         self.guard = ClientGuard(limits, report, metrics)
         self.sessions = cast(Collection[ClientSession], self.guard.sessions)
@@ -123,6 +114,16 @@
         )
         self._proxies_version = 0
         self._loads = MemberLoads(report, metrics)
+        self._grants = GrantApplier(
+            self._groups, self._lease, self._loads, self.quotas, self._send_quota_report
+        )
+        # Sessions and transactions record their results at the proxy.
+        self._statement_log = log = StatementLog(self, self._lease, metrics)
+        self.record_refusal = log.record_refusal
+        self.record_ended_transaction = log.record_ended_transaction
+        self.record_refused_begin = log.record_refused_begin
+        self.record_answer = log.record_answer
+        self.record_refused_key = log.record_refused_key
 
     # --- life cycle
 
@@ -176,6 +177,16 @@
     def has_lease(self) -> bool:
         return self._lease.valid(boottime())
 
+    @property
+    def deployment_version(self) -> int:
+        """Returns the version of the deployment in force, 0 without one."""
+        return self.deployment.version if self.deployment else 0
+
+    @property
+    def topology_version(self) -> int:
+        """Returns the version of the topology in force, 0 without one."""
+        return self._topology_version
+
     def add_controls(self, seeds: tuple[str, ...]) -> None:
         """Adds control daemons to contact when the leader is unreachable."""
         self._search.add_controls(seeds)
@@ -208,93 +219,10 @@
 
     def record_failed_attempt(self, attempt: Attempt, member: str, reason: str) -> None:
         """Logs a failed attempt and reports to the leader without delay."""
-        self._metrics.retries.add()
-        self._report_attempt(
-            "attempt_failed",
-            attempt,
-            member=member,
-            reason=reason,
-            topology=self._topology_version,
-        )
+        self._statement_log.record_failed_attempt(attempt, member, reason)
         if boottime() - self._reported_at >= URGENT_REPORT_INTERVAL_SECONDS:
             self._send_report()
 
-    def record_refusal(self, attempt: Attempt, member: str, reason: str) -> None:
-        """Logs that a statement cannot get a connection to a member in time."""
-        self._report_attempt("attempt_refused", attempt, member=member, reason=reason)
-
-    def record_ended_transaction(
-        self, begin: Attempt, member: str, reason: str
-    ) -> None:
-        """Logs and counts a transaction that the proxy ends by itself.
-
-        ``member`` is empty if the transaction has not begun at one.
-        """
-        self._metrics.ended_transactions.add(reason)
-        self._report_attempt("transaction_ended", begin, member=member, reason=reason)
-
-    def record_refused_begin(self, begin: Attempt, member: str, answer: Answer) -> None:
-        """Logs that a member refused to begin a transaction at the primary."""
-        self._report_attempt(
-            "begin_refused",
-            begin,
-            member=member,
-            code=answer.error,
-            state=answer.state,
-            topology=self._topology_version,
-            lease_ms=round((self._lease.expires - boottime()) * 1_000),
-        )
-
-    def record_answer(
-        self, attempt: Attempt, route: Route, answer: Answer, started: float
-    ) -> None:
-        """Logs an answer and updates the metrics."""
-        now = boottime()
-        outcome = answer.error or "done"
-        self._metrics.statements.add(attempt.statement.kind, outcome)
-        self._metrics.latency.observe(route.read_policy, now - started)
-        group = self.group(route.group)
-        sampled_at, _ = group.samples.newest
-        self._report_attempt(
-            "statement",
-            attempt,
-            kind=attempt.statement.kind,
-            route=route.name,
-            outcome=outcome,
-            message=answer.message.decode(errors="replace"),
-            elapsed_ms=round((now - started) * 1_000),
-            member=attempt.member,
-            tries=attempt.tries,
-            required=f"{attempt.required.term}.{attempt.required.offset}",
-            sample_age_ms=logged_ms(now - sampled_at),
-            group=route.group,
-            primary=group.primary,
-            term=group.term,
-            lease_ms=round((self._lease.expires - now) * 1_000),
-            topology=self._topology_version,
-            deployment=self.deployment.version if self.deployment else 0,
-        )
-
-    def record_refused_key(self, route: Route, key_digest: str) -> None:
-        """Logs and counts a session or an operation with an unknown key.
-
-        The log names the beginning of the key's digest, never the key.
-        """
-        self._metrics.refused_operations.add("key")
-        self.report(
-            "info",
-            "key_refused",
-            route=route.name,
-            key_digest=key_digest[:LOGGED_DIGEST_LENGTH],
-            has_lease=self.has_lease,
-            deployment=self.deployment.version if self.deployment else 0,
-        )
-
-    def _report_attempt(self, event: str, attempt: Attempt, **fields: Any) -> None:
-        """Logs an event under the id of the client's statement."""
-        request = attempt.query_id.decode(errors="replace")
-        self.report("info", event, request=request, **fields)
-
     # --- control group
 
     async def _trim_loop(self) -> None:
@@ -317,7 +245,9 @@
                 not self._had_lease
                 and now - self._without_lease_since > LEASE_LOSS_GRACE_SECONDS
             ):
-                self._close_idle_sessions()
+                close_idle_sessions(
+                    self.sessions, MIN_IDLE_BEFORE_CLOSE_SECONDS, self.report
+                )
             known = self._search.is_answering(boottime())
             await asyncio.sleep(
                 REPORT_INTERVAL_SECONDS if known else REPORT_INTERVAL_SECONDS / 2
@@ -333,22 +263,6 @@
             level = "info" if valid else "warning"
             self.report(level, event, leader=self._search.leader)
 
-    def _close_idle_sessions(self) -> None:
-        """Closes idle sessions so that their clients connect to another proxy."""
-        now = boottime()
-        idle = [
-            session
-            for session in self.sessions
-            if session.is_idle
-            and now - session.last_received_at > MIN_IDLE_BEFORE_CLOSE_SECONDS
-        ]
-        if idle:
-            self.report(
-                "warning", "sessions_closed", reason="no lease", number=len(idle)
-            )
-        for session in idle:
-            session.close()
-
     def _send_report(self) -> None:
         now = boottime()
         self._reported_at = now
@@ -374,7 +288,7 @@
             ProxyReport(
                 self._incarnation,
                 self._sequence,
-                self.deployment.version if self.deployment else 0,
+                self.deployment_version,
                 self._topology_version,
                 self.stopping,
                 []
@@ -386,7 +300,7 @@
                 self._settings.zone,
                 self._proxies_version,
                 self.quotas.build_report(now, self._sequence),
-                accepts_deltas=self._accepts_deltas,
+                accepts_deltas=self._decoder.accepts_deltas,
                 checks_keys=True,
             ),
         )
@@ -457,83 +371,23 @@
         self._grant_number, self._granted_at = message.number, now
         sent_at = self._report_times.pop(message.sequence, None)
         if sent_at is not None:
-            self._record_samples(sent_at, message)
-            if message.topology_version == self._topology_version:
-                self._loads.record(now, sent_at, message.loads, self._groups)
-        if sent_at is not None and message.lease_ms > 0:
-            current = message.topology_version == self._topology_version
-            if current:
-                self._renew_lease(now, sent_at, message.lease_ms / 1_000)
-        if sent_at is not None:
-            self._apply_quotas(now, sent_at, message)
+            self._grants.apply(now, sent_at, message, self._topology_version)
         if changed and message.sequence == 0:
             # Confirms the announced topology before the next regular report.
             self._send_report()
 
-    def _apply_quotas(self, now: float, sent_at: float, message: ProxyGrant) -> None:
-        """Applies the tokens in a grant of the leader whose topology is in force."""
-        term = message.topology_version >> TERM_SHIFT_BITS
-        if term != self._topology_version >> TERM_SHIFT_BITS:
-            return
-        expires = float("-inf")
-        if message.lease_ms > 0:
-            expires = sent_at + message.lease_ms / 1_000 + TOKEN_EXTENSION_SECONDS
-        if self.quotas.apply_grant(
-            now, term, message.sequence, expires, message.quotas
-        ):
-            # A new leader divides the quotas once it knows what was spent.
-            self._send_quota_report()
-
-    def _record_samples(self, sent_at: float, message: ProxyGrant) -> None:
-        """Records position samples of other proxies.
-
-        Ages refer to the time at which the leader sent the message. That was after
-        ``sent_at``, so a sample never appears newer than it is.
-        """
-        for sample in message.samples:
-            group = self._groups.get(sample.group)
-            if group is not None:
-                position = Position(sample.term, sample.offset)
-                group.record_sample(sent_at - sample.age_ms / 1_000, position)
-
-    def _renew_lease(self, now: float, sent_at: float, length: float) -> None:
-        had_lease = self._lease.valid(now)
-        self._lease.renew(sent_at, length)
-        if not had_lease:
-            for group in self._groups.values():
-                group.notify_waiters()
-
     def _apply_deployment(self, message: ProxyGrant) -> None:
-        current = self.deployment.version if self.deployment else 0
-        if message.deployment_version <= current or not message.deployment:
-            return
-        if self.deployment is None and message.lease_ms <= 0:
-            # A leader without a quorum may have been replaced and may still have keys
-            # and routes that were removed since.
-            return
-        if message.deployment_base not in (0, current):
-            # It was encoded for the process before this one; the answer to the next
-            # report is not.
-            return
-        try:
-            document = (
-                decode_delta(message.deployment, self._document)
-                if message.deployment_base
-                else unpack_document(message.deployment)
-            )
-            self.deployment = self._read_document(document)
-            self._document, self._accepts_deltas = document, True
-        except (BronzemoorError, ValueError) as error:
-            self._accepts_deltas = False
-            self.report("error", "deployment_unreadable", error=str(error))
+        deployment = self._decoder.decode(message, self.deployment)
+        if deployment is None:
             return
+        self.deployment = deployment
         for group in self._groups.values():
             group.by_organisation = self._has_organisations
-        self.quotas.set_deployment(self.deployment)
+        self.quotas.set_deployment(deployment)
         self.deployment_received.set()
         self.report(
             "info",
             "deployment_in_force",
-            version=self.deployment.version,
-            routes=len(self.deployment.routes),
+            version=deployment.version,
+            routes=len(deployment.routes),
         )
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -200,7 +200,7 @@
 
     async def scenario(system):
         proxy = system.proxies[0]
-        proxy._document = "the text of a leader of another build"
+        proxy._decoder._document = "the text of a leader of another build"
         assert await system.put(2, tenants=ORGANISATIONS[1:])
         await system.until(lambda: proxy.deployment.version == 2)
 
