Split the division of connections and the grants off the leader

Change: ConnectionDivision (connectiondivision.py) has the equal shares, the shares by demand, the record of uses and the record of whether connections are shared. LeaderGrants (leadergrants.py) has the versions that proxies reported, grants and announcements. The leader keeps records, topology, reports and joins. Behaviour is meant to be the same. Two tests in test_leader.py read the moved reported_versions and send_announcement at leader._grants; their checks are unchanged.

--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -1,25 +1,16 @@
 """The control leader: topology, leases, joins and a supervisor for each group."""
 
 import asyncio
-from collections.abc import Callable, Sequence
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable
+from typing import TYPE_CHECKING
 
-from msgspec import Struct
 from msgspec.structs import replace
 
 from bronzemoor_core.exceptions import BronzemoorError
-from bronzemoor_core.messages import (
-    GroupView,
-    MemberView,
-    PositionSample,
-    ProxyGrant,
-    ProxyReport,
-    QuotaGrant,
-)
+from bronzemoor_core.messages import GroupView, MemberView, ProxyReport
 from bronzemoor_core.positions import Position
 from bronzemoor_core.wire.authority import order_deadline
 from bronzemoor_core.wire.deployment import Deployment
-from bronzemoor_core.wire.documentdeltas import DocumentEncoder
 from bronzemoor_core.wire.freshness import SampleExchange
 from bronzemoor_core.wire.leases import LeaseTable
 from bronzemoor_core.wire.loadexchange import LoadExchange
@@ -33,8 +24,14 @@
 from bronzemoor_core.wire.reportorder import ReportAge, ReportOrder
 from bronzemoor_core.wire.succession import Evidence
 from bronzemoor_core.wire.zoneproxies import ZoneProxies
-from bronzemoor_core.wire.zoneshares import ZoneShares, decode_uses
+from bronzemoor_core.wire.zoneshares import ZoneShares
 from bronzemoor_daemon.wire.clock import boottime, logged_ms
+from bronzemoor_daemon.wire.connectiondivision import ConnectionDivision
+from bronzemoor_daemon.wire.leadergrants import (
+    ANNOUNCE_INTERVAL_SECONDS,
+    KnownVersions,
+    LeaderGrants,
+)
 from bronzemoor_daemon.wire.leaderquotas import LeaderQuotas
 from bronzemoor_daemon.wire.metrics import WireMetrics
 from bronzemoor_daemon.wire.ports import (
@@ -48,32 +45,8 @@
 if TYPE_CHECKING:
     from bronzemoor_daemon.wire.control import ControlDaemon
 
-# Connections to each member that are reserved for the control leader's orders.
-RESERVED_CONNECTIONS = 1
 # Minimum time between membership changes of the control group.
 GROUP_CHANGE_INTERVAL_SECONDS = 1.0
-# Changes are not announced to proxies whose last report is older.
-PROXY_TIMEOUT_SECONDS = 5.0
-DEFAULT_CONNECTIONS = 8
-# If each proxy would get fewer connections to a member, the proxies of a zone share.
-MIN_PROXY_SHARE = 3
-# More connections from a zone to a member only add statements that wait at the member.
-MAX_ZONE_SHARE = 12
-# Minimum time between announcements of deployments and connection shares, since each
-# announcement goes to every proxy.
-ANNOUNCE_INTERVAL_SECONDS = 0.2
-# Older position samples cannot prove the freshness of any read.
-SAMPLE_MAX_AGE_SECONDS = 5.0
-
-
-class KnownVersions(Struct, frozen=True):
-    """Versions that a proxy has, according to its last report."""
-
-    deployment: int = 0
-    topology: int = 0
-    # Version of the list of its zone's proxies.
-    proxies: int = 0
-    accepts_deltas: bool = False
 
 
 class Leader:
@@ -93,18 +66,11 @@
         self._settings = settings
         self._read_document = read_document
         self._supervisors: dict[str, Supervisor] = {}
-        self._last_report_at: dict[str, float] = {}
-        self._reported_versions: dict[str, KnownVersions] = {}
         # The term is above this bit and a counter below.
         self._topology_version = control.log.term << TERM_SHIFT_BITS
         self._views: list[GroupView] = []
-        self._document = DocumentEncoder()
         self._group_changed_at = float("-inf")
-        self._grant_count = 0
-        self._announced_at = float("-inf")
-        self._announce_timer: asyncio.TimerHandle | None = None
         self._refresh_scheduled = False
-        self._sharing_task: asyncio.Task[Any] | None = None
         self._closed = False
         self.codec = codec
         self.execute_promotion = execute_promotion
@@ -117,6 +83,12 @@
         self.samples = SampleExchange()
         self._loads = LoadExchange()
         self._shares = ZoneShares()
+        self._division = ConnectionDivision(
+            control, self.leases, self._zone_proxies, self._shares, self.commit
+        )
+        self._grants = LeaderGrants(
+            self, control, settings.peer, self._zone_proxies, self._loads
+        )
         self.evidence: dict[str, dict[str, Evidence]] = {}
         self._quotas = LeaderQuotas(
             settings.quota,
@@ -137,6 +109,25 @@
         """Version of the topology that is announced to proxies."""
         return self._topology_version
 
+    @property
+    def views(self) -> list[GroupView]:
+        """The topology that is announced to proxies."""
+        return self._views
+
+    @property
+    def groups(self) -> list[str]:
+        """Names of the deployment's groups."""
+        return list(self._supervisors)
+
+    @property
+    def has_shared_connections(self) -> bool:
+        """Whether the proxies of a zone share the connections to any group."""
+        return any(view.shared for view in self._views)
+
+    @property
+    def is_closed(self) -> bool:
+        return self._closed
+
     def close(self) -> None:
         """Stops all supervisors; a new leader resumes promotions in progress."""
         self._closed = True
@@ -205,7 +196,7 @@
                 return
             self._quotas.set_organisations(self.deployment.organisations)
             # Proxies get digests in place of keys.
-            self._document.set_document(
+            self._grants.set_document(
                 self.deployment.version, self.deployment.redacted or document
             )
         groups = self.deployment.groups if self.deployment else {}
@@ -216,7 +207,7 @@
             self._supervisors.pop(name).close()
         changed = self.refresh_topology()
         if newer and not changed:
-            self._schedule_announcement()
+            self._grants.schedule_announcement()
         for supervisor in self._supervisors.values():
             supervisor.wake()
 
@@ -229,7 +220,7 @@
             return False
         self._views = views
         self._topology_version += 1
-        self._send_announcement()
+        self._grants.send_announcement()
         return True
 
     def _schedule_refresh(self) -> None:
@@ -244,34 +235,20 @@
         if (
             not self._closed
             and not self.refresh_topology()
-            and self._has_shared_connections
+            and self.has_shared_connections
         ):
             # The topology is the same, but the list of a zone's proxies changed.
-            self._send_announcement()
+            self._grants.send_announcement()
 
     @property
     def _has_organisations(self) -> bool:
         return self.deployment is not None and bool(self.deployment.organisations)
 
-    @property
-    def _has_shared_connections(self) -> bool:
-        return any(view.shared for view in self._views)
-
-    def _record_sharing(self) -> None:
-        """Commits whether connections are shared, so that the next leader knows."""
-        known, shares = (
-            self.leases.predecessor_leases_expired(boottime()),
-            self._has_shared_connections,
-        )
-        in_progress = self._sharing_task is not None and not self._sharing_task.done()
-        if known and shares != self._control.records.sharing and not in_progress:
-            command: dict[str, object] = {"type": "sharing.set", "sharing": shares}
-            self._sharing_task = self._control.spawn(
-                self.commit(command), "record-sharing"
-            )
-
     def _group_view(self, group: str) -> GroupView:
-        connections, shared = self._connection_share(group)
+        spec = self.deployment.groups.get(group) if self.deployment else None
+        connections, shared = self._division.equal_share(
+            spec.max_connections if spec else 0
+        )
         by_demand = shared and self._has_organisations
         record = self.leader_record(group)
         usable = not record.candidate and not self._supervisors[group].revoked
@@ -298,156 +275,6 @@
             shared,
         )
 
-    def _connection_share(self, group: str) -> tuple[int, bool]:
-        """Connections to each member for a proxy, or for a zone if they are shared."""
-        spec = self.deployment.groups.get(group) if self.deployment else None
-        limit = spec.max_connections if spec else 0
-        if not limit:
-            return DEFAULT_CONNECTIONS, False
-        now = boottime()
-        share = (limit - RESERVED_CONNECTIONS) // max(1, self.leases.active(now))
-        # A new leader has not had a report from every proxy yet.
-        sharing = (
-            self._control.records.sharing
-            and not self.leases.predecessor_leases_expired(now)
-        )
-        if share >= MIN_PROXY_SHARE and not sharing:
-            return share, False
-        zones = max(1, self._zone_proxies.zone_count)
-        share = (limit - RESERVED_CONNECTIONS) // zones
-        return max(1, min(share, MAX_ZONE_SHARE)), True
-
-    def _record_uses(self, now: float, report: ProxyReport) -> None:
-        """Records which members' connections the proxy's data centre uses."""
-        if report.topology_version != self._topology_version:
-            return
-        members = {view.group: view.members for view in self._views}
-        for item in report.groups:
-            known = members.get(item.group, [])
-            for index, uses in decode_uses(item.uses, len(known)).items():
-                self._shares.record_use(now, known[index].member, report.zone, uses)
-
-    def _divide_connections(self, now: float) -> None:
-        """Moves connections of members to the data centres that use them.
-
-        Only where members have connections by organisation: others can be used by any
-        statement, so that few suffice.
-        """
-        if self.deployment is None or not self._has_organisations:
-            return
-        if self._shares.is_changing:
-            if self.leases.waiting_for(now, self._topology_version):
-                return
-            self._shares.confirmed()
-            self.refresh_topology()
-            return
-        limits = {
-            member.member: self.deployment.groups[view.group].max_connections
-            - RESERVED_CONNECTIONS
-            for view in self._views
-            if view.shared and view.group in self.deployment.groups
-            for member in view.members
-        }
-        if self._shares.divide(now, limits, self._zone_proxies.zones):
-            self.refresh_topology()
-
-    def _schedule_announcement(self) -> None:
-        """Schedules one announcement for deployments that follow each other closely."""
-        if self._announce_timer is None:
-            delay = self._announced_at + ANNOUNCE_INTERVAL_SECONDS - boottime()
-            loop = asyncio.get_running_loop()
-            self._announce_timer = loop.call_later(
-                max(0.0, delay), self._send_announcement
-            )
-
-    def _send_announcement(self) -> None:
-        if self._announce_timer is not None:
-            self._announce_timer.cancel()
-            self._announce_timer = None
-        if self._closed:
-            return
-        now = self._announced_at = boottime()
-        for proxy, reported_at in list(self._last_report_at.items()):
-            if now - reported_at < PROXY_TIMEOUT_SECONDS:
-                self._send_grant(proxy, 0, 0.0, self._reported_versions[proxy])
-            else:
-                del self._last_report_at[proxy], self._reported_versions[proxy]
-                self._zone_proxies.remove(proxy)
-
-    def _send_grant(
-        self,
-        proxy: str,
-        sequence: int,
-        lease: float,
-        known: KnownVersions,
-        with_samples: bool = False,
-        quotas: Sequence[QuotaGrant] = (),
-    ) -> None:
-        """Sends what is newer than ``known``; an announcement without news is left out.
-
-        An announcement has sequence 0.
-        """
-        version = self.deployment.version if self.deployment else 0
-        now = boottime()
-        proxies: list[str] = []
-        proxies_version = known.proxies
-        if self._has_shared_connections:
-            owners = self._zone_proxies.owners(now, self._zone_proxies.zone(proxy))
-            if owners.version != known.proxies:
-                proxies, proxies_version = owners.proxies, owners.version
-        newest = KnownVersions(
-            version, self._topology_version, proxies_version, known.accepts_deltas
-        )
-        if not sequence and newest == known:
-            return
-        document, base = b"", 0
-        if known.deployment < version:
-            document, base = self._document.encode(
-                known.deployment, known.accepts_deltas
-            )
-        self._grant_count += 1
-        self.samples.granted(now, proxy, self._grant_count)
-        self._control.links.send(
-            proxy,
-            ProxyGrant(
-                sequence,
-                self._settings.peer,
-                int(lease * 1_000),
-                version,
-                document,
-                self._topology_version,
-                self._views if known.topology < self._topology_version else [],
-                self._control.controls,
-                self._newest_samples(now) if with_samples else [],
-                self._grant_count,
-                proxies,
-                proxies_version,
-                self._other_loads(now, proxy) if sequence else [],
-                list(quotas),
-                base,
-            ),
-        )
-
-    def _other_loads(self, now: float, proxy: str) -> list[int]:
-        """Returns the loads that other zones than the proxy's have on members."""
-        if not self._has_shared_connections:
-            return []
-        sizes = {view.group: len(view.members) for view in self._views}
-        zone = self._zone_proxies.zone(proxy)
-        return self._loads.others(now, zone, self._topology_version, sizes)
-
-    def _newest_samples(self, now: float) -> list[PositionSample]:
-        samples = []
-        for group in self._supervisors:
-            newest = self.samples.newest(now, group)
-            if newest is not None and newest[0] < SAMPLE_MAX_AGE_SECONDS:
-                age, position = newest
-                age_ms = int(age * 1_000) + 1
-                samples.append(
-                    PositionSample(group, position.term, position.offset, age_ms)
-                )
-        return samples
-
     # --- proxies
 
     def on_report(self, now: float, proxy: str, report: ProxyReport) -> None:
@@ -463,7 +290,6 @@
             # Its lease ends, and without leases and samples it serves nobody.
             self.report("warning", "proxy_refused", peer=proxy, reason="checks no keys")
             return
-        self._last_report_at[proxy] = now
         known = KnownVersions(
             report.deployment_version,
             report.topology_version,
@@ -471,8 +297,8 @@
             report.accepts_deltas,
         )
         # A proxy of an earlier build applies an announcement without groups.
-        self._reported_versions[proxy] = (
-            known if report.incarnation else replace(known, topology=0)
+        self._grants.on_report(
+            now, proxy, known if report.incarnation else replace(known, topology=0)
         )
         if not report.draining:
             self._zone_proxies.add(proxy, report.zone)
@@ -495,9 +321,13 @@
             supervisor = self._supervisors.get(item.group)
             if supervisor is not None:
                 supervisor.on_group_report(item)
-        self._record_uses(now, report)
-        self._divide_connections(now)
-        self._record_sharing()
+        if report.topology_version == self._topology_version:
+            self._division.record_uses(now, report, self._views)
+        if self._division.divide(
+            now, self.deployment, self._views, self._topology_version
+        ):
+            self.refresh_topology()
+        self._division.record_sharing(self.has_shared_connections)
         held = self.leases.holds(now, proxy)
         lease = self.leases.grant(now, proxy, self._control.log.confirmed_at)
         if self.leases.holds(now, proxy) != held:
@@ -507,7 +337,9 @@
         quotas = self._quotas.on_report(now, proxy, sent_after, report, lease > 0)
         # Reports that only ask for tokens have no groups and need no samples.
         with_samples = bool(report.groups) or not report.quotas
-        self._send_grant(proxy, report.sequence, lease, known, with_samples, quotas)
+        self._grants.send_grant(
+            proxy, report.sequence, lease, known, with_samples, quotas
+        )
 
     # --- control group
 
--- a/tests/adapter/test_leader.py
+++ b/tests/adapter/test_leader.py
@@ -77,10 +77,12 @@
         sent = leader._control._metrics.sent_bytes.values
         assert await system.put(2)
         await system.until(
-            lambda: all(v.deployment == 2 for v in leader._reported_versions.values())
+            lambda: all(
+                v.deployment == 2 for v in leader._grants.reported_versions.values()
+            )
         )
         before = sent["ProxyGrant",]
-        leader._send_announcement()
+        leader._grants.send_announcement()
         assert sent["ProxyGrant",] == before
         leader._views = []
         leader.refresh_topology()
@@ -143,7 +145,9 @@
             proxy._incarnation = 0
             proxy._send_report()
         await system.until(
-            lambda: not any(v.topology for v in leader._reported_versions.values())
+            lambda: (
+                not any(v.topology for v in leader._grants.reported_versions.values())
+            )
         )
 
     run_system(tmp_path, scenario)
