--- a/packages/core/src/bronzemoor_core/wire/quotaledger.py
+++ b/packages/core/src/bronzemoor_core/wire/quotaledger.py
@@ -1,29 +1,31 @@
 """Divides the quotas of organisations among the proxies, at the control leader.
 
-Load pattern: many proxies spend one limit, which may never be exceeded, also while
-proxies, messages and leaders are lost. A token counts against the limit from its grant
-until a window after the last moment at which its operation can reach a member. Times
-are in seconds, on a clock that also advances while the VM is suspended.
+Load pattern: many proxies spend one limit, also while proxies, messages and leaders are
+lost. A token counts against the limit from its grant until a window after the last
+moment at which its operation can reach a member. What lost proxies spent under an
+earlier leader is estimated for organisations that kept their pace. Times are in
+seconds, on a clock that also advances while the VM is suspended.
 """
 
-from collections import deque
 from collections.abc import Iterable, Mapping
-from heapq import heappop, heappush
+from heapq import heappush
 from random import Random
 
 from bronzemoor_core.messages import QuotaGrant, QuotaReport
 from bronzemoor_core.wire.deployment import Organisation
-from bronzemoor_core.wire.leases import LEASE_MARGIN_SECONDS, LEASE_SECONDS
+from bronzemoor_core.wire.quotaaccounts import (
+    TOKEN_SECONDS,
+    Account,
+    Limit,
+    ProxyAccounts,
+)
 from bronzemoor_core.wire.quotasettings import (
     HISTORY_STEP_SECONDS,
     MAX_EXHAUSTED_MS,
-    TOKEN_EXTENSION_SECONDS,
     QuotaSettings,
     clamp,
 )
 
-# A proxy spends a token at most this long after its grant, with the margin for drift.
-TOKEN_SECONDS = LEASE_SECONDS + TOKEN_EXTENSION_SECONDS + LEASE_MARGIN_SECONDS
 # How long an operation that has spent a token may take to reach a member. What takes
 # longer must fit into the part of the slack that is not used.
 DELIVERY_SECONDS = 0.3
@@ -53,126 +55,6 @@
 MIN_EXHAUSTED_SECONDS = 0.2
 
 
-class _Account:
-    """Tokens of one process of a proxy for one organisation, numbered by grant.
-
-    Tokens up to number ``resolved`` can no longer be spent.
-    """
-
-    __slots__ = (
-        "asked_at",
-        "granted",
-        "limit",
-        "resolved",
-        "spent",
-        "uncharged",
-        "uncharged_until",
-        "wanted",
-    )
-
-    def __init__(self, limit: "_Limit") -> None:
-        self.limit = limit
-        self.granted = 0
-        self.resolved = 0
-        self.spent = 0
-        # Number of tokens that are not charged if they are spent until then.
-        self.uncharged = 0
-        self.uncharged_until = 0.0
-        self.wanted = 0
-        self.asked_at = float("-inf")
-
-    def resolve(self, number: int) -> None:
-        number = min(number, self.granted)
-        if number > self.resolved:
-            self.limit.outstanding -= number - self.resolved
-            self.uncharged = max(0, self.uncharged - number + self.resolved)
-            self.resolved = number
-
-    def take_charged(self, now: float, spent: int) -> int:
-        """Returns how many of the newly ``spent`` tokens are charged."""
-        # Those that were out have expired this long after the next report.
-        self.uncharged_until = min(self.uncharged_until, now + TOKEN_SECONDS)
-        if now >= self.uncharged_until:
-            self.uncharged = 0
-        return max(0, spent - self.spent - self.uncharged)
-
-
-class _Limit:
-    """What is spent and granted of one organisation's limit."""
-
-    __slots__ = (
-        "accounts",
-        "charged",
-        "charges",
-        "credit",
-        "grants",
-        "high_at",
-        "name",
-        "outstanding",
-        "pace",
-        "paced",
-        "paced_at",
-        "total",
-        "usual",
-    )
-
-    def __init__(self, name: str, now: float) -> None:
-        self.name = name
-        # When more tokens were last asked for than the pace allows.
-        self.high_at = now
-        # Tokens per second, and those that may be granted at ``paced_at``.
-        self.pace = 0.0
-        self.paced = 0.0
-        self.paced_at = now
-        # What is allowed in a window, and what is used of it while spending is known.
-        self.total = 0
-        self.usual = 0
-        # Operations spent in the last window, with the time until which they count.
-        self.charged = 0
-        self.charges: list[tuple[float, int]] = []
-        # Tokens that may still be spent, and until when each grant counts.
-        self.outstanding = 0
-        self.grants: list[tuple[float, int, _Account, int]] = []
-        # Operations and tokens under earlier leaders that have been reported.
-        self.credit = 0
-        self.accounts: dict[str, _Account] = {}
-
-    def charge(self, until: float, number: int) -> None:
-        if number > 0:
-            self.charged += number
-            heappush(self.charges, (until, number))
-
-    def forget_charges(self) -> None:
-        """Forgets what was spent, and charges nothing for the tokens that are out."""
-        self.charged = 0
-        self.charges.clear()
-        for account in self.accounts.values():
-            account.uncharged = account.granted - account.resolved
-            account.uncharged_until = float("inf")
-
-    def release(self, now: float) -> None:
-        while self.charges and self.charges[0][0] <= now:
-            self.charged -= heappop(self.charges)[1]
-        while self.grants and self.grants[0][0] <= now:
-            _, _, account, number = heappop(self.grants)
-            account.resolve(number)
-
-    def next_release(self, now: float) -> float:
-        """Returns in how many seconds something stops to count."""
-        return self.charges[0][0] - now if self.charges else 0.0
-
-
-class _Proxy:
-    """The accounts of a proxy's process and its grants, oldest first."""
-
-    __slots__ = ("accounts", "grants")
-
-    def __init__(self) -> None:
-        self.accounts: dict[str, _Account] = {}
-        # Expiry at the proxy, account and number of the last token.
-        self.grants: deque[tuple[float, _Account, int]] = deque()
-
-
 class QuotaLedger:
     """Exists as long as the leader of one term.
 
@@ -203,8 +85,8 @@
         self._earlier_marked = frozenset(marked)
         self._marked = set(marked)
         self._to_mark: set[str] = set()
-        self._limits: dict[str, _Limit] = {}
-        self._proxies: dict[str, _Proxy] = {}
+        self._limits: dict[str, Limit] = {}
+        self._proxies: dict[str, ProxyAccounts] = {}
         self._grant_count = 0
 
     # --- limits
@@ -217,7 +99,7 @@
         for name, organisation in organisations.items():
             if organisation.rate is not None:
                 if name not in self._limits:
-                    self._limits[name] = _Limit(name, self._started_at)
+                    self._limits[name] = Limit(name, self._started_at)
                 limit = self._limits[name]
                 nominal = organisation.rate * self._settings.window + organisation.burst
                 highest = nominal * (1 + self._settings.overage)
@@ -240,7 +122,7 @@
         limit.release(now)
         return limit.charged, limit.outstanding, self._budget(now, limit)
 
-    def _unknown(self, now: float, limit: _Limit) -> int:
+    def _unknown(self, now: float, limit: Limit) -> int:
         """Returns what holders that have not reported may have spent of the limit.
 
         It is what earlier leaders may have granted apart from what the others reported,
@@ -258,13 +140,13 @@
             highest = int(highest * max(0.0, 1.0 - past))
         return highest - min(highest, limit.credit)
 
-    def _budget(self, now: float, limit: _Limit) -> int:
+    def _budget(self, now: float, limit: Limit) -> int:
         """Returns how many operations and tokens may count."""
         unknown = self._unknown(now, limit)
         highest = limit.total if unknown and self._slack_is_free else limit.usual
         return min(limit.usual, highest - unknown)
 
-    def _paced(self, now: float, limit: _Limit) -> int:
+    def _paced(self, now: float, limit: Limit) -> int:
         """Returns how many tokens the pace allows now."""
         capacity = max(MIN_PACED_TOKENS, limit.pace * PACE_SECONDS)
         earned = max(0.0, now - limit.paced_at) * limit.pace
@@ -319,7 +201,7 @@
         """
         state = self._proxies.get(proxy)
         if state is None:
-            state = self._proxies[proxy] = _Proxy()
+            state = self._proxies[proxy] = ProxyAccounts()
         # Others have no limit, or belong to a deployment that is not known yet.
         items = [item for item in items if item.organisation in self._limits]
         self._unheard.pop(process, None)
@@ -343,12 +225,14 @@
                 grants.append(grant)
         return grants
 
-    def _record(self, now: float, proxy: str, state: _Proxy, item: QuotaReport) -> None:
+    def _record(
+        self, now: float, proxy: str, state: ProxyAccounts, item: QuotaReport
+    ) -> None:
         limit = self._limits[item.organisation]
         limit.release(now)
         account = state.accounts.get(item.organisation)
         if account is None:
-            account = _Account(limit)
+            account = Account(limit)
             state.accounts[item.organisation] = account
             limit.accounts[proxy] = account
             self._inherit(now, state, account, item)
@@ -362,7 +246,7 @@
         account.asked_at = now
 
     def _inherit(
-        self, now: float, state: _Proxy, account: _Account, item: QuotaReport
+        self, now: float, state: ProxyAccounts, account: Account, item: QuotaReport
     ) -> None:
         """Records what a proxy did under earlier leaders."""
         if item.calm_term and item.calm_term == self._term - 1:
@@ -381,7 +265,9 @@
             if earliest > self._earlier_tokens_end - window:
                 limit.credit += number
 
-    def _allot(self, now: float, state: _Proxy, item: QuotaReport) -> QuotaGrant | None:
+    def _allot(
+        self, now: float, state: ProxyAccounts, item: QuotaReport
+    ) -> QuotaGrant | None:
         account = state.accounts[item.organisation]
         limit = account.limit
         waiting, wanted = clamp(item.waiting), clamp(item.wanted)
@@ -416,7 +302,7 @@
         exhausted_ms = min(int(exhausted * 1_000), MAX_EXHAUSTED_MS)
         return QuotaGrant(item.organisation, account.granted, tokens, exhausted_ms)
 
-    def _share(self, now: float, limit: _Limit, account: _Account) -> float:
+    def _share(self, now: float, limit: Limit, account: Account) -> float:
         """Returns the part of the free tokens that a proxy gets in short supply."""
         total = sum(
             other.wanted
@@ -430,7 +316,7 @@
         return int(tokens + self._random.random())
 
     def _add_tokens(
-        self, now: float, state: _Proxy, account: _Account, number: int
+        self, now: float, state: ProxyAccounts, account: Account, number: int
     ) -> None:
         account.granted += number
         limit = account.limit
