Remove the binary form of a packed document

Cause: since documents are sent as deltas the leader compresses them itself, so packed_bytes had no caller and its neighbours' docstrings named it. Change: the function is gone and two docstrings say what is true; no behaviour changes. Result: formatter, linter and types clean; tests of records, deltas and callers pass.

--- a/packages/core/src/bronzemoor_core/wire/records.py
+++ b/packages/core/src/bronzemoor_core/wire/records.py
@@ -70,17 +70,12 @@
 
 
 def pack_document(document: str) -> str:
-    """Compresses a document to text for the log and for distribution to proxies."""
+    """Compresses a document to text for the log."""
     return base64.b64encode(zlib.compress(document.encode())).decode()
 
 
-def packed_bytes(packed: str) -> bytes:
-    """Returns the binary form of ``pack_document``'s result for the connection."""
-    return base64.b64decode(packed)
-
-
 def unpack_document(packed: str | bytes) -> str:
-    """Reverses ``pack_document`` or ``packed_bytes``; raises ``ValueError``."""
+    """Returns a document from its compressed text or bytes; raises ``ValueError``."""
     try:
         data = base64.b64decode(packed) if isinstance(packed, str) else packed
         return zlib.decompress(data).decode()
