--- a/review/bench2/members.py
+++ b/review/bench2/members.py
@@ -72,6 +72,18 @@
         for task in self._tasks:
             task.cancel()
 
+    def successor(self) -> "Member":
+        """Returns the process that starts next under this member's id.
+
+        It holds and knows nothing of before.
+        """
+        process = Member(
+            self.group, self.name, self.address, self.zone, self.born + 60_000
+        )
+        process.term = 0
+        self.group.members[self.name] = process
+        return process
+
     async def _receive(self) -> None:
         """Receives the primary's log, unless deaf or paused."""
         while True:
@@ -142,9 +154,27 @@
         self.acknowledged: set[str] = set()
         # Acknowledged writes that a promoted member lacked.
         self.lost: list[str] = []
+        # Writes that were acknowledged before a read was sent, by the read's id.
+        self.known_at_read: dict[str, set[str]] = {}
+        # Reads that ran on a log without some of them.
+        self.stale: dict[str, list[str]] = {}
         self.promotions: list[tuple[str, str, int]] = []
         self._waiting: list[tuple[Member, int, int, asyncio.Future[bool]]] = []
 
+    def sends_read(self, query_id: str) -> None:
+        """Notes what a read that a client is about to send has to see."""
+        self.known_at_read[query_id] = set(self.acknowledged)
+
+    def ran_read(self, member: Member, query_id: str) -> None:
+        have = {write for _, _, write in member.log}
+        missing = sorted(self.known_at_read.get(query_id, set()) - have)
+        if missing:
+            self.stale[query_id] = missing
+            self.record(
+                f"member {member.name} runs read {query_id} at {member.position}"
+                f" without {len(missing)} acknowledged writes"
+            )
+
     def newest_primary(self) -> Member | None:
         leading = [m for m in self.members.values() if m.primary and m.up]
         return max(leading, key=lambda member: member.term, default=None)
@@ -269,7 +299,7 @@
         if lost_lead and word != "ROLLBACK" and (word != "COMMIT" or self.writes):
             return self._error("READONLY")
         if word in ("FETCH", "STORE", "EXECUTE", "COMMIT") and query_id != "-":
-            member.group.record(f"member {member.name} runs {query_id} {text}")
+            member.group.record(f"member {member.name} gets {query_id} {text}")
         return await self._run(query_id, word, rest)
 
     async def _run(self, query_id: str, word: str, rest: list[str]) -> str:
@@ -313,6 +343,7 @@
                     return self._error("NOPREPARED")
                 return await self._run(query_id, self.prepared[rest[0]][0], rest[1:])
             case "FETCH":
+                member.group.ran_read(member, query_id)
                 return f"ROW {rest[0]}\r\n" + self._signature()
             case "STORE":
                 if not member.primary:
