--- a/review/bench2/setup.py
+++ b/review/bench2/setup.py
@@ -1,6 +1,8 @@
 """Brings up a small deployment whose group has three members."""
 
 import asyncio
+import signal
+import sys
 from collections.abc import Awaitable, Callable
 
 from clients import Session, make_config, put_config
@@ -56,6 +58,8 @@
 
 async def play(scenario: Scenario, record: Record, proxies: int = 3) -> int:
     """Runs a scenario on a deployment that serves; returns the exit code."""
+    # A script that is terminated ends its processes too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     group = Group(SERVICE, record.write)
     platform = Platform(
         lambda _, member, holder, fence: group.promote(member, holder, fence)
