--- a/review/bench2/cluster.py
+++ b/review/bench2/cluster.py
@@ -7,6 +7,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -150,6 +151,11 @@
                 COMMAND, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
 
+    def lose_disk(self) -> None:
+        """Empties the disk of a daemon that does not run."""
+        shutil.rmtree(self.data_folder)
+        self.data_folder.mkdir()
+
     def send(self, number: int) -> None:
         assert self.process is not None
         self.process.send_signal(number)
@@ -197,6 +203,8 @@
             for index in range(proxies)
         ]
 
+        self._added: list[Daemon] = []
+
     def __enter__(self) -> "Cluster":
         return self
 
@@ -205,12 +213,18 @@
             daemon.start(bootstrap=True)
 
     def __exit__(self, *error: object) -> None:
-        for daemon in (*self.cores, *self.proxies):
+        for daemon in (*self.cores, *self._added, *self.proxies):
             if daemon.is_running:
                 daemon.send(signal.SIGCONT)
             daemon.kill()
         self._folder.cleanup()
 
+    def add_core(self, name: str, number: int, zone: str) -> Daemon:
+        """Adds a control daemon at an address of its own, with an empty disk."""
+        daemon = Daemon(self, name, f"{self.network}.{number}", zone)
+        self._added.append(daemon)
+        return daemon
+
     @property
     def controls(self) -> list[str]:
         return [core.control for core in self.cores]
