--- a/review/bench2/cluster.py
+++ b/review/bench2/cluster.py
@@ -11,13 +11,13 @@
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import time
+import tomllib
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
-COMMAND = [sys.executable, "-S", "platform/start.py"]
+DEPLOY_FILE = ROOT / "deploy" / "system.toml"
 METRICS_PORT = 9464
 ZONES = ("tunis-a", "sfax-a", "sousse-a")
 REGIONS = {zone: zone.partition("-")[0] for zone in ZONES}
@@ -148,7 +148,11 @@
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                COMMAND, cwd=ROOT, env=environment, stdout=log, stderr=log
+                self.cluster.command(self.is_core),
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
             )
 
     def lose_disk(self) -> None:
@@ -204,6 +208,7 @@
         ]
 
         self._added: list[Daemon] = []
+        self._roles = tomllib.loads(DEPLOY_FILE.read_text())["roles"]
 
     def __enter__(self) -> "Cluster":
         return self
@@ -225,6 +230,12 @@
         self._added.append(daemon)
         return daemon
 
+    def command(self, is_core: bool) -> list[str]:
+        """Returns the program and arguments of the role in the deploy file."""
+        serves = "control_plane" if is_core else "edge"
+        role = next(r for r in self._roles.values() if serves in r["serves"])
+        return str(role["run"]).split()
+
     @property
     def controls(self) -> list[str]:
         return [core.control for core in self.cores]
