--- a/review/bench2/web.py
+++ b/review/bench2/web.py
@@ -5,8 +5,6 @@
 from collections.abc import Callable
 from typing import Any
 
-CALL_TIMEOUT_SECONDS = 1.0
-
 
 async def call(
     address: str, method: str, path: str, body: Any = None, timeout: float = 1.0
