Log silent members, and daemons outside the control group

Change: the leader logs `member_silent`, `member_back` and `outside_group`, a daemon logs `group_silent` and `group_heard`, and three gauges count voters, silent voters and daemons that ask to join. For this the log section says when each member last answered the leader. Joining moves out of leader.py and control.py into a module for each side; its decisions are as before.

--- a/packages/core/src/bronzemoor_core/consensus.py
+++ b/packages/core/src/bronzemoor_core/consensus.py
@@ -63,16 +63,20 @@
     elected. ``last_contact`` is when this daemon last received a message from the
     leader, or, on a leader, when a quorum last answered. ``established`` is true once
     a leader committed an entry of its term. ``founded_term`` is the term in which this
-    member started the group as its first leader, or 0.
+    member started the group as its first leader, or 0. ``active`` is false while the
+    storage has failed. ``last_replies`` is, on a leader, when each other member last
+    answered it.
     """
 
     __slots__ = (
+        "active",
         "applied_index",
         "commit_index",
         "confirmed_at",
         "established",
         "founded_term",
         "last_contact",
+        "last_replies",
         "leader",
         "learners",
         "role",
@@ -92,6 +96,8 @@
         self.confirmed_at = float("-inf")
         self.established = False
         self.founded_term = 0
+        self.active = False
+        self.last_replies: dict[str, float] = {}
 
 
 class AdminOrigin:
@@ -368,7 +374,10 @@
         own, replica = self._section, self._replica
         committed_term = replica.journal.term_at(replica.commit_index)
         own.established = replica.is_leader and committed_term == replica.term
+        own.active = replica.active
+        own.last_replies = {}
         if replica.is_leader:
+            own.last_replies = self._replication.last_replies()
             replica.last_contact = min(now, self._replication.quorum_contact())
             own.confirmed_at = self._replication.confirmed_at()
         own.last_contact = replica.last_contact
--- a/packages/core/src/bronzemoor_core/replication.py
+++ b/packages/core/src/bronzemoor_core/replication.py
@@ -87,9 +87,13 @@
             self._confirmed_at = self._round_started.popitem(last=False)[1]
         return self._confirmed_at
 
+    def last_replies(self) -> dict[str, float]:
+        """Returns when each other member last answered, in seconds."""
+        return {name: item.last_reply for name, item in self.progress.items()}
+
     def quorum_contact(self) -> float:
         """Returns when a quorum last answered, in seconds."""
-        times = {name: item.last_reply for name, item in self.progress.items()}
+        times = self.last_replies()
         times[self._replica.name] = float("inf")
         return self._replica.group.quorum_value(times)
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/control.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/control.py
@@ -25,12 +25,7 @@
     Tick,
 )
 from bronzemoor_core.internal_events import CommandProposed
-from bronzemoor_core.messages import (
-    HeartbeatReply,
-    JoinRequest,
-    ProxyGrant,
-    ProxyReport,
-)
+from bronzemoor_core.messages import JoinRequest, ProxyGrant, ProxyReport
 from bronzemoor_core.node import Node
 from bronzemoor_core.reconfiguration import MEMBERS
 from bronzemoor_core.settings import ControlSettings, NodeSettings
@@ -44,6 +39,7 @@
 from bronzemoor_daemon.datafolder import DataFolder, clear_folder
 from bronzemoor_daemon.storagethread import StorageThread
 from bronzemoor_daemon.wire.clock import boottime, logged_ms
+from bronzemoor_daemon.wire.joinrequests import JoinRequests
 from bronzemoor_daemon.wire.leader import Leader
 from bronzemoor_daemon.wire.links import Links
 from bronzemoor_daemon.wire.metrics import WireMetrics
@@ -64,7 +60,6 @@
     snapshot_entries=200,
     stale_after=2.0,
 )
-JOIN_INTERVAL_SECONDS = 0.5
 # Proxies whose last report is older are not notified of a new leader.
 PROXY_REQUEST_MAX_AGE_SECONDS = 3.0
 # Operators and members get an answer within this time.
@@ -101,7 +96,6 @@
         self._known_leader = ""
         # Time of the last report of each proxy that is to be notified of a new leader.
         self._waiting_proxies: dict[str, float] = {}
-        self._join_attempts = 0
         self._handling_own_messages = False
         self._storage = StorageThread(
             lambda: DataFolder(settings.data_folder),
@@ -111,6 +105,7 @@
         )
         self.seeds = list(settings.seeds)
         self.links = Links(settings.peer, self._on_message, report, metrics.sent_bytes)
+        self._joins = JoinRequests(self, settings, CONTROL_TIMERS.stale_after, report)
         self._node = self._make_node()
 
     # --- life cycle
@@ -120,7 +115,7 @@
         await self.links.start()
         await asyncio.to_thread(self._storage.start, required=False)
         self._tasks.repeat(self._tick_forever, "tick")
-        self._tasks.repeat(self._join_forever, "join")
+        self._tasks.repeat(self._joins.repeat, "join")
 
     async def stop(self) -> None:
         """Stops the leader and releases the data folder."""
@@ -306,8 +301,9 @@
         if is_leader and self._leader is None:
             self._report("info", "leading", term=self.log.term)
             self._leader = Leader(
-                self, self._settings, self._codec, self._read_document,
-                self._execute_promotion, self._report, self._metrics,
+                self, self._settings, CONTROL_TIMERS.stale_after, self._codec,
+                self._read_document, self._execute_promotion, self._report,
+                self._metrics,
             )  # fmt: skip
         elif not is_leader and self._leader is not None:
             fields = self._leader.authority_fields(boottime())
@@ -349,10 +345,9 @@
         self.links.send(proxy, grant)
 
     def _on_join_request(self, sender: str, message: JoinRequest) -> None:
-        reply = HeartbeatReply(0, self.leader_name, [], {}, 0)
-        self.links.send(sender, reply)
+        self._joins.answer(sender)
         if self._leader is not None:
-            self._leader.on_join(boottime(), sender)
+            self._leader.control_members.on_join(boottime(), sender)
 
     @property
     def controls(self) -> list[str]:
@@ -392,20 +387,5 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_SECONDS)
             self._handle(Tick())
-
-    async def _join_forever(self) -> None:
-        """Requests membership from the leader while not in the control group."""
-        while True:
-            await asyncio.sleep(JOIN_INTERVAL_SECONDS)
-            members = (*self.log.voters, *self.log.learners)
-            if self._settings.peer in members:
-                continue
-            others = [
-                name
-                for name in dict.fromkeys((self.leader_name, *self.seeds))
-                if name and name != self._settings.peer
-            ]
-            if others:
-                self._join_attempts += 1
-                target = others[self._join_attempts % len(others)]
-                self.links.send(target, JoinRequest("", 0))
+            if self._leader is not None:
+                self._leader.control_members.check(boottime())
--- a/packages/daemon/src/bronzemoor_daemon/wire/exposition.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/exposition.py
@@ -25,13 +25,13 @@
         for counter in self._metrics.counters:
             yield _counter_family(counter)
         yield _histogram_family(self._metrics.latency)
-        for gauge in self._metrics.gauges:
+        for gauge in self._metrics.labelled_gauges:
             family = GaugeMetricFamily(gauge.name, gauge.help, labels=gauge.labels)
             for labels, value in gauge.values.items():
                 family.add_metric(labels, value)
             yield family
-        sessions = self._metrics.sessions
-        yield GaugeMetricFamily(sessions.name, sessions.help, value=sessions.value)
+        for plain in self._metrics.gauges:
+            yield GaugeMetricFamily(plain.name, plain.help, value=plain.value)
         held = self._metrics.client_bytes
         family = GaugeMetricFamily(held.name, held.help, labels=(held.label,))
         total: dict[str, float] = {}
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -27,6 +27,7 @@
 from bronzemoor_core.wire.zoneshares import ZoneShares
 from bronzemoor_daemon.wire.clock import boottime, logged_ms
 from bronzemoor_daemon.wire.connectiondivision import ConnectionDivision
+from bronzemoor_daemon.wire.controlmembers import ControlMembers
 from bronzemoor_daemon.wire.leadergrants import (
     ANNOUNCE_INTERVAL_SECONDS,
     KnownVersions,
@@ -45,17 +46,18 @@
 if TYPE_CHECKING:
     from bronzemoor_daemon.wire.control import ControlDaemon
 
-# Minimum time between membership changes of the control group.
-GROUP_CHANGE_INTERVAL_SECONDS = 1.0
-
 
 class Leader:
-    """Exists from the first committed entry of a term until leadership is lost."""
+    """Exists from the first committed entry of a term until leadership is lost.
+
+    Members of the control group are lost after ``silent_after`` seconds of silence.
+    """
 
     def __init__(
         self,
         control: "ControlDaemon",
         settings: WireSettings,
+        silent_after: float,
         codec: StatementCodec,
         read_document: DocumentReader,
         execute_promotion: PromotionExecutor,
@@ -69,13 +71,15 @@
         # The term is above this bit and a counter below.
         self._topology_version = control.log.term << TERM_SHIFT_BITS
         self._views: list[GroupView] = []
-        self._group_changed_at = float("-inf")
         self._refresh_scheduled = False
         self._closed = False
         self.codec = codec
         self.execute_promotion = execute_promotion
         self.report = report
         self.metrics = metrics
+        self.control_members = ControlMembers(
+            control, settings, silent_after, report, metrics
+        )
         self.deployment: Deployment | None = None
         self.leases = LeaseTable(boottime())
         self._report_order = ReportOrder()
@@ -131,6 +135,7 @@
     def close(self) -> None:
         """Stops all supervisors; a new leader resumes promotions in progress."""
         self._closed = True
+        self.control_members.close()
         for supervisor in self._supervisors.values():
             supervisor.close()
 
@@ -340,43 +345,3 @@
         self._grants.send_grant(
             proxy, report.sequence, lease, known, with_samples, quotas
         )
-
-    # --- control group
-
-    def on_join(self, now: float, sender: str) -> None:
-        """Adds a daemon to the control group, or replaces an unreachable one by it."""
-        log = self._control.log
-        if now - self._group_changed_at < GROUP_CHANGE_INTERVAL_SECONDS or sender in (
-            *log.voters,
-            *log.learners,
-        ):
-            return
-        self._group_changed_at = now
-        self._control.spawn(self._join(sender), "add-voter")
-
-    async def _join(self, sender: str) -> None:
-        described = await self._control.describe_control_group()
-        members = described.body.get("members", [])
-        unreachable = [
-            item["name"]
-            for item in members
-            if not item["reachable"] and item["name"] != sender
-        ]
-        voters = [item for item in members if item["role"] != "learner"]
-        wanted = 2 * self._settings.tolerated_losses + 1
-        if unreachable:
-            change = {"type": "control.replace", "name": unreachable[0]}
-            change["replacement"] = sender
-        elif len(voters) < wanted:
-            change = {"type": "control.add", "name": sender}
-        else:
-            return
-        outcome = await self._control.propose(change, leader_only=True)
-        self.report(
-            "info",
-            "join",
-            peer=sender,
-            change=change["type"],
-            outcome=outcome.code,
-            message=outcome.body.get("message", ""),
-        )
--- a/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/metrics.py
@@ -95,6 +95,9 @@
         "changes",
         "connection_openings",
         "client_bytes",
+        "control_joiners",
+        "control_silent_voters",
+        "control_voters",
         "ended_transactions",
         "evicted_connections",
         "latency",
@@ -133,6 +136,17 @@
             "reason",
         )
         self.sessions = Gauge("bronzemoor_sessions", "Open client sessions")
+        self.control_voters = Gauge(
+            "bronzemoor_control_voters", "Voters of the control group, on its leader"
+        )
+        self.control_silent_voters = Gauge(
+            "bronzemoor_control_silent_voters",
+            "Voters that do not answer the control leader",
+        )
+        self.control_joiners = Gauge(
+            "bronzemoor_control_joiners",
+            "Control daemons outside the group that ask the leader to join",
+        )
         self.loads = LabelledGauge(
             "bronzemoor_member_load",
             "Statements believed in progress at a member",
@@ -224,7 +238,16 @@
         )
 
     @property
-    def gauges(self) -> tuple[LabelledGauge, ...]:
+    def gauges(self) -> tuple[Gauge, ...]:
+        return (
+            self.sessions,
+            self.control_voters,
+            self.control_silent_voters,
+            self.control_joiners,
+        )
+
+    @property
+    def labelled_gauges(self) -> tuple[LabelledGauge, ...]:
         return self.loads, self.load_ages, self.load_spreads
 
     def render(self) -> bytes:
