Let a control daemon that hears no leader ask to join, whatever its log says

Callers saw an acknowledged configuration that no machine could read back, and every statement refused, without an end: a voter that stood still for 3.5 s was replaced and never voted again, so that the group had two live voters of three and could bear no loss.

Cause: a voter that is removed while it does not listen gets no more messages, and its own log still names it as a member; a daemon asked to join only if its log did not. Seen in the logs of: the leader has outside_group for the new daemon and none for the voter, which reports group_silent with in_own_log=true until the end of the run.

Ruled out: the voter hearing the leader again, and a request that was refused. The decision to replace after 2 s is not the cause; a longer limit leaves the group one loss from its end for longer.

Change: a daemon asks once it has heard no leader for stale_after (JoinSearch). It asks the leader that others name, else its seeds and the members in its log in turn; so far control daemons ignored the answer to their request, so that only a seed that led could take them in. A daemon whose storage failed does not ask. Messages are as before.

Same cause, same change: learners removed while they catch up, a wiped disk whose log names its old identity, a daemon that was down during two changes, a leader that was replaced while it stood still.

--- a/packages/core/src/bronzemoor_core/wire/leadersearch.py
+++ b/packages/core/src/bronzemoor_core/wire/leadersearch.py
@@ -1,4 +1,4 @@
-"""Finds the control daemon that a proxy reports to.
+"""Finds the control leader, for a proxy or for a control daemon outside the group.
 
 Load pattern: the control leader is lost and all proxies look for the next one before
 their leases end, or some proxies are cut off and return. A proxy asks the control
--- a/packages/daemon/src/bronzemoor_daemon/wire/control.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/control.py
@@ -25,7 +25,12 @@
     Tick,
 )
 from bronzemoor_core.internal_events import CommandProposed
-from bronzemoor_core.messages import JoinRequest, ProxyGrant, ProxyReport
+from bronzemoor_core.messages import (
+    HeartbeatReply,
+    JoinRequest,
+    ProxyGrant,
+    ProxyReport,
+)
 from bronzemoor_core.node import Node
 from bronzemoor_core.reconfiguration import MEMBERS
 from bronzemoor_core.settings import ControlSettings, NodeSettings
@@ -321,6 +326,9 @@
                 self._on_proxy_report(sender, message)
             case JoinRequest():
                 self._on_join_request(sender, message)
+            case HeartbeatReply():
+                self._handle(PeerMessageReceived(sender, message))
+                self._joins.on_answer(boottime(), sender, message.leader)
             case _:
                 self._handle(PeerMessageReceived(sender, message))
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/controlmembers.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/controlmembers.py
@@ -67,8 +67,8 @@
                 silent_ms=logged_ms(silences[name]),
             )
         for name in sorted(self._silent - silent):
-            is_member = name in silences
-            self._report("info", "member_back", peer=name, is_member=is_member)
+            if name in silences:
+                self._report("info", "member_back", peer=name)
         self._silent = silent
         self._joiners = {
             name: asked_at
--- a/packages/daemon/src/bronzemoor_daemon/wire/joinrequests.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/joinrequests.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from bronzemoor_core.messages import HeartbeatReply, JoinRequest
+from bronzemoor_core.wire.joinsearch import JoinSearch
 from bronzemoor_daemon.wire.clock import boottime, logged_ms
 from bronzemoor_daemon.wire.settings import WireSettings
 
@@ -15,7 +16,7 @@
 
 
 class JoinRequests:
-    """Asks for membership of the control group while this daemon is not in it."""
+    """Asks for membership of the control group while this daemon may not be in it."""
 
     def __init__(
         self,
@@ -28,32 +29,34 @@
         self._settings = settings
         self._silent_after = silent_after
         self._report = report
-        self._attempts = 0
+        self._search = JoinSearch(settings.peer, silent_after)
         self._is_cut_off = False
 
     async def repeat(self) -> None:
         """Runs for the life of the daemon."""
         while True:
             await asyncio.sleep(JOIN_INTERVAL_SECONDS)
-            self._log_contact(boottime())
-            log = self._control.log
-            if self._settings.peer in (*log.voters, *log.learners):
-                continue
-            others = [
-                name
-                for name in dict.fromkeys((log.leader, *self._control.seeds))
-                if name and name != self._settings.peer
-            ]
-            if others:
-                self._attempts += 1
-                target = others[self._attempts % len(others)]
-                self._control.links.send(target, JoinRequest("", 0))
+            now = boottime()
+            self._log_contact(now)
+            if self._search.should_ask(now, self._control.log):
+                seeds = self._control.seeds
+                self._ask(self._search.next_target(now, self._control.log, seeds))
 
     def answer(self, sender: str) -> None:
         """Tells another daemon who leads."""
         reply = HeartbeatReply(0, self._control.leader_name, [], {}, 0)
         self._control.links.send(sender, reply)
 
+    def on_answer(self, now: float, sender: str, leader: str) -> None:
+        """Asks a leader at once that another daemon named."""
+        is_news = self._search.on_answer(now, sender, leader)
+        if is_news and self._search.should_ask(now, self._control.log):
+            self._ask(leader)
+
+    def _ask(self, target: str) -> None:
+        if target:
+            self._control.links.send(target, JoinRequest("", 0))
+
     def _log_contact(self, now: float) -> None:
         """Logs when this daemon hears no leader any more, and when it does again."""
         log = self._control.log
@@ -65,6 +68,6 @@
                 "warning" if is_cut_off else "info",
                 "group_silent" if is_cut_off else "group_heard",
                 contact_ms=logged_ms(silence),
-                in_own_log=self._settings.peer in (*log.voters, *log.learners),
+                in_own_log=self._search.is_in_own_log(log),
                 term=log.term,
             )
--- a/tests/adapter/system.py
+++ b/tests/adapter/system.py
@@ -110,14 +110,8 @@
         await self.group.start()
         addresses = free_addresses(7)
         seeds = tuple(addresses[:3])
-        for number, peer in enumerate(seeds):
-            settings = self._settings(f"control-{number}", CONTROL, peer, seeds)
-            control = ControlDaemon(
-                settings, self._codec, read_document, self._promote, self._report,
-                WireMetrics(),
-            )  # fmt: skip
-            self.controls.append(control)
-            await control.start()
+        for peer in seeds:
+            await self._start_control(peer, seeds, first_start=True)
         for number, peer in enumerate(addresses[3:5]):
             settings = self._settings(f"proxy-{number}", PROXY, peer, seeds)
             settings.listen_clients = addresses[5 + number]
@@ -128,6 +122,24 @@
             self.client_addresses.append(addresses[5 + number])
             await proxy.start()
 
+    async def add_control(self, seeds: tuple[str, ...] = ()) -> ControlDaemon:
+        """Starts one more control daemon, which knows the first ones or ``seeds``."""
+        (peer,) = free_addresses(1)
+        seeds = seeds or tuple(c.links._name for c in self.controls[:3])
+        return await self._start_control(peer, seeds, first_start=False)
+
+    async def _start_control(self, peer, seeds, first_start) -> ControlDaemon:
+        name = f"control-{len(self.controls)}"
+        settings = self._settings(name, CONTROL, peer, seeds)
+        settings.first_start = first_start
+        control = ControlDaemon(
+            settings, self._codec, read_document, self._promote, self._report,
+            WireMetrics(),
+        )  # fmt: skip
+        self.controls.append(control)
+        await control.start()
+        return control
+
     async def deploy(self, version: int = 1, **changes) -> None:
         """Applies a document, announces the members and waits for the proxies."""
         await self.until(lambda: any(c.leader_name for c in self.controls))
