Decide in the core who is taken into the control group

Which daemon takes whose place stood in the daemon's leader, so that no interleaving of the log's property tests contained it: those had no removal of a live voter, no return and no later loss.

Change: ControlGroup decides from what the leader publishes in the log section; the daemon only commits its decision. One difference: whether a member is silent is no longer asked through a quorum read. The change has to be committed by a quorum all the same, so a deposed leader decides nothing. The line `join` is now `group_change` and names the member.

Tests: the state machine of test_consensus gets spare daemons for groups of 3 and 5 (voters cut off for long enough to be replaced, a lost disk meanwhile, then losses for good until the spares are used up and one more), with the check that no change of a leader moves the majority by more than one voter. test_replaced_voters covers a leader that stood still, a daemon that was down during two changes and a learner that was removed while it caught up.

--- a/packages/core/src/bronzemoor_core/wire/joinsearch.py
+++ b/packages/core/src/bronzemoor_core/wire/joinsearch.py
@@ -54,7 +54,7 @@
         return self._search.next_target()
 
     def on_answer(self, now: float, sender: str, leader: str) -> bool:
-        """Handles an answer; returns whether to ask the leader that it names at once."""
+        """Handles an answer; returns whether to ask the leader it names at once."""
         if leader == self._name:
             return False
         if leader == sender:
--- a/packages/core/tests/logcluster.py
+++ b/packages/core/tests/logcluster.py
@@ -6,10 +6,11 @@
 from virtual import TICK, Machine, Network
 
 from bronzemoor_core import actions
+from bronzemoor_core.actions import SendPeerMessage
 from bronzemoor_core.blackboard import Blackboard
 from bronzemoor_core.consensus import Consensus
 from bronzemoor_core.controllers import handles
-from bronzemoor_core.events import StorageSynced
+from bronzemoor_core.events import PeerMessageReceived, StorageSynced, Tick
 from bronzemoor_core.internal_events import (
     CommandApplied,
     CommandCommitted,
@@ -21,8 +22,11 @@
     SnapshotRequested,
     SnapshotRestored,
 )
+from bronzemoor_core.messages import HeartbeatReply, JoinRequest
 from bronzemoor_core.settings import ControlSettings, NodeSettings
 from bronzemoor_core.storage import MemoryStorage
+from bronzemoor_core.wire.controlgroup import ControlGroup
+from bronzemoor_core.wire.joinsearch import JoinSearch
 
 
 class Disk:
@@ -72,6 +76,50 @@
         return CommandApplied(index, event.command, result, event.origin)
 
 
+class Joins:
+    """Asks to join the group; as leader, keeps it at its size."""
+
+    interval = 0.1
+
+    def __init__(self, name, cluster, log):
+        self.name, self.cluster, self.log = name, cluster, log
+        self.search = JoinSearch(name, cluster.timers.stale_after)
+        self.next_ask = 0.0
+
+    @handles(Tick)
+    def on_tick(self, now, event):
+        if now < self.next_ask or not self.search.should_ask(now, self.log):
+            return []
+        self.next_ask = now + self.interval
+        return self.ask(self.search.next_target(now, self.log, self.cluster.all_names))
+
+    @handles(PeerMessageReceived)
+    def on_message(self, now, event):
+        message, sender = event.message, event.sender
+        if isinstance(message, HeartbeatReply):
+            is_news = self.search.on_answer(now, sender, message.leader)
+            is_news = is_news and self.search.should_ask(now, self.log)
+            return self.ask(message.leader) if is_news else []
+        if not isinstance(message, JoinRequest):
+            return []
+        reply = HeartbeatReply(0, self.log.leader, [], {}, 0)
+        change = self.log.established and self.group().change_for(now, sender)
+        return [SendPeerMessage(sender, reply), *self.proposed(change)]
+
+    def ask(self, target):
+        return [SendPeerMessage(target, JoinRequest("", 0))] if target else []
+
+    def proposed(self, change):
+        return [CommandProposed(change.command, "join", True)] if change else []
+
+    def group(self):
+        log, cluster = self.log, self.cluster
+        return ControlGroup(
+            self.name, log.voters, log.learners, log.last_replies,
+            cluster.timers.stale_after, len(cluster.names) // 2,
+        )  # fmt: skip
+
+
 class LogMember(Machine):
     """A daemon that runs only the log and the replicated values."""
 
@@ -83,7 +131,18 @@
         self.consensus = Consensus(blackboard, self.settings, Random(seed))
         self.log, self.disk, self.state = blackboard.log, disk, Values(cluster)
         self.completed, self.replies = [], []
-        super().__init__(cluster, name, self.consensus, self.state)
+        # The term that this member leads and the voters that it last had in it.
+        self.led_group = (0, frozenset())
+        joins = [Joins(name, cluster, self.log)] if cluster.joins else []
+        super().__init__(cluster, name, self.consensus, self.state, *joins)
+
+    def handle(self, event):
+        super().handle(event)
+        if self.log.role == "leader":
+            term, voters = self.led_group
+            self.led_group = (self.log.term, frozenset(self.log.voters))
+            changed = self.led_group[1] ^ voters
+            assert term != self.log.term or len(changed) <= 1, "majorities are apart"
 
     def observe(self, event):
         if isinstance(event, CommandCompleted):
@@ -108,18 +167,25 @@
 
 
 class Cluster(Network):
-    """A control group; ``slow_disks`` names members whose syncs take 100 ms longer."""
+    """A control group; ``slow_disks`` names members whose syncs take 100 ms longer.
+
+    With ``spares`` more daemons, all ask to join while they are not in the group.
+    """
 
-    def __init__(self, size, seed=1, snapshot_entries=5_000, start=True):
+    def __init__(self, size, seed=1, snapshot_entries=5_000, start=True, spares=0):
         super().__init__(seed)
+        self.joins = spares > 0
         self.timers = ControlSettings(
             snapshot_entries=snapshot_entries, stale_after=0.5
         )
         self.names = tuple(f"vm-{number}" for number in range(1, size + 1))
-        self.disks = {name: Disk() for name in self.names}
+        self.all_names = [f"vm-{number}" for number in range(1, size + spares + 1)]
+        self.disks = {name: Disk() for name in self.all_names}
         self.leaders, self.committed, self.completions = {}, {}, []
         self.sync_delay, self.slow_disks = 0.004, set()
         for name in self.names if start else ():
+            self.start(name, control_members=self.names)
+        for name in self.all_names[size:] if start else ():
             self.start(name)
 
     @property
@@ -128,6 +194,9 @@
 
     def start(self, name, rate=1.0, **settings):
         disk = self.disks.setdefault(name, Disk())
+        if self.joins:
+            peers = dict.fromkeys(self.all_names, "")
+            settings = {"control_members": (), "peers": peers, **settings}
         member = LogMember(self, name, disk, self.random.random(), **settings)
         self.machines[name], member.rate = member, rate
         member.handle(disk.storage.recover())
--- a/packages/core/tests/test_consensus.py
+++ b/packages/core/tests/test_consensus.py
@@ -136,10 +136,16 @@
     """Injects faults in any order; the cluster checks safety at every step."""
 
     size = 3
+    spares = 0
+    # Covers an election; replaced voters also have to be noticed and to catch up.
+    recovery_seconds = 2.5
 
     def __init__(self):
         super().__init__()
-        self.cluster = Cluster(self.size, seed=self.size, snapshot_entries=15)
+        self.cluster = Cluster(
+            self.size, seed=self.size, snapshot_entries=15, spares=self.spares
+        )
+        self.names = self.cluster.all_names
         self.number = 0
         self.acknowledged_before = {}
         self.disk_lost = False
@@ -162,7 +168,7 @@
 
     @rule(which=st.integers(0, 4), synced=st.integers(0, 3), pause=st.booleans())
     def crash(self, which, synced, pause):
-        self.cluster.crash(self.cluster.names[which % self.size], synced)
+        self.cluster.crash(self.names[which % len(self.names)], synced)
         if pause:
             self.cluster.run(0.3)
 
@@ -203,7 +209,7 @@
     def lose_power(self, synced, slow, count):
         """All members stop at once, some before their syncs; the leader stays down."""
         cluster, leader = self.cluster, self.cluster.leader()
-        cluster.slow_disks = {cluster.names[i % self.size] for i in slow}
+        cluster.slow_disks = {self.names[i % len(self.names)] for i in slow}
         if leader:
             cluster.slow_disks.discard(leader.name)
             for _ in range(count):
@@ -211,7 +217,7 @@
                 cluster.propose(leader, self.number)
         cluster.run(0.03)
         cluster.slow_disks = set()
-        for name, open_writes in zip(cluster.names, synced, strict=False):
+        for name, open_writes in zip(self.names, synced, strict=False):
             cluster.crash(name, open_writes)
             if not leader or name != leader.name:
                 cluster.start(name)
@@ -222,20 +228,20 @@
     def lose_disk(self, which):
         """Loses at most one disk in a run, since a group of three tolerates no more."""
         self.disk_lost = True
-        name = self.cluster.names[which % self.size]
+        name = self.names[which % len(self.names)]
         self.cluster.crash(name)
         self.cluster.disks[name] = Disk()
         self.cluster.start(name)
 
     @rule(which=st.integers(0, 4), rate=st.sampled_from([0.9, 1.0, 1.1]))
     def restart(self, which, rate):
-        name = self.cluster.names[which % self.size]
+        name = self.names[which % len(self.names)]
         if name not in self.cluster.machines:
             self.cluster.start(name, rate)
 
     @rule(names=st.sets(st.integers(0, 4), max_size=2))
     def partition(self, names):
-        self.cluster.cut = {self.cluster.names[i % self.size] for i in names}
+        self.cluster.cut = {self.names[i % len(self.names)] for i in names}
 
     @precondition(lambda self: self.cluster.members)
     @rule(which=st.integers(0, 4), count=st.integers(1, 8))
@@ -265,13 +271,17 @@
         cluster = self.cluster
         cluster.loss = cluster.duplication = 0.0
         cluster.delay, cluster.sync_delay, cluster.cut = 0.005, 0.004, set()
-        for name in cluster.names:
+        for name in self.names:
             if name not in cluster.machines:
                 cluster.start(name)
-        cluster.run(2.5)
+        cluster.run(self.recovery_seconds)
         leader = cluster.leader()
         assert leader is not None, "no leader after all faults ended"
-        for member in cluster.members:
+        replicas = cluster.members
+        if self.spares:
+            assert len(leader.log.voters) == self.size and not leader.log.learners
+            replicas = [cluster.machines[name] for name in leader.log.voters]
+        for member in replicas:
             assert member.state.values == leader.state.values
         assert self.acknowledged() <= set(leader.state.values), "a command was lost"
         refused = self.answered("no_leader")
@@ -299,7 +309,56 @@
     size = 5
 
 
+class ReplacedVoters(LogMachine):
+    """Voters that are silent are replaced by a spare daemon, and may come back."""
+
+    spares = 1
+    recovery_seconds = 5.0
+
+    @rule(
+        which=st.integers(0, 4),
+        seconds=st.sampled_from([0.4, 0.5, 0.55, 0.6, 0.65, 0.7, 1.6]),
+        wiped=st.integers(-2, 4),
+    )
+    def stand_still(self, which, seconds, wiped):
+        """Cuts one daemon off for long enough to be replaced, or almost.
+
+        Meanwhile another one may lose its disk, which is not more disks than allowed.
+        """
+        self.cluster.cut = {self.names[which % len(self.names)]}
+        self.cluster.run(seconds)
+        if 0 <= wiped != which and not self.disk_lost:
+            self.lose_disk(wiped)
+        self.cluster.run(0.1)
+        self.cluster.cut = set()
+
+    def teardown(self):
+        """Loses voters for good, one after the other, while spares can replace them."""
+        super().teardown()
+        for _ in range(self.spares):
+            lost = next(n for n in self.voters() if n != self.cluster.leader().name)
+            self.cluster.crash(lost)
+            self.cluster.run(2.0)
+            assert len(self.voters()) == self.size and lost not in self.voters()
+        self.cluster.crash(self.voters()[0])
+        self.cluster.run(1.0)
+        assert self.cluster.leader(), "one more loss ended the group"
+        assert self.acknowledged() <= set(self.cluster.leader().state.values)
+
+    def voters(self):
+        return self.cluster.leader().log.voters
+
+
+class FiveReplacedVoters(ReplacedVoters):
+    size = 5
+    spares = 2
+
+
 TestThreeMembers = LogMachine.TestCase
 TestThreeMembers.settings = PROFILE
 TestFiveMembers = FiveMembers.TestCase
 TestFiveMembers.settings = PROFILE
+TestReplacedVoters = ReplacedVoters.TestCase
+TestReplacedVoters.settings = PROFILE
+TestFiveReplacedVoters = FiveReplacedVoters.TestCase
+TestFiveReplacedVoters.settings = PROFILE
--- /dev/null
+++ b/packages/core/tests/test_replaced_voters.py
@@ -0,0 +1,87 @@
+"""Tests of voters that are silent for a while and lose their place in the group."""
+
+from functools import partial
+
+from logcluster import Cluster
+
+
+def until(cluster, condition, seconds=5.0, step=0.01):
+    for _ in range(int(seconds / step)):
+        if condition():
+            return
+        cluster.run(step)
+    raise AssertionError("not reached")
+
+
+def replace_one(cluster, name):
+    """Cuts a voter off until a spare daemon has its place."""
+    cluster.cut = {name}
+    until(cluster, partial(is_whole, cluster, without=name))
+
+
+def is_whole(cluster, without=""):
+    """Returns whether the group has its size and all its voters run."""
+    leader = cluster.leader()
+    log = leader and leader.log
+    return (
+        log
+        and log.established
+        and len(log.voters) == len(cluster.names)
+        and not log.learners
+        and without not in log.voters
+        and all(voter in cluster.machines for voter in log.voters)
+    )
+
+
+def other_voters(cluster):
+    """Returns the names of the voters that do not lead."""
+    leader = cluster.leader()
+    return [name for name in leader.log.voters if name != leader.name]
+
+
+def test_a_leader_that_was_replaced_while_it_stood_still_joins_again():
+    """Guards against a thawed leader that believes its own old log for ever."""
+    cluster = Cluster(3, spares=1)
+    old = cluster.elect()
+    replace_one(cluster, old.name)
+    cluster.cut = set()
+    term = cluster.leader().log.term
+    cluster.run(1.0)
+    assert cluster.leader().log.term == term and old.log.role != "leader"
+    cluster.crash(other_voters(cluster)[0])
+    until(cluster, partial(is_whole, cluster))
+    assert old.name in cluster.leader().log.voters
+
+
+def test_a_daemon_that_was_down_during_two_changes_joins_again():
+    """Guards against a daemon that asks only members which left meanwhile."""
+    cluster = Cluster(3, spares=2)
+    leader = cluster.elect()
+    down, lost = other_voters(cluster)
+    for name in (down, lost):
+        cluster.crash(name)
+        until(cluster, partial(is_whole, cluster, without=name))
+    cluster.crash(leader.name)
+    cluster.start(down)
+    until(cluster, partial(is_whole, cluster))
+    assert down in cluster.leader().log.voters
+
+
+def test_a_learner_that_was_removed_while_it_caught_up_joins_again():
+    """Guards against a learner that counts itself as a member for ever."""
+    cluster = Cluster(3, spares=2)
+    leader = cluster.elect()
+    lost = other_voters(cluster)[0]
+    first, second = cluster.all_names[3:]
+    cluster.crash(second)
+    cluster.crash(lost)
+    cluster.slow_disks = {first}
+    until(cluster, lambda: first in cluster.machines[first].log.learners)
+    cluster.cut = {first}
+    cluster.slow_disks = set()
+    cluster.start(second)
+    until(cluster, partial(is_whole, cluster, without=first))
+    cluster.cut = set()
+    cluster.crash(second)
+    until(cluster, partial(is_whole, cluster, without=second))
+    assert first in leader.log.voters
--- a/packages/daemon/src/bronzemoor_daemon/wire/controlmembers.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/controlmembers.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from bronzemoor_core.wire.controlgroup import ControlGroup, GroupChange
 from bronzemoor_daemon.wire.clock import logged_ms
 from bronzemoor_daemon.wire.metrics import WireMetrics
 from bronzemoor_daemon.wire.settings import WireSettings
@@ -36,47 +37,47 @@
         self._report = report
         self._metrics = metrics
         self._changed_at = float("-inf")
-        self._silent: set[str] = set()
+        self._lost: set[str] = set()
         # Time of the last request of each daemon that asks to join.
         self._joiners: dict[str, float] = {}
 
     def on_join(self, now: float, sender: str) -> None:
-        """Adds a daemon to the control group, or replaces an unreachable one by it."""
-        log = self._control.log
-        if sender in (*log.voters, *log.learners):
+        """Takes a daemon into the control group if the group needs one."""
+        group = self._group()
+        if sender in (*group.voters, *group.learners):
             return
         if sender not in self._joiners:
             self._report("info", "outside_group", peer=sender)
         self._joiners[sender] = now
-        if now - self._changed_at < GROUP_CHANGE_INTERVAL_SECONDS:
-            return
-        self._changed_at = now
-        self._control.spawn(self._join(sender), "add-voter")
+        change = group.change_for(now, sender)
+        if change and now - self._changed_at >= GROUP_CHANGE_INTERVAL_SECONDS:
+            self._changed_at = now
+            self._start_change(change)
 
     def check(self, now: float) -> None:
         """Logs members that became silent or answer again, and sets the gauges."""
-        log = self._control.log
-        silences = {name: now - last for name, last in log.last_replies.items()}
-        silent = {n for n, silence in silences.items() if silence >= self._silent_after}
-        for name in sorted(silent - self._silent):
+        group = self._group()
+        silences = {name: group.silence(now, name) for name in group.last_replies}
+        lost = set(group.lost(now, list(silences)))
+        for name in sorted(lost - self._lost):
             self._report(
                 "warning",
                 "member_silent",
                 peer=name,
-                voter=name in log.voters,
+                voter=name in group.voters,
                 silent_ms=logged_ms(silences[name]),
             )
-        for name in sorted(self._silent - silent):
+        for name in sorted(self._lost - lost):
             if name in silences:
                 self._report("info", "member_back", peer=name)
-        self._silent = silent
+        self._lost = lost
         self._joiners = {
             name: asked_at
             for name, asked_at in self._joiners.items()
             if now - asked_at < JOINER_TIMEOUT_SECONDS
-            and name not in (*log.voters, *log.learners)
+            and name not in (*group.voters, *group.learners)
         }
-        self._set_gauges(len(log.voters), sum(n in silent for n in log.voters))
+        self._set_gauges(len(group.voters), len(lost.intersection(group.voters)))
 
     def close(self) -> None:
         """Clears the gauges, since another daemon leads."""
@@ -88,30 +89,28 @@
         self._metrics.control_silent_voters.value = silent
         self._metrics.control_joiners.value = len(self._joiners)
 
-    async def _join(self, sender: str) -> None:
-        described = await self._control.describe_control_group()
-        members = described.body.get("members", [])
-        unreachable = [
-            item["name"]
-            for item in members
-            if not item["reachable"] and item["name"] != sender
-        ]
-        voters = [item for item in members if item["role"] != "learner"]
-        wanted = 2 * self._settings.tolerated_losses + 1
-        if unreachable:
-            change = {"type": "control.replace", "name": unreachable[0]}
-            change["replacement"] = sender
-        elif len(voters) < wanted:
-            change = {"type": "control.add", "name": sender}
-        else:
-            return
-        outcome = await self._control.propose(change, leader_only=True)
+    def _group(self) -> ControlGroup:
+        log = self._control.log
+        return ControlGroup(
+            self._settings.peer,
+            log.voters,
+            log.learners,
+            log.last_replies,
+            self._silent_after,
+            self._settings.tolerated_losses,
+        )
+
+    def _start_change(self, change: GroupChange) -> None:
+        self._control.spawn(self._commit_change(change), "group-change")
+
+    async def _commit_change(self, change: GroupChange) -> None:
+        outcome = await self._control.propose(change.command, leader_only=True)
         self._report(
             "info",
-            "join",
-            peer=sender,
-            change=change["type"],
-            member=change["name"],
+            "group_change",
+            change=change.kind,
+            member=change.member,
+            replacement=change.replacement,
             outcome=outcome.code,
             message=outcome.body.get("message", ""),
         )
