Let a lost learner give its place away before a lost voter does

What callers would see: with five voters, a voter is lost, the daemon that takes its place is lost while it catches up, and one more voter is lost. The group then has four voters and a learner, three of them alive, and every further loss ends it, though sound daemons ask to join.

Cause: the leader wanted to replace the lost voter first. That is refused (change_in_progress) while a learner catches up, and the learner never does. Groups of three cannot come there: with both lost they have no leader.

Change: lost learners come first.

Result: test_a_lost_learner_gives_its_place_away_before_a_voter_does fails before (the joiner is no voter after 5 s) and passes.

--- a/packages/core/src/bronzemoor_core/wire/controlgroup.py
+++ b/packages/core/src/bronzemoor_core/wire/controlgroup.py
@@ -57,10 +57,14 @@
         return sorted(silent, key=lambda name: -silences[name])
 
     def change_for(self, now: float, joiner: str) -> GroupChange | None:
-        """Returns the change that takes in a daemon, None if the group needs none."""
+        """Returns the change that takes in a daemon, None if the group needs none.
+
+        One daemon catches up at a time. A learner that is lost gives its place away
+        before any voter does, since it would hold up every other change.
+        """
         if joiner in self.voters or joiner in self.learners:
             return None
-        lost = self.lost(now, self.voters) + self.lost(now, self.learners)
+        lost = self.lost(now, self.learners) + self.lost(now, self.voters)
         if lost:
             return GroupChange(REPLACE, lost[0], replacement=joiner)
         if len(self.voters) < self.wanted_voters:
--- a/packages/core/tests/test_replaced_voters.py
+++ b/packages/core/tests/test_replaced_voters.py
@@ -85,3 +85,25 @@
     cluster.crash(second)
     until(cluster, partial(is_whole, cluster, without=second))
     assert first in leader.log.voters
+
+
+def test_a_lost_learner_gives_its_place_away_before_a_voter_does():
+    """Guards against a lost learner that holds up every change of the group.
+
+    The leader wanted to replace the lost voter first, which was refused as long as a
+    learner was catching up: five voters stayed four, three of them alive.
+    """
+    cluster = Cluster(5, spares=2)
+    leader = cluster.elect()
+    first, second = cluster.all_names[5:]
+    cluster.crash(second)
+    lost = other_voters(cluster)[:2]
+    cluster.crash(lost[0])
+    until(cluster, lambda: first in leader.log.learners)
+    cluster.crash(first)
+    cluster.crash(lost[1])
+    cluster.run(1.0)
+    cluster.start(second)
+    until(cluster, lambda: second in leader.log.voters)
+    cluster.start(lost[0])
+    until(cluster, partial(is_whole, cluster))
