Do not tell proxies the members of an old log

What callers would see: a proxy that looks for the leader asks a control daemon that was replaced. It gets the members of that daemon's old log in place of those that it knew, and no leader; if these members have left since, the proxy finds no leader any more and serves nobody until its seeds are changed.

Cause: a daemon outside the group answered as if it were a member.

Ruled out: that proxies drop the answer, as they do with older topologies; the list of control daemons has no version.

Change: a daemon that has heard no leader for stale_after, or that its log does not name, tells no members, so that proxies keep theirs. It names the leader that it heard of in its search, to proxies and to other daemons that ask to join.

--- a/packages/daemon/src/bronzemoor_daemon/wire/control.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/control.py
@@ -349,8 +349,8 @@
                 self._send_leader_name(proxy, 0)
 
     def _send_leader_name(self, proxy: str, sequence: int) -> None:
-        grant = ProxyGrant(sequence, self.leader_name, 0, 0, b"", 0, [], self.controls)
-        self.links.send(proxy, grant)
+        leader, controls = self._joins.leader, self.controls
+        self.links.send(proxy, ProxyGrant(sequence, leader, 0, 0, b"", 0, [], controls))
 
     def _on_join_request(self, sender: str, message: JoinRequest) -> None:
         self._joins.answer(sender)
@@ -359,8 +359,13 @@
 
     @property
     def controls(self) -> list[str]:
-        """Control daemons that proxies may contact."""
-        return [*self.log.voters, *self.log.learners] or self.seeds
+        """Control daemons that proxies may contact, empty if they know better.
+
+        Outside the group this daemon's log may name members that left long ago.
+        """
+        if not self._joins.is_member(boottime()):
+            return []
+        return [*self.log.voters, *self.log.learners]
 
     # --- storage
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/joinrequests.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/joinrequests.py
@@ -32,6 +32,15 @@
         self._search = JoinSearch(settings.peer, silent_after)
         self._is_cut_off = False
 
+    @property
+    def leader(self) -> str:
+        """The leader as the log or other daemons name it, empty while unknown."""
+        return self._control.leader_name or self._search.leader
+
+    def is_member(self, now: float) -> bool:
+        """Returns whether this daemon is in the group as far as it can know."""
+        return self._search.is_member(now, self._control.log)
+
     async def repeat(self) -> None:
         """Runs for the life of the daemon."""
         while True:
@@ -44,8 +53,7 @@
 
     def answer(self, sender: str) -> None:
         """Tells another daemon who leads."""
-        reply = HeartbeatReply(0, self._control.leader_name, [], {}, 0)
-        self._control.links.send(sender, reply)
+        self._control.links.send(sender, HeartbeatReply(0, self.leader, [], {}, 0))
 
     def on_answer(self, now: float, sender: str, leader: str) -> None:
         """Asks a leader at once that another daemon named."""
