--- a/packages/daemon/src/bronzemoor_daemon/wire/control.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/control.py
@@ -325,7 +325,7 @@
             case ProxyReport():
                 self._on_proxy_report(sender, message)
             case JoinRequest():
-                self._on_join_request(sender, message)
+                self._joins.on_request(boottime(), sender, self._leader)
             case HeartbeatReply():
                 self._handle(PeerMessageReceived(sender, message))
                 self._joins.on_answer(boottime(), sender, message.leader)
@@ -352,16 +352,11 @@
         leader, controls = self._joins.leader, self.controls
         self.links.send(proxy, ProxyGrant(sequence, leader, 0, 0, b"", 0, [], controls))
 
-    def _on_join_request(self, sender: str, message: JoinRequest) -> None:
-        self._joins.answer(sender)
-        if self._leader is not None:
-            self._leader.control_members.on_join(boottime(), sender)
-
     @property
     def controls(self) -> list[str]:
-        """Control daemons that proxies may contact, empty if they know better.
+        """Control daemons that proxies may contact; empty outside the group.
 
-        Outside the group this daemon's log may name members that left long ago.
+        The log of a daemon outside may name members that left long ago.
         """
         if not self._joins.is_member(boottime()):
             return []
--- a/packages/daemon/src/bronzemoor_daemon/wire/controlmembers.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/controlmembers.py
@@ -60,35 +60,40 @@
     def check(self, now: float) -> None:
         """Removes a voter that was replaced; logs members that are lost or back."""
         group = self._group()
-        silences = {name: group.silence(now, name) for name in group.last_replies}
-        lost = set(group.lost(now, list(silences)))
+        self._log_losses(now, group)
+        self._forget_joiners(now, group)
+        lost_voters = self._lost.intersection(group.voters)
+        self._set_gauges(len(group.voters), len(lost_voters))
+        surplus = group.surplus_change(now)
+        if surplus and not self._is_changing:
+            self._start_change(surplus)
+
+    def close(self) -> None:
+        """Clears the gauges, since another daemon leads."""
+        self._joiners = {}
+        self._set_gauges(0, 0)
+
+    def _log_losses(self, now: float, group: ControlGroup) -> None:
+        members = list(group.last_replies)
+        lost = set(group.lost(now, members))
         for name in sorted(lost - self._lost):
             self._report(
                 "warning",
                 "member_silent",
                 peer=name,
                 voter=name in group.voters,
-                silent_ms=logged_ms(silences[name]),
+                silent_ms=logged_ms(group.silence(now, name)),
             )
-        for name in sorted(self._lost - lost):
-            if name in silences:
-                self._report("info", "member_back", peer=name)
+        # One that was removed while it was silent is not back.
+        for name in sorted((self._lost - lost).intersection(members)):
+            self._report("info", "member_back", peer=name)
         self._lost = lost
-        self._joiners = {
-            name: asked_at
-            for name, asked_at in self._joiners.items()
-            if now - asked_at < JOINER_TIMEOUT_SECONDS
-            and name not in (*group.voters, *group.learners)
-        }
-        self._set_gauges(len(group.voters), len(lost.intersection(group.voters)))
-        surplus = group.surplus_change(now)
-        if surplus and not self._is_changing:
-            self._start_change(surplus)
 
-    def close(self) -> None:
-        """Clears the gauges, since another daemon leads."""
-        self._joiners = {}
-        self._set_gauges(0, 0)
+    def _forget_joiners(self, now: float, group: ControlGroup) -> None:
+        for name, asked_at in list(self._joiners.items()):
+            is_member = name in group.voters or name in group.learners
+            if is_member or now - asked_at >= JOINER_TIMEOUT_SECONDS:
+                del self._joiners[name]
 
     def _set_gauges(self, voters: int, silent: int) -> None:
         self._metrics.control_voters.value = voters
--- a/packages/daemon/src/bronzemoor_daemon/wire/joinrequests.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/joinrequests.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from bronzemoor_daemon.wire.control import ControlDaemon
+    from bronzemoor_daemon.wire.leader import Leader
 
 JOIN_INTERVAL_SECONDS = 0.5
 
@@ -51,9 +52,11 @@
                 seeds = self._control.seeds
                 self._ask(self._search.next_target(now, self._control.log, seeds))
 
-    def answer(self, sender: str) -> None:
-        """Tells another daemon who leads."""
+    def on_request(self, now: float, sender: str, own_leader: "Leader | None") -> None:
+        """Tells another daemon who leads; as the leader, considers its request."""
         self._control.links.send(sender, HeartbeatReply(0, self.leader, [], {}, 0))
+        if own_leader is not None:
+            own_leader.control_members.on_join(now, sender)
 
     def on_answer(self, now: float, sender: str, leader: str) -> None:
         """Asks a leader at once that another daemon named."""
