Let the soak replace voters that come back

With a seed whose quarter is odd one more waits, and voters are suspended or stopped for 3 to 6 s, then go on with the disk whose log still names them.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,14 +6,14 @@
 process that exits unexpectedly, service restored within ``RECOVERY_TIMEOUT_SECONDS``
 after the last fault. With an odd seed the proxies share the members' connections. With
 a seed whose half is odd, clients have keys: no statement may run for another
-organisation or for a key that was withdrawn for ``WITHDRAWAL_SECONDS``.
+organisation or for a key that was withdrawn for ``WITHDRAWAL_SECONDS``. With a seed
+whose quarter is odd, one more control daemon waits for the place of a lost one.
 """
 
 import argparse
 import asyncio
 import json
 import os
-import shutil
 import signal
 import sys
 import tempfile
@@ -26,6 +26,7 @@
 sys.path += [str(ROOT / path) for path in ("tests/adapter", "tests/soak", "platform")]
 
 from fake_members import FakeGroup  # noqa: E402
+from faults import Faults  # noqa: E402
 from keys import Keys  # noqa: E402
 from relay import Relay  # noqa: E402
 from system import Client, make_document  # noqa: E402
@@ -44,8 +45,6 @@
 # Connection limits of a member: enough for all proxies, and so few that they share.
 AMPLE_CONNECTIONS = 22
 SCARCE_CONNECTIONS = 5
-# Time in which a control daemon that lost its disk rejoins and catches up.
-DISK_RECOVERY_SECONDS = 8.0
 NO_EFFECT_ERRORS = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT")
 WRITE_NUMBERS = count(1)
 
@@ -112,6 +111,7 @@
         self.folder = folder
         self.scarce = seed % 2 == 1
         self.keys = Keys(self.random) if seed // 2 % 2 == 1 else None
+        self.has_spare = seed // 4 % 2 == 1
         # Concurrent runs use different loopback addresses.
         self.subnet = 1 + os.getpid() % 250
         self.ports = [20_000 + 4 * (seed % 1_000) + i for i in range(4)]
@@ -124,6 +124,16 @@
         self.version = self.accepted = 0
         self.problems: list[str] = []
         self.stopping = False
+        self.faults = Faults(self)
+
+    @property
+    def controls(self) -> list[Program]:
+        """The control daemons, with the one that waits for a place."""
+        return [p for p in self.programs if "control" in p.settings["listen_addrs"]]
+
+    @property
+    def proxies(self) -> list[Program]:
+        return [p for p in self.programs if "front" in p.settings["listen_addrs"]]
 
     # --- life cycle
 
@@ -136,6 +146,7 @@
             self.relays[name] = Relay(lambda member=member: member.address)
             await self.relays[name].start()
         roles = ["control_plane"] * CONTROL_COUNT + ["edge"] * PROXY_COUNT
+        roles += ["control_plane"] * self.has_spare
         for number, role in enumerate(roles, start=1):
             name, ip = f"{role}-{number}", f"127.0.{self.subnet}.{number}"
             (self.folder / name).mkdir()
@@ -146,7 +157,7 @@
             tasks.append(loop.create_task(self._watch_processes()))
             await self._await_service("start", START_TIMEOUT_SECONDS)
             tasks += [loop.create_task(self._client(n)) for n in range(CLIENT_COUNT)]
-            await self._inject_faults(seconds)
+            await self.faults.inject(seconds)
             await self._await_service("recovery", RECOVERY_TIMEOUT_SECONDS)
             self.stopping = True
             await asyncio.sleep(1.0)
@@ -167,9 +178,9 @@
         """Waits until a deployment and a write through each proxy succeed."""
         try:
             async with asyncio.timeout(limit):
-                while not await self._deploy():
+                while not await self.deploy():
                     await asyncio.sleep(0.2)
-                for proxy in self.programs[CONTROL_COUNT:]:
+                for proxy in self.proxies:
                     while not await self._write(proxy, f"{step}-{proxy.name}"):
                         await asyncio.sleep(0.2)
         except TimeoutError:
@@ -238,7 +249,7 @@
                     await self._http("PUT", f"/bronzemoor/instances/{name}", body)
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
 
-    async def _deploy(self) -> bool:
+    async def deploy(self) -> bool:
         self.version += self.random.randint(1, 3)
         body = json.loads(make_document(self.version))
         body["services"][0]["max_conns"] = (
@@ -267,8 +278,7 @@
             finally:
                 connection.close()
 
-        controls = self.programs[:CONTROL_COUNT]
-        for program in self.random.sample(controls, len(controls)):
+        for program in self.random.sample(self.controls, len(self.controls)):
             data = await asyncio.to_thread(call, program.ip)
             if data is not None:
                 return data
@@ -278,7 +288,7 @@
         for operation in count(1):
             if self.stopping:
                 return
-            proxy = self.programs[CONTROL_COUNT + self.random.randrange(PROXY_COUNT)]
+            proxy = self.random.choice(self.proxies)
             await self._write(proxy, f"c{number}-{operation}")
             await asyncio.sleep(self.random.uniform(0.0, 0.1))
 
@@ -323,115 +333,6 @@
                     program.expected_end = True
             await asyncio.sleep(0.2)
 
-    # --- faults
-
-    async def _inject_faults(self, seconds: float) -> None:
-        loop = asyncio.get_running_loop()
-        until = loop.time() + seconds
-        kinds = (self._kill, self._pause, self._terminate, self._crash_member,
-                 self._lose_answer, self._delay_connections, self._stall_connections,
-                 self._reset_connections, self._lose_disk,
-                 self._pause_and_terminate)  # fmt: skip
-        running: set[asyncio.Task] = set()
-        while loop.time() < until:
-            fault = self.random.choice(kinds)
-            running.add(loop.create_task(fault()))
-            await self._deploy()
-            await asyncio.sleep(self.random.uniform(0.3, 2.0))
-        await asyncio.gather(*running)
-
-    def _choose_healthy_program(self) -> Program | None:
-        """Picks a program without a fault; at most one control daemon has a fault."""
-        free = [p for p in self.programs if not p.fault]
-        if any(p.fault for p in self.programs[:CONTROL_COUNT]):
-            free = [p for p in free if p in self.programs[CONTROL_COUNT:]]
-        if not free:
-            return None
-        chosen = self.random.choice(free)
-        chosen.fault = True
-        return chosen
-
-    async def _restart_after(self, number: int) -> None:
-        if (program := self._choose_healthy_program()) is not None:
-            await program.end(number)
-            await asyncio.sleep(self.random.uniform(0.1, 1.5))
-            await program.start()
-            await asyncio.sleep(2.0)
-            program.fault = False
-
-    async def _kill(self) -> None:
-        await self._restart_after(signal.SIGKILL)
-
-    async def _terminate(self) -> None:
-        await self._restart_after(signal.SIGTERM)
-
-    async def _pause(self) -> None:
-        if (program := self._choose_healthy_program()) is not None:
-            program.send(signal.SIGSTOP)
-            await asyncio.sleep(self.random.uniform(0.2, 4.0))
-            program.send(signal.SIGCONT)
-            program.fault = False
-
-    async def _pause_and_terminate(self) -> None:
-        """Sends SIGTERM to a suspended program, which must then exit in time."""
-        if (program := self._choose_healthy_program()) is not None:
-            program.send(signal.SIGSTOP)
-            program.send(signal.SIGTERM)
-            await asyncio.sleep(self.random.uniform(0.2, 3.0))
-            program.send(signal.SIGCONT)
-            await program.end(signal.SIGTERM)
-            await program.start()
-            await asyncio.sleep(2.0)
-            program.fault = False
-
-    async def _lose_disk(self) -> None:
-        """Restarts a control daemon with an empty disk or a truncated file."""
-        if any(p.fault for p in self.programs[:CONTROL_COUNT]):
-            return
-        program = self.random.choice(self.programs[:CONTROL_COUNT])
-        program.fault = True
-        await program.end()
-        data = self.folder / program.name
-        files = sorted(path for path in data.rglob("*") if path.is_file())
-        if files and self.random.random() < 0.5:
-            torn = self.random.choice(files)
-            size = torn.stat().st_size
-            os.truncate(torn, self.random.randrange(size) if size else 0)
-        else:
-            shutil.rmtree(data)
-            data.mkdir()
-        await program.start()
-        await asyncio.sleep(DISK_RECOVERY_SECONDS)
-        program.fault = False
-
-    async def _crash_member(self) -> None:
-        members = list(self.group.members.values())
-        if all(member.up for member in members):
-            member = self.random.choice(members)
-            await member.stop()
-            await asyncio.sleep(self.random.uniform(0.5, 4.0))
-            await member.restart()
-
-    async def _lose_answer(self) -> None:
-        self.group.primary.lost_answers.append(
-            self.random.choice(("STORE", "COMMIT", "BEGIN"))
-        )
-
-    async def _delay_connections(self) -> None:
-        relay = self.random.choice(list(self.relays.values()))
-        relay.delay = self.random.uniform(0.01, 0.2)
-        await asyncio.sleep(2.0)
-        relay.delay = 0.0
-
-    async def _stall_connections(self) -> None:
-        relay = self.random.choice(list(self.relays.values()))
-        relay.stalled = True
-        await asyncio.sleep(self.random.uniform(0.5, 3.0))
-        relay.stalled = False
-
-    async def _reset_connections(self) -> None:
-        self.random.choice(list(self.relays.values())).reset()
-
 
 def run_seed(seed: int, seconds: float) -> list[str]:
     """Runs one seed and returns its problems; keeps the logs of a failed run."""
