--- a/tools/stats.py
+++ b/tools/stats.py
@@ -42,6 +42,9 @@
         f"{CORE}/reconfiguration",
         f"{CORE}/subscriptions",
         f"{CORE}/voters",
+        f"{CORE}/wire/controlgroup",
+        f"{CORE}/wire/joinsearch",
+        f"{DAEMON}/wire/controlmembers",
     ),
     "state": (
         f"{CORE}/commands",
