Tell what clients got where a stop leaves writes without a success

The run kept no log. With one more pause of 0.6 to 1.0 s in the process such writes end in doubt after the route's 0.8 s, which is allowed; but sessions are left then, and in the failed run none was. So the cause is not traced and the check stays as it was.

Change: the failure names each such write, its answer and its time.

--- a/tests/adapter/test_stop.py
+++ b/tests/adapter/test_stop.py
@@ -17,23 +17,28 @@
 GRACE_SECONDS = 1.5
 
 
-async def write_until_closed(address, numbers, acknowledged, texts) -> None:
+async def write_until_closed(address, numbers, acknowledged, failed, texts) -> None:
     """Writes without pauses, as single statements or transactions of ``texts``.
 
     A transaction that failed is rolled back, since its session cannot end otherwise.
+    ``failed`` gets what clients got for the other writes, and after how many seconds.
     """
     client = await Client.open(address, "orders")
     with suppress(ConnectionError):
         while True:
             value = f"v{next(numbers)}"
             for text in texts:
+                sent_at = time.monotonic()
+                failed[value] = ("no answer", text)
                 answer = await client.call(text.format(value))
                 if outcome(answer) != "COMPLETE":
+                    failed[value] = (answer[-2], text, time.monotonic() - sent_at)
                     if answer[-1].startswith("READY E"):
                         await client.call("ROLLBACK")
                     break
             else:
                 acknowledged.add(value)
+                del failed[value]
 
 
 @pytest.mark.parametrize("texts", [("STORE a {}",), ("BEGIN", "STORE a {}", "COMMIT")])
@@ -51,10 +56,10 @@
         proxy._settings.stop_grace = GRACE_SECONDS
         for member in system.group.members.values():
             member.statement_delays["STORE"] = delay
-        numbers, acknowledged = count(), set()
+        numbers, acknowledged, failed = count(), set(), {}
         writers = [
             asyncio.create_task(
-                write_until_closed(address, numbers, acknowledged, texts)
+                write_until_closed(address, numbers, acknowledged, failed, texts)
             )
             for _ in range(SESSIONS)
         ]
@@ -70,7 +75,9 @@
         await asyncio.gather(*writers)
         primary = next(m for m in system.group.members.values() if m.primary)
         stored = {value for entry in primary.log for _, value in entry}
-        assert stored == acknowledged
+        assert stored == acknowledged, [
+            (value, failed.get(value)) for value in stored - acknowledged
+        ]
 
     run_system(tmp_path, scenario)
 
