--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -50,6 +50,27 @@
             await asyncio.sleep(self.random.uniform(0.3, 2.0))
         await asyncio.gather(*running)
 
+    async def lose_controls_in_turn(self) -> None:
+        """Suspends one control daemon, stops another, and takes a third one's disk.
+
+        Each has recovered, or is replaced, before the next one is lost.
+        """
+        suspended, stopped, wiped = self.random.sample(self.soak.controls, 3)
+        suspended.send(signal.SIGSTOP)
+        await asyncio.sleep(LONG_ABSENCE_SECONDS[0])
+        suspended.send(signal.SIGCONT)
+        await asyncio.sleep(DISK_RECOVERY_SECONDS)
+        await stopped.end(signal.SIGTERM)
+        await asyncio.sleep(DISK_RECOVERY_SECONDS)
+        await wiped.end()
+        self._empty_disk(wiped)
+        await wiped.start()
+
+    def _empty_disk(self, program: "Program") -> None:
+        data = self.soak.folder / program.name
+        shutil.rmtree(data)
+        data.mkdir()
+
     @property
     def _has_faulty_control(self) -> bool:
         return any(program.fault for program in self.soak.controls)
@@ -137,8 +158,7 @@
             size = torn.stat().st_size
             os.truncate(torn, self.random.randrange(size) if size else 0)
         else:
-            shutil.rmtree(data)
-            data.mkdir()
+            self._empty_disk(program)
         await program.start()
         await asyncio.sleep(DISK_RECOVERY_SECONDS)
         program.fault = False
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -7,7 +7,8 @@
 after the last fault. With an odd seed the proxies share the members' connections. With
 a seed whose half is odd, clients have keys: no statement may run for another
 organisation or for a key that was withdrawn for ``WITHDRAWAL_SECONDS``. With a seed
-whose quarter is odd, one more control daemon waits for the place of a lost one.
+whose quarter is odd, one more control daemon waits for the place of a lost one, and in
+the end three control daemons are lost one after the other, one of them for good.
 """
 
 import argparse
@@ -159,6 +160,9 @@
             tasks += [loop.create_task(self._client(n)) for n in range(CLIENT_COUNT)]
             await self.faults.inject(seconds)
             await self._await_service("recovery", RECOVERY_TIMEOUT_SECONDS)
+            if self.has_spare:
+                await self.faults.lose_controls_in_turn()
+                await self._await_service("losses", RECOVERY_TIMEOUT_SECONDS)
             self.stopping = True
             await asyncio.sleep(1.0)
             await self._check()
