--- a/packages/core/tests/test_reconfiguration.py
+++ b/packages/core/tests/test_reconfiguration.py
@@ -97,6 +97,10 @@
         cluster.run(0.5)
     answer = command(cluster, leader, "control.add", name="vm-6")
     assert answer.code == "too_many_members"
+    answer = command(cluster, leader, "control.add", name="vm-6", replaces="vm-9")
+    assert answer.code == "too_many_members"
+    answer = command(cluster, leader, "control.add", name="vm-6", replaces="vm-5")
+    assert answer.code == "ok"
 
 
 def test_a_removed_leader_steps_down_and_does_not_return():
