Remove what the move of the group's decisions left behind

ControlDaemon.describe_control_group had no caller any more, so it goes, and the step that it shared with propose is part of propose again. The names of the three changes of the group stood in controlgroup.py beside those of reconfiguration.py, which has them now. A member that restarts with an empty disk was written out three times in the core's tests; the cluster has it once. Behaviour and assertions are as before.

--- a/packages/core/src/bronzemoor_core/reconfiguration.py
+++ b/packages/core/src/bronzemoor_core/reconfiguration.py
@@ -6,7 +6,10 @@
 from bronzemoor_core.replication import Progress, Replication
 from bronzemoor_core.voters import MAX_VOTERS, MIN_VOTERS, Group, group_command
 
-CHANGES = ("control.add", "control.remove", "control.replace")
+ADD = "control.add"
+REMOVE = "control.remove"
+REPLACE = "control.replace"
+CHANGES = (ADD, REMOVE, REPLACE)
 MEMBERS = "control.members"
 
 Refusal = tuple[str, str]
@@ -61,7 +64,7 @@
         limit = self._replica.settings.timers.stale_after
         if now - max(since, progress.last_reply) >= limit:
             del self._new_identity_since[sender]
-            command = {"type": "control.replace", "name": sender}
+            command = {"type": REPLACE, "name": sender}
             if self.propose(now, command, "") is None:
                 self._replica.emit_log("warning", "disk_lost", peer=sender)
 
--- a/packages/core/src/bronzemoor_core/wire/controlgroup.py
+++ b/packages/core/src/bronzemoor_core/wire/controlgroup.py
@@ -9,12 +9,9 @@
 
 from msgspec import Struct
 
+from bronzemoor_core.reconfiguration import ADD, REMOVE, REPLACE
 from bronzemoor_core.voters import MIN_VOTERS
 
-ADD = "control.add"
-REMOVE = "control.remove"
-REPLACE = "control.replace"
-
 
 class GroupChange(Struct, frozen=True):
     """One change of the control group.
--- a/packages/core/tests/logcluster.py
+++ b/packages/core/tests/logcluster.py
@@ -213,6 +213,12 @@
         disk.unsynced.clear()
         self.machines.pop(name, None)
 
+    def lose_disk(self, name):
+        """Restarts a member with an empty disk."""
+        self.crash(name)
+        self.disks[name] = Disk()
+        self.start(name)
+
     def leader(self):
         """The leader of the newest term, or None."""
         leading = [m for m in self.members if m.log.role == "leader"]
--- a/packages/core/tests/test_consensus.py
+++ b/packages/core/tests/test_consensus.py
@@ -3,7 +3,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
-from logcluster import Cluster, Disk
+from logcluster import Cluster
 
 from bronzemoor_core.events import PeerMessageReceived, StorageFailed, StorageSynced
 from bronzemoor_core.journal import encode_command
@@ -229,9 +229,7 @@
         """Loses at most one disk in a run, since a group of three tolerates no more."""
         self.disk_lost = True
         name = self.names[which % len(self.names)]
-        self.cluster.crash(name)
-        self.cluster.disks[name] = Disk()
-        self.cluster.start(name)
+        self.cluster.lose_disk(name)
 
     @rule(which=st.integers(0, 4), rate=st.sampled_from([0.9, 1.0, 1.1]))
     def restart(self, which, rate):
--- a/packages/core/tests/test_reconfiguration.py
+++ b/packages/core/tests/test_reconfiguration.py
@@ -1,6 +1,6 @@
 """Tests of membership change: learners, replacement and lost disks."""
 
-from logcluster import Cluster, Disk
+from logcluster import Cluster
 
 from bronzemoor_core.events import AdminCommand, PeerMessageReceived
 from bronzemoor_core.messages import AppendEntriesReply, Vote, VoteReply
@@ -133,10 +133,8 @@
     cluster = Cluster(3)
     leader = cluster.elect()
     name = cluster.followers()[0].name
-    cluster.crash(name)
     old = cluster.disks[name].storage.hard_state.identity
-    cluster.disks[name] = Disk()
-    cluster.start(name)
+    cluster.lose_disk(name)
     cluster.run(2.0)
     new = cluster.disks[name].storage.hard_state.identity
     members = command(cluster, leader, "control.members").body["members"]
--- a/packages/core/tests/test_replaced_voters.py
+++ b/packages/core/tests/test_replaced_voters.py
@@ -3,7 +3,7 @@
 from functools import partial
 
 import pytest
-from logcluster import Cluster, Disk
+from logcluster import Cluster
 
 
 def until(cluster, condition, seconds=5.0, step=0.01):
@@ -40,12 +40,6 @@
     return [name for name in leader.log.voters if name != leader.name]
 
 
-def lose_disk(cluster, name):
-    cluster.crash(name)
-    cluster.disks[name] = Disk()
-    cluster.start(name)
-
-
 def test_a_leader_that_was_replaced_while_it_stood_still_joins_again():
     """Guards against a thawed leader that believes its own old log for ever."""
     cluster = Cluster(3, spares=1)
@@ -110,7 +104,7 @@
         *silent, wiped = other_voters(cluster)[: size // 2 + 1]
         cluster.cut = set(silent)
         cluster.run(0.45 + 0.01 * number)
-        lose_disk(cluster, wiped)
+        cluster.lose_disk(wiped)
         cluster.run(0.3)
         cluster.cut = set()
         until(cluster, partial(is_whole, cluster))
--- a/packages/core/tests/wire/test_controlgroup.py
+++ b/packages/core/tests/wire/test_controlgroup.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from bronzemoor_core.wire.controlgroup import ADD, REMOVE, ControlGroup, GroupChange
+from bronzemoor_core.reconfiguration import ADD, REMOVE
+from bronzemoor_core.wire.controlgroup import ControlGroup, GroupChange
 
 SILENT_AFTER = 2.0
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/control.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/control.py
@@ -19,7 +19,6 @@
 from bronzemoor_core.consensus import Consensus
 from bronzemoor_core.controllers import Controller
 from bronzemoor_core.events import (
-    AdminCommand,
     PeerMessageReceived,
     StorageFailed,
     Tick,
@@ -32,7 +31,6 @@
     ProxyReport,
 )
 from bronzemoor_core.node import Node
-from bronzemoor_core.reconfiguration import MEMBERS
 from bronzemoor_core.settings import ControlSettings, NodeSettings
 from bronzemoor_core.state import StateMachine
 from bronzemoor_core.wire.records import (
@@ -161,9 +159,6 @@
         """
         ticket = next(self._tickets)
         event = CommandProposed(command, ("state", ticket), leader_only)
-        return await self._submit(ticket, event)
-
-    async def _submit(self, ticket: int, event: object) -> AdminReply:
         future: asyncio.Future[AdminReply] = self._loop.create_future()
         self._pending_replies[ticket] = future
         try:
@@ -175,11 +170,6 @@
         finally:
             self._pending_replies.pop(ticket, None)
 
-    async def describe_control_group(self) -> AdminReply:
-        """Returns the members of the control group and whether they are reachable."""
-        ticket = next(self._tickets)
-        return await self._submit(ticket, AdminCommand(ticket, MEMBERS, {}))
-
     async def announce(self, record: MemberRecord) -> bool:
         """Records a member's announcement; False if that is not confirmed."""
         known = self.records.members.get(record.member)
