Close every connection of a daemon that stops

Cause: with two connections between two daemons, which both dialed, closing aborted only the newest. The stopped daemon went on answering the leader over the other one, so it was never silent and nobody was replaced. A message sent after the close dialed again, too. In a process that ends right after its stop the kernel closes the rest; what it could do in the meantime is answer as a voter whose storage is being stopped.

Ruled out with the events of six failed runs: that the leader changed, that the returned voter did not ask (outside_group was logged), that a new leader knows no last reply of the lost one. The leader's last reply of the stopped daemon was 0.02 s old, 10 s later.

Change: links keep all open connections, not only one a peer, and drop what is sent or accepted after the close.

--- a/packages/daemon/src/bronzemoor_daemon/wire/links.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/links.py
@@ -69,6 +69,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         set_tcp_options(transport, RESPONSE_TIMEOUT_SECONDS)
+        self._links.add(self)
 
     def data_received(self, data: bytes) -> None:
         self.unanswered_since = None
@@ -138,6 +139,9 @@
         self._report = report
         self._sent_bytes = sent_bytes
         self._links: dict[str, Link] = {}
+        # Every open link: there are two to a peer if both sides dialed at once.
+        self._open_links: set[Link] = set()
+        self._is_closed = False
         # Links that this daemon opened.
         self._dialed_links: dict[str, Link] = {}
         # The link whose message is being handled.
@@ -157,11 +161,12 @@
         self._tasks.repeat(self._check_unresponsive, "check-links")
 
     def close(self) -> None:
-        """Closes every connection and the listener."""
+        """Closes every connection and the listener; later messages are dropped."""
+        self._is_closed = True
         self._tasks.cancel()
         if self._server is not None:
             self._server.close()
-        for link in list(self._links.values()):
+        for link in list(self._open_links):
             link.abort()
 
     def send(self, peer: str, message: Any) -> None:
@@ -186,6 +191,8 @@
             self._write(link, message)
 
     def _queue_until_dialed(self, peer: str, message: Any) -> None:
+        if self._is_closed:
+            return
         queue = self._queued_messages.get(peer)
         if queue is None:
             now = boottime()
@@ -228,11 +235,18 @@
                 where=error_location(error),
             )
 
+    def add(self, link: Link) -> None:
+        """Takes in a connection that opened."""
+        self._open_links.add(link)
+        if self._is_closed:
+            link.abort()
+
     def fail(self, link: Link, reason: str) -> None:
         self._report("warning", "link_failed", peer=link.peer, reason=reason)
         link.abort()
 
     def remove(self, link: Link, error: Exception | None) -> None:
+        self._open_links.discard(link)
         if self._links.get(link.peer) is link:
             del self._links[link.peer]
             self._report("info", "link_lost", peer=link.peer, error=str(error or ""))
--- a/tests/adapter/test_links.py
+++ b/tests/adapter/test_links.py
@@ -78,3 +78,42 @@
         links.close()
 
     asyncio.run(run())
+
+
+def test_closed_links_exchange_nothing_with_a_peer_that_dialed_at_the_same_time():
+    """Guards against a stopped daemon that goes on answering over a second connection.
+
+    Only the newest connection of each peer was closed, so that a control daemon which
+    had stopped still counted as a voter that is heard.
+    """
+
+    async def run() -> None:
+        names = free_addresses(2)
+        received = dict.fromkeys(names, 0)
+
+        def make_links(name: str) -> Links:
+            def count(*_) -> None:
+                received[name] += 1
+
+            return Links(name, count, lambda *_, **__: None, WireMetrics().sent_bytes)
+
+        closed, other = (make_links(name) for name in names)
+        report = ProxyReport(0, 1, 0, 0, False, [])
+        await closed.start()
+        await other.start()
+        closed.send(names[1], report)
+        other.send(names[0], report)
+        async with asyncio.timeout(RECONNECT_SECONDS):
+            while not all(received.values()):
+                await asyncio.sleep(0.01)
+        closed.close()
+        before = dict(received)
+        await asyncio.sleep(0.05)
+        other.send(names[0], report)
+        other.request(names[0], report)
+        closed.send(names[1], report)
+        await asyncio.sleep(0.2)
+        other.close()
+        assert received == before
+
+    asyncio.run(run())
