Count departed replicas among those that may have acknowledged commits

Cause: the newest position among the replicas on record passed for a bound of what may have been acknowledged. A replica that alone had acknowledged commits left as planned while the others received nothing, and one of these was promoted. A handover compared its successor with the replicas on record, too.

Ruled out: that the leader could not know (the proxies' newest commit was in the same line, min() dropped it), and that bound alone (unknown after a change of the leader).

Change: a departure of a replica (left, started again empty, address taken) is a numbered entry of the records. Until a replica has what the primary had after it, the newest position on record counts for nothing, and a handover asks the primary. Groups without acknowledging replicas are left out.

--- a/packages/core/src/bronzemoor_core/wire/commands.py
+++ b/packages/core/src/bronzemoor_core/wire/commands.py
@@ -57,8 +57,11 @@
     last = known.order if known else wire.departed.get(record.member, (-1, -1))
     if record.order < last or (known is None and record.order == last):
         return {"code": "ok", "changed": False}
-    if known is not None and known.born == record.born and known.leaving:
-        record.leaving = True
+    if known is not None and known.born == record.born:
+        record.leaving = record.leaving or known.leaving
+    elif known is not None:
+        # What the earlier process had acknowledged is gone with it.
+        _record_departure(state, known)
     wire.members[record.member] = record
     for other in list(wire.members.values()):
         # Only the member whose process started last keeps an address.
@@ -76,8 +79,28 @@
     return {"code": "ok", "changed": True}
 
 
+@command("member.settle")
+def _settle_departure(state: State, body: dict[str, Any]) -> dict[str, Any]:
+    """Forgets a group's departures up to a number, unless there was one since."""
+    departures = state.wire.departures
+    settled = departures.get(body["group"]) == body["departure"]
+    if settled:
+        del departures[body["group"]]
+    return {"code": "ok", "settled": settled}
+
+
+def _record_departure(state: State, record: MemberRecord) -> None:
+    """Records that a process which may have acknowledged commits has ended."""
+    wire = state.wire
+    leader = wire.leaders.get(record.group)
+    if leader is not None and leader.primary != record.member:
+        wire.last_departure += 1
+        wire.departures[record.group] = wire.last_departure
+
+
 def _remove_member(state: State, record: MemberRecord) -> None:
     wire = state.wire
+    _record_departure(state, record)
     wire.members.pop(record.member, None)
     wire.departed[record.member] = record.order
     while len(wire.departed) > MAX_DEPARTED_MEMBERS:
@@ -101,5 +124,8 @@
     record = state.wire.leaders.setdefault(body["group"], LeaderRecord(body["group"]))
     if body["term"] < record.term or body.get("fence", record.fence) != record.fence:
         return {"code": "term_conflict", "current_term": record.term}
+    if body["term"] > record.term:
+        # The new primary has every commit that was acknowledged before its term.
+        state.wire.departures.pop(body["group"], None)
     record.term, record.primary, record.candidate = body["term"], body["member"], ""
     return {"code": "ok"}
--- a/packages/core/src/bronzemoor_core/wire/records.py
+++ b/packages/core/src/bronzemoor_core/wire/records.py
@@ -94,6 +94,10 @@
     # them again.
     departed: dict[str, tuple[int, int]] = field(default_factory=dict)
     last_fence: int = 0
+    # By group, the number of the newest departure of a replica which may have been the
+    # only one to acknowledge a commit, until another replica is seen to have as much.
+    departures: dict[str, int] = field(default_factory=dict)
+    last_departure: int = 0
     # Whether the proxies of a zone share connections, for a new leader that does not
     # know yet how many proxies there are.
     sharing: bool = False
@@ -108,6 +112,8 @@
         if not self.quota_holders:
             # Snapshots of deployments without quotas are as before.
             del fields["quota_holders"], fields["quota_marks"]
+        if not self.last_departure:
+            del fields["departures"], fields["last_departure"]
         return {
             **fields,
             "members": {k: asdict(v) for k, v in self.members.items()},
@@ -127,6 +133,8 @@
         leaders={k: LeaderRecord(**v) for k, v in data["leaders"].items()},
         departed={k: (v[0], v[1]) for k, v in data["departed"].items()},
         last_fence=data["last_fence"],
+        departures=dict(data.get("departures", {})),
+        last_departure=data.get("last_departure", 0),
         sharing=data.get("sharing", False),
         quota_holders=list(data.get("quota_holders", ())),
         quota_marks=list(data.get("quota_marks", ())),
--- a/packages/core/src/bronzemoor_core/wire/succession.py
+++ b/packages/core/src/bronzemoor_core/wire/succession.py
@@ -159,20 +159,23 @@
     acknowledged: Position | None,
     leaving: Collection[str] = (),
     planned: str = "",
+    departed: bool = False,
 ) -> str:
     """Returns the member to promote, or an empty string while none is safe.
 
     ``held`` are the positions of paused replicas and ``expected`` all replicas that may
     have acknowledged a commit. Once all of them have reported, the newest has every
-    commit. Otherwise a replica must have reached ``acknowledged``, the newest commit
-    that was reported to any client, None while unknown. An order to promote the
+    commit, unless one ``departed`` that may have acknowledged more. Otherwise a replica
+    must have reached ``acknowledged``, the newest commit that was reported to any
+    client, None while unknown. An order to promote the
     ``planned`` member may still be on its way and is harmless only once that member is
     the primary, so it is preferred. A ``leaving`` member is chosen only if no other is
     safe, since it would have to be replaced at once.
     """
     if not held:
         return ""
-    newest = max(held.values()) if expected <= set(held) else None
+    complete = expected <= set(held) and not departed
+    newest = max(held.values()) if complete else None
     required = min((p for p in (newest, acknowledged) if p is not None), default=None)
     if required is None:
         return ""
@@ -187,3 +190,23 @@
         ),
         default="",
     )
+
+
+def settles_departure(
+    primary: MemberStatus, replicas: Collection[MemberStatus], term: int
+) -> bool:
+    """Returns whether no departed replica is needed for an acknowledged commit.
+
+    That holds if one of the ``replicas`` has all that the primary of ``term`` had when
+    it was asked, after the departure.
+    """
+    return (
+        primary.primary
+        and primary.term == term
+        and any(
+            not status.primary
+            and status.term == term
+            and status.position >= primary.position
+            for status in replicas
+        )
+    )
--- a/packages/core/tests/wire/explore/events.py
+++ b/packages/core/tests/wire/explore/events.py
@@ -116,11 +116,30 @@
                 f"{number} stops",
                 replace(state, members=at(members, number, down), bounds=bounds),
             )
-        if not member.up:
+        if may_leave(state, number):
+            left = replace(member, up=False, paused=False, gone=True)
+            yield (
+                f"{number} leaves",
+                replace(
+                    state,
+                    members=at(members, number, left),
+                    record=replace(state.record, departed=True),
+                    bounds=replace(
+                        state.bounds, departures=state.bounds.departures - 1
+                    ),
+                ),
+            )
+        if not member.up and not member.gone:
             after = at(members, number, replace(member, up=True))
             yield f"{number} starts", replace(state, members=after)
 
 
+def may_leave(state: State, number: int) -> bool:
+    member = state.members[number]
+    is_replica = not member.primary and number != state.record.primary
+    return member.up and is_replica and state.bounds.departures > 0
+
+
 def proxy_events(state: State) -> Steps:
     for number, proxy in enumerate(state.proxies):
         for leader in (A, B):
--- a/packages/core/tests/wire/explore/leaders.py
+++ b/packages/core/tests/wire/explore/leaders.py
@@ -22,11 +22,16 @@
 )
 
 from bronzemoor_core.positions import ZERO
-from bronzemoor_core.wire.succession import choose_successor
+from bronzemoor_core.wire.succession import choose_successor, settles_departure
 
 Steps = Iterator[tuple[str, State]]
 NAMES = "AB"
-REPLICAS = {0, 1, 2}
+
+
+def replicas_of(state: State) -> set[int]:
+    """Returns the replicas on record."""
+    on_record = {m for m, member in enumerate(state.members) if not member.gone}
+    return on_record - {state.record.primary}
 
 
 def in_time(state: State, number: int, rules: Rules) -> bool:
@@ -55,6 +60,9 @@
     leader, name = state.leaders[number], NAMES[number]
     may_commit = number == B or state.elected == NOBODY
     if leader.phase == IDLE:
+        if may_commit and state.record.departed and is_settled(state):
+            record = replace(state.record, departed=False)
+            yield f"{name} settles the departure", replace(state, record=record)
         if leader.attempts < state.bounds.attempts:
             yield (
                 f"{name} revokes",
@@ -106,13 +114,21 @@
     primary = state.members[state.record.primary]
     recovered = primary.up and primary.primary and state.record.candidate == NOBODY
     if recovered and state.bounds.resumes and in_time(state, number, rules):
-        for replica in REPLICAS - {state.record.primary}:
+        for replica in replicas_of(state):
             cancelled = with_leader(
                 send_resume(state, number, replica, rules), number, phase=IDLE
             )
             yield f"{name} cancels with RESUME of {replica}", cancelled
 
 
+def is_settled(state: State) -> bool:
+    primary = state.members[state.record.primary]
+    replicas = [state.members[m] for m in replicas_of(state) if state.members[m].up]
+    return primary.up and settles_departure(
+        primary.status, [m.status for m in replicas], state.record.term
+    )
+
+
 def order(state: State, number: int, rules: Rules) -> State:
     leader, left = state.leaders[number], time_left(state, number, rules)
     sent = Order(leader.choice, leader.fence, number, left)
@@ -138,7 +154,11 @@
 def complete(state: State, number: int, member: int) -> State:
     """Records a member that was seen as the primary."""
     record = replace(
-        state.record, primary=member, term=state.members[member].term, candidate=NOBODY
+        state.record,
+        primary=member,
+        term=state.members[member].term,
+        candidate=NOBODY,
+        departed=False,
     )
     return with_leader(
         replace(state, record=record), number, phase=IDLE, choice=NOBODY, sent=0
@@ -147,7 +167,7 @@
 
 def rounds(state: State, number: int, rules: Rules, reads_only: bool = False) -> Steps:
     """One PAUSE of all replicas, of which some may not answer."""
-    replicas = sorted(REPLICAS - {state.record.primary})
+    replicas = sorted(replicas_of(state))
     for count in range(state.bounds.missing + 1):
         for missing in combinations(replicas, count):
             seen = [r for r in replicas if r not in missing and state.members[r].up]
@@ -197,13 +217,17 @@
     if rules.term and acknowledged == ZERO and record.term > 1:
         confirmed = False
     held = {str(m): members[m].position for m in seen if not members[m].primary}
-    expected = {str(m) for m in REPLICAS - {record.primary}}
+    expected = {str(m) for m in replicas_of(state)}
     safe = set()
     for member in held:
         # Any member may be leaving, so each safe one may be chosen.
         others = expected - {member}
         chosen = choose_successor(
-            held, expected, acknowledged if confirmed else None, others
+            held,
+            expected,
+            acknowledged if confirmed else None,
+            others,
+            departed=rules.departed and record.departed,
         )
         safe |= {int(chosen)} if chosen else set()
     if rules.planned and record.candidate in safe:
@@ -241,7 +265,7 @@
             yield f"B's log gets A's record of {leader.choice}", with_leader(done, B)
     if rules.closed:
         return
-    replicas = REPLICAS - {state.record.primary}
+    replicas = replicas_of(state)
     if state.bounds.resumes and in_time(state, A, rules):
         for replica in replicas:
             sent = send_resume(state, A, replica, rules)
--- a/packages/core/tests/wire/explore/model.py
+++ b/packages/core/tests/wire/explore/model.py
@@ -16,6 +16,7 @@
     LEASE_SECONDS,
     LeaseTable,
 )
+from bronzemoor_core.wire.statements import MemberStatus
 
 TICK_SECONDS = 0.5
 WINDOW = 3  # ORDER_WINDOW, ticks
@@ -52,6 +53,9 @@
     # While no commit of the term is known to be acknowledged, the commits of
     # earlier terms that a successor needs are unknown.
     term: bool = False
+    # A replica that left may have acknowledged more than those on record, until one of
+    # these is seen to have all that the primary had.
+    departed: bool = True
 
 
 class Bounds(Struct, frozen=True):
@@ -62,6 +66,7 @@
     crashes: int = 1
     resumes: int = 1
     restarts: int = 0  # of proxies
+    departures: int = 0  # of replicas, for good
     confirmations: int = 0  # of A's leadership, at the end of a tick
     attempts: int = 2  # of each leader
     orders: int = 1  # of each attempt
@@ -79,6 +84,11 @@
     paused: bool = False
     up: bool = True
     received: int = 0
+    gone: bool = False
+
+    @property
+    def status(self) -> MemberStatus:
+        return MemberStatus(self.primary, self.term, self.position, 0, 0.0, 0, 0)
 
     @property
     def position(self) -> Position:
@@ -127,6 +137,7 @@
     term: int = 1
     candidate: int = NOBODY
     fence: int = 0
+    departed: bool = False  # a departure is not settled
 
 
 class Order(Struct, frozen=True, order=True):
--- a/packages/core/tests/wire/explore/search.py
+++ b/packages/core/tests/wire/explore/search.py
@@ -81,6 +81,7 @@
 SMALL = Bounds(crashes=0, resumes=0, attempts=1)
 RETRIES = Bounds(crashes=0, resumes=0)
 TWO_PROXIES = Bounds(proxies=2, resumes=0, crashes=0, attempts=1)
+DEPARTURE = replace(SMALL, departures=1)
 LATE_EFFECT = replace(SMALL, effect=1, in_order=False)
 # Models that are searched with all rules.
 MODELS = {
@@ -91,6 +92,8 @@
     "two proxies, one restarts": replace(TWO_PROXIES, restarts=1),
     "orders sent twice": replace(SMALL, orders=2),
     "two writes": replace(SMALL, writes=2),
+    "one departure": DEPARTURE,
+    "one departure, two writes": replace(DEPARTURE, writes=2),
     "late effects in order": replace(LATE_EFFECT, in_order=True),
 }
 # For each rule the model in which the search finds a fault without it. R4 is
@@ -108,6 +111,7 @@
     "complete": (replace(ALL, complete=False), TWO_PROXIES),
     "process": (replace(ALL, process=False), replace(TWO_PROXIES, restarts=1)),
     "term": (replace(ALL, term=False), SMALL),
+    "departed": (replace(ALL, departed=False), DEPARTURE),
 }
 
 
--- a/packages/core/tests/wire/test_records.py
+++ b/packages/core/tests/wire/test_records.py
@@ -1,5 +1,7 @@
 """Tests of the statement protocol's replicated records."""
 
+import pytest
+
 from bronzemoor_core.commands import COMMANDS, answer_query, apply_command
 from bronzemoor_core.records import State, from_snapshot, to_snapshot
 from bronzemoor_core.wire.commands import CHANGE_KINDS
@@ -100,6 +102,54 @@
     assert copy.wire.quota_holders == ["a", "c"]
 
 
+def lead(state: State, name: str, term: int) -> None:
+    command = {"type": "primary.set", "group": "g", "member": name, "term": term}
+    assert apply_command(state, command)["code"] == "ok"
+
+
+@pytest.mark.parametrize(
+    "command",
+    [
+        {"type": "member.drop", "member": "m"},
+        member(born=2),
+        member("new", born=2),
+    ],
+    ids=["left", "started again", "address taken"],
+)
+def test_the_departure_of_a_replica_is_kept_until_it_is_settled(command):
+    """Guards against a leader that forgets what a departed replica acknowledged."""
+    state, copy = State(), State()
+    lead(state, "primary", 1)
+    apply_command(state, member())
+    assert "departures" not in state.wire.to_dict()
+    apply_command(state, command)
+    from_snapshot(copy, 1, to_snapshot(state))
+    departure = copy.wire.departures["g"]
+    settle = {"type": "member.settle", "group": "g", "departure": departure}
+    apply_command(copy, member("other", "h:2"))
+    apply_command(copy, {"type": "member.drop", "member": "other"})
+    assert not apply_command(copy, settle)["settled"]
+    settle["departure"] = copy.wire.departures["g"]
+    assert apply_command(copy, settle)["settled"]
+    assert copy.wire.departures == {}
+    assert copy.wire.last_departure > departure
+
+
+def test_a_new_term_needs_no_replica_that_departed_before_it():
+    """Guards against groups that wait for a replica of an earlier primary."""
+    state = State()
+    lead(state, "primary", 1)
+    apply_command(state, member())
+    apply_command(state, {"type": "member.drop", "member": "m"})
+    lead(state, "primary", 1)
+    assert state.wire.departures
+    lead(state, "next", 2)
+    assert state.wire.departures == {}
+    apply_command(state, member("next", "h:2"))
+    apply_command(state, {"type": "member.drop", "member": "next"})
+    assert state.wire.departures == {}
+
+
 def test_a_snapshot_keeps_connection_sharing():
     """Guards against a new leader that makes every proxy open its own connections."""
     state = State()
--- a/packages/core/tests/wire/test_succession.py
+++ b/packages/core/tests/wire/test_succession.py
@@ -4,12 +4,14 @@
 
 from bronzemoor_core.messages import GroupReport
 from bronzemoor_core.positions import Position
+from bronzemoor_core.wire.statements import MemberStatus
 from bronzemoor_core.wire.succession import (
     Evidence,
     acknowledged_position,
     choose_successor,
     is_overloaded,
     replacement_reason,
+    settles_departure,
     should_replace_overloaded_primary,
 )
 
@@ -111,6 +113,38 @@
     assert choose_successor({}, set(), Position(1, 0)) == ""
 
 
+def test_all_replicas_on_record_do_not_stand_for_one_that_departed():
+    """Guards against promoting a replica although a departed one had more."""
+    b, c = Position(1, 5), Position(1, 7)
+    held = {"b": b, "c": c}
+    assert choose_successor(held, set(held), None, departed=True) == ""
+    assert choose_successor(held, set(held), Position(1, 8), departed=True) == ""
+    assert choose_successor(held, set(held), c, departed=True) == "c"
+
+
+def status(primary=False, term=2, offset=7) -> MemberStatus:
+    return MemberStatus(primary, term, Position(term, offset), 0, 0.0, 0, 0)
+
+
+@pytest.mark.parametrize(
+    ("primary", "replica", "settled"),
+    [
+        (status(primary=True), status(), True),
+        (status(primary=True), status(offset=6), False),
+        (status(primary=True), status(term=3), False),
+        (status(primary=True), status(primary=True), False),
+        (status(), status(), False),
+        (status(primary=True, term=3), status(), False),
+    ],
+)
+def test_a_departure_is_settled_by_a_replica_with_all_of_the_primary(
+    primary, replica, settled
+):
+    """Guards against a departure that is forgotten while it still matters."""
+    assert settles_departure(primary, [replica], 2) is settled
+    assert not settles_departure(primary, [], 2)
+
+
 def test_a_leaving_replica_is_promoted_only_where_no_other_is_safe():
     """Guards against a new primary that has to be replaced again at once.
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/failover.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/failover.py
@@ -56,7 +56,7 @@
         # A replica that is released or restarted may acknowledge commits until then, so
         # its position is read afterwards.
         await self._orders.wait_for_leases(version)
-        members = self._orders.replicas
+        members, departed = self._orders.replicas, bool(self._orders.departure)
         paused = await self._orders.pause(members, term + 1)
         newest = newest_primary(paused, term)
         if newest and await self._orders.wait_for_orders(newest):
@@ -75,7 +75,9 @@
         held = {m: s.position for m, s in paused.items() if m in replicas}
         # A planned member that is silent may lead a newer term, so an older primary is
         # promoted again.
-        successor = newest or self._choose_successor(held, replicas, version, term)
+        successor = newest or self._choose_successor(
+            held, replicas, version, term, departed
+        )
         if successor and await self._orders.wait_for_orders(successor):
             return False
         if successor and await self._orders.promote(successor, started_at):
@@ -102,6 +104,7 @@
         replicas: dict[str, MemberRecord],
         version: int,
         term: int,
+        departed: bool,
     ) -> str:
         now, leases = boottime(), self._leader.leases
         leases.forget_lost(now)
@@ -119,7 +122,7 @@
         leaving = {member for member, record in replicas.items() if record.leaving}
         planned = self._orders.leader_record.candidate
         successor = choose_successor(
-            held, set(replicas), acknowledged, leaving, planned
+            held, set(replicas), acknowledged, leaving, planned, departed
         )
         self._orders.report(
             "info",
@@ -129,6 +132,7 @@
             held={m: f"{p.term}.{p.offset}" for m, p in held.items()},
             expected=len(replicas),
             leaving=len(leaving),
+            departed=departed,
             acknowledged=str(acknowledged),
             # Proxies that may still acknowledge commits of the old primary.
             leases=len(leases.waiting_for(now, version)),
--- a/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
@@ -78,6 +78,11 @@
         primary = self.leader_record.primary
         return {m: r for m, r in self.members.items() if m != primary}
 
+    @property
+    def departure(self) -> int:
+        """Number of the newest departure that commits may depend on, or 0."""
+        return self._leader.departure(self._group)
+
     async def record_primary(self, member: str, term: int) -> bool:
         command = {
             "type": "primary.set",
@@ -90,6 +95,16 @@
         self.report("info", "primary_recorded", member=member, term=term, done=done)
         return done
 
+    async def settle_departure(self, departure: int) -> None:
+        """Records that no commit depends on departed replicas any more."""
+        command = {
+            "type": "member.settle",
+            "group": self._group,
+            "departure": departure,
+        }
+        done = await self._leader.commit(command) is not None
+        self.report("info", "departure_settled", departure=departure, done=done)
+
     async def wait_for_leases(self, version: int) -> None:
         """Waits until no proxy can use an older topology than ``version``."""
         reported_count = 0
--- a/packages/daemon/src/bronzemoor_daemon/wire/handover.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/handover.py
@@ -33,7 +33,8 @@
 
         While the other replicas are paused, only the successor can acknowledge commits,
         so it has all that the primary acknowledges from then on. If one of them is
-        unreachable, the primary is revoked first and its final position is read.
+        unreachable or has departed, the primary is revoked first and its final position
+        is read.
         """
         started_at = boottime()
         if (
@@ -107,12 +108,15 @@
     ) -> Position | None:
         """Pauses all replicas but the successor and returns what it has to reach.
 
-        The position is None if some are silent and so is the primary.
+        The position is None if that of the primary is needed, which is silent.
         """
         paused = await self._orders.pause(others, term + 1)
         silent = set(others) - set(paused)
-        if silent:
-            self._orders.report("info", "handover_stops_writes", silent=len(silent))
+        departed = bool(self._orders.departure)
+        if silent or departed:
+            self._orders.report(
+                "info", "handover_stops_writes", silent=len(silent), departed=departed
+            )
             return await self._final_position(primary)
         return max((s.position for s in paused.values()), default=ZERO)
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -167,6 +167,16 @@
         record = self._control.records.leaders.get(group)
         return record if record is not None else LeaderRecord(group)
 
+    def departure(self, group: str) -> int:
+        """Number of the newest departure that the group's commits may depend on, or 0.
+
+        Commits of a group without acknowledging replicas depend on its primary only.
+        """
+        spec = self.deployment.groups.get(group) if self.deployment else None
+        if spec is None or not spec.acknowledging_replicas:
+            return 0
+        return self._control.records.departures.get(group, 0)
+
     async def commit(self, command: dict[str, object]) -> dict[str, object] | None:
         """Commits a command; None if the commit is not confirmed."""
         reply = await self._control.propose(command, leader_only=True)
--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -9,6 +9,7 @@
 from bronzemoor_core.wire.succession import (
     is_overloaded,
     replacement_reason,
+    settles_departure,
     should_replace_overloaded_primary,
 )
 from bronzemoor_daemon.wire.clock import boottime
@@ -27,6 +28,8 @@
 RELIEF_AFTER_SECONDS = 0.5
 # Minimum time between two reliefs.
 RELIEF_INTERVAL_SECONDS = 10.0
+# A member that said it leaves may acknowledge commits for this long until it ends.
+EXIT_SECONDS = 0.5
 
 
 def is_alive(status: MemberStatus | str) -> bool:
@@ -48,6 +51,9 @@
         self._last_relief_at = float("-inf")
         # When replicas that an earlier leader left paused are released.
         self._next_release_at = float("-inf")
+        # The newest departure that is not settled, and when it was noticed.
+        self._departure = 0
+        self._departed_at = float("-inf")
         self._failover = Failover(leader, group, self._orders)
         self._handover = Handover(leader, self._orders)
         self._task = asyncio.get_running_loop().create_task(self._run())
@@ -113,6 +119,7 @@
             await self._relieve(members)
         if not self._suspected:
             await self._release_paused(boottime())
+            await self._settle_departure(boottime(), primary)
             await self._sample_primary(boottime(), primary)
 
     async def _release_paused(self, now: float) -> None:
@@ -134,6 +141,22 @@
             float("inf") if complete else RELEASE_INTERVAL_SECONDS
         )
 
+    async def _settle_departure(self, now: float, primary: MemberRecord) -> None:
+        """Forgets departures once a replica has all that may be acknowledged."""
+        departure, term = self._orders.departure, self._orders.term
+        if departure != self._departure:
+            self._departure, self._departed_at = departure, now
+            if departure:
+                self._orders.report("info", "departure_noticed", departure=departure)
+        if not departure or now - self._departed_at < EXIT_SECONDS:
+            return
+        status = await self._orders.status(primary)
+        if not isinstance(status, MemberStatus):
+            return
+        replicas = await self._orders.statuses(self._orders.replicas)
+        if settles_departure(status, list(replicas.values()), term):
+            await self._orders.settle_departure(departure)
+
     async def _sample_primary(self, now: float, primary: MemberRecord) -> None:
         """Asks the primary for its position if a lost proxy's commits need one.
 
