--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -87,6 +87,37 @@
             read_document(document)
 
 
+def with_number(section: str, field: str, value: object) -> str:
+    """Returns a document with one value replaced in its first route or service."""
+    body = json.loads(make_document(7))
+    (body[section][0] if section else body)[field] = value
+    return json.dumps(body)
+
+
+@pytest.mark.parametrize(
+    ("section", "field"),
+    [
+        ("", "version"),
+        ("routes", "timeout_ms"),
+        ("routes", "priority"),
+        ("services", "max_conns"),
+        ("services", "sync_replicas"),
+    ],
+)
+def test_a_whole_number_is_read_in_any_notation_and_others_are_refused(section, field):
+    """Guards against acknowledged documents that no message to a proxy can carry.
+
+    A ``max_conns`` of 30.0 ended all leases (review case 8), as 10000000000 did, and of
+    a text the next control leader (issue 29).
+    """
+    assert read_document(with_number(section, field, 30.0)) == read_document(
+        with_number(section, field, 30)
+    )
+    for value in ("38", 1.5, True, [], 10**400, float("nan"), float("inf"), 2**64):
+        with pytest.raises(InvalidDeployment, match=field):
+            read_document(with_number(section, field, value))
+
+
 def test_invalid_announcements_are_ignored():
     """Guards against malformed announcements that are accepted as members."""
     body = {
