Refuse announcements of groups that the deployment does not name

Cause: of two records with one address the later start stays, whatever its group, and nothing compared an entry's service with the deployment.

Change: a control daemon refuses an announcement of a group without members that its newest document does not name; the leader removes records of such groups, which were stored before the first document or by an earlier build. A displaced member is back with its next heartbeat.

--- a/packages/daemon/src/bronzemoor_daemon/wire/control.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/control.py
@@ -42,6 +42,7 @@
 from bronzemoor_daemon.datafolder import DataFolder, clear_folder
 from bronzemoor_daemon.storagethread import StorageThread
 from bronzemoor_daemon.wire.clock import boottime, logged_ms
+from bronzemoor_daemon.wire.groupnames import GroupNames
 from bronzemoor_daemon.wire.joinrequests import JoinRequests
 from bronzemoor_daemon.wire.leader import Leader
 from bronzemoor_daemon.wire.links import Links
@@ -91,6 +92,7 @@
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
         self._own_messages: deque[PeerMessageReceived] = deque()
+        self._group_names = GroupNames(read_document)
         self._tickets = count(1)
         self._pending_replies: dict[int, asyncio.Future[AdminReply]] = {}
         self._leader: Leader | None = None
@@ -171,7 +173,10 @@
             self._pending_replies.pop(ticket, None)
 
     async def announce(self, record: MemberRecord) -> bool:
-        """Records a member's announcement; False if that is not confirmed."""
+        """Records a member's announcement; False if that is not confirmed.
+
+        Raises ``UnknownGroup`` if the deployment does not name its group.
+        """
         known = self.records.members.get(record.member)
         if known is not None and known.born == record.born:
             unchanged = (
@@ -181,6 +186,7 @@
             )
             if unchanged or record.sequence < known.sequence:
                 return True
+        await self._group_names.require(record.group, self.records)
         body = asdict(record)
         reply = await self.propose({"type": "member.put", "member": body})
         self._report(
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -1,7 +1,8 @@
 """The control leader: topology, leases, joins and a supervisor for each group."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
+from functools import partial
 from typing import TYPE_CHECKING
 
 from msgspec.structs import replace
@@ -73,6 +74,8 @@
         self._views: list[GroupView] = []
         self._refresh_scheduled = False
         self._closed = False
+        # Members of unknown groups that are being removed.
+        self._strays: set[str] = set()
         self.codec = codec
         self.execute_promotion = execute_promotion
         self.report = report
@@ -220,12 +223,41 @@
                 self._supervisors[name] = Supervisor(self, name)
         for name in set(self._supervisors) - set(groups):
             self._supervisors.pop(name).close()
+        if self.deployment is not None:
+            self._drop_strays(groups)
         changed = self.refresh_topology()
         if newer and not changed:
             self._grants.schedule_announcement()
         for supervisor in self._supervisors.values():
             supervisor.wake()
 
+    def _drop_strays(self, groups: Collection[str]) -> None:
+        """Removes members of groups that the deployment does not name.
+
+        Announced before it was known, they may have taken the address of a member.
+        """
+        for record in self._control.records.members.values():
+            if record.group not in groups and record.member not in self._strays:
+                self._strays.add(record.member)
+                self.report(
+                    "warning",
+                    "stray_member",
+                    member=record.member,
+                    group=record.group,
+                    address=record.address,
+                )
+                self._spawn_commit(
+                    {
+                        "type": "member.drop",
+                        "member": record.member,
+                        "born": record.born,
+                    },
+                    partial(self._forget_stray, record.member),
+                )
+
+    def _forget_stray(self, member: str, _removed: bool) -> None:
+        self._strays.discard(member)
+
     # --- topology
 
     def refresh_topology(self) -> bool:
--- a/tests/adapter/test_odd_entries.py
+++ b/tests/adapter/test_odd_entries.py
@@ -126,6 +126,46 @@
     run_system(tmp_path, scenario)
 
 
+def test_an_entry_of_an_unknown_service_removes_no_member(tmp_path):
+    """Guards against an entry of another writer that takes a member's address.
+
+    Its start was later than the member's, so that the member was dropped for good, and
+    each of its own announcements after it (review case 9).
+    """
+
+    async def scenario(system):
+        loop = asyncio.get_running_loop()
+        application = make_control_application(system.controls[0], LoopBridge(loop))
+        for name, member in system.group.members.items():
+            entry = make_entry(service="other", address=member.address)
+            status = await asyncio.to_thread(
+                put_entry, application, f"other-{name}", entry.encode()
+            )
+            assert status.startswith("400")
+        assert set(system.controls[0].records.members) == set(system.group.members)
+        await assert_failover(system)
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_member_comes_back_that_lost_its_address_to_an_unknown_service(tmp_path):
+    """Guards against entries that were stored before there was a deployment."""
+
+    async def scenario(system):
+        name, member = next(iter(system.group.members.items()))
+        stray = MemberRecord(
+            "stray", "other", member.address, "north", 5, 1, False, False
+        )
+        put = {"type": "member.put", "member": asdict(stray)}
+        assert (await system.controls[0].propose(put)).code == "ok"
+        records = system.controls[0].records
+        await system.until(lambda: "stray" not in records.members)
+        assert await system.announce(name, sequence=2)
+        await system.until(lambda: name in records.members)
+
+    run_system(tmp_path, scenario)
+
+
 FIELD_VALUES = hs.one_of(
     hs.none(),
     hs.booleans(),
