Take replicas off the records that have not answered for 7 s

Callers saw: a replica was lost for good and replaced; at a final fault all processes were killed and the primary was lost.

Cause: a lost replica says nothing, so it stayed on record and was expected in every later failover. That then rests on what proxies report, which nobody knew after the restart.

Ruled out: the loss of the primary alone (the case without its trouble elects).

Change: the control leader asks each replica every 1.5 s and removes one that has been silent for 7 s, longer than a machine may stand still, once another replica has all that the primary has. Its next heartbeat brings it back, and then it is kept for 60 s.

--- a/packages/core/src/bronzemoor_core/wire/commands.py
+++ b/packages/core/src/bronzemoor_core/wire/commands.py
@@ -75,7 +75,8 @@
     record = state.wire.members.get(body["member"])
     if record is None or record.born > body.get("born", record.born):
         return {"code": "ok", "changed": False}
-    _remove_member(state, record)
+    # With ``covered``, another replica is known to have all that this one may have.
+    _remove_member(state, record, body.get("covered", False))
     return {"code": "ok", "changed": True}
 
 
@@ -98,9 +99,10 @@
         wire.departures[record.group] = wire.last_departure
 
 
-def _remove_member(state: State, record: MemberRecord) -> None:
+def _remove_member(state: State, record: MemberRecord, covered: bool = False) -> None:
     wire = state.wire
-    _record_departure(state, record)
+    if not covered:
+        _record_departure(state, record)
     wire.members.pop(record.member, None)
     wire.departed[record.member] = record.order
     while len(wire.departed) > MAX_DEPARTED_MEMBERS:
--- a/packages/core/src/bronzemoor_core/wire/succession.py
+++ b/packages/core/src/bronzemoor_core/wire/succession.py
@@ -6,7 +6,7 @@
 
 from bronzemoor_core.messages import GroupReport
 from bronzemoor_core.positions import ZERO, Position
-from bronzemoor_core.wire.statements import MemberStatus
+from bronzemoor_core.wire.statements import BUSY, CONNECTION_LIMIT, MemberStatus
 
 # A proxy's report counts as a failure once new connections failed for this long.
 MIN_FAILING_SECONDS = 0.250
@@ -136,6 +136,11 @@
     return newest if newest != ZERO else None
 
 
+def is_alive(status: MemberStatus | str) -> bool:
+    """Returns whether a member answered, even with a connection limit or BUSY error."""
+    return isinstance(status, MemberStatus) or status in (CONNECTION_LIMIT, BUSY)
+
+
 def primary_of(statuses: dict[str, MemberStatus], term: int) -> str:
     """Returns the member that leads ``term``, or an empty string.
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -5,8 +5,9 @@
 
 from bronzemoor_core.messages import GroupReport
 from bronzemoor_core.wire.records import MemberRecord
-from bronzemoor_core.wire.statements import BUSY, CONNECTION_LIMIT, MemberStatus
+from bronzemoor_core.wire.statements import MemberStatus
 from bronzemoor_core.wire.succession import (
+    is_alive,
     is_overloaded,
     replacement_reason,
     settles_departure,
@@ -16,6 +17,7 @@
 from bronzemoor_daemon.wire.failover import Failover
 from bronzemoor_daemon.wire.grouporders import STEP_INTERVAL_SECONDS, GroupOrders
 from bronzemoor_daemon.wire.handover import Handover
+from bronzemoor_daemon.wire.replicawatch import ReplicaWatch
 
 if TYPE_CHECKING:
     from bronzemoor_daemon.wire.leader import Leader
@@ -32,11 +34,6 @@
 EXIT_SECONDS = 0.5
 
 
-def is_alive(status: MemberStatus | str) -> bool:
-    """Returns whether a member answered, even with a connection limit or BUSY error."""
-    return isinstance(status, MemberStatus) or status in (CONNECTION_LIMIT, BUSY)
-
-
 class Supervisor:
     """Runs as a task on the control leader, one for each group."""
 
@@ -56,6 +53,7 @@
         self._departed_at = float("-inf")
         self._failover = Failover(leader, group, self._orders)
         self._handover = Handover(leader, self._orders)
+        self._replica_watch = ReplicaWatch(leader, self._orders)
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     @property
@@ -65,6 +63,7 @@
 
     def close(self) -> None:
         self._task.cancel()
+        self._replica_watch.close()
         self._orders.close()
 
     def wake(self) -> None:
--- a/tests/adapter/test_departures.py
+++ b/tests/adapter/test_departures.py
@@ -1,5 +1,7 @@
 """Tests that commits which only a departed replica acknowledged are kept."""
 
+import asyncio
+
 import pytest
 from fake_members import FakeMember
 from replacements import (
@@ -13,6 +15,8 @@
 from system import Client, System, run_system
 from test_control_loss import disconnect
 
+from bronzemoor_core.wire import silentreplicas
+from bronzemoor_daemon.wire import replicawatch
 from bronzemoor_daemon.wire.clock import boottime
 
 DEAF = 99  # a held term: the member receives nothing
@@ -54,6 +58,15 @@
     return primary, holder, behind
 
 
+async def lose_primary_and_reports(system: System, primary: FakeMember) -> None:
+    """Has the primary replaced while nobody knows what was acknowledged."""
+    for proxy in system.proxies:
+        disconnect(proxy)
+    leader_of(system)._leader.evidence.clear()
+    await primary.stop()
+    replace_primary(system)
+
+
 @pytest.mark.parametrize("depart", [leave, start_again_empty, give_up_address])
 def test_a_replica_that_is_behind_does_not_follow_a_live_primary(tmp_path, depart):
     """Guards against a successor without what a departed replica acknowledged.
@@ -125,12 +138,74 @@
         client = await Client.open(system.client_addresses[0], "orders")
         assert await write(client)
         await system.until(lambda: not leader.departure("ledger"))
-        for proxy in system.proxies:
-            disconnect(proxy)
-        leader.evidence.clear()
-        await primary.stop()
-        replace_primary(system)
+        await lose_primary_and_reports(system, primary)
         await system.until(lambda: behind.primary)
         assert lost_writes(system.group) == []
 
     run_system(tmp_path, scenario)
+
+
+@pytest.fixture
+def short_silence(monkeypatch):
+    monkeypatch.setattr(silentreplicas, "SILENCE_SECONDS", 0.5)
+    monkeypatch.setattr(replicawatch, "PROBE_INTERVAL_SECONDS", 0.2)
+
+
+def test_a_replica_that_is_lost_for_good_is_not_waited_for(tmp_path, short_silence):
+    """Guards against a group without a primary although its replicas have every write.
+
+    A lost replica says nothing, was expected for good, and after a restart of all
+    processes nobody knew the newest acknowledged commit (review case 10).
+    """
+
+    async def scenario(system):
+        primary, lost, other = system.group.members.values()
+        client = await Client.open(system.client_addresses[0], "orders")
+        assert await write(client)
+        await lost.stop()
+        assert await write(client)
+        records = system.controls[0].records
+        await system.until(lambda: lost.name not in records.members)
+        assert not records.departures
+        await lose_primary_and_reports(system, primary)
+        await system.until(lambda: other.primary)
+        assert lost_writes(system.group) == []
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_silent_replica_is_kept_while_it_may_be_the_only_one_with_a_commit(
+    tmp_path, short_silence
+):
+    """Guards against a replica that is removed with what only it acknowledged."""
+
+    async def scenario(system):
+        _, holder, behind = await write_to_one_replica(system)
+        await holder.stop()
+        await asyncio.sleep(1.5)
+        records = system.controls[0].records
+        assert holder.name in records.members
+        behind.held_term = 0
+        client = await Client.open(system.client_addresses[0], "orders")
+        assert await write(client)
+        await system.until(lambda: holder.name not in records.members)
+
+    run_system(tmp_path, scenario)
+
+
+def test_a_replica_that_only_the_leader_cannot_reach_is_removed_once(
+    tmp_path, short_silence
+):
+    """Guards against a replica that comes and goes while its announcements arrive."""
+
+    async def scenario(system):
+        _, hidden, _ = system.group.members.values()
+        await hidden.stop()
+        records = system.controls[0].records
+        await system.until(lambda: hidden.name not in records.members)
+        assert await system.announce(hidden.name, sequence=2)
+        await system.until(lambda: hidden.name in records.members)
+        await asyncio.sleep(1.5)
+        assert hidden.name in records.members
+
+    run_system(tmp_path, scenario)
--- a/tests/adapter/test_whole_path.py
+++ b/tests/adapter/test_whole_path.py
@@ -5,13 +5,13 @@
 from system import Client, run_system
 
 from bronzemoor_core.wire.leases import LEASE_SECONDS
+from bronzemoor_core.wire.succession import is_alive
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.memberorders import NO_DEADLINE, send_order
 from bronzemoor_daemon.wire.proxy import (
     LEASE_LOSS_GRACE_SECONDS,
     MIN_IDLE_BEFORE_CLOSE_SECONDS,
 )
-from bronzemoor_daemon.wire.supervisor import is_alive
 from bronzemoor_platform.lines import PlatformLines
 
 
