Let a reported commit bound every choice of a successor

Cause: min() of two upper bounds. One of them holds samples of the primary, which may be newer than anything acknowledged; the proxies' reports alone are a lower bound.

Change: a successor needs what proxies have reported as acknowledged in any case, in groups with acknowledging replicas.

Measured: test_a_reported_commit_bounds_every_choice failed before; test_lost_commits, test_stale_orders, test_departures pass.

--- a/packages/core/src/bronzemoor_core/wire/succession.py
+++ b/packages/core/src/bronzemoor_core/wire/succession.py
@@ -128,12 +128,17 @@
         sampled_at, position = float("-inf"), ZERO
     if lost_until > 0 and sampled_at < lost_until:
         return None
+    newest = max(position, reported_position(evidence))
+    return newest if newest != ZERO else None
+
+
+def reported_position(evidence: dict[str, Evidence]) -> Position:
+    """Returns the newest commit that a proxy has reported as acknowledged."""
     reported = (
         Position(item.report.acknowledged_term, item.report.acknowledged_offset)
         for item in evidence.values()
     )
-    newest = max(position, *reported, ZERO)
-    return newest if newest != ZERO else None
+    return max(reported, default=ZERO)
 
 
 def is_alive(status: MemberStatus | str) -> bool:
@@ -165,6 +170,7 @@
     leaving: Collection[str] = (),
     planned: str = "",
     departed: bool = False,
+    reported: Position = ZERO,
 ) -> str:
     """Returns the member to promote, or an empty string while none is safe.
 
@@ -172,7 +178,8 @@
     have acknowledged a commit. Once all of them have reported, the newest has every
     commit, unless one ``departed`` that may have acknowledged more. Otherwise a replica
     must have reached ``acknowledged``, the newest commit that was reported to any
-    client, None while unknown. An order to promote the
+    client, None while unknown. It needs the commits that proxies have ``reported`` as
+    acknowledged in any case. An order to promote the
     ``planned`` member may still be on its way and is harmless only once that member is
     the primary, so it is preferred. A ``leaving`` member is chosen only if no other is
     safe, since it would have to be replaced at once.
@@ -184,6 +191,7 @@
     required = min((p for p in (newest, acknowledged) if p is not None), default=None)
     if required is None:
         return ""
+    required = max(required, reported)
     safe = [member for member, position in held.items() if position >= required]
     return max(
         safe,
--- a/packages/core/tests/wire/test_succession.py
+++ b/packages/core/tests/wire/test_succession.py
@@ -122,6 +122,19 @@
     assert choose_successor(held, set(held), c, departed=True) == "c"
 
 
+def test_a_reported_commit_bounds_every_choice():
+    """Guards against a replica that lacks a commit which a client was told of.
+
+    All replicas on record had answered, none had it, and the newest was promoted.
+    """
+    b, c = Position(1, 5), Position(1, 7)
+    held = {"b": b, "c": c}
+    sampled = Position(1, 9)
+    assert choose_successor(held, set(held), sampled, reported=Position(1, 8)) == ""
+    assert choose_successor(held, set(held), sampled, reported=c) == "c"
+    assert choose_successor(held, set(held), sampled, reported=b, leaving={"c"}) == "c"
+
+
 def status(primary=False, term=2, offset=7) -> MemberStatus:
     return MemberStatus(primary, term, Position(term, offset), 0, 0.0, 0, 0)
 
--- a/packages/daemon/src/bronzemoor_daemon/wire/failover.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/failover.py
@@ -3,13 +3,14 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from bronzemoor_core.positions import Position
+from bronzemoor_core.positions import ZERO, Position
 from bronzemoor_core.wire.records import MemberRecord
 from bronzemoor_core.wire.succession import (
     acknowledged_position,
     choose_successor,
     newest_primary,
     primary_of,
+    reported_position,
 )
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.grouporders import STEP_INTERVAL_SECONDS, GroupOrders
@@ -107,6 +108,7 @@
         departed: bool,
     ) -> str:
         now, leases = boottime(), self._leader.leases
+        evidence = self._leader.evidence.get(self._group, {})
         leases.forget_lost(now)
         acknowledged = None
         if (
@@ -114,7 +116,6 @@
             and not leases.waiting_for(now, version)
             and leases.all_confirmed(version)
         ):
-            evidence = self._leader.evidence.get(self._group, {})
             sample = self._leader.samples.newest_sample(self._group)
             acknowledged = acknowledged_position(
                 evidence, sample, term, leases.lost_until(now)
@@ -122,7 +123,13 @@
         leaving = {member for member, record in replicas.items() if record.leaving}
         planned = self._orders.leader_record.candidate
         successor = choose_successor(
-            held, set(replicas), acknowledged, leaving, planned, departed
+            held,
+            set(replicas),
+            acknowledged,
+            leaving,
+            planned,
+            departed,
+            reported_position(evidence) if self._orders.needs_replicas else ZERO,
         )
         self._orders.report(
             "info",
@@ -134,6 +141,7 @@
             leaving=len(leaving),
             departed=departed,
             acknowledged=str(acknowledged),
+            reported=str(reported_position(evidence)),
             # Proxies that may still acknowledge commits of the old primary.
             leases=len(leases.waiting_for(now, version)),
         )
--- a/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
@@ -78,6 +78,11 @@
         primary = self.leader_record.primary
         return {m: r for m, r in self.members.items() if m != primary}
 
+    @property
+    def needs_replicas(self) -> bool:
+        """Whether a commit is acknowledged once a replica has it."""
+        return self._leader.needs_replicas(self._group)
+
     @property
     def departure(self) -> int:
         """Number of the newest departure that commits may depend on, or 0."""
--- a/packages/daemon/src/bronzemoor_daemon/wire/leader.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/leader.py
@@ -170,13 +170,17 @@
         record = self._control.records.leaders.get(group)
         return record if record is not None else LeaderRecord(group)
 
+    def needs_replicas(self, group: str) -> bool:
+        """Whether a commit of the group is acknowledged once a replica has it."""
+        spec = self.deployment.groups.get(group) if self.deployment else None
+        return spec is not None and spec.acknowledging_replicas > 0
+
     def departure(self, group: str) -> int:
         """Number of the newest departure that the group's commits may depend on, or 0.
 
         Commits of a group without acknowledging replicas depend on its primary only.
         """
-        spec = self.deployment.groups.get(group) if self.deployment else None
-        if spec is None or not spec.acknowledging_replicas:
+        if not self.needs_replicas(group):
             return 0
         return self._control.records.departures.get(group, 0)
 
