--- a/packages/daemon/src/bronzemoor_daemon/wire/handover.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/handover.py
@@ -68,6 +68,10 @@
             if await self._await_catch_up(members[successor], required):
                 await self._orders.wait_for_orders(successor)
                 await self._orders.wait_for_leases(self._orders.revoke())
+                # A replica that joined meanwhile may have acknowledged commits.
+                others = {
+                    m: r for m, r in self._orders.replicas.items() if m != successor
+                }
                 if await self._is_still_ahead(members[successor], others, old, term):
                     await self._orders.promote(successor, started_at)
                     return True
--- a/tests/adapter/system.py
+++ b/tests/adapter/system.py
@@ -157,7 +157,8 @@
 
     async def announce(self, name: str, sequence: int = 1, **changes) -> bool:
         member = self.group.members[name]
-        zone = changes.pop("zone", ZONES[list(self.group.members).index(name)])
+        number = list(self.group.members).index(name)
+        zone = changes.pop("zone", ZONES[number % len(ZONES)])
         fields = {"born": 1, "leaving": False, "primary": member.primary, **changes}
         record = MemberRecord(
             name, "ledger", member.address, zone, sequence=sequence, **fields
--- a/tests/adapter/test_lost_commits.py
+++ b/tests/adapter/test_lost_commits.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from fake_members import FakeMember
 from replacements import (
     hand_over,
     leader_of,
@@ -68,6 +69,32 @@
     run_system(tmp_path, scenario)
 
 
+def test_a_handover_waits_for_writes_that_a_new_replica_acknowledged(tmp_path):
+    """Guards against a successor compared only with the replicas at the start."""
+
+    async def scenario(system):
+        leader = leader_of(system)._leader
+        await system.until(lambda: leader.leases.predecessor_leases_expired(boottime()))
+        client = await Client.open(system.client_addresses[0], "orders")
+        assert await write(client)
+        disconnect(system.proxies[0])
+        hand_over(system)
+        await system.until(lambda: "waiting_for_leases" in names(system.events))
+        for member in system.group.members.values():
+            if not member.primary:
+                member.held_term = 99  # receives nothing for a while
+        joined = FakeMember(system.group, "ledger-d")
+        system.group.members[joined.name] = joined
+        await joined.start()
+        assert await system.announce(joined.name)
+        assert await write(client)
+        ends = {"handover_put_off", "primary_replaced"}
+        await system.until(lambda: ends & set(names(system.events)))
+        assert lost_writes(system.group) == []
+
+    run_system(tmp_path, scenario)
+
+
 def test_a_commit_of_a_proxy_that_a_new_leader_never_heard_of_is_kept(tmp_path):
     """Guards against a successor that is chosen without what a lost proxy acknowledged.
 
