Let the test of a stop know answers that came late while the process stood still

Cause: the route's timeout is 0.8 s. The test itself pauses the process for 0.4 s, and the machine did so for the rest. In doubt is a true answer then; the check knew only success.

Ruled out: a session that was cut off (each write had its answer, after the timeout).

Change: equality as before, but for writes answered in doubt after the timeout while the process ran for less than half of it, by a loop that wakes every 10 ms. An early answer in doubt, or none, fails as before.

--- a/tests/adapter/test_stop.py
+++ b/tests/adapter/test_stop.py
@@ -15,13 +15,48 @@
 
 SESSIONS = 12
 GRACE_SECONDS = 1.5
+TIMEOUT_SECONDS = 0.8  # of the routes
+PERIOD_SECONDS = 0.01
+
+
+class Pauses:
+    """How long the process stood still, by an event loop that wakes every 10 ms."""
+
+    def __init__(self) -> None:
+        self._pauses: list[tuple[float, float]] = []
+
+    async def watch(self) -> None:
+        while True:
+            began = time.monotonic()
+            await asyncio.sleep(PERIOD_SECONDS)
+            self._pauses.append((began + PERIOD_SECONDS, time.monotonic()))
+
+    def between(self, begin: float, end: float) -> float:
+        """Returns the seconds between two times in which the process stood still."""
+        parts = (min(end, e) - max(begin, b) for b, e in self._pauses)
+        return sum(part for part in parts if part > 0)
+
+
+def is_allowed(result: tuple, pauses: Pauses) -> bool:
+    """Returns whether a client may have got ``result`` for a write that is stored.
+
+    *In doubt* is true if the answer of the member came too late. That is not the stop's
+    doing where the process ran for less than half of the route's timeout.
+    """
+    answer, _, sent_at, answered_at = result
+    running = answered_at - sent_at - pauses.between(sent_at, answered_at)
+    return (
+        answer.startswith("ERROR INDOUBT")
+        and answered_at - sent_at >= TIMEOUT_SECONDS
+        and running < TIMEOUT_SECONDS / 2
+    )
 
 
 async def write_until_closed(address, numbers, acknowledged, failed, texts) -> None:
     """Writes without pauses, as single statements or transactions of ``texts``.
 
     A transaction that failed is rolled back, since its session cannot end otherwise.
-    ``failed`` gets what clients got for the other writes, and after how many seconds.
+    ``failed`` gets what clients got for the other writes, when sent and answered.
     """
     client = await Client.open(address, "orders")
     with suppress(ConnectionError):
@@ -29,10 +64,10 @@
             value = f"v{next(numbers)}"
             for text in texts:
                 sent_at = time.monotonic()
-                failed[value] = ("no answer", text)
+                failed[value] = ("no answer", text, sent_at, sent_at)
                 answer = await client.call(text.format(value))
                 if outcome(answer) != "COMPLETE":
-                    failed[value] = (answer[-2], text, time.monotonic() - sent_at)
+                    failed[value] = (answer[-2], text, sent_at, time.monotonic())
                     if answer[-1].startswith("READY E"):
                         await client.call("ROLLBACK")
                     break
@@ -57,6 +92,8 @@
         for member in system.group.members.values():
             member.statement_delays["STORE"] = delay
         numbers, acknowledged, failed = count(), set(), {}
+        pauses = Pauses()
+        watch = asyncio.create_task(pauses.watch())
         writers = [
             asyncio.create_task(
                 write_until_closed(address, numbers, acknowledged, failed, texts)
@@ -75,9 +112,10 @@
         await asyncio.gather(*writers)
         primary = next(m for m in system.group.members.values() if m.primary)
         stored = {value for entry in primary.log for _, value in entry}
-        assert stored == acknowledged, [
-            (value, failed.get(value)) for value in stored - acknowledged
-        ]
+        assert acknowledged <= stored
+        watch.cancel()
+        lost = [failed[value] for value in stored - acknowledged]
+        assert not [result for result in lost if not is_allowed(result, pauses)]
 
     run_system(tmp_path, scenario)
 
