Ask in one place whether a replica has all that the primary has

Found by reading the change once more: the watch of replicas and the settling of departures each asked the primary and then the replicas, and compared them, in eight equal lines. Now both call GroupOrders.has_covering_replica, and the comparison is named for what it does (covers_primary, was settles_departure).

Smaller twins in the same change: whether a daemon is in contact was computed by JoinSearch and by JoinRequests, membership in the control group was written out three times, and the newest reported commit was computed twice in one decision.

No behaviour changes; no test changes but for the name.

--- a/packages/core/src/bronzemoor_core/wire/controlgroup.py
+++ b/packages/core/src/bronzemoor_core/wire/controlgroup.py
@@ -62,6 +62,9 @@
         """How many voters the group keeps for good."""
         return max(self.wanted_voters, MIN_VOTERS)
 
+    def is_member(self, name: str) -> bool:
+        return name in self.voters or name in self.learners
+
     def silence(self, now: float, member: str) -> float:
         """Returns for how long a member has not answered, 0 for the leader."""
         return now - self.last_replies.get(member, now)
@@ -78,7 +81,7 @@
         One daemon catches up at a time. A learner that is lost gives its place away
         before any voter does, since it would hold up every other change.
         """
-        if joiner in self.voters or joiner in self.learners:
+        if self.is_member(joiner):
             return None
         lost_learners = self.lost(now, self.learners)
         if lost_learners:
--- a/packages/core/src/bronzemoor_core/wire/joinsearch.py
+++ b/packages/core/src/bronzemoor_core/wire/joinsearch.py
@@ -32,10 +32,13 @@
         """Returns whether the daemon's own log, which may be old, names it."""
         return self._name in log.voters or self._name in log.learners
 
+    def is_in_contact(self, now: float, log: Log) -> bool:
+        """Returns whether the daemon has heard a leader lately."""
+        return now - log.last_contact < self._silent_after
+
     def is_member(self, now: float, log: Log) -> bool:
         """Returns whether the daemon is in the group as far as it can know."""
-        is_in_contact = now - log.last_contact < self._silent_after
-        return is_in_contact and self.is_in_own_log(log)
+        return self.is_in_contact(now, log) and self.is_in_own_log(log)
 
     def should_ask(self, now: float, log: Log) -> bool:
         """Returns whether to ask; a daemon whose storage failed could not take part."""
--- a/packages/core/src/bronzemoor_core/wire/succession.py
+++ b/packages/core/src/bronzemoor_core/wire/succession.py
@@ -179,10 +179,10 @@
     commit, unless one ``departed`` that may have acknowledged more. Otherwise a replica
     must have reached ``acknowledged``, the newest commit that was reported to any
     client, None while unknown. It needs the commits that proxies have ``reported`` as
-    acknowledged in any case. An order to promote the
-    ``planned`` member may still be on its way and is harmless only once that member is
-    the primary, so it is preferred. A ``leaving`` member is chosen only if no other is
-    safe, since it would have to be replaced at once.
+    acknowledged in any case. An order to promote the ``planned`` member may still be on
+    its way and is harmless only once that member is the primary, so it is preferred. A
+    ``leaving`` member is chosen only if no other is safe, since it would have to be
+    replaced at once.
     """
     if not held:
         return ""
@@ -205,13 +205,13 @@
     )
 
 
-def settles_departure(
+def covers_primary(
     primary: MemberStatus, replicas: Collection[MemberStatus], term: int
 ) -> bool:
-    """Returns whether no departed replica is needed for an acknowledged commit.
+    """Returns whether one of the ``replicas`` has all that the primary of ``term`` had.
 
-    That holds if one of the ``replicas`` has all that the primary of ``term`` had when
-    it was asked, after the departure.
+    Then no acknowledged commit depends on a replica that departed before the primary
+    was asked.
     """
     return (
         primary.primary
--- a/packages/core/tests/wire/explore/leaders.py
+++ b/packages/core/tests/wire/explore/leaders.py
@@ -22,7 +22,7 @@
 )
 
 from bronzemoor_core.positions import ZERO
-from bronzemoor_core.wire.succession import choose_successor, settles_departure
+from bronzemoor_core.wire.succession import choose_successor, covers_primary
 
 Steps = Iterator[tuple[str, State]]
 NAMES = "AB"
@@ -124,7 +124,7 @@
 def is_settled(state: State) -> bool:
     primary = state.members[state.record.primary]
     replicas = [state.members[m] for m in replicas_of(state) if state.members[m].up]
-    return primary.up and settles_departure(
+    return primary.up and covers_primary(
         primary.status, [m.status for m in replicas], state.record.term
     )
 
--- a/packages/core/tests/wire/test_succession.py
+++ b/packages/core/tests/wire/test_succession.py
@@ -9,9 +9,9 @@
     Evidence,
     acknowledged_position,
     choose_successor,
+    covers_primary,
     is_overloaded,
     replacement_reason,
-    settles_departure,
     should_replace_overloaded_primary,
 )
 
@@ -154,8 +154,8 @@
     primary, replica, settled
 ):
     """Guards against a departure that is forgotten while it still matters."""
-    assert settles_departure(primary, [replica], 2) is settled
-    assert not settles_departure(primary, [], 2)
+    assert covers_primary(primary, [replica], 2) is settled
+    assert not covers_primary(primary, [], 2)
 
 
 def test_a_leaving_replica_is_promoted_only_where_no_other_is_safe():
--- a/packages/daemon/src/bronzemoor_daemon/wire/controlmembers.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/controlmembers.py
@@ -46,7 +46,7 @@
     def on_join(self, now: float, sender: str) -> None:
         """Takes a daemon into the control group if the group needs one."""
         group = self._group()
-        if sender in (*group.voters, *group.learners):
+        if group.is_member(sender):
             return
         if sender not in self._joiners:
             self._report("info", "outside_group", peer=sender)
@@ -91,8 +91,8 @@
 
     def _forget_joiners(self, now: float, group: ControlGroup) -> None:
         for name, asked_at in list(self._joiners.items()):
-            is_member = name in group.voters or name in group.learners
-            if is_member or now - asked_at >= JOINER_TIMEOUT_SECONDS:
+            is_late = now - asked_at >= JOINER_TIMEOUT_SECONDS
+            if is_late or group.is_member(name):
                 del self._joiners[name]
 
     def _set_gauges(self, voters: int, silent: int) -> None:
--- a/packages/daemon/src/bronzemoor_daemon/wire/failover.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/failover.py
@@ -109,6 +109,7 @@
     ) -> str:
         now, leases = boottime(), self._leader.leases
         evidence = self._leader.evidence.get(self._group, {})
+        reported = reported_position(evidence)
         leases.forget_lost(now)
         acknowledged = None
         if (
@@ -129,7 +130,7 @@
             leaving,
             planned,
             departed,
-            reported_position(evidence) if self._orders.needs_replicas else ZERO,
+            reported if self._orders.needs_replicas else ZERO,
         )
         self._orders.report(
             "info",
@@ -141,7 +142,7 @@
             leaving=len(leaving),
             departed=departed,
             acknowledged=str(acknowledged),
-            reported=str(reported_position(evidence)),
+            reported=str(reported),
             # Proxies that may still acknowledge commits of the old primary.
             leases=len(leases.waiting_for(now, version)),
         )
--- a/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/grouporders.py
@@ -6,7 +6,7 @@
 from bronzemoor_core.wire.authority import PromotionOrder, may_order
 from bronzemoor_core.wire.records import LeaderRecord, MemberRecord
 from bronzemoor_core.wire.statements import MemberStatus
-from bronzemoor_core.wire.succession import newest_primary, primary_of
+from bronzemoor_core.wire.succession import covers_primary, newest_primary, primary_of
 from bronzemoor_daemon.wire.clock import boottime
 from bronzemoor_daemon.wire.memberorders import (
     NO_DEADLINE,
@@ -100,6 +100,21 @@
         self.report("info", "primary_recorded", member=member, term=term, done=done)
         return done
 
+    async def has_covering_replica(self, without: str = "") -> bool:
+        """Returns whether a replica, not counting one, has all that the primary has.
+
+        Then no acknowledged commit depends on that one, or on those that departed.
+        """
+        term, primary = self.term, self.members.get(self.leader_record.primary)
+        if primary is None:
+            return False
+        status = await self.status(primary)
+        if not isinstance(status, MemberStatus):
+            return False
+        others = {m: r for m, r in self.replicas.items() if m != without}
+        replicas = await self.statuses(others)
+        return covers_primary(status, list(replicas.values()), term)
+
     async def settle_departure(self, departure: int) -> None:
         """Records that no commit depends on departed replicas any more."""
         command = {
--- a/packages/daemon/src/bronzemoor_daemon/wire/joinrequests.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/joinrequests.py
@@ -28,7 +28,6 @@
     ) -> None:
         self._control = control
         self._settings = settings
-        self._silent_after = silent_after
         self._report = report
         self._search = JoinSearch(settings.peer, silent_after)
         self._is_cut_off = False
@@ -71,14 +70,13 @@
     def _log_contact(self, now: float) -> None:
         """Logs when this daemon hears no leader any more, and when it does again."""
         log = self._control.log
-        silence = now - log.last_contact
-        is_cut_off = silence >= self._silent_after
+        is_cut_off = not self._search.is_in_contact(now, log)
         if is_cut_off != self._is_cut_off:
             self._is_cut_off = is_cut_off
             self._report(
                 "warning" if is_cut_off else "info",
                 "group_silent" if is_cut_off else "group_heard",
-                contact_ms=logged_ms(silence),
+                contact_ms=logged_ms(now - log.last_contact),
                 in_own_log=self._search.is_in_own_log(log),
                 term=log.term,
             )
--- a/packages/daemon/src/bronzemoor_daemon/wire/replicawatch.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/replicawatch.py
@@ -5,8 +5,7 @@
 
 from bronzemoor_core.wire.records import MemberRecord
 from bronzemoor_core.wire.silentreplicas import SilentReplicas
-from bronzemoor_core.wire.statements import MemberStatus
-from bronzemoor_core.wire.succession import is_alive, settles_departure
+from bronzemoor_core.wire.succession import is_alive
 from bronzemoor_daemon.wire.clock import boottime, logged_ms
 from bronzemoor_daemon.wire.grouporders import GroupOrders
 from bronzemoor_daemon.wire.tasks import Tasks
@@ -57,17 +56,8 @@
 
     async def _remove(self, lost: MemberRecord) -> None:
         """Removes a replica unless commits may depend on it."""
-        orders, term = self._orders, self._orders.term
-        primary = orders.members.get(orders.leader_record.primary)
-        if primary is None or orders.revoked:
-            return
-        status = await orders.status(primary)
-        if not isinstance(status, MemberStatus):
-            return
-        replicas = await orders.statuses(
-            {m: r for m, r in orders.replicas.items() if m != lost.member}
-        )
-        if not settles_departure(status, list(replicas.values()), term):
+        orders = self._orders
+        if orders.revoked or not await orders.has_covering_replica(lost.member):
             return
         now = boottime()
         silent_ms = logged_ms(self._silent.silence(now, lost.member))
--- a/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
+++ b/packages/daemon/src/bronzemoor_daemon/wire/supervisor.py
@@ -10,7 +10,6 @@
     is_alive,
     is_overloaded,
     replacement_reason,
-    settles_departure,
     should_replace_overloaded_primary,
 )
 from bronzemoor_daemon.wire.clock import boottime
@@ -118,7 +117,7 @@
             await self._relieve(members)
         if not self._suspected:
             await self._release_paused(boottime())
-            await self._settle_departure(boottime(), primary)
+            await self._settle_departure(boottime())
             await self._sample_primary(boottime(), primary)
 
     async def _release_paused(self, now: float) -> None:
@@ -140,20 +139,16 @@
             float("inf") if complete else RELEASE_INTERVAL_SECONDS
         )
 
-    async def _settle_departure(self, now: float, primary: MemberRecord) -> None:
+    async def _settle_departure(self, now: float) -> None:
         """Forgets departures once a replica has all that may be acknowledged."""
-        departure, term = self._orders.departure, self._orders.term
+        departure = self._orders.departure
         if departure != self._departure:
             self._departure, self._departed_at = departure, now
             if departure:
                 self._orders.report("info", "departure_noticed", departure=departure)
         if not departure or now - self._departed_at < EXIT_SECONDS:
             return
-        status = await self._orders.status(primary)
-        if not isinstance(status, MemberStatus):
-            return
-        replicas = await self._orders.statuses(self._orders.replicas)
-        if settles_departure(status, list(replicas.values()), term):
+        if await self._orders.has_covering_replica():
             await self._orders.settle_departure(departure)
 
     async def _sample_primary(self, now: float, primary: MemberRecord) -> None:
