Share the steps of the tests of handovers

Waiting for the leases of an earlier leader stood in six tests, the end of a handover in three, and the start of a handover behind a cut-off proxy in two. No assertion changes.

--- a/tests/adapter/replacements.py
+++ b/tests/adapter/replacements.py
@@ -6,6 +6,8 @@
 from system import Client
 from test_whole_path import outcome
 
+from bronzemoor_daemon.wire.clock import boottime
+
 # Longer than any lease and than the limit of a promotion call.
 LONG_SECONDS = 2.5
 KEYS = count(1)
@@ -16,6 +18,19 @@
     return next(c for c in system.controls if c.log.established)
 
 
+async def wait_for_earlier_leases(system):
+    """Waits until no lease of an earlier control leader is left; returns the leader."""
+    leader = leader_of(system)._leader
+    await system.until(lambda: leader.leases.predecessor_leases_expired(boottime()))
+    return leader
+
+
+async def wait_for_handover(system) -> None:
+    """Waits until a handover has ended, whether it promoted a replica or not."""
+    ends = {"handover_put_off", "primary_replaced"}
+    await system.until(lambda: ends & set(names(system.events)))
+
+
 def lost_writes(group: FakeGroup) -> list[tuple[str, str]]:
     """Returns the acknowledged writes that the newest primary lacks."""
     held = [write for work in group.primary.log for write in work]
--- a/tests/adapter/test_departures.py
+++ b/tests/adapter/test_departures.py
@@ -11,6 +11,8 @@
     lost_writes,
     names,
     replace_primary,
+    wait_for_earlier_leases,
+    wait_for_handover,
     write,
 )
 from system import Client, System, run_system
@@ -18,10 +20,9 @@
 
 from bronzemoor_core.wire import silentreplicas
 from bronzemoor_daemon.wire import replicawatch
-from bronzemoor_daemon.wire.clock import boottime
 
 DEAF = 99  # a held term: the member receives nothing
-NOTHING_ENDS = {"replacement_cancelled", "primary_replaced"}
+REPLACEMENT_ENDS = {"replacement_cancelled", "primary_replaced"}
 
 
 async def leave(system: System, member: FakeMember) -> None:
@@ -80,7 +81,7 @@
         primary, holder, _ = await write_to_one_replica(system)
         await depart(system, holder)
         replace_primary(system)
-        await system.until(lambda: NOTHING_ENDS & set(names(system.events)))
+        await system.until(lambda: REPLACEMENT_ENDS & set(names(system.events)))
         assert system.group.primary is primary
         assert lost_writes(system.group) == []
 
@@ -102,7 +103,7 @@
         )
         assert system.group.primary is primary
         await primary.restart()
-        await system.until(lambda: NOTHING_ENDS & set(names(system.events)))
+        await system.until(lambda: REPLACEMENT_ENDS & set(names(system.events)))
         assert lost_writes(system.group) == []
 
     run_system(tmp_path, scenario)
@@ -112,13 +113,11 @@
     """Guards against a planned successor that is compared with replicas on record."""
 
     async def scenario(system):
-        leader = leader_of(system)._leader
-        await system.until(lambda: leader.leases.predecessor_leases_expired(boottime()))
+        await wait_for_earlier_leases(system)
         _, holder, _ = await write_to_one_replica(system)
         await leave(system, holder)
         hand_over(system)
-        ends = {"handover_put_off", "primary_replaced"}
-        await system.until(lambda: ends & set(names(system.events)))
+        await wait_for_handover(system)
         assert lost_writes(system.group) == []
 
     run_system(tmp_path, scenario)
--- a/tests/adapter/test_lost_commits.py
+++ b/tests/adapter/test_lost_commits.py
@@ -10,6 +10,8 @@
     lost_writes,
     names,
     replace_primary,
+    wait_for_earlier_leases,
+    wait_for_handover,
     write,
     write_anew,
 )
@@ -45,25 +47,29 @@
     run_system(tmp_path, scenario)
 
 
+async def hand_over_past_a_cut_off_proxy(system) -> Client:
+    """Starts a handover that waits for a proxy's lease; returns a client of that."""
+    await wait_for_earlier_leases(system)
+    client = await Client.open(system.client_addresses[0], "orders")
+    assert await write(client)
+    disconnect(system.proxies[0])
+    hand_over(system)
+    await system.until(lambda: "waiting_for_leases" in names(system.events))
+    return client
+
+
 def test_a_handover_waits_for_writes_that_a_released_replica_acknowledged(tmp_path):
     """Guards against a planned successor that lacks an acknowledged write."""
 
     async def scenario(system):
-        leader = leader_of(system)._leader
-        await system.until(lambda: leader.leases.predecessor_leases_expired(boottime()))
-        client = await Client.open(system.client_addresses[0], "orders")
-        assert await write(client)
-        disconnect(system.proxies[0])
-        hand_over(system)
-        await system.until(lambda: "waiting_for_leases" in names(system.events))
+        client = await hand_over_past_a_cut_off_proxy(system)
         released = next(m for m in system.group.members.values() if m.held_term)
         released.held_term = 0
         for member in system.group.members.values():
             if member is not released and not member.primary:
                 member.held_term = 99  # receives nothing for a while
         assert await write(client)
-        ends = {"handover_put_off", "primary_replaced"}
-        await system.until(lambda: ends & set(names(system.events)))
+        await wait_for_handover(system)
         assert lost_writes(system.group) == []
 
     run_system(tmp_path, scenario)
@@ -73,13 +79,7 @@
     """Guards against a successor compared only with the replicas at the start."""
 
     async def scenario(system):
-        leader = leader_of(system)._leader
-        await system.until(lambda: leader.leases.predecessor_leases_expired(boottime()))
-        client = await Client.open(system.client_addresses[0], "orders")
-        assert await write(client)
-        disconnect(system.proxies[0])
-        hand_over(system)
-        await system.until(lambda: "waiting_for_leases" in names(system.events))
+        client = await hand_over_past_a_cut_off_proxy(system)
         for member in system.group.members.values():
             if not member.primary:
                 member.held_term = 99  # receives nothing for a while
@@ -88,8 +88,7 @@
         await joined.start()
         assert await system.announce(joined.name)
         assert await write(client)
-        ends = {"handover_put_off", "primary_replaced"}
-        await system.until(lambda: ends & set(names(system.events)))
+        await wait_for_handover(system)
         assert lost_writes(system.group) == []
 
     run_system(tmp_path, scenario)
@@ -186,8 +185,7 @@
     """Guards against a wait for a sample that an idle group never gives."""
 
     async def scenario(system):
-        group, leader = system.group, leader_of(system)._leader
-        await system.until(lambda: leader.leases.predecessor_leases_expired(boottime()))
+        group, leader = system.group, await wait_for_earlier_leases(system)
         clients = [await Client.open(a, "orders") for a in system.client_addresses]
         assert await write(clients[0])
         await system.until(lambda: leader.samples.newest(boottime(), "ledger"))
--- a/tests/adapter/test_stale_orders.py
+++ b/tests/adapter/test_stale_orders.py
@@ -16,6 +16,7 @@
     lost_writes,
     names,
     replace_primary,
+    wait_for_earlier_leases,
     write,
 )
 from system import Client, run_system
@@ -38,8 +39,7 @@
     async def scenario(system):
         group, calls = system.group, []
         carry_out, loop = group.promote, asyncio.get_running_loop()
-        leader = leader_of(system)._leader
-        await system.until(lambda: leader.leases.predecessor_leases_expired(boottime()))
+        await wait_for_earlier_leases(system)
         client = await Client.open(system.client_addresses[0], "orders")
         for _ in range(4):  # the leader gets a new sample of the primary
             assert await write(client)
@@ -145,9 +145,8 @@
     """
 
     async def scenario(system):
-        leader = leader_of(system)._leader
         replicas = [m for m in system.group.members.values() if not m.primary]
-        await system.until(lambda: leader.leases.predecessor_leases_expired(boottime()))
+        leader = await wait_for_earlier_leases(system)
         # The promotion waits until the lease of this proxy has ended.
         disconnect(system.proxies[0])
         hand_over(system)
