--- a/review/common3/members3.py
+++ b/review/common3/members3.py
@@ -96,6 +96,8 @@
         self.members: dict[str, Member] = {}
         # Commits of which a client has got COMPLETE, by what they wrote.
         self.acknowledged: set[str] = set()
+        # What was in the log at which a read ran, by its id.
+        self.reads: dict[str, set[str]] = {}
         # Acknowledged writes that a promoted member lacks.
         self.lost: list[str] = []
         self._received: dict[str, asyncio.Event] = {}
@@ -288,6 +290,9 @@
                 return "ERROR READONLY -"
             signature = f"COMPLETE {member.term}.{next(SIGNATURES):x}.{query_id}"
             if word == "FETCH":
+                position = text_of(member.position)
+                member.service.record(f"{member.name} reads at {position} {query_id}")
+                member.service.reads[query_id] = {w for e in member.log for w in e[2]}
                 return f"ROW {rest[0]}\r\n{signature}"
             if word == "STORE":
                 self.writes.append(" ".join(rest))
--- a/review/common3/system3.py
+++ b/review/common3/system3.py
@@ -27,6 +27,8 @@
 }  # fmt: skip
 FRONT, READINESS, CONTROL, MEMBER, PLATFORM, INTERNAL = range(6)
 METRICS_PORT = 9464
+DATABASE = "lepu270"
+SERVICES = ("dele69a", "kafi81c")
 LIMIT_SECONDS = 110.0
 
 
@@ -122,9 +124,11 @@
 
 
 class System:
-    """Three control daemons, some proxies, one service of three members."""
+    """Three control daemons, some proxies, services of three members each."""
 
-    def __init__(self, folder: Path, record_path: Path, edges: int) -> None:
+    def __init__(
+        self, folder: Path, record_path: Path, edges: int, services: int
+    ) -> None:
         self.folder = folder
         self._record = open(record_path, "w")  # noqa: SIM115
         self._started_at = time.monotonic()
@@ -142,12 +146,18 @@
             )
             for i in range(edges)
         ]  # fmt: skip
-        self.service = Service("dele69a", self.record)
-        for i, zone in enumerate(zones):
-            name, address = f"i-{i + 1}a{prefix[-1]}", f"{prefix}.{50 + i}"
-            address = f"{address}:{self.ports[MEMBER]}"
-            self.service.members[name] = Member(self.service, name, address, zone)
-        next(iter(self.service.members.values())).primary = True
+        self.services: dict[str, Service] = {}
+        for number, name in enumerate(SERVICES[:services]):
+            service = self.services[name] = Service(name, self.record)
+            for i, zone in enumerate(zones):
+                member = f"i-{number + 1}{i + 1}a7"
+                address = f"{prefix}.{50 + 10 * number + i}:{self.ports[MEMBER]}"
+                service.members[member] = Member(service, member, address, zone)
+            next(iter(service.members.values())).primary = True
+        # The kind of the route in the first configuration.
+        self.kind = "primary"
+        # The only service of most cases.
+        self.service = self.services[SERVICES[0]]
         # Answers to orders of promotion are held back for so long.
         self.promotion_delay = 0.0
         self.promotions: list[tuple[str, str, int]] = []
@@ -176,37 +186,48 @@
         """Starts everything and waits until every proxy is ready."""
         host, port = self.platform_address.split(":")
         self._platform = await asyncio.start_server(self._serve_platform, host, port)
-        for member in self.service.members.values():
+        for member in self.members:
             await member.start()
         for machine in self.machines:
             await machine.start()
-        self.run(self.service.replicate())
-        for i, member in enumerate(self.service.members.values()):
+        for service in self.services.values():
+            self.run(service.replicate())
+        for i, member in enumerate(self.members):
+            i %= len(self.controls)
             controls = self.control_addresses[i:] + self.control_addresses[:i]
             self.run(member.send_heartbeats(controls))
-        await self.until(self.put_config, 30.0, "the first configuration")
+        await self.until(
+            lambda: self.put_config(kind=self.kind), 30.0, "the first configuration"
+        )
         for edge in self.edges:
             await self.until(
                 lambda e=edge: self.is_ready(e), 30.0, f"{edge.name} ready"
             )
 
-    async def put_config(self) -> bool:
+    @property
+    def members(self) -> list[Member]:
+        return [m for s in self.services.values() for m in s.members.values()]
+
+    async def put_config(
+        self, version: int = 7, service: str = SERVICES[0], kind: str = "primary"
+    ) -> bool:
+        """Sends a configuration with one route, to ``service``."""
         body = {
-            "version": 7,
+            "version": version,
             "routes": [
                 {
-                    "name": "r-n2ctnfz", "database": "lepu270", "path_prefix": "/",
-                    "route_type": "primary", "timeout_ms": 800,
-                    "target_latency_ms": 400, "priority": 1,
-                    "service": self.service.name, "max_attempts": 2,
+                    "name": f"r-{service}", "database": DATABASE, "path_prefix": "/",
+                    "route_type": kind, "timeout_ms": 800, "target_latency_ms": 800,
+                    "priority": 2, "service": service, "max_attempts": 2,
+                    "max_staleness_ms": 2500,
                 },
             ],
             "services": [
                 {
-                    "name": self.service.name, "health_path": "/health",
-                    "max_conns": 38, "protocol": "h1", "tls": False,
-                    "sync_replicas": 1,
-                },
+                    "name": name, "health_path": "/health", "max_conns": 38,
+                    "protocol": "h1", "tls": False, "sync_replicas": 1,
+                }
+                for name in self.services
             ],
             "limits": {
                 "max_header_bytes": 16384, "max_body_bytes": 262144,
@@ -217,6 +238,7 @@
         for address in self.control_addresses:
             status, _ = await call(address, "PUT", "/bronzemoor/config", body)
             if status == 200:
+                self.record(f"configuration {version} acknowledged: {service}, {kind}")
                 return True
         return False
 
@@ -238,7 +260,7 @@
             await machine.end()
         for task in self._tasks:
             task.cancel()
-        for member in self.service.members.values():
+        for member in self.members:
             await member.crash()
         if self._platform is not None:
             self._platform.close()
@@ -276,13 +298,15 @@
     """A client's session at one proxy."""
 
     def __init__(self, system: System, name: str) -> None:
-        self._system, self._name = system, name
+        self.system, self._name = system, name
         self._number = 0
+        # Id of the last statement.
+        self.last_id = ""
 
     async def open(self, edge: Machine) -> None:
         host, port = edge.address(FRONT).split(":")
         self._reader, self._writer = await asyncio.open_connection(host, int(port))
-        self._writer.write(f"START lepu270 {self._name}\r\n".encode())
+        self._writer.write(f"START {DATABASE} {self._name}\r\n".encode())
         async with asyncio.timeout(2.0):
             answer = (await self._reader.readline()).decode().strip()
         if not answer.startswith("READY"):
@@ -291,8 +315,8 @@
     async def call(self, text: str) -> str:
         """Sends a statement; returns the line of its result, empty without one."""
         self._number += 1
-        query_id = f"{self._name}{self._number:04x}"
-        self._system.record(f"{self._name} sends {query_id} {text}")
+        query_id = self.last_id = f"{self._name}{self._number:04x}"
+        self.system.record(f"{self._name} sends {query_id} {text}")
         result = ""
         try:
             self._writer.write(f"QUERY {query_id} {text}\r\n".encode())
@@ -304,14 +328,14 @@
                         result = line
         except (OSError, TimeoutError):
             result = ""
-        self._system.record(f"{self._name} gets for {query_id}: {result or 'nothing'}")
+        self.system.record(f"{self._name} gets for {query_id}: {result or 'nothing'}")
         return result
 
-    async def store(self, item: str, data: str) -> bool:
+    async def store(self, item: str, data: str, service: str = SERVICES[0]) -> bool:
         """Writes an item; returns whether that was acknowledged."""
         done = (await self.call(f"STORE {item} {data}")).startswith("COMPLETE")
         if done:
-            self._system.service.acknowledged.add(f"{item} {data}")
+            self.system.services[service].acknowledged.add(f"{item} {data}")
         return done
 
 
@@ -336,13 +360,20 @@
     raise CannotRun("no free addresses")
 
 
-def main(folder: str, edges: int, play: Callable[[System], Awaitable[int]]) -> None:
+def main(
+    folder: str,
+    edges: int,
+    play: Callable[[System], Awaitable[int]],
+    services: int = 1,
+    kind: str = "primary",
+) -> None:
     """Plays a case; exits with 1 if the rule was broken, 0 if not, 2 if not run."""
     here = Path(folder).resolve()
     temporary = Path(tempfile.mkdtemp(prefix="bronzemoor-review-"))
 
     async def run() -> int:
-        system = System(temporary, here / "record.txt", edges)
+        system = System(temporary, here / "record.txt", edges, services)
+        system.kind = kind
         try:
             async with asyncio.timeout(LIMIT_SECONDS):
                 await system.start()
