--- a/review/common3/members3.py
+++ b/review/common3/members3.py
@@ -8,8 +8,10 @@
 
 Entry = tuple[int, int, tuple[str, ...]]
 SLOTS = 3
+# Statements that wait for a slot; others are answered BUSY.
+QUEUE = 24
 WORK_SECONDS = 0.006
-REPLICATION_SECONDS = 0.008
+REPLICATION_SECONDS = 0.003
 PROMOTE_SECONDS = 0.6
 # The old primary steps down so long after it can reach the new one.
 STEP_DOWN_SECONDS = 1.0
@@ -27,8 +29,13 @@
         # Whether the process runs, and whether the log of the primary reaches it.
         self.up, self.deaf = False, False
         self.state = "ready"
+        # Whether control daemons cannot reach it, nor it them.
+        self.cut = False
         self.born, self.sequence = int(time.time() * 1_000), 0
         self.slots = asyncio.Semaphore(SLOTS)
+        self.waiting, self.work_seconds = 0, WORK_SECONDS
+        # When the log of the primary last reached it.
+        self.received_at = time.monotonic()
         self.connections: set[Connection] = set()
         self._server: asyncio.Server | None = None
 
@@ -64,7 +71,7 @@
         """Calls the next control daemon after a failure, the same one otherwise."""
         index = 0
         while True:
-            if not self.up:
+            if not self.up or self.cut:
                 await asyncio.sleep(0.1)
                 continue
             role = "primary" if self.primary else "replica"
@@ -82,8 +89,9 @@
                 await asyncio.sleep(0.1)
                 continue
             due = time.monotonic() + HEARTBEAT_SECONDS
+            said = role, self.state
             while time.monotonic() < due and self.up:
-                if role != ("primary" if self.primary else "replica"):
+                if said != ("primary" if self.primary else "replica", self.state):
                     break
                 await asyncio.sleep(0.02)
 
@@ -113,6 +121,7 @@
                     reached = replica.up and not replica.deaf and not replica.held
                     if follows and reached and replica.term <= source.term:
                         replica.log, replica.term = list(source.log), source.term
+                        replica.received_at = time.monotonic()
                         for entry in source.log:
                             self._event(entry).set()
 
@@ -197,6 +206,9 @@
             word, _, rest = (await self.lines.get()).partition(" ")
             if word == "START":
                 fields = rest.split(" ")
+                if self.member.cut and fields[1].startswith("core-"):
+                    # A silent cut: nothing comes back.
+                    await asyncio.Event().wait()
                 expected = fields[2] if len(fields) > 2 else self.member.name
                 if (fields[0], expected) != (
                     self.member.service.name,
@@ -262,6 +274,8 @@
 
     def _order(self, word: str, term: int) -> str:
         member = self.member
+        if member.waiting >= QUEUE:
+            return "ERROR BUSY -"
         if word == "PAUSE" and not member.primary and term > member.term:
             member.held = term
         elif word == "RESUME":
@@ -272,8 +286,13 @@
             member.service.record(f"order {word} {term} at {member.name}")
         role = "primary" if member.primary else "replica"
         position = text_of(member.position)
+        lag = (
+            0
+            if member.primary
+            else int(1_000 * (time.monotonic() - member.received_at))
+        )
         return (
-            f"ROW {role} {member.term} {position} {member.held} 0 0"
+            f"ROW {role} {member.term} {position} {member.held} {lag} 0"
             f" {len(member.connections)}\r\nCOMPLETE -"
         )
 
@@ -284,8 +303,15 @@
                 return "ERROR NOPREPARED -"
             word, shape = self.prepared[rest[0]]
             rest = [f"{shape}:{rest[1]}"]
-        async with member.slots:
-            await asyncio.sleep(WORK_SECONDS)
+        if member.waiting >= QUEUE:
+            return "ERROR BUSY -"
+        member.waiting += 1
+        try:
+            await member.slots.acquire()
+        finally:
+            member.waiting -= 1
+        try:
+            await asyncio.sleep(member.work_seconds)
             if word == "STORE" and not member.primary:
                 return "ERROR READONLY -"
             signature = f"COMPLETE {member.term}.{next(SIGNATURES):x}.{query_id}"
@@ -305,6 +331,8 @@
                 member.service.record(f"{member.name} commits {writes} for {query_id}")
                 await member.service.commit(member, writes)
             return signature
+        finally:
+            member.slots.release()
 
 
 def text_of(position: tuple[int, int]) -> str:
--- a/review/common3/system3.py
+++ b/review/common3/system3.py
@@ -298,7 +298,7 @@
     """A client's session at one proxy."""
 
     def __init__(self, system: System, name: str) -> None:
-        self.system, self._name = system, name
+        self.system, self.name = system, name
         self._number = 0
         # Id of the last statement.
         self.last_id = ""
@@ -306,7 +306,7 @@
     async def open(self, edge: Machine) -> None:
         host, port = edge.address(FRONT).split(":")
         self._reader, self._writer = await asyncio.open_connection(host, int(port))
-        self._writer.write(f"START {DATABASE} {self._name}\r\n".encode())
+        self._writer.write(f"START {DATABASE} {self.name}\r\n".encode())
         async with asyncio.timeout(2.0):
             answer = (await self._reader.readline()).decode().strip()
         if not answer.startswith("READY"):
@@ -315,8 +315,8 @@
     async def call(self, text: str) -> str:
         """Sends a statement; returns the line of its result, empty without one."""
         self._number += 1
-        query_id = self.last_id = f"{self._name}{self._number:04x}"
-        self.system.record(f"{self._name} sends {query_id} {text}")
+        query_id = self.last_id = f"{self.name}{self._number:04x}"
+        self.system.record(f"{self.name} sends {query_id} {text}")
         result = ""
         try:
             self._writer.write(f"QUERY {query_id} {text}\r\n".encode())
@@ -328,7 +328,7 @@
                         result = line
         except (OSError, TimeoutError):
             result = ""
-        self.system.record(f"{self._name} gets for {query_id}: {result or 'nothing'}")
+        self.system.record(f"{self.name} gets for {query_id}: {result or 'nothing'}")
         return result
 
     async def store(self, item: str, data: str, service: str = SERVICES[0]) -> bool:
