--- a/review/common3/members3.py
+++ b/review/common3/members3.py
@@ -29,8 +29,10 @@
         # Whether the process runs, and whether the log of the primary reaches it.
         self.up, self.deaf = False, False
         self.state = "ready"
-        # Whether control daemons cannot reach it, nor it them.
+        # Whether control daemons cannot reach it, nor it them, and names of proxies
+        # that cannot.
         self.cut = False
+        self.cut_from: set[str] = set()
         self.born, self.sequence = int(time.time() * 1_000), 0
         self.slots = asyncio.Semaphore(SLOTS)
         self.waiting, self.work_seconds = 0, WORK_SECONDS
@@ -206,7 +208,8 @@
             word, _, rest = (await self.lines.get()).partition(" ")
             if word == "START":
                 fields = rest.split(" ")
-                if self.member.cut and fields[1].startswith("core-"):
+                far = self.member.cut and fields[1].startswith("core-")
+                if far or fields[1] in self.member.cut_from:
                     # A silent cut: nothing comes back.
                     await asyncio.Event().wait()
                 expected = fields[2] if len(fields) > 2 else self.member.name
--- a/review/common3/system3.py
+++ b/review/common3/system3.py
@@ -9,11 +9,12 @@
 import sys
 import tempfile
 import time
+import tomllib
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
-from members3 import Member, Service, call
+from members3 import Member, Service, call, text_of
 
 ROOT = Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -36,6 +37,13 @@
     """The case could not be played."""
 
 
+def run_line(kind: str) -> list[str]:
+    """Returns the command of the deploy file for a class of machines."""
+    deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    roles = deploy["roles"].values()
+    return next(role["run"].split() for role in roles if role["on"] == kind)
+
+
 class Machine:
     """A machine with one process of the project."""
 
@@ -93,7 +101,7 @@
         log = open(self.system.folder / f"{self.name}.log", "ab")  # noqa: SIM115
         with log:
             self.process = await asyncio.create_subprocess_exec(
-                "python3", "-S", "platform/start.py",
+                *run_line(self.kind),
                 cwd=ROOT, stdout=log, stderr=log, start_new_session=True,
                 env={
                     **kept, "BRONZEMOOR_NODE_FILE": str(path),
@@ -339,6 +347,47 @@
         return done
 
 
+async def count_served(system: System, name: str, writes: int) -> int:
+    """Returns how many of some writes are served, each tried at all proxies."""
+    served = 0
+    for number in range(writes):
+        turn = number % len(system.edges)
+        for edge in system.edges[turn:] + system.edges[:turn]:
+            client = Client(system, f"{name}{number}x")
+            try:
+                await client.open(edge)
+                done = await client.store(f"{name}{number}", "data")
+            except (CannotRun, OSError, TimeoutError):
+                done = False
+            if done:
+                served += 1
+                break
+    return served
+
+
+async def replace_member(system: System, lost: Member) -> None:
+    """Starts a member at another address, which receives the log of the primary."""
+    service = system.service
+    address = f"{lost.address.rpartition('.')[0]}.70:{system.ports[MEMBER]}"
+    member = Member(service, "i-14a7", address, lost.zone)
+    service.members[member.name] = member
+    await member.start()
+    system.run(member.send_heartbeats(system.control_addresses))
+    system.record(f"member {member.name} starts in the place of {lost.name}")
+
+
+def record_logs(system: System) -> None:
+    """Records which members run, and what their logs lack."""
+    service = system.service
+    for member in service.members.values():
+        held = {write for entry in member.log for write in entry[2]}
+        if member.up:
+            system.record(
+                f"member {member.name} is up at {text_of(member.position)}, lacks"
+                f" {len(service.acknowledged - held)} acknowledged writes"
+            )
+
+
 def free_addresses() -> tuple[str, list[int]]:
     """Returns the prefix of unused loopback addresses, and a port for each use."""
     for number in range(1, 200):
