--- a/review/common3/members3.py
+++ b/review/common3/members3.py
@@ -60,6 +60,10 @@
         for connection in list(self.connections):
             connection.transport.abort()
 
+    def cut_off(self, caller: str) -> None:
+        """Lets a caller's connections go silent, and those that it opens."""
+        self.cut_from.add(caller)
+
     async def come_back(self) -> None:
         """Starts again with its log, as a replica if another member was promoted."""
         newest = max(m.term for m in self.service.members.values())
@@ -181,6 +185,7 @@
         self.member = member
         self.buffer = b""
         self.state, self.reads_only = "I", False
+        self.caller = ""
         self.writes: list[str] = []
         self.values: dict[str, str] = {}
         self.prepared: dict[str, tuple[str, str]] = {}
@@ -206,10 +211,14 @@
     async def _serve(self) -> None:
         while True:
             word, _, rest = (await self.lines.get()).partition(" ")
+            caller = rest.split(" ")[1] if word == "START" else self.caller
+            if caller in self.member.cut_from:
+                # A silent cut: nothing comes back.
+                await asyncio.Event().wait()
             if word == "START":
                 fields = rest.split(" ")
-                far = self.member.cut and fields[1].startswith("core-")
-                if far or fields[1] in self.member.cut_from:
+                self.caller = fields[1]
+                if self.member.cut and self.caller.startswith("core-"):
                     # A silent cut: nothing comes back.
                     await asyncio.Event().wait()
                 expected = fields[2] if len(fields) > 2 else self.member.name
--- a/review/common3/system3.py
+++ b/review/common3/system3.py
@@ -126,6 +126,19 @@
             process.kill()
             await process.wait()
 
+    def led_at(self) -> str:
+        """Returns the time at which the process began to lead last, for the choice of
+        whom to disrupt."""
+        log = self.system.folder / f"{self.name}.log"
+        lines = [x for x in log.read_text().splitlines() if " event=leading " in x]
+        return lines[-1].split(" ")[0] if lines else ""
+
+    async def lose_disk(self) -> None:
+        """Kills the process and empties its disk."""
+        await self.kill()
+        self.system.record(f"machine {self.name} loses its disk")
+        shutil.rmtree(self.system.folder / self.name)
+
     async def restart(self) -> None:
         self.system.record(f"process {self.name} starts again")
         await self.start()
