--- a/review/12/case.py
+++ b/review/12/case.py
@@ -7,10 +7,12 @@
 
 sys.path.append(str(Path(__file__).resolve().parents[1] / "common3"))
 
+from members3 import Member  # noqa: E402
 from system3 import BROKEN, HELD, TROUBLE, Client, System, main  # noqa: E402
 
-# The members that crash are down for this long.
-DOWN_SECONDS = 12.0
+# When the replica that has the write crashes after the kills, and for how long.
+CRASH_AFTER_SECONDS = 2.4
+DOWN_SECONDS = 7.0
 # The processes that are killed start again so soon.
 RESTART_SECONDS = 0.3
 WATCH_SECONDS = 25.0
@@ -34,22 +36,17 @@
     killed = [system.edges[0], *system.controls] if TROUBLE else []
     for machine in killed:
         await machine.kill()
+    crashed_at = time.monotonic()
     if TROUBLE:
+        system.record(f"primary {primary.name} is lost for good")
         await primary.crash()
-        await holder.crash()
-    crashed_at = time.monotonic()
+        system.run(crash_for_a_while(holder))
     await asyncio.sleep(RESTART_SECONDS)
     for machine in killed:
         await machine.restart()
     behind.deaf = False
-    back = False
     while time.monotonic() < crashed_at + WATCH_SECONDS and not service.lost:
         await asyncio.sleep(0.5)
-        late = time.monotonic() - crashed_at >= DOWN_SECONDS
-        if TROUBLE and late and not back:
-            back = True
-            await primary.come_back()
-            await holder.come_back()
         client = Client(system, f"d{int(time.monotonic() * 10) % 10_000}")
         try:
             await client.open(system.edges[1])
@@ -61,5 +58,12 @@
     return BROKEN if service.lost else HELD
 
 
+async def crash_for_a_while(member: Member) -> None:
+    await asyncio.sleep(CRASH_AFTER_SECONDS)
+    await member.crash()
+    await asyncio.sleep(DOWN_SECONDS)
+    await member.come_back()
+
+
 if __name__ == "__main__":
     main(str(Path(__file__).parent), 2, play)
