--- a/review/12/case.py
+++ b/review/12/case.py
@@ -66,4 +66,4 @@
 
 
 if __name__ == "__main__":
-    main(str(Path(__file__).parent), 2, play)
+    main(2, play)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -72,4 +72,4 @@
 
 
 if __name__ == "__main__":
-    main(str(Path(__file__).parent), 3, play, services=2, kind=KIND)
+    main(3, play, services=2, kind=KIND)
--- a/review/common3/system3.py
+++ b/review/common3/system3.py
@@ -423,18 +423,20 @@
 
 
 def main(
-    folder: str,
     edges: int,
     play: Callable[[System], Awaitable[int]],
     services: int = 1,
     kind: str = "primary",
 ) -> None:
-    """Plays a case; exits with 1 if the rule was broken, 0 if not, 2 if not run."""
-    here = Path(folder).resolve()
+    """Plays a case; exits with 1 if the rule was broken, 0 if not, 2 if not run.
+
+    The first argument of the program is the path of the record.
+    """
+    record_path = Path(sys.argv[1]).resolve()
     temporary = Path(tempfile.mkdtemp(prefix="bronzemoor-review-"))
 
     async def run() -> int:
-        system = System(temporary, here / "record.txt", edges, services)
+        system = System(temporary, record_path, edges, services)
         system.kind = kind
         try:
             async with asyncio.timeout(LIMIT_SECONDS):
